--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,20 @@
+"""Gives each scenario an event loop of its own and stops what it started."""
+
+import asyncio
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+
+def before_scenario(context, scenario):
+    context.loop = asyncio.new_event_loop()
+    context.stack = AsyncExitStack()
+    context.temporary = tempfile.TemporaryDirectory(prefix="liftrill-test-")
+    context.directory = Path(context.temporary.name)
+    context.run = context.loop.run_until_complete
+
+
+def after_scenario(context, scenario):
+    context.run(context.stack.aclose())
+    context.loop.close()
+    context.temporary.cleanup()
--- /dev/null
+++ b/liftrill/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios, load, history checking and reports."""
--- /dev/null
+++ b/liftrill/bench/deployment.py
@@ -0,0 +1,147 @@
+"""Deployment files: what the launcher starts and what load it sends."""
+
+import tomllib
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from liftrill.errors import SettingsError
+
+DEPLOYMENTS_DIRECTORY = Path(__file__).resolve().parent.parent.parent / "deployments"
+
+
+class StrictModel(BaseModel):
+    """A schema that refuses unknown keys."""
+
+    model_config = ConfigDict(extra="forbid")
+
+
+class EngineSpecification(StrictModel):
+    """Cost model of the engines; see docs/EMULATOR.md."""
+
+    memory_blocks: int = Field(gt=0)
+    prefill_tokens_per_second: float = Field(gt=0)
+    step_base_seconds: float = Field(gt=0)
+    maximum_running: int = Field(gt=0)
+    idle_eviction_seconds: float = Field(gt=0)
+
+
+class PoolSpecification(StrictModel):
+    """A pool of engines of one model."""
+
+    name: str
+    model: str
+    weight_version: str
+    engines: int = Field(gt=0)
+    engine: EngineSpecification
+
+
+class WorkloadSpecification(StrictModel):
+    """One kind of request in the load.
+
+    Attributes:
+        share: part of all requests, relative to the other workloads.
+        hot_prefixes: shared prefixes in use at a time, for each tenant.
+        prefix_tokens: length of a shared prefix.
+        unique_tokens: mean length of what follows the shared prefix.
+        prefix_group: workloads of one group use the same prefixes.
+    """
+
+    name: str
+    model: str
+    priority: int = Field(ge=0, le=9)
+    deadline_milliseconds: int = Field(gt=0)
+    share: float = Field(gt=0)
+    hot_prefixes: int = Field(gt=0)
+    prefix_tokens: int = Field(ge=0)
+    unique_tokens: int = Field(gt=0)
+    output_tokens: int = Field(gt=0)
+    streamed: bool = True
+    repeatable: bool = True
+    prefix_group: str
+
+
+class LoadSpecification(StrictModel):
+    """The load of a demo."""
+
+    requests_per_second: float = Field(gt=0)
+    seconds: float = Field(gt=0)
+
+
+class Deployment(StrictModel):
+    """A whole deployment.
+
+    Attributes:
+        nodes: nodes, one beside each application process, spread over the zones.
+        large_tenants: tenants that get `large_tenant_weight` times the requests of others.
+    """
+
+    name: str
+    region: str
+    zones: list[str] = Field(min_length=1)
+    one_way_milliseconds_between_zones: float = Field(ge=0)
+    one_way_milliseconds_to_clients: float = Field(ge=0)
+    application: str
+    nodes: int = Field(gt=0)
+    kept_store: str
+    kept_store_blocks: int = Field(gt=0)
+    tenants: int = Field(gt=0)
+    large_tenants: int = Field(ge=0)
+    large_tenant_weight: float = Field(gt=0)
+    pools: list[PoolSpecification] = Field(min_length=1)
+    workloads: list[WorkloadSpecification] = Field(min_length=1)
+    load: LoadSpecification
+
+
+def load_deployment(name: str) -> Deployment:
+    """Return a deployment by its name under `deployments/`, or by the path of its file.
+
+    Raises:
+        SettingsError: there is no such file, or it is wrong.
+    """
+    path = Path(name)
+    if not path.suffix:
+        path = DEPLOYMENTS_DIRECTORY / f"{name}.toml"
+    try:
+        return Deployment.model_validate(tomllib.loads(path.read_text()))
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: not valid TOML: {error}") from error
+    except ValidationError as error:
+        problem = error.errors(include_url=False)[0]
+        key = ".".join(str(part) for part in problem["loc"])
+        raise SettingsError(f"{path}: {key}: {problem['input']!r}: {problem['msg']}") from error
+
+
+def tenant_names(deployment: Deployment) -> list[str]:
+    """Return the names of the tenants, large ones first."""
+    return [f"tenant-{number}" for number in range(1, deployment.tenants + 1)]
+
+
+def api_key(tenant: str) -> str:
+    """Return the API key that the launcher gives a tenant."""
+    return f"key-of-{tenant}"
+
+
+def intent_of(deployment: Deployment, claim_members: list[str]) -> dict[str, object]:
+    """Return the intent that configures a deployment."""
+    return {
+        "tenants": [
+            {"name": name, "api_keys": [api_key(name)]} for name in tenant_names(deployment)
+        ],
+        "workloads": [
+            {
+                "name": workload.name,
+                "model": workload.model,
+                "priority": workload.priority,
+                "deadline_milliseconds": workload.deadline_milliseconds,
+            }
+            for workload in deployment.workloads
+        ],
+        "pools": [
+            {"name": pool.name, "model": pool.model, "weight_version": pool.weight_version}
+            for pool in deployment.pools
+        ],
+        "claims": {"members": claim_members},
+    }
--- /dev/null
+++ b/liftrill/bench/launcher.py
@@ -0,0 +1,331 @@
+"""Starts a deployment as separate processes on loopback, and stops them."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import aiohttp
+import orjson
+
+from liftrill.bench.deployment import Deployment, PoolSpecification, intent_of
+from liftrill.cli.operator_client import OperatorClient
+from liftrill.errors import LiftrillError
+
+HOST = "127.0.0.1"
+OPERATOR_KEY = "operator-key-of-the-launcher"
+SHARED_KEY = "shared-key-of-the-launcher"
+CACHE_SECRET = "cache-secret-of-the-launcher"
+START_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 15.0
+POLL_SECONDS = 0.05
+CLAIM_GROUP_SIZE = 3
+
+
+class LaunchError(LiftrillError):
+    """A process did not start or did not become ready."""
+
+
+@dataclass(slots=True)
+class ManagedProcess:
+    """One process that the launcher started."""
+
+    name: str
+    arguments: list[str]
+    address: str
+    log_path: Path
+    environment: dict[str, str]
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process, or start it again after it ended."""
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "liftrill", *self.arguments],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **self.environment},
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def wait(self, timeout_seconds: float) -> int | None:
+        """Return the exit code, or None if the process still runs after the time."""
+        if self.process is None:
+            return None
+        try:
+            return self.process.wait(timeout_seconds)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def stop(self) -> int | None:
+        """Ask the process to stop, kill it if it does not, and return its exit code."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        code = self.wait(STOP_TIMEOUT_SECONDS)
+        if code is None:
+            self.send_signal(signal.SIGKILL)
+            code = self.wait(STOP_TIMEOUT_SECONDS)
+        return code
+
+
+@dataclass(slots=True)
+class EngineProcess:
+    """An engine and what its journal says."""
+
+    managed: ManagedProcess
+    engine_id: str
+    zone: str
+    pool: str
+    journal_path: Path
+
+
+@dataclass(slots=True)
+class Cluster:
+    """A running deployment.
+
+    Attributes:
+        directory: logs and journals.
+        environment: constants that all processes get.
+    """
+
+    deployment: Deployment
+    directory: Path
+    seed: int = 1
+    environment: dict[str, str] = field(default_factory=dict)
+    node_flags: dict[str, str] = field(default_factory=dict)
+    platform: ManagedProcess = field(init=False)
+    kept_store: ManagedProcess = field(init=False)
+    engines: list[EngineProcess] = field(init=False, default_factory=list)
+    nodes: list[ManagedProcess] = field(init=False, default_factory=list)
+    session: aiohttp.ClientSession = field(init=False)
+
+    async def __aenter__(self) -> "Cluster":
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        try:
+            await self._start()
+        except BaseException:
+            await self._stop()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._stop()
+
+    @property
+    def processes(self) -> list[ManagedProcess]:
+        """All processes."""
+        return [self.platform, self.kept_store, *(e.managed for e in self.engines), *self.nodes]
+
+    def operator(self, node_index: int = 0, name: str = "launcher") -> OperatorClient:
+        """Return a client of a node's operator API."""
+        address = self.nodes[node_index].address
+        return OperatorClient(self.session, address, OPERATOR_KEY, name)
+
+    async def configure(self) -> int:
+        """Confirm the deployment's intent and wait until it is in force on every node."""
+        members = [node.name for node in self.nodes[:CLAIM_GROUP_SIZE]]
+        generation = await self.operator().confirm_intent(intent_of(self.deployment, members))
+        for node in self.nodes:
+            await self.wait_ready(node)
+        return generation
+
+    async def wait_ready(self, node: ManagedProcess) -> None:
+        """Wait until a node says that it is ready."""
+
+        async def ready() -> bool:
+            async with self.session.get(f"http://{node.address}/ready") as response:
+                return response.status == 200
+
+        await wait_until(ready, f"{node.name} is ready")
+
+    async def engine_fault(self, engine: EngineProcess, **fault: object) -> None:
+        """Switch on a fault of an engine."""
+        await self._post(f"http://{engine.managed.address}/admin/fault", fault)
+
+    async def platform_fault(self, **fault: object) -> None:
+        """Switch on a fault of the platform."""
+        await self._post(f"http://{self.platform.address}/admin/fault", fault)
+
+    async def register_engine(self, engine: EngineProcess, leaving: bool = False) -> None:
+        """Add an engine to the machine list, or change its line."""
+        row = {
+            "ID": engine.engine_id,
+            "Name": engine.pool,
+            "Address": engine.managed.address,
+            "Meta": {"Zone": engine.zone, "Leaving": str(leaving).lower()},
+        }
+        url = f"http://{self.platform.address}/v1/agent/service/register"
+        async with self.session.put(url, data=orjson.dumps(row)) as response:
+            await response.read()
+
+    def executions(self) -> list[dict[str, Any]]:
+        """Return what all engines recorded in their journals, oldest first."""
+        rows: list[dict[str, Any]] = []
+        for engine in self.engines:
+            if engine.journal_path.exists():
+                lines = engine.journal_path.read_bytes().splitlines()
+                rows.extend(orjson.loads(line) for line in lines)
+        return sorted(rows, key=lambda row: float(row["at"]))
+
+    async def _start(self) -> None:
+        self._plan_processes()
+        for process in self.processes:
+            process.start()
+        for process in (self.platform, self.kept_store, *(e.managed for e in self.engines)):
+            await self._wait_listening(process)
+        for engine in self.engines:
+            await self.register_engine(engine)
+        for node in self.nodes:
+            await self._wait_listening(node)
+
+    def _plan_processes(self) -> None:
+        ports = free_ports(
+            2 + sum(p.engines for p in self.deployment.pools) + 2 * self.deployment.nodes
+        )
+        take = iter(ports)
+        address = f"{HOST}:{next(take)}"
+        self.platform = self._process("platform", ["emulate", "platform"], address)
+        self.kept_store = self._process(
+            self.deployment.kept_store,
+            ["emulate", "kept-store", f"--capacity-blocks={self.deployment.kept_store_blocks}"],
+            f"{HOST}:{next(take)}",
+        )
+        for pool in self.deployment.pools:
+            for number in range(pool.engines):
+                self.engines.append(self._engine(pool, number, f"{HOST}:{next(take)}"))
+        addresses = [
+            (f"{HOST}:{next(take)}", f"{HOST}:{next(take)}") for _ in range(self.deployment.nodes)
+        ]
+        peers = [peer for _, peer in addresses]
+        for number, (listen, peer_listen) in enumerate(addresses):
+            self.nodes.append(self._node(number, listen, peer_listen, peers))
+
+    def _process(self, name: str, command: list[str], address: str) -> ManagedProcess:
+        log_path = self.directory / f"{name}.log"
+        arguments = [*command, f"--listen={address}"]
+        return ManagedProcess(name, arguments, address, log_path, self.environment)
+
+    def _engine(self, pool: PoolSpecification, number: int, address: str) -> EngineProcess:
+        engine_id = f"{pool.name}-{number}"
+        zone = self.deployment.zones[number % len(self.deployment.zones)]
+        journal_path = self.directory / f"{engine_id}.journal"
+        command = [
+            "emulate",
+            "engine",
+            f"--engine-id={engine_id}",
+            f"--model={pool.model}",
+            f"--weight-version={pool.weight_version}",
+            f"--seed={self.seed * 1000 + number}",
+            f"--journal={journal_path}",
+            *(
+                f"--{key.replace('_', '-')}={value}"
+                for key, value in pool.engine.model_dump().items()
+            ),
+        ]
+        process = self._process(engine_id, command, address)
+        return EngineProcess(process, engine_id, zone, pool.name, journal_path)
+
+    def _node(self, number: int, listen: str, peer_listen: str, peers: list[str]) -> ManagedProcess:
+        name = f"{self.deployment.application}-{number}"
+        command = [
+            "node",
+            f"--node-id={name}",
+            f"--region={self.deployment.region}",
+            f"--zone={self.deployment.zones[number % len(self.deployment.zones)]}",
+            f"--peer-listen={peer_listen}",
+            f"--platform=http://{self.platform.address}",
+            f"--operator-key={OPERATOR_KEY}",
+            f"--cache-secret={CACHE_SECRET}",
+            *(f"--{key}={value}" for key, value in self.node_flags.items()),
+            "--shared-keys",
+            SHARED_KEY,
+            "--peers",
+            *peers,
+        ]
+        return self._process(name, command, listen)
+
+    async def _wait_listening(self, process: ManagedProcess) -> None:
+        host, _, port = process.address.rpartition(":")
+
+        async def listening() -> bool:
+            if process.process is not None and process.process.poll() is not None:
+                text = process.log_path.read_text()[-500:]
+                raise LaunchError(f"{process.name} ended at once: {text}")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+            return True
+
+        await wait_until(listening, f"{process.name} listens")
+
+    async def _post(self, url: str, content: object) -> None:
+        async with self.session.post(url, data=orjson.dumps(content)) as response:
+            if response.status != 200:
+                raise LaunchError(f"{url}: {response.status} {await response.text()}")
+
+    async def _stop(self) -> None:
+        await self.session.close()
+        started = [p for p in self._started() if p.process is not None]
+        await asyncio.gather(*(asyncio.to_thread(process.stop) for process in started))
+
+    def _started(self) -> Iterator[ManagedProcess]:
+        try:
+            yield from self.processes
+        except AttributeError:
+            return
+
+
+async def wait_until(
+    condition: Callable[[], Any], what: str, timeout_seconds: float = START_TIMEOUT_SECONDS
+) -> None:
+    """Wait until an asynchronous condition holds.
+
+    Raises:
+        LaunchError: it did not hold within the time.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_seconds
+    while loop.time() < deadline:
+        try:
+            if await condition():
+                return
+        except (aiohttp.ClientError, OSError):
+            pass
+        await asyncio.sleep(POLL_SECONDS)
+    raise LaunchError(f"not within {timeout_seconds:.0f} s: {what}")
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on now, for TCP and UDP."""
+    with _bound_sockets(count) as sockets:
+        return [s.getsockname()[1] for s in sockets]
+
+
+@contextmanager
+def _bound_sockets(count: int) -> Iterator[list[socket.socket]]:
+    sockets: list[socket.socket] = []
+    try:
+        for _ in range(count):
+            bound = socket.socket()
+            bound.bind((HOST, 0))
+            sockets.append(bound)
+        yield sockets
+    finally:
+        for bound in sockets:
+            bound.close()
--- /dev/null
+++ b/liftrill/bench/workload.py
@@ -0,0 +1,81 @@
+"""Generates the prompts of a load, with shared prefixes that move."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from liftrill.bench.deployment import Deployment, WorkloadSpecification, tenant_names
+from liftrill.constants import TOKEN_BYTES
+
+ALPHABET = "abcdefghijklmnopqrstuvwxyz0123456789 "
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedRequest:
+    """One request of a load.
+
+    Attributes:
+        send_at: seconds after the start of the load.
+        prefix_name: names the shared prefix, for reports.
+    """
+
+    number: int
+    send_at: float
+    tenant: str
+    workload: WorkloadSpecification
+    prefix_name: str
+    prompt: str
+
+
+class WorkloadGenerator:
+    """Draws requests with Poisson arrivals. The same seed gives the same requests."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self._deployment = deployment
+        self._seed = seed
+        self._random = random.Random(seed)
+        self._prefix_texts: dict[str, str] = {}
+        self._tenants = tenant_names(deployment)
+        self._tenant_weights = [
+            deployment.large_tenant_weight if i < deployment.large_tenants else 1.0
+            for i in range(deployment.tenants)
+        ]
+
+    def requests(self, requests_per_second: float, seconds: float) -> Iterator[PlannedRequest]:
+        """Yield the requests of a load at a constant mean rate."""
+        at = self._random.expovariate(requests_per_second)
+        number = 0
+        while at < seconds:
+            yield self.request(number, at)
+            number += 1
+            at += self._random.expovariate(requests_per_second)
+
+    def request(self, number: int, send_at: float) -> PlannedRequest:
+        """Return one request."""
+        workloads = self._deployment.workloads
+        workload = self._random.choices(workloads, [w.share for w in workloads])[0]
+        tenant = self._random.choices(self._tenants, self._tenant_weights)[0]
+        prefix_name = self._prefix_name(tenant, workload)
+        prefix = self.prefix_text(prefix_name, workload.prefix_tokens)
+        unique = self._unique_text(number, workload.unique_tokens)
+        return PlannedRequest(number, send_at, tenant, workload, prefix_name, prefix + unique)
+
+    def prefix_text(self, name: str, tokens: int) -> str:
+        """Return the text of a shared prefix."""
+        text = self._prefix_texts.get(name)
+        if text is None:
+            source = random.Random(f"{self._seed}/{name}")
+            text = "".join(source.choices(ALPHABET, k=tokens * TOKEN_BYTES))
+            self._prefix_texts[name] = text
+        return text
+
+    def _prefix_name(self, tenant: str, workload: WorkloadSpecification) -> str:
+        # Popularity falls with the rank, as a few preambles are very hot.
+        ranks = range(1, workload.hot_prefixes + 1)
+        rank = self._random.choices(ranks, [1.0 / r for r in ranks])[0]
+        return f"{workload.prefix_group}/{tenant}/{rank}"
+
+    def _unique_text(self, number: int, mean_tokens: int) -> str:
+        tokens = max(1, int(self._random.uniform(0.5, 1.5) * mean_tokens))
+        text = f"[{number}]" + "".join(self._random.choices(ALPHABET, k=tokens * TOKEN_BYTES))
+        return text[: tokens * TOKEN_BYTES]
--- /dev/null
+++ b/liftrill/cache/blocks.py
@@ -0,0 +1,46 @@
+"""Names of prefix blocks.
+
+A block's name is a keyed hash of its parent's name and its content. The chain starts
+from a salt that is derived from tenant, model, adapter and weight version, so blocks of
+two tenants or of two weight versions never have the same name.
+"""
+
+import hashlib
+from dataclasses import dataclass
+
+from liftrill.cache.tokenizer import Tokenizer
+from liftrill.constants import BLOCK_TOKENS
+
+NAME_BYTES = 16
+SALT_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class CacheScope:
+    """What a cached block belongs to; blocks are shared only inside one scope."""
+
+    tenant: str
+    model: str
+    adapter: str
+    weight_version: str
+
+    def salt(self, secret: bytes) -> bytes:
+        """Return the key of the scope's block hashes (32 bytes)."""
+        hasher = hashlib.blake2b(digest_size=SALT_BYTES, key=secret[:64])
+        for part in (self.tenant, self.model, self.adapter, self.weight_version):
+            encoded = part.encode()
+            hasher.update(len(encoded).to_bytes(4, "big"))
+            hasher.update(encoded)
+        return hasher.digest()
+
+
+def block_names(
+    text: bytes, salt: bytes, tokenizer: Tokenizer, block_tokens: int = BLOCK_TOKENS
+) -> list[bytes]:
+    """Return the name of each full block of a prompt, in order (16 bytes each)."""
+    names: list[bytes] = []
+    parent = b""
+    for content in tokenizer.blocks(text, block_tokens):
+        parent = hashlib.blake2b(parent + content, digest_size=NAME_BYTES, key=salt).digest()
+        names.append(parent)
+    return names
--- /dev/null
+++ b/liftrill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `liftrill` command."""
--- /dev/null
+++ b/liftrill/cli/bench.py
@@ -0,0 +1,5 @@
+"""`liftrill bench`: measurements."""
+
+
+def overhead() -> None:
+    """Measure what a node adds to an engine called directly."""
--- /dev/null
+++ b/liftrill/cli/emulate.py
@@ -0,0 +1,97 @@
+"""`liftrill emulate`: stand-ins for engines, platform and kept-KV store."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import uvloop
+from aiohttp import web
+
+from liftrill.emulator.engine_messages import EngineParameters
+from liftrill.emulator.engine_server import EngineServer
+from liftrill.emulator.kept_store_server import KeptStoreServer
+from liftrill.emulator.platform_server import PlatformServer
+
+DEFAULTS = EngineParameters()
+
+
+def engine(
+    *,
+    engine_id: str,
+    listen: str,
+    model: str,
+    weight_version: str,
+    seed: int = 1,
+    journal: Path | None = None,
+    memory_blocks: int = DEFAULTS.memory_blocks,
+    prefill_tokens_per_second: float = DEFAULTS.prefill_tokens_per_second,
+    step_base_seconds: float = DEFAULTS.step_base_seconds,
+    maximum_running: int = DEFAULTS.maximum_running,
+    maximum_waiting: int = DEFAULTS.maximum_waiting,
+    idle_eviction_seconds: float = DEFAULTS.idle_eviction_seconds,
+    event_loss_share: float = DEFAULTS.event_loss_share,
+) -> None:
+    """Run a model engine.
+
+    :param engine_id: name of the engine
+    :param listen: HOST:PORT
+    :param model: name of the model it serves
+    :param weight_version: weights loaded at the start
+    :param seed: seed of its random choices
+    :param journal: file that gets a JSON line for each execution
+    :param memory_blocks: prefix cache size in blocks
+    :param prefill_tokens_per_second: prompt tokens computed per second
+    :param step_base_seconds: least duration of a decoding step
+    :param maximum_running: largest batch
+    :param maximum_waiting: requests that may wait
+    :param idle_eviction_seconds: blocks unused for this long are dropped
+    :param event_loss_share: share of cache events that are lost
+    """
+    parameters = EngineParameters(
+        memory_blocks=memory_blocks,
+        prefill_tokens_per_second=prefill_tokens_per_second,
+        step_base_seconds=step_base_seconds,
+        maximum_running=maximum_running,
+        maximum_waiting=maximum_waiting,
+        idle_eviction_seconds=idle_eviction_seconds,
+        event_loss_share=event_loss_share,
+    )
+    server = EngineServer(engine_id, model, weight_version, parameters, seed, journal)
+    uvloop.run(_serve(server.application(), listen))
+
+
+def platform(
+    *, listen: str, requests_per_second: float = 200.0, machine_list_lag_seconds: float = 0.5
+) -> None:
+    """Run the platform: key-value service and machine list.
+
+    :param listen: HOST:PORT
+    :param requests_per_second: rate limit over all callers
+    :param machine_list_lag_seconds: age of the machine list that is served
+    """
+    server = PlatformServer(requests_per_second, machine_list_lag_seconds)
+    uvloop.run(_serve(server.application(), listen))
+
+
+def kept_store(*, listen: str, capacity_blocks: int = 100_000) -> None:
+    """Run the kept-KV store.
+
+    :param listen: HOST:PORT
+    :param capacity_blocks: blocks it holds
+    """
+    uvloop.run(_serve(KeptStoreServer(capacity_blocks).application(), listen))
+
+
+async def _serve(application: web.Application, listen: str) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    host, _, port = listen.rpartition(":")
+    runner = web.AppRunner(
+        application, handler_cancellation=True, access_log=None, shutdown_timeout=1.0
+    )
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port)).start()
+    await stop.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/liftrill/cli/main.py
@@ -0,0 +1,48 @@
+"""The `liftrill` command and its sub-commands."""
+
+import sys
+
+import defopt
+
+from liftrill.cli import bench, demo, emulate, errors, node, operator
+from liftrill.errors import LiftrillError, SettingsError
+
+USAGE_EXIT_CODE = 2
+FAILURE_EXIT_CODE = 1
+
+COMMANDS = {
+    "node": node.node,
+    "intent": operator.intent,
+    "plan": {
+        "list": operator.plan_list,
+        "show": operator.plan_show,
+        "confirm": operator.plan_confirm,
+        "discard": operator.plan_discard,
+        "history": operator.plan_history,
+    },
+    "status": operator.status,
+    "explain": operator.explain,
+    "demo": demo.demo,
+    "bench": {"overhead": bench.overhead},
+    "emulate": {
+        "engine": emulate.engine,
+        "platform": emulate.platform,
+        "kept-store": emulate.kept_store,
+    },
+    "errors": errors.errors,
+}
+
+
+def main() -> None:
+    """Run the command line; exit code 2 means wrong usage or settings, 1 a failure."""
+    try:
+        result = defopt.run(COMMANDS, cli_options="all", show_defaults=True)
+    except SettingsError as error:
+        print(f"liftrill: {error}", file=sys.stderr)
+        sys.exit(USAGE_EXIT_CODE)
+    except LiftrillError as error:
+        print(f"liftrill: {error}", file=sys.stderr)
+        sys.exit(FAILURE_EXIT_CODE)
+    except KeyboardInterrupt:
+        sys.exit(130)
+    sys.exit(result or 0)
--- /dev/null
+++ b/liftrill/coordination/configuration.py
@@ -0,0 +1,118 @@
+"""A replica of a versioned, content-addressed configuration.
+
+The head names a generation and the digest of each section. A replica adopts a head only
+when its generation is higher than the one in force and every section is present with
+the right digest, so that no source, not even a store restored from an old copy, can
+take it back.
+"""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from types import MappingProxyType
+
+from liftrill.errors import ConfigurationError
+
+DIGEST_BYTES = 32
+
+
+def content_digest(content: bytes) -> bytes:
+    """Return the BLAKE2b-256 digest that names a section's content."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """A generation and the digests of its sections, by section name."""
+
+    generation: int
+    section_digests: Mapping[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """A complete configuration in force."""
+
+    head: Head
+    sections: Mapping[str, bytes]
+
+
+class Adoption(Enum):
+    """What a replica did with a head that it was offered."""
+
+    ADOPTED = "adopted"
+    INCOMPLETE = "incomplete"
+    STALE = "stale"
+
+
+@dataclass(slots=True)
+class ConfigurationReplica:
+    """Holds the configuration in force and the sections collected for a newer head."""
+
+    current: Configuration | None = None
+    _contents: dict[bytes, bytes] = field(default_factory=dict)
+    _pending: Head | None = None
+
+    @property
+    def generation(self) -> int:
+        """The generation in force, or 0 without a configuration."""
+        return self.current.head.generation if self.current else 0
+
+    @property
+    def wanted_digests(self) -> list[bytes]:
+        """The sections that are missing for the newest head heard of."""
+        if self._pending is None:
+            return []
+        digests = self._pending.section_digests.values()
+        return [digest for digest in digests if digest not in self._contents]
+
+    def offer_head(self, head: Head) -> Adoption:
+        """Take note of a head; adopt it if it is newer and complete.
+
+        Raises:
+            ConfigurationError: the same generation names other content than the one in
+                force, which a correct store cannot produce.
+        """
+        if head.generation < self.generation:
+            return Adoption.STALE
+        if self.current and head.generation == self.generation:
+            self._check_same_content(head)
+            return Adoption.STALE
+        if self._pending is None or head.generation > self._pending.generation:
+            self._pending = head
+        return self._try_adopt()
+
+    def offer_section(self, digest: bytes, content: bytes) -> Adoption:
+        """Take in a section's content; adopt the newest head if it is now complete.
+
+        Raises:
+            ConfigurationError: the content does not have the digest.
+        """
+        if content_digest(content) != digest:
+            raise ConfigurationError(f"section {digest.hex()} does not match its digest")
+        if digest not in self.wanted_digests:
+            return Adoption.STALE
+        self._contents[digest] = content
+        return self._try_adopt()
+
+    def section_by_digest(self, digest: bytes) -> bytes | None:
+        """Return a section's content for a peer that asks, or None."""
+        return self._contents.get(digest)
+
+    def _check_same_content(self, head: Head) -> None:
+        assert self.current is not None
+        if dict(head.section_digests) != dict(self.current.head.section_digests):
+            raise ConfigurationError(f"two contents for generation {head.generation}")
+
+    def _try_adopt(self) -> Adoption:
+        head = self._pending
+        if head is None:
+            return Adoption.STALE
+        if self.wanted_digests:
+            return Adoption.INCOMPLETE
+        sections = {name: self._contents[d] for name, d in head.section_digests.items()}
+        self.current = Configuration(head, MappingProxyType(sections))
+        self._contents = {d: self._contents[d] for d in head.section_digests.values()}
+        self._pending = None
+        return Adoption.ADOPTED
--- /dev/null
+++ b/liftrill/emulator/engine_faults.py
@@ -0,0 +1,28 @@
+"""Faults that a test can switch on in the engine stand-in."""
+
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+FaultKind = Literal[
+    "none", "crash", "freeze", "cut_streams", "foreign_answers", "event_loss", "leave", "load"
+]
+
+
+class EngineFault(BaseModel):
+    """Body of `POST /admin/fault`.
+
+    Attributes:
+        kind: crash (forget everything, cut all connections, new incarnation), freeze (no
+            progress for `seconds`), cut_streams (cut all connections, keep working),
+            foreign_answers (for `seconds`, precede each stream with a chunk that belongs
+            to another request), event_loss (lose `share` of cache events), leave (refuse
+            new work), load (change to `weight_version` after `seconds`), none (end all).
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    kind: FaultKind
+    seconds: float = Field(default=1.0, ge=0, le=3600)
+    share: float = Field(default=0.2, ge=0, le=1)
+    weight_version: str = ""
--- /dev/null
+++ b/liftrill/emulator/engine_messages.py
@@ -0,0 +1,142 @@
+"""Messages into and out of the engine model."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import xxhash
+
+
+class RefusalReason(Enum):
+    """Why an engine definitely did not run a request."""
+
+    INCARNATION_MISMATCH = "incarnation_mismatch"
+    WEIGHT_VERSION_MISMATCH = "weight_version_mismatch"
+    SALT_MISSING = "salt_missing"
+    QUEUE_FULL = "queue_full"
+    LEAVING = "leaving"
+    LOADING = "loading"
+    DUPLICATE_ATTEMPT = "duplicate_attempt"
+    STALE_FENCE = "stale_fence"
+    PROMPT_TOO_LONG = "prompt_too_long"
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationRequest:
+    """One attempt to generate.
+
+    Attributes:
+        prompt: UTF-8 text, including any output that an earlier attempt delivered.
+        start_index: index of the first token this attempt generates.
+        incarnation: the engine incarnation the sender expects, or None for any.
+        weight_version: the weight version the sender expects, or None for any.
+        salt: key of the block hashes; never empty.
+    """
+
+    request_id: str
+    attempt_id: str
+    prompt: bytes
+    maximum_tokens: int
+    salt: bytes
+    priority: int = 1
+    start_index: int = 0
+    incarnation: int | None = None
+    weight_version: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Token counts of one attempt."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class TokenProduced:
+    """One generated token."""
+
+    attempt_id: str
+    index: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationFinished:
+    """The end of an attempt."""
+
+    attempt_id: str
+    finish_reason: str
+    usage: Usage
+
+
+EngineOutput = TokenProduced | GenerationFinished
+
+
+class CacheEventKind(Enum):
+    """What happened to a block."""
+
+    STORED = "stored"
+    REMOVED = "removed"
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One change of the prefix cache; sequence numbers have no gaps when made."""
+
+    sequence: int
+    kind: CacheEventKind
+    block_name: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an engine reports about itself, some time late."""
+
+    measured_at: float
+    running: int
+    waiting: int
+    waiting_prompt_tokens: int
+    memory_blocks: int
+    cached_blocks: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineParameters:
+    """The cost model of an engine, documented in docs/EMULATOR.md."""
+
+    block_tokens: int = 64
+    memory_blocks: int = 2_000
+    prefill_tokens_per_second: float = 20_000.0
+    prefill_chunk_tokens: int = 2_048
+    step_base_seconds: float = 0.008
+    step_seconds_per_sequence: float = 0.0002
+    maximum_running: int = 32
+    maximum_waiting: int = 64
+    idle_eviction_seconds: float = 20.0
+    report_lag_seconds: float = 0.5
+    event_lag_seconds: float = 0.5
+    event_loss_share: float = 0.01
+    resume_window_seconds: float = 2.0
+
+
+@dataclass(slots=True)
+class Generation:
+    """A request inside the engine."""
+
+    request: GenerationRequest
+    arrived_at: float
+    order: int
+    prompt_tokens: int
+    block_names: list[bytes]
+    hasher: xxhash.xxh3_64
+    cached_tokens: int = 0
+    prefill_left: int = -1
+    texts: list[str] = field(default_factory=list)
+    finished: GenerationFinished | None = None
+    detached_at: float | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether the engine has begun to process the prompt."""
+        return self.prefill_left >= 0
--- /dev/null
+++ b/liftrill/emulator/engine_model.py
@@ -0,0 +1,342 @@
+"""A model engine with continuous batching and a prefix cache, sans-IO.
+
+Work is done in steps. A step decodes one token for each running request and spends a
+bounded number of prompt tokens on prefill; its duration is
+
+    step_base + running x step_per_sequence + prefilled tokens / prefill rate
+
+and its effects appear when it ends. Output is a function of the weight version and of
+all text so far, so a continuation on another engine of the same version gives the same
+tokens, and a checker can tell from an answer which weights made it.
+"""
+
+import random
+from collections import deque
+
+import xxhash
+
+from liftrill.cache.blocks import block_names
+from liftrill.cache.tokenizer import FixedWidthTokenizer
+from liftrill.emulator.engine_messages import (
+    CacheEvent,
+    EngineOutput,
+    EngineParameters,
+    Generation,
+    GenerationFinished,
+    GenerationRequest,
+    LoadReport,
+    RefusalReason,
+    TokenProduced,
+    Usage,
+)
+from liftrill.emulator.prefix_cache import PrefixCache
+
+TOKEN_TEXT_CHARACTERS = 4
+_TOKEN_TEXT_MASK = 0xFFFF
+ATTEMPTS_REMEMBERED = 10_000
+
+
+def output_hasher(weight_version: str, text: bytes) -> xxhash.xxh3_64:
+    """Return the state from which the next token of a text is drawn."""
+    seed = xxhash.xxh32_intdigest(weight_version.encode())
+    return xxhash.xxh3_64(text, seed=seed)
+
+
+def next_token_text(hasher: xxhash.xxh3_64) -> str:
+    """Return the next token (four characters) and advance the state past it."""
+    text = f"{hasher.intdigest() & _TOKEN_TEXT_MASK:04x}"
+    hasher.update(text.encode())
+    return text
+
+
+def expected_output(weight_version: str, prompt: bytes, token_count: int) -> str:
+    """Return the whole output for a prompt, for callers that check what they received."""
+    hasher = output_hasher(weight_version, prompt)
+    return "".join(next_token_text(hasher) for _ in range(token_count))
+
+
+class EngineModel:
+    """One engine. Times are seconds on any monotonic clock.
+
+    Attributes:
+        incarnation: changes whenever the engine starts empty.
+        weight_version: the weights that are loaded.
+        leaving: whether new work is refused.
+    """
+
+    def __init__(
+        self,
+        parameters: EngineParameters,
+        weight_version: str,
+        incarnation: int,
+        seed: int,
+    ) -> None:
+        self.parameters = parameters
+        self.weight_version = weight_version
+        self.incarnation = incarnation
+        self.leaving = False
+        self.loading_until: float | None = None
+        self._loading_version = ""
+        self._highest_fence = 0
+        self._tokenizer = FixedWidthTokenizer()
+        self.cache = PrefixCache(parameters, random.Random(seed))
+        self._waiting: list[Generation] = []
+        self._running: list[Generation] = []
+        self._by_attempt: dict[str, Generation] = {}
+        self._seen_attempts: dict[str, None] = {}
+        self._order = 0
+        self._step_ends_at: float | None = None
+        self._step_prefill: list[tuple[Generation, int]] = []
+        self._step_decode: list[Generation] = []
+        self._reports: deque[LoadReport] = deque()
+
+    # Requests
+
+    def submit(self, request: GenerationRequest, now: float) -> RefusalReason | None:
+        """Accept a request, or return why it was not run."""
+        reason = self._refusal(request)
+        if reason is not None:
+            return reason
+        names = block_names(
+            request.prompt, request.salt, self._tokenizer, self.parameters.block_tokens
+        )
+        self._order += 1
+        generation = Generation(
+            request=request,
+            arrived_at=now,
+            order=self._order,
+            prompt_tokens=self._tokenizer.count(request.prompt),
+            block_names=names,
+            hasher=output_hasher(self.weight_version, request.prompt),
+        )
+        self._waiting.append(generation)
+        self._by_attempt[request.attempt_id] = generation
+        self._remember_attempt(request.attempt_id)
+        self._begin_step(now)
+        return None
+
+    def attempt(self, attempt_id: str) -> Generation | None:
+        """Return a request the engine still holds, running or just finished."""
+        return self._by_attempt.get(attempt_id)
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Stop and forget a request; False if the engine does not hold it."""
+        generation = self._by_attempt.pop(attempt_id, None)
+        if generation is None:
+            return False
+        self._drop(generation)
+        return True
+
+    def detach(self, attempt_id: str, now: float) -> None:
+        """Note that nobody reads a request's output; it is cancelled unless resumed in time."""
+        generation = self._by_attempt.get(attempt_id)
+        if generation is not None:
+            generation.detached_at = now
+
+    def attach(self, attempt_id: str) -> Generation | None:
+        """Note that somebody reads a request's output again."""
+        generation = self._by_attempt.get(attempt_id)
+        if generation is not None and generation.finished is None:
+            generation.detached_at = None
+        return generation
+
+    # Orders
+
+    def order_weights(
+        self, weight_version: str, fence: int, ready_at: float
+    ) -> RefusalReason | None:
+        """Begin to load other weights; requests are refused until they are ready."""
+        if fence < self._highest_fence:
+            return RefusalReason.STALE_FENCE
+        self._highest_fence = fence
+        self._loading_version = weight_version
+        self.loading_until = ready_at
+        return None
+
+    def order_leave(self, fence: int) -> RefusalReason | None:
+        """Refuse new work from now on."""
+        if fence < self._highest_fence:
+            return RefusalReason.STALE_FENCE
+        self._highest_fence = fence
+        self.leaving = True
+        return None
+
+    def crash(self, incarnation: int) -> None:
+        """Lose everything and come back empty."""
+        self.incarnation = incarnation
+        self.cache.clear()
+        self._waiting.clear()
+        self._running.clear()
+        self._by_attempt.clear()
+        self._step_ends_at = None
+        self._reports.clear()
+
+    # Time
+
+    def next_time(self) -> float | None:
+        """Return when `advance` next has something to do, or None while idle."""
+        times = [t for t in (self._step_ends_at, self.loading_until) if t is not None]
+        return min(times, default=None)
+
+    def advance(self, now: float) -> list[EngineOutput]:
+        """Return the outputs of all steps that end by now."""
+        outputs: list[EngineOutput] = []
+        self._finish_loading(now)
+        self._expire_detached(now)
+        while self._step_ends_at is not None and self._step_ends_at <= now:
+            ended_at = self._step_ends_at
+            outputs.extend(self._end_step(ended_at))
+            self._step_ends_at = None
+            self._begin_step(ended_at)
+        self.cache.evict_idle(now)
+        return outputs
+
+    def report(self, now: float) -> LoadReport:
+        """Return the newest load report that is old enough to be known by now."""
+        self._reports.append(self._measure(now))
+        visible_at = now - self.parameters.report_lag_seconds
+        while len(self._reports) > 1 and self._reports[1].measured_at <= visible_at:
+            self._reports.popleft()
+        return self._reports[0]
+
+    def take_events(self, now: float) -> list[CacheEvent]:
+        """Return the cache events that are due by now."""
+        return self.cache.take_events(now)
+
+    # Internals
+
+    def _refusal(self, request: GenerationRequest) -> RefusalReason | None:
+        checks = (
+            (not request.salt, RefusalReason.SALT_MISSING),
+            (
+                request.incarnation not in (None, self.incarnation),
+                RefusalReason.INCARNATION_MISMATCH,
+            ),
+            (self.leaving, RefusalReason.LEAVING),
+            (self.loading_until is not None, RefusalReason.LOADING),
+            (
+                request.weight_version not in (None, self.weight_version),
+                RefusalReason.WEIGHT_VERSION_MISMATCH,
+            ),
+            (request.attempt_id in self._seen_attempts, RefusalReason.DUPLICATE_ATTEMPT),
+            (len(self._waiting) >= self.parameters.maximum_waiting, RefusalReason.QUEUE_FULL),
+            (
+                self._blocks_needed(request) > self.parameters.memory_blocks,
+                RefusalReason.PROMPT_TOO_LONG,
+            ),
+        )
+        return next((reason for failed, reason in checks if failed), None)
+
+    def _remember_attempt(self, attempt_id: str) -> None:
+        self._seen_attempts[attempt_id] = None
+        if len(self._seen_attempts) > ATTEMPTS_REMEMBERED:
+            self._seen_attempts.pop(next(iter(self._seen_attempts)))
+
+    def _blocks_needed(self, request: GenerationRequest) -> int:
+        return self._tokenizer.count(request.prompt) // self.parameters.block_tokens
+
+    def _finish_loading(self, now: float) -> None:
+        if self.loading_until is None or now < self.loading_until:
+            return
+        if self._running or self._waiting:
+            return
+        self.loading_until = None
+        self.weight_version = self._loading_version
+        self.cache.clear()
+
+    def _expire_detached(self, now: float) -> None:
+        limit = now - self.parameters.resume_window_seconds
+        expired = [
+            attempt_id
+            for attempt_id, generation in self._by_attempt.items()
+            if generation.detached_at is not None and generation.detached_at <= limit
+        ]
+        for attempt_id in expired:
+            self.cancel(attempt_id)
+
+    def _begin_step(self, now: float) -> None:
+        if self._step_ends_at is not None:
+            return
+        self._admit_waiting(now)
+        if not self._running:
+            return
+        self._step_prefill = self._share_prefill()
+        self._step_decode = [g for g in self._running if g.prefill_left == 0]
+        prefilled = sum(tokens for _, tokens in self._step_prefill)
+        duration = self.parameters.step_base_seconds
+        duration += len(self._running) * self.parameters.step_seconds_per_sequence
+        duration += prefilled / self.parameters.prefill_tokens_per_second
+        self._step_ends_at = now + duration
+
+    def _admit_waiting(self, now: float) -> None:
+        self._waiting.sort(key=lambda g: (g.request.priority, g.order))
+        while self._waiting and len(self._running) < self.parameters.maximum_running:
+            generation = self._waiting.pop(0)
+            self._start(generation, now)
+            self._running.append(generation)
+
+    def _start(self, generation: Generation, now: float) -> None:
+        hits = self.cache.cached_prefix(generation.block_names)
+        generation.cached_tokens = hits * self.parameters.block_tokens
+        generation.prefill_left = generation.prompt_tokens - generation.cached_tokens
+        self.cache.pin(generation.block_names)
+        self.cache.store(generation.block_names[:hits], now)
+
+    def _share_prefill(self) -> list[tuple[Generation, int]]:
+        budget = self.parameters.prefill_chunk_tokens
+        shares: list[tuple[Generation, int]] = []
+        for generation in sorted(self._running, key=lambda g: (g.request.priority, g.order)):
+            tokens = min(budget, generation.prefill_left)
+            if tokens > 0:
+                shares.append((generation, tokens))
+                budget -= tokens
+        return shares
+
+    def _end_step(self, now: float) -> list[EngineOutput]:
+        outputs: list[EngineOutput] = []
+        for generation, tokens in self._step_prefill:
+            generation.prefill_left -= tokens
+            if generation.prefill_left == 0 and self._is_running(generation):
+                self.cache.store(generation.block_names, now)
+                outputs.extend(self._produce(generation, now))
+        for generation in self._step_decode:
+            if self._is_running(generation):
+                outputs.extend(self._produce(generation, now))
+        return outputs
+
+    def _is_running(self, generation: Generation) -> bool:
+        return generation in self._running
+
+    def _produce(self, generation: Generation, now: float) -> list[EngineOutput]:
+        request = generation.request
+        index = request.start_index + len(generation.texts)
+        text = next_token_text(generation.hasher)
+        generation.texts.append(text)
+        outputs: list[EngineOutput] = [TokenProduced(request.attempt_id, index, text)]
+        if len(generation.texts) >= request.maximum_tokens:
+            generation.finished = self._finish(generation)
+            generation.detached_at = now
+            outputs.append(generation.finished)
+        return outputs
+
+    def _finish(self, generation: Generation) -> GenerationFinished:
+        self._drop(generation)
+        usage = Usage(generation.prompt_tokens, generation.cached_tokens, len(generation.texts))
+        return GenerationFinished(generation.request.attempt_id, "length", usage)
+
+    def _drop(self, generation: Generation) -> None:
+        if generation in self._running:
+            self._running.remove(generation)
+            self.cache.unpin(generation.block_names)
+        elif generation in self._waiting:
+            self._waiting.remove(generation)
+
+    def _measure(self, now: float) -> LoadReport:
+        return LoadReport(
+            measured_at=now,
+            running=len(self._running),
+            waiting=len(self._waiting),
+            waiting_prompt_tokens=sum(g.prompt_tokens for g in self._waiting),
+            memory_blocks=self.parameters.memory_blocks,
+            cached_blocks=len(self.cache),
+        )
--- /dev/null
+++ b/liftrill/emulator/engine_schema.py
@@ -0,0 +1,51 @@
+"""HTTP bodies of the engine stand-in: OpenAI's completions with the usual extensions."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from liftrill.emulator.engine_messages import GenerationRequest
+
+
+class CompletionBody(BaseModel):
+    """Body of `POST /v1/completions`.
+
+    `cache_salt`, `priority` and `request_id` are as in common engines; the rest are the
+    preconditions and the resume position that the engine honours.
+    """
+
+    model_config = ConfigDict(extra="ignore")
+
+    prompt: str
+    max_tokens: int = Field(default=16, ge=1)
+    cache_salt: str = ""
+    priority: int = 1
+    request_id: str
+    attempt_id: str
+    start_index: int = Field(default=0, ge=0)
+    incarnation: int | None = None
+    weight_version: str | None = None
+    idempotency_key: str = ""
+
+    def to_request(self) -> GenerationRequest:
+        """Return the model's message."""
+        return GenerationRequest(
+            request_id=self.request_id,
+            attempt_id=self.attempt_id,
+            prompt=self.prompt.encode(),
+            maximum_tokens=self.max_tokens,
+            salt=bytes.fromhex(self.cache_salt),
+            priority=self.priority,
+            start_index=self.start_index,
+            incarnation=self.incarnation,
+            weight_version=self.weight_version,
+        )
+
+
+class OrderBody(BaseModel):
+    """Body of `POST /v1/orders`: a fenced order."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    order_id: str
+    fence: int
+    action: str
+    weight_version: str = ""
--- /dev/null
+++ b/liftrill/emulator/engine_server.py
@@ -0,0 +1,334 @@
+"""HTTP stand-in of a model engine, around `EngineModel`."""
+
+import asyncio
+import time
+from pathlib import Path
+from typing import TextIO
+
+import orjson
+from aiohttp import web
+from pydantic import ValidationError
+
+from liftrill.emulator.engine_faults import EngineFault
+from liftrill.emulator.engine_messages import (
+    EngineOutput,
+    EngineParameters,
+    Generation,
+    GenerationFinished,
+    RefusalReason,
+    TokenProduced,
+)
+from liftrill.emulator.engine_model import EngineModel
+from liftrill.emulator.engine_schema import CompletionBody, OrderBody
+
+REFUSAL_STATUS = {
+    RefusalReason.INCARNATION_MISMATCH: 412,
+    RefusalReason.WEIGHT_VERSION_MISMATCH: 412,
+    RefusalReason.SALT_MISSING: 400,
+    RefusalReason.PROMPT_TOO_LONG: 400,
+    RefusalReason.DUPLICATE_ATTEMPT: 409,
+}
+REFUSED_FOR_LOAD_STATUS = 503
+MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+IDLE_TICK_SECONDS = 0.5
+
+
+class EngineServer:
+    """Serves one engine model; every handler runs on one event loop."""
+
+    def __init__(
+        self,
+        engine_id: str,
+        model_name: str,
+        weight_version: str,
+        parameters: EngineParameters,
+        seed: int,
+        journal_path: Path | None,
+    ) -> None:
+        self.engine_id = engine_id
+        self.model_name = model_name
+        self._model = EngineModel(parameters, weight_version, _new_incarnation(), seed)
+        self._readers: dict[str, asyncio.Queue[EngineOutput | None]] = {}
+        self._wake = asyncio.Event()
+        self._frozen_until = 0.0
+        self._foreign_until = 0.0
+        self._journal: TextIO | None = journal_path.open("a") if journal_path else None
+        self._driver: asyncio.Task[None] | None = None
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application."""
+        application = web.Application(client_max_size=MAXIMUM_BODY_BYTES)
+        application.add_routes(
+            [
+                web.post("/v1/completions", self._complete),
+                web.get("/v1/attempts/{attempt_id}", self._resume),
+                web.delete("/v1/attempts/{attempt_id}", self._cancel),
+                web.post("/v1/orders", self._order),
+                web.get("/v1/status", self._status),
+                web.get("/v1/events", self._events),
+                web.post("/admin/fault", self._fault),
+            ]
+        )
+        application.on_startup.append(self._start)
+        application.on_cleanup.append(self._stop)
+        return application
+
+    async def _start(self, _: web.Application) -> None:
+        self._driver = asyncio.create_task(self._drive())
+
+    async def _stop(self, _: web.Application) -> None:
+        if self._driver is not None:
+            self._driver.cancel()
+        if self._journal is not None:
+            self._journal.close()
+
+    async def _drive(self) -> None:
+        """Advance the model whenever a step is due."""
+        while True:
+            now = time.monotonic()
+            if now < self._frozen_until:
+                await asyncio.sleep(self._frozen_until - now)
+                continue
+            for output in self._model.advance(now):
+                self._route(output)
+            await self._wait_for_work(self._model.next_time())
+
+    async def _wait_for_work(self, due: float | None) -> None:
+        self._wake.clear()
+        delay = IDLE_TICK_SECONDS if due is None else max(0.0, due - time.monotonic())
+        try:
+            async with asyncio.timeout(min(delay, IDLE_TICK_SECONDS)):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _route(self, output: EngineOutput) -> None:
+        reader = self._readers.get(output.attempt_id)
+        if reader is not None:
+            reader.put_nowait(output)
+
+    # Handlers
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        try:
+            body = CompletionBody.model_validate_json(await request.read())
+            generation_request = body.to_request()
+        except (ValidationError, ValueError) as error:
+            return _json({"error": {"code": "invalid", "message": str(error)}}, 400)
+        reason = self._model.submit(generation_request, time.monotonic())
+        if reason is not None:
+            return self._refused(reason)
+        self._record_execution(body)
+        reader = self._open_reader(body.attempt_id)
+        self._wake.set()
+        generation = self._model.attempt(body.attempt_id)
+        assert generation is not None
+        return await self._stream(request, generation, reader, body.start_index)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        attempt_id = request.match_info["attempt_id"]
+        from_index = int(request.query.get("from", "0"))
+        generation = self._model.attach(attempt_id)
+        if generation is None:
+            return _json({"error": {"code": "unknown_attempt"}}, 404)
+        reader = self._open_reader(attempt_id)
+        start_index = generation.request.start_index
+        for position in range(from_index - start_index, len(generation.texts)):
+            text = generation.texts[position]
+            reader.put_nowait(TokenProduced(attempt_id, start_index + position, text))
+        if generation.finished is not None:
+            reader.put_nowait(generation.finished)
+        return await self._stream(request, generation, reader, from_index)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        attempt_id = request.match_info["attempt_id"]
+        cancelled = self._model.cancel(attempt_id)
+        self._close_reader(attempt_id)
+        return _json({"cancelled": cancelled})
+
+    async def _order(self, request: web.Request) -> web.Response:
+        try:
+            order = OrderBody.model_validate_json(await request.read())
+        except ValidationError as error:
+            return _json({"error": {"code": "invalid", "message": str(error)}}, 400)
+        if order.action == "leave":
+            reason = self._model.order_leave(order.fence)
+        else:
+            now = time.monotonic()
+            reason = self._model.order_weights(order.weight_version, order.fence, now)
+        self._wake.set()
+        return self._refused(reason) if reason else _json({"accepted": True})
+
+    async def _status(self, _: web.Request) -> web.Response:
+        report = self._model.report(time.monotonic())
+        return _json(
+            {
+                "engine_id": self.engine_id,
+                "model": self.model_name,
+                "incarnation": self._model.incarnation,
+                "weight_version": self._model.weight_version,
+                "leaving": self._model.leaving,
+                "running": report.running,
+                "waiting": report.waiting,
+                "waiting_prompt_tokens": report.waiting_prompt_tokens,
+                "memory_blocks": report.memory_blocks,
+                "cached_blocks": report.cached_blocks,
+            }
+        )
+
+    async def _events(self, _: web.Request) -> web.Response:
+        events = self._model.take_events(time.monotonic())
+        rows = [[e.sequence, e.kind.value, e.block_name.hex()] for e in events]
+        return _json({"incarnation": self._model.incarnation, "events": rows})
+
+    async def _fault(self, request: web.Request) -> web.Response:
+        fault = EngineFault.model_validate_json(await request.read())
+        now = time.monotonic()
+        if fault.kind == "none":
+            self._frozen_until = self._foreign_until = 0.0
+            self._model.leaving = False
+        elif fault.kind == "crash":
+            self._model.crash(_new_incarnation())
+            self._cut_streams()
+        elif fault.kind == "freeze":
+            self._frozen_until = now + fault.seconds
+        elif fault.kind == "cut_streams":
+            self._cut_streams()
+        elif fault.kind == "foreign_answers":
+            self._foreign_until = now + fault.seconds
+        elif fault.kind == "event_loss":
+            self._model.cache.event_loss_share = fault.share
+        elif fault.kind == "leave":
+            self._model.leaving = True
+        else:
+            self._model.order_weights(fault.weight_version, 0, now + fault.seconds)
+        self._wake.set()
+        return _json({"applied": fault.kind})
+
+    # Streams
+
+    def _open_reader(self, attempt_id: str) -> asyncio.Queue[EngineOutput | None]:
+        self._close_reader(attempt_id)
+        reader: asyncio.Queue[EngineOutput | None] = asyncio.Queue()
+        self._readers[attempt_id] = reader
+        return reader
+
+    def _close_reader(self, attempt_id: str) -> None:
+        reader = self._readers.pop(attempt_id, None)
+        if reader is not None:
+            reader.put_nowait(None)
+
+    def _cut_streams(self) -> None:
+        for attempt_id in list(self._readers):
+            self._close_reader(attempt_id)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        generation: Generation,
+        reader: asyncio.Queue[EngineOutput | None],
+        next_index: int,
+    ) -> web.StreamResponse:
+        attempt_id = generation.request.attempt_id
+        response = web.StreamResponse(headers=self._stream_headers(generation))
+        try:
+            await response.prepare(request)
+            if time.monotonic() < self._foreign_until:
+                await response.write(_foreign_chunk())
+            await self._write_outputs(response, generation, reader, next_index)
+        except (ConnectionError, asyncio.CancelledError):
+            self._model.detach(attempt_id, time.monotonic())
+            raise
+        finally:
+            if self._readers.get(attempt_id) is reader:
+                del self._readers[attempt_id]
+        return response
+
+    async def _write_outputs(
+        self,
+        response: web.StreamResponse,
+        generation: Generation,
+        reader: asyncio.Queue[EngineOutput | None],
+        next_index: int,
+    ) -> None:
+        while True:
+            output = await reader.get()
+            if output is None:
+                raise ConnectionResetError("stream cut")
+            if isinstance(output, TokenProduced) and output.index < next_index:
+                continue
+            await response.write(self._chunk(generation, output))
+            if isinstance(output, GenerationFinished):
+                await response.write(b"data: [DONE]\n\n")
+                return
+
+    def _stream_headers(self, generation: Generation) -> dict[str, str]:
+        return {
+            "Content-Type": "text/event-stream",
+            "X-Engine-Incarnation": str(self._model.incarnation),
+            "X-Weight-Version": self._model.weight_version,
+            "X-Attempt-Id": generation.request.attempt_id,
+        }
+
+    def _chunk(self, generation: Generation, output: EngineOutput) -> bytes:
+        chunk: dict[str, object] = {
+            "id": generation.request.request_id,
+            "attempt_id": output.attempt_id,
+        }
+        if isinstance(output, TokenProduced):
+            chunk["index"] = output.index
+            chunk["choices"] = [{"index": 0, "text": output.text, "finish_reason": None}]
+        else:
+            usage = output.usage
+            chunk["choices"] = [{"index": 0, "text": "", "finish_reason": output.finish_reason}]
+            chunk["usage"] = {
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": usage.completion_tokens,
+                "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+            }
+        return b"data: " + orjson.dumps(chunk) + b"\n\n"
+
+    def _refused(self, reason: RefusalReason) -> web.Response:
+        body = {
+            "error": {"code": reason.value, "executed": False},
+            "incarnation": self._model.incarnation,
+            "weight_version": self._model.weight_version,
+        }
+        return _json(body, REFUSAL_STATUS.get(reason, REFUSED_FOR_LOAD_STATUS))
+
+    def _record_execution(self, body: CompletionBody) -> None:
+        """Append one line to the journal, flushed so that it survives a kill."""
+        if self._journal is None:
+            return
+        record = {
+            "at": time.time(),
+            "engine_id": self.engine_id,
+            "incarnation": self._model.incarnation,
+            "weight_version": self._model.weight_version,
+            "request_id": body.request_id,
+            "attempt_id": body.attempt_id,
+            "start_index": body.start_index,
+            "salt": body.cache_salt,
+            "idempotency_key": body.idempotency_key,
+        }
+        self._journal.write(orjson.dumps(record).decode() + "\n")
+        self._journal.flush()
+
+
+def _new_incarnation() -> int:
+    """Return a number that grows from one start of an engine to the next."""
+    return time.time_ns() // 1_000
+
+
+def _foreign_chunk() -> bytes:
+    chunk = {
+        "id": "request-of-someone-else",
+        "attempt_id": "attempt-of-someone-else",
+        "index": 0,
+        "choices": [{"index": 0, "text": "zzzz", "finish_reason": None}],
+    }
+    return b"data: " + orjson.dumps(chunk) + b"\n\n"
+
+
+def _json(content: dict[str, object], status: int = 200) -> web.Response:
+    return web.Response(body=orjson.dumps(content), status=status, content_type="application/json")
--- /dev/null
+++ b/liftrill/emulator/platform_server.py
@@ -0,0 +1,228 @@
+"""HTTP stand-in of the platform, in a small part of Consul's published HTTP API.
+
+Supported: `GET /v1/kv/KEY` with blocking queries (`index`, `wait`), `PUT /v1/kv/KEY` with
+`cas` or `acquire`, `PUT /v1/session/create`, `PUT /v1/session/renew/ID`,
+`PUT /v1/agent/service/register`, `PUT /v1/agent/service/deregister/ID` and
+`GET /v1/catalog/services-list` (all services at once, with the `Leaving` meta field).
+"""
+
+import asyncio
+import base64
+import time
+from typing import Literal
+
+import orjson
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field
+
+from liftrill.coordination.key_value_store import MachineEntry, StoredEntry
+from liftrill.coordination.token_bucket import TokenBucket
+from liftrill.emulator.platform_model import PlatformModel
+
+MAXIMUM_BODY_BYTES = 1024 * 1024
+
+
+class PlatformFault(BaseModel):
+    """Body of `POST /admin/fault`.
+
+    Attributes:
+        kind: outage (every call is refused for `seconds`), slow (every call takes
+            `delay_seconds` more), lose_answers (`count` writes take effect and their
+            connection is then cut), save (keep a copy of all entries), restore (go back
+            to the copy), machine_list_lag (the list is `delay_seconds` old), none.
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    kind: Literal["none", "outage", "slow", "lose_answers", "save", "restore", "machine_list_lag"]
+    seconds: float = Field(default=5.0, ge=0)
+    delay_seconds: float = Field(default=0.0, ge=0)
+    count: int = Field(default=1, ge=0)
+
+
+class PlatformServer:
+    """Serves one platform model on one event loop."""
+
+    def __init__(self, requests_per_second: float, machine_list_lag_seconds: float) -> None:
+        self._model = PlatformModel()
+        self._bucket = TokenBucket(requests_per_second, requests_per_second)
+        self._changed = asyncio.Condition()
+        self._machine_list_lag_seconds = machine_list_lag_seconds
+        self._machine_history: list[tuple[float, list[MachineEntry]]] = []
+        self._outage_until = 0.0
+        self._delay_seconds = 0.0
+        self._answers_to_lose = 0
+        self._saved: dict[str, StoredEntry] = {}
+        self._calls = 0
+        self._refused = 0
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application."""
+        application = web.Application(client_max_size=MAXIMUM_BODY_BYTES, middlewares=[self._limit])
+        application.add_routes(
+            [
+                web.get("/v1/kv/{key:.+}", self._get),
+                web.put("/v1/kv/{key:.+}", self._put),
+                web.put("/v1/session/create", self._create_session),
+                web.put("/v1/session/renew/{session}", self._renew_session),
+                web.put("/v1/agent/service/register", self._register),
+                web.put("/v1/agent/service/deregister/{machine}", self._deregister),
+                web.get("/v1/catalog/services-list", self._machines),
+                web.post("/admin/fault", self._fault),
+                web.get("/admin/counters", self._counters),
+            ]
+        )
+        return application
+
+    @web.middleware
+    async def _limit(self, request: web.Request, handler: object) -> web.StreamResponse:
+        """Apply outage, delay and rate limit to every call but the administrator's."""
+        assert callable(handler)
+        if request.path.startswith("/admin/"):
+            return await handler(request)  # type: ignore[no-any-return]
+        self._calls += 1
+        now = time.monotonic()
+        if now < self._outage_until:
+            return web.Response(status=503, text="outage")
+        if self._delay_seconds:
+            await asyncio.sleep(self._delay_seconds)
+        if self._bucket.try_take(1.0, now) > 0:
+            self._refused += 1
+            return web.Response(status=429, text="rate limited")
+        return await handler(request)  # type: ignore[no-any-return]
+
+    async def _get(self, request: web.Request) -> web.Response:
+        key = request.match_info["key"]
+        after_revision = int(request.query.get("index", "0"))
+        wait_seconds = float(request.query.get("wait", "0s").rstrip("s"))
+        entry = await self._wait_for_change(key, after_revision, wait_seconds)
+        if entry is None:
+            return web.Response(status=404)
+        body = orjson.dumps([_entry_body(entry)])
+        return web.Response(body=body, content_type="application/json")
+
+    async def _wait_for_change(
+        self, key: str, after_revision: int, wait_seconds: float
+    ) -> StoredEntry | None:
+        deadline = time.monotonic() + wait_seconds
+        async with self._changed:
+            while True:
+                entry = self._model.get(key, time.monotonic())
+                remaining = deadline - time.monotonic()
+                if remaining <= 0 or (entry is not None and entry.revision != after_revision):
+                    return entry
+                try:
+                    async with asyncio.timeout(remaining):
+                        await self._changed.wait()
+                except TimeoutError:
+                    return self._model.get(key, time.monotonic())
+
+    async def _put(self, request: web.Request) -> web.Response:
+        key = request.match_info["key"]
+        value = await request.read()
+        if "cas" in request.query:
+            done = self._model.compare_and_swap(key, value, int(request.query["cas"]))
+        else:
+            session = request.query.get("acquire", "")
+            done = self._model.acquire(key, value, session, time.monotonic())
+        if done:
+            await self._notify()
+        return self._write_answer(request, b"true" if done else b"false")
+
+    async def _create_session(self, request: web.Request) -> web.Response:
+        body = orjson.loads(await request.read())
+        seconds = float(str(body.get("TTL", "10s")).rstrip("s"))
+        session = self._model.create_session(seconds, time.monotonic())
+        return self._write_answer(request, orjson.dumps({"ID": session}))
+
+    async def _renew_session(self, request: web.Request) -> web.Response:
+        renewed = self._model.renew_session(request.match_info["session"], time.monotonic())
+        return web.Response(status=200 if renewed else 404)
+
+    async def _register(self, request: web.Request) -> web.Response:
+        body = orjson.loads(await request.read())
+        machine = MachineEntry(
+            machine_id=body["ID"],
+            service=body["Name"],
+            address=body["Address"],
+            zone=body["Meta"]["Zone"],
+            leaving=body["Meta"].get("Leaving") == "true",
+        )
+        self._model.register_machine(machine)
+        self._record_machines()
+        return web.Response()
+
+    async def _deregister(self, request: web.Request) -> web.Response:
+        self._model.remove_machine(request.match_info["machine"])
+        self._record_machines()
+        return web.Response()
+
+    async def _machines(self, _: web.Request) -> web.Response:
+        rows = [
+            {
+                "ID": machine.machine_id,
+                "Name": machine.service,
+                "Address": machine.address,
+                "Meta": {"Zone": machine.zone, "Leaving": str(machine.leaving).lower()},
+            }
+            for machine in self._lagging_machines()
+        ]
+        return web.Response(body=orjson.dumps(rows), content_type="application/json")
+
+    async def _fault(self, request: web.Request) -> web.Response:
+        fault = PlatformFault.model_validate_json(await request.read())
+        if fault.kind == "none":
+            self._outage_until = self._delay_seconds = 0.0
+            self._answers_to_lose = 0
+        elif fault.kind == "outage":
+            self._outage_until = time.monotonic() + fault.seconds
+            await self._notify()
+        elif fault.kind == "slow":
+            self._delay_seconds = fault.delay_seconds
+        elif fault.kind == "lose_answers":
+            self._answers_to_lose = fault.count
+        elif fault.kind == "save":
+            self._saved = self._model.snapshot()
+        elif fault.kind == "restore":
+            self._model.restore(self._saved)
+            await self._notify()
+        else:
+            self._machine_list_lag_seconds = fault.delay_seconds
+        return web.Response()
+
+    async def _counters(self, _: web.Request) -> web.Response:
+        counters = {"calls": self._calls, "refused": self._refused}
+        return web.Response(body=orjson.dumps(counters), content_type="application/json")
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _write_answer(self, request: web.Request, body: bytes) -> web.Response:
+        """Answer a write, or cut the connection after it took effect."""
+        if self._answers_to_lose > 0:
+            self._answers_to_lose -= 1
+            if request.transport is not None:
+                request.transport.close()
+        return web.Response(body=body, content_type="application/json")
+
+    def _record_machines(self) -> None:
+        now = time.monotonic()
+        self._machine_history.append((now, list(self._model.machines())))
+        visible_at = now - self._machine_list_lag_seconds
+        while len(self._machine_history) > 1 and self._machine_history[1][0] <= visible_at:
+            self._machine_history.pop(0)
+
+    def _lagging_machines(self) -> list[MachineEntry]:
+        visible_at = time.monotonic() - self._machine_list_lag_seconds
+        visible = [machines for at, machines in self._machine_history if at <= visible_at]
+        return visible[-1] if visible else []
+
+
+def _entry_body(entry: StoredEntry) -> dict[str, object]:
+    return {
+        "Key": entry.key,
+        "Value": base64.b64encode(entry.value).decode(),
+        "ModifyIndex": entry.revision,
+        "Session": entry.session,
+    }
--- /dev/null
+++ b/liftrill/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf modules; the definitions are under `proto/`."""
--- /dev/null
+++ b/liftrill/node/caller_api.py
@@ -0,0 +1,306 @@
+"""HTTP handlers for callers."""
+
+import asyncio
+import time
+import uuid
+from typing import cast
+
+from aiohttp import web
+
+from liftrill import constants
+from liftrill.errors import (
+    CodedError,
+    Execution,
+    InvalidRequestError,
+    RequestError,
+    ResultCode,
+    UnknownOutcomeError,
+)
+from liftrill.messages.configuration_pb2 import Tenant, Workload
+from liftrill.node.answers import (
+    CHAT_SHAPE,
+    COMPLETION_SHAPE,
+    AnswerShape,
+    AnswerWriter,
+    error_event,
+    error_response,
+    json_response,
+)
+from liftrill.node.caller_schema import (
+    EXECUTION_HEADER,
+    REQUEST_ID_HEADER,
+    CallerBody,
+    CallerHeaders,
+    ChatRequest,
+    CompletionRequest,
+    parse_body,
+    parse_headers,
+)
+from liftrill.node.context import NodeContext
+from liftrill.node.request_runner import CallerGoneError, TokenSink
+from liftrill.routing.events import DeliverToken
+from liftrill.routing.machine import RequestMachine
+from liftrill.routing.outcome import Completed, Failed, Outcome, refuse_unattempted
+from liftrill.routing.request import RoutedRequest
+
+
+class WholeSink(TokenSink):
+    """Collects tokens for a whole answer."""
+
+    def __init__(self) -> None:
+        self.texts: list[str] = []
+        self.first_token_at: float | None = None
+
+    async def deliver(self, tokens: list[DeliverToken]) -> None:
+        """Collect tokens."""
+        if self.first_token_at is None:
+            self.first_token_at = time.monotonic()
+        self.texts.extend(token.text for token in tokens)
+
+
+class StreamSink(TokenSink):
+    """Writes tokens as server-sent events; the response begins with the first token."""
+
+    def __init__(self, request: web.Request, writer: AnswerWriter, request_id: str) -> None:
+        self._request = request
+        self._writer = writer
+        self._request_id = request_id
+        self.response: web.StreamResponse | None = None
+        self.first_token_at: float | None = None
+
+    async def deliver(self, tokens: list[DeliverToken]) -> None:
+        """Write tokens, waiting while the caller's connection is full."""
+        if self.first_token_at is None:
+            self.first_token_at = time.monotonic()
+        chunks = [self._writer.chunk(token.index, token.text) for token in tokens]
+        await self.write(b"".join(chunks))
+
+    async def write(self, content: bytes) -> None:
+        """Write bytes, beginning the response if needed."""
+        try:
+            if self.response is None:
+                self.response = await self._begin()
+            await self.response.write(content)
+        except ConnectionError as error:
+            raise CallerGoneError(self._request_id) from error
+
+    async def end(self) -> web.StreamResponse:
+        """Finish the response."""
+        assert self.response is not None
+        try:
+            await self.response.write_eof()
+        except ConnectionError as error:
+            raise CallerGoneError(self._request_id) from error
+        return self.response
+
+    async def _begin(self) -> web.StreamResponse:
+        headers = {
+            "Content-Type": "text/event-stream",
+            "Cache-Control": "no-cache",
+            REQUEST_ID_HEADER: self._request_id,
+            EXECUTION_HEADER: Execution.RAN.value,
+        }
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(self._request)
+        return response
+
+
+class CallerApi:
+    """Completions, chat completions, models, health, readiness and metrics."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes to serve."""
+        return [
+            web.post("/v1/completions", self._completions),
+            web.post("/v1/chat/completions", self._chat),
+            web.get("/v1/models", self._models),
+            web.get("/health", self._health),
+            web.get("/ready", self._ready),
+            web.get("/metrics", self._metrics),
+        ]
+
+    async def _completions(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, CompletionRequest, COMPLETION_SHAPE)
+
+    async def _chat(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, ChatRequest, CHAT_SHAPE)
+
+    async def _models(self, _: web.Request) -> web.Response:
+        models = sorted(self._context.view.pools_by_model)
+        data = [{"id": model, "object": "model", "owned_by": "liftrill"} for model in models]
+        return json_response({"object": "list", "data": data})
+
+    async def _health(self, _: web.Request) -> web.Response:
+        return json_response({"status": "alive"})
+
+    async def _ready(self, _: web.Request) -> web.Response:
+        reason = self._context.unready_reason()
+        status = 200 if reason is None else 503
+        return json_response({"ready": reason is None, "reason": reason}, status)
+
+    async def _metrics(self, _: web.Request) -> web.Response:
+        body = self._context.metrics.exposition()
+        return web.Response(body=body, headers={"Content-Type": "text/plain; version=0.0.4"})
+
+    async def _serve(
+        self, http_request: web.Request, schema: type[CallerBody], shape: AnswerShape
+    ) -> web.StreamResponse:
+        request_id = str(uuid.uuid4())
+        with self._context.open_requests.track():
+            try:
+                return await self._answer(http_request, schema, shape, request_id)
+            except RequestError as error:
+                self._count(error.execution, error.code)
+                return error_response(error, request_id)
+            except CallerGoneError:
+                self._count(Execution.UNKNOWN, ResultCode.CALLER_GONE)
+                return error_response(UnknownOutcomeError(ResultCode.CALLER_GONE), request_id)
+            except asyncio.CancelledError:
+                self._count(Execution.UNKNOWN, ResultCode.CALLER_GONE)
+                raise
+
+    async def _answer(
+        self,
+        http_request: web.Request,
+        schema: type[CallerBody],
+        shape: AnswerShape,
+        request_id: str,
+    ) -> web.StreamResponse:
+        headers = parse_headers(http_request.headers)
+        body = parse_body(schema, await _read_body(http_request))
+        routed = self._route(headers, body, request_id)
+        self._admit(routed)
+        writer = AnswerWriter(shape, request_id, body.model)
+        if body.stream:
+            return await self._run_streamed(http_request, routed, writer)
+        return await self._run_whole(routed, writer)
+
+    def _route(self, headers: CallerHeaders, body: CallerBody, request_id: str) -> RoutedRequest:
+        """Return the request with its tenant and workload.
+
+        Raises:
+            InvalidRequestError: the key, the model or the workload is not known.
+            NotRunError: there is no configuration yet.
+        """
+        if self._context.view.generation == 0:
+            raise refuse_unattempted(
+                ResultCode.NO_CONFIGURATION, retry_after_seconds=constants.RETRY_AFTER_SECONDS
+            )
+        tenant = self._tenant(headers)
+        workload = self._workload(headers, body.model)
+        prompt = body.prompt_text().encode()
+        milliseconds = headers.deadline_milliseconds or workload.deadline_milliseconds
+        return RoutedRequest(
+            request_id=request_id,
+            tenant=tenant.name,
+            workload=workload.name,
+            model=body.model,
+            prompt=prompt,
+            prompt_tokens=self._context.tokenizer.count(prompt),
+            maximum_tokens=body.max_tokens,
+            priority=workload.priority,
+            deadline=time.monotonic() + milliseconds / 1000,
+            repeatable=headers.repeatable,
+            idempotency_key=headers.idempotency_key,
+        )
+
+    def _tenant(self, headers: CallerHeaders) -> Tenant:
+        tenant = self._context.view.tenant_for_key(headers.api_key)
+        if tenant is None:
+            raise InvalidRequestError(ResultCode.INVALID_API_KEY)
+        return tenant
+
+    def _workload(self, headers: CallerHeaders, model: str) -> Workload:
+        if model not in self._context.view.pools_by_model:
+            raise InvalidRequestError(ResultCode.UNKNOWN_MODEL, f"unknown model {model[:80]!r}")
+        if headers.workload:
+            workload = self._context.view.workloads_by_name.get(headers.workload)
+        else:
+            workload = self._context.view.default_workload(model)
+        if workload is None or workload.model != model:
+            detail = f"no workload {headers.workload[:80]!r} for model {model!r}"
+            raise InvalidRequestError(ResultCode.UNKNOWN_WORKLOAD, detail)
+        return workload
+
+    def _admit(self, routed: RoutedRequest) -> None:
+        if self._context.draining:
+            raise refuse_unattempted(
+                ResultCode.NODE_DRAINING, retry_after_seconds=constants.RETRY_AFTER_SECONDS
+            )
+        wait = self._context.admission.admit(
+            routed.tenant, routed.workload, routed.prompt_tokens, time.monotonic()
+        )
+        if wait > 0:
+            raise refuse_unattempted(ResultCode.RATE_LIMITED, retry_after_seconds=wait)
+
+    async def _run_whole(self, routed: RoutedRequest, writer: AnswerWriter) -> web.Response:
+        sink = WholeSink()
+        outcome = await self._run(routed, sink)
+        if isinstance(outcome, Failed):
+            raise outcome.error
+        return writer.whole(outcome, "".join(sink.texts))
+
+    async def _run_streamed(
+        self, http_request: web.Request, routed: RoutedRequest, writer: AnswerWriter
+    ) -> web.StreamResponse:
+        sink = StreamSink(http_request, writer, routed.request_id)
+        outcome = await self._run(routed, sink)
+        if isinstance(outcome, Completed):
+            await sink.write(writer.last_chunk(outcome))
+        elif sink.response is None or outcome.error.code is ResultCode.CALLER_GONE:
+            raise outcome.error
+        else:
+            self._count(outcome.error.execution, outcome.error.code)
+            await sink.write(error_event(outcome.error, routed.request_id))
+        return await sink.end()
+
+    async def _run(self, routed: RoutedRequest, sink: WholeSink | StreamSink) -> Outcome:
+        started_at = time.monotonic()
+        machine = RequestMachine(routed, self._context.dispatcher)
+        outcome = await self._context.runner.run(machine, sink)
+        if sink.first_token_at is not None:
+            self._context.metrics.first_token_seconds.observe(sink.first_token_at - started_at)
+        if isinstance(outcome, Completed):
+            self._record_completed(routed, outcome)
+        return outcome
+
+    def _record_completed(self, routed: RoutedRequest, completed: Completed) -> None:
+        metrics = self._context.metrics
+        metrics.requests.labels(execution=Execution.RAN.value, code="0").inc()
+        metrics.tokens.inc(completed.completion_tokens)
+        metrics.prompt_tokens.inc(completed.prompt_tokens)
+        metrics.cached_tokens.inc(completed.cached_tokens)
+        self._context.admission.record_success(routed.workload)
+
+    def _count(self, execution: Execution, code: ResultCode) -> None:
+        labels = {"execution": execution.value, "code": str(code.number)}
+        self._context.metrics.requests.labels(**labels).inc()
+
+
+async def _read_body(request: web.Request) -> bytes:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise InvalidRequestError(ResultCode.BODY_TOO_LARGE) from error
+
+
+@web.middleware
+async def coded_errors(request: web.Request, handler: object) -> web.StreamResponse:
+    """Give unknown paths and unforeseen failures a numbered code as well."""
+    assert callable(handler)
+    try:
+        return cast(web.StreamResponse, await handler(request))
+    except CodedError as error:
+        return error_response(error)
+    except web.HTTPException as error:
+        if error.status in (404, 405):
+            return error_response(InvalidRequestError(ResultCode.UNKNOWN_PATH, request.path[:80]))
+        raise
+    except Exception as error:
+        if request.transport is None:
+            raise
+        detail = f"{type(error).__name__}"
+        return error_response(UnknownOutcomeError(ResultCode.INTERNAL_ERROR, detail))
--- /dev/null
+++ b/liftrill/node/configuration_sync.py
@@ -0,0 +1,168 @@
+"""Keeps the configuration replica up to date, from peers first and from the store."""
+
+import asyncio
+import random
+
+from liftrill import constants
+from liftrill.coordination.configuration import Adoption
+from liftrill.coordination.key_value_store import KeyValueStore
+from liftrill.errors import ConfigurationError, StoreError, StoreUnavailableError
+from liftrill.messages import configuration_pb2 as messages
+from liftrill.messages.peer_pb2 import EngineCondition, Snapshot
+from liftrill.node.context import NodeContext
+from liftrill.node.logs import log_change
+from liftrill.node.peer_client import PeerClient, PeerError
+from liftrill.planning.commit import HEAD_KEY, install_newer_head, section_key
+from liftrill.planning.sections import head_from_message, parse_head, view_of
+from liftrill.routing.engine_state import EngineListing
+
+
+class ConfigurationSync:
+    """Offers heads and sections to the replica and installs what it adopts."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        store: KeyValueStore,
+        peers: PeerClient,
+        random_source: random.Random,
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._peers = peers
+        self._random = random_source
+        self._fetching = asyncio.Lock()
+        self._newest_head = messages.Head()
+
+    async def offer(self, head: messages.Head) -> None:
+        """Take in a head from any source and fetch what is missing for it."""
+        try:
+            adoption = self._context.replica.offer_head(head_from_message(head))
+        except ConfigurationError as error:
+            log_change("configuration_conflict", generation=head.generation, error=str(error))
+            return
+        if adoption is Adoption.STALE:
+            return
+        if head.generation > self._newest_head.generation:
+            self._newest_head = head
+        if adoption is Adoption.INCOMPLETE:
+            await self._fetch_missing()
+        self._install()
+
+    async def join_from_peers(self) -> None:
+        """Ask the seed peers for a snapshot until one answers with a configuration."""
+        wait = constants.STORE_RETRY_FIRST_SECONDS
+        while self._context.replica.generation == 0:
+            for address in self._shuffled_peers():
+                await self.pull_snapshot(address)
+                if self._context.replica.generation:
+                    return
+            await asyncio.sleep(wait * self._random.uniform(0.5, 1.5))
+            wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
+
+    async def pull_snapshot(self, address: str) -> None:
+        """Take over a peer's configuration if it is newer; a silent peer is passed over."""
+        try:
+            snapshot = await self._peers.snapshot(address)
+        except PeerError:
+            return
+        await self._offer_snapshot(snapshot)
+
+    async def watch_store(self) -> None:
+        """Follow the head in the store for as long as the node runs."""
+        revision = 0
+        wait = constants.STORE_RETRY_FIRST_SECONDS
+        while True:
+            try:
+                entry = await self._store.watch(HEAD_KEY, revision, constants.STORE_WATCH_SECONDS)
+                if entry is not None:
+                    revision = entry.revision
+                    await self._offer_from_store(parse_head(entry.value))
+                wait = constants.STORE_RETRY_FIRST_SECONDS
+            except (StoreError, ConfigurationError):
+                self._context.metrics.store_errors.inc()
+                await asyncio.sleep(wait * self._random.uniform(0.5, 1.5))
+                wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
+
+    async def _offer_from_store(self, head: messages.Head) -> None:
+        if head.generation < self._context.replica.generation:
+            await self._repair_store()
+            return
+        await self.offer(head)
+
+    async def _repair_store(self) -> None:
+        """Put the confirmed configuration back into a store that went back in time."""
+        current = self._context.replica.current
+        assert current is not None
+        sections = {
+            current.head.section_digests[name]: content
+            for name, content in current.sections.items()
+        }
+        await asyncio.sleep(self._random.uniform(0, constants.STORE_RETRY_FIRST_SECONDS))
+        if await install_newer_head(self._store, self._context.head, sections):
+            log_change("store_repaired", generation=current.head.generation)
+
+    async def _offer_snapshot(self, snapshot: Snapshot) -> None:
+        self._learn_engines(snapshot)
+        # The head goes first: sections are only kept while a head asks for them.
+        if snapshot.head.generation <= self._context.replica.generation:
+            return
+        try:
+            self._context.replica.offer_head(head_from_message(snapshot.head))
+            for digest, content in snapshot.sections.items():
+                self._context.replica.offer_section(bytes.fromhex(digest), content)
+        except (ConfigurationError, ValueError) as error:
+            log_change("snapshot_refused", error=str(error))
+            return
+        self._newest_head = snapshot.head
+        self._install()
+
+    def _learn_engines(self, snapshot: Snapshot) -> None:
+        for record in snapshot.engines:
+            leaving = record.condition == EngineCondition.LEAVING
+            self._context.engines.learn(
+                EngineListing(record.engine_id, record.address, record.zone, record.pool, leaving)
+            )
+
+    async def _fetch_missing(self) -> None:
+        """Fetch sections from peers, then from the store, one fetch at a time."""
+        async with self._fetching:
+            for digest in self._context.replica.wanted_digests:
+                content = await self._fetch_section(digest)
+                if content is not None:
+                    self._context.replica.offer_section(digest, content)
+
+    async def _fetch_section(self, digest: bytes) -> bytes | None:
+        for address in self._shuffled_peers():
+            try:
+                content = await self._peers.section(address, digest)
+            except PeerError:
+                continue
+            if content is not None:
+                return content
+        entry = await self._store.get(section_key(digest))
+        if entry is None:
+            raise StoreUnavailableError(f"no section {digest.hex()} in the store")
+        return entry.value
+
+    def _install(self) -> None:
+        """Make an adopted configuration the one in force on this node."""
+        current = self._context.replica.current
+        if current is None or current.head.generation == self._context.view.generation:
+            return
+        view = view_of(current)
+        context = self._context
+        context.view = view
+        context.dispatcher.view = view
+        context.admission.configure(list(view.tenants.tenants), list(view.workloads.workloads))
+        if self._newest_head.generation == view.generation:
+            context.head = self._newest_head
+        context.metrics.generation.set(view.generation)
+        context.generations[context.settings.node_id] = view.generation
+        context.dispatcher.wake()
+        log_change("configuration_in_force", generation=view.generation)
+
+    def _shuffled_peers(self) -> list[str]:
+        addresses = [a for a in self._peers.addresses() if a != self._context.settings.peer_listen]
+        self._random.shuffle(addresses)
+        return addresses
--- /dev/null
+++ b/liftrill/node/context.py
@@ -0,0 +1,62 @@
+"""What the parts of a running node share."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from liftrill.cache.tokenizer import FixedWidthTokenizer, Tokenizer
+from liftrill.coordination.configuration import ConfigurationReplica
+from liftrill.messages import configuration_pb2 as messages
+from liftrill.node.dispatcher import Dispatcher
+from liftrill.node.metrics import NodeMetrics
+from liftrill.node.open_requests import OpenRequests
+from liftrill.node.request_runner import RequestRunner
+from liftrill.node.settings import NodeSettings
+from liftrill.planning.plan import Plan
+from liftrill.planning.sections import ConfigurationView
+from liftrill.routing.admission import AdmissionController
+from liftrill.routing.engine_state import EngineTable
+
+
+@dataclass(slots=True)
+class NodeContext:
+    """One per node; the API handlers and the background tasks work on it.
+
+    Attributes:
+        head: the head in force, as stored, with its confirmations.
+        view: the configuration in force, for lookups.
+        plans: plans made here that wait for confirmation, by id, oldest first.
+        generations: the newest generation heard from each member.
+        draining: whether a planned stop has begun.
+    """
+
+    settings: NodeSettings
+    metrics: NodeMetrics
+    engines: EngineTable
+    admission: AdmissionController
+    dispatcher: Dispatcher
+    runner: RequestRunner
+    open_requests: OpenRequests
+    replica: ConfigurationReplica = field(default_factory=ConfigurationReplica)
+    head: messages.Head = field(default_factory=messages.Head)
+    view: ConfigurationView = field(default_factory=ConfigurationView)
+    plans: dict[str, Plan] = field(default_factory=dict)
+    generations: dict[str, int] = field(default_factory=dict)
+    tokenizer: Tokenizer = field(default_factory=FixedWidthTokenizer)
+    draining: bool = False
+
+    def unready_reason(self) -> str | None:
+        """Return why the node cannot serve, or None if it can."""
+        if self.draining:
+            return "draining"
+        if self.view.generation == 0:
+            return "no configuration"
+        if not any(engine.incarnation is not None for engine in self.engines):
+            return "no engine has answered"
+        return None
+
+    def engines_by_pool(self) -> Mapping[str, int]:
+        """Return the number of known engines of each pool."""
+        counts: dict[str, int] = {}
+        for engine in self.engines:
+            counts[engine.pool] = counts.get(engine.pool, 0) + 1
+        return counts
--- /dev/null
+++ b/liftrill/node/daemon.py
@@ -0,0 +1,148 @@
+"""Assembles a node and runs it until it is told to stop."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Coroutine
+
+import aiohttp
+from aiohttp import web
+
+from liftrill import constants
+from liftrill.node.caller_api import CallerApi, coded_errors
+from liftrill.node.configuration_sync import ConfigurationSync
+from liftrill.node.context import NodeContext
+from liftrill.node.dispatcher import Dispatcher
+from liftrill.node.engine_client import EngineClient
+from liftrill.node.engine_watch import EngineWatch
+from liftrill.node.logs import log_change
+from liftrill.node.metrics import NodeMetrics
+from liftrill.node.open_requests import OpenRequests
+from liftrill.node.operator_api import OperatorApi
+from liftrill.node.peer_api import PeerApi
+from liftrill.node.peer_client import PeerClient
+from liftrill.node.platform_client import PlatformClient
+from liftrill.node.request_runner import RequestRunner
+from liftrill.node.settings import NodeSettings
+from liftrill.planning.commit import PlanCommitter
+from liftrill.routing.admission import AdmissionController
+from liftrill.routing.engine_state import EngineTable
+from liftrill.routing.policies import POLICIES
+
+
+class NodeDaemon:
+    """One node."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stop_requested = asyncio.Event()
+        self._stop_now = asyncio.Event()
+
+    async def run(self) -> bool:
+        """Serve until a signal; True if the stop cut off no request."""
+        self._install_signal_handlers()
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            context = self._assemble(session)
+            runners = await self._listen(context)
+            log_change("node_started", node=self._settings.node_id)
+            await self._stop_requested.wait()
+            clean = await self._drain(context)
+            for runner in runners:
+                await runner.cleanup()
+            await self._cancel_tasks()
+        log_change("node_stopped", node=self._settings.node_id, clean=clean)
+        return clean
+
+    def _assemble(self, session: aiohttp.ClientSession) -> NodeContext:
+        settings = self._settings
+        metrics = NodeMetrics()
+        engines = EngineTable()
+        admission = AdmissionController()
+        random_source = random.Random()
+        secret = settings.cache_secret.encode()
+        policy = POLICIES[settings.policy](random_source)
+        dispatcher = Dispatcher(engines, policy, admission, metrics, secret)
+        client = EngineClient(session, secret)
+        runner = RequestRunner(engines, client, dispatcher, metrics, self._spawn)
+        open_requests = OpenRequests(metrics)
+        context = NodeContext(
+            settings, metrics, engines, admission, dispatcher, runner, open_requests
+        )
+        store = PlatformClient(session, settings.platform)
+        peers = PeerClient(session, settings.shared_keys, settings.peers, metrics)
+        self._sync = ConfigurationSync(context, store, peers, random_source)
+        self._operator_api = OperatorApi(context, PlanCommitter(store), self._sync)
+        watch = EngineWatch(context, store, client, random_source)
+        self._spawn(self._sync.join_from_peers())
+        self._spawn(self._sync.watch_store())
+        self._spawn(watch.follow_machine_list())
+        self._spawn(watch.follow_reports())
+        return context
+
+    async def _listen(self, context: NodeContext) -> list[web.AppRunner]:
+        public = web.Application(
+            client_max_size=constants.MAXIMUM_BODY_BYTES, middlewares=[coded_errors]
+        )
+        public.add_routes(CallerApi(context).routes())
+        public.add_routes(self._operator_api.routes())
+        internal = web.Application()
+        internal.add_routes(PeerApi(context).routes())
+        return [
+            await _serve(public, self._settings.listen),
+            await _serve(internal, self._settings.peer_listen),
+        ]
+
+    async def _drain(self, context: NodeContext) -> bool:
+        """Refuse new work and wait for requests in flight; True if all have ended."""
+        context.draining = True
+        log_change("drain_started", grace_seconds=self._settings.drain_grace_seconds)
+        open_requests = context.open_requests
+        idle = asyncio.create_task(open_requests.wait_until_none())
+        forced = asyncio.create_task(self._stop_now.wait())
+        await asyncio.wait(
+            (idle, forced),
+            timeout=self._settings.drain_grace_seconds,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        idle.cancel()
+        forced.cancel()
+        if self._stop_now.is_set():
+            log_change("second_signal", requests_cut_off=open_requests.count)
+        elif open_requests.count:
+            log_change("drain_grace_ended", requests_cut_off=open_requests.count)
+        return open_requests.count == 0
+
+    def _install_signal_handlers(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+
+    def _on_signal(self) -> None:
+        if self._stop_requested.is_set():
+            self._stop_now.set()
+        self._stop_requested.set()
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_change("task_failed", error=repr(task.exception()))
+
+    async def _cancel_tasks(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+async def _serve(application: web.Application, endpoint: str) -> web.AppRunner:
+    host, _, port = endpoint.rpartition(":")
+    runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port)).start()
+    return runner
--- /dev/null
+++ b/liftrill/node/engine_client.py
@@ -0,0 +1,233 @@
+"""Adaptor to the engines: sends attempts and turns their streams into events."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+import aiohttp
+import orjson
+
+from liftrill import constants
+from liftrill.errors import LiftrillError
+from liftrill.routing import events
+from liftrill.routing.engine_state import EngineReport, EngineState
+from liftrill.routing.request import RoutedRequest
+
+EVENT_SEPARATOR = b"\n\n"
+DATA_PREFIX = b"data: "
+DONE_MARK = b"[DONE]"
+MISMATCH_STATUS = 412
+SERVICE_UNAVAILABLE_STATUS = 503
+LEAVING_CODES = frozenset({"leaving", "loading"})
+
+
+class AttemptRefusedError(LiftrillError):
+    """The engine did not run the attempt.
+
+    Attributes:
+        identity: the engine's incarnation and weight version, where it told them.
+    """
+
+    def __init__(self, kind: events.RefusalKind, identity: tuple[int, str] | None = None) -> None:
+        self.kind = kind
+        self.identity = identity
+        super().__init__(kind.value)
+
+
+class AttemptBrokenError(LiftrillError):
+    """The attempt was sent and its connection was lost."""
+
+
+class EngineStream:
+    """The output of one attempt."""
+
+    def __init__(self, response: aiohttp.ClientResponse, attempt_id: str) -> None:
+        self._response = response
+        self._attempt_id = attempt_id
+        self._rest = b""
+
+    async def read(self) -> list[events.RequestEvent]:
+        """Return the events of the next chunk of bytes.
+
+        Raises:
+            AttemptBrokenError: the stream was cut, fell silent or cannot be parsed.
+        """
+        try:
+            data = await self._response.content.readany()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise AttemptBrokenError(self._attempt_id) from error
+        if not data:
+            raise AttemptBrokenError(self._attempt_id)
+        *complete, self._rest = (self._rest + data).split(EVENT_SEPARATOR)
+        try:
+            parsed = [_parse_event(line) for line in complete]
+        except (orjson.JSONDecodeError, KeyError, TypeError, IndexError) as error:
+            raise AttemptBrokenError(self._attempt_id) from error
+        return [event for event in parsed if event is not None]
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._response.close()
+
+    async def release(self) -> None:
+        """Give the connection back for reuse after the last event."""
+        try:
+            async with asyncio.timeout(constants.ENGINE_CONNECT_TIMEOUT_SECONDS):
+                await self._response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self._response.close()
+
+
+class EngineClient:
+    """Talks to all engines through one connection pool."""
+
+    def __init__(self, session: aiohttp.ClientSession, cache_secret: bytes) -> None:
+        self._session = session
+        self._cache_secret = cache_secret
+        self._timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=constants.ENGINE_CONNECT_TIMEOUT_SECONDS,
+            sock_read=constants.ENGINE_SILENCE_TIMEOUT_SECONDS,
+        )
+
+    async def start(
+        self, engine: EngineState, request: RoutedRequest, instruction: events.StartAttempt
+    ) -> EngineStream:
+        """Send an attempt and return its stream.
+
+        Raises:
+            AttemptRefusedError: it was certainly not run.
+            AttemptBrokenError: it may have been run.
+        """
+        body = self._attempt_body(request, instruction)
+        try:
+            response = await self._session.post(
+                f"http://{engine.address}/v1/completions",
+                data=orjson.dumps(body),
+                timeout=self._timeout,
+                headers={"Content-Type": "application/json"},
+            )
+        except aiohttp.ClientConnectorError as error:
+            raise AttemptRefusedError(events.RefusalKind.UNREACHABLE) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            if isinstance(error, aiohttp.ConnectionTimeoutError):
+                raise AttemptRefusedError(events.RefusalKind.UNREACHABLE) from error
+            raise AttemptBrokenError(instruction.attempt_id) from error
+        if response.status != 200:
+            raise await self._refusal(response, instruction.attempt_id)
+        return EngineStream(response, instruction.attempt_id)
+
+    async def resume(
+        self, engine: EngineState, instruction: events.ResumeAttempt
+    ) -> EngineStream | None:
+        """Return the stream of a running attempt from an index, or None if it is gone."""
+        url = f"http://{engine.address}/v1/attempts/{instruction.attempt_id}"
+        query = {"from": str(instruction.from_index)}
+        try:
+            response = await self._session.get(url, params=query, timeout=self._timeout)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        if response.status != 200:
+            response.release()
+            return None
+        return EngineStream(response, instruction.attempt_id)
+
+    async def cancel(self, engine: EngineState, attempt_id: str) -> None:
+        """Tell an engine to stop an attempt; failure only costs the engine some work."""
+        url = f"http://{engine.address}/v1/attempts/{attempt_id}"
+        timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
+        try:
+            async with self._session.delete(url, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+    async def report(self, engine: EngineState) -> EngineReport | None:
+        """Return an engine's report about itself, or None if it does not answer."""
+        timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
+        url = f"http://{engine.address}/v1/status"
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                body = orjson.loads(await response.read())
+                return _parse_report(body)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+            return None
+
+    def _attempt_body(
+        self, request: RoutedRequest, instruction: events.StartAttempt
+    ) -> dict[str, object]:
+        scope = request.scope(instruction.adapter, instruction.weight_version)
+        return {
+            "model": request.model,
+            "prompt": request.prompt.decode() + instruction.delivered_text,
+            "max_tokens": request.maximum_tokens - instruction.start_index,
+            "stream": True,
+            "priority": request.priority,
+            "cache_salt": request.salt(scope, self._cache_secret).hex(),
+            "request_id": request.request_id,
+            "attempt_id": instruction.attempt_id,
+            "start_index": instruction.start_index,
+            "incarnation": instruction.incarnation,
+            "weight_version": instruction.weight_version,
+            "idempotency_key": request.idempotency_key,
+        }
+
+    async def _refusal(
+        self, response: aiohttp.ClientResponse, attempt_id: str
+    ) -> AttemptRefusedError | AttemptBrokenError:
+        """Return what an answer other than 200 means."""
+        try:
+            body = orjson.loads(await response.read())
+            code = str(body["error"]["code"])
+            executed = bool(body["error"].get("executed", False))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+            return AttemptBrokenError(attempt_id)
+        if executed:
+            return AttemptBrokenError(attempt_id)
+        if response.status == MISMATCH_STATUS:
+            identity = _parse_identity(body)
+            return AttemptRefusedError(events.RefusalKind.MISMATCH, identity)
+        if response.status != SERVICE_UNAVAILABLE_STATUS:
+            return AttemptRefusedError(events.RefusalKind.REJECTED)
+        if code in LEAVING_CODES:
+            return AttemptRefusedError(events.RefusalKind.LEAVING)
+        return AttemptRefusedError(events.RefusalKind.OVERLOADED)
+
+
+def _parse_event(line: bytes) -> events.RequestEvent | None:
+    content = line.removeprefix(DATA_PREFIX)
+    if content == DONE_MARK or not content:
+        return None
+    chunk: dict[str, Any] = orjson.loads(content)
+    choice = chunk["choices"][0]
+    if choice["finish_reason"] is None:
+        return events.TokenReceived(
+            chunk["id"], chunk["attempt_id"], chunk["index"], choice["text"]
+        )
+    usage = chunk["usage"]
+    return events.AttemptFinished(
+        request_id=chunk["id"],
+        attempt_id=chunk["attempt_id"],
+        finish_reason=choice["finish_reason"],
+        prompt_tokens=usage["prompt_tokens"],
+        cached_tokens=usage["prompt_tokens_details"]["cached_tokens"],
+        completion_tokens=usage["completion_tokens"],
+    )
+
+
+def _parse_identity(body: Mapping[str, Any]) -> tuple[int, str] | None:
+    try:
+        return int(body["incarnation"]), str(body["weight_version"])
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _parse_report(body: Mapping[str, Any]) -> EngineReport:
+    return EngineReport(
+        engine_id=str(body["engine_id"]),
+        incarnation=int(body["incarnation"]),
+        weight_version=str(body["weight_version"]),
+        leaving=bool(body["leaving"]),
+        running=int(body["running"]),
+        waiting=int(body["waiting"]),
+    )
--- /dev/null
+++ b/liftrill/node/peer_client.py
@@ -0,0 +1,88 @@
+"""Calls to other nodes: protobuf over HTTP, authenticated with a shared key."""
+
+import hashlib
+import hmac
+
+import aiohttp
+from google.protobuf.message import DecodeError
+
+from liftrill import constants
+from liftrill.errors import LiftrillError
+from liftrill.messages import peer_pb2 as messages
+from liftrill.node.metrics import NodeMetrics
+
+SIGNATURE_HEADER = "Liftrill-Signature"
+
+
+class PeerError(LiftrillError):
+    """A peer did not answer, or not as expected."""
+
+
+def sign(shared_key: str, path: str, content: bytes) -> str:
+    """Return the signature of a call."""
+    message = path.encode() + b"\n" + content
+    return hmac.new(shared_key.encode(), message, hashlib.sha256).hexdigest()
+
+
+def signature_is_valid(shared_keys: list[str], path: str, content: bytes, signature: str) -> bool:
+    """Return whether a call was signed with one of the accepted keys."""
+    expected = [sign(key, path, content) for key in shared_keys]
+    return any(hmac.compare_digest(candidate, signature) for candidate in expected)
+
+
+class PeerClient:
+    """Calls other nodes."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        shared_keys: list[str],
+        seeds: list[str],
+        metrics: NodeMetrics,
+    ) -> None:
+        self._session = session
+        self._shared_keys = shared_keys
+        self._seeds = seeds
+        self._metrics = metrics
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of peers to ask."""
+        return list(self._seeds)
+
+    async def snapshot(self, address: str) -> messages.Snapshot:
+        """Return a peer's configuration and engine list.
+
+        Raises:
+            PeerError: the peer did not answer as expected.
+        """
+        body = await self._call(address, "/peer/snapshot", b"")
+        try:
+            return messages.Snapshot.FromString(body or b"")
+        except DecodeError as error:
+            raise PeerError(f"{address} sent no snapshot") from error
+
+    async def section(self, address: str, digest: bytes) -> bytes | None:
+        """Return a section by its digest, or None if the peer does not have it.
+
+        Raises:
+            PeerError: the peer did not answer.
+        """
+        return await self._call(address, "/peer/section", digest)
+
+    async def _call(self, address: str, path: str, content: bytes) -> bytes | None:
+        timeout = aiohttp.ClientTimeout(total=constants.PEER_TIMEOUT_SECONDS)
+        headers = {SIGNATURE_HEADER: sign(self._shared_keys[0], path, content)}
+        self._metrics.control_bytes.labels(direction="sent").inc(len(content))
+        try:
+            async with self._session.post(
+                f"http://{address}{path}", data=content, headers=headers, timeout=timeout
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PeerError(f"{address} did not answer") from error
+        self._metrics.control_bytes.labels(direction="received").inc(len(body))
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            raise PeerError(f"{address} answered {response.status}")
+        return body
--- /dev/null
+++ b/liftrill/node/request_runner.py
@@ -0,0 +1,249 @@
+"""Carries out what a request machine decides: the I/O of one request."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable, Coroutine
+
+from liftrill.errors import LiftrillError
+from liftrill.node.dispatcher import Dispatcher, TurnRefusedError
+from liftrill.node.engine_client import (
+    AttemptBrokenError,
+    AttemptRefusedError,
+    EngineClient,
+    EngineStream,
+)
+from liftrill.node.metrics import NodeMetrics
+from liftrill.routing import events
+from liftrill.routing.engine_state import EngineState, EngineTable
+from liftrill.routing.machine import RequestMachine
+from liftrill.routing.outcome import Outcome
+
+
+class CallerGoneError(LiftrillError):
+    """The caller closed its connection."""
+
+
+class TokenSink(ABC):
+    """Where a request's tokens go."""
+
+    @abstractmethod
+    async def deliver(self, tokens: list[events.DeliverToken]) -> None:
+        """Pass tokens on, waiting while the caller reads slowly.
+
+        Raises:
+            CallerGoneError: the caller closed its connection.
+        """
+
+
+class RequestRunner:
+    """Runs requests; one instance serves the whole node."""
+
+    def __init__(
+        self,
+        engines: EngineTable,
+        client: EngineClient,
+        dispatcher: Dispatcher,
+        metrics: NodeMetrics,
+        spawn: Callable[[Coroutine[None, None, None]], None],
+    ) -> None:
+        self._engines = engines
+        self._client = client
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._spawn = spawn
+
+    async def run(self, machine: RequestMachine, sink: TokenSink) -> Outcome:
+        """Run a request to its end.
+
+        Raises:
+            asyncio.CancelledError: the caller is gone; the attempt has been cancelled.
+        """
+        execution = _Execution(self, machine, sink)
+        try:
+            # The event loop's clock and the request's deadline are both time.monotonic.
+            async with asyncio.timeout_at(machine.request.deadline):
+                return await execution.drive(events.Started())
+        except TimeoutError:
+            return execution.finish(events.DeadlinePassed())
+        except CallerGoneError:
+            return execution.finish(events.CallerGone())
+        except asyncio.CancelledError:
+            execution.finish(events.CallerGone())
+            raise
+        finally:
+            execution.close()
+
+    async def start(
+        self, machine: RequestMachine, instruction: events.StartAttempt
+    ) -> tuple[EngineState, EngineStream | None, events.RequestEvent | None]:
+        """Send an attempt; return its stream, or the event that says why there is none."""
+        engine = self._engines.get(instruction.engine_id)
+        if engine is None:
+            kind = events.RefusalKind.UNREACHABLE
+            missing = EngineState(instruction.engine_id, "", "", "")
+            missing.in_flight += 1
+            return missing, None, events.AttemptRefused(instruction.attempt_id, kind)
+        engine.record_start(time.monotonic())
+        try:
+            stream = await self._client.start(engine, machine.request, instruction)
+        except AttemptRefusedError as refusal:
+            self._record_refusal(engine, refusal)
+            return engine, None, events.AttemptRefused(instruction.attempt_id, refusal.kind)
+        except AttemptBrokenError:
+            return engine, None, events.AttemptBroken(instruction.attempt_id)
+        except BaseException:
+            engine.record_end()
+            raise
+        return engine, stream, None
+
+    async def resume(
+        self, engine: EngineState, instruction: events.ResumeAttempt
+    ) -> EngineStream | None:
+        """Return the stream of a running attempt again, or None if it is gone."""
+        self._metrics.attempts.labels(result="resumed").inc()
+        stream = await self._client.resume(engine, instruction)
+        if stream is None:
+            engine.record_failure(time.monotonic())
+        return stream
+
+    def cancel(self, engine: EngineState, attempt_id: str) -> None:
+        """Tell an engine, in the background, to stop an attempt."""
+        self._metrics.attempts.labels(result="cancelled").inc()
+        self._spawn(self._client.cancel(engine, attempt_id))
+
+    def release(self, engine: EngineState, completed: bool) -> None:
+        """Note that an attempt is no longer on an engine, and let others go on."""
+        engine.record_end()
+        if completed:
+            engine.record_success()
+            self._metrics.attempts.labels(result="completed").inc()
+        else:
+            engine.breaker.record_abandoned()
+        self._dispatcher.wake()
+
+    def count_dropped(self, machine: RequestMachine) -> None:
+        """Add a request's dropped chunks to the counters."""
+        for reason, count in machine.dropped.items():
+            self._metrics.dropped_chunks.labels(reason=reason.value).inc(count)
+
+    async def wait_for_turn(self, machine: RequestMachine) -> events.RequestEvent:
+        """Wait in the queue; return the event that follows."""
+        try:
+            await self._dispatcher.wait_for_turn(machine.request)
+        except TurnRefusedError as refusal:
+            return events.TurnRefused(refusal.code, refusal.retry_after_seconds)
+        return events.Started()
+
+    def _record_refusal(self, engine: EngineState, refusal: AttemptRefusedError) -> None:
+        self._metrics.attempts.labels(result=refusal.kind.value).inc()
+        if refusal.kind is events.RefusalKind.UNREACHABLE:
+            engine.record_failure(time.monotonic())
+        elif refusal.kind is events.RefusalKind.OVERLOADED:
+            engine.record_overload()
+        elif refusal.kind is events.RefusalKind.LEAVING:
+            engine.reported_leaving = True
+        elif refusal.identity is not None:
+            engine.apply_identity(*refusal.identity)
+
+
+class _Execution:
+    """The state of one run: the machine, and the attempt that is open now."""
+
+    def __init__(self, runner: RequestRunner, machine: RequestMachine, sink: TokenSink) -> None:
+        self._runner = runner
+        self._machine = machine
+        self._sink = sink
+        self._engine: EngineState | None = None
+        self._stream: EngineStream | None = None
+        self._outcome: Outcome | None = None
+
+    async def drive(self, first: events.RequestEvent) -> Outcome:
+        """Feed events to the machine until it ends."""
+        pending: deque[events.RequestEvent] = deque([first])
+        while self._outcome is None:
+            if not pending:
+                pending.extend(await self._read())
+            tokens: list[events.DeliverToken] = []
+            while pending and self._outcome is None:
+                for instruction in self._machine.handle(pending.popleft()):
+                    if isinstance(instruction, events.DeliverToken):
+                        tokens.append(instruction)
+                        continue
+                    await self._flush(tokens)
+                    pending.extendleft(reversed(await self._carry_out(instruction)))
+            await self._flush(tokens)
+        await self._release_connection()
+        return self._outcome
+
+    def finish(self, event: events.RequestEvent) -> Outcome:
+        """Feed the event that ends the request; nothing here waits."""
+        for instruction in self._machine.handle(event):
+            if isinstance(instruction, events.CancelAttempt) and self._engine is not None:
+                self._runner.cancel(self._engine, instruction.attempt_id)
+            elif isinstance(instruction, events.EndRequest):
+                self._outcome = instruction.outcome
+        assert self._outcome is not None
+        return self._outcome
+
+    def close(self) -> None:
+        """Close what is still open."""
+        self._close_attempt(completed=False)
+        self._runner.count_dropped(self._machine)
+
+    async def _flush(self, tokens: list[events.DeliverToken]) -> None:
+        if tokens:
+            await self._sink.deliver(tokens)
+            tokens.clear()
+
+    async def _read(self) -> list[events.RequestEvent]:
+        assert self._stream is not None
+        try:
+            return await self._stream.read()
+        except AttemptBrokenError as error:
+            return [events.AttemptBroken(str(error))]
+
+    async def _carry_out(self, instruction: events.RequestInstruction) -> list[events.RequestEvent]:
+        if isinstance(instruction, events.StartAttempt):
+            return await self._start(instruction)
+        if isinstance(instruction, events.ResumeAttempt):
+            return await self._resume(instruction)
+        if isinstance(instruction, events.WaitForEngine):
+            return [await self._runner.wait_for_turn(self._machine)]
+        if isinstance(instruction, events.CancelAttempt):
+            assert self._engine is not None
+            self._runner.cancel(self._engine, instruction.attempt_id)
+        elif isinstance(instruction, events.EndRequest):
+            self._outcome = instruction.outcome
+        return []
+
+    async def _start(self, instruction: events.StartAttempt) -> list[events.RequestEvent]:
+        self._close_attempt(completed=False)
+        self._engine, self._stream, event = await self._runner.start(self._machine, instruction)
+        if isinstance(event, events.AttemptRefused):
+            self._close_attempt(completed=False)
+        return [event] if event is not None else []
+
+    async def _resume(self, instruction: events.ResumeAttempt) -> list[events.RequestEvent]:
+        assert self._engine is not None
+        if self._stream is not None:
+            self._stream.close()
+        self._stream = await self._runner.resume(self._engine, instruction)
+        if self._stream is None:
+            return [events.ResumeRefused(instruction.attempt_id)]
+        return []
+
+    async def _release_connection(self) -> None:
+        if self._stream is not None:
+            await self._stream.release()
+            self._stream = None
+        self._close_attempt(completed=True)
+
+    def _close_attempt(self, completed: bool) -> None:
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+        if self._engine is not None:
+            self._runner.release(self._engine, completed)
+            self._engine = None
--- /dev/null
+++ b/liftrill/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Intents, plans and their confirmation."""
--- /dev/null
+++ b/liftrill/planning/commit.py
@@ -0,0 +1,164 @@
+"""Confirming a plan: one compare-and-swap of the head.
+
+Sections are content-addressed and written first; they change nothing by themselves. The
+head carries the identifiers of recent plans, so that a lost answer is resolved by
+reading it: either the plan is there, or the head moved on without it, or the swap can
+be tried again at the same revision. Trying again is safe, since a revision can be
+swapped away only once.
+"""
+
+from tenacity import (
+    AsyncRetrying,
+    retry_if_exception_type,
+    stop_after_delay,
+    wait_random_exponential,
+)
+
+from liftrill import constants
+from liftrill.coordination.key_value_store import KeyValueStore, StoredEntry
+from liftrill.errors import (
+    OperatorError,
+    ResultCode,
+    StoreAnswerLostError,
+    StoreError,
+)
+from liftrill.messages import configuration_pb2 as messages
+from liftrill.planning.plan import Plan, section_digests
+from liftrill.planning.sections import encode, parse_head
+
+HEAD_KEY = "liftrill/head"
+SECTION_KEY_PREFIX = "liftrill/sections/"
+
+
+class PlanCommitter:
+    """Confirms plans in the platform's store."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        timeout_seconds: float = constants.CONFIRMATION_TIMEOUT_SECONDS,
+    ) -> None:
+        self._store = store
+        self._timeout_seconds = timeout_seconds
+
+    async def confirm(self, plan: Plan, operator_name: str, now_milliseconds: int) -> messages.Head:
+        """Confirm a plan and return the head that contains it.
+
+        Raises:
+            OperatorError: PLAN_CONFLICT if another plan came first, STORE_UNAVAILABLE if
+                nothing was changed, CONFIRMATION_UNRESOLVED if that cannot be told.
+        """
+        swap_may_have_happened = False
+        try:
+            async for attempt in self._retrying():
+                with attempt:
+                    await self._write_sections(plan)
+                    entry = await self._store.get(HEAD_KEY)
+                    current = parse_head(entry.value) if entry else messages.Head()
+                    if _contains(current, plan.plan_id):
+                        return current
+                    self._check_base(plan, current, swap_may_have_happened)
+                    proposed = _next_head(current, plan, operator_name, now_milliseconds)
+                    swap_may_have_happened = True
+                    if await self._swap(entry, proposed):
+                        return proposed
+                    raise StoreAnswerLostError("the head moved; read it again")
+        except StoreError as error:
+            raise self._unresolved(swap_may_have_happened) from error
+        raise AssertionError("unreachable: the retry loop returns or raises")
+
+    def _retrying(self) -> AsyncRetrying:
+        return AsyncRetrying(
+            retry=retry_if_exception_type(StoreError),
+            stop=stop_after_delay(self._timeout_seconds),
+            wait=wait_random_exponential(
+                multiplier=constants.STORE_RETRY_FIRST_SECONDS,
+                max=constants.STORE_RETRY_LONGEST_SECONDS,
+            ),
+            reraise=True,
+        )
+
+    async def _write_sections(self, plan: Plan) -> None:
+        for digest, content in zip(
+            section_digests(plan).values(), plan.sections.values(), strict=True
+        ):
+            # A section that is already there has the same content: False is fine.
+            await self._store.compare_and_swap(section_key(digest), content, 0)
+
+    async def _swap(self, entry: StoredEntry | None, head: messages.Head) -> bool:
+        revision = entry.revision if entry else 0
+        return await self._store.compare_and_swap(HEAD_KEY, encode(head), revision)
+
+    @staticmethod
+    def _check_base(plan: Plan, current: messages.Head, swap_may_have_happened: bool) -> None:
+        if current.generation == plan.base_generation:
+            return
+        passed = current.generation - plan.base_generation
+        if swap_may_have_happened and passed > constants.CONFIRMATIONS_KEPT:
+            raise OperatorError(
+                ResultCode.CONFIRMATION_UNRESOLVED, "too many plans were confirmed since"
+            )
+        detail = f"generation {current.generation} was confirmed since {plan.base_generation}"
+        raise OperatorError(ResultCode.PLAN_CONFLICT, detail)
+
+    @staticmethod
+    def _unresolved(swap_may_have_happened: bool) -> OperatorError:
+        if swap_may_have_happened:
+            return OperatorError(
+                ResultCode.CONFIRMATION_UNRESOLVED,
+                retry_after_seconds=constants.RETRY_AFTER_SECONDS,
+            )
+        return OperatorError(
+            ResultCode.STORE_UNAVAILABLE, retry_after_seconds=constants.RETRY_AFTER_SECONDS
+        )
+
+
+async def install_newer_head(
+    store: KeyValueStore, head: messages.Head, sections: dict[bytes, bytes]
+) -> bool:
+    """Put back a confirmed head into a store that was restored from an older copy.
+
+    Safe in a race: the swap only replaces the older head that was read.
+
+    Returns:
+        True if the store now has this head or a newer one.
+
+    Raises:
+        StoreError: the store did not answer.
+    """
+    entry = await store.get(HEAD_KEY)
+    stored = parse_head(entry.value) if entry else messages.Head()
+    if stored.generation >= head.generation:
+        return True
+    for digest, content in sections.items():
+        await store.compare_and_swap(section_key(digest), content, 0)
+    revision = entry.revision if entry else 0
+    return await store.compare_and_swap(HEAD_KEY, encode(head), revision)
+
+
+def section_key(digest: bytes) -> str:
+    """Return the store's key of a section."""
+    return SECTION_KEY_PREFIX + digest.hex()
+
+
+def _contains(head: messages.Head, plan_id: str) -> bool:
+    return any(confirmation.plan_id == plan_id for confirmation in head.confirmations)
+
+
+def _next_head(
+    current: messages.Head, plan: Plan, operator_name: str, now_milliseconds: int
+) -> messages.Head:
+    head = messages.Head()
+    head.CopyFrom(current)
+    head.generation = plan.base_generation + 1
+    for name, digest in section_digests(plan).items():
+        head.section_digests[name] = digest
+    head.confirmations.add(
+        plan_id=plan.plan_id,
+        operator_name=operator_name,
+        confirmed_at_milliseconds=now_milliseconds,
+        generation=head.generation,
+        summary=plan.summary,
+    )
+    del head.confirmations[: -constants.CONFIRMATIONS_KEPT]
+    return head
--- /dev/null
+++ b/liftrill/planning/intent.py
@@ -0,0 +1,85 @@
+"""What an operator states: the schema of intent files.
+
+Items that an intent names are added or replaced; items it does not name stay as they are.
+"""
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from liftrill import constants
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9_.-]{0,62}$"
+
+
+class StrictModel(BaseModel):
+    """A schema that refuses unknown keys."""
+
+    model_config = ConfigDict(extra="forbid")
+
+
+class TenantIntent(StrictModel):
+    """A tenant. Rates of 0 mean no limit."""
+
+    name: str = Field(pattern=NAME_PATTERN)
+    api_keys: list[str] = Field(min_length=1)
+    weight: float = Field(default=1.0, gt=0)
+    requests_per_second: float = Field(default=0.0, ge=0)
+    request_burst: float = Field(default=0.0, ge=0)
+    prompt_tokens_per_second: float = Field(default=0.0, ge=0)
+    prompt_token_burst: float = Field(default=0.0, ge=0)
+
+
+class WorkloadIntent(StrictModel):
+    """A kind of request and how it is treated; priority 0 is the most urgent."""
+
+    name: str = Field(pattern=NAME_PATTERN)
+    model: str = Field(min_length=1)
+    priority: int = Field(default=1, ge=0, le=9)
+    deadline_milliseconds: int = Field(
+        default=constants.DEFAULT_DEADLINE_MILLISECONDS,
+        ge=constants.SHORTEST_DEADLINE_MILLISECONDS,
+        le=constants.LONGEST_DEADLINE_MILLISECONDS,
+    )
+    retry_share: float = Field(default=constants.DEFAULT_RETRY_SHARE, gt=0, le=1)
+    requests_per_second: float = Field(default=0.0, ge=0)
+    request_burst: float = Field(default=0.0, ge=0)
+
+
+class PoolIntent(StrictModel):
+    """Engines that serve one model; the name is the service's in the machine list."""
+
+    name: str = Field(pattern=NAME_PATTERN)
+    model: str = Field(min_length=1)
+    adapter: str = ""
+    weight_version: str = Field(min_length=1)
+
+
+class ClaimIntent(StrictModel):
+    """The nodes that keep claims for requests that may not be repeated."""
+
+    members: list[str] = Field(min_length=1, max_length=7)
+
+    @model_validator(mode="after")
+    def _check_members(self) -> "ClaimIntent":
+        if len(set(self.members)) != len(self.members):
+            raise ValueError("members must differ")
+        if len(self.members) % 2 == 0:
+            raise ValueError("an odd number of members is needed")
+        return self
+
+
+class Removal(StrictModel):
+    """Names of items to remove."""
+
+    tenants: list[str] = Field(default_factory=list)
+    workloads: list[str] = Field(default_factory=list)
+    pools: list[str] = Field(default_factory=list)
+
+
+class Intent(StrictModel):
+    """A whole intent."""
+
+    tenants: list[TenantIntent] = Field(default_factory=list)
+    workloads: list[WorkloadIntent] = Field(default_factory=list)
+    pools: list[PoolIntent] = Field(default_factory=list)
+    claims: ClaimIntent | None = None
+    remove: Removal = Field(default_factory=Removal)
--- /dev/null
+++ b/liftrill/planning/plan.py
@@ -0,0 +1,222 @@
+"""A plan: the difference between the configuration in force and an intent."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeVar
+
+from google.protobuf.json_format import MessageToDict
+from google.protobuf.message import Message
+
+from liftrill.coordination.configuration import content_digest
+from liftrill.errors import OperatorError, ResultCode
+from liftrill.messages import configuration_pb2 as messages
+from liftrill.planning.intent import Intent, PoolIntent, TenantIntent, WorkloadIntent
+from liftrill.planning.sections import (
+    ConfigurationView,
+    SectionName,
+    api_key_digest,
+    by_name,
+    encode,
+)
+
+HIDDEN_FIELDS = frozenset({"apiKeyDigests"})
+ConfiguredItem = TypeVar("ConfiguredItem", messages.Tenant, messages.Workload, messages.Pool)
+
+
+class ChangeKind(Enum):
+    """What a plan does with one item."""
+
+    ADD = "add"
+    CHANGE = "change"
+    REMOVE = "remove"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One line of a plan."""
+
+    kind: ChangeKind
+    section: SectionName
+    item: str
+    detail: str = ""
+
+    def text(self) -> str:
+        """Return the line as operators read it."""
+        sign = {ChangeKind.ADD: "+", ChangeKind.CHANGE: "~", ChangeKind.REMOVE: "-"}[self.kind]
+        line = f"{sign} {self.section.value} {self.item}"
+        return f"{line}: {self.detail}" if self.detail else line
+
+
+@dataclass(frozen=True, slots=True)
+class Consequence:
+    """An effect on engines that the operator should know before confirming."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A change that waits for confirmation.
+
+    Attributes:
+        base_generation: the generation it was made from; it can only follow that one.
+        sections: new content of the sections that change, by name.
+    """
+
+    plan_id: str
+    base_generation: int
+    sections: Mapping[str, bytes]
+    changes: tuple[Change, ...]
+    consequences: tuple[Consequence, ...]
+
+    @property
+    def summary(self) -> str:
+        """Return one line about the plan."""
+        return "; ".join(change.text() for change in self.changes)
+
+
+def make_plan(
+    plan_id: str, intent: Intent, view: ConfigurationView, engines_by_pool: Mapping[str, int]
+) -> Plan:
+    """Return the plan that would bring an intent about.
+
+    Raises:
+        OperatorError: the intent contradicts itself or the configuration.
+    """
+    tenants = _merge(view.tenants.tenants, _tenants(intent.tenants), intent.remove.tenants)
+    workloads = _merge(
+        view.workloads.workloads, _workloads(intent.workloads), intent.remove.workloads
+    )
+    pools = _merge(view.pools.pools, _pools(intent.pools), intent.remove.pools)
+    _check_models(workloads.values(), pools.values())
+    claims = _claims(intent, view.claims)
+    sections = {
+        SectionName.TENANTS: encode(messages.TenantSection(tenants=tenants.values())),
+        SectionName.WORKLOADS: encode(messages.WorkloadSection(workloads=workloads.values())),
+        SectionName.POOLS: encode(messages.PoolSection(pools=pools.values())),
+        SectionName.CLAIMS: encode(claims),
+    }
+    changes = (
+        *_differences(SectionName.TENANTS, view.tenants_by_name, tenants),
+        *_differences(SectionName.WORKLOADS, view.workloads_by_name, workloads),
+        *_differences(SectionName.POOLS, view.pools_by_name, pools),
+        *_claim_differences(view.claims, claims),
+    )
+    return Plan(
+        plan_id=plan_id,
+        base_generation=view.generation,
+        sections={name.value: content for name, content in sections.items()},
+        changes=changes,
+        consequences=_consequences(view.pools_by_name, pools, engines_by_pool),
+    )
+
+
+def section_digests(plan: Plan) -> dict[str, bytes]:
+    """Return the digest of each section of a plan."""
+    return {name: content_digest(content) for name, content in plan.sections.items()}
+
+
+def _merge(
+    current: Iterable[ConfiguredItem], stated: Iterable[ConfiguredItem], removed: list[str]
+) -> dict[str, ConfiguredItem]:
+    items = by_name(current)
+    unknown = [name for name in removed if name not in items]
+    if unknown:
+        raise OperatorError(ResultCode.INVALID_INTENT, f"cannot remove unknown {unknown[0]!r}")
+    for name in removed:
+        del items[name]
+    items.update(by_name(stated))
+    return dict(sorted(items.items()))
+
+
+def _check_models(workloads: Iterable[messages.Workload], pools: Iterable[messages.Pool]) -> None:
+    served = {pool.model for pool in pools}
+    for workload in workloads:
+        if workload.model not in served:
+            detail = f"workload {workload.name!r} uses model {workload.model!r}, which no pool has"
+            raise OperatorError(ResultCode.INVALID_INTENT, detail)
+
+
+def _tenants(intents: list[TenantIntent]) -> list[messages.Tenant]:
+    return [
+        messages.Tenant(
+            name=intent.name,
+            api_key_digests=[api_key_digest(key) for key in intent.api_keys],
+            **intent.model_dump(exclude={"name", "api_keys"}),
+        )
+        for intent in intents
+    ]
+
+
+def _workloads(intents: list[WorkloadIntent]) -> list[messages.Workload]:
+    return [messages.Workload(**intent.model_dump()) for intent in intents]
+
+
+def _pools(intents: list[PoolIntent]) -> list[messages.Pool]:
+    return [messages.Pool(**intent.model_dump()) for intent in intents]
+
+
+def _claims(intent: Intent, current: messages.ClaimSection) -> messages.ClaimSection:
+    if intent.claims is None or list(current.members) == intent.claims.members:
+        return current
+    return messages.ClaimSection(epoch=current.epoch + 1, members=intent.claims.members)
+
+
+def _differences(
+    section: SectionName, before: Mapping[str, Message], after: Mapping[str, Message]
+) -> list[Change]:
+    changes: list[Change] = []
+    for name in sorted(before.keys() | after.keys()):
+        if name not in before:
+            changes.append(Change(ChangeKind.ADD, section, name, _fields(after[name])))
+        elif name not in after:
+            changes.append(Change(ChangeKind.REMOVE, section, name))
+        elif before[name] != after[name]:
+            detail = _field_differences(before[name], after[name])
+            changes.append(Change(ChangeKind.CHANGE, section, name, detail))
+    return changes
+
+
+def _claim_differences(before: messages.ClaimSection, after: messages.ClaimSection) -> list[Change]:
+    if before == after:
+        return []
+    detail = f"{', '.join(before.members) or 'none'} -> {', '.join(after.members)}"
+    return [Change(ChangeKind.CHANGE, SectionName.CLAIMS, "members", detail)]
+
+
+def _fields(item: Message) -> str:
+    shown = {k: v for k, v in MessageToDict(item).items() if k not in HIDDEN_FIELDS | {"name"}}
+    return ", ".join(f"{key} {value}" for key, value in shown.items())
+
+
+def _field_differences(before: Message, after: Message) -> str:
+    old = MessageToDict(before)
+    new = MessageToDict(after)
+    parts: list[str] = []
+    for key in sorted(old.keys() | new.keys()):
+        if old.get(key) == new.get(key):
+            continue
+        shown = "changed" if key in HIDDEN_FIELDS else f"{old.get(key)} -> {new.get(key)}"
+        parts.append(f"{key} {shown}")
+    return ", ".join(parts)
+
+
+def _consequences(
+    before: Mapping[str, messages.Pool],
+    after: Mapping[str, messages.Pool],
+    engines_by_pool: Mapping[str, int],
+) -> tuple[Consequence, ...]:
+    found: list[Consequence] = []
+    for name, pool in before.items():
+        engines = engines_by_pool.get(name, 0)
+        if name not in after:
+            found.append(Consequence(f"{engines} engines of pool {name} get no more requests"))
+        elif after[name].weight_version != pool.weight_version:
+            found.append(
+                Consequence(
+                    f"{engines} engines of pool {name} are emptied, one at a time, to load "
+                    f"{after[name].weight_version}; their cached prefixes are lost"
+                )
+            )
+    return tuple(found)
--- /dev/null
+++ b/liftrill/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine serves a request, and what becomes of each attempt; sans-IO."""
--- /dev/null
+++ b/liftrill/routing/machine.py
@@ -0,0 +1,310 @@
+"""The life of one request as a state machine, sans-IO.
+
+One handler per event; each returns the instructions to carry out, in order. I/O is in
+`liftrill.node.request_runner`.
+"""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import ClassVar
+
+from liftrill.constants import MAXIMUM_ATTEMPTS, RETRY_AFTER_SECONDS
+from liftrill.errors import LiftrillError, RequestError, ResultCode, UnknownOutcomeError
+from liftrill.routing import events
+from liftrill.routing.outcome import AttemptLedger, Completed, Failed, NotRunError
+from liftrill.routing.request import RoutedRequest
+
+MAXIMUM_RESUMES_PER_ATTEMPT = 2
+
+
+class InvariantViolationError(LiftrillError):
+    """The machine reached a state that its rules exclude."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """An engine to send to, and what it must still be when the request arrives."""
+
+    engine_id: str
+    incarnation: int | None
+    weight_version: str
+    adapter: str
+
+
+class Unavailable(Enum):
+    """Why no engine was chosen."""
+
+    ALL_BUSY = auto()
+    NONE_ELIGIBLE = auto()
+
+
+class RoutingPorts(ABC):
+    """What the machine asks of its surroundings; all calls are immediate."""
+
+    @abstractmethod
+    def choose(
+        self, request: RoutedRequest, excluded: frozenset[str], weight_version: str | None
+    ) -> EngineChoice | Unavailable:
+        """Return an engine outside a set, of a weight version if one is named."""
+
+    @abstractmethod
+    def try_spend_retry(self, request: RoutedRequest) -> bool:
+        """Spend one retry of the workload's budget."""
+
+
+class Phase(Enum):
+    """Where a request stands."""
+
+    WAITING = auto()
+    RUNNING = auto()
+    RESUMING = auto()
+    ENDED = auto()
+
+
+class RequestMachine:
+    """Decides what happens next with one request.
+
+    Attributes:
+        phase: where the request stands.
+        next_index: index of the next token to deliver.
+        dropped: chunks dropped, by reason.
+        chosen: the engines that were asked, in order.
+    """
+
+    def __init__(self, request: RoutedRequest, ports: RoutingPorts) -> None:
+        self.request = request
+        self.phase = Phase.WAITING
+        self.next_index = 0
+        self.dropped: Counter[events.DroppedChunk] = Counter()
+        self.chosen: list[EngineChoice] = []
+        self._ports = ports
+        self._ledger = AttemptLedger()
+        self._delivered: list[str] = []
+        self._excluded: set[str] = set()
+        self._attempt_id = ""
+        self._resumes = 0
+        self._start_index = 0
+        self._last_refusal: events.RefusalKind | None = None
+
+    @property
+    def delivered_text(self) -> str:
+        """All text delivered so far."""
+        return "".join(self._delivered)
+
+    def handle(self, event: events.RequestEvent) -> list[events.RequestInstruction]:
+        """Take in one event and return the instructions that follow from it."""
+        if self.phase is Phase.ENDED:
+            return self._handle_after_end(event)
+        handler = self._HANDLERS[type(event)]
+        instructions = handler(self, event)
+        self._validate(instructions)
+        return instructions
+
+    # One handler per event
+
+    def _on_started(self, _: events.Started) -> list[events.RequestInstruction]:
+        if self.phase is not Phase.WAITING:
+            return []
+        return self._attempt_on_some_engine()
+
+    def _on_turn_refused(self, event: events.TurnRefused) -> list[events.RequestInstruction]:
+        return [
+            self._end_with(
+                event.code,
+                unknown=self._loss_code(),
+                retry_after_seconds=event.retry_after_seconds,
+            )
+        ]
+
+    def _on_attempt_refused(self, event: events.AttemptRefused) -> list[events.RequestInstruction]:
+        if event.attempt_id != self._attempt_id:
+            return []
+        self._ledger.refute(event.attempt_id)
+        self._excluded.add(self.chosen[-1].engine_id)
+        self._last_refusal = event.kind
+        self.phase = Phase.WAITING
+        if event.kind is events.RefusalKind.REJECTED:
+            return [self._end_with(ResultCode.ENGINES_REFUSED, "the engine rejected the request")]
+        return self._retry()
+
+    def _on_token(self, event: events.TokenReceived) -> list[events.RequestInstruction]:
+        if self._is_foreign(event.request_id, event.attempt_id):
+            return self._drop(events.DroppedChunk.FOREIGN)
+        if event.index < self.next_index:
+            return self._drop(events.DroppedChunk.REPEATED)
+        if event.index > self.next_index:
+            return self._resume_or_replace()
+        self.phase = Phase.RUNNING
+        self.next_index += 1
+        self._delivered.append(event.text)
+        return [events.DeliverToken(event.index, event.text)]
+
+    def _on_finished(self, event: events.AttemptFinished) -> list[events.RequestInstruction]:
+        if self._is_foreign(event.request_id, event.attempt_id):
+            return self._drop(events.DroppedChunk.FOREIGN)
+        if self._start_index + event.completion_tokens != self.next_index:
+            return self._resume_or_replace()
+        choice = self.chosen[-1]
+        completed = Completed(
+            engine_id=choice.engine_id,
+            weight_version=choice.weight_version,
+            finish_reason=event.finish_reason,
+            prompt_tokens=self.request.prompt_tokens,
+            cached_tokens=min(event.cached_tokens, self.request.prompt_tokens),
+            completion_tokens=self.next_index,
+        )
+        self.phase = Phase.ENDED
+        return [events.EndRequest(completed)]
+
+    def _on_broken(self, event: events.AttemptBroken) -> list[events.RequestInstruction]:
+        if event.attempt_id != self._attempt_id or self.phase is Phase.WAITING:
+            return []
+        return self._resume_or_replace()
+
+    def _on_resume_refused(self, event: events.ResumeRefused) -> list[events.RequestInstruction]:
+        if event.attempt_id != self._attempt_id:
+            return []
+        return self._replace_attempt()
+
+    def _on_caller_gone(self, _: events.CallerGone) -> list[events.RequestInstruction]:
+        cancellation = self._cancellation()
+        return [*cancellation, self._end_with(ResultCode.CALLER_GONE)]
+
+    def _on_deadline_passed(self, _: events.DeadlinePassed) -> list[events.RequestInstruction]:
+        cancellation = self._cancellation()
+        return [
+            *cancellation,
+            self._end_with(ResultCode.DEADLINE_UNREACHABLE, unknown=ResultCode.DEADLINE_PASSED),
+        ]
+
+    def _handle_after_end(self, event: events.RequestEvent) -> list[events.RequestInstruction]:
+        if isinstance(event, events.TokenReceived | events.AttemptFinished):
+            self.dropped[events.DroppedChunk.AFTER_END] += 1
+        return []
+
+    # Decisions
+
+    def _attempt_on_some_engine(self) -> list[events.RequestInstruction]:
+        choice = self._ports.choose(
+            self.request, frozenset(self._excluded), self._required_weight_version()
+        )
+        if choice is Unavailable.ALL_BUSY:
+            self.phase = Phase.WAITING
+            return [events.WaitForEngine()]
+        if not isinstance(choice, EngineChoice):
+            return [self._end_without_engine()]
+        return [self._start_on(choice)]
+
+    def _required_weight_version(self) -> str | None:
+        """Return the weights that began the stream; only they can go on with it."""
+        if self.next_index == 0 or not self.chosen:
+            return None
+        return self.chosen[-1].weight_version
+
+    def _start_on(self, choice: EngineChoice) -> events.StartAttempt:
+        self._attempt_id = f"{self.request.request_id}-{len(self._ledger)}"
+        self._ledger.begin(self._attempt_id)
+        self.chosen.append(choice)
+        self._resumes = 0
+        self._start_index = self.next_index
+        self.phase = Phase.RUNNING
+        return events.StartAttempt(
+            attempt_id=self._attempt_id,
+            engine_id=choice.engine_id,
+            incarnation=choice.incarnation,
+            weight_version=choice.weight_version,
+            adapter=choice.adapter,
+            delivered_text=self.delivered_text,
+            start_index=self.next_index,
+        )
+
+    def _resume_or_replace(self) -> list[events.RequestInstruction]:
+        """Read on from the same attempt, which repeats no work, before trying another engine."""
+        if self._resumes >= MAXIMUM_RESUMES_PER_ATTEMPT:
+            return self._replace_attempt()
+        self._resumes += 1
+        self.phase = Phase.RESUMING
+        engine_id = self.chosen[-1].engine_id
+        return [events.ResumeAttempt(self._attempt_id, engine_id, self.next_index)]
+
+    def _replace_attempt(self) -> list[events.RequestInstruction]:
+        """Give up an attempt that may have run, and go on elsewhere if that is allowed."""
+        cancellation = self._cancellation()
+        self._excluded.add(self.chosen[-1].engine_id)
+        self.phase = Phase.WAITING
+        if not self.request.repeatable:
+            return [*cancellation, self._end_with(ResultCode.ENGINE_LOST)]
+        return [*cancellation, *self._retry()]
+
+    def _retry(self) -> list[events.RequestInstruction]:
+        if len(self._ledger) >= MAXIMUM_ATTEMPTS:
+            return [self._end_with(ResultCode.ENGINES_REFUSED, unknown=self._loss_code())]
+        if not self._ports.try_spend_retry(self.request):
+            code = ResultCode.RETRY_BUDGET_EXHAUSTED
+            return [self._end_with(code, unknown=self._loss_code())]
+        return self._attempt_on_some_engine()
+
+    def _end_without_engine(self) -> events.EndRequest:
+        refused = self._last_refusal is not None
+        code = ResultCode.ENGINES_REFUSED if refused else ResultCode.NO_ELIGIBLE_ENGINE
+        return self._end_with(code, unknown=self._loss_code())
+
+    def _loss_code(self) -> ResultCode:
+        return ResultCode.STREAM_INTERRUPTED if self.next_index else ResultCode.ENGINE_LOST
+
+    def _end_with(
+        self,
+        code: ResultCode,
+        detail: str = "",
+        unknown: ResultCode | None = None,
+        retry_after_seconds: float = RETRY_AFTER_SECONDS,
+    ) -> events.EndRequest:
+        """End with a code, or with another one if an attempt may have run."""
+        self.phase = Phase.ENDED
+        proof = self._ledger.seal_if_not_run()
+        error: RequestError
+        if proof is not None:
+            error = NotRunError(proof, code, detail, retry_after_seconds)
+        else:
+            error = UnknownOutcomeError(unknown or code, detail)
+        return events.EndRequest(Failed(error))
+
+    def _cancellation(self) -> list[events.RequestInstruction]:
+        if self.phase not in (Phase.RUNNING, Phase.RESUMING):
+            return []
+        return [events.CancelAttempt(self._attempt_id, self.chosen[-1].engine_id)]
+
+    def _is_foreign(self, request_id: str, attempt_id: str) -> bool:
+        return request_id != self.request.request_id or attempt_id != self._attempt_id
+
+    def _drop(self, reason: events.DroppedChunk) -> list[events.RequestInstruction]:
+        self.dropped[reason] += 1
+        return []
+
+    def _validate(self, instructions: list[events.RequestInstruction]) -> None:
+        """Check the invariants that hold after every event."""
+        starts = sum(isinstance(i, events.StartAttempt) for i in instructions)
+        if starts > 1:
+            raise InvariantViolationError("two attempts were started at once")
+        if starts and not self.request.repeatable and self.next_index:
+            raise InvariantViolationError("a request that may not be repeated was sent again")
+        if len(self._delivered) != self.next_index:
+            raise InvariantViolationError("delivered tokens and next index differ")
+        ended = any(isinstance(i, events.EndRequest) for i in instructions)
+        if ended != (self.phase is Phase.ENDED):
+            raise InvariantViolationError("the end was not announced")
+
+    _HANDLERS: ClassVar[dict[type, Callable[..., list[events.RequestInstruction]]]] = {
+        events.Started: _on_started,
+        events.TurnRefused: _on_turn_refused,
+        events.AttemptRefused: _on_attempt_refused,
+        events.TokenReceived: _on_token,
+        events.AttemptFinished: _on_finished,
+        events.AttemptBroken: _on_broken,
+        events.ResumeRefused: _on_resume_refused,
+        events.CallerGone: _on_caller_gone,
+        events.DeadlinePassed: _on_deadline_passed,
+    }
