--- a/liftrill/cli/operator.py
+++ b/liftrill/cli/operator.py
@@ -102,7 +102,7 @@
     state = "ready" if answer["ready"] else f"not ready: {answer['reason']}"
     print(f"node {answer['node_id']} in {answer['zone']}: {state}")
     for member, generation in sorted(answer["members"].items()):
-        print(f"member {member}: generation {generation}")
+        print(f"member {member}: {'silent' if generation is None else f'generation {generation}'}")
     for engine in answer["engines"]:
         condition = "leaving" if engine["leaving"] else "serving"
         print(
--- a/liftrill/coordination/key_value_store.py
+++ b/liftrill/coordination/key_value_store.py
@@ -33,6 +33,18 @@
     leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class MachineList:
+    """The platform's list of machines.
+
+    Attributes:
+        index: grows with each change of the list.
+    """
+
+    index: int
+    machines: tuple[MachineEntry, ...]
+
+
 class KeyValueStore(ABC):
     """Compare-and-swap, leases and watches.
 
@@ -65,5 +77,5 @@
         """Take a key for a lease; the entry if it is now held by it, otherwise None."""
 
     @abstractmethod
-    async def machines(self) -> list[MachineEntry]:
+    async def machines(self) -> MachineList:
         """Return the platform's list of live and leaving machines."""
--- /dev/null
+++ b/liftrill/coordination/membership.py
@@ -0,0 +1,399 @@
+"""Membership by gossip, after SWIM (Das, Gupta and Motivala, 2002), sans-IO.
+
+Each member probes one other per interval, directly and then through others. A member
+that does not answer is suspected; it can refute with a higher incarnation, and is
+declared dead when its time runs out. Dead members and seeds are probed now and then, so
+that two sides of a healed cut find each other without a restart.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from liftrill.coordination.dissemination import RumourTable
+
+
+class Condition(IntEnum):
+    """What is believed of a member; at equal incarnations the higher one wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    DEPARTED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One node.
+
+    Attributes:
+        address: HOST:PORT for gossip and peer calls.
+        incarnation: grows when the node restarts or refutes a suspicion.
+    """
+
+    node_id: str
+    address: str
+    region: str
+    zone: str
+    incarnation: int
+    condition: Condition = Condition.ALIVE
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Order of records about one member."""
+        return self.incarnation, int(self.condition)
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks the receiver to acknowledge."""
+
+
+@dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Asks the receiver to ping a target and pass its acknowledgement on."""
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """Says that a subject is alive."""
+
+    subject: str
+
+
+Body = Ping | PingRequest | Acknowledgement
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    """One message between members.
+
+    Attributes:
+        sequence: of the probe it belongs to.
+        generation: the configuration generation that the sender has in force.
+    """
+
+    sender: str
+    sequence: int
+    body: Body
+    members: tuple[Member, ...]
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class DatagramReceived:
+    """A datagram arrived from an address."""
+
+    source_address: str
+    datagram: Datagram
+
+
+@dataclass(frozen=True, slots=True)
+class SendDatagram:
+    """Send a datagram to an address."""
+
+    address: str
+    datagram: Datagram
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """What is believed of a member has changed."""
+
+    member: Member
+
+
+@dataclass(frozen=True, slots=True)
+class NewerGenerationHeard:
+    """A member has a newer configuration in force than this node."""
+
+    address: str
+    generation: int
+
+
+MembershipEvent = Ticked | DatagramReceived
+MembershipInstruction = SendDatagram | MemberChanged | NewerGenerationHeard
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipParameters:
+    """Timing, in seconds, and counts.
+
+    Attributes:
+        remote_probe_share: share of probes that go to other regions.
+        revival_probe_share: share of probes that go to dead members and seeds.
+    """
+
+    probe_interval: float = 0.5
+    probe_timeout: float = 0.25
+    suspicion_time: float = 3.0
+    dead_retention: float = 7_200.0
+    indirect_probes: int = 3
+    records_per_datagram: int = 8
+    retransmission_factor: int = 3
+    announcement_fanout: int = 4
+    remote_probe_share: float = 0.1
+    revival_probe_share: float = 0.1
+
+
+@dataclass(slots=True)
+class _Probe:
+    target: str
+    sent_at: float
+    indirect_sent: bool = False
+
+
+@dataclass(slots=True)
+class _Relay:
+    address: str
+    sequence: int
+    expires_at: float
+
+
+class Membership:
+    """One member's view of all members.
+
+    Attributes:
+        generation: the configuration generation in force here; set by the owner.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: Iterable[str],
+        parameters: MembershipParameters,
+        random_source: random.Random,
+    ) -> None:
+        self.generation = 0
+        self._own = own
+        self._seeds = [address for address in seeds if address != own.address]
+        self._parameters = parameters
+        self._random = random_source
+        self._table: RumourTable[str, Member] = RumourTable(parameters.retransmission_factor)
+        self._table.offer(own.node_id, own.version, own)
+        self._suspected_at: dict[str, float] = {}
+        self._dead_at: dict[str, float] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._sequence = random_source.getrandbits(48)
+        self._next_probe_at = 0.0
+        self._round: list[str] = []
+
+    @property
+    def own(self) -> Member:
+        """The record of this node itself."""
+        return self._own
+
+    def members(self) -> list[Member]:
+        """Return the members believed alive or suspected, this one included."""
+        return [member for member in self._table if member.condition <= Condition.SUSPECT]
+
+    def all_members(self) -> list[Member]:
+        """Return every record, those of dead members included."""
+        return list(self._table)
+
+    def member(self, node_id: str) -> Member | None:
+        """Return what is believed of a member."""
+        return self._table.get(node_id)
+
+    def handle(self, event: MembershipEvent, now: float) -> list[MembershipInstruction]:
+        """Take in one event and return what follows from it."""
+        if isinstance(event, Ticked):
+            return self._on_tick(now)
+        return self._on_datagram(event, now)
+
+    def merge(self, members: Iterable[Member], now: float) -> list[MembershipInstruction]:
+        """Take in records from a snapshot."""
+        instructions: list[MembershipInstruction] = []
+        for member in members:
+            instructions.extend(self._merge_member(member, now))
+        return instructions
+
+    def announce(self) -> list[MembershipInstruction]:
+        """Return pings that tell a few members at once of a change, such as a generation."""
+        others = [m for m in self.members() if m.node_id != self._own.node_id]
+        count = min(self._parameters.announcement_fanout, len(others))
+        return [self._ping(m.address) for m in self._random.sample(others, count)]
+
+    def depart(self) -> list[MembershipInstruction]:
+        """Return pings that tell a few members that this node leaves."""
+        self._own = replace(self._own, condition=Condition.DEPARTED)
+        self._table.offer(self._own.node_id, self._own.version, self._own)
+        return self.announce()
+
+    # Events
+
+    def _on_tick(self, now: float) -> list[MembershipInstruction]:
+        instructions = self._check_probes(now)
+        instructions.extend(self._check_suspicions(now))
+        self._forget_dead(now)
+        if now >= self._next_probe_at:
+            self._next_probe_at = now + self._parameters.probe_interval
+            instructions.extend(self._start_probe(now))
+        return instructions
+
+    def _on_datagram(self, event: DatagramReceived, now: float) -> list[MembershipInstruction]:
+        datagram = event.datagram
+        instructions = self.merge(datagram.members, now)
+        if datagram.generation > self.generation:
+            instructions.append(NewerGenerationHeard(event.source_address, datagram.generation))
+        if isinstance(datagram.body, Ping):
+            instructions.append(self._acknowledge(event))
+        elif isinstance(datagram.body, PingRequest):
+            instructions.extend(self._relay(event, datagram.body.target, now))
+        else:
+            instructions.extend(self._on_acknowledgement(datagram, datagram.body.subject))
+        return instructions
+
+    def _acknowledge(self, event: DatagramReceived) -> SendDatagram:
+        body = Acknowledgement(self._own.node_id)
+        # A sender that is held for suspect or dead is told so, and can refute.
+        told = self._table.get(event.datagram.sender)
+        extra = (told,) if told and told.condition is not Condition.ALIVE else ()
+        return self._send(event.source_address, event.datagram.sequence, body, extra)
+
+    def _relay(
+        self, event: DatagramReceived, target: str, now: float
+    ) -> list[MembershipInstruction]:
+        member = self._table.get(target)
+        if member is None:
+            return []
+        ping = self._ping(member.address)
+        self._relays[ping.datagram.sequence] = _Relay(
+            event.source_address,
+            event.datagram.sequence,
+            now + self._parameters.probe_interval,
+        )
+        return [ping]
+
+    def _on_acknowledgement(self, datagram: Datagram, subject: str) -> list[MembershipInstruction]:
+        self._probes.pop(datagram.sequence, None)
+        relay = self._relays.pop(datagram.sequence, None)
+        if relay is None:
+            return []
+        return [self._send(relay.address, relay.sequence, Acknowledgement(subject))]
+
+    # Probing
+
+    def _start_probe(self, now: float) -> list[MembershipInstruction]:
+        if self._random.random() < self._parameters.revival_probe_share or len(self._table) == 1:
+            return self._probe_revival()
+        target = self._next_target()
+        if target is None:
+            return self._probe_revival()
+        ping = self._ping(target.address)
+        self._probes[ping.datagram.sequence] = _Probe(target.node_id, now)
+        return [ping]
+
+    def _probe_revival(self) -> list[MembershipInstruction]:
+        known = {m.address for m in self.members()}
+        dead = [m.address for m in self._table if m.condition is Condition.DEAD]
+        candidates = [address for address in (*dead, *self._seeds) if address not in known]
+        # Its own record goes along: the other side may have forgotten this member.
+        return [self._ping(self._random.choice(candidates), (self._own,))] if candidates else []
+
+    def _next_target(self) -> Member | None:
+        """Return the next member of a shuffled round, most often of the own region."""
+        members = {m.node_id: m for m in self.members() if m.node_id != self._own.node_id}
+        if not members:
+            return None
+        remote = [m for m in members.values() if m.region != self._own.region]
+        if remote and self._random.random() < self._parameters.remote_probe_share:
+            return self._random.choice(remote)
+        while True:
+            if not self._round:
+                local = [m.node_id for m in members.values() if m.region == self._own.region]
+                self._round = local or list(members)
+                self._random.shuffle(self._round)
+            node_id = self._round.pop()
+            if node_id in members:
+                return members[node_id]
+
+    def _check_probes(self, now: float) -> list[MembershipInstruction]:
+        instructions: list[MembershipInstruction] = []
+        for sequence, probe in list(self._probes.items()):
+            elapsed = now - probe.sent_at
+            if elapsed >= self._parameters.probe_interval + self._parameters.probe_timeout:
+                del self._probes[sequence]
+                instructions.extend(self._suspect(probe.target, now))
+            elif elapsed >= self._parameters.probe_timeout and not probe.indirect_sent:
+                probe.indirect_sent = True
+                instructions.extend(self._probe_indirectly(sequence, probe.target))
+        for sequence in [s for s, relay in self._relays.items() if relay.expires_at <= now]:
+            del self._relays[sequence]
+        return instructions
+
+    def _probe_indirectly(self, sequence: int, target: str) -> list[MembershipInstruction]:
+        excluded = (self._own.node_id, target)
+        others = [m for m in self.members() if m.node_id not in excluded]
+        count = min(self._parameters.indirect_probes, len(others))
+        chosen = self._random.sample(others, count)
+        return [self._send(m.address, sequence, PingRequest(target)) for m in chosen]
+
+    # Beliefs
+
+    def _suspect(self, node_id: str, now: float) -> list[MembershipInstruction]:
+        member = self._table.get(node_id)
+        if member is None or member.condition is not Condition.ALIVE:
+            return []
+        return self._merge_member(replace(member, condition=Condition.SUSPECT), now)
+
+    def _check_suspicions(self, now: float) -> list[MembershipInstruction]:
+        limit = now - self._parameters.suspicion_time
+        expired = [node_id for node_id, at in self._suspected_at.items() if at <= limit]
+        instructions: list[MembershipInstruction] = []
+        for node_id in expired:
+            member = self._table.get(node_id)
+            assert member is not None
+            instructions.extend(self._merge_member(replace(member, condition=Condition.DEAD), now))
+        return instructions
+
+    def _forget_dead(self, now: float) -> None:
+        limit = now - self._parameters.dead_retention
+        for node_id in [n for n, at in self._dead_at.items() if at <= limit]:
+            del self._dead_at[node_id]
+            self._table.remove(node_id)
+
+    def _merge_member(self, member: Member, now: float) -> list[MembershipInstruction]:
+        if member.node_id == self._own.node_id:
+            return self._defend_own(member)
+        if not self._table.offer(member.node_id, member.version, member):
+            return []
+        self._suspected_at.pop(member.node_id, None)
+        self._dead_at.pop(member.node_id, None)
+        if member.condition is Condition.SUSPECT:
+            self._suspected_at[member.node_id] = now
+        elif member.condition >= Condition.DEAD:
+            self._dead_at[member.node_id] = now
+        return [MemberChanged(member)]
+
+    def _defend_own(self, claimed: Member) -> list[MembershipInstruction]:
+        """Refute a record about this node that is not its own word."""
+        if claimed.version <= self._own.version or self._own.condition is Condition.DEPARTED:
+            return []
+        self._own = replace(self._own, incarnation=claimed.incarnation + 1)
+        self._table.offer(self._own.node_id, self._own.version, self._own)
+        return []
+
+    # Messages
+
+    def _ping(self, address: str, extra: tuple[Member, ...] = ()) -> SendDatagram:
+        self._sequence += 1
+        return self._send(address, self._sequence, Ping(), extra)
+
+    def _send(
+        self, address: str, sequence: int, body: Body, extra: tuple[Member, ...] = ()
+    ) -> SendDatagram:
+        count = self._parameters.records_per_datagram
+        records = self._table.take(count, len(self._table))
+        members = (*extra, *records)
+        datagram = Datagram(self._own.node_id, sequence, body, members, self.generation)
+        return SendDatagram(address, datagram)
--- a/liftrill/emulator/engine_model.py
+++ b/liftrill/emulator/engine_model.py
@@ -61,7 +61,7 @@
     Attributes:
         incarnation: changes whenever the engine starts empty.
         weight_version: the weights that are loaded.
-        leaving: whether new work is refused.
+        revision: grows when weights or `leaving` change.
     """
 
     def __init__(
@@ -74,7 +74,8 @@
         self.parameters = parameters
         self.weight_version = weight_version
         self.incarnation = incarnation
-        self.leaving = False
+        self.revision = 0
+        self._leaving = False
         self.loading_until: float | None = None
         self._loading_version = ""
         self._highest_fence = 0
@@ -90,6 +91,16 @@
         self._step_decode: list[Generation] = []
         self._reports: deque[LoadReport] = deque()
 
+    @property
+    def leaving(self) -> bool:
+        """Whether new work is refused."""
+        return self._leaving
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Refuse new work, or accept it again."""
+        self._leaving = leaving
+        self.revision += 1
+
     # Requests
 
     def submit(self, request: GenerationRequest, now: float) -> RefusalReason | None:
@@ -158,12 +169,13 @@
         if fence < self._highest_fence:
             return RefusalReason.STALE_FENCE
         self._highest_fence = fence
-        self.leaving = True
+        self.set_leaving(True)
         return None
 
     def crash(self, incarnation: int) -> None:
         """Lose everything and come back empty."""
         self.incarnation = incarnation
+        self.revision = 0
         self.cache.clear()
         self._waiting.clear()
         self._running.clear()
@@ -242,6 +254,7 @@
             return
         self.loading_until = None
         self.weight_version = self._loading_version
+        self.revision += 1
         self.cache.clear()
 
     def _expire_detached(self, now: float) -> None:
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -166,6 +166,7 @@
                 "engine_id": self.engine_id,
                 "model": self.model_name,
                 "incarnation": self._model.incarnation,
+                "revision": self._model.revision,
                 "weight_version": self._model.weight_version,
                 "leaving": self._model.leaving,
                 "running": report.running,
@@ -186,7 +187,7 @@
         now = time.monotonic()
         if fault.kind == "none":
             self._frozen_until = self._foreign_until = 0.0
-            self._model.leaving = False
+            self._model.set_leaving(False)
         elif fault.kind == "crash":
             self._model.crash(_new_incarnation())
             self._cut_streams()
@@ -199,7 +200,7 @@
         elif fault.kind == "event_loss":
             self._model.cache.event_loss_share = fault.share
         elif fault.kind == "leave":
-            self._model.leaving = True
+            self._model.set_leaving(True)
         else:
             self._model.order_weights(fault.weight_version, 0, now + fault.seconds)
         self._wake.set()
@@ -292,6 +293,7 @@
         body = {
             "error": {"code": reason.value, "executed": False},
             "incarnation": self._model.incarnation,
+            "revision": self._model.revision,
             "weight_version": self._model.weight_version,
         }
         return _json(body, REFUSAL_STATUS.get(reason, REFUSED_FOR_LOAD_STATUS))
--- a/liftrill/emulator/platform_server.py
+++ b/liftrill/emulator/platform_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import time
+from dataclasses import dataclass
 from typing import Literal
 
 import orjson
@@ -40,6 +41,15 @@
     count: int = Field(default=1, ge=0)
 
 
+@dataclass(frozen=True, slots=True)
+class _MachineListVersion:
+    """The machine list as it was from a time on."""
+
+    at: float
+    index: int
+    machines: tuple[MachineEntry, ...]
+
+
 class PlatformServer:
     """Serves one platform model on one event loop."""
 
@@ -48,7 +58,7 @@
         self._bucket = TokenBucket(requests_per_second, requests_per_second)
         self._changed = asyncio.Condition()
         self._machine_list_lag_seconds = machine_list_lag_seconds
-        self._machine_history: list[tuple[float, list[MachineEntry]]] = []
+        self._machine_history: list[_MachineListVersion] = []
         self._outage_until = 0.0
         self._delay_seconds = 0.0
         self._answers_to_lose = 0
@@ -158,6 +168,7 @@
         return web.Response()
 
     async def _machines(self, _: web.Request) -> web.Response:
+        version = self._lagging_machines()
         rows = [
             {
                 "ID": machine.machine_id,
@@ -165,9 +176,12 @@
                 "Address": machine.address,
                 "Meta": {"Zone": machine.zone, "Leaving": str(machine.leaving).lower()},
             }
-            for machine in self._lagging_machines()
+            for machine in version.machines
         ]
-        return web.Response(body=orjson.dumps(rows), content_type="application/json")
+        headers = {"X-Consul-Index": str(version.index)}
+        return web.Response(
+            body=orjson.dumps(rows), headers=headers, content_type="application/json"
+        )
 
     async def _fault(self, request: web.Request) -> web.Response:
         fault = PlatformFault.model_validate_json(await request.read())
@@ -208,15 +222,17 @@
 
     def _record_machines(self) -> None:
         now = time.monotonic()
-        self._machine_history.append((now, list(self._model.machines())))
+        index = self._machine_history[-1].index + 1 if self._machine_history else 1
+        version = _MachineListVersion(now, index, tuple(self._model.machines()))
+        self._machine_history.append(version)
         visible_at = now - self._machine_list_lag_seconds
-        while len(self._machine_history) > 1 and self._machine_history[1][0] <= visible_at:
+        while len(self._machine_history) > 1 and self._machine_history[1].at <= visible_at:
             self._machine_history.pop(0)
 
-    def _lagging_machines(self) -> list[MachineEntry]:
+    def _lagging_machines(self) -> _MachineListVersion:
         visible_at = time.monotonic() - self._machine_list_lag_seconds
-        visible = [machines for at, machines in self._machine_history if at <= visible_at]
-        return visible[-1] if visible else []
+        visible = [version for version in self._machine_history if version.at <= visible_at]
+        return visible[-1] if visible else _MachineListVersion(0.0, 0, ())
 
 
 def _entry_body(entry: StoredEntry) -> dict[str, object]:
--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -2,19 +2,25 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from liftrill import constants
 from liftrill.coordination.configuration import Adoption
 from liftrill.coordination.key_value_store import KeyValueStore
+from liftrill.coordination.membership import Member
 from liftrill.errors import ConfigurationError, StoreError, StoreUnavailableError
 from liftrill.messages import configuration_pb2 as messages
-from liftrill.messages.peer_pb2 import EngineCondition, Snapshot
+from liftrill.messages.peer_pb2 import Snapshot
 from liftrill.node.context import NodeContext
+from liftrill.node.gossip_codec import (
+    listing_from_message,
+    member_from_message,
+    observation_from_message,
+)
 from liftrill.node.logs import log_change
 from liftrill.node.peer_client import PeerClient, PeerError
 from liftrill.planning.commit import HEAD_KEY, install_newer_head, section_key
 from liftrill.planning.sections import head_from_message, parse_head, view_of
-from liftrill.routing.engine_state import EngineListing
 
 
 class ConfigurationSync:
@@ -26,11 +32,17 @@
         store: KeyValueStore,
         peers: PeerClient,
         random_source: random.Random,
+        watches_store: Callable[[], bool],
+        on_members: Callable[[list[Member]], None],
+        on_adopted: Callable[[], None],
     ) -> None:
         self._context = context
         self._store = store
         self._peers = peers
         self._random = random_source
+        self._watches_store = watches_store
+        self._on_members = on_members
+        self._on_adopted = on_adopted
         self._fetching = asyncio.Lock()
         self._newest_head = messages.Head()
 
@@ -61,18 +73,29 @@
             wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
 
     async def pull_snapshot(self, address: str) -> None:
-        """Take over a peer's configuration if it is newer; a silent peer is passed over."""
+        """Take over all that a peer knows; a silent peer is passed over."""
         try:
             snapshot = await self._peers.snapshot(address)
         except PeerError:
             return
-        await self._offer_snapshot(snapshot)
+        self._offer_snapshot(snapshot)
+
+    async def pull_head(self, address: str) -> None:
+        """Take over a peer's configuration, fetching only the sections that changed."""
+        try:
+            head = await self._peers.head(address)
+            await self.offer(head)
+        except (PeerError, StoreError):
+            return
 
     async def watch_store(self) -> None:
-        """Follow the head in the store for as long as the node runs."""
+        """Follow the head in the store, where this node does so for its region."""
         revision = 0
         wait = constants.STORE_RETRY_FIRST_SECONDS
         while True:
+            if not self._watches_store() and self._context.replica.generation:
+                await asyncio.sleep(constants.STORE_RETRY_LONGEST_SECONDS)
+                continue
             try:
                 entry = await self._store.watch(HEAD_KEY, revision, constants.STORE_WATCH_SECONDS)
                 if entry is not None:
@@ -102,8 +125,8 @@
         if await install_newer_head(self._store, self._context.head, sections):
             log_change("store_repaired", generation=current.head.generation)
 
-    async def _offer_snapshot(self, snapshot: Snapshot) -> None:
-        self._learn_engines(snapshot)
+    def _offer_snapshot(self, snapshot: Snapshot) -> None:
+        self._learn(snapshot)
         # The head goes first: sections are only kept while a head asks for them.
         if snapshot.head.generation <= self._context.replica.generation:
             return
@@ -117,12 +140,13 @@
         self._newest_head = snapshot.head
         self._install()
 
-    def _learn_engines(self, snapshot: Snapshot) -> None:
-        for record in snapshot.engines:
-            leaving = record.condition == EngineCondition.LEAVING
-            self._context.engines.learn(
-                EngineListing(record.engine_id, record.address, record.zone, record.pool, leaving)
-            )
+    def _learn(self, snapshot: Snapshot) -> None:
+        """Take in a peer's members and engines."""
+        context = self._context
+        self._on_members([member_from_message(m) for m in snapshot.members])
+        context.records.offer_listings(listing_from_message(m) for m in snapshot.engines)
+        for message in snapshot.observations:
+            context.records.offer_observation(observation_from_message(message))
 
     async def _fetch_missing(self) -> None:
         """Fetch sections from peers, then from the store, one fetch at a time."""
@@ -158,11 +182,14 @@
         if self._newest_head.generation == view.generation:
             context.head = self._newest_head
         context.metrics.generation.set(view.generation)
-        context.generations[context.settings.node_id] = view.generation
+        context.membership.generation = view.generation
         context.dispatcher.wake()
         log_change("configuration_in_force", generation=view.generation)
+        self._on_adopted()
 
     def _shuffled_peers(self) -> list[str]:
-        addresses = [a for a in self._peers.addresses() if a != self._context.settings.peer_listen]
+        own = self._context.membership.own
+        addresses = [m.address for m in self._context.membership.members() if m != own]
+        addresses = addresses or [a for a in self._context.settings.peers if a != own.address]
         self._random.shuffle(addresses)
         return addresses
--- a/liftrill/node/context.py
+++ b/liftrill/node/context.py
@@ -5,6 +5,7 @@
 
 from liftrill.cache.tokenizer import FixedWidthTokenizer, Tokenizer
 from liftrill.coordination.configuration import ConfigurationReplica
+from liftrill.coordination.membership import Membership
 from liftrill.messages import configuration_pb2 as messages
 from liftrill.node.dispatcher import Dispatcher
 from liftrill.node.metrics import NodeMetrics
@@ -14,6 +15,7 @@
 from liftrill.planning.plan import Plan
 from liftrill.planning.sections import ConfigurationView
 from liftrill.routing.admission import AdmissionController
+from liftrill.routing.engine_records import EngineRecords
 from liftrill.routing.engine_state import EngineTable
 
 
@@ -25,7 +27,6 @@
         head: the head in force, as stored, with its confirmations.
         view: the configuration in force, for lookups.
         plans: plans made here that wait for confirmation, by id, oldest first.
-        generations: the newest generation heard from each member.
         draining: whether a planned stop has begun.
     """
 
@@ -36,11 +37,12 @@
     dispatcher: Dispatcher
     runner: RequestRunner
     open_requests: OpenRequests
+    membership: Membership
+    records: EngineRecords
     replica: ConfigurationReplica = field(default_factory=ConfigurationReplica)
     head: messages.Head = field(default_factory=messages.Head)
     view: ConfigurationView = field(default_factory=ConfigurationView)
     plans: dict[str, Plan] = field(default_factory=dict)
-    generations: dict[str, int] = field(default_factory=dict)
     tokenizer: Tokenizer = field(default_factory=FixedWidthTokenizer)
     draining: bool = False
 
@@ -50,7 +52,7 @@
             return "draining"
         if self.view.generation == 0:
             return "no configuration"
-        if not any(engine.incarnation is not None for engine in self.engines):
+        if not any(engine.identity is not None for engine in self.engines):
             return "no engine has answered"
         return None
 
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -15,6 +15,7 @@
 from liftrill.node.dispatcher import Dispatcher
 from liftrill.node.engine_client import EngineClient
 from liftrill.node.engine_watch import EngineWatch
+from liftrill.node.gossip import GossipService, new_membership
 from liftrill.node.logs import log_change
 from liftrill.node.metrics import NodeMetrics
 from liftrill.node.open_requests import OpenRequests
@@ -26,6 +27,7 @@
 from liftrill.node.settings import NodeSettings
 from liftrill.planning.commit import PlanCommitter
 from liftrill.routing.admission import AdmissionController
+from liftrill.routing.engine_records import EngineRecords
 from liftrill.routing.engine_state import EngineTable
 from liftrill.routing.policies import POLICIES
 
@@ -38,6 +40,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop_requested = asyncio.Event()
         self._stop_now = asyncio.Event()
+        self._pulling = False
 
     async def run(self) -> bool:
         """Serve until a signal; True if the stop cut off no request."""
@@ -46,12 +49,17 @@
         async with aiohttp.ClientSession(connector=connector) as session:
             context = self._assemble(session)
             runners = await self._listen(context)
+            await self._gossip.listen(self._settings.peer_listen)
+            for coroutine in self._background:
+                self._spawn(coroutine)
             log_change("node_started", node=self._settings.node_id)
             await self._stop_requested.wait()
             clean = await self._drain(context)
+            self._gossip.depart()
             for runner in runners:
                 await runner.cleanup()
             await self._cancel_tasks()
+            self._gossip.close()
         log_change("node_stopped", node=self._settings.node_id, clean=clean)
         return clean
 
@@ -66,21 +74,57 @@
         dispatcher = Dispatcher(engines, policy, admission, metrics, secret)
         client = EngineClient(session, secret)
         runner = RequestRunner(engines, client, dispatcher, metrics, self._spawn)
-        open_requests = OpenRequests(metrics)
+        membership = new_membership(settings, random_source)
+        records = EngineRecords(engines, constants.GOSSIP_RETRANSMISSION_FACTOR)
         context = NodeContext(
-            settings, metrics, engines, admission, dispatcher, runner, open_requests
+            settings=settings,
+            metrics=metrics,
+            engines=engines,
+            admission=admission,
+            dispatcher=dispatcher,
+            runner=runner,
+            open_requests=OpenRequests(metrics),
+            membership=membership,
+            records=records,
         )
         store = PlatformClient(session, settings.platform)
-        peers = PeerClient(session, settings.shared_keys, settings.peers, metrics)
-        self._sync = ConfigurationSync(context, store, peers, random_source)
-        self._operator_api = OperatorApi(context, PlanCommitter(store), self._sync)
-        watch = EngineWatch(context, store, client, random_source)
-        self._spawn(self._sync.join_from_peers())
-        self._spawn(self._sync.watch_store())
-        self._spawn(watch.follow_machine_list())
-        self._spawn(watch.follow_reports())
+        peers = PeerClient(session, settings.shared_keys, metrics)
+        self._gossip = GossipService(
+            membership, records, settings.shared_keys, metrics, self._on_newer_generation
+        )
+        watch = EngineWatch(context, store, client, records, membership, random_source)
+        self._sync = ConfigurationSync(
+            context=context,
+            store=store,
+            peers=peers,
+            random_source=random_source,
+            watches_store=watch.watches_store,
+            on_members=self._gossip.merge_members,
+            on_adopted=self._gossip.announce,
+        )
+        self._operator_api = OperatorApi(context, PlanCommitter(store), self._sync, peers)
+        self._background = (
+            self._gossip.run(),
+            self._sync.join_from_peers(),
+            self._sync.watch_store(),
+            watch.follow_machine_list(),
+            watch.follow_reports(),
+        )
         return context
 
+    def _on_newer_generation(self, address: str) -> None:
+        """Fetch a newer configuration from the member that told of it, once at a time."""
+        if self._pulling:
+            return
+        self._pulling = True
+        self._spawn(self._pull(address))
+
+    async def _pull(self, address: str) -> None:
+        try:
+            await self._sync.pull_head(address)
+        finally:
+            self._pulling = False
+
     async def _listen(self, context: NodeContext) -> list[web.AppRunner]:
         public = web.Application(
             client_max_size=constants.MAXIMUM_BODY_BYTES, middlewares=[coded_errors]
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -10,7 +10,7 @@
 from liftrill import constants
 from liftrill.errors import LiftrillError
 from liftrill.routing import events
-from liftrill.routing.engine_state import EngineReport, EngineState
+from liftrill.routing.engine_state import EngineIdentity, EngineReport, EngineState
 from liftrill.routing.request import RoutedRequest
 
 EVENT_SEPARATOR = b"\n\n"
@@ -25,10 +25,10 @@
     """The engine did not run the attempt.
 
     Attributes:
-        identity: the engine's incarnation and weight version, where it told them.
+        identity: what the engine is now, where it told.
     """
 
-    def __init__(self, kind: events.RefusalKind, identity: tuple[int, str] | None = None) -> None:
+    def __init__(self, kind: events.RefusalKind, identity: EngineIdentity | None = None) -> None:
         self.kind = kind
         self.identity = identity
         super().__init__(kind.value)
@@ -215,19 +215,22 @@
     )
 
 
-def _parse_identity(body: Mapping[str, Any]) -> tuple[int, str] | None:
+def _parse_identity(body: Mapping[str, Any]) -> EngineIdentity | None:
     try:
-        return int(body["incarnation"]), str(body["weight_version"])
+        return EngineIdentity(
+            incarnation=int(body["incarnation"]),
+            revision=int(body["revision"]),
+            weight_version=str(body["weight_version"]),
+            leaving=bool(body.get("leaving", False)),
+        )
     except (KeyError, TypeError, ValueError):
         return None
 
 
-def _parse_report(body: Mapping[str, Any]) -> EngineReport:
+def _parse_report(body: Mapping[str, Any]) -> EngineReport | None:
+    identity = _parse_identity(body)
+    if identity is None:
+        return None
     return EngineReport(
-        engine_id=str(body["engine_id"]),
-        incarnation=int(body["incarnation"]),
-        weight_version=str(body["weight_version"]),
-        leaving=bool(body["leaving"]),
-        running=int(body["running"]),
-        waiting=int(body["waiting"]),
+        str(body["engine_id"]), identity, int(body["running"]), int(body["waiting"])
     )
--- a/liftrill/node/engine_watch.py
+++ b/liftrill/node/engine_watch.py
@@ -4,12 +4,15 @@
 import random
 
 from liftrill import constants
-from liftrill.coordination.key_value_store import KeyValueStore, MachineEntry
+from liftrill.coordination.key_value_store import KeyValueStore
+from liftrill.coordination.membership import Membership
 from liftrill.errors import StoreError
 from liftrill.node.context import NodeContext
 from liftrill.node.engine_client import EngineClient
 from liftrill.node.logs import log_change
-from liftrill.routing.engine_state import EngineListing, EngineState
+from liftrill.routing.engine_records import EngineObservation, EngineRecords
+from liftrill.routing.engine_state import EngineState
+from liftrill.routing.watch_assignment import watched_engines, watches_store
 
 
 class EngineWatch:
@@ -20,52 +23,83 @@
         context: NodeContext,
         store: KeyValueStore,
         client: EngineClient,
+        records: EngineRecords,
+        membership: Membership,
         random_source: random.Random,
     ) -> None:
         self._context = context
         self._store = store
         self._client = client
+        self._records = records
+        self._membership = membership
         self._random = random_source
+        self._extra: list[str] = []
 
     async def follow_machine_list(self) -> None:
-        """Read the machine list again and again; an outage leaves the table as it is."""
+        """Read the machine list where this node does so for its region.
+
+        An outage leaves the table as it is. Other nodes hear of changes by gossip, and
+        read the list themselves only while they know no engine.
+        """
         wait = constants.MACHINE_LIST_INTERVAL_SECONDS
         while True:
-            try:
-                machines = await self._store.machines()
-                self._apply_machines(machines)
-                wait = constants.MACHINE_LIST_INTERVAL_SECONDS
-            except StoreError:
-                self._context.metrics.store_errors.inc()
-                wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
+            if self.watches_store() or len(self._context.engines) == 0:
+                wait = await self._read_machine_list(wait)
             await asyncio.sleep(wait * self._random.uniform(0.8, 1.2))
 
+    def watches_store(self) -> bool:
+        """Return whether this node reads the store for its region."""
+        own = self._membership.own
+        members = [m.node_id for m in self._membership.members() if m.region == own.region]
+        return watches_store(own.node_id, members, constants.STORE_WATCHERS_PER_REGION)
+
     async def follow_reports(self) -> None:
-        """Ask every engine for its report at the report interval."""
+        """Ask engines for their reports: the own ones always, others within a budget."""
         while True:
-            engines = list(self._context.engines)
-            await asyncio.gather(*(self._refresh(engine) for engine in engines))
+            engines = self._engines_to_ask()
+            await asyncio.gather(*(self.refresh(engine) for engine in engines))
             jitter = self._random.uniform(0.8, 1.2)
             await asyncio.sleep(constants.ENGINE_REPORT_INTERVAL_SECONDS * jitter)
 
-    def _apply_machines(self, machines: list[MachineEntry]) -> None:
-        pools = self._context.view.pools_by_name
-        listings = [
-            EngineListing(m.machine_id, m.address, m.zone, m.service, m.leaving)
-            for m in machines
-            if m.service in pools
-        ]
-        known = {engine.engine_id for engine in self._context.engines}
-        self._context.engines.apply_listing(listings)
-        if known != {listing.engine_id for listing in listings}:
-            log_change("engines_listed", count=len(listings))
-
-    async def _refresh(self, engine: EngineState) -> None:
+    async def refresh(self, engine: EngineState) -> None:
+        """Ask one engine for its report."""
         report = await self._client.report(engine)
         if report is None or report.engine_id != engine.engine_id:
             return
-        was_unknown = engine.incarnation is None
+        engine.refused_as_leaving = False
+        was_unknown = engine.identity is None
         if engine.apply_report(report):
-            log_change("engine_restarted", engine=engine.engine_id)
+            log_change("engine_changed", engine=engine.engine_id, leaving=engine.leaving)
+        self._records.offer_observation(EngineObservation(engine.engine_id, report.identity))
         if was_unknown:
             self._context.dispatcher.wake()
+
+    async def _read_machine_list(self, wait: float) -> float:
+        try:
+            machine_list = await self._store.machines()
+        except StoreError:
+            self._context.metrics.store_errors.inc()
+            return min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
+        changed = self._records.offer_machine_list(machine_list)
+        if changed:
+            log_change("machine_list", changed=changed, index=machine_list.index)
+        return constants.MACHINE_LIST_INTERVAL_SECONDS
+
+    def _engines_to_ask(self) -> list[EngineState]:
+        engines = self._context.engines.in_pools(self._context.view.pools_by_name)
+        by_id = {engine.engine_id: engine for engine in engines}
+        members = [member.node_id for member in self._membership.members()]
+        chosen = set(watched_engines(self._membership.own.node_id, members, by_id))
+        chosen.update(e.engine_id for e in engines if e.identity is None or e.refused_as_leaving)
+        chosen.update(self._take_extra(by_id))
+        return [by_id[engine_id] for engine_id in chosen]
+
+    def _take_extra(self, by_id: dict[str, EngineState]) -> list[str]:
+        """Return the next engines of a round over all, for a fresher view of their load."""
+        taken: list[str] = []
+        while len(taken) < min(constants.ENGINE_EXTRA_REPORTS, len(by_id)):
+            if not self._extra:
+                self._extra = list(by_id)
+                self._random.shuffle(self._extra)
+            taken.append(self._extra.pop())
+        return [engine_id for engine_id in taken if engine_id in by_id]
--- /dev/null
+++ b/liftrill/node/gossip_codec.py
@@ -0,0 +1,169 @@
+"""Protobuf form of the records that nodes exchange, and its authentication."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from google.protobuf.message import DecodeError
+
+from liftrill.coordination.membership import (
+    Acknowledgement,
+    Condition,
+    Datagram,
+    Member,
+    Ping,
+    PingRequest,
+)
+from liftrill.errors import LiftrillError
+from liftrill.messages import peer_pb2 as messages
+from liftrill.routing.engine_records import EngineObservation
+from liftrill.routing.engine_state import EngineIdentity, EngineListing
+
+SIGNATURE_BYTES = 16
+
+
+class GossipDecodeError(LiftrillError):
+    """A datagram is not authentic or cannot be decoded."""
+
+
+@dataclass(frozen=True, slots=True)
+class GossipPacket:
+    """A membership datagram and the engine records that ride on it."""
+
+    datagram: Datagram
+    listings: tuple[EngineListing, ...]
+    observations: tuple[EngineObservation, ...]
+
+
+def encode_packet(packet: GossipPacket, shared_key: bytes) -> bytes:
+    """Return a packet's bytes: signature, then protobuf."""
+    datagram = packet.datagram
+    message = messages.Datagram(
+        sender=datagram.sender,
+        sequence=datagram.sequence,
+        configuration_generation=datagram.generation,
+        members=[member_message(member) for member in datagram.members],
+        engines=[listing_message(listing) for listing in packet.listings],
+        observations=[observation_message(o) for o in packet.observations],
+    )
+    if isinstance(datagram.body, Ping):
+        message.ping.SetInParent()
+    elif isinstance(datagram.body, PingRequest):
+        message.ping_request.target = datagram.body.target
+    else:
+        message.acknowledgement.subject = datagram.body.subject
+    content = message.SerializeToString()
+    return _signature(shared_key, content) + content
+
+
+def decode_packet(data: bytes, shared_keys: Iterable[bytes]) -> GossipPacket:
+    """Return the packet in some bytes.
+
+    Raises:
+        GossipDecodeError: no accepted key signed it, or it is malformed.
+    """
+    signature, content = data[:SIGNATURE_BYTES], data[SIGNATURE_BYTES:]
+    if not any(hmac.compare_digest(signature, _signature(k, content)) for k in shared_keys):
+        raise GossipDecodeError("signature")
+    try:
+        message = messages.Datagram.FromString(content)
+    except DecodeError as error:
+        raise GossipDecodeError("malformed") from error
+    datagram = Datagram(
+        sender=message.sender,
+        sequence=message.sequence,
+        body=_body(message),
+        members=tuple(member_from_message(m) for m in message.members),
+        generation=message.configuration_generation,
+    )
+    return GossipPacket(
+        datagram,
+        tuple(listing_from_message(m) for m in message.engines),
+        tuple(observation_from_message(m) for m in message.observations),
+    )
+
+
+def member_message(member: Member) -> messages.MemberRecord:
+    """Return a member's message."""
+    return messages.MemberRecord(
+        node_id=member.node_id,
+        address=member.address,
+        region=member.region,
+        zone=member.zone,
+        incarnation=member.incarnation,
+        condition=messages.MemberCondition.Name(int(member.condition)),  # type: ignore[arg-type]
+    )
+
+
+def member_from_message(message: messages.MemberRecord) -> Member:
+    """Return a member."""
+    return Member(
+        message.node_id,
+        message.address,
+        message.region,
+        message.zone,
+        message.incarnation,
+        Condition(message.condition),
+    )
+
+
+def listing_message(listing: EngineListing) -> messages.EngineListing:
+    """Return a listing's message."""
+    condition = messages.LISTED_LEAVING if listing.leaving else messages.LISTED
+    return messages.EngineListing(
+        engine_id=listing.engine_id,
+        address=listing.address,
+        zone=listing.zone,
+        pool=listing.pool,
+        version=listing.version,
+        condition=messages.REMOVED if listing.removed else condition,
+    )
+
+
+def listing_from_message(message: messages.EngineListing) -> EngineListing:
+    """Return a listing."""
+    return EngineListing(
+        message.engine_id,
+        message.address,
+        message.zone,
+        message.pool,
+        message.condition != messages.LISTED,
+        message.version,
+        message.condition == messages.REMOVED,
+    )
+
+
+def observation_message(observation: EngineObservation) -> messages.EngineObservation:
+    """Return an observation's message."""
+    identity = observation.identity
+    return messages.EngineObservation(
+        engine_id=observation.engine_id,
+        incarnation=identity.incarnation,
+        revision=identity.revision,
+        weight_version=identity.weight_version,
+        leaving=identity.leaving,
+    )
+
+
+def observation_from_message(message: messages.EngineObservation) -> EngineObservation:
+    """Return an observation."""
+    identity = EngineIdentity(
+        message.incarnation, message.revision, message.weight_version, message.leaving
+    )
+    return EngineObservation(message.engine_id, identity)
+
+
+def _body(message: messages.Datagram) -> Ping | PingRequest | Acknowledgement:
+    kind = message.WhichOneof("body")
+    if kind == "ping":
+        return Ping()
+    if kind == "ping_request":
+        return PingRequest(message.ping_request.target)
+    if kind == "acknowledgement":
+        return Acknowledgement(message.acknowledgement.subject)
+    raise GossipDecodeError("no body")
+
+
+def _signature(shared_key: bytes, content: bytes) -> bytes:
+    return hmac.digest(shared_key, content, hashlib.sha256)[:SIGNATURE_BYTES]
--- a/liftrill/node/metrics.py
+++ b/liftrill/node/metrics.py
@@ -46,6 +46,9 @@
         self.store_errors = Counter(
             "liftrill_store_errors", "Failed calls of the store", registry=registry
         )
+        self.refused_datagrams = Counter(
+            "liftrill_refused_datagrams", "Gossip not authentic or malformed", registry=registry
+        )
         self.control_bytes = Counter(
             "liftrill_control_bytes", "Control bytes", ["direction"], registry=registry
         )
--- a/liftrill/node/operator_api.py
+++ b/liftrill/node/operator_api.py
@@ -1,5 +1,6 @@
 """HTTP handlers for operators: intents, plans, status and explanations."""
 
+import asyncio
 import hmac
 import time
 import uuid
@@ -9,12 +10,14 @@
 from pydantic import ValidationError
 
 from liftrill import constants
+from liftrill.coordination.membership import Member
 from liftrill.errors import OperatorError, ResultCode
 from liftrill.node.answers import json_response
 from liftrill.node.caller_schema import API_KEY_HEADER, BEARER_PREFIX
 from liftrill.node.configuration_sync import ConfigurationSync
 from liftrill.node.context import NodeContext
 from liftrill.node.logs import log_change
+from liftrill.node.peer_client import PeerClient, PeerError
 from liftrill.planning.commit import PlanCommitter
 from liftrill.planning.intent import Intent
 from liftrill.planning.plan import Plan, make_plan
@@ -27,11 +30,16 @@
     """Every call needs the operator key from the settings."""
 
     def __init__(
-        self, context: NodeContext, committer: PlanCommitter, sync: ConfigurationSync
+        self,
+        context: NodeContext,
+        committer: PlanCommitter,
+        sync: ConfigurationSync,
+        peers: PeerClient,
     ) -> None:
         self._context = context
         self._committer = committer
         self._sync = sync
+        self._peers = peers
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes to serve."""
@@ -109,7 +117,7 @@
                 "weight_version": engine.weight_version,
                 "leaving": engine.leaving,
                 "load": engine.load,
-                "answered": engine.incarnation is not None,
+                "answered": engine.identity is not None,
             }
             for engine in context.engines
         ]
@@ -119,11 +127,25 @@
             "generation": context.view.generation,
             "ready": context.unready_reason() is None,
             "reason": context.unready_reason(),
-            "members": context.generations,
+            "members": await self._member_generations(),
             "engines": engines,
         }
         return json_response(body)
 
+    async def _member_generations(self) -> dict[str, int | None]:
+        """Ask every member for the generation it has in force; None where it is silent."""
+        members = self._context.membership.members()
+        answers = await asyncio.gather(*(self._generation_of(m) for m in members))
+        return {m.node_id: answer for m, answer in zip(members, answers, strict=True)}
+
+    async def _generation_of(self, member: Member) -> int | None:
+        if member.node_id == self._context.settings.node_id:
+            return self._context.view.generation
+        try:
+            return (await self._peers.status(member.address)).configuration_generation
+        except PeerError:
+            return None
+
     async def _explain(self, request: web.Request) -> web.Response:
         self._authenticate(request)
         request_id = request.match_info["request_id"]
--- a/liftrill/node/peer_api.py
+++ b/liftrill/node/peer_api.py
@@ -2,8 +2,9 @@
 
 from aiohttp import web
 
-from liftrill.messages.peer_pb2 import EngineRecord, Snapshot
+from liftrill.messages.peer_pb2 import NodeStatus, Snapshot
 from liftrill.node.context import NodeContext
+from liftrill.node.gossip_codec import listing_message, member_message, observation_message
 from liftrill.node.peer_client import SIGNATURE_HEADER, signature_is_valid
 
 PROTOBUF_CONTENT_TYPE = "application/x-protobuf"
@@ -19,13 +20,28 @@
         """Return the routes to serve."""
         return [
             web.post("/peer/snapshot", self._snapshot),
+            web.post("/peer/head", self._head),
             web.post("/peer/section", self._section),
+            web.post("/peer/status", self._status),
         ]
 
     async def _snapshot(self, request: web.Request) -> web.Response:
         await self.authenticated_body(request)
         return protobuf_response(self._make_snapshot().SerializeToString())
 
+    async def _head(self, request: web.Request) -> web.Response:
+        await self.authenticated_body(request)
+        return protobuf_response(self._context.head.SerializeToString())
+
+    async def _status(self, request: web.Request) -> web.Response:
+        await self.authenticated_body(request)
+        status = NodeStatus(
+            node_id=self._context.settings.node_id,
+            configuration_generation=self._context.view.generation,
+            draining=self._context.draining,
+        )
+        return protobuf_response(status.SerializeToString())
+
     async def _section(self, request: web.Request) -> web.Response:
         digest = await self.authenticated_body(request)
         content = self._context.replica.section_by_digest(digest)
@@ -47,28 +63,19 @@
         return content
 
     def _make_snapshot(self) -> Snapshot:
-        snapshot = Snapshot(head=self._context.head)
-        current = self._context.replica.current
+        context = self._context
+        snapshot = Snapshot(head=context.head)
+        current = context.replica.current
         if current is not None:
             for name, digest in current.head.section_digests.items():
                 snapshot.sections[digest.hex()] = current.sections[name]
-        snapshot.engines.extend(self._engine_records())
+        snapshot.members.extend(member_message(m) for m in context.membership.all_members())
+        snapshot.engines.extend(listing_message(item) for item in context.records.listings())
+        snapshot.observations.extend(
+            observation_message(item) for item in context.records.observations()
+        )
         return snapshot
 
-    def _engine_records(self) -> list[EngineRecord]:
-        return [
-            EngineRecord(
-                engine_id=engine.engine_id,
-                address=engine.address,
-                zone=engine.zone,
-                pool=engine.pool,
-                incarnation=engine.incarnation or 0,
-                weight_version=engine.weight_version,
-            )
-            for engine in self._context.engines
-            if not engine.leaving
-        ]
-
 
 def protobuf_response(content: bytes) -> web.Response:
     """Return a protobuf answer."""
--- a/liftrill/node/peer_client.py
+++ b/liftrill/node/peer_client.py
@@ -2,16 +2,19 @@
 
 import hashlib
 import hmac
+from typing import TypeVar
 
 import aiohttp
-from google.protobuf.message import DecodeError
+from google.protobuf.message import DecodeError, Message
 
 from liftrill import constants
 from liftrill.errors import LiftrillError
 from liftrill.messages import peer_pb2 as messages
+from liftrill.messages.configuration_pb2 import Head
 from liftrill.node.metrics import NodeMetrics
 
 SIGNATURE_HEADER = "Liftrill-Signature"
+Answer = TypeVar("Answer", bound=Message)
 
 
 class PeerError(LiftrillError):
@@ -37,29 +40,35 @@
         self,
         session: aiohttp.ClientSession,
         shared_keys: list[str],
-        seeds: list[str],
         metrics: NodeMetrics,
     ) -> None:
         self._session = session
         self._shared_keys = shared_keys
-        self._seeds = seeds
         self._metrics = metrics
 
-    def addresses(self) -> list[str]:
-        """Return the addresses of peers to ask."""
-        return list(self._seeds)
-
     async def snapshot(self, address: str) -> messages.Snapshot:
         """Return a peer's configuration and engine list.
 
         Raises:
             PeerError: the peer did not answer as expected.
         """
-        body = await self._call(address, "/peer/snapshot", b"")
-        try:
-            return messages.Snapshot.FromString(body or b"")
-        except DecodeError as error:
-            raise PeerError(f"{address} sent no snapshot") from error
+        return await self._call_for(address, "/peer/snapshot", b"", messages.Snapshot)
+
+    async def head(self, address: str) -> Head:
+        """Return the head that a peer has in force.
+
+        Raises:
+            PeerError: the peer did not answer as expected.
+        """
+        return await self._call_for(address, "/peer/head", b"", Head)
+
+    async def status(self, address: str) -> messages.NodeStatus:
+        """Return a peer's word about itself.
+
+        Raises:
+            PeerError: the peer did not answer as expected.
+        """
+        return await self._call_for(address, "/peer/status", b"", messages.NodeStatus)
 
     async def section(self, address: str, digest: bytes) -> bytes | None:
         """Return a section by its digest, or None if the peer does not have it.
@@ -69,6 +78,15 @@
         """
         return await self._call(address, "/peer/section", digest)
 
+    async def _call_for(
+        self, address: str, path: str, content: bytes, answer_type: type[Answer]
+    ) -> Answer:
+        body = await self._call(address, path, content)
+        try:
+            return answer_type.FromString(body or b"")
+        except DecodeError as error:
+            raise PeerError(f"{address} sent no {answer_type.__name__}") from error
+
     async def _call(self, address: str, path: str, content: bytes) -> bytes | None:
         timeout = aiohttp.ClientTimeout(total=constants.PEER_TIMEOUT_SECONDS)
         headers = {SIGNATURE_HEADER: sign(self._shared_keys[0], path, content)}
--- a/liftrill/node/platform_client.py
+++ b/liftrill/node/platform_client.py
@@ -2,17 +2,32 @@
 
 import base64
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 import aiohttp
 import orjson
 
 from liftrill import constants
-from liftrill.coordination.key_value_store import KeyValueStore, MachineEntry, StoredEntry
+from liftrill.coordination.key_value_store import (
+    KeyValueStore,
+    MachineEntry,
+    MachineList,
+    StoredEntry,
+)
 from liftrill.errors import StoreAnswerLostError, StoreUnavailableError
 
+INDEX_HEADER = "X-Consul-Index"
 REFUSED_STATUSES = frozenset({429, 500, 503})
 
 
+@dataclass(frozen=True, slots=True)
+class _ReadAnswer:
+    """Body and index of a read."""
+
+    index: int
+    body: bytes
+
+
 class PlatformClient(KeyValueStore):
     """A `KeyValueStore` over HTTP."""
 
@@ -56,11 +71,13 @@
         entry = await self.get(key)
         return entry if entry is not None and entry.session == session else None
 
-    async def machines(self) -> list[MachineEntry]:
+    async def machines(self) -> MachineList:
         """Return the platform's list of machines."""
-        body = await self._read("/v1/catalog/services-list", {}, constants.STORE_TIMEOUT_SECONDS)
-        rows = orjson.loads(body or b"[]")
-        return [
+        answer = await self._read("/v1/catalog/services-list", {}, constants.STORE_TIMEOUT_SECONDS)
+        if answer is None:
+            return MachineList(0, ())
+        rows = orjson.loads(answer.body)
+        machines = tuple(
             MachineEntry(
                 machine_id=row["ID"],
                 service=row["Name"],
@@ -69,15 +86,16 @@
                 leaving=row["Meta"].get("Leaving") == "true",
             )
             for row in rows
-        ]
+        )
+        return MachineList(answer.index, machines)
 
     async def _read_entry(
         self, key: str, query: Mapping[str, str], timeout_seconds: float
     ) -> StoredEntry | None:
-        body = await self._read(f"/v1/kv/{key}", query, timeout_seconds)
-        if body is None:
+        answer = await self._read(f"/v1/kv/{key}", query, timeout_seconds)
+        if answer is None:
             return None
-        row = orjson.loads(body)[0]
+        row = orjson.loads(answer.body)[0]
         return StoredEntry(
             key=row["Key"],
             value=base64.b64decode(row["Value"]),
@@ -87,8 +105,8 @@
 
     async def _read(
         self, path: str, query: Mapping[str, str], timeout_seconds: float
-    ) -> bytes | None:
-        """Return a body, or None for 404. A read has no effect, so any failure is harmless."""
+    ) -> "_ReadAnswer | None":
+        """Return an answer, or None for 404. A read has no effect, so any failure is harmless."""
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         try:
             async with self._session.get(
@@ -98,7 +116,8 @@
                     return None
                 if response.status != 200:
                     raise StoreUnavailableError(f"the store answered {response.status}")
-                return await response.read()
+                index = int(response.headers.get(INDEX_HEADER, "0"))
+                return _ReadAnswer(index, await response.read())
         except (aiohttp.ClientError, TimeoutError) as error:
             raise StoreUnavailableError(f"the store cannot be read: {error!r}") from error
 
--- a/liftrill/node/request_runner.py
+++ b/liftrill/node/request_runner.py
@@ -143,9 +143,9 @@
         elif refusal.kind is events.RefusalKind.OVERLOADED:
             engine.record_overload()
         elif refusal.kind is events.RefusalKind.LEAVING:
-            engine.reported_leaving = True
+            engine.refused_as_leaving = True
         elif refusal.identity is not None:
-            engine.apply_identity(*refusal.identity)
+            engine.apply_identity(refusal.identity)
 
 
 class _Execution:
--- /dev/null
+++ b/liftrill/routing/engine_records.py
@@ -0,0 +1,119 @@
+"""What nodes tell each other about engines, as versioned records, sans-IO.
+
+A listing is a line of the platform's machine list, versioned by the list's index. An
+observation is an engine's own word, versioned by its incarnation and revision. Both only
+move forward, so late and repeated gossip does no harm.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from liftrill.coordination.dissemination import RumourTable
+from liftrill.coordination.key_value_store import MachineList
+from liftrill.routing.engine_state import EngineIdentity, EngineListing, EngineTable
+
+
+@dataclass(frozen=True, slots=True)
+class EngineObservation:
+    """An engine's identity as somebody read it from the engine."""
+
+    engine_id: str
+    identity: EngineIdentity
+
+
+class EngineRecords:
+    """Keeps the records, feeds the engine table and says what to spread."""
+
+    def __init__(self, table: EngineTable, retransmission_factor: int) -> None:
+        self._table = table
+        self._listings: RumourTable[str, EngineListing] = RumourTable(retransmission_factor)
+        self._observations: RumourTable[str, EngineObservation] = RumourTable(retransmission_factor)
+
+    @property
+    def pending(self) -> int:
+        """Records that are still to be spread."""
+        return self._listings.pending + self._observations.pending
+
+    def listings(self) -> list[EngineListing]:
+        """Return all listings, removed ones included."""
+        return list(self._listings)
+
+    def observations(self) -> list[EngineObservation]:
+        """Return all observations."""
+        return list(self._observations)
+
+    def offer_listings(self, listings: Iterable[EngineListing]) -> int:
+        """Take in listings from a peer; return how many were new."""
+        return sum(self._offer_listing(listing) for listing in listings)
+
+    def offer_observation(self, observation: EngineObservation) -> bool:
+        """Take in an observation from a peer or from this node; True if it was new."""
+        identity = observation.identity
+        if not self._observations.offer(observation.engine_id, identity.version, observation):
+            return False
+        engine = self._table.get(observation.engine_id)
+        if engine is not None:
+            engine.apply_identity(identity)
+        return True
+
+    def offer_machine_list(self, machine_list: MachineList) -> int:
+        """Take in the platform's list; return how many lines were new or changed.
+
+        Unchanged lines keep their version, so that they are not spread again.
+        """
+        listed = {
+            machine.machine_id: EngineListing(
+                machine.machine_id,
+                machine.address,
+                machine.zone,
+                machine.service,
+                machine.leaving,
+                machine_list.index,
+            )
+            for machine in machine_list.machines
+        }
+        changed = [listing for listing in listed.values() if self._differs(listing)]
+        changed.extend(self._removals(listed, machine_list.index))
+        return self.offer_listings(changed)
+
+    def take_listings(self, count: int, members: int) -> list[EngineListing]:
+        """Return listings to piggyback."""
+        return self._listings.take(count, members)
+
+    def take_observations(self, count: int, members: int) -> list[EngineObservation]:
+        """Return observations to piggyback."""
+        return self._observations.take(count, members)
+
+    def _offer_listing(self, listing: EngineListing) -> bool:
+        if not self._listings.offer(listing.engine_id, listing.version, listing):
+            return False
+        self._table.apply_listing(listing)
+        self._reapply_observation(listing)
+        return True
+
+    def _reapply_observation(self, listing: EngineListing) -> None:
+        """Give an engine that was listed after it was observed its identity."""
+        engine = self._table.get(listing.engine_id)
+        observation = self._observations.get(listing.engine_id)
+        if engine is not None and observation is not None:
+            engine.apply_identity(observation.identity)
+
+    def _differs(self, listing: EngineListing) -> bool:
+        known = self._listings.get(listing.engine_id)
+        if known is None or known.removed:
+            return True
+        return (known.address, known.zone, known.pool, known.leaving) != (
+            listing.address,
+            listing.zone,
+            listing.pool,
+            listing.leaving,
+        )
+
+    def _removals(self, listed: dict[str, EngineListing], index: int) -> list[EngineListing]:
+        return [
+            EngineListing(
+                known.engine_id, known.address, known.zone, known.pool, True, index, removed=True
+            )
+            for known in self._listings
+            if known.engine_id not in listed and not known.removed
+        ]
--- a/liftrill/routing/engine_state.py
+++ b/liftrill/routing/engine_state.py
@@ -8,26 +8,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineReport:
-    """An engine's own word about itself."""
+class EngineIdentity:
+    """What an engine was at some time. Later is a higher (incarnation, revision)."""
 
-    engine_id: str
     incarnation: int
+    revision: int
     weight_version: str
     leaving: bool
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Order of identities of one engine."""
+        return self.incarnation, self.revision
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """An engine's own word about itself."""
+
+    engine_id: str
+    identity: EngineIdentity
     running: int
     waiting: int
 
 
 @dataclass(frozen=True, slots=True)
 class EngineListing:
-    """A line of the engine list."""
+    """A line of the machine list; a higher version replaces a lower one."""
 
     engine_id: str
     address: str
     zone: str
     pool: str
     leaving: bool
+    version: int = 0
+    removed: bool = False
 
 
 def _new_breaker() -> CircuitBreaker:
@@ -47,7 +62,9 @@
     """One engine as this node sees it.
 
     Attributes:
-        incarnation: the newest incarnation heard of, or None before the first report.
+        identity: the newest identity heard of, or None before the first report.
+        refused_as_leaving: the engine refused a request since it leaves or loads; the
+            next report settles it.
         in_flight: requests of this node that the engine holds.
         in_flight_at_report: the same when the newest report came.
     """
@@ -56,10 +73,9 @@
     address: str
     zone: str
     pool: str
-    incarnation: int | None = None
-    weight_version: str = ""
+    identity: EngineIdentity | None = None
     listed_leaving: bool = False
-    reported_leaving: bool = False
+    refused_as_leaving: bool = False
     reported_load: int = 0
     in_flight: int = 0
     in_flight_at_report: int = 0
@@ -69,7 +85,18 @@
     @property
     def leaving(self) -> bool:
         """Whether no new work may be sent."""
-        return self.listed_leaving or self.reported_leaving
+        said_so = self.identity is not None and self.identity.leaving
+        return self.listed_leaving or self.refused_as_leaving or said_so
+
+    @property
+    def incarnation(self) -> int | None:
+        """The newest incarnation heard of."""
+        return self.identity.incarnation if self.identity else None
+
+    @property
+    def weight_version(self) -> str:
+        """The weights it was last heard to have loaded, or an empty string."""
+        return self.identity.weight_version if self.identity else ""
 
     @property
     def load(self) -> int:
@@ -104,30 +131,25 @@
         self.limit.record_overload()
 
     def apply_report(self, report: EngineReport) -> bool:
-        """Take in a report; True if the engine was restarted since the last one.
+        """Take in a report; True if it told of a newer identity.
 
         A report of an earlier incarnation is late and is ignored.
         """
-        if self.incarnation is not None and report.incarnation < self.incarnation:
+        if self.identity and report.identity.version < self.identity.version:
             return False
-        restarted = self.incarnation not in (None, report.incarnation)
-        self.incarnation = report.incarnation
-        self.weight_version = report.weight_version
-        self.reported_leaving = report.leaving
+        changed = self.apply_identity(report.identity)
         self.reported_load = report.running + report.waiting
         self.in_flight_at_report = self.in_flight
-        return restarted
+        return changed
 
-    def apply_identity(self, incarnation: int, weight_version: str) -> bool:
-        """Take in an identity from an answer; True if the engine was restarted since."""
-        if self.incarnation is not None and incarnation < self.incarnation:
+    def apply_identity(self, identity: EngineIdentity) -> bool:
+        """Take in an identity from any source; True if it is newer than the known one."""
+        if self.identity and identity.version <= self.identity.version:
             return False
-        restarted = self.incarnation not in (None, incarnation)
-        self.incarnation = incarnation
-        self.weight_version = weight_version
-        if restarted:
+        if self.identity and identity.incarnation != self.identity.incarnation:
             self.reported_load = 0
-        return restarted
+        self.identity = identity
+        return True
 
 
 class EngineTable:
@@ -146,30 +168,21 @@
         """Return an engine, or None if it is not known."""
         return self._engines.get(engine_id)
 
-    def apply_listing(self, listings: Iterable[EngineListing]) -> None:
-        """Take in the machine list: add new engines, mark leaving ones, drop missing ones.
+    def apply_listing(self, listing: EngineListing) -> None:
+        """Add, change or remove an engine.
 
         An address change means a new machine; what was known of the old one is dropped.
         """
-        listed = {listing.engine_id: listing for listing in listings}
-        for engine_id in [e for e in self._engines if e not in listed]:
-            del self._engines[engine_id]
-        for listing in listed.values():
-            self._apply_line(listing)
-
-    def learn(self, listing: EngineListing) -> None:
-        """Add an engine that a peer knows; the machine list corrects it later."""
-        if listing.engine_id not in self._engines:
-            self._apply_line(listing)
-
-    def in_pools(self, pools: Iterable[str]) -> list[EngineState]:
-        """Return the engines of some pools."""
-        wanted = set(pools)
-        return [engine for engine in self._engines.values() if engine.pool in wanted]
-
-    def _apply_line(self, listing: EngineListing) -> None:
+        if listing.removed:
+            self._engines.pop(listing.engine_id, None)
+            return
         engine = self._engines.get(listing.engine_id)
         if engine is None or engine.address != listing.address:
             engine = EngineState(listing.engine_id, listing.address, listing.zone, listing.pool)
             self._engines[listing.engine_id] = engine
         engine.listed_leaving = listing.leaving
+
+    def in_pools(self, pools: Iterable[str]) -> list[EngineState]:
+        """Return the engines of some pools."""
+        wanted = set(pools)
+        return [engine for engine in self._engines.values() if engine.pool in wanted]
