Claim keys of requests that may not be repeated by majority of a claim group

Cause: nothing kept a request from being dispatched again through another node or by a restarted one. Weighed: the store on the request path (long outages, rate limit), a leader per key (needs agreement on leaders), claims by majority (chosen). A restarted member abstains for keys made before its start, read from the UUIDv7, instead of waiting out the claim lifetime; a change of members goes through a joint group.

--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -142,6 +142,13 @@
         4007, 404, "This node remembers no such request.", "Ask the node that served it."
     )
 
+    CLAIM_CHANGE_PENDING = CodeDetails(
+        4008,
+        409,
+        "No majority of the claim group's former members has adopted the change yet.",
+        "Confirm again after Retry-After.",
+    )
+
     @property
     def number(self) -> int:
         """The code's number."""
--- a/liftrill/node/caller_api.py
+++ b/liftrill/node/caller_api.py
@@ -1,6 +1,7 @@
 """HTTP handlers for callers."""
 
 import asyncio
+import hashlib
 import time
 import uuid
 from typing import cast
@@ -8,6 +9,8 @@
 from aiohttp import web
 
 from liftrill import constants
+from liftrill.coordination.claims import StoredResult
+from liftrill.coordination.configuration import DIGEST_BYTES
 from liftrill.errors import (
     CodedError,
     Execution,
@@ -36,6 +39,7 @@
     parse_body,
     parse_headers,
 )
+from liftrill.node.claim_service import ClaimService
 from liftrill.node.context import NodeContext
 from liftrill.node.request_runner import CallerGoneError, TokenSink
 from liftrill.routing.events import DeliverToken
@@ -108,8 +112,9 @@
 class CallerApi:
     """Completions, chat completions, models, health, readiness and metrics."""
 
-    def __init__(self, context: NodeContext) -> None:
+    def __init__(self, context: NodeContext, claims: ClaimService) -> None:
         self._context = context
+        self._claims = claims
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes to serve."""
@@ -172,11 +177,56 @@
         headers = parse_headers(http_request.headers)
         body = parse_body(schema, await _read_body(http_request))
         routed = self._route(headers, body, request_id)
-        self._admit(routed)
         writer = AnswerWriter(shape, request_id, body.model)
-        if body.stream:
-            return await self._run_streamed(http_request, routed, writer)
-        return await self._run_whole(routed, writer)
+        sink = StreamSink(http_request, writer, request_id) if body.stream else WholeSink()
+        if routed.repeatable:
+            outcome = await self._run(routed, sink)
+        else:
+            outcome = await self._run_once(routed, sink)
+        return await self._conclude(outcome, sink, writer, request_id)
+
+    async def _run_once(self, routed: RoutedRequest, sink: "AnswerSink") -> Outcome:
+        """Run a request that may not be repeated, under a claim of its key.
+
+        The claim comes before admission: a refusal can then truly say that the key was
+        not run, since no earlier submission of it can hold a claim.
+        """
+        digest = hashlib.blake2b(
+            b"\x00".join((routed.tenant.encode(), routed.model.encode(), routed.prompt)),
+            digest_size=DIGEST_BYTES,
+        ).digest()
+        claim = await self._claims.claim(routed.idempotency_key, routed.request_id, digest)
+        if isinstance(claim, StoredResult):
+            return await _deliver_stored(claim, sink)
+        machine = RequestMachine(routed, self._context.dispatcher)
+        try:
+            outcome = await self._run(routed, sink, machine)
+        except (RequestError, asyncio.CancelledError):
+            if machine.was_not_run:
+                self._claims.withdraw(claim)
+            raise
+        if isinstance(outcome, Completed):
+            self._claims.store_result(claim, _stored_result(machine, outcome))
+        elif machine.was_not_run:
+            self._claims.withdraw(claim)
+        return outcome
+
+    async def _conclude(
+        self, outcome: Outcome, sink: "AnswerSink", writer: AnswerWriter, request_id: str
+    ) -> web.StreamResponse:
+        """Return the answer that an outcome calls for."""
+        if isinstance(sink, WholeSink):
+            if isinstance(outcome, Failed):
+                raise outcome.error
+            return writer.whole(outcome, "".join(sink.texts))
+        if isinstance(outcome, Completed):
+            await sink.write(writer.last_chunk(outcome))
+        elif sink.response is None or outcome.error.code is ResultCode.CALLER_GONE:
+            raise outcome.error
+        else:
+            self._count(outcome.error.execution, outcome.error.code)
+            await sink.write(error_event(outcome.error, request_id))
+        return await sink.end()
 
     def _route(self, headers: CallerHeaders, body: CallerBody, request_id: str) -> RoutedRequest:
         """Return the request with its tenant and workload.
@@ -236,30 +286,13 @@
         if wait > 0:
             raise refuse_unattempted(ResultCode.RATE_LIMITED, retry_after_seconds=wait)
 
-    async def _run_whole(self, routed: RoutedRequest, writer: AnswerWriter) -> web.Response:
-        sink = WholeSink()
-        outcome = await self._run(routed, sink)
-        if isinstance(outcome, Failed):
-            raise outcome.error
-        return writer.whole(outcome, "".join(sink.texts))
-
-    async def _run_streamed(
-        self, http_request: web.Request, routed: RoutedRequest, writer: AnswerWriter
-    ) -> web.StreamResponse:
-        sink = StreamSink(http_request, writer, routed.request_id)
-        outcome = await self._run(routed, sink)
-        if isinstance(outcome, Completed):
-            await sink.write(writer.last_chunk(outcome))
-        elif sink.response is None or outcome.error.code is ResultCode.CALLER_GONE:
-            raise outcome.error
-        else:
-            self._count(outcome.error.execution, outcome.error.code)
-            await sink.write(error_event(outcome.error, routed.request_id))
-        return await sink.end()
-
-    async def _run(self, routed: RoutedRequest, sink: WholeSink | StreamSink) -> Outcome:
+    async def _run(
+        self, routed: RoutedRequest, sink: "AnswerSink", machine: RequestMachine | None = None
+    ) -> Outcome:
+        """Admit and run a request."""
+        self._admit(routed)
         started_at = time.monotonic()
-        machine = RequestMachine(routed, self._context.dispatcher)
+        machine = machine or RequestMachine(routed, self._context.dispatcher)
         outcome = await self._context.runner.run(machine, sink)
         if sink.first_token_at is not None:
             self._context.metrics.first_token_seconds.observe(sink.first_token_at - started_at)
@@ -280,6 +313,32 @@
         self._context.metrics.requests.labels(**labels).inc()
 
 
+AnswerSink = WholeSink | StreamSink
+
+
+async def _deliver_stored(result: StoredResult, sink: AnswerSink) -> Completed:
+    """Answer with what an earlier submission of the key received."""
+    await sink.deliver([DeliverToken(0, result.text)])
+    return Completed(
+        engine_id="",
+        weight_version=result.weight_version,
+        finish_reason=result.finish_reason,
+        prompt_tokens=result.prompt_tokens,
+        cached_tokens=0,
+        completion_tokens=result.completion_tokens,
+    )
+
+
+def _stored_result(machine: RequestMachine, completed: Completed) -> StoredResult:
+    return StoredResult(
+        text=machine.delivered_text,
+        finish_reason=completed.finish_reason,
+        prompt_tokens=completed.prompt_tokens,
+        completion_tokens=completed.completion_tokens,
+        weight_version=completed.weight_version,
+    )
+
+
 async def _read_body(request: web.Request) -> bytes:
     try:
         return await request.read()
--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -20,7 +20,7 @@
 from liftrill.node.logs import log_change
 from liftrill.node.peer_client import PeerClient, PeerError
 from liftrill.planning.commit import HEAD_KEY, install_newer_head, section_key
-from liftrill.planning.sections import head_from_message, parse_head, view_of
+from liftrill.planning.sections import ConfigurationView, head_from_message, parse_head, view_of
 
 
 class ConfigurationSync:
@@ -34,7 +34,7 @@
         random_source: random.Random,
         watches_store: Callable[[], bool],
         on_members: Callable[[list[Member]], None],
-        on_adopted: Callable[[], None],
+        on_adopted: Callable[[ConfigurationView], None],
     ) -> None:
         self._context = context
         self._store = store
@@ -185,7 +185,7 @@
         context.membership.generation = view.generation
         context.dispatcher.wake()
         log_change("configuration_in_force", generation=view.generation)
-        self._on_adopted()
+        self._on_adopted(view)
 
     def _shuffled_peers(self) -> list[str]:
         own = self._context.membership.own
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -10,6 +10,7 @@
 
 from liftrill import constants
 from liftrill.node.caller_api import CallerApi, coded_errors
+from liftrill.node.claim_service import ClaimService
 from liftrill.node.configuration_sync import ConfigurationSync
 from liftrill.node.context import NodeContext
 from liftrill.node.dispatcher import Dispatcher
@@ -26,6 +27,7 @@
 from liftrill.node.request_runner import RequestRunner
 from liftrill.node.settings import NodeSettings
 from liftrill.planning.commit import PlanCommitter
+from liftrill.planning.sections import ConfigurationView
 from liftrill.routing.admission import AdmissionController
 from liftrill.routing.engine_records import EngineRecords
 from liftrill.routing.engine_state import EngineTable
@@ -100,18 +102,27 @@
             random_source=random_source,
             watches_store=watch.watches_store,
             on_members=self._gossip.merge_members,
-            on_adopted=self._gossip.announce,
+            on_adopted=self._on_adopted,
+        )
+        self._claims = ClaimService(settings.node_id, membership, peers, self._spawn)
+        self._operator_api = OperatorApi(
+            context, PlanCommitter(store), self._sync, peers, self._claims
         )
-        self._operator_api = OperatorApi(context, PlanCommitter(store), self._sync, peers)
         self._background = (
             self._gossip.run(),
             self._sync.join_from_peers(),
             self._sync.watch_store(),
             watch.follow_machine_list(),
             watch.follow_reports(),
+            self._claims.verify_epoch(),
         )
         return context
 
+    def _on_adopted(self, view: ConfigurationView) -> None:
+        """Let the parts that depend on the configuration know of a new one."""
+        self._claims.adopt(view.claims)
+        self._gossip.announce()
+
     def _on_newer_generation(self, address: str) -> None:
         """Fetch a newer configuration from the member that told of it, once at a time."""
         if self._pulling:
@@ -129,10 +140,10 @@
         public = web.Application(
             client_max_size=constants.MAXIMUM_BODY_BYTES, middlewares=[coded_errors]
         )
-        public.add_routes(CallerApi(context).routes())
+        public.add_routes(CallerApi(context, self._claims).routes())
         public.add_routes(self._operator_api.routes())
         internal = web.Application()
-        internal.add_routes(PeerApi(context).routes())
+        internal.add_routes(PeerApi(context, self._claims).routes())
         return [
             await _serve(public, self._settings.listen),
             await _serve(internal, self._settings.peer_listen),
--- a/liftrill/node/gossip.py
+++ b/liftrill/node/gossip.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import cast
 
 from liftrill import constants
 from liftrill.coordination.membership import (
@@ -103,8 +104,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport (asyncio callback)."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # uvloop's transport is one by its methods, not by its class.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in a datagram (asyncio callback)."""
--- a/liftrill/node/operator_api.py
+++ b/liftrill/node/operator_api.py
@@ -14,6 +14,7 @@
 from liftrill.errors import OperatorError, ResultCode
 from liftrill.node.answers import json_response
 from liftrill.node.caller_schema import API_KEY_HEADER, BEARER_PREFIX
+from liftrill.node.claim_service import ClaimService
 from liftrill.node.configuration_sync import ConfigurationSync
 from liftrill.node.context import NodeContext
 from liftrill.node.logs import log_change
@@ -35,11 +36,13 @@
         committer: PlanCommitter,
         sync: ConfigurationSync,
         peers: PeerClient,
+        claims: ClaimService,
     ) -> None:
         self._context = context
         self._committer = committer
         self._sync = sync
         self._peers = peers
+        self._claims = claims
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes to serve."""
@@ -86,12 +89,21 @@
         self._authenticate(request)
         plan = self._plan(request)
         operator_name = request.headers.get(OPERATOR_NAME_HEADER, "unnamed")[:64]
+        await self._check_claim_change(plan)
         now_milliseconds = int(time.time() * 1000)
         head = await self._committer.confirm(plan, operator_name, now_milliseconds)
         log_change("plan_confirmed", plan=plan.plan_id, generation=head.generation)
         await self._sync.offer(head)
         return json_response({"confirmed": plan.plan_id, "generation": head.generation})
 
+    async def _check_claim_change(self, plan: Plan) -> None:
+        if not plan.completes_claim_change:
+            return
+        if not await self._claims.former_majority_has_adopted(plan.base_generation):
+            raise OperatorError(
+                ResultCode.CLAIM_CHANGE_PENDING, retry_after_seconds=constants.RETRY_AFTER_SECONDS
+            )
+
     async def _history(self, request: web.Request) -> web.Response:
         self._authenticate(request)
         rows = [
--- a/liftrill/node/peer_api.py
+++ b/liftrill/node/peer_api.py
@@ -2,7 +2,19 @@
 
 from aiohttp import web
 
-from liftrill.messages.peer_pb2 import NodeStatus, Snapshot
+from liftrill.messages.peer_pb2 import (
+    ClaimRequest,
+    ClaimResult,
+    ClaimWithdrawal,
+    NodeStatus,
+    Snapshot,
+)
+from liftrill.node.claim_codec import (
+    answer_message,
+    proposal_from_message,
+    result_from_message,
+)
+from liftrill.node.claim_service import ClaimService
 from liftrill.node.context import NodeContext
 from liftrill.node.gossip_codec import listing_message, member_message, observation_message
 from liftrill.node.peer_client import SIGNATURE_HEADER, signature_is_valid
@@ -11,10 +23,11 @@
 
 
 class PeerApi:
-    """Snapshots and sections for nodes that start or have fallen behind."""
+    """Snapshots and sections for nodes that have fallen behind, status, and claims."""
 
-    def __init__(self, context: NodeContext) -> None:
+    def __init__(self, context: NodeContext, claims: ClaimService) -> None:
         self._context = context
+        self._claims = claims
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes to serve."""
@@ -23,6 +36,9 @@
             web.post("/peer/head", self._head),
             web.post("/peer/section", self._section),
             web.post("/peer/status", self._status),
+            web.post("/peer/claim", self._claim),
+            web.post("/peer/claim/withdraw", self._withdraw_claim),
+            web.post("/peer/claim/result", self._claim_result),
         ]
 
     async def _snapshot(self, request: web.Request) -> web.Response:
@@ -49,6 +65,22 @@
             return web.Response(status=404)
         return protobuf_response(content)
 
+    async def _claim(self, request: web.Request) -> web.Response:
+        message = ClaimRequest.FromString(await self.authenticated_body(request))
+        answer = self._claims.answer_proposal(proposal_from_message(message))
+        return protobuf_response(answer_message(answer).SerializeToString())
+
+    async def _withdraw_claim(self, request: web.Request) -> web.Response:
+        message = ClaimWithdrawal.FromString(await self.authenticated_body(request))
+        self._claims.accept_withdrawal(message.key, message.attempt_id)
+        return protobuf_response(b"")
+
+    async def _claim_result(self, request: web.Request) -> web.Response:
+        message = ClaimResult.FromString(await self.authenticated_body(request))
+        result = result_from_message(message.result)
+        self._claims.accept_result(message.key, message.attempt_id, result)
+        return protobuf_response(b"")
+
     async def authenticated_body(self, request: web.Request) -> bytes:
         """Return a call's body after checking its signature.
 
--- a/liftrill/node/peer_client.py
+++ b/liftrill/node/peer_client.py
@@ -70,6 +70,23 @@
         """
         return await self._call_for(address, "/peer/status", b"", messages.NodeStatus)
 
+    async def claim(self, address: str, request: messages.ClaimRequest) -> messages.ClaimReply:
+        """Return a member's answer to a claim.
+
+        Raises:
+            PeerError: the peer did not answer; it may have granted the claim.
+        """
+        content = request.SerializeToString()
+        return await self._call_for(address, "/peer/claim", content, messages.ClaimReply)
+
+    async def tell(self, address: str, path: str, content: bytes) -> None:
+        """Send a message that needs no answer.
+
+        Raises:
+            PeerError: the peer did not take it.
+        """
+        await self._call(address, path, content)
+
     async def section(self, address: str, digest: bytes) -> bytes | None:
         """Return a section by its digest, or None if the peer does not have it.
 
--- a/liftrill/planning/plan.py
+++ b/liftrill/planning/plan.py
@@ -61,6 +61,8 @@
 
     Attributes:
         base_generation: the generation it was made from; it can only follow that one.
+        completes_claim_change: it removes the former members of the claim group, which
+            is safe only once a majority of them has adopted the base generation.
         sections: new content of the sections that change, by name.
     """
 
@@ -70,6 +72,8 @@
     changes: tuple[Change, ...]
     consequences: tuple[Consequence, ...]
 
+    completes_claim_change: bool = False
+
     @property
     def summary(self) -> str:
         """Return one line about the plan."""
@@ -109,6 +113,7 @@
         sections={name.value: content for name, content in sections.items()},
         changes=changes,
         consequences=_consequences(view.pools_by_name, pools, engines_by_pool),
+        completes_claim_change=bool(view.claims.previous_members) and claims != view.claims,
     )
 
 
@@ -158,9 +163,23 @@
 
 
 def _claims(intent: Intent, current: messages.ClaimSection) -> messages.ClaimSection:
-    if intent.claims is None or list(current.members) == intent.claims.members:
+    """Return the claim group after an intent.
+
+    A change of members takes two plans: the first adds the new members beside the old
+    ones, the second, with the same members, removes the old ones.
+    """
+    if intent.claims is None:
         return current
-    return messages.ClaimSection(epoch=current.epoch + 1, members=intent.claims.members)
+    stated = intent.claims.members
+    epoch = current.epoch + 1
+    if list(current.members) == stated:
+        if not current.previous_members:
+            return current
+        return messages.ClaimSection(epoch=epoch, members=stated)
+    if current.previous_members:
+        detail = f"claims.members: a change to {', '.join(current.members)} is under way"
+        raise OperatorError(ResultCode.INVALID_INTENT, detail)
+    return messages.ClaimSection(epoch=epoch, members=stated, previous_members=current.members)
 
 
 def _differences(
@@ -181,10 +200,17 @@
 def _claim_differences(before: messages.ClaimSection, after: messages.ClaimSection) -> list[Change]:
     if before == after:
         return []
-    detail = f"{', '.join(before.members) or 'none'} -> {', '.join(after.members)}"
+    detail = f"{_group_text(before)} -> {_group_text(after)}"
     return [Change(ChangeKind.CHANGE, SectionName.CLAIMS, "members", detail)]
 
 
+def _group_text(section: messages.ClaimSection) -> str:
+    text = ", ".join(section.members) or "none"
+    if section.previous_members:
+        text += f" together with {', '.join(section.previous_members)}"
+    return text
+
+
 def _fields(item: Message) -> str:
     shown = {k: v for k, v in MessageToDict(item).items() if k not in HIDDEN_FIELDS | {"name"}}
     return ", ".join(f"{key} {value}" for key, value in shown.items())
--- a/liftrill/routing/machine.py
+++ b/liftrill/routing/machine.py
@@ -94,6 +94,11 @@
         """All text delivered so far."""
         return "".join(self._delivered)
 
+    @property
+    def was_not_run(self) -> bool:
+        """Whether no attempt can have begun, and none will."""
+        return self._ledger.seal_if_not_run() is not None
+
     def handle(self, event: events.RequestEvent) -> list[events.RequestInstruction]:
         """Take in one event and return the instructions that follow from it."""
         if self.phase is Phase.ENDED:
