--- /dev/null
+++ b/features/model_checking.feature
@@ -0,0 +1,27 @@
+Feature: The core protocols hold in their models
+
+  Scenario Outline: Every reachable state of <model> keeps its invariants
+    When the model <model> is checked
+    Then every invariant holds in all reachable states
+
+    Examples:
+      | model                |
+      | claims               |
+      | claims, group change |
+      | commit               |
+      | fenced order         |
+
+  Scenario Outline: The checker finds what breaks without <rule>
+    When the model <model> is checked without <rule>
+    Then the checker shows how <invariant> breaks
+
+    Examples:
+      | model                | rule                      | invariant                      |
+      | claims               | restarted_members_abstain | at_most_one_dispatch           |
+      | claims               | withdrawal_is_final       | at_most_one_dispatch           |
+      | claims, group change | joint_epoch               | at_most_one_dispatch           |
+      | claims, group change | members_check_epochs      | at_most_one_dispatch           |
+      | commit               | swap_checks_revision      | one_plan_per_generation        |
+      | commit               | plan_is_looked_up         | told_conflict_is_not_confirmed |
+      | commit               | replicas_only_go_forward  | replicas_never_go_back         |
+      | fenced order         | engine_checks_token       | newer_orders_stay              |
--- /dev/null
+++ b/features/steps/model_steps.py
@@ -0,0 +1,46 @@
+"""Steps that check the models under spec/."""
+
+from behave import then, when
+from minicheck import check_safety
+
+from spec.claims import ClaimRules, claim_model
+from spec.commit import CommitRules, commit_model
+from spec.fenced_order import OrderRules, order_model
+
+STATE_LIMIT = 1_000_000
+GROUP_CHANGE = {"old": frozenset({0}), "new": frozenset({1})}
+
+
+def build(name, **rules):
+    if name == "claims":
+        return claim_model(ClaimRules(**rules))
+    if name == "claims, group change":
+        return claim_model(ClaimRules(**GROUP_CHANGE, **rules))
+    if name == "commit":
+        return commit_model(CommitRules(**rules))
+    return order_model(OrderRules(**rules))
+
+
+@when("the model {name} is checked without {rule}")
+def step_check_without(context, name, rule):
+    context.result = check_safety(build(name, **{rule: False}), max_states=STATE_LIMIT)
+
+
+@when("the model {name} is checked")
+def step_check(context, name):
+    context.result = check_safety(build(name), max_states=STATE_LIMIT)
+    print(f"{name}: {context.result['reachable_states']} states")
+
+
+@then("every invariant holds in all reachable states")
+def step_holds(context):
+    assert context.result["exhaustive"], context.result
+    for name, verdict in context.result["properties"].items():
+        assert verdict["holds"] is True, (name, verdict)
+
+
+@then("the checker shows how {invariant} breaks")
+def step_breaks(context, invariant):
+    verdict = context.result["properties"][invariant]
+    assert verdict["holds"] is False, verdict
+    assert len(verdict["counterexample"]) > 1
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of the core protocols, checked exhaustively with minicheck."""
