--- a/liftrill/bench/deployment.py
+++ b/liftrill/bench/deployment.py
@@ -45,6 +45,8 @@
         prefix_tokens: length of a shared prefix.
         unique_tokens: mean length of what follows the shared prefix.
         prefix_group: workloads of one group use the same prefixes.
+        same_for_all_tenants: the text of the prefixes is the same for every tenant; their
+            cached blocks must not be.
     """
 
     name: str
@@ -59,6 +61,7 @@
     streamed: bool = True
     repeatable: bool = True
     prefix_group: str
+    same_for_all_tenants: bool = False
 
 
 class LoadSpecification(StrictModel):
--- /dev/null
+++ b/liftrill/bench/faults/inject.py
@@ -0,0 +1,275 @@
+"""Carries out planned faults on a running cluster, and records what the checkers need."""
+
+import asyncio
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import orjson
+
+from liftrill.bench.deployment import api_key
+from liftrill.bench.faults.observations import (
+    Confirmation,
+    LeavingMark,
+    NodeStart,
+    PlannedStop,
+    RunHistory,
+)
+from liftrill.bench.faults.schedule import FaultAction, PlannedFault
+from liftrill.bench.launcher import Cluster, EngineProcess, LaunchError, ManagedProcess, wait_until
+from liftrill.cli.operator_client import OperatorCallError
+
+NEXT_WEIGHT_VERSION = "next"
+KILL_WAIT_SECONDS = 10.0
+STOP_WAIT_SECONDS = 45.0
+FIRST_ANSWER_LIMIT_SECONDS = 20.0
+
+
+class FaultInjector:
+    """One run's faults. A node or engine is in at most one fault at a time."""
+
+    def __init__(self, cluster: Cluster, history: RunHistory) -> None:
+        self._cluster = cluster
+        self._history = history
+        self._busy: set[str] = set()
+        self._race_number = 0
+        self._platform_lock = asyncio.Lock()
+        self._node_free = asyncio.Condition()
+        self.lives: Counter[str] = Counter()
+        self.down: set[str] = set()
+        self.stopping: set[str] = set()
+        self._actions: dict[FaultAction, Callable[[PlannedFault], Awaitable[None]]] = {
+            FaultAction.ENGINE_KILL: self._engine_kill,
+            FaultAction.ENGINE_CRASH: self._engine_fault("crash"),
+            FaultAction.ENGINE_FREEZE: self._engine_fault("freeze"),
+            FaultAction.ENGINE_CUT_STREAMS: self._engine_fault("cut_streams"),
+            FaultAction.ENGINE_FOREIGN_ANSWERS: self._engine_fault("foreign_answers"),
+            FaultAction.ENGINE_EVENT_LOSS: self._engine_fault("event_loss"),
+            FaultAction.ENGINE_LEAVES: self._engine_leaves,
+            FaultAction.MACHINE_LIST_LEAVING: self._machine_list_leaving,
+            FaultAction.NODE_KILL: self._node_kill,
+            FaultAction.NODE_PAUSE: self._node_pause,
+            FaultAction.NODE_STOP: self._node_stop,
+            FaultAction.PLATFORM_OUTAGE: self._platform_outage,
+            FaultAction.PLATFORM_RESTORE: self._platform_restore,
+            FaultAction.OPERATOR_RACE: self._operator_race,
+            FaultAction.WEIGHT_CHANGE: self._weight_change,
+        }
+
+    async def carry_out(self, schedule: list[PlannedFault]) -> None:
+        """Carry out all faults at their times, overlapping."""
+        started_at = time.monotonic()
+        tasks: list[asyncio.Task[None]] = []
+        for fault in schedule:
+            await asyncio.sleep(max(0.0, started_at + fault.at - time.monotonic()))
+            tasks.append(asyncio.create_task(self._run(fault)))
+        await asyncio.gather(*tasks)
+
+    async def _run(self, fault: PlannedFault) -> None:
+        await self._actions[fault.action](fault)
+
+    # Engines
+
+    def _engine_fault(self, kind: str) -> Callable[[PlannedFault], Awaitable[None]]:
+        async def apply(fault: PlannedFault) -> None:
+            engine = await self._take_engine(fault.target)
+            seconds = min(fault.seconds, 1.0) if kind == "freeze" else fault.seconds
+            await self._cluster.engine_fault(engine, kind=kind, seconds=seconds)
+            await asyncio.sleep(seconds)
+            self._busy.discard(engine.engine_id)
+
+        return apply
+
+    async def _engine_kill(self, fault: PlannedFault) -> None:
+        engine = await self._take_engine(fault.target)
+        engine.managed.send_signal(signal.SIGKILL)
+        await asyncio.to_thread(engine.managed.wait, KILL_WAIT_SECONDS)
+        await asyncio.sleep(fault.seconds)
+        await self._start_engine(engine)
+        self._busy.discard(engine.engine_id)
+
+    async def _engine_leaves(self, fault: PlannedFault) -> None:
+        engine = await self._take_engine(fault.target)
+        await self._cluster.engine_fault(engine, kind="leave")
+        await self._replace_left_engine(engine, time.time(), fault.seconds)
+
+    async def _machine_list_leaving(self, fault: PlannedFault) -> None:
+        engine = await self._take_engine(fault.target)
+        async with self._platform_lock:
+            await self._cluster.register_engine(engine, leaving=True)
+            # The promise starts when the platform shows the mark: its list lags.
+            await asyncio.sleep(self._cluster.machine_list_lag_seconds)
+            marked_at = time.time()
+            await asyncio.sleep(3.0)
+        await self._replace_left_engine(engine, marked_at, 0.5)
+
+    async def _replace_left_engine(
+        self, engine: EngineProcess, marked_at: float, seconds: float
+    ) -> None:
+        """Wait, then replace the machine that left with a new one at the same address."""
+        mark = LeavingMark(engine.engine_id, marked_at)
+        self._history.leaving_marks.append(mark)
+        await asyncio.sleep(3.0 + seconds)
+        mark.until = time.time()
+        engine.managed.send_signal(signal.SIGKILL)
+        await asyncio.to_thread(engine.managed.wait, KILL_WAIT_SECONDS)
+        await self._start_engine(engine)
+        await self._register_when_platform_is_up(engine)
+        self._busy.discard(engine.engine_id)
+
+    async def _start_engine(self, engine: EngineProcess) -> None:
+        engine.managed.start()
+        await self._cluster.wait_listening(engine.managed)
+
+    async def _register_when_platform_is_up(self, engine: EngineProcess) -> None:
+        async with self._platform_lock:
+            await self._cluster.register_engine(engine)
+
+    async def _take_engine(self, target: int) -> EngineProcess:
+        engines = self._cluster.engines
+        while True:
+            free = [e for e in engines if e.engine_id not in self._busy]
+            # Half of the engines stay whole, so that there is capacity for the load.
+            if len(free) > len(engines) // 2:
+                engine = free[target % len(free)]
+                self._busy.add(engine.engine_id)
+                return engine
+            await asyncio.sleep(0.1)
+
+    # Nodes
+
+    async def _node_kill(self, fault: PlannedFault) -> None:
+        node = await self._take_node(fault.target)
+        self.down.add(node.name)
+        node.send_signal(signal.SIGKILL)
+        await asyncio.to_thread(node.wait, KILL_WAIT_SECONDS)
+        await asyncio.sleep(fault.seconds)
+        await self._start_node(node)
+
+    async def _node_pause(self, fault: PlannedFault) -> None:
+        node = await self._take_node(fault.target)
+        node.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.seconds)
+        node.send_signal(signal.SIGCONT)
+        await self._release_node(node)
+
+    async def _node_stop(self, fault: PlannedFault) -> None:
+        node = await self._take_node(fault.target)
+        self.stopping.add(node.name)
+        node.send_signal(signal.SIGTERM)
+        exit_code = await asyncio.to_thread(node.wait, STOP_WAIT_SECONDS)
+        self._history.planned_stops.append(PlannedStop(node.name, exit_code))
+        self.down.add(node.name)
+        self.stopping.discard(node.name)
+        await self._start_node(node)
+
+    async def _start_node(self, node: ManagedProcess) -> None:
+        self.lives[node.name] += 1
+        started_at = time.monotonic()
+        node.start()
+        try:
+            await wait_until(
+                lambda: self._answers(node), f"{node.name} answers", FIRST_ANSWER_LIMIT_SECONDS
+            )
+            elapsed: float | None = time.monotonic() - started_at
+        except LaunchError:
+            elapsed = None
+        self._history.node_starts.append(NodeStart(node.name, elapsed))
+        self.down.discard(node.name)
+        await self._release_node(node)
+
+    async def _answers(self, node: ManagedProcess) -> bool:
+        workload = self._cluster.deployment.workloads[0]
+        body = {"model": workload.model, "prompt": "first answer", "max_tokens": 1}
+        headers = {"Authorization": f"Bearer {api_key('tenant-1')}"}
+        url = f"http://{node.address}/v1/completions"
+        async with self._cluster.session.post(
+            url, data=orjson.dumps(body), headers=headers
+        ) as response:
+            return response.status == 200
+
+    async def _take_node(self, target: int) -> ManagedProcess:
+        """Return a node that is in no fault; one node at a time keeps a claim majority."""
+        nodes = self._cluster.nodes
+        async with self._node_free:
+            await self._node_free.wait_for(lambda: not any(n.name in self._busy for n in nodes))
+            node = nodes[target % len(nodes)]
+            self._busy.add(node.name)
+            return node
+
+    async def _release_node(self, node: ManagedProcess) -> None:
+        async with self._node_free:
+            self._busy.discard(node.name)
+            self._node_free.notify_all()
+
+    # Platform and operators
+
+    async def _platform_outage(self, fault: PlannedFault) -> None:
+        async with self._platform_lock:
+            await self._cluster.platform_fault(kind="outage", seconds=fault.seconds)
+            await asyncio.sleep(fault.seconds)
+
+    async def _platform_restore(self, fault: PlannedFault) -> None:
+        """Restore the store from a copy that lacks the newest confirmed plan."""
+        async with self._platform_lock:
+            await self._cluster.platform_fault(kind="save")
+            confirmed = await self._confirm(fault.target, "restored")
+            if confirmed.code:
+                return
+            generation = confirmed.generation
+            await wait_until(lambda: self._some_node_at_least(generation), "a node with the plan")
+            await self._cluster.platform_fault(kind="restore")
+
+    async def _operator_race(self, fault: PlannedFault) -> None:
+        async with self._platform_lock:
+            await self._cluster.platform_fault(kind="lose_answers", count=2)
+            await asyncio.gather(
+                self._confirm(fault.target, "left"), self._confirm(fault.target + 1, "right")
+            )
+            await self._cluster.platform_fault(kind="none")
+
+    async def _weight_change(self, _: PlannedFault) -> None:
+        pool = self._cluster.deployment.pools[0]
+        row = {"name": pool.name, "model": pool.model, "weight_version": NEXT_WEIGHT_VERSION}
+        async with self._platform_lock:
+            node = self._any_node()
+            operator = self._cluster.operator(node, "weights")
+            try:
+                await operator.confirm_intent({"pools": [row]})
+            except OperatorCallError:
+                return
+
+    async def _confirm(self, target: int, name: str) -> Confirmation:
+        """Add a tenant through some node and record what the operator was told."""
+        self._race_number += 1
+        tenant = f"{name}-{self._race_number}"
+        node = self._any_node(target)
+        operator = self._cluster.operator(node, name)
+        intent = {"tenants": [{"name": tenant, "api_keys": [api_key(tenant)]}]}
+        base, generation, code = 0, 0, -1
+        try:
+            plan = await operator.call("POST", "/intents", intent)
+            base = plan["base_generation"]
+            path = f"/plans/{plan['plan_id']}/confirm"
+            generation = (await operator.call("POST", path))["generation"]
+            code = 0
+        except OperatorCallError as error:
+            code = error.code or -1
+        confirmation = Confirmation(time.time(), base, generation, code, tenant)
+        self._history.confirmations.append(confirmation)
+        return confirmation
+
+    def _any_node(self, target: int = 0) -> int:
+        nodes = self._cluster.nodes
+        usable = [i for i, node in enumerate(nodes) if node.name not in self._busy]
+        return usable[target % len(usable)] if usable else 0
+
+    async def _some_node_at_least(self, generation: int) -> bool:
+        status = await self._cluster.operator(self._any_node()).call("GET", "/status")
+        return int(status["generation"]) >= generation
+
+
+def weight_versions(cluster: Cluster) -> list[str]:
+    """Return every weight version that can make an answer in a run."""
+    return [*(pool.weight_version for pool in cluster.deployment.pools), NEXT_WEIGHT_VERSION]
--- /dev/null
+++ b/liftrill/bench/faults/run.py
@@ -0,0 +1,236 @@
+"""A fault run: load with repeated keys, the schedule of faults, and the verdicts."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+
+from liftrill import constants
+from liftrill.bench.caller import Caller, send_open_loop
+from liftrill.bench.deployment import load_deployment
+from liftrill.bench.faults.checkers import Verdict, check_all
+from liftrill.bench.faults.inject import FaultInjector, weight_versions
+from liftrill.bench.faults.observations import GenerationSample, RunHistory
+from liftrill.bench.faults.schedule import QUIET_SHARE, draw_schedule
+from liftrill.bench.history import CallRecord
+from liftrill.bench.idempotency_key import new_key
+from liftrill.bench.launcher import Cluster, LaunchError, ManagedProcess, wait_until
+from liftrill.bench.workload import PlannedRequest, WorkloadGenerator
+from liftrill.cli.operator_client import OperatorCallError
+from liftrill.coordination.claims import RESTART_MARGIN_IN_SKEWS
+from liftrill.mechanisms import ENVIRONMENT_NAME
+
+UNREPEATABLE_SHARE = 0.3
+SUBMISSIONS = 3
+RETRY_WAIT_SECONDS = 0.3
+# Started members abstain for keys made within the restart margin.
+CLAIM_WARM_UP_SECONDS = RESTART_MARGIN_IN_SKEWS * constants.CLAIM_CLOCK_SKEW_SECONDS + 1.0
+SAMPLE_SECONDS = 0.25
+SETTLE_LIMIT_SECONDS = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class FaultRunResult:
+    """The verdicts of one run.
+
+    Attributes:
+        answered_before: share of requests that ran, before the first fault.
+        answered_during: the same while faults were active.
+        slowest_restart_seconds: from the start of a node's process to its first answer.
+    """
+
+    deployment: str
+    seed: int
+    disabled: str
+    requests: int
+    answered_before: float
+    answered_during: float
+    slowest_restart_seconds: float
+    verdicts: list[Verdict]
+
+    @property
+    def violations(self) -> int:
+        """The number of violations of all promises."""
+        return sum(len(verdict.violations) for verdict in self.verdicts)
+
+    def as_json(self) -> dict[str, object]:
+        """Return the result for printing."""
+        return {**asdict(self), "violations": self.violations}
+
+
+async def run_faults(
+    deployment_name: str, seed: int, seconds: float, directory: Path, disabled: str = ""
+) -> FaultRunResult:
+    """Run one seed.
+
+    Args:
+        deployment_name: as for `load_deployment`.
+        seed: of load and faults.
+        seconds: duration of the load.
+        directory: for logs and journals.
+        disabled: mechanisms to turn off in the nodes, separated by commas.
+    """
+    deployment = load_deployment(deployment_name)
+    environment = {ENVIRONMENT_NAME: disabled} if disabled else {}
+    history = RunHistory()
+    async with Cluster(deployment, directory, seed, environment) as cluster:
+        await cluster.configure()
+        await asyncio.sleep(CLAIM_WARM_UP_SECONDS)
+        injector = FaultInjector(cluster, history)
+        load = _FaultLoad(cluster, injector, history, seed)
+        sampler = asyncio.create_task(load.sample_generations())
+        started_at = time.monotonic()
+        history.faults_began_at = started_at + seconds * QUIET_SHARE
+        faults = asyncio.create_task(injector.carry_out(draw_schedule(seed, seconds)))
+        await load.send(seconds)
+        await faults
+        await load.observe_end()
+        sampler.cancel()
+        history.executions = cluster.executions()
+        history.reuses = cluster.reuses()
+    before, during = _answered(history)
+    return FaultRunResult(
+        deployment=deployment.name,
+        seed=seed,
+        disabled=disabled,
+        requests=len(history.calls),
+        answered_before=before,
+        answered_during=during,
+        slowest_restart_seconds=max(
+            (s.seconds_to_first_answer or 0.0 for s in history.node_starts), default=0.0
+        ),
+        verdicts=check_all(history),
+    )
+
+
+class _FaultLoad:
+    """The callers of a fault run: they repeat what may be repeated, and keys."""
+
+    def __init__(
+        self, cluster: Cluster, injector: FaultInjector, history: RunHistory, seed: int
+    ) -> None:
+        self._cluster = cluster
+        self._injector = injector
+        self._history = history
+        self._random = random.Random(f"callers/{seed}")
+        self._generator = WorkloadGenerator(cluster.deployment, seed)
+        self._caller = Caller(cluster.session, weight_versions(cluster))
+
+    async def send(self, seconds: float) -> None:
+        """Send the load and wait for all answers."""
+        rate = self._cluster.deployment.load.requests_per_second
+        planned = [self._adapt(r) for r in self._generator.requests(rate, seconds)]
+        await send_open_loop(planned, lambda r: asyncio.create_task(self._submit(r)))
+
+    def _adapt(self, planned: PlannedRequest) -> PlannedRequest:
+        """Mark a share of the requests as not repeatable."""
+        if self._random.random() >= UNREPEATABLE_SHARE:
+            return planned
+        workload = planned.workload.model_copy(update={"repeatable": False})
+        return replace(planned, workload=workload)
+
+    async def _submit(self, planned: PlannedRequest) -> CallRecord:
+        """Send a request until it ran, over different nodes, as an application would."""
+        key = "" if planned.workload.repeatable else new_key(self._random)
+        record: CallRecord | None = None
+        for attempt in range(SUBMISSIONS):
+            node = self._node(planned.number + attempt)
+            record = await self._caller.send(node.name, node.address, planned, key)
+            record.submission = attempt
+            record.cut_by_planned_stop = self._was_cut_by_stop(node, record)
+            self._history.calls.append(record)
+            if record.complete:
+                return record
+            await asyncio.sleep(RETRY_WAIT_SECONDS * (attempt + 1))
+        assert record is not None
+        return record
+
+    def _node(self, number: int) -> ManagedProcess:
+        """Return the next node that is not known to be down."""
+        nodes = self._cluster.nodes
+        order = [nodes[(number + offset) % len(nodes)] for offset in range(len(nodes))]
+        up = [node for node in order if node.name not in self._injector.down]
+        return (up or order)[0]
+
+    def _was_cut_by_stop(self, node: ManagedProcess, record: CallRecord) -> bool:
+        stopping = node.name in self._injector.stopping
+        refused = "Connect" in record.transport_error
+        return stopping and bool(record.transport_error) and not refused
+
+    async def sample_generations(self) -> None:
+        """Record the generation in force on each node, again and again."""
+        while True:
+            await asyncio.gather(*(self._sample(i) for i in range(len(self._cluster.nodes))))
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    async def _sample(self, index: int) -> None:
+        node = self._cluster.nodes[index]
+        life = self._injector.lives[node.name]
+        if node.name in self._injector.down:
+            return
+        try:
+            status = await self._cluster.operator(index).call("GET", "/status")
+        except OperatorCallError:
+            return
+        if life == self._injector.lives[node.name]:
+            generation = int(status["generation"])
+            self._history.samples.append(GenerationSample(time.time(), node.name, life, generation))
+
+    async def observe_end(self) -> None:
+        """Wait until the nodes agree, and record what is in force."""
+        # If they do not agree in time, the checker of the configuration says so.
+        with contextlib.suppress(LaunchError):
+            await wait_until(self._nodes_agree, "one generation", SETTLE_LIMIT_SECONDS)
+        for index, node in enumerate(self._cluster.nodes):
+            operator = self._cluster.operator(index)
+            status = await operator.call("GET", "/status")
+            rows = (await operator.call("GET", "/history"))["confirmations"]
+            self._history.final_generations[node.name] = int(status["generation"])
+            self._history.histories[node.name] = [row["summary"] for row in rows]
+
+    async def _nodes_agree(self) -> bool:
+        newest = max((c.generation for c in self._history.confirmations), default=0)
+        generations = set()
+        for index in range(len(self._cluster.nodes)):
+            status = await self._cluster.operator(index).call("GET", "/status")
+            generations.add(int(status["generation"]))
+        return len(generations) == 1 and generations.pop() >= newest
+
+
+def _answered(history: RunHistory) -> tuple[float, float]:
+    """Return the share of requests that ran in the end, before and during the faults."""
+    first: dict[int, CallRecord] = {}
+    ran: set[int] = set()
+    for call in history.calls:
+        first.setdefault(call.number, call)
+        if call.complete:
+            ran.add(call.number)
+    began_at = history.faults_began_at
+    before = [n for n, call in first.items() if call.sent_at < began_at]
+    during = [n for n, call in first.items() if call.sent_at >= began_at]
+    return _share(before, ran), _share(during, ran)
+
+
+def _share(numbers: Sequence[int], ran: set[int]) -> float:
+    return sum(1 for number in numbers if number in ran) / len(numbers) if numbers else 1.0
+
+
+def format_faults(result: FaultRunResult) -> str:
+    """Return a result for people."""
+    lines = [
+        f"{result.deployment} seed {result.seed}: {result.requests} submissions, answered "
+        f"{result.answered_before:.3f} before and {result.answered_during:.3f} during faults, "
+        f"slowest restart {result.slowest_restart_seconds:.2f} s"
+    ]
+    if result.disabled:
+        lines[0] += f", without {result.disabled}"
+    for verdict in result.verdicts:
+        lines.append(
+            f"  {verdict.promise:24} checked {verdict.checked:6}  "
+            f"violations {len(verdict.violations)}"
+        )
+        lines.extend(f"    {violation}" for violation in verdict.violations[:5])
+    return "\n".join(lines)
--- a/liftrill/bench/history.py
+++ b/liftrill/bench/history.py
@@ -40,6 +40,8 @@
     complete: bool = False
     transport_error: str = ""
     retry_after: str = ""
+    cut_by_planned_stop: bool = False
+    submission: int = 0
     problems: list[str] = field(default_factory=list)
 
     @property
--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -105,6 +105,7 @@
     seed: int = 1
     environment: dict[str, str] = field(default_factory=dict)
     node_flags: dict[str, str] = field(default_factory=dict)
+    machine_list_lag_seconds: float = 0.5
     platform: ManagedProcess = field(init=False)
     kept_store: ManagedProcess = field(init=False)
     engines: list[EngineProcess] = field(init=False, default_factory=list)
@@ -176,24 +177,33 @@
             await response.read()
 
     def executions(self) -> list[dict[str, Any]]:
-        """Return what all engines recorded in their journals, oldest first."""
+        """Return the executions that all engines recorded, oldest first."""
+        rows = [row for row in self._journal_rows() if "request_id" in row]
+        return sorted(rows, key=lambda row: float(row["at"]))
+
+    def reuses(self) -> list[dict[str, Any]]:
+        """Return the uses of cached blocks that all engines recorded."""
+        return [row for row in self._journal_rows() if "reused_by" in row]
+
+    def _journal_rows(self) -> list[dict[str, Any]]:
         rows: list[dict[str, Any]] = []
         for engine in self.engines:
             if engine.journal_path.exists():
                 lines = engine.journal_path.read_bytes().splitlines()
-                rows.extend(orjson.loads(line) for line in lines)
-        return sorted(rows, key=lambda row: float(row["at"]))
+                # A kill can cut the last line short.
+                rows.extend(orjson.loads(line) for line in lines if line.endswith(b"}"))
+        return rows
 
     async def _start(self) -> None:
         self._plan_processes()
         for process in self.processes:
             process.start()
         for process in (self.platform, self.kept_store, *(e.managed for e in self.engines)):
-            await self._wait_listening(process)
+            await self.wait_listening(process)
         for engine in self.engines:
             await self.register_engine(engine)
         for node in self.nodes:
-            await self._wait_listening(node)
+            await self.wait_listening(node)
 
     def _plan_processes(self) -> None:
         ports = free_ports(
@@ -201,7 +211,12 @@
         )
         take = iter(ports)
         address = f"{HOST}:{next(take)}"
-        self.platform = self._process("platform", ["emulate", "platform"], address)
+        lag = f"--machine-list-lag-seconds={self.machine_list_lag_seconds}"
+        self.platform = self._process(
+            "platform",
+            ["emulate", "platform", lag],
+            address,
+        )
         self.kept_store = self._process(
             self.deployment.kept_store,
             ["emulate", "kept-store", f"--capacity-blocks={self.deployment.kept_store_blocks}"],
@@ -261,7 +276,8 @@
         ]
         return self._process(name, command, listen)
 
-    async def _wait_listening(self, process: ManagedProcess) -> None:
+    async def wait_listening(self, process: ManagedProcess) -> None:
+        """Wait until a process accepts connections."""
         host, _, port = process.address.rpartition(":")
 
         async def listening() -> bool:
--- a/liftrill/bench/workload.py
+++ b/liftrill/bench/workload.py
@@ -73,7 +73,8 @@
         # Popularity falls with the rank, as a few preambles are very hot.
         ranks = range(1, workload.hot_prefixes + 1)
         rank = self._random.choices(ranks, [1.0 / r for r in ranks])[0]
-        return f"{workload.prefix_group}/{tenant}/{rank}"
+        owner = "all" if workload.same_for_all_tenants else tenant
+        return f"{workload.prefix_group}/{owner}/{rank}"
 
     def _unique_text(self, number: int, mean_tokens: int) -> str:
         tokens = max(1, int(self._random.uniform(0.5, 1.5) * mean_tokens))
--- a/liftrill/cache/blocks.py
+++ b/liftrill/cache/blocks.py
@@ -10,6 +10,7 @@
 
 from liftrill.cache.tokenizer import Tokenizer
 from liftrill.constants import BLOCK_TOKENS
+from liftrill.mechanisms import Mechanism, is_enabled
 
 NAME_BYTES = 16
 SALT_BYTES = 32
@@ -27,6 +28,8 @@
     def salt(self, secret: bytes) -> bytes:
         """Return the key of the scope's block hashes (32 bytes)."""
         hasher = hashlib.blake2b(digest_size=SALT_BYTES, key=secret[:64])
+        if not is_enabled(Mechanism.SCOPED_SALT):
+            return hasher.digest()
         for part in (self.tenant, self.model, self.adapter, self.weight_version):
             encoded = part.encode()
             hasher.update(len(encoded).to_bytes(4, "big"))
--- a/liftrill/cli/bench.py
+++ b/liftrill/cli/bench.py
@@ -7,6 +7,7 @@
 import orjson
 import uvloop
 
+from liftrill.bench.faults.run import format_faults, run_faults
 from liftrill.bench.overhead import format_overhead, measure_overhead
 
 
@@ -33,6 +34,37 @@
     _print(asdict(result), format_overhead(result), json)
 
 
+def faults(
+    *,
+    deployment: str = "sahil",
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 24.0,
+    without: str = "",
+    json: bool = False,
+) -> int:
+    """Send load under a seeded schedule of faults and check every promise.
+
+    Exits with 1 if a promise was broken.
+
+    :param deployment: name of a file under deployments/, or a path
+    :param seed: first seed of load and faults
+    :param seeds: how many seeds to run, one after the other
+    :param seconds: duration of the load for each seed
+    :param without: safety mechanisms to turn off, separated by commas
+    :param json: print JSON, one line for each seed
+    """
+    violations = 0
+    for number in range(seed, seed + seeds):
+        with tempfile.TemporaryDirectory(prefix="liftrill-faults-") as directory:
+            run = run_faults(deployment, number, seconds, Path(directory), without)
+            result = uvloop.run(run)
+        violations += result.violations
+        line = orjson.dumps(result.as_json()).decode() if json else format_faults(result)
+        print(line, flush=True)
+    return 1 if violations else 0
+
+
 def _print(content: object, text: str, as_json: bool) -> None:
     if as_json:
         print(orjson.dumps(content, option=orjson.OPT_INDENT_2).decode())
--- a/liftrill/cli/emulate.py
+++ b/liftrill/cli/emulate.py
@@ -30,6 +30,7 @@
     maximum_waiting: int = DEFAULTS.maximum_waiting,
     idle_eviction_seconds: float = DEFAULTS.idle_eviction_seconds,
     event_loss_share: float = DEFAULTS.event_loss_share,
+    weight_load_seconds: float = 1.0,
 ) -> None:
     """Run a model engine.
 
@@ -46,6 +47,7 @@
     :param maximum_waiting: requests that may wait
     :param idle_eviction_seconds: blocks unused for this long are dropped
     :param event_loss_share: share of cache events that are lost
+    :param weight_load_seconds: how long loading other weights takes
     """
     parameters = EngineParameters(
         memory_blocks=memory_blocks,
@@ -56,7 +58,9 @@
         idle_eviction_seconds=idle_eviction_seconds,
         event_loss_share=event_loss_share,
     )
-    server = EngineServer(engine_id, model, weight_version, parameters, seed, journal)
+    server = EngineServer(
+        engine_id, model, weight_version, parameters, seed, journal, weight_load_seconds
+    )
     uvloop.run(_serve(server.application(), listen))
 
 
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -23,7 +23,7 @@
     "status": operator.status,
     "explain": operator.explain,
     "demo": demo.demo,
-    "bench": {"overhead": bench.overhead},
+    "bench": {"overhead": bench.overhead, "faults": bench.faults},
     "emulate": {
         "engine": emulate.engine,
         "platform": emulate.platform,
--- a/liftrill/coordination/claims.py
+++ b/liftrill/coordination/claims.py
@@ -21,6 +21,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from liftrill.mechanisms import Mechanism, is_enabled
+
 KEY_BYTES = 16
 MILLISECONDS_SHIFT = 80
 # A grant can be for a key up to one skew in the future, by a clock one skew fast; the
@@ -173,6 +175,8 @@
         return None
 
     def _may_have_forgotten(self, made_at: float) -> bool:
+        if not is_enabled(Mechanism.RESTART_ABSTENTION):
+            return False
         margin = RESTART_MARGIN_IN_SKEWS * self._parameters.skew
         return made_at <= self._remembers_since + margin
 
--- a/liftrill/coordination/configuration.py
+++ b/liftrill/coordination/configuration.py
@@ -13,6 +13,7 @@
 from types import MappingProxyType
 
 from liftrill.errors import ConfigurationError
+from liftrill.mechanisms import Mechanism, is_enabled
 
 DIGEST_BYTES = 32
 
@@ -74,12 +75,13 @@
             ConfigurationError: the same generation names other content than the one in
                 force, which a correct store cannot produce.
         """
-        if head.generation < self.generation:
+        if head.generation < self.generation and is_enabled(Mechanism.GENERATION_ORDER):
             return Adoption.STALE
         if self.current and head.generation == self.generation:
             self._check_same_content(head)
             return Adoption.STALE
-        if self._pending is None or head.generation > self._pending.generation:
+        forced = not is_enabled(Mechanism.GENERATION_ORDER)
+        if forced or self._pending is None or head.generation > self._pending.generation:
             self._pending = head
         return self._try_adopt()
 
--- a/liftrill/emulator/engine_messages.py
+++ b/liftrill/emulator/engine_messages.py
@@ -30,6 +30,7 @@
         incarnation: the engine incarnation the sender expects, or None for any.
         weight_version: the weight version the sender expects, or None for any.
         salt: key of the block hashes; never empty.
+        user: whom the request is for, as told for the audit of the cache.
     """
 
     request_id: str
@@ -41,6 +42,15 @@
     start_index: int = 0
     incarnation: int | None = None
     weight_version: str | None = None
+    user: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class BlockOrigin:
+    """Who had a cached block computed, and under which weights."""
+
+    user: str
+    weight_version: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +145,7 @@
     texts: list[str] = field(default_factory=list)
     finished: GenerationFinished | None = None
     detached_at: float | None = None
+    reused_origins: frozenset[BlockOrigin] = frozenset()
 
     @property
     def started(self) -> bool:
--- a/liftrill/emulator/engine_model.py
+++ b/liftrill/emulator/engine_model.py
@@ -18,6 +18,7 @@
 from liftrill.cache.blocks import block_names
 from liftrill.cache.tokenizer import FixedWidthTokenizer
 from liftrill.emulator.engine_messages import (
+    BlockOrigin,
     CacheEvent,
     EngineOutput,
     EngineParameters,
@@ -160,8 +161,11 @@
         if fence < self._highest_fence:
             return RefusalReason.STALE_FENCE
         self._highest_fence = fence
+        if weight_version in (self._loading_version, self.weight_version):
+            return None
         self._loading_version = weight_version
         self.loading_until = ready_at
+        self.revision += 1
         return None
 
     def order_leave(self, fence: int) -> RefusalReason | None:
@@ -254,6 +258,7 @@
             return
         self.loading_until = None
         self.weight_version = self._loading_version
+        self._loading_version = ""
         self.revision += 1
         self.cache.clear()
 
@@ -293,7 +298,12 @@
         generation.cached_tokens = hits * self.parameters.block_tokens
         generation.prefill_left = generation.prompt_tokens - generation.cached_tokens
         self.cache.pin(generation.block_names)
-        self.cache.store(generation.block_names[:hits], now)
+        reused = generation.block_names[:hits]
+        generation.reused_origins = self.cache.origins(reused)
+        self.cache.store(reused, self._origin(generation), now)
+
+    def _origin(self, generation: Generation) -> BlockOrigin:
+        return BlockOrigin(generation.request.user, self.weight_version)
 
     def _share_prefill(self) -> list[tuple[Generation, int]]:
         budget = self.parameters.prefill_chunk_tokens
@@ -310,7 +320,7 @@
         for generation, tokens in self._step_prefill:
             generation.prefill_left -= tokens
             if generation.prefill_left == 0 and self._is_running(generation):
-                self.cache.store(generation.block_names, now)
+                self.cache.store(generation.block_names, self._origin(generation), now)
                 outputs.extend(self._produce(generation, now))
         for generation in self._step_decode:
             if self._is_running(generation):
--- a/liftrill/emulator/engine_schema.py
+++ b/liftrill/emulator/engine_schema.py
@@ -24,6 +24,7 @@
     incarnation: int | None = None
     weight_version: str | None = None
     idempotency_key: str = ""
+    user: str = ""
 
     def to_request(self) -> GenerationRequest:
         """Return the model's message."""
@@ -37,6 +38,7 @@
             start_index=self.start_index,
             incarnation=self.incarnation,
             weight_version=self.weight_version,
+            user=self.user,
         )
 
 
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -27,6 +27,7 @@
     RefusalReason.SALT_MISSING: 400,
     RefusalReason.PROMPT_TOO_LONG: 400,
     RefusalReason.DUPLICATE_ATTEMPT: 409,
+    RefusalReason.STALE_FENCE: 409,
 }
 REFUSED_FOR_LOAD_STATUS = 503
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
@@ -44,8 +45,10 @@
         parameters: EngineParameters,
         seed: int,
         journal_path: Path | None,
+        weight_load_seconds: float,
     ) -> None:
         self.engine_id = engine_id
+        self._weight_load_seconds = weight_load_seconds
         self.model_name = model_name
         self._model = EngineModel(parameters, weight_version, _new_incarnation(), seed)
         self._readers: dict[str, asyncio.Queue[EngineOutput | None]] = {}
@@ -103,6 +106,7 @@
             return
 
     def _route(self, output: EngineOutput) -> None:
+        self._record_reuse(output)
         reader = self._readers.get(output.attempt_id)
         if reader is not None:
             reader.put_nowait(output)
@@ -154,8 +158,8 @@
         if order.action == "leave":
             reason = self._model.order_leave(order.fence)
         else:
-            now = time.monotonic()
-            reason = self._model.order_weights(order.weight_version, order.fence, now)
+            ready_at = time.monotonic() + self._weight_load_seconds
+            reason = self._model.order_weights(order.weight_version, order.fence, ready_at)
         self._wake.set()
         return self._refused(reason) if reason else _json({"accepted": True})
 
@@ -168,7 +172,7 @@
                 "incarnation": self._model.incarnation,
                 "revision": self._model.revision,
                 "weight_version": self._model.weight_version,
-                "leaving": self._model.leaving,
+                "leaving": self._model.leaving or self._model.loading_until is not None,
                 "running": report.running,
                 "waiting": report.waiting,
                 "waiting_prompt_tokens": report.waiting_prompt_tokens,
@@ -298,11 +302,30 @@
         }
         return _json(body, REFUSAL_STATUS.get(reason, REFUSED_FOR_LOAD_STATUS))
 
+    def _record_reuse(self, output: EngineOutput) -> None:
+        """Record with an attempt's first token whose cached blocks it was computed from."""
+        generation = self._model.attempt(output.attempt_id)
+        if self._journal is None or generation is None or not isinstance(output, TokenProduced):
+            return
+        if output.index != generation.request.start_index or not generation.reused_origins:
+            return
+        record: dict[str, object] = {
+            "reused_by": generation.request.user,
+            "weight_version": self._model.weight_version,
+            "origins": [[o.user, o.weight_version] for o in generation.reused_origins],
+        }
+        self._write_journal(record)
+
+    def _write_journal(self, record: dict[str, object]) -> None:
+        assert self._journal is not None
+        self._journal.write(orjson.dumps(record).decode() + "\n")
+        self._journal.flush()
+
     def _record_execution(self, body: CompletionBody) -> None:
         """Append one line to the journal, flushed so that it survives a kill."""
         if self._journal is None:
             return
-        record = {
+        record: dict[str, object] = {
             "at": time.time(),
             "engine_id": self.engine_id,
             "incarnation": self._model.incarnation,
@@ -310,11 +333,11 @@
             "request_id": body.request_id,
             "attempt_id": body.attempt_id,
             "start_index": body.start_index,
-            "salt": body.cache_salt,
+            "user": body.user,
+            "expected_incarnation": body.incarnation,
             "idempotency_key": body.idempotency_key,
         }
-        self._journal.write(orjson.dumps(record).decode() + "\n")
-        self._journal.flush()
+        self._write_journal(record)
 
 
 def _new_incarnation() -> int:
--- a/liftrill/emulator/prefix_cache.py
+++ b/liftrill/emulator/prefix_cache.py
@@ -4,7 +4,12 @@
 from collections import OrderedDict, deque
 from collections.abc import Sequence
 
-from liftrill.emulator.engine_messages import CacheEvent, CacheEventKind, EngineParameters
+from liftrill.emulator.engine_messages import (
+    BlockOrigin,
+    CacheEvent,
+    CacheEventKind,
+    EngineParameters,
+)
 
 
 class PrefixCache:
@@ -14,6 +19,7 @@
         self._parameters = parameters
         self._random = random_source
         self._last_used: OrderedDict[bytes, float] = OrderedDict()
+        self._origins: dict[bytes, BlockOrigin] = {}
         self._pinned: dict[bytes, int] = {}
         self._events: deque[tuple[float, CacheEvent]] = deque()
         self._sequence = 0
@@ -43,10 +49,15 @@
             else:
                 self._pinned.pop(name, None)
 
-    def store(self, names: Sequence[bytes], now: float) -> None:
+    def origins(self, names: Sequence[bytes]) -> frozenset[BlockOrigin]:
+        """Return the origins of cached blocks."""
+        return frozenset(self._origins[name] for name in names)
+
+    def store(self, names: Sequence[bytes], origin: BlockOrigin, now: float) -> None:
         """Add or refresh blocks, evicting others when memory is full."""
         for name in names:
             if name not in self._last_used:
+                self._origins[name] = origin
                 self._emit(CacheEventKind.STORED, name, now)
             self._last_used[name] = now
             self._last_used.move_to_end(name)
@@ -64,6 +75,7 @@
     def clear(self) -> None:
         """Forget everything at once, as a crash does: no events are sent."""
         self._last_used.clear()
+        self._origins.clear()
         self._pinned.clear()
         self._events.clear()
         self._sequence = 0
@@ -87,6 +99,7 @@
 
     def _remove(self, name: bytes, now: float) -> None:
         del self._last_used[name]
+        del self._origins[name]
         self._emit(CacheEventKind.REMOVED, name, now)
 
     def _emit(self, kind: CacheEventKind, name: bytes, now: float) -> None:
--- /dev/null
+++ b/liftrill/mechanisms.py
@@ -0,0 +1,39 @@
+"""Switches that turn single safety mechanisms off, for the fault bench only.
+
+The bench shows that its checkers find a violation without each mechanism. The
+environment variable LIFTRILL_DISABLED_MECHANISMS names the ones to turn off, separated
+by commas; a node logs a warning when it is set.
+"""
+
+import os
+from enum import Enum
+
+ENVIRONMENT_NAME = "LIFTRILL_DISABLED_MECHANISMS"
+
+
+class Mechanism(Enum):
+    """A mechanism that a promise rests on."""
+
+    CLAIMS = "claims"
+    RESTART_ABSTENTION = "restart_abstention"
+    ATTEMPT_LEDGER = "attempt_ledger"
+    CHUNK_IDENTITY = "chunk_identity"
+    STREAM_INDEX = "stream_index"
+    SCOPED_SALT = "scoped_salt"
+    GENERATION_ORDER = "generation_order"
+    DRAIN = "drain"
+    LEAVING_MARKS = "leaving_marks"
+    PEER_SNAPSHOT = "peer_snapshot"
+
+
+def _disabled() -> frozenset[Mechanism]:
+    names = os.environ.get(ENVIRONMENT_NAME, "")
+    return frozenset(Mechanism(name) for name in names.split(",") if name)
+
+
+DISABLED = _disabled()
+
+
+def is_enabled(mechanism: Mechanism) -> bool:
+    """Return whether a mechanism is in use, as all are outside the fault bench."""
+    return mechanism not in DISABLED
--- a/liftrill/node/caller_api.py
+++ b/liftrill/node/caller_api.py
@@ -19,6 +19,7 @@
     ResultCode,
     UnknownOutcomeError,
 )
+from liftrill.mechanisms import Mechanism, is_enabled
 from liftrill.messages.configuration_pb2 import Tenant, Workload
 from liftrill.node.answers import (
     CHAT_SHAPE,
@@ -179,7 +180,7 @@
         routed = self._route(headers, body, request_id)
         writer = AnswerWriter(shape, request_id, body.model)
         sink = StreamSink(http_request, writer, request_id) if body.stream else WholeSink()
-        if routed.repeatable:
+        if routed.repeatable or not is_enabled(Mechanism.CLAIMS):
             outcome = await self._run(routed, sink)
         else:
             outcome = await self._run_once(routed, sink)
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -9,10 +9,12 @@
 from aiohttp import web
 
 from liftrill import constants
+from liftrill.mechanisms import DISABLED, Mechanism, is_enabled
 from liftrill.node.caller_api import CallerApi, coded_errors
 from liftrill.node.claim_service import ClaimService
 from liftrill.node.configuration_sync import ConfigurationSync
 from liftrill.node.context import NodeContext
+from liftrill.node.control_loop import ControlLoop
 from liftrill.node.dispatcher import Dispatcher
 from liftrill.node.engine_client import EngineClient
 from liftrill.node.engine_watch import EngineWatch
@@ -55,8 +57,11 @@
             for coroutine in self._background:
                 self._spawn(coroutine)
             log_change("node_started", node=self._settings.node_id)
+            if DISABLED:
+                names = sorted(mechanism.value for mechanism in DISABLED)
+                log_change("mechanisms_disabled", names=names)
             await self._stop_requested.wait()
-            clean = await self._drain(context)
+            clean = await self._drain(context) if is_enabled(Mechanism.DRAIN) else False
             self._gossip.depart()
             for runner in runners:
                 await runner.cleanup()
@@ -104,17 +109,19 @@
             on_members=self._gossip.merge_members,
             on_adopted=self._on_adopted,
         )
+        self._control = ControlLoop(context, store, client, random_source)
         self._claims = ClaimService(settings.node_id, membership, peers, self._spawn)
         self._operator_api = OperatorApi(
             context, PlanCommitter(store), self._sync, peers, self._claims
         )
         self._background = (
             self._gossip.run(),
-            self._sync.join_from_peers(),
+            self._join(),
             self._sync.watch_store(),
             watch.follow_machine_list(),
             watch.follow_reports(),
             self._claims.verify_epoch(),
+            self._control.run(),
         )
         return context
 
@@ -130,6 +137,10 @@
         self._pulling = True
         self._spawn(self._pull(address))
 
+    async def _join(self) -> None:
+        if is_enabled(Mechanism.PEER_SNAPSHOT):
+            await self._sync.join_from_peers()
+
     async def _pull(self, address: str) -> None:
         try:
             await self._sync.pull_head(address)
--- a/liftrill/node/dispatcher.py
+++ b/liftrill/node/dispatcher.py
@@ -85,7 +85,7 @@
             return Unavailable.NONE_ELIGIBLE
         if not self._may_go_now(request, weight_version):
             return Unavailable.ALL_BUSY
-        with_room = [engine for engine in eligible if engine.has_room()]
+        with_room = self._prefer_current_weights(eligible)
         self._granted.pop(request.request_id, None)
         if not with_room:
             return Unavailable.ALL_BUSY
@@ -141,11 +141,18 @@
             if engine.engine_id not in excluded
             and not engine.leaving
             and engine.incarnation is not None
-            and engine.weight_version == pools[engine.pool].weight_version
+            and _serves_accepted_weights(engine, pools[engine.pool])
             and weight_version in (None, engine.weight_version)
             and engine.breaker.allows(now)
         ]
 
+    def _prefer_current_weights(self, engines: list[EngineState]) -> list[EngineState]:
+        """Return the engines with room: those with the configured weights, if there are any."""
+        with_room = [engine for engine in engines if engine.has_room()]
+        pools = self.view.pools_by_name
+        current = [e for e in with_room if e.weight_version == pools[e.pool].weight_version]
+        return current or with_room
+
     def _may_go_now(self, request: RoutedRequest, weight_version: str | None) -> bool:
         """Return whether a request may pass the queue: its turn came, or it has begun."""
         queue_is_empty = not self._queues.get(request.model)
@@ -155,8 +162,7 @@
     def _choose_among(
         self, request: RoutedRequest, engines: list[EngineState], excluded: frozenset[str]
     ) -> EngineChoice:
-        pool = self.view.pools_by_name[engines[0].pool]
-        names = self._block_names(request, pool)
+        names = self._block_names(request, engines[0])
         engine = self._policy.choose(names, engines)
         self._explain(request.request_id, engine, engines, excluded, len(names))
         return EngineChoice(
@@ -166,8 +172,9 @@
             adapter=self.view.pools_by_name[engine.pool].adapter,
         )
 
-    def _block_names(self, request: RoutedRequest, pool: Pool) -> list[bytes]:
-        scope = request.scope(pool.adapter, pool.weight_version)
+    def _block_names(self, request: RoutedRequest, engine: EngineState) -> list[bytes]:
+        adapter = self.view.pools_by_name[engine.pool].adapter
+        scope = request.scope(adapter, engine.weight_version)
         return request.block_names(scope, self._cache_secret, self._tokenizer)
 
     def _explain(
@@ -232,3 +239,9 @@
 
     def _unused_turns(self, model: str) -> int:
         return sum(1 for granted_model in self._granted.values() if granted_model == model)
+
+
+def _serves_accepted_weights(engine: EngineState, pool: Pool) -> bool:
+    """Return whether an engine has the pool's weights, or those it is being moved from."""
+    accepted = (pool.weight_version, pool.previous_weight_version)
+    return bool(engine.weight_version) and engine.weight_version in accepted
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -9,6 +9,7 @@
 
 from liftrill import constants
 from liftrill.errors import LiftrillError
+from liftrill.planning.rollout import LoadWeightsOrder
 from liftrill.routing import events
 from liftrill.routing.engine_state import EngineIdentity, EngineReport, EngineState
 from liftrill.routing.request import RoutedRequest
@@ -16,6 +17,7 @@
 EVENT_SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
 DONE_MARK = b"[DONE]"
+CONFLICT_STATUS = 409
 MISMATCH_STATUS = 412
 SERVICE_UNAVAILABLE_STATUS = 503
 LEAVING_CODES = frozenset({"leaving", "loading"})
@@ -34,6 +36,10 @@
         super().__init__(kind.value)
 
 
+class StaleFenceError(LiftrillError):
+    """An engine refused an order since it has seen a newer fencing token."""
+
+
 class AttemptBrokenError(LiftrillError):
     """The attempt was sent and its connection was lost."""
 
@@ -153,6 +159,31 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
             return None
 
+    async def order_weights(self, engine: EngineState, order: LoadWeightsOrder, token: int) -> bool:
+        """Send a fenced order to load weights; False if the engine did not take it.
+
+        Raises:
+            StaleFenceError: another controller holds a newer lease.
+        """
+        body = {
+            "order_id": order.order_id,
+            "fence": token,
+            "action": "load",
+            "weight_version": order.weight_version,
+        }
+        timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
+        url = f"http://{engine.address}/v1/orders"
+        try:
+            async with self._session.post(
+                url, data=orjson.dumps(body), timeout=timeout
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+        if response.status == CONFLICT_STATUS:
+            raise StaleFenceError(order.engine_id)
+        return response.status == 200
+
     def _attempt_body(
         self, request: RoutedRequest, instruction: events.StartAttempt
     ) -> dict[str, object]:
@@ -170,6 +201,7 @@
             "incarnation": instruction.incarnation,
             "weight_version": instruction.weight_version,
             "idempotency_key": request.idempotency_key,
+            "user": request.tenant,
         }
 
     async def _refusal(
--- a/liftrill/node/operator_api.py
+++ b/liftrill/node/operator_api.py
@@ -12,6 +12,7 @@
 from liftrill import constants
 from liftrill.coordination.membership import Member
 from liftrill.errors import OperatorError, ResultCode
+from liftrill.messages.configuration_pb2 import Head
 from liftrill.node.answers import json_response
 from liftrill.node.caller_schema import API_KEY_HEADER, BEARER_PREFIX
 from liftrill.node.claim_service import ClaimService
@@ -89,6 +90,7 @@
         self._authenticate(request)
         plan = self._plan(request)
         operator_name = request.headers.get(OPERATOR_NAME_HEADER, "unnamed")[:64]
+        await self._check_not_behind(plan)
         await self._check_claim_change(plan)
         now_milliseconds = int(time.time() * 1000)
         head = await self._committer.confirm(plan, operator_name, now_milliseconds)
@@ -96,6 +98,17 @@
         await self._sync.offer(head)
         return json_response({"confirmed": plan.plan_id, "generation": head.generation})
 
+    async def _check_not_behind(self, plan: Plan) -> None:
+        """Refuse a plan if any reachable member has a newer configuration than its base.
+
+        The store alone would say so too, unless it was restored from an old copy.
+        """
+        generations = (await self._member_generations()).values()
+        newest = max((g for g in generations if g is not None), default=0)
+        if newest > plan.base_generation and not _is_in_head(plan, self._context.head):
+            detail = f"generation {newest} is in force, the plan was made from "
+            raise OperatorError(ResultCode.PLAN_CONFLICT, f"{detail}{plan.base_generation}")
+
     async def _check_claim_change(self, plan: Plan) -> None:
         if not plan.completes_claim_change:
             return
@@ -184,6 +197,10 @@
             del self._context.plans[next(iter(self._context.plans))]
 
 
+def _is_in_head(plan: Plan, head: Head) -> bool:
+    return any(confirmation.plan_id == plan.plan_id for confirmation in head.confirmations)
+
+
 def _plan_body(plan: Plan) -> dict[str, object]:
     return {
         "plan_id": plan.plan_id,
--- a/liftrill/planning/plan.py
+++ b/liftrill/planning/plan.py
@@ -92,7 +92,7 @@
     workloads = _merge(
         view.workloads.workloads, _workloads(intent.workloads), intent.remove.workloads
     )
-    pools = _merge(view.pools.pools, _pools(intent.pools), intent.remove.pools)
+    pools = _merge(view.pools.pools, _pools(intent.pools, view.pools_by_name), intent.remove.pools)
     _check_models(workloads.values(), pools.values())
     claims = _claims(intent, view.claims)
     sections = {
@@ -158,8 +158,16 @@
     return [messages.Workload(**intent.model_dump()) for intent in intents]
 
 
-def _pools(intents: list[PoolIntent]) -> list[messages.Pool]:
-    return [messages.Pool(**intent.model_dump()) for intent in intents]
+def _pools(intents: list[PoolIntent], current: Mapping[str, messages.Pool]) -> list[messages.Pool]:
+    pools = [messages.Pool(**intent.model_dump()) for intent in intents]
+    for pool in pools:
+        before = current.get(pool.name)
+        if before is None:
+            continue
+        same = before.weight_version == pool.weight_version
+        replaced = before.previous_weight_version if same else before.weight_version
+        pool.previous_weight_version = replaced
+    return pools
 
 
 def _claims(intent: Intent, current: messages.ClaimSection) -> messages.ClaimSection:
--- a/liftrill/routing/engine_state.py
+++ b/liftrill/routing/engine_state.py
@@ -5,6 +5,7 @@
 
 from liftrill import constants
 from liftrill.coordination.circuit import CircuitBreaker, ConcurrencyLimit
+from liftrill.mechanisms import Mechanism, is_enabled
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +86,8 @@
     @property
     def leaving(self) -> bool:
         """Whether no new work may be sent."""
+        if not is_enabled(Mechanism.LEAVING_MARKS):
+            return False
         said_so = self.identity is not None and self.identity.leaving
         return self.listed_leaving or self.refused_as_leaving or said_so
 
--- a/liftrill/routing/machine.py
+++ b/liftrill/routing/machine.py
@@ -13,6 +13,7 @@
 
 from liftrill.constants import MAXIMUM_ATTEMPTS, RETRY_AFTER_SECONDS
 from liftrill.errors import LiftrillError, RequestError, ResultCode, UnknownOutcomeError
+from liftrill.mechanisms import Mechanism, is_enabled
 from liftrill.routing import events
 from liftrill.routing.outcome import AttemptLedger, Completed, Failed, NotRunError
 from liftrill.routing.request import RoutedRequest
@@ -138,7 +139,7 @@
     def _on_token(self, event: events.TokenReceived) -> list[events.RequestInstruction]:
         if self._is_foreign(event.request_id, event.attempt_id):
             return self._drop(events.DroppedChunk.FOREIGN)
-        if event.index < self.next_index:
+        if event.index < self.next_index and is_enabled(Mechanism.STREAM_INDEX):
             return self._drop(events.DroppedChunk.REPEATED)
         if event.index > self.next_index:
             return self._resume_or_replace()
@@ -283,6 +284,8 @@
         return [events.CancelAttempt(self._attempt_id, self.chosen[-1].engine_id)]
 
     def _is_foreign(self, request_id: str, attempt_id: str) -> bool:
+        if not is_enabled(Mechanism.CHUNK_IDENTITY):
+            return False
         return request_id != self.request.request_id or attempt_id != self._attempt_id
 
     def _drop(self, reason: events.DroppedChunk) -> list[events.RequestInstruction]:
--- a/liftrill/routing/outcome.py
+++ b/liftrill/routing/outcome.py
@@ -8,6 +8,7 @@
 from enum import Enum, auto
 
 from liftrill.errors import Execution, LiftrillError, RequestError, ResultCode
+from liftrill.mechanisms import Mechanism, is_enabled
 
 
 class LedgerError(LiftrillError):
@@ -60,7 +61,8 @@
 
     def seal_if_not_run(self) -> NoAttemptBegun | None:
         """Return a proof if every attempt was refuted; no attempt can begin afterwards."""
-        if AttemptState.POSSIBLY_RUN in self._attempts.values():
+        possibly_run = AttemptState.POSSIBLY_RUN in self._attempts.values()
+        if possibly_run and is_enabled(Mechanism.ATTEMPT_LEDGER):
             return None
         self.sealed = True
         return NoAttemptBegun(self)
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -63,7 +63,12 @@
 
 def claim_model(rules: ClaimRules) -> Protocol:
     """Return the model."""
-    initial = (False, rules.crashes, tuple([Member()] * rules.members), tuple([Attempt()] * ATTEMPTS))
+    initial = (
+        False,
+        rules.crashes,
+        tuple([Member()] * rules.members),
+        tuple([Attempt()] * ATTEMPTS),
+    )
     return Protocol(
         name="claims",
         candidate=False,
