Route by cost, with a directory of shared prefixes, home nodes and the kept-KV store

The router is now sans-IO and serves the daemon and virtual time. Cost is the wait on the engine, the time to compute or import what it does not hold, and a price for one more copy that grows with the rendezvous rank.

--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -249,6 +249,7 @@
             f"--weight-version={pool.weight_version}",
             f"--seed={self.seed * 1000 + number}",
             f"--journal={journal_path}",
+            f"--kept-store={self.kept_store.address}",
             *(
                 f"--{key.replace('_', '-')}={value}"
                 for key, value in pool.engine.model_dump().items()
--- /dev/null
+++ b/liftrill/bench/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Policies side by side in virtual time, over the same arrivals."""
--- /dev/null
+++ b/liftrill/bench/simulation/kept_store.py
@@ -0,0 +1,36 @@
+"""The kept-KV store in virtual time."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from liftrill.routing.router import KeepPrefix
+
+if TYPE_CHECKING:
+    from liftrill.bench.simulation.engine import SimulatedEngine
+
+
+class SimulatedKeptStore:
+    """Named prefixes in limited memory, least recently used first out."""
+
+    def __init__(self, capacity_blocks: int) -> None:
+        self._capacity_blocks = capacity_blocks
+        self._prefixes: OrderedDict[bytes, int] = OrderedDict()
+        self.exported_blocks = 0
+
+    def longest(self, names: Sequence[bytes]) -> int:
+        """Return the length in blocks of the longest named prefix that is stored, or 0."""
+        for name in reversed(names):
+            if name in self._prefixes:
+                self._prefixes.move_to_end(name)
+                return self._prefixes[name]
+        return 0
+
+    def keep(self, advice: KeepPrefix, engine: "SimulatedEngine") -> None:
+        """Take a prefix from an engine, if the engine still holds it."""
+        if advice.name not in engine.model.cache:
+            return
+        self._prefixes[advice.name] = advice.blocks
+        self.exported_blocks += advice.blocks
+        while sum(self._prefixes.values()) > self._capacity_blocks:
+            self._prefixes.popitem(last=False)
--- a/liftrill/bench/workload.py
+++ b/liftrill/bench/workload.py
@@ -1,7 +1,7 @@
 """Generates the prompts of a load, with shared prefixes that move."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from liftrill.bench.deployment import Deployment, WorkloadSpecification, tenant_names
@@ -50,12 +50,38 @@
             number += 1
             at += self._random.expovariate(requests_per_second)
 
-    def request(self, number: int, send_at: float) -> PlannedRequest:
+    def varying_requests(
+        self,
+        rate_at: Callable[[float], float],
+        highest_rate: float,
+        seconds: float,
+        prefix_epoch: Callable[[float], int],
+    ) -> Iterator[PlannedRequest]:
+        """Yield the requests of a load whose rate and hot prefixes change.
+
+        Arrivals are thinned from the highest rate (Lewis and Shedler, 1979).
+
+        Args:
+            rate_at: requests per second at a time.
+            highest_rate: an upper bound of it.
+            seconds: duration.
+            prefix_epoch: counts how often the hot prefixes have been replaced.
+        """
+        at, number = 0.0, 0
+        while True:
+            at += self._random.expovariate(highest_rate)
+            if at >= seconds:
+                return
+            if self._random.random() * highest_rate < rate_at(at):
+                yield self.request(number, at, prefix_epoch(at))
+                number += 1
+
+    def request(self, number: int, send_at: float, prefix_epoch: int = 0) -> PlannedRequest:
         """Return one request."""
         workloads = self._deployment.workloads
         workload = self._random.choices(workloads, [w.share for w in workloads])[0]
         tenant = self._random.choices(self._tenants, self._tenant_weights)[0]
-        prefix_name = self._prefix_name(tenant, workload)
+        prefix_name = self._prefix_name(tenant, workload, prefix_epoch)
         prefix = self.prefix_text(prefix_name, workload.prefix_tokens)
         unique = self._unique_text(number, workload.unique_tokens)
         return PlannedRequest(number, send_at, tenant, workload, prefix_name, prefix + unique)
@@ -69,12 +95,12 @@
             self._prefix_texts[name] = text
         return text
 
-    def _prefix_name(self, tenant: str, workload: WorkloadSpecification) -> str:
+    def _prefix_name(self, tenant: str, workload: WorkloadSpecification, prefix_epoch: int) -> str:
         # Popularity falls with the rank, as a few preambles are very hot.
         ranks = range(1, workload.hot_prefixes + 1)
         rank = self._random.choices(ranks, [1.0 / r for r in ranks])[0]
         owner = "all" if workload.same_for_all_tenants else tenant
-        return f"{workload.prefix_group}/{owner}/{rank}"
+        return f"{workload.prefix_group}/{owner}/{prefix_epoch}/{rank}"
 
     def _unique_text(self, number: int, mean_tokens: int) -> str:
         tokens = max(1, int(self._random.uniform(0.5, 1.5) * mean_tokens))
--- a/liftrill/cli/emulate.py
+++ b/liftrill/cli/emulate.py
@@ -31,6 +31,7 @@
     idle_eviction_seconds: float = DEFAULTS.idle_eviction_seconds,
     event_loss_share: float = DEFAULTS.event_loss_share,
     weight_load_seconds: float = 1.0,
+    kept_store: str = "",
 ) -> None:
     """Run a model engine.
 
@@ -48,6 +49,7 @@
     :param idle_eviction_seconds: blocks unused for this long are dropped
     :param event_loss_share: share of cache events that are lost
     :param weight_load_seconds: how long loading other weights takes
+    :param kept_store: HOST:PORT of the kept-KV store, or empty for none
     """
     parameters = EngineParameters(
         memory_blocks=memory_blocks,
@@ -59,7 +61,7 @@
         event_loss_share=event_loss_share,
     )
     server = EngineServer(
-        engine_id, model, weight_version, parameters, seed, journal, weight_load_seconds
+        engine_id, model, weight_version, parameters, seed, journal, weight_load_seconds, kept_store
     )
     uvloop.run(_serve(server.application(), listen))
 
--- a/liftrill/cli/operator.py
+++ b/liftrill/cli/operator.py
@@ -120,8 +120,14 @@
     """
     answer = _call(node, operator_key, lambda c: c.call("GET", f"/explain/{request_id}"))
     for attempt in answer["attempts"]:
-        loads = ", ".join(f"{name} load {load}" for name, load in attempt["candidates"])
-        print(f"{attempt['engine_id']} by {attempt['policy']} among {loads}")
+        print(
+            f"{attempt['engine_id']} by {attempt['policy']}: {attempt['shared_tokens']} shared "
+            f"tokens, {attempt['believed_tokens']} believed cached, "
+            f"{attempt['import_tokens']} to import"
+        )
+        costs = dict(attempt["costs"])
+        for name, load in attempt["loads"]:
+            print(f"  {name}: load {load}{_cost_text(costs.get(name))}")
         if attempt["excluded"]:
             print(f"  not asked again: {', '.join(attempt['excluded'])}")
 
@@ -144,6 +150,13 @@
     return uvloop.run(run())
 
 
+def _cost_text(terms: dict[str, float] | None) -> str:
+    if terms is None:
+        return ""
+    shown = ", ".join(f"{name} {1000 * seconds:.1f} ms" for name, seconds in terms.items())
+    return f", {shown}"
+
+
 def _print_plan(plan: dict[str, Any]) -> None:
     print(f"plan {plan['plan_id']} from generation {plan['base_generation']}")
     for change in plan["changes"] or ["nothing changes"]:
--- a/liftrill/emulator/engine_messages.py
+++ b/liftrill/emulator/engine_messages.py
@@ -30,6 +30,7 @@
         incarnation: the engine incarnation the sender expects, or None for any.
         weight_version: the weight version the sender expects, or None for any.
         salt: key of the block hashes; never empty.
+        kept_blocks: leading blocks that can be imported from the kept-KV store.
         user: whom the request is for, as told for the audit of the cache.
     """
 
@@ -43,6 +44,7 @@
     incarnation: int | None = None
     weight_version: str | None = None
     user: str = ""
+    kept_blocks: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +120,7 @@
     block_tokens: int = 64
     memory_blocks: int = 2_000
     prefill_tokens_per_second: float = 20_000.0
+    import_tokens_per_second: float = 100_000.0
     prefill_chunk_tokens: int = 2_048
     step_base_seconds: float = 0.008
     step_seconds_per_sequence: float = 0.0002
--- a/liftrill/emulator/engine_model.py
+++ b/liftrill/emulator/engine_model.py
@@ -295,8 +295,10 @@
 
     def _start(self, generation: Generation, now: float) -> None:
         hits = self.cache.cached_prefix(generation.block_names)
-        generation.cached_tokens = hits * self.parameters.block_tokens
+        imported = max(0, min(generation.request.kept_blocks, len(generation.block_names)) - hits)
+        generation.cached_tokens = (hits + imported) * self.parameters.block_tokens
         generation.prefill_left = generation.prompt_tokens - generation.cached_tokens
+        generation.prefill_left += self._import_cost_in_prefill_tokens(imported)
         self.cache.pin(generation.block_names)
         reused = generation.block_names[:hits]
         generation.reused_origins = self.cache.origins(reused)
@@ -305,6 +307,11 @@
     def _origin(self, generation: Generation) -> BlockOrigin:
         return BlockOrigin(generation.request.user, self.weight_version)
 
+    def _import_cost_in_prefill_tokens(self, blocks: int) -> int:
+        """Return the prefill tokens that take as long as importing some blocks."""
+        ratio = self.parameters.prefill_tokens_per_second / self.parameters.import_tokens_per_second
+        return int(blocks * self.parameters.block_tokens * ratio)
+
     def _share_prefill(self) -> list[tuple[Generation, int]]:
         budget = self.parameters.prefill_chunk_tokens
         shares: list[tuple[Generation, int]] = []
--- a/liftrill/emulator/engine_schema.py
+++ b/liftrill/emulator/engine_schema.py
@@ -25,8 +25,9 @@
     weight_version: str | None = None
     idempotency_key: str = ""
     user: str = ""
+    import_candidates: list[str] = Field(default_factory=list)
 
-    def to_request(self) -> GenerationRequest:
+    def to_request(self, kept_blocks: int) -> GenerationRequest:
         """Return the model's message."""
         return GenerationRequest(
             request_id=self.request_id,
@@ -39,6 +40,7 @@
             incarnation=self.incarnation,
             weight_version=self.weight_version,
             user=self.user,
+            kept_blocks=kept_blocks,
         )
 
 
@@ -51,3 +53,12 @@
     fence: int
     action: str
     weight_version: str = ""
+
+
+class ExportBody(BaseModel):
+    """Body of `POST /v1/exports`: give a cached prefix to the kept-KV store."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    name: str
+    blocks: int = Field(gt=0)
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import time
+from collections import deque
 from pathlib import Path
 from typing import TextIO
 
+import aiohttp
 import orjson
 from aiohttp import web
 from pydantic import ValidationError
 
 from liftrill.emulator.engine_faults import EngineFault
 from liftrill.emulator.engine_messages import (
+    CacheEvent,
     EngineOutput,
     EngineParameters,
     Generation,
@@ -19,7 +22,7 @@
     TokenProduced,
 )
 from liftrill.emulator.engine_model import EngineModel
-from liftrill.emulator.engine_schema import CompletionBody, OrderBody
+from liftrill.emulator.engine_schema import CompletionBody, ExportBody, OrderBody
 
 REFUSAL_STATUS = {
     RefusalReason.INCARNATION_MISMATCH: 412,
@@ -32,6 +35,7 @@
 REFUSED_FOR_LOAD_STATUS = 503
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 IDLE_TICK_SECONDS = 0.5
+EVENTS_KEPT = 20_000
 
 
 class EngineServer:
@@ -46,8 +50,10 @@
         seed: int,
         journal_path: Path | None,
         weight_load_seconds: float,
+        kept_store: str,
     ) -> None:
         self.engine_id = engine_id
+        self._kept_store = kept_store
         self._weight_load_seconds = weight_load_seconds
         self.model_name = model_name
         self._model = EngineModel(parameters, weight_version, _new_incarnation(), seed)
@@ -55,6 +61,7 @@
         self._wake = asyncio.Event()
         self._frozen_until = 0.0
         self._foreign_until = 0.0
+        self._recent_events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
         self._journal: TextIO | None = journal_path.open("a") if journal_path else None
         self._driver: asyncio.Task[None] | None = None
 
@@ -66,6 +73,7 @@
                 web.post("/v1/completions", self._complete),
                 web.get("/v1/attempts/{attempt_id}", self._resume),
                 web.delete("/v1/attempts/{attempt_id}", self._cancel),
+                web.post("/v1/exports", self._export),
                 web.post("/v1/orders", self._order),
                 web.get("/v1/status", self._status),
                 web.get("/v1/events", self._events),
@@ -77,11 +85,13 @@
         return application
 
     async def _start(self, _: web.Application) -> None:
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0))
         self._driver = asyncio.create_task(self._drive())
 
     async def _stop(self, _: web.Application) -> None:
         if self._driver is not None:
             self._driver.cancel()
+        await self._session.close()
         if self._journal is not None:
             self._journal.close()
 
@@ -116,7 +126,8 @@
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         try:
             body = CompletionBody.model_validate_json(await request.read())
-            generation_request = body.to_request()
+            kept_blocks = await self._importable_blocks(body)
+            generation_request = body.to_request(kept_blocks)
         except (ValidationError, ValueError) as error:
             return _json({"error": {"code": "invalid", "message": str(error)}}, 400)
         reason = self._model.submit(generation_request, time.monotonic())
@@ -129,6 +140,33 @@
         assert generation is not None
         return await self._stream(request, generation, reader, body.start_index)
 
+    async def _importable_blocks(self, body: CompletionBody) -> int:
+        """Return how many blocks the kept-KV store has of a prefix that is not cached here.
+
+        The store is only asked on a miss; a lookup costs far less than recomputing.
+        """
+        names = body.import_candidates
+        if not names or not self._kept_store or bytes.fromhex(names[-1]) in self._model.cache:
+            return 0
+        content = {"names": names, "weight_version": self._model.weight_version}
+        url = f"http://{self._kept_store}/v1/lookups"
+        try:
+            async with self._session.post(url, data=orjson.dumps(content)) as response:
+                return int(orjson.loads(await response.read())["blocks"])
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+            return 0
+
+    async def _export(self, request: web.Request) -> web.Response:
+        body = ExportBody.model_validate_json(await request.read())
+        held = bytes.fromhex(body.name) in self._model.cache
+        if not held or not self._kept_store:
+            return _json({"exported": False}, 409)
+        content = {"blocks": body.blocks, "weight_version": self._model.weight_version}
+        url = f"http://{self._kept_store}/v1/prefixes/{body.name}"
+        async with self._session.put(url, data=orjson.dumps(content)) as response:
+            await response.read()
+        return _json({"exported": True})
+
     async def _resume(self, request: web.Request) -> web.StreamResponse:
         attempt_id = request.match_info["attempt_id"]
         from_index = int(request.query.get("from", "0"))
@@ -181,9 +219,14 @@
             }
         )
 
-    async def _events(self, _: web.Request) -> web.Response:
-        events = self._model.take_events(time.monotonic())
-        rows = [[e.sequence, e.kind.value, e.block_name.hex()] for e in events]
+    async def _events(self, request: web.Request) -> web.Response:
+        self._recent_events.extend(self._model.take_events(time.monotonic()))
+        after = int(request.query.get("after", "0"))
+        rows = [
+            [e.sequence, e.kind.value, e.block_name.hex()]
+            for e in self._recent_events
+            if e.sequence > after
+        ]
         return _json({"incarnation": self._model.incarnation, "events": rows})
 
     async def _fault(self, request: web.Request) -> web.Response:
@@ -194,6 +237,7 @@
             self._model.set_leaving(False)
         elif fault.kind == "crash":
             self._model.crash(_new_incarnation())
+            self._recent_events.clear()
             self._cut_streams()
         elif fault.kind == "freeze":
             self._frozen_until = now + fault.seconds
--- a/liftrill/emulator/kept_store_server.py
+++ b/liftrill/emulator/kept_store_server.py
@@ -35,7 +35,7 @@
         application.add_routes(
             [
                 web.put("/v1/prefixes/{name}", self._put),
-                web.get("/v1/prefixes/{name}", self._get),
+                web.post("/v1/lookups", self._look_up),
                 web.delete("/v1/prefixes/{name}", self._delete),
                 web.get("/v1/status", self._status),
             ]
@@ -52,16 +52,18 @@
         self._evict()
         return web.Response(status=204)
 
-    async def _get(self, request: web.Request) -> web.Response:
-        name = request.match_info["name"]
-        prefix = self._prefixes.get(name)
-        if prefix is None:
-            return web.Response(status=404)
-        if request.query.get("weight_version", prefix.weight_version) != prefix.weight_version:
-            return web.Response(status=412)
-        self._prefixes.move_to_end(name)
-        body = orjson.dumps({"blocks": prefix.blocks, "weight_version": prefix.weight_version})
-        return web.Response(body=body, content_type="application/json")
+    async def _look_up(self, request: web.Request) -> web.Response:
+        """Return the length of the longest named prefix that was made by some weights."""
+        body = orjson.loads(await request.read())
+        blocks = 0
+        for name in reversed(body["names"]):
+            prefix = self._prefixes.get(name)
+            if prefix is not None and prefix.weight_version == body["weight_version"]:
+                self._prefixes.move_to_end(name)
+                blocks = prefix.blocks
+                break
+        answer = orjson.dumps({"blocks": blocks})
+        return web.Response(body=answer, content_type="application/json")
 
     async def _delete(self, request: web.Request) -> web.Response:
         removed = self._remove(request.match_info["name"])
--- a/liftrill/emulator/prefix_cache.py
+++ b/liftrill/emulator/prefix_cache.py
@@ -28,6 +28,9 @@
     def __len__(self) -> int:
         return len(self._last_used)
 
+    def __contains__(self, name: bytes) -> bool:
+        return name in self._last_used
+
     def cached_prefix(self, names: Sequence[bytes]) -> int:
         """Return how many leading blocks are cached."""
         for position, name in enumerate(names):
@@ -55,7 +58,8 @@
 
     def store(self, names: Sequence[bytes], origin: BlockOrigin, now: float) -> None:
         """Add or refresh blocks, evicting others when memory is full."""
-        for name in names:
+        # The end of a prefix goes first when memory is short, so that its start stays useful.
+        for name in reversed(names):
             if name not in self._last_used:
                 self._origins[name] = origin
                 self._emit(CacheEventKind.STORED, name, now)
--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -177,7 +177,7 @@
         view = view_of(current)
         context = self._context
         context.view = view
-        context.dispatcher.view = view
+        context.router.view = view
         context.admission.configure(list(view.tenants.tenants), list(view.workloads.workloads))
         if self._newest_head.generation == view.generation:
             context.head = self._newest_head
--- a/liftrill/node/context.py
+++ b/liftrill/node/context.py
@@ -17,6 +17,7 @@
 from liftrill.routing.admission import AdmissionController
 from liftrill.routing.engine_records import EngineRecords
 from liftrill.routing.engine_state import EngineTable
+from liftrill.routing.router import Router
 
 
 @dataclass(slots=True)
@@ -34,6 +35,7 @@
     metrics: NodeMetrics
     engines: EngineTable
     admission: AdmissionController
+    router: Router
     dispatcher: Dispatcher
     runner: RequestRunner
     open_requests: OpenRequests
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Coroutine
 
 import aiohttp
 from aiohttp import web
 
 from liftrill import constants
+from liftrill.cache.directory import PrefixDirectory
 from liftrill.mechanisms import DISABLED, Mechanism, is_enabled
 from liftrill.node.caller_api import CallerApi, coded_errors
 from liftrill.node.claim_service import ClaimService
@@ -34,6 +36,7 @@
 from liftrill.routing.engine_records import EngineRecords
 from liftrill.routing.engine_state import EngineTable
 from liftrill.routing.policies import POLICIES
+from liftrill.routing.router import Router
 
 
 class NodeDaemon:
@@ -77,8 +80,10 @@
         admission = AdmissionController()
         random_source = random.Random()
         secret = settings.cache_secret.encode()
-        policy = POLICIES[settings.policy](random_source)
-        dispatcher = Dispatcher(engines, policy, admission, metrics, secret)
+        directory = PrefixDirectory(constants.DIRECTORY_MARKERS, constants.DIRECTORY_CANDIDATES)
+        policy = POLICIES[settings.policy](directory, random_source)
+        router = Router(engines, policy, directory, admission, secret, time.monotonic)
+        dispatcher = Dispatcher(router, metrics)
         client = EngineClient(session, secret)
         runner = RequestRunner(engines, client, dispatcher, metrics, self._spawn)
         membership = new_membership(settings, random_source)
@@ -88,6 +93,7 @@
             metrics=metrics,
             engines=engines,
             admission=admission,
+            router=router,
             dispatcher=dispatcher,
             runner=runner,
             open_requests=OpenRequests(metrics),
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -13,6 +13,7 @@
 from liftrill.routing import events
 from liftrill.routing.engine_state import EngineIdentity, EngineReport, EngineState
 from liftrill.routing.request import RoutedRequest
+from liftrill.routing.router import KeepPrefix
 
 EVENT_SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
@@ -159,6 +160,19 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
             return None
 
+    async def export_prefix(self, engine: EngineState, advice: KeepPrefix) -> None:
+        """Have an engine give a prefix to the kept-KV store; failure costs a later import."""
+        body = {"name": advice.name.hex(), "blocks": advice.blocks}
+        timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
+        url = f"http://{engine.address}/v1/exports"
+        try:
+            async with self._session.post(
+                url, data=orjson.dumps(body), timeout=timeout
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
     async def order_weights(self, engine: EngineState, order: LoadWeightsOrder, token: int) -> bool:
         """Send a fenced order to load weights; False if the engine did not take it.
 
@@ -202,6 +216,7 @@
             "weight_version": instruction.weight_version,
             "idempotency_key": request.idempotency_key,
             "user": request.tenant,
+            "import_candidates": [name.hex() for name in instruction.import_candidates],
         }
 
     async def _refusal(
@@ -264,5 +279,9 @@
     if identity is None:
         return None
     return EngineReport(
-        str(body["engine_id"]), identity, int(body["running"]), int(body["waiting"])
+        str(body["engine_id"]),
+        identity,
+        int(body["running"]),
+        int(body["waiting"]),
+        int(body["waiting_prompt_tokens"]),
     )
--- a/liftrill/node/operator_api.py
+++ b/liftrill/node/operator_api.py
@@ -174,7 +174,7 @@
     async def _explain(self, request: web.Request) -> web.Response:
         self._authenticate(request)
         request_id = request.match_info["request_id"]
-        explanations = self._context.dispatcher.explanations(request_id)
+        explanations = self._context.router.explanations(request_id)
         if not explanations:
             raise OperatorError(ResultCode.REQUEST_NOT_FOUND)
         return json_response({"attempts": [asdict(e) for e in explanations]})
--- a/liftrill/node/request_runner.py
+++ b/liftrill/node/request_runner.py
@@ -18,7 +18,7 @@
 from liftrill.routing import events
 from liftrill.routing.engine_state import EngineState, EngineTable
 from liftrill.routing.machine import RequestMachine
-from liftrill.routing.outcome import Outcome
+from liftrill.routing.outcome import Completed, Outcome
 
 
 class CallerGoneError(LiftrillError):
@@ -64,7 +64,9 @@
         try:
             # The event loop's clock and the request's deadline are both time.monotonic.
             async with asyncio.timeout_at(machine.request.deadline):
-                return await execution.drive(events.Started())
+                outcome = await execution.drive(events.Started())
+            self._learn(machine, outcome)
+            return outcome
         except TimeoutError:
             return execution.finish(events.DeadlinePassed())
         except CallerGoneError:
@@ -73,8 +75,20 @@
             execution.finish(events.CallerGone())
             raise
         finally:
+            self._dispatcher.router.record_abandoned(machine.request)
             execution.close()
 
+    def _learn(self, machine: RequestMachine, outcome: Outcome) -> None:
+        """Tell the router what came of its choice, and carry out its advice."""
+        router = self._dispatcher.router
+        if not isinstance(outcome, Completed) or len(machine.chosen) != 1:
+            router.record_abandoned(machine.request)
+            return
+        advice = router.record_answer(machine.request, outcome.engine_id, outcome.cached_tokens)
+        engine = self._engines.get(outcome.engine_id)
+        if advice is not None and engine is not None:
+            self._spawn(self._client.export_prefix(engine, advice))
+
     async def start(
         self, machine: RequestMachine, instruction: events.StartAttempt
     ) -> tuple[EngineState, EngineStream | None, events.RequestEvent | None]:
@@ -83,9 +97,9 @@
         if engine is None:
             kind = events.RefusalKind.UNREACHABLE
             missing = EngineState(instruction.engine_id, "", "", "")
-            missing.in_flight += 1
+            missing.record_start(time.monotonic(), instruction.expected_prefill_tokens)
             return missing, None, events.AttemptRefused(instruction.attempt_id, kind)
-        engine.record_start(time.monotonic())
+        engine.record_start(time.monotonic(), instruction.expected_prefill_tokens)
         try:
             stream = await self._client.start(engine, machine.request, instruction)
         except AttemptRefusedError as refusal:
@@ -94,6 +108,7 @@
         except AttemptBrokenError:
             return engine, None, events.AttemptBroken(instruction.attempt_id)
         except BaseException:
+            engine.record_prefilled(instruction.expected_prefill_tokens)
             engine.record_end()
             raise
         return engine, stream, None
@@ -158,6 +173,7 @@
         self._engine: EngineState | None = None
         self._stream: EngineStream | None = None
         self._outcome: Outcome | None = None
+        self._pending_prefill = 0
 
     async def drive(self, first: events.RequestEvent) -> Outcome:
         """Feed events to the machine until it ends."""
@@ -194,9 +210,15 @@
 
     async def _flush(self, tokens: list[events.DeliverToken]) -> None:
         if tokens:
+            self._note_prefilled()
             await self._sink.deliver(tokens)
             tokens.clear()
 
+    def _note_prefilled(self) -> None:
+        if self._engine is not None and self._pending_prefill:
+            self._engine.record_prefilled(self._pending_prefill)
+            self._pending_prefill = 0
+
     async def _read(self) -> list[events.RequestEvent]:
         assert self._stream is not None
         try:
@@ -220,6 +242,7 @@
 
     async def _start(self, instruction: events.StartAttempt) -> list[events.RequestEvent]:
         self._close_attempt(completed=False)
+        self._pending_prefill = instruction.expected_prefill_tokens
         self._engine, self._stream, event = await self._runner.start(self._machine, instruction)
         if isinstance(event, events.AttemptRefused):
             self._close_attempt(completed=False)
@@ -245,5 +268,6 @@
             self._stream.close()
             self._stream = None
         if self._engine is not None:
+            self._note_prefilled()
             self._runner.release(self._engine, completed)
             self._engine = None
--- a/liftrill/node/settings.py
+++ b/liftrill/node/settings.py
@@ -65,7 +65,7 @@
     operator_key: str = Field(min_length=8)
     shared_keys: list[str] = Field(min_length=1)
     cache_secret: str = Field(min_length=16)
-    policy: Annotated[str, AfterValidator(_check_policy)] = "prefix_hash"
+    policy: Annotated[str, AfterValidator(_check_policy)] = "liftrill"
     drain_grace_seconds: float = Field(default=constants.DRAIN_GRACE_SECONDS, gt=0, le=3600)
 
 
--- a/liftrill/routing/engine_state.py
+++ b/liftrill/routing/engine_state.py
@@ -31,6 +31,7 @@
     identity: EngineIdentity
     running: int
     waiting: int
+    waiting_prompt_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,9 @@
             next report settles it.
         in_flight: requests of this node that the engine holds.
         in_flight_at_report: the same when the newest report came.
+        reported_waiting: requests that waited on the engine when it reported.
+        others_prefill_tokens: prompt tokens of other nodes that waited then.
+        own_prefill_tokens: prompt tokens that this node sent and that have no token yet.
     """
 
     engine_id: str
@@ -80,6 +84,9 @@
     reported_load: int = 0
     in_flight: int = 0
     in_flight_at_report: int = 0
+    reported_waiting: int = 0
+    others_prefill_tokens: int = 0
+    own_prefill_tokens: int = 0
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
     limit: ConcurrencyLimit = field(default_factory=_new_limit)
 
@@ -106,15 +113,32 @@
         """Requests believed to be on the engine: its report, and what this node sent since."""
         return max(self.in_flight, self.reported_load + self.in_flight - self.in_flight_at_report)
 
+    @property
+    def pending_prefill_tokens(self) -> int:
+        """Prompt tokens that the engine must compute before those of a new request."""
+        return self.others_prefill_tokens + self.own_prefill_tokens
+
     def has_room(self) -> bool:
         """Return whether this node may send one more request."""
-        return self.limit.allows(self.in_flight)
+        return self.room() > 0
 
-    def record_start(self, now: float) -> None:
+    def room(self) -> int:
+        """Return how many more requests this node may send."""
+        sent_since = max(0, self.in_flight - self.in_flight_at_report)
+        free = int(self.limit.limit) - self.in_flight
+        queue_free = constants.ENGINE_WAITING_LIMIT - self.reported_waiting - sent_since
+        return max(0, min(free, max(queue_free, 1 if self.in_flight == 0 else 0)))
+
+    def record_start(self, now: float, prefill_tokens: int = 0) -> None:
         """Count a request that is being sent."""
         self.in_flight += 1
+        self.own_prefill_tokens += prefill_tokens
         self.breaker.record_start(now)
 
+    def record_prefilled(self, prefill_tokens: int) -> None:
+        """Note that a request got its first token, or ended without one."""
+        self.own_prefill_tokens -= prefill_tokens
+
     def record_end(self) -> None:
         """Count a request that is no longer on the engine."""
         self.in_flight -= 1
@@ -143,6 +167,8 @@
         changed = self.apply_identity(report.identity)
         self.reported_load = report.running + report.waiting
         self.in_flight_at_report = self.in_flight
+        self.reported_waiting = report.waiting
+        self.others_prefill_tokens = max(0, report.waiting_prompt_tokens - self.own_prefill_tokens)
         return changed
 
     def apply_identity(self, identity: EngineIdentity) -> bool:
@@ -151,6 +177,8 @@
             return False
         if self.identity and identity.incarnation != self.identity.incarnation:
             self.reported_load = 0
+            self.reported_waiting = 0
+            self.others_prefill_tokens = 0
         self.identity = identity
         return True
 
--- a/liftrill/routing/events.py
+++ b/liftrill/routing/events.py
@@ -105,6 +105,9 @@
         incarnation: the engine incarnation that must match, or None if not known yet.
         delivered_text: what was delivered already; it is appended to the prompt.
         start_index: index of the first token to generate.
+        expected_prefill_tokens: prompt tokens that the engine will have to compute.
+        import_candidates: names of prefixes, shortest first, of which the engine may
+            import the longest that the kept-KV store has, where its own cache is shorter.
     """
 
     attempt_id: str
@@ -114,6 +117,8 @@
     adapter: str
     delivered_text: str
     start_index: int
+    expected_prefill_tokens: int = 0
+    import_candidates: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/routing/machine.py
+++ b/liftrill/routing/machine.py
@@ -27,12 +27,20 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineChoice:
-    """An engine to send to, and what it must still be when the request arrives."""
+    """An engine to send to, and what it must still be when the request arrives.
+
+    Attributes:
+        expected_prefill_tokens: prompt tokens that the engine will have to compute.
+        import_candidates: names of prefixes, shortest first, of which the engine may
+            import the longest that the kept-KV store has, where its own cache is shorter.
+    """
 
     engine_id: str
     incarnation: int | None
     weight_version: str
     adapter: str
+    expected_prefill_tokens: int = 0
+    import_candidates: tuple[bytes, ...] = ()
 
 
 class Unavailable(Enum):
@@ -225,6 +233,8 @@
             adapter=choice.adapter,
             delivered_text=self.delivered_text,
             start_index=self.next_index,
+            expected_prefill_tokens=choice.expected_prefill_tokens,
+            import_candidates=choice.import_candidates,
         )
 
     def _resume_or_replace(self) -> list[events.RequestInstruction]:
--- a/liftrill/routing/policies.py
+++ b/liftrill/routing/policies.py
@@ -1,39 +1,96 @@
-"""Routing policies, swappable by name in the settings."""
+"""Routing policies, swappable by name in the settings.
+
+All but `liftrill` are what an operator could pick instead; they are measured side by
+side with it.
+"""
 
 import itertools
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import ClassVar
 
-from liftrill.constants import BOUNDED_LOAD_FACTOR
+from liftrill import constants
+from liftrill.cache.directory import PrefixDirectory, marker_tokens
 from liftrill.coordination import rendezvous
 from liftrill.routing.engine_state import EngineState
 
-ROUTING_PREFIX_BLOCKS = 16
+ROUTING_PREFIX_MARKERS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingQuery:
+    """What a policy knows of a request.
+
+    Attributes:
+        markers: prefix markers of the prompt, in order.
+        shared_depth: how many leading markers other requests have used too.
+    """
+
+    markers: Sequence[bytes]
+    shared_depth: int
+    prompt_tokens: int
+    priority: int
+    now: float
+
+
+@dataclass(frozen=True, slots=True)
+class CostTerms:
+    """The terms of one engine's cost, in seconds."""
+
+    waiting: float
+    computing: float
+    spreading: float
+
+    @property
+    def total(self) -> float:
+        """The sum of the terms."""
+        return self.waiting + self.computing + self.spreading
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyChoice:
+    """What a policy decided.
+
+    Attributes:
+        believed_depth: leading markers that the engine is believed to hold.
+        import_depth: leading markers to import from the kept-KV store, 0 for none.
+        costs: the terms by engine, for policies that have them.
+    """
+
+    engine: EngineState
+    believed_depth: int = 0
+    import_depth: int = 0
+    costs: tuple[tuple[str, CostTerms], ...] = ()
 
 
 class RoutingPolicy(ABC):
     """Chooses one of the engines that may serve a request."""
 
     name: ClassVar[str]
+    uses_kept_store: ClassVar[bool] = False
 
-    def __init__(self, random_source: random.Random) -> None:
+    def __init__(self, directory: PrefixDirectory, random_source: random.Random) -> None:
+        self._directory = directory
         self._random = random_source
 
     @abstractmethod
-    def choose(self, block_names: Sequence[bytes], engines: Sequence[EngineState]) -> EngineState:
+    def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return one of the engines, of which there is at least one."""
 
+    def _least_loaded(self, engines: Sequence[EngineState]) -> EngineState:
+        return min(engines, key=lambda engine: (engine.load, self._random.random()))
+
 
 class RandomPolicy(RoutingPolicy):
     """Any engine."""
 
     name = "random"
 
-    def choose(self, block_names: Sequence[bytes], engines: Sequence[EngineState]) -> EngineState:
+    def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return any engine."""
-        return self._random.choice(engines)
+        return PolicyChoice(self._random.choice(engines))
 
 
 class RoundRobinPolicy(RoutingPolicy):
@@ -41,13 +98,13 @@
 
     name = "round_robin"
 
-    def __init__(self, random_source: random.Random) -> None:
-        super().__init__(random_source)
+    def __init__(self, directory: PrefixDirectory, random_source: random.Random) -> None:
+        super().__init__(directory, random_source)
         self._turns = itertools.count()
 
-    def choose(self, block_names: Sequence[bytes], engines: Sequence[EngineState]) -> EngineState:
+    def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return the next engine."""
-        return engines[next(self._turns) % len(engines)]
+        return PolicyChoice(engines[next(self._turns) % len(engines)])
 
 
 class LeastLoadedPolicy(RoutingPolicy):
@@ -55,9 +112,9 @@
 
     name = "least_loaded"
 
-    def choose(self, block_names: Sequence[bytes], engines: Sequence[EngineState]) -> EngineState:
+    def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return an engine of the lowest load."""
-        return min(engines, key=lambda engine: (engine.load, self._random.random()))
+        return PolicyChoice(self._least_loaded(engines))
 
 
 class PrefixHashPolicy(RoutingPolicy):
@@ -69,20 +126,129 @@
 
     name = "prefix_hash"
 
-    def choose(self, block_names: Sequence[bytes], engines: Sequence[EngineState]) -> EngineState:
+    def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return the highest ranked engine that is not overloaded."""
-        if not block_names:
-            return min(engines, key=lambda engine: (engine.load, self._random.random()))
-        key = block_names[min(len(block_names), ROUTING_PREFIX_BLOCKS) - 1]
+        if not query.markers:
+            return PolicyChoice(self._least_loaded(engines))
+        key = query.markers[min(len(query.markers), ROUTING_PREFIX_MARKERS) - 1]
         by_id = {engine.engine_id: engine for engine in engines}
         bound = self._load_bound(engines)
         ranked = [by_id[engine_id] for engine_id in rendezvous.rank(key, by_id)]
-        return next((engine for engine in ranked if engine.load < bound), ranked[0])
+        return PolicyChoice(next((e for e in ranked if e.load < bound), ranked[0]))
 
     @staticmethod
     def _load_bound(engines: Sequence[EngineState]) -> float:
         mean = (sum(engine.load for engine in engines) + 1) / len(engines)
-        return max(1.0, BOUNDED_LOAD_FACTOR * mean) + 1.0
+        return max(1.0, constants.BOUNDED_LOAD_FACTOR * mean) + 1.0
+
+
+class CacheAwarePolicy(RoutingPolicy):
+    """The longest believed prefix, unless its engine is loaded well above the least."""
+
+    name = "cache_aware"
+
+    def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
+        """Return the engine of the longest believed prefix within the load threshold."""
+        incarnations = {e.engine_id: e.incarnation or 0 for e in engines}
+        depths = self._directory.believed_depths(query.markers, incarnations, query.now)
+        least = self._least_loaded(engines)
+        if not depths:
+            return PolicyChoice(least)
+        best = max(engines, key=lambda e: (depths.get(e.engine_id, 0), -e.load))
+        if best.load > least.load + constants.LOAD_THRESHOLD_REQUESTS:
+            return PolicyChoice(least, depths.get(least.engine_id, 0))
+        return PolicyChoice(best, depths.get(best.engine_id, 0))
+
+
+class LiftrillPolicy(RoutingPolicy):
+    """The engine of the lowest cost.
+
+    cost = time until the prompt's turn on the engine
+         + time to compute, or import, what the engine does not hold
+         + a price for one more copy of a shared prefix, which pushes out another's.
+
+    The price grows with the engine's rendezvous rank for the prefix, so that all nodes
+    widen a hot prefix to the same engines without asking each other, and a node that
+    knows nothing yet already sends equal prefixes to equal engines.
+    """
+
+    name = "liftrill"
+    uses_kept_store = True
+
+    def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
+        """Return the cheapest engine, or either of two near ties."""
+        incarnations = {e.engine_id: e.incarnation or 0 for e in engines}
+        depths = self._directory.believed_depths(query.markers, incarnations, query.now)
+        ranks = self._ranks(query, engines)
+        kept_depth = self._kept_depth(query)
+        costs = [
+            (e, self._cost(e, query, depths.get(e.engine_id, 0), kept_depth, ranks[e.engine_id]))
+            for e in engines
+        ]
+        engine = self._pick(costs)
+        believed = depths.get(engine.engine_id, 0)
+        return PolicyChoice(
+            engine=engine,
+            believed_depth=believed,
+            import_depth=kept_depth if kept_depth > believed else 0,
+            costs=tuple((e.engine_id, terms) for e, terms in costs),
+        )
+
+    def _cost(
+        self, engine: EngineState, query: RoutingQuery, depth: int, kept_depth: int, rank: int
+    ) -> CostTerms:
+        computing = self._computing_seconds(query, depth, kept_depth)
+        spreading = 0.0
+        if depth < query.shared_depth:
+            missing = marker_tokens(query.shared_depth - depth)
+            price = missing / constants.PREFILL_TOKENS_PER_SECOND * constants.SPREAD_PRICE_SHARE
+            spreading = price * (rank + 1)
+        return CostTerms(self._waiting_seconds(engine), computing, spreading)
+
+    @staticmethod
+    def _waiting_seconds(engine: EngineState) -> float:
+        prefill = engine.pending_prefill_tokens / constants.PREFILL_TOKENS_PER_SECOND
+        return prefill + engine.load * constants.RUNNING_PRICE_SECONDS
+
+    @staticmethod
+    def _computing_seconds(query: RoutingQuery, depth: int, kept_depth: int) -> float:
+        held = marker_tokens(max(depth, kept_depth))
+        imported = marker_tokens(max(0, kept_depth - depth))
+        computed = max(0, query.prompt_tokens - held)
+        seconds = computed / constants.PREFILL_TOKENS_PER_SECOND
+        return seconds + imported / constants.IMPORT_TOKENS_PER_SECOND
+
+    def _kept_depth(self, query: RoutingQuery) -> int:
+        """Return how many leading markers the kept-KV store is believed to have."""
+        if not self.uses_kept_store:
+            return 0
+        for depth in range(query.shared_depth, 0, -1):
+            marker = self._directory.get(query.markers[depth - 1])
+            if marker is not None and marker.kept_at is not None:
+                return depth
+        return 0
+
+    @staticmethod
+    def _ranks(query: RoutingQuery, engines: Sequence[EngineState]) -> dict[str, int]:
+        """Return each engine's place in the rendezvous order of the prefix."""
+        depth = query.shared_depth or min(len(query.markers), ROUTING_PREFIX_MARKERS)
+        if depth == 0:
+            return {engine.engine_id: 0 for engine in engines}
+        order = rendezvous.rank(query.markers[depth - 1], [e.engine_id for e in engines])
+        return {engine_id: rank for rank, engine_id in enumerate(order)}
+
+    def _pick(self, costs: Sequence[tuple[EngineState, CostTerms]]) -> EngineState:
+        ordered = sorted(costs, key=lambda pair: pair[1].total)
+        limit = ordered[0][1].total * (1.0 + constants.NEAR_TIE_SHARE)
+        near = [engine for engine, terms in ordered[:2] if terms.total <= limit]
+        return self._random.choice(near)
+
+
+class LiftrillWithoutStorePolicy(LiftrillPolicy):
+    """As `liftrill`, but without the kept-KV store."""
+
+    name = "liftrill_without_store"
+    uses_kept_store = False
 
 
 _POLICIES: tuple[type[RoutingPolicy], ...] = (
@@ -90,5 +256,8 @@
     RoundRobinPolicy,
     LeastLoadedPolicy,
     PrefixHashPolicy,
+    CacheAwarePolicy,
+    LiftrillPolicy,
+    LiftrillWithoutStorePolicy,
 )
-POLICIES: dict[str, Callable[[random.Random], RoutingPolicy]] = {p.name: p for p in _POLICIES}
+POLICIES: dict[str, type[RoutingPolicy]] = {policy.name: policy for policy in _POLICIES}
