--- a/liftrill/bench/simulation/simulator.py
+++ b/liftrill/bench/simulation/simulator.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from liftrill import constants
 from liftrill.bench.deployment import Deployment, intent_of
@@ -41,33 +41,6 @@
     refused: bool = False
 
 
-@dataclass(slots=True)
-class SimulationResult:
-    """What one run gave.
-
-    Attributes:
-        hit_rate: prompt tokens served from cache or kept-KV store.
-        bound: the same with an unlimited cache.
-        wasted_tokens: prompt tokens computed again that an unlimited cache had.
-        first_token_milliseconds: by percentile, over all counted requests.
-        urgent_milliseconds: the same for the most urgent workload.
-        refused: share of requests that got no whole answer.
-    """
-
-    scenario: str
-    policy: str
-    seed: int
-    requests: int
-    hit_rate: float
-    bound: float
-    wasted_tokens: int
-    first_token_milliseconds: dict[float, float]
-    urgent_milliseconds: dict[float, float]
-    refused: float
-    exported_blocks: int
-    calls: list[SimulatedCall] = field(default_factory=list)
-
-
 class Simulation:
     """One scenario under one policy."""
 
--- a/liftrill/cli/bench.py
+++ b/liftrill/cli/bench.py
@@ -7,8 +7,12 @@
 import orjson
 import uvloop
 
+from liftrill.bench.decision import measure_decisions
 from liftrill.bench.faults.run import format_faults, run_faults
 from liftrill.bench.overhead import format_overhead, measure_overhead
+from liftrill.bench.simulation.compare import BASELINES, format_comparison
+from liftrill.bench.simulation.compare import compare as run_comparison
+from liftrill.bench.simulation.scenario import load_scenario
 
 
 def overhead(
@@ -65,6 +69,51 @@
     return 1 if violations else 0
 
 
+def compare(
+    *,
+    scenario: str,
+    policies: str = ",".join([*BASELINES, "liftrill_without_store", "liftrill"]),
+    seeds: str = "1..10",
+    workers: int = 4,
+    json: bool = False,
+) -> None:
+    """Compare routing policies in virtual time, over one arrival trace for each seed.
+
+    :param scenario: name of a file under scenarios/, or a path
+    :param policies: names, separated by commas
+    :param seeds: first and last seed, as A..B
+    :param workers: runs at a time
+    :param json: print JSON
+    """
+    first, _, last = seeds.partition("..")
+    numbers = range(int(first), int(last or first) + 1)
+    result = run_comparison(load_scenario(scenario), policies.split(","), numbers, workers)
+    _print(result.as_json(), format_comparison(result), json)
+
+
+def decision(
+    *,
+    engines: int = 400,
+    prefixes: int = 10_000,
+    decisions: int = 5_000,
+    policy: str = "liftrill",
+    seed: int = 1,
+    json: bool = False,
+) -> None:
+    """Measure the time of one routing decision.
+
+    :param engines: eligible engines
+    :param prefixes: shared prefixes in the directory
+    :param decisions: decisions to time
+    :param policy: routing policy by name
+    :param seed: seed of the requests
+    :param json: print JSON
+    """
+    result = measure_decisions(engines, prefixes, decisions, policy, seed)
+    text = "\n".join(f"{key:28} {value}" for key, value in asdict(result).items())
+    _print(asdict(result), text, json)
+
+
 def _print(content: object, text: str, as_json: bool) -> None:
     if as_json:
         print(orjson.dumps(content, option=orjson.OPT_INDENT_2).decode())
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -23,7 +23,12 @@
     "status": operator.status,
     "explain": operator.explain,
     "demo": demo.demo,
-    "bench": {"overhead": bench.overhead, "faults": bench.faults},
+    "bench": {
+        "overhead": bench.overhead,
+        "faults": bench.faults,
+        "compare": bench.compare,
+        "decision": bench.decision,
+    },
     "emulate": {
         "engine": emulate.engine,
         "platform": emulate.platform,
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -28,6 +28,7 @@
 from liftrill.node.peer_api import PeerApi
 from liftrill.node.peer_client import PeerClient
 from liftrill.node.platform_client import PlatformClient
+from liftrill.node.prefix_exchange import PrefixExchangeService
 from liftrill.node.request_runner import RequestRunner
 from liftrill.node.settings import NodeSettings
 from liftrill.planning.commit import PlanCommitter
@@ -116,6 +117,9 @@
             on_adopted=self._on_adopted,
         )
         self._control = ControlLoop(context, store, client, random_source)
+        self._prefix_exchange = PrefixExchangeService(
+            context, directory, membership, peers, client, random_source
+        )
         self._claims = ClaimService(settings.node_id, membership, peers, self._spawn)
         self._operator_api = OperatorApi(
             context, PlanCommitter(store), self._sync, peers, self._claims
@@ -128,6 +132,7 @@
             watch.follow_reports(),
             self._claims.verify_epoch(),
             self._control.run(),
+            self._prefix_exchange.run(),
         )
         return context
 
@@ -160,7 +165,7 @@
         public.add_routes(CallerApi(context, self._claims).routes())
         public.add_routes(self._operator_api.routes())
         internal = web.Application()
-        internal.add_routes(PeerApi(context, self._claims).routes())
+        internal.add_routes(PeerApi(context, self._claims, self._prefix_exchange).routes())
         return [
             await _serve(public, self._settings.listen),
             await _serve(internal, self._settings.peer_listen),
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 import orjson
 
 from liftrill import constants
+from liftrill.cache.event_stream import BlockEvent
 from liftrill.errors import LiftrillError
 from liftrill.planning.rollout import LoadWeightsOrder
 from liftrill.routing import events
@@ -18,12 +20,21 @@
 EVENT_SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
 DONE_MARK = b"[DONE]"
+STORED_KIND = "stored"
 CONFLICT_STATUS = 409
 MISMATCH_STATUS = 412
 SERVICE_UNAVAILABLE_STATUS = 503
 LEAVING_CODES = frozenset({"leaving", "loading"})
 
 
+@dataclass(frozen=True, slots=True)
+class EventBatch:
+    """Cache events of one incarnation of an engine."""
+
+    incarnation: int
+    events: tuple[BlockEvent, ...]
+
+
 class AttemptRefusedError(LiftrillError):
     """The engine did not run the attempt.
 
@@ -160,6 +171,18 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
             return None
 
+    async def cache_events(self, engine: EngineState, after: int) -> EventBatch | None:
+        """Return an engine's cache events after a sequence number, or None if it is silent."""
+        timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
+        url = f"http://{engine.address}/v1/events"
+        try:
+            async with self._session.get(
+                url, params={"after": str(after)}, timeout=timeout
+            ) as response:
+                return _parse_batch(orjson.loads(await response.read()))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+            return None
+
     async def export_prefix(self, engine: EngineState, advice: KeepPrefix) -> None:
         """Have an engine give a prefix to the kept-KV store; failure costs a later import."""
         body = {"name": advice.name.hex(), "blocks": advice.blocks}
@@ -262,6 +285,14 @@
     )
 
 
+def _parse_batch(body: Mapping[str, Any]) -> EventBatch:
+    events_read = tuple(
+        BlockEvent(int(sequence), kind == STORED_KIND, bytes.fromhex(name))
+        for sequence, kind, name in body["events"]
+    )
+    return EventBatch(int(body["incarnation"]), events_read)
+
+
 def _parse_identity(body: Mapping[str, Any]) -> EngineIdentity | None:
     try:
         return EngineIdentity(
--- a/liftrill/node/metrics.py
+++ b/liftrill/node/metrics.py
@@ -49,6 +49,7 @@
         self.refused_datagrams = Counter(
             "liftrill_refused_datagrams", "Gossip not authentic or malformed", registry=registry
         )
+        self.event_gaps = Counter("liftrill_event_gaps", "Gaps in cache events", registry=registry)
         self.control_bytes = Counter(
             "liftrill_control_bytes", "Control bytes", ["direction"], registry=registry
         )
--- a/liftrill/node/peer_api.py
+++ b/liftrill/node/peer_api.py
@@ -7,6 +7,7 @@
     ClaimResult,
     ClaimWithdrawal,
     NodeStatus,
+    PrefixExchange,
     Snapshot,
 )
 from liftrill.node.claim_codec import (
@@ -18,16 +19,24 @@
 from liftrill.node.context import NodeContext
 from liftrill.node.gossip_codec import listing_message, member_message, observation_message
 from liftrill.node.peer_client import SIGNATURE_HEADER, signature_is_valid
+from liftrill.node.prefix_codec import exchange_message, reports_from_message
+from liftrill.node.prefix_exchange import PrefixExchangeService
 
 PROTOBUF_CONTENT_TYPE = "application/x-protobuf"
 
 
 class PeerApi:
-    """Snapshots and sections for nodes that have fallen behind, status, and claims."""
-
-    def __init__(self, context: NodeContext, claims: ClaimService) -> None:
+    """Snapshots and sections for nodes that have fallen behind, status, prefixes and claims."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        claims: ClaimService,
+        prefix_exchange: PrefixExchangeService,
+    ) -> None:
         self._context = context
         self._claims = claims
+        self._prefix_exchange = prefix_exchange
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes to serve."""
@@ -36,6 +45,7 @@
             web.post("/peer/head", self._head),
             web.post("/peer/section", self._section),
             web.post("/peer/status", self._status),
+            web.post("/peer/prefixes", self._prefixes),
             web.post("/peer/claim", self._claim),
             web.post("/peer/claim/withdraw", self._withdraw_claim),
             web.post("/peer/claim/result", self._claim_result),
@@ -65,6 +75,12 @@
             return web.Response(status=404)
         return protobuf_response(content)
 
+    async def _prefixes(self, request: web.Request) -> web.Response:
+        message = PrefixExchange.FromString(await self.authenticated_body(request))
+        answers = self._prefix_exchange.answer(message.node_id, reports_from_message(message))
+        reply = exchange_message(self._context.settings.node_id, answers)
+        return protobuf_response(reply.SerializeToString())
+
     async def _claim(self, request: web.Request) -> web.Response:
         message = ClaimRequest.FromString(await self.authenticated_body(request))
         answer = self._claims.answer_proposal(proposal_from_message(message))
--- a/liftrill/node/peer_client.py
+++ b/liftrill/node/peer_client.py
@@ -79,6 +79,17 @@
         content = request.SerializeToString()
         return await self._call_for(address, "/peer/claim", content, messages.ClaimReply)
 
+    async def exchange(
+        self, address: str, message: messages.PrefixExchange
+    ) -> messages.PrefixExchange:
+        """Return what a home knows of the prefixes in a report.
+
+        Raises:
+            PeerError: the peer did not answer as expected.
+        """
+        content = message.SerializeToString()
+        return await self._call_for(address, "/peer/prefixes", content, messages.PrefixExchange)
+
     async def tell(self, address: str, path: str, content: bytes) -> None:
         """Send a message that needs no answer.
 
--- /dev/null
+++ b/liftrill/node/prefix_exchange.py
@@ -0,0 +1,89 @@
+"""Background tasks that keep beliefs about prefixes fresh: homes and cache events."""
+
+import asyncio
+import random
+import time
+
+from liftrill import constants
+from liftrill.cache.directory import PrefixDirectory
+from liftrill.cache.event_stream import EventStream
+from liftrill.cache.home import HomeDirectory, PrefixReport
+from liftrill.coordination.membership import Membership
+from liftrill.node.context import NodeContext
+from liftrill.node.engine_client import EngineClient
+from liftrill.node.peer_client import PeerClient, PeerError
+from liftrill.node.prefix_codec import exchange_message, reports_from_message
+from liftrill.routing.engine_state import EngineState
+from liftrill.routing.watch_assignment import watched_engines
+
+
+class PrefixExchangeService:
+    """Reports prefixes to their homes, answers as a home, and reads cache events."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        directory: PrefixDirectory,
+        membership: Membership,
+        peers: PeerClient,
+        client: EngineClient,
+        random_source: random.Random,
+    ) -> None:
+        self._context = context
+        self._directory = directory
+        self._membership = membership
+        self._peers = peers
+        self._client = client
+        self._random = random_source
+        self._home = HomeDirectory(constants.HOME_ENTRIES)
+        self._streams: dict[str, EventStream] = {}
+
+    async def run(self) -> None:
+        """Exchange with homes and read events for as long as the node runs."""
+        while True:
+            await asyncio.gather(self._exchange(), self._read_events())
+            jitter = self._random.uniform(0.8, 1.2)
+            await asyncio.sleep(constants.HOME_EXCHANGE_SECONDS * jitter)
+
+    def answer(self, node_id: str, reports: list[PrefixReport]) -> list[PrefixReport]:
+        """Answer as a home."""
+        return self._home.exchange(node_id, reports, time.monotonic())
+
+    async def _exchange(self) -> None:
+        members = {m.node_id: m.address for m in self._membership.members()}
+        reporter = self._context.router.reporter
+        reports = reporter.take_reports(sorted(members), time.monotonic())
+        await asyncio.gather(
+            *(self._exchange_with(home, members[home], own) for home, own in reports.items())
+        )
+
+    async def _exchange_with(self, home: str, address: str, reports: list[PrefixReport]) -> None:
+        own_id = self._context.settings.node_id
+        if home == own_id:
+            answers = self.answer(own_id, reports)
+        else:
+            try:
+                message = exchange_message(own_id, reports)
+                answers = reports_from_message(await self._peers.exchange(address, message))
+            except PeerError:
+                return
+        self._context.router.reporter.take_answers(answers, time.monotonic())
+
+    async def _read_events(self) -> None:
+        engines = self._context.engines.in_pools(self._context.view.pools_by_name)
+        by_id = {engine.engine_id: engine for engine in engines}
+        members = [member.node_id for member in self._membership.members()]
+        own = watched_engines(self._context.settings.node_id, members, by_id)
+        self._streams = {e: s for e, s in self._streams.items() if e in own}
+        await asyncio.gather(*(self._read_engine(by_id[engine_id]) for engine_id in own))
+
+    async def _read_engine(self, engine: EngineState) -> None:
+        stream = self._streams.get(engine.engine_id)
+        if stream is None:
+            stream = EventStream(engine.engine_id, self._directory)
+            self._streams[engine.engine_id] = stream
+        gaps_before = stream.gaps
+        batch = await self._client.cache_events(engine, stream.next_sequence - 1)
+        if batch is not None:
+            stream.apply(batch.incarnation, batch.events, time.monotonic())
+            self._context.metrics.event_gaps.inc(stream.gaps - gaps_before)
--- a/liftrill/routing/engine_state.py
+++ b/liftrill/routing/engine_state.py
@@ -188,6 +188,8 @@
 
     def __init__(self) -> None:
         self._engines: dict[str, EngineState] = {}
+        self._ids_by_pools: dict[tuple[str, ...], tuple[str, ...]] = {}
+        self._by_pool: dict[str, dict[str, EngineState]] = {}
 
     def __iter__(self) -> Iterator[EngineState]:
         return iter(self._engines.values())
@@ -204,16 +206,34 @@
 
         An address change means a new machine; what was known of the old one is dropped.
         """
+        engine = self._engines.get(listing.engine_id)
         if listing.removed:
-            self._engines.pop(listing.engine_id, None)
+            self._remove(engine)
             return
-        engine = self._engines.get(listing.engine_id)
-        if engine is None or engine.address != listing.address:
+        if engine is None or (engine.address, engine.pool) != (listing.address, listing.pool):
+            self._remove(engine)
             engine = EngineState(listing.engine_id, listing.address, listing.zone, listing.pool)
             self._engines[listing.engine_id] = engine
+            self._by_pool.setdefault(listing.pool, {})[listing.engine_id] = engine
         engine.listed_leaving = listing.leaving
 
+    def ids_in_pools(self, pools: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the identifiers of the engines of some pools; the same object until it changes."""
+        ids = self._ids_by_pools.get(pools)
+        if ids is None:
+            ids = tuple(engine.engine_id for engine in self.in_pools(pools))
+            self._ids_by_pools[pools] = ids
+        return ids
+
+    def _remove(self, engine: EngineState | None) -> None:
+        self._ids_by_pools.clear()
+        if engine is not None:
+            del self._engines[engine.engine_id]
+            del self._by_pool[engine.pool][engine.engine_id]
+
     def in_pools(self, pools: Iterable[str]) -> list[EngineState]:
         """Return the engines of some pools."""
-        wanted = set(pools)
-        return [engine for engine in self._engines.values() if engine.pool in wanted]
+        wanted = list(pools)
+        if len(wanted) == 1:
+            return list(self._by_pool.get(wanted[0], {}).values())
+        return [e for pool in wanted for e in self._by_pool.get(pool, {}).values()]
--- a/liftrill/routing/policies.py
+++ b/liftrill/routing/policies.py
@@ -15,6 +15,7 @@
 from liftrill.cache.directory import PrefixDirectory, marker_tokens
 from liftrill.coordination import rendezvous
 from liftrill.routing.engine_state import EngineState
+from liftrill.routing.rank_cache import RankCache
 
 ROUTING_PREFIX_MARKERS = 4
 
@@ -26,6 +27,7 @@
     Attributes:
         markers: prefix markers of the prompt, in order.
         shared_depth: how many leading markers other requests have used too.
+        engine_ids: all engines of the pools, also those that cannot be chosen now.
     """
 
     markers: Sequence[bytes]
@@ -33,6 +35,7 @@
     prompt_tokens: int
     priority: int
     now: float
+    engine_ids: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +82,10 @@
     def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return one of the engines, of which there is at least one."""
 
+    def narrow(self, query: RoutingQuery, engines: Sequence[EngineState]) -> set[str] | None:
+        """Return the engines worth looking at among many, or None for all of them."""
+        return None
+
     def _least_loaded(self, engines: Sequence[EngineState]) -> EngineState:
         return min(engines, key=lambda engine: (engine.load, self._random.random()))
 
@@ -175,14 +182,28 @@
     name = "liftrill"
     uses_kept_store = True
 
+    def __init__(self, directory: PrefixDirectory, random_source: random.Random) -> None:
+        super().__init__(directory, random_source)
+        self._rank_cache = RankCache(constants.RANKED_PREFIXES, constants.RANK_DEPTH)
+
+    def narrow(self, query: RoutingQuery, engines: Sequence[EngineState]) -> set[str]:
+        """Return the believed holders, the first by rank, and a few at random."""
+        chosen = set(self._ranks(query))
+        for name in query.markers[: query.shared_depth]:
+            marker = self._directory.get(name)
+            if marker is not None:
+                chosen.update(marker.holders)
+        chosen.update(self._random.choices(query.engine_ids, k=constants.RANDOM_CANDIDATES))
+        return chosen
+
     def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return the cheapest engine, or either of two near ties."""
         incarnations = {e.engine_id: e.incarnation or 0 for e in engines}
         depths = self._directory.believed_depths(query.markers, incarnations, query.now)
-        ranks = self._ranks(query, engines)
+        ranks = self._ranks(query)
         kept_depth = self._kept_depth(query)
         costs = [
-            (e, self._cost(e, query, depths.get(e.engine_id, 0), kept_depth, ranks[e.engine_id]))
+            (e, self._cost(e, query, depths.get(e.engine_id, 0), kept_depth, ranks))
             for e in engines
         ]
         engine = self._pick(costs)
@@ -195,14 +216,21 @@
         )
 
     def _cost(
-        self, engine: EngineState, query: RoutingQuery, depth: int, kept_depth: int, rank: int
+        self,
+        engine: EngineState,
+        query: RoutingQuery,
+        depth: int,
+        kept_depth: int,
+        ranks: dict[str, int],
     ) -> CostTerms:
         computing = self._computing_seconds(query, depth, kept_depth)
+        # A prompt that nobody here has seen may be shared all the same.
+        shared_depth = query.shared_depth or len(query.markers)
         spreading = 0.0
-        if depth < query.shared_depth:
-            missing = marker_tokens(query.shared_depth - depth)
+        if depth < shared_depth:
+            missing = marker_tokens(shared_depth - depth)
             price = missing / constants.PREFILL_TOKENS_PER_SECOND * constants.SPREAD_PRICE_SHARE
-            spreading = price * (rank + 1)
+            spreading = price * (ranks.get(engine.engine_id, len(ranks)) + 1)
         return CostTerms(self._waiting_seconds(engine), computing, spreading)
 
     @staticmethod
@@ -228,14 +256,13 @@
                 return depth
         return 0
 
-    @staticmethod
-    def _ranks(query: RoutingQuery, engines: Sequence[EngineState]) -> dict[str, int]:
-        """Return each engine's place in the rendezvous order of the prefix."""
-        depth = query.shared_depth or min(len(query.markers), ROUTING_PREFIX_MARKERS)
-        if depth == 0:
-            return {engine.engine_id: 0 for engine in engines}
-        order = rendezvous.rank(query.markers[depth - 1], [e.engine_id for e in engines])
-        return {engine_id: rank for rank, engine_id in enumerate(order)}
+    def _ranks(self, query: RoutingQuery) -> dict[str, int]:
+        """Return the first engines in the rendezvous order of the prefix."""
+        if not query.markers:
+            return {}
+        # The same key whatever a node has learnt, so that all nodes rank alike.
+        key = query.markers[min(len(query.markers), ROUTING_PREFIX_MARKERS) - 1]
+        return self._rank_cache.ranks(key, query.engine_ids)
 
     def _pick(self, costs: Sequence[tuple[EngineState, CostTerms]]) -> EngineState:
         ordered = sorted(costs, key=lambda pair: pair[1].total)
--- a/liftrill/routing/router.py
+++ b/liftrill/routing/router.py
@@ -4,7 +4,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from liftrill import constants
@@ -92,17 +92,24 @@
         self, request: RoutedRequest, excluded: frozenset[str], weight_version: str | None
     ) -> EngineChoice | Unavailable:
         """Return an engine for a request, or why there is none now."""
-        eligible = self._eligible(request.model, excluded, weight_version)
+        pools = self.view.pools_by_model.get(request.model, [])
+        pool_names = tuple(pool.name for pool in pools)
+        engines = self.engines.in_pools(pool_names)
+        if not engines:
+            return self._unavailable(request, Unavailable.NONE_ELIGIBLE)
+        query = self._query(request, pools[0], self.engines.ids_in_pools(pool_names))
+        candidates = self._narrow(query, engines)
+        for group in (candidates, engines):
+            eligible = self._eligible(group, excluded, weight_version)
+            with_room = self._prefer_current_weights(eligible)
+            if with_room and self._may_go_now(request, weight_version):
+                self._granted.pop(request.request_id, None)
+                return self._choose_among(request, query, with_room, excluded)
+            if group is engines:
+                break
         if not eligible:
-            self._granted.pop(request.request_id, None)
-            return Unavailable.NONE_ELIGIBLE
-        if not self._may_go_now(request, weight_version):
-            return Unavailable.ALL_BUSY
-        with_room = self._prefer_current_weights(eligible)
-        self._granted.pop(request.request_id, None)
-        if not with_room:
-            return Unavailable.ALL_BUSY
-        return self._choose_among(request, with_room, excluded)
+            return self._unavailable(request, Unavailable.NONE_ELIGIBLE)
+        return self._unavailable(request, Unavailable.ALL_BUSY)
 
     def try_spend_retry(self, request: RoutedRequest) -> bool:
         """Spend one retry of the request's workload."""
@@ -112,6 +119,16 @@
         """Return why each engine of a request was chosen."""
         return self._explanations.get(request_id, [])
 
+    def block_names(self, request: RoutedRequest, pool: Pool) -> list[bytes]:
+        """Return the names of a prompt's blocks on a pool's engines."""
+        scope = request.scope(pool.adapter, pool.weight_version)
+        return request.block_names(scope, self._cache_secret, self._tokenizer)
+
+    @property
+    def directory_size(self) -> int:
+        """The number of shared markers that are remembered."""
+        return len(self._directory)
+
     # Feedback
 
     def record_answer(
@@ -171,7 +188,8 @@
         queue = self._queues.get(model)
         if not queue:
             return
-        eligible = self._eligible(model, frozenset(), None)
+        pools = [pool.name for pool in self.view.pools_by_model.get(model, [])]
+        eligible = self._eligible(self.engines.in_pools(pools), frozenset(), None)
         room = sum(engine.room() for engine in eligible) - self._unused_turns(model)
 
         def grant(request: RoutedRequest) -> bool:
@@ -187,14 +205,28 @@
 
     # Internals
 
+    def _unavailable(self, request: RoutedRequest, reason: Unavailable) -> Unavailable:
+        self._granted.pop(request.request_id, None)
+        return reason
+
+    def _narrow(self, query: RoutingQuery, engines: list[EngineState]) -> list[EngineState]:
+        """Return the engines to look at first, where there are many."""
+        if len(engines) <= constants.FULL_SCAN_ENGINES:
+            return engines
+        chosen = self._policy.narrow(query, engines)
+        if chosen is None:
+            return engines
+        found = [self.engines.get(engine_id) for engine_id in chosen]
+        return [engine for engine in found if engine is not None]
+
     def _eligible(
-        self, model: str, excluded: frozenset[str], weight_version: str | None
+        self, engines: Sequence[EngineState], excluded: frozenset[str], weight_version: str | None
     ) -> list[EngineState]:
-        pools = {pool.name: pool for pool in self.view.pools_by_model.get(model, [])}
+        pools = self.view.pools_by_name
         now = self._clock()
         return [
             engine
-            for engine in self.engines.in_pools(pools)
+            for engine in engines
             if engine.engine_id not in excluded
             and not engine.leaving
             and engine.incarnation is not None
@@ -217,9 +249,12 @@
         return queue_is_empty or granted or weight_version is not None
 
     def _choose_among(
-        self, request: RoutedRequest, engines: list[EngineState], excluded: frozenset[str]
+        self,
+        request: RoutedRequest,
+        query: RoutingQuery,
+        engines: list[EngineState],
+        excluded: frozenset[str],
     ) -> EngineChoice:
-        query = self._query(request, engines[0])
         decision = self._policy.choose(query, engines)
         engine = decision.engine
         self._remember(request, query, decision)
@@ -234,18 +269,24 @@
             import_candidates=tuple(query.markers) if self._policy.uses_kept_store else (),
         )
 
-    def _query(self, request: RoutedRequest, engine: EngineState) -> RoutingQuery:
-        adapter = self.view.pools_by_name[engine.pool].adapter
-        scope = request.scope(adapter, engine.weight_version)
-        names = request.block_names(scope, self._cache_secret, self._tokenizer)
-        markers = markers_of(names)
+    def _query(
+        self, request: RoutedRequest, pool: Pool, engine_ids: tuple[str, ...]
+    ) -> RoutingQuery:
+        markers = markers_of(self.block_names(request, pool))
         now = self._clock()
         first_time = request.request_id not in self._dispatched
         observe = self._directory.observe
         depth = observe(markers, now) if first_time else self._directory.shared_depth(markers)
         if depth:
             self.reporter.note_used(markers[depth - 1])
-        return RoutingQuery(markers, depth, request.prompt_tokens, request.priority, now)
+        return RoutingQuery(
+            markers=markers,
+            shared_depth=depth,
+            prompt_tokens=request.prompt_tokens,
+            priority=request.priority,
+            now=now,
+            engine_ids=engine_ids,
+        )
 
     def _remember(
         self, request: RoutedRequest, query: RoutingQuery, decision: PolicyChoice
