--- /dev/null
+++ b/features/steps/promise_steps.py
@@ -0,0 +1,352 @@
+"""Steps that bring about one failure each and let a checker judge the history."""
+
+import asyncio
+import random
+import signal
+import time
+
+import orjson
+from behave import given, then, when
+
+from features.support import planned_requests, start_cluster
+from liftrill.bench.deployment import api_key
+from liftrill.bench.faults import checkers
+from liftrill.bench.faults.observations import (
+    Confirmation,
+    GenerationSample,
+    LeavingMark,
+    NodeStart,
+    PlannedStop,
+    RunHistory,
+)
+from liftrill.bench.idempotency_key import new_key
+from liftrill.bench.launcher import LaunchError, wait_until
+from liftrill.cli.operator_client import OperatorCallError
+from liftrill.mechanisms import ENVIRONMENT_NAME
+
+KEY_SOURCE = random.Random(5)
+CLAIM_MARGIN_SECONDS = 4.0
+LEAVING_SECONDS = 4.0
+# By then the records of the start have been gossiped as often as they will be.
+GOSSIP_QUIET_SECONDS = 8.0
+RESTART_LIMIT_SECONDS = 12.0
+
+
+@given("a cluster of {engines:d} engines and {nodes:d} nodes without {mechanism}")
+def step_cluster_without(context, engines, nodes, mechanism):
+    # Every node reads the store, so that no other one makes up for what it reads.
+    environment = {ENVIRONMENT_NAME: mechanism, "LIFTRILL_STORE_WATCHERS_PER_REGION": "3"}
+    start_cluster(context, engines, nodes, environment=environment)
+    context.run(context.cluster.configure())
+
+
+def history_of(context):
+    if not hasattr(context, "history"):
+        context.history = RunHistory()
+    return context.history
+
+
+async def call(context, node, planned, key=""):
+    target = context.cluster.nodes[node]
+    record = await context.caller.send(target.name, target.address, planned, key)
+    history_of(context).calls.append(record)
+    return record
+
+
+async def call_all(context, planned, keys=None, nodes=(0, 1, 2)):
+    keys = keys or [""] * len(planned)
+    calls = [
+        call(context, nodes[index % len(nodes)], request, key)
+        for index, (request, key) in enumerate(zip(planned, keys, strict=True))
+    ]
+    return await asyncio.gather(*calls)
+
+
+def streams(context, count, tokens=60):
+    return planned_requests(context, count, "folio-review", output_tokens=tokens)
+
+
+async def in_flight(context, count):
+    async def begun():
+        return len(context.cluster.executions()) >= count
+
+    await wait_until(begun, f"{count} executions")
+
+
+@when("the same keys go through two nodes at once")
+def step_two_nodes(context):
+    async def run():
+        await asyncio.sleep(CLAIM_MARGIN_SECONDS)
+        planned = planned_requests(context, 8, "depth-label")
+        keys = [new_key(KEY_SOURCE) for _ in planned]
+        await asyncio.gather(
+            call_all(context, planned, keys, [0]), call_all(context, planned, keys, [1])
+        )
+
+    context.run(run())
+
+
+@when("the same keys come again after all nodes restarted")
+def step_restarted(context):
+    async def run():
+        await asyncio.sleep(CLAIM_MARGIN_SECONDS)
+        planned = planned_requests(context, 6, "depth-label")
+        keys = [new_key(KEY_SOURCE) for _ in planned]
+        await call_all(context, planned, keys)
+        for node in context.cluster.nodes:
+            node.send_signal(signal.SIGKILL)
+            node.wait(10)
+            node.start()
+        for node in context.cluster.nodes:
+            await context.cluster.wait_ready(node)
+        await asyncio.sleep(1.0)
+        await call_all(context, planned, keys, [1, 2, 0])
+
+    context.run(run())
+
+
+@when("an engine is killed with requests in flight")
+def step_engine_killed(context):
+    async def run():
+        await asyncio.sleep(CLAIM_MARGIN_SECONDS)
+        planned = streams(context, 12)
+        keys = [new_key(KEY_SOURCE) if r.number % 2 else "" for r in planned]
+        calls = asyncio.create_task(call_all(context, planned, keys))
+        await in_flight(context, 12)
+        busiest = max(context.cluster.engines, key=lambda e: e.journal_path.stat().st_size)
+        busiest.managed.send_signal(signal.SIGKILL)
+        await calls
+
+    context.run(run())
+
+
+async def under_fault(context, planned, kind, **fault):
+    """Send requests while every engine has a fault."""
+    calls = asyncio.create_task(call_all(context, planned))
+    await in_flight(context, len(planned) // 2)
+    for engine in context.cluster.engines:
+        await context.cluster.engine_fault(engine, kind=kind, **fault)
+    await calls
+
+
+@when("the connections of an engine are cut")
+def step_cut(context):
+    context.run(under_fault(context, streams(context, 12), "cut_streams"))
+
+
+@when("an engine sends chunks of another request")
+def step_foreign(context):
+    async def run():
+        for engine in context.cluster.engines:
+            await context.cluster.engine_fault(engine, kind="foreign_answers", seconds=60)
+        await call_all(context, streams(context, 9, tokens=8))
+
+    context.run(run())
+
+
+@when("an engine repeats chunks")
+def step_repeated(context):
+    async def run():
+        for engine in context.cluster.engines:
+            await context.cluster.engine_fault(engine, kind="repeated_chunks", seconds=60)
+        await call_all(context, streams(context, 9, tokens=8))
+
+    context.run(run())
+
+
+@when("an engine changes its weights unasked")
+def step_weights_unasked(context):
+    async def run():
+        for engine in context.cluster.engines:
+            fault = {"kind": "load", "seconds": 0.0, "weight_version": "2026-12"}
+            await context.cluster.engine_fault(engine, **fault)
+            await call_all(context, streams(context, 9, tokens=4))
+
+    context.run(run())
+
+
+@when("engines crash between choice and arrival")
+def step_crash_race(context):
+    async def run():
+        for _ in range(6):
+            calls = asyncio.create_task(call_all(context, streams(context, 9, tokens=4)))
+            for engine in context.cluster.engines:
+                await context.cluster.engine_fault(engine, kind="crash")
+            await calls
+
+    context.run(run())
+
+
+@when("two tenants send the same prompts")
+def step_same_prompts(context):
+    async def run():
+        for _ in range(3):
+            await call_all(context, planned_requests(context, 24, "buoy-alert"))
+
+    context.run(run())
+
+
+async def sample(context):
+    history = history_of(context)
+    for index, node in enumerate(context.cluster.nodes):
+        status = await context.cluster.operator(index).call("GET", "/status")
+        row = GenerationSample(time.time(), node.name, 0, int(status["generation"]))
+        history.samples.append(row)
+
+
+async def confirm_tenant(context, node, tenant):
+    operator = context.cluster.operator(node)
+    intent = {"tenants": [{"name": tenant, "api_keys": [api_key(tenant)]}]}
+    plan = await operator.call("POST", "/intents", intent)
+    generation, code = 0, 0
+    try:
+        answer = await operator.call("POST", f"/plans/{plan['plan_id']}/confirm")
+        generation = answer["generation"]
+    except OperatorCallError as error:
+        code = error.code
+    row = Confirmation(time.time(), plan["base_generation"], generation, code, tenant)
+    history_of(context).confirmations.append(row)
+    return generation
+
+
+async def observe_configuration(context):
+    history = history_of(context)
+    for index, node in enumerate(context.cluster.nodes):
+        operator = context.cluster.operator(index)
+        history.final_generations[node.name] = (await operator.call("GET", "/status"))["generation"]
+        rows = (await operator.call("GET", "/history"))["confirmations"]
+        history.histories[node.name] = [row["summary"] for row in rows]
+
+
+async def wait_for_generation(context, generation):
+    async def everywhere():
+        await sample(context)
+        return all(s.generation >= generation for s in context.history.samples[-3:])
+
+    await wait_until(everywhere, f"generation {generation}")
+
+
+@when("the store goes back to an old copy")
+def step_restore(context):
+    async def run():
+        await context.cluster.platform_fault(kind="save")
+        generation = await confirm_tenant(context, 0, "tenant-9")
+        await wait_for_generation(context, generation)
+        await context.cluster.platform_fault(kind="restore")
+        for _ in range(20):
+            await sample(context)
+            await asyncio.sleep(0.1)
+        await observe_configuration(context)
+
+    context.run(run())
+
+
+@when("two operators confirm at once and answers are lost")
+def step_race(context):
+    async def run():
+        for number in range(4):
+            await context.cluster.platform_fault(kind="lose_answers", count=2)
+            generations = await asyncio.gather(
+                confirm_tenant(context, 0, f"left-{number}"),
+                confirm_tenant(context, 1, f"right-{number}"),
+            )
+            await context.cluster.platform_fault(kind="none")
+            await wait_for_generation(context, max(generations))
+        await observe_configuration(context)
+
+    context.run(run())
+
+
+@when("a node is stopped under load")
+def step_stop(context):
+    async def run():
+        planned = streams(context, 9)
+        calls = asyncio.create_task(call_all(context, planned))
+        await in_flight(context, 9)
+        node = context.cluster.nodes[0]
+        node.send_signal(signal.SIGTERM)
+        exit_code = await asyncio.to_thread(node.wait, 40)
+        history_of(context).planned_stops.append(PlannedStop(node.name, exit_code))
+        for record in await calls:
+            record.cut_by_planned_stop = bool(record.transport_error)
+
+    context.run(run())
+
+
+async def load_while_leaving(context, engine, marked_at):
+    history_of(context).leaving_marks.append(LeavingMark(engine.engine_id, marked_at))
+    until = time.monotonic() + LEAVING_SECONDS
+    while time.monotonic() < until:
+        await call_all(context, planned_requests(context, 12, "depth-label"))
+
+
+@when("an engine says that it leaves")
+def step_leaves(context):
+    async def run():
+        engine = context.cluster.engines[0]
+        # An engine that refuses by itself would hide what the nodes do.
+        await context.cluster.engine_fault(engine, kind="accept_while_leaving")
+        await load_while_leaving(context, engine, time.time())
+
+    context.run(run())
+
+
+@when("the machine list says that an engine leaves")
+def step_list_leaves(context):
+    async def run():
+        engine = context.cluster.engines[0]
+        await context.cluster.register_engine(engine, leaving=True)
+        await asyncio.sleep(context.cluster.machine_list_lag_seconds)
+        await load_while_leaving(context, engine, time.time())
+
+    context.run(run())
+
+
+@when("a node restarts while the platform is out")
+def step_restart_in_outage(context):
+    async def run():
+        await asyncio.sleep(GOSSIP_QUIET_SECONDS)
+        await context.cluster.platform_fault(kind="outage", seconds=600)
+        node = context.cluster.nodes[0]
+        node.send_signal(signal.SIGKILL)
+        node.wait(10)
+        started_at = time.monotonic()
+        node.start()
+        try:
+            await wait_until(lambda: answers(context, node), "an answer", RESTART_LIMIT_SECONDS)
+            elapsed = time.monotonic() - started_at
+        except LaunchError:
+            elapsed = None
+        history_of(context).node_starts.append(NodeStart(node.name, elapsed))
+
+    context.run(run())
+
+
+async def answers(context, node):
+    body = orjson.dumps({"model": "chart-reader", "prompt": "x", "max_tokens": 1})
+    headers = {"Authorization": f"Bearer {api_key('tenant-1')}"}
+    url = f"http://{node.address}/v1/completions"
+    async with context.cluster.session.post(url, data=body, headers=headers) as response:
+        return response.status == 200
+
+
+def verdict_of(context, promise):
+    history = history_of(context)
+    history.executions = context.cluster.executions()
+    history.reuses = context.cluster.reuses()
+    found = [v for v in checkers.check_all(history) if v.promise == promise]
+    assert len(found) == 1, promise
+    return found[0]
+
+
+@then('the checker of "{promise}" finds no violation')
+def step_no_violation(context, promise):
+    verdict = verdict_of(context, promise)
+    assert verdict.checked > 0 or promise == "not run means not run", verdict
+    assert not verdict.violations, verdict
+
+
+@then('the checker of "{promise}" finds a violation')
+def step_violation(context, promise):
+    verdict = verdict_of(context, promise)
+    assert verdict.violations, verdict
--- a/liftrill/bench/caller.py
+++ b/liftrill/bench/caller.py
@@ -46,6 +46,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             record.transport_error = repr(error)
         record.ended_at = time.monotonic()
+        record.answered_at_unix = time.time()
         self._check(record, planned)
         return record
 
--- a/liftrill/bench/faults/inject.py
+++ b/liftrill/bench/faults/inject.py
@@ -45,6 +45,7 @@
             FaultAction.ENGINE_FREEZE: self._engine_fault("freeze"),
             FaultAction.ENGINE_CUT_STREAMS: self._engine_fault("cut_streams"),
             FaultAction.ENGINE_FOREIGN_ANSWERS: self._engine_fault("foreign_answers"),
+            FaultAction.ENGINE_REPEATED_CHUNKS: self._engine_fault("repeated_chunks"),
             FaultAction.ENGINE_EVENT_LOSS: self._engine_fault("event_loss"),
             FaultAction.ENGINE_LEAVES: self._engine_leaves,
             FaultAction.MACHINE_LIST_LEAVING: self._machine_list_leaving,
--- a/liftrill/bench/faults/schedule.py
+++ b/liftrill/bench/faults/schedule.py
@@ -13,6 +13,7 @@
     ENGINE_FREEZE = "engine_freeze"
     ENGINE_CUT_STREAMS = "engine_cut_streams"
     ENGINE_FOREIGN_ANSWERS = "engine_foreign_answers"
+    ENGINE_REPEATED_CHUNKS = "engine_repeated_chunks"
     ENGINE_EVENT_LOSS = "engine_event_loss"
     ENGINE_LEAVES = "engine_leaves"
     MACHINE_LIST_LEAVING = "machine_list_leaving"
--- a/liftrill/bench/history.py
+++ b/liftrill/bench/history.py
@@ -10,9 +10,10 @@
 
 @dataclass(slots=True)
 class CallRecord:
-    """One request as its caller saw it. Times are seconds on the caller's clock.
+    """One request as its caller saw it. Times are seconds on the caller's monotonic clock.
 
     Attributes:
+        answered_at_unix: Unix time of the answer, to compare with the engines' journals.
         execution: what the answer said: not-run, ran or unknown; empty without an answer.
         text: all output received.
         reusable_tokens: prompt tokens that an unlimited cache would have had.
@@ -40,6 +41,7 @@
     complete: bool = False
     transport_error: str = ""
     retry_after: str = ""
+    answered_at_unix: float = 0.0
     cut_by_planned_stop: bool = False
     submission: int = 0
     problems: list[str] = field(default_factory=list)
--- a/liftrill/emulator/engine_model.py
+++ b/liftrill/emulator/engine_model.py
@@ -77,6 +77,7 @@
         self.incarnation = incarnation
         self.revision = 0
         self._leaving = False
+        self.accepts_while_leaving = False
         self.loading_until: float | None = None
         self._loading_version = ""
         self._highest_fence = 0
@@ -228,7 +229,7 @@
                 request.incarnation not in (None, self.incarnation),
                 RefusalReason.INCARNATION_MISMATCH,
             ),
-            (self.leaving, RefusalReason.LEAVING),
+            (self.leaving and not self.accepts_while_leaving, RefusalReason.LEAVING),
             (self.loading_until is not None, RefusalReason.LOADING),
             (
                 request.weight_version not in (None, self.weight_version),
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -61,6 +61,7 @@
         self._wake = asyncio.Event()
         self._frozen_until = 0.0
         self._foreign_until = 0.0
+        self._repeated_until = 0.0
         self._recent_events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
         self._journal: TextIO | None = journal_path.open("a") if journal_path else None
         self._driver: asyncio.Task[None] | None = None
@@ -233,7 +234,7 @@
         fault = EngineFault.model_validate_json(await request.read())
         now = time.monotonic()
         if fault.kind == "none":
-            self._frozen_until = self._foreign_until = 0.0
+            self._frozen_until = self._foreign_until = self._repeated_until = 0.0
             self._model.set_leaving(False)
         elif fault.kind == "crash":
             self._model.crash(_new_incarnation())
@@ -245,10 +246,13 @@
             self._cut_streams()
         elif fault.kind == "foreign_answers":
             self._foreign_until = now + fault.seconds
+        elif fault.kind == "repeated_chunks":
+            self._repeated_until = now + fault.seconds
         elif fault.kind == "event_loss":
             self._model.cache.event_loss_share = fault.share
-        elif fault.kind == "leave":
+        elif fault.kind in ("leave", "accept_while_leaving"):
             self._model.set_leaving(True)
+            self._model.accepts_while_leaving = fault.kind == "accept_while_leaving"
         else:
             self._model.order_weights(fault.weight_version, 0, now + fault.seconds)
         self._wake.set()
@@ -306,7 +310,9 @@
                 raise ConnectionResetError("stream cut")
             if isinstance(output, TokenProduced) and output.index < next_index:
                 continue
-            await response.write(self._chunk(generation, output))
+            chunk = self._chunk(generation, output)
+            repeats = 2 if time.monotonic() < self._repeated_until else 1
+            await response.write(chunk * repeats)
             if isinstance(output, GenerationFinished):
                 await response.write(b"data: [DONE]\n\n")
                 return
--- a/liftrill/mechanisms.py
+++ b/liftrill/mechanisms.py
@@ -24,6 +24,7 @@
     DRAIN = "drain"
     LEAVING_MARKS = "leaving_marks"
     PEER_SNAPSHOT = "peer_snapshot"
+    PRECONDITIONS = "preconditions"
 
 
 def _disabled() -> frozenset[Mechanism]:
--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -9,6 +9,7 @@
 from liftrill.coordination.key_value_store import KeyValueStore
 from liftrill.coordination.membership import Member
 from liftrill.errors import ConfigurationError, StoreError, StoreUnavailableError
+from liftrill.mechanisms import Mechanism, is_enabled
 from liftrill.messages import configuration_pb2 as messages
 from liftrill.messages.peer_pb2 import Snapshot
 from liftrill.node.context import NodeContext
@@ -108,7 +109,8 @@
                 wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
 
     async def _offer_from_store(self, head: messages.Head) -> None:
-        if head.generation < self._context.replica.generation:
+        is_old = head.generation < self._context.replica.generation
+        if is_old and is_enabled(Mechanism.GENERATION_ORDER):
             await self._repair_store()
             return
         await self.offer(head)
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -11,6 +11,7 @@
 from liftrill import constants
 from liftrill.cache.event_stream import BlockEvent
 from liftrill.errors import LiftrillError
+from liftrill.mechanisms import Mechanism, is_enabled
 from liftrill.planning.rollout import LoadWeightsOrder
 from liftrill.routing import events
 from liftrill.routing.engine_state import EngineIdentity, EngineReport, EngineState
@@ -225,6 +226,7 @@
         self, request: RoutedRequest, instruction: events.StartAttempt
     ) -> dict[str, object]:
         scope = request.scope(instruction.adapter, instruction.weight_version)
+        conditional = is_enabled(Mechanism.PRECONDITIONS)
         return {
             "model": request.model,
             "prompt": request.prompt.decode() + instruction.delivered_text,
@@ -235,8 +237,8 @@
             "request_id": request.request_id,
             "attempt_id": instruction.attempt_id,
             "start_index": instruction.start_index,
-            "incarnation": instruction.incarnation,
-            "weight_version": instruction.weight_version,
+            "incarnation": instruction.incarnation if conditional else None,
+            "weight_version": instruction.weight_version if conditional else None,
             "idempotency_key": request.idempotency_key,
             "user": request.tenant,
             "import_candidates": [name.hex() for name in instruction.import_candidates],
