--- /dev/null
+++ b/features/steps/command_line_steps.py
@@ -0,0 +1,123 @@
+"""Steps about commands and settings."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+
+from liftrill.bench.deployment import load_deployment
+from liftrill.bench.simulation.scenario import load_scenario
+from liftrill.cli.errors import error_table
+from liftrill.errors import SettingsError
+
+GOOD = {
+    "node_id": '"n"',
+    "zone": '"z"',
+    "listen": '"127.0.0.1:0"',
+    "peer_listen": '"127.0.0.1:0"',
+    "platform": '"http://127.0.0.1:1"',
+    "operator_key": '"operator-key"',
+    "shared_keys": '["shared"]',
+    "cache_secret": '"0123456789abcdef"',
+}
+FAULTS = {
+    "nothing wrong": {},
+    "an unknown key": {"colour": '"blue"'},
+    "a wrong address": {"listen": '"nowhere"'},
+    "a missing key": {"platform": None},
+    "a wrong policy": {"policy": '"best"'},
+    "text that is no TOML": {"zone": "= ="},
+    "a negative grace time": {"drain_grace_seconds": "-1"},
+}
+COMMANDS = (
+    ["node"],
+    ["intent"],
+    ["plan", "list"],
+    ["plan", "show"],
+    ["plan", "confirm"],
+    ["plan", "discard"],
+    ["plan", "history"],
+    ["status"],
+    ["explain"],
+    ["demo"],
+    ["bench", "overhead"],
+    ["bench", "faults"],
+    ["bench", "compare"],
+    ["bench", "decision"],
+    ["bench", "scale"],
+    ["emulate", "engine"],
+    ["emulate", "platform"],
+    ["emulate", "kept-store"],
+    ["errors"],
+)
+
+
+def run(*arguments):
+    return subprocess.run(
+        [sys.executable, "-m", "liftrill", *arguments], capture_output=True, text=True, timeout=60
+    )
+
+
+@given("a settings file with {fault}")
+def step_settings(context, fault):
+    values = {**GOOD, **FAULTS[fault]}
+    lines = [f"{key} = {value}" for key, value in values.items() if value is not None]
+    context.settings = context.directory / "node.toml"
+    context.settings.write_text("\n".join(lines))
+
+
+@when("the node is started with it")
+def step_start(context):
+    context.result = run("node", f"--settings={context.settings}")
+
+
+@when("the node is started with it and {flag}")
+def step_start_with_flag(context, flag):
+    context.result = run("node", f"--settings={context.settings}", flag)
+
+
+@then('it ends with exit code {code:d} and one line that names "{named}"')
+def step_ends(context, code, named):
+    assert context.result.returncode == code, context.result
+    lines = context.result.stderr.strip().splitlines()
+    assert len(lines) == 1 and named in lines[0], lines
+
+
+@then("the help of every command reads well")
+def step_help(context):
+    for command in COMMANDS:
+        result = run(*command, "--help")
+        assert result.returncode == 0, result
+        assert "usage: liftrill" in result.stdout, command
+        assert ":param" not in result.stdout, command
+        assert any(line.endswith(".") for line in result.stdout.splitlines()), command
+
+
+@then("docs/ERRORS.md is what liftrill errors prints")
+def step_errors(context):
+    assert Path("docs/ERRORS.md").read_text() == error_table(), "run `make errors`"
+
+
+@then("a scenario file with an unknown key is refused by name")
+def step_unknown_key(context):
+    text = Path("scenarios/quiet-day.toml").read_text()
+    path = context.directory / "wrong.toml"
+    path.write_text(text + "\nstorm = 3\n")
+    try:
+        load_scenario(str(path))
+    except SettingsError as error:
+        assert "storm" in str(error), error
+    else:
+        raise AssertionError("it was accepted")
+
+
+@then("every file under scenarios and deployments loads")
+def step_all_load(context):
+    scenarios = sorted(Path("scenarios").glob("*.toml"))
+    deployments = sorted(Path("deployments").glob("*.toml"))
+    assert scenarios and deployments
+    for path in scenarios:
+        load_scenario(str(path))
+    for path in deployments:
+        load_deployment(str(path))
--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -114,6 +114,7 @@
 
     async def __aenter__(self) -> "Cluster":
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._stop_when_terminated()
         try:
             await self._start()
         except BaseException:
@@ -194,6 +195,12 @@
                 rows.extend(orjson.loads(line) for line in lines if line.endswith(b"}"))
         return rows
 
+    def _stop_when_terminated(self) -> None:
+        """Let SIGTERM end the launcher as an error would, so that its processes end too."""
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
     async def _start(self) -> None:
         self._plan_processes()
         for process in self.processes:
--- /dev/null
+++ b/liftrill/bench/scale/hollow_node.py
@@ -0,0 +1,266 @@
+"""A node without callers: membership, configuration, engine records and watching."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+from liftrill import constants
+from liftrill.bench.scale.network import Network, Place
+from liftrill.bench.simulation.clock import VirtualClock
+from liftrill.coordination.configuration import (
+    Adoption,
+    ConfigurationReplica,
+    Head,
+)
+from liftrill.coordination.membership import (
+    DatagramReceived,
+    Member,
+    MemberChanged,
+    Membership,
+    MembershipInstruction,
+    MembershipParameters,
+    NewerGenerationHeard,
+    SendDatagram,
+    Ticked,
+)
+from liftrill.node.gossip_codec import GossipPacket, decode_packet, encode_packet
+from liftrill.routing.engine_records import EngineObservation, EngineRecords
+from liftrill.routing.engine_state import EngineIdentity, EngineTable
+from liftrill.routing.watch_assignment import watched_engines
+
+SHARED_KEY = b"scale-bench"
+UDP_HEADER_BYTES = 28
+HTTP_OVERHEAD_BYTES = 350
+REPORT_BYTES = 450
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Bytes of one node by kind, sent and received together."""
+
+    gossip: int = 0
+    configuration: int = 0
+    reports: int = 0
+
+    @property
+    def total(self) -> int:
+        """All bytes."""
+        return self.gossip + self.configuration + self.reports
+
+
+@dataclass(slots=True)
+class HollowEngine:
+    """An engine that only has an identity."""
+
+    engine_id: str
+    identity: EngineIdentity
+
+
+@dataclass(slots=True)
+class ChangeLog:
+    """When each node first knew of something."""
+
+    generation_at: dict[int, float] = field(default_factory=dict)
+    dead_at: dict[str, float] = field(default_factory=dict)
+    leaving_at: dict[str, float] = field(default_factory=dict)
+    suspicions: int = 0
+
+
+class HollowNode:
+    """One hollow node in virtual time. Processor time is real, of this process."""
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        network: Network,
+        node_id: str,
+        place: Place,
+        seeds: list[str],
+        engines: dict[str, HollowEngine],
+        parameters: MembershipParameters,
+        seed: int,
+    ) -> None:
+        self.node_id = node_id
+        self.address = node_id
+        self.place = place
+        self.traffic = Traffic()
+        self.log = ChangeLog()
+        self.processor_seconds = 0.0
+        self.alive = True
+        self.table = EngineTable()
+        self.records = EngineRecords(self.table, constants.GOSSIP_RETRANSMISSION_FACTOR)
+        self.replica = ConfigurationReplica()
+        self._clock = clock
+        self._network = network
+        self._engines = engines
+        self._random = random.Random(seed)
+        own = Member(node_id, node_id, place.region, place.zone, int(clock.now() * 1000) + 1)
+        self.membership = Membership(own, seeds, parameters, self._random)
+        self._peers: dict[str, HollowNode] = {}
+        self._pulling = False
+        self._watched: list[str] = []
+        network.attach(self.address, place, self._receive)
+
+    def start(self, peers: "dict[str, HollowNode]") -> None:
+        """Begin to tick and to watch engines."""
+        self._peers = peers
+        self._clock.call_later(self._random.random() * 0.1, self._tick)
+        self._clock.call_later(self._random.random(), self._watch)
+        self._clock.call_later(self._random.random(), self._assign)
+
+    def kill(self) -> None:
+        """Stop at once, without a word."""
+        self.alive = False
+        self._network.detach(self.address)
+
+    def commit(self, head: Head, sections: dict[bytes, bytes]) -> None:
+        """Adopt a configuration as the node that confirmed it."""
+        self.replica.offer_head(head)
+        for digest, content in sections.items():
+            self.replica.offer_section(digest, content)
+        self._on_adopted()
+
+    # Membership
+
+    def _tick(self) -> None:
+        if not self.alive:
+            return
+        started_at = time.process_time()
+        self._carry_out(self.membership.handle(Ticked(), self._clock.now()))
+        self.processor_seconds += time.process_time() - started_at
+        self._clock.call_later(constants.GOSSIP_TICK_SECONDS, self._tick)
+
+    def _receive(self, data: bytes, source: str) -> None:
+        if not self.alive:
+            return
+        started_at = time.process_time()
+        self.traffic.gossip += len(data) + UDP_HEADER_BYTES
+        packet = decode_packet(data, [SHARED_KEY])
+        if self.records.offer_listings(packet.listings):
+            self.membership.request_announcement()
+        for observation in packet.observations:
+            self._take_observation(observation)
+        event = DatagramReceived(source, packet.datagram)
+        self._carry_out(self.membership.handle(event, self._clock.now()))
+        self.processor_seconds += time.process_time() - started_at
+
+    def _carry_out(self, instructions: list[MembershipInstruction]) -> None:
+        for instruction in instructions:
+            if isinstance(instruction, SendDatagram):
+                self._send(instruction)
+            elif isinstance(instruction, MemberChanged):
+                self._note_member(instruction.member)
+            elif isinstance(instruction, NewerGenerationHeard):
+                self._pull(instruction.address)
+
+    def _send(self, instruction: SendDatagram) -> None:
+        count = constants.GOSSIP_RECORDS_PER_DATAGRAM
+        members = len(self.membership.members())
+        packet = GossipPacket(
+            instruction.datagram,
+            tuple(self.records.take_listings(count, members)),
+            tuple(self.records.take_observations(count, members)),
+        )
+        data = encode_packet(packet, SHARED_KEY)
+        self.traffic.gossip += len(data) + UDP_HEADER_BYTES
+        self._network.send(self.address, instruction.address, data)
+
+    def _note_member(self, member: Member) -> None:
+        if member.condition.name == "SUSPECT":
+            self.log.suspicions += 1
+        if member.condition.name == "DEAD":
+            self.log.dead_at.setdefault(member.node_id, self._clock.now())
+
+    # Configuration
+
+    def _pull(self, address: str) -> None:
+        """Fetch head and missing sections from a peer, as two calls."""
+        if self._pulling or not self._network.is_reachable(self.address, address):
+            return
+        self._pulling = True
+        peer = self._peers[address]
+        delay = 2 * self._network.delay(self.address, address)
+        self._clock.call_later(delay, lambda: self._take_head(peer, delay))
+
+    def _take_head(self, peer: "HollowNode", delay: float) -> None:
+        if peer.replica.current is None:
+            self._pulling = False
+            return
+        head = peer.replica.current.head
+        self._count_transfer(peer, head_bytes(head))
+        adoption = self.replica.offer_head(head)
+        if adoption is Adoption.INCOMPLETE:
+            self._clock.call_later(delay, lambda: self._take_sections(peer))
+            return
+        self._finish_pull()
+
+    def _take_sections(self, peer: "HollowNode") -> None:
+        for digest in self.replica.wanted_digests:
+            content = peer.replica.section_by_digest(digest)
+            if content is not None:
+                self._count_transfer(peer, len(content))
+                self.replica.offer_section(digest, content)
+        self._finish_pull()
+
+    def _finish_pull(self) -> None:
+        self._pulling = False
+        if self.replica.generation > self.membership.generation:
+            self._on_adopted()
+
+    def _on_adopted(self) -> None:
+        generation = self.replica.generation
+        self.membership.generation = generation
+        self.log.generation_at.setdefault(generation, self._clock.now())
+        self._carry_out(self.membership.announce())
+
+    def _count_transfer(self, peer: "HollowNode", content_bytes: int) -> None:
+        transferred = content_bytes + HTTP_OVERHEAD_BYTES
+        self.traffic.configuration += transferred
+        peer.traffic.configuration += transferred
+
+    # Engines
+
+    def _assign(self) -> None:
+        """Find the engines to watch again, as members come and go."""
+        if not self.alive:
+            return
+        started_at = time.process_time()
+        members = [m.node_id for m in self.membership.members() if m.region == self.place.region]
+        engines = [e for e in self._engines if e.startswith(f"{self.place.region}/")]
+        self._watched = watched_engines(self.node_id, members, engines)
+        self.processor_seconds += time.process_time() - started_at
+        self._clock.call_later(constants.WATCH_ASSIGNMENT_SECONDS, self._assign)
+
+    def _watch(self) -> None:
+        """Renew the blocking queries on the own engines; each costs a report."""
+        if not self.alive:
+            return
+        self.traffic.reports += REPORT_BYTES * len(self._watched)
+        self.traffic.reports += REPORT_BYTES * self._extra_reports_per_watch()
+        self._clock.call_later(constants.ENGINE_WATCH_SECONDS, self._watch)
+
+    @staticmethod
+    def _extra_reports_per_watch() -> int:
+        rate = constants.ENGINE_EXTRA_REPORTS / constants.ENGINE_REPORT_INTERVAL_SECONDS
+        return int(rate * constants.ENGINE_WATCH_SECONDS)
+
+    def hear_of_change(self, engine: HollowEngine) -> None:
+        """Get the answer of a blocking query, if this node watches the engine."""
+        if self.alive and engine.engine_id in self._watched:
+            self.traffic.reports += REPORT_BYTES
+            observation = EngineObservation(engine.engine_id, engine.identity)
+            self._clock.call_later(0.001, lambda: self._take_observation(observation))
+
+    def _take_observation(self, observation: EngineObservation) -> None:
+        if not self.records.offer_observation(observation):
+            return
+        self.membership.request_announcement()
+        if observation.identity.leaving:
+            self.log.leaving_at.setdefault(observation.engine_id, self._clock.now())
+
+
+def head_bytes(head: Head) -> int:
+    """Return the size of a head as it is sent: digests, names and confirmations."""
+    digests = sum(len(name) + len(digest) + 6 for name, digest in head.section_digests.items())
+    confirmation = 40 + constants.CONFIRMATION_SUMMARY_CHARACTERS
+    return digests + constants.CONFIRMATIONS_KEPT * confirmation
--- a/liftrill/bench/simulation/node.py
+++ b/liftrill/bench/simulation/node.py
@@ -226,9 +226,18 @@
             self._clock.call_later(delay, lambda: self._feed(opened, event))
 
         reason = engine.submit(generation, on_output, on_lost)
-        if reason is not None:
+        if reason is None:
+            self._clock.call_later(delay, lambda: self._take_load(engine))
+        else:
             self._clock.call_later(delay, lambda: self._refuse(opened, attempt_id, reason, engine))
 
+    def _take_load(self, engine: SimulatedEngine) -> None:
+        """Take in the load that an engine tells with its answer."""
+        state = self.router.engines.get(engine.engine_id)
+        report = engine.report()
+        if state is not None:
+            state.apply_load(report.running, report.waiting, report.waiting_prompt_tokens)
+
     def _refuse(
         self,
         opened: OpenRequest,
--- a/liftrill/bench/simulation/simulator.py
+++ b/liftrill/bench/simulation/simulator.py
@@ -138,10 +138,7 @@
 
     def _watch(self, node: SimulatedNode, own: list[SimulatedEngine]) -> None:
         extra = min(constants.ENGINE_EXTRA_REPORTS, len(self._engines))
-        asked = {engine.engine_id: engine for engine in own}
         for engine in self._random.sample(self._engines, extra):
-            asked[engine.engine_id] = engine
-        for engine in asked.values():
             node.poll_report(engine)
         for engine in own:
             node.read_events(engine)
--- a/liftrill/cli/bench.py
+++ b/liftrill/cli/bench.py
@@ -10,6 +10,7 @@
 from liftrill.bench.decision import measure_decisions
 from liftrill.bench.faults.run import format_faults, run_faults
 from liftrill.bench.overhead import format_overhead, measure_overhead
+from liftrill.bench.scale.run import format_scale, run_scale
 from liftrill.bench.simulation.compare import BASELINES, format_comparison
 from liftrill.bench.simulation.compare import compare as run_comparison
 from liftrill.bench.simulation.scenario import load_scenario
@@ -91,6 +92,26 @@
     _print(result.as_json(), format_comparison(result), json)
 
 
+def scale(
+    *,
+    nodes: int = 350,
+    engines: int = 2400,
+    seed: int = 1,
+    loss: float = 0.05,
+    json: bool = False,
+) -> None:
+    """Run hollow nodes in virtual time and measure what coordination costs each.
+
+    :param nodes: hollow nodes, over 6 regions and 22 zones
+    :param engines: engines that they watch
+    :param seed: seed of everything random
+    :param loss: share of gossip datagrams that are lost
+    :param json: print JSON
+    """
+    result = run_scale(nodes, engines, seed, loss)
+    _print(asdict(result), format_scale(result), json)
+
+
 def decision(
     *,
     engines: int = 400,
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -28,6 +28,7 @@
         "faults": bench.faults,
         "compare": bench.compare,
         "decision": bench.decision,
+        "scale": bench.scale,
     },
     "emulate": {
         "engine": emulate.engine,
--- a/liftrill/coordination/configuration.py
+++ b/liftrill/coordination/configuration.py
@@ -15,11 +15,12 @@
 from liftrill.errors import ConfigurationError
 from liftrill.mechanisms import Mechanism, is_enabled
 
-DIGEST_BYTES = 32
+# Operators are trusted: what matters is that nobody finds a second content for a digest.
+DIGEST_BYTES = 16
 
 
 def content_digest(content: bytes) -> bytes:
-    """Return the BLAKE2b-256 digest that names a section's content."""
+    """Return the BLAKE2b-128 digest that names a section's content."""
     return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
 
 
@@ -115,6 +116,7 @@
             return Adoption.INCOMPLETE
         sections = {name: self._contents[d] for name, d in head.section_digests.items()}
         self.current = Configuration(head, MappingProxyType(sections))
+        # Only what is in force is kept; unchanged sections need not be fetched again.
         self._contents = {d: self._contents[d] for d in head.section_digests.values()}
         self._pending = None
         return Adoption.ADOPTED
--- a/liftrill/coordination/membership.py
+++ b/liftrill/coordination/membership.py
@@ -6,6 +6,7 @@
 that two sides of a healed cut find each other without a restart.
 """
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -13,6 +14,9 @@
 
 from liftrill.coordination.dissemination import RumourTable
 
+# The suspicion time holds for up to two to this power members, and grows beyond.
+SUSPICION_DOUBLINGS = 4.0
+
 
 class Condition(IntEnum):
     """What is believed of a member; at equal incarnations the higher one wins."""
@@ -128,6 +132,8 @@
     """Timing, in seconds, and counts.
 
     Attributes:
+        records_for_newcomer: members told at once to one that tells of itself.
+        sampled_records: members picked at random that ride on each ping.
         remote_probe_share: share of probes that go to other regions.
         revival_probe_share: share of probes that go to dead members and seeds.
     """
@@ -138,8 +144,11 @@
     dead_retention: float = 7_200.0
     indirect_probes: int = 3
     records_per_datagram: int = 8
-    retransmission_factor: int = 3
+    retransmission_factor: int = 2
+    records_for_newcomer: int = 12
+    sampled_records: int = 1
     announcement_fanout: int = 4
+    announcement_spacing: float = 0.2
     remote_probe_share: float = 0.1
     revival_probe_share: float = 0.1
 
@@ -186,6 +195,8 @@
         self._sequence = random_source.getrandbits(48)
         self._next_probe_at = 0.0
         self._round: list[str] = []
+        self._announcement_requested = False
+        self._announced_at = -math.inf
 
     @property
     def own(self) -> Member:
@@ -223,6 +234,14 @@
         count = min(self._parameters.announcement_fanout, len(others))
         return [self._ping(m.address) for m in self._random.sample(others, count)]
 
+    def request_announcement(self) -> None:
+        """Tell a few members soon: what rides on the datagrams is news to this node.
+
+        News that every receiver passes on at once reaches all in a few hops. Requests
+        that come close together share one announcement.
+        """
+        self._announcement_requested = True
+
     def depart(self) -> list[MembershipInstruction]:
         """Return pings that tell a few members that this node leaves."""
         self._own = replace(self._own, condition=Condition.DEPARTED)
@@ -235,6 +254,7 @@
         instructions = self._check_probes(now)
         instructions.extend(self._check_suspicions(now))
         self._forget_dead(now)
+        instructions.extend(self._announce_requested(now))
         if now >= self._next_probe_at:
             self._next_probe_at = now + self._parameters.probe_interval
             instructions.extend(self._start_probe(now))
@@ -257,9 +277,19 @@
         body = Acknowledgement(self._own.node_id)
         # A sender that is held for suspect or dead is told so, and can refute.
         told = self._table.get(event.datagram.sender)
-        extra = (told,) if told and told.condition is not Condition.ALIVE else ()
+        extra: tuple[Member, ...] = ()
+        if told is not None and told.condition is not Condition.ALIVE:
+            extra = (told,)
+        if any(member.node_id == event.datagram.sender for member in event.datagram.members):
+            # A member that tells of itself has just joined, restarted or come back.
+            extra += tuple(self._sample(self._parameters.records_for_newcomer))
         return self._send(event.source_address, event.datagram.sequence, body, extra)
 
+    def _sample(self, count: int) -> list[Member]:
+        """Return a few live members at random, so that views agree in the end."""
+        members = self.members()
+        return self._random.sample(members, min(count, len(members)))
+
     def _relay(
         self, event: DatagramReceived, target: str, now: float
     ) -> list[MembershipInstruction]:
@@ -281,6 +311,14 @@
             return []
         return [self._send(relay.address, relay.sequence, Acknowledgement(subject))]
 
+    def _announce_requested(self, now: float) -> list[MembershipInstruction]:
+        spacing = self._parameters.announcement_spacing
+        if not self._announcement_requested or now - self._announced_at < spacing:
+            return []
+        self._announcement_requested = False
+        self._announced_at = now
+        return self.announce()
+
     # Probing
 
     def _start_probe(self, now: float) -> list[MembershipInstruction]:
@@ -326,11 +364,17 @@
                 instructions.extend(self._suspect(probe.target, now))
             elif elapsed >= self._parameters.probe_timeout and not probe.indirect_sent:
                 probe.indirect_sent = True
-                instructions.extend(self._probe_indirectly(sequence, probe.target))
+                instructions.extend(self._probe_again(sequence, probe.target))
         for sequence in [s for s, relay in self._relays.items() if relay.expires_at <= now]:
             del self._relays[sequence]
         return instructions
 
+    def _probe_again(self, sequence: int, target: str) -> list[MembershipInstruction]:
+        """Ping once more, and through others, in case the way between the two is bad."""
+        member = self._table.get(target)
+        direct = [self._send(member.address, sequence, Ping())] if member else []
+        return [*direct, *self._probe_indirectly(sequence, target)]
+
     def _probe_indirectly(self, sequence: int, target: str) -> list[MembershipInstruction]:
         excluded = (self._own.node_id, target)
         others = [m for m in self.members() if m.node_id not in excluded]
@@ -344,10 +388,17 @@
         member = self._table.get(node_id)
         if member is None or member.condition is not Condition.ALIVE:
             return []
-        return self._merge_member(replace(member, condition=Condition.SUSPECT), now)
+        suspect = replace(member, condition=Condition.SUSPECT)
+        # It is told at once, so that its refutation has most of the time to spread.
+        return [*self._merge_member(suspect, now), self._ping(member.address, (suspect,))]
+
+    def _suspicion_time(self) -> float:
+        """Return how long a suspect may refute: rumours take longer among more members."""
+        doublings = math.log2(len(self._table) + 1)
+        return self._parameters.suspicion_time * max(1.0, doublings / SUSPICION_DOUBLINGS)
 
     def _check_suspicions(self, now: float) -> list[MembershipInstruction]:
-        limit = now - self._parameters.suspicion_time
+        limit = now - self._suspicion_time()
         expired = [node_id for node_id, at in self._suspected_at.items() if at <= limit]
         instructions: list[MembershipInstruction] = []
         for node_id in expired:
@@ -365,6 +416,7 @@
     def _merge_member(self, member: Member, now: float) -> list[MembershipInstruction]:
         if member.node_id == self._own.node_id:
             return self._defend_own(member)
+        member = self._completed(member)
         if not self._table.offer(member.node_id, member.version, member):
             return []
         self._suspected_at.pop(member.node_id, None)
@@ -375,16 +427,30 @@
             self._dead_at[member.node_id] = now
         return [MemberChanged(member)]
 
+    def _completed(self, member: Member) -> Member:
+        """Return a record with the place of its member, which a short one leaves out."""
+        known = self._table.get(member.node_id)
+        if member.address or known is None:
+            return member
+        return replace(known, incarnation=member.incarnation, condition=member.condition)
+
     def _defend_own(self, claimed: Member) -> list[MembershipInstruction]:
         """Refute a record about this node that is not its own word."""
         if claimed.version <= self._own.version or self._own.condition is Condition.DEPARTED:
             return []
         self._own = replace(self._own, incarnation=claimed.incarnation + 1)
         self._table.offer(self._own.node_id, self._own.version, self._own)
-        return []
+        return self.announce()
 
     # Messages
 
+    @staticmethod
+    def _short(member: Member) -> Member:
+        """Leave out a suspect's or dead member's place: who cares about it knows it."""
+        if member.condition is Condition.ALIVE:
+            return member
+        return replace(member, address="", region="", zone="")
+
     def _ping(self, address: str, extra: tuple[Member, ...] = ()) -> SendDatagram:
         self._sequence += 1
         return self._send(address, self._sequence, Ping(), extra)
@@ -393,7 +459,9 @@
         self, address: str, sequence: int, body: Body, extra: tuple[Member, ...] = ()
     ) -> SendDatagram:
         count = self._parameters.records_per_datagram
-        records = self._table.take(count, len(self._table))
-        members = (*extra, *records)
+        taken = self._table.take(count, len(self._table))
+        records = [self._short(record) for record in taken]
+        sample = self._sample(self._parameters.sampled_records) if isinstance(body, Ping) else []
+        members = (*extra, *records, *sample)
         datagram = Datagram(self._own.node_id, sequence, body, members, self.generation)
         return SendDatagram(address, datagram)
--- a/liftrill/coordination/retry_budget.py
+++ b/liftrill/coordination/retry_budget.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass, field
 
+# Shares such as 0.1 do not add up to exactly 1.
+ROUNDING = 1e-9
+
 
 @dataclass(slots=True)
 class RetryBudget:
@@ -30,7 +33,7 @@
 
     def try_spend(self) -> bool:
         """Spend one retry, or return False if the balance is below one."""
-        if self._balance < 1.0:
+        if self._balance < 1.0 - ROUNDING:
             return False
         self._balance -= 1.0
         return True
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -36,6 +36,7 @@
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 IDLE_TICK_SECONDS = 0.5
 EVENTS_KEPT = 20_000
+LONGEST_WAIT_SECONDS = 60.0
 
 
 class EngineServer:
@@ -59,6 +60,7 @@
         self._model = EngineModel(parameters, weight_version, _new_incarnation(), seed)
         self._readers: dict[str, asyncio.Queue[EngineOutput | None]] = {}
         self._wake = asyncio.Event()
+        self._identity_changed = asyncio.Condition()
         self._frozen_until = 0.0
         self._foreign_until = 0.0
         self._repeated_until = 0.0
@@ -103,8 +105,11 @@
             if now < self._frozen_until:
                 await asyncio.sleep(self._frozen_until - now)
                 continue
+            revision = self._model.revision
             for output in self._model.advance(now):
                 self._route(output)
+            if self._model.revision != revision:
+                await self._notify_identity()
             await self._wait_for_work(self._model.next_time())
 
     async def _wait_for_work(self, due: float | None) -> None:
@@ -200,9 +205,13 @@
             ready_at = time.monotonic() + self._weight_load_seconds
             reason = self._model.order_weights(order.weight_version, order.fence, ready_at)
         self._wake.set()
+        await self._notify_identity()
         return self._refused(reason) if reason else _json({"accepted": True})
 
-    async def _status(self, _: web.Request) -> web.Response:
+    async def _status(self, request: web.Request) -> web.Response:
+        """Answer at once, or, with `wait`, when the identity differs from the one named."""
+        if "wait" in request.query:
+            await self._wait_for_identity_change(request)
         report = self._model.report(time.monotonic())
         return _json(
             {
@@ -220,6 +229,24 @@
             }
         )
 
+    async def _wait_for_identity_change(self, request: web.Request) -> None:
+        known = (int(request.query["incarnation"]), int(request.query["revision"]))
+        deadline = time.monotonic() + min(float(request.query["wait"]), LONGEST_WAIT_SECONDS)
+        async with self._identity_changed:
+            while known == (self._model.incarnation, self._model.revision):
+                remaining = deadline - time.monotonic()
+                if remaining <= 0:
+                    return
+                try:
+                    async with asyncio.timeout(remaining):
+                        await self._identity_changed.wait()
+                except TimeoutError:
+                    return
+
+    async def _notify_identity(self) -> None:
+        async with self._identity_changed:
+            self._identity_changed.notify_all()
+
     async def _events(self, request: web.Request) -> web.Response:
         self._recent_events.extend(self._model.take_events(time.monotonic()))
         after = int(request.query.get("after", "0"))
@@ -256,6 +283,7 @@
         else:
             self._model.order_weights(fault.weight_version, 0, now + fault.seconds)
         self._wake.set()
+        await self._notify_identity()
         return _json({"applied": fault.kind})
 
     # Streams
@@ -318,7 +346,11 @@
                 return
 
     def _stream_headers(self, generation: Generation) -> dict[str, str]:
+        report = self._model.report(time.monotonic())
         return {
+            "X-Engine-Running": str(report.running),
+            "X-Engine-Waiting": str(report.waiting),
+            "X-Engine-Waiting-Prompt-Tokens": str(report.waiting_prompt_tokens),
             "Content-Type": "text/event-stream",
             "X-Engine-Incarnation": str(self._model.incarnation),
             "X-Weight-Version": self._model.weight_version,
--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -63,23 +63,23 @@
         self._install()
 
     async def join_from_peers(self) -> None:
-        """Ask the seed peers for a snapshot until one answers with a configuration."""
+        """Ask the peers for a snapshot until one answers with a configuration."""
         wait = constants.STORE_RETRY_FIRST_SECONDS
-        while self._context.replica.generation == 0:
+        while True:
             for address in self._shuffled_peers():
-                await self.pull_snapshot(address)
-                if self._context.replica.generation:
+                if await self.pull_snapshot(address) and self._context.replica.generation:
                     return
             await asyncio.sleep(wait * self._random.uniform(0.5, 1.5))
             wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
 
-    async def pull_snapshot(self, address: str) -> None:
-        """Take over all that a peer knows; a silent peer is passed over."""
+    async def pull_snapshot(self, address: str) -> bool:
+        """Take over all that a peer knows; False if it is silent or knows no configuration."""
         try:
             snapshot = await self._peers.snapshot(address)
         except PeerError:
-            return
+            return False
         self._offer_snapshot(snapshot)
+        return snapshot.head.generation > 0
 
     async def pull_head(self, address: str) -> None:
         """Take over a peer's configuration, fetching only the sections that changed."""
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -134,6 +134,7 @@
             raise AttemptBrokenError(instruction.attempt_id) from error
         if response.status != 200:
             raise await self._refusal(response, instruction.attempt_id)
+        _apply_load(engine, response.headers)
         return EngineStream(response, instruction.attempt_id)
 
     async def resume(
@@ -163,10 +164,30 @@
 
     async def report(self, engine: EngineState) -> EngineReport | None:
         """Return an engine's report about itself, or None if it does not answer."""
-        timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
+        return await self._read_report(engine, {}, constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
+
+    async def watch_report(self, engine: EngineState) -> EngineReport | None:
+        """Return an engine's report once its identity changes, or after the watch time."""
+        identity = engine.identity
+        if identity is None:
+            return await self.report(engine)
+        query = {
+            "incarnation": str(identity.incarnation),
+            "revision": str(identity.revision),
+            "wait": str(constants.ENGINE_WATCH_SECONDS),
+        }
+        limit = constants.ENGINE_WATCH_SECONDS + constants.ENGINE_CONNECT_TIMEOUT_SECONDS
+        return await self._read_report(engine, query, limit)
+
+    async def _read_report(
+        self, engine: EngineState, query: Mapping[str, str], limit_seconds: float
+    ) -> EngineReport | None:
+        timeout = aiohttp.ClientTimeout(
+            total=limit_seconds, sock_connect=constants.ENGINE_CONNECT_TIMEOUT_SECONDS
+        )
         url = f"http://{engine.address}/v1/status"
         try:
-            async with self._session.get(url, timeout=timeout) as response:
+            async with self._session.get(url, params=query, timeout=timeout) as response:
                 body = orjson.loads(await response.read())
                 return _parse_report(body)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
@@ -266,6 +287,18 @@
         return AttemptRefusedError(events.RefusalKind.OVERLOADED)
 
 
+def _apply_load(engine: EngineState, headers: Mapping[str, str]) -> None:
+    """Take in the load that an engine told with its answer, where it did."""
+    try:
+        engine.apply_load(
+            int(headers["X-Engine-Running"]),
+            int(headers["X-Engine-Waiting"]),
+            int(headers["X-Engine-Waiting-Prompt-Tokens"]),
+        )
+    except (KeyError, ValueError):
+        return
+
+
 def _parse_event(line: bytes) -> events.RequestEvent | None:
     content = line.removeprefix(DATA_PREFIX)
     if content == DONE_MARK or not content:
--- a/liftrill/node/engine_watch.py
+++ b/liftrill/node/engine_watch.py
@@ -11,7 +11,7 @@
 from liftrill.node.engine_client import EngineClient
 from liftrill.node.logs import log_change
 from liftrill.routing.engine_records import EngineObservation, EngineRecords
-from liftrill.routing.engine_state import EngineState
+from liftrill.routing.engine_state import EngineReport, EngineState
 from liftrill.routing.watch_assignment import watched_engines, watches_store
 
 
@@ -34,6 +34,7 @@
         self._membership = membership
         self._random = random_source
         self._extra: list[str] = []
+        self._watches: dict[str, asyncio.Task[None]] = {}
 
     async def follow_machine_list(self) -> None:
         """Read the machine list where this node does so for its region.
@@ -54,23 +55,50 @@
         return watches_store(own.node_id, members, constants.STORE_WATCHERS_PER_REGION)
 
     async def follow_reports(self) -> None:
-        """Ask engines for their reports: the own ones always, others within a budget."""
+        """Keep a watch on the own engines, and ask a few others for their load in turn."""
         while True:
-            engines = self._engines_to_ask()
-            await asyncio.gather(*(self.refresh(engine) for engine in engines))
+            engines = self._context.engines.in_pools(self._context.view.pools_by_name)
+            self._keep_watches({engine.engine_id: engine for engine in engines})
+            await asyncio.gather(*(self.refresh(e) for e in self._engines_to_ask(engines)))
             jitter = self._random.uniform(0.8, 1.2)
             await asyncio.sleep(constants.ENGINE_REPORT_INTERVAL_SECONDS * jitter)
 
+    def _keep_watches(self, by_id: dict[str, EngineState]) -> None:
+        """Start a watch for each own engine, and end those of engines that are not."""
+        members = [member.node_id for member in self._membership.members()]
+        wanted = set(watched_engines(self._membership.own.node_id, members, by_id))
+        for engine_id in [e for e in self._watches if e not in wanted]:
+            self._watches.pop(engine_id).cancel()
+        for engine_id in wanted - self._watches.keys():
+            self._watches[engine_id] = asyncio.create_task(self._watch(engine_id))
+
+    async def _watch(self, engine_id: str) -> None:
+        """Hear of an engine's changes at once, by a blocking query that is renewed."""
+        while True:
+            engine = self._context.engines.get(engine_id)
+            report = await self._client.watch_report(engine) if engine else None
+            if engine is None or report is None:
+                wait = constants.ENGINE_REPORT_INTERVAL_SECONDS
+                await asyncio.sleep(wait * self._random.uniform(0.8, 1.2))
+            else:
+                self._apply(engine, report)
+
     async def refresh(self, engine: EngineState) -> None:
         """Ask one engine for its report."""
         report = await self._client.report(engine)
-        if report is None or report.engine_id != engine.engine_id:
+        if report is not None:
+            self._apply(engine, report)
+
+    def _apply(self, engine: EngineState, report: EngineReport) -> None:
+        if report.engine_id != engine.engine_id:
             return
         engine.refused_as_leaving = False
         was_unknown = engine.identity is None
         if engine.apply_report(report):
             log_change("engine_changed", engine=engine.engine_id, leaving=engine.leaving)
-        self._records.offer_observation(EngineObservation(engine.engine_id, report.identity))
+        observation = EngineObservation(engine.engine_id, report.identity)
+        if self._records.offer_observation(observation):
+            self._membership.request_announcement()
         if was_unknown:
             self._context.dispatcher.wake()
 
@@ -82,16 +110,16 @@
             return min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
         changed = self._records.offer_machine_list(machine_list)
         if changed:
+            self._membership.request_announcement()
             log_change("machine_list", changed=changed, index=machine_list.index)
         return constants.MACHINE_LIST_INTERVAL_SECONDS
 
-    def _engines_to_ask(self) -> list[EngineState]:
-        engines = self._context.engines.in_pools(self._context.view.pools_by_name)
+    def _engines_to_ask(self, engines: list[EngineState]) -> list[EngineState]:
+        """Return engines of which nothing is known, or something doubtful, and a few more."""
         by_id = {engine.engine_id: engine for engine in engines}
-        members = [member.node_id for member in self._membership.members()]
-        chosen = set(watched_engines(self._membership.own.node_id, members, by_id))
-        chosen.update(e.engine_id for e in engines if e.identity is None or e.refused_as_leaving)
-        chosen.update(self._take_extra(by_id))
+        doubtful = [e.engine_id for e in engines if e.identity is None or e.refused_as_leaving]
+        chosen = dict.fromkeys(doubtful[: constants.ENGINE_DOUBTFUL_REPORTS])
+        chosen.update(dict.fromkeys(self._take_extra(by_id)))
         return [by_id[engine_id] for engine_id in chosen]
 
     def _take_extra(self, by_id: dict[str, EngineState]) -> list[str]:
--- a/liftrill/node/gossip.py
+++ b/liftrill/node/gossip.py
@@ -115,12 +115,17 @@
         except GossipDecodeError:
             self._metrics.refused_datagrams.inc()
             return
-        self._records.offer_listings(packet.listings)
-        for observation in packet.observations:
-            self._records.offer_observation(observation)
+        self._take_records(packet)
         event = DatagramReceived(f"{addr[0]}:{addr[1]}", packet.datagram)
         self._carry_out(self._membership.handle(event, time.monotonic()))
 
+    def _take_records(self, packet: GossipPacket) -> None:
+        news = self._records.offer_listings(packet.listings)
+        for observation in packet.observations:
+            news += self._records.offer_observation(observation)
+        if news:
+            self._membership.request_announcement()
+
     def error_received(self, exc: Exception) -> None:
         """Ignore what the network says of a lost datagram: probes notice it."""
 
--- a/liftrill/planning/commit.py
+++ b/liftrill/planning/commit.py
@@ -151,6 +151,8 @@
     head = messages.Head()
     head.CopyFrom(current)
     head.generation = plan.base_generation + 1
+    # A plan names every section: one that is gone, such as an emptied shard, goes.
+    head.section_digests.clear()
     for name, digest in section_digests(plan).items():
         head.section_digests[name] = digest
     head.confirmations.add(
@@ -158,7 +160,7 @@
         operator_name=operator_name,
         confirmed_at_milliseconds=now_milliseconds,
         generation=head.generation,
-        summary=plan.summary,
+        summary=plan.summary[: constants.CONFIRMATION_SUMMARY_CHARACTERS],
     )
     del head.confirmations[: -constants.CONFIRMATIONS_KEPT]
     return head
--- a/liftrill/planning/plan.py
+++ b/liftrill/planning/plan.py
@@ -18,6 +18,7 @@
     api_key_digest,
     by_name,
     encode,
+    encode_tenants,
 )
 
 HIDDEN_FIELDS = frozenset({"apiKeyDigests"})
@@ -96,10 +97,10 @@
     _check_models(workloads.values(), pools.values())
     claims = _claims(intent, view.claims)
     sections = {
-        SectionName.TENANTS: encode(messages.TenantSection(tenants=tenants.values())),
-        SectionName.WORKLOADS: encode(messages.WorkloadSection(workloads=workloads.values())),
-        SectionName.POOLS: encode(messages.PoolSection(pools=pools.values())),
-        SectionName.CLAIMS: encode(claims),
+        **encode_tenants(tenants.values()),
+        SectionName.WORKLOADS.value: encode(messages.WorkloadSection(workloads=workloads.values())),
+        SectionName.POOLS.value: encode(messages.PoolSection(pools=pools.values())),
+        SectionName.CLAIMS.value: encode(claims),
     }
     changes = (
         *_differences(SectionName.TENANTS, view.tenants_by_name, tenants),
@@ -110,7 +111,7 @@
     return Plan(
         plan_id=plan_id,
         base_generation=view.generation,
-        sections={name.value: content for name, content in sections.items()},
+        sections=sections,
         changes=changes,
         consequences=_consequences(view.pools_by_name, pools, engines_by_pool),
         completes_claim_change=bool(view.claims.previous_members) and claims != view.claims,
--- a/liftrill/planning/sections.py
+++ b/liftrill/planning/sections.py
@@ -6,17 +6,25 @@
 from enum import Enum
 from typing import Protocol, TypeVar
 
+import xxhash
 from google.protobuf.message import DecodeError, Message
 
+from liftrill import constants
 from liftrill.coordination.configuration import Configuration, Head
 from liftrill.errors import ConfigurationError
 from liftrill.messages import configuration_pb2 as messages
 
+# Short, since it stands in the head once for each shard.
+TENANT_SHARD_PREFIX = "t/"
 SectionMessage = TypeVar("SectionMessage", bound=Message)
 
 
 class SectionName(Enum):
-    """Names of the sections in the head."""
+    """Names of the kinds of sections.
+
+    Tenants are spread over shards, each a section of its own, so that a change of one
+    tenant sends a small part of them to every node.
+    """
 
     TENANTS = "tenants"
     WORKLOADS = "workloads"
@@ -48,6 +56,22 @@
     return Head(message.generation, dict(message.section_digests))
 
 
+def tenant_shard(tenant_name: str) -> str:
+    """Return the name of the section that holds a tenant."""
+    number = xxhash.xxh32_intdigest(tenant_name.encode()) % constants.TENANT_SHARDS
+    return f"{TENANT_SHARD_PREFIX}{number:02d}"
+
+
+def encode_tenants(tenants: Iterable[messages.Tenant]) -> dict[str, bytes]:
+    """Return the bytes of each shard that has tenants, by section name."""
+    shards: dict[str, messages.TenantSection] = {}
+    for tenant in tenants:
+        shards.setdefault(tenant_shard(tenant.name), messages.TenantSection()).tenants.append(
+            tenant
+        )
+    return {name: encode(section) for name, section in shards.items()}
+
+
 def parse_head(content: bytes) -> messages.Head:
     """Return a head from its bytes.
 
@@ -97,7 +121,7 @@
     """
     if configuration is None:
         return ConfigurationView()
-    tenants = _section(configuration, SectionName.TENANTS, messages.TenantSection)
+    tenants = _tenants(configuration)
     workloads = _section(configuration, SectionName.WORKLOADS, messages.WorkloadSection)
     pools = _section(configuration, SectionName.POOLS, messages.PoolSection)
     return ConfigurationView(
@@ -119,14 +143,25 @@
     return {item.name: item for item in items}
 
 
+def _tenants(configuration: Configuration) -> messages.TenantSection:
+    merged = messages.TenantSection()
+    for name, content in sorted(configuration.sections.items()):
+        if name.startswith(TENANT_SHARD_PREFIX):
+            merged.MergeFrom(_decode(name, content, messages.TenantSection))
+    return merged
+
+
 def _section(
     configuration: Configuration, name: SectionName, message_type: type[SectionMessage]
 ) -> SectionMessage:
-    content = configuration.sections.get(name.value, b"")
+    return _decode(name.value, configuration.sections.get(name.value, b""), message_type)
+
+
+def _decode(name: str, content: bytes, message_type: type[SectionMessage]) -> SectionMessage:
     try:
         return message_type.FromString(content)
     except DecodeError as error:
-        raise ConfigurationError(f"section {name.value} cannot be decoded") from error
+        raise ConfigurationError(f"section {name} cannot be decoded") from error
 
 
 def _group_by_model(section: messages.PoolSection) -> dict[str, list[messages.Pool]]:
--- a/liftrill/routing/engine_state.py
+++ b/liftrill/routing/engine_state.py
@@ -165,12 +165,16 @@
         if self.identity and report.identity.version < self.identity.version:
             return False
         changed = self.apply_identity(report.identity)
-        self.reported_load = report.running + report.waiting
-        self.in_flight_at_report = self.in_flight
-        self.reported_waiting = report.waiting
-        self.others_prefill_tokens = max(0, report.waiting_prompt_tokens - self.own_prefill_tokens)
+        self.apply_load(report.running, report.waiting, report.waiting_prompt_tokens)
         return changed
 
+    def apply_load(self, running: int, waiting: int, waiting_prompt_tokens: int) -> None:
+        """Take in the load from a report or from an answer."""
+        self.reported_load = running + waiting
+        self.in_flight_at_report = self.in_flight
+        self.reported_waiting = waiting
+        self.others_prefill_tokens = max(0, waiting_prompt_tokens - self.own_prefill_tokens)
+
     def apply_identity(self, identity: EngineIdentity) -> bool:
         """Take in an identity from any source; True if it is newer than the known one."""
         if self.identity and identity.version <= self.identity.version:
--- a/liftrill/routing/machine.py
+++ b/liftrill/routing/machine.py
@@ -103,6 +103,11 @@
         """All text delivered so far."""
         return "".join(self._delivered)
 
+    @property
+    def attempt_start(self) -> int:
+        """Index of the first token of the present attempt."""
+        return self._start_index
+
     @property
     def was_not_run(self) -> bool:
         """Whether no attempt can have begun, and none will."""
