--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev,report]'
 	touch $@
 
 demo: $(VENV)/installed
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -46,6 +46,8 @@
     ["bench", "compare"],
     ["bench", "decision"],
     ["bench", "scale"],
+    ["bench", "live"],
+    ["bench", "report"],
     ["emulate", "engine"],
     ["emulate", "platform"],
     ["emulate", "kept-store"],
--- a/liftrill/bench/simulation/simulator.py
+++ b/liftrill/bench/simulation/simulator.py
@@ -129,17 +129,24 @@
             own = [by_id[engine_id] for engine_id in watched]
             self._repeat(
                 constants.ENGINE_REPORT_INTERVAL_SECONDS,
-                lambda n=node, w=own: self._watch(n, w),  # type: ignore[misc]
+                lambda n=node: self._poll_some(n),  # type: ignore[misc]
+            )
+            self._repeat(
+                constants.EVENT_READ_SECONDS,
+                lambda n=node, w=own: self._read_events(n, w),  # type: ignore[misc]
             )
             self._repeat(
                 constants.HOME_EXCHANGE_SECONDS,
                 lambda n=node: n.exchange(self._nodes),  # type: ignore[misc]
             )
 
-    def _watch(self, node: SimulatedNode, own: list[SimulatedEngine]) -> None:
+    def _poll_some(self, node: SimulatedNode) -> None:
         extra = min(constants.ENGINE_EXTRA_REPORTS, len(self._engines))
         for engine in self._random.sample(self._engines, extra):
             node.poll_report(engine)
+
+    @staticmethod
+    def _read_events(node: SimulatedNode, own: list[SimulatedEngine]) -> None:
         for engine in own:
             node.read_events(engine)
 
--- a/liftrill/cli/bench.py
+++ b/liftrill/cli/bench.py
@@ -9,6 +9,7 @@
 
 from liftrill.bench.decision import measure_decisions
 from liftrill.bench.faults.run import format_faults, run_faults
+from liftrill.bench.live import format_live, run_live
 from liftrill.bench.overhead import format_overhead, measure_overhead
 from liftrill.bench.scale.run import format_scale, run_scale
 from liftrill.bench.simulation.compare import BASELINES, format_comparison
@@ -112,6 +113,50 @@
     _print(asdict(result), format_scale(result), json)
 
 
+def live(
+    *,
+    scenario: str,
+    policies: str = "random,least_loaded,cache_aware,prefix_hash,liftrill_without_store,liftrill",
+    seed: int = 1,
+    seconds: float = 30.0,
+    json: bool = False,
+) -> None:
+    """Run the same load over separate processes, once for each policy.
+
+    :param scenario: name of a file under scenarios/, or a path; only its load is used
+    :param policies: names, separated by commas
+    :param seed: seed of the load
+    :param seconds: how much of the load is sent
+    :param json: print JSON
+    """
+    loaded = load_scenario(scenario)
+    rows = []
+    for policy in policies.split(","):
+        with tempfile.TemporaryDirectory(prefix="liftrill-live-") as directory:
+            rows.append(uvloop.run(run_live(loaded, policy, seed, seconds, Path(directory))))
+    _print([asdict(row) for row in rows], format_live(rows), json)
+
+
+def report(
+    *,
+    scenario: str,
+    policies: str = "least_loaded,cache_aware,prefix_hash,liftrill_without_store,liftrill",
+    seed: int = 1,
+    directory: Path = Path("reports"),
+) -> None:
+    """Write a page with figures and plots over time for a scenario, in virtual time.
+
+    :param scenario: name of a file under scenarios/, or a path
+    :param policies: names, separated by commas
+    :param seed: seed of the load
+    :param directory: where the page and its picture are written
+    """
+    # Only this command needs the plotting library, which the extra `report` installs.
+    from liftrill.bench.report import write_report
+
+    print(write_report(load_scenario(scenario), policies.split(","), seed, directory))
+
+
 def decision(
     *,
     engines: int = 400,
--- a/liftrill/cli/demo.py
+++ b/liftrill/cli/demo.py
@@ -8,12 +8,12 @@
 
 import uvloop
 
-from liftrill.bench.caller import Caller, send_open_loop
 from liftrill.bench.deployment import load_deployment
 from liftrill.bench.history import CallRecord
 from liftrill.bench.launcher import Cluster
-from liftrill.bench.summary import UnlimitedCache, format_summary, summarize
-from liftrill.bench.workload import PlannedRequest, WorkloadGenerator
+from liftrill.bench.live import send_planned
+from liftrill.bench.summary import format_summary, summarize
+from liftrill.bench.workload import WorkloadGenerator
 
 PROGRESS_SECONDS = 1.0
 PROMISE_BROKEN_EXIT_CODE = 1
@@ -51,20 +51,9 @@
     deployment = cluster.deployment
     generator = WorkloadGenerator(deployment, seed)
     planned = list(generator.requests(deployment.load.requests_per_second, seconds))
-    reference = UnlimitedCache()
-    reusable = {request.number: reference.reusable_tokens(request) for request in planned}
-    caller = Caller(cluster.session, [pool.weight_version for pool in deployment.pools])
     done: list[CallRecord] = []
-
-    async def send(request: PlannedRequest) -> CallRecord:
-        node = cluster.nodes[request.number % len(cluster.nodes)]
-        record = await caller.send(node.name, node.address, request)
-        record.reusable_tokens = reusable[request.number]
-        done.append(record)
-        return record
-
     progress = asyncio.create_task(_show_progress(done, len(planned)))
-    records = await send_open_loop(planned, lambda r: asyncio.create_task(send(r)))
+    records = await send_planned(cluster, planned, done.append)
     progress.cancel()
     sys.stderr.write("\n")
     return records
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -28,6 +28,8 @@
         "faults": bench.faults,
         "compare": bench.compare,
         "decision": bench.decision,
+        "live": bench.live,
+        "report": bench.report,
         "scale": bench.scale,
     },
     "emulate": {
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -132,7 +132,8 @@
             watch.follow_reports(),
             self._claims.verify_epoch(),
             self._control.run(),
-            self._prefix_exchange.run(),
+            self._prefix_exchange.exchange_with_homes(),
+            self._prefix_exchange.follow_events(),
         )
         return context
 
--- a/liftrill/node/prefix_exchange.py
+++ b/liftrill/node/prefix_exchange.py
@@ -38,12 +38,20 @@
         self._home = HomeDirectory(constants.HOME_ENTRIES)
         self._streams: dict[str, EventStream] = {}
 
-    async def run(self) -> None:
-        """Exchange with homes and read events for as long as the node runs."""
+    async def exchange_with_homes(self) -> None:
+        """Report prefixes to their homes for as long as the node runs."""
         while True:
-            await asyncio.gather(self._exchange(), self._read_events())
-            jitter = self._random.uniform(0.8, 1.2)
-            await asyncio.sleep(constants.HOME_EXCHANGE_SECONDS * jitter)
+            await self._exchange()
+            await asyncio.sleep(constants.HOME_EXCHANGE_SECONDS * self._jitter())
+
+    async def follow_events(self) -> None:
+        """Read the cache events of the own engines for as long as the node runs."""
+        while True:
+            await self._read_events()
+            await asyncio.sleep(constants.EVENT_READ_SECONDS * self._jitter())
+
+    def _jitter(self) -> float:
+        return self._random.uniform(0.8, 1.2)
 
     def answer(self, node_id: str, reports: list[PrefixReport]) -> list[PrefixReport]:
         """Answer as a home."""
