Never hold back what was sent before, and let reported load age

A retry excludes engines already tried. When only an excluded engine had room, its turn in the queue was granted at once, the choice found nobody and it queued again, all in one step of the event loop: no timer ran, deadlines included. Ruled out: the drain itself (the node never reached it), the claims (their calls have limits of their own).

Also: with fewer reports (one a second over all engines, and those on answers) a load of others that was told once was believed until the next report.

--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -17,12 +17,11 @@
     content_digest,
 )
 from liftrill.coordination.lease import Lease, LeaseParameters
-from liftrill.coordination.membership import (
+from liftrill.coordination.membership import Membership, MembershipParameters
+from liftrill.coordination.membership_messages import (
     Condition,
     DatagramReceived,
     Member,
-    Membership,
-    MembershipParameters,
     SendDatagram,
     Ticked,
 )
--- a/liftrill/bench/deployment.py
+++ b/liftrill/bench/deployment.py
@@ -1,21 +1,14 @@
 """Deployment files: what the launcher starts and what load it sends."""
 
-import tomllib
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field
 
-from liftrill.errors import SettingsError
+from liftrill.settings_file import StrictModel, load_settings
 
 DEPLOYMENTS_DIRECTORY = Path(__file__).resolve().parent.parent.parent / "deployments"
 
 
-class StrictModel(BaseModel):
-    """A schema that refuses unknown keys."""
-
-    model_config = ConfigDict(extra="forbid")
-
-
 class EngineSpecification(StrictModel):
     """Cost model of the engines; see docs/EMULATOR.md."""
 
@@ -105,16 +98,7 @@
     path = Path(name)
     if not path.suffix:
         path = DEPLOYMENTS_DIRECTORY / f"{name}.toml"
-    try:
-        return Deployment.model_validate(tomllib.loads(path.read_text()))
-    except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError(f"{path}: not valid TOML: {error}") from error
-    except ValidationError as error:
-        problem = error.errors(include_url=False)[0]
-        key = ".".join(str(part) for part in problem["loc"])
-        raise SettingsError(f"{path}: {key}: {problem['input']!r}: {problem['msg']}") from error
+    return load_settings(Deployment, path)
 
 
 def tenant_names(deployment: Deployment) -> list[str]:
--- a/liftrill/bench/scale/hollow_node.py
+++ b/liftrill/bench/scale/hollow_node.py
@@ -12,13 +12,12 @@
     ConfigurationReplica,
     Head,
 )
-from liftrill.coordination.membership import (
+from liftrill.coordination.membership import Membership, MembershipParameters
+from liftrill.coordination.membership_messages import (
     DatagramReceived,
     Member,
     MemberChanged,
-    Membership,
     MembershipInstruction,
-    MembershipParameters,
     NewerGenerationHeard,
     SendDatagram,
     Ticked,
--- a/liftrill/bench/simulation/node.py
+++ b/liftrill/bench/simulation/node.py
@@ -51,7 +51,7 @@
     on_first_token: Callable[[float], None]
     on_end: Callable[[Outcome], None]
     engine: EngineState | None = None
-    pending_prefill: int = 0
+    pending_prefill: int | None = None
     waiting: bool = False
     ended: bool = False
 
@@ -140,7 +140,7 @@
         if state is None:
             return
         state.refused_as_leaving = False
-        state.apply_report(engine.report())
+        state.apply_report(engine.report(), self._clock.now())
         self._wake()
 
     # Requests
@@ -236,7 +236,12 @@
         state = self.router.engines.get(engine.engine_id)
         report = engine.report()
         if state is not None:
-            state.apply_load(report.running, report.waiting, report.waiting_prompt_tokens)
+            state.apply_load(
+                report.running,
+                report.waiting,
+                report.waiting_prompt_tokens,
+                self._clock.now(),
+            )
 
     def _refuse(
         self,
@@ -293,9 +298,9 @@
         self._clock.call_later(0.0, self._wake)
 
     def _note_prefilled(self, opened: OpenRequest) -> None:
-        if opened.engine is not None and opened.pending_prefill:
+        if opened.engine is not None and opened.pending_prefill is not None:
             opened.engine.record_prefilled(opened.pending_prefill)
-        opened.pending_prefill = 0
+        opened.pending_prefill = None
 
     # Waiting
 
--- a/liftrill/bench/simulation/scenario.py
+++ b/liftrill/bench/simulation/scenario.py
@@ -1,23 +1,16 @@
 """Scenario files: what happens to a deployment over time. Unknown keys are refused."""
 
 import itertools
-import tomllib
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import Field, model_validator
 
 from liftrill.bench.deployment import Deployment, load_deployment
-from liftrill.errors import SettingsError
+from liftrill.settings_file import StrictModel, load_settings
 
 SCENARIOS_DIRECTORY = Path(__file__).resolve().parent.parent.parent.parent / "scenarios"
 
 
-class StrictModel(BaseModel):
-    """A schema that refuses unknown keys."""
-
-    model_config = ConfigDict(extra="forbid")
-
-
 class RatePoint(StrictModel):
     """The arrival rate at a time; between points it is interpolated linearly."""
 
@@ -117,13 +110,4 @@
     path = Path(name)
     if not path.suffix:
         path = SCENARIOS_DIRECTORY / f"{name}.toml"
-    try:
-        return Scenario.model_validate(tomllib.loads(path.read_text()))
-    except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError(f"{path}: not valid TOML: {error}") from error
-    except ValidationError as error:
-        problem = error.errors(include_url=False)[0]
-        key = ".".join(str(part) for part in problem["loc"])
-        raise SettingsError(f"{path}: {key}: {problem['input']!r}: {problem['msg']}") from error
+    return load_settings(Scenario, path)
--- a/liftrill/cli/node.py
+++ b/liftrill/cli/node.py
@@ -6,7 +6,8 @@
 
 from liftrill.node.daemon import NodeDaemon
 from liftrill.node.logs import start_logging
-from liftrill.node.settings import NodeSettings, load_settings
+from liftrill.node.settings import NodeSettings
+from liftrill.settings_file import load_settings
 
 REQUESTS_CUT_OFF_EXIT_CODE = 3
 
--- a/liftrill/cli/operator.py
+++ b/liftrill/cli/operator.py
@@ -2,7 +2,6 @@
 
 import getpass
 import os
-import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -12,6 +11,7 @@
 
 from liftrill.cli.operator_client import OperatorClient
 from liftrill.errors import SettingsError
+from liftrill.settings_file import read_toml
 
 DEFAULT_NODE = "127.0.0.1:8080"
 OPERATOR_KEY_VARIABLE = "LIFTRILL_OPERATOR_KEY"
@@ -24,12 +24,7 @@
     :param node: HOST:PORT of a node
     :param operator_key: operator key; by default from LIFTRILL_OPERATOR_KEY
     """
-    try:
-        content = tomllib.loads(file.read_text())
-    except OSError as error:
-        raise SettingsError(f"{file}: cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{file}: not valid TOML: {error}") from error
+    content = read_toml(file)
     _print_plan(_call(node, operator_key, lambda c: c.call("POST", "/intents", content)))
 
 
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -4,7 +4,6 @@
 import time
 from collections import deque
 from pathlib import Path
-from typing import TextIO
 
 import aiohttp
 import orjson
@@ -12,6 +11,7 @@
 from pydantic import ValidationError
 
 from liftrill.emulator.engine_faults import EngineFault
+from liftrill.emulator.engine_journal import EngineJournal
 from liftrill.emulator.engine_messages import (
     CacheEvent,
     EngineOutput,
@@ -65,7 +65,7 @@
         self._foreign_until = 0.0
         self._repeated_until = 0.0
         self._recent_events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
-        self._journal: TextIO | None = journal_path.open("a") if journal_path else None
+        self._journal = EngineJournal(engine_id, journal_path)
         self._driver: asyncio.Task[None] | None = None
 
     def application(self) -> web.Application:
@@ -95,8 +95,7 @@
         if self._driver is not None:
             self._driver.cancel()
         await self._session.close()
-        if self._journal is not None:
-            self._journal.close()
+        self._journal.close()
 
     async def _drive(self) -> None:
         """Advance the model whenever a step is due."""
@@ -139,7 +138,7 @@
         reason = self._model.submit(generation_request, time.monotonic())
         if reason is not None:
             return self._refused(reason)
-        self._record_execution(body)
+        self._journal.record_execution(body, self._model.incarnation, self._model.weight_version)
         reader = self._open_reader(body.attempt_id)
         self._wake.set()
         generation = self._model.attempt(body.attempt_id)
@@ -385,41 +384,12 @@
         return _json(body, REFUSAL_STATUS.get(reason, REFUSED_FOR_LOAD_STATUS))
 
     def _record_reuse(self, output: EngineOutput) -> None:
-        """Record with an attempt's first token whose cached blocks it was computed from."""
+        """Record, with an attempt's first token, the cached blocks it was computed from."""
         generation = self._model.attempt(output.attempt_id)
-        if self._journal is None or generation is None or not isinstance(output, TokenProduced):
+        if generation is None or not isinstance(output, TokenProduced):
             return
-        if output.index != generation.request.start_index or not generation.reused_origins:
-            return
-        record: dict[str, object] = {
-            "reused_by": generation.request.user,
-            "weight_version": self._model.weight_version,
-            "origins": [[o.user, o.weight_version] for o in generation.reused_origins],
-        }
-        self._write_journal(record)
-
-    def _write_journal(self, record: dict[str, object]) -> None:
-        assert self._journal is not None
-        self._journal.write(orjson.dumps(record).decode() + "\n")
-        self._journal.flush()
-
-    def _record_execution(self, body: CompletionBody) -> None:
-        """Append one line to the journal, flushed so that it survives a kill."""
-        if self._journal is None:
-            return
-        record: dict[str, object] = {
-            "at": time.time(),
-            "engine_id": self.engine_id,
-            "incarnation": self._model.incarnation,
-            "weight_version": self._model.weight_version,
-            "request_id": body.request_id,
-            "attempt_id": body.attempt_id,
-            "start_index": body.start_index,
-            "user": body.user,
-            "expected_incarnation": body.incarnation,
-            "idempotency_key": body.idempotency_key,
-        }
-        self._write_journal(record)
+        if output.index == generation.request.start_index and generation.reused_origins:
+            self._journal.record_reuse(generation, self._model.weight_version)
 
 
 def _new_incarnation() -> int:
--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -7,7 +7,9 @@
 from liftrill import constants
 from liftrill.coordination.configuration import Adoption
 from liftrill.coordination.key_value_store import KeyValueStore
-from liftrill.coordination.membership import Member
+from liftrill.coordination.membership_messages import (
+    Member,
+)
 from liftrill.errors import ConfigurationError, StoreError, StoreUnavailableError
 from liftrill.mechanisms import Mechanism, is_enabled
 from liftrill.messages import configuration_pb2 as messages
--- a/liftrill/node/dispatcher.py
+++ b/liftrill/node/dispatcher.py
@@ -63,7 +63,8 @@
         self._turns[request.request_id] = turn
         self._metrics.queued.inc()
         try:
-            self.wake(request.model)
+            # Never granted in the same step: timers, such as deadlines, must get theirs.
+            asyncio.get_running_loop().call_soon(self.wake, request.model)
             await turn
         except BaseException:
             self.router.abandon_turn(request)
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -1,6 +1,7 @@
 """Adaptor to the engines: sends attempts and turns their streams into events."""
 
 import asyncio
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -22,6 +23,7 @@
 DATA_PREFIX = b"data: "
 DONE_MARK = b"[DONE]"
 STORED_KIND = "stored"
+OK_STATUS = 200
 CONFLICT_STATUS = 409
 MISMATCH_STATUS = 412
 SERVICE_UNAVAILABLE_STATUS = 503
@@ -132,7 +134,7 @@
             if isinstance(error, aiohttp.ConnectionTimeoutError):
                 raise AttemptRefusedError(events.RefusalKind.UNREACHABLE) from error
             raise AttemptBrokenError(instruction.attempt_id) from error
-        if response.status != 200:
+        if response.status != OK_STATUS:
             raise await self._refusal(response, instruction.attempt_id)
         _apply_load(engine, response.headers)
         return EngineStream(response, instruction.attempt_id)
@@ -147,7 +149,7 @@
             response = await self._session.get(url, params=query, timeout=self._timeout)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
-        if response.status != 200:
+        if response.status != OK_STATUS:
             response.release()
             return None
         return EngineStream(response, instruction.attempt_id)
@@ -208,15 +210,7 @@
     async def export_prefix(self, engine: EngineState, advice: KeepPrefix) -> None:
         """Have an engine give a prefix to the kept-KV store; failure costs a later import."""
         body = {"name": advice.name.hex(), "blocks": advice.blocks}
-        timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
-        url = f"http://{engine.address}/v1/exports"
-        try:
-            async with self._session.post(
-                url, data=orjson.dumps(body), timeout=timeout
-            ) as response:
-                await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return
+        await self._post(f"http://{engine.address}/v1/exports", body)
 
     async def order_weights(self, engine: EngineState, order: LoadWeightsOrder, token: int) -> bool:
         """Send a fenced order to load weights; False if the engine did not take it.
@@ -230,18 +224,22 @@
             "action": "load",
             "weight_version": order.weight_version,
         }
+        status = await self._post(f"http://{engine.address}/v1/orders", body)
+        if status == CONFLICT_STATUS:
+            raise StaleFenceError(order.engine_id)
+        return status == OK_STATUS
+
+    async def _post(self, url: str, body: Mapping[str, object]) -> int | None:
+        """Return the status of a short call, or None without an answer."""
         timeout = aiohttp.ClientTimeout(total=constants.ENGINE_CONNECT_TIMEOUT_SECONDS)
-        url = f"http://{engine.address}/v1/orders"
         try:
             async with self._session.post(
                 url, data=orjson.dumps(body), timeout=timeout
             ) as response:
                 await response.read()
+                return response.status
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return False
-        if response.status == CONFLICT_STATUS:
-            raise StaleFenceError(order.engine_id)
-        return response.status == 200
+            return None
 
     def _attempt_body(
         self, request: RoutedRequest, instruction: events.StartAttempt
@@ -294,6 +292,7 @@
             int(headers["X-Engine-Running"]),
             int(headers["X-Engine-Waiting"]),
             int(headers["X-Engine-Waiting-Prompt-Tokens"]),
+            time.monotonic(),
         )
     except (KeyError, ValueError):
         return
--- a/liftrill/node/engine_watch.py
+++ b/liftrill/node/engine_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from liftrill import constants
 from liftrill.coordination.key_value_store import KeyValueStore
@@ -94,7 +95,7 @@
             return
         engine.refused_as_leaving = False
         was_unknown = engine.identity is None
-        if engine.apply_report(report):
+        if engine.apply_report(report, time.monotonic()):
             log_change("engine_changed", engine=engine.engine_id, leaving=engine.leaving)
         observation = EngineObservation(engine.engine_id, report.identity)
         if self._records.offer_observation(observation):
--- a/liftrill/node/gossip.py
+++ b/liftrill/node/gossip.py
@@ -7,13 +7,12 @@
 from typing import cast
 
 from liftrill import constants
-from liftrill.coordination.membership import (
+from liftrill.coordination.membership import Membership, MembershipParameters
+from liftrill.coordination.membership_messages import (
     DatagramReceived,
     Member,
     MemberChanged,
-    Membership,
     MembershipInstruction,
-    MembershipParameters,
     NewerGenerationHeard,
     SendDatagram,
     Ticked,
--- a/liftrill/node/gossip_codec.py
+++ b/liftrill/node/gossip_codec.py
@@ -7,7 +7,7 @@
 
 from google.protobuf.message import DecodeError
 
-from liftrill.coordination.membership import (
+from liftrill.coordination.membership_messages import (
     Acknowledgement,
     Condition,
     Datagram,
--- a/liftrill/node/operator_api.py
+++ b/liftrill/node/operator_api.py
@@ -10,7 +10,9 @@
 from pydantic import ValidationError
 
 from liftrill import constants
-from liftrill.coordination.membership import Member
+from liftrill.coordination.membership_messages import (
+    Member,
+)
 from liftrill.errors import OperatorError, ResultCode
 from liftrill.messages.configuration_pb2 import Head
 from liftrill.node.answers import json_response
@@ -141,7 +143,7 @@
                 "zone": engine.zone,
                 "weight_version": engine.weight_version,
                 "leaving": engine.leaving,
-                "load": engine.load,
+                "load": round(engine.load(time.monotonic()), 1),
                 "answered": engine.identity is not None,
             }
             for engine in context.engines
--- a/liftrill/node/request_runner.py
+++ b/liftrill/node/request_runner.py
@@ -173,7 +173,7 @@
         self._engine: EngineState | None = None
         self._stream: EngineStream | None = None
         self._outcome: Outcome | None = None
-        self._pending_prefill = 0
+        self._pending_prefill: int | None = None
 
     async def drive(self, first: events.RequestEvent) -> Outcome:
         """Feed events to the machine until it ends."""
@@ -215,9 +215,9 @@
             tokens.clear()
 
     def _note_prefilled(self) -> None:
-        if self._engine is not None and self._pending_prefill:
+        if self._engine is not None and self._pending_prefill is not None:
             self._engine.record_prefilled(self._pending_prefill)
-            self._pending_prefill = 0
+            self._pending_prefill = None
 
     async def _read(self) -> list[events.RequestEvent]:
         assert self._stream is not None
--- a/liftrill/planning/intent.py
+++ b/liftrill/planning/intent.py
@@ -3,19 +3,14 @@
 Items that an intent names are added or replaced; items it does not name stay as they are.
 """
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import Field, model_validator
 
 from liftrill import constants
+from liftrill.settings_file import StrictModel
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9_.-]{0,62}$"
 
 
-class StrictModel(BaseModel):
-    """A schema that refuses unknown keys."""
-
-    model_config = ConfigDict(extra="forbid")
-
-
 class TenantIntent(StrictModel):
     """A tenant. Rates of 0 mean no limit."""
 
--- a/liftrill/planning/rollout.py
+++ b/liftrill/planning/rollout.py
@@ -50,7 +50,7 @@
         # Idle engines first: they cost nobody their cached prefixes or their turn.
         candidates = sorted(
             (e for e in behind if e not in in_progress and not e.listed_leaving),
-            key=lambda engine: (engine.load, engine.engine_id),
+            key=lambda engine: (engine.load(now), engine.engine_id),
         )
         chosen = candidates[: max(0, limit - len(in_progress))]
         for engine in chosen:
--- a/liftrill/routing/engine_state.py
+++ b/liftrill/routing/engine_state.py
@@ -1,5 +1,6 @@
 """What one node knows of the engines, from late and partial reports."""
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -59,6 +60,39 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """What an engine told of its load, which says less the older it is.
+
+    Attributes:
+        at: when it was told, seconds.
+        others_at_report: requests of other nodes.
+        waiting_at_report: requests that waited for a place in the batch.
+        prefill_at_report: prompt tokens of other nodes' waiting requests.
+    """
+
+    at: float = 0.0
+    others_at_report: int = 0
+    waiting_at_report: int = 0
+    prefill_at_report: int = 0
+
+    def others(self, now: float) -> float:
+        """Return the requests of other nodes that are believed to be left."""
+        return self.others_at_report * self._freshness(now)
+
+    def waiting(self, now: float) -> float:
+        """Return the waiting requests that are believed to be left."""
+        return self.waiting_at_report * self._freshness(now)
+
+    def prefill_tokens(self, now: float) -> float:
+        """Return other nodes' prompt tokens that are not yet computed."""
+        computed = max(0.0, now - self.at) * constants.PREFILL_TOKENS_PER_SECOND
+        return max(0.0, self.prefill_at_report - computed)
+
+    def _freshness(self, now: float) -> float:
+        return math.exp(min(0.0, self.at - now) / constants.LOAD_DECAY_SECONDS)
+
+
 @dataclass(slots=True)
 class EngineState:
     """One engine as this node sees it.
@@ -68,10 +102,9 @@
         refused_as_leaving: the engine refused a request since it leaves or loads; the
             next report settles it.
         in_flight: requests of this node that the engine holds.
-        in_flight_at_report: the same when the newest report came.
-        reported_waiting: requests that waited on the engine when it reported.
-        others_prefill_tokens: prompt tokens of other nodes that waited then.
+        own_without_token: requests of this node that have no token yet.
         own_prefill_tokens: prompt tokens that this node sent and that have no token yet.
+        report: the load that the engine told last.
     """
 
     engine_id: str
@@ -81,12 +114,10 @@
     identity: EngineIdentity | None = None
     listed_leaving: bool = False
     refused_as_leaving: bool = False
-    reported_load: int = 0
     in_flight: int = 0
-    in_flight_at_report: int = 0
-    reported_waiting: int = 0
-    others_prefill_tokens: int = 0
+    own_without_token: int = 0
     own_prefill_tokens: int = 0
+    report: ReportedLoad = field(default_factory=ReportedLoad)
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
     limit: ConcurrencyLimit = field(default_factory=_new_limit)
 
@@ -108,35 +139,36 @@
         """The weights it was last heard to have loaded, or an empty string."""
         return self.identity.weight_version if self.identity else ""
 
-    @property
-    def load(self) -> int:
-        """Requests believed to be on the engine: its report, and what this node sent since."""
-        return max(self.in_flight, self.reported_load + self.in_flight - self.in_flight_at_report)
+    def load(self, now: float) -> float:
+        """Return the requests believed to be on the engine."""
+        return self.in_flight + self.report.others(now)
 
-    @property
-    def pending_prefill_tokens(self) -> int:
-        """Prompt tokens that the engine must compute before those of a new request."""
-        return self.others_prefill_tokens + self.own_prefill_tokens
+    def pending_prefill_tokens(self, now: float) -> float:
+        """Return the prompt tokens that must be computed before those of a new request."""
+        return self.own_prefill_tokens + self.report.prefill_tokens(now)
 
-    def has_room(self) -> bool:
+    def has_room(self, now: float) -> bool:
         """Return whether this node may send one more request."""
-        return self.room() > 0
+        return self.room(now) > 0
 
-    def room(self) -> int:
+    def room(self, now: float) -> int:
         """Return how many more requests this node may send."""
-        sent_since = max(0, self.in_flight - self.in_flight_at_report)
+        if self.in_flight == 0:
+            return int(self.limit.limit)
         free = int(self.limit.limit) - self.in_flight
-        queue_free = constants.ENGINE_WAITING_LIMIT - self.reported_waiting - sent_since
-        return max(0, min(free, max(queue_free, 1 if self.in_flight == 0 else 0)))
+        waiting = max(self.report.waiting(now), self.own_without_token)
+        return max(0, min(free, int(constants.ENGINE_WAITING_LIMIT - waiting)))
 
     def record_start(self, now: float, prefill_tokens: int = 0) -> None:
         """Count a request that is being sent."""
         self.in_flight += 1
+        self.own_without_token += 1
         self.own_prefill_tokens += prefill_tokens
         self.breaker.record_start(now)
 
     def record_prefilled(self, prefill_tokens: int) -> None:
-        """Note that a request got its first token, or ended without one."""
+        """Note that a request got its first token, or ended without one; once for each start."""
+        self.own_without_token -= 1
         self.own_prefill_tokens -= prefill_tokens
 
     def record_end(self) -> None:
@@ -157,7 +189,7 @@
         self.breaker.record_success()
         self.limit.record_overload()
 
-    def apply_report(self, report: EngineReport) -> bool:
+    def apply_report(self, report: EngineReport, now: float) -> bool:
         """Take in a report; True if it told of a newer identity.
 
         A report of an earlier incarnation is late and is ignored.
@@ -165,24 +197,26 @@
         if self.identity and report.identity.version < self.identity.version:
             return False
         changed = self.apply_identity(report.identity)
-        self.apply_load(report.running, report.waiting, report.waiting_prompt_tokens)
+        self.apply_load(report.running, report.waiting, report.waiting_prompt_tokens, now)
         return changed
 
-    def apply_load(self, running: int, waiting: int, waiting_prompt_tokens: int) -> None:
+    def apply_load(
+        self, running: int, waiting: int, waiting_prompt_tokens: int, now: float
+    ) -> None:
         """Take in the load from a report or from an answer."""
-        self.reported_load = running + waiting
-        self.in_flight_at_report = self.in_flight
-        self.reported_waiting = waiting
-        self.others_prefill_tokens = max(0, waiting_prompt_tokens - self.own_prefill_tokens)
+        self.report = ReportedLoad(
+            at=now,
+            others_at_report=max(0, running + waiting - self.in_flight),
+            waiting_at_report=waiting,
+            prefill_at_report=max(0, waiting_prompt_tokens - self.own_prefill_tokens),
+        )
 
     def apply_identity(self, identity: EngineIdentity) -> bool:
         """Take in an identity from any source; True if it is newer than the known one."""
         if self.identity and identity.version <= self.identity.version:
             return False
         if self.identity and identity.incarnation != self.identity.incarnation:
-            self.reported_load = 0
-            self.reported_waiting = 0
-            self.others_prefill_tokens = 0
+            self.report = ReportedLoad()
         self.identity = identity
         return True
 
--- a/liftrill/routing/policies.py
+++ b/liftrill/routing/policies.py
@@ -86,8 +86,8 @@
         """Return the engines worth looking at among many, or None for all of them."""
         return None
 
-    def _least_loaded(self, engines: Sequence[EngineState]) -> EngineState:
-        return min(engines, key=lambda engine: (engine.load, self._random.random()))
+    def _least_loaded(self, engines: Sequence[EngineState], now: float) -> EngineState:
+        return min(engines, key=lambda engine: (engine.load(now), self._random.random()))
 
 
 class RandomPolicy(RoutingPolicy):
@@ -121,7 +121,7 @@
 
     def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return an engine of the lowest load."""
-        return PolicyChoice(self._least_loaded(engines))
+        return PolicyChoice(self._least_loaded(engines, query.now))
 
 
 class PrefixHashPolicy(RoutingPolicy):
@@ -136,16 +136,16 @@
     def choose(self, query: RoutingQuery, engines: Sequence[EngineState]) -> PolicyChoice:
         """Return the highest ranked engine that is not overloaded."""
         if not query.markers:
-            return PolicyChoice(self._least_loaded(engines))
+            return PolicyChoice(self._least_loaded(engines, query.now))
         key = query.markers[min(len(query.markers), ROUTING_PREFIX_MARKERS) - 1]
         by_id = {engine.engine_id: engine for engine in engines}
-        bound = self._load_bound(engines)
+        bound = self._load_bound(engines, query.now)
         ranked = [by_id[engine_id] for engine_id in rendezvous.rank(key, by_id)]
-        return PolicyChoice(next((e for e in ranked if e.load < bound), ranked[0]))
+        return PolicyChoice(next((e for e in ranked if e.load(query.now) < bound), ranked[0]))
 
     @staticmethod
-    def _load_bound(engines: Sequence[EngineState]) -> float:
-        mean = (sum(engine.load for engine in engines) + 1) / len(engines)
+    def _load_bound(engines: Sequence[EngineState], now: float) -> float:
+        mean = (sum(engine.load(now) for engine in engines) + 1) / len(engines)
         return max(1.0, constants.BOUNDED_LOAD_FACTOR * mean) + 1.0
 
 
@@ -158,11 +158,11 @@
         """Return the engine of the longest believed prefix within the load threshold."""
         incarnations = {e.engine_id: e.incarnation or 0 for e in engines}
         depths = self._directory.believed_depths(query.markers, incarnations, query.now)
-        least = self._least_loaded(engines)
+        least = self._least_loaded(engines, query.now)
         if not depths:
             return PolicyChoice(least)
-        best = max(engines, key=lambda e: (depths.get(e.engine_id, 0), -e.load))
-        if best.load > least.load + constants.LOAD_THRESHOLD_REQUESTS:
+        best = max(engines, key=lambda e: (depths.get(e.engine_id, 0), -e.load(query.now)))
+        if best.load(query.now) > least.load(query.now) + constants.LOAD_THRESHOLD_REQUESTS:
             return PolicyChoice(least, depths.get(least.engine_id, 0))
         return PolicyChoice(best, depths.get(best.engine_id, 0))
 
@@ -231,12 +231,12 @@
             missing = marker_tokens(shared_depth - depth)
             price = missing / constants.PREFILL_TOKENS_PER_SECOND * constants.SPREAD_PRICE_SHARE
             spreading = price * (ranks.get(engine.engine_id, len(ranks)) + 1)
-        return CostTerms(self._waiting_seconds(engine), computing, spreading)
+        return CostTerms(self._waiting_seconds(engine, query.now), computing, spreading)
 
     @staticmethod
-    def _waiting_seconds(engine: EngineState) -> float:
-        prefill = engine.pending_prefill_tokens / constants.PREFILL_TOKENS_PER_SECOND
-        return prefill + engine.load * constants.RUNNING_PRICE_SECONDS
+    def _waiting_seconds(engine: EngineState, now: float) -> float:
+        prefill = engine.pending_prefill_tokens(now) / constants.PREFILL_TOKENS_PER_SECOND
+        return prefill + engine.load(now) * constants.RUNNING_PRICE_SECONDS
 
     @staticmethod
     def _computing_seconds(query: RoutingQuery, depth: int, kept_depth: int) -> float:
--- a/liftrill/routing/router.py
+++ b/liftrill/routing/router.py
@@ -27,7 +27,7 @@
 
     engine_id: str
     policy: str
-    loads: tuple[tuple[str, int], ...]
+    loads: tuple[tuple[str, float], ...]
     costs: tuple[tuple[str, CostTerms], ...]
     excluded: tuple[str, ...]
     shared_tokens: int
@@ -98,11 +98,15 @@
         if not engines:
             return self._unavailable(request, Unavailable.NONE_ELIGIBLE)
         query = self._query(request, pools[0], self.engines.ids_in_pools(pool_names))
+        # What was sent before is not held back: its turn would be granted for engines that it
+        # may not use, and its caller has waited already.
+        has_begun = bool(excluded) or weight_version is not None
         candidates = self._narrow(query, engines)
         for group in (candidates, engines):
             eligible = self._eligible(group, excluded, weight_version)
-            with_room = self._prefer_current_weights(eligible)
-            if with_room and self._may_go_now(request, weight_version):
+            usable = eligible if has_begun else self._with_room(eligible)
+            with_room = self._prefer_current_weights(usable)
+            if with_room and (has_begun or self._may_go_now(request)):
                 self._granted.pop(request.request_id, None)
                 return self._choose_among(request, query, with_room, excluded)
             if group is engines:
@@ -190,7 +194,8 @@
             return
         pools = [pool.name for pool in self.view.pools_by_model.get(model, [])]
         eligible = self._eligible(self.engines.in_pools(pools), frozenset(), None)
-        room = sum(engine.room() for engine in eligible) - self._unused_turns(model)
+        now = self._clock()
+        room = sum(engine.room(now) for engine in eligible) - self._unused_turns(model)
 
         def grant(request: RoutedRequest) -> bool:
             nonlocal room
@@ -235,18 +240,19 @@
             and engine.breaker.allows(now)
         ]
 
+    def _with_room(self, engines: list[EngineState]) -> list[EngineState]:
+        now = self._clock()
+        return [engine for engine in engines if engine.has_room(now)]
+
     def _prefer_current_weights(self, engines: list[EngineState]) -> list[EngineState]:
-        """Return the engines with room: those with the configured weights, if there are any."""
-        with_room = [engine for engine in engines if engine.has_room()]
+        """Return the engines with the configured weights, or all if there are none."""
         pools = self.view.pools_by_name
-        current = [e for e in with_room if e.weight_version == pools[e.pool].weight_version]
-        return current or with_room
+        current = [e for e in engines if e.weight_version == pools[e.pool].weight_version]
+        return current or engines
 
-    def _may_go_now(self, request: RoutedRequest, weight_version: str | None) -> bool:
-        """Return whether a request may pass the queue: its turn came, or it has begun."""
-        queue_is_empty = not self._queues.get(request.model)
-        granted = request.request_id in self._granted
-        return queue_is_empty or granted or weight_version is not None
+    def _may_go_now(self, request: RoutedRequest) -> bool:
+        """Return whether nobody waits, or the request's turn has come."""
+        return not self._queues.get(request.model) or request.request_id in self._granted
 
     def _choose_among(
         self,
@@ -334,7 +340,7 @@
         explanation = Explanation(
             engine_id=decision.engine.engine_id,
             policy=self._policy.name,
-            loads=tuple((e.engine_id, e.load) for e in engines),
+            loads=tuple((e.engine_id, round(e.load(query.now), 1)) for e in engines),
             costs=decision.costs,
             excluded=tuple(sorted(excluded)),
             shared_tokens=marker_tokens(query.shared_depth),
