--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -47,6 +47,7 @@
     ["bench", "decision"],
     ["bench", "scale"],
     ["bench", "live"],
+    ["bench", "memory"],
     ["bench", "report"],
     ["emulate", "engine"],
     ["emulate", "platform"],
--- a/liftrill/cli/bench.py
+++ b/liftrill/cli/bench.py
@@ -10,6 +10,7 @@
 from liftrill.bench.decision import measure_decisions
 from liftrill.bench.faults.run import format_faults, run_faults
 from liftrill.bench.live import format_live, run_live
+from liftrill.bench.memory import measure_memory
 from liftrill.bench.overhead import format_overhead, measure_overhead
 from liftrill.bench.scale.run import format_scale, run_scale
 from liftrill.bench.simulation.compare import BASELINES, format_comparison
@@ -157,6 +158,16 @@
     print(write_report(load_scenario(scenario), policies.split(","), seed, directory))
 
 
+def memory(*, json: bool = False) -> None:
+    """Measure the memory that each kind of state costs.
+
+    :param json: print JSON
+    """
+    costs = measure_memory()
+    text = "\n".join(f"{cost.item:32} {cost.bytes_each:8.0f} bytes" for cost in costs)
+    _print([asdict(cost) for cost in costs], text, json)
+
+
 def decision(
     *,
     engines: int = 400,
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -29,6 +29,7 @@
         "compare": bench.compare,
         "decision": bench.decision,
         "live": bench.live,
+        "memory": bench.memory,
         "report": bench.report,
         "scale": bench.scale,
     },
