--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -142,7 +142,8 @@
 
     async def configure(self) -> int:
         """Confirm the deployment's intent and wait until it is in force on every node."""
-        members = [node.name for node in self.nodes[:CLAIM_GROUP_SIZE]]
+        size = CLAIM_GROUP_SIZE if len(self.nodes) >= CLAIM_GROUP_SIZE else 1
+        members = [node.name for node in self.nodes[:size]]
         generation = await self.operator().confirm_intent(intent_of(self.deployment, members))
         for node in self.nodes:
             await self.wait_ready(node)
--- a/liftrill/bench/scale/run.py
+++ b/liftrill/bench/scale/run.py
@@ -151,11 +151,8 @@
         ]
         everyone = [node.membership.own for node in self._nodes.values()]
         for node in self._nodes.values():
-            node.records.offer_listings(listings)
+            node.records.offer_listings(listings, spread=False)
             node.membership.merge(everyone, 0.0)
-            # What a snapshot brought need not be gossiped again.
-            while node.records.pending:
-                node.records.take_listings(10_000, 2)
             node.start(self._nodes)
         self._confirm()
 
--- a/liftrill/coordination/dissemination.py
+++ b/liftrill/coordination/dissemination.py
@@ -51,13 +51,18 @@
         entry = self._entries.get(key)
         return entry.record if entry else None
 
-    def offer(self, key: Key, version: Comparable, record: Record) -> bool:
-        """Take in a record; True if it is newer than what was known."""
+    def offer(self, key: Key, version: Comparable, record: Record, spread: bool = True) -> bool:
+        """Take in a record; True if it is newer than what was known.
+
+        What came in a snapshot is known to others and need not be spread again.
+        """
         entry = self._entries.get(key)
         if entry is not None and not entry.version < version:
             return False
         self._entries[key] = _Entry(version, record)
-        self._sent[key] = 0
+        self._sent.pop(key, None)
+        if spread:
+            self._sent[key] = 0
         return True
 
     def remove(self, key: Key) -> None:
--- a/liftrill/coordination/membership.py
+++ b/liftrill/coordination/membership.py
@@ -127,11 +127,13 @@
             return self._on_tick(now)
         return self._on_datagram(event, now)
 
-    def merge(self, members: Iterable[Member], now: float) -> list[MembershipInstruction]:
-        """Take in records from a snapshot."""
+    def merge(
+        self, members: Iterable[Member], now: float, spread: bool = False
+    ) -> list[MembershipInstruction]:
+        """Take in records, from a snapshot unless they are to be spread."""
         instructions: list[MembershipInstruction] = []
         for member in members:
-            instructions.extend(self._merge_member(member, now))
+            instructions.extend(self._merge_member(member, now, spread))
         return instructions
 
     def announce(self) -> list[MembershipInstruction]:
@@ -168,7 +170,7 @@
 
     def _on_datagram(self, event: DatagramReceived, now: float) -> list[MembershipInstruction]:
         datagram = event.datagram
-        instructions = self.merge(datagram.members, now)
+        instructions = self.merge(datagram.members, now, spread=True)
         if datagram.generation > self.generation:
             instructions.append(NewerGenerationHeard(event.source_address, datagram.generation))
         if isinstance(datagram.body, Ping):
@@ -319,11 +321,13 @@
             del self._dead_at[node_id]
             self._table.remove(node_id)
 
-    def _merge_member(self, member: Member, now: float) -> list[MembershipInstruction]:
+    def _merge_member(
+        self, member: Member, now: float, spread: bool = True
+    ) -> list[MembershipInstruction]:
         if member.node_id == self._own.node_id:
             return self._defend_own(member)
         member = self._completed(member)
-        if not self._table.offer(member.node_id, member.version, member):
+        if not self._table.offer(member.node_id, member.version, member, spread):
             return []
         self._suspected_at.pop(member.node_id, None)
         self._dead_at.pop(member.node_id, None)
--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -148,9 +148,11 @@
         """Take in a peer's members and engines."""
         context = self._context
         self._on_members([member_from_message(m) for m in snapshot.members])
-        context.records.offer_listings(listing_from_message(m) for m in snapshot.engines)
+        listings = [listing_from_message(m) for m in snapshot.engines]
+        context.records.offer_listings(listings, spread=False)
         for message in snapshot.observations:
-            context.records.offer_observation(observation_from_message(message))
+            observation = observation_from_message(message)
+            context.records.offer_observation(observation, spread=False)
 
     async def _fetch_missing(self) -> None:
         """Fetch sections from peers, then from the store, one fetch at a time."""
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 import aiohttp
 from aiohttp import web
@@ -58,8 +58,8 @@
             context = self._assemble(session)
             runners = await self._listen(context)
             await self._gossip.listen(self._settings.peer_listen)
-            for coroutine in self._background:
-                self._spawn(coroutine)
+            for run in self._background:
+                self._spawn(self._supervise(run))
             log_change("node_started", node=self._settings.node_id)
             if DISABLED:
                 names = sorted(mechanism.value for mechanism in DISABLED)
@@ -125,15 +125,15 @@
             context, PlanCommitter(store), self._sync, peers, self._claims
         )
         self._background = (
-            self._gossip.run(),
-            self._join(),
-            self._sync.watch_store(),
-            watch.follow_machine_list(),
-            watch.follow_reports(),
-            self._claims.verify_epoch(),
-            self._control.run(),
-            self._prefix_exchange.exchange_with_homes(),
-            self._prefix_exchange.follow_events(),
+            self._gossip.run,
+            self._join,
+            self._sync.watch_store,
+            watch.follow_machine_list,
+            watch.follow_reports,
+            self._claims.verify_epoch,
+            self._control.run,
+            self._prefix_exchange.exchange_with_homes,
+            self._prefix_exchange.follow_events,
         )
         return context
 
@@ -207,6 +207,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
 
+    async def _supervise(self, run: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Run a background task, and again if it fails, since the node needs all of them."""
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:
+                log_change("background_task_failed", task=run.__qualname__, error=repr(error))
+                await asyncio.sleep(constants.BACKGROUND_RESTART_SECONDS)
+
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/liftrill/node/engine_watch.py
+++ b/liftrill/node/engine_watch.py
@@ -68,8 +68,9 @@
         """Start a watch for each own engine, and end those of engines that are not."""
         members = [member.node_id for member in self._membership.members()]
         wanted = set(watched_engines(self._membership.own.node_id, members, by_id))
-        for engine_id in [e for e in self._watches if e not in wanted]:
-            self._watches.pop(engine_id).cancel()
+        for engine_id, watch in list(self._watches.items()):
+            if engine_id not in wanted or watch.done():
+                self._watches.pop(engine_id).cancel()
         for engine_id in wanted - self._watches.keys():
             self._watches[engine_id] = asyncio.create_task(self._watch(engine_id))
 
--- a/liftrill/node/request_runner.py
+++ b/liftrill/node/request_runner.py
@@ -123,10 +123,12 @@
             engine.record_failure(time.monotonic())
         return stream
 
-    def cancel(self, engine: EngineState, attempt_id: str) -> None:
+    def cancel(self, instruction: events.CancelAttempt) -> None:
         """Tell an engine, in the background, to stop an attempt."""
-        self._metrics.attempts.labels(result="cancelled").inc()
-        self._spawn(self._client.cancel(engine, attempt_id))
+        engine = self._engines.get(instruction.engine_id)
+        if engine is not None:
+            self._metrics.attempts.labels(result="cancelled").inc()
+            self._spawn(self._client.cancel(engine, instruction.attempt_id))
 
     def release(self, engine: EngineState, completed: bool) -> None:
         """Note that an attempt is no longer on an engine, and let others go on."""
@@ -196,8 +198,8 @@
     def finish(self, event: events.RequestEvent) -> Outcome:
         """Feed the event that ends the request; nothing here waits."""
         for instruction in self._machine.handle(event):
-            if isinstance(instruction, events.CancelAttempt) and self._engine is not None:
-                self._runner.cancel(self._engine, instruction.attempt_id)
+            if isinstance(instruction, events.CancelAttempt):
+                self._runner.cancel(instruction)
             elif isinstance(instruction, events.EndRequest):
                 self._outcome = instruction.outcome
         assert self._outcome is not None
@@ -234,8 +236,7 @@
         if isinstance(instruction, events.WaitForEngine):
             return [await self._runner.wait_for_turn(self._machine)]
         if isinstance(instruction, events.CancelAttempt):
-            assert self._engine is not None
-            self._runner.cancel(self._engine, instruction.attempt_id)
+            self._runner.cancel(instruction)
         elif isinstance(instruction, events.EndRequest):
             self._outcome = instruction.outcome
         return []
--- a/liftrill/planning/sections.py
+++ b/liftrill/planning/sections.py
@@ -109,8 +109,9 @@
         return self.tenants_by_key.get(api_key_digest(api_key))
 
     def default_workload(self, model: str) -> messages.Workload | None:
-        """Return the first workload of a model, for requests that name none."""
-        return next((w for w in self.workloads.workloads if w.model == model), None)
+        """Return the least urgent workload of a model, for requests that name none."""
+        candidates = [w for w in self.workloads.workloads if w.model == model]
+        return max(candidates, key=lambda workload: workload.priority, default=None)
 
 
 def view_of(configuration: Configuration | None) -> ConfigurationView:
--- a/liftrill/routing/engine_records.py
+++ b/liftrill/routing/engine_records.py
@@ -42,14 +42,15 @@
         """Return all observations."""
         return list(self._observations)
 
-    def offer_listings(self, listings: Iterable[EngineListing]) -> int:
-        """Take in listings from a peer; return how many were new."""
-        return sum(self._offer_listing(listing) for listing in listings)
+    def offer_listings(self, listings: Iterable[EngineListing], spread: bool = True) -> int:
+        """Take in listings; return how many were new. Those of a snapshot are not spread."""
+        return sum(self._offer_listing(listing, spread) for listing in listings)
 
-    def offer_observation(self, observation: EngineObservation) -> bool:
-        """Take in an observation from a peer or from this node; True if it was new."""
+    def offer_observation(self, observation: EngineObservation, spread: bool = True) -> bool:
+        """Take in an observation; True if it was new. Those of a snapshot are not spread."""
         identity = observation.identity
-        if not self._observations.offer(observation.engine_id, identity.version, observation):
+        key = observation.engine_id
+        if not self._observations.offer(key, identity.version, observation, spread):
             return False
         engine = self._table.get(observation.engine_id)
         if engine is not None:
@@ -84,8 +85,8 @@
         """Return observations to piggyback."""
         return self._observations.take(count, members)
 
-    def _offer_listing(self, listing: EngineListing) -> bool:
-        if not self._listings.offer(listing.engine_id, listing.version, listing):
+    def _offer_listing(self, listing: EngineListing, spread: bool) -> bool:
+        if not self._listings.offer(listing.engine_id, listing.version, listing, spread):
             return False
         self._table.apply_listing(listing)
         self._reapply_observation(listing)
--- a/liftrill/routing/router.py
+++ b/liftrill/routing/router.py
@@ -97,23 +97,21 @@
         engines = self.engines.in_pools(pool_names)
         if not engines:
             return self._unavailable(request, Unavailable.NONE_ELIGIBLE)
-        query = self._query(request, pools[0], self.engines.ids_in_pools(pool_names))
         # What was sent before is not held back: its turn would be granted for engines that it
         # may not use, and its caller has waited already.
         has_begun = bool(excluded) or weight_version is not None
-        candidates = self._narrow(query, engines)
-        for group in (candidates, engines):
-            eligible = self._eligible(group, excluded, weight_version)
-            usable = eligible if has_begun else self._with_room(eligible)
-            with_room = self._prefer_current_weights(usable)
-            if with_room and (has_begun or self._may_go_now(request)):
-                self._granted.pop(request.request_id, None)
-                return self._choose_among(request, query, with_room, excluded)
-            if group is engines:
-                break
-        if not eligible:
-            return self._unavailable(request, Unavailable.NONE_ELIGIBLE)
-        return self._unavailable(request, Unavailable.ALL_BUSY)
+        if has_begun or self._may_go_now(request):
+            query = self._query(request, pools[0], self.engines.ids_in_pools(pool_names))
+            for group in (self._narrow(query, engines), engines):
+                eligible = self._eligible(group, excluded, weight_version)
+                usable = eligible if has_begun else self._with_room(eligible)
+                if usable:
+                    self._granted.pop(request.request_id, None)
+                    preferred = self._prefer_current_weights(usable)
+                    return self._choose_among(request, query, preferred, excluded)
+        if self._eligible(engines, excluded, weight_version):
+            return self._unavailable(request, Unavailable.ALL_BUSY)
+        return self._unavailable(request, Unavailable.NONE_ELIGIBLE)
 
     def try_spend_retry(self, request: RoutedRequest) -> bool:
         """Spend one retry of the request's workload."""
