Lend engines between pools for dated bursts and rising load

A pool states what it may borrow, from whom, and what it keeps; a burst states its times and how many engines it needs. The pool's lease holder decides with hysteresis from the smoothed utilization and its slope, one order at a time. Orders name the pool the engine must be serving and carry fences per pool; engines check the model as well.

Tested in virtual time (lead, minimum, limit, dip, swing, stray) and over processes: a confirmed burst moves an engine, which serves the other model, and comes back.

--- a/features/support.py
+++ b/features/support.py
@@ -15,10 +15,15 @@
     engine = pool.engine.model_copy(update=engine_settings or {})
     pools = [pool.model_copy(update={"engines": engines, "engine": engine})]
     deployment = deployment.model_copy(update={"pools": pools})
+    start_deployment(context, deployment, **options)
+
+
+def start_deployment(context, deployment, **options):
+    """Start the processes of a deployment, unconfigured."""
     cluster = Cluster(deployment, context.directory, **options)
     context.cluster = context.run(context.stack.enter_async_context(cluster))
     context.generator = WorkloadGenerator(deployment, seed=7)
-    versions = [pool.weight_version, "2026-12"]
+    versions = [*(pool.weight_version for pool in deployment.pools), "2026-12"]
     context.caller = Caller(context.cluster.session, versions)
     context.records = []
 
--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -253,6 +253,7 @@
             "emulate",
             "engine",
             f"--engine-id={engine_id}",
+            f"--pool={pool.name}",
             f"--model={pool.model}",
             f"--weight-version={pool.weight_version}",
             f"--seed={self.seed * 1000 + number}",
--- a/liftrill/bench/simulation/engine.py
+++ b/liftrill/bench/simulation/engine.py
@@ -5,6 +5,7 @@
 from liftrill.bench.simulation.clock import VirtualClock
 from liftrill.cache.event_stream import BlockEvent
 from liftrill.emulator.engine_messages import (
+    Assignment,
     CacheEventKind,
     EngineOutput,
     EngineParameters,
@@ -27,13 +28,13 @@
         engine_id: str,
         zone: str,
         parameters: EngineParameters,
-        weight_version: str,
+        assignment: Assignment,
         seed: int,
     ) -> None:
         self.engine_id = engine_id
         self.zone = zone
         self._clock = clock
-        self.model = EngineModel(parameters, weight_version, incarnation=1, seed=seed)
+        self.model = EngineModel(parameters, assignment, incarnation=1, seed=seed)
         self._handlers: dict[str, tuple[OutputHandler, LostHandler]] = {}
         self._scheduled_at: float | None = None
         self._events: list[BlockEvent] = []
--- a/liftrill/bench/simulation/simulator.py
+++ b/liftrill/bench/simulation/simulator.py
@@ -15,7 +15,7 @@
 from liftrill.bench.workload import PlannedRequest, WorkloadGenerator
 from liftrill.cache.tokenizer import FixedWidthTokenizer
 from liftrill.coordination.configuration import Configuration, Head, content_digest
-from liftrill.emulator.engine_messages import EngineParameters
+from liftrill.emulator.engine_messages import Assignment, EngineParameters
 from liftrill.planning.intent import Intent
 from liftrill.planning.plan import make_plan
 from liftrill.planning.sections import ConfigurationView
@@ -88,7 +88,7 @@
                     f"{pool.name}-{number}",
                     zones[number % len(zones)],
                     parameters,
-                    pool.weight_version,
+                    Assignment(pool.name, pool.model, pool.weight_version),
                     seed=self._seed * 1000 + number,
                 )
             )
--- a/liftrill/cli/emulate.py
+++ b/liftrill/cli/emulate.py
@@ -7,7 +7,7 @@
 import uvloop
 from aiohttp import web
 
-from liftrill.emulator.engine_messages import EngineParameters
+from liftrill.emulator.engine_messages import Assignment, EngineParameters
 from liftrill.emulator.engine_server import EngineServer
 from liftrill.emulator.kept_store_server import KeptStoreServer
 from liftrill.emulator.platform_server import PlatformServer
@@ -19,6 +19,7 @@
     *,
     engine_id: str,
     listen: str,
+    pool: str,
     model: str,
     weight_version: str,
     seed: int = 1,
@@ -37,6 +38,7 @@
 
     :param engine_id: name of the engine
     :param listen: HOST:PORT
+    :param pool: pool that it serves
     :param model: name of the model it serves
     :param weight_version: weights loaded at the start
     :param seed: seed of its random choices
@@ -61,7 +63,13 @@
         event_loss_share=event_loss_share,
     )
     server = EngineServer(
-        engine_id, model, weight_version, parameters, seed, journal, weight_load_seconds, kept_store
+        engine_id,
+        Assignment(pool, model, weight_version),
+        parameters,
+        seed,
+        journal,
+        weight_load_seconds,
+        kept_store,
     )
     uvloop.run(_serve(server.application(), listen))
 
--- a/liftrill/emulator/engine_messages.py
+++ b/liftrill/emulator/engine_messages.py
@@ -17,6 +17,8 @@
     LOADING = "loading"
     DUPLICATE_ATTEMPT = "duplicate_attempt"
     STALE_FENCE = "stale_fence"
+    WRONG_POOL = "wrong_pool"
+    MODEL_MISMATCH = "model_mismatch"
     PROMPT_TOO_LONG = "prompt_too_long"
 
 
@@ -30,6 +32,7 @@
         incarnation: the engine incarnation the sender expects, or None for any.
         weight_version: the weight version the sender expects, or None for any.
         salt: key of the block hashes; never empty.
+        model: the model the sender expects, or empty for any.
         kept_blocks: leading blocks that can be imported from the kept-KV store.
         user: whom the request is for, as told for the audit of the cache.
     """
@@ -45,6 +48,16 @@
     weight_version: str | None = None
     user: str = ""
     kept_blocks: int = 0
+    model: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """What an engine serves."""
+
+    pool: str
+    model: str
+    weight_version: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/emulator/engine_model.py
+++ b/liftrill/emulator/engine_model.py
@@ -18,6 +18,7 @@
 from liftrill.cache.blocks import block_names
 from liftrill.cache.tokenizer import FixedWidthTokenizer
 from liftrill.emulator.engine_messages import (
+    Assignment,
     BlockOrigin,
     CacheEvent,
     EngineOutput,
@@ -61,26 +62,26 @@
 
     Attributes:
         incarnation: changes whenever the engine starts empty.
-        weight_version: the weights that are loaded.
+        assignment: pool, model and weights that are served.
         revision: grows when weights or `leaving` change.
     """
 
     def __init__(
         self,
         parameters: EngineParameters,
-        weight_version: str,
+        assignment: Assignment,
         incarnation: int,
         seed: int,
     ) -> None:
         self.parameters = parameters
-        self.weight_version = weight_version
+        self.assignment = assignment
         self.incarnation = incarnation
         self.revision = 0
         self._leaving = False
         self.accepts_while_leaving = False
         self.loading_until: float | None = None
-        self._loading_version = ""
-        self._highest_fence = 0
+        self._loading: Assignment | None = None
+        self._highest_fences: dict[str, int] = {}
         self._tokenizer = FixedWidthTokenizer()
         self.cache = PrefixCache(parameters, random.Random(seed))
         self._waiting: list[Generation] = []
@@ -93,6 +94,11 @@
         self._step_decode: list[Generation] = []
         self._reports: deque[LoadReport] = deque()
 
+    @property
+    def weight_version(self) -> str:
+        """The weights that are loaded."""
+        return self.assignment.weight_version
+
     @property
     def leaving(self) -> bool:
         """Whether new work is refused."""
@@ -155,25 +161,37 @@
 
     # Orders
 
-    def order_weights(
-        self, weight_version: str, fence: int, ready_at: float
+    def order_assign(
+        self,
+        assignment: Assignment,
+        authority: str,
+        fence: int,
+        expected_pool: str,
+        ready_at: float,
     ) -> RefusalReason | None:
-        """Begin to load other weights; requests are refused until they are ready."""
-        if fence < self._highest_fence:
+        """Begin to change what is served; requests are refused until it is loaded."""
+        if fence < self._highest_fences.get(authority, 0):
             return RefusalReason.STALE_FENCE
-        self._highest_fence = fence
-        if weight_version in (self._loading_version, self.weight_version):
+        target = self._loading or self.assignment
+        if target == assignment:
             return None
-        self._loading_version = weight_version
+        if expected_pool != target.pool:
+            return RefusalReason.WRONG_POOL
+        self._highest_fences[authority] = fence
+        self.load(assignment, ready_at)
+        return None
+
+    def load(self, assignment: Assignment, ready_at: float) -> None:
+        """Change what is served, once running requests have ended and it is loaded."""
+        self._loading = assignment
         self.loading_until = ready_at
         self.revision += 1
-        return None
 
-    def order_leave(self, fence: int) -> RefusalReason | None:
+    def order_leave(self, authority: str, fence: int) -> RefusalReason | None:
         """Refuse new work from now on."""
-        if fence < self._highest_fence:
+        if fence < self._highest_fences.get(authority, 0):
             return RefusalReason.STALE_FENCE
-        self._highest_fence = fence
+        self._highest_fences[authority] = fence
         self.set_leaving(True)
         return None
 
@@ -229,6 +247,10 @@
                 request.incarnation not in (None, self.incarnation),
                 RefusalReason.INCARNATION_MISMATCH,
             ),
+            (
+                request.model not in ("", self.assignment.model),
+                RefusalReason.MODEL_MISMATCH,
+            ),
             (self.leaving and not self.accepts_while_leaving, RefusalReason.LEAVING),
             (self.loading_until is not None, RefusalReason.LOADING),
             (
@@ -258,8 +280,9 @@
         if self._running or self._waiting:
             return
         self.loading_until = None
-        self.weight_version = self._loading_version
-        self._loading_version = ""
+        assert self._loading is not None
+        self.assignment = self._loading
+        self._loading = None
         self.revision += 1
         self.cache.clear()
 
--- a/liftrill/emulator/engine_schema.py
+++ b/liftrill/emulator/engine_schema.py
@@ -1,5 +1,7 @@
 """HTTP bodies of the engine stand-in: OpenAI's completions with the usual extensions."""
 
+from typing import Literal
+
 from pydantic import BaseModel, ConfigDict, Field
 
 from liftrill.emulator.engine_messages import GenerationRequest
@@ -14,6 +16,7 @@
 
     model_config = ConfigDict(extra="ignore")
 
+    model: str = ""
     prompt: str
     max_tokens: int = Field(default=16, ge=1)
     cache_salt: str = ""
@@ -41,6 +44,7 @@
             weight_version=self.weight_version,
             user=self.user,
             kept_blocks=kept_blocks,
+            model=self.model,
         )
 
 
@@ -50,8 +54,12 @@
     model_config = ConfigDict(extra="forbid")
 
     order_id: str
+    authority: str
     fence: int
-    action: str
+    action: Literal["assign", "leave"]
+    expected_pool: str = ""
+    pool: str = ""
+    model: str = ""
     weight_version: str = ""
 
 
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import deque
+from dataclasses import replace
 from pathlib import Path
 
 import aiohttp
@@ -13,6 +14,7 @@
 from liftrill.emulator.engine_faults import EngineFault
 from liftrill.emulator.engine_journal import EngineJournal
 from liftrill.emulator.engine_messages import (
+    Assignment,
     CacheEvent,
     EngineOutput,
     EngineParameters,
@@ -31,6 +33,8 @@
     RefusalReason.PROMPT_TOO_LONG: 400,
     RefusalReason.DUPLICATE_ATTEMPT: 409,
     RefusalReason.STALE_FENCE: 409,
+    RefusalReason.WRONG_POOL: 422,
+    RefusalReason.MODEL_MISMATCH: 412,
 }
 REFUSED_FOR_LOAD_STATUS = 503
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
@@ -45,8 +49,7 @@
     def __init__(
         self,
         engine_id: str,
-        model_name: str,
-        weight_version: str,
+        assignment: Assignment,
         parameters: EngineParameters,
         seed: int,
         journal_path: Path | None,
@@ -56,8 +59,7 @@
         self.engine_id = engine_id
         self._kept_store = kept_store
         self._weight_load_seconds = weight_load_seconds
-        self.model_name = model_name
-        self._model = EngineModel(parameters, weight_version, _new_incarnation(), seed)
+        self._model = EngineModel(parameters, assignment, _new_incarnation(), seed)
         self._readers: dict[str, asyncio.Queue[EngineOutput | None]] = {}
         self._wake = asyncio.Event()
         self._identity_changed = asyncio.Condition()
@@ -199,10 +201,15 @@
         except ValidationError as error:
             return _json({"error": {"code": "invalid", "message": str(error)}}, 400)
         if order.action == "leave":
-            reason = self._model.order_leave(order.fence)
+            reason = self._model.order_leave(order.authority, order.fence)
         else:
-            ready_at = time.monotonic() + self._weight_load_seconds
-            reason = self._model.order_weights(order.weight_version, order.fence, ready_at)
+            reason = self._model.order_assign(
+                Assignment(order.pool, order.model, order.weight_version),
+                order.authority,
+                order.fence,
+                order.expected_pool,
+                time.monotonic() + self._weight_load_seconds,
+            )
         self._wake.set()
         await self._notify_identity()
         return self._refused(reason) if reason else _json({"accepted": True})
@@ -215,7 +222,8 @@
         return _json(
             {
                 "engine_id": self.engine_id,
-                "model": self.model_name,
+                "model": self._model.assignment.model,
+                "pool": self._model.assignment.pool,
                 "incarnation": self._model.incarnation,
                 "revision": self._model.revision,
                 "weight_version": self._model.weight_version,
@@ -280,7 +288,8 @@
             self._model.set_leaving(True)
             self._model.accepts_while_leaving = fault.kind == "accept_while_leaving"
         else:
-            self._model.order_weights(fault.weight_version, 0, now + fault.seconds)
+            changed = replace(self._model.assignment, weight_version=fault.weight_version)
+            self._model.load(changed, now + fault.seconds)
         self._wake.set()
         await self._notify_identity()
         return _json({"applied": fault.kind})
@@ -380,6 +389,7 @@
             "incarnation": self._model.incarnation,
             "revision": self._model.revision,
             "weight_version": self._model.weight_version,
+            "pool": self._model.assignment.pool,
         }
         return _json(body, REFUSAL_STATUS.get(reason, REFUSED_FOR_LOAD_STATUS))
 
--- a/liftrill/node/control_loop.py
+++ b/liftrill/node/control_loop.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from liftrill import constants
@@ -14,7 +15,10 @@
 from liftrill.node.context import NodeContext
 from liftrill.node.engine_client import EngineClient, StaleFenceError
 from liftrill.node.logs import log_change
-from liftrill.planning.rollout import LoadWeightsOrder, PoolRollout, RolloutParameters
+from liftrill.planning.burst import BurstController, BurstParameters, ControlView
+from liftrill.planning.orders import AssignOrder
+from liftrill.planning.rollout import PoolRollout, RolloutParameters
+from liftrill.routing.engine_state import EngineState
 
 LEASE_KEY_PREFIX = "liftrill/leases/"
 
@@ -30,10 +34,20 @@
     )
 
 
+def _new_burst_controller(pool_name: str) -> BurstController:
+    parameters = BurstParameters(
+        requests_per_engine=constants.BURST_REQUESTS_PER_ENGINE,
+        busy_seconds=constants.BURST_BUSY_SECONDS,
+        idle_seconds=constants.BURST_IDLE_SECONDS,
+    )
+    return BurstController(pool_name, parameters)
+
+
 @dataclass(slots=True)
 class PoolControl:
-    """The lease of one node on a pool, and its rollout while it holds it."""
+    """The lease of one node on a pool, and its decisions while it holds it."""
 
+    burst: BurstController
     lease: Lease = field(default_factory=_new_lease)
     rollout: PoolRollout = field(default_factory=lambda: PoolRollout(RolloutParameters()))
 
@@ -46,11 +60,13 @@
         context: NodeContext,
         store: KeyValueStore,
         client: EngineClient,
+        refresh: Callable[[EngineState], Awaitable[None]],
         random_source: random.Random,
     ) -> None:
         self._context = context
         self._store = store
         self._client = client
+        self._refresh = refresh
         self._random = random_source
         self._controls: dict[str, PoolControl] = {}
 
@@ -70,7 +86,7 @@
     async def _control(self, pool: Pool) -> None:
         if not self._contends(pool.name):
             return
-        control = self._controls.setdefault(pool.name, PoolControl())
+        control = self._control_of(pool.name)
         try:
             await self._keep_lease(pool.name, control)
         except StoreError:
@@ -103,25 +119,62 @@
             return
         control.lease.acquired(session, entry.revision, asked_at)
         control.rollout = PoolRollout(RolloutParameters())
+        control.burst = _new_burst_controller(pool_name)
         log_change("lease_acquired", pool=pool_name, token=entry.revision)
 
+    def _control_of(self, pool_name: str) -> PoolControl:
+        control = self._controls.get(pool_name)
+        if control is None:
+            control = PoolControl(_new_burst_controller(pool_name))
+            self._controls[pool_name] = control
+        return control
+
     async def _act(self, pool: Pool, control: PoolControl) -> None:
+        await self._refresh_load(pool.name)
         engines = self._context.engines.in_pools([pool.name])
-        orders = control.rollout.orders(engines, pool.weight_version, time.monotonic())
+        orders = control.rollout.orders(engines, pool, time.monotonic())
+        move = control.burst.decide(self._view())
+        if move is not None:
+            orders.append(move)
         for order in orders:
             await self._send(pool.name, order, control)
 
-    async def _send(self, pool_name: str, order: LoadWeightsOrder, control: PoolControl) -> None:
+    async def _refresh_load(self, pool_name: str) -> None:
+        """Ask a sample of the pool's engines for their load."""
+        engines = self._context.engines.in_pools([pool_name])
+        count = min(constants.CONTROL_SAMPLE_ENGINES, len(engines))
+        sample = self._random.sample(engines, count)
+        await asyncio.gather(*(self._refresh(engine) for engine in sample))
+
+    def _view(self) -> ControlView:
+        view = self._context.view
+        pools = view.pools_by_name
+        return ControlView(
+            pools=pools,
+            bursts=view.bursts.bursts,
+            engines={name: self._context.engines.in_pools([name]) for name in pools},
+            strays=[engine for engine in self._context.engines if engine.pool not in pools],
+            unix_now=time.time(),
+            now=time.monotonic(),
+        )
+
+    async def _send(self, pool_name: str, order: AssignOrder, control: PoolControl) -> None:
         engine = self._context.engines.get(order.engine_id)
         token = control.lease.token
         if engine is None or token is None:
             return
         try:
-            accepted = await self._client.order_weights(engine, order, token)
+            accepted = await self._client.assign(engine, order, token)
         except StaleFenceError:
             self._step_down(pool_name, control)
             return
-        log_change("order", engine=order.engine_id, weights=order.weight_version, done=accepted)
+        log_change(
+            "order",
+            engine=order.engine_id,
+            pool=order.pool,
+            weights=order.weight_version,
+            accepted=accepted,
+        )
 
     def _step_down(self, pool_name: str, control: PoolControl) -> None:
         control.lease.step_down()
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -116,7 +116,7 @@
             on_members=self._gossip.merge_members,
             on_adopted=self._on_adopted,
         )
-        self._control = ControlLoop(context, store, client, random_source)
+        self._control = ControlLoop(context, store, client, watch.refresh, random_source)
         self._prefix_exchange = PrefixExchangeService(
             context, directory, membership, peers, client, random_source
         )
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -13,7 +13,7 @@
 from liftrill.cache.event_stream import BlockEvent
 from liftrill.errors import LiftrillError
 from liftrill.mechanisms import Mechanism, is_enabled
-from liftrill.planning.rollout import LoadWeightsOrder
+from liftrill.planning.orders import AssignOrder
 from liftrill.routing import events
 from liftrill.routing.engine_state import EngineIdentity, EngineReport, EngineState
 from liftrill.routing.request import RoutedRequest
@@ -212,16 +212,20 @@
         body = {"name": advice.name.hex(), "blocks": advice.blocks}
         await self._post(f"http://{engine.address}/v1/exports", body)
 
-    async def order_weights(self, engine: EngineState, order: LoadWeightsOrder, token: int) -> bool:
-        """Send a fenced order to load weights; False if the engine did not take it.
+    async def assign(self, engine: EngineState, order: AssignOrder, token: int) -> bool:
+        """Send a fenced order; False if the engine did not take it.
 
         Raises:
             StaleFenceError: another controller holds a newer lease.
         """
         body = {
             "order_id": order.order_id,
+            "authority": order.authority,
             "fence": token,
-            "action": "load",
+            "action": "assign",
+            "expected_pool": order.expected_pool,
+            "pool": order.pool,
+            "model": order.model,
             "weight_version": order.weight_version,
         }
         status = await self._post(f"http://{engine.address}/v1/orders", body)
@@ -334,6 +338,7 @@
             revision=int(body["revision"]),
             weight_version=str(body["weight_version"]),
             leaving=bool(body.get("leaving", False)),
+            pool=str(body.get("pool", "")),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/liftrill/node/gossip_codec.py
+++ b/liftrill/node/gossip_codec.py
@@ -143,13 +143,18 @@
         revision=identity.revision,
         weight_version=identity.weight_version,
         leaving=identity.leaving,
+        pool=identity.pool,
     )
 
 
 def observation_from_message(message: messages.EngineObservation) -> EngineObservation:
     """Return an observation."""
     identity = EngineIdentity(
-        message.incarnation, message.revision, message.weight_version, message.leaving
+        message.incarnation,
+        message.revision,
+        message.weight_version,
+        message.leaving,
+        message.pool,
     )
     return EngineObservation(message.engine_id, identity)
 
--- a/liftrill/planning/intent.py
+++ b/liftrill/planning/intent.py
@@ -3,7 +3,7 @@
 Items that an intent names are added or replaced; items it does not name stay as they are.
 """
 
-from pydantic import Field, model_validator
+from pydantic import AwareDatetime, Field, model_validator
 
 from liftrill import constants
 from liftrill.settings_file import StrictModel
@@ -46,6 +46,26 @@
     model: str = Field(min_length=1)
     adapter: str = ""
     weight_version: str = Field(min_length=1)
+    minimum_engines: int = Field(default=1, ge=0)
+    borrow_limit: int = Field(default=0, ge=0)
+    borrow_from: list[str] = Field(default_factory=list)
+
+
+class BurstIntent(StrictModel):
+    """A burst whose date is known: engines are borrowed from its lead time until its end."""
+
+    name: str = Field(pattern=NAME_PATTERN)
+    pool: str
+    starts_at: AwareDatetime
+    ends_at: AwareDatetime
+    lead_minutes: float = Field(default=10.0, ge=0, le=1440)
+    engines: int = Field(ge=1)
+
+    @model_validator(mode="after")
+    def _check_times(self) -> "BurstIntent":
+        if self.ends_at <= self.starts_at:
+            raise ValueError("ends_at must be after starts_at")
+        return self
 
 
 class ClaimIntent(StrictModel):
@@ -68,6 +88,7 @@
     tenants: list[str] = Field(default_factory=list)
     workloads: list[str] = Field(default_factory=list)
     pools: list[str] = Field(default_factory=list)
+    bursts: list[str] = Field(default_factory=list)
 
 
 class Intent(StrictModel):
@@ -76,5 +97,6 @@
     tenants: list[TenantIntent] = Field(default_factory=list)
     workloads: list[WorkloadIntent] = Field(default_factory=list)
     pools: list[PoolIntent] = Field(default_factory=list)
+    bursts: list[BurstIntent] = Field(default_factory=list)
     claims: ClaimIntent | None = None
     remove: Removal = Field(default_factory=Removal)
--- a/liftrill/planning/plan.py
+++ b/liftrill/planning/plan.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from enum import Enum
 from typing import TypeVar
 
@@ -11,7 +12,7 @@
 from liftrill.coordination.configuration import content_digest
 from liftrill.errors import OperatorError, ResultCode
 from liftrill.messages import configuration_pb2 as messages
-from liftrill.planning.intent import Intent, PoolIntent, TenantIntent, WorkloadIntent
+from liftrill.planning.intent import BurstIntent, Intent, PoolIntent, TenantIntent, WorkloadIntent
 from liftrill.planning.sections import (
     ConfigurationView,
     SectionName,
@@ -22,7 +23,9 @@
 )
 
 HIDDEN_FIELDS = frozenset({"apiKeyDigests"})
-ConfiguredItem = TypeVar("ConfiguredItem", messages.Tenant, messages.Workload, messages.Pool)
+ConfiguredItem = TypeVar(
+    "ConfiguredItem", messages.Tenant, messages.Workload, messages.Pool, messages.Burst
+)
 
 
 class ChangeKind(Enum):
@@ -94,18 +97,22 @@
         view.workloads.workloads, _workloads(intent.workloads), intent.remove.workloads
     )
     pools = _merge(view.pools.pools, _pools(intent.pools, view.pools_by_name), intent.remove.pools)
+    bursts = _merge(view.bursts.bursts, _bursts(intent.bursts), intent.remove.bursts)
     _check_models(workloads.values(), pools.values())
+    _check_pool_names(bursts.values(), pools)
     claims = _claims(intent, view.claims)
     sections = {
         **encode_tenants(tenants.values()),
         SectionName.WORKLOADS.value: encode(messages.WorkloadSection(workloads=workloads.values())),
         SectionName.POOLS.value: encode(messages.PoolSection(pools=pools.values())),
         SectionName.CLAIMS.value: encode(claims),
+        SectionName.BURSTS.value: encode(messages.BurstSection(bursts=bursts.values())),
     }
     changes = (
         *_differences(SectionName.TENANTS, view.tenants_by_name, tenants),
         *_differences(SectionName.WORKLOADS, view.workloads_by_name, workloads),
         *_differences(SectionName.POOLS, view.pools_by_name, pools),
+        *_differences(SectionName.BURSTS, by_name(view.bursts.bursts), bursts),
         *_claim_differences(view.claims, claims),
     )
     return Plan(
@@ -113,7 +120,10 @@
         base_generation=view.generation,
         sections=sections,
         changes=changes,
-        consequences=_consequences(view.pools_by_name, pools, engines_by_pool),
+        consequences=(
+            *_consequences(view.pools_by_name, pools, engines_by_pool),
+            *_burst_consequences(by_name(view.bursts.bursts), bursts, pools),
+        ),
         completes_claim_change=bool(view.claims.previous_members) and claims != view.claims,
     )
 
@@ -144,6 +154,29 @@
             raise OperatorError(ResultCode.INVALID_INTENT, detail)
 
 
+def _check_pool_names(bursts: Iterable[messages.Burst], pools: Mapping[str, messages.Pool]) -> None:
+    named = [(f"pool {p.name!r}", other) for p in pools.values() for other in p.borrow_from]
+    named += [(f"burst {burst.name!r}", burst.pool) for burst in bursts]
+    for item, pool_name in named:
+        if pool_name not in pools:
+            detail = f"{item} names pool {pool_name!r}, which does not exist"
+            raise OperatorError(ResultCode.INVALID_INTENT, detail)
+
+
+def _bursts(intents: list[BurstIntent]) -> list[messages.Burst]:
+    return [
+        messages.Burst(
+            name=intent.name,
+            pool=intent.pool,
+            starts_at_seconds=intent.starts_at.timestamp(),
+            ends_at_seconds=intent.ends_at.timestamp(),
+            lead_seconds=intent.lead_minutes * 60,
+            engines=intent.engines,
+        )
+        for intent in intents
+    ]
+
+
 def _tenants(intents: list[TenantIntent]) -> list[messages.Tenant]:
     return [
         messages.Tenant(
@@ -237,6 +270,27 @@
     return ", ".join(parts)
 
 
+def _burst_consequences(
+    before: Mapping[str, messages.Burst],
+    after: Mapping[str, messages.Burst],
+    pools: Mapping[str, messages.Pool],
+) -> list[Consequence]:
+    """Tell which engines a new or changed burst will empty, and when."""
+    found: list[Consequence] = []
+    for name, burst in after.items():
+        if before.get(name) == burst:
+            continue
+        lenders = ", ".join(pools[burst.pool].borrow_from) or "no pool: borrow_from is empty"
+        starts_at = datetime.fromtimestamp(burst.starts_at_seconds - burst.lead_seconds, UTC)
+        found.append(
+            Consequence(
+                f"from {starts_at:%Y-%m-%d %H:%M} UTC up to {burst.engines} engines of {lenders} "
+                f"are emptied and serve {burst.pool} until the end of burst {name}"
+            )
+        )
+    return found
+
+
 def _consequences(
     before: Mapping[str, messages.Pool],
     after: Mapping[str, messages.Pool],
--- a/liftrill/planning/rollout.py
+++ b/liftrill/planning/rollout.py
@@ -7,18 +7,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from liftrill.messages.configuration_pb2 import Pool
+from liftrill.planning.orders import AssignOrder
 from liftrill.routing.engine_state import EngineState
 
 
-@dataclass(frozen=True, slots=True)
-class LoadWeightsOrder:
-    """An order to one engine; `order_id` is the same for a repeated order."""
-
-    order_id: str
-    engine_id: str
-    weight_version: str
-
-
 @dataclass(frozen=True, slots=True)
 class RolloutParameters:
     """How a rollout proceeds.
@@ -39,11 +32,9 @@
         self._parameters = parameters
         self._ordered_at: dict[str, float] = {}
 
-    def orders(
-        self, engines: Sequence[EngineState], weight_version: str, now: float
-    ) -> list[LoadWeightsOrder]:
+    def orders(self, engines: Sequence[EngineState], pool: Pool, now: float) -> list[AssignOrder]:
         """Return the orders that should be sent now."""
-        behind = [e for e in engines if e.identity and e.weight_version != weight_version]
+        behind = [e for e in engines if e.identity and e.weight_version != pool.weight_version]
         self._forget_all_but({engine.engine_id for engine in behind})
         limit = max(1, int(len(engines) * self._parameters.share_at_once))
         in_progress = [e for e in behind if self._is_in_progress(e.engine_id, now)]
@@ -55,7 +46,7 @@
         chosen = candidates[: max(0, limit - len(in_progress))]
         for engine in chosen:
             self._ordered_at[engine.engine_id] = now
-        return [self._order(engine, weight_version) for engine in chosen]
+        return [_order(engine, pool) for engine in chosen]
 
     def _is_in_progress(self, engine_id: str, now: float) -> bool:
         ordered_at = self._ordered_at.get(engine_id)
@@ -65,7 +56,14 @@
         for engine_id in [e for e in self._ordered_at if e not in engine_ids]:
             del self._ordered_at[engine_id]
 
-    @staticmethod
-    def _order(engine: EngineState, weight_version: str) -> LoadWeightsOrder:
-        order_id = f"{engine.engine_id}/{engine.incarnation}/{weight_version}"
-        return LoadWeightsOrder(order_id, engine.engine_id, weight_version)
+
+def _order(engine: EngineState, pool: Pool) -> AssignOrder:
+    return AssignOrder(
+        order_id=f"{engine.engine_id}/{engine.incarnation}/{pool.weight_version}",
+        engine_id=engine.engine_id,
+        authority=pool.name,
+        expected_pool=pool.name,
+        pool=pool.name,
+        model=pool.model,
+        weight_version=pool.weight_version,
+    )
--- a/liftrill/planning/sections.py
+++ b/liftrill/planning/sections.py
@@ -30,6 +30,7 @@
     WORKLOADS = "workloads"
     POOLS = "pools"
     CLAIMS = "claims"
+    BURSTS = "bursts"
 
 
 class Named(Protocol):
@@ -98,6 +99,7 @@
     workloads: messages.WorkloadSection = field(default_factory=messages.WorkloadSection)
     pools: messages.PoolSection = field(default_factory=messages.PoolSection)
     claims: messages.ClaimSection = field(default_factory=messages.ClaimSection)
+    bursts: messages.BurstSection = field(default_factory=messages.BurstSection)
     tenants_by_key: Mapping[bytes, messages.Tenant] = field(default_factory=dict)
     tenants_by_name: Mapping[str, messages.Tenant] = field(default_factory=dict)
     workloads_by_name: Mapping[str, messages.Workload] = field(default_factory=dict)
@@ -131,6 +133,7 @@
         workloads=workloads,
         pools=pools,
         claims=_section(configuration, SectionName.CLAIMS, messages.ClaimSection),
+        bursts=_section(configuration, SectionName.BURSTS, messages.BurstSection),
         tenants_by_key={key: t for t in tenants.tenants for key in t.api_key_digests},
         tenants_by_name=by_name(tenants.tenants),
         workloads_by_name=by_name(workloads.workloads),
--- a/liftrill/routing/engine_state.py
+++ b/liftrill/routing/engine_state.py
@@ -1,7 +1,7 @@
 """What one node knows of the engines, from late and partial reports."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from liftrill import constants
@@ -11,12 +11,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineIdentity:
-    """What an engine was at some time. Later is a higher (incarnation, revision)."""
+    """What an engine was at some time. Later is a higher (incarnation, revision).
+
+    Attributes:
+        pool: the pool that it serves, or empty for the one it is listed in.
+    """
 
     incarnation: int
     revision: int
     weight_version: str
     leaving: bool
+    pool: str = ""
 
     @property
     def version(self) -> tuple[int, int]:
@@ -60,6 +65,10 @@
     )
 
 
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """What an engine told of its load, which says less the older it is.
@@ -105,12 +114,13 @@
         own_without_token: requests of this node that have no token yet.
         own_prefill_tokens: prompt tokens that this node sent and that have no token yet.
         report: the load that the engine told last.
+        on_moved: called when the engine serves another pool than before.
     """
 
     engine_id: str
     address: str
     zone: str
-    pool: str
+    listed_pool: str
     identity: EngineIdentity | None = None
     listed_leaving: bool = False
     refused_as_leaving: bool = False
@@ -120,6 +130,7 @@
     report: ReportedLoad = field(default_factory=ReportedLoad)
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
     limit: ConcurrencyLimit = field(default_factory=_new_limit)
+    on_moved: Callable[[], None] = _do_nothing
 
     @property
     def leaving(self) -> bool:
@@ -129,6 +140,12 @@
         said_so = self.identity is not None and self.identity.leaving
         return self.listed_leaving or self.refused_as_leaving or said_so
 
+    @property
+    def pool(self) -> str:
+        """The pool that the engine serves now."""
+        moved_to = self.identity.pool if self.identity else ""
+        return moved_to or self.listed_pool
+
     @property
     def incarnation(self) -> int | None:
         """The newest incarnation heard of."""
@@ -217,7 +234,10 @@
             return False
         if self.identity and identity.incarnation != self.identity.incarnation:
             self.report = ReportedLoad()
+        pool_before = self.pool
         self.identity = identity
+        if self.pool != pool_before:
+            self.on_moved()
         return True
 
 
@@ -227,7 +247,7 @@
     def __init__(self) -> None:
         self._engines: dict[str, EngineState] = {}
         self._ids_by_pools: dict[tuple[str, ...], tuple[str, ...]] = {}
-        self._by_pool: dict[str, dict[str, EngineState]] = {}
+        self._by_pool: dict[str, list[EngineState]] = {}
 
     def __iter__(self) -> Iterator[EngineState]:
         return iter(self._engines.values())
@@ -248,11 +268,12 @@
         if listing.removed:
             self._remove(engine)
             return
-        if engine is None or (engine.address, engine.pool) != (listing.address, listing.pool):
+        place = (listing.address, listing.pool)
+        if engine is None or (engine.address, engine.listed_pool) != place:
             self._remove(engine)
             engine = EngineState(listing.engine_id, listing.address, listing.zone, listing.pool)
+            engine.on_moved = self._forget_index
             self._engines[listing.engine_id] = engine
-            self._by_pool.setdefault(listing.pool, {})[listing.engine_id] = engine
         engine.listed_leaving = listing.leaving
 
     def ids_in_pools(self, pools: tuple[str, ...]) -> tuple[str, ...]:
@@ -263,15 +284,18 @@
             self._ids_by_pools[pools] = ids
         return ids
 
+    def in_pools(self, pools: Iterable[str]) -> list[EngineState]:
+        """Return the engines that serve some pools."""
+        if not self._by_pool:
+            for engine in self._engines.values():
+                self._by_pool.setdefault(engine.pool, []).append(engine)
+        return [engine for pool in pools for engine in self._by_pool.get(pool, ())]
+
     def _remove(self, engine: EngineState | None) -> None:
-        self._ids_by_pools.clear()
+        self._forget_index()
         if engine is not None:
             del self._engines[engine.engine_id]
-            del self._by_pool[engine.pool][engine.engine_id]
 
-    def in_pools(self, pools: Iterable[str]) -> list[EngineState]:
-        """Return the engines of some pools."""
-        wanted = list(pools)
-        if len(wanted) == 1:
-            return list(self._by_pool.get(wanted[0], {}).values())
-        return [e for pool in wanted for e in self._by_pool.get(pool, {}).values()]
+    def _forget_index(self) -> None:
+        self._ids_by_pools.clear()
+        self._by_pool.clear()
