--- a/liftrill/node/prefix_exchange.py
+++ b/liftrill/node/prefix_exchange.py
@@ -46,7 +46,7 @@
 
     async def follow_events(self) -> None:
         """Read the cache events of the own engines for as long as the node runs."""
-        while True:
+        while constants.EVENT_READ_SECONDS > 0:
             await self._read_events()
             await asyncio.sleep(constants.EVENT_READ_SECONDS * self._jitter())
 
