--- a/liftrill/coordination/key_value_store.py
+++ b/liftrill/coordination/key_value_store.py
@@ -77,5 +77,5 @@
         """Take a key for a lease; the entry if it is now held by it, otherwise None."""
 
     @abstractmethod
-    async def machines(self) -> MachineList:
-        """Return the platform's list of live and leaving machines."""
+    async def watch_machines(self, after_index: int, wait_seconds: float) -> MachineList:
+        """Return the list of machines once its index differs, or as it is after the wait."""
--- a/liftrill/emulator/platform_server.py
+++ b/liftrill/emulator/platform_server.py
@@ -3,7 +3,8 @@
 Supported: `GET /v1/kv/KEY` with blocking queries (`index`, `wait`), `PUT /v1/kv/KEY` with
 `cas` or `acquire`, `PUT /v1/session/create`, `PUT /v1/session/renew/ID`,
 `PUT /v1/agent/service/register`, `PUT /v1/agent/service/deregister/ID` and
-`GET /v1/catalog/services-list` (all services at once, with the `Leaving` meta field).
+`GET /v1/catalog/services-list` (all services at once, with the `Leaving` meta field; also
+with `index` and `wait`).
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 from liftrill.emulator.platform_model import PlatformModel
 
 MAXIMUM_BODY_BYTES = 1024 * 1024
+MACHINE_LIST_POLL_SECONDS = 0.05
 
 
 class PlatformFault(BaseModel):
@@ -167,8 +169,8 @@
         self._record_machines()
         return web.Response()
 
-    async def _machines(self, _: web.Request) -> web.Response:
-        version = self._lagging_machines()
+    async def _machines(self, request: web.Request) -> web.Response:
+        version = await self._wait_for_machines(request)
         rows = [
             {
                 "ID": machine.machine_id,
@@ -183,6 +185,22 @@
             body=orjson.dumps(rows), headers=headers, content_type="application/json"
         )
 
+    async def _wait_for_machines(self, request: web.Request) -> _MachineListVersion:
+        """Return the lagging list, with `wait` once its index differs from the one named."""
+        known = int(request.query.get("index", "-1"))
+        wait_seconds = float(request.query.get("wait", "0s").rstrip("s"))
+        deadline = time.monotonic() + wait_seconds
+        version = self._lagging_machines()
+        while version.index == known and time.monotonic() < min(deadline, self._served_until()):
+            await asyncio.sleep(MACHINE_LIST_POLL_SECONDS)
+            version = self._lagging_machines()
+        return version
+
+    def _served_until(self) -> float:
+        """Return when waiting calls end: at once when an outage begins."""
+        in_outage = time.monotonic() < self._outage_until
+        return 0.0 if in_outage else float("inf")
+
     async def _fault(self, request: web.Request) -> web.Response:
         fault = PlatformFault.model_validate_json(await request.read())
         if fault.kind == "none":
--- a/liftrill/node/engine_watch.py
+++ b/liftrill/node/engine_watch.py
@@ -35,6 +35,7 @@
         self._membership = membership
         self._random = random_source
         self._extra: list[str] = []
+        self._machine_list_index = 0
         self._watches: dict[str, asyncio.Task[None]] = {}
 
     async def follow_machine_list(self) -> None:
@@ -43,10 +44,15 @@
         An outage leaves the table as it is. Other nodes hear of changes by gossip, and
         read the list themselves only while they know no engine.
         """
-        wait = constants.MACHINE_LIST_INTERVAL_SECONDS
+        wait = constants.STORE_RETRY_FIRST_SECONDS
         while True:
-            if self.watches_store() or len(self._context.engines) == 0:
-                wait = await self._read_machine_list(wait)
+            if not self.watches_store() and len(self._context.engines) > 0:
+                await asyncio.sleep(constants.STORE_RETRY_LONGEST_SECONDS)
+                continue
+            if await self._read_machine_list():
+                wait = constants.STORE_RETRY_FIRST_SECONDS
+            else:
+                wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
             await asyncio.sleep(wait * self._random.uniform(0.8, 1.2))
 
     def watches_store(self) -> bool:
@@ -104,17 +110,21 @@
         if was_unknown:
             self._context.dispatcher.wake()
 
-    async def _read_machine_list(self, wait: float) -> float:
+    async def _read_machine_list(self) -> bool:
+        """Wait for a change of the list, and take it in; False if the store failed."""
         try:
-            machine_list = await self._store.machines()
+            machine_list = await self._store.watch_machines(
+                self._machine_list_index, constants.STORE_WATCH_SECONDS
+            )
         except StoreError:
             self._context.metrics.store_errors.inc()
-            return min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
+            return False
+        self._machine_list_index = machine_list.index
         changed = self._records.offer_machine_list(machine_list)
         if changed:
             self._membership.request_announcement()
             log_change("machine_list", changed=changed, index=machine_list.index)
-        return constants.MACHINE_LIST_INTERVAL_SECONDS
+        return True
 
     def _engines_to_ask(self, engines: list[EngineState]) -> list[EngineState]:
         """Return engines of which nothing is known, or something doubtful, and a few more."""
--- a/liftrill/node/platform_client.py
+++ b/liftrill/node/platform_client.py
@@ -71,9 +71,11 @@
         entry = await self.get(key)
         return entry if entry is not None and entry.session == session else None
 
-    async def machines(self) -> MachineList:
-        """Return the platform's list of machines."""
-        answer = await self._read("/v1/catalog/services-list", {}, constants.STORE_TIMEOUT_SECONDS)
+    async def watch_machines(self, after_index: int, wait_seconds: float) -> MachineList:
+        """Return the list of machines once its index differs, or as it is after the wait."""
+        query = {"index": str(after_index), "wait": f"{wait_seconds}s"}
+        timeout_seconds = wait_seconds + constants.STORE_TIMEOUT_SECONDS
+        answer = await self._read("/v1/catalog/services-list", query, timeout_seconds)
         if answer is None:
             return MachineList(0, ())
         rows = orjson.loads(answer.body)
