--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -48,6 +48,7 @@
     ["bench", "scale"],
     ["bench", "live"],
     ["bench", "memory"],
+    ["bench", "restart"],
     ["bench", "report"],
     ["emulate", "engine"],
     ["emulate", "platform"],
--- /dev/null
+++ b/liftrill/bench/restart.py
@@ -0,0 +1,63 @@
+"""From the start of a node's process to its first answer, with the store down."""
+
+import asyncio
+import signal
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+import psutil
+
+from liftrill.bench.deployment import api_key, load_deployment
+from liftrill.bench.launcher import Cluster, ManagedProcess, wait_until
+
+OUTAGE_SECONDS = 600.0
+GOSSIP_QUIET_SECONDS = 8.0
+KILL_WAIT_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class RestartResult:
+    """Seconds to the first answer, and processor seconds used until then, of each restart."""
+
+    seconds: tuple[float, ...]
+    processor_seconds: tuple[float, ...]
+
+
+async def measure_restarts(deployment: str, restarts: int, directory: Path) -> RestartResult:
+    """Kill and start one node again and again while the platform is out."""
+    seconds: list[float] = []
+    processor: list[float] = []
+    async with Cluster(load_deployment(deployment), directory) as cluster:
+        await cluster.configure()
+        await asyncio.sleep(GOSSIP_QUIET_SECONDS)
+        await cluster.platform_fault(kind="outage", seconds=OUTAGE_SECONDS)
+        for number in range(restarts):
+            node = cluster.nodes[number % len(cluster.nodes)]
+            node.send_signal(signal.SIGKILL)
+            await asyncio.to_thread(node.wait, KILL_WAIT_SECONDS)
+            started_at = time.monotonic()
+            node.start()
+            await wait_until(lambda n=node: _answers(cluster, n), f"{node.name} answers")  # type: ignore[misc]
+            seconds.append(time.monotonic() - started_at)
+            assert node.process is not None
+            times = psutil.Process(node.process.pid).cpu_times()
+            processor.append(float(times.user + times.system))
+    return RestartResult(tuple(seconds), tuple(processor))
+
+
+async def _answers(cluster: Cluster, node: ManagedProcess) -> bool:
+    model = cluster.deployment.pools[0].model
+    body = orjson.dumps({"model": model, "prompt": "first", "max_tokens": 1})
+    headers = {"Authorization": f"Bearer {api_key('tenant-1')}"}
+    url = f"http://{node.address}/v1/completions"
+    async with cluster.session.post(url, data=body, headers=headers) as response:
+        return response.status == 200
+
+
+def format_restarts(result: RestartResult) -> str:
+    """Return the figures for people."""
+    rows = zip(result.seconds, result.processor_seconds, strict=True)
+    lines = [f"{s:6.2f} s to the first answer, {p:5.2f} s of processor time" for s, p in rows]
+    return "\n".join(lines)
--- a/liftrill/cli/bench.py
+++ b/liftrill/cli/bench.py
@@ -12,6 +12,7 @@
 from liftrill.bench.live import format_live, run_live
 from liftrill.bench.memory import measure_memory
 from liftrill.bench.overhead import format_overhead, measure_overhead
+from liftrill.bench.restart import format_restarts, measure_restarts
 from liftrill.bench.scale.run import format_scale, run_scale
 from liftrill.bench.simulation.compare import BASELINES, format_comparison
 from liftrill.bench.simulation.compare import compare as run_comparison
@@ -158,6 +159,18 @@
     print(write_report(load_scenario(scenario), policies.split(","), seed, directory))
 
 
+def restart(*, deployment: str = "sahil", restarts: int = 6, json: bool = False) -> None:
+    """Measure how long a restarted node takes to its first answer, with the store down.
+
+    :param deployment: name of a file under deployments/, or a path
+    :param restarts: how often a node is killed and started
+    :param json: print JSON
+    """
+    with tempfile.TemporaryDirectory(prefix="liftrill-restart-") as directory:
+        result = uvloop.run(measure_restarts(deployment, restarts, Path(directory)))
+    _print(asdict(result), format_restarts(result), json)
+
+
 def memory(*, json: bool = False) -> None:
     """Measure the memory that each kind of state costs.
 
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -30,6 +30,7 @@
         "decision": bench.decision,
         "live": bench.live,
         "memory": bench.memory,
+        "restart": bench.restart,
         "report": bench.report,
         "scale": bench.scale,
     },
