--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -259,6 +259,7 @@
             f"--seed={self.seed * 1000 + number}",
             f"--journal={journal_path}",
             f"--kept-store={self.kept_store.address}",
+            f"--weight-store={self.platform.address}",
             *(
                 f"--{key.replace('_', '-')}={value}"
                 for key, value in pool.engine.model_dump().items()
--- a/liftrill/cli/emulate.py
+++ b/liftrill/cli/emulate.py
@@ -31,7 +31,7 @@
     maximum_waiting: int = DEFAULTS.maximum_waiting,
     idle_eviction_seconds: float = DEFAULTS.idle_eviction_seconds,
     event_loss_share: float = DEFAULTS.event_loss_share,
-    weight_load_seconds: float = 1.0,
+    weight_store: str = "",
     kept_store: str = "",
 ) -> None:
     """Run a model engine.
@@ -50,7 +50,7 @@
     :param maximum_waiting: requests that may wait
     :param idle_eviction_seconds: blocks unused for this long are dropped
     :param event_loss_share: share of cache events that are lost
-    :param weight_load_seconds: how long loading other weights takes
+    :param weight_store: HOST:PORT of the platform, for weights; empty loads them at once
     :param kept_store: HOST:PORT of the kept-KV store, or empty for none
     """
     parameters = EngineParameters(
@@ -68,22 +68,27 @@
         parameters,
         seed,
         journal,
-        weight_load_seconds,
+        weight_store,
         kept_store,
     )
     uvloop.run(_serve(server.application(), listen))
 
 
 def platform(
-    *, listen: str, requests_per_second: float = 200.0, machine_list_lag_seconds: float = 0.5
+    *,
+    listen: str,
+    requests_per_second: float = 200.0,
+    machine_list_lag_seconds: float = 0.5,
+    weight_load_seconds: float = 1.0,
 ) -> None:
-    """Run the platform: key-value service and machine list.
+    """Run the platform: key-value service, machine list and weight store.
 
     :param listen: HOST:PORT
     :param requests_per_second: rate limit over all callers
     :param machine_list_lag_seconds: age of the machine list that is served
+    :param weight_load_seconds: time that sending weights to one engine takes
     """
-    server = PlatformServer(requests_per_second, machine_list_lag_seconds)
+    server = PlatformServer(requests_per_second, machine_list_lag_seconds, weight_load_seconds)
     uvloop.run(_serve(server.application(), listen))
 
 
--- a/liftrill/emulator/engine_model.py
+++ b/liftrill/emulator/engine_model.py
@@ -187,6 +187,11 @@
         self.loading_until = ready_at
         self.revision += 1
 
+    def weights_arrived(self, now: float) -> None:
+        """Note that what is being loaded is here."""
+        if self._loading is not None:
+            self.loading_until = now
+
     def order_leave(self, authority: str, fence: int) -> RefusalReason | None:
         """Refuse new work from now on."""
         if fence < self._highest_fences.get(authority, 0):
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -41,6 +41,7 @@
 IDLE_TICK_SECONDS = 0.5
 EVENTS_KEPT = 20_000
 LONGEST_WAIT_SECONDS = 60.0
+WHEN_WEIGHTS_ARE_HERE = float("inf")
 
 
 class EngineServer:
@@ -53,12 +54,13 @@
         parameters: EngineParameters,
         seed: int,
         journal_path: Path | None,
-        weight_load_seconds: float,
+        weight_store: str,
         kept_store: str,
     ) -> None:
         self.engine_id = engine_id
         self._kept_store = kept_store
-        self._weight_load_seconds = weight_load_seconds
+        self._weight_store = weight_store
+        self._loads: set[asyncio.Task[None]] = set()
         self._model = EngineModel(parameters, assignment, _new_incarnation(), seed)
         self._readers: dict[str, asyncio.Queue[EngineOutput | None]] = {}
         self._wake = asyncio.Event()
@@ -208,12 +210,36 @@
                 order.authority,
                 order.fence,
                 order.expected_pool,
-                time.monotonic() + self._weight_load_seconds,
+                WHEN_WEIGHTS_ARE_HERE,
             )
+            self._fetch_weights(order.weight_version)
         self._wake.set()
         await self._notify_identity()
         return self._refused(reason) if reason else _json({"accepted": True})
 
+    def _fetch_weights(self, version: str) -> None:
+        """Begin to fetch weights, if an order asked for them."""
+        if self._model.loading_until == WHEN_WEIGHTS_ARE_HERE and not self._loads:
+            task = asyncio.create_task(self._load_weights(version))
+            self._loads.add(task)
+            task.add_done_callback(self._loads.discard)
+
+    async def _load_weights(self, version: str) -> None:
+        """Fetch weights from the platform's rate-limited store, again until it answers."""
+        fetched = not self._weight_store
+        while not fetched:
+            url = f"http://{self._weight_store}/v1/weights/{version}"
+            timeout = aiohttp.ClientTimeout(total=LONGEST_WAIT_SECONDS)
+            try:
+                async with self._session.get(url, timeout=timeout) as response:
+                    fetched = response.status == 200
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                fetched = False
+            if not fetched:
+                await asyncio.sleep(IDLE_TICK_SECONDS)
+        self._model.weights_arrived(time.monotonic())
+        self._wake.set()
+
     async def _status(self, request: web.Request) -> web.Response:
         """Answer at once, or, with `wait`, when the identity differs from the one named."""
         if "wait" in request.query:
--- a/liftrill/emulator/platform_server.py
+++ b/liftrill/emulator/platform_server.py
@@ -4,7 +4,8 @@
 `cas` or `acquire`, `PUT /v1/session/create`, `PUT /v1/session/renew/ID`,
 `PUT /v1/agent/service/register`, `PUT /v1/agent/service/deregister/ID` and
 `GET /v1/catalog/services-list` (all services at once, with the `Leaving` meta field; also
-with `index` and `wait`).
+with `index` and `wait`). `GET /v1/weights/VERSION` is the weight store, which serves one
+engine at a time.
 """
 
 import asyncio
@@ -55,10 +56,17 @@
 class PlatformServer:
     """Serves one platform model on one event loop."""
 
-    def __init__(self, requests_per_second: float, machine_list_lag_seconds: float) -> None:
+    def __init__(
+        self,
+        requests_per_second: float,
+        machine_list_lag_seconds: float,
+        weight_load_seconds: float,
+    ) -> None:
         self._model = PlatformModel()
         self._bucket = TokenBucket(requests_per_second, requests_per_second)
         self._changed = asyncio.Condition()
+        self._weight_load_seconds = weight_load_seconds
+        self._weight_store = asyncio.Lock()
         self._machine_list_lag_seconds = machine_list_lag_seconds
         self._machine_history: list[_MachineListVersion] = []
         self._outage_until = 0.0
@@ -80,6 +88,7 @@
                 web.put("/v1/agent/service/register", self._register),
                 web.put("/v1/agent/service/deregister/{machine}", self._deregister),
                 web.get("/v1/catalog/services-list", self._machines),
+                web.get("/v1/weights/{version}", self._weights),
                 web.post("/admin/fault", self._fault),
                 web.get("/admin/counters", self._counters),
             ]
@@ -185,6 +194,12 @@
             body=orjson.dumps(rows), headers=headers, content_type="application/json"
         )
 
+    async def _weights(self, _: web.Request) -> web.Response:
+        """Send weights to one engine at a time: the store's rate is shared by all."""
+        async with self._weight_store:
+            await asyncio.sleep(self._weight_load_seconds)
+        return web.Response()
+
     async def _wait_for_machines(self, request: web.Request) -> _MachineListVersion:
         """Return the lagging list, with `wait` once its index differs from the one named."""
         known = int(request.query.get("index", "-1"))
