--- a/liftrill/node/caller_schema.py
+++ b/liftrill/node/caller_schema.py
@@ -22,12 +22,6 @@
 UUID_VERSION = 7
 
 
-class StreamOptions(BaseModel):
-    """OpenAI's `stream_options`."""
-
-    include_usage: bool = False
-
-
 class CompletionRequest(BaseModel):
     """Body of `POST /v1/completions`. Unknown fields are ignored, as OpenAI's clients expect."""
 
--- a/liftrill/node/control_loop.py
+++ b/liftrill/node/control_loop.py
@@ -78,11 +78,6 @@
             jitter = self._random.uniform(0.8, 1.2)
             await asyncio.sleep(constants.CONTROL_INTERVAL_SECONDS * jitter)
 
-    def held_pools(self) -> list[str]:
-        """Return the pools whose lease this node believes to hold."""
-        now = time.monotonic()
-        return [name for name, control in self._controls.items() if control.lease.holds(now)]
-
     async def _control(self, pool: Pool) -> None:
         if not self._contends(pool.name):
             return
