--- a/liftrill/node/configuration_sync.py
+++ b/liftrill/node/configuration_sync.py
@@ -65,23 +65,26 @@
         self._install()
 
     async def join_from_peers(self) -> None:
-        """Ask the peers for a snapshot until one answers with a configuration."""
+        """Ask the peers for snapshots until a configuration and engines are known.
+
+        A peer that has just started itself may know the one and not yet the other.
+        """
         wait = constants.STORE_RETRY_FIRST_SECONDS
         while True:
             for address in self._shuffled_peers():
-                if await self.pull_snapshot(address) and self._context.replica.generation:
+                await self.pull_snapshot(address)
+                if self._context.replica.generation and len(self._context.engines):
                     return
             await asyncio.sleep(wait * self._random.uniform(0.5, 1.5))
             wait = min(wait * 2, constants.STORE_RETRY_LONGEST_SECONDS)
 
-    async def pull_snapshot(self, address: str) -> bool:
-        """Take over all that a peer knows; False if it is silent or knows no configuration."""
+    async def pull_snapshot(self, address: str) -> None:
+        """Take over all that a peer knows; a silent peer is passed over."""
         try:
             snapshot = await self._peers.snapshot(address)
         except PeerError:
-            return False
+            return
         self._offer_snapshot(snapshot)
-        return snapshot.head.generation > 0
 
     async def pull_head(self, address: str) -> None:
         """Take over a peer's configuration, fetching only the sections that changed."""
