--- a/liftrill/bench/scale/hollow_node.py
+++ b/liftrill/bench/scale/hollow_node.py
@@ -22,7 +22,7 @@
     SendDatagram,
     Ticked,
 )
-from liftrill.node.gossip_codec import GossipPacket, decode_packet, encode_packet
+from liftrill.node.gossip_codec import decode_packet, encode_packet, with_records
 from liftrill.routing.engine_records import EngineObservation, EngineRecords
 from liftrill.routing.engine_state import EngineIdentity, EngineTable
 from liftrill.routing.watch_assignment import watched_engines
@@ -153,13 +153,8 @@
                 self._pull(instruction.address)
 
     def _send(self, instruction: SendDatagram) -> None:
-        count = constants.GOSSIP_RECORDS_PER_DATAGRAM
         members = len(self.membership.members())
-        packet = GossipPacket(
-            instruction.datagram,
-            tuple(self.records.take_listings(count, members)),
-            tuple(self.records.take_observations(count, members)),
-        )
+        packet = with_records(instruction.datagram, self.records, members)
         data = encode_packet(packet, SHARED_KEY)
         self.traffic.gossip += len(data) + UDP_HEADER_BYTES
         self._network.send(self.address, instruction.address, data)
--- a/liftrill/node/gossip.py
+++ b/liftrill/node/gossip.py
@@ -17,7 +17,13 @@
     SendDatagram,
     Ticked,
 )
-from liftrill.node.gossip_codec import GossipDecodeError, GossipPacket, decode_packet, encode_packet
+from liftrill.node.gossip_codec import (
+    GossipDecodeError,
+    GossipPacket,
+    decode_packet,
+    encode_packet,
+    with_records,
+)
 from liftrill.node.logs import log_change
 from liftrill.node.metrics import NodeMetrics
 from liftrill.node.settings import NodeSettings
@@ -142,12 +148,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         members = len(self._membership.members())
-        count = constants.GOSSIP_RECORDS_PER_DATAGRAM
-        packet = GossipPacket(
-            instruction.datagram,
-            tuple(self._records.take_listings(count, members)),
-            tuple(self._records.take_observations(count, members)),
-        )
+        packet = with_records(instruction.datagram, self._records, members)
         data = encode_packet(packet, self._shared_keys[0])
         host, _, port = instruction.address.rpartition(":")
         self._transport.sendto(data, (host, int(port)))
--- a/liftrill/node/gossip_codec.py
+++ b/liftrill/node/gossip_codec.py
@@ -7,6 +7,7 @@
 
 from google.protobuf.message import DecodeError
 
+from liftrill import constants
 from liftrill.coordination.membership_messages import (
     Acknowledgement,
     Condition,
@@ -17,7 +18,7 @@
 )
 from liftrill.errors import LiftrillError
 from liftrill.messages import peer_pb2 as messages
-from liftrill.routing.engine_records import EngineObservation
+from liftrill.routing.engine_records import EngineObservation, EngineRecords
 from liftrill.routing.engine_state import EngineIdentity, EngineListing
 
 SIGNATURE_BYTES = 16
@@ -36,6 +37,16 @@
     observations: tuple[EngineObservation, ...]
 
 
+def with_records(datagram: Datagram, records: EngineRecords, members: int) -> GossipPacket:
+    """Return a datagram with the engine records whose turn it is to be spread."""
+    count = constants.GOSSIP_RECORDS_PER_DATAGRAM
+    return GossipPacket(
+        datagram,
+        tuple(records.take_listings(count, members)),
+        tuple(records.take_observations(count, members)),
+    )
+
+
 def encode_packet(packet: GossipPacket, shared_key: bytes) -> bytes:
     """Return a packet's bytes: signature, then protobuf."""
     datagram = packet.datagram
