Wait for more bytes when a read completes no event

Cause: a read whose bytes completed no event returned no events, and the delivery loop took one from an empty queue; the request ended in an exception and its stream was cut. Ruled out: keep-alive probes, the idle limit of kept connections, changed time-outs (logs show IndexError at the moment of each cut).

--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -151,7 +151,8 @@
         """Feed events to the machine until it ends."""
         pending: deque[events.DeliveryEvent] = deque([first])
         while not self._ended:
-            if not pending:
+            # Bytes that complete no event bring none.
+            while not pending:
                 pending.extend(await self._read())
             event = pending.popleft()
             for instruction in self._machine.handle(event):
