Stop sending to an engine before its order to load new weights

Cause: requests that wait at an engine when an order comes are refused (503, not run); with one attempt allowed they end there. Change: the controller announces a load to all nodes 0.4 s before the order. Ruled out: engines being full (a twelfth of their prompt capacity is used).

--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -11,7 +11,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership
 from liftrill.gateway.order_client import OrderAnswer, OrderClient, WeightOrder
-from liftrill.gateway.weight_rollout import AskReport, GiveOrder, WeightRollout
+from liftrill.gateway.weight_rollout import AnnounceLoad, AskReport, GiveOrder, WeightRollout
 
 TICK_SECONDS = 0.1
 REFUSED_ORDER_PAUSE_SECONDS = 0.4
@@ -45,7 +45,7 @@
         self._node = node
         self._fence = 0
         self._sequences: dict[str, int] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Future[object]] = set()
 
     async def run(self) -> None:
         """Lead or wait to lead for as long as the node runs."""
@@ -77,7 +77,10 @@
             view = self._engines.get(instruction.engine_id)
             if view is None:
                 continue
-            if isinstance(instruction, GiveOrder):
+            if isinstance(instruction, AnnounceLoad):
+                self._tell(view, instruction.model, instruction.version, loading=True)
+                self._spawn(self._read_status(view))
+            elif isinstance(instruction, GiveOrder):
                 self._spawn(self._give(view, instruction))
             elif isinstance(instruction, AskReport):
                 self._spawn(self._check(view))
@@ -110,7 +113,7 @@
             await self._leadership.resign()
 
     async def _give(self, view: EngineView, instruction: GiveOrder) -> None:
-        if view.engine_id not in self._sequences and not await self._read_status(view):
+        if not await self._read_status(view):
             self._rollout.order_refused(
                 view.engine_id, time.monotonic(), REFUSED_ORDER_PAUSE_SECONDS
             )
@@ -118,7 +121,6 @@
         model, version = instruction.model, instruction.version
         if view.weight_version(model) >= version:
             return
-        self._tell(view, model, version, loading=True)
         order = WeightOrder(
             model, version, self._node, self._fence, self._sequences[view.engine_id]
         )
@@ -175,6 +177,9 @@
         self._log.belief("weights_reached", engine=view.engine_id, model=model, version=version)
 
     async def _read_status(self, view: EngineView) -> bool:
+        """Learn how many orders an engine has taken, if this term does not know."""
+        if view.engine_id in self._sequences:
+            return True
         status = await self._client.report(view)
         if status is None:
             return False
@@ -189,7 +194,7 @@
         notice = EngineNotice(view.engine_id, model, version, loading, sequence)
         self._spawn(self._send_notices([notice]))
 
-    def _spawn(self, work: Awaitable[None]) -> None:
+    def _spawn(self, work: Awaitable[object]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -23,6 +23,8 @@
         load_estimate: how long an engine is expected to be out of use for a load.
         finish_margin: by which all loads should be over before the grace ends.
         least_at_once: loads at once where time is no concern.
+        drain_time: how long before its order an engine gets no new requests, so that what
+            waits there has begun when the order comes.
         check_after: when an engine is first asked whether it is done.
         check_interval: between further questions.
         give_up_after: after which an order without effect is given again.
@@ -32,6 +34,7 @@
     load_estimate: float = 1.0
     finish_margin: float = 2.0
     least_at_once: int = 2
+    drain_time: float = 0.4
     check_after: float = 0.5
     check_interval: float = 0.25
     give_up_after: float = 3.0
@@ -40,6 +43,7 @@
 class LoadState(Enum):
     """Where a load stands."""
 
+    DRAINING = auto()
     ORDERED = auto()
     ACCEPTED = auto()
     UNANSWERED = auto()
@@ -47,14 +51,28 @@
 
 @dataclass(slots=True)
 class Load:
-    """One engine that is to load a version."""
+    """One engine that is to load a version.
+
+    Attributes:
+        since: when it was given its present state.
+        next_at: when it is to be ordered, or asked next.
+    """
 
     engine_id: str
     model: str
     version: int
     since: float
-    check_at: float
-    state: LoadState = LoadState.ORDERED
+    next_at: float
+    state: LoadState = LoadState.DRAINING
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceLoad:
+    """Tell all nodes that an engine is about to load: they send it nothing new."""
+
+    engine_id: str
+    model: str
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +91,7 @@
     engine_id: str
 
 
-RolloutInstruction = GiveOrder | AskReport
+RolloutInstruction = AnnounceLoad | GiveOrder | AskReport
 
 
 @dataclass(slots=True)
@@ -103,9 +121,9 @@
         """Return the orders and questions that are due now."""
         known = {view.engine_id: view for view in engines}
         self._settle(known)
-        instructions: list[RolloutInstruction] = self._due_checks(now)
+        instructions: list[RolloutInstruction] = self._due_steps(now)
         for model in self.targets.models():
-            instructions.extend(self._due_orders(list(known.values()), model, now))
+            instructions.extend(self._due_loads(list(known.values()), model, now))
         return instructions
 
     def order_accepted(self, engine_id: str, now: float) -> None:
@@ -126,7 +144,7 @@
         load = self.loads.get(engine_id)
         if load is None:
             return
-        load.check_at = now + self.parameters.check_interval
+        load.next_at = now + self.parameters.check_interval
         waited_out = now - load.since >= self.parameters.give_up_after
         if not busy and (waited_out or load.state is LoadState.UNANSWERED):
             del self.loads[engine_id]
@@ -135,7 +153,7 @@
         load = self.loads.get(engine_id)
         if load is not None:
             load.state = state
-            load.check_at = now + self.parameters.check_after
+            load.next_at = now + self.parameters.check_after
 
     def _settle(self, known: dict[str, EngineView]) -> None:
         for engine_id, load in list(self.loads.items()):
@@ -143,15 +161,26 @@
             if view is None or view.weight_version(load.model) >= load.version:
                 del self.loads[engine_id]
 
-    def _due_checks(self, now: float) -> list[RolloutInstruction]:
+    def _due_steps(self, now: float) -> list[RolloutInstruction]:
         instructions: list[RolloutInstruction] = []
         for load in self.loads.values():
-            if load.state is not LoadState.ORDERED and now >= load.check_at:
-                load.check_at = now + self.parameters.check_interval
+            if now < load.next_at or load.state is LoadState.ORDERED:
+                continue
+            if load.state is LoadState.DRAINING:
+                instructions.append(self._order(load, now))
+            else:
+                load.next_at = now + self.parameters.check_interval
                 instructions.append(AskReport(load.engine_id))
         return instructions
 
-    def _due_orders(
+    def _order(self, load: Load, now: float) -> GiveOrder:
+        # What was named since the announcement is reached by the same load.
+        load.version = self.targets.newest(load.model)
+        load.state = LoadState.ORDERED
+        load.since = now
+        return GiveOrder(load.engine_id, load.model, load.version)
+
+    def _due_loads(
         self, engines: list[EngineView], model: str, now: float
     ) -> list[RolloutInstruction]:
         running = [view for view in engines if view.weight_version(model) and not view.leaving]
@@ -166,11 +195,9 @@
         deadline = oldest.heard_at + self.targets.grace_seconds - self.parameters.finish_margin
         room = self._at_once(len(behind), deadline - now) - len(self.loads)
         version = self.targets.newest(model)
-        chosen = sorted(waiting, key=self._order_key(model))[: max(0, room)]
-        return [self._order(view, model, version, now) for view in chosen]
-
-    def _order_key(self, model: str) -> "_OrderKey":
-        return _OrderKey(model)
+        chosen = sorted(waiting, key=lambda v: (v.weight_version(model), v.engine_id))
+        chosen = chosen[: max(0, room)]
+        return [self._announce(view, model, version, now) for view in chosen]
 
     def _may_order(self, view: EngineView, now: float) -> bool:
         if view.engine_id in self.loads:
@@ -181,21 +208,12 @@
         rounds = max(1.0, time_left / self.parameters.load_estimate)
         return max(self.parameters.least_at_once, math.ceil(behind / rounds))
 
-    def _order(self, view: EngineView, model: str, version: int, now: float) -> GiveOrder:
-        check_at = now + self.parameters.check_after
-        self.loads[view.engine_id] = Load(view.engine_id, model, version, now, check_at)
-        return GiveOrder(view.engine_id, model, version)
+    def _announce(self, view: EngineView, model: str, version: int, now: float) -> AnnounceLoad:
+        order_at = now + self.parameters.drain_time
+        self.loads[view.engine_id] = Load(view.engine_id, model, version, now, order_at)
+        return AnnounceLoad(view.engine_id, model, version)
 
     def _is_behind(self, view: EngineView, model: str) -> bool:
         version = view.weight_version(model)
         return 0 < version < self.targets.newest(model) and not view.leaving
 
-
-@dataclass(frozen=True, slots=True)
-class _OrderKey:
-    """Sorts engines: the oldest weights first, then by name."""
-
-    model: str
-
-    def __call__(self, view: EngineView) -> tuple[int, str]:
-        return view.weight_version(self.model), view.engine_id
