--- a/liftrill/gateway/engine_table.py
+++ b/liftrill/gateway/engine_table.py
@@ -36,7 +36,8 @@
         weights: the newest version known of each model; it only rises in one incarnation.
         in_flight: requests of this node that it holds.
         pending_tokens: prompt tokens that this node sent and that have no answer yet.
-        loading_until: it takes no new requests before this time, as far as is known.
+        loading_until: it takes no new requests before this time, as far as is known, unless
+            it is seen to have `loading_version` earlier.
         vanished_at: when its record went while that could not be trusted, or None.
     """
 
@@ -45,6 +46,7 @@
     in_flight: int = 0
     pending_tokens: int = 0
     loading_until: float = 0.0
+    loading_version: int = 0
     notice_sequence: int = 0
     leaving: bool = False
     vanished_at: float | None = None
@@ -63,6 +65,9 @@
         """Take note of a version that the engine was seen to have."""
         if version > self.weights.get(model, 0):
             self.weights[model] = version
+        if self.loading_version and version >= self.loading_version:
+            self.loading_version = 0
+            self.loading_until = 0.0
 
     def is_loading(self, now: float) -> bool:
         """Return whether it is believed to be busy with an order."""
@@ -137,6 +142,7 @@
         view.notice_sequence = notice.sequence
         if notice.loading:
             view.loading_until = loading_until
+            view.loading_version = notice.version
         else:
             view.loading_until = 0.0
             view.learn_weights(notice.model, notice.version)
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -11,7 +11,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership
 from liftrill.gateway.order_client import OrderAnswer, OrderClient, WeightOrder
-from liftrill.gateway.weight_rollout import AnnounceLoad, AskReport, GiveOrder, WeightRollout
+from liftrill.gateway.weight_rollout import AnnounceDone, AnnounceLoad, AskReport, GiveOrder, WeightRollout
 
 TICK_SECONDS = 0.1
 REFUSED_ORDER_PAUSE_SECONDS = 0.4
@@ -80,6 +80,8 @@
             if isinstance(instruction, AnnounceLoad):
                 self._tell(view, instruction.model, instruction.version, loading=True)
                 self._spawn(self._read_status(view))
+            elif isinstance(instruction, AnnounceDone):
+                self._finish(view, instruction.model, instruction.version)
             elif isinstance(instruction, GiveOrder):
                 self._spawn(self._give(view, instruction))
             elif isinstance(instruction, AskReport):
@@ -165,13 +167,13 @@
         status = await self._client.report(view)
         if status is None:
             return
-        if status.weights.get(load.model, 0) >= load.version:
-            self._finish(view, load.model, load.version)
-            return
+        for model, version in status.weights.items():
+            view.learn_weights(model, version)
         self._sequences[view.engine_id] = status.order_sequence
         self._rollout.report_heard(view.engine_id, status.busy, time.monotonic())
 
     def _finish(self, view: EngineView, model: str, version: int) -> None:
+        """Tell that an engine has loaded; a newer version may be on its way already."""
         view.learn_weights(model, version)
         self._tell(view, model, version, loading=False)
         self._log.belief("weights_reached", engine=view.engine_id, model=model, version=version)
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -91,7 +91,16 @@
     engine_id: str
 
 
-RolloutInstruction = AnnounceLoad | GiveOrder | AskReport
+@dataclass(frozen=True, slots=True)
+class AnnounceDone:
+    """Tell all nodes that an engine has loaded."""
+
+    engine_id: str
+    model: str
+    version: int
+
+
+RolloutInstruction = AnnounceDone | AnnounceLoad | GiveOrder | AskReport
 
 
 @dataclass(slots=True)
@@ -120,8 +129,8 @@
     def due(self, engines: Iterable[EngineView], now: float) -> list[RolloutInstruction]:
         """Return the orders and questions that are due now."""
         known = {view.engine_id: view for view in engines}
-        self._settle(known)
-        instructions: list[RolloutInstruction] = self._due_steps(now)
+        instructions: list[RolloutInstruction] = self._settle(known)
+        instructions.extend(self._due_steps(now))
         for model in self.targets.models():
             instructions.extend(self._due_loads(list(known.values()), model, now))
         return instructions
@@ -155,11 +164,16 @@
             load.state = state
             load.next_at = now + self.parameters.check_after
 
-    def _settle(self, known: dict[str, EngineView]) -> None:
+    def _settle(self, known: dict[str, EngineView]) -> list[RolloutInstruction]:
+        done: list[RolloutInstruction] = []
         for engine_id, load in list(self.loads.items()):
             view = known.get(engine_id)
-            if view is None or view.weight_version(load.model) >= load.version:
+            if view is None:
+                del self.loads[engine_id]
+            elif view.weight_version(load.model) >= load.version:
                 del self.loads[engine_id]
+                done.append(AnnounceDone(engine_id, load.model, load.version))
+        return done
 
     def _due_steps(self, now: float) -> list[RolloutInstruction]:
         instructions: list[RolloutInstruction] = []
