--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	MYPYPATH=platform $(BIN)/mypy platform/*.py
 
 format: $(VENV)/installed
 	$(BIN)/ruff format .
--- /dev/null
+++ b/features/gateway_store.py
@@ -0,0 +1,100 @@
+"""A store in memory with its own clock, for features of coordination."""
+
+from liftrill.coordination.range_store import (
+    ConditionFailedError,
+    HistoryGoneError,
+    ItemReading,
+    LeaseGoneError,
+    RangePage,
+    RangeStore,
+    RemovedItem,
+    StoredItem,
+    WatchBatch,
+)
+from liftrill.errors import StoreAnswerLostError
+
+
+class MemoryStore(RangeStore):
+    """Keeps items, leases and the whole history."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.revision = 1
+        self.items = {}
+        self.leases = {}
+        self.changes = []
+        self.lose_answers = 0
+        self.page_size = 500
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        self.items[key] = StoredItem(key, value, self.revision, lease)
+        self.changes.append(self.items[key])
+
+    def remove(self, key):
+        if key in self.items:
+            self.revision += 1
+            del self.items[key]
+            self.changes.append(RemovedItem(key, self.revision))
+
+    def advance(self, seconds):
+        self.now += seconds
+        for lease, (until, _) in list(self.leases.items()):
+            if until <= self.now:
+                self.drop_lease(lease)
+
+    def drop_lease(self, lease):
+        self.leases.pop(lease, None)
+        for item in [i for i in self.items.values() if i.lease == lease]:
+            self.remove(item.key)
+
+    def forget_history(self):
+        self.changes.clear()
+
+    async def read(self, key):
+        return ItemReading(self.items.get(key), self.revision)
+
+    async def read_range(self, prefix, after):
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page = tuple(self.items[k] for k in keys[: self.page_size])
+        return RangePage(page, self.revision, len(keys) > self.page_size)
+
+    async def watch(self, prefix, after_revision, wait_seconds):
+        oldest = self.changes[0].revision if self.changes else self.revision + 1
+        if after_revision + 1 < oldest and after_revision < self.revision:
+            raise HistoryGoneError("gone")
+        news = [c for c in self.changes if c.revision > after_revision]
+        return WatchBatch(tuple(c for c in news if c.key.startswith(prefix)), self.revision)
+
+    async def transact(self, expected, puts, removed=()):
+        for condition in expected:
+            item = self.items.get(condition.key)
+            if (item.revision if item else 0) != condition.revision:
+                raise ConditionFailedError(condition.key)
+        if any(put.lease and put.lease not in self.leases for put in puts):
+            raise LeaseGoneError("no lease")
+        self.revision += 1
+        for put in puts:
+            self.items[put.key] = StoredItem(put.key, put.value, self.revision, put.lease)
+            self.changes.append(self.items[put.key])
+        for key in removed:
+            self.items.pop(key, None)
+            self.changes.append(RemovedItem(key, self.revision))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreAnswerLostError("lost")
+        return self.revision
+
+    async def grant_lease(self, seconds):
+        self.revision += 1
+        self.leases[self.revision] = (self.now + seconds, seconds)
+        return self.revision
+
+    async def keep_lease(self, lease):
+        if lease not in self.leases:
+            raise LeaseGoneError("over")
+        seconds = self.leases[lease][1]
+        self.leases[lease] = (self.now + seconds, seconds)
+
+    async def end_lease(self, lease):
+        self.drop_lease(lease)
--- /dev/null
+++ b/features/gateway_weights.feature
@@ -0,0 +1,76 @@
+Feature: Engines are brought to the weights that the operator named, by one node at a time
+
+  Scenario: An older version serves until the grace of a newer one has passed
+    Given versions 2 at second 10 and 3 at second 14 are named, with 7 s of grace
+    Then at second 16.9 a request may begin on version 1
+    And at second 17.1 a request may begin on version 2
+    And at second 17.1 a request may not begin on version 1
+    And at second 21.1 a request may not begin on version 2
+
+  Scenario: Few engines load at once, each is ordered once, and all reach the version
+    Given 6 engines with version 1
+    When version 2 is named and engines take 0.7 s to load
+    Then every engine has version 2 within 7 s
+    And each engine was ordered 1 time
+    And at most 2 engines loaded at once
+
+  Scenario: More engines load at once where time is short
+    Given 40 engines with version 1
+    When version 2 is named and engines take 0.7 s to load
+    Then every engine has version 2 within 7 s
+    And each engine was ordered 1 time
+
+  Scenario: A version named while another is loaded is reached by the same loads where it can be
+    Given 6 engines with version 1
+    When version 2 is named and engines take 0.7 s to load
+    And version 3 is named after 1 s
+    Then every engine has version 3 within 9 s
+    And each engine was ordered at most 2 times
+
+  Scenario: An engine that restarts with its old weights is ordered again
+    Given 6 engines with version 1
+    When version 2 is named and engines take 0.7 s to load
+    And engine 1 restarts with version 1 after 4 s
+    Then every engine has version 2 within 9 s
+
+  Scenario: An order that nobody answered is given again under the same condition
+    Given 3 engines with version 1
+    When version 2 is named and engines take 0.7 s to load
+    And the first order to engine 1 is lost
+    Then every engine has version 2 within 9 s
+
+  Scenario: A leader of a healthy store leads at once and its fence is the revision of its key
+    Given a store and 2 contenders
+    When both contend
+    Then exactly one leads, with the revision of the leader's key as its fence
+
+  Scenario: A frozen leader gives no order after its belief ends
+    Given a store and 2 contenders
+    When both contend
+    And the leader is frozen for 4 s
+    Then the frozen leader may give no order
+    And the other one leads with a higher fence
+
+  Scenario: The successor of a busy leader waits until its orders are long past
+    Given a store and 2 contenders
+    When both contend
+    And the leader gives orders and is killed
+    Then the other one leads, and gives no order for 3 s
+
+  Scenario: The successor of an idle leader does not wait
+    Given a store and 2 contenders
+    When both contend
+    And the idle leader is killed
+    Then the other one leads, and may give orders at once
+
+  Scenario: A leader that lost its key cannot become active
+    Given a store and 2 contenders
+    When both contend
+    And the store drops the leader's lease
+    Then the leader cannot write that it gives orders
+
+  Scenario: A lost answer to taking the lease does not make two leaders
+    Given a store and 2 contenders
+    And the store loses the answer to the first write of a key
+    When both contend for a while
+    Then exactly one leads, with the revision of the leader's key as its fence
--- /dev/null
+++ b/features/steps/gateway_admission_steps.py
@@ -0,0 +1,154 @@
+"""Steps about routes, keys, currency and the budget of repeats."""
+
+from behave import given, then, when
+
+from features.gateway_support import route_rule
+from liftrill.gateway.admission import AdmissionRefusal, IncomingRequest, RequestAdmission
+from liftrill.gateway.configuration_view import ConfigurationView
+from liftrill.gateway.records import BackendShare, GatewayConfiguration, Tenant
+from liftrill.gateway.retry_allowance import RetryAllowance
+from liftrill.gateway.route_table import RouteTable, WeightedSplit
+
+PROOF_SECONDS = 4.5
+
+
+def configuration(version, routes=(), keys=None):
+    return GatewayConfiguration(version, tuple(routes), {}, None, keys)
+
+
+@given('routes "{first}" and "{second}" of host "{host}" and "{third}" of host "{other}"')
+def step_routes(context, first, second, host, third, other):
+    context.route_table = RouteTable(
+        route_rule(name=prefix, host=name, path_prefix=prefix)
+        for prefix, name in ((first, host), (second, host), (third, other))
+    )
+
+
+@then('a request for "{host}" "{path}" goes to "{expected}"')
+def step_route(context, host, path, expected):
+    route = context.route_table.find(host, path)
+    assert (route.path_prefix if route else "none") == expected, route
+
+
+@given('a route split {first:d} to {second:d} between "{one}" and "{two}"')
+def step_split(context, first, second, one, two):
+    shares = (BackendShare(one, first), BackendShare(two, second))
+    context.route = route_rule(backends=shares)
+
+
+@when("{count:d} requests are split")
+def step_split_requests(context, count):
+    split = WeightedSplit()
+    context.services = [split.next_service(context.route) for _ in range(count)]
+
+
+@then('"{one}" gets {first:d} of them and "{two}" {second:d}')
+def step_shares(context, one, first, two, second):
+    assert context.services.count(one) == first
+    assert context.services.count(two) == second
+
+
+@given("versions 3, 7, 5 and 9 are offered in this order")
+def step_versions(context):
+    view = ConfigurationView(PROOF_SECONDS)
+    context.adopted = [version for version in (3, 7, 5, 9) if view.adopt(configuration(version))]
+
+
+@then("versions 3, 7 and 9 were put in force")
+def step_in_force(context):
+    assert context.adopted == [3, 7, 9]
+
+
+@given('a configuration with the key "{key}" of tenant "{name}"')
+def step_configuration(context, key, name):
+    context.view = ConfigurationView(PROOF_SECONDS)
+    routes = (route_rule(), route_rule(name="open", path_prefix="/open/", public=True))
+    keys = {key: Tenant(name, 4, False)}
+    context.view.adopt(configuration(5, routes, keys))
+
+
+@given("no configuration")
+def step_no_configuration(context):
+    context.view = ConfigurationView(PROOF_SECONDS)
+
+
+@given("the store proved it when asked at second {second:g}")
+def step_proved(context, second):
+    context.view.prove_current(5, second)
+
+
+@given("an answer of the store naming another version, asked at second {second:g}")
+def step_other_version(context, second):
+    context.view.prove_current(6, second)
+
+
+def admit(context, key, now, path="/a/x", wait=None):
+    incoming = IncomingRequest(
+        "request-1", "POST", "host-1", path, path, (), b"", key, wait, None, None, now
+    )
+    return RequestAdmission(context.view, WeightedSplit()).admit(incoming, now)
+
+
+@then('at second {second:g} the key "{key}" is served as "{name}"')
+def step_served(context, second, key, name):
+    admitted = admit(context, key, second)
+    assert not isinstance(admitted, AdmissionRefusal), admitted
+    assert admitted.tenant == name
+
+
+@then('at second {second:g} the key "{key}" is refused with {code}')
+def step_key_refused(context, second, key, code):
+    refusal = admit(context, key, second)
+    assert isinstance(refusal, AdmissionRefusal), refusal
+    assert refusal.code.name == code, refusal
+
+
+@then("at second {second:g} a public route is served")
+def step_public(context, second):
+    assert not isinstance(admit(context, "", second, "/open/x"), AdmissionRefusal)
+
+
+@then(
+    'a request with the key "{key}" and {wait:g} s to wait has priority {priority:d} and {left:g} s'
+)
+def step_priority(context, key, wait, priority, left):
+    admitted = admit(context, key, 101.0, wait=wait)
+    assert admitted.priority == priority
+    assert abs(admitted.deadline - 101.0 - left) < 1e-6
+
+
+@given("{nodes:d} nodes share a budget of {ratio:g} of requests and {slack:d} in {window:d} s")
+def step_budget(context, nodes, ratio, slack, window):
+    context.make_allowance = lambda since: RetryAllowance(
+        ratio, slack, float(window), slack_from=since, nodes=nodes
+    )
+    context.allowances = [context.make_allowance(0.0) for _ in range(nodes)]
+    context.repeats = 0
+
+
+def spend_all(context, allowance, now):
+    while allowance.try_spend("service-1", now):
+        context.repeats += 1
+
+
+@when("each node has {count:d} requests in {window:d} s and repeats whenever it may")
+def step_requests(context, count, window):
+    for number in range(count):
+        now = window * number / count
+        for allowance in context.allowances:
+            allowance.record_request("service-1", now)
+            spend_all(context, allowance, now)
+
+
+@when("one of them restarts {count:d} times within {window:d} s and repeats whenever it may")
+def step_restarts(context, count, window):
+    for number in range(count):
+        now = 9.0 + number * 0.3
+        allowance = context.make_allowance(now + window)
+        allowance.record_request("service-1", now)
+        spend_all(context, allowance, now)
+
+
+@then("all repeats together are at most {limit:d}")
+def step_repeats(context, limit):
+    assert 0 < context.repeats <= limit, context.repeats
--- /dev/null
+++ b/features/steps/gateway_delivery_steps.py
@@ -0,0 +1,246 @@
+"""Steps that replay events on a delivery machine."""
+
+import random
+
+from behave import given, then, when
+
+from features.gateway_support import opaque_request, route_rule
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway.delivery import DeliveryMachine, DeliveryPorts, Phase, Unavailable
+from liftrill.gateway.event_stream import StreamEvent
+from liftrill.gateway.records import RequestKind
+
+ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
+KINDS = {
+    "opaque request that may run at most once": (RequestKind.AT_MOST_ONCE, False),
+    "opaque request that may be repeated": (RequestKind.IDEMPOTENT, False),
+    "stream request": (RequestKind.STREAM, False),
+    "resumable stream request": (RequestKind.STREAM, True),
+}
+
+
+class FakePorts(DeliveryPorts):
+    """Offers engines in order."""
+
+    def __init__(self):
+        self.ready = True
+        self.repeats = 10
+
+    def choose(self, request, excluded):
+        if not self.ready:
+            return Unavailable.NONE_READY
+        left = [engine for engine in ENGINES if engine not in excluded]
+        return events.EngineChoice(left[0], "address") if left else Unavailable.NONE_LEFT
+
+    def try_spend_retry(self, request):
+        self.repeats -= 1
+        return self.repeats >= 0
+
+    def retry_after_seconds(self, request):
+        return 0.5
+
+
+def begin(context, kind, attempts):
+    request_kind, resumable = KINDS[kind]
+    route = route_rule(kind=request_kind, resumable=resumable, attempts=int(attempts))
+    context.ports = FakePorts()
+    context.machine = DeliveryMachine(opaque_request(route=route), context.ports)
+    context.passed = []
+
+
+def feed(context, event):
+    context.last = context.machine.handle(event)
+    context.passed.extend(context.last)
+
+
+def find(instructions, kind):
+    return [i for i in instructions if isinstance(i, kind)]
+
+
+@given("an {kind}, with {attempts:d} attempts")
+@given("an {kind}, with {attempts:d} attempt")
+@given("a {kind}, with {attempts:d} attempts")
+def step_request(context, kind, attempts):
+    begin(context, kind, attempts)
+
+
+@given("no repeats are left")
+def step_no_repeats(context):
+    context.ports.repeats = 0
+
+
+@given("no engine is ready")
+def step_not_ready(context):
+    context.ports.ready = False
+
+
+@when("it starts")
+def step_starts(context):
+    feed(context, events.Started())
+
+
+@when("the engine refuses it as overloaded")
+def step_overloaded(context):
+    feed(context, events.AttemptRefused(events.RefusalKind.OVERLOADED))
+
+
+@when("the engine cannot be reached")
+def step_unreachable(context):
+    feed(context, events.AttemptRefused(events.RefusalKind.UNREACHABLE))
+
+
+@when("the connection to the engine breaks")
+def step_breaks(context):
+    feed(context, events.AttemptBroken("reset"))
+
+
+@when("the engine answers with status {status:d}")
+def step_answers(context, status):
+    feed(context, events.WholeAnswer(status, (), b"body"))
+
+
+@when("a stream opens")
+def step_opens(context):
+    feed(context, events.StreamOpened(200, ()))
+
+
+@when("events {first:d} to {last:d} arrive")
+def step_events(context, first, last):
+    for number in range(first, last + 1):
+        feed(context, events.EventArrived(StreamEvent(number, b"id: %d\n\n" % number)))
+
+
+@when("the stream completes")
+def step_completes(context):
+    feed(context, events.StreamCompleted())
+
+
+@when("its deadline passes")
+def step_deadline(context):
+    feed(context, events.DeadlinePassed())
+
+
+@then("it is sent to another engine")
+def step_sent_again(context):
+    starts = find(context.last, events.StartAttempt)
+    assert len(starts) == 1, context.last
+    earlier = [choice.engine_id for choice in context.machine.attempts[:-1]]
+    assert starts[0].choice.engine_id not in earlier
+
+
+@then("it is sent to another engine to go on after event {number:d}")
+def step_sent_after(context, number):
+    step_sent_again(context)
+    assert find(context.last, events.StartAttempt)[0].resume_after == number
+
+
+@then("it is refused with a time to come back")
+def step_refused(context):
+    refusals = find(context.last, events.RefuseRequest)
+    assert refusals and refusals[0].retry_after_seconds > 0, context.last
+
+
+@then("its outcome is unknown")
+def step_unknown(context):
+    assert find(context.last, events.FailRequest), context.last
+
+
+@then("it was sent {count:d} time")
+@then("it was sent {count:d} times")
+def step_sent_count(context, count):
+    assert len(context.machine.attempts) == count, context.machine.attempts
+
+
+@then("the caller gets the engine's answer with status {status:d}")
+def step_answer(context, status):
+    assert [a.answer.status for a in find(context.last, events.PassAnswer)] == [status]
+
+
+@then("the caller has events {first:d} to {last:d} and one head")
+def step_has_events(context, first, last):
+    numbers = [i.event.event_id for i in find(context.passed, events.PassEvent)]
+    assert numbers == list(range(first, last + 1)), numbers
+    assert len(find(context.passed, events.PassHead)) == 1
+
+
+@then("the answer ended complete")
+def step_ended_complete(context):
+    assert find(context.last, events.FinishStream), context.last
+
+
+@then("the answer ended broken off")
+def step_ended_broken(context):
+    assert find(context.last, events.BreakOff), context.last
+
+
+@then("it is held for an engine")
+def step_waits(context):
+    assert find(context.last, events.WaitForEngine), context.last
+
+
+def random_event(source, machine):
+    if machine.phase is Phase.WAITING:
+        return source.choice((events.Started(), events.Started(), events.DeadlinePassed()))
+    number = source.randrange(1, 6)
+    return source.choice(
+        (
+            events.AttemptRefused(source.choice(list(events.RefusalKind))),
+            events.AttemptBroken("reset"),
+            events.WholeAnswer(source.choice((200, 404, 500)), (), b""),
+            events.StreamOpened(200, ()),
+            events.EventArrived(StreamEvent(number, b"id: %d\n\n" % number)),
+            events.StreamCompleted(),
+            events.DeadlinePassed(),
+        )
+    )
+
+
+@given("random histories of requests of each kind")
+def step_histories(context):
+    source = random.Random(20261202)
+    context.histories = []
+    for kind in KINDS:
+        for _ in range(500):
+            begin(context, kind, source.randrange(1, 4))
+            context.ports.repeats = source.randrange(0, 4)
+            history = []
+            while context.machine.phase is not Phase.ENDED and len(history) < 30:
+                event = random_event(source, context.machine)
+                history.append((event, context.machine.handle(event)))
+            context.histories.append((context.machine, history))
+
+
+def may_have_run(history):
+    """Whether an attempt of a history may have run, by what was heard of each."""
+    open_attempts = 0
+    for event, instructions in history:
+        if isinstance(event, events.AttemptRefused):
+            open_attempts -= 1
+        yield open_attempts > 0, instructions
+        open_attempts += len(find(instructions, events.StartAttempt))
+
+
+@then("none is sent again after it may have run unless that is allowed")
+def step_never_again(context):
+    for machine, history in context.histories:
+        for ran, instructions in may_have_run(history):
+            again = find(instructions, events.StartAttempt)
+            assert not (again and ran and not machine.request.may_run_again), history
+
+
+@then("none is called not run while an attempt may have run")
+def step_never_not_run(context):
+    for _, history in context.histories:
+        for ran, instructions in may_have_run(history):
+            assert not (ran and find(instructions, events.RefuseRequest)), history
+
+
+@then("none is sent to more engines than its route allows")
+def step_attempt_bound(context):
+    for machine, history in context.histories:
+        unreached = sum(
+            isinstance(e, events.AttemptRefused) and e.kind is events.RefusalKind.UNREACHABLE
+            for e, _ in history
+        )
+        sent = len(machine.attempts) - unreached
+        assert sent <= machine.request.route.maximum_attempts, history
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from features.gateway_support import engine_record, opaque_request
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_selector import EngineSelector
@@ -16,8 +17,6 @@
 from liftrill.gateway.transport import AnswerSink, EngineAttempt, EngineTransport
 from liftrill.gateway.weight_targets import WeightTargets
 
-from features.gateway_support import engine_record, opaque_request
-
 
 class ScriptedAttempt(EngineAttempt):
     """An engine that sends given pieces of a stream and ends it."""
--- /dev/null
+++ b/features/steps/gateway_weights_steps.py
@@ -0,0 +1,285 @@
+"""Steps about weight versions, rollouts and the right to give orders, in virtual time."""
+
+from behave import given, then, when
+
+from features.gateway_store import MemoryStore
+from features.gateway_support import engine_record
+from liftrill.coordination.lease import LeaseParameters
+from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.errors import StoreError
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.leadership import LEADER_KEY, Leadership, TermParameters
+from liftrill.gateway.records import WeightTarget
+from liftrill.gateway.weight_rollout import AskReport, GiveOrder, WeightRollout
+from liftrill.gateway.weight_targets import WeightTargets
+
+GRACE_SECONDS = 7.3
+TICK_SECONDS = 0.1
+LEASE = LeaseParameters(time_to_live=2.0, renew_interval=0.7, retry_interval=0.3, safety_margin=0.5)
+QUIET_SECONDS = 3.3
+
+
+@given(
+    "versions {one:d} at second {first:g} and {two:d} at second {second:g} are named, with {grace:g} s of grace"
+)
+def step_named(context, one, first, two, second, grace):
+    context.targets = WeightTargets(grace)
+    context.targets.name(WeightTarget("model", one, 1), first)
+    context.targets.name(WeightTarget("model", two, 2), second)
+
+
+@then("at second {now:g} a request may begin on version {version:d}")
+def step_may_begin(context, now, version):
+    assert version >= context.targets.required("model", now)
+
+
+@then("at second {now:g} a request may not begin on version {version:d}")
+def step_may_not_begin(context, now, version):
+    assert version < context.targets.required("model", now)
+
+
+class SimulatedEngines:
+    """Engines that load in a fixed time and take each order once."""
+
+    def __init__(self, count):
+        self.table = EngineTable()
+        for number in range(1, count + 1):
+            self.table.update(engine_record(f"engine-{number}", weights={"model": 1}))
+        self.targets = WeightTargets(GRACE_SECONDS)
+        self.rollout = WeightRollout(self.targets)
+        self.loading = {}
+        self.orders = []
+        self.most_at_once = 0
+        self.lost = set()
+        self.load_seconds = 0.7
+
+    def name(self, version, now):
+        self.targets.name(WeightTarget("model", version, version), now)
+
+    def step(self, now):
+        for engine_id, (until, version) in list(self.loading.items()):
+            if now >= until:
+                del self.loading[engine_id]
+                self.table.get(engine_id).learn_weights("model", version)
+        for instruction in self.rollout.due(self.table, now):
+            if isinstance(instruction, GiveOrder):
+                self._order(instruction, now)
+            elif isinstance(instruction, AskReport):
+                busy = instruction.engine_id in self.loading
+                self.rollout.report_heard(instruction.engine_id, busy, now)
+        self.most_at_once = max(self.most_at_once, len(self.loading))
+
+    def _order(self, order, now):
+        self.orders.append(order.engine_id)
+        if order.engine_id in self.lost:
+            self.lost.discard(order.engine_id)
+            self.rollout.order_unanswered(order.engine_id, now)
+            return
+        self.loading[order.engine_id] = (now + self.load_seconds, order.version)
+        self.rollout.order_accepted(order.engine_id, now)
+
+    def restart(self, engine_id):
+        self.table.remove(engine_id)
+        self.loading.pop(engine_id, None)
+        self.table.update(engine_record(engine_id + "-again", weights={"model": 1}))
+
+
+@given("{count:d} engines with version 1")
+def step_engines(context, count):
+    context.engines = SimulatedEngines(count)
+    context.happenings = []
+
+
+@when("version {version:d} is named and engines take {seconds:g} s to load")
+def step_name(context, version, seconds):
+    context.engines.load_seconds = seconds
+    context.happenings.append((0.0, lambda: context.engines.name(version, 0.0)))
+
+
+@when("version {version:d} is named after {seconds:g} s")
+def step_name_later(context, version, seconds):
+    context.happenings.append((seconds, lambda: context.engines.name(version, seconds)))
+
+
+@when("engine {number:d} restarts with version 1 after {seconds:g} s")
+def step_restart_engine(context, number, seconds):
+    context.happenings.append((seconds, lambda: context.engines.restart(f"engine-{number}")))
+
+
+@when("the first order to engine {number:d} is lost")
+def step_lose_order(context, number):
+    context.engines.lost.add(f"engine-{number}")
+
+
+@then("every engine has version {version:d} within {seconds:g} s")
+def step_reached(context, version, seconds):
+    now = 0.0
+    while now < seconds:
+        due = [h for h in context.happenings if h[0] <= now]
+        context.happenings = [h for h in context.happenings if h[0] > now]
+        for _, happen in due:
+            happen()
+        context.engines.step(now)
+        now += TICK_SECONDS
+    versions = [view.weight_version("model") for view in context.engines.table]
+    assert set(versions) == {version}, versions
+
+
+@then("each engine was ordered {count:d} time")
+def step_ordered(context, count):
+    orders = context.engines.orders
+    assert {orders.count(engine) for engine in orders} == {count}, orders
+
+
+@then("each engine was ordered at most {count:d} times")
+def step_ordered_at_most(context, count):
+    orders = context.engines.orders
+    assert max(orders.count(engine) for engine in orders) <= count, orders
+
+
+@then("at most {count:d} engines loaded at once")
+def step_at_once(context, count):
+    assert context.engines.most_at_once <= count, context.engines.most_at_once
+
+
+class Contender:
+    """One node's leadership with its own copy of the store."""
+
+    def __init__(self, store, name):
+        self.store = store
+        self.mirror = StoreMirror()
+        self.frozen = False
+        self.leadership = Leadership(
+            store,
+            self.mirror,
+            name,
+            TermParameters(LEASE, QUIET_SECONDS),
+            DecisionLog(name),
+            clock=lambda: store.now,
+        )
+
+    async def step(self):
+        if self.frozen:
+            return
+        self.mirror.begin_reading()
+        self.mirror.take_page(await self.store.read_range("", ""))
+        await self.leadership.step()
+
+
+def run_contenders(context, seconds):
+    async def run():
+        until = context.store.now + seconds
+        while context.store.now < until:
+            for contender in context.contenders:
+                await contender.step()
+            context.store.advance(TICK_SECONDS)
+
+    context.run(run())
+
+
+def leaders(context):
+    now = context.store.now
+    return [c for c in context.contenders if not c.frozen and c.leadership.holds(now)]
+
+
+@given("a store and {count:d} contenders")
+def step_contenders(context, count):
+    context.store = MemoryStore()
+    context.contenders = [Contender(context.store, f"node-{n}") for n in range(count)]
+
+
+@given("the store loses the answer to the first write of a key")
+def step_lose_answer(context):
+    context.store.lose_answers = 1
+
+
+@when("both contend")
+def step_contend(context):
+    run_contenders(context, 1.0)
+    context.leader = leaders(context)[0]
+    context.other = next(c for c in context.contenders if c is not context.leader)
+
+
+@when("both contend for a while")
+def step_contend_long(context):
+    run_contenders(context, 6.0)
+
+
+@when("the leader is frozen for {seconds:g} s")
+def step_freeze(context, seconds):
+    context.leader.frozen = True
+    run_contenders(context, seconds)
+
+
+@when("the leader gives orders and is killed")
+def step_kill_busy(context):
+    context.run(context.leader.leadership.activate())
+    context.leader.leadership.note_order(context.store.now)
+    assert context.leader.leadership.may_order(context.store.now)
+    context.killed_at = context.store.now
+    context.leader.frozen = True
+
+
+@when("the idle leader is killed")
+def step_kill_idle(context):
+    context.leader.frozen = True
+
+
+@when("the store drops the leader's lease")
+def step_drop_lease(context):
+    context.store.drop_lease(context.store.items[LEADER_KEY].lease)
+
+
+@then("exactly one leads, with the revision of the leader's key as its fence")
+def step_one_leads(context):
+    found = leaders(context)
+    assert len(found) == 1, found
+    assert found[0].leadership.fence == context.store.items[LEADER_KEY].revision
+
+
+@then("the frozen leader may give no order")
+def step_frozen_no_order(context):
+    assert not context.leader.leadership.may_order(context.store.now)
+    assert not context.leader.leadership.holds(context.store.now)
+
+
+@then("the other one leads with a higher fence")
+def step_other_leads(context):
+    assert context.other.leadership.holds(context.store.now)
+    assert context.other.leadership.fence > context.leader.leadership.fence
+
+
+def wait_until_other_leads(context):
+    while not context.other.leadership.holds(context.store.now):
+        run_contenders(context, TICK_SECONDS)
+        assert context.store.now < 20.0
+
+
+@then("the other one leads, and gives no order for {seconds:g} s")
+def step_quiet(context, seconds):
+    wait_until_other_leads(context)
+    context.run(context.other.leadership.activate())
+    while not context.other.leadership.may_order(context.store.now):
+        run_contenders(context, TICK_SECONDS)
+        assert context.store.now < 20.0
+    # The leader's belief could have lasted until its lease ran out less the margin.
+    last_order = context.killed_at + LEASE.time_to_live - LEASE.safety_margin
+    assert context.store.now - last_order >= seconds, context.store.now - last_order
+
+
+@then("the other one leads, and may give orders at once")
+def step_no_wait(context):
+    wait_until_other_leads(context)
+    context.run(context.other.leadership.activate())
+    assert context.other.leadership.may_order(context.store.now)
+
+
+@then("the leader cannot write that it gives orders")
+def step_cannot_activate(context):
+    try:
+        context.run(context.leader.leadership.activate())
+    except StoreError:
+        assert not context.leader.leadership.may_order(context.store.now)
+        return
+    raise AssertionError("it could")
--- a/liftrill/coordination/store_mirror.py
+++ b/liftrill/coordination/store_mirror.py
@@ -104,9 +104,7 @@
         self.at = at
         return MirrorChange(written, removed, gap=True)
 
-    def _forget(
-        self, key: str, written: dict[str, StoredItem], removed: dict[str, None]
-    ) -> None:
+    def _forget(self, key: str, written: dict[str, StoredItem], removed: dict[str, None]) -> None:
         written.pop(key, None)
         if self._items.pop(key, None) is not None:
             removed[key] = None
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -98,7 +98,11 @@
             self._write_request("served", machine, True, status=ending.answer.status)
         elif isinstance(ending, events.RefuseRequest):
             self._write_request(
-                "not_run", machine, False, code=ending.code.name, come_back=ending.retry_after_seconds
+                "not_run",
+                machine,
+                False,
+                code=ending.code.name,
+                come_back=ending.retry_after_seconds,
             )
         elif isinstance(ending, events.FailRequest | events.BreakOff):
             self._write_request("unknown", machine, False, code=ending.code.name)
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -119,6 +119,7 @@
     def _on_whole_answer(self, event: events.WholeAnswer) -> list[events.DeliveryInstruction]:
         failed = event.status >= FIRST_SERVER_ERROR
         if failed and self.request.may_run_again and self._may_send_again():
+            self._excluded.add(self.attempts[-1].engine_id)
             choice = self._choose_other()
             if isinstance(choice, events.EngineChoice) and self._spend_if_arrived():
                 return [self._start_on(choice)]
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -234,5 +234,3 @@
             await self._sink.refuse(ending)
         elif isinstance(ending, events.FailRequest):
             await self._sink.fail(ending)
-
-
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -61,9 +61,7 @@
         self.log = log
         self.metrics = metrics
         self.stopping = False
-        self.view = ConfigurationView(
-            bounds.key_proof_seconds - constants.KEY_PROOF_MARGIN_SECONDS
-        )
+        self.view = ConfigurationView(bounds.key_proof_seconds - constants.KEY_PROOF_MARGIN_SECONDS)
         self._store = store
         self._decoder = decoder
         engines = EngineTable()
@@ -84,6 +82,7 @@
         self._controller = self._new_controller(orders, targets)
         self._proof_wanted = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._watch_check: asyncio.Task[None] | None = None
 
     @property
     def ready(self) -> bool:
@@ -249,7 +248,7 @@
             self._beliefs.apply_item(item)
             if self.view.version != before:
                 self._peers.announce_version(self.view.version)
-            asyncio.ensure_future(self._check_watch(item))
+            self._watch_check = asyncio.ensure_future(self._check_watch(item))
         if item.revision == self._beliefs.configuration_revision:
             self.view.prove_current(self.view.version, asked_at)
 
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -99,9 +99,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=constants.CONNECT_TIMEOUT_SECONDS
-        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=constants.CONNECT_TIMEOUT_SECONDS),
         max_line_size=LONGEST_HEADER_BYTES,
         max_field_size=LONGEST_HEADER_BYTES,
     )
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -8,6 +8,7 @@
 """
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from liftrill.coordination.lease import AcquireLease, Lease, LeaseParameters, RenewLease
@@ -51,7 +52,9 @@
         node: str,
         parameters: TermParameters,
         log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._store = store
         self._mirror = mirror
         self._node = node
@@ -80,7 +83,7 @@
 
     async def step(self) -> None:
         """Do what is due with the store: acquire or renew."""
-        now = time.monotonic()
+        now = self._clock()
         had = self.fence
         instruction = self._lease.due(now)
         if had and not self.fence:
@@ -147,7 +150,7 @@
         self._active = False
 
     async def _renew(self) -> None:
-        asked_at = time.monotonic()
+        asked_at = self._clock()
         try:
             await self._store.keep_lease(self._store_lease)
         except LeaseGoneError:
@@ -174,7 +177,7 @@
             Expectation(LEADER_KEY, 0),
             Expectation(ACTIVITY_KEY, activity.revision if activity else 0),
         )
-        asked_at = time.monotonic()
+        asked_at = self._clock()
         lease = await self._store.grant_lease(self._parameters.lease.time_to_live)
         self._store_lease, self._granted_at = lease, asked_at
         put = PutItem(LEADER_KEY, self._node.encode(), lease)
@@ -186,7 +189,7 @@
         self._active = False
         self._activity_revision = activity.revision if activity else 0
         holder = activity.value if activity else IDLE
-        now = time.monotonic()
+        now = self._clock()
         wait = holder not in (IDLE, self._node.encode())
         self._quiet_until = now + self._parameters.quiet if wait else now
         self._log.belief("leading", fence=fence, predecessor=holder.decode(), waits=wait)
--- a/liftrill/gateway/route_table.py
+++ b/liftrill/gateway/route_table.py
@@ -31,20 +31,20 @@
     """Smooth weighted round robin over the services of each route."""
 
     def __init__(self) -> None:
-        self._credits: dict[str, dict[str, float]] = {}
+        self._balances: dict[str, dict[str, float]] = {}
 
     def next_service(self, route: RouteRule) -> str:
         """Return the service that the next request of a route goes to."""
         if len(route.backends) == 1:
             return route.backends[0].service
         total = sum(share.weight for share in route.backends)
-        credits = self._credits.setdefault(route.name, {})
+        balances = self._balances.setdefault(route.name, {})
         for share in route.backends:
-            credits[share.service] = credits.get(share.service, 0.0) + share.weight
-        best = max(route.backends, key=lambda share: credits[share.service])
-        credits[best.service] -= total
+            balances[share.service] = balances.get(share.service, 0.0) + share.weight
+        best = max(route.backends, key=lambda share: balances[share.service])
+        balances[best.service] -= total
         return best.service
 
     def forget(self) -> None:
         """Begin anew, after a change of the configuration."""
-        self._credits.clear()
+        self._balances.clear()
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -11,7 +11,14 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership
 from liftrill.gateway.order_client import OrderAnswer, OrderClient, WeightOrder
-from liftrill.gateway.weight_rollout import AnnounceDone, AnnounceLoad, AskReport, GiveOrder, WeightRollout
+from liftrill.gateway.weight_rollout import (
+    AnnounceDone,
+    AnnounceLoad,
+    AskReport,
+    GiveOrder,
+    RolloutInstruction,
+    WeightRollout,
+)
 
 TICK_SECONDS = 0.1
 REFUSED_ORDER_PAUSE_SECONDS = 0.4
@@ -75,17 +82,19 @@
             return
         for instruction in self._rollout.due(self._engines, time.monotonic()):
             view = self._engines.get(instruction.engine_id)
-            if view is None:
-                continue
-            if isinstance(instruction, AnnounceLoad):
-                self._tell(view, instruction.model, instruction.version, loading=True)
-                self._spawn(self._read_status(view))
-            elif isinstance(instruction, AnnounceDone):
-                self._finish(view, instruction.model, instruction.version)
-            elif isinstance(instruction, GiveOrder):
-                self._spawn(self._give(view, instruction))
-            elif isinstance(instruction, AskReport):
-                self._spawn(self._check(view))
+            if view is not None:
+                self._carry_out(view, instruction)
+
+    def _carry_out(self, view: EngineView, instruction: RolloutInstruction) -> None:
+        if isinstance(instruction, AnnounceLoad):
+            self._tell(view, instruction.model, instruction.version, loading=True)
+            self._spawn(self._read_status(view))
+        elif isinstance(instruction, AnnounceDone):
+            self._finish(view, instruction.model, instruction.version)
+        elif isinstance(instruction, GiveOrder):
+            self._spawn(self._give(view, instruction))
+        elif isinstance(instruction, AskReport):
+            self._spawn(self._check(view))
 
     def _begin_term(self) -> None:
         self._fence = self._leadership.fence
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -230,4 +230,3 @@
     def _is_behind(self, view: EngineView, model: str) -> bool:
         version = view.weight_version(model)
         return 0 < version < self.targets.newest(model) and not view.leaving
-
