--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -21,7 +21,8 @@
 
 
 @given(
-    "versions {one:d} at second {first:g} and {two:d} at second {second:g} are named, with {grace:g} s of grace"
+    "versions {one:d} at second {first:g} and {two:d} at second {second:g} are named, "
+    "with {grace:g} s of grace"
 )
 def step_named(context, one, first, two, second, grace):
     context.targets = WeightTargets(grace)
