Place prompts by what waits on engines, and read each shared part on one engine first

Cause: each node saw a seventh of the load and kept to the part's first engine up to a bound, so prompts queued behind others' reading (p99 over 3 s) while other engines were idle.

--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -70,6 +70,9 @@
             return
         self.configuration_revision = revision
         self.selector.kept_store = configuration.kept_store
+        sizes = {s.name: s.cache_tokens for s in configuration.services.values()}
+        self.selector.cache_tokens.clear()
+        self.selector.cache_tokens.update(sizes)
         self.split.forget()
         self.log.version = configuration.version
         self.log.belief(
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -3,8 +3,14 @@
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineChoice
 from liftrill.gateway.engine_table import EngineTable, EngineView
-from liftrill.gateway.opaque_request import OpaqueRequest
-from liftrill.gateway.placement import LeastLoaded, PlacementPolicy, PrefixAffinity, cache_salt
+from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
+from liftrill.gateway.placement import (
+    Candidate,
+    LeastLoaded,
+    PlacementPolicy,
+    PromptCost,
+    cache_salt,
+)
 from liftrill.gateway.prefix_directory import PartKey, PrefixDirectory
 from liftrill.gateway.records import KeptStoreProfile
 from liftrill.gateway.weight_targets import WeightTargets
@@ -15,6 +21,7 @@
 
     Attributes:
         kept_store: where prefixes are saved to and fetched from, or None.
+        cache_tokens: tokens that one engine keeps, by service.
     """
 
     def __init__(
@@ -26,10 +33,11 @@
         plain_policy: PlacementPolicy | None = None,
     ) -> None:
         self.kept_store: KeptStoreProfile | None = None
+        self.cache_tokens: dict[str, int] = {}
         self._engines = engines
         self._targets = targets
         self._zone = zone
-        self._prompt_policy = prompt_policy or PrefixAffinity()
+        self._prompt_policy = prompt_policy or PromptCost(cache_tokens=self.cache_tokens)
         self._plain_policy = plain_policy or LeastLoaded()
         self._directory = PrefixDirectory()
 
@@ -45,10 +53,17 @@
         if not ready:
             return Unavailable.NONE_READY
         if request.prompt is None:
-            view = self._plain_policy.choose(request, ready, self._zone)
+            plain = [Candidate(view) for view in ready]
+            view = self._plain_policy.choose(request, plain, self._zone).view
             return EngineChoice(view.engine_id, view.record.address)
-        view = self._prompt_policy.choose(request, ready, self._zone)
-        return self._prompt_choice(view, request, now)
+        candidates = [self._candidate(view, request, now) for view in ready]
+        chosen = self._prompt_policy.choose(request, candidates, self._zone)
+        return self._prompt_choice(chosen, request.prompt)
+
+    def record_read(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
+        """Note that an engine has read a prompt, and sends to the store what it was told to."""
+        if choice.save_to and request.prompt is not None:
+            self._directory.record_saved(_deepest_part(choice.cache_salt, request.prompt), now)
 
     def _is_ready(self, view: EngineView, request: OpaqueRequest, now: float) -> bool:
         if view.is_loading(now) or not view.breaker.allows(now):
@@ -59,16 +74,28 @@
         version = view.weight_version(model)
         return version > 0 and version >= self._targets.required(model, now)
 
-    def _prompt_choice(self, view: EngineView, request: OpaqueRequest, now: float) -> EngineChoice:
+    def _candidate(self, view: EngineView, request: OpaqueRequest, now: float) -> Candidate:
         prompt = request.prompt
         assert prompt is not None
         version = view.weight_version(prompt.model)
         salt = cache_salt(request.tenant, request.isolated, prompt.model, version)
+        kept = bool(prompt.shared_parts) and self._directory.is_saved(
+            _deepest_part(salt, prompt), now
+        )
+        return Candidate(view, salt, kept)
+
+    def _prompt_choice(self, chosen: Candidate, prompt: PromptShape) -> EngineChoice:
+        view = chosen.view
         store = self.kept_store.address if self.kept_store and prompt.shared_parts else ""
-        save_to = ""
-        if store:
-            part = PartKey(salt, prompt.shared_parts[-1].part_id)
-            if not self._directory.is_saved(part, now):
-                self._directory.record_saved(part, now)
-                save_to = store
-        return EngineChoice(view.engine_id, view.record.address, version, salt, store, save_to)
+        return EngineChoice(
+            view.engine_id,
+            view.record.address,
+            view.weight_version(prompt.model),
+            chosen.scope,
+            fetch_from=store,
+            save_to="" if chosen.kept else store,
+        )
+
+
+def _deepest_part(salt: str, prompt: PromptShape) -> PartKey:
+    return PartKey(salt, prompt.shared_parts[-1].part_id)
--- a/liftrill/gateway/engine_table.py
+++ b/liftrill/gateway/engine_table.py
@@ -28,14 +28,35 @@
     sequence: int
 
 
+@dataclass(slots=True)
+class EngineLoad:
+    """Work on one engine.
+
+    Attributes:
+        requests: requests that it holds.
+        waiting_tokens: prompt tokens that were sent and have no answer yet.
+        resident_tokens: tokens that running requests hold in its memory, or will.
+    """
+
+    requests: int = 0
+    waiting_tokens: int = 0
+    resident_tokens: int = 0
+
+    def add(self, other: "EngineLoad", factor: int = 1) -> None:
+        """Add other work, or take it away with a factor of -1."""
+        self.requests += factor * other.requests
+        self.waiting_tokens += factor * other.waiting_tokens
+        self.resident_tokens += factor * other.resident_tokens
+
+
 @dataclass(slots=True)
 class EngineView:
     """One incarnation of an engine.
 
     Attributes:
         weights: the newest version known of each model; it only rises in one incarnation.
-        in_flight: requests of this node that it holds.
-        pending_tokens: prompt tokens that this node sent and that have no answer yet.
+        own_load: what this node has on it.
+        peer_load: what other nodes told of theirs.
         loading_until: it takes no new requests before this time, as far as is known, unless
             it is seen to have `loading_version` earlier.
         vanished_at: when its record went while that could not be trusted, or None.
@@ -43,8 +64,8 @@
 
     record: EngineRecord
     weights: dict[str, int] = field(default_factory=dict)
-    in_flight: int = 0
-    pending_tokens: int = 0
+    own_load: EngineLoad = field(default_factory=EngineLoad)
+    peer_load: EngineLoad = field(default_factory=EngineLoad)
     loading_until: float = 0.0
     loading_version: int = 0
     notice_sequence: int = 0
@@ -57,6 +78,21 @@
         """The identity of this incarnation."""
         return self.record.engine_id
 
+    @property
+    def requests(self) -> int:
+        """The requests of all nodes, as far as is known."""
+        return self.own_load.requests + self.peer_load.requests
+
+    @property
+    def waiting_tokens(self) -> int:
+        """The prompt tokens of all nodes that wait there."""
+        return self.own_load.waiting_tokens + self.peer_load.waiting_tokens
+
+    @property
+    def resident_tokens(self) -> int:
+        """The tokens of all nodes' requests in its memory."""
+        return self.own_load.resident_tokens + self.peer_load.resident_tokens
+
     def weight_version(self, model: str) -> int:
         """Return the version of a model that it has, or 0 if not known."""
         return self.weights.get(model, 0)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -10,7 +10,7 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import DeliveryMachine, DeliveryPorts, Unavailable
 from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineTable, EngineView
+from liftrill.gateway.engine_table import EngineLoad, EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.retry_allowance import RetryAllowance
@@ -58,6 +58,10 @@
         """Spend one repeat of the service's budget."""
         return self._allowance.try_spend(request.service, time.monotonic())
 
+    def record_read(self, choice: events.EngineChoice, request: OpaqueRequest) -> None:
+        """Note that an engine has read a prompt."""
+        self._selector.record_read(choice, request, time.monotonic())
+
     def retry_after_seconds(self, request: OpaqueRequest) -> float:
         """Return when a refused caller should come back."""
         share = RETRY_AFTER_TARGET_SHARE * request.route.target_seconds
@@ -110,7 +114,6 @@
             self._allowance.record_request(request.service, now)
         view = self._engines.get(start.choice.engine_id)
         if view is not None:
-            view.in_flight += 1
             view.breaker.record_start(now)
         return view, self._transport.attempt(request, start)
 
@@ -124,6 +127,10 @@
         elif isinstance(event, events.WholeAnswer | events.EventArrived):
             view.breaker.record_success()
 
+    def note_prompt_read(self, machine: DeliveryMachine) -> None:
+        """Note that the newest attempt's engine has read the prompt."""
+        self._ports.record_read(machine.attempts[-1], machine.request)
+
     def _note_refusal(
         self, view: EngineView, kind: events.RefusalKind, request: OpaqueRequest, now: float
     ) -> None:
@@ -145,6 +152,7 @@
         self._sink = sink
         self._attempt: EngineAttempt | None = None
         self._view: EngineView | None = None
+        self._load = EngineLoad()
         self._ended = False
 
     async def drive(self, first: events.DeliveryEvent) -> None:
@@ -164,7 +172,7 @@
             self._attempt.close()
             self._attempt = None
         if self._view is not None:
-            self._view.in_flight -= 1
+            self._view.own_load.add(self._load, -1)
             self._view = None
             self._forwarder.engine_signal.notify()
 
@@ -172,8 +180,17 @@
         assert self._attempt is not None
         return self._noted(await self._attempt.read())
 
+    def _note_prompt_read(self) -> None:
+        """Note that the prompt no longer waits, once the first event shows it."""
+        if self._load.waiting_tokens and self._view is not None:
+            self._view.own_load.waiting_tokens -= self._load.waiting_tokens
+            self._load.waiting_tokens = 0
+            self._forwarder.note_prompt_read(self._machine)
+
     def _noted(self, found: list[events.DeliveryEvent]) -> list[events.DeliveryEvent]:
         for event in found:
+            if isinstance(event, events.EventArrived):
+                self._note_prompt_read()
             if self._view is not None:
                 self._forwarder.note(self._view, event, self._machine.request)
             self._forwarder.log.attempt_event(self._machine, event)
@@ -203,6 +220,9 @@
         self._forwarder.log.attempt_started(machine, start)
         first = len(machine.attempts) == 1
         self._view, self._attempt = self._forwarder.begin(machine.request, start, first)
+        self._load = expected_load(machine.request)
+        if self._view is not None:
+            self._view.own_load.add(self._load)
         return self._noted(await self._attempt.open())
 
     async def _wait_for_engine(self) -> events.DeliveryEvent:
@@ -234,3 +254,13 @@
             await self._sink.refuse(ending)
         elif isinstance(ending, events.FailRequest):
             await self._sink.fail(ending)
+
+
+def expected_load(request: OpaqueRequest) -> EngineLoad:
+    """Return what a request puts on an engine: its own part is read, shared ones are kept."""
+    prompt = request.prompt
+    if prompt is None:
+        return EngineLoad(requests=1)
+    shared = sum(part.tokens for part in prompt.shared_parts)
+    waiting = max(0, prompt.prompt_tokens - shared)
+    return EngineLoad(1, waiting, prompt.prompt_tokens + prompt.output_tokens)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -18,10 +18,11 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineNotice, EngineTable
+from liftrill.gateway.engine_table import EngineLoad, EngineNotice, EngineTable
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership, TermParameters
+from liftrill.gateway.load_board import LoadBoard
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.gateway.record_decoder import RecordDecoder
@@ -77,7 +78,10 @@
         self.forwarder = Forwarder(engines, ports, self._allowance, transport, log, metrics)
         self._follower = StoreFollower(store, "", self._on_change, self._on_connection)
         self._membership = self._new_membership()
-        callbacks = PeerCallbacks(self._on_member, self._on_newer_version, self._on_notice)
+        self._loads = LoadBoard(engines)
+        callbacks = PeerCallbacks(
+            self._on_member, self._on_newer_version, self._on_notice, self._on_loads
+        )
         self._peers = PeerLink(self._membership, callbacks)
         self._controller = self._new_controller(orders, targets)
         self._proof_wanted = asyncio.Event()
@@ -98,6 +102,7 @@
             self._peers.run,
             self._controller.run,
             self._keep_house,
+            self._tell_loads,
         ):
             self._tasks.append(asyncio.ensure_future(self._supervise(loop)))
         self.log.belief("started", zone=self.settings.zone, front=self.settings.front)
@@ -210,6 +215,9 @@
         if not notice.loading:
             self.forwarder.engine_signal.notify()
 
+    def _on_loads(self, node: str, loads: dict[str, EngineLoad]) -> None:
+        self._loads.take(node, loads, time.monotonic())
+
     async def _send_notices(self, notices: list[EngineNotice]) -> None:
         for notice in notices:
             self._on_notice(notice)
@@ -259,6 +267,17 @@
         if told is None or told.revision < item.revision:
             self._follower.read_again()
 
+    async def _tell_loads(self) -> None:
+        """Tell peers of this node's load while there is any, and once when there is none."""
+        had_load = False
+        while True:
+            loads = self._loads.own_loads()
+            if loads or had_load:
+                self._peers.tell_loads(loads)
+            had_load = bool(loads)
+            self._loads.expire(time.monotonic())
+            await asyncio.sleep(constants.LOAD_EXCHANGE_SECONDS)
+
     async def _keep_house(self) -> None:
         while True:
             now = time.monotonic()
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -1,6 +1,7 @@
 """Chooses the engine for a request."""
 
 import hashlib
+import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
@@ -22,56 +23,85 @@
     return hashlib.blake2b(content, digest_size=SALT_DIGEST_BYTES).hexdigest()
 
 
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An engine that could serve a request.
+
+    Attributes:
+        scope: the cache salt that the request would have there, or empty.
+        kept: whether the store of kept prefixes has the shared parts in that scope.
+    """
+
+    view: EngineView
+    scope: str = ""
+    kept: bool = False
+
+
 class PlacementPolicy(ABC):
     """Orders engines that could all serve a request."""
 
     @abstractmethod
-    def choose(self, request: OpaqueRequest, engines: list[EngineView], zone: str) -> EngineView:
+    def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
         """Return the engine to send to; the list is not empty."""
 
 
 class LeastLoaded(PlacementPolicy):
-    """The engine with the fewest requests of this node; engines of the own zone win ties."""
+    """The engine with the fewest requests; engines of the own zone win ties."""
 
-    def choose(self, request: OpaqueRequest, engines: list[EngineView], zone: str) -> EngineView:
+    def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
         """Return the least loaded engine."""
         key = request.request_id.encode()
 
-        def order(view: EngineView) -> tuple[int, bool, tuple[int, str]]:
+        def order(candidate: Candidate) -> tuple[int, bool, tuple[int, str]]:
+            view = candidate.view
             away = view.record.zone != zone
-            return view.in_flight, away, rendezvous.weight(key, view.engine_id)
+            return view.requests, away, rendezvous.weight(key, view.engine_id)
 
-        return min(engines, key=order)
+        return min(candidates, key=order)
 
 
 @dataclass(slots=True)
-class PrefixAffinity(PlacementPolicy):
-    """Rendezvous on the last shared part, with bounded load.
+class PromptCost(PlacementPolicy):
+    """The engine on which the prompt is expected to be read first.
 
-    Requests that share a part go to the same engine from every node, unless this node
-    has clearly more on it than on the others.
+    What waits on an engine is counted in prompt tokens. Within each scope the first engine
+    of the part's rendezvous order, which is the same for all nodes, is taken to hold the
+    shared parts. Another one pays for moving them if they are kept, and otherwise for
+    reading them again.
 
     Attributes:
-        load_factor: the load over the mean that an engine may have.
-        load_slack: requests that an engine may have beyond that.
+        move_tokens: what moving a shared part costs, in prompt tokens read meanwhile.
+        reread_factor: how much dearer reading a shared part again is than waiting as long.
+        memory_share: share of an engine's memory from which running requests count too.
+        cache_tokens: tokens that one engine keeps, by service.
     """
 
-    load_factor: float = 1.5
-    load_slack: float = 2.0
-    fallback: PlacementPolicy = field(default_factory=LeastLoaded)
-
-    def choose(self, request: OpaqueRequest, engines: list[EngineView], zone: str) -> EngineView:
-        """Return the first engine in the part's order that is not overloaded."""
-        key = affinity_key(request)
-        if key is None:
-            return self.fallback.choose(request, engines, zone)
-        by_id = {view.engine_id: view for view in engines}
-        mean = sum(view.in_flight for view in engines) / len(engines)
-        bound = self.load_factor * mean + self.load_slack
+    move_tokens: float = 600.0
+    reread_factor: float = 2.0
+    memory_share: float = 0.6
+    cache_tokens: dict[str, int] = field(default_factory=dict)
+
+    def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
+        """Return the engine with the least cost."""
+        key = affinity_key(request) or request.request_id.encode()
+        by_id = {candidate.view.engine_id: candidate for candidate in candidates}
+        shared = sum(part.tokens for part in request.prompt.shared_parts) if request.prompt else 0
+        scopes_seen: set[str] = set()
+        best, least = candidates[0], math.inf
         for engine_id in rendezvous.rank(key, by_id):
-            if by_id[engine_id].in_flight < bound:
-                return by_id[engine_id]
-        return self.fallback.choose(request, engines, zone)
+            candidate = by_id[engine_id]
+            cost = self._backlog(candidate.view)
+            if candidate.scope in scopes_seen:
+                cost += self.move_tokens if candidate.kept else shared * self.reread_factor
+            scopes_seen.add(candidate.scope)
+            if cost < least:
+                best, least = candidate, cost
+        return best
+
+    def _backlog(self, view: EngineView) -> float:
+        capacity = self.cache_tokens.get(view.record.service, 0)
+        excess = view.resident_tokens - self.memory_share * capacity if capacity else 0.0
+        return view.waiting_tokens + max(0.0, excess)
 
 
 def affinity_key(request: OpaqueRequest) -> bytes | None:
