--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -77,7 +77,7 @@
     """
 
     move_tokens: float = 600.0
-    reread_factor: float = 2.0
+    reread_factor: float = 1.0
     memory_share: float = 0.6
     cache_tokens: dict[str, int] = field(default_factory=dict)
 
