Run the platform's program before a stand-in, with faults of engines and store

26 scenarios with separate processes. Each guard of the HTTP client has one that fails without it: the library's own second send, resets taken for ends, bytes on an idle connection. The stand-in lies with the tests, since it speaks the platform's names.

--- a/features/environment.py
+++ b/features/environment.py
@@ -16,5 +16,14 @@
 
 def after_scenario(context, scenario):
     context.run(context.stack.aclose())
+    context.run(cancel_tasks())
     context.loop.close()
     context.temporary.cleanup()
+
+
+async def cancel_tasks():
+    """End what a scenario left running, such as calls that wait for an answer."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,149 @@
+Feature: The program that serves the users' platform, as separate processes before a stand-in
+
+  Background:
+    Given a stand-in platform with 2 desk engines and 2 model engines
+
+  Scenario: Each kind of request is served, and only what the platform says is changed
+    Given a node
+    When a client posts to "/whole/a%2Fb/..;x?q=%7E&&r" with forged internal headers
+    Then the answer is an engine's, whole and signed
+    And the engine got the target "/whole/a%2Fb/..;x?q=%7E&&r" unchanged, the tenant and no key
+    And none of the forged headers reached the engine
+    When a client gets "/safe/x"
+    Then the answer is an engine's, whole and signed
+    When a client asks for a stream at "/stream/x"
+    Then the stream has events 1 to 4 and is complete
+
+  Scenario: Malformed and oversized requests get a final answer and reach no engine
+    Given a node
+    When hostile requests are sent
+    Then each got a final status or a closed connection, and none reached an engine
+
+  Scenario: Unknown routes and keys are refused, and before a configuration nothing is said of them
+    Given a node
+    Then "/nowhere/x" with the known key is answered 404
+    And "/whole/x" with another key is answered 401
+
+  Scenario: A node without a configuration answers 503 with a time to come back
+    Given the store has no configuration
+    And a node that is not ready
+    Then "/whole/x" with the known key is answered 503 with a time to come back
+
+  Scenario Outline: What a faulty engine does is never taken for a good answer
+    Given a node
+    And the next request to any desk engine meets the fault "<fault>"
+    When a client posts to "/whole/x"
+    Then the answer has status <status>
+    And it ran at most once
+
+    Examples:
+      | fault          | status |
+      | close          | 502    |
+      | crossed        | 502    |
+      | reset_unframed | 502    |
+      | shed           | 200    |
+      | shed_without_id | 502    |
+      | fail           | 500    |
+
+  Scenario Outline: Bytes after a complete answer belong to no request
+    Given a node
+    And the next request to any desk engine meets the fault "<fault>"
+    When 6 clients post to "/whole/x" one after the other
+    Then every client got the answer to its own request
+
+    Examples:
+      | fault      |
+      | extra      |
+      | extra_late |
+
+  Scenario: A request on a kept connection that the engine closes is not sent again by a library
+    Given a node
+    When a client gets "/whole/x"
+    And every engine closes the next requests without an answer
+    And a client gets "/whole/x"
+    Then that request reached engines 1 time
+    And the answer has status 502
+
+  Scenario: A torn stream is resumed elsewhere if that is allowed, and broken off otherwise
+    Given a node
+    And the next request to any model engine meets the fault "torn"
+    When a client asks for a stream at "/resume/x"
+    Then the stream has events 1 to 4 and is complete
+    Given the next request to any model engine meets the fault "torn"
+    When a client asks for a stream at "/stream/x"
+    Then the stream is not complete
+
+  Scenario: An engine stops when its client leaves
+    Given a node
+    And model engines take 10 s for a stream
+    When a client leaves during a stream
+    Then the engine's work is cut within 0.5 s
+
+  Scenario: A leaving engine gets no new requests, and an address in new hands gets none of the old
+    Given a node
+    When the first desk engine is replaced by an engine of another service at its address
+    Then 10 requests to "/whole/x" are served and none ran on the other service
+
+  Scenario: Configurations only go forward, also when the store has lost its history
+    Given a node
+    When the configuration loses a route while the store drops its history
+    Then within 2 s "/whole/x" with the known key is answered 404
+
+  Scenario: A key that was taken away is refused, and unproven keys are once the store is silent
+    Given bounds of 2 s for keys
+    And a node
+    When the key is taken away
+    Then within 2 s "/whole/x" with the known key is answered 401
+    When the key is given back
+    Then within 2 s "/whole/x" with the known key is answered 200
+    When the store falls silent
+    Then within 3 s "/whole/x" with the known key is answered 503 with a time to come back
+    When the store answers again
+    Then within 4 s "/whole/x" with the known key is answered 200
+
+  Scenario: A planned stop cuts nothing, and peers no longer name the node
+    Given 2 nodes
+    And model engines take 1 s for a stream
+    When the first node is told to stop during a stream
+    Then within 1 s the second node names only itself
+    And the first node is not ready
+    And the stream has events 1 to 4 and is complete
+    And the first node exits with code 0 within 8 s
+
+  Scenario: A reload cuts nothing and tells of a wrong file
+    Given a node
+    When its settings file is broken and it is told to reload
+    Then its log has "reload_refused"
+    And "/whole/x" with the known key is answered 200
+
+  Scenario: New weights reach every engine under one holder, with each engine ordered once
+    Given 2 nodes
+    When version 2 of the weights is named
+    Then within 8 s every model engine has version 2
+    And each model engine was ordered 1 time, by one holder
+
+  Scenario: When the holder is killed midway another one finishes with a higher fence
+    Given 2 nodes
+    And engines take 2 s to load
+    When version 2 of the weights is named and the holder is killed after its first order
+    Then within 14 s every model engine has version 2
+    And orders of the second holder came 3 s after the first's, with a higher fence
+
+  Scenario: All nodes restart at once and serve again
+    Given 2 nodes
+    When all gateways are killed and started again
+    Then within 3 s "/whole/x" with the known key is answered 200
+
+  Scenario: A reader of the log that stalls delays no answer
+    Given a node whose log nobody reads
+    When 300 clients post to "/nowhere/x"
+    Then "/whole/x" with the known key is answered 200
+
+  Scenario: A wrong setting ends the program with one line
+    When a node is started with "GraceS" set to "soon"
+    Then it ends with code 2 and one line naming the file, "Bounds.GraceS", "soon" and what was expected
+
+  Scenario: Counters are served as text
+    Given a node
+    When a client posts to "/whole/x"
+    Then the metrics tell of 1 request served
--- /dev/null
+++ b/features/standin/deployment.py
@@ -0,0 +1,250 @@
+"""Starts the stand-in platform and nodes as separate processes, and calls as clients do."""
+
+import asyncio
+import itertools
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+from yarl import URL
+
+from features.standin.engine import StandInEngine
+from features.standin.store import StandInStore
+from liftrill.bench.launcher import free_ports
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+KEY = "key-of-tenant-1"
+HOST = "service.example"
+ROUTES = (
+    ("whole", "/whole/", "non_idempotent", "desk"),
+    ("safe", "/safe/", "idempotent", "desk"),
+    ("stream", "/stream/", "streaming", "llm"),
+    ("resume", "/resume/", "streaming", "llm"),
+)
+BOUNDS = {
+    "RevokeMs": 5000,
+    "BudgetRatio": 0.2,
+    "BudgetWindowS": 10,
+    "RetrySlack": 54,
+    "VersionMs": 8000,
+    "LeaseMs": 3000,
+    "ThawMs": 300,
+    "GraceS": 8,
+    "ttl_max_s": 5,
+}
+PORTS = ("Front", "Readiness", "Control", "Directory", "Peer", "Metrics")
+_ids = itertools.count(1)
+
+
+def configuration(version, keys=(KEY,), extra_routes=()):
+    routes = [
+        {
+            "Name": name,
+            "Host": HOST,
+            "PathPrefix": prefix,
+            "RouteType": kind,
+            "TimeoutMs": 5000,
+            "TargetLatencyMs": 800,
+            "Priority": 1,
+            "Service": service,
+            "MaxAttempts": 2,
+            "Public": False,
+            "Sticky": service == "llm",
+            "Resumable": name == "resume",
+        }
+        for name, prefix, kind, service in (*ROUTES, *extra_routes)
+    ]
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [
+            {"Name": "desk", "HealthPath": "/healthz", "MaxConnections": 100},
+            {
+                "Name": "llm",
+                "MaxConnections": 100,
+                "Engine": {"KvCapacity": 100000, "Models": [{"Name": "model-1"}]},
+            },
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "tenant-1", "ApiKeys": list(keys), "Priority": 1}],
+    }
+
+
+class Node:
+    """One gateway process."""
+
+    def __init__(self, name, directory, ip, ports):
+        self.name = name
+        self.ip = ip
+        self.directory = directory
+        self.ports = ports
+        self.process = None
+        self.log_path = directory / f"{name}.log"
+
+    def address(self, server):
+        return f"{self.ip}:{self.ports[server]}"
+
+    def write_settings(self, store, seeds, bounds, first_start=True, **changes):
+        listen = "\n".join(
+            f'{key} = "{self.address(key)}"'
+            for key in ("Front", "Readiness", "Control", "Directory")
+        )
+        limits = "\n".join(f"{key} = {value}" for key, value in bounds.items())
+        fields = {
+            "Node": f'"{self.name}"',
+            "Ip": f'"{self.ip}"',
+            "Zone": '"zone-1"',
+            "Region": '"region-1"',
+            "PortRange": f"[{self.ports['Peer']}, {self.ports['Peer']}]",
+            "Seeds": str([seed.address("Control") for seed in seeds]),
+            "Bootstrap": str(first_start).lower(),
+            "MetricsPort": str(self.ports["Metrics"]),
+            **changes,
+        }
+        head = "\n".join(f"{key} = {value}" for key, value in fields.items() if value)
+        self.settings_path.write_text(
+            f"{head}\n[Listen]\n{listen}\n[Bounds]\n{limits}\n"
+            f'[Provider]\nAddress = "{store}"\nTtlMinMs = 1000\n'
+        )
+
+    @property
+    def settings_path(self):
+        return self.directory / f"{self.name}.toml"
+
+    async def start(self, environment=None, stdout=None):
+        log = stdout if stdout is not None else self.log_path.open("ab")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "serve.py"),
+            env={**os.environ, "LIFTRILL_BOOT": str(self.settings_path), **(environment or {})},
+            stdout=log,
+            stderr=asyncio.subprocess.STDOUT if stdout is None else asyncio.subprocess.DEVNULL,
+        )
+
+    async def stop(self):
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def log(self):
+        return self.log_path.read_text()
+
+
+class Deployment:
+    """A store, engines and nodes."""
+
+    def __init__(self, directory, bounds=None):
+        self.directory = directory
+        self.bounds = {**BOUNDS, **(bounds or {})}
+        self.store = StandInStore()
+        self.engines = {}
+        self.nodes = []
+        self.ports = {}
+        self.session = None
+
+    async def __aenter__(self):
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+        await self.store.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for node in self.nodes:
+            await node.stop()
+        for engine in self.engines.values():
+            await engine.stop()
+        await self.store.stop()
+        await self.session.close()
+
+    async def add_engine(self, name, service, **options):
+        engine = StandInEngine(name, service, **options)
+        await engine.start()
+        self.engines[name] = engine
+        self.record(engine)
+        return engine
+
+    async def add_engine_at(self, name, service, port):
+        """Add an engine at a port that another one had."""
+        engine = StandInEngine(name, service)
+        await engine.start(port)
+        self.engines[name] = engine
+        return engine
+
+    def record(self, engine, state="ready"):
+        self.store.put(f"servers/{engine.engine_id}", engine.record(state))
+
+    def configure(self, version, **options):
+        self.store.put("op/config", configuration(version, **options))
+
+    def name_weights(self, version):
+        self.store.put("op/version/model-1", {"Model": "model-1", "Version": version})
+
+    async def add_node(self, name, **options):
+        if not self.ports:
+            self.ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
+        # As on the platform, each machine has an address of its own and ports are alike.
+        node = Node(name, self.directory, f"127.0.1.{len(self.nodes) + 1}", self.ports)
+        node.write_settings(self.store.address, self.nodes, self.bounds)
+        self.nodes.append(node)
+        await node.start(**options)
+        return node
+
+    async def wait_until(self, condition, seconds=8.0):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while True:
+            found = await condition()
+            if found:
+                return found
+            assert loop.time() < until, "it did not come about in time"
+            await asyncio.sleep(0.03)
+
+    async def ready(self, node):
+        async def is_ready():
+            try:
+                url = f"http://{node.address('Readiness')}/liftrill/readyz"
+                async with self.session.get(url) as answer:
+                    return answer.status == 200
+            except aiohttp.ClientError:
+                return False
+
+        await self.wait_until(is_ready)
+
+    async def resolve(self, node):
+        url = f"http://{node.address('Directory')}/liftrill/resolve"
+        query = {"Name": HOST, "Zone": "zone-1", "Region": "region-1"}
+        async with self.session.get(url, params=query) as answer:
+            return await answer.json()
+
+    async def call(self, node, path, method="POST", key=KEY, model="", body=b"body", **headers):
+        """Return status, headers, body and whether the body was complete."""
+        sent = {
+            "Host": HOST,
+            "X-Attempt-Id": f"{next(_ids):016x}",
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Token {key}",
+            **(prompt_headers(model) if model else {}),
+            **headers,
+        }
+        url = URL(f"http://{node.address('Front')}{path}", encoded=True)
+        data = body if method == "POST" else None
+        async with self.session.request(method, url, headers=sent, data=data) as answer:
+            try:
+                return answer.status, answer.headers, await answer.read(), True
+            except aiohttp.ClientPayloadError:
+                return answer.status, answer.headers, b"", False
+
+    def arrivals(self):
+        return [arrival for engine in self.engines.values() for arrival in engine.arrivals]
+
+
+def interrupt(node):
+    node.signal(signal.SIGTERM)
+
+
+def prompt_headers(model):
+    return {"X-Model": model, "X-Token-Usage": "30,4", "X-Prompt-Prefix": "aa:20,bb:10"}
--- /dev/null
+++ b/features/standin/engine.py
@@ -0,0 +1,216 @@
+"""An engine of the platform: whole answers, streams, orders, and faults set from a test."""
+
+import asyncio
+import json
+import socket
+import struct
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+SIGNATURE = "stand-in-signature"
+
+
+@dataclass
+class Arrival:
+    """One request that reached an engine."""
+
+    attempt_id: str
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+    ran: bool = False
+    finished: bool = False
+    cut: bool = False
+
+
+@dataclass
+class StandInEngine:
+    """One incarnation.
+
+    Attributes:
+        fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
+            "extra", "extra_late", "reset_unframed", "torn", "hang", "fail".
+    """
+
+    engine_id: str
+    service: str
+    zone: str = "zone-1"
+    weights: dict = field(default_factory=dict)
+    events: int = 4
+    event_seconds: float = 0.01
+    load_seconds: float = 0.2
+    fault: str = ""
+    fault_count: int = 1
+    address: str = ""
+
+    def __post_init__(self):
+        self.arrivals = []
+        self.orders = []
+        self.sequence = 0
+        self.highest_fence = 0
+        self.loading = False
+        self._runner = None
+
+    async def start(self, port=0):
+        self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        await site.start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def stop(self):
+        await self._runner.cleanup()
+
+    def record(self, state="ready"):
+        models = [{"Name": n, "Version": v, "Adapters": []} for n, v in self.weights.items()]
+        return {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Stage": "colocated",
+            "Models": models,
+            "SeqNo": 1,
+        }
+
+    async def _handle(self, request):
+        expected = request.headers.get("X-Expect-Instance")
+        if expected not in (None, self.engine_id):
+            return self._misdirected(request)
+        if request.path == "/liftrill/report":
+            return web.json_response(self._report())
+        if request.path == "/liftrill/order":
+            return self._order(json.loads(await request.read()))
+        arrival = Arrival(
+            request.headers.get("X-Attempt-Id", ""),
+            request.method,
+            request.raw_path,
+            dict(request.headers.items()),
+            await request.read(),
+        )
+        self.arrivals.append(arrival)
+        try:
+            return await self._serve(request, arrival)
+        except asyncio.CancelledError:
+            arrival.cut = True
+            raise
+
+    def _misdirected(self, request):
+        headers = {
+            "X-Instance-Id": self.engine_id,
+            "X-Attempt-Id": request.headers.get("X-Attempt-Id", ""),
+        }
+        return web.Response(status=421, headers=headers)
+
+    def _shed(self, attempt_id):
+        headers = {"X-Not-Executed": "1"}
+        if attempt_id:
+            headers["X-Attempt-Id"] = attempt_id
+        return web.Response(status=503, headers=headers)
+
+    def _report(self):
+        models = [{"Name": n, "Version": v, "Adapters": []} for n, v in self.weights.items()]
+        return {"Models": models, "Utilization": self.loading, "SeqNo": self.sequence}
+
+    def _order(self, body):
+        if body["Fence"] < self.highest_fence:
+            return web.Response(status=412)
+        if body.get("Expected") not in (None, self.sequence) or self.loading:
+            return web.Response(status=409)
+        self.highest_fence = body["Fence"]
+        self.orders.append(body)
+        self.sequence += 1
+        self.loading = True
+        asyncio.get_running_loop().call_later(self.load_seconds, self._loaded, body)
+        return web.Response(status=202)
+
+    def _loaded(self, body):
+        self.loading = False
+        self.weights[body["Model"]] = body["Version"]
+
+    def _take_fault(self):
+        fault = self.fault
+        if fault and self.fault_count:
+            self.fault_count -= 1
+            return fault
+        return ""
+
+    async def _serve(self, request, arrival):
+        fault = self._take_fault()
+        if fault in ("shed", "shed_without_id"):
+            return self._shed(arrival.attempt_id if fault == "shed" else "")
+        version = request.headers.get("X-Expect-Version")
+        model = request.headers.get("X-Model")
+        if version is not None and int(version) != self.weights.get(model):
+            return self._misdirected(request)
+        arrival.ran = True
+        headers = {"X-Attempt-Id": arrival.attempt_id, "X-Response-Signature": SIGNATURE}
+        if fault in ("close", "hang", "fail", "reset_unframed"):
+            return await self._misbehave(request, headers, fault)
+        if model:
+            return await self._stream(request, arrival, headers, fault)
+        return await self._whole(request, arrival, headers, fault)
+
+    async def _misbehave(self, request, headers, fault):
+        if fault == "hang":
+            await asyncio.sleep(30)
+        if fault == "fail":
+            return web.Response(status=500, body=b"failed", headers=headers)
+        if fault == "reset_unframed":
+            return await self._reset_unframed(request, headers)
+        request.transport.close()
+        return web.Response()
+
+    async def _whole(self, request, arrival, headers, fault):
+        if fault == "crossed":
+            headers["X-Attempt-Id"] = "0000000000000000"
+        response = web.Response(body=f"answer to {arrival.attempt_id}".encode(), headers=headers)
+        if fault in ("extra", "extra_late"):
+            await self._send_twice(request, response, 0.05 if fault == "extra_late" else 0.0)
+        arrival.finished = True
+        return response
+
+    async def _send_twice(self, request, response, pause):
+        await response.prepare(request)
+        await response.write_eof()
+        extra = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: 0\r\nContent-Length: 5\r\n\r\nextra"
+        if pause:
+            asyncio.get_running_loop().call_later(pause, request.transport.write, extra)
+        else:
+            request.transport.write(extra)
+
+    async def _reset_unframed(self, request, headers):
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        request.transport.write(f"HTTP/1.1 200 OK\r\n{lines}\r\nhalf".encode())
+        await asyncio.sleep(0.05)
+        _reset(request.transport)
+        return web.Response()
+
+    async def _stream(self, request, arrival, headers, fault):
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        for number in range(first, self.events + 1):
+            await response.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            await asyncio.sleep(self.event_seconds)
+            if fault == "torn" and number == first + 1:
+                await response.write(f"id: {number + 1}\ndata: to".encode())
+                await asyncio.sleep(0.02)
+                _reset(request.transport)
+                return response
+        arrival.finished = True
+        await response.write_eof()
+        return response
+
+
+def _reset(transport):
+    """Close a connection with a reset, which its peer can tell from an end."""
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- /dev/null
+++ b/features/standin/store.py
@@ -0,0 +1,165 @@
+"""The platform's metadata store: items, leases, watches, and faults set from a test."""
+
+import asyncio
+import base64
+import json
+import time
+
+from aiohttp import web
+
+
+class StandInStore:
+    """Linearizable, in memory, on one port.
+
+    Attributes:
+        fault: "" or one of "down" (503), "silent" (no answer), "reset".
+        lose_writes: how many writes are done without an answer.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.leases = {}
+        self.history = []
+        self.fault = ""
+        self.lose_writes = 0
+        self.calls = []
+        self.address = ""
+        self._changed = asyncio.Event()
+        self._runner = None
+
+    async def start(self):
+        app = web.Application()
+        app.router.add_route("*", "/liftrill/{call}", self._handle)
+        app.router.add_route("*", "/liftrill/{call}/{lease}", self._handle)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def stop(self):
+        await self._runner.cleanup()
+
+    def put(self, key, body, lease=0):
+        self.revision += 1
+        value = json.dumps(body).encode() if not isinstance(body, bytes) else body
+        row = {
+            "TlsKey": key,
+            "Value": base64.b64encode(value).decode(),
+            "Revision": self.revision,
+            "Created": self.revision,
+            "Lease": lease,
+        }
+        self.items[key] = row
+        self._note(row)
+        return self.revision
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"TlsKey": key, "Revision": self.revision, "Gone": True})
+
+    def value(self, key):
+        row = self.items.get(key)
+        return base64.b64decode(row["Value"]) if row else None
+
+    def forget_history(self):
+        """Drop the history and cut the watches."""
+        self.history = [(self.revision, None)]
+        self._wake()
+
+    def _note(self, row):
+        self.history.append((self.revision, row))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request):
+        call = request.match_info["call"]
+        self._expire()
+        self.calls.append((call, time.monotonic()))
+        if self.fault == "down":
+            return web.Response(status=503)
+        if self.fault == "silent":
+            await asyncio.sleep(30)
+        if self.fault == "reset":
+            request.transport.abort()
+            return web.Response()
+        status, body = await self._answer(call, request)
+        if self.lose_writes and call in ("kv-txn", "kv-lease") and status == 200:
+            self.lose_writes -= 1
+            request.transport.abort()
+        return web.json_response(body, status=status)
+
+    async def _answer(self, call, request):
+        query = request.query
+        if call == "kv-key":
+            row = self.items.get(query["TlsKey"])
+            return (200, {**row, "At": self.revision}) if row else (404, {})
+        if call == "kv-range":
+            keys = sorted(k for k in self.items if k.startswith(query["PathPrefix"]))
+            keys = [key for key in keys if key > query.get("after", "")]
+            page = [self.items[key] for key in keys[:20]]
+            return 200, {"items": page, "More": len(keys) > 20, "At": self.revision}
+        if call == "kv-watch":
+            return await self._watch(query)
+        return self._write(call, request, await request.read())
+
+    async def _watch(self, query):
+        after, prefix = int(query["after"]), query["PathPrefix"]
+        until = time.monotonic() + int(query["WaitMs"]) / 1000
+        while True:
+            if self.history and self.history[0][1] is None and after < self.history[0][0]:
+                return 410, {}
+            rows = [row for at, row in self.history if row and at > after]
+            rows = [row for row in rows if row["TlsKey"].startswith(prefix)]
+            left = until - time.monotonic()
+            if rows or left <= 0:
+                return 200, {"Events": rows, "At": self.revision}
+            try:
+                await asyncio.wait_for(self._changed.wait(), min(left, 0.5))
+            except TimeoutError:
+                self._expire()
+
+    def _write(self, call, request, data):
+        body = json.loads(data) if data else {}
+        lease = int(request.match_info.get("lease", 0))
+        if call == "kv-lease":
+            self.revision += 1
+            self.leases[self.revision] = [time.monotonic() + body["TtlMs"] / 1000, body["TtlMs"]]
+            return 200, {"Lease": self.revision, "TtlMs": body["TtlMs"]}
+        if call == "kv-keep":
+            if lease not in self.leases:
+                return 404, {}
+            self.leases[lease][0] = time.monotonic() + self.leases[lease][1] / 1000
+            return 200, {"TtlMs": self.leases[lease][1]}
+        if call == "kv-lease-end":
+            self._end_lease(lease)
+            return 200, {}
+        return self._transact(body)
+
+    def _transact(self, body):
+        for row in body["Expected"]:
+            known = self.items.get(row["TlsKey"])
+            if (known["Revision"] if known else 0) != row["Revision"]:
+                return 412, {"items": []}
+        if any(row["Lease"] and row["Lease"] not in self.leases for row in body["Put"]):
+            return 404, {}
+        for row in body["Put"]:
+            self.put(row["TlsKey"], base64.b64decode(row["Value"]), row["Lease"])
+        for key in body["Remove"]:
+            self.remove(key)
+        return 200, {"Revision": self.revision}
+
+    def _expire(self):
+        now = time.monotonic()
+        for lease in [number for number, (until, _) in self.leases.items() if until <= now]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, row in self.items.items() if row["Lease"] == lease]:
+            self.remove(key)
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,586 @@
+"""Steps that run the platform's program before the stand-in."""
+
+import asyncio
+import itertools
+import os
+import signal
+
+from behave import given, then, when
+
+from features.standin.deployment import KEY, ROUTES, Deployment, interrupt
+from features.standin.engine import SIGNATURE
+
+FORGED = {
+    "X-Tenant": "forged",
+    "X-Expect-Instance": "forged",
+    "X-Request-Priority": "0",
+    "X-Cache-Salt": "forged",
+    "X-Kv-Fetch": "10.0.0.1:1",
+    "X-Hold": "forged",
+    "X-Kept": "kept",
+}
+HOSTILE = (
+    b"POST /whole/x HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: a1\r\n"
+    b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"POST /whole/x HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: a2\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nzz\r\nbad\r\n",
+    b"GET /safe/x HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: a3\r\nX-Long: "
+    + b"x" * 40_000
+    + b"\r\n\r\n",
+    b"GET /safe/x HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: a4\r\n"
+    b"Authorization: Token key-of-tenant-1\r\nX-Deadline-Ms: -5\r\n\r\n",
+    b"GET /safe/x HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: a5\r\n"
+    b"Authorization: Token key-of-tenant-1\r\nX-Deadline-Ms: " + b"9" * 40 + b"\r\n\r\n",
+    b"POST /whole/x HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: a6\r\n"
+    b"Authorization: Token key-of-tenant-1\r\nContent-Length: 99999999\r\n\r\n",
+    b"GET http://other.example/safe/x HTTP/1.1\r\nHost: service.example\r\n"
+    b"X-Attempt-Id: a7\r\n\r\n",
+    b"\x16\x03\x01\x00\x05hello\r\n\r\n",
+)
+
+
+def start(context):
+    deployment = Deployment(context.directory, context.bounds)
+    context.deployment = context.run(context.stack.enter_async_context(deployment))
+    return context.deployment
+
+
+@given("a stand-in platform with {desks:d} desk engines and {models:d} model engines")
+def step_platform(context, desks, models):
+    context.bounds = {}
+    context.engine_options = {}
+    deployment = start(context)
+
+    async def add():
+        for number in range(desks):
+            await deployment.add_engine(f"desk-{number}", "desk")
+        for number in range(models):
+            await deployment.add_engine(f"llm-{number}", "llm", weights={"model-1": 1})
+
+    context.run(add())
+    deployment.configure(5)
+
+
+@given("bounds of {seconds:g} s for keys")
+def step_bounds(context, seconds):
+    context.deployment.bounds["RevokeMs"] = int(seconds * 1000)
+
+
+@given("the store has no configuration")
+def step_no_configuration(context):
+    context.deployment.store.remove("op/config")
+
+
+def add_nodes(context, count, ready=True):
+    async def add():
+        for number in range(count):
+            node = await context.deployment.add_node(f"node-{number + 1}")
+            if ready:
+                await context.deployment.ready(node)
+
+    context.run(add())
+
+
+@given("a node")
+def step_node(context):
+    add_nodes(context, 1)
+
+
+@given("{count:d} nodes")
+def step_nodes(context, count):
+    add_nodes(context, count)
+
+    async def all_known():
+        first = context.deployment.nodes[0]
+        return len((await context.deployment.resolve(first))["Addresses"]) == count
+
+    context.run(context.deployment.wait_until(all_known))
+
+
+@given("a node that is not ready")
+def step_unready_node(context):
+    add_nodes(context, 1, ready=False)
+
+    async def listens():
+        try:
+            await context.deployment.call(context.deployment.nodes[0], "/whole/x")
+        except OSError:
+            return False
+        return True
+
+    context.run(context.deployment.wait_until(listens))
+
+
+@given("a node whose log nobody reads")
+def step_unread_log(context):
+    reader, writer = os.pipe()
+    context.stack.callback(os.close, reader)
+
+    async def add():
+        node = await context.deployment.add_node("node-1", stdout=writer)
+        os.close(writer)
+        await context.deployment.ready(node)
+
+    context.run(add())
+
+
+def call(context, path, **options):
+    node = context.deployment.nodes[0]
+    context.answer = context.run(context.deployment.call(node, path, **options))
+    return context.answer
+
+
+@when('a client posts to "{path}" with forged internal headers')
+def step_forged(context, path):
+    call(context, path, **FORGED)
+
+
+@when('a client posts to "{path}"')
+def step_post(context, path):
+    call(context, path)
+
+
+@when('a client gets "{path}"')
+def step_get(context, path):
+    call(context, path, method="GET")
+
+
+@when('a client asks for a stream at "{path}"')
+def step_stream(context, path):
+    call(context, path, model="model-1")
+
+
+@when('{count:d} clients post to "{path}" one after the other')
+def step_many(context, count, path):
+    context.answers = []
+    for _ in range(count):
+        context.answers.append(call(context, path))
+        context.run(asyncio.sleep(0.1))
+
+
+@when('{count:d} clients post to "{path}"')
+def step_flood(context, count, path):
+    node = context.deployment.nodes[0]
+
+    async def flood():
+        await asyncio.gather(*(context.deployment.call(node, path) for _ in range(count)))
+
+    context.run(asyncio.wait_for(flood(), 10.0))
+
+
+@then("the answer is an engine's, whole and signed")
+def step_signed(context):
+    status, headers, body, whole = context.answer
+    assert (status, whole) == (200, True), context.answer
+    assert headers["X-Response-Signature"] == SIGNATURE
+    arrival = context.deployment.arrivals()[-1]
+    ids = [a.attempt_id for a in context.deployment.arrivals()]
+    assert body.decode().removeprefix("answer to ") in ids, (body, arrival)
+
+
+def last_arrival(context, prefix):
+    return [a for a in context.deployment.arrivals() if a.target.startswith(prefix)][-1]
+
+
+@then('the engine got the target "{target}" unchanged, the tenant and no key')
+def step_unchanged(context, target):
+    arrival = last_arrival(context, "/whole/")
+    assert arrival.target == target, arrival.target
+    assert arrival.body == b"body"
+    assert arrival.headers["X-Tenant"] == "tenant-1"
+    assert "Authorization" not in arrival.headers
+    assert 0 < int(arrival.headers["X-Deadline-Ms"]) <= 4000
+    assert arrival.headers["Host"] == "service.example"
+
+
+@then("none of the forged headers reached the engine")
+def step_no_forged(context):
+    headers = last_arrival(context, "/whole/").headers
+    assert "forged" not in headers.values(), headers
+    assert "X-Kv-Fetch" not in headers and "X-Request-Priority" not in headers
+    assert headers["X-Kept"] == "kept"
+
+
+@then("the stream has events {first:d} to {last:d} and is complete")
+def step_events(context, first, last):
+    status, _, body, whole = context.answer
+    expected = "".join(f"id: {n}\ndata: token {n}\n\n" for n in range(first, last + 1))
+    assert (status, body.decode(), whole) == (200, expected, True), context.answer
+
+
+@then("the stream is not complete")
+def step_incomplete(context):
+    assert not context.answer[3], context.answer
+
+
+@when("hostile requests are sent")
+def step_hostile(context):
+    host, _, port = context.deployment.nodes[0].address("Front").rpartition(":")
+
+    async def send(data):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        answer = await asyncio.wait_for(reader.read(200), 5.0)
+        writer.close()
+        return answer
+
+    context.answers = [context.run(send(data)) for data in HOSTILE]
+
+
+@then("each got a final status or a closed connection, and none reached an engine")
+def step_hostile_refused(context):
+    for answer in context.answers:
+        assert answer == b"" or answer.startswith(b"HTTP/1."), answer
+        assert not answer or answer.split()[1] in (b"400", b"413", b"431"), answer
+    assert context.deployment.arrivals() == []
+
+
+def status_of(context, path, key=KEY):
+    return call(context, path, key=key)[0]
+
+
+@then('"{path}" with the known key is answered {status:d}')
+def step_status(context, path, status):
+    assert status_of(context, path) == status, context.answer
+
+
+@then('"{path}" with another key is answered {status:d}')
+def step_status_other(context, path, status):
+    assert status_of(context, path, "another") == status, context.answer
+
+
+@then('"{path}" with the known key is answered {status:d} with a time to come back')
+def step_status_retry(context, path, status):
+    assert status_of(context, path) == status, context.answer
+    assert float(context.answer[1]["Retry-After"]) > 0
+
+
+def wait_for_status(context, path, status, seconds):
+    node = context.deployment.nodes[0]
+
+    async def has_status():
+        try:
+            context.answer = await context.deployment.call(node, path)
+        except OSError:
+            return False
+        return context.answer[0] == status
+
+    context.run(context.deployment.wait_until(has_status, seconds))
+
+
+@then('within {seconds:g} s "{path}" with the known key is answered {status:d}')
+def step_within(context, seconds, path, status):
+    wait_for_status(context, path, status, seconds)
+
+
+@then(
+    'within {seconds:g} s "{path}" with the known key is answered {status:d} '
+    "with a time to come back"
+)
+def step_within_retry(context, seconds, path, status):
+    wait_for_status(context, path, status, seconds)
+    assert float(context.answer[1]["Retry-After"]) > 0
+
+
+def engines_of(context, service):
+    return [e for e in context.deployment.engines.values() if e.service == service]
+
+
+@given('the next request to any {kind} engine meets the fault "{fault}"')
+def step_fault(context, kind, fault):
+    service = {"desk": "desk", "model": "llm"}[kind]
+    # The first engine that gets a request uses the fault up for all.
+    shared = itertools.count()
+    for engine in engines_of(context, service):
+        engine.fault = fault
+        engine.fault_count = 1
+        engine._take_fault = lambda shared=shared, fault=fault: "" if next(shared) else fault
+
+
+@when("every engine closes the next requests without an answer")
+def step_close(context):
+    context.seen = len(context.deployment.arrivals())
+    for engine in context.deployment.engines.values():
+        engine.fault = "close"
+        engine.fault_count = 10
+
+
+@then("that request reached engines {count:d} time")
+def step_reached(context, count):
+    assert len(context.deployment.arrivals()) - context.seen == count
+
+
+@then("the answer has status {status:d}")
+def step_answer_status(context, status):
+    assert context.answer[0] == status, context.answer
+
+
+@then("it ran at most once")
+def step_once(context):
+    assert sum(a.ran for a in context.deployment.arrivals()) <= 1
+
+
+@then("every client got the answer to its own request")
+def step_own_answers(context):
+    ids = [a.attempt_id for a in context.deployment.arrivals()]
+    bodies = [body.decode().removeprefix("answer to ") for status, _, body, _ in context.answers]
+    assert bodies == sorted(ids), (bodies, ids)
+
+
+@given("model engines take {seconds:g} s for a stream")
+def step_slow_streams(context, seconds):
+    for engine in engines_of(context, "llm"):
+        engine.event_seconds = seconds / engine.events
+
+
+@when("a client leaves during a stream")
+def step_leave(context):
+    node = context.deployment.nodes[0]
+
+    async def leave():
+        task = asyncio.ensure_future(context.deployment.call(node, "/stream/x", model="model-1"))
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    context.run(leave())
+
+
+@then("the engine's work is cut within {seconds:g} s")
+def step_cut(context, seconds):
+    async def was_cut():
+        return any(a.cut for a in context.deployment.arrivals())
+
+    context.run(context.deployment.wait_until(was_cut, seconds))
+
+
+@when("the first desk engine is replaced by an engine of another service at its address")
+def step_replace(context):
+    deployment = context.deployment
+    call(context, "/whole/x")
+
+    async def replace():
+        old = deployment.engines.pop("desk-0")
+        port = int(old.address.rpartition(":")[2])
+        await old.stop()
+        other = await deployment.add_engine_at("other-0", "other", port)
+        deployment.record(other)
+
+    context.run(replace())
+
+
+@then('{count:d} requests to "{path}" are served and none ran on the other service')
+def step_none_on_other(context, count, path):
+    statuses = [status_of(context, path) for _ in range(count)]
+    assert statuses == [200] * count, statuses
+    assert not any(a.ran for a in context.deployment.engines["other-0"].arrivals)
+
+
+@when("the configuration loses a route while the store drops its history")
+def step_lose_route(context):
+    deployment = context.deployment
+    body = configuration_without(6, "whole")
+    deployment.store.put("op/config", body)
+    deployment.store.forget_history()
+
+
+def configuration_without(version, route):
+    from features.standin.deployment import configuration
+
+    body = configuration(version)
+    body["Routes"] = [r for r in body["Routes"] if r["Name"] != route]
+    assert len(body["Routes"]) == len(ROUTES) - 1
+    return body
+
+
+@when("the key is taken away")
+def step_take_key(context):
+    context.deployment.configure(7, keys=("another-key",))
+
+
+@when("the key is given back")
+def step_give_key(context):
+    context.deployment.configure(9)
+
+
+@when("the store falls silent")
+def step_silent(context):
+    context.deployment.store.fault = "silent"
+
+
+@when("the store answers again")
+def step_answers_again(context):
+    context.deployment.store.fault = ""
+
+
+@when("the first node is told to stop during a stream")
+def step_stop(context):
+    deployment = context.deployment
+    node = deployment.nodes[0]
+
+    async def stop():
+        context.task = asyncio.ensure_future(deployment.call(node, "/stream/x", model="model-1"))
+        await asyncio.sleep(0.3)
+        interrupt(node)
+
+    context.run(stop())
+
+
+@then("within {seconds:g} s the second node names only itself")
+def step_names_itself(context, seconds):
+    second = context.deployment.nodes[1]
+
+    async def names_itself():
+        answer = await context.deployment.resolve(second)
+        return answer["Addresses"] == [second.address("Front")]
+
+    context.run(context.deployment.wait_until(names_itself, seconds))
+
+
+@then("the first node is not ready")
+def step_not_ready_now(context):
+    url = f"http://{context.deployment.nodes[0].address('Readiness')}/liftrill/readyz"
+
+    async def status():
+        async with context.deployment.session.get(url) as answer:
+            return answer.status
+
+    assert context.run(status()) == 503
+    context.answer = context.run(context.task)
+
+
+@then("the first node exits with code {code:d} within {seconds:g} s")
+def step_exits(context, code, seconds):
+    process = context.deployment.nodes[0].process
+    assert context.run(asyncio.wait_for(process.wait(), seconds)) == code
+
+
+@when("its settings file is broken and it is told to reload")
+def step_reload(context):
+    node = context.deployment.nodes[0]
+    node.settings_path.write_text("not = [toml")
+    node.signal(signal.SIGHUP)
+
+
+@then('its log has "{text}"')
+def step_log(context, text):
+    async def has():
+        return text in context.deployment.nodes[0].log()
+
+    context.run(context.deployment.wait_until(has, 3.0))
+
+
+@given("engines take {seconds:g} s to load")
+def step_load_seconds(context, seconds):
+    for engine in engines_of(context, "llm"):
+        engine.load_seconds = seconds
+
+
+@when("version {version:d} of the weights is named")
+def step_name_weights(context, version):
+    context.deployment.name_weights(version)
+
+
+@then("within {seconds:g} s every model engine has version {version:d}")
+def step_have_version(context, seconds, version):
+    async def have():
+        return all(e.weights["model-1"] == version for e in engines_of(context, "llm"))
+
+    context.run(context.deployment.wait_until(have, seconds))
+
+
+@then("each model engine was ordered {count:d} time, by one holder")
+def step_ordered(context, count):
+    orders = [engine.orders for engine in engines_of(context, "llm")]
+    assert [len(found) for found in orders] == [count] * len(orders), orders
+    assert len({order["Holder"] for found in orders for order in found}) == 1
+
+
+@when("version {version:d} of the weights is named and the holder is killed after its first order")
+def step_kill_holder(context, version):
+    deployment = context.deployment
+    deployment.name_weights(version)
+
+    async def first_order():
+        return next((o for e in engines_of(context, "llm") for o in e.orders), None)
+
+    order = context.run(deployment.wait_until(first_order))
+    context.first_fence = order["Fence"]
+    context.first_holder = order["Holder"]
+    context.ordered_at = context.loop.time()
+    node = next(n for n in deployment.nodes if n.name == order["Holder"])
+    context.run(node.stop())
+    # What the killed holder had ordered besides is undone, so that work is left.
+    engine = engines_of(context, "llm")[-1]
+    engine.weights["model-1"] = 1
+    engine.load_seconds = 0.2
+    context.run(_make_behind(context, engine))
+
+
+async def _make_behind(context, engine):
+    async def has_loaded():
+        return not engine.loading
+
+    await context.deployment.wait_until(has_loaded)
+    engine.weights["model-1"] = 1
+    context.orders_before = len(engine.orders)
+    context.behind = engine
+    context.deployment.record(engine)
+
+
+@then("orders of the second holder came {seconds:g} s after the first's, with a higher fence")
+def step_second_holder(context, seconds):
+    later = [o for o in context.behind.orders if o["Holder"] != context.first_holder]
+    assert later and later[0]["Fence"] > context.first_fence, context.behind.orders
+    # The stand-in has just seen the second holder's order carried out.
+    assert context.loop.time() - context.ordered_at >= seconds
+
+
+@when("all gateways are killed and started again")
+def step_restart_all(context):
+    async def restart():
+        for node in context.deployment.nodes:
+            await node.stop()
+        for node in context.deployment.nodes:
+            others = [n for n in context.deployment.nodes if n is not node]
+            node.write_settings(
+                context.deployment.store.address, others, context.deployment.bounds, False
+            )
+            await node.start()
+
+    context.run(restart())
+
+
+@when('a node is started with "{key}" set to "{value}"')
+def step_wrong_setting(context, key, value):
+    context.deployment.bounds[key] = f'"{value}"'
+
+    async def begin():
+        node = await context.deployment.add_node("node-1")
+        return await asyncio.wait_for(node.process.wait(), 10.0)
+
+    context.code = context.run(begin())
+
+
+@then(
+    'it ends with code {code:d} and one line naming the file, "{key}", "{value}" '
+    "and what was expected"
+)
+def step_one_line(context, code, key, value):
+    lines = context.deployment.nodes[0].log().splitlines()
+    assert context.code == code, lines
+    assert len(lines) == 1, lines
+    for text in (".toml", key, value, "expected"):
+        assert text in lines[0], lines
+
+
+@then("the metrics tell of {count:d} request served")
+def step_metrics(context, count):
+    url = f"http://{context.deployment.nodes[0].address('Metrics')}/metrics"
+
+    async def text():
+        async with context.deployment.session.get(url) as answer:
+            return await answer.text()
+
+    found = context.run(text())
+    assert f'liftrill_requests_total{{outcome="served"}} {count}.0' in found, found
