--- a/features/model_checking.feature
+++ b/features/model_checking.feature
@@ -10,6 +10,8 @@
       | claims, group change |
       | commit               |
       | fenced order         |
+      | order holder         |
+      | configuration adoption |
 
   Scenario Outline: The checker finds what breaks without <rule>
     When the model <model> is checked without <rule>
@@ -25,3 +27,10 @@
       | commit               | plan_is_looked_up         | told_conflict_is_not_confirmed |
       | commit               | replicas_only_go_forward  | replicas_never_go_back         |
       | fenced order         | engine_checks_token       | newer_orders_stay              |
+      | order holder         | belief_ends_first         | turns_are_apart                |
+      | order holder         | successor_waits           | turns_are_apart                |
+      | order holder         | writes_before_orders      | turns_are_apart                |
+      | order holder         | rests_only_when_quiet     | turns_are_apart                |
+      | configuration adoption | only_forward            | never_back                     |
+      | configuration adoption | proof_from_question     | removed_key_refused            |
+      | configuration adoption | proof_required          | removed_key_refused            |
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -5,7 +5,9 @@
 
 from spec.claims import ClaimRules, claim_model
 from spec.commit import CommitRules, commit_model
+from spec.configuration_adoption import AdoptionRules, adoption_model
 from spec.fenced_order import OrderRules, order_model
+from spec.order_holder import HolderRules, holder_model
 
 STATE_LIMIT = 1_000_000
 GROUP_CHANGE = {"old": frozenset({0}), "new": frozenset({1})}
@@ -18,6 +20,10 @@
         return claim_model(ClaimRules(**GROUP_CHANGE, **rules))
     if name == "commit":
         return commit_model(CommitRules(**rules))
+    if name == "order holder":
+        return holder_model(HolderRules(**rules))
+    if name == "configuration adoption":
+        return adoption_model(AdoptionRules(**rules))
     return order_model(OrderRules(**rules))
 
 
