Begin no request on weights that are out of use; explain a request from the logs

Change: an engine takes a request on older weights only if what waits there lets it begin in time; an attempt that has not begun when its weights go out of use is closed. Ruled out: late news of the version (all nodes had it within 20 ms).

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -11,3 +11,15 @@
     When a gateway delivers it
     Then the caller has the bytes "id: 1\ndata: a\n\n"
     And the answer is broken off
+
+  Scenario: A request that has not begun when its engine's weights go out of use is taken back
+    Given an engine that begins nothing, whose weights go out of use in 0.2 s
+    When a gateway delivers it
+    Then the attempt was closed within 0.4 s
+    And the caller was told that the outcome is unknown
+
+  Scenario: An engine with a long queue gets nothing that would begin too late
+    Given an engine whose weights may begin requests for 1 s, and 30000 tokens that wait there
+    Then no engine is ready for a request
+    When 3000 tokens wait there
+    Then the engine is ready for a request
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -8,11 +8,13 @@
 from features.gateway_support import engine_record, opaque_request
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineTable
 from liftrill.gateway.event_stream import EventSplitter
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.transport import AnswerSink, EngineAttempt, EngineTransport
 from liftrill.gateway.weight_targets import WeightTargets
@@ -93,17 +95,92 @@
     context.pieces = [unescape(piece) for piece in (first, second)]
 
 
+class IdleAttempt(EngineAttempt):
+    """An engine that opens a stream and begins nothing."""
+
+    closed_at = None
+
+    async def open(self):
+        return [events.StreamOpened(200, ())]
+
+    async def read(self):
+        await asyncio.sleep(30)
+
+    def close(self):
+        self.closed_at = time.monotonic()
+
+
+class IdleTransport(EngineTransport):
+    def __init__(self):
+        self.made = IdleAttempt()
+
+    def attempt(self, request, start):
+        return self.made
+
+
+@given("an engine that begins nothing, whose weights go out of use in {seconds:g} s")
+def step_idle_engine(context, seconds):
+    context.transport = IdleTransport()
+    context.targets = WeightTargets(8.0, 8.0)
+    context.started_at = time.monotonic()
+    context.targets.name(WeightTarget("model", 2, 1), context.started_at - 8.0 + seconds)
+    context.targets.grace_seconds = 9.0
+
+
+@then("the attempt was closed within {seconds:g} s")
+def step_closed(context, seconds):
+    closed_at = context.transport.made.closed_at
+    assert closed_at is not None and closed_at - context.started_at < seconds
+
+
+@then("the caller was told that the outcome is unknown")
+def step_told_unknown(context):
+    assert context.sink.ending == "ENGINE_LOST", context.sink.ending
+
+
+@given(
+    "an engine whose weights may begin requests for {seconds:g} s, "
+    "and {tokens:d} tokens that wait there"
+)
+def step_queue(context, seconds, tokens):
+    context.engines = EngineTable()
+    view = context.engines.update(engine_record("engine-1", weights={"model": 1}))
+    view.own_load.waiting_tokens = tokens
+    targets = WeightTargets(8.0)
+    targets.name(WeightTarget("model", 2, 1), 100.0 - 8.0 + seconds)
+    context.selector = EngineSelector(context.engines, targets, "zone-1")
+
+
+@when("{tokens:d} tokens wait there")
+def step_shorter_queue(context, tokens):
+    context.engines.get("engine-1").own_load.waiting_tokens = tokens
+
+
+@then("no engine is ready for a request")
+def step_none_ready(context):
+    found = context.selector.choose(opaque_request(), frozenset(), 100.0)
+    assert found is Unavailable.NONE_READY, found
+
+
+@then("the engine is ready for a request")
+def step_one_ready(context):
+    found = context.selector.choose(opaque_request(), frozenset(), 100.0)
+    assert isinstance(found, events.EngineChoice), found
+
+
 @when("a gateway delivers it")
 def step_deliver(context):
     engines = EngineTable()
     engines.update(engine_record("engine-1", weights={"model": 1}))
-    selector = EngineSelector(engines, WeightTargets(8.0), "zone-1")
+    targets = getattr(context, "targets", WeightTargets(8.0))
+    transport = getattr(context, "transport", None) or ScriptedTransport(context.pieces)
+    selector = EngineSelector(engines, targets, "zone-1")
     allowance = RetryAllowance(0.2, 20.0, 10.0, 0.0)
     forwarder = Forwarder(
         engines,
         ForwardingPorts(selector, allowance),
         allowance,
-        ScriptedTransport(context.pieces),
+        transport,
         DecisionLog("node-1"),
         GatewayMetrics(),
     )
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -4,7 +4,7 @@
 
 import defopt
 
-from liftrill.cli import bench, demo, emulate, errors, node, operator
+from liftrill.cli import bench, demo, emulate, errors, logs, node, operator
 from liftrill.errors import LiftrillError, SettingsError
 
 USAGE_EXIT_CODE = 2
@@ -22,6 +22,7 @@
     },
     "status": operator.status,
     "explain": operator.explain,
+    "logs": {"explain": logs.explain, "summary": logs.summary},
     "demo": demo.demo,
     "bench": {
         "overhead": bench.overhead,
--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -55,7 +55,7 @@
     IDEMPOTENCY_KEY_REUSED = CodeDetails(
         1008, 422, "The key was used before with another body.", "Send a new key for a new request."
     )
-    UNKNOWN_PATH = CodeDetails(1009, 404, "No such path.", "See docs/OPERATING.md.")
+    UNKNOWN_PATH = CodeDetails(1009, 404, "No such path.", "See docs/OPERATIONS.md.")
     UNKNOWN_WORKLOAD = CodeDetails(
         1010, 400, "The named workload is not configured.", "Ask the operator for its name."
     )
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -1,5 +1,6 @@
 """Events into and instructions out of the delivery machine."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -98,6 +99,7 @@
         cache_salt: scope of the cached parts, or empty.
         fetch_from: address of an engine or store that may hold the prompt, or empty.
         save_to: address of the store that is to keep the prompt, or empty.
+        begin_by: until when it may begin there, on the steady clock.
     """
 
     engine_id: str
@@ -106,7 +108,7 @@
     cache_salt: str = ""
     fetch_from: str = ""
     save_to: str = ""
-    reason: str = ""
+    begin_by: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -1,5 +1,6 @@
 """Applies what must hold for an engine, then lets the policy choose."""
 
+from liftrill import constants
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineChoice
 from liftrill.gateway.engine_table import EngineTable, EngineView
@@ -72,7 +73,9 @@
             return True
         model = request.prompt.model
         version = view.weight_version(model)
-        return version > 0 and version >= self._targets.required(model, now)
+        # It must begin in time there, after what waits before it.
+        wait = view.waiting_tokens / constants.PREFILL_TOKENS_PER_SECOND
+        return version > 0 and version >= self._targets.required(model, now + wait)
 
     def _candidate(self, view: EngineView, request: OpaqueRequest, now: float) -> Candidate:
         prompt = request.prompt
@@ -86,14 +89,16 @@
 
     def _prompt_choice(self, chosen: Candidate, prompt: PromptShape) -> EngineChoice:
         view = chosen.view
+        version = view.weight_version(prompt.model)
         store = self.kept_store.address if self.kept_store and prompt.shared_parts else ""
         return EngineChoice(
             view.engine_id,
             view.record.address,
-            view.weight_version(prompt.model),
+            version,
             chosen.scope,
             fetch_from=store,
             save_to="" if chosen.kept else store,
+            begin_by=self._targets.begin_by(prompt.model, version),
         )
 
 
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -1,8 +1,10 @@
 """Carries out what the delivery machine decides for one request."""
 
 import asyncio
+import math
 import time
 from collections import deque
+from collections.abc import Awaitable
 from contextlib import suppress
 
 from liftrill import constants
@@ -178,7 +180,21 @@
 
     async def _read(self) -> list[events.DeliveryEvent]:
         assert self._attempt is not None
-        return self._noted(await self._attempt.read())
+        return self._noted(await self._until_overdue(self._attempt.read()))
+
+    async def _until_overdue(
+        self, reading: Awaitable[list[events.DeliveryEvent]]
+    ) -> list[events.DeliveryEvent]:
+        """Give up an attempt that has not begun when it no longer may."""
+        if not self._load.waiting_tokens:
+            return await reading
+        begin_by = self._machine.attempts[-1].begin_by
+        left = None if math.isinf(begin_by) else max(0.0, begin_by - time.monotonic())
+        try:
+            async with asyncio.timeout(left):
+                return await reading
+        except TimeoutError:
+            return [events.AttemptBroken("not begun before its weights went out of use")]
 
     def _note_prompt_read(self) -> None:
         """Note that the prompt no longer waits, once the first event shows it."""
@@ -223,7 +239,7 @@
         self._load = expected_load(machine.request)
         if self._view is not None:
             self._view.own_load.add(self._load)
-        return self._noted(await self._attempt.open())
+        return self._noted(await self._until_overdue(self._attempt.open()))
 
     async def _wait_for_engine(self) -> events.DeliveryEvent:
         request = self._machine.request
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -67,7 +67,9 @@
         self._decoder = decoder
         engines = EngineTable()
         grace = bounds.version_grace_seconds - constants.WEIGHT_GRACE_MARGIN_SECONDS
-        targets = WeightTargets(grace)
+        targets = WeightTargets(
+            grace, bounds.version_grace_seconds - constants.WEIGHT_BEGIN_MARGIN_SECONDS
+        )
         split = WeightedSplit()
         selector = EngineSelector(engines, targets, settings.zone)
         self._beliefs = Beliefs(decoder, self.view, engines, targets, selector, split, log)
--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -1,5 +1,6 @@
 """Which weight versions a request may still begin on."""
 
+import math
 from dataclasses import dataclass, field
 
 from liftrill.gateway.records import WeightTarget
@@ -21,10 +22,13 @@
     this node heard of it less a margin for the way there.
 
     Attributes:
-        grace_seconds: how long after the naming an older version may still begin a request.
+        grace_seconds: how long after the naming a request may still be sent to begin on an
+            older version.
+        begin_seconds: how long after the naming it may still begin there.
     """
 
     grace_seconds: float
+    begin_seconds: float = math.inf
     _named: dict[str, list[NamedVersion]] = field(default_factory=dict)
 
     def name(self, target: WeightTarget, now: float) -> bool:
@@ -50,6 +54,11 @@
         limit = now - self.grace_seconds
         return max((n.version for n in named if n.heard_at <= limit), default=0)
 
+    def begin_by(self, model: str, version: int) -> float:
+        """Return until when a request may begin on a version (steady clock)."""
+        newer = [n.heard_at for n in self._named.get(model, []) if n.version > version]
+        return min(newer) + self.begin_seconds if newer else math.inf
+
     def oldest_open(self, model: str, reached: int) -> NamedVersion | None:
         """Return the earliest named version that is newer than one reached."""
         return next((n for n in self._named.get(model, []) if n.version > reached), None)
--- a/liftrill/node/settings.py
+++ b/liftrill/node/settings.py
@@ -33,7 +33,7 @@
 
 
 class NodeSettings(StrictModel):
-    """Settings of one node; docs/OPERATING.md describes each key.
+    """Settings of one node; docs/OPERATIONS.md describes each key.
 
     Attributes:
         listen: address for callers and operators.
