Count shared parts that must be read as work that waits on an engine

Cause: after a crash or new weights an engine reads shared parts too, which the exchanged load left out, so engines that were busy reading looked idle; resumed streams waited over 3 s.

--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -100,6 +100,7 @@
         fetch_from: address of an engine or store that may hold the prompt, or empty.
         save_to: address of the store that is to keep the prompt, or empty.
         begin_by: until when it may begin there, on the steady clock.
+        expected_tokens: prompt tokens that the engine will have to read.
     """
 
     engine_id: str
@@ -109,6 +110,7 @@
     fetch_from: str = ""
     save_to: str = ""
     begin_by: float = math.inf
+    expected_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -99,8 +99,15 @@
             fetch_from=store,
             save_to="" if chosen.kept else store,
             begin_by=self._targets.begin_by(prompt.model, version),
+            expected_tokens=_tokens_to_read(prompt, chosen.kept),
         )
 
 
 def _deepest_part(salt: str, prompt: PromptShape) -> PartKey:
     return PartKey(salt, prompt.shared_parts[-1].part_id)
+
+
+def _tokens_to_read(prompt: PromptShape, kept: bool) -> int:
+    """Return the tokens to read: shared parts are moved where they are kept."""
+    shared = sum(part.tokens for part in prompt.shared_parts) if kept else 0
+    return max(0, prompt.prompt_tokens - shared)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -236,7 +236,7 @@
         self._forwarder.log.attempt_started(machine, start)
         first = len(machine.attempts) == 1
         self._view, self._attempt = self._forwarder.begin(machine.request, start, first)
-        self._load = expected_load(machine.request)
+        self._load = expected_load(machine.request, start.choice)
         if self._view is not None:
             self._view.own_load.add(self._load)
         return self._noted(await self._until_overdue(self._attempt.open()))
@@ -272,11 +272,10 @@
             await self._sink.fail(ending)
 
 
-def expected_load(request: OpaqueRequest) -> EngineLoad:
-    """Return what a request puts on an engine: its own part is read, shared ones are kept."""
+def expected_load(request: OpaqueRequest, choice: events.EngineChoice) -> EngineLoad:
+    """Return what a request puts on the engine that was chosen for it."""
     prompt = request.prompt
     if prompt is None:
         return EngineLoad(requests=1)
-    shared = sum(part.tokens for part in prompt.shared_parts)
-    waiting = max(0, prompt.prompt_tokens - shared)
-    return EngineLoad(1, waiting, prompt.prompt_tokens + prompt.output_tokens)
+    resident = prompt.prompt_tokens + prompt.output_tokens
+    return EngineLoad(1, max(1, choice.expected_tokens), resident)
