--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -74,3 +74,11 @@
     And the store loses the answer to the first write of a key
     When both contend for a while
     Then exactly one leads, with the revision of the leader's key as its fence
+
+  Scenario: Nodes that are no candidates leave the key to the others, and stand in for them
+    Given a store and 2 contenders
+    And the second one is no candidate
+    When both contend
+    Then the first one leads
+    When the idle leader is killed
+    Then the other one leads, and may give orders at once
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -151,6 +151,7 @@
         self.store = store
         self.mirror = StoreMirror()
         self.frozen = False
+        self.candidate = True
         self.leadership = Leadership(
             store,
             self.mirror,
@@ -158,6 +159,7 @@
             TermParameters(LEASE, QUIET_SECONDS),
             DecisionLog(name),
             clock=lambda: store.now,
+            is_candidate=lambda: self.candidate,
         )
 
     async def step(self):
@@ -284,3 +286,13 @@
         assert not context.leader.leadership.may_order(context.store.now)
         return
     raise AssertionError("it could")
+
+
+@given("the second one is no candidate")
+def step_no_candidate(context):
+    context.contenders[1].candidate = False
+
+
+@then("the first one leads")
+def step_first_leads(context):
+    assert context.leader is context.contenders[0]
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from liftrill import constants
+from liftrill.coordination import rendezvous
 from liftrill.coordination.lease import LeaseParameters
 from liftrill.coordination.membership import Membership
 from liftrill.coordination.membership_messages import Condition, Member
@@ -42,6 +43,11 @@
 LEAST_NODES_OF_A_ZONE = 2
 LEASE_RENEW_INTERVAL_SECONDS = 0.7
 LEASE_TIME_TO_LIVE_SECONDS = 2.0
+LEASE_RETRY_INTERVAL_SECONDS = 0.3
+LEASE_MARGIN_SECONDS = 0.2
+# How many nodes contend for the right to give orders as soon as it is free.
+LEADER_CANDIDATES = 3
+LEADER_RANK_KEY = b"leader"
 
 
 class Gateway:
@@ -167,12 +173,17 @@
         lease = LeaseParameters(
             time_to_live=max(bounds.least_lease_seconds, LEASE_TIME_TO_LIVE_SECONDS),
             renew_interval=LEASE_RENEW_INTERVAL_SECONDS,
-            retry_interval=0.3,
-            safety_margin=bounds.thaw_seconds + 0.2,
+            retry_interval=LEASE_RETRY_INTERVAL_SECONDS,
+            safety_margin=bounds.thaw_seconds + LEASE_MARGIN_SECONDS,
         )
         parameters = TermParameters(lease, bounds.lease_seconds + bounds.thaw_seconds)
         leadership = Leadership(
-            self._store, self._follower.mirror, self.settings.node, parameters, self.log
+            self._store,
+            self._follower.mirror,
+            self.settings.node,
+            parameters,
+            self.log,
+            is_candidate=self._is_candidate,
         )
         return WeightController(
             leadership,
@@ -185,6 +196,11 @@
             self.settings.node,
         )
 
+    def _is_candidate(self) -> bool:
+        names = [member.node_id for member in self._membership.members()]
+        ranked = rendezvous.rank(LEADER_RANK_KEY, names)
+        return self.settings.node in ranked[:LEADER_CANDIDATES]
+
     # What others tell
 
     def _on_change(self, change: MirrorChange) -> None:
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -36,10 +36,12 @@
     Attributes:
         lease: times of the lease itself.
         quiet: how long no order may come from a busy predecessor before the first one.
+        stand_back: how long a node that is no candidate leaves the key to the candidates.
     """
 
     lease: LeaseParameters
     quiet: float
+    stand_back: float = 1.2
 
 
 class Leadership:
@@ -53,8 +55,11 @@
         parameters: TermParameters,
         log: DecisionLog,
         clock: Callable[[], float] = time.monotonic,
+        is_candidate: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
+        self._is_candidate = is_candidate
+        self._free_since: float | None = None
         self._store = store
         self._mirror = mirror
         self._node = node
@@ -162,9 +167,15 @@
     async def _contend(self) -> None:
         leader = self._mirror.get(LEADER_KEY)
         if leader is not None:
+            self._free_since = None
             self._recognise(leader)
             return
-        await self._acquire()
+        now = self._clock()
+        if self._free_since is None:
+            self._free_since = now
+        # Calls are paid for, and few nodes are enough; the others stand in for them.
+        if self._is_candidate() or now - self._free_since >= self._parameters.stand_back:
+            await self._acquire()
 
     def _recognise(self, leader: StoredItem) -> None:
         """Take the lease up if the key is this node's own, written by a lost answer."""
