Count how many engines load at once for each version apart

Cause: one engine that was late for version 2 made all eight that were behind version 3 load at once, since the time left for the oldest version was divided among all that were behind any.

--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -27,6 +27,14 @@
     Then every engine has version 3 within 9 s
     And each engine was ordered at most 2 times
 
+  Scenario: A late engine of one version does not hurry the engines of the next
+    Given 9 engines with version 1
+    When version 2 is named and engines take 0.7 s to load
+    And engine 9 takes no order before 4.4 s
+    And version 3 is named after 4 s
+    Then every engine has version 3 within 12 s
+    And at most 4 engines loaded at once
+
   Scenario: An engine that restarts with its old weights is ordered again
     Given 6 engines with version 1
     When version 2 is named and engines take 0.7 s to load
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -54,6 +54,7 @@
         self.most_at_once = 0
         self.lost = set()
         self.load_seconds = 0.7
+        self.refuses_until = {}
 
     def name(self, version, now):
         self.targets.name(WeightTarget("model", version, version), now)
@@ -72,6 +73,9 @@
         self.most_at_once = max(self.most_at_once, len(self.loading))
 
     def _order(self, order, now):
+        if now < self.refuses_until.get(order.engine_id, 0.0):
+            self.rollout.order_refused(order.engine_id, now, 0.4)
+            return
         self.orders.append(order.engine_id)
         if order.engine_id in self.lost:
             self.lost.discard(order.engine_id)
@@ -108,6 +112,11 @@
     context.happenings.append((seconds, lambda: context.engines.restart(f"engine-{number}")))
 
 
+@when("engine {number:d} takes no order before {seconds:g} s")
+def step_refuses(context, number, seconds):
+    context.engines.refuses_until[f"engine-{number}"] = seconds
+
+
 @when("the first order to engine {number:d} is lost")
 def step_lose_order(context, number):
     context.engines.lost.add(f"engine-{number}")
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 
 from liftrill.gateway.engine_table import EngineView
-from liftrill.gateway.weight_targets import WeightTargets
+from liftrill.gateway.weight_targets import NamedVersion, WeightTargets
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,12 +202,11 @@
         waiting = [v for v in behind if self._may_order(v, now)]
         if not waiting:
             return []
-        reached = min(view.weight_version(model) for view in behind)
-        oldest = self.targets.oldest_open(model, reached)
-        if oldest is None or now < oldest.heard_at + self.parameters.join_delay:
+        versions = [view.weight_version(model) for view in behind]
+        pending = self.targets.open_versions(model, min(versions))
+        if not pending or now < pending[0].heard_at + self.parameters.join_delay:
             return []
-        deadline = oldest.heard_at + self.targets.grace_seconds - self.parameters.finish_margin
-        room = self._at_once(len(behind), deadline - now) - len(self.loads)
+        room = self._at_once(versions, pending, now) - len(self.loads)
         version = self.targets.newest(model)
         chosen = sorted(waiting, key=lambda v: (v.weight_version(model), v.engine_id))
         chosen = chosen[: max(0, room)]
@@ -218,9 +217,15 @@
             return False
         return now >= self._not_before.get(view.engine_id, 0.0)
 
-    def _at_once(self, behind: int, time_left: float) -> int:
-        rounds = max(1.0, time_left / self.parameters.load_estimate)
-        return max(self.parameters.least_at_once, math.ceil(behind / rounds))
+    def _at_once(self, versions: list[int], pending: list[NamedVersion], now: float) -> int:
+        """Return how many engines must load at once for each version to be reached in time."""
+        most = self.parameters.least_at_once
+        for named in pending:
+            deadline = named.heard_at + self.targets.grace_seconds - self.parameters.finish_margin
+            rounds = max(1.0, (deadline - now) / self.parameters.load_estimate)
+            behind = sum(version < named.version for version in versions)
+            most = max(most, math.ceil(behind / rounds))
+        return most
 
     def _announce(self, view: EngineView, model: str, version: int, now: float) -> AnnounceLoad:
         order_at = now + self.parameters.drain_time
--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -59,6 +59,6 @@
         newer = [n.heard_at for n in self._named.get(model, []) if n.version > version]
         return min(newer) + self.begin_seconds if newer else math.inf
 
-    def oldest_open(self, model: str, reached: int) -> NamedVersion | None:
-        """Return the earliest named version that is newer than one reached."""
-        return next((n for n in self._named.get(model, []) if n.version > reached), None)
+    def open_versions(self, model: str, reached: int) -> list[NamedVersion]:
+        """Return the named versions that are newer than one reached, oldest first."""
+        return [n for n in self._named.get(model, []) if n.version > reached]
