--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -90,6 +90,10 @@
         """Write that the caller left."""
         self._write_request("caller_gone", machine, ordinary=True)
 
+    def request_crashed(self, machine: DeliveryMachine, error: Exception) -> None:
+        """Write that this process failed in a way it did not foresee."""
+        self._write_request("crashed", machine, False, code="INTERNAL_ERROR", why=repr(error))
+
     def request_ended(self, machine: DeliveryMachine, ending: events.DeliveryInstruction) -> None:
         """Write how a request ended."""
         if isinstance(ending, events.FinishStream):
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -104,6 +104,10 @@
             self.log.request_abandoned(machine)
             self.metrics.count_outcome("caller_gone")
             raise
+        except Exception as error:
+            self.log.request_crashed(machine, error)
+            self.metrics.count_outcome("crashed")
+            raise
         finally:
             delivery.close()
 
--- a/liftrill/gateway/log_reader.py
+++ b/liftrill/gateway/log_reader.py
@@ -27,6 +27,7 @@
     "ENGINE_LOST": "the connection to the engine broke after the request was sent",
     "STREAM_INTERRUPTED": "the stream broke, and it may not go on elsewhere",
     "DEADLINE_UNREACHABLE": "its time was over before an engine could take it",
+    "INTERNAL_ERROR": "the node failed in a way it did not foresee: a defect",
     "DEADLINE_PASSED": "its time was over while an engine had it",
 }
 
