--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -35,6 +35,12 @@
     Then every engine has version 3 within 12 s
     And at most 4 engines loaded at once
 
+  Scenario: An order waits until what waits at its engine has begun, but not for ever
+    Given 2 engines with version 1
+    And 5000 tokens wait at engine 1 until 1 s, and at engine 2 for ever
+    When version 2 is named and engines take 0.7 s to load
+    Then engine 1 is ordered between 1 s and 1.3 s and engine 2 between 1.6 s and 1.8 s
+
   Scenario: An engine that restarts with its old weights is ordered again
     Given 6 engines with version 1
     When version 2 is named and engines take 0.7 s to load
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -55,6 +55,7 @@
         self.lost = set()
         self.load_seconds = 0.7
         self.refuses_until = {}
+        self.ordered_at = {}
 
     def name(self, version, now):
         self.targets.name(WeightTarget("model", version, version), now)
@@ -77,6 +78,7 @@
             self.rollout.order_refused(order.engine_id, now, 0.4)
             return
         self.orders.append(order.engine_id)
+        self.ordered_at.setdefault(order.engine_id, now)
         if order.engine_id in self.lost:
             self.lost.discard(order.engine_id)
             self.rollout.order_unanswered(order.engine_id, now)
@@ -122,8 +124,26 @@
     context.engines.lost.add(f"engine-{number}")
 
 
-@then("every engine has version {version:d} within {seconds:g} s")
-def step_reached(context, version, seconds):
+@given("{tokens:d} tokens wait at engine 1 until {seconds:g} s, and at engine 2 for ever")
+def step_tokens_wait(context, tokens, seconds):
+    first = context.engines.table.get("engine-1").own_load
+    first.waiting_tokens = tokens
+    context.engines.table.get("engine-2").peer_load.waiting_tokens = tokens
+    context.happenings.append((seconds, lambda: setattr(first, "waiting_tokens", 0)))
+
+
+@then(
+    "engine 1 is ordered between {one:g} s and {two:g} s "
+    "and engine 2 between {three:g} s and {four:g} s"
+)
+def step_ordered_between(context, one, two, three, four):
+    play(context, 4.0)
+    first, second = (context.engines.ordered_at[f"engine-{n}"] for n in (1, 2))
+    assert one <= first + 1e-6 and first <= two, first
+    assert three <= second + 1e-6 and second <= four, second
+
+
+def play(context, seconds):
     now = 0.0
     while now < seconds:
         due = [h for h in context.happenings if h[0] <= now]
@@ -132,6 +152,11 @@
             happen()
         context.engines.step(now)
         now += TICK_SECONDS
+
+
+@then("every engine has version {version:d} within {seconds:g} s")
+def step_reached(context, version, seconds):
+    play(context, seconds)
     versions = [view.weight_version("model") for view in context.engines.table]
     assert set(versions) == {version}, versions
 
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -25,6 +25,7 @@
         least_at_once: loads at once where time is no concern.
         drain_time: how long before its order an engine gets no new requests, so that what
             waits there has begun when the order comes.
+        longest_drain: how long the order waits for that at the most.
         check_after: when an engine is first asked whether it is done.
         check_interval: between further questions.
         give_up_after: after which an order without effect is given again.
@@ -35,6 +36,7 @@
     finish_margin: float = 2.0
     least_at_once: int = 2
     drain_time: float = 0.4
+    longest_drain: float = 1.6
     check_after: float = 0.5
     check_interval: float = 0.25
     give_up_after: float = 3.0
@@ -130,7 +132,7 @@
         """Return the orders and questions that are due now."""
         known = {view.engine_id: view for view in engines}
         instructions: list[RolloutInstruction] = self._settle(known)
-        instructions.extend(self._due_steps(now))
+        instructions.extend(self._due_steps(known, now))
         for model in self.targets.models():
             instructions.extend(self._due_loads(list(known.values()), model, now))
         return instructions
@@ -175,18 +177,23 @@
                 done.append(AnnounceDone(engine_id, load.model, load.version))
         return done
 
-    def _due_steps(self, now: float) -> list[RolloutInstruction]:
+    def _due_steps(self, known: dict[str, EngineView], now: float) -> list[RolloutInstruction]:
         instructions: list[RolloutInstruction] = []
         for load in self.loads.values():
             if now < load.next_at or load.state is LoadState.ORDERED:
                 continue
             if load.state is LoadState.DRAINING:
-                instructions.append(self._order(load, now))
+                if self._is_drained(load, known[load.engine_id], now):
+                    instructions.append(self._order(load, now))
             else:
                 load.next_at = now + self.parameters.check_interval
                 instructions.append(AskReport(load.engine_id))
         return instructions
 
+    def _is_drained(self, load: Load, view: EngineView, now: float) -> bool:
+        """Return whether nothing waits there any more, or it was waited for long enough."""
+        return view.waiting_tokens <= 0 or now - load.since >= self.parameters.longest_drain
+
     def _order(self, load: Load, now: float) -> GiveOrder:
         # What was named since the announcement is reached by the same load.
         load.version = self.targets.newest(load.model)
