Refuse what comes to a node that is about to end

Cause: after the time for which it lingers, a stopping node went on taking requests while older ones ran, and cut them at its end. The feature failed before (200 in place of 503).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -110,6 +110,15 @@
     And the stream has events 1 to 4 and is complete
     And the first node exits with code 0 within 8 s
 
+  Scenario: A node about to end refuses what comes late, and still finishes what it took
+    Given a node
+    And model engines take 3.7 s for a stream
+    And a connection to the node that was used before
+    When the node is told to stop during a stream and 3.2 s pass
+    Then a request on that connection is answered 503 with a time to come back and ran nowhere
+    And the stream has events 1 to 4 and is complete
+    And the first node exits with code 0 within 8 s
+
   Scenario: A reload cuts nothing and tells of a wrong file
     Given a node
     When its settings file is broken and it is told to reload
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -584,3 +584,40 @@
 
     found = context.run(text())
     assert f'liftrill_requests_total{{outcome="served"}} {count}.0' in found, found
+
+
+def raw_request(number):
+    return (
+        f"POST /whole/x HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: kept{number}\r\n"
+        f"Authorization: Token {KEY}\r\nX-Deadline-Ms: 4000\r\nContent-Length: 2\r\n\r\nab"
+    ).encode()
+
+
+@given("a connection to the node that was used before")
+def step_kept_connection(context):
+    host, _, port = context.deployment.nodes[0].address("Front").rpartition(":")
+
+    async def use():
+        context.reader, context.writer = await asyncio.open_connection(host, int(port))
+        context.writer.write(raw_request(1))
+        return await asyncio.wait_for(context.reader.readuntil(b"answer to kept1"), 5.0)
+
+    assert b" 200 " in context.run(use())
+
+
+@when("the node is told to stop during a stream and {seconds:g} s pass")
+def step_stop_and_wait(context, seconds):
+    step_stop(context)
+    context.run(asyncio.sleep(seconds))
+
+
+@then("a request on that connection is answered 503 with a time to come back and ran nowhere")
+def step_late_refused(context):
+    async def ask():
+        context.writer.write(raw_request(2))
+        return await asyncio.wait_for(context.reader.readuntil(b"\r\n\r\n"), 5.0)
+
+    head = context.run(ask())
+    assert b" 503 " in head and b"Retry-After" in head, head
+    assert "kept2" not in [a.attempt_id for a in context.deployment.arrivals()]
+    context.answer = context.run(context.task)
--- a/liftrill/gateway/log_reader.py
+++ b/liftrill/gateway/log_reader.py
@@ -20,6 +20,7 @@
     "UNKNOWN_ROUTE": "no route of the configuration in force has its host and path",
     "INVALID_API_KEY": "no tenant of the configuration in force holds its key",
     "NO_CONFIGURATION": "the node had no configuration yet",
+    "NODE_DRAINING": "the node was about to end and took no more requests",
     "KEY_NOT_PROVEN": "the store had not answered for too long to know that the key still holds",
     "NO_ELIGIBLE_ENGINE": "no engine of the service was free to take it in time",
     "ENGINES_REFUSED": "every engine that was asked refused without running it",
