Keep step names apart, and count only the lines of the scenario

A step of the new features matched a sentence of machine.feature, whose scenario then ran on the wrong machine; a scenario counted lines that eliot had held back from earlier features. Both were faults of the tests: checks are as before.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -3,9 +3,9 @@
   Scenario: A refusal by the engine leads to another engine and then to a promise
     Given an opaque request that may run at most once, with 2 attempts
     When it starts
-    And the engine refuses it as overloaded
+    And the engine turns it away as overloaded
     Then it is sent to another engine
-    When the engine refuses it as overloaded
+    When the engine turns it away as overloaded
     Then it is refused with a time to come back
 
   Scenario: A request that may not run again is never sent after a loss, nor called not run
@@ -41,7 +41,7 @@
   Scenario: Attempts are bounded by the route
     Given an opaque request that may run at most once, with 1 attempt
     When it starts
-    And the engine refuses it as overloaded
+    And the engine turns it away as overloaded
     Then it is refused with a time to come back
     And it was sent 1 time
 
@@ -56,7 +56,7 @@
     Given an opaque request that may be repeated, with 2 attempts
     And no repeats are left
     When it starts
-    And the engine refuses it as overloaded
+    And the engine turns it away as overloaded
     Then it is refused with a time to come back
     And it was sent 1 time
 
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -79,7 +79,7 @@
     feed(context, events.Started())
 
 
-@when("the engine refuses it as overloaded")
+@when("the engine turns it away as overloaded")
 def step_overloaded(context):
     feed(context, events.AttemptRefused(events.RefusalKind.OVERLOADED))
 
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -169,6 +169,8 @@
 def step_bounded(context, count):
     context.messages = []
     eliot.add_destinations(context.messages.append)
+    # eliot hands its first destination what was logged before there was one.
+    context.messages.clear()
     context.stack.callback(eliot.remove_destination, context.messages.append)
     context.log = DecisionLog("node-1", _ordinary=TokenBucket(count, 2.0 * count))
 
