A node that starts uses no weights that others have left behind

Change: versions found in the first reading of the store have no known age: engines that are behind the newest that some engine has reached get nothing; a leader hurries. Ruled out: late news (told within 20 ms), waiting at the engine (40 ms). The feature fails without the change.

--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -7,6 +7,12 @@
     And at second 17.1 a request may not begin on version 1
     And at second 21.1 a request may not begin on version 2
 
+  Scenario: A node that starts uses no weights that others have left behind
+    Given engines with versions 1, 3 and 3, and a node that finds version 4 named when it starts
+    Then its requests go to engines with version 3 only
+    When the engine with version 1 is the only one left
+    Then its requests go to engines with version 1 only
+
   Scenario: Few engines load at once, each is ordered once, and all reach the version
     Given 6 engines with version 1
     When version 2 is named and engines take 0.7 s to load
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -3,11 +3,12 @@
 from behave import given, then, when
 
 from features.gateway_store import MemoryStore
-from features.gateway_support import engine_record
+from features.gateway_support import engine_record, opaque_request
 from liftrill.coordination.lease import LeaseParameters
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineTable
 from liftrill.gateway.leadership import LEADER_KEY, Leadership, TermParameters
 from liftrill.gateway.records import WeightTarget
@@ -330,3 +331,32 @@
 @then("the first one leads")
 def step_first_leads(context):
     assert context.leader is context.contenders[0]
+
+
+@given(
+    "engines with versions {first:d}, {second:d} and {third:d}, "
+    "and a node that finds version {named:d} named when it starts"
+)
+def step_start_late(context, first, second, third, named):
+    context.table_of_engines = EngineTable()
+    for number, version in enumerate((first, second, third)):
+        record = engine_record(f"engine-{number}", weights={"model": version})
+        context.table_of_engines.update(record)
+    targets = WeightTargets(GRACE_SECONDS)
+    targets.name(WeightTarget("model", named, 1), 100.0, age_known=False)
+    context.selector = EngineSelector(context.table_of_engines, targets, "zone-1")
+
+
+@when("the engine with version {version:d} is the only one left")
+def step_only_left(context, version):
+    for view in list(context.table_of_engines):
+        if view.weight_version("model") != version:
+            context.table_of_engines.remove(view.engine_id)
+
+
+@then("its requests go to engines with version {version:d} only")
+def step_go_to(context, version):
+    for number in range(50):
+        request = opaque_request(request_id=f"request-{number}")
+        choice = context.selector.choose(request, frozenset(), 100.5)
+        assert choice.weight_version == version, choice
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -21,6 +21,7 @@
 
     Attributes:
         configuration_revision: the store's revision of the configuration in force.
+        store_read: whether the store was read once: what is news later came since.
     """
 
     decoder: RecordDecoder
@@ -31,11 +32,13 @@
     split: WeightedSplit
     log: DecisionLog
     configuration_revision: int = 0
+    store_read: bool = False
 
     def apply(self, change: MirrorChange) -> None:
         """Take in a change of the store's mirror."""
         for item in change.written:
             self.apply_item(item)
+        self.store_read = True
         gone = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
         if change.gap:
             # Records may go while the store is out though their engines live on.
@@ -99,10 +102,11 @@
             )
 
     def _name_target(self, target: WeightTarget) -> None:
-        if self.targets.name(target, time.monotonic()):
+        if self.targets.name(target, time.monotonic(), age_known=self.store_read):
             self.log.belief(
                 "weights_named",
                 model=target.model,
                 version=target.version,
                 revision=target.revision,
+                age_known=self.store_read,
             )
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -50,7 +50,8 @@
         left = [view for view in able if view.engine_id not in excluded]
         if able and not left:
             return Unavailable.NONE_LEFT
-        ready = [view for view in left if self._is_ready(view, request, now)]
+        floor = self._version_floor(able, request)
+        ready = [view for view in left if self._is_ready(view, request, floor, now)]
         if not ready:
             return Unavailable.NONE_READY
         if request.prompt is None:
@@ -66,7 +67,19 @@
         if choice.save_to and request.prompt is not None:
             self._directory.record_saved(_deepest_part(choice.cache_salt, request.prompt), now)
 
-    def _is_ready(self, view: EngineView, request: OpaqueRequest, now: float) -> bool:
+    def _version_floor(self, able: list[EngineView], request: OpaqueRequest) -> int:
+        """Return the lowest version to use, as far as versions of unknown age decide it.
+
+        Weights may have been out of use since before this process began. The engines show
+        how far they were brought: those that are behind the others are left alone.
+        """
+        if request.prompt is None:
+            return 0
+        model = request.prompt.model
+        reached = max((view.weight_version(model) for view in able), default=0)
+        return min(self._targets.preferred(model), reached)
+
+    def _is_ready(self, view: EngineView, request: OpaqueRequest, floor: int, now: float) -> bool:
         if view.is_loading(now) or not view.breaker.allows(now):
             return False
         if request.prompt is None:
@@ -75,7 +88,8 @@
         version = view.weight_version(model)
         # It must begin in time there, after what waits before it.
         wait = view.waiting_tokens / constants.PREFILL_TOKENS_PER_SECOND
-        return version > 0 and version >= self._targets.required(model, now + wait)
+        required = max(floor, self._targets.required(model, now + wait))
+        return version > 0 and version >= required
 
     def _candidate(self, view: EngineView, request: OpaqueRequest, now: float) -> Candidate:
         prompt = request.prompt
--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -8,10 +8,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NamedVersion:
-    """A version that the operator named, and when this node heard of it (steady clock)."""
+    """A version that the operator named, and when this node heard of it (steady clock).
+
+    Attributes:
+        age_known: False where it was found in the first reading of the store: it may have
+            been named long before this process began.
+    """
 
     version: int
     heard_at: float
+    age_known: bool = True
 
 
 @dataclass(slots=True)
@@ -31,12 +37,14 @@
     begin_seconds: float = math.inf
     _named: dict[str, list[NamedVersion]] = field(default_factory=dict)
 
-    def name(self, target: WeightTarget, now: float) -> bool:
+    def name(self, target: WeightTarget, now: float, age_known: bool = True) -> bool:
         """Take note of a target; return whether it is news."""
         named = self._named.setdefault(target.model, [])
         if named and named[-1].version >= target.version:
             return False
-        named.append(NamedVersion(target.version, now))
+        # Half of the grace is a guess that makes a leader hurry.
+        heard_at = now if age_known else now - self.grace_seconds / 2
+        named.append(NamedVersion(target.version, heard_at, age_known))
         return True
 
     def models(self) -> list[str]:
@@ -52,11 +60,20 @@
         """Return the lowest version on which a request may begin now."""
         named = self._named.get(model, [])
         limit = now - self.grace_seconds
-        return max((n.version for n in named if n.heard_at <= limit), default=0)
+        timed = (n.version for n in named if n.age_known and n.heard_at <= limit)
+        return max(timed, default=0)
+
+    def preferred(self, model: str) -> int:
+        """Return the newest version that may be older than any grace, or 0.
+
+        Where some engine has it, or a version near it, none that is older may be used.
+        """
+        return max((n.version for n in self._named.get(model, []) if not n.age_known), default=0)
 
     def begin_by(self, model: str, version: int) -> float:
         """Return until when a request may begin on a version (steady clock)."""
-        newer = [n.heard_at for n in self._named.get(model, []) if n.version > version]
+        named = self._named.get(model, [])
+        newer = [n.heard_at for n in named if n.age_known and n.version > version]
         return min(newer) + self.begin_seconds if newer else math.inf
 
     def open_versions(self, model: str, reached: int) -> list[NamedVersion]:
