--- /dev/null
+++ b/features/steps/gateway_rules_steps.py
@@ -0,0 +1,219 @@
+"""Steps about the code's own rules, and about its logs."""
+
+import ast
+import json
+import os
+import time
+from pathlib import Path
+
+import eliot
+from behave import given, then, when
+
+from features.gateway_support import opaque_request
+from liftrill.coordination.token_bucket import TokenBucket
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway import log_reader
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.log_output import BoundedOutput
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+# Names that only the platform uses; general words of HTTP and of the field are not among them.
+PLATFORM_NAMES = (
+    "X-Attempt-Id",
+    "X-Deadline-Ms",
+    "X-Prompt-Prefix",
+    "X-Token-Usage",
+    "X-Response-Signature",
+    "X-Expect-Instance",
+    "X-Expect-Version",
+    "X-Not-Executed",
+    "X-Cache-Salt",
+    "X-Request-Priority",
+    "X-Kv-",
+    "X-Weight-Versions",
+    "TlsKey",
+    "PathPrefix",
+    "kv-txn",
+    "kv-range",
+    "kv-watch",
+    "op/config",
+    "op/version",
+    "servers/",
+    "RouteType",
+    "MaxAttempts",
+    "RetrySlack",
+    "LIFTRILL_BOOT",
+    "fleetbench",
+)
+SANS_IO = (
+    "admission",
+    "configuration_view",
+    "delivery",
+    "delivery_events",
+    "engine_selector",
+    "engine_table",
+    "event_stream",
+    "load_board",
+    "opaque_request",
+    "placement",
+    "prefix_directory",
+    "records",
+    "retry_allowance",
+    "route_table",
+    "weight_rollout",
+    "weight_targets",
+)
+IO_MODULES = {"asyncio", "aiohttp", "socket", "uvloop", "time"}
+ADAPTOR_MODULES = {"boot", "engines", "ingress", "names", "serve", "store"}
+
+
+def imports_of(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+
+
+def sources(folder):
+    return [path for path in (ROOT / folder).rglob("*.py") if "_pb2" not in path.name]
+
+
+@then("no file of the product outside platform/ has a name of the platform's protocol")
+def step_no_names(context):
+    found = [
+        (path.name, name)
+        for path in [*sources("liftrill"), *(ROOT / "proto").rglob("*.proto")]
+        for name in PLATFORM_NAMES
+        if name in path.read_text()
+    ]
+    assert not found, found
+
+
+@then("the sans-IO modules of the gateway import neither asyncio nor aiohttp nor sockets")
+def step_sans_io(context):
+    for name in SANS_IO:
+        path = ROOT / "liftrill" / "gateway" / f"{name}.py"
+        found = {module.partition(".")[0] for module in imports_of(path)} & IO_MODULES
+        assert not found, (name, found)
+
+
+@then("no module of liftrill imports a module of platform/")
+def step_no_adaptor(context):
+    for path in sources("liftrill"):
+        found = set(imports_of(path)) & ADAPTOR_MODULES
+        assert not found, (path, found)
+
+
+@then("the gateway imports nothing of liftrill.node but the codec of membership")
+def step_gateway_layers(context):
+    for path in sources("liftrill/gateway"):
+        found = [m for m in imports_of(path) if m.startswith("liftrill.node")]
+        assert set(found) <= {"liftrill.node.membership_codec"}, (path, found)
+
+
+@then("platform/ has at most {count:d} lines")
+def step_small(context, count):
+    lines = sum(len(path.read_text().splitlines()) for path in (ROOT / "platform").glob("*.py"))
+    assert lines <= count, lines
+
+
+def line(at, node, kind, **fields):
+    told = {"message_type": f"liftrill:{kind}", "timestamp": at, "node": node, **fields}
+    return f"  {at:.4f} {node} {json.dumps(told)}\n"
+
+
+@given("a log in which a request was refused by one engine and lost by another")
+def step_log(context):
+    context.texts = [
+        "some other line\n",
+        line(103.0, "node-1", "request", request="r1", outcome="unknown", code="ENGINE_LOST"),
+        line(99.0, "node-1", "engine", engine="e1", leaving=True),
+        line(90.0, "node-1", "engine", engine="e1", leaving=False),
+        line(99.5, "node-2", "engine", engine="e2", leaving=False),
+        line(100.0, "node-1", "attempt_failed", request="r1", engine="e1", outcome="overloaded"),
+        line(101.0, "node-1", "retried", request="r1", engine="e2", attempt=2),
+        line(102.0, "node-1", "attempt_failed", request="r1", engine="e2", outcome="broken: reset"),
+        line(102.5, "node-1", "refused", request="r2", code="UNKNOWN_ROUTE", left_out=7),
+    ]
+    context.lines = log_reader.read_lines(context.texts)
+
+
+@then("its story has both attempts, what was believed of the engines, and the cause")
+def step_story(context):
+    story = log_reader.explain(context.lines, "r1")
+    assert [row.split()[3] for row in story[:-1]] == [
+        "engine",
+        "attempt_failed",
+        "retried",
+        "attempt_failed",
+        "request",
+    ], story
+    assert "overloaded, broken: reset" in story[-1] and "broke after" in story[-1], story[-1]
+
+
+@then("a request that no line tells of is said to be unknown")
+def step_unknown(context):
+    assert log_reader.explain(context.lines, "r9")[0].startswith("no line tells of r9")
+
+
+@then("the summary counts how requests ended and what was left out")
+def step_summary(context):
+    rows = [row.split() for row in log_reader.summarize(context.lines)]
+    assert ["1", "unknown", "ENGINE_LOST"] in rows
+    assert ["7", "lines", "left", "out"] in rows
+
+
+@given("a log that may write {count:d} ordinary lines a second")
+def step_bounded(context, count):
+    context.messages = []
+    eliot.add_destinations(context.messages.append)
+    context.stack.callback(eliot.remove_destination, context.messages.append)
+    context.log = DecisionLog("node-1", _ordinary=TokenBucket(count, 2.0 * count))
+
+
+def end_well(context):
+    machine = DeliveryMachine(opaque_request(), None)
+    context.log.request_ended(machine, events.FinishStream())
+
+
+@when("{count:d} requests end well within one second")
+def step_end_well(context, count):
+    for _ in range(count):
+        end_well(context)
+
+
+@then("at most {count:d} lines were written")
+def step_at_most(context, count):
+    assert 0 < len(context.messages) <= count, len(context.messages)
+
+
+@then("a later line tells that the others were left out")
+def step_left_out(context):
+    written = len(context.messages)
+    time.sleep(0.4)
+    end_well(context)
+    assert context.messages[-1]["left_out"] == 100 - written, context.messages[-1]
+
+
+@given("an output whose reader stalls")
+def step_stalled(context):
+    reader, writer = os.pipe()
+    context.stack.callback(os.close, reader)
+    context.stack.callback(os.close, writer)
+    context.output = BoundedOutput(writer)
+
+
+@when("{count:d} lines are written")
+def step_write(context, count):
+    began = time.monotonic()
+    for _ in range(count):
+        context.output.write(b"x" * 200 + b"\n")
+    context.took = time.monotonic() - began
+
+
+@then("it took less than {seconds:g} s and the lines that were dropped are counted")
+def step_dropped(context, seconds):
+    assert context.took < seconds, context.took
+    assert context.output.dropped > 90_000, context.output.dropped
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -388,7 +388,7 @@
             "Content-Type": "text/event-stream",
             "X-Engine-Incarnation": str(self._model.incarnation),
             "X-Weight-Version": self._model.weight_version,
-            "X-Attempt-Id": generation.request.attempt_id,
+            "Engine-Attempt-Id": generation.request.attempt_id,
         }
 
     def _chunk(self, generation: Generation, output: EngineOutput) -> bytes:
