--- /dev/null
+++ b/features/gateway_load.feature
@@ -0,0 +1,35 @@
+Feature: Nodes tell each other of their load on engines
+
+  Scenario: A word counts for the engines that were known when it came, and no less later
+    Given an engine table with engine "e1"
+    When a peer tells of 3 requests on "e1" and 2 on "e2"
+    And engine "e2" becomes known
+    And the peer tells of 1 requests on "e1" and 1 on "e2"
+    Then the peers have 1 requests on "e1" and 1 on "e2"
+    When the peer tells of 0 requests on "e1" and 0 on "e2"
+    Then the peers have 0 requests on "e1" and 0 on "e2"
+
+  Scenario: The sum of a zone takes the place of the words of its nodes
+    Given an engine table with engine "e1"
+    When a peer of zone "b" tells of 3 requests on "e1"
+    And zone "b" is told to have 5 requests on "e1"
+    And a peer of zone "b" tells of 4 requests on "e1"
+    Then the peers have 5 requests on "e1"
+    When 1.5 s pass without a word
+    Then the peers have 0 requests on "e1"
+
+  Scenario Outline: Every node learns the whole load, in a bounded number of datagrams
+    Given <nodes> nodes in 3 zones, each with one request on each of 4 engines
+    When they tell each other of their load <rounds> times
+    Then every node counts <nodes> requests on each engine
+    And no node sent more than <most> datagrams in a round
+    And at most <across> datagrams crossed between zones in a round
+
+    Examples:
+      | nodes | rounds | most | across |
+      | 7     | 1      | 6    | 42     |
+      | 60    | 2      | 59   | 6      |
+      | 350   | 2      | 350  | 6      |
+
+  Scenario: A node keeps in its share of the words when there are many
+    Then the interval of a node's words is 0.1 s in a zone of 3 and 0.26 s in one of 26
--- /dev/null
+++ b/features/steps/gateway_load_steps.py
@@ -0,0 +1,139 @@
+"""Steps on the exchange of loads between nodes."""
+
+from behave import given, then, when
+
+from features.gateway_support import engine_record
+from liftrill.coordination.membership_messages import Member
+from liftrill.gateway.engine_table import EngineLoad, EngineTable
+from liftrill.gateway.load_board import LoadBoard
+from liftrill.gateway.load_codec import message_from_report, report_from_message
+from liftrill.gateway.load_exchange import ByZone, LoadScope, topology_for
+from liftrill.messages import peer_pb2
+
+
+def load(requests):
+    return EngineLoad(requests, 100 * requests, 200 * requests)
+
+
+def add_engine(context, name):
+    context.engines.update(engine_record(name))
+
+
+@given('an engine table with engine "{name}"')
+def step_table(context, name):
+    context.engines = EngineTable()
+    context.board = LoadBoard(context.engines)
+    add_engine(context, name)
+
+
+@when('engine "{name}" becomes known')
+def step_known(context, name):
+    add_engine(context, name)
+
+
+@when('a peer tells of {first:d} requests on "{one}" and {second:d} on "{other}"')
+@when('the peer tells of {first:d} requests on "{one}" and {second:d} on "{other}"')
+def step_word(context, first, one, second, other):
+    context.board.take("peer", {one: load(first), other: load(second)}, 0.0)
+
+
+@when('a peer of zone "{zone}" tells of {count:d} requests on "{name}"')
+def step_zone_word(context, zone, count, name):
+    context.board.take("peer", {name: load(count)}, 0.0, zone)
+
+
+@when('zone "{zone}" is told to have {count:d} requests on "{name}"')
+def step_sum(context, zone, count, name):
+    context.board.take_zone(zone, {name: load(count)}, 0.0)
+
+
+@when("{seconds:g} s pass without a word")
+def step_pass(context, seconds):
+    context.board.expire(seconds)
+
+
+@then('the peers have {first:d} requests on "{one}" and {second:d} on "{other}"')
+def step_both(context, first, one, second, other):
+    assert context.engines.get(one).peer_load == load(first), context.engines.get(one)
+    assert context.engines.get(other).peer_load == load(second), context.engines.get(other)
+
+
+@then('the peers have {count:d} requests on "{name}"')
+def step_one(context, count, name):
+    assert context.engines.get(name).peer_load == load(count), context.engines.get(name)
+
+
+class FakeNode:
+    """One node's board, as a gateway uses it."""
+
+    def __init__(self, number, zones, engines):
+        zone = f"zone-{number % zones}"
+        self.own = Member(f"node-{number}", f"10.0.{number}.1:1", "region", zone, 1)
+        table = EngineTable()
+        for name in engines:
+            table.update(engine_record(name)).own_load.add(load(1))
+        self.board = LoadBoard(table)
+
+    def take(self, report, members, now):
+        if report.scope is LoadScope.NODE:
+            self.board.take(report.node, report.loads, now, report.zone)
+            return []
+        self.board.take_zone(report.zone, report.loads, now)
+        return topology_for(members).relayed(self.own, report, members)
+
+
+@given("{count:d} nodes in {zones:d} zones, each with one request on each of {engines:d} engines")
+def step_nodes(context, count, zones, engines):
+    names = [f"e{number}" for number in range(engines)]
+    context.nodes = {f"node-{n}": FakeNode(n, zones, names) for n in range(count)}
+
+
+def send(context, sender, words, now):
+    members = [node.own for node in context.nodes.values()]
+    for word in words:
+        data = message_from_report(word.report).SerializeToString()
+        for member in word.members:
+            context.sent[sender] = context.sent.get(sender, 0) + 1
+            context.across += context.nodes[sender].own.zone != member.zone
+            report = report_from_message(peer_pb2.Datagram.FromString(data))
+            further = context.nodes[member.node_id].take(report, members, now)
+            send(context, member.node_id, further, now)
+
+
+@when("they tell each other of their load {rounds:d} times")
+def step_rounds(context, rounds):
+    members = [node.own for node in context.nodes.values()]
+    topology = topology_for(members)
+    for number in range(rounds):
+        context.sent, context.across = {}, 0
+        for name, node in context.nodes.items():
+            send(context, name, topology.own_word(node.own, node.board, members), number * 0.1)
+
+
+@then("every node counts {count:d} requests on each engine")
+def step_whole(context, count):
+    for name, node in context.nodes.items():
+        counted = [view.requests for view in node.board.engines]
+        assert counted == [count] * len(counted), (name, counted)
+
+
+@then("no node sent more than {most:d} datagrams in a round")
+def step_most(context, most):
+    assert max(context.sent.values()) <= most, max(context.sent.values())
+
+
+@then("at most {most:d} datagrams crossed between zones in a round")
+def step_across(context, most):
+    assert context.across <= most, context.across
+
+
+@then(
+    "the interval of a node's words is {short:g} s in a zone of {few:d}"
+    " and {long:g} s in one of {many:d}"
+)
+def step_interval(context, short, few, long, many):
+    def members(count):
+        return [Member(f"n{i}", f"10.0.{i}.1:1", "region", "zone", 1) for i in range(count)]
+
+    assert ByZone().interval_s(members(few)[0], members(few)) == short
+    assert abs(ByZone().interval_s(members(many)[0], members(many)) - long) < 1e-9
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -55,6 +55,7 @@
     "engine_table",
     "event_stream",
     "load_board",
+    "load_exchange",
     "opaque_request",
     "placement",
     "prefix_directory",
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -19,11 +19,12 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineLoad, EngineNotice, EngineTable
+from liftrill.gateway.engine_table import EngineNotice, EngineTable
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.load_board import LoadBoard
+from liftrill.gateway.load_exchange import LoadReport, LoadScope, topology_for
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.gateway.record_decoder import RecordDecoder
@@ -233,8 +234,15 @@
         if not notice.loading:
             self.forwarder.engine_signal.notify()
 
-    def _on_loads(self, node: str, loads: dict[str, EngineLoad]) -> None:
-        self._loads.take(node, loads, time.monotonic())
+    def _on_loads(self, report: LoadReport) -> None:
+        now = time.monotonic()
+        if report.scope is LoadScope.NODE:
+            self._loads.take(report.node, report.loads, now, report.zone)
+            return
+        self._loads.take_zone(report.zone, report.loads, now)
+        members = self._membership.members()
+        words = topology_for(members).relayed(self._membership.own, report, members)
+        self._peers.send_loads(words)
 
     async def _send_notices(self, notices: list[EngineNotice]) -> None:
         for notice in notices:
@@ -287,14 +295,18 @@
 
     async def _tell_loads(self) -> None:
         """Tell peers of this node's load while there is any, and once when there is none."""
+        own = self._membership.own
         had_load = False
         while True:
-            loads = self._loads.own_loads()
-            if loads or had_load:
-                self._peers.tell_loads(loads)
-            had_load = bool(loads)
+            members = self._membership.members()
+            topology = topology_for(members)
+            words = topology.own_word(own, self._loads, members)
+            has_load = any(word.report.loads for word in words)
+            if has_load or had_load:
+                self._peers.send_loads(words)
+            had_load = has_load
             self._loads.expire(time.monotonic())
-            await asyncio.sleep(constants.LOAD_EXCHANGE_SECONDS)
+            await asyncio.sleep(topology.interval_s(own, members))
 
     async def _keep_house(self) -> None:
         while True:
--- a/liftrill/gateway/load_board.py
+++ b/liftrill/gateway/load_board.py
@@ -1,26 +1,38 @@
 """Adds up what nodes tell each other of their load on engines.
 
-Each node sees only its own requests. A word of a peer counts until the next one, or until
-it is too old: a peer that died or was cut off has no load that lasts.
+Each node sees only its own requests. A word counts until the next one from the same
+source, or until it is too old: a peer that died or was cut off has no load that lasts.
+The sum of a zone takes the place of the words of that zone's nodes.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from liftrill.gateway.engine_table import EngineLoad, EngineTable
+from liftrill.gateway.engine_table import EngineLoad, EngineTable, EngineView
 
 LoadByEngine = Mapping[str, EngineLoad]
 
 
+@dataclass(frozen=True, slots=True)
+class _Source:
+    """A node, or a whole zone where the node is empty."""
+
+    zone: str
+    node: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class _Report:
+    """A word, and the engines that it was added to: others may become known later."""
+
     loads: LoadByEngine
     heard_at: float
+    counted: tuple[tuple[EngineView, EngineLoad], ...]
 
 
 @dataclass(slots=True)
 class LoadBoard:
-    """The latest word of each peer, applied to the engine table.
+    """The latest word of each source, applied to the engine table.
 
     Attributes:
         lifetime_seconds: for how long a word counts.
@@ -28,28 +40,48 @@
 
     engines: EngineTable
     lifetime_seconds: float = 1.0
-    _reports: dict[str, _Report] = field(default_factory=dict)
+    _reports: dict[_Source, _Report] = field(default_factory=dict)
 
-    def take(self, node: str, loads: LoadByEngine, now: float) -> None:
-        """Replace what a peer told before."""
-        self._apply(self._reports.pop(node, None), -1)
-        self._reports[node] = _Report(loads, now)
-        self._apply(self._reports[node], 1)
+    def take(self, node: str, loads: LoadByEngine, now: float, zone: str = "") -> None:
+        """Replace what a peer told before, unless its zone's sum has it already."""
+        if _Source(zone) in self._reports:
+            return
+        self._replace(_Source(zone, node), loads, now)
+
+    def take_zone(self, zone: str, loads: LoadByEngine, now: float) -> None:
+        """Replace what was told of a zone and of its nodes."""
+        for source in [s for s in self._reports if s.zone == zone and s.node]:
+            self._withdraw(source)
+        self._replace(_Source(zone), loads, now)
 
     def expire(self, now: float) -> None:
         """Drop words that are too old."""
         limit = now - self.lifetime_seconds
-        for node in [n for n, report in self._reports.items() if report.heard_at < limit]:
-            self._apply(self._reports.pop(node), -1)
+        for source in [s for s, report in self._reports.items() if report.heard_at < limit]:
+            self._withdraw(source)
 
     def own_loads(self) -> dict[str, EngineLoad]:
         """Return what this node has on engines, for its peers."""
         return {view.engine_id: view.own_load for view in self.engines if view.own_load.requests}
 
-    def _apply(self, report: _Report | None, factor: int) -> None:
-        if report is None:
-            return
-        for engine_id, load in report.loads.items():
-            view = self.engines.get(engine_id)
-            if view is not None:
-                view.peer_load.add(load, factor)
+    def zone_sum(self, zone: str) -> dict[str, EngineLoad]:
+        """Return what this node and the heard nodes of its zone have on engines."""
+        words = [report.loads for s, report in self._reports.items() if s.zone == zone and s.node]
+        total: dict[str, EngineLoad] = {}
+        for loads in (self.own_loads(), *words):
+            for engine_id, load in loads.items():
+                total.setdefault(engine_id, EngineLoad()).add(load)
+        return total
+
+    def _replace(self, source: _Source, loads: LoadByEngine, now: float) -> None:
+        self._withdraw(source)
+        known = ((self.engines.get(engine_id), load) for engine_id, load in loads.items())
+        counted = tuple((view, load) for view, load in known if view is not None)
+        for view, load in counted:
+            view.peer_load.add(load)
+        self._reports[source] = _Report(loads, now, counted)
+
+    def _withdraw(self, source: _Source) -> None:
+        report = self._reports.pop(source, None)
+        for view, load in report.counted if report else ():
+            view.peer_load.add(load, -1)
--- /dev/null
+++ b/liftrill/gateway/load_codec.py
@@ -0,0 +1,42 @@
+"""Turns reports of load into datagrams and back."""
+
+from liftrill.gateway.engine_table import EngineLoad
+from liftrill.gateway.load_exchange import LoadReport, LoadScope
+from liftrill.messages import peer_pb2 as messages
+
+SCOPES = {
+    LoadScope.NODE: messages.NODE,
+    LoadScope.ZONE_SUM: messages.ZONE_SUM,
+    LoadScope.RELAYED_SUM: messages.RELAYED_SUM,
+}
+SCOPES_BY_NUMBER = {number: scope for scope, number in SCOPES.items()}
+
+
+def message_from_report(report: LoadReport) -> messages.Datagram:
+    """Return the datagram that carries a report."""
+    rows = [
+        messages.EngineLoad(
+            engine_id=engine_id,
+            requests=load.requests,
+            waiting_tokens=load.waiting_tokens,
+            resident_tokens=load.resident_tokens,
+        )
+        for engine_id, load in report.loads.items()
+    ]
+    # Without a row the word would not be known for one: a node without load says so too.
+    return messages.Datagram(
+        sender=report.node,
+        zone=report.zone,
+        load_scope=SCOPES[report.scope],
+        loads=rows or [messages.EngineLoad()],
+    )
+
+
+def report_from_message(message: messages.Datagram) -> LoadReport:
+    """Return the report that a datagram carries."""
+    loads = {
+        row.engine_id: EngineLoad(row.requests, row.waiting_tokens, row.resident_tokens)
+        for row in message.loads
+    }
+    scope = SCOPES_BY_NUMBER.get(message.load_scope, LoadScope.NODE)
+    return LoadReport(scope, message.sender, message.zone, loads)
--- /dev/null
+++ b/liftrill/gateway/load_exchange.py
@@ -0,0 +1,131 @@
+"""Who tells whom of loads on engines, sans-IO.
+
+Few nodes tell each other directly. Among many, a node tells its own zone; the zone's
+delegate tells the sum to the delegates of the other zones, which pass it on at home. A
+word then crosses between zones once for each pair of zones, not of nodes.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from liftrill.coordination import rendezvous
+from liftrill.coordination.membership_messages import Member
+from liftrill.gateway.load_board import LoadBoard, LoadByEngine
+
+DELEGATE_KEY = b"load delegate "
+DIRECT_NODES = 12
+SHORTEST_INTERVAL_S = 0.1
+INTERVAL_PER_NODE_S = 0.01
+LONGEST_INTERVAL_S = 0.4
+
+
+class LoadScope(Enum):
+    """Whose work a report counts."""
+
+    NODE = auto()
+    ZONE_SUM = auto()
+    RELAYED_SUM = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Work on engines, as one node or one zone has it."""
+
+    scope: LoadScope
+    node: str
+    zone: str
+    loads: LoadByEngine
+
+
+@dataclass(frozen=True, slots=True)
+class SendLoads:
+    """Send a report to some members."""
+
+    report: LoadReport
+    members: tuple[Member, ...]
+
+
+class LoadTopology(ABC):
+    """Decide which members a node's word goes to."""
+
+    @abstractmethod
+    def interval_s(self, own: Member, members: Iterable[Member]) -> float:
+        """Return the time between two words of a node."""
+
+    @abstractmethod
+    def own_word(self, own: Member, board: LoadBoard, members: list[Member]) -> list[SendLoads]:
+        """Return what a node tells of its own accord."""
+
+    @abstractmethod
+    def relayed(self, own: Member, report: LoadReport, members: list[Member]) -> list[SendLoads]:
+        """Return what a node passes on of a report that it received."""
+
+
+class Direct(LoadTopology):
+    """Tell every member."""
+
+    def interval_s(self, own: Member, members: Iterable[Member]) -> float:
+        """Return the shortest interval."""
+        return SHORTEST_INTERVAL_S
+
+    def own_word(self, own: Member, board: LoadBoard, members: list[Member]) -> list[SendLoads]:
+        """Return one report for all others."""
+        report = LoadReport(LoadScope.NODE, own.node_id, own.zone, board.own_loads())
+        return [SendLoads(report, others(own, members))]
+
+    def relayed(self, own: Member, report: LoadReport, members: list[Member]) -> list[SendLoads]:
+        """Return nothing: everyone was told."""
+        return []
+
+
+class ByZone(LoadTopology):
+    """Tell the own zone each node's load, and the other zones the sum."""
+
+    def interval_s(self, own: Member, members: Iterable[Member]) -> float:
+        """Return an interval that keeps the words a node receives in bounds."""
+        local = sum(member.zone == own.zone for member in members)
+        return min(LONGEST_INTERVAL_S, max(SHORTEST_INTERVAL_S, local * INTERVAL_PER_NODE_S))
+
+    def own_word(self, own: Member, board: LoadBoard, members: list[Member]) -> list[SendLoads]:
+        """Return a report for the zone, and the delegate's sum for the other zones."""
+        report = LoadReport(LoadScope.NODE, own.node_id, own.zone, board.own_loads())
+        local = tuple(m for m in others(own, members) if m.zone == own.zone)
+        words = [SendLoads(report, local)]
+        delegates = delegates_by_zone(members)
+        if delegates.get(own.zone) == own:
+            remote = tuple(m for zone, m in delegates.items() if zone != own.zone)
+            total = LoadReport(LoadScope.ZONE_SUM, own.node_id, own.zone, board.zone_sum(own.zone))
+            words.append(SendLoads(total, remote))
+        return words
+
+    def relayed(self, own: Member, report: LoadReport, members: list[Member]) -> list[SendLoads]:
+        """Return the word on another zone's sum for the own zone."""
+        if report.scope is not LoadScope.ZONE_SUM or report.zone == own.zone:
+            return []
+        passed = LoadReport(LoadScope.RELAYED_SUM, own.node_id, report.zone, report.loads)
+        return [SendLoads(passed, tuple(m for m in others(own, members) if m.zone == own.zone))]
+
+
+def topology_for(members: list[Member]) -> LoadTopology:
+    """Return the topology that suits a number of members."""
+    return Direct() if len(members) <= DIRECT_NODES else ByZone()
+
+
+def others(own: Member, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return the members that are not this node."""
+    return tuple(member for member in members if member.node_id != own.node_id)
+
+
+def delegates_by_zone(members: Iterable[Member]) -> dict[str, Member]:
+    """Return the member of each zone that speaks for it."""
+    zones: dict[str, dict[str, Member]] = {}
+    for member in members:
+        zones.setdefault(member.zone, {})[member.node_id] = member
+    found: dict[str, Member] = {}
+    for zone, by_id in zones.items():
+        first = rendezvous.first(DELEGATE_KEY + zone.encode(), by_id)
+        if first is not None:
+            found[zone] = by_id[first]
+    return found
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -20,7 +20,9 @@
     SendDatagram,
     Ticked,
 )
-from liftrill.gateway.engine_table import EngineLoad, EngineNotice
+from liftrill.gateway.engine_table import EngineNotice
+from liftrill.gateway.load_codec import message_from_report, report_from_message
+from liftrill.gateway.load_exchange import LoadReport, SendLoads
 from liftrill.messages import peer_pb2 as messages
 from liftrill.node.membership_codec import (
     GossipDecodeError,
@@ -44,7 +46,7 @@
     member_changed: Callable[[Member], None]
     newer_version: Callable[[int], None]
     notice: Callable[[EngineNotice], None]
-    loads: Callable[[str, dict[str, EngineLoad]], None]
+    loads: Callable[[LoadReport], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -99,13 +101,12 @@
                     self._send(member.address, _notice_message(notices))
             await asyncio.sleep(NOTICE_SPACING_SECONDS)
 
-    def tell_loads(self, loads: dict[str, EngineLoad]) -> None:
-        """Tell all members what this node has on engines."""
-        own = self._membership.own.node_id
-        data = _load_message(own, loads)
-        for member in self._membership.members():
-            if member.node_id != own:
-                self._send(member.address, data)
+    def send_loads(self, words: list[SendLoads]) -> None:
+        """Send reports of load to the members that they are meant for."""
+        for word in words:
+            message = message_from_report(word.report)
+            for member in word.members:
+                self._send(member.address, message)
 
     def close(self) -> None:
         """Close the UDP socket."""
@@ -132,7 +133,7 @@
         for notice in message.notices:
             self._callbacks.notice(_notice_from_message(notice))
         if message.loads:
-            self._callbacks.loads(message.sender, _loads_from_message(message))
+            self._callbacks.loads(report_from_message(message))
 
     def error_received(self, exc: Exception) -> None:
         """Ignore what the network says of a lost datagram: probes notice it."""
@@ -172,24 +173,3 @@
     return EngineNotice(
         message.engine_id, message.model, message.version, message.loading, message.sequence
     )
-
-
-def _load_message(sender: str, loads: dict[str, EngineLoad]) -> messages.Datagram:
-    rows = [
-        messages.EngineLoad(
-            engine_id=engine_id,
-            requests=load.requests,
-            waiting_tokens=load.waiting_tokens,
-            resident_tokens=load.resident_tokens,
-        )
-        for engine_id, load in loads.items()
-    ]
-    # Without a row the word would not be known for one: a node without load says so too.
-    return messages.Datagram(sender=sender, loads=rows or [messages.EngineLoad()])
-
-
-def _loads_from_message(message: messages.Datagram) -> dict[str, EngineLoad]:
-    return {
-        row.engine_id: EngineLoad(row.requests, row.waiting_tokens, row.resident_tokens)
-        for row in message.loads
-    }
