--- /dev/null
+++ b/features/platform_relay.feature
@@ -0,0 +1,34 @@
+Feature: The platform's program where a zone has many nodes, as separate processes
+
+  Background:
+    Given a stand-in platform with 2 desk engines and 0 model engines
+    And 6 nodes
+    And two of the nodes read the store and the others follow them
+
+  Scenario: Few nodes call the store, and what the operator does reaches all
+    When 4 s pass in which nothing changes
+    Then the store got at most 12 calls in them
+    When the operator takes the known key away
+    Then within 1.5 s every node answers the known key with 401
+
+  Scenario: A reader that stands still holds up nobody for long
+    When a reader is paused
+    And the operator takes the known key away
+    Then within 2.5 s every node that runs answers the known key with 401
+
+  Scenario: Followers of readers whose store refuses them read it themselves
+    When the store refuses both readers
+    And the operator takes the known key away
+    Then within 4 s every follower answers the known key with 401
+
+  Scenario: Nobody serves keys on the word of a reader that has no proof itself
+    When the store is silent for all
+    Then within 6 s every node answers the known key with 503
+    When the store answers again
+    Then within 4 s every node answers the known key with 200
+
+  Scenario: A leaving reader hands its followers on
+    When a reader is told to stop
+    Then within 1.5 s no node that runs follows it
+    When the operator takes the known key away
+    Then within 1.5 s every node that runs answers the known key with 401
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -188,7 +188,7 @@
             self.ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
         # As on the platform, each machine has an address of its own and ports are alike.
         node = Node(name, self.directory, f"127.0.1.{len(self.nodes) + 1}", self.ports)
-        node.write_settings(self.store.address, self.nodes, self.bounds)
+        node.write_settings(self.store.address_for(node.ip), self.nodes, self.bounds)
         self.nodes.append(node)
         await node.start(**options)
         return node
--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+MOST_NODES = 12
+
 
 class StandInStore:
     """Linearizable, in memory, on one port.
@@ -14,6 +16,7 @@
     Attributes:
         fault: "" or one of "down" (503), "silent" (no answer), "reset".
         lose_writes: how many writes are done without an answer.
+        refused_callers: addresses of nodes that get 503; a node calls at its own address.
     """
 
     def __init__(self):
@@ -24,7 +27,9 @@
         self.fault = ""
         self.lose_writes = 0
         self.calls = []
+        self.refused_callers = set()
         self.address = ""
+        self.port = 0
         self._changed = asyncio.Event()
         self._runner = None
 
@@ -34,9 +39,16 @@
         app.router.add_route("*", "/liftrill/{call}/{lease}", self._handle)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self.port = self._runner.addresses[0][1]
+        # Each node calls at its own address, which tells whose a call is.
+        for number in range(1, MOST_NODES + 1):
+            await web.TCPSite(self._runner, f"127.0.1.{number}", self.port).start()
+        self.address = self.address_for("127.0.0.1")
+
+    def address_for(self, ip):
+        """Return the address at which a node calls the store."""
+        return f"{ip}:{self.port}"
 
     async def stop(self):
         await self._runner.cleanup()
@@ -81,7 +93,8 @@
         call = request.match_info["call"]
         self._expire()
         self.calls.append((call, time.monotonic()))
-        if self.fault == "down":
+        called_at = request.transport.get_extra_info("sockname")[0]
+        if self.fault == "down" or called_at in self.refused_callers:
             return web.Response(status=503)
         if self.fault == "silent":
             await asyncio.sleep(30)
--- /dev/null
+++ b/features/steps/gateway_relay_steps.py
@@ -0,0 +1,434 @@
+"""Steps on nodes that follow other nodes' copies of the store."""
+
+import asyncio
+import os
+import time
+
+from behave import given, then, when
+
+from features.gateway_support import route_rule
+from liftrill.bench.launcher import free_ports
+from liftrill.coordination.change_log import ChangeLog
+from liftrill.coordination.membership_messages import Condition, Member
+from liftrill.coordination.range_store import RangePage, RemovedItem, StoredItem, WatchBatch
+from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.gateway.configuration_view import ConfigurationView
+from liftrill.gateway.currency import CurrencyProver
+from liftrill.gateway.reader_plan import ReaderPlan
+from liftrill.gateway.records import GatewayConfiguration
+from liftrill.gateway.relay_client import RelayClient, RelayListener, RelayLostError
+from liftrill.gateway.relay_codec import RelayAnswer
+from liftrill.gateway.relay_server import RelayServer
+
+
+def zone_members(count, condition_of=None):
+    names = [f"node-{n}" for n in range(count)]
+    conditions = condition_of or {}
+    members = [
+        Member(name, f"10.0.0.{n}:1", "region", "zone", 1, conditions.get(name, Condition.ALIVE))
+        for n, name in enumerate(names)
+    ]
+    return [*members, Member("elsewhere", "10.9.9.9:1", "region", "other", 1)]
+
+
+@given("a zone of {count:d} nodes")
+def step_zone(context, count):
+    context.count = count
+    context.members = zone_members(count)
+    context.plans = {m.node_id: ReaderPlan(m) for m in context.members if m.zone == "zone"}
+    context.now = 0.0
+
+
+def followed(context):
+    return {
+        name: plan.reader(context.members, context.now)
+        for name, plan in context.plans.items()
+        if name not in getattr(context, "dead", ())
+    }
+
+
+@then("{count:d} of them read the store")
+def step_readers(context, count):
+    found = [name for name, reader in followed(context).items() if reader is None]
+    assert len(found) == count, found
+
+
+@then("each of the others follows one, no reader more than {most:d} of them")
+def step_spread(context, most):
+    counts = {}
+    for reader in followed(context).values():
+        if reader is not None:
+            counts[reader.node_id] = counts.get(reader.node_id, 0) + 1
+    assert all(count <= most for count in counts.values()), counts
+
+
+@when("the reader that a node follows fails it")
+def step_fail(context):
+    if not hasattr(context, "name"):
+        context.name = next(n for n, reader in followed(context).items() if reader is not None)
+    plan = context.plans[context.name]
+    context.failed_reader = plan.reader(context.members, context.now)
+    plan.avoid(context.failed_reader.node_id, context.now)
+
+
+@then("the node follows the other reader")
+def step_other(context):
+    reader = context.plans[context.name].reader(context.members, context.now)
+    assert reader is not None and reader.node_id != context.failed_reader.node_id
+
+
+@then("the node reads the store itself")
+def step_itself(context):
+    assert context.plans[context.name].reader(context.members, context.now) is None
+
+
+@when("{seconds:d} s pass")
+def step_time(context, seconds):
+    context.now += seconds
+
+
+@then("the node follows a reader again")
+def step_again(context):
+    assert context.plans[context.name].reader(context.members, context.now) is not None
+
+
+@when("a reader dies")
+def step_dies(context):
+    dead = next(name for name, reader in followed(context).items() if reader is None)
+    context.dead = {dead}
+    context.members = zone_members(context.count, {dead: Condition.DEAD})
+
+
+@then("the dead one is followed by nobody")
+def step_nobody(context):
+    readers = {reader.node_id for reader in followed(context).values() if reader is not None}
+    assert not readers & context.dead
+
+
+@given('a mirror at revision {at:d} from which "{key}" was removed at {removed:d}')
+def step_mirror(context, at, key, removed):
+    context.mirror = StoreMirror()
+    item = StoredItem(key, b"", 5)
+    context.mirror.take_page(RangePage((item,), 6, False))
+    context.mirror.take_batch(WatchBatch((RemovedItem(key, removed),), at))
+
+
+@when('a reader that is behind tells of "{key}" as written at {revision:d}')
+def step_behind(context, key, revision):
+    context.mirror.take_batch(WatchBatch((StoredItem(key, b"", revision),), revision))
+
+
+@then('the mirror does not have "{key}"')
+def step_not_there(context, key):
+    assert context.mirror.get(key) is None
+
+
+def batch(at):
+    return WatchBatch((StoredItem(f"key-{at}", b"", at),), at)
+
+
+@given("a log of changes with batches up to revisions 10, 12 and 15 after 8")
+def step_log(context):
+    context.log = ChangeLog()
+    context.log.restart(8)
+    for at in (10, 12, 15):
+        context.log.append(batch(at))
+
+
+@then("a copy at 10 lacks the batches up to 12 and 15")
+def step_lacks(context):
+    assert [b.at for b in context.log.since(10)] == [12, 15]
+
+
+@then("a copy at 15 lacks none")
+def step_lacks_none(context):
+    assert context.log.since(15) == ()
+
+
+@then("a copy at {at:d} cannot be served")
+def step_unserved(context, at):
+    assert context.log.since(at) is None
+
+
+@when("it holds no more than 2 changes")
+def step_small(context):
+    context.log = ChangeLog(capacity=2)
+    context.log.restart(8)
+    for at in (10, 12, 15):
+        context.log.append(batch(at))
+
+
+@given("a configuration in force at version {version:d}")
+def step_in_force(context, version):
+    context.view = ConfigurationView(4.5)
+    context.view.adopt(GatewayConfiguration(version, (route_rule(),), {}))
+    context.prover = CurrencyProver(None, None, None, context.view, None)
+
+
+@when("a peer asked at {asked:g} s answers with version {version:d} and a proof {age:g} s old")
+def step_peer_proof(context, asked, version, age):
+    context.prover.take_answer(RelayAnswer(1, version, age, 10), asked)
+
+
+@then("the proof is {age:g} s old at {now:g} s")
+def step_proof_age(context, age, now):
+    assert abs(context.view.proof_age(now) - age) < 1e-6, context.view.proof_age(now)
+
+
+class Reader:
+    """A relay server on loopback, with a mirror that the steps change."""
+
+    def __init__(self, count, large=0):
+        self.mirror = StoreMirror()
+        self.view = ConfigurationView(4.5)
+        self.view.adopt(GatewayConfiguration(5, (), {}))
+        self.prove()
+        self.followers = 0
+        self.server = RelayServer(self.mirror, self.view, self.count)
+        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        items = [StoredItem(f"key-{n:04}", b"value", n + 1) for n in range(count)]
+        if large:
+            items[0] = StoredItem("key-0000", os.urandom(large), 1)
+        self.server.publish(self.mirror.take_page(RangePage(tuple(items), count, False)))
+
+    def count(self, followers):
+        self.followers = followers
+
+    def prove(self):
+        self.view.prove_current(5, time.monotonic())
+
+    def learn(self, *changes):
+        self.server.publish(self.mirror.take_batch(WatchBatch(changes, changes[-1].revision)))
+
+    def write(self, count, value=b"new"):
+        for _ in range(count):
+            revision = self.mirror.at + 1
+            self.learn(StoredItem(f"new-{revision}", value, revision))
+
+
+class Follower(RelayListener):
+    """A relay client with a mirror of its own."""
+
+    def __init__(self):
+        self.mirror = StoreMirror()
+        self.client = RelayClient(self)
+        self.answers = []
+        self.snapshots = 0
+        self.task = None
+
+    def follow(self, address):
+        self.mirror.begin_reading()
+        self.task = asyncio.ensure_future(self.client.follow(address, self.mirror.at))
+
+    def relay_updated(self, update):
+        if not update.snapshot:
+            self.mirror.take_batch(update.batch)
+            return
+        self.snapshots += not update.more
+        self.mirror.take_page(RangePage(update.batch.changes, update.batch.at, update.more))
+
+    def relay_confirmed(self, answer, asked_at):
+        self.answers.append(answer)
+
+
+class Proxy:
+    """Passes bytes on to a reader, or says nothing."""
+
+    def __init__(self, target):
+        self.target = target
+        self.silent = False
+        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        self.tasks = []
+
+    async def start(self):
+        host, _, port = self.address.rpartition(":")
+        await asyncio.start_server(self.serve, host, int(port))
+
+    async def serve(self, reader, writer):
+        host, _, port = self.target.rpartition(":")
+        there_reader, there_writer = await asyncio.open_connection(host, int(port))
+        self.tasks.append(asyncio.ensure_future(self.pump(reader, there_writer)))
+        await self.pump(there_reader, writer)
+
+    async def pump(self, source, target):
+        while data := await source.read(65536):
+            if not self.silent:
+                target.write(data)
+        target.close()
+
+
+async def eventually(condition, seconds=3.0):
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, "it did not come about in time"
+        await asyncio.sleep(0.01)
+
+
+def new_reader(context, count, large=0):
+    async def make():
+        context.reader = Reader(count, large)
+        await context.reader.server.listen(context.reader.address)
+
+    context.run(make())
+
+
+@given("a reader with {count:d} items, one of them of {large:d} bytes")
+def step_large_reader(context, count, large):
+    new_reader(context, count, large)
+
+
+@given("a reader with {count:d} items")
+def step_reader(context, count):
+    new_reader(context, count)
+
+
+@when("a follower follows it")
+def step_follow(context):
+    async def follow():
+        context.follower = Follower()
+        context.proxy = Proxy(context.reader.address)
+        await context.proxy.start()
+        context.follower.follow(context.proxy.address)
+        await eventually(lambda: context.follower.answers)
+
+    context.run(follow())
+
+
+def same(context):
+    return set(context.follower.mirror.items()) == set(context.reader.mirror.items())
+
+
+@then("the follower has the {count:d} items")
+def step_has(context, count):
+    assert same(context) and len(context.follower.mirror.items()) == count
+
+
+@when("the reader learns of a written and of a removed item")
+def step_learns(context):
+    async def learn():
+        at = context.reader.mirror.at
+        written = StoredItem("key-0001", b"other", at + 1)
+        context.reader.learn(written, RemovedItem("key-0002", at + 2))
+
+    context.run(learn())
+
+
+@then("the follower has them too, with the same revision")
+def step_has_too(context):
+    context.run(eventually(lambda: same(context)))
+    assert context.follower.mirror.get("key-0002") is None
+    assert context.follower.mirror.at == context.reader.mirror.at
+
+
+@when("the follower loses it, and the reader learns of {count:d} more items")
+def step_loses(context, count):
+    async def lose():
+        context.follower.task.cancel()
+        await asyncio.wait({context.follower.task})
+        context.reader.write(count)
+
+    context.run(lose())
+
+
+@when("the follower follows it again")
+def step_follow_again(context):
+    async def follow():
+        context.follower.answers.clear()
+        context.follower.follow(context.reader.address)
+        await eventually(lambda: context.follower.answers)
+
+    context.run(follow())
+
+
+@then("the follower has all of the reader's items without reading them all again")
+def step_resumed(context):
+    assert same(context)
+    assert context.follower.snapshots == 1, context.follower.snapshots
+
+
+class StaleView:
+    """A view whose proof is old."""
+
+    version = 5
+
+    def proof_age(self, now):
+        return 9.0
+
+
+def fall_silent(context):
+    context.proxy.silent = True
+
+
+def lose_proof(context):
+    context.reader.server._view = StaleView()
+
+
+def send_garbage(context):
+    context.reader.server._send_all(b"\xff\xff\xff")
+
+
+def close(context):
+    context.reader.server.close()
+
+
+FAILURES = {
+    "falls silent": fall_silent,
+    "has no fresh proof": lose_proof,
+    "sends what is no message": send_garbage,
+    "closes": close,
+}
+
+
+@when("the reader can no longer be relied on: it {fails}")
+def step_reader_fails(context, fails):
+    async def fail():
+        FAILURES[fails](context)
+
+    context.run(fail())
+
+
+@then("the follower gives it up within {seconds:g} s")
+def step_gives_up(context, seconds):
+    async def wait():
+        await asyncio.wait({context.follower.task}, timeout=seconds)
+        assert context.follower.task.done()
+        assert isinstance(context.follower.task.exception(), RelayLostError)
+
+    context.run(wait())
+
+
+@when("a follower follows it and stops reading")
+def step_stalled(context):
+    async def follow():
+        host, _, port = context.reader.address.rpartition(":")
+        context.stalled = await asyncio.open_connection(host, int(port), limit=1024)
+        reader, writer = context.stalled
+        writer.write(
+            b"GET /?after=0 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+            b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+            b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        reader._transport.pause_reading()
+        await eventually(lambda: context.reader.followers == 1)
+
+    context.run(follow())
+
+
+@when("the reader learns of {count:d} items of {size:d} bytes each")
+def step_many(context, count, size):
+    async def learn():
+        context.held = 0
+        for _ in range(count):
+            context.reader.write(1, os.urandom(size))
+            held = sum(s.held_bytes for s in context.reader.server._subscribers)
+            context.held = max(context.held, held)
+            await asyncio.sleep(0)
+
+    context.run(learn())
+
+
+@then("the reader has no followers, and holds less than {size:d} MB for any")
+def step_cut_off(context, size):
+    context.run(eventually(lambda: context.reader.followers == 0))
+    assert context.held < size * 1_000_000, context.held
--- /dev/null
+++ b/features/steps/platform_relay_steps.py
@@ -0,0 +1,115 @@
+"""Steps that run many nodes of one zone before the stand-in."""
+
+import asyncio
+import signal
+
+from behave import given, then, when
+
+READS = "liftrill_reads_store 1.0"
+
+
+async def metrics(deployment, node):
+    url = f"http://{node.address('Metrics')}/metrics"
+    async with deployment.session.get(url) as answer:
+        return await answer.text()
+
+
+async def readers(deployment, nodes):
+    texts = await asyncio.gather(*(metrics(deployment, node) for node in nodes))
+    return [node for node, text in zip(nodes, texts, strict=True) if READS in text]
+
+
+@given("two of the nodes read the store and the others follow them")
+def step_settled(context):
+    deployment = context.deployment
+
+    async def settled():
+        return len(await readers(deployment, deployment.nodes)) == 2
+
+    context.run(deployment.wait_until(settled))
+    context.readers = context.run(readers(deployment, deployment.nodes))
+    context.stopped = []
+
+
+@when("{seconds:g} s pass in which nothing changes")
+def step_quiet(context, seconds):
+    store = context.deployment.store
+    before = len(store.calls)
+    context.run(asyncio.sleep(seconds))
+    context.calls = [call for call, _ in store.calls[before:]]
+
+
+@then("the store got at most {most:d} calls in them")
+def step_few_calls(context, most):
+    # Two readers prove currency every 1.5 s; the leader renews its lease besides.
+    others = [call for call in context.calls if call != "kv-keep"]
+    assert 1 <= len(others) <= most, context.calls
+
+
+@when("the operator takes the known key away")
+def step_revoke(context):
+    context.deployment.configure(9, keys=("another-key",))
+
+
+def every_status(context, nodes, status, seconds):
+    deployment = context.deployment
+
+    async def all_answer():
+        calls = (deployment.call(node, "/whole/x") for node in nodes)
+        answers = await asyncio.gather(*calls)
+        return all(answer[0] == status for answer in answers)
+
+    context.run(deployment.wait_until(all_answer, seconds))
+
+
+@then("within {seconds:g} s every node answers the known key with {status:d}")
+def step_every(context, seconds, status):
+    every_status(context, context.deployment.nodes, status, seconds)
+
+
+@then("within {seconds:g} s every node that runs answers the known key with {status:d}")
+def step_every_running(context, seconds, status):
+    running = [node for node in context.deployment.nodes if node not in context.stopped]
+    every_status(context, running, status, seconds)
+
+
+@then("within {seconds:g} s every follower answers the known key with {status:d}")
+def step_every_follower(context, seconds, status):
+    nodes = [node for node in context.deployment.nodes if node not in context.readers]
+    every_status(context, nodes, status, seconds)
+
+
+@when("a reader is paused")
+def step_pause(context):
+    node = context.readers[0]
+    node.signal(signal.SIGSTOP)
+    context.stopped.append(node)
+
+
+@when("a reader is told to stop")
+def step_stop(context):
+    node = context.readers[0]
+    node.signal(signal.SIGTERM)
+    context.stopped.append(node)
+
+
+@when("the store refuses both readers")
+def step_refuse(context):
+    context.deployment.store.refused_callers = {node.ip for node in context.readers}
+
+
+@when("the store is silent for all")
+def step_silent(context):
+    context.deployment.store.fault = "silent"
+
+
+@then("within {seconds:g} s no node that runs follows it")
+def step_unfollowed(context, seconds):
+    deployment = context.deployment
+    stopped = context.stopped[0]
+
+    async def unfollowed():
+        text = await metrics(deployment, stopped)
+        return "liftrill_relay_followers 0.0" in text
+
+    context.run(deployment.wait_until(unfollowed, seconds))
--- a/liftrill/coordination/store_mirror.py
+++ b/liftrill/coordination/store_mirror.py
@@ -66,10 +66,13 @@
         return self._replace(found, first_at)
 
     def take_batch(self, batch: WatchBatch) -> MirrorChange:
-        """Take in the changes of a watch."""
+        """Take in the changes of a watch, or of a mirror that may be behind this one."""
         written: dict[str, StoredItem] = {}
         removed: dict[str, None] = {}
         for change in batch.changes:
+            # All up to `at` is known, removals too: an item that was removed does not return.
+            if change.revision <= self.at:
+                continue
             known = self._items.get(change.key)
             if known is not None and known.revision >= change.revision:
                 continue
@@ -82,14 +85,6 @@
         self.at = max(self.at, batch.at)
         return MirrorChange(tuple(written.values()), tuple(removed), gap=False)
 
-    def take_item(self, item: StoredItem) -> bool:
-        """Take in a single reading of a key; return whether it is news."""
-        known = self._items.get(item.key)
-        if known is not None and known.revision >= item.revision:
-            return False
-        self._items[item.key] = item
-        return True
-
     def _replace(self, found: dict[str, StoredItem], at: int) -> MirrorChange:
         removed = tuple(key for key in self._items if key not in found)
         written = tuple(
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -34,10 +34,10 @@
     configuration_revision: int = 0
     store_read: bool = False
 
-    def apply(self, change: MirrorChange) -> None:
-        """Take in a change of the store's mirror."""
+    def apply(self, change: MirrorChange, heard_at: float) -> None:
+        """Take in a change of the store's mirror; its news may be as old as a time."""
         for item in change.written:
-            self.apply_item(item)
+            self.apply_item(item, heard_at)
         self.store_read = True
         gone = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
         if change.gap:
@@ -48,7 +48,7 @@
             self.engines.remove(engine_id)
             self.log.belief("engine_gone", engine=engine_id, reason="record removed")
 
-    def apply_item(self, item: StoredItem) -> None:
+    def apply_item(self, item: StoredItem, heard_at: float) -> None:
         """Take in one item."""
         try:
             record = self.decoder.decode(item)
@@ -60,7 +60,7 @@
         elif isinstance(record, EngineRecord):
             self._update_engine(record)
         elif isinstance(record, WeightTarget):
-            self._name_target(record)
+            self._name_target(record, heard_at)
 
     def expire(self, now: float) -> None:
         """Let time pass for engines whose records vanished."""
@@ -101,8 +101,8 @@
                 revision=record.revision,
             )
 
-    def _name_target(self, target: WeightTarget) -> None:
-        if self.targets.name(target, time.monotonic(), age_known=self.store_read):
+    def _name_target(self, target: WeightTarget, heard_at: float) -> None:
+        if self.targets.name(target, heard_at, age_known=self.store_read):
             self.log.belief(
                 "weights_named",
                 model=target.model,
--- /dev/null
+++ b/liftrill/gateway/currency.py
@@ -0,0 +1,99 @@
+"""Proves, often enough, that the configuration in force is the newest."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+from contextlib import suppress
+
+from liftrill import constants
+from liftrill.coordination.range_store import RangeStore, StoredItem
+from liftrill.errors import StoreError
+from liftrill.gateway.beliefs import Beliefs
+from liftrill.gateway.configuration_view import ConfigurationView
+from liftrill.gateway.relay_codec import RelayAnswer
+from liftrill.gateway.store_follower import StoreFollower
+
+# How much later than a reading, or a peer's word, the watch may tell of the same change.
+WATCH_LAG_S = 0.4
+
+
+class CurrencyOwner(ABC):
+    """Whom to tell of a newer configuration that was read alone."""
+
+    @abstractmethod
+    def configuration_read(self, item: StoredItem) -> None:
+        """Take in a configuration that the mirror does not have yet."""
+
+
+class CurrencyProver:
+    """Ask the store, or take the proofs of the reader that this node follows."""
+
+    def __init__(
+        self,
+        store: RangeStore,
+        follower: StoreFollower,
+        beliefs: Beliefs,
+        view: ConfigurationView,
+        owner: CurrencyOwner,
+    ) -> None:
+        self._store = store
+        self._follower = follower
+        self._beliefs = beliefs
+        self._view = view
+        self._owner = owner
+        self._heard_version = 0
+        self._wanted = asyncio.Event()
+        self._watch_check: asyncio.Task[None] | None = None
+
+    def hear_version(self, version: int) -> None:
+        """Note that a peer has a newer version in force."""
+        if version > self._view.version:
+            self._heard_version = max(self._heard_version, version)
+            self._wanted.set()
+
+    def take_answer(self, answer: RelayAnswer, asked_at: float) -> None:
+        """Take the proof of a reader that was asked at a time.
+
+        It answered later than it was asked, so its proof is no older than its age
+        before the question, however long the answer was on its way.
+        """
+        self._view.prove_current(answer.version, asked_at - answer.proof_age_s)
+
+    async def run(self) -> None:
+        """Prove for as long as the node runs."""
+        while True:
+            asked_at = time.monotonic()
+            if await self._must_ask():
+                asked_at = time.monotonic()
+                with suppress(StoreError):
+                    await self._ask(asked_at)
+            rest = asked_at + constants.KEY_PROOF_INTERVAL_SECONDS - time.monotonic()
+            self._wanted.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(max(0.05, rest)):
+                    await self._wanted.wait()
+
+    async def _must_ask(self) -> bool:
+        if self._follower.followed is None:
+            return True
+        if self._heard_version > self._view.version:
+            await asyncio.sleep(WATCH_LAG_S)
+        return self._heard_version > self._view.version
+
+    async def _ask(self, asked_at: float) -> None:
+        reading = await self._store.read(self._beliefs.decoder.configuration_key)
+        item = reading.item
+        if item is None:
+            return
+        if item.revision > self._beliefs.configuration_revision:
+            self._owner.configuration_read(item)
+            self._watch_check = asyncio.ensure_future(self._check_watch(item))
+        if item.revision == self._beliefs.configuration_revision:
+            self._view.prove_current(self._view.version, asked_at)
+
+    async def _check_watch(self, item: StoredItem) -> None:
+        """Read the range again if the watch does not tell soon of an item read elsewhere."""
+        await asyncio.sleep(WATCH_LAG_S)
+        told = self._follower.mirror.get(item.key)
+        if told is None or told.revision < item.revision:
+            self._follower.read_again()
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from contextlib import suppress
 from typing import Any
 
 from liftrill import constants
@@ -13,10 +12,10 @@
 from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.coordination.range_store import RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
-from liftrill.errors import StoreError
 from liftrill.gateway.admission import RequestAdmission
 from liftrill.gateway.beliefs import Beliefs
 from liftrill.gateway.configuration_view import ConfigurationView
+from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineNotice, EngineTable
@@ -27,19 +26,20 @@
 from liftrill.gateway.load_exchange import LoadReport, LoadScope, topology_for
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.peer_link import PeerCallbacks, PeerLink, new_membership
+from liftrill.gateway.reader_plan import ReaderPlan
 from liftrill.gateway.record_decoder import RecordDecoder
+from liftrill.gateway.relay_codec import RelayAnswer
+from liftrill.gateway.relay_server import RelayServer
 from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.route_table import WeightedSplit
 from liftrill.gateway.settings import GatewaySettings
-from liftrill.gateway.store_follower import StoreFollower
+from liftrill.gateway.store_follower import FollowerOwner, StoreFollower
 from liftrill.gateway.transport import EngineTransport
 from liftrill.gateway.weight_controller import WeightController
 from liftrill.gateway.weight_rollout import WeightRollout
 from liftrill.gateway.weight_targets import WeightTargets
 
 HOUSEKEEPING_SECONDS = 0.25
-# How much later than a reading the watch may tell of the same change.
-WATCH_LAG_SECONDS = 0.4
 # With fewer nodes than this in the caller's zone, nodes of all zones are named.
 LEAST_NODES_OF_A_ZONE = 2
 LEASE_RENEW_INTERVAL_SECONDS = 0.7
@@ -51,7 +51,7 @@
 LEADER_RANK_KEY = b"leader"
 
 
-class Gateway:
+class Gateway(FollowerOwner, CurrencyOwner):
     """One node that forwards requests, and shares the work of control with its peers."""
 
     def __init__(
@@ -71,7 +71,6 @@
         self.stopping = False
         self.view = ConfigurationView(bounds.key_proof_seconds - constants.KEY_PROOF_MARGIN_SECONDS)
         self._store = store
-        self._decoder = decoder
         engines = EngineTable()
         grace = bounds.version_grace_seconds - constants.WEIGHT_GRACE_MARGIN_SECONDS
         targets = WeightTargets(
@@ -85,17 +84,18 @@
         self.admission = RequestAdmission(self.view, split)
         ports = ForwardingPorts(selector, self._allowance)
         self.forwarder = Forwarder(engines, ports, self._allowance, transport, log, metrics)
-        self._follower = StoreFollower(store, "", self._on_change, self._on_connection)
         self._membership = self._new_membership()
+        self._readers = ReaderPlan(self._membership.own)
+        self._follower = StoreFollower(store, "", self)
+        self._currency = CurrencyProver(store, self._follower, self._beliefs, self.view, self)
+        self._relay = RelayServer(self._follower.mirror, self.view, metrics.followers.set)
         self._loads = LoadBoard(engines)
         callbacks = PeerCallbacks(
-            self._on_member, self._on_newer_version, self._on_notice, self._on_loads
+            self._on_member, self._currency.hear_version, self._on_notice, self._on_loads
         )
         self._peers = PeerLink(self._membership, callbacks)
         self._controller = self._new_controller(orders, targets)
-        self._proof_wanted = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._watch_check: asyncio.Task[None] | None = None
 
     @property
     def ready(self) -> bool:
@@ -105,9 +105,10 @@
     async def start(self) -> None:
         """Begin to follow the store and to talk to peers."""
         await self._peers.listen(self.settings.peer_address)
+        await self._relay.listen(self.settings.peer_address)
         for loop in (
             self._follower.run,
-            self._prove,
+            self._currency.run,
             self._peers.run,
             self._controller.run,
             self._keep_house,
@@ -128,6 +129,7 @@
         for task in self._tasks:
             task.cancel()
         self._peers.close()
+        self._relay.close()
         self.log.belief("stopped")
 
     async def resign(self) -> None:
@@ -204,16 +206,47 @@
 
     # What others tell
 
-    def _on_change(self, change: MirrorChange) -> None:
+    def mirror_changed(self, change: MirrorChange, heard_at: float) -> None:
+        """Take in a change of the store's mirror, and pass it on."""
+        self._relay.publish(change)
         before = self.view.version
-        self._beliefs.apply(change)
-        if self.view.version != before:
-            self._peers.announce_version(self.view.version)
+        self._beliefs.apply(change, heard_at)
+        self._announce_if_newer(before)
         self.forwarder.engine_signal.notify()
 
-    def _on_connection(self, connected: bool) -> None:
+    def configuration_read(self, item: StoredItem) -> None:
+        """Take in a configuration that the mirror does not have yet."""
+        self._relay.publish_early(item)
+        before = self.view.version
+        self._beliefs.apply_item(item, time.monotonic())
+        self._announce_if_newer(before)
+
+    def store_connection(self, connected: bool) -> None:
+        """Note that the store was lost or regained."""
         self.log.belief("store", connected=connected, at=self._follower.mirror.at)
 
+    def relay_answered(self, answer: RelayAnswer, asked_at: float) -> None:
+        """Take the proof of the reader that this node follows."""
+        self._currency.take_answer(answer, asked_at)
+
+    def reader_to_follow(self) -> Member | None:
+        """Return the node whose mirror to follow, or None to read the store itself."""
+        return self._readers.reader(self._membership.members(), time.monotonic())
+
+    def is_reader(self, reader: Member) -> bool:
+        """Return whether a node that is being followed is still one to follow."""
+        readers = self._readers.readers(self._membership.members())
+        return reader.node_id in readers and self.settings.node not in readers
+
+    def reader_lost(self, reader: Member, reason: str) -> None:
+        """Leave a reader alone for a while that serves this node no more."""
+        self._readers.avoid(reader.node_id, time.monotonic())
+        self.log.belief("reader_lost", reader=reader.node_id, reason=reason)
+
+    def _announce_if_newer(self, before: int) -> None:
+        if self.view.version != before:
+            self._peers.announce_version(self.view.version)
+
     def _on_member(self, member: Member) -> None:
         alive = len(self._membership.members())
         self._allowance.nodes = max(self._allowance.nodes, alive)
@@ -224,10 +257,6 @@
             incarnation=member.incarnation,
         )
 
-    def _on_newer_version(self, version: int) -> None:
-        if version > self.view.version:
-            self._proof_wanted.set()
-
     def _on_notice(self, notice: EngineNotice) -> None:
         until = time.monotonic() + constants.LOADING_BELIEF_SECONDS
         self._engines.apply_notice(notice, until)
@@ -260,39 +289,6 @@
                 self.log.belief("task_failed", task=loop.__qualname__, error=repr(error))
             await asyncio.sleep(constants.BACKGROUND_RESTART_SECONDS)
 
-    async def _prove(self) -> None:
-        """Ask the store, often enough, which configuration is the newest."""
-        while True:
-            asked_at = time.monotonic()
-            with suppress(StoreError):
-                await self._prove_once(asked_at)
-            rest = asked_at + constants.KEY_PROOF_INTERVAL_SECONDS - time.monotonic()
-            self._proof_wanted.clear()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(max(0.05, rest)):
-                    await self._proof_wanted.wait()
-
-    async def _prove_once(self, asked_at: float) -> None:
-        reading = await self._store.read(self._decoder.configuration_key)
-        item = reading.item
-        if item is None:
-            return
-        if item.revision > self._beliefs.configuration_revision:
-            before = self.view.version
-            self._beliefs.apply_item(item)
-            if self.view.version != before:
-                self._peers.announce_version(self.view.version)
-            self._watch_check = asyncio.ensure_future(self._check_watch(item))
-        if item.revision == self._beliefs.configuration_revision:
-            self.view.prove_current(self.view.version, asked_at)
-
-    async def _check_watch(self, item: StoredItem) -> None:
-        """Read the range again if the watch does not tell soon of an item read elsewhere."""
-        await asyncio.sleep(WATCH_LAG_SECONDS)
-        told = self._follower.mirror.get(item.key)
-        if told is None or told.revision < item.revision:
-            self._follower.read_again()
-
     async def _tell_loads(self) -> None:
         """Tell peers of this node's load while there is any, and once when there is none."""
         own = self._membership.own
@@ -312,7 +308,10 @@
         while True:
             now = time.monotonic()
             self._beliefs.expire(now)
+            self._follower.reconsider()
             self.metrics.version.set(self.view.version)
             self.metrics.engines.set(len(self._engines))
+            self.metrics.reads_store.set(self._follower.followed is None)
+            self.metrics.proof_age.set(self.view.proof_age(now))
             self.metrics.peers.set(len(self._membership.members()))
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -36,6 +36,12 @@
         self.version = self._gauge("liftrill_configuration_version", "Version in force.")
         self.proof_age = self._gauge("liftrill_key_proof_age_seconds", "Age of the key proof.")
         self.engines = self._gauge("liftrill_engines", "Engines with a record.")
+        self.followers = self._gauge(
+            "liftrill_relay_followers", "Nodes that follow this one's copy of the store."
+        )
+        self.reads_store = self._gauge(
+            "liftrill_reads_store", "1 where this node reads the store, 0 where it follows one."
+        )
         self.peers = self._gauge("liftrill_peers", "Nodes believed alive, this one included.")
 
     def count_outcome(self, outcome: str) -> None:
--- a/liftrill/gateway/load_exchange.py
+++ b/liftrill/gateway/load_exchange.py
@@ -94,7 +94,8 @@
         local = tuple(m for m in others(own, members) if m.zone == own.zone)
         words = [SendLoads(report, local)]
         delegates = delegates_by_zone(members)
-        if delegates.get(own.zone) == own:
+        delegate = delegates.get(own.zone)
+        if delegate is not None and delegate.node_id == own.node_id:
             remote = tuple(m for zone, m in delegates.items() if zone != own.zone)
             total = LoadReport(LoadScope.ZONE_SUM, own.node_id, own.zone, board.zone_sum(own.zone))
             words.append(SendLoads(total, remote))
--- /dev/null
+++ b/liftrill/gateway/relay_client.py
@@ -0,0 +1,101 @@
+"""Follows another node's mirror of the store."""
+
+import asyncio
+import itertools
+import time
+from abc import ABC, abstractmethod
+from contextlib import suppress
+
+import aiohttp
+
+from liftrill import constants
+from liftrill.coordination.range_store import WatchBatch
+from liftrill.errors import LiftrillError
+from liftrill.gateway.relay_codec import (
+    RelayAnswer,
+    RelayDecodeError,
+    RelayUpdate,
+    decode_message,
+    encode_question,
+)
+from liftrill.gateway.relay_server import AFTER_PARAMETER
+
+_nonces = itertools.count(1)
+
+
+class RelayLostError(LiftrillError):
+    """The reader that this node follows serves it no more."""
+
+
+class RelayListener(ABC):
+    """Whom to tell of what a reader sends."""
+
+    @abstractmethod
+    def relay_updated(self, update: RelayUpdate) -> None:
+        """Take in changes, or a part of a snapshot."""
+
+    @abstractmethod
+    def relay_confirmed(self, answer: RelayAnswer, asked_at: float) -> None:
+        """Take in how current the reader was some time after a question."""
+
+
+class RelayClient:
+    """Follow one reader at a time."""
+
+    def __init__(self, listener: RelayListener) -> None:
+        self._listener = listener
+        self._asked_at: dict[int, float] = {}
+
+    async def follow(self, address: str, after: int) -> None:
+        """Follow a reader from a revision until it serves no more.
+
+        Raises:
+            RelayLostError: always, with the reason.
+        """
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=constants.CONNECT_TIMEOUT_SECONDS)
+        connector = aiohttp.TCPConnector(use_dns_cache=False, force_close=True)
+        url = f"http://{address}/?{AFTER_PARAMETER}={after}"
+        try:
+            async with (
+                aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+                asyncio.timeout(constants.RELAY_SILENCE_SECONDS) as opening,
+                session.ws_connect(url, max_msg_size=0) as socket,
+            ):
+                opening.reschedule(None)
+                await self._listen(socket)
+        except (aiohttp.ClientError, OSError, TimeoutError, RelayDecodeError) as error:
+            raise RelayLostError(f"{type(error).__name__}: {error}") from error
+
+    async def _listen(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        self._asked_at.clear()
+        asking = asyncio.ensure_future(self._ask(socket))
+        try:
+            while True:
+                async with asyncio.timeout(constants.RELAY_SILENCE_SECONDS):
+                    message = await socket.receive()
+                if message.type is not aiohttp.WSMsgType.BINARY:
+                    raise RelayLostError("closed by the reader")
+                self._take(message.data)
+        finally:
+            asking.cancel()
+
+    async def _ask(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        with suppress(OSError, RuntimeError, aiohttp.ClientError):
+            while True:
+                nonce = next(_nonces)
+                self._asked_at[nonce] = time.monotonic()
+                await socket.send_bytes(encode_question(nonce))
+                await asyncio.sleep(constants.RELAY_QUESTION_SECONDS)
+
+    def _take(self, data: bytes) -> None:
+        message = decode_message(data)
+        if isinstance(message, RelayUpdate):
+            self._listener.relay_updated(message)
+            return
+        asked_at = self._asked_at.pop(message.nonce, None)
+        if asked_at is None:
+            return
+        if message.proof_age_s > constants.RELAY_PROOF_AGE_SECONDS:
+            raise RelayLostError(f"its proof is {message.proof_age_s:.1f} s old")
+        self._listener.relay_updated(RelayUpdate(WatchBatch((), message.at)))
+        self._listener.relay_confirmed(message, asked_at)
--- /dev/null
+++ b/liftrill/gateway/relay_codec.py
@@ -0,0 +1,133 @@
+"""What a reader of the store sends to its followers, as bytes."""
+
+import zlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from google.protobuf.message import DecodeError
+
+from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
+from liftrill.errors import LiftrillError
+from liftrill.messages import peer_pb2 as messages
+
+# Below this size compression gains nothing.
+DEFLATE_FROM_BYTES = 1_024
+DEFLATE_LEVEL = 1
+LARGEST_VALUE_BYTES = 64 * 1024 * 1024
+SNAPSHOT_ITEMS_PER_MESSAGE = 128
+
+
+class RelayDecodeError(LiftrillError):
+    """Bytes of a peer are not a message of the relay."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayUpdate:
+    """Changes, or a part of a snapshot.
+
+    Attributes:
+        more: whether further parts of the snapshot follow.
+    """
+
+    batch: WatchBatch
+    snapshot: bool = False
+    more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """How current the reader was when it answered a question.
+
+    Attributes:
+        version: the configuration version in force there.
+        proof_age_s: since it asked the store which version is the newest.
+        at: the revision of its mirror; all changes up to it were sent before.
+    """
+
+    nonce: int
+    version: int
+    proof_age_s: float
+    at: int
+
+
+def encode_question(nonce: int) -> bytes:
+    """Return a question."""
+    return messages.RelayQuestion(nonce=nonce).SerializeToString()
+
+
+def decode_question(data: bytes) -> int:
+    """Return the nonce of a question."""
+    try:
+        return messages.RelayQuestion.FromString(data).nonce
+    except DecodeError as error:
+        raise RelayDecodeError("not a question") from error
+
+
+def encode_batch(batch: WatchBatch) -> bytes:
+    """Return a batch of changes."""
+    items = [_encode_change(change) for change in batch.changes]
+    return messages.RelayMessage(items=items, at=batch.at).SerializeToString()
+
+
+def encode_snapshot(items: Iterable[StoredItem], at: int) -> Iterator[bytes]:
+    """Return all items, in parts."""
+    rows = [_encode_change(item) for item in items]
+    step = SNAPSHOT_ITEMS_PER_MESSAGE
+    for start in range(0, max(1, len(rows)), step):
+        more = start + step < len(rows)
+        part = rows[start : start + step]
+        message = messages.RelayMessage(items=part, at=at, snapshot=True, more=more)
+        yield message.SerializeToString()
+
+
+def encode_answer(answer: RelayAnswer) -> bytes:
+    """Return an answer."""
+    row = messages.RelayAnswer(
+        nonce=answer.nonce,
+        version=answer.version,
+        proof_age_milliseconds=min(int(answer.proof_age_s * 1000) + 1, 0xFFFFFFFF),
+    )
+    return messages.RelayMessage(at=answer.at, answer=row).SerializeToString()
+
+
+def decode_message(data: bytes) -> RelayUpdate | RelayAnswer:
+    """Return what a reader sent."""
+    try:
+        message = messages.RelayMessage.FromString(data)
+        if message.HasField("answer"):
+            row = message.answer
+            age_s = row.proof_age_milliseconds / 1000.0
+            return RelayAnswer(row.nonce, row.version, age_s, message.at)
+        changes = tuple(_decode_change(row) for row in message.items)
+        return RelayUpdate(WatchBatch(changes, message.at), message.snapshot, message.more)
+    except (DecodeError, zlib.error) as error:
+        raise RelayDecodeError(f"not a message of a reader: {error}") from error
+
+
+def _encode_change(change: StoredItem | RemovedItem) -> messages.RelayItem:
+    if isinstance(change, RemovedItem):
+        return messages.RelayItem(key=change.key, revision=change.revision, removed=True)
+    value = change.value
+    deflated = len(value) >= DEFLATE_FROM_BYTES
+    return messages.RelayItem(
+        key=change.key,
+        value=zlib.compress(value, DEFLATE_LEVEL) if deflated else value,
+        revision=change.revision,
+        lease=change.lease,
+        deflated=deflated,
+    )
+
+
+def _decode_change(row: messages.RelayItem) -> StoredItem | RemovedItem:
+    if row.removed:
+        return RemovedItem(row.key, row.revision)
+    value = _inflate(row.value) if row.deflated else row.value
+    return StoredItem(row.key, value, row.revision, row.lease)
+
+
+def _inflate(data: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    value = inflater.decompress(data, LARGEST_VALUE_BYTES)
+    if inflater.unconsumed_tail or not inflater.eof:
+        raise RelayDecodeError("a value that is too large or cut short")
+    return value
--- /dev/null
+++ b/liftrill/gateway/relay_server.py
@@ -0,0 +1,155 @@
+"""Lets other nodes follow this node's mirror of the store."""
+
+import asyncio
+import math
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from aiohttp import WSMsgType, web
+
+from liftrill.coordination.change_log import ChangeLog
+from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
+from liftrill.coordination.store_mirror import MirrorChange, StoreMirror
+from liftrill.gateway.configuration_view import ConfigurationView
+from liftrill.gateway.relay_codec import (
+    RelayAnswer,
+    RelayDecodeError,
+    decode_question,
+    encode_answer,
+    encode_batch,
+    encode_snapshot,
+)
+
+AFTER_PARAMETER = "after"
+# A follower that is further behind than this is cut off, and may come back.
+QUEUED_BYTES = 8 * 1024 * 1024
+LARGEST_QUESTION_BYTES = 1_024
+ENDED = b""
+
+
+@dataclass(eq=False, slots=True)
+class _Subscriber:
+    """One follower: what it is still to be sent.
+
+    Attributes:
+        cut_off: ends its connection at once.
+        held_bytes: the size of what is queued.
+    """
+
+    cut_off: Callable[[], None]
+    queue: asyncio.Queue[bytes] = field(default_factory=asyncio.Queue)
+    held_bytes: int = 0
+
+    def put(self, data: bytes) -> None:
+        """Send data later, or cut the follower off if it does not take what it has."""
+        if self.held_bytes + len(data) > QUEUED_BYTES:
+            self.cut_off()
+            return
+        self.held_bytes += len(data)
+        self.queue.put_nowait(data)
+
+    async def take(self) -> bytes:
+        """Return what to send next, or `ENDED`."""
+        data = await self.queue.get()
+        self.held_bytes -= len(data)
+        return data
+
+
+class RelayServer:
+    """Serve the mirror to followers over web sockets."""
+
+    def __init__(
+        self, mirror: StoreMirror, view: ConfigurationView, count: Callable[[int], None]
+    ) -> None:
+        self._mirror = mirror
+        self._view = view
+        self._count = count
+        self._log = ChangeLog()
+        self._subscribers: set[_Subscriber] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Open the socket that followers connect to."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        handler = web.Server(self._on_request, access_log=None)
+        self._server = await loop.create_server(handler, host, int(port))
+
+    def close(self) -> None:
+        """Take no more followers, and let those there are go."""
+        if self._server is not None:
+            self._server.close()
+        for subscriber in self._subscribers:
+            subscriber.put(ENDED)
+
+    def publish(self, change: MirrorChange) -> None:
+        """Pass a change of the mirror on."""
+        if change.gap:
+            self._log.restart(self._mirror.at)
+            for data in encode_snapshot(self._mirror.items(), self._mirror.at):
+                self._send_all(data)
+            return
+        removed = (RemovedItem(key, self._mirror.at) for key in change.removed)
+        batch = WatchBatch((*change.written, *removed), self._mirror.at)
+        self._log.append(batch)
+        self._send_all(encode_batch(batch))
+
+    def publish_early(self, item: StoredItem) -> None:
+        """Pass on an item that was read alone, before the mirror knows of it."""
+        # Revision 0 moves no copy forward: other changes before this one may be missing.
+        self._send_all(encode_batch(WatchBatch((item,), 0)))
+
+    def _send_all(self, data: bytes) -> None:
+        for subscriber in self._subscribers:
+            subscriber.put(data)
+
+    async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        after = request.query.get(AFTER_PARAMETER, "")
+        if not after.isascii() or not after.isdigit() or not self._mirror.at:
+            return web.Response(status=400 if self._mirror.at else 503)
+        socket = web.WebSocketResponse(max_msg_size=LARGEST_QUESTION_BYTES, compress=False)
+        await socket.prepare(request)
+        assert request.transport is not None
+        subscriber = _Subscriber(request.transport.abort)
+        self._catch_up(subscriber, int(after))
+        self._subscribers.add(subscriber)
+        self._count(len(self._subscribers))
+        sending = asyncio.ensure_future(self._send(socket, subscriber))
+        try:
+            await self._answer(socket, subscriber)
+        finally:
+            self._subscribers.discard(subscriber)
+            self._count(len(self._subscribers))
+            sending.cancel()
+        return socket
+
+    def _catch_up(self, subscriber: _Subscriber, after: int) -> None:
+        batches = self._log.since(after) if after else None
+        if batches is None:
+            for data in encode_snapshot(self._mirror.items(), self._mirror.at):
+                subscriber.put(data)
+            return
+        for batch in batches:
+            subscriber.put(encode_batch(batch))
+
+    async def _send(self, socket: web.WebSocketResponse, subscriber: _Subscriber) -> None:
+        with suppress(OSError, RuntimeError):
+            while data := await subscriber.take():
+                await socket.send_bytes(data)
+        await socket.close()
+
+    async def _answer(self, socket: web.WebSocketResponse, subscriber: _Subscriber) -> None:
+        async for message in socket:
+            if message.type is not WSMsgType.BINARY:
+                return
+            try:
+                nonce = decode_question(message.data)
+            except RelayDecodeError:
+                return
+            age_s = self._view.proof_age(time.monotonic())
+            # It goes through the queue, behind all that the mirror took in before.
+            bounded = age_s if math.isfinite(age_s) else 1e6
+            answer = RelayAnswer(nonce, self._view.version, bounded, self._mirror.at)
+            subscriber.put(encode_answer(answer))
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -3,42 +3,75 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable
 
 from liftrill import constants
-from liftrill.coordination.range_store import HistoryGoneError, RangeStore
+from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.range_store import HistoryGoneError, RangePage, RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange, StoreMirror
 from liftrill.errors import StoreError
+from liftrill.gateway.relay_client import RelayClient, RelayListener, RelayLostError
+from liftrill.gateway.relay_codec import RelayAnswer, RelayUpdate
 
 
-class StoreFollower:
-    """Reads the range once, then watches it, and begins anew where history is gone.
+class FollowerOwner(ABC):
+    """Whom a follower tells of changes, and asks whom to follow."""
+
+    @abstractmethod
+    def mirror_changed(self, change: MirrorChange, heard_at: float) -> None:
+        """Take in a change; what is news in it may be as old as a time (steady clock)."""
+
+    @abstractmethod
+    def store_connection(self, connected: bool) -> None:
+        """Note that the store was lost or regained."""
+
+    @abstractmethod
+    def relay_answered(self, answer: RelayAnswer, asked_at: float) -> None:
+        """Note how current the followed reader is."""
+
+    @abstractmethod
+    def reader_to_follow(self) -> Member | None:
+        """Return the node to follow, or None to read the store itself."""
+
+    @abstractmethod
+    def is_reader(self, reader: Member) -> bool:
+        """Return whether a node that is being followed is still one to follow."""
+
+    @abstractmethod
+    def reader_lost(self, reader: Member, reason: str) -> None:
+        """Note that a reader serves this node no more."""
+
+
+class StoreFollower(RelayListener):
+    """Reads the range once, then watches it, or follows a node that does.
 
     Attributes:
         mirror: the copy.
-        connected: whether the last call was answered.
+        connected: whether the store's last call, or the followed reader, was answered.
+        followed: the reader that is being followed, or None.
     """
 
-    def __init__(
-        self,
-        store: RangeStore,
-        prefix: str,
-        on_change: Callable[[MirrorChange], None],
-        on_connection: Callable[[bool], None],
-    ) -> None:
+    def __init__(self, store: RangeStore, prefix: str, owner: FollowerOwner) -> None:
         self.mirror = StoreMirror()
         self.connected = False
+        self.followed: Member | None = None
         self._store = store
         self._prefix = prefix
-        self._on_change = on_change
-        self._on_connection = on_connection
+        self._owner = owner
+        self._relay = RelayClient(self)
         self._failures = 0
         self._reread = True
-        self._watching: asyncio.Task[None] | None = None
+        self._waiting: asyncio.Task[None] | None = None
+        self._confirmed_at = 0.0
 
     async def run(self) -> None:
         """Follow the range until cancelled."""
         while True:
+            reader = self._owner.reader_to_follow() if self.mirror.at else None
+            if reader is not None:
+                await self._follow(reader)
+                continue
             try:
                 await self._step()
             except HistoryGoneError:
@@ -50,21 +83,73 @@
     def read_again(self) -> None:
         """Read the whole range soon: something shows that the watch has missed changes."""
         self._reread = True
-        if self._watching is not None:
-            self._watching.cancel()
+        if self.followed is None:
+            self._interrupt()
+
+    def reconsider(self) -> None:
+        """Choose anew whom to follow, if the members call for it."""
+        if self.followed is not None:
+            if not self._owner.is_reader(self.followed):
+                self._interrupt()
+        elif self.mirror.at and self._owner.reader_to_follow() is not None:
+            self._interrupt()
+
+    # A reader's word
+
+    def relay_updated(self, update: RelayUpdate) -> None:
+        """Take in changes, or a part of a snapshot."""
+        self._note_connection(True)
+        if not update.snapshot:
+            change = self.mirror.take_batch(update.batch)
+            if change.written or change.removed:
+                self._owner.mirror_changed(change, time.monotonic())
+            return
+        items = tuple(item for item in update.batch.changes if isinstance(item, StoredItem))
+        change_or_more = self.mirror.take_page(RangePage(items, update.batch.at, update.more))
+        if change_or_more is not None:
+            self._owner.mirror_changed(change_or_more, self._since_confirmed())
+
+    def relay_confirmed(self, answer: RelayAnswer, asked_at: float) -> None:
+        """Take in how current the reader was some time after a question."""
+        self._confirmed_at = asked_at
+        self._owner.relay_answered(answer, asked_at)
+
+    async def _follow(self, reader: Member) -> None:
+        self.followed = reader
+        self.mirror.begin_reading()
+        try:
+            await self._interruptible(self._relay.follow(reader.address, self.mirror.at))
+        except RelayLostError as error:
+            self._owner.reader_lost(reader, str(error))
+        finally:
+            self.followed = None
+
+    def _since_confirmed(self) -> float:
+        """Return since when news of a reader may be waiting: it was lost for a while."""
+        now = time.monotonic()
+        return min(now, max(self._confirmed_at, now - constants.RELAY_GAP_SECONDS))
+
+    # The store's word
 
     async def _step(self) -> None:
         if self._reread:
             await self._read_all()
-        # The watch is a task of its own so that `read_again` can end it alone.
-        self._watching = asyncio.ensure_future(self._watch_once())
+        await self._interruptible(self._watch_once())
+
+    async def _interruptible(self, work: Awaitable[None]) -> None:
+        """Do work that `read_again` and `reconsider` can end alone."""
+        self._waiting = asyncio.ensure_future(work)
         try:
-            await asyncio.wait({self._watching})
-            if not self._watching.cancelled():
-                self._watching.result()
+            await asyncio.wait({self._waiting})
+            if not self._waiting.cancelled():
+                self._waiting.result()
         finally:
-            self._watching.cancel()
-            self._watching = None
+            self._waiting.cancel()
+            self._waiting = None
+
+    def _interrupt(self) -> None:
+        if self._waiting is not None:
+            self._waiting.cancel()
 
     async def _read_all(self) -> None:
         self._reread = False
@@ -78,7 +163,7 @@
             self._reread = True
             raise
         self._note_connection(True)
-        self._on_change(change)
+        self._owner.mirror_changed(change, time.monotonic())
 
     async def _watch_once(self) -> None:
         started_at = time.monotonic()
@@ -86,7 +171,7 @@
         batch = await self._store.watch(self._prefix, self.mirror.at, wait)
         self._note_connection(True)
         if batch.changes:
-            self._on_change(self.mirror.take_batch(batch))
+            self._owner.mirror_changed(self.mirror.take_batch(batch), time.monotonic())
             await self._pace(started_at)
         else:
             self.mirror.take_batch(batch)
@@ -108,4 +193,4 @@
             self._failures = 0
         if connected != self.connected:
             self.connected = connected
-            self._on_connection(connected)
+            self._owner.store_connection(connected)
