--- /dev/null
+++ b/features/steps/gateway_placement_steps.py
@@ -0,0 +1,60 @@
+"""Steps on where the shared parts of prompts are kept."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.gateway_support import engine_record, opaque_request
+from liftrill.gateway.engine_selector import EngineSelector
+from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.opaque_request import PromptPart, PromptShape
+from liftrill.gateway.records import KeptStoreProfile
+from liftrill.gateway.weight_targets import WeightTargets
+
+
+def new_selector(stores, engines):
+    table = EngineTable()
+    for number in range(engines):
+        table.update(engine_record(f"e{number}", weights={"model": 1}))
+    selector = EngineSelector(table, WeightTargets(8.0), "zone-1")
+    selector.kept_stores = tuple(
+        KeptStoreProfile(f"10.0.0.{number}:1", f"zone-{number}") for number in range(stores)
+    )
+    return selector
+
+
+@given("{stores:d} kept stores and {engines:d} engines")
+def step_selectors(context, stores, engines):
+    context.selectors = [new_selector(stores, engines) for _ in range(2)]
+
+
+@when("prompts with {count:d} shared parts are placed on two nodes")
+def step_place(context, count):
+    context.choices = []
+    for number in range(count):
+        parts = (
+            PromptPart("template", 50),
+            PromptPart(f"part-{number}", 100),
+            PromptPart(f"own-{number}", 10),
+        )
+        request = replace(opaque_request(), prompt=PromptShape("model", parts, 160, 20))
+        chosen = [s.choose(request, frozenset(), 0.0) for s in context.selectors]
+        context.choices.append(chosen)
+
+
+@then("both nodes fetch each part from the same store, and save it there")
+def step_alike(context):
+    for one, other in context.choices:
+        assert one.fetch_from == other.fetch_from == one.save_to == other.save_to != ""
+
+
+@then("each store has at least {least:d} of them")
+def step_spread(context, least):
+    stores = [one.fetch_from for one, _ in context.choices]
+    counts = [stores.count(store) for store in set(stores)]
+    assert len(counts) == 3 and min(counts) >= least, counts
+
+
+@then("nothing is fetched or saved")
+def step_nothing(context):
+    assert all(not c.fetch_from and not c.save_to for pair in context.choices for c in pair)
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -72,7 +72,7 @@
         if not self.view.adopt(configuration):
             return
         self.configuration_revision = revision
-        self.selector.kept_store = configuration.kept_store
+        self.selector.kept_stores = configuration.kept_stores
         sizes = {s.name: s.cache_tokens for s in configuration.services.values()}
         self.selector.cache_tokens.clear()
         self.selector.cache_tokens.update(sizes)
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -1,6 +1,7 @@
 """Applies what must hold for an engine, then lets the policy choose."""
 
 from liftrill import constants
+from liftrill.coordination import rendezvous
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineChoice
 from liftrill.gateway.engine_table import EngineTable, EngineView
@@ -21,7 +22,7 @@
     """Chooses engines for requests.
 
     Attributes:
-        kept_store: where prefixes are saved to and fetched from, or None.
+        kept_stores: where prefixes are saved to and fetched from.
         cache_tokens: tokens that one engine keeps, by service.
     """
 
@@ -33,7 +34,7 @@
         prompt_policy: PlacementPolicy | None = None,
         plain_policy: PlacementPolicy | None = None,
     ) -> None:
-        self.kept_store: KeptStoreProfile | None = None
+        self.kept_stores: tuple[KeptStoreProfile, ...] = ()
         self.cache_tokens: dict[str, int] = {}
         self._engines = engines
         self._targets = targets
@@ -104,7 +105,7 @@
     def _prompt_choice(self, chosen: Candidate, prompt: PromptShape) -> EngineChoice:
         view = chosen.view
         version = view.weight_version(prompt.model)
-        store = self.kept_store.address if self.kept_store and prompt.shared_parts else ""
+        store = self._kept_store(prompt)
         return EngineChoice(
             view.engine_id,
             view.record.address,
@@ -116,6 +117,16 @@
             expected_tokens=_tokens_to_read(prompt, chosen.kept),
         )
 
+    def _kept_store(self, prompt: PromptShape) -> str:
+        """Return the store that keeps the shared parts, the same on every node, or nothing.
+
+        A part and all before it lie in one store: an engine fetches from one.
+        """
+        if not prompt.shared_parts:
+            return ""
+        key = prompt.shared_parts[-1].part_id.encode()
+        return rendezvous.first(key, (store.address for store in self.kept_stores)) or ""
+
 
 def _deepest_part(salt: str, prompt: PromptShape) -> PartKey:
     return PartKey(salt, prompt.shared_parts[-1].part_id)
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -106,7 +106,7 @@
     version: int
     routes: tuple[RouteRule, ...]
     services: Mapping[str, ServiceProfile]
-    kept_store: KeptStoreProfile | None = None
+    kept_stores: tuple[KeptStoreProfile, ...] = ()
     tenants_by_key: Mapping[str, Tenant] | None = None
     limits: TrafficLimits = field(default_factory=TrafficLimits)
 
