--- a/features/gateway_admission.feature
+++ b/features/gateway_admission.feature
@@ -19,6 +19,11 @@
     When 200 requests are split
     Then "service-1" gets 180 of them and "service-2" 20
 
+  Scenario: The first requests of many nodes get the weights' shares too
+    Given a route split 90 to 10 between "service-1" and "service-2"
+    When each of 400 nodes splits 3 requests
+    Then "service-2" gets between 80 and 160 of them
+
   Scenario: A node never goes back to an older configuration
     Given versions 3, 7, 5 and 9 are offered in this order
     Then versions 3, 7 and 9 were put in force
--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -42,6 +42,18 @@
     context.services = [split.next_service(context.route) for _ in range(count)]
 
 
+@when("each of {nodes:d} nodes splits {count:d} requests")
+def step_split_nodes(context, nodes, count):
+    splits = [WeightedSplit() for _ in range(nodes)]
+    context.services = [s.next_service(context.route) for s in splits for _ in range(count)]
+
+
+@then('"{one}" gets between {least:d} and {most:d} of them')
+def step_share_between(context, one, least, most):
+    found = context.services.count(one)
+    assert least <= found <= most, found
+
+
 @then('"{one}" gets {first:d} of them and "{two}" {second:d}')
 def step_shares(context, one, first, two, second):
     assert context.services.count(one) == first
--- a/liftrill/gateway/route_table.py
+++ b/liftrill/gateway/route_table.py
@@ -1,9 +1,13 @@
 """Chooses a route by host and longest path prefix, and a service by weight."""
 
-from collections.abc import Iterable
+import random
+from collections.abc import Callable, Iterable
 
 from liftrill.gateway.records import RouteRule
 
+# A round of whole-number weights that add up to 100 is over by then.
+LONGEST_ROUND = 100
+
 
 class RouteTable:
     """The routes of one configuration."""
@@ -28,21 +32,32 @@
 
 
 class WeightedSplit:
-    """Smooth weighted round robin over the services of each route."""
+    """Smooth weighted round robin over the services of each route.
+
+    Each node begins somewhere in the round: if all began alike, the first requests of
+    many nodes would all go to the heaviest part.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, skip: Callable[[], int] = lambda: random.randrange(LONGEST_ROUND)) -> None:
+        self._skip = skip
         self._balances: dict[str, dict[str, float]] = {}
 
     def next_service(self, route: RouteRule) -> str:
         """Return the service that the next request of a route goes to."""
         if len(route.backends) == 1:
             return route.backends[0].service
-        total = sum(share.weight for share in route.backends)
-        balances = self._balances.setdefault(route.name, {})
+        if route.name not in self._balances:
+            self._balances[route.name] = {share.service: 0.0 for share in route.backends}
+            for _ in range(self._skip()):
+                self._advance(route)
+        return self._advance(route)
+
+    def _advance(self, route: RouteRule) -> str:
+        balances = self._balances[route.name]
         for share in route.backends:
             balances[share.service] = balances.get(share.service, 0.0) + share.weight
         best = max(route.backends, key=lambda share: balances[share.service])
-        balances[best.service] -= total
+        balances[best.service] -= sum(share.weight for share in route.backends)
         return best.service
 
     def forget(self) -> None:
