--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -21,6 +21,13 @@
     When 6 s pass
     Then the node follows a reader again
 
+  Scenario: A node that the store does not answer follows others, wherever it is
+    Given a zone of 3 nodes
+    When the store does not answer one of them
+    Then it follows 3 other nodes one after the other, and then none
+    And those of its own zone come first
+    And one that serves it is left after 5 s to try the store again
+
   Scenario: A dead or leaving reader is replaced on every node alike
     Given a zone of 8 nodes
     When a reader dies
--- a/features/platform_relay.feature
+++ b/features/platform_relay.feature
@@ -32,3 +32,10 @@
     Then within 1.5 s no node that runs follows it
     When the operator takes the known key away
     Then within 1.5 s every node that runs answers the known key with 401
+
+  Scenario: A node that the store refuses serves on, and learns of what the operator does
+    When the store refuses one of the readers
+    And 7 s pass in which nothing changes
+    Then within 0.5 s every node answers the known key with 200
+    When the operator takes the known key away
+    Then within 3 s every node answers the known key with 401
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -41,7 +41,7 @@
 
 def followed(context):
     return {
-        name: plan.reader(context.members, context.now)
+        name: plan.reader(context.members, context.now, False)
         for name, plan in context.plans.items()
         if name not in getattr(context, "dead", ())
     }
@@ -67,19 +67,19 @@
     if not hasattr(context, "name"):
         context.name = next(n for n, reader in followed(context).items() if reader is not None)
     plan = context.plans[context.name]
-    context.failed_reader = plan.reader(context.members, context.now)
+    context.failed_reader = plan.reader(context.members, context.now, False)
     plan.avoid(context.failed_reader.node_id, context.now)
 
 
 @then("the node follows the other reader")
 def step_other(context):
-    reader = context.plans[context.name].reader(context.members, context.now)
+    reader = context.plans[context.name].reader(context.members, context.now, False)
     assert reader is not None and reader.node_id != context.failed_reader.node_id
 
 
 @then("the node reads the store itself")
 def step_itself(context):
-    assert context.plans[context.name].reader(context.members, context.now) is None
+    assert context.plans[context.name].reader(context.members, context.now, False) is None
 
 
 @when("{seconds:d} s pass")
@@ -89,7 +89,7 @@
 
 @then("the node follows a reader again")
 def step_again(context):
-    assert context.plans[context.name].reader(context.members, context.now) is not None
+    assert context.plans[context.name].reader(context.members, context.now, False) is not None
 
 
 @when("a reader dies")
@@ -105,6 +105,36 @@
     assert not readers & context.dead
 
 
+@when("the store does not answer one of them")
+def step_store_lost(context):
+    context.name = next(iter(context.plans))
+    context.plan = context.plans[context.name]
+
+
+@then("it follows {count:d} other nodes one after the other, and then none")
+def step_stand_ins(context, count):
+    context.followed = []
+    for _ in range(count):
+        reader = context.plan.reader(context.members, context.now, True)
+        context.followed.append(reader)
+        context.plan.avoid(reader.node_id, context.now)
+    assert len({m.node_id for m in context.followed} - {context.name}) == count
+    assert context.plan.reader(context.members, context.now, True) is None
+
+
+@then("those of its own zone come first")
+def step_near_first(context):
+    zones = [m.zone for m in context.followed]
+    assert zones[:2] == ["zone", "zone"], zones
+
+
+@then("one that serves it is left after {seconds:g} s to try the store again")
+def step_left(context, seconds):
+    reader = context.followed[0]
+    assert context.plan.keeps(reader, context.members, 0.0, seconds - 0.1)
+    assert not context.plan.keeps(reader, context.members, 0.0, seconds)
+
+
 @given('a mirror at revision {at:d} from which "{key}" was removed at {removed:d}')
 def step_mirror(context, at, key, removed):
     context.mirror = StoreMirror()
--- a/features/steps/platform_relay_steps.py
+++ b/features/steps/platform_relay_steps.py
@@ -98,6 +98,11 @@
     context.deployment.store.refused_callers = {node.ip for node in context.readers}
 
 
+@when("the store refuses one of the readers")
+def step_refuse_one(context):
+    context.deployment.store.refused_callers = {context.readers[0].ip}
+
+
 @when("the store is silent for all")
 def step_silent(context):
     context.deployment.store.fault = "silent"
--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -65,8 +65,10 @@
             asked_at = time.monotonic()
             if await self._must_ask():
                 asked_at = time.monotonic()
-                with suppress(StoreError):
+                try:
                     await self._ask(asked_at)
+                except StoreError:
+                    self._follower.store_failed()
             rest = asked_at + constants.KEY_PROOF_INTERVAL_SECONDS - time.monotonic()
             self._wanted.clear()
             with suppress(TimeoutError):
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -229,14 +229,15 @@
         """Take the proof of the reader that this node follows."""
         self._currency.take_answer(answer, asked_at)
 
-    def reader_to_follow(self) -> Member | None:
+    def reader_to_follow(self, store_lost: bool) -> Member | None:
         """Return the node whose mirror to follow, or None to read the store itself."""
-        return self._readers.reader(self._membership.members(), time.monotonic())
+        members = self._membership.members()
+        return self._readers.reader(members, time.monotonic(), store_lost)
 
-    def is_reader(self, reader: Member) -> bool:
-        """Return whether a node that is being followed is still one to follow."""
-        readers = self._readers.readers(self._membership.members())
-        return reader.node_id in readers and self.settings.node not in readers
+    def keeps_reader(self, reader: Member, since: float) -> bool:
+        """Return whether a node that was followed since a time is still one to follow."""
+        members = self._membership.members()
+        return self._readers.keeps(reader, members, since, time.monotonic())
 
     def reader_lost(self, reader: Member, reason: str) -> None:
         """Leave a reader alone for a while that serves this node no more."""
--- a/liftrill/gateway/reader_plan.py
+++ b/liftrill/gateway/reader_plan.py
@@ -2,7 +2,8 @@
 
 Calls to the store are paid for and limited over all nodes. In a zone with many nodes a
 few read it, and the others follow one of these. Any node reads the store itself while
-no reader serves it.
+no reader serves it. The store may refuse some nodes while it serves others: a node that
+it does not answer follows another one for a while.
 """
 
 from collections.abc import Iterable
@@ -22,31 +23,60 @@
         readers_per_zone: how many nodes of a zone read the store.
         least_zone_nodes: nodes of a zone below which all read it.
         avoid_s: for how long a reader that failed this node is left alone.
+        stand_ins: nodes that are asked, one after the other, where the store does not answer.
+        stand_in_s: for how long one is followed before the store is tried again.
     """
 
     own: Member
     readers_per_zone: int = 2
     least_zone_nodes: int = 5
     avoid_s: float = 5.0
+    stand_ins: int = 3
+    stand_in_s: float = 5.0
     _avoided_until: dict[str, float] = field(default_factory=dict)
 
-    def reader(self, members: Iterable[Member], now: float) -> Member | None:
-        """Return the reader to follow, or None if this node is to read the store itself."""
-        readers = self.readers(members)
-        if not readers or self.own.node_id in readers:
-            return None
-        # Each node has an order of its own, so that the readers share the followers.
-        ranked = rendezvous.rank(self.own.node_id.encode(), readers)
-        usable = (name for name in ranked if now >= self._avoided_until.get(name, 0.0))
-        chosen = next(usable, None)
-        return readers[chosen] if chosen is not None else None
+    def reader(self, members: Iterable[Member], now: float, store_lost: bool) -> Member | None:
+        """Return the node to follow, or None if this node is to read the store itself."""
+        known = list(members)
+        readers = self.readers(known)
+        if self.own.node_id in readers:
+            readers = {}
+        chosen = self._first_usable(self._ranked(readers.values()), now)
+        if chosen is None and store_lost:
+            chosen = self._first_usable(self._stand_ins(known), now)
+        return chosen
+
+    def keeps(self, reader: Member, members: Iterable[Member], since: float, now: float) -> bool:
+        """Return whether a node that was followed since a time is still one to follow."""
+        known = list(members)
+        readers = self.readers(known)
+        if reader.node_id in readers and self.own.node_id not in readers:
+            return True
+        alive = any(m.node_id == reader.node_id and _is_alive(m) for m in known)
+        return alive and now - since < self.stand_in_s
+
+    def _first_usable(self, candidates: list[Member], now: float) -> Member | None:
+        """Return the first candidate that did not fail this node lately."""
+        usable = (m for m in candidates if now >= self._avoided_until.get(m.node_id, 0.0))
+        return next(usable, None)
+
+    def _ranked(self, candidates: Iterable[Member]) -> list[Member]:
+        """Return candidates in an order of this node's own, so that they share the followers."""
+        by_id = {member.node_id: member for member in candidates}
+        return [by_id[name] for name in rendezvous.rank(self.own.node_id.encode(), by_id)]
+
+    def _stand_ins(self, members: list[Member]) -> list[Member]:
+        """Return a few living nodes, those of the own zone first."""
+        others = (m for m in members if _is_alive(m) and m.node_id != self.own.node_id)
+        ranked = sorted(self._ranked(others), key=lambda m: m.zone != self.own.zone)
+        return ranked[: self.stand_ins]
 
     def readers(self, members: Iterable[Member]) -> dict[str, Member]:
         """Return the readers of this node's zone by name; none where all read the store."""
         local = {
             member.node_id: member
             for member in members
-            if member.zone == self.own.zone and member.condition is Condition.ALIVE
+            if member.zone == self.own.zone and _is_alive(member)
         }
         if len(local) < self.least_zone_nodes:
             return {}
@@ -57,3 +87,7 @@
         """Leave a reader alone for a while."""
         self._avoided_until = {n: t for n, t in self._avoided_until.items() if t > now}
         self._avoided_until[node_id] = now + self.avoid_s
+
+
+def _is_alive(member: Member) -> bool:
+    return member.condition is Condition.ALIVE
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -31,12 +31,12 @@
         """Note how current the followed reader is."""
 
     @abstractmethod
-    def reader_to_follow(self) -> Member | None:
+    def reader_to_follow(self, store_lost: bool) -> Member | None:
         """Return the node to follow, or None to read the store itself."""
 
     @abstractmethod
-    def is_reader(self, reader: Member) -> bool:
-        """Return whether a node that is being followed is still one to follow."""
+    def keeps_reader(self, reader: Member, since: float) -> bool:
+        """Return whether a node that was followed since a time is still one to follow."""
 
     @abstractmethod
     def reader_lost(self, reader: Member, reason: str) -> None:
@@ -64,11 +64,12 @@
         self._reread = True
         self._waiting: asyncio.Task[None] | None = None
         self._confirmed_at = 0.0
+        self._followed_since = 0.0
 
     async def run(self) -> None:
         """Follow the range until cancelled."""
         while True:
-            reader = self._owner.reader_to_follow() if self.mirror.at else None
+            reader = self._reader_to_follow()
             if reader is not None:
                 await self._follow(reader)
                 continue
@@ -89,11 +90,23 @@
     def reconsider(self) -> None:
         """Choose anew whom to follow, if the members call for it."""
         if self.followed is not None:
-            if not self._owner.is_reader(self.followed):
+            if not self._owner.keeps_reader(self.followed, self._followed_since):
                 self._interrupt()
-        elif self.mirror.at and self._owner.reader_to_follow() is not None:
+        elif self._reader_to_follow() is not None:
             self._interrupt()
 
+    def store_failed(self) -> None:
+        """Note that the store did not answer another call of this node."""
+        if self.followed is None:
+            self._failures += 1
+            self.reconsider()
+
+    def _reader_to_follow(self) -> Member | None:
+        store_lost = self._failures > 0
+        if not self.mirror.at and not store_lost:
+            return None
+        return self._owner.reader_to_follow(store_lost)
+
     # A reader's word
 
     def relay_updated(self, update: RelayUpdate) -> None:
@@ -116,6 +129,9 @@
 
     async def _follow(self, reader: Member) -> None:
         self.followed = reader
+        self._followed_since = time.monotonic()
+        # When it is given up, the store itself is tried before another stand-in.
+        self._failures = 0
         self.mirror.begin_reading()
         try:
             await self._interruptible(self._relay.follow(reader.address, self.mirror.at))
