--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -133,6 +133,7 @@
             attempts=len(machine.attempts),
             last_event=machine.last_event_id,
             milliseconds=round((now - request.received_at) * 1000),
+            **_stream_times(machine),
             time_left=round((request.deadline - now) * 1000),
             left_out=self._take_left_out(),
             **inputs,
@@ -153,3 +154,15 @@
     def _take_left_out(self) -> int:
         count, self._left_out = self._left_out, 0
         return count
+
+
+def _stream_times(machine: DeliveryMachine) -> dict[str, int | None]:
+    """Return what the line of a stream tells of its events, in milliseconds."""
+    times = machine.times
+    if not times.first_event_at:
+        return {}
+    return {
+        "first_event_ms": round((times.first_event_at - machine.request.received_at) * 1000),
+        "longest_pause_ms": round(times.longest_pause_s * 1000),
+        "longest_pause_after": times.longest_pause_after,
+    }
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -6,6 +6,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import ClassVar
 
@@ -55,6 +56,33 @@
     ENDED = auto()
 
 
+@dataclass(slots=True)
+class StreamTimes:
+    """When the events of a stream came, on the steady clock.
+
+    Attributes:
+        first_event_at: or 0 before the first one.
+        longest_pause_s: between two events.
+        longest_pause_after: the event before that pause, or None.
+    """
+
+    first_event_at: float = 0.0
+    longest_pause_s: float = 0.0
+    longest_pause_after: int | None = None
+    _last_event_at: float = 0.0
+    _last_event_id: int | None = None
+
+    def note(self, event_id: int | None, now: float) -> None:
+        """Take note of an event that came now."""
+        if not self.first_event_at:
+            self.first_event_at = now
+        elif now - self._last_event_at > self.longest_pause_s:
+            self.longest_pause_s = now - self._last_event_at
+            self.longest_pause_after = self._last_event_id
+        self._last_event_at = now
+        self._last_event_id = event_id
+
+
 class DeliveryMachine:
     """Decides what happens next with one request.
 
@@ -62,6 +90,7 @@
         phase: where the request stands.
         attempts: the engines it was sent to, in order.
         last_event_id: the newest event that the caller has, or None.
+        times: when events came; noted by whoever reads them.
     """
 
     def __init__(self, request: OpaqueRequest, ports: DeliveryPorts) -> None:
@@ -69,6 +98,7 @@
         self.phase = Phase.WAITING
         self.attempts: list[events.EngineChoice] = []
         self.last_event_id = request.last_event_id
+        self.times = StreamTimes()
         self._ports = ports
         self._ledger = AttemptLedger()
         self._arrivals = 0
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -210,6 +210,7 @@
     def _noted(self, found: list[events.DeliveryEvent]) -> list[events.DeliveryEvent]:
         for event in found:
             if isinstance(event, events.EventArrived):
+                self._machine.times.note(event.event.event_id, time.monotonic())
                 self._note_prompt_read()
             if self._view is not None:
                 self._forwarder.note(self._view, event, self._machine.request)
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
+from liftrill import constants
 from liftrill.coordination import rendezvous
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
@@ -72,12 +73,17 @@
     Attributes:
         move_tokens: what moving a shared part costs, in prompt tokens read meanwhile.
         reread_factor: how much dearer reading a shared part again is than waiting as long.
+        long_prompt_tokens: a prompt of which this much must be read makes the streams that
+            run on its engine pause, longer than their callers allow.
+        pause_share: what each such stream adds, as a share of the tokens to read.
         memory_share: share of an engine's memory from which running requests count too.
         cache_tokens: tokens that one engine keeps, by service.
     """
 
     move_tokens: float = 600.0
     reread_factor: float = 1.0
+    long_prompt_tokens: int = constants.LONG_PROMPT_TOKENS
+    pause_share: float = constants.LONG_PROMPT_PAUSE_SHARE
     memory_share: float = 0.6
     cache_tokens: dict[str, int] = field(default_factory=dict)
 
@@ -94,10 +100,21 @@
             if candidate.scope in scopes_seen:
                 cost += self.move_tokens if candidate.kept else shared * self.reread_factor
             scopes_seen.add(candidate.scope)
+            cost += self._pauses(request, candidate)
             if cost < least:
                 best, least = candidate, cost
         return best
 
+    def _pauses(self, request: OpaqueRequest, candidate: Candidate) -> float:
+        """Return what the pauses of other streams there cost, if the prompt is long."""
+        if request.prompt is None:
+            return 0.0
+        shared = sum(part.tokens for part in request.prompt.shared_parts)
+        to_read = request.prompt.prompt_tokens - (shared if candidate.kept else 0)
+        if to_read < self.long_prompt_tokens:
+            return 0.0
+        return candidate.view.requests * to_read * self.pause_share
+
     def _backlog(self, view: EngineView) -> float:
         capacity = self.cache_tokens.get(view.record.service, 0)
         excess = view.resident_tokens - self.memory_share * capacity if capacity else 0.0
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from liftrill import constants
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.weight_targets import NamedVersion, WeightTargets
 
@@ -26,17 +27,20 @@
         drain_time: how long before its order an engine gets no new requests, so that what
             waits there has begun when the order comes.
         longest_drain: how long the order waits for that at the most.
+        run_drain: how long the order waits for running requests to end: their streams would
+            pause for as long as the load takes.
         check_after: when an engine is first asked whether it is done.
         check_interval: between further questions.
         give_up_after: after which an order without effect is given again.
     """
 
     join_delay: float = 0.0
-    load_estimate: float = 1.0
+    load_estimate: float = constants.WEIGHT_LOAD_ESTIMATE_SECONDS
     finish_margin: float = 2.0
     least_at_once: int = 2
     drain_time: float = 0.4
     longest_drain: float = 1.6
+    run_drain: float = constants.WEIGHT_RUN_DRAIN_SECONDS
     check_after: float = 0.5
     check_interval: float = 0.25
     give_up_after: float = 3.0
@@ -192,7 +196,10 @@
 
     def _is_drained(self, load: Load, view: EngineView, now: float) -> bool:
         """Return whether nothing waits there any more, or it was waited for long enough."""
-        return view.waiting_tokens <= 0 or now - load.since >= self.parameters.longest_drain
+        waited = now - load.since
+        if view.waiting_tokens > 0:
+            return waited >= self.parameters.longest_drain
+        return view.requests <= 0 or waited >= self.parameters.run_drain
 
     def _order(self, load: Load, now: float) -> GiveOrder:
         # What was named since the announcement is reached by the same load.
