--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -13,3 +13,11 @@
     Given 0 kept stores and 4 engines
     When prompts with 10 shared parts are placed on two nodes
     Then nothing is fetched or saved
+
+  Scenario: A long prompt goes where few streams run, and a short one where its part is
+    Given 0 kept stores and 2 engines
+    And the engine that holds a part runs 4 streams, and the other one none
+    When a prompt of 30000 tokens with that part is placed
+    Then it goes to the engine without streams
+    When a prompt of 160 tokens with that part is placed
+    Then it goes to the engine that holds the part
--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -19,6 +19,10 @@
     And a request that no line tells of is said to be unknown
     And the summary counts how requests ended and what was left out
 
+  Scenario: The log tells what made a stream late
+    Given a log in which a stream's events came at 0.4, 0.5, 1.3 and 1.4 s
+    Then its story tells of the first event after 400 ms and of a pause of 800 ms after event 2
+
   Scenario: Lines on requests are bounded and what is left out is told
     Given a log that may write 5 ordinary lines a second
     When 100 requests end well within one second
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -6,7 +6,7 @@
 
 from features.gateway_support import engine_record, opaque_request
 from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
 from liftrill.gateway.records import KeptStoreProfile
 from liftrill.gateway.weight_targets import WeightTargets
@@ -58,3 +58,31 @@
 @then("nothing is fetched or saved")
 def step_nothing(context):
     assert all(not c.fetch_from and not c.save_to for pair in context.choices for c in pair)
+
+
+def place(context, tokens):
+    parts = (PromptPart("part", 100), PromptPart("own", tokens - 100))
+    request = replace(opaque_request(), prompt=PromptShape("model", parts, tokens, 20))
+    return context.selectors[0].choose(request, frozenset(), 0.0).engine_id
+
+
+@given("the engine that holds a part runs {count:d} streams, and the other one none")
+def step_running(context, count):
+    context.holder = place(context, 160)
+    view = context.selectors[0]._engines.get(context.holder)
+    view.own_load.add(EngineLoad(requests=count))
+
+
+@when("a prompt of {tokens:d} tokens with that part is placed")
+def step_place_one(context, tokens):
+    context.placed = place(context, tokens)
+
+
+@then("it goes to the engine without streams")
+def step_away(context):
+    assert context.placed != context.holder
+
+
+@then("it goes to the engine that holds the part")
+def step_to_holder(context):
+    assert context.placed == context.holder
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -166,6 +166,29 @@
     assert ["7", "lines", "left", "out"] in rows
 
 
+@given("a log in which a stream's events came at 0.4, 0.5, 1.3 and 1.4 s")
+def step_late_log(context):
+    messages = []
+    eliot.add_destinations(messages.append)
+    messages.clear()
+    context.stack.callback(eliot.remove_destination, messages.append)
+    machine = DeliveryMachine(opaque_request(), None)
+    for number, at in enumerate((0.4, 0.5, 1.3, 1.4), start=1):
+        machine.times.note(number, at)
+    DecisionLog("node-1").request_ended(machine, events.FinishStream())
+    context.lines = log_reader.read_lines(json.dumps(m) for m in messages)
+
+
+@then(
+    "its story tells of the first event after {first:d} ms"
+    " and of a pause of {pause:d} ms after event {number:d}"
+)
+def step_late_story(context, first, pause, number):
+    cause = log_reader.explain(context.lines, "request-1")[-1]
+    expected = f"first event after {first} ms, its longest pause {pause} ms after event {number}"
+    assert cause.endswith(expected), cause
+
+
 @given("a log that may write {count:d} ordinary lines a second")
 def step_bounded(context, count):
     context.messages = []
--- a/liftrill/gateway/log_reader.py
+++ b/liftrill/gateway/log_reader.py
@@ -119,8 +119,21 @@
         return "its end is not told: the process ended first, or the line was left out"
     last = ended[-1].fields
     outcome = last.get("outcome", "refused")
-    if outcome in ("served", "caller_gone"):
-        return "served" if outcome == "served" else "its caller left before the end"
+    if outcome == "served":
+        return f"served{_pauses(last)}"
+    if outcome == "caller_gone":
+        return f"its caller left before the end{_pauses(last)}"
     reason = CAUSES.get(str(last.get("code")), "not known to this version")
     attempts = [line.fields["outcome"] for line in own if line.kind == "attempt_failed"]
     return f"{reason} ({', '.join(attempts)})" if attempts else reason
+
+
+def _pauses(fields: dict[str, Any]) -> str:
+    """Return when the events of a stream came, which is what makes it late."""
+    if "first_event_ms" not in fields:
+        return ""
+    told = f", its first event after {fields['first_event_ms']} ms"
+    after = fields["longest_pause_after"]
+    if after is None:
+        return told
+    return f"{told}, its longest pause {fields['longest_pause_ms']} ms after event {after}"
