--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -102,3 +102,9 @@
     Then the first one leads
     When the idle leader is killed
     Then the other one leads, and may give orders at once
+
+  Scenario: A leader that is about to end hands over, and contends no more while it drains
+    Given a store and 2 contenders
+    When both contend
+    And the leader retires, and the other one is frozen
+    Then nobody leads for 5 s
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -259,6 +259,20 @@
     context.leader.frozen = True
 
 
+@when("the leader retires, and the other one is frozen")
+def step_retire(context):
+    context.run(context.leader.leadership.retire())
+    context.other.frozen = True
+
+
+@then("nobody leads for {seconds:g} s")
+def step_nobody_leads(context, seconds):
+    until = context.store.now + seconds
+    while context.store.now < until:
+        run_contenders(context, TICK_SECONDS)
+        assert not leaders(context)
+
+
 @when("the idle leader is killed")
 def step_kill_idle(context):
     context.leader.frozen = True
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -123,11 +123,11 @@
             view.breaker.record_start(now)
         return view, self._transport.attempt(request, start)
 
-    def note(self, view: EngineView, event: events.DeliveryEvent, request: OpaqueRequest) -> None:
+    def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
         """Learn about an engine from what an attempt told."""
         now = time.monotonic()
         if isinstance(event, events.AttemptRefused):
-            self._note_refusal(view, event.kind, request, now)
+            self._note_refusal(view, event.kind, now)
         elif isinstance(event, events.AttemptBroken):
             view.breaker.record_failure(now)
         elif isinstance(event, events.WholeAnswer | events.EventArrived):
@@ -137,9 +137,7 @@
         """Note that the newest attempt's engine has read the prompt."""
         self._ports.record_read(machine.attempts[-1], machine.request)
 
-    def _note_refusal(
-        self, view: EngineView, kind: events.RefusalKind, request: OpaqueRequest, now: float
-    ) -> None:
+    def _note_refusal(self, view: EngineView, kind: events.RefusalKind, now: float) -> None:
         if kind is events.RefusalKind.UNREACHABLE:
             view.breaker.record_failure(now)
         elif kind is events.RefusalKind.WRONG_INSTANCE:
@@ -213,7 +211,7 @@
                 self._machine.times.note(event.event.event_id, time.monotonic())
                 self._note_prompt_read()
             if self._view is not None:
-                self._forwarder.note(self._view, event, self._machine.request)
+                self._forwarder.note(self._view, event)
             self._forwarder.log.attempt_event(self._machine, event)
         return found
 
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -124,8 +124,7 @@
         self.log.belief("stopping")
 
     async def stop(self) -> None:
-        """Hand over what this node leads, and end."""
-        await self._controller.stop()
+        """End; what this node led was handed over before."""
         for task in self._tasks:
             task.cancel()
         self._peers.close()
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -72,6 +72,7 @@
         self._active = False
         self._activity_revision = 0
         self._last_order_at = 0.0
+        self._retired = False
 
     @property
     def fence(self) -> int:
@@ -88,6 +89,8 @@
 
     async def step(self) -> None:
         """Do what is due with the store: acquire or renew."""
+        if self._retired:
+            return
         now = self._clock()
         had = self.fence
         instruction = self._lease.due(now)
@@ -147,6 +150,11 @@
         except StoreError:
             return
 
+    async def retire(self) -> None:
+        """Give the lease back and contend no more: this node is about to end."""
+        self._retired = True
+        await self.resign()
+
     def step_down(self, reason: str) -> None:
         """Stop giving orders: something shows that another node leads."""
         if self.fence:
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -65,7 +65,7 @@
         """Give no more orders, wait for those on their way, and hand over."""
         for task in list(self._tasks):
             task.cancel()
-        await self._leadership.resign()
+        await self._leadership.retire()
 
     async def _lead(self, now: float) -> None:
         """One round of decisions; each is checked against the lease again when it is sent."""
