--- a/features/gateway_load.feature
+++ b/features/gateway_load.feature
@@ -31,5 +31,17 @@
       | 60    | 2      | 59   | 6      |
       | 350   | 2      | 350  | 6      |
 
+  Scenario Outline: What one node had saved in a kept store is known to all, and no longer than it may last
+    Given <nodes> nodes in 3 zones, each with one request on each of 4 engines
+    And one of them has sent a shared part to the kept store
+    When they tell each other of their load 2 times
+    Then every node knows that the part is kept, and forgets it after 20 s
+    And nobody tells of it any more after 1.1 s
+
+    Examples:
+      | nodes |
+      | 7     |
+      | 60    |
+
   Scenario: A node keeps in its share of the words when there are many
     Then the interval of a node's words is 0.1 s in a zone of 3 and 0.26 s in one of 26
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -8,6 +8,7 @@
 from liftrill.gateway.load_board import LoadBoard
 from liftrill.gateway.load_codec import message_from_report, report_from_message
 from liftrill.gateway.load_exchange import ByZone, LoadScope, topology_for
+from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
 from liftrill.messages import peer_pb2
 
 
@@ -73,8 +74,10 @@
         for name in engines:
             table.update(engine_record(name)).own_load.add(load(1))
         self.board = LoadBoard(table)
+        self.directory = PrefixDirectory()
 
     def take(self, report, members, now):
+        self.directory.hear(report.kept, now, report.zone == self.own.zone)
         if report.scope is LoadScope.NODE:
             self.board.take(report.node, report.loads, now, report.zone)
             return []
@@ -107,7 +110,13 @@
     for number in range(rounds):
         context.sent, context.across = {}, 0
         for name, node in context.nodes.items():
-            send(context, name, topology.own_word(node.own, node.board, members), number * 0.1)
+            now = number * 0.1
+            send(
+                context,
+                name,
+                topology.own_word(node.own, node.board, node.directory.news(now), members),
+                now,
+            )
 
 
 @then("every node counts {count:d} requests on each engine")
@@ -117,6 +126,26 @@
         assert counted == [count] * len(counted), (name, counted)
 
 
+@given("one of them has sent a shared part to the kept store")
+def step_saved(context):
+    context.part = part_number("salt", "part")
+    first = next(iter(context.nodes.values()))
+    first.directory.record_saved(context.part, 0.0, worth_telling=True)
+
+
+@then("every node knows that the part is kept, and forgets it after {seconds:g} s")
+def step_kept(context, seconds):
+    for name, node in context.nodes.items():
+        assert node.directory.is_saved(context.part, 0.2), name
+        assert not node.directory.is_saved(context.part, seconds + 0.2), name
+
+
+@then("nobody tells of it any more after {seconds:g} s")
+def step_no_news(context, seconds):
+    for name, node in context.nodes.items():
+        assert node.directory.news(seconds + 0.2).zone == (), name
+
+
 @then("no node sent more than {most:d} datagrams in a round")
 def step_most(context, most):
     assert max(context.sent.values()) <= most, max(context.sent.values())
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -13,7 +13,7 @@
     PromptCost,
     cache_salt,
 )
-from liftrill.gateway.prefix_directory import PartKey, PrefixDirectory
+from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
 from liftrill.gateway.records import KeptStoreProfile
 from liftrill.gateway.weight_targets import WeightTargets
 
@@ -24,6 +24,7 @@
     Attributes:
         kept_stores: where prefixes are saved to and fetched from.
         cache_tokens: tokens that one engine keeps, by service.
+        directory: which shared parts are in a kept store.
     """
 
     def __init__(
@@ -41,7 +42,7 @@
         self._zone = zone
         self._prompt_policy = prompt_policy or PromptCost(cache_tokens=self.cache_tokens)
         self._plain_policy = plain_policy or LeastLoaded()
-        self._directory = PrefixDirectory()
+        self.directory = PrefixDirectory()
 
     def choose(
         self, request: OpaqueRequest, excluded: frozenset[str], now: float
@@ -65,8 +66,12 @@
 
     def record_read(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
         """Note that an engine has read a prompt, and sends to the store what it was told to."""
-        if choice.save_to and request.prompt is not None:
-            self._directory.record_saved(_deepest_part(choice.cache_salt, request.prompt), now)
+        prompt = request.prompt
+        if not choice.save_to or prompt is None:
+            return
+        tokens = sum(part.tokens for part in prompt.shared_parts)
+        worth_telling = tokens >= constants.KEPT_NEWS_TOKENS
+        self.directory.record_saved(_deepest_part(choice.cache_salt, prompt), now, worth_telling)
 
     def _version_floor(self, able: list[EngineView], request: OpaqueRequest) -> int:
         """Return the lowest version to use, as far as versions of unknown age decide it.
@@ -97,7 +102,7 @@
         assert prompt is not None
         version = view.weight_version(prompt.model)
         salt = cache_salt(request.tenant, request.isolated, prompt.model, version)
-        kept = bool(prompt.shared_parts) and self._directory.is_saved(
+        kept = bool(prompt.shared_parts) and self.directory.is_saved(
             _deepest_part(salt, prompt), now
         )
         return Candidate(view, salt, kept)
@@ -128,8 +133,8 @@
         return rendezvous.first(key, (store.address for store in self.kept_stores)) or ""
 
 
-def _deepest_part(salt: str, prompt: PromptShape) -> PartKey:
-    return PartKey(salt, prompt.shared_parts[-1].part_id)
+def _deepest_part(salt: str, prompt: PromptShape) -> int:
+    return part_number(salt, prompt.shared_parts[-1].part_id)
 
 
 def _tokens_to_read(prompt: PromptShape, kept: bool) -> int:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -265,6 +265,8 @@
 
     def _on_loads(self, report: LoadReport) -> None:
         now = time.monotonic()
+        of_zone = report.zone == self.settings.zone
+        self._beliefs.selector.directory.hear(report.kept, now, of_zone)
         if report.scope is LoadScope.NODE:
             self._loads.take(report.node, report.loads, now, report.zone)
             return
@@ -296,8 +298,9 @@
         while True:
             members = self._membership.members()
             topology = topology_for(members)
-            words = topology.own_word(own, self._loads, members)
-            has_load = any(word.report.loads for word in words)
+            kept = self._beliefs.selector.directory.news(time.monotonic())
+            words = topology.own_word(own, self._loads, kept, members)
+            has_load = any(word.report.loads or word.report.kept for word in words)
             if has_load or had_load:
                 self._peers.send_loads(words)
             had_load = has_load
--- a/liftrill/gateway/load_codec.py
+++ b/liftrill/gateway/load_codec.py
@@ -29,6 +29,7 @@
         zone=report.zone,
         load_scope=SCOPES[report.scope],
         loads=rows or [messages.EngineLoad()],
+        kept_parts=report.kept,
     )
 
 
@@ -39,4 +40,4 @@
         for row in message.loads
     }
     scope = SCOPES_BY_NUMBER.get(message.load_scope, LoadScope.NODE)
-    return LoadReport(scope, message.sender, message.zone, loads)
+    return LoadReport(scope, message.sender, message.zone, loads, tuple(message.kept_parts))
--- a/liftrill/gateway/load_exchange.py
+++ b/liftrill/gateway/load_exchange.py
@@ -7,12 +7,13 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Member
 from liftrill.gateway.load_board import LoadBoard, LoadByEngine
+from liftrill.gateway.prefix_directory import KeptNews
 
 DELEGATE_KEY = b"load delegate "
 DIRECT_NODES = 12
@@ -31,12 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Work on engines, as one node or one zone has it."""
+    """Work on engines, as one node or one zone has it, and what they sent to kept stores."""
 
     scope: LoadScope
     node: str
     zone: str
     loads: LoadByEngine
+    kept: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +57,9 @@
         """Return the time between two words of a node."""
 
     @abstractmethod
-    def own_word(self, own: Member, board: LoadBoard, members: list[Member]) -> list[SendLoads]:
+    def own_word(
+        self, own: Member, board: LoadBoard, kept: KeptNews, members: list[Member]
+    ) -> list[SendLoads]:
         """Return what a node tells of its own accord."""
 
     @abstractmethod
@@ -70,9 +74,11 @@
         """Return the shortest interval."""
         return SHORTEST_INTERVAL_S
 
-    def own_word(self, own: Member, board: LoadBoard, members: list[Member]) -> list[SendLoads]:
+    def own_word(
+        self, own: Member, board: LoadBoard, kept: KeptNews, members: list[Member]
+    ) -> list[SendLoads]:
         """Return one report for all others."""
-        report = LoadReport(LoadScope.NODE, own.node_id, own.zone, board.own_loads())
+        report = LoadReport(LoadScope.NODE, own.node_id, own.zone, board.own_loads(), kept.own)
         return [SendLoads(report, others(own, members))]
 
     def relayed(self, own: Member, report: LoadReport, members: list[Member]) -> list[SendLoads]:
@@ -88,16 +94,19 @@
         local = sum(member.zone == own.zone for member in members)
         return min(LONGEST_INTERVAL_S, max(SHORTEST_INTERVAL_S, local * INTERVAL_PER_NODE_S))
 
-    def own_word(self, own: Member, board: LoadBoard, members: list[Member]) -> list[SendLoads]:
+    def own_word(
+        self, own: Member, board: LoadBoard, kept: KeptNews, members: list[Member]
+    ) -> list[SendLoads]:
         """Return a report for the zone, and the delegate's sum for the other zones."""
-        report = LoadReport(LoadScope.NODE, own.node_id, own.zone, board.own_loads())
+        report = LoadReport(LoadScope.NODE, own.node_id, own.zone, board.own_loads(), kept.own)
         local = tuple(m for m in others(own, members) if m.zone == own.zone)
         words = [SendLoads(report, local)]
         delegates = delegates_by_zone(members)
         delegate = delegates.get(own.zone)
         if delegate is not None and delegate.node_id == own.node_id:
             remote = tuple(m for zone, m in delegates.items() if zone != own.zone)
-            total = LoadReport(LoadScope.ZONE_SUM, own.node_id, own.zone, board.zone_sum(own.zone))
+            loads = board.zone_sum(own.zone)
+            total = LoadReport(LoadScope.ZONE_SUM, own.node_id, own.zone, loads, kept.zone)
             words.append(SendLoads(total, remote))
         return words
 
@@ -105,7 +114,7 @@
         """Return the word on another zone's sum for the own zone."""
         if report.scope is not LoadScope.ZONE_SUM or report.zone == own.zone:
             return []
-        passed = LoadReport(LoadScope.RELAYED_SUM, own.node_id, report.zone, report.loads)
+        passed = replace(report, scope=LoadScope.RELAYED_SUM, node=own.node_id)
         return [SendLoads(passed, tuple(m for m in others(own, members) if m.zone == own.zone))]
 
 
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -81,7 +81,7 @@
     """
 
     move_tokens: float = 600.0
-    reread_factor: float = 1.0
+    reread_factor: float = constants.REREAD_FACTOR
     long_prompt_tokens: int = constants.LONG_PROMPT_TOKENS
     pause_share: float = constants.LONG_PROMPT_PAUSE_SHARE
     memory_share: float = 0.6
