--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -139,7 +139,7 @@
 
     def _note_refusal(self, view: EngineView, kind: events.RefusalKind, now: float) -> None:
         if kind is events.RefusalKind.UNREACHABLE:
-            view.breaker.record_failure(now)
+            view.breaker.record_unreachable(now)
         elif kind is events.RefusalKind.WRONG_INSTANCE:
             view.leaving = True
         else:
