--- a/features/gateway_store.py
+++ b/features/gateway_store.py
@@ -25,6 +25,8 @@
         self.changes = []
         self.lose_answers = 0
         self.page_size = 500
+        self.renewals = 0
+        self.loses_renewal = lambda number, now: False
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -95,6 +97,9 @@
             raise LeaseGoneError("over")
         seconds = self.leases[lease][1]
         self.leases[lease] = (self.now + seconds, seconds)
+        self.renewals += 1
+        if self.loses_renewal(self.renewals, self.now):
+            raise StoreAnswerLostError("lost")
 
     async def end_lease(self, lease):
         self.drop_lease(lease)
--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -108,3 +108,28 @@
     When both contend
     And the leader retires, and the other one is frozen
     Then nobody leads for 5 s
+
+  Scenario: A leader whose every second renewal goes unanswered leads on
+    Given a store and 2 contenders
+    And the store loses the answer to every second renewal
+    When both contend
+    Then the same one leads for 8 s
+
+  Scenario: A leader whose renewals went unanswered for too long takes its lease up again, once
+    Given a store and 2 contenders
+    When both contend
+    And the store loses the answers to all renewals for 1.9 s
+    Then the same one leads again, with the same fence, after one loss
+
+  Scenario: A lost answer to the word that orders are given costs no term
+    Given a store and 2 contenders
+    When both contend
+    And the store loses the answer to the leader's word that it gives orders
+    Then the leader may give orders, and the word in the store is its own
+
+  Scenario: A successor that takes its lease up again waits no less for the last orders
+    Given a store and 2 contenders
+    When both contend
+    And the leader gives orders and is killed
+    And the other one leads and says so, and then hears no answer to its renewals for 1.9 s
+    Then the other one gives no order for 3 s after the killed one's last
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -10,7 +10,7 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineTable
-from liftrill.gateway.leadership import LEADER_KEY, Leadership, TermParameters
+from liftrill.gateway.leadership import ACTIVITY_KEY, LEADER_KEY, Leadership, TermParameters
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.weight_rollout import AskReport, GiveOrder, WeightRollout
 from liftrill.gateway.weight_targets import WeightTargets
@@ -184,6 +184,7 @@
 
     def __init__(self, store, name):
         self.store = store
+        self.name = name
         self.mirror = StoreMirror()
         self.frozen = False
         self.candidate = True
@@ -259,6 +260,73 @@
     context.leader.frozen = True
 
 
+@given("the store loses the answer to every second renewal")
+def step_lose_renewals(context):
+    context.store.loses_renewal = lambda number, now: number % 2 == 1
+
+
+@then("the same one leads for {seconds:g} s")
+def step_leads_on(context, seconds):
+    until = context.store.now + seconds
+    while context.store.now < until:
+        run_contenders(context, TICK_SECONDS)
+        assert leaders(context) == [context.leader], context.store.now
+
+
+@when("the store loses the answers to all renewals for {seconds:g} s")
+def step_lose_all(context, seconds):
+    context.fence = context.leader.leadership.fence
+    until = context.store.now + seconds
+    context.store.loses_renewal = lambda number, now: now < until
+    context.changes = []
+    while context.store.now < until + 2.0:
+        run_contenders(context, TICK_SECONDS)
+        leads = bool(leaders(context))
+        if not context.changes or context.changes[-1] != leads:
+            context.changes.append(leads)
+
+
+@then("the same one leads again, with the same fence, after one loss")
+def step_leads_again(context):
+    assert context.changes == [True, False, True], context.changes
+    assert leaders(context) == [context.leader]
+    assert context.leader.leadership.fence == context.fence
+
+
+@when("the store loses the answer to the leader's word that it gives orders")
+def step_lose_word(context):
+    context.store.lose_answers = 1
+    context.run(context.leader.leadership.activate())
+
+
+@then("the leader may give orders, and the word in the store is its own")
+def step_may_order(context):
+    assert context.leader.leadership.may_order(context.store.now)
+    assert context.store.items[ACTIVITY_KEY].value == context.leader.name.encode()
+
+
+@when("the other one leads and says so, and then hears no answer to its renewals for {seconds:g} s")
+def step_successor_unheard(context, seconds):
+    wait_until_other_leads(context)
+    context.run(context.other.leadership.activate())
+    until = context.store.now + seconds
+    context.store.loses_renewal = lambda number, now: now < until
+
+
+@then("the other one gives no order for {seconds:g} s after the killed one's last")
+def step_still_quiet(context, seconds):
+    leadership = context.other.leadership
+    lost = False
+    while not leadership.may_order(context.store.now):
+        run_contenders(context, TICK_SECONDS)
+        lost = lost or not leadership.holds(context.store.now)
+        if leadership.holds(context.store.now):
+            context.run(leadership.activate())
+        assert context.store.now < 20.0
+    last_order = context.killed_at + LEASE.time_to_live - LEASE.safety_margin
+    assert lost and context.store.now - last_order >= seconds, context.store.now - last_order
+
+
 @when("the leader retires, and the other one is frozen")
 def step_retire(context):
     context.run(context.leader.leadership.retire())
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -7,8 +7,10 @@
 last orders are long past.
 """
 
+import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from liftrill.coordination.lease import AcquireLease, Lease, LeaseParameters, RenewLease
@@ -21,12 +23,14 @@
     StoredItem,
 )
 from liftrill.coordination.store_mirror import StoreMirror
-from liftrill.errors import StoreError
+from liftrill.errors import StoreAnswerLostError, StoreError, StoreUnavailableError
 from liftrill.gateway.decision_log import DecisionLog
 
 LEADER_KEY = "liftrill/leader"
 ACTIVITY_KEY = "liftrill/orders"
 IDLE = b"idle"
+# How long each try of a renewal may take. A store that is slow answers the last one.
+RENEWAL_TIMEOUTS_S = (0.35, 0.35, 1.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +71,6 @@
         self._log = log
         self._lease = Lease(parameters.lease)
         self._store_lease = 0
-        self._granted_at = 0.0
         self._quiet_until = 0.0
         self._active = False
         self._activity_revision = 0
@@ -110,13 +113,11 @@
         """Write that orders are about to be given, so that a successor waits."""
         if self._active:
             return
-        self._activity_revision = await self._store.transact(
-            (
-                Expectation(LEADER_KEY, self.fence),
-                Expectation(ACTIVITY_KEY, self._activity_revision),
-            ),
-            (PutItem(ACTIVITY_KEY, self._node.encode()),),
-        )
+        try:
+            self._activity_revision = await self._write_activity(self._node.encode())
+        except (StoreAnswerLostError, ConditionFailedError):
+            if not await self._has_written_activity():
+                raise
         self._active = True
 
     def note_order(self, now: float) -> None:
@@ -127,13 +128,7 @@
         """Write that no order was given for so long that a successor need not wait."""
         if not self._active or now - self._last_order_at < self._parameters.quiet:
             return
-        self._activity_revision = await self._store.transact(
-            (
-                Expectation(LEADER_KEY, self.fence),
-                Expectation(ACTIVITY_KEY, self._activity_revision),
-            ),
-            (PutItem(ACTIVITY_KEY, IDLE),),
-        )
+        self._activity_revision = await self._write_activity(IDLE)
         self._active = False
 
     async def resign(self) -> None:
@@ -162,21 +157,60 @@
         self._lease.step_down()
         self._active = False
 
+    async def _write_activity(self, value: bytes) -> int:
+        return await self._store.transact(
+            (
+                Expectation(LEADER_KEY, self.fence),
+                Expectation(ACTIVITY_KEY, self._activity_revision),
+            ),
+            (PutItem(ACTIVITY_KEY, value),),
+        )
+
+    async def _has_written_activity(self) -> bool:
+        """Return whether a write of this term was done though its answer was lost.
+
+        Nobody else writes this node's name, and an earlier term's write is not newer than
+        what this term began with.
+        """
+        reading = await self._store.read(ACTIVITY_KEY)
+        item = reading.item
+        if item is None or item.value != self._node.encode():
+            return False
+        if item.revision <= self._activity_revision:
+            return False
+        self._activity_revision = item.revision
+        return True
+
     async def _renew(self) -> None:
-        asked_at = self._clock()
         try:
-            await self._store.keep_lease(self._store_lease)
+            asked_at = await self._keep_lease()
         except LeaseGoneError:
             self._store_lease = 0
             self.step_down("lease over")
             return
         self._lease.renewed(asked_at)
 
+    async def _keep_lease(self) -> float:
+        """Renew the store's lease and return when it was asked.
+
+        A renewal may be asked for again at once: done twice it does no harm, and a lost
+        answer must not cost as much time as is left of the lease.
+        """
+        for timeout_s in RENEWAL_TIMEOUTS_S[:-1]:
+            asked_at = self._clock()
+            with suppress(StoreUnavailableError, StoreAnswerLostError, TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await self._store.keep_lease(self._store_lease)
+                    return asked_at
+        asked_at = self._clock()
+        await self._store.keep_lease(self._store_lease)
+        return asked_at
+
     async def _contend(self) -> None:
         leader = self._mirror.get(LEADER_KEY)
         if leader is not None:
             self._free_since = None
-            self._recognise(leader)
+            await self._recognise(leader)
             return
         now = self._clock()
         if self._free_since is None:
@@ -185,10 +219,21 @@
         if self._is_candidate() or now - self._free_since >= self._parameters.stand_back:
             await self._acquire()
 
-    def _recognise(self, leader: StoredItem) -> None:
-        """Take the lease up if the key is this node's own, written by a lost answer."""
-        if self._store_lease and leader.lease == self._store_lease:
-            self._take_up(leader.revision, self._mirror.get(ACTIVITY_KEY), self._granted_at)
+    async def _recognise(self, leader: StoredItem) -> None:
+        """Take the lease up if the key is this node's own, for all that it knows.
+
+        The answer to writing it, or to a renewal, may have been lost. If the lease can be
+        renewed, the key was held all the time: it goes with the lease, and nobody else
+        can have led since.
+        """
+        if not self._store_lease or leader.lease != self._store_lease:
+            return
+        try:
+            asked_at = await self._keep_lease()
+        except LeaseGoneError:
+            self._store_lease = 0
+            return
+        self._take_up(leader.revision, self._mirror.get(ACTIVITY_KEY), asked_at)
 
     async def _acquire(self) -> None:
         activity = self._mirror.get(ACTIVITY_KEY)
@@ -198,7 +243,7 @@
         )
         asked_at = self._clock()
         lease = await self._store.grant_lease(self._parameters.lease.time_to_live)
-        self._store_lease, self._granted_at = lease, asked_at
+        self._store_lease = lease
         put = PutItem(LEADER_KEY, self._node.encode(), lease)
         fence = await self._store.transact(expected, (put,))
         self._take_up(fence, activity, asked_at)
@@ -210,7 +255,9 @@
         holder = activity.value if activity else IDLE
         now = self._clock()
         wait = holder not in (IDLE, self._node.encode())
-        self._quiet_until = now + self._parameters.quiet if wait else now
+        # A term that is taken up again still waits for what it had to wait for.
+        quiet_until = now + self._parameters.quiet if wait else now
+        self._quiet_until = max(self._quiet_until, quiet_until)
         self._log.belief("leading", fence=fence, predecessor=holder.decode(), waits=wait)
 
     def _note_lost(self, reason: str) -> None:
--- a/spec/order_holder.py
+++ b/spec/order_holder.py
@@ -4,7 +4,8 @@
 lose the answer to a renewal. Time passes in ticks for all steady clocks alike. Orders of
 two nodes must be `QUIET` ticks apart. A holder believes in its lease for one tick less
 than the store does; it must write that it is busy, on condition of its lease, before its
-first order; a successor of a busy holder waits `QUIET` ticks.
+first order; a successor of a busy holder waits `QUIET` ticks. A holder whose belief is over
+takes the lease up again, and waits no less, if the store still renews it.
 """
 
 from dataclasses import dataclass, replace
@@ -41,12 +42,17 @@
 
 @dataclass(frozen=True)
 class Node:
-    """What a node believes: ticks left of its lease, to wait, and since its last order."""
+    """What a node believes: ticks left of its lease, to wait, and since its last order.
+
+    Attributes:
+        knows_lease: whether it has the name of a lease that it took in this life.
+    """
 
     belief: int = 0
     wait: int = 0
     active: bool = False
     since_order: int = OLD
+    knows_lease: bool = False
 
 
 @dataclass(frozen=True)
@@ -89,9 +95,12 @@
         must_wait = rules.successor_waits and store.busy not in (IDLE, number)
         wait = QUIET if must_wait else 0
         taken = replace(store, holder=number, left=LEASE)
-        yield f"{number} takes the lease", taken, Node(belief, wait, False, OLD)
+        yield f"{number} takes the lease", taken, Node(belief, wait, False, OLD, True)
     if store.holder != number:
         return
+    if node.knows_lease and not node.belief:
+        again = replace(node, belief=belief)
+        yield f"{number} takes the lease up again", replace(store, left=LEASE), again
     if node.belief:
         yield f"{number} renews", replace(store, left=LEASE), replace(node, belief=belief)
         yield f"{number} renews unheard", replace(store, left=LEASE), node
