--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= sahil
 SEED ?= 1
+SOAK_SEEDS ?= 6
+SOAK_SECONDS ?= 30
 
-.PHONY: demo test lint format messages errors clean
+.PHONY: demo test soak lint format messages errors clean
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +20,10 @@
 test: $(VENV)/installed
 	$(BIN)/python -m features.run
 
+# Fresh seeds on each run; a failing seed keeps its logs under reports/.
+soak: $(VENV)/installed
+	$(BIN)/python -m features.soak.run --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS)
+
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/features/soak/history.py
@@ -0,0 +1,105 @@
+"""What callers and engines saw during a soak, and the promises checked on it."""
+
+import re
+from dataclasses import dataclass
+
+EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
+NOT_RUN = (408, 421, 429, 503)
+EVENTS_OF_A_STREAM = 4
+
+
+@dataclass(frozen=True)
+class Call:
+    """One request as its caller saw it.
+
+    Attributes:
+        status: None where the connection gave no answer.
+        body: as much of it as came.
+        sent_at: steady clock, seconds.
+    """
+
+    request_id: str
+    route: str
+    key: str
+    sent_at: float
+    status: int | None
+    body: bytes
+    complete: bool
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A promise that was broken."""
+
+    promise: str
+    request_id: str
+    detail: str
+
+
+def check(calls, engines, revoked_at, revoke_bound_s):
+    """Return every violation that a history shows."""
+    runs = {}
+    for engine in engines:
+        for arrival in engine.arrivals:
+            if arrival.ran:
+                runs.setdefault(arrival.attempt_id, []).append((engine, arrival))
+    known = {call.request_id: call for call in calls}
+    found = [v for call in calls for v in _check_call(call, runs.get(call.request_id, []))]
+    found += [v for call in calls for v in _check_key(call, runs, revoked_at, revoke_bound_s)]
+    for request_id, of_id in runs.items():
+        found += _check_runs(known.get(request_id), request_id, of_id)
+    for engine in engines:
+        found += _check_orders(engine)
+    return found
+
+
+def _check_call(call, runs):
+    begun = [arrival for _, arrival in runs if "Kv-From" not in arrival.headers]
+    if call.route in ("whole", "stream") and len(begun) > 1:
+        yield Violation("at most once", call.request_id, f"begun {len(begun)} times")
+    if call.status in NOT_RUN and runs:
+        yield Violation("not run means not run", call.request_id, f"{call.status}, and it ran")
+    if call.status != 200:
+        return
+    if call.route in ("whole", "safe"):
+        expected = f"answer to {call.request_id}".encode()
+        if call.complete and call.body != expected:
+            yield Violation("own answer", call.request_id, repr(call.body[:60]))
+        return
+    yield from _check_stream(call)
+
+
+def _check_stream(call):
+    numbers = [int(number) for number, _ in EVENT.findall(call.body)]
+    if numbers != list(range(1, len(numbers) + 1)):
+        yield Violation("events in order", call.request_id, str(numbers))
+    if call.complete and len(numbers) != EVENTS_OF_A_STREAM:
+        yield Violation("a complete stream is whole", call.request_id, str(numbers))
+
+
+def _check_key(call, runs, revoked_at, bound_s):
+    since = revoked_at.get(call.key)
+    if since is not None and call.sent_at > since + bound_s and call.request_id in runs:
+        late_s = call.sent_at - since
+        yield Violation("a revoked key is not served", call.request_id, f"{late_s:.2f} s after")
+
+
+def _check_runs(call, request_id, runs):
+    if call is None:
+        yield Violation("nothing unasked", request_id, "no caller sent it")
+        return
+    for engine, arrival in runs:
+        if arrival.headers.get("X-Expect-Instance") != engine.engine_id:
+            yield Violation("the named engine", request_id, engine.engine_id)
+        if "Authorization" in arrival.headers or arrival.headers.get("X-Tenant") != "tenant-1":
+            yield Violation("tenant and key", request_id, str(arrival.headers)[:80])
+
+
+def _check_orders(engine):
+    holders = {}
+    highest = 0
+    for order in engine.orders:
+        holder = holders.setdefault(order["Fence"], order["Holder"])
+        if holder != order["Holder"] or order["Fence"] < highest:
+            yield Violation("one holder of orders", engine.engine_id, str(engine.orders))
+        highest = max(highest, order["Fence"])
--- /dev/null
+++ b/features/soak/proxy.py
@@ -0,0 +1,85 @@
+"""A loopback proxy that harms the connections that pass through it."""
+
+import asyncio
+import enum
+import socket
+import struct
+from contextlib import suppress
+
+CHUNK_BYTES = 65_536
+
+
+class Harm(enum.Enum):
+    """What a proxy does to bytes and connections."""
+
+    NONE = enum.auto()
+    DELAY = enum.auto()
+    RESET = enum.auto()
+    DROP_ANSWERS = enum.auto()
+    SILENCE = enum.auto()
+
+
+class HarmfulProxy:
+    """Passes connections on to a target, as long as nothing else is asked of it.
+
+    Attributes:
+        harm: applies to open and to new connections.
+        delay_s: by which each piece is held up under `Harm.DELAY`.
+    """
+
+    def __init__(self, address, target, delay_s=0.3):
+        self.address = address
+        self.target = target
+        self.delay_s = delay_s
+        self.harm = Harm.NONE
+        self._server = None
+        self._tasks = set()
+
+    async def start(self):
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        host, _, port = self.target.rpartition(":")
+        try:
+            there_reader, there_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            reset(writer)
+            return
+        with suppress(OSError, asyncio.CancelledError):
+            await asyncio.gather(
+                self._pump(reader, there_writer, answers=False),
+                self._pump(there_reader, writer, answers=True),
+            )
+        there_writer.close()
+        writer.close()
+
+    async def _pump(self, source, target, answers):
+        while data := await source.read(CHUNK_BYTES):
+            if self.harm is Harm.DELAY:
+                await asyncio.sleep(self.delay_s)
+            if self.harm is Harm.RESET:
+                reset(target)
+                return
+            lost = self.harm is Harm.SILENCE or (self.harm is Harm.DROP_ANSWERS and answers)
+            if not lost:
+                target.write(data)
+                await target.drain()
+        target.close()
+
+
+def reset(writer):
+    """Close a connection with a reset."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None:
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
