--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.gateway_support import route_rule
+from features.soak.proxy import Harm, HarmfulProxy
 from liftrill.bench.launcher import free_ports
 from liftrill.coordination.change_log import ChangeLog
 from liftrill.coordination.membership_messages import Condition, Member
@@ -261,32 +262,6 @@
         self.answers.append(answer)
 
 
-class Proxy:
-    """Passes bytes on to a reader, or says nothing."""
-
-    def __init__(self, target):
-        self.target = target
-        self.silent = False
-        self.address = f"127.0.0.1:{free_ports(1)[0]}"
-        self.tasks = []
-
-    async def start(self):
-        host, _, port = self.address.rpartition(":")
-        await asyncio.start_server(self.serve, host, int(port))
-
-    async def serve(self, reader, writer):
-        host, _, port = self.target.rpartition(":")
-        there_reader, there_writer = await asyncio.open_connection(host, int(port))
-        self.tasks.append(asyncio.ensure_future(self.pump(reader, there_writer)))
-        await self.pump(there_reader, writer)
-
-    async def pump(self, source, target):
-        while data := await source.read(65536):
-            if not self.silent:
-                target.write(data)
-        target.close()
-
-
 async def eventually(condition, seconds=3.0):
     until = time.monotonic() + seconds
     while not condition():
@@ -316,7 +291,8 @@
 def step_follow(context):
     async def follow():
         context.follower = Follower()
-        context.proxy = Proxy(context.reader.address)
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        context.proxy = HarmfulProxy(address, context.reader.address)
         await context.proxy.start()
         context.follower.follow(context.proxy.address)
         await eventually(lambda: context.follower.answers)
@@ -386,7 +362,7 @@
 
 
 def fall_silent(context):
-    context.proxy.silent = True
+    context.proxy.harm = Harm.SILENCE
 
 
 def lose_proof(context):
