--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -34,3 +34,42 @@
       | 0.5  | 700     | that holds nothing |
       | 5    | 700     | that holds it      |
       | 5    | 5000    | that holds nothing |
+
+  Scenario: Prompts that begin alike are first read at one engine
+    Given 1 kept stores and 6 engines
+    When 12 prompts with one beginning and different continuations are placed on two nodes
+    Then all go to one engine
+    When the beginning has been read and kept
+    And 12 prompts with one beginning and different continuations are placed on two nodes
+    Then they go to at least 3 engines
+    And each node sends a continuation to the same engine
+
+  Scenario: What another node has kept of a prompt is not read again
+    Given 1 kept stores and 6 engines
+    When one node has had a prompt read, and the other one hears of it
+    Then the other node has both shared parts fetched, and saves nothing
+
+  Scenario: A request waits a little behind the reading of a part that it shares
+    Given 1 kept stores and 6 engines
+    When one node sends a prompt on, and another of the same beginning comes 0.05 s later
+    Then the later one waits
+    When the part has been read
+    Then the later one is sent, with the beginning fetched
+    When the reading takes too long instead
+    Then the later one is sent to the engine that reads it
+
+  Scenario: A part that an engine has just used is fetched from there, and later from the store
+    Given 1 kept stores and 6 engines
+    When one node has had a prompt read, and its engine is busy
+    Then 0.2 s later the prompt goes to another engine, which fetches from the busy one
+    And 3 s later the prompt goes to another engine, which fetches from the store
+    When the engine that read the prompt has other weights
+    Then 0.2 s later the prompt is fetched from no engine
+
+  Scenario: Weights that were replaced some time ago are used only to spare a long wait
+    Given 0 kept stores and 2 engines
+    And one engine has new weights, and 4000 prompt tokens wait there
+    Then 0.5 s after they were named a prompt goes to the old weights
+    And 2 s after they were named a prompt goes to the new weights
+    When 30000 prompt tokens wait there
+    Then 2 s after they were named a prompt goes to the old weights
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -130,13 +130,14 @@
 def step_saved(context):
     context.part = part_number("salt", "part")
     first = next(iter(context.nodes.values()))
-    first.directory.record_saved(context.part, 0.0, worth_telling=True)
+    first.directory.record_saved(context.part, 7, 0.0, worth_telling=True)
 
 
 @then("every node knows that the part is kept, and forgets it after {seconds:g} s")
 def step_kept(context, seconds):
     for name, node in context.nodes.items():
         assert node.directory.is_saved(context.part, 0.2), name
+        assert node.directory.holder(context.part, 0.2) == 7, name
         assert not node.directory.is_saved(context.part, seconds + 0.2), name
 
 
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -5,10 +5,11 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record, opaque_request
+from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
-from liftrill.gateway.records import KeptStoreProfile
+from liftrill.gateway.records import KeptStoreProfile, WeightTarget
 from liftrill.gateway.weight_targets import WeightTargets
 
 
@@ -90,7 +91,7 @@
 
 @given("moving the memory of a token takes {move:g} microseconds")
 def step_move_time(context, move):
-    context.selectors[0].move_s_per_token["service-1"] = move / 1e6
+    context.selectors[0].store_move_s_per_token["service-1"] = move / 1e6
 
 
 def kept_request():
@@ -110,7 +111,7 @@
 
 @when("a prompt with that part is placed")
 def step_place_kept(context):
-    context.placed = context.selectors[0].choose(kept_request(), frozenset(), 0.1).engine_id
+    context.placed = context.selectors[0].choose(kept_request(), frozenset(), 2.0).engine_id
 
 
 @then("it goes to the engine that holds it")
@@ -121,3 +122,154 @@
 @then("it goes to the engine that holds nothing")
 def step_at_other(context):
     assert context.placed != context.holder
+
+
+def begun_alike(number):
+    parts = (
+        PromptPart("beginning", 2_000),
+        PromptPart(f"continuation-{number}", 3_000),
+        PromptPart(f"own-{number}", 10),
+    )
+    return replace(opaque_request(), prompt=PromptShape("model", parts, 5_010, 20))
+
+
+@when("{count:d} prompts with one beginning and different continuations are placed on two nodes")
+def step_place_alike(context, count):
+    now = getattr(context, "placed_at", 0.0)
+    requests = [begun_alike(number) for number in range(count)]
+    context.placed_alike = [
+        [selector.choose(request, frozenset(), now) for selector in context.selectors]
+        for request in requests
+    ]
+
+
+@then("all go to one engine")
+def step_one_engine(context):
+    assert len({choice.engine_id for row in context.placed_alike for choice in row}) == 1
+
+
+@when("the beginning has been read and kept")
+def step_beginning_kept(context):
+    request = begun_alike(0)
+    for selector in context.selectors:
+        choice = selector.choose(request, frozenset(), 0.0)
+        selector.record_read(choice, request, 0.0)
+    context.placed_at = 1.0
+
+
+@then("they go to at least {least:d} engines")
+def step_many_engines(context, least):
+    engines = {row[0].engine_id for row in context.placed_alike}
+    assert len(engines) >= least, engines
+
+
+@then("each node sends a continuation to the same engine")
+def step_same_on_nodes(context):
+    for first, second in context.placed_alike:
+        assert first.engine_id == second.engine_id
+
+
+@when("one node has had a prompt read, and the other one hears of it")
+def step_heard(context):
+    first, second = context.selectors
+    choice = first.choose(begun_alike(0), frozenset(), 0.0)
+    first.record_read(choice, begun_alike(0), 0.0)
+    second.directory.hear(first.directory.news(0.1).own, 0.1, of_zone=True)
+    context.heard = second.choose(begun_alike(0), frozenset(), 1.0)
+
+
+@then("the other node has both shared parts fetched, and saves nothing")
+def step_fetched(context):
+    assert context.heard.fetch_from and not context.heard.save_to
+    assert context.heard.expected_tokens == 10, context.heard
+
+
+@when("one node sends a prompt on, and another of the same beginning comes {delay:g} s later")
+def step_sends(context, delay):
+    selector = context.selectors[0]
+    context.first = selector.choose(begun_alike(0), frozenset(), 0.0)
+    selector.record_sent(context.first, begun_alike(0), 0.0)
+    context.later = replace(begun_alike(1), received_at=delay)
+    context.at = delay
+
+
+def place_later(context, now):
+    return context.selectors[0].choose(context.later, frozenset(), now)
+
+
+@then("the later one waits")
+def step_later_waits(context):
+    assert place_later(context, context.at) is Unavailable.NONE_READY
+
+
+@when("the part has been read")
+def step_part_read(context):
+    context.selectors[0].record_read(context.first, begun_alike(0), context.at)
+
+
+@then("the later one is sent, with the beginning fetched")
+def step_later_sent(context):
+    choice = place_later(context, context.at)
+    assert choice.expected_tokens == 3_010, choice
+
+
+@when("the reading takes too long instead")
+def step_reading_long(context):
+    context.selectors = [new_selector(1, 6)]
+    context.first = context.selectors[0].choose(begun_alike(0), frozenset(), 0.0)
+    context.selectors[0].record_sent(context.first, begun_alike(0), 0.0)
+
+
+@then("the later one is sent to the engine that reads it")
+def step_later_same(context):
+    assert place_later(context, context.at) is Unavailable.NONE_READY
+    assert place_later(context, context.at + 0.25).engine_id == context.first.engine_id
+
+
+@when("one node has had a prompt read, and its engine is busy")
+def step_read_and_busy(context):
+    selector = context.selectors[0]
+    context.first = selector.choose(begun_alike(0), frozenset(), 0.0)
+    selector.record_read(context.first, begun_alike(0), 0.0)
+    busy = selector._engines.get(context.first.engine_id)
+    busy.own_load.add(EngineLoad(requests=9, waiting_tokens=90_000))
+
+
+@then("{delay:g} s later the prompt goes to another engine, which fetches from {source}")
+def step_fetches_from(context, delay, source):
+    choice = context.selectors[0].choose(begun_alike(0), frozenset(), delay)
+    assert choice.engine_id != context.first.engine_id
+    held = choice.fetch_from == context.first.address
+    assert held == (source == "the busy one") and choice.fetch_from, choice
+
+
+@when("the engine that read the prompt has other weights")
+def step_other_weights(context):
+    context.selectors[0]._engines.get(context.first.engine_id).learn_weights("model", 2)
+
+
+@then("{delay:g} s later the prompt is fetched from no engine")
+def step_not_fetched(context, delay):
+    choice = context.selectors[0].choose(begun_alike(0), frozenset(), delay)
+    assert choice.fetch_from == "10.0.0.0:1", choice
+
+
+@given("one engine has new weights, and {tokens:d} prompt tokens wait there")
+def step_new_weights(context, tokens):
+    context.selector = context.selectors[0]
+    context.selector._targets.name(WeightTarget("model", 2, 1), 0.0)
+    context.renewed = context.selector._engines.get("e0")
+    context.renewed.learn_weights("model", 2)
+    context.renewed.own_load.waiting_tokens = tokens
+
+
+@when("{tokens:d} prompt tokens wait there")
+def step_more_wait(context, tokens):
+    context.renewed.own_load.waiting_tokens = tokens
+
+
+@then("{delay:g} s after they were named a prompt goes to the {which} weights")
+def step_which_weights(context, delay, which):
+    request = replace(opaque_request(), received_at=delay)
+    choice = context.selector.choose(request, frozenset(), delay)
+    assert choice.weight_version == (2 if which == "new" else 1), choice
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -80,6 +80,10 @@
         self.selector.backup_services = {s.name for s in services if s.backups}
         self.selector.move_s_per_token.clear()
         self.selector.move_s_per_token.update({s.name: s.move_s_per_token for s in services})
+        self.selector.store_move_s_per_token.clear()
+        self.selector.store_move_s_per_token.update(
+            {s.name: s.store_move_s_per_token for s in services}
+        )
         self.split.forget()
         self.log.version = configuration.version
         self.log.belief(
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -1,5 +1,6 @@
 """Applies what must hold for an engine, then lets the policy choose."""
 
+import itertools
 import math
 from dataclasses import replace
 
@@ -7,8 +8,8 @@
 from liftrill.coordination import rendezvous
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
-from liftrill.gateway.engine_table import EngineTable, EngineView
-from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
+from liftrill.gateway.engine_table import EngineTable, EngineView, engine_number
+from liftrill.gateway.opaque_request import OpaqueRequest, PromptPart, PromptShape
 from liftrill.gateway.placement import (
     Candidate,
     LeastLoaded,
@@ -20,6 +21,9 @@
 from liftrill.gateway.records import KeptStoreProfile
 from liftrill.gateway.weight_targets import WeightTargets
 
+# How much longer a move between zones takes than one within a zone.
+BETWEEN_ZONES = 2.0
+
 
 class EngineSelector:
     """Chooses engines for requests.
@@ -27,7 +31,8 @@
     Attributes:
         kept_stores: where prefixes are saved to and fetched from.
         cache_tokens: tokens that one engine keeps, by service.
-        move_s_per_token: time to move the memory of one token, by service.
+        move_s_per_token: time to move the memory of one token between engines, by service.
+        store_move_s_per_token: the same from a kept store.
         backup_services: services whose engines send copies of runs to each other.
         directory: which shared parts are in a kept store.
     """
@@ -43,13 +48,12 @@
         self.kept_stores: tuple[KeptStoreProfile, ...] = ()
         self.cache_tokens: dict[str, int] = {}
         self.move_s_per_token: dict[str, float] = {}
+        self.store_move_s_per_token: dict[str, float] = {}
         self.backup_services: set[str] = set()
         self._engines = engines
         self._targets = targets
         self._zone = zone
-        self._prompt_policy = prompt_policy or PromptCost(
-            cache_tokens=self.cache_tokens, move_s_per_token=self.move_s_per_token
-        )
+        self._prompt_policy = prompt_policy or PromptCost(cache_tokens=self.cache_tokens)
         self._plain_policy = plain_policy or LeastLoaded()
         self.directory = PrefixDirectory()
 
@@ -71,11 +75,18 @@
             return EngineChoice(view.engine_id, view.record.address)
         candidates = [self._candidate(view, request, now) for view in ready]
         chosen = self._prompt_policy.choose(request, candidates, self._zone)
+        if chosen.reader == chosen.view.number and now < self._hold_until(request):
+            return Unavailable.NONE_READY
         choice = self._prompt_choice(chosen, request.prompt)
         if not self._wants_backup(request):
             return choice
         return replace(choice, backup=self._backup(chosen, candidates))
 
+    def _hold_until(self, request: OpaqueRequest) -> float:
+        """Return until when a request waits for a part that another one is having read."""
+        share = constants.READING_WAIT_TARGET_SHARE
+        return request.received_at + share * request.route.target_seconds
+
     def continue_at_backup(
         self, request: OpaqueRequest, broken: EngineChoice, now: float
     ) -> EngineChoice | None:
@@ -130,14 +141,32 @@
         best = min(others, key=lambda c: (c.view.record.zone != zone, c.view.requests))
         return EngineAddress(best.view.engine_id, best.view.record.address)
 
+    def record_sent(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
+        """Note that an engine is about to read what of a prompt is kept nowhere."""
+        if request.prompt is None:
+            return
+        engine = engine_number(choice.engine_id)
+        for part in request.prompt.shared_parts:
+            number = part_number(choice.cache_salt, part.part_id)
+            if part.tokens >= constants.KEPT_NEWS_TOKENS and not self._is_kept(number, now):
+                self.directory.record_reading(number, engine, now)
+
+    def _is_kept(self, number: int, now: float) -> bool:
+        return self.directory.is_saved(number, now) or self.directory.holder(number, now) != 0
+
     def record_read(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
         """Note that an engine has read a prompt, and sends to the store what it was told to."""
         prompt = request.prompt
-        if not choice.save_to or prompt is None:
+        if prompt is None:
             return
-        tokens = sum(part.tokens for part in prompt.shared_parts)
-        worth_telling = tokens >= constants.KEPT_NEWS_TOKENS
-        self.directory.record_saved(_deepest_part(choice.cache_salt, prompt), now, worth_telling)
+        engine = engine_number(choice.engine_id)
+        for part in prompt.shared_parts:
+            number = part_number(choice.cache_salt, part.part_id)
+            if choice.save_to:
+                worth_telling = part.tokens >= constants.KEPT_NEWS_TOKENS
+                self.directory.record_saved(number, engine, now, worth_telling)
+            else:
+                self.directory.record_used(number, engine, now)
 
     def _version_floor(self, able: list[EngineView], request: OpaqueRequest) -> int:
         """Return the lowest version to use, as far as versions of unknown age decide it.
@@ -168,10 +197,61 @@
         assert prompt is not None
         version = view.weight_version(prompt.model)
         salt = cache_salt(request.tenant, request.isolated, prompt.model, version)
-        kept = bool(prompt.shared_parts) and self.directory.is_saved(
-            _deepest_part(salt, prompt), now
+        kept = self._kept_parts(salt, prompt, now)
+        holder = self._holder(view, salt, prompt, now) if kept else None
+        return Candidate(
+            view,
+            salt,
+            len(kept),
+            sum(part.tokens for part in kept),
+            self._reader(salt, prompt, len(kept), now),
+            self._move_s(prompt, view, holder),
+            holder,
+            max(0.0, now - self._targets.replaced_at(prompt.model, version)),
         )
-        return Candidate(view, salt, kept)
+
+    def _kept_parts(self, salt: str, prompt: PromptShape, now: float) -> list[PromptPart]:
+        """Return the shared parts, from the first on, that can be fetched from somewhere."""
+
+        def is_kept(part: PromptPart) -> bool:
+            number = part_number(salt, part.part_id)
+            if self.directory.is_settled(number, now):
+                return True
+            return self.directory.is_saved(number, now) and self.directory.holder(number, now) != 0
+
+        return list(itertools.takewhile(is_kept, prompt.shared_parts))
+
+    def _reader(self, salt: str, prompt: PromptShape, kept: int, now: float) -> int:
+        """Return the number of the engine that reads the first part that is not kept, or 0."""
+        unread = prompt.shared_parts[kept : kept + 1]
+        return self.directory.holder(part_number(salt, unread[0].part_id), now) if unread else 0
+
+    def _holder(
+        self, view: EngineView, salt: str, prompt: PromptShape, now: float
+    ) -> EngineView | None:
+        """Return another engine to fetch the shared parts from, or None for the store.
+
+        An engine that has other weights by now, or is about to, is not asked: what it keeps
+        for runs that went on may have been made under either.
+        """
+        deepest = part_number(salt, prompt.shared_parts[-1].part_id)
+        if not self.directory.is_saved(deepest, now):
+            return None
+        number = self.directory.holder(deepest, now)
+        holder = self._engines.by_number(number)
+        if holder is None or holder is view:
+            return None
+        version = view.weight_version(prompt.model)
+        return holder if self._goes_on(holder, prompt.model, version, now) else None
+
+    def _move_s(self, prompt: PromptShape, view: EngineView, holder: EngineView | None) -> float:
+        """Return how long moving the shared parts to an engine takes."""
+        service = view.record.service
+        tokens = sum(part.tokens for part in prompt.shared_parts)
+        if holder is None:
+            return BETWEEN_ZONES * tokens * self.store_move_s_per_token.get(service, 0.0)
+        factor = 1.0 if holder.record.zone == view.record.zone else BETWEEN_ZONES
+        return factor * tokens * self.move_s_per_token.get(service, 0.0)
 
     def _prompt_choice(self, chosen: Candidate, prompt: PromptShape) -> EngineChoice:
         view = chosen.view
@@ -182,10 +262,10 @@
             view.record.address,
             version,
             chosen.scope,
-            fetch_from=store,
-            save_to="" if chosen.kept else store,
+            fetch_from=chosen.holder.record.address if chosen.holder else store,
+            save_to="" if chosen.kept_parts == len(prompt.shared_parts) else store,
             begin_by=self._targets.begin_by(prompt.model, version),
-            expected_tokens=_tokens_to_read(prompt, chosen.kept),
+            expected_tokens=max(0, prompt.prompt_tokens - chosen.kept_tokens),
         )
 
     def _kept_store(self, prompt: PromptShape) -> str:
@@ -197,13 +277,3 @@
             return ""
         key = prompt.shared_parts[-1].part_id.encode()
         return rendezvous.first(key, (store.address for store in self.kept_stores)) or ""
-
-
-def _deepest_part(salt: str, prompt: PromptShape) -> int:
-    return part_number(salt, prompt.shared_parts[-1].part_id)
-
-
-def _tokens_to_read(prompt: PromptShape, kept: bool) -> int:
-    """Return the tokens to read: shared parts are moved where they are kept."""
-    shared = sum(part.tokens for part in prompt.shared_parts) if kept else 0
-    return max(0, prompt.prompt_tokens - shared)
--- a/liftrill/gateway/engine_table.py
+++ b/liftrill/gateway/engine_table.py
@@ -3,11 +3,18 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+import xxhash
+
 from liftrill import constants
 from liftrill.coordination.circuit import CircuitBreaker
 from liftrill.gateway.records import EngineRecord
 
 
+def engine_number(engine_id: str) -> int:
+    """Return a 64-bit name for an engine, the same on all nodes."""
+    return xxhash.xxh3_64_intdigest(engine_id.encode())
+
+
 def _new_breaker() -> CircuitBreaker:
     return CircuitBreaker(constants.CIRCUIT_FAILURES_TO_OPEN, constants.CIRCUIT_OPEN_SECONDS)
 
@@ -60,6 +67,7 @@
         loading_until: it takes no new requests before this time, as far as is known, unless
             it is seen to have `loading_version` earlier.
         vanished_at: when its record went while that could not be trusted, or None.
+        number: the short name of this incarnation, in words to peers.
     """
 
     record: EngineRecord
@@ -72,6 +80,10 @@
     leaving: bool = False
     vanished_at: float | None = None
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
+    number: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.number = engine_number(self.record.engine_id)
 
     @property
     def engine_id(self) -> str:
@@ -118,6 +130,7 @@
 
     def __init__(self) -> None:
         self._views: dict[str, EngineView] = {}
+        self._by_number: dict[int, EngineView] = {}
 
     def __iter__(self) -> Iterator[EngineView]:
         return iter(self._views.values())
@@ -129,6 +142,10 @@
         """Return an engine's view."""
         return self._views.get(engine_id)
 
+    def by_number(self, number: int) -> EngineView | None:
+        """Return the view of an engine that is named by its number."""
+        return self._by_number.get(number)
+
     def of_service(self, service: str) -> list[EngineView]:
         """Return the engines of a service."""
         return [view for view in self._views.values() if view.record.service == service]
@@ -138,6 +155,7 @@
         view = self._views.get(record.engine_id)
         if view is None:
             view = self._views[record.engine_id] = EngineView(record)
+            self._by_number[view.number] = view
         elif record.revision >= view.record.revision:
             view.record = record
         view.vanished_at = None
@@ -151,6 +169,7 @@
         view = self._views.pop(engine_id, None)
         if view is not None:
             view.leaving = True
+            self._by_number.pop(view.number, None)
 
     def mark_vanished(self, engine_ids: Iterable[str], now: float) -> None:
         """Note records that went while the store was out: their writers may write again."""
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -66,6 +66,10 @@
         """Spend one repeat of the service's budget."""
         return self._allowance.try_spend(request.service, time.monotonic())
 
+    def record_sent(self, choice: events.EngineChoice, request: OpaqueRequest) -> None:
+        """Note that an engine is about to read a prompt."""
+        self._selector.record_sent(choice, request, time.monotonic())
+
     def record_read(self, choice: events.EngineChoice, request: OpaqueRequest) -> None:
         """Note that an engine has read a prompt."""
         self._selector.record_read(choice, request, time.monotonic())
@@ -127,6 +131,7 @@
         view = self._engines.get(start.choice.engine_id)
         if view is not None:
             view.breaker.record_start(now)
+        self._ports.record_sent(start.choice, request)
         return view, self._transport.attempt(request, start)
 
     def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
@@ -142,6 +147,7 @@
     def note_prompt_read(self, machine: DeliveryMachine) -> None:
         """Note that the newest attempt's engine has read the prompt."""
         self._ports.record_read(machine.attempts[-1], machine.request)
+        self.engine_signal.notify()
 
     def _note_refusal(self, view: EngineView, kind: events.RefusalKind, now: float) -> None:
         if kind is events.RefusalKind.UNREACHABLE:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -267,6 +267,8 @@
         now = time.monotonic()
         of_zone = report.zone == self.settings.zone
         self._beliefs.selector.directory.hear(report.kept, now, of_zone)
+        if report.kept:
+            self.forwarder.engine_signal.notify()
         if report.scope is LoadScope.NODE:
             self._loads.take(report.node, report.loads, now, report.zone)
             return
--- a/liftrill/gateway/load_codec.py
+++ b/liftrill/gateway/load_codec.py
@@ -1,7 +1,10 @@
 """Turns reports of load into datagrams and back."""
 
+import itertools
+
 from liftrill.gateway.engine_table import EngineLoad
 from liftrill.gateway.load_exchange import LoadReport, LoadScope
+from liftrill.gateway.prefix_directory import KeptPart
 from liftrill.messages import peer_pb2 as messages
 
 SCOPES = {
@@ -29,7 +32,9 @@
         zone=report.zone,
         load_scope=SCOPES[report.scope],
         loads=rows or [messages.EngineLoad()],
-        kept_parts=report.kept,
+        kept_parts=[kept.part for kept in report.kept],
+        kept_by=[kept.engine for kept in report.kept],
+        being_read=[kept.being_read for kept in report.kept],
     )
 
 
@@ -40,4 +45,9 @@
         for row in message.loads
     }
     scope = SCOPES_BY_NUMBER.get(message.load_scope, LoadScope.NODE)
-    return LoadReport(scope, message.sender, message.zone, loads, tuple(message.kept_parts))
+    # A node of an older version tells the parts alone.
+    rows = itertools.zip_longest(
+        message.kept_parts, message.kept_by, message.being_read, fillvalue=0
+    )
+    kept = tuple(KeptPart(part, engine, bool(reading)) for part, engine, reading in rows)
+    return LoadReport(scope, message.sender, message.zone, loads, kept)
--- a/liftrill/gateway/load_exchange.py
+++ b/liftrill/gateway/load_exchange.py
@@ -13,7 +13,7 @@
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Member
 from liftrill.gateway.load_board import LoadBoard, LoadByEngine
-from liftrill.gateway.prefix_directory import KeptNews
+from liftrill.gateway.prefix_directory import KeptNews, KeptPart
 
 DELEGATE_KEY = b"load delegate "
 DIRECT_NODES = 12
@@ -38,7 +38,7 @@
     node: str
     zone: str
     loads: LoadByEngine
-    kept: tuple[int, ...] = ()
+    kept: tuple[KeptPart, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -71,6 +71,11 @@
             return self.route.resumable
         return self.route.kind is RequestKind.IDEMPOTENT
 
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of the parts that other requests may have too."""
+        return sum(part.tokens for part in self.prompt.shared_parts) if self.prompt else 0
+
     @property
     def is_stream(self) -> bool:
         """Whether the answer is a series of events."""
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -5,14 +5,14 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
+import xxhash
+
 from liftrill import constants
 from liftrill.coordination import rendezvous
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 
 SALT_DIGEST_BYTES = 8
-# How much longer a move between zones takes than one within a zone.
-BETWEEN_ZONES = 2.0
 MOVE_PREFILL_TOKENS_PER_S = 40_000.0
 
 
@@ -33,12 +33,23 @@
 
     Attributes:
         scope: the cache salt that the request would have there, or empty.
-        kept: whether the store of kept prefixes has the shared parts in that scope.
+        kept_parts: how many of the shared parts, from the first on, can be fetched in that
+            scope.
+        kept_tokens: the tokens of these parts.
+        reader: the number of the engine that reads the next part now, or 0.
+        move_s: how long it takes to fetch the shared parts.
+        holder: the engine to fetch them from, or None for the store.
+        replaced_s: for how long newer weights than it has have been named.
     """
 
     view: EngineView
     scope: str = ""
-    kept: bool = False
+    kept_parts: int = 0
+    kept_tokens: int = 0
+    reader: int = 0
+    move_s: float = 0.0
+    holder: EngineView | None = None
+    replaced_s: float = 0.0
 
 
 class PlacementPolicy(ABC):
@@ -68,61 +79,96 @@
 class PromptCost(PlacementPolicy):
     """The engine on which the prompt is expected to be read first.
 
-    What waits on an engine is counted in prompt tokens. Within each scope the first engine
-    of the part's rendezvous order, which is the same for all nodes, is taken to hold the
-    shared parts. Another one pays for moving them if they are kept, and otherwise for
-    reading them again.
+    What waits on an engine is counted in prompt tokens. Within each scope one engine, the
+    same for all nodes, is taken to hold the shared parts. Another one pays for moving what
+    is kept, and for reading the rest a second time.
+
+    A part that nobody has read yet is read at the engine of the first such part: prompts
+    that begin alike would otherwise be read at as many engines as they have continuations.
 
     Attributes:
         move_tokens: the least that moving a shared part costs, in prompt tokens read meanwhile.
-        move_s_per_token: time to move the memory of one token, by service; a move is taken to
-            go between zones, which doubles it.
+        engines_per_beginning: engines of a scope for each one that reads the beginning of
+            many prompts.
         reread_factor: how much dearer reading a shared part again is than waiting as long.
         long_prompt_tokens: a prompt of which this much must be read makes the streams that
             run on its engine pause, longer than their callers allow.
         pause_share: what each such stream adds, as a share of the tokens to read.
+        replaced_tokens: how long a wait, in prompt tokens, is better than weights that were
+            replaced some time ago: what is made on them is worth less.
+        replaced_grace_s: for how long after their replacement weights are as good as new.
         memory_share: share of an engine's memory from which running requests count too.
         cache_tokens: tokens that one engine keeps, by service.
     """
 
     move_tokens: float = 600.0
+    engines_per_beginning: int = 8
     reread_factor: float = constants.REREAD_FACTOR
     long_prompt_tokens: int = constants.LONG_PROMPT_TOKENS
     pause_share: float = constants.LONG_PROMPT_PAUSE_SHARE
+    replaced_tokens: float = constants.REPLACED_WEIGHTS_TOKENS
+    replaced_grace_s: float = constants.REPLACED_WEIGHTS_GRACE_S
     memory_share: float = 0.6
     cache_tokens: dict[str, int] = field(default_factory=dict)
-    move_s_per_token: dict[str, float] = field(default_factory=dict)
 
     def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
         """Return the engine with the least cost."""
         key = affinity_key(request) or request.request_id.encode()
         by_id = {candidate.view.engine_id: candidate for candidate in candidates}
-        shared = sum(part.tokens for part in request.prompt.shared_parts) if request.prompt else 0
-        scopes_seen: set[str] = set()
+        homes = self._homes(request, candidates, key)
         best, least = candidates[0], math.inf
         for engine_id in rendezvous.rank(key, by_id):
             candidate = by_id[engine_id]
-            cost = self._backlog(candidate.view)
-            if candidate.scope in scopes_seen:
-                reread = shared * self.reread_factor
-                cost += self._move(request, shared) if candidate.kept else reread
-            scopes_seen.add(candidate.scope)
-            cost += self._pauses(request, candidate)
+            cost = self._backlog(candidate.view) + self._pauses(request, candidate)
+            if homes[candidate.scope] != engine_id:
+                cost += self._sharing(request, candidate)
+            if candidate.replaced_s > self.replaced_grace_s:
+                cost += self.replaced_tokens
             if cost < least:
                 best, least = candidate, cost
         return best
 
-    def _move(self, request: OpaqueRequest, shared_tokens: int) -> float:
-        """Return the prompt tokens that could be read while shared parts are moved."""
-        move_s = BETWEEN_ZONES * shared_tokens * self.move_s_per_token.get(request.service, 0.0)
-        return max(self.move_tokens, move_s * MOVE_PREFILL_TOKENS_PER_S)
+    def _homes(
+        self, request: OpaqueRequest, candidates: list[Candidate], key: bytes
+    ) -> dict[str, str]:
+        """Return the engine of each scope that is taken to hold the shared parts."""
+        engines: dict[str, list[Candidate]] = {}
+        for candidate in candidates:
+            engines.setdefault(candidate.scope, []).append(candidate)
+        return {scope: self._home(request, those, key) for scope, those in engines.items()}
+
+    def _home(self, request: OpaqueRequest, candidates: list[Candidate], key: bytes) -> str:
+        """Return the engine that reads the first unread part, or is to read it.
+
+        Among many engines the beginning of many prompts is read at several of them: what
+        nodes know of each other's requests is too old there to keep one from being swamped.
+        """
+        first = candidates[0]
+        unread = first_unread(request, first) or key
+        beginnings = max(1, len(candidates) // self.engines_per_beginning)
+        if beginnings > 1 and unread != key:
+            unread += b"%d" % (xxhash.xxh3_64_intdigest(key) % beginnings)
+        else:
+            for candidate in candidates:
+                if candidate.view.number == first.reader:
+                    return candidate.view.engine_id
+        home = rendezvous.first(unread, [c.view.engine_id for c in candidates])
+        assert home is not None
+        return home
+
+    def _sharing(self, request: OpaqueRequest, candidate: Candidate) -> float:
+        """Return what it costs to have the shared parts at an engine that lacks them."""
+        missing = request.shared_tokens - candidate.kept_tokens
+        if missing:
+            return missing * self.reread_factor
+        # The tokens that could be read while the parts are moved.
+        return max(self.move_tokens, candidate.move_s * MOVE_PREFILL_TOKENS_PER_S)
 
     def _pauses(self, request: OpaqueRequest, candidate: Candidate) -> float:
         """Return what the pauses of other streams there cost, if the prompt is long."""
         if request.prompt is None:
             return 0.0
-        shared = sum(part.tokens for part in request.prompt.shared_parts)
-        to_read = request.prompt.prompt_tokens - (shared if candidate.kept else 0)
+        to_read = request.prompt.prompt_tokens - candidate.kept_tokens
         if to_read < self.long_prompt_tokens:
             return 0.0
         return candidate.view.requests * to_read * self.pause_share
@@ -139,3 +185,11 @@
     if prompt is None or not prompt.shared_parts:
         return None
     return prompt.shared_parts[-1].part_id.encode()
+
+
+def first_unread(request: OpaqueRequest, candidate: Candidate) -> bytes | None:
+    """Return the name of the first shared part that is not kept, or None."""
+    parts = request.prompt.shared_parts if request.prompt else ()
+    if candidate.kept_parts >= len(parts):
+        return None
+    return parts[candidate.kept_parts].part_id.encode()
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -58,6 +58,7 @@
         models: names of the models that its engines run.
         backups: whether its engines send copies of runs to each other.
         move_s_per_token: time to move the memory of one token between engines.
+        store_move_s_per_token: the same from a kept store.
     """
 
     name: str
@@ -66,6 +67,7 @@
     models: tuple[str, ...] = ()
     backups: bool = False
     move_s_per_token: float = 0.0
+    store_move_s_per_token: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -23,7 +23,8 @@
         join_delay: wait for further versions before the first load.
         load_estimate: how long an engine is expected to be out of use for a load.
         finish_margin: by which all loads should be over before the grace ends.
-        least_at_once: loads at once where time is no concern.
+        least_at_once: loads at once where time is no concern, in a small fleet.
+        share_at_once: the same as a share of the engines, in a larger one.
         drain_time: how long before its order an engine gets no new requests, so that what
             waits there has begun when the order comes.
         longest_drain: how long the order waits for that at the most.
@@ -38,6 +39,7 @@
     load_estimate: float = constants.WEIGHT_LOAD_ESTIMATE_SECONDS
     finish_margin: float = 2.0
     least_at_once: int = 2
+    share_at_once: float = constants.WEIGHT_LOADS_SHARE
     drain_time: float = 0.4
     longest_drain: float = 1.6
     run_drain: float = constants.WEIGHT_RUN_DRAIN_SECONDS
@@ -220,7 +222,7 @@
         pending = self.targets.open_versions(model, min(versions))
         if not pending or now < pending[0].heard_at + self.parameters.join_delay:
             return []
-        room = self._at_once(versions, pending, now) - len(self.loads)
+        room = self._at_once(len(running), versions, pending, now) - len(self.loads)
         version = self.targets.newest(model)
         chosen = sorted(waiting, key=lambda v: (v.weight_version(model), v.engine_id))
         chosen = chosen[: max(0, room)]
@@ -231,9 +233,13 @@
             return False
         return now >= self._not_before.get(view.engine_id, 0.0)
 
-    def _at_once(self, versions: list[int], pending: list[NamedVersion], now: float) -> int:
-        """Return how many engines must load at once for each version to be reached in time."""
-        most = self.parameters.least_at_once
+    def _at_once(
+        self, engines: int, versions: list[int], pending: list[NamedVersion], now: float
+    ) -> int:
+        """Return how many engines load at once, so that each version is reached in time."""
+        most = max(
+            self.parameters.least_at_once, math.floor(self.parameters.share_at_once * engines)
+        )
         for named in pending:
             deadline = named.heard_at + self.targets.grace_seconds - self.parameters.finish_margin
             rounds = max(1.0, (deadline - now) / self.parameters.load_estimate)
--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -70,6 +70,11 @@
         """
         return max((n.version for n in self._named.get(model, []) if not n.age_known), default=0)
 
+    def replaced_at(self, model: str, version: int) -> float:
+        """Return when a newer version than one was first named, or infinity."""
+        named = self._named.get(model, [])
+        return min((n.heard_at for n in named if n.version > version), default=math.inf)
+
     def begin_by(self, model: str, version: int) -> float:
         """Return until when a request may begin on a version (steady clock)."""
         named = self._named.get(model, [])
