Tell requests from log files by name, call a closed caller gone, and make copies of long runs only

`logs explain ID FILES` and `logs summary FILES` ended in a traceback with files (flags of a variable number of paths); an engine's own 500 was called served.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -30,3 +30,18 @@
 
   Scenario: Every scenario and deployment file is valid
     Then every file under scenarios and deployments loads
+
+  Scenario Outline: What became of a request is told from log files
+    Given a log in which a request got an engine's 500 twice
+    When liftrill is run with "<arguments>"
+    Then it ends with <code> and says "<says>"
+
+    Examples:
+      | arguments                  | code | says                                     |
+      | logs explain r1 LOG        | 0    | 2 engines failed it, the last one e2     |
+      | logs explain r1 LOG LOG    | 0    | with status 500                          |
+      | logs explain other LOG     | 0    | no line tells of other                   |
+      | logs summary LOG           | 0    | 1  served                                |
+      | logs explain r1 MISSING    | 1    | No such file or directory                |
+      | logs summary DIRECTORY     | 1    | Is a directory                           |
+      | logs explain               | 2    | the following arguments are required     |
--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -23,3 +23,9 @@
     Then no engine is ready for a request
     When 3000 tokens wait there
     Then the engine is ready for a request
+
+  Scenario: A caller that closes its connection while it is answered is no failure of the node
+    Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n"
+    And its caller closes the connection before the first event
+    When a gateway delivers it
+    Then the request counts as one whose caller is gone
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -68,10 +68,17 @@
     Given engines that send copies of runs to each other
     And a node
     And the next request to any model engine meets the fault "torn"
-    When a client asks for a stream at "/stream/x"
+    When a client asks for a stream of up to 2000 tokens at "/stream/x"
     Then the stream has events 1 to 4 and is complete
     And it went on at the engine that had the copy
 
+  Scenario: No copy is made of a run that is over soon
+    Given engines that send copies of runs to each other
+    And a node
+    And the next request to any model engine meets the fault "torn"
+    When a client asks for a stream at "/stream/x"
+    Then the stream is not complete
+
   Scenario: A torn stream is resumed elsewhere if that is allowed, and broken off otherwise
     Given a node
     And the next request to any model engine meets the fault "torn"
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -1,5 +1,6 @@
 """Steps about commands and settings."""
 
+import json
 import subprocess
 import sys
 from pathlib import Path
@@ -125,3 +126,39 @@
         load_scenario(str(path))
     for path in deployments:
         load_deployment(str(path))
+
+
+@given("a log in which a request got an engine's 500 twice")
+def step_log(context):
+    row = {
+        "message_type": "liftrill:request",
+        "timestamp": 1.0,
+        "node": "a",
+        "request": "r1",
+        "outcome": "served",
+        "status": 500,
+        "engine": "e2",
+        "attempts": 2,
+    }
+    context.log = context.directory / "node.log"
+    context.log.write_text(json.dumps(row) + "\n")
+
+
+@when('liftrill is run with "{arguments}"')
+def step_run_with(context, arguments):
+    names = {
+        "LOG": context.log,
+        "MISSING": context.directory / "missing.log",
+        "DIRECTORY": context.directory,
+    }
+    words = [str(names.get(word, word)) for word in arguments.split()]
+    code = "import sys; from liftrill.cli.main import main; main()"
+    command = [sys.executable, "-c", code, *words]
+    context.finished = subprocess.run(command, capture_output=True, text=True)
+
+
+@then('it ends with {code:d} and says "{says}"')
+def step_ends_saying(context, code, says):
+    told = context.finished.stdout + context.finished.stderr
+    assert context.finished.returncode == code, context.finished
+    assert says in told and "Traceback" not in told, told
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -176,15 +176,16 @@
     transport = getattr(context, "transport", None) or ScriptedTransport(context.pieces)
     selector = EngineSelector(engines, targets, "zone-1")
     allowance = RetryAllowance(0.2, 20.0, 10.0, 0.0)
+    context.metrics = GatewayMetrics()
     forwarder = Forwarder(
         engines,
         ForwardingPorts(selector, allowance),
         allowance,
         transport,
         DecisionLog("node-1"),
-        GatewayMetrics(),
+        context.metrics,
     )
-    context.sink = RecordingSink()
+    context.sink = getattr(context, "sink", None) or RecordingSink()
     request = opaque_request(deadline=time.monotonic() + 5.0, received_at=time.monotonic())
     context.run(forwarder.deliver(request, context.sink))
 
@@ -202,3 +203,21 @@
 @then("the answer is broken off")
 def step_broken_off(context):
     assert context.sink.ending == "broken off", context.sink.ending
+
+
+class ClosedSink(RecordingSink):
+    """A caller whose connection is closed."""
+
+    async def pass_bytes(self, data):
+        raise ConnectionResetError("Cannot write to closing transport")
+
+
+@given("its caller closes the connection before the first event")
+def step_closed_sink(context):
+    context.sink = ClosedSink()
+
+
+@then("the request counts as one whose caller is gone")
+def step_counts_gone(context):
+    text = context.metrics.text().decode()
+    assert 'liftrill_requests_total{outcome="caller_gone"} 1.0' in text, text
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -150,6 +150,11 @@
     call(context, path, model="model-1")
 
 
+@when('a client asks for a stream of up to {tokens:d} tokens at "{path}"')
+def step_long_stream(context, tokens, path):
+    call(context, path, model="model-1", **{"X-Token-Usage": f"30,{tokens}"})
+
+
 @when('{count:d} clients post to "{path}" one after the other')
 def step_many(context, count, path):
     context.answers = []
--- a/liftrill/cli/logs.py
+++ b/liftrill/cli/logs.py
@@ -4,14 +4,19 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from liftrill.errors import LiftrillError
 from liftrill.gateway import log_reader
 
 
-def explain(*files: Path, request: str) -> None:
+class LogFileError(LiftrillError):
+    """A log that was named cannot be read."""
+
+
+def explain(request: str, *files: Path) -> None:
     """Tell the story of one request over the logs of all processes.
 
-    :param files: logs of all processes; standard input without any.
     :param request: the id that the caller sent.
+    :param files: logs of all processes; standard input without any.
     """
     lines = log_reader.read_lines(_texts(files))
     print("\n".join(log_reader.explain(lines, request)))
@@ -30,5 +35,8 @@
     if not files:
         yield from sys.stdin
     for path in files:
-        with path.open(errors="replace") as file:
-            yield from file
+        try:
+            with path.open(errors="replace") as file:
+                yield from file
+        except OSError as error:
+            raise LogFileError(f"{path}: {error.strerror}") from error
--- a/liftrill/cli/main.py
+++ b/liftrill/cli/main.py
@@ -1,6 +1,7 @@
 """The `liftrill` command and its sub-commands."""
 
 import sys
+from typing import Literal
 
 import defopt
 
@@ -44,10 +45,15 @@
 }
 
 
+def _options(arguments: list[str]) -> Literal["all", "kwonly"]:
+    """Return which parameters are flags: the files of `logs` are not, nor is the id."""
+    return "kwonly" if arguments[:1] == ["logs"] else "all"
+
+
 def main() -> None:
     """Run the command line; exit code 2 means wrong usage or settings, 1 a failure."""
     try:
-        result = defopt.run(COMMANDS, cli_options="all", show_defaults=True)
+        result = defopt.run(COMMANDS, cli_options=_options(sys.argv[1:]), show_defaults=True)
     except SettingsError as error:
         print(f"liftrill: {error}", file=sys.stderr)
         sys.exit(USAGE_EXIT_CODE)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -120,9 +120,11 @@
         except TimeoutError:
             await delivery.drive(events.DeadlinePassed())
         except asyncio.CancelledError:
-            self.log.request_abandoned(machine)
-            self.metrics.count_outcome("caller_gone")
+            self._note_caller_gone(machine)
             raise
+        except ConnectionResetError:
+            # Only the caller's connection can end so: an engine's end is an event.
+            self._note_caller_gone(machine)
         except Exception as error:
             self.log.request_crashed(machine, error)
             self.metrics.count_outcome("crashed")
@@ -130,6 +132,10 @@
         finally:
             delivery.close()
 
+    def _note_caller_gone(self, machine: DeliveryMachine) -> None:
+        self.log.request_abandoned(machine)
+        self.metrics.count_outcome("caller_gone")
+
     def begin(
         self, request: OpaqueRequest, start: events.StartAttempt, first: bool
     ) -> tuple[EngineView | None, EngineAttempt]:
--- a/liftrill/gateway/log_reader.py
+++ b/liftrill/gateway/log_reader.py
@@ -24,6 +24,7 @@
     "KEY_NOT_PROVEN": "the store had not answered for too long to know that the key still holds",
     "NO_ELIGIBLE_ENGINE": "no engine of the service was free to take it in time",
     "ENGINES_REFUSED": "every engine that was asked refused without running it",
+    "ENGINES_FULL": "so much waited at all engines that none would have answered in time",
     "RETRY_BUDGET_EXHAUSTED": "the budget of repeats was used up",
     "ENGINE_LOST": "the connection to the engine broke after the request was sent",
     "STREAM_INTERRUPTED": "the stream broke, and it may not go on elsewhere",
@@ -33,6 +34,10 @@
 }
 
 
+# From here on a status is an engine's failure.
+FIRST_SERVER_ERROR = 500
+
+
 @dataclass(frozen=True, slots=True)
 class LogLine:
     """One line of a log.
@@ -119,6 +124,12 @@
         return "its end is not told: the process ended first, or the line was left out"
     last = ended[-1].fields
     outcome = last.get("outcome", "refused")
+    if outcome == "served" and int(last.get("status") or 0) >= FIRST_SERVER_ERROR:
+        engines = [line.fields["engine"] for line in own if line.kind == "retried"]
+        return f"{last['attempts']} engines failed it, the last one {last['engine']} with " + (
+            f"status {last['status']}"
+            + (f" (sent again to {', '.join(engines)})" if engines else "")
+        )
     if outcome == "served":
         return f"served{_pauses(last)}"
     if outcome == "caller_gone":
