--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -155,3 +155,17 @@
     And copies are gone on with three times at most, and only by a stream that has begun
     And none is called not run while an attempt may have run
     And none is sent to more engines than its route allows
+
+  Scenario Outline: When its wait is over a held request is tried once more, then refused
+    Given an opaque request that may run at most once, with 1 attempts
+    And no engine is ready
+    When it starts
+    Then it is held for an engine
+    When an engine becomes ready <whether>
+    And its wait ends
+    Then it is <end>
+
+    Examples:
+      | whether     | end                 |
+      | unnoticed   | sent to an engine   |
+      | not         | refused as not run  |
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -296,3 +296,23 @@
         copies = sum(choice.continues_copy for choice in machine.attempts)
         sent = len(machine.attempts) - unreached - copies
         assert sent <= machine.request.route.maximum_attempts, history
+
+
+@when("an engine becomes ready {whether}")
+def step_becomes_ready(context, whether):
+    context.ports.ready = whether == "unnoticed"
+
+
+@when("its wait ends")
+def step_wait_ends(context):
+    context.last = context.machine.handle(events.WaitEnded())
+
+
+@then("it is sent to an engine")
+def step_is_sent(context):
+    assert find(context.last, events.StartAttempt), context.last
+
+
+@then("it is refused as not run")
+def step_is_refused(context):
+    assert find(context.last, events.RefuseRequest), context.last
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -135,7 +135,11 @@
     def _on_wait_ended(self, _: events.WaitEnded) -> list[events.DeliveryInstruction]:
         if self.phase is not Phase.WAITING:
             return []
-        return [self._end(self._last_code)]
+        # What it waited for may have passed unnoticed just now.
+        instructions = self._attempt()
+        if isinstance(instructions[0], events.WaitForEngine):
+            return [self._end(self._last_code)]
+        return instructions
 
     def _on_refused(self, event: events.AttemptRefused) -> list[events.DeliveryInstruction]:
         choice = self.attempts[-1]
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -1,15 +1,14 @@
 """Applies what must hold for an engine, then lets the policy choose."""
 
-import itertools
 import math
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from liftrill import constants
 from liftrill.coordination import rendezvous
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engine_table import EngineTable, EngineView, engine_number
-from liftrill.gateway.opaque_request import OpaqueRequest, PromptPart, PromptShape
+from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 from liftrill.gateway.overload import OverloadGuard, ReadingRates
 from liftrill.gateway.placement import (
     Candidate,
@@ -20,6 +19,7 @@
 )
 from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
 from liftrill.gateway.records import KeptStoreProfile
+from liftrill.gateway.shared_parts import SharedParts, find_shared_parts
 from liftrill.gateway.weight_targets import WeightTargets
 
 # How much longer a move between zones takes than one within a zone.
@@ -28,6 +28,15 @@
 FEW_ENGINES = 16
 
 
+@dataclass(frozen=True, slots=True)
+class _Scope:
+    """What a prompt finds at all engines of one weight version."""
+
+    salt: str
+    shared: SharedParts
+    replaced_s: float
+
+
 class EngineSelector:
     """Chooses engines for requests.
 
@@ -88,9 +97,9 @@
         roomy = self._with_room(request, ready, now)
         if not roomy:
             return Unavailable.FULL
-        candidates = [self._candidate(view, request, now) for view in roomy]
+        candidates = self._candidates(request, prompt, roomy, now)
         chosen = self._prompt_policy.choose(request, candidates, self._zone)
-        behind_reading = chosen.reader == chosen.view.number
+        behind_reading = chosen.shared.reader == chosen.view.number
         if behind_reading and len(roomy) < FEW_ENGINES and now < self._hold_until(request):
             return Unavailable.NONE_READY
         choice = self._prompt_choice(chosen, prompt)
@@ -232,62 +241,47 @@
         required = max(floor, self._targets.required(model, now + self._wait_s(view)))
         return version > 0 and version >= required
 
-    def _candidate(self, view: EngineView, request: OpaqueRequest, now: float) -> Candidate:
-        prompt = request.prompt
-        assert prompt is not None
-        version = view.weight_version(prompt.model)
+    def _candidates(
+        self, request: OpaqueRequest, prompt: PromptShape, views: list[EngineView], now: float
+    ) -> list[Candidate]:
+        """Return the engines with what each of their weight versions means for a prompt."""
+        scopes: dict[int, _Scope] = {}
+        candidates: list[Candidate] = []
+        for view in views:
+            version = view.weight_version(prompt.model)
+            if version not in scopes:
+                scopes[version] = self._scope(request, prompt, version, now)
+            scope = scopes[version]
+            holder = self._holder(view, scope.shared.holder, prompt.model, now)
+            move_s = self._move_s(request, view, holder)
+            candidates.append(
+                Candidate(view, scope.salt, scope.shared, move_s, holder, scope.replaced_s)
+            )
+        return candidates
+
+    def _scope(
+        self, request: OpaqueRequest, prompt: PromptShape, version: int, now: float
+    ) -> _Scope:
+        """Return what a weight version means for a prompt."""
         salt = cache_salt(request.tenant, request.isolated, prompt.model, version)
-        kept = self._kept_parts(salt, prompt, now)
-        holder = self._holder(view, salt, prompt, now) if kept else None
-        return Candidate(
-            view,
-            salt,
-            len(kept),
-            sum(part.tokens for part in kept),
-            self._reader(salt, prompt, len(kept), now),
-            self._move_s(prompt, view, holder),
-            holder,
-            max(0.0, now - self._targets.replaced_at(prompt.model, version)),
-        )
+        replaced_s = max(0.0, now - self._targets.replaced_at(prompt.model, version))
+        return _Scope(salt, find_shared_parts(self.directory, salt, prompt, now), replaced_s)
 
-    def _kept_parts(self, salt: str, prompt: PromptShape, now: float) -> list[PromptPart]:
-        """Return the shared parts, from the first on, that can be fetched from somewhere."""
-
-        def is_kept(part: PromptPart) -> bool:
-            number = part_number(salt, part.part_id)
-            if self.directory.is_settled(number, now):
-                return True
-            return self.directory.is_saved(number, now) and self.directory.holder(number, now) != 0
-
-        return list(itertools.takewhile(is_kept, prompt.shared_parts))
-
-    def _reader(self, salt: str, prompt: PromptShape, kept: int, now: float) -> int:
-        """Return the number of the engine that reads the first part that is not kept, or 0."""
-        unread = prompt.shared_parts[kept : kept + 1]
-        return self.directory.holder(part_number(salt, unread[0].part_id), now) if unread else 0
-
-    def _holder(
-        self, view: EngineView, salt: str, prompt: PromptShape, now: float
-    ) -> EngineView | None:
+    def _holder(self, view: EngineView, number: int, model: str, now: float) -> EngineView | None:
         """Return another engine to fetch the shared parts from, or None for the store.
 
         An engine that has other weights by now, or is about to, is not asked: what it keeps
         for runs that went on may have been made under either.
         """
-        deepest = part_number(salt, prompt.shared_parts[-1].part_id)
-        if not self.directory.is_saved(deepest, now):
-            return None
-        number = self.directory.holder(deepest, now)
         holder = self._engines.by_number(number)
         if holder is None or holder is view:
             return None
-        version = view.weight_version(prompt.model)
-        return holder if self._goes_on(holder, prompt.model, version, now) else None
+        return holder if self._goes_on(holder, model, view.weight_version(model), now) else None
 
-    def _move_s(self, prompt: PromptShape, view: EngineView, holder: EngineView | None) -> float:
+    def _move_s(self, request: OpaqueRequest, view: EngineView, holder: EngineView | None) -> float:
         """Return how long moving the shared parts to an engine takes."""
         service = view.record.service
-        tokens = sum(part.tokens for part in prompt.shared_parts)
+        tokens = request.shared_tokens
         if holder is None:
             return BETWEEN_ZONES * tokens * self.store_move_s_per_token.get(service, 0.0)
         factor = 1.0 if holder.record.zone == view.record.zone else BETWEEN_ZONES
@@ -303,9 +297,9 @@
             version,
             chosen.scope,
             fetch_from=chosen.holder.record.address if chosen.holder else store,
-            save_to="" if chosen.kept_parts == len(prompt.shared_parts) else store,
+            save_to="" if chosen.shared.kept_parts == len(prompt.shared_parts) else store,
             begin_by=self._targets.begin_by(prompt.model, version),
-            expected_tokens=max(0, prompt.prompt_tokens - chosen.kept_tokens),
+            expected_tokens=max(0, prompt.prompt_tokens - chosen.shared.kept_tokens),
         )
 
     def _kept_store(self, prompt: PromptShape) -> str:
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -11,6 +11,7 @@
 from liftrill.coordination import rendezvous
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
+from liftrill.gateway.shared_parts import NOTHING_KEPT, SharedParts
 
 SALT_DIGEST_BYTES = 8
 MOVE_PREFILL_TOKENS_PER_S = 40_000.0
@@ -33,20 +34,15 @@
 
     Attributes:
         scope: the cache salt that the request would have there, or empty.
-        kept_parts: how many of the shared parts, from the first on, can be fetched in that
-            scope.
-        kept_tokens: the tokens of these parts.
-        reader: the number of the engine that reads the next part now, or 0.
-        move_s: how long it takes to fetch the shared parts.
+        shared: what is known of its shared parts in that scope.
+        move_s: how long it takes to fetch them.
         holder: the engine to fetch them from, or None for the store.
         replaced_s: for how long newer weights than it has have been named.
     """
 
     view: EngineView
     scope: str = ""
-    kept_parts: int = 0
-    kept_tokens: int = 0
-    reader: int = 0
+    shared: SharedParts = NOTHING_KEPT
     move_s: float = 0.0
     holder: EngineView | None = None
     replaced_s: float = 0.0
@@ -150,7 +146,7 @@
             unread += b"%d" % (xxhash.xxh3_64_intdigest(key) % beginnings)
         else:
             for candidate in candidates:
-                if candidate.view.number == first.reader:
+                if candidate.view.number == first.shared.reader:
                     return candidate.view.engine_id
         home = rendezvous.first(unread, [c.view.engine_id for c in candidates])
         assert home is not None
@@ -158,7 +154,7 @@
 
     def _sharing(self, request: OpaqueRequest, candidate: Candidate) -> float:
         """Return what it costs to have the shared parts at an engine that lacks them."""
-        missing = request.shared_tokens - candidate.kept_tokens
+        missing = request.shared_tokens - candidate.shared.kept_tokens
         if missing:
             return missing * self.reread_factor
         # The tokens that could be read while the parts are moved.
@@ -168,7 +164,7 @@
         """Return what the pauses of other streams there cost, if the prompt is long."""
         if request.prompt is None:
             return 0.0
-        to_read = request.prompt.prompt_tokens - candidate.kept_tokens
+        to_read = request.prompt.prompt_tokens - candidate.shared.kept_tokens
         if to_read < self.long_prompt_tokens:
             return 0.0
         return candidate.view.requests * to_read * self.pause_share
@@ -190,6 +186,6 @@
 def first_unread(request: OpaqueRequest, candidate: Candidate) -> bytes | None:
     """Return the name of the first shared part that is not kept, or None."""
     parts = request.prompt.shared_parts if request.prompt else ()
-    if candidate.kept_parts >= len(parts):
+    if candidate.shared.kept_parts >= len(parts):
         return None
-    return parts[candidate.kept_parts].part_id.encode()
+    return parts[candidate.shared.kept_parts].part_id.encode()
