--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -1,22 +1,20 @@
-Feature: In a region with many nodes a few read the store, and the others follow them
+Feature: In a zone with many nodes a few read the store, and the others follow them
 
-  Scenario Outline: How many nodes of a region read the store
-    Given a region of <nodes> nodes in <zones> zones
+  Scenario Outline: How many nodes of a zone read the store
+    Given a zone of <nodes> nodes
     Then <readers> of them read the store
     And each of the others follows one, no reader more than <most> of them
 
     Examples:
-      | nodes | zones | readers | most |
-      | 3     | 1     | 3       | 0    |
-      | 4     | 1     | 4       | 0    |
-      | 5     | 1     | 2       | 3    |
-      | 8     | 4     | 2       | 6    |
-      | 26    | 1     | 2       | 18   |
-      | 69    | 4     | 5       | 30   |
+      | nodes | readers | most |
+      | 3     | 3       | 0    |
+      | 4     | 4       | 0    |
+      | 5     | 2       | 3    |
+      | 26    | 2       | 18   |
 
-  Scenario: A node follows a reader of its own zone where there is one
-    Given a region of 69 nodes in 4 zones
-    Then each node follows a reader of its own zone where there is one
+  Scenario: A small fleet in small zones reads the store itself: it may refuse any few of the nodes
+    Given a region of 8 nodes in 4 zones
+    Then 8 of them read the store
 
   Scenario: A reader that fails is left alone for a while, and without any the store is read
     Given a zone of 8 nodes
--- a/liftrill/gateway/reader_plan.py
+++ b/liftrill/gateway/reader_plan.py
@@ -1,12 +1,11 @@
 """Which nodes read the store, and which of them a node follows, sans-IO.
 
-Calls to the store are paid for and limited over all nodes. In a region with many nodes a
+Calls to the store are paid for and limited over all nodes. In a zone with many nodes a
 few read it, and the others follow one of these. Any node reads the store itself while
 no reader serves it. The store may refuse some nodes while it serves others: a node that
 it does not answer follows another one for a while.
 """
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -21,18 +20,16 @@
     """The choice of one node.
 
     Attributes:
-        least_readers: how many nodes of a region read the store at the least.
-        nodes_per_reader: nodes of a region for each further reader.
-        least_nodes: nodes of a region below which all read it.
+        readers_per_zone: how many nodes of a zone read the store.
+        least_zone_nodes: nodes of a zone below which all read it.
         avoid_s: for how long a reader that failed this node is left alone.
         stand_ins: nodes that are asked, one after the other, where the store does not answer.
         stand_in_s: for how long one is followed before the store is tried again.
     """
 
     own: Member
-    least_readers: int = 2
-    nodes_per_reader: int = 16
-    least_nodes: int = 5
+    readers_per_zone: int = 2
+    least_zone_nodes: int = 5
     avoid_s: float = 5.0
     stand_ins: int = 3
     stand_in_s: float = 5.0
@@ -64,30 +61,27 @@
         return next(usable, None)
 
     def _ranked(self, candidates: Iterable[Member]) -> list[Member]:
-        """Return candidates, those of the own zone first, else in an order of this node's own.
-
-        So the nodes share the readers, and little passes between zones.
-        """
+        """Return candidates in an order of this node's own, so that they share the followers."""
         by_id = {member.node_id: member for member in candidates}
-        ranked = [by_id[name] for name in rendezvous.rank(self.own.node_id.encode(), by_id)]
-        return sorted(ranked, key=lambda member: member.zone != self.own.zone)
+        return [by_id[name] for name in rendezvous.rank(self.own.node_id.encode(), by_id)]
 
     def _stand_ins(self, members: list[Member]) -> list[Member]:
         """Return a few living nodes, those of the own zone first."""
         others = (m for m in members if _is_alive(m) and m.node_id != self.own.node_id)
-        return self._ranked(others)[: self.stand_ins]
+        ranked = sorted(self._ranked(others), key=lambda m: m.zone != self.own.zone)
+        return ranked[: self.stand_ins]
 
     def readers(self, members: Iterable[Member]) -> dict[str, Member]:
-        """Return the readers of this node's region by name; none where all read the store."""
-        near = {
+        """Return the readers of this node's zone by name; none where all read the store."""
+        local = {
             member.node_id: member
             for member in members
-            if member.region == self.own.region and _is_alive(member)
+            if member.zone == self.own.zone and _is_alive(member)
         }
-        if len(near) < self.least_nodes:
+        if len(local) < self.least_zone_nodes:
             return {}
-        count = max(self.least_readers, math.ceil(len(near) / self.nodes_per_reader))
-        return {name: near[name] for name in rendezvous.rank(READER_KEY, near)[:count]}
+        ranked = rendezvous.rank(READER_KEY, local)
+        return {name: local[name] for name in ranked[: self.readers_per_zone]}
 
     def avoid(self, node_id: str, now: float) -> None:
         """Leave a reader alone for a while."""
