--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -130,7 +130,7 @@
 def step_saved(context):
     context.part = part_number("salt", "part")
     first = next(iter(context.nodes.values()))
-    first.directory.record_saved(context.part, 7, 0.0, worth_telling=True)
+    first.directory.record_read(context.part, 7, 0.0, saved=True, worth_telling=True)
 
 
 @then("every node knows that the part is kept, and forgets it after {seconds:g} s")
--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -14,6 +14,7 @@
 from liftrill.gateway.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
 from liftrill.gateway.overload import ReadingRates
+from liftrill.gateway.records import ServiceProfile
 from liftrill.gateway.weight_targets import WeightTargets
 
 TARGET_S = 0.6
@@ -215,7 +216,8 @@
 @given("2 engines of which one has its memory taken")
 def step_memory(context):
     context.simulation = Simulation(2, 50_000)
-    context.simulation.selector.cache_tokens["service-1"] = 10_000
+    profile = ServiceProfile("service-1", 0, cache_tokens=10_000)
+    context.simulation.selector.services["service-1"] = profile
     take_memory(context, "e0")
 
 
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -9,7 +9,7 @@
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
-from liftrill.gateway.records import KeptStoreProfile, WeightTarget
+from liftrill.gateway.records import KeptStoreProfile, ServiceProfile, WeightTarget
 from liftrill.gateway.weight_targets import WeightTargets
 
 
@@ -91,7 +91,8 @@
 
 @given("moving the memory of a token takes {move:g} microseconds")
 def step_move_time(context, move):
-    context.selectors[0].store_move_s_per_token["service-1"] = move / 1e6
+    profile = ServiceProfile("service-1", 0, store_move_s_per_token=move / 1e6)
+    context.selectors[0].services["service-1"] = profile
 
 
 def kept_request():
--- a/liftrill/constants.py
+++ b/liftrill/constants.py
@@ -152,7 +152,12 @@
 ENGINE_MEMORY_SHARE = _number("LIFTRILL_ENGINE_MEMORY_SHARE", 1.2)
 BACKUP_OUTPUT_TOKENS = _count("LIFTRILL_BACKUP_OUTPUT_TOKENS", 1_024)
 KEPT_SETTLE_S = _number("LIFTRILL_KEPT_SETTLE_S", 0.5)
+# Longer than the reading of all but the longest prompts (0.25 s for 10,000 tokens).
+READING_S = _number("LIFTRILL_READING_S", 1.0)
+# Bounds of the time for which an engine is taken to hold what it used. One that no longer
+# does answers within a millisecond, but the part is then read again.
 KEPT_HOLDER_S = _number("LIFTRILL_KEPT_HOLDER_S", 1.0)
+KEPT_LONGEST_S = _number("LIFTRILL_KEPT_LONGEST_S", 4.0)
 KEPT_NEWS_TOKENS = _count("LIFTRILL_KEPT_NEWS_TOKENS", 512)
 REREAD_FACTOR = _number("LIFTRILL_REREAD_FACTOR", 3.0)
 REPLACED_WEIGHTS_TOKENS = _number("LIFTRILL_REPLACED_WEIGHTS_TOKENS", 3_000.0)
--- a/liftrill/coordination/membership.py
+++ b/liftrill/coordination/membership.py
@@ -4,6 +4,10 @@
 that does not answer is suspected; it can refute with a higher incarnation, and is
 declared dead when its time runs out. Dead members and seeds are probed now and then, so
 that two sides of a healed cut find each other without a restart.
+
+Rumours spread one change quickly, but not the many of a fleet that starts at once: they
+share the few records of a datagram. So a member asks others for all that they know a few
+times after its start, and seldom from then on.
 """
 
 import math
@@ -20,6 +24,8 @@
     DatagramReceived,
     Member,
     MemberChanged,
+    MemberList,
+    MemberListRequest,
     MembershipEvent,
     MembershipInstruction,
     NewerGenerationHeard,
@@ -29,6 +35,13 @@
     Ticked,
 )
 
+# At which ages a member asks for all others. Every other request goes to a seed: all of a
+# fleet that starts together have told the seeds of themselves by then.
+LIST_REQUEST_AGES_S = (0.0, 0.3, 0.6, 1.0, 1.6, 3.0, 6.0)
+# Then this often, in case that rumours were lost (guess).
+LIST_REQUEST_INTERVAL_S = 20.0
+# About 1,200 bytes: a datagram is not to be split on its way.
+RECORDS_PER_LIST_DATAGRAM = 20
 # The suspicion time holds for up to two to this power members, and grows beyond.
 SUSPICION_DOUBLINGS = 4.0
 
@@ -103,6 +116,8 @@
         self._round: list[str] = []
         self._announcement_requested = False
         self._announced_at = -math.inf
+        self._started_at: float | None = None
+        self._lists_requested = 0
 
     @property
     def own(self) -> Member:
@@ -163,6 +178,7 @@
         instructions.extend(self._check_suspicions(now))
         self._forget_dead(now)
         instructions.extend(self._announce_requested(now))
+        instructions.extend(self._request_list(now))
         if now >= self._next_probe_at:
             self._next_probe_at = now + self._parameters.probe_interval
             instructions.extend(self._start_probe(now))
@@ -170,14 +186,18 @@
 
     def _on_datagram(self, event: DatagramReceived, now: float) -> list[MembershipInstruction]:
         datagram = event.datagram
-        instructions = self.merge(datagram.members, now, spread=True)
+        # What is on a list is known to others, and need not be spread by this node.
+        is_list = isinstance(datagram.body, MemberList)
+        instructions = self.merge(datagram.members, now, spread=not is_list)
         if datagram.generation > self.generation:
             instructions.append(NewerGenerationHeard(event.source_address, datagram.generation))
         if isinstance(datagram.body, Ping):
             instructions.append(self._acknowledge(event))
         elif isinstance(datagram.body, PingRequest):
             instructions.extend(self._relay(event, datagram.body.target, now))
-        else:
+        elif isinstance(datagram.body, MemberListRequest):
+            instructions.extend(self._list_members(event))
+        elif isinstance(datagram.body, Acknowledgement):
             instructions.extend(self._on_acknowledgement(datagram, datagram.body.subject))
         return instructions
 
@@ -227,6 +247,50 @@
         self._announced_at = now
         return self.announce()
 
+    # Lists of members
+
+    def _request_list(self, now: float) -> list[MembershipInstruction]:
+        """Return what asks for a list, when that is due."""
+        if self._started_at is None:
+            self._started_at = now
+        if now - self._started_at < self._next_request_age_s():
+            return []
+        asks_seed = self._lists_requested % 2 == 0
+        self._lists_requested += 1
+        known = [m.address for m in self.members() if m.node_id != self._own.node_id]
+        candidates = self._seeds if asks_seed and self._seeds else known or self._seeds
+        if not candidates:
+            return []
+        address = self._random.choice(candidates)
+        # Its own record goes along: the other side may not know this member.
+        return [self._send(address, 0, MemberListRequest(), (self._own,))]
+
+    def _next_request_age_s(self) -> float:
+        count = self._lists_requested
+        if count < len(LIST_REQUEST_AGES_S):
+            return LIST_REQUEST_AGES_S[count]
+        later = count - len(LIST_REQUEST_AGES_S) + 1
+        return LIST_REQUEST_AGES_S[-1] + later * LIST_REQUEST_INTERVAL_S
+
+    def _list_members(self, event: DatagramReceived) -> list[MembershipInstruction]:
+        """Return all living members, in as many datagrams as they need."""
+        size = RECORDS_PER_LIST_DATAGRAM
+        living = [m for m in self._table if m.condition is Condition.ALIVE]
+        starts = range(0, len(living), size)
+        return [
+            SendDatagram(
+                event.source_address,
+                Datagram(
+                    self._own.node_id,
+                    event.datagram.sequence,
+                    MemberList(),
+                    tuple(living[start : start + size]),
+                    self.generation,
+                ),
+            )
+            for start in starts
+        ]
+
     # Probing
 
     def _start_probe(self, now: float) -> list[MembershipInstruction]:
--- a/liftrill/coordination/membership_messages.py
+++ b/liftrill/coordination/membership_messages.py
@@ -54,7 +54,17 @@
     subject: str
 
 
-Body = Ping | PingRequest | Acknowledgement
+@dataclass(frozen=True, slots=True)
+class MemberListRequest:
+    """Asks for all members that the receiver believes alive."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberList:
+    """Says that the datagram's members are a part of the list that was asked for."""
+
+
+Body = Ping | PingRequest | Acknowledgement | MemberListRequest | MemberList
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -73,17 +73,8 @@
             return
         self.configuration_revision = revision
         self.selector.kept_stores = configuration.kept_stores
-        sizes = {s.name: s.cache_tokens for s in configuration.services.values()}
-        self.selector.cache_tokens.clear()
-        self.selector.cache_tokens.update(sizes)
-        services = configuration.services.values()
-        self.selector.backup_services = {s.name for s in services if s.backups}
-        self.selector.move_s_per_token.clear()
-        self.selector.move_s_per_token.update({s.name: s.move_s_per_token for s in services})
-        self.selector.store_move_s_per_token.clear()
-        self.selector.store_move_s_per_token.update(
-            {s.name: s.store_move_s_per_token for s in services}
-        )
+        self.selector.services.clear()
+        self.selector.services.update(configuration.services)
         self.split.forget()
         self.log.version = configuration.version
         self.log.belief(
--- /dev/null
+++ b/liftrill/gateway/cache_retention.py
@@ -0,0 +1,49 @@
+"""Estimates for how long engines keep in their memory what they have used."""
+
+import math
+from dataclasses import dataclass
+
+from liftrill import constants
+
+# Over how long a node's own traffic is averaged: it sees few of a large fleet's requests.
+AVERAGE_S = 10.0
+# Share of the estimate that is relied on: running requests take memory too, and traffic
+# is not spread evenly (guess).
+RELIED_SHARE = 0.7
+
+
+@dataclass(slots=True)
+class CacheRetention:
+    """The time in which the prompts of a fleet fill the memory of its engines.
+
+    Attributes:
+        shortest_s: what is assumed at least.
+        longest_s: what is relied on at most.
+    """
+
+    shortest_s: float = constants.KEPT_HOLDER_S
+    longest_s: float = constants.KEPT_LONGEST_S
+    _tokens: float = 0.0
+    _since: float | None = None
+    _noted_at: float = 0.0
+
+    def record(self, tokens: int, now: float) -> None:
+        """Note that this node sent a request with some tokens."""
+        if self._since is None:
+            self._since = now
+        self._tokens = self._tokens * self._faded(now) + tokens
+        self._noted_at = now
+
+    def held_s(self, capacity_tokens: int, nodes: int, now: float) -> float:
+        """Return for how long engines with some memory in all hold what they used."""
+        if self._since is None or not capacity_tokens:
+            return self.shortest_s
+        window_s = AVERAGE_S * (1.0 - math.exp(-(now - self._since) / AVERAGE_S))
+        if window_s < AVERAGE_S / 5:
+            return self.shortest_s
+        rate = max(1, nodes) * self._tokens * self._faded(now) / window_s
+        estimate_s = RELIED_SHARE * capacity_tokens / max(rate, 1.0)
+        return min(self.longest_s, max(self.shortest_s, estimate_s))
+
+    def _faded(self, now: float) -> float:
+        return math.exp(-(now - self._noted_at) / AVERAGE_S)
--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -57,6 +57,10 @@
             self._heard_version = max(self._heard_version, version)
             self._wanted.set()
 
+    def range_read(self, asked_at: float) -> None:
+        """Take the reading of the whole range, asked for at a time, as a proof."""
+        self._prove(self._view.version, asked_at)
+
     def take_answer(self, answer: RelayAnswer, asked_at: float) -> None:
         """Take the proof of a reader that was asked at a time.
 
@@ -83,7 +87,8 @@
         self._proved = asyncio.Event()
 
     async def run(self) -> None:
-        """Prove for as long as the node runs."""
+        """Prove for as long as the node runs; the first reading of the range is a proof too."""
+        await self._wait(constants.KEY_PROOF_INTERVAL_SECONDS)
         while True:
             asked_at = time.monotonic()
             if await self._must_ask():
@@ -93,10 +98,14 @@
                 except StoreError:
                     self._follower.store_failed()
             rest = asked_at + constants.KEY_PROOF_INTERVAL_SECONDS - time.monotonic()
-            self._wanted.clear()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(max(0.05, rest)):
-                    await self._wanted.wait()
+            await self._wait(max(0.05, rest))
+
+    async def _wait(self, limit_s: float) -> None:
+        """Wait, until somebody wants a proof at the longest."""
+        self._wanted.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._wanted.wait()
 
     async def _must_ask(self) -> bool:
         if self._follower.followed is None or self._hurry:
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -5,6 +5,7 @@
 
 from liftrill import constants
 from liftrill.coordination import rendezvous
+from liftrill.gateway.cache_retention import CacheRetention
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engine_table import EngineTable, EngineView, engine_number
@@ -18,8 +19,9 @@
     cache_salt,
 )
 from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
-from liftrill.gateway.records import KeptStoreProfile
+from liftrill.gateway.records import KeptStoreProfile, ServiceProfile
 from liftrill.gateway.shared_parts import SharedParts, find_shared_parts
+from liftrill.gateway.store_link import StoreLink, node_rate
 from liftrill.gateway.weight_targets import WeightTargets
 
 # How much longer a move between zones takes than one within a zone.
@@ -42,11 +44,11 @@
 
     Attributes:
         kept_stores: where prefixes are saved to and fetched from.
-        cache_tokens: tokens that one engine keeps, by service.
-        move_s_per_token: time to move the memory of one token between engines, by service.
-        store_move_s_per_token: the same from a kept store.
-        backup_services: services whose engines send copies of runs to each other.
-        directory: which shared parts are in a kept store.
+        services: what the operator declares of engines, by service.
+        nodes: how many nodes share engines and stores.
+        directory: where shared parts are kept.
+        retention: for how long engines hold them.
+        store_link: what may be saved to the stores.
         rates: how fast engines read prompts.
         guard: which waits at engines requests are sent into.
     """
@@ -60,16 +62,16 @@
         plain_policy: PlacementPolicy | None = None,
     ) -> None:
         self.kept_stores: tuple[KeptStoreProfile, ...] = ()
-        self.cache_tokens: dict[str, int] = {}
-        self.move_s_per_token: dict[str, float] = {}
-        self.store_move_s_per_token: dict[str, float] = {}
-        self.backup_services: set[str] = set()
+        self.services: dict[str, ServiceProfile] = {}
+        self.nodes = 1
         self._engines = engines
         self._targets = targets
         self._zone = zone
-        self._prompt_policy = prompt_policy or PromptCost(cache_tokens=self.cache_tokens)
+        self._prompt_policy = prompt_policy or PromptCost(services=self.services)
         self._plain_policy = plain_policy or LeastLoaded()
         self.directory = PrefixDirectory()
+        self.retention = CacheRetention()
+        self.store_link = StoreLink()
         self.rates = ReadingRates()
         self.guard = OverloadGuard()
 
@@ -102,7 +104,7 @@
         behind_reading = chosen.shared.reader == chosen.view.number
         if behind_reading and len(roomy) < FEW_ENGINES and now < self._hold_until(request):
             return Unavailable.NONE_READY
-        choice = self._prompt_choice(chosen, prompt)
+        choice = self._prompt_choice(chosen, prompt, now)
         if not self._wants_backup(request):
             return choice
         return replace(choice, backup=self._backup(chosen, candidates))
@@ -124,7 +126,7 @@
 
     def _has_memory(self, request: OpaqueRequest, view: EngineView) -> bool:
         """Return whether an engine has memory for a request, or nothing else to do."""
-        capacity = self.cache_tokens.get(request.service, 0)
+        capacity = self._profile(request.service).cache_tokens
         if not capacity or not view.requests or request.prompt is None:
             return True
         needed = request.prompt.prompt_tokens + request.prompt.output_tokens
@@ -180,7 +182,7 @@
             return False
         if request.prompt.output_tokens < constants.BACKUP_OUTPUT_TOKENS:
             return False
-        return request.service in self.backup_services
+        return self._profile(request.service).backups
 
     def _backup(self, chosen: Candidate, candidates: list[Candidate]) -> EngineAddress | None:
         """Return the least busy other engine with the same weights, near it if there is one."""
@@ -193,16 +195,45 @@
 
     def record_sent(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
         """Note that an engine is about to read what of a prompt is kept nowhere."""
-        if request.prompt is None:
+        prompt = request.prompt
+        if prompt is None:
             return
+        self._record_traffic(choice, request, prompt, now)
         engine = engine_number(choice.engine_id)
-        for part in request.prompt.shared_parts:
+        for part in prompt.shared_parts:
             number = part_number(choice.cache_salt, part.part_id)
-            if part.tokens >= constants.KEPT_NEWS_TOKENS and not self._is_kept(number, now):
+            if part.tokens >= constants.KEPT_NEWS_TOKENS and not self._is_known(number, now):
                 self.directory.record_reading(number, engine, now)
 
-    def _is_kept(self, number: int, now: float) -> bool:
-        return self.directory.is_saved(number, now) or self.directory.holder(number, now) != 0
+    def _record_traffic(
+        self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape, now: float
+    ) -> None:
+        """Note what a prompt takes of the engines' memory and of the stores' links."""
+        self.retention.record(prompt.prompt_tokens + prompt.output_tokens, now)
+        capacity = self._profile(request.service).cache_tokens
+        engines = len(self._engines.of_service(request.service))
+        self.directory.held_s = self.retention.held_s(capacity * engines, self.nodes, now)
+        rate = node_rate(len(self.kept_stores), self.nodes)
+        self.store_link.record_move(self._store_s(choice, request, prompt), rate, now)
+
+    def _store_s(self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape) -> float:
+        """Return for how long a request takes a store's link."""
+        zones = {store.address: store.zone for store in self.kept_stores}
+        if choice.save_to:
+            tokens, store = prompt.prompt_tokens, choice.save_to
+        elif choice.fetch_from in zones:
+            tokens, store = request.shared_tokens, choice.fetch_from
+        else:
+            return 0.0
+        view = self._engines.get(choice.engine_id)
+        near = view is not None and view.record.zone == zones[store]
+        factor = 1.0 if near else BETWEEN_ZONES
+        return factor * tokens * self._profile(request.service).store_move_s_per_token
+
+    def _is_known(self, number: int, now: float) -> bool:
+        directory = self.directory
+        found = directory.holder(number, now) or directory.reader(number, now)
+        return found != 0 or directory.is_saved(number, now)
 
     def record_read(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
         """Note that an engine has read a prompt, and sends to the store what it was told to."""
@@ -211,12 +242,13 @@
             return
         engine = engine_number(choice.engine_id)
         for part in prompt.shared_parts:
-            number = part_number(choice.cache_salt, part.part_id)
-            if choice.save_to:
-                worth_telling = part.tokens >= constants.KEPT_NEWS_TOKENS
-                self.directory.record_saved(number, engine, now, worth_telling)
-            else:
-                self.directory.record_used(number, engine, now)
+            self.directory.record_read(
+                part_number(choice.cache_salt, part.part_id),
+                engine,
+                now,
+                saved=bool(choice.save_to),
+                worth_telling=part.tokens >= constants.KEPT_NEWS_TOKENS,
+            )
 
     def _version_floor(self, able: list[EngineView], request: OpaqueRequest) -> int:
         """Return the lowest version to use, as far as versions of unknown age decide it.
@@ -252,7 +284,7 @@
             if version not in scopes:
                 scopes[version] = self._scope(request, prompt, version, now)
             scope = scopes[version]
-            holder = self._holder(view, scope.shared.holder, prompt.model, now)
+            holder = self._holder(view, scope.shared)
             move_s = self._move_s(request, view, holder)
             candidates.append(
                 Candidate(view, scope.salt, scope.shared, move_s, holder, scope.replaced_s)
@@ -265,39 +297,47 @@
         """Return what a weight version means for a prompt."""
         salt = cache_salt(request.tenant, request.isolated, prompt.model, version)
         replaced_s = max(0.0, now - self._targets.replaced_at(prompt.model, version))
-        return _Scope(salt, find_shared_parts(self.directory, salt, prompt, now), replaced_s)
 
-    def _holder(self, view: EngineView, number: int, model: str, now: float) -> EngineView | None:
-        """Return another engine to fetch the shared parts from, or None for the store.
+        def is_source(number: int) -> bool:
+            # An engine that has other weights by now, or is about to, is not asked: what it
+            # keeps for runs that went on may have been made under either.
+            view = self._engines.by_number(number)
+            return view is not None and self._goes_on(view, prompt.model, version, now)
 
-        An engine that has other weights by now, or is about to, is not asked: what it keeps
-        for runs that went on may have been made under either.
-        """
-        holder = self._engines.by_number(number)
-        if holder is None or holder is view:
-            return None
-        return holder if self._goes_on(holder, model, view.weight_version(model), now) else None
+        shared = find_shared_parts(self.directory, salt, prompt, now, is_source)
+        return _Scope(salt, shared, replaced_s)
+
+    def _holder(self, view: EngineView, shared: SharedParts) -> EngineView | None:
+        """Return another engine to fetch the shared parts from, or None for the store."""
+        holder = self._engines.by_number(shared.holder)
+        return None if holder is view else holder
 
     def _move_s(self, request: OpaqueRequest, view: EngineView, holder: EngineView | None) -> float:
         """Return how long moving the shared parts to an engine takes."""
-        service = view.record.service
+        profile = self._profile(view.record.service)
         tokens = request.shared_tokens
         if holder is None:
-            return BETWEEN_ZONES * tokens * self.store_move_s_per_token.get(service, 0.0)
+            return BETWEEN_ZONES * tokens * profile.store_move_s_per_token
         factor = 1.0 if holder.record.zone == view.record.zone else BETWEEN_ZONES
-        return factor * tokens * self.move_s_per_token.get(service, 0.0)
+        return factor * tokens * profile.move_s_per_token
+
+    def _profile(self, service: str) -> ServiceProfile:
+        return self.services.get(service) or ServiceProfile(service, 0)
 
-    def _prompt_choice(self, chosen: Candidate, prompt: PromptShape) -> EngineChoice:
+    def _prompt_choice(self, chosen: Candidate, prompt: PromptShape, now: float) -> EngineChoice:
         view = chosen.view
         version = view.weight_version(prompt.model)
         store = self._kept_store(prompt)
+        has_all = chosen.shared.kept_parts == len(prompt.shared_parts)
+        rate = node_rate(len(self.kept_stores), self.nodes)
+        saves = not has_all and self.store_link.may_save(rate, now)
         return EngineChoice(
             view.engine_id,
             view.record.address,
             version,
             chosen.scope,
             fetch_from=chosen.holder.record.address if chosen.holder else store,
-            save_to="" if chosen.shared.kept_parts == len(prompt.shared_parts) else store,
+            save_to=store if saves else "",
             begin_by=self._targets.begin_by(prompt.model, version),
             expected_tokens=max(0, prompt.prompt_tokens - chosen.shared.kept_tokens),
         )
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -51,6 +51,8 @@
 # How many nodes contend for the right to give orders as soon as it is free.
 LEADER_CANDIDATES = 3
 LEADER_RANK_KEY = b"leader"
+# A node that starts takes itself for the only one until it knows the others.
+CANDIDATE_AFTER_S = 1.0
 
 
 class Gateway(FollowerOwner, CurrencyOwner):
@@ -71,6 +73,7 @@
         self.log = log
         self.metrics = metrics
         self.stopping = False
+        self._started_at = time.monotonic()
         self.view = ConfigurationView(bounds.key_proof_seconds - constants.KEY_PROOF_MARGIN_SECONDS)
         self._store = store
         engines = EngineTable()
@@ -209,6 +212,8 @@
         )
 
     def _is_candidate(self) -> bool:
+        if time.monotonic() - self._started_at < CANDIDATE_AFTER_S:
+            return False
         names = [member.node_id for member in self._membership.members()]
         ranked = rendezvous.rank(LEADER_RANK_KEY, names)
         return self.settings.node in ranked[:LEADER_CANDIDATES]
@@ -230,6 +235,14 @@
         self._beliefs.apply_item(item, time.monotonic())
         self._announce_if_newer(before)
 
+    def range_read(self, asked_at: float) -> None:
+        """Take the reading of the whole range as a proof of currency."""
+        self._currency.range_read(asked_at)
+
+    def reads_for_others(self) -> bool:
+        """Return whether this node is to read the store, and not only until it may follow."""
+        return self._readers.serves_others(self._membership.members())
+
     def store_connection(self, connected: bool) -> None:
         """Note that the store was lost or regained."""
         self.log.belief("store", connected=connected, at=self._follower.mirror.at)
@@ -260,6 +273,7 @@
     def _on_member(self, member: Member) -> None:
         alive = len(self._membership.members())
         self._allowance.nodes = max(self._allowance.nodes, alive)
+        self._beliefs.selector.nodes = alive
         self.log.belief(
             "peer",
             peer=member.node_id,
--- a/liftrill/gateway/load_codec.py
+++ b/liftrill/gateway/load_codec.py
@@ -4,7 +4,7 @@
 
 from liftrill.gateway.engine_table import EngineLoad
 from liftrill.gateway.load_exchange import LoadReport, LoadScope
-from liftrill.gateway.prefix_directory import KeptPart
+from liftrill.gateway.prefix_directory import KeptPart, PartStage
 from liftrill.messages import peer_pb2 as messages
 
 SCOPES = {
@@ -34,7 +34,8 @@
         loads=rows or [messages.EngineLoad()],
         kept_parts=[kept.part for kept in report.kept],
         kept_by=[kept.engine for kept in report.kept],
-        being_read=[kept.being_read for kept in report.kept],
+        being_read=[kept.stage is PartStage.BEING_READ for kept in report.kept],
+        held_alone=[kept.stage is PartStage.HELD for kept in report.kept],
     )
 
 
@@ -47,7 +48,17 @@
     scope = SCOPES_BY_NUMBER.get(message.load_scope, LoadScope.NODE)
     # A node of an older version tells the parts alone.
     rows = itertools.zip_longest(
-        message.kept_parts, message.kept_by, message.being_read, fillvalue=0
+        message.kept_parts,
+        message.kept_by,
+        message.being_read,
+        message.held_alone,
+        fillvalue=0,
     )
-    kept = tuple(KeptPart(part, engine, bool(reading)) for part, engine, reading in rows)
+    kept = tuple(KeptPart(part, engine, _stage(*flags)) for part, engine, *flags in rows)
     return LoadReport(scope, message.sender, message.zone, loads, kept)
+
+
+def _stage(being_read: int, held_alone: int) -> PartStage:
+    if being_read:
+        return PartStage.BEING_READ
+    return PartStage.HELD if held_alone else PartStage.SAVED
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import xxhash
@@ -11,6 +12,7 @@
 from liftrill.coordination import rendezvous
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
+from liftrill.gateway.records import ServiceProfile
 from liftrill.gateway.shared_parts import NOTHING_KEPT, SharedParts
 
 SALT_DIGEST_BYTES = 8
@@ -94,7 +96,7 @@
             replaced some time ago: what is made on them is worth less.
         replaced_grace_s: for how long after their replacement weights are as good as new.
         memory_share: share of an engine's memory from which running requests count too.
-        cache_tokens: tokens that one engine keeps, by service.
+        services: what the operator declares of engines, by service.
     """
 
     move_tokens: float = 600.0
@@ -105,7 +107,7 @@
     replaced_tokens: float = constants.REPLACED_WEIGHTS_TOKENS
     replaced_grace_s: float = constants.REPLACED_WEIGHTS_GRACE_S
     memory_share: float = 0.6
-    cache_tokens: dict[str, int] = field(default_factory=dict)
+    services: Mapping[str, ServiceProfile] = field(default_factory=dict)
 
     def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
         """Return the engine with the least cost."""
@@ -170,7 +172,8 @@
         return candidate.view.requests * to_read * self.pause_share
 
     def _backlog(self, view: EngineView) -> float:
-        capacity = self.cache_tokens.get(view.record.service, 0)
+        profile = self.services.get(view.record.service)
+        capacity = profile.cache_tokens if profile else 0
         excess = view.resident_tokens - self.memory_share * capacity if capacity else 0.0
         return view.waiting_tokens + max(0.0, excess)
 
--- a/liftrill/gateway/reader_plan.py
+++ b/liftrill/gateway/reader_plan.py
@@ -15,6 +15,14 @@
 READER_KEY = b"store reader"
 
 
+@dataclass(frozen=True, slots=True)
+class _Avoidance:
+    """A reader that is left alone until a time, after failing for a while before."""
+
+    until: float
+    pause_s: float
+
+
 @dataclass(slots=True)
 class ReaderPlan:
     """The choice of one node.
@@ -22,7 +30,9 @@
     Attributes:
         readers_per_zone: how many nodes of a zone read the store.
         least_zone_nodes: nodes of a zone below which all read it.
-        avoid_s: for how long a reader that failed this node is left alone.
+        avoid_s: for how long a reader that failed this node is left alone at first; twice
+            as long each time that it fails again soon.
+        avoid_longest_s: the longest such time.
         stand_ins: nodes that are asked, one after the other, where the store does not answer.
         stand_in_s: for how long one is followed before the store is tried again.
     """
@@ -30,10 +40,11 @@
     own: Member
     readers_per_zone: int = 2
     least_zone_nodes: int = 5
-    avoid_s: float = 5.0
+    avoid_s: float = 1.0
+    avoid_longest_s: float = 8.0
     stand_ins: int = 3
     stand_in_s: float = 5.0
-    _avoided_until: dict[str, float] = field(default_factory=dict)
+    _avoided: dict[str, _Avoidance] = field(default_factory=dict)
 
     def reader(self, members: Iterable[Member], now: float, store_lost: bool) -> Member | None:
         """Return the node to follow, or None if this node is to read the store itself."""
@@ -57,8 +68,11 @@
 
     def _first_usable(self, candidates: list[Member], now: float) -> Member | None:
         """Return the first candidate that did not fail this node lately."""
-        usable = (m for m in candidates if now >= self._avoided_until.get(m.node_id, 0.0))
-        return next(usable, None)
+        return next((m for m in candidates if not self._is_avoided(m.node_id, now)), None)
+
+    def _is_avoided(self, node_id: str, now: float) -> bool:
+        avoidance = self._avoided.get(node_id)
+        return avoidance is not None and now < avoidance.until
 
     def _ranked(self, candidates: Iterable[Member]) -> list[Member]:
         """Return candidates in an order of this node's own, so that they share the followers."""
@@ -84,9 +98,17 @@
         return {name: local[name] for name in ranked[: self.readers_per_zone]}
 
     def avoid(self, node_id: str, now: float) -> None:
-        """Leave a reader alone for a while."""
-        self._avoided_until = {n: t for n, t in self._avoided_until.items() if t > now}
-        self._avoided_until[node_id] = now + self.avoid_s
+        """Leave a reader alone for a while, for longer if it failed shortly before."""
+        forgotten_at = now - self.avoid_longest_s
+        self._avoided = {n: a for n, a in self._avoided.items() if a.until > forgotten_at}
+        last = self._avoided.get(node_id)
+        pause_s = min(self.avoid_longest_s, 2 * last.pause_s) if last else self.avoid_s
+        self._avoided[node_id] = _Avoidance(now + pause_s, pause_s)
+
+    def serves_others(self, members: Iterable[Member]) -> bool:
+        """Return whether this node is to read the store, as a reader or since all do."""
+        readers = self.readers(members)
+        return not readers or self.own.node_id in readers
 
 
 def _is_alive(member: Member) -> bool:
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -14,6 +14,13 @@
 from liftrill.gateway.relay_client import RelayClient, RelayListener, RelayLostError
 from liftrill.gateway.relay_codec import RelayAnswer, RelayUpdate
 
+# For how long a node that starts waits for a node to follow before it watches the store
+# itself. Members know of each other after about a second.
+SETTLE_S = 1.0
+# The time between two watches of a node that reads the store only until it may follow
+# another again: changes are in force within seconds, and many nodes may do so at once.
+STAND_IN_SPACING_S = 0.5
+
 
 class FollowerOwner(ABC):
     """Whom a follower tells of changes, and asks whom to follow."""
@@ -22,6 +29,14 @@
     def mirror_changed(self, change: MirrorChange, heard_at: float) -> None:
         """Take in a change; what is news in it may be as old as a time (steady clock)."""
 
+    @abstractmethod
+    def range_read(self, asked_at: float) -> None:
+        """Note that the whole range was read, asked for at a time."""
+
+    @abstractmethod
+    def reads_for_others(self) -> bool:
+        """Return whether this node is to read the store, and not only until it may follow."""
+
     @abstractmethod
     def store_connection(self, connected: bool) -> None:
         """Note that the store was lost or regained."""
@@ -149,7 +164,12 @@
 
     async def _step(self) -> None:
         if self._reread:
+            first = not self.mirror.at
             await self._read_all()
+            if first:
+                # Whom to follow is known soon, and then need not be watched here.
+                await self._interruptible(asyncio.sleep(SETTLE_S))
+                return
         await self._interruptible(self._watch_once())
 
     async def _interruptible(self, work: Awaitable[None]) -> None:
@@ -171,6 +191,7 @@
         self._reread = False
         self.mirror.begin_reading()
         change: MirrorChange | None = None
+        asked_at = time.monotonic()
         try:
             while change is None:
                 page = await self._store.read_range(self._prefix, self.mirror.next_page_after())
@@ -180,6 +201,7 @@
             raise
         self._note_connection(True)
         self._owner.mirror_changed(change, time.monotonic())
+        self._owner.range_read(asked_at)
 
     async def _watch_once(self) -> None:
         started_at = time.monotonic()
@@ -194,7 +216,11 @@
 
     async def _pace(self, started_at: float) -> None:
         """Let changes gather after one that came quickly: each call is paid for."""
-        rest = constants.STORE_WATCH_SPACING_SECONDS - (time.monotonic() - started_at)
+        reads_for_others = self._owner.reads_for_others()
+        spacing_s = (
+            constants.STORE_WATCH_SPACING_SECONDS if reads_for_others else STAND_IN_SPACING_S
+        )
+        rest = spacing_s - (time.monotonic() - started_at)
         if rest > 0:
             await asyncio.sleep(rest)
 
--- a/liftrill/node/membership_codec.py
+++ b/liftrill/node/membership_codec.py
@@ -4,9 +4,12 @@
 
 from liftrill.coordination.membership_messages import (
     Acknowledgement,
+    Body,
     Condition,
     Datagram,
     Member,
+    MemberList,
+    MemberListRequest,
     Ping,
     PingRequest,
 )
@@ -42,6 +45,10 @@
         message.ping.SetInParent()
     elif isinstance(datagram.body, PingRequest):
         message.ping_request.target = datagram.body.target
+    elif isinstance(datagram.body, MemberListRequest):
+        message.member_list_request.SetInParent()
+    elif isinstance(datagram.body, MemberList):
+        message.member_list.SetInParent()
     else:
         message.acknowledgement.subject = datagram.body.subject
     return message
@@ -86,7 +93,7 @@
     )
 
 
-def _body(message: messages.Datagram) -> Ping | PingRequest | Acknowledgement:
+def _body(message: messages.Datagram) -> Body:
     kind = message.WhichOneof("body")
     if kind == "ping":
         return Ping()
@@ -94,4 +101,8 @@
         return PingRequest(message.ping_request.target)
     if kind == "acknowledgement":
         return Acknowledgement(message.acknowledgement.subject)
+    if kind == "member_list_request":
+        return MemberListRequest()
+    if kind == "member_list":
+        return MemberList()
     raise GossipDecodeError("no body")
