--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -107,6 +107,7 @@
         cache_salt: scope of the cached parts, or empty.
         fetch_from: address of an engine or store that may hold the prompt, or empty.
         save_to: address of the store that is to keep the prompt, or empty.
+        is_saved: whether a store is believed to keep its shared parts already.
         begin_by: until when it may begin there, on the steady clock.
         expected_tokens: prompt tokens that the engine will have to read.
         backup: the engine that gets a copy of the run as it grows, or None.
@@ -119,6 +120,7 @@
     cache_salt: str = ""
     fetch_from: str = ""
     save_to: str = ""
+    is_saved: bool = False
     begin_by: float = math.inf
     expected_tokens: int = 0
     backup: EngineAddress | None = None
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -21,7 +21,7 @@
 from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
 from liftrill.gateway.records import KeptStoreProfile, ServiceProfile
 from liftrill.gateway.shared_parts import SharedParts, find_shared_parts
-from liftrill.gateway.store_link import StoreLink, node_rate
+from liftrill.gateway.store_link import LEAST_MOVED_TOKENS, StoreLink, is_worth_saving
 from liftrill.gateway.weight_targets import WeightTargets
 
 # How much longer a move between zones takes than one within a zone.
@@ -64,15 +64,15 @@
         self.kept_stores: tuple[KeptStoreProfile, ...] = ()
         self.services: dict[str, ServiceProfile] = {}
         self.nodes = 1
+        self.rates = ReadingRates()
         self._engines = engines
         self._targets = targets
         self._zone = zone
-        self._prompt_policy = prompt_policy or PromptCost(services=self.services)
+        self._prompt_policy = prompt_policy or PromptCost(services=self.services, rates=self.rates)
         self._plain_policy = plain_policy or LeastLoaded()
         self.directory = PrefixDirectory()
         self.retention = CacheRetention()
         self.store_link = StoreLink()
-        self.rates = ReadingRates()
         self.guard = OverloadGuard()
 
     def choose(
@@ -213,20 +213,17 @@
         capacity = self._profile(request.service).cache_tokens
         engines = len(self._engines.of_service(request.service))
         self.directory.held_s = self.retention.held_s(capacity * engines, self.nodes, now)
-        rate = node_rate(len(self.kept_stores), self.nodes)
-        self.store_link.record_move(self._store_s(choice, request, prompt), rate, now)
+        self.store_link.record_demand(self._store_s(choice, request, prompt), now)
 
     def _store_s(self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape) -> float:
-        """Return for how long a request takes a store's link."""
+        """Return for how long a request takes a store's link, if nothing is left out."""
         zones = {store.address: store.zone for store in self.kept_stores}
-        if choice.save_to:
-            tokens, store = prompt.prompt_tokens, choice.save_to
-        elif choice.fetch_from in zones:
-            tokens, store = request.shared_tokens, choice.fetch_from
-        else:
+        store = self._kept_store(prompt)
+        if choice.is_saved and choice.fetch_from not in ("", store):
             return 0.0
+        tokens = request.shared_tokens if choice.is_saved else prompt.prompt_tokens
         view = self._engines.get(choice.engine_id)
-        near = view is not None and view.record.zone == zones[store]
+        near = view is not None and view.record.zone == zones.get(store)
         factor = 1.0 if near else BETWEEN_ZONES
         return factor * tokens * self._profile(request.service).store_move_s_per_token
 
@@ -328,9 +325,10 @@
         view = chosen.view
         version = view.weight_version(prompt.model)
         store = self._kept_store(prompt)
-        has_all = chosen.shared.kept_parts == len(prompt.shared_parts)
-        rate = node_rate(len(self.kept_stores), self.nodes)
-        saves = not has_all and self.store_link.may_save(rate, now)
+        short = self.store_link.is_short(len(self.kept_stores), self.nodes, now)
+        saves = not chosen.shared.saved and (not short or is_worth_saving(prompt))
+        if short and sum(part.tokens for part in prompt.shared_parts) < LEAST_MOVED_TOKENS:
+            store = ""
         return EngineChoice(
             view.engine_id,
             view.record.address,
@@ -338,6 +336,7 @@
             chosen.scope,
             fetch_from=chosen.holder.record.address if chosen.holder else store,
             save_to=store if saves else "",
+            is_saved=chosen.shared.saved,
             begin_by=self._targets.begin_by(prompt.model, version),
             expected_tokens=max(0, prompt.prompt_tokens - chosen.shared.kept_tokens),
         )
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -10,8 +10,10 @@
 
 from liftrill import constants
 from liftrill.coordination import rendezvous
+from liftrill.gateway.engine_split import LONG_READING_S, EngineSplit, split_engines
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
+from liftrill.gateway.overload import ReadingRates
 from liftrill.gateway.records import ServiceProfile
 from liftrill.gateway.shared_parts import NOTHING_KEPT, SharedParts
 
@@ -96,7 +98,10 @@
             replaced some time ago: what is made on them is worth less.
         replaced_grace_s: for how long after their replacement weights are as good as new.
         memory_share: share of an engine's memory from which running requests count too.
+        misplaced_tokens: how long a wait, in prompt tokens, is better than an engine that is
+            left to prompts of the other length.
         services: what the operator declares of engines, by service.
+        rates: how fast engines read prompts.
     """
 
     move_tokens: float = 600.0
@@ -107,13 +112,17 @@
     replaced_tokens: float = constants.REPLACED_WEIGHTS_TOKENS
     replaced_grace_s: float = constants.REPLACED_WEIGHTS_GRACE_S
     memory_share: float = 0.6
+    misplaced_tokens: float = constants.MISPLACED_TOKENS
     services: Mapping[str, ServiceProfile] = field(default_factory=dict)
+    rates: ReadingRates = field(default_factory=ReadingRates)
 
     def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
         """Return the engine with the least cost."""
         key = affinity_key(request) or request.request_id.encode()
         by_id = {candidate.view.engine_id: candidate for candidate in candidates}
-        homes = self._homes(request, candidates, key)
+        split = split_engines([candidate.view for candidate in candidates])
+        is_long = self._is_long(request)
+        homes = self._homes(request, candidates, key, split, is_long)
         best, least = candidates[0], math.inf
         for engine_id in rendezvous.rank(key, by_id):
             candidate = by_id[engine_id]
@@ -122,18 +131,33 @@
                 cost += self._sharing(request, candidate)
             if candidate.replaced_s > self.replaced_grace_s:
                 cost += self.replaced_tokens
+            if not split.suits(candidate.view, is_long):
+                cost += self.misplaced_tokens
             if cost < least:
                 best, least = candidate, cost
         return best
 
+    def _is_long(self, request: OpaqueRequest) -> bool:
+        tokens = request.prompt.prompt_tokens if request.prompt else 0
+        return tokens > LONG_READING_S * self.rates.tokens_per_s(request.service)
+
     def _homes(
-        self, request: OpaqueRequest, candidates: list[Candidate], key: bytes
+        self,
+        request: OpaqueRequest,
+        candidates: list[Candidate],
+        key: bytes,
+        split: EngineSplit,
+        is_long: bool,
     ) -> dict[str, str]:
         """Return the engine of each scope that is taken to hold the shared parts."""
         engines: dict[str, list[Candidate]] = {}
         for candidate in candidates:
             engines.setdefault(candidate.scope, []).append(candidate)
-        return {scope: self._home(request, those, key) for scope, those in engines.items()}
+        homes: dict[str, str] = {}
+        for scope, those in engines.items():
+            suited = [c for c in those if split.suits(c.view, is_long)]
+            homes[scope] = self._home(request, suited or those, key)
+        return homes
 
     def _home(self, request: OpaqueRequest, candidates: list[Candidate], key: bytes) -> str:
         """Return the engine that reads the first unread part, or is to read it.
--- a/liftrill/gateway/shared_parts.py
+++ b/liftrill/gateway/shared_parts.py
@@ -18,12 +18,14 @@
         reader: the number of the engine that reads the next part now, or 0.
         holder: the number of the engine whose memory has the kept parts, or 0 where they
             are in a store.
+        saved: whether all are in a store, or on their way there.
     """
 
     kept_parts: int = 0
     kept_tokens: int = 0
     reader: int = 0
     holder: int = 0
+    saved: bool = False
 
 
 NOTHING_KEPT = SharedParts()
@@ -50,7 +52,8 @@
         holder = 0
     count = max(held, saved)
     reader = directory.reader(numbers[count], now) if count < len(numbers) else 0
-    return SharedParts(count, _tokens(parts[:count]), reader, holder)
+    all_saved = directory.is_saved(numbers[-1], now)
+    return SharedParts(count, _tokens(parts[:count]), reader, holder, all_saved)
 
 
 def _longest_held(
--- a/liftrill/gateway/store_link.py
+++ b/liftrill/gateway/store_link.py
@@ -1,42 +1,58 @@
-"""Bounds what a node has saved to the kept stores by what the stores' links carry.
+"""Tells when the links of the kept stores are short, as far as one node can see.
 
 The links are shared by all nodes and engines. Where more is asked of them than they
-carry, fetches wait behind saves: requests become late, and what would wait too long is
-read again instead. So fetches always go, and saves take what is left.
+carry, moves wait behind each other: requests become late, and what would wait too long is
+read again instead. Then only what is worth most for the time that it takes is moved.
 """
 
 import math
 from dataclasses import dataclass
 
-# Share of the links that is used: what waits at a link grows without bound near 1 (guess).
-LINK_SHARE = 0.7
-# How much of a pause can be made up for afterwards.
-BURST_S = 1.0
+from liftrill.gateway.opaque_request import PromptShape
+
+# Over how long a node's own demand is averaged: it sees few of a large fleet's requests.
+AVERAGE_S = 8.0
+# The links are short above this share of their time: waits grow beyond the move itself
+# where arrivals are random and half of the time is taken.
+SHORT_SHARE = 0.5
+# Fewer tokens are read in about the time that setting up their move takes.
+LEAST_MOVED_TOKENS = 512
+# A save carries the whole prompt; this share of it is to be what others can use.
+LEAST_SHARED_SHARE = 0.5
 
 
 @dataclass(slots=True)
 class StoreLink:
-    """One node's part of the time of all stores' links."""
+    """What one node would have moved over the stores' links if they carried all."""
 
-    _left_s: float = math.inf
+    _seconds: float = 0.0
+    _since: float | None = None
     _noted_at: float = 0.0
 
-    def may_save(self, rate: float, now: float) -> bool:
-        """Return whether something may be saved now, at a node's rate."""
-        self._refill(rate, now)
-        return self._left_s > 0.0
-
-    def record_move(self, move_s: float, rate: float, now: float) -> None:
-        """Note that a store's link is used for some time."""
-        self._refill(rate, now)
-        self._left_s -= move_s
-
-    def _refill(self, rate: float, now: float) -> None:
-        gained_s = rate * (now - self._noted_at)
-        self._left_s = min(rate * BURST_S, self._left_s + gained_s)
+    def record_demand(self, move_s: float, now: float) -> None:
+        """Note that a request would take the links for some time."""
+        if self._since is None:
+            self._since = now
+        self._seconds = self._seconds * self._faded(now) + move_s
         self._noted_at = now
 
-
-def node_rate(stores: int, nodes: int) -> float:
-    """Return the seconds of stores' links that a node may use in a second."""
-    return LINK_SHARE * stores / max(1, nodes)
+    def is_short(self, stores: int, nodes: int, now: float) -> bool:
+        """Return whether all nodes together ask for more than the links carry well."""
+        if self._since is None or not stores:
+            return False
+        window_s = AVERAGE_S * (1.0 - math.exp(-(now - self._since) / AVERAGE_S))
+        if window_s < AVERAGE_S / 4:
+            return False
+        demand = self._seconds * self._faded(now) / window_s
+        return demand * nodes > SHORT_SHARE * stores
+
+    def _faded(self, now: float) -> float:
+        return math.exp(-(now - self._noted_at) / AVERAGE_S)
+
+
+def is_worth_saving(prompt: PromptShape) -> bool:
+    """Return whether enough of a prompt can be used by others to save it over a short link."""
+    shared_tokens = sum(part.tokens for part in prompt.shared_parts)
+    if shared_tokens < LEAST_MOVED_TOKENS:
+        return False
+    return shared_tokens >= LEAST_SHARED_SHARE * prompt.prompt_tokens
