--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -7,6 +7,17 @@
     When member 3 dies and 20 seconds pass
     Then every living member knows that member 3 is dead
 
+  Scenario: A large fleet that starts at once knows itself within seconds
+    Given 80 members that know one seed
+    When 4 seconds pass
+    Then every member knows 80 members
+
+  Scenario: A large fleet that starts at once knows itself although datagrams are lost
+    Given 80 members that know one seed
+    And 10 percent of the datagrams are lost
+    When 7 seconds pass
+    Then every member knows 80 members
+
   Scenario: Loss of a fifth of the datagrams kills nobody
     Given 12 members that know one seed
     And 20 percent of the datagrams are lost
--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -25,6 +25,26 @@
     When 6 s pass
     Then the node follows a reader again
 
+  Scenario: A reader that failed once is followed again soon, one that goes on failing later
+    Given a zone of 8 nodes
+    When the same reader fails a node 1 times, each time as soon as it is followed again
+    Then that reader is followed again after 1 s
+    When the same reader fails a node 3 times, each time as soon as it is followed again
+    Then that reader is followed again after 4 s
+    When the same reader fails a node 9 times, each time as soon as it is followed again
+    Then that reader is followed again after 8 s
+
+  Scenario Outline: A node that starts reads the store once, and watches it only if it must
+    Given a store whose calls are counted, and a node that learns <when> whom to follow
+    When the node runs for 1.6 s
+    Then the store was read <reads> times and watched <watches> times
+    And the node's configuration is proven
+
+    Examples:
+      | when        | reads | watches |
+      | after 0.4 s | 1     | 0       |
+      | never       | 1     | 1       |
+
   Scenario: A node that the store does not answer follows others, wherever it is
     Given a zone of 3 nodes
     When the store does not answer one of them
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -21,6 +21,7 @@
 from liftrill.gateway.relay_client import RelayClient, RelayListener, RelayLostError
 from liftrill.gateway.relay_codec import RelayAnswer
 from liftrill.gateway.relay_server import RelayServer
+from liftrill.gateway.store_follower import FollowerOwner, StoreFollower
 
 
 def region_members(count, zones):
@@ -108,6 +109,114 @@
     assert context.plans[context.name].reader(context.members, context.now, False) is not None
 
 
+@when("the same reader fails a node {count:d} times, each time as soon as it is followed again")
+def step_fails_often(context, count):
+    name, reader = next((n, r) for n, r in followed(context).items() if r is not None)
+    context.plan = ReaderPlan(context.plans[name].own)
+    context.failed_reader = reader
+    context.now = 0.0
+    for _ in range(count):
+        while context.plan._is_avoided(reader.node_id, context.now):
+            context.now += 0.1
+        context.plan.avoid(reader.node_id, context.now)
+
+
+@then("that reader is followed again after {seconds:g} s")
+def step_followed_after(context, seconds):
+    def is_followed(now):
+        reader = context.plan.reader(context.members, now, False)
+        return reader is not None and reader.node_id == context.failed_reader.node_id
+
+    assert not is_followed(context.now + seconds - 0.1)
+    assert is_followed(context.now + seconds + 0.1)
+
+
+class CountedStore:
+    """A store with one configuration, whose watches tell of nothing."""
+
+    def __init__(self):
+        self.reads = 0
+        self.watches = 0
+
+    async def read_range(self, prefix, after):
+        self.reads += 1
+        return RangePage((StoredItem("configuration", b"", 5),), 7, False)
+
+    async def watch(self, prefix, after_revision, wait_seconds):
+        self.watches += 1
+        await asyncio.sleep(wait_seconds)
+        return WatchBatch((), after_revision)
+
+
+class StartingNode(FollowerOwner):
+    """A node that finds out some time after its start whom to follow."""
+
+    def __init__(self, knows_after_s):
+        self.view = ConfigurationView(4.5)
+        self.prover = CurrencyProver(None, None, None, self.view, None)
+        self.store = CountedStore()
+        self.follower = StoreFollower(self.store, "", self)
+        self.knows_at = time.monotonic() + knows_after_s
+
+    def mirror_changed(self, change, heard_at):
+        self.view.adopt(GatewayConfiguration(5, (route_rule(),), {}))
+
+    def range_read(self, asked_at):
+        self.prover.range_read(asked_at)
+
+    def reads_for_others(self):
+        return False
+
+    def store_connection(self, connected):
+        pass
+
+    def relay_answered(self, answer, asked_at):
+        pass
+
+    def reader_to_follow(self, store_lost):
+        known = time.monotonic() >= self.knows_at
+        return Member("reader", "127.0.0.1:9", "region", "zone", 1) if known else None
+
+    def keeps_reader(self, reader, since):
+        return True
+
+    def reader_lost(self, reader, reason):
+        self.knows_at = float("inf")
+
+
+@given("a store whose calls are counted, and a node that learns {when} whom to follow")
+def step_starting_node(context, when):
+    seconds = {"after 0.4 s": 0.4, "never": float("inf")}[when]
+    context.node = StartingNode(seconds)
+
+
+@when("the node runs for {seconds:g} s")
+def step_node_runs(context, seconds):
+    async def run():
+        node = context.node
+        # A reader that is found is one that serves: following it lasts until the end.
+        node.follower._relay.follow = lambda address, after: asyncio.sleep(60)
+        task = asyncio.ensure_future(node.follower.run())
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(0.05)
+            node.follower.reconsider()
+        task.cancel()
+
+    context.run(run())
+
+
+@then("the store was read {reads:d} times and watched {watches:d} times")
+def step_calls(context, reads, watches):
+    store = context.node.store
+    assert (store.reads, store.watches) == (reads, watches), (store.reads, store.watches)
+
+
+@then("the node's configuration is proven")
+def step_proven(context):
+    assert context.node.view.is_proven(time.monotonic())
+
+
 @when("a reader dies")
 def step_dies(context):
     dead = next(name for name, reader in followed(context).items() if reader is None)
