--- a/liftrill/gateway/cache_retention.py
+++ b/liftrill/gateway/cache_retention.py
@@ -17,11 +17,11 @@
     """The time in which the prompts of a fleet fill the memory of its engines.
 
     Attributes:
-        shortest_s: what is assumed at least.
+        first_s: what is assumed before anything was observed.
         longest_s: what is relied on at most.
     """
 
-    shortest_s: float = constants.KEPT_HOLDER_S
+    first_s: float = constants.KEPT_HOLDER_S
     longest_s: float = constants.KEPT_LONGEST_S
     _tokens: float = 0.0
     _since: float | None = None
@@ -37,13 +37,12 @@
     def held_s(self, capacity_tokens: int, nodes: int, now: float) -> float:
         """Return for how long engines with some memory in all hold what they used."""
         if self._since is None or not capacity_tokens:
-            return self.shortest_s
+            return self.first_s
         window_s = AVERAGE_S * (1.0 - math.exp(-(now - self._since) / AVERAGE_S))
         if window_s < AVERAGE_S / 5:
-            return self.shortest_s
+            return self.first_s
         rate = max(1, nodes) * self._tokens * self._faded(now) / window_s
-        estimate_s = RELIED_SHARE * capacity_tokens / max(rate, 1.0)
-        return min(self.longest_s, max(self.shortest_s, estimate_s))
+        return min(self.longest_s, RELIED_SHARE * capacity_tokens / max(rate, 1.0))
 
     def _faded(self, now: float) -> float:
         return math.exp(-(now - self._noted_at) / AVERAGE_S)
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -68,7 +68,7 @@
         self._engines = engines
         self._targets = targets
         self._zone = zone
-        self._prompt_policy = prompt_policy or PromptCost(services=self.services, rates=self.rates)
+        self._prompt_policy = prompt_policy or PromptCost(services=self.services)
         self._plain_policy = plain_policy or LeastLoaded()
         self.directory = PrefixDirectory()
         self.retention = CacheRetention()
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -10,10 +10,8 @@
 
 from liftrill import constants
 from liftrill.coordination import rendezvous
-from liftrill.gateway.engine_split import LONG_READING_S, EngineSplit, split_engines
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
-from liftrill.gateway.overload import ReadingRates
 from liftrill.gateway.records import ServiceProfile
 from liftrill.gateway.shared_parts import NOTHING_KEPT, SharedParts
 
@@ -91,6 +89,7 @@
         engines_per_beginning: engines of a scope for each one that reads the beginning of
             many prompts.
         reread_factor: how much dearer reading a shared part again is than waiting as long.
+        rare_factor: the same for a part of few prompts that nobody is known to read.
         long_prompt_tokens: a prompt of which this much must be read makes the streams that
             run on its engine pause, longer than their callers allow.
         pause_share: what each such stream adds, as a share of the tokens to read.
@@ -98,31 +97,25 @@
             replaced some time ago: what is made on them is worth less.
         replaced_grace_s: for how long after their replacement weights are as good as new.
         memory_share: share of an engine's memory from which running requests count too.
-        misplaced_tokens: how long a wait, in prompt tokens, is better than an engine that is
-            left to prompts of the other length.
         services: what the operator declares of engines, by service.
-        rates: how fast engines read prompts.
     """
 
     move_tokens: float = 600.0
     engines_per_beginning: int = 5
     reread_factor: float = constants.REREAD_FACTOR
+    rare_factor: float = constants.RARE_REREAD_FACTOR
     long_prompt_tokens: int = constants.LONG_PROMPT_TOKENS
     pause_share: float = constants.LONG_PROMPT_PAUSE_SHARE
     replaced_tokens: float = constants.REPLACED_WEIGHTS_TOKENS
     replaced_grace_s: float = constants.REPLACED_WEIGHTS_GRACE_S
     memory_share: float = 0.6
-    misplaced_tokens: float = constants.MISPLACED_TOKENS
     services: Mapping[str, ServiceProfile] = field(default_factory=dict)
-    rates: ReadingRates = field(default_factory=ReadingRates)
 
     def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
         """Return the engine with the least cost."""
         key = affinity_key(request) or request.request_id.encode()
         by_id = {candidate.view.engine_id: candidate for candidate in candidates}
-        split = split_engines([candidate.view for candidate in candidates])
-        is_long = self._is_long(request)
-        homes = self._homes(request, candidates, key, split, is_long)
+        homes = self._homes(request, candidates, key)
         best, least = candidates[0], math.inf
         for engine_id in rendezvous.rank(key, by_id):
             candidate = by_id[engine_id]
@@ -131,33 +124,18 @@
                 cost += self._sharing(request, candidate)
             if candidate.replaced_s > self.replaced_grace_s:
                 cost += self.replaced_tokens
-            if not split.suits(candidate.view, is_long):
-                cost += self.misplaced_tokens
             if cost < least:
                 best, least = candidate, cost
         return best
 
-    def _is_long(self, request: OpaqueRequest) -> bool:
-        tokens = request.prompt.prompt_tokens if request.prompt else 0
-        return tokens > LONG_READING_S * self.rates.tokens_per_s(request.service)
-
     def _homes(
-        self,
-        request: OpaqueRequest,
-        candidates: list[Candidate],
-        key: bytes,
-        split: EngineSplit,
-        is_long: bool,
+        self, request: OpaqueRequest, candidates: list[Candidate], key: bytes
     ) -> dict[str, str]:
         """Return the engine of each scope that is taken to hold the shared parts."""
         engines: dict[str, list[Candidate]] = {}
         for candidate in candidates:
             engines.setdefault(candidate.scope, []).append(candidate)
-        homes: dict[str, str] = {}
-        for scope, those in engines.items():
-            suited = [c for c in those if split.suits(c.view, is_long)]
-            homes[scope] = self._home(request, suited or those, key)
-        return homes
+        return {scope: self._home(request, those, key) for scope, those in engines.items()}
 
     def _home(self, request: OpaqueRequest, candidates: list[Candidate], key: bytes) -> str:
         """Return the engine that reads the first unread part, or is to read it.
@@ -182,10 +160,25 @@
         """Return what it costs to have the shared parts at an engine that lacks them."""
         missing = request.shared_tokens - candidate.shared.kept_tokens
         if missing:
-            return missing * self.reread_factor
+            return self._second_reading(request, candidate, missing)
         # The tokens that could be read while the parts are moved.
         return max(self.move_tokens, candidate.move_s * MOVE_PREFILL_TOKENS_PER_S)
 
+    def _second_reading(
+        self, request: OpaqueRequest, candidate: Candidate, missing_tokens: int
+    ) -> float:
+        """Return what it costs that others may read the missing parts at another engine.
+
+        What many prompts have in common is being asked for all the time. The last shared
+        part belongs to few, so that nobody else is likely to read it just now.
+        """
+        assert request.prompt is not None
+        if candidate.shared.reader:
+            return missing_tokens * self.reread_factor
+        rare_tokens = min(missing_tokens, request.prompt.shared_parts[-1].tokens)
+        common_tokens = missing_tokens - rare_tokens
+        return common_tokens * self.reread_factor + rare_tokens * self.rare_factor
+
     def _pauses(self, request: OpaqueRequest, candidate: Candidate) -> float:
         """Return what the pauses of other streams there cost, if the prompt is long."""
         if request.prompt is None:
--- a/liftrill/gateway/prefix_directory.py
+++ b/liftrill/gateway/prefix_directory.py
@@ -19,6 +19,8 @@
 MOST_NEWS = 256
 # Peers are told again that an engine holds a part after this share of the time it does.
 RETELL_SHARE = 0.5
+# Peers count from when they hear it, so it is told for this share of that time alone.
+TOLD_SHARE = 0.25
 
 
 def part_number(salt: str, part_id: str) -> int:
@@ -64,12 +66,14 @@
 
     Attributes:
         saved_at: when it was last sent to a store, or minus infinity.
+        stored_at: since when a store has it, as far as it was sent there.
         engine: the engine that reads it, or used it last, or 0.
         used_at: when that engine did.
         was_read: whether the engine has it whole.
     """
 
     saved_at: float = -math.inf
+    stored_at: float = math.inf
     engine: int = 0
     used_at: float = -math.inf
     was_read: bool = False
@@ -103,9 +107,7 @@
     def is_settled(self, part: int, now: float) -> bool:
         """Return whether a store is believed to have a part by now."""
         entry = self._entries.get(part)
-        if entry is None:
-            return False
-        return self.settle_s <= now - entry.saved_at < self.lifetime_s
+        return entry is not None and now >= entry.stored_at and self.is_saved(part, now)
 
     def reader(self, part: int, now: float) -> int:
         """Return the engine that is believed to read a part now, or 0."""
@@ -168,8 +170,15 @@
         """Return what to tell other nodes."""
         while self._news and now - self._news[0].noted_at > NEWS_LIFETIME_S:
             self._news.popleft()
-        own = tuple(row.kept for row in self._news if row.own)
-        return KeptNews(own, tuple(row.kept for row in self._news))
+        rows = [row for row in self._news if self._is_told(row, now)]
+        own = tuple(row.kept for row in rows if row.own)
+        return KeptNews(own, tuple(row.kept for row in rows))
+
+    def _is_told(self, row: _News, now: float) -> bool:
+        """Return whether what a row tells is still young beside how long it holds."""
+        if row.kept.stage is not PartStage.HELD:
+            return True
+        return now - row.noted_at <= TOLD_SHARE * self.held_s
 
     def _remember(self, kept: KeptPart, now: float) -> None:
         entry = self._entries.setdefault(kept.part, _Entry())
@@ -177,7 +186,13 @@
         entry.used_at = now
         entry.was_read = kept.stage is not PartStage.BEING_READ
         if kept.stage is PartStage.SAVED:
-            entry.saved_at = now
+            self._note_saved(entry, now)
         self._entries.move_to_end(kept.part)
         if len(self._entries) > self.capacity:
             self._entries.popitem(last=False)
+
+    def _note_saved(self, entry: _Entry, now: float) -> None:
+        """Note that a part is sent to a store, which may have it already."""
+        if now - entry.saved_at >= self.lifetime_s:
+            entry.stored_at = now + self.settle_s
+        entry.saved_at = now
--- a/liftrill/gateway/shared_parts.py
+++ b/liftrill/gateway/shared_parts.py
@@ -16,8 +16,7 @@
         kept_parts: how many of them, from the first on, can be fetched from one place.
         kept_tokens: the tokens of these parts.
         reader: the number of the engine that reads the next part now, or 0.
-        holder: the number of the engine whose memory has the kept parts, or 0 where they
-            are in a store.
+        holder: the number of the engine whose memory has them all, or 0.
         saved: whether all are in a store, or on their way there.
     """
 
@@ -46,28 +45,23 @@
     if not parts:
         return NOTHING_KEPT
     numbers = [part_number(salt, part.part_id) for part in parts]
-    saved = sum(1 for _ in itertools.takewhile(lambda n: directory.is_settled(n, now), numbers))
-    held, holder = _longest_held(directory, numbers, now, is_source)
-    if held < saved:
+    saved = sum(1 for _ in itertools.takewhile(lambda n: _is_stored(directory, n, now), numbers))
+    # From an engine that has only some of them, less may come than from a store: that may
+    # have more than this node knows.
+    holder = directory.holder(numbers[-1], now)
+    if not is_source(holder):
         holder = 0
-    count = max(held, saved)
+    count = len(numbers) if holder else saved
     reader = directory.reader(numbers[count], now) if count < len(numbers) else 0
-    all_saved = directory.is_saved(numbers[-1], now)
+    all_saved = all(directory.is_saved(number, now) for number in numbers)
     return SharedParts(count, _tokens(parts[:count]), reader, holder, all_saved)
 
 
-def _longest_held(
-    directory: PrefixDirectory, numbers: list[int], now: float, is_source: Callable[[int], bool]
-) -> tuple[int, int]:
-    """Return how many parts one engine holds, and its number.
-
-    An engine that ran a prompt with a part had all parts before it too.
-    """
-    for index in range(len(numbers) - 1, -1, -1):
-        engine = directory.holder(numbers[index], now)
-        if engine and is_source(engine):
-            return index + 1, engine
-    return 0, 0
+def _is_stored(directory: PrefixDirectory, number: int, now: float) -> bool:
+    """Return whether a part can be fetched from a store by the time that an engine asks."""
+    if directory.is_settled(number, now):
+        return True
+    return directory.is_saved(number, now) and directory.holder(number, now) != 0
 
 
 def _tokens(parts: tuple[PromptPart, ...]) -> int:
--- a/liftrill/gateway/store_link.py
+++ b/liftrill/gateway/store_link.py
@@ -14,7 +14,7 @@
 AVERAGE_S = 8.0
 # The links are short above this share of their time: waits grow beyond the move itself
 # where arrivals are random and half of the time is taken.
-SHORT_SHARE = 0.5
+SHORT_SHARE = 1.0
 # Fewer tokens are read in about the time that setting up their move takes.
 LEAST_MOVED_TOKENS = 512
 # A save carries the whole prompt; this share of it is to be what others can use.
