--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -73,3 +73,47 @@
     And 2 s after they were named a prompt goes to the new weights
     When 30000 prompt tokens wait there
     Then 2 s after they were named a prompt goes to the old weights
+
+  Scenario: A part of few prompts is read where the queue is short, unless it is being read
+    Given 1 kept stores and 20 engines
+    And the beginning of a prompt is kept, and 5000 tokens wait at the engine that is to read the rest
+    When the prompt is placed
+    Then it goes to an engine where nothing waits
+    When another node has begun to read the rest at the first engine
+    And the prompt is placed
+    Then it goes to the engine that reads the rest
+
+  Scenario: A part that is saved again can be fetched all the time
+    Given 1 kept stores and 6 engines
+    When one node has had a prompt read, and its engine is busy
+    And another prompt of the same beginning is read 2 s later
+    Then 2.1 s after the first the beginning counts as kept for a third prompt
+
+  Scenario: An engine that has only the beginning of a prompt is not fetched from
+    Given 1 kept stores and 6 engines
+    When one node has had a prompt read, and its engine is busy
+    Then a prompt of the same beginning 0.8 s later is fetched from the store
+
+  Scenario Outline: Small and mostly private prompts are not saved while the stores' links are short
+    Given 1 kept stores and 6 engines
+    And a token takes a store's link <us> us, and 40 prompts of 9000 tokens come each second for 10 s
+    Then a prompt of <shared> shared and <own> own tokens is saved: <saved>
+
+    Examples:
+      | us | shared | own  | saved |
+      | 1  | 6000   | 3000 | yes   |
+      | 1  | 200    | 600  | yes   |
+      | 6  | 6000   | 3000 | yes   |
+      | 6  | 3000   | 6000 | no    |
+      | 6  | 200    | 600  | no    |
+
+  Scenario Outline: For how long engines hold what they used follows from the traffic
+    Given 1 kept stores and 6 engines
+    And engines that keep <capacity> tokens, and <nodes> nodes that each send 5000 tokens a second
+    Then engines are taken to hold what they used for <seconds> s
+
+    Examples:
+      | capacity | nodes | seconds |
+      | 20000    | 7     | 2.4     |
+      | 20000    | 70    | 0.24    |
+      | 900000   | 7     | 4.0     |
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -7,8 +7,9 @@
 from features.gateway_support import engine_record, opaque_request
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineLoad, EngineTable
+from liftrill.gateway.engine_table import EngineLoad, EngineTable, engine_number
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
+from liftrill.gateway.prefix_directory import KeptPart, PartStage, part_number
 from liftrill.gateway.records import KeptStoreProfile, ServiceProfile, WeightTarget
 from liftrill.gateway.weight_targets import WeightTargets
 
@@ -274,3 +275,105 @@
     request = replace(opaque_request(), received_at=delay)
     choice = context.selector.choose(request, frozenset(), delay)
     assert choice.weight_version == (2 if which == "new" else 1), choice
+
+
+@given(
+    "the beginning of a prompt is kept, and {waiting:d} tokens wait at the engine"
+    " that is to read the rest"
+)
+def step_rest_unread(context, waiting):
+    selector = context.selectors[0]
+    salt = selector.choose(begun_alike(0), frozenset(), 0.0).cache_salt
+    beginning = part_number(salt, "beginning")
+    selector.directory.record_read(beginning, 0, 0.0, saved=True, worth_telling=True)
+    context.first = selector.choose(begun_alike(0), frozenset(), 2.0)
+    view = selector._engines.get(context.first.engine_id)
+    view.own_load.add(EngineLoad(requests=1, waiting_tokens=waiting))
+
+
+@when("the prompt is placed")
+def step_rest_placed(context):
+    context.placed = context.selectors[0].choose(begun_alike(0), frozenset(), 2.0)
+
+
+@then("it goes to an engine where nothing waits")
+def step_no_queue(context):
+    assert context.placed.engine_id != context.first.engine_id
+
+
+@when("another node has begun to read the rest at the first engine")
+def step_rest_begun(context):
+    rest = part_number(context.first.cache_salt, "continuation-0")
+    news = KeptPart(rest, engine_number(context.first.engine_id), PartStage.BEING_READ)
+    context.selectors[0].directory.hear([news], 1.9, of_zone=True)
+
+
+@then("it goes to the engine that reads the rest")
+def step_to_reader(context):
+    assert context.placed.engine_id == context.first.engine_id
+
+
+@when("another prompt of the same beginning is read {seconds:g} s later")
+def step_saved_again(context, seconds):
+    selector = context.selectors[0]
+    choice = selector.choose(begun_alike(1), frozenset(), seconds)
+    assert choice.save_to
+    selector.record_read(choice, begun_alike(1), seconds)
+
+
+@then("{seconds:g} s after the first the beginning counts as kept for a third prompt")
+def step_still_kept(context, seconds):
+    choice = context.selectors[0].choose(begun_alike(2), frozenset(), seconds)
+    assert choice.expected_tokens == 3_010, choice
+
+
+@then("a prompt of the same beginning {seconds:g} s later is fetched from the store")
+def step_from_store(context, seconds):
+    choice = context.selectors[0].choose(begun_alike(1), frozenset(), seconds)
+    assert choice.fetch_from == "10.0.0.0:1", choice
+
+
+@given(
+    "a token takes a store's link {us:g} us, and {count:d} prompts of {tokens:d} tokens"
+    " come each second for {seconds:d} s"
+)
+def step_demand(context, us, count, tokens, seconds):
+    selector = context.selectors[0]
+    profile = ServiceProfile("service-1", 0, store_move_s_per_token=us / 1e6)
+    selector.services["service-1"] = profile
+    for number in range(count * seconds):
+        parts = (PromptPart(f"part-{number}", tokens - 10), PromptPart("own", 10))
+        request = replace(opaque_request(), prompt=PromptShape("model", parts, tokens, 20))
+        now = number / count
+        choice = selector.choose(request, frozenset(), now)
+        selector.record_sent(choice, request, now)
+
+
+@then("a prompt of {shared:d} shared and {own:d} own tokens is saved: {saved}")
+def step_is_saved(context, shared, own, saved):
+    parts = (PromptPart("some", shared), PromptPart("own", own))
+    shape = PromptShape("model", parts, shared + own, 20)
+    request = replace(opaque_request(), prompt=shape)
+    choice = context.selectors[0].choose(request, frozenset(), 10.0)
+    assert bool(choice.save_to) == (saved == "yes"), choice
+
+
+@given(
+    "engines that keep {capacity:d} tokens, and {nodes:d} nodes that each send {rate:d}"
+    " tokens a second"
+)
+def step_traffic(context, capacity, nodes, rate):
+    selector = context.selectors[0]
+    selector.services["service-1"] = ServiceProfile("service-1", 0, cache_tokens=capacity)
+    selector.nodes = nodes
+    parts = (PromptPart("part", 100), PromptPart("own", 100))
+    request = replace(opaque_request(), prompt=PromptShape("model", parts, rate - 20, 20))
+    choice = selector.choose(request, frozenset(), 0.0)
+    for second in range(60):
+        selector.record_sent(choice, request, float(second))
+
+
+@then("engines are taken to hold what they used for {seconds:g} s")
+def step_held_for(context, seconds):
+    held_s = context.selectors[0].directory.held_s
+    assert abs(held_s - seconds) < 0.1 * seconds, held_s
