--- a/liftrill/constants.py
+++ b/liftrill/constants.py
@@ -163,6 +163,7 @@
 # Among 1,138 sessions and 100 requests a second, one in twenty comes before word of the
 # reading of its session (0.6 s) does: 0.05 x 3, and more for sessions that are asked for often.
 RARE_REREAD_FACTOR = _number("LIFTRILL_RARE_REREAD_FACTOR", 0.3)
+FEW_CHOICES = _count("LIFTRILL_FEW_CHOICES", 3)
 REPLACED_WEIGHTS_TOKENS = _number("LIFTRILL_REPLACED_WEIGHTS_TOKENS", 3_000.0)
 REPLACED_WEIGHTS_GRACE_S = _number("LIFTRILL_REPLACED_WEIGHTS_GRACE_S", 1.2)
 LONG_PROMPT_TOKENS = _count("LIFTRILL_LONG_PROMPT_TOKENS", 16_000)
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -97,6 +97,10 @@
             replaced some time ago: what is made on them is worth less.
         replaced_grace_s: for how long after their replacement weights are as good as new.
         memory_share: share of an engine's memory from which running requests count too.
+        many_engines: with more, and so more nodes, loads are known so late that all nodes
+            would send to the engine that is idle by the last word.
+        few_choices: among how many engines, others for each prompt, that is avoided.
+        far_tokens: how long a wait, in prompt tokens, is better than any other engine then.
         services: what the operator declares of engines, by service.
     """
 
@@ -109,6 +113,9 @@
     replaced_tokens: float = constants.REPLACED_WEIGHTS_TOKENS
     replaced_grace_s: float = constants.REPLACED_WEIGHTS_GRACE_S
     memory_share: float = 0.6
+    many_engines: int = 16
+    few_choices: int = constants.FEW_CHOICES
+    far_tokens: float = 8_000.0
     services: Mapping[str, ServiceProfile] = field(default_factory=dict)
 
     def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
@@ -117,13 +124,16 @@
         by_id = {candidate.view.engine_id: candidate for candidate in candidates}
         homes = self._homes(request, candidates, key)
         best, least = candidates[0], math.inf
-        for engine_id in rendezvous.rank(key, by_id):
+        few = self.few_choices if len(candidates) > self.many_engines else len(candidates)
+        for place, engine_id in enumerate(rendezvous.rank(key, by_id)):
             candidate = by_id[engine_id]
             cost = self._backlog(candidate.view) + self._pauses(request, candidate)
             if homes[candidate.scope] != engine_id:
                 cost += self._sharing(request, candidate)
             if candidate.replaced_s > self.replaced_grace_s:
                 cost += self.replaced_tokens
+            if place >= few and homes[candidate.scope] != engine_id:
+                cost += self.far_tokens
             if cost < least:
                 best, least = candidate, cost
         return best
