--- a/features/gateway_load.feature
+++ b/features/gateway_load.feature
@@ -46,6 +46,21 @@
   Scenario: A node keeps in its share of the words when there are many
     Then the interval of a node's words is 0.1 s in a zone of 3 and 0.26 s in one of 26
 
+  Scenario: The beginning of a long reading counts at once, and once
+    Given an engine table with engine "e1"
+    When a peer tells at 0.0 s that "e1" is given 6000 tokens to read
+    Then 6000 tokens of peers wait at "e1"
+    When a peer's word without that reading comes
+    Then 6000 tokens of peers wait at "e1"
+    When 0.5 s pass without a word
+    Then 0 tokens of peers wait at "e1"
+
+  Scenario: A node's words leave out for a while what it told at once
+    Given an engine table with engine "e1"
+    When this node sends a prompt of 6000 tokens to "e1" at 0.0 s, and tells of it
+    Then its word at 0.1 s tells of 1 request and 0 waiting tokens there
+    And its word at 0.5 s tells of 1 request and 6000 waiting tokens there
+
   Scenario: An engine whose record went with an outage is used for less than two seconds more
     Given an engine whose record is missing after an outage of the store
     Then it is used 1.5 s later, and not 1.75 s later
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -64,6 +64,35 @@
     assert context.engines.get(name).peer_load == load(count), context.engines.get(name)
 
 
+@when('a peer tells at {now:g} s that "{name}" is given {tokens:d} tokens to read')
+def step_reading_told(context, now, name, tokens):
+    context.board.hear_reading(context.engines.get(name).number, tokens, now)
+
+
+@when("a peer's word without that reading comes")
+def step_word_without(context):
+    context.board.take("peer", {"e1": EngineLoad(1, 0, 6_100)}, 0.2)
+
+
+@then('{tokens:d} tokens of peers wait at "{name}"')
+def step_peers_wait(context, tokens, name):
+    assert context.engines.get(name).peer_load.waiting_tokens == tokens
+
+
+@when('this node sends a prompt of {tokens:d} tokens to "{name}" at {now:g} s, and tells of it')
+def step_own_reading(context, tokens, name, now):
+    view = context.engines.get(name)
+    view.own_load.add(EngineLoad(1, tokens, tokens + 20))
+    context.board.note_own_reading(view, tokens, now)
+
+
+@then("its word at {now:g} s tells of {count:d} request and {tokens:d} waiting tokens there")
+def step_own_word(context, now, count, tokens):
+    context.board.expire_readings(now)
+    told = context.board.own_loads()["e1"]
+    assert (told.requests, told.waiting_tokens) == (count, tokens), told
+
+
 class FakeNode:
     """One node's board, as a gateway uses it."""
 
--- a/liftrill/constants.py
+++ b/liftrill/constants.py
@@ -152,6 +152,11 @@
 ENGINE_MEMORY_SHARE = _number("LIFTRILL_ENGINE_MEMORY_SHARE", 1.2)
 BACKUP_OUTPUT_TOKENS = _count("LIFTRILL_BACKUP_OUTPUT_TOKENS", 1_024)
 KEPT_SETTLE_S = _number("LIFTRILL_KEPT_SETTLE_S", 0.5)
+# Peers are told at once of prompts of more tokens to read: 50 ms, the time that many words
+# of a large fleet are old, at 38 tokens a ms.
+TOLD_READING_TOKENS = _count("LIFTRILL_TOLD_READING_TOKENS", 2_000)
+# Reading 9,000 tokens takes 0.24 s, and twice that behind another such prompt.
+TOLD_READING_S = _number("LIFTRILL_TOLD_READING_S", 0.4)
 # Longer than the reading of all but the longest prompts (0.25 s for 10,000 tokens).
 READING_S = _number("LIFTRILL_READING_S", 1.0)
 # Bounds of the time for which an engine is taken to hold what it used. One that no longer
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections import deque
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 from liftrill import constants
@@ -89,8 +89,16 @@
         return min(max(share, SHORTEST_RETRY_AFTER_SECONDS), LONGEST_RETRY_AFTER_SECONDS)
 
 
+def _tell_nobody(view: EngineView, tokens: int) -> None:
+    """Leave a reading untold."""
+
+
 class Forwarder:
-    """Delivers requests; one for each node."""
+    """Delivers requests; one for each node.
+
+    Attributes:
+        reading_begun: whom to tell of an engine and the tokens of a long prompt sent to it.
+    """
 
     def __init__(
         self,
@@ -102,6 +110,7 @@
         metrics: GatewayMetrics,
     ) -> None:
         self.engine_signal = EngineSignal()
+        self.reading_begun: Callable[[EngineView, int], None] = _tell_nobody
         self.log = log
         self.metrics = metrics
         self._engines = engines
@@ -146,6 +155,8 @@
         view = self._engines.get(start.choice.engine_id)
         if view is not None:
             view.breaker.record_start(now)
+            if start.choice.expected_tokens >= constants.TOLD_READING_TOKENS:
+                self.reading_begun(view, start.choice.expected_tokens)
         self._ports.record_sent(start.choice, request)
         return view, self._transport.attempt(request, start)
 
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineNotice, EngineTable
+from liftrill.gateway.engine_table import EngineNotice, EngineTable, EngineView
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership, TermParameters
@@ -96,9 +96,14 @@
         self._relay = RelayServer(self._follower.mirror, self.view, metrics.followers.set)
         self._loads = LoadBoard(engines)
         callbacks = PeerCallbacks(
-            self._on_member, self._currency.hear_version, self._on_notice, self._on_loads
+            self._on_member,
+            self._currency.hear_version,
+            self._on_notice,
+            self._on_loads,
+            self._on_reading,
         )
         self._peers = PeerLink(self._membership, callbacks)
+        self.forwarder.reading_begun = self._tell_reading
         self._controller = self._new_controller(orders, targets)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -301,6 +306,13 @@
         words = topology_for(members).relayed(self._membership.own, report, members)
         self._peers.send_loads(words)
 
+    def _on_reading(self, engine_number: int, tokens: int) -> None:
+        self._loads.hear_reading(engine_number, tokens, time.monotonic())
+
+    def _tell_reading(self, view: EngineView, tokens: int) -> None:
+        self._loads.note_own_reading(view, tokens, time.monotonic())
+        self._peers.tell_reading(view.number, tokens)
+
     async def _send_notices(self, notices: list[EngineNotice]) -> None:
         for notice in notices:
             self._on_notice(notice)
--- a/liftrill/gateway/load_board.py
+++ b/liftrill/gateway/load_board.py
@@ -3,11 +3,16 @@
 Each node sees only its own requests. A word counts until the next one from the same
 source, or until it is too old: a peer that died or was cut off has no load that lasts.
 The sum of a zone takes the place of the words of that zone's nodes.
+
+A word may be older than the reading of a prompt takes. So the beginning of a long reading
+is told at once, and counts for a while on its own; words leave it out for as long.
 """
 
+from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from liftrill import constants
 from liftrill.gateway.engine_table import EngineLoad, EngineTable, EngineView
 
 LoadByEngine = Mapping[str, EngineLoad]
@@ -30,17 +35,30 @@
     counted: tuple[tuple[EngineView, EngineLoad], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """A long prompt that an engine was given lately."""
+
+    view: EngineView
+    tokens: int
+    until: float
+
+
 @dataclass(slots=True)
 class LoadBoard:
     """The latest word of each source, applied to the engine table.
 
     Attributes:
         lifetime_seconds: for how long a word counts.
+        reading_s: for how long a reading counts that was told at once.
     """
 
     engines: EngineTable
     lifetime_seconds: float = 1.0
+    reading_s: float = constants.TOLD_READING_S
     _reports: dict[_Source, _Report] = field(default_factory=dict)
+    _heard_readings: deque[_Reading] = field(default_factory=deque)
+    _own_readings: deque[_Reading] = field(default_factory=deque)
 
     def take(self, node: str, loads: LoadByEngine, now: float, zone: str = "") -> None:
         """Replace what a peer told before, unless its zone's sum has it already."""
@@ -54,15 +72,45 @@
             self._withdraw(source)
         self._replace(_Source(zone), loads, now)
 
+    def hear_reading(self, engine_number: int, tokens: int, now: float) -> None:
+        """Count a long prompt that a peer has just sent to an engine."""
+        self.expire_readings(now)
+        view = self.engines.by_number(engine_number)
+        if view is None:
+            return
+        view.peer_load.waiting_tokens += tokens
+        self._heard_readings.append(_Reading(view, tokens, now + self.reading_s))
+
+    def note_own_reading(self, view: EngineView, tokens: int, now: float) -> None:
+        """Note that peers were told at once of a long prompt of this node."""
+        self._own_readings.append(_Reading(view, tokens, now + self.reading_s))
+
+    def expire_readings(self, now: float) -> None:
+        """Drop readings that words tell of by now, or that are over."""
+        while self._heard_readings and self._heard_readings[0].until <= now:
+            reading = self._heard_readings.popleft()
+            reading.view.peer_load.waiting_tokens -= reading.tokens
+        while self._own_readings and self._own_readings[0].until <= now:
+            self._own_readings.popleft()
+
     def expire(self, now: float) -> None:
         """Drop words that are too old."""
+        self.expire_readings(now)
         limit = now - self.lifetime_seconds
         for source in [s for s, report in self._reports.items() if report.heard_at < limit]:
             self._withdraw(source)
 
     def own_loads(self) -> dict[str, EngineLoad]:
-        """Return what this node has on engines, for its peers."""
-        return {view.engine_id: view.own_load for view in self.engines if view.own_load.requests}
+        """Return what this node has on engines, less what it told of at once."""
+        told: dict[str, int] = {}
+        for reading in self._own_readings:
+            engine_id = reading.view.engine_id
+            told[engine_id] = told.get(engine_id, 0) + reading.tokens
+        return {
+            view.engine_id: _less_waiting(view.own_load, told.get(view.engine_id, 0))
+            for view in self.engines
+            if view.own_load.requests
+        }
 
     def zone_sum(self, zone: str) -> dict[str, EngineLoad]:
         """Return what this node and the heard nodes of its zone have on engines."""
@@ -85,3 +133,8 @@
         report = self._reports.pop(source, None)
         for view, load in report.counted if report else ():
             view.peer_load.add(load, -1)
+
+
+def _less_waiting(load: EngineLoad, tokens: int) -> EngineLoad:
+    """Return a load without some of the tokens that wait."""
+    return replace(load, waiting_tokens=max(0, load.waiting_tokens - tokens))
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -47,6 +47,7 @@
     newer_version: Callable[[int], None]
     notice: Callable[[EngineNotice], None]
     loads: Callable[[LoadReport], None]
+    reading_begun: Callable[[int, int], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -108,6 +109,14 @@
             for member in word.members:
                 self._send(member.address, message)
 
+    def tell_reading(self, engine_number: int, tokens: int) -> None:
+        """Tell all members at once that an engine was given a long prompt to read."""
+        begun = messages.ReadingBegun(engine=engine_number, tokens=tokens)
+        message = messages.Datagram(reading_begun=begun)
+        for member in self._membership.members():
+            if member.node_id != self._membership.own.node_id:
+                self._send(member.address, message)
+
     def close(self) -> None:
         """Close the UDP socket."""
         if self._transport is not None:
@@ -121,6 +130,10 @@
         """Take in a datagram (asyncio callback)."""
         try:
             message = parse_message(data)
+            if message.HasField("reading_begun"):
+                begun = message.reading_begun
+                self._callbacks.reading_begun(begun.engine, begun.tokens)
+                return
             if message.notices or message.loads:
                 self._take_word(message)
                 return
