--- a/liftrill/gateway/cache_retention.py
+++ b/liftrill/gateway/cache_retention.py
@@ -7,8 +7,7 @@
 
 # Over how long a node's own traffic is averaged: it sees few of a large fleet's requests.
 AVERAGE_S = 10.0
-# Share of the estimate that is relied on: running requests take memory too, and traffic
-# is not spread evenly (guess).
+# Share of the estimate that is relied on: traffic is not spread evenly (guess).
 RELIED_SHARE = 0.7
 
 
@@ -34,15 +33,15 @@
         self._tokens = self._tokens * self._faded(now) + tokens
         self._noted_at = now
 
-    def held_s(self, capacity_tokens: int, nodes: int, now: float) -> float:
-        """Return for how long engines with some memory in all hold what they used."""
-        if self._since is None or not capacity_tokens:
+    def held_s(self, free_tokens: int, nodes: int, now: float) -> float:
+        """Return for how long engines hold what they used that have some free memory in all."""
+        if self._since is None:
             return self.first_s
         window_s = AVERAGE_S * (1.0 - math.exp(-(now - self._since) / AVERAGE_S))
         if window_s < AVERAGE_S / 5:
             return self.first_s
         rate = max(1, nodes) * self._tokens * self._faded(now) / window_s
-        return min(self.longest_s, RELIED_SHARE * capacity_tokens / max(rate, 1.0))
+        return min(self.longest_s, RELIED_SHARE * free_tokens / max(rate, 1.0))
 
     def _faded(self, now: float) -> float:
         return math.exp(-(now - self._noted_at) / AVERAGE_S)
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -211,8 +211,10 @@
         """Note what a prompt takes of the engines' memory and of the stores' links."""
         self.retention.record(prompt.prompt_tokens + prompt.output_tokens, now)
         capacity = self._profile(request.service).cache_tokens
-        engines = len(self._engines.of_service(request.service))
-        self.directory.held_s = self.retention.held_s(capacity * engines, self.nodes, now)
+        if capacity:
+            views = self._engines.of_service(request.service)
+            free_tokens = sum(max(0, capacity - view.resident_tokens) for view in views)
+            self.directory.held_s = self.retention.held_s(free_tokens, self.nodes, now)
         self.store_link.record_demand(self._store_s(choice, request, prompt), now)
 
     def _store_s(self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape) -> float:
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -124,12 +124,13 @@
         by_id = {candidate.view.engine_id: candidate for candidate in candidates}
         homes = self._homes(request, candidates, key)
         best, least = candidates[0], math.inf
-        few = self.few_choices if len(candidates) > self.many_engines else len(candidates)
+        is_large = len(candidates) > self.many_engines
+        few = self.few_choices if is_large else len(candidates)
         for place, engine_id in enumerate(rendezvous.rank(key, by_id)):
             candidate = by_id[engine_id]
             cost = self._backlog(candidate.view) + self._pauses(request, candidate)
             if homes[candidate.scope] != engine_id:
-                cost += self._sharing(request, candidate)
+                cost += self._sharing(request, candidate, is_large)
             if candidate.replaced_s > self.replaced_grace_s:
                 cost += self.replaced_tokens
             if place >= few and homes[candidate.scope] != engine_id:
@@ -166,25 +167,23 @@
         assert home is not None
         return home
 
-    def _sharing(self, request: OpaqueRequest, candidate: Candidate) -> float:
+    def _sharing(self, request: OpaqueRequest, candidate: Candidate, is_large: bool) -> float:
         """Return what it costs to have the shared parts at an engine that lacks them."""
         missing = request.shared_tokens - candidate.shared.kept_tokens
+        if missing and is_large and not candidate.shared.reader:
+            return self._rare_reading(request, missing)
         if missing:
-            return self._second_reading(request, candidate, missing)
+            return missing * self.reread_factor
         # The tokens that could be read while the parts are moved.
         return max(self.move_tokens, candidate.move_s * MOVE_PREFILL_TOKENS_PER_S)
 
-    def _second_reading(
-        self, request: OpaqueRequest, candidate: Candidate, missing_tokens: int
-    ) -> float:
-        """Return what it costs that others may read the missing parts at another engine.
+    def _rare_reading(self, request: OpaqueRequest, missing_tokens: int) -> float:
+        """Return what it costs that others may begin to read the missing parts elsewhere.
 
         What many prompts have in common is being asked for all the time. The last shared
         part belongs to few, so that nobody else is likely to read it just now.
         """
         assert request.prompt is not None
-        if candidate.shared.reader:
-            return missing_tokens * self.reread_factor
         rare_tokens = min(missing_tokens, request.prompt.shared_parts[-1].tokens)
         common_tokens = missing_tokens - rare_tokens
         return common_tokens * self.reread_factor + rare_tokens * self.rare_factor
