--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -217,7 +217,7 @@
 def step_memory(context):
     context.simulation = Simulation(2, 50_000)
     profile = ServiceProfile("service-1", 0, cache_tokens=10_000)
-    context.simulation.selector.services["service-1"] = profile
+    context.simulation.selector.parts.services["service-1"] = profile
     take_memory(context, "e0")
 
 
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -19,7 +19,7 @@
     for number in range(engines):
         table.update(engine_record(f"e{number}", weights={"model": 1}))
     selector = EngineSelector(table, WeightTargets(8.0), "zone-1")
-    selector.kept_stores = tuple(
+    selector.parts.kept_stores = tuple(
         KeptStoreProfile(f"10.0.0.{number}:1", f"zone-{number}") for number in range(stores)
     )
     return selector
@@ -93,7 +93,7 @@
 @given("moving the memory of a token takes {move:g} microseconds")
 def step_move_time(context, move):
     profile = ServiceProfile("service-1", 0, store_move_s_per_token=move / 1e6)
-    context.selectors[0].services["service-1"] = profile
+    context.selectors[0].parts.services["service-1"] = profile
 
 
 def kept_request():
@@ -105,7 +105,7 @@
 def step_kept_part(context, waiting):
     selector = context.selectors[0]
     choice = selector.choose(kept_request(), frozenset(), 0.0)
-    selector.record_read(choice, kept_request(), 0.0)
+    selector.parts.record_read(choice, kept_request(), 0.0)
     context.holder = choice.engine_id
     load = EngineLoad(requests=1, waiting_tokens=waiting)
     selector._engines.get(choice.engine_id).own_load.add(load)
@@ -155,7 +155,7 @@
     request = begun_alike(0)
     for selector in context.selectors:
         choice = selector.choose(request, frozenset(), 0.0)
-        selector.record_read(choice, request, 0.0)
+        selector.parts.record_read(choice, request, 0.0)
     context.placed_at = 1.0
 
 
@@ -175,8 +175,8 @@
 def step_heard(context):
     first, second = context.selectors
     choice = first.choose(begun_alike(0), frozenset(), 0.0)
-    first.record_read(choice, begun_alike(0), 0.0)
-    second.directory.hear(first.directory.news(0.1).own, 0.1, of_zone=True)
+    first.parts.record_read(choice, begun_alike(0), 0.0)
+    second.parts.directory.hear(first.parts.directory.news(0.1).own, 0.1, of_zone=True)
     context.heard = second.choose(begun_alike(0), frozenset(), 1.0)
 
 
@@ -190,7 +190,7 @@
 def step_sends(context, delay):
     selector = context.selectors[0]
     context.first = selector.choose(begun_alike(0), frozenset(), 0.0)
-    selector.record_sent(context.first, begun_alike(0), 0.0)
+    selector.parts.record_sent(context.first, begun_alike(0), 0.0)
     context.later = replace(begun_alike(1), received_at=delay)
     context.at = delay
 
@@ -206,7 +206,7 @@
 
 @when("the part has been read")
 def step_part_read(context):
-    context.selectors[0].record_read(context.first, begun_alike(0), context.at)
+    context.selectors[0].parts.record_read(context.first, begun_alike(0), context.at)
 
 
 @then("the later one is sent, with the beginning fetched")
@@ -219,7 +219,7 @@
 def step_reading_long(context):
     context.selectors = [new_selector(1, 6)]
     context.first = context.selectors[0].choose(begun_alike(0), frozenset(), 0.0)
-    context.selectors[0].record_sent(context.first, begun_alike(0), 0.0)
+    context.selectors[0].parts.record_sent(context.first, begun_alike(0), 0.0)
 
 
 @then("the later one is sent to the engine that reads it")
@@ -232,7 +232,7 @@
 def step_read_and_busy(context):
     selector = context.selectors[0]
     context.first = selector.choose(begun_alike(0), frozenset(), 0.0)
-    selector.record_read(context.first, begun_alike(0), 0.0)
+    selector.parts.record_read(context.first, begun_alike(0), 0.0)
     busy = selector._engines.get(context.first.engine_id)
     busy.own_load.add(EngineLoad(requests=9, waiting_tokens=90_000))
 
@@ -285,7 +285,7 @@
     selector = context.selectors[0]
     salt = selector.choose(begun_alike(0), frozenset(), 0.0).cache_salt
     beginning = part_number(salt, "beginning")
-    selector.directory.record_read(beginning, 0, 0.0, saved=True, worth_telling=True)
+    selector.parts.directory.record_read(beginning, 0, 0.0, saved=True, worth_telling=True)
     context.first = selector.choose(begun_alike(0), frozenset(), 2.0)
     view = selector._engines.get(context.first.engine_id)
     view.own_load.add(EngineLoad(requests=1, waiting_tokens=waiting))
@@ -305,7 +305,7 @@
 def step_rest_begun(context):
     rest = part_number(context.first.cache_salt, "continuation-0")
     news = KeptPart(rest, engine_number(context.first.engine_id), PartStage.BEING_READ)
-    context.selectors[0].directory.hear([news], 1.9, of_zone=True)
+    context.selectors[0].parts.directory.hear([news], 1.9, of_zone=True)
 
 
 @then("it goes to the engine that reads the rest")
@@ -318,7 +318,7 @@
     selector = context.selectors[0]
     choice = selector.choose(begun_alike(1), frozenset(), seconds)
     assert choice.save_to
-    selector.record_read(choice, begun_alike(1), seconds)
+    selector.parts.record_read(choice, begun_alike(1), seconds)
 
 
 @then("{seconds:g} s after the first the beginning counts as kept for a third prompt")
@@ -340,13 +340,13 @@
 def step_demand(context, us, count, tokens, seconds):
     selector = context.selectors[0]
     profile = ServiceProfile("service-1", 0, store_move_s_per_token=us / 1e6)
-    selector.services["service-1"] = profile
+    selector.parts.services["service-1"] = profile
     for number in range(count * seconds):
         parts = (PromptPart(f"part-{number}", tokens - 10), PromptPart("own", 10))
         request = replace(opaque_request(), prompt=PromptShape("model", parts, tokens, 20))
         now = number / count
         choice = selector.choose(request, frozenset(), now)
-        selector.record_sent(choice, request, now)
+        selector.parts.record_sent(choice, request, now)
 
 
 @then("a prompt of {shared:d} shared and {own:d} own tokens is saved: {saved}")
@@ -364,16 +364,16 @@
 )
 def step_traffic(context, capacity, nodes, rate):
     selector = context.selectors[0]
-    selector.services["service-1"] = ServiceProfile("service-1", 0, cache_tokens=capacity)
-    selector.nodes = nodes
+    selector.parts.services["service-1"] = ServiceProfile("service-1", 0, cache_tokens=capacity)
+    selector.parts.nodes = nodes
     parts = (PromptPart("part", 100), PromptPart("own", 100))
     request = replace(opaque_request(), prompt=PromptShape("model", parts, rate - 20, 20))
     choice = selector.choose(request, frozenset(), 0.0)
     for second in range(60):
-        selector.record_sent(choice, request, float(second))
+        selector.parts.record_sent(choice, request, float(second))
 
 
 @then("engines are taken to hold what they used for {seconds:g} s")
 def step_held_for(context, seconds):
-    held_s = context.selectors[0].directory.held_s
+    held_s = context.selectors[0].parts.directory.held_s
     assert abs(held_s - seconds) < 0.1 * seconds, held_s
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -72,9 +72,9 @@
         if not self.view.adopt(configuration):
             return
         self.configuration_revision = revision
-        self.selector.kept_stores = configuration.kept_stores
-        self.selector.services.clear()
-        self.selector.services.update(configuration.services)
+        self.selector.parts.kept_stores = configuration.kept_stores
+        self.selector.parts.services.clear()
+        self.selector.parts.services.update(configuration.services)
         self.split.forget()
         self.log.version = configuration.version
         self.log.belief(
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -4,13 +4,12 @@
 from dataclasses import dataclass, replace
 
 from liftrill import constants
-from liftrill.coordination import rendezvous
-from liftrill.gateway.cache_retention import CacheRetention
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
-from liftrill.gateway.engine_table import EngineTable, EngineView, engine_number
+from liftrill.gateway.engine_table import EngineTable, EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 from liftrill.gateway.overload import OverloadGuard, ReadingRates
+from liftrill.gateway.part_keeping import BETWEEN_ZONES, PartKeeping
 from liftrill.gateway.placement import (
     Candidate,
     LeastLoaded,
@@ -18,14 +17,9 @@
     PromptCost,
     cache_salt,
 )
-from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
-from liftrill.gateway.records import KeptStoreProfile, ServiceProfile
 from liftrill.gateway.shared_parts import SharedParts, find_shared_parts
-from liftrill.gateway.store_link import LEAST_MOVED_TOKENS, StoreLink, is_worth_saving
 from liftrill.gateway.weight_targets import WeightTargets
 
-# How much longer a move between zones takes than one within a zone.
-BETWEEN_ZONES = 2.0
 # With more engines, and so more nodes, word of a reading comes too late to wait for its end.
 FEW_ENGINES = 16
 
@@ -43,12 +37,7 @@
     """Chooses engines for requests.
 
     Attributes:
-        kept_stores: where prefixes are saved to and fetched from.
-        services: what the operator declares of engines, by service.
-        nodes: how many nodes share engines and stores.
-        directory: where shared parts are kept.
-        retention: for how long engines hold them.
-        store_link: what may be saved to the stores.
+        parts: where the shared parts of prompts are kept.
         rates: how fast engines read prompts.
         guard: which waits at engines requests are sent into.
     """
@@ -61,18 +50,13 @@
         prompt_policy: PlacementPolicy | None = None,
         plain_policy: PlacementPolicy | None = None,
     ) -> None:
-        self.kept_stores: tuple[KeptStoreProfile, ...] = ()
-        self.services: dict[str, ServiceProfile] = {}
-        self.nodes = 1
+        self.parts = PartKeeping(engines)
         self.rates = ReadingRates()
         self._engines = engines
         self._targets = targets
         self._zone = zone
-        self._prompt_policy = prompt_policy or PromptCost(services=self.services)
+        self._prompt_policy = prompt_policy or PromptCost(services=self.parts.services)
         self._plain_policy = plain_policy or LeastLoaded()
-        self.directory = PrefixDirectory()
-        self.retention = CacheRetention()
-        self.store_link = StoreLink()
         self.guard = OverloadGuard()
 
     def choose(
@@ -126,7 +110,7 @@
 
     def _has_memory(self, request: OpaqueRequest, view: EngineView) -> bool:
         """Return whether an engine has memory for a request, or nothing else to do."""
-        capacity = self._profile(request.service).cache_tokens
+        capacity = self.parts.profile(request.service).cache_tokens
         if not capacity or not view.requests or request.prompt is None:
             return True
         needed = request.prompt.prompt_tokens + request.prompt.output_tokens
@@ -182,7 +166,7 @@
             return False
         if request.prompt.output_tokens < constants.BACKUP_OUTPUT_TOKENS:
             return False
-        return self._profile(request.service).backups
+        return self.parts.profile(request.service).backups
 
     def _backup(self, chosen: Candidate, candidates: list[Candidate]) -> EngineAddress | None:
         """Return the least busy other engine with the same weights, near it if there is one."""
@@ -193,62 +177,6 @@
         best = min(others, key=lambda c: (c.view.record.zone != zone, c.view.requests))
         return EngineAddress(best.view.engine_id, best.view.record.address)
 
-    def record_sent(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
-        """Note that an engine is about to read what of a prompt is kept nowhere."""
-        prompt = request.prompt
-        if prompt is None:
-            return
-        self._record_traffic(choice, request, prompt, now)
-        engine = engine_number(choice.engine_id)
-        for part in prompt.shared_parts:
-            number = part_number(choice.cache_salt, part.part_id)
-            if part.tokens >= constants.KEPT_NEWS_TOKENS and not self._is_known(number, now):
-                self.directory.record_reading(number, engine, now)
-
-    def _record_traffic(
-        self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape, now: float
-    ) -> None:
-        """Note what a prompt takes of the engines' memory and of the stores' links."""
-        self.retention.record(prompt.prompt_tokens + prompt.output_tokens, now)
-        capacity = self._profile(request.service).cache_tokens
-        if capacity:
-            views = self._engines.of_service(request.service)
-            free_tokens = sum(max(0, capacity - view.resident_tokens) for view in views)
-            self.directory.held_s = self.retention.held_s(free_tokens, self.nodes, now)
-        self.store_link.record_demand(self._store_s(choice, request, prompt), now)
-
-    def _store_s(self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape) -> float:
-        """Return for how long a request takes a store's link, if nothing is left out."""
-        zones = {store.address: store.zone for store in self.kept_stores}
-        store = self._kept_store(prompt)
-        if choice.is_saved and choice.fetch_from not in ("", store):
-            return 0.0
-        tokens = request.shared_tokens if choice.is_saved else prompt.prompt_tokens
-        view = self._engines.get(choice.engine_id)
-        near = view is not None and view.record.zone == zones.get(store)
-        factor = 1.0 if near else BETWEEN_ZONES
-        return factor * tokens * self._profile(request.service).store_move_s_per_token
-
-    def _is_known(self, number: int, now: float) -> bool:
-        directory = self.directory
-        found = directory.holder(number, now) or directory.reader(number, now)
-        return found != 0 or directory.is_saved(number, now)
-
-    def record_read(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
-        """Note that an engine has read a prompt, and sends to the store what it was told to."""
-        prompt = request.prompt
-        if prompt is None:
-            return
-        engine = engine_number(choice.engine_id)
-        for part in prompt.shared_parts:
-            self.directory.record_read(
-                part_number(choice.cache_salt, part.part_id),
-                engine,
-                now,
-                saved=bool(choice.save_to),
-                worth_telling=part.tokens >= constants.KEPT_NEWS_TOKENS,
-            )
-
     def _version_floor(self, able: list[EngineView], request: OpaqueRequest) -> int:
         """Return the lowest version to use, as far as versions of unknown age decide it.
 
@@ -303,7 +231,7 @@
             view = self._engines.by_number(number)
             return view is not None and self._goes_on(view, prompt.model, version, now)
 
-        shared = find_shared_parts(self.directory, salt, prompt, now, is_source)
+        shared = find_shared_parts(self.parts.directory, salt, prompt, now, is_source)
         return _Scope(salt, shared, replaced_s)
 
     def _holder(self, view: EngineView, shared: SharedParts) -> EngineView | None:
@@ -313,24 +241,17 @@
 
     def _move_s(self, request: OpaqueRequest, view: EngineView, holder: EngineView | None) -> float:
         """Return how long moving the shared parts to an engine takes."""
-        profile = self._profile(view.record.service)
+        profile = self.parts.profile(view.record.service)
         tokens = request.shared_tokens
         if holder is None:
             return BETWEEN_ZONES * tokens * profile.store_move_s_per_token
         factor = 1.0 if holder.record.zone == view.record.zone else BETWEEN_ZONES
         return factor * tokens * profile.move_s_per_token
 
-    def _profile(self, service: str) -> ServiceProfile:
-        return self.services.get(service) or ServiceProfile(service, 0)
-
     def _prompt_choice(self, chosen: Candidate, prompt: PromptShape, now: float) -> EngineChoice:
         view = chosen.view
         version = view.weight_version(prompt.model)
-        store = self._kept_store(prompt)
-        short = self.store_link.is_short(len(self.kept_stores), self.nodes, now)
-        saves = not chosen.shared.saved and (not short or is_worth_saving(prompt))
-        if short and sum(part.tokens for part in prompt.shared_parts) < LEAST_MOVED_TOKENS:
-            store = ""
+        store, saves = self.parts.store_for(prompt, chosen.shared, now)
         return EngineChoice(
             view.engine_id,
             view.record.address,
@@ -342,13 +263,3 @@
             begin_by=self._targets.begin_by(prompt.model, version),
             expected_tokens=max(0, prompt.prompt_tokens - chosen.shared.kept_tokens),
         )
-
-    def _kept_store(self, prompt: PromptShape) -> str:
-        """Return the store that keeps the shared parts, the same on every node, or nothing.
-
-        A part and all before it lie in one store: an engine fetches from one.
-        """
-        if not prompt.shared_parts:
-            return ""
-        key = prompt.shared_parts[-1].part_id.encode()
-        return rendezvous.first(key, (store.address for store in self.kept_stores)) or ""
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -71,13 +71,13 @@
 
     def record_sent(self, choice: events.EngineChoice, request: OpaqueRequest) -> None:
         """Note that an engine is about to read a prompt."""
-        self._selector.record_sent(choice, request, time.monotonic())
+        self._selector.parts.record_sent(choice, request, time.monotonic())
 
     def record_read(
         self, choice: events.EngineChoice, request: OpaqueRequest, tokens: int, elapsed_s: float
     ) -> None:
         """Note that an engine has read a prompt, and some tokens with what waited before."""
-        self._selector.record_read(choice, request, time.monotonic())
+        self._selector.parts.record_read(choice, request, time.monotonic())
         self._selector.rates.record(request.service, tokens, elapsed_s)
 
     def retry_after_seconds(self, request: OpaqueRequest) -> float:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -278,7 +278,7 @@
     def _on_member(self, member: Member) -> None:
         alive = len(self._membership.members())
         self._allowance.nodes = max(self._allowance.nodes, alive)
-        self._beliefs.selector.nodes = alive
+        self._beliefs.selector.parts.nodes = alive
         self.log.belief(
             "peer",
             peer=member.node_id,
@@ -295,7 +295,7 @@
     def _on_loads(self, report: LoadReport) -> None:
         now = time.monotonic()
         of_zone = report.zone == self.settings.zone
-        self._beliefs.selector.directory.hear(report.kept, now, of_zone)
+        self._beliefs.selector.parts.directory.hear(report.kept, now, of_zone)
         if report.kept:
             self.forwarder.engine_signal.notify()
         if report.scope is LoadScope.NODE:
@@ -336,7 +336,7 @@
         while True:
             members = self._membership.members()
             topology = topology_for(members)
-            kept = self._beliefs.selector.directory.news(time.monotonic())
+            kept = self._beliefs.selector.parts.directory.news(time.monotonic())
             words = topology.own_word(own, self._loads, kept, members)
             has_load = any(word.report.loads or word.report.kept for word in words)
             if has_load or had_load:
