--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -106,6 +106,7 @@
         self.forwarder.reading_begun = self._tell_reading
         self._controller = self._new_controller(orders, targets)
         self._tasks: list[asyncio.Task[None]] = []
+        self._link_was_short = False
 
     @property
     def ready(self) -> bool:
@@ -345,6 +346,17 @@
             self._loads.expire(time.monotonic())
             await asyncio.sleep(topology.interval_s(own, members))
 
+    def _tell_of_parts(self, now: float) -> None:
+        """Count, and log where it changed, whether parts can be moved to and from stores."""
+        parts = self._beliefs.selector.parts
+        is_short = parts.is_link_short(now)
+        self.metrics.held_seconds.set(parts.directory.held_s)
+        self.metrics.store_link_short.set(is_short)
+        if is_short != self._link_was_short:
+            self._link_was_short = is_short
+            held_s = round(parts.directory.held_s, 2)
+            self.log.belief("store_link", short=is_short, nodes=parts.nodes, held_s=held_s)
+
     async def _keep_house(self) -> None:
         while True:
             now = time.monotonic()
@@ -355,4 +367,5 @@
             self.metrics.reads_store.set(self._follower.followed is None)
             self.metrics.proof_age.set(self.view.proof_age(now))
             self.metrics.peers.set(len(self._membership.members()))
+            self._tell_of_parts(now)
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -42,6 +42,12 @@
         self.reads_store = self._gauge(
             "liftrill_reads_store", "1 where this node reads the store, 0 where it follows one."
         )
+        self.store_link_short = self._gauge(
+            "liftrill_store_link_short", "1 where more is to be moved than kept stores carry."
+        )
+        self.held_seconds = self._gauge(
+            "liftrill_held_seconds", "How long engines are taken to hold parts that they used."
+        )
         self.peers = self._gauge("liftrill_peers", "Nodes believed alive, this one included.")
 
     def count_outcome(self, outcome: str) -> None:
--- a/liftrill/gateway/part_keeping.py
+++ b/liftrill/gateway/part_keeping.py
@@ -45,12 +45,16 @@
         store = self._home_store(prompt)
         if not store:
             return "", False
-        if not self.store_link.is_short(len(self.kept_stores), self.nodes, now):
+        if not self.is_link_short(now):
             return store, not shared.saved
         if sum(part.tokens for part in prompt.shared_parts) < LEAST_MOVED_TOKENS:
             return "", False
         return store, not shared.saved and is_worth_saving(prompt)
 
+    def is_link_short(self, now: float) -> bool:
+        """Return whether more is to be moved than the stores' links carry."""
+        return self.store_link.is_short(len(self.kept_stores), self.nodes, now)
+
     def record_sent(self, choice: EngineChoice, request: OpaqueRequest, now: float) -> None:
         """Note that an engine is about to read what of a prompt is kept nowhere."""
         prompt = request.prompt
