--- a/liftrill/constants.py
+++ b/liftrill/constants.py
@@ -168,7 +168,14 @@
 # Among 1,138 sessions and 100 requests a second, one in twenty comes before word of the
 # reading of its session (0.6 s) does: 0.05 x 3, and more for sessions that are asked for often.
 RARE_REREAD_FACTOR = _number("LIFTRILL_RARE_REREAD_FACTOR", 0.3)
+# With more engines there are so many nodes that what one knows of the others' loads is older
+# than a reading takes: 0.1 s with 8 nodes, 0.2 to 0.8 s with 195, where reading takes 0.24 s.
+MANY_ENGINES = _count("LIFTRILL_MANY_ENGINES", 16)
+# Two choices already avoid most of a queue, and a third one in four engines being silent
+# (guess); worth 0.764 on a third of the large site, and 0.757 with all engines.
 FEW_CHOICES = _count("LIFTRILL_FEW_CHOICES", 3)
+# Reading 8,000 tokens takes 0.2 s, about what one prompt in front costs (guess).
+FAR_TOKENS = _number("LIFTRILL_FAR_TOKENS", 8_000.0)
 REPLACED_WEIGHTS_TOKENS = _number("LIFTRILL_REPLACED_WEIGHTS_TOKENS", 3_000.0)
 REPLACED_WEIGHTS_GRACE_S = _number("LIFTRILL_REPLACED_WEIGHTS_GRACE_S", 1.2)
 LONG_PROMPT_TOKENS = _count("LIFTRILL_LONG_PROMPT_TOKENS", 16_000)
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -20,9 +20,6 @@
 from liftrill.gateway.shared_parts import SharedParts, find_shared_parts
 from liftrill.gateway.weight_targets import WeightTargets
 
-# With more engines, and so more nodes, word of a reading comes too late to wait for its end.
-FEW_ENGINES = 16
-
 
 @dataclass(frozen=True, slots=True)
 class _Scope:
@@ -86,7 +83,9 @@
         candidates = self._candidates(request, prompt, roomy, now)
         chosen = self._prompt_policy.choose(request, candidates, self._zone)
         behind_reading = chosen.shared.reader == chosen.view.number
-        if behind_reading and len(roomy) < FEW_ENGINES and now < self._hold_until(request):
+        # Among many engines, word of a reading comes too late to wait for its end.
+        few_engines = len(roomy) < constants.MANY_ENGINES
+        if behind_reading and few_engines and now < self._hold_until(request):
             return Unavailable.NONE_READY
         choice = self._prompt_choice(chosen, prompt, now)
         if not self._wants_backup(request):
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/placement.py
@@ -113,9 +113,9 @@
     replaced_tokens: float = constants.REPLACED_WEIGHTS_TOKENS
     replaced_grace_s: float = constants.REPLACED_WEIGHTS_GRACE_S
     memory_share: float = 0.6
-    many_engines: int = 16
+    many_engines: int = constants.MANY_ENGINES
     few_choices: int = constants.FEW_CHOICES
-    far_tokens: float = 8_000.0
+    far_tokens: float = constants.FAR_TOKENS
     services: Mapping[str, ServiceProfile] = field(default_factory=dict)
 
     def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
