Hurry no proof while the store does not answer

Ruled out: starts (390 of them make about 800 calls). Change: such a question is asked only while the last one was answered; the usual one every 1.5 s goes on.

--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -107,6 +107,13 @@
     And the reader learns of 40 items of 2000000 bytes each
     Then the reader has no followers, and holds less than 20 MB for any
 
+  Scenario: While the store does not answer, requests make a node ask no more often than usual
+    Given a node whose proof ran out, and a store that fails after 0.1 s
+    When requests with keys come for 3.5 s
+    Then the store was asked at most 4 times
+    When the failing store is mended
+    Then the node has a proof within 3 s
+
   Scenario Outline: A node that stood still asks for a proof at once, and waits a little for it
     Given a follower whose proof ran out while it stood still, and a store that answers in <delay> s
     When requests with keys come
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -12,8 +12,15 @@
 from liftrill.bench.launcher import free_ports
 from liftrill.coordination.change_log import ChangeLog
 from liftrill.coordination.membership_messages import Condition, Member
-from liftrill.coordination.range_store import RangePage, RemovedItem, StoredItem, WatchBatch
+from liftrill.coordination.range_store import (
+    ItemReading,
+    RangePage,
+    RemovedItem,
+    StoredItem,
+    WatchBatch,
+)
 from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.errors import StoreUnavailableError
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.currency import CurrencyProver
 from liftrill.gateway.reader_plan import ReaderPlan
@@ -612,3 +619,67 @@
 @then("the store was asked {count:d} time")
 def step_asked(context, count):
     assert context.store.asked == count, context.store.asked
+
+
+class FailingStore:
+    """A store that fails until it is mended."""
+
+    def __init__(self, delay):
+        self.delay = delay
+        self.asked = 0
+        self.mended = False
+
+    async def read(self, key):
+        self.asked += 1
+        await asyncio.sleep(self.delay)
+        if not self.mended:
+            raise StoreUnavailableError("no answer")
+        return ItemReading(StoredItem(key, b"", 5), 9)
+
+
+@given("a node whose proof ran out, and a store that fails after {delay:g} s")
+def step_failing_store(context, delay):
+    context.store = FailingStore(delay)
+    context.view = ConfigurationView(4.5)
+    context.view.adopt(GatewayConfiguration(7, (), {}))
+    beliefs = SimpleNamespace(
+        decoder=SimpleNamespace(configuration_key="config"), configuration_revision=5
+    )
+    follower = SimpleNamespace(followed=None, store_failed=lambda: None)
+    context.prover = CurrencyProver(context.store, follower, beliefs, context.view, None)
+
+
+async def ask_often(prover, seconds):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        await prover.prove_within(0.08)
+
+
+@when("requests with keys come for {seconds:g} s")
+def step_requests_for(context, seconds):
+    async def need():
+        loop = asyncio.ensure_future(context.prover.run())
+        await ask_often(context.prover, seconds)
+        loop.cancel()
+
+    context.run(need())
+
+
+@then("the store was asked at most {count:d} times")
+def step_asked_most(context, count):
+    assert 1 <= context.store.asked <= count, context.store.asked
+
+
+@when("the failing store is mended")
+def step_answers_again(context):
+    context.store.mended = True
+
+
+@then("the node has a proof within {seconds:g} s")
+def step_has_proof(context, seconds):
+    async def need():
+        loop = asyncio.ensure_future(context.prover.run())
+        await eventually(lambda: context.view.is_proven(time.monotonic()), seconds)
+        loop.cancel()
+
+    context.run(need())
--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -49,6 +49,7 @@
         self._proved = asyncio.Event()
         self._hurried_at = -math.inf
         self._hurry = False
+        self._unanswered = False
         self._watch_check: asyncio.Task[None] | None = None
 
     def hear_version(self, version: int) -> None:
@@ -70,9 +71,13 @@
         self._prove(answer.version, asked_at - answer.proof_age_s)
 
     async def prove_within(self, limit_s: float) -> None:
-        """Ask at once and wait a little for a proof: this process may have stood still."""
+        """Ask at once and wait a little for a proof: this process may have stood still.
+
+        While the store does not answer this node, it is asked no more often than usual:
+        calls are paid for, and all nodes would hurry at the same time.
+        """
         now = time.monotonic()
-        if now - self._hurried_at >= HURRY_SPACING_S:
+        if not self._unanswered and now - self._hurried_at >= HURRY_SPACING_S:
             self._hurried_at = now
             self._hurry = True
             self._wanted.set()
@@ -82,6 +87,7 @@
                     await self._proved.wait()
 
     def _prove(self, version: int, asked_at: float) -> None:
+        self._unanswered = False
         self._view.prove_current(version, asked_at)
         self._proved.set()
         self._proved = asyncio.Event()
@@ -93,10 +99,7 @@
             asked_at = time.monotonic()
             if await self._must_ask():
                 asked_at = time.monotonic()
-                try:
-                    await self._ask(asked_at)
-                except StoreError:
-                    self._follower.store_failed()
+                self._unanswered = not await self._is_answered(asked_at)
             rest = asked_at + constants.KEY_PROOF_INTERVAL_SECONDS - time.monotonic()
             await self._wait(max(0.05, rest))
 
@@ -107,6 +110,15 @@
             async with asyncio.timeout(limit_s):
                 await self._wanted.wait()
 
+    async def _is_answered(self, asked_at: float) -> bool:
+        """Ask the store, and return whether it answered."""
+        try:
+            await self._ask(asked_at)
+        except StoreError:
+            self._follower.store_failed()
+            return False
+        return True
+
     async def _must_ask(self) -> bool:
         if self._follower.followed is None or self._hurry:
             self._hurry = False
