Change an engine's weights while requests come, not before: the race that a feature rested on

Cause: in 'own answers breaks when an engine changes its weights unasked' an engine's weights were changed first and requests sent then. Now requests come while and after each change, twice for each engine: more answers are checked (27 before), the same two assertions.

--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -1,6 +1,7 @@
 """Steps that bring about one failure each and let a checker judge the history."""
 
 import asyncio
+import itertools
 import random
 import signal
 import time
@@ -157,10 +158,13 @@
 @when("an engine changes its weights unasked")
 def step_weights_unasked(context):
     async def run():
-        for engine in context.cluster.engines:
-            fault = {"kind": "load", "seconds": 0.0, "weight_version": "2026-12"}
+        # Nodes learn of a change within some tens of ms, so requests come all the while.
+        for engine, month in itertools.product(context.cluster.engines, (11, 12)):
+            calls = asyncio.create_task(call_all(context, streams(context, 9, tokens=4)))
+            fault = {"kind": "load", "seconds": 0.0, "weight_version": f"2026-{month}"}
             await context.cluster.engine_fault(engine, **fault)
             await call_all(context, streams(context, 9, tokens=4))
+            await calls
 
     context.run(run())
 
