Hold each tenant to its limit over all nodes together

Change: coordination/quota.py, a copy of each tenant's bucket at every node that refills by the part of the fleet that was heard; gateway/quota_gate.py checks, logs and counts; reports ride on the words on loads; requests that cost a twentieth of the burst, or any while a quarter of it is gone, are told to all at once; the leader keeps the fleet's size in the store for nodes that all restart. Code 2012, 429.

--- /dev/null
+++ b/liftrill/coordination/quota.py
@@ -0,0 +1,330 @@
+"""Limits on what each tenant uses, kept by all nodes of a fleet together, sans-IO.
+
+Every node has a copy of one token bucket for each tenant, and admits by it alone. What the
+copy gains is bound to what the node has heard: the bucket refills by the part of the fleet
+that has just told what it spent, and by the node's own part. So a node that hears nobody
+falls back to its own part of the limit by itself, and the parts of all sides of a cut, of
+nodes that start and of nodes that froze add up to no more than the limit.
+
+What one request spends is told to all at once where it is a good part of what is left;
+the rest is told in reports of what was spent lately. See docs/design/quotas.md for how far
+this may overshoot.
+"""
+
+import random
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+# A report tells what was spent in so many seconds: longer than nodes take between two
+# reports (at most 0.4 s), so that nothing falls between them.
+REPORT_WINDOW_S = 0.5
+# Two reports and a lost one, at 0.4 s each at most. A source that was silent for longer takes
+# its part of what is left in each bucket with it.
+SILENT_AFTER_S = 1.0
+# A request is told at once that costs this share of its tenant's burst or more: fewer than
+# twenty such requests are under way before they are told (guess).
+TOLD_BURST_SHARE = 0.05
+# So is any request while less than this share of the burst is left. Usual use leaves most of
+# it; a tenant at five times its rate empties the rest in a twelfth of a second.
+TOLD_LEVEL_SHARE = 0.75
+# A fleet counts as smaller after this long only: the 5 s for which a node that is cut off may
+# serve keys, and the 3 s until it takes the others for dead, are over by then.
+FLEET_SHRINK_S = 10.0
+# A caller is told to come back after this long at the most: few wait longer.
+LONGEST_WAIT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLimit:
+    """What a tenant may use, over all nodes together.
+
+    Attributes:
+        rate_per_s: units a second.
+        burst: units that it may use at once beyond that.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaSource:
+    """Who reports: a node, or a whole zone where the node is empty."""
+
+    zone: str
+    node: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaReport:
+    """What some nodes spent in the last `REPORT_WINDOW_S`, less what was told at once.
+
+    Attributes:
+        nodes: how many nodes it counts.
+        spent: units by tenant.
+    """
+
+    nodes: int
+    spent: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaVerdict:
+    """Whether a request may be served under its tenant's limit.
+
+    Attributes:
+        wait_s: 0 where it may; otherwise when there is room for it.
+        tell: whether other nodes are to be told at once of what it spends.
+        left: units left in this node's copy of the bucket.
+    """
+
+    wait_s: float = 0.0
+    tell: bool = False
+    left: float = 0.0
+
+
+class FleetSize:
+    """How many nodes share the limits: the most believed alive lately."""
+
+    def __init__(self, nodes: int = 1) -> None:
+        self.nodes = nodes
+        self._reached_at = 0.0
+
+    def note(self, alive: int, now: float) -> None:
+        """Take in how many nodes are believed alive now."""
+        if alive >= self.nodes or now - self._reached_at > FLEET_SHRINK_S:
+            self.nodes = max(1, alive)
+            self._reached_at = now
+
+    def assume(self, nodes: int, now: float) -> None:
+        """Take a fleet to be as large as others remember it, until it proves smaller."""
+        if nodes > self.nodes:
+            self.nodes = nodes
+            self._reached_at = now
+
+
+class QuotaPolicy(ABC):
+    """Decide which requests are within the limits of their tenants."""
+
+    @abstractmethod
+    def configure(self, limits: Mapping[str, QuotaLimit], now: float) -> None:
+        """Put limits in force; a tenant without one is not limited."""
+
+    @abstractmethod
+    def try_take(self, tenant: str, amount: float, now: float) -> QuotaVerdict:
+        """Take units if the limit leaves them."""
+
+    @abstractmethod
+    def take_anyway(self, tenant: str, amount: float, now: float) -> None:
+        """Take units for work that is done whatever the limit."""
+
+    @abstractmethod
+    def give_back(self, tenant: str, amount: float, now: float) -> None:
+        """Return units that were taken for work that was then not done."""
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """One node's copy of a tenant's bucket.
+
+    Attributes:
+        level: units left; below 0 where more was spent than there was.
+        credited_s: the ledger's credit that the level includes.
+        spent: what this node spent lately and did not tell at once, with when.
+        returns_at: when the last refused caller is to come back.
+    """
+
+    limit: QuotaLimit
+    level: float
+    credited_s: float
+    spent: deque[tuple[float, float]] = field(default_factory=deque)
+    returns_at: float = 0.0
+
+    def credit(self, credited_s: float) -> None:
+        """Refill up to a credit of the ledger."""
+        gained = self.limit.rate_per_s * (credited_s - self.credited_s)
+        self.credited_s = credited_s
+        self.level = min(self.limit.burst, self.level + gained)
+
+    def change_limit(self, limit: QuotaLimit) -> None:
+        """Put another limit in force; a debt lasts as long as it would have."""
+        if self.level < 0.0:
+            self.level *= limit.rate_per_s / self.limit.rate_per_s
+        self.level = min(self.level, limit.burst)
+        self.limit = limit
+
+    def spent_since(self, since: float) -> float:
+        """Return what was spent after a time, and forget the rest."""
+        while self.spent and self.spent[0][0] <= since:
+            self.spent.popleft()
+        return sum(amount for _, amount in self.spent)
+
+
+@dataclass(slots=True)
+class _Heard:
+    """The newest report of a source, and when it came."""
+
+    report: QuotaReport
+    at: float
+
+
+class SharedBuckets(QuotaPolicy):
+    """Admit by a copy of the fleet's buckets that refills by what is heard.
+
+    Attributes:
+        fleet: how many nodes share the limits.
+    """
+
+    def __init__(self, fleet: FleetSize, starts_full: bool, random_source: random.Random) -> None:
+        self.fleet = fleet
+        self._starts_full = starts_full
+        self._random = random_source
+        self._buckets: dict[str, _Bucket] = {}
+        self._heard: dict[QuotaSource, _Heard] = {}
+        # Seconds for which the whole fleet's use is known: each part counts by its size.
+        self._credit_s = 0.0
+        self._own_credited_at: float | None = None
+
+    @property
+    def limited(self) -> bool:
+        """Whether any tenant has a limit."""
+        return bool(self._buckets)
+
+    def configure(self, limits: Mapping[str, QuotaLimit], now: float) -> None:
+        """Put limits in force; a tenant without one is not limited."""
+        self._credit_own(now)
+        buckets: dict[str, _Bucket] = {}
+        for tenant, limit in limits.items():
+            known = self._buckets.get(tenant)
+            if known is None:
+                known = _Bucket(limit, self._first_level(limit), self._credit_s)
+            else:
+                known.credit(self._credit_s)
+                known.change_limit(limit)
+            buckets[tenant] = known
+        self._buckets = buckets
+
+    def try_take(self, tenant: str, amount: float, now: float) -> QuotaVerdict:
+        """Take units if any are left: the last request may leave a debt."""
+        bucket = self._buckets.get(tenant)
+        if bucket is None:
+            return QuotaVerdict()
+        left = self._left(bucket, now)
+        if left <= 0.0:
+            return QuotaVerdict(self._wait_s(bucket, amount, left, now), left=left)
+        return QuotaVerdict(0.0, self._take(bucket, amount, now), left)
+
+    def take_anyway(self, tenant: str, amount: float, now: float) -> None:
+        """Take units for work that is done whatever the limit."""
+        bucket = self._buckets.get(tenant)
+        if bucket is not None:
+            bucket.level -= amount
+            bucket.spent.append((now, amount))
+
+    def give_back(self, tenant: str, amount: float, now: float) -> None:
+        """Return units that were taken for work that was then not done."""
+        bucket = self._buckets.get(tenant)
+        if bucket is not None:
+            bucket.level = min(bucket.limit.burst, bucket.level + amount)
+
+    def hear(self, source: QuotaSource, report: QuotaReport, now: float) -> None:
+        """Take in a report: refill by its part of the fleet, and charge what was spent."""
+        if not source.node:
+            for known in [s for s in self._heard if s.zone == source.zone and s.node]:
+                del self._heard[known]
+        elif QuotaSource(source.zone) in self._heard:
+            # The zone's sum has this node already.
+            return
+        self._drop_silent(now)
+        before = self._heard.get(source)
+        # A first report tells of the time that it covers.
+        elapsed_s = now - before.at if before else REPORT_WINDOW_S
+        self._heard[source] = _Heard(report, now)
+        self._credit_s += elapsed_s * min(1.0, report.nodes / self.fleet.nodes)
+        for tenant, amount in report.spent.items():
+            bucket = self._buckets.get(tenant)
+            if bucket is not None:
+                bucket.credit(self._credit_s)
+                bucket.level -= amount * elapsed_s / REPORT_WINDOW_S
+
+    def hear_spending(self, tenant: str, amount: float) -> None:
+        """Charge what another node tells at once that it spends."""
+        bucket = self._buckets.get(tenant)
+        if bucket is not None:
+            bucket.credit(self._credit_s)
+            bucket.level -= amount
+
+    def own_report(self, now: float) -> QuotaReport:
+        """Return what this node spent lately."""
+        since = now - REPORT_WINDOW_S
+        spent = {tenant: bucket.spent_since(since) for tenant, bucket in self._buckets.items()}
+        return QuotaReport(1, {tenant: amount for tenant, amount in spent.items() if amount})
+
+    def zone_report(self, zone: str, now: float) -> QuotaReport:
+        """Return what this node and the heard nodes of its zone spent lately."""
+        self._drop_silent(now)
+        nodes = 1
+        total = dict(self.own_report(now).spent)
+        for source, heard in self._heard.items():
+            if source.zone != zone or not source.node:
+                continue
+            nodes += 1
+            for tenant, amount in heard.report.spent.items():
+                total[tenant] = total.get(tenant, 0.0) + amount
+        return QuotaReport(nodes, total)
+
+    def heard_nodes(self) -> int:
+        """Return of how many nodes the use is known, this node included."""
+        return 1 + sum(heard.report.nodes for heard in self._heard.values())
+
+    def _first_level(self, limit: QuotaLimit) -> float:
+        """Return what is left to a tenant that becomes known, or has a limit from now on.
+
+        The fleet may have spent the burst just before this node restarted.
+        """
+        return limit.burst if self._starts_full or self._buckets else 0.0
+
+    def _left(self, bucket: _Bucket, now: float) -> float:
+        self._drop_silent(now)
+        self._credit_own(now)
+        bucket.credit(self._credit_s)
+        return bucket.level
+
+    def _drop_silent(self, now: float) -> None:
+        """Forget the sources that are silent, and leave them their part of what is left."""
+        silent = [s for s, heard in self._heard.items() if now - heard.at > SILENT_AFTER_S]
+        if not silent:
+            return
+        before = self.heard_nodes()
+        for source in silent:
+            del self._heard[source]
+        kept_share = self.heard_nodes() / before
+        for bucket in self._buckets.values():
+            bucket.credit(self._credit_s)
+            bucket.level = min(bucket.level, bucket.level * kept_share)
+
+    def _credit_own(self, now: float) -> None:
+        if self._own_credited_at is not None:
+            self._credit_s += (now - self._own_credited_at) / self.fleet.nodes
+        self._own_credited_at = now
+
+    def _take(self, bucket: _Bucket, amount: float, now: float) -> bool:
+        """Take units and return whether other nodes are to be told at once."""
+        scarce = bucket.level < TOLD_LEVEL_SHARE * bucket.limit.burst
+        bucket.level -= amount
+        if scarce or amount >= TOLD_BURST_SHARE * bucket.limit.burst:
+            return True
+        bucket.spent.append((now, amount))
+        return False
+
+    def _wait_s(self, bucket: _Bucket, amount: float, left: float, now: float) -> float:
+        """Return when a refused caller is to come back: after those refused before it."""
+        rate_per_s = bucket.limit.rate_per_s
+        place_s = amount * self.fleet.nodes / rate_per_s
+        room_at = now - left / rate_per_s
+        bucket.returns_at = min(max(bucket.returns_at, room_at), now + LONGEST_WAIT_S)
+        wait_s = bucket.returns_at - now + self._random.uniform(0.0, place_s)
+        bucket.returns_at += place_s
+        return min(wait_s, LONGEST_WAIT_S)
--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -103,6 +103,12 @@
         "No engine would answer in time: too much waits at all of them.",
         "Try again after Retry-After.",
     )
+    QUOTA_EXCEEDED = CodeDetails(
+        2012,
+        429,
+        "The tenant has used what its limit allows over all nodes.",
+        "Try again after Retry-After: the limit has room again then.",
+    )
     ENGINE_LOST = CodeDetails(
         3001, 502, "The engine was lost after the request was sent.", "Check before repeating."
     )
--- a/liftrill/gateway/admission.py
+++ b/liftrill/gateway/admission.py
@@ -39,10 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRefusal:
-    """Why a request is not served."""
+    """Why a request is not served.
+
+    Attributes:
+        why: what decided it, for the log.
+    """
 
     code: ResultCode
     retry_after_seconds: float | None = None
+    why: str = ""
 
 
 class RequestAdmission:
--- a/liftrill/gateway/configuration_view.py
+++ b/liftrill/gateway/configuration_view.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
-from liftrill.gateway.records import GatewayConfiguration, Tenant
+from liftrill.gateway.records import GatewayConfiguration, Quota, Tenant
 from liftrill.gateway.route_table import RouteTable
 
 
@@ -55,6 +55,11 @@
         """Return whether a request with a key may be served."""
         return self.proof_age(now) < self.proof_lifetime
 
+    def quotas(self) -> dict[str, Quota]:
+        """Return the limits of tenants by name."""
+        tenants = self.current.tenants_by_key if self.current else None
+        return {t.name: t.quota for t in (tenants or {}).values() if t.quota is not None}
+
     def tenant_of(self, key: str) -> Tenant | None:
         """Return the tenant that holds a key."""
         if self.current is None or self.current.tenants_by_key is None:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from liftrill.gateway.engine_table import EngineLoad, EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.quota_gate import QuotaGate
 from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.transport import AnswerSink, EngineAttempt, EngineTransport
 
@@ -49,9 +50,15 @@
 class ForwardingPorts(DeliveryPorts):
     """The machine's view of engines and budgets."""
 
-    def __init__(self, selector: EngineSelector, allowance: RetryAllowance) -> None:
+    def __init__(
+        self,
+        selector: EngineSelector,
+        allowance: RetryAllowance,
+        quotas: QuotaGate | None = None,
+    ) -> None:
         self._selector = selector
         self._allowance = allowance
+        self._quotas = quotas
 
     def choose(
         self, request: OpaqueRequest, excluded: frozenset[str]
@@ -69,9 +76,17 @@
         """Spend one repeat of the service's budget."""
         return self._allowance.try_spend(request.service, time.monotonic())
 
-    def record_sent(self, choice: events.EngineChoice, request: OpaqueRequest) -> None:
-        """Note that an engine is about to read a prompt."""
-        self._selector.parts.record_sent(choice, request, time.monotonic())
+    def record_sent(self, choice: events.EngineChoice, request: OpaqueRequest, first: bool) -> None:
+        """Note that an engine is about to get a request, for the first time or again."""
+        now = time.monotonic()
+        self._selector.parts.record_sent(choice, request, now)
+        if self._quotas is not None and not first:
+            self._quotas.record_repeat(request, now)
+
+    def record_not_run(self, request: OpaqueRequest) -> None:
+        """Note that a request ends without having run."""
+        if self._quotas is not None:
+            self._quotas.record_not_run(request, time.monotonic())
 
     def record_read(
         self, choice: events.EngineChoice, request: OpaqueRequest, tokens: int, elapsed_s: float
@@ -157,7 +172,7 @@
             view.breaker.record_start(now)
             if start.choice.expected_tokens >= constants.TOLD_READING_TOKENS:
                 self.reading_begun(view, start.choice.expected_tokens)
-        self._ports.record_sent(start.choice, request)
+        self._ports.record_sent(start.choice, request, first)
         return view, self._transport.attempt(request, start)
 
     def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
@@ -175,6 +190,10 @@
         self._ports.record_read(machine.attempts[-1], machine.request, tokens, elapsed_s)
         self.engine_signal.notify()
 
+    def note_not_run(self, request: OpaqueRequest) -> None:
+        """Note that a request ends without having run."""
+        self._ports.record_not_run(request)
+
     def _note_refusal(self, view: EngineView, kind: events.RefusalKind, now: float) -> None:
         if kind is events.RefusalKind.UNREACHABLE:
             view.breaker.record_failure(now)
@@ -313,6 +332,7 @@
         elif isinstance(ending, events.BreakOff):
             self._sink.break_off()
         elif isinstance(ending, events.RefuseRequest):
+            self._forwarder.note_not_run(self._machine.request)
             await self._sink.refuse(ending)
         elif isinstance(ending, events.FailRequest):
             await self._sink.fail(ending)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Assembles one gateway from its parts."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -10,6 +11,7 @@
 from liftrill.coordination.lease import LeaseParameters
 from liftrill.coordination.membership import Membership
 from liftrill.coordination.membership_messages import Condition, Member
+from liftrill.coordination.quota import FleetSize, SharedBuckets
 from liftrill.coordination.range_store import RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.errors import ResultCode
@@ -20,6 +22,7 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineNotice, EngineTable, EngineView
+from liftrill.gateway.fleet_record import FleetRecord
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership, TermParameters
@@ -28,6 +31,7 @@
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.peer_link import PeerCallbacks, PeerLink, new_membership
+from liftrill.gateway.quota_gate import QuotaGate
 from liftrill.gateway.reader_plan import ReaderPlan
 from liftrill.gateway.record_decoder import RecordDecoder
 from liftrill.gateway.relay_codec import RelayAnswer
@@ -42,6 +46,9 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 HOUSEKEEPING_SECONDS = 0.25
+# A node without load reports this often that it spends nothing: half of the time after which
+# it would be taken for silent.
+IDLE_REPORT_S = 0.5
 # With fewer nodes than this in the caller's zone, nodes of all zones are named.
 LEAST_NODES_OF_A_ZONE = 2
 LEASE_RENEW_INTERVAL_SECONDS = 0.7
@@ -88,7 +95,9 @@
         self._engines = engines
         self._allowance = self._new_allowance()
         self.admission = RequestAdmission(self.view, split)
-        ports = ForwardingPorts(selector, self._allowance)
+        self._fleet = FleetSize()
+        self._quotas = self._new_quotas()
+        ports = ForwardingPorts(selector, self._allowance, self._quotas)
         self.forwarder = Forwarder(engines, ports, self._allowance, transport, log, metrics)
         self._membership = self._new_membership()
         self._readers = ReaderPlan(self._membership.own)
@@ -102,10 +111,15 @@
             self._on_notice,
             self._on_loads,
             self._on_reading,
+            self._quotas.buckets.hear_spending,
         )
         self._peers = PeerLink(self._membership, callbacks)
         self.forwarder.reading_begun = self._tell_reading
+        self._leadership = self._new_leadership()
         self._controller = self._new_controller(orders, targets)
+        self._fleet_record = FleetRecord(
+            store, self._follower.mirror, self._fleet, lambda: self._leadership.fence, log
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._link_was_short = False
 
@@ -124,6 +138,7 @@
             self._peers.run,
             self._controller.run,
             self._keep_house,
+            self._keep_fleet_record,
             self._tell_loads,
         ):
             self._tasks.append(asyncio.ensure_future(self._supervise(loop)))
@@ -150,10 +165,12 @@
     async def admit(self, incoming: IncomingRequest) -> OpaqueRequest | AdmissionRefusal:
         """Return the request to deliver, or why it is refused."""
         found = self.admission.admit(incoming, time.monotonic())
-        if isinstance(found, OpaqueRequest) or found.code is not ResultCode.KEY_NOT_PROVEN:
+        if isinstance(found, AdmissionRefusal) and found.code is ResultCode.KEY_NOT_PROVEN:
+            await self._currency.prove_within(constants.PROOF_WAIT_S)
+            found = self.admission.admit(incoming, time.monotonic())
+        if isinstance(found, AdmissionRefusal):
             return found
-        await self._currency.prove_within(constants.PROOF_WAIT_S)
-        return self.admission.admit(incoming, time.monotonic())
+        return self._quotas.check(found, time.monotonic()) or found
 
     def addresses_for(self, zone: str) -> list[str]:
         """Return the front addresses that a caller of a zone should use."""
@@ -190,7 +207,12 @@
         )
         return new_membership(own, list(settings.peer_seeds))
 
-    def _new_controller(self, orders: OrderClient, targets: WeightTargets) -> WeightController:
+    def _new_quotas(self) -> QuotaGate:
+        source = random.Random()
+        buckets = SharedBuckets(self._fleet, self.settings.first_start, source)
+        return QuotaGate(buckets, self.log, self.metrics, self._tell_spending)
+
+    def _new_leadership(self) -> Leadership:
         bounds = self.settings.bounds
         lease = LeaseParameters(
             time_to_live=max(bounds.least_lease_seconds, LEASE_TIME_TO_LIVE_SECONDS),
@@ -199,7 +221,7 @@
             safety_margin=bounds.thaw_seconds + LEASE_MARGIN_SECONDS,
         )
         parameters = TermParameters(lease, bounds.lease_seconds + bounds.thaw_seconds)
-        leadership = Leadership(
+        return Leadership(
             self._store,
             self._follower.mirror,
             self.settings.node,
@@ -207,8 +229,10 @@
             self.log,
             is_candidate=self._is_candidate,
         )
+
+    def _new_controller(self, orders: OrderClient, targets: WeightTargets) -> WeightController:
         return WeightController(
-            leadership,
+            self._leadership,
             WeightRollout(targets),
             self._engines,
             orders,
@@ -230,6 +254,7 @@
     def mirror_changed(self, change: MirrorChange, heard_at: float) -> None:
         """Take in a change of the store's mirror, and pass it on."""
         self._relay.publish(change)
+        self._fleet_record.recall(time.monotonic())
         before = self.view.version
         self._beliefs.apply(change, heard_at)
         self._announce_if_newer(before)
@@ -275,11 +300,13 @@
 
     def _announce_if_newer(self, before: int) -> None:
         if self.view.version != before:
+            self._quotas.configure(self.view, time.monotonic())
             self._peers.announce_version(self.view.version)
 
     def _on_member(self, member: Member) -> None:
         alive = len(self._membership.members())
         self._allowance.nodes = max(self._allowance.nodes, alive)
+        self._fleet.note(alive, time.monotonic())
         self._beliefs.selector.parts.nodes = alive
         self.log.belief(
             "peer",
@@ -298,6 +325,7 @@
         now = time.monotonic()
         of_zone = report.zone == self.settings.zone
         self._beliefs.selector.parts.directory.hear(report.kept, now, of_zone)
+        self._quotas.hear(report, now)
         if report.kept:
             self.forwarder.engine_signal.notify()
         if report.scope is LoadScope.NODE:
@@ -315,6 +343,9 @@
         self._loads.note_own_reading(view, tokens, time.monotonic())
         self._peers.tell_reading(view.number, tokens)
 
+    def _tell_spending(self, tenant: str, amount: float) -> None:
+        self._peers.tell_spending(tenant, amount)
+
     async def _send_notices(self, notices: list[EngineNotice]) -> None:
         for notice in notices:
             self._on_notice(notice)
@@ -335,16 +366,20 @@
         """Tell peers of this node's load while there is any, and once when there is none."""
         own = self._membership.own
         had_load = False
+        reported_at = 0.0
         while True:
+            now = time.monotonic()
             members = self._membership.members()
             topology = topology_for(members)
-            kept = self._beliefs.selector.parts.directory.news(time.monotonic())
+            kept = self._beliefs.selector.parts.directory.news(now)
             words = topology.own_word(own, self._loads, kept, members)
             has_load = any(word.report.loads or word.report.kept for word in words)
-            if has_load or had_load:
-                self._peers.send_loads(words)
+            is_due = self._quotas.buckets.limited and now - reported_at >= IDLE_REPORT_S
+            if has_load or had_load or is_due:
+                self._peers.send_loads([self._quotas.add_to(word, now) for word in words])
+                reported_at = now
             had_load = has_load
-            self._loads.expire(time.monotonic())
+            self._loads.expire(now)
             await asyncio.sleep(topology.interval_s(own, members))
 
     def _tell_of_parts(self, now: float) -> None:
@@ -358,6 +393,11 @@
             held_s = round(parts.directory.held_s, 2)
             self.log.belief("store_link", short=is_short, nodes=parts.nodes, held_s=held_s)
 
+    async def _keep_fleet_record(self) -> None:
+        while True:
+            await self._fleet_record.write_if_due(time.monotonic())
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+
     async def _keep_house(self) -> None:
         while True:
             now = time.monotonic()
@@ -369,4 +409,6 @@
             self.metrics.proof_age.set(self.view.proof_age(now))
             self.metrics.peers.set(len(self._membership.members()))
             self._tell_of_parts(now)
+            self._fleet.note(len(self._membership.members()), now)
+            self._quotas.expire(now)
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -24,6 +24,9 @@
         self.registry = CollectorRegistry()
         self.outcomes = self._counter("liftrill_requests", "Requests by outcome.", "outcome")
         self.refusals = self._counter("liftrill_refusals", "Requests without service.", "code")
+        self.quota_refusals = self._counter(
+            "liftrill_quota_refusals", "Requests beyond their tenant's limit.", "tenant"
+        )
         self.attempts = Counter("liftrill_attempts", "Sends.", registry=self.registry)
         self.store_calls = self._counter("liftrill_store_calls", "Calls by kind.", "kind")
         self.orders = self._counter("liftrill_orders", "Orders by answer.", "answer")
@@ -48,6 +51,9 @@
         self.held_seconds = self._gauge(
             "liftrill_held_seconds", "How long engines are taken to hold parts that they used."
         )
+        self.limited_tenants = self._gauge(
+            "liftrill_limited_tenants", "Tenants that were refused for their limit lately."
+        )
         self.peers = self._gauge("liftrill_peers", "Nodes believed alive, this one included.")
 
     def count_outcome(self, outcome: str) -> None:
--- a/liftrill/gateway/load_codec.py
+++ b/liftrill/gateway/load_codec.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.engine_table import EngineLoad
 from liftrill.gateway.load_exchange import LoadReport, LoadScope
 from liftrill.gateway.prefix_directory import KeptPart, PartStage
@@ -26,6 +27,7 @@
         )
         for engine_id, load in report.loads.items()
     ]
+    quota = report.quota or QuotaReport(0)
     # Without a row the word would not be known for one: a node without load says so too.
     return messages.Datagram(
         sender=report.node,
@@ -36,6 +38,8 @@
         kept_by=[kept.engine for kept in report.kept],
         being_read=[kept.stage is PartStage.BEING_READ for kept in report.kept],
         held_alone=[kept.stage is PartStage.HELD for kept in report.kept],
+        spent=[messages.TenantSpending(tenant=t, amount=a) for t, a in quota.spent.items()],
+        spent_by_nodes=quota.nodes,
     )
 
 
@@ -55,7 +59,13 @@
         fillvalue=0,
     )
     kept = tuple(KeptPart(part, engine, _stage(*flags)) for part, engine, *flags in rows)
-    return LoadReport(scope, message.sender, message.zone, loads, kept)
+    quota = _quota(message) if message.spent_by_nodes else None
+    return LoadReport(scope, message.sender, message.zone, loads, kept, quota)
+
+
+def _quota(message: messages.Datagram) -> QuotaReport:
+    spent = {row.tenant: row.amount for row in message.spent}
+    return QuotaReport(message.spent_by_nodes, spent)
 
 
 def _stage(being_read: int, held_alone: int) -> PartStage:
--- a/liftrill/gateway/load_exchange.py
+++ b/liftrill/gateway/load_exchange.py
@@ -12,6 +12,7 @@
 
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.load_board import LoadBoard, LoadByEngine
 from liftrill.gateway.prefix_directory import KeptNews, KeptPart
 
@@ -39,6 +40,7 @@
     zone: str
     loads: LoadByEngine
     kept: tuple[KeptPart, ...] = ()
+    quota: QuotaReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -48,6 +48,7 @@
     notice: Callable[[EngineNotice], None]
     loads: Callable[[LoadReport], None]
     reading_begun: Callable[[int, int], None]
+    spending: Callable[[str, float], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -110,6 +111,11 @@
         begun = messages.ReadingBegun(engine=engine_number, tokens=tokens)
         self._send_all(self._others(), messages.Datagram(reading_begun=begun))
 
+    def tell_spending(self, tenant: str, amount: float) -> None:
+        """Tell all members at once what a tenant's request counts under its limit."""
+        spends = messages.TenantSpending(tenant=tenant, amount=amount)
+        self._send_all(self._others(), messages.Datagram(spends=spends))
+
     def close(self) -> None:
         """Close the UDP socket."""
         if self._transport is not None:
@@ -127,6 +133,9 @@
                 begun = message.reading_begun
                 self._callbacks.reading_begun(begun.engine, begun.tokens)
                 return
+            if message.HasField("spends"):
+                self._callbacks.spending(message.spends.tenant, message.spends.amount)
+                return
             if message.notices or message.loads:
                 self._take_word(message)
                 return
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from liftrill.coordination.quota import QuotaLimit
+
 
 class RequestKind(Enum):
     """What a route promises about running a request again."""
@@ -78,6 +80,21 @@
     zone: str
 
 
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """What a tenant may use over all nodes together, and how its requests count.
+
+    Attributes:
+        limit: in tokens or in requests a second.
+        counts_tokens: whether a request counts its prompt's and its answer's tokens.
+        plain_tokens: what a request without a prompt counts then.
+    """
+
+    limit: QuotaLimit
+    counts_tokens: bool = False
+    plain_tokens: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Tenant:
     """A tenant: the holder of keys.
@@ -85,11 +102,13 @@
     Attributes:
         priority: goes before that of the route, where it is given.
         isolated: whether its cached prefixes are shared with nobody.
+        quota: None where its use is not limited.
     """
 
     name: str
     priority: int | None
     isolated: bool
+    quota: Quota | None = None
 
 
 @dataclass(frozen=True, slots=True)
