Cut reports of load into datagrams that arrive; name no peer that stopped reporting

So under load nodes of one zone knew neither the load of the others, nor what they had kept, nor what tenants spent there (nodes_heard 24 to 30 of 79 in quota_limited lines). Seen before as parts read again and as loads known late.

Change: gateway/load_codec.py cuts a report into pieces of less than 1,200 bytes; it counts once all came. Features that failed before: a large zone's report in datagrams of 1,200 bytes; a report of which a piece is lost.

--- a/features/gateway_load.feature
+++ b/features/gateway_load.feature
@@ -31,6 +31,20 @@
       | 60    | 2      | 59   | 6      |
       | 350   | 2      | 350  | 6      |
 
+  Scenario: What a large zone has is told in datagrams that are not lost for their size
+    Given 60 nodes in 3 zones, each with one request on each of 60 engines
+    And one of them has sent 60 shared parts to the kept store, and 40 tenants spend there
+    When they tell each other of their load 2 times
+    Then every node counts 60 requests on each engine
+    And every node knows of 60 kept parts
+    And no datagram has more than 1200 bytes
+
+  Scenario: A report of which a piece is lost does not count, and the next one does
+    Given a report on 60 engines in several datagrams
+    When one of them is lost
+    Then nothing is taken from the others
+    And the whole of the next report is taken, whatever the order of its datagrams
+
   Scenario Outline: What one node had saved in a kept store is known to all, and no longer than it may last
     Given <nodes> nodes in 3 zones, each with one request on each of 4 engines
     And one of them has sent a shared part to the kept store
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -1,13 +1,16 @@
 """Steps on the exchange of loads between nodes."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from features.gateway_support import engine_record
 from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.load_board import LoadBoard
-from liftrill.gateway.load_codec import message_from_report, report_from_message
-from liftrill.gateway.load_exchange import ByZone, LoadScope, topology_for
+from liftrill.gateway.load_codec import ReportAssembler, datagrams_from_report
+from liftrill.gateway.load_exchange import ByZone, LoadReport, LoadScope, topology_for
 from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
 from liftrill.messages import peer_pb2
 
@@ -123,21 +126,33 @@
 def send(context, sender, words, now):
     members = [node.own for node in context.nodes.values()]
     for word in words:
-        data = message_from_report(word.report).SerializeToString()
         for member in word.members:
-            context.sent[sender] = context.sent.get(sender, 0) + 1
-            context.across += context.nodes[sender].own.zone != member.zone
-            report = report_from_message(peer_pb2.Datagram.FromString(data))
+            across = context.nodes[sender].own.zone != member.zone
+            report = deliver(context, sender, replace(word.report, quota=context.quota), across)
             further = context.nodes[member.node_id].take(report, members, now)
             send(context, member.node_id, further, now)
 
 
+def deliver(context, sender, report, across):
+    """Return what a report is after its way through datagrams."""
+    assembler, found = ReportAssembler(), None
+    for datagram in datagrams_from_report(report, 1):
+        data = datagram.SerializeToString()
+        context.longest = max(context.longest, len(data))
+        context.sent[sender] = context.sent.get(sender, 0) + 1
+        context.across += across
+        found = assembler.take(peer_pb2.Datagram.FromString(data))
+    assert found is not None
+    return found
+
+
 @when("they tell each other of their load {rounds:d} times")
 def step_rounds(context, rounds):
     members = [node.own for node in context.nodes.values()]
     topology = topology_for(members)
     for number in range(rounds):
-        context.sent, context.across = {}, 0
+        context.sent, context.across, context.longest = {}, 0, 0
+        context.quota = getattr(context, "quota", None)
         for name, node in context.nodes.items():
             now = number * 0.1
             send(
@@ -170,6 +185,58 @@
         assert not node.directory.is_saved(context.part, seconds + 0.2), name
 
 
+@given(
+    "one of them has sent {count:d} shared parts to the kept store,"
+    " and {tenants:d} tenants spend there"
+)
+def step_saved_many(context, count, tenants):
+    first = next(iter(context.nodes.values()))
+    context.parts = [part_number("salt", f"part-{number}") for number in range(count)]
+    for part in context.parts:
+        first.directory.record_read(part, 7, 0.0, saved=True, worth_telling=True)
+    spent = {f"tenant-{number:08d}": 9_200.0 * number for number in range(1, tenants + 1)}
+    context.quota = QuotaReport(1, spent)
+
+
+@then("every node knows of {count:d} kept parts")
+def step_knows_parts(context, count):
+    for name, node in context.nodes.items():
+        known = sum(node.directory.is_saved(part, 0.2) for part in context.parts)
+        assert known == count, (name, known)
+
+
+@then("no datagram has more than {most:d} bytes")
+def step_longest(context, most):
+    assert 0 < context.longest <= most, context.longest
+
+
+@given("a report on {engines:d} engines in several datagrams")
+def step_long_report(context, engines):
+    loads = {f"engine-{number:05d}": load(number + 1) for number in range(engines)}
+    context.report = LoadReport(LoadScope.NODE, "node-1", "zone-1", loads, (), QuotaReport(1, {}))
+    context.assembler = ReportAssembler()
+
+
+@when("one of them is lost")
+def step_piece_lost(context):
+    datagrams = datagrams_from_report(context.report, 1)
+    assert len(datagrams) > 2
+    context.taken = [context.assembler.take(d) for d in datagrams[1:]]
+
+
+@then("nothing is taken from the others")
+def step_nothing_taken(context):
+    assert context.taken == [None] * len(context.taken), context.taken
+
+
+@then("the whole of the next report is taken, whatever the order of its datagrams")
+def step_next_taken(context):
+    datagrams = datagrams_from_report(context.report, 2)
+    taken = [context.assembler.take(d) for d in reversed(datagrams)]
+    assert taken[:-1] == [None] * (len(taken) - 1)
+    assert taken[-1].loads == context.report.loads
+
+
 @then("nobody tells of it any more after {seconds:g} s")
 def step_no_news(context, seconds):
     for name, node in context.nodes.items():
--- a/liftrill/coordination/quota.py
+++ b/liftrill/coordination/quota.py
@@ -187,11 +187,6 @@
         self._credit_s = 0.0
         self._own_credited_at: float | None = None
 
-    @property
-    def limited(self) -> bool:
-        """Whether any tenant has a limit."""
-        return bool(self._buckets)
-
     def configure(self, limits: Mapping[str, QuotaLimit], now: float) -> None:
         """Put limits in force; a tenant without one is not limited."""
         self._credit_own(now)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -31,6 +31,7 @@
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.peer_link import PeerCallbacks, PeerLink, new_membership
+from liftrill.gateway.peer_silence import IDLE_REPORT_S, PeerSilence
 from liftrill.gateway.quota_gate import QuotaGate
 from liftrill.gateway.reader_plan import ReaderPlan
 from liftrill.gateway.record_decoder import RecordDecoder
@@ -46,9 +47,6 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 HOUSEKEEPING_SECONDS = 0.25
-# A node without load reports this often that it spends nothing: half of the time after which
-# it would be taken for silent.
-IDLE_REPORT_S = 0.5
 # With fewer nodes than this in the caller's zone, nodes of all zones are named.
 LEAST_NODES_OF_A_ZONE = 2
 LEASE_RENEW_INTERVAL_SECONDS = 0.7
@@ -104,6 +102,7 @@
         self._follower = StoreFollower(store, "", self)
         self._currency = CurrencyProver(store, self._follower, self._beliefs, self.view, self)
         self._relay = RelayServer(self._follower.mirror, self.view, metrics.followers.set)
+        self._silence = PeerSilence()
         self._loads = LoadBoard(engines)
         callbacks = PeerCallbacks(
             self._on_member,
@@ -175,6 +174,7 @@
     def addresses_for(self, zone: str) -> list[str]:
         """Return the front addresses that a caller of a zone should use."""
         members = [m for m in self._membership.members() if m.condition is Condition.ALIVE]
+        members = self._silence.speaking(members, time.monotonic())
         if self.stopping:
             members = [m for m in members if m.node_id != self.settings.node]
         local = [member for member in members if member.zone == zone]
@@ -307,6 +307,8 @@
         alive = len(self._membership.members())
         self._allowance.nodes = max(self._allowance.nodes, alive)
         self._fleet.note(alive, time.monotonic())
+        if member.condition >= Condition.DEAD:
+            self._silence.forget(member.node_id)
         self._beliefs.selector.parts.nodes = alive
         self.log.belief(
             "peer",
@@ -329,6 +331,7 @@
         if report.kept:
             self.forwarder.engine_signal.notify()
         if report.scope is LoadScope.NODE:
+            self._silence.note(report.node, now)
             self._loads.take(report.node, report.loads, now, report.zone)
             return
         self._loads.take_zone(report.zone, report.loads, now)
@@ -374,7 +377,7 @@
             kept = self._beliefs.selector.parts.directory.news(now)
             words = topology.own_word(own, self._loads, kept, members)
             has_load = any(word.report.loads or word.report.kept for word in words)
-            is_due = self._quotas.buckets.limited and now - reported_at >= IDLE_REPORT_S
+            is_due = now - reported_at >= IDLE_REPORT_S
             if has_load or had_load or is_due:
                 self._peers.send_loads([self._quotas.add_to(word, now) for word in words])
                 reported_at = now
--- a/liftrill/gateway/load_codec.py
+++ b/liftrill/gateway/load_codec.py
@@ -1,6 +1,13 @@
-"""Turns reports of load into datagrams and back."""
+"""Turns reports of load into datagrams and back.
+
+A report of a large zone does not fit one datagram, and what is larger than a packet of the
+network is lost. So it is cut into pieces, and counts once all of them came.
+"""
 
 import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TypeVar
 
 from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.engine_table import EngineLoad
@@ -14,10 +21,46 @@
     LoadScope.RELAYED_SUM: messages.RELAYED_SUM,
 }
 SCOPES_BY_NUMBER = {number: scope for scope, number in SCOPES.items()}
+# What one datagram may hold of each, so that it stays under 1,200 bytes: a row of load takes
+# 30 bytes with an id of 12 letters, a kept part 18, and a tenant's spending 24 with a name of
+# 15 letters (worked out from the wire format).
+LOADS_PER_PIECE = 16
+KEPT_PER_PIECE = 24
+TENANTS_PER_PIECE = 6
+
+Row = TypeVar("Row")
+
+
+def datagrams_from_report(report: LoadReport, sequence: int) -> list[messages.Datagram]:
+    """Return the datagrams that carry a report, each small enough to arrive."""
+    quota = report.quota or QuotaReport(0)
+    loads = _cut(list(report.loads.items()), LOADS_PER_PIECE)
+    kept = _cut(list(report.kept), KEPT_PER_PIECE)
+    spent = _cut(list(quota.spent.items()), TENANTS_PER_PIECE)
+    rows = list(itertools.zip_longest(loads, kept, spent)) or [(None, None, None)]
+    datagrams = [
+        _datagram(report, quota.nodes, some_loads or [], some_kept or [], some_spent or [])
+        for some_loads, some_kept, some_spent in rows
+    ]
+    if len(datagrams) > 1:
+        for piece, datagram in enumerate(datagrams):
+            datagram.sequence = sequence
+            datagram.piece = piece
+            datagram.pieces = len(datagrams)
+    return datagrams
 
 
-def message_from_report(report: LoadReport) -> messages.Datagram:
-    """Return the datagram that carries a report."""
+def _cut(rows: list[Row], size: int) -> Iterator[list[Row]]:
+    return (rows[start : start + size] for start in range(0, len(rows), size))
+
+
+def _datagram(
+    report: LoadReport,
+    quota_nodes: int,
+    loads: list[tuple[str, EngineLoad]],
+    kept: list[KeptPart],
+    spent: list[tuple[str, float]],
+) -> messages.Datagram:
     rows = [
         messages.EngineLoad(
             engine_id=engine_id,
@@ -25,29 +68,29 @@
             waiting_tokens=load.waiting_tokens,
             resident_tokens=load.resident_tokens,
         )
-        for engine_id, load in report.loads.items()
+        for engine_id, load in loads
     ]
-    quota = report.quota or QuotaReport(0)
-    # Without a row the word would not be known for one: a node without load says so too.
+    # Without a row it would not be known for a report: a node without load says so too.
     return messages.Datagram(
         sender=report.node,
         zone=report.zone,
         load_scope=SCOPES[report.scope],
         loads=rows or [messages.EngineLoad()],
-        kept_parts=[kept.part for kept in report.kept],
-        kept_by=[kept.engine for kept in report.kept],
-        being_read=[kept.stage is PartStage.BEING_READ for kept in report.kept],
-        held_alone=[kept.stage is PartStage.HELD for kept in report.kept],
-        spent=[messages.TenantSpending(tenant=t, amount=a) for t, a in quota.spent.items()],
-        spent_by_nodes=quota.nodes,
+        kept_parts=[part.part for part in kept],
+        kept_by=[part.engine for part in kept],
+        being_read=[part.stage is PartStage.BEING_READ for part in kept],
+        held_alone=[part.stage is PartStage.HELD for part in kept],
+        spent=[messages.TenantSpending(tenant=t, amount=a) for t, a in spent],
+        spent_by_nodes=quota_nodes,
     )
 
 
 def report_from_message(message: messages.Datagram) -> LoadReport:
-    """Return the report that a datagram carries."""
+    """Return the report, or the piece of one, that a datagram carries."""
     loads = {
         row.engine_id: EngineLoad(row.requests, row.waiting_tokens, row.resident_tokens)
         for row in message.loads
+        if row.engine_id
     }
     scope = SCOPES_BY_NUMBER.get(message.load_scope, LoadScope.NODE)
     # A node of an older version tells the parts alone.
@@ -72,3 +115,54 @@
     if being_read:
         return PartStage.BEING_READ
     return PartStage.HELD if held_alone else PartStage.SAVED
+
+
+@dataclass(frozen=True, slots=True)
+class _Origin:
+    """Of whom a report is, and who sent it."""
+
+    sender: str
+    zone: str
+    scope: int
+
+
+@dataclass(slots=True)
+class _Pieces:
+    """What came so far of one report."""
+
+    sequence: int
+    found: dict[int, LoadReport] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ReportAssembler:
+    """Puts reports together again; of each origin only the newest is waited for."""
+
+    _open: dict[_Origin, _Pieces] = field(default_factory=dict)
+
+    def take(self, message: messages.Datagram) -> LoadReport | None:
+        """Return the report that a datagram completes, or None."""
+        report = report_from_message(message)
+        if message.pieces <= 1:
+            return report
+        origin = _Origin(message.sender, message.zone, message.load_scope)
+        pieces = self._open.get(origin)
+        if pieces is None or pieces.sequence != message.sequence:
+            pieces = self._open[origin] = _Pieces(message.sequence)
+        pieces.found[message.piece] = report
+        if len(pieces.found) < message.pieces:
+            return None
+        del self._open[origin]
+        return _joined(list(pieces.found.values()))
+
+
+def _joined(pieces: list[LoadReport]) -> LoadReport:
+    first = pieces[0]
+    loads: dict[str, EngineLoad] = {}
+    spent: dict[str, float] = {}
+    for piece in pieces:
+        loads.update(piece.loads)
+        spent.update(piece.quota.spent if piece.quota else {})
+    kept = tuple(itertools.chain.from_iterable(piece.kept for piece in pieces))
+    quota = QuotaReport(first.quota.nodes, spent) if first.quota else None
+    return LoadReport(first.scope, first.node, first.zone, loads, kept, quota)
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -21,7 +21,7 @@
     Ticked,
 )
 from liftrill.gateway.engine_table import EngineNotice
-from liftrill.gateway.load_codec import message_from_report, report_from_message
+from liftrill.gateway.load_codec import ReportAssembler, datagrams_from_report
 from liftrill.gateway.load_exchange import LoadReport, SendLoads, others
 from liftrill.messages import peer_pb2 as messages
 from liftrill.node.membership_codec import (
@@ -69,6 +69,8 @@
         self._membership = membership
         self._callbacks = callbacks
         self._transport: asyncio.DatagramTransport | None = None
+        self._assembler = ReportAssembler()
+        self._reports_sent = 0
 
     async def listen(self, address: str) -> None:
         """Open the UDP socket."""
@@ -104,7 +106,9 @@
     def send_loads(self, words: list[SendLoads]) -> None:
         """Send reports of load to the members that they are meant for."""
         for word in words:
-            self._send_all(word.members, message_from_report(word.report))
+            self._reports_sent += 1
+            for datagram in datagrams_from_report(word.report, self._reports_sent):
+                self._send_all(word.members, datagram)
 
     def tell_reading(self, engine_number: int, tokens: int) -> None:
         """Tell all members at once that an engine was given a long prompt to read."""
@@ -148,7 +152,9 @@
         for notice in message.notices:
             self._callbacks.notice(_notice_from_message(notice))
         if message.loads:
-            self._callbacks.loads(report_from_message(message))
+            report = self._assembler.take(message)
+            if report is not None:
+                self._callbacks.loads(report)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore what the network says of a lost datagram: probes notice it."""
