Features of limits end to end: two nodes before the stand-in, what a request counts, the fleet's size in the store

A debt no longer grows where a limit is raised: scaled up with the limit it kept a node refusing for as long as before (the feature over two nodes failed: 30 of 60 served after the limit had been raised a hundredfold).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -116,6 +116,19 @@
     When the store answers again
     Then within 4 s "/whole/x" with the known key is answered 200
 
+  Scenario: A tenant's limit in tokens holds over two nodes, and a lowered one at once
+    Given 2 nodes
+    When the tenant may use 1000 tokens a second, and a request without a prompt counts 200
+    And both nodes are asked for 30 requests each to "/whole/x" at once
+    Then between 5 and 20 of them are served, and the others are answered 429 with code 2012
+    And each of these is told another time to come back, of 30 s at the most
+    And a node's log tells that "tenant-1" is limited, and its metrics count the refusals
+    And within 4 s "/whole/x" with the known key is answered 200
+    When the tenant may use 100000 tokens a second, and a request without a prompt counts 200
+    And 1 s passes
+    And both nodes are asked for 30 requests each to "/whole/x" at once
+    Then between 60 and 60 of them are served, and the others are answered 429 with code 2012
+
   Scenario: A planned stop cuts nothing, and peers no longer name the node
     Given 2 nodes
     And model engines take 1 s for a stream
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -38,7 +38,7 @@
 _ids = itertools.count(1)
 
 
-def configuration(version, keys=(KEY,), extra_routes=(), backups=False):
+def configuration(version, keys=(KEY,), extra_routes=(), backups=False, quota=None):
     routes = [
         {
             "Name": name,
@@ -72,7 +72,7 @@
             },
         ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "IdleTimeoutMs": 15000},
-        "Tenants": [{"Name": "tenant-1", "ApiKeys": list(keys), "Priority": 1}],
+        "Tenants": [{"Name": "tenant-1", "ApiKeys": list(keys), "Priority": 1, **(quota or {})}],
     }
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import itertools
+import json
 import os
+import re
 import signal
 
 from behave import given, then, when
@@ -643,3 +645,75 @@
     assert b" 503 " in head and b"Retry-After" in head, head
     assert "kept2" not in [a.attempt_id for a in context.deployment.arrivals()]
     context.answer = context.run(context.task)
+
+
+@when(
+    "the tenant may use {rate:d} tokens a second, and a request without a prompt counts {plain:d}"
+)
+def step_quota(context, rate, plain):
+    deployment = context.deployment
+    context.version = getattr(context, "version", 10) + 1
+    limits = {"RatePerS": rate, "Burst": rate, "Unit": "token", "PlainTokens": plain}
+    deployment.configure(context.version, quota=limits)
+
+    async def in_force():
+        texts = [await metrics_text(context, node) for node in deployment.nodes]
+        wanted = f"liftrill_configuration_version {context.version:.1f}"
+        return all(wanted in text for text in texts)
+
+    context.run(deployment.wait_until(in_force))
+
+
+async def metrics_text(context, node):
+    url = f"http://{node.address('Metrics')}/metrics"
+    async with context.deployment.session.get(url) as answer:
+        return await answer.text()
+
+
+@when("{seconds:g} s passes")
+def step_passes(context, seconds):
+    context.run(asyncio.sleep(seconds))
+
+
+@when('both nodes are asked for {count:d} requests each to "{path}" at once')
+def step_ask_both(context, count, path):
+    deployment = context.deployment
+
+    async def ask():
+        calls = [deployment.call(node, path) for node in deployment.nodes for _ in range(count)]
+        return await asyncio.gather(*calls)
+
+    context.answers = context.run(ask())
+
+
+@then(
+    "between {least:d} and {most:d} of them are served, and the others are answered"
+    " {status:d} with code {code:d}"
+)
+def step_limited(context, least, most, status, code):
+    served = [answer for answer in context.answers if answer[0] == 200]
+    context.refused = [answer for answer in context.answers if answer[0] != 200]
+    assert least <= len(served) <= most, len(served)
+    for answer in context.refused:
+        assert answer[0] == status and json.loads(answer[2])["Code"] == code, answer
+
+
+@then("each of these is told another time to come back, of {longest:g} s at the most")
+def step_times_to_come_back(context, longest):
+    waits = [float(answer[1]["Retry-After"]) for answer in context.refused]
+    assert all(0.0 < wait <= longest for wait in waits), waits
+    sooner = [wait for wait in waits if wait < longest]
+    assert len(set(sooner)) >= 0.8 * len(sooner) > 0, waits
+
+
+@then('a node\'s log tells that "{tenant}" is limited, and its metrics count the refusals')
+def step_limited_told(context, tenant):
+    nodes = context.deployment.nodes
+    told = [line for node in nodes for line in node.log().splitlines() if "quota_limited" in line]
+    assert any(json.loads(line)["tenant"] == tenant for line in told), told
+    counted = 0.0
+    for node in nodes:
+        text = context.run(metrics_text(context, node))
+        found = re.search(r'liftrill_quota_refusals_total{tenant="tenant-1"} ([0-9.]+)', text)
+        counted += float(found.group(1)) if found else 0.0
+    assert counted == len(context.refused), (counted, len(context.refused))
--- a/liftrill/coordination/quota.py
+++ b/liftrill/coordination/quota.py
@@ -180,9 +180,9 @@
         self.level = min(self.limit.burst, self.level + gained)
 
     def change_limit(self, limit: QuotaLimit) -> None:
-        """Put another limit in force; a debt lasts as long as it would have."""
+        """Put another limit in force; a debt lasts no longer than it would have."""
         if self.level < 0.0:
-            self.level *= limit.rate_per_s / self.limit.rate_per_s
+            self.level *= min(1.0, limit.rate_per_s / self.limit.rate_per_s)
         self.level = min(self.level, limit.burst)
         self.limit = limit
 
