--- a/features/gateway_load.feature
+++ b/features/gateway_load.feature
@@ -38,6 +38,7 @@
     Then every node counts 60 requests on each engine
     And every node knows of 60 kept parts
     And no datagram has more than 1200 bytes
+    And no node passes one report on to more than 7 others
 
   Scenario: A report of which a piece is lost does not count, and the next one does
     Given a report on 60 engines in several datagrams
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -130,6 +130,8 @@
             across = context.nodes[sender].own.zone != member.zone
             report = deliver(context, sender, replace(word.report, quota=context.quota), across)
             further = context.nodes[member.node_id].take(report, members, now)
+            passed_on = sum(len(word.members) for word in further)
+            context.most_passed_on = max(context.most_passed_on, passed_on)
             send(context, member.node_id, further, now)
 
 
@@ -152,6 +154,7 @@
     topology = topology_for(members)
     for number in range(rounds):
         context.sent, context.across, context.longest = {}, 0, 0
+        context.most_passed_on = 0
         context.quota = getattr(context, "quota", None)
         for name, node in context.nodes.items():
             now = number * 0.1
@@ -205,6 +208,11 @@
         assert known == count, (name, known)
 
 
+@then("no node passes one report on to more than {most:d} others")
+def step_passed_on(context, most):
+    assert 0 < context.most_passed_on <= most, context.most_passed_on
+
+
 @then("no datagram has more than {most:d} bytes")
 def step_longest(context, most):
     assert 0 < context.longest <= most, context.longest
--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -28,6 +28,9 @@
 STOP_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.05
 CLAIM_GROUP_SIZE = 3
+# Which ports to take: FIRST-LAST.
+PORTS_VARIABLE = "LIFTRILL_BENCH_PORTS"
+FREE_PORTS = "10000-29999"
 
 
 class LaunchError(LiftrillError):
@@ -339,20 +342,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now, for TCP and UDP."""
-    with _bound_sockets(count) as sockets:
-        return [s.getsockname()[1] for s in sockets]
-
-
-@contextmanager
-def _bound_sockets(count: int) -> Iterator[list[socket.socket]]:
-    sockets: list[socket.socket] = []
-    try:
-        for _ in range(count):
-            bound = socket.socket()
-            bound.bind((HOST, 0))
-            sockets.append(bound)
-        yield sockets
-    finally:
-        for bound in sockets:
-            bound.close()
+    """Return ports that nothing listens on now, for TCP and UDP.
+
+    They lie below those that the system gives to outgoing connections, and in a part of
+    their own for each process that sets `PORTS_VARIABLE`: nobody takes them meanwhile.
+    """
+    first, _, last = os.environ.get(PORTS_VARIABLE, FREE_PORTS).partition("-")
+    candidates = list(range(int(first), int(last) + 1))
+    random.shuffle(candidates)
+    found: list[int] = []
+    while len(found) < count:
+        port = candidates.pop()
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return False
+    return True
