--- a/liftrill/coordination/quota.py
+++ b/liftrill/coordination/quota.py
@@ -162,7 +162,7 @@
 
     Attributes:
         level: units left; below 0 where more was spent than there was.
-        credited_s: the ledger's credit that the level includes.
+        credited_s: the seconds of the whole fleet's refill that the level includes.
         spent: what this node spent lately and did not tell at once, with when.
         returns_at: when the last refused caller is to come back.
     """
@@ -174,7 +174,7 @@
     returns_at: float = 0.0
 
     def credit(self, credited_s: float) -> None:
-        """Refill up to a credit of the ledger."""
+        """Refill up to so many seconds of the whole fleet's refill."""
         gained = self.limit.rate_per_s * (credited_s - self.credited_s)
         self.credited_s = credited_s
         self.level = min(self.limit.burst, self.level + gained)
