--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -19,6 +19,10 @@
     And a request that no line tells of is said to be unknown
     And the summary counts how requests ended and what was left out
 
+  Scenario: The log tells why a request was refused for its tenant's limit
+    Given a log in which a tenant is limited at one node and refused there
+    Then its story has the limit in force at that node, and the cause
+
   Scenario: The log tells what made a stream late
     Given a log in which a stream's events came at 0.4, 0.5, 1.3 and 1.4 s
     Then its story tells of the first event after 400 ms and of a pause of 800 ms after event 2
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -166,6 +166,28 @@
     assert ["7", "lines", "left", "out"] in rows
 
 
+@given("a log in which a tenant is limited at one node and refused there")
+def step_limited_log(context):
+    limit = {"tenant": "t1", "rate_per_s": 1000.0, "left": -30, "nodes": 2, "nodes_heard": 2}
+    context.lines = log_reader.read_lines(
+        [
+            line(100.0, "node-1", "quota_limited", **limit),
+            line(100.0, "node-2", "quota_limited", **limit),
+            line(100.5, "node-1", "refused", request="r1", code="QUOTA_EXCEEDED"),
+        ]
+    )
+
+
+@then("its story has the limit in force at that node, and the cause")
+def step_limited_story(context):
+    story = log_reader.explain(context.lines, "r1")
+    assert [row.split()[2:4] for row in story[:-1]] == [
+        ["node-1", "quota_limited"],
+        ["node-1", "refused"],
+    ], story
+    assert "what its limit allows" in story[-1], story[-1]
+
+
 @given("a log in which a stream's events came at 0.4, 0.5, 1.3 and 1.4 s")
 def step_late_log(context):
     messages = []
--- a/liftrill/gateway/log_reader.py
+++ b/liftrill/gateway/log_reader.py
@@ -11,7 +11,9 @@
 # How long before and after an attempt a belief about its engine belongs to its story.
 BELIEF_WINDOW_SECONDS = 6.0
 ENGINE_KINDS = frozenset({"engine", "engine_gone", "order", "weights_reached"})
-NODE_KINDS = frozenset({"configuration", "store", "started", "stopping", "leading", "not_leading"})
+NODE_KINDS = frozenset(
+    {"configuration", "store", "started", "stopping", "leading", "not_leading", "quota_limited"}
+)
 ENDINGS = frozenset({"request", "refused"})
 
 CAUSES = {
@@ -25,6 +27,7 @@
     "NO_ELIGIBLE_ENGINE": "no engine of the service was free to take it in time",
     "ENGINES_REFUSED": "every engine that was asked refused without running it",
     "ENGINES_FULL": "so much waited at all engines that none would have answered in time",
+    "QUOTA_EXCEEDED": "its tenant had used what its limit allows over all nodes",
     "RETRY_BUDGET_EXHAUSTED": "the budget of repeats was used up",
     "ENGINE_LOST": "the connection to the engine broke after the request was sent",
     "STREAM_INTERRUPTED": "the stream broke, and it may not go on elsewhere",
