--- a/features/gateway_overload.feature
+++ b/features/gateway_overload.feature
@@ -51,3 +51,7 @@
   Scenario: How long a request waits for a slot follows from how long others held theirs
     Given 2 engines with 16 slots of which the home of a part has 20 requests that last 2 s
     Then a request would wait between 0.5 and 0.7 s for a slot there, and not at all at the other
+
+  Scenario: A stream that ends without an event tells nothing of how long slots are held
+    Given the times of a stream without an event, and of one whose first event came at 7 s
+    Then at 9 s the first tells nothing, and the second 2 s
--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record, opaque_request, route_rule
-from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery import StreamTimes, Unavailable
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
@@ -290,3 +290,15 @@
     }
     assert least <= waits.pop(context.home) <= most, waits
     assert list(waits.values()) == [0.0], waits
+
+
+@given("the times of a stream without an event, and of one whose first event came at {second:g} s")
+def step_stream_times(context, second):
+    context.without, context.times = StreamTimes(), StreamTimes()
+    context.times.note(1, second)
+
+
+@then("at {now:g} s the first tells nothing, and the second {held:g} s")
+def step_held(context, now, held):
+    assert context.without.since_first_event_s(now) is None
+    assert context.times.since_first_event_s(now) == held
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -81,6 +81,10 @@
     _last_event_at: float = 0.0
     _last_event_id: int | None = None
 
+    def since_first_event_s(self, now: float) -> float | None:
+        """Return for how long events have come, or None where none came."""
+        return now - self.first_event_at if self.first_event_at else None
+
     def note(self, event_id: int | None, now: float) -> None:
         """Take note of an event that came now."""
         if not self.first_event_at:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -330,8 +330,8 @@
 
     async def _end(self, ending: events.DeliveryInstruction) -> None:
         self._ended = True
-        if isinstance(ending, events.FinishStream):
-            held_s = time.monotonic() - self._machine.times.first_event_at
+        held_s = self._machine.times.since_first_event_s(time.monotonic())
+        if isinstance(ending, events.FinishStream) and held_s is not None:
             self._forwarder.note_slot_held(self._machine, held_s)
         self._forwarder.log.request_ended(self._machine, ending)
         self._forwarder.metrics.record_end(self._machine, ending)
