Sight: how old a node's copy of the store may be, and whom it follows

MirrorCurrency keeps until when the mirror is known to be whole: a reading names the store's revision, and a mirror that has reached it holds all that was acknowledged before the question. Lines reader_followed and store_read, news_age_s on what the store told, the age in the answers of the relay, a gauge. No decision uses it yet.

--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -12,6 +12,7 @@
 from liftrill.bench.launcher import free_ports
 from liftrill.coordination.change_log import ChangeLog
 from liftrill.coordination.membership_messages import Condition, Member
+from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import (
     ItemReading,
     RangePage,
@@ -187,6 +188,9 @@
     def keeps_reader(self, reader, since):
         return True
 
+    def reader_followed(self, reader, store_lost):
+        pass
+
     def reader_lost(self, reader, reason):
         self.knows_at = float("inf")
 
@@ -329,7 +333,7 @@
 
 @when("a peer asked at {asked:g} s answers with version {version:d} and a proof {age:g} s old")
 def step_peer_proof(context, asked, version, age):
-    context.prover.take_answer(RelayAnswer(1, version, age, 10), asked)
+    context.prover.take_answer(RelayAnswer(1, version, age, 10, age), asked)
 
 
 @then("the proof is {age:g} s old at {now:g} s")
@@ -342,11 +346,12 @@
 
     def __init__(self, count, large=0):
         self.mirror = StoreMirror()
+        self.currency = MirrorCurrency()
         self.view = ConfigurationView(4.5)
         self.view.adopt(GatewayConfiguration(5, (), {}))
         self.prove()
         self.followers = 0
-        self.server = RelayServer(self.mirror, self.view, self.count)
+        self.server = RelayServer(self.mirror, self.currency, self.view, self.count)
         self.address = f"127.0.0.1:{free_ports(1)[0]}"
         items = [StoredItem(f"key-{n:04}", b"value", n + 1) for n in range(count)]
         if large:
@@ -642,7 +647,9 @@
 
 @given("a node whose proof ran out, and a store that fails after {delay:g} s")
 def step_failing_store(context, delay):
-    follower = SimpleNamespace(followed=None, store_failed=lambda: None)
+    follower = SimpleNamespace(
+        followed=None, store_failed=lambda: None, store_answered=lambda revision, asked_at: None
+    )
     new_prover(context, FailingStore(delay), follower)
 
 
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -6,7 +6,7 @@
 from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.gateway.configuration_view import ConfigurationView
-from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineTable
 from liftrill.gateway.record_decoder import RecordDecoder, RecordError
@@ -34,10 +34,10 @@
     configuration_revision: int = 0
     store_read: bool = False
 
-    def apply(self, change: MirrorChange, heard_at: float) -> None:
-        """Take in a change of the store's mirror; its news may be as old as a time."""
+    def apply(self, change: MirrorChange, heard_at: float, known_until: float) -> None:
+        """Take in a change of the mirror, which held all there was until a time."""
         for item in change.written:
-            self.apply_item(item, heard_at)
+            self.apply_item(item, heard_at, known_until)
         self.store_read = True
         gone = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
         if change.gap:
@@ -46,28 +46,35 @@
             return
         for engine_id in gone:
             self.engines.remove(engine_id)
-            self.log.belief("engine_gone", engine=engine_id, reason="record removed")
+            self.log.belief(
+                "engine_gone",
+                engine=engine_id,
+                reason="record removed",
+                news_age_s=_news_age(known_until),
+            )
 
-    def apply_item(self, item: StoredItem, heard_at: float) -> None:
-        """Take in one item."""
+    def apply_item(self, item: StoredItem, heard_at: float, known_until: float) -> None:
+        """Take in one item, which may have been written at any time since another one."""
         try:
             record = self.decoder.decode(item)
         except RecordError as error:
             self.log.belief("record_refused", key=item.key, revision=item.revision, why=str(error))
             return
         if isinstance(record, GatewayConfiguration):
-            self._adopt(record, item.revision)
+            self._adopt(record, item.revision, known_until)
         elif isinstance(record, EngineRecord):
-            self._update_engine(record)
+            self._update_engine(record, known_until)
         elif isinstance(record, WeightTarget):
-            self._name_target(record, heard_at)
+            self._name_target(record, heard_at, known_until)
 
     def expire(self, now: float) -> None:
         """Let time pass for engines whose records vanished."""
         for engine_id in self.engines.expire_vanished(now):
             self.log.belief("engine_gone", engine=engine_id, reason="no record after an outage")
 
-    def _adopt(self, configuration: GatewayConfiguration, revision: int) -> None:
+    def _adopt(
+        self, configuration: GatewayConfiguration, revision: int, known_until: float
+    ) -> None:
         previous = self.view.version
         if not self.view.adopt(configuration):
             return
@@ -83,9 +90,10 @@
             previous=previous,
             revision=revision,
             routes=len(configuration.routes),
+            news_age_s=_news_age(known_until),
         )
 
-    def _update_engine(self, record: EngineRecord) -> None:
+    def _update_engine(self, record: EngineRecord, known_until: float) -> None:
         known = self.engines.get(record.engine_id)
         was_leaving = known.leaving if known else False
         view = self.engines.update(record)
@@ -98,9 +106,10 @@
                 leaving=view.leaving,
                 weights=dict(view.weights),
                 revision=record.revision,
+                news_age_s=_news_age(known_until),
             )
 
-    def _name_target(self, target: WeightTarget, heard_at: float) -> None:
+    def _name_target(self, target: WeightTarget, heard_at: float, known_until: float) -> None:
         if self.targets.name(target, heard_at, age_known=self.store_read):
             self.log.belief(
                 "weights_named",
@@ -108,4 +117,10 @@
                 version=target.version,
                 revision=target.revision,
                 age_known=self.store_read,
+                news_age_s=_news_age(known_until),
             )
+
+
+def _news_age(known_until: float) -> float | None:
+    """Return how old news may be, for a line."""
+    return rounded_age(time.monotonic() - known_until)
--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -129,6 +129,7 @@
 
     async def _ask(self, asked_at: float) -> None:
         reading = await self._store.read(self._beliefs.decoder.configuration_key)
+        self._follower.store_answered(reading.at, asked_at)
         item = reading.item
         if item is None:
             return
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -5,6 +5,7 @@
 counted and told.
 """
 
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -20,6 +21,11 @@
 MESSAGE_PREFIX = "liftrill:"
 
 
+def rounded_age(age_s: float) -> float | None:
+    """Return an age for a line, or None where nothing is known yet."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 def start_logging(output: BoundedOutput) -> None:
     """Send eliot's messages to an output."""
     eliot.add_destinations(eliot.FileDestination(file=output, encoder=EliotJSONEncoder))
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.beliefs import Beliefs
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
-from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineNotice, EngineTable, EngineView
 from liftrill.gateway.fleet_record import FleetRecord
@@ -101,7 +101,9 @@
         self._readers = ReaderPlan(self._membership.own)
         self._follower = StoreFollower(store, "", self)
         self._currency = CurrencyProver(store, self._follower, self._beliefs, self.view, self)
-        self._relay = RelayServer(self._follower.mirror, self.view, metrics.followers.set)
+        self._relay = RelayServer(
+            self._follower.mirror, self._follower.currency, self.view, metrics.followers.set
+        )
         self._silence = PeerSilence()
         self._loads = LoadBoard(engines)
         callbacks = PeerCallbacks(
@@ -260,7 +262,7 @@
         self._relay.publish(change)
         self._fleet_record.recall(time.monotonic())
         before = self.view.version
-        self._beliefs.apply(change, heard_at)
+        self._beliefs.apply(change, heard_at, self._follower.currency.as_of)
         self._announce_if_newer(before)
         self.forwarder.engine_signal.notify()
 
@@ -268,11 +270,18 @@
         """Take in a configuration that the mirror does not have yet."""
         self._relay.publish_early(item)
         before = self.view.version
-        self._beliefs.apply_item(item, time.monotonic())
+        self._beliefs.apply_item(item, time.monotonic(), self._follower.currency.as_of)
         self._announce_if_newer(before)
 
     def range_read(self, asked_at: float) -> None:
         """Take the reading of the whole range as a proof of currency."""
+        now = time.monotonic()
+        self.log.belief(
+            "store_read",
+            at=self._follower.mirror.at,
+            call_s=round(now - asked_at, 3),
+            mirror_age_s=rounded_age(self._follower.currency.age_s(now)),
+        )
         self._currency.range_read(asked_at)
 
     def reads_for_others(self) -> bool:
@@ -297,6 +306,18 @@
         members = self._membership.members()
         return self._readers.keeps(reader, members, since, time.monotonic())
 
+    def reader_followed(self, reader: Member, store_lost: bool) -> None:
+        """Log whom this node follows from now on, and what it knows before."""
+        now = time.monotonic()
+        self.log.belief(
+            "reader_followed",
+            reader=reader.node_id,
+            store_lost=store_lost,
+            at=self._follower.mirror.at,
+            mirror_age_s=rounded_age(self._follower.currency.age_s(now)),
+            proof_age_s=rounded_age(self.view.proof_age(now)),
+        )
+
     def reader_lost(self, reader: Member, reason: str) -> None:
         """Leave a reader alone for a while that serves this node no more."""
         self._readers.avoid(reader.node_id, time.monotonic())
@@ -414,6 +435,7 @@
             self.metrics.engines.set(len(self._engines))
             self.metrics.reads_store.set(self._follower.followed is None)
             self.metrics.proof_age.set(self.view.proof_age(now))
+            self.metrics.mirror_age.set(self._follower.currency.age_s(now))
             self.metrics.peers.set(len(self._membership.members()))
             self._tell_of_parts(now)
             self._fleet.note(len(self._membership.members()), now)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -38,6 +38,9 @@
         )
         self.version = self._gauge("liftrill_configuration_version", "Version in force.")
         self.proof_age = self._gauge("liftrill_key_proof_age_seconds", "Age of the key proof.")
+        self.mirror_age = self._gauge(
+            "liftrill_mirror_age_seconds", "Since when the copy of the store may lack changes."
+        )
         self.engines = self._gauge("liftrill_engines", "Engines with a record.")
         self.followers = self._gauge(
             "liftrill_relay_followers", "Nodes that follow this one's copy of the store."
--- a/liftrill/gateway/relay_codec.py
+++ b/liftrill/gateway/relay_codec.py
@@ -1,5 +1,6 @@
 """What a reader of the store sends to its followers, as bytes."""
 
+import math
 import zlib
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 DEFLATE_LEVEL = 1
 LARGEST_VALUE_BYTES = 64 * 1024 * 1024
 SNAPSHOT_ITEMS_PER_MESSAGE = 128
+LONGEST_AGE_MS = 0xFFFFFFFF
 
 
 class RelayDecodeError(LiftrillError):
@@ -42,12 +44,14 @@
         version: the configuration version in force there.
         proof_age_s: since it asked the store which version is the newest.
         at: the revision of its mirror; all changes up to it were sent before.
+        mirror_age_s: since when its mirror may lack changes.
     """
 
     nonce: int
     version: int
     proof_age_s: float
     at: int
+    mirror_age_s: float
 
 
 def encode_question(nonce: int) -> bytes:
@@ -85,11 +89,17 @@
     row = messages.RelayAnswer(
         nonce=answer.nonce,
         version=answer.version,
-        proof_age_milliseconds=min(int(answer.proof_age_s * 1000) + 1, 0xFFFFFFFF),
+        proof_age_milliseconds=_milliseconds(answer.proof_age_s),
+        mirror_age_milliseconds=_milliseconds(answer.mirror_age_s),
     )
     return messages.RelayMessage(at=answer.at, answer=row).SerializeToString()
 
 
+def _milliseconds(age_s: float) -> int:
+    """Return an age, rounded up; one that is not known is as old as can be told."""
+    return LONGEST_AGE_MS if math.isinf(age_s) else min(int(age_s * 1000) + 1, LONGEST_AGE_MS)
+
+
 def decode_message(data: bytes) -> RelayUpdate | RelayAnswer:
     """Return what a reader sent."""
     try:
@@ -97,7 +107,8 @@
         if message.HasField("answer"):
             row = message.answer
             age_s = row.proof_age_milliseconds / 1000.0
-            return RelayAnswer(row.nonce, row.version, age_s, message.at)
+            mirror_age_s = row.mirror_age_milliseconds / 1000.0
+            return RelayAnswer(row.nonce, row.version, age_s, message.at, mirror_age_s)
         changes = tuple(_decode_change(row) for row in message.items)
         return RelayUpdate(WatchBatch(changes, message.at), message.snapshot, message.more)
     except (DecodeError, zlib.error) as error:
--- a/liftrill/gateway/relay_server.py
+++ b/liftrill/gateway/relay_server.py
@@ -1,7 +1,6 @@
 """Lets other nodes follow this node's mirror of the store."""
 
 import asyncio
-import math
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -10,6 +9,7 @@
 from aiohttp import WSMsgType, web
 
 from liftrill.coordination.change_log import ChangeLog
+from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
 from liftrill.coordination.store_mirror import MirrorChange, StoreMirror
 from liftrill.gateway.configuration_view import ConfigurationView
@@ -61,9 +61,14 @@
     """Serve the mirror to followers over web sockets."""
 
     def __init__(
-        self, mirror: StoreMirror, view: ConfigurationView, count: Callable[[int], None]
+        self,
+        mirror: StoreMirror,
+        currency: MirrorCurrency,
+        view: ConfigurationView,
+        count: Callable[[int], None],
     ) -> None:
         self._mirror = mirror
+        self._currency = currency
         self._view = view
         self._count = count
         self._log = ChangeLog()
@@ -148,8 +153,15 @@
                 nonce = decode_question(message.data)
             except RelayDecodeError:
                 return
-            age_s = self._view.proof_age(time.monotonic())
             # It goes through the queue, behind all that the mirror took in before.
-            bounded = age_s if math.isfinite(age_s) else 1e6
-            answer = RelayAnswer(nonce, self._view.version, bounded, self._mirror.at)
-            subscriber.put(encode_answer(answer))
+            subscriber.put(encode_answer(self._answer_to(nonce)))
+
+    def _answer_to(self, nonce: int) -> RelayAnswer:
+        now = time.monotonic()
+        return RelayAnswer(
+            nonce,
+            self._view.version,
+            self._view.proof_age(now),
+            self._mirror.at,
+            self._currency.age_s(now),
+        )
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -8,6 +8,7 @@
 
 from liftrill import constants
 from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import HistoryGoneError, RangePage, RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange, StoreMirror
 from liftrill.errors import StoreError
@@ -53,6 +54,10 @@
     def keeps_reader(self, reader: Member, since: float) -> bool:
         """Return whether a node that was followed since a time is still one to follow."""
 
+    @abstractmethod
+    def reader_followed(self, reader: Member, store_lost: bool) -> None:
+        """Note that this node begins to follow another one, and whether for want of the store."""
+
     @abstractmethod
     def reader_lost(self, reader: Member, reason: str) -> None:
         """Note that a reader serves this node no more."""
@@ -63,12 +68,14 @@
 
     Attributes:
         mirror: the copy.
+        currency: until when the copy is known to be whole.
         connected: whether the store's last call, or the followed reader, was answered.
         followed: the reader that is being followed, or None.
     """
 
     def __init__(self, store: RangeStore, prefix: str, owner: FollowerOwner) -> None:
         self.mirror = StoreMirror()
+        self.currency = MirrorCurrency()
         self.connected = False
         self.followed: Member | None = None
         self._store = store
@@ -116,6 +123,11 @@
             self._failures += 1
             self.reconsider()
 
+    def store_answered(self, revision: int, asked_at: float) -> None:
+        """Note that the store was at a revision some time after another call of this node."""
+        self.currency.note_reading(revision, asked_at)
+        self.currency.note_mirror(self.mirror.at)
+
     def _reader_to_follow(self) -> Member | None:
         store_lost = self._failures > 0
         if not self.mirror.at and not store_lost:
@@ -130,21 +142,24 @@
         if not update.snapshot:
             change = self.mirror.take_batch(update.batch)
             if change.written or change.removed:
-                self._owner.mirror_changed(change, time.monotonic())
+                self._tell(change, time.monotonic())
+            self.currency.note_mirror(self.mirror.at)
             return
         items = tuple(item for item in update.batch.changes if isinstance(item, StoredItem))
         change_or_more = self.mirror.take_page(RangePage(items, update.batch.at, update.more))
         if change_or_more is not None:
-            self._owner.mirror_changed(change_or_more, self._since_confirmed())
+            self._tell(change_or_more, self._since_confirmed())
 
     def relay_confirmed(self, answer: RelayAnswer, asked_at: float) -> None:
         """Take in how current the reader was some time after a question."""
         self._confirmed_at = asked_at
+        self.store_answered(answer.at, asked_at - answer.mirror_age_s)
         self._owner.relay_answered(answer, asked_at)
 
     async def _follow(self, reader: Member) -> None:
         self.followed = reader
         self._followed_since = time.monotonic()
+        self._owner.reader_followed(reader, store_lost=self._failures > 0)
         # When it is given up, the store itself is tried before another stand-in.
         self._failures = 0
         self.mirror.begin_reading()
@@ -192,16 +207,19 @@
         self.mirror.begin_reading()
         change: MirrorChange | None = None
         asked_at = time.monotonic()
+        first_at = 0
         try:
             while change is None:
                 page = await self._store.read_range(self._prefix, self.mirror.next_page_after())
+                first_at = first_at or page.at
                 change = self.mirror.take_page(page)
         except StoreError:
             self._reread = True
             raise
         self._note_connection(True)
-        self._owner.mirror_changed(change, time.monotonic())
+        self._tell(change, time.monotonic())
         self._owner.range_read(asked_at)
+        self.store_answered(first_at, asked_at)
 
     async def _watch_once(self) -> None:
         started_at = time.monotonic()
@@ -209,10 +227,16 @@
         batch = await self._store.watch(self._prefix, self.mirror.at, wait)
         self._note_connection(True)
         if batch.changes:
-            self._owner.mirror_changed(self.mirror.take_batch(batch), time.monotonic())
+            self._tell(self.mirror.take_batch(batch), time.monotonic())
             await self._pace(started_at)
         else:
             self.mirror.take_batch(batch)
+            self.currency.note_mirror(self.mirror.at)
+
+    def _tell(self, change: MirrorChange, heard_at: float) -> None:
+        """Tell of a change, and how old the mirror was before it."""
+        self._owner.mirror_changed(change, heard_at)
+        self.currency.note_mirror(self.mirror.at)
 
     async def _pace(self, started_at: float) -> None:
         """Let changes gather after one that came quickly: each call is paid for."""
