--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -596,14 +596,15 @@
     async def read(self, key):
         self.asked += 1
         await asyncio.sleep(self.delay)
-        return SimpleNamespace(item=StoredItem(key, b"", 5))
+        return ItemReading(StoredItem(key, b"", 5), 9)
 
 
 @given(
     "a follower whose proof ran out while it stood still, and a store that answers in {delay:g} s"
 )
 def step_stood_still(context, delay):
-    new_prover(context, SlowStore(delay), SimpleNamespace(followed=object()))
+    follower = SimpleNamespace(followed=object(), store_answered=lambda revision, asked_at: None)
+    new_prover(context, SlowStore(delay), follower)
 
 
 @when("requests with keys come")
