--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -29,6 +29,8 @@
     "BudgetWindowS": 10,
     "RetrySlack": 54,
     "VersionMs": 8000,
+    "DrainMs": 2000,
+    "ConfigApplyMs": 2000,
     "LeaseMs": 3000,
     "ThawMs": 300,
     "GraceS": 8,
--- /dev/null
+++ b/features/steps/store_gap_steps.py
@@ -0,0 +1,135 @@
+"""Steps on gaps in what nodes hear of the store, with callers that go on."""
+
+import asyncio
+import itertools
+import time
+from contextlib import suppress
+
+import aiohttp
+from behave import given, then, when
+
+from features.standin.deployment import prompt_headers
+
+CALL_SPACING_S = 0.03
+
+
+class Callers:
+    """Calls all nodes in turn, and notes when requests reach engines."""
+
+    def __init__(self, deployment, route):
+        self.deployment = deployment
+        self.route = route
+        self.arrived_at = {}
+        self.tasks = set()
+
+    async def call_on(self):
+        for node in itertools.cycle(self.deployment.nodes):
+            task = asyncio.ensure_future(self._call(node))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(CALL_SPACING_S)
+            self._note()
+
+    async def _call(self, node):
+        headers = prompt_headers("model-1") if self.route == "stream" else {}
+        # At the end of a scenario nodes are killed under open calls.
+        with suppress(aiohttp.ClientError):
+            await self.deployment.call(node, f"/{self.route}/x", **headers)
+
+    def _note(self):
+        """Give each new arrival the time of this look, which is a call's spacing late at most."""
+        for engine in self.deployment.engines.values():
+            times = self.arrived_at.setdefault(engine.engine_id, [])
+            times.extend([time.monotonic()] * (len(engine.arrivals) - len(times)))
+
+
+@given("bounds of {seconds:g} s for replaced weights")
+def step_version_bound(context, seconds):
+    context.deployment.bounds["VersionMs"] = int(seconds * 1000)
+
+
+@given("engines that take no orders")
+def step_no_orders(context):
+    for engine in context.deployment.engines.values():
+        engine.highest_fence = 10**9
+
+
+@given('callers that call all nodes on "{route}"')
+def step_callers(context, route):
+    context.callers = Callers(context.deployment, route)
+    context.run(start_callers(context))
+
+
+async def start_callers(context):
+    context.calling = asyncio.ensure_future(context.callers.call_on())
+    await asyncio.sleep(1.0)
+
+
+def leave(context):
+    engine = next(e for e in context.deployment.engines.values() if e.service == "desk")
+    context.leaving = engine.engine_id
+    context.deployment.record(engine, "draining")
+    context.acknowledged_at = time.monotonic()
+
+
+def name_weights(context):
+    context.deployment.name_weights(2)
+    context.acknowledged_at = time.monotonic()
+
+
+async def gap(context, seconds, happening):
+    store = context.deployment.store
+    store.deafen_watches()
+    await asyncio.sleep(0.05)
+    happening(context)
+    await asyncio.sleep(seconds - 0.05)
+    store.cut_watches()
+
+
+@when(
+    "the watches hear nothing for {seconds:g} s, in which an engine says that it leaves, "
+    "and are cut"
+)
+def step_gap_leaving(context, seconds):
+    context.run(gap(context, seconds, leave))
+
+
+@when("the watches hear nothing for {seconds:g} s, in which new weights are named, and are cut")
+def step_gap_naming(context, seconds):
+    context.run(gap(context, seconds, name_weights))
+
+
+@when("the watches go deaf, and an engine says that it leaves")
+def step_deaf(context):
+    context.deployment.store.deafen_watches()
+    leave(context)
+
+
+@when("callers go on for {seconds:g} s")
+def step_go_on(context, seconds):
+    context.run(asyncio.sleep(seconds))
+    context.calling.cancel()
+
+
+def since_acknowledgement(context, engine_id):
+    return [at - context.acknowledged_at for at in context.callers.arrived_at[engine_id]]
+
+
+@then("no request reached that engine later than {seconds:g} s after its word")
+def step_none_reached(context, seconds):
+    times_s = since_acknowledgement(context, context.leaving)
+    assert any(at_s < 0 for at_s in times_s), "nothing reached it before"
+    late = [round(at_s, 2) for at_s in times_s if at_s > seconds]
+    assert not late, f"{len(late)} requests, {late[0]} to {late[-1]} s after its word"
+
+
+@then("no request began on the older weights later than {seconds:g} s after the naming")
+def step_none_began(context, seconds):
+    times_s = since_acknowledgement(context, "llm-0")
+    late = [round(at_s, 2) for at_s in times_s if at_s > seconds]
+    assert not late, f"{len(late)} requests, {late[0]} to {late[-1]} s after the naming"
+
+
+@then("requests began on them until {seconds:g} s after it")
+def step_began(context, seconds):
+    assert any(seconds - 0.5 < at_s for at_s in since_acknowledgement(context, "llm-0"))
