--- a/features/steps/store_gap_steps.py
+++ b/features/steps/store_gap_steps.py
@@ -72,6 +72,13 @@
     context.acknowledged_at = time.monotonic()
 
 
+def remove_record(context):
+    engine = next(e for e in context.deployment.engines.values() if e.service == "desk")
+    context.leaving = engine.engine_id
+    context.deployment.store.remove(f"servers/{engine.engine_id}")
+    context.acknowledged_at = time.monotonic()
+
+
 def name_weights(context):
     context.deployment.name_weights(2)
     context.acknowledged_at = time.monotonic()
@@ -99,6 +106,35 @@
     context.run(gap(context, seconds, name_weights))
 
 
+@when("the watches hear nothing for {seconds:g} s, in which an engine's record goes, and are cut")
+def step_gap_removed(context, seconds):
+    context.run(gap(context, seconds, remove_record))
+
+
+@when("the store is away for 1 s, in which an engine's record goes, and comes back 1 s later")
+def step_lapse(context):
+    context.run(lapse(context))
+
+
+async def lapse(context):
+    deployment = context.deployment
+    deployment.store.fault = "reset"
+    deployment.store.cut_watches()
+    await asyncio.sleep(0.5)
+    remove_record(context)
+    await asyncio.sleep(0.5)
+    deployment.store.fault = ""
+    await asyncio.sleep(1.0)
+    deployment.record(deployment.engines[context.leaving])
+
+
+@then("requests reached that engine in each of these seconds")
+def step_each_second(context):
+    times_s = since_acknowledgement(context, context.leaving)
+    for second in (0.0, 1.0, 2.0):
+        assert any(second - 0.5 <= at_s < second + 0.5 for at_s in times_s), (second, times_s)
+
+
 @when("the watches go deaf, and an engine says that it leaves")
 def step_deaf(context):
     context.deployment.store.deafen_watches()
--- a/features/store_gaps.feature
+++ b/features/store_gaps.feature
@@ -33,3 +33,15 @@
     And callers go on for 5 s
     Then no request began on the older weights later than 4 s after the naming
     And requests began on them after it
+
+  Scenario: An engine whose record goes in a gap of the watch alone is used no longer
+    Given callers that call all nodes on "whole"
+    When the watches hear nothing for 1 s, in which an engine's record goes, and are cut
+    And callers go on for 3.5 s
+    Then no request reached that engine later than 2 s after its word
+
+  Scenario: An engine whose record lapses while the store is away is used until it is back
+    Given callers that call all nodes on "whole"
+    When the store is away for 1 s, in which an engine's record goes, and comes back 1 s later
+    And callers go on for 1 s
+    Then requests reached that engine in each of these seconds
