A removal found by reading the range counts as a lapse only after the store was away

Cause: any reading of the whole range left engines whose records were missing in use for 1.6 s, counted from the reading. After a gap of the watch alone the records had gone for real, up to a second before.

--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -40,8 +40,8 @@
             self.apply_item(item, known_until)
         self.store_read = True
         gone = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
-        if change.gap:
-            # Records may go while the store is out though their engines live on.
+        if change.lapses:
+            # Records may go while the store is away though their engines live on.
             self.engines.mark_vanished(gone, time.monotonic())
             return
         for engine_id in gone:
