Feature, red: a version named while a request waits bounds that wait

Cause: the selector computes EngineChoice.begin_by once, when it chooses; the delivery reads it when a read begins. A version that is named while the request waits at its engine leaves it infinite, so the request may begin on weights that are out of use.

The delivery step takes engines, a route and what happens meanwhile.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -18,6 +18,19 @@
     Then the attempt was closed within 0.4 s
     And the caller was told that the outcome is unknown
 
+  Scenario: A version that is named while a request waits at its engine bounds that wait
+    A request is sent to an engine on version 1 while nothing newer is named, so nothing bounds
+    its wait. The engine opens the stream and begins nothing. Version 2 is named meanwhile. Once
+    the time for version 1 is over, the engine may begin the request at any moment, on weights
+    that are out of use: it has to be taken back, and goes to an engine that has version 2.
+
+    Given a resumable request at an engine on version 1 that opens the stream and begins nothing
+    And version 2 is named 0.1 s after it was sent, and an engine has it
+    And a request may begin on a version for 0.2 s after a newer one was named
+    When a gateway delivers it
+    Then the attempt on version 1 was closed between 0.25 s and 0.5 s after it was sent
+    And the answer came whole from the engine on version 2
+
   Scenario: An engine with a long queue gets nothing that would begin too late
     Given an engine whose weights may begin requests for 1 s, and 30000 tokens that wait there
     Then no engine is ready for a request
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.gateway_support import engine_record, opaque_request
+from features.gateway_support import engine_record, opaque_request, route_rule
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import Unavailable
@@ -138,6 +138,63 @@
     assert context.sink.ending == "ENGINE_LOST", context.sink.ending
 
 
+class VersionedTransport(EngineTransport):
+    """Engines on version 1 that begin nothing, and on newer ones that answer.
+
+    Attributes:
+        attempts: every attempt with its engine's version, in order.
+    """
+
+    def __init__(self, pieces):
+        self._pieces = pieces
+        self.attempts = []
+
+    def attempt(self, request, start):
+        version = start.choice.weight_version
+        made = IdleAttempt() if version == 1 else ScriptedAttempt(self._pieces)
+        self.attempts.append((version, made))
+        return made
+
+
+@given("a resumable request at an engine on version 1 that opens the stream and begins nothing")
+def step_waiting_request(context):
+    context.transport = VersionedTransport([b"id: 1\ndata: a\n\n"])
+    context.route = route_rule(resumable=True)
+    context.engines = EngineTable()
+    context.engines.update(engine_record("engine-1", weights={"model": 1}))
+    context.happenings = []
+
+
+@given("version 2 is named {seconds:g} s after it was sent, and an engine has it")
+def step_named_while_waiting(context, seconds):
+    def name():
+        context.engines.update(engine_record("engine-2", weights={"model": 2}))
+        context.targets.name(WeightTarget("model", 2, 1), time.monotonic())
+
+    context.happenings.append((seconds, name))
+
+
+@given("a request may begin on a version for {seconds:g} s after a newer one was named")
+def step_begin_time(context, seconds):
+    context.targets = WeightTargets(seconds, seconds)
+    context.started_at = time.monotonic()
+
+
+@then("the attempt on version 1 was closed between {low:g} s and {high:g} s after it was sent")
+def step_closed_between(context, low, high):
+    version, made = context.transport.attempts[0]
+    assert version == 1, version
+    assert made.closed_at is not None
+    assert low <= made.closed_at - context.started_at <= high, made.closed_at - context.started_at
+
+
+@then("the answer came whole from the engine on version 2")
+def step_from_other(context):
+    assert [version for version, _ in context.transport.attempts] == [1, 2]
+    assert context.sink.ending == "complete", context.sink.ending
+    assert context.sink.data == b"id: 1\ndata: a\n\n", context.sink.data
+
+
 @given(
     "an engine whose weights may begin requests for {seconds:g} s, "
     "and {tokens:d} tokens that wait there"
@@ -168,10 +225,23 @@
     assert isinstance(found, events.EngineChoice), found
 
 
-@when("a gateway delivers it")
-def step_deliver(context):
+def engine_on_version_1():
     engines = EngineTable()
     engines.update(engine_record("engine-1", weights={"model": 1}))
+    return engines
+
+
+async def deliver(context, forwarder, request):
+    """Deliver a request while what is to happen meanwhile happens."""
+    loop = asyncio.get_running_loop()
+    for after_s, happen in getattr(context, "happenings", []):
+        loop.call_later(after_s, happen)
+    await forwarder.deliver(request, context.sink)
+
+
+@when("a gateway delivers it")
+def step_deliver(context):
+    engines = getattr(context, "engines", None) or engine_on_version_1()
     targets = getattr(context, "targets", WeightTargets(8.0))
     transport = getattr(context, "transport", None) or ScriptedTransport(context.pieces)
     selector = EngineSelector(engines, targets, "zone-1")
@@ -186,8 +256,10 @@
         context.metrics,
     )
     context.sink = getattr(context, "sink", None) or RecordingSink()
-    request = opaque_request(deadline=time.monotonic() + 5.0, received_at=time.monotonic())
-    context.run(forwarder.deliver(request, context.sink))
+    now = time.monotonic()
+    route = getattr(context, "route", None)
+    request = opaque_request(route=route, deadline=now + 5.0, received_at=now)
+    context.run(deliver(context, forwarder, request))
 
 
 @then('the caller has the bytes "{expected}"')
