A version named while a request waits at its engine bounds that wait

Cause: until when an attempt may begin was a field of the choice, computed once. A version named after the choice left it infinite.

Change: the field is gone. WeightTargets tells listeners of a version that is news; BeginLimits keeps the timer of each attempt that has not begun and moves it by what is named then. Nothing polls; X-Expect-Version is as it was. A run that goes on with its copy stays without a bound: it has begun, and an engine without the copy refuses it.

Scenarios: late news ends the wait at once; a version named in the moment of giving up is taken in; a stream that has begun runs on; a run that goes on with its copy; every further attempt is checked as it is sent.

--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -1,6 +1,7 @@
 """Steps that deliver a request through a forwarder with a scripted engine."""
 
 import asyncio
+import math
 import time
 
 from behave import given, then, when
@@ -11,7 +12,7 @@
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineTable
-from liftrill.gateway.event_stream import EventSplitter
+from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.records import WeightTarget
@@ -100,10 +101,14 @@
 
     closed_at = None
 
+    def before_wait(self):
+        """Do what a scenario wants done as a read begins."""
+
     async def open(self):
         return [events.StreamOpened(200, ())]
 
     async def read(self):
+        self.before_wait()
         await asyncio.sleep(30)
 
     def close(self):
@@ -138,6 +143,12 @@
     assert context.sink.ending == "ENGINE_LOST", context.sink.ending
 
 
+def engine_on_version_1():
+    engines = EngineTable()
+    engines.update(engine_record("engine-1", weights={"model": 1}))
+    return engines
+
+
 class VersionedTransport(EngineTransport):
     """Engines on version 1 that begin nothing, and on newer ones that answer.
 
@@ -156,30 +167,195 @@
         return made
 
 
-@given("a resumable request at an engine on version 1 that opens the stream and begins nothing")
-def step_waiting_request(context):
+@given("a {kind} request at an engine on version 1 that opens the stream and begins nothing")
+def step_waiting_request(context, kind):
     context.transport = VersionedTransport([b"id: 1\ndata: a\n\n"])
-    context.route = route_rule(resumable=True)
-    context.engines = EngineTable()
-    context.engines.update(engine_record("engine-1", weights={"model": 1}))
+    context.route = route_rule(resumable=kind == "resumable")
+    context.engines = engine_on_version_1()
     context.happenings = []
 
 
 @given("version 2 is named {seconds:g} s after it was sent, and an engine has it")
-def step_named_while_waiting(context, seconds):
+@given(
+    "version 2 is named {seconds:g} s after it was sent, "
+    "and an engine with {tokens:d} waiting tokens has it"
+)
+def step_named_while_waiting(context, seconds, tokens=0):
     def name():
-        context.engines.update(engine_record("engine-2", weights={"model": 2}))
+        view = context.engines.update(engine_record("engine-2", weights={"model": 2}))
+        view.own_load.waiting_tokens = tokens
         context.targets.name(WeightTarget("model", 2, 1), time.monotonic())
 
     context.happenings.append((seconds, name))
 
 
+@given(
+    "version 2, which was named {earlier:g} s earlier, is heard of {seconds:g} s after it was sent"
+)
+def step_heard_late(context, earlier, seconds):
+    def name():
+        context.targets.name(WeightTarget("model", 2, 1), time.monotonic() - earlier)
+
+    context.happenings.append((seconds, name))
+
+
+@given("version 3 is named in the moment in which its attempt is given up")
+def step_named_while_given_up(context):
+    def name():
+        try:
+            context.targets.name(WeightTarget("model", 3, 2), time.monotonic())
+        except RuntimeError as error:
+            context.error = error
+
+    context.error = None
+    # What a read asks the loop to do comes right after the timer of a wait that is over.
+    context.transport.made.before_wait = lambda: asyncio.get_running_loop().call_soon(name)
+
+
+@then("version 3 was taken in without an error")
+def step_taken_in(context):
+    assert context.targets.newest("model") == 3
+    assert context.error is None, repr(context.error)
+
+
+class FailingAttempt(EngineAttempt):
+    """An engine that waits, and then tells of a failure."""
+
+    def __init__(self, opening, failure, pause_s):
+        self._opening = list(opening)
+        self._failure = failure
+        self._pause_s = pause_s
+
+    async def open(self):
+        return await self.read()
+
+    async def read(self):
+        if self._opening:
+            return [self._opening.pop(0)]
+        await asyncio.sleep(self._pause_s)
+        return [self._failure]
+
+    def close(self):
+        self._opening.clear()
+
+
+class FailingTransport(VersionedTransport):
+    """The first attempt fails; engines answer all others."""
+
+    def __init__(self, pieces, failing):
+        super().__init__(pieces)
+        self._failing = failing
+
+    def attempt(self, request, start):
+        made = ScriptedAttempt(self._pieces) if self.attempts else self._failing
+        self.attempts.append((start.choice.weight_version, made))
+        return made
+
+
+FIRST_EVENT = events.EventArrived(StreamEvent(1, b"id: 1\ndata: a\n\n"))
+OPENING_AND_FAILURE = {
+    "turns it away as overloaded": (
+        [],
+        events.AttemptRefused(events.RefusalKind.OVERLOADED),
+    ),
+    "breaks the stream it began": (
+        [events.StreamOpened(200, ()), FIRST_EVENT],
+        events.AttemptBroken("reset"),
+    ),
+}
+
+
+@given("a resumable request at one of two engines on version 1, which {what} after {seconds:g} s")
+def step_failing_engine(context, what, seconds):
+    opening, failure = OPENING_AND_FAILURE[what]
+    failing = FailingAttempt(opening, failure, seconds)
+    context.transport = FailingTransport([b"id: 2\ndata: b\n\n"], failing)
+    context.route = route_rule(resumable=True)
+    context.engines = engine_on_version_1()
+    context.engines.update(engine_record("engine-3", weights={"model": 1}))
+    context.happenings = []
+
+
+@then("it was sent to engines on versions {one:d} and {two:d}")
+def step_sent_to_versions(context, one, two):
+    versions = [version for version, _ in context.transport.attempts]
+    assert versions == [one, two], versions
+    assert context.sink.ending == "complete", context.sink.ending
+
+
+class SlowAttempt(ScriptedAttempt):
+    """An engine that pauses after its first event."""
+
+    def __init__(self, pieces, pause_s):
+        super().__init__(pieces)
+        self._pauses_s = [0.0, pause_s]
+
+    async def read(self):
+        await asyncio.sleep(self._pauses_s.pop(0) if self._pauses_s else 0.0)
+        return await super().read()
+
+
+class SlowTransport(EngineTransport):
+    def __init__(self, pieces, pause_s):
+        self._made = SlowAttempt(pieces, pause_s)
+
+    def attempt(self, request, start):
+        assert start.choice.weight_version == 1, start.choice
+        return self._made
+
+
+@given(
+    "a stream whose second event comes {seconds:g} s after the first, from an engine on version 1"
+)
+def step_slow_stream(context, seconds):
+    pieces = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"]
+    context.transport = SlowTransport(pieces, seconds)
+    context.engines = engine_on_version_1()
+    context.happenings = []
+
+
+@given("a run on version 1 that broke, and an engine that has its copy")
+def step_broken_run(context):
+    context.engines = engine_on_version_1()
+    view = context.engines.update(engine_record("engine-2", weights={"model": 1}))
+    context.targets = WeightTargets(8.0, 8.0)
+    context.selector = EngineSelector(context.engines, context.targets, "zone-1")
+    backup = events.EngineAddress(view.engine_id, view.record.address)
+    context.broken = events.EngineChoice("engine-1", "address", 1, "salt", backup=backup)
+
+
+@when("version 2 is named")
+def step_name_2(context):
+    context.targets.name(WeightTarget("model", 2, 1), 100.0)
+
+
+@then("it goes on there, and nothing bounds when it does")
+def step_goes_on_unbounded(context):
+    choice = context.selector.continue_at_backup(opaque_request(), context.broken, 101.0)
+    assert choice.engine_id == "engine-2" and choice.continues_copy, choice
+    assert context.selector.begin_by(choice, opaque_request()) == math.inf
+
+
+@then("a request that was sent there to begin may do so for {seconds:g} s")
+def step_begins_bounded(context, seconds):
+    choice = events.EngineChoice("engine-2", "address", 1, "salt")
+    assert context.selector.begin_by(choice, opaque_request()) == 100.0 + seconds
+
+
 @given("a request may begin on a version for {seconds:g} s after a newer one was named")
 def step_begin_time(context, seconds):
     context.targets = WeightTargets(seconds, seconds)
     context.started_at = time.monotonic()
 
 
+@given(
+    "a request may be sent to a version for {sent:g} s after a newer one was named, "
+    "and begin in {begin:g} s"
+)
+def step_send_time(context, sent, begin):
+    context.targets = WeightTargets(sent, begin)
+
+
 @then("the attempt on version 1 was closed between {low:g} s and {high:g} s after it was sent")
 def step_closed_between(context, low, high):
     version, made = context.transport.attempts[0]
@@ -225,12 +401,6 @@
     assert isinstance(found, events.EngineChoice), found
 
 
-def engine_on_version_1():
-    engines = EngineTable()
-    engines.update(engine_record("engine-1", weights={"model": 1}))
-    return engines
-
-
 async def deliver(context, forwarder, request):
     """Deliver a request while what is to happen meanwhile happens."""
     loop = asyncio.get_running_loop()
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -1,6 +1,5 @@
 """Events into and instructions out of the delivery machine."""
 
-import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -108,7 +107,6 @@
         fetch_from: address of an engine or store that may hold the prompt, or empty.
         save_to: address of the store that is to keep the prompt, or empty.
         is_saved: whether a store is believed to keep its shared parts already.
-        begin_by: until when it may begin there, on the steady clock.
         expected_tokens: prompt tokens that the engine will have to read.
         backup: the engine that gets a copy of the run as it grows, or None.
         continues_copy: whether the engine goes on with the copy that it has of the run.
@@ -121,7 +119,6 @@
     fetch_from: str = ""
     save_to: str = ""
     is_saved: bool = False
-    begin_by: float = math.inf
     expected_tokens: int = 0
     backup: EngineAddress | None = None
     continues_copy: bool = False
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engine_selector.py
@@ -1,6 +1,7 @@
 """Applies what must hold for an engine, then lets the policy choose."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from liftrill import constants
@@ -140,12 +141,22 @@
             broken,
             engine_id=view.engine_id,
             address=view.record.address,
-            begin_by=math.inf,
             expected_tokens=1,
             backup=self._next_backup(view, broken, request, now),
             continues_copy=True,
         )
 
+    def begin_by(self, choice: EngineChoice, request: OpaqueRequest) -> float:
+        """Return until when a request may begin where it was sent, by what is named now."""
+        # A run that goes on with its copy has begun, and without the copy engines refuse it.
+        if request.prompt is None or choice.continues_copy:
+            return math.inf
+        return self._targets.begin_by(request.prompt.model, choice.weight_version)
+
+    def when_weights_named(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever `begin_by` may have changed."""
+        self._targets.when_named(listener)
+
     def _goes_on(self, view: EngineView, model: str, version: int, now: float) -> bool:
         """Return whether an engine takes runs of some weights now."""
         if view.leaving or view.weight_version(model) != version:
@@ -274,6 +285,5 @@
             fetch_from=chosen.holder.record.address if chosen.holder else store,
             save_to=store if saves else "",
             is_saved=chosen.shared.saved,
-            begin_by=self._targets.begin_by(prompt.model, version),
             expected_tokens=max(0, prompt.prompt_tokens - chosen.shared.kept_tokens),
         )
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -1,15 +1,16 @@
 """Carries out what the delivery machine decides for one request."""
 
 import asyncio
-import math
 import random
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from functools import partial
 
 from liftrill import constants
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.begin_limits import BeginLimits
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import DeliveryMachine, DeliveryPorts, Unavailable
 from liftrill.gateway.engine_selector import EngineSelector
@@ -72,6 +73,14 @@
         """Return the backup's engine as it is now, or None if it takes nothing."""
         return self._selector.continue_at_backup(request, broken, time.monotonic())
 
+    def begin_by(self, choice: events.EngineChoice, request: OpaqueRequest) -> float:
+        """Return until when a request may begin where it was sent, on the steady clock."""
+        return self._selector.begin_by(choice, request)
+
+    def when_weights_named(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever `begin_by` may have changed."""
+        self._selector.when_weights_named(listener)
+
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
         """Spend one repeat of the service's budget."""
         return self._allowance.try_spend(request.service, time.monotonic())
@@ -136,6 +145,8 @@
         self._ports = ports
         self._allowance = allowance
         self._transport = transport
+        self._limits = BeginLimits()
+        ports.when_weights_named(self._limits.renew)
 
     async def deliver(self, request: OpaqueRequest, sink: AnswerSink) -> None:
         """Bring a request to its end."""
@@ -179,6 +190,16 @@
         self._ports.record_sent(start.choice, request, first)
         return view, self._transport.attempt(request, start)
 
+    async def read_before_overdue(
+        self, machine: DeliveryMachine, reading: Awaitable[list[events.DeliveryEvent]]
+    ) -> list[events.DeliveryEvent]:
+        """Return what a read tells, or the end of an attempt that may no longer begin."""
+        begin_by = partial(self._ports.begin_by, machine.attempts[-1], machine.request)
+        try:
+            return await self._limits.read_before(begin_by, reading)
+        except TimeoutError:
+            return [events.AttemptBroken("not begun before its weights went out of use")]
+
     def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
         """Learn about an engine from what an attempt told."""
         now = time.monotonic()
@@ -257,13 +278,7 @@
         """Give up an attempt that has not begun when it no longer may."""
         if not self._load.waiting_tokens:
             return await reading
-        begin_by = self._machine.attempts[-1].begin_by
-        left = None if math.isinf(begin_by) else max(0.0, begin_by - time.monotonic())
-        try:
-            async with asyncio.timeout(left):
-                return await reading
-        except TimeoutError:
-            return [events.AttemptBroken("not begun before its weights went out of use")]
+        return await self._forwarder.read_before_overdue(self._machine, reading)
 
     def _note_prompt_read(self) -> None:
         """Note that the prompt no longer waits, once the first event shows it."""
--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -1,6 +1,7 @@
 """Which weight versions a request may still begin on."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from liftrill.gateway.records import WeightTarget
@@ -36,6 +37,11 @@
     grace_seconds: float
     begin_seconds: float = math.inf
     _named: dict[str, list[NamedVersion]] = field(default_factory=dict)
+    _listeners: list[Callable[[], None]] = field(default_factory=list)
+
+    def when_named(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever a version was named."""
+        self._listeners.append(listener)
 
     def name(self, target: WeightTarget, now: float, age_known: bool = True) -> bool:
         """Take note of a target; return whether it is news."""
@@ -45,6 +51,8 @@
         # Half of the grace is a guess that makes a leader hurry.
         heard_at = now if age_known else now - self.grace_seconds / 2
         named.append(NamedVersion(target.version, heard_at, age_known))
+        for listener in self._listeners:
+            listener()
         return True
 
     def models(self) -> list[str]:
