The time of a naming is called what it is, and a first reading is dated back once

named_at is the earliest time at which a version may have been named. The first reading of a node that starts was dated back twice since the copy has an age (half of the grace each): a leader that started hurried more than before.

--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -220,7 +220,7 @@
             return []
         versions = [view.weight_version(model) for view in behind]
         pending = self.targets.open_versions(model, min(versions))
-        if not pending or now < pending[0].heard_at + self.parameters.join_delay:
+        if not pending or now < pending[0].named_at + self.parameters.join_delay:
             return []
         room = self._at_once(len(running), versions, pending, now) - len(self.loads)
         version = self.targets.newest(model)
@@ -241,7 +241,7 @@
             self.parameters.least_at_once, math.floor(self.parameters.share_at_once * engines)
         )
         for named in pending:
-            deadline = named.heard_at + self.targets.grace_seconds - self.parameters.finish_margin
+            deadline = named.named_at + self.targets.grace_seconds - self.parameters.finish_margin
             rounds = max(1.0, (deadline - now) / self.parameters.load_estimate)
             behind = sum(version < named.version for version in versions)
             most = max(most, math.ceil(behind / rounds))
--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -9,15 +9,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NamedVersion:
-    """A version that the operator named, and when this node heard of it (steady clock).
+    """A version that the operator named, and when it may have been (steady clock).
 
     Attributes:
+        named_at: the earliest time at which it may have been named.
         age_known: False where it was found in the first reading of the store: it may have
             been named long before this process began.
     """
 
     version: int
-    heard_at: float
+    named_at: float
     age_known: bool = True
 
 
@@ -25,8 +26,8 @@
 class WeightTargets:
     """The versions named for each model.
 
-    A version may serve until the grace of every newer one has passed, counted from when
-    this node heard of it less a margin for the way there.
+    A version may serve until the grace of every newer one has passed, counted from when it
+    may have been named at the earliest, less a margin for the way there.
 
     Attributes:
         grace_seconds: how long after the naming a request may still be sent to begin on an
@@ -43,14 +44,12 @@
         """Call a listener whenever a version was named."""
         self._listeners.append(listener)
 
-    def name(self, target: WeightTarget, now: float, age_known: bool = True) -> bool:
+    def name(self, target: WeightTarget, named_at: float, age_known: bool = True) -> bool:
         """Take note of a target; return whether it is news."""
         named = self._named.setdefault(target.model, [])
         if named and named[-1].version >= target.version:
             return False
-        # Half of the grace is a guess that makes a leader hurry.
-        heard_at = now if age_known else now - self.grace_seconds / 2
-        named.append(NamedVersion(target.version, heard_at, age_known))
+        named.append(NamedVersion(target.version, named_at, age_known))
         for listener in self._listeners:
             listener()
         return True
@@ -58,8 +57,8 @@
     def earliest_naming(self, known_until: float, now: float) -> float:
         """Return since when a version that is news now may have been named.
 
-        A node that was cut off for long can't tell: half of the grace makes a leader hurry,
-        and leaves time to bring engines to the version.
+        A node that was cut off for long, or that has just started, can't tell. Half of the
+        grace is a guess that makes a leader hurry, and leaves time to bring engines there.
         """
         return max(known_until, now - self.grace_seconds / 2)
 
@@ -76,7 +75,7 @@
         """Return the lowest version on which a request may begin now."""
         named = self._named.get(model, [])
         limit = now - self.grace_seconds
-        timed = (n.version for n in named if n.age_known and n.heard_at <= limit)
+        timed = (n.version for n in named if n.age_known and n.named_at <= limit)
         return max(timed, default=0)
 
     def preferred(self, model: str) -> int:
@@ -89,12 +88,12 @@
     def replaced_at(self, model: str, version: int) -> float:
         """Return when a newer version than one was first named, or infinity."""
         named = self._named.get(model, [])
-        return min((n.heard_at for n in named if n.version > version), default=math.inf)
+        return min((n.named_at for n in named if n.version > version), default=math.inf)
 
     def begin_by(self, model: str, version: int) -> float:
         """Return until when a request may begin on a version (steady clock)."""
         named = self._named.get(model, [])
-        newer = [n.heard_at for n in named if n.age_known and n.version > version]
+        newer = [n.named_at for n in named if n.age_known and n.version > version]
         return min(newer) + self.begin_seconds if newer else math.inf
 
     def open_versions(self, model: str, reached: int) -> list[NamedVersion]:
