Stand-in store: deaf watches, cut watches, silent connections

Change: `deafen_watches`, `cut_watches` and `silence_connections`. `reset` of a connection moves from the engine's stand-in to a module that both use.

--- /dev/null
+++ b/features/standin/connections.py
@@ -0,0 +1,13 @@
+"""Harm to single connections."""
+
+import socket
+import struct
+
+
+def reset(transport):
+    """Close a connection with a reset, which its peer can tell from an end."""
+    if transport.is_closing():
+        return
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import json
-import socket
-import struct
 from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from features.standin.connections import reset
+
 SIGNATURE = "stand-in-signature"
 
 
@@ -198,7 +198,7 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         request.transport.write(f"HTTP/1.1 200 OK\r\n{lines}\r\nhalf".encode())
         await asyncio.sleep(0.05)
-        _reset(request.transport)
+        reset(request.transport)
         return web.Response()
 
     async def _stream(self, request, arrival, headers, fault):
@@ -211,15 +211,8 @@
             if fault == "torn" and number == first + 1:
                 await response.write(f"id: {number + 1}\ndata: to".encode())
                 await asyncio.sleep(0.02)
-                _reset(request.transport)
+                reset(request.transport)
                 return response
         arrival.finished = True
         await response.write_eof()
         return response
-
-
-def _reset(transport):
-    """Close a connection with a reset, which its peer can tell from an end."""
-    connection = transport.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    transport.abort()
--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -7,7 +7,13 @@
 
 from aiohttp import web
 
+from features.standin.connections import reset
+
 MOST_NODES = 12
+# How often a waiting watch looks for leases that ran out (own choice).
+LEASE_CHECK_S = 0.5
+# How often a silent call looks whether its caller has closed the connection (own choice).
+SILENT_CHECK_S = 0.2
 
 
 class StandInStore:
@@ -32,6 +38,9 @@
         self.port = 0
         self._changed = asyncio.Event()
         self._runner = None
+        self._watches_deaf = False
+        self._watching = set()
+        self._silent = set()
 
     async def start(self):
         app = web.Application()
@@ -81,6 +90,27 @@
         self.history = [(self.revision, None)]
         self._wake()
 
+    def deafen_watches(self):
+        """Answer no watch until `cut_watches`; key and range reads go on."""
+        self._watches_deaf = True
+
+    def cut_watches(self):
+        """Reset the connections of watches, drop the history and end the watches' deafness."""
+        for transport in self._watching:
+            reset(transport)
+        self._watches_deaf = False
+        self.forget_history()
+
+    def silence_connections(self):
+        """Never again answer on the connections that are open now; new ones work.
+
+        What arrives on them later has no effect either. A call that is in flight may have had
+        its effect, or have it yet.
+        """
+        self._silent = {t for t in self._silent if not t.is_closing()}
+        handlers = self._runner.server.connections
+        self._silent.update(h.transport for h in handlers if h.transport is not None)
+
     def _note(self, row):
         self.history.append((self.revision, row))
         self._wake()
@@ -93,7 +123,10 @@
         call = request.match_info["call"]
         self._expire()
         self.calls.append((call, time.monotonic()))
-        called_at = request.transport.get_extra_info("sockname")[0]
+        transport = request.transport
+        if transport in self._silent:
+            return await _keep_silent(transport)
+        called_at = transport.get_extra_info("sockname")[0]
         if self.fault == "down" or called_at in self.refused_callers:
             return web.Response(status=503)
         if self.fault == "silent":
@@ -105,6 +138,8 @@
         if self.lose_writes and call in ("kv-txn", "kv-lease") and status == 200:
             self.lose_writes -= 1
             request.transport.abort()
+        if transport in self._silent:
+            return await _keep_silent(transport)
         return web.json_response(body, status=status)
 
     async def _answer(self, call, request):
@@ -118,13 +153,23 @@
             page = [self.items[key] for key in keys[:20]]
             return 200, {"items": page, "More": len(keys) > 20, "At": self.revision}
         if call == "kv-watch":
-            return await self._watch(query)
+            return await self._watch_on(request.transport, query)
         return self._write(call, request, await request.read())
 
+    async def _watch_on(self, transport, query):
+        self._watching.add(transport)
+        try:
+            return await self._watch(query)
+        finally:
+            self._watching.discard(transport)
+
     async def _watch(self, query):
         after, prefix = int(query["after"]), query["PathPrefix"]
         until = time.monotonic() + int(query["WaitMs"]) / 1000
         while True:
+            if self._watches_deaf:
+                await self._changed_within(LEASE_CHECK_S)
+                continue
             if self.history and self.history[0][1] is None and after < self.history[0][0]:
                 return 410, {}
             rows = [row for at, row in self.history if row and at > after]
@@ -132,10 +177,13 @@
             left = until - time.monotonic()
             if rows or left <= 0:
                 return 200, {"Events": rows, "At": self.revision}
-            try:
-                await asyncio.wait_for(self._changed.wait(), min(left, 0.5))
-            except TimeoutError:
-                self._expire()
+            await self._changed_within(min(left, LEASE_CHECK_S))
+
+    async def _changed_within(self, seconds):
+        try:
+            await asyncio.wait_for(self._changed.wait(), seconds)
+        except TimeoutError:
+            self._expire()
 
     def _write(self, call, request, data):
         body = json.loads(data) if data else {}
@@ -176,3 +224,11 @@
         self.leases.pop(lease, None)
         for key in [k for k, row in self.items.items() if row["Lease"] == lease]:
             self.remove(key)
+
+
+async def _keep_silent(transport):
+    """Answer nothing as long as the caller keeps the connection."""
+    while True:
+        if transport.is_closing():
+            return web.Response()
+        await asyncio.sleep(SILENT_CHECK_S)
