Soak: checks on engines that left and on replaced weights

Cause: the soak's history had neither arrival times nor the times at which the store took a leaving or a naming, so it could not find the incident's broken bounds.

Change: engines note when a request arrived and on which weights it began; a timeline holds the news and the troubles that excuse a node; two checks judge by them. The engine can refuse orders. Nothing records leavings, namings and troubles during a play yet.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,6 +17,33 @@
       | a key was passed on to an engine          | tenant and key               |
       | two nodes ordered with one fence          | one holder of orders         |
 
+  Scenario Outline: The check finds what comes late, and excuses only what had a reason
+    Given a history with <what>
+    Then the check finds it <judged>
+
+    Examples:
+      | what                                                                   | judged                  |
+      | a request 2.1 s after its engine left                                  | too late at its engine  |
+      | a request that did not run 2.1 s after its engine left                 | too late at its engine  |
+      | a request 1.9 s after its engine left                                  | in time                 |
+      | the same 9 s after, 2.9 s after its node's trouble                     | in time                 |
+      | the same 9 s after, 3.1 s after its node's trouble                     | too late at its engine  |
+      | the same 9 s after, within its node's trouble                          | in time                 |
+      | the same 9 s after, before its node's trouble                          | too late at its engine  |
+      | the same 9 s after, 2.9 s after another node's trouble                 | too late at its engine  |
+      | the same 9 s after, 2.9 s after the store's trouble                    | in time                 |
+      | the same 9 s after, 3.4 s after connections went silent                | in time                 |
+      | the same 9 s after, 3.6 s after connections went silent                | too late at its engine  |
+      | a request on version 1 8.1 s after version 2                           | too late on its weights |
+      | a request on version 1 7.9 s after version 2                           | in time                 |
+      | a request on version 2 8.1 s after version 2                           | in time                 |
+      | a refused one on version 1 8.1 s after version 2                       | in time                 |
+      | a run that goes on, on version 1 8.1 s after version 2                 | in time                 |
+      | a request on version 1 12 s after, 7.9 s after its node's trouble      | in time                 |
+      | a request on version 1 12 s after, 8.1 s after its node's trouble      | too late on its weights |
+      | a request on version 1 12 s after, 7.9 s after another node's trouble  | too late on its weights |
+      | a request on version 1 12 s after, 7.9 s after connections went silent | in time                 |
+
   Scenario: A short soak breaks no promise, and all nodes serve again after it
     When seed 1 is played for 12 s
     Then it had faults and served requests, and broke no promise
--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -16,6 +16,7 @@
         status: None where the connection gave no answer.
         body: as much of it as came.
         sent_at: steady clock, seconds.
+        node: to which it was sent; no other one sends it to engines.
     """
 
     request_id: str
@@ -25,6 +26,22 @@
     status: int | None
     body: bytes
     complete: bool
+    node: str = ""
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How long after the store took something it may still be done otherwise.
+
+    Attributes:
+        revoke_s: a key that was taken away is served.
+        drain_s: a request arrives at an engine that leaves.
+        version_s: a request begins on a replaced version.
+    """
+
+    revoke_s: float
+    drain_s: float
+    version_s: float
 
 
 @dataclass(frozen=True)
@@ -36,7 +53,7 @@
     detail: str
 
 
-def check(calls, engines, revoked_at, revoke_bound_s):
+def check(calls, engines, timeline, bounds):
     """Return every violation that a history shows."""
     runs = {}
     for engine in engines:
@@ -45,11 +62,13 @@
                 runs.setdefault(arrival.attempt_id, []).append((engine, arrival))
     known = {call.request_id: call for call in calls}
     found = [v for call in calls for v in _check_call(call, runs.get(call.request_id, []))]
-    found += [v for call in calls for v in _check_key(call, runs, revoked_at, revoke_bound_s)]
+    found += [v for call in calls for v in _check_key(call, runs, timeline, bounds.revoke_s)]
     for request_id, of_id in runs.items():
         found += _check_runs(known.get(request_id), request_id, of_id)
     for engine in engines:
         found += _check_orders(engine)
+        found += _check_drain(engine, known, timeline, bounds.drain_s)
+        found += _check_version(engine, known, timeline, bounds.version_s)
     return found
 
 
@@ -77,8 +96,8 @@
         yield Violation("a complete stream is whole", call.request_id, str(numbers))
 
 
-def _check_key(call, runs, revoked_at, bound_s):
-    since = revoked_at.get(call.key)
+def _check_key(call, runs, timeline, bound_s):
+    since = timeline.revoked_at.get(call.key)
     if since is not None and call.sent_at > since + bound_s and call.request_id in runs:
         late_s = call.sent_at - since
         yield Violation("a revoked key is not served", call.request_id, f"{late_s:.2f} s after")
@@ -103,3 +122,44 @@
         if holder != order["Holder"] or order["Fence"] < highest:
             yield Violation("one holder of orders", engine.engine_id, str(engine.orders))
         highest = max(highest, order["Fence"])
+
+
+def _check_drain(engine, known, timeline, bound_s):
+    """Find requests that arrived too late at an engine that leaves, whether they ran or not.
+
+    Excused is a request whose node had a trouble when it arrived, or in the 3 s before
+    (3.5 s where it was connections that went silent). A trouble of all nodes is a store that
+    is down, silent to all, or resets all; one of a single node is that it is paused, stopped
+    or killed, refused by the store, or cut from it by its proxy (reset, silenced, or answers
+    dropped). No trouble are: watches that hear nothing or are cut, a history that is dropped,
+    answers to writes that are lost, a proxy that only delays, and what befalls other nodes.
+    """
+    left_at = timeline.left_at.get(engine.engine_id)
+    if left_at is None:
+        return
+    for arrival in engine.arrivals:
+        late_s = arrival.at - left_at
+        call = known.get(arrival.attempt_id)
+        if late_s > bound_s and call and not timeline.is_excused(call.node, arrival.at):
+            detail = f"{engine.engine_id}, {call.node}: {late_s:.2f} s after"
+            yield Violation("no request to an engine that left", call.request_id, detail)
+
+
+def _check_version(engine, known, timeline, bound_s):
+    """Find requests that began too late on a version that was replaced.
+
+    Counted is the time since the naming in which the request's node had no trouble, in one
+    stretch that lasts until the request begins; what a trouble is, is told above. A run
+    that goes on from a copy does not begin.
+    """
+    for arrival in engine.arrivals:
+        version = arrival.version
+        call = known.get(arrival.attempt_id)
+        if version is None or not arrival.ran or "Kv-From" in arrival.headers or call is None:
+            continue
+        replaced_at = timeline.replaced_at(version)
+        since = max(replaced_at, timeline.calm_since(call.node, arrival.at))
+        if arrival.at - since > bound_s:
+            late_s = arrival.at - replaced_at
+            detail = f"{engine.engine_id}, {call.node}: version {version}, {late_s:.2f} s after"
+            yield Violation("no request on replaced weights", call.request_id, detail)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -22,8 +22,9 @@
 
 import aiohttp
 
-from features.soak.history import Call, check
+from features.soak.history import Bounds, Call, check
 from features.soak.proxy import Harm, HarmfulProxy
+from features.soak.timeline import Timeline
 from features.standin.deployment import HOST, Deployment, prompt_headers
 
 NODES = 6
@@ -43,8 +44,8 @@
 )
 ROUTES = ("whole", "safe", "stream", "resume")
 SETTLE_S = 9.0
-# As in the stand-in's settings, RevokeMs.
-REVOKE_BOUND_S = 5.0
+# As in the stand-in's settings: RevokeMs and VersionMs; DrainMs is the platform's.
+BOUNDS = Bounds(revoke_s=5.0, drain_s=2.0, version_s=8.0)
 
 
 class Soak:
@@ -55,7 +56,7 @@
         self.seconds = seconds
         self.deployment = Deployment(directory)
         self.calls = []
-        self.revoked_at = {}
+        self.timeline = Timeline()
         self.keys = ["key-0"]
         self.version = 5
         self.weights = 1
@@ -79,7 +80,7 @@
             self._over = True
             await asyncio.gather(*callers)
             engines = [*self.deployment.engines.values(), *self.retired]
-            found = check(self.calls, engines, self.revoked_at, REVOKE_BOUND_S)
+            found = check(self.calls, engines, self.timeline, BOUNDS)
             return found, alive
 
     async def _start(self):
@@ -127,7 +128,7 @@
         node = self.random.choice(self.deployment.nodes)
         route = self.random.choice(ROUTES)
         # Now and then a key is used that may have been taken away.
-        key = self.random.choice([self.keys[-1], *self.keys, *self.revoked_at])
+        key = self.random.choice([self.keys[-1], *self.keys, *self.timeline.revoked_at])
         request_id = f"{self._seed:08x}{next(self._ids):08x}"
         headers = {
             "Host": HOST,
@@ -138,7 +139,7 @@
         }
         sent_at = time.monotonic()
         status, body, complete = await self._send(node, route, headers)
-        self.calls.append(Call(request_id, route, key, sent_at, status, body, complete))
+        self.calls.append(Call(request_id, route, key, sent_at, status, body, complete, node.name))
 
     async def _send(self, node, route, headers):
         method = "GET" if route == "safe" else "POST"
@@ -282,7 +283,7 @@
         old = self.keys[0]
         self.keys = [f"key-{next(self._key_numbers)}"]
         self._configure()
-        self.revoked_at[old] = time.monotonic()
+        self.timeline.revoked_at[old] = time.monotonic()
 
     async def _reconfigure(self):
         self._configure()
--- /dev/null
+++ b/features/soak/timeline.py
@@ -0,0 +1,83 @@
+"""What a soak did and when: faults that excuse a node, and news that the store took."""
+
+import math
+import time
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+# How long before an arrival a fault must be over to excuse it no more: within it a node
+# notices the end, is back in touch and has acted on what it then heard.
+RECOVERY_S = 3.0
+# The same for connections to the store that went silent, which have to be noticed first.
+SILENCE_RECOVERY_S = 3.5
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """A fault that kept nodes from hearing, from acting, or from both.
+
+    Attributes:
+        node: whose it was, or "" for all nodes.
+        begun_at: steady clock, seconds, as for all times of a soak.
+        recovery_s: for how long after its end it excuses what a node does.
+    """
+
+    node: str
+    begun_at: float
+    ended_at: float
+    recovery_s: float = RECOVERY_S
+
+    def concerns(self, node):
+        return self.node in ("", node)
+
+
+@dataclass
+class Timeline:
+    """When the store took what must be known soon, and what kept nodes from knowing it.
+
+    Attributes:
+        revoked_at: by key, when the store took a configuration without it.
+        left_at: by engine, when the store took its word that it leaves, or else its
+            record's removal.
+        named_at: by version, when the store took its naming.
+    """
+
+    revoked_at: dict = field(default_factory=dict)
+    left_at: dict = field(default_factory=dict)
+    named_at: dict = field(default_factory=dict)
+    troubles: list = field(default_factory=list)
+
+    @contextmanager
+    def trouble(self, node=""):
+        """Note what happens meanwhile as a trouble of one node, or of all."""
+        begun_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self.troubles.append(Trouble(node, begun_at, time.monotonic()))
+
+    def note_silence(self):
+        """Note that all connections to the store that are open now have gone silent."""
+        now = time.monotonic()
+        self.troubles.append(Trouble("", now, now, SILENCE_RECOVERY_S))
+
+    def note_leaving(self, engine_id):
+        """Note that the store has just taken an engine's leaving, if it is the first word."""
+        self.left_at.setdefault(engine_id, time.monotonic())
+
+    def replaced_at(self, version):
+        """Return when a newer version than one was first named, or infinity."""
+        return min((at for newer, at in self.named_at.items() if newer > version), default=math.inf)
+
+    def is_excused(self, node, at):
+        """Return whether a node had a trouble at a time, or recovers from one."""
+        return any(
+            trouble.begun_at <= at <= trouble.ended_at + trouble.recovery_s
+            for trouble in self.troubles
+            if trouble.concerns(node)
+        )
+
+    def calm_since(self, node, at):
+        """Return since when a node has had no trouble: the time itself if it has one."""
+        ends = (t.ended_at for t in self.troubles if t.concerns(node) and t.begun_at <= at)
+        return min(at, max(ends, default=-math.inf))
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -13,13 +14,20 @@
 
 @dataclass
 class Arrival:
-    """One request that reached an engine."""
+    """One request that reached an engine.
+
+    Attributes:
+        at: when its head arrived (steady clock, seconds).
+        version: of the weights on which it began, where it names a model.
+    """
 
     attempt_id: str
     method: str
     target: str
     headers: dict
     body: bytes
+    at: float
+    version: int | None = None
     ran: bool = False
     finished: bool = False
     cut: bool = False
@@ -36,6 +44,7 @@
     Attributes:
         fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
             "extra", "extra_late", "reset_unframed", "torn", "hang", "fail".
+        refuses_orders: whether it answers orders as if it were busy.
     """
 
     engine_id: str
@@ -47,6 +56,7 @@
     load_seconds: float = 0.2
     fault: str = ""
     fault_count: int = 1
+    refuses_orders: bool = False
     address: str = ""
 
     def __post_init__(self):
@@ -84,6 +94,7 @@
         }
 
     async def _handle(self, request):
+        arrived_at = time.monotonic()
         expected = request.headers.get("X-Expect-Instance")
         if expected not in (None, self.engine_id):
             return self._misdirected(request)
@@ -97,6 +108,7 @@
             request.raw_path,
             dict(request.headers.items()),
             await request.read(),
+            arrived_at,
         )
         self.arrivals.append(arrival)
         try:
@@ -125,7 +137,8 @@
     def _order(self, body):
         if body["Fence"] < self.highest_fence:
             return web.Response(status=412)
-        if body.get("Expected") not in (None, self.sequence) or self.loading:
+        is_busy = self.loading or self.refuses_orders
+        if body.get("Expected") not in (None, self.sequence) or is_busy:
             return web.Response(status=409)
         self.highest_fence = body["Fence"]
         self.orders.append(body)
@@ -158,6 +171,7 @@
             return self._shed(arrival.attempt_id)
         if "X-Kv-Backup" in request.headers:
             copies.add(f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}")
+        arrival.version = self.weights.get(model)
         arrival.ran = True
         headers = {"X-Attempt-Id": arrival.attempt_id, "X-Response-Signature": SIGNATURE}
         if fault in ("close", "hang", "fail", "reset_unframed"):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,16 +4,18 @@
 
 from behave import given, then, when
 
-from features.soak.history import Call, check
+from features.soak.history import Bounds, Call, check
 from features.soak.run import Soak
+from features.soak.timeline import SILENCE_RECOVERY_S, Timeline, Trouble
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 5))
 GOOD_HEADERS = {"X-Tenant": "tenant-1"}
+BOUNDS = Bounds(revoke_s=5.0, drain_s=2.0, version_s=8.0)
 
 
-def arrival(request_id, engine="e1", **headers):
+def arrival(request_id, engine="e1", at=0.0, version=None, ran=True, **headers):
     sent = {"X-Expect-Instance": engine, **GOOD_HEADERS, **headers}
-    return SimpleNamespace(attempt_id=request_id, ran=True, headers=sent)
+    return SimpleNamespace(attempt_id=request_id, ran=ran, headers=sent, at=at, version=version)
 
 
 def engine(name, *arrivals, orders=()):
@@ -22,7 +24,7 @@
 
 def call(request_id, route="whole", status=200, body=None, sent_at=0.0, complete=True):
     answer = body if body is not None else f"answer to {request_id}".encode()
-    return Call(request_id, route, "key", sent_at, status, answer, complete)
+    return Call(request_id, route, "key", sent_at, status, answer, complete, "n1")
 
 
 def order(holder, fence):
@@ -71,13 +73,99 @@
     ),
 }
 
+JUDGEMENTS = {
+    "in time": set(),
+    "too late at its engine": {"no request to an engine that left"},
+    "too late on its weights": {"no request on replaced weights"},
+}
+# Seconds after an engine left, or after version 2 was named.
+SINCE = 100.0
+
+
+def late(late_s, **changes):
+    """Return the calls and engines of one request that is late."""
+    return [call("r1")], [engine("e1", arrival("r1", at=SINCE + late_s, **changes))]
+
+
+def trouble(until_s, node="n1", lasting_s=1.0, **changes):
+    """Return a trouble that ended some time after the news."""
+    return Trouble(node, SINCE + until_s - lasting_s, SINCE + until_s, **changes)
+
+
+def silence(at_s):
+    return trouble(at_s, "", 0.0, recovery_s=SILENCE_RECOVERY_S)
+
+
+# What is late, and the troubles meanwhile.
+LATE = {
+    "a request 2.1 s after its engine left": (late(2.1), []),
+    "a request that did not run 2.1 s after its engine left": (late(2.1, ran=False), []),
+    "a request 1.9 s after its engine left": (late(1.9), []),
+    "the same 9 s after, 2.9 s after its node's trouble": (late(9), [trouble(6.1)]),
+    "the same 9 s after, 3.1 s after its node's trouble": (late(9), [trouble(5.9)]),
+    "the same 9 s after, within its node's trouble": (late(9), [trouble(9.5)]),
+    "the same 9 s after, before its node's trouble": (late(9), [trouble(10.5)]),
+    "the same 9 s after, 2.9 s after another node's trouble": (
+        late(9),
+        [trouble(6.1, "n2")],
+    ),
+    "the same 9 s after, 2.9 s after the store's trouble": (late(9), [trouble(6.1, "")]),
+    "the same 9 s after, 3.4 s after connections went silent": (late(9), [silence(5.6)]),
+    "the same 9 s after, 3.6 s after connections went silent": (late(9), [silence(5.4)]),
+    "a request on version 1 8.1 s after version 2": (late(8.1, version=1), []),
+    "a request on version 1 7.9 s after version 2": (late(7.9, version=1), []),
+    "a request on version 2 8.1 s after version 2": (late(8.1, version=2), []),
+    "a refused one on version 1 8.1 s after version 2": (
+        late(8.1, version=1, ran=False),
+        [],
+    ),
+    "a run that goes on, on version 1 8.1 s after version 2": (
+        late(8.1, version=1, **{"Kv-From": "copy"}),
+        [],
+    ),
+    "a request on version 1 12 s after, 7.9 s after its node's trouble": (
+        late(12, version=1),
+        [trouble(4.1)],
+    ),
+    "a request on version 1 12 s after, 8.1 s after its node's trouble": (
+        late(12, version=1),
+        [trouble(3.9)],
+    ),
+    "a request on version 1 12 s after, 7.9 s after another node's trouble": (
+        late(12, version=1),
+        [trouble(4.1, "n2")],
+    ),
+    "a request on version 1 12 s after, 7.9 s after connections went silent": (
+        late(12, version=1),
+        [silence(4.1)],
+    ),
+}
+
 
 @given("a history in which {what}")
 def step_history(context, what):
-    revoked_at = {"key": 10.0} if "revoked" in what else {}
+    timeline = Timeline(revoked_at={"key": 10.0} if "revoked" in what else {})
     calls, engines = BAD[what]
-    context.found = check(calls, engines, revoked_at, 5.0)
-    context.found_in_good = check(*GOOD, {}, 5.0)
+    context.found = check(calls, engines, timeline, BOUNDS)
+    context.found_in_good = check(*GOOD, Timeline(), BOUNDS)
+
+
+@given("a history with {what}")
+def step_late(context, what):
+    (calls, engines), troubles = LATE[what]
+    is_on_weights = engines[0].arrivals[0].version is not None
+    timeline = Timeline(
+        left_at={} if is_on_weights else {"e1": SINCE},
+        named_at={1: 0.0, 2: SINCE} if is_on_weights else {},
+        troubles=troubles,
+    )
+    context.found = check(calls, engines, timeline, BOUNDS)
+
+
+@then("the check finds it {judged}")
+def step_judged(context, judged):
+    found = {violation.promise for violation in context.found}
+    assert found == JUDGEMENTS[judged], context.found
 
 
 @then('the check finds "{promise}" broken, and nothing in the history without it')
