Soak: note when faults begin, watches hear nothing for 0.8 to 1.1 s

Cause: a kept history did not tell which faults lay about a late request.

Change: the timeline has the faults; the gap is about a second, as in the incident.

--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -34,13 +34,9 @@
 
     What is drawn for a fault depends on the seed and the fault's number alone, so that a
     seed brings about the same faults again.
-
-    Attributes:
-        faults: the names of those that were begun.
     """
 
     def __init__(self, fleet, seed):
-        self.faults = []
         self._fleet = fleet
         self._seed = seed
         self._schedule = random.Random(seed)
@@ -83,8 +79,8 @@
 
     async def _begin(self):
         (kind,) = self._schedule.choices(self._kinds, self._weights)
-        draw = random.Random(f"{self._seed}/{len(self.faults)}")
-        self.faults.append(kind.__name__.lstrip("_"))
+        draw = random.Random(f"{self._seed}/{len(self._fleet.timeline.faults)}")
+        self._fleet.timeline.note_fault(kind.__name__.lstrip("_"))
         await kind(draw)
 
     # Nodes
@@ -161,7 +157,7 @@
         self._fleet.store.deafen_watches()
         changes = asyncio.ensure_future(self._change_much(draw))
         try:
-            await asyncio.sleep(draw.uniform(0.7, 1.3))
+            await asyncio.sleep(draw.uniform(0.8, 1.1))
         finally:
             self._fleet.store.cut_watches()
         await changes
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -43,7 +43,7 @@
 
     def __init__(self, seed, seconds, directory, nodes=NODES):
         self.fleet = Fleet(directory, nodes)
-        self.injector = FaultInjector(self.fleet, seed)
+        self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
         self._seconds = seconds
         self._seed = seed
@@ -56,7 +56,7 @@
         async with self.fleet.deployment:
             await self.fleet.start()
             callers = [asyncio.ensure_future(self._call_on()) for _ in range(CALLERS)]
-            await self.injector.harm_for(self._seconds)
+            await self._injector.harm_for(self._seconds)
             await self.fleet.heal()
             alive = await self._all_serve()
             self._over = True
@@ -165,7 +165,7 @@
         served = sum(call.status == 200 and call.complete for call in soak.calls)
         print(
             f"seed {seed}: {len(soak.calls)} requests, {served} served, "
-            f"{len(soak.injector.faults)} faults, {len(found)} violations, "
+            f"{len(soak.fleet.timeline.faults)} faults, {len(found)} violations, "
             f"all nodes serve again: {alive}, {soak.latest()}",
             flush=True,
         )
--- a/features/soak/timeline.py
+++ b/features/soak/timeline.py
@@ -40,11 +40,13 @@
         left_at: by engine, when the store took its word that it leaves, or else its
             record's removal.
         named_at: by version, when the store took its naming.
+        faults: when each fault was begun, and its name.
     """
 
     revoked_at: dict = field(default_factory=dict)
     left_at: dict = field(default_factory=dict)
     named_at: dict = field(default_factory=dict)
+    faults: list = field(default_factory=list)
     troubles: list = field(default_factory=list)
 
     @contextmanager
@@ -61,6 +63,10 @@
         now = time.monotonic()
         self.troubles.append(Trouble("", now, now, SILENCE_RECOVERY_S))
 
+    def note_fault(self, name):
+        """Note that a fault begins."""
+        self.faults.append((time.monotonic(), name))
+
     def note_revoking(self, key):
         """Note that the store has just taken a configuration without a key."""
         self.revoked_at[key] = time.monotonic()
@@ -91,7 +97,8 @@
     def lines(self):
         """Return all of it as lines with the time of day, as logs have it."""
         offset = time.time() - time.monotonic()
-        rows = [(at, f"{engine} left") for engine, at in self.left_at.items()]
+        rows = [*self.faults]
+        rows += [(at, f"{engine} left") for engine, at in self.left_at.items()]
         rows += [(at, f"version {version} was named") for version, at in self.named_at.items()]
         rows += [(at, f"{key} was revoked") for key, at in self.revoked_at.items()]
         rows += [
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -183,7 +183,7 @@
 @then("it had faults and served requests, and broke no promise")
 def step_no_violation(context):
     served = sum(call.status == 200 and call.complete for call in context.soak.calls)
-    faults = context.soak.injector.faults
+    faults = context.soak.fleet.timeline.faults
     assert len(faults) > 5 and served > 50, (faults, served)
     assert context.found == [], context.found
     assert context.alive
