Soak: several engines may refuse orders at once; kept seeds can be played

Cause: with one engine that kept its weights the others were preferred, and few requests began on replaced ones; and nothing replayed a seed that had failed.

--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -198,13 +198,18 @@
         await self._fleet.leave_unsaid(draw.choice(self._fleet.engines()))
 
     async def _refuse_orders(self, draw):
-        """Let an engine keep its weights for longer than they may be used once replaced."""
-        engine = draw.choice(self._fleet.engines("llm"))
-        engine.refuses_orders = True
+        """Let engines keep their weights for longer than they may be used once replaced."""
+        known = self._fleet.engines("llm")
+        engines = draw.sample(known, draw.randint(1, len(known)))
+        self._let_refuse(engines, True)
         await asyncio.sleep(draw.uniform(0.0, 0.5))
         self._fleet.name_weights()
         await asyncio.sleep(draw.uniform(10.0, 12.0))
-        engine.refuses_orders = False
+        self._let_refuse(engines, False)
+
+    def _let_refuse(self, engines, refuses):
+        for engine in engines:
+            engine.refuses_orders = refuses
 
     # The operator
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -1,12 +1,14 @@
 """A randomized soak of the platform's program: real processes, faults from outside them.
 
     python -m features.soak.run --seeds 3 --seconds 40
+    python -m features.soak.run --kept
 
 Nodes are paused, killed, stopped and started by signals; their connections to the store
 pass through a harmful proxy; the store and the engines misbehave; its watches hear nothing
 and are cut, its open connections go silent, while engines leave and weights are named; keys
 and routes change. What callers and engines saw is checked against the promises. Exits with 1
-after a violation, and names the seed.
+after a violation, and names the seed. Seeds that failed once are kept in `seeds.txt`, one a
+line: seed, seconds, nodes, and the cause.
 """
 
 import argparse
@@ -34,6 +36,7 @@
 # Of the calls, those with a key that was taken away (own choice).
 OLD_KEY_SHARE = 0.2
 SETTLE_S = 9.0
+KEPT_PATH = Path(__file__).parent / "seeds.txt"
 # As in the stand-in's settings: RevokeMs and VersionMs; DrainMs is the platform's.
 BOUNDS = Bounds(revoke_s=5.0, drain_s=2.0, version_s=8.0)
 
@@ -187,15 +190,24 @@
     print(f"  logs in {target}")
 
 
+def kept_plays():
+    """Return seed, seconds and nodes of each play that is kept."""
+    lines = KEPT_PATH.read_text().splitlines()
+    rows = [line.partition("|")[0].split() for line in lines if not line.startswith("#")]
+    return [(int(seed), float(seconds), int(nodes)) for seed, seconds, nodes in rows]
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=int.from_bytes(os.urandom(3), "big"))
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=NODES, help="12 at the most")
+    parser.add_argument("--kept", action="store_true", help="play the seeds that failed once")
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.seeds)
-    results = [play(seed, options.seconds, options.nodes) for seed in seeds]
+    plays = [(seed, options.seconds, options.nodes) for seed in seeds]
+    results = [play(*one) for one in (kept_plays() if options.kept else plays)]
     return 0 if all(not found and alive for found, alive in results) else 1
 
 
