--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -1,5 +1,6 @@
 """What callers and engines saw during a soak, and the promises checked on it."""
 
+import math
 import re
 from dataclasses import dataclass
 
@@ -16,6 +17,7 @@
         status: None where the connection gave no answer.
         body: as much of it as came.
         sent_at: steady clock, seconds.
+        node: to which it was sent; no other one sends it to engines.
     """
 
     request_id: str
@@ -25,6 +27,22 @@
     status: int | None
     body: bytes
     complete: bool
+    node: str = ""
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How long after the store took something it may still be done otherwise.
+
+    Attributes:
+        revoke_s: a key that was taken away is served.
+        drain_s: a request arrives at an engine that leaves.
+        version_s: a request begins on a replaced version.
+    """
+
+    revoke_s: float
+    drain_s: float
+    version_s: float
 
 
 @dataclass(frozen=True)
@@ -36,7 +54,7 @@
     detail: str
 
 
-def check(calls, engines, revoked_at, revoke_bound_s):
+def check(calls, engines, timeline, bounds):
     """Return every violation that a history shows."""
     runs = {}
     for engine in engines:
@@ -45,11 +63,13 @@
                 runs.setdefault(arrival.attempt_id, []).append((engine, arrival))
     known = {call.request_id: call for call in calls}
     found = [v for call in calls for v in _check_call(call, runs.get(call.request_id, []))]
-    found += [v for call in calls for v in _check_key(call, runs, revoked_at, revoke_bound_s)]
+    found += [v for call in calls for v in _check_key(call, runs, timeline, bounds.revoke_s)]
     for request_id, of_id in runs.items():
         found += _check_runs(known.get(request_id), request_id, of_id)
     for engine in engines:
         found += _check_orders(engine)
+        found += _check_drain(engine, known, timeline, bounds.drain_s)
+        found += _check_version(engine, known, timeline, bounds.version_s)
     return found
 
 
@@ -77,8 +97,8 @@
         yield Violation("a complete stream is whole", call.request_id, str(numbers))
 
 
-def _check_key(call, runs, revoked_at, bound_s):
-    since = revoked_at.get(call.key)
+def _check_key(call, runs, timeline, bound_s):
+    since = timeline.revoked_at.get(call.key)
     if since is not None and call.sent_at > since + bound_s and call.request_id in runs:
         late_s = call.sent_at - since
         yield Violation("a revoked key is not served", call.request_id, f"{late_s:.2f} s after")
@@ -103,3 +123,75 @@
         if holder != order["Holder"] or order["Fence"] < highest:
             yield Violation("one holder of orders", engine.engine_id, str(engine.orders))
         highest = max(highest, order["Fence"])
+
+
+def _check_drain(engine, known, timeline, bound_s):
+    """Find requests that arrived too late at an engine that left, whether they ran or not.
+
+    Excused is a request whose node had a trouble when it arrived, or in the 3 s before
+    (3.5 s where it was connections that went silent). A trouble of all nodes is a store that
+    is down, silent to all, or resets all; one of a single node is that it is paused, stopped
+    or killed, refused by the store, or cut from it by its proxy (reset, silenced, or answers
+    dropped). No trouble are: watches that hear nothing or are cut, a history that is dropped,
+    answers to writes that are lost, a proxy that only delays, and what befalls other nodes.
+    """
+    for call, late_s in _after_leaving(engine, known, timeline):
+        if late_s > bound_s:
+            detail = f"{engine.engine_id}, {call.node}: {late_s:.2f} s after"
+            yield Violation("no request to an engine that left", call.request_id, detail)
+
+
+def _check_version(engine, known, timeline, bound_s):
+    """Find requests that began too late on a version that was replaced.
+
+    Counted is the time since the naming in which the request's node had no trouble, in one
+    stretch that lasts until the request begins; what a trouble is, is told above. A run
+    that goes on from a copy does not begin.
+    """
+    for call, version, late_s in _on_replaced(engine, known, timeline):
+        if late_s > bound_s:
+            detail = f"{engine.engine_id}, {call.node}: version {version}, {late_s:.2f} s"
+            yield Violation("no request on replaced weights", call.request_id, detail)
+
+
+def _after_leaving(engine, known, timeline):
+    """Return the requests at an engine that left, and how late, without those excused."""
+    left_at = timeline.left_at.get(engine.engine_id, math.inf)
+    for arrival in engine.arrivals:
+        call = known.get(arrival.attempt_id)
+        if arrival.at > left_at and call and not timeline.is_excused(call.node, arrival.at):
+            yield call, arrival.at - left_at
+
+
+def _on_replaced(engine, known, timeline):
+    """Return the requests begun on replaced versions, these, and how late in a calm stretch."""
+    for arrival in engine.arrivals:
+        call = known.get(arrival.attempt_id)
+        began = arrival.ran and "Kv-From" not in arrival.headers
+        if arrival.version is None or not began or call is None:
+            continue
+        since = timeline.replaced_at(arrival.version)
+        if arrival.at > since:
+            since = max(since, timeline.calm_since(call.node, arrival.at))
+            yield call, arrival.version, arrival.at - since
+
+
+@dataclass(frozen=True)
+class Lateness:
+    """How late the latest requests came that nothing excuses.
+
+    Attributes:
+        drain_s: at an engine, after it left.
+        version_s: on a version, after a newer one was named.
+    """
+
+    drain_s: float
+    version_s: float
+
+
+def latest(calls, engines, timeline):
+    """Return how close a history comes to the bounds that are checked."""
+    known = {call.request_id: call for call in calls}
+    drain_s = [s for e in engines for _, s in _after_leaving(e, known, timeline)]
+    version_s = [s for e in engines for _, _, s in _on_replaced(e, known, timeline)]
+    return Lateness(round(max(drain_s, default=0.0), 2), round(max(version_s, default=0.0), 2))
