Feature, red: a node that stood still sends nothing to engines that left

Cause: an engine is chosen without asking how old the beliefs are. After a standstill the node reads its callers' requests, and ends an attempt that was connecting, before it reads what the store told; admission asks only for the configuration's proof, which may be 4.5 s old (RevokeMs 5,000).

Whether the platform's ThawMs (0.3 s) excuses the first moment after waking is not known here.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -166,6 +166,18 @@
     Then within 14 s every model engine has version 2
     And orders of the second holder came 3 s after the first's, with a higher fence
 
+  Scenario: A node that stood still sends nothing to engines that left meanwhile
+    A node stands still while it connects to an engine that takes no connections. Engines say
+    meanwhile that they leave, and clients send requests. The node wakes, finds that its attempt
+    took too long, reads the requests, and chooses engines for all of them before it has read
+    what the store told. What it believes is 2.8 s old, and no engine may get a request 2 s after
+    its leaving was acknowledged.
+
+    Given a node
+    And a request at "/whole/x" is on its way to an engine that takes no connections
+    When the node stands still for 3 s, and at 0.2 s all desk engines leave and 3 clients post to "/whole/x"
+    Then no engine that left got a request
+
   Scenario: All nodes restart at once and serve again
     Given 2 nodes
     When all gateways are killed and started again
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,11 +6,13 @@
 import os
 import re
 import signal
+import socket
+from contextlib import suppress
 
 from behave import given, then, when
 
 from features.standin.deployment import KEY, ROUTES, Deployment, interrupt
-from features.standin.engine import SIGNATURE
+from features.standin.engine import SIGNATURE, StandInEngine
 
 FORGED = {
     "X-Tenant": "forged",
@@ -113,6 +115,64 @@
     context.run(context.deployment.wait_until(listens))
 
 
+def full_listener(context):
+    """Return the address of a listener that answers no further connection."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    context.stack.callback(listener.close)
+    # Linux takes one connection more than the backlog says, and drops what comes then.
+    for _ in range(2):
+        waiting = socket.socket()
+        waiting.setblocking(False)
+        with suppress(BlockingIOError):
+            waiting.connect(listener.getsockname())
+        context.stack.callback(waiting.close)
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@given('a request at "{path}" is on its way to an engine that takes no connections')
+def step_connecting(context, path):
+    deployment = context.deployment
+    deployment.record(StandInEngine("deaf", "desk", address=full_listener(context)))
+
+    async def is_connecting():
+        call = asyncio.ensure_future(deployment.call(deployment.nodes[0], path))
+        await asyncio.wait([call], timeout=0.12)
+        return None if call.done() else call
+
+    context.connecting = context.run(deployment.wait_until(is_connecting))
+
+
+@when(
+    "the node stands still for {seconds:g} s, and at {at:g} s all desk engines leave "
+    'and {count:d} clients post to "{path}"'
+)
+def step_stands_still(context, seconds, at, count, path):
+    deployment = context.deployment
+    node = deployment.nodes[0]
+    context.left = [engine for engine in deployment.engines.values() if engine.service == "desk"]
+    context.arrived_before = sum(len(engine.arrivals) for engine in context.left)
+
+    async def stand_still():
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(at)
+        for engine in context.left:
+            deployment.record(engine, "draining")
+        calls = [asyncio.ensure_future(deployment.call(node, path)) for _ in range(count)]
+        await asyncio.sleep(seconds - at)
+        node.signal(signal.SIGCONT)
+        await asyncio.gather(context.connecting, *calls, return_exceptions=True)
+
+    context.run(stand_still())
+
+
+@then("no engine that left got a request")
+def step_left_alone(context):
+    arrived = sum(len(engine.arrivals) for engine in context.left) - context.arrived_before
+    assert arrived == 0, arrived
+
+
 @given("a node whose log nobody reads")
 def step_unread_log(context):
     reader, writer = os.pipe()
