Split what carries out one delivery from the forwarder

Change: DeliveryRun (was _Delivery), EngineSignal and expected_load move to delivery_run.py; DeliveryOwner names what a run asks of the forwarder. Bodies are moved as they were.

--- /dev/null
+++ b/liftrill/gateway/delivery_run.py
@@ -0,0 +1,216 @@
+"""The run of one delivery: the machine's instructions, carried out on one attempt at a time."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Awaitable
+from contextlib import suppress
+
+from liftrill import constants
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.engine_table import EngineLoad, EngineView
+from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.transport import AnswerSink, EngineAttempt
+
+WAIT_STEP_SECONDS = 0.06
+
+
+class EngineSignal:
+    """Wakes all requests that wait for an engine."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake whoever waits now."""
+        self._event.set()
+        self._event = asyncio.Event()
+
+    async def wait(self) -> None:
+        """Wait for the next notification."""
+        await self._event.wait()
+
+
+class DeliveryOwner(ABC):
+    """What all deliveries of one node share, and whom they tell what they learn.
+
+    Attributes:
+        engine_signal: wakes requests that wait for an engine.
+    """
+
+    def __init__(self, log: DecisionLog, metrics: GatewayMetrics) -> None:
+        self.engine_signal = EngineSignal()
+        self.log = log
+        self.metrics = metrics
+
+    @abstractmethod
+    def begin(
+        self, request: OpaqueRequest, start: events.StartAttempt, first: bool
+    ) -> tuple[EngineView | None, EngineAttempt]:
+        """Account for an attempt that is about to be sent."""
+
+    @abstractmethod
+    async def read_before_overdue(
+        self, machine: DeliveryMachine, reading: Awaitable[list[events.DeliveryEvent]]
+    ) -> list[events.DeliveryEvent]:
+        """Return what a read tells, or the end of an attempt that may no longer begin."""
+
+    @abstractmethod
+    def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
+        """Learn about an engine from what an attempt told."""
+
+    @abstractmethod
+    def note_prompt_read(self, machine: DeliveryMachine, tokens: int, elapsed_s: float) -> None:
+        """Note that the newest attempt's engine has read the prompt, and how fast."""
+
+    @abstractmethod
+    def note_slot_held(self, machine: DeliveryMachine, held_s: float) -> None:
+        """Note for how long a request held a slot of its engine."""
+
+    @abstractmethod
+    def note_not_run(self, request: OpaqueRequest) -> None:
+        """Note that a request ends without having run."""
+
+
+class DeliveryRun:
+    """The state of one run: the machine, and the attempt that is open now."""
+
+    def __init__(self, owner: DeliveryOwner, machine: DeliveryMachine, sink: AnswerSink) -> None:
+        self._owner = owner
+        self._machine = machine
+        self._sink = sink
+        self._attempt: EngineAttempt | None = None
+        self._view: EngineView | None = None
+        self._load = EngineLoad()
+        self._started_at = 0.0
+        self._tokens_ahead = 0
+        self._ended = False
+
+    async def drive(self, first: events.DeliveryEvent) -> None:
+        """Feed events to the machine until it ends."""
+        pending: deque[events.DeliveryEvent] = deque([first])
+        while not self._ended:
+            # Bytes that complete no event bring none.
+            while not pending:
+                pending.extend(await self._read())
+            event = pending.popleft()
+            for instruction in self._machine.handle(event):
+                pending.extend(await self._carry_out(instruction))
+
+    def close(self) -> None:
+        """Close what is still open."""
+        if self._attempt is not None:
+            self._attempt.close()
+            self._attempt = None
+        if self._view is not None:
+            self._view.own_load.add(self._load, -1)
+            self._view = None
+            self._owner.engine_signal.notify()
+
+    async def _read(self) -> list[events.DeliveryEvent]:
+        assert self._attempt is not None
+        return self._noted(await self._until_overdue(self._attempt.read()))
+
+    async def _until_overdue(
+        self, reading: Awaitable[list[events.DeliveryEvent]]
+    ) -> list[events.DeliveryEvent]:
+        """Give up an attempt that has not begun when it no longer may."""
+        if not self._load.waiting_tokens:
+            return await reading
+        return await self._owner.read_before_overdue(self._machine, reading)
+
+    def _note_prompt_read(self) -> None:
+        """Note that the prompt no longer waits, once the first event shows it."""
+        if self._load.waiting_tokens and self._view is not None:
+            self._view.own_load.waiting_tokens -= self._load.waiting_tokens
+            self._load.waiting_tokens = 0
+            elapsed_s = time.monotonic() - self._started_at
+            self._owner.note_prompt_read(self._machine, self._tokens_ahead, elapsed_s)
+
+    def _noted(self, found: list[events.DeliveryEvent]) -> list[events.DeliveryEvent]:
+        for event in found:
+            if isinstance(event, events.EventArrived):
+                self._machine.times.note(event.event.event_id, time.monotonic())
+                self._note_prompt_read()
+            if self._view is not None:
+                self._owner.note(self._view, event)
+            self._owner.log.attempt_event(self._machine, event)
+        return found
+
+    async def _carry_out(
+        self, instruction: events.DeliveryInstruction
+    ) -> list[events.DeliveryEvent]:
+        if isinstance(instruction, events.PassEvent):
+            await self._sink.pass_bytes(instruction.event.data)
+            return []
+        if isinstance(instruction, events.StartAttempt):
+            return await self._start(instruction)
+        if isinstance(instruction, events.WaitForEngine):
+            return [await self._wait_for_engine()]
+        if isinstance(instruction, events.AbandonAttempt):
+            self.close()
+        elif isinstance(instruction, events.PassHead):
+            await self._sink.pass_head(instruction)
+        else:
+            await self._end(instruction)
+        return []
+
+    async def _start(self, start: events.StartAttempt) -> list[events.DeliveryEvent]:
+        self.close()
+        machine = self._machine
+        self._owner.log.attempt_started(machine, start)
+        first = len(machine.attempts) == 1
+        self._view, self._attempt = self._owner.begin(machine.request, start, first)
+        self._load = expected_load(machine.request, start.choice)
+        self._started_at = time.monotonic()
+        if self._view is not None:
+            self._view.own_load.add(self._load)
+            self._tokens_ahead = self._view.waiting_tokens
+        return self._noted(await self._until_overdue(self._attempt.open()))
+
+    async def _wait_for_engine(self) -> events.DeliveryEvent:
+        request = self._machine.request
+        share = constants.ENGINE_WAIT_TARGET_SHARE
+        until = request.received_at + share * request.route.target_seconds
+        left = until - time.monotonic()
+        if left <= 0:
+            return events.WaitEnded()
+        self.close()
+        # What an engine refused for passes without a signal, so it is asked again now and then.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(min(left, WAIT_STEP_SECONDS)):
+                await self._owner.engine_signal.wait()
+        return events.Started() if time.monotonic() < until else events.WaitEnded()
+
+    async def _end(self, ending: events.DeliveryInstruction) -> None:
+        self._ended = True
+        held_s = self._machine.times.since_first_event_s(time.monotonic())
+        if isinstance(ending, events.FinishStream) and held_s is not None:
+            self._owner.note_slot_held(self._machine, held_s)
+        self._owner.log.request_ended(self._machine, ending)
+        self._owner.metrics.record_end(self._machine, ending)
+        if isinstance(ending, events.PassAnswer):
+            self.close()
+            await self._sink.pass_answer(ending.answer)
+        elif isinstance(ending, events.FinishStream):
+            await self._sink.finish()
+        elif isinstance(ending, events.BreakOff):
+            self._sink.break_off()
+        elif isinstance(ending, events.RefuseRequest):
+            self._owner.note_not_run(self._machine.request)
+            await self._sink.refuse(ending)
+        elif isinstance(ending, events.FailRequest):
+            await self._sink.fail(ending)
+
+
+def expected_load(request: OpaqueRequest, choice: events.EngineChoice) -> EngineLoad:
+    """Return what a request puts on the engine that was chosen for it."""
+    prompt = request.prompt
+    if prompt is None:
+        return EngineLoad(requests=1)
+    resident = prompt.prompt_tokens + prompt.output_tokens
+    return EngineLoad(1, max(1, choice.expected_tokens), resident)
