A choice may wait until what came during a standstill is known: the core

Cause: as the scenario in platform.feature shows, engines are chosen after a standstill by what was believed before it.

Change: Standstill (sans-IO) notes gaps between beats and tells when news of them is in; ForwardingPorts.beliefs_hold is asked at the choice of every attempt: first send, retry, hold, continue.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -72,6 +72,24 @@
       | turns it away as overloaded |
       | breaks the stream it began  |
 
+  Scenario: While a node's beliefs do not hold a request is kept, and then sent
+    Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n"
+    And its node's beliefs hold again after 0.05 s
+    When a gateway delivers it
+    Then it was sent after 0.05 s at the earliest
+    And the answer is complete
+
+  Scenario: While a node's beliefs do not hold no run goes on with its copy
+    Given a run on version 1 that broke, and an engine that has its copy
+    And its node's beliefs do not hold
+    Then it goes on nowhere
+
+  Scenario: What a process believes after a standstill is from before, until it is told what came
+    Given a process that beats every 0.25 s until 10 s, stands still and beats again at 13 s
+    Then at 13.1 s, with all known until 10 s, what it believes is from before
+    And at 13.1 s, with all known until 13.05 s, it is not
+    But at 15.1 s, with all known until 10 s, it is used again
+
   Scenario: An engine with a long queue gets nothing that would begin too late
     Given an engine whose weights may begin requests for 1 s, and 30000 tokens that wait there
     Then no engine is ready for a request
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -17,6 +17,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.retry_allowance import RetryAllowance
+from liftrill.gateway.standstill import Standstill
 from liftrill.gateway.transport import AnswerSink, EngineAttempt, EngineTransport
 from liftrill.gateway.weight_targets import WeightTargets
 
@@ -371,6 +372,67 @@
     assert context.sink.data == b"id: 1\ndata: a\n\n", context.sink.data
 
 
+@given("its node's beliefs hold again after {seconds:g} s")
+def step_beliefs_later(context, seconds):
+    holds_at = time.monotonic() + seconds
+    context.beliefs_hold = lambda now: now >= holds_at
+    context.transport = RecordingTransport(context.pieces)
+    context.holds_at = holds_at
+
+
+class RecordingTransport(ScriptedTransport):
+    """Engines that answer; notes when each attempt was made."""
+
+    def __init__(self, pieces):
+        super().__init__(pieces)
+        self.sent_at = []
+
+    def attempt(self, request, start):
+        self.sent_at.append(time.monotonic())
+        return super().attempt(request, start)
+
+
+@then("it was sent after {seconds:g} s at the earliest")
+def step_sent_later(context, seconds):
+    (sent_at,) = context.transport.sent_at
+    assert sent_at >= context.holds_at, (sent_at, context.holds_at)
+
+
+@given("its node's beliefs do not hold")
+def step_beliefs_never(context):
+    context.ports = ForwardingPorts(context.selector, RetryAllowance(0.2, 20.0, 10.0, 0.0))
+    context.ports.beliefs_hold = lambda now: False
+
+
+@then("it goes on nowhere")
+def step_goes_on_nowhere(context):
+    assert context.ports.continue_at_backup(opaque_request(), context.broken) is None
+    context.ports.beliefs_hold = lambda now: True
+    assert context.ports.continue_at_backup(opaque_request(), context.broken) is not None
+
+
+@given(
+    "a process that beats every {interval:g} s until {stop:g} s, "
+    "stands still and beats again at {again:g} s"
+)
+def step_beats(context, interval, stop, again):
+    context.standstill = Standstill(longest_wait_s=2.0)
+    beats = [n * interval for n in range(round(stop / interval) + 1)]
+    assert not any(context.standstill.beat(now) for now in beats)
+    assert context.standstill.beat(again)
+
+
+@then("at {now:g} s, with all known until {known:g} s, what it believes is from before")
+def step_from_before(context, now, known):
+    assert not context.standstill.is_over(now, known)
+
+
+@then("at {now:g} s, with all known until {known:g} s, it is not")
+@then("at {now:g} s, with all known until {known:g} s, it is used again")
+def step_used_again(context, now, known):
+    assert context.standstill.is_over(now, known)
+
+
 @given(
     "an engine whose weights may begin requests for {seconds:g} s, "
     "and {tokens:d} tokens that wait there"
@@ -417,9 +479,11 @@
     selector = EngineSelector(engines, targets, "zone-1")
     allowance = RetryAllowance(0.2, 20.0, 10.0, 0.0)
     context.metrics = GatewayMetrics()
+    ports = ForwardingPorts(selector, allowance)
+    ports.beliefs_hold = getattr(context, "beliefs_hold", ports.beliefs_hold)
     forwarder = Forwarder(
         engines,
-        ForwardingPorts(selector, allowance),
+        ports,
         allowance,
         transport,
         DecisionLog("node-1"),
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -30,8 +30,17 @@
 OVERLOAD_RETRY_AFTER_S = (0.5, 1.5)
 
 
+def _always(now: float) -> bool:
+    """Take the beliefs for current."""
+    return True
+
+
 class ForwardingPorts(DeliveryPorts):
-    """The machine's view of engines and budgets."""
+    """The machine's view of engines and budgets.
+
+    Attributes:
+        beliefs_hold: whether engines may be chosen by what is believed at a time.
+    """
 
     def __init__(
         self,
@@ -39,6 +48,7 @@
         allowance: RetryAllowance,
         quotas: QuotaGate | None = None,
     ) -> None:
+        self.beliefs_hold: Callable[[float], bool] = _always
         self._selector = selector
         self._allowance = allowance
         self._quotas = quotas
@@ -47,13 +57,19 @@
         self, request: OpaqueRequest, excluded: frozenset[str]
     ) -> events.EngineChoice | Unavailable:
         """Return an engine outside a set of engines already tried."""
-        return self._selector.choose(request, excluded, time.monotonic())
+        now = time.monotonic()
+        if not self.beliefs_hold(now):
+            return Unavailable.NONE_READY
+        return self._selector.choose(request, excluded, now)
 
     def continue_at_backup(
         self, request: OpaqueRequest, broken: events.EngineChoice
     ) -> events.EngineChoice | None:
         """Return the backup's engine as it is now, or None if it takes nothing."""
-        return self._selector.continue_at_backup(request, broken, time.monotonic())
+        now = time.monotonic()
+        if not self.beliefs_hold(now):
+            return None
+        return self._selector.continue_at_backup(request, broken, now)
 
     def begin_by(self, choice: events.EngineChoice, request: OpaqueRequest) -> float:
         """Return until when a request may begin where it was sent, on the steady clock."""
