A node that stood still chooses engines once it has the store's word again

Cause: after a standstill a node read its callers' requests, and ended attempts that were connecting, before it read what the store had told: engines were chosen by beliefs from before it.

Change: Standstill notes gaps of 0.75 s between the beats of the loop; until the copy of the store is known to be whole as of the waking, 2 s at most, no engine is chosen. The store is asked at once.

--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -85,7 +85,15 @@
         self._prove(answer.version, asked_at - answer.proof_age_s)
 
     async def prove_within(self, limit_s: float) -> None:
-        """Ask at once and wait a little for a proof: this process may have stood still.
+        """Ask at once and wait a little for a proof: this process may have stood still."""
+        self.ask_soon()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while not self._view.is_proven(time.monotonic()):
+                    await self._proved.wait()
+
+    def ask_soon(self) -> None:
+        """Ask at once.
 
         While the store does not answer this node, it is asked no more often than usual:
         calls are paid for, and all nodes would hurry at the same time.
@@ -95,10 +103,6 @@
             self._hurried_at = now
             self._hurry = True
             self._wanted.set()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
-                while not self._view.is_proven(time.monotonic()):
-                    await self._proved.wait()
 
     def _prove(self, version: int, asked_at: float) -> None:
         self._unanswered = False
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -41,6 +41,7 @@
 from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.route_table import WeightedSplit
 from liftrill.gateway.settings import GatewaySettings
+from liftrill.gateway.standstill import Standstill
 from liftrill.gateway.store_follower import FollowerOwner, StoreFollower
 from liftrill.gateway.transport import EngineTransport
 from liftrill.gateway.weight_controller import WeightController
@@ -48,6 +49,9 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 HOUSEKEEPING_SECONDS = 0.25
+# For how long a node that stood still waits for the store's word before it uses what it believed:
+# by then an outage is likelier than a slow answer (guess).
+NEWS_WAIT_S = 2.0
 # With fewer nodes than this in the caller's zone, nodes of all zones are named.
 LEAST_NODES_OF_A_ZONE = 2
 LEASE_RENEW_INTERVAL_SECONDS = 0.7
@@ -97,7 +101,9 @@
         self._fleet = FleetSize()
         self._quotas = self._new_quotas()
         ports = ForwardingPorts(selector, self._allowance, self._quotas)
+        ports.beliefs_hold = self._beliefs_hold
         self.forwarder = Forwarder(engines, ports, self._allowance, transport, log, metrics)
+        self._standstill = Standstill(NEWS_WAIT_S)
         self._membership = self._new_membership()
         self._readers = ReaderPlan(self._membership.own)
         limits = ReaderLimits(settings.node, longest_mirror_age_s(bounds.news_seconds))
@@ -262,6 +268,18 @@
         ranked = rendezvous.rank(LEADER_RANK_KEY, names)
         return self.settings.node in ranked[:LEADER_CANDIDATES]
 
+    def _beliefs_hold(self, now: float) -> bool:
+        """Return whether what came while this process stood still is known."""
+        self._beat(now)
+        return self._standstill.is_over(now, self._follower.currency.as_of)
+
+    def _beat(self, now: float) -> None:
+        """Ask the store at once after a standstill: engines may have left meanwhile."""
+        if self._standstill.beat(now):
+            mirror_age_s = rounded_age(self._follower.currency.age_s(now))
+            self.log.belief("woken", mirror_age_s=mirror_age_s)
+            self._currency.ask_soon()
+
     # What others tell
 
     def mirror_changed(self, change: MirrorChange, known_until: float) -> None:
@@ -444,6 +462,7 @@
     async def _keep_house(self) -> None:
         while True:
             now = time.monotonic()
+            self._beat(now)
             self._beliefs.expire(now)
             self._follower.reconsider()
             self.metrics.version.set(self.view.version)
