--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -343,7 +343,7 @@
 
 @when("a peer asked at {asked:g} s answers with version {version:d} and a proof {age:g} s old")
 def step_peer_proof(context, asked, version, age):
-    context.prover.take_answer(RelayAnswer(1, version, age, 10, age, "reader"), asked)
+    context.prover.take_answer(RelayAnswer(1, version, age, 10, age, ("reader",)), asked)
 
 
 @then("the proof is {age:g} s old at {now:g} s")
@@ -354,7 +354,7 @@
 class Reader(RelaySource):
     """A relay server on loopback, with a mirror that the steps change."""
 
-    origin = "reader"
+    path = ("reader",)
 
     def __init__(self, count, large=0):
         self.mirror = StoreMirror()
@@ -370,9 +370,6 @@
             items[0] = StoredItem("key-0000", os.urandom(large), 1)
         self.server.publish(self.mirror.take_page(RangePage(tuple(items), count, False)))
 
-    def may_lapse(self):
-        return False
-
     def count(self, followers):
         self.followers = followers
 
--- a/features/steps/store_gap_steps.py
+++ b/features/steps/store_gap_steps.py
@@ -111,7 +111,7 @@
     context.run(gap(context, seconds, remove_record))
 
 
-@when("the store is away for 1 s, in which an engine's record goes, and comes back 1 s later")
+@when("the store is away for 2.6 s, in which an engine's record goes, and it is back 1 s later")
 def step_lapse(context):
     context.run(lapse(context))
 
@@ -120,7 +120,7 @@
     deployment = context.deployment
     deployment.store.fault = "reset"
     deployment.store.cut_watches()
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(2.1)
     remove_record(context)
     await asyncio.sleep(0.5)
     deployment.store.fault = ""
--- a/features/store_gaps.feature
+++ b/features/store_gaps.feature
@@ -42,6 +42,6 @@
 
   Scenario: An engine whose record lapses while the store is away is used until it is back
     Given callers that call all nodes on "whole"
-    When the store is away for 1 s, in which an engine's record goes, and comes back 1 s later
+    When the store is away for 2.6 s, in which an engine's record goes, and it is back 1 s later
     And callers go on for 1 s
     Then requests reached that engine in each of these seconds
--- a/liftrill/coordination/store_mirror.py
+++ b/liftrill/coordination/store_mirror.py
@@ -12,14 +12,11 @@
     Attributes:
         gap: whether the change came from reading the range anew, so that a removal may
             have happened at any time since the last answer.
-        lapses: whether what is removed may have lapsed while the store was away, and be
-            written again by owners that live on.
     """
 
     written: tuple[StoredItem, ...]
     removed: tuple[str, ...]
     gap: bool
-    lapses: bool = False
 
 
 @dataclass(slots=True)
@@ -77,7 +74,9 @@
             if change.revision <= self.at:
                 continue
             known = self._items.get(change.key)
-            if known is not None and known.revision >= change.revision:
+            # One that is known already is told again: a copy that follows this one may have
+            # come to it by another way, and lack it.
+            if known is not None and known.revision > change.revision:
                 continue
             if isinstance(change, RemovedItem):
                 self._forget(change.key, written, removed)
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -21,6 +21,7 @@
 
     Attributes:
         configuration_revision: the store's revision of the configuration in force.
+        shortest_lapse_s: in a shorter gap of what is known no record of a living engine lapses.
         store_read: whether the store was read once: what is news later came since.
     """
 
@@ -31,6 +32,7 @@
     selector: EngineSelector
     split: WeightedSplit
     log: DecisionLog
+    shortest_lapse_s: float
     configuration_revision: int = 0
     store_read: bool = False
 
@@ -40,9 +42,10 @@
             self.apply_item(item, known_until)
         self.store_read = True
         gone = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
-        if change.lapses:
-            # Records may go while the store is away though their engines live on.
-            self.engines.mark_vanished(gone, time.monotonic())
+        now = time.monotonic()
+        if change.gap and now - known_until >= self.shortest_lapse_s:
+            # Records may lapse while the store is away though their engines live on.
+            self.engines.mark_vanished(gone, now)
             return
         for engine_id in gone:
             self.engines.remove(engine_id)
--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -19,6 +19,9 @@
 # The share of the bound on news after which the store is asked again: the rest is for the watch
 # to bring what the answer named, and for reading the range where it does not.
 PROOF_INTERVAL_SHARE = 0.45
+# The share of the bound for which an answer is waited for: the rest is for following a node that
+# the store does answer.
+PROOF_WAIT_SHARE = 0.35
 # The least time between two questions that are asked because a request needs the answer.
 HURRY_SPACING_S = 0.5
 
@@ -28,6 +31,11 @@
     return min(constants.KEY_PROOF_INTERVAL_SECONDS, PROOF_INTERVAL_SHARE * news_s)
 
 
+def proof_timeout_s(news_s: float) -> float:
+    """Return how long an answer is waited for, by the bound on news."""
+    return min(constants.STORE_CALL_TIMEOUT_SECONDS, PROOF_WAIT_SHARE * news_s)
+
+
 class CurrencyOwner(ABC):
     """Whom to tell of what a reading shows."""
 
@@ -50,9 +58,10 @@
         beliefs: Beliefs,
         view: ConfigurationView,
         owner: CurrencyOwner,
-        interval_s: float = constants.KEY_PROOF_INTERVAL_SECONDS,
+        news_s: float = math.inf,
     ) -> None:
-        self._interval_s = interval_s
+        self._interval_s = proof_interval_s(news_s)
+        self._timeout_s = proof_timeout_s(news_s)
         self._store = store
         self._follower = follower
         self._beliefs = beliefs
@@ -131,8 +140,9 @@
     async def _is_answered(self, asked_at: float) -> bool:
         """Ask the store, and return whether it answered."""
         try:
-            await self._ask(asked_at)
-        except StoreError:
+            async with asyncio.timeout(self._timeout_s):
+                await self._ask(asked_at)
+        except (StoreError, TimeoutError):
             self._follower.store_failed()
             return False
         return True
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -18,7 +18,7 @@
 from liftrill.gateway.admission import AdmissionRefusal, IncomingRequest, RequestAdmission
 from liftrill.gateway.beliefs import Beliefs
 from liftrill.gateway.configuration_view import ConfigurationView
-from liftrill.gateway.currency import CurrencyOwner, CurrencyProver, proof_interval_s
+from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.engine_selector import EngineSelector
 from liftrill.gateway.engine_table import EngineNotice, EngineTable, EngineView
@@ -49,6 +49,9 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 HOUSEKEEPING_SECONDS = 0.25
+# A record lapses three beats after its engine's last one, which came at most one beat before
+# the store went away.
+BEATS_OF_A_LAPSE = 2
 # For how long a node that stood still waits for the store's word before it uses what it believed:
 # by then an outage is likelier than a slow answer (guess).
 NEWS_WAIT_S = 2.0
@@ -94,7 +97,16 @@
         )
         split = WeightedSplit()
         selector = EngineSelector(engines, targets, settings.zone)
-        self._beliefs = Beliefs(decoder, self.view, engines, targets, selector, split, log)
+        self._beliefs = Beliefs(
+            decoder,
+            self.view,
+            engines,
+            targets,
+            selector,
+            split,
+            log,
+            BEATS_OF_A_LAPSE * bounds.heartbeat_seconds,
+        )
         self._engines = engines
         self._allowance = self._new_allowance()
         self.admission = RequestAdmission(self.view, split)
@@ -114,7 +126,7 @@
             self._beliefs,
             self.view,
             self,
-            proof_interval_s(bounds.news_seconds),
+            bounds.news_seconds,
         )
         self._relay = RelayServer(self._follower, self.view, metrics.followers.set)
         self._silence = PeerSilence()
--- a/liftrill/gateway/relay_client.py
+++ b/liftrill/gateway/relay_client.py
@@ -24,14 +24,15 @@
 _nonces = itertools.count(1)
 
 
-# The share of the bound on news that a reader's copy may be old: what is left is for the answer's
-# way and for reading the store instead.
-MIRROR_AGE_SHARE = 0.85
+# What is left of the bound on news, besides the time to the next answer, for following another
+# node or reading the store, and for a request on its way.
+LEAVING_S = 0.2
 
 
 def longest_mirror_age_s(news_s: float) -> float:
     """Return how old the copy of a followed reader may be, by the bound on news."""
-    return min(constants.RELAY_PROOF_AGE_SECONDS, MIRROR_AGE_SHARE * news_s)
+    left_s = news_s - constants.RELAY_QUESTION_SECONDS - LEAVING_S
+    return min(constants.RELAY_PROOF_AGE_SECONDS, left_s)
 
 
 class RelayLostError(LiftrillError):
@@ -72,9 +73,9 @@
             raise RelayLostError(f"its proof is {answer.proof_age_s:.1f} s old")
         if answer.mirror_age_s > self.longest_mirror_age_s:
             raise RelayLostError(f"its copy is {answer.mirror_age_s:.1f} s old")
-        if not answer.origin:
+        if not answer.path:
             raise RelayLostError("nobody reads the store for it")
-        if answer.origin == self.own_name:
+        if self.own_name in answer.path:
             raise RelayLostError("it follows this node")
 
 
--- a/liftrill/gateway/relay_codec.py
+++ b/liftrill/gateway/relay_codec.py
@@ -29,14 +29,11 @@
 
     Attributes:
         more: whether further parts of the snapshot follow.
-        lapses: whether records that the snapshot lacks may have lapsed while the store was
-            away, and be written again.
     """
 
     batch: WatchBatch
     snapshot: bool = False
     more: bool = False
-    lapses: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +45,8 @@
         proof_age_s: since it asked the store which version is the newest.
         at: the revision of its mirror; all changes up to it were sent before.
         mirror_age_s: since when its mirror may lack changes.
-        origin: the node that reads the store for it, itself or another; "" for none.
+        path: the nodes that changes pass, from itself to the one that reads the store; empty
+            where nobody does.
     """
 
     nonce: int
@@ -56,7 +54,7 @@
     proof_age_s: float
     at: int
     mirror_age_s: float
-    origin: str
+    path: tuple[str, ...]
 
 
 def encode_question(nonce: int) -> bytes:
@@ -78,14 +76,14 @@
     return messages.RelayMessage(items=items, at=batch.at).SerializeToString()
 
 
-def encode_snapshot(items: Iterable[StoredItem], at: int, lapses: bool) -> Iterator[bytes]:
+def encode_snapshot(items: Iterable[StoredItem], at: int) -> Iterator[bytes]:
     """Return all items, in parts."""
     rows = [_encode_change(item) for item in items]
     step = SNAPSHOT_ITEMS_PER_MESSAGE
     for start in range(0, max(1, len(rows)), step):
         more = start + step < len(rows)
         part = rows[start : start + step]
-        message = messages.RelayMessage(items=part, at=at, snapshot=True, more=more, lapses=lapses)
+        message = messages.RelayMessage(items=part, at=at, snapshot=True, more=more)
         yield message.SerializeToString()
 
 
@@ -96,7 +94,7 @@
         version=answer.version,
         proof_age_milliseconds=_milliseconds(answer.proof_age_s),
         mirror_age_milliseconds=_milliseconds(answer.mirror_age_s),
-        origin=answer.origin,
+        path=answer.path,
     )
     return messages.RelayMessage(at=answer.at, answer=row).SerializeToString()
 
@@ -114,10 +112,12 @@
             row = message.answer
             age_s = row.proof_age_milliseconds / 1000.0
             mirror_age_s = row.mirror_age_milliseconds / 1000.0
-            return RelayAnswer(row.nonce, row.version, age_s, message.at, mirror_age_s, row.origin)
+            return RelayAnswer(
+                row.nonce, row.version, age_s, message.at, mirror_age_s, tuple(row.path)
+            )
         changes = tuple(_decode_change(row) for row in message.items)
         batch = WatchBatch(changes, message.at)
-        return RelayUpdate(batch, message.snapshot, message.more, message.lapses)
+        return RelayUpdate(batch, message.snapshot, message.more)
     except (DecodeError, zlib.error) as error:
         raise RelayDecodeError(f"not a message of a reader: {error}") from error
 
--- a/liftrill/gateway/relay_server.py
+++ b/liftrill/gateway/relay_server.py
@@ -71,12 +71,12 @@
 
     @property
     @abstractmethod
-    def origin(self) -> str:
-        """Return the node whose reading the copy comes from, or "" for none."""
+    def path(self) -> tuple[str, ...]:
+        """Return the nodes that changes pass, from this one to the one that reads the store.
 
-    @abstractmethod
-    def may_lapse(self) -> bool:
-        """Return whether records that the copy lacks may be written again soon."""
+        Naming the last one alone would not do: two nodes that follow each other may go on
+        telling each other of a third that reads no more.
+        """
 
 
 class RelayServer:
@@ -93,6 +93,7 @@
         self._view = view
         self._count = count
         self._log = ChangeLog()
+        self._published_at = 0
         self._subscribers: set[_Subscriber] = set()
         self._server: asyncio.Server | None = None
 
@@ -112,8 +113,9 @@
 
     def publish(self, change: MirrorChange) -> None:
         """Pass a change of the mirror on."""
+        before, self._published_at = self._published_at, self._mirror.at
         if change.gap:
-            if self._log.at == self._mirror.at:
+            if before == self._mirror.at and not change.written and not change.removed:
                 return
             self._log.restart(self._mirror.at)
             for data in self._snapshot():
@@ -125,7 +127,7 @@
         self._send_all(encode_batch(batch))
 
     def _snapshot(self) -> Iterator[bytes]:
-        return encode_snapshot(self._mirror.items(), self._mirror.at, self._source.may_lapse())
+        return encode_snapshot(self._mirror.items(), self._mirror.at)
 
     def publish_early(self, item: StoredItem) -> None:
         """Pass on an item that was read alone, before the mirror knows of it."""
@@ -190,5 +192,5 @@
             self._view.proof_age(now),
             self._mirror.at,
             self._source.currency.age_s(now),
-            self._source.origin,
+            self._source.path,
         )
--- a/liftrill/gateway/settings.py
+++ b/liftrill/gateway/settings.py
@@ -17,6 +17,7 @@
         lease_seconds: how long orders of one leader must be past before those of another.
         quota_tolerance: how the use of tenants' limits is judged.
         news_seconds: within which what the store acknowledged must be in force.
+        heartbeat_seconds: the time between two signs of life of an engine in the store.
         stop_seconds: the time between the signal to stop and being killed.
     """
 
@@ -30,6 +31,7 @@
     least_lease_seconds: float = 1.0
     quota_tolerance: QuotaTolerance = field(default_factory=QuotaTolerance)
     news_seconds: float = 10.0
+    heartbeat_seconds: float = 1.2
     stop_seconds: float = 8.0
     longest_resolve_seconds: float = 5.0
 
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -9,7 +9,6 @@
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable
-from dataclasses import replace
 
 from liftrill import constants
 from liftrill.coordination.membership_messages import Member
@@ -105,9 +104,10 @@
         self._relay = RelayClient(self, limits)
         self._outage = StoreOutage()
         self._reread = True
+        self._try_store = False
         self._waiting: asyncio.Task[None] | None = None
         self._followed_since = 0.0
-        self._origin = ""
+        self._reader_path: tuple[str, ...] = ()
 
     async def run(self) -> None:
         """Follow the range until cancelled."""
@@ -119,7 +119,7 @@
             except StoreError:
                 self._reread = True
                 self._note_connection(False)
-                await asyncio.sleep(self._outage.next_pause_s())
+                await self._interruptible(asyncio.sleep(self._outage.next_pause_s()))
 
     def read_again(self) -> None:
         """Read the whole range soon: something shows that the copy lacks changes."""
@@ -127,15 +127,12 @@
         self._interrupt()
 
     @property
-    def origin(self) -> str:
-        """Return the name of the node whose reading this copy comes from, or "" for none."""
+    def path(self) -> tuple[str, ...]:
+        """Return the nodes that changes pass, from this one to the one that reads the store."""
+        own_name = self._owner.own_name()
         if self.followed is not None:
-            return self._origin
-        return "" if self._outage.lost else self._owner.own_name()
-
-    def may_lapse(self) -> bool:
-        """Return whether records that the copy lacks may be written again soon."""
-        return self._outage.may_lapse(time.monotonic())
+            return (own_name, *self._reader_path) if self._reader_path else ()
+        return () if self._outage.lost or self._reread else (own_name,)
 
     def watch_lag_s(self) -> float:
         """Return how much later than a reading the watch may bring what the reading named."""
@@ -150,21 +147,25 @@
             self._interrupt()
 
     def store_failed(self) -> None:
-        """Note that the store did not answer another call of this node.
-
-        Whether the store is lost shows the reading of the range, on a connection of its own.
-        """
+        """Note that the store did not answer a reading of this node, asked on a new connection."""
         if self.followed is None:
-            self._outage.note_unanswered()
+            self._outage.note_unread()
             self.read_again()
 
     def store_answered(self, revision: int, asked_at: float) -> None:
         """Note that the store was at a revision some time after another call of this node."""
+        self._note_reading(revision, asked_at)
+        if self.followed is None and self._outage.lost:
+            # The store is back: the pause before the next try would only make the copy older.
+            self._outage.note_answered()
+            self.read_again()
+
+    def _note_reading(self, revision: int, asked_at: float) -> None:
         self.currency.note_reading(revision, asked_at)
         self.currency.note_mirror(self.mirror.at)
 
     def _reader_to_follow(self) -> Member | None:
-        if self._reread and not self._outage.lost:
+        if self._reread and (self._try_store or not self._outage.lost):
             return None
         return self._owner.reader_to_follow(self._outage.lost)
 
@@ -182,14 +183,12 @@
         items = tuple(item for item in update.batch.changes if isinstance(item, StoredItem))
         whole = self.mirror.take_page(RangePage(items, update.batch.at, update.more))
         if whole is not None:
-            if update.lapses:
-                self._outage.note_return(time.monotonic())
-            self._tell(replace(whole, lapses=update.lapses))
+            self._tell(whole)
 
     def relay_confirmed(self, answer: RelayAnswer, asked_at: float) -> None:
         """Take in how current the reader was some time after a question."""
-        self._origin = answer.origin
-        self.store_answered(answer.at, asked_at - answer.mirror_age_s)
+        self._reader_path = answer.path
+        self._note_reading(answer.at, asked_at - answer.mirror_age_s)
         self._owner.relay_answered(answer, asked_at)
 
     async def _follow(self, reader: Member) -> None:
@@ -197,8 +196,8 @@
         self._followed_since = time.monotonic()
         self._owner.reader_followed(reader, store_lost=self._outage.lost)
         # When it is given up, the store itself is tried before another stand-in.
-        self._outage.lost = False
-        self._origin = ""
+        self._try_store = True
+        self._reader_path = ()
         self.mirror.begin_reading()
         try:
             await self._interruptible(self._relay.follow(reader.address, self.mirror.at))
@@ -220,11 +219,12 @@
             if first:
                 # Whom to follow is known soon, and then need not be watched here.
                 await self._interruptible(asyncio.sleep(SETTLE_S))
+            if first or self._reread:
                 return
         await self._interruptible(self._watch_once())
 
     async def _interruptible(self, work: Awaitable[None]) -> None:
-        """Do work that `read_again` and `reconsider` can end alone."""
+        """Do work, or wait, until `read_again` or `reconsider` ends that alone."""
         self._waiting = asyncio.ensure_future(work)
         try:
             await asyncio.wait({self._waiting})
@@ -240,6 +240,7 @@
 
     async def _read_all(self) -> None:
         self._reread = False
+        self._try_store = False
         self.mirror.begin_reading()
         asked_at = time.monotonic()
         known_at = self.mirror.at
@@ -250,11 +251,11 @@
             raise
         if first_at < known_at:
             raise StoreUnavailableError(f"its page of {first_at} is older than the copy")
-        self._outage.note_read(time.monotonic())
+        self._outage.note_answered()
         self._note_connection(True)
-        self._tell(replace(change, lapses=self.may_lapse()))
+        self._tell(change)
         self._owner.range_read(asked_at)
-        self.store_answered(first_at, asked_at)
+        self._note_reading(first_at, asked_at)
 
     async def _read_pages(self) -> tuple[int, MirrorChange]:
         """Return the revision of the first page, and what the pages change."""
