--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -11,20 +11,19 @@
 
 STATE_LIMIT = 1_000_000
 GROUP_CHANGE = {"old": frozenset({0}), "new": frozenset({1})}
+MODELS = {
+    "claims": (claim_model, ClaimRules, {}),
+    "claims, group change": (claim_model, ClaimRules, GROUP_CHANGE),
+    "commit": (commit_model, CommitRules, {}),
+    "fenced order": (order_model, OrderRules, {}),
+    "order holder": (holder_model, HolderRules, {}),
+    "configuration adoption": (adoption_model, AdoptionRules, {}),
+}
 
 
 def build(name, **rules):
-    if name == "claims":
-        return claim_model(ClaimRules(**rules))
-    if name == "claims, group change":
-        return claim_model(ClaimRules(**GROUP_CHANGE, **rules))
-    if name == "commit":
-        return commit_model(CommitRules(**rules))
-    if name == "order holder":
-        return holder_model(HolderRules(**rules))
-    if name == "configuration adoption":
-        return adoption_model(AdoptionRules(**rules))
-    return order_model(OrderRules(**rules))
+    model, rules_type, setting = MODELS[name]
+    return model(rules_type(**setting, **rules))
 
 
 @when("the model {name} is checked without {rule}")
