Model of the relay of the store's mirror among nodes

Cause: nodes kept old beliefs for seconds when watches were cut or went deaf; the mend has four rules, and no model showed which of them bounds what. Invariants: a node that the store answers lacks no change for more than a tick beyond the age a follower takes over; where the store refuses nobody, none for more than 3 ticks; a node's belief of its age is never younger than the truth. Rows for read_before_following, age_told, age_bounded and watch_checked. origin_told breaks no invariant of this model when it is off: nodes can keep telling each other of a root that no longer reads. A second setting tells the whole path (the gateway doesn't); there origin_told and path_told are needed for 3 ticks under refusals, read_before_following isn't.

--- a/features/model_checking.feature
+++ b/features/model_checking.feature
@@ -12,6 +12,8 @@
       | fenced order         |
       | order holder         |
       | configuration adoption |
+      | mirror relay         |
+      | mirror relay, path told |
 
   Scenario Outline: The checker finds what breaks without <rule>
     When the model <model> is checked without <rule>
@@ -34,3 +36,9 @@
       | configuration adoption | only_forward            | never_back                     |
       | configuration adoption | proof_from_question     | removed_key_refused            |
       | configuration adoption | proof_required          | removed_key_refused            |
+      | mirror relay         | read_before_following     | cuts_heal_soon                 |
+      | mirror relay         | age_told                  | age_is_honest                  |
+      | mirror relay         | age_bounded               | nothing_old_is_lacked          |
+      | mirror relay         | watch_checked             | nothing_old_is_lacked          |
+      | mirror relay, path told | origin_told            | refusals_heal_soon             |
+      | mirror relay, path told | path_told              | refusals_heal_soon             |
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -7,10 +7,12 @@
 from spec.commit import CommitRules, commit_model
 from spec.configuration_adoption import AdoptionRules, adoption_model
 from spec.fenced_order import OrderRules, order_model
+from spec.mirror_relay import RelayRules, path_model, relay_model
 from spec.order_holder import HolderRules, holder_model
 
 STATE_LIMIT = 1_000_000
 GROUP_CHANGE = {"old": frozenset({0}), "new": frozenset({1})}
+ROOT_ALONE = {"path_told": False}
 MODELS = {
     "claims": (claim_model, ClaimRules, {}),
     "claims, group change": (claim_model, ClaimRules, GROUP_CHANGE),
@@ -18,6 +20,8 @@
     "fenced order": (order_model, OrderRules, {}),
     "order holder": (holder_model, HolderRules, {}),
     "configuration adoption": (adoption_model, AdoptionRules, {}),
+    "mirror relay": (relay_model, RelayRules, ROOT_ALONE),
+    "mirror relay, path told": (path_model, RelayRules, {}),
 }
 
 
