--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -7,24 +7,27 @@
 from spec.commit import CommitRules, commit_model
 from spec.configuration_adoption import AdoptionRules, adoption_model
 from spec.fenced_order import OrderRules, order_model
+from spec.mirror_relay import RelayRules, path_model, relay_model
 from spec.order_holder import HolderRules, holder_model
 
 STATE_LIMIT = 1_000_000
 GROUP_CHANGE = {"old": frozenset({0}), "new": frozenset({1})}
+ROOT_ALONE = {"path_told": False}
+MODELS = {
+    "claims": (claim_model, ClaimRules, {}),
+    "claims, group change": (claim_model, ClaimRules, GROUP_CHANGE),
+    "commit": (commit_model, CommitRules, {}),
+    "fenced order": (order_model, OrderRules, {}),
+    "order holder": (holder_model, HolderRules, {}),
+    "configuration adoption": (adoption_model, AdoptionRules, {}),
+    "mirror relay": (relay_model, RelayRules, ROOT_ALONE),
+    "mirror relay, path told": (path_model, RelayRules, {}),
+}
 
 
 def build(name, **rules):
-    if name == "claims":
-        return claim_model(ClaimRules(**rules))
-    if name == "claims, group change":
-        return claim_model(ClaimRules(**GROUP_CHANGE, **rules))
-    if name == "commit":
-        return commit_model(CommitRules(**rules))
-    if name == "order holder":
-        return holder_model(HolderRules(**rules))
-    if name == "configuration adoption":
-        return adoption_model(AdoptionRules(**rules))
-    return order_model(OrderRules(**rules))
+    model, rules_type, setting = MODELS[name]
+    return model(rules_type(**setting, **rules))
 
 
 @when("the model {name} is checked without {rule}")
