--- a/spec/mirror_relay.py
+++ b/spec/mirror_relay.py
@@ -37,8 +37,7 @@
     """Which rules the model follows.
 
     Attributes:
-        path_told: a node tells all nodes on its way to the store, not the last one alone
-            (the gateway tells the last one alone).
+        path_told: a node tells all nodes on its way to the store, not the last one alone.
     """
 
     read_before_following: bool = True
