--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -7,7 +7,6 @@
 from liftrill import constants
 from liftrill.gateway.records import WeightTarget
 
-
 # What a copy of the store lacks without any gap: as old as the last proof. A leader that took
 # each version to be as old would load more engines at once than it must (served 0.78 instead of
 # 0.91 of a day on which most orders get no answer).
