A record of the fleet's size is recalled once, not at each change of the mirror

Cause: recall is called at each change of the mirror and took a record for new that had been read before. A fleet that has shrunk was taken for as large as recorded again, so that the leader's number never stood for 3 s, the record was never mended, and each node allowed tenants too small a share.

Change: a record is recalled where its revision changed.

--- a/features/gateway_quota.feature
+++ b/features/gateway_quota.feature
@@ -25,3 +25,10 @@
     When it has been so for 4 s
     And one node of it is lost for 20 s
     Then it was written once
+
+  Scenario: A record that says what is known already does not undo that a fleet has shrunk
+    Given a node that leads a fleet of 79
+    When it has been so for 10 s
+    And only 40 of its nodes are left for 60 s, while other records change
+    Then the node takes the fleet for 40
+    And a node that starts takes the fleet for 40 before it knows another
--- a/features/steps/gateway_quota_steps.py
+++ b/features/steps/gateway_quota_steps.py
@@ -83,6 +83,16 @@
     context.node.run(seconds, nodes=context.node.nodes - 1)
 
 
+@when("only {nodes:d} of its nodes are left for {seconds:g} s, while other records change")
+def step_shrunk(context, nodes, seconds):
+    context.node.run(seconds, nodes=nodes)
+
+
+@then("the node takes the fleet for {nodes:d}")
+def step_node_takes(context, nodes):
+    assert context.node.fleet.nodes == nodes, context.node.fleet.nodes
+
+
 @then("a node that starts takes the fleet for {nodes:d} before it knows another")
 def step_takes(context, nodes):
     context.newcomer = FleetNode(context.node.store, 1, leads=False)
--- a/liftrill/gateway/fleet_record.py
+++ b/liftrill/gateway/fleet_record.py
@@ -39,9 +39,15 @@
         self._log = log
         self._seen = 0
         self._seen_at = 0.0
+        self._recalled_revision = 0
 
     def recall(self, now: float) -> None:
-        """Take the fleet to be as large as the record says."""
+        """Take the fleet to be as large as a record says that was not recalled before."""
+        item = self._mirror.get(FLEET_KEY)
+        # An old record taken for new would undo that the fleet has shrunk since it was written.
+        if item is None or item.revision == self._recalled_revision:
+            return
+        self._recalled_revision = item.revision
         self._fleet.assume(self._recorded(), now)
 
     async def write_if_due(self, now: float) -> None:
