Features of a copy's age, of readers fit to be followed and of lost watches, in-process

Cause: most parts of the mend of stale copies had no test that failed without them: dating of named versions, ReaderLimits.check, circles of two, a lost watch that is no lost store, MirrorCurrency.

Change: features/store_copies.feature, with StoreFollower, RelayServer and Beliefs in-process before a scripted store.

Not shown: the check of the node's own name is needed by its example alone; in the scenario with two nodes the other node leaves first by the origin.

--- /dev/null
+++ b/features/steps/store_copy_steps.py
@@ -0,0 +1,472 @@
+"""Steps on the age of a node's copy of the store, and on whom it follows, in-process."""
+
+import asyncio
+import math
+import re
+import time
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from features.gateway_store import MemoryStore
+from features.gateway_support import engine_record
+from liftrill import constants
+from liftrill.bench.launcher import free_ports
+from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.mirror_currency import MirrorCurrency
+from liftrill.errors import StoreUnavailableError
+from liftrill.gateway.beliefs import Beliefs
+from liftrill.gateway.configuration_view import ConfigurationView
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.record_decoder import RecordDecoder
+from liftrill.gateway.records import GatewayConfiguration, WeightTarget
+from liftrill.gateway.relay_client import ReaderLimits, RelayLostError
+from liftrill.gateway.relay_codec import RelayAnswer
+from liftrill.gateway.relay_server import RelayServer
+from liftrill.gateway.store_follower import FollowerOwner, StoreFollower
+from liftrill.gateway.weight_rollout import AnnounceLoad, WeightRollout
+from liftrill.gateway.weight_targets import WeightTargets
+
+MODEL = "model"
+LONGEST_MIRROR_AGE_S = 1.7
+# How far a wait in a test may be off, beside a load.
+LOOK_S = 0.02
+
+
+async def eventually(condition, seconds):
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, "it did not come about in time"
+        await asyncio.sleep(LOOK_S)
+
+
+# The currency of a copy
+
+
+@given("a copy of which nothing is proven")
+def step_unproven(context):
+    context.currency = MirrorCurrency()
+
+
+@when("these happen: {events}")
+def step_events(context, events):
+    for event in events.split(", "):
+        numbers = [int(number) for number in re.findall(r"\d+", event)]
+        if event.startswith("reading"):
+            context.currency.note_reading(*numbers)
+        else:
+            context.currency.note_mirror(*numbers)
+
+
+@then("the copy is proven as of {as_of}")
+def step_as_of(context, as_of):
+    expected = -math.inf if as_of == "nothing" else float(as_of)
+    assert context.currency.as_of == expected, context.currency.as_of
+
+
+@then("the copy is {age:g} s old at {now:g}")
+def step_copy_age(context, age, now):
+    assert context.currency.age_s(now) == age
+
+
+# Which readers are fit
+
+
+@given("a node that follows readers whose copies are at most {seconds:g} s old")
+def step_limits(context, seconds):
+    context.limits = ReaderLimits("node", seconds)
+
+
+@when('a reader answers with a proof of {proof:g} s, a copy of {copy:g} s and origin "{origin}"')
+def step_answer(context, proof, copy, origin):
+    context.answer = RelayAnswer(1, 5, proof, 10, copy, origin)
+
+
+@when('a reader answers with a proof of {proof:g} s, a copy of {copy:g} s and origin ""')
+def step_answer_without_origin(context, proof, copy):
+    context.answer = RelayAnswer(1, 5, proof, 10, copy, "")
+
+
+@then("the reader is {outcome}")
+def step_outcome(context, outcome):
+    try:
+        context.limits.check(context.answer)
+        found = "kept"
+    except RelayLostError:
+        found = "left"
+    assert found == outcome, found
+
+
+# Nodes that follow the store and each other
+
+
+class ScriptedStore(MemoryStore):
+    """A store whose watches hear nothing, and which can be made to answer nobody.
+
+    Attributes:
+        away: whether every call fails.
+        watch_errors: what the next watches raise, at once.
+        watched_after: the revisions after which watches asked for changes.
+        hears: whether watches are told of changes.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.away = False
+        self.read_at = []
+        self.watch_errors = []
+        self.watched_after = []
+        self.hears = asyncio.Event()
+
+    async def read_range(self, prefix, after):
+        self._check()
+        self.read_at.append(time.monotonic())
+        return await super().read_range(prefix, after)
+
+    async def watch(self, prefix, after_revision, wait_seconds):
+        self._check()
+        self.watched_after.append(after_revision)
+        if self.watch_errors:
+            raise self.watch_errors.pop(0)
+        while not self.hears.is_set():
+            await asyncio.sleep(LOOK_S)
+            self._check()
+        return await super().watch(prefix, after_revision, wait_seconds)
+
+    def _check(self):
+        if self.away:
+            raise StoreUnavailableError("no answer")
+
+
+@dataclass
+class Following:
+    """When a node began to follow another one, and when it left it."""
+
+    since: float
+    until: float = math.inf
+
+    def lasted_s(self, counted_from=-math.inf):
+        return min(self.until, time.monotonic()) - max(self.since, counted_from)
+
+
+class FollowingNode(FollowerOwner):
+    """A follower with a relay server, and one peer that it follows where the store is lost."""
+
+    def __init__(self, name, store, beliefs=None):
+        self.name = name
+        self.beliefs = beliefs
+        self.peer = None
+        self.followings = []
+        self.answers = 0
+        self.view = ConfigurationView(4.5)
+        self.view.adopt(GatewayConfiguration(5, (), {}))
+        limits = ReaderLimits(name, LONGEST_MIRROR_AGE_S)
+        self.follower = StoreFollower(store, "", self, limits)
+        self.server = RelayServer(self.follower, self.view, lambda count: None)
+        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        self.task = None
+
+    async def start(self):
+        await self.server.listen(self.address)
+        self.task = asyncio.ensure_future(self.follower.run())
+
+    def member(self):
+        return Member(self.name, self.address, "region", "zone", 1)
+
+    def mirror_changed(self, change, known_until):
+        self.server.publish(change)
+        if self.beliefs is not None:
+            self.beliefs.apply(change, known_until)
+
+    def range_read(self, asked_at):
+        self.view.prove_current(5, asked_at)
+
+    def own_name(self):
+        return self.name
+
+    def reads_for_others(self):
+        return False
+
+    def store_connection(self, connected):
+        pass
+
+    def relay_answered(self, answer, asked_at):
+        self.answers += 1
+        self.view.prove_current(answer.version, asked_at - answer.proof_age_s)
+
+    def reader_to_follow(self, store_lost):
+        return self.peer if store_lost else None
+
+    def keeps_reader(self, reader, since):
+        return True
+
+    def reader_followed(self, reader, store_lost):
+        self.followings.append(Following(time.monotonic()))
+
+    def reader_lost(self, reader, reason):
+        self.followings[-1].until = time.monotonic()
+
+
+@given("two nodes that know each other and a store that answers")
+def step_two_nodes(context):
+    async def start():
+        # A store each, so that it can fail one alone.
+        context.stores = [ScriptedStore(), ScriptedStore()]
+        for store in context.stores:
+            store.put("key", b"value")
+        pairs = zip(("first", "second"), context.stores, strict=True)
+        context.nodes = [FollowingNode(name, store) for name, store in pairs]
+        first, second = context.nodes
+        first.peer, second.peer = second.member(), first.member()
+        await first.start()
+        await second.start()
+        await eventually(lambda: all(store.watched_after for store in context.stores), 3.0)
+
+    context.run(start())
+
+
+def prove_now(node, store):
+    """Prove a node's copy, as its proof of currency does, so that its age says nothing."""
+    now = time.monotonic()
+    node.view.prove_current(5, now)
+    node.follower.store_answered(store.revision, now)
+
+
+@when("the store answers neither of them for {seconds:g} s")
+def step_both_lost(context, seconds):
+    async def lose():
+        for node, store in zip(context.nodes, context.stores, strict=True):
+            prove_now(node, store)
+            store.away = True
+        await asyncio.sleep(seconds)
+
+    context.run(lose())
+
+
+@then("they followed each other, but never for longer than {seconds:g} s")
+def step_not_for_long(context, seconds):
+    for node in context.nodes:
+        lasted = [following.lasted_s() for following in node.followings]
+        assert lasted, f"{node.name} followed nobody"
+        assert max(lasted) <= seconds, (node.name, lasted)
+
+
+async def lose_second(context):
+    """Let the store answer the second node no more, and wait until it follows the first."""
+    first, second = context.nodes
+    prove_now(first, context.stores[0])
+    context.stores[1].away = True
+    await eventually(lambda: second.answers, 2.0)
+
+
+@when("the store answers one of them no more")
+def step_one_lost(context):
+    context.run(lose_second(context))
+
+
+@then("it names the other one as the reader of its copy")
+def step_origin(context):
+    first, second = context.nodes
+    assert second.follower.followed is not None, "it follows nobody"
+    assert second.follower.origin == first.name, second.follower.origin
+
+
+@when("the store answers one of them no more, and the other one neither after {seconds:g} s")
+def step_one_after_the_other(context, seconds):
+    async def lose():
+        (first, second), (first_store, _) = context.nodes, context.stores
+        await lose_second(context)
+        await asyncio.sleep(seconds)
+        assert second.follower.followed is not None, "it does not follow the one that reads"
+        # Just after an answer: the first follows the second before the second asks again.
+        heard = second.answers
+        await eventually(lambda: second.answers > heard, 1.0)
+        prove_now(first, first_store)
+        first_store.away = True
+        context.lost_at = time.monotonic()
+
+    context.run(lose())
+
+
+@then(
+    "the first followed the second, which followed the first, "
+    "neither for longer than {seconds:g} s after that"
+)
+def step_neither_for_long(context, seconds):
+    first, second = context.nodes
+    assert first.followings and second.followings
+    lost_at = context.lost_at
+    # The second asks the first every so often, and leaves at its next answer.
+    bounds_s = {first.name: seconds, second.name: seconds + constants.RELAY_QUESTION_SECONDS}
+    for node in context.nodes:
+        lasted = [following.lasted_s(lost_at) for following in node.followings]
+        assert max(lasted) <= bounds_s[node.name], (node.name, lasted)
+
+
+@given("a node that may follow another one where the store is lost")
+def step_node_with_peer(context):
+    async def make():
+        context.store = ScriptedStore()
+        context.store.put("key", b"value")
+        context.node = FollowingNode("node", context.store)
+        context.node.peer = Member("peer", f"127.0.0.1:{free_ports(1)[0]}", "region", "zone", 1)
+
+    context.run(make())
+
+
+@when("its first watch fails, while the range can be read")
+def step_watch_fails(context):
+    async def fail():
+        context.store.watch_errors.append(StoreUnavailableError("cut"))
+        await context.node.start()
+        await eventually(lambda: context.store.watched_after, 3.0)
+        # What is written now is found by the reading.
+        context.store.put("key", b"other")
+
+    context.run(fail())
+
+
+@then("the node reads the range a second time within {seconds:g} s")
+def step_second_reading(context, seconds):
+    context.run(eventually(lambda: len(context.store.read_at) == 2, seconds))
+
+
+@then("it followed nobody")
+def step_followed_nobody(context):
+    assert not context.node.followings, context.node.followings
+
+
+@then("its next watch goes on from there")
+def step_next_watch(context):
+    store = context.store
+    context.run(eventually(lambda: len(store.watched_after) == 2, 1.0))
+    assert store.watched_after[1] == store.revision, store.watched_after
+
+
+# From when a version counts
+
+
+class WeightDecoder(RecordDecoder):
+    """Takes every item for a version of one model, except those of engines."""
+
+    configuration_key = "configuration"
+
+    def decode(self, item):
+        if not item.key.startswith("version"):
+            return None
+        return WeightTarget(MODEL, int(item.value), item.revision)
+
+    def engine_of(self, key):
+        return None
+
+
+def new_beliefs(grace_s):
+    targets = WeightTargets(grace_s)
+    view = ConfigurationView(4.5)
+    log = DecisionLog("node")
+    return Beliefs(WeightDecoder(), view, EngineTable(), targets, None, None, log)
+
+
+@given(
+    "a node whose store names a version while its watch hears nothing, with {grace:g} s of grace"
+)
+def step_naming_in_gap(context, grace):
+    async def name():
+        context.store = ScriptedStore()
+        context.store.put("version", b"1")
+        context.beliefs = new_beliefs(grace)
+        context.node = FollowingNode("node", context.store, context.beliefs)
+        await context.node.start()
+        await eventually(lambda: context.store.watched_after, 3.0)
+        context.named_at = time.monotonic()
+        context.store.put("version", b"2")
+
+    context.run(name())
+
+
+async def hear_version(context):
+    context.store.hears.set()
+    await eventually(lambda: context.beliefs.targets.newest(MODEL) == 2, 2.0)
+    context.store.hears.clear()
+
+
+@when("the watch finds its history gone, and the range is read")
+def step_history_gone(context):
+    async def read():
+        await asyncio.sleep(0.5)
+        context.store.forget_history()
+        await hear_version(context)
+
+    context.run(read())
+
+
+@when("the watch brings it {seconds:g} s later")
+def step_late_watch(context, seconds):
+    async def bring():
+        await asyncio.sleep(seconds)
+        await hear_version(context)
+
+    context.run(bring())
+
+
+def counted_from(context):
+    (found,) = context.beliefs.targets.open_versions(MODEL, 1)
+    return found.named_at
+
+
+@then("the version counts from a time before it was named")
+def step_counts_from_before(context):
+    late_s = counted_from(context) - context.named_at
+    assert late_s <= 0, f"it counts from {late_s:.2f} s after it was named"
+
+
+@then("not from before the last proof of the copy")
+def step_not_before_proof(context):
+    # The reading at the start is the only proof there was, asked for just before it came.
+    proven_at = context.store.read_at[0]
+    early_s = proven_at - counted_from(context)
+    assert early_s < LOOK_S, f"it counts from {early_s:.2f} s before the proof"
+
+
+@given("a grace of {grace:g} s for replaced weights")
+def step_grace(context, grace):
+    context.targets = WeightTargets(grace)
+
+
+@then("what is news at {now:g} to a copy proven as of {proven} counts from {start:g}")
+def step_earliest(context, now, proven, start):
+    known_until = -math.inf if proven == "never" else float(proven)
+    found = context.targets.earliest_naming(known_until, now)
+    assert found == start, found
+
+
+@given(
+    "a node that starts with a bound of {bound:g} s for replaced weights, "
+    "and {count:d} engines behind"
+)
+def step_engines_behind(context, bound, count):
+    context.beliefs = new_beliefs(bound - constants.WEIGHT_GRACE_MARGIN_SECONDS)
+    for number in range(count):
+        record = engine_record(f"engine-{number}", weights={MODEL: 1})
+        context.beliefs.engines.update(record)
+
+
+@when("its first reading finds the version")
+def step_first_reading(context):
+    async def read():
+        store = ScriptedStore()
+        store.put("version", b"2")
+        node = FollowingNode("node", store, context.beliefs)
+        await node.start()
+        await eventually(lambda: context.beliefs.store_read, 1.0)
+
+    context.run(read())
+
+
+@then("{count:d} of the engines are ordered at once")
+def step_ordered_at_once(context, count):
+    rollout = WeightRollout(context.beliefs.targets)
+    due = rollout.due(context.beliefs.engines, time.monotonic())
+    ordered = [order for order in due if isinstance(order, AnnounceLoad)]
+    assert len(ordered) == count, len(ordered)
