Soak: two faults that end together start one process

Cause: a kill and a stop of the same node that ended at the same time both started it; one process was lost sight of and outlived the play.

Change: nodes are started one at a time.

--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -34,6 +34,7 @@
         self._weights = 1
         self._engine_numbers = itertools.count(1)
         self._key_numbers = itertools.count(1)
+        self._starting = asyncio.Lock()
 
     @property
     def store(self):
@@ -78,8 +79,10 @@
             await self.deployment.ready(node)
 
     async def start_node(self, node):
-        if node.process.returncode is not None:
-            await node.start()
+        # Two faults that end together would start two processes, and one be lost sight of.
+        async with self._starting:
+            if node.process.returncode is not None:
+                await node.start()
 
     # Changes
 
