Features of silent connections, and of a zone whose readers' watches are deaf or cut

Cause: nothing showed in real processes that nodes learn in time of a leaving while open connections are silent, nor that followers do in a zone of 6.

Change: a scenario in store_gaps, two in platform_relay; in store_copies one on connections of the store's session.

--- a/features/platform_relay.feature
+++ b/features/platform_relay.feature
@@ -39,3 +39,15 @@
     Then within 0.5 s every node answers the known key with 200
     When the operator takes the known key away
     Then within 3 s every node answers the known key with 401
+
+  Scenario: Followers of readers whose watches have gone deaf learn in time that an engine leaves
+    Given callers that call all nodes on "whole"
+    When the watches go deaf, and an engine says that it leaves
+    And callers go on for 3.5 s
+    Then no request reached that engine later than 2 s after its word
+
+  Scenario: Followers of readers whose watches are cut together learn in time that an engine leaves
+    Given callers that call all nodes on "whole"
+    When the watches hear nothing for 1 s, in which an engine says that it leaves, and are cut
+    And callers go on for 3.5 s
+    Then no request reached that engine later than 2 s after its word
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -10,6 +10,7 @@
 
 from features.gateway_store import MemoryStore
 from features.gateway_support import engine_record
+from features.standin.store import StandInStore
 from liftrill import constants
 from liftrill.bench.launcher import free_ports
 from liftrill.coordination.membership_messages import Member
@@ -19,6 +20,7 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.http_client import new_store_session
 from liftrill.gateway.record_decoder import RecordDecoder
 from liftrill.gateway.records import GatewayConfiguration, WeightTarget
 from liftrill.gateway.relay_client import ReaderLimits, RelayLostError
@@ -470,3 +472,40 @@
     due = rollout.due(context.beliefs.engines, time.monotonic())
     ordered = [order for order in due if isinstance(order, AnnounceLoad)]
     assert len(ordered) == count, len(ordered)
+
+
+# Connections to the store
+
+
+async def call_at_once(context, count):
+    url = f"http://{context.store.address}/liftrill/kv-range?PathPrefix="
+
+    async def call():
+        async with context.session.get(url) as answer:
+            await answer.read()
+            return answer.status
+
+    statuses = await asyncio.gather(*(call() for _ in range(count)))
+    assert statuses == [200] * count, statuses
+
+
+@given("a store to which {count:d} calls at once were answered")
+def step_answered_calls(context, count):
+    async def start():
+        context.store = StandInStore()
+        await context.store.start()
+        context.stack.push_async_callback(context.store.stop)
+        context.session = await context.stack.enter_async_context(new_store_session())
+        await call_at_once(context, count)
+
+    context.run(start())
+
+
+@when("its open connections go silent")
+def step_go_silent(context):
+    context.store.silence_connections()
+
+
+@then("{count:d} further calls to it are answered within {seconds:g} s")
+def step_further_calls(context, count, seconds):
+    context.run(asyncio.wait_for(call_at_once(context, count), seconds))
--- a/features/steps/store_gap_steps.py
+++ b/features/steps/store_gap_steps.py
@@ -141,6 +141,20 @@
     leave(context)
 
 
+@when(
+    "the open connections to the store go silent, "
+    "and {seconds:g} s later an engine says that it leaves"
+)
+def step_silent_connections(context, seconds):
+    context.run(silence(context, seconds))
+
+
+async def silence(context, seconds):
+    context.deployment.store.silence_connections()
+    await asyncio.sleep(seconds)
+    leave(context)
+
+
 @when("callers go on for {seconds:g} s")
 def step_go_on(context, seconds):
     context.run(asyncio.sleep(seconds))
--- a/features/store_copies.feature
+++ b/features/store_copies.feature
@@ -88,3 +88,8 @@
     Given a node that starts with a bound of 8 s for replaced weights, and 20 engines behind
     When its first reading finds the version
     Then 13 of the engines are ordered at once
+
+  Scenario: A call to the store is answered at once though connections of earlier calls are silent
+    Given a store to which 3 calls at once were answered
+    When its open connections go silent
+    Then 3 further calls to it are answered within 0.5 s
--- a/features/store_gaps.feature
+++ b/features/store_gaps.feature
@@ -45,3 +45,9 @@
     When the store is away for 1 s, in which an engine's record goes, and comes back 1 s later
     And callers go on for 1 s
     Then requests reached that engine in each of these seconds
+
+  Scenario: Connections that go silent while new ones work hide an engine's leaving from nobody
+    Given callers that call all nodes on "whole"
+    When the open connections to the store go silent, and 0.5 s later an engine says that it leaves
+    And callers go on for 3.5 s
+    Then no request reached that engine later than 2 s after its word
