One connector for both sessions, and one constant for how late the watch may be

No change of behaviour. The session for engines and the one for the store listed the same four options; the lag of the watch stood in two modules. gateway_connections, store_copies and gateway_relay: 64 passed, 0 failed; linter and types clean.

--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -12,10 +12,8 @@
 from liftrill.gateway.beliefs import Beliefs
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.relay_codec import RelayAnswer
-from liftrill.gateway.store_follower import StoreFollower
+from liftrill.gateway.store_follower import WATCH_LAG_S, StoreFollower
 
-# How much later than a peer's word the watch may tell of the same change.
-WATCH_LAG_S = 0.4
 # The share of the bound on news after which the store is asked again: the rest is for the watch
 # to bring what the answer named, and for reading the range where it does not.
 PROOF_INTERVAL_SHARE = 0.45
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -106,16 +106,7 @@
 
 def new_engine_session(limit_per_host: int = 0) -> aiohttp.ClientSession:
     """Return a session that sends each request once and changes nothing in an answer."""
-    return _new_session(
-        aiohttp.TCPConnector(
-            limit=0,
-            limit_per_host=limit_per_host,
-            keepalive_timeout=LONGEST_IDLE_S,
-            use_dns_cache=False,
-            happy_eyeballs_delay=None,
-            socket_factory=_open_socket,
-        )
-    )
+    return _new_session(limit_per_host=limit_per_host, keepalive_timeout=LONGEST_IDLE_S)
 
 
 def new_store_session() -> aiohttp.ClientSession:
@@ -124,18 +115,17 @@
     An open connection may go silent for good while new ones work: a call on a kept one would
     then take until its time-out to tell that, and the next might meet another such connection.
     """
-    return _new_session(
-        aiohttp.TCPConnector(
-            limit=0,
-            force_close=True,
-            use_dns_cache=False,
-            happy_eyeballs_delay=None,
-            socket_factory=_open_socket,
-        )
-    )
+    return _new_session(force_close=True)
 
 
-def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+def _new_session(**options: Any) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        use_dns_cache=False,
+        happy_eyeballs_delay=None,
+        socket_factory=_open_socket,
+        **options,
+    )
     # aiohttp has no public way to choose the protocol class, or to forbid the second
     # send on a kept connection; a feature checks that both still work as meant.
     connector._factory = functools.partial(  # type: ignore[assignment]
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -32,8 +32,8 @@
 # The time between two watches of a node that reads the store only until it may follow
 # another again: changes are in force within seconds, and many nodes may do so at once (guess).
 STAND_IN_SPACING_S = 0.5
-# How much later than a reading the watch may bring what the reading named, besides the time
-# between two watches.
+# How much later than a reading, or a peer's word, the watch may bring the same change, besides
+# the time between two watches.
 WATCH_LAG_S = 0.4
 
 
