A line for a lost attempt names the request, and how long it had run

Which request an attempt was is seen by a fingerprint of method, host, target, tenant and body, which its caller's next id does not change; hashed only where an attempt is lost.

--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -15,7 +15,7 @@
 from liftrill import constants
 from liftrill.coordination.token_bucket import TokenBucket
 from liftrill.gateway import delivery_events as events
-from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
 from liftrill.gateway.log_output import BoundedOutput
 
 MESSAGE_PREFIX = "liftrill:"
@@ -75,12 +75,16 @@
             resume_after=start.resume_after,
         )
 
-    def attempt_event(self, machine: DeliveryMachine, event: events.DeliveryEvent) -> None:
+    def attempt_event(
+        self, machine: DeliveryMachine, event: events.DeliveryEvent, times: AttemptTimes
+    ) -> None:
         """Write that an attempt was refused or lost."""
+        inputs: dict[str, object] = {}
         if isinstance(event, events.AttemptRefused):
             outcome = event.kind.value
         elif isinstance(event, events.AttemptBroken):
             outcome = f"broken: {event.reason}"
+            inputs = _loss(machine, times)
         else:
             return
         choice = machine.attempts[-1]
@@ -90,6 +94,7 @@
             engine=choice.engine_id,
             weights=choice.weight_version,
             outcome=outcome,
+            **inputs,
         )
 
     def request_abandoned(self, machine: DeliveryMachine) -> None:
@@ -162,6 +167,17 @@
         return count
 
 
+def _loss(machine: DeliveryMachine, times: AttemptTimes) -> dict[str, object]:
+    """Return what the line of a lost attempt tells of it: times in milliseconds until now."""
+    now = time.monotonic()
+    first = times.first_event_at
+    return {
+        "fingerprint": machine.request.fingerprint.hex(),
+        "sent_ms": round((now - times.sent_at) * 1000),
+        "first_event_ms": None if first is None else round((now - first) * 1000),
+    }
+
+
 def _stream_times(machine: DeliveryMachine) -> dict[str, int | None]:
     """Return what the line of a stream tells of its events, in milliseconds."""
     times = machine.times
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -96,6 +96,18 @@
         self._last_event_id = event_id
 
 
+@dataclass(slots=True)
+class AttemptTimes:
+    """When one attempt was sent and its first event came, on the steady clock.
+
+    Attributes:
+        first_event_at: None before it.
+    """
+
+    sent_at: float
+    first_event_at: float | None = None
+
+
 class DeliveryMachine:
     """Decides what happens next with one request.
 
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -10,7 +10,7 @@
 from liftrill import constants
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
 from liftrill.gateway.engine_table import EngineLoad, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
@@ -86,7 +86,7 @@
         self._attempt: EngineAttempt | None = None
         self._view: EngineView | None = None
         self._load = EngineLoad()
-        self._started_at = 0.0
+        self._times = AttemptTimes(0.0)
         self._tokens_ahead = 0
         self._ended = False
 
@@ -128,19 +128,25 @@
         if self._load.waiting_tokens and self._view is not None:
             self._view.own_load.waiting_tokens -= self._load.waiting_tokens
             self._load.waiting_tokens = 0
-            elapsed_s = time.monotonic() - self._started_at
+            elapsed_s = time.monotonic() - self._times.sent_at
             self._owner.note_prompt_read(self._machine, self._tokens_ahead, elapsed_s)
 
     def _noted(self, found: list[events.DeliveryEvent]) -> list[events.DeliveryEvent]:
         for event in found:
             if isinstance(event, events.EventArrived):
-                self._machine.times.note(event.event.event_id, time.monotonic())
-                self._note_prompt_read()
+                self._note_event(event)
             if self._view is not None:
                 self._owner.note(self._view, event)
-            self._owner.log.attempt_event(self._machine, event)
+            self._owner.log.attempt_event(self._machine, event, self._times)
         return found
 
+    def _note_event(self, arrived: events.EventArrived) -> None:
+        now = time.monotonic()
+        self._machine.times.note(arrived.event.event_id, now)
+        if self._times.first_event_at is None:
+            self._times.first_event_at = now
+        self._note_prompt_read()
+
     async def _carry_out(
         self, instruction: events.DeliveryInstruction
     ) -> list[events.DeliveryEvent]:
@@ -166,7 +172,7 @@
         first = len(machine.attempts) == 1
         self._view, self._attempt = self._owner.begin(machine.request, start, first)
         self._load = expected_load(machine.request, start.choice)
-        self._started_at = time.monotonic()
+        self._times = AttemptTimes(time.monotonic())
         if self._view is not None:
             self._view.own_load.add(self._load)
             self._tokens_ahead = self._view.waiting_tokens
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -1,9 +1,15 @@
 """A request whose body the gateway does not read."""
 
 from dataclasses import dataclass
+from functools import cached_property
+from hashlib import blake2b
 
 from liftrill.gateway.records import RequestKind, RouteRule
 
+# Two requests of a fleet are taken for one by accident with a chance of 2^-128 each; a digest
+# that can't be aimed keeps one caller from naming another one's request.
+FINGERPRINT_BYTES = 16
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -39,7 +45,7 @@
         return sum(part.tokens for part in self.shared_parts)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class OpaqueRequest:
     """One request of a caller, read whole and allowed by the configuration.
 
@@ -69,6 +75,16 @@
     deadline: float
     last_event_id: int | None = None
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """The name of what is asked, by whom: the same whenever it is sent again, unlike the id."""
+        digest = blake2b(digest_size=FINGERPRINT_BYTES)
+        words = (self.method, self.route.host, self.target, self.tenant)
+        for field in (*(word.encode() for word in words), self.body):
+            digest.update(len(field).to_bytes(4, "big"))
+            digest.update(field)
+        return digest.digest()
+
     @property
     def may_run_again(self) -> bool:
         """Whether a second run is allowed after the first may have begun."""
