--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -33,6 +33,10 @@
     cut: bool = False
 
 
+# An engine that ends under a request does so this long after it has begun (own choice).
+ENDS_AFTER_S = 0.05
+
+
 # Copies of runs that engines hold for each other, as ADDRESS/ID.
 copies = set()
 
@@ -45,6 +49,8 @@
         fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
             "extra", "extra_late", "reset_unframed", "torn", "hang", "fail".
         refuses_orders: whether it answers orders as if it were busy.
+        ends_under: the body of the request under which it ends, or None.
+        ended: set once it has ended under a request.
     """
 
     engine_id: str
@@ -58,8 +64,10 @@
     fault_count: int = 1
     refuses_orders: bool = False
     address: str = ""
+    ends_under: bytes | None = None
 
     def __post_init__(self):
+        self.ended = asyncio.Event()
         self.arrivals = []
         self.orders = []
         self.sequence = 0
@@ -78,6 +86,15 @@
     async def stop(self):
         await self._runner.cleanup()
 
+    async def crash(self):
+        """Take no more connections and reset those that are open, as when a process dies."""
+        for site in list(self._runner.sites):
+            await site.stop()
+        for handler in list(self._server.connections):
+            if handler.transport is not None:
+                reset(handler.transport)
+        self.ended.set()
+
     def record(self, state="ready"):
         models = [{"Name": n, "Version": v, "Adapters": []} for n, v in self.weights.items()]
         return {
@@ -116,6 +133,9 @@
         except asyncio.CancelledError:
             arrival.cut = True
             raise
+        except ConnectionResetError:
+            arrival.cut = True
+            return web.Response()
 
     def _misdirected(self, request):
         headers = {
@@ -173,6 +193,10 @@
             copies.add(f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}")
         arrival.version = self.weights.get(model)
         arrival.ran = True
+        if self.ends_under is not None and arrival.body == self.ends_under:
+            await asyncio.sleep(ENDS_AFTER_S)
+            await self.crash()
+            return web.Response()
         headers = {"X-Attempt-Id": arrival.attempt_id, "X-Response-Signature": SIGNATURE}
         if fault in ("close", "hang", "fail", "reset_unframed"):
             return await self._misbehave(request, headers, fault)
