Quarantine: a judgement waits for what all nodes lost; companions need a third end; nodes tell each other of entries

A request is judged 0.1 s after the last end, held meanwhile; where another request met all the same ends, three are needed; who reports a run of a request in quarantine is told of it.

--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -3,7 +3,7 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptPart, PromptShape
-from liftrill.gateway.quarantine import Quarantine, QuarantineKeeper
+from liftrill.gateway.quarantine import Quarantine, QuarantineKeeper, QuarantinePeers
 from liftrill.gateway.records import BackendShare, EngineRecord, RequestKind, RouteRule
 
 
@@ -67,13 +67,25 @@
         pass
 
 
-def new_quarantine(engines, tell_lost=None, tell_served=None, keeper=None):
-    """Return the quarantine of a node that tells others, if anybody, by the given calls."""
+class NoPeers(QuarantinePeers):
+    """Tells nobody."""
+
+    def tell_lost(self, runs):
+        pass
+
+    def tell_served(self, fingerprint):
+        pass
+
+    def tell_quarantined(self, entry, node=""):
+        pass
+
+
+def new_quarantine(engines, peers=None, keeper=None):
+    """Return the quarantine of a node, which tells nobody and keeps nothing unless it is to."""
     return Quarantine(
         engines,
         DecisionLog("node-1"),
         GatewayMetrics(),
-        tell_lost or (lambda runs: None),
-        tell_served or (lambda fingerprint: None),
+        peers or NoPeers(),
         keeper or NoKeeper(),
     )
--- a/liftrill/coordination/crash_evidence.py
+++ b/liftrill/coordination/crash_evidence.py
@@ -83,6 +83,10 @@
         self._served_at[fingerprint] = at
         return True
 
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Return whether a worker ended soon after it had begun a request."""
+        return any(run.early for run in self._runs.get(fingerprint, {}).values())
+
     def explain(self, fingerprint: bytes) -> None:
         """Take the ends under a request to be its doing."""
         self._explained.update(self._runs.get(fingerprint, {}))
@@ -91,15 +95,20 @@
         """Return the runs of a request under which workers ended, by time."""
         return sorted(self._runs.get(fingerprint, {}).values(), key=lambda run: run.ended_at)
 
+    def may_condemn(self, fingerprint: bytes) -> bool:
+        """Return whether as many workers ended under a request as may condemn it."""
+        runs = self.runs(fingerprint)
+        early = _separate([run for run in runs if run.early])
+        return early >= EARLY_ENDS_ALONE or _separate(runs) >= ENDS_ALONE
+
     def condemns(self, fingerprint: bytes) -> bool:
         """Return whether workers end because of a request, as far as that can be told."""
+        if not self.may_condemn(fingerprint):
+            return False
         runs = self.runs(fingerprint)
-        early = _separate([run for run in runs if run.early])
-        if early >= EARLY_ENDS:
+        if _separate([run for run in runs if run.early]) >= EARLY_ENDS:
             return True
-        if early < EARLY_ENDS_ALONE and _separate(runs) < ENDS_ALONE:
-            return False
-        return not self._ended_without(runs)
+        return not self._ended_without(runs) and not self._has_companion(fingerprint)
 
     def expire(self, now: float) -> None:
         """Forget what is old."""
@@ -117,6 +126,13 @@
         under = {run.worker for run in runs} | self._explained
         return any(at >= since for worker, at in self._ends.items() if worker not in under)
 
+    def _has_companion(self, fingerprint: bytes) -> bool:
+        """Return whether another request was lost with all workers that a request was."""
+        workers = self._runs[fingerprint].keys()
+        return any(
+            workers <= runs.keys() for name, runs in self._runs.items() if name != fingerprint
+        )
+
 
 def _separate(runs: Iterable[LostRun]) -> int:
     """Return how many of some runs, by time, met an end of their own."""
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -72,6 +72,8 @@
         quarantine = self._quarantine
         if quarantine is None:
             return self._selector.choose(request, excluded, now)
+        if not quarantine.is_judged(request, now):
+            return Unavailable.NONE_READY
         if quarantine.left_s(request):
             return Unavailable.QUARANTINED
         return self._selector.choose(request, excluded, now, quarantine.is_suspect(request))
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -34,6 +34,7 @@
 from liftrill.gateway.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.gateway.peer_silence import IDLE_REPORT_S, PeerSilence
 from liftrill.gateway.quarantine import Quarantine
+from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.gateway.quarantine_records import QuarantineRecords, fingerprint_of
 from liftrill.gateway.quota_gate import QuotaGate
 from liftrill.gateway.reader_plan import ReaderPlan
@@ -115,22 +116,6 @@
         self.admission = RequestAdmission(self.view, split)
         self._fleet = FleetSize()
         self._quotas = self._new_quotas()
-        self._quarantine_records = QuarantineRecords(
-            store, lambda key: self._follower.mirror.get(key), log
-        )
-        self._quarantine = Quarantine(
-            engines,
-            log,
-            metrics,
-            lambda runs: self._peers.tell_lost(runs),
-            lambda fingerprint: self._peers.tell_served(fingerprint),
-            self._quarantine_records,
-        )
-        ports = ForwardingPorts(selector, self._allowance, self._quotas, self._quarantine)
-        ports.beliefs_hold = self._beliefs_hold
-        self.forwarder = Forwarder(
-            engines, ports, self._allowance, transport, log, metrics, self._quarantine
-        )
         self._standstill = Standstill(NEWS_WAIT_S)
         self._membership = self._new_membership()
         self._readers = ReaderPlan(self._membership.own)
@@ -156,8 +141,16 @@
             self._quotas.buckets.hear_spending,
             self._on_lost_runs,
             self._on_served,
+            self._on_quarantined,
         )
         self._peers = PeerLink(self._membership, callbacks)
+        self._quarantine_records = QuarantineRecords(store, self._follower.mirror, log)
+        self._quarantine = Quarantine(engines, log, metrics, self._peers, self._quarantine_records)
+        ports = ForwardingPorts(selector, self._allowance, self._quotas, self._quarantine)
+        ports.beliefs_hold = self._beliefs_hold
+        self.forwarder = Forwarder(
+            engines, ports, self._allowance, transport, log, metrics, self._quarantine
+        )
         self.forwarder.reading_begun = self._tell_reading
         self._leadership = self._new_leadership()
         self._controller = self._new_controller(orders, targets)
@@ -435,14 +428,17 @@
         for item in change.written:
             entry = self._quarantine_records.read(item)
             if entry is not None:
-                self._quarantine.hear_entry(entry, now)
+                self._quarantine.hear_record(entry, now)
         for key in change.removed:
             fingerprint = fingerprint_of(key)
             if fingerprint is not None:
                 self._quarantine.release(fingerprint, now)
 
-    def _on_lost_runs(self, runs: list[LostRun]) -> None:
-        self._quarantine.hear_lost(runs, time.monotonic())
+    def _on_lost_runs(self, node: str, runs: list[LostRun]) -> None:
+        self._quarantine.hear_lost(node, runs, time.monotonic())
+
+    def _on_quarantined(self, entry: QuarantineEntry) -> None:
+        self._quarantine.hear_quarantined(entry, time.monotonic())
 
     def _on_served(self, fingerprint: bytes) -> None:
         self._quarantine.hear_served(fingerprint, time.monotonic())
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -24,7 +24,14 @@
 from liftrill.gateway.engine_table import EngineNotice
 from liftrill.gateway.load_codec import ReportAssembler, datagrams_from_report
 from liftrill.gateway.load_exchange import LoadReport, SendLoads, others
-from liftrill.gateway.lost_run_codec import datagrams_from_runs, runs_from_message
+from liftrill.gateway.quarantine import QuarantinePeers
+from liftrill.gateway.quarantine_codec import (
+    datagram_from_entry,
+    datagrams_from_runs,
+    entry_from_notice,
+    runs_from_message,
+)
+from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.messages import peer_pb2 as messages
 from liftrill.node.membership_codec import (
     GossipDecodeError,
@@ -37,7 +44,7 @@
 NOTICE_REPEATS = 2
 NOTICE_SPACING_SECONDS = 0.05
 # When runs under which engines ended are told: what is lost in a burst of losses comes later.
-LOST_RUN_REPEATS_S = (0.0, 0.05, 0.5)
+CRASH_REPEATS_S = (0.0, 0.05, 0.5)
 PROBE_TIMEOUT_SECONDS = 0.3
 SUSPICION_SECONDS = 1.5
 DEAD_RETENTION_SECONDS = 600.0
@@ -53,8 +60,9 @@
     loads: Callable[[LoadReport], None]
     reading_begun: Callable[[int, int], None]
     spending: Callable[[str, float], None]
-    lost_runs: Callable[[list[LostRun]], None]
+    lost_runs: Callable[[str, list[LostRun]], None]
     served: Callable[[bytes], None]
+    quarantined: Callable[[QuarantineEntry], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -68,7 +76,7 @@
     return Membership(own, seeds, parameters, random.Random())
 
 
-class PeerLink(asyncio.DatagramProtocol):
+class PeerLink(asyncio.DatagramProtocol, QuarantinePeers):
     """Sends and receives the datagrams of one gateway."""
 
     def __init__(self, membership: Membership, callbacks: PeerCallbacks) -> None:
@@ -129,11 +137,20 @@
     def tell_lost(self, runs: list[LostRun]) -> None:
         """Tell all members of runs under which engines ended, and some times again."""
         loop = asyncio.get_running_loop()
-        for wait_s in LOST_RUN_REPEATS_S:
+        for wait_s in CRASH_REPEATS_S:
             loop.call_later(wait_s, self._send_lost, runs)
 
+    def tell_quarantined(self, entry: QuarantineEntry, node: str = "") -> None:
+        """Tell one member, or all, of a request that is kept from engines, some times again."""
+        loop = asyncio.get_running_loop()
+        message = datagram_from_entry(entry)
+        for wait_s in CRASH_REPEATS_S:
+            members = [m for m in self._others() if node in ("", m.node_id)]
+            loop.call_later(wait_s, self._send_all, members, message)
+
     def _send_lost(self, runs: list[LostRun]) -> None:
-        for message in datagrams_from_runs(runs, time.monotonic()):
+        own = self._membership.own.node_id
+        for message in datagrams_from_runs(own, runs, time.monotonic()):
             self._send_all(self._others(), message)
 
     def tell_served(self, fingerprint: bytes) -> None:
@@ -160,8 +177,8 @@
             if message.HasField("spends"):
                 self._callbacks.spending(message.spends.tenant, message.spends.amount)
                 return
-            if message.lost_runs or message.served:
-                self._take_runs(message)
+            if message.lost_runs or message.served or message.HasField("quarantined"):
+                self._take_crash_news(message)
                 return
             if message.notices or message.loads:
                 self._take_word(message)
@@ -179,8 +196,13 @@
             if report is not None:
                 self._callbacks.loads(report)
 
-    def _take_runs(self, message: messages.Datagram) -> None:
-        self._callbacks.lost_runs(runs_from_message(message, time.monotonic()))
+    def _take_crash_news(self, message: messages.Datagram) -> None:
+        runs = runs_from_message(message, time.monotonic())
+        if runs:
+            self._callbacks.lost_runs(message.sender, runs)
+        entry = entry_from_notice(message.quarantined)
+        if entry is not None:
+            self._callbacks.quarantined(entry)
         for fingerprint in message.served:
             self._callbacks.served(fingerprint)
 
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -7,7 +7,7 @@
 
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from liftrill.coordination.crash_evidence import EARLY_S, CrashEvidence, LostRun
@@ -23,9 +23,25 @@
 # How long before its engine was found to have ended a run may have been lost: a connection
 # that is refused tells it within milliseconds, one over a slow link later (guess).
 LOST_BEFORE_S = 0.5
+# How long a request waits for its judgement once enough engines ended under it: by then all
+# nodes have told what else they lost with the last one (a datagram takes some milliseconds).
+JUDGED_AFTER_S = 0.1
 
-TellLostRuns = Callable[[list[LostRun]], None]
-TellServed = Callable[[bytes], None]
+
+class QuarantinePeers(ABC):
+    """Tells all other nodes what this one has seen."""
+
+    @abstractmethod
+    def tell_lost(self, runs: list[LostRun]) -> None:
+        """Tell of runs under which engines ended."""
+
+    @abstractmethod
+    def tell_served(self, fingerprint: bytes) -> None:
+        """Tell that a suspect was served."""
+
+    @abstractmethod
+    def tell_quarantined(self, entry: QuarantineEntry, node: str = "") -> None:
+        """Tell one node, or all, of a request that is kept from engines."""
 
 
 class QuarantineKeeper(ABC):
@@ -40,6 +56,14 @@
         """Keep the entry of a request no longer."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Judgement:
+    """A judgement that is to be made, and what is known here of the request."""
+
+    due_at: float
+    loss: "_Loss | None"
+
+
 @dataclass(frozen=True, slots=True)
 class _Loss:
     """A run that this node lost, and whose it was."""
@@ -55,21 +79,20 @@
 
     Attributes:
         entries: the requests that are kept from engines, or were.
-        tell_lost: how to tell all other nodes of runs under which engines ended.
-        tell_served: how to tell them that a suspect was served.
+        peers: how to tell other nodes.
         keeper: where entries outlive this process.
     """
 
     engines: EngineTable
     log: DecisionLog
     metrics: GatewayMetrics
-    tell_lost: TellLostRuns
-    tell_served: TellServed
+    peers: QuarantinePeers
     keeper: QuarantineKeeper
     entries: QuarantineList = field(default_factory=QuarantineList)
     _evidence: CrashEvidence = field(default_factory=CrashEvidence)
     _losses: dict[int, list[_Loss]] = field(default_factory=dict)
     _ended_at: dict[int, float] = field(default_factory=dict)
+    _judgements: dict[bytes, _Judgement] = field(default_factory=dict)
 
     # What requests ask
 
@@ -93,7 +116,19 @@
         if not len(self._evidence) and not len(self.entries):
             return False
         fingerprint = request.fingerprint
-        return bool(self._evidence.runs(fingerprint) or self.entries.get(fingerprint))
+        return self._evidence.is_suspect(fingerprint) or self.entries.get(fingerprint) is not None
+
+    def is_judged(self, request: OpaqueRequest, now: float) -> bool:
+        """Return whether a request need not wait for a judgement; make it if it is due."""
+        if not self._judgements:
+            return True
+        judgement = self._judgements.get(request.fingerprint)
+        if judgement is None:
+            return True
+        if now < judgement.due_at:
+            return False
+        self._pronounce(request.fingerprint, judgement, now)
+        return True
 
     # What this node sees
 
@@ -133,39 +168,49 @@
         if not self.is_suspect(request):
             return
         self._clear(request.fingerprint, now)
-        self.tell_served(request.fingerprint)
+        self.peers.tell_served(request.fingerprint)
 
     # What other nodes and the store tell
 
-    def hear_lost(self, runs: Iterable[LostRun], now: float) -> None:
-        """Take in runs that other nodes lost with engines that ended."""
+    def hear_lost(self, node: str, runs: Iterable[LostRun], now: float) -> None:
+        """Take in runs that another node lost with engines that ended."""
         for run in runs:
             if self._note_end(run.worker, now):
                 self._take_losses(self._losses.pop(run.worker, []), now)
-            if self._evidence.add(run):
-                self._judge(run, now)
+            known = self.entries.get(run.fingerprint)
+            if known is not None and self.entries.left_s(run.fingerprint, time.time()):
+                # It sent what is kept from engines: it has not heard.
+                self.peers.tell_quarantined(known, node)
+            elif self._evidence.add(run):
+                self._consider(run, now)
 
     def hear_served(self, fingerprint: bytes, now: float) -> None:
         """Take in that another node saw a suspect served."""
         self._clear(fingerprint, now)
 
-    def hear_entry(self, entry: QuarantineEntry, now: float) -> None:
+    def hear_quarantined(self, entry: QuarantineEntry, now: float) -> None:
+        """Take in that another node keeps a request from engines."""
+        if self._put_if_later(entry, "peer", now):
+            self.keeper.keep(entry, at_once=False)
+
+    def hear_record(self, entry: QuarantineEntry, now: float) -> None:
         """Take in what the store keeps of a request."""
-        known = self.entries.get(entry.fingerprint)
-        self.entries.put(entry)
-        if known is None or entry.times > known.times:
-            self._log_entry(entry, "store")
-        self._settle(entry.fingerprint, now)
+        self._put_if_later(entry, "store", now)
 
     def release(self, fingerprint: bytes, now: float) -> None:
         """Let a request go whose record an operator, or a node that saw it served, removed."""
         if self.entries.remove(fingerprint):
             self._evidence.clear(fingerprint, now)
+            # What other nodes were about to write after this one must not bring it back.
+            self.keeper.drop(fingerprint)
             self.log.belief("quarantine_released", fingerprint=fingerprint.hex())
 
     def expire(self, now: float) -> None:
         """Forget what is old."""
         self._evidence.expire(now)
+        for fingerprint, judgement in list(self._judgements.items()):
+            if now >= judgement.due_at:
+                self._pronounce(fingerprint, judgement, now)
         for number, losses in list(self._losses.items()):
             left = [loss for loss in losses if now - loss.run.ended_at <= LOST_BEFORE_S]
             if left:
@@ -194,28 +239,54 @@
         fresh = [loss for loss in losses if now - loss.run.ended_at <= LOST_BEFORE_S]
         news = [loss for loss in fresh if self._evidence.add(loss.run)]
         if news:
-            self.tell_lost([loss.run for loss in news])
+            self.peers.tell_lost([loss.run for loss in news])
         for loss in news:
-            self._judge(loss.run, now, loss)
+            self._consider(loss.run, now, loss)
 
-    def _judge(self, run: LostRun, now: float, loss: _Loss | None = None) -> None:
-        """Put a request into quarantine if engines end under it."""
+    def _consider(self, run: LostRun, now: float, loss: _Loss | None = None) -> None:
+        """Have a request judged if enough engines ended under it."""
         fingerprint = run.fingerprint
         if self.entries.left_s(fingerprint, time.time()):
             self._settle(fingerprint, now)
+        elif self._has_returned(run) or self._evidence.may_condemn(fingerprint):
+            before = self._judgements.get(fingerprint)
+            loss = loss or (before.loss if before else None)
+            self._judgements[fingerprint] = _Judgement(now + JUDGED_AFTER_S, loss)
+
+    def _has_returned(self, run: LostRun) -> bool:
+        """Return whether an engine ended again under a request whose time was over."""
+        return run.early and self.entries.get(run.fingerprint) is not None
+
+    def _pronounce(self, fingerprint: bytes, judgement: _Judgement, now: float) -> None:
+        """Put a request into quarantine if engines end under it."""
+        del self._judgements[fingerprint]
+        runs = self._evidence.runs(fingerprint)
+        if not runs:
             return
-        returned = self.entries.get(fingerprint) is not None and run.early
-        if not returned and not self._evidence.condemns(fingerprint):
+        if not self._has_returned(runs[-1]) and not self._evidence.condemns(fingerprint):
             return
+        loss = judgement.loss
         entry = self.entries.next_entry(fingerprint, time.time())
-        names = [self._engine_name(lost.worker) for lost in self._evidence.runs(fingerprint)]
+        names = [self._engine_name(run.worker) for run in runs]
         entry = replace(entry, engines=tuple(names))
         if loss is not None:
             entry = replace(entry, route=loss.route, tenant=loss.tenant)
-        self.entries.put(entry)
-        self._log_entry(entry, "own loss" if loss else "peer")
-        self._settle(fingerprint, now)
+        self._put_if_later(entry, "evidence", now)
         self.keeper.keep(entry, at_once=loss is not None)
+        if loss is not None:
+            self.peers.tell_quarantined(entry)
+
+    def _put_if_later(self, entry: QuarantineEntry, source: str, now: float) -> bool:
+        """Take in an entry, and return whether the request was not known for it."""
+        known = self.entries.get(entry.fingerprint)
+        if known is not None and known.times > entry.times:
+            return False
+        self.entries.put(entry)
+        self._settle(entry.fingerprint, now)
+        is_news = known is None or known.times < entry.times
+        if is_news:
+            self._log_entry(entry, source)
+        return is_news
 
     def _settle(self, fingerprint: bytes, now: float) -> None:
         """Count the ends under a request in quarantine as its doing, and as told of."""
--- a/liftrill/gateway/quarantine_records.py
+++ b/liftrill/gateway/quarantine_records.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
@@ -15,10 +14,12 @@
     RangeStore,
     StoredItem,
 )
+from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.opaque_request import FINGERPRINT_BYTES
 from liftrill.gateway.quarantine import QuarantineKeeper
+from liftrill.gateway.quarantine_codec import entry_from_record, record_of
 from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.messages import peer_pb2 as messages
 
@@ -50,18 +51,6 @@
     return QUARANTINE_PREFIX + fingerprint.hex()
 
 
-def value_of(entry: QuarantineEntry) -> bytes:
-    """Return an entry as it lies in the store."""
-    record = messages.QuarantineRecord(
-        until_unix_milliseconds=round(entry.until_unix_s * 1000),
-        times=entry.times,
-        route=entry.route,
-        tenant=entry.tenant,
-        engines=entry.engines,
-    )
-    return record.SerializeToString()
-
-
 def entry_of(item: StoredItem) -> QuarantineEntry | None:
     """Return the entry that an item holds, or None if it holds none.
 
@@ -71,15 +60,7 @@
     fingerprint = fingerprint_of(item.key)
     if fingerprint is None:
         return None
-    record = messages.QuarantineRecord.FromString(item.value)
-    return QuarantineEntry(
-        fingerprint,
-        record.until_unix_milliseconds / 1000,
-        max(1, record.times),
-        record.route,
-        record.tenant,
-        tuple(record.engines),
-    )
+    return entry_from_record(fingerprint, messages.QuarantineRecord.FromString(item.value))
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,11 +79,9 @@
 class QuarantineRecords(QuarantineKeeper):
     """Writes records until the store has them."""
 
-    def __init__(
-        self, store: RangeStore, known: Callable[[str], StoredItem | None], log: DecisionLog
-    ) -> None:
+    def __init__(self, store: RangeStore, mirror: StoreMirror, log: DecisionLog) -> None:
         self._store = store
-        self._known = known
+        self._mirror = mirror
         self._log = log
         self._pending: dict[bytes, _Pending] = {}
         self._asked = asyncio.Event()
@@ -144,12 +123,14 @@
 
     async def _write(self, fingerprint: bytes, pending: _Pending) -> None:
         key = key_of(fingerprint)
-        known = self._known(key)
+        known = self._mirror.get(key)
         if self._is_done(known, pending.entry):
             self._pending.pop(fingerprint, None)
             return
         expected = (Expectation(key, known.revision if known else 0),)
-        puts = (PutItem(key, value_of(pending.entry)),) if pending.entry else ()
+        puts = (
+            (PutItem(key, record_of(pending.entry).SerializeToString()),) if pending.entry else ()
+        )
         removed = () if pending.entry else (key,)
         try:
             await self._store.transact(expected, puts, removed)
