--- a/features/crash_requests.feature
+++ b/features/crash_requests.feature
@@ -19,3 +19,40 @@
     When it comes again at each node in turn as a resumable stream for 6 s, beside other streams
     Then no more than 3 engines have ended
     And no other request was refused for it
+
+  Scenario: Neither do engines of whole answers end under it one after the other
+    Given desk engines that end when they begin the request
+    When it comes again at each node in turn as an idempotent call for 5 s, beside other streams
+    Then no more than 3 engines have ended
+    And no other request was refused for it
+
+  Scenario Outline: Every node knows a request under which engines end, also <which>
+    When it comes again at each node in turn for 2 s, beside other streams
+    And <what>
+    Then each node refuses it, and no further engine ends
+
+    Examples:
+      | which                                      | what                                                |
+      | one that starts later                      | another node starts                                 |
+      | after all were killed at once              | all nodes are killed and start again                |
+      | one that was killed and starts again       | a node is killed and starts again                   |
+      | one that starts again without the store    | the store refuses a node that is killed and starts again |
+
+  Scenario: A node that stood still while engines ended under a request knows it when it wakes
+    When a node stands still while the request comes again at the others for 2 s
+    Then each node refuses it, and no further engine ends
+
+  Scenario: What the store could not take is in it once it is back, for nodes that start then
+    When the store is down while the request comes again at each node in turn for 2 s
+    And the store is back, and all nodes are killed and start again once it has the record
+    Then each node refuses it, and no further engine ends
+
+  Scenario: An operator lets a request go by removing its record
+    When it comes again at each node in turn for 2 s, beside other streams
+    And its record is removed from the store
+    Then the next send of it reaches an engine
+
+  Scenario: Nobody is refused where engines end without any request's doing
+    Given engines that end under no request
+    When every 0.7 s a third of the engines ends for 8 s, and each caller repeats what failed
+    Then no request was kept from engines
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import json
+import random
+import signal
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -12,6 +14,7 @@
 
 from features.standin.deployment import Deployment
 from liftrill.errors import ResultCode
+from liftrill.gateway.quarantine_records import QUARANTINE_PREFIX
 
 DEADLY = b"the request under which engines end"
 OTHER_CALLERS = 8
@@ -54,10 +57,10 @@
     retry_after_s: float | None
 
 
-async def add_model_engine(play, ends_under=DEADLY):
-    name = f"llm-{next(play.numbers)}"
+async def add_engine(play, service="llm", ends_under=DEADLY):
+    options = {"weights": {"model-1": 1}, "events": 12} if service == "llm" else {}
     engine = await play.deployment.add_engine(
-        name, "llm", weights={"model-1": 1}, ends_under=ends_under, events=12
+        f"{service}-{next(play.numbers)}", service, ends_under=ends_under, **options
     )
     play.replacing.append(asyncio.ensure_future(replace_when_ended(play, engine)))
     return engine
@@ -67,7 +70,7 @@
     await engine.ended.wait()
     play.ended_at[engine.engine_id] = time.monotonic()
     await asyncio.sleep(BACK_AFTER_S)
-    await add_model_engine(play, engine.ends_under)
+    await add_engine(play, engine.service, engine.ends_under)
     await asyncio.sleep(RECORD_LAPSES_AFTER_S - BACK_AFTER_S)
     play.deployment.store.remove(f"servers/{engine.engine_id}")
 
@@ -81,9 +84,9 @@
     context.play = CrashPlay(deployment)
 
     async def begin():
-        await deployment.add_engine("desk-1", "desk")
+        await add_engine(context.play, "desk", ends_under=None)
         for _ in range(engines):
-            await add_model_engine(context.play)
+            await add_engine(context.play)
         deployment.configure(5)
         for number in range(nodes):
             await deployment.ready(await deployment.add_node(f"node-{number + 1}"))
@@ -100,9 +103,10 @@
 async def call_deadly(play, node, path="/stream/deadly", **options):
     sent_at = time.monotonic()
     status = code = retry_after_s = None
+    model = "" if path.startswith("/safe") else "model-1"
     try:
         status, headers, body, _ = await play.deployment.call(
-            node, path, model="model-1", body=DEADLY, **options
+            node, path, model=model, body=DEADLY, **options
         )
         if "Retry-After" in headers:
             retry_after_s = float(headers["Retry-After"])
@@ -116,30 +120,39 @@
     return answer
 
 
-async def call_others(play, number):
-    nodes = itertools.cycle(play.deployment.nodes)
+async def call_others(play, number, among):
+    nodes = itertools.cycle(among)
     for count in itertools.count():
         if play.over:
             return
         body = f"request {number}/{count}".encode()
-        try:
-            status, _, answer, whole = await play.deployment.call(
-                next(nodes), f"/stream/{number}", model="model-1", body=body
-            )
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            play.others["no answer"] += 1
-            continue
-        code = json.loads(answer)["Code"] if status >= 400 and answer.startswith(b"{") else status
-        play.others[code if whole else "broken"] += 1
+        await call_other(play, next(nodes), f"/stream/{number}", body)
         await asyncio.sleep(0.02)
 
 
-async def come_again(play, seconds, path="/stream/deadly"):
+async def call_other(play, node, path, body):
+    """Send another request, and return how it ended."""
+    try:
+        status, _, answer, whole = await play.deployment.call(
+            node, path, model="model-1", body=body
+        )
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        play.others["no answer"] += 1
+        return "no answer"
+    code = json.loads(answer)["Code"] if status >= 400 and answer.startswith(b"{") else status
+    ending = code if whole else "broken"
+    play.others[ending] += 1
+    return ending
+
+
+async def come_again(play, seconds, path="/stream/deadly", nodes=None):
     """Send the request to each node in turn, beside other callers."""
-    others = [asyncio.ensure_future(call_others(play, n)) for n in range(OTHER_CALLERS)]
+    play.over = False
+    among = nodes or play.deployment.nodes
+    others = [asyncio.ensure_future(call_others(play, n, among)) for n in range(OTHER_CALLERS)]
     until = time.monotonic() + seconds
     calls = []
-    nodes = itertools.cycle(play.deployment.nodes)
+    nodes = itertools.cycle(among)
     while time.monotonic() < until:
         calls.append(asyncio.ensure_future(call_deadly(play, next(nodes), path)))
         await asyncio.sleep(SPACING_S)
@@ -192,3 +205,191 @@
 def step_others_served(context):
     others = context.play.others
     assert others[200] > 0 and not others[ResultCode.REQUEST_QUARANTINED.number], others
+
+
+@given("desk engines that end when they begin the request")
+def step_deadly_desks(context):
+    async def add():
+        for _ in range(4):
+            await add_engine(context.play, "desk")
+
+    # One that served the request would clear it of suspicion.
+    for engine in context.deployment.engines.values():
+        engine.ends_under = DEADLY
+    context.run(add())
+
+
+@when(
+    "it comes again at each node in turn as an idempotent call for {seconds:g} s, "
+    "beside other streams"
+)
+def step_again_idempotent(context, seconds):
+    context.run(come_again(context.play, seconds, "/safe/deadly"))
+
+
+async def restart(play, nodes):
+    for node in nodes:
+        node.process.kill()
+    for node in nodes:
+        await node.process.wait()
+        others = [other for other in play.deployment.nodes if other is not node]
+        store = play.deployment.store.address_for(node.ip)
+        node.write_settings(store, others, play.deployment.bounds, first_start=False)
+        await node.start()
+    for node in nodes:
+        await play.deployment.ready(node)
+
+
+@when("another node starts")
+def step_another(context):
+    deployment = context.deployment
+
+    async def add():
+        name = f"node-{len(deployment.nodes) + 1}"
+        await deployment.ready(await deployment.add_node(name))
+
+    context.run(add())
+
+
+@when("all nodes are killed and start again")
+def step_all_killed(context):
+    context.run(restart(context.play, context.deployment.nodes))
+
+
+@when("a node is killed and starts again")
+def step_one_killed(context):
+    context.run(restart(context.play, context.deployment.nodes[1:2]))
+
+
+@when("the store refuses a node that is killed and starts again")
+def step_killed_without_store(context):
+    node = context.deployment.nodes[1]
+    context.deployment.store.refused_callers.add(node.ip)
+    context.run(restart(context.play, [node]))
+
+
+@when("a node stands still while the request comes again at the others for {seconds:g} s")
+def step_frozen(context, seconds):
+    first, *others = context.deployment.nodes
+
+    async def play():
+        first.signal(signal.SIGSTOP)
+        await come_again(context.play, seconds, nodes=others)
+        first.signal(signal.SIGCONT)
+
+    context.run(play())
+
+
+@when("the store is down while the request comes again at each node in turn for {seconds:g} s")
+def step_store_down(context, seconds):
+    context.deployment.store.fault = "down"
+    context.run(come_again(context.play, seconds))
+
+
+@when("the store is back, and all nodes are killed and start again once it has the record")
+def step_store_back(context):
+    play = context.play
+
+    async def back():
+        play.deployment.store.fault = ""
+
+        async def is_kept():
+            return bool(records_of(play))
+
+        await play.deployment.wait_until(is_kept, 10.0)
+        await restart(play, play.deployment.nodes)
+
+    context.run(back())
+
+
+def records_of(play):
+    return [key for key in play.deployment.store.items if key.startswith(QUARANTINE_PREFIX)]
+
+
+@when("its record is removed from the store")
+def step_release(context):
+    play = context.play
+    (key,) = records_of(play)
+    play.deployment.store.remove(key)
+
+
+@then("the next send of it reaches an engine")
+def step_reaches_again(context):
+    play = context.play
+    before = len(play.ended_at)
+    nodes = itertools.cycle(play.deployment.nodes)
+
+    async def has_reached():
+        await call_deadly(play, next(nodes))
+        return len(play.ended_at) > before
+
+    context.run(play.deployment.wait_until(has_reached, 3.0))
+
+
+@then("each node refuses it, and no further engine ends")
+def step_each_refuses(context):
+    play = context.play
+    before = len(play.ended_at)
+    assert 0 < before <= 3, before
+
+    async def call_each():
+        return [await call_deadly(play, node) for node in play.deployment.nodes]
+
+    answers = context.run(call_each())
+    assert all(map(quarantined, answers)), answers
+    assert len(play.ended_at) == before, (before, answers)
+
+
+@given("engines that end under no request")
+def step_sound(context):
+    for engine in context.deployment.engines.values():
+        engine.ends_under = None
+
+
+@when(
+    "every {gap_s:g} s a third of the engines ends for {seconds:g} s, "
+    "and each caller repeats what failed"
+)
+def step_spells(context, gap_s, seconds):
+    play = context.play
+
+    async def end_a_third(draw):
+        running = [e for e in play.deployment.engines.values() if not e.ended.is_set()]
+        models = [engine for engine in running if engine.service == "llm"]
+        for engine in draw.sample(models, max(1, len(models) // 3)):
+            await engine.crash()
+
+    async def run():
+        draw = random.Random(35)
+        callers = [asyncio.ensure_future(call_until_served(play, n)) for n in range(24)]
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(gap_s)
+            await end_a_third(draw)
+        play.over = True
+        await asyncio.gather(*callers)
+
+    context.run(run())
+
+
+async def call_until_served(play, number):
+    """Send one request after the other, each until it is served, at another node each time."""
+    nodes = itertools.cycle(play.deployment.nodes)
+    for count in itertools.count():
+        served = False
+        while not served:
+            if play.over:
+                return
+            body = f"request {number}/{count}".encode()
+            code = await call_other(play, next(nodes), f"/stream/{number}", body)
+            served = code == 200
+            await asyncio.sleep(0.02)
+
+
+@then("no request was kept from engines")
+def step_nobody_refused(context):
+    play = context.play
+    print(f"{len(play.ended_at)} ended; {play.others}")
+    assert len(play.ended_at) > 5, play.ended_at
+    step_others_served(context)
+    assert not records_of(play), records_of(play)
