--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -62,7 +62,7 @@
         )
         self.engine_ends = Counter(
             "liftrill_engine_ends",
-            "Engines that were found to have ended with runs of this node.",
+            "Engines that were found to have ended with runs under way.",
             registry=self.registry,
         )
         self.peers = self._gauge("liftrill_peers", "Nodes believed alive, this one included.")
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -151,17 +151,7 @@
 
     def engine_ended(self, view: EngineView, now: float) -> None:
         """Note that an engine has ended, and judge what was lost with it here."""
-        if not self._note_end(view.number, now):
-            return
-        losses = self._losses.pop(view.number, [])
-        self.metrics.engine_ends.inc()
-        self.log.belief(
-            "engine_ended",
-            engine=view.engine_id,
-            lost=len(losses),
-            early=[loss.run.fingerprint.hex() for loss in losses if loss.run.early],
-        )
-        self._take_losses(losses, now)
+        self._note_end(view.number, "refused", now)
 
     def served(self, request: OpaqueRequest, now: float) -> None:
         """Note that an engine served a request: it is no suspect any more."""
@@ -175,8 +165,7 @@
     def hear_lost(self, node: str, runs: Iterable[LostRun], now: float) -> None:
         """Take in runs that another node lost with engines that ended."""
         for run in runs:
-            if self._note_end(run.worker, now):
-                self._take_losses(self._losses.pop(run.worker, []), now)
+            self._note_end(run.worker, node, now)
             known = self.entries.get(run.fingerprint)
             if known is not None and self.entries.left_s(run.fingerprint, time.time()):
                 # It sent what is kept from engines: it has not heard.
@@ -226,13 +215,22 @@
 
     # Judging
 
-    def _note_end(self, number: int, now: float) -> bool:
-        """Note that an engine ended; return whether that was news."""
+    def _note_end(self, number: int, source: str, now: float) -> None:
+        """Note that an engine ended, and take what was lost with it here for evidence."""
         if number in self._ended_at:
-            return False
+            return
         self._ended_at[number] = now
         self._evidence.note_end(number, now)
-        return True
+        losses = self._losses.pop(number, [])
+        self.metrics.engine_ends.inc()
+        self.log.belief(
+            "engine_ended",
+            engine=self._engine_name(number),
+            source=source,
+            lost=len(losses),
+            early=[loss.run.fingerprint.hex() for loss in losses if loss.run.early],
+        )
+        self._take_losses(losses, now)
 
     def _take_losses(self, losses: list[_Loss], now: float) -> None:
         """Take runs that this node lost with an engine that ended for evidence, and tell it."""
