Evidence judged in virtual time: companions count only where they met the ends as early; five late ends

A fleet in virtual time showed that most deadly requests ended three workers instead of two, since any run that was re-sent to the second worker counted as one that met the same ends; and that five requests of 180,000 were condemned where a third of six workers crashes every 1 to 4 s, four late ends each.

--- a/liftrill/coordination/crash_evidence.py
+++ b/liftrill/coordination/crash_evidence.py
@@ -15,13 +15,16 @@
 APART_S = 0.5
 # For how long back it counts that workers end without a request (guess: some spells of crashes).
 BESIDE_S = 10.0
-# How many early ends tell of a request where no worker ends without it, and where some do.
-# With two, a fleet loses one worker less to each such request than with three.
+# How many early ends tell of a request where no worker ends without it, where some do, and where
+# another request met all the same ends. With two, a fleet loses one worker less to each such
+# request than with three.
 EARLY_ENDS_ALONE = 2
 EARLY_ENDS = 3
-# The same for runs that had gone on for a while, which most that meet an end by accident have:
-# more than an accident, fewer than a worker for each try.
-ENDS_ALONE = 4
+EARLY_ENDS_TOGETHER = 4
+# The same for runs that had gone on for a while, as most that meet an end by accident have. With
+# four, twice as many requests were condemned where a third of all workers crashes every 1 to 4 s
+# (virtual time).
+ENDS_ALONE = 5
 # What is known of a request that was neither sent again nor served is forgotten after this
 # (guess: callers repeat within seconds or minutes).
 KEPT_S = 600.0
@@ -106,9 +109,12 @@
         if not self.may_condemn(fingerprint):
             return False
         runs = self.runs(fingerprint)
-        if _separate([run for run in runs if run.early]) >= EARLY_ENDS:
+        early = _separate([run for run in runs if run.early])
+        if early >= EARLY_ENDS_TOGETHER:
             return True
-        return not self._ended_without(runs) and not self._has_companion(fingerprint)
+        if self._has_companion(fingerprint):
+            return False
+        return early >= EARLY_ENDS or not self._ended_without(runs)
 
     def expire(self, now: float) -> None:
         """Forget what is old."""
@@ -127,10 +133,15 @@
         return any(at >= since for worker, at in self._ends.items() if worker not in under)
 
     def _has_companion(self, fingerprint: bytes) -> bool:
-        """Return whether another request was lost with all workers that a request was."""
-        workers = self._runs[fingerprint].keys()
+        """Return whether another request met the same ends, and as early."""
+        runs = self._runs[fingerprint]
         return any(
-            workers <= runs.keys() for name, runs in self._runs.items() if name != fingerprint
+            all(
+                worker in others and others[worker].early >= run.early
+                for worker, run in runs.items()
+            )
+            for name, others in self._runs.items()
+            if name != fingerprint
         )
 
 
