--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -14,6 +14,10 @@
 # For how long an engine goes on to take requests after its leaving, to see late ones: three
 # times DrainMs.
 SEEN_AFTER_LEAVING_S = 6.0
+# When another engine is up after one has ended under a request, and when its record lapses (own
+# choice; three beats of 1.2 s, less what had passed of one).
+BACK_AFTER_S = 1.0
+RECORD_LAPSES_AFTER_S = 2.5
 
 
 class Fleet:
@@ -23,7 +27,9 @@
         retired: engines that left; some of them still take requests.
     """
 
-    def __init__(self, directory, nodes):
+    def __init__(self, directory, nodes, deadly=frozenset()):
+        self._deadly = deadly
+        self._replacing = []
         self.deployment = Deployment(directory)
         self.timeline = Timeline()
         self.proxies = {}
@@ -138,7 +144,21 @@
     async def _add_engine(self, service):
         name = f"{service}-{next(self._engine_numbers)}"
         options = {"weights": {"model-1": self._weights}} if service == "llm" else {}
-        return await self.deployment.add_engine(name, service, **options)
+        engine = await self.deployment.add_engine(name, service, ends_under=self._deadly, **options)
+        if self._deadly:
+            self._replacing.append(asyncio.ensure_future(self._replace_ended(engine)))
+        return engine
+
+    async def _replace_ended(self, engine):
+        """Bring another engine up some time after one ended under a request."""
+        await engine.ended.wait()
+        await asyncio.sleep(BACK_AFTER_S)
+        if self.deployment.engines.get(engine.engine_id) is not engine:
+            # Another fault has taken it out.
+            return
+        await self._replace(engine)
+        await asyncio.sleep(RECORD_LAPSES_AFTER_S - BACK_AFTER_S)
+        self._remove_record(engine)
 
     # The end
 
--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -28,6 +28,7 @@
     body: bytes
     complete: bool
     node: str = ""
+    sent_body: bytes = b""
 
 
 @dataclass(frozen=True)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -8,7 +8,8 @@
 and are cut, its open connections go silent, while engines leave and weights are named; keys
 and routes change. What callers and engines saw is checked against the promises. Exits with 1
 after a violation, and names the seed. Seeds that failed once are kept in `seeds.txt`, one a
-line: seed, seconds, nodes, and the cause.
+line: seed, seconds, nodes, "deadly" where callers repeat requests under which engines end, and
+the cause.
 """
 
 import argparse
@@ -24,6 +25,7 @@
 
 import aiohttp
 
+from features.soak.deadly import DeadlyCallers, check_deadly, ends_under
 from features.soak.faults import FaultInjector
 from features.soak.fleet import Fleet
 from features.soak.history import Bounds, Call, check, latest
@@ -33,6 +35,7 @@
 CALLERS = 12
 CALL_TIMEOUT_S = 5.0
 ROUTES = ("whole", "safe", "stream", "resume")
+BODY = b"body"
 # Of the calls, those with a key that was taken away (own choice).
 OLD_KEY_SHARE = 0.2
 SETTLE_S = 9.0
@@ -44,8 +47,10 @@
 class Soak:
     """One deployment under faults, and its history."""
 
-    def __init__(self, seed, seconds, directory, nodes=NODES):
-        self.fleet = Fleet(directory, nodes)
+    def __init__(self, seed, seconds, directory, nodes=NODES, deadly=False):
+        self._deadly = DeadlyCallers(seed) if deadly else None
+        self._deadly_bodies = self._deadly.bodies() if deadly else frozenset()
+        self.fleet = Fleet(directory, nodes, self._deadly_bodies)
         self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
         self._seconds = seconds
@@ -59,13 +64,17 @@
         async with self.fleet.deployment:
             await self.fleet.start()
             callers = [asyncio.ensure_future(self._call_on()) for _ in range(CALLERS)]
+            if self._deadly is not None:
+                deadly = self._deadly.run(self._call_deadly, lambda: self._over)
+                callers.append(asyncio.ensure_future(deadly))
             await self._injector.harm_for(self._seconds)
             await self.fleet.heal()
             alive = await self._all_serve()
             self._over = True
             await asyncio.gather(*callers)
             await self.fleet.stop_retired()
-            return check(*self._history(), BOUNDS), alive
+            found = check(*self._history(), BOUNDS)
+            return [*found, *check_deadly(*self._history(), self._deadly_bodies)], alive
 
     def latest(self):
         """Return the latest arrivals after leavings and namings."""
@@ -91,10 +100,21 @@
             await self._call()
             await asyncio.sleep(self._random.uniform(0.02, 0.1))
 
+    def ends(self):
+        """Return how many engines ended under each deadly request."""
+        engines = self.fleet.all_engines()
+        return {body.decode(): len(ends_under(body, engines)) for body in self._deadly_bodies}
+
     async def _call(self):
         node = self._random.choice(self.fleet.nodes)
         route = self._random.choice(ROUTES)
-        key = self._key()
+        await self._call_at(node, route, self._key(), BODY if route != "safe" else b"")
+
+    async def _call_deadly(self, route, body):
+        node = self._random.choice(self.fleet.nodes)
+        await self._call_at(node, route, self.fleet.keys[-1], body)
+
+    async def _call_at(self, node, route, key, body):
         request_id = f"{self._seed:08x}{next(self._ids):08x}"
         headers = {
             "Host": HOST,
@@ -104,8 +124,10 @@
             **(prompt_headers("model-1") if route in ("stream", "resume") else {}),
         }
         sent_at = time.monotonic()
-        status, body, complete = await self._send(node, route, headers)
-        self.calls.append(Call(request_id, route, key, sent_at, status, body, complete, node.name))
+        status, answer, complete = await self._send(node, route, headers, body)
+        self.calls.append(
+            Call(request_id, route, key, sent_at, status, answer, complete, node.name, body)
+        )
 
     def _key(self):
         """Return a key in force, now and then one that was taken away."""
@@ -113,8 +135,8 @@
         is_old = revoked and self._random.random() < OLD_KEY_SHARE
         return self._random.choice(revoked if is_old else self.fleet.keys)
 
-    async def _send(self, node, route, headers):
-        method = "GET" if route == "safe" else "POST"
+    async def _send(self, node, route, headers, sent_body=b""):
+        method = "POST" if sent_body else "GET"
         url = f"http://{node.address('Front')}/{route}/x"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         body = b""
@@ -124,7 +146,7 @@
                 method,
                 url,
                 headers=headers,
-                data=b"body" if method == "POST" else None,
+                data=sent_body or None,
                 timeout=timeout,
             ) as answer:
                 status = answer.status
@@ -170,16 +192,16 @@
             return False
 
 
-def play(seed, seconds, nodes=NODES):
+def play(seed, seconds, nodes=NODES, deadly=False):
     """Play one seed; return its violations, and print what it did."""
     with tempfile.TemporaryDirectory(prefix="liftrill-soak-") as directory:
-        soak = Soak(seed, seconds, Path(directory), nodes)
+        soak = Soak(seed, seconds, Path(directory), nodes, deadly)
         found, alive = asyncio.run(soak.run())
         served = sum(call.status == 200 and call.complete for call in soak.calls)
         print(
             f"seed {seed}: {len(soak.calls)} requests, {served} served, "
             f"{len(soak.fleet.timeline.faults)} faults, {len(found)} violations, "
-            f"all nodes serve again: {alive}, {soak.latest()}",
+            f"all nodes serve again: {alive}, {soak.latest()}, ended under requests: {soak.ends()}",
             flush=True,
         )
         for promise, count in Counter(violation.promise for violation in found).items():
@@ -191,10 +213,13 @@
 
 
 def kept_plays():
-    """Return seed, seconds and nodes of each play that is kept."""
+    """Return seed, seconds, nodes and whether requests are deadly, for each play that is kept."""
     lines = KEPT_PATH.read_text().splitlines()
     rows = [line.partition("|")[0].split() for line in lines if not line.startswith("#")]
-    return [(int(seed), float(seconds), int(nodes)) for seed, seconds, nodes in rows]
+    return [
+        (int(seed), float(seconds), int(nodes), more == ["deadly"])
+        for seed, seconds, nodes, *more in rows
+    ]
 
 
 def main():
@@ -204,9 +229,12 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=NODES, help="12 at the most")
     parser.add_argument("--kept", action="store_true", help="play the seeds that failed once")
+    parser.add_argument(
+        "--deadly", action="store_true", help="callers repeat requests under which engines end"
+    )
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.seeds)
-    plays = [(seed, options.seconds, options.nodes) for seed in seeds]
+    plays = [(seed, options.seconds, options.nodes, options.deadly) for seed in seeds]
     results = [play(*one) for one in (kept_plays() if options.kept else plays)]
     return 0 if all(not found and alive for found, alive in results) else 1
 
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -49,8 +49,9 @@
         fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
             "extra", "extra_late", "reset_unframed", "torn", "hang", "fail".
         refuses_orders: whether it answers orders as if it were busy.
-        ends_under: the body of the request under which it ends, or None.
-        ended: set once it has ended under a request.
+        ends_under: the bodies of requests under which it ends.
+        ended: set once it has crashed, with the time in `ended_at`.
+        ended_under: the body of the request under which it ended, or None.
     """
 
     engine_id: str
@@ -64,7 +65,9 @@
     fault_count: int = 1
     refuses_orders: bool = False
     address: str = ""
-    ends_under: bytes | None = None
+    ends_under: frozenset = frozenset()
+    ended_at: float | None = None
+    ended_under: bytes | None = None
 
     def __post_init__(self):
         self.ended = asyncio.Event()
@@ -86,6 +89,11 @@
     async def stop(self):
         await self._runner.cleanup()
 
+    async def _end_under(self, body):
+        if not self.ended.is_set():
+            self.ended_under = body
+            await self.crash()
+
     async def crash(self):
         """Take no more connections and reset those that are open, as when a process dies."""
         for site in list(self._runner.sites):
@@ -93,6 +101,7 @@
         for handler in list(self._server.connections):
             if handler.transport is not None:
                 reset(handler.transport)
+        self.ended_at = time.monotonic()
         self.ended.set()
 
     def record(self, state="ready"):
@@ -193,7 +202,7 @@
             copies.add(f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}")
         arrival.version = self.weights.get(model)
         arrival.ran = True
-        if self.ends_under is not None and arrival.body == self.ends_under:
+        if arrival.body in self.ends_under:
             fault = "end"
         headers = {"X-Attempt-Id": arrival.attempt_id, "X-Response-Signature": SIGNATURE}
         if fault in ("close", "hang", "fail", "reset_unframed", "end"):
@@ -211,7 +220,7 @@
             return await self._reset_unframed(request, headers)
         if fault == "end":
             await asyncio.sleep(ENDS_AFTER_S)
-            await self.crash()
+            await self._end_under(await request.read())
         request.transport.close()
         return web.Response()
 
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -57,7 +57,7 @@
     retry_after_s: float | None
 
 
-async def add_engine(play, service="llm", ends_under=DEADLY):
+async def add_engine(play, service="llm", ends_under=frozenset({DEADLY})):
     options = {"weights": {"model-1": 1}, "events": 12} if service == "llm" else {}
     engine = await play.deployment.add_engine(
         f"{service}-{next(play.numbers)}", service, ends_under=ends_under, **options
@@ -84,7 +84,7 @@
     context.play = CrashPlay(deployment)
 
     async def begin():
-        await add_engine(context.play, "desk", ends_under=None)
+        await add_engine(context.play, "desk", ends_under=frozenset())
         for _ in range(engines):
             await add_engine(context.play)
         deployment.configure(5)
@@ -215,7 +215,7 @@
 
     # One that served the request would clear it of suspicion.
     for engine in context.deployment.engines.values():
-        engine.ends_under = DEADLY
+        engine.ends_under = frozenset({DEADLY})
     context.run(add())
 
 
@@ -343,7 +343,7 @@
 @given("engines that end under no request")
 def step_sound(context):
     for engine in context.deployment.engines.values():
-        engine.ends_under = None
+        engine.ends_under = frozenset()
 
 
 @when(
