--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -336,7 +336,12 @@
         return [await call_deadly(play, node) for node in play.deployment.nodes]
 
     answers = context.run(call_each())
-    assert all(map(quarantined, answers)), answers
+    sent = [
+        node for node, a in zip(play.deployment.nodes, answers, strict=True) if not quarantined(a)
+    ]
+    for node in sent:
+        print(node.log()[-6000:])
+    assert not sent, answers
     assert len(play.ended_at) == before, (before, answers)
 
 
