Ends that a condemned request explains count against no other; a run that had gone on speaks for its request

News that a suspect was served is told three times like the rest, a record explains the ends of its engines, several runs of a request on one engine count as early only if all were.

--- a/features/crash_evidence.feature
+++ b/features/crash_evidence.feature
@@ -24,6 +24,8 @@
       | Five after a while, and one that ended without it    | 1@0:a 2@1:b 3@2:a 4@4:a 5@6:a 6@7:a | not condemned |
       | Two with it served between                           | 1@0:A a+1 2@2:A                    | not condemned |
       | Two, where another condemned request ended the rest  | 1@0:B 2@1:B b! 3@2:A 4@4:A         | condemned     |
+      | Two that a condemned request brought about           | 1@0:AB 2@1:B 3@2:AB 4@4:B b!       | not condemned |
+      | Two, beside a run of it that had gone on there       | 1@0:Aa 2@2:A                       | not condemned |
 
   Scenario: The order in which nodes hear of runs, and how often, changes no judgement
     Then 200 random histories are judged alike in any order and when told twice
--- a/features/crash_fleet.py
+++ b/features/crash_fleet.py
@@ -130,7 +130,7 @@
         for run in lost:
             if self.evidence.condemns(run.request):
                 self.outcome.condemned.add(run.request)
-                self.evidence.explain(run.request)
+                self.evidence.explain([r.worker for r in self.evidence.runs(run.request)], now)
                 self.evidence.clear(run.request, now)
         if now - self._last_expired > 1.0:
             self._last_expired = now
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -3,6 +3,7 @@
 import random
 import statistics
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -39,7 +40,8 @@
     context.evidence = CrashEvidence()
     for word in ends.split():
         if word.endswith("!"):
-            context.evidence.explain(name(word[0]))
+            runs = context.evidence.runs(name(word[0]))
+            context.evidence.explain([run.worker for run in runs], runs[-1].ended_at)
         elif "+" in word:
             letter, _, at = word.partition("+")
             context.evidence.clear(name(letter), float(at))
@@ -69,6 +71,9 @@
         for letter in draw.sample("abc", draw.randint(1, 3)):
             sent_at = at - draw.uniform(0.01, 3.0)
             found.append(LostRun(letter.encode(), worker, draw.random() < 0.6, sent_at, at))
+        # Several runs of one request on one worker are told by several nodes.
+        twice = draw.choice(found)
+        found.append(replace(twice, early=draw.random() < 0.6, sent_at=twice.sent_at - 0.1))
     return found
 
 
--- a/liftrill/coordination/crash_evidence.py
+++ b/liftrill/coordination/crash_evidence.py
@@ -4,6 +4,7 @@
 order and told more than once. Times are on the steady clock of whoever holds the set.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -64,12 +65,13 @@
     def add(self, run: LostRun) -> bool:
         """Take in a run, and return whether it was news."""
         self.note_end(run.worker, run.ended_at)
-        if run.ended_at <= self._served_at.get(run.fingerprint, -KEPT_S):
+        if run.ended_at <= self._served_at.get(run.fingerprint, -math.inf):
             return False
         runs = self._runs.setdefault(run.fingerprint, {})
-        if run.worker in runs:
+        known = runs.get(run.worker)
+        runs[run.worker] = _merged(known, run) if known else run
+        if runs[run.worker] == known:
             return False
-        runs[run.worker] = run
         while len(self._runs) > MOST_REQUESTS:
             self._runs.pop(next(iter(self._runs)))
         return True
@@ -88,15 +90,23 @@
 
     def is_suspect(self, fingerprint: bytes) -> bool:
         """Return whether a worker ended soon after it had begun a request."""
-        return any(run.early for run in self._runs.get(fingerprint, {}).values())
+        return any(run.early for run in self.runs(fingerprint))
 
-    def explain(self, fingerprint: bytes) -> None:
-        """Take the ends under a request to be its doing."""
-        self._explained.update(self._runs.get(fingerprint, {}))
+    def explain(self, workers: Iterable[int], at: float) -> None:
+        """Note that some workers ended because of a request that is known by now."""
+        for worker in workers:
+            self.note_end(worker, at)
+            self._explained.add(worker)
+
+    def knows_end(self, worker: int) -> bool:
+        """Return whether a worker is known to have ended."""
+        return worker in self._ends
 
     def runs(self, fingerprint: bytes) -> list[LostRun]:
-        """Return the runs of a request under which workers ended, by time."""
-        return sorted(self._runs.get(fingerprint, {}).values(), key=lambda run: run.ended_at)
+        """Return the runs of a request under which workers ended for no known reason, by time."""
+        runs = self._runs.get(fingerprint, {}).values()
+        unexplained = (run for run in runs if run.worker not in self._explained)
+        return sorted(unexplained, key=lambda run: run.ended_at)
 
     def may_condemn(self, fingerprint: bytes) -> bool:
         """Return whether as many workers ended under a request as may condemn it."""
@@ -134,17 +144,28 @@
 
     def _has_companion(self, fingerprint: bytes) -> bool:
         """Return whether another request met the same ends, and as early."""
-        runs = self._runs[fingerprint]
+        runs = self.runs(fingerprint)
         return any(
-            all(
-                worker in others and others[worker].early >= run.early
-                for worker, run in runs.items()
-            )
+            all(run.worker in others and others[run.worker].early >= run.early for run in runs)
             for name, others in self._runs.items()
             if name != fingerprint
         )
 
 
+def _merged(one: LostRun, other: LostRun) -> LostRun:
+    """Return two runs of one request on one worker as one.
+
+    Where one of them had gone on for a while, the request did not end the worker by beginning.
+    """
+    return LostRun(
+        one.fingerprint,
+        one.worker,
+        one.early and other.early,
+        max(one.sent_at, other.sent_at),
+        min(one.ended_at, other.ended_at),
+    )
+
+
 def _separate(runs: Iterable[LostRun]) -> int:
     """Return how many of some runs, by time, met an end of their own."""
     count = 0
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -142,11 +142,17 @@
 
     def tell_quarantined(self, entry: QuarantineEntry, node: str = "") -> None:
         """Tell one member, or all, of a request that is kept from engines, some times again."""
+        self._repeat(datagram_from_entry(entry), node)
+
+    def _repeat(self, message: messages.Datagram, node: str = "") -> None:
+        """Send a message to one member, or all, now and some times again."""
         loop = asyncio.get_running_loop()
-        message = datagram_from_entry(entry)
         for wait_s in CRASH_REPEATS_S:
-            members = [m for m in self._others() if node in ("", m.node_id)]
-            loop.call_later(wait_s, self._send_all, members, message)
+            loop.call_later(wait_s, self._send_to, message, node)
+
+    def _send_to(self, message: messages.Datagram, node: str) -> None:
+        members = [member for member in self._others() if node in ("", member.node_id)]
+        self._send_all(members, message)
 
     def _send_lost(self, runs: list[LostRun]) -> None:
         own = self._membership.own.node_id
@@ -154,8 +160,8 @@
             self._send_all(self._others(), message)
 
     def tell_served(self, fingerprint: bytes) -> None:
-        """Tell all members that a suspected request was served."""
-        self._send_all(self._others(), messages.Datagram(served=[fingerprint]))
+        """Tell all members that a suspected request was served, and some times again."""
+        self._repeat(messages.Datagram(served=[fingerprint]))
 
     def close(self) -> None:
         """Close the UDP socket."""
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -15,7 +15,7 @@
 from liftrill.gateway.admission import AdmissionRefusal
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import AttemptTimes
-from liftrill.gateway.engine_table import EngineTable, EngineView
+from liftrill.gateway.engine_table import EngineTable, EngineView, engine_number
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.quarantine_list import QuarantineEntry, QuarantineList
@@ -83,7 +83,7 @@
     entries: QuarantineList = field(default_factory=QuarantineList)
     _evidence: CrashEvidence = field(default_factory=CrashEvidence)
     _losses: dict[int, list[_Loss]] = field(default_factory=dict)
-    _ended_at: dict[int, float] = field(default_factory=dict)
+    _ended: dict[int, str] = field(default_factory=dict)
     _own: dict[bytes, _Loss] = field(default_factory=dict)
     _judged_at: dict[bytes, float] = field(default_factory=dict)
 
@@ -133,14 +133,14 @@
         early = first is None or now - first < EARLY_S
         run = LostRun(request.fingerprint, view.number, early, times.sent_at, now)
         loss = _Loss(run, request.route.name, request.tenant)
-        if view.number in self._ended_at:
+        if self.knows_end(view):
             self._take_losses([loss], now)
         else:
             self._losses.setdefault(view.number, []).append(loss)
 
     def knows_end(self, view: EngineView) -> bool:
         """Return whether an engine is known to have ended."""
-        return view.number in self._ended_at
+        return self._evidence.knows_end(view.number)
 
     def engine_ended(self, view: EngineView, now: float) -> None:
         """Note that an engine has ended, and judge what was lost with it here."""
@@ -201,8 +201,8 @@
                 self._losses[number] = left
             else:
                 del self._losses[number]
-        for number in [n for n in self._ended_at if not self.engines.by_number(n)]:
-            del self._ended_at[number]
+        for number in [n for n in self._ended if not self._evidence.knows_end(n)]:
+            del self._ended[number]
         for entry in self.entries.forgotten(time.time()):
             self.entries.remove(entry.fingerprint)
             self.keeper.drop(entry.fingerprint)
@@ -212,15 +212,17 @@
 
     def _note_end(self, number: int, source: str, now: float) -> None:
         """Note that an engine ended, and take what was lost with it here for evidence."""
-        if number in self._ended_at:
+        if number in self._ended:
             return
-        self._ended_at[number] = now
+        view = self.engines.by_number(number)
+        # Its record may be gone when its name is asked for.
+        self._ended[number] = view.engine_id if view else f"{number:016x}"
         self._evidence.note_end(number, now)
         losses = self._losses.pop(number, [])
         self.metrics.engine_ends.inc()
         self.log.belief(
             "engine_ended",
-            engine=self._engine_name(number),
+            engine=self._ended[number],
             source=source,
             lost=len(losses),
             early=[loss.run.fingerprint.hex() for loss in losses if loss.run.early],
@@ -259,7 +261,7 @@
             return
         loss = self._own.pop(fingerprint, None)
         entry = self.entries.next_entry(fingerprint, time.time())
-        names = [self._engine_name(run.worker) for run in runs]
+        names = [self._ended[run.worker] for run in runs]
         entry = replace(entry, engines=tuple(names))
         if loss is not None:
             entry = replace(entry, route=loss.route, tenant=loss.tenant)
@@ -283,7 +285,10 @@
 
     def _settle(self, fingerprint: bytes, now: float) -> None:
         """Count the ends under a request in quarantine as its doing, and as told of."""
-        self._evidence.explain(fingerprint)
+        entry = self.entries.get(fingerprint)
+        named = (engine_number(name) for name in entry.engines) if entry else ()
+        seen = (run.worker for run in self._evidence.runs(fingerprint))
+        self._evidence.explain({*named, *seen}, now)
         self._evidence.clear(fingerprint, now)
 
     def _clear(self, fingerprint: bytes, now: float) -> None:
@@ -295,10 +300,6 @@
         if was_suspect or was_listed:
             self.log.belief("suspect_served", fingerprint=fingerprint.hex())
 
-    def _engine_name(self, number: int) -> str:
-        view = self.engines.by_number(number)
-        return view.engine_id if view else f"{number:016x}"
-
     def _log_entry(self, entry: QuarantineEntry, source: str) -> None:
         self.log.belief(
             "request_quarantined",
