Features of a node that slept: failing, known red

The process is stopped, and what it reads of the steady clock leaves the time out. On the code as it stands a request reaches an engine that had left, and a key is served 5.4 s after it was taken away, while the store is silent.

--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -11,6 +11,7 @@
 from yarl import URL
 
 from features.standin.engine import StandInEngine
+from features.standin.sleeper import SLEPT_FILE
 from features.standin.store import StandInStore
 from liftrill.bench.launcher import free_ports
 
@@ -87,6 +88,8 @@
         self.directory = directory
         self.ports = ports
         self.process = None
+        self.wrapper = ()
+        self.slept_s = 0.0
         self.log_path = directory / f"{name}.log"
 
     def address(self, server):
@@ -123,8 +126,14 @@
         log = stdout if stdout is not None else self.log_path.open("ab")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
+            *map(str, self.wrapper),
             str(ROOT / "platform" / "serve.py"),
-            env={**os.environ, "LIFTRILL_BOOT": str(self.settings_path), **(environment or {})},
+            env={
+                **os.environ,
+                "LIFTRILL_BOOT": str(self.settings_path),
+                SLEPT_FILE: str(self.slept_path),
+                **(environment or {}),
+            },
             stdout=log,
             stderr=asyncio.subprocess.STDOUT if stdout is None else asyncio.subprocess.DEVNULL,
         )
@@ -134,9 +143,20 @@
             self.process.kill()
             await self.process.wait()
 
+    @property
+    def slept_path(self):
+        return self.directory / f"{self.name}.slept"
+
     def signal(self, number):
         self.process.send_signal(number)
 
+    def wake(self, slept_s):
+        """Let a node go on that was stopped, as if its machine had slept for so long."""
+        self.slept_s += slept_s
+        self.slept_path.write_text(str(self.slept_s))
+        self.signal(signal.SIGUSR1)
+        self.signal(signal.SIGCONT)
+
     def log(self):
         return self.log_path.read_text()
 
@@ -189,13 +209,14 @@
     def name_weights(self, version):
         self.store.put("op/version/model-1", {"Model": "model-1", "Version": version})
 
-    async def add_node(self, name, **options):
+    async def add_node(self, name, wrapper=(), **options):
         if not self.ports:
             self.ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
         # As on the platform, each machine has an address of its own and ports are alike.
         node = Node(name, self.directory, f"127.0.1.{len(self.nodes) + 1}", self.ports)
         node.write_settings(self.store.address_for(node.ip), self.nodes, self.bounds)
         self.nodes.append(node)
+        node.wrapper = wrapper
         await node.start(**options)
         return node
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,6 +11,7 @@
 
 from behave import given, then, when
 
+from features.standin import sleeper
 from features.standin.deployment import KEY, ROUTES, Deployment, interrupt
 from features.standin.engine import SIGNATURE, StandInEngine
 
@@ -145,11 +146,20 @@
     context.connecting = context.run(deployment.wait_until(is_connecting))
 
 
+@given("a node whose steady clock stands while it sleeps")
+def step_sleeping_node(context):
+    async def add():
+        node = await context.deployment.add_node("node-1", wrapper=[sleeper.__file__])
+        await context.deployment.ready(node)
+
+    context.run(add())
+
+
 @when(
-    "the node stands still for {seconds:g} s, and at {at:g} s all desk engines leave "
+    "the node {is_still} for {seconds:g} s, and at {at:g} s all desk engines leave "
     'and {count:d} clients post to "{path}"'
 )
-def step_stands_still(context, seconds, at, count, path):
+def step_stands_still(context, is_still, seconds, at, count, path):
     deployment = context.deployment
     node = deployment.nodes[0]
     context.left = [engine for engine in deployment.engines.values() if engine.service == "desk"]
@@ -163,12 +173,38 @@
             deployment.record(engine, "draining")
         calls = [asyncio.ensure_future(deployment.call(node, path)) for _ in range(count)]
         await asyncio.sleep(seconds - at)
-        node.signal(signal.SIGCONT)
+        if is_still == "sleeps":
+            node.wake(seconds)
+        else:
+            node.signal(signal.SIGCONT)
         await asyncio.gather(context.connecting, *calls, return_exceptions=True)
 
     context.run(stand_still())
 
 
+@when(
+    "the node sleeps for {seconds:g} s, its key is taken away at {at:g} s, "
+    'a client posts to "{path}" with it, and the store says nothing more'
+)
+def step_sleeps_revoked(context, seconds, at, path):
+    deployment = context.deployment
+    node = deployment.nodes[0]
+
+    async def sleep():
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(at)
+        deployment.store.silence_connections()
+        deployment.store.fault = "silent"
+        deployment.configure(9, keys=("another-key",))
+        await asyncio.sleep(seconds - at)
+        call = asyncio.ensure_future(deployment.call(node, path))
+        await asyncio.sleep(0.1)
+        node.wake(seconds + 0.1)
+        context.answer = await call
+
+    context.run(sleep())
+
+
 @then("no engine that left got a request")
 def step_left_alone(context):
     arrived = sum(len(engine.arrivals) for engine in context.left) - context.arrived_before
