Ages, leases and proofs are taken from a clock that goes on while the machine sleeps

Cause: the steady clock stands during a suspension, so a node that had slept noticed no gap and took all that it believed for fresh. A sleep now shows as a standstill: engines are chosen once the store has told, keys by a fresh proof, limits of waiting attempts are set anew, an expired deadline ends a request whatever its timer says; the line of waking tells how long the node slept.

--- a/features/sleep.feature
+++ b/features/sleep.feature
@@ -17,3 +17,20 @@
     Given a node whose steady clock stands while it sleeps
     When the node sleeps for 5.5 s, its key is taken away at 0.2 s, a client posts to "/whole/x" with it, and the store says nothing more
     Then the answer has status 503
+
+  Scenario Outline: The clock goes on <where>
+    Given a clock <where>
+    When the steady clock goes on by 2 s and the other by <seconds> s
+    Then <passed> s have passed, and <slept> s of them asleep
+
+    Examples:
+      | where                                   | seconds | passed | slept |
+      | on a system that counts suspension      | 8       | 8      | 6     |
+      | on a system that does not               | 8       | 2      | 0     |
+      | on a system whose count goes back       | -3      | 0      | 0     |
+
+  Scenario: After its count went back a clock goes on with the steady one
+    Given a clock on a system whose count goes back
+    When the steady clock goes on by 2 s and the other by -3 s
+    And the steady clock goes on by 4 s and the other by 40 s
+    Then 4 s have passed, and 0 s of them asleep
--- /dev/null
+++ b/features/steps/clock_steps.py
@@ -0,0 +1,26 @@
+"""Steps about the clock that counts suspension."""
+
+from behave import given, then, when
+
+from liftrill.clock import ElapsedClock
+
+
+@given("a clock on a system {which}")
+def step_clock(context, which):
+    context.steady_s, context.counted_s = 1000.0, 5000.0
+    counting = None if "does not" in which else lambda: context.counted_s
+    context.clock = ElapsedClock(lambda: context.steady_s, counting)
+    context.began_s = context.clock.now_s()
+
+
+@when("the steady clock goes on by {steady:g} s and the other by {counted:g} s")
+def step_pass(context, steady, counted):
+    context.steady_s += steady
+    context.counted_s += counted
+    context.clock.now_s()
+
+
+@then("{passed:g} s have passed, and {slept:g} s of them asleep")
+def step_passed(context, passed, slept):
+    assert abs(context.clock.now_s() - context.began_s - passed) < 0.01, context.clock.now_s()
+    assert abs(context.clock.slept_s() - slept) < 0.01, context.clock.slept_s()
--- a/liftrill/gateway/begin_limits.py
+++ b/liftrill/gateway/begin_limits.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import math
-import time
 from collections.abc import Awaitable, Callable
 
+from liftrill import clock
 from liftrill.gateway import delivery_events as events
 
 
@@ -37,5 +37,5 @@
     """Return when an attempt ends, on the loop's clock, or None where nothing bounds it."""
     if math.isinf(begin_by):
         return None
-    left_s = max(0.0, begin_by - time.monotonic())
+    left_s = max(0.0, begin_by - clock.now_s())
     return asyncio.get_running_loop().time() + left_s
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -1,8 +1,8 @@
 """Applies what the store tells to what this node believes."""
 
-import time
 from dataclasses import dataclass
 
+from liftrill import clock
 from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.gateway.configuration_view import ConfigurationView
@@ -42,7 +42,7 @@
             self.apply_item(item, known_until)
         self.store_read = True
         gone = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
-        now = time.monotonic()
+        now = clock.now_s()
         if change.gap and now - known_until >= self.shortest_lapse_s:
             # Records may lapse while the store is away though their engines live on.
             self.engines.mark_vanished(gone, now)
@@ -115,7 +115,7 @@
     def _name_target(self, target: WeightTarget, known_until: float) -> None:
         # When it was heard says little: a node that heard nothing for a while would go on with
         # replaced weights for as much longer.
-        now = time.monotonic()
+        now = clock.now_s()
         named_at = self.targets.earliest_naming(known_until, now)
         if self.targets.name(target, named_at, age_known=self.store_read, now=now):
             self.log.belief(
@@ -130,4 +130,4 @@
 
 def _news_age(known_until: float) -> float | None:
     """Return how old news may be, for a line."""
-    return rounded_age(time.monotonic() - known_until)
+    return rounded_age(clock.now_s() - known_until)
--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import math
-import time
 from abc import ABC, abstractmethod
 from contextlib import suppress
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.range_store import RangeStore, StoredItem
 from liftrill.errors import StoreError
 from liftrill.gateway.beliefs import Beliefs
@@ -96,7 +95,7 @@
         self.ask_soon()
         with suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
-                while not self._view.is_proven(time.monotonic()):
+                while not self._view.is_proven(clock.now_s()):
                     await self._proved.wait()
 
     def ask_soon(self) -> None:
@@ -105,7 +104,7 @@
         While the store does not answer this node, it is asked no more often than usual:
         calls are paid for, and all nodes would hurry at the same time.
         """
-        now = time.monotonic()
+        now = clock.now_s()
         if not self._unanswered and now - self._hurried_at >= HURRY_SPACING_S:
             self._hurried_at = now
             self._hurry = True
@@ -121,11 +120,11 @@
         """Prove for as long as the node runs; the first reading of the range is a proof too."""
         await self._wait(self._interval_s)
         while True:
-            asked_at = time.monotonic()
+            asked_at = clock.now_s()
             if await self._must_ask():
-                asked_at = time.monotonic()
+                asked_at = clock.now_s()
                 self._unanswered = not await self._is_answered(asked_at)
-            rest = asked_at + self._interval_s - time.monotonic()
+            rest = asked_at + self._interval_s - clock.now_s()
             await self._wait(max(0.05, rest))
 
     async def _wait(self, limit_s: float) -> None:
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -6,13 +6,12 @@
 """
 
 import math
-import time
 from dataclasses import dataclass, field
 
 import eliot
 from eliot.json import EliotJSONEncoder
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.token_bucket import TokenBucket
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
@@ -125,7 +124,7 @@
     def _write_request(
         self, outcome: str, machine: DeliveryMachine, ordinary: bool, **inputs: object
     ) -> None:
-        now = time.monotonic()
+        now = clock.now_s()
         bucket = self._ordinary if ordinary else self._failures
         if bucket.try_take(1.0, now) > 0:
             self._left_out += 1
@@ -151,7 +150,7 @@
         )
 
     def _write_failure(self, kind: str, **inputs: object) -> None:
-        if self._failures.try_take(1.0, time.monotonic()) > 0:
+        if self._failures.try_take(1.0, clock.now_s()) > 0:
             self._left_out += 1
             return
         eliot.log_message(
@@ -169,7 +168,7 @@
 
 def _loss(machine: DeliveryMachine, times: AttemptTimes) -> dict[str, object]:
     """Return what the line of a lost attempt tells of it: times in milliseconds until now."""
-    now = time.monotonic()
+    now = clock.now_s()
     first = times.first_event_at
     return {
         "fingerprint": machine.request.fingerprint.hex(),
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -31,6 +31,7 @@
     FULL = auto()
     NONE_LEFT = auto()
     QUARANTINED = auto()
+    TOO_LATE = auto()
 
 
 class DeliveryPorts(ABC):
@@ -232,6 +233,8 @@
             return [events.WaitForEngine()]
         if choice is Unavailable.QUARANTINED:
             self._last_code = ResultCode.REQUEST_QUARANTINED
+        if choice is Unavailable.TOO_LATE:
+            self._last_code = ResultCode.DEADLINE_UNREACHABLE
         if not isinstance(choice, events.EngineChoice):
             return [self._end(self._last_code)]
         if not self._spend_if_arrived():
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -1,13 +1,12 @@
 """The run of one delivery: the machine's instructions, carried out on one attempt at a time."""
 
 import asyncio
-import time
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Awaitable
 from contextlib import suppress
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import FIRST_SERVER_ERROR, AttemptTimes, DeliveryMachine
@@ -147,7 +146,7 @@
         if self._load.waiting_tokens and self._view is not None:
             self._view.own_load.waiting_tokens -= self._load.waiting_tokens
             self._load.waiting_tokens = 0
-            elapsed_s = time.monotonic() - self._times.sent_at
+            elapsed_s = clock.now_s() - self._times.sent_at
             self._owner.note_prompt_read(self._machine, self._tokens_ahead, elapsed_s)
 
     async def _noted(self, found: list[events.DeliveryEvent]) -> list[events.DeliveryEvent]:
@@ -162,7 +161,7 @@
         return found
 
     def _note_event(self, arrived: events.EventArrived) -> None:
-        now = time.monotonic()
+        now = clock.now_s()
         self._machine.times.note(arrived.event.event_id, now)
         if self._times.first_event_at is None:
             self._times.first_event_at = now
@@ -193,7 +192,7 @@
         first = len(machine.attempts) == 1
         self._view, self._attempt = self._owner.begin(machine.request, start, first)
         self._load = expected_load(machine.request, start.choice)
-        self._times = AttemptTimes(time.monotonic())
+        self._times = AttemptTimes(clock.now_s())
         if self._view is not None:
             self._view.own_load.add(self._load)
             self._tokens_ahead = self._view.waiting_tokens
@@ -203,7 +202,7 @@
         request = self._machine.request
         share = constants.ENGINE_WAIT_TARGET_SHARE
         until = request.received_at + share * request.route.target_seconds
-        left = until - time.monotonic()
+        left = until - clock.now_s()
         if left <= 0:
             return events.WaitEnded()
         self.close()
@@ -211,11 +210,11 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(min(left, WAIT_STEP_SECONDS)):
                 await self._owner.engine_signal.wait()
-        return events.Started() if time.monotonic() < until else events.WaitEnded()
+        return events.Started() if clock.now_s() < until else events.WaitEnded()
 
     async def _end(self, ending: events.DeliveryInstruction) -> None:
         self._ended = True
-        held_s = self._machine.times.since_first_event_s(time.monotonic())
+        held_s = self._machine.times.since_first_event_s(clock.now_s())
         if isinstance(ending, events.FinishStream) and held_s is not None:
             self._owner.note_slot_held(self._machine, held_s)
         self._owner.log.request_ended(self._machine, ending)
--- a/liftrill/gateway/engine_end_check.py
+++ b/liftrill/gateway/engine_end_check.py
@@ -1,9 +1,9 @@
 """Asks whether engines have ended whose connections broke."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
+from liftrill import clock
 from liftrill.gateway.engine_table import EngineView
 from liftrill.gateway.transport import EngineTransport
 
@@ -33,4 +33,4 @@
 
     async def _ask(self, view: EngineView) -> None:
         if await self._transport.has_ended(view.record.address):
-            self._on_ended(view, time.monotonic())
+            self._on_ended(view, clock.now_s())
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.begin_limits import BeginLimits
 from liftrill.gateway.decision_log import DecisionLog
@@ -66,7 +65,10 @@
         self, request: OpaqueRequest, excluded: frozenset[str]
     ) -> events.EngineChoice | Unavailable:
         """Return an engine outside a set of engines already tried."""
-        now = time.monotonic()
+        now = clock.now_s()
+        # A machine that slept reads this before the request's timer, which stood still, ends it.
+        if now >= request.deadline:
+            return Unavailable.TOO_LATE
         if not self.beliefs_hold(now):
             return Unavailable.NONE_READY
         quarantine = self._quarantine
@@ -82,7 +84,7 @@
         self, request: OpaqueRequest, broken: events.EngineChoice
     ) -> events.EngineChoice | None:
         """Return the backup's engine as it is now, or None if it takes nothing."""
-        now = time.monotonic()
+        now = clock.now_s()
         if not self.beliefs_hold(now):
             return None
         if self._quarantine is not None and self._quarantine.left_s(request):
@@ -99,11 +101,11 @@
 
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
         """Spend one repeat of the service's budget."""
-        return self._allowance.try_spend(request.service, time.monotonic())
+        return self._allowance.try_spend(request.service, clock.now_s())
 
     def record_sent(self, choice: events.EngineChoice, request: OpaqueRequest, first: bool) -> None:
         """Note that an engine is about to get a request, for the first time or again."""
-        now = time.monotonic()
+        now = clock.now_s()
         self._selector.parts.record_sent(choice, request, now)
         if self._quotas is not None and not first:
             self._quotas.record_repeat(request, now)
@@ -111,13 +113,13 @@
     def record_not_run(self, request: OpaqueRequest) -> None:
         """Note that a request ends without having run."""
         if self._quotas is not None:
-            self._quotas.record_not_run(request, time.monotonic())
+            self._quotas.record_not_run(request, clock.now_s())
 
     def record_read(
         self, choice: events.EngineChoice, request: OpaqueRequest, tokens: int, elapsed_s: float
     ) -> None:
         """Note that an engine has read a prompt, and some tokens with what waited before."""
-        self._selector.parts.record_read(choice, request, time.monotonic())
+        self._selector.parts.record_read(choice, request, clock.now_s())
         self._selector.rates.record(request.service, tokens, elapsed_s)
 
     def record_slot_held(self, request: OpaqueRequest, held_s: float) -> None:
@@ -171,7 +173,7 @@
         """Bring a request to its end."""
         machine = DeliveryMachine(request, self._ports)
         run = DeliveryRun(self, machine, sink)
-        left = max(0.0, request.deadline - time.monotonic())
+        left = max(0.0, request.deadline - clock.now_s())
         try:
             async with asyncio.timeout(left):
                 await run.drive(events.Started())
@@ -199,7 +201,7 @@
         self, request: OpaqueRequest, start: events.StartAttempt, first: bool
     ) -> tuple[EngineView | None, EngineAttempt]:
         """Account for an attempt that is about to be sent."""
-        now = time.monotonic()
+        now = clock.now_s()
         if first:
             self._allowance.record_request(request.service, now)
         view = self._engines.get(start.choice.engine_id)
@@ -210,6 +212,10 @@
         self._ports.record_sent(start.choice, request, first)
         return view, self._transport.attempt(request, start)
 
+    def renew_limits(self) -> None:
+        """Look anew until when each attempt may begin."""
+        self._limits.renew()
+
     async def read_before_overdue(
         self, machine: DeliveryMachine, reading: Awaitable[list[events.DeliveryEvent]]
     ) -> list[events.DeliveryEvent]:
@@ -222,7 +228,7 @@
 
     def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
         """Learn about an engine from what an attempt told."""
-        now = time.monotonic()
+        now = clock.now_s()
         if isinstance(event, events.AttemptRefused):
             self._note_refusal(view, event.kind, now)
         elif isinstance(event, events.AttemptBroken):
@@ -237,18 +243,18 @@
         # An engine that leaves may end with runs that take too long: they are not its end's cause.
         if view.leaving:
             return
-        self._quarantine.run_lost(machine.request, view, times, time.monotonic())
+        self._quarantine.run_lost(machine.request, view, times, clock.now_s())
         if not self._quarantine.knows_end(view):
             await self._end_check.ask(view)
 
     def run_given_up(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
         """Note that a run is closed before its end: what it does to its engine is not seen."""
         if not view.leaving:
-            self._quarantine.run_lost(machine.request, view, times, time.monotonic())
+            self._quarantine.run_lost(machine.request, view, times, clock.now_s())
 
     def note_served(self, request: OpaqueRequest) -> None:
         """Note that an engine served a request."""
-        self._quarantine.served(request, time.monotonic())
+        self._quarantine.served(request, clock.now_s())
 
     def note_prompt_read(self, machine: DeliveryMachine, tokens: int, elapsed_s: float) -> None:
         """Note that the newest attempt's engine has read the prompt, and how fast."""
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination import rendezvous
 from liftrill.coordination.crash_evidence import LostRun
 from liftrill.coordination.lease import LeaseParameters
@@ -91,7 +91,7 @@
         self.log = log
         self.metrics = metrics
         self.stopping = False
-        self._started_at = time.monotonic()
+        self._started_at = clock.now_s()
         self.view = ConfigurationView(bounds.key_proof_seconds - constants.KEY_PROOF_MARGIN_SECONDS)
         self._store = store
         engines = EngineTable()
@@ -159,6 +159,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._link_was_short = False
+        self._slept_s = 0.0
 
     @property
     def ready(self) -> bool:
@@ -180,7 +181,12 @@
             self._tell_loads,
         ):
             self._tasks.append(asyncio.ensure_future(self._supervise(loop)))
-        self.log.belief("started", zone=self.settings.zone, front=self.settings.front)
+        self.log.belief(
+            "started",
+            zone=self.settings.zone,
+            front=self.settings.front,
+            counts_sleep=clock.counts_sleep(),
+        )
 
     def leave(self) -> None:
         """Take no new callers: peers no longer name this node."""
@@ -202,19 +208,19 @@
 
     async def admit(self, incoming: IncomingRequest) -> OpaqueRequest | AdmissionRefusal:
         """Return the request to deliver, or why it is refused."""
-        found = self.admission.admit(incoming, time.monotonic())
+        found = self.admission.admit(incoming, clock.now_s())
         if isinstance(found, AdmissionRefusal) and found.code is ResultCode.KEY_NOT_PROVEN:
             await self._currency.prove_within(constants.PROOF_WAIT_S)
-            found = self.admission.admit(incoming, time.monotonic())
+            found = self.admission.admit(incoming, clock.now_s())
         if isinstance(found, AdmissionRefusal):
             return found
-        refusal = self._quarantine.check(found) or self._quotas.check(found, time.monotonic())
+        refusal = self._quarantine.check(found) or self._quotas.check(found, clock.now_s())
         return refusal or found
 
     def addresses_for(self, zone: str) -> list[str]:
         """Return the front addresses that a caller of a zone should use."""
         members = [m for m in self._membership.members() if m.condition is Condition.ALIVE]
-        members = self._silence.speaking(members, time.monotonic())
+        members = self._silence.speaking(members, clock.now_s())
         if self.stopping:
             members = [m for m in members if m.node_id != self.settings.node]
         local = [member for member in members if member.zone == zone]
@@ -230,7 +236,7 @@
 
     def _new_allowance(self) -> RetryAllowance:
         bounds = self.settings.bounds
-        now = time.monotonic()
+        now = clock.now_s()
         slack_from = now if self.settings.first_start else now + bounds.retry_window_seconds
         return RetryAllowance(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds, slack_from
@@ -287,7 +293,7 @@
         )
 
     def _is_candidate(self) -> bool:
-        if time.monotonic() - self._started_at < CANDIDATE_AFTER_S:
+        if clock.now_s() - self._started_at < CANDIDATE_AFTER_S:
             return False
         names = [member.node_id for member in self._membership.members()]
         ranked = rendezvous.rank(LEADER_RANK_KEY, names)
@@ -301,8 +307,18 @@
     def _beat(self, now: float) -> None:
         """Ask the store at once after a standstill: engines may have left meanwhile."""
         if self._standstill.beat(now):
-            mirror_age_s = rounded_age(self._follower.currency.age_s(now))
-            self.log.belief("woken", mirror_age_s=mirror_age_s)
+            slept_s = clock.slept_s()
+            self.metrics.standstills.inc()
+            self.log.belief(
+                "woken",
+                stood_still_s=round(self._standstill.gap_s, 3),
+                slept_s=round(slept_s - self._slept_s, 3),
+                counts_sleep=clock.counts_sleep(),
+                mirror_age_s=rounded_age(self._follower.currency.age_s(now)),
+            )
+            self._slept_s = slept_s
+            # Timers stood as long as the machine slept.
+            self.forwarder.renew_limits()
             self._currency.ask_soon()
 
     # What others tell
@@ -310,7 +326,7 @@
     def mirror_changed(self, change: MirrorChange, known_until: float) -> None:
         """Take in a change of the store's mirror, and pass it on."""
         self._relay.publish(change)
-        self._fleet_record.recall(time.monotonic())
+        self._fleet_record.recall(clock.now_s())
         before = self.view.version
         self._beliefs.apply(change, known_until)
         self._take_quarantine(change)
@@ -326,7 +342,7 @@
 
     def range_read(self, asked_at: float) -> None:
         """Take the reading of the whole range as a proof of currency."""
-        now = time.monotonic()
+        now = clock.now_s()
         self.log.belief(
             "store_read",
             at=self._follower.mirror.at,
@@ -358,16 +374,16 @@
     def reader_to_follow(self, store_lost: bool) -> Member | None:
         """Return the node whose mirror to follow, or None to read the store itself."""
         members = self._membership.members()
-        return self._readers.reader(members, time.monotonic(), store_lost)
+        return self._readers.reader(members, clock.now_s(), store_lost)
 
     def keeps_reader(self, reader: Member, since: float) -> bool:
         """Return whether a node that was followed since a time is still one to follow."""
         members = self._membership.members()
-        return self._readers.keeps(reader, members, since, time.monotonic())
+        return self._readers.keeps(reader, members, since, clock.now_s())
 
     def reader_followed(self, reader: Member, store_lost: bool) -> None:
         """Log whom this node follows from now on, and what it knows before."""
-        now = time.monotonic()
+        now = clock.now_s()
         self.log.belief(
             "reader_followed",
             reader=reader.node_id,
@@ -379,18 +395,18 @@
 
     def reader_lost(self, reader: Member, reason: str) -> None:
         """Leave a reader alone for a while that serves this node no more."""
-        self._readers.avoid(reader.node_id, time.monotonic())
+        self._readers.avoid(reader.node_id, clock.now_s())
         self.log.belief("reader_lost", reader=reader.node_id, reason=reason)
 
     def _announce_if_newer(self, before: int) -> None:
         if self.view.version != before:
-            self._quotas.configure(self.view, time.monotonic())
+            self._quotas.configure(self.view, clock.now_s())
             self._peers.announce_version(self.view.version)
 
     def _on_member(self, member: Member) -> None:
         alive = len(self._membership.members())
         self._allowance.nodes = max(self._allowance.nodes, alive)
-        self._fleet.note(alive, time.monotonic())
+        self._fleet.note(alive, clock.now_s())
         if member.condition >= Condition.DEAD:
             self._silence.forget(member.node_id)
         self._beliefs.selector.parts.nodes = alive
@@ -402,13 +418,13 @@
         )
 
     def _on_notice(self, notice: EngineNotice) -> None:
-        until = time.monotonic() + constants.LOADING_BELIEF_SECONDS
+        until = clock.now_s() + constants.LOADING_BELIEF_SECONDS
         self._engines.apply_notice(notice, until)
         if not notice.loading:
             self.forwarder.engine_signal.notify()
 
     def _on_loads(self, report: LoadReport) -> None:
-        now = time.monotonic()
+        now = clock.now_s()
         of_zone = report.zone == self.settings.zone
         self._beliefs.selector.parts.directory.hear(report.kept, now, of_zone)
         self._quotas.hear(report, now)
@@ -424,7 +440,7 @@
         self._peers.send_loads(words)
 
     def _take_quarantine(self, change: MirrorChange) -> None:
-        now = time.monotonic()
+        now = clock.now_s()
         for item in change.written:
             entry = self._quarantine_records.read(item)
             if entry is not None:
@@ -435,19 +451,19 @@
                 self._quarantine.release(fingerprint, now)
 
     def _on_lost_runs(self, node: str, runs: list[LostRun]) -> None:
-        self._quarantine.hear_lost(node, runs, time.monotonic())
+        self._quarantine.hear_lost(node, runs, clock.now_s())
 
     def _on_quarantined(self, entry: QuarantineEntry) -> None:
-        self._quarantine.hear_quarantined(entry, time.monotonic())
+        self._quarantine.hear_quarantined(entry, clock.now_s())
 
     def _on_served(self, fingerprint: bytes) -> None:
-        self._quarantine.hear_served(fingerprint, time.monotonic())
+        self._quarantine.hear_served(fingerprint, clock.now_s())
 
     def _on_reading(self, engine_number: int, tokens: int) -> None:
-        self._loads.hear_reading(engine_number, tokens, time.monotonic())
+        self._loads.hear_reading(engine_number, tokens, clock.now_s())
 
     def _tell_reading(self, view: EngineView, tokens: int) -> None:
-        self._loads.note_own_reading(view, tokens, time.monotonic())
+        self._loads.note_own_reading(view, tokens, clock.now_s())
         self._peers.tell_reading(view.number, tokens)
 
     def _tell_spending(self, tenant: str, amount: float) -> None:
@@ -475,7 +491,7 @@
         had_load = False
         reported_at = 0.0
         while True:
-            now = time.monotonic()
+            now = clock.now_s()
             members = self._membership.members()
             topology = topology_for(members)
             kept = self._beliefs.selector.parts.directory.news(now)
@@ -502,18 +518,18 @@
 
     async def _keep_fleet_record(self) -> None:
         while True:
-            await self._fleet_record.write_if_due(time.monotonic())
+            await self._fleet_record.write_if_due(clock.now_s())
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
 
     async def _keep_quarantine(self) -> None:
         while True:
             await self._quarantine_records.write_due()
-            self._quarantine.expire(time.monotonic())
+            self._quarantine.expire(clock.now_s())
             await self._quarantine_records.wait(HOUSEKEEPING_SECONDS)
 
     async def _keep_house(self) -> None:
         while True:
-            now = time.monotonic()
+            now = clock.now_s()
             self._beat(now)
             self._beliefs.expire(now)
             self._follower.reconsider()
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -1,9 +1,8 @@
 """Counters and latency histograms of the gateway, in Prometheus' text form."""
 
-import time
-
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from liftrill import clock
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import DeliveryMachine
 
@@ -60,6 +59,11 @@
         self.quarantined = self._gauge(
             "liftrill_quarantined_requests", "Requests that are sent to no engine for a time."
         )
+        self.standstills = Counter(
+            "liftrill_standstills",
+            "Times that this process stood still, or its machine slept.",
+            registry=self.registry,
+        )
         self.engine_ends = Counter(
             "liftrill_engine_ends",
             "Engines that were found to have ended with runs under way.",
@@ -77,7 +81,7 @@
         if isinstance(ending, events.RefuseRequest | events.FailRequest | events.BreakOff):
             self.refusals.labels(ending.code.name.lower()).inc()
         self.attempts.inc(len(machine.attempts))
-        self.seconds.observe(time.monotonic() - machine.request.received_at)
+        self.seconds.observe(clock.now_s() - machine.request.received_at)
 
     def text(self) -> bytes:
         """Return all figures as text."""
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -16,7 +16,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
-from liftrill import constants
+from liftrill import clock, constants
 
 # A peer behind a cut says nothing: unacknowledged data or probes end the connection.
 USER_TIMEOUT_MILLISECONDS = 2_000
@@ -38,7 +38,7 @@
         super().__init__(loop=loop)
         self._answers = 0
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
-        self._last_data_at = loop.time()
+        self._last_data_at = clock.now_s()
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the answer to a request that is about to be sent."""
@@ -60,12 +60,12 @@
             if self.transport is not None:
                 self.transport.abort()
             return
-        self._last_data_at = self._loop.time()
+        self._last_data_at = clock.now_s()
         super().data_received(data)
 
     def is_connected(self) -> bool:
         """Return whether another request may be sent: the peer is not about to close."""
-        idle_s = self._loop.time() - self._last_data_at
+        idle_s = clock.now_s() - self._last_data_at
         if self._answers and idle_s > self._idle_limit_s:
             return False
         return super().is_connected()
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -8,11 +8,11 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
+from liftrill import clock
 from liftrill.coordination.lease import AcquireLease, Lease, LeaseParameters, RenewLease
 from liftrill.coordination.range_store import (
     ConditionFailedError,
@@ -58,7 +58,7 @@
         node: str,
         parameters: TermParameters,
         log: DecisionLog,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clock.now_s,
         is_candidate: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.crash_evidence import LostRun
 from liftrill.coordination.membership import Membership, MembershipParameters
 from liftrill.coordination.membership_messages import (
@@ -95,7 +94,7 @@
     async def run(self) -> None:
         """Let time pass for the membership for as long as the node runs."""
         while True:
-            self._carry_out(self._membership.handle(Ticked(), time.monotonic()))
+            self._carry_out(self._membership.handle(Ticked(), clock.now_s()))
             await asyncio.sleep(constants.PEER_TICK_SECONDS)
 
     def announce_version(self, version: int) -> None:
@@ -156,7 +155,7 @@
 
     def _send_lost(self, runs: list[LostRun]) -> None:
         own = self._membership.own.node_id
-        for message in datagrams_from_runs(own, runs, time.monotonic()):
+        for message in datagrams_from_runs(own, runs, clock.now_s()):
             self._send_all(self._others(), message)
 
     def tell_served(self, fingerprint: bytes) -> None:
@@ -192,7 +191,7 @@
             event = DatagramReceived(f"{addr[0]}:{addr[1]}", datagram_from_message(message))
         except GossipDecodeError:
             return
-        self._carry_out(self._membership.handle(event, time.monotonic()))
+        self._carry_out(self._membership.handle(event, clock.now_s()))
 
     def _take_word(self, message: messages.Datagram) -> None:
         for notice in message.notices:
@@ -203,7 +202,7 @@
                 self._callbacks.loads(report)
 
     def _take_crash_news(self, message: messages.Datagram) -> None:
-        runs = runs_from_message(message, time.monotonic())
+        runs = runs_from_message(message, clock.now_s())
         if runs:
             self._callbacks.lost_runs(message.sender, runs)
         entry = entry_from_notice(message.quarantined)
--- a/liftrill/gateway/quarantine_records.py
+++ b/liftrill/gateway/quarantine_records.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-import time
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
 from google.protobuf.message import DecodeError
 
+from liftrill import clock
 from liftrill.coordination.range_store import (
     Expectation,
     PutItem,
@@ -89,7 +89,7 @@
 
     def keep(self, entry: QuarantineEntry, at_once: bool) -> None:
         """Write an entry, at once or unless another node has done so soon."""
-        now = time.monotonic()
+        now = clock.now_s()
         if at_once:
             pending = _Pending(entry, now, OWN_RETRY_S)
         else:
@@ -99,7 +99,7 @@
 
     def drop(self, fingerprint: bytes) -> None:
         """Remove the record of a request."""
-        self._pending[fingerprint] = _Pending(None, time.monotonic(), OTHERS_RETRY_S)
+        self._pending[fingerprint] = _Pending(None, clock.now_s(), OTHERS_RETRY_S)
 
     def read(self, item: StoredItem) -> QuarantineEntry | None:
         """Return the entry that an item of the store holds, or None."""
@@ -113,7 +113,7 @@
         """Write what is due, one record after the other."""
         self._asked.clear()
         for fingerprint, pending in list(self._pending.items()):
-            if pending.due_at <= time.monotonic():
+            if pending.due_at <= clock.now_s():
                 await self._write(fingerprint, pending)
 
     async def wait(self, longest_s: float) -> None:
@@ -139,7 +139,7 @@
             self._log.belief("quarantine_not_written", key=key, why=repr(error))
             # Another node was first, or the store is away: look again once the mirror tells.
             if self._pending.get(fingerprint) is pending:
-                due_at = time.monotonic() + _spread(pending.retry_s)
+                due_at = clock.now_s() + _spread(pending.retry_s)
                 self._pending[fingerprint] = replace(pending, due_at=due_at)
             return
         if self._pending.get(fingerprint) is pending:
--- a/liftrill/gateway/relay_client.py
+++ b/liftrill/gateway/relay_client.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import itertools
-import time
 from abc import ABC, abstractmethod
 from contextlib import suppress
 from dataclasses import dataclass
 
 import aiohttp
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.range_store import WatchBatch
 from liftrill.errors import LiftrillError
 from liftrill.gateway.relay_codec import (
@@ -124,7 +123,7 @@
         with suppress(OSError, RuntimeError, aiohttp.ClientError):
             while True:
                 nonce = next(_nonces)
-                self._asked_at[nonce] = time.monotonic()
+                self._asked_at[nonce] = clock.now_s()
                 await socket.send_bytes(encode_question(nonce))
                 await asyncio.sleep(constants.RELAY_QUESTION_SECONDS)
 
--- a/liftrill/gateway/relay_server.py
+++ b/liftrill/gateway/relay_server.py
@@ -1,7 +1,6 @@
 """Lets other nodes follow this node's mirror of the store."""
 
 import asyncio
-import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -9,6 +8,7 @@
 
 from aiohttp import WSMsgType, web
 
+from liftrill import clock
 from liftrill.coordination.change_log import ChangeLog
 from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
@@ -185,7 +185,7 @@
             subscriber.put(encode_answer(self._answer_to(nonce)))
 
     def _answer_to(self, nonce: int) -> RelayAnswer:
-        now = time.monotonic()
+        now = clock.now_s()
         return RelayAnswer(
             nonce,
             self._view.version,
--- a/liftrill/gateway/standstill.py
+++ b/liftrill/gateway/standstill.py
@@ -13,11 +13,13 @@
 
     Attributes:
         longest_wait_s: after this time what is believed is used again, though nothing came.
-        woke_at: the end of the last gap (steady clock).
+        woke_at: the end of the last gap.
+        gap_s: how long it was.
     """
 
     longest_wait_s: float
     woke_at: float = -math.inf
+    gap_s: float = 0.0
     _beat_at: float = math.inf
 
     def beat(self, now: float) -> bool:
@@ -27,6 +29,7 @@
         if gap_s < STANDSTILL_S:
             return False
         self.woke_at = now
+        self.gap_s = gap_s
         return True
 
     def is_over(self, now: float, known_until: float) -> bool:
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -6,11 +6,10 @@
 """
 
 import asyncio
-import time
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.membership_messages import Member
 from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import HistoryGoneError, RangePage, RangeStore, StoredItem
@@ -193,7 +192,7 @@
 
     async def _follow(self, reader: Member) -> None:
         self.followed = reader
-        self._followed_since = time.monotonic()
+        self._followed_since = clock.now_s()
         self._owner.reader_followed(reader, store_lost=self._outage.lost)
         # When it is given up, the store itself is tried before another stand-in.
         self._try_store = True
@@ -242,7 +241,7 @@
         self._reread = False
         self._try_store = False
         self.mirror.begin_reading()
-        asked_at = time.monotonic()
+        asked_at = clock.now_s()
         known_at = self.mirror.at
         try:
             first_at, change = await self._read_pages()
@@ -268,7 +267,7 @@
                 return first_at, change
 
     async def _watch_once(self) -> None:
-        started_at = time.monotonic()
+        started_at = clock.now_s()
         wait = constants.STORE_WATCH_SECONDS
         batch = await self._store.watch(self._prefix, self.mirror.at, wait)
         self._outage.note_answered()
@@ -287,7 +286,7 @@
 
     async def _pace(self, started_at: float) -> None:
         """Let changes gather after one that came quickly: each call is paid for."""
-        rest = self._spacing_s() - (time.monotonic() - started_at)
+        rest = self._spacing_s() - (clock.now_s() - started_at)
         if rest > 0:
             await asyncio.sleep(rest)
 
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import itertools
-import time
 from collections.abc import Awaitable, Callable
 
+from liftrill import clock
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engine_table import EngineNotice, EngineTable, EngineView
@@ -58,7 +58,7 @@
         """Lead or wait to lead for as long as the node runs."""
         while True:
             await self._leadership.step()
-            await self._lead(time.monotonic())
+            await self._lead(clock.now_s())
             await asyncio.sleep(TICK_SECONDS)
 
     async def stop(self) -> None:
@@ -78,9 +78,9 @@
         if not wanted and self._rollout.is_idle:
             await self._rest(now)
             return
-        if not await self._activate() or not self._leadership.may_order(time.monotonic()):
+        if not await self._activate() or not self._leadership.may_order(clock.now_s()):
             return
-        for instruction in self._rollout.due(self._engines, time.monotonic()):
+        for instruction in self._rollout.due(self._engines, clock.now_s()):
             view = self._engines.get(instruction.engine_id)
             if view is not None:
                 self._carry_out(view, instruction)
@@ -125,9 +125,7 @@
 
     async def _give(self, view: EngineView, instruction: GiveOrder) -> None:
         if not await self._read_status(view):
-            self._rollout.order_refused(
-                view.engine_id, time.monotonic(), REFUSED_ORDER_PAUSE_SECONDS
-            )
+            self._rollout.order_refused(view.engine_id, clock.now_s(), REFUSED_ORDER_PAUSE_SECONDS)
             return
         model, version = instruction.model, instruction.version
         if view.weight_version(model) >= version:
@@ -135,7 +133,7 @@
         order = WeightOrder(
             model, version, self._node, self._fence, self._sequences[view.engine_id]
         )
-        now = time.monotonic()
+        now = clock.now_s()
         if not self._leadership.may_order(now):
             return
         self._leadership.note_order(now)
@@ -143,7 +141,7 @@
         self._note_answer(view, order, answer)
 
     def _note_answer(self, view: EngineView, order: WeightOrder, answer: OrderAnswer) -> None:
-        now = time.monotonic()
+        now = clock.now_s()
         self._metrics.orders.labels(answer.value).inc()
         self._log.belief(
             "order",
@@ -179,7 +177,7 @@
         for model, version in status.weights.items():
             view.learn_weights(model, version)
         self._sequences[view.engine_id] = status.order_sequence
-        self._rollout.report_heard(view.engine_id, status.busy, time.monotonic())
+        self._rollout.report_heard(view.engine_id, status.busy, clock.now_s())
 
     def _finish(self, view: EngineView, model: str, version: int) -> None:
         """Tell that an engine has loaded; a newer version may be on its way already."""
--- a/liftrill/node/caller_api.py
+++ b/liftrill/node/caller_api.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import hashlib
-import time
 import uuid
 from typing import cast
 
 from aiohttp import web
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.claims import StoredResult
 from liftrill.coordination.configuration import DIGEST_BYTES
 from liftrill.errors import (
@@ -59,7 +58,7 @@
     async def deliver(self, tokens: list[DeliverToken]) -> None:
         """Collect tokens."""
         if self.first_token_at is None:
-            self.first_token_at = time.monotonic()
+            self.first_token_at = clock.now_s()
         self.texts.extend(token.text for token in tokens)
 
 
@@ -76,7 +75,7 @@
     async def deliver(self, tokens: list[DeliverToken]) -> None:
         """Write tokens, waiting while the caller's connection is full."""
         if self.first_token_at is None:
-            self.first_token_at = time.monotonic()
+            self.first_token_at = clock.now_s()
         chunks = [self._writer.chunk(token.index, token.text) for token in tokens]
         await self.write(b"".join(chunks))
 
@@ -253,7 +252,7 @@
             prompt_tokens=self._context.tokenizer.count(prompt),
             maximum_tokens=body.max_tokens,
             priority=workload.priority,
-            deadline=time.monotonic() + milliseconds / 1000,
+            deadline=clock.now_s() + milliseconds / 1000,
             repeatable=headers.repeatable,
             idempotency_key=headers.idempotency_key,
         )
@@ -282,7 +281,7 @@
                 ResultCode.NODE_DRAINING, retry_after_seconds=constants.RETRY_AFTER_SECONDS
             )
         wait = self._context.admission.admit(
-            routed.tenant, routed.workload, routed.prompt_tokens, time.monotonic()
+            routed.tenant, routed.workload, routed.prompt_tokens, clock.now_s()
         )
         if wait > 0:
             raise refuse_unattempted(ResultCode.RATE_LIMITED, retry_after_seconds=wait)
@@ -292,7 +291,7 @@
     ) -> Outcome:
         """Admit and run a request."""
         self._admit(routed)
-        started_at = time.monotonic()
+        started_at = clock.now_s()
         machine = machine or RequestMachine(routed, self._context.dispatcher)
         outcome = await self._context.runner.run(machine, sink)
         if sink.first_token_at is not None:
--- a/liftrill/node/claim_service.py
+++ b/liftrill/node/claim_service.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.claims import (
     ClaimAnswer,
     ClaimGroup,
@@ -34,11 +34,11 @@
     """Unix time that follows the monotonic clock, so that it cannot be set back."""
 
     def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
+        self._offset = time.time() - clock.now_s()
 
     def now(self) -> float:
         """Return Unix seconds."""
-        return time.monotonic() + self._offset
+        return clock.now_s() + self._offset
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/node/control_loop.py
+++ b/liftrill/node/control_loop.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination import rendezvous
 from liftrill.coordination.key_value_store import KeyValueStore
 from liftrill.coordination.lease import AcquireLease, Lease, LeaseParameters, RenewLease
@@ -86,7 +86,7 @@
             await self._keep_lease(pool.name, control)
         except StoreError:
             self._context.metrics.store_errors.inc()
-        if control.lease.holds(time.monotonic()):
+        if control.lease.holds(clock.now_s()):
             await self._act(pool, control)
 
     def _contends(self, pool_name: str) -> bool:
@@ -96,7 +96,7 @@
         return self._context.settings.node_id in ranked[: constants.CONTROLLERS_PER_POOL]
 
     async def _keep_lease(self, pool_name: str, control: PoolControl) -> None:
-        asked_at = time.monotonic()
+        asked_at = clock.now_s()
         instruction = control.lease.due(asked_at)
         if isinstance(instruction, AcquireLease):
             await self._acquire(pool_name, control, asked_at)
@@ -127,7 +127,7 @@
     async def _act(self, pool: Pool, control: PoolControl) -> None:
         await self._refresh_load(pool.name)
         engines = self._context.engines.in_pools([pool.name])
-        orders = control.rollout.orders(engines, pool, time.monotonic())
+        orders = control.rollout.orders(engines, pool, clock.now_s())
         move = control.burst.decide(self._view())
         if move is not None:
             orders.append(move)
@@ -150,7 +150,7 @@
             engines={name: self._context.engines.in_pools([name]) for name in pools},
             strays=[engine for engine in self._context.engines if engine.pool not in pools],
             unix_now=time.time(),
-            now=time.monotonic(),
+            now=clock.now_s(),
         )
 
     async def _send(self, pool_name: str, order: AssignOrder, control: PoolControl) -> None:
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -3,13 +3,12 @@
 import asyncio
 import random
 import signal
-import time
 from collections.abc import Callable, Coroutine
 
 import aiohttp
 from aiohttp import web
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.cache.directory import PrefixDirectory
 from liftrill.mechanisms import DISABLED, Mechanism, is_enabled
 from liftrill.node.caller_api import CallerApi, coded_errors
@@ -83,7 +82,7 @@
         secret = settings.cache_secret.encode()
         directory = PrefixDirectory(constants.DIRECTORY_MARKERS, constants.DIRECTORY_CANDIDATES)
         policy = POLICIES[settings.policy](directory, random_source)
-        router = Router(engines, policy, directory, admission, secret, time.monotonic)
+        router = Router(engines, policy, directory, admission, secret, clock.now_s)
         dispatcher = Dispatcher(router, metrics)
         client = EngineClient(session, secret)
         runner = RequestRunner(engines, client, dispatcher, metrics, self._spawn)
--- a/liftrill/node/dispatcher.py
+++ b/liftrill/node/dispatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.errors import LiftrillError, ResultCode
 from liftrill.node.metrics import NodeMetrics
 from liftrill.routing.machine import EngineChoice, RoutingPorts, Unavailable
@@ -53,7 +53,7 @@
             TurnRefusedError: the queue is full or the deadline would pass in it.
         """
         wait = self.router.expected_wait(request)
-        if time.monotonic() + wait > request.deadline:
+        if clock.now_s() + wait > request.deadline:
             raise TurnRefusedError(ResultCode.DEADLINE_UNREACHABLE, wait)
         item = self.router.enqueue(request)
         if item is None:
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -1,7 +1,6 @@
 """Adaptor to the engines: sends attempts and turns their streams into events."""
 
 import asyncio
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -9,7 +8,7 @@
 import aiohttp
 import orjson
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.cache.event_stream import BlockEvent
 from liftrill.errors import LiftrillError
 from liftrill.mechanisms import Mechanism, is_enabled
@@ -296,7 +295,7 @@
             int(headers["X-Engine-Running"]),
             int(headers["X-Engine-Waiting"]),
             int(headers["X-Engine-Waiting-Prompt-Tokens"]),
-            time.monotonic(),
+            clock.now_s(),
         )
     except (KeyError, ValueError):
         return
--- a/liftrill/node/engine_watch.py
+++ b/liftrill/node/engine_watch.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import random
-import time
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.key_value_store import KeyValueStore
 from liftrill.coordination.membership import Membership
 from liftrill.errors import StoreError
@@ -102,7 +101,7 @@
             return
         engine.refused_as_leaving = False
         was_unknown = engine.identity is None
-        if engine.apply_report(report, time.monotonic()):
+        if engine.apply_report(report, clock.now_s()):
             log_change("engine_changed", engine=engine.engine_id, leaving=engine.leaving)
         observation = EngineObservation(engine.engine_id, report.identity)
         if self._records.offer_observation(observation):
--- a/liftrill/node/gossip.py
+++ b/liftrill/node/gossip.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.membership import Membership, MembershipParameters
 from liftrill.coordination.membership_messages import (
     DatagramReceived,
@@ -92,7 +92,7 @@
     async def run(self) -> None:
         """Let time pass for the membership for as long as the node runs."""
         while True:
-            self._carry_out(self._membership.handle(Ticked(), time.monotonic()))
+            self._carry_out(self._membership.handle(Ticked(), clock.now_s()))
             await asyncio.sleep(constants.GOSSIP_TICK_SECONDS)
 
     def announce(self) -> None:
@@ -105,7 +105,7 @@
 
     def merge_members(self, members: list[Member]) -> None:
         """Take in a snapshot's members."""
-        self._carry_out(self._membership.merge(members, time.monotonic()))
+        self._carry_out(self._membership.merge(members, clock.now_s()))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport (asyncio callback)."""
@@ -122,7 +122,7 @@
             return
         self._take_records(packet)
         event = DatagramReceived(f"{addr[0]}:{addr[1]}", packet.datagram)
-        self._carry_out(self._membership.handle(event, time.monotonic()))
+        self._carry_out(self._membership.handle(event, clock.now_s()))
 
     def _take_records(self, packet: GossipPacket) -> None:
         news = self._records.offer_listings(packet.listings)
--- a/liftrill/node/operator_api.py
+++ b/liftrill/node/operator_api.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from pydantic import ValidationError
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.membership_messages import (
     Member,
 )
@@ -143,7 +143,7 @@
                 "zone": engine.zone,
                 "weight_version": engine.weight_version,
                 "leaving": engine.leaving,
-                "load": round(engine.load(time.monotonic()), 1),
+                "load": round(engine.load(clock.now_s()), 1),
                 "answered": engine.identity is not None,
             }
             for engine in context.engines
--- a/liftrill/node/prefix_exchange.py
+++ b/liftrill/node/prefix_exchange.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import random
-import time
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.cache.directory import PrefixDirectory
 from liftrill.cache.event_stream import EventStream
 from liftrill.cache.home import HomeDirectory, PrefixReport
@@ -55,12 +54,12 @@
 
     def answer(self, node_id: str, reports: list[PrefixReport]) -> list[PrefixReport]:
         """Answer as a home."""
-        return self._home.exchange(node_id, reports, time.monotonic())
+        return self._home.exchange(node_id, reports, clock.now_s())
 
     async def _exchange(self) -> None:
         members = {m.node_id: m.address for m in self._membership.members()}
         reporter = self._context.router.reporter
-        reports = reporter.take_reports(sorted(members), time.monotonic())
+        reports = reporter.take_reports(sorted(members), clock.now_s())
         await asyncio.gather(
             *(self._exchange_with(home, members[home], own) for home, own in reports.items())
         )
@@ -75,7 +74,7 @@
                 answers = reports_from_message(await self._peers.exchange(address, message))
             except PeerError:
                 return
-        self._context.router.reporter.take_answers(answers, time.monotonic())
+        self._context.router.reporter.take_answers(answers, clock.now_s())
 
     async def _read_events(self) -> None:
         engines = self._context.engines.in_pools(self._context.view.pools_by_name)
@@ -93,5 +92,5 @@
         gaps_before = stream.gaps
         batch = await self._client.cache_events(engine, stream.next_sequence - 1)
         if batch is not None:
-            stream.apply(batch.incarnation, batch.events, time.monotonic())
+            stream.apply(batch.incarnation, batch.events, clock.now_s())
             self._context.metrics.event_gaps.inc(stream.gaps - gaps_before)
--- a/liftrill/node/request_runner.py
+++ b/liftrill/node/request_runner.py
@@ -1,11 +1,11 @@
 """Carries out what a request machine decides: the I/O of one request."""
 
 import asyncio
-import time
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Coroutine
 
+from liftrill import clock
 from liftrill.errors import LiftrillError
 from liftrill.node.dispatcher import Dispatcher, TurnRefusedError
 from liftrill.node.engine_client import (
@@ -62,8 +62,7 @@
         """
         execution = _Execution(self, machine, sink)
         try:
-            # The event loop's clock and the request's deadline are both time.monotonic.
-            async with asyncio.timeout_at(machine.request.deadline):
+            async with asyncio.timeout(max(0.0, machine.request.deadline - clock.now_s())):
                 outcome = await execution.drive(events.Started())
             self._learn(machine, outcome)
             return outcome
@@ -97,9 +96,9 @@
         if engine is None:
             kind = events.RefusalKind.UNREACHABLE
             missing = EngineState(instruction.engine_id, "", "", "")
-            missing.record_start(time.monotonic(), instruction.expected_prefill_tokens)
+            missing.record_start(clock.now_s(), instruction.expected_prefill_tokens)
             return missing, None, events.AttemptRefused(instruction.attempt_id, kind)
-        engine.record_start(time.monotonic(), instruction.expected_prefill_tokens)
+        engine.record_start(clock.now_s(), instruction.expected_prefill_tokens)
         try:
             stream = await self._client.start(engine, machine.request, instruction)
         except AttemptRefusedError as refusal:
@@ -120,7 +119,7 @@
         self._metrics.attempts.labels(result="resumed").inc()
         stream = await self._client.resume(engine, instruction)
         if stream is None:
-            engine.record_failure(time.monotonic())
+            engine.record_failure(clock.now_s())
         return stream
 
     def cancel(self, instruction: events.CancelAttempt) -> None:
@@ -156,7 +155,7 @@
     def _record_refusal(self, engine: EngineState, refusal: AttemptRefusedError) -> None:
         self._metrics.attempts.labels(result=refusal.kind.value).inc()
         if refusal.kind is events.RefusalKind.UNREACHABLE:
-            engine.record_failure(time.monotonic())
+            engine.record_failure(clock.now_s())
         elif refusal.kind is events.RefusalKind.OVERLOADED:
             engine.record_overload()
         elif refusal.kind is events.RefusalKind.LEAVING:
