--- a/features/crash_requests.feature
+++ b/features/crash_requests.feature
@@ -47,11 +47,22 @@
     And the store is back, and all nodes are killed and start again once it has the record
     Then each node refuses it, and no further engine ends
 
-  Scenario: An operator lets a request go by removing its record
+  Scenario: An operator sees a request that is kept from engines, and lets it go
     When it comes again at each node in turn for 2 s, beside other streams
-    And its record is removed from the store
+    Then the command lists it, with its route, its tenant and two engines
+    When the command releases it
     Then the next send of it reaches an engine
 
+  Scenario Outline: The command says what is wrong with <what>
+    Then the command given "<arguments>" fails and says "<says>"
+
+    Examples:
+      | what                       | arguments                                        | says                    |
+      | an address                 | show nowhere                                     | no address              |
+      | a store that is not there  | show 127.0.0.1:1                                 | ClientConnectorError    |
+      | a fingerprint              | release STORE abc                                | no fingerprint          |
+      | a request that is not kept | release STORE 00000000000000000000000000000000   | kept from engines       |
+
   Scenario: Nobody is refused where engines end without any request's doing
     Given engines that end under no request
     When every 0.7 s a third of the engines ends for 8 s, and each caller repeats what failed
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -5,6 +5,7 @@
 import json
 import random
 import signal
+import sys
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 import aiohttp
 from behave import given, then, when
 
-from features.standin.deployment import Deployment
+from features.standin.deployment import ROOT, Deployment
 from liftrill.errors import ResultCode
 from liftrill.gateway.quarantine_records import QUARANTINE_PREFIX
 
@@ -306,11 +307,45 @@
     return [key for key in play.deployment.store.items if key.startswith(QUARANTINE_PREFIX)]
 
 
-@when("its record is removed from the store")
+def run_command(context, *arguments):
+    """Run the operator's command; return its exit code and what it printed."""
+
+    async def run():
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "quarantine.py"),
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return process.returncode, output.decode()
+
+    return context.run(run())
+
+
+@then("the command lists it, with its route, its tenant and two engines")
+def step_listed(context):
+    (key,) = records_of(context.play)
+    code, output = run_command(context, "show", context.deployment.store.address)
+    assert code == 0 and output.startswith(key.removeprefix(QUARANTINE_PREFIX)), output
+    assert "route stream, tenant tenant-1" in output and output.count("llm-") == 2, output
+
+
+@when("the command releases it")
 def step_release(context):
-    play = context.play
-    (key,) = records_of(play)
-    play.deployment.store.remove(key)
+    (key,) = records_of(context.play)
+    fingerprint = key.removeprefix(QUARANTINE_PREFIX)
+    code, output = run_command(context, "release", context.deployment.store.address, fingerprint)
+    assert code == 0, output
+
+
+@then('the command given "{arguments}" fails and says "{says}"')
+def step_command_fails(context, arguments, says):
+    address = context.deployment.store.address
+    words = [address if word == "STORE" else word for word in arguments.split()]
+    code, output = run_command(context, *words)
+    assert code == 1 and says in output and "Traceback" not in output, (code, output)
 
 
 @then("the next send of it reaches an engine")
