--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -44,7 +44,7 @@
         method="POST",
         target="/a/b?c=d",
         headers=(),
-        body=b"",
+        body=more.get("body", b""),
         route=route or route_rule(),
         service="service-1",
         tenant=more.get("tenant", ""),
--- /dev/null
+++ b/features/steps/gateway_quarantine_steps.py
@@ -0,0 +1,269 @@
+"""Steps about the quarantine of requests at nodes that share what they lost."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+from behave import given, then, when
+
+from features.gateway_support import engine_record, new_quarantine, opaque_request
+from liftrill import clock
+from liftrill.coordination.range_store import StoredItem
+from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.delivery import AttemptTimes
+from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.quarantine import QuarantineKeeper, QuarantinePeers
+from liftrill.gateway.quarantine_codec import datagrams_from_runs, entry_from_notice
+from liftrill.gateway.quarantine_codec import runs_from_message as runs_of
+from liftrill.gateway.quarantine_list import QuarantineEntry
+from liftrill.gateway.quarantine_records import QuarantineRecords, key_of
+from liftrill.messages import peer_pb2 as messages
+
+RAN_S = 0.05
+
+
+class Kept(QuarantineKeeper):
+    """Notes what a node would write."""
+
+    def __init__(self):
+        self.kept = []
+        self.dropped = []
+
+    def keep(self, entry, at_once):
+        self.kept.append((entry, at_once))
+
+    def drop(self, fingerprint):
+        self.dropped.append(fingerprint)
+
+
+class Told(QuarantinePeers):
+    """Tells the other nodes of a scenario, in virtual time."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    def tell_lost(self, runs):
+        self._fleet.tell(self._name, lambda node, now: node.hear_lost(self._name, runs, now))
+
+    def tell_served(self, fingerprint):
+        self._fleet.tell(self._name, lambda node, now: node.hear_served(fingerprint, now))
+
+    def tell_quarantined(self, entry, node=""):
+        self._fleet.tell(self._name, lambda other, now: other.hear_quarantined(entry, now), node)
+
+
+@dataclass
+class Fleet:
+    """Three nodes that know the same engines.
+
+    Attributes:
+        late: by (teller, hearer), how late news comes.
+    """
+
+    nodes: dict = field(default_factory=dict)
+    engines: dict = field(default_factory=dict)
+    keepers: dict = field(default_factory=dict)
+    late: dict = field(default_factory=dict)
+    now: float = 100.0
+    waiting: list = field(default_factory=list)
+
+    def tell(self, teller, news, only=""):
+        for name in self.nodes:
+            if name != teller and only in ("", name):
+                self.waiting.append((self.now + self.late.get((teller, name), 0.0), name, news))
+        self.pass_time(0.0)
+
+    def pass_time(self, seconds):
+        until = self.now + seconds
+        while due := sorted((row for row in self.waiting if row[0] <= until), key=lambda r: r[0]):
+            at, name, news = due[0]
+            self.waiting.remove(due[0])
+            self.now = max(self.now, at)
+            news(self.nodes[name], self.now)
+        self.now = until
+        for node in self.nodes.values():
+            node.expire(self.now)
+
+    def view(self, node, engine):
+        return self.engines[node].get(engine)
+
+    def lose(self, node, request, engine, ends=True):
+        times = AttemptTimes(self.now - RAN_S)
+        view = self.view(node, engine)
+        self.nodes[node].run_lost(request, view, times, self.now)
+        if ends:
+            self.nodes[node].engine_ended(view, self.now)
+
+
+def request_named(name):
+    return opaque_request(body=name.encode())
+
+
+@given("three nodes that hear each other at once, and engines 1 to 6")
+def step_fleet(context):
+    fleet = context.fleet = Fleet()
+    for name in ("1", "2", "3"):
+        table = EngineTable()
+        for number in range(1, 7):
+            table.update(engine_record(str(number)))
+        fleet.engines[name] = table
+        fleet.keepers[name] = Kept()
+        fleet.nodes[name] = new_quarantine(table, Told(fleet, name), fleet.keepers[name])
+
+
+@given("node {hearer} hears node {teller} half a second late")
+def step_late(context, hearer, teller):
+    context.fleet.late[teller, hearer] = 1.5
+
+
+@when(
+    'node {one} loses "{name}" early with engine {first}, and node {other} with engine {second} '
+    "a second later"
+)
+def step_two_ends(context, one, name, first, other, second):
+    request = request_named(name)
+    context.fleet.lose(one, request, first)
+    context.fleet.pass_time(1.0)
+    context.fleet.lose(other, request, second)
+
+
+@when('node {node} loses "{name}" early with engine {engine} that goes on, twice')
+def step_goes_on(context, node, name, engine):
+    for _ in range(2):
+        context.fleet.lose(node, request_named(name), engine, ends=False)
+        context.fleet.pass_time(1.0)
+
+
+@when('node {node} gives "{name}" up {seconds:g} s before it finds that engine {engine} has ended')
+def step_given_up(context, node, name, seconds, engine):
+    fleet = context.fleet
+    fleet.lose(node, request_named(name), engine, ends=False)
+    fleet.pass_time(seconds)
+    fleet.nodes[node].engine_ended(fleet.view(node, engine), fleet.now)
+
+
+@when('node {node} loses "{name}" early with engine {engine}, and node {other} sees it served')
+def step_lost_and_served(context, node, name, engine, other):
+    context.fleet.lose(node, request_named(name), engine)
+    context.fleet.pass_time(0.2)
+    assert context.fleet.nodes[other].is_suspect(request_named(name))
+    step_served(context, other, name)
+
+
+@when('node {node} loses "{name}" early with engine {engine:d}')
+def step_one_end(context, node, name, engine):
+    context.fleet.lose(node, request_named(name), str(engine))
+
+
+@when('node {node} sees "{name}" served')
+def step_served(context, node, name):
+    context.fleet.nodes[node].served(request_named(name), context.fleet.now)
+    context.fleet.pass_time(0.2)
+
+
+@given('node {node} heard nothing of it that "{name}" is kept from engines')
+def step_uninformed(context, node, name):
+    entry = QuarantineEntry(request_named(name).fingerprint, time.time() + 600.0, 1, "", "", ("1",))
+    for other, quarantine in context.fleet.nodes.items():
+        if other != node:
+            quarantine.hear_record(entry, context.fleet.now)
+
+
+@given('all nodes kept "{name}" from engines until a moment ago')
+def step_over(context, name):
+    entry = QuarantineEntry(request_named(name).fingerprint, time.time() - 1.0, 1, "", "", ("1",))
+    for quarantine in context.fleet.nodes.values():
+        quarantine.hear_record(entry, context.fleet.now)
+        assert quarantine.is_suspect(request_named(name))
+
+
+@when("its record is removed before node 3 would have written it")
+def step_removed(context):
+    context.fleet.pass_time(0.2)
+    for quarantine in context.fleet.nodes.values():
+        quarantine.release(request_named("deadly").fingerprint, context.fleet.now)
+
+
+@then('after {seconds:g} s all nodes keep "{name}" from engines for about {lasts:g} s')
+def step_kept(context, seconds, name, lasts):
+    context.fleet.pass_time(seconds)
+    context.fleet.pass_time(0.2)
+    for node, quarantine in context.fleet.nodes.items():
+        left_s = quarantine.left_s(request_named(name))
+        assert lasts - 5.0 < left_s <= lasts, (node, left_s)
+        refusal = quarantine.check(request_named(name))
+        assert refusal.code.number == 2013 and abs(refusal.retry_after_seconds - left_s) < 1.0
+        assert quarantine.check(request_named("other")) is None
+
+
+@then("a node that lost it wrote it at once, and node {other} only if nobody does")
+def step_writer(context, other):
+    losers = (context.fleet.keepers["1"], context.fleet.keepers["2"])
+    assert any(at_once for keeper in losers for _, at_once in keeper.kept)
+    assert {at_once for _, at_once in context.fleet.keepers[other].kept} == {False}
+
+
+@then('node {node} holds "{name}" back for {seconds:g} s and "{other}" not at all')
+def step_holds(context, node, name, seconds, other):
+    quarantine, now = context.fleet.nodes[node], context.fleet.now
+    assert not quarantine.is_judged(request_named(name), now + seconds - 0.01)
+    assert quarantine.is_judged(request_named(other), now)
+    assert quarantine.is_judged(request_named(name), now + seconds)
+    assert quarantine.left_s(request_named(name)) > 0
+
+
+@then('no node suspects "{name}"')
+def step_no_suspect(context, name):
+    context.fleet.pass_time(1.0)
+    for node, quarantine in context.fleet.nodes.items():
+        assert not quarantine.is_suspect(request_named(name)), node
+        assert not quarantine.left_s(request_named(name)), node
+
+
+@then('all nodes suspect "{name}"')
+def step_all_suspect(context, name):
+    for node, quarantine in context.fleet.nodes.items():
+        assert quarantine.is_suspect(request_named(name)), node
+
+
+@then("node {node} removes its record")
+def step_removes(context, node):
+    assert context.fleet.keepers[node].dropped == [request_named("deadly").fingerprint]
+
+
+@then("node {node} writes nothing")
+def step_writes_nothing(context, node):
+    keeper = context.fleet.keepers[node]
+    assert keeper.dropped[-1:] == [request_named("deadly").fingerprint], keeper.dropped
+
+
+@then("{count:d} random records are taken or refused without an error of another kind")
+def step_random_records(context, count):
+    records = QuarantineRecords(None, StoreMirror(), DecisionLog("node-1"))
+    draw = random.Random(35)
+    for _ in range(count):
+        key = key_of(draw.randbytes(draw.choice((0, 3, 16, 16, 20))))
+        found = records.read(StoredItem(key, draw.randbytes(draw.randrange(40)), 1))
+        assert found is None or len(found.fingerprint) == 16
+
+
+@then("{count:d} random datagrams are taken or refused without an error of another kind")
+def step_random_datagrams(context, count):
+    draw = random.Random(35)
+    for _ in range(count):
+        run = messages.LostRun(
+            fingerprint=draw.randbytes(draw.choice((0, 5, 16))),
+            engine=draw.getrandbits(64),
+            sent_age_milliseconds=draw.getrandbits(32),
+            end_age_milliseconds=draw.getrandbits(32),
+        )
+        message = messages.Datagram(lost_runs=[run])
+        message.quarantined.fingerprint = draw.randbytes(draw.choice((0, 16)))
+        found = runs_of(message, clock.now_s())
+        assert all(len(run.fingerprint) == 16 for run in found)
+        for told in datagrams_from_runs("node-1", found, clock.now_s()):
+            assert len(told.SerializeToString()) < 1_200
+        entry = entry_from_notice(message.quarantined)
+        assert entry is None or entry.times >= 1
