--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -34,6 +34,23 @@
     When node 1 loses "deadly" early with engine 1, and node 3 sees it served
     Then no node suspects "deadly"
 
+  Scenario: What one node has served lately is a suspect at none
+    When node 3 sees "deadly" served
+    And node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
+    Then no node suspects "deadly"
+
+  Scenario: What was served long ago may be one
+    When node 3 sees "deadly" served
+    And 12 s pass
+    And node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
+    Then after 0.2 s all nodes keep "deadly" from engines for about 600 s
+
+  Scenario: An end under a request in quarantine counts against no other one
+    Given node 3 heard nothing of it that "deadly" is kept from engines
+    When node 3 loses "deadly" early with engine 3, and "other" with it
+    And node 1 loses "other" early with engine 4
+    Then after 0.2 s nobody keeps "other" from engines
+
   Scenario: A node that knows of no quarantine is told when it reports a run
     Given node 3 heard nothing of it that "deadly" is kept from engines
     When node 3 loses "deadly" early with engine 3
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -157,6 +157,26 @@
     context.fleet.lose(node, request_named(name), str(engine))
 
 
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.fleet.pass_time(seconds)
+
+
+@when('node {node} loses "{name}" early with engine {engine}, and "{other}" with it')
+def step_both_lost(context, node, name, engine, other):
+    context.fleet.lose(node, request_named(name), engine, ends=False)
+    context.fleet.lose(node, request_named(other), engine)
+    context.fleet.pass_time(1.0)
+
+
+@then('after {seconds:g} s nobody keeps "{name}" from engines')
+def step_not_kept(context, seconds, name):
+    context.fleet.pass_time(seconds)
+    context.fleet.pass_time(0.2)
+    for node, quarantine in context.fleet.nodes.items():
+        assert not quarantine.left_s(request_named(name)), node
+
+
 @when('node {node} sees "{name}" served')
 def step_served(context, node, name):
     context.fleet.nodes[node].served(request_named(name), context.fleet.now)
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -19,6 +19,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.quarantine_list import QuarantineEntry, QuarantineList
+from liftrill.gateway.served_requests import ServedRequests
 
 # How long before its engine was found to have ended a run may have been lost: a connection
 # that is refused tells it within milliseconds, one over a slow link later (guess).
@@ -82,6 +83,7 @@
     keeper: QuarantineKeeper
     entries: QuarantineList = field(default_factory=QuarantineList)
     _evidence: CrashEvidence = field(default_factory=CrashEvidence)
+    _served: ServedRequests = field(default_factory=ServedRequests)
     _losses: dict[int, list[_Loss]] = field(default_factory=dict)
     _ended: dict[int, str] = field(default_factory=dict)
     _own: dict[bytes, _Loss] = field(default_factory=dict)
@@ -148,6 +150,7 @@
 
     def served(self, request: OpaqueRequest, now: float) -> None:
         """Note that an engine served a request: it is no suspect any more."""
+        self._served.note(request, now)
         if not self.is_suspect(request):
             return
         self._clear(request.fingerprint, now)
@@ -162,8 +165,9 @@
             known = self.entries.get(run.fingerprint)
             if known is not None and self.entries.left_s(run.fingerprint, time.time()):
                 # It sent what is kept from engines: it has not heard.
+                self._evidence.explain([run.worker], now)
                 self.peers.tell_quarantined(known, node)
-            elif self._evidence.add(run):
+            elif self._evidence.add(run) and not self._is_known_good(run, now):
                 self._consider(run, now)
 
     def hear_served(self, fingerprint: bytes, now: float) -> None:
@@ -236,9 +240,22 @@
         if news:
             self.peers.tell_lost([loss.run for loss in news])
         for loss in news:
+            if self._is_known_good(loss.run, now):
+                continue
             self._own[loss.run.fingerprint] = loss
             self._consider(loss.run, now)
 
+    def _is_known_good(self, run: LostRun, now: float) -> bool:
+        """Return whether engines serve what a run asked, and if so clear it at all nodes.
+
+        What many callers ask is under way at most engines that end, whatever ends them.
+        """
+        if not run.early or not self._served.has_served(run.fingerprint, run.ended_at):
+            return False
+        self._clear(run.fingerprint, now)
+        self.peers.tell_served(run.fingerprint)
+        return True
+
     def _consider(self, run: LostRun, now: float) -> None:
         """Have a request judged if enough engines ended under it."""
         fingerprint = run.fingerprint
