--- a/features/crash_evidence.feature
+++ b/features/crash_evidence.feature
@@ -13,6 +13,8 @@
       | Four, after it had run for a while                   | 1@0:abc 2@2:ade 3@4:af 4@6:a       | not condemned |
       | Five, after it had run for a while                   | 1@0:abc 2@2:ade 3@4:af 4@6:a 5@7:a | condemned     |
       | Two workers that end at one moment                   | 1@0:Ab 2@0.1:Ac                    | not condemned |
+      | Three that end at one moment, copies on each of them | 1@0:A 2@0.1:A 3@0.1:A              | condemned     |
+      | The same, and a worker that ended without it         | 1@0:A 2@0.1:A 3@0.1:A 4@0.1:b      | not condemned |
       | Two, and a worker that ended between without it      | 1@0:A 2@1:b 3@2:A                  | not condemned |
       | Three, and a worker that ended between without it    | 1@0:A 2@1:b 3@2:A 4@4:A            | condemned     |
       | Two, and a worker that ended long before             | 1@0:b 2@12:A 3@14:A                | condemned     |
--- a/liftrill/coordination/crash_evidence.py
+++ b/liftrill/coordination/crash_evidence.py
@@ -111,8 +111,11 @@
     def may_condemn(self, fingerprint: bytes) -> bool:
         """Return whether as many workers ended under a request as may condemn it."""
         runs = self.runs(fingerprint)
-        early = _separate([run for run in runs if run.early])
-        return early >= EARLY_ENDS_ALONE or _separate(runs) >= ENDS_ALONE
+        early = [run for run in runs if run.early]
+        # Copies that are sent together end their workers together: three are no accident.
+        if len(early) >= EARLY_ENDS or _separate(early) >= EARLY_ENDS_ALONE:
+            return True
+        return _separate(runs) >= ENDS_ALONE
 
     def condemns(self, fingerprint: bytes) -> bool:
         """Return whether workers end because of a request, as far as that can be told."""
