--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -3,7 +3,8 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptPart, PromptShape
-from liftrill.gateway.quarantine import Quarantine, QuarantineKeeper, QuarantinePeers
+from liftrill.gateway.quarantine import Quarantine
+from liftrill.gateway.quarantine_ports import QuarantineKeeper, QuarantinePeers
 from liftrill.gateway.records import BackendShare, EngineRecord, RequestKind, RouteRule
 
 
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -13,10 +13,10 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import AttemptTimes
 from liftrill.gateway.engine_table import EngineTable
-from liftrill.gateway.quarantine import QuarantineKeeper, QuarantinePeers
 from liftrill.gateway.quarantine_codec import datagrams_from_runs, entry_from_notice
 from liftrill.gateway.quarantine_codec import runs_from_message as runs_of
 from liftrill.gateway.quarantine_list import QuarantineEntry
+from liftrill.gateway.quarantine_ports import QuarantineKeeper, QuarantinePeers
 from liftrill.gateway.quarantine_records import QuarantineRecords, key_of
 from liftrill.messages import peer_pb2 as messages
 
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peer_link.py
@@ -23,7 +23,6 @@
 from liftrill.gateway.engine_table import EngineNotice
 from liftrill.gateway.load_codec import ReportAssembler, datagrams_from_report
 from liftrill.gateway.load_exchange import LoadReport, SendLoads, others
-from liftrill.gateway.quarantine import QuarantinePeers
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
     datagrams_from_runs,
@@ -31,6 +30,7 @@
     runs_from_message,
 )
 from liftrill.gateway.quarantine_list import QuarantineEntry
+from liftrill.gateway.quarantine_ports import QuarantinePeers
 from liftrill.messages import peer_pb2 as messages
 from liftrill.node.membership_codec import (
     GossipDecodeError,
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -6,7 +6,6 @@
 """
 
 import time
-from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
@@ -19,6 +18,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.quarantine_list import QuarantineEntry, QuarantineList
+from liftrill.gateway.quarantine_ports import QuarantineKeeper, QuarantinePeers
 from liftrill.gateway.served_requests import ServedRequests
 
 # How long before its engine was found to have ended a run may have been lost: a connection
@@ -29,34 +29,6 @@
 JUDGED_AFTER_S = 0.1
 
 
-class QuarantinePeers(ABC):
-    """Tells all other nodes what this one has seen."""
-
-    @abstractmethod
-    def tell_lost(self, runs: list[LostRun]) -> None:
-        """Tell of runs under which engines ended."""
-
-    @abstractmethod
-    def tell_served(self, fingerprint: bytes) -> None:
-        """Tell that a suspect was served."""
-
-    @abstractmethod
-    def tell_quarantined(self, entry: QuarantineEntry, node: str = "") -> None:
-        """Tell one node, or all, of a request that is kept from engines."""
-
-
-class QuarantineKeeper(ABC):
-    """Keeps entries where nodes find them that start, or heard nothing for a while."""
-
-    @abstractmethod
-    def keep(self, entry: QuarantineEntry, at_once: bool) -> None:
-        """Keep an entry, at once or if no other node has done so soon."""
-
-    @abstractmethod
-    def drop(self, fingerprint: bytes) -> None:
-        """Keep the entry of a request no longer."""
-
-
 @dataclass(frozen=True, slots=True)
 class _Loss:
     """A run that this node lost, and whose it was."""
@@ -84,9 +56,13 @@
     entries: QuarantineList = field(default_factory=QuarantineList)
     _evidence: CrashEvidence = field(default_factory=CrashEvidence)
     _served: ServedRequests = field(default_factory=ServedRequests)
+    # By engine: runs lost or given up there lately, whose engine is not known to have ended.
     _losses: dict[int, list[_Loss]] = field(default_factory=dict)
+    # By engine that ended: its name.
     _ended: dict[int, str] = field(default_factory=dict)
+    # By fingerprint: a run of a suspect that this node lost itself.
     _own: dict[bytes, _Loss] = field(default_factory=dict)
+    # By fingerprint: when a request that may be condemned is judged.
     _judged_at: dict[bytes, float] = field(default_factory=dict)
 
     # What requests ask
--- a/liftrill/gateway/quarantine_records.py
+++ b/liftrill/gateway/quarantine_records.py
@@ -18,9 +18,9 @@
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.opaque_request import FINGERPRINT_BYTES
-from liftrill.gateway.quarantine import QuarantineKeeper
 from liftrill.gateway.quarantine_codec import entry_from_record, record_of
 from liftrill.gateway.quarantine_list import QuarantineEntry
+from liftrill.gateway.quarantine_ports import QuarantineKeeper
 from liftrill.messages import peer_pb2 as messages
 
 # One key for each request, named by its fingerprint: an operator releases it by removing it.
