--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -7,6 +7,7 @@
 
 from features.soak.proxy import Harm, HarmfulProxy
 from features.soak.timeline import Timeline
+from features.standin import sleeper
 from features.standin.deployment import Deployment
 
 DESK_ENGINES = 3
@@ -27,8 +28,9 @@
         retired: engines that left; some of them still take requests.
     """
 
-    def __init__(self, directory, nodes, deadly=frozenset()):
+    def __init__(self, directory, nodes, deadly=frozenset(), sleeps=False):
         self._deadly = deadly
+        self._wrapper = [sleeper.__file__] if sleeps else ()
         self._replacing = []
         self.deployment = Deployment(directory)
         self.timeline = Timeline()
@@ -68,7 +70,7 @@
             await self._add_engine("llm")
         self.configure()
         for number in range(self._node_count):
-            node = await self.deployment.add_node(f"node-{number + 1}")
+            node = await self.deployment.add_node(f"node-{number + 1}", wrapper=self._wrapper)
             await self.deployment.ready(node)
             await self._put_proxy_before_store(node)
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -8,8 +8,8 @@
 and are cut, its open connections go silent, while engines leave and weights are named; keys
 and routes change. What callers and engines saw is checked against the promises. Exits with 1
 after a violation, and names the seed. Seeds that failed once are kept in `seeds.txt`, one a
-line: seed, seconds, nodes, "deadly" where callers repeat requests under which engines end, and
-the cause.
+line: seed, seconds, nodes, "deadly" where callers repeat requests under which engines end,
+"sleeps" where machines are suspended, and the cause.
 """
 
 import argparse
@@ -29,6 +29,7 @@
 from features.soak.faults import FaultInjector
 from features.soak.fleet import Fleet
 from features.soak.history import Bounds, Call, check, latest
+from features.soak.sleeps import Sleeps
 from features.standin.deployment import HOST, prompt_headers
 
 NODES = 6
@@ -47,10 +48,11 @@
 class Soak:
     """One deployment under faults, and its history."""
 
-    def __init__(self, seed, seconds, directory, nodes=NODES, deadly=False):
+    def __init__(self, seed, seconds, directory, nodes=NODES, deadly=False, sleeps=False):
         self._deadly = DeadlyCallers(seed) if deadly else None
         self._deadly_bodies = self._deadly.bodies() if deadly else frozenset()
-        self.fleet = Fleet(directory, nodes, self._deadly_bodies)
+        self.fleet = Fleet(directory, nodes, self._deadly_bodies, sleeps)
+        self._sleeps = Sleeps(self.fleet, seed) if sleeps else None
         self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
         self._seconds = seconds
@@ -67,7 +69,7 @@
             if self._deadly is not None:
                 deadly = self._deadly.run(self._call_deadly, lambda: self._over)
                 callers.append(asyncio.ensure_future(deadly))
-            await self._injector.harm_for(self._seconds)
+            await asyncio.gather(*self._faults())
             await self.fleet.heal()
             alive = await self._all_serve()
             self._over = True
@@ -76,6 +78,11 @@
             found = check(*self._history(), BOUNDS)
             return [*found, *check_deadly(*self._history(), self._deadly_bodies)], alive
 
+    def _faults(self):
+        yield self._injector.harm_for(self._seconds)
+        if self._sleeps is not None:
+            yield self._sleeps.run_for(self._seconds)
+
     def latest(self):
         """Return the latest arrivals after leavings and namings."""
         return latest(*self._history())
@@ -192,10 +199,10 @@
             return False
 
 
-def play(seed, seconds, nodes=NODES, deadly=False):
+def play(seed, seconds, nodes=NODES, deadly=False, sleeps=False):
     """Play one seed; return its violations, and print what it did."""
     with tempfile.TemporaryDirectory(prefix="liftrill-soak-") as directory:
-        soak = Soak(seed, seconds, Path(directory), nodes, deadly)
+        soak = Soak(seed, seconds, Path(directory), nodes, deadly, sleeps)
         found, alive = asyncio.run(soak.run())
         served = sum(call.status == 200 and call.complete for call in soak.calls)
         print(
@@ -213,11 +220,11 @@
 
 
 def kept_plays():
-    """Return seed, seconds, nodes and whether requests are deadly, for each play that is kept."""
+    """Return seed, seconds, nodes, and whether requests are deadly and machines sleep."""
     lines = KEPT_PATH.read_text().splitlines()
     rows = [line.partition("|")[0].split() for line in lines if not line.startswith("#")]
     return [
-        (int(seed), float(seconds), int(nodes), more == ["deadly"])
+        (int(seed), float(seconds), int(nodes), "deadly" in more, "sleeps" in more)
         for seed, seconds, nodes, *more in rows
     ]
 
@@ -232,9 +239,11 @@
     parser.add_argument(
         "--deadly", action="store_true", help="callers repeat requests under which engines end"
     )
+    parser.add_argument("--sleeps", action="store_true", help="machines are suspended, too")
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.seeds)
-    plays = [(seed, options.seconds, options.nodes, options.deadly) for seed in seeds]
+    modes = (options.deadly, options.sleeps)
+    plays = [(seed, options.seconds, options.nodes, *modes) for seed in seeds]
     results = [play(*one) for one in (kept_plays() if options.kept else plays)]
     return 0 if all(not found and alive for found, alive in results) else 1
 
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -123,6 +123,7 @@
         return self.directory / f"{self.name}.toml"
 
     async def start(self, environment=None, stdout=None):
+        self.slept_s = 0.0
         log = stdout if stdout is not None else self.log_path.open("ab")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
