--- a/features/run.py
+++ b/features/run.py
@@ -38,10 +38,11 @@
     "at_most_once",
     "command_line",
     "platform",
+    "soak",
+    "crash_requests",
     "model_checking",
     "callers",
     "platform_relay",
-    "soak",
 )
 
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -44,6 +44,18 @@
       | a request on version 1 12 s after, 7.9 s after another node's trouble  | too late on its weights |
       | a request on version 1 12 s after, 7.9 s after connections went silent | in time                 |
 
+  Scenario Outline: The check finds what requests under which engines end do beyond the bound
+    Given three engines ended under a request, <what>
+    Then the check of such requests finds "<found>"
+
+    Examples:
+      | what                                                  | found                                              |
+      | which was sent 4 times more, 3.1 s after the third    | a request under which engines end is sent no more  |
+      | which was sent 3 times more, 3.1 s after the third    | nothing                                            |
+      | which was sent 4 times more, 2.9 s after the third    | nothing                                            |
+      | and another request is kept from engines              | no other request is kept from engines              |
+      | and the request itself is kept from engines           | nothing                                            |
+
   Scenario: A short soak breaks no promise, and all nodes serve again after it
     When seed 1 is played for 12 s
     Then it had faults and served requests, and broke no promise
@@ -56,3 +68,16 @@
       | seed | cause                                                                               |
       | 401  | watches were cut together, and a record that went in the gap had a grace of its own |
       | 2278 | a watch's connection went silent, and the proof by another one hid it               |
+
+  Scenario Outline: Requests under which engines end are kept from them, and nobody else's
+    When seed <seed> is played for 12 s with requests under which engines end
+    Then it had faults and served requests, and broke no promise
+
+    Examples:
+      | seed  | cause                                                                              |
+      | 36204 | a node that had just started heard of a popular request's losses, not of its service |
+      | 37208 | two engines ended within 50 ms, one under a deadly request and one of a crash       |
+
+  Scenario: A short soak in which machines sleep breaks no promise
+    When seed 39100 is played for 12 s with machines that sleep
+    Then it had faults and served requests, and broke no promise
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from features.soak.deadly import check_deadly
 from features.soak.history import Bounds, Call, check
 from features.soak.run import Soak
 from features.soak.timeline import SILENCE_RECOVERY_S, Timeline, Trouble
@@ -180,6 +181,18 @@
     context.found, context.alive = context.run(context.soak.run())
 
 
+@when("seed {seed:d} is played for {seconds:g} s with requests under which engines end")
+def step_play_deadly(context, seed, seconds):
+    context.soak = Soak(seed, seconds, context.directory, deadly=True)
+    context.found, context.alive = context.run(context.soak.run())
+
+
+@when("seed {seed:d} is played for {seconds:g} s with machines that sleep")
+def step_play_sleeps(context, seed, seconds):
+    context.soak = Soak(seed, seconds, context.directory, sleeps=True)
+    context.found, context.alive = context.run(context.soak.run())
+
+
 @then("it had faults and served requests, and broke no promise")
 def step_no_violation(context):
     served = sum(call.status == 200 and call.complete for call in context.soak.calls)
@@ -189,3 +202,33 @@
         print(f"logs in {context.soak.keep_logs(context.found)}")
     assert context.found == [], (len(context.found), context.found[:5])
     assert context.alive
+
+
+DEADLY = b"deadly 0"
+
+
+@given("three engines ended under a request, {what}")
+def step_deadly_history(context, what):
+    ended = [
+        SimpleNamespace(ended_at=float(at), ended_under=DEADLY, arrivals=[]) for at in (1, 2, 3)
+    ]
+    late_s = 3.1 if "3.1 s" in what else 2.9
+    sends = int(what.split(" times")[0].split()[-1]) if " times" in what else 0
+    arrivals = [
+        SimpleNamespace(body=DEADLY, at=3.0 + late_s, attempt_id=f"send {n}") for n in range(sends)
+    ]
+    calls = [
+        Call(a.attempt_id, "stream", "key", a.at, 502, b"", True, "n1", DEADLY) for a in arrivals
+    ]
+    if "kept from engines" in what:
+        body = b"another" if "another" in what else DEADLY
+        refusal = b'{"Error": "kept", "Code": 2013}'
+        calls.append(Call("refused", "stream", "key", 9.0, 503, refusal, True, "n1", body))
+    sound = SimpleNamespace(ended_at=None, ended_under=None, arrivals=arrivals)
+    context.found = list(check_deadly(calls, [*ended, sound], Timeline(), {DEADLY}))
+
+
+@then('the check of such requests finds "{found}"')
+def step_deadly_found(context, found):
+    expected = set() if found == "nothing" else {found}
+    assert {violation.promise for violation in context.found} == expected, context.found
