--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -41,7 +41,7 @@
 
   Scenario: What was served long ago may be one
     When node 3 sees "deadly" served
-    And 12 s pass
+    And nothing happens for 12 s
     And node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
     Then after 0.2 s all nodes keep "deadly" from engines for about 600 s
 
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -157,7 +157,7 @@
     context.fleet.lose(node, request_named(name), str(engine))
 
 
-@when("{seconds:g} s pass")
+@when("nothing happens for {seconds:g} s")
 def step_pass(context, seconds):
     context.fleet.pass_time(seconds)
 
--- /dev/null
+++ b/liftrill/cli/quarantine.py
@@ -0,0 +1,121 @@
+"""The command that lists the requests that are kept from engines, and lets one go.
+
+python3 platform/quarantine.py show 10.200.1.7:8784
+python3 platform/quarantine.py release 10.200.1.7:8784 FINGERPRINT
+"""
+
+import asyncio
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import defopt
+from google.protobuf.message import DecodeError
+
+from liftrill.coordination.range_store import Expectation, RangeStore, StoredItem
+from liftrill.errors import SettingsError, StoreError
+from liftrill.gateway.http_client import new_store_session
+from liftrill.gateway.quarantine_records import (
+    QUARANTINE_PREFIX,
+    entry_of,
+    fingerprint_of,
+    key_of,
+)
+
+FAILED_EXIT_CODE = 1
+
+OpenStore = Callable[[aiohttp.ClientSession, str, Callable[[str], None]], RangeStore]
+Work = Callable[[RangeStore], Awaitable[None]]
+
+
+class QuarantineCommand:
+    """The command, for one kind of store."""
+
+    def __init__(self, open_store: OpenStore) -> None:
+        self._open_store = open_store
+
+    def show(self, store: str) -> None:
+        """List the requests that are kept from engines, and those that were.
+
+        :param store: address of the platform's store, IP:PORT.
+        """
+        self._run(store, _show)
+
+    def release(self, store: str, fingerprint: str) -> None:
+        """Let a request go: nodes send it to engines again.
+
+        :param store: address of the platform's store, IP:PORT.
+        :param fingerprint: of the request, as listed and as in the nodes' logs.
+        """
+        if fingerprint_of(QUARANTINE_PREFIX + fingerprint) is None:
+            raise SettingsError(f"{fingerprint!r} is no fingerprint: 32 hexadecimal digits")
+
+        async def remove(opened: RangeStore) -> None:
+            await _release(opened, fingerprint)
+
+        self._run(store, remove)
+
+    def _run(self, address: str, work: Work) -> None:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            raise SettingsError(f"{address!r} is no address: IP:PORT")
+        asyncio.run(self._work_on(address, work))
+
+    async def _work_on(self, address: str, work: Work) -> None:
+        session = new_store_session()
+        try:
+            await work(self._open_store(session, address, _count_nothing))
+        finally:
+            await session.close()
+
+
+def main(open_store: OpenStore) -> int:
+    """Run one command and return the exit code."""
+    command = QuarantineCommand(open_store)
+    try:
+        defopt.run([command.show, command.release])
+    except (SettingsError, StoreError) as error:
+        print(error, file=sys.stderr)
+        return FAILED_EXIT_CODE
+    return 0
+
+
+def _count_nothing(call: str) -> None:
+    """Leave a call uncounted."""
+
+
+async def _release(store: RangeStore, fingerprint: str) -> None:
+    key = key_of(bytes.fromhex(fingerprint))
+    item = (await store.read(key)).item
+    if item is None:
+        raise SettingsError(f"no request {fingerprint} is kept from engines")
+    await store.transact((Expectation(key, item.revision),), (), (key,))
+    print(f"released {fingerprint}")
+
+
+async def _show(store: RangeStore) -> None:
+    after = ""
+    while True:
+        page = await store.read_range(QUARANTINE_PREFIX, after)
+        for item in page.items:
+            print(_line(item))
+        if not page.more or not page.items:
+            return
+        after = page.items[-1].key
+
+
+def _line(item: StoredItem) -> str:
+    """Return what a record tells."""
+    try:
+        entry = entry_of(item)
+    except DecodeError as error:
+        return f"{item.key}: {error!r}"
+    if entry is None:
+        return f"{item.key}: no fingerprint"
+    left_s = max(0.0, entry.until_unix_s - time.time())
+    engines = ", ".join(entry.engines)
+    return (
+        f"{entry.fingerprint.hex()} {left_s:.0f} s left, {entry.times} times, "
+        f"route {entry.route or '-'}, tenant {entry.tenant or '-'}, ended: {engines}"
+    )
