--- a/liftrill/clock.py
+++ b/liftrill/clock.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 
 # How far the time may seem to go back between two readings by two clocks (own choice).
 TOLERATED_S = 0.001
@@ -14,19 +15,16 @@
 Reading = Callable[[], float]
 
 
-def _boottime_s() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def _system_clock() -> Reading | None:
     """Return the clock that counts suspension, or None where the system has none."""
     if not hasattr(time, "CLOCK_BOOTTIME"):
         return None
+    reading = partial(time.clock_gettime, time.CLOCK_BOOTTIME)
     try:
-        _boottime_s()
+        reading()
     except OSError:
         return None
-    return _boottime_s
+    return reading
 
 
 class ElapsedClock:
@@ -47,29 +45,30 @@
     def now_s(self) -> float:
         """Return seconds since some moment; never less than before."""
         now_s = self._counting() - self._offset_s
-        if now_s < self._latest_s - TOLERATED_S:
-            return self._fall_back()
-        self._latest_s = max(now_s, self._latest_s)
+        if now_s < self._latest_s:
+            return self._went_back(now_s)
+        self._latest_s = now_s
         return now_s
 
     def slept_s(self) -> float:
         """Return for how long the machine has been suspended since the process began."""
         return max(0.0, self.now_s() - self._steady())
 
-    def _fall_back(self) -> float:
-        """Go on with the steady clock alone."""
-        self.counts_sleep = False
-        self._counting = self._steady
-        self._offset_s = self._steady() - self._latest_s
+    def _went_back(self, now_s: float) -> float:
+        """Return the latest time again, and go on with the steady clock if it is far off."""
+        if now_s < self._latest_s - TOLERATED_S:
+            self.counts_sleep = False
+            self._counting = self._steady
+            self._offset_s = self._steady() - self._latest_s
         return self._latest_s
 
 
 _clock = ElapsedClock(time.monotonic, _system_clock())
 
 
-def now_s() -> float:
-    """Return seconds since some moment, those included in which the machine was suspended."""
-    return _clock.now_s()
+# Seconds since some moment, those included in which the machine was suspended. A bound method,
+# since it is read some dozens of times for each request.
+now_s = _clock.now_s
 
 
 def slept_s() -> float:
