A request that ends engines now and then is judged though its first ends are forgotten

Found by reading the diff: evidence was forgotten for a request as a whole and the names of engines one by one, so that a judgement of ends 500 and 110 s apart failed with a KeyError, and the request was not kept from engines. The feature failed with it.

--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -8,6 +8,14 @@
     Then after 0.2 s all nodes keep "deadly" from engines for about 600 s
     And a node that lost it wrote it at once, and node 3 only if nobody does
 
+  Scenario: A request that ends engines now and then for longer than they are remembered is judged
+    When node 1 loses "deadly" early with engine 1
+    And nothing happens for 500 s
+    And an engine without it has ended, and node 2 loses "deadly" early with engine 2
+    And nothing happens for 110 s
+    And node 3 loses "deadly" early with engine 3
+    Then after 0.2 s all nodes keep "deadly" from engines for about 600 s
+
   Scenario: A request waits for its judgement, and others do not
     When node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
     Then node 2 holds "deadly" back for 0.1 s and "other" not at all
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -169,6 +169,14 @@
     context.fleet.pass_time(1.0)
 
 
+@when('an engine without it has ended, and node {node} loses "{name}" early with engine {engine}')
+def step_beside(context, node, name, engine):
+    fleet = context.fleet
+    for other in fleet.nodes:
+        fleet.nodes[other].engine_ended(fleet.view(other, "6"), fleet.now)
+    fleet.lose(node, request_named(name), engine)
+
+
 @then('after {seconds:g} s nobody keeps "{name}" from engines')
 def step_not_kept(context, seconds, name):
     context.fleet.pass_time(seconds)
--- a/liftrill/coordination/crash_evidence.py
+++ b/liftrill/coordination/crash_evidence.py
@@ -133,7 +133,10 @@
         """Forget what is old."""
         before = now - KEPT_S
         for fingerprint, runs in list(self._runs.items()):
-            if all(run.ended_at < before for run in runs.values()):
+            left = {worker: run for worker, run in runs.items() if run.ended_at >= before}
+            if left:
+                self._runs[fingerprint] = left
+            else:
                 del self._runs[fingerprint]
         self._ends = {worker: at for worker, at in self._ends.items() if at >= before}
         self._served_at = {name: at for name, at in self._served_at.items() if at >= before}
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -194,15 +194,14 @@
         """Note that an engine ended, and take what was lost with it here for evidence."""
         if number in self._ended:
             return
-        view = self.engines.by_number(number)
         # Its record may be gone when its name is asked for.
-        self._ended[number] = view.engine_id if view else f"{number:016x}"
+        self._ended[number] = self._engine_name(number)
         self._evidence.note_end(number, now)
         losses = self._losses.pop(number, [])
         self.metrics.engine_ends.inc()
         self.log.belief(
             "engine_ended",
-            engine=self._ended[number],
+            engine=self._engine_name(number),
             source=source,
             lost=len(losses),
             early=[loss.run.fingerprint.hex() for loss in losses if loss.run.early],
@@ -254,7 +253,7 @@
             return
         loss = self._own.pop(fingerprint, None)
         entry = self.entries.next_entry(fingerprint, time.time())
-        names = [self._ended[run.worker] for run in runs]
+        names = [self._engine_name(run.worker) for run in runs]
         entry = replace(entry, engines=tuple(names))
         if loss is not None:
             entry = replace(entry, route=loss.route, tenant=loss.tenant)
@@ -293,6 +292,13 @@
         if was_suspect or was_listed:
             self.log.belief("suspect_served", fingerprint=fingerprint.hex())
 
+    def _engine_name(self, number: int) -> str:
+        """Return an engine's name, or its number where it is not known here."""
+        if number in self._ended:
+            return self._ended[number]
+        view = self.engines.by_number(number)
+        return view.engine_id if view else f"{number:016x}"
+
     def _log_entry(self, entry: QuarantineEntry, source: str) -> None:
         self.log.belief(
             "request_quarantined",
