--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -47,6 +47,11 @@
     And node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
     Then no node suspects "deadly"
 
+  Scenario: What a node has served lately itself it tells nobody of
+    When node 1 sees "deadly" served
+    And node 1 loses "deadly" early with engine 1
+    Then no node was told anything, and no node suspects "deadly"
+
   Scenario: What was served long ago may be one
     When node 3 sees "deadly" served
     And nothing happens for 12 s
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -68,8 +68,10 @@
     late: dict = field(default_factory=dict)
     now: float = 100.0
     waiting: list = field(default_factory=list)
+    told: int = 0
 
     def tell(self, teller, news, only=""):
+        self.told += 1
         for name in self.nodes:
             if name != teller and only in ("", name):
                 self.waiting.append((self.now + self.late.get((teller, name), 0.0), name, news))
@@ -242,6 +244,12 @@
     assert quarantine.left_s(request_named(name)) > 0
 
 
+@then('no node was told anything, and no node suspects "{name}"')
+def step_untold(context, name):
+    assert context.fleet.told == 0, context.fleet.told
+    step_no_suspect(context, name)
+
+
 @then('no node suspects "{name}"')
 def step_no_suspect(context, name):
     context.fleet.pass_time(1.0)
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -211,21 +211,25 @@
     def _take_losses(self, losses: list[_Loss], now: float) -> None:
         """Take runs that this node lost with an engine that ended for evidence, and tell it."""
         fresh = [loss for loss in losses if now - loss.run.ended_at <= LOST_BEFORE_S]
-        news = [loss for loss in fresh if self._evidence.add(loss.run)]
+        # Popular requests would be told by many nodes, and cleared by as many.
+        doubtful = [loss for loss in fresh if not self._serves(loss.run)]
+        news = [loss for loss in doubtful if self._evidence.add(loss.run)]
         if news:
             self.peers.tell_lost([loss.run for loss in news])
         for loss in news:
-            if self._is_known_good(loss.run, now):
-                continue
             self._own[loss.run.fingerprint] = loss
             self._consider(loss.run, now)
 
-    def _is_known_good(self, run: LostRun, now: float) -> bool:
-        """Return whether engines serve what a run asked, and if so clear it at all nodes.
+    def _serves(self, run: LostRun) -> bool:
+        """Return whether engines served lately, for this node, what a run asked.
 
         What many callers ask is under way at most engines that end, whatever ends them.
         """
-        if not run.early or not self._served.has_served(run.fingerprint, run.ended_at):
+        return run.early and self._served.has_served(run.fingerprint, run.ended_at)
+
+    def _is_known_good(self, run: LostRun, now: float) -> bool:
+        """Return whether engines serve what another node's run asked; if so clear it at all."""
+        if not self._serves(run):
             return False
         self._clear(run.fingerprint, now)
         self.peers.tell_served(run.fingerprint)
