A loser that hears of a quarantine first writes what it knows, at once; reports told again are answered by nobody

Traced: a node without a loss of its own answered the repeat of a loser's report with its own entry, before the loser had judged; the loser took it for settled and left the writing to others, half a second to 1.5 s later and without route and tenant.

--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -16,6 +16,16 @@
     And node 3 loses "deadly" early with engine 3
     Then after 0.2 s all nodes keep "deadly" from engines for about 600 s
 
+  Scenario: A loser that hears of a quarantine before it has judged writes what it knows, at once
+    When node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
+    And node 2 hears from node 3 that "deadly" is kept from engines
+    Then node 2 wrote it at once, with its route
+
+  Scenario: A report that is told again is no new run of a request in quarantine
+    When node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
+    And after 0.3 s node 2 tells of its run again
+    Then no node answers it
+
   Scenario: A request waits for its judgement, and others do not
     When node 1 loses "deadly" early with engine 1, and node 2 with engine 2 a second later
     Then node 2 holds "deadly" back for 0.1 s and "other" not at all
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -8,6 +8,7 @@
 
 from features.gateway_support import engine_record, new_quarantine, opaque_request
 from liftrill import clock
+from liftrill.coordination.crash_evidence import LostRun
 from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.gateway.decision_log import DecisionLog
@@ -235,6 +236,37 @@
     assert {at_once for _, at_once in context.fleet.keepers[other].kept} == {False}
 
 
+@when('node {node} hears from node {other} that "{name}" is kept from engines')
+def step_hears(context, node, other, name):
+    fingerprint = request_named(name).fingerprint
+    entry = QuarantineEntry(fingerprint, time.time() + 600.0, 1, "", "", ("1", "2"))
+    context.fleet.nodes[node].hear_quarantined(entry, context.fleet.now)
+
+
+@then("node {node} wrote it at once, with its route")
+def step_wrote_route(context, node):
+    context.fleet.pass_time(0.4)
+    ((entry, at_once),) = context.fleet.keepers[node].kept
+    assert at_once and entry.route == "route-1", entry
+
+
+@when("after {seconds:g} s node {node} tells of its run again")
+def step_tells_again(context, seconds, node):
+    fleet = context.fleet
+    ended_at = fleet.now
+    fleet.pass_time(seconds)
+    fleet.told = 0
+    fingerprint = request_named("deadly").fingerprint
+    number = fleet.view(node, "2").number
+    run = LostRun(fingerprint, number, True, ended_at - RAN_S, ended_at)
+    Told(fleet, node).tell_lost([run])
+
+
+@then("no node answers it")
+def step_unanswered(context):
+    assert context.fleet.told == 1, context.fleet.told
+
+
 @then('node {node} holds "{name}" back for {seconds:g} s and "{other}" not at all')
 def step_holds(context, node, name, seconds, other):
     quarantine, now = context.fleet.nodes[node], context.fleet.now
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -140,9 +140,11 @@
             self._note_end(run.worker, node, now)
             known = self.entries.get(run.fingerprint)
             if known is not None and self.entries.left_s(run.fingerprint, time.time()):
-                # It sent what is kept from engines: it has not heard.
                 self._evidence.explain([run.worker], now)
-                self.peers.tell_quarantined(known, node)
+                if self._evidence.add(run):
+                    # It sent what is kept from engines: it has not heard.
+                    self._settle(run.fingerprint, now)
+                    self.peers.tell_quarantined(known, node)
             elif self._evidence.add(run) and not self._is_known_good(run, now):
                 self._consider(run, now)
 
@@ -152,8 +154,11 @@
 
     def hear_quarantined(self, entry: QuarantineEntry, now: float) -> None:
         """Take in that another node keeps a request from engines."""
+        own = self._own.pop(entry.fingerprint, None)
+        if own is not None and not entry.route:
+            entry = replace(entry, route=own.route, tenant=own.tenant)
         if self._put_if_later(entry, "peer", now):
-            self.keeper.keep(entry, at_once=False)
+            self.keeper.keep(entry, at_once=own is not None)
 
     def hear_record(self, entry: QuarantineEntry, now: float) -> None:
         """Take in what the store keeps of a request."""
