--- a/liftrill/coordination/crash_evidence.py
+++ b/liftrill/coordination/crash_evidence.py
@@ -1,7 +1,7 @@
 """Tells requests under which workers end from those that ran there by accident, sans-IO.
 
 What is known is a set of facts, each about one run on one worker: it can be merged in any
-order and told more than once. Times are on the steady clock of whoever holds the set.
+order and told more than once. Times are on the clock of whoever holds the set.
 """
 
 import math
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -100,7 +100,7 @@
 
 @dataclass(slots=True)
 class AttemptTimes:
-    """When one attempt was sent and its first event came, on the steady clock.
+    """When one attempt was sent and its first event came, by `liftrill.clock`.
 
     Attributes:
         first_event_at: None before it.
--- a/liftrill/gateway/quarantine_records.py
+++ b/liftrill/gateway/quarantine_records.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pending:
-    """A record to write, or with no entry to remove, and when (steady clock)."""
+    """A record to write, or with no entry to remove, and when (by `liftrill.clock`)."""
 
     entry: QuarantineEntry | None
     due_at: float
