The gateway's modules by job: engines, admission, peers; interfaces of the parts against hard load

Cause: sixty modules in one folder, and four parts about to be built beside each other in them. Checked: mypy, ruff; gateway_load, _placement, _overload, _admission, _quota, _forwarding, _rules, quotas green.

--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -3,10 +3,14 @@
 from behave import given, then, when
 
 from features.gateway_support import route_rule
-from liftrill.gateway.admission import AdmissionRefusal, IncomingRequest, RequestAdmission
+from liftrill.gateway.admission.request_admission import (
+    AdmissionRefusal,
+    IncomingRequest,
+    RequestAdmission,
+)
+from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.records import BackendShare, GatewayConfiguration, Tenant
-from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.route_table import RouteTable, WeightedSplit
 
 PROOF_SECONDS = 4.5
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -8,15 +8,15 @@
 
 from features.gateway_support import engine_record, new_quarantine, opaque_request, route_rule
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import Unavailable
-from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.records import WeightTarget
-from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.standstill import Standstill
 from liftrill.gateway.transport import AnswerSink, EngineAttempt, EngineTransport
 from liftrill.gateway.weight_targets import WeightTargets
--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -9,11 +9,11 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record, opaque_request, route_rule
+from liftrill.gateway.admission.overload import ReadingRates
 from liftrill.gateway.delivery import StreamTimes, Unavailable
-from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineLoad, EngineTable
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
-from liftrill.gateway.overload import ReadingRates
 from liftrill.gateway.records import ServiceProfile
 from liftrill.gateway.weight_targets import WeightTargets
 
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -6,10 +6,10 @@
 
 from features.gateway_support import engine_record, opaque_request
 from liftrill.gateway.delivery import Unavailable
-from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineLoad, EngineTable, engine_number
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable, engine_number
+from liftrill.gateway.engines.prefix_directory import KeptPart, PartStage, part_number
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
-from liftrill.gateway.prefix_directory import KeptPart, PartStage, part_number
 from liftrill.gateway.records import KeptStoreProfile, ServiceProfile, WeightTarget
 from liftrill.gateway.weight_targets import WeightTargets
 
--- a/features/steps/gateway_quota_steps.py
+++ b/features/steps/gateway_quota_steps.py
@@ -8,10 +8,10 @@
 from features.gateway_support import opaque_request
 from liftrill.coordination.quota import FleetSize, QuotaLimit
 from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.gateway.admission.quota_gate import units_of
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.fleet_record import FLEET_KEY, FleetRecord
 from liftrill.gateway.leadership import LEADER_KEY
-from liftrill.gateway.quota_gate import units_of
 from liftrill.gateway.records import Quota
 
 
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -8,8 +8,8 @@
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.leadership import ACTIVITY_KEY, LEADER_KEY, Leadership, TermParameters
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.weight_rollout import AskReport, GiveOrder, WeightRollout
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.beliefs import Beliefs
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.http_client import new_store_session
 from liftrill.gateway.record_decoder import RecordDecoder
 from liftrill.gateway.records import GatewayConfiguration, WeightTarget
--- /dev/null
+++ b/liftrill/gateway/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests are served, and when the others come back."""
--- a/liftrill/gateway/quota_gate.py
+++ b/liftrill/gateway/admission/quota_gate.py
@@ -5,12 +5,12 @@
 
 from liftrill.coordination.quota import QuotaReport, QuotaSource, SharedBuckets
 from liftrill.errors import ResultCode
-from liftrill.gateway.admission import AdmissionRefusal
+from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.gateway_metrics import GatewayMetrics
-from liftrill.gateway.load_exchange import LoadReport, LoadScope, SendLoads
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads
 from liftrill.gateway.records import Quota
 
 # A tenant counts as limited until it was refused nothing for so long: two refusals further
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -7,8 +7,8 @@
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
-from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineTable
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.record_decoder import RecordDecoder, RecordError
 from liftrill.gateway.records import EngineRecord, GatewayConfiguration, WeightTarget
 from liftrill.gateway.route_table import WeightedSplit
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -10,7 +10,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import FIRST_SERVER_ERROR, AttemptTimes, DeliveryMachine
-from liftrill.gateway.engine_table import EngineLoad, EngineView
+from liftrill.gateway.engines.engine_table import EngineLoad, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.transport import AnswerSink, EngineAttempt
--- a/liftrill/gateway/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from liftrill import clock
-from liftrill.gateway.engine_table import EngineView
+from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.transport import EngineTransport
 
 # How long what follows a broken attempt waits for the answer: a port in use or free answers
--- a/liftrill/gateway/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -5,20 +5,20 @@
 from dataclasses import dataclass, replace
 
 from liftrill import constants
+from liftrill.gateway.admission.overload import OverloadGuard, ReadingRates, SlotTimes
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
-from liftrill.gateway.engine_table import EngineTable, EngineView
-from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
-from liftrill.gateway.overload import OverloadGuard, ReadingRates, SlotTimes
-from liftrill.gateway.part_keeping import BETWEEN_ZONES, PartKeeping
-from liftrill.gateway.placement import (
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView
+from liftrill.gateway.engines.part_keeping import BETWEEN_ZONES, PartKeeping
+from liftrill.gateway.engines.placement import (
     Candidate,
     LeastLoaded,
     PlacementPolicy,
     PromptCost,
     cache_salt,
 )
-from liftrill.gateway.shared_parts import SharedParts, find_shared_parts
+from liftrill.gateway.engines.shared_parts import SharedParts, find_shared_parts
+from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 from liftrill.gateway.weight_targets import WeightTargets
 
 
--- a/liftrill/gateway/part_keeping.py
+++ b/liftrill/gateway/engines/part_keeping.py
@@ -2,13 +2,13 @@
 
 from liftrill import constants
 from liftrill.coordination import rendezvous
-from liftrill.gateway.cache_retention import CacheRetention
 from liftrill.gateway.delivery_events import EngineChoice
-from liftrill.gateway.engine_table import EngineTable, engine_number
+from liftrill.gateway.engines.cache_retention import CacheRetention
+from liftrill.gateway.engines.engine_table import EngineTable, engine_number
+from liftrill.gateway.engines.prefix_directory import PrefixDirectory, part_number
+from liftrill.gateway.engines.shared_parts import SharedParts
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
-from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
 from liftrill.gateway.records import KeptStoreProfile, ServiceProfile
-from liftrill.gateway.shared_parts import SharedParts
 from liftrill.gateway.store_link import StoreLink, is_worth_moving, is_worth_saving
 
 # How much longer a move between zones takes than one within a zone.
--- a/liftrill/gateway/placement.py
+++ b/liftrill/gateway/engines/placement.py
@@ -10,10 +10,10 @@
 
 from liftrill import constants
 from liftrill.coordination import rendezvous
-from liftrill.gateway.engine_table import EngineView
+from liftrill.gateway.engines.engine_table import EngineView
+from liftrill.gateway.engines.shared_parts import NOTHING_KEPT, SharedParts
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 from liftrill.gateway.records import ServiceProfile
-from liftrill.gateway.shared_parts import NOTHING_KEPT, SharedParts
 
 SALT_DIGEST_BYTES = 8
 MOVE_PREFILL_TOKENS_PER_S = 40_000.0
--- a/liftrill/gateway/shared_parts.py
+++ b/liftrill/gateway/engines/shared_parts.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from liftrill.gateway.engines.prefix_directory import PrefixDirectory, part_number
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
-from liftrill.gateway.prefix_directory import PrefixDirectory, part_number
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -7,6 +7,8 @@
 
 from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.admission.quota_gate import QuotaGate
+from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.begin_limits import BeginLimits
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import (
@@ -16,14 +18,12 @@
     Unavailable,
 )
 from liftrill.gateway.delivery_run import DeliveryOwner, DeliveryRun
-from liftrill.gateway.engine_end_check import EngineEndCheck
-from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineTable, EngineView
+from liftrill.gateway.engines.engine_end_check import EngineEndCheck
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.quarantine import Quarantine
-from liftrill.gateway.quota_gate import QuotaGate
-from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.transport import AnswerSink, EngineAttempt, EngineTransport
 
 # For how long an engine that refused for load or an order gets no new requests.
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -16,33 +16,37 @@
 from liftrill.coordination.range_store import RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.errors import ResultCode
-from liftrill.gateway.admission import AdmissionRefusal, IncomingRequest, RequestAdmission
+from liftrill.gateway.admission.quota_gate import QuotaGate
+from liftrill.gateway.admission.request_admission import (
+    AdmissionRefusal,
+    IncomingRequest,
+    RequestAdmission,
+)
+from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.beliefs import Beliefs
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
-from liftrill.gateway.engine_selector import EngineSelector
-from liftrill.gateway.engine_table import EngineNotice, EngineTable, EngineView
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
 from liftrill.gateway.fleet_record import FleetRecord
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership, TermParameters
-from liftrill.gateway.load_board import LoadBoard
-from liftrill.gateway.load_exchange import LoadReport, LoadScope, topology_for
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
-from liftrill.gateway.peer_link import PeerCallbacks, PeerLink, new_membership
-from liftrill.gateway.peer_silence import IDLE_REPORT_S, PeerSilence
+from liftrill.gateway.peers.load_board import LoadBoard
+from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, topology_for
+from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
+from liftrill.gateway.peers.peer_silence import IDLE_REPORT_S, PeerSilence
 from liftrill.gateway.quarantine import Quarantine
 from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.gateway.quarantine_records import QuarantineRecords, fingerprint_of
-from liftrill.gateway.quota_gate import QuotaGate
 from liftrill.gateway.reader_plan import ReaderPlan
 from liftrill.gateway.record_decoder import RecordDecoder
 from liftrill.gateway.relay_client import ReaderLimits, longest_mirror_age_s
 from liftrill.gateway.relay_codec import RelayAnswer
 from liftrill.gateway.relay_server import RelayServer
-from liftrill.gateway.retry_allowance import RetryAllowance
 from liftrill.gateway.route_table import WeightedSplit
 from liftrill.gateway.settings import GatewaySettings
 from liftrill.gateway.standstill import Standstill
--- a/liftrill/gateway/order_client.py
+++ b/liftrill/gateway/order_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from liftrill.gateway.engine_table import EngineView
+from liftrill.gateway.engines.engine_table import EngineView
 
 
 class OrderAnswer(Enum):
--- /dev/null
+++ b/liftrill/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes tell each other."""
--- a/liftrill/gateway/load_board.py
+++ b/liftrill/gateway/peers/load_board.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field, replace
 
 from liftrill import constants
-from liftrill.gateway.engine_table import EngineLoad, EngineTable, EngineView
+from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable, EngineView
 
 LoadByEngine = Mapping[str, EngineLoad]
 
--- a/liftrill/gateway/load_codec.py
+++ b/liftrill/gateway/peers/load_codec.py
@@ -10,9 +10,9 @@
 from typing import TypeVar
 
 from liftrill.coordination.quota import QuotaReport
-from liftrill.gateway.engine_table import EngineLoad
-from liftrill.gateway.load_exchange import LoadReport, LoadScope
-from liftrill.gateway.prefix_directory import KeptPart, PartStage
+from liftrill.gateway.engines.engine_table import EngineLoad
+from liftrill.gateway.engines.prefix_directory import KeptPart, PartStage
+from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope
 from liftrill.messages import peer_pb2 as messages
 
 SCOPES = {
--- a/liftrill/gateway/load_exchange.py
+++ b/liftrill/gateway/peers/load_exchange.py
@@ -17,8 +17,8 @@
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Member
 from liftrill.coordination.quota import QuotaReport
-from liftrill.gateway.load_board import LoadBoard, LoadByEngine
-from liftrill.gateway.prefix_directory import KeptNews, KeptPart
+from liftrill.gateway.engines.prefix_directory import KeptNews, KeptPart
+from liftrill.gateway.peers.load_board import LoadBoard, LoadByEngine
 
 DELEGATE_KEY = b"load delegate "
 DIRECT_NODES = 12
--- a/liftrill/gateway/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -20,9 +20,9 @@
     SendDatagram,
     Ticked,
 )
-from liftrill.gateway.engine_table import EngineNotice
-from liftrill.gateway.load_codec import ReportAssembler, datagrams_from_report
-from liftrill.gateway.load_exchange import LoadReport, SendLoads, others
+from liftrill.gateway.engines.engine_table import EngineNotice
+from liftrill.gateway.peers.load_codec import ReportAssembler, datagrams_from_report
+from liftrill.gateway.peers.load_exchange import LoadReport, SendLoads, others
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
     datagrams_from_runs,
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -11,10 +11,10 @@
 
 from liftrill.coordination.crash_evidence import EARLY_S, CrashEvidence, LostRun
 from liftrill.errors import ResultCode
-from liftrill.gateway.admission import AdmissionRefusal
+from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import AttemptTimes
-from liftrill.gateway.engine_table import EngineTable, EngineView, engine_number
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView, engine_number
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.quarantine_list import QuarantineEntry, QuarantineList
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -35,6 +35,8 @@
         priority: 0 is the most urgent.
         public: whether no key is needed.
         resumable: whether a broken stream may go on at another engine.
+        pause_target_s: the longest pause between events of a stream that is still in time,
+            or 0 where none is declared.
     """
 
     name: str
@@ -48,6 +50,7 @@
     priority: int
     public: bool
     resumable: bool
+    pause_target_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +61,7 @@
         maximum_connections: connections that one engine accepts from all nodes together.
         cache_tokens: tokens that one model engine keeps, running and cached; 0 for others.
         models: names of the models that its engines run.
+        steps_per_event: tokens that one event of a stream holds.
         backups: whether its engines send copies of runs to each other.
         move_s_per_token: time to move the memory of one token between engines.
         store_move_s_per_token: the same from a kept store.
@@ -67,6 +71,7 @@
     maximum_connections: int
     cache_tokens: int = 0
     models: tuple[str, ...] = ()
+    steps_per_event: int = 1
     backups: bool = False
     move_s_per_token: float = 0.0
     store_move_s_per_token: float = 0.0
--- a/liftrill/gateway/settings.py
+++ b/liftrill/gateway/settings.py
@@ -36,6 +36,21 @@
     longest_resolve_seconds: float = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """What the machine of a gateway gives to it; 0 where it is not told.
+
+    Attributes:
+        cpu_share: of one core of ordinary speed.
+        memory_bytes: a process that takes more is killed.
+        link_bytes_per_s: of the machine's own link, each way.
+    """
+
+    cpu_share: float = 0.0
+    memory_bytes: int = 0
+    link_bytes_per_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """The identity, addresses and bounds of one gateway.
@@ -45,6 +60,8 @@
         peer_address: HOST:PORT for gossip over UDP; ports are alike on all nodes.
         peer_seeds: gossip addresses of some other nodes.
         first_start: whether the whole system starts for the first time.
+        slow_peers: whether callers and engines may read slowly, and engines fall over under
+            requests that outgrow their memory.
     """
 
     node: str
@@ -55,3 +72,5 @@
     peer_seeds: tuple[str, ...]
     first_start: bool
     bounds: GatewayBounds
+    machine: MachineLimits = field(default_factory=MachineLimits)
+    slow_peers: bool = False
--- a/liftrill/gateway/settings_reader.py
+++ b/liftrill/gateway/settings_reader.py
@@ -19,6 +19,12 @@
         """Return a table of the file."""
         return SettingsReader(self._path, self._take(key, dict, "a table"), f"{key}.")
 
+    def section_or_empty(self, key: str) -> "SettingsReader":
+        """Return a table that need not be given."""
+        if key not in self._table:
+            return SettingsReader(self._path, {}, f"{key}.")
+        return self.section(key)
+
     def text(self, key: str) -> str:
         """Return a text."""
         return str(self._take(key, str, "a text"))
@@ -54,6 +60,10 @@
         """Return a list of texts."""
         return [str(value) for value in self._take(key, list, "a list")]
 
+    def texts_or_none(self, key: str) -> list[str]:
+        """Return a list of texts that need not be given."""
+        return self.texts(key) if key in self._table else []
+
     def port(self, key: str, default: int) -> int:
         """Return a port that need not be given."""
         if key not in self._table:
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -7,7 +7,7 @@
 from liftrill import clock
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.engine_table import EngineNotice, EngineTable, EngineView
+from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.leadership import Leadership
 from liftrill.gateway.order_client import OrderAnswer, OrderClient, WeightOrder
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 
 from liftrill import constants
-from liftrill.gateway.engine_table import EngineView
+from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.weight_targets import NamedVersion, WeightTargets
 
 
