Engines that start again under their id are other ones; records of other writers name no engine

Cause: an engine's id alone was the key of all that is learned of it, and records were decoded field by field as they came: one that could not be read left its predecessor in use, an unknown state counted as ready. Ruled out: pydantic for the schema, 4 MB and 0.1 s of start a process; ignoring a start that lies before the last one: a clock set back would keep the former life alive. Change: id and start are an incarnation (EngineView.number): a new view begins with each; words of peers, notices, orders, kept parts, copies and ends name it.

--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -1,6 +1,7 @@
 """Applies what the store tells to what this node believes."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from liftrill import clock
 from liftrill.coordination.range_store import StoredItem
@@ -8,12 +9,23 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.engines.engine_selector import EngineSelector
-from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.record_decoder import RecordDecoder, RecordError
 from liftrill.gateway.records import EngineRecord, GatewayConfiguration, WeightTarget
 from liftrill.gateway.route_table import WeightedSplit
 from liftrill.gateway.weight_targets import WeightTargets
 
+# How many keys whose records are refused have a line each: more than engines start in a minute.
+REFUSED_KEYS_TOLD = 256
+
+
+def _count_nothing() -> None:
+    """Leave a record uncounted."""
+
+
+def _tell_nobody(view: EngineView) -> None:
+    """Leave the end of an incarnation untold."""
+
 
 @dataclass(slots=True)
 class Beliefs:
@@ -23,6 +35,8 @@
         configuration_revision: the store's revision of the configuration in force.
         shortest_lapse_s: in a shorter gap of what is known no record of a living engine lapses.
         store_read: whether the store was read once: what is news later came since.
+        count_refused: called for each record that could not be understood.
+        incarnation_ended: whom to tell of an engine that has started again under its id.
     """
 
     decoder: RecordDecoder
@@ -35,6 +49,9 @@
     shortest_lapse_s: float
     configuration_revision: int = 0
     store_read: bool = False
+    count_refused: Callable[[], None] = _count_nothing
+    incarnation_ended: Callable[[EngineView], None] = _tell_nobody
+    _refused_keys: dict[str, str] = field(default_factory=dict)
 
     def apply(self, change: MirrorChange, known_until: float) -> None:
         """Take in a change of the mirror, which held all there was until a time."""
@@ -61,8 +78,9 @@
         try:
             record = self.decoder.decode(item)
         except RecordError as error:
-            self.log.belief("record_refused", key=item.key, revision=item.revision, why=str(error))
+            self._refuse(item, str(error))
             return
+        self._refused_keys.pop(item.key, None)
         if isinstance(record, GatewayConfiguration):
             self._adopt(record, item.revision, known_until)
         elif isinstance(record, EngineRecord):
@@ -70,6 +88,24 @@
         elif isinstance(record, WeightTarget):
             self._name_target(record, known_until)
 
+    def _refuse(self, item: StoredItem, why: str) -> None:
+        """Use nothing of a record that cannot be understood, nor what it replaced."""
+        self.count_refused()
+        engine_id = self.decoder.engine_of(item.key)
+        withdrawn = engine_id is not None and self.engines.withdraw(engine_id, item.revision)
+        if self._refused_keys.get(item.key) == why:
+            return
+        # Whoever writes such records may write many: a line for each key and reason.
+        if len(self._refused_keys) < REFUSED_KEYS_TOLD:
+            self._refused_keys[item.key] = why
+            self.log.belief(
+                "record_refused",
+                key=item.key,
+                revision=item.revision,
+                why=why,
+                engine_withdrawn=withdrawn,
+            )
+
     def expire(self, now: float) -> None:
         """Let time pass for engines whose records vanished."""
         for engine_id in self.engines.expire_vanished(now):
@@ -85,6 +121,7 @@
         self.selector.parts.kept_stores = configuration.kept_stores
         self.selector.parts.services.clear()
         self.selector.parts.services.update(configuration.services)
+        self.engines.services = frozenset(configuration.services)
         self.split.forget()
         self.log.version = configuration.version
         self.log.belief(
@@ -99,11 +136,19 @@
     def _update_engine(self, record: EngineRecord, known_until: float) -> None:
         known = self.engines.get(record.engine_id)
         was_leaving = known.leaving if known else False
+        was_withdrawn = known.withdrawn if known else False
         view = self.engines.update(record)
-        if known is None or view.leaving != was_leaving:
+        if view is None:
+            return
+        if known is not None and view is not known and not was_leaving:
+            self.incarnation_ended(known)
+        is_new = view is not known
+        if is_new or (view.leaving, view.withdrawn) != (was_leaving, was_withdrawn):
             self.log.belief(
                 "engine",
                 engine=record.engine_id,
+                born_unix_ms=record.born_unix_ms,
+                withdrawn=view.withdrawn,
                 service=record.service,
                 address=record.address,
                 leaving=view.leaving,
--- /dev/null
+++ b/liftrill/gateway/caller_server.py
@@ -0,0 +1,68 @@
+"""The sockets that callers connect to, and how a process ends without cutting requests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
+
+from aiohttp import web
+
+from liftrill import constants
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class CallerServer:
+    """The listening sockets of one process, and the requests that are under way on them."""
+
+    def __init__(self) -> None:
+        self._servers: list[asyncio.Server] = []
+        self._handlers: list[web.Server] = []
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def listen(self, address: str, handle: Handler) -> None:
+        """Open a socket at HOST:PORT."""
+        handler = web.Server(
+            handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=constants.CALLER_IDLE_CONNECTION_SECONDS,
+            max_line_size=constants.CALLER_HEADER_BYTES,
+            max_field_size=constants.CALLER_HEADER_BYTES,
+            auto_decompress=False,
+            lingering_time=0.0,
+        )
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(handler, host, int(port), backlog=512)
+        self._servers.append(server)
+        self._handlers.append(handler)
+
+    @contextmanager
+    def under_way(self) -> Iterator[None]:
+        """Count a request as under way for as long as the block runs."""
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
+
+    def close_sockets(self) -> None:
+        """Open no more connections."""
+        for server in self._servers:
+            server.close()
+
+    async def wait_until_idle(self, longest_seconds: float) -> None:
+        """Wait until no request is under way, or for a time at the most."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, longest_seconds)):
+                await self._idle.wait()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for handler in self._handlers:
+            handler.pre_shutdown()
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -91,10 +91,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineAddress:
-    """An incarnation of an engine, and where it is."""
+    """An incarnation of an engine, and where it is.
+
+    Attributes:
+        number: the short name of the incarnation, or 0 where an id names one alone.
+    """
 
     engine_id: str
     address: str
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +115,7 @@
         expected_tokens: prompt tokens that the engine will have to read.
         backup: the engine that gets a copy of the run as it grows, or None.
         continues_copy: whether the engine goes on with the copy that it has of the run.
+        number: the short name of the incarnation.
     """
 
     engine_id: str
@@ -122,6 +128,7 @@
     expected_tokens: int = 0
     backup: EngineAddress | None = None
     continues_copy: bool = False
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -81,7 +81,7 @@
         if request.prompt is None:
             plain = [Candidate(view) for view in ready]
             view = self._plain_policy.choose(request, plain, self._zone).view
-            return EngineChoice(view.engine_id, view.record.address)
+            return EngineChoice(view.engine_id, view.record.address, number=view.number)
         return self._choose_for_prompt(request, request.prompt, ready, now)
 
     def _choose_for_prompt(
@@ -142,12 +142,15 @@
         view = self._engines.get(broken.backup.engine_id) if broken.backup else None
         if view is None or request.prompt is None:
             return None
+        if broken.backup is not None and not view.is_meant_by(broken.backup.number):
+            return None
         if not self._goes_on(view, request.prompt.model, broken.weight_version, now):
             return None
         return replace(
             broken,
             engine_id=view.engine_id,
             address=view.record.address,
+            number=view.number,
             expected_tokens=1,
             backup=self._next_backup(view, broken, request, now),
             continues_copy=True,
@@ -166,7 +169,7 @@
 
     def _goes_on(self, view: EngineView, model: str, version: int, now: float) -> bool:
         """Return whether an engine takes runs of some weights now."""
-        if view.leaving or view.weight_version(model) != version:
+        if view.leaving or view.withdrawn or view.weight_version(model) != version:
             return False
         return not view.is_loading(now) and view.breaker.allows(now)
 
@@ -199,7 +202,7 @@
             return None
         zone = chosen.view.record.zone
         best = min(others, key=lambda c: (c.view.record.zone != zone, c.view.requests))
-        return EngineAddress(best.view.engine_id, best.view.record.address)
+        return EngineAddress(best.view.engine_id, best.view.record.address, best.view.number)
 
     def _version_floor(self, able: list[EngineView], request: OpaqueRequest) -> int:
         """Return the lowest version to use, as far as versions of unknown age decide it.
@@ -293,4 +296,5 @@
             save_to=store if saves else "",
             is_saved=chosen.shared.saved,
             expected_tokens=max(0, prompt.prompt_tokens - chosen.shared.kept_tokens),
+            number=view.number,
         )
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -10,9 +10,9 @@
 from liftrill.gateway.records import EngineRecord
 
 
-def engine_number(engine_id: str) -> int:
-    """Return a 64-bit name for an engine, the same on all nodes."""
-    return xxhash.xxh3_64_intdigest(engine_id.encode())
+def engine_number(incarnation: str) -> int:
+    """Return a 64-bit name for one start of an engine, the same on all nodes."""
+    return xxhash.xxh3_64_intdigest(incarnation.encode())
 
 
 def _new_breaker() -> CircuitBreaker:
@@ -26,6 +26,7 @@
     Attributes:
         version: the weights it has, or is about to have while `loading`.
         sequence: orders the notices about one engine.
+        number: of the incarnation that is meant, or 0 where engines do not tell theirs.
     """
 
     engine_id: str
@@ -33,6 +34,7 @@
     version: int
     loading: bool
     sequence: int
+    number: int = 0
 
 
 @dataclass(slots=True)
@@ -43,11 +45,13 @@
         requests: requests that it holds.
         waiting_tokens: prompt tokens that were sent and have no answer yet.
         resident_tokens: tokens that running requests hold in its memory, or will.
+        number: of the incarnation that has it, or 0 where engines do not tell theirs.
     """
 
     requests: int = 0
     waiting_tokens: int = 0
     resident_tokens: int = 0
+    number: int = 0
 
     def add(self, other: "EngineLoad", factor: int = 1) -> None:
         """Add other work, or take it away with a factor of -1."""
@@ -67,6 +71,7 @@
         loading_until: it takes no new requests before this time, as far as is known, unless
             it is seen to have `loading_version` earlier.
         vanished_at: when its record went while that could not be trusted, or None.
+        withdrawn: its newest record is not an engine's: it is used again after the next good one.
         number: the short name of this incarnation, in words to peers.
     """
 
@@ -79,17 +84,23 @@
     notice_sequence: int = 0
     leaving: bool = False
     vanished_at: float | None = None
+    withdrawn: bool = False
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
     number: int = field(init=False)
 
     def __post_init__(self) -> None:
-        self.number = engine_number(self.record.engine_id)
+        self.number = engine_number(self.record.incarnation)
 
     @property
     def engine_id(self) -> str:
         """The identity of this incarnation."""
         return self.record.engine_id
 
+    @property
+    def told_number(self) -> int:
+        """The number in words to peers, or 0 where an id names one incarnation alone."""
+        return self.number if self.record.born_unix_ms else 0
+
     @property
     def requests(self) -> int:
         """The requests of all nodes, as far as is known."""
@@ -109,6 +120,20 @@
         """Return the version of a model that it has, or 0 if not known."""
         return self.weights.get(model, 0)
 
+    def is_meant_by(self, number: int) -> bool:
+        """Return whether a word of a peer is of this incarnation, as far as it says."""
+        return number in (0, self.number)
+
+    def take(self, record: EngineRecord) -> None:
+        """Take in a record of this incarnation."""
+        if record.revision >= self.record.revision:
+            self.withdrawn = bool(self.weights) and not record.weights
+            self.record = record
+        self.vanished_at = None
+        self.leaving = self.leaving or record.draining
+        for model, version in record.weights.items():
+            self.learn_weights(model, version)
+
     def learn_weights(self, model: str, version: int) -> None:
         """Take note of a version that the engine was seen to have."""
         if version > self.weights.get(model, 0):
@@ -123,7 +148,11 @@
 
 
 class EngineTable:
-    """All engines with a record."""
+    """All engines with a record.
+
+    Attributes:
+        services: the services that the configuration names; empty before there is one.
+    """
 
     # For how long an engine is used whose record went with an outage of the store. Records
     # are back within about two seconds; an engine that left may not be used for longer than
@@ -133,6 +162,8 @@
     def __init__(self) -> None:
         self._views: dict[str, EngineView] = {}
         self._by_number: dict[int, EngineView] = {}
+        self._births_told = False
+        self.services: frozenset[str] = frozenset()
 
     def __iter__(self) -> Iterator[EngineView]:
         return iter(self._views.values())
@@ -140,6 +171,13 @@
     def __len__(self) -> int:
         return len(self._views)
 
+    def in_use(self) -> Iterator[EngineView]:
+        """Return the engines of services that the configuration names."""
+        for view in self:
+            is_named = not self.services or view.record.service in self.services
+            if is_named and not view.withdrawn:
+                yield view
+
     def get(self, engine_id: str) -> EngineView | None:
         """Return an engine's view."""
         return self._views.get(engine_id)
@@ -150,22 +188,49 @@
 
     def of_service(self, service: str) -> list[EngineView]:
         """Return the engines of a service."""
-        return [view for view in self._views.values() if view.record.service == service]
+        return [
+            view
+            for view in self._views.values()
+            if view.record.service == service and not view.withdrawn
+        ]
+
+    def update(self, record: EngineRecord) -> EngineView | None:
+        """Take in a record and return the view of its incarnation, if it is the newest one.
 
-    def update(self, record: EngineRecord) -> EngineView:
-        """Take in a record."""
+        Another incarnation under a known id holds nothing of what the former one held, and
+        nothing that was learned of that one is true of it.
+        """
+        if not self._tells_birth(record):
+            self.withdraw(record.engine_id, record.revision)
+            return None
         view = self._views.get(record.engine_id)
+        if view is not None and view.record.born_unix_ms != record.born_unix_ms:
+            if record.revision < view.record.revision:
+                return None
+            self.remove(record.engine_id)
+            view = None
         if view is None:
             view = self._views[record.engine_id] = EngineView(record)
             self._by_number[view.number] = view
-        elif record.revision >= view.record.revision:
-            view.record = record
-        view.vanished_at = None
-        view.leaving = view.leaving or record.draining
-        for model, version in record.weights.items():
-            view.learn_weights(model, version)
+        view.take(record)
         return view
 
+    def withdraw(self, engine_id: str, revision: int) -> bool:
+        """Use an engine no more whose record became unreadable, and return whether it was used."""
+        view = self._views.get(engine_id)
+        if view is None or view.withdrawn or revision < view.record.revision:
+            return False
+        view.withdrawn = True
+        return True
+
+    def _tells_birth(self, record: EngineRecord) -> bool:
+        """Return whether a record tells its engine's start, if engines do so here."""
+        if record.born_unix_ms and not self._births_told:
+            self._births_told = True
+            for view in [v for v in self._views.values() if not v.record.born_unix_ms]:
+                view.withdrawn = True
+        return bool(record.born_unix_ms) or not self._births_told
+
     def remove(self, engine_id: str) -> None:
         """Forget an engine whose record is gone."""
         view = self._views.pop(engine_id, None)
@@ -194,7 +259,9 @@
     def apply_notice(self, notice: EngineNotice, loading_until: float) -> None:
         """Take in the controller's word; while loading, until a time at the latest."""
         view = self._views.get(notice.engine_id)
-        if view is None or notice.sequence <= view.notice_sequence:
+        if view is None or not view.is_meant_by(notice.number):
+            return
+        if notice.sequence <= view.notice_sequence:
             return
         view.notice_sequence = notice.sequence
         if notice.loading:
--- a/liftrill/gateway/engines/part_keeping.py
+++ b/liftrill/gateway/engines/part_keeping.py
@@ -4,7 +4,7 @@
 from liftrill.coordination import rendezvous
 from liftrill.gateway.delivery_events import EngineChoice
 from liftrill.gateway.engines.cache_retention import CacheRetention
-from liftrill.gateway.engines.engine_table import EngineTable, engine_number
+from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.engines.prefix_directory import PrefixDirectory, part_number
 from liftrill.gateway.engines.shared_parts import SharedParts
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
@@ -61,11 +61,10 @@
         if prompt is None:
             return
         self._record_traffic(choice, request, prompt, now)
-        engine = engine_number(choice.engine_id)
         for part in prompt.shared_parts:
             number = part_number(choice.cache_salt, part.part_id)
             if part.tokens >= constants.KEPT_NEWS_TOKENS and not self._is_known(number, now):
-                self.directory.record_reading(number, engine, now)
+                self.directory.record_reading(number, choice.number, now)
 
     def _record_traffic(
         self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape, now: float
@@ -101,11 +100,10 @@
         prompt = request.prompt
         if prompt is None:
             return
-        engine = engine_number(choice.engine_id)
         for part in prompt.shared_parts:
             self.directory.record_read(
                 part_number(choice.cache_salt, part.part_id),
-                engine,
+                choice.number,
                 now,
                 saved=bool(choice.save_to),
                 worth_telling=part.tokens >= constants.KEPT_NEWS_TOKENS,
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -115,6 +115,8 @@
             log,
             BEATS_OF_A_LAPSE * bounds.heartbeat_seconds,
         )
+        self._beliefs.count_refused = metrics.refused_records.inc
+        self._beliefs.incarnation_ended = self._on_incarnation_ended
         self._engines = engines
         self._allowance = self._new_allowance()
         self.admission = RequestAdmission(self.view, split)
@@ -454,6 +456,9 @@
             if fingerprint is not None:
                 self._quarantine.release(fingerprint, now)
 
+    def _on_incarnation_ended(self, view: EngineView) -> None:
+        self._quarantine.incarnation_ended(view, clock.now_s())
+
     def _on_lost_runs(self, node: str, runs: list[LostRun]) -> None:
         self._quarantine.hear_lost(node, runs, clock.now_s())
 
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -64,6 +64,11 @@
             "Times that this process stood still, or its machine slept.",
             registry=self.registry,
         )
+        self.refused_records = Counter(
+            "liftrill_refused_records",
+            "Records in the store that could not be understood.",
+            registry=self.registry,
+        )
         self.engine_ends = Counter(
             "liftrill_engine_ends",
             "Engines that were found to have ended with runs under way.",
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -142,3 +142,18 @@
     )
     session._retry_connection = False
     return session
+
+
+async def refuses_connections(address: str) -> bool:
+    """Return whether connections to HOST:PORT are refused: nobody listens there any more."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(constants.CONNECT_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        # Silence may be a path that is cut: it says nothing of who listens.
+        return False
+    writer.close()
+    return False
--- a/liftrill/gateway/peers/load_board.py
+++ b/liftrill/gateway/peers/load_board.py
@@ -107,7 +107,7 @@
             engine_id = reading.view.engine_id
             told[engine_id] = told.get(engine_id, 0) + reading.tokens
         return {
-            view.engine_id: _less_waiting(view.own_load, told.get(view.engine_id, 0))
+            view.engine_id: _told_load(view, told.get(view.engine_id, 0))
             for view in self.engines
             if view.own_load.requests
         }
@@ -118,13 +118,20 @@
         total: dict[str, EngineLoad] = {}
         for loads in (self.own_loads(), *words):
             for engine_id, load in loads.items():
-                total.setdefault(engine_id, EngineLoad()).add(load)
+                known = total.setdefault(engine_id, EngineLoad(number=load.number))
+                # What others still have on a former incarnation ends with it.
+                if known.number == load.number:
+                    known.add(load)
         return total
 
     def _replace(self, source: _Source, loads: LoadByEngine, now: float) -> None:
         self._withdraw(source)
         known = ((self.engines.get(engine_id), load) for engine_id, load in loads.items())
-        counted = tuple((view, load) for view, load in known if view is not None)
+        counted = tuple(
+            (view, load)
+            for view, load in known
+            if view is not None and view.is_meant_by(load.number)
+        )
         for view, load in counted:
             view.peer_load.add(load)
         self._reports[source] = _Report(loads, now, counted)
@@ -135,6 +142,8 @@
             view.peer_load.add(load, -1)
 
 
-def _less_waiting(load: EngineLoad, tokens: int) -> EngineLoad:
-    """Return a load without some of the tokens that wait."""
-    return replace(load, waiting_tokens=max(0, load.waiting_tokens - tokens))
+def _told_load(view: EngineView, told_tokens: int) -> EngineLoad:
+    """Return the own load on an engine, without the tokens that peers were told of at once."""
+    load = view.own_load
+    waiting_tokens = max(0, load.waiting_tokens - told_tokens)
+    return replace(load, waiting_tokens=waiting_tokens, number=view.told_number)
--- a/liftrill/gateway/peers/load_codec.py
+++ b/liftrill/gateway/peers/load_codec.py
@@ -68,6 +68,7 @@
             requests=load.requests,
             waiting_tokens=load.waiting_tokens,
             resident_tokens=load.resident_tokens,
+            engine=load.number,
         )
         for engine_id, load in loads
     ]
@@ -89,7 +90,7 @@
 def report_from_message(message: messages.Datagram) -> LoadReport:
     """Return the report, or the piece of one, that a datagram carries."""
     loads = {
-        row.engine_id: EngineLoad(row.requests, row.waiting_tokens, row.resident_tokens)
+        row.engine_id: EngineLoad(row.requests, row.waiting_tokens, row.resident_tokens, row.engine)
         for row in message.loads
         if row.engine_id
     }
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -251,6 +251,7 @@
                 version=notice.version,
                 loading=notice.loading,
                 sequence=notice.sequence,
+                engine=notice.number,
             )
             for notice in notices
         ]
@@ -259,5 +260,10 @@
 
 def _notice_from_message(message: messages.EngineNotice) -> EngineNotice:
     return EngineNotice(
-        message.engine_id, message.model, message.version, message.loading, message.sequence
+        message.engine_id,
+        message.model,
+        message.version,
+        message.loading,
+        message.sequence,
+        message.engine,
     )
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -122,7 +122,11 @@
 
     def engine_ended(self, view: EngineView, now: float) -> None:
         """Note that an engine has ended, and judge what was lost with it here."""
-        self._note_end(view.number, "refused", now)
+        self._note_end(view.number, "refused", now, view.record.incarnation)
+
+    def incarnation_ended(self, view: EngineView, now: float) -> None:
+        """Note that an engine has started again, so that its former incarnation has ended."""
+        self._note_end(view.number, "started again", now, view.record.incarnation)
 
     def served(self, request: OpaqueRequest, now: float) -> None:
         """Note that an engine served a request: it is no suspect any more."""
@@ -195,12 +199,12 @@
 
     # Judging
 
-    def _note_end(self, number: int, source: str, now: float) -> None:
+    def _note_end(self, number: int, source: str, now: float, name: str = "") -> None:
         """Note that an engine ended, and take what was lost with it here for evidence."""
         if number in self._ended:
             return
         # Its record may be gone when its name is asked for.
-        self._ended[number] = self._engine_name(number)
+        self._ended[number] = name or self._engine_name(number)
         self._evidence.note_end(number, now)
         losses = self._losses.pop(number, [])
         self.metrics.engine_ends.inc()
@@ -306,7 +310,7 @@
         if number in self._ended:
             return self._ended[number]
         view = self.engines.by_number(number)
-        return view.engine_id if view else f"{number:016x}"
+        return view.record.incarnation if view else f"{number:016x}"
 
     def _log_entry(self, entry: QuarantineEntry, source: str) -> None:
         self.log.belief(
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -146,9 +146,10 @@
     """What one incarnation of an engine records of itself.
 
     Attributes:
-        engine_id: changes with each start of the engine.
+        engine_id: an engine may start again under the id that it had.
         weights: weight version by model.
         revision: the store's revision of the record.
+        born_unix_ms: when this incarnation started, or 0 where the record does not say.
     """
 
     engine_id: str
@@ -159,6 +160,12 @@
     draining: bool
     weights: Mapping[str, int]
     revision: int
+    born_unix_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """The name of one start of the engine."""
+        return f"{self.engine_id}@{self.born_unix_ms}" if self.born_unix_ms else self.engine_id
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/settings_reader.py
+++ b/liftrill/gateway/settings_reader.py
@@ -6,6 +6,9 @@
 
 from liftrill.errors import SettingsError
 
+BYTES_PER_MEGABYTE = 1_048_576
+BYTES_PER_MEGABIT = 125_000
+
 
 class SettingsReader:
     """Takes checked values out of the file's tables."""
@@ -56,6 +59,16 @@
         """Return a time given in milliseconds, in seconds."""
         return self.number(key) / 1000.0
 
+    def megabytes_or(self, key: str, default_bytes: int) -> int:
+        """Return a size given in megabytes, in bytes, or a default."""
+        if key not in self._table:
+            return default_bytes
+        return int(self.number(key) * BYTES_PER_MEGABYTE)
+
+    def megabits_or(self, key: str, default_bytes: float) -> float:
+        """Return a rate given in megabits a second, in bytes a second, or a default."""
+        return self.number(key) * BYTES_PER_MEGABIT if key in self._table else default_bytes
+
     def texts(self, key: str) -> list[str]:
         """Return a list of texts."""
         return [str(value) for value in self._take(key, list, "a list")]
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -51,7 +51,7 @@
         self._metrics = metrics
         self._node = node
         self._fence = 0
-        self._sequences: dict[str, int] = {}
+        self._sequences: dict[int, int] = {}
         self._tasks: set[asyncio.Future[object]] = set()
 
     async def run(self) -> None:
@@ -74,13 +74,13 @@
             return
         if self._leadership.fence != self._fence:
             self._begin_term()
-        wanted = self._rollout.is_wanted(self._engines)
+        wanted = self._rollout.is_wanted(self._engines.in_use())
         if not wanted and self._rollout.is_idle:
             await self._rest(now)
             return
         if not await self._activate() or not self._leadership.may_order(clock.now_s()):
             return
-        for instruction in self._rollout.due(self._engines, clock.now_s()):
+        for instruction in self._rollout.due(self._engines.in_use(), clock.now_s()):
             view = self._engines.get(instruction.engine_id)
             if view is not None:
                 self._carry_out(view, instruction)
@@ -130,9 +130,7 @@
         model, version = instruction.model, instruction.version
         if view.weight_version(model) >= version:
             return
-        order = WeightOrder(
-            model, version, self._node, self._fence, self._sequences[view.engine_id]
-        )
+        order = WeightOrder(model, version, self._node, self._fence, self._sequences[view.number])
         now = clock.now_s()
         if not self._leadership.may_order(now):
             return
@@ -152,14 +150,16 @@
             sequence=order.expected_sequence,
             answer=answer.value,
         )
+        if not self._is_current(view):
+            return
         if answer is OrderAnswer.ACCEPTED:
-            self._sequences[view.engine_id] = order.expected_sequence + 1
+            self._sequences[view.number] = order.expected_sequence + 1
             self._rollout.order_accepted(view.engine_id, now)
             return
         if answer is OrderAnswer.ALREADY_DONE:
             self._finish(view, order.model, order.version)
             return
-        self._sequences.pop(view.engine_id, None)
+        self._sequences.pop(view.number, None)
         if answer is OrderAnswer.UNANSWERED:
             self._rollout.order_unanswered(view.engine_id, now)
             return
@@ -172,13 +172,17 @@
         if load is None:
             return
         status = await self._client.report(view)
-        if status is None:
+        if status is None or not self._is_current(view):
             return
         for model, version in status.weights.items():
             view.learn_weights(model, version)
-        self._sequences[view.engine_id] = status.order_sequence
+        self._sequences[view.number] = status.order_sequence
         self._rollout.report_heard(view.engine_id, status.busy, clock.now_s())
 
+    def _is_current(self, view: EngineView) -> bool:
+        """Return whether an engine has not started again since it was asked."""
+        return self._engines.get(view.engine_id) is view
+
     def _finish(self, view: EngineView, model: str, version: int) -> None:
         """Tell that an engine has loaded; a newer version may be on its way already."""
         view.learn_weights(model, version)
@@ -187,12 +191,12 @@
 
     async def _read_status(self, view: EngineView) -> bool:
         """Learn how many orders an engine has taken, if this term does not know."""
-        if view.engine_id in self._sequences:
+        if view.number in self._sequences:
             return True
         status = await self._client.report(view)
         if status is None:
             return False
-        self._sequences[view.engine_id] = status.order_sequence
+        self._sequences[view.number] = status.order_sequence
         for model, version in status.weights.items():
             view.learn_weights(model, version)
         return True
@@ -200,7 +204,7 @@
     def _tell(self, view: EngineView, model: str, version: int, loading: bool) -> None:
         # Fences rise with terms and sequences within one, so a later word is higher.
         sequence = (self._fence << 20) + next(_counter)
-        notice = EngineNotice(view.engine_id, model, version, loading, sequence)
+        notice = EngineNotice(view.engine_id, model, version, loading, sequence, view.told_number)
         self._spawn(self._send_notices([notice]))
 
     def _spawn(self, work: Awaitable[object]) -> None:
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -64,6 +64,7 @@
     Attributes:
         since: when it was given its present state.
         next_at: when it is to be ordered, or asked next.
+        number: the incarnation that is to load: one that starts later knows of no order.
     """
 
     engine_id: str
@@ -71,6 +72,7 @@
     version: int
     since: float
     next_at: float
+    number: int
     state: LoadState = LoadState.DRAINING
 
 
@@ -176,7 +178,7 @@
         done: list[RolloutInstruction] = []
         for engine_id, load in list(self.loads.items()):
             view = known.get(engine_id)
-            if view is None:
+            if view is None or view.number != load.number:
                 del self.loads[engine_id]
             elif view.weight_version(load.model) >= load.version:
                 del self.loads[engine_id]
@@ -249,7 +251,9 @@
 
     def _announce(self, view: EngineView, model: str, version: int, now: float) -> AnnounceLoad:
         order_at = now + self.parameters.drain_time
-        self.loads[view.engine_id] = Load(view.engine_id, model, version, now, order_at)
+        self.loads[view.engine_id] = Load(
+            view.engine_id, model, version, now, order_at, view.number
+        )
         return AnnounceLoad(view.engine_id, model, version)
 
     def _is_behind(self, view: EngineView, model: str) -> bool:
