The soak learns hard load: restarts under an id, foreign records, slow engines, bursts, callers that read nothing

A mode beside the faults (--hard), drawn from its own source, so that kept seeds stay what they are.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -81,3 +81,8 @@
   Scenario: A short soak in which machines sleep breaks no promise
     When seed 39100 is played for 12 s with machines that sleep
     Then it had faults and served requests, and broke no promise
+
+  Scenario: A short soak under hard load breaks no promise
+    When seed 4100 is played for 14 s under hard load
+    Then it had faults and served requests, and broke no promise
+    And each trouble of hard load came up
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import signal
+import time
 from contextlib import suppress
 
 from features.soak.proxy import Harm, HarmfulProxy
@@ -21,15 +22,23 @@
 RECORD_LAPSES_AFTER_S = 2.5
 
 
+def now_unix_ms():
+    """Return the time of day in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
 class Fleet:
     """Nodes behind proxies, a store, engines, and when the store took what.
 
+    With `births` engines tell when they started.
+
     Attributes:
         retired: engines that left; some of them still take requests.
     """
 
-    def __init__(self, directory, nodes, deadly=frozenset(), sleeps=False):
+    def __init__(self, directory, nodes, deadly=frozenset(), sleeps=False, births=False):
         self._deadly = deadly
+        self._births = births
         self._wrapper = [sleeper.__file__] if sleeps else ()
         self._replacing = []
         self.deployment = Deployment(directory)
@@ -134,6 +143,17 @@
         await asyncio.sleep(removed_after_s)
         self._remove_record(engine)
 
+    async def restart_engine(self, engine, rest_s):
+        """Let an engine end, and start again under its id after a rest; its record stays."""
+        if self.deployment.engines.get(engine.engine_id) is not engine:
+            return
+        self.retired.append(engine)
+        del self.deployment.engines[engine.engine_id]
+        await engine.crash()
+        await asyncio.sleep(rest_s)
+        options = {"weights": dict(engine.weights), "born_unix_ms": now_unix_ms()}
+        await self.deployment.add_engine(engine.engine_id, engine.service, **options)
+
     def _remove_record(self, engine):
         self.store.remove(f"servers/{engine.engine_id}")
         self.timeline.note_leaving(engine.engine_id)
@@ -146,6 +166,8 @@
     async def _add_engine(self, service):
         name = f"{service}-{next(self._engine_numbers)}"
         options = {"weights": {"model-1": self._weights}} if service == "llm" else {}
+        if self._births:
+            options["born_unix_ms"] = now_unix_ms()
         engine = await self.deployment.add_engine(name, service, ends_under=self._deadly, **options)
         if self._deadly:
             self._replacing.append(asyncio.ensure_future(self._replace_ended(engine)))
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -9,7 +9,7 @@
 and routes change. What callers and engines saw is checked against the promises. Exits with 1
 after a violation, and names the seed. Seeds that failed once are kept in `seeds.txt`, one a
 line: seed, seconds, nodes, "deadly" where callers repeat requests under which engines end,
-"sleeps" where machines are suspended, and the cause.
+"sleeps" where machines are suspended, "hard" where load is hard, and the cause.
 """
 
 import argparse
@@ -28,6 +28,7 @@
 from features.soak.deadly import DeadlyCallers, check_deadly, ends_under
 from features.soak.faults import FaultInjector
 from features.soak.fleet import Fleet
+from features.soak.hard_load import HardLoad
 from features.soak.history import Bounds, Call, check, latest
 from features.soak.sleeps import Sleeps
 from features.standin.deployment import HOST, prompt_headers
@@ -48,13 +49,16 @@
 class Soak:
     """One deployment under faults, and its history."""
 
-    def __init__(self, seed, seconds, directory, nodes=NODES, deadly=False, sleeps=False):
+    def __init__(
+        self, seed, seconds, directory, nodes=NODES, deadly=False, sleeps=False, hard=False
+    ):
         self._deadly = DeadlyCallers(seed) if deadly else None
         self._deadly_bodies = self._deadly.bodies() if deadly else frozenset()
-        self.fleet = Fleet(directory, nodes, self._deadly_bodies, sleeps)
+        self.fleet = Fleet(directory, nodes, self._deadly_bodies, sleeps, births=hard)
         self._sleeps = Sleeps(self.fleet, seed) if sleeps else None
         self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
+        self.load = HardLoad(self.fleet, seed, self._call, self.calls) if hard else None
         self._seconds = seconds
         self._seed = seed
         self._random = random.Random(f"{seed}/calls")
@@ -82,6 +86,8 @@
         yield self._injector.harm_for(self._seconds)
         if self._sleeps is not None:
             yield self._sleeps.run_for(self._seconds)
+        if self.load is not None:
+            yield self.load.run_for(self._seconds)
 
     def latest(self):
         """Return the latest arrivals after leavings and namings."""
@@ -199,16 +205,17 @@
             return False
 
 
-def play(seed, seconds, nodes=NODES, deadly=False, sleeps=False):
+def play(seed, seconds, nodes=NODES, deadly=False, sleeps=False, hard=False):
     """Play one seed; return its violations, and print what it did."""
     with tempfile.TemporaryDirectory(prefix="liftrill-soak-") as directory:
-        soak = Soak(seed, seconds, Path(directory), nodes, deadly, sleeps)
+        soak = Soak(seed, seconds, Path(directory), nodes, deadly, sleeps, hard)
         found, alive = asyncio.run(soak.run())
         served = sum(call.status == 200 and call.complete for call in soak.calls)
         print(
             f"seed {seed}: {len(soak.calls)} requests, {served} served, "
             f"{len(soak.fleet.timeline.faults)} faults, {len(found)} violations, "
-            f"all nodes serve again: {alive}, {soak.latest()}, ended under requests: {soak.ends()}",
+            f"all nodes serve again: {alive}, {soak.latest()}, ended under requests: {soak.ends()}"
+            + (f", {soak.load.counts}" if soak.load else ""),
             flush=True,
         )
         for promise, count in Counter(violation.promise for violation in found).items():
@@ -220,11 +227,11 @@
 
 
 def kept_plays():
-    """Return seed, seconds, nodes, and whether requests are deadly and machines sleep."""
+    """Return seed, seconds, nodes, and which troubles come up beside the faults."""
     lines = KEPT_PATH.read_text().splitlines()
     rows = [line.partition("|")[0].split() for line in lines if not line.startswith("#")]
     return [
-        (int(seed), float(seconds), int(nodes), "deadly" in more, "sleeps" in more)
+        (int(seed), float(seconds), int(nodes), "deadly" in more, "sleeps" in more, "hard" in more)
         for seed, seconds, nodes, *more in rows
     ]
 
@@ -240,9 +247,12 @@
         "--deadly", action="store_true", help="callers repeat requests under which engines end"
     )
     parser.add_argument("--sleeps", action="store_true", help="machines are suspended, too")
+    parser.add_argument(
+        "--hard", action="store_true", help="uneven engines, restarts, bursts and slow callers"
+    )
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.seeds)
-    modes = (options.deadly, options.sleeps)
+    modes = (options.deadly, options.sleeps, options.hard)
     plays = [(seed, options.seconds, options.nodes, *modes) for seed in seeds]
     results = [play(*one) for one in (kept_plays() if options.kept else plays)]
     return 0 if all(not found and alive for found, alive in results) else 1
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -50,6 +50,7 @@
             "extra", "extra_late", "reset_unframed", "torn", "hang", "fail".
         refuses_orders: whether it answers orders as if it were busy.
         ends_under: the bodies of requests under which it ends.
+        born_unix_ms: when it started, told in its record, or 0 where it is not told.
         ended: set once it has crashed, with the time in `ended_at`.
         ended_under: the body of the request under which it ended, or None.
     """
@@ -68,6 +69,7 @@
     ends_under: frozenset = frozenset()
     ended_at: float | None = None
     ended_under: bytes | None = None
+    born_unix_ms: int = 0
 
     def __post_init__(self):
         self.ended = asyncio.Event()
@@ -117,6 +119,7 @@
             "Stage": "colocated",
             "Models": models,
             "SeqNo": 1,
+            **({"born": self.born_unix_ms} if self.born_unix_ms else {}),
         }
 
     async def _handle(self, request):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -193,6 +193,17 @@
     context.found, context.alive = context.run(context.soak.run())
 
 
+@when("seed {seed:d} is played for {seconds:g} s under hard load")
+def step_play_hard(context, seed, seconds):
+    context.soak = Soak(seed, seconds, context.directory, hard=True)
+    context.found, context.alive = context.run(context.soak.run())
+
+
+@then("each trouble of hard load came up")
+def step_hard_kinds(context):
+    assert len(context.soak.load.counts) == 5, context.soak.load.counts
+
+
 @then("it had faults and served requests, and broke no promise")
 def step_no_violation(context):
     served = sum(call.status == 200 and call.complete for call in context.soak.calls)
