Engines' own speed: a model of each incarnation, known to all nodes, costs in seconds

Cause: one mean a service, from what one node saw, and costs in tokens of one kind of engine; an engine at half the speed was sent as much as the others. Change: service_model (a pace of each incarnation: fading sums, bounded samples, trimmed over sources), service_speeds (the middle of a service, who differs, pauses), speed_board (observed, told, heard), Datagram.speeds once a second along the ways of loads; placement counts in seconds; homes by weighted rendezvous; plain services by expected completion, two choices among many nodes; pauses of streams foreseen where a route declares a target.

--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -9,10 +9,10 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record, opaque_request, route_rule
-from liftrill.gateway.admission.overload import ReadingRates
 from liftrill.gateway.delivery import StreamTimes, Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable
+from liftrill.gateway.engines.speed_board import SpeedBoard
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
 from liftrill.gateway.records import ServiceProfile
 from liftrill.gateway.weight_targets import WeightTargets
@@ -122,7 +122,7 @@
 
     def answered(self, number, asked_at, sent_at, view, load, ahead):
         view.own_load.add(load, -1)
-        self.selector.rates.record("service-1", ahead, self.now - sent_at)
+        self.selector.speeds.record_read(view.engine_id, ahead, self.now - sent_at, self.now)
         if self.now - asked_at <= TARGET_S:
             self.in_time.append((self.now, number))
 
@@ -193,23 +193,27 @@
 
 @given("nothing is known of how fast engines read")
 def step_unknown_rate(context):
-    context.rates = ReadingRates()
+    table = EngineTable()
+    context.reader = table.update(engine_record("e0"))
+    context.speeds = SpeedBoard(table)
+    context.now = 0.0
 
 
 @when("{count:d} prompts of {tokens:d} tokens are each read within {seconds:g} s")
 def step_read_many(context, count, tokens, seconds):
     for _ in range(count):
-        context.rates.record("service-1", tokens, seconds)
+        step_read_one(context, tokens, seconds)
 
 
 @when("a prompt of {tokens:d} tokens is read within {seconds:g} s")
 def step_read_one(context, tokens, seconds):
-    context.rates.record("service-1", tokens, seconds)
+    context.now += seconds
+    context.speeds.record_read(context.reader.engine_id, tokens, seconds, context.now)
 
 
 @then("engines are taken to read between {least:d} and {most:d} tokens a second")
 def step_rate(context, least, most):
-    found = context.rates.tokens_per_s("service-1")
+    found = 1.0 / context.speeds.reading_s(context.reader)
     assert least <= found <= most, found
 
 
--- a/liftrill/constants.py
+++ b/liftrill/constants.py
@@ -154,9 +154,11 @@
 ENGINE_MEMORY_SHARE = _number("LIFTRILL_ENGINE_MEMORY_SHARE", 1.2)
 BACKUP_OUTPUT_TOKENS = _count("LIFTRILL_BACKUP_OUTPUT_TOKENS", 1_024)
 KEPT_SETTLE_S = _number("LIFTRILL_KEPT_SETTLE_S", 0.5)
-# Peers are told at once of prompts of more tokens to read: 50 ms at 38 tokens a ms (measured
-# on a third of the large site; 500 tokens gave no more).
-TOLD_READING_TOKENS = _count("LIFTRILL_TOLD_READING_TOKENS", 2_000)
+# Until the first prompts were read: of the order of an engine of one accelerator (guess).
+FIRST_READING_TOKENS_PER_S = _number("LIFTRILL_FIRST_READING_TOKENS_PER_S", 40_000.0)
+# Peers are told at once of prompts that take an engine longer: others that are sent behind one
+# come late by as much (measured on a third of the large site; a quarter of it gave no more).
+TOLD_READING_LEAST_S = _number("LIFTRILL_TOLD_READING_LEAST_S", 0.05)
 # Reading 9,000 tokens takes 0.24 s, and twice that behind another such prompt.
 TOLD_READING_S = _number("LIFTRILL_TOLD_READING_S", 0.4)
 # Longer than the reading of all but the longest prompts (0.25 s for 10,000 tokens).
@@ -173,14 +175,21 @@
 # With more engines there are so many nodes that what one knows of the others' loads is older
 # than a reading takes: 0.1 s with 8 nodes, 0.2 to 0.8 s with 195, where reading takes 0.24 s.
 MANY_ENGINES = _count("LIFTRILL_MANY_ENGINES", 16)
+# With more nodes each of them chooses by reports that tell of sums, later than from peer to peer.
+MANY_CHOOSING_NODES = _count("LIFTRILL_MANY_CHOOSING_NODES", 12)
 # Two choices already avoid most of a queue, and a third one in four engines being silent
 # (guess); worth 0.764 on a third of the large site, and 0.757 with all engines.
 FEW_CHOICES = _count("LIFTRILL_FEW_CHOICES", 3)
-# Reading 8,000 tokens takes 0.2 s, about what one prompt in front costs (guess).
-FAR_TOKENS = _number("LIFTRILL_FAR_TOKENS", 8_000.0)
-REPLACED_WEIGHTS_TOKENS = _number("LIFTRILL_REPLACED_WEIGHTS_TOKENS", 3_000.0)
+# For how long a request waits rather than go beyond the few choices of its prompt: about what
+# one long prompt in front of it costs its caller (guess).
+FAR_S = _number("LIFTRILL_FAR_S", 0.2)
+# For how long a request waits rather than be answered by weights that were replaced: less than
+# callers notice, so that a release costs no answer its time.
+REPLACED_WEIGHTS_S = _number("LIFTRILL_REPLACED_WEIGHTS_S", 0.075)
 REPLACED_WEIGHTS_GRACE_S = _number("LIFTRILL_REPLACED_WEIGHTS_GRACE_S", 1.2)
-LONG_PROMPT_TOKENS = _count("LIFTRILL_LONG_PROMPT_TOKENS", 16_000)
+# A prompt that takes longer to read makes streams beside it pause, as their callers notice,
+# where the route declares no pause.
+LONG_PROMPT_S = _number("LIFTRILL_LONG_PROMPT_S", 0.4)
 LONG_PROMPT_PAUSE_SHARE = _number("LIFTRILL_LONG_PROMPT_PAUSE_SHARE", 0.1)
 READING_WAIT_TARGET_SHARE = _number("LIFTRILL_READING_WAIT_TARGET_SHARE", 0.18)
 ENGINE_WAIT_TARGET_SHARE = _number("LIFTRILL_ENGINE_WAIT_TARGET_SHARE", 0.2)
--- a/liftrill/coordination/rendezvous.py
+++ b/liftrill/coordination/rendezvous.py
@@ -1,9 +1,12 @@
 """Rendezvous (highest random weight) hashing, after Thaler and Ravishankar, 1996."""
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
+HASHES = 2.0**64
+
 
 def rank(key: bytes, candidates: Iterable[str]) -> list[str]:
     """Return the candidates in descending weight for a key.
@@ -19,6 +22,22 @@
     return max(candidates, key=lambda name: weight(key, name), default=None)
 
 
+def first_weighted(key: bytes, weights: Mapping[str, float]) -> str | None:
+    """Return the candidate of a key, where each is that of keys in proportion to its weight.
+
+    Where all weights are alike it is that of `first`. A weight that changes moves no key
+    between other candidates.
+    """
+    if len(set(weights.values())) < 2:
+        return first(key, weights)
+
+    def score(name: str) -> tuple[float, str]:
+        digest, _ = weight(key, name)
+        return -weights[name] / math.log((digest + 0.5) / HASHES), name
+
+    return max(weights, key=score)
+
+
 def weight(key: bytes, candidate: str) -> tuple[int, str]:
     """Return a candidate's weight for a key; the name breaks ties."""
     digest = xxhash.xxh3_64_intdigest(key + b"\x00" + candidate.encode())
--- a/liftrill/gateway/admission/overload.py
+++ b/liftrill/gateway/admission/overload.py
@@ -11,60 +11,10 @@
 from liftrill import constants
 from liftrill.gateway.opaque_request import OpaqueRequest
 
-# Samples of less than this say more of the way to an engine than of its reading.
-LEAST_SAMPLE_TOKENS = 2_000
-SAMPLE_WEIGHT = 0.1
 # A queue counts as gone below this share of the wait that is still in time.
 RELIEVED_SHARE = 0.5
 
 
-@dataclass(slots=True)
-class ReadingRates:
-    """How fast the engines of each service read prompts, as observed.
-
-    Attributes:
-        first_tokens_per_s: what is assumed of a service before anything was observed.
-    """
-
-    first_tokens_per_s: float = constants.PREFILL_TOKENS_PER_SECOND
-    _rates: dict[str, float] = field(default_factory=dict)
-
-    def record(self, service: str, tokens: int, elapsed_s: float) -> None:
-        """Note how long some tokens, own and waiting ones, took to be read."""
-        if tokens < LEAST_SAMPLE_TOKENS or elapsed_s <= 0.0:
-            return
-        rate = self.tokens_per_s(service)
-        self._rates[service] = rate + SAMPLE_WEIGHT * (tokens / elapsed_s - rate)
-
-    def tokens_per_s(self, service: str) -> float:
-        """Return the rate of a service's engines."""
-        return self._rates.get(service, self.first_tokens_per_s)
-
-
-@dataclass(slots=True)
-class SlotTimes:
-    """For how long requests hold a slot of the engines of each service, as observed.
-
-    Attributes:
-        first_s: what is assumed of a service before anything was observed.
-    """
-
-    first_s: float = constants.FIRST_SLOT_S
-    _times_s: dict[str, float] = field(default_factory=dict)
-
-    def record(self, service: str, held_s: float) -> None:
-        """Note for how long a request held its slot."""
-        known_s = self._times_s.get(service, self.first_s)
-        self._times_s[service] = known_s + SAMPLE_WEIGHT * (held_s - known_s)
-
-    def wait_s(self, service: str, requests: int, slots: int) -> float:
-        """Return how long one more request waits for a slot of an engine."""
-        ahead = requests + 1 - slots
-        if ahead <= 0:
-            return 0.0
-        return ahead * self._times_s.get(service, self.first_s) / slots
-
-
 @dataclass(slots=True)
 class StandingQueue:
     """Whether the shortest queue of a service has been long for a while.
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -1,5 +1,6 @@
 """Applies what the store tells to what this node believes."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from liftrill import clock
@@ -10,7 +11,7 @@
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.record_decoder import RecordDecoder, RecordError
-from liftrill.gateway.records import EngineRecord, GatewayConfiguration, WeightTarget
+from liftrill.gateway.records import EngineRecord, GatewayConfiguration, RouteRule, WeightTarget
 from liftrill.gateway.route_table import WeightedSplit
 from liftrill.gateway.weight_targets import WeightTargets
 
@@ -85,6 +86,7 @@
         self.selector.parts.kept_stores = configuration.kept_stores
         self.selector.parts.services.clear()
         self.selector.parts.services.update(configuration.services)
+        self.selector.speeds.pause_targets_s = tightest_pauses(configuration.routes)
         self.split.forget()
         self.log.version = configuration.version
         self.log.belief(
@@ -128,6 +130,18 @@
             )
 
 
+def tightest_pauses(routes: Iterable[RouteRule]) -> dict[str, float]:
+    """Return the tightest pause that routes of each service declare."""
+    found: dict[str, float] = {}
+    for route in routes:
+        if not route.pause_target_s:
+            continue
+        for share in route.backends:
+            known = found.get(share.service, route.pause_target_s)
+            found[share.service] = min(known, route.pause_target_s)
+    return found
+
+
 def _news_age(known_until: float) -> float | None:
     """Return how old news may be, for a line."""
     return rounded_age(clock.now_s() - known_until)
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -75,12 +75,15 @@
         first_event_at: or 0 before the first one.
         longest_pause_s: between two events.
         longest_pause_after: the event before that pause, or None.
+        last_event_at: or 0 before the first one.
+        events: how many came.
     """
 
     first_event_at: float = 0.0
     longest_pause_s: float = 0.0
     longest_pause_after: int | None = None
-    _last_event_at: float = 0.0
+    last_event_at: float = 0.0
+    events: int = 0
     _last_event_id: int | None = None
 
     def since_first_event_s(self, now: float) -> float | None:
@@ -91,11 +94,12 @@
         """Take note of an event that came now."""
         if not self.first_event_at:
             self.first_event_at = now
-        elif now - self._last_event_at > self.longest_pause_s:
-            self.longest_pause_s = now - self._last_event_at
+        elif now - self.last_event_at > self.longest_pause_s:
+            self.longest_pause_s = now - self.last_event_at
             self.longest_pause_after = self._last_event_id
-        self._last_event_at = now
+        self.last_event_at = now
         self._last_event_id = event_id
+        self.events += 1
 
 
 @dataclass(slots=True)
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -9,7 +9,12 @@
 from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import FIRST_SERVER_ERROR, AttemptTimes, DeliveryMachine
+from liftrill.gateway.delivery import (
+    FIRST_SERVER_ERROR,
+    AttemptTimes,
+    DeliveryMachine,
+    StreamTimes,
+)
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
@@ -84,6 +89,14 @@
     def note_slot_held(self, machine: DeliveryMachine, held_s: float) -> None:
         """Note for how long a request held a slot of its engine."""
 
+    @abstractmethod
+    def note_stream(self, view: EngineView, times: StreamTimes, now: float) -> None:
+        """Note how fast the events of a whole stream came."""
+
+    @abstractmethod
+    def note_answer(self, view: EngineView, sent_at: float, requests: int, now: float) -> None:
+        """Note a whole answer, where so many requests were at the engine with it."""
+
     @abstractmethod
     def note_not_run(self, request: OpaqueRequest) -> None:
         """Note that a request ends without having run."""
@@ -101,6 +114,7 @@
         self._load = EngineLoad()
         self._times = AttemptTimes(0.0)
         self._tokens_ahead = 0
+        self._requests_there = 0
         self._ended = False
 
     async def drive(self, first: events.DeliveryEvent) -> None:
@@ -196,6 +210,7 @@
         if self._view is not None:
             self._view.own_load.add(self._load)
             self._tokens_ahead = self._view.waiting_tokens
+            self._requests_there = self._view.requests
         return await self._noted(await self._until_overdue(self._attempt.open()))
 
     async def _wait_for_engine(self) -> events.DeliveryEvent:
@@ -217,6 +232,7 @@
         held_s = self._machine.times.since_first_event_s(clock.now_s())
         if isinstance(ending, events.FinishStream) and held_s is not None:
             self._owner.note_slot_held(self._machine, held_s)
+        self._note_pace(ending)
         self._owner.log.request_ended(self._machine, ending)
         self._owner.metrics.record_end(self._machine, ending)
         if _is_served(ending):
@@ -234,6 +250,17 @@
         elif isinstance(ending, events.FailRequest):
             await self._sink.fail(ending)
 
+    def _note_pace(self, ending: events.DeliveryInstruction) -> None:
+        """Note how fast the engine worked, where one engine answered well."""
+        view = self._view
+        if view is None or len(self._machine.attempts) > 1 or not _is_served(ending):
+            return
+        now = clock.now_s()
+        if isinstance(ending, events.FinishStream):
+            self._owner.note_stream(view, self._machine.times, now)
+        elif self._machine.request.prompt is None:
+            self._owner.note_answer(view, self._times.sent_at, self._requests_there, now)
+
 
 def _is_served(ending: events.DeliveryInstruction) -> bool:
     """Return whether an engine ran a request to a good end."""
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from liftrill import constants
-from liftrill.gateway.admission.overload import OverloadGuard, ReadingRates, SlotTimes
+from liftrill.gateway.admission.overload import OverloadGuard
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
@@ -18,6 +18,8 @@
     cache_salt,
 )
 from liftrill.gateway.engines.shared_parts import SharedParts, find_shared_parts
+from liftrill.gateway.engines.slot_times import SlotTimes
+from liftrill.gateway.engines.speed_board import SpeedBoard
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 from liftrill.gateway.weight_targets import WeightTargets
 
@@ -36,7 +38,7 @@
 
     Attributes:
         parts: where the shared parts of prompts are kept.
-        rates: how fast engines read prompts.
+        speeds: how fast engines work.
         slot_times: for how long requests hold their engines' slots.
         guard: which waits at engines requests are sent into.
     """
@@ -50,13 +52,13 @@
         plain_policy: PlacementPolicy | None = None,
     ) -> None:
         self.parts = PartKeeping(engines)
-        self.rates = ReadingRates()
+        self.speeds = SpeedBoard(engines)
         self.slot_times = SlotTimes()
         self._engines = engines
         self._targets = targets
         self._zone = zone
-        self._prompt_policy = prompt_policy or PromptCost(services=self.parts.services)
-        self._plain_policy = plain_policy or LeastLoaded()
+        self._prompt_policy = prompt_policy or PromptCost(self.speeds, services=self.parts.services)
+        self._plain_policy = plain_policy or LeastLoaded(lambda: self.parts.nodes)
         self.guard = OverloadGuard()
 
     def choose(
@@ -106,7 +108,7 @@
         self, request: OpaqueRequest, ready: list[EngineView], now: float
     ) -> list[EngineView]:
         """Return the engines at which a request does not wait too long, nor lacks memory."""
-        waits_s = {view.engine_id: self._wait_s(view) for view in ready}
+        waits_s = {view.engine_id: self.expected_wait_s(view) for view in ready}
         longest_s = self.guard.longest_wait(request, min(waits_s.values()), now)
         return [
             view
@@ -114,8 +116,9 @@
             if waits_s[view.engine_id] <= longest_s and self._has_memory(request, view)
         ]
 
-    def _wait_s(self, view: EngineView) -> float:
-        reading_s = view.waiting_tokens / self.rates.tokens_per_s(view.record.service)
+    def expected_wait_s(self, view: EngineView) -> float:
+        """Return how long a request waits at an engine before its prompt is read."""
+        reading_s = view.waiting_tokens * self.speeds.careful_reading_s(view)
         return reading_s + self._slot_wait_s(view)
 
     def _slot_wait_s(self, view: EngineView) -> float:
@@ -221,7 +224,7 @@
         model = request.prompt.model
         version = view.weight_version(model)
         # It must begin in time there, after what waits before it.
-        required = max(floor, self._targets.required(model, now + self._wait_s(view)))
+        required = max(floor, self._targets.required(model, now + self.expected_wait_s(view)))
         return version > 0 and version >= required
 
     def _candidates(
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -7,6 +7,7 @@
 
 from liftrill import constants
 from liftrill.coordination.circuit import CircuitBreaker
+from liftrill.gateway.engines.service_model import EngineModel
 from liftrill.gateway.records import EngineRecord
 
 
@@ -67,6 +68,7 @@
         loading_until: it takes no new requests before this time, as far as is known, unless
             it is seen to have `loading_version` earlier.
         vanished_at: when its record went while that could not be trusted, or None.
+        model: how fast it works, as far as was observed.
         number: the short name of this incarnation, in words to peers.
     """
 
@@ -80,6 +82,7 @@
     leaving: bool = False
     vanished_at: float | None = None
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
+    model: EngineModel = field(default_factory=EngineModel)
     number: int = field(init=False)
 
     def __post_init__(self) -> None:
--- /dev/null
+++ b/liftrill/gateway/engines/service_model.py
@@ -0,0 +1,212 @@
+"""How fast one incarnation of an engine works, from what nodes observed, sans-IO.
+
+A pace is the seconds that one unit of work takes: a prompt token to be read, an event of a
+stream, a whole answer. What was observed within the last second or so is weighed against what
+lasted for longer, so that a passing slowness is felt at once and soon forgotten, and a single
+sample changes little.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+# After which observed work counts a third: callers feel an engine that recovered within two
+# seconds of it, so that what it did before must be nearly forgotten by then.
+RECENT_S = 1.0
+# The same for the pace that an engine goes back to once nothing was observed lately.
+LASTING_S = 10.0
+# For how long that pace counts without new work. An engine that stood idle for longer may have
+# other neighbours or another load by then (guess).
+LASTING_LIFETIME_S = 30.0
+# A word of a peer counts as long as two that are told each second may be lost after it.
+WORD_LIFETIME_S = 2.5
+# How much observed work weighs as much as what was known before: about two long prompts, so
+# that one of them moves no engine by more than half (guess).
+KNOWN_WORK_S = 0.2
+# Less observed work than this tells nothing: it is what datagrams round to.
+LEAST_WORK_S = 0.005
+# A sample counts at most as this many times slower or faster than what was known: a connection
+# that stalled must not count as all the work of a second.
+SAMPLE_BOUND = 4.0
+# One source weighs at most this many times the middle one.
+SOURCE_BOUND = 3.0
+# From this many sources on, the slowest and the fastest quarter of what is told is left out.
+TRIMMED_SOURCES = 4
+TRIMMED_SHARE = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """An amount of work, and how long it took."""
+
+    units: float = 0.0
+    seconds: float = 0.0
+
+    @property
+    def pace_s(self) -> float:
+        """The seconds that one unit took."""
+        return self.seconds / self.units
+
+    def faded(self, elapsed_s: float) -> "Work":
+        """Return what of it counts after some time."""
+        factor = math.exp(-max(0.0, elapsed_s) / RECENT_S)
+        return Work(self.units * factor, self.seconds * factor)
+
+    @property
+    def tells(self) -> bool:
+        """Whether there is enough of it to tell a pace."""
+        return self.units > 0.0 and self.seconds >= LEAST_WORK_S
+
+
+NO_WORK = Work()
+
+
+def combined(works: Iterable[Work]) -> Work:
+    """Return the work of many sources as one, of which no source decides much.
+
+    A source that lies, or sees engines over a bad link, tells of a pace far from the others'.
+    """
+    told = [work for work in works if work.tells]
+    if len(told) < 2:
+        return told[0] if told else NO_WORK
+    most = SOURCE_BOUND * _middle([work.units for work in told])
+    middle_s = _middle([work.pace_s for work in told])
+    rows = sorted((_bounded(w.pace_s, middle_s), min(w.units, most)) for w in told)
+    total = sum(units for _, units in rows)
+    cut = TRIMMED_SHARE * total if len(rows) >= TRIMMED_SOURCES else 0.0
+    passed = seconds = kept = 0.0
+    for pace_s, units in rows:
+        within = min(passed + units, total - cut) - max(passed, cut)
+        passed += units
+        if within > 0.0:
+            seconds += within * pace_s
+            kept += within
+    return Work(total, total * seconds / kept)
+
+
+def _middle(values: list[float]) -> float:
+    """Return the median, the lower of two."""
+    return sorted(values)[(len(values) - 1) // 2]
+
+
+def _bounded(pace_s: float, known_s: float) -> float:
+    return min(max(pace_s, known_s / SAMPLE_BOUND), known_s * SAMPLE_BOUND)
+
+
+@dataclass(frozen=True, slots=True)
+class _Word:
+    """What a peer, or a zone's delegate, told last."""
+
+    work: Work
+    zone: str
+    heard_at: float
+
+
+@dataclass(slots=True)
+class Pace:
+    """How long one kind of work takes at one engine.
+
+    Attributes:
+        found_s: seconds of one unit by what is known now, or 0 while nothing is.
+        lasting_s: the same over a longer time.
+    """
+
+    found_s: float = 0.0
+    lasting_s: float = 0.0
+    _own: Work = NO_WORK
+    _own_at: float = 0.0
+    _words: dict[str, _Word] = field(default_factory=dict)
+    _settled_at: float = 0.0
+
+    def record(self, units: float, elapsed_s: float, known_s: float, now: float) -> None:
+        """Note work of this node, beside the seconds of a unit that were known (0: none)."""
+        pace_s = elapsed_s / units
+        if known_s:
+            pace_s = _bounded(pace_s, known_s)
+        earlier = self.own_work(now)
+        self._own = Work(earlier.units + units, earlier.seconds + pace_s * units)
+        self._own_at = now
+
+    def own_work(self, now: float) -> Work:
+        """Return what this node observed lately."""
+        return self._own.faded(now - self._own_at) if self._own.units else NO_WORK
+
+    def hear(self, source: str, zone: str, work: Work, now: float) -> None:
+        """Replace what a source told before."""
+        if work.tells:
+            self._words[source] = _Word(work, zone, now)
+        else:
+            self._words.pop(source, None)
+
+    def zone_work(self, zone: str, now: float) -> Work:
+        """Return what this node and the heard nodes of its zone observed lately."""
+        words = (word for word in self._words.values() if word.zone == zone)
+        heard = (word.work.faded(now - word.heard_at) for word in words)
+        works = [work for work in (self.own_work(now), *heard) if work.tells]
+        return combined(works)
+
+    def sources(self) -> int:
+        """Return how many sources besides this node told of it lately."""
+        return len(self._words)
+
+    def settle(self, known_s: float, now: float) -> None:
+        """Work out the pace anew; without one of its own it begins from a known one."""
+        if self._words:
+            self._drop_old_words(now)
+        work = self._work(now)
+        if not work.tells:
+            self._rest(now)
+            return
+        before_s = self.lasting_s or known_s or work.pace_s
+        units = work.units + KNOWN_WORK_S / before_s
+        self.found_s = (work.seconds + KNOWN_WORK_S) / units
+        if not self.lasting_s:
+            self.lasting_s = self.found_s
+        else:
+            share = 1.0 - math.exp(-(now - self._settled_at) / LASTING_S)
+            self.lasting_s += share * (self.found_s - self.lasting_s)
+        self._settled_at = now
+
+    def _rest(self, now: float) -> None:
+        """Go back to the pace that lasted, and forget it in the end."""
+        if now - self._settled_at > LASTING_LIFETIME_S:
+            self.lasting_s = 0.0
+        self.found_s = self.lasting_s
+
+    def _drop_old_words(self, now: float) -> None:
+        limit = now - WORD_LIFETIME_S
+        for source in [s for s, word in self._words.items() if word.heard_at < limit]:
+            del self._words[source]
+
+    def _work(self, now: float) -> Work:
+        own = self.own_work(now)
+        if not self._words:
+            return own
+        heard = (word.work.faded(now - word.heard_at) for word in self._words.values())
+        return combined([own, *heard])
+
+
+@dataclass(slots=True)
+class EngineModel:
+    """How fast one incarnation of an engine works.
+
+    Attributes:
+        reading: of a prompt token.
+        event: of an event of a stream after the first one.
+        answer: of a whole answer, in a slot of its own.
+        reading_s: seconds to read a prompt token that decisions use, or 0 for the service's.
+        slowness: how many times the reading time of the service's engines it takes.
+        answer_slowness: the same of whole answers.
+        home_weight: how many shared parts have their home there, beside other engines.
+        disturbed_at: when it was last seen to load weights, or to refuse: what ran then tells
+            nothing of its pace.
+    """
+
+    reading: Pace = field(default_factory=Pace)
+    event: Pace = field(default_factory=Pace)
+    answer: Pace = field(default_factory=Pace)
+    reading_s: float = 0.0
+    slowness: float = 1.0
+    answer_slowness: float = 1.0
+    home_weight: float = 1.0
+    disturbed_at: float = -math.inf
--- /dev/null
+++ b/liftrill/gateway/engines/speed_board.py
@@ -0,0 +1,246 @@
+"""What one node knows of how fast engines work, from its own requests and its peers' words."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from liftrill import constants
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView
+from liftrill.gateway.engines.service_model import NO_WORK, Pace, Work
+from liftrill.gateway.engines.service_speeds import ServiceSpeeds, SpeedChange, SpeedFigures
+
+# Samples of less than this say more of the way to an engine than of its reading.
+LEAST_SAMPLE_TOKENS = 2_000
+# Of fewer events one pause can't be told from the others.
+LEAST_EVENTS = 2
+# How often paces are worked out anew: a slow engine is felt before callers leave, and what it
+# costs is small beside the requests.
+SETTLE_S = 0.5
+# From which share of the pause target on some streams are late, and from which all are: what
+# waits at an engine is known to about a fifth (guess).
+SOME_LATE_SHARE = 0.8
+ALL_LATE_SHARE = 1.2
+# Of more engines only those are told of that differ from the others: they fill a datagram.
+MANY_ROWS = 32
+MOST_ROWS = 96
+
+
+@dataclass(frozen=True, slots=True)
+class SpeedRow:
+    """What a node, or the nodes of a zone, observed of one engine lately.
+
+    Attributes:
+        engine: its number.
+        reading: of prompt tokens.
+        answers: whole ones.
+        pause_tokens: prompt tokens read within the longest pause of a stream, or 0.
+    """
+
+    engine: int
+    reading: Work = NO_WORK
+    answers: Work = NO_WORK
+    pause_tokens: int = 0
+
+    @property
+    def seconds(self) -> float:
+        """For how long the engine worked."""
+        return self.reading.seconds + self.answers.seconds
+
+
+class SpeedBoard:
+    """How fast engines are, in seconds of their own work.
+
+    Attributes:
+        pause_targets_s: the tightest pause that a route of a service declares.
+    """
+
+    def __init__(self, engines: EngineTable) -> None:
+        self.pause_targets_s: dict[str, float] = {}
+        self._engines = engines
+        self._services: dict[str, ServiceSpeeds] = {}
+        self._longest_pauses: dict[int, float] = {}
+        self._changes: list[SpeedChange] = []
+
+    # What decisions ask
+
+    def reading_s(self, view: EngineView) -> float:
+        """Return the seconds in which an engine reads one prompt token."""
+        return view.model.reading_s or self._service(view.record.service).reading_s
+
+    def careful_reading_s(self, view: EngineView) -> float:
+        """Return the same, for what must not come too late: what is not known counts as slow."""
+        if not self.knows_reading(view.record.service):
+            return 1.0 / constants.PREFILL_TOKENS_PER_SECOND
+        return self.reading_s(view)
+
+    def service_reading_s(self, service: str) -> float:
+        """Return the same of the service's engines, in the middle."""
+        return self._service(service).reading_s
+
+    def knows_reading(self, service: str) -> bool:
+        """Return whether anything was observed of how fast a service's engines read."""
+        return self._service(service).knows_reading
+
+    def foresees_pauses(self, service: str) -> bool:
+        """Return whether the pauses of a service's streams are to be kept short, and can be."""
+        return bool(self.pause_targets_s.get(service)) and self.knows_reading(service)
+
+    def pause_s(self, view: EngineView, waiting_tokens: float) -> float:
+        """Return the pause of a stream at an engine at which some prompt tokens wait.
+
+        Engines read prompts in pieces between the steps of streams: no more than so many of
+        them fall between two events, however many wait.
+        """
+        service = self._service(view.record.service)
+        read_tokens = min(waiting_tokens, service.pause_tokens)
+        return service.event_s + read_tokens * self.reading_s(view)
+
+    def late_streams(self, view: EngineView, to_read: int, is_stream: bool) -> float:
+        """Return how many streams a prompt is expected to make late by pauses at an engine.
+
+        Those that run there, beyond the ones that are late without it, and its own one.
+        """
+        target_s = self.pause_targets_s[view.record.service]
+        after = _late_share(self.pause_s(view, view.waiting_tokens + to_read), target_s)
+        if not after:
+            return 0.0
+        before = _late_share(self.pause_s(view, view.waiting_tokens), target_s)
+        return view.requests * (after - before) + (before if is_stream else 0.0)
+
+    # What this node observes
+
+    def record_read(self, engine_id: str, tokens: int, elapsed_s: float, now: float) -> None:
+        """Note how long some tokens, own and waiting ones, took to be read."""
+        view = self._engines.get(engine_id)
+        if view is None or tokens < LEAST_SAMPLE_TOKENS:
+            return
+        if not self._is_sound(view, elapsed_s, now):
+            return
+        service = self._service(view.record.service)
+        known_s = view.model.reading.found_s or service.reading_s
+        if not service.knows_reading:
+            known_s = 0.0
+        view.model.reading.record(tokens, elapsed_s, known_s, now)
+        self._settle_if_due(view.record.service, None, now)
+
+    def record_stream(
+        self, view: EngineView, events: int, elapsed_s: float, longest_pause_s: float, now: float
+    ) -> None:
+        """Note the events of a stream after its first one, and its longest pause."""
+        # The longest pause is left out of the pace: it shows what was read meanwhile.
+        steady_s = elapsed_s - longest_pause_s
+        if events < LEAST_EVENTS or steady_s <= 0.0 or not self._is_sound(view, elapsed_s, now):
+            return
+        service = self._service(view.record.service)
+        pace = view.model.event
+        pace.record(events - 1, steady_s, pace.found_s or service.event_s, now)
+        if service.knows_reading and service.event_s:
+            read_s = max(0.0, longest_pause_s - service.event_s)
+            self._note_pause(view, read_s / self.reading_s(view))
+        self._settle_if_due(view.record.service, None, now)
+
+    def record_answer(self, view: EngineView, elapsed_s: float, requests: int, now: float) -> None:
+        """Note how long a whole answer took, where so many requests were there with it."""
+        if not self._is_sound(view, elapsed_s, now):
+            return
+        own_s = elapsed_s / max(1.0, requests / max(1, view.record.slots))
+        pace = view.model.answer
+        known_s = pace.found_s or self._service(view.record.service).answer_s
+        pace.record(1.0, own_s, known_s, now)
+        self._settle_if_due(view.record.service, None, now)
+
+    # What nodes tell each other
+
+    def own_rows(self, now: float) -> list[SpeedRow]:
+        """Return what this node observed lately."""
+        return self._rows(lambda pace: pace.own_work(now))
+
+    def zone_rows(self, zone: str, now: float) -> list[SpeedRow]:
+        """Return what this node and the heard nodes of its zone observed lately."""
+        return self._rows(lambda pace: pace.zone_work(zone, now))
+
+    def told(self) -> None:
+        """Begin anew with the pauses to tell of."""
+        self._longest_pauses.clear()
+
+    def hear(self, source: str, zone: str, rows: Iterable[SpeedRow], now: float) -> None:
+        """Replace what a node, or the sum of a zone, told of some engines."""
+        for row in rows:
+            view = self._engines.by_number(row.engine)
+            if view is None:
+                continue
+            model = view.model
+            model.reading.hear(source, zone, row.reading, now)
+            model.answer.hear(source, zone, row.answers, now)
+            if row.pause_tokens:
+                self._service(view.record.service).pauses.append(row.pause_tokens)
+
+    def _rows(self, work_of: Callable[[Pace], Work]) -> list[SpeedRow]:
+        found: list[tuple[EngineView, SpeedRow]] = []
+        for view in self._engines:
+            reading, answers = work_of(view.model.reading), work_of(view.model.answer)
+            if reading.tells or answers.tells:
+                pause_tokens = int(self._longest_pauses.get(view.number, 0.0))
+                found.append((view, SpeedRow(view.number, reading, answers, pause_tokens)))
+        if len(found) > MANY_ROWS:
+            found = [
+                (view, row)
+                for view, row in found
+                if self._service(view.record.service).is_uneven(view)
+            ]
+        rows = [row for _, row in found]
+        return sorted(rows, key=lambda row: row.seconds, reverse=True)[:MOST_ROWS]
+
+    # Working out
+
+    def refresh(self, now: float) -> list[SpeedChange]:
+        """Let time pass; return which engines were found slow, or well again, since."""
+        by_service = self._by_service()
+        for service, views in by_service.items():
+            for view in views:
+                if view.is_loading(now):
+                    view.model.disturbed_at = now
+            self._settle_if_due(service, views, now)
+        for gone in self._services.keys() - by_service.keys():
+            del self._services[gone]
+        changes, self._changes = self._changes, []
+        return changes
+
+    def figures(self) -> list[SpeedFigures]:
+        """Return how fast the engines of each service are."""
+        services = self._by_service().items()
+        return [self._service(name).figures(name, views) for name, views in services]
+
+    def _by_service(self) -> dict[str, list[EngineView]]:
+        found: dict[str, list[EngineView]] = {}
+        for view in self._engines:
+            found.setdefault(view.record.service, []).append(view)
+        return found
+
+    def _settle_if_due(self, name: str, views: list[EngineView] | None, now: float) -> None:
+        service = self._service(name)
+        if now - service.settled_at >= SETTLE_S:
+            views = self._engines.of_service(name) if views is None else views
+            self._changes.extend(service.settle(views, now))
+
+    def _note_pause(self, view: EngineView, tokens: float) -> None:
+        self._service(view.record.service).pauses.append(tokens)
+        longest = self._longest_pauses.get(view.number, 0.0)
+        self._longest_pauses[view.number] = max(longest, tokens)
+
+    def _is_sound(self, view: EngineView, elapsed_s: float, now: float) -> bool:
+        """Return whether what ran for some time until now shows how fast an engine is."""
+        if view.is_loading(now):
+            view.model.disturbed_at = now
+        return elapsed_s > 0.0 and now - elapsed_s > view.model.disturbed_at
+
+    def _service(self, name: str) -> ServiceSpeeds:
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = ServiceSpeeds()
+        return service
+
+
+def _late_share(pause_s: float, target_s: float) -> float:
+    """Return the share of streams with a pause that are late."""
+    share = (pause_s / target_s - SOME_LATE_SHARE) / (ALL_LATE_SHARE - SOME_LATE_SHARE)
+    return min(max(share, 0.0), 1.0)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -15,6 +15,7 @@
     AttemptTimes,
     DeliveryMachine,
     DeliveryPorts,
+    StreamTimes,
     Unavailable,
 )
 from liftrill.gateway.delivery_run import DeliveryOwner, DeliveryRun
@@ -46,6 +47,7 @@
 
     Attributes:
         beliefs_hold: whether engines may be chosen by what is believed at a time.
+        speeds: how fast engines work.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         quarantine: Quarantine | None = None,
     ) -> None:
         self.beliefs_hold: Callable[[float], bool] = _always
+        self.speeds = selector.speeds
         self._selector = selector
         self._allowance = allowance
         self._quotas = quotas
@@ -119,8 +122,9 @@
         self, choice: events.EngineChoice, request: OpaqueRequest, tokens: int, elapsed_s: float
     ) -> None:
         """Note that an engine has read a prompt, and some tokens with what waited before."""
-        self._selector.parts.record_read(choice, request, clock.now_s())
-        self._selector.rates.record(request.service, tokens, elapsed_s)
+        now = clock.now_s()
+        self._selector.parts.record_read(choice, request, now)
+        self.speeds.record_read(choice.engine_id, tokens, elapsed_s, now)
 
     def record_slot_held(self, request: OpaqueRequest, held_s: float) -> None:
         """Note for how long a request held a slot of its engine."""
@@ -207,7 +211,8 @@
         view = self._engines.get(start.choice.engine_id)
         if view is not None:
             view.breaker.record_start(now)
-            if start.choice.expected_tokens >= constants.TOLD_READING_TOKENS:
+            reading_s = start.choice.expected_tokens * self._ports.speeds.reading_s(view)
+            if reading_s >= constants.TOLD_READING_LEAST_S:
                 self.reading_begun(view, start.choice.expected_tokens)
         self._ports.record_sent(start.choice, request, first)
         return view, self._transport.attempt(request, start)
@@ -265,6 +270,17 @@
         """Note for how long a request held a slot of its engine."""
         self._ports.record_slot_held(machine.request, held_s)
 
+    def note_stream(self, view: EngineView, times: StreamTimes, now: float) -> None:
+        """Note how fast the events of a whole stream came."""
+        elapsed_s = times.last_event_at - times.first_event_at
+        self._ports.speeds.record_stream(
+            view, times.events - 1, elapsed_s, times.longest_pause_s, now
+        )
+
+    def note_answer(self, view: EngineView, sent_at: float, requests: int, now: float) -> None:
+        """Note a whole answer, where so many requests were at the engine with it."""
+        self._ports.speeds.record_answer(view, now - sent_at, requests, now)
+
     def note_not_run(self, request: OpaqueRequest) -> None:
         """Note that a request ends without having run."""
         self._ports.record_not_run(request)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -39,6 +39,7 @@
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, topology_for
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.gateway.peers.peer_silence import IDLE_REPORT_S, PeerSilence
+from liftrill.gateway.peers.speed_exchange import SpeedExchange
 from liftrill.gateway.quarantine import Quarantine
 from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.gateway.quarantine_records import QuarantineRecords, fingerprint_of
@@ -136,11 +137,13 @@
         self._relay = RelayServer(self._follower, self.view, metrics.followers.set)
         self._silence = PeerSilence()
         self._loads = LoadBoard(engines)
+        self._speeds = SpeedExchange(selector.speeds, settings.zone)
         callbacks = PeerCallbacks(
             self._on_member,
             self._currency.hear_version,
             self._on_notice,
             self._on_loads,
+            self._on_speeds,
             self._on_reading,
             self._quotas.buckets.hear_spending,
             self._on_lost_runs,
@@ -443,6 +446,12 @@
         words = topology_for(members).relayed(self._membership.own, report, members)
         self._peers.send_loads(words)
 
+    def _on_speeds(self, report: LoadReport) -> None:
+        self._speeds.hear(report, clock.now_s())
+        members = self._membership.members()
+        words = topology_for(members).relayed(self._membership.own, report, members)
+        self._peers.send_loads(words)
+
     def _take_quarantine(self, change: MirrorChange) -> None:
         now = clock.now_s()
         for item in change.written:
@@ -505,6 +514,7 @@
             if has_load or had_load or is_due:
                 self._peers.send_loads([self._quotas.add_to(word, now) for word in words])
                 reported_at = now
+            self._peers.send_loads(self._speeds.words(words, now))
             had_load = has_load
             self._loads.expire(now)
             await asyncio.sleep(topology.interval_s(own, members))
@@ -520,6 +530,22 @@
             held_s = round(parts.directory.held_s, 2)
             self.log.belief("store_link", short=is_short, nodes=parts.nodes, held_s=held_s)
 
+    def _note_speeds(self, now: float) -> None:
+        """Work out how fast engines are, and tell operators of what changed."""
+        speeds = self._beliefs.selector.speeds
+        for change in speeds.refresh(now):
+            self.log.belief(
+                "engine_slow" if change.slowness > 1.0 else "engine_well",
+                engine=change.view.engine_id,
+                service=change.view.record.service,
+                work=change.work,
+                slowness=round(change.slowness, 2),
+                pace_us=round(1e6 * change.pace_s, 2),
+                own_work_s=round(change.own_work_s, 3),
+                sources=change.sources,
+            )
+        self.metrics.record_speeds(speeds.figures())
+
     async def _keep_fleet_record(self) -> None:
         while True:
             await self._fleet_record.write_if_due(clock.now_s())
@@ -544,6 +570,7 @@
             self.metrics.mirror_age.set(self._follower.currency.age_s(now))
             self.metrics.peers.set(len(self._membership.members()))
             self._tell_of_parts(now)
+            self._note_speeds(now)
             self._fleet.note(len(self._membership.members()), now)
             self._quotas.expire(now)
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -1,10 +1,13 @@
 """Counters and latency histograms of the gateway, in Prometheus' text form."""
 
+from collections.abc import Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from liftrill import clock
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.engines.service_speeds import SpeedFigures
 
 LATENCY_BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 OUTCOMES = {
@@ -69,6 +72,18 @@
             "Engines that were found to have ended with runs under way.",
             registry=self.registry,
         )
+        self.reading_rate = Gauge(
+            "liftrill_engine_reading_tokens_per_second",
+            "Prompt tokens that a service's engines read: of the slowest, the middle, the fastest.",
+            ["service", "engine"],
+            registry=self.registry,
+        )
+        self.slow_engines = Gauge(
+            "liftrill_slow_engines",
+            "Engines that take longer than the others of their service.",
+            ["service"],
+            registry=self.registry,
+        )
         self.peers = self._gauge("liftrill_peers", "Nodes believed alive, this one included.")
 
     def count_outcome(self, outcome: str) -> None:
@@ -83,6 +98,13 @@
         self.attempts.inc(len(machine.attempts))
         self.seconds.observe(clock.now_s() - machine.request.received_at)
 
+    def record_speeds(self, figures: Iterable[SpeedFigures]) -> None:
+        """Note how fast the engines of services are."""
+        for figure in figures:
+            for engine, rate in zip(("slowest", "middle", "fastest"), figure.rates, strict=True):
+                self.reading_rate.labels(figure.service, engine).set(rate)
+            self.slow_engines.labels(figure.service).set(figure.slow)
+
     def text(self) -> bytes:
         """Return all figures as text."""
         return generate_latest(self.registry)
--- a/liftrill/gateway/peers/load_codec.py
+++ b/liftrill/gateway/peers/load_codec.py
@@ -12,6 +12,8 @@
 from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.engines.engine_table import EngineLoad
 from liftrill.gateway.engines.prefix_directory import KeptPart, PartStage
+from liftrill.gateway.engines.service_model import Work
+from liftrill.gateway.engines.speed_board import SpeedRow
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope
 from liftrill.messages import peer_pb2 as messages
 
@@ -28,12 +30,20 @@
 LOADS_PER_PIECE = 16
 KEPT_PER_PIECE = 24
 TENANTS_PER_PIECE = 6
+# A row of speed takes 30 bytes (worked out from the wire format), and each counts by itself.
+SPEEDS_PER_PIECE = 32
+HUNDREDTHS = 100
+MILLISECONDS = 1_000
 
 Row = TypeVar("Row")
 
 
 def datagrams_from_report(report: LoadReport, sequence: int) -> list[messages.Datagram]:
     """Return the datagrams that carry a report, each small enough to arrive."""
+    if report.speeds:
+        return [
+            _speed_datagram(report, rows) for rows in _cut(list(report.speeds), SPEEDS_PER_PIECE)
+        ]
     quota = report.quota or QuotaReport(0)
     loads = _cut(list(report.loads.items()), LOADS_PER_PIECE)
     kept = _cut(list(report.kept), KEPT_PER_PIECE)
@@ -107,6 +117,41 @@
     return LoadReport(scope, message.sender, message.zone, loads, kept, quota)
 
 
+def _speed_datagram(report: LoadReport, rows: list[SpeedRow]) -> messages.Datagram:
+    return messages.Datagram(
+        sender=report.node,
+        zone=report.zone,
+        load_scope=SCOPES[report.scope],
+        speeds=[_speed_message(row) for row in rows],
+    )
+
+
+def _speed_message(row: SpeedRow) -> messages.EngineSpeed:
+    return messages.EngineSpeed(
+        engine=row.engine,
+        read_tokens=round(row.reading.units),
+        read_milliseconds=round(MILLISECONDS * row.reading.seconds),
+        pause_tokens=row.pause_tokens,
+        answers=round(HUNDREDTHS * row.answers.units),
+        answer_milliseconds=round(MILLISECONDS * row.answers.seconds),
+    )
+
+
+def speeds_from_message(message: messages.Datagram) -> LoadReport:
+    """Return what a datagram tells of engines' speed."""
+    rows = tuple(
+        SpeedRow(
+            row.engine,
+            Work(row.read_tokens, row.read_milliseconds / MILLISECONDS),
+            Work(row.answers / HUNDREDTHS, row.answer_milliseconds / MILLISECONDS),
+            row.pause_tokens,
+        )
+        for row in message.speeds
+    )
+    scope = SCOPES_BY_NUMBER.get(message.load_scope, LoadScope.NODE)
+    return LoadReport(scope, message.sender, message.zone, {}, speeds=rows)
+
+
 def _quota(message: messages.Datagram) -> QuotaReport:
     spent = {row.tenant: row.amount for row in message.spent}
     return QuotaReport(message.spent_by_nodes, spent)
--- a/liftrill/gateway/peers/load_exchange.py
+++ b/liftrill/gateway/peers/load_exchange.py
@@ -18,6 +18,7 @@
 from liftrill.coordination.membership_messages import Member
 from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.engines.prefix_directory import KeptNews, KeptPart
+from liftrill.gateway.engines.speed_board import SpeedRow
 from liftrill.gateway.peers.load_board import LoadBoard, LoadByEngine
 
 DELEGATE_KEY = b"load delegate "
@@ -38,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Work on engines, as one node or one zone has it, and what they sent to kept stores."""
+    """Work on engines, as one node or one zone has it, and what they sent to kept stores.
+
+    Attributes:
+        speeds: how fast engines worked lately; told in reports of their own.
+    """
 
     scope: LoadScope
     node: str
@@ -46,6 +51,7 @@
     loads: LoadByEngine
     kept: tuple[KeptPart, ...] = ()
     quota: QuotaReport | None = None
+    speeds: tuple[SpeedRow, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -21,7 +21,11 @@
     Ticked,
 )
 from liftrill.gateway.engines.engine_table import EngineNotice
-from liftrill.gateway.peers.load_codec import ReportAssembler, datagrams_from_report
+from liftrill.gateway.peers.load_codec import (
+    ReportAssembler,
+    datagrams_from_report,
+    speeds_from_message,
+)
 from liftrill.gateway.peers.load_exchange import LoadReport, SendLoads, others
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
@@ -57,6 +61,7 @@
     newer_version: Callable[[int], None]
     notice: Callable[[EngineNotice], None]
     loads: Callable[[LoadReport], None]
+    speeds: Callable[[LoadReport], None]
     reading_begun: Callable[[int, int], None]
     spending: Callable[[str, float], None]
     lost_runs: Callable[[str, list[LostRun]], None]
@@ -185,6 +190,9 @@
             if message.lost_runs or message.served or message.HasField("quarantined"):
                 self._take_crash_news(message)
                 return
+            if message.speeds:
+                self._callbacks.speeds(speeds_from_message(message))
+                return
             if message.notices or message.loads:
                 self._take_word(message)
                 return
