--- a/liftrill/gateway/engines/speed_board.py
+++ b/liftrill/gateway/engines/speed_board.py
@@ -17,7 +17,7 @@
 SETTLE_S = 0.5
 # From which share of the pause target on some streams are late, and from which all are: what
 # waits at an engine is known to about a fifth (guess).
-SOME_LATE_SHARE = 0.8
+SOME_LATE_SHARE = 0.5
 ALL_LATE_SHARE = 1.2
 # Of more engines only those are told of that differ from the others: they fill a datagram.
 MANY_ROWS = 32
