--- a/features/uneven_engines.py
+++ b/features/uneven_engines.py
@@ -11,7 +11,6 @@
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.engines.placement import PlacementPolicy
-from liftrill.gateway.engines.service_speeds import ServiceSpeeds
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
 from liftrill.gateway.peers.load_board import LoadBoard
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads
@@ -124,15 +123,6 @@
         """Use one speed for all engines."""
         self.selector._prompt_policy.speeds = FlatSpeeds(self.speeds)
 
-        def settle_alike(service, views, now):
-            changes = ServiceSpeeds.settle(service, views, now)
-            for view in views:
-                view.model.reading_s, view.model.slowness = service.reading_s, 1.0
-                view.model.home_weight = 1.0
-            return changes
-
-        self.settle = settle_alike
-
     def tell_truth(self, replay):
         """Know all speeds, and go on knowing them."""
         self.truth = {engine.name: engine for engine in replay.engines}
@@ -204,10 +194,7 @@
     def report(self):
         """Send what each node has and has seen to the others, late."""
         for node in self.nodes:
-            loads = {
-                name: replace(load)
-                for name, load in node.loads.own_loads().items()
-            }
+            loads = {name: replace(load) for name, load in node.loads.own_loads().items()}
             kept = node.selector.parts.directory.news(self.now).own
             self.at(self.now + LATE_S, self.hear, node, loads, kept)
             if self.mode in ("merged",):
@@ -353,7 +340,8 @@
     def figures(self):
         work, fair = self.slow_work()
         return (
-            f"{self.mode:10s} p50 {1e3 * self.quantile(0.5):5.0f} p99 {1e3 * self.quantile(0.99):6.0f} ms"
+            f"{self.mode:10s} p50 {1e3 * self.quantile(0.5):5.0f}"
+            f" p99 {1e3 * self.quantile(0.99):6.0f} ms"
             f" paused {self.paused_share():.3f} late {self.late_share():.3f}"
             f" slow work {work:.3f} of fair {fair:.3f} again {self.reread_tokens:8d}"
             f" refused {self.refused} of {len(self.runs) + self.refused}"
--- a/liftrill/gateway/engines/service_model.py
+++ b/liftrill/gateway/engines/service_model.py
@@ -12,24 +12,29 @@
 
 # After which observed work counts a third: callers feel an engine that recovered within two
 # seconds of it, so that what it did before must be nearly forgotten by then.
-RECENT_S = 1.0
-# The same for the pace that an engine goes back to once nothing was observed lately.
+RECENT_S = 0.7
+# Over how long the pace is averaged that an engine goes back to once nothing was observed lately.
 LASTING_S = 10.0
+# The first pace of an engine, when little was observed, counts as if it was known for so long.
+LEAST_KNOWN_S = 0.1
 # For how long that pace counts without new work. An engine that stood idle for longer may have
 # other neighbours or another load by then (guess).
 LASTING_LIFETIME_S = 30.0
 # A word of a peer counts as long as two that are told each second may be lost after it.
 WORD_LIFETIME_S = 2.5
-# How much observed work weighs as much as what was known before: about two long prompts, so
-# that one of them moves no engine by more than half (guess).
-KNOWN_WORK_S = 0.2
+# With less work observed lately, what was known before makes up for the rest: some prompts are
+# needed before they show a pace (guess).
+KNOWN_WORK_S = 0.4
 # Less observed work than this tells nothing: it is what datagrams round to.
 LEAST_WORK_S = 0.005
 # A sample counts at most as this many times slower or faster than what was known: a connection
 # that stalled must not count as all the work of a second.
 SAMPLE_BOUND = 4.0
 # One source weighs at most this many times the middle one.
-SOURCE_BOUND = 3.0
+SOURCE_BOUND = 2.0
+# What a zone's nodes told together counts at most as this many times slower or faster than the
+# middle zone: each is a mean of many, and one delegate must not make an engine slow.
+ZONE_BOUND = 1.5
 # From this many sources on, the slowest and the fastest quarter of what is told is left out.
 TRIMMED_SOURCES = 4
 TRIMMED_SHARE = 0.25
@@ -84,21 +89,37 @@
     return Work(total, total * seconds / kept)
 
 
+def joined_zones(works: Iterable[Work]) -> Work:
+    """Return what the nodes of several zones observed, of which no zone decides much."""
+    told = [work for work in works if work.tells]
+    if len(told) < 2:
+        return told[0] if told else NO_WORK
+    most = SOURCE_BOUND * _middle([work.units for work in told])
+    middle_s = _middle([work.pace_s for work in told])
+    rows = [(_bounded(w.pace_s, middle_s, ZONE_BOUND), min(w.units, most)) for w in told]
+    return Work(sum(units for _, units in rows), sum(pace_s * units for pace_s, units in rows))
+
+
 def _middle(values: list[float]) -> float:
     """Return the median, the lower of two."""
     return sorted(values)[(len(values) - 1) // 2]
 
 
-def _bounded(pace_s: float, known_s: float) -> float:
-    return min(max(pace_s, known_s / SAMPLE_BOUND), known_s * SAMPLE_BOUND)
+def _bounded(pace_s: float, known_s: float, bound: float = SAMPLE_BOUND) -> float:
+    return min(max(pace_s, known_s / bound), known_s * bound)
 
 
 @dataclass(frozen=True, slots=True)
 class _Word:
-    """What a peer, or a zone's delegate, told last."""
+    """What a peer, or a zone's delegate, told last.
+
+    Attributes:
+        is_sum: whether it is of all nodes of the zone.
+    """
 
     work: Work
     zone: str
+    is_sum: bool
     heard_at: float
 
 
@@ -117,6 +138,7 @@
     _own_at: float = 0.0
     _words: dict[str, _Word] = field(default_factory=dict)
     _settled_at: float = 0.0
+    _since: float = 0.0
 
     def record(self, units: float, elapsed_s: float, known_s: float, now: float) -> None:
         """Note work of this node, beside the seconds of a unit that were known (0: none)."""
@@ -131,16 +153,17 @@
         """Return what this node observed lately."""
         return self._own.faded(now - self._own_at) if self._own.units else NO_WORK
 
-    def hear(self, source: str, zone: str, work: Work, now: float) -> None:
-        """Replace what a source told before."""
+    def hear(self, node: str, zone: str, work: Work, now: float) -> None:
+        """Replace what a node told before, or a zone where the node is empty."""
+        source = node or f"zone {zone}"
         if work.tells:
-            self._words[source] = _Word(work, zone, now)
+            self._words[source] = _Word(work, zone, not node, now)
         else:
             self._words.pop(source, None)
 
     def zone_work(self, zone: str, now: float) -> Work:
         """Return what this node and the heard nodes of its zone observed lately."""
-        words = (word for word in self._words.values() if word.zone == zone)
+        words = (w for w in self._words.values() if w.zone == zone and not w.is_sum)
         heard = (word.work.faded(now - word.heard_at) for word in words)
         works = [work for work in (self.own_work(now), *heard) if work.tells]
         return combined(works)
@@ -158,13 +181,16 @@
             self._rest(now)
             return
         before_s = self.lasting_s or known_s or work.pace_s
-        units = work.units + KNOWN_WORK_S / before_s
-        self.found_s = (work.seconds + KNOWN_WORK_S) / units
+        known_work_s = max(0.0, KNOWN_WORK_S - work.seconds)
+        units = work.units + known_work_s / before_s
+        self.found_s = (work.seconds + known_work_s) / units
         if not self.lasting_s:
-            self.lasting_s = self.found_s
+            self.lasting_s, self._since = self.found_s, now
         else:
-            share = 1.0 - math.exp(-(now - self._settled_at) / LASTING_S)
-            self.lasting_s += share * (self.found_s - self.lasting_s)
+            # The mean of all that was found until there is enough of it.
+            known_for_s = max(LEAST_KNOWN_S, now - self._since)
+            share = (now - self._settled_at) / min(LASTING_S, known_for_s)
+            self.lasting_s += min(1.0, share) * (self.found_s - self.lasting_s)
         self._settled_at = now
 
     def _rest(self, now: float) -> None:
@@ -182,8 +208,11 @@
         own = self.own_work(now)
         if not self._words:
             return own
-        heard = (word.work.faded(now - word.heard_at) for word in self._words.values())
-        return combined([own, *heard])
+        nodes, zones = [own], []
+        for word in self._words.values():
+            (zones if word.is_sum else nodes).append(word.work.faded(now - word.heard_at))
+        local = combined(nodes)
+        return joined_zones([local, *zones]) if zones else local
 
 
 @dataclass(slots=True)
--- a/liftrill/gateway/engines/service_speeds.py
+++ b/liftrill/gateway/engines/service_speeds.py
@@ -19,8 +19,9 @@
 PAUSES_KEPT = 128
 # With fewer, nothing is known of the longest pause that prompts cause.
 LEAST_PAUSES = 16
-# Share of the streams whose pauses are shorter than the bound: the rest may have stalled.
-PAUSE_QUANTILE = 0.97
+# Share of the streams whose pauses are shorter than the bound: the rest may have stalled, or
+# lost their memory to more urgent ones and been read anew (guess).
+PAUSE_QUANTILE = 0.85
 # After which a bound that was seen counts a third: pauses that are avoided aren't seen.
 PAUSE_BOUND_FADING_S = 120.0
 
--- a/liftrill/gateway/engines/speed_board.py
+++ b/liftrill/gateway/engines/speed_board.py
@@ -162,15 +162,15 @@
         """Begin anew with the pauses to tell of."""
         self._longest_pauses.clear()
 
-    def hear(self, source: str, zone: str, rows: Iterable[SpeedRow], now: float) -> None:
-        """Replace what a node, or the sum of a zone, told of some engines."""
+    def hear(self, node: str, zone: str, rows: Iterable[SpeedRow], now: float) -> None:
+        """Replace what a node told of some engines, or a zone where the node is empty."""
         for row in rows:
             view = self._engines.by_number(row.engine)
             if view is None:
                 continue
             model = view.model
-            model.reading.hear(source, zone, row.reading, now)
-            model.answer.hear(source, zone, row.answers, now)
+            model.reading.hear(node, zone, row.reading, now)
+            model.answer.hear(node, zone, row.answers, now)
             if row.pause_tokens:
                 self._service(view.record.service).pauses.append(row.pause_tokens)
 
--- a/liftrill/gateway/peers/speed_exchange.py
+++ b/liftrill/gateway/peers/speed_exchange.py
@@ -40,7 +40,7 @@
         if report.scope is LoadScope.NODE:
             self.board.hear(report.node, report.zone, report.speeds, now)
         elif report.zone != self.zone:
-            self.board.hear(f"zone {report.zone}", report.zone, report.speeds, now)
+            self.board.hear("", report.zone, report.speeds, now)
 
     def _report(self, loads: LoadReport, now: float) -> LoadReport:
         if loads.scope is LoadScope.NODE:
