--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -7,6 +7,7 @@
 
 from liftrill import constants
 from liftrill.coordination.circuit import CircuitBreaker
+from liftrill.gateway.engines.service_model import EngineModel
 from liftrill.gateway.records import EngineRecord
 
 
@@ -72,6 +73,7 @@
             it is seen to have `loading_version` earlier.
         vanished_at: when its record went while that could not be trusted, or None.
         withdrawn: its newest record is not an engine's: it is used again after the next good one.
+        model: how fast it works, as far as was observed.
         number: the short name of this incarnation, in words to peers.
     """
 
@@ -86,6 +88,7 @@
     vanished_at: float | None = None
     withdrawn: bool = False
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
+    model: EngineModel = field(default_factory=EngineModel)
     number: int = field(init=False)
 
     def __post_init__(self) -> None:
