A start of a node: no search for garbage, no eliot, no web applications

Cause: 0.66 s of processor time pass until platform/serve.py is imported (532 modules; user and system time, best of runs, on a machine with a load of 15). -X importtime: a seventh of it is collections of garbage among what the imports make; eliot with pyrsistent and zope takes a tenth, aiohttp.web's applications, routes and files some hundredths. Change: no collections before the loop runs, and none ever among what the imports made; lines of the log are written here in the form of eliot's messages (one task a process); aiohttp's server classes are taken from their own modules. A line that orjson can't encode (bytes of a header that are no text, long numbers) is written by json. Ruled out: compiling sources (byte code is written beside them and read), uvloop (4 ms), protobuf (14 ms, upb).

--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -33,7 +33,17 @@
     Then at most 11 lines were written
     And a later line tells that the others were left out
 
+  Scenario: A line is written whatever a caller sends
+    Given a log whose lines are read
+    When a request is refused whose id holds bytes that are no text, with a number of 70 bits
+    Then its line has eliot's fields, the id and the number
+
   Scenario: A reader that stalls costs lines and no time
     Given an output whose reader stalls
     When 100000 lines are written
     Then it took less than 3 s and the lines that were dropped are counted
+
+  Scenario: A node starts without what it does not use
+    When the program of the platform's machines is imported in a process of its own
+    Then at most 500 modules were imported
+    And none of "aiohttp.web", "eliot", "zope", "pydantic" and "liftrill.planning" was
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -3,16 +3,17 @@
 import ast
 import json
 import os
+import subprocess
+import sys
 import time
 from pathlib import Path
 
-import eliot
 from behave import given, then, when
 
 from features.gateway_support import opaque_request
 from liftrill.coordination.token_bucket import TokenBucket
 from liftrill.gateway import delivery_events as events
-from liftrill.gateway import log_reader
+from liftrill.gateway import log_lines, log_reader
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import DeliveryMachine
 from liftrill.gateway.log_output import BoundedOutput
@@ -66,7 +67,7 @@
     "weight_targets",
 )
 IO_MODULES = {"asyncio", "aiohttp", "socket", "uvloop", "time"}
-ADAPTOR_MODULES = {"boot", "engines", "ingress", "names", "serve", "store"}
+ADAPTOR_MODULES = {"boot", "engines", "ingress", "interpreter", "names", "serve", "store"}
 
 
 def imports_of(path):
@@ -191,9 +192,8 @@
 @given("a log in which a stream's events came at 0.4, 0.5, 1.3 and 1.4 s")
 def step_late_log(context):
     messages = []
-    eliot.add_destinations(messages.append)
-    messages.clear()
-    context.stack.callback(eliot.remove_destination, messages.append)
+    log_lines.add_destination(messages.append)
+    context.stack.callback(log_lines.remove_destination, messages.append)
     machine = DeliveryMachine(opaque_request(), None)
     for number, at in enumerate((0.4, 0.5, 1.3, 1.4), start=1):
         machine.times.note(number, at)
@@ -214,10 +214,8 @@
 @given("a log that may write {count:d} ordinary lines a second")
 def step_bounded(context, count):
     context.messages = []
-    eliot.add_destinations(context.messages.append)
-    # eliot hands its first destination what was logged before there was one.
-    context.messages.clear()
-    context.stack.callback(eliot.remove_destination, context.messages.append)
+    log_lines.add_destination(context.messages.append)
+    context.stack.callback(log_lines.remove_destination, context.messages.append)
     context.log = DecisionLog("node-1", _ordinary=TokenBucket(count, 2.0 * count))
 
 
@@ -265,3 +263,51 @@
 def step_dropped(context, seconds):
     assert context.took < seconds, context.took
     assert context.output.dropped > 90_000, context.output.dropped
+
+
+@given("a log whose lines are read")
+def step_read_log(context):
+    reader, writer = os.pipe()
+    context.stack.callback(os.close, reader)
+    context.stack.callback(os.close, writer)
+    context.reader = reader
+    destination = log_lines.write_to(BoundedOutput(writer))
+    context.stack.callback(log_lines.remove_destination, destination)
+
+
+@when("a request is refused whose id holds bytes that are no text, with a number of 70 bits")
+def step_odd_refusal(context):
+    context.id = b"r-\xff".decode(errors="surrogateescape")
+    DecisionLog("node-1").request_refused(context.id, "MALFORMED_REQUEST", number=2**70)
+
+
+@then("its line has eliot's fields, the id and the number")
+def step_odd_line(context):
+    written = json.loads(os.read(context.reader, 65_536))
+    assert (written["request"], written["number"]) == (context.id, 2**70), written
+    assert written["message_type"] == "liftrill:refused", written
+    assert {"timestamp", "task_uuid", "task_level"} < set(written), written
+
+
+@when("the program of the platform's machines is imported in a process of its own")
+def step_import_program(context):
+    code = "import serve, sys; print(*sys.modules)"
+    ran = subprocess.run(
+        [sys.executable, "-c", code],
+        env=os.environ | {"PYTHONPATH": f"{ROOT / 'platform'}{os.pathsep}{ROOT}"},
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    context.imported = set(ran.stdout.split())
+
+
+@then("at most {count:d} modules were imported")
+def step_few_modules(context, count):
+    assert len(context.imported) <= count, len(context.imported)
+
+
+@then('none of "{first}", "{second}", "{third}", "{fourth}" and "{fifth}" was')
+def step_not_imported(context, **names):
+    found = context.imported & set(names.values())
+    assert not found, found
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -8,14 +8,11 @@
 import math
 from dataclasses import dataclass, field
 
-import eliot
-from eliot.json import EliotJSONEncoder
-
 from liftrill import clock, constants
 from liftrill.coordination.token_bucket import TokenBucket
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
-from liftrill.gateway.log_output import BoundedOutput
+from liftrill.gateway.log_lines import log_message
 
 MESSAGE_PREFIX = "liftrill:"
 
@@ -25,11 +22,6 @@
     return round(age_s, 3) if math.isfinite(age_s) else None
 
 
-def start_logging(output: BoundedOutput) -> None:
-    """Send eliot's messages to an output."""
-    eliot.add_destinations(eliot.FileDestination(file=output, encoder=EliotJSONEncoder))
-
-
 def _bucket(lines_per_second: float) -> TokenBucket:
     return TokenBucket(lines_per_second, 2.0 * lines_per_second)
 
@@ -55,7 +47,7 @@
 
     def belief(self, kind: str, **inputs: object) -> None:
         """Write a change of what this process believes, with the inputs that decided it."""
-        eliot.log_message(message_type=MESSAGE_PREFIX + kind, node=self.node, **inputs)
+        log_message(message_type=MESSAGE_PREFIX + kind, node=self.node, **inputs)
 
     def request_refused(self, request_id: str, code: str, **inputs: object) -> None:
         """Write that a request was refused on reading it."""
@@ -131,7 +123,7 @@
             return
         request = machine.request
         last = machine.attempts[-1] if machine.attempts else None
-        eliot.log_message(
+        log_message(
             message_type=MESSAGE_PREFIX + "request",
             node=self.node,
             outcome=outcome,
@@ -153,7 +145,7 @@
         if self._failures.try_take(1.0, clock.now_s()) > 0:
             self._left_out += 1
             return
-        eliot.log_message(
+        log_message(
             message_type=MESSAGE_PREFIX + kind,
             node=self.node,
             configuration=self.version,
--- /dev/null
+++ b/liftrill/gateway/http_server.py
@@ -0,0 +1,12 @@
+"""The parts of aiohttp's server that are used here.
+
+The package aiohttp.web also imports applications, routes and files: a tenth of the modules
+of a node, none of which it uses.
+"""
+
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+from aiohttp.web_server import Server
+from aiohttp.web_ws import WebSocketResponse
+
+__all__ = ["BaseRequest", "Response", "Server", "StreamResponse", "WebSocketResponse"]
--- a/liftrill/gateway/log_output.py
+++ b/liftrill/gateway/log_output.py
@@ -8,7 +8,7 @@
 
 
 class BoundedOutput:
-    """A destination of eliot's that drops lines rather than block.
+    """An output that drops lines rather than block.
 
     A pipe that is full or closed costs lines, which are counted, and delays nothing.
 
@@ -33,10 +33,6 @@
         self._drain()
         return len(data)
 
-    def flush(self) -> None:
-        """Pass on what the reader takes now."""
-        self._drain()
-
     def _drain(self) -> None:
         while self._waiting:
             data = self._waiting[0]
--- a/liftrill/gateway/relay_server.py
+++ b/liftrill/gateway/relay_server.py
@@ -6,13 +6,14 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from aiohttp import WSMsgType, web
+from aiohttp import WSMsgType
 
 from liftrill import clock
 from liftrill.coordination.change_log import ChangeLog
 from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
 from liftrill.coordination.store_mirror import MirrorChange, StoreMirror
+from liftrill.gateway import http_server as web
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.relay_codec import (
     RelayAnswer,
