What all peers are told in one turn of the event loop shares datagrams

Cause: a long prompt of a tenant near its limit sends two words to each of 84 peers: 168 sendings (3.3 us each without the kernel's delivery) and 84 nodes woken twice. Change: words wait for the end of the turn; readings ride on the datagram of a spending. Spendings stay one to a datagram, and a node of an older version reads each of them (a reading that rides along it misses: the next report of load has it). Ruled out: waiting for some milliseconds (admission and the start of an attempt are one turn), sums of spendings (their notices are numbered elsewhere). No processor time was measured for this one: by arithmetic half the datagrams of such a request.

--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -24,6 +24,7 @@
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.peers.load_codec import ReportAssembler, datagrams_from_report
 from liftrill.gateway.peers.load_exchange import LoadReport, SendLoads, others
+from liftrill.gateway.peers.turn_words import TurnWords
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
     datagrams_from_runs,
@@ -85,6 +86,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._assembler = ReportAssembler()
         self._reports_sent = 0
+        self._turn = TurnWords()
 
     async def listen(self, address: str) -> None:
         """Open the UDP socket."""
@@ -127,12 +129,24 @@
     def tell_reading(self, engine_number: int, tokens: int) -> None:
         """Tell all members at once that an engine was given a long prompt to read."""
         begun = messages.ReadingBegun(engine=engine_number, tokens=tokens)
-        self._send_all(self._others(), messages.Datagram(reading_begun=begun))
+        self._tell_after_turn()
+        self._turn.add_reading(begun)
 
     def tell_spending(self, tenant: str, amount: float) -> None:
         """Tell all members at once what a tenant's request counts under its limit."""
         spends = messages.TenantSpending(tenant=tenant, amount=amount)
-        self._send_all(self._others(), messages.Datagram(spends=spends))
+        self._tell_after_turn()
+        self._turn.add_spending(messages.Datagram(spends=spends))
+
+    def _tell_after_turn(self) -> None:
+        """Send the words of this turn of the event loop when it is over."""
+        if not self._turn:
+            asyncio.get_running_loop().call_soon(self._tell_turn)
+
+    def _tell_turn(self) -> None:
+        members = self._others()
+        for datagram in self._turn.take():
+            self._send_all(members, datagram)
 
     def tell_lost(self, runs: list[LostRun]) -> None:
         """Tell all members of runs under which engines ended, and some times again."""
@@ -176,12 +190,12 @@
         """Take in a datagram (asyncio callback)."""
         try:
             message = parse_message(data)
-            if message.HasField("reading_begun"):
-                begun = message.reading_begun
-                self._callbacks.reading_begun(begun.engine, begun.tokens)
-                return
             if message.HasField("spends"):
                 self._callbacks.spending(message.spends.tenant, message.spends.amount)
+                self._take_readings(message)
+                return
+            if message.HasField("reading_begun"):
+                self._take_readings(message)
                 return
             if message.lost_runs or message.served or message.HasField("quarantined"):
                 self._take_crash_news(message)
@@ -194,6 +208,13 @@
             return
         self._carry_out(self._membership.handle(event, clock.now_s()))
 
+    def _take_readings(self, message: messages.Datagram) -> None:
+        if message.HasField("reading_begun"):
+            first = message.reading_begun
+            self._callbacks.reading_begun(first.engine, first.tokens)
+        for begun in message.readings:
+            self._callbacks.reading_begun(begun.engine, begun.tokens)
+
     def _take_word(self, message: messages.Datagram) -> None:
         for notice in message.notices:
             self._callbacks.notice(_notice_from_message(notice))
--- /dev/null
+++ b/liftrill/gateway/peers/turn_words.py
@@ -0,0 +1,40 @@
+"""Collects the words that go to all peers at once, from one turn of the event loop, sans-IO.
+
+A word to 84 peers takes 84 sendings and wakes 84 nodes. A request may call for two of them, and
+a node that is late takes up many requests in one turn.
+"""
+
+from liftrill.messages import peer_pb2 as messages
+
+
+class TurnWords:
+    """What is to be sent to all peers when this turn is over."""
+
+    def __init__(self) -> None:
+        self._spendings: list[messages.Datagram] = []
+        self._readings: list[messages.ReadingBegun] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._spendings or self._readings)
+
+    def add_spending(self, datagram: messages.Datagram) -> None:
+        """Add a datagram that tells of a tenant's spending."""
+        self._spendings.append(datagram)
+
+    def add_reading(self, begun: messages.ReadingBegun) -> None:
+        """Add that an engine was given a long prompt to read."""
+        self._readings.append(begun)
+
+    def take(self) -> list[messages.Datagram]:
+        """Return the datagrams to send, and begin anew.
+
+        A node of an older version reads of each datagram the spending alone, or the first
+        reading where there is none: it misses hints on load, and never what counts under a limit.
+        """
+        datagrams, self._spendings = self._spendings, []
+        readings, self._readings = self._readings, []
+        if readings and not datagrams:
+            datagrams = [messages.Datagram(reading_begun=readings.pop(0))]
+        if readings:
+            datagrams[0].readings.extend(readings)
+        return datagrams
