--- a/liftrill/gateway/caller_server.py
+++ b/liftrill/gateway/caller_server.py
@@ -4,9 +4,8 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, suppress
 
-from aiohttp import web
-
 from liftrill import constants
+from liftrill.gateway import http_server as web
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -9,13 +9,11 @@
 from dataclasses import dataclass, field
 
 import eliot
-from eliot.json import EliotJSONEncoder
 
 from liftrill import clock, constants
 from liftrill.coordination.token_bucket import TokenBucket
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
-from liftrill.gateway.log_output import BoundedOutput
 
 MESSAGE_PREFIX = "liftrill:"
 
@@ -25,11 +23,6 @@
     return round(age_s, 3) if math.isfinite(age_s) else None
 
 
-def start_logging(output: BoundedOutput) -> None:
-    """Send eliot's messages to an output."""
-    eliot.add_destinations(eliot.FileDestination(file=output, encoder=EliotJSONEncoder))
-
-
 def _bucket(lines_per_second: float) -> TokenBucket:
     return TokenBucket(lines_per_second, 2.0 * lines_per_second)
 
