A budget of what a node holds for its callers, and a buffer between engine and slow caller

Cause: bodies were read without a bound on their sum, and an answer was read from its engine at its caller's speed, so that slow callers cost memory, slots and the engine's good name. A whole answer whose caller does not take it by the deadline is broken off: before, aiohttp wrote its end a second time after our time-out. On with slow_peers or a told memory limit; otherwise only the time-out case differs. Checked: gateway_delivery, gateway_forwarding, gateway_rules, gateway_connections, gateway_quarantine, platform: green.

--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -115,6 +115,12 @@
         "Engines ended under this request: it is sent to none for some time.",
         "Change the request, or try again after Retry-After. An operator can release it.",
     )
+    MEMORY_SPENT = CodeDetails(
+        2014,
+        503,
+        "The node holds as many bytes for its callers as its memory bears.",
+        "Send to another node, or try again after Retry-After.",
+    )
     ENGINE_LOST = CodeDetails(
         3001, 502, "The engine was lost after the request was sent.", "Check before repeating."
     )
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -16,6 +16,9 @@
 from liftrill.gateway.transport import AnswerSink, EngineAttempt
 
 WAIT_STEP_SECONDS = 0.06
+# Engines cut answers that stay unread for some seconds; one that was read sooner has no such
+# reason to break.
+ENGINE_UNREAD_S = 1.0
 
 
 class EngineSignal:
@@ -101,10 +104,20 @@
         self._load = EngineLoad()
         self._times = AttemptTimes(0.0)
         self._tokens_ahead = 0
+        self._waited_before_s = 0.0
         self._ended = False
 
+    @property
+    def caller_wait_s(self) -> float:
+        """For how long this run stood still for its caller."""
+        return self._sink.caller_wait_s
+
     async def drive(self, first: events.DeliveryEvent) -> None:
         """Feed events to the machine until it ends."""
+        if self._ended:
+            # The time is over, and the caller has not taken all of its answer.
+            self._sink.break_off()
+            return
         pending: deque[events.DeliveryEvent] = deque([first])
         while not self._ended:
             # Bytes that complete no event bring none.
@@ -153,16 +166,23 @@
         for event in found:
             if isinstance(event, events.EventArrived):
                 self._note_event(event)
-            if self._view is not None:
+            is_broken = isinstance(event, events.AttemptBroken)
+            if is_broken and self._view is not None and self._left_unread():
+                # What the engine did may be for its answer that was not read.
+                self._view.breaker.record_abandoned()
+            elif self._view is not None:
                 self._owner.note(self._view, event)
             self._owner.log.attempt_event(self._machine, event, self._times)
-            if isinstance(event, events.AttemptBroken) and self._view is not None:
+            if is_broken and self._view is not None and not self._left_unread():
                 await self._owner.run_lost(self._machine, self._view, self._times)
         return found
 
+    def _left_unread(self) -> bool:
+        return self.caller_wait_s - self._waited_before_s > ENGINE_UNREAD_S
+
     def _note_event(self, arrived: events.EventArrived) -> None:
         now = clock.now_s()
-        self._machine.times.note(arrived.event.event_id, now)
+        self._machine.times.note(arrived.event.event_id, now - self.caller_wait_s)
         if self._times.first_event_at is None:
             self._times.first_event_at = now
         self._note_prompt_read()
@@ -193,6 +213,7 @@
         self._view, self._attempt = self._owner.begin(machine.request, start, first)
         self._load = expected_load(machine.request, start.choice)
         self._times = AttemptTimes(clock.now_s())
+        self._waited_before_s = self.caller_wait_s
         if self._view is not None:
             self._view.own_load.add(self._load)
             self._tokens_ahead = self._view.waiting_tokens
@@ -214,7 +235,8 @@
 
     async def _end(self, ending: events.DeliveryInstruction) -> None:
         self._ended = True
-        held_s = self._machine.times.since_first_event_s(clock.now_s())
+        now = clock.now_s() - self.caller_wait_s
+        held_s = self._machine.times.since_first_event_s(now)
         if isinstance(ending, events.FinishStream) and held_s is not None:
             self._owner.note_slot_held(self._machine, held_s)
         self._owner.log.request_ended(self._machine, ending)
@@ -225,6 +247,8 @@
             self.close()
             await self._sink.pass_answer(ending.answer)
         elif isinstance(ending, events.FinishStream):
+            # The engine is done, however long the caller takes.
+            self.close()
             await self._sink.finish()
         elif isinstance(ending, events.BreakOff):
             self._sink.break_off()
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -32,6 +32,7 @@
 from liftrill.gateway.fleet_record import FleetRecord
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.holding.node_memory import new_node_memory
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
@@ -95,6 +96,7 @@
         self.log = log
         self.metrics = metrics
         self.stopping = False
+        self.memory = new_node_memory(settings, log, metrics)
         self._started_at = clock.now_s()
         self.view = ConfigurationView(bounds.key_proof_seconds - constants.KEY_PROOF_MARGIN_SECONDS)
         self._store = store
@@ -546,4 +548,6 @@
             self._tell_of_parts(now)
             self._fleet.note(len(self._membership.members()), now)
             self._quotas.expire(now)
+            if self.memory is not None:
+                self.memory.watch(now)
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -69,6 +69,18 @@
             "Engines that were found to have ended with runs under way.",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "liftrill_held_bytes",
+            "Bytes held for callers, by purpose.",
+            ["purpose"],
+            registry=self.registry,
+        )
+        self.holding_capacity = self._gauge(
+            "liftrill_holding_capacity_bytes", "Bytes that may be held for callers in all."
+        )
+        self.slow_callers = self._counter(
+            "liftrill_slow_callers", "Answers ended for slow reading, by reason.", "reason"
+        )
         self.peers = self._gauge("liftrill_peers", "Nodes believed alive, this one included.")
 
     def count_outcome(self, outcome: str) -> None:
--- /dev/null
+++ b/liftrill/gateway/holding/body_reader.py
@@ -0,0 +1,107 @@
+"""Reads the body of one request into the node's memory budget."""
+
+import asyncio
+import random
+from contextlib import suppress
+
+from aiohttp import StreamReader
+
+from liftrill import clock
+from liftrill.errors import ResultCode
+from liftrill.gateway.admission.request_admission import AdmissionRefusal
+from liftrill.gateway.holding.memory_budget import MemoryBudget, MemoryHold, Purpose
+
+# For how long a refused caller's body is read and dropped: a connection that is closed with
+# bytes unread is reset, and the reset may overtake the answer.
+DROP_REST_S = 1.0
+# By then some bodies have been sent on; those who are refused together don't return together.
+RETRY_AFTER_S = (0.5, 1.5)
+# A caller that says no deadline gets this long to send its body.
+LONGEST_READ_S = 60.0
+
+
+class BodyTooLargeError(Exception):
+    """A body is larger than the configuration allows."""
+
+
+class BodyRefusedError(Exception):
+    """There is no room for a body, or it came too slowly while there was none for others."""
+
+
+def refusal_of_body(error: Exception) -> AdmissionRefusal:
+    """Return what a caller is told whose body was not read."""
+    if isinstance(error, BodyRefusedError):
+        wait_s = random.uniform(*RETRY_AFTER_S)
+        return AdmissionRefusal(ResultCode.MEMORY_SPENT, wait_s, "body")
+    return AdmissionRefusal(ResultCode.DEADLINE_UNREACHABLE, RETRY_AFTER_S[0], "body not there")
+
+
+class BodyReader:
+    """One request's body; what it takes is held until it is closed.
+
+    The limit is that of the moment in which the body began: a lower one that comes meanwhile
+    does not end what was allowed.
+
+    Attributes:
+        hold: the account of the body, or None where there is no budget.
+    """
+
+    def __init__(self, content: StreamReader, budget: MemoryBudget | None, caller: str) -> None:
+        self._content = content
+        self._budget = budget
+        self.hold: MemoryHold | None = None
+        if budget is not None:
+            self.hold = budget.open(Purpose.BODY_READ, caller, clock.now_s(), self._give_way)
+
+    async def read(self, declared_bytes: int, limit_bytes: int, within_s: float | None) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            BodyTooLargeError: it is larger than the limit.
+            BodyRefusedError: there is no room for it.
+            TimeoutError: it was not there in time.
+        """
+        if declared_bytes > limit_bytes:
+            raise BodyTooLargeError
+        self._grow(declared_bytes)
+        if self._budget is None or self._content.is_eof():
+            body = await self._read_parts(declared_bytes, limit_bytes)
+        else:
+            async with asyncio.timeout(LONGEST_READ_S if within_s is None else within_s):
+                body = await self._read_parts(declared_bytes, limit_bytes)
+        if self.hold is not None:
+            self.hold.change_purpose(Purpose.BODY_HELD)
+        return body
+
+    async def drop_rest(self) -> None:
+        """Read what still comes of a refused body, and keep nothing of it."""
+        with suppress(TimeoutError, BodyRefusedError):
+            async with asyncio.timeout(DROP_REST_S):
+                async for _ in self._content.iter_any():
+                    pass
+
+    def close(self) -> None:
+        """Hold nothing any more."""
+        if self.hold is not None:
+            self.hold.close()
+
+    async def _read_parts(self, declared_bytes: int, limit_bytes: int) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        async for part in self._content.iter_any():
+            size += len(part)
+            if size > limit_bytes:
+                raise BodyTooLargeError
+            if size > declared_bytes:
+                self._grow(size)
+            parts.append(part)
+        return b"".join(parts)
+
+    def _grow(self, size_bytes: int) -> None:
+        if self._budget is None or self.hold is None:
+            return
+        if not self._budget.try_grow_body(self.hold, size_bytes, clock.now_s()):
+            raise BodyRefusedError
+
+    def _give_way(self) -> None:
+        self._content.set_exception(BodyRefusedError())
--- /dev/null
+++ b/liftrill/gateway/holding/caller_sink.py
@@ -0,0 +1,186 @@
+"""Writes the answer to one caller over aiohttp."""
+
+import asyncio
+import json
+
+from aiohttp import web
+from aiohttp.http_writer import StreamWriter
+
+from liftrill import clock
+from liftrill.errors import ResultCode
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway.holding.caller_flow import CallerConnection, CallerFlow
+from liftrill.gateway.holding.memory_budget import Purpose
+from liftrill.gateway.holding.node_memory import NodeMemory
+from liftrill.gateway.transport import AnswerSink
+
+JSON = "application/json"
+# Beyond this much unsent a caller counts as slow. Whole answers and single events are shorter,
+# and a thousand connections at this mark fit into the budget's reserve.
+UNSENT_BYTES = 16_384
+# For how long a caller may still take what was sent before an answer was broken off.
+LAST_BYTES_S = 0.3
+
+
+class AiohttpConnection(CallerConnection):
+    """The connection of one streamed answer."""
+
+    def __init__(self, writer: StreamWriter, transport: asyncio.Transport) -> None:
+        self._writer = writer
+        self._transport = transport
+        transport.set_write_buffer_limits(high=UNSENT_BYTES)
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether it holds more unsent bytes than it should."""
+        return self._writer.protocol.writing_paused
+
+    @property
+    def unsent_bytes(self) -> int:
+        """What it has taken over and not sent."""
+        return self._transport.get_write_buffer_size()
+
+    async def write(self, data: bytes) -> None:
+        """Take bytes over, without waiting for the caller."""
+        await self._writer.write(data, drain=False)
+
+    async def wait_until_writable(self) -> None:
+        """Wait until the caller has taken most of what is unsent."""
+        await self._writer.drain()
+
+    def abort(self) -> None:
+        """End it at once, with what is unsent."""
+        self._transport.abort()
+
+
+class CallerSink(AnswerSink):
+    """Writes the answer to one caller.
+
+    Attributes:
+        response: what was sent, for aiohttp to finish with.
+        caller: whom bytes are accounted to.
+    """
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        id_header: str,
+        closing: bool,
+        memory: NodeMemory | None = None,
+    ) -> None:
+        self._request = request
+        self._request_id = request_id
+        self._id_header = id_header
+        self._closing = closing
+        self._memory = memory
+        self._flow: CallerFlow | None = None
+        self.response: web.StreamResponse = web.Response(status=500)
+        self.caller = request.remote or ""
+
+    @property
+    def caller_wait_s(self) -> float:
+        """For how long the run stood still for its caller."""
+        return self._flow.waited_s if self._flow is not None else 0.0
+
+    async def pass_answer(self, answer: events.WholeAnswer) -> None:
+        """Send a whole answer."""
+        response = web.Response(status=answer.status, body=answer.body)
+        if self._memory is None or len(answer.body) <= UNSENT_BYTES:
+            await self._send(response, _without_length(answer.headers))
+            return
+        budget = self._memory.budget
+        hold = budget.open(Purpose.ANSWER, self.caller, clock.now_s(), self._give_way)
+        try:
+            budget.grow_answer(hold, len(answer.body))
+            await self._send(response, _without_length(answer.headers))
+        finally:
+            hold.close()
+
+    async def pass_head(self, head: events.PassHead) -> None:
+        """Begin a streamed answer."""
+        self.response = web.StreamResponse(status=head.status)
+        self._set_headers(self.response, _without_length(head.headers))
+        writer = await self.response.prepare(self._request)
+        transport = self._request.transport
+        if self._memory is None or transport is None or not isinstance(writer, StreamWriter):
+            return
+        connection = AiohttpConnection(writer, transport)
+        self._flow = CallerFlow(connection, self._memory.budget, self.caller, self._note_ended)
+
+    async def pass_bytes(self, data: bytes) -> None:
+        """Send bytes of a streamed answer."""
+        if self._flow is not None:
+            await self._flow.pass_bytes(data)
+        else:
+            await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End a streamed answer as complete."""
+        if self._flow is not None:
+            await self._flow.finish()
+        await self.response.write_eof()
+
+    def break_off(self) -> None:
+        """End a streamed answer so that it cannot be taken for complete."""
+        self.close()
+        transport = self._request.transport
+        if transport is None:
+            return
+        transport.close()
+        if self._memory is not None and transport.get_write_buffer_size():
+            asyncio.get_running_loop().call_later(LAST_BYTES_S, transport.abort)
+
+    def close(self) -> None:
+        """Let go of what is kept for the caller."""
+        if self._flow is not None:
+            self._flow.close()
+
+    async def refuse(self, refusal: events.RefuseRequest) -> None:
+        """Answer that the request was not run."""
+        await self.tell(refusal.code, refusal.retry_after_seconds)
+
+    async def fail(self, failure: events.FailRequest) -> None:
+        """Answer that the outcome is not known."""
+        await self.tell(failure.code, None)
+
+    async def tell(self, code: ResultCode, retry_after_seconds: float | None) -> None:
+        """Answer with a result code."""
+        body = {"Error": code.value.meaning, "Code": code.number}
+        response = web.Response(
+            status=code.http_status, body=json.dumps(body).encode(), content_type=JSON
+        )
+        headers: events.Headers = ()
+        if self._request_id:
+            headers += ((self._id_header, self._request_id),)
+        if retry_after_seconds is not None:
+            headers += (("Retry-After", f"{retry_after_seconds:.2f}"),)
+        await self._send(response, headers)
+
+    async def _send(self, response: web.Response, headers: events.Headers) -> None:
+        self.response = response
+        self._set_headers(response, headers)
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    def _set_headers(self, response: web.StreamResponse, headers: events.Headers) -> None:
+        for name, value in headers:
+            if name.lower() == "content-type":
+                response.headers["Content-Type"] = value
+            else:
+                response.headers.add(name, value)
+        if self._closing:
+            response.force_close()
+
+    def _give_way(self) -> None:
+        self._note_ended("memory", 0)
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    def _note_ended(self, reason: str, held_bytes: int) -> None:
+        assert self._memory is not None
+        self._memory.note_ended(self._request_id, reason, held_bytes)
+
+
+def _without_length(headers: events.Headers) -> events.Headers:
+    return tuple((name, value) for name, value in headers if name.lower() != "content-length")
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -37,6 +37,11 @@
 class AnswerSink(ABC):
     """Where the answer to a caller goes."""
 
+    @property
+    def caller_wait_s(self) -> float:
+        """For how long the run stood still for its caller."""
+        return 0.0
+
     @abstractmethod
     async def pass_answer(self, answer: events.WholeAnswer) -> None:
         """Send a whole answer."""
