--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -60,6 +60,8 @@
     "engines/slot_times",
     "engines/speed_board",
     "event_stream",
+    "holding/answer_buffer",
+    "holding/memory_budget",
     "peers/load_board",
     "peers/load_exchange",
     "peers/speed_exchange",
--- a/liftrill/gateway/caller_server.py
+++ b/liftrill/gateway/caller_server.py
@@ -1,6 +1,7 @@
 """The sockets that callers connect to, and how a process ends without cutting requests."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, suppress
 
@@ -20,8 +21,8 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
-    async def listen(self, address: str, handle: Handler) -> None:
-        """Open a socket at HOST:PORT."""
+    async def listen(self, address: str, handle: Handler, receive_bytes: int = 0) -> None:
+        """Open a socket at HOST:PORT; its connections may be given a receive buffer's size."""
         handler = web.Server(
             handle,
             handler_cancellation=True,
@@ -35,6 +36,10 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         server = await loop.create_server(handler, host, int(port), backlog=512)
+        if receive_bytes:
+            # Accepted connections inherit it.
+            for listening in server.sockets:
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
         self._servers.append(server)
         self._handlers.append(handler)
 
