Callers are divided by what nodes can bear: capacity and use told with loads, samples by weight in the directory

Cause: the directory named every living node of a zone alike, machines of 0.39 and of 2.15 cores. A caller picks uniformly among the addresses it has, so small nodes got six times the work that they can bear.

Change: peers/node_capacity.py (what a node can bear and bears: settings, getrusage, bodies' arrival, lag of the housekeeping beat), peers/caller_division.py (each caller gets a fixed-size sample of the nodes, with chances by weight), peers/caller_directory.py (what a node answers; zones that are full borrow). Where nodes are alike and none is late the list is the old one.

--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+import resource
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from liftrill import clock, constants
@@ -35,8 +37,10 @@
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
+from liftrill.gateway.peers.caller_directory import CallerDirectory
 from liftrill.gateway.peers.load_board import LoadBoard
-from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, topology_for
+from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads, topology_for
+from liftrill.gateway.peers.node_capacity import NodeCapacities, NodeCapacity
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.gateway.peers.peer_silence import IDLE_REPORT_S, PeerSilence
 from liftrill.gateway.quarantine import Quarantine
@@ -57,14 +61,14 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 HOUSEKEEPING_SECONDS = 0.25
+# Lines of one beat on nodes that are named less: with more of them it is the zone that is busy.
+MOST_CHANGES_TOLD = 3
 # A record lapses three beats after its engine's last one, which came at most one beat before
 # the store went away.
 BEATS_OF_A_LAPSE = 2
 # For how long a node that stood still waits for the store's word before it uses what it believed:
 # by then an outage is likelier than a slow answer (guess).
 NEWS_WAIT_S = 2.0
-# With fewer nodes than this in the caller's zone, nodes of all zones are named.
-LEAST_NODES_OF_A_ZONE = 2
 LEASE_RENEW_INTERVAL_SECONDS = 0.7
 LEASE_TIME_TO_LIVE_SECONDS = 2.0
 LEASE_RETRY_INTERVAL_SECONDS = 0.3
@@ -136,6 +140,9 @@
         self._relay = RelayServer(self._follower, self.view, metrics.followers.set)
         self._silence = PeerSilence()
         self._loads = LoadBoard(engines)
+        self.capacity = NodeCapacity(settings.machine, HOUSEKEEPING_SECONDS)
+        self._capacities = NodeCapacities()
+        self._directory = CallerDirectory(self._capacities)
         callbacks = PeerCallbacks(
             self._on_member,
             self._currency.hear_version,
@@ -221,15 +228,20 @@
         refusal = self._quarantine.check(found) or self._quotas.check(found, clock.now_s())
         return refusal or found
 
-    def addresses_for(self, zone: str) -> list[str]:
-        """Return the front addresses that a caller of a zone should use."""
+    def addresses_for(self, zone: str, caller: str = "") -> list[str]:
+        """Return the front addresses that a caller of a zone, told by its address, should use."""
+        now = clock.now_s()
+        named = self._directory.named(self._usable_members(now), zone, caller, now)
+        self.metrics.named_nodes.set(len(named))
+        return [self._front_of(member) for member in named]
+
+    def _usable_members(self, now: float) -> list[Member]:
+        """Return the members that take callers."""
         members = [m for m in self._membership.members() if m.condition is Condition.ALIVE]
-        members = self._silence.speaking(members, clock.now_s())
+        members = self._silence.speaking(members, now)
         if self.stopping:
             members = [m for m in members if m.node_id != self.settings.node]
-        local = [member for member in members if member.zone == zone]
-        chosen = local if len(local) >= LEAST_NODES_OF_A_ZONE else members
-        return [self._front_of(m) for m in chosen][: constants.RESOLVE_ADDRESSES]
+        return members
 
     def _front_of(self, member: Member) -> str:
         host, _, _ = member.address.rpartition(":")
@@ -413,6 +425,7 @@
         self._fleet.note(alive, clock.now_s())
         if member.condition >= Condition.DEAD:
             self._silence.forget(member.node_id)
+            self._capacities.forget(member.node_id)
         self._beliefs.selector.parts.nodes = alive
         self.log.belief(
             "peer",
@@ -437,7 +450,11 @@
         if report.scope is LoadScope.NODE:
             self._silence.note(report.node, now)
             self._loads.take(report.node, report.loads, now, report.zone)
+            if report.node_word is not None:
+                self._capacities.take(report.node, report.node_word, now)
             return
+        if report.node_word is not None:
+            self._capacities.take_zone(report.zone, report.node_word, now)
         self._loads.take_zone(report.zone, report.loads, now)
         members = self._membership.members()
         words = topology_for(members).relayed(self._membership.own, report, members)
@@ -503,12 +520,34 @@
             has_load = any(word.report.loads or word.report.kept for word in words)
             is_due = now - reported_at >= IDLE_REPORT_S
             if has_load or had_load or is_due:
-                self._peers.send_loads([self._quotas.add_to(word, now) for word in words])
+                words = [self._quotas.add_to(word, now) for word in words]
+                self._peers.send_loads([self._add_capacity(word, now) for word in words])
                 reported_at = now
             had_load = has_load
             self._loads.expire(now)
             await asyncio.sleep(topology.interval_s(own, members))
 
+    def _add_capacity(self, word: SendLoads, now: float) -> SendLoads:
+        """Return a word of load with what this node, or its zone, can bear and bears."""
+        if word.report.scope is LoadScope.NODE:
+            told = self.capacity.word()
+        else:
+            zone = self.settings.zone
+            nodes = [m.node_id for m in self._membership.members() if m.zone == zone]
+            told = self._capacities.total(nodes, now)
+        return replace(word, report=replace(word.report, node_word=told))
+
+    def _measure_capacity(self, now: float) -> None:
+        """Note what this node bears, and log which nodes are named less or in full again."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        self.capacity.beat(now, used.ru_utime + used.ru_stime, free_bytes=0)
+        word = self.capacity.word()
+        self._capacities.take(self.settings.node, word, now)
+        self.metrics.show_capacity(word, self.capacity.lag_s)
+        changes = self._directory.beat(self._usable_members(now), self.settings.zone, now)
+        for change in changes[:MOST_CHANGES_TOLD]:
+            self.log.belief("node_named", of=len(changes), **change.inputs())
+
     def _tell_of_parts(self, now: float) -> None:
         """Count, and log where it changed, whether parts can be moved to and from stores."""
         parts = self._beliefs.selector.parts
@@ -535,6 +574,7 @@
         while True:
             now = clock.now_s()
             self._beat(now)
+            self._measure_capacity(now)
             self._beliefs.expire(now)
             self._follower.reconsider()
             self.metrics.version.set(self.view.version)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -5,6 +5,7 @@
 from liftrill import clock
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.peers.node_capacity import NodeWord
 
 LATENCY_BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 OUTCOMES = {
@@ -69,12 +70,28 @@
             "Engines that were found to have ended with runs under way.",
             registry=self.registry,
         )
+        self.capacity = self._gauge(
+            "liftrill_node_capacity_cores", "Processor time a second for requests; 0: not told."
+        )
+        self.capacity_used = self._gauge(
+            "liftrill_node_used_cores", "How much of its capacity this node uses."
+        )
+        self.lag = self._gauge("liftrill_loop_lag_seconds", "By how much the loop runs late.")
+        self.named_nodes = self._gauge(
+            "liftrill_named_nodes", "Addresses in the directory's last answer."
+        )
         self.peers = self._gauge("liftrill_peers", "Nodes believed alive, this one included.")
 
     def count_outcome(self, outcome: str) -> None:
         """Count a request by how it ended."""
         self.outcomes.labels(outcome).inc()
 
+    def show_capacity(self, word: NodeWord, lag_s: float) -> None:
+        """Show what this node can bear and bears."""
+        self.capacity.set(word.capacity_cores)
+        self.capacity_used.set(word.used_cores)
+        self.lag.set(lag_s)
+
     def record_end(self, machine: DeliveryMachine, ending: events.DeliveryInstruction) -> None:
         """Count a request's end and its time."""
         self.count_outcome(OUTCOMES[type(ending)])
--- /dev/null
+++ b/liftrill/gateway/peers/caller_division.py
@@ -0,0 +1,228 @@
+"""Which nodes are named to a caller, sans-IO.
+
+A caller opens each new connection to one of the addresses it was given, by chance and all alike,
+and leaves connections to addresses that a newer answer lacks. So a node's share of the callers
+follows from how many answers name it: each caller gets a sample of the nodes in which every
+node stands as often as its weight asks for. Each pair of a caller and a node has a number that
+never changes, and the nodes with the least numbers beside their odds are named (Rosén, 1997,
+"On sampling with probability proportional to size"). So a caller gets the same answer each
+time, from every node that knows the same weights, and a weight that changes moves one node.
+"""
+
+import math
+from abc import ABC, abstractmethod
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from liftrill import constants
+from liftrill.gateway.peers.node_capacity import LATE_S, NodeWord, usual_word
+
+# With half of a zone gone at once, one caller in 256 is left without an address until it asks
+# again; with more addresses the largest nodes couldn't be named as often as they can bear.
+LEAST_NAMED = 8
+# Callers are not divided for differences below this: nodes that are alike are all named.
+ALIKE_RATIO = 1.25
+# What a node that is late, short of memory or just back is named at the least, so that it's
+# found out when it is well again.
+LEAST_FACTOR = 0.1
+# Added to the spare share of each node: without it a busy fleet would send its callers to
+# whichever node told last that it has a little to spare.
+SPARE_MARGIN = 0.5
+# A node with much to spare gets at most this much more than its capacity asks for.
+MOST_FACTOR = 1.5
+# Factors are told apart in steps, so that nodes whose words differ by a little agree.
+FACTOR_STEP = 1.15
+# Requests of the largest bodies, and what the process needs beside them.
+ENOUGH_MEMORY_BYTES = 24 * 1_048_576
+# A node that comes back is named by degrees over this time, from this factor on: its caches of
+# connections are cold, and callers of the whole zone would come at once.
+RAMP_S = 2.0
+RAMP_FROM = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A node that may be named.
+
+    Attributes:
+        capacity_cores: what it can bear.
+        factor: how much more or less often it is named than its capacity asks for.
+    """
+
+    node_id: str
+    capacity_cores: float
+    factor: float = 1.0
+
+    @property
+    def weight(self) -> float:
+        """Return the share of callers that it is to have, beside the other weights."""
+        return self.capacity_cores * self.factor
+
+    @property
+    def is_named_less(self) -> bool:
+        """Return whether it is late, short of memory, busier than others or just back."""
+        return self.factor < 1.0 / MOST_FACTOR
+
+
+class Answers(ABC):
+    """What callers of one zone are named for as long as nothing changes."""
+
+    @abstractmethod
+    def for_caller(self, caller: str) -> list[str]:
+        """Return the ids of the nodes that a caller, told by its address, is named."""
+
+
+class CallerDivision(ABC):
+    """Decide how callers are divided among nodes."""
+
+    @abstractmethod
+    def answers(self, candidates: Sequence[Candidate]) -> Answers:
+        """Return what callers are named."""
+
+
+class NameAll(CallerDivision):
+    """Name every node to everyone, whatever it can bear."""
+
+    def answers(self, candidates: Sequence[Candidate]) -> Answers:
+        """Return the first of the candidates, as many as an answer holds."""
+        return _SameForAll([c.node_id for c in candidates[: constants.RESOLVE_ADDRESSES]])
+
+
+class ByWeight(CallerDivision):
+    """Name each node as often as its weight asks for."""
+
+    def answers(self, candidates: Sequence[Candidate]) -> Answers:
+        """Return samples of the nodes, or all of them where they are alike."""
+        if are_alike(candidates):
+            return NameAll().answers(candidates)
+        return Samples.of(candidates)
+
+
+@dataclass(frozen=True, slots=True)
+class _SameForAll(Answers):
+    """One answer for every caller."""
+
+    node_ids: list[str]
+
+    def for_caller(self, caller: str) -> list[str]:
+        """Return the answer."""
+        return self.node_ids
+
+
+def are_alike(candidates: Sequence[Candidate]) -> bool:
+    """Return whether nodes can bear about as much, and none is named less."""
+    sizes = [c.capacity_cores for c in candidates]
+    return are_equal(sizes) and not any(c.is_named_less for c in candidates)
+
+
+def are_equal(capacities: Sequence[float]) -> bool:
+    """Return whether capacities differ so little that callers are not divided by them."""
+    return not capacities or max(capacities) <= ALIKE_RATIO * min(capacities)
+
+
+@dataclass(frozen=True, slots=True)
+class Samples(Answers):
+    """A sample of the nodes for each caller, of the same size for all (Pareto sampling).
+
+    Attributes:
+        odds: of each node to be in an answer.
+        size: how many nodes an answer has.
+    """
+
+    odds: tuple[tuple[str, float], ...]
+    size: int
+
+    @staticmethod
+    def of(candidates: Sequence[Candidate]) -> "Samples":
+        """Return the samples of nodes that are not all alike."""
+        chances = chances_of([candidate.weight for candidate in candidates])
+        names = (candidate.node_id for candidate in candidates)
+        odds = tuple(zip(names, map(_odds, chances), strict=True))
+        return Samples(odds, round(sum(chances)))
+
+    def for_caller(self, caller: str) -> list[str]:
+        """Return the nodes with the least numbers for a caller, by their odds."""
+        key = caller.encode()
+        ranked = sorted((_odds(_number(key, name)) / odds, name) for name, odds in self.odds)
+        return [name for _, name in ranked[: self.size]]
+
+
+def _number(caller: bytes, node_id: str) -> float:
+    """Return the number from 0 to 1 of a caller and a node."""
+    return xxhash.xxh3_64_intdigest(caller + node_id.encode()) / 2**64
+
+
+def _odds(chance: float) -> float:
+    return chance / (1.0 - chance) if chance < 1.0 else math.inf
+
+
+def chances_of(weights: Sequence[float]) -> list[float]:
+    """Return the chance of each node to be in an answer; they add up to a whole number."""
+    size = sample_size(weights)
+    chances = [0.0] * len(weights)
+    left = set(range(len(weights)))
+    room = float(size)
+    while left:
+        total = sum(weights[i] for i in left)
+        # A node that is in every answer can't be named more often.
+        full = {i for i in left if weights[i] * room >= total}
+        if not full:
+            for i in left:
+                chances[i] = weights[i] * room / total
+            break
+        for i in full:
+            chances[i] = 1.0
+        left -= full
+        room -= len(full)
+    return chances
+
+
+def sample_size(weights: Sequence[float]) -> int:
+    """Return as many addresses as there can be without naming the largest node too seldom."""
+    fair = math.floor(sum(weights) / max(weights) + 1e-9)
+    return min(len(weights), constants.RESOLVE_ADDRESSES, max(LEAST_NAMED, fair))
+
+
+def candidates_of(
+    words: Mapping[str, NodeWord], heard_s: Mapping[str, float | None]
+) -> list[Candidate]:
+    """Return nodes, in their order, with what they can bear and how much less they're named."""
+    usual = usual_word(list(words.values()))
+    alike = are_equal([word.capacity_cores for word in words.values()])
+    found = []
+    for node_id, word in words.items():
+        factor = _in_time(word, usual) * _memory(word)
+        if not alike:
+            factor *= _spare(word, usual) * _ramp(heard_s[node_id])
+        found.append(Candidate(node_id, word.capacity_cores, _in_steps(factor)))
+    return found
+
+
+def _spare(word: NodeWord, usual: NodeWord) -> float:
+    share = (1.0 - word.used_share + SPARE_MARGIN) / (1.0 - usual.used_share + SPARE_MARGIN)
+    return min(MOST_FACTOR, share)
+
+
+def _in_time(word: NodeWord, usual: NodeWord) -> float:
+    # Where all are late alike, there is nowhere better to go.
+    in_time_s = usual.late_s + LATE_S
+    return 1.0 if word.late_s <= in_time_s else in_time_s / word.late_s
+
+
+def _memory(word: NodeWord) -> float:
+    if not word.free_bytes:
+        return 1.0
+    return min(1.0, word.free_bytes / ENOUGH_MEMORY_BYTES)
+
+
+def _ramp(heard_s: float | None) -> float:
+    if heard_s is None or heard_s >= RAMP_S:
+        return 1.0
+    return RAMP_FROM + (1.0 - RAMP_FROM) * heard_s / RAMP_S
+
+
+def _in_steps(factor: float) -> float:
+    least = max(LEAST_FACTOR, factor)
+    return float(FACTOR_STEP ** round(math.log(least, FACTOR_STEP)))
--- a/liftrill/gateway/peers/load_codec.py
+++ b/liftrill/gateway/peers/load_codec.py
@@ -13,6 +13,7 @@
 from liftrill.gateway.engines.engine_table import EngineLoad
 from liftrill.gateway.engines.prefix_directory import KeptPart, PartStage
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope
+from liftrill.gateway.peers.node_capacity import NodeWord
 from liftrill.messages import peer_pb2 as messages
 
 SCOPES = {
@@ -28,6 +29,8 @@
 LOADS_PER_PIECE = 16
 KEPT_PER_PIECE = 24
 TENANTS_PER_PIECE = 6
+THOUSANDTHS = 1_000
+KILOBYTE = 1_024
 
 Row = TypeVar("Row")
 
@@ -43,6 +46,8 @@
         _datagram(report, quota.nodes, some_loads or [], some_kept or [], some_spent or [])
         for some_loads, some_kept, some_spent in rows
     ]
+    if report.node_word is not None:
+        datagrams[0].node_load.CopyFrom(_load_from_word(report.node_word))
     if len(datagrams) > 1:
         for piece, datagram in enumerate(datagrams):
             datagram.sequence = sequence
@@ -104,7 +109,26 @@
     )
     kept = tuple(KeptPart(part, engine, _stage(*flags)) for part, engine, *flags in rows)
     quota = _quota(message) if message.spent_by_nodes else None
-    return LoadReport(scope, message.sender, message.zone, loads, kept, quota)
+    word = _word_from_load(message.node_load) if message.HasField("node_load") else None
+    return LoadReport(scope, message.sender, message.zone, loads, kept, quota, word)
+
+
+def _load_from_word(word: NodeWord) -> messages.NodeLoad:
+    return messages.NodeLoad(
+        capacity=round(word.capacity_cores * THOUSANDTHS),
+        used=round(word.used_cores * THOUSANDTHS),
+        lag_milliseconds=round(word.late_s * THOUSANDTHS),
+        free_kilobytes=word.free_bytes // KILOBYTE,
+    )
+
+
+def _word_from_load(message: messages.NodeLoad) -> NodeWord:
+    return NodeWord(
+        message.capacity / THOUSANDTHS,
+        message.used / THOUSANDTHS,
+        message.lag_milliseconds / THOUSANDTHS,
+        message.free_kilobytes * KILOBYTE,
+    )
 
 
 def _quota(message: messages.Datagram) -> QuotaReport:
@@ -166,4 +190,5 @@
         spent.update(piece.quota.spent if piece.quota else {})
     kept = tuple(itertools.chain.from_iterable(piece.kept for piece in pieces))
     quota = QuotaReport(first.quota.nodes, spent) if first.quota else None
-    return LoadReport(first.scope, first.node, first.zone, loads, kept, quota)
+    word = next((piece.node_word for piece in pieces if piece.node_word is not None), None)
+    return LoadReport(first.scope, first.node, first.zone, loads, kept, quota, word)
--- a/liftrill/gateway/peers/load_exchange.py
+++ b/liftrill/gateway/peers/load_exchange.py
@@ -19,6 +19,7 @@
 from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.engines.prefix_directory import KeptNews, KeptPart
 from liftrill.gateway.peers.load_board import LoadBoard, LoadByEngine
+from liftrill.gateway.peers.node_capacity import NodeWord
 
 DELEGATE_KEY = b"load delegate "
 DIRECT_NODES = 12
@@ -38,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Work on engines, as one node or one zone has it, and what they sent to kept stores."""
+    """Work on engines, as one node or one zone has it, and what they sent to kept stores.
+
+    Attributes:
+        node_word: what the node, or the zone in all, can bear and bears.
+    """
 
     scope: LoadScope
     node: str
@@ -46,6 +51,7 @@
     loads: LoadByEngine
     kept: tuple[KeptPart, ...] = ()
     quota: QuotaReport | None = None
+    node_word: NodeWord | None = None
 
 
 @dataclass(frozen=True, slots=True)
