--- a/features/caller_division.feature
+++ b/features/caller_division.feature
@@ -6,7 +6,7 @@
 
   Scenario Outline: Each size of nodes gets the work that it can bear
     Given callers at <load> of what all nodes can bear
-    When 30 s pass
+    When callers call for 30 s
     Then each size of nodes has its part of the work, within 10 in 100
     And callers leave at most 16 in 100 of their kept connections a second
 
@@ -20,19 +20,19 @@
 
   Scenario: The latest node is late by a fraction of what it is where all nodes are named alike
     Given callers at 0.6 of what all nodes can bear
-    When 30 s pass
+    When callers call for 30 s
     Then the latest node is late by 0.4 s at most in the mean, and all nodes by 0.02 s
     And where all nodes are named alike the latest is late by 1.5 s at least, and all by 0.2 s
 
   Scenario: A zone that has more to do than it can bear is helped by the others
     Given callers at 0.7 of what all nodes can bear, half of them in one zone
-    When 30 s pass
+    When callers call for 30 s
     Then that zone's nodes have no more than 45 in 100 of the work
     And nodes are late by a fifth less in the mean than where zones don't help each other
 
   Scenario: A zone that can bear its callers sends none of them away
     Given callers at 0.6 of what all nodes can bear
-    When 30 s pass
+    When callers call for 30 s
     Then nobody is named a node of another zone
 
   Scenario: Where nodes are alike all of them are named, in the order of membership
@@ -69,17 +69,17 @@
 
   Scenario: Half of a zone's nodes end at once
     Given callers at 0.35 of what all nodes can bear
-    When 10 s pass
+    When callers call for 10 s
     And half of the nodes of a zone end
-    And 6 s pass
+    And callers call for 6 s
     Then no request went to an ended node later than 3 s after that
     And no node is late by more than 0.5 s in the last second
 
   Scenario: A large node of a zone ends
     Given callers at 0.5 of what all nodes can bear
-    When 10 s pass
+    When callers call for 10 s
     And a node of 1.8 cores ends
-    And 6 s pass
+    And callers call for 6 s
     Then no request went to an ended node later than 3 s after that
     And no node is late by more than 0.5 s in the last second
 
@@ -91,7 +91,7 @@
 
   Scenario Outline: Reports are lost
     Given callers at 0.6 of what all nodes can bear, and <lost> in 100 reports lost
-    When 30 s pass
+    When callers call for 30 s
     Then each size of nodes has its part of the work, within <within> in 100
 
     Examples:
@@ -101,7 +101,7 @@
 
   Scenario: A node whose link carries a tenth of what it says
     Given callers at 0.5 of what all nodes can bear, and a node of 0.6 cores with a slow link
-    When 20 s pass
+    When callers call for 20 s
     Then that node has at most half of the work that others of its size have
 
   Scenario: What a node can bear is what the tightest of its processor and its link lets through
--- a/features/steps/caller_division_steps.py
+++ b/features/steps/caller_division_steps.py
@@ -63,7 +63,7 @@
     context.slow.link = 0.1 * cores / 0.003 * 9_200
 
 
-@when("{seconds:g} s pass")
+@when("callers call for {seconds:g} s")
 def step_run(context, seconds):
     context.replay.run(seconds)
 
