A node that is later than the others sheds connections, then requests

Cause: a late node went on accepting; its callers paid. Change: peers/busy_node.py; after three late beats in a row, and twice as late as its zone's others, answers close their connections (0.3 s) and requests that were just read get 503, code 2016 (1 s, after which callers give up what is unread anyway). What runs goes on. Ruled out: an unready readiness, which takes a node out whole and could take out all.

--- a/features/caller_division.feature
+++ b/features/caller_division.feature
@@ -121,6 +121,24 @@
     When its beats come 0.3 s late for 10 s while it uses 0.7 cores
     Then it tells that it uses all that it has
 
+  Scenario Outline: A node that is later than the others sheds connections, then requests
+    Given a node whose last <beats> beats were late by <late> s, and others that are late by <others> s
+    Then it <closes> connections and <refuses> requests
+
+    Examples:
+      | beats | late | others | closes | refuses |
+      | 4     | 0.2  | 0      | keeps  | takes   |
+      | 4     | 0.4  | 0      | closes | takes   |
+      | 4     | 1.2  | 0.05   | closes | refuses |
+      | 1     | 1.2  | 0      | keeps  | takes   |
+      | 4     | 1.2  | 0.9    | keeps  | takes   |
+
+  Scenario: A node that sheds takes all again once it is in time
+    Given a node whose last 4 beats were late by 1.2 s, and others that are late by 0 s
+    When 2 s pass in which it is in time
+    Then it keeps connections and takes requests
+    And those that it refused come back within 0.1 to 0.4 s
+
   Scenario: What a node tells of itself arrives with its report of load, however long that is
     Given a report on 40 engines of a node with 0.387 cores of which 0.2 are in use
     Then the report that arrives tells the same of the node
--- a/features/steps/caller_division_steps.py
+++ b/features/steps/caller_division_steps.py
@@ -5,6 +5,7 @@
 from features.caller_replay import BEAT_S, SIZES, Replay
 from liftrill.coordination.membership_messages import Member
 from liftrill.gateway.engines.engine_table import EngineLoad
+from liftrill.gateway.peers.busy_node import BusyNode
 from liftrill.gateway.peers.caller_directory import CallerDirectory
 from liftrill.gateway.peers.caller_division import ByWeight, NameAll
 from liftrill.gateway.peers.load_codec import ReportAssembler, datagrams_from_report
@@ -364,6 +365,46 @@
     assert context.node.word().used_share > 0.9, context.node.word()
 
 
+# A busy node
+
+
+@given(
+    "a node whose last {beats:d} beats were late by {late:g} s,"
+    " and others that are late by {others:g} s"
+)
+def step_busy(context, beats, late, others):
+    step_machine(context, 0.4, 0)
+    context.busy = BusyNode()
+    context.others_late_s = others
+    for _ in range(beats):
+        busy_beat(context, late)
+
+
+def busy_beat(context, late_s):
+    beat(context, 0.3, late_s)
+    node = context.node
+    context.busy.beat(node.lag_s, node.late_beats, context.others_late_s)
+
+
+@when("{seconds:g} s pass in which it is in time")
+def step_in_time_again(context, seconds):
+    for _ in range(int(seconds / BEAT_S)):
+        busy_beat(context, 0.0)
+
+
+@then("it {closes} connections and {refuses} requests")
+def step_sheds(context, closes, refuses):
+    assert context.busy.closes is {"closes": True, "keeps": False}[closes], context.busy
+    assert context.busy.refuses is {"refuses": True, "takes": False}[refuses], context.busy
+
+
+@then("those that it refused come back within {shortest:g} to {longest:g} s")
+def step_come_back(context, shortest, longest):
+    times = [context.busy.come_back_s(draw / 10) for draw in range(11)]
+    assert min(times) >= shortest and max(times) <= longest, times
+    assert len(set(times)) == len(times), times
+
+
 # On the wire
 
 
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -54,6 +54,7 @@
     "engines/engine_selector",
     "engines/engine_table",
     "event_stream",
+    "peers/busy_node",
     "peers/caller_directory",
     "peers/caller_division",
     "peers/load_board",
--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -115,6 +115,12 @@
         "Engines ended under this request: it is sent to none for some time.",
         "Change the request, or try again after Retry-After. An operator can release it.",
     )
+    NODE_BUSY = CodeDetails(
+        2016,
+        503,
+        "The node has more to do than it can bear; others have less.",
+        "Send to another node, or try again after Retry-After.",
+    )
     ENGINE_LOST = CodeDetails(
         3001, 502, "The engine was lost after the request was sent.", "Check before repeating."
     )
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -37,6 +37,7 @@
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
+from liftrill.gateway.peers.busy_node import BusyNode
 from liftrill.gateway.peers.caller_directory import CallerDirectory
 from liftrill.gateway.peers.load_board import LoadBoard
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads, topology_for
@@ -142,6 +143,7 @@
         self._loads = LoadBoard(engines)
         self.capacity = NodeCapacity(settings.machine, HOUSEKEEPING_SECONDS)
         self._capacities = NodeCapacities()
+        self._busy = BusyNode()
         self._directory = CallerDirectory(self._capacities)
         callbacks = PeerCallbacks(
             self._on_member,
@@ -177,6 +179,11 @@
         """Whether this node serves callers."""
         return not self.stopping and self.view.current is not None and len(self._engines) > 0
 
+    @property
+    def sheds_connections(self) -> bool:
+        """Return whether callers are to close the connections on which they are answered."""
+        return self.stopping or self._busy.closes
+
     async def start(self) -> None:
         """Begin to follow the store and to talk to peers."""
         await self._peers.listen(self.settings.peer_address)
@@ -219,6 +226,10 @@
 
     async def admit(self, incoming: IncomingRequest) -> OpaqueRequest | AdmissionRefusal:
         """Return the request to deliver, or why it is refused."""
+        if self._busy.refuses:
+            come_back_s = self._busy.come_back_s(random.random())
+            why = f"lag_s={self.capacity.lag_s:.2f}"
+            return AdmissionRefusal(ResultCode.NODE_BUSY, come_back_s, why)
         found = self.admission.admit(incoming, clock.now_s())
         if isinstance(found, AdmissionRefusal) and found.code is ResultCode.KEY_NOT_PROVEN:
             await self._currency.prove_within(constants.PROOF_WAIT_S)
@@ -544,10 +555,30 @@
         word = self.capacity.word()
         self._capacities.take(self.settings.node, word, now)
         self.metrics.show_capacity(word, self.capacity.lag_s)
+        self._shed(now)
         changes = self._directory.beat(self._usable_members(now), self.settings.zone, now)
         for change in changes[:MOST_CHANGES_TOLD]:
             self.log.belief("node_named", of=len(changes), **change.inputs())
 
+    def _shed(self, now: float) -> None:
+        """Decide what this node sheds, and log where that changed."""
+        own = self.settings
+        others = [
+            m.node_id
+            for m in self._usable_members(now)
+            if m.zone == own.zone and m.node_id != own.node
+        ]
+        lag_s = self.capacity.lag_s
+        others_late_s = self._capacities.total(others, now).late_s
+        if self._busy.beat(lag_s, self.capacity.late_beats, others_late_s):
+            self.log.belief(
+                "node_busy",
+                closes=self._busy.closes,
+                refuses=self._busy.refuses,
+                lag_s=round(lag_s, 3),
+                others_late_s=round(others_late_s, 3),
+            )
+
     def _tell_of_parts(self, now: float) -> None:
         """Count, and log where it changed, whether parts can be moved to and from stores."""
         parts = self._beliefs.selector.parts
--- a/liftrill/gateway/peers/node_capacity.py
+++ b/liftrill/gateway/peers/node_capacity.py
@@ -28,8 +28,8 @@
 USE_SMOOTHING = 0.25
 # Share of the lag that is left a beat after a late one: a single pause is forgotten in a second.
 LAG_FADING = 0.6
-# Longer gaps are standstills of the whole process: see standstill.py.
-LONGEST_LAG_S = 1.0
+# Callers are gone by then, however much later a loop is.
+LONGEST_LAG_S = 2.0
 # Later than this a loop has more work than processor time; timers alone go off a few ms late.
 LATE_S = 0.1
 # The last bodies whose arrival is looked at; their median bears a few slow callers.
@@ -87,12 +87,14 @@
         beat_s: the time between two beats of a loop that is never late.
         lag_s: by how much this node's own loop runs late. What it measures of others meanwhile
             is its own lateness.
+        late_beats: how many beats in a row came late.
         full_cores: processor time a second at which this process is busy all the time.
     """
 
     machine: MachineLimits
     beat_s: float
     lag_s: float = 0.0
+    late_beats: int = 0
     full_cores: float = field(init=False)
     _cost: RequestCost = field(default_factory=RequestCost)
     _used_share: float = 0.0
@@ -148,6 +150,7 @@
             return
         late_s = min(LONGEST_LAG_S, max(0.0, elapsed_s - self.beat_s))
         self.lag_s = max(late_s, self.lag_s * LAG_FADING)
+        self.late_beats = self.late_beats + 1 if late_s > LATE_S else 0
         cores = cpu_s / elapsed_s
         if self._requests:
             self._cost.add(self._requests, self._bytes, cpu_s)
