Delegates, readers and candidates for the lead are chosen among the nodes that can bear it

A machine's capacity (from its settings alone) stands in its record of membership: nodes that know the same members choose alike, and during a disagreement two do the work, as with a member that one has not heard of. Where machines are alike, or tell nothing, the choice is the old one (tested against rendezvous itself).

--- a/features/caller_division.feature
+++ b/features/caller_division.feature
@@ -139,6 +139,21 @@
     Then it keeps connections and takes requests
     And those that it refused come back within 0.1 to 0.4 s
 
+  Scenario: Work that isn't requests goes to nodes that can bear it
+    Given 3 zones with 2 nodes of 1800, 6 of 600 and 24 of 300 millicores each
+    Then delegates, readers of the store and those who contend for the lead have 600 at least
+    And nodes that know the members in another order choose the same ones
+    When all nodes of 1800 and 600 millicores end
+    Then there are as many delegates, readers and candidates as before
+
+  Scenario: Among machines that are alike, or tell nothing, the choice is what it was
+    Given 3 zones with 10 nodes of 500, 10 of 520 and 10 of 0 millicores each
+    Then delegates, readers of the store and those who contend for the lead are the first of all by rank
+
+  Scenario: What a machine can bear goes with its record of membership
+    Given a member of 387 millicores
+    Then its record arrives with that, and that of an older version with 0
+
   Scenario: What a node tells of itself arrives with its report of load, however long that is
     Given a report on 40 engines of a node with 0.387 cores of which 0.2 are in use
     Then the report that arrives tells the same of the node
--- a/features/steps/caller_division_steps.py
+++ b/features/steps/caller_division_steps.py
@@ -1,17 +1,29 @@
 """Steps about which nodes callers are named."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from features.caller_replay import BEAT_S, SIZES, Replay
-from liftrill.coordination.membership_messages import Member
+from liftrill.coordination import rendezvous
+from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.gateway.engines.engine_table import EngineLoad
+from liftrill.gateway.gateway import LEADER_CANDIDATES, LEADER_RANK_KEY
+from liftrill.gateway.peers.able_nodes import ranked
 from liftrill.gateway.peers.busy_node import BusyNode
 from liftrill.gateway.peers.caller_directory import CallerDirectory
 from liftrill.gateway.peers.caller_division import ByWeight, NameAll
 from liftrill.gateway.peers.load_codec import ReportAssembler, datagrams_from_report
-from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope
+from liftrill.gateway.peers.load_exchange import (
+    DELEGATE_KEY,
+    LoadReport,
+    LoadScope,
+    delegates_by_zone,
+)
 from liftrill.gateway.peers.node_capacity import NodeCapacities, NodeCapacity, NodeWord
+from liftrill.gateway.reader_plan import READER_KEY, ReaderPlan
 from liftrill.gateway.settings import MachineLimits
+from liftrill.node.membership_codec import member_from_message, member_message
 
 CALLERS = [f"10.9.0.{number}" for number in range(5, 205)]
 SETTLING_S = 5.0
@@ -405,6 +417,82 @@
     assert len(set(times)) == len(times), times
 
 
+# Work that isn't requests
+
+
+@given(
+    "{zones:d} zones with {one:d} nodes of {size:d}, {two:d} of {middle:d}"
+    " and {three:d} of {small:d} millicores each"
+)
+def step_fleet(context, zones, one, size, two, middle, three, small):
+    sizes = [size] * one + [middle] * two + [small] * three
+    context.fleet = [
+        Member(f"m{z}-{n}", f"10.1.{z}.{n}:1", "region", f"zone-{z}", 1, Condition.ALIVE, cores)
+        for z in range(zones)
+        for n, cores in enumerate(sizes)
+    ]
+    context.before = workers(context.fleet)
+
+
+def workers(fleet):
+    """Return the delegates, the readers and those who contend for the lead."""
+    delegates = list(delegates_by_zone(fleet).values())
+    zones = {member.zone: member for member in fleet}
+    readers = [r for own in zones.values() for r in ReaderPlan(own).readers(fleet).values()]
+    return [delegates, readers, ranked(LEADER_RANK_KEY, fleet)[:LEADER_CANDIDATES]]
+
+
+@then("delegates, readers of the store and those who contend for the lead have {least:d} at least")
+def step_able(context, least):
+    for chosen in context.before:
+        assert chosen and all(m.capacity_millicores >= least for m in chosen), chosen
+
+
+@then("nodes that know the members in another order choose the same ones")
+def step_same_choice(context):
+    again = workers(list(reversed(context.fleet)))
+    assert [set(chosen) for chosen in again] == [set(chosen) for chosen in context.before]
+
+
+@when("all nodes of {one:d} and {two:d} millicores end")
+def step_able_end(context, one, two):
+    context.fleet = [m for m in context.fleet if m.capacity_millicores not in (one, two)]
+
+
+@then("there are as many delegates, readers and candidates as before")
+def step_as_many(context):
+    now = workers(context.fleet)
+    assert [len(chosen) for chosen in now] == [len(chosen) for chosen in context.before]
+
+
+@then(
+    "delegates, readers of the store and those who contend for the lead"
+    " are the first of all by rank"
+)
+def step_plain_rank(context):
+    by_id = {member.node_id: member for member in context.fleet}
+    zones = sorted({member.zone for member in context.fleet})
+    local = {z: [m.node_id for m in context.fleet if m.zone == z] for z in zones}
+    delegates = {rendezvous.first(DELEGATE_KEY + z.encode(), local[z]) for z in zones}
+    readers = {name for z in zones for name in rendezvous.rank(READER_KEY, local[z])[:2]}
+    leaders = set(rendezvous.rank(LEADER_RANK_KEY, by_id)[:LEADER_CANDIDATES])
+    found = [{m.node_id for m in chosen} for chosen in context.before]
+    assert found == [delegates, readers, leaders], found
+
+
+@given("a member of {cores:d} millicores")
+def step_member(context, cores):
+    context.member = Member("m", "10.1.0.1:1", "region", "zone", 7, Condition.SUSPECT, cores)
+
+
+@then("its record arrives with that, and that of an older version with 0")
+def step_record(context):
+    record = member_message(context.member)
+    assert member_from_message(record) == context.member
+    record.ClearField("capacity_millicores")
+    assert member_from_message(record) == replace(context.member, capacity_millicores=0)
+
+
 # On the wire
 
 
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -54,6 +54,7 @@
     "engines/engine_selector",
     "engines/engine_table",
     "event_stream",
+    "peers/able_nodes",
     "peers/busy_node",
     "peers/caller_directory",
     "peers/caller_division",
--- a/liftrill/coordination/membership_messages.py
+++ b/liftrill/coordination/membership_messages.py
@@ -20,6 +20,7 @@
     Attributes:
         address: HOST:PORT for gossip and peer calls.
         incarnation: grows when the node restarts or refutes a suspicion.
+        capacity_millicores: what its machine can bear; 0 where it isn't told.
     """
 
     node_id: str
@@ -28,6 +29,7 @@
     zone: str
     incarnation: int
     condition: Condition = Condition.ALIVE
+    capacity_millicores: int = 0
 
     @property
     def version(self) -> tuple[int, int]:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from liftrill import clock, constants
-from liftrill.coordination import rendezvous
 from liftrill.coordination.crash_evidence import LostRun
 from liftrill.coordination.lease import LeaseParameters
 from liftrill.coordination.membership import Membership
@@ -37,6 +36,7 @@
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
+from liftrill.gateway.peers.able_nodes import ranked
 from liftrill.gateway.peers.busy_node import BusyNode
 from liftrill.gateway.peers.caller_directory import CallerDirectory
 from liftrill.gateway.peers.load_board import LoadBoard
@@ -74,6 +74,7 @@
 LEASE_TIME_TO_LIVE_SECONDS = 2.0
 LEASE_RETRY_INTERVAL_SECONDS = 0.3
 LEASE_MARGIN_SECONDS = 0.2
+MILLICORES = 1_000
 # How many nodes contend for the right to give orders as soon as it is free.
 LEADER_CANDIDATES = 3
 LEADER_RANK_KEY = b"leader"
@@ -126,6 +127,7 @@
         self._fleet = FleetSize()
         self._quotas = self._new_quotas()
         self._standstill = Standstill(NEWS_WAIT_S)
+        self.capacity = NodeCapacity(settings.machine, HOUSEKEEPING_SECONDS)
         self._membership = self._new_membership()
         self._readers = ReaderPlan(self._membership.own)
         limits = ReaderLimits(settings.node, longest_mirror_age_s(bounds.news_seconds))
@@ -141,7 +143,6 @@
         self._relay = RelayServer(self._follower, self.view, metrics.followers.set)
         self._silence = PeerSilence()
         self._loads = LoadBoard(engines)
-        self.capacity = NodeCapacity(settings.machine, HOUSEKEEPING_SECONDS)
         self._capacities = NodeCapacities()
         self._busy = BusyNode()
         self._directory = CallerDirectory(self._capacities)
@@ -277,6 +278,7 @@
             region=settings.region,
             zone=settings.zone,
             incarnation=time.time_ns() // 1_000_000,
+            capacity_millicores=round(self.capacity.capacity_cores * MILLICORES),
         )
         return new_membership(own, list(settings.peer_seeds))
 
@@ -322,9 +324,8 @@
     def _is_candidate(self) -> bool:
         if clock.now_s() - self._started_at < CANDIDATE_AFTER_S:
             return False
-        names = [member.node_id for member in self._membership.members()]
-        ranked = rendezvous.rank(LEADER_RANK_KEY, names)
-        return self.settings.node in ranked[:LEADER_CANDIDATES]
+        candidates = ranked(LEADER_RANK_KEY, self._membership.members())[:LEADER_CANDIDATES]
+        return self.settings.node in {member.node_id for member in candidates}
 
     def _beliefs_hold(self, now: float) -> bool:
         """Return whether what came while this process stood still is known."""
--- /dev/null
+++ b/liftrill/gateway/peers/able_nodes.py
@@ -0,0 +1,33 @@
+"""Which nodes do the work that isn't requests, chosen alike by all, sans-IO.
+
+What a machine can bear stands in its record of membership and doesn't change while its process
+lives. So nodes that know the same members choose the same ones, and where they don't yet, they
+differ as they do about a member that one of them has not heard of.
+"""
+
+from collections.abc import Iterable
+
+from liftrill.coordination import rendezvous
+from liftrill.coordination.membership_messages import Member
+
+# A node does such work if it has this share of the mean at least. Where machines are alike, up to
+# a difference of a fifth, all of them do.
+ABLE_SHARE = 0.8
+
+
+def able(members: Iterable[Member]) -> list[Member]:
+    """Return the members that can bear work beside requests; one that tells nothing counts."""
+    listed = list(members)
+    told = [member.capacity_millicores for member in listed if member.capacity_millicores]
+    if not told:
+        return listed
+    least = ABLE_SHARE * sum(told) / len(told)
+    return [m for m in listed if not m.capacity_millicores or m.capacity_millicores >= least]
+
+
+def ranked(key: bytes, members: Iterable[Member]) -> list[Member]:
+    """Return the members in the order in which a work is theirs, those that can bear it first."""
+    by_id = {member.node_id: member for member in members}
+    strong = {member.node_id for member in able(by_id.values())}
+    names = rendezvous.rank(key, by_id)
+    return [by_id[name] for name in sorted(names, key=lambda name: name not in strong)]
--- a/liftrill/gateway/peers/load_exchange.py
+++ b/liftrill/gateway/peers/load_exchange.py
@@ -18,6 +18,7 @@
 from liftrill.coordination.membership_messages import Member
 from liftrill.coordination.quota import QuotaReport
 from liftrill.gateway.engines.prefix_directory import KeptNews, KeptPart
+from liftrill.gateway.peers.able_nodes import able
 from liftrill.gateway.peers.load_board import LoadBoard, LoadByEngine
 from liftrill.gateway.peers.node_capacity import NodeWord
 
@@ -165,11 +166,12 @@
 
 def delegates_by_zone(members: Iterable[Member]) -> dict[str, Member]:
     """Return the member of each zone that speaks for it."""
-    zones: dict[str, dict[str, Member]] = {}
+    zones: dict[str, list[Member]] = {}
     for member in members:
-        zones.setdefault(member.zone, {})[member.node_id] = member
+        zones.setdefault(member.zone, []).append(member)
     found: dict[str, Member] = {}
-    for zone, by_id in zones.items():
+    for zone, local in zones.items():
+        by_id = {member.node_id: member for member in able(local)}
         first = rendezvous.first(DELEGATE_KEY + zone.encode(), by_id)
         if first is not None:
             found[zone] = by_id[first]
--- a/liftrill/gateway/reader_plan.py
+++ b/liftrill/gateway/reader_plan.py
@@ -11,6 +11,7 @@
 
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Condition, Member
+from liftrill.gateway.peers.able_nodes import ranked
 
 READER_KEY = b"store reader"
 
@@ -95,8 +96,8 @@
         }
         if len(local) < self.least_zone_nodes:
             return {}
-        ranked = rendezvous.rank(READER_KEY, local)
-        return {name: local[name] for name in ranked[: self.readers_per_zone]}
+        readers = ranked(READER_KEY, local.values())[: self.readers_per_zone]
+        return {member.node_id: member for member in readers}
 
     def avoid(self, node_id: str, now: float) -> None:
         """Leave a reader alone for a while, for longer if it failed shortly before."""
--- a/liftrill/node/membership_codec.py
+++ b/liftrill/node/membership_codec.py
@@ -78,6 +78,7 @@
         zone=member.zone,
         incarnation=member.incarnation,
         condition=messages.MemberCondition.Name(int(member.condition)),  # type: ignore[arg-type]
+        capacity_millicores=member.capacity_millicores,
     )
 
 
@@ -90,6 +91,7 @@
         message.zone,
         message.incarnation,
         Condition(message.condition),
+        message.capacity_millicores,
     )
 
 
