--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -121,6 +121,12 @@
         "The node holds as many bytes for its callers as its memory bears.",
         "Send to another node, or try again after Retry-After.",
     )
+    NODE_BUSY = CodeDetails(
+        2016,
+        503,
+        "The node has more to do than it can bear; others have less.",
+        "Send to another node, or try again after Retry-After.",
+    )
     ENGINE_LOST = CodeDetails(
         3001, 502, "The engine was lost after the request was sent.", "Check before repeating."
     )
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+import resource
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from liftrill import clock, constants
-from liftrill.coordination import rendezvous
 from liftrill.coordination.crash_evidence import LostRun
 from liftrill.coordination.lease import LeaseParameters
 from liftrill.coordination.membership import Membership
@@ -37,8 +38,12 @@
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
+from liftrill.gateway.peers.able_nodes import ranked
+from liftrill.gateway.peers.busy_node import BusyNode
+from liftrill.gateway.peers.caller_directory import CallerDirectory
 from liftrill.gateway.peers.load_board import LoadBoard
-from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, topology_for
+from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads, topology_for
+from liftrill.gateway.peers.node_capacity import NodeCapacities, NodeCapacity
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.gateway.peers.peer_silence import IDLE_REPORT_S, PeerSilence
 from liftrill.gateway.peers.speed_exchange import SpeedExchange
@@ -60,18 +65,19 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 HOUSEKEEPING_SECONDS = 0.25
+# Lines of one beat on nodes that are named less: with more of them it is the zone that is busy.
+MOST_CHANGES_TOLD = 3
 # A record lapses three beats after its engine's last one, which came at most one beat before
 # the store went away.
 BEATS_OF_A_LAPSE = 2
 # For how long a node that stood still waits for the store's word before it uses what it believed:
 # by then an outage is likelier than a slow answer (guess).
 NEWS_WAIT_S = 2.0
-# With fewer nodes than this in the caller's zone, nodes of all zones are named.
-LEAST_NODES_OF_A_ZONE = 2
 LEASE_RENEW_INTERVAL_SECONDS = 0.7
 LEASE_TIME_TO_LIVE_SECONDS = 2.0
 LEASE_RETRY_INTERVAL_SECONDS = 0.3
 LEASE_MARGIN_SECONDS = 0.2
+MILLICORES = 1_000
 # How many nodes contend for the right to give orders as soon as it is free.
 LEADER_CANDIDATES = 3
 LEADER_RANK_KEY = b"leader"
@@ -127,6 +133,7 @@
         self._fleet = FleetSize()
         self._quotas = self._new_quotas()
         self._standstill = Standstill(NEWS_WAIT_S)
+        self.capacity = NodeCapacity(settings.machine, HOUSEKEEPING_SECONDS)
         self._membership = self._new_membership()
         self._readers = ReaderPlan(self._membership.own)
         limits = ReaderLimits(settings.node, longest_mirror_age_s(bounds.news_seconds))
@@ -143,6 +150,9 @@
         self._silence = PeerSilence()
         self._loads = LoadBoard(engines)
         self._speeds = SpeedExchange(selector.speeds, settings.zone)
+        self._capacities = NodeCapacities()
+        self._busy = BusyNode()
+        self._directory = CallerDirectory(self._capacities)
         callbacks = PeerCallbacks(
             self._on_member,
             self._currency.hear_version,
@@ -178,6 +188,11 @@
         """Whether this node serves callers."""
         return not self.stopping and self.view.current is not None and len(self._engines) > 0
 
+    @property
+    def sheds_connections(self) -> bool:
+        """Return whether callers are to close the connections on which they are answered."""
+        return self.stopping or self._busy.closes
+
     async def start(self) -> None:
         """Begin to follow the store and to talk to peers."""
         await self._peers.listen(self.settings.peer_address)
@@ -220,6 +235,10 @@
 
     async def admit(self, incoming: IncomingRequest) -> OpaqueRequest | AdmissionRefusal:
         """Return the request to deliver, or why it is refused."""
+        if self._busy.refuses:
+            come_back_s = self._busy.come_back_s(random.random())
+            why = f"lag_s={self.capacity.lag_s:.2f}"
+            return AdmissionRefusal(ResultCode.NODE_BUSY, come_back_s, why)
         found = self.admission.admit(incoming, clock.now_s())
         if isinstance(found, AdmissionRefusal) and found.code is ResultCode.KEY_NOT_PROVEN:
             await self._currency.prove_within(constants.PROOF_WAIT_S)
@@ -229,15 +248,20 @@
         refusal = self._quarantine.check(found) or self._quotas.check(found, clock.now_s())
         return refusal or found
 
-    def addresses_for(self, zone: str) -> list[str]:
-        """Return the front addresses that a caller of a zone should use."""
+    def addresses_for(self, zone: str, caller: str = "") -> list[str]:
+        """Return the front addresses that a caller of a zone, told by its address, should use."""
+        now = clock.now_s()
+        named = self._directory.named(self._usable_members(now), zone, caller, now)
+        self.metrics.named_nodes.set(len(named))
+        return [self._front_of(member) for member in named]
+
+    def _usable_members(self, now: float) -> list[Member]:
+        """Return the members that take callers."""
         members = [m for m in self._membership.members() if m.condition is Condition.ALIVE]
-        members = self._silence.speaking(members, clock.now_s())
+        members = self._silence.speaking(members, now)
         if self.stopping:
             members = [m for m in members if m.node_id != self.settings.node]
-        local = [member for member in members if member.zone == zone]
-        chosen = local if len(local) >= LEAST_NODES_OF_A_ZONE else members
-        return [self._front_of(m) for m in chosen][: constants.RESOLVE_ADDRESSES]
+        return members
 
     def _front_of(self, member: Member) -> str:
         host, _, _ = member.address.rpartition(":")
@@ -262,6 +286,7 @@
             region=settings.region,
             zone=settings.zone,
             incarnation=time.time_ns() // 1_000_000,
+            capacity_millicores=round(self.capacity.capacity_cores * MILLICORES),
         )
         return new_membership(own, list(settings.peer_seeds))
 
@@ -307,9 +332,8 @@
     def _is_candidate(self) -> bool:
         if clock.now_s() - self._started_at < CANDIDATE_AFTER_S:
             return False
-        names = [member.node_id for member in self._membership.members()]
-        ranked = rendezvous.rank(LEADER_RANK_KEY, names)
-        return self.settings.node in ranked[:LEADER_CANDIDATES]
+        candidates = ranked(LEADER_RANK_KEY, self._membership.members())[:LEADER_CANDIDATES]
+        return self.settings.node in {member.node_id for member in candidates}
 
     def _beliefs_hold(self, now: float) -> bool:
         """Return whether what came while this process stood still is known."""
@@ -421,6 +445,7 @@
         self._fleet.note(alive, clock.now_s())
         if member.condition >= Condition.DEAD:
             self._silence.forget(member.node_id)
+            self._capacities.forget(member.node_id)
         self._beliefs.selector.parts.nodes = alive
         self.log.belief(
             "peer",
@@ -445,7 +470,11 @@
         if report.scope is LoadScope.NODE:
             self._silence.note(report.node, now)
             self._loads.take(report.node, report.loads, now, report.zone)
+            if report.node_word is not None:
+                self._capacities.take(report.node, report.node_word, now)
             return
+        if report.node_word is not None:
+            self._capacities.take_zone(report.zone, report.node_word, now)
         self._loads.take_zone(report.zone, report.loads, now)
         members = self._membership.members()
         words = topology_for(members).relayed(self._membership.own, report, members)
@@ -520,13 +549,56 @@
             has_load = any(word.report.loads or word.report.kept for word in words)
             is_due = now - reported_at >= IDLE_REPORT_S
             if has_load or had_load or is_due:
-                self._peers.send_loads([self._quotas.add_to(word, now) for word in words])
+                words = [self._quotas.add_to(word, now) for word in words]
+                self._peers.send_loads([self._add_capacity(word, now) for word in words])
                 reported_at = now
             self._peers.send_loads(self._speeds.words(words, now))
             had_load = has_load
             self._loads.expire(now)
             await ticks.pause(topology.interval_s(own, members))
 
+    def _add_capacity(self, word: SendLoads, now: float) -> SendLoads:
+        """Return a word of load with what this node, or its zone, can bear and bears."""
+        if word.report.scope is LoadScope.NODE:
+            told = self.capacity.word()
+        else:
+            zone = self.settings.zone
+            nodes = [m.node_id for m in self._membership.members() if m.zone == zone]
+            told = self._capacities.total(nodes, now)
+        return replace(word, report=replace(word.report, node_word=told))
+
+    def _measure_capacity(self, now: float) -> None:
+        """Note what this node bears, and log which nodes are named less or in full again."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        free_bytes = self.memory.budget.free_bytes if self.memory is not None else 0
+        self.capacity.beat(now, used.ru_utime + used.ru_stime, free_bytes)
+        word = self.capacity.word()
+        self._capacities.take(self.settings.node, word, now)
+        self.metrics.show_capacity(word, self.capacity.lag_s)
+        self._shed(now)
+        changes = self._directory.beat(self._usable_members(now), self.settings.zone, now)
+        for change in changes[:MOST_CHANGES_TOLD]:
+            self.log.belief("node_named", of=len(changes), **change.inputs())
+
+    def _shed(self, now: float) -> None:
+        """Decide what this node sheds, and log where that changed."""
+        own = self.settings
+        others = [
+            m.node_id
+            for m in self._usable_members(now)
+            if m.zone == own.zone and m.node_id != own.node
+        ]
+        lag_s = self.capacity.lag_s
+        others_late_s = self._capacities.total(others, now).late_s
+        if self._busy.beat(lag_s, self.capacity.late_beats, others_late_s):
+            self.log.belief(
+                "node_busy",
+                closes=self._busy.closes,
+                refuses=self._busy.refuses,
+                lag_s=round(lag_s, 3),
+                others_late_s=round(others_late_s, 3),
+            )
+
     def _tell_of_parts(self, now: float) -> None:
         """Count, and log where it changed, whether parts can be moved to and from stores."""
         parts = self._beliefs.selector.parts
@@ -569,6 +641,7 @@
         while True:
             now = clock.now_s()
             self._beat(now)
+            self._measure_capacity(now)
             self._beliefs.expire(now)
             self._follower.reconsider()
             self.metrics.version.set(self.view.version)
--- a/liftrill/gateway/holding/memory_budget.py
+++ b/liftrill/gateway/holding/memory_budget.py
@@ -6,6 +6,7 @@
 
 # What is kept free of the limit: the library's buffers of a thousand connections, and the copy
 # of one large body that is made as it is sent.
+KILOBYTE = 1_024
 RESERVE_SHARE = 0.125
 # At least this share of the limit may be held, whatever the process seems to use: memory that
 # was let go of is used again, but still counts as resident.
@@ -120,6 +121,11 @@
         left = self.limit_bytes * (1.0 - RESERVE_SHARE) - self._own_bytes
         return int(max(left, self.limit_bytes * LEAST_SHARE))
 
+    @property
+    def free_bytes(self) -> int:
+        """How many bytes more may be held, a kilobyte at the least: 0 tells others nothing."""
+        return max(KILOBYTE, self.capacity_bytes - self.held_bytes)
+
     @property
     def nearly_spent(self) -> bool:
         """Whether little is left."""
