One ordered line a service in place of a signal to all, bounds in targets, headroom, times to come back

Cause: a request that found no engine waited up to 0.2 of its target in no order; each notification woke all that waited, and whoever's task ran first took the place. Waits of up to 1.5 s were sent into whatever the target. Times to come back ignored the queue.

Change: admission/line.py (order: urgency, callers that came back as told, tenants by tokens, earliest latest start; a ninth of the places for the less urgent), engine_lines.py (asyncio), coming_back.py, room.py (waits and memory, from the selector). How long a request waits stays the rule: ENGINE_WAIT_TARGET_SHARE of its target.

Green: gateway_overload, gateway_delivery, gateway_forwarding, gateway_quota, gateway_quarantine, gateway_placement, gateway_weights, gateway_load, crash_requests (146 scenarios).

--- /dev/null
+++ b/liftrill/gateway/admission/coming_back.py
@@ -0,0 +1,72 @@
+"""When refused callers are to come back, and which of those that come were told to, sans-IO."""
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from liftrill.gateway.admission.line import Standing
+from liftrill.gateway.opaque_request import OpaqueRequest
+
+# How many refused requests are remembered: 0.2 MB at the most (200 bytes each). They are known
+# by their fingerprints, since a request that is sent again has another id.
+REFUSED_KEPT = 1_024
+# For how long after its time a caller still counts as coming back: two connections' time.
+COMES_WITHIN_S = 2.0
+# Callers round what they are told, and their clocks run a little fast.
+EARLY_SHARE = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class ComeBack:
+    """What decides when a refused caller is to come back.
+
+    Attributes:
+        room_in_s: when there is room for it, behind what waits before it.
+        spread_s: over which those that are refused together come back.
+        patience_s: for how long it waits as it is told.
+    """
+
+    room_in_s: float
+    spread_s: float
+    patience_s: float
+
+    def draw_s(self) -> float:
+        """Return a time: not before there is room, and within its patience where that can be."""
+        latest_s = max(self.room_in_s, min(self.room_in_s + self.spread_s, self.patience_s))
+        return random.uniform(self.room_in_s, latest_s)
+
+
+@dataclass(slots=True)
+class ReturningCallers:
+    """The requests that were refused for want of room lately, and when they are to come back."""
+
+    _due: OrderedDict[bytes, tuple[float, float]] = field(default_factory=OrderedDict)
+
+    def note_told(self, request: OpaqueRequest, wait_s: float, now: float) -> None:
+        """Note when a refused caller is to come back; who came early keeps its first time."""
+        known = self._due.pop(request.fingerprint, None)
+        due = now + wait_s
+        if known is not None and now < known[0] - EARLY_SHARE * known[1]:
+            due, wait_s = known
+        self._due[request.fingerprint] = (due, wait_s)
+        if len(self._due) > REFUSED_KEPT:
+            self._due.popitem(last=False)
+
+    def standing(self, request: OpaqueRequest, now: float) -> Standing:
+        """Return whether a caller is new, or came back when it was told to, or earlier."""
+        # Nothing is hashed while nobody was refused.
+        if not self._due:
+            return Standing.NEW
+        due, wait_s = self._due.get(request.fingerprint, (0.0, 0.0))
+        if not due or now > due + COMES_WITHIN_S:
+            self._forget_old(now)
+            return Standing.NEW
+        if now < due - EARLY_SHARE * wait_s:
+            return Standing.CAME_EARLY
+        # It goes first once: who asks the same on and on does not.
+        del self._due[request.fingerprint]
+        return Standing.CAME_BACK
+
+    def _forget_old(self, now: float) -> None:
+        while self._due and now > next(iter(self._due.values()))[0] + COMES_WITHIN_S:
+            self._due.popitem(last=False)
--- a/liftrill/gateway/admission/overload.py
+++ b/liftrill/gateway/admission/overload.py
@@ -6,6 +6,7 @@
 nearly idle for a while.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from liftrill import constants
@@ -97,6 +98,25 @@
             self._since = None
 
 
+@dataclass(frozen=True, slots=True)
+class OverloadTurn:
+    """A service that enters or leaves overload, and by what.
+
+    Attributes:
+        least_wait_s: the shortest wait at its engines, by what this node knows.
+        good_wait_s: the longest wait that was still in time for the request that showed it.
+    """
+
+    service: str
+    overloaded: bool
+    least_wait_s: float
+    good_wait_s: float
+
+
+def _tell_nobody(turn: OverloadTurn) -> None:
+    """Leave a turn untold."""
+
+
 @dataclass(slots=True)
 class OverloadGuard:
     """Decides which waits at an engine a request may be sent into.
@@ -106,13 +126,23 @@
         urgent_factor: how much longer the most urgent requests may wait by this count:
             engines take them in before the others that wait.
         longest_wait_s: what nothing waits for, not even in a short burst: callers leave.
+        longest_targets: the same in targets of a request.
+        turned: whom to tell when a service enters or leaves overload.
     """
 
     good_share: float = constants.GOOD_WAIT_TARGET_SHARE
     urgent_factor: float = 1.6
     longest_wait_s: float = constants.LONGEST_ENGINE_WAIT_S
+    longest_targets: float = constants.LONGEST_ENGINE_WAIT_TARGETS
+    turned: Callable[[OverloadTurn], None] = _tell_nobody
     _queues: dict[str, StandingQueue] = field(default_factory=dict)
     _least_urgent: dict[str, int] = field(default_factory=dict)
+    _least_waits_s: dict[str, float] = field(default_factory=dict)
+
+    def room_in_s(self, request: OpaqueRequest) -> float:
+        """Return in how long a request is sent to an engine again, if nothing more comes."""
+        least_wait_s = self._least_waits_s.get(request.service, 0.0)
+        return max(0.0, least_wait_s - self.good_share * request.route.target_seconds)
 
     def stands(self, service: str) -> bool:
         """Return whether the shortest queue of a service has been long for a while."""
@@ -123,9 +153,13 @@
         """Return the longest wait that a request may be sent into, in seconds."""
         good_s = self.good_share * request.route.target_seconds
         queue = self._queues.setdefault(request.service, StandingQueue())
+        stood = queue.stands
         queue.note(least_wait_s, good_s, now)
+        self._least_waits_s[request.service] = least_wait_s
+        if queue.stands != stood:
+            self.turned(OverloadTurn(request.service, queue.stands, least_wait_s, good_s))
         if not queue.stands:
-            return self.longest_wait_s
+            return min(self.longest_wait_s, self.longest_targets * request.route.target_seconds)
         return good_s * self._urgency(request)
 
     def _urgency(self, request: OpaqueRequest) -> float:
--- /dev/null
+++ b/liftrill/gateway/admission/room.py
@@ -0,0 +1,54 @@
+"""Which engines have room for a request: by the wait there, and by memory, sans-IO."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from liftrill import constants
+from liftrill.gateway.admission.overload import OverloadGuard
+from liftrill.gateway.engines.engine_table import EngineView
+from liftrill.gateway.opaque_request import OpaqueRequest
+
+
+@dataclass(slots=True)
+class EngineRoom:
+    """Decides at which engines a request does not wait too long, nor lacks memory."""
+
+    _most_urgent: dict[str, int] = field(default_factory=dict)
+
+    def with_room(
+        self,
+        guard: OverloadGuard,
+        request: OpaqueRequest,
+        ready: list[EngineView],
+        waits_s: Mapping[str, float],
+        cache_tokens: int,
+        now: float,
+    ) -> list[EngineView]:
+        """Return the engines with room, by the wait expected at each and its memory."""
+        most_urgent = self._most_urgent.get(request.service, request.priority)
+        self._most_urgent[request.service] = min(most_urgent, request.priority)
+        longest_s = guard.longest_wait(request, min(waits_s.values()), now)
+        memory = self._memory_share(request) * cache_tokens
+        return [
+            view
+            for view in ready
+            if waits_s[view.engine_id] <= longest_s and _has_memory(request, view, memory)
+        ]
+
+    def _memory_share(self, request: OpaqueRequest) -> float:
+        """Return the share of an engine's memory that a request may fill it to.
+
+        What does not fit preempts the newest of the least urgent in mid-stream, so these leave
+        room for more urgent ones, where there are any.
+        """
+        if request.priority == self._most_urgent[request.service]:
+            return constants.ENGINE_MEMORY_SHARE
+        return constants.LESS_URGENT_MEMORY_SHARE
+
+
+def _has_memory(request: OpaqueRequest, view: EngineView, memory_tokens: float) -> bool:
+    """Return whether an engine has memory for a request, or nothing else to do."""
+    if not memory_tokens or not view.requests or request.prompt is None:
+        return True
+    needed = request.prompt.prompt_tokens + request.prompt.output_tokens
+    return view.resident_tokens + needed <= memory_tokens
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -16,6 +16,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
 from liftrill.gateway.log_output import BoundedOutput
+from liftrill.gateway.opaque_request import OpaqueRequest
 
 MESSAGE_PREFIX = "liftrill:"
 
@@ -104,6 +105,17 @@
         """Write that this process failed in a way it did not foresee."""
         self._write_request("crashed", machine, False, code="INTERNAL_ERROR", why=repr(error))
 
+    def not_queued(self, request: OpaqueRequest, ahead_s: float, left_s: float) -> None:
+        """Write that a request is refused at once: its turn would come too late."""
+        self._write_failure(
+            "not_queued",
+            request=request.request_id,
+            tenant=request.tenant,
+            urgency=request.priority,
+            ahead_ms=round(1000 * ahead_s),
+            could_wait_ms=round(1000 * left_s),
+        )
+
     def request_ended(self, machine: DeliveryMachine, ending: events.DeliveryInstruction) -> None:
         """Write how a request ended."""
         if isinstance(ending, events.FinishStream):
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -1,13 +1,13 @@
 """The run of one delivery: the machine's instructions, carried out on one attempt at a time."""
 
-import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Awaitable
-from contextlib import suppress
 
 from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.admission.engine_lines import EngineLines
+from liftrill.gateway.admission.line import Place
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import FIRST_SERVER_ERROR, AttemptTimes, DeliveryMachine
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineView
@@ -15,37 +15,23 @@
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.transport import AnswerSink, EngineAttempt
 
-WAIT_STEP_SECONDS = 0.06
-
-
-class EngineSignal:
-    """Wakes all requests that wait for an engine."""
-
-    def __init__(self) -> None:
-        self._event = asyncio.Event()
-
-    def notify(self) -> None:
-        """Wake whoever waits now."""
-        self._event.set()
-        self._event = asyncio.Event()
-
-    async def wait(self) -> None:
-        """Wait for the next notification."""
-        await self._event.wait()
-
 
 class DeliveryOwner(ABC):
     """What all deliveries of one node share, and whom they tell what they learn.
 
     Attributes:
-        engine_signal: wakes requests that wait for an engine.
+        lines: the requests that wait for engines.
     """
 
     def __init__(self, log: DecisionLog, metrics: GatewayMetrics) -> None:
-        self.engine_signal = EngineSignal()
+        self.lines = EngineLines()
         self.log = log
         self.metrics = metrics
 
+    @abstractmethod
+    def place_in_line(self, request: OpaqueRequest, until: float, for_room: bool) -> Place | None:
+        """Return what a request waits with, or None where waiting is in vain."""
+
     @abstractmethod
     def begin(
         self, request: OpaqueRequest, start: events.StartAttempt, first: bool
@@ -115,14 +101,18 @@
                 pending.extend(await self._carry_out(instruction))
 
     def close(self) -> None:
-        """Close what is still open."""
+        """Close what is still open, and wait no more."""
+        self._release()
+        self._owner.lines.leave(self._machine.request)
+
+    def _release(self) -> None:
         if self._attempt is not None:
             self._attempt.close()
             self._attempt = None
         if self._view is not None:
             self._view.own_load.add(self._load, -1)
             self._view = None
-            self._owner.engine_signal.notify()
+            self._owner.lines.came_free(self._machine.request.service)
 
     def give_up(self) -> None:
         """Note that the caller has gone."""
@@ -177,9 +167,9 @@
         if isinstance(instruction, events.StartAttempt):
             return await self._start(instruction)
         if isinstance(instruction, events.WaitForEngine):
-            return [await self._wait_for_engine()]
+            return [await self._wait_for_engine(instruction.for_room)]
         if isinstance(instruction, events.AbandonAttempt):
-            self.close()
+            self._release()
         elif isinstance(instruction, events.PassHead):
             await self._sink.pass_head(instruction)
         else:
@@ -187,7 +177,7 @@
         return []
 
     async def _start(self, start: events.StartAttempt) -> list[events.DeliveryEvent]:
-        self.close()
+        self._release()
         machine = self._machine
         self._owner.log.attempt_started(machine, start)
         first = len(machine.attempts) == 1
@@ -197,20 +187,20 @@
         if self._view is not None:
             self._view.own_load.add(self._load)
             self._tokens_ahead = self._view.waiting_tokens
+        self._owner.lines.took(machine.request)
         return await self._noted(await self._until_overdue(self._attempt.open()))
 
-    async def _wait_for_engine(self) -> events.DeliveryEvent:
+    async def _wait_for_engine(self, for_room: bool) -> events.DeliveryEvent:
         request = self._machine.request
         share = constants.ENGINE_WAIT_TARGET_SHARE
         until = request.received_at + share * request.route.target_seconds
-        left = until - clock.now_s()
-        if left <= 0:
+        if clock.now_s() >= until:
+            return events.WaitEnded()
+        self._release()
+        place = self._owner.place_in_line(request, until, for_room)
+        if place is None:
             return events.WaitEnded()
-        self.close()
-        # What an engine refused for passes without a signal, so it is asked again now and then.
-        with suppress(TimeoutError):
-            async with asyncio.timeout(min(left, WAIT_STEP_SECONDS)):
-                await self._owner.engine_signal.wait()
+        await self._owner.lines.wait(request, place)
         return events.Started() if clock.now_s() < until else events.WaitEnded()
 
     async def _end(self, ending: events.DeliveryInstruction) -> None:
@@ -221,6 +211,7 @@
         self._owner.log.request_ended(self._machine, ending)
         self._owner.metrics.record_end(self._machine, ending)
         self._owner.note_not_run(self._machine)
+        self._owner.lines.leave(self._machine.request)
         if _is_served(ending):
             self._owner.note_served(self._machine.request)
         if isinstance(ending, events.PassAnswer):
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -6,6 +6,7 @@
 
 from liftrill import constants
 from liftrill.gateway.admission.overload import OverloadGuard, ReadingRates, SlotTimes
+from liftrill.gateway.admission.room import EngineRoom
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
@@ -39,6 +40,7 @@
         rates: how fast engines read prompts.
         slot_times: for how long requests hold their engines' slots.
         guard: which waits at engines requests are sent into.
+        room: which engines have room for a request.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self._prompt_policy = prompt_policy or PromptCost(services=self.parts.services)
         self._plain_policy = plain_policy or LeastLoaded()
         self.guard = OverloadGuard()
+        self.room = EngineRoom()
 
     def choose(
         self,
@@ -107,12 +110,8 @@
     ) -> list[EngineView]:
         """Return the engines at which a request does not wait too long, nor lacks memory."""
         waits_s = {view.engine_id: self._wait_s(view) for view in ready}
-        longest_s = self.guard.longest_wait(request, min(waits_s.values()), now)
-        return [
-            view
-            for view in ready
-            if waits_s[view.engine_id] <= longest_s and self._has_memory(request, view)
-        ]
+        memory = self.parts.profile(request.service).cache_tokens
+        return self.room.with_room(self.guard, request, ready, waits_s, memory, now)
 
     def _wait_s(self, view: EngineView) -> float:
         reading_s = view.waiting_tokens / self.rates.tokens_per_s(view.record.service)
@@ -122,14 +121,6 @@
         record = view.record
         return self.slot_times.wait_s(record.service, view.requests, record.slots)
 
-    def _has_memory(self, request: OpaqueRequest, view: EngineView) -> bool:
-        """Return whether an engine has memory for a request, or nothing else to do."""
-        capacity = self.parts.profile(request.service).cache_tokens
-        if not capacity or not view.requests or request.prompt is None:
-            return True
-        needed = request.prompt.prompt_tokens + request.prompt.output_tokens
-        return view.resident_tokens + needed <= constants.ENGINE_MEMORY_SHARE * capacity
-
     def _hold_until(self, request: OpaqueRequest) -> float:
         """Return until when a request waits for a part that another one is having read."""
         share = constants.READING_WAIT_TARGET_SHARE
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -1,12 +1,14 @@
 """Delivers requests: what all deliveries of a node share, and what they ask of it."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 from functools import partial
 
 from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.admission.coming_back import ComeBack, ReturningCallers
+from liftrill.gateway.admission.line import Place
+from liftrill.gateway.admission.overload import OverloadTurn
 from liftrill.gateway.admission.quota_gate import QuotaGate
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.begin_limits import BeginLimits
@@ -32,8 +34,9 @@
 RETRY_AFTER_TARGET_SHARE = 0.5
 SHORTEST_RETRY_AFTER_SECONDS = 0.2
 LONGEST_RETRY_AFTER_SECONDS = 2.0
-# The same while engines are overloaded.
-OVERLOAD_RETRY_AFTER_S = (0.5, 1.5)
+# Those who are refused while engines are overloaded come back over so many seconds: as many as
+# are refused in a second then come in one, and not together.
+OVERLOAD_SPREAD_S = 1.0
 
 
 def _always(now: float) -> bool:
@@ -41,11 +44,24 @@
     return True
 
 
+def _never(request: OpaqueRequest) -> bool:
+    """Take no place that may be free for someone else's."""
+    return False
+
+
+def _no_wait_s(request: OpaqueRequest) -> float:
+    """Take nobody to wait before a request."""
+    return 0.0
+
+
 class ForwardingPorts(DeliveryPorts):
     """The machine's view of engines and budgets.
 
     Attributes:
         beliefs_hold: whether engines may be chosen by what is believed at a time.
+        must_wait: whether a place that may be free is for another request that waits.
+        line_wait_s: how long it takes until those that wait before a request have places.
+        returning: the callers that were refused for want of room.
     """
 
     def __init__(
@@ -56,6 +72,9 @@
         quarantine: Quarantine | None = None,
     ) -> None:
         self.beliefs_hold: Callable[[float], bool] = _always
+        self.must_wait: Callable[[OpaqueRequest], bool] = _never
+        self.line_wait_s: Callable[[OpaqueRequest], float] = _no_wait_s
+        self.returning = ReturningCallers()
         self._selector = selector
         self._allowance = allowance
         self._quotas = quotas
@@ -71,14 +90,22 @@
             return Unavailable.TOO_LATE
         if not self.beliefs_hold(now):
             return Unavailable.NONE_READY
-        quarantine = self._quarantine
-        if quarantine is None:
-            return self._selector.choose(request, excluded, now)
-        if not quarantine.is_judged(request, now):
+        barred = self._barred(request, now)
+        if barred is not None:
+            return barred
+        # One that an engine turned away has waited already.
+        if not excluded and self.must_wait(request):
+            return Unavailable.FULL
+        is_suspect = self._quarantine is not None and self._quarantine.is_suspect(request)
+        return self._selector.choose(request, excluded, now, is_suspect)
+
+    def _barred(self, request: OpaqueRequest, now: float) -> Unavailable | None:
+        """Return why a request under which engines may end is sent nowhere now, or None."""
+        if self._quarantine is None:
+            return None
+        if not self._quarantine.is_judged(request, now):
             return Unavailable.NONE_READY
-        if quarantine.left_s(request):
-            return Unavailable.QUARANTINED
-        return self._selector.choose(request, excluded, now, quarantine.is_suspect(request))
+        return Unavailable.QUARANTINED if self._quarantine.left_s(request) else None
 
     def continue_at_backup(
         self, request: OpaqueRequest, broken: events.EngineChoice
@@ -99,6 +126,16 @@
         """Call a listener whenever `begin_by` may have changed."""
         self._selector.when_weights_named(listener)
 
+    def when_overload_turns(self, listener: Callable[[OverloadTurn], None]) -> None:
+        """Call a listener whenever a service enters or leaves overload."""
+        self._selector.guard.turned = listener
+
+    def outlook(self, request: OpaqueRequest) -> tuple[float, bool]:
+        """Return how long reading a prompt takes, and whether its service is overloaded."""
+        tokens = request.prompt.prompt_tokens if request.prompt else 0
+        reading_s = tokens / self._selector.rates.tokens_per_s(request.service)
+        return reading_s, self._selector.guard.stands(request.service)
+
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
         """Spend one repeat of the service's budget."""
         return self._allowance.try_spend(request.service, clock.now_s())
@@ -130,11 +167,20 @@
         """Return when a refused caller should come back."""
         if self._quarantine is not None and (left_s := self._quarantine.left_s(request)):
             return left_s
+        now = clock.now_s()
+        wait_s = self._come_back(request, now).draw_s()
+        self.returning.note_told(request, wait_s, now)
+        return wait_s
+
+    def _come_back(self, request: OpaqueRequest, now: float) -> ComeBack:
+        patience_s = constants.PATIENCE_SHARE * max(0.0, request.deadline - now)
         if self._selector.guard.stands(request.service):
-            # Those who are told to come back must not come back together.
-            return random.uniform(*OVERLOAD_RETRY_AFTER_S)
-        share = RETRY_AFTER_TARGET_SHARE * request.route.target_seconds
-        return min(max(share, SHORTEST_RETRY_AFTER_SECONDS), LONGEST_RETRY_AFTER_SECONDS)
+            room_in_s = self._selector.guard.room_in_s(request) + self.line_wait_s(request)
+            room_in_s = max(room_in_s, SHORTEST_RETRY_AFTER_SECONDS)
+            return ComeBack(room_in_s, OVERLOAD_SPREAD_S, patience_s)
+        share_s = RETRY_AFTER_TARGET_SHARE * request.route.target_seconds
+        usual_s = min(max(share_s, SHORTEST_RETRY_AFTER_SECONDS), LONGEST_RETRY_AFTER_SECONDS)
+        return ComeBack(usual_s, 0.0, patience_s)
 
 
 def _tell_nobody(view: EngineView, tokens: int) -> None:
@@ -159,6 +205,9 @@
         quarantine: Quarantine,
     ) -> None:
         super().__init__(log, metrics)
+        ports.must_wait = self.lines.must_wait
+        ports.line_wait_s = self._line_wait_s
+        ports.when_overload_turns(self._tell_overload)
         self._quarantine = quarantine
         self._end_check = EngineEndCheck(transport, quarantine.engine_ended)
         self.reading_begun: Callable[[EngineView, int], None] = _tell_nobody
@@ -197,6 +246,44 @@
         self.log.request_abandoned(machine)
         self.metrics.count_outcome("caller_gone")
 
+    def place_in_line(self, request: OpaqueRequest, until: float, for_room: bool) -> Place | None:
+        """Return what a request waits with, or None where waiting is in vain."""
+        now = clock.now_s()
+        reading_s, is_overloaded = self._ports.outlook(request)
+        latest_start = request.received_at + request.route.target_seconds - reading_s
+        if not self.lines.is_waiting(request) and for_room:
+            ahead_s = self._line_wait_s(request)
+            if now + ahead_s > until or (is_overloaded and now + ahead_s > latest_start):
+                self.log.not_queued(request, ahead_s, latest_start - now)
+                return None
+        prompt = request.prompt
+        tokens = prompt.prompt_tokens + prompt.output_tokens if prompt else 1
+        standing = self._ports.returning.standing(request, now)
+        return Place(
+            request.priority,
+            request.tenant,
+            tokens,
+            latest_start,
+            until,
+            now,
+            standing,
+            for_room,
+        )
+
+    def _line_wait_s(self, request: OpaqueRequest) -> float:
+        return self.lines.line(request.service).wait_s(request.priority, clock.now_s())
+
+    def _tell_overload(self, turn: OverloadTurn) -> None:
+        depth, age_s = self.lines.depth_and_age_s(clock.now_s())
+        self.log.belief(
+            "overload" if turn.overloaded else "overload_over",
+            service=turn.service,
+            least_wait_ms=round(1000 * turn.least_wait_s),
+            good_wait_ms=round(1000 * turn.good_wait_s),
+            waiting=depth,
+            waiting_for_ms=round(1000 * age_s),
+        )
+
     def begin(
         self, request: OpaqueRequest, start: events.StartAttempt, first: bool
     ) -> tuple[EngineView | None, EngineAttempt]:
@@ -259,7 +346,7 @@
     def note_prompt_read(self, machine: DeliveryMachine, tokens: int, elapsed_s: float) -> None:
         """Note that the newest attempt's engine has read the prompt, and how fast."""
         self._ports.record_read(machine.attempts[-1], machine.request, tokens, elapsed_s)
-        self.engine_signal.notify()
+        self.lines.came_free(machine.request.service)
 
     def note_slot_held(self, machine: DeliveryMachine, held_s: float) -> None:
         """Note for how long a request held a slot of its engine."""
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -336,7 +336,7 @@
         self._beliefs.apply(change, known_until)
         self._take_quarantine(change)
         self._announce_if_newer(before)
-        self.forwarder.engine_signal.notify()
+        self.forwarder.lines.changed()
 
     def configuration_read(self, item: StoredItem) -> None:
         """Take in a configuration that the mirror does not have yet."""
@@ -426,7 +426,7 @@
         until = clock.now_s() + constants.LOADING_BELIEF_SECONDS
         self._engines.apply_notice(notice, until)
         if not notice.loading:
-            self.forwarder.engine_signal.notify()
+            self.forwarder.lines.changed()
 
     def _on_loads(self, report: LoadReport) -> None:
         now = clock.now_s()
@@ -434,7 +434,7 @@
         self._beliefs.selector.parts.directory.hear(report.kept, now, of_zone)
         self._quotas.hear(report, now)
         if report.kept:
-            self.forwarder.engine_signal.notify()
+            self.forwarder.lines.changed()
         if report.scope is LoadScope.NODE:
             self._silence.note(report.node, now)
             self._loads.take(report.node, report.loads, now, report.zone)
