--- /dev/null
+++ b/features/room_replay.py
@@ -0,0 +1,329 @@
+"""Callers, nodes and engines in virtual time: the real forwarder before engines of a queue each."""
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+from functools import partial
+
+from features.gateway_support import engine_record, new_quarantine, opaque_request, route_rule
+from liftrill import clock
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway.admission.retry_allowance import RetryAllowance
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable
+from liftrill.gateway.event_stream import StreamEvent
+from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
+from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.opaque_request import PromptPart, PromptShape
+from liftrill.gateway.records import ServiceProfile
+from liftrill.gateway.transport import AnswerSink, EngineAttempt, EngineTransport
+from liftrill.gateway.weight_targets import WeightTargets
+
+SERVICE = "service-1"
+READ_PER_S = 100_000.0
+SLOTS = 24
+QUEUED = 32
+MEMORY_TOKENS = 90_000
+STREAM_S = 0.4
+REPORT_S = 0.1
+LONG_TOKENS, SHORT_TOKENS = 9_200, 800
+# One in four prompts is short, and urgent.
+URGENT_EVERY = 4
+MEAN_TOKENS = (LONG_TOKENS * (URGENT_EVERY - 1) + SHORT_TOKENS) / URGENT_EVERY
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop whose time passes at once where nothing is to be done."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        select = self._selector.select
+        self._selector.select = lambda timeout: self._pass(timeout, select)
+
+    def time(self):
+        return self.now
+
+    def _pass(self, timeout, select):
+        if timeout is None:
+            raise RuntimeError("nothing will ever happen")
+        self.now += timeout
+        return select(0)
+
+
+def run_virtual(main):
+    """Run a coroutine in virtual time, the product's clock included."""
+    loop, steady = VirtualLoop(), clock.now_s
+    clock.now_s = loop.time
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        clock.now_s = steady
+        loop.close()
+
+
+class Engine:
+    """Reads prompts one after the other, urgent ones first; streams hold slots and memory."""
+
+    def __init__(self):
+        self.queue, self.running, self.preempted = [], [], 0
+        self.arrived = asyncio.Event()
+        self.task = asyncio.ensure_future(self.work())
+
+    def memory(self):
+        return sum(attempt.tokens for attempt in self.running)
+
+    async def work(self):
+        while True:
+            await self.arrived.wait()
+            self.arrived.clear()
+            while (attempt := self.next()) is not None:
+                self.queue.remove(attempt)
+                self.running.append(attempt)
+                await asyncio.sleep(attempt.tokens / READ_PER_S)
+                if attempt in self.running:
+                    attempt.begin()
+
+    def next(self):
+        if not self.queue or len(self.running) >= SLOTS:
+            return None
+        first = min(self.queue, key=lambda a: (a.priority, a.number))
+        while self.memory() + first.tokens > MEMORY_TOKENS:
+            victim = max(self.running, key=lambda a: (a.priority, a.number), default=None)
+            if victim is None or victim.priority <= first.priority:
+                return None
+            self.preempted += 1
+            self.running.remove(victim)
+            self.queue.append(victim)
+        return first
+
+    def release(self, attempt):
+        for held in (self.queue, self.running):
+            if attempt in held:
+                held.remove(attempt)
+        self.arrived.set()
+
+
+class Attempt(EngineAttempt):
+    numbers = itertools.count()
+
+    def __init__(self, engine, request):
+        self.engine, self.number = engine, next(self.numbers)
+        self.tokens = request.prompt.prompt_tokens + request.prompt.output_tokens
+        self.priority = request.priority
+        self.found = asyncio.Queue()
+        self.begun = False
+
+    async def open(self):
+        if len(self.engine.queue) >= QUEUED:
+            return [events.AttemptRefused(events.RefusalKind.OVERLOADED)]
+        self.engine.queue.append(self)
+        self.engine.arrived.set()
+        return [events.StreamOpened(200, ())]
+
+    async def read(self):
+        return [await self.found.get()]
+
+    def begin(self):
+        if not self.begun:
+            self.found.put_nowait(events.EventArrived(StreamEvent(1, b"id: 1\ndata: a\n\n")))
+        self.begun = True
+        asyncio.get_running_loop().call_later(STREAM_S, self.end)
+
+    def end(self):
+        if self in self.engine.running:
+            self.engine.release(self)
+            self.found.put_nowait(events.StreamCompleted())
+
+    def close(self):
+        self.engine.release(self)
+
+
+class Transport(EngineTransport):
+    def __init__(self, engines):
+        self.engines = engines
+
+    def attempt(self, request, start):
+        return Attempt(self.engines[start.choice.engine_id], request)
+
+    async def has_ended(self, address):
+        return False
+
+
+class CallerSink(AnswerSink):
+    """Notes when the first event came, and what became of the request."""
+
+    first_at = refusal = None
+    complete = False
+
+    async def pass_answer(self, answer):
+        pass
+
+    async def pass_head(self, head):
+        pass
+
+    async def pass_bytes(self, data):
+        self.first_at = clock.now_s()
+
+    async def finish(self):
+        self.complete = True
+
+    def break_off(self):
+        pass
+
+    async def refuse(self, refusal):
+        self.refusal = refusal
+
+    async def fail(self, failure):
+        pass
+
+
+class Node:
+    def __init__(self, engines):
+        self.table = EngineTable()
+        for name in engines:
+            self.table.update(engine_record(name, weights={"model": 1}, slots=SLOTS))
+        self.selector = EngineSelector(self.table, WeightTargets(8.0, 8.0), "zone-1")
+        profile = ServiceProfile(SERVICE, 0, cache_tokens=MEMORY_TOKENS)
+        self.selector.parts.services[SERVICE] = profile
+        allowance = RetryAllowance(0.2, 100, 10.0, 0.0)
+        ports = ForwardingPorts(self.selector, allowance)
+        quarantine = new_quarantine(self.table)
+        log, metrics = DecisionLog("node"), GatewayMetrics()
+        transport = Transport(engines)
+        args = (self.table, ports, allowance, transport, log, metrics, quarantine)
+        self.forwarder = Forwarder(*args)
+
+
+@dataclass
+class Call:
+    """What one caller wants, and what became of it."""
+
+    at: float
+    tokens: int
+    priority: int
+    tenant: str
+    first_at: float | None = None
+    tries: int = 0
+
+    def in_time(self, target_s):
+        return self.first_at is not None and self.first_at - self.at <= target_s
+
+
+class Replay:
+    """Some callers, at nodes that tell each other of their loads.
+
+    Attributes:
+        repeats: whether callers of the abusive tenant ask again at once, up to 20 times.
+    """
+
+    def __init__(self, nodes=3, engines=4, target_s=0.4, seed=7):
+        self.counts, self.target_s = (nodes, engines), target_s
+        self.random = random.Random(seed)
+        self.calls = []
+
+    def capacity_per_s(self):
+        return self.counts[1] * READ_PER_S / MEAN_TOKENS
+
+    def ask(self, since, until, times, tenant=None):
+        """Let callers ask for some times what engines can read; of 8 tenants, or of one."""
+        at = since
+        while (at := at + self.random.expovariate(times * self.capacity_per_s())) < until:
+            urgent = self.random.randrange(URGENT_EVERY) == 0
+            tokens, priority = (SHORT_TOKENS, 0) if urgent else (LONG_TOKENS, 1)
+            name = tenant or f"tenant-{self.random.randrange(8)}"
+            self.calls.append(Call(at, tokens, priority, name))
+
+    def run(self):
+        random.seed(3)
+        run_virtual(self._run())
+
+    async def _run(self):
+        self.engines = {f"e{number}": Engine() for number in range(self.counts[1])}
+        self.nodes = [Node(self.engines) for _ in range(self.counts[0])]
+        for node in self.nodes:
+            node.forwarder.reading_begun = partial(self._tell_reading, node)
+        reports = asyncio.ensure_future(self._report())
+        await asyncio.gather(*(self._call(n, call) for n, call in enumerate(self.calls)))
+        for task in (reports, *(engine.task for engine in self.engines.values())):
+            task.cancel()
+
+    def _tell_reading(self, teller, view, tokens):
+        for node in self.nodes:
+            if node is not teller:
+                node.table.get(view.engine_id).peer_load.waiting_tokens += tokens
+
+    async def _report(self):
+        while True:
+            await asyncio.sleep(REPORT_S)
+            for name in self.engines:
+                views = [node.table.get(name) for node in self.nodes]
+                total = EngineLoad()
+                for view in views:
+                    total.add(view.own_load)
+                for view in views:
+                    view.peer_load = replace(total)
+                    view.peer_load.add(view.own_load, -1)
+
+    async def _call(self, number, call):
+        await asyncio.sleep(call.at)
+        abusive = call.tenant == "abusive"
+        leaves_at = call.at + 10 * self.target_s
+        for _ in range(20 if abusive else 2):
+            sink = CallerSink()
+            call.tries += 1
+            node = self.nodes[self.random.randrange(len(self.nodes))]
+            request = self._request(number, call, leaves_at)
+            try:
+                async with asyncio.timeout(4 * self.target_s):
+                    await node.forwarder.deliver(request, sink)
+            except TimeoutError:
+                return
+            if sink.refusal is None:
+                call.first_at = sink.first_at if sink.complete else None
+                return
+            left_s = leaves_at - clock.now_s()
+            wait_s = min(sink.refusal.retry_after_seconds, left_s / 3)
+            await asyncio.sleep(0.02 if abusive else wait_s)
+
+    def _request(self, number, call, leaves_at):
+        route = replace(route_rule(), target_seconds=self.target_s)
+        now, body = clock.now_s(), b"%d" % number
+        request = opaque_request(route, deadline=leaves_at, received_at=now, tenant=call.tenant)
+        prompt = PromptShape("model", (PromptPart(f"own-{number}", call.tokens),), call.tokens, 20)
+        return replace(request, body=body, prompt=prompt, priority=call.priority)
+
+    # What came of it
+
+    def in_time(self, since=0.0, until=1e9, **like):
+        """Return the share of some calls that was answered in time."""
+        calls = [
+            call
+            for call in self.calls
+            if since <= call.at < until and all(getattr(call, k) == v for k, v in like.items())
+        ]
+        return sum(call.in_time(self.target_s) for call in calls) / len(calls)
+
+    def goodput(self, since, until):
+        """Return what was answered in time, as a share of what engines could read."""
+        good = sum(
+            c.tokens for c in self.calls if since <= c.at < until and c.in_time(self.target_s)
+        )
+        return good / ((until - since) * self.counts[1] * READ_PER_S)
+
+    def served(self, **like):
+        """Return the share of some calls that was answered at all."""
+        calls = [c for c in self.calls if all(getattr(c, k) == v for k, v in like.items())]
+        return sum(call.first_at is not None for call in calls) / len(calls)
+
+    def summary(self):
+        outcome = Counter(
+            "never" if c.first_at is None else "in time" if c.in_time(self.target_s) else "late"
+            for c in self.calls
+        )
+        outcome["preempted"] = sum(engine.preempted for engine in self.engines.values())
+        outcome["tries"] = sum(call.tries for call in self.calls)
+        return dict(outcome)
--- a/liftrill/gateway/admission/coming_back.py
+++ b/liftrill/gateway/admission/coming_back.py
@@ -5,8 +5,12 @@
 from dataclasses import dataclass, field
 
 from liftrill.gateway.admission.line import Standing
+from liftrill.gateway.fading_rate import FadingRate
 from liftrill.gateway.opaque_request import OpaqueRequest
 
+# Over what time it is averaged how many requests are sent: long enough for a few at a small
+# node, and short beside the seconds that callers wait.
+SENT_AVERAGE_S = 2.0
 # How many refused requests are remembered: 0.2 MB at the most (200 bytes each). They are known
 # by their fingerprints, since a request that is sent again has another id.
 REFUSED_KEPT = 1_024
@@ -16,24 +20,34 @@
 EARLY_SHARE = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class ComeBack:
-    """What decides when a refused caller is to come back.
+@dataclass(slots=True)
+class ReturnTimes:
+    """When the refused callers of one service are to come back: one after the other.
 
-    Attributes:
-        room_in_s: when there is room for it, behind what waits before it.
-        spread_s: over which those that are refused together come back.
-        patience_s: for how long it waits as it is told.
+    Each has a place behind those that were refused before it, as long as this node took lately
+    to send a request to an engine.
     """
 
-    room_in_s: float
-    spread_s: float
-    patience_s: float
+    _sent: FadingRate = field(default_factory=lambda: FadingRate(SENT_AVERAGE_S))
+    _last_at: float = 0.0
+
+    def note_sent(self, now: float) -> None:
+        """Note that a request was sent to an engine."""
+        self._sent.record(1.0, now)
+
+    def draw_s(self, room_in_s: float, patience_s: float, now: float) -> float:
+        """Return a time: not before there is room, and within patience where that can be.
 
-    def draw_s(self) -> float:
-        """Return a time: not before there is room, and within its patience where that can be."""
-        latest_s = max(self.room_in_s, min(self.room_in_s + self.spread_s, self.patience_s))
-        return random.uniform(self.room_in_s, latest_s)
+        Who would have a place later than it waits has none, and comes late in its patience.
+        """
+        latest_s = max(room_in_s, patience_s)
+        sent_per_s = self._sent.per_s(now) or 0.0
+        place_at = max(self._last_at, now + room_in_s)
+        place_s = 1.0 / sent_per_s if sent_per_s else latest_s
+        if place_at + place_s > now + latest_s:
+            return random.uniform(max(room_in_s, latest_s / 2), latest_s)
+        self._last_at = place_at + place_s
+        return place_at - now + random.uniform(0.0, place_s)
 
 
 @dataclass(slots=True)
--- a/liftrill/gateway/admission/overload.py
+++ b/liftrill/gateway/admission/overload.py
@@ -144,6 +144,12 @@
         least_wait_s = self._least_waits_s.get(request.service, 0.0)
         return max(0.0, least_wait_s - self.good_share * request.route.target_seconds)
 
+    def is_more_urgent(self, request: OpaqueRequest) -> bool:
+        """Return whether a request is more urgent than others that the service has had."""
+        least = max(self._least_urgent.get(request.service, 0), request.priority)
+        self._least_urgent[request.service] = least
+        return request.priority < least
+
     def stands(self, service: str) -> bool:
         """Return whether the shortest queue of a service has been long for a while."""
         queue = self._queues.get(service)
@@ -160,9 +166,8 @@
             self.turned(OverloadTurn(request.service, queue.stands, least_wait_s, good_s))
         if not queue.stands:
             return min(self.longest_wait_s, self.longest_targets * request.route.target_seconds)
-        return good_s * self._urgency(request)
+        # What it has waited already is gone from its target.
+        return max(0.0, good_s * self._urgency(request) - (now - request.received_at))
 
     def _urgency(self, request: OpaqueRequest) -> float:
-        least = max(self._least_urgent.get(request.service, 0), request.priority)
-        self._least_urgent[request.service] = least
-        return self.urgent_factor if request.priority < least else 1.0
+        return self.urgent_factor if self.is_more_urgent(request) else 1.0
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -6,7 +6,7 @@
 
 from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
-from liftrill.gateway.admission.coming_back import ComeBack, ReturningCallers
+from liftrill.gateway.admission.coming_back import ReturningCallers, ReturnTimes
 from liftrill.gateway.admission.line import Place
 from liftrill.gateway.admission.overload import OverloadTurn
 from liftrill.gateway.admission.quota_gate import QuotaGate
@@ -34,9 +34,6 @@
 RETRY_AFTER_TARGET_SHARE = 0.5
 SHORTEST_RETRY_AFTER_SECONDS = 0.2
 LONGEST_RETRY_AFTER_SECONDS = 2.0
-# Those who are refused while engines are overloaded come back over so many seconds: as many as
-# are refused in a second then come in one, and not together.
-OVERLOAD_SPREAD_S = 1.0
 
 
 def _always(now: float) -> bool:
@@ -75,6 +72,9 @@
         self.must_wait: Callable[[OpaqueRequest], bool] = _never
         self.line_wait_s: Callable[[OpaqueRequest], float] = _no_wait_s
         self.returning = ReturningCallers()
+        self._returns: dict[str, ReturnTimes] = {}
+        # The services whose engines had no room for the last request.
+        self._full: set[str] = set()
         self._selector = selector
         self._allowance = allowance
         self._quotas = quotas
@@ -97,7 +97,12 @@
         if not excluded and self.must_wait(request):
             return Unavailable.FULL
         is_suspect = self._quarantine is not None and self._quarantine.is_suspect(request)
-        return self._selector.choose(request, excluded, now, is_suspect)
+        choice = self._selector.choose(request, excluded, now, is_suspect)
+        if choice is Unavailable.FULL:
+            self._full.add(request.service)
+        else:
+            self._full.discard(request.service)
+        return choice
 
     def _barred(self, request: OpaqueRequest, now: float) -> Unavailable | None:
         """Return why a request under which engines may end is sent nowhere now, or None."""
@@ -144,6 +149,7 @@
         """Note that an engine is about to get a request, for the first time or again."""
         now = clock.now_s()
         self._selector.parts.record_sent(choice, request, now)
+        self._return_times(request.service).note_sent(now)
         if self._quotas is not None and not first:
             self._quotas.record_repeat(request, now)
 
@@ -157,7 +163,9 @@
     ) -> None:
         """Note that an engine has read a prompt, and some tokens with what waited before."""
         self._selector.parts.record_read(choice, request, clock.now_s())
-        self._selector.rates.record(request.service, tokens, elapsed_s)
+        # More urgent ones are read before what waits there, so they show nothing of its wait.
+        if not self._selector.guard.is_more_urgent(request):
+            self._selector.rates.record(request.service, tokens, elapsed_s)
 
     def record_slot_held(self, request: OpaqueRequest, held_s: float) -> None:
         """Note for how long a request held a slot of its engine."""
@@ -167,20 +175,19 @@
         """Return when a refused caller should come back."""
         if self._quarantine is not None and (left_s := self._quarantine.left_s(request)):
             return left_s
+        share_s = RETRY_AFTER_TARGET_SHARE * request.route.target_seconds
+        wait_s = min(max(share_s, SHORTEST_RETRY_AFTER_SECONDS), LONGEST_RETRY_AFTER_SECONDS)
+        if request.service not in self._full:
+            return wait_s
         now = clock.now_s()
-        wait_s = self._come_back(request, now).draw_s()
+        patience_s = constants.PATIENCE_SHARE * max(0.0, request.deadline - now)
+        room_in_s = self._selector.guard.room_in_s(request) + self.line_wait_s(request)
+        wait_s = self._return_times(request.service).draw_s(max(wait_s, room_in_s), patience_s, now)
         self.returning.note_told(request, wait_s, now)
         return wait_s
 
-    def _come_back(self, request: OpaqueRequest, now: float) -> ComeBack:
-        patience_s = constants.PATIENCE_SHARE * max(0.0, request.deadline - now)
-        if self._selector.guard.stands(request.service):
-            room_in_s = self._selector.guard.room_in_s(request) + self.line_wait_s(request)
-            room_in_s = max(room_in_s, SHORTEST_RETRY_AFTER_SECONDS)
-            return ComeBack(room_in_s, OVERLOAD_SPREAD_S, patience_s)
-        share_s = RETRY_AFTER_TARGET_SHARE * request.route.target_seconds
-        usual_s = min(max(share_s, SHORTEST_RETRY_AFTER_SECONDS), LONGEST_RETRY_AFTER_SECONDS)
-        return ComeBack(usual_s, 0.0, patience_s)
+    def _return_times(self, service: str) -> ReturnTimes:
+        return self._returns.setdefault(service, ReturnTimes())
 
 
 def _tell_nobody(view: EngineView, tokens: int) -> None:
