--- a/features/room.feature
+++ b/features/room.feature
@@ -31,6 +31,11 @@
     When the request that was asked finds nothing
     Then one that arrives may try
 
+  Scenario: What several requests wait to be read goes to all of them at once
+    Given a line in which 3 requests wait for a part to be read, and 2 for room
+    When the part was read, and all of the 3 find it
+    Then the 3 were asked one after the other, without any other sign
+
   # In the gateway
 
   Scenario Outline: A place that comes free wakes one, whatever becomes of who is woken
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -185,6 +185,27 @@
     assert context.line.found_nothing(context.waiter) is None
 
 
+@given("a line in which {parts:d} requests wait for a part to be read, and {room:d} for room")
+def step_part_line(context, parts, room):
+    context.line = WaitingLine()
+    for _ in range(parts):
+        context.line.join(replace(place(), needs_room=False))
+    for _ in range(room):
+        context.line.join(place(2))
+
+
+@when("the part was read, and all of the {count:d} find it")
+def step_part_read(context, count):
+    context.asked = [context.line.was_read(0.0)]
+    while context.asked[-1] is not None and not context.asked[-1].place.needs_room:
+        context.asked.append(context.line.took(context.asked[-1], 0.0))
+
+
+@then("the {count:d} were asked one after the other, without any other sign")
+def step_all_parts_asked(context, count):
+    assert sum(not w.place.needs_room for w in context.asked if w) == count
+
+
 # In the gateway
 
 
--- a/liftrill/gateway/admission/coming_back.py
+++ b/liftrill/gateway/admission/coming_back.py
@@ -14,6 +14,8 @@
 # How many refused requests are remembered: 0.2 MB at the most (200 bytes each). They are known
 # by their fingerprints, since a request that is sent again has another id.
 REFUSED_KEPT = 1_024
+# Larger ones are new whenever they come: hashing 16 KB takes some 20 microseconds (guess).
+LARGEST_BODY_BYTES = 16 * 1024
 # For how long after its time a caller still counts as coming back: two connections' time.
 COMES_WITHIN_S = 2.0
 # Callers round what they are told, and their clocks run a little fast.
@@ -58,6 +60,8 @@
 
     def note_told(self, request: OpaqueRequest, wait_s: float, now: float) -> None:
         """Note when a refused caller is to come back; who came early keeps its first time."""
+        if len(request.body) > LARGEST_BODY_BYTES:
+            return
         known = self._due.pop(request.fingerprint, None)
         due = now + wait_s
         if known is not None and now < known[0] - EARLY_SHARE * known[1]:
@@ -69,7 +73,7 @@
     def standing(self, request: OpaqueRequest, now: float) -> Standing:
         """Return whether a caller is new, or came back when it was told to, or earlier."""
         # Nothing is hashed while nobody was refused.
-        if not self._due:
+        if not self._due or len(request.body) > LARGEST_BODY_BYTES:
             return Standing.NEW
         due, wait_s = self._due.get(request.fingerprint, (0.0, 0.0))
         if not due or now > due + COMES_WITHIN_S:
--- a/liftrill/gateway/admission/engine_lines.py
+++ b/liftrill/gateway/admission/engine_lines.py
@@ -52,6 +52,12 @@
         if line:
             self._wake(line.came_free())
 
+    def was_read(self, service: str) -> None:
+        """Wake those that may go on, now that an engine of a service has read a prompt."""
+        line = self._lines.get(service)
+        if line:
+            self._wake(line.was_read(clock.now_s()))
+
     def changed(self) -> None:
         """Ask all that wait, in their order: what they wait for may be there."""
         now = clock.now_s()
--- a/liftrill/gateway/admission/line.py
+++ b/liftrill/gateway/admission/line.py
@@ -124,6 +124,15 @@
         self._changes += 1
         return self._ask_next(_Round(everyone=False))
 
+    def was_read(self, now: float) -> Waiter | None:
+        """Return whom to wake, now that an engine has read a prompt.
+
+        That frees a place, and is what all may have waited for that do not need room.
+        """
+        if all(waiter.place.needs_room for waiter in self._waiters.values()):
+            return self.came_free()
+        return self.ask_all(now)
+
     def ask_all(self, now: float) -> Waiter | None:
         """Return whom to ask first, where room may have changed unseen."""
         self._changes += 1
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -353,7 +353,7 @@
     def note_prompt_read(self, machine: DeliveryMachine, tokens: int, elapsed_s: float) -> None:
         """Note that the newest attempt's engine has read the prompt, and how fast."""
         self._ports.record_read(machine.attempts[-1], machine.request, tokens, elapsed_s)
-        self.lines.came_free(machine.request.service)
+        self.lines.was_read(machine.request.service)
 
     def note_slot_held(self, machine: DeliveryMachine, held_s: float) -> None:
         """Note for how long a request held a slot of its engine."""
