--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -113,6 +113,11 @@
         memory = self.parts.profile(request.service).cache_tokens
         return self.room.with_room(self.guard, request, ready, waits_s, memory, now)
 
+    def reading_s(self, request: OpaqueRequest) -> float:
+        """Return how long an engine that keeps nothing of a prompt takes to read it."""
+        tokens = request.prompt.prompt_tokens if request.prompt else 0
+        return tokens / self.rates.tokens_per_s(request.service)
+
     def _wait_s(self, view: EngineView) -> float:
         reading_s = view.waiting_tokens / self.rates.tokens_per_s(view.record.service)
         return reading_s + self._slot_wait_s(view)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -137,8 +137,7 @@
 
     def outlook(self, request: OpaqueRequest) -> tuple[float, bool]:
         """Return how long reading a prompt takes, and whether its service is overloaded."""
-        tokens = request.prompt.prompt_tokens if request.prompt else 0
-        reading_s = tokens / self._selector.rates.tokens_per_s(request.service)
+        reading_s = self._selector.reading_s(request)
         return reading_s, self._selector.guard.stands(request.service)
 
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
