--- a/features/steps/processor_time_steps.py
+++ b/features/steps/processor_time_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from liftrill.coordination.membership_messages import Condition, Member
+from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.gateway import ticks
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.messages import peer_pb2 as messages
@@ -96,7 +97,7 @@
         for number in range(readings):
             context.node.link.tell_reading(number, 2_000)
         for number in range(spendings):
-            context.node.link.tell_spending(f"tenant-{number}", 3.0)
+            context.node.link.tell_spending(SpendingNotice(f"tenant-{number}", 3.0, number + 1))
         assert not context.node.transport.sent
         await asyncio.sleep(0)
 
--- /dev/null
+++ b/liftrill/gateway/admission/coming_back.py
@@ -0,0 +1,90 @@
+"""When refused callers are to come back, and which of those that come were told to, sans-IO."""
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from liftrill.gateway.admission.line import Standing
+from liftrill.gateway.fading_rate import FadingRate
+from liftrill.gateway.opaque_request import OpaqueRequest
+
+# Over what time it is averaged how many requests are sent: long enough for a few at a small
+# node, and short beside the seconds that callers wait.
+SENT_AVERAGE_S = 2.0
+# How many refused requests are remembered: 0.2 MB at the most (200 bytes each). They are known
+# by their fingerprints, since a request that is sent again has another id.
+REFUSED_KEPT = 1_024
+# Larger ones are new whenever they come: hashing 16 KB takes some 20 microseconds (guess).
+LARGEST_BODY_BYTES = 16 * 1024
+# For how long after its time a caller still counts as coming back: two connections' time.
+COMES_WITHIN_S = 2.0
+# Callers round what they are told, and their clocks run a little fast.
+EARLY_SHARE = 0.1
+
+
+@dataclass(slots=True)
+class ReturnTimes:
+    """When the refused callers of one service are to come back: one after the other.
+
+    Each has a place behind those that were refused before it, as long as this node took lately
+    to send a request to an engine.
+    """
+
+    _sent: FadingRate = field(default_factory=lambda: FadingRate(SENT_AVERAGE_S))
+    _last_at: float = 0.0
+
+    def note_sent(self, now: float) -> None:
+        """Note that a request was sent to an engine."""
+        self._sent.record(1.0, now)
+
+    def draw_s(self, room_in_s: float, patience_s: float, now: float) -> float:
+        """Return a time: not before there is room, and within patience where that can be.
+
+        Who would have a place later than it waits has none, and comes late in its patience.
+        """
+        latest_s = max(room_in_s, patience_s)
+        sent_per_s = self._sent.per_s(now) or 0.0
+        place_at = max(self._last_at, now + room_in_s)
+        place_s = 1.0 / sent_per_s if sent_per_s else latest_s
+        if place_at + place_s > now + latest_s:
+            return random.uniform(max(room_in_s, latest_s / 2), latest_s)
+        self._last_at = place_at + place_s
+        return place_at - now + random.uniform(0.0, place_s)
+
+
+@dataclass(slots=True)
+class ReturningCallers:
+    """The requests that were refused for want of room lately, and when they are to come back."""
+
+    _due: OrderedDict[bytes, tuple[float, float]] = field(default_factory=OrderedDict)
+
+    def note_told(self, request: OpaqueRequest, wait_s: float, now: float) -> None:
+        """Note when a refused caller is to come back; who came early keeps its first time."""
+        if len(request.body) > LARGEST_BODY_BYTES:
+            return
+        known = self._due.pop(request.fingerprint, None)
+        due = now + wait_s
+        if known is not None and now < known[0] - EARLY_SHARE * known[1]:
+            due, wait_s = known
+        self._due[request.fingerprint] = (due, wait_s)
+        if len(self._due) > REFUSED_KEPT:
+            self._due.popitem(last=False)
+
+    def standing(self, request: OpaqueRequest, now: float) -> Standing:
+        """Return whether a caller is new, or came back when it was told to, or earlier."""
+        # Nothing is hashed while nobody was refused.
+        if not self._due or len(request.body) > LARGEST_BODY_BYTES:
+            return Standing.NEW
+        due, wait_s = self._due.get(request.fingerprint, (0.0, 0.0))
+        if not due or now > due + COMES_WITHIN_S:
+            self._forget_old(now)
+            return Standing.NEW
+        if now < due - EARLY_SHARE * wait_s:
+            return Standing.CAME_EARLY
+        # It goes first once: who asks the same on and on does not.
+        del self._due[request.fingerprint]
+        return Standing.CAME_BACK
+
+    def _forget_old(self, now: float) -> None:
+        while self._due and now > next(iter(self._due.values()))[0] + COMES_WITHIN_S:
+            self._due.popitem(last=False)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -16,6 +16,7 @@
 from liftrill.coordination.quota import FleetSize, SharedBuckets
 from liftrill.coordination.range_store import RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
+from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.errors import ResultCode
 from liftrill.gateway import ticks
 from liftrill.gateway.admission.quota_gate import QuotaGate
@@ -160,7 +161,7 @@
             self._on_loads,
             self._on_speeds,
             self._on_reading,
-            self._quotas.buckets.hear_spending,
+            self._on_spending,
             self._on_lost_runs,
             self._on_served,
             self._on_quarantined,
@@ -367,7 +368,7 @@
         self._beliefs.apply(change, known_until)
         self._take_quarantine(change)
         self._announce_if_newer(before)
-        self.forwarder.engine_signal.notify()
+        self.forwarder.lines.changed()
 
     def configuration_read(self, item: StoredItem) -> None:
         """Take in a configuration that the mirror does not have yet."""
@@ -458,7 +459,7 @@
         until = clock.now_s() + constants.LOADING_BELIEF_SECONDS
         self._engines.apply_notice(notice, until)
         if not notice.loading:
-            self.forwarder.engine_signal.notify()
+            self.forwarder.lines.changed()
 
     def _on_loads(self, report: LoadReport) -> None:
         now = clock.now_s()
@@ -466,7 +467,7 @@
         self._beliefs.selector.parts.directory.hear(report.kept, now, of_zone)
         self._quotas.hear(report, now)
         if report.kept:
-            self.forwarder.engine_signal.notify()
+            self.forwarder.lines.changed()
         if report.scope is LoadScope.NODE:
             self._silence.note(report.node, now)
             self._loads.take(report.node, report.loads, now, report.zone)
@@ -516,8 +517,11 @@
         self._loads.note_own_reading(view, tokens, clock.now_s())
         self._peers.tell_reading(view.number, tokens)
 
-    def _tell_spending(self, tenant: str, amount: float) -> None:
-        self._peers.tell_spending(tenant, amount)
+    def _on_spending(self, sender: str, notice: SpendingNotice) -> None:
+        self._quotas.buckets.hear_spending(sender, notice, clock.now_s())
+
+    def _tell_spending(self, notice: SpendingNotice) -> None:
+        self._peers.tell_spending(notice)
 
     async def _send_notices(self, notices: list[EngineNotice]) -> None:
         for notice in notices:
@@ -650,6 +654,9 @@
             self.metrics.proof_age.set(self.view.proof_age(now))
             self.metrics.mirror_age.set(self._follower.currency.age_s(now))
             self.metrics.peers.set(len(self._membership.members()))
+            depth, age_s = self.forwarder.lines.depth_and_age_s(now)
+            self.metrics.line_depth.set(depth)
+            self.metrics.line_age.set(age_s)
             self._tell_of_parts(now)
             self._note_speeds(now)
             self._fleet.note(len(self._membership.members()), now)
--- a/liftrill/gateway/holding/memory_budget.py
+++ b/liftrill/gateway/holding/memory_budget.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+KILOBYTE = 1_024
 # What is kept free of the limit: the library's buffers of a thousand connections, and the copy
 # of one large body that is made as it is sent.
-KILOBYTE = 1_024
 RESERVE_SHARE = 0.125
 # At least this share of the limit may be held, whatever the process seems to use: memory that
 # was let go of is used again, but still counts as resident.
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -20,6 +20,7 @@
     SendDatagram,
     Ticked,
 )
+from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.gateway import ticks
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.peers.load_codec import (
@@ -65,7 +66,7 @@
     loads: Callable[[LoadReport], None]
     speeds: Callable[[LoadReport], None]
     reading_begun: Callable[[int, int], None]
-    spending: Callable[[str, float], None]
+    spending: Callable[[str, SpendingNotice], None]
     lost_runs: Callable[[str, list[LostRun]], None]
     served: Callable[[bytes], None]
     quarantined: Callable[[QuarantineEntry], None]
@@ -137,11 +138,15 @@
         self._tell_after_turn()
         self._turn.add_reading(begun)
 
-    def tell_spending(self, tenant: str, amount: float) -> None:
-        """Tell all members at once what a tenant's request counts under its limit."""
-        spends = messages.TenantSpending(tenant=tenant, amount=amount)
+    def tell_spending(self, notice: SpendingNotice) -> None:
+        """Tell all members at once what a tenant's request counts under its limit, or no more."""
+        message = messages.Datagram(
+            sender=self._membership.own.node_id,
+            sequence=notice.number,
+            spends=messages.TenantSpending(tenant=notice.tenant, amount=notice.amount),
+        )
         self._tell_after_turn()
-        self._turn.add_spending(messages.Datagram(spends=spends))
+        self._turn.add_spending(message)
 
     def _tell_after_turn(self) -> None:
         """Send the words of this turn of the event loop when it is over."""
@@ -196,7 +201,9 @@
         try:
             message = parse_message(data)
             if message.HasField("spends"):
-                self._callbacks.spending(message.spends.tenant, message.spends.amount)
+                spends = message.spends
+                notice = SpendingNotice(spends.tenant, spends.amount, message.sequence)
+                self._callbacks.spending(message.sender, notice)
                 self._take_readings(message)
                 return
             if message.HasField("reading_begun"):
