Holding: any lost connection ends a flow, and a body that fits is not looked for among all holds

A drain that ends with a plain ConnectionError left a flow waiting until its run was cancelled; each large body copied the list of all holds.

--- a/liftrill/gateway/holding/caller_flow.py
+++ b/liftrill/gateway/holding/caller_flow.py
@@ -134,9 +134,9 @@
                 unsent_bytes = self._connection.unsent_bytes
                 await self._connection.write(buffer.take(unsent_bytes, clock.now_s()))
                 self._room.set()
-        except ConnectionResetError as error:
+        except ConnectionError as error:
             # The run that feeds this flow learns of it at its next event.
-            self._error = self._error or error
+            self._error = self._error or ConnectionResetError(str(error))
             self._room.set()
 
     def _give_way(self) -> None:
--- a/liftrill/gateway/holding/memory_budget.py
+++ b/liftrill/gateway/holding/memory_budget.py
@@ -98,16 +98,12 @@
     Attributes:
         limit_bytes: a process that takes more is killed.
         held_bytes: of all purposes.
-        refused: large bodies that were refused.
-        ended: answers and bodies that were ended to make room.
         when_changed: told when the budget is nearly spent, and when it is well again.
     """
 
     def __init__(self, limit_bytes: int, own_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
-        self.refused = 0
-        self.ended = 0
         self.when_changed: Callable[[BudgetState], None] | None = None
         self._own_bytes = own_bytes
         self._by_purpose = dict.fromkeys(Purpose, 0)
@@ -153,7 +149,6 @@
         """Hold a body of a size, unless it is large and there is no room for it."""
         more_bytes = size_bytes - hold.held_bytes
         if size_bytes >= LARGE_BODY_BYTES and not self._make_room(hold, more_bytes, now):
-            self.refused += 1
             return False
         hold.resize(size_bytes)
         return True
@@ -186,13 +181,15 @@
 
     def _make_room(self, wanted: MemoryHold, more_bytes: int, now: float) -> bool:
         """Return whether there is room, after ending bodies that come too slowly."""
+        if self.may_hold(more_bytes):
+            return True
         for hold in list(self._holds):
-            if self.may_hold(more_bytes):
-                return True
             trickles = hold.purpose is Purpose.BODY_READ and now - hold.since > TRICKLE_S
             if trickles and hold is not wanted:
                 self._end(hold)
-        return self.may_hold(more_bytes)
+                if self.may_hold(more_bytes):
+                    return True
+        return False
 
     def _oldest_of_most_wasteful(self) -> MemoryHold | None:
         by_caller: dict[str, list[MemoryHold]] = {}
@@ -205,7 +202,6 @@
         return max(by_caller.values(), key=_sum_of)[0]
 
     def _end(self, hold: MemoryHold) -> None:
-        self.ended += 1
         hold.close()
         hold.let_go()
 
