--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -1,5 +1,6 @@
 """The run of one delivery: the machine's instructions, carried out on one attempt at a time."""
 
+import math
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Awaitable
@@ -12,17 +13,20 @@
 from liftrill.gateway.delivery import (
     FIRST_SERVER_ERROR,
     AttemptTimes,
+    DeliveryInvariantError,
     DeliveryMachine,
     StreamTimes,
 )
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.transport import AnswerSink, EngineAttempt
 
 # Engines cut answers that stay unread for some seconds; one that was read sooner has no such
 # reason to break.
 ENGINE_UNREAD_S = 1.0
+BYTES_PER_KILOBYTE = 1024
 
 
 class DeliveryOwner(ABC):
@@ -106,6 +110,7 @@
         self._tokens_ahead = 0
         self._requests_there = 0
         self._waited_before_s = 0.0
+        self._body_released = False
         self._ended = False
 
     @property
@@ -206,14 +211,25 @@
         if isinstance(instruction, events.AbandonAttempt):
             self._release()
         elif isinstance(instruction, events.PassHead):
+            self._release_body()
             await self._sink.pass_head(instruction)
         else:
             await self._end(instruction)
         return []
 
+    def _release_body(self) -> None:
+        """Let go of a large body that no engine gets any more while its answer goes on."""
+        request = self._machine.request
+        if len(request.body) >= LARGE_BODY_BYTES and not self._machine.needs_body:
+            self._body_released = True
+            request.release_body()
+            self._sink.body_released()
+
     async def _start(self, start: events.StartAttempt) -> list[events.DeliveryEvent]:
         self._release()
         machine = self._machine
+        if self._body_released:
+            raise DeliveryInvariantError("a request was sent again without its body")
         self._owner.log.attempt_started(machine, start)
         first = len(machine.attempts) == 1
         if first:
@@ -291,7 +307,8 @@
 def expected_load(request: OpaqueRequest, choice: events.EngineChoice) -> EngineLoad:
     """Return what a request puts on the engine that was chosen for it."""
     prompt = request.prompt
+    body_kilobytes = math.ceil(len(request.body) / BYTES_PER_KILOBYTE)
     if prompt is None:
-        return EngineLoad(requests=1)
+        return EngineLoad(requests=1, body_kilobytes=body_kilobytes)
     resident = prompt.prompt_tokens + prompt.output_tokens
-    return EngineLoad(1, max(1, choice.expected_tokens), resident)
+    return EngineLoad(1, max(1, choice.expected_tokens), resident, body_kilobytes)
