--- a/features/caller_division.feature
+++ b/features/caller_division.feature
@@ -71,7 +71,7 @@
     Given callers at 0.35 of what all nodes can bear
     When callers call for 10 s
     And half of the nodes of a zone end
-    And callers call for 6 s
+    And callers call for 4 s
     Then no request went to an ended node later than 3 s after that
     And no node is late by more than 0.5 s in the last second
 
@@ -79,7 +79,7 @@
     Given callers at 0.5 of what all nodes can bear
     When callers call for 10 s
     And a node of 1.8 cores ends
-    And callers call for 6 s
+    And callers call for 4 s
     Then no request went to an ended node later than 3 s after that
     And no node is late by more than 0.5 s in the last second
 
