Places in line and times to come back in modules of their own; who came back keeps its rank

Cause: the standing of a caller was looked up again each time that it was asked in vain, and a caller that came back as told counts so once: it went on as a new one.

--- a/features/room.feature
+++ b/features/room.feature
@@ -115,6 +115,11 @@
     When it comes after 0.1 s and is told to come back in 0.5 s
     Then after 0.5 s it counts as came back
 
+  Scenario: Who came back as told keeps its rank while it is asked in vain
+    Given a caller that was told to come back in 0.5 s
+    When it waits in line from 0.5 s on, and is asked twice in vain
+    Then it still goes before new ones
+
   Scenario: No more than 1024 refused callers are remembered
     When 5000 callers are refused
     Then 1024 of them are remembered
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -369,7 +369,7 @@
 @given("a line that {rate:d} places a second come free for, and {count:d} requests that wait")
 def step_drained_line(context, rate, count):
     context.crowd = Crowd()
-    context.crowd.forwarder.log = Mock()
+    context.crowd.forwarder._places.log = Mock()
     line = context.crowd.forwarder.lines.line(SERVICE)
     now = clock.now_s()
     for number in range(2 * rate):
@@ -387,7 +387,7 @@
 @then("one more that may wait for {seconds:g} s is refused at once, with a line in the log")
 def step_refused_at_once(context, seconds):
     assert try_to_wait(context, 1, seconds) is None
-    context.crowd.forwarder.log.not_queued.assert_called_once()
+    context.crowd.forwarder._places.log.not_queued.assert_called_once()
 
 
 @then("one that is more urgent waits")
@@ -513,6 +513,30 @@
     assert found is Standing[standing.upper().replace(" ", "_")], found
 
 
+@when("it waits in line from {at:g} s on, and is asked twice in vain")
+def step_asked_in_vain(context, at):
+    async def play():
+        crowd = Crowd()
+        crowd.forwarder._places.returning = context.returning
+        await asyncio.sleep(at)
+        request = replace(context.request, received_at=clock.now_s())
+        context.standings = []
+        for _ in range(3):
+            held = crowd.forwarder.place_in_line(request, at + 0.1, for_room=True)
+            context.standings.append(held.standing)
+            waiting = asyncio.ensure_future(crowd.forwarder.lines.wait(request, held))
+            await asyncio.sleep(0.01)
+            crowd.forwarder.lines.came_free(SERVICE)
+            await waiting
+
+    run_virtual(play())
+
+
+@then("it still goes before new ones")
+def step_still_first(context):
+    assert context.standings == [Standing.CAME_BACK] * 3, context.standings
+
+
 @when("{count:d} callers are refused")
 def step_many_refused(context, count):
     context.returning = ReturningCallers()
--- a/liftrill/gateway/admission/coming_back.py
+++ b/liftrill/gateway/admission/coming_back.py
@@ -2,12 +2,18 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from liftrill import constants
 from liftrill.gateway.admission.line import Standing
 from liftrill.gateway.fading_rate import FadingRate
 from liftrill.gateway.opaque_request import OpaqueRequest
 
+# When a refused caller is to come back; what is missing is mostly there by then.
+RETRY_AFTER_TARGET_SHARE = 0.5
+SHORTEST_RETRY_AFTER_S = 0.2
+LONGEST_RETRY_AFTER_S = 2.0
 # Over what time it is averaged how many requests are sent: long enough for a few at a small
 # node, and short beside the seconds that callers wait.
 SENT_AVERAGE_S = 2.0
@@ -88,3 +94,46 @@
     def _forget_old(self, now: float) -> None:
         while self._due and now > next(iter(self._due.values()))[0] + COMES_WITHIN_S:
             self._due.popitem(last=False)
+
+
+@dataclass(slots=True)
+class ComingBack:
+    """When the refused callers of a node are to come back.
+
+    Attributes:
+        room_in_s: in how long a request is sent to an engine again, if nothing more comes.
+        line_wait_s: how long it takes until those that wait before it have places.
+        returning: those that were told to.
+    """
+
+    room_in_s: Callable[[OpaqueRequest], float]
+    line_wait_s: Callable[[OpaqueRequest, float], float]
+    returning: ReturningCallers = field(default_factory=ReturningCallers)
+    _times: dict[str, ReturnTimes] = field(default_factory=dict)
+    _full: set[str] = field(default_factory=set)
+
+    def note_choice(self, service: str, is_full: bool) -> None:
+        """Note whether the engines of a service had room for the last request."""
+        if is_full:
+            self._full.add(service)
+        else:
+            self._full.discard(service)
+
+    def note_sent(self, service: str, now: float) -> None:
+        """Note that a request was sent to an engine."""
+        self._of(service).note_sent(now)
+
+    def retry_after_s(self, request: OpaqueRequest, now: float) -> float:
+        """Return when a refused caller should come back."""
+        share_s = RETRY_AFTER_TARGET_SHARE * request.route.target_seconds
+        wait_s = min(max(share_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
+        if request.service not in self._full:
+            return wait_s
+        patience_s = constants.PATIENCE_SHARE * max(0.0, request.deadline - now)
+        room_in_s = self.room_in_s(request) + self.line_wait_s(request, now)
+        wait_s = self._of(request.service).draw_s(max(wait_s, room_in_s), patience_s, now)
+        self.returning.note_told(request, wait_s, now)
+        return wait_s
+
+    def _of(self, service: str) -> ReturnTimes:
+        return self._times.setdefault(service, ReturnTimes())
--- a/liftrill/gateway/admission/engine_lines.py
+++ b/liftrill/gateway/admission/engine_lines.py
@@ -65,9 +65,10 @@
             if line:
                 self._wake(line.ask_all(now))
 
-    def is_waiting(self, request: OpaqueRequest) -> bool:
-        """Return whether a request is in its line."""
-        return id(request) in self._by_request
+    def place_of(self, request: OpaqueRequest) -> Place | None:
+        """Return what a request waits with, or None where it does not."""
+        waiting = self._by_request.get(id(request))
+        return waiting.waiter.place if waiting else None
 
     async def wait(self, request: OpaqueRequest, place: Place) -> None:
         """Wait until a request is to try, or its time to wait is over."""
--- /dev/null
+++ b/liftrill/gateway/admission/places.py
@@ -0,0 +1,67 @@
+"""What a request waits with in its line, and whether waiting is of any use."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from liftrill.gateway.admission.coming_back import ReturningCallers
+from liftrill.gateway.admission.engine_lines import EngineLines
+from liftrill.gateway.admission.line import Place
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.opaque_request import OpaqueRequest
+
+
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What engines mean for a request that waits.
+
+    Attributes:
+        reading_s: how long one that keeps nothing of its prompt takes to read it.
+        is_overloaded: whether the queues of its service stand.
+    """
+
+    reading_s: float
+    is_overloaded: bool
+
+
+@dataclass(slots=True)
+class PlacesInLine:
+    """Gives requests their places in the lines of a node."""
+
+    lines: EngineLines
+    returning: ReturningCallers
+    outlook: Callable[[OpaqueRequest], Outlook]
+    log: DecisionLog
+
+    def place(
+        self, request: OpaqueRequest, until: float, for_room: bool, now: float
+    ) -> Place | None:
+        """Return what a request waits with, or None where its turn would come too late."""
+        known = self.lines.place_of(request)
+        if known is not None:
+            return replace(known, needs_room=for_room)
+        outlook = self.outlook(request)
+        latest_start = request.received_at + request.route.target_seconds - outlook.reading_s
+        turn_at = now + self.wait_s(request, now)
+        in_vain = turn_at > until or (outlook.is_overloaded and turn_at > latest_start)
+        if for_room and in_vain:
+            self.log.not_queued(request, turn_at - now, min(until, latest_start) - now)
+            return None
+        return Place(
+            request.priority,
+            request.tenant,
+            _tokens(request),
+            latest_start,
+            until,
+            now,
+            self.returning.standing(request, now),
+            for_room,
+        )
+
+    def wait_s(self, request: OpaqueRequest, now: float) -> float:
+        """Return how long it takes until those that go before a request have places."""
+        return self.lines.line(request.service).wait_s(request.priority, now)
+
+
+def _tokens(request: OpaqueRequest) -> int:
+    prompt = request.prompt
+    return prompt.prompt_tokens + prompt.output_tokens if prompt else 1
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -6,9 +6,10 @@
 
 from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
-from liftrill.gateway.admission.coming_back import ReturningCallers, ReturnTimes
+from liftrill.gateway.admission.coming_back import ComingBack
 from liftrill.gateway.admission.line import Place
 from liftrill.gateway.admission.overload import OverloadTurn
+from liftrill.gateway.admission.places import Outlook, PlacesInLine
 from liftrill.gateway.admission.quota_gate import QuotaGate
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.begin_limits import BeginLimits
@@ -30,10 +31,6 @@
 
 # For how long an engine that refused for load or an order gets no new requests.
 REFUSED_PAUSE_SECONDS = 0.15
-# When a refused caller is to come back; what is missing is mostly there by then.
-RETRY_AFTER_TARGET_SHARE = 0.5
-SHORTEST_RETRY_AFTER_SECONDS = 0.2
-LONGEST_RETRY_AFTER_SECONDS = 2.0
 
 
 def _always(now: float) -> bool:
@@ -46,7 +43,7 @@
     return False
 
 
-def _no_wait_s(request: OpaqueRequest) -> float:
+def _no_wait_s(request: OpaqueRequest, now: float) -> float:
     """Take nobody to wait before a request."""
     return 0.0
 
@@ -57,8 +54,7 @@
     Attributes:
         beliefs_hold: whether engines may be chosen by what is believed at a time.
         must_wait: whether a place that may be free is for another request that waits.
-        line_wait_s: how long it takes until those that wait before a request have places.
-        returning: the callers that were refused for want of room.
+        coming_back: when callers that were refused for want of room are to come back.
     """
 
     def __init__(
@@ -70,11 +66,7 @@
     ) -> None:
         self.beliefs_hold: Callable[[float], bool] = _always
         self.must_wait: Callable[[OpaqueRequest], bool] = _never
-        self.line_wait_s: Callable[[OpaqueRequest], float] = _no_wait_s
-        self.returning = ReturningCallers()
-        self._returns: dict[str, ReturnTimes] = {}
-        # The services whose engines had no room for the last request.
-        self._full: set[str] = set()
+        self.coming_back = ComingBack(self._room_in_s, _no_wait_s)
         self._selector = selector
         self._allowance = allowance
         self._quotas = quotas
@@ -98,10 +90,7 @@
             return Unavailable.FULL
         is_suspect = self._quarantine is not None and self._quarantine.is_suspect(request)
         choice = self._selector.choose(request, excluded, now, is_suspect)
-        if choice is Unavailable.FULL:
-            self._full.add(request.service)
-        else:
-            self._full.discard(request.service)
+        self.coming_back.note_choice(request.service, choice is Unavailable.FULL)
         return choice
 
     def _barred(self, request: OpaqueRequest, now: float) -> Unavailable | None:
@@ -135,10 +124,10 @@
         """Call a listener whenever a service enters or leaves overload."""
         self._selector.guard.turned = listener
 
-    def outlook(self, request: OpaqueRequest) -> tuple[float, bool]:
-        """Return how long reading a prompt takes, and whether its service is overloaded."""
-        reading_s = self._selector.reading_s(request)
-        return reading_s, self._selector.guard.stands(request.service)
+    def outlook(self, request: OpaqueRequest) -> Outlook:
+        """Return what engines mean for a request that waits."""
+        is_overloaded = self._selector.guard.stands(request.service)
+        return Outlook(self._selector.reading_s(request), is_overloaded)
 
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
         """Spend one repeat of the service's budget."""
@@ -148,7 +137,7 @@
         """Note that an engine is about to get a request, for the first time or again."""
         now = clock.now_s()
         self._selector.parts.record_sent(choice, request, now)
-        self._return_times(request.service).note_sent(now)
+        self.coming_back.note_sent(request.service, now)
         if self._quotas is not None and not first:
             self._quotas.record_repeat(request, now)
 
@@ -174,19 +163,10 @@
         """Return when a refused caller should come back."""
         if self._quarantine is not None and (left_s := self._quarantine.left_s(request)):
             return left_s
-        share_s = RETRY_AFTER_TARGET_SHARE * request.route.target_seconds
-        wait_s = min(max(share_s, SHORTEST_RETRY_AFTER_SECONDS), LONGEST_RETRY_AFTER_SECONDS)
-        if request.service not in self._full:
-            return wait_s
-        now = clock.now_s()
-        patience_s = constants.PATIENCE_SHARE * max(0.0, request.deadline - now)
-        room_in_s = self._selector.guard.room_in_s(request) + self.line_wait_s(request)
-        wait_s = self._return_times(request.service).draw_s(max(wait_s, room_in_s), patience_s, now)
-        self.returning.note_told(request, wait_s, now)
-        return wait_s
+        return self.coming_back.retry_after_s(request, clock.now_s())
 
-    def _return_times(self, service: str) -> ReturnTimes:
-        return self._returns.setdefault(service, ReturnTimes())
+    def _room_in_s(self, request: OpaqueRequest) -> float:
+        return self._selector.guard.room_in_s(request)
 
 
 def _tell_nobody(view: EngineView, tokens: int) -> None:
@@ -212,7 +192,8 @@
     ) -> None:
         super().__init__(log, metrics)
         ports.must_wait = self.lines.must_wait
-        ports.line_wait_s = self._line_wait_s
+        self._places = PlacesInLine(self.lines, ports.coming_back.returning, ports.outlook, log)
+        ports.coming_back.line_wait_s = self._places.wait_s
         ports.when_overload_turns(self._tell_overload)
         self._quarantine = quarantine
         self._end_check = EngineEndCheck(transport, quarantine.engine_ended)
@@ -254,30 +235,7 @@
 
     def place_in_line(self, request: OpaqueRequest, until: float, for_room: bool) -> Place | None:
         """Return what a request waits with, or None where waiting is in vain."""
-        now = clock.now_s()
-        reading_s, is_overloaded = self._ports.outlook(request)
-        latest_start = request.received_at + request.route.target_seconds - reading_s
-        if not self.lines.is_waiting(request) and for_room:
-            ahead_s = self._line_wait_s(request)
-            if now + ahead_s > until or (is_overloaded and now + ahead_s > latest_start):
-                self.log.not_queued(request, ahead_s, latest_start - now)
-                return None
-        prompt = request.prompt
-        tokens = prompt.prompt_tokens + prompt.output_tokens if prompt else 1
-        standing = self._ports.returning.standing(request, now)
-        return Place(
-            request.priority,
-            request.tenant,
-            tokens,
-            latest_start,
-            until,
-            now,
-            standing,
-            for_room,
-        )
-
-    def _line_wait_s(self, request: OpaqueRequest) -> float:
-        return self.lines.line(request.service).wait_s(request.priority, clock.now_s())
+        return self._places.place(request, until, for_room, clock.now_s())
 
     def _tell_overload(self, turn: OverloadTurn) -> None:
         depth, age_s = self.lines.depth_and_age_s(clock.now_s())
