--- a/features/room.feature
+++ b/features/room.feature
@@ -82,6 +82,12 @@
       | 0.6    | 1.5   |
       | 0.8    | 1.5   |
 
+  Scenario: A tight target does not keep the urgent out where the less urgent are let in
+    Given a service whose urgent requests have a target of 0.25 s, and others of 0.8 s
+    Then in a short burst both may be sent into waits of up to 1.5 s
+    When its queue stands
+    Then the urgent may be sent into waits of up to 0.64 s, and others of up to 0.4 s
+
   Scenario: Memory is left to the urgent, where there are any
     Given an engine of 90000 tokens of which running requests have 85000
     Then a request of 10000 tokens fits, of whatever urgency
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -404,6 +404,37 @@
     assert abs(OverloadGuard().longest_wait(request, 0.0, 0.0) - wait) < 1e-9
 
 
+@given("a service whose urgent requests have a target of {tight:g} s, and others of {wide:g} s")
+def step_two_targets(context, tight, wide):
+    context.guard, context.kinds = OverloadGuard(), []
+    for urgency, target_s in ((0, tight), (1, wide)):
+        route = replace(route_rule(), target_seconds=target_s)
+        context.kinds.append(replace(opaque_request(route, received_at=0.0), priority=urgency))
+    bounds(context, 0.0, 0.0)
+
+
+def bounds(context, least_wait_s, now):
+    kinds = [replace(kind, received_at=now) for kind in context.kinds]
+    return [round(context.guard.longest_wait(kind, least_wait_s, now), 3) for kind in kinds]
+
+
+@then("in a short burst both may be sent into waits of up to {wait:g} s")
+def step_both_bounds(context, wait):
+    assert bounds(context, 0.0, 0.0) == [wait, wait]
+
+
+@when("its queue stands")
+def step_queue_stands(context):
+    for tenth in range(10):
+        bounds(context, 1.0, tenth / 10)
+    assert context.guard.stands(SERVICE)
+
+
+@then("the urgent may be sent into waits of up to {tight:g} s, and others of up to {wide:g} s")
+def step_standing_bounds(context, tight, wide):
+    assert bounds(context, 1.0, 1.0) == [tight, wide], bounds(context, 1.0, 1.0)
+
+
 @given("an engine of 90000 tokens of which running requests have 85000")
 def step_engine_memory(context):
     context.room, context.guard = EngineRoom(), OverloadGuard()
--- a/liftrill/gateway/admission/overload.py
+++ b/liftrill/gateway/admission/overload.py
@@ -137,12 +137,14 @@
     turned: Callable[[OverloadTurn], None] = _tell_nobody
     _queues: dict[str, StandingQueue] = field(default_factory=dict)
     _least_urgent: dict[str, int] = field(default_factory=dict)
+    # By service and urgency: the target of the newest request.
+    _targets_s: dict[str, dict[int, float]] = field(default_factory=dict)
     _least_waits_s: dict[str, float] = field(default_factory=dict)
 
     def room_in_s(self, request: OpaqueRequest) -> float:
         """Return in how long a request is sent to an engine again, if nothing more comes."""
         least_wait_s = self._least_waits_s.get(request.service, 0.0)
-        return max(0.0, least_wait_s - self.good_share * request.route.target_seconds)
+        return max(0.0, least_wait_s - self.good_share * self._bounding_target_s(request))
 
     def is_more_urgent(self, request: OpaqueRequest) -> bool:
         """Return whether a request is more urgent than others that the service has had."""
@@ -157,7 +159,8 @@
 
     def longest_wait(self, request: OpaqueRequest, least_wait_s: float, now: float) -> float:
         """Return the longest wait that a request may be sent into, in seconds."""
-        good_s = self.good_share * request.route.target_seconds
+        target_s = self._bounding_target_s(request)
+        good_s = self.good_share * target_s
         queue = self._queues.setdefault(request.service, StandingQueue())
         stood = queue.stands
         queue.note(least_wait_s, good_s, now)
@@ -165,9 +168,19 @@
         if queue.stands != stood:
             self.turned(OverloadTurn(request.service, queue.stands, least_wait_s, good_s))
         if not queue.stands:
-            return min(self.longest_wait_s, self.longest_targets * request.route.target_seconds)
+            return min(self.longest_wait_s, self.longest_targets * target_s)
         # What it has waited already is gone from its target.
         return max(0.0, good_s * self._urgency(request) - (now - request.received_at))
 
+    def _bounding_target_s(self, request: OpaqueRequest) -> float:
+        """Return the target that bounds a request's wait: its own, or a less urgent one's.
+
+        Engines take it in before the less urgent that wait, so a wait that these are sent into
+        must not keep it out, however tight its own target is.
+        """
+        targets_s = self._targets_s.setdefault(request.service, {})
+        targets_s[request.priority] = request.route.target_seconds
+        return max(s for priority, s in targets_s.items() if priority >= request.priority)
+
     def _urgency(self, request: OpaqueRequest) -> float:
         return self.urgent_factor if self.is_more_urgent(request) else 1.0
