The urgent are not kept out by what waits for the less urgent

Cause: the wait that a request may be sent into follows its own target. An urgent kind with a target of 0.25 s was refused at engines whose queues a less urgent kind with 0.6 s went on filling, though engines take the urgent in first.

Change: a more urgent request goes by the longest target of its own and the less urgent ones, and, while a queue stands, by the part of what waits that is as urgent.

--- a/features/room.feature
+++ b/features/room.feature
@@ -88,6 +88,14 @@
     When its queue stands
     Then the urgent may be sent into waits of up to 0.64 s, and others of up to 0.4 s
 
+  Scenario: Only what is as urgent delays the urgent
+    Given a service whose urgent requests have a target of 0.25 s, and others of 0.8 s
+    And of the tokens that are sent a fifth is urgent
+    When its queue stands
+    Then the urgent may be sent into waits of up to 0.64 s, and others of up to 0.4 s
+    When a tenth of the tokens that are sent is urgent
+    Then the urgent may be sent into waits of up to 1.25 s, and others of up to 0.4 s
+
   Scenario: Memory is left to the urgent, where there are any
     Given an engine of 90000 tokens of which running requests have 85000
     Then a request of 10000 tokens fits, of whatever urgency
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -435,6 +435,19 @@
     assert bounds(context, 1.0, 1.0) == [tight, wide], bounds(context, 1.0, 1.0)
 
 
+SHARES = {"a fifth": 5, "a tenth": 10}
+
+
+@given("of the tokens that are sent {share} is urgent")
+@when("{share} of the tokens that are sent is urgent")
+def step_urgent_share(context, share):
+    for number in range(600):
+        urgent = number % 3 == 0
+        # Two of three requests are others.
+        tokens = 2_000 if urgent else 1_000 * (SHARES[share] - 1)
+        context.guard.note_sent(context.kinds[0 if urgent else 1], tokens)
+
+
 @given("an engine of 90000 tokens of which running requests have 85000")
 def step_engine_memory(context):
     context.room, context.guard = EngineRoom(), OverloadGuard()
--- a/liftrill/gateway/admission/overload.py
+++ b/liftrill/gateway/admission/overload.py
@@ -15,6 +15,10 @@
 # Samples of less than this say more of the way to an engine than of its reading.
 LEAST_SAMPLE_TOKENS = 2_000
 SAMPLE_WEIGHT = 0.1
+# What share of the waiting tokens is urgent follows from the last fifty requests or so.
+SENT_WEIGHT = 0.02
+# A tenth of what waits is taken to delay the most urgent at least: the prompt being read does.
+LEAST_URGENT_SHARE = 0.1
 # A queue counts as gone below this share of the wait that is still in time.
 RELIEVED_SHARE = 0.5
 
@@ -137,6 +141,8 @@
     turned: Callable[[OverloadTurn], None] = _tell_nobody
     _queues: dict[str, StandingQueue] = field(default_factory=dict)
     _least_urgent: dict[str, int] = field(default_factory=dict)
+    # By service and urgency: the tokens of the requests that were sent lately.
+    _sent_tokens: dict[str, dict[int, float]] = field(default_factory=dict)
     # By service and urgency: the target of the newest request.
     _targets_s: dict[str, dict[int, float]] = field(default_factory=dict)
     _least_waits_s: dict[str, float] = field(default_factory=dict)
@@ -169,8 +175,9 @@
             self.turned(OverloadTurn(request.service, queue.stands, least_wait_s, good_s))
         if not queue.stands:
             return min(self.longest_wait_s, self.longest_targets * target_s)
+        longest_s = max(good_s * self._urgency(request), self._overtaking_wait_s(request))
         # What it has waited already is gone from its target.
-        return max(0.0, good_s * self._urgency(request) - (now - request.received_at))
+        return max(0.0, longest_s - (now - request.received_at))
 
     def _bounding_target_s(self, request: OpaqueRequest) -> float:
         """Return the target that bounds a request's wait: its own, or a less urgent one's.
@@ -182,5 +189,23 @@
         targets_s[request.priority] = request.route.target_seconds
         return max(s for priority, s in targets_s.items() if priority >= request.priority)
 
+    def note_sent(self, request: OpaqueRequest, tokens: int) -> None:
+        """Note the tokens that an engine is to read for a request."""
+        sent = self._sent_tokens.setdefault(request.service, {})
+        for priority in sent:
+            sent[priority] *= 1.0 - SENT_WEIGHT
+        sent[request.priority] = sent.get(request.priority, 0.0) + SENT_WEIGHT * tokens
+
+    def _overtaking_wait_s(self, request: OpaqueRequest) -> float:
+        """Return the wait in which only so much is as urgent as a request can bear, or 0."""
+        sent = self._sent_tokens.get(request.service, {})
+        total = sum(sent.values())
+        if not total or not self.is_more_urgent(request):
+            return 0.0
+        urgent = sum(tokens for priority, tokens in sent.items() if priority <= request.priority)
+        share = max(LEAST_URGENT_SHARE, urgent / total)
+        good_s = self.good_share * request.route.target_seconds
+        return min(self.longest_wait_s, good_s / share)
+
     def _urgency(self, request: OpaqueRequest) -> float:
         return self.urgent_factor if self.is_more_urgent(request) else 1.0
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -138,6 +138,7 @@
         now = clock.now_s()
         self._selector.parts.record_sent(choice, request, now)
         self.coming_back.note_sent(request.service, now)
+        self._selector.guard.note_sent(request, choice.expected_tokens)
         if self._quotas is not None and not first:
             self._quotas.record_repeat(request, now)
 
