--- a/features/room.feature
+++ b/features/room.feature
@@ -82,6 +82,20 @@
       | 0.6    | 1.5   |
       | 0.8    | 1.5   |
 
+  Scenario: A tight target does not keep the urgent out where the less urgent are let in
+    Given a service whose urgent requests have a target of 0.25 s, and others of 0.8 s
+    Then in a short burst both may be sent into waits of up to 1.5 s
+    When its queue stands
+    Then the urgent may be sent into waits of up to 0.64 s, and others of up to 0.4 s
+
+  Scenario: Only what is as urgent delays the urgent
+    Given a service whose urgent requests have a target of 0.25 s, and others of 0.8 s
+    And of the tokens that are sent a fifth is urgent
+    When its queue stands
+    Then the urgent may be sent into waits of up to 0.64 s, and others of up to 0.4 s
+    When a tenth of the tokens that are sent is urgent
+    Then the urgent may be sent into waits of up to 1.25 s, and others of up to 0.4 s
+
   Scenario: Memory is left to the urgent, where there are any
     Given an engine of 90000 tokens of which running requests have 85000
     Then a request of 10000 tokens fits, of whatever urgency
@@ -115,6 +129,11 @@
     When it comes after 0.1 s and is told to come back in 0.5 s
     Then after 0.5 s it counts as came back
 
+  Scenario: Who came back as told keeps its rank while it is asked in vain
+    Given a caller that was told to come back in 0.5 s
+    When it waits in line from 0.5 s on, and is asked twice in vain
+    Then it still goes before new ones
+
   Scenario: No more than 1024 refused callers are remembered
     When 5000 callers are refused
     Then 1024 of them are remembered
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -369,7 +369,7 @@
 @given("a line that {rate:d} places a second come free for, and {count:d} requests that wait")
 def step_drained_line(context, rate, count):
     context.crowd = Crowd()
-    context.crowd.forwarder.log = Mock()
+    context.crowd.forwarder._places.log = Mock()
     line = context.crowd.forwarder.lines.line(SERVICE)
     now = clock.now_s()
     for number in range(2 * rate):
@@ -387,7 +387,7 @@
 @then("one more that may wait for {seconds:g} s is refused at once, with a line in the log")
 def step_refused_at_once(context, seconds):
     assert try_to_wait(context, 1, seconds) is None
-    context.crowd.forwarder.log.not_queued.assert_called_once()
+    context.crowd.forwarder._places.log.not_queued.assert_called_once()
 
 
 @then("one that is more urgent waits")
@@ -404,6 +404,50 @@
     assert abs(OverloadGuard().longest_wait(request, 0.0, 0.0) - wait) < 1e-9
 
 
+@given("a service whose urgent requests have a target of {tight:g} s, and others of {wide:g} s")
+def step_two_targets(context, tight, wide):
+    context.guard, context.kinds = OverloadGuard(), []
+    for urgency, target_s in ((0, tight), (1, wide)):
+        route = replace(route_rule(), target_seconds=target_s)
+        context.kinds.append(replace(opaque_request(route, received_at=0.0), priority=urgency))
+    bounds(context, 0.0, 0.0)
+
+
+def bounds(context, least_wait_s, now):
+    kinds = [replace(kind, received_at=now) for kind in context.kinds]
+    return [round(context.guard.longest_wait(kind, least_wait_s, now), 3) for kind in kinds]
+
+
+@then("in a short burst both may be sent into waits of up to {wait:g} s")
+def step_both_bounds(context, wait):
+    assert bounds(context, 0.0, 0.0) == [wait, wait]
+
+
+@when("its queue stands")
+def step_queue_stands(context):
+    for tenth in range(10):
+        bounds(context, 1.0, tenth / 10)
+    assert context.guard.stands(SERVICE)
+
+
+@then("the urgent may be sent into waits of up to {tight:g} s, and others of up to {wide:g} s")
+def step_standing_bounds(context, tight, wide):
+    assert bounds(context, 1.0, 1.0) == [tight, wide], bounds(context, 1.0, 1.0)
+
+
+SHARES = {"a fifth": 5, "a tenth": 10}
+
+
+@given("of the tokens that are sent {share} is urgent")
+@when("{share} of the tokens that are sent is urgent")
+def step_urgent_share(context, share):
+    for number in range(600):
+        urgent = number % 3 == 0
+        # Two of three requests are others.
+        tokens = 2_000 if urgent else 1_000 * (SHARES[share] - 1)
+        context.guard.note_sent(context.kinds[0 if urgent else 1], tokens)
+
+
 @given("an engine of 90000 tokens of which running requests have 85000")
 def step_engine_memory(context):
     context.room, context.guard = EngineRoom(), OverloadGuard()
@@ -519,6 +563,30 @@
     assert found is Standing[standing.upper().replace(" ", "_")], found
 
 
+@when("it waits in line from {at:g} s on, and is asked twice in vain")
+def step_asked_in_vain(context, at):
+    async def play():
+        crowd = Crowd()
+        crowd.forwarder._places.returning = context.returning
+        await asyncio.sleep(at)
+        request = replace(context.request, received_at=clock.now_s())
+        context.standings = []
+        for _ in range(3):
+            held = crowd.forwarder.place_in_line(request, at + 0.1, for_room=True)
+            context.standings.append(held.standing)
+            waiting = asyncio.ensure_future(crowd.forwarder.lines.wait(request, held))
+            await asyncio.sleep(0.01)
+            crowd.forwarder.lines.came_free(SERVICE)
+            await waiting
+
+    run_virtual(play())
+
+
+@then("it still goes before new ones")
+def step_still_first(context):
+    assert context.standings == [Standing.CAME_BACK] * 3, context.standings
+
+
 @when("{count:d} callers are refused")
 def step_many_refused(context, count):
     context.returning = ReturningCallers()
