--- a/liftrill/constants.py
+++ b/liftrill/constants.py
@@ -183,6 +183,8 @@
 # For how long a request waits rather than go beyond the few choices of its prompt: about what
 # one long prompt in front of it costs its caller (guess).
 FAR_S = _number("LIFTRILL_FAR_S", 0.2)
+# A request with a tight target must not lose most of it so: two thirds are left for the reading.
+FAR_TARGET_SHARE = _number("LIFTRILL_FAR_TARGET_SHARE", 0.33)
 # For how long a request waits rather than be answered by weights that were replaced: less than
 # callers notice, so that a release costs no answer its time.
 REPLACED_WEIGHTS_S = _number("LIFTRILL_REPLACED_WEIGHTS_S", 0.075)
--- a/liftrill/gateway/engines/placement.py
+++ b/liftrill/gateway/engines/placement.py
@@ -123,7 +123,8 @@
         many_engines: with more, and so more nodes, loads are known so late that all nodes
             would send to the engine that the last reports show idle.
         few_choices: among how many engines, others for each prompt, that is avoided.
-        far_s: how long a wait is better than any other engine then.
+        far_s: how long a wait is better than any other engine then, at most.
+        far_share: the same as a share of the request's target: others wait there as well.
         services: what the operator declares of engines, by service.
     """
 
@@ -140,6 +141,7 @@
     many_engines: int = constants.MANY_ENGINES
     few_choices: int = constants.FEW_CHOICES
     far_s: float = constants.FAR_S
+    far_share: float = constants.FAR_TARGET_SHARE
     services: Mapping[str, ServiceProfile] = field(default_factory=dict)
 
     def choose(self, request: OpaqueRequest, candidates: list[Candidate], zone: str) -> Candidate:
@@ -150,12 +152,13 @@
         best, least_s = candidates[0], math.inf
         is_large = len(candidates) > self.many_engines
         few = self.few_choices if is_large else len(candidates)
+        far_s = min(self.far_s, self.far_share * request.route.target_seconds)
         for place, engine_id in enumerate(rendezvous.rank(key, by_id)):
             candidate = by_id[engine_id]
             cost_s = self._until_read_s(request, candidate) + self._pauses_s(request, candidate)
             if homes[candidate.scope] != engine_id:
                 cost_s += self._sharing_s(request, candidate, is_large)
-                cost_s += self.far_s if place >= few else 0.0
+                cost_s += far_s if place >= few else 0.0
             if candidate.replaced_s > self.replaced_grace_s:
                 cost_s += self.replaced_wait_s
             if cost_s < least_s:
--- a/liftrill/gateway/engines/service_model.py
+++ b/liftrill/gateway/engines/service_model.py
@@ -208,7 +208,8 @@
         own = self.own_work(now)
         if not self._words:
             return own
-        nodes, zones = [own], []
+        nodes: list[Work] = [own]
+        zones: list[Work] = []
         for word in self._words.values():
             (zones if word.is_sum else nodes).append(word.work.faded(now - word.heard_at))
         local = combined(nodes)
--- a/liftrill/gateway/engines/service_speeds.py
+++ b/liftrill/gateway/engines/service_speeds.py
@@ -18,10 +18,12 @@
 # Streams whose pauses are remembered of a service, its peers' included (guess).
 PAUSES_KEPT = 128
 # With fewer, nothing is known of the longest pause that prompts cause.
-LEAST_PAUSES = 16
-# Share of the streams whose pauses are shorter than the bound: the rest may have stalled, or
-# lost their memory to more urgent ones and been read anew (guess).
-PAUSE_QUANTILE = 0.85
+LEAST_PAUSES = 8
+# Pauses in which fewer tokens could be read show no prompt.
+LEAST_PAUSE_TOKENS = 2_000
+# Share of these pauses that are shorter than the bound: the others may have stalled, or lost
+# their memory to more urgent ones and been read anew (guess).
+PAUSE_QUANTILE = 0.75
 # After which a bound that was seen counts a third: pauses that are avoided aren't seen.
 PAUSE_BOUND_FADING_S = 120.0
 
@@ -70,7 +72,7 @@
         event_s: seconds between two events of a stream, or 0 while not known.
         answer_s: seconds of a whole answer, or 0 while not known.
         pause_tokens: what is read at most within one pause, or infinity while not known.
-        pauses: the prompt tokens that were read within pauses of streams lately.
+        pauses: the prompt tokens that could be read within long pauses of streams lately.
     """
 
     reading_s: float = 1.0 / constants.FIRST_READING_TOKENS_PER_S
@@ -95,6 +97,11 @@
         self._settle_pauses(elapsed_s)
         return self._compare(views, now)
 
+    def note_pause(self, tokens: float) -> None:
+        """Note how many prompt tokens an engine could read within a pause of a stream."""
+        if tokens >= LEAST_PAUSE_TOKENS:
+            self.pauses.append(tokens)
+
     def figures(self, service: str, views: list[EngineView]) -> SpeedFigures:
         """Return how fast the engines are."""
         paces = [view.model.reading.found_s or self.reading_s for view in views]
--- a/liftrill/gateway/engines/speed_board.py
+++ b/liftrill/gateway/engines/speed_board.py
@@ -171,8 +171,7 @@
             model = view.model
             model.reading.hear(node, zone, row.reading, now)
             model.answer.hear(node, zone, row.answers, now)
-            if row.pause_tokens:
-                self._service(view.record.service).pauses.append(row.pause_tokens)
+            self._service(view.record.service).note_pause(row.pause_tokens)
 
     def _rows(self, work_of: Callable[[Pace], Work]) -> list[SpeedRow]:
         found: list[tuple[EngineView, SpeedRow]] = []
@@ -223,7 +222,7 @@
             self._changes.extend(service.settle(views, now))
 
     def _note_pause(self, view: EngineView, tokens: float) -> None:
-        self._service(view.record.service).pauses.append(tokens)
+        self._service(view.record.service).note_pause(tokens)
         longest = self._longest_pauses.get(view.number, 0.0)
         self._longest_pauses[view.number] = max(longest, tokens)
 
