--- a/liftrill/gateway/engines/placement.py
+++ b/liftrill/gateway/engines/placement.py
@@ -153,9 +153,17 @@
         is_large = len(candidates) > self.many_engines
         few = self.few_choices if is_large else len(candidates)
         far_s = min(self.far_s, self.far_share * request.route.target_seconds)
+        foresees = self.speeds.foresees_pauses(request.service)
         for place, engine_id in enumerate(rendezvous.rank(key, by_id)):
             candidate = by_id[engine_id]
-            cost_s = self._until_read_s(request, candidate) + self._pauses_s(request, candidate)
+            to_read = tokens_to_read(request, candidate)
+            cost_s = self._until_read_s(candidate, to_read)
+            if foresees:
+                late = self.speeds.late_streams(candidate.view, to_read, request.is_stream)
+                # A stream with a long pause is late, as is one whose first event comes late.
+                cost_s += late * request.route.target_seconds
+            else:
+                cost_s += self._pauses_s(candidate, to_read)
             if homes[candidate.scope] != engine_id:
                 cost_s += self._sharing_s(request, candidate, is_large)
                 cost_s += far_s if place >= few else 0.0
@@ -194,15 +202,15 @@
         assert home is not None
         return home
 
-    def _until_read_s(self, request: OpaqueRequest, candidate: Candidate) -> float:
+    def _until_read_s(self, candidate: Candidate, to_read: int) -> float:
         """Return what an engine does before it begins a prompt, and how much longer it reads."""
         view = candidate.view
         reading_s = self.speeds.reading_s(view)
         until_s = candidate.slot_wait_s + self._backlog_tokens(view) * reading_s
         if view.model.slowness == 1.0:
             return until_s
-        extra_s = reading_s - self.speeds.service_reading_s(request.service)
-        return until_s + tokens_to_read(request, candidate) * extra_s
+        extra_s = reading_s - self.speeds.service_reading_s(view.record.service)
+        return until_s + to_read * extra_s
 
     def _sharing_s(self, request: OpaqueRequest, candidate: Candidate, is_large: bool) -> float:
         """Return what it costs to have the shared parts at an engine that lacks them."""
@@ -225,15 +233,8 @@
         common_tokens = missing_tokens - rare_tokens
         return common_tokens * self.reread_factor + rare_tokens * self.rare_factor
 
-    def _pauses_s(self, request: OpaqueRequest, candidate: Candidate) -> float:
-        """Return what the pauses of streams there cost, of this one and of the others."""
-        if request.prompt is None:
-            return 0.0
-        to_read = tokens_to_read(request, candidate)
-        if self.speeds.foresees_pauses(request.service):
-            late = self.speeds.late_streams(candidate.view, to_read, request.is_stream)
-            # A stream with a long pause is late, as is one whose first event comes too late.
-            return late * request.route.target_seconds
+    def _pauses_s(self, candidate: Candidate, to_read: int) -> float:
+        """Return what the pauses of other streams there cost, if the prompt is long."""
         read_s = to_read * self.speeds.reading_s(candidate.view)
         if read_s < self.long_prompt_s:
             return 0.0
--- a/liftrill/gateway/engines/speed_board.py
+++ b/liftrill/gateway/engines/speed_board.py
@@ -22,6 +22,7 @@
 # Of more engines only those are told of that differ from the others: they fill a datagram.
 MANY_ROWS = 32
 MOST_ROWS = 96
+CAREFUL_READING_S = 1.0 / constants.PREFILL_TOKENS_PER_SECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,9 +69,10 @@
 
     def careful_reading_s(self, view: EngineView) -> float:
         """Return the same, for what must not come too late: what is not known counts as slow."""
-        if not self.knows_reading(view.record.service):
-            return 1.0 / constants.PREFILL_TOKENS_PER_SECOND
-        return self.reading_s(view)
+        if view.model.reading_s:
+            return view.model.reading_s
+        service = self._service(view.record.service)
+        return service.reading_s if service.knows_reading else CAREFUL_READING_S
 
     def service_reading_s(self, service: str) -> float:
         """Return the same of the service's engines, in the middle."""
@@ -84,26 +86,24 @@
         """Return whether the pauses of a service's streams are to be kept short, and can be."""
         return bool(self.pause_targets_s.get(service)) and self.knows_reading(service)
 
-    def pause_s(self, view: EngineView, waiting_tokens: float) -> float:
-        """Return the pause of a stream at an engine at which some prompt tokens wait.
-
-        Engines read prompts in pieces between the steps of streams: no more than so many of
-        them fall between two events, however many wait.
-        """
-        service = self._service(view.record.service)
-        read_tokens = min(waiting_tokens, service.pause_tokens)
-        return service.event_s + read_tokens * self.reading_s(view)
-
     def late_streams(self, view: EngineView, to_read: int, is_stream: bool) -> float:
         """Return how many streams a prompt is expected to make late by pauses at an engine.
 
-        Those that run there, beyond the ones that are late without it, and its own one.
+        Those that run there, beyond the ones that are late without it, and its own one. Engines
+        read prompts in pieces between the steps of streams: no more than so many tokens fall
+        between two events, however many wait.
         """
-        target_s = self.pause_targets_s[view.record.service]
-        after = _late_share(self.pause_s(view, view.waiting_tokens + to_read), target_s)
-        if not after:
+        name = view.record.service
+        service, target_s = self._service(name), self.pause_targets_s[name]
+        reading_s = view.model.reading_s or service.reading_s
+        waiting_tokens = view.waiting_tokens
+        most_tokens = service.pause_tokens
+        pause_s = service.event_s + min(waiting_tokens + to_read, most_tokens) * reading_s
+        if pause_s <= SOME_LATE_SHARE * target_s:
             return 0.0
-        before = _late_share(self.pause_s(view, view.waiting_tokens), target_s)
+        after = _late_share(pause_s, target_s)
+        before_s = service.event_s + min(waiting_tokens, most_tokens) * reading_s
+        before = _late_share(before_s, target_s)
         return view.requests * (after - before) + (before if is_stream else 0.0)
 
     # What this node observes
