--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -6,6 +6,11 @@
     Then the caller has the bytes "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
     And the answer is complete
 
+  Scenario: The pace of a whole stream's events is known of its engine
+    Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n" and "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"
+    When a gateway delivers it
+    Then it is known how fast 2 events of its engine came
+
   Scenario: A stream that ends within an event is not complete
     Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\nda"
     When a gateway delivers it
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record, new_quarantine, opaque_request, route_rule
+from liftrill import clock
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.decision_log import DecisionLog
@@ -484,6 +485,7 @@
     targets = getattr(context, "targets", WeightTargets(8.0))
     transport = getattr(context, "transport", None) or ScriptedTransport(context.pieces)
     selector = EngineSelector(engines, targets, "zone-1")
+    context.delivering_engines = engines
     allowance = RetryAllowance(0.2, 20.0, 10.0, 0.0)
     context.metrics = GatewayMetrics()
     ports = ForwardingPorts(selector, allowance)
@@ -514,6 +516,14 @@
     assert context.sink.ending == "complete", context.sink.ending
 
 
+@then("it is known how fast {count:d} events of its engine came")
+def step_pace_known(context, count):
+    (view,) = context.delivering_engines
+    work = view.model.event.own_work(clock.now_s())
+    # The longest pause is left out of them.
+    assert 0.9 * count < work.units <= count, work
+
+
 @then("the answer is broken off")
 def step_broken_off(context):
     assert context.sink.ending == "broken off", context.sink.ending
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -21,6 +21,7 @@
 from liftrill.gateway.transport import AnswerSink, EngineAttempt
 
 WAIT_STEP_SECONDS = 0.06
+FIRST_CLIENT_ERROR = 400
 
 
 class EngineSignal:
@@ -258,10 +259,15 @@
         now = clock.now_s()
         if isinstance(ending, events.FinishStream):
             self._owner.note_stream(view, self._machine.times, now)
-        elif self._machine.request.prompt is None:
+        elif self._machine.request.prompt is None and _is_success(ending):
             self._owner.note_answer(view, self._times.sent_at, self._requests_there, now)
 
 
+def _is_success(ending: events.DeliveryInstruction) -> bool:
+    """Return whether an engine did what was asked: what it refuses takes it no time."""
+    return isinstance(ending, events.PassAnswer) and ending.answer.status < FIRST_CLIENT_ERROR
+
+
 def _is_served(ending: events.DeliveryInstruction) -> bool:
     """Return whether an engine ran a request to a good end."""
     if isinstance(ending, events.PassAnswer):
