--- a/liftrill/gateway/holding/node_memory.py
+++ b/liftrill/gateway/holding/node_memory.py
@@ -66,8 +66,7 @@
 def new_node_memory(
     settings: GatewaySettings, log: DecisionLog, metrics: GatewayMetrics
 ) -> NodeMemory | None:
-    """Return the memory of a node, or None where nothing calls for bounds."""
-    limit_bytes = settings.machine.memory_bytes
-    if not limit_bytes and not settings.slow_peers:
+    """Return the memory of a node, or None where callers and engines read as fast as they can."""
+    if not settings.slow_peers:
         return None
-    return NodeMemory(limit_bytes or machine_bytes(), log, metrics)
+    return NodeMemory(settings.machine.memory_bytes or machine_bytes(), log, metrics)
