Speeds are learned while engines turn requests away; first samples are bounded by the first belief

Cause: after a refusal for load samples were left out, as after an order: in an overload a node learned nothing for seconds (believed 91,808 and 901,968 tokens a second where engines read 100,000). The first sample of an engine had no bound. Change: only a load of weights makes samples unsound; the first belief bounds the first ones. The step that lets an engine load weights says which, as notices do.

--- a/features/steps/engine_speeds_steps.py
+++ b/features/steps/engine_speeds_steps.py
@@ -146,9 +146,9 @@
 def step_loads(context, number, seconds, factor):
     fleet = context.fleet
     view = fleet.view(number)
-    view.loading_until = fleet.now + seconds
+    view.loading_until, view.loading_version = fleet.now + seconds, 2
     fleet.work(seconds, {view.engine_id: factor})
-    view.loading_until = 0.0
+    view.loading_until, view.loading_version = 0.0, 0
     # It was sent while weights were loaded, and is read soon after.
     fleet.read(view.engine_id, PROMPT_TOKENS, factor)
     fleet.settle()
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -153,6 +153,10 @@
             self.loading_version = 0
             self.loading_until = 0.0
 
+    def loads_weights(self, now: float) -> bool:
+        """Return whether it is believed to load weights, and is not just left alone for load."""
+        return bool(self.loading_version) and self.is_loading(now)
+
     def is_loading(self, now: float) -> bool:
         """Return whether it is believed to be busy with an order."""
         return now < self.loading_until
--- a/liftrill/gateway/engines/speed_board.py
+++ b/liftrill/gateway/engines/speed_board.py
@@ -116,9 +116,8 @@
         if not self._is_sound(view, elapsed_s, now):
             return
         service = self._service(view.record.service)
+        # Also bounded by the first belief: what waited ahead may have been read meanwhile.
         known_s = view.model.reading.found_s or service.reading_s
-        if not service.knows_reading:
-            known_s = 0.0
         view.model.reading.record(tokens, elapsed_s, known_s, now)
         self._settle_if_due(view.record.service, None, now)
 
@@ -196,7 +195,7 @@
         by_service = self._by_service()
         for service, views in by_service.items():
             for view in views:
-                if view.is_loading(now):
+                if view.loads_weights(now):
                     view.model.disturbed_at = now
             self._settle_if_due(service, views, now)
         for gone in self._services.keys() - by_service.keys():
@@ -228,7 +227,7 @@
 
     def _is_sound(self, view: EngineView, elapsed_s: float, now: float) -> bool:
         """Return whether what ran for some time until now shows how fast an engine is."""
-        if view.is_loading(now):
+        if view.loads_weights(now):
             view.model.disturbed_at = now
         return elapsed_s > 0.0 and now - elapsed_s > view.model.disturbed_at
 
