--- a/features/room_replay.py
+++ b/features/room_replay.py
@@ -29,6 +29,8 @@
 MEMORY_TOKENS = 90_000
 STREAM_S = 0.4
 REPORT_S = 0.1
+# Speeds are told with each tenth report of load.
+SPEED_REPORTS = 10
 LONG_TOKENS, SHORT_TOKENS = 9_200, 800
 # One in four prompts is short, and urgent.
 URGENT_EVERY = 4
@@ -256,9 +258,23 @@
             if node is not teller:
                 node.table.get(view.engine_id).peer_load.waiting_tokens += tokens
 
+    def _tell_speeds(self):
+        """Let nodes tell each other of engines' speed, and work it out anew, as real ones do."""
+        now = clock.now_s()
+        for name, node in enumerate(self.nodes):
+            rows = node.selector.speeds.own_rows(now)
+            node.selector.speeds.told()
+            for other in self.nodes:
+                if other is not node:
+                    other.selector.speeds.hear(str(name), "zone-1", rows, now)
+        for node in self.nodes:
+            node.selector.speeds.refresh(now)
+
     async def _report(self):
-        while True:
+        for number in itertools.count(1):
             await asyncio.sleep(REPORT_S)
+            if number % SPEED_REPORTS == 0:
+                self._tell_speeds()
             for name in self.engines:
                 views = [node.table.get(name) for node in self.nodes]
                 total = EngineLoad()
