--- a/liftrill/constants.py
+++ b/liftrill/constants.py
@@ -1,7 +1,8 @@
-"""Every tunable constant, with its unit in its name and its environment variable.
+"""Constants that can be tuned, with their units in their names and environment variables.
 
 A constant can be overridden by the environment variable named beside it. Values that
-operators set per node are in `liftrill.node.settings` instead.
+operators set per node are in `liftrill.node.settings` instead. Those that are not to be
+tuned stand in the modules that use them.
 """
 
 import os
@@ -162,7 +163,7 @@
 # Until the first prompts were read: of the order of an engine of one accelerator (guess).
 FIRST_READING_TOKENS_PER_S = _number("LIFTRILL_FIRST_READING_TOKENS_PER_S", 40_000.0)
 # Peers are told at once of prompts that take an engine longer: others that are sent behind one
-# come late by as much (measured on a third of the large site; a quarter of it gave no more).
+# come late by as much.
 TOLD_READING_LEAST_S = _number("LIFTRILL_TOLD_READING_LEAST_S", 0.05)
 # Reading 9,000 tokens takes 0.24 s, and twice that behind another such prompt.
 TOLD_READING_S = _number("LIFTRILL_TOLD_READING_S", 0.4)
--- a/liftrill/coordination/quota.py
+++ b/liftrill/coordination/quota.py
@@ -296,6 +296,7 @@
         if bucket is not None:
             bucket.level -= amount
             bucket.spent.append((now, amount))
+            bucket.note_given(amount, now)
 
     def give_back(self, tenant: str, amount: float, now: float) -> SpendingNotice | None:
         """Return units that were taken for work that was then not done.
--- a/liftrill/coordination/told_spending.py
+++ b/liftrill/coordination/told_spending.py
@@ -11,8 +11,8 @@
 # For how long a spending can be taken back: requests that engines shed, or that wait in vain for
 # room, end within the fraction of a second that callers wait for a first answer.
 TAKEN_BACK_WITHIN_S = 2.0
-# How many notices of others are remembered: 13 a node and second of a fleet of 350. 0.6 MB at
-# the most (150 bytes each); what is forgotten stays charged.
+# How many notices of others are remembered: 2,000 a second for as long as they can be taken
+# back. 0.6 MB at the most (150 bytes each); what is forgotten stays charged.
 NOTICES_KEPT = 4_096
 
 
--- a/liftrill/gateway/admission/line.py
+++ b/liftrill/gateway/admission/line.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-# After so many places for more urgent requests in a row the next one goes to others that wait:
-# a kind of request gets a ninth of the places at least, whatever the more urgent ones ask for.
+# After so many places in a row for more urgent requests of the line the next one is offered to
+# others that wait, so that a line that never ends does not starve them. Requests that find room
+# as they come are not counted.
 PLACES_IN_A_ROW = 8
 # How many tenants' turns are remembered while none of their requests waits (100 bytes each).
 TENANTS_KEPT = 256
--- a/liftrill/gateway/admission/overload.py
+++ b/liftrill/gateway/admission/overload.py
@@ -18,6 +18,9 @@
 LEAST_URGENT_SHARE = 0.1
 # A queue counts as gone below this share of the wait that is still in time.
 RELIEVED_SHARE = 0.5
+# How much longer the most urgent may wait by this count: engines take them in before the others
+# that wait, so they wait for only a part of it (guess).
+URGENT_WAIT_FACTOR = 1.6
 
 
 @dataclass(slots=True)
@@ -85,7 +88,7 @@
     """
 
     good_share: float = constants.GOOD_WAIT_TARGET_SHARE
-    urgent_factor: float = 1.6
+    urgent_factor: float = URGENT_WAIT_FACTOR
     longest_wait_s: float = constants.LONGEST_ENGINE_WAIT_S
     longest_targets: float = constants.LONGEST_ENGINE_WAIT_TARGETS
     turned: Callable[[OverloadTurn], None] = _tell_nobody
--- a/liftrill/gateway/admission/places.py
+++ b/liftrill/gateway/admission/places.py
@@ -47,14 +47,14 @@
             self.log.not_queued(request, turn_at - now, min(until, latest_start) - now)
             return None
         return Place(
-            request.priority,
-            request.tenant,
-            _tokens(request),
-            latest_start,
-            until,
-            now,
-            self.returning.standing(request, now),
-            for_room,
+            urgency=request.priority,
+            tenant=request.tenant,
+            tokens=_tokens(request),
+            latest_start=latest_start,
+            until=until,
+            since=now,
+            standing=self.returning.standing(request, now),
+            needs_room=for_room,
         )
 
     def wait_s(self, request: OpaqueRequest, now: float) -> float:
@@ -64,4 +64,4 @@
 
 def _tokens(request: OpaqueRequest) -> int:
     prompt = request.prompt
-    return prompt.prompt_tokens + prompt.output_tokens if prompt else 1
+    return prompt.declared_tokens if prompt else 1
--- a/liftrill/gateway/admission/quota_gate.py
+++ b/liftrill/gateway/admission/quota_gate.py
@@ -31,7 +31,7 @@
         return 1.0
     if request.prompt is None:
         return float(quota.plain_tokens)
-    tokens = request.prompt.prompt_tokens + request.prompt.output_tokens
+    tokens = request.prompt.declared_tokens
     return float(tokens or quota.plain_tokens)
 
 
--- a/liftrill/gateway/admission/request_admission.py
+++ b/liftrill/gateway/admission/request_admission.py
@@ -87,8 +87,7 @@
         wait = route.timeout_seconds
         if incoming.deadline_seconds is not None:
             wait = min(wait, incoming.deadline_seconds)
-        has_priority = tenant is not None and tenant.priority is not None
-        priority = tenant.priority if tenant is not None and has_priority else route.priority
+        own_priority = tenant.priority if tenant is not None else None
         return OpaqueRequest(
             request_id=incoming.request_id,
             method=incoming.method,
@@ -99,7 +98,7 @@
             service=self._split.next_service(route),
             tenant=tenant.name if tenant else "",
             isolated=tenant.isolated if tenant else False,
-            priority=priority if priority is not None else route.priority,
+            priority=route.priority if own_priority is None else own_priority,
             prompt=incoming.prompt,
             received_at=incoming.received_at,
             deadline=incoming.received_at + wait,
--- a/liftrill/gateway/admission/room.py
+++ b/liftrill/gateway/admission/room.py
@@ -50,5 +50,5 @@
     """Return whether an engine has memory for a request, or nothing else to do."""
     if not memory_tokens or not view.requests or request.prompt is None:
         return True
-    needed = request.prompt.prompt_tokens + request.prompt.output_tokens
+    needed = request.prompt.declared_tokens
     return view.resident_tokens + needed <= memory_tokens
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -141,7 +141,7 @@
 
     @property
     def refuted_runs(self) -> int:
-        """How many runs the request counts for that were none: it counts for one, if not sent."""
+        """How many charged runs did not happen: one is charged before anything is sent."""
         return max(1, len(self.attempts)) - self._ledger.open_attempts
 
     def handle(self, event: events.DeliveryEvent) -> list[events.DeliveryInstruction]:
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -149,7 +149,9 @@
             self._owner.lines.came_free(self._machine.request.service)
 
     def give_up(self) -> None:
-        """Note that the caller has gone."""
+        """Note that the caller has gone, unless the request had ended before."""
+        if self._ended:
+            return
         if self._view is not None:
             self._owner.run_given_up(self._machine, self._view, self._times)
         self._owner.note_not_run(self._machine)
@@ -316,5 +318,5 @@
     body_kilobytes = math.ceil(len(request.body) / BYTES_PER_KILOBYTE)
     if prompt is None:
         return EngineLoad(requests=1, body_kilobytes=body_kilobytes)
-    resident = prompt.prompt_tokens + prompt.output_tokens
+    resident = prompt.declared_tokens
     return EngineLoad(1, max(1, choice.expected_tokens), resident, body_kilobytes)
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -20,15 +20,15 @@
     ) -> None:
         self._transport = transport
         self._on_ended = on_ended
-        self._running: dict[str, asyncio.Task[None]] = {}
+        self._running: dict[int, asyncio.Task[None]] = {}
 
     async def ask(self, view: EngineView) -> None:
         """Find out whether an engine has ended; return without an answer if it takes long."""
-        task = self._running.get(view.engine_id)
+        task = self._running.get(view.number)
         if task is None:
             task = asyncio.ensure_future(self._ask(view))
-            self._running[view.engine_id] = task
-            task.add_done_callback(lambda _: self._running.pop(view.engine_id, None))
+            self._running[view.number] = task
+            task.add_done_callback(lambda _: self._running.pop(view.number, None))
         await asyncio.wait({task}, timeout=LONGEST_WAIT_S)
 
     async def _ask(self, view: EngineView) -> None:
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -215,7 +215,8 @@
         Another incarnation under a known id holds nothing of what the former one held, and
         nothing that was learned of that one is true of it.
         """
-        if not self._tells_birth(record):
+        self._note_birth(record)
+        if self._births_told and not record.born_unix_ms:
             self.withdraw(record.engine_id, record.revision)
             return None
         view = self._views.get(record.engine_id)
@@ -238,13 +239,14 @@
         view.withdrawn = True
         return True
 
-    def _tells_birth(self, record: EngineRecord) -> bool:
-        """Return whether a record tells its engine's start, if engines do so here."""
-        if record.born_unix_ms and not self._births_told:
-            self._births_told = True
-            for view in [v for v in self._views.values() if not v.record.born_unix_ms]:
+    def _note_birth(self, record: EngineRecord) -> None:
+        """Use no engine without a start, from the first record that tells one on."""
+        if not record.born_unix_ms or self._births_told:
+            return
+        self._births_told = True
+        for view in self._views.values():
+            if not view.record.born_unix_ms:
                 view.withdrawn = True
-        return bool(record.born_unix_ms) or not self._births_told
 
     def remove(self, engine_id: str) -> None:
         """Forget an engine whose record is gone."""
@@ -284,4 +286,5 @@
             view.loading_version = notice.version
         else:
             view.loading_until = 0.0
+            view.loading_version = 0
             view.learn_weights(notice.model, notice.version)
--- a/liftrill/gateway/engines/part_keeping.py
+++ b/liftrill/gateway/engines/part_keeping.py
@@ -70,7 +70,7 @@
         self, choice: EngineChoice, request: OpaqueRequest, prompt: PromptShape, now: float
     ) -> None:
         """Note what a prompt takes of the engines' memory and of the stores' links."""
-        self.retention.record(prompt.prompt_tokens + prompt.output_tokens, now)
+        self.retention.record(prompt.declared_tokens, now)
         capacity = self.profile(request.service).cache_tokens
         if capacity:
             views = self._engines.of_service(request.service)
--- a/liftrill/gateway/engines/service_model.py
+++ b/liftrill/gateway/engines/service_model.py
@@ -228,8 +228,8 @@
         slowness: how many times the reading time of the service's engines it takes.
         answer_slowness: the same of whole answers.
         home_weight: how many shared parts have their home there, beside other engines.
-        disturbed_at: when it was last seen to load weights, or to refuse: what ran then tells
-            nothing of its pace.
+        disturbed_at: when it was last seen to load weights: what ran then tells nothing of its
+            pace.
     """
 
     reading: Pace = field(default_factory=Pace)
--- a/liftrill/gateway/engines/slot_times.py
+++ b/liftrill/gateway/engines/slot_times.py
@@ -4,6 +4,7 @@
 
 from liftrill import constants
 
+# Of each answer: ten of them show a change (guess).
 SAMPLE_WEIGHT = 0.1
 
 
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -65,6 +65,7 @@
 from liftrill.gateway.weight_rollout import WeightRollout
 from liftrill.gateway.weight_targets import WeightTargets
 
+# A lateness that callers feel is seen within three beats.
 HOUSEKEEPING_SECONDS = 0.3
 # Lines of one beat on nodes that are named less: with more of them it is the zone that is busy.
 MOST_CHANGES_TOLD = 3
--- a/liftrill/gateway/holding/body_reader.py
+++ b/liftrill/gateway/holding/body_reader.py
@@ -17,8 +17,7 @@
 )
 
 # What a connection has received is read at once, before it is decided whether its body is taken:
-# with the kernel's own sizes 100 callers that send 3 MB at once made that 50 MB. At 6 ms there
-# and back this much still carries 80 Mbit/s.
+# this bounds what many callers make a node take in so, and still keeps a usual link busy.
 RECEIVE_BYTES = 65_536
 # For how long a refused caller's body is read and dropped: a connection that is closed with
 # bytes unread is reset, and the reset may overtake the answer.
--- a/liftrill/gateway/holding/memory_budget.py
+++ b/liftrill/gateway/holding/memory_budget.py
@@ -16,8 +16,8 @@
 LARGE_BODY_BYTES = 65_536
 # Answers that wait for their callers take at most this share, so that bodies find room too.
 ANSWERS_SHARE = 0.5
-# A body that is still not there after this time came more slowly than any link that a caller
-# with a deadline of a few seconds can use.
+# Bodies that have been coming for longer give way where room is needed: they hold it for the
+# sake of one slow caller.
 TRICKLE_S = 2.0
 # When the budget counts as nearly spent, and as well again.
 SPENT_SHARE = 0.9
--- a/liftrill/gateway/holding/node_memory.py
+++ b/liftrill/gateway/holding/node_memory.py
@@ -51,7 +51,7 @@
         self._metrics.holding_capacity.set(budget.capacity_bytes)
 
     def note_ended(self, request_id: str, reason: str, held_bytes: int) -> None:
-        """Tell that what a caller did not take, or did not send, was let go."""
+        """Tell that an answer that its caller did not take was let go."""
         self._metrics.slow_callers.labels(reason).inc()
         self._log.request_refused(
             request_id, "LET_GO", why=reason, held_bytes=held_bytes, all=self.budget.held_bytes
--- a/liftrill/gateway/http_server.py
+++ b/liftrill/gateway/http_server.py
@@ -1,7 +1,6 @@
 """The parts of aiohttp's server that are used here.
 
-The package aiohttp.web also imports applications, routes and files: a tenth of the modules
-of a node, none of which it uses.
+The package aiohttp.web also imports applications, routes and files, none of which a node uses.
 """
 
 from aiohttp.web_request import BaseRequest
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -34,6 +34,11 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
 
+    @property
+    def declared_tokens(self) -> int:
+        """The most tokens that an engine holds for the request."""
+        return self.prompt_tokens + self.output_tokens
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """The parts that other requests may have too."""
--- a/liftrill/gateway/peers/caller_directory.py
+++ b/liftrill/gateway/peers/caller_directory.py
@@ -16,7 +16,7 @@
     LATE_S,
     NodeCapacities,
     NodeWord,
-    usual_word,
+    summed_word,
 )
 
 # With fewer nodes than this in the caller's zone, nodes of all zones are named.
@@ -145,7 +145,7 @@
         for member in members:
             nodes.setdefault(member.zone, []).append(member.node_id)
         words = list(self.capacities.words(nodes.pop(zone), now).values())
-        usual = usual_word(words)
+        usual = summed_word(words)
         wanted = 0.0
         # Nodes that are alike name each other alone until they are late.
         if not are_equal([word.capacity_cores for word in words]) or usual.late_s > LATE_S:
--- a/liftrill/gateway/peers/caller_division.py
+++ b/liftrill/gateway/peers/caller_division.py
@@ -17,7 +17,7 @@
 import xxhash
 
 from liftrill import constants
-from liftrill.gateway.peers.node_capacity import LATE_S, NodeWord, usual_word
+from liftrill.gateway.peers.node_capacity import LATE_S, NodeWord, summed_word
 
 # With half of a zone gone at once, one caller in 256 is left without an address until it asks
 # again; with more addresses the largest nodes couldn't be named as often as they can bear.
@@ -32,6 +32,8 @@
 SPARE_MARGIN = 0.5
 # A node with much to spare gets at most this much more than its capacity asks for.
 MOST_FACTOR = 1.5
+# Above it a node is named about as often as its capacity asks for.
+NAMED_LESS_FACTOR = 1.0 / 1.5
 # Factors are told apart in steps, so that nodes whose words differ by a little agree.
 FACTOR_STEP = 1.15
 # Requests of the largest bodies, and what the process needs beside them.
@@ -63,7 +65,7 @@
     @property
     def is_named_less(self) -> bool:
         """Return whether it is late, short of memory, busier than others or just back."""
-        return self.factor < 1.0 / MOST_FACTOR
+        return self.factor < NAMED_LESS_FACTOR
 
 
 class Answers(ABC):
@@ -189,7 +191,7 @@
     words: Mapping[str, NodeWord], heard_s: Mapping[str, float | None]
 ) -> list[Candidate]:
     """Return nodes, in their order, with what they can bear and how much less they're named."""
-    usual = usual_word(list(words.values()))
+    usual = summed_word(list(words.values()))
     alike = are_equal([word.capacity_cores for word in words.values()])
     found = []
     for node_id, word in words.items():
--- a/liftrill/gateway/peers/load_codec.py
+++ b/liftrill/gateway/peers/load_codec.py
@@ -26,16 +26,16 @@
 }
 SCOPES_BY_NUMBER = {number: scope for scope, number in SCOPES.items()}
 # What one datagram may hold of each, so that it stays under 1,200 bytes: a row of load takes
-# 34 bytes with an id of 12 letters, a kept part 18, and a tenant's spending 24 with a name of
+# 40 bytes with an id of 12 letters, a kept part 18, and a tenant's spending 24 with a name of
 # 15 letters (worked out from the wire format).
-LOADS_PER_PIECE = 16
+LOADS_PER_PIECE = 14
 KEPT_PER_PIECE = 24
 TENANTS_PER_PIECE = 6
 # A row of speed takes 30 bytes (worked out from the wire format), and each counts by itself.
 SPEEDS_PER_PIECE = 32
 HUNDREDTHS = 100
 MILLISECONDS = 1_000
-THOUSANDTHS = 1_000
+MILLICORES = 1_000
 KILOBYTE = 1_024
 
 Row = TypeVar("Row")
@@ -133,18 +133,18 @@
 
 def _load_from_word(word: NodeWord) -> messages.NodeLoad:
     return messages.NodeLoad(
-        capacity=round(word.capacity_cores * THOUSANDTHS),
-        used=round(word.used_cores * THOUSANDTHS),
-        lag_milliseconds=round(word.late_s * THOUSANDTHS),
+        capacity=round(word.capacity_cores * MILLICORES),
+        used=round(word.used_cores * MILLICORES),
+        lag_milliseconds=round(word.late_s * MILLISECONDS),
         free_kilobytes=word.free_bytes // KILOBYTE,
     )
 
 
 def _word_from_load(message: messages.NodeLoad) -> NodeWord:
     return NodeWord(
-        message.capacity / THOUSANDTHS,
-        message.used / THOUSANDTHS,
-        message.lag_milliseconds / THOUSANDTHS,
+        message.capacity / MILLICORES,
+        message.used / MILLICORES,
+        message.lag_milliseconds / MILLISECONDS,
         message.free_kilobytes * KILOBYTE,
     )
 
--- a/liftrill/gateway/peers/load_exchange.py
+++ b/liftrill/gateway/peers/load_exchange.py
@@ -24,7 +24,10 @@
 from liftrill.gateway.peers.node_capacity import NodeWord
 
 DELEGATE_KEY = b"load delegate "
+# With more, words from each to each cost more than sums that come later.
 DIRECT_NODES = 12
+# Between two words of a node: sooner than a prompt is read, and longer in large zones so that
+# each node hears about as many a second.
 SHORTEST_INTERVAL_S = 0.1
 INTERVAL_PER_NODE_S = 0.01
 LONGEST_INTERVAL_S = 0.4
--- a/liftrill/gateway/peers/node_capacity.py
+++ b/liftrill/gateway/peers/node_capacity.py
@@ -35,7 +35,9 @@
 # The last bodies whose arrival is looked at; their median bears a few slow callers.
 BODIES_SEEN = 15
 # A word counts for as long as one of loads on engines.
-WORD_LIFETIME_S = 1.0
+NODE_WORD_LIFETIME_S = 1.0
+# A late loop that got less of it was stopped, and shows nothing of what keeps it busy.
+LEAST_FULL_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +171,7 @@
         """Correct what the settings tell: a late loop is a busy one, whatever it gets."""
         if cores > self.full_cores > 0.0:
             self.full_cores = cores
-        elif late_s > LATE_S and cores > self.full_cores / 4:
+        elif late_s > LATE_S and cores > LEAST_FULL_SHARE * self.full_cores:
             self.full_cores += USE_SMOOTHING * (cores - self.full_cores)
 
     def _cpu_share(self, cores: float) -> float:
@@ -222,7 +224,7 @@
 
     def total(self, nodes: list[str], now: float) -> NodeWord:
         """Return the sum over nodes; those that are not known count as the median."""
-        return usual_word(list(self.words(nodes, now).values()))
+        return summed_word(list(self.words(nodes, now).values()))
 
     def words(self, nodes: list[str], now: float) -> dict[str, NodeWord]:
         """Return a word for each node, the median of the others' where it is not known."""
@@ -234,22 +236,14 @@
             for node, word in found.items()
         }
 
-    def share_of(self, node: str, nodes: list[str], now: float) -> float:
-        """Return the part that a node has of the capacity of some."""
-        words = self.words(nodes, now)
-        total = sum(word.capacity_cores for word in words.values())
-        if node not in words:
-            return 0.0
-        return words[node].capacity_cores / total if total else 1.0 / len(nodes)
-
 
 def _fresh(entry: tuple[NodeWord, float] | None, now: float) -> NodeWord | None:
-    if entry is None or now - entry[1] > WORD_LIFETIME_S:
+    if entry is None or now - entry[1] > NODE_WORD_LIFETIME_S:
         return None
     return entry[0]
 
 
-def usual_word(words: Sequence[NodeWord]) -> NodeWord:
+def summed_word(words: Sequence[NodeWord]) -> NodeWord:
     """Return what nodes bear and use in all, and how late the median of them is."""
     if not words:
         return NodeWord(0.0, 0.0)
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -149,7 +149,10 @@
         self._turn.add_spending(message)
 
     def _tell_after_turn(self) -> None:
-        """Send the words of this turn of the event loop when it is over."""
+        """Send the words of this turn of the event loop when it is over.
+
+        Called before a word is added: the first one of a turn arranges the sending.
+        """
         if not self._turn:
             asyncio.get_running_loop().call_soon(self._tell_turn)
 
--- a/liftrill/gateway/peers/peer_silence.py
+++ b/liftrill/gateway/peers/peer_silence.py
@@ -12,8 +12,8 @@
 
 # A node reports at least this often, with or without load.
 IDLE_REPORT_S = 0.4
-# Five idle reports: of 79 nodes that lose one datagram in twenty none is taken
-# for silent in a minute (virtual time), and a gone one is named by nobody after this time.
+# Five idle reports: a few lost ones silence nobody, and a node that is gone is named by nobody
+# after it.
 SILENT_AFTER_S = 2.0
 # With more of the peers silent it is this node that hears nobody.
 MOST_SILENT_SHARE = 0.5
--- a/liftrill/gateway/peers/turn_words.py
+++ b/liftrill/gateway/peers/turn_words.py
@@ -1,11 +1,14 @@
 """Collects the words that go to all peers at once, from one turn of the event loop, sans-IO.
 
-A word to 84 peers takes 84 sendings and wakes 84 nodes. A request may call for two of them, and
-a node that is late takes up many requests in one turn.
+A word to all peers takes a sending to each, and wakes each of them. A request may call for two
+words, and a node that is late takes up many requests in one turn.
 """
 
 from liftrill.messages import peer_pb2 as messages
 
+# Of 16 bytes each, so that a datagram with a spending stays under 1,200 bytes.
+READINGS_PER_DATAGRAM = 64
+
 
 class TurnWords:
     """What is to be sent to all peers when this turn is over."""
@@ -33,8 +36,9 @@
         """
         datagrams, self._spendings = self._spendings, []
         readings, self._readings = self._readings, []
-        if readings and not datagrams:
-            datagrams = [messages.Datagram(reading_begun=readings.pop(0))]
-        if readings:
-            datagrams[0].readings.extend(readings)
+        for index, start in enumerate(range(0, len(readings), READINGS_PER_DATAGRAM)):
+            some = readings[start : start + READINGS_PER_DATAGRAM]
+            if index == len(datagrams):
+                datagrams.append(messages.Datagram(reading_begun=some.pop(0)))
+            datagrams[index].readings.extend(some)
         return datagrams
--- a/liftrill/gateway/ticks.py
+++ b/liftrill/gateway/ticks.py
@@ -1,7 +1,7 @@
 """Lets the loops of one process wake together.
 
-An idle node spends most of its processor time on waking up. Loops that each sleep for times of
-their own wake it 45 times a second; with pauses that end at common ticks it is 10 times.
+An idle node spends most of its processor time on waking up, so the pauses of its loops end at
+common ticks rather than each at a time of its own.
 """
 
 import asyncio
