--- a/liftrill/gateway/holding/caller_sink.py
+++ b/liftrill/gateway/holding/caller_sink.py
@@ -162,7 +162,7 @@
         if self._request_id:
             headers += ((self._id_header, self._request_id),)
         if retry_after_seconds is not None:
-            headers += (("Retry-After", f"{retry_after_seconds:.2f}"),)
+            headers += (("Retry-After", f"{retry_after_seconds:.3f}"),)
         await self._send(response, headers)
 
     async def _send(self, response: web.Response, headers: events.Headers) -> None:
