--- a/features/run.py
+++ b/features/run.py
@@ -43,6 +43,10 @@
     "model_checking",
     "callers",
     "platform_relay",
+    "caller_division",
+    "engine_speeds",
+    "room",
+    "holding_process",
 )
 
 
