--- a/liftrill/gateway/admission/coming_back.py
+++ b/liftrill/gateway/admission/coming_back.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from liftrill import constants
 from liftrill.gateway.admission.line import Standing
 from liftrill.gateway.fading_rate import FadingRate
 from liftrill.gateway.opaque_request import OpaqueRequest
@@ -129,7 +128,7 @@
         wait_s = min(max(share_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
         if request.service not in self._full:
             return wait_s
-        patience_s = constants.PATIENCE_SHARE * max(0.0, request.deadline - now)
+        patience_s = request.patience_s(now)
         room_in_s = self.room_in_s(request) + self.line_wait_s(request, now)
         wait_s = self._of(request.service).draw_s(max(wait_s, room_in_s), patience_s, now)
         self.returning.note_told(request, wait_s, now)
--- a/liftrill/gateway/admission/quota_gate.py
+++ b/liftrill/gateway/admission/quota_gate.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from liftrill import constants
 from liftrill.coordination.quota import QuotaReport, QuotaSource, SharedBuckets
 from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.errors import ResultCode
@@ -72,7 +71,7 @@
         if quota is None:
             return None
         units = units_of(quota, request)
-        patience_s = constants.PATIENCE_SHARE * max(0.0, request.deadline - now)
+        patience_s = request.patience_s(now)
         verdict = self.buckets.try_take(request.tenant, units, now, patience_s)
         if verdict.wait_s > 0.0:
             self._note_refusal(request.tenant, verdict.left, now)
--- a/liftrill/gateway/engines/service_model.py
+++ b/liftrill/gateway/engines/service_model.py
@@ -74,9 +74,7 @@
     told = [work for work in works if work.tells]
     if len(told) < 2:
         return told[0] if told else NO_WORK
-    most = SOURCE_BOUND * _middle([work.units for work in told])
-    middle_s = _middle([work.pace_s for work in told])
-    rows = sorted((_bounded(w.pace_s, middle_s), min(w.units, most)) for w in told)
+    rows = sorted(_bounded_rows(told, SAMPLE_BOUND))
     total = sum(units for _, units in rows)
     cut = TRIMMED_SHARE * total if len(rows) >= TRIMMED_SOURCES else 0.0
     passed = seconds = kept = 0.0
@@ -94,17 +92,25 @@
     told = [work for work in works if work.tells]
     if len(told) < 2:
         return told[0] if told else NO_WORK
-    most = SOURCE_BOUND * _middle([work.units for work in told])
-    middle_s = _middle([work.pace_s for work in told])
-    rows = [(_bounded(w.pace_s, middle_s, ZONE_BOUND), min(w.units, most)) for w in told]
+    rows = _bounded_rows(told, ZONE_BOUND)
     return Work(sum(units for _, units in rows), sum(pace_s * units for pace_s, units in rows))
 
 
-def _middle(values: list[float]) -> float:
-    """Return the median, the lower of two."""
+def middle(values: list[float]) -> float:
+    """Return the median, the lower of two.
+
+    Importing `statistics` for it would make each start longer.
+    """
     return sorted(values)[(len(values) - 1) // 2]
 
 
+def _bounded_rows(told: list[Work], bound: float) -> list[tuple[float, float]]:
+    """Return pace and units of each source, neither far from the middle one's."""
+    most = SOURCE_BOUND * middle([work.units for work in told])
+    middle_s = middle([work.pace_s for work in told])
+    return [(_bounded(work.pace_s, middle_s, bound), min(work.units, most)) for work in told]
+
+
 def _bounded(pace_s: float, known_s: float, bound: float = SAMPLE_BOUND) -> float:
     return min(max(pace_s, known_s / bound), known_s * bound)
 
--- a/liftrill/gateway/engines/service_speeds.py
+++ b/liftrill/gateway/engines/service_speeds.py
@@ -6,7 +6,7 @@
 
 from liftrill import constants
 from liftrill.gateway.engines.engine_table import EngineView
-from liftrill.gateway.engines.service_model import Pace
+from liftrill.gateway.engines.service_model import Pace, middle
 
 # Engines that differ less from the service's are taken for alike: so much the estimates of
 # equal engines differ, and what is decided for engines that are alike must not waver.
@@ -150,8 +150,8 @@
     """Work out some paces, and return the middle one of those that are known."""
     for pace in paces:
         pace.settle(known_s, now)
-    found = sorted(pace.found_s for pace in paces if pace.found_s)
-    return found[(len(found) - 1) // 2] if found else known_s
+    found = [pace.found_s for pace in paces if pace.found_s]
+    return middle(found) if found else known_s
 
 
 def _slowness(pace: Pace, middle_s: float, before: float) -> float:
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -4,6 +4,7 @@
 from functools import cached_property
 from hashlib import blake2b
 
+from liftrill import constants
 from liftrill.gateway.records import RequestKind, RouteRule
 
 # Two requests of a fleet are taken for one by accident with a chance of 2^-128 each; a digest
@@ -90,6 +91,10 @@
             digest.update(field)
         return digest.digest()
 
+    def patience_s(self, now: float) -> float:
+        """Return for how long the caller waits at the most if it is told to come back."""
+        return constants.PATIENCE_SHARE * max(0.0, self.deadline - now)
+
     def release_body(self) -> None:
         """Let go of a body that is sent to no engine any more; the request's name stays known."""
         _ = self.fingerprint
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -29,6 +29,7 @@
     speeds_from_message,
 )
 from liftrill.gateway.peers.load_exchange import LoadReport, SendLoads, others
+from liftrill.gateway.peers.notice_codec import datagram_from_notices, notice_from_message
 from liftrill.gateway.peers.turn_words import TurnWords
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
@@ -122,7 +123,7 @@
     async def broadcast(self, notices: list[EngineNotice]) -> None:
         """Tell all members of some engines."""
         for _ in range(NOTICE_REPEATS):
-            self._send_all(self._others(), _notice_message(notices))
+            self._send_all(self._others(), datagram_from_notices(notices))
             await asyncio.sleep(NOTICE_SPACING_SECONDS)
 
     def send_loads(self, words: list[SendLoads]) -> None:
@@ -235,7 +236,7 @@
 
     def _take_word(self, message: messages.Datagram) -> None:
         for notice in message.notices:
-            self._callbacks.notice(_notice_from_message(notice))
+            self._callbacks.notice(notice_from_message(notice))
         if message.loads:
             report = self._assembler.take(message)
             if report is not None:
@@ -280,30 +281,3 @@
             return
         host, _, port = address.rpartition(":")
         self._transport.sendto(data, (host, int(port)))
-
-
-def _notice_message(notices: list[EngineNotice]) -> messages.Datagram:
-    return messages.Datagram(
-        notices=[
-            messages.EngineNotice(
-                engine_id=notice.engine_id,
-                model=notice.model,
-                version=notice.version,
-                loading=notice.loading,
-                sequence=notice.sequence,
-                engine=notice.number,
-            )
-            for notice in notices
-        ]
-    )
-
-
-def _notice_from_message(message: messages.EngineNotice) -> EngineNotice:
-    return EngineNotice(
-        message.engine_id,
-        message.model,
-        message.version,
-        message.loading,
-        message.sequence,
-        message.engine,
-    )
