Refused callers for whom there is no room in their time are not told to come back together

Change: the latest quarter of the time is left to spread over (quota.py), a third beyond where room comes after it (coming_back.py). Two scenarios that failed first, in quotas and room.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -104,3 +104,9 @@
     Given a fleet of 85 nodes and a tenant with 29000 units a second
     When one node is asked for 40 requests of 9200 units at once by callers who wait 0.9 s
     Then the refused ones are told times between 0 and 0.9 s that are all different
+
+  Scenario: Callers for whom there is no room in time are not told to come back together
+    Given a fleet of 85 nodes and a tenant with 29000 units a second
+    And it owes 300000 units
+    When one node is asked for 40 requests of 9200 units at once by callers who wait 0.9 s
+    Then the refused ones are told times between 0 and 0.9 s that are all different
--- a/features/room.feature
+++ b/features/room.feature
@@ -118,6 +118,10 @@
     When 100 callers with 3 s of patience are refused at once
     Then none is told to come back later than 3 s
 
+  Scenario: Callers for whom there is no room in time are not told to come back together
+    When 100 callers with 1 s of patience are refused at once, and there is room after 2 s
+    Then they are told times of 2 s or more that are all different
+
   Scenario: Who comes back as told goes first, once; who comes early goes last
     Given a caller that was told to come back in 0.5 s
     Then after 0.02 s it counts as came early
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -184,6 +184,12 @@
     context.waits = [v.wait_s for v in verdicts if v.wait_s > 0.0]
 
 
+@given("it owes {units:d} units")
+def step_owes(context, units):
+    # The node that is asked knows of it, as the others would.
+    context.network.nodes[0].take_anyway(TENANT, float(units), 0.0)
+
+
 @then("the refused ones are told times between 0 and 30 s that are all different")
 def step_times(context):
     assert len(context.waits) >= 30, context.waits
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -534,6 +534,21 @@
     context.waits = [context.times.draw_s(0.3, patience, 10.0) for _ in range(count)]
 
 
+@when(
+    "{count:d} callers with {patience:g} s of patience are refused at once,"
+    " and there is room after {room:g} s"
+)
+def step_refused_without_room(context, count, patience, room):
+    times = ReturnTimes()
+    context.waits = [times.draw_s(room, patience, 10.0) for _ in range(count)]
+
+
+@then("they are told times of {least:g} s or more that are all different")
+def step_apart(context, least):
+    assert min(context.waits) >= least, context.waits
+    assert len(set(context.waits)) == len(context.waits), context.waits
+
+
 @then("they are told to come back over {span:g} s, in order, and none before {least:g} s")
 def step_spread(context, span, least):
     assert context.waits == sorted(context.waits) and context.waits[0] >= least
--- a/liftrill/coordination/quota.py
+++ b/liftrill/coordination/quota.py
@@ -42,6 +42,9 @@
 LONGEST_WAIT_S = 30.0
 # And after this long at the least, so that a refusal never reads as none.
 SHORTEST_WAIT_S = 0.05
+# Who comes late in its time comes in a quarter of it at least: callers that all find no room must
+# not come back together.
+LATEST_SOONEST = 0.75
 # What a node has let through lately tells what it has to give; averaged over the time that a
 # caller with a few seconds of patience may be told to wait.
 GIVEN_AVERAGE_S = 2.0
@@ -424,7 +427,7 @@
         room_at = now - left / rate_per_s
         place_at = max(bucket.returns_at, room_at)
         if place_at + place_s > now + patience_s:
-            soonest_s = max(patience_s / 2, min(patience_s, room_at - now))
+            soonest_s = min(max(patience_s / 2, room_at - now), LATEST_SOONEST * patience_s)
             return self._random.uniform(soonest_s, patience_s)
         bucket.returns_at = place_at + place_s
         return place_at - now + self._random.uniform(0.0, place_s)
--- a/liftrill/gateway/admission/coming_back.py
+++ b/liftrill/gateway/admission/coming_back.py
@@ -26,6 +26,10 @@
 # Callers round what they are told, and their clocks run a little fast.
 EARLY_SHARE = 0.1
 
+# Callers that are told a time later than they wait are spread over a third of it, so that those
+# who do come then don't come together.
+LATE_SPREAD = 4.0 / 3.0
+
 
 @dataclass(slots=True)
 class ReturnTimes:
@@ -47,7 +51,7 @@
 
         Who would have a place later than it waits has none, and comes late in its patience.
         """
-        latest_s = max(room_in_s, patience_s)
+        latest_s = patience_s if room_in_s < patience_s else LATE_SPREAD * room_in_s
         sent_per_s = self._sent.per_s(now) or 0.0
         place_at = max(self._last_at, now + room_in_s)
         place_s = 1.0 / sent_per_s if sent_per_s else latest_s
