--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -47,7 +47,10 @@
     "fleetbench",
 )
 SANS_IO = (
+    "admission/coming_back",
+    "admission/line",
     "admission/request_admission",
+    "admission/room",
     "configuration_view",
     "delivery",
     "delivery_events",
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -129,6 +129,8 @@
                 False,
                 code=ending.code.name,
                 come_back=ending.retry_after_seconds,
+                tenant=machine.request.tenant,
+                urgency=machine.request.priority,
             )
         elif isinstance(ending, events.FailRequest | events.BreakOff):
             self._write_request("unknown", machine, False, code=ending.code.name)
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -181,6 +181,8 @@
         machine = self._machine
         self._owner.log.attempt_started(machine, start)
         first = len(machine.attempts) == 1
+        if first:
+            self._owner.metrics.record_sent(machine.request)
         self._view, self._attempt = self._owner.begin(machine.request, start, first)
         self._load = expected_load(machine.request, start.choice)
         self._times = AttemptTimes(clock.now_s())
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -3,10 +3,14 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from liftrill import clock
+from liftrill.errors import ResultCode
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.opaque_request import OpaqueRequest
 
 LATENCY_BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
+# Less urgent ones than this are counted together.
+LEAST_URGENT_LABEL = 9
 OUTCOMES = {
     events.FinishStream: "served",
     events.PassAnswer: "served",
@@ -16,6 +20,10 @@
 }
 
 
+def _urgency_label(request: OpaqueRequest) -> str:
+    return str(min(request.priority, LEAST_URGENT_LABEL))
+
+
 class GatewayMetrics:
     """The figures of one process."""
 
@@ -56,6 +64,16 @@
         self.limited_tenants = self._gauge(
             "liftrill_limited_tenants", "Tenants that were refused for their limit lately."
         )
+        self.line_depth = self._gauge("liftrill_line_depth", "Requests that wait for engines.")
+        self.line_age = self._gauge(
+            "liftrill_line_age_seconds", "For how long the first of them has waited."
+        )
+        self.sent_by_urgency = self._counter(
+            "liftrill_sent_requests", "Requests that engines had room for.", "urgency"
+        )
+        self.refused_by_urgency = self._counter(
+            "liftrill_refused_for_room", "Requests that no engine had room for.", "urgency"
+        )
         self.quarantined = self._gauge(
             "liftrill_quarantined_requests", "Requests that are sent to no engine for a time."
         )
@@ -75,11 +93,17 @@
         """Count a request by how it ended."""
         self.outcomes.labels(outcome).inc()
 
+    def record_sent(self, request: OpaqueRequest) -> None:
+        """Count a request that is sent to its first engine."""
+        self.sent_by_urgency.labels(_urgency_label(request)).inc()
+
     def record_end(self, machine: DeliveryMachine, ending: events.DeliveryInstruction) -> None:
         """Count a request's end and its time."""
         self.count_outcome(OUTCOMES[type(ending)])
         if isinstance(ending, events.RefuseRequest | events.FailRequest | events.BreakOff):
             self.refusals.labels(ending.code.name.lower()).inc()
+        if isinstance(ending, events.RefuseRequest) and ending.code is ResultCode.ENGINES_FULL:
+            self.refused_by_urgency.labels(_urgency_label(machine.request)).inc()
         self.attempts.inc(len(machine.attempts))
         self.seconds.observe(clock.now_s() - machine.request.received_at)
 
