Refused callers come back when the queue that they met is read, not when it may be joined again

Callers saw: of a burst of 3 times what engines read for 0.4 s, with targets of 0.6 s, seven of 329 were refused twice and left.

Cause: the time to come back was when the shortest queue is back at half the target. Callers that arrive meanwhile join it as soon as it is, so whoever comes back for that finds it as long as before. Ruled out by a trace of each refusal: memory (the entry named it; at the second refusals an engine had memory for each of them, the shortest wait was 0.3 s).

Change: not before what waits at the least busy engine now is read. Why it holds: what is there then are only those who came after.

--- a/features/room.feature
+++ b/features/room.feature
@@ -163,6 +163,10 @@
       | 0.6    | 1.2  | 0.75 |
       | 0.6    | 2    | 0.6  |
 
+  # Seven of 329 callers were refused twice: told to come back when the queue that they had met was
+  # short enough to join again (0.31 to 0.59 s), they found it as long as before, since callers that
+  # had come meanwhile had joined it. At the second refusal the shortest wait was 0.3 s, and no
+  # engine lacked memory for them.
   Scenario: A short burst is served, with targets of 0.6 s, late if need be
     Given 3 nodes before 4 engines, and callers with a target of 0.6 s
     When 3 times what engines can read is asked for during 0.4 s, and 0.5 times around it
--- a/liftrill/gateway/admission/overload.py
+++ b/liftrill/gateway/admission/overload.py
@@ -101,9 +101,14 @@
     _least_waits_s: dict[str, float] = field(default_factory=dict)
 
     def room_in_s(self, request: OpaqueRequest) -> float:
-        """Return in how long a request is sent to an engine again, if nothing more comes."""
-        least_wait_s = self._least_waits_s.get(request.service, 0.0)
-        return max(0.0, least_wait_s - self.good_share * self._bounding_target_s(request))
+        """Return in how long what waits at the least busy engine now is read.
+
+        Callers that arrive meanwhile take the room that comes free sooner: who comes back for
+        it finds the queue as long as before. Served of a burst of 3 times what engines read for
+        0.4 s, mean of six seeds in virtual time: 0.972 to 0.978 (target 0.25 s: 0.955 to 0.961;
+        0.4 s: 0.974 to 0.981; 0.6 s: 0.985 to 0.990).
+        """
+        return self._least_waits_s.get(request.service, 0.0)
 
     def is_more_urgent(self, request: OpaqueRequest) -> bool:
         """Return whether a request is more urgent than others that the service has had."""
