--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -130,6 +130,11 @@
     continues_copy: bool = False
     number: int = 0
 
+    @property
+    def engine(self) -> EngineAddress:
+        """The incarnation that is chosen, and where it is."""
+        return EngineAddress(self.engine_id, self.address, self.number)
+
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -7,6 +7,7 @@
 
 from liftrill import constants
 from liftrill.coordination.circuit import CircuitBreaker
+from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.service_model import EngineModel
 from liftrill.gateway.records import EngineRecord
 
@@ -102,6 +103,11 @@
         """The identity of this incarnation."""
         return self.record.engine_id
 
+    @property
+    def at(self) -> EngineAddress:
+        """The incarnation, and where it is."""
+        return EngineAddress(self.engine_id, self.record.address, self.number)
+
     @property
     def told_number(self) -> int:
         """The number in words to peers, or 0 where an id names one incarnation alone."""
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -31,6 +31,7 @@
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
 from liftrill.gateway.fleet_record import FleetRecord
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
@@ -456,6 +457,11 @@
             incarnation=member.incarnation,
         )
 
+    def hear_engine(self, word: EngineWord) -> None:
+        """Take in what an engine says of itself in an answer to this node."""
+        self.metrics.count_word(word)
+        self.log.engine_said(word, self._engines.get(word.engine.engine_id))
+
     def _on_notice(self, notice: EngineNotice) -> None:
         until = clock.now_s() + constants.LOADING_BELIEF_SECONDS
         self._engines.apply_notice(notice, until)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -8,6 +8,7 @@
 from liftrill.errors import ResultCode
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.service_speeds import SpeedFigures
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.peers.node_capacity import NodeWord
@@ -91,6 +92,9 @@
             "Records in the store that could not be understood.",
             registry=self.registry,
         )
+        self.engine_words = self._counter(
+            "liftrill_engine_words", "Answers in which engines leave or want rest.", "says"
+        )
         self.engine_ends = Counter(
             "liftrill_engine_ends",
             "Engines that were found to have ended with runs under way.",
@@ -136,6 +140,13 @@
         """Count a request by how it ended."""
         self.outcomes.labels(outcome).inc()
 
+    def count_word(self, word: EngineWord) -> None:
+        """Count an answer in which an engine says that it leaves, or wants rest."""
+        if word.leaving:
+            self.engine_words.labels("leaving").inc()
+        if word.rest_s:
+            self.engine_words.labels("rest").inc()
+
     def show_capacity(self, word: NodeWord, lag_s: float) -> None:
         """Show what this node can bear and bears."""
         self.capacity.set(word.capacity_cores)
