--- a/liftrill/gateway/engines/service_model.py
+++ b/liftrill/gateway/engines/service_model.py
@@ -96,12 +96,13 @@
     return Work(sum(units for _, units in rows), sum(pace_s * units for pace_s, units in rows))
 
 
-def middle(values: list[float]) -> float:
+def middle(values: Iterable[float]) -> float:
     """Return the median, the lower of two.
 
     Importing `statistics` for it would make each start longer.
     """
-    return sorted(values)[(len(values) - 1) // 2]
+    ordered = sorted(values)
+    return ordered[(len(ordered) - 1) // 2]
 
 
 def _bounded_rows(told: list[Work], bound: float) -> list[tuple[float, float]]:
