--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -28,6 +28,7 @@
     body: bytes
     at: float
     version: int | None = None
+    refused: bool = False
     ran: bool = False
     finished: bool = False
     cut: bool = False
@@ -37,6 +38,9 @@
 ENDS_AFTER_S = 0.05
 
 
+# The kinds of answers in which an engine may say that it leaves.
+ANSWERS = frozenset(("whole", "head", "refusal", "report"))
+
 # Copies of runs that engines hold for each other, as ADDRESS/ID.
 copies = set()
 
@@ -54,6 +58,8 @@
         ended: set once it has crashed, with the time in `ended_at`.
         ended_under: the body of the request under which it ended, or None.
         event_bytes: by which each event is longer than a short one.
+        leaves_in: in which of its answers it says that it leaves: ANSWERS or some of them.
+        rest: what it says in `Retry-After` to each request, all of which it turns away, or "".
     """
 
     engine_id: str
@@ -72,10 +78,13 @@
     ended_at: float | None = None
     ended_under: bytes | None = None
     born_unix_ms: int = 0
+    leaves_in: frozenset = frozenset()
+    rest: str = ""
 
     def __post_init__(self):
         self.ended = asyncio.Event()
         self.arrivals = []
+        self.reports = []
         self.orders = []
         self.sequence = 0
         self.highest_fence = 0
@@ -130,7 +139,8 @@
         if expected not in (None, self.engine_id):
             return self._misdirected(request)
         if request.path == "/liftrill/report":
-            return web.json_response(self._report())
+            self.reports.append(arrived_at)
+            return web.json_response(self._report(), headers=self._said("report"))
         if request.path == "/liftrill/order":
             return self._order(json.loads(await request.read()))
         arrival = Arrival(
@@ -158,8 +168,13 @@
         }
         return web.Response(status=421, headers=headers)
 
+    def _said(self, answer):
+        return {"Server-Leaving": "1"} if answer in self.leaves_in else {}
+
     def _shed(self, attempt_id):
-        headers = {"X-Not-Executed": "1"}
+        headers = {"X-Not-Executed": "1", **self._said("refusal")}
+        if self.rest:
+            headers["Retry-After"] = self.rest
         if attempt_id:
             headers["X-Attempt-Id"] = attempt_id
         return web.Response(status=503, headers=headers)
@@ -194,8 +209,9 @@
 
     async def _serve(self, request, arrival):
         fault = self._take_fault()
-        if fault in ("shed", "shed_without_id"):
-            return self._shed(arrival.attempt_id if fault == "shed" else "")
+        if fault in ("shed", "shed_without_id") or self.rest:
+            arrival.refused = True
+            return self._shed("" if fault == "shed_without_id" else arrival.attempt_id)
         version = request.headers.get("X-Expect-Version")
         model = request.headers.get("X-Model")
         if version is not None and int(version) != self.weights.get(model):
@@ -232,6 +248,7 @@
     async def _whole(self, request, arrival, headers, fault):
         if fault == "crossed":
             headers["X-Attempt-Id"] = "0000000000000000"
+        headers = {**headers, **self._said("whole")}
         response = web.Response(body=f"answer to {arrival.attempt_id}".encode(), headers=headers)
         if fault in ("extra", "extra_late"):
             await self._send_twice(request, response, 0.05 if fault == "extra_late" else 0.0)
@@ -256,7 +273,8 @@
 
     async def _stream(self, request, arrival, headers, fault):
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        headers = {**headers, **self._said("head"), "Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: token {number}{'.' * self.event_bytes}\n\n"
