An engine's word that it leaves holds for its incarnation, whatever its record says

Callers saw: none of them failed, but engines that had said in their answers that they leave got new requests for up to 11.5 s more, and would have cut what they could not finish.

Cause: the header was read nowhere, and what a node did know of an engine lay in the view of its record and went with it. Ruled out as the only cause: that something forgets it (no field held it).

Change: what an engine says is kept by incarnation beside the table of records (4,096 at the most, 600 s after its last word or record); views take it up. Without a start in its record, another address under an id is another incarnation. Why it holds: nothing that is read of a record, by whatever way, creates a view without its incarnation's word.

The test takes the busiest engine of each kind now: the first model engine had none.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -1,25 +1,103 @@
 Feature: What engines say of themselves in their answers
 
-  Background:
-    Given a stand-in platform with 4 desk engines and 4 model engines
-    And 3 nodes
+  Engines that had said in their answers that they leave got requests for up to 11.5 s more, while
+  the store was away and their records said nothing of it: the nodes had each answer as "served",
+  and wrote "leaving: true" when the record came, "news_age_s: 14.2". Engines that had asked for 3 s
+  of rest got requests twice a second from each node, as after any refusal: each was left alone for
+  0.15 s. No header of an answer was read but those that tell whether the request ran; and
+  what a node did know of an engine lay in the view of its record, and went with the record.
+
+  # What is remembered
+
+  Scenario Outline: What an engine said holds, whatever becomes of its record
+    Given a node that knows engines a and b with the weights of version 1
+    When a says in an answer that it leaves
+    And <news>
+    Then b alone is in use
+    And no run goes on at a, nor is a copy kept there
+
+    Examples:
+      | news                                            |
+      | its record is written again                     |
+      | its record goes and comes back                  |
+      | its record goes while the store is away and back |
+      | its record is spoiled and good again            |
+      | its record comes back with an older revision    |
+
+  Scenario: An engine that starts again under its id is free of its former word
+    Given a node that knows engines a and b with the weights of version 1
+    And both tell when they started
+    When a says in an answer that it leaves
+    And the entry of a is written again with born = 1700000009000
+    Then a and b are in use
+    When the former a says in a late answer that it leaves
+    Then a and b are in use
+
+  Scenario: Where engines do not tell their start, one at another address is another one
+    Given a node that knows engines a and b with the weights of version 1
+    When a says in an answer that it leaves
+    And the entry of a is written again with Address = "10.0.0.2:9000"
+    Then a and b are in use
+
+  Scenario: The word of another engine at the address is its own
+    Given a node that knows engines a and b with the weights of version 1
+    When another engine at the address of a says that it leaves
+    Then a and b are in use
+
+  Scenario: What a peer tells of an engine without a record holds once it has one
+    Given a node that knows engines a and b with the weights of version 1
+    When the record of a goes, a peer tells that it leaves, and the record is back
+    Then b alone is in use
+
+  Scenario: What is remembered is bounded
+    Given a node that knows engines a and b with the weights of version 1
+    When 5000 other engines say that they leave, and a says so
+    Then 4096 are remembered
+    And b alone is in use
+    When 700 s go by
+    Then the word of a alone is remembered
+
+  Scenario Outline: What is no word of leaving changes nothing
+    Given an engine whose answers have <headers>
+    Then it is not said to leave, and wants <rest> s of rest
+
+    Examples:
+      | headers                                  | rest |
+      | Server-Leaving: 0                        | 0    |
+      | Server-Leaving: yes                      | 0    |
+      | 200, Retry-After: 3                      | 0    |
+      | 503, Retry-After: -1                     | 0    |
+      | 503, Retry-After: 0                      | 0    |
+      | 503, Retry-After: 1e9                    | 0    |
+      | 503, Retry-After: 3 s                    | 0    |
+      | 503, Retry-After: Wed, 21 Oct 2026 07:28 | 0    |
+      | 503, Retry-After: 0.25                   | 0.25 |
+      | 503, Retry-After: 3, Retry-After: 1      | 3    |
+
+  # Nodes as separate processes
 
   Scenario: An engine that says in its answers that it leaves gets nothing more, whatever its record says
-    Given callers that call all nodes on "whole" and "stream" and know where they called
+    Given a stand-in platform with 4 desk engines and 4 model engines
+    And 3 nodes
+    And callers that call all nodes on "whole" and "stream" and know where they called
     When an engine of each kind says in all its answers that it leaves, its record stays ready, goes for 1 s and is back
     And these callers go on for 4 s
     Then no request reached such an engine later than 0.3 s after its first such answer
     And all of these callers were served
 
   Scenario: An engine that asks for rest gets nothing from that node until its end
-    Given callers that call all nodes on "whole" and "stream" and know where they called
+    Given a stand-in platform with 4 desk engines and 4 model engines
+    And 3 nodes
+    And callers that call all nodes on "whole" and "stream" and know where they called
     When an engine of each kind turns all away and asks for 2 s of rest
     And these callers go on for 5 s
     Then no node sent such an engine anything from 0.3 s after such an answer until its rest was over
     And at most 0.02 of these callers were refused
 
   Scenario: Callers are refused at once, and told when, while all engines rest
-    Given callers that call all nodes on "whole" and "stream" and know where they called
+    Given a stand-in platform with 4 desk engines and 4 model engines
+    And 3 nodes
+    And callers that call all nodes on "whole" and "stream" and know where they called
     When all engines turn all away and ask for 3 s of rest
     And these callers go on for 2.5 s
     Then those who called after the first 0.5 s were refused within 0.1 s, and told to come back after the rest
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -2,15 +2,26 @@
 
 import asyncio
 import itertools
+import sys
 import time
 from contextlib import suppress
 from dataclasses import dataclass
+from pathlib import Path
 
 import aiohttp
 from behave import given, then, when
+from multidict import CIMultiDict
 
+from features.gateway_support import opaque_request
 from features.standin.deployment import prompt_headers
 from features.standin.engine import ANSWERS
+from liftrill import clock
+from liftrill.coordination.store_mirror import MirrorChange
+from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
+from liftrill.gateway.engines.engine_standing import EngineWord
+
+sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
+from engines import word_of
 
 CALL_SPACING_S = 0.02
 # A header that nodes pass on: it tells an engine which node a request came through.
@@ -75,9 +86,10 @@
     await asyncio.sleep(1.5)
 
 
-def first_of_each(context):
+def busiest_of_each(context):
     engines = context.deployment.engines.values()
-    return [next(e for e in engines if e.service == service) for service in ("desk", "llm")]
+    kinds = [[e for e in engines if e.service == service] for service in ("desk", "llm")]
+    return [max(kind, key=lambda engine: len(engine.arrivals)) for kind in kinds]
 
 
 @when(
@@ -89,7 +101,7 @@
 
 
 async def leave(context, seconds):
-    context.speaking = first_of_each(context)
+    context.speaking = busiest_of_each(context)
     for engine in context.speaking:
         engine.leaves_in = ANSWERS
     context.said_at = time.monotonic()
@@ -103,7 +115,7 @@
 
 @when("an engine of each kind turns all away and asks for {seconds:d} s of rest")
 def step_rest(context, seconds):
-    context.speaking, context.rest_s = first_of_each(context), seconds
+    context.speaking, context.rest_s = busiest_of_each(context), seconds
     rest(context)
 
 
@@ -198,3 +210,128 @@
         # No engine was asked before the others had begun their rest, nor is asked again.
         ends_in_s = context.said_at + context.rest_s - call.ended_at
         assert call.retry_after_s is not None and call.retry_after_s > ends_in_s - 0.1, call
+
+
+# What is remembered
+
+
+def say(context, engine, **word):
+    return context.node.engines.hear(EngineWord(engine, "request", **word), clock.now_s())
+
+
+@when("{name} says in an answer that it leaves")
+def step_says(context, name):
+    context.engine = context.node.engines.get(name).at
+    assert say(context, context.engine, leaving=True)
+
+
+def without_record(context, gap):
+    """Take the record of a away, in an outage or not."""
+    change = MirrorChange(written=(), removed=("servers/a",), gap=gap)
+    context.node.beliefs.apply(change, clock.now_s() - 10.0 if gap else clock.now_s())
+
+
+@when("its record is written again")
+def step_again(context):
+    context.node.write("a", context.bodies["a"])
+
+
+@when("its record goes and comes back")
+def step_goes(context):
+    without_record(context, gap=False)
+    assert context.node.engines.get("a") is None
+    context.node.write("a", context.bodies["a"])
+
+
+@when("its record goes while the store is away and back")
+def step_lapses(context):
+    without_record(context, gap=True)
+    context.node.beliefs.expire(clock.now_s() + 2.0)
+    assert context.node.engines.get("a") is None
+    context.node.write("a", context.bodies["a"])
+
+
+@when("its record is spoiled and good again")
+def step_spoiled(context):
+    context.node.write("a", b"[]")
+    context.node.write("a", context.bodies["a"])
+
+
+@when("its record comes back with an older revision")
+def step_older(context):
+    without_record(context, gap=False)
+    context.node.write("a", context.bodies["a"], revision=1)
+
+
+@then("no run goes on at a, nor is a copy kept there")
+def step_no_run(context):
+    selector, request, now = context.node.selector, opaque_request(), clock.now_s()
+    b = context.node.engines.get("b").at
+    broken = EngineChoice("b", b.address, 1, number=b.number, backup=context.engine)
+    assert selector.continue_at_backup(request, broken, now) is None
+    broken = EngineChoice("a", context.engine.address, 1, number=context.engine.number, backup=b)
+    going_on = selector.continue_at_backup(request, broken, now)
+    assert going_on.engine_id == "b" and going_on.backup is None, going_on
+
+
+@when("the former {name} says in a late answer that it leaves")
+def step_former(context, name):
+    assert not say(context, context.engine, leaving=True)
+
+
+@when("another engine at the address of {name} says that it leaves")
+def step_other(context, name):
+    at = context.node.engines.get(name).at
+    say(context, EngineAddress("another", at.address), leaving=True)
+
+
+@when("the record of a goes, a peer tells that it leaves, and the record is back")
+def step_peer_tells(context):
+    engine = context.node.engines.get("a").at
+    without_record(context, gap=False)
+    assert say(context, engine, leaving=True)
+    context.node.write("a", context.bodies["a"])
+
+
+@when("{count:d} other engines say that they leave, and a says so")
+def step_many(context, count):
+    for number in range(1, count + 1):
+        say(context, EngineAddress(f"other-{number}", "10.0.0.9:1", number), leaving=True)
+    say(context, context.node.engines.get("a").at, leaving=True)
+
+
+@then("{count:d} are remembered")
+def step_bounded(context, count):
+    assert len(context.node.engines.standings) == count
+
+
+@when("{seconds:d} s go by")
+def step_pass(context, seconds):
+    engines = context.node.engines
+    in_records = (view.standing for view in engines)
+    engines.standings.expire(in_records, clock.now_s() + seconds)
+
+
+@then("the word of a alone is remembered")
+def step_one(context):
+    engines = context.node.engines
+    assert len(engines.standings) == 1
+    assert engines.standings.of(engines.get("a").at).leaving
+
+
+@given("an engine whose answers have {headers}")
+def step_headers(context, headers):
+    context.status, context.headers = SERVED, CIMultiDict()
+    for header in headers.split(", ") if "Wed" not in headers else [headers[:3], headers[5:]]:
+        name, _, value = header.partition(": ")
+        if value:
+            context.headers.add(name, value)
+        else:
+            context.status = int(name)
+
+
+@then("it is not said to leave, and wants {seconds:g} s of rest")
+def step_no_word(context, seconds):
+    word = word_of("request", EngineAddress("a", "10.0.0.1:1", 1), context.status, context.headers)
+    assert (word is None) == (seconds == 0), word
+    assert word is None or (not word.leaving and word.rest_s == seconds), word
--- a/liftrill/gateway/engines/engine_standing.py
+++ b/liftrill/gateway/engines/engine_standing.py
@@ -1,23 +1,88 @@
-"""What engines say of themselves in their answers."""
+"""What engines say of themselves, kept for as long as they may live, sans-IO.
 
-from dataclasses import dataclass
+An engine's word is true of one incarnation of it, whatever its record says or whether there is
+one: records go, come back and are restored from older copies while the engine is the same.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from liftrill.gateway.delivery_events import EngineAddress
 
+# For how long after its last word an engine is remembered that is in no record: a store that was
+# away for minutes may still bring one back.
+REMEMBERED_S = 600.0
+# How often that is looked at: few are forgotten, and each look passes over all of them.
+EXPIRED_EACH_S = 10.0
+# How many are remembered at the most: more than leave within that time in a fleet of thousands;
+# 0.4 MB (100 bytes each).
+MOST_REMEMBERED = 4_096
+
 
 @dataclass(frozen=True, slots=True)
 class EngineWord:
     """What an answer says of the engine that gave it.
 
     Attributes:
-        source: what kind of call it answers.
-        status: the HTTP status of the answer.
+        source: what kind of call it answers, or who told of it.
+        status: the HTTP status of the answer, or 0.
         leaving: whether the engine is about to end, and wants no new work.
         rest_s: for how long it wants nothing from this node, or 0.
     """
 
     engine: EngineAddress
     source: str
-    status: int
+    status: int = 0
     leaving: bool = False
     rest_s: float = 0.0
+
+
+@dataclass(slots=True)
+class EngineStanding:
+    """What one incarnation of an engine said of itself.
+
+    Attributes:
+        leaving: whether it said that it leaves, in an answer or a record; it never takes it back.
+        said_at: when it said something last.
+    """
+
+    leaving: bool = False
+    said_at: float = 0.0
+
+
+@dataclass(slots=True)
+class EngineStandings:
+    """The standings of incarnations that said something, with and without a record."""
+
+    _said: dict[tuple[int, str], EngineStanding] = field(default_factory=dict)
+    _expired_at: float = 0.0
+
+    def __len__(self) -> int:
+        return len(self._said)
+
+    def of(self, engine: EngineAddress) -> EngineStanding:
+        """Return what an incarnation said, or the standing of one that said nothing yet."""
+        return self._said.get(_key(engine)) or EngineStanding()
+
+    def keep(self, engine: EngineAddress, standing: EngineStanding, now: float) -> None:
+        """Remember what an incarnation said just now."""
+        standing.said_at = now
+        self._said[_key(engine)] = standing
+        if len(self._said) > MOST_REMEMBERED:
+            del self._said[min(self._said, key=lambda key: self._said[key].said_at)]
+
+    def expire(self, in_records: Iterable[EngineStanding], now: float) -> None:
+        """Forget those that said nothing for long and are in no record."""
+        if now - self._expired_at < EXPIRED_EACH_S:
+            return
+        self._expired_at = now
+        for standing in in_records:
+            standing.said_at = now
+        for key, standing in list(self._said.items()):
+            if now - standing.said_at > REMEMBERED_S:
+                del self._said[key]
+
+
+def _key(engine: EngineAddress) -> tuple[int, str]:
+    # Where engines do not tell their start, another address under an id is another incarnation.
+    return engine.number, engine.address
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -5,9 +5,10 @@
 
 import xxhash
 
-from liftrill import constants
+from liftrill import clock, constants
 from liftrill.coordination.circuit import CircuitBreaker
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_standing import EngineStanding, EngineStandings, EngineWord
 from liftrill.gateway.engines.service_model import EngineModel
 from liftrill.gateway.records import EngineRecord
 
@@ -75,10 +76,12 @@
         peer_load: what other nodes told of theirs.
         loading_until: it takes no new requests before this time, as far as is known, unless
             it is seen to have `loading_version` earlier.
+        gone: its record was removed, or another engine answered at its address.
         vanished_at: when its record went while that could not be trusted, or None.
         withdrawn: its newest record is not an engine's: it is used again after the next good one.
         model: how fast it works, as far as was observed.
         number: the short name of this incarnation, in words to peers.
+        standing: what it said of itself; it outlives this view.
     """
 
     record: EngineRecord
@@ -88,16 +91,22 @@
     loading_until: float = 0.0
     loading_version: int = 0
     notice_sequence: int = 0
-    leaving: bool = False
+    gone: bool = False
     vanished_at: float | None = None
     withdrawn: bool = False
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
     model: EngineModel = field(default_factory=EngineModel)
+    standing: EngineStanding = field(default_factory=EngineStanding)
     number: int = field(init=False)
 
     def __post_init__(self) -> None:
         self.number = engine_number(self.record.incarnation)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it takes no new work any more."""
+        return self.gone or self.standing.leaving
+
     @property
     def engine_id(self) -> str:
         """The identity of this incarnation."""
@@ -147,7 +156,7 @@
             self.withdrawn = bool(self.weights) and not record.weights
             self.record = record
         self.vanished_at = None
-        self.leaving = self.leaving or record.draining
+        self.standing.leaving = self.standing.leaving or record.draining
         for model, version in record.weights.items():
             self.learn_weights(model, version)
 
@@ -168,11 +177,18 @@
         return now < self.loading_until
 
 
+def _is_other_incarnation(known: EngineRecord, record: EngineRecord) -> bool:
+    if known.born_unix_ms or record.born_unix_ms:
+        return known.born_unix_ms != record.born_unix_ms
+    return known.address != record.address
+
+
 class EngineTable:
     """All engines with a record.
 
     Attributes:
         services: the services that the configuration names; empty before there is one.
+        standings: what engines said of themselves, also those whose records are gone.
     """
 
     # For how long an engine is used whose record went with an outage of the store. Records
@@ -185,6 +201,7 @@
         self._by_number: dict[int, EngineView] = {}
         self._births_told = False
         self.services: frozenset[str] = frozenset()
+        self.standings = EngineStandings()
 
     def __iter__(self) -> Iterator[EngineView]:
         return iter(self._views.values())
@@ -226,17 +243,45 @@
             self.withdraw(record.engine_id, record.revision)
             return None
         view = self._views.get(record.engine_id)
-        if view is not None and view.record.born_unix_ms != record.born_unix_ms:
+        if view is not None and _is_other_incarnation(view.record, record):
             if record.revision < view.record.revision:
                 return None
             self.remove(record.engine_id)
             view = None
         if view is None:
             view = self._views[record.engine_id] = EngineView(record)
+            view.standing = self.standings.of(view.at)
             self._by_number[view.number] = view
         view.take(record)
+        if view.standing.leaving:
+            self.standings.keep(view.at, view.standing, clock.now_s())
         return view
 
+    def hear(self, word: EngineWord, now: float) -> bool:
+        """Take in what an engine said in an answer, and return whether that changes beliefs."""
+        if not word.leaving:
+            return False
+        view = self._meant(word.engine)
+        if view is None and not word.engine.number:
+            return False
+        engine = view.at if view is not None else word.engine
+        standing = view.standing if view is not None else self.standings.of(engine)
+        is_news = not standing.leaving
+        standing.leaving = True
+        self.standings.keep(engine, standing, now)
+        return is_news
+
+    def leaving_by_word(self) -> list[EngineAddress]:
+        """Return the engines that leave by their own word alone: no record says so."""
+        return [v.at for v in self if v.standing.leaving and not v.record.draining]
+
+    def _meant(self, engine: EngineAddress) -> EngineView | None:
+        """Return the view of an incarnation, if it has a record."""
+        view = self._views.get(engine.engine_id)
+        if view is None or view.record.address != engine.address:
+            return None
+        return view if view.is_meant_by(engine.number) else None
+
     def withdraw(self, engine_id: str, revision: int) -> bool:
         """Use an engine no more whose record became unreadable, and return whether it was used."""
         view = self._views.get(engine_id)
@@ -258,7 +303,7 @@
         """Forget an engine whose record is gone."""
         view = self._views.pop(engine_id, None)
         if view is not None:
-            view.leaving = True
+            view.gone = True
             self._by_number.pop(view.number, None)
 
     def mark_vanished(self, engine_ids: Iterable[str], now: float) -> None:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -341,7 +341,7 @@
         if kind is events.RefusalKind.UNREACHABLE:
             view.breaker.record_failure(now)
         elif kind is events.RefusalKind.WRONG_INSTANCE:
-            view.leaving = True
+            view.gone = True
         else:
             view.breaker.record_abandoned()
             view.loading_until = max(view.loading_until, now + REFUSED_PAUSE_SECONDS)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -30,6 +30,7 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
+from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
@@ -160,6 +161,7 @@
             self._on_member,
             self._currency.hear_version,
             self._on_notice,
+            self._on_leaving,
             self._on_loads,
             self._on_speeds,
             self._on_reading,
@@ -446,6 +448,9 @@
         alive = len(self._membership.members())
         self._allowance.nodes = max(self._allowance.nodes, alive)
         self._fleet.note(alive, clock.now_s())
+        if member.condition is Condition.ALIVE:
+            # It may have started after others were told.
+            self._peers.tell_leaving(self._engines.leaving_by_word(), member.node_id)
         if member.condition >= Condition.DEAD:
             self._silence.forget(member.node_id)
             self._capacities.forget(member.node_id)
@@ -460,7 +465,24 @@
     def hear_engine(self, word: EngineWord) -> None:
         """Take in what an engine says of itself in an answer to this node."""
         self.metrics.count_word(word)
-        self.log.engine_said(word, self._engines.get(word.engine.engine_id))
+        if self._engines.hear(word, clock.now_s()):
+            self._note_leaving(word.engine, word.source)
+            self._peers.tell_leaving([word.engine])
+
+    def _on_leaving(self, engine: EngineAddress) -> None:
+        if self._engines.hear(EngineWord(engine, "peer", leaving=True), clock.now_s()):
+            self._note_leaving(engine, "peer")
+
+    def _note_leaving(self, engine: EngineAddress, source: str) -> None:
+        view = self._engines.get(engine.engine_id)
+        self.log.belief(
+            "engine_leaves",
+            engine=engine.engine_id,
+            address=engine.address,
+            source=source,
+            revision=view.record.revision if view else None,
+            born_unix_ms=view.record.born_unix_ms if view else None,
+        )
 
     def _on_notice(self, notice: EngineNotice) -> None:
         until = clock.now_s() + constants.LOADING_BELIEF_SECONDS
@@ -654,6 +676,7 @@
             self._beat(now)
             self._measure_capacity(now)
             self._beliefs.expire(now)
+            self._engines.standings.expire((view.standing for view in self._engines), now)
             self._follower.reconsider()
             self.metrics.version.set(self.view.version)
             self.metrics.engines.set(len(self._engines))
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import cast
 
@@ -22,6 +22,7 @@
 )
 from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.gateway import ticks
+from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.peers.load_codec import (
     ReportAssembler,
@@ -29,7 +30,12 @@
     speeds_from_message,
 )
 from liftrill.gateway.peers.load_exchange import LoadReport, SendLoads, others
-from liftrill.gateway.peers.notice_codec import datagram_from_notices, notice_from_message
+from liftrill.gateway.peers.notice_codec import (
+    datagram_from_notices,
+    datagrams_from_leaving,
+    leaving_from_message,
+    notice_from_message,
+)
 from liftrill.gateway.peers.turn_words import TurnWords
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
@@ -64,6 +70,7 @@
     member_changed: Callable[[Member], None]
     newer_version: Callable[[int], None]
     notice: Callable[[EngineNotice], None]
+    leaving: Callable[[EngineAddress], None]
     loads: Callable[[LoadReport], None]
     speeds: Callable[[LoadReport], None]
     reading_begun: Callable[[int, int], None]
@@ -172,6 +179,11 @@
         """Tell one member, or all, of a request that is kept from engines, some times again."""
         self._repeat(datagram_from_entry(entry), node)
 
+    def tell_leaving(self, engines: Sequence[EngineAddress], node: str = "") -> None:
+        """Tell one member, or all, of engines that leave, some times again."""
+        for message in datagrams_from_leaving(engines):
+            self._repeat(message, node)
+
     def _repeat(self, message: messages.Datagram, node: str = "") -> None:
         """Send a message to one member, or all, now and some times again."""
         loop = asyncio.get_running_loop()
@@ -219,7 +231,7 @@
             if message.speeds:
                 self._callbacks.speeds(speeds_from_message(message))
                 return
-            if message.notices or message.loads:
+            if message.notices or message.loads or message.leaving:
                 self._take_word(message)
                 return
             event = DatagramReceived(f"{addr[0]}:{addr[1]}", datagram_from_message(message))
@@ -237,6 +249,8 @@
     def _take_word(self, message: messages.Datagram) -> None:
         for notice in message.notices:
             self._callbacks.notice(notice_from_message(notice))
+        for engine in leaving_from_message(message):
+            self._callbacks.leaving(engine)
         if message.loads:
             report = self._assembler.take(message)
             if report is not None:
