An engine that asks a node for rest gets nothing from it until the rest is over

Callers saw: 503 after their only try at an engine that had asked for 3 s of rest, told to come back after 0.3 s, with four engines of six free; 48 in seven seconds of the record. The engines got 87 requests that they had asked to be spared.

Cause: Retry-After of an engine's refusal was read nowhere; each refusal kept its engine out of the choice for 0.15 s, in a field that a notice of loaded weights or a learned version sets back.

Change: a rest is kept with the engine's standing, at its latest end, apart from what loads and the breaker do; it holds for every choice, for going on with a copy, and for orders (5 s at most: an order is no load). After it an engine gets one request in 0.25 s until one is answered. While all engines rest for longer than a request may wait it is refused at once (2017), told the end of the first rest or later, one after the other.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -57,6 +57,39 @@
     When 700 s go by
     Then the word of a alone is remembered
 
+  # Rest
+
+  Scenario Outline: A rest lasts until the latest end that the engine asked for
+    Given a node that knows engines a and b with the weights of version 1
+    When a asks for 3 s of rest, <news>
+    Then b alone is in use for 2.9 s, and a and b after 3.1 s
+
+    Examples:
+      | news                                      |
+      | and for 1 s a second later                |
+      | and its record goes and comes back        |
+      | and is said to have loaded its weights    |
+      | and is seen to have newer weights         |
+      | and an answer comes to what it had before |
+
+  Scenario: After its rest an engine gets one request at a time until it has answered one
+    Given a node that knows engines a and b with the weights of version 1
+    When a asks for 3 s of rest, and gets a request after 3.1 s
+    Then b alone is in use after 3.2 s, and a and b after 3.4 s
+    When it has answered a request that was sent after 3.4 s
+    Then a and b are in use after 3.5 s, whatever it gets
+
+  Scenario: A request waits for a rest that is soon over, and not for another
+    Given a node that knows engines a and b with the weights of version 1
+    When a asks for 3 s of rest, and b for 2.5 s of rest
+    Then a request is refused after 1 s, with 1.5 s until the first rest is over
+    And a request waits after 2.4 s
+
+  Scenario: Orders wait for a rest, but not for a long one
+    Given a node that knows engines a and b with the weights of version 1
+    When version 2 of the weights is named, and a asks for 3 s of rest, and b for 60 s of rest
+    Then both are ordered to load, a after 3 s and b after 5 s
+
   Scenario Outline: What is no word of leaving changes nothing
     Given an engine whose answers have <headers>
     Then it is not said to leave, and wants <rest> s of rest
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -17,8 +17,12 @@
 from features.standin.engine import ANSWERS
 from liftrill import clock
 from liftrill.coordination.store_mirror import MirrorChange
+from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_standing import EngineWord
+from liftrill.gateway.engines.engine_table import EngineNotice
+from liftrill.gateway.records import WeightTarget
+from liftrill.gateway.weight_rollout import GiveOrder
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
 from engines import word_of
@@ -335,3 +339,120 @@
     word = word_of("request", EngineAddress("a", "10.0.0.1:1", 1), context.status, context.headers)
     assert (word is None) == (seconds == 0), word
     assert word is None or (not word.leaving and word.rest_s == seconds), word
+
+
+# Rest
+
+
+def ask_for_rest(context, name, rest_s, at_s=0.0):
+    at = context.node.engines.get(name).at
+    context.node.engines.hear(EngineWord(at, "request", 503, rest_s=rest_s), at_s)
+
+
+def used_after(context, seconds):
+    """Return the engines that requests go to after a time."""
+    request, found = opaque_request(received_at=seconds), set()
+    while True:
+        choice = context.node.selector.choose(request, frozenset(found), seconds)
+        if not isinstance(choice, EngineChoice):
+            return found
+        found.add(choice.engine_id)
+
+
+@when("{name} asks for {seconds:g} s of rest, and for {shorter:g} s a second later")
+def step_rest_twice(context, name, seconds, shorter):
+    ask_for_rest(context, name, seconds)
+    ask_for_rest(context, name, shorter, at_s=1.0)
+
+
+@when("{name} asks for {seconds:g} s of rest, and its record goes and comes back")
+def step_rest_record(context, name, seconds):
+    ask_for_rest(context, name, seconds)
+    step_goes(context)
+
+
+@when("{name} asks for {seconds:g} s of rest, and is said to have loaded its weights")
+def step_rest_notice(context, name, seconds):
+    ask_for_rest(context, name, seconds)
+    for sequence, loading in enumerate((True, False), 1):
+        notice = EngineNotice(name, "model", 1, loading, sequence)
+        context.node.engines.apply_notice(notice, 1.0)
+
+
+@when("{name} asks for {seconds:g} s of rest, and is seen to have newer weights")
+def step_rest_weights(context, name, seconds):
+    ask_for_rest(context, name, seconds)
+    context.node.engines.get(name).learn_weights("model", 2)
+
+
+@when("{name} asks for {seconds:g} s of rest, and an answer comes to what it had before")
+def step_rest_answer(context, name, seconds):
+    ask_for_rest(context, name, seconds)
+    context.node.engines.get(name).standing.note_answered(-1.0)
+
+
+@when("{name} asks for {seconds:g} s of rest, and gets a request after {later:g} s")
+def step_rest_trial(context, name, seconds, later):
+    ask_for_rest(context, name, seconds)
+    context.node.engines.get(name).standing.note_sent(later)
+
+
+@when("it has answered a request that was sent after {seconds:g} s")
+def step_trial_answered(context, seconds):
+    context.node.engines.get("a").standing.note_answered(seconds)
+
+
+@when("a asks for {first:g} s of rest, and b for {second:g} s of rest")
+def step_both_rest(context, first, second):
+    ask_for_rest(context, "a", first)
+    ask_for_rest(context, "b", second)
+
+
+@when(
+    "version {version:d} of the weights is named, and a asks for {first:g} s of rest,"
+    " and b for {second:g} s of rest"
+)
+def step_named(context, version, first, second):
+    context.node.targets.name(WeightTarget("model", version, 9), 0.0, age_known=True, now=0.0)
+    step_both_rest(context, first, second)
+
+
+@then("b alone is in use {when} {first:g} s, and a and b after {second:g} s")
+def step_used(context, when, first, second):
+    assert used_after(context, first) == {"b"}, used_after(context, first)
+    assert used_after(context, second) == {"a", "b"}, used_after(context, second)
+
+
+@then("a and b are in use after {seconds:g} s, whatever it gets")
+def step_used_freely(context, seconds):
+    context.node.engines.get("a").standing.note_sent(seconds)
+    assert used_after(context, seconds) == {"a", "b"}
+
+
+def choice_after(context, seconds):
+    request = opaque_request(received_at=seconds)
+    return context.node.selector.choose(request, frozenset(), seconds)
+
+
+@then("a request is refused after {seconds:g} s, with {left:g} s until the first rest is over")
+def step_refused(context, seconds, left):
+    assert choice_after(context, seconds) is Unavailable.RESTING
+    rest_s = context.node.selector.room_in_s(opaque_request(), seconds)
+    assert abs(rest_s - left) < 0.001, rest_s
+
+
+@then("a request waits after {seconds:g} s")
+def step_waits(context, seconds):
+    assert choice_after(context, seconds) is Unavailable.NONE_READY
+
+
+@then("both are ordered to load, a after {first:g} s and b after {second:g} s")
+def step_ordered(context, first, second):
+    ordered = {}
+    for tick in range(1, 100):
+        engines = list(context.node.engines.in_use())
+        for instruction in context.node.rollout.due(engines, tick / 10):
+            if isinstance(instruction, GiveOrder):
+                ordered[instruction.engine_id] = tick / 10
+    assert first < ordered["a"] < first + 1, ordered
+    assert second < ordered["b"] < second + 1, ordered
--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -127,6 +127,12 @@
         "The node has more to do than it can bear; others have less.",
         "Send to another node, or try again after Retry-After.",
     )
+    ENGINES_AT_REST = CodeDetails(
+        2017,
+        503,
+        "Every engine has asked this node for rest.",
+        "Try again after Retry-After, which is when the first rest ends.",
+    )
     ENGINE_LOST = CodeDetails(
         3001, 502, "The engine was lost after the request was sent.", "Check before repeating."
     )
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -15,7 +15,6 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
 from liftrill.gateway.engines.engine_standing import EngineWord
-from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest
 
 MESSAGE_PREFIX = "liftrill:"
@@ -92,18 +91,15 @@
             **inputs,
         )
 
-    def engine_said(self, word: EngineWord, view: EngineView | None) -> None:
-        """Write what an engine says of itself in an answer, and what is believed of it."""
+    def engine_rests(self, word: EngineWord) -> None:
+        """Write that an engine asked this node for rest."""
         self._write_failure(
-            "engine_said",
+            "engine_rests",
             engine=word.engine.engine_id,
             address=word.engine.address,
             source=word.source,
             status=word.status,
-            leaving=word.leaving,
             rest_s=word.rest_s,
-            believed_leaving=view.leaving if view else None,
-            revision=view.record.revision if view else None,
         )
 
     def request_abandoned(self, machine: DeliveryMachine) -> None:
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -32,6 +32,7 @@
     NONE_LEFT = auto()
     QUARANTINED = auto()
     TOO_LATE = auto()
+    RESTING = auto()
 
 
 class DeliveryPorts(ABC):
@@ -251,6 +252,8 @@
             return [events.WaitForEngine(choice is Unavailable.FULL)]
         if choice is Unavailable.QUARANTINED:
             self._last_code = ResultCode.REQUEST_QUARANTINED
+        if choice is Unavailable.RESTING:
+            self._last_code = ResultCode.ENGINES_AT_REST
         if choice is Unavailable.TOO_LATE:
             self._last_code = ResultCode.DEADLINE_UNREACHABLE
         if not isinstance(choice, events.EngineChoice):
--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -59,8 +59,8 @@
         """Return what a read tells, or the end of an attempt that may no longer begin."""
 
     @abstractmethod
-    def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
-        """Learn about an engine from what an attempt told."""
+    def note(self, view: EngineView, event: events.DeliveryEvent, sent_at: float) -> None:
+        """Learn about an engine from what an attempt told that was sent at a time."""
 
     @abstractmethod
     async def run_lost(
@@ -185,7 +185,7 @@
                 # What the engine did may be for its answer that was not read.
                 self._view.breaker.record_abandoned()
             elif self._view is not None:
-                self._owner.note(self._view, event)
+                self._owner.note(self._view, event, self._times.sent_at)
             self._owner.log.attempt_event(self._machine, event, self._times)
             if is_broken and self._view is not None and not self._left_unread():
                 await self._owner.run_lost(self._machine, self._view, self._times)
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -79,7 +79,7 @@
         floor = self._version_floor(able, request)
         ready = [view for view in left if self._is_ready(view, request, floor, now)]
         if not ready:
-            return Unavailable.NONE_READY
+            return self._none_ready(request, left, now)
         if quietest:
             fewest = min(view.requests for view in ready)
             ready = [view for view in ready if view.requests == fewest]
@@ -89,6 +89,15 @@
             return EngineChoice(view.engine_id, view.record.address, number=view.number)
         return self._choose_for_prompt(request, request.prompt, ready, now)
 
+    def _none_ready(
+        self, request: OpaqueRequest, left: list[EngineView], now: float
+    ) -> Unavailable:
+        """Return whether waiting may help: not where all want rest for longer than that."""
+        rest_s = min((view.standing.rest_left_s(now) for view in left), default=0.0)
+        share = constants.ENGINE_WAIT_TARGET_SHARE
+        waits_until = request.received_at + share * request.route.target_seconds
+        return Unavailable.RESTING if now + rest_s > waits_until else Unavailable.NONE_READY
+
     def _choose_for_prompt(
         self, request: OpaqueRequest, prompt: PromptShape, ready: list[EngineView], now: float
     ) -> EngineChoice | Unavailable:
@@ -115,6 +124,15 @@
         memory = self.parts.profile(request.service).cache_tokens
         return self.room.with_room(self.guard, request, ready, waits_s, memory, now)
 
+    def room_in_s(self, request: OpaqueRequest, now: float) -> float:
+        """Return in how long an engine takes a request again, if nothing more comes."""
+        rest_s = self._engines.rest_left_s(request.service, now)
+        return max(rest_s, self.guard.room_in_s(request))
+
+    def rest_left_s(self, service: str, now: float) -> float:
+        """Return in how long the first engine of a service takes something, or 0 if one does."""
+        return self._engines.rest_left_s(service, now)
+
     def reading_s(self, request: OpaqueRequest) -> float:
         """Return how long an engine that keeps nothing of a prompt takes to read it."""
         tokens = request.prompt.prompt_tokens if request.prompt else 0
@@ -145,6 +163,8 @@
             return None
         if not self._goes_on(view, request.prompt.model, broken.weight_version, now):
             return None
+        if view.standing.rests(now):
+            return None
         return replace(
             broken,
             engine_id=view.engine_id,
@@ -216,7 +236,7 @@
         return min(self._targets.preferred(model), reached)
 
     def _is_ready(self, view: EngineView, request: OpaqueRequest, floor: int, now: float) -> bool:
-        if view.is_loading(now) or not view.breaker.allows(now):
+        if view.is_loading(now) or view.standing.rests(now) or not view.breaker.allows(now):
             return False
         if request.prompt is None:
             return True
--- a/liftrill/gateway/engines/engine_standing.py
+++ b/liftrill/gateway/engines/engine_standing.py
@@ -4,6 +4,7 @@
 one: records go, come back and are restored from older copies while the engine is the same.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -12,6 +13,15 @@
 # For how long after its last word an engine is remembered that is in no record: a store that was
 # away for minutes may still bring one back.
 REMEMBERED_S = 600.0
+# An engine that asks for longer is asked again after it: a typing error would take it out of use
+# for good otherwise.
+LONGEST_REST_S = 600.0
+# After a rest an engine gets one request in this time until it has answered one: all that waited
+# at all nodes would be its next overload. A plain answer takes about as long (guess).
+TRIAL_INTERVAL_S = 0.25
+# Orders of new weights wait for a rest no longer: what the operator named comes into use within
+# seconds, and an order is no load (guess).
+LONGEST_ORDER_REST_S = 5.0
 # How often that is looked at: few are forgotten, and each look passes over all of them.
 EXPIRED_EACH_S = 10.0
 # How many are remembered at the most: more than leave within that time in a fleet of thousands;
@@ -43,11 +53,46 @@
 
     Attributes:
         leaving: whether it said that it leaves, in an answer or a record; it never takes it back.
+        rest_until: it wants nothing from this node before this time.
         said_at: when it said something last.
     """
 
     leaving: bool = False
+    rest_until: float = -math.inf
     said_at: float = 0.0
+    _rest_since: float = 0.0
+    _on_trial: bool = False
+    _trial_until: float = -math.inf
+
+    def ask_for_rest(self, rest_s: float, now: float) -> None:
+        """Take in that it wants rest: the latest end holds of all that it asked for."""
+        if now >= self.rest_until:
+            self._rest_since = now
+        self.rest_until = max(self.rest_until, now + min(rest_s, LONGEST_REST_S))
+        self._on_trial = True
+
+    def rest_left_s(self, now: float) -> float:
+        """Return for how long it gets nothing from this node, or 0."""
+        return max(0.0, max(self.rest_until, self._trial_until) - now)
+
+    def rests(self, now: float) -> bool:
+        """Return whether it gets nothing from this node now."""
+        return now < self.rest_until or now < self._trial_until
+
+    def defers_orders(self, now: float) -> bool:
+        """Return whether orders wait for its rest."""
+        return now < min(self.rest_until, self._rest_since + LONGEST_ORDER_REST_S)
+
+    def note_sent(self, now: float) -> None:
+        """Note that a request is sent to it: after a rest, the only one for a while."""
+        if self._on_trial:
+            self._trial_until = now + TRIAL_INTERVAL_S
+
+    def note_answered(self, sent_at: float) -> None:
+        """Note that it answered what was sent at a time: after its rest, it can bear more."""
+        if sent_at >= self.rest_until:
+            self._on_trial = False
+            self._trial_until = -math.inf
 
 
 @dataclass(slots=True)
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -258,19 +258,24 @@
         return view
 
     def hear(self, word: EngineWord, now: float) -> bool:
-        """Take in what an engine said in an answer, and return whether that changes beliefs."""
-        if not word.leaving:
-            return False
+        """Take in what an engine said in an answer; return whether it is news that it leaves."""
         view = self._meant(word.engine)
         if view is None and not word.engine.number:
             return False
         engine = view.at if view is not None else word.engine
         standing = view.standing if view is not None else self.standings.of(engine)
-        is_news = not standing.leaving
-        standing.leaving = True
+        is_news = word.leaving and not standing.leaving
+        standing.leaving = standing.leaving or word.leaving
+        if word.rest_s:
+            standing.ask_for_rest(word.rest_s, now)
         self.standings.keep(engine, standing, now)
         return is_news
 
+    def rest_left_s(self, service: str, now: float) -> float:
+        """Return in how long the first engine of a service takes something, or 0 if one does."""
+        able = [view for view in self.of_service(service) if not view.leaving]
+        return min((view.standing.rest_left_s(now) for view in able), default=0.0)
+
     def leaving_by_word(self) -> list[EngineAddress]:
         """Return the engines that leave by their own word alone: no record says so."""
         return [v.at for v in self if v.standing.leaving and not v.record.draining]
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -93,7 +93,8 @@
             return Unavailable.FULL
         is_suspect = self._quarantine is not None and self._quarantine.is_suspect(request)
         choice = self._selector.choose(request, excluded, now, is_suspect)
-        self.coming_back.note_choice(request.service, choice is Unavailable.FULL)
+        has_no_room = choice in (Unavailable.FULL, Unavailable.RESTING)
+        self.coming_back.note_choice(request.service, has_no_room)
         return choice
 
     def _barred(self, request: OpaqueRequest, now: float) -> Unavailable | None:
@@ -168,10 +169,13 @@
         """Return when a refused caller should come back."""
         if self._quarantine is not None and (left_s := self._quarantine.left_s(request)):
             return left_s
-        return self.coming_back.retry_after_s(request, clock.now_s())
+        now = clock.now_s()
+        if self._selector.rest_left_s(request.service, now):
+            self.coming_back.note_choice(request.service, True)
+        return self.coming_back.retry_after_s(request, now)
 
     def _room_in_s(self, request: OpaqueRequest) -> float:
-        return self._selector.guard.room_in_s(request)
+        return self._selector.room_in_s(request, clock.now_s())
 
 
 def _tell_nobody(view: EngineView, tokens: int) -> None:
@@ -263,6 +267,7 @@
         view = self._engines.get(start.choice.engine_id)
         if view is not None:
             view.breaker.record_start(now)
+            view.standing.note_sent(now)
             reading_s = start.choice.expected_tokens * self._ports.speeds.reading_s(view)
             if reading_s >= constants.TOLD_READING_LEAST_S:
                 self.reading_begun(view, start.choice.expected_tokens)
@@ -283,8 +288,8 @@
         except TimeoutError:
             return [events.AttemptBroken("not begun before its weights went out of use")]
 
-    def note(self, view: EngineView, event: events.DeliveryEvent) -> None:
-        """Learn about an engine from what an attempt told."""
+    def note(self, view: EngineView, event: events.DeliveryEvent, sent_at: float) -> None:
+        """Learn about an engine from what an attempt told that was sent at a time."""
         now = clock.now_s()
         if isinstance(event, events.AttemptRefused):
             self._note_refusal(view, event.kind, now)
@@ -292,6 +297,7 @@
             view.breaker.record_failure(now)
         elif isinstance(event, events.WholeAnswer | events.EventArrived):
             view.breaker.record_success()
+            view.standing.note_answered(sent_at)
 
     async def run_lost(
         self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -465,6 +465,8 @@
     def hear_engine(self, word: EngineWord) -> None:
         """Take in what an engine says of itself in an answer to this node."""
         self.metrics.count_word(word)
+        if word.rest_s:
+            self.log.engine_rests(word)
         if self._engines.hear(word, clock.now_s()):
             self._note_leaving(word.engine, word.source)
             self._peers.tell_leaving([word.engine])
