A request is not sent once its engine wants nothing, also where its connection comes up later

Seen in a feature that failed first: a request chosen for an engine is sent to it 0.2 s after the engine's word, its record's end or the node's standstill, if its connection took so long to come up (a second at the most; longer on a machine that slept).

Cause: what is known of an engine was looked at when it was chosen, and nothing looked again before the first byte.

Change: the connector of sessions to engines asks once more when the connection is there; the attempt counts as not sent, spends no repeat, and another engine is chosen.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -107,6 +107,26 @@
       | 503, Retry-After: 0.25                   | 0.25 |
       | 503, Retry-After: 3, Retry-After: 1      | 3    |
 
+  # Between the choice and the first byte
+
+  Scenario Outline: A request that waits for its connection is not sent once its engine wants nothing
+    Given an engine whose connections take 0.2 s to come up
+    And a node that has chosen it for a request that may not be repeated
+    When <word> while the connection comes up
+    Then the engine gets nothing, and the request is sent to another engine
+
+    Examples:
+      | word                   |
+      | it says that it leaves |
+      | it asks for rest       |
+      | its record is removed  |
+
+  Scenario: A request whose node sleeps while its connection comes up waits for the store's word
+    Given an engine whose connections take 0.2 s to come up
+    And a node that has chosen it for a request that may not be repeated
+    When the node wakes while the connection comes up, and hears from the store 0.3 s later
+    Then the request is sent after that
+
   # Nodes as separate processes
 
   Scenario: An engine that says in its answers that it leaves gets nothing more, whatever its record says
--- /dev/null
+++ b/features/steps/engine_send_steps.py
@@ -0,0 +1,125 @@
+"""Steps on what becomes known between the choice of an engine and the first byte to it."""
+
+import asyncio
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+
+from behave import given, then, when
+
+from features.gateway_support import engine_record, new_quarantine, opaque_request, route_rule
+from features.standin.engine import StandInEngine
+from features.steps.gateway_forwarding_steps import RecordingSink
+from liftrill import clock
+from liftrill.gateway.admission.retry_allowance import RetryAllowance
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_standing import EngineWord
+from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
+from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.http_client import new_engine_session
+from liftrill.gateway.records import RequestKind
+from liftrill.gateway.weight_targets import WeightTargets
+
+sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
+from engines import EngineCalls, PlatformEngineTransport
+
+
+def delay_connections(session, seconds):
+    """Let connections of a session take longer to come up."""
+    connector = session.connector
+    create = connector._create_connection
+
+    async def create_later(*args):
+        protocol = await create(*args)
+        await asyncio.sleep(seconds)
+        return protocol
+
+    connector._create_connection = create_later
+
+
+@given("an engine whose connections take {seconds:g} s to come up")
+def step_engines(context, seconds):
+    context.run(start_engines(context, seconds))
+
+
+async def start_engines(context, seconds):
+    context.engines = {}
+    for name in ("e1", "e2"):
+        engine = StandInEngine(name, "service-1")
+        await engine.start()
+        context.stack.push_async_callback(engine.stop)
+        context.engines[name] = engine
+    session = await context.stack.enter_async_context(new_engine_session())
+    delay_connections(session, seconds)
+    context.transport = PlatformEngineTransport(EngineCalls(session))
+
+
+@given("a node that has chosen it for a request that may not be repeated")
+def step_chosen(context):
+    table = context.known = EngineTable()
+    for name, engine in context.engines.items():
+        table.update(engine_record(name, address=engine.address))
+    allowance = RetryAllowance(0.2, 100, 10.0, 0.0)
+    context.ports = ForwardingPorts(EngineSelector(table, WeightTargets(8.0), "zone-1"), allowance)
+    context.forwarder = Forwarder(
+        table,
+        context.ports,
+        allowance,
+        context.transport,
+        DecisionLog("node-1"),
+        GatewayMetrics(),
+        new_quarantine(table),
+    )
+    context.run(deliver(context))
+
+
+async def deliver(context):
+    now = clock.now_s()
+    # It may wait for a second.
+    route = replace(route_rule(RequestKind.AT_MOST_ONCE, attempts=1), target_seconds=5.0)
+    request = opaque_request(route, model=None, received_at=now, deadline=now + 5.0)
+    request = replace(request, headers=(("X-Attempt-Id", request.request_id),))
+    context.sink = RecordingSink()
+    context.delivery = asyncio.ensure_future(context.forwarder.deliver(request, context.sink))
+    await asyncio.sleep(0.05)
+    context.chosen = next(view for view in context.known if view.own_load.requests)
+
+
+@when("it says that it leaves while the connection comes up")
+def step_leaves(context):
+    context.known.hear(EngineWord(context.chosen.at, "peer", leaving=True), clock.now_s())
+
+
+@when("it asks for rest while the connection comes up")
+def step_rests(context):
+    context.known.hear(EngineWord(context.chosen.at, "request", rest_s=3.0), clock.now_s())
+
+
+@when("its record is removed while the connection comes up")
+def step_removed(context):
+    context.known.remove(context.chosen.engine_id)
+
+
+@then("the engine gets nothing, and the request is sent to another engine")
+def step_other(context):
+    context.run(context.delivery)
+    chosen = context.engines.pop(context.chosen.engine_id)
+    (other,) = context.engines.values()
+    assert not chosen.arrivals and len(other.arrivals) == 1, (chosen.arrivals, other.arrivals)
+    assert context.sink.answer.status == 200, context.sink.ending
+
+
+@when("the node wakes while the connection comes up, and hears from the store {seconds:g} s later")
+def step_wakes(context, seconds):
+    context.heard_at = time.monotonic() + seconds
+    context.ports.beliefs_hold = lambda _: time.monotonic() >= context.heard_at
+
+
+@then("the request is sent after that")
+def step_after(context):
+    context.run(context.delivery)
+    arrivals = [arrival for engine in context.engines.values() for arrival in engine.arrivals]
+    assert [arrival.at >= context.heard_at for arrival in arrivals] == [True], arrivals
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -184,9 +184,9 @@
         if choice.continues_copy:
             # The run that broke may not be begun anew, and there is no other copy.
             return [self._end(self._loss_code())]
-        if event.kind is events.RefusalKind.UNREACHABLE:
+        if event.kind in (events.RefusalKind.UNREACHABLE, events.RefusalKind.WITHDRAWN):
             self._arrivals -= 1
-        if event.kind is not events.RefusalKind.WRONG_VERSION:
+        if event.kind not in (events.RefusalKind.WRONG_VERSION, events.RefusalKind.WITHDRAWN):
             self._excluded.add(choice.engine_id)
         self._last_code = ResultCode.ENGINES_REFUSED
         self.phase = Phase.WAITING
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -16,6 +16,7 @@
     OVERLOADED = "overloaded"
     WRONG_INSTANCE = "wrong_instance"
     WRONG_VERSION = "wrong_version"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -168,6 +168,10 @@
             self.loading_version = 0
             self.loading_until = 0.0
 
+    def wants_nothing(self, now: float) -> bool:
+        """Return whether it leaves, or asked this node for a rest that is not over."""
+        return self.leaving or now < self.standing.rest_until
+
     def loads_weights(self, now: float) -> bool:
         """Return whether it is believed to load weights, and is not just left alone for load."""
         return bool(self.loading_version) and self.is_loading(now)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -272,7 +272,15 @@
             if reading_s >= constants.TOLD_READING_LEAST_S:
                 self.reading_begun(view, start.choice.expected_tokens)
         self._ports.record_sent(start.choice, request, first)
-        return view, self._transport.attempt(request, start)
+        attempt = self._transport.attempt(request, start)
+        if view is not None:
+            attempt.may_send = partial(self._may_send, view)
+        return view, attempt
+
+    def _may_send(self, view: EngineView) -> bool:
+        """Return whether an engine that was chosen before still takes what is sent to it now."""
+        now = clock.now_s()
+        return self._ports.beliefs_hold(now) and not view.wants_nothing(now)
 
     def renew_limits(self) -> None:
         """Look anew until when each attempt may begin."""
@@ -348,6 +356,8 @@
             view.breaker.record_failure(now)
         elif kind is events.RefusalKind.WRONG_INSTANCE:
             view.gone = True
+        elif kind is events.RefusalKind.WITHDRAWN:
+            view.breaker.record_abandoned()
         else:
             view.breaker.record_abandoned()
             view.loading_until = max(view.loading_until, now + REFUSED_PAUSE_SECONDS)
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -9,14 +9,18 @@
 import asyncio
 import functools
 import socket
+from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from aiohttp.helpers import set_exception
 
 from liftrill import clock, constants
+from liftrill.errors import LiftrillError
 
 # A peer behind a cut says nothing: unacknowledged data or probes end the connection.
 USER_TIMEOUT_MILLISECONDS = 2_000
@@ -82,6 +86,35 @@
         return self._answers > 0 and payload_over
 
 
+class SendWithdrawnError(LiftrillError):
+    """The connection is up, and the request that it was for may no longer be sent."""
+
+
+def _always() -> bool:
+    """Let a request be sent."""
+    return True
+
+
+# Asked once the connection for a request is there, before its first byte is written.
+may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=_always)
+
+
+class CheckingConnector(aiohttp.TCPConnector):
+    """Connections that are handed out only while what they are for may still be sent.
+
+    One may take a second to come up, or be waited for by a machine that slept: what was known
+    when its engine was chosen is old by then.
+    """
+
+    async def connect(self, *args: Any, **options: Any) -> Connection:
+        """Return a connection for a request."""
+        connection = await super().connect(*args, **options)
+        if may_send.get()():
+            return connection
+        connection.release()
+        raise SendWithdrawnError("not sent")
+
+
 def idle_limit_s(keep_alive: str) -> float:
     """Return how long a connection is used again after an answer, by its Keep-Alive header."""
     for parameter in keep_alive.split(","):
@@ -119,7 +152,7 @@
 
 
 def _new_session(**options: Any) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
+    connector = CheckingConnector(
         limit=0,
         use_dns_cache=False,
         happy_eyeballs_delay=None,
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -1,13 +1,25 @@
 """What the gateway asks of an adaptor to engines."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.opaque_request import OpaqueRequest
 
 
+def _always() -> bool:
+    """Let a request be sent."""
+    return True
+
+
 class EngineAttempt(ABC):
-    """One send of a request to an engine."""
+    """One send of a request to an engine.
+
+    Attributes:
+        may_send: asked before the first byte; if it says no, the attempt is refused as withdrawn.
+    """
+
+    may_send: Callable[[], bool] = staticmethod(_always)
 
     @abstractmethod
     async def open(self) -> list[events.DeliveryEvent]:
