The weights that an engine was seen to have hold when an older record of it comes back

The same cause as with an engine's word: the version that reports and orders showed lay in the view of the record. When a record went and one of before came back, requests named the older version, and each was answered 421. A scenario failed first (asked for 1, is asked for 2 now). Versions are part of the incarnation's standing, which is kept when its record goes.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -24,6 +24,12 @@
       | its record is spoiled and good again            |
       | its record comes back with an older revision    |
 
+  Scenario: The weights that an engine was seen to have hold when an older record of it comes back
+    Given a node that knows engines a and b with the weights of version 1
+    When a is seen to have version 2 of the weights
+    And its record goes and comes back
+    Then a is asked for version 2 of the weights
+
   Scenario: An engine that starts again under its id is free of its former word
     Given a node that knows engines a and b with the weights of version 1
     And both tell when they started
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -278,6 +278,18 @@
     assert going_on.engine_id == "b" and going_on.backup is None, going_on
 
 
+@when("{name} is seen to have version {version:d} of the weights")
+def step_seen_weights(context, name, version):
+    context.node.engines.get(name).learn_weights("model", version)
+
+
+@then("{name} is asked for version {version:d} of the weights")
+def step_asked_for(context, name, version):
+    others = frozenset(("a", "b")) - {name}
+    choice = context.node.selector.choose(opaque_request(), others, 0.0)
+    assert (choice.engine_id, choice.weight_version) == (name, version), choice
+
+
 @when("the former {name} says in a late answer that it leaves")
 def step_former(context, name):
     assert not say(context, context.engine, leaving=True)
--- a/liftrill/gateway/engines/engine_standing.py
+++ b/liftrill/gateway/engines/engine_standing.py
@@ -1,4 +1,4 @@
-"""What engines say of themselves, kept for as long as they may live, sans-IO.
+"""What was heard from engines, kept for as long as they may live, sans-IO.
 
 An engine's word is true of one incarnation of it, whatever its record says or whether there is
 one: records go, come back and are restored from older copies while the engine is the same.
@@ -25,7 +25,7 @@
 # How often that is looked at: few are forgotten, and each look passes over all of them.
 EXPIRED_EACH_S = 10.0
 # How many are remembered at the most: more than leave within that time in a fleet of thousands;
-# 0.4 MB (100 bytes each).
+# 1.6 MB (400 bytes each).
 MOST_REMEMBERED = 4_096
 
 
@@ -49,16 +49,18 @@
 
 @dataclass(slots=True)
 class EngineStanding:
-    """What one incarnation of an engine said of itself.
+    """What was heard from one incarnation of an engine.
 
     Attributes:
         leaving: whether it said that it leaves, in an answer or a record; it never takes it back.
         rest_until: it wants nothing from this node before this time.
-        said_at: when it said something last.
+        weights: the newest version known of each model.
+        said_at: when it said something last, or its record went.
     """
 
     leaving: bool = False
     rest_until: float = -math.inf
+    weights: dict[str, int] = field(default_factory=dict)
     said_at: float = 0.0
     _rest_since: float = 0.0
     _on_trial: bool = False
@@ -97,7 +99,7 @@
 
 @dataclass(slots=True)
 class EngineStandings:
-    """The standings of incarnations that said something, with and without a record."""
+    """The standings of incarnations that said something, or whose records went."""
 
     _said: dict[tuple[int, str], EngineStanding] = field(default_factory=dict)
     _expired_at: float = 0.0
@@ -110,7 +112,7 @@
         return self._said.get(_key(engine)) or EngineStanding()
 
     def keep(self, engine: EngineAddress, standing: EngineStanding, now: float) -> None:
-        """Remember what an incarnation said just now."""
+        """Remember what is known of an incarnation that spoke or went just now."""
         standing.said_at = now
         self._said[_key(engine)] = standing
         if len(self._said) > MOST_REMEMBERED:
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -71,7 +71,6 @@
     """One incarnation of an engine.
 
     Attributes:
-        weights: the newest version known of each model; it only rises in one incarnation.
         own_load: what this node has on it.
         peer_load: what other nodes told of theirs.
         loading_until: it takes no new requests before this time, as far as is known, unless
@@ -81,11 +80,10 @@
         withdrawn: its newest record is not an engine's: it is used again after the next good one.
         model: how fast it works, as far as was observed.
         number: the short name of this incarnation, in words to peers.
-        standing: what it said of itself; it outlives this view.
+        standing: what was heard of it; it outlives this view.
     """
 
     record: EngineRecord
-    weights: dict[str, int] = field(default_factory=dict)
     own_load: EngineLoad = field(default_factory=EngineLoad)
     peer_load: EngineLoad = field(default_factory=EngineLoad)
     loading_until: float = 0.0
@@ -107,6 +105,11 @@
         """Whether it takes no new work any more."""
         return self.gone or self.standing.leaving
 
+    @property
+    def weights(self) -> dict[str, int]:
+        """The newest version known of each model; it only rises in one incarnation."""
+        return self.standing.weights
+
     @property
     def engine_id(self) -> str:
         """The identity of this incarnation."""
@@ -313,6 +316,7 @@
         view = self._views.pop(engine_id, None)
         if view is not None:
             view.gone = True
+            self.standings.keep(view.at, view.standing, clock.now_s())
             self._by_number.pop(view.number, None)
 
     def mark_vanished(self, engine_ids: Iterable[str], now: float) -> None:
