Soak: engines that say in their answers that they leave, or want rest, and the check of it

Troubles of a node tell whether its process stood still or ended, which alone excuses a request after an engine's word.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -56,6 +56,21 @@
       | and another request is kept from engines              | no other request is kept from engines              |
       | and the request itself is kept from engines           | nothing                                            |
 
+  Scenario Outline: The check finds what engines get against their word
+    Given engines that spoke, and <what>
+    Then the check of their words finds "<found>"
+
+    Examples:
+      | what                                                   | found                                 |
+      | a request 2.1 s after its engine's word                | no request after an engine's word     |
+      | a request 1.9 s after its engine's word                | nothing                               |
+      | a request after the word of a lost answer              | nothing                               |
+      | a request 9 s after the word, its node killed between  | nothing                               |
+      | a request 9 s after the word, its node cut off between | no request after an engine's word     |
+      | three requests within a rest                           | no requests within an engine's rest   |
+      | two requests within a rest                             | nothing                               |
+      | three requests within a rest, its node cut off         | nothing                               |
+
   Scenario: A short soak breaks no promise, and all nodes serve again after it
     When seed 1 is played for 12 s
     Then it had faults and served requests, and broke no promise
@@ -82,6 +97,11 @@
     When seed 39100 is played for 12 s with machines that sleep
     Then it had faults and served requests, and broke no promise
 
+  Scenario: A short soak in which engines speak of themselves breaks no promise
+    When seed 46100 is played for 12 s with engines that speak of themselves
+    Then it had faults and served requests, and broke no promise
+    And engines said that they leave, and asked for rest
+
   Scenario: A short soak under hard load breaks no promise
     When seed 4100 is played for 14 s under hard load
     Then it had faults and served requests, and broke no promise
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -89,7 +89,7 @@
         node = self._running_node(draw)
         if node is None:
             return
-        with self._fleet.timeline.trouble(node.name):
+        with self._fleet.timeline.trouble(node.name, stands=True):
             try:
                 node.signal(signal.SIGSTOP)
                 await asyncio.sleep(draw.uniform(0.3, 6.0))
@@ -101,7 +101,7 @@
         node = self._running_node(draw)
         if node is None:
             return
-        with self._fleet.timeline.trouble(node.name):
+        with self._fleet.timeline.trouble(node.name, stands=True):
             await node.stop()
             await asyncio.sleep(draw.uniform(0.1, 1.0))
             await self._fleet.start_node(node)
@@ -110,7 +110,7 @@
         node = self._running_node(draw)
         if node is None:
             return
-        with self._fleet.timeline.trouble(node.name):
+        with self._fleet.timeline.trouble(node.name, stands=True):
             node.signal(signal.SIGTERM)
             with suppress(TimeoutError):
                 await asyncio.wait_for(node.process.wait(), 9.0)
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -129,6 +129,13 @@
         await asyncio.sleep(max(0.0, SEEN_AFTER_LEAVING_S - removed_after_s))
         await engine.stop()
 
+    async def hide_record(self, engine, seconds):
+        """Let an engine's record go for a while, and come back as it was."""
+        self.store.remove(f"servers/{engine.engine_id}")
+        await asyncio.sleep(seconds)
+        if engine in self.engines():
+            self.deployment.record(engine)
+
     async def leave_unsaid(self, engine):
         """Remove the record of an engine that goes on for a while, and declared nothing."""
         await self._replace(engine)
@@ -193,7 +200,7 @@
         for proxy in self.proxies.values():
             proxy.harm = Harm.NONE
         for engine in self.engines():
-            engine.fault, engine.refuses_orders = "", False
+            engine.fault, engine.refuses_orders, engine.rest = "", False, ""
         for node in self.nodes:
             with suppress(ProcessLookupError):
                 node.signal(signal.SIGCONT)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -8,8 +8,7 @@
 and are cut, its open connections go silent, while engines leave and weights are named; keys
 and routes change. What callers and engines saw is checked against the promises. Exits with 1
 after a violation, and names the seed. Seeds that failed once are kept in `seeds.txt`, one a
-line: seed, seconds, nodes, "deadly" where callers repeat requests under which engines end,
-"sleeps" where machines are suspended, "hard" where load is hard, and the cause.
+line: seed, seconds, nodes, the modes in which it is played (see `Modes`), and the cause.
 """
 
 import argparse
@@ -21,11 +20,13 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import dataclass, fields
 from pathlib import Path
 
 import aiohttp
 
 from features.soak.deadly import DeadlyCallers, check_deadly, ends_under
+from features.soak.engine_words import EngineWords, check_words
 from features.soak.faults import FaultInjector
 from features.soak.fleet import Fleet
 from features.soak.hard_load import HardLoad
@@ -46,19 +47,38 @@
 BOUNDS = Bounds(revoke_s=5.0, drain_s=2.0, version_s=8.0)
 
 
+@dataclass(frozen=True)
+class Modes:
+    """What comes up beside the faults.
+
+    Attributes:
+        deadly: callers repeat requests under which engines end.
+        sleeps: machines are suspended, too.
+        hard: uneven engines, restarts, bursts and slow callers.
+        words: engines say in their answers that they leave, or want rest.
+    """
+
+    deadly: bool = False
+    sleeps: bool = False
+    hard: bool = False
+    words: bool = False
+
+
+MODES = tuple(field.name for field in fields(Modes))
+
+
 class Soak:
     """One deployment under faults, and its history."""
 
-    def __init__(
-        self, seed, seconds, directory, nodes=NODES, deadly=False, sleeps=False, hard=False
-    ):
-        self._deadly = DeadlyCallers(seed) if deadly else None
-        self._deadly_bodies = self._deadly.bodies() if deadly else frozenset()
-        self.fleet = Fleet(directory, nodes, self._deadly_bodies, sleeps, births=hard)
-        self._sleeps = Sleeps(self.fleet, seed) if sleeps else None
+    def __init__(self, seed, seconds, directory, nodes=NODES, modes=Modes()):
+        self._deadly = DeadlyCallers(seed) if modes.deadly else None
+        self._deadly_bodies = self._deadly.bodies() if modes.deadly else frozenset()
+        self.fleet = Fleet(directory, nodes, self._deadly_bodies, modes.sleeps, births=modes.hard)
+        self._sleeps = Sleeps(self.fleet, seed) if modes.sleeps else None
         self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
-        self.load = HardLoad(self.fleet, seed, self._call, self.calls) if hard else None
+        self.load = HardLoad(self.fleet, seed, self._call, self.calls) if modes.hard else None
+        self.words = EngineWords(self.fleet, seed) if modes.words else None
         self._seconds = seconds
         self._seed = seed
         self._random = random.Random(f"{seed}/calls")
@@ -80,6 +100,7 @@
             await asyncio.gather(*callers)
             await self.fleet.stop_retired()
             found = check(*self._history(), BOUNDS)
+            found += check_words(*self._history())
             return [*found, *check_deadly(*self._history(), self._deadly_bodies)], alive
 
     def _faults(self):
@@ -88,6 +109,8 @@
             yield self._sleeps.run_for(self._seconds)
         if self.load is not None:
             yield self.load.run_for(self._seconds)
+        if self.words is not None:
+            yield self.words.run_for(self._seconds)
 
     def latest(self):
         """Return the latest arrivals after leavings and namings."""
@@ -205,17 +228,17 @@
             return False
 
 
-def play(seed, seconds, nodes=NODES, deadly=False, sleeps=False, hard=False):
+def play(seed, seconds, nodes=NODES, modes=Modes()):
     """Play one seed; return its violations, and print what it did."""
     with tempfile.TemporaryDirectory(prefix="liftrill-soak-") as directory:
-        soak = Soak(seed, seconds, Path(directory), nodes, deadly, sleeps, hard)
+        soak = Soak(seed, seconds, Path(directory), nodes, modes)
         found, alive = asyncio.run(soak.run())
         served = sum(call.status == 200 and call.complete for call in soak.calls)
         print(
             f"seed {seed}: {len(soak.calls)} requests, {served} served, "
             f"{len(soak.fleet.timeline.faults)} faults, {len(found)} violations, "
             f"all nodes serve again: {alive}, {soak.latest()}, ended under requests: {soak.ends()}"
-            + (f", {soak.load.counts}" if soak.load else ""),
+            + "".join(f", {part.counts}" for part in (soak.load, soak.words) if part),
             flush=True,
         )
         for promise, count in Counter(violation.promise for violation in found).items():
@@ -227,11 +250,11 @@
 
 
 def kept_plays():
-    """Return seed, seconds, nodes, and which troubles come up beside the faults."""
+    """Return seed, seconds, nodes and modes."""
     lines = KEPT_PATH.read_text().splitlines()
     rows = [line.partition("|")[0].split() for line in lines if not line.startswith("#")]
     return [
-        (int(seed), float(seconds), int(nodes), "deadly" in more, "sleeps" in more, "hard" in more)
+        (int(seed), float(seconds), int(nodes), Modes(**dict.fromkeys(more, True)))
         for seed, seconds, nodes, *more in rows
     ]
 
@@ -243,17 +266,12 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=NODES, help="12 at the most")
     parser.add_argument("--kept", action="store_true", help="play the seeds that failed once")
-    parser.add_argument(
-        "--deadly", action="store_true", help="callers repeat requests under which engines end"
-    )
-    parser.add_argument("--sleeps", action="store_true", help="machines are suspended, too")
-    parser.add_argument(
-        "--hard", action="store_true", help="uneven engines, restarts, bursts and slow callers"
-    )
+    for mode in MODES:
+        parser.add_argument(f"--{mode}", action="store_true", help="see `Modes`")
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.seeds)
-    modes = (options.deadly, options.sleeps, options.hard)
-    plays = [(seed, options.seconds, options.nodes, *modes) for seed in seeds]
+    modes = Modes(**{mode: getattr(options, mode) for mode in MODES})
+    plays = [(seed, options.seconds, options.nodes, modes) for seed in seeds]
     results = [play(*one) for one in (kept_plays() if options.kept else plays)]
     return 0 if all(not found and alive for found, alive in results) else 1
 
--- a/features/soak/sleeps.py
+++ b/features/soak/sleeps.py
@@ -41,7 +41,7 @@
         self._asleep.add(node.name)
         self.count += 1
         process = node.process
-        with self._fleet.timeline.trouble(node.name), suppress(ProcessLookupError):
+        with self._fleet.timeline.trouble(node.name, stands=True), suppress(ProcessLookupError):
             node.signal(signal.SIGSTOP)
             await asyncio.sleep(lasts_s)
             # Another fault may have ended the process that slept, or let it go on.
--- a/features/soak/timeline.py
+++ b/features/soak/timeline.py
@@ -20,12 +20,14 @@
         node: whose it was, or "" for all nodes.
         begun_at: steady clock, seconds, as for all times of a soak.
         recovery_s: for how long after its end it excuses what a node does.
+        stands: whether the node's process stood still, or ended, meanwhile.
     """
 
     node: str
     begun_at: float
     ended_at: float
     recovery_s: float = RECOVERY_S
+    stands: bool = False
 
     def concerns(self, node):
         return self.node in ("", node)
@@ -50,13 +52,14 @@
     troubles: list = field(default_factory=list)
 
     @contextmanager
-    def trouble(self, node=""):
+    def trouble(self, node="", stands=False):
         """Note what happens meanwhile as a trouble of one node, or of all."""
         begun_at = time.monotonic()
         try:
             yield
         finally:
-            self.troubles.append(Trouble(node, begun_at, time.monotonic()))
+            ended_at = time.monotonic()
+            self.troubles.append(Trouble(node, begun_at, ended_at, stands=stands))
 
     def note_silence(self):
         """Note that all connections to the store that are open now have gone silent."""
@@ -89,6 +92,19 @@
             t.begun_at <= at <= t.ended_at + t.recovery_s for t in self.troubles if t.concerns(node)
         )
 
+    def stood_between(self, node, since, until):
+        """Return whether a node's process stood still, or ended, between two times."""
+        return any(t.stands for t in self._between(node, since, until))
+
+    def troubled_between(self, node, since, until):
+        """Return whether a node had any trouble between two times."""
+        return any(True for _ in self._between(node, since, until))
+
+    def _between(self, node, since, until):
+        for trouble in self.troubles:
+            if trouble.concerns(node) and trouble.begun_at <= until and trouble.ended_at >= since:
+                yield trouble
+
     def calm_since(self, node, at):
         """Return since when a node has had no trouble: the time itself if it has one."""
         ends = (t.ended_at for t in self.troubles if t.concerns(node) and t.begun_at <= at)
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -10,6 +11,8 @@
 from features.standin.connections import reset
 
 SIGNATURE = "stand-in-signature"
+# A longer rest is a mistake of whoever asks for it.
+LONGEST_REST_S = 600.0
 
 
 @dataclass
@@ -19,6 +22,9 @@
     Attributes:
         at: when its head arrived (steady clock, seconds).
         version: of the weights on which it began, where it names a model.
+        told_at: when the head of the answer was written, or None.
+        said_leaving: whether the answer said that the engine leaves.
+        rest_s: the rest that the answer asked for, or 0.
     """
 
     attempt_id: str
@@ -32,6 +38,17 @@
     ran: bool = False
     finished: bool = False
     cut: bool = False
+    told_at: float | None = None
+    said_leaving: bool = False
+    rest_s: float = 0.0
+
+    def tell(self, headers):
+        """Note what an answer says that is about to be written."""
+        self.told_at = time.monotonic()
+        self.said_leaving = headers.get("Server-Leaving") == "1"
+        with suppress(ValueError):
+            rest_s = float(headers.get("Retry-After", 0))
+            self.rest_s = rest_s if 0 < rest_s <= LONGEST_REST_S else 0.0
 
 
 # An engine that ends under a request does so this long after it has begun (own choice).
@@ -211,7 +228,9 @@
         fault = self._take_fault()
         if fault in ("shed", "shed_without_id") or self.rest:
             arrival.refused = True
-            return self._shed("" if fault == "shed_without_id" else arrival.attempt_id)
+            answer = self._shed("" if fault == "shed_without_id" else arrival.attempt_id)
+            arrival.tell(answer.headers)
+            return answer
         version = request.headers.get("X-Expect-Version")
         model = request.headers.get("X-Model")
         if version is not None and int(version) != self.weights.get(model):
@@ -249,6 +268,7 @@
         if fault == "crossed":
             headers["X-Attempt-Id"] = "0000000000000000"
         headers = {**headers, **self._said("whole")}
+        arrival.tell(headers)
         response = web.Response(body=f"answer to {arrival.attempt_id}".encode(), headers=headers)
         if fault in ("extra", "extra_late"):
             await self._send_twice(request, response, 0.05 if fault == "extra_late" else 0.0)
@@ -274,6 +294,7 @@
     async def _stream(self, request, arrival, headers, fault):
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         headers = {**headers, **self._said("head"), "Content-Type": "text/event-stream"}
+        arrival.tell(headers)
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         for number in range(first, self.events + 1):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,8 +5,9 @@
 from behave import given, then, when
 
 from features.soak.deadly import check_deadly
+from features.soak.engine_words import check_words
 from features.soak.history import Bounds, Call, check
-from features.soak.run import Soak
+from features.soak.run import Modes, Soak
 from features.soak.timeline import SILENCE_RECOVERY_S, Timeline, Trouble
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 5))
@@ -183,22 +184,33 @@
 
 @when("seed {seed:d} is played for {seconds:g} s with requests under which engines end")
 def step_play_deadly(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, deadly=True)
+    context.soak = Soak(seed, seconds, context.directory, modes=Modes(deadly=True))
     context.found, context.alive = context.run(context.soak.run())
 
 
 @when("seed {seed:d} is played for {seconds:g} s with machines that sleep")
 def step_play_sleeps(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, sleeps=True)
+    context.soak = Soak(seed, seconds, context.directory, modes=Modes(sleeps=True))
     context.found, context.alive = context.run(context.soak.run())
 
 
 @when("seed {seed:d} is played for {seconds:g} s under hard load")
 def step_play_hard(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, hard=True)
+    context.soak = Soak(seed, seconds, context.directory, modes=Modes(hard=True))
     context.found, context.alive = context.run(context.soak.run())
 
 
+@when("seed {seed:d} is played for {seconds:g} s with engines that speak of themselves")
+def step_play_words(context, seed, seconds):
+    context.soak = Soak(seed, seconds, context.directory, modes=Modes(words=True))
+    context.found, context.alive = context.run(context.soak.run())
+
+
+@then("engines said that they leave, and asked for rest")
+def step_words_kinds(context):
+    assert set(context.soak.words.counts) == {"leave", "rest"}, context.soak.words.counts
+
+
 @then("each trouble of hard load came up")
 def step_hard_kinds(context):
     assert len(context.soak.load.counts) == 5, context.soak.load.counts
@@ -243,3 +255,54 @@
 def step_deadly_found(context, found):
     expected = set() if found == "nothing" else {found}
     assert {violation.promise for violation in context.found} == expected, context.found
+
+
+# What engines told a node 100 s after the beginning, what it sent them later, and its troubles.
+TOLD_AT = 100.0
+
+
+def told(at=TOLD_AT, **says):
+    """Return a request whose answer says something."""
+    fields = {"said_leaving": False, "rest_s": 0.0, "cut": False, **says}
+    return SimpleNamespace(attempt_id="r1", at=at, told_at=at, **fields)
+
+
+WORDS = {
+    "a request 2.1 s after its engine's word": ([told(said_leaving=True), told(102.1)], []),
+    "a request 1.9 s after its engine's word": ([told(said_leaving=True), told(101.9)], []),
+    "a request after the word of a lost answer": (
+        [told(said_leaving=True, cut=True), told(109)],
+        [],
+    ),
+    "a request 9 s after the word, its node killed between": (
+        [told(said_leaving=True), told(109)],
+        [Trouble("n1", 103.0, 104.0, stands=True)],
+    ),
+    "a request 9 s after the word, its node cut off between": (
+        [told(said_leaving=True), told(109)],
+        [Trouble("n1", 103.0, 104.0)],
+    ),
+    "three requests within a rest": (
+        [told(rest_s=3.0), told(101), told(102), told(102.9)],
+        [],
+    ),
+    "two requests within a rest": ([told(rest_s=3.0), told(101), told(102), told(103.1)], []),
+    "three requests within a rest, its node cut off": (
+        [told(rest_s=3.0), told(101), told(102), told(102.9)],
+        [Trouble("n1", 101.0, 101.5)],
+    ),
+}
+
+
+@given("engines that spoke, and {what}")
+def step_words_history(context, what):
+    arrivals, troubles = WORDS[what]
+    spoke = SimpleNamespace(engine_id="e1", arrivals=arrivals)
+    calls = [call("r1")]
+    context.found = list(check_words(calls, [spoke], Timeline(troubles=troubles)))
+
+
+@then('the check of their words finds "{found}"')
+def step_words_found(context, found):
+    expected = set() if found == "nothing" else {found}
+    assert {violation.promise for violation in context.found} == expected, context.found
