A request that waited in vain for engines that do not rest is not told that they do

Callers saw ENGINES_AT_REST (2017) while engines loaded weights. Cause: with no rest left the comparison of its end with the end of the wait was true once that was over.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -91,6 +91,11 @@
     Then a request is refused after 1 s, with 1.5 s until the first rest is over
     And a request waits after 2.4 s
 
+  Scenario: A request that waited for engines which do not rest is not told that they do
+    Given a node that knows engines a and b with the weights of version 1
+    When both are said to load weights for 9 s
+    Then a request that has waited for 1 s finds none ready
+
   Scenario: Orders wait for a rest, but not for a long one
     Given a node that knows engines a and b with the weights of version 1
     When version 2 of the weights is named, and a asks for 3 s of rest, and b for 60 s of rest
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -453,6 +453,18 @@
     assert abs(rest_s - left) < 0.001, rest_s
 
 
+@when("both are said to load weights for {seconds:g} s")
+def step_both_load(context, seconds):
+    for name in ("a", "b"):
+        context.node.engines.apply_notice(EngineNotice(name, "model", 2, True, 1), seconds)
+
+
+@then("a request that has waited for {seconds:g} s finds none ready")
+def step_waited_in_vain(context, seconds):
+    choice = context.node.selector.choose(opaque_request(), frozenset(), seconds)
+    assert choice is Unavailable.NONE_READY, choice
+
+
 @then("a request waits after {seconds:g} s")
 def step_waits(context, seconds):
     assert choice_after(context, seconds) is Unavailable.NONE_READY
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -94,6 +94,8 @@
     ) -> Unavailable:
         """Return whether waiting may help: not where all want rest for longer than that."""
         rest_s = min((view.standing.rest_left_s(now) for view in left), default=0.0)
+        if not rest_s:
+            return Unavailable.NONE_READY
         share = constants.ENGINE_WAIT_TARGET_SHARE
         waits_until = request.received_at + share * request.route.target_seconds
         return Unavailable.RESTING if now + rest_s > waits_until else Unavailable.NONE_READY
