Where the store stands is an era and a revision, and a copy of before is old until it is written again

Callers saw: after the store was away for 0.8 s and came back from a copy 4 s old, keys written then were unknown at all nodes for 8 s and more, versions were not loaded, and all calls with keys got 503 once their proof had run out. Where revisions passed the former ones at once, an engine whose record had gone got 14 to 19 requests.

Cause: revisions of two histories were compared. A reading with a lower revision counted as a lagging copy for ever; one with a higher revision was mixed into the copy of the former history.

Change: a position is the era and the revision in one ordered number, made where the store's answers are read: copies, watches, readers' messages, conditions, leases and fences carry it. Answers of an earlier era, or without one, are refused and counted; conditions, leases and histories of an earlier era are not sent; a write in whose midst the era turned counts as lost. A copy comes into a later era by a whole reading alone. What such a copy says is old until its writers write again: engines that it has and the node had not are withheld; what it lacks is taken as lapsed; former starts of an engine and older configurations stay former; quarantine that was lost is written again; for 1 s only a configuration written since proves keys. The leader of before may go on with a new lease (it held the last one), others leave it the key for 1.2 s and wait until its last orders are past.

--- a/features/model_checking.feature
+++ b/features/model_checking.feature
@@ -11,6 +11,7 @@
       | commit               |
       | fenced order         |
       | order holder         |
+      | restored store       |
       | configuration adoption |
       | mirror relay         |
       | mirror relay, path told |
@@ -33,6 +34,9 @@
       | order holder         | successor_waits           | turns_are_apart                |
       | order holder         | writes_before_orders      | turns_are_apart                |
       | order holder         | rests_only_when_quiet     | turns_are_apart                |
+      | restored store       | fences_have_era           | newer_orders_stay              |
+      | restored store       | fences_have_era           | leaders_are_heard              |
+      | restored store       | leases_have_era           | leases_are_own                 |
       | configuration adoption | only_forward            | never_back                     |
       | configuration adoption | proof_from_question     | removed_key_refused            |
       | configuration adoption | proof_required          | removed_key_refused            |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -102,6 +102,11 @@
     Then it had faults and served requests, and broke no promise
     And engines said that they leave, and asked for rest
 
+  Scenario: A short soak in which the store comes back from older copies breaks no promise
+    When seed 47100 is played for 12 s with a store that comes back from older copies
+    Then it had faults and served requests, and broke no promise
+    And the store came back 2 times at least
+
   Scenario: A short soak under hard load breaks no promise
     When seed 4100 is played for 14 s under hard load
     Then it had faults and served requests, and broke no promise
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -107,6 +107,16 @@
         self._version += 1
         self.deployment.configure(self._version, keys=tuple(self.keys), backups=True)
 
+    def write_again(self):
+        """Write what the operator and the engines have written, as after the store's return."""
+        self.deployment.configure(self._version, keys=tuple(self.keys), backups=True)
+        self.deployment.name_weights(self._weights)
+        for key in [key for key in self.store.items if key.startswith("servers/")]:
+            if key.removeprefix("servers/") not in self.deployment.engines:
+                self.store.remove(key)
+        for engine in self.engines():
+            self.deployment.record(engine)
+
     def revoke(self):
         """Replace all keys by a new one."""
         old = self.keys[0]
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -32,6 +32,7 @@
 from features.soak.hard_load import HardLoad
 from features.soak.history import Bounds, Call, check, latest
 from features.soak.sleeps import Sleeps
+from features.soak.store_returns import StoreReturns
 from features.standin.deployment import HOST, prompt_headers
 
 NODES = 6
@@ -56,12 +57,14 @@
         sleeps: machines are suspended, too.
         hard: uneven engines, restarts, bursts and slow callers.
         words: engines say in their answers that they leave, or want rest.
+        returns: the store comes back from older copies of itself.
     """
 
     deadly: bool = False
     sleeps: bool = False
     hard: bool = False
     words: bool = False
+    returns: bool = False
 
 
 MODES = tuple(field.name for field in fields(Modes))
@@ -79,6 +82,7 @@
         self.calls = []
         self.load = HardLoad(self.fleet, seed, self._call, self.calls) if modes.hard else None
         self.words = EngineWords(self.fleet, seed) if modes.words else None
+        self.returns = StoreReturns(self.fleet, seed) if modes.returns else None
         self._seconds = seconds
         self._seed = seed
         self._random = random.Random(f"{seed}/calls")
@@ -111,6 +115,8 @@
             yield self.load.run_for(self._seconds)
         if self.words is not None:
             yield self.words.run_for(self._seconds)
+        if self.returns is not None:
+            yield self.returns.run_for(self._seconds)
 
     def latest(self):
         """Return the latest arrivals after leavings and namings."""
@@ -238,7 +244,7 @@
             f"seed {seed}: {len(soak.calls)} requests, {served} served, "
             f"{len(soak.fleet.timeline.faults)} faults, {len(found)} violations, "
             f"all nodes serve again: {alive}, {soak.latest()}, ended under requests: {soak.ends()}"
-            + "".join(f", {part.counts}" for part in (soak.load, soak.words) if part),
+            + "".join(f", {part.counts}" for part in (soak.load, soak.words, soak.returns) if part),
             flush=True,
         )
         for promise, count in Counter(violation.promise for violation in found).items():
--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import time
 
@@ -24,6 +25,7 @@
         lose_writes: how many writes are done without an answer.
         refused_callers: addresses of nodes that get 503; a node calls at its own address.
         era: told in all answers as text, or None where it is not told.
+        era_before_until: until when every other answer tells the era before.
     """
 
     def __init__(self):
@@ -38,6 +40,8 @@
         self.era = None
         self.address = ""
         self.port = 0
+        self.era_before_until = 0.0
+        self._turns = itertools.count()
         self._copies = []
         self._changed = asyncio.Event()
         self._runner = None
@@ -145,7 +149,7 @@
             return await _keep_silent(transport)
         called_at = transport.get_extra_info("sockname")[0]
         if self.fault == "down" or called_at in self.refused_callers:
-            return web.Response(status=503, headers={"Store-Era": self.era} if self.era else {})
+            return web.Response(status=503, headers=self._told_era())
         if self.fault == "silent":
             await asyncio.sleep(30)
         if self.fault == "reset":
@@ -157,8 +161,13 @@
             request.transport.abort()
         if transport in self._silent:
             return await _keep_silent(transport)
-        headers = {"Store-Era": self.era} if self.era is not None else {}
-        return web.json_response(body, status=status, headers=headers)
+        return web.json_response(body, status=status, headers=self._told_era())
+
+    def _told_era(self):
+        if self.era is None:
+            return {}
+        is_before = time.monotonic() < self.era_before_until and next(self._turns) % 2
+        return {"Store-Era": str(int(self.era) - 1) if is_before else self.era}
 
     async def _answer(self, call, request):
         query = request.query
--- a/features/steps/engine_send_steps.py
+++ b/features/steps/engine_send_steps.py
@@ -24,7 +24,7 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
-from engines import EngineCalls, PlatformEngineTransport
+from engines import PlatformEngineTransport
 
 
 def delay_connections(session, seconds):
@@ -54,7 +54,7 @@
         context.engines[name] = engine
     session = await context.stack.enter_async_context(new_engine_session())
     delay_connections(session, seconds)
-    context.transport = PlatformEngineTransport(EngineCalls(session))
+    context.transport = PlatformEngineTransport(session)
 
 
 @given("a node that has chosen it for a request that may not be repeated")
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -168,7 +168,7 @@
 
     def __init__(self, knows_after_s):
         self.view = ConfigurationView(4.5)
-        self.prover = CurrencyProver(None, None, None, self.view, None)
+        self.prover = CurrencyProver(None, stub_follower(None), None, self.view, None)
         self.store = CountedStore()
         self.follower = StoreFollower(self.store, "", self, LIMITS)
         self.knows_at = time.monotonic() + knows_after_s
@@ -338,7 +338,7 @@
 def step_in_force(context, version):
     context.view = ConfigurationView(4.5)
     context.view.adopt(GatewayConfiguration(version, (route_rule(),), {}))
-    context.prover = CurrencyProver(None, None, None, context.view, None)
+    context.prover = CurrencyProver(None, stub_follower(None), None, context.view, None)
 
 
 @when("a peer asked at {asked:g} s answers with version {version:d} and a proof {age:g} s old")
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -9,6 +9,7 @@
 from spec.fenced_order import OrderRules, order_model
 from spec.mirror_relay import RelayRules, path_model, relay_model
 from spec.order_holder import HolderRules, holder_model
+from spec.restored_store import RestoreRules, restore_model
 
 STATE_LIMIT = 1_000_000
 GROUP_CHANGE = {"old": frozenset({0}), "new": frozenset({1})}
@@ -20,6 +21,7 @@
     "fenced order": (order_model, OrderRules, {}),
     "order holder": (holder_model, HolderRules, {}),
     "configuration adoption": (adoption_model, AdoptionRules, {}),
+    "restored store": (restore_model, RestoreRules, {}),
     "mirror relay": (relay_model, RelayRules, ROOT_ALONE),
     "mirror relay, path told": (path_model, RelayRules, {}),
 }
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -206,6 +206,17 @@
     context.found, context.alive = context.run(context.soak.run())
 
 
+@when("seed {seed:d} is played for {seconds:g} s with a store that comes back from older copies")
+def step_play_returns(context, seed, seconds):
+    context.soak = Soak(seed, seconds, context.directory, modes=Modes(returns=True))
+    context.found, context.alive = context.run(context.soak.run())
+
+
+@then("the store came back {count:d} times at least")
+def step_returns(context, count):
+    assert context.soak.returns.counts["return"] >= count, context.soak.returns.counts
+
+
 @then("engines said that they leave, and asked for rest")
 def step_words_kinds(context):
     assert set(context.soak.words.counts) == {"leave", "rest"}, context.soak.words.counts
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -6,6 +6,26 @@
 
 from behave import given, then, when
 
+from liftrill.coordination.range_store import (
+    ConditionFailedError,
+    HistoryGoneError,
+    LeaseGoneError,
+    RangePage,
+    RemovedItem,
+    StoredItem,
+    WatchBatch,
+)
+from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.coordination.store_position import OldEraError, StoreEra, position
+from liftrill.gateway.relay_codec import (
+    RelayAnswer,
+    RelayUpdate,
+    decode_message,
+    encode_answer,
+    encode_batch,
+    encode_snapshot,
+)
+
 SERVED = 200
 # From the store's return until what was written is written again (own choice).
 WRITTEN_AGAIN_AFTER_S = 0.3
@@ -161,3 +181,170 @@
         assert fences == sorted(fences), fences
         for _, orders in itertools.groupby(engine.orders, key=lambda order: order["Fence"]):
             assert len({order["Holder"] for order in orders}) == 1, engine.orders
+
+
+# Positions
+
+
+@given("a node that knows era {era:d} of the store")
+def step_knows(context, era):
+    context.refused = []
+    context.era = StoreEra(refused=lambda known, told: context.refused.append(told))
+    context.era.hear(str(era) if era else "")
+
+
+@when('an answer tells "{told}" as its era')
+def step_tells(context, told):
+    context.is_taken = is_taken(context, told)
+
+
+@when('an answer tells "" as its era')
+def step_tells_none(context):
+    context.is_taken = is_taken(context, "")
+
+
+def is_taken(context, told):
+    try:
+        context.era.hear(told)
+    except OldEraError:
+        return False
+    return True
+
+
+@then("it is {taken}, and the node knows era {era:d}")
+def step_taken(context, taken, era):
+    assert context.is_taken == (taken == "taken") == (not context.refused), context.refused
+    assert context.era.era == era, context.era.era
+
+
+def raises(error, call, *args):
+    try:
+        call(*args)
+    except error:
+        return True
+    return False
+
+
+@then("a condition on revision {number:d} of era {era:d} does not hold")
+def step_no_condition(context, number, era):
+    assert raises(ConditionFailedError, context.era.condition, position(era, number))
+
+
+@then("lease 7 of era 3 is gone, and history after revision 7 of era 3 too")
+def step_gone(context):
+    assert raises(LeaseGoneError, context.era.lease, position(3, 7))
+    assert raises(HistoryGoneError, context.era.history, position(3, 7))
+
+
+@then("revision 7 of era 4 is higher than revision 70000 of era 3")
+def step_higher(context):
+    assert position(4, 7) > position(3, 70_000)
+
+
+@then("a condition on revision {number:d} of era {era:d} holds for the store's revision 7")
+def step_condition(context, number, era):
+    assert context.era.condition(position(era, number)) == 7
+
+
+@then('an answer that tells "{told}" is refused')
+def step_refused(context, told):
+    assert not is_taken(context, told)
+
+
+def items(era, text):
+    """Return items from a text like "a at 5, b at 9 and c at 12"."""
+    rows = [row.split(" at ") for row in text.replace(" and ", ", ").split(", ")]
+    return tuple(StoredItem(key, b"", position(era, int(number))) for key, number in rows)
+
+
+@given("a copy of era {era:d} with the keys {text}")
+def step_copy(context, era, text):
+    context.mirror = StoreMirror()
+    context.mirror.take_page(RangePage(items(era, text), position(era, 12), False))
+    context.before = context.mirror.items()
+
+
+@when("changes of era {era:d} come: {text}")
+def step_changes(context, era, text):
+    found = items(era, text)
+    batch = WatchBatch(found, found[-1].revision)
+    context.change = context.mirror.take_batch(batch)
+
+
+@then("the copy is as before")
+def step_as_before(context):
+    assert context.mirror.items() == context.before
+    assert not context.change.written
+
+
+@when("a whole reading of era {era:d} comes: {text}")
+def step_reading(context, era, text):
+    found = items(era, text)
+    context.change = context.mirror.take_page(RangePage(found, found[-1].revision, False))
+    context.after = list(found)
+
+
+@then("the copy has a and b of era 4, is told to be restored, and lacks c")
+def step_restored(context):
+    assert context.mirror.items() == context.after
+    assert context.change.restored and context.change.removed == ("c",), context.change
+
+
+@then("the copy has a and b of era 4 alone")
+def step_alone(context):
+    assert context.mirror.items() == context.after
+
+
+@then("changes, snapshots and answers of eras 0, 1 and 8191 are the same when they are decoded")
+def step_relayed(context):
+    for era in (0, 1, 8191):
+        at = position(era, 70_000)
+        written = StoredItem("a", b"value", position(era, 9), position(era, 3))
+        batch = WatchBatch((written, RemovedItem("b", position(era, 10))), at)
+        assert decode_message(encode_batch(batch)) == RelayUpdate(batch)
+        early = WatchBatch((written,), 0)
+        assert decode_message(encode_batch(early)) == RelayUpdate(early)
+        (part,) = encode_snapshot([written], at)
+        assert decode_message(part) == RelayUpdate(WatchBatch((written,), at), snapshot=True)
+        answer = RelayAnswer(1, 5, 0.5, at, 0.25, ("reader",))
+        told = decode_message(encode_answer(answer))
+        assert (told.at, told.nonce, told.path) == (at, 1, ("reader",)), told
+
+
+@when(
+    "the store comes back, and every other answer of it still tells the era before"
+    " for {seconds:g} s"
+)
+def step_two_stores(context, seconds):
+    context.run(two_stores(context, seconds))
+
+
+async def two_stores(context, seconds):
+    deployment = context.deployment
+    store = deployment.store
+    await asyncio.sleep(1.0)
+    await restore(store, 0.3, 1.0)
+    deployment.configure(6, keys=("key-of-tenant-1", "key-3"))
+    for engine in deployment.engines.values():
+        deployment.record(engine)
+    context.written_at = time.monotonic()
+    store.era_before_until = context.written_at + seconds
+    context.key_at = await key_in_force(context, "key-3")
+
+
+@then(
+    "a key that is written meanwhile is in force within {seconds:g} s,"
+    " and refused answers are counted"
+)
+def step_two_stores_served(context, seconds):
+    assert context.key_at <= seconds, context.key_at
+    context.run(check_counted(context))
+
+
+async def check_counted(context):
+    node = context.deployment.nodes[0]
+    url = f"http://{node.ip}:{node.ports['Metrics']}/metrics"
+    async with context.deployment.session.get(url) as answer:
+        text = await answer.text()
+    (line,) = [r for r in text.splitlines() if r.startswith("liftrill_refused_store_eras_total")]
+    assert float(line.split()[1]) > 0, line
--- a/liftrill/coordination/store_mirror.py
+++ b/liftrill/coordination/store_mirror.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from liftrill.coordination.range_store import RangePage, RemovedItem, StoredItem, WatchBatch
+from liftrill.coordination.store_position import era_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,11 +13,14 @@
     Attributes:
         gap: whether the change came from reading the range anew, so that a removal may
             have happened at any time since the last answer.
+        restored: whether the store came back from an older copy of itself: what is written is
+            old until its writers write again, and what is missing may be there still.
     """
 
     written: tuple[StoredItem, ...]
     removed: tuple[str, ...]
     gap: bool
+    restored: bool = False
 
 
 @dataclass(slots=True)
@@ -27,7 +31,8 @@
     page, and an item replaces another only when its revision is higher.
 
     Attributes:
-        at: the revision from which a watch goes on; 0 before the first reading.
+        at: the position from which a watch goes on; 0 before the first reading. All items are
+            of its era: only a whole reading brings a mirror into a later one.
     """
 
     at: int = 0
@@ -69,9 +74,11 @@
         """Take in the changes of a watch, or of a mirror that may be behind this one."""
         written: dict[str, StoredItem] = {}
         removed: dict[str, None] = {}
+        if self._is_later_era(batch.at):
+            return MirrorChange((), (), gap=False)
         for change in batch.changes:
             # All up to `at` is known, removals too: an item that was removed does not return.
-            if change.revision <= self.at:
+            if change.revision <= self.at or self._is_later_era(change.revision):
                 continue
             known = self._items.get(change.key)
             # One that is known already is told again: a copy that follows this one may have
@@ -87,7 +94,11 @@
         self.at = max(self.at, batch.at)
         return MirrorChange(tuple(written.values()), tuple(removed), gap=False)
 
+    def _is_later_era(self, position: int) -> bool:
+        return bool(self.at) and era_of(position) > era_of(self.at)
+
     def _replace(self, found: dict[str, StoredItem], at: int) -> MirrorChange:
+        restored = self._is_later_era(at)
         removed = tuple(key for key in self._items if key not in found)
         written = tuple(
             item
@@ -99,7 +110,7 @@
         for item in written:
             self._items[item.key] = item
         self.at = at
-        return MirrorChange(written, removed, gap=True)
+        return MirrorChange(written, removed, gap=True, restored=restored)
 
     def _forget(self, key: str, written: dict[str, StoredItem], removed: dict[str, None]) -> None:
         written.pop(key, None)
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -6,6 +6,7 @@
 from liftrill import clock
 from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
+from liftrill.coordination.store_position import era_of
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.engines.engine_selector import EngineSelector
@@ -55,12 +56,18 @@
 
     def apply(self, change: MirrorChange, known_until: float) -> None:
         """Take in a change of the mirror, which held all there was until a time."""
-        for item in change.written:
+        unknown = self._unknown_engines(change) if change.restored else []
+        written = self._without_former_lives(change.written) if change.restored else change.written
+        for item in written:
             self.apply_item(item, known_until)
+        for engine_id, revision in unknown:
+            # It was gone before the store came back: only its own next record is news of it.
+            self.engines.withdraw(engine_id, revision)
+            self.log.belief("engine_withheld", engine=engine_id, revision=revision)
         self.store_read = True
         gone = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
         now = clock.now_s()
-        if change.gap and now - known_until >= self.shortest_lapse_s:
+        if change.restored or (change.gap and now - known_until >= self.shortest_lapse_s):
             # Records may lapse while the store is away though their engines live on.
             self.engines.mark_vanished(gone, now)
             return
@@ -73,6 +80,39 @@
                 news_age_s=_news_age(known_until),
             )
 
+    def is_of_former_version(self, item: StoredItem) -> bool:
+        """Return whether a restored store has an older configuration than the one in force.
+
+        Nothing newer is written there, so that the one in force is still the newest.
+        """
+        if era_of(item.revision) == era_of(self.configuration_revision):
+            return False
+        try:
+            record = self.decoder.decode(item)
+        except RecordError:
+            return False
+        return isinstance(record, GatewayConfiguration) and record.version < self.view.version
+
+    def _without_former_lives(self, items: tuple[StoredItem, ...]) -> list[StoredItem]:
+        """Leave out records of incarnations that have ended, as this node knows."""
+        return [item for item in items if not self._is_former_life(item)]
+
+    def _is_former_life(self, item: StoredItem) -> bool:
+        engine_id = self.decoder.engine_of(item.key)
+        view = self.engines.get(engine_id) if engine_id is not None else None
+        if view is None:
+            return False
+        try:
+            record = self.decoder.decode(item)
+        except RecordError:
+            return False
+        return isinstance(record, EngineRecord) and record.born_unix_ms < view.record.born_unix_ms
+
+    def _unknown_engines(self, change: MirrorChange) -> list[tuple[str, int]]:
+        """Return the engines, with revisions, that a restored store has and this node has not."""
+        found = [(self.decoder.engine_of(item.key), item.revision) for item in change.written]
+        return [(e, at) for e, at in found if e is not None and self.engines.get(e) is None]
+
     def apply_item(self, item: StoredItem, known_until: float) -> None:
         """Take in one item, which may have been written at any time since another one."""
         try:
@@ -115,9 +155,12 @@
         self, configuration: GatewayConfiguration, revision: int, known_until: float
     ) -> None:
         previous = self.view.version
-        if not self.view.adopt(configuration):
+        is_newer = self.view.adopt(configuration)
+        if configuration.version == self.view.version:
+            # Also where a restored store has the same version at another position.
+            self.configuration_revision = revision
+        if not is_newer:
             return
-        self.configuration_revision = revision
         self.selector.parts.kept_stores = configuration.kept_stores
         self.selector.parts.services.clear()
         self.selector.parts.services.update(configuration.services)
--- a/liftrill/gateway/currency.py
+++ b/liftrill/gateway/currency.py
@@ -7,6 +7,7 @@
 
 from liftrill import clock, constants
 from liftrill.coordination.range_store import RangeStore, StoredItem
+from liftrill.coordination.store_position import era_of
 from liftrill.errors import StoreError
 from liftrill.gateway.beliefs import Beliefs
 from liftrill.gateway.configuration_view import ConfigurationView
@@ -19,6 +20,10 @@
 # The share of the bound for which an answer is waited for: the rest is for following a node that
 # the store does answer.
 PROOF_WAIT_SHARE = 0.35
+# For how long after the store came back from an older copy only a configuration that was written
+# since proves anything: operators write theirs again within about a second, and proofs of keys
+# that are renewed later would run out (guess).
+WRITTEN_AGAIN_WITHIN_S = 1.0
 # The least time between two questions that are asked because a request needs the answer.
 HURRY_SPACING_S = 0.5
 
@@ -70,6 +75,8 @@
         self._hurried_at = -math.inf
         self._hurry = False
         self._unanswered = False
+        self._restored_at = -math.inf
+        self._copy_at = 0
         self._watch_check: asyncio.Task[None] | None = None
 
     def hear_version(self, version: int) -> None:
@@ -78,9 +85,24 @@
             self._heard_version = max(self._heard_version, version)
             self._wanted.set()
 
+    def store_restored(self) -> None:
+        """Note that the store came back from an older copy, as this node heard just now.
+
+        A configuration that was acknowledged since the copy was made, and never heard of here,
+        may have taken keys away: what the copy says proves nothing until it is written again.
+        """
+        self._restored_at = clock.now_s()
+        self._copy_at = 0
+        self._hurry = True
+        self._wanted.set()
+
     def range_read(self, asked_at: float) -> None:
         """Take the reading of the whole range, asked for at a time, as a proof."""
-        self._prove(self._view.version, asked_at)
+        if not self._may_be_undone(asked_at):
+            self._prove(self._view.version, asked_at)
+
+    def _may_be_undone(self, asked_at: float) -> bool:
+        return asked_at - self._restored_at < WRITTEN_AGAIN_WITHIN_S
 
     def take_answer(self, answer: RelayAnswer, asked_at: float) -> None:
         """Take the proof of a reader that was asked at a time.
@@ -88,7 +110,9 @@
         It answered later than it was asked, so its proof is no older than its age
         before the question, however long the answer was on its way.
         """
-        self._prove(answer.version, asked_at - answer.proof_age_s)
+        # A reader that has not heard of the store's return yet proves what was before it.
+        if era_of(answer.at) == era_of(self._follower.mirror.at):
+            self._prove(answer.version, asked_at - answer.proof_age_s)
 
     async def prove_within(self, limit_s: float) -> None:
         """Ask at once and wait a little for a proof: this process may have stood still."""
@@ -160,9 +184,13 @@
         item = reading.item
         if item is None:
             return
+        self._copy_at = self._copy_at or reading.at
         if item.revision > self._beliefs.configuration_revision:
             self._owner.configuration_read(item)
-        if item.revision == self._beliefs.configuration_revision:
+        if self._may_be_undone(asked_at) and item.revision <= self._copy_at:
+            return
+        is_known = item.revision == self._beliefs.configuration_revision
+        if is_known or self._beliefs.is_of_former_version(item):
             self._prove(self._view.version, asked_at)
 
     def _checks_watch(self) -> bool:
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -91,6 +91,10 @@
             **inputs,
         )
 
+    def store_era_refused(self, era: int, told: str) -> None:
+        """Write that an answer of the store is of an earlier era than is known, or tells none."""
+        self._write_failure("store_era_refused", era=era, told=told[:20])
+
     def engine_rests(self, word: EngineWord) -> None:
         """Write that an engine asked this node for rest."""
         self._write_failure(
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -255,6 +255,8 @@
                 return None
             self.remove(record.engine_id)
             view = None
+        if view is not None and view.withdrawn and record.revision <= view.record.revision:
+            return view
         if view is None:
             view = self._views[record.engine_id] = EngineView(record)
             view.standing = self.standings.of(view.at)
--- a/liftrill/gateway/fleet_record.py
+++ b/liftrill/gateway/fleet_record.py
@@ -50,6 +50,11 @@
         self._recalled_revision = item.revision
         self._fleet.assume(self._recorded(), now)
 
+    def skip(self) -> None:
+        """Leave unread what the store has now: it is an older record that came back."""
+        item = self._mirror.get(FLEET_KEY)
+        self._recalled_revision = item.revision if item else 0
+
     async def write_if_due(self, now: float) -> None:
         """Write the record if this node leads and it is off."""
         nodes = self._fleet.nodes
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -16,6 +16,7 @@
 from liftrill.coordination.quota import FleetSize, SharedBuckets
 from liftrill.coordination.range_store import RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
+from liftrill.coordination.store_position import era_of, revision_of
 from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.errors import ResultCode
 from liftrill.gateway import ticks
@@ -186,6 +187,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._link_was_short = False
+        self._store_era = 0
         self._slept_s = 0.0
 
     @property
@@ -367,13 +369,38 @@
     def mirror_changed(self, change: MirrorChange, known_until: float) -> None:
         """Take in a change of the store's mirror, and pass it on."""
         self._relay.publish(change)
-        self._fleet_record.recall(clock.now_s())
+        if change.restored:
+            self._note_restored(era_of(self._follower.mirror.at))
+            self._fleet_record.skip()
+        else:
+            self._fleet_record.recall(clock.now_s())
         before = self.view.version
         self._beliefs.apply(change, known_until)
         self._take_quarantine(change)
         self._announce_if_newer(before)
         self.forwarder.lines.changed()
 
+    def store_era_began(self, era: int) -> None:
+        """Note that an answer of the store names a later era: it came back from an older copy."""
+        self._note_restored(era)
+        if self._follower.followed is None:
+            self._follower.read_again()
+
+    def store_era_refused(self, era: int, told: str) -> None:
+        """Note that an answer of the store is of an earlier era than is known, or tells none."""
+        self.metrics.refused_eras.inc()
+        self.log.store_era_refused(era, told)
+
+    def _note_restored(self, era: int) -> None:
+        if era <= self._store_era:
+            return
+        self._store_era = era
+        self.metrics.store_era.set(era)
+        at = self._follower.mirror.at
+        self.log.belief("store_restored", era=era, copy_era=era_of(at), at=revision_of(at))
+        self._leadership.store_restored()
+        self._currency.store_restored()
+
     def configuration_read(self, item: StoredItem) -> None:
         """Take in a configuration that the mirror does not have yet."""
         self._relay.publish_early(item)
@@ -526,7 +553,11 @@
                 self._quarantine.hear_record(entry, now)
         for key in change.removed:
             fingerprint = fingerprint_of(key)
-            if fingerprint is not None:
+            if fingerprint is None:
+                continue
+            if change.restored:
+                self._quarantine.record_lost(fingerprint)
+            else:
                 self._quarantine.release(fingerprint, now)
 
     def _on_incarnation_ended(self, view: EngineView) -> None:
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -92,6 +92,12 @@
             "Records in the store that could not be understood.",
             registry=self.registry,
         )
+        self.store_era = self._gauge("liftrill_store_era", "Latest era of the store; 0: none.")
+        self.refused_eras = Counter(
+            "liftrill_refused_store_eras",
+            "Answers of the store that are of an earlier era than is known.",
+            registry=self.registry,
+        )
         self.engine_words = self._counter(
             "liftrill_engine_words", "Answers in which engines leave or want rest.", "says"
         )
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -72,6 +73,9 @@
         self._lease = Lease(parameters.lease)
         self._store_lease = 0
         self._quiet_until = 0.0
+        self._stands_back_until = 0.0
+        self._resumes = False
+        self._renewed_at = -math.inf
         self._active = False
         self._activity_revision = 0
         self._last_order_at = 0.0
@@ -134,6 +138,7 @@
     async def resign(self) -> None:
         """Give the lease back, so that another node takes over at once."""
         lease, self._store_lease = self._store_lease, 0
+        self._renewed_at = -math.inf
         held = bool(self.fence)
         self._lease.step_down()
         self._active = False
@@ -157,6 +162,24 @@
         self._lease.step_down()
         self._active = False
 
+    def store_restored(self) -> None:
+        """Note that the store came back from an older copy: no lease of before holds there.
+
+        Whoever led until then may not know yet, and the copy may call it idle: others begin only
+        once its last orders are long past, and leave the key to it, which need not wait, for a
+        while. Otherwise loads of weights would stand for seconds after each return.
+        """
+        self._store_lease = 0
+        self._free_since = None
+        now = self._clock()
+        # Within its time to live nobody else can have had the key.
+        self._resumes = now - self._renewed_at < self._parameters.lease.time_to_live
+        if self._resumes:
+            self.step_down("the store came back from an older copy")
+            return
+        self._quiet_until = max(self._quiet_until, now + self._parameters.quiet)
+        self._stands_back_until = now + self._parameters.stand_back
+
     async def _write_activity(self, value: bytes) -> int:
         return await self._store.transact(
             (
@@ -189,6 +212,7 @@
             self.step_down("lease over")
             return
         self._lease.renewed(asked_at)
+        self._renewed_at = asked_at
 
     async def _keep_lease(self) -> float:
         """Renew the store's lease and return when it was asked.
@@ -210,13 +234,20 @@
         leader = self._mirror.get(LEADER_KEY)
         if leader is not None:
             self._free_since = None
+            self._resumes = False
             await self._recognise(leader)
             return
         now = self._clock()
+        if now < self._stands_back_until:
+            return
         if self._free_since is None:
             self._free_since = now
         # Calls are paid for, and few nodes are enough; the others stand in for them.
-        if self._is_candidate() or now - self._free_since >= self._parameters.stand_back:
+        if (
+            self._resumes
+            or self._is_candidate()
+            or now - self._free_since >= self._parameters.stand_back
+        ):
             await self._acquire()
 
     async def _recognise(self, leader: StoredItem) -> None:
@@ -250,6 +281,7 @@
 
     def _take_up(self, fence: int, activity: StoredItem | None, asked_at: float) -> None:
         self._lease.acquired(str(self._store_lease), fence, asked_at)
+        self._renewed_at = asked_at
         self._active = False
         self._activity_revision = activity.revision if activity else 0
         holder = activity.value if activity else IDLE
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -168,6 +168,12 @@
         """Take in what the store keeps of a request."""
         self._put_if_later(entry, "store", now)
 
+    def record_lost(self, fingerprint: bytes) -> None:
+        """Write an entry again whose record the store has lost."""
+        entry = self.entries.get(fingerprint)
+        if entry is not None:
+            self.keeper.keep(entry, at_once=False)
+
     def release(self, fingerprint: bytes, now: float) -> None:
         """Let a request go whose record an operator, or a node that saw it served, removed."""
         if self.entries.remove(fingerprint):
--- a/liftrill/gateway/relay_client.py
+++ b/liftrill/gateway/relay_client.py
@@ -10,6 +10,7 @@
 
 from liftrill import clock, constants
 from liftrill.coordination.range_store import WatchBatch
+from liftrill.coordination.store_position import era_of, revision_of
 from liftrill.errors import LiftrillError
 from liftrill.gateway import ticks
 from liftrill.gateway.relay_codec import (
@@ -19,7 +20,7 @@
     decode_message,
     encode_question,
 )
-from liftrill.gateway.relay_server import AFTER_PARAMETER
+from liftrill.gateway.relay_server import AFTER_PARAMETER, ERA_PARAMETER
 
 _nonces = itertools.count(1)
 
@@ -95,7 +96,8 @@
         """
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=constants.CONNECT_TIMEOUT_SECONDS)
         connector = aiohttp.TCPConnector(use_dns_cache=False, force_close=True)
-        url = f"http://{address}/?{AFTER_PARAMETER}={after}"
+        query = f"{AFTER_PARAMETER}={revision_of(after)}&{ERA_PARAMETER}={era_of(after)}"
+        url = f"http://{address}/?{query}"
         try:
             async with (
                 aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
--- a/liftrill/gateway/relay_codec.py
+++ b/liftrill/gateway/relay_codec.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import DecodeError
 
 from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
+from liftrill.coordination.store_position import era_of, position, revision_of
 from liftrill.errors import LiftrillError
 from liftrill.messages import peer_pb2 as messages
 
@@ -71,9 +72,10 @@
 
 
 def encode_batch(batch: WatchBatch) -> bytes:
-    """Return a batch of changes."""
+    """Return a batch of changes; all of them are of one era."""
     items = [_encode_change(change) for change in batch.changes]
-    return messages.RelayMessage(items=items, at=batch.at).SerializeToString()
+    era = era_of(max(batch.at, *(change.revision for change in batch.changes), 0))
+    return messages.RelayMessage(items=items, at=revision_of(batch.at), era=era).SerializeToString()
 
 
 def encode_snapshot(items: Iterable[StoredItem], at: int) -> Iterator[bytes]:
@@ -83,7 +85,9 @@
     for start in range(0, max(1, len(rows)), step):
         more = start + step < len(rows)
         part = rows[start : start + step]
-        message = messages.RelayMessage(items=part, at=at, snapshot=True, more=more)
+        message = messages.RelayMessage(
+            items=part, at=revision_of(at), snapshot=True, more=more, era=era_of(at)
+        )
         yield message.SerializeToString()
 
 
@@ -96,7 +100,8 @@
         mirror_age_milliseconds=_milliseconds(answer.mirror_age_s),
         path=answer.path,
     )
-    return messages.RelayMessage(at=answer.at, answer=row).SerializeToString()
+    at, era = revision_of(answer.at), era_of(answer.at)
+    return messages.RelayMessage(at=at, answer=row, era=era).SerializeToString()
 
 
 def _milliseconds(age_s: float) -> int:
@@ -112,11 +117,10 @@
             row = message.answer
             age_s = row.proof_age_milliseconds / 1000.0
             mirror_age_s = row.mirror_age_milliseconds / 1000.0
-            return RelayAnswer(
-                row.nonce, row.version, age_s, message.at, mirror_age_s, tuple(row.path)
-            )
-        changes = tuple(_decode_change(row) for row in message.items)
-        batch = WatchBatch(changes, message.at)
+            at = position(message.era, message.at)
+            return RelayAnswer(row.nonce, row.version, age_s, at, mirror_age_s, tuple(row.path))
+        changes = tuple(_decode_change(row, message.era) for row in message.items)
+        batch = WatchBatch(changes, position(message.era, message.at))
         return RelayUpdate(batch, message.snapshot, message.more)
     except (DecodeError, zlib.error) as error:
         raise RelayDecodeError(f"not a message of a reader: {error}") from error
@@ -124,23 +128,25 @@
 
 def _encode_change(change: StoredItem | RemovedItem) -> messages.RelayItem:
     if isinstance(change, RemovedItem):
-        return messages.RelayItem(key=change.key, revision=change.revision, removed=True)
+        revision = revision_of(change.revision)
+        return messages.RelayItem(key=change.key, revision=revision, removed=True)
     value = change.value
     deflated = len(value) >= DEFLATE_FROM_BYTES
     return messages.RelayItem(
         key=change.key,
         value=zlib.compress(value, DEFLATE_LEVEL) if deflated else value,
-        revision=change.revision,
-        lease=change.lease,
+        revision=revision_of(change.revision),
+        lease=revision_of(change.lease),
         deflated=deflated,
     )
 
 
-def _decode_change(row: messages.RelayItem) -> StoredItem | RemovedItem:
+def _decode_change(row: messages.RelayItem, era: int) -> StoredItem | RemovedItem:
+    revision = position(era, row.revision)
     if row.removed:
-        return RemovedItem(row.key, row.revision)
+        return RemovedItem(row.key, revision)
     value = _inflate(row.value) if row.deflated else row.value
-    return StoredItem(row.key, value, row.revision, row.lease)
+    return StoredItem(row.key, value, revision, position(era, row.lease))
 
 
 def _inflate(data: bytes) -> bytes:
--- a/liftrill/gateway/relay_server.py
+++ b/liftrill/gateway/relay_server.py
@@ -13,6 +13,7 @@
 from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
 from liftrill.coordination.store_mirror import MirrorChange, StoreMirror
+from liftrill.coordination.store_position import position
 from liftrill.gateway import http_server as web
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.relay_codec import (
@@ -25,6 +26,7 @@
 )
 
 AFTER_PARAMETER = "after"
+ERA_PARAMETER = "era"
 # A follower that is further behind than this is cut off, and may come back.
 QUEUED_BYTES = 8 * 1024 * 1024
 LARGEST_QUESTION_BYTES = 1_024
@@ -141,13 +143,15 @@
 
     async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
         after = request.query.get(AFTER_PARAMETER, "")
-        if not after.isascii() or not after.isdigit() or not self._mirror.at:
+        era = request.query.get(ERA_PARAMETER, "0")
+        is_number = (after + era).isascii() and after.isdigit() and era.isdigit()
+        if not is_number or not self._mirror.at:
             return web.Response(status=400 if self._mirror.at else 503)
         socket = web.WebSocketResponse(max_msg_size=LARGEST_QUESTION_BYTES, compress=False)
         await socket.prepare(request)
         assert request.transport is not None
         subscriber = _Subscriber(request.transport.abort)
-        self._catch_up(subscriber, int(after))
+        self._catch_up(subscriber, position(int(era), int(after)))
         self._subscribers.add(subscriber)
         self._count(len(self._subscribers))
         sending = asyncio.ensure_future(self._send(socket, subscriber))
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -14,6 +14,7 @@
 from liftrill.coordination.mirror_currency import MirrorCurrency
 from liftrill.coordination.range_store import HistoryGoneError, RangePage, RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange, StoreMirror
+from liftrill.coordination.store_position import era_of
 from liftrill.errors import StoreError, StoreUnavailableError
 from liftrill.gateway.relay_client import (
     ReaderLimits,
@@ -262,6 +263,8 @@
         while True:
             page = await self._store.read_range(self._prefix, self.mirror.next_page_after())
             first_at = first_at or page.at
+            if era_of(page.at) != era_of(first_at):
+                raise HistoryGoneError("its pages are of two eras")
             change = self.mirror.take_page(page)
             if change is not None:
                 return first_at, change
