Soak: nodes of an earlier build beside this one, each start drawn anew

The tree of an earlier commit is written out of the repository's history into the run's folder and started with the installed libraries.

--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -9,7 +9,7 @@
 from features.soak.proxy import Harm, HarmfulProxy
 from features.soak.timeline import Timeline
 from features.standin import sleeper
-from features.standin.deployment import Deployment
+from features.standin.deployment import ROOT, Deployment
 
 DESK_ENGINES = 3
 MODEL_ENGINES = 4
@@ -30,15 +30,19 @@
 class Fleet:
     """Nodes behind proxies, a store, engines, and when the store took what.
 
-    With `births` engines tell when they started.
+    With `births` engines tell when they started. `draw_root` returns the tree of the build that
+    a node is started from.
 
     Attributes:
         retired: engines that left; some of them still take requests.
     """
 
-    def __init__(self, directory, nodes, deadly=frozenset(), sleeps=False, births=False):
+    def __init__(
+        self, directory, nodes, deadly=frozenset(), sleeps=False, births=False, draw_root=None
+    ):
         self._deadly = deadly
         self._births = births
+        self._draw_root = draw_root or (lambda: ROOT)
         self._wrapper = [sleeper.__file__] if sleeps else ()
         self._replacing = []
         self.deployment = Deployment(directory)
@@ -79,7 +83,9 @@
             await self._add_engine("llm")
         self.configure()
         for number in range(self._node_count):
-            node = await self.deployment.add_node(f"node-{number + 1}", wrapper=self._wrapper)
+            node = await self.deployment.add_node(
+                f"node-{number + 1}", wrapper=self._wrapper, root=self._draw_root()
+            )
             await self.deployment.ready(node)
             await self._put_proxy_before_store(node)
 
@@ -99,6 +105,7 @@
         # Two faults that end together would start two processes, and one be lost sight of.
         async with self._starting:
             if node.process.returncode is not None:
+                node.root = self._draw_root()
                 await node.start()
 
     # Changes
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -33,7 +33,8 @@
 from features.soak.history import Bounds, Call, check, latest
 from features.soak.sleeps import Sleeps
 from features.soak.store_returns import StoreReturns
-from features.standin.deployment import HOST, prompt_headers
+from features.standin.deployment import HOST, ROOT, prompt_headers
+from features.standin.earlier_build import tree_of
 
 NODES = 6
 CALLERS = 12
@@ -43,6 +44,8 @@
 # Of the calls, those with a key that was taken away (own choice).
 OLD_KEY_SHARE = 0.2
 SETTLE_S = 9.0
+# The last landing.
+EARLIER_BUILD = "3943703"
 KEPT_PATH = Path(__file__).parent / "seeds.txt"
 # As in the stand-in's settings: RevokeMs and VersionMs; DrainMs is the platform's.
 BOUNDS = Bounds(revoke_s=5.0, drain_s=2.0, version_s=8.0)
@@ -58,6 +61,7 @@
         hard: uneven engines, restarts, bursts and slow callers.
         words: engines say in their answers that they leave, or want rest.
         returns: the store comes back from older copies of itself.
+        builds: each start of a node draws this build or that of `EARLIER_BUILD`.
     """
 
     deadly: bool = False
@@ -65,6 +69,7 @@
     hard: bool = False
     words: bool = False
     returns: bool = False
+    builds: bool = False
 
 
 MODES = tuple(field.name for field in fields(Modes))
@@ -73,10 +78,15 @@
 class Soak:
     """One deployment under faults, and its history."""
 
-    def __init__(self, seed, seconds, directory, nodes=NODES, modes=Modes()):
+    def __init__(self, seed, seconds, directory, nodes=NODES, modes=Modes(), earlier=EARLIER_BUILD):
         self._deadly = DeadlyCallers(seed) if modes.deadly else None
         self._deadly_bodies = self._deadly.bodies() if modes.deadly else frozenset()
-        self.fleet = Fleet(directory, nodes, self._deadly_bodies, modes.sleeps, births=modes.hard)
+        self.builds = Counter()
+        self._trees = [ROOT, tree_of(earlier, directory)] if modes.builds else [ROOT]
+        self._build_draw = random.Random(f"{seed}/builds")
+        self.fleet = Fleet(
+            directory, nodes, self._deadly_bodies, modes.sleeps, modes.hard, self._draw_root
+        )
         self._sleeps = Sleeps(self.fleet, seed) if modes.sleeps else None
         self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
@@ -107,6 +117,11 @@
             found += check_words(*self._history())
             return [*found, *check_deadly(*self._history(), self._deadly_bodies)], alive
 
+    def _draw_root(self):
+        root = self._build_draw.choice(self._trees)
+        self.builds["this" if root is ROOT else "earlier"] += 1
+        return root
+
     def _faults(self):
         yield self._injector.harm_for(self._seconds)
         if self._sleeps is not None:
@@ -234,16 +249,17 @@
             return False
 
 
-def play(seed, seconds, nodes=NODES, modes=Modes()):
+def play(seed, seconds, nodes=NODES, modes=Modes(), earlier=EARLIER_BUILD):
     """Play one seed; return its violations, and print what it did."""
     with tempfile.TemporaryDirectory(prefix="liftrill-soak-") as directory:
-        soak = Soak(seed, seconds, Path(directory), nodes, modes)
+        soak = Soak(seed, seconds, Path(directory), nodes, modes, earlier)
         found, alive = asyncio.run(soak.run())
         served = sum(call.status == 200 and call.complete for call in soak.calls)
         print(
             f"seed {seed}: {len(soak.calls)} requests, {served} served, "
             f"{len(soak.fleet.timeline.faults)} faults, {len(found)} violations, "
             f"all nodes serve again: {alive}, {soak.latest()}, ended under requests: {soak.ends()}"
+            + (f", builds: {dict(soak.builds)}" if modes.builds else "")
             + "".join(f", {part.counts}" for part in (soak.load, soak.words, soak.returns) if part),
             flush=True,
         )
@@ -272,12 +288,13 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=NODES, help="12 at the most")
     parser.add_argument("--kept", action="store_true", help="play the seeds that failed once")
+    parser.add_argument("--earlier", default=EARLIER_BUILD, help="commit of the earlier build")
     for mode in MODES:
         parser.add_argument(f"--{mode}", action="store_true", help="see `Modes`")
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.seeds)
     modes = Modes(**{mode: getattr(options, mode) for mode in MODES})
-    plays = [(seed, options.seconds, options.nodes, modes) for seed in seeds]
+    plays = [(seed, options.seconds, options.nodes, modes, options.earlier) for seed in seeds]
     results = [play(*one) for one in (kept_plays() if options.kept else plays)]
     return 0 if all(not found and alive for found, alive in results) else 1
 
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -90,6 +90,7 @@
         self.directory = directory
         self.ports = ports
         self.process = None
+        self.root = ROOT
         self.wrapper = ()
         self.slept_s = 0.0
         self.log_path = directory / f"{name}.log"
@@ -130,7 +131,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *map(str, self.wrapper),
-            str(ROOT / "platform" / "serve.py"),
+            str(self.root / "platform" / "serve.py"),
             env={
                 **os.environ,
                 "LIFTRILL_BOOT": str(self.settings_path),
@@ -212,7 +213,7 @@
     def name_weights(self, version):
         self.store.put("op/version/model-1", {"Model": "model-1", "Version": version})
 
-    async def add_node(self, name, wrapper=(), changes=None, **options):
+    async def add_node(self, name, wrapper=(), changes=None, root=ROOT, **options):
         if not self.ports:
             self.ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
         # As on the platform, each machine has an address of its own and ports are alike.
@@ -221,7 +222,7 @@
             self.store.address_for(node.ip), self.nodes, self.bounds, **(changes or {})
         )
         self.nodes.append(node)
-        node.wrapper = wrapper
+        node.wrapper, node.root = wrapper, root
         await node.start(**options)
         return node
 
