A lease's number is no revision: it may have 64 bits

Cause: a lease's number was kept as a position, which has 40 bits for a revision; real stores draw numbers of 47 bits and more, so that each lease seemed to be of another era, and was taken to be over.

Fences of orders are bare revisions until the store comes back for the first time that the fleet knows of (a record holds the era of then), so that leaders of earlier builds and of this one follow each other. A node does not follow a reader that tells no era once the store tells one: it would have gone on with what it had. Eras count from 1 here, so that a store that tells 0 has one.

--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -87,6 +87,8 @@
         self.fleet = Fleet(
             directory, nodes, self._deadly_bodies, modes.sleeps, modes.hard, self._draw_root
         )
+        if modes.builds:
+            self.fleet.store.era = "1"
         self._sleeps = Sleeps(self.fleet, seed) if modes.sleeps else None
         self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -11,6 +11,8 @@
 from features.standin.connections import reset
 
 MOST_NODES = 12
+# Numbers of leases are of another kind than revisions, and far larger.
+FIRST_LEASE = 1 << 62
 # How often a waiting watch looks for leases that ran out (own choice).
 LEASE_CHECK_S = 0.5
 # How often a silent call looks whether its caller has closed the connection (own choice).
@@ -219,8 +221,9 @@
         lease = int(request.match_info.get("lease", 0))
         if call == "kv-lease":
             self.revision += 1
-            self.leases[self.revision] = [time.monotonic() + body["TtlMs"] / 1000, body["TtlMs"]]
-            return 200, {"Lease": self.revision, "TtlMs": body["TtlMs"]}
+            lease = FIRST_LEASE + self.revision
+            self.leases[lease] = [time.monotonic() + body["TtlMs"] / 1000, body["TtlMs"]]
+            return 200, {"Lease": lease, "TtlMs": body["TtlMs"]}
         if call == "kv-keep":
             if lease not in self.leases:
                 return 404, {}
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -16,7 +16,7 @@
     WatchBatch,
 )
 from liftrill.coordination.store_mirror import StoreMirror
-from liftrill.coordination.store_position import OldEraError, StoreEra, position
+from liftrill.coordination.store_position import OldEraError, StoreEra, lease_of, position
 from liftrill.gateway.relay_codec import (
     RelayAnswer,
     RelayUpdate,
@@ -27,6 +27,7 @@
 )
 
 SERVED = 200
+LARGE_LEASE = (1 << 63) + 7
 # From the store's return until what was written is written again (own choice).
 WRITTEN_AGAIN_AFTER_S = 0.3
 # Records written in the time that the copy lacks: many more than are written right after it.
@@ -186,11 +187,16 @@
 # Positions
 
 
-@given("a node that knows era {era:d} of the store")
-def step_knows(context, era):
+def at(told, revision):
+    """Return a position in an era as the store tells it."""
+    return position(told + 1, revision)
+
+
+@given("a node that knows era {told} of the store")
+def step_knows(context, told):
     context.refused = []
     context.era = StoreEra(refused=lambda known, told: context.refused.append(told))
-    context.era.hear(str(era) if era else "")
+    context.era.hear("" if told == "none" else told)
 
 
 @when('an answer tells "{told}" as its era')
@@ -211,10 +217,11 @@
     return True
 
 
-@then("it is {taken}, and the node knows era {era:d}")
-def step_taken(context, taken, era):
+@then("it is {taken}, and the node knows era {told}")
+def step_taken(context, taken, told):
     assert context.is_taken == (taken == "taken") == (not context.refused), context.refused
-    assert context.era.era == era, context.era.era
+    expected = 0 if told == "none" else int(told) + 1
+    assert context.era.era == expected, context.era.era
 
 
 def raises(error, call, *args):
@@ -227,23 +234,23 @@
 
 @then("a condition on revision {number:d} of era {era:d} does not hold")
 def step_no_condition(context, number, era):
-    assert raises(ConditionFailedError, context.era.condition, position(era, number))
+    assert raises(ConditionFailedError, context.era.condition, at(era, number))
 
 
 @then("lease 7 of era 3 is gone, and history after revision 7 of era 3 too")
 def step_gone(context):
-    assert raises(LeaseGoneError, context.era.lease, position(3, 7))
-    assert raises(HistoryGoneError, context.era.history, position(3, 7))
+    assert raises(LeaseGoneError, context.era.lease, lease_of(4, 7))
+    assert raises(HistoryGoneError, context.era.history, at(3, 7))
 
 
 @then("revision 7 of era 4 is higher than revision 70000 of era 3")
 def step_higher(context):
-    assert position(4, 7) > position(3, 70_000)
+    assert at(4, 7) > at(3, 70_000)
 
 
 @then("a condition on revision {number:d} of era {era:d} holds for the store's revision 7")
 def step_condition(context, number, era):
-    assert context.era.condition(position(era, number)) == 7
+    assert context.era.condition(at(era, number)) == 7
 
 
 @then('an answer that tells "{told}" is refused')
@@ -254,13 +261,13 @@
 def items(era, text):
     """Return items from a text like "a at 5, b at 9 and c at 12"."""
     rows = [row.split(" at ") for row in text.replace(" and ", ", ").split(", ")]
-    return tuple(StoredItem(key, b"", position(era, int(number))) for key, number in rows)
+    return tuple(StoredItem(key, b"", at(era, int(number))) for key, number in rows)
 
 
 @given("a copy of era {era:d} with the keys {text}")
 def step_copy(context, era, text):
     context.mirror = StoreMirror()
-    context.mirror.take_page(RangePage(items(era, text), position(era, 12), False))
+    context.mirror.take_page(RangePage(items(era, text), at(era, 12), False))
     context.before = context.mirror.items()
 
 
@@ -298,17 +305,18 @@
 @then("changes, snapshots and answers of eras 0, 1 and 8191 are the same when they are decoded")
 def step_relayed(context):
     for era in (0, 1, 8191):
-        at = position(era, 70_000)
-        written = StoredItem("a", b"value", position(era, 9), position(era, 3))
-        batch = WatchBatch((written, RemovedItem("b", position(era, 10))), at)
+        newest = position(era, 70_000)
+        lease = lease_of(era, LARGE_LEASE)
+        written = StoredItem("a", b"value", position(era, 9), lease)
+        batch = WatchBatch((written, RemovedItem("b", position(era, 10))), newest)
         assert decode_message(encode_batch(batch)) == RelayUpdate(batch)
         early = WatchBatch((written,), 0)
         assert decode_message(encode_batch(early)) == RelayUpdate(early)
-        (part,) = encode_snapshot([written], at)
-        assert decode_message(part) == RelayUpdate(WatchBatch((written,), at), snapshot=True)
-        answer = RelayAnswer(1, 5, 0.5, at, 0.25, ("reader",))
+        (part,) = encode_snapshot([written], newest)
+        assert decode_message(part) == RelayUpdate(WatchBatch((written,), newest), snapshot=True)
+        answer = RelayAnswer(1, 5, 0.5, newest, 0.25, ("reader",))
         told = decode_message(encode_answer(answer))
-        assert (told.at, told.nonce, told.path) == (at, 1, ("reader",)), told
+        assert (told.at, told.nonce, told.path) == (newest, 1, ("reader",)), told
 
 
 @when(
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -15,8 +15,10 @@
 
     Examples:
       | known | told                 | taken   | knows |
-      | 0     |                      | taken   | 0     |
-      | 0     | 3                    | taken   | 3     |
+      | none  |                      | taken   | none  |
+      | none  | 3                    | taken   | 3     |
+      | none  | 0                    | taken   | 0     |
+      | 0     | 1                    | taken   | 1     |
       | 3     | 3                    | taken   | 3     |
       | 3     | 4                    | taken   | 4     |
       | 3     | 13                   | taken   | 13    |
--- a/liftrill/coordination/store_mirror.py
+++ b/liftrill/coordination/store_mirror.py
@@ -98,7 +98,8 @@
         return bool(self.at) and era_of(position) > era_of(self.at)
 
     def _replace(self, found: dict[str, StoredItem], at: int) -> MirrorChange:
-        restored = self._is_later_era(at)
+        # A copy without an era came from nodes that tell none: the store itself went on.
+        restored = era_of(self.at) > 0 and self._is_later_era(at)
         removed = tuple(key for key in self._items if key not in found)
         written = tuple(
             item
--- a/liftrill/coordination/store_position.py
+++ b/liftrill/coordination/store_position.py
@@ -2,8 +2,9 @@
 
 A store that comes back from an older copy of itself gives out revisions again that stood for
 other changes before, and begins a new era with it. Positions of a later era are higher than all
-of an earlier one, so whatever is compared is compared rightly: copies, conditions, the fences
-that engines see. A store without eras is in era 0, where a position is the bare revision.
+of an earlier one, so whatever is compared is compared rightly: copies, conditions, leases. A
+store that tells no era is in era 0, where a position is the bare revision; one that tells N is in
+era N + 1 here, so that what comes from nodes that know of no eras is not taken for its first one.
 """
 
 from collections.abc import Callable
@@ -21,11 +22,20 @@
 REVISION_BITS = 40
 LARGEST_REVISION = (1 << REVISION_BITS) - 1
 LARGEST_ERA = (1 << 13) - 1
+# Stores draw numbers of leases from up to 64 bits.
+LEASE_BITS = 64
+LARGEST_LEASE = (1 << LEASE_BITS) - 1
 MOST_DIGITS = 4
 
 
 def position(era: int, revision: int) -> int:
-    """Return the position of a revision in an era; 0 for no revision in any."""
+    """Return the position of a revision in an era; 0 for no revision in any.
+
+    Raises:
+        ValueError: it is no revision that a store comes to.
+    """
+    if not 0 <= revision <= LARGEST_REVISION:
+        raise ValueError(f"revision {revision}")
     return era << REVISION_BITS | revision if revision else 0
 
 
@@ -39,6 +49,26 @@
     return position & LARGEST_REVISION
 
 
+def lease_of(era: int, number: int) -> int:
+    """Return a name for a lease that no lease of another era has; 0 for none."""
+    return era << LEASE_BITS | number if number else 0
+
+
+def lease_number(lease: int) -> int:
+    """Return what the store calls a lease in its era."""
+    return lease & LARGEST_LEASE
+
+
+def told_era(era: int) -> int | None:
+    """Return an era as the store tells it, or None where it tells none."""
+    return era - 1 if era else None
+
+
+def lifted(position: int, base_era: int) -> int:
+    """Return a position in which a base era counts as 0, and earlier ones as well."""
+    return max(0, era_of(position) - base_era) << REVISION_BITS | revision_of(position)
+
+
 class OldEraError(StoreUnavailableError):
     """An answer is of an era that is over: what it says may have been undone."""
 
@@ -56,7 +86,7 @@
     """The era of a store, as its answers to this node tell it.
 
     Attributes:
-        era: the latest one heard of; 0 while no answer names one.
+        era: the latest one heard of, one more than was told; 0 while no answer names one.
         turns: how often a later one was heard of than was known.
         began: whom to tell of a later era that an answer names.
         refused: whom to tell of an answer that names an earlier one, or none, as it was told.
@@ -102,15 +132,15 @@
             raise ConditionFailedError("a revision of an earlier era")
         return revision_of(position)
 
-    def lease(self, position: int) -> int:
+    def lease(self, lease: int) -> int:
         """Return what the store calls a lease.
 
         Raises:
             LeaseGoneError: it is of an earlier era: the number may be another one's by now.
         """
-        if position and era_of(position) != self.era:
+        if lease and lease >> LEASE_BITS != self.era:
             raise LeaseGoneError("a lease of an earlier era")
-        return revision_of(position)
+        return lease_number(lease)
 
     def history(self, position: int) -> int:
         """Return what the store calls the end of a copy, from which a watch is to go on.
@@ -124,7 +154,7 @@
 
 
 def _parse(told: str) -> int:
-    """Return the era that an answer tells, or 0 where it tells none that can be."""
+    """Return the era of an answer, by what it tells, or 0 where it tells none that can be."""
     if not (told.isascii() and told.isdigit()) or len(told) > MOST_DIGITS:
         return 0
-    return min(int(told), LARGEST_ERA)
+    return min(int(told) + 1, LARGEST_ERA)
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -91,7 +91,7 @@
             **inputs,
         )
 
-    def store_era_refused(self, era: int, told: str) -> None:
+    def store_era_refused(self, era: int | None, told: str) -> None:
         """Write that an answer of the store is of an earlier era than is known, or tells none."""
         self._write_failure("store_era_refused", era=era, told=told[:20])
 
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -16,7 +16,7 @@
 from liftrill.coordination.quota import FleetSize, SharedBuckets
 from liftrill.coordination.range_store import RangeStore, StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
-from liftrill.coordination.store_position import era_of, revision_of
+from liftrill.coordination.store_position import era_of, revision_of, told_era
 from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.errors import ResultCode
 from liftrill.gateway import ticks
@@ -389,15 +389,20 @@
     def store_era_refused(self, era: int, told: str) -> None:
         """Note that an answer of the store is of an earlier era than is known, or tells none."""
         self.metrics.refused_eras.inc()
-        self.log.store_era_refused(era, told)
+        self.log.store_era_refused(told_era(era), told)
 
     def _note_restored(self, era: int) -> None:
         if era <= self._store_era:
             return
         self._store_era = era
-        self.metrics.store_era.set(era)
+        self.metrics.store_era.set(era - 1)
         at = self._follower.mirror.at
-        self.log.belief("store_restored", era=era, copy_era=era_of(at), at=revision_of(at))
+        self.log.belief(
+            "store_restored",
+            era=told_era(era),
+            copy_era=told_era(era_of(at)),
+            at=revision_of(at),
+        )
         self._leadership.store_restored()
         self._currency.store_restored()
 
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -92,7 +92,9 @@
             "Records in the store that could not be understood.",
             registry=self.registry,
         )
-        self.store_era = self._gauge("liftrill_store_era", "Latest era of the store; 0: none.")
+        self.store_era = self._gauge(
+            "liftrill_store_era", "Era of the store since it last came back from an older copy."
+        )
         self.refused_eras = Counter(
             "liftrill_refused_store_eras",
             "Answers of the store that are of an earlier era than is known.",
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -24,11 +24,14 @@
     StoredItem,
 )
 from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.coordination.store_position import era_of, lifted
 from liftrill.errors import StoreAnswerLostError, StoreError, StoreUnavailableError
 from liftrill.gateway.decision_log import DecisionLog
 
 LEADER_KEY = "liftrill/leader"
 ACTIVITY_KEY = "liftrill/orders"
+# The era in which fences are bare revisions, as those of nodes that know of no eras.
+BASE_ERA_KEY = "liftrill/base-era"
 IDLE = b"idle"
 # How long each try of a renewal may take. A store that is slow answers the last one.
 RENEWAL_TIMEOUTS_S = (0.35, 0.35, 1.0)
@@ -76,6 +79,7 @@
         self._stands_back_until = 0.0
         self._resumes = False
         self._renewed_at = -math.inf
+        self._base_era: int | None = None
         self._active = False
         self._activity_revision = 0
         self._last_order_at = 0.0
@@ -83,9 +87,27 @@
 
     @property
     def fence(self) -> int:
-        """The fencing token of the present term, or 0."""
+        """The position of this node's key in the present term, or 0."""
         return self._lease.token or 0
 
+    @property
+    def order_fence(self) -> int:
+        """The fencing token of the present term, or 0: higher than that of any term before.
+
+        Nodes of builds that know of no eras use bare revisions: as long as the store has not
+        come back from an older copy, theirs and this one follow each other.
+        """
+        return lifted(self.fence, self._base_era or 0)
+
+    def _known_base_era(self) -> int:
+        """Return the base era: of the store's record, or the first that this node knew."""
+        item = self._mirror.get(BASE_ERA_KEY)
+        if item is not None and item.value.isdigit():
+            self._base_era = int(item.value)
+        elif self._base_era is None:
+            self._base_era = era_of(self._mirror.at)
+        return self._base_era
+
     def may_order(self, now: float) -> bool:
         """Return whether an order may be sent now."""
         return self._active and self._lease.holds(now) and now >= self._quiet_until
@@ -98,6 +120,8 @@
         """Do what is due with the store: acquire or renew."""
         if self._retired:
             return
+        if self._mirror.at:
+            self._known_base_era()
         now = self._clock()
         had = self.fence
         instruction = self._lease.due(now)
@@ -267,16 +291,20 @@
         self._take_up(leader.revision, self._mirror.get(ACTIVITY_KEY), asked_at)
 
     async def _acquire(self) -> None:
-        activity = self._mirror.get(ACTIVITY_KEY)
-        expected = (
+        activity, recorded = self._mirror.get(ACTIVITY_KEY), self._mirror.get(BASE_ERA_KEY)
+        expected = [
             Expectation(LEADER_KEY, 0),
             Expectation(ACTIVITY_KEY, activity.revision if activity else 0),
-        )
+        ]
+        base_era = self._known_base_era()
         asked_at = self._clock()
         lease = await self._store.grant_lease(self._parameters.lease.time_to_live)
         self._store_lease = lease
-        put = PutItem(LEADER_KEY, self._node.encode(), lease)
-        fence = await self._store.transact(expected, (put,))
+        puts = [PutItem(LEADER_KEY, self._node.encode(), lease)]
+        if recorded is None and base_era:
+            expected.append(Expectation(BASE_ERA_KEY, 0))
+            puts.append(PutItem(BASE_ERA_KEY, str(base_era).encode()))
+        fence = await self._store.transact(tuple(expected), tuple(puts))
         self._take_up(fence, activity, asked_at)
 
     def _take_up(self, fence: int, activity: StoredItem | None, asked_at: float) -> None:
--- a/liftrill/gateway/relay_codec.py
+++ b/liftrill/gateway/relay_codec.py
@@ -8,7 +8,13 @@
 from google.protobuf.message import DecodeError
 
 from liftrill.coordination.range_store import RemovedItem, StoredItem, WatchBatch
-from liftrill.coordination.store_position import era_of, position, revision_of
+from liftrill.coordination.store_position import (
+    era_of,
+    lease_number,
+    lease_of,
+    position,
+    revision_of,
+)
 from liftrill.errors import LiftrillError
 from liftrill.messages import peer_pb2 as messages
 
@@ -136,7 +142,7 @@
         key=change.key,
         value=zlib.compress(value, DEFLATE_LEVEL) if deflated else value,
         revision=revision_of(change.revision),
-        lease=revision_of(change.lease),
+        lease=lease_number(change.lease),
         deflated=deflated,
     )
 
@@ -146,7 +152,7 @@
     if row.removed:
         return RemovedItem(row.key, revision)
     value = _inflate(row.value) if row.deflated else row.value
-    return StoredItem(row.key, value, revision, position(era, row.lease))
+    return StoredItem(row.key, value, revision, lease_of(era, row.lease))
 
 
 def _inflate(data: bytes) -> bytes:
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -172,7 +172,14 @@
     # A reader's word
 
     def relay_updated(self, update: RelayUpdate) -> None:
-        """Take in changes, or a part of a snapshot."""
+        """Take in changes, or a part of a snapshot.
+
+        Raises:
+            RelayLostError: the reader tells no eras, and the store does: after its return from an
+                older copy such a reader would go on with what it had.
+        """
+        if update.batch.at and not era_of(update.batch.at) and era_of(self.mirror.at):
+            raise RelayLostError("it tells no era of the store")
         self._note_connection(True)
         if not update.snapshot:
             change = self.mirror.take_batch(update.batch)
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from liftrill import clock
+from liftrill.coordination.store_position import era_of, revision_of
 from liftrill.errors import StoreError
 from liftrill.gateway import ticks
 from liftrill.gateway.decision_log import DecisionLog
@@ -26,9 +27,23 @@
 
 _counter = itertools.count(1)
 
+# Of a notice's sequence: its term's fence takes the bits above its own number's, up to those of
+# the store's returns.
+NUMBER_BITS = 20
+RETURN_SHIFT_BITS = 56
+
 NoticeSender = Callable[[list[EngineNotice]], Awaitable[None]]
 
 
+def notice_sequence(fence: int, number: int) -> int:
+    """Return the sequence of a notice, which is higher for each later one, in 64 bits.
+
+    Fences rise with terms, and numbers within one.
+    """
+    returns, revision = era_of(fence), revision_of(fence)
+    return (returns << RETURN_SHIFT_BITS) + (revision << NUMBER_BITS) + number
+
+
 class WeightController:
     """Leads, if it gets the lease, and gives the orders that the rollout plans."""
 
@@ -73,7 +88,7 @@
         if not self._leadership.holds(now):
             self._end_term()
             return
-        if self._leadership.fence != self._fence:
+        if self._leadership.order_fence != self._fence:
             self._begin_term()
         wanted = self._rollout.is_wanted(self._engines.in_use())
         if not wanted and self._rollout.is_idle:
@@ -98,7 +113,7 @@
             self._spawn(self._check(view))
 
     def _begin_term(self) -> None:
-        self._fence = self._leadership.fence
+        self._fence = self._leadership.order_fence
         self._sequences.clear()
         self._rollout.begin_term()
 
@@ -203,8 +218,7 @@
         return True
 
     def _tell(self, view: EngineView, model: str, version: int, loading: bool) -> None:
-        # Fences rise with terms and sequences within one, so a later word is higher.
-        sequence = (self._fence << 20) + next(_counter)
+        sequence = notice_sequence(self._fence, next(_counter))
         notice = EngineNotice(view.engine_id, model, version, loading, sequence, view.told_number)
         self._spawn(self._send_notices([notice]))
 
