--- a/features/builds.feature
+++ b/features/builds.feature
@@ -26,7 +26,7 @@
     And a node that has none yet does
 
   Scenario Outline: A short soak with both builds breaks no promise
-    When seed <seed> is played for 12 s with nodes of this build and of <commit>
+    When nodes of this build and of <commit> play seed <seed> for 12 s
     Then it had faults and served requests, and broke no promise
     And nodes of both builds were started
 
--- a/features/run.py
+++ b/features/run.py
@@ -35,6 +35,7 @@
 LONGEST = (
     "promises",
     "quotas",
+    "builds",
     "at_most_once",
     "command_line",
     "platform",
@@ -43,6 +44,8 @@
     "model_checking",
     "callers",
     "platform_relay",
+    "store_era",
+    "engine_words",
     "caller_division",
     "engine_speeds",
     "room",
--- a/features/steps/build_steps.py
+++ b/features/steps/build_steps.py
@@ -113,8 +113,8 @@
     assert follows(StoreMirror())
 
 
-@when("seed {seed:d} is played for {seconds:g} s with nodes of this build and of {commit}")
-def step_play(context, seed, seconds, commit):
+@when("nodes of this build and of {commit} play seed {seed:d} for {seconds:g} s")
+def step_play(context, commit, seed, seconds):
     if tree(context, commit) is None:
         return
     (context.directory / f"build-{commit}").rename(context.directory / "checked")
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -176,39 +176,27 @@
     assert context.found_in_good == [], context.found_in_good
 
 
-@when("seed {seed:d} is played for {seconds:g} s")
-def step_play(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory)
-    context.found, context.alive = context.run(context.soak.run())
-
-
-@when("seed {seed:d} is played for {seconds:g} s with requests under which engines end")
-def step_play_deadly(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, modes=Modes(deadly=True))
-    context.found, context.alive = context.run(context.soak.run())
-
-
-@when("seed {seed:d} is played for {seconds:g} s with machines that sleep")
-def step_play_sleeps(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, modes=Modes(sleeps=True))
-    context.found, context.alive = context.run(context.soak.run())
+MODES = {
+    "with requests under which engines end": Modes(deadly=True),
+    "with machines that sleep": Modes(sleeps=True),
+    "under hard load": Modes(hard=True),
+    "with engines that speak of themselves": Modes(words=True),
+    "with a store that comes back from older copies": Modes(returns=True),
+}
 
 
-@when("seed {seed:d} is played for {seconds:g} s under hard load")
-def step_play_hard(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, modes=Modes(hard=True))
-    context.found, context.alive = context.run(context.soak.run())
+@when("seed {seed:d} is played for {seconds:g} s")
+def step_play(context, seed, seconds):
+    play(context, seed, seconds, Modes())
 
 
-@when("seed {seed:d} is played for {seconds:g} s with engines that speak of themselves")
-def step_play_words(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, modes=Modes(words=True))
-    context.found, context.alive = context.run(context.soak.run())
+@when("seed {seed:d} is played for {seconds:g} s {how}")
+def step_play_mode(context, seed, seconds, how):
+    play(context, seed, seconds, MODES[how])
 
 
-@when("seed {seed:d} is played for {seconds:g} s with a store that comes back from older copies")
-def step_play_returns(context, seed, seconds):
-    context.soak = Soak(seed, seconds, context.directory, modes=Modes(returns=True))
+def play(context, seed, seconds, modes):
+    context.soak = Soak(seed, seconds, context.directory, modes=modes)
     context.found, context.alive = context.run(context.soak.run())
 
 
--- a/liftrill/gateway/beliefs.py
+++ b/liftrill/gateway/beliefs.py
@@ -11,7 +11,7 @@
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
-from liftrill.gateway.record_decoder import RecordDecoder, RecordError
+from liftrill.gateway.record_decoder import RecordDecoder, RecordError, StoreRecord
 from liftrill.gateway.records import EngineRecord, GatewayConfiguration, RouteRule, WeightTarget
 from liftrill.gateway.route_table import WeightedSplit
 from liftrill.gateway.weight_targets import WeightTargets
@@ -87,11 +87,15 @@
         """
         if era_of(item.revision) == era_of(self.configuration_revision):
             return False
+        record = self._decoded(item)
+        return isinstance(record, GatewayConfiguration) and record.version < self.view.version
+
+    def _decoded(self, item: StoredItem) -> StoreRecord | None:
+        """Return what an item holds, or None; who takes it in tells of one that is refused."""
         try:
-            record = self.decoder.decode(item)
+            return self.decoder.decode(item)
         except RecordError:
-            return False
-        return isinstance(record, GatewayConfiguration) and record.version < self.view.version
+            return None
 
     def _without_former_lives(self, items: tuple[StoredItem, ...]) -> list[StoredItem]:
         """Leave out records of incarnations that have ended, as this node knows."""
@@ -102,10 +106,7 @@
         view = self.engines.get(engine_id) if engine_id is not None else None
         if view is None:
             return False
-        try:
-            record = self.decoder.decode(item)
-        except RecordError:
-            return False
+        record = self._decoded(item)
         return isinstance(record, EngineRecord) and record.born_unix_ms < view.record.born_unix_ms
 
     def _unknown_engines(self, change: MirrorChange) -> list[tuple[str, int]]:
