Nodes of an earlier build find their own modules first, whatever path the soak itself is given

Runs without a module path, as in the features, had the whole earlier build. No product code changes.

--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -134,6 +134,8 @@
             str(self.root / "platform" / "serve.py"),
             env={
                 **os.environ,
+                # Another build must not find this one's modules first.
+                "PYTHONPATH": str(self.root),
                 "LIFTRILL_BOOT": str(self.settings_path),
                 SLEPT_FILE: str(self.slept_path),
                 **(environment or {}),
