A reader's message with a revision that no store comes to is malformed, like any other garbled one

Found by reading the change: since positions are made where messages are decoded, such a message, or such a question of a follower, ended in a ValueError that nobody takes: the loop that follows a reader ended and was begun anew, and the reader answered 500. It is refused as malformed now (RelayDecodeError; 400), as bytes that are no message were.

--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -19,12 +19,14 @@
 from liftrill.coordination.store_position import OldEraError, StoreEra, lease_of, position
 from liftrill.gateway.relay_codec import (
     RelayAnswer,
+    RelayDecodeError,
     RelayUpdate,
     decode_message,
     encode_answer,
     encode_batch,
     encode_snapshot,
 )
+from liftrill.messages import peer_pb2 as messages
 
 SERVED = 200
 LARGE_LEASE = (1 << 63) + 7
@@ -319,6 +321,17 @@
         assert (told.at, told.nonce, told.path) == (newest, 1, ("reader",)), told
 
 
+@then("changes, snapshots and answers at revision 2 to the {power:d} are refused as malformed")
+def step_too_far(context, power):
+    items, answer = [messages.RelayItem(key="a", revision=1 << power)], messages.RelayAnswer()
+    for message in (
+        messages.RelayMessage(items=items, at=1),
+        messages.RelayMessage(at=1 << power, snapshot=True),
+        messages.RelayMessage(at=1 << power, answer=answer),
+    ):
+        assert raises(RelayDecodeError, decode_message, message.SerializeToString()), message
+
+
 @when(
     "the store comes back, and every other answer of it still tells the era before"
     " for {seconds:g} s"
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -52,6 +52,9 @@
   Scenario: Readers tell their followers the era
     Then changes, snapshots and answers of eras 0, 1 and 8191 are the same when they are decoded
 
+  Scenario: What names a revision that no store comes to is no message of a reader
+    Then changes, snapshots and answers at revision 2 to the 41 are refused as malformed
+
   Scenario: A store whose answers come from two eras at the same time
     Given a stand-in platform with 1 desk engines and 1 model engines
     And a store that tells its era
--- a/liftrill/gateway/relay_codec.py
+++ b/liftrill/gateway/relay_codec.py
@@ -128,7 +128,7 @@
         changes = tuple(_decode_change(row, message.era) for row in message.items)
         batch = WatchBatch(changes, position(message.era, message.at))
         return RelayUpdate(batch, message.snapshot, message.more)
-    except (DecodeError, zlib.error) as error:
+    except (DecodeError, ValueError, zlib.error) as error:
         raise RelayDecodeError(f"not a message of a reader: {error}") from error
 
 
--- a/liftrill/gateway/relay_server.py
+++ b/liftrill/gateway/relay_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -142,16 +142,17 @@
             subscriber.put(data)
 
     async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
-        after = request.query.get(AFTER_PARAMETER, "")
-        era = request.query.get(ERA_PARAMETER, "0")
-        is_number = (after + era).isascii() and after.isdigit() and era.isdigit()
-        if not is_number or not self._mirror.at:
-            return web.Response(status=400 if self._mirror.at else 503)
+        if not self._mirror.at:
+            return web.Response(status=503)
+        try:
+            after = _copy_of(request.query)
+        except ValueError:
+            return web.Response(status=400)
         socket = web.WebSocketResponse(max_msg_size=LARGEST_QUESTION_BYTES, compress=False)
         await socket.prepare(request)
         assert request.transport is not None
         subscriber = _Subscriber(request.transport.abort)
-        self._catch_up(subscriber, position(int(era), int(after)))
+        self._catch_up(subscriber, after)
         self._subscribers.add(subscriber)
         self._count(len(self._subscribers))
         sending = asyncio.ensure_future(self._send(socket, subscriber))
@@ -199,3 +200,15 @@
             self._source.currency.age_s(now),
             self._source.path,
         )
+
+
+def _copy_of(query: Mapping[str, str]) -> int:
+    """Return the position of a follower's copy, as its question tells it.
+
+    Raises:
+        ValueError: it tells none that can be.
+    """
+    after, era = query.get(AFTER_PARAMETER, ""), query.get(ERA_PARAMETER, "0")
+    if not (after + era).isascii() or not (after.isdigit() and era.isdigit()):
+        raise ValueError(f"after {after!r} of {era!r}")
+    return position(int(era), int(after))
