How long a request waits, whether an engine rests, and a send that nobody holds back: each said once

The end of a request's wait stood in the run and again where resting engines are told from ones that are soon ready; they must agree. Whether an engine rests is what is left of its rest.

--- a/liftrill/gateway/delivery_run.py
+++ b/liftrill/gateway/delivery_run.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Awaitable
 
-from liftrill import clock, constants
+from liftrill import clock
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.admission.engine_lines import EngineLines
 from liftrill.gateway.admission.line import Place
@@ -250,8 +250,7 @@
 
     async def _wait_for_engine(self, for_room: bool) -> events.DeliveryEvent:
         request = self._machine.request
-        share = constants.ENGINE_WAIT_TARGET_SHARE
-        until = request.received_at + share * request.route.target_seconds
+        until = request.waits_until
         if clock.now_s() >= until:
             return events.WaitEnded()
         self._release()
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -96,9 +96,8 @@
         rest_s = min((view.standing.rest_left_s(now) for view in left), default=0.0)
         if not rest_s:
             return Unavailable.NONE_READY
-        share = constants.ENGINE_WAIT_TARGET_SHARE
-        waits_until = request.received_at + share * request.route.target_seconds
-        return Unavailable.RESTING if now + rest_s > waits_until else Unavailable.NONE_READY
+        is_in_vain = now + rest_s > request.waits_until
+        return Unavailable.RESTING if is_in_vain else Unavailable.NONE_READY
 
     def _choose_for_prompt(
         self, request: OpaqueRequest, prompt: PromptShape, ready: list[EngineView], now: float
--- a/liftrill/gateway/engines/engine_standing.py
+++ b/liftrill/gateway/engines/engine_standing.py
@@ -79,7 +79,7 @@
 
     def rests(self, now: float) -> bool:
         """Return whether it gets nothing from this node now."""
-        return now < self.rest_until or now < self._trial_until
+        return self.rest_left_s(now) > 0
 
     def defers_orders(self, now: float) -> bool:
         """Return whether orders wait for its rest."""
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -21,6 +21,7 @@
 
 from liftrill import clock, constants
 from liftrill.errors import LiftrillError
+from liftrill.gateway.transport import always
 
 # A peer behind a cut says nothing: unacknowledged data or probes end the connection.
 USER_TIMEOUT_MILLISECONDS = 2_000
@@ -90,13 +91,8 @@
     """The connection is up, and the request that it was for may no longer be sent."""
 
 
-def _always() -> bool:
-    """Let a request be sent."""
-    return True
-
-
 # Asked once the connection for a request is there, before its first byte is written.
-may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=_always)
+may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=always)
 
 
 class CheckingConnector(aiohttp.TCPConnector):
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -95,6 +95,11 @@
         """Return for how long the caller waits at the most if it is told to come back."""
         return constants.PATIENCE_SHARE * max(0.0, self.deadline - now)
 
+    @property
+    def waits_until(self) -> float:
+        """Until when it may wait for an engine here, on the steady clock."""
+        return self.received_at + constants.ENGINE_WAIT_TARGET_SHARE * self.route.target_seconds
+
     def release_body(self) -> None:
         """Let go of a body that is sent to no engine any more; the request's name stays known."""
         _ = self.fingerprint
