--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -7,6 +7,21 @@
   0.15 s. No header of an answer was read but those that tell whether the request ran; and
   what a node did know of an engine lay in the view of its record, and went with the record.
 
+  # Where it is said
+
+  Scenario Outline: An engine's word is heard in whatever answer it stands
+    Given an engine that says that it leaves in the <answer> alone
+    When a node sends it what brings that answer
+    Then the node has heard that it leaves
+
+    Examples:
+      | answer          |
+      | whole answer    |
+      | head of a stream |
+      | refusal         |
+      | report          |
+      | answer to an order |
+
   # What is remembered
 
   Scenario Outline: What an engine said holds, whatever becomes of its record
@@ -23,6 +38,7 @@
       | its record goes while the store is away and back |
       | its record is spoiled and good again            |
       | its record comes back with an older revision    |
+      | a reader's copy is taken over whole             |
 
   Scenario: The weights that an engine was seen to have hold when an older record of it comes back
     Given a node that knows engines a and b with the weights of version 1
@@ -85,6 +101,11 @@
     When it has answered a request that was sent after 3.4 s
     Then a and b are in use after 3.5 s, whatever it gets
 
+  Scenario: A rest that ends at all nodes at once ends with one request from each
+    Given 7 nodes that an engine asked for rest at the same moment
+    When 20 requests wait at each of them until the rest is over
+    Then the engine gets 7 requests in the first 0.2 s after it
+
   Scenario: A request waits for a rest that is soon over, and not for another
     Given a node that knows engines a and b with the weights of version 1
     When a asks for 3 s of rest, and b for 2.5 s of rest
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -56,7 +56,7 @@
 
 
 # The kinds of answers in which an engine may say that it leaves.
-ANSWERS = frozenset(("whole", "head", "refusal", "report"))
+ANSWERS = frozenset(("whole", "head", "refusal", "report", "order"))
 
 # Copies of runs that engines hold for each other, as ADDRESS/ID.
 copies = set()
@@ -202,16 +202,16 @@
 
     def _order(self, body):
         if body["Fence"] < self.highest_fence:
-            return web.Response(status=412)
+            return web.Response(status=412, headers=self._said("order"))
         is_busy = self.loading or self.refuses_orders
         if body.get("Expected") not in (None, self.sequence) or is_busy:
-            return web.Response(status=409)
+            return web.Response(status=409, headers=self._said("order"))
         self.highest_fence = body["Fence"]
         self.orders.append(body)
         self.sequence += 1
         self.loading = True
         asyncio.get_running_loop().call_later(self.load_seconds, self._loaded, body)
-        return web.Response(status=202)
+        return web.Response(status=202, headers=self._said("order"))
 
     def _loaded(self, body):
         self.loading = False
--- a/features/steps/engine_send_steps.py
+++ b/features/steps/engine_send_steps.py
@@ -14,17 +14,19 @@
 from liftrill import clock
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.delivery_events import EngineChoice, StartAttempt
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_standing import EngineWord
-from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.http_client import new_engine_session
+from liftrill.gateway.order_client import WeightOrder
 from liftrill.gateway.records import RequestKind
 from liftrill.gateway.weight_targets import WeightTargets
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
-from engines import PlatformEngineTransport
+from engines import PlatformEngineTransport, PlatformOrderClient
 
 
 def delay_connections(session, seconds):
@@ -123,3 +125,55 @@
     context.run(context.delivery)
     arrivals = [arrival for engine in context.engines.values() for arrival in engine.arrivals]
     assert [arrival.at >= context.heard_at for arrival in arrivals] == [True], arrivals
+
+
+# What brings each kind of answer: a request, streamed or not, a report or an order.
+SPOKEN = {
+    "whole answer": "whole",
+    "head of a stream": "head",
+    "refusal": "refusal",
+    "report": "report",
+    "answer to an order": "order",
+}
+
+
+@given("an engine that says that it leaves in the {answer} alone")
+def step_speaks(context, answer):
+    context.run(start_engines(context, 0.0))
+    context.speaks_in = SPOKEN[answer]
+    engine = context.engines["e1"]
+    engine.leaves_in = frozenset((context.speaks_in,))
+    engine.weights = {"model": 1}
+    engine.fault = "shed" if context.speaks_in == "refusal" else ""
+
+
+@when("a node sends it what brings that answer")
+def step_sends(context):
+    context.words = []
+    context.transport.heard = context.words.append
+    address = context.engines["e1"].address
+    context.view = EngineView(engine_record("e1", weights={"model": 1}, address=address))
+    context.run(send(context))
+
+
+async def send(context):
+    view, client = context.view, PlatformOrderClient(context.transport)
+    if context.speaks_in == "report":
+        await client.report(view)
+    elif context.speaks_in == "order":
+        await client.order(view, WeightOrder("model", 2, "node-1", 1, 0))
+    else:
+        request = opaque_request(model="model" if context.speaks_in == "head" else None)
+        headers = (("X-Attempt-Id", request.request_id), ("X-Model", "model"))
+        is_stream = context.speaks_in == "head"
+        request = replace(request, headers=headers[: 1 + is_stream])
+        choice = EngineChoice("e1", view.record.address, number=view.number)
+        attempt = context.transport.attempt(request, StartAttempt(choice, None))
+        await attempt.open()
+        attempt.close()
+
+
+@then("the node has heard that it leaves")
+def step_heard(context):
+    (word,) = context.words
+    assert word.leaving and word.engine == context.view.at, word
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -1,5 +1,6 @@
 """Steps on what is kept of what engines say of themselves in their answers."""
 
+import json
 import sys
 from pathlib import Path
 
@@ -8,10 +9,11 @@
 
 from features.gateway_support import opaque_request
 from liftrill import clock
+from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
-from liftrill.gateway.engines.engine_standing import EngineWord
+from liftrill.gateway.engines.engine_standing import EngineStanding, EngineWord
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.weight_rollout import GiveOrder
@@ -61,6 +63,16 @@
     context.node.write("a", context.bodies["a"])
 
 
+@when("a reader's copy is taken over whole")
+def step_snapshot(context):
+    without_record(context, gap=True)
+    context.node.beliefs.expire(clock.now_s() + 2.0)
+    body = json.dumps(context.bodies["a"]).encode()
+    item = StoredItem("servers/a", body, context.node.revision + 1)
+    change = MirrorChange(written=(item,), removed=(), gap=True)
+    context.node.beliefs.apply(change, clock.now_s())
+
+
 @when("its record is spoiled and good again")
 def step_spoiled(context):
     context.node.write("a", b"[]")
@@ -286,3 +298,26 @@
                 ordered[instruction.engine_id] = tick / 10
     assert first < ordered["a"] < first + 1, ordered
     assert second < ordered["b"] < second + 1, ordered
+
+
+@given("{count:d} nodes that an engine asked for rest at the same moment")
+def step_standings(context, count):
+    context.standings = [EngineStanding() for _ in range(count)]
+    for standing in context.standings:
+        standing.ask_for_rest(3.0, 0.0)
+
+
+@when("{count:d} requests wait at each of them until the rest is over")
+def step_all_return(context, count):
+    context.sent = 0
+    for tick in range(count):
+        now = 3.0 + 0.2 * tick / count
+        for standing in context.standings:
+            if not standing.rests(now):
+                standing.note_sent(now)
+                context.sent += 1
+
+
+@then("the engine gets {count:d} requests in the first 0.2 s after it")
+def step_few_at_once(context, count):
+    assert context.sent == count, context.sent
