The first leader of a fleet keeps its term: the base era is written apart from its key

Cause: the leader wrote its key and the base era in one transaction and took the answer's revision for its key's. A store that counts each item as a change gives the key a lower one, so the leader's next write, on condition of its key, failed (logged: cannot write: ConditionFailedError) and its term was lost before its first order. Nobody led for seconds; by the time that one did, the version's bound had nearly passed and all three engines loaded at once.

Change: the base era is recorded before the lease is asked for, alone; the key is the one item of its transaction. Feature: a store in memory that counts each item (failed before: the fence was not the key's revision).

--- a/features/gateway_store.py
+++ b/features/gateway_store.py
@@ -15,11 +15,16 @@
 
 
 class MemoryStore(RangeStore):
-    """Keeps items, leases and the whole history."""
+    """Keeps items, leases and the whole history.
+
+    Attributes:
+        counts_each: whether each item that a transaction writes has a revision of its own.
+    """
 
     def __init__(self):
         self.now = 0.0
         self.revision = 1
+        self.counts_each = False
         self.items = {}
         self.leases = {}
         self.changes = []
@@ -75,8 +80,9 @@
                 raise ConditionFailedError(condition.key)
         if any(put.lease and put.lease not in self.leases for put in puts):
             raise LeaseGoneError("no lease")
-        self.revision += 1
+        self.revision += 0 if self.counts_each else 1
         for put in puts:
+            self.revision += self.counts_each
             self.items[put.key] = StoredItem(put.key, put.value, self.revision, put.lease)
             self.changes.append(self.items[put.key])
         for key in removed:
--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -71,6 +71,13 @@
     When both contend
     Then exactly one leads, with the revision of the leader's key as its fence
 
+  Scenario: The first leader of a fleet may give orders though the store counts each item it wrote
+    Given a store and 2 contenders
+    And the store is in era 1, and counts each item of a transaction as a change
+    When both contend
+    Then exactly one leads, with the revision of the leader's key as its fence
+    And the leader can write that it gives orders
+
   Scenario: A frozen leader gives no order after its belief ends
     Given a store and 2 contenders
     When both contend
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -6,6 +6,7 @@
 from features.gateway_support import engine_record, opaque_request
 from liftrill.coordination.lease import LeaseParameters
 from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.coordination.store_position import position
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engines.engine_selector import EngineSelector
@@ -228,6 +229,18 @@
     context.contenders = [Contender(context.store, f"node-{n}") for n in range(count)]
 
 
+@given("the store is in era 1, and counts each item of a transaction as a change")
+def step_counts_each(context):
+    context.store.revision = position(1, context.store.revision)
+    context.store.counts_each = True
+
+
+@then("the leader can write that it gives orders")
+def step_can_activate(context):
+    context.run(context.leader.leadership.activate())
+    assert context.leader.leadership.may_order(context.store.now)
+
+
 @given("the store loses the answer to the first write of a key")
 def step_lose_answer(context):
     context.store.lose_answers = 1
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -291,22 +291,31 @@
         self._take_up(leader.revision, self._mirror.get(ACTIVITY_KEY), asked_at)
 
     async def _acquire(self) -> None:
-        activity, recorded = self._mirror.get(ACTIVITY_KEY), self._mirror.get(BASE_ERA_KEY)
-        expected = [
+        await self._record_base_era()
+        activity = self._mirror.get(ACTIVITY_KEY)
+        expected = (
             Expectation(LEADER_KEY, 0),
             Expectation(ACTIVITY_KEY, activity.revision if activity else 0),
-        ]
-        base_era = self._known_base_era()
+        )
         asked_at = self._clock()
         lease = await self._store.grant_lease(self._parameters.lease.time_to_live)
         self._store_lease = lease
-        puts = [PutItem(LEADER_KEY, self._node.encode(), lease)]
-        if recorded is None and base_era:
-            expected.append(Expectation(BASE_ERA_KEY, 0))
-            puts.append(PutItem(BASE_ERA_KEY, str(base_era).encode()))
-        fence = await self._store.transact(tuple(expected), tuple(puts))
+        # Alone in its transaction: a store may count each item as a change, and the revision
+        # that it answers is the key's for sure only where it is the one item written.
+        fence = await self._store.transact(
+            expected, (PutItem(LEADER_KEY, self._node.encode(), lease),)
+        )
         self._take_up(fence, activity, asked_at)
 
+    async def _record_base_era(self) -> None:
+        """Write the base era that all fences count from, unless the store has it."""
+        base_era = self._known_base_era()
+        if base_era and self._mirror.get(BASE_ERA_KEY) is None:
+            await self._store.transact(
+                (Expectation(BASE_ERA_KEY, 0),),
+                (PutItem(BASE_ERA_KEY, str(base_era).encode()),),
+            )
+
     def _take_up(self, fence: int, activity: StoredItem | None, asked_at: float) -> None:
         self._lease.acquired(str(self._store_lease), fence, asked_at)
         self._renewed_at = asked_at
