A leader that cannot write ends its lease, so another one leads at once

Callers saw: after a leader's write failed nobody gave orders until its lease ran out (2.1 s and more in the log of the failed play of store_era.feature:67), and versions then were loaded on all engines at once, with 503 for streams.

Cause: the controller steps down and then resigns; stepping down clears the fence, and resigning ended the lease only where a fence was held. So the key stayed for the rest of the lease.

Change: resigning ends whatever lease this node was given. It is this node's alone, and a write that is still on its way is conditional on the key, so it can't be done later. Failures of calls about the lease are logged when they change; before they were swallowed.

--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -78,6 +78,12 @@
     Then exactly one leads, with the revision of the leader's key as its fence
     And the leader can write that it gives orders
 
+  Scenario: A leader that cannot write leaves its key to another one at once
+    Given a store and 2 contenders
+    When both contend
+    And the leader finds that it cannot write
+    Then the other one leads within 1 s
+
   Scenario: A frozen leader gives no order after its belief ends
     Given a store and 2 contenders
     When both contend
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -241,6 +241,19 @@
     assert context.leader.leadership.may_order(context.store.now)
 
 
+@when("the leader finds that it cannot write")
+def step_finds(context):
+    context.leader.leadership.step_down("cannot write")
+    context.run(context.leader.leadership.resign())
+    context.leader.frozen = True
+
+
+@then("the other one leads within {seconds:g} s")
+def step_other_leads_within(context, seconds):
+    run_contenders(context, seconds)
+    assert leaders(context) == [context.other], context.store.items.get(LEADER_KEY)
+
+
 @given("the store loses the answer to the first write of a key")
 def step_lose_answer(context):
     context.store.lose_answers = 1
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -84,6 +84,7 @@
         self._activity_revision = 0
         self._last_order_at = 0.0
         self._retired = False
+        self._call_failure = ""
 
     @property
     def fence(self) -> int:
@@ -132,10 +133,10 @@
                 await self._renew()
             elif isinstance(instruction, AcquireLease):
                 await self._contend()
-        except ConditionFailedError:
-            return
-        except StoreError:
-            return
+        except StoreError as error:
+            self._note_call(type(error).__name__)
+        else:
+            self._note_call("")
 
     async def activate(self) -> None:
         """Write that orders are about to be given, so that a successor waits."""
@@ -163,16 +164,18 @@
         """Give the lease back, so that another node takes over at once."""
         lease, self._store_lease = self._store_lease, 0
         self._renewed_at = -math.inf
-        held = bool(self.fence)
+        if self.fence:
+            self._note_lost("resigned")
         self._lease.step_down()
         self._active = False
-        if not held or not lease:
+        # Also after this node stepped down: its key would keep all others from leading until
+        # the lease runs out.
+        if not lease:
             return
-        self._note_lost("resigned")
         try:
             await self._store.end_lease(lease)
-        except StoreError:
-            return
+        except StoreError as error:
+            self._log.belief("leader_key_left", lease=lease, reason=type(error).__name__)
 
     async def retire(self) -> None:
         """Give the lease back and contend no more: this node is about to end."""
@@ -329,5 +332,11 @@
         self._quiet_until = max(self._quiet_until, quiet_until)
         self._log.belief("leading", fence=fence, predecessor=holder.decode(), waits=wait)
 
+    def _note_call(self, failure: str) -> None:
+        """Log how the calls about the lease end, where that has changed; the next one is due."""
+        if failure != self._call_failure:
+            self._call_failure = failure
+            self._log.belief("lease_calls", failure=failure)
+
     def _note_lost(self, reason: str) -> None:
         self._log.belief("not_leading", fence=self.fence, reason=reason)
