--- a/features/run.py
+++ b/features/run.py
@@ -31,6 +31,8 @@
 # Each worker's processes take ports of their own.
 FIRST_PORT, PORTS_OF_A_WORKER = 10_000, 2_000
 RESULTS_OPTION = "--results="
+# Characters of a failed check that are told beside the scenario's name: its first lines.
+LONGEST_REASON = 600
 # The files that take longest, begun first: 340 to 50 s beside a load of 20 (measured).
 LONGEST = (
     "promises",
@@ -55,11 +57,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """How one scenario ended."""
+    """How one scenario ended, and the step and check that failed."""
 
     name: str
     location: str
     status: str
+    reason: str = ""
 
 
 def known_red() -> dict[str, str]:
@@ -83,7 +86,9 @@
 
 
 def _result(scenario: Scenario) -> Result:
-    return Result(scenario.name, str(scenario.location), scenario.status.name)
+    failed = [s for s in scenario.all_steps if s.error_message]
+    reason = "".join(f"{s.name}: {s.error_message}"[:LONGEST_REASON] for s in failed[:1])
+    return Result(scenario.name, str(scenario.location), scenario.status.name, reason)
 
 
 def work(target: Path, arguments: list[str]) -> int:
@@ -150,6 +155,7 @@
     mended = [r for r in passed if r.name in listed]
     for result in unexpected:
         print(f"FAILED {result.location} {result.name} ({result.status})")
+        print(f"  {result.reason}")
     for row in listed.values():
         print(f"KNOWN RED {row}")
     for result in mended:
