--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -4,11 +4,10 @@
 import math
 import re
 import time
-from dataclasses import dataclass
 
 from behave import given, then, when
 
-from features.gateway_store import MemoryStore
+from features.following_node import LOOK_S, FollowingNode, ScriptedStore, eventually
 from features.gateway_support import engine_record
 from features.standin.store import StandInStore
 from liftrill import constants
@@ -22,25 +21,13 @@
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.http_client import new_store_session
 from liftrill.gateway.record_decoder import RecordDecoder
-from liftrill.gateway.records import GatewayConfiguration, WeightTarget
+from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.relay_client import ReaderLimits, RelayLostError
 from liftrill.gateway.relay_codec import RelayAnswer
-from liftrill.gateway.relay_server import RelayServer
-from liftrill.gateway.store_follower import FollowerOwner, StoreFollower
 from liftrill.gateway.weight_rollout import AnnounceLoad, WeightRollout
 from liftrill.gateway.weight_targets import WeightTargets
 
 MODEL = "model"
-LONGEST_MIRROR_AGE_S = 1.7
-# How far a wait in a test may be off, beside a load.
-LOOK_S = 0.02
-
-
-async def eventually(condition, seconds):
-    until = time.monotonic() + seconds
-    while not condition():
-        assert time.monotonic() < until, "it did not come about in time"
-        await asyncio.sleep(LOOK_S)
 
 
 # The currency of a copy
@@ -99,113 +86,6 @@
 # Nodes that follow the store and each other
 
 
-class ScriptedStore(MemoryStore):
-    """A store whose watches hear nothing, and which can be made to answer nobody.
-
-    Attributes:
-        away: whether every call fails.
-        watch_errors: what the next watches raise, at once.
-        watched_after: the revisions after which watches asked for changes.
-        hears: whether watches are told of changes.
-    """
-
-    def __init__(self):
-        super().__init__()
-        self.away = False
-        self.read_at = []
-        self.watch_errors = []
-        self.watched_after = []
-        self.hears = asyncio.Event()
-
-    async def read_range(self, prefix, after):
-        self._check()
-        self.read_at.append(time.monotonic())
-        return await super().read_range(prefix, after)
-
-    async def watch(self, prefix, after_revision, wait_seconds):
-        self._check()
-        self.watched_after.append(after_revision)
-        if self.watch_errors:
-            raise self.watch_errors.pop(0)
-        while not self.hears.is_set():
-            await asyncio.sleep(LOOK_S)
-            self._check()
-        return await super().watch(prefix, after_revision, wait_seconds)
-
-    def _check(self):
-        if self.away:
-            raise StoreUnavailableError("no answer")
-
-
-@dataclass
-class Following:
-    """When a node began to follow another one, and when it left it."""
-
-    since: float
-    until: float = math.inf
-
-    def lasted_s(self, counted_from=-math.inf):
-        return min(self.until, time.monotonic()) - max(self.since, counted_from)
-
-
-class FollowingNode(FollowerOwner):
-    """A follower with a relay server, and one peer that it follows where the store is lost."""
-
-    def __init__(self, name, store, beliefs=None):
-        self.name = name
-        self.beliefs = beliefs
-        self.peer = None
-        self.followings = []
-        self.answers = 0
-        self.view = ConfigurationView(4.5)
-        self.view.adopt(GatewayConfiguration(5, (), {}))
-        limits = ReaderLimits(name, LONGEST_MIRROR_AGE_S)
-        self.follower = StoreFollower(store, "", self, limits)
-        self.server = RelayServer(self.follower, self.view, lambda count: None)
-        self.address = f"127.0.0.1:{free_ports(1)[0]}"
-        self.task = None
-
-    async def start(self):
-        await self.server.listen(self.address)
-        self.task = asyncio.ensure_future(self.follower.run())
-
-    def member(self):
-        return Member(self.name, self.address, "region", "zone", 1)
-
-    def mirror_changed(self, change, known_until):
-        self.server.publish(change)
-        if self.beliefs is not None:
-            self.beliefs.apply(change, known_until)
-
-    def range_read(self, asked_at):
-        self.view.prove_current(5, asked_at)
-
-    def own_name(self):
-        return self.name
-
-    def reads_for_others(self):
-        return False
-
-    def store_connection(self, connected):
-        pass
-
-    def relay_answered(self, answer, asked_at):
-        self.answers += 1
-        self.view.prove_current(answer.version, asked_at - answer.proof_age_s)
-
-    def reader_to_follow(self, store_lost):
-        return self.peer if store_lost else None
-
-    def keeps_reader(self, reader, since):
-        return True
-
-    def reader_followed(self, reader, store_lost):
-        self.followings.append(Following(time.monotonic()))
-
-    def reader_lost(self, reader, reason):
-        self.followings[-1].until = time.monotonic()
-
-
 @given("two nodes that know each other and a store that answers")
 def step_two_nodes(context):
     async def start():
