--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -9,6 +9,7 @@
 
 from features.gateway_support import route_rule
 from features.soak.proxy import Harm, HarmfulProxy
+from liftrill import constants
 from liftrill.bench.launcher import free_ports
 from liftrill.coordination.change_log import ChangeLog
 from liftrill.coordination.membership_messages import Condition, Member
