An engine that says that it leaves between the announcement of its load and its order is not ordered

Cause: a load that was under way was forgotten only when its engine was gone or had started again. Change: it is forgotten where the engine leaves, by its record or its own word, and its room goes to another engine.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -122,6 +122,12 @@
     When version 2 of the weights is named, and a asks for 3 s of rest, and b for 60 s of rest
     Then both are ordered to load, a after 3 s and b after 5 s
 
+  Scenario: An engine that leaves is not ordered to load, nor one that says so before its order
+    Given a node that knows engines a and b with the weights of version 1
+    When version 2 of the weights is named
+    And a says that it leaves before its load is announced, and b after it
+    Then neither is ordered to load, nor asked whether it has
+
   Scenario Outline: What is no word of leaving changes nothing
     Given an engine whose answers have <headers>
     Then it is not said to leave, and wants <rest> s of rest
--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -58,14 +58,20 @@
     When the reading takes too long instead
     Then the later one is sent to the engine that reads it
 
-  Scenario: A part that an engine has just used is fetched from there, and later from the store
+  Scenario Outline: A part that an engine has just used is fetched from there, and later from the store
     Given 1 kept stores and 6 engines
     When one node has had a prompt read, and its engine is busy
     Then 0.2 s later the prompt goes to another engine, which fetches from the busy one
     And 3 s later the prompt goes to another engine, which fetches from the store
-    When the engine that read the prompt has other weights
+    When the engine that read the prompt <ceases>
     Then 0.2 s later the prompt is fetched from no engine
 
+    Examples:
+      | ceases                   |
+      | has other weights        |
+      | has said that it leaves  |
+      | has a record that leaves |
+
   Scenario: Weights that were replaced some time ago are used only to spare a long wait
     Given 0 kept stores and 2 engines
     And one engine has new weights, and 2000 prompt tokens wait there
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -288,6 +288,29 @@
     assert choice_after(context, seconds) is Unavailable.NONE_READY
 
 
+@when("version 2 of the weights is named")
+def step_version_named(context):
+    context.node.targets.name(WeightTarget("model", 2, 9), 0.0, age_known=True, now=0.0)
+
+
+@when("a says that it leaves before its load is announced, and b after it")
+def step_leaves_around_load(context):
+    say(context, context.node.engines.get("a").at, leaving=True)
+    announced = due_at(context, 0.1)
+    assert [each.engine_id for each in announced] == ["b"], announced
+    say(context, context.node.engines.get("b").at, leaving=True)
+
+
+def due_at(context, now):
+    return context.node.rollout.due(list(context.node.engines.in_use()), now)
+
+
+@then("neither is ordered to load, nor asked whether it has")
+def step_not_ordered(context):
+    due = [each for tick in range(2, 100) for each in due_at(context, tick / 10)]
+    assert not due, due
+
+
 @then("both are ordered to load, a after {first:g} s and b after {second:g} s")
 def step_ordered(context, first, second):
     ordered = {}
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -7,6 +7,7 @@
 from features.gateway_support import engine_record, opaque_request
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable, engine_number
 from liftrill.gateway.engines.prefix_directory import KeptPart, PartStage, part_number
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
@@ -250,6 +251,20 @@
     context.selectors[0]._engines.get(context.first.engine_id).learn_weights("model", 2)
 
 
+@when("the engine that read the prompt has said that it leaves")
+def step_said_leaving(context):
+    engines = context.selectors[0]._engines
+    engine = engines.get(context.first.engine_id).at
+    assert engines.hear(EngineWord(engine, "request", leaving=True), 0.2)
+
+
+@when("the engine that read the prompt has a record that leaves")
+def step_record_leaving(context):
+    engines = context.selectors[0]._engines
+    record = engines.get(context.first.engine_id).record
+    engines.update(replace(record, draining=True, revision=record.revision + 1))
+
+
 @then("{delay:g} s later the prompt is fetched from no engine")
 def step_not_fetched(context, delay):
     choice = context.selectors[0].choose(begun_alike(0), frozenset(), delay)
--- a/liftrill/gateway/weight_rollout.py
+++ b/liftrill/gateway/weight_rollout.py
@@ -178,7 +178,9 @@
         done: list[RolloutInstruction] = []
         for engine_id, load in list(self.loads.items()):
             view = known.get(engine_id)
-            if view is None or view.number != load.number:
+            # One that has said that it leaves since is not ordered: it wants no new work, and
+            # the room for its load is another engine's.
+            if view is None or view.number != load.number or view.leaving:
                 del self.loads[engine_id]
             elif view.weight_version(load.model) >= load.version:
                 del self.loads[engine_id]
