--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -176,6 +176,15 @@
     Then no request reached such an engine later than 0.3 s after its first such answer
     And all of these callers were served
 
+  Scenario: A node that starts again hears from the others which engines have said that they leave
+    Given a stand-in platform with 4 desk engines and 4 model engines
+    And 3 nodes
+    And callers that call all nodes on "whole" and "stream" and know where they called
+    When an engine of each kind says in all its answers that it leaves, its record stays ready, goes for 0.5 s and is back
+    And the last node is killed and starts again under these callers
+    And these callers go on for 4 s
+    Then no request reached such an engine later than 0.3 s after its first such answer
+
   Scenario: An engine that asks for rest gets nothing from that node until its end
     Given a stand-in platform with 4 desk engines and 4 model engines
     And 3 nodes
--- a/features/steps/engine_word_process_steps.py
+++ b/features/steps/engine_word_process_steps.py
@@ -120,6 +120,18 @@
     context.said_at = time.monotonic()
 
 
+@when("the last node is killed and starts again under these callers")
+def step_restart_last(context):
+    context.run(restart_last(context))
+
+
+async def restart_last(context):
+    node = context.deployment.nodes[-1]
+    await node.stop()
+    await node.start()
+    await context.deployment.ready(node)
+
+
 @when("these callers go on for {seconds:g} s")
 def step_go_on(context, seconds):
     context.run(go_on(context, seconds))
