A node that joins is told what the engines' records do not say

Cause: a joiner was told only of engines that leave by their word alone, and whether a record said so, too, was looked at before the node that told had read the copy itself. Of records that all others withhold, and of weights that they saw, it was told nothing.

Change: one message with all three, sent by each node to the joiner at once and again 0.3 and 1 s later with what is known then. A withheld record is named with its position, so that the engine's own next record is used; weights only rise.

--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -7,16 +7,18 @@
 from behave import given, then, when
 from multidict import CIMultiDict
 
-from features.gateway_support import opaque_request
+from features.gateway_support import engine_record, opaque_request
 from liftrill import clock
 from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_standing import EngineStanding, EngineWord
-from liftrill.gateway.engines.engine_table import EngineNotice
+from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable
+from liftrill.gateway.peers.notice_codec import datagrams_from_news, news_from_message
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.weight_rollout import GiveOrder
+from liftrill.node.membership_codec import parse_message
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
 from engines import word_of
@@ -344,3 +346,47 @@
 @then("the engine gets {count:d} requests in the first 0.2 s after it")
 def step_few_at_once(context, count):
     assert context.sent == count, context.sent
+
+
+# What nodes that join are told
+
+
+def known_engines():
+    engines = EngineTable()
+    for name in ("a", "b", "c"):
+        engines.update(engine_record(name, weights={"model": 1}, revision=5))
+    return engines
+
+
+@given(
+    "a node that knows that a leaves, uses no record of b, and saw version 2 of the weights at c"
+)
+def step_teller(context):
+    context.teller = known_engines()
+    context.teller.update(engine_record("a", weights={"model": 1}, revision=6, draining=True))
+    context.teller.withdraw("b", 5)
+    context.teller.get("c").learn_weights("model", 2)
+
+
+@when("a node that has read older records joins, and is told")
+def step_joiner(context):
+    context.joiner = known_engines()
+    for datagram in datagrams_from_news(context.teller.unwritten()):
+        news = news_from_message(parse_message(datagram.SerializeToString()))
+        for engine in news.leaving:
+            context.joiner.hear(EngineWord(engine, "peer", leaving=True), 0.0)
+        context.joiner.learn_unwritten(news)
+
+
+@then("it uses c alone, with version 2 of the weights")
+def step_uses_c(context):
+    used = [view for view in context.joiner.in_use() if not view.leaving]
+    assert [view.engine_id for view in used] == ["c"], used
+    assert used[0].weight_version("model") == 2
+
+
+@then("b too once its record is written again")
+def step_uses_b(context):
+    context.joiner.update(engine_record("b", weights={"model": 1}, revision=7))
+    used = {view.engine_id for view in context.joiner.in_use() if not view.leaving}
+    assert used == {"b", "c"}, used
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -70,15 +70,16 @@
     beside = asyncio.ensure_future(trouble(deployment)) if trouble else None
     await restore(deployment.store, away, age)
     context.back_at = time.monotonic()
-    if beside is not None:
-        await beside
+    context.started = await beside if beside is not None else None
 
 
-async def restart_leader(deployment):
-    name = deployment.store.value("liftrill/leader").decode()
-    node = next(node for node in deployment.nodes if node.name == name)
+async def restart_follower(deployment):
+    leader = (deployment.store.value("liftrill/leader") or b"").decode()
+    node = next(node for node in deployment.nodes if node.name != leader)
     await node.stop()
     await node.start()
+    await deployment.ready(node)
+    return node.name, time.monotonic()
 
 
 async def stand_still(deployment):
@@ -100,7 +101,7 @@
 
 
 TROUBLES = {
-    "the leader is killed and starts again": restart_leader,
+    "a node that does not lead is killed and starts again": restart_follower,
     "a node stands still": stand_still,
     "another node starts": add_node,
     "the store answers two nodes 1.5 s later": answer_two_later,
@@ -207,6 +208,24 @@
         assert not late, (engine.engine_id, len(late), late[0], context.back_at - context.said_at)
 
 
+@then("no engine that had left got a request later than {seconds:g} s after the store was back")
+def step_left_after_return(context, seconds):
+    for engine in context.left:
+        late = [a.at - context.back_at for a in engine.arrivals if a.at > context.back_at + seconds]
+        assert not late, (engine.engine_id, len(late), late[0])
+
+
+@then("all of these callers were served, those of a node that started once it was ready")
+def step_served_once_ready(context):
+    name, ready_at = context.started
+    failed = [
+        call
+        for call in context.callers.calls
+        if call.status != SERVED and (call.node != name or call.at > ready_at)
+    ]
+    assert not failed, (len(failed), failed[0], ready_at)
+
+
 @when("versions are named while the store comes back from copies twice within {seconds:g} s")
 def step_two_drills(context, seconds):
     context.run(two_drills(context, seconds))
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -8,6 +8,7 @@
 from liftrill import clock, constants
 from liftrill.coordination.circuit import CircuitBreaker
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_news import EngineNews, SeenWeights, WithheldRecord
 from liftrill.gateway.engines.engine_standing import EngineStanding, EngineStandings, EngineWord
 from liftrill.gateway.engines.service_model import EngineModel
 from liftrill.gateway.records import EngineRecord
@@ -285,9 +286,28 @@
         able = [view for view in self.of_service(service) if not view.leaving]
         return min((view.standing.rest_left_s(now) for view in able), default=0.0)
 
-    def leaving_by_word(self) -> list[EngineAddress]:
-        """Return the engines that leave by their own word alone: no record says so."""
-        return [v.at for v in self if v.standing.leaving and not v.record.draining]
+    def leaving(self) -> list[EngineAddress]:
+        """Return the engines that said that they leave, in an answer or a record."""
+        return [view.at for view in self if view.standing.leaving]
+
+    def unwritten(self) -> EngineNews:
+        """Return what this node knows of engines and their records do not say."""
+        withheld = [WithheldRecord(v.engine_id, v.record.revision) for v in self if v.withdrawn]
+        weights = [
+            SeenWeights(view.engine_id, view.told_number, model, version)
+            for view in self
+            for model, version in view.weights.items()
+            if version > view.record.weights.get(model, 0)
+        ]
+        return EngineNews(tuple(self.leaving()), tuple(withheld), tuple(weights))
+
+    def learn_unwritten(self, news: EngineNews) -> list[WithheldRecord]:
+        """Take in what another node knows; return the records that are used no more for it."""
+        for seen in news.weights:
+            view = self._views.get(seen.engine_id)
+            if view is not None and view.is_meant_by(seen.number):
+                view.learn_weights(seen.model, seen.version)
+        return [row for row in news.withheld if self.withdraw(row.engine_id, row.revision)]
 
     def _meant(self, engine: EngineAddress) -> EngineView | None:
         """Return the view of an incarnation, if it has a record."""
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -32,6 +32,7 @@
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_news import EngineNews
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
@@ -70,6 +71,9 @@
 
 # A lateness that callers feel is seen within three beats.
 HOUSEKEEPING_SECONDS = 0.3
+# When a node that joins is told of engines to leave alone: at once, and again once the others have
+# heard of a return of the store that came just then. Datagrams are lost now and then, too.
+JOINER_TOLD_AFTER_S = (0.0, 0.3, 1.0)
 # Lines of one beat on nodes that are named less: with more of them it is the zone that is busy.
 MOST_CHANGES_TOLD = 3
 # A record lapses three beats after its engine's last one, which came at most one beat before
@@ -162,7 +166,7 @@
             self._on_member,
             self._currency.hear_version,
             self._on_notice,
-            self._on_leaving,
+            self._on_engine_news,
             self._on_loads,
             self._on_speeds,
             self._on_reading,
@@ -481,8 +485,11 @@
         self._allowance.nodes = max(self._allowance.nodes, alive)
         self._fleet.note(alive, clock.now_s())
         if member.condition is Condition.ALIVE:
-            # It may have started after others were told.
-            self._peers.tell_leaving(self._engines.leaving_by_word(), member.node_id)
+            # It may have started after others were told, and the store may have come back from
+            # an older copy: what that lacks nobody but the other nodes can tell it.
+            loop = asyncio.get_running_loop()
+            for wait_s in JOINER_TOLD_AFTER_S:
+                loop.call_later(wait_s, self._tell_joiner, member.node_id)
         if member.condition >= Condition.DEAD:
             self._silence.forget(member.node_id)
             self._capacities.forget(member.node_id)
@@ -494,6 +501,9 @@
             incarnation=member.incarnation,
         )
 
+    def _tell_joiner(self, node: str) -> None:
+        self._peers.tell_news(self._engines.unwritten(), node)
+
     def hear_engine(self, word: EngineWord) -> None:
         """Take in what an engine says of itself in an answer to this node."""
         self.metrics.count_word(word)
@@ -503,9 +513,12 @@
             self._note_leaving(word.engine, word.source)
             self._peers.tell_leaving([word.engine])
 
-    def _on_leaving(self, engine: EngineAddress) -> None:
-        if self._engines.hear(EngineWord(engine, "peer", leaving=True), clock.now_s()):
-            self._note_leaving(engine, "peer")
+    def _on_engine_news(self, news: EngineNews) -> None:
+        for engine in news.leaving:
+            if self._engines.hear(EngineWord(engine, "peer", leaving=True), clock.now_s()):
+                self._note_leaving(engine, "peer")
+        for record in self._engines.learn_unwritten(news):
+            self.log.belief("engine_withheld", engine=record.engine_id, revision=record.revision)
 
     def _note_leaving(self, engine: EngineAddress, source: str) -> None:
         view = self._engines.get(engine.engine_id)
--- a/liftrill/gateway/peers/notice_codec.py
+++ b/liftrill/gateway/peers/notice_codec.py
@@ -1,13 +1,17 @@
 """Turns what nodes tell each other of engines into datagrams and back."""
 
 from collections.abc import Sequence
+from typing import TypeVar
 
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_news import EngineNews, SeenWeights, WithheldRecord
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.messages import peer_pb2 as messages
 
 # An engine takes some 60 bytes (worked out from the wire format): a datagram stays under 1,200.
-LEAVING_PER_DATAGRAM = 16
+ROWS_PER_DATAGRAM = 16
+
+_Row = TypeVar("_Row")
 
 
 def datagram_from_notices(notices: list[EngineNotice]) -> messages.Datagram:
@@ -41,11 +45,43 @@
 
 def datagrams_from_leaving(engines: Sequence[EngineAddress]) -> list[messages.Datagram]:
     """Return the datagrams that tell of engines which leave."""
-    cuts = [
-        engines[at : at + LEAVING_PER_DATAGRAM]
-        for at in range(0, len(engines), LEAVING_PER_DATAGRAM)
+    rows = [_leaving_message(engine) for engine in engines]
+    return [messages.Datagram(leaving=cut) for cut in _cuts(rows)]
+
+
+def datagrams_from_news(news: EngineNews) -> list[messages.Datagram]:
+    """Return the datagrams that tell a node that joins of engines."""
+    withheld = [
+        messages.WithheldRecord(engine_id=record.engine_id, revision=record.revision)
+        for record in news.withheld
+    ]
+    weights = [
+        messages.SeenWeights(
+            engine_id=seen.engine_id, engine=seen.number, model=seen.model, version=seen.version
+        )
+        for seen in news.weights
+    ]
+    return [
+        *datagrams_from_leaving(news.leaving),
+        *(messages.Datagram(withheld=cut) for cut in _cuts(withheld)),
+        *(messages.Datagram(seen_weights=cut) for cut in _cuts(weights)),
     ]
-    return [messages.Datagram(leaving=[_leaving_message(engine) for engine in cut]) for cut in cuts]
+
+
+def news_from_message(message: messages.Datagram) -> EngineNews:
+    """Return what a datagram tells of engines; those that leave and have no number are left out."""
+    return EngineNews(
+        tuple(leaving_from_message(message)),
+        tuple(WithheldRecord(row.engine_id, row.revision) for row in message.withheld),
+        tuple(
+            SeenWeights(row.engine_id, row.engine, row.model, row.version)
+            for row in message.seen_weights
+        ),
+    )
+
+
+def _cuts(rows: list[_Row]) -> list[list[_Row]]:
+    return [rows[at : at + ROWS_PER_DATAGRAM] for at in range(0, len(rows), ROWS_PER_DATAGRAM)]
 
 
 def _leaving_message(engine: EngineAddress) -> messages.LeavingEngine:
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -23,6 +23,7 @@
 from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.gateway import ticks
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_news import EngineNews
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.peers.load_codec import (
     ReportAssembler,
@@ -33,7 +34,8 @@
 from liftrill.gateway.peers.notice_codec import (
     datagram_from_notices,
     datagrams_from_leaving,
-    leaving_from_message,
+    datagrams_from_news,
+    news_from_message,
     notice_from_message,
 )
 from liftrill.gateway.peers.turn_words import TurnWords
@@ -70,7 +72,7 @@
     member_changed: Callable[[Member], None]
     newer_version: Callable[[int], None]
     notice: Callable[[EngineNotice], None]
-    leaving: Callable[[EngineAddress], None]
+    engine_news: Callable[[EngineNews], None]
     loads: Callable[[LoadReport], None]
     speeds: Callable[[LoadReport], None]
     reading_begun: Callable[[int, int], None]
@@ -179,10 +181,15 @@
         """Tell one member, or all, of a request that is kept from engines, some times again."""
         self._repeat(datagram_from_entry(entry), node)
 
-    def tell_leaving(self, engines: Sequence[EngineAddress], node: str = "") -> None:
-        """Tell one member, or all, of engines that leave, some times again."""
+    def tell_leaving(self, engines: Sequence[EngineAddress]) -> None:
+        """Tell all members of engines that leave, some times again."""
         for message in datagrams_from_leaving(engines):
-            self._repeat(message, node)
+            self._repeat(message)
+
+    def tell_news(self, news: EngineNews, node: str) -> None:
+        """Tell one member, once, what records of engines do not say."""
+        for message in datagrams_from_news(news):
+            self._send_to(message, node)
 
     def _repeat(self, message: messages.Datagram, node: str = "") -> None:
         """Send a message to one member, or all, now and some times again."""
@@ -216,29 +223,34 @@
         """Take in a datagram (asyncio callback)."""
         try:
             message = parse_message(data)
-            if message.HasField("spends"):
-                spends = message.spends
-                notice = SpendingNotice(spends.tenant, spends.amount, message.sequence)
-                self._callbacks.spending(message.sender, notice)
-                self._take_readings(message)
-                return
-            if message.HasField("reading_begun"):
-                self._take_readings(message)
-                return
-            if message.lost_runs or message.served or message.HasField("quarantined"):
-                self._take_crash_news(message)
-                return
-            if message.speeds:
-                self._callbacks.speeds(speeds_from_message(message))
-                return
-            if message.notices or message.loads or message.leaving:
-                self._take_word(message)
+            if self._take_notice(message):
                 return
             event = DatagramReceived(f"{addr[0]}:{addr[1]}", datagram_from_message(message))
         except GossipDecodeError:
             return
         self._carry_out(self._membership.handle(event, clock.now_s()))
 
+    def _take_notice(self, message: messages.Datagram) -> bool:
+        """Take in what a peer tells, and return whether it is anything besides membership."""
+        if message.HasField("spends"):
+            spends = message.spends
+            notice = SpendingNotice(spends.tenant, spends.amount, message.sequence)
+            self._callbacks.spending(message.sender, notice)
+            self._take_readings(message)
+        elif message.HasField("reading_begun"):
+            self._take_readings(message)
+        elif message.lost_runs or message.served or message.HasField("quarantined"):
+            self._take_crash_news(message)
+        elif message.speeds:
+            self._callbacks.speeds(speeds_from_message(message))
+        elif message.leaving or message.withheld or message.seen_weights:
+            self._callbacks.engine_news(news_from_message(message))
+        elif message.notices or message.loads:
+            self._take_word(message)
+        else:
+            return False
+        return True
+
     def _take_readings(self, message: messages.Datagram) -> None:
         if message.HasField("reading_begun"):
             first = message.reading_begun
@@ -249,8 +261,6 @@
     def _take_word(self, message: messages.Datagram) -> None:
         for notice in message.notices:
             self._callbacks.notice(notice_from_message(notice))
-        for engine in leaving_from_message(message):
-            self._callbacks.leaving(engine)
         if message.loads:
             report = self._assembler.take(message)
             if report is not None:
