A node is ready once it has a proof that its configuration is the newest

Cause: it is ready with any configuration, such as another node's copy of before the outage, but keys need a proof. Ordinary starts are as quick as before: the first reading is a proof.

--- a/liftrill/gateway/configuration_view.py
+++ b/liftrill/gateway/configuration_view.py
@@ -51,6 +51,11 @@
         """Return the seconds since the question whose answer proved currency."""
         return now - self._proven_at
 
+    @property
+    def was_proven(self) -> bool:
+        """Whether a configuration is known that was the newest at some time."""
+        return self.current is not None and self._proven_at > -math.inf
+
     def is_proven(self, now: float) -> bool:
         """Return whether a request with a key may be served."""
         return self.proof_age(now) < self.proof_lifetime
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -196,8 +196,12 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this node serves callers."""
-        return not self.stopping and self.view.current is not None and len(self._engines) > 0
+        """Whether this node serves callers.
+
+        One that starts while the store is away may have another node's copy, and refuses all
+        callers with a key until it, too, has a proof.
+        """
+        return not self.stopping and self.view.was_proven and len(self._engines) > 0
 
     @property
     def sheds_connections(self) -> bool:
