--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -130,7 +130,7 @@
 
   Scenario: An engine that leaves is not ordered to load, nor one that says so before its order
     Given a node that knows engines a and b with the weights of version 1
-    When version 2 of the weights is named
+    When the rollout hears of version 2 of the weights
     And a says that it leaves before its load is announced, and b after it
     Then neither is ordered to load, nor asked whether it has
 
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -290,7 +290,7 @@
     assert choice_after(context, seconds) is Unavailable.NONE_READY
 
 
-@when("version 2 of the weights is named")
+@when("the rollout hears of version 2 of the weights")
 def step_version_named(context):
     context.node.targets.name(WeightTarget("model", 2, 9), 0.0, age_known=True, now=0.0)
 
