--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -111,9 +111,11 @@
         if node is None:
             return
         with self._fleet.timeline.trouble(node.name, stands=True):
+            told_at = time.monotonic()
             node.signal(signal.SIGTERM)
             with suppress(TimeoutError):
                 await asyncio.wait_for(node.process.wait(), 9.0)
+                self._fleet.timeline.note_stop(node.name, told_at)
             await node.stop()
             await self._fleet.start_node(node)
 
--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -7,6 +7,8 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
 NOT_RUN = (408, 421, 429, 503)
 EVENTS_OF_A_STREAM = 4
+# What is sent later before a process is gone meets a connection that is being closed.
+EXIT_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -18,6 +20,7 @@
         body: as much of it as came.
         sent_at: steady clock, seconds.
         node: to which it was sent; no other one sends it to engines.
+        connected: whether there was a connection to that node, of before or new.
     """
 
     request_id: str
@@ -29,6 +32,7 @@
     complete: bool
     node: str = ""
     sent_body: bytes = b""
+    connected: bool = True
 
 
 @dataclass(frozen=True)
@@ -64,6 +68,7 @@
                 runs.setdefault(arrival.attempt_id, []).append((engine, arrival))
     known = {call.request_id: call for call in calls}
     found = [v for call in calls for v in _check_call(call, runs.get(call.request_id, []))]
+    found += [v for call in calls for v in _check_stop(call, timeline)]
     found += [v for call in calls for v in _check_key(call, runs, timeline, bounds.revoke_s)]
     for request_id, of_id in runs.items():
         found += _check_runs(known.get(request_id), request_id, of_id)
@@ -90,6 +95,18 @@
     yield from _check_stream(call)
 
 
+def _check_stop(call, timeline):
+    """Find requests that a node which was told to stop took and did not answer."""
+    if call.status is not None or not call.connected:
+        return
+    for stop in timeline.stops:
+        if stop.node == call.node and stop.told_at <= call.sent_at < stop.gone_at - EXIT_S:
+            left_s = stop.gone_at - call.sent_at
+            yield Violation(
+                "a node that stops answers", call.request_id, f"gone {left_s:.2f} s later"
+            )
+
+
 def _check_stream(call):
     numbers = [int(number) for number, _ in EVENT.findall(call.body)]
     if numbers != list(range(1, len(numbers) + 1)):
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -100,10 +100,14 @@
         self._random = random.Random(f"{seed}/calls")
         self._ids = itertools.count(1)
         self._over = False
+        self._session = None
 
     async def run(self):
         """Play the soak and return its violations."""
-        async with self.fleet.deployment:
+        # Callers keep their connections open until a node closes them or is gone.
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self._seconds)
+        async with self.fleet.deployment, aiohttp.ClientSession(connector=connector) as session:
+            self._session = session
             await self.fleet.start()
             callers = [asyncio.ensure_future(self._call_on()) for _ in range(CALLERS)]
             if self._deadly is not None:
@@ -183,9 +187,20 @@
             **(prompt_headers("model-1") if route in ("stream", "resume") else {}),
         }
         sent_at = time.monotonic()
-        status, answer, complete = await self._send(node, route, headers, body)
+        status, answer, complete, connected = await self._send(node, route, headers, body)
         self.calls.append(
-            Call(request_id, route, key, sent_at, status, answer, complete, node.name, body)
+            Call(
+                request_id,
+                route,
+                key,
+                sent_at,
+                status,
+                answer,
+                complete,
+                node.name,
+                body,
+                connected,
+            )
         )
 
     def _key(self):
@@ -201,7 +216,7 @@
         body = b""
         status = None
         try:
-            async with self.fleet.deployment.session.request(
+            async with self._session.request(
                 method,
                 url,
                 headers=headers,
@@ -211,9 +226,11 @@
                 status = answer.status
                 async for data in answer.content.iter_any():
                     body += data
-                return status, body, True
+                return status, body, True, True
+        except aiohttp.ClientConnectorError:
+            return None, b"", False, False
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return status, body, False
+            return status, body, False, True
 
     # The end
 
@@ -240,7 +257,7 @@
                         node.name,
                     )
                 )
-                status, _, _ = await self._send(node, "safe", headers)
+                status, _, _, _ = await self._send(node, "safe", headers)
                 if status != 200:
                     return False
             return True
--- a/features/soak/timeline.py
+++ b/features/soak/timeline.py
@@ -33,6 +33,15 @@
         return self.node in ("", node)
 
 
+@dataclass(frozen=True)
+class Stop:
+    """A node that was told to end, and ended by itself without another trouble."""
+
+    node: str
+    told_at: float
+    gone_at: float
+
+
 @dataclass
 class Timeline:
     """When the store took what must be known soon, and what kept nodes from knowing it.
@@ -42,12 +51,14 @@
         left_at: by engine, when the store took its word that it leaves, or else its
             record's removal.
         named_at: by version, when the store took its naming.
+        stops: of nodes that were told to end.
         faults: when each fault was begun, and its name.
     """
 
     revoked_at: dict = field(default_factory=dict)
     left_at: dict = field(default_factory=dict)
     named_at: dict = field(default_factory=dict)
+    stops: list = field(default_factory=list)
     faults: list = field(default_factory=list)
     troubles: list = field(default_factory=list)
 
@@ -61,6 +72,12 @@
             ended_at = time.monotonic()
             self.troubles.append(Trouble(node, begun_at, ended_at, stands=stands))
 
+    def note_stop(self, node, told_at):
+        """Note that a node which was told to end is gone, if nothing else befell it meanwhile."""
+        now = time.monotonic()
+        if not any(t.node == node and t.stands and t.ended_at > told_at for t in self.troubles):
+            self.stops.append(Stop(node, told_at, now))
+
     def note_silence(self):
         """Note that all connections to the store that are open now have gone silent."""
         now = time.monotonic()
