A node that joins keeps what it is told of engines whose records it has not read yet

Cause: the others tell a joiner within milliseconds, before it has read any record, and what was said of an engine without one was dropped; they also told only what their own copies lacked by then. Change: weights are kept with the incarnation's standing, as leaving is, and withheld positions until the record comes. Three nodes tell of all weights at once, the others of what the records lack. The feature's outline has both orders.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -71,12 +71,17 @@
     When the record of a goes, a peer tells that it leaves, and the record is back
     Then b alone is in use
 
-  Scenario: A node that joins is told what it can't read in the store
+  Scenario Outline: A node that joins is told what it can't read in the store
     Given a node that knows that a leaves, uses no record of b, and saw version 2 of the weights at c
-    When a node that has read older records joins, and is told
+    When a node that has <read>
     Then it uses c alone, with version 2 of the weights
     And b too once its record is written again
 
+    Examples:
+      | read                                                        |
+      | read older records joins, and is told                       |
+      | read nothing joins, is told, and reads older records then   |
+
   Scenario: What is remembered is bounded
     Given a node that knows engines a and b with the weights of version 1
     When 5000 other engines say that they leave, and a says so
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -371,11 +371,23 @@
 @when("a node that has read older records joins, and is told")
 def step_joiner(context):
     context.joiner = known_engines()
+    tell_joiner(context)
+
+
+@when("a node that has read nothing joins, is told, and reads older records then")
+def step_new_joiner(context):
+    context.joiner = EngineTable()
+    tell_joiner(context)
+    for name in ("a", "b", "c"):
+        context.joiner.update(engine_record(name, weights={"model": 1}, revision=5))
+
+
+def tell_joiner(context):
     for datagram in datagrams_from_news(context.teller.unwritten()):
         news = news_from_message(parse_message(datagram.SerializeToString()))
         for engine in news.leaving:
             context.joiner.hear(EngineWord(engine, "peer", leaving=True), 0.0)
-        context.joiner.learn_unwritten(news)
+        context.joiner.learn_unwritten(news, 0.0)
 
 
 @then("it uses c alone, with version 2 of the weights")
--- a/liftrill/gateway/engines/engine_news.py
+++ b/liftrill/gateway/engines/engine_news.py
@@ -19,14 +19,9 @@
 
 @dataclass(frozen=True, slots=True)
 class SeenWeights:
-    """Weights that an engine was seen to have.
+    """Weights that an engine was seen to have."""
 
-    Attributes:
-        number: of the incarnation that is meant, or 0 where engines do not tell theirs.
-    """
-
-    engine_id: str
-    number: int
+    engine: EngineAddress
     model: str
     version: int
 
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -9,7 +9,12 @@
 from liftrill.coordination.circuit import CircuitBreaker
 from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_news import EngineNews, SeenWeights, WithheldRecord
-from liftrill.gateway.engines.engine_standing import EngineStanding, EngineStandings, EngineWord
+from liftrill.gateway.engines.engine_standing import (
+    MOST_REMEMBERED,
+    EngineStanding,
+    EngineStandings,
+    EngineWord,
+)
 from liftrill.gateway.engines.service_model import EngineModel
 from liftrill.gateway.records import EngineRecord
 
@@ -210,6 +215,8 @@
         self._births_told = False
         self.services: frozenset[str] = frozenset()
         self.standings = EngineStandings()
+        # By engine: up to which position records that are not read yet are withheld.
+        self._withheld: dict[str, int] = {}
 
     def __iter__(self) -> Iterator[EngineView]:
         return iter(self._views.values())
@@ -263,6 +270,8 @@
             view.standing = self.standings.of(view.at)
             self._by_number[view.number] = view
         view.take(record)
+        if record.revision <= self._withheld.pop(record.engine_id, -1):
+            view.withdrawn = True
         if view.standing.leaving:
             self.standings.keep(view.at, view.standing, clock.now_s())
         return view
@@ -290,25 +299,41 @@
         """Return the engines that said that they leave, in an answer or a record."""
         return [view.at for view in self if view.standing.leaving]
 
-    def unwritten(self) -> EngineNews:
-        """Return what this node knows of engines and their records do not say."""
+    def unwritten(self, with_all_weights: bool = False) -> EngineNews:
+        """Return what this node knows of engines and their records do not say.
+
+        With all weights: also those that the records, as this node has read them, do say.
+        """
         withheld = [WithheldRecord(v.engine_id, v.record.revision) for v in self if v.withdrawn]
         weights = [
-            SeenWeights(view.engine_id, view.told_number, model, version)
+            SeenWeights(view.at, model, version)
             for view in self
             for model, version in view.weights.items()
-            if version > view.record.weights.get(model, 0)
+            if with_all_weights or version > view.record.weights.get(model, 0)
         ]
         return EngineNews(tuple(self.leaving()), tuple(withheld), tuple(weights))
 
-    def learn_unwritten(self, news: EngineNews) -> list[WithheldRecord]:
-        """Take in what another node knows; return the records that are used no more for it."""
+    def learn_unwritten(self, news: EngineNews, now: float) -> list[WithheldRecord]:
+        """Take in what another node knows; return the records that are used no more for it.
+
+        Also of engines whose records this node has not read yet: who joins is told before that.
+        """
         for seen in news.weights:
-            view = self._views.get(seen.engine_id)
-            if view is not None and view.is_meant_by(seen.number):
-                view.learn_weights(seen.model, seen.version)
+            self._learn_weights(seen, now)
+        for row in news.withheld:
+            if self._views.get(row.engine_id) is None and len(self._withheld) < MOST_REMEMBERED:
+                self._withheld[row.engine_id] = row.revision
         return [row for row in news.withheld if self.withdraw(row.engine_id, row.revision)]
 
+    def _learn_weights(self, seen: SeenWeights, now: float) -> None:
+        view = self._meant(seen.engine)
+        if view is not None:
+            view.learn_weights(seen.model, seen.version)
+            return
+        standing = self.standings.of(seen.engine)
+        standing.weights[seen.model] = max(seen.version, standing.weights.get(seen.model, 0))
+        self.standings.keep(seen.engine, standing, now)
+
     def _meant(self, engine: EngineAddress) -> EngineView | None:
         """Return the view of an incarnation, if it has a record."""
         view = self._views.get(engine.engine_id)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -71,9 +71,11 @@
 
 # A lateness that callers feel is seen within three beats.
 HOUSEKEEPING_SECONDS = 0.3
-# When a node that joins is told of engines to leave alone: at once, and again once the others have
-# heard of a return of the store that came just then. Datagrams are lost now and then, too.
-JOINER_TOLD_AFTER_S = (0.0, 0.3, 1.0)
+# When a node that joins is told again of engines to leave alone: once the others have heard of a
+# return of the store that came just then. Datagrams are lost now and then, too.
+JOINER_TOLD_AFTER_S = (0.3, 1.0)
+# How many nodes tell it of all weights: 20 KB each for 300 engines.
+JOINER_TELLERS = 3
 # Lines of one beat on nodes that are named less: with more of them it is the zone that is busy.
 MOST_CHANGES_TOLD = 3
 # A record lapses three beats after its engine's last one, which came at most one beat before
@@ -492,6 +494,7 @@
             # It may have started after others were told, and the store may have come back from
             # an older copy: what that lacks nobody but the other nodes can tell it.
             loop = asyncio.get_running_loop()
+            self._tell_joiner(member.node_id, self._briefs(member))
             for wait_s in JOINER_TOLD_AFTER_S:
                 loop.call_later(wait_s, self._tell_joiner, member.node_id)
         if member.condition >= Condition.DEAD:
@@ -505,8 +508,18 @@
             incarnation=member.incarnation,
         )
 
-    def _tell_joiner(self, node: str) -> None:
-        self._peers.tell_news(self._engines.unwritten(), node)
+    def _briefs(self, joiner: Member) -> bool:
+        """Return whether this node is one of the few that tell a joiner of all weights.
+
+        It may read a store's older copy before anybody else does, and asks engines for weights
+        that they have no more.
+        """
+        tellers = [m for m in self._membership.members() if m.node_id != joiner.node_id]
+        few = ranked(joiner.node_id.encode(), tellers)[:JOINER_TELLERS]
+        return self.settings.node in {member.node_id for member in few}
+
+    def _tell_joiner(self, node: str, with_all_weights: bool = False) -> None:
+        self._peers.tell_news(self._engines.unwritten(with_all_weights), node)
 
     def hear_engine(self, word: EngineWord) -> None:
         """Take in what an engine says of itself in an answer to this node."""
@@ -521,7 +534,7 @@
         for engine in news.leaving:
             if self._engines.hear(EngineWord(engine, "peer", leaving=True), clock.now_s()):
                 self._note_leaving(engine, "peer")
-        for record in self._engines.learn_unwritten(news):
+        for record in self._engines.learn_unwritten(news, clock.now_s()):
             self.log.belief("engine_withheld", engine=record.engine_id, revision=record.revision)
 
     def _note_leaving(self, engine: EngineAddress, source: str) -> None:
--- a/liftrill/gateway/peers/notice_codec.py
+++ b/liftrill/gateway/peers/notice_codec.py
@@ -57,7 +57,11 @@
     ]
     weights = [
         messages.SeenWeights(
-            engine_id=seen.engine_id, engine=seen.number, model=seen.model, version=seen.version
+            engine_id=seen.engine.engine_id,
+            engine=seen.engine.number,
+            address=seen.engine.address,
+            model=seen.model,
+            version=seen.version,
         )
         for seen in news.weights
     ]
@@ -74,8 +78,11 @@
         tuple(leaving_from_message(message)),
         tuple(WithheldRecord(row.engine_id, row.revision) for row in message.withheld),
         tuple(
-            SeenWeights(row.engine_id, row.engine, row.model, row.version)
+            SeenWeights(
+                EngineAddress(row.engine_id, row.address, row.engine), row.model, row.version
+            )
             for row in message.seen_weights
+            if row.engine
         ),
     )
 
