--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -31,7 +31,6 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
-from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_news import EngineNews
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_standing import EngineWord
@@ -46,6 +45,7 @@
 from liftrill.gateway.peers.able_nodes import ranked
 from liftrill.gateway.peers.busy_node import BusyNode
 from liftrill.gateway.peers.caller_directory import CallerDirectory
+from liftrill.gateway.peers.engine_gossip import EngineGossip
 from liftrill.gateway.peers.load_board import LoadBoard
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads, topology_for
 from liftrill.gateway.peers.node_capacity import NodeCapacities, NodeCapacity
@@ -71,11 +71,6 @@
 
 # A lateness that callers feel is seen within three beats.
 HOUSEKEEPING_SECONDS = 0.3
-# When a node that joins is told again of engines to leave alone: once the others have heard of a
-# return of the store that came just then. Datagrams are lost now and then, too.
-JOINER_TOLD_AFTER_S = (0.3, 1.0)
-# How many nodes tell it of all weights: 20 KB each for 300 engines.
-JOINER_TELLERS = 3
 # Lines of one beat on nodes that are named less: with more of them it is the zone that is busy.
 MOST_CHANGES_TOLD = 3
 # A record lapses three beats after its engine's last one, which came at most one beat before
@@ -178,6 +173,7 @@
             self._on_quarantined,
         )
         self._peers = PeerLink(self._membership, callbacks)
+        self._gossip = EngineGossip(engines, self._membership, self._peers, self.log, metrics)
         self._quarantine_records = QuarantineRecords(store, self._follower.mirror, log)
         self._quarantine = Quarantine(engines, log, metrics, self._peers, self._quarantine_records)
         ports = ForwardingPorts(selector, self._allowance, self._quotas, self._quarantine)
@@ -491,12 +487,7 @@
         self._allowance.nodes = max(self._allowance.nodes, alive)
         self._fleet.note(alive, clock.now_s())
         if member.condition is Condition.ALIVE:
-            # It may have started after others were told, and the store may have come back from
-            # an older copy: what that lacks nobody but the other nodes can tell it.
-            loop = asyncio.get_running_loop()
-            self._tell_joiner(member.node_id, self._briefs(member))
-            for wait_s in JOINER_TOLD_AFTER_S:
-                loop.call_later(wait_s, self._tell_joiner, member.node_id)
+            self._gossip.tell_joiner(member)
         if member.condition >= Condition.DEAD:
             self._silence.forget(member.node_id)
             self._capacities.forget(member.node_id)
@@ -508,45 +499,12 @@
             incarnation=member.incarnation,
         )
 
-    def _briefs(self, joiner: Member) -> bool:
-        """Return whether this node is one of the few that tell a joiner of all weights.
-
-        It may read a store's older copy before anybody else does, and asks engines for weights
-        that they have no more.
-        """
-        tellers = [m for m in self._membership.members() if m.node_id != joiner.node_id]
-        few = ranked(joiner.node_id.encode(), tellers)[:JOINER_TELLERS]
-        return self.settings.node in {member.node_id for member in few}
-
-    def _tell_joiner(self, node: str, with_all_weights: bool = False) -> None:
-        self._peers.tell_news(self._engines.unwritten(with_all_weights), node)
-
     def hear_engine(self, word: EngineWord) -> None:
         """Take in what an engine says of itself in an answer to this node."""
-        self.metrics.count_word(word)
-        if word.rest_s:
-            self.log.engine_rests(word)
-        if self._engines.hear(word, clock.now_s()):
-            self._note_leaving(word.engine, word.source)
-            self._peers.tell_leaving([word.engine])
+        self._gossip.hear(word)
 
     def _on_engine_news(self, news: EngineNews) -> None:
-        for engine in news.leaving:
-            if self._engines.hear(EngineWord(engine, "peer", leaving=True), clock.now_s()):
-                self._note_leaving(engine, "peer")
-        for record in self._engines.learn_unwritten(news, clock.now_s()):
-            self.log.belief("engine_withheld", engine=record.engine_id, revision=record.revision)
-
-    def _note_leaving(self, engine: EngineAddress, source: str) -> None:
-        view = self._engines.get(engine.engine_id)
-        self.log.belief(
-            "engine_leaves",
-            engine=engine.engine_id,
-            address=engine.address,
-            source=source,
-            revision=view.record.revision if view else None,
-            born_unix_ms=view.record.born_unix_ms if view else None,
-        )
+        self._gossip.take_news(news)
 
     def _on_notice(self, notice: EngineNotice) -> None:
         until = clock.now_s() + constants.LOADING_BELIEF_SECONDS
