--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -8,6 +8,7 @@
 import aiohttp
 from behave import given, then, when
 
+from features.standin import sleeper
 from liftrill.coordination.range_store import (
     ConditionFailedError,
     HistoryGoneError,
@@ -73,9 +74,17 @@
     context.started = await beside if beside is not None else None
 
 
+async def restart_leader(deployment):
+    return await restart(deployment, leads=True)
+
+
 async def restart_follower(deployment):
+    return await restart(deployment, leads=False)
+
+
+async def restart(deployment, leads):
     leader = (deployment.store.value("liftrill/leader") or b"").decode()
-    node = next(node for node in deployment.nodes if node.name != leader)
+    node = next(node for node in deployment.nodes if (node.name == leader) == leads)
     await node.stop()
     await node.start()
     await deployment.ready(node)
@@ -89,6 +98,13 @@
     node.signal(signal.SIGCONT)
 
 
+async def sleep_through(deployment):
+    node = deployment.nodes[-1]
+    node.signal(signal.SIGSTOP)
+    await asyncio.sleep(STOOD_STILL_S)
+    node.wake(STOOD_STILL_S)
+
+
 async def add_node(deployment):
     await deployment.add_node("node-5")
 
@@ -101,6 +117,8 @@
 
 
 TROUBLES = {
+    "the leader is killed and starts again": restart_leader,
+    "the machine sleeps": sleep_through,
     "a node that does not lead is killed and starts again": restart_follower,
     "a node stands still": stand_still,
     "another node starts": add_node,
@@ -108,6 +126,17 @@
 }
 
 
+@given("{count:d} nodes, the last on a machine that may sleep")
+def step_nodes_and_sleeper(context, count):
+    async def add():
+        for number in range(1, count + 1):
+            wrapper = [sleeper.__file__] if number == count else ()
+            node = await context.deployment.add_node(f"node-{number}", wrapper=wrapper)
+            await context.deployment.ready(node)
+
+    context.run(add())
+
+
 @when(
     "keys, weights and engines change, and the store is away for {away:g} s"
     " and back from a copy {age:g} s old, while {trouble}"
