--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -15,7 +15,7 @@
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_standing import EngineStanding, EngineWord
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable
-from liftrill.gateway.peers.notice_codec import datagrams_from_news, news_from_message
+from liftrill.gateway.peers.notice_codec import datagrams_from_update, update_from_message
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.weight_rollout import GiveOrder
 from liftrill.node.membership_codec import parse_message
@@ -383,11 +383,11 @@
 
 
 def tell_joiner(context):
-    for datagram in datagrams_from_news(context.teller.unwritten()):
-        news = news_from_message(parse_message(datagram.SerializeToString()))
-        for engine in news.leaving:
+    for datagram in datagrams_from_update(context.teller.unwritten()):
+        update = update_from_message(parse_message(datagram.SerializeToString()))
+        for engine in update.leaving:
             context.joiner.hear(EngineWord(engine, "peer", leaving=True), 0.0)
-        context.joiner.learn_unwritten(news, 0.0)
+        context.joiner.learn_unwritten(update, 0.0)
 
 
 @then("it uses c alone, with version 2 of the weights")
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -8,13 +8,13 @@
 from liftrill import clock, constants
 from liftrill.coordination.circuit import CircuitBreaker
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.engine_news import EngineNews, SeenWeights, WithheldRecord
 from liftrill.gateway.engines.engine_standing import (
     MOST_REMEMBERED,
     EngineStanding,
     EngineStandings,
     EngineWord,
 )
+from liftrill.gateway.engines.engine_update import EngineUpdate, SeenWeights, WithheldRecord
 from liftrill.gateway.engines.service_model import EngineModel
 from liftrill.gateway.records import EngineRecord
 
@@ -299,7 +299,7 @@
         """Return the engines that said that they leave, in an answer or a record."""
         return [view.at for view in self if view.standing.leaving]
 
-    def unwritten(self, with_all_weights: bool = False) -> EngineNews:
+    def unwritten(self, with_all_weights: bool = False) -> EngineUpdate:
         """Return what this node knows of engines and their records do not say.
 
         With all weights: also those that the records, as this node has read them, do say.
@@ -311,19 +311,19 @@
             for model, version in view.weights.items()
             if with_all_weights or version > view.record.weights.get(model, 0)
         ]
-        return EngineNews(tuple(self.leaving()), tuple(withheld), tuple(weights))
+        return EngineUpdate(tuple(self.leaving()), tuple(withheld), tuple(weights))
 
-    def learn_unwritten(self, news: EngineNews, now: float) -> list[WithheldRecord]:
+    def learn_unwritten(self, update: EngineUpdate, now: float) -> list[WithheldRecord]:
         """Take in what another node knows; return the records that are used no more for it.
 
         Also of engines whose records this node has not read yet: who joins is told before that.
         """
-        for seen in news.weights:
+        for seen in update.weights:
             self._learn_weights(seen, now)
-        for row in news.withheld:
+        for row in update.withheld:
             if self._views.get(row.engine_id) is None and len(self._withheld) < MOST_REMEMBERED:
                 self._withheld[row.engine_id] = row.revision
-        return [row for row in news.withheld if self.withdraw(row.engine_id, row.revision)]
+        return [row for row in update.withheld if self.withdraw(row.engine_id, row.revision)]
 
     def _learn_weights(self, seen: SeenWeights, now: float) -> None:
         view = self._meant(seen.engine)
--- a/liftrill/gateway/engines/engine_news.py
+++ b/liftrill/gateway/engines/engine_update.py
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineNews:
+class EngineUpdate:
     """What a node that joins can't read in the store.
 
     Attributes:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -31,10 +31,10 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
-from liftrill.gateway.engines.engine_news import EngineNews
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
+from liftrill.gateway.engines.engine_update import EngineUpdate
 from liftrill.gateway.fleet_record import FleetRecord
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
@@ -163,7 +163,7 @@
             self._on_member,
             self._currency.hear_version,
             self._on_notice,
-            self._on_engine_news,
+            self._on_engine_update,
             self._on_loads,
             self._on_speeds,
             self._on_reading,
@@ -503,8 +503,8 @@
         """Take in what an engine says of itself in an answer to this node."""
         self._gossip.hear(word)
 
-    def _on_engine_news(self, news: EngineNews) -> None:
-        self._gossip.take_news(news)
+    def _on_engine_update(self, update: EngineUpdate) -> None:
+        self._gossip.apply_update(update)
 
     def _on_notice(self, notice: EngineNotice) -> None:
         until = clock.now_s() + constants.LOADING_BELIEF_SECONDS
--- a/liftrill/gateway/peers/engine_gossip.py
+++ b/liftrill/gateway/peers/engine_gossip.py
@@ -8,9 +8,9 @@
 from liftrill.coordination.rendezvous import rank
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.engine_news import EngineNews
 from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.engines.engine_update import EngineUpdate
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.peers.peer_link import PeerLink
 
@@ -47,13 +47,13 @@
             self._note_leaving(word.engine, word.source)
             self._peers.tell_leaving([word.engine])
 
-    def take_news(self, news: EngineNews) -> None:
+    def apply_update(self, update: EngineUpdate) -> None:
         """Take in what a peer tells."""
         now = clock.now_s()
-        for engine in news.leaving:
+        for engine in update.leaving:
             if self._engines.hear(EngineWord(engine, "peer", leaving=True), now):
                 self._note_leaving(engine, "peer")
-        for record in self._engines.learn_unwritten(news, now):
+        for record in self._engines.learn_unwritten(update, now):
             self._log.belief("engine_withheld", engine=record.engine_id, revision=record.revision)
 
     def tell_joiner(self, joiner: Member) -> None:
@@ -79,7 +79,7 @@
         return self._membership.own.node_id in few
 
     def _tell(self, node: str, with_all_weights: bool = False) -> None:
-        self._peers.tell_news(self._engines.unwritten(with_all_weights), node)
+        self._peers.send_update(self._engines.unwritten(with_all_weights), node)
 
     def _note_leaving(self, engine: EngineAddress, source: str) -> None:
         view = self._engines.get(engine.engine_id)
--- a/liftrill/gateway/peers/notice_codec.py
+++ b/liftrill/gateway/peers/notice_codec.py
@@ -4,8 +4,8 @@
 from typing import TypeVar
 
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.engine_news import EngineNews, SeenWeights, WithheldRecord
 from liftrill.gateway.engines.engine_table import EngineNotice
+from liftrill.gateway.engines.engine_update import EngineUpdate, SeenWeights, WithheldRecord
 from liftrill.messages import peer_pb2 as messages
 
 # An engine takes some 60 bytes (worked out from the wire format): a datagram stays under 1,200.
@@ -49,11 +49,11 @@
     return [messages.Datagram(leaving=cut) for cut in _cuts(rows)]
 
 
-def datagrams_from_news(news: EngineNews) -> list[messages.Datagram]:
+def datagrams_from_update(update: EngineUpdate) -> list[messages.Datagram]:
     """Return the datagrams that tell a node that joins of engines."""
     withheld = [
         messages.WithheldRecord(engine_id=record.engine_id, revision=record.revision)
-        for record in news.withheld
+        for record in update.withheld
     ]
     weights = [
         messages.SeenWeights(
@@ -63,18 +63,18 @@
             model=seen.model,
             version=seen.version,
         )
-        for seen in news.weights
+        for seen in update.weights
     ]
     return [
-        *datagrams_from_leaving(news.leaving),
+        *datagrams_from_leaving(update.leaving),
         *(messages.Datagram(withheld=cut) for cut in _cuts(withheld)),
         *(messages.Datagram(seen_weights=cut) for cut in _cuts(weights)),
     ]
 
 
-def news_from_message(message: messages.Datagram) -> EngineNews:
+def update_from_message(message: messages.Datagram) -> EngineUpdate:
     """Return what a datagram tells of engines; those that leave and have no number are left out."""
-    return EngineNews(
+    return EngineUpdate(
         tuple(leaving_from_message(message)),
         tuple(WithheldRecord(row.engine_id, row.revision) for row in message.withheld),
         tuple(
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -23,8 +23,8 @@
 from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.gateway import ticks
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.engine_news import EngineNews
 from liftrill.gateway.engines.engine_table import EngineNotice
+from liftrill.gateway.engines.engine_update import EngineUpdate
 from liftrill.gateway.peers.load_codec import (
     ReportAssembler,
     datagrams_from_report,
@@ -34,9 +34,9 @@
 from liftrill.gateway.peers.notice_codec import (
     datagram_from_notices,
     datagrams_from_leaving,
-    datagrams_from_news,
-    news_from_message,
+    datagrams_from_update,
     notice_from_message,
+    update_from_message,
 )
 from liftrill.gateway.peers.turn_words import TurnWords
 from liftrill.gateway.quarantine_codec import (
@@ -72,7 +72,7 @@
     member_changed: Callable[[Member], None]
     newer_version: Callable[[int], None]
     notice: Callable[[EngineNotice], None]
-    engine_news: Callable[[EngineNews], None]
+    engine_update: Callable[[EngineUpdate], None]
     loads: Callable[[LoadReport], None]
     speeds: Callable[[LoadReport], None]
     reading_begun: Callable[[int, int], None]
@@ -186,9 +186,9 @@
         for message in datagrams_from_leaving(engines):
             self._repeat(message)
 
-    def tell_news(self, news: EngineNews, node: str) -> None:
+    def send_update(self, update: EngineUpdate, node: str) -> None:
         """Tell one member, once, what records of engines do not say."""
-        for message in datagrams_from_news(news):
+        for message in datagrams_from_update(update):
             self._send_to(message, node)
 
     def _repeat(self, message: messages.Datagram, node: str = "") -> None:
@@ -244,7 +244,7 @@
         elif message.speeds:
             self._callbacks.speeds(speeds_from_message(message))
         elif message.leaving or message.withheld or message.seen_weights:
-            self._callbacks.engine_news(news_from_message(message))
+            self._callbacks.engine_update(update_from_message(message))
         elif message.notices or message.loads:
             self._take_word(message)
         else:
