--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import itertools
-import signal
 import time
 
-import aiohttp
 from behave import given, then, when
 
-from features.standin import sleeper
+from features.store_drill import (
+    drill,
+    key_in_force,
+    loaded,
+    restore,
+    write_again,
+    write_what_will_be_lost,
+)
 from liftrill.coordination.range_store import (
     ConditionFailedError,
     HistoryGoneError,
@@ -31,16 +36,7 @@
 )
 from liftrill.messages import peer_pb2 as messages
 
-SERVED = 200
 LARGE_LEASE = (1 << 63) + 7
-# From the store's return until what was written is written again (own choice).
-WRITTEN_AGAIN_AFTER_S = 0.3
-# Records written in the time that the copy lacks: many more than are written right after it.
-LOST_RECORDS = 200
-POLL_S = 0.05
-# Until after the return, which comes 0.8 s after the troubles begin.
-STOOD_STILL_S = 1.2
-ANSWERED_LATER_S = 0.8 + 1.5
 
 
 @given("a store that tells its era")
@@ -58,107 +54,6 @@
     context.run(drill(context, away, age))
 
 
-async def drill(context, away, age, trouble=None):
-    deployment = context.deployment
-    context.said_at = time.monotonic()
-    write_what_will_be_lost(deployment.store)
-    context.left = [deployment.engines[name] for name in ("desk-0", "desk-1")]
-    deployment.record(context.left[0], "draining")
-    deployment.store.remove("servers/desk-1")
-    deployment.name_weights(2)
-    deployment.configure(6, keys=("key-of-tenant-1", "key-2"))
-    await asyncio.sleep(age - away - 1.0)
-    beside = asyncio.ensure_future(trouble(deployment)) if trouble else None
-    await restore(deployment.store, away, age)
-    context.back_at = time.monotonic()
-    context.started = await beside if beside is not None else None
-
-
-async def restart_leader(deployment):
-    return await restart(deployment, leads=True)
-
-
-async def restart_follower(deployment):
-    return await restart(deployment, leads=False)
-
-
-async def restart(deployment, leads):
-    leader = (deployment.store.value("liftrill/leader") or b"").decode()
-    node = next(node for node in deployment.nodes if (node.name == leader) == leads)
-    await node.stop()
-    await node.start()
-    await deployment.ready(node)
-    return node.name, time.monotonic()
-
-
-async def stand_still(deployment):
-    node = deployment.nodes[1]
-    node.signal(signal.SIGSTOP)
-    await asyncio.sleep(STOOD_STILL_S)
-    node.signal(signal.SIGCONT)
-
-
-async def sleep_through(deployment):
-    node = deployment.nodes[-1]
-    node.signal(signal.SIGSTOP)
-    await asyncio.sleep(STOOD_STILL_S)
-    node.wake(STOOD_STILL_S)
-
-
-async def add_node(deployment):
-    await deployment.add_node("node-5")
-
-
-async def answer_two_later(deployment):
-    refused = deployment.store.refused_callers
-    refused.update(node.ip for node in deployment.nodes[:2])
-    await asyncio.sleep(ANSWERED_LATER_S)
-    refused.clear()
-
-
-TROUBLES = {
-    "the leader is killed and starts again": restart_leader,
-    "the machine sleeps": sleep_through,
-    "a node that does not lead is killed and starts again": restart_follower,
-    "a node stands still": stand_still,
-    "another node starts": add_node,
-    "the store answers two nodes 1.5 s later": answer_two_later,
-}
-
-
-@given("{count:d} nodes, the last on a machine that may sleep")
-def step_nodes_and_sleeper(context, count):
-    async def add():
-        for number in range(1, count + 1):
-            wrapper = [sleeper.__file__] if number == count else ()
-            node = await context.deployment.add_node(f"node-{number}", wrapper=wrapper)
-            await context.deployment.ready(node)
-
-    context.run(add())
-
-
-@when(
-    "keys, weights and engines change, and the store is away for {away:g} s"
-    " and back from a copy {age:g} s old, while {trouble}"
-)
-def step_drill_beside(context, away, age, trouble):
-    context.run(drill(context, away, age, TROUBLES[trouble]))
-
-
-def write_what_will_be_lost(store):
-    for number in range(LOST_RECORDS):
-        store.put(f"op/lost/{number}", {})
-
-
-async def restore(store, away, age):
-    """Let the store be away, and come back from a copy."""
-    store.fault = "reset"
-    store.cut_watches()
-    await asyncio.sleep(away)
-    store.restore(age)
-    store.fault = ""
-
-
 @when("what operators and engines wrote is written again, and then a further key and version")
 def step_again(context):
     context.run(write_again(context, 0))
@@ -169,54 +64,6 @@
     context.run(write_again(context, count))
 
 
-async def write_again(context, others):
-    deployment = context.deployment
-    for number in range(others):
-        deployment.store.put(f"op/other/{number}", {})
-    await asyncio.sleep(0.0 if others else WRITTEN_AGAIN_AFTER_S)
-    deployment.configure(6, keys=("key-of-tenant-1", "key-2"))
-    deployment.name_weights(2)
-    for engine in deployment.engines.values():
-        if engine not in context.left:
-            deployment.record(engine)
-    deployment.record(context.left[0], "draining")
-    deployment.configure(7, keys=("key-of-tenant-1", "key-2", "key-3"))
-    deployment.name_weights(3)
-    context.written_at = time.monotonic()
-    context.key_at = await key_in_force(context, "key-3")
-    context.loaded_at = await loaded(context, 3)
-    context.calling.cancel()
-    await asyncio.gather(*context.callers.tasks)
-
-
-async def key_in_force(context, key):
-    """Return after what time all nodes take a key, or infinity."""
-
-    async def taken(node):
-        try:
-            status, _, _, _ = await context.deployment.call(node, "/whole/x", key=key)
-        except aiohttp.ClientConnectorError:
-            # It has not started again yet.
-            return False
-        return status == SERVED
-
-    while time.monotonic() < context.written_at + 8.0:
-        if all(await asyncio.gather(*map(taken, context.deployment.nodes))):
-            return time.monotonic() - context.written_at
-        await asyncio.sleep(POLL_S)
-    return float("inf")
-
-
-async def loaded(context, version):
-    """Return after what time all engines have a version, or infinity."""
-    engines = [e for e in context.deployment.engines.values() if e.service == "llm"]
-    while time.monotonic() < context.written_at + 10.0:
-        if all(engine.weights["model-1"] == version for engine in engines):
-            return time.monotonic() - context.written_at
-        await asyncio.sleep(POLL_S)
-    return float("inf")
-
-
 @then("the further key is in force at all nodes within {seconds:g} s")
 def step_key(context, seconds):
     assert context.key_at <= seconds, context.key_at
@@ -237,24 +84,6 @@
         assert not late, (engine.engine_id, len(late), late[0], context.back_at - context.said_at)
 
 
-@then("no engine that had left got a request later than {seconds:g} s after the store was back")
-def step_left_after_return(context, seconds):
-    for engine in context.left:
-        late = [a.at - context.back_at for a in engine.arrivals if a.at > context.back_at + seconds]
-        assert not late, (engine.engine_id, len(late), late[0])
-
-
-@then("all of these callers were served, those of a node that started once it was ready")
-def step_served_once_ready(context):
-    name, ready_at = context.started
-    failed = [
-        call
-        for call in context.callers.calls
-        if call.status != SERVED and (call.node != name or call.at > ready_at)
-    ]
-    assert not failed, (len(failed), failed[0], ready_at)
-
-
 @when("versions are named while the store comes back from copies twice within {seconds:g} s")
 def step_two_drills(context, seconds):
     context.run(two_drills(context, seconds))
