Soak: a stop is judged only where the machine did not sleep meanwhile, and by callers that wait

Traced: callers of the hard load that read nothing of their answers by design (the node's log has 3 of the 6 as served), and calls to a node whose machine slept from before the stop on, which was noted at its end only. Neither is a caller left alone: the first are marked, the second is looked up at the end.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -44,6 +44,19 @@
       | a request on version 1 12 s after, 7.9 s after another node's trouble  | too late on its weights |
       | a request on version 1 12 s after, 7.9 s after connections went silent | in time                 |
 
+  Scenario Outline: The check finds what a node that was told to stop left unanswered
+    Given a history with a call <sent> s before its node was gone, which <what>
+    Then the check finds the stop <judged>
+
+    Examples:
+      | sent | what                                       | judged |
+      | 1.0  | got no answer                              | broken |
+      | 0.05 | got no answer                              | kept   |
+      | 3.1  | got no answer                              | kept   |
+      | 1.0  | was answered                               | kept   |
+      | 1.0  | got no answer, and its caller did not wait | kept   |
+      | 1.0  | got no answer, and the machine slept       | kept   |
+
   Scenario Outline: The check finds what requests under which engines end do beyond the bound
     Given three engines ended under a request, <what>
     Then the check of such requests finds "<found>"
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -110,8 +110,7 @@
         node = self._running_node(draw)
         if node is None:
             return
-        with self._fleet.timeline.trouble(node.name, stands=True):
-            told_at = time.monotonic()
+        with self._fleet.timeline.trouble(node.name, stands=True) as told_at:
             node.signal(signal.SIGTERM)
             with suppress(TimeoutError):
                 await asyncio.wait_for(node.process.wait(), 9.0)
--- a/features/soak/hard_load.py
+++ b/features/soak/hard_load.py
@@ -100,9 +100,8 @@
         with suppress(OSError):
             _, writer = await asyncio.open_connection(host, int(port), limit=1)
             now = time.monotonic()
-            self._calls.append(
-                Call(request_id, "resume", key, now, None, b"", False, node.name, body)
-            )
+            called = Call(request_id, "resume", key, now, None, b"", False, node.name, body, False)
+            self._calls.append(called)
             writer.write(_head(request_id, key, body))
             writer.write(body if whole else body[: len(body) // 2])
             await asyncio.sleep(lasts_s)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -187,7 +187,7 @@
             **(prompt_headers("model-1") if route in ("stream", "resume") else {}),
         }
         sent_at = time.monotonic()
-        status, answer, complete, connected = await self._send(node, route, headers, body)
+        status, answer, complete, waited = await self._send(node, route, headers, body)
         self.calls.append(
             Call(
                 request_id,
@@ -199,7 +199,7 @@
                 complete,
                 node.name,
                 body,
-                connected,
+                waited,
             )
         )
 
--- a/features/soak/timeline.py
+++ b/features/soak/timeline.py
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True)
 class Stop:
-    """A node that was told to end, and ended by itself without another trouble."""
+    """A node that was told to end, and ended by itself."""
 
     node: str
     told_at: float
@@ -67,16 +67,23 @@
         """Note what happens meanwhile as a trouble of one node, or of all."""
         begun_at = time.monotonic()
         try:
-            yield
+            yield begun_at
         finally:
             ended_at = time.monotonic()
             self.troubles.append(Trouble(node, begun_at, ended_at, stands=stands))
 
     def note_stop(self, node, told_at):
-        """Note that a node which was told to end is gone, if nothing else befell it meanwhile."""
-        now = time.monotonic()
-        if not any(t.node == node and t.stands and t.ended_at > told_at for t in self.troubles):
-            self.stops.append(Stop(node, told_at, now))
+        """Note that a node which was told to end is gone."""
+        self.stops.append(Stop(node, told_at, time.monotonic()))
+
+    def undisturbed_stops(self):
+        """Return the stops of nodes that stood still for no other reason meanwhile."""
+        return [stop for stop in self.stops if not any(self._disturb(stop))]
+
+    def _disturb(self, stop):
+        for trouble in self.troubles:
+            if trouble.node == stop.node and trouble.stands and trouble.begun_at != stop.told_at:
+                yield trouble.begun_at < stop.gone_at and trouble.ended_at > stop.told_at
 
     def note_silence(self):
         """Note that all connections to the store that are open now have gone silent."""
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,5 +1,6 @@
 """Steps on the soak: its check on made-up histories, and one short play."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -8,7 +9,7 @@
 from features.soak.engine_words import check_words
 from features.soak.history import Bounds, Call, check
 from features.soak.run import Modes, Soak
-from features.soak.timeline import SILENCE_RECOVERY_S, Timeline, Trouble
+from features.soak.timeline import SILENCE_RECOVERY_S, Stop, Timeline, Trouble
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 5))
 GOOD_HEADERS = {"X-Tenant": "tenant-1"}
@@ -144,6 +145,25 @@
 }
 
 
+@given("a history with a call {sent:g} s before its node was gone, which {what}")
+def step_stop(context, sent, what):
+    timeline = Timeline()
+    timeline.stops.append(Stop("n1", SINCE, SINCE + 3.0))
+    timeline.troubles.append(Trouble("n1", SINCE, SINCE + 4.0, stands=True))
+    if "slept" in what:
+        timeline.troubles.append(Trouble("n1", SINCE + 1.0, SINCE + 1.5, stands=True))
+    status = 200 if what == "was answered" else None
+    known = call("r1", "safe", status, sent_at=SINCE + 3.0 - sent, complete=status is not None)
+    calls = [replace(known, waited="did not wait" not in what)]
+    context.found = check(calls, [engine("e1")], timeline, BOUNDS)
+
+
+@then("the check finds the stop {judged}")
+def step_stop_judged(context, judged):
+    promises = {violation.promise for violation in context.found}
+    assert promises == ({"a node that stops answers"} if judged == "broken" else set()), promises
+
+
 @given("a history in which {what}")
 def step_history(context, what):
     timeline = Timeline(revoked_at={"key": 10.0} if "revoked" in what else {})
