A leader that hears of the store's return before it has read the copy leads on

Cause: a leader goes on at once after a return, without waiting as others do, if its lease was fresh. That was forgotten when its next step came before the copy was read: the key of before was still in its mirror, and counted as somebody's who leads now. As one that led before more nodes joined it is no candidate, so all waited 1.2 s and then 3.3 s (hold-off), and all engines had to load at once. Change: the key that was known as the store came back counts for nothing until it is gone. Feature: in virtual time, failed before.

--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -84,6 +84,13 @@
     And the leader finds that it cannot write
     Then the other one leads within 1 s
 
+  Scenario: A leader that hears of the store's return before it has read the copy leads on
+    Given a store and 2 contenders
+    When both contend
+    And the leader is no candidate any more, as more nodes have joined
+    And the store comes back from an older copy, which both hear before they read it
+    Then the same one leads again within 0.3 s, and may give orders at once
+
   Scenario: A frozen leader gives no order after its belief ends
     Given a store and 2 contenders
     When both contend
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -254,6 +254,32 @@
     assert leaders(context) == [context.other], context.store.items.get(LEADER_KEY)
 
 
+@when("the leader is no candidate any more, as more nodes have joined")
+def step_leader_no_candidate(context):
+    context.leader.candidate = False
+
+
+@when("the store comes back from an older copy, which both hear before they read it")
+def step_restored_unread(context):
+    store = context.store
+    store.drop_lease(store.items[LEADER_KEY].lease)
+    store.revision = position(2, 5)
+    for contender in context.contenders:
+        contender.leadership.store_restored()
+    for _ in range(8):
+        store.advance(TICK_SECONDS)
+        for contender in context.contenders:
+            context.run(contender.leadership.step())
+
+
+@then("the same one leads again within {seconds:g} s, and may give orders at once")
+def step_resumed(context, seconds):
+    run_contenders(context, seconds)
+    assert leaders(context) == [context.leader], leaders(context)
+    context.run(context.leader.leadership.activate())
+    assert context.leader.leadership.may_order(context.store.now)
+
+
 @given("the store loses the answer to the first write of a key")
 def step_lose_answer(context):
     context.store.lose_answers = 1
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -78,6 +78,8 @@
         self._quiet_until = 0.0
         self._stands_back_until = 0.0
         self._resumes = False
+        # The position of the leader's key that this node knew as the store came back, or 0.
+        self._former_key = 0
         self._renewed_at = -math.inf
         self._base_era: int | None = None
         self._active = False
@@ -198,6 +200,8 @@
         """
         self._store_lease = 0
         self._free_since = None
+        former = self._mirror.get(LEADER_KEY)
+        self._former_key = former.revision if former is not None else 0
         now = self._clock()
         # Within its time to live nobody else can have had the key.
         self._resumes = now - self._renewed_at < self._parameters.lease.time_to_live
@@ -260,6 +264,9 @@
     async def _contend(self) -> None:
         leader = self._mirror.get(LEADER_KEY)
         if leader is not None:
+            if leader.revision == self._former_key:
+                # The key of before the store's return: the copy without it is not read yet.
+                return
             self._free_since = None
             self._resumes = False
             await self._recognise(leader)
