After a return of the store each node reads the range once

Cause: the answer that tells the later era, or that the store is back, asks for another reading, also where it is the answer to the reading under way, or that one began just before. Change: both leave a reading under way alone. Its pages are of one era, or it is begun anew. Check added to the drill.

--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections import Counter
 
 from behave import given, then, when
 
@@ -84,6 +85,13 @@
         assert not late, (engine.engine_id, len(late), late[0], context.back_at - context.said_at)
 
 
+@then("the whole range was read at most {count:d} times in the {seconds:g} s after the return")
+def step_few_readings_after_return(context, count, seconds):
+    since = context.back_at
+    calls = [name for name, at in context.deployment.store.calls if since <= at < since + seconds]
+    assert calls.count("kv-range") <= count, Counter(calls)
+
+
 @when("versions are named while the store comes back from copies twice within {seconds:g} s")
 def step_two_drills(context, seconds):
     context.run(two_drills(context, seconds))
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -74,6 +74,7 @@
     Then the further key is in force at all nodes within 2 s
     And the further version is loaded by all engines within 8 s
     And no engine that had left got a request later than 2 s after its word, nor after the store was back
+    And the whole range was read at most 4 times in the 2 s after the return
     And all of these callers were served
 
   Scenario: Revisions that are given out again are not taken for what they were
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -389,8 +389,7 @@
     def store_era_began(self, era: int) -> None:
         """Note that an answer of the store names a later era: it came back from an older copy."""
         self._note_restored(era)
-        if self._follower.followed is None:
-            self._follower.read_again()
+        self._follower.era_began()
 
     def store_era_refused(self, era: int, told: str) -> None:
         """Note that an answer of the store is of an earlier era than is known, or tells none."""
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -108,6 +108,7 @@
         self._relay = RelayClient(self, limits)
         self._outage = StoreOutage()
         self._reread = True
+        self._reading = False
         self._try_store = False
         self._waiting: asyncio.Task[None] | None = None
         self._followed_since = 0.0
@@ -150,6 +151,14 @@
         elif self._reader_to_follow() is not None:
             self._interrupt()
 
+    def era_began(self) -> None:
+        """Read the range in the era that an answer of the store names.
+
+        A reading under way, which may have had that answer, is of one era or begun anew.
+        """
+        if self.followed is None and not self._reading:
+            self.read_again()
+
     def store_failed(self) -> None:
         """Note that the store did not answer a reading of this node, asked on a new connection."""
         if self.followed is None:
@@ -162,7 +171,8 @@
         if self.followed is None and self._outage.lost:
             # The store is back: the pause before the next try would only make the copy older.
             self._outage.note_answered()
-            self.read_again()
+            if not self._reading:
+                self.read_again()
 
     def _note_reading(self, revision: int, asked_at: float) -> None:
         self.currency.note_reading(revision, asked_at)
@@ -271,11 +281,14 @@
         self.mirror.begin_reading()
         asked_at = clock.now_s()
         known_at = self.mirror.at
+        self._reading = True
         try:
             first_at, change = await self._read_pages()
         except StoreError:
             self._outage.note_unread()
             raise
+        finally:
+            self._reading = False
         if first_at < known_at:
             raise StoreUnavailableError(f"its page of {first_at} is older than the copy")
         self._outage.note_answered()
