Engine limits: a line and a counter for each answer that names a limit

No decision changes. The logs of the incident could not tell whether an answer had named a limit, nor which number a node had received before it sent its next request; with the line and liftrill_engine_words_total{says="limit"} both are visible.

--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -106,6 +106,17 @@
             rest_s=word.rest_s,
         )
 
+    def engine_limit_named(self, word: EngineWord) -> None:
+        """Write that an answer of an engine names a limit."""
+        self._write_failure(
+            "engine_limit_named",
+            engine=word.engine.engine_id,
+            address=word.engine.address,
+            source=word.source,
+            status=word.status,
+            limit_per_s=word.limit_per_s,
+        )
+
     def request_abandoned(self, machine: DeliveryMachine) -> None:
         """Write that the caller left."""
         self._write_request("caller_gone", machine, ordinary=True)
--- a/liftrill/gateway/engines/engine_standing.py
+++ b/liftrill/gateway/engines/engine_standing.py
@@ -38,6 +38,7 @@
         status: the HTTP status of the answer, or 0.
         leaving: whether the engine is about to end, and wants no new work.
         rest_s: for how long it wants nothing from this node, or 0.
+        limit_per_s: how many requests a second it takes from all nodes together, or None.
     """
 
     engine: EngineAddress
@@ -45,6 +46,7 @@
     status: int = 0
     leaving: bool = False
     rest_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 @dataclass(slots=True)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -101,7 +101,9 @@
             registry=self.registry,
         )
         self.engine_words = self._counter(
-            "liftrill_engine_words", "Answers in which engines leave or want rest.", "says"
+            "liftrill_engine_words",
+            "Answers in which engines leave, want rest or name a limit.",
+            "says",
         )
         self.engine_ends = Counter(
             "liftrill_engine_ends",
@@ -149,11 +151,13 @@
         self.outcomes.labels(outcome).inc()
 
     def count_word(self, word: EngineWord) -> None:
-        """Count an answer in which an engine says that it leaves, or wants rest."""
+        """Count an answer in which an engine says that it leaves, wants rest or names a limit."""
         if word.leaving:
             self.engine_words.labels("leaving").inc()
         if word.rest_s:
             self.engine_words.labels("rest").inc()
+        if word.limit_per_s is not None:
+            self.engine_words.labels("limit").inc()
 
     def show_capacity(self, word: NodeWord, lag_s: float) -> None:
         """Show what this node can bear and bears."""
--- a/liftrill/gateway/peers/engine_gossip.py
+++ b/liftrill/gateway/peers/engine_gossip.py
@@ -44,6 +44,8 @@
         self._metrics.count_word(word)
         if word.rest_s:
             self._log.engine_rests(word)
+        if word.limit_per_s is not None:
+            self._log.engine_limit_named(word)
         if self._engines.hear(word, clock.now_s()):
             self._note_leaving(word.engine, word.source)
             self._peers.tell_leaving([word.engine])
