Engine limits: a feature that fails, three nodes before engines that name a limit

An engine of each kind names 1 or 4 requests a second while three more stand beside it: it gets 32 and 24 requests in 4 s from nodes that had passed on such an answer half a second before (7 and 22 allowed).

--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -25,6 +25,7 @@
         told_at: when the head of the answer was written, or None.
         said_leaving: whether the answer said that the engine leaves.
         rest_s: the rest that the answer asked for, or 0.
+        limit: the requests a second that the answer named, or "".
     """
 
     attempt_id: str
@@ -41,10 +42,12 @@
     told_at: float | None = None
     said_leaving: bool = False
     rest_s: float = 0.0
+    limit: str = ""
 
     def tell(self, headers):
         """Note what an answer says that is about to be written."""
         self.told_at = time.monotonic()
+        self.limit = headers.get("Server-Limit", "")
         self.said_leaving = headers.get("Server-Leaving") == "1"
         with suppress(ValueError):
             rest_s = float(headers.get("Retry-After", 0))
@@ -57,6 +60,8 @@
 
 # The kinds of answers in which an engine may say that it leaves.
 ANSWERS = frozenset(("whole", "head", "refusal", "report", "order"))
+# Those of them that answer a caller's request.
+LIMITED_ANSWERS = frozenset(("whole", "head", "refusal"))
 
 # Copies of runs that engines hold for each other, as ADDRESS/ID.
 copies = set()
@@ -77,6 +82,8 @@
         event_bytes: by which each event is longer than a short one.
         leaves_in: in which of its answers it says that it leaves: ANSWERS or some of them.
         rest: what it says in `Retry-After` to each request, all of which it turns away, or "".
+        limit: what it says in `Server-Limit`, or "".
+        limit_in: in which of its answers it says that.
     """
 
     engine_id: str
@@ -97,6 +104,8 @@
     born_unix_ms: int = 0
     leaves_in: frozenset = frozenset()
     rest: str = ""
+    limit: str = ""
+    limit_in: frozenset = LIMITED_ANSWERS
 
     def __post_init__(self):
         self.ended = asyncio.Event()
@@ -186,7 +195,9 @@
         return web.Response(status=421, headers=headers)
 
     def _said(self, answer):
-        return {"Server-Leaving": "1"} if answer in self.leaves_in else {}
+        leaving = {"Server-Leaving": "1"} if answer in self.leaves_in else {}
+        limit = {"Server-Limit": self.limit} if self.limit and answer in self.limit_in else {}
+        return leaving | limit
 
     def _shed(self, attempt_id):
         headers = {"X-Not-Executed": "1", **self._said("refusal")}
--- /dev/null
+++ b/features/steps/engine_limit_process_steps.py
@@ -0,0 +1,78 @@
+"""Steps on limits that engines name, with nodes as separate processes."""
+
+import time
+
+from behave import then, when
+
+# A header that nodes pass on: it tells an engine which node a request came through.
+NODE_HEADER = "X-Sent-Through"
+SERVED = 200
+WINDOW_S = 4.0
+# Nodes have to keep to a limit this long after they passed on an answer that names it.
+KNOWN_AFTER_S = 0.5
+# And all of them this long after it was first named.
+SETTLED_AFTER_S = 1.0
+# Requests that an engine may get at once, and what permits may be late.
+BURST, LATENESS_S = 2, 1.0
+
+
+@when("an engine of each kind names a limit of {limit} a second in its answers")
+def step_name_limit(context, limit):
+    engines = context.deployment.engines.values()
+    kinds = [[e for e in engines if e.service == service] for service in ("desk", "llm")]
+    context.limited = [max(kind, key=lambda engine: len(engine.arrivals)) for kind in kinds]
+    for engine in context.limited:
+        engine.limit = limit
+    context.said_at = time.monotonic()
+
+
+def known_since(engine):
+    """Return since when each node has passed on an answer that names a limit."""
+    since = {}
+    for arrival in engine.arrivals:
+        if arrival.limit and arrival.told_at is not None:
+            node = arrival.headers[NODE_HEADER]
+            since[node] = min(since.get(node, arrival.told_at), arrival.told_at)
+    return since
+
+
+def counted(context, engine):
+    """Return when requests arrived from nodes that knew of the limit."""
+    since = known_since(engine)
+    assert since, "no answer named a limit"
+    settled_at = min(since.values()) + SETTLED_AFTER_S
+    return [
+        arrival.at
+        for arrival in engine.arrivals
+        if arrival.at >= settled_at
+        and arrival.at >= since.get(arrival.headers[NODE_HEADER], arrival.at) + KNOWN_AFTER_S
+    ]
+
+
+def most_in_window(times, window_s):
+    return max((sum(t <= at < t + window_s for at in times) for t in times), default=0)
+
+
+@then("nodes that know the limit sent such an engine together no more than it allows")
+def step_kept(context):
+    for engine in context.limited:
+        limit = float(engine.limit)
+        most = most_in_window(counted(context, engine), WINDOW_S)
+        allowed = limit * (WINDOW_S + LATENESS_S) + BURST
+        assert most <= allowed, f"{engine.engine_id}: {most} in {WINDOW_S} s; {allowed} allowed"
+
+
+@then("at least half of what it allows was used")
+def step_used(context):
+    for engine in context.limited:
+        first, last = context.said_at + SETTLED_AFTER_S, time.monotonic()
+        used = sum(first <= arrival.at < last for arrival in engine.arrivals)
+        least = 0.5 * float(engine.limit) * (last - first) - 1
+        assert used >= least, f"{engine.engine_id}: {used} used of {2 * least:.0f}"
+
+
+@then("at least {share:g} of these callers were served")
+def step_share_served(context, share):
+    calls = [call for call in context.callers.calls if call.at > context.said_at]
+    served = sum(call.status == SERVED for call in calls)
+    assert served >= share * len(calls), (served, len(calls))
