Engine limits: one node issues the permits of an engine that names a limit

What was seen: an engine that named 1 request a second in its answers got 14 in 4 s from nodes that knew, all of them served, from all nodes alike.

The class: a bound that holds for all nodes together, kept by each alone or by none.

Change: a limit is kept by incarnation, apart from records. One node, by rendezvous over those alive, issues a permit for each request, spaced by the number; a node without one sends elsewhere. Before the first byte the permit is looked at once more.

Why it holds: every send passes the choice and the last look, and both ask for a permit; permits are spaced in one place. Two places only issue at once while membership spreads, and the sides of a cut issue by their share of the fleet.

--- /dev/null
+++ b/features/limit_replay.py
@@ -0,0 +1,255 @@
+"""Replays nodes that share an engine's limit, in virtual time, over a network that can fail."""
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from liftrill.coordination.rendezvous import first
+from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_limits import EngineLimits, LimitPeers
+
+ENGINE = EngineAddress("engine-a", "10.0.0.9:1", 7)
+NETWORK_S = 0.002
+SERVICE_S = 0.05
+# When a broadcast is sent, as peer_link does.
+REPEATS_S = (0.0, 0.05, 0.5)
+# After which the others know that a node is gone, or back.
+DETECTED_S = 2.0
+JOINED_S = 0.3
+# Clocks of nodes differ by up to this much.
+CLOCK_OFFSET_S = 10_000.0
+
+
+@dataclass
+class Sent:
+    """A request that reached the engine.
+
+    Attributes:
+        node: that sent it.
+        told_at: when that node passed on an answer that named a limit for the first time, or None.
+    """
+
+    at: float
+    node: str
+    told_at: float | None
+
+
+class ReplayedNode(LimitPeers):
+    """One node: its limits, and what it knows of the others."""
+
+    own = ""
+
+    def __init__(self, fleet, name):
+        self.own = name
+        self.fleet = fleet
+        self.offset_s = fleet.random.uniform(0.0, CLOCK_OFFSET_S)
+        self.members = {name}
+        self.started_at = fleet.now
+        self.frozen_until = 0.0
+        self.told_at = None
+        self.waiting = {}
+        self.start()
+
+    def start(self):
+        self.limits = EngineLimits()
+        self.limits.peers = self
+        self.started_at, self.told_at, self.waiting = self.fleet.now, None, {}
+
+    @property
+    def now(self):
+        return self.fleet.now + self.offset_s
+
+    def issuer(self, engine):
+        return first(b"engine", self.members)
+
+    def issued_share(self):
+        if self.fleet.now - self.started_at < 1.0:
+            return 0.0
+        return min(1.0, len(self.members) / self.fleet.size)
+
+    def send(self, node, message):
+        self.fleet.deliver(self, node, lambda peer: peer.limits.take(self.own, message, peer.now))
+
+    def tell_all(self, limit):
+        for peer in self.members - {self.own}:
+            for repeat_s in REPEATS_S:
+                self.fleet.deliver(self, peer, lambda p: p.limits.learn(limit, p.now), repeat_s)
+
+    def limit_changed(self, limit, source):
+        pass
+
+    def permit_granted(self):
+        pass
+
+    def permit_refused(self, engine, user, issuer, wait_s):
+        pass
+
+    def permit_unanswered(self, engine, issuer):
+        pass
+
+    def permits_changed(self):
+        self.fleet.after(0.0, self.look_again, self)
+
+    def look_again(self):
+        for user in list(self.waiting):
+            self.try_send(user)
+
+    def arrive(self, user):
+        self.waiting[user] = self.fleet.now + 0.15
+        self.try_send(user)
+        self.fleet.after(0.16, lambda: self.waiting.pop(user, None), self)
+
+    def try_send(self, user):
+        """Send a request as a node does that prefers this engine and has others beside it."""
+        limits, now = self.limits, self.now
+        permit = None
+        if limits.is_limited(ENGINE):
+            permit = limits.claim(ENGINE, user, now)
+            if permit is None and limits.is_coming(ENGINE, user, now):
+                return
+            if permit is None and not limits.wait_s(ENGINE, user, now):
+                limits.ask(ENGINE, user, 0.0, True, now)
+                permit = limits.claim(ENGINE, user, now)
+                if permit is None and limits.is_coming(ENGINE, user, now):
+                    return
+        self.waiting.pop(user, None)
+        if limits.may_send(ENGINE, permit, now):
+            self.fleet.send_to_engine(self, permit)
+
+
+@dataclass
+class ReplayedFleet:
+    """Nodes, the network between them, and one engine that names a limit.
+
+    Attributes:
+        limit_at: what the engine names at a time, or None.
+        lost_share: of the datagrams.
+        late_s: by which datagrams are delayed at most.
+        cut: two groups of nodes that don't reach each other, or none.
+        names_share: in how many of its answers the engine names its limit.
+    """
+
+    size: int
+    seed: int = 1
+    limit_at: object = lambda now: 1.0
+    lost_share: float = 0.0
+    late_s: float = 0.0
+    cut: tuple = ()
+    names_share: float = 1.0
+    now: float = 0.0
+    sent: list = field(default_factory=list)
+    events: list = field(default_factory=list)
+
+    def __post_init__(self):
+        self.random = random.Random(self.seed)
+        self.order = itertools.count()
+        self.users = itertools.count()
+        self.nodes = {}
+        names = [f"node-{number}" for number in range(self.size)]
+        for name in names:
+            self.nodes[name] = ReplayedNode(self, name)
+        for node in self.nodes.values():
+            node.members = set(names)
+            node.started_at = -10.0
+
+    def after(self, wait_s, action, node=None):
+        """Do something later; a node that started anew meanwhile does nothing of before."""
+        started_at = node.started_at if node is not None else None
+        heapq.heappush(self.events, (self.now + wait_s, next(self.order), action, node, started_at))
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            at, _, action, node, started_at = heapq.heappop(self.events)
+            self.now = at
+            if node is not None and node.started_at != started_at:
+                continue
+            if node is not None and self.now < node.frozen_until:
+                self.after(node.frozen_until - self.now, action, node)
+                continue
+            action()
+        self.now = until
+
+    def deliver(self, sender, name, action, wait_s=0.0):
+        peer = self.nodes.get(name)
+        is_cut = any((sender.own in side) != (name in side) for side in self.cut)
+        if peer is None or is_cut or self.random.random() < self.lost_share:
+            return
+        wait_s += NETWORK_S + self.random.uniform(0.0, self.late_s)
+        self.after(wait_s, lambda: action(peer), peer)
+
+    def send_to_engine(self, node, permit):
+        self.sent.append(Sent(self.now, node.own, node.told_at))
+        named = self.limit_at(self.now)
+        if self.random.random() >= self.names_share:
+            named = None
+        self.after(SERVICE_S, lambda: self._answer(node, named, permit), node)
+
+    def _answer(self, node, named, permit):
+        node.limits.hear(ENGINE, named, permit, node.now)
+        if named is not None and node.told_at is None:
+            node.told_at = self.now
+
+    def call(self, per_s, until, nodes=None):
+        """Let callers come at random to some nodes, or all."""
+        names = nodes or list(self.nodes)
+        at = self.now
+        while (at := at + self.random.expovariate(per_s)) < until:
+            node = self.nodes[self.random.choice(names)]
+            self.after(at - self.now, lambda n=node: self._arrive(n))
+
+    def _arrive(self, node):
+        """Bring a caller to a node; one that is frozen takes it up when it goes on."""
+        if self.now < node.frozen_until:
+            if node.frozen_until < float("inf"):
+                self.after(node.frozen_until - self.now, lambda: self._arrive(node))
+            return
+        node.arrive(f"user-{next(self.users)}")
+
+    def forget(self, name):
+        """Let the others take a node for gone."""
+        for node in self.nodes.values():
+            if node.own != name:
+                node.members.discard(name)
+
+    def kill(self, name):
+        self.nodes[name].frozen_until = float("inf")
+        self.after(DETECTED_S, lambda: self.forget(name))
+
+    def restart(self, name):
+        """Start a node anew; the others tell it of the limits that hold."""
+        node = self.nodes[name]
+        node.start()
+        for peer in self.nodes.values():
+            limits = peer.limits.in_force()
+            if peer is not node and limits:
+                self.deliver(
+                    peer, name, lambda p, known=limits: p.limits.learn(known[0], p.now), JOINED_S
+                )
+
+    def freeze(self, name, seconds):
+        node = self.nodes[name]
+        node.frozen_until = self.now + seconds
+        if seconds > DETECTED_S:
+            self.after(DETECTED_S, lambda: self.forget(name))
+            self.after(seconds + JOINED_S, lambda: self._welcome(name))
+
+    def _welcome(self, name):
+        for node in self.nodes.values():
+            node.members.add(name)
+
+    def divide(self, names):
+        """Cut some nodes off from the others, which are taken for gone after a while."""
+        self.cut = (set(names),)
+        others = set(self.nodes) - set(names)
+
+        def notice():
+            for name in names:
+                self.nodes[name].members -= others
+            for name in others:
+                self.nodes[name].members -= set(names)
+
+        self.after(DETECTED_S, notice)
+
+    def issuer(self):
+        return first(b"engine", set(self.nodes))
--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -130,8 +130,8 @@
     ENGINES_AT_REST = CodeDetails(
         2017,
         503,
-        "Every engine has asked this node for rest.",
-        "Try again after Retry-After, which is when the first rest ends.",
+        "Every engine has asked this node for rest, or gets as many requests as it takes.",
+        "Try again after Retry-After, which is when the first one takes a request again.",
     )
     ENGINE_LOST = CodeDetails(
         3001, 502, "The engine was lost after the request was sent.", "Check before repeating."
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -106,6 +106,22 @@
             rest_s=word.rest_s,
         )
 
+    def permit_refused(
+        self, request_id: str, engine: events.EngineAddress, issuer: str, wait_s: float
+    ) -> None:
+        """Write that a request is not sent to an engine: its limit is used up."""
+        self._write_failure(
+            "permit_refused",
+            request=request_id,
+            engine=engine.engine_id,
+            issuer=issuer,
+            wait_s=round(wait_s, 3),
+        )
+
+    def permit_unanswered(self, engine: events.EngineAddress, issuer: str) -> None:
+        """Write that the node that issues an engine's permits did not answer in time."""
+        self._write_failure("permit_unanswered", engine=engine.engine_id, issuer=issuer)
+
     def engine_limit_named(self, word: EngineWord) -> None:
         """Write that an answer of an engine names a limit."""
         self._write_failure(
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from liftrill.coordination.permits import Permit
 from liftrill.errors import ResultCode
 from liftrill.gateway.event_stream import StreamEvent
 
@@ -117,6 +118,7 @@
         backup: the engine that gets a copy of the run as it grows, or None.
         continues_copy: whether the engine goes on with the copy that it has of the run.
         number: the short name of the incarnation.
+        permit: for an engine that names a limit, or None.
     """
 
     engine_id: str
@@ -130,6 +132,7 @@
     backup: EngineAddress | None = None
     continues_copy: bool = False
     number: int = 0
+    permit: Permit | None = None
 
     @property
     def engine(self) -> EngineAddress:
--- /dev/null
+++ b/liftrill/gateway/engines/engine_limits.py
@@ -0,0 +1,368 @@
+"""Keeps, with all other nodes, to the limits that engines name, sans-IO.
+
+An engine that names a limit gets a request for each permit that one node, its issuer, gives.
+The limit holds for one incarnation, whatever becomes of its record.
+"""
+
+import itertools
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from liftrill.coordination.permits import Permit, PermitAnswer, PermitHolder
+from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.limit_issuer import LimitIssuer
+
+# As for what else engines said: see engine_standing.
+REMEMBERED_S = 600.0
+MOST_REMEMBERED = 4_096
+EXPIRED_EACH_S = 10.0
+# The numbers of a node's questions begin anywhere below, so that those of two runs differ.
+FIRST_QUESTIONS = 1 << 32
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLimit:
+    """How many requests a second an engine takes from all nodes together.
+
+    Attributes:
+        rate_per_s: as the engine named it last.
+        serial: rises each time that the limit begins or ends.
+        in_force: whether it holds; False once the engine names it no more.
+    """
+
+    engine: EngineAddress
+    rate_per_s: float
+    serial: int = 1
+    in_force: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class PermitQuestion:
+    """Asks an issuer for one permit.
+
+    Attributes:
+        limit: as the asking node knows it.
+        number: of the question.
+        patience_s: within which the permit is of use.
+    """
+
+    limit: EngineLimit
+    number: int
+    patience_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Answers a question, with the limit as the issuer knows it."""
+
+    limit: EngineLimit
+    answer: PermitAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReceipt:
+    """Tells an issuer what the engine said in its answer to a request with a permit.
+
+    Attributes:
+        rate_per_s: the limit that the answer named, or None.
+    """
+
+    engine: EngineAddress
+    run: int
+    issued_at: float
+    rate_per_s: float | None
+
+
+LimitMessage = PermitQuestion | PermitReply | PermitReceipt
+
+
+class LimitPeers(ABC):
+    """What the limits of a node ask of its peers, and whom they tell."""
+
+    @property
+    @abstractmethod
+    def own(self) -> str:
+        """The name of this node."""
+
+    @abstractmethod
+    def issuer(self, engine: EngineAddress) -> str:
+        """Return the node that issues permits for an engine."""
+
+    @abstractmethod
+    def issued_share(self) -> float:
+        """Return the share of a limit that this node may issue, 0 where it may not issue yet."""
+
+    @abstractmethod
+    def send(self, node: str, message: LimitMessage) -> None:
+        """Send a message to another node."""
+
+    @abstractmethod
+    def tell_all(self, limit: EngineLimit) -> None:
+        """Tell all nodes of a limit that begins or ends."""
+
+    @abstractmethod
+    def limit_changed(self, limit: EngineLimit, source: str) -> None:
+        """Note that a limit began, changed or ended, as an answer or a peer told."""
+
+    @abstractmethod
+    def permit_granted(self) -> None:
+        """Note that this node got a permit."""
+
+    @abstractmethod
+    def permit_refused(self, engine: EngineAddress, user: str, issuer: str, wait_s: float) -> None:
+        """Note that a request got no permit."""
+
+    @abstractmethod
+    def permit_unanswered(self, engine: EngineAddress, issuer: str) -> None:
+        """Note that an issuer did not answer the last question in time."""
+
+    @abstractmethod
+    def permits_changed(self) -> None:
+        """Note that requests which wait may find a permit, or none."""
+
+
+class NoPeers(LimitPeers):
+    """The surroundings of a node without peers."""
+
+    own = "node"
+
+    def issuer(self, engine: EngineAddress) -> str:
+        """Return this node."""
+        return self.own
+
+    def issued_share(self) -> float:
+        """Return all of it."""
+        return 1.0
+
+    def send(self, node: str, message: LimitMessage) -> None:
+        """Send nothing."""
+
+    def tell_all(self, limit: EngineLimit) -> None:
+        """Tell nobody."""
+
+    def limit_changed(self, limit: EngineLimit, source: str) -> None:
+        """Note nothing."""
+
+    def permit_granted(self) -> None:
+        """Note nothing."""
+
+    def permit_refused(self, engine: EngineAddress, user: str, issuer: str, wait_s: float) -> None:
+        """Note nothing."""
+
+    def permit_unanswered(self, engine: EngineAddress, issuer: str) -> None:
+        """Note nothing."""
+
+    def permits_changed(self) -> None:
+        """Note nothing."""
+
+
+@dataclass(slots=True)
+class _Known:
+    limit: EngineLimit
+    heard_at: float
+    holder: PermitHolder = field(default_factory=PermitHolder)
+
+
+class EngineLimits:
+    """The limits of engines as one node knows them, its permits, and those that it issues.
+
+    Attributes:
+        peers: set before the node starts, where it has any.
+    """
+
+    def __init__(self) -> None:
+        self.peers: LimitPeers = NoPeers()
+        self._known: dict[EngineAddress, _Known] = {}
+        self._issuer = LimitIssuer()
+        self._numbers = itertools.count(random.randrange(FIRST_QUESTIONS))
+        self._expired_at = 0.0
+
+    def in_force(self) -> tuple[EngineLimit, ...]:
+        """Return the limits that hold."""
+        return tuple(known.limit for known in self._known.values() if known.limit.in_force)
+
+    def is_limited(self, engine: EngineAddress) -> bool:
+        """Return whether an engine gets requests with permits only."""
+        known = self._known.get(engine)
+        return known is not None and known.limit.in_force
+
+    def may_send(self, engine: EngineAddress, permit: Permit | None, now: float) -> bool:
+        """Return whether a request that was given a permit, or none, may be sent now."""
+        if not self.is_limited(engine):
+            return True
+        return permit is not None and now <= permit.usable_until
+
+    # Permits of this node
+
+    def wait_s(self, engine: EngineAddress, user: str, now: float) -> float:
+        """Return in how long a request may get a permit for an engine, or 0 if it may now."""
+        if not self._known or not self.is_limited(engine):
+            return 0.0
+        holder = self._known[engine].holder
+        if holder.has_permit(now) or holder.is_coming(user, now):
+            return 0.0
+        return holder.wait_s(now)
+
+    def is_coming(self, engine: EngineAddress, user: str, now: float) -> bool:
+        """Return whether a request waits for a permit that was asked for."""
+        known = self._known.get(engine)
+        return known is not None and known.holder.is_coming(user, now)
+
+    def claim(self, engine: EngineAddress, user: str, now: float) -> Permit | None:
+        """Take a permit that this node holds."""
+        known = self._known.get(engine)
+        return known.holder.claim(user, now) if known is not None else None
+
+    def ask(
+        self, engine: EngineAddress, user: str, patience_s: float, may_wait: bool, now: float
+    ) -> None:
+        """Ask for a permit; this node itself answers at once, another only who may wait."""
+        known = self._known[engine]
+        issuer = self.peers.issuer(engine)
+        if issuer != self.peers.own and not may_wait:
+            return
+        if known.holder.user:
+            self.peers.permit_unanswered(engine, issuer)
+        number = next(self._numbers)
+        known.holder.ask(number, user, now)
+        question = PermitQuestion(known.limit, number, patience_s)
+        if issuer == self.peers.own:
+            self._take_reply(issuer, self._reply(question, now), now)
+        else:
+            self.peers.send(issuer, question)
+
+    # What is heard of limits
+
+    def hear(
+        self, engine: EngineAddress, rate_per_s: float | None, permit: Permit | None, now: float
+    ) -> None:
+        """Take in the limit that an answer to this node named, or None."""
+        if rate_per_s is not None:
+            self._hear_named(engine, rate_per_s, now)
+        if permit is None:
+            return
+        receipt = PermitReceipt(engine, permit.run, permit.issued_at, rate_per_s)
+        if permit.issuer == self.peers.own:
+            self._take_receipt(receipt, now)
+        else:
+            self.peers.send(permit.issuer, receipt)
+
+    def learn(self, limit: EngineLimit, now: float) -> None:
+        """Take in what a peer knows of a limit."""
+        known = self._known.get(limit.engine)
+        if known is None:
+            if limit.in_force:
+                self._note(limit, "peer", now)
+            return
+        known.heard_at = now
+        is_newer = limit.serial > known.limit.serial
+        if is_newer and (limit.in_force or known.limit.in_force):
+            self._note(limit, "peer", now)
+        elif is_newer:
+            known.limit = limit
+
+    def take(self, node: str, message: LimitMessage, now: float) -> None:
+        """Take in a message from another node."""
+        if isinstance(message, PermitQuestion):
+            self.learn(message.limit, now)
+            self.peers.send(node, self._reply(message, now))
+        elif isinstance(message, PermitReply):
+            self.learn(message.limit, now)
+            self._take_reply(node, message, now)
+            self.peers.permits_changed()
+        else:
+            self._take_receipt(message, now)
+
+    def expire(self, in_records: Iterable[EngineAddress], now: float) -> None:
+        """Forget the limits of engines that are in no record and were not heard of for long."""
+        if not self._known or now - self._expired_at < EXPIRED_EACH_S:
+            return
+        self._expired_at = now
+        for engine in in_records:
+            known = self._known.get(engine)
+            if known is not None and known.limit.in_force:
+                known.heard_at = now
+        for engine, known in list(self._known.items()):
+            if now - known.heard_at > REMEMBERED_S:
+                self._forget(engine)
+
+    def _hear_named(self, engine: EngineAddress, rate_per_s: float, now: float) -> None:
+        known = self._known.get(engine)
+        if known is not None and known.limit.in_force:
+            known.heard_at = now
+            if known.limit.rate_per_s != rate_per_s:
+                self._note(replace(known.limit, rate_per_s=rate_per_s), "answer", now)
+            return
+        serial = known.limit.serial + 1 if known is not None else 1
+        limit = EngineLimit(engine, rate_per_s, serial)
+        self._note(limit, "answer", now)
+        self.peers.tell_all(limit)
+
+    def _note(self, limit: EngineLimit, source: str, now: float) -> None:
+        known = self._known.get(limit.engine)
+        if known is None:
+            self._known[limit.engine] = _Known(limit, now)
+            if len(self._known) > MOST_REMEMBERED:
+                self._forget(min(self._known, key=lambda engine: self._known[engine].heard_at))
+        else:
+            known.limit, known.heard_at = limit, now
+        if not limit.in_force:
+            self._issuer.stop(limit.engine)
+        self.peers.limit_changed(limit, source)
+        self.peers.permits_changed()
+
+    def _forget(self, engine: EngineAddress) -> None:
+        del self._known[engine]
+        self._issuer.stop(engine)
+
+    # Permits that this node issues
+
+    def _reply(self, question: PermitQuestion, now: float) -> PermitReply:
+        """Answer a question as the issuer, where this node is the one."""
+        engine = question.limit.engine
+        known = self._known.get(engine)
+        limit = known.limit if known is not None else question.limit
+        is_issuer = self.peers.issuer(engine) == self.peers.own
+        share = self.peers.issued_share() if is_issuer else 0.0
+        answer = self._issuer.answer(
+            engine,
+            limit.rate_per_s if limit.in_force else None,
+            share,
+            question.number,
+            question.patience_s,
+            now,
+        )
+        return PermitReply(limit, answer)
+
+    def _take_reply(self, node: str, reply: PermitReply, now: float) -> None:
+        engine = reply.limit.engine
+        known = self._known.get(engine)
+        if known is None:
+            return
+        if reply.limit.serial == known.limit.serial:
+            # The issuer receives each number that the engine names.
+            known.limit = reply.limit
+        user = known.holder.user
+        if not known.holder.answered(reply.answer, node, now):
+            return
+        if reply.answer.granted:
+            self.peers.permit_granted()
+        else:
+            self.peers.permit_refused(engine, user, node, reply.answer.wait_s)
+
+    def _take_receipt(self, receipt: PermitReceipt, now: float) -> None:
+        known = self._known.get(receipt.engine)
+        if known is None or not known.limit.in_force:
+            return
+        if receipt.rate_per_s is not None:
+            known.heard_at = now
+            known.limit = replace(known.limit, rate_per_s=receipt.rate_per_s)
+        ended = self._issuer.take_receipt(
+            receipt.engine, receipt.run, receipt.issued_at, receipt.rate_per_s is not None, now
+        )
+        if ended:
+            limit = replace(known.limit, serial=known.limit.serial + 1, in_force=False)
+            self._note(limit, "permits", now)
+            self.peers.tell_all(limit)
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, replace
 
 from liftrill import constants
+from liftrill.coordination.permits import ANSWER_WAIT_S, Permit
 from liftrill.gateway.admission.overload import OverloadGuard
 from liftrill.gateway.admission.room import EngineRoom
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
+from liftrill.gateway.engines.engine_limits import EngineLimits
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.engines.part_keeping import BETWEEN_ZONES, PartKeeping
 from liftrill.gateway.engines.placement import (
@@ -43,6 +45,7 @@
         slot_times: for how long requests hold their engines' slots.
         guard: which waits at engines requests are sent into.
         room: which engines have room for a request.
+        limits: which engines get requests with permits only, and the permits.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self._plain_policy = plain_policy or LeastLoaded(lambda: self.parts.nodes)
         self.guard = OverloadGuard()
         self.room = EngineRoom()
+        self.limits = EngineLimits()
 
     def choose(
         self,
@@ -78,8 +82,21 @@
             return Unavailable.NONE_LEFT
         floor = self._version_floor(able, request)
         ready = [view for view in left if self._is_ready(view, request, floor, now)]
-        if not ready:
-            return self._none_ready(request, left, now)
+        # One that an engine turned away has waited already.
+        may_wait = not excluded and now + ANSWER_WAIT_S < request.waits_until
+        while ready:
+            choice = self._choose_ready(request, ready, now, quietest)
+            if isinstance(choice, Unavailable) or not self.limits.is_limited(choice.engine):
+                return choice
+            permitted = self._with_permit(choice, request, ready, may_wait, now)
+            if permitted is not None:
+                return permitted
+            ready = [view for view in ready if view.engine_id != choice.engine_id]
+        return self._none_ready(request, left, now)
+
+    def _choose_ready(
+        self, request: OpaqueRequest, ready: list[EngineView], now: float, quietest: bool
+    ) -> EngineChoice | Unavailable:
         if quietest:
             fewest = min(view.requests for view in ready)
             ready = [view for view in ready if view.requests == fewest]
@@ -89,16 +106,47 @@
             return EngineChoice(view.engine_id, view.record.address, number=view.number)
         return self._choose_for_prompt(request, request.prompt, ready, now)
 
+    def _with_permit(
+        self,
+        choice: EngineChoice,
+        request: OpaqueRequest,
+        ready: list[EngineView],
+        may_wait: bool,
+        now: float,
+    ) -> EngineChoice | Unavailable | None:
+        """Return a limited engine with a permit, or whether to wait for one; None for neither."""
+        user = request.request_id
+        permit = self.limits.claim(choice.engine, user, now)
+        limited = [view.at for view in ready if self.limits.is_limited(view.at)]
+        if permit is None and not any(self.limits.is_coming(at, user, now) for at in limited):
+            # Others serve it sooner than a permit that has to be waited for.
+            waits = may_wait and len(limited) == len(ready)
+            patience_s = max(0.0, request.waits_until - now) if waits else 0.0
+            self.limits.ask(choice.engine, user, patience_s, may_wait, now)
+            permit = self.limits.claim(choice.engine, user, now)
+        if permit is not None:
+            return replace(choice, permit=permit)
+        is_coming = any(self.limits.is_coming(at, user, now) for at in limited)
+        return Unavailable.NONE_READY if may_wait and is_coming else None
+
     def _none_ready(
         self, request: OpaqueRequest, left: list[EngineView], now: float
     ) -> Unavailable:
-        """Return whether waiting may help: not where all want rest for longer than that."""
-        rest_s = min((view.standing.rest_left_s(now) for view in left), default=0.0)
-        if not rest_s:
+        """Return whether waiting may help: not where all take nothing for longer than that."""
+        blocked_s = self._blocked_s(left, request.request_id, now)
+        if not blocked_s:
             return Unavailable.NONE_READY
-        is_in_vain = now + rest_s > request.waits_until
+        is_in_vain = now + blocked_s > request.waits_until
         return Unavailable.RESTING if is_in_vain else Unavailable.NONE_READY
 
+    def _blocked_s(self, views: list[EngineView], user: str, now: float) -> float:
+        """Return in how long the first of some engines takes a request, or 0 if one does."""
+        waits = (
+            max(view.standing.rest_left_s(now), self.limits.wait_s(view.at, user, now))
+            for view in views
+        )
+        return min(waits, default=0.0)
+
     def _choose_for_prompt(
         self, request: OpaqueRequest, prompt: PromptShape, ready: list[EngineView], now: float
     ) -> EngineChoice | Unavailable:
@@ -127,12 +175,13 @@
 
     def room_in_s(self, request: OpaqueRequest, now: float) -> float:
         """Return in how long an engine takes a request again, if nothing more comes."""
-        rest_s = self._engines.rest_left_s(request.service, now)
-        return max(rest_s, self.guard.room_in_s(request))
+        blocked_s = self.blocked_s(request.service, now)
+        return max(blocked_s, self.guard.room_in_s(request))
 
-    def rest_left_s(self, service: str, now: float) -> float:
+    def blocked_s(self, service: str, now: float) -> float:
         """Return in how long the first engine of a service takes something, or 0 if one does."""
-        return self._engines.rest_left_s(service, now)
+        able = [view for view in self._engines.of_service(service) if not view.leaving]
+        return self._blocked_s(able, "", now)
 
     def reading_s(self, request: OpaqueRequest) -> float:
         """Return how long an engine that keeps nothing of a prompt takes to read it."""
@@ -166,8 +215,12 @@
             return None
         if view.standing.rests(now):
             return None
+        permit = self._permit_at_once(view, request, now)
+        if permit is None and self.limits.is_limited(view.at):
+            return None
         return replace(
             broken,
+            permit=permit,
             engine_id=view.engine_id,
             address=view.record.address,
             number=view.number,
@@ -176,6 +229,17 @@
             continues_copy=True,
         )
 
+    def _permit_at_once(
+        self, view: EngineView, request: OpaqueRequest, now: float
+    ) -> Permit | None:
+        """Return a permit that this node holds or issues itself, or None."""
+        user = request.request_id
+        permit = self.limits.claim(view.at, user, now)
+        if permit is not None or not self.limits.is_limited(view.at):
+            return permit
+        self.limits.ask(view.at, user, 0.0, False, now)
+        return self.limits.claim(view.at, user, now)
+
     def begin_by(self, choice: EngineChoice, request: OpaqueRequest) -> float:
         """Return until when a request may begin where it was sent, by what is named now."""
         # A run that goes on with its copy has begun, and without the copy engines refuse it.
@@ -216,12 +280,20 @@
         return self.parts.profile(request.service).backups
 
     def _backup(self, chosen: Candidate, candidates: list[Candidate]) -> EngineAddress | None:
-        """Return the least busy other engine with the same weights, near it if there is one."""
+        """Return the least busy other engine with the same weights, near it if there is one.
+
+        A run can't go on at once at an engine that takes few requests.
+        """
         others = [c for c in candidates if c is not chosen and c.scope == chosen.scope]
         if not others:
             return None
         zone = chosen.view.record.zone
-        best = min(others, key=lambda c: (c.view.record.zone != zone, c.view.requests))
+
+        def order(candidate: Candidate) -> tuple[bool, bool, int]:
+            view = candidate.view
+            return self.limits.is_limited(view.at), view.record.zone != zone, view.requests
+
+        best = min(others, key=order)
         return EngineAddress(best.view.engine_id, best.view.record.address, best.view.number)
 
     def _version_floor(self, able: list[EngineView], request: OpaqueRequest) -> int:
@@ -239,6 +311,8 @@
     def _is_ready(self, view: EngineView, request: OpaqueRequest, floor: int, now: float) -> bool:
         if view.is_loading(now) or view.standing.rests(now) or not view.breaker.allows(now):
             return False
+        if self.limits.wait_s(view.at, request.request_id, now):
+            return False
         if request.prompt is None:
             return True
         model = request.prompt.model
--- a/liftrill/gateway/engines/engine_standing.py
+++ b/liftrill/gateway/engines/engine_standing.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from liftrill.coordination.permits import Permit
 from liftrill.gateway.delivery_events import EngineAddress
 
 # For how long after its last word an engine is remembered that is in no record: a store that was
@@ -39,6 +40,7 @@
         leaving: whether the engine is about to end, and wants no new work.
         rest_s: for how long it wants nothing from this node, or 0.
         limit_per_s: how many requests a second it takes from all nodes together, or None.
+        permit: under which the request was sent that it answers, or None.
     """
 
     engine: EngineAddress
@@ -47,6 +49,7 @@
     leaving: bool = False
     rest_s: float = 0.0
     limit_per_s: float | None = None
+    permit: Permit | None = None
 
 
 @dataclass(slots=True)
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -289,10 +289,12 @@
         self.standings.keep(engine, standing, now)
         return is_news
 
-    def rest_left_s(self, service: str, now: float) -> float:
-        """Return in how long the first engine of a service takes something, or 0 if one does."""
-        able = [view for view in self.of_service(service) if not view.leaving]
-        return min((view.standing.rest_left_s(now) for view in able), default=0.0)
+    def incarnation(self, engine: EngineAddress) -> EngineAddress | None:
+        """Return the incarnation that an answer is of, or None where that is not known."""
+        view = self._meant(engine)
+        if view is not None:
+            return view.at
+        return engine if engine.number else None
 
     def leaving(self) -> list[EngineAddress]:
         """Return the engines that said that they leave, in an answer or a record."""
--- a/liftrill/gateway/engines/engine_update.py
+++ b/liftrill/gateway/engines/engine_update.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_limits import EngineLimit
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,8 +35,10 @@
         leaving: engines that want no new work.
         withheld: records that are not used: of an older copy of the store, or unreadable.
         weights: newer ones than the engines' records tell.
+        limits: how many requests engines take from all nodes together.
     """
 
     leaving: tuple[EngineAddress, ...] = ()
     withheld: tuple[WithheldRecord, ...] = ()
     weights: tuple[SeenWeights, ...] = ()
+    limits: tuple[EngineLimit, ...] = ()
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -55,6 +55,7 @@
     Attributes:
         beliefs_hold: whether engines may be chosen by what is believed at a time.
         speeds: how fast engines work.
+        limits: of engines that get requests with permits only.
         must_wait: whether a place that may be free is for another request that waits.
         coming_back: when callers that were refused for want of room are to come back.
     """
@@ -68,6 +69,7 @@
     ) -> None:
         self.beliefs_hold: Callable[[float], bool] = _always
         self.speeds = selector.speeds
+        self.limits = selector.limits
         self.must_wait: Callable[[OpaqueRequest], bool] = _never
         self.coming_back = ComingBack(self._room_in_s, _no_wait_s)
         self._selector = selector
@@ -170,7 +172,7 @@
         if self._quarantine is not None and (left_s := self._quarantine.left_s(request)):
             return left_s
         now = clock.now_s()
-        if self._selector.rest_left_s(request.service, now):
+        if self._selector.blocked_s(request.service, now):
             self.coming_back.note_choice(request.service, True)
         return self.coming_back.retry_after_s(request, now)
 
@@ -274,13 +276,15 @@
         self._ports.record_sent(start.choice, request, first)
         attempt = self._transport.attempt(request, start)
         if view is not None:
-            attempt.may_send = partial(self._may_send, view)
+            attempt.may_send = partial(self._may_send, view, start.choice)
         return view, attempt
 
-    def _may_send(self, view: EngineView) -> bool:
+    def _may_send(self, view: EngineView, choice: events.EngineChoice) -> bool:
         """Return whether an engine that was chosen before still takes what is sent to it now."""
         now = clock.now_s()
-        return self._ports.beliefs_hold(now) and not view.wants_nothing(now)
+        if not self._ports.beliefs_hold(now) or view.wants_nothing(now):
+            return False
+        return self._ports.limits.may_send(view.at, choice.permit, now)
 
     def renew_limits(self) -> None:
         """Look anew until when each attempt may begin."""
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -31,6 +31,7 @@
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.currency import CurrencyOwner, CurrencyProver
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
+from liftrill.gateway.engines.engine_limits import LimitMessage
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
@@ -46,6 +47,7 @@
 from liftrill.gateway.peers.busy_node import BusyNode
 from liftrill.gateway.peers.caller_directory import CallerDirectory
 from liftrill.gateway.peers.engine_gossip import EngineGossip
+from liftrill.gateway.peers.limit_link import LimitLink
 from liftrill.gateway.peers.load_board import LoadBoard
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads, topology_for
 from liftrill.gateway.peers.node_capacity import NodeCapacities, NodeCapacity
@@ -171,9 +173,15 @@
             self._on_lost_runs,
             self._on_served,
             self._on_quarantined,
+            self._on_limit_message,
         )
         self._peers = PeerLink(self._membership, callbacks)
-        self._gossip = EngineGossip(engines, self._membership, self._peers, self.log, metrics)
+        self._limits = selector.limits
+        link = LimitLink(self._membership, self._fleet, self._peers, log, metrics)
+        self._limits.peers = link
+        self._gossip = EngineGossip(
+            engines, self._limits, self._membership, self._peers, log, metrics
+        )
         self._quarantine_records = QuarantineRecords(store, self._follower.mirror, log)
         self._quarantine = Quarantine(engines, log, metrics, self._peers, self._quarantine_records)
         ports = ForwardingPorts(selector, self._allowance, self._quotas, self._quarantine)
@@ -182,6 +190,7 @@
             engines, ports, self._allowance, transport, log, metrics, self._quarantine
         )
         self.forwarder.reading_begun = self._tell_reading
+        link.wake_waiting = self.forwarder.lines.changed
         self._leadership = self._new_leadership()
         self._controller = self._new_controller(orders, targets)
         self._fleet_record = FleetRecord(
@@ -561,6 +570,9 @@
     def _on_quarantined(self, entry: QuarantineEntry) -> None:
         self._quarantine.hear_quarantined(entry, clock.now_s())
 
+    def _on_limit_message(self, node: str, message: LimitMessage) -> None:
+        self._limits.take(node, message, clock.now_s())
+
     def _on_served(self, fingerprint: bytes) -> None:
         self._quarantine.hear_served(fingerprint, clock.now_s())
 
@@ -702,6 +714,8 @@
             self._measure_capacity(now)
             self._beliefs.expire(now)
             self._engines.standings.expire((view.standing for view in self._engines), now)
+            self.metrics.limited_engines.set(len(self._limits.in_force()))
+            self._limits.expire((view.at for view in self._engines), now)
             self._follower.reconsider()
             self.metrics.version.set(self.view.version)
             self.metrics.engines.set(len(self._engines))
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -100,6 +100,12 @@
             "Answers of the store that are of an earlier era than is known.",
             registry=self.registry,
         )
+        self.limited_engines = self._gauge(
+            "liftrill_limited_engines", "Engines that get requests with permits only."
+        )
+        self.permits = self._counter(
+            "liftrill_engine_permits", "Permits that this node asked for, by answer.", "answer"
+        )
         self.engine_words = self._counter(
             "liftrill_engine_words",
             "Answers in which engines leave, want rest or name a limit.",
--- a/liftrill/gateway/peers/engine_gossip.py
+++ b/liftrill/gateway/peers/engine_gossip.py
@@ -1,6 +1,7 @@
 """What nodes tell each other of engines besides the records in the store."""
 
 import asyncio
+from dataclasses import replace
 
 from liftrill import clock
 from liftrill.coordination.membership import Membership
@@ -8,6 +9,7 @@
 from liftrill.coordination.rendezvous import rank
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_limits import EngineLimits
 from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.engines.engine_update import EngineUpdate
@@ -28,12 +30,14 @@
     def __init__(
         self,
         engines: EngineTable,
+        limits: EngineLimits,
         membership: Membership,
         peers: PeerLink,
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
         self._engines = engines
+        self._limits = limits
         self._membership = membership
         self._peers = peers
         self._log = log
@@ -46,7 +50,11 @@
             self._log.engine_rests(word)
         if word.limit_per_s is not None:
             self._log.engine_limit_named(word)
-        if self._engines.hear(word, clock.now_s()):
+        now = clock.now_s()
+        engine = self._engines.incarnation(word.engine)
+        if engine is not None:
+            self._limits.hear(engine, word.limit_per_s, word.permit, now)
+        if self._engines.hear(word, now):
             self._note_leaving(word.engine, word.source)
             self._peers.tell_leaving([word.engine])
 
@@ -56,6 +64,8 @@
         for engine in update.leaving:
             if self._engines.hear(EngineWord(engine, "peer", leaving=True), now):
                 self._note_leaving(engine, "peer")
+        for limit in update.limits:
+            self._limits.learn(limit, now)
         for record in self._engines.learn_unwritten(update, now):
             self._log.belief("engine_withheld", engine=record.engine_id, revision=record.revision)
 
@@ -82,7 +92,8 @@
         return self._membership.own.node_id in few
 
     def _tell(self, node: str, with_all_weights: bool = False) -> None:
-        self._peers.send_update(self._engines.unwritten(with_all_weights), node)
+        update = self._engines.unwritten(with_all_weights)
+        self._peers.send_update(replace(update, limits=self._limits.in_force()), node)
 
     def _note_leaving(self, engine: EngineAddress, source: str) -> None:
         view = self._engines.get(engine.engine_id)
--- a/liftrill/gateway/peers/notice_codec.py
+++ b/liftrill/gateway/peers/notice_codec.py
@@ -4,8 +4,10 @@
 from typing import TypeVar
 
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_limits import EngineLimit
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.engines.engine_update import EngineUpdate, SeenWeights, WithheldRecord
+from liftrill.gateway.peers.limit_codec import limit_from_message, limit_message
 from liftrill.messages import peer_pb2 as messages
 
 # An engine takes some 60 bytes (worked out from the wire format): a datagram stays under 1,200.
@@ -49,6 +51,12 @@
     return [messages.Datagram(leaving=cut) for cut in _cuts(rows)]
 
 
+def datagrams_from_limits(limits: Sequence[EngineLimit]) -> list[messages.Datagram]:
+    """Return the datagrams that tell of limits which begin or end."""
+    rows = [limit_message(limit) for limit in limits]
+    return [messages.Datagram(limits=cut) for cut in _cuts(rows)]
+
+
 def datagrams_from_update(update: EngineUpdate) -> list[messages.Datagram]:
     """Return the datagrams that tell a node that joins of engines."""
     withheld = [
@@ -69,6 +77,7 @@
         *datagrams_from_leaving(update.leaving),
         *(messages.Datagram(withheld=cut) for cut in _cuts(withheld)),
         *(messages.Datagram(seen_weights=cut) for cut in _cuts(weights)),
+        *datagrams_from_limits(update.limits),
     ]
 
 
@@ -84,6 +93,7 @@
             for row in message.seen_weights
             if row.engine
         ),
+        tuple(limit_from_message(row) for row in message.limits if row.engine),
     )
 
 
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -23,8 +23,14 @@
 from liftrill.coordination.told_spending import SpendingNotice
 from liftrill.gateway import ticks
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_limits import EngineLimit, LimitMessage
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.engines.engine_update import EngineUpdate
+from liftrill.gateway.peers.limit_codec import (
+    datagram_from_limit_message,
+    has_limit_message,
+    limit_message_from,
+)
 from liftrill.gateway.peers.load_codec import (
     ReportAssembler,
     datagrams_from_report,
@@ -34,6 +40,7 @@
 from liftrill.gateway.peers.notice_codec import (
     datagram_from_notices,
     datagrams_from_leaving,
+    datagrams_from_limits,
     datagrams_from_update,
     notice_from_message,
     update_from_message,
@@ -80,6 +87,7 @@
     lost_runs: Callable[[str, list[LostRun]], None]
     served: Callable[[bytes], None]
     quarantined: Callable[[QuarantineEntry], None]
+    limit_message: Callable[[str, LimitMessage], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -186,6 +194,18 @@
         for message in datagrams_from_leaving(engines):
             self._repeat(message)
 
+    def tell_limit(self, limit: EngineLimit) -> None:
+        """Tell all members of a limit that begins or ends, some times again."""
+        for message in datagrams_from_limits([limit]):
+            self._repeat(message)
+
+    def send_limit_message(self, node: str, content: LimitMessage) -> None:
+        """Send one member what its permits, or those that it issues, need; once."""
+        message = datagram_from_limit_message(self._membership.own.node_id, content)
+        member = self._membership.member(node)
+        if member is not None:
+            self._send(member.address, message)
+
     def send_update(self, update: EngineUpdate, node: str) -> None:
         """Tell one member, once, what records of engines do not say."""
         for message in datagrams_from_update(update):
@@ -243,7 +263,9 @@
             self._take_crash_news(message)
         elif message.speeds:
             self._callbacks.speeds(speeds_from_message(message))
-        elif message.leaving or message.withheld or message.seen_weights:
+        elif has_limit_message(message):
+            self._callbacks.limit_message(message.sender, limit_message_from(message))
+        elif message.leaving or message.withheld or message.seen_weights or message.limits:
             self._callbacks.engine_update(update_from_message(message))
         elif message.notices or message.loads:
             self._take_word(message)
