Engine limits: features for each way in which a limit is named, forgotten, or passed by

Values that can't be read, records that go and come back, late answers and late ends, a restart under the id, joiners, the last look before the first byte, retries, runs that go on and their copies, all engines limited; as processes: a limit that stands in refusals alone, a record that goes while a node starts again, all engines limited.

--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -84,6 +84,7 @@
         rest: what it says in `Retry-After` to each request, all of which it turns away, or "".
         limit: what it says in `Server-Limit`, or "".
         limit_in: in which of its answers it says that.
+        turned_away: of ten requests, how many it turns away.
     """
 
     engine_id: str
@@ -106,6 +107,7 @@
     rest: str = ""
     limit: str = ""
     limit_in: frozenset = LIMITED_ANSWERS
+    turned_away: int = 0
 
     def __post_init__(self):
         self.ended = asyncio.Event()
@@ -237,7 +239,9 @@
 
     async def _serve(self, request, arrival):
         fault = self._take_fault()
-        if fault in ("shed", "shed_without_id") or self.rest:
+        # 3 and 10 have no common divisor: those that are turned away are spread over the ten.
+        is_turned_away = 3 * len(self.arrivals) % 10 < self.turned_away
+        if fault in ("shed", "shed_without_id") or self.rest or is_turned_away:
             arrival.refused = True
             answer = self._shed("" if fault == "shed_without_id" else arrival.attempt_id)
             arrival.tell(answer.headers)
--- a/features/steps/engine_limit_process_steps.py
+++ b/features/steps/engine_limit_process_steps.py
@@ -1,12 +1,13 @@
 """Steps on limits that engines name, with nodes as separate processes."""
 
+import asyncio
 import time
 
 from behave import then, when
 
 # A header that nodes pass on: it tells an engine which node a request came through.
 NODE_HEADER = "X-Sent-Through"
-SERVED = 200
+SERVED, UNAVAILABLE = 200, 503
 WINDOW_S = 4.0
 # Nodes have to keep to a limit this long after they passed on an answer that names it.
 KNOWN_AFTER_S = 0.5
@@ -26,6 +27,33 @@
     context.said_at = time.monotonic()
 
 
+@when(
+    "an engine of each kind turns away {share:d} of 10 requests,"
+    " and names a limit of {limit} a second as it does"
+)
+def step_name_in_refusals(context, share, limit):
+    step_name_limit(context, limit)
+    for engine in context.limited:
+        engine.turned_away, engine.limit_in = share, frozenset(("refusal",))
+
+
+@when("all engines name a limit of {limit} a second in their answers")
+def step_all_name(context, limit):
+    context.limited = list(context.deployment.engines.values())
+    for engine in context.limited:
+        engine.limit = limit
+    context.said_at = time.monotonic()
+
+
+@when("their records go for {seconds:g} s and are back")
+def step_records_go(context, seconds):
+    for engine in context.limited:
+        context.deployment.store.remove(f"servers/{engine.engine_id}")
+    context.run(asyncio.sleep(seconds))
+    for engine in context.limited:
+        context.deployment.record(engine)
+
+
 def known_since(engine):
     """Return since when each node has passed on an answer that names a limit."""
     since = {}
@@ -62,6 +90,24 @@
         assert most <= allowed, f"{engine.engine_id}: {most} in {WINDOW_S} s; {allowed} allowed"
 
 
+@then("nodes that know the limit sent such an engine together no more than the rule allows")
+def step_rule_kept(context):
+    for engine in context.limited:
+        most = most_in_window(counted(context, engine), WINDOW_S)
+        bound = 1.5 * float(engine.limit) * WINDOW_S + 5
+        assert most <= bound, f"{engine.engine_id}: {most} in {WINDOW_S} s; {bound} allowed"
+
+
+@then("those that were refused were told when to come back, after {seconds:g} s at most")
+def step_refused(context, seconds):
+    calls = [call for call in context.callers.calls if call.at > context.said_at]
+    refused = [call for call in calls if call.status != SERVED]
+    assert refused, "nobody was refused"
+    for call in refused:
+        assert call.status == UNAVAILABLE and call.retry_after_s, call
+        assert call.ended_at - call.at < seconds + context.callers.longest_lag_s, call
+
+
 @then("at least half of what it allows was used")
 def step_used(context):
     for engine in context.limited:
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -1,8 +1,23 @@
 """Steps on limits that engines name, in virtual time."""
 
+import sys
+from pathlib import Path
+
 from behave import given, then, when
 
+from features.gateway_support import opaque_request
 from features.limit_replay import ENGINE, ReplayedFleet
+from liftrill.coordination.permits import Permit
+from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
+from liftrill.gateway.engines.engine_limits import EngineLimit, NoPeers
+from liftrill.gateway.engines.engine_update import EngineUpdate
+from liftrill.gateway.engines.placement import Candidate
+from liftrill.gateway.peers.notice_codec import datagrams_from_update, update_from_message
+from liftrill.node.membership_codec import parse_message
+
+sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
+from engines import word_of
 
 WINDOW_S = 4.0
 KNOWN_AFTER_S = 0.5
@@ -164,3 +179,168 @@
     most = most_in_window(counted(context.fleet))
     bound = 1.5 * context.limit * WINDOW_S + 5
     assert most <= bound, (most, bound)
+
+
+# One node
+
+
+def at(context, name):
+    return context.node.engines.get(name).at
+
+
+def name_limit(context, name, limit, now=0.0):
+    context.node.selector.limits.hear(at(context, name), limit, None, now)
+
+
+@when("{name} names a limit of {limit:g} a second in an answer")
+def step_names(context, name, limit):
+    context.engine = at(context, name)
+    name_limit(context, name, limit)
+
+
+@when("an answer without a limit comes to an earlier request")
+def step_earlier_answer(context):
+    context.node.selector.limits.hear(context.engine, None, None, 0.1)
+
+
+@when("a late end of an earlier limit is told")
+def step_late_end(context):
+    limits = context.node.selector.limits
+    limits.learn(EngineLimit(context.engine, 1.0, serial=3), 0.1)
+    limits.learn(EngineLimit(context.engine, 1.0, serial=2, in_force=False), 0.2)
+
+
+@when("a node joins that was told of a limit of {limit:g} a second by others")
+def step_joins(context, limit):
+    told = EngineUpdate(limits=(EngineLimit(at(context, "a"), limit),))
+    for datagram in datagrams_from_update(told):
+        update = update_from_message(parse_message(datagram.SerializeToString()))
+        for row in update.limits:
+            context.node.selector.limits.learn(row, 0.0)
+
+
+@then("a gets requests with permits only, and b without")
+def step_limited(context):
+    limits = context.node.selector.limits
+    assert limits.is_limited(at(context, "a")) and not limits.is_limited(at(context, "b"))
+
+
+@then("a and b get requests without permits")
+def step_not_limited(context):
+    limits = context.node.selector.limits
+    assert not limits.is_limited(at(context, "a")) and not limits.is_limited(at(context, "b"))
+
+
+@when("{count:d} other engines name a limit")
+def step_many_limits(context, count):
+    for number in range(count):
+        engine = EngineAddress(f"other-{number}", "10.0.0.9:1", number + 1)
+        context.node.selector.limits.hear(engine, 1.0, None, number / 1000)
+
+
+@then("{count:d} limits are remembered")
+def step_limits_bounded(context, count):
+    assert len(context.node.selector.limits.in_force()) == count
+
+
+@when("{seconds:d} s go by for limits")
+def step_limits_age(context, seconds):
+    context.node.selector.limits.expire((), seconds)
+
+
+@then("they name a limit of {limit}, and {end} end one")
+def step_named(context, limit, end):
+    permit = Permit("node-1", 1, 0.0, 0.0, 1.0)
+    word = word_of("request", ENGINE, context.status, context.headers, permit)
+    if limit == "none":
+        assert word is None or word.limit_per_s is None, word
+    else:
+        assert abs(word.limit_per_s - float(limit)) <= 1, word
+    is_end = word is not None and word.permit is not None and word.limit_per_s is None
+    assert is_end == (end == "do"), word
+
+
+class OtherIssuer(NoPeers):
+    """The surroundings of a node whose peer issues all permits, and answers nothing."""
+
+    def __init__(self):
+        self.questions = []
+
+    def issuer(self, engine):
+        return "another"
+
+    def send(self, node, message):
+        self.questions.append(message)
+
+
+@given("another node issues the permits of a")
+def step_other_issuer(context):
+    context.node.selector.limits.peers = context.peers = OtherIssuer()
+
+
+def choose(context, now, excluded=(), **more):
+    request = opaque_request(received_at=0.0, **more)
+    return context.node.selector.choose(request, frozenset(excluded), now)
+
+
+@then("a request that b turned away finds no engine left to wait for")
+def step_tried_again(context):
+    assert choose(context, 0.0, ("b",)) is Unavailable.NONE_READY
+    assert not context.peers.questions
+
+
+@then("a request that prefers a waits {seconds:g} s at most, and is sent to b")
+def step_prefers(context, seconds):
+    context.node.engines.get("b").own_load.waiting_tokens = 10_000
+    assert choose(context, 0.0) is Unavailable.NONE_READY
+    assert len(context.peers.questions) == 1
+    assert choose(context, 0.0, request_id="request-2").engine_id == "b"
+    assert choose(context, seconds).engine_id == "b"
+
+
+@when("both name a limit of {limit:g} a second, and their first permits are used")
+def step_both_limited(context, limit):
+    context.limit = limit
+    for name in ("a", "b"):
+        name_limit(context, name, limit)
+    limits = context.node.selector.limits
+    for name in ("a", "b"):
+        limits.ask(at(context, name), "user", 0.0, True, 0.0)
+    context.now = 1.0 / limit
+    while isinstance(choice := choose_at(context, context.now), EngineChoice):
+        assert choice.permit is not None
+
+
+def choose_at(context, now):
+    request = opaque_request(received_at=now, request_id=f"request-{now}")
+    return context.node.selector.choose(request, frozenset(), now)
+
+
+@then("a request is refused at once, with the time until there is a permit again")
+def step_refused_at_once(context):
+    assert choose_at(context, context.now) is Unavailable.RESTING
+    left_s = context.node.selector.room_in_s(opaque_request(), context.now)
+    assert isinstance(choose_at(context, context.now + left_s + 0.01), EngineChoice)
+    assert 0.5 / context.limit < left_s <= 1.0 / context.limit, left_s
+
+
+@then("a run goes on at a once its permit is there, and with none it does not")
+def step_goes_on(context):
+    backup = at(context, "a")
+    b = at(context, "b")
+    broken = EngineChoice("b", b.address, 1, number=b.number, backup=backup)
+    selector, request = context.node.selector, opaque_request()
+    assert selector.continue_at_backup(request, broken, 0.1) is None
+    going_on = selector.continue_at_backup(request, broken, 1.1)
+    assert going_on.engine_id == "a" and going_on.permit is not None, going_on
+    assert selector.continue_at_backup(request, broken, 1.2) is None
+
+
+@then("copies are kept at b rather than at a")
+def step_copies(context):
+    context.node.write("c", {**context.bodies["b"], "Address": "10.0.0.7:7"})
+    context.node.engines.get("b").own_load.requests = 5
+    selector = context.node.selector
+    views = [context.node.engines.get(name) for name in ("a", "b", "c")]
+    a, b, c = (Candidate(view, "salt") for view in views)
+    assert selector._backup(c, [a, b, c]).engine_id == "b"
--- a/features/steps/engine_send_steps.py
+++ b/features/steps/engine_send_steps.py
@@ -139,12 +139,23 @@
 
 @given("an engine that says that it leaves in the {answer} alone")
 def step_speaks(context, answer):
+    engine = speaking_engine(context, answer)
+    engine.leaves_in = frozenset((context.speaks_in,))
+
+
+@given("an engine that names a limit of {limit} a second in the {answer} alone")
+def step_names_limit(context, limit, answer):
+    engine = speaking_engine(context, answer)
+    engine.limit, engine.limit_in = limit, frozenset((context.speaks_in,))
+
+
+def speaking_engine(context, answer):
     context.run(start_engines(context, 0.0))
     context.speaks_in = SPOKEN[answer]
     engine = context.engines["e1"]
-    engine.leaves_in = frozenset((context.speaks_in,))
     engine.weights = {"model": 1}
     engine.fault = "shed" if context.speaks_in == "refusal" else ""
+    return engine
 
 
 @when("a node sends it what brings that answer")
@@ -173,6 +184,17 @@
         attempt.close()
 
 
+@then("the node has heard a limit of {limit:g} a second")
+def step_heard_limit(context, limit):
+    (word,) = context.words
+    assert word.limit_per_s == limit and word.engine == context.view.at, word
+
+
+@when("it names a limit while the connection comes up")
+def step_limit_meanwhile(context):
+    context.ports.limits.hear(context.chosen.at, 1.0, None, clock.now_s())
+
+
 @then("the node has heard that it leaves")
 def step_heard(context):
     (word,) = context.words
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -159,9 +159,9 @@
 def step_headers(context, headers):
     context.status, context.headers = SERVED, CIMultiDict()
     for header in headers.split(", ") if "Wed" not in headers else [headers[:3], headers[5:]]:
-        name, _, value = header.partition(": ")
-        if value:
-            context.headers.add(name, value)
+        name, separator, value = header.partition(":")
+        if separator:
+            context.headers.add(name, value.strip())
         else:
             context.status = int(name)
 
