Engine limits: late permits and late answers have features; the soak lets engines name limits

The first plays with a part taken out showed that neither the life of a permit nor the issuer's order of answers was covered: the features pass without either. Both fail now without it.

--- a/features/engine_limits.feature
+++ b/features/engine_limits.feature
@@ -74,6 +74,25 @@
     When 700 s go by for limits
     Then 0 limits are remembered
 
+  Scenario Outline: A permit is used long after it was asked for
+    Given a node that asks for a permit at 0 s
+    When the answer comes at <answered> s
+    Then the permit is <at_answer> then, and not usable at <later> s
+
+    Examples:
+      | answered | at_answer  | later |
+      | 0.05     | usable     | 0.6   |
+      | 0.4      | usable     | 0.6   |
+      | 0.7      | not usable | 0.8   |
+
+  Scenario: Late answers to requests of before end a limit
+    Given a node that knows engines a and b with the weights of version 1
+    When a names a limit of 20 a second in an answer
+    And 3 requests get permits, an answer names the limit, and theirs come then without it
+    Then a gets requests with permits only, and b without
+    When 3 requests get permits, and their answers come without it
+    Then a and b get requests without permits
+
   # Where a request reaches an engine
 
   Scenario: A request that waits for its connection is sent without a permit
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -85,6 +85,7 @@
         limit: what it says in `Server-Limit`, or "".
         limit_in: in which of its answers it says that.
         turned_away: of ten requests, how many it turns away.
+        limit_periods: since when, until when and which number it named, where a soak lets it.
     """
 
     engine_id: str
@@ -108,6 +109,7 @@
     limit: str = ""
     limit_in: frozenset = LIMITED_ANSWERS
     turned_away: int = 0
+    limit_periods: list = field(default_factory=list)
 
     def __post_init__(self):
         self.ended = asyncio.Event()
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -7,7 +7,7 @@
 
 from features.gateway_support import opaque_request
 from features.limit_replay import ENGINE, ReplayedFleet
-from liftrill.coordination.permits import Permit
+from liftrill.coordination.permits import Permit, PermitAnswer, PermitHolder
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_limits import EngineLimit, NoPeers
@@ -344,3 +344,50 @@
     views = [context.node.engines.get(name) for name in ("a", "b", "c")]
     a, b, c = (Candidate(view, "salt") for view in views)
     assert selector._backup(c, [a, b, c]).engine_id == "b"
+
+
+@given("a node that asks for a permit at 0 s")
+def step_asks(context):
+    context.holder = PermitHolder()
+    context.holder.ask(1, "user", 0.0)
+
+
+@when("the answer comes at {seconds:g} s")
+def step_answered(context, seconds):
+    context.now = seconds
+    answer = PermitAnswer(1, True, 0.0, run=1, issued_at=500.0)
+    context.holder.answered(answer, "issuer", seconds)
+
+
+@then("the permit is {state} then, and not usable at {seconds:g} s")
+def step_usable(context, state, seconds):
+    assert context.holder.has_permit(context.now) == (state == "usable")
+    assert not context.holder.has_permit(seconds)
+
+
+def permits(context, count, now):
+    limits, engine = context.node.selector.limits, context.engine
+    taken = []
+    while len(taken) < count:
+        now += 0.05
+        limits.ask(engine, "user", 0.0, False, now)
+        permit = limits.claim(engine, "user", now)
+        taken += [permit] if permit is not None else []
+    return taken, now
+
+
+@when("{count:d} requests get permits, an answer names the limit, and theirs come then without it")
+def step_late_answers(context, count):
+    limits = context.node.selector.limits
+    taken, context.now = permits(context, count, 0.0)
+    (naming,), context.now = permits(context, 1, context.now)
+    limits.hear(context.engine, 20.0, naming, context.now)
+    for permit in taken:
+        limits.hear(context.engine, None, permit, context.now + 0.01)
+
+
+@when("{count:d} requests get permits, and their answers come without it")
+def step_new_answers(context, count):
+    taken, now = permits(context, count, context.now)
+    for permit in taken:
+        context.node.selector.limits.hear(context.engine, None, permit, now)
