--- a/features/soak.feature
+++ b/features/soak.feature
@@ -84,6 +84,19 @@
       | two requests within a rest                             | nothing                               |
       | three requests within a rest, its node cut off         | nothing                               |
 
+  Scenario Outline: The check misses or invents an engine's limit that is exceeded
+    Given an engine that named a limit of 1 a second, and then got <what>
+    Then the check of limits finds it <judged>
+
+    Examples:
+      | what                                     | judged   |
+      | 12 requests in 4 s                       | exceeded |
+      | 11 requests in 4 s                       | kept     |
+      | 12 requests before 3 s are over          | kept     |
+      | 12 requests of a node that was not told  | kept     |
+      | 12 requests, its node killed between     | kept     |
+      | 12 requests, another node killed between | exceeded |
+
   Scenario: A short soak breaks no promise, and all nodes serve again after it
     When seed 1 is played for 12 s
     Then it had faults and served requests, and broke no promise
@@ -115,6 +128,10 @@
     Then it had faults and served requests, and broke no promise
     And engines said that they leave, and asked for rest
 
+  Scenario: Limits of engines are exceeded in a short soak
+    When seed 53000 is played for 12 s with engines that name limits
+    Then it had faults and served requests, and broke no promise
+
   Scenario: A short soak in which the store comes back from older copies breaks no promise
     When seed 47100 is played for 12 s with a store that comes back from older copies
     Then it had faults and served requests, and broke no promise
--- a/features/soak/engine_words.py
+++ b/features/soak/engine_words.py
@@ -1,4 +1,4 @@
-"""Engines that leave, want rest or name limits in their answers during a soak; and the checks."""
+"""Engines that say in their answers that they leave, or want rest, during a soak; and the check."""
 
 import asyncio
 import random
@@ -15,16 +15,10 @@
 RECORD_GONE_S = (0.3, 2.0)
 RESTS = ("1", "2.5", "3", "0.7", "0", "-1", "1e9", "soon", "5")
 TURNS_AWAY_S = (1.0, 5.0)
-LIMITS = ("1", "0.5", "0", "2", "6", "-1", "few")
-LIMITED_S = (6.0, 12.0)
 # As the platform's rules count.
 LEAVING_HEARD_S = 2.0
 REST_HEARD_S = 0.5
 SENDS_ALLOWED = 2
-LIMIT_HEARD_S = 0.5
-LIMIT_SETTLED_S = 3.0
-LIMIT_WINDOW_S = 4.0
-LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
 
 
 class EngineWords:
@@ -41,7 +35,7 @@
         begun = []
         while time.monotonic() < until:
             await asyncio.sleep(self._random.uniform(*SPACING_S))
-            kind = self._random.choice((self._leave, self._rest, self._limit))
+            kind = self._random.choice((self._leave, self._rest))
             name = kind.__name__.lstrip("_")
             self.counts[name] = self.counts.get(name, 0) + 1
             begun.append(asyncio.ensure_future(kind(random.Random(self._random.random()))))
@@ -62,21 +56,11 @@
         await asyncio.sleep(draw.uniform(*TURNS_AWAY_S))
         engine.rest = ""
 
-    async def _limit(self, draw):
-        engine = draw.choice(self._fleet.engines())
-        if engine.limit:
-            return
-        engine.limit, begun_at = draw.choice(LIMITS), time.monotonic()
-        await asyncio.sleep(draw.uniform(*LIMITED_S))
-        engine.limit_periods.append((begun_at, time.monotonic(), engine.limit))
-        engine.limit = ""
-
 
 def check_words(calls, engines, timeline):
     """Return the requests that engines got though they had told the node otherwise."""
     known = {call.request_id: call for call in calls}
     for engine in engines:
-        yield from _check_limits(engine, known, timeline)
         arrivals = [a for a in engine.arrivals if a.attempt_id in known]
         nodes = {known[a.attempt_id].node for a in arrivals}
         for node in sorted(nodes):
@@ -85,41 +69,6 @@
             yield from _check_rest(engine, node, own, timeline)
 
 
-def _check_limits(engine, known, timeline):
-    for begun_at, ended_at, limit in engine.limit_periods:
-        if not limit.replace(".", "").isdigit():
-            continue
-        arrivals = [
-            (a, known[a.attempt_id].node)
-            for a in engine.arrivals
-            if a.attempt_id in known and begun_at <= a.at < ended_at
-        ]
-        times = _told_arrivals(arrivals, timeline)
-        allowed = LIMIT_FACTOR * float(limit) * LIMIT_WINDOW_S + LIMIT_SLACK
-        for first in times:
-            count = sum(first <= at < first + LIMIT_WINDOW_S for at in times)
-            if count > allowed:
-                detail = f"{engine.engine_id}: {count} in {LIMIT_WINDOW_S} s, limit {limit}"
-                yield Violation("no more requests than an engine's limit", "", detail)
-                break
-
-
-def _told_arrivals(arrivals, timeline):
-    """Return when requests came from nodes that had passed on a limit, and had no trouble since."""
-    since = {}
-    for arrival, node in arrivals:
-        if arrival.limit and arrival.told_at is not None and not arrival.cut:
-            since[node] = min(since.get(node, arrival.told_at), arrival.told_at)
-    settled_at = min(since.values(), default=0.0) + LIMIT_SETTLED_S
-    return [
-        arrival.at
-        for arrival, node in arrivals
-        if node in since
-        and arrival.at >= max(settled_at, since[node] + LIMIT_HEARD_S)
-        and not timeline.troubled_between(node, since[node], arrival.at)
-    ]
-
-
 def _check_leaving(engine, node, arrivals, timeline):
     told = [a.told_at for a in arrivals if a.said_leaving and not a.cut]
     for arrival in arrivals:
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -26,6 +26,7 @@
 import aiohttp
 
 from features.soak.deadly import DeadlyCallers, check_deadly, ends_under
+from features.soak.engine_limits import EngineLimits, check_limits
 from features.soak.engine_words import EngineWords, check_words
 from features.soak.faults import FaultInjector
 from features.soak.fleet import Fleet
@@ -60,6 +61,7 @@
         sleeps: machines are suspended, too.
         hard: uneven engines, restarts, bursts and slow callers.
         words: engines say in their answers that they leave, or want rest.
+        limits: engines name limits for all nodes together.
         returns: the store comes back from older copies of itself.
         builds: each start of a node draws this build or that of `EARLIER_BUILD`.
     """
@@ -68,6 +70,7 @@
     sleeps: bool = False
     hard: bool = False
     words: bool = False
+    limits: bool = False
     returns: bool = False
     builds: bool = False
 
@@ -94,6 +97,7 @@
         self.calls = []
         self.load = HardLoad(self.fleet, seed, self._call, self.calls) if modes.hard else None
         self.words = EngineWords(self.fleet, seed) if modes.words else None
+        self.limits = EngineLimits(self.fleet, seed) if modes.limits else None
         self.returns = StoreReturns(self.fleet, seed) if modes.returns else None
         self._seconds = seconds
         self._seed = seed
@@ -121,6 +125,7 @@
             await self.fleet.stop_retired()
             found = check(*self._history(), BOUNDS)
             found += check_words(*self._history())
+            found += check_limits(*self._history())
             return [*found, *check_deadly(*self._history(), self._deadly_bodies)], alive
 
     def _draw_root(self):
@@ -136,9 +141,15 @@
             yield self.load.run_for(self._seconds)
         if self.words is not None:
             yield self.words.run_for(self._seconds)
+        if self.limits is not None:
+            yield self.limits.run_for(self._seconds)
         if self.returns is not None:
             yield self.returns.run_for(self._seconds)
 
+    def parts(self):
+        """Return what came up beside the faults, or None for what did not."""
+        return self.load, self.words, self.limits, self.returns
+
     def latest(self):
         """Return the latest arrivals after leavings and namings."""
         return latest(*self._history())
@@ -279,7 +290,7 @@
             f"{len(soak.fleet.timeline.faults)} faults, {len(found)} violations, "
             f"all nodes serve again: {alive}, {soak.latest()}, ended under requests: {soak.ends()}"
             + (f", builds: {dict(soak.builds)}" if modes.builds else "")
-            + "".join(f", {part.counts}" for part in (soak.load, soak.words, soak.returns) if part),
+            + "".join(f", {part.counts}" for part in soak.parts() if part),
             flush=True,
         )
         for promise, count in Counter(violation.promise for violation in found).items():
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from features.soak.deadly import check_deadly
+from features.soak.engine_limits import check_limits
 from features.soak.engine_words import check_words
 from features.soak.history import Bounds, Call, check
 from features.soak.run import Modes, Soak
@@ -201,6 +202,7 @@
     "with machines that sleep": Modes(sleeps=True),
     "under hard load": Modes(hard=True),
     "with engines that speak of themselves": Modes(words=True),
+    "with engines that name limits": Modes(limits=True),
     "with a store that comes back from older copies": Modes(returns=True),
 }
 
@@ -325,3 +327,47 @@
 def step_words_found(context, found):
     expected = set() if found == "nothing" else {found}
     assert {violation.promise for violation in context.found} == expected, context.found
+
+
+def limited(node, at, limit="1"):
+    arrival = told(at)
+    arrival.attempt_id, arrival.limit, arrival.told_at = node, limit, at + 0.01
+    return arrival
+
+
+def named_and(count, first=103.5, node="n1"):
+    """Return an answer that names a limit to two nodes, and later requests of one of them."""
+    later = [limited(node, first + 0.1 * number) for number in range(count)]
+    return [limited("n1", 100.0), limited("n2", 100.0), *later]
+
+
+LIMITS = {
+    "12 requests in 4 s": (named_and(12), []),
+    "11 requests in 4 s": (named_and(11), []),
+    "12 requests before 3 s are over": (named_and(12, first=101.5), []),
+    "12 requests of a node that was not told": (named_and(12, node="n3")[:14], []),
+    "12 requests, its node killed between": (
+        named_and(12),
+        [Trouble("n1", 102.0, 103.0, stands=True)],
+    ),
+    "12 requests, another node killed between": (
+        named_and(12),
+        [Trouble("n2", 102.0, 103.0, stands=True)],
+    ),
+}
+
+
+@given("an engine that named a limit of 1 a second, and then got {what}")
+def step_limit_history(context, what):
+    arrivals, troubles = LIMITS[what]
+    if "not told" in what:
+        for arrival in arrivals[2:]:
+            arrival.limit = ""
+    spoke = SimpleNamespace(engine_id="e1", arrivals=arrivals, limit_periods=[(99.0, 120.0, "1")])
+    calls = [replace(call(node), node=node) for node in ("n1", "n2", "n3")]
+    context.found = list(check_limits(calls, [spoke], Timeline(troubles=troubles)))
+
+
+@then("the check of limits finds it {judged}")
+def step_limit_found(context, judged):
+    assert bool(context.found) == (judged == "exceeded"), context.found
