--- a/features/soak/engine_limits.py
+++ b/features/soak/engine_limits.py
@@ -69,7 +69,7 @@
 
 
 def _counted(arrivals, timeline):
-    """Return when requests came from nodes that had passed on a limit, without trouble since."""
+    """Return when requests came from nodes that had passed on a limit, and ran on since."""
     since = {}
     for arrival, node in arrivals:
         if arrival.limit and arrival.told_at is not None and not arrival.cut:
@@ -80,5 +80,5 @@
         for arrival, node in arrivals
         if node in since
         and arrival.at >= max(settled_at, since[node] + HEARD_S)
-        and not timeline.troubled_between(node, since[node], arrival.at)
+        and not timeline.stood_between(node, since[node], arrival.at)
     ]
