--- a/features/engine_limits.feature
+++ b/features/engine_limits.feature
@@ -259,21 +259,3 @@
     Then nodes that know the limit sent such an engine together no more than it allows
     And at least half of what it allows was used
     And those that were refused were told when to come back, after 0.3 s at most
-
-  # What nothing reads
-
-  Scenario Outline: A header of the platform that nothing reads goes unnoticed
-    Given answers of engines and the store with the headers <headers>
-    Then <reported> is reported, once
-
-    Examples:
-      | headers                                      | reported         |
-      | Server-Mood: low                             | Server-Mood      |
-      | store-epoch: 7                               | store-epoch      |
-      | Kv-Room: 3                                   | Kv-Room          |
-      | Server-Limit: 3, X-Attempt-Id: 1             | nothing          |
-      | Content-Type: text/plain, Date: Thu          | nothing          |
-
-  Scenario: Headers that nothing reads are reported without bound
-    Given answers with 1000 headers that nothing reads, of 5000 characters each
-    Then 64 are reported, of 40 characters each
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -395,11 +395,6 @@
         self._announce_if_newer(before)
         self.forwarder.lines.changed()
 
-    def header_unread(self, sender: str, name: str, value: str) -> None:
-        """Note a header of the platform, in an answer, that nothing here reads."""
-        self.metrics.unread_headers.inc()
-        self.log.belief("header_unread", sender=sender, name=name, value=value)
-
     def store_era_began(self, era: int) -> None:
         """Note that an answer of the store names a later era: it came back from an older copy."""
         self._note_restored(era)
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -92,11 +92,6 @@
             "Records in the store that could not be understood.",
             registry=self.registry,
         )
-        self.unread_headers = Counter(
-            "liftrill_unread_headers",
-            "Names of headers in answers of engines and the store that nothing reads.",
-            registry=self.registry,
-        )
         self.store_era = self._gauge(
             "liftrill_store_era", "Era of the store since it last came back from an older copy."
         )
