--- a/features/engine_limits.feature
+++ b/features/engine_limits.feature
@@ -259,3 +259,15 @@
     Then nodes that know the limit sent such an engine together no more than it allows
     And at least half of what it allows was used
     And those that were refused were told when to come back, after 0.3 s at most
+
+  Scenario Outline: A peer's datagram with a limit that is no number stops or breaks a node
+    Given a datagram of a peer that tells a limit of <rate> a second
+    Then it is <taken>
+
+    Examples:
+      | rate | taken   |
+      | 0    | taken   |
+      | 2.5  | taken   |
+      | -1   | refused |
+      | nan  | refused |
+      | inf  | refused |
--- a/features/limit_replay.py
+++ b/features/limit_replay.py
@@ -63,7 +63,7 @@
     def issuer(self, engine):
         return first(b"engine", self.members)
 
-    def issued_share(self):
+    def issuing_share(self):
         if self.fleet.now - self.started_at < 1.0:
             return 0.0
         return min(1.0, len(self.members) / self.fleet.size)
@@ -71,10 +71,10 @@
     def send(self, node, message):
         self.fleet.deliver(self, node, lambda peer: peer.limits.take(self.own, message, peer.now))
 
-    def tell_all(self, limit):
+    def broadcast(self, limit):
         for peer in self.members - {self.own}:
             for repeat_s in REPEATS_S:
-                self.fleet.deliver(self, peer, lambda p: p.limits.learn(limit, p.now), repeat_s)
+                self.fleet.deliver(self, peer, lambda p: p.limits.merge(limit, p.now), repeat_s)
 
     def limit_changed(self, limit, source):
         pass
@@ -106,12 +106,12 @@
         permit = None
         if limits.is_limited(ENGINE):
             permit = limits.claim(ENGINE, user, now)
-            if permit is None and limits.is_coming(ENGINE, user, now):
+            if permit is None and limits.is_pending(ENGINE, user, now):
                 return
             if permit is None and not limits.wait_s(ENGINE, user, now):
                 limits.ask(ENGINE, user, 0.0, True, now)
                 permit = limits.claim(ENGINE, user, now)
-                if permit is None and limits.is_coming(ENGINE, user, now):
+                if permit is None and limits.is_pending(ENGINE, user, now):
                     return
         self.waiting.pop(user, None)
         if limits.may_send(ENGINE, permit, now):
@@ -186,7 +186,7 @@
         self.after(SERVICE_S, lambda: self._answer(node, named, permit), node)
 
     def _answer(self, node, named, permit):
-        node.limits.hear(ENGINE, named, permit, node.now)
+        node.limits.note_answer(ENGINE, named, permit, node.now)
         if named is not None and node.told_at is None:
             node.told_at = self.now
 
@@ -224,7 +224,7 @@
             limits = peer.limits.in_force()
             if peer is not node and limits:
                 self.deliver(
-                    peer, name, lambda p, known=limits: p.limits.learn(known[0], p.now), JOINED_S
+                    peer, name, lambda p, known=limits: p.limits.merge(known[0], p.now), JOINED_S
                 )
 
     def freeze(self, name, seconds):
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -7,14 +7,14 @@
 
 from features.gateway_support import opaque_request
 from features.limit_replay import ENGINE, ReplayedFleet
-from liftrill.coordination.permits import Permit, PermitAnswer, PermitHolder
+from liftrill.coordination.permits import Permit, PermitDecision, PermitHolder
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_limits import EngineLimit, NoPeers
 from liftrill.gateway.engines.engine_update import EngineUpdate
 from liftrill.gateway.engines.placement import Candidate
 from liftrill.gateway.peers.notice_codec import datagrams_from_update, update_from_message
-from liftrill.node.membership_codec import parse_message
+from liftrill.node.membership_codec import GossipDecodeError, parse_message
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
 from engines import word_of
@@ -189,7 +189,7 @@
 
 
 def name_limit(context, name, limit, now=0.0):
-    context.node.selector.limits.hear(at(context, name), limit, None, now)
+    context.node.selector.limits.note_answer(at(context, name), limit, None, now)
 
 
 @when("{name} names a limit of {limit:g} a second in an answer")
@@ -200,14 +200,14 @@
 
 @when("an answer without a limit comes to an earlier request")
 def step_earlier_answer(context):
-    context.node.selector.limits.hear(context.engine, None, None, 0.1)
+    context.node.selector.limits.note_answer(context.engine, None, None, 0.1)
 
 
 @when("a late end of an earlier limit is told")
 def step_late_end(context):
     limits = context.node.selector.limits
-    limits.learn(EngineLimit(context.engine, 1.0, serial=3), 0.1)
-    limits.learn(EngineLimit(context.engine, 1.0, serial=2, in_force=False), 0.2)
+    limits.merge(EngineLimit(context.engine, 1.0, serial=3), 0.1)
+    limits.merge(EngineLimit(context.engine, 1.0, serial=2, in_force=False), 0.2)
 
 
 @when("a node joins that was told of a limit of {limit:g} a second by others")
@@ -216,7 +216,7 @@
     for datagram in datagrams_from_update(told):
         update = update_from_message(parse_message(datagram.SerializeToString()))
         for row in update.limits:
-            context.node.selector.limits.learn(row, 0.0)
+            context.node.selector.limits.merge(row, 0.0)
 
 
 @then("a gets requests with permits only, and b without")
@@ -235,7 +235,7 @@
 def step_many_limits(context, count):
     for number in range(count):
         engine = EngineAddress(f"other-{number}", "10.0.0.9:1", number + 1)
-        context.node.selector.limits.hear(engine, 1.0, None, number / 1000)
+        context.node.selector.limits.note_answer(engine, 1.0, None, number / 1000)
 
 
 @then("{count:d} limits are remembered")
@@ -264,13 +264,13 @@
     """The surroundings of a node whose peer issues all permits, and answers nothing."""
 
     def __init__(self):
-        self.questions = []
+        self.requests = []
 
     def issuer(self, engine):
         return "another"
 
     def send(self, node, message):
-        self.questions.append(message)
+        self.requests.append(message)
 
 
 @given("another node issues the permits of a")
@@ -286,14 +286,14 @@
 @then("a request that b turned away finds no engine left to wait for")
 def step_tried_again(context):
     assert choose(context, 0.0, ("b",)) is Unavailable.NONE_READY
-    assert not context.peers.questions
+    assert not context.peers.requests
 
 
 @then("a request that prefers a waits {seconds:g} s at most, and is sent to b")
 def step_prefers(context, seconds):
     context.node.engines.get("b").own_load.waiting_tokens = 10_000
     assert choose(context, 0.0) is Unavailable.NONE_READY
-    assert len(context.peers.questions) == 1
+    assert len(context.peers.requests) == 1
     assert choose(context, 0.0, request_id="request-2").engine_id == "b"
     assert choose(context, seconds).engine_id == "b"
 
@@ -355,8 +355,8 @@
 @when("the answer comes at {seconds:g} s")
 def step_answered(context, seconds):
     context.now = seconds
-    answer = PermitAnswer(1, True, 0.0, run=1, issued_at=500.0)
-    context.holder.answered(answer, "issuer", seconds)
+    decision = PermitDecision(1, True, 0.0, run=1, issued_at=500.0)
+    context.holder.decided(decision, "issuer", seconds)
 
 
 @then("the permit is {state} then, and not usable at {seconds:g} s")
@@ -381,13 +381,28 @@
     limits = context.node.selector.limits
     taken, context.now = permits(context, count, 0.0)
     (naming,), context.now = permits(context, 1, context.now)
-    limits.hear(context.engine, 20.0, naming, context.now)
+    limits.note_answer(context.engine, 20.0, naming, context.now)
     for permit in taken:
-        limits.hear(context.engine, None, permit, context.now + 0.01)
+        limits.note_answer(context.engine, None, permit, context.now + 0.01)
 
 
 @when("{count:d} requests get permits, and their answers come without it")
 def step_new_answers(context, count):
     taken, now = permits(context, count, context.now)
     for permit in taken:
-        context.node.selector.limits.hear(context.engine, None, permit, now)
+        context.node.selector.limits.note_answer(context.engine, None, permit, now)
+
+
+@given("a datagram of a peer that tells a limit of {rate} a second")
+def step_peer_limit(context, rate):
+    update = EngineUpdate(limits=(EngineLimit(ENGINE, float(rate)),))
+    (context.datagram,) = datagrams_from_update(update)
+
+
+@then("it is {taken}")
+def step_taken(context, taken):
+    try:
+        limits = update_from_message(context.datagram).limits
+    except GossipDecodeError:
+        limits = ()
+    assert len(limits) == (taken == "taken"), limits
--- a/features/steps/engine_send_steps.py
+++ b/features/steps/engine_send_steps.py
@@ -192,7 +192,7 @@
 
 @when("it names a limit while the connection comes up")
 def step_limit_meanwhile(context):
-    context.ports.limits.hear(context.chosen.at, 1.0, None, clock.now_s())
+    context.ports.limits.note_answer(context.chosen.at, 1.0, None, clock.now_s())
 
 
 @then("the node has heard that it leaves")
--- a/liftrill/gateway/engines/engine_limits.py
+++ b/liftrill/gateway/engines/engine_limits.py
@@ -10,16 +10,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-from liftrill.coordination.permits import Permit, PermitAnswer, PermitHolder
+from liftrill.coordination.permits import Permit, PermitDecision, PermitHolder, PermitIssuer
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.limit_issuer import LimitIssuer
 
 # As for what else engines said: see engine_standing.
 REMEMBERED_S = 600.0
 MOST_REMEMBERED = 4_096
 EXPIRED_EACH_S = 10.0
-# The numbers of a node's questions begin anywhere below, so that those of two runs differ.
-FIRST_QUESTIONS = 1 << 32
+# The numbers of a node's requests begin anywhere below, so that those of two runs differ.
+FIRST_REQUESTS = 1 << 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,12 +38,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PermitQuestion:
+class PermitRequest:
     """Asks an issuer for one permit.
 
     Attributes:
         limit: as the asking node knows it.
-        number: of the question.
+        number: of the request.
         patience_s: within which the permit is of use.
     """
 
@@ -54,11 +53,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PermitReply:
-    """Answers a question, with the limit as the issuer knows it."""
+class PermitResponse:
+    """Answers a request, with the limit as the issuer knows it."""
 
     limit: EngineLimit
-    answer: PermitAnswer
+    decision: PermitDecision
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +74,7 @@
     rate_per_s: float | None
 
 
-LimitMessage = PermitQuestion | PermitReply | PermitReceipt
+LimitMessage = PermitRequest | PermitResponse | PermitReceipt
 
 
 class LimitPeers(ABC):
@@ -91,7 +90,7 @@
         """Return the node that issues permits for an engine."""
 
     @abstractmethod
-    def issued_share(self) -> float:
+    def issuing_share(self) -> float:
         """Return the share of a limit that this node may issue, 0 where it may not issue yet."""
 
     @abstractmethod
@@ -99,7 +98,7 @@
         """Send a message to another node."""
 
     @abstractmethod
-    def tell_all(self, limit: EngineLimit) -> None:
+    def broadcast(self, limit: EngineLimit) -> None:
         """Tell all nodes of a limit that begins or ends."""
 
     @abstractmethod
@@ -116,7 +115,7 @@
 
     @abstractmethod
     def permit_unanswered(self, engine: EngineAddress, issuer: str) -> None:
-        """Note that an issuer did not answer the last question in time."""
+        """Note that an issuer did not respond to the last request in time."""
 
     @abstractmethod
     def permits_changed(self) -> None:
@@ -132,14 +131,14 @@
         """Return this node."""
         return self.own
 
-    def issued_share(self) -> float:
+    def issuing_share(self) -> float:
         """Return all of it."""
         return 1.0
 
     def send(self, node: str, message: LimitMessage) -> None:
         """Send nothing."""
 
-    def tell_all(self, limit: EngineLimit) -> None:
+    def broadcast(self, limit: EngineLimit) -> None:
         """Tell nobody."""
 
     def limit_changed(self, limit: EngineLimit, source: str) -> None:
@@ -159,9 +158,9 @@
 
 
 @dataclass(slots=True)
-class _Known:
+class _LimitState:
     limit: EngineLimit
-    heard_at: float
+    updated_at: float
     holder: PermitHolder = field(default_factory=PermitHolder)
 
 
@@ -174,9 +173,9 @@
 
     def __init__(self) -> None:
         self.peers: LimitPeers = NoPeers()
-        self._known: dict[EngineAddress, _Known] = {}
-        self._issuer = LimitIssuer()
-        self._numbers = itertools.count(random.randrange(FIRST_QUESTIONS))
+        self._known: dict[EngineAddress, _LimitState] = {}
+        self._issuer = PermitIssuer()
+        self._numbers = itertools.count(random.randrange(FIRST_REQUESTS))
         self._expired_at = 0.0
 
     def in_force(self) -> tuple[EngineLimit, ...]:
@@ -201,20 +200,30 @@
         if not self._known or not self.is_limited(engine):
             return 0.0
         holder = self._known[engine].holder
-        if holder.has_permit(now) or holder.is_coming(user, now):
+        if holder.has_permit(now) or holder.is_pending(user, now):
             return 0.0
         return holder.wait_s(now)
 
-    def is_coming(self, engine: EngineAddress, user: str, now: float) -> bool:
+    def is_pending(self, engine: EngineAddress, user: str, now: float) -> bool:
         """Return whether a request waits for a permit that was asked for."""
         known = self._known.get(engine)
-        return known is not None and known.holder.is_coming(user, now)
+        return known is not None and known.holder.is_pending(user, now)
 
     def claim(self, engine: EngineAddress, user: str, now: float) -> Permit | None:
         """Take a permit that this node holds."""
         known = self._known.get(engine)
         return known.holder.claim(user, now) if known is not None else None
 
+    def obtain(
+        self, engine: EngineAddress, user: str, patience_s: float, may_wait: bool, now: float
+    ) -> Permit | None:
+        """Take a permit, and ask for one where there is none yet."""
+        permit = self.claim(engine, user, now)
+        if permit is not None or not self.is_limited(engine):
+            return permit
+        self.ask(engine, user, patience_s, may_wait, now)
+        return self.claim(engine, user, now)
+
     def ask(
         self, engine: EngineAddress, user: str, patience_s: float, may_wait: bool, now: float
     ) -> None:
@@ -227,20 +236,20 @@
             self.peers.permit_unanswered(engine, issuer)
         number = next(self._numbers)
         known.holder.ask(number, user, now)
-        question = PermitQuestion(known.limit, number, patience_s)
+        request = PermitRequest(known.limit, number, patience_s)
         if issuer == self.peers.own:
-            self._take_reply(issuer, self._reply(question, now), now)
+            self._take_response(issuer, self._respond(request, now), now)
         else:
-            self.peers.send(issuer, question)
+            self.peers.send(issuer, request)
 
     # What is heard of limits
 
-    def hear(
+    def note_answer(
         self, engine: EngineAddress, rate_per_s: float | None, permit: Permit | None, now: float
     ) -> None:
         """Take in the limit that an answer to this node named, or None."""
         if rate_per_s is not None:
-            self._hear_named(engine, rate_per_s, now)
+            self._note_named(engine, rate_per_s, now)
         if permit is None:
             return
         receipt = PermitReceipt(engine, permit.run, permit.issued_at, rate_per_s)
@@ -249,14 +258,14 @@
         else:
             self.peers.send(permit.issuer, receipt)
 
-    def learn(self, limit: EngineLimit, now: float) -> None:
+    def merge(self, limit: EngineLimit, now: float) -> None:
         """Take in what a peer knows of a limit."""
         known = self._known.get(limit.engine)
         if known is None:
             if limit.in_force:
                 self._note(limit, "peer", now)
             return
-        known.heard_at = now
+        known.updated_at = now
         is_newer = limit.serial > known.limit.serial
         if is_newer and (limit.in_force or known.limit.in_force):
             self._note(limit, "peer", now)
@@ -265,12 +274,12 @@
 
     def take(self, node: str, message: LimitMessage, now: float) -> None:
         """Take in a message from another node."""
-        if isinstance(message, PermitQuestion):
-            self.learn(message.limit, now)
-            self.peers.send(node, self._reply(message, now))
-        elif isinstance(message, PermitReply):
-            self.learn(message.limit, now)
-            self._take_reply(node, message, now)
+        if isinstance(message, PermitRequest):
+            self.merge(message.limit, now)
+            self.peers.send(node, self._respond(message, now))
+        elif isinstance(message, PermitResponse):
+            self.merge(message.limit, now)
+            self._take_response(node, message, now)
             self.peers.permits_changed()
         else:
             self._take_receipt(message, now)
@@ -283,31 +292,31 @@
         for engine in in_records:
             known = self._known.get(engine)
             if known is not None and known.limit.in_force:
-                known.heard_at = now
+                known.updated_at = now
         for engine, known in list(self._known.items()):
-            if now - known.heard_at > REMEMBERED_S:
+            if now - known.updated_at > REMEMBERED_S:
                 self._forget(engine)
 
-    def _hear_named(self, engine: EngineAddress, rate_per_s: float, now: float) -> None:
+    def _note_named(self, engine: EngineAddress, rate_per_s: float, now: float) -> None:
         known = self._known.get(engine)
         if known is not None and known.limit.in_force:
-            known.heard_at = now
+            known.updated_at = now
             if known.limit.rate_per_s != rate_per_s:
                 self._note(replace(known.limit, rate_per_s=rate_per_s), "answer", now)
             return
         serial = known.limit.serial + 1 if known is not None else 1
         limit = EngineLimit(engine, rate_per_s, serial)
         self._note(limit, "answer", now)
-        self.peers.tell_all(limit)
+        self.peers.broadcast(limit)
 
     def _note(self, limit: EngineLimit, source: str, now: float) -> None:
         known = self._known.get(limit.engine)
         if known is None:
-            self._known[limit.engine] = _Known(limit, now)
+            self._known[limit.engine] = _LimitState(limit, now)
             if len(self._known) > MOST_REMEMBERED:
-                self._forget(min(self._known, key=lambda engine: self._known[engine].heard_at))
+                self._forget(min(self._known, key=lambda engine: self._known[engine].updated_at))
         else:
-            known.limit, known.heard_at = limit, now
+            known.limit, known.updated_at = limit, now
         if not limit.in_force:
             self._issuer.stop(limit.engine)
         self.peers.limit_changed(limit, source)
@@ -319,45 +328,45 @@
 
     # Permits that this node issues
 
-    def _reply(self, question: PermitQuestion, now: float) -> PermitReply:
-        """Answer a question as the issuer, where this node is the one."""
-        engine = question.limit.engine
+    def _respond(self, request: PermitRequest, now: float) -> PermitResponse:
+        """Answer a request as the issuer, where this node is the one."""
+        engine = request.limit.engine
         known = self._known.get(engine)
-        limit = known.limit if known is not None else question.limit
+        limit = known.limit if known is not None else request.limit
         is_issuer = self.peers.issuer(engine) == self.peers.own
-        share = self.peers.issued_share() if is_issuer else 0.0
-        answer = self._issuer.answer(
+        share = self.peers.issuing_share() if is_issuer else 0.0
+        decision = self._issuer.decide(
             engine,
             limit.rate_per_s if limit.in_force else None,
             share,
-            question.number,
-            question.patience_s,
+            request.number,
+            request.patience_s,
             now,
         )
-        return PermitReply(limit, answer)
+        return PermitResponse(limit, decision)
 
-    def _take_reply(self, node: str, reply: PermitReply, now: float) -> None:
-        engine = reply.limit.engine
+    def _take_response(self, node: str, response: PermitResponse, now: float) -> None:
+        engine = response.limit.engine
         known = self._known.get(engine)
         if known is None:
             return
-        if reply.limit.serial == known.limit.serial:
+        if response.limit.serial == known.limit.serial:
             # The issuer receives each number that the engine names.
-            known.limit = reply.limit
+            known.limit = response.limit
         user = known.holder.user
-        if not known.holder.answered(reply.answer, node, now):
+        if not known.holder.decided(response.decision, node, now):
             return
-        if reply.answer.granted:
+        if response.decision.granted:
             self.peers.permit_granted()
         else:
-            self.peers.permit_refused(engine, user, node, reply.answer.wait_s)
+            self.peers.permit_refused(engine, user, node, response.decision.wait_s)
 
     def _take_receipt(self, receipt: PermitReceipt, now: float) -> None:
         known = self._known.get(receipt.engine)
         if known is None or not known.limit.in_force:
             return
         if receipt.rate_per_s is not None:
-            known.heard_at = now
+            known.updated_at = now
             known.limit = replace(known.limit, rate_per_s=receipt.rate_per_s)
         ended = self._issuer.take_receipt(
             receipt.engine, receipt.run, receipt.issued_at, receipt.rate_per_s is not None, now
@@ -365,4 +374,4 @@
         if ended:
             limit = replace(known.limit, serial=known.limit.serial + 1, in_force=False)
             self._note(limit, "permits", now)
-            self.peers.tell_all(limit)
+            self.peers.broadcast(limit)
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from liftrill import constants
-from liftrill.coordination.permits import ANSWER_WAIT_S, Permit
+from liftrill.coordination.permits import DECISION_WAIT_S
 from liftrill.gateway.admission.overload import OverloadGuard
 from liftrill.gateway.admission.room import EngineRoom
 from liftrill.gateway.delivery import Unavailable
@@ -83,7 +83,7 @@
         floor = self._version_floor(able, request)
         ready = [view for view in left if self._is_ready(view, request, floor, now)]
         # One that an engine turned away has waited already.
-        may_wait = not excluded and now + ANSWER_WAIT_S < request.waits_until
+        may_wait = not excluded and now + DECISION_WAIT_S < request.waits_until
         while ready:
             choice = self._choose_ready(request, ready, now, quietest)
             if isinstance(choice, Unavailable) or not self.limits.is_limited(choice.engine):
@@ -116,18 +116,18 @@
     ) -> EngineChoice | Unavailable | None:
         """Return a limited engine with a permit, or whether to wait for one; None for neither."""
         user = request.request_id
-        permit = self.limits.claim(choice.engine, user, now)
         limited = [view.at for view in ready if self.limits.is_limited(view.at)]
-        if permit is None and not any(self.limits.is_coming(at, user, now) for at in limited):
-            # Others serve it sooner than a permit that has to be waited for.
+        if any(self.limits.is_pending(at, user, now) for at in limited):
+            permit = self.limits.claim(choice.engine, user, now)
+        else:
+            # Other engines serve it sooner than a permit that has to be waited for.
             waits = may_wait and len(limited) == len(ready)
             patience_s = max(0.0, request.waits_until - now) if waits else 0.0
-            self.limits.ask(choice.engine, user, patience_s, may_wait, now)
-            permit = self.limits.claim(choice.engine, user, now)
+            permit = self.limits.obtain(choice.engine, user, patience_s, may_wait, now)
         if permit is not None:
             return replace(choice, permit=permit)
-        is_coming = any(self.limits.is_coming(at, user, now) for at in limited)
-        return Unavailable.NONE_READY if may_wait and is_coming else None
+        is_pending = any(self.limits.is_pending(at, user, now) for at in limited)
+        return Unavailable.NONE_READY if may_wait and is_pending else None
 
     def _none_ready(
         self, request: OpaqueRequest, left: list[EngineView], now: float
@@ -215,7 +215,7 @@
             return None
         if view.standing.rests(now):
             return None
-        permit = self._permit_at_once(view, request, now)
+        permit = self.limits.obtain(view.at, request.request_id, 0.0, False, now)
         if permit is None and self.limits.is_limited(view.at):
             return None
         return replace(
@@ -229,17 +229,6 @@
             continues_copy=True,
         )
 
-    def _permit_at_once(
-        self, view: EngineView, request: OpaqueRequest, now: float
-    ) -> Permit | None:
-        """Return a permit that this node holds or issues itself, or None."""
-        user = request.request_id
-        permit = self.limits.claim(view.at, user, now)
-        if permit is not None or not self.limits.is_limited(view.at):
-            return permit
-        self.limits.ask(view.at, user, 0.0, False, now)
-        return self.limits.claim(view.at, user, now)
-
     def begin_by(self, choice: EngineChoice, request: OpaqueRequest) -> float:
         """Return until when a request may begin where it was sent, by what is named now."""
         # A run that goes on with its copy has begun, and without the copy engines refuse it.
--- a/liftrill/gateway/engines/engine_standing.py
+++ b/liftrill/gateway/engines/engine_standing.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -28,6 +29,13 @@
 # How many are remembered at the most: more than leave within that time in a fleet of thousands;
 # 1.6 MB (400 bytes each).
 MOST_REMEMBERED = 4_096
+# Fractions included; another form, such as a date, says nothing.
+DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+
+
+def decimals(values: Iterable[str]) -> list[float]:
+    """Return the plain decimal numbers among some values, as seconds or requests a second."""
+    return [float(value) for value in values if DECIMAL.fullmatch(value)]
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -46,8 +46,7 @@
 from liftrill.gateway.peers.able_nodes import ranked
 from liftrill.gateway.peers.busy_node import BusyNode
 from liftrill.gateway.peers.caller_directory import CallerDirectory
-from liftrill.gateway.peers.engine_gossip import EngineGossip
-from liftrill.gateway.peers.limit_link import LimitLink
+from liftrill.gateway.peers.engine_gossip import EngineGossip, LimitLink
 from liftrill.gateway.peers.load_board import LoadBoard
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendLoads, topology_for
 from liftrill.gateway.peers.node_capacity import NodeCapacities, NodeCapacity
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -15,12 +15,14 @@
 
 import aiohttp
 from aiohttp import ClientPayloadError
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from aiohttp.helpers import set_exception
 
 from liftrill import clock, constants
 from liftrill.errors import LiftrillError
+from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.transport import always
 
 # A peer behind a cut says nothing: unacknowledged data or probes end the connection.
@@ -111,6 +113,27 @@
         raise SendWithdrawnError("not sent")
 
 
+class LargeBody(aiohttp.BytesPayload):
+    """A body that is written in pieces.
+
+    The library joins the first piece with the head: of a whole body, that is a copy which lies
+    there until the engine has read it.
+    """
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Write as much as the engine reads."""
+        whole = memoryview(self._value)
+        for start in range(0, len(whole), LARGE_BODY_BYTES):
+            await writer.write(whole[start : start + LARGE_BODY_BYTES])
+
+
+def payload(body: bytes) -> bytes | LargeBody | None:
+    """Return what to write for a body, or None for an empty one."""
+    return LargeBody(body) if len(body) >= LARGE_BODY_BYTES else body or None
+
+
 def idle_limit_s(keep_alive: str) -> float:
     """Return how long a connection is used again after an answer, by its Keep-Alive header."""
     for parameter in keep_alive.split(","):
--- a/liftrill/gateway/peers/engine_gossip.py
+++ b/liftrill/gateway/peers/engine_gossip.py
@@ -1,15 +1,22 @@
 """What nodes tell each other of engines besides the records in the store."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 from liftrill import clock
 from liftrill.coordination.membership import Membership
 from liftrill.coordination.membership_messages import Member
-from liftrill.coordination.rendezvous import rank
+from liftrill.coordination.quota import FleetSize
+from liftrill.coordination.rendezvous import first, rank
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.engine_limits import EngineLimits
+from liftrill.gateway.engines.engine_limits import (
+    EngineLimit,
+    EngineLimits,
+    LimitMessage,
+    LimitPeers,
+)
 from liftrill.gateway.engines.engine_standing import EngineWord
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.engines.engine_update import EngineUpdate
@@ -22,6 +29,8 @@
 # How many nodes tell it of all weights: 18 KB each for 300 engines with one model (encoded rows);
 # one may have just started, and datagrams of another be lost (guess).
 JOINER_TELLERS = 3
+# A node that starts takes itself for the only one until it knows the others.
+ISSUES_AFTER_S = 1.0
 
 
 class EngineGossip:
@@ -53,7 +62,7 @@
         now = clock.now_s()
         engine = self._engines.incarnation(word.engine)
         if engine is not None:
-            self._limits.hear(engine, word.limit_per_s, word.permit, now)
+            self._limits.note_answer(engine, word.limit_per_s, word.permit, now)
         if self._engines.hear(word, now):
             self._note_leaving(word.engine, word.source)
             self._peers.tell_leaving([word.engine])
@@ -65,7 +74,7 @@
             if self._engines.hear(EngineWord(engine, "peer", leaving=True), now):
                 self._note_leaving(engine, "peer")
         for limit in update.limits:
-            self._limits.learn(limit, now)
+            self._limits.merge(limit, now)
         for record in self._engines.learn_unwritten(update, now):
             self._log.belief("engine_withheld", engine=record.engine_id, revision=record.revision)
 
@@ -105,3 +114,94 @@
             revision=view.record.revision if view else None,
             born_unix_ms=view.record.born_unix_ms if view else None,
         )
+
+
+class LimitLink(LimitPeers):
+    """What the limits of a gateway ask of its peers.
+
+    Attributes:
+        wake_waiting: lets requests that wait for engines look again.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        fleet: FleetSize,
+        peers: PeerLink,
+        log: DecisionLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.wake_waiting: Callable[[], None] = lambda: None
+        self._membership = membership
+        self._fleet = fleet
+        self._peers = peers
+        self._log = log
+        self._metrics = metrics
+        self._started_at = clock.now_s()
+        self._issuers: dict[EngineAddress, str] = {}
+        self._issuers_among: list[Member] = []
+
+    @property
+    def own(self) -> str:
+        """The name of this node."""
+        return self._membership.own.node_id
+
+    def issuer(self, engine: EngineAddress) -> str:
+        """Return the node that issues permits for an engine: one of those believed alive."""
+        members = self._membership.members()
+        if members is not self._issuers_among:
+            self._issuers_among = members
+            self._issuers.clear()
+        if engine not in self._issuers:
+            key = f"{engine.engine_id} {engine.address} {engine.number}".encode()
+            nodes = (member.node_id for member in members)
+            self._issuers[engine] = first(key, nodes) or self.own
+        return self._issuers[engine]
+
+    def issuing_share(self) -> float:
+        """Return the share of a limit that this node may issue.
+
+        Each side of a cut has an issuer of its own: their shares add up to one.
+        """
+        if clock.now_s() - self._started_at < ISSUES_AFTER_S:
+            return 0.0
+        return min(1.0, len(self._membership.members()) / self._fleet.nodes)
+
+    def send(self, node: str, message: LimitMessage) -> None:
+        """Send a message to another node."""
+        self._peers.send_limit_message(node, message)
+
+    def broadcast(self, limit: EngineLimit) -> None:
+        """Tell all nodes of a limit that begins or ends."""
+        self._peers.broadcast_limit(limit)
+
+    def limit_changed(self, limit: EngineLimit, source: str) -> None:
+        """Log a limit that began, changed or ended."""
+        self._log.belief(
+            "engine_limit",
+            engine=limit.engine.engine_id,
+            address=limit.engine.address,
+            in_force=limit.in_force,
+            limit_per_s=limit.rate_per_s,
+            serial=limit.serial,
+            source=source,
+            issuer=self.issuer(limit.engine),
+        )
+
+    def permit_granted(self) -> None:
+        """Count a permit."""
+        self._metrics.permits.labels("granted").inc()
+
+    def permit_refused(self, engine: EngineAddress, user: str, issuer: str, wait_s: float) -> None:
+        """Log and count that a request got no permit."""
+        self._metrics.permits.labels("refused").inc()
+        self._log.permit_refused(user, engine, issuer, wait_s)
+
+    def permit_unanswered(self, engine: EngineAddress, issuer: str) -> None:
+        """Log and count that an issuer did not answer in time."""
+        self._metrics.permits.labels("none").inc()
+        self._log.permit_unanswered(engine, issuer)
+
+    def permits_changed(self) -> None:
+        """Let requests that wait for engines look again."""
+        self.wake_waiting()
--- a/liftrill/gateway/peers/notice_codec.py
+++ b/liftrill/gateway/peers/notice_codec.py
@@ -1,17 +1,26 @@
 """Turns what nodes tell each other of engines into datagrams and back."""
 
+import math
 from collections.abc import Sequence
 from typing import TypeVar
 
+from liftrill.coordination.permits import PermitDecision
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.engine_limits import EngineLimit
+from liftrill.gateway.engines.engine_limits import (
+    EngineLimit,
+    LimitMessage,
+    PermitReceipt,
+    PermitRequest,
+    PermitResponse,
+)
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.engines.engine_update import EngineUpdate, SeenWeights, WithheldRecord
-from liftrill.gateway.peers.limit_codec import limit_from_message, limit_message
 from liftrill.messages import peer_pb2 as messages
+from liftrill.node.membership_codec import GossipDecodeError
 
 # An engine takes some 60 bytes (worked out from the wire format): a datagram stays under 1,200.
 ROWS_PER_DATAGRAM = 16
+MS_PER_S = 1000.0
 
 _Row = TypeVar("_Row")
 
@@ -114,3 +123,91 @@
         for row in message.leaving
         if row.engine
     ]
+
+
+def limit_message(limit: EngineLimit) -> messages.EngineLimit:
+    """Return the message of a limit."""
+    return messages.EngineLimit(
+        engine_id=limit.engine.engine_id,
+        address=limit.engine.address,
+        engine=limit.engine.number,
+        rate_per_second=limit.rate_per_s,
+        serial=limit.serial,
+        ended=not limit.in_force,
+    )
+
+
+def limit_from_message(message: messages.EngineLimit) -> EngineLimit:
+    """Return the limit in a message.
+
+    Raises:
+        GossipDecodeError: its rate is no number of requests.
+    """
+    if not 0.0 <= message.rate_per_second < math.inf:
+        raise GossipDecodeError("a limit without a rate")
+    engine = EngineAddress(message.engine_id, message.address, message.engine)
+    return EngineLimit(engine, message.rate_per_second, message.serial, not message.ended)
+
+
+def has_limit_message(message: messages.Datagram) -> bool:
+    """Return whether a datagram asks for a permit, answers or tells what came of one."""
+    return any(
+        message.HasField(field) for field in ("permit_request", "permit_response", "permit_receipt")
+    )
+
+
+def datagram_from_limit_message(sender: str, content: LimitMessage) -> messages.Datagram:
+    """Return the datagram that carries a request, a response or a receipt."""
+    if isinstance(content, PermitRequest):
+        request = messages.PermitRequest(
+            limit=limit_message(content.limit),
+            number=content.number,
+            patience_milliseconds=_milliseconds(content.patience_s),
+        )
+        return messages.Datagram(sender=sender, permit_request=request)
+    if isinstance(content, PermitResponse):
+        decision = content.decision
+        response = messages.PermitResponse(
+            limit=limit_message(content.limit),
+            number=decision.number,
+            granted=decision.granted,
+            wait_milliseconds=_milliseconds(decision.wait_s),
+            run=decision.run,
+            issued_at=decision.issued_at,
+        )
+        return messages.Datagram(sender=sender, permit_response=response)
+    rate_per_s = content.rate_per_s
+    limit = EngineLimit(content.engine, rate_per_s or 0.0, in_force=rate_per_s is not None)
+    receipt = messages.PermitReceipt(
+        limit=limit_message(limit), run=content.run, issued_at=content.issued_at
+    )
+    return messages.Datagram(sender=sender, permit_receipt=receipt)
+
+
+def limit_message_from(message: messages.Datagram) -> LimitMessage:
+    """Return the request, the response or the receipt that a datagram carries."""
+    if message.HasField("permit_request"):
+        request = message.permit_request
+        return PermitRequest(
+            limit_from_message(request.limit),
+            request.number,
+            request.patience_milliseconds / MS_PER_S,
+        )
+    if message.HasField("permit_response"):
+        response = message.permit_response
+        decision = PermitDecision(
+            response.number,
+            response.granted,
+            response.wait_milliseconds / MS_PER_S,
+            response.run,
+            response.issued_at,
+        )
+        return PermitResponse(limit_from_message(response.limit), decision)
+    receipt = message.permit_receipt
+    limit = limit_from_message(receipt.limit)
+    rate_per_s = limit.rate_per_s if limit.in_force else None
+    return PermitReceipt(limit.engine, receipt.run, receipt.issued_at, rate_per_s)
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(MS_PER_S * seconds)
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -26,11 +26,6 @@
 from liftrill.gateway.engines.engine_limits import EngineLimit, LimitMessage
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.engines.engine_update import EngineUpdate
-from liftrill.gateway.peers.limit_codec import (
-    datagram_from_limit_message,
-    has_limit_message,
-    limit_message_from,
-)
 from liftrill.gateway.peers.load_codec import (
     ReportAssembler,
     datagrams_from_report,
@@ -38,10 +33,13 @@
 )
 from liftrill.gateway.peers.load_exchange import LoadReport, SendLoads, others
 from liftrill.gateway.peers.notice_codec import (
+    datagram_from_limit_message,
     datagram_from_notices,
     datagrams_from_leaving,
     datagrams_from_limits,
     datagrams_from_update,
+    has_limit_message,
+    limit_message_from,
     notice_from_message,
     update_from_message,
 )
@@ -194,7 +192,7 @@
         for message in datagrams_from_leaving(engines):
             self._repeat(message)
 
-    def tell_limit(self, limit: EngineLimit) -> None:
+    def broadcast_limit(self, limit: EngineLimit) -> None:
         """Tell all members of a limit that begins or ends, some times again."""
         for message in datagrams_from_limits([limit]):
             self._repeat(message)
