--- a/features/engine_limits.feature
+++ b/features/engine_limits.feature
@@ -262,7 +262,7 @@
 
   Scenario Outline: A peer's datagram with a limit that is no number stops or breaks a node
     Given a datagram of a peer that tells a limit of <rate> a second
-    Then it is <taken>
+    Then the limit is <taken>
 
     Examples:
       | rate | taken   |
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -399,7 +399,7 @@
     (context.datagram,) = datagrams_from_update(update)
 
 
-@then("it is {taken}")
+@then("the limit is {taken}")
 def step_taken(context, taken):
     try:
         limits = update_from_message(context.datagram).limits
