--- a/features/engine_limits.feature
+++ b/features/engine_limits.feature
@@ -188,6 +188,10 @@
       | 6     | 0    | 1    | 0     |
       | 6     | 1    | 0    | 0     |
 
+  Scenario: A limit is exceeded in some history of ends, freezes, restarts, cuts and losses
+    When histories of nodes that share a limit are drawn at random
+    Then in none of them the engine got more from all nodes together than the rule allows
+
   Scenario: A limit that changes is followed late
     Given 16 nodes and an engine that names a limit of 8 a second
     And the engine names in turn 8, 1, 0.5, 4 for 6 s each
--- a/features/limit_replay.py
+++ b/features/limit_replay.py
@@ -172,12 +172,18 @@
 
     def deliver(self, sender, name, action, wait_s=0.0):
         peer = self.nodes.get(name)
-        is_cut = any((sender.own in side) != (name in side) for side in self.cut)
-        if peer is None or is_cut or self.random.random() < self.lost_share:
+        if (
+            peer is None
+            or not self._reaches(sender.own, name)
+            or self.random.random() < self.lost_share
+        ):
             return
         wait_s += NETWORK_S + self.random.uniform(0.0, self.late_s)
         self.after(wait_s, lambda: action(peer), peer)
 
+    def _reaches(self, sender, name):
+        return not any((sender in side) != (name in side) for side in self.cut)
+
     def send_to_engine(self, node, permit):
         self.sent.append(Sent(self.now, node.own, node.told_at))
         named = self.limit_at(self.now)
@@ -229,14 +235,16 @@
 
     def freeze(self, name, seconds):
         node = self.nodes[name]
-        node.frozen_until = self.now + seconds
+        # A node that has ended does not come back.
+        node.frozen_until = max(node.frozen_until, self.now + seconds)
         if seconds > DETECTED_S:
             self.after(DETECTED_S, lambda: self.forget(name))
             self.after(seconds + JOINED_S, lambda: self._welcome(name))
 
     def _welcome(self, name):
         for node in self.nodes.values():
-            node.members.add(name)
+            if self._reaches(name, node.own):
+                node.members.add(name)
 
     def divide(self, names):
         """Cut some nodes off from the others, which are taken for gone after a while."""
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -4,6 +4,10 @@
 from pathlib import Path
 
 from behave import given, then, when
+from hypothesis import given as given_drawn
+from hypothesis import seed as fixed_seed
+from hypothesis import settings
+from hypothesis import strategies as drawn
 
 from features.gateway_support import opaque_request
 from features.limit_replay import ENGINE, ReplayedFleet
@@ -25,6 +29,7 @@
 # Requests that an engine may get at once, and what permits may be late.
 BURST, LATENESS_S = 2, 1.0
 CALLS_PER_S = 60.0
+HISTORIES, HISTORIES_SEED = 60, 7
 
 
 @given("{nodes:d} nodes and an engine that names a limit of {limit:g} a second")
@@ -406,3 +411,56 @@
     except GossipDecodeError:
         limits = ()
     assert len(limits) == (taken == "taken"), limits
+
+
+EVENTS = drawn.tuples(
+    drawn.floats(0.0, 18.0),
+    drawn.sampled_from(("kill", "restart", "freeze", "divide")),
+    drawn.integers(0, 23),
+    drawn.floats(0.1, 5.0),
+)
+
+
+def play_history(size, limit, lost_share, late_s, events, seed):
+    """Return a fleet after a history; nodes are counted from the drawn numbers."""
+    fleet = ReplayedFleet(size, seed, lambda now: limit, lost_share, late_s)
+    fleet.call(CALLS_PER_S, 24.0)
+    for at, kind, number, seconds in events:
+        name = f"node-{number % size}"
+        actions = {
+            "kill": lambda n=name: fleet.kill(n),
+            "restart": lambda n=name: fleet.restart(n),
+            "freeze": lambda n=name, s=seconds: fleet.freeze(n, s),
+            "divide": lambda k=number: fleet.divide([f"node-{i}" for i in range(k % size)]),
+        }
+        fleet.after(at, actions[kind])
+    fleet.run(24.0)
+    return fleet
+
+
+@when("histories of nodes that share a limit are drawn at random")
+def step_histories(context):
+    context.histories = 0
+
+    @fixed_seed(HISTORIES_SEED)
+    @settings(max_examples=HISTORIES, deadline=None, database=None)
+    @given_drawn(
+        drawn.integers(2, 24),
+        drawn.sampled_from((0.0, 0.25, 1.0, 3.0, 8.0, 20.0)),
+        drawn.floats(0.0, 0.3),
+        drawn.floats(0.0, 0.1),
+        drawn.lists(EVENTS, max_size=4),
+        drawn.integers(0, 1000),
+    )
+    def check(size, limit, lost_share, late_s, events, seed):
+        fleet = play_history(size, limit, lost_share, late_s, events, seed)
+        most, bound = most_in_window(counted(fleet)), 1.5 * limit * WINDOW_S + 5
+        assert most <= bound, (most, bound)
+        context.histories += 1
+
+    check()
+
+
+@then("in none of them the engine got more from all nodes together than the rule allows")
+def step_no_history(context):
+    assert context.histories >= HISTORIES, context.histories
