--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -37,7 +37,9 @@
     "GraceS": 8,
     "ttl_max_s": 5,
 }
-PORTS = ("Front", "Readiness", "Control", "Directory", "Peer", "Metrics")
+PORTS = ("Front", "Readiness", "Control", "Directory", "Metrics")
+# Of so many free ports, two are adjacent.
+PORTS_TRIED = 200
 _ids = itertools.count(1)
 
 
@@ -81,6 +83,14 @@
     }
 
 
+def machine_ports():
+    """Return a port for each server of a node; the one after "Peer" is free too."""
+    free = set(free_ports(PORTS_TRIED))
+    peer = next(port for port in free if port + 1 in free)
+    others = iter(free - {peer, peer + 1})
+    return {"Peer": peer, **{name: next(others) for name in PORTS}}
+
+
 class Node:
     """One gateway process."""
 
@@ -109,7 +119,7 @@
             "Ip": f'"{self.ip}"',
             "Zone": '"zone-1"',
             "Region": '"region-1"',
-            "PortRange": f"[{self.ports['Peer']}, {self.ports['Peer']}]",
+            "PortRange": f"[{self.ports['Peer']}, {self.ports['Peer'] + 1}]",
             "Seeds": str([seed.address("Control") for seed in seeds]),
             "Bootstrap": str(first_start).lower(),
             "MetricsPort": str(self.ports["Metrics"]),
@@ -217,7 +227,7 @@
 
     async def add_node(self, name, wrapper=(), changes=None, root=ROOT, **options):
         if not self.ports:
-            self.ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
+            self.ports = machine_ports()
         # As on the platform, each machine has its own address and all use the same ports.
         node = Node(name, self.directory, f"127.0.1.{len(self.nodes) + 1}", self.ports)
         node.write_settings(
--- /dev/null
+++ b/features/steps/engine_partition_steps.py
@@ -0,0 +1,168 @@
+"""Steps on nodes that are cut off from engines, with nodes as separate processes."""
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+from contextlib import suppress
+from dataclasses import dataclass
+
+import aiohttp
+from behave import given, then, when
+
+from features.standin import link_addresses
+from features.standin.deployment import prompt_headers
+from features.standin.engine_links import CutKind, NodeLinks
+
+CALL_SPACING_S = 0.02
+SERVED = 200
+MODEL_ROUTES = ("stream", "resume")
+
+
+@dataclass
+class Outcome:
+    """A call to a node, and whether its whole answer was received."""
+
+    node: str
+    at: float
+    status: int = 0
+    complete: bool = False
+    ended_at: float = 0.0
+
+    @property
+    def served(self):
+        return self.status == SERVED and self.complete
+
+
+class Callers:
+    """Calls all nodes in turn on each route, without retries."""
+
+    def __init__(self, deployment, routes):
+        self.deployment = deployment
+        self.routes = routes
+        self.calls = []
+        self.tasks = set()
+
+    async def call_in_turn(self):
+        targets = [(node, route) for node in self.deployment.nodes for route in self.routes]
+        for node, route in itertools.cycle(targets):
+            task = asyncio.ensure_future(self._call(node, route))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(CALL_SPACING_S)
+
+    async def _call(self, node, route):
+        headers = prompt_headers("model-1") if route in MODEL_ROUTES else {}
+        outcome = Outcome(node.name, time.monotonic())
+        self.calls.append(outcome)
+        # At the end of a scenario nodes are killed under open calls.
+        with suppress(aiohttp.ClientError):
+            answer = await self.deployment.call(node, f"/{route}/x", **headers)
+            outcome.status, _, _, outcome.complete = answer
+        outcome.ended_at = time.monotonic()
+
+
+@given("{count:d} nodes whose links to engines can be cut")
+def step_nodes(context, count):
+    context.run(add_nodes(context, count))
+
+
+async def add_nodes(context, count):
+    deployment = context.deployment
+    context.links = {}
+    for number in range(count):
+        name = f"node-{number + 1}"
+        links = NodeLinks(context.directory / f"{name}.links")
+        context.stack.push_async_callback(links.stop)
+        await links.start([engine.address for engine in deployment.engines.values()])
+        context.links[name] = links
+        node = await deployment.add_node(
+            name,
+            wrapper=[link_addresses.__file__],
+            environment={link_addresses.LINKS_FILE: str(links.path)},
+        )
+        await deployment.ready(node)
+
+
+@given('callers that call all nodes on "{first}" and "{second}" and note what they get')
+def step_callers(context, first, second):
+    context.callers = Callers(context.deployment, (first, second))
+    context.run(start_calling(context))
+
+
+async def start_calling(context):
+    context.calling = asyncio.ensure_future(context.callers.call_in_turn())
+    await asyncio.sleep(2.0)
+
+
+@when("the links of {count:d} nodes to all engines {kind} for {seconds:g} s")
+def step_cut(context, count, kind, seconds):
+    context.run(cut(context, count, CutKind(kind), seconds))
+
+
+async def cut(context, count, kind, seconds):
+    context.cut_nodes = [node.name for node in context.deployment.nodes[:count]]
+    for name in context.cut_nodes:
+        context.links[name].cut(kind)
+    context.cut_at = time.monotonic()
+    await asyncio.sleep(seconds)
+    for name in context.cut_nodes:
+        context.links[name].restore()
+    context.restored_at = time.monotonic()
+
+
+@when("the callers go on for {seconds:g} s")
+def step_go_on(context, seconds):
+    context.run(end_calls(context, seconds))
+
+
+async def end_calls(context, seconds):
+    await asyncio.sleep(seconds)
+    context.calling.cancel()
+    await asyncio.gather(*context.callers.tasks)
+
+
+def served_share(calls):
+    assert calls, "no calls"
+    return sum(call.served for call in calls) / len(calls)
+
+
+def check_shares(context, since, until, share):
+    calls = [call for call in context.callers.calls if since <= call.at < until]
+    at_cut = [call for call in calls if call.node in context.cut_nodes]
+    at_others = [call for call in calls if call.node not in context.cut_nodes]
+    served_at_cut, served_at_others = served_share(at_cut), served_share(at_others)
+    failures = Counter(call.status for call in at_cut if not call.served)
+    assert served_at_others >= share, f"the others served {served_at_others:.2f}"
+    assert served_at_cut >= share * served_at_others, (
+        f"cut nodes served {served_at_cut:.2f} of {len(at_cut)}, the others"
+        f" {served_at_others:.2f} of {len(at_others)}; statuses of the failures: {failures}"
+    )
+
+
+@then(
+    "from {seconds:g} s after the cut began the cut nodes served at least {share:g}"
+    " of what the others served"
+)
+def step_served_during(context, seconds, share):
+    check_shares(context, context.cut_at + seconds, context.restored_at, share)
+
+
+@then(
+    "from {seconds:g} s after its end the cut nodes served at least {share:g}"
+    " of what the others served"
+)
+def step_served_after(context, seconds, share):
+    check_shares(context, context.restored_at + seconds, time.monotonic(), share)
+
+
+@then("no request ran twice")
+def step_no_second_run(context):
+    non_idempotent = ("/whole/", "/stream/")
+    runs = Counter(
+        arrival.attempt_id
+        for arrival in context.deployment.arrivals()
+        if arrival.ran and arrival.target.startswith(non_idempotent)
+    )
+    twice = [attempt_id for attempt_id, count in runs.items() if count > 1]
+    assert not twice, f"{len(twice)} of {len(runs)} ran more than once: {twice[:5]}"
