Links to engines: their state at each node, with a log line and a metric

The incident's logs could not show whether a node's own links were down, or when it concluded so.

A node now keeps the state of its own link to each engine: down from the first attempt that could not connect or the first failed probe, up again with the next probe that is accepted. Probes are connections that are closed at once, sent only on suspicion: a lost connection, 0.25 s of silence of all engines while requests wait, or another link that went down. `engine_link` and `liftrill_unreachable_engines` report it.

Nothing is chosen by it yet. When a link goes down its idle connections are closed, since each of them would cost a request (8 of one node's failures in the incident's record), and attempts that may be repeated end, so that they need not wait 2 s for the kernel.

In virtual time (features/engine_links.feature) 9 links that hang are all down within 0.8 s, those that are refused within 0.5 s; an engine silent for 1.2 s keeps its link; steady requests cause no probe.

--- a/features/room_replay.py
+++ b/features/room_replay.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import PromptPart, PromptShape
 from liftrill.gateway.records import ServiceProfile
-from liftrill.gateway.transport import EngineAttempt, EngineTransport, ResponseSink
+from liftrill.gateway.transport import EngineAttempt, EngineTransport, ProbeResult, ResponseSink
 from liftrill.gateway.weight_targets import WeightTargets
 
 SERVICE = "service-1"
@@ -151,8 +151,8 @@
     def attempt(self, request, start):
         return Attempt(self.engines[start.choice.engine_id], request)
 
-    async def has_ended(self, address):
-        return False
+    async def probe(self, address, timeout_s):
+        return ProbeResult.ACCEPTED
 
 
 class CallerSink(ResponseSink):
--- /dev/null
+++ b/features/steps/engine_links_steps.py
@@ -0,0 +1,187 @@
+"""Steps on the links of a node to engines, in virtual time."""
+
+import itertools
+
+from behave import given, then, when
+
+from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.paths.engine_links import EngineLinks
+from liftrill.gateway.transport import ProbeResult
+
+STEP_S = 0.01
+CHECK_STEPS = 10
+ROUND_TRIP_S = 0.004
+PROBE_TIMEOUT_S = 0.2
+
+
+class VirtualNode:
+    """A node that sends requests to its engines in turn, and probes their links.
+
+    Attributes:
+        hanging, refusing, silent: engines whose links hang or refuse, and those that answer no
+            requests.
+        told: the requests that were told that their link is down.
+    """
+
+    def __init__(self, engines, service_s):
+        self.engines = [EngineAddress(f"e{n}", f"10.0.0.{n}:1", n + 1) for n in range(engines)]
+        self.service_s = service_s
+        self.links = EngineLinks(on_change=self.changed)
+        self.now = 0.0
+        self.hanging, self.refusing, self.silent = set(), set(), set()
+        self.open = []
+        self.probes = []
+        self.probe_count = 0
+        self.changes = []
+        self.told = set()
+        self.sent = []
+        self._numbers = itertools.count()
+
+    def changed(self, change):
+        self.changes.append((self.now, change))
+        if not change.is_up:
+            self.links.suspect_all(self.engines, self.now)
+
+    def send(self):
+        number = next(self._numbers)
+        engine = self.engines[number % len(self.engines)]
+        if not self.links.is_up(engine):
+            return
+        use = self.links.begin(engine, lambda: self.told.add(number), self.now)
+        self.sent.append((self.now, number))
+        if engine in self.refusing:
+            self.links.could_not_connect(use, self.now)
+            self.links.end(use)
+        else:
+            self.open.append((self.now, engine, use))
+
+    def run(self, seconds, interval_s=0.15):
+        for step in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            if step % round(interval_s / STEP_S) == 0:
+                self.send()
+            self._answer()
+            self._end_probes()
+            if step % CHECK_STEPS == 0:
+                self._start_probes()
+
+    def _answer(self):
+        for row in list(self.open):
+            sent_at, engine, use = row
+            is_cut = engine in self.hanging or engine in self.refusing
+            if self.now - sent_at < self.service_s or is_cut or engine in self.silent:
+                continue
+            self.links.received(use, self.now)
+            self.links.end(use)
+            self.open.remove(row)
+
+    def _start_probes(self):
+        for engine in self.links.due_probes(self.now):
+            self.probe_count += 1
+            is_hanging = engine in self.hanging
+            self.probes.append((self.now + (PROBE_TIMEOUT_S if is_hanging else 0.01), engine))
+
+    def _end_probes(self):
+        due = [row for row in self.probes if row[0] <= self.now]
+        self.probes = [row for row in self.probes if row[0] > self.now]
+        for _, engine in due:
+            result = ProbeResult.ACCEPTED
+            if engine in self.hanging:
+                result = ProbeResult.UNANSWERED
+            elif engine in self.refusing:
+                result = ProbeResult.REFUSED
+            self.links.record_probe(engine, result, self.now)
+            # As in the node, a change starts the probes that follow from it at once.
+            if self.changes and self.changes[-1][0] == self.now:
+                self._start_probes()
+
+
+@given("a node with {engines:d} engines that answer requests after {seconds:g} s")
+def step_node(context, engines, seconds):
+    context.node = VirtualNode(engines, seconds)
+
+
+@when("it sends a request every {interval:g} s, and after {seconds:g} s all links hang")
+def step_hang(context, interval, seconds):
+    context.node.run(seconds, interval)
+    context.node.hanging = set(context.node.engines)
+
+
+@when("it sends a request every {interval:g} s, and after {seconds:g} s all links are refused")
+def step_refuse(context, interval, seconds):
+    context.node.run(seconds, interval)
+    context.node.refusing = set(context.node.engines)
+
+
+@when("{seconds:g} s later they are restored")
+def step_restore(context, seconds):
+    context.node.run(seconds)
+    context.node.hanging, context.node.refusing = set(), set()
+
+
+@when(
+    "it sends a request every {interval:g} s, and after {seconds:g} s"
+    " one engine is silent for {silent:g} s"
+)
+def step_silent(context, interval, seconds, silent):
+    node = context.node
+    node.run(seconds, interval)
+    node.silent = {node.engines[3]}
+    node.run(silent, interval)
+    node.silent = set()
+
+
+@when("it sends a request every {interval:g} s, and after {seconds:g} s one engine ends")
+def step_end(context, interval, seconds):
+    context.node.run(seconds, interval)
+    context.node.refusing = {context.node.engines[3]}
+
+
+@when("it sends a request every {interval:g} s for {seconds:g} s")
+def step_send(context, interval, seconds):
+    context.node.run(seconds, interval)
+
+
+@when("{seconds:g} s go by")
+def step_wait(context, seconds):
+    context.node.run(seconds)
+
+
+@then("within {seconds:g} s all {count:d} links are down")
+def step_down(context, seconds, count):
+    context.node.run(seconds)
+    assert len(context.node.links.unreachable()) == count, context.node.changes
+
+
+@then("within {seconds:g} s all {count:d} links are up")
+def step_up(context, seconds, count):
+    context.node.run(seconds)
+    node = context.node
+    assert sum(node.links.is_up(engine) for engine in node.engines) == count, node.changes
+
+
+@then("no link went down")
+def step_none_down(context):
+    assert not context.node.changes, context.node.changes
+
+
+@then("{count:d} link is down")
+def step_count_down(context, count):
+    assert len(context.node.links.unreachable()) == count, context.node.changes
+
+
+@then("it probed at most {count:d} times")
+def step_probes(context, count):
+    assert context.node.probe_count <= count, context.node.probe_count
+
+
+@then(
+    "every request of the last {seconds:g} s that waited for {wait:g} s was told that its link"
+    " is down"
+)
+def step_told(context, seconds, wait):
+    node = context.node
+    waiting = [number for at, number in node.sent if node.now - seconds < at <= node.now - wait]
+    assert waiting, "no request waited"
+    missed = [number for number in waiting if number not in node.told]
+    assert not missed, f"{len(missed)} of {len(waiting)} requests were not told"
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.stall_detector import StallDetector
-from liftrill.gateway.transport import EngineAttempt, EngineTransport, ResponseSink
+from liftrill.gateway.transport import EngineAttempt, EngineTransport, ProbeResult, ResponseSink
 from liftrill.gateway.weight_targets import WeightTargets
 
 
@@ -49,8 +49,8 @@
 class LiveEngineTransport(EngineTransport):
     """A transport to engines that never end."""
 
-    async def has_ended(self, address):
-        return False
+    async def probe(self, address, timeout_s):
+        return ProbeResult.ACCEPTED
 
 
 class ScriptedTransport(LiveEngineTransport):
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -30,7 +30,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import PromptShape
 from liftrill.gateway.records import ServiceProfile
-from liftrill.gateway.transport import EngineAttempt, EngineTransport
+from liftrill.gateway.transport import EngineAttempt, EngineTransport, ProbeResult
 from liftrill.gateway.weight_targets import WeightTargets
 
 SERVICE = "service-1"
@@ -260,8 +260,8 @@
             self.sent.append((int(request.request_id), clock.now_s()))
         return EndlessAttempt(refuses)
 
-    async def has_ended(self, address):
-        return False
+    async def probe(self, address, timeout_s):
+        return ProbeResult.ACCEPTED
 
     def submit(self, urgency=1):
         number = len(self.tasks)
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from liftrill import clock
+from liftrill import clock, constants
 from liftrill.gateway.engines.engine_table import EngineView
-from liftrill.gateway.transport import EngineTransport
+from liftrill.gateway.transport import EngineTransport, ProbeResult
 
 # Bound of the delay before the next step after an interrupted attempt. A machine that is up answers
 # for an open or closed port within a round trip; no answer proves nothing.
@@ -32,5 +32,8 @@
         await asyncio.wait({task}, timeout=MAX_WAIT_S)
 
     async def _check(self, view: EngineView) -> None:
-        if await self._transport.has_ended(view.record.address):
+        timeout_s = constants.CONNECT_TIMEOUT_SECONDS
+        result = await self._transport.probe(view.record.address, timeout_s)
+        # No answer may be due to a partition: it does not show whether anything listens.
+        if result is ProbeResult.REFUSED:
             self._on_ended(view, clock.now_s())
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -24,6 +24,7 @@
 from liftrill.gateway.engines.slot_times import SlotTimes
 from liftrill.gateway.engines.speed_estimator import SpeedEstimator
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
+from liftrill.gateway.paths.engine_links import EngineLinks
 from liftrill.gateway.weight_targets import WeightTargets
 
 
@@ -46,6 +47,7 @@
         guard: bounds the wait at an engine that a request may be sent into.
         capacity_filter: selects the engines that have capacity for a request.
         limits: rate limits of engines and their permits.
+        links: which engines this node reaches over its own links.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.guard = OverloadGuard()
         self.capacity_filter = CapacityFilter()
         self.limits = EngineLimits()
+        self.links = EngineLinks()
 
     def choose(
         self,
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -27,6 +27,7 @@
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.paths.tracked_attempt import TrackedAttempt
 from liftrill.gateway.quarantine import Quarantine
 from liftrill.gateway.transport import EngineAttempt, EngineTransport, ResponseSink
 
@@ -56,6 +57,7 @@
         state_is_current: whether this node's state is recent enough at a time to choose engines.
         speeds: measured speeds of engines.
         limits: rate limits that engines announced; their requests need permits.
+        links: which engines this node reaches over its own links.
         must_wait: whether capacity that may be free is due to another waiting request.
         retry_after: when callers refused for lack of capacity should retry.
     """
@@ -71,6 +73,7 @@
         self.speeds = selector.speeds
         self.limits = selector.limits
         self.must_wait: Callable[[OpaqueRequest], bool] = _never_waits
+        self.links = selector.links
         self.retry_after = RetryAfterPolicy(self._capacity_in_s, _zero_wait_s)
         self._selector = selector
         self._allowance = allowance
@@ -281,9 +284,12 @@
                 self.prefill_started(view, start.choice.expected_prefill_tokens)
         self._ports.record_sent(start.choice, request, first)
         attempt = self._transport.attempt(request, start)
-        if view is not None:
-            attempt.may_send = partial(self._may_send, view, start.choice)
-        return view, attempt
+        if view is None:
+            return None, attempt
+        attempt.may_send = partial(self._may_send, view, start.choice)
+        return view, TrackedAttempt(
+            attempt, view.identity, self._ports.links, request.may_run_again
+        )
 
     def _may_send(self, view: EngineView, choice: events.EngineChoice) -> bool:
         """Return whether an engine chosen earlier may still be sent the request now."""
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -43,6 +43,7 @@
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
+from liftrill.gateway.paths.link_monitor import LinkMonitor
 from liftrill.gateway.peers.capable_nodes import ranked
 from liftrill.gateway.peers.engine_gossip import EngineGossip, LimitMessenger
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendReport, topology_for
@@ -191,6 +192,7 @@
         )
         self.forwarder.prefill_started = self._send_prefill_start
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
+        self._link_monitor = LinkMonitor(selector.links, engines, transport, log, metrics)
         self._leadership = self._new_leadership()
         self._controller = self._new_controller(orders, targets)
         self._fleet_record = FleetRecord(
@@ -224,6 +226,7 @@
             self._freshness_checker.run,
             self._peers.run,
             self._controller.run,
+            self._link_monitor.run,
             self._run_housekeeping,
             self._maintain_fleet_record,
             self._maintain_quarantine,
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -56,6 +56,9 @@
             "liftrill_mirror_age_seconds", "Time for which the mirror may lack store changes."
         )
         self.engines = self._gauge("liftrill_engines", "Engines with a record.")
+        self.unreachable_engines = self._gauge(
+            "liftrill_unreachable_engines", "Engines that this node's own links do not reach."
+        )
         self.followers = self._gauge(
             "liftrill_relay_followers", "Nodes that follow this node's mirror of the store."
         )
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -23,7 +23,7 @@
 from liftrill import clock, constants
 from liftrill.errors import LiftrillError
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
-from liftrill.gateway.transport import allow_send
+from liftrill.gateway.transport import ProbeResult, allow_send
 
 # A partitioned peer sends nothing: unacknowledged data or keep-alive probes end the connection.
 USER_TIMEOUT_MILLISECONDS = 2_000
@@ -114,6 +114,15 @@
         connection.release()
         raise SendWithdrawnError("the request may no longer be sent")
 
+    def discard_idle(self, address: str) -> None:
+        """Close the idle connections to HOST:PORT."""
+        host, _, port = address.rpartition(":")
+        for key, connections in self._conns.items():
+            if key.host == host and key.port == int(port):
+                # The connector drops closed connections when it looks for an idle one.
+                for handler, _ in connections:
+                    handler.close()
+
 
 class LargeBody(aiohttp.BytesPayload):
     """A body that is written in pieces.
@@ -198,16 +207,15 @@
     return session
 
 
-async def refuses_connections(address: str) -> bool:
-    """Return whether HOST:PORT refuses connections, so that nothing listens there any more."""
+async def probe(address: str, timeout_s: float) -> ProbeResult:
+    """Open a connection to HOST:PORT, close it, and return whether it was accepted."""
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(constants.CONNECT_TIMEOUT_SECONDS):
+        async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
-        return True
+        return ProbeResult.REFUSED
     except (OSError, TimeoutError):
-        # A timeout may be due to a network partition: it does not show whether anything listens.
-        return False
+        return ProbeResult.UNANSWERED
     writer.close()
-    return False
+    return ProbeResult.ACCEPTED
--- /dev/null
+++ b/liftrill/gateway/paths/tracked_attempt.py
@@ -0,0 +1,73 @@
+"""Reports what an attempt at an engine shows about the link to it."""
+
+import asyncio
+from collections.abc import Awaitable
+from contextlib import suppress
+
+from liftrill import clock
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway.paths.engine_links import EngineLinks
+from liftrill.gateway.transport import EngineAttempt
+
+LINK_DOWN = "the link to the engine is down"
+
+
+class TrackedAttempt(EngineAttempt):
+    """An attempt over one of the node's own links.
+
+    An interruptible attempt ends as soon as its link goes down, so that its request can take
+    another path. Others wait for their answer, which may still arrive once the link is restored.
+    """
+
+    def __init__(
+        self,
+        attempt: EngineAttempt,
+        engine: events.EngineAddress,
+        links: EngineLinks,
+        interruptible: bool,
+    ) -> None:
+        self._attempt = attempt
+        self._links = links
+        self._interruptible = interruptible
+        self._timer: asyncio.Timeout | None = None
+        self._use = links.begin(engine, self._on_down, clock.now_s())
+
+    async def open(self) -> list[events.DeliveryEvent]:
+        """Send the request; return the events of the response head or the complete response."""
+        return await self._observe(self._attempt.open())
+
+    async def read(self) -> list[events.DeliveryEvent]:
+        """Return the events in the next bytes of the stream."""
+        return await self._observe(self._attempt.read())
+
+    def close(self) -> None:
+        """End the attempt."""
+        self._links.end(self._use)
+        self._attempt.close()
+
+    async def _observe(
+        self, pending_read: Awaitable[list[events.DeliveryEvent]]
+    ) -> list[events.DeliveryEvent]:
+        received: list[events.DeliveryEvent] = [events.AttemptInterrupted(LINK_DOWN)]
+        with suppress(TimeoutError):
+            async with asyncio.timeout(None) as self._timer:
+                received = await pending_read
+        self._timer = None
+        self._record(received)
+        return received
+
+    def _record(self, received: list[events.DeliveryEvent]) -> None:
+        now = clock.now_s()
+        for event in received:
+            if isinstance(event, events.AttemptInterrupted):
+                self._links.was_interrupted(self._use)
+            elif not isinstance(event, events.AttemptRefused):
+                self._links.received(self._use, now)
+            elif event.kind is events.RefusalKind.UNREACHABLE:
+                self._links.could_not_connect(self._use, now)
+            elif event.kind is not events.RefusalKind.WITHDRAWN:
+                self._links.received(self._use, now)
+
+    def _on_down(self) -> None:
+        if self._interruptible and self._timer is not None and not self._timer.expired():
+            self._timer.reschedule(asyncio.get_running_loop().time())
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from enum import Enum
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.opaque_request import OpaqueRequest
@@ -35,6 +36,14 @@
         """Close the connection, so that the engine stops working on the request."""
 
 
+class ProbeResult(Enum):
+    """What became of a connection that was opened to see whether a port can be reached."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
 class EngineTransport(ABC):
     """Sends requests to engines."""
 
@@ -43,8 +52,12 @@
         """Return a new attempt, which sends nothing before it is opened."""
 
     @abstractmethod
-    async def has_ended(self, address: str) -> bool:
-        """Return whether nothing listens at an engine's address; False if that is unknown."""
+    async def probe(self, address: str, timeout_s: float) -> ProbeResult:
+        """Open a connection to an address, close it, and return whether it was accepted."""
+
+    def discard_idle(self, address: str) -> None:
+        """Close the idle connections to an address, because its link was down meanwhile."""
+        return
 
 
 class ResponseSink(ABC):
