Nodes that are cut off from all engines send their requests by peers

Cause: an attempt went from the node that read the request straight to an engine, so that a node without links had no way to serve, although its peers had. The log of the incident showed each of the cut nodes' attempts as unreachable or reset, and none of its requests at any engine.

Change: each node keeps the state of its own link to each engine. When a link goes down the node asks three peers whether they reach that engine, and sends requests for it by those that do (liftrill/gateway/paths). The peer is a proxy for one attempt, not for the request: it gets what the engine is to get, sends it to the engine that is named, and returns the response as it comes. So the node that read the request goes on making all decisions (engine, retries, budget, quota, permits, the proof that a request has not run), there is one hop by construction, closing the connection cancels, and a peer that dies or loses the engine after sending leaves the outcome unknown, as a direct connection does. A peer that did not send says so. Engines that ended are reached by nobody, and are not tried by peers. Failures over a link that is down do not count for the engine's circuit, and those of before are forgotten once there is a path.

Ruled out: forwarding the caller's request to a peer, which would admit it again there (key, quota, budget, ledger twice, and two nodes that can answer "not run"); a node that only leaves the directory, since callers keep addresses for up to three times their time to live.

Nodes of an earlier build have nothing listening on the second port of the range and answer no question, so they are not used as proxies.

--- a/features/steps/engine_partition_steps.py
+++ b/features/steps/engine_partition_steps.py
@@ -166,3 +166,99 @@
     )
     twice = [attempt_id for attempt_id, count in runs.items() if count > 1]
     assert not twice, f"{len(twice)} of {len(runs)} ran more than once: {twice[:5]}"
+
+
+def logged(context, kind):
+    """Return the log lines of one kind of all nodes."""
+    lines = [line for node in context.deployment.nodes for line in node.log().splitlines()]
+    return [line for line in lines if f'"liftrill:{kind}"' in line]
+
+
+@then("no node has logged that an engine ended")
+def step_no_end_logged(context):
+    ended = logged(context, "engine_ended")
+    assert not ended, f"{len(ended)} lines, the first: {ended[0]}"
+
+
+@when("a model engine crashes while it runs requests")
+def step_crash(context):
+    models = [e for e in context.deployment.engines.values() if e.service == "llm"]
+    engine = max(models, key=lambda each: len(each.arrivals))
+    engine.event_seconds = 0.3
+    context.run(asyncio.sleep(0.5))
+    # Otherwise the links would accept connections in the engine's place.
+    for links in context.links.values():
+        links.cut(CutKind.RESET, {engine.address})
+    context.run(engine.crash())
+    context.crashed = engine
+
+
+@then("a node has logged that this engine ended")
+def step_end_logged(context):
+    ended = logged(context, "engine_ended")
+    assert any(context.crashed.engine_id in line for line in ended), ended
+
+
+@when(
+    "the links of {count:d} nodes to all engines hang for {seconds:g} s, and all nodes are asked"
+    " for addresses after {asked:g} s"
+)
+def step_ask_while_cut(context, count, seconds, asked):
+    context.run(ask_while_cut(context, count, seconds, asked))
+
+
+async def addresses(context):
+    nodes = context.deployment.nodes
+    answers = await asyncio.gather(*(context.deployment.resolve(node) for node in nodes))
+    return [set(answer["Addresses"]) for answer in answers]
+
+
+async def ask_while_cut(context, count, seconds, asked):
+    cutting = asyncio.ensure_future(cut(context, count, CutKind.HANG, seconds))
+    await asyncio.sleep(asked)
+    context.addresses = await addresses(context)
+    await cutting
+
+
+@then("all nodes returned the {count:d} others alone")
+def step_others_alone(context, count):
+    nodes = context.deployment.nodes
+    others = {node.address("Front") for node in nodes if node.name not in context.cut_nodes}
+    assert len(others) == count
+    assert all(answer == others for answer in context.addresses), context.addresses
+
+
+@then("within {seconds:g} s after the cut all nodes return {count:d} addresses")
+def step_all_named(context, seconds, count):
+    async def all_named():
+        return all(len(answer) == count for answer in await addresses(context))
+
+    context.run(context.deployment.wait_until(all_named, seconds))
+
+
+@when("the links of the leader to all engines hang, and {seconds:g} s later new weights are named")
+def step_cut_leader(context, seconds):
+    context.run(cut_leader(context, seconds))
+
+
+async def cut_leader(context, seconds):
+    deployment = context.deployment
+
+    async def find_leader():
+        leading = [node for node in deployment.nodes if '"liftrill:leading"' in node.log()]
+        return leading[-1] if leading else None
+
+    leader = await deployment.wait_until(find_leader)
+    context.links[leader.name].cut(CutKind.HANG)
+    await asyncio.sleep(seconds)
+    deployment.set_weight_version(2)
+
+
+@then("within {seconds:g} s all model engines have the new weights")
+def step_new_weights(context, seconds):
+    engines = [e for e in context.deployment.engines.values() if e.service == "llm"]
+
+    async def all_loaded():
+        return all(engine.weights["model-1"] == 2 for engine in engines)
+
+    context.run(context.deployment.wait_until(all_loaded, seconds))
--- a/liftrill/gateway/caller_server.py
+++ b/liftrill/gateway/caller_server.py
@@ -21,15 +21,21 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
-    async def listen(self, address: str, handle: Handler, receive_bytes: int = 0) -> None:
+    async def listen(
+        self,
+        address: str,
+        handle: Handler,
+        receive_bytes: int = 0,
+        max_header_bytes: int = constants.CALLER_HEADER_BYTES,
+    ) -> None:
         """Listen at HOST:PORT; if not 0, `receive_bytes` sets the receive buffer of connections."""
         handler = web.Server(
             handle,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=constants.CALLER_IDLE_CONNECTION_SECONDS,
-            max_line_size=constants.CALLER_HEADER_BYTES,
-            max_field_size=constants.CALLER_HEADER_BYTES,
+            max_line_size=max_header_bytes,
+            max_field_size=max_header_bytes,
             auto_decompress=False,
             lingering_time=0.0,
         )
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -65,6 +65,7 @@
             "retried",
             request=machine.request.request_id,
             engine=choice.engine_id,
+            proxy=_proxy_id(choice),
             attempt=len(machine.attempts),
             resume_after=start.resume_after,
         )
@@ -86,6 +87,7 @@
             "attempt_failed",
             request=machine.request.request_id,
             engine=choice.engine_id,
+            proxy=_proxy_id(choice),
             weights=choice.weight_version,
             outcome=outcome,
             **inputs,
@@ -133,6 +135,10 @@
             limit_per_s=signal.limit_per_s,
         )
 
+    def proxied_request_failed(self, engine_id: str, peer: str, outcome: str) -> None:
+        """Log that a peer's request was not sent to an engine, or its response was lost."""
+        self._write_failure("proxied_failed", engine=engine_id, peer=peer, outcome=outcome)
+
     def request_abandoned(self, machine: DeliveryMachine) -> None:
         """Log that the caller closed the connection."""
         self._write_request("caller_gone", machine, ordinary=True)
@@ -189,6 +195,7 @@
             route=request.route.name,
             configuration=self.version,
             engine=last.engine_id if last else "",
+            proxy=_proxy_id(last),
             weights=last.weight_version if last else 0,
             attempts=len(machine.attempts),
             last_event=machine.last_event_id,
@@ -216,6 +223,11 @@
         return count
 
 
+def _proxy_id(choice: events.EngineChoice | None) -> str:
+    """Return the peer by which an attempt was sent, or nothing for the node's own link."""
+    return choice.proxy.node_id if choice is not None and choice.proxy is not None else ""
+
+
 def _lost_attempt_fields(machine: DeliveryMachine, times: AttemptTimes) -> dict[str, object]:
     """Return the log fields of a lost attempt; times are in milliseconds before now."""
     now = clock.now_s()
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -17,8 +17,16 @@
 from liftrill.routing.outcome import AttemptLedger
 
 FIRST_SERVER_ERROR = 500
+# Refusals of attempts of which no engine received anything.
+UNSENT_KINDS = (
+    events.RefusalKind.UNREACHABLE,
+    events.RefusalKind.WITHDRAWN,
+    events.RefusalKind.PROXY_UNAVAILABLE,
+)
 # How many times a run may continue at a backup: a burst of crashes may end engines one by one.
 MAX_CONTINUATIONS = 3
+# How many times an engine is tried that could not be reached: by the node's own link and by peers.
+MAX_PATHS = 3
 
 
 class DeliveryInvariantError(LiftrillError):
@@ -51,6 +59,10 @@
     ) -> events.EngineChoice | None:
         """Return how to continue an interrupted run at its backup, or None if it cannot."""
 
+    @abstractmethod
+    def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
+        """Return whether to try an engine again that could not be reached by one path."""
+
     @abstractmethod
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
         """Take one retry from the retry budget of the request's service."""
@@ -136,6 +148,7 @@
         self._ledger = AttemptLedger()
         self._attempts_sent = 0
         self._excluded: set[str] = set()
+        self._paths_tried: dict[str, int] = {}
         self._response_head: events.StreamOpened | None = None
         self._head_sent = False
         self._continuations = 0
@@ -185,14 +198,22 @@
         if choice.continues_at_backup:
             # The interrupted run must not be started again, and there is no other copy of it.
             return [self._end(self._engine_loss_code())]
-        if event.kind in (events.RefusalKind.UNREACHABLE, events.RefusalKind.WITHDRAWN):
+        if event.kind in UNSENT_KINDS:
             self._attempts_sent -= 1
-        if event.kind not in (events.RefusalKind.WRONG_VERSION, events.RefusalKind.WITHDRAWN):
+        if self._is_excluded_after(event.kind, choice):
             self._excluded.add(choice.engine_id)
         self._refusal_code = ResultCode.ENGINES_REFUSED
         self.phase = Phase.WAITING
         return self._retry()
 
+    def _is_excluded_after(self, kind: events.RefusalKind, choice: events.EngineChoice) -> bool:
+        """Return whether an engine that refused an attempt is not tried again."""
+        if kind in (events.RefusalKind.UNREACHABLE, events.RefusalKind.PROXY_UNAVAILABLE):
+            tried = self._paths_tried.get(choice.engine_id, 0) + 1
+            self._paths_tried[choice.engine_id] = tried
+            return tried >= MAX_PATHS or not self._ports.has_other_path(self.request, choice)
+        return kind not in (events.RefusalKind.WRONG_VERSION, events.RefusalKind.WITHDRAWN)
+
     def _on_interrupted(self, _: events.AttemptInterrupted) -> list[events.DeliveryInstruction]:
         interrupted = self.attempts[-1]
         self._excluded.add(interrupted.engine_id)
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -18,6 +18,7 @@
     WRONG_INSTANCE = "wrong_instance"
     WRONG_VERSION = "wrong_version"
     WITHDRAWN = "withdrawn"
+    PROXY_UNAVAILABLE = "proxy_unavailable"
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +105,18 @@
     number: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ProxyNode:
+    """A peer that passes on requests to an engine.
+
+    Attributes:
+        address: HOST:PORT of its proxy server.
+    """
+
+    node_id: str
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class EngineChoice:
     """The engine chosen for a request, and the instructions that the attempt sends it.
@@ -119,6 +132,7 @@
         continues_at_backup: whether the engine is to continue its copy of an interrupted run.
         number: hash of the incarnation's name.
         permit: permit to send to an engine that announced a rate limit, or None.
+        proxy: the peer that passes on the request, or None for the node's own link.
     """
 
     engine_id: str
@@ -133,6 +147,7 @@
     continues_at_backup: bool = False
     number: int = 0
     permit: Permit | None = None
+    proxy: ProxyNode | None = None
 
     @property
     def engine(self) -> EngineAddress:
--- a/liftrill/gateway/draining.py
+++ b/liftrill/gateway/draining.py
@@ -23,4 +23,5 @@
     refuse_new()
     await server.wait_until_idle(deadline - loop.time())
     server.close_idle()
+    await gateway.paths.finish(deadline - loop.time())
     await gateway.stop()
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -24,7 +24,7 @@
 from liftrill.gateway.engines.slot_times import SlotTimes
 from liftrill.gateway.engines.speed_estimator import SpeedEstimator
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
-from liftrill.gateway.paths.engine_links import EngineLinks
+from liftrill.gateway.paths.engine_paths import EnginePaths
 from liftrill.gateway.weight_targets import WeightTargets
 
 
@@ -47,7 +47,7 @@
         guard: bounds the wait at an engine that a request may be sent into.
         capacity_filter: selects the engines that have capacity for a request.
         limits: rate limits of engines and their permits.
-        links: which engines this node reaches over its own links.
+        paths: how this node reaches engines: over its own links or by peers.
     """
 
     def __init__(
@@ -57,6 +57,7 @@
         zone: str,
         prompt_policy: PlacementPolicy | None = None,
         plain_policy: PlacementPolicy | None = None,
+        paths: EnginePaths | None = None,
     ) -> None:
         self.parts = SharedPartTracker(engines)
         self.speeds = SpeedEstimator(engines)
@@ -69,7 +70,7 @@
         self.guard = OverloadGuard()
         self.capacity_filter = CapacityFilter()
         self.limits = EngineLimits()
-        self.links = EngineLinks()
+        self.paths = paths or EnginePaths()
 
     def choose(
         self,
@@ -89,7 +90,10 @@
         may_wait = not excluded and now + DECISION_TIMEOUT_S < request.wait_deadline
         while ready:
             choice = self._choose_ready(request, ready, now, least_loaded)
-            if isinstance(choice, Unavailable) or not self.limits.is_limited(choice.engine):
+            if isinstance(choice, Unavailable):
+                return choice
+            choice = replace(choice, proxy=self.paths.proxy(choice.engine, now))
+            if not self.limits.is_limited(choice.engine):
                 return choice
             permitted = self._with_permit(choice, request, ready, may_wait, now)
             if permitted is not None:
@@ -207,6 +211,16 @@
         share = constants.PREFILL_WAIT_TARGET_SHARE
         return request.received_at + share * request.route.target_seconds
 
+    def has_other_path(self, choice: EngineChoice, service: str, now: float) -> bool:
+        """Return whether to try an engine again that could not be reached by a path.
+
+        While this node's own links reach other engines of the service, these are tried instead.
+        """
+        others = (v for v in self._engines.of_service(service) if v.engine_id != choice.engine_id)
+        if any(not v.leaving and self.paths.links.is_up(v.identity) for v in others):
+            return False
+        return self.paths.may_be_found(choice.engine, now)
+
     def continue_at_backup(
         self, request: OpaqueRequest, interrupted: EngineChoice, now: float
     ) -> EngineChoice | None:
@@ -232,6 +246,7 @@
             expected_prefill_tokens=1,
             backup=self._next_backup(view, interrupted, request, now),
             continues_at_backup=True,
+            proxy=self.paths.proxy(view.identity, now),
         )
 
     def begin_by(self, choice: EngineChoice, request: OpaqueRequest) -> float:
@@ -249,7 +264,7 @@
         """Return whether an engine takes runs of a weight version now."""
         if view.leaving or view.withdrawn or view.weight_version(model) != version:
             return False
-        return not view.is_paused(now) and view.breaker.allows(now)
+        return not view.is_paused(now) and self.paths.is_usable(view, now)
 
     def _next_backup(
         self, view: EngineView, interrupted: EngineChoice, request: OpaqueRequest, now: float
@@ -307,7 +322,7 @@
         if (
             view.is_paused(now)
             or view.condition.is_backing_off(now)
-            or not view.breaker.allows(now)
+            or not self.paths.is_usable(view, now)
         ):
             return False
         if self.limits.wait_s(view.identity, request.request_id, now):
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -27,6 +27,7 @@
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.paths.proxied_attempt import ProxiedAttempt
 from liftrill.gateway.paths.tracked_attempt import TrackedAttempt
 from liftrill.gateway.quarantine import Quarantine
 from liftrill.gateway.transport import EngineAttempt, EngineTransport, ResponseSink
@@ -57,7 +58,7 @@
         state_is_current: whether this node's state is recent enough at a time to choose engines.
         speeds: measured speeds of engines.
         limits: rate limits that engines announced; their requests need permits.
-        links: which engines this node reaches over its own links.
+        paths: how this node reaches engines: over its own links or by peers.
         must_wait: whether capacity that may be free is due to another waiting request.
         retry_after: when callers refused for lack of capacity should retry.
     """
@@ -73,7 +74,7 @@
         self.speeds = selector.speeds
         self.limits = selector.limits
         self.must_wait: Callable[[OpaqueRequest], bool] = _never_waits
-        self.links = selector.links
+        self.paths = selector.paths
         self.retry_after = RetryAfterPolicy(self._capacity_in_s, _zero_wait_s)
         self._selector = selector
         self._allowance = allowance
@@ -138,6 +139,10 @@
         is_overloaded = self._selector.guard.is_overloaded(request.service)
         return QueueForecast(self._selector.prompt_prefill_s(request), is_overloaded)
 
+    def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
+        """Return whether to try an engine again that could not be reached by one path."""
+        return self._selector.has_other_path(choice, request.service, clock.now_s())
+
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
         """Take one retry from the retry budget of the request's service."""
         return self._allowance.try_spend(request.service, clock.now_s())
@@ -192,6 +197,7 @@
 
     Attributes:
         prefill_started: called with the engine and the tokens when a long prefill starts.
+        end_check: checks whether the engine of a lost run has ended.
     """
 
     def __init__(
@@ -212,7 +218,7 @@
         ports.retry_after.queue_wait_s = self._queue_entries.wait_s
         ports.on_overload_change(self._log_overload)
         self._quarantine = quarantine
-        self._end_check = EngineEndCheck(transport, quarantine.engine_ended)
+        self.end_check = EngineEndCheck(transport, quarantine.engine_ended)
         self.prefill_started: Callable[[EngineView, int], None] = _ignore_prefill_start
         self._engines = engines
         self._ports = ports
@@ -287,9 +293,11 @@
         if view is None:
             return None, attempt
         attempt.may_send = partial(self._may_send, view, start.choice)
-        return view, TrackedAttempt(
-            attempt, view.identity, self._ports.links, request.may_run_again
-        )
+        paths, proxy = self._ports.paths, start.choice.proxy
+        if proxy is not None:
+            self.metrics.proxied_attempts.inc()
+            return view, ProxiedAttempt(attempt, view.identity, proxy, paths.proxies)
+        return view, TrackedAttempt(attempt, view.identity, paths.links, request.may_run_again)
 
     def _may_send(self, view: EngineView, choice: events.EngineChoice) -> bool:
         """Return whether an engine chosen earlier may still be sent the request now."""
@@ -324,7 +332,7 @@
         if isinstance(event, events.AttemptRefused):
             self._record_refusal(view, event.kind, now)
         elif isinstance(event, events.AttemptInterrupted):
-            view.breaker.record_failure(now)
+            self._record_failure(view, now)
         elif isinstance(event, events.CompleteResponse | events.EventReceived):
             view.breaker.record_success()
             view.condition.note_answered(sent_at)
@@ -338,7 +346,7 @@
             return
         self._quarantine.run_lost(machine.request, view, times, clock.now_s())
         if not self._quarantine.knows_end(view):
-            await self._end_check.check(view)
+            await self.end_check.check(view)
 
     def run_abandoned(
         self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes
@@ -377,12 +385,19 @@
         """Record how many of the runs charged for an ended request were not executed."""
         self._ports.record_not_run(machine.request, machine.unexecuted_runs)
 
+    def _record_failure(self, view: EngineView, now: float) -> None:
+        """Count a failure of an engine, unless it may be due to this node's link to it."""
+        if self._ports.paths.links.is_up(view.identity):
+            view.breaker.record_failure(now)
+        else:
+            view.breaker.record_abandoned()
+
     def _record_refusal(self, view: EngineView, kind: events.RefusalKind, now: float) -> None:
         if kind is events.RefusalKind.UNREACHABLE:
-            view.breaker.record_failure(now)
+            self._record_failure(view, now)
         elif kind is events.RefusalKind.WRONG_INSTANCE:
             view.gone = True
-        elif kind is events.RefusalKind.WITHDRAWN:
+        elif kind in (events.RefusalKind.WITHDRAWN, events.RefusalKind.PROXY_UNAVAILABLE):
             view.breaker.record_abandoned()
         else:
             view.breaker.record_abandoned()
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -43,7 +43,7 @@
 from liftrill.gateway.leadership import Leadership, TermParameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
-from liftrill.gateway.paths.link_monitor import LinkMonitor
+from liftrill.gateway.paths.path_service import NodeParts, PathService
 from liftrill.gateway.peers.capable_nodes import ranked
 from liftrill.gateway.peers.engine_gossip import EngineGossip, LimitMessenger
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendReport, topology_for
@@ -175,6 +175,7 @@
             self._on_served,
             self._on_quarantined,
             self._on_limit_message,
+            lambda node, content: self.paths.receive(node, content),
         )
         self._peers = PeerLink(self._membership, callbacks)
         self._engine_limits = selector.limits
@@ -192,7 +193,12 @@
         )
         self.forwarder.prefill_started = self._send_prefill_start
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
-        self._link_monitor = LinkMonitor(selector.links, engines, transport, log, metrics)
+        parts = NodeParts(
+            settings, engines, self._membership, self._peers, self.memory, log, metrics
+        )
+        self.paths = PathService(
+            parts, selector.paths, transport, self.forwarder, self._accepts_proxied_requests
+        )
         self._leadership = self._new_leadership()
         self._controller = self._new_controller(orders, targets)
         self._fleet_record = FleetRecord(
@@ -221,12 +227,13 @@
         """Start listening to peers, following the store, and the background loops."""
         await self._peers.listen(self.settings.peer_address)
         await self._relay.listen(self.settings.peer_address)
+        await self.paths.listen()
         for loop in (
             self._follower.run,
             self._freshness_checker.run,
             self._peers.run,
             self._controller.run,
-            self._link_monitor.run,
+            self.paths.run,
             self._run_housekeeping,
             self._maintain_fleet_record,
             self._maintain_quarantine,
@@ -252,6 +259,7 @@
             task.cancel()
         self._peers.close()
         self._relay.close()
+        await self.paths.close()
         self.log.state_changed("stopped")
 
     async def resign(self) -> None:
@@ -288,6 +296,12 @@
             members = [m for m in members if m.node_id != self.settings.node]
         return members
 
+    def _accepts_proxied_requests(self) -> bool:
+        """Return whether this node passes on requests of peers now."""
+        if self._load_shedder.refuses_requests:
+            return False
+        return self._state_is_current(clock.now_s())
+
     def _front_address(self, member: Member) -> str:
         host, _, _ = member.address.rpartition(":")
         _, _, port = self.settings.front.rpartition(":")
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -59,6 +59,14 @@
         self.unreachable_engines = self._gauge(
             "liftrill_unreachable_engines", "Engines that this node's own links do not reach."
         )
+        self.proxied_requests = self._counter(
+            "liftrill_proxied_requests", "Requests of peers passed on to engines.", "outcome"
+        )
+        self.proxied_attempts = Counter(
+            "liftrill_proxied_attempts",
+            "Attempts that this node sent by a peer.",
+            registry=self.registry,
+        )
         self.followers = self._gauge(
             "liftrill_relay_followers", "Nodes that follow this node's mirror of the store."
         )
--- a/liftrill/gateway/paths/engine_links.py
+++ b/liftrill/gateway/paths/engine_links.py
@@ -57,6 +57,7 @@
     is_up: bool = True
     changed_at: float = -math.inf
     received_at: float = -math.inf
+    accepted_at: float = -math.inf
     probed_at: float = -math.inf
     probe_interval_s: float = MIN_PROBE_INTERVAL_S
     is_suspect: bool = False
@@ -101,6 +102,11 @@
         link = self._links.get(engine)
         return link is None or link.is_up
 
+    def worked_since(self, engine: EngineAddress, since: float) -> bool:
+        """Return whether an engine sent something, or accepted a probe, after a time."""
+        link = self._links.get(engine)
+        return link is not None and link.is_up and max(link.received_at, link.accepted_at) > since
+
     def unreachable(self) -> list[EngineAddress]:
         """Return the engines whose links are down."""
         return [link.engine for link in self._links.values() if not link.is_up]
@@ -144,11 +150,10 @@
 
     def record_probe(self, engine: EngineAddress, result: ProbeResult, now: float) -> None:
         """Record the result of a probe."""
-        link = self._links.get(engine)
-        if link is None:
-            return
-        link.is_probing = False
+        link = self._link(engine)
+        link.is_probing, link.probed_at = False, now
         if result is ProbeResult.ACCEPTED:
+            link.accepted_at = now
             self._set_up(link, now)
         else:
             self._set_down(link, f"probe {result.value}", now)
--- /dev/null
+++ b/liftrill/gateway/paths/reach_codec.py
@@ -0,0 +1,77 @@
+"""Encodes what nodes ask and report about the engines that they reach."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from liftrill.messages import peer_pb2 as messages
+
+# A number takes eight bytes, so that a datagram stays under 1,200 bytes.
+NUMBERS_PER_DATAGRAM = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ReachQuestion:
+    """Asks a peer which of some engines it reaches.
+
+    Attributes:
+        engines: the numbers of their incarnations.
+    """
+
+    number: int
+    engines: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReachAnswer:
+    """Which engines of a question the sender reaches over its own links, and which not."""
+
+    number: int
+    reached: tuple[int, ...]
+    not_reached: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReach:
+    """Whether the sender reaches no engine over its own links."""
+
+    isolated: bool
+
+
+ReachMessage = ReachQuestion | ReachAnswer | NodeReach
+
+
+def questions(first_number: int, engines: Sequence[int]) -> list[ReachQuestion]:
+    """Return the questions about engines, numbered from the first number on."""
+    starts = range(0, len(engines), NUMBERS_PER_DATAGRAM)
+    return [
+        ReachQuestion(first_number + index, tuple(engines[start : start + NUMBERS_PER_DATAGRAM]))
+        for index, start in enumerate(starts)
+    ]
+
+
+def datagram_from_reach(sender: str, content: ReachMessage) -> messages.Datagram:
+    """Return the datagram that carries a message."""
+    if isinstance(content, ReachQuestion):
+        question = messages.ReachQuestion(number=content.number, engines=content.engines)
+        return messages.Datagram(sender=sender, reach_question=question)
+    if isinstance(content, ReachAnswer):
+        answer = messages.ReachAnswer(
+            number=content.number, reached=content.reached, not_reached=content.not_reached
+        )
+        return messages.Datagram(sender=sender, reach_answer=answer)
+    return messages.Datagram(
+        sender=sender, node_reach=messages.NodeReach(isolated=content.isolated)
+    )
+
+
+def reach_from_datagram(message: messages.Datagram) -> ReachMessage | None:
+    """Return the message in a datagram, or None if it carries none of these."""
+    if message.HasField("reach_question"):
+        question = message.reach_question
+        return ReachQuestion(question.number, tuple(question.engines))
+    if message.HasField("reach_answer"):
+        answer = message.reach_answer
+        return ReachAnswer(answer.number, tuple(answer.reached), tuple(answer.not_reached))
+    if message.HasField("node_reach"):
+        return NodeReach(message.node_reach.isolated)
+    return None
--- /dev/null
+++ b/liftrill/gateway/paths/reach_exchange.py
@@ -0,0 +1,124 @@
+"""Asks peers which engines they reach, and answers their questions."""
+
+import asyncio
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable, Sequence
+
+from liftrill import clock
+from liftrill.coordination.membership_messages import Member
+from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.paths.isolation import IsolatedNodes
+from liftrill.gateway.paths.proxy_table import PEERS_ASKED, ProxyTable
+from liftrill.gateway.paths.reach_codec import (
+    NodeReach,
+    ReachAnswer,
+    ReachMessage,
+    ReachQuestion,
+    questions,
+)
+
+# How long the end of an engine waits for the answers of peers.
+CONFIRMATION_TIMEOUT_S = 0.5
+CONFIRMATION_CHECK_S = 0.02
+
+
+class ReachPeers(ABC):
+    """The other nodes, as far as this exchange needs them."""
+
+    @abstractmethod
+    def others(self) -> list[Member]:
+        """Return the other nodes that are alive."""
+
+    @abstractmethod
+    def send(self, node: str, content: ReachMessage) -> None:
+        """Send a message to one node, or to all if its id is empty."""
+
+
+class ReachExchange:
+    """Exchanges with peers which engines each of them reaches.
+
+    Attributes:
+        check: returns whether this node reaches an engine, probing it if necessary.
+        on_path_found: called when an engine became usable by a proxy.
+    """
+
+    def __init__(
+        self,
+        engines: EngineTable,
+        proxies: ProxyTable,
+        isolated: IsolatedNodes,
+        peers: ReachPeers,
+        zone: str,
+        check: Callable[[EngineAddress], Awaitable[bool]],
+    ) -> None:
+        self.check = check
+        self.on_path_found: Callable[[EngineAddress], None] = lambda engine: None
+        self._engines = engines
+        self._proxies = proxies
+        self._isolated = isolated
+        self._peers = peers
+        self._zone = zone
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def ask(self, unreachable: Sequence[EngineAddress]) -> None:
+        """Ask peers about the engines that this node cannot reach, as far as that is due."""
+        now = clock.now_s()
+        due = self._proxies.due_engines(unreachable, now)
+        if not due:
+            return
+        asked = self._proxies.peers_to_ask(due, self._peers.others(), self._zone, now)
+        for question in questions(next(self._numbers), [engine.number for engine in due]):
+            for peer in asked:
+                self._peers.send(peer.node_id, question)
+
+    def report_isolation(self, isolated: bool) -> bool:
+        """Report to peers whether this node is isolated; return whether that changed."""
+        was_isolated = self._isolated.is_isolated
+        report = self._isolated.update(isolated, clock.now_s())
+        if report is not None:
+            self._peers.send("", NodeReach(report))
+        return self._isolated.is_isolated != was_isolated
+
+    async def is_reached_by_peers(self, engine: EngineAddress) -> bool:
+        """Return whether a peer reaches an engine, waiting for the first answer about it."""
+        until = clock.now_s() + CONFIRMATION_TIMEOUT_S
+        while (now := clock.now_s()) < until:
+            if self._proxies.has_proxy(engine, now):
+                return True
+            enough = min(PEERS_ASKED, len(self._peers.others()))
+            if self._proxies.denials(engine) >= enough:
+                return False
+            await asyncio.sleep(CONFIRMATION_CHECK_S)
+        return False
+
+    def receive(self, sender: str, content: ReachMessage) -> None:
+        """Handle a message of a peer."""
+        if isinstance(content, ReachQuestion):
+            task = asyncio.ensure_future(self._answer(sender, content))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif isinstance(content, ReachAnswer):
+            self._record(sender, content)
+        else:
+            self._isolated.record_report(sender, content.isolated, clock.now_s())
+
+    async def _answer(self, sender: str, question: ReachQuestion) -> None:
+        views = [self._engines.by_number(number) for number in question.engines]
+        known = [view.identity for view in views if view is not None]
+        results = await asyncio.gather(*(self.check(engine) for engine in known))
+        reached = {engine.number for engine, ok in zip(known, results, strict=True) if ok}
+        not_reached = tuple(number for number in question.engines if number not in reached)
+        self._peers.send(sender, ReachAnswer(question.number, tuple(reached), not_reached))
+
+    def _record(self, sender: str, answer: ReachAnswer) -> None:
+        now = clock.now_s()
+        for numbers, reached in ((answer.reached, True), (answer.not_reached, False)):
+            for number in numbers:
+                view = self._engines.by_number(number)
+                if view is None:
+                    continue
+                if self._proxies.record_answer(sender, view.identity, reached, now):
+                    self.on_path_found(view.identity)
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -26,6 +26,11 @@
 from liftrill.gateway.engines.engine_limits import EngineLimit, LimitMessage
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.engines.unrecorded_engine_state import UnrecordedEngineState
+from liftrill.gateway.paths.reach_codec import (
+    ReachMessage,
+    datagram_from_reach,
+    reach_from_datagram,
+)
 from liftrill.gateway.peers.broadcast_batch import BroadcastBatch
 from liftrill.gateway.peers.load_codec import (
     ReportAssembler,
@@ -86,6 +91,7 @@
     served: Callable[[bytes], None]
     quarantined: Callable[[QuarantineEntry], None]
     limit_message: Callable[[str, LimitMessage], None]
+    reach: Callable[[str, ReachMessage], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -204,6 +210,10 @@
         if member is not None:
             self._send(member.address, message)
 
+    def send_reach(self, content: ReachMessage, node: str = "") -> None:
+        """Send one member, or all, a message about the engines that nodes reach."""
+        self._send_to(datagram_from_reach(self._membership.own.node_id, content), node)
+
     def send_update(self, update: UnrecordedEngineState, node: str) -> None:
         """Send one member, once, the engine state that the records do not hold."""
         for message in datagrams_from_update(update):
@@ -268,9 +278,15 @@
         elif message.notices or message.loads:
             self._dispatch_reports(message)
         else:
-            return False
+            return self._dispatch_reach(message)
         return True
 
+    def _dispatch_reach(self, message: messages.Datagram) -> bool:
+        content = reach_from_datagram(message)
+        if content is not None:
+            self._callbacks.reach(message.sender, content)
+        return content is not None
+
     def _dispatch_prefills(self, message: messages.Datagram) -> None:
         if message.HasField("reading_begun"):
             first = message.reading_begun
--- a/liftrill/gateway/settings.py
+++ b/liftrill/gateway/settings.py
@@ -65,6 +65,8 @@
     Attributes:
         front: HOST:PORT for callers.
         peer_address: HOST:PORT for gossip over UDP; all nodes use the same port.
+        proxy_address: HOST:PORT for requests that peers pass on to engines, the same port on all
+            nodes; empty if there is no port for it.
         peer_seeds: gossip addresses of some other nodes.
         first_start: whether the whole system starts for the first time.
         slow_peers: whether callers and engines may read slowly, and engines may crash under
@@ -81,3 +83,4 @@
     bounds: GatewayBounds
     machine: MachineLimits = field(default_factory=MachineLimits)
     slow_peers: bool = False
+    proxy_address: str = ""
--- a/liftrill/gateway/settings_reader.py
+++ b/liftrill/gateway/settings_reader.py
@@ -90,6 +90,13 @@
             raise self._error(key, value, "a list of two ports")
         return int(value[0])
 
+    def second_port(self, key: str) -> int | None:
+        """Return the second port of a range of ports, or None if it has only one."""
+        value = self._required(key, list, "a list of two ports")
+        first = self.first_port(key)
+        is_larger = len(value) > 1 and isinstance(value[1], int) and value[1] > first
+        return first + 1 if is_larger else None
+
     def _required(self, key: str, kind: type | tuple[type, ...], expected: str) -> Any:
         if key not in self._table:
             raise self._error(key, "nothing", expected)
