Ends of engines: a refused connection counts only if no peer reaches the engine

Such reports are evidence against the requests that were lost, which can be refused for it.

Cause: a refused connection was taken for the end of the engine. It shows only that this node does not get through.

Change: after a refused connection the node asks peers, and records the end only if none of those asked reaches the engine, or there are none. Its probe also counts for the state of the link.

--- a/features/engine_partition.feature
+++ b/features/engine_partition.feature
@@ -18,3 +18,19 @@
       | whole | stream | hang                       |
       | safe  | resume | are reset and then refused |
       | whole | resume | refuse new connections     |
+
+  Scenario: Links that are reset are taken for engines that have ended
+    Given a stand-in platform with 2 desk engines and 2 model engines
+    And 5 nodes whose links to engines can be cut
+    And callers that call all nodes on "whole" and "resume" and note what they get
+    When the links of 2 nodes to all engines are reset and then refused for 2 s
+    And the callers go on for 1 s
+    Then no node has logged that an engine ended
+
+  Scenario: An engine that ends is taken for one that is cut off
+    Given a stand-in platform with 2 desk engines and 2 model engines
+    And 5 nodes whose links to engines can be cut
+    And callers that call all nodes on "resume" and "resume" and note what they get
+    When a model engine crashes while it runs requests
+    And the callers go on for 2 s
+    Then a node has logged that this engine ended
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -87,6 +87,8 @@
         self._exchange.on_path_found = self._on_path_found
         self._server.accepts_requests = accepts_requests
         self._server.may_send = lambda view: not view.rejects_requests(clock.now_s())
+        forwarder.end_check.is_reached_by_peers = self._exchange.is_reached_by_peers
+        forwarder.end_check.on_probe = paths.links.record_probe
 
     async def listen(self) -> None:
         """Open the socket on which peers hand over requests."""
