Directory: nodes that reach no engine are not named while half of the members do

Nodes that were cut off from all engines stayed among the addresses for callers, all five of five, so that each request there took a second hop, or failed before there were proxies.

Before: all five addresses 1.2 s after two nodes were cut. After: the three others, and all five within 3 s after the cut.

--- a/features/engine_partition.feature
+++ b/features/engine_partition.feature
@@ -34,3 +34,11 @@
     When a model engine crashes while it runs requests
     And the callers go on for 2 s
     Then a node has logged that this engine ended
+
+  Scenario: Nodes that are cut off stay among the addresses for callers
+    Given a stand-in platform with 2 desk engines and 2 model engines
+    And 5 nodes whose links to engines can be cut
+    And callers that call all nodes on "whole" and "stream" and note what they get
+    When the links of 2 nodes to all engines hang for 3 s, and all nodes are asked for addresses after 1.2 s
+    Then all nodes returned the 3 others alone
+    And within 3 s after the cut all nodes return 5 addresses
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -221,7 +221,9 @@
     @property
     def sheds_connections(self) -> bool:
         """Whether responses ask callers to close their connections."""
-        return self.stopping or self._load_shedder.closes_connections
+        if self.stopping or self._load_shedder.closes_connections:
+            return True
+        return self.paths.leaves_to_others()
 
     async def start(self) -> None:
         """Start listening to peers, following the store, and the background loops."""
@@ -292,6 +294,7 @@
         """Return the members that accept callers."""
         members = [m for m in self._membership.members() if m.condition is Condition.ALIVE]
         members = self._silence_detector.reporting_members(members, now)
+        members = self.paths.connected_members(members)
         if self.stopping:
             members = [m for m in members if m.node_id != self.settings.node]
         return members
