Leadership: a leader that reaches no engine leaves the lease to another node

New weights reached no engine for as long as the leader was cut off from the engines and not from the store: it kept its lease and could order nothing. An order by a peer would count as an order of the peer, under the same fencing token, so that orders are not sent by proxies.

Change: while a node is isolated and others are not, it gives up the lease and does not contend.

After: both have the new ones within 4 s.

--- a/features/engine_partition.feature
+++ b/features/engine_partition.feature
@@ -42,3 +42,10 @@
     When the links of 2 nodes to all engines hang for 3 s, and all nodes are asked for addresses after 1.2 s
     Then all nodes returned the 3 others alone
     And within 3 s after the cut all nodes return 5 addresses
+
+  Scenario: A leader that is cut off from the engines goes on leading
+    Given a stand-in platform with 2 desk engines and 2 model engines
+    And 5 nodes whose links to engines can be cut
+    And callers that call all nodes on "stream" and "stream" and note what they get
+    When the links of the leader to all engines hang, and 1 s later new weights are named
+    Then within 4 s all model engines have the new weights
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -201,6 +201,7 @@
         )
         self._leadership = self._new_leadership()
         self._controller = self._new_controller(orders, targets)
+        self._controller.leaves_to_others = self.paths.leaves_to_others
         self._fleet_record = FleetRecord(
             store, self._follower.mirror, self._fleet, lambda: self._leadership.fence, log
         )
@@ -372,7 +373,7 @@
         )
 
     def _is_candidate(self) -> bool:
-        if clock.now_s() - self._started_at < CANDIDACY_DELAY_S:
+        if clock.now_s() - self._started_at < CANDIDACY_DELAY_S or self.paths.leaves_to_others():
             return False
         candidates = ranked(LEADER_RANK_KEY, self._membership.members())[:LEADER_CANDIDATES]
         return self.settings.node in {member.node_id for member in candidates}
--- a/liftrill/gateway/weight_controller.py
+++ b/liftrill/gateway/weight_controller.py
@@ -45,7 +45,14 @@
 
 
 class WeightController:
-    """Contends for leadership and, as the leader, sends the orders that the rollout plans."""
+    """Contends for leadership and, as the leader, sends the orders that the rollout plans.
+
+    Orders are sent over the node's own links only: sent by a peer they would count as the peer's.
+
+    Attributes:
+        leaves_to_others: whether this node reaches no engine and other nodes do, so that one of
+            them should lead.
+    """
 
     def __init__(
         self,
@@ -58,6 +65,7 @@
         metrics: GatewayMetrics,
         node: str,
     ) -> None:
+        self.leaves_to_others: Callable[[], bool] = lambda: False
         self._leadership = leadership
         self._rollout = rollout
         self._engines = engines
@@ -73,6 +81,8 @@
     async def run(self) -> None:
         """Contend for leadership and lead for as long as the node runs."""
         while True:
+            if self._leadership.fence and self.leaves_to_others():
+                await self._leadership.resign()
             await self._leadership.acquire_or_renew()
             await self._run_round(clock.now_s())
             await ticks.pause(TICK_SECONDS)
