Ends of engines: peers probe before they answer, and one that is frozen is not waited for

Cause: a peer that had heard from the engine half a second before answered that it reaches it, so that the end was not recorded.

Change: the first question about an engine, and one that is to confirm its end, makes peers probe. After a peer's denial others are waited for 0.05 s, without any answer 0.3 s.

--- a/liftrill/gateway/paths/link_monitor.py
+++ b/liftrill/gateway/paths/link_monitor.py
@@ -58,11 +58,12 @@
             self.on_links_checked()
             await ticks.pause(CHECK_INTERVAL_S)
 
-    async def reaches(self, engine: EngineAddress) -> bool:
+    async def reaches(self, engine: EngineAddress, needs_probe: bool) -> bool:
         """Return whether this node reaches an engine over its own link; probe it if necessary."""
         if not self._links.is_up(engine):
             return False
-        if not self._links.worked_since(engine, clock.now_s() - FRESH_LINK_S):
+        worked = self._links.worked_since(engine, clock.now_s() - FRESH_LINK_S)
+        if needs_probe or not worked:
             await asyncio.wait({self._start_probe(engine)})
         return self._links.is_up(engine)
 
--- a/liftrill/gateway/paths/proxy_table.py
+++ b/liftrill/gateway/paths/proxy_table.py
@@ -50,15 +50,29 @@
     Attributes:
         reached_at: by peer, when it last reached the engine.
         denied_at: by peer, when it last did not reach it.
+        needs_probe: whether peers are to probe it even if it worked just before.
     """
 
     next_question_at: float = 0.0
     interval_s: float = MIN_RETRY_INTERVAL_S
     down_since: float = 0.0
+    needs_probe: bool = True
     reached_at: dict[str, float] = field(default_factory=dict)
     denied_at: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class DueQuestions:
+    """The engines to ask peers about.
+
+    Attributes:
+        needs_probe: whether peers are to probe them even if they worked just before.
+    """
+
+    engines: tuple[EngineAddress, ...]
+    needs_probe: bool
+
+
 @dataclass(slots=True)
 class ProxyTable:
     """The peers that may pass on requests of this node."""
@@ -70,17 +84,24 @@
 
     # Questions
 
-    def due_engines(self, unreachable: Sequence[EngineAddress], now: float) -> list[EngineAddress]:
-        """Return the engines to ask peers about now, given those that this node cannot reach."""
+    def update(self, unreachable: Sequence[EngineAddress], now: float) -> None:
+        """Keep only the engines that this node cannot reach."""
         for engine in set(self._rows) - set(unreachable):
             del self._rows[engine]
-        due = []
         for engine in unreachable:
-            row = self._rows.setdefault(engine, _EngineRow(down_since=now))
-            if now >= row.next_question_at:
-                due.append(engine)
-                self._schedule(engine, row, now)
-        return due
+            self._rows.setdefault(engine, _EngineRow(down_since=now))
+
+    def take_due(self, now: float) -> DueQuestions:
+        """Return the engines to ask peers about now, and schedule the next question."""
+        due: list[EngineAddress] = []
+        needs_probe = False
+        for engine, row in self._rows.items():
+            if now < row.next_question_at:
+                continue
+            due.append(engine)
+            needs_probe, row.needs_probe = needs_probe or row.needs_probe, False
+            self._schedule(engine, row, now)
+        return DueQuestions(tuple(due), needs_probe)
 
     def peers_to_ask(
         self, engines: Sequence[EngineAddress], peers: Sequence[Member], zone: str, now: float
@@ -109,10 +130,18 @@
         row.denied_at.pop(node, None)
         return not was_usable
 
-    def denials(self, engine: EngineAddress) -> int:
-        """Return how many peers answered that they do not reach an engine."""
+    def ask_again(self, engine: EngineAddress, now: float) -> None:
+        """Let the next question be about an engine, whenever it was asked about last."""
+        row = self._rows.setdefault(engine, _EngineRow(down_since=now))
+        row.next_question_at, row.needs_probe = now, True
+
+    def answers_since(self, engine: EngineAddress, since: float) -> tuple[int, int]:
+        """Return how many peers have answered after a time that they reach an engine, or not."""
         row = self._rows.get(engine)
-        return len(row.denied_at) if row is not None else 0
+        if row is None:
+            return 0, 0
+        reached = sum(at >= since for at in row.reached_at.values())
+        return reached, sum(at >= since for at in row.denied_at.values())
 
     def peer_lost(self, node: str, now: float) -> None:
         """Stop using a peer that took no request."""
--- a/liftrill/gateway/paths/reach_codec.py
+++ b/liftrill/gateway/paths/reach_codec.py
@@ -15,10 +15,12 @@
 
     Attributes:
         engines: the numbers of their incarnations.
+        needs_probe: whether to probe them even if they worked just before.
     """
 
     number: int
     engines: tuple[int, ...]
+    needs_probe: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,19 +42,21 @@
 ReachMessage = ReachQuestion | ReachAnswer | NodeReach
 
 
-def questions(first_number: int, engines: Sequence[int]) -> list[ReachQuestion]:
-    """Return the questions about engines, numbered from the first number on."""
+def questions(number: int, engines: Sequence[int], needs_probe: bool) -> list[ReachQuestion]:
+    """Return the question about engines, in as many messages as it needs."""
     starts = range(0, len(engines), NUMBERS_PER_DATAGRAM)
     return [
-        ReachQuestion(first_number + index, tuple(engines[start : start + NUMBERS_PER_DATAGRAM]))
-        for index, start in enumerate(starts)
+        ReachQuestion(number, tuple(engines[start : start + NUMBERS_PER_DATAGRAM]), needs_probe)
+        for start in starts
     ]
 
 
 def datagram_from_reach(sender: str, content: ReachMessage) -> messages.Datagram:
     """Return the datagram that carries a message."""
     if isinstance(content, ReachQuestion):
-        question = messages.ReachQuestion(number=content.number, engines=content.engines)
+        question = messages.ReachQuestion(
+            number=content.number, engines=content.engines, needs_probe=content.needs_probe
+        )
         return messages.Datagram(sender=sender, reach_question=question)
     if isinstance(content, ReachAnswer):
         answer = messages.ReachAnswer(
@@ -68,7 +72,7 @@
     """Return the message in a datagram, or None if it carries none of these."""
     if message.HasField("reach_question"):
         question = message.reach_question
-        return ReachQuestion(question.number, tuple(question.engines))
+        return ReachQuestion(question.number, tuple(question.engines), question.needs_probe)
     if message.HasField("reach_answer"):
         answer = message.reach_answer
         return ReachAnswer(answer.number, tuple(answer.reached), tuple(answer.not_reached))
--- a/liftrill/gateway/paths/reach_exchange.py
+++ b/liftrill/gateway/paths/reach_exchange.py
@@ -19,9 +19,11 @@
     questions,
 )
 
-# How long the end of an engine waits for the answers of peers.
-CONFIRMATION_TIMEOUT_S = 0.5
-CONFIRMATION_CHECK_S = 0.02
+# How long the end of an engine waits for the first answer of a peer, and after one that denies that
+# it reaches the engine for others: a peer may be cut off as well, and another may be frozen.
+FIRST_ANSWER_TIMEOUT_S = 0.3
+OTHER_ANSWERS_TIMEOUT_S = 0.05
+ANSWER_CHECK_S = 0.01
 
 
 class ReachPeers(ABC):
@@ -40,7 +42,7 @@
     """Exchanges with peers which engines each of them reaches.
 
     Attributes:
-        check: returns whether this node reaches an engine, probing it if necessary.
+        check: returns whether this node reaches an engine; the flag demands a new probe.
         on_path_found: called when an engine became usable by a proxy.
     """
 
@@ -51,7 +53,7 @@
         isolated: IsolatedNodes,
         peers: ReachPeers,
         zone: str,
-        check: Callable[[EngineAddress], Awaitable[bool]],
+        check: Callable[[EngineAddress, bool], Awaitable[bool]],
     ) -> None:
         self.check = check
         self.on_path_found: Callable[[EngineAddress], None] = lambda engine: None
@@ -65,12 +67,17 @@
 
     def ask(self, unreachable: Sequence[EngineAddress]) -> None:
         """Ask peers about the engines that this node cannot reach, as far as that is due."""
+        self._proxies.update(unreachable, clock.now_s())
+        self._ask_due()
+
+    def _ask_due(self) -> None:
         now = clock.now_s()
-        due = self._proxies.due_engines(unreachable, now)
-        if not due:
+        due = self._proxies.take_due(now)
+        if not due.engines:
             return
-        asked = self._proxies.peers_to_ask(due, self._peers.others(), self._zone, now)
-        for question in questions(next(self._numbers), [engine.number for engine in due]):
+        asked = self._proxies.peers_to_ask(due.engines, self._peers.others(), self._zone, now)
+        numbers = [engine.number for engine in due.engines]
+        for question in questions(next(self._numbers), numbers, due.needs_probe):
             for peer in asked:
                 self._peers.send(peer.node_id, question)
 
@@ -83,15 +90,19 @@
         return self._isolated.is_isolated != was_isolated
 
     async def is_reached_by_peers(self, engine: EngineAddress) -> bool:
-        """Return whether a peer reaches an engine, waiting for the first answer about it."""
-        until = clock.now_s() + CONFIRMATION_TIMEOUT_S
-        while (now := clock.now_s()) < until:
-            if self._proxies.has_proxy(engine, now):
-                return True
-            enough = min(PEERS_ASKED, len(self._peers.others()))
-            if self._proxies.denials(engine) >= enough:
-                return False
-            await asyncio.sleep(CONFIRMATION_CHECK_S)
+        """Ask peers whether they reach an engine now; return whether one of them does."""
+        asked_at = clock.now_s()
+        until = asked_at + FIRST_ANSWER_TIMEOUT_S
+        enough = min(PEERS_ASKED, len(self._peers.others()))
+        self._proxies.ask_again(engine, asked_at)
+        self._ask_due()
+        while enough and (now := clock.now_s()) < until:
+            reached, denied = self._proxies.answers_since(engine, asked_at)
+            if reached or denied >= enough:
+                return reached > 0
+            if denied:
+                until = min(until, now + OTHER_ANSWERS_TIMEOUT_S)
+            await asyncio.sleep(ANSWER_CHECK_S)
         return False
 
     def receive(self, sender: str, content: ReachMessage) -> None:
@@ -108,7 +119,9 @@
     async def _answer(self, sender: str, question: ReachQuestion) -> None:
         views = [self._engines.by_number(number) for number in question.engines]
         known = [view.identity for view in views if view is not None]
-        results = await asyncio.gather(*(self.check(engine) for engine in known))
+        results = await asyncio.gather(
+            *(self.check(engine, question.needs_probe) for engine in known)
+        )
         reached = {engine.number for engine, ok in zip(known, results, strict=True) if ok}
         not_reached = tuple(number for number in question.engines if number not in reached)
         self._peers.send(sender, ReachAnswer(question.number, tuple(reached), not_reached))
