Brittle engines: permits for their slots, so that nodes together send no more than they have room for

Engines that say `Server-Brittle` end when they reject more requests in a second than they say, whichever nodes sent them.

Cause: each node sends by its own view of an engine's load, which is up to 0.1 s old, and engines queue what is too much. The sum of what nodes send at once is bounded by nobody.

Change: while answers say that a service is brittle, each request to it needs a permit for one of the engine's slots, which one node issues (the issuer of its rate limit). Nodes report how many requests they have there with each request for a permit, when one ends, and periodically, so that lost messages correct themselves and a node that ended is forgotten after 1.5 s. Requests wait at nodes, the more urgent ones are granted first. A service counts as brittle for 3 s after the last answer that said so, which nodes pass on, so that an engine that comes back is not flooded before it has answered. A rejection lowers the slots in use by one for 2 s.

Ruled out: permits of a rate, as for `Server-Limit`: what an engine has room for depends on how long requests take. Equal parts of the slots: below one for 12 nodes and 4 slots.

--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -113,6 +113,7 @@
     limit: str = ""
     limit_in: frozenset = REQUEST_ANSWERS
     refused_of_ten: int = 0
+    slots: int = 8
     limit_periods: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -136,6 +137,10 @@
     async def stop(self):
         await self._runner.cleanup()
 
+    @property
+    def runner(self):
+        return self._runner
+
     async def _crash_on(self, body):
         if not self.crashed.is_set():
             self.crashed_on = body
@@ -158,7 +163,7 @@
             "Address": self.address,
             "Zone": self.zone,
             "Version": "v1",
-            "Slots": 8,
+            "Slots": self.slots,
             "State": state,
             "ColdRemainingMs": 0,
             "Stage": "colocated",
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -117,6 +117,17 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class SlotPermit:
+    """Permit for a slot of a brittle engine.
+
+    Attributes:
+        user: id of the request for which it was requested, or empty.
+    """
+
+    user: str
+
+
 @dataclass(frozen=True, slots=True)
 class EngineChoice:
     """The engine chosen for a request, and the instructions that the attempt sends it.
@@ -133,6 +144,7 @@
         number: hash of the incarnation's name.
         permit: permit to send to an engine that announced a rate limit, or None.
         proxy: the peer that passes on the request, or None for the node's own link.
+        slot: permit for a slot of a brittle engine, or None.
     """
 
     engine_id: str
@@ -148,6 +160,19 @@
     number: int = 0
     permit: Permit | None = None
     proxy: ProxyNode | None = None
+    slot: SlotPermit | None = None
+
+    @property
+    def send_to(self) -> str:
+        """HOST:PORT to which the request is sent."""
+        return self.proxy.address if self.proxy is not None else self.address
+
+    @property
+    def unconnected_kind(self) -> RefusalKind:
+        """Why an attempt is refused that could not connect to `send_to`."""
+        if self.proxy is not None:
+            return RefusalKind.PROXY_UNAVAILABLE
+        return RefusalKind.UNREACHABLE
 
     @property
     def engine(self) -> EngineAddress:
--- a/liftrill/gateway/engines/engine_condition.py
+++ b/liftrill/gateway/engines/engine_condition.py
@@ -49,6 +49,8 @@
         backoff_s: how long this node must send the engine nothing, or 0.
         limit_per_s: requests a second that the engine accepts from all nodes together, or None.
         permit: the permit of the answered request, or None.
+        rejections_per_s: how many requests a second the engine can reject without ending, if it
+            says that it is brittle, or None.
     """
 
     engine: EngineAddress
@@ -58,6 +60,7 @@
     backoff_s: float = 0.0
     limit_per_s: float | None = None
     permit: Permit | None = None
+    rejections_per_s: float | None = None
 
 
 @dataclass(slots=True)
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -11,6 +11,7 @@
 from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.engines.engine_limits import EngineLimits
+from liftrill.gateway.engines.engine_slots import EngineSlots
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.engines.placement import (
     Candidate,
@@ -47,6 +48,7 @@
         guard: bounds the wait at an engine that a request may be sent into.
         capacity_filter: selects the engines that have capacity for a request.
         limits: rate limits of engines and their permits.
+        slots: slots of brittle engines and their permits.
         paths: how this node reaches engines: over its own links or by peers.
     """
 
@@ -70,6 +72,7 @@
         self.guard = OverloadGuard()
         self.capacity_filter = CapacityFilter()
         self.limits = EngineLimits()
+        self.slots = EngineSlots(engines.by_number)
         self.paths = paths or EnginePaths()
 
     def choose(
@@ -88,14 +91,18 @@
         ready = [view for view in untried if self._is_ready(view, request, floor, now)]
         # A request that was already tried at an engine does not wait for a permit again.
         may_wait = not excluded and now + DECISION_TIMEOUT_S < request.wait_deadline
+        if self.slots.services.is_brittle(request.service, now):
+            ready = self.slots.preferred(ready, now)
         while ready:
             choice = self._choose_ready(request, ready, now, least_loaded)
             if isinstance(choice, Unavailable):
                 return choice
             choice = replace(choice, proxy=self.paths.proxy(choice.engine, now))
-            if not self.limits.is_limited(choice.engine):
-                return choice
-            permitted = self._with_permit(choice, request, ready, may_wait, now)
+            permitted: EngineChoice | Unavailable | None = choice
+            if self.limits.is_limited(choice.engine):
+                permitted = self._with_permit(choice, request, ready, may_wait, now)
+            elif self.slots.services.is_brittle(request.service, now):
+                permitted = self._with_slot(choice, request, ready, now)
             if permitted is not None:
                 return permitted
             ready = [view for view in ready if view.engine_id != choice.engine_id]
@@ -136,6 +143,27 @@
         is_pending = any(self.limits.is_pending(at, user, now) for at in limited)
         return Unavailable.NONE_READY if may_wait and is_pending else None
 
+    def _with_slot(
+        self,
+        choice: EngineChoice,
+        request: OpaqueRequest,
+        ready: list[EngineView],
+        now: float,
+    ) -> EngineChoice | Unavailable | None:
+        """Return the choice with a slot, NONE_READY to wait for one, or None to try others."""
+        view = self._engines.get(choice.engine_id)
+        if view is None or not self.slots.needs_slot(view, now):
+            return choice
+        user = request.request_id
+        pending = [each for each in ready if self.slots.is_pending(each, user, now)]
+        if pending and not self.slots.has_slot(view, now):
+            return Unavailable.NONE_READY
+        patience_s = max(0.0, request.wait_deadline - now)
+        slot = self.slots.obtain(view, user, request.priority, patience_s, now)
+        if slot is not None:
+            return replace(choice, slot=slot)
+        return Unavailable.NONE_READY if patience_s else None
+
     def _unavailable_reason(
         self, request: OpaqueRequest, untried: list[EngineView], now: float
     ) -> Unavailable:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -25,6 +25,7 @@
 from liftrill.gateway.engines.engine_end_check import EngineEndCheck
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
+from liftrill.gateway.engines.slot_attempt import SlotAttempt
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.paths.proxied_attempt import ProxiedAttempt
@@ -58,6 +59,7 @@
         state_is_current: whether this node's state is recent enough at a time to choose engines.
         speeds: measured speeds of engines.
         limits: rate limits that engines announced; their requests need permits.
+        slots: slots of brittle engines; their requests need permits.
         paths: how this node reaches engines: over its own links or by peers.
         must_wait: whether capacity that may be free is due to another waiting request.
         retry_after: when callers refused for lack of capacity should retry.
@@ -74,6 +76,7 @@
         self.speeds = selector.speeds
         self.limits = selector.limits
         self.must_wait: Callable[[OpaqueRequest], bool] = _never_waits
+        self.slots = selector.slots
         self.paths = selector.paths
         self.retry_after = RetryAfterPolicy(self._capacity_in_s, _zero_wait_s)
         self._selector = selector
@@ -293,6 +296,8 @@
         if view is None:
             return None, attempt
         attempt.may_send = partial(self._may_send, view, start.choice)
+        if start.choice.slot is not None:
+            attempt = SlotAttempt(attempt, partial(self._slot_freed, view))
         paths, proxy = self._ports.paths, start.choice.proxy
         if proxy is not None:
             self.metrics.proxied_attempts.inc()
@@ -304,7 +309,13 @@
         now = clock.now_s()
         if not self._ports.state_is_current(now) or view.rejects_requests(now):
             return False
-        return self._ports.limits.may_send(view.identity, choice.permit, now)
+        if not self._ports.limits.may_send(view.identity, choice.permit, now):
+            return False
+        # A run that continues at its copy counts as the same run, and cannot wait for a slot.
+        return choice.continues_at_backup or self._ports.slots.may_send(view, choice.slot, now)
+
+    def _slot_freed(self, view: EngineView, was_rejected: bool) -> None:
+        self._ports.slots.request_ended(view, was_rejected, clock.now_s())
 
     def refresh_begin_deadlines(self) -> None:
         """Recompute until when each attempt may begin."""
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -33,6 +33,7 @@
 from liftrill.gateway.engines.engine_condition import EngineSignal
 from liftrill.gateway.engines.engine_limits import LimitMessage
 from liftrill.gateway.engines.engine_selector import EngineSelector
+from liftrill.gateway.engines.engine_slots import SlotMessage
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
 from liftrill.gateway.engines.unrecorded_engine_state import UnrecordedEngineState
 from liftrill.gateway.fleet_record import FleetRecord
@@ -45,7 +46,7 @@
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.paths.path_service import NodeParts, PathService
 from liftrill.gateway.peers.capable_nodes import ranked
-from liftrill.gateway.peers.engine_gossip import EngineGossip, LimitMessenger
+from liftrill.gateway.peers.engine_gossip import EngineGossip, LimitMessenger, SlotMessenger
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendReport, topology_for
 from liftrill.gateway.peers.load_shedding import LoadShedder
 from liftrill.gateway.peers.load_table import LoadTable
@@ -176,13 +177,23 @@
             self._on_quarantined,
             self._on_limit_message,
             lambda node, content: self.paths.receive(node, content),
+            self._on_slot_message,
         )
         self._peers = PeerLink(self._membership, callbacks)
         self._engine_limits = selector.limits
         limit_messenger = LimitMessenger(self._membership, self._fleet, self._peers, log, metrics)
         self._engine_limits.peers = limit_messenger
+        self._engine_slots = selector.slots
+        slot_messenger = SlotMessenger(limit_messenger, self._peers, log, metrics)
+        self._engine_slots.peers = slot_messenger
         self._gossip = EngineGossip(
-            engines, self._engine_limits, self._membership, self._peers, log, metrics
+            engines,
+            self._engine_limits,
+            self._engine_slots,
+            self._membership,
+            self._peers,
+            log,
+            metrics,
         )
         self._quarantine_records = QuarantineRecords(store, self._follower.mirror, log)
         self._quarantine = Quarantine(engines, log, metrics, self._peers, self._quarantine_records)
@@ -193,6 +204,7 @@
         )
         self.forwarder.prefill_started = self._send_prefill_start
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
+        slot_messenger.wake_waiting = self.forwarder.queues.wake_all
         parts = NodeParts(
             settings, engines, self._membership, self._peers, self.memory, log, metrics
         )
@@ -600,6 +612,9 @@
     def _on_limit_message(self, node: str, message: LimitMessage) -> None:
         self._engine_limits.receive(node, message, clock.now_s())
 
+    def _on_slot_message(self, node: str, message: SlotMessage) -> None:
+        self._engine_slots.receive(node, message, clock.now_s())
+
     def _on_served(self, fingerprint: bytes) -> None:
         self._quarantine.apply_served(fingerprint, clock.now_s())
 
@@ -747,6 +762,7 @@
             self._engines.conditions.expire((view.condition for view in self._engines), now)
             self.metrics.limited_engines.set(len(self._engine_limits.in_force()))
             self._engine_limits.expire((view.identity for view in self._engines), now)
+            self._engine_slots.refresh(self._engines, now)
             self._follower.reselect_reader()
             self.metrics.version.set(self.view.version)
             self.metrics.engines.set(len(self._engines))
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -116,6 +116,12 @@
         self.limited_engines = self._gauge(
             "liftrill_limited_engines", "Engines that receive requests only under permits."
         )
+        self.brittle_services = Gauge(
+            "liftrill_brittle_services",
+            "1 if the engines of a service say that they are brittle.",
+            ["service"],
+            registry=self.registry,
+        )
         self.permits = self._counter(
             "liftrill_engine_permits", "Permits requested by this node, by answer.", "answer"
         )
@@ -177,6 +183,8 @@
             self.engine_signals.labels("rest").inc()
         if signal.limit_per_s is not None:
             self.engine_signals.labels("limit").inc()
+        if signal.rejections_per_s is not None:
+            self.engine_signals.labels("brittle").inc()
 
     def set_capacity(self, node_load: NodeLoad, lag_s: float) -> None:
         """Set the capacity, the utilization and the event loop lag of this node."""
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -83,9 +83,8 @@
 
     def discard_idle(self, address: str) -> None:
         """Close the idle connections to an engine."""
-        connector = self._session.connector if self._session is not None else None
-        if isinstance(connector, http_client.CheckingConnector):
-            connector.discard_idle(address)
+        if self._session is not None:
+            http_client.discard_idle(self._session, address)
 
     async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
         with self._server.track_request():
--- a/liftrill/gateway/peers/engine_gossip.py
+++ b/liftrill/gateway/peers/engine_gossip.py
@@ -18,6 +18,7 @@
     LimitMessage,
     LimitPeers,
 )
+from liftrill.gateway.engines.engine_slots import EngineSlots, SlotMessage, SlotPeers
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.engines.unrecorded_engine_state import UnrecordedEngineState
 from liftrill.gateway.gateway_metrics import GatewayMetrics
@@ -41,6 +42,7 @@
         self,
         engines: EngineTable,
         limits: EngineLimits,
+        slots: EngineSlots,
         membership: Membership,
         peers: PeerLink,
         log: DecisionLog,
@@ -48,6 +50,7 @@
     ) -> None:
         self._engines = engines
         self._limits = limits
+        self._slots = slots
         self._membership = membership
         self._peers = peers
         self._log = log
@@ -61,6 +64,9 @@
         if signal.limit_per_s is not None:
             self._log.engine_limit_reported(signal)
         now = clock.now_s()
+        view = self._engines.get(signal.engine.engine_id)
+        if signal.rejections_per_s is not None and view is not None:
+            self._slots.record_answer(view.record.service, now)
         engine = self._engines.incarnation(signal.engine)
         if engine is not None:
             self._limits.note_answer(engine, signal.limit_per_s, signal.permit, now)
@@ -119,6 +125,49 @@
         )
 
 
+class SlotMessenger(SlotPeers):
+    """Sends permits for slots to peers, and logs and counts what changes.
+
+    Attributes:
+        wake_waiting: makes requests that wait for engines check for one again.
+    """
+
+    def __init__(
+        self, limits: LimitPeers, peers: PeerLink, log: DecisionLog, metrics: GatewayMetrics
+    ) -> None:
+        self.wake_waiting: Callable[[], None] = lambda: None
+        self._limits = limits
+        self._peers = peers
+        self._log = log
+        self._metrics = metrics
+
+    @property
+    def node_id(self) -> str:
+        """The id of this node."""
+        return self._limits.node_id
+
+    def issuer(self, engine: EngineAddress) -> str:
+        """Return the node that issues permits for an engine, the same as for its limit."""
+        return self._limits.issuer(engine)
+
+    def send(self, node: str, message: SlotMessage) -> None:
+        """Send a message to one node, or to all if its id is empty."""
+        self._peers.send_slot_message(message, node)
+
+    def brittle_changed(self, service: str, brittle: bool, source: str) -> None:
+        """Log that a service became brittle, or is not brittle any more."""
+        self._metrics.brittle_services.labels(service).set(brittle)
+        self._log.state_changed("brittle", service=service, brittle=brittle, source=source)
+
+    def permits_changed(self) -> None:
+        """Make requests that wait for engines check for one again."""
+        self.wake_waiting()
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Call a function after a delay."""
+        asyncio.get_running_loop().call_later(delay_s, callback)
+
+
 class LimitMessenger(LimitPeers):
     """Sends limits and permits to peers, and logs and counts their changes.
 
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -24,6 +24,7 @@
 from liftrill.gateway import ticks
 from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_limits import EngineLimit, LimitMessage
+from liftrill.gateway.engines.engine_slots import SlotMessage
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.engines.unrecorded_engine_state import UnrecordedEngineState
 from liftrill.gateway.paths.reach_codec import (
@@ -49,6 +50,10 @@
     notice_from_message,
     update_from_message,
 )
+from liftrill.gateway.peers.slot_codec import (
+    datagram_from_slot_message,
+    slot_message_from_datagram,
+)
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
     datagrams_from_runs,
@@ -92,6 +97,7 @@
     quarantined: Callable[[QuarantineEntry], None]
     limit_message: Callable[[str, LimitMessage], None]
     reach: Callable[[str, ReachMessage], None]
+    slots: Callable[[str, SlotMessage], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -214,6 +220,10 @@
         """Send one member, or all, a message about the engines that nodes reach."""
         self._send_to(datagram_from_reach(self._membership.own.node_id, content), node)
 
+    def send_slot_message(self, content: SlotMessage, node: str = "") -> None:
+        """Send one member, or all, a message about the slots of brittle engines."""
+        self._send_to(datagram_from_slot_message(self._membership.own.node_id, content), node)
+
     def send_update(self, update: UnrecordedEngineState, node: str) -> None:
         """Send one member, once, the engine state that the records do not hold."""
         for message in datagrams_from_update(update):
@@ -278,14 +288,17 @@
         elif message.notices or message.loads:
             self._dispatch_reports(message)
         else:
-            return self._dispatch_reach(message)
+            return self._dispatch_engine_access(message)
         return True
 
-    def _dispatch_reach(self, message: messages.Datagram) -> bool:
-        content = reach_from_datagram(message)
-        if content is not None:
-            self._callbacks.reach(message.sender, content)
-        return content is not None
+    def _dispatch_engine_access(self, message: messages.Datagram) -> bool:
+        reach = reach_from_datagram(message)
+        slots = slot_message_from_datagram(message) if reach is None else None
+        if reach is not None:
+            self._callbacks.reach(message.sender, reach)
+        elif slots is not None:
+            self._callbacks.slots(message.sender, slots)
+        return reach is not None or slots is not None
 
     def _dispatch_prefills(self, message: messages.Datagram) -> None:
         if message.HasField("reading_begun"):
