Links to engines: a late process does not take its own delay for links that are down

A probe or a connect that times out while the event loop is late says nothing about the link. Taken for a link that is down it would close idle connections, end repeatable attempts and send requests by peers, at the moment when the node is busy already.

A probe whose timeout is noticed later than 1.5 times its duration changes nothing, and an attempt that learns so late that it could not connect only makes the link suspect. Also an engine record whose address has no port number can be probed without an error.

--- a/features/engine_links.feature
+++ b/features/engine_links.feature
@@ -26,6 +26,10 @@
     Then no link went down
     And it probed at most 6 times
 
+  Scenario: A busy process takes its own delay for links that are down
+    When it sends a request every 0.15 s, and after 2 s its probes and answers are late for 2 s
+    Then no link went down
+
   Scenario: One engine that ends makes all links suspect again and again
     When it sends a request every 0.15 s, and after 2 s one engine ends
     And 5 s pass at the node
--- a/features/steps/engine_links_steps.py
+++ b/features/steps/engine_links_steps.py
@@ -29,6 +29,7 @@
         self.links = EngineLinks(on_change=self.changed)
         self.now = 0.0
         self.hanging, self.refusing, self.silent = set(), set(), set()
+        self.is_late = False
         self.open = []
         self.probes = []
         self.probe_count = 0
@@ -86,7 +87,9 @@
         self.probes = [row for row in self.probes if row[0] > self.now]
         for _, engine in due:
             result = ProbeResult.ACCEPTED
-            if engine in self.hanging:
+            if self.is_late:
+                result = ProbeResult.LATE
+            elif engine in self.hanging:
                 result = ProbeResult.UNANSWERED
             elif engine in self.refusing:
                 result = ProbeResult.REFUSED
@@ -131,6 +134,17 @@
     node.silent = set()
 
 
+@when(
+    "it sends a request every {interval:g} s, and after {seconds:g} s its probes and answers are"
+    " late for {late:g} s"
+)
+def step_late(context, interval, seconds, late):
+    node = context.node
+    node.run(seconds, interval)
+    node.is_late, node.silent = True, set(node.engines)
+    node.run(late, interval)
+
+
 @when("it sends a request every {interval:g} s, and after {seconds:g} s one engine ends")
 def step_end(context, interval, seconds):
     context.node.run(seconds, interval)
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -36,6 +36,8 @@
 IDLE_TIMEOUT_SHARE = 0.8
 MAX_IDLE_S = 30.0
 MAX_TIMEOUT_DIGITS = 9
+# A timeout that is noticed later than this many times its duration was caused by this process.
+LATE_FACTOR = 1.5
 
 
 class GuardedResponseHandler(ResponseHandler):
@@ -216,12 +218,14 @@
 async def probe(address: str, timeout_s: float) -> ProbeResult:
     """Open a connection to HOST:PORT, close it, and return whether it was accepted."""
     host, _, port = address.rpartition(":")
+    started_at = clock.now_s()
     try:
         async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return ProbeResult.REFUSED
-    except (OSError, TimeoutError):
-        return ProbeResult.UNANSWERED
+    except (OSError, TimeoutError, ValueError):
+        is_late = clock.now_s() - started_at > LATE_FACTOR * timeout_s
+        return ProbeResult.LATE if is_late else ProbeResult.UNANSWERED
     writer.close()
     return ProbeResult.ACCEPTED
--- a/liftrill/gateway/paths/engine_links.py
+++ b/liftrill/gateway/paths/engine_links.py
@@ -155,7 +155,7 @@
         if result is ProbeResult.ACCEPTED:
             link.accepted_at = now
             self._set_up(link, now)
-        else:
+        elif result is not ProbeResult.LATE:
             self._set_down(link, f"probe {result.value}", now)
 
     def keep_only(self, engines: Iterable[EngineAddress]) -> None:
--- a/liftrill/gateway/paths/tracked_attempt.py
+++ b/liftrill/gateway/paths/tracked_attempt.py
@@ -4,12 +4,16 @@
 from collections.abc import Awaitable
 from contextlib import suppress
 
-from liftrill import clock
+from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.http_client import LATE_FACTOR
 from liftrill.gateway.paths.engine_links import EngineLinks
 from liftrill.gateway.transport import EngineAttempt
 
 LINK_DOWN = "the link to the engine is down"
+# If an attempt learns later than this that it could not connect, this process was too busy to tell
+# why, and the link is probed.
+MAX_CONNECT_S = LATE_FACTOR * constants.CONNECT_TIMEOUT_SECONDS
 
 
 class TrackedAttempt(EngineAttempt):
@@ -30,7 +34,8 @@
         self._links = links
         self._interruptible = interruptible
         self._timer: asyncio.Timeout | None = None
-        self._use = links.begin(engine, self._on_down, clock.now_s())
+        self._began_at = clock.now_s()
+        self._use = links.begin(engine, self._on_down, self._began_at)
 
     async def open(self) -> list[events.DeliveryEvent]:
         """Send the request; return the events of the response head or the complete response."""
@@ -64,7 +69,10 @@
             elif not isinstance(event, events.AttemptRefused):
                 self._links.received(self._use, now)
             elif event.kind is events.RefusalKind.UNREACHABLE:
-                self._links.could_not_connect(self._use, now)
+                if now - self._began_at < MAX_CONNECT_S:
+                    self._links.could_not_connect(self._use, now)
+                else:
+                    self._links.was_interrupted(self._use)
             elif event.kind is not events.RefusalKind.WITHDRAWN:
                 self._links.received(self._use, now)
 
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -42,6 +42,8 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"
     UNANSWERED = "unanswered"
+    # The process was too busy to tell.
+    LATE = "late"
 
 
 class EngineTransport(ABC):
