--- a/features/soak.feature
+++ b/features/soak.feature
@@ -132,6 +132,10 @@
     When the soak runs seed 53000 for 12 s with engines that announce limits
     Then it had faults and served requests, and violated no guarantee
 
+  Scenario: A short soak with cuts between nodes and engines violates no guarantee
+    When the soak runs seed 61000 for 12 s with cuts between nodes and engines
+    Then it had faults and served requests, and violated no guarantee
+
   Scenario: A short soak in which the store is restored from older copies violates no guarantee
     When the soak runs seed 47100 for 12 s with a store that is restored from older copies
     Then it had faults and served requests, and violated no guarantee
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -8,8 +8,9 @@
 
 from features.soak.proxy import FaultProxy, ProxyFault
 from features.soak.timeline import Timeline
-from features.standin import sleeper
+from features.standin import link_addresses, sleeper
 from features.standin.deployment import ROOT, Deployment
+from features.standin.engine_links import NodeLinks
 
 DESK_ENGINES = 3
 MODEL_ENGINES = 4
@@ -45,7 +46,10 @@
         sleeps=False,
         report_start_times=False,
         draw_root=None,
+        cuts=False,
     ):
+        self.links = {}
+        self._has_links = cuts
         self._crash_bodies = crash_bodies
         self._report_start_times = report_start_times
         self._draw_root = draw_root or (lambda: ROOT)
@@ -89,12 +93,24 @@
             await self._add_engine("llm")
         self.configure()
         for number in range(self._node_count):
-            node = await self.deployment.add_node(
-                f"node-{number + 1}", wrapper=self._wrapper, root=self._draw_root()
-            )
+            node = await self._add_node(f"node-{number + 1}")
             await self.deployment.ready(node)
             await self._put_proxy_before_store(node)
 
+    async def _add_node(self, name):
+        if not self._has_links:
+            return await self.deployment.add_node(
+                name, wrapper=self._wrapper, root=self._draw_root()
+            )
+        links = self.links[name] = NodeLinks(self.deployment.directory / f"{name}.links")
+        await links.start([engine.address for engine in self.engines()])
+        return await self.deployment.add_node(
+            name,
+            wrapper=[link_addresses.__file__],
+            root=self._draw_root(),
+            environment={link_addresses.LINKS_FILE: str(links.path)},
+        )
+
     async def _put_proxy_before_store(self, node):
         """Start a node again so that it connects to the store through a proxy."""
         proxy = FaultProxy(f"{node.ip}:{self.store.port + 1}", self.store.address_for(node.ip))
@@ -201,6 +217,8 @@
         engine = await self.deployment.add_engine(
             name, service, crashes_on=self._crash_bodies, **options
         )
+        for links in self.links.values():
+            await links.add(engine.address)
         if self._crash_bodies:
             self._replacing.append(asyncio.ensure_future(self._replace_crashed(engine)))
         return engine
@@ -222,6 +240,8 @@
         """Clear all faults and start the nodes that are down."""
         self.store.fault, self.store.unanswered_writes = "", 0
         self.store.refused_ips.clear()
+        for links in self.links.values():
+            links.restore()
         for proxy in self.proxies.values():
             proxy.fault = ProxyFault.NONE
         for engine in self.engines():
@@ -234,3 +254,5 @@
     async def stop_retired(self):
         for engine in self.retired:
             await engine.stop()
+        for links in self.links.values():
+            await links.stop()
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -26,6 +26,7 @@
 import aiohttp
 
 from features.soak.deadly import CrashRequestCallers, check_crash_requests, crash_times
+from features.soak.engine_cuts import EngineCuts
 from features.soak.engine_limits import EngineLimits, check_limits
 from features.soak.engine_words import EngineAnnouncements, check_announcements
 from features.soak.faults import FaultInjector
@@ -63,6 +64,7 @@
         words: engines announce in their answers that they leave or need a pause.
         limits: engines announce rate limits for all nodes together.
         returns: the store is restored from older copies.
+        cuts: links between nodes and engines are cut.
         builds: each start of a node draws the current build or the earlier one.
     """
 
@@ -72,6 +74,7 @@
     words: bool = False
     limits: bool = False
     returns: bool = False
+    cuts: bool = False
     builds: bool = False
 
 
@@ -88,7 +91,13 @@
         self._trees = [ROOT, extract_tree(earlier, directory)] if modes.builds else [ROOT]
         self._build_draw = random.Random(f"{seed}/builds")
         self.fleet = Fleet(
-            directory, nodes, self._crash_bodies, modes.sleeps, modes.hard, self._draw_root
+            directory,
+            nodes,
+            self._crash_bodies,
+            modes.sleeps,
+            modes.hard,
+            self._draw_root,
+            modes.cuts,
         )
         if modes.builds:
             self.fleet.store.era = "1"
@@ -99,6 +108,7 @@
         self.announcements = EngineAnnouncements(self.fleet, seed) if modes.words else None
         self.limits = EngineLimits(self.fleet, seed) if modes.limits else None
         self.restores = StoreRestores(self.fleet, seed) if modes.returns else None
+        self.cuts = EngineCuts(self.fleet, seed) if modes.cuts else None
         self._seconds = seconds
         self._seed = seed
         self._random = random.Random(f"{seed}/calls")
@@ -145,10 +155,12 @@
             yield self.limits.run_for(self._seconds)
         if self.restores is not None:
             yield self.restores.run_for(self._seconds)
+        if self.cuts is not None:
+            yield self.cuts.run_for(self._seconds)
 
     def parts(self):
         """Return the optional conditions that count what they did; None for those that are off."""
-        return self.hard_load, self.announcements, self.limits, self.restores
+        return self.hard_load, self.announcements, self.limits, self.restores, self.cuts
 
     def max_lateness(self):
         """Return the greatest lateness of requests after departures and weight changes."""
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -102,6 +102,7 @@
         self.process = None
         self.root = ROOT
         self.wrapper = ()
+        self.environment = {}
         self.slept_s = 0.0
         self.log_path = directory / f"{name}.log"
 
@@ -148,6 +149,7 @@
                 "PYTHONPATH": str(self.root),
                 "LIFTRILL_BOOT": str(self.settings_path),
                 SLEPT_FILE: str(self.slept_path),
+                **self.environment,
                 **(environment or {}),
             },
             stdout=log,
@@ -225,7 +227,9 @@
     def set_weight_version(self, version):
         self.store.put("op/version/model-1", {"Model": "model-1", "Version": version})
 
-    async def add_node(self, name, wrapper=(), changes=None, root=ROOT, **options):
+    async def add_node(
+        self, name, wrapper=(), changes=None, root=ROOT, environment=None, **options
+    ):
         if not self.ports:
             self.ports = machine_ports()
         # As on the platform, each machine has its own address and all use the same ports.
@@ -234,7 +238,7 @@
             self.store.address_for(node.ip), self.nodes, self.bounds, **(changes or {})
         )
         self.nodes.append(node)
-        node.wrapper, node.root = wrapper, root
+        node.wrapper, node.root, node.environment = wrapper, root, environment or {}
         await node.start(**options)
         return node
 
--- a/features/standin/engine_links.py
+++ b/features/standin/engine_links.py
@@ -124,6 +124,7 @@
     def __init__(self, path):
         self.path = path
         self._links = []
+        self._addresses = {}
         self._black_hole = BlackHole()
         self._closed = socket.socket()
         # Bound and not listening: connections are refused, and no other process gets the port.
@@ -132,10 +133,15 @@
 
     async def start(self, engine_addresses):
         for address in engine_addresses:
-            link = EngineLink(address)
-            await link.start()
-            self._links.append(link)
-        self.restore()
+            await self.add(address)
+
+    async def add(self, engine_address):
+        """Add the link to an engine; a cut of all links does not hold for it."""
+        link = EngineLink(engine_address)
+        await link.start()
+        self._links.append(link)
+        self._addresses[link.target] = link.address
+        self._write()
 
     async def stop(self):
         for link in self._links:
@@ -147,7 +153,9 @@
         """Cut the links to some engines, by default to all."""
         cut = [link for link in self._links if targets is None or link.target in targets]
         closed = "{}:{}".format(*self._closed.getsockname())
-        self._connect_to(cut, self._black_hole.address if kind is CutKind.HANG else closed)
+        address = self._black_hole.address if kind is CutKind.HANG else closed
+        self._addresses |= {link.target: address for link in cut}
+        self._write()
         for link in cut:
             if kind is CutKind.HANG:
                 link.hold()
@@ -155,12 +163,12 @@
                 link.resets = True
 
     def restore(self):
-        self._connect_to((), "")
+        self._addresses = {link.target: link.address for link in self._links}
+        self._write()
         for link in self._links:
             link.restore()
 
-    def _connect_to(self, cut, address):
-        links = {link.target: address if link in cut else link.address for link in self._links}
+    def _write(self):
         written = self.path.with_suffix(".new")
-        written.write_text(json.dumps(links))
+        written.write_text(json.dumps(self._addresses))
         written.replace(self.path)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -206,6 +206,7 @@
     "with engines that announce leaving and pauses": Modes(words=True),
     "with engines that announce limits": Modes(limits=True),
     "with a store that is restored from older copies": Modes(returns=True),
+    "with cuts between nodes and engines": Modes(cuts=True),
 }
 
 
