--- a/features/standin/engine_links.py
+++ b/features/standin/engine_links.py
@@ -98,20 +98,28 @@
         finally:
             for pump in pumps:
                 pump.cancel()
+            was_reset = any(
+                pump.done() and not pump.cancelled() and pump.result() for pump in pumps
+            )
             for end in (writer, engine_writer):
-                if self.resets:
+                # An orderly close would make an answer without a length look complete.
+                if was_reset or self.resets:
                     reset(end.transport)
                 end.close()
 
     async def _pump(self, source, target):
-        with suppress(OSError):
+        """Pass on bytes until one end closes; return whether it was reset."""
+        try:
             while data := await source.read(CHUNK_BYTES):
                 await self._passes.wait()
                 if self.resets:
-                    return
+                    return True
                 target.write(data)
                 await target.drain()
-            await self._passes.wait()
+        except OSError:
+            return True
+        await self._passes.wait()
+        return False
 
 
 class NodeLinks:
