--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -59,7 +59,6 @@
         zone: str,
         prompt_policy: PlacementPolicy | None = None,
         plain_policy: PlacementPolicy | None = None,
-        paths: EnginePaths | None = None,
     ) -> None:
         self.parts = SharedPartTracker(engines)
         self.speeds = SpeedEstimator(engines)
@@ -73,7 +72,7 @@
         self.capacity_filter = CapacityFilter()
         self.limits = EngineLimits()
         self.slots = EngineSlots(engines.by_number)
-        self.paths = paths or EnginePaths()
+        self.paths = EnginePaths()
 
     def choose(
         self,
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -121,11 +121,6 @@
         members = self._parts.membership.members()
         return self._isolated.leaves_to_others(members, self._parts.settings.node, clock.now_s())
 
-    @property
-    def is_isolated(self) -> bool:
-        """Whether this node reaches no engine over its own links."""
-        return self._isolated.is_isolated
-
     def _proxy_address(self, node: str) -> str | None:
         """Return where a peer takes requests; all nodes use the same port for it."""
         member = self._parts.membership.member(node)
