Ends of engines: no answer of a peer is waited for longer than the lost request itself is held

Cause, from the logs of two failures: the node knew one peer, which was the suspended one, so that nobody answered whether it reaches the engine. The end was recorded after 0.3 s, and the request came again each 0.25 s: the evidence was one engine late each time.

Change: without any answer the end is recorded after 0.08 s, before the lost request is sent on (0.1 s). A peer that answers takes a round trip and a connection, milliseconds.

--- a/features/engine_links.feature
+++ b/features/engine_links.feature
@@ -36,6 +36,17 @@
     Then 1 link is down
     And it probed at most 20 times
 
+  Scenario Outline: A request that crashes engines goes on as the end of one waits for peers
+    Given 2 peers of which <answering> answer that they do not reach an engine
+    When the node asks them whether the engine has ended
+    Then it knows within 0.2 s that no peer reaches it
+
+    Examples:
+      | answering |
+      | 0         |
+      | 1         |
+      | 2         |
+
   Scenario: Links are probed without cause
     When it sends a request every 0.15 s for 20 s
     Then it probed at most 0 times
--- a/features/steps/engine_links_steps.py
+++ b/features/steps/engine_links_steps.py
@@ -1,11 +1,19 @@
 """Steps on the links of a node to engines, in virtual time."""
 
 import itertools
+import time
 
 from behave import given, then, when
 
+from features.gateway_support import engine_record
+from liftrill.coordination.membership_messages import Member
 from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.paths.engine_links import EngineLinks
+from liftrill.gateway.paths.isolation import IsolatedNodes
+from liftrill.gateway.paths.proxy_table import ProxyTable
+from liftrill.gateway.paths.reach_codec import ReachAnswer
+from liftrill.gateway.paths.reach_exchange import ReachExchange, ReachPeers
 from liftrill.gateway.transport import ProbeResult
 
 STEP_S = 0.01
@@ -199,3 +207,45 @@
     assert waiting, "no request waited"
     missed = [number for number in waiting if number not in node.told]
     assert not missed, f"{len(missed)} of {len(waiting)} requests were not told"
+
+
+class DenyingPeers(ReachPeers):
+    """Peers of which some answer at once that they reach no engine, and the others never."""
+
+    def __init__(self, count, answering):
+        self._members = [
+            Member(f"n{number}", f"10.1.0.{number}:1", "region-1", "zone-1", 1)
+            for number in range(count)
+        ]
+        self._answering = {member.node_id for member in self._members[:answering]}
+        self.exchange = None
+
+    def others(self):
+        return self._members
+
+    def send(self, node, content):
+        if node in self._answering:
+            self.exchange.receive(node, ReachAnswer(content.number, (), content.engines))
+
+
+@given("{count:d} peers of which {answering:d} answer that they do not reach an engine")
+def step_denying_peers(context, count, answering):
+    engines = EngineTable()
+    context.engine = engines.update(engine_record("engine-1")).identity
+    peers = DenyingPeers(count, answering)
+    context.exchange = peers.exchange = ReachExchange(
+        engines, ProxyTable(), IsolatedNodes(), peers, "zone-1", check=None
+    )
+
+
+@when("the node asks them whether the engine has ended")
+def step_ask_peers(context):
+    began_at = time.monotonic()
+    context.is_reached = context.run(context.exchange.is_reached_by_peers(context.engine))
+    context.took_s = time.monotonic() - began_at
+
+
+@then("it knows within {seconds:g} s that no peer reaches it")
+def step_knows(context, seconds):
+    assert not context.is_reached
+    assert context.took_s <= seconds, context.took_s
--- a/liftrill/gateway/paths/reach_exchange.py
+++ b/liftrill/gateway/paths/reach_exchange.py
@@ -20,8 +20,10 @@
 )
 
 # How long the end of an engine waits for the first answer of a peer, and after one that denies that
-# it reaches the engine for others: a peer may be cut off as well, and another may be frozen.
-FIRST_ANSWER_TIMEOUT_S = 0.3
+# it reaches the engine for others: a peer may be cut off as well, and another may be frozen. The
+# request that was lost is sent on after `MAX_WAIT_S` of engine_end_check, so that an end found
+# later cannot count against it yet.
+FIRST_ANSWER_TIMEOUT_S = 0.08
 OTHER_ANSWERS_TIMEOUT_S = 0.05
 ANSWER_CHECK_S = 0.01
 
