Links: an accepted probe answers the suspicion, whoever sent it

A lost connection was probed twice: at once by the check whether its engine has ended, and again by the link monitor, one connection to the engine too many each time. The new scenario counts 1 probe without the change, none with it.

--- a/features/engine_links.feature
+++ b/features/engine_links.feature
@@ -47,6 +47,11 @@
       | 1         |
       | 2         |
 
+  Scenario: A link whose lost connection was probed already is probed again
+    When it loses a connection whose engine is found to accept others at once
+    And 1 s pass at the node
+    Then it probed at most 0 times
+
   Scenario: Links are probed without cause
     When it sends a request every 0.15 s for 20 s
     Then it probed at most 0 times
--- a/features/steps/engine_links_steps.py
+++ b/features/steps/engine_links_steps.py
@@ -164,6 +164,16 @@
     context.node.run(seconds, interval)
 
 
+@when("it loses a connection whose engine is found to accept others at once")
+def step_lose_connection(context):
+    node = context.node
+    engine = node.engines[0]
+    use = node.links.begin(engine, lambda: None, node.now)
+    node.links.was_interrupted(use)
+    node.links.end(use)
+    node.links.record_probe(engine, ProbeResult.ACCEPTED, node.now)
+
+
 @when("{seconds:g} s pass at the node")
 def step_wait(context, seconds):
     context.node.run(seconds)
--- a/liftrill/gateway/paths/engine_links.py
+++ b/liftrill/gateway/paths/engine_links.py
@@ -153,7 +153,8 @@
         link = self._link(engine)
         link.is_probing, link.probed_at = False, now
         if result is ProbeResult.ACCEPTED:
-            link.accepted_at = now
+            # The suspicion is answered, whoever sent the probe.
+            link.accepted_at, link.is_suspect = now, False
             self._set_up(link, now)
         elif result is not ProbeResult.LATE:
             self._set_down(link, f"probe {result.value}", now)
