Paths and slots: one wrapper of attempts, one test for brittle engines, no field that nobody reads

- EngineSelector.choose asked in each turn of its loop whether the service is brittle: it asks once.
- Questions and answers between nodes carried a number that no receiver read.

--- a/features/steps/engine_links_steps.py
+++ b/features/steps/engine_links_steps.py
@@ -235,7 +235,7 @@
 
     def send(self, node, content):
         if node in self._answering:
-            self.exchange.receive(node, ReachAnswer(content.number, (), content.engines))
+            self.exchange.receive(node, ReachAnswer((), content.engines))
 
 
 @given("{count:d} peers of which {answering:d} answer that they do not reach an engine")
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -90,7 +90,8 @@
         ready = [view for view in untried if self._is_ready(view, request, floor, now)]
         # A request that was already tried at an engine does not wait for a permit again.
         may_wait = not excluded and now + DECISION_TIMEOUT_S < request.wait_deadline
-        if self.slots.services.is_brittle(request.service, now):
+        is_brittle = self.slots.services.is_brittle(request.service, now)
+        if is_brittle:
             ready = self.slots.preferred(ready, now)
         while ready:
             choice = self._choose_ready(request, ready, now, least_loaded)
@@ -100,7 +101,7 @@
             permitted: EngineChoice | Unavailable | None = choice
             if self.limits.is_limited(choice.engine):
                 permitted = self._with_permit(choice, request, ready, may_wait, now)
-            elif self.slots.services.is_brittle(request.service, now):
+            elif is_brittle:
                 permitted = self._with_slot(choice, request, ready, now)
             if permitted is not None:
                 return permitted
--- a/liftrill/gateway/paths/proxied_attempt.py
+++ b/liftrill/gateway/paths/proxied_attempt.py
@@ -3,10 +3,10 @@
 from liftrill import clock
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.paths.proxy_table import ProxyTable
-from liftrill.gateway.transport import EngineAttempt
+from liftrill.gateway.transport import EngineAttempt, ObservedAttempt
 
 
-class ProxiedAttempt(EngineAttempt):
+class ProxiedAttempt(ObservedAttempt):
     """An attempt that a peer passes on."""
 
     def __init__(
@@ -16,7 +16,7 @@
         proxy: events.ProxyNode,
         proxies: ProxyTable,
     ) -> None:
-        self._attempt = attempt
+        super().__init__(attempt)
         self._engine = engine
         self._node = proxy.node_id
         self._proxies = proxies
@@ -25,20 +25,16 @@
 
     async def open(self) -> list[events.DeliveryEvent]:
         """Send the request; return the events of the response head or the complete response."""
-        received = await self._attempt.open()
+        received = await super().open()
         self._record(received)
         return received
 
-    async def read(self) -> list[events.DeliveryEvent]:
-        """Return the events in the next bytes of the stream."""
-        return await self._attempt.read()
-
     def close(self) -> None:
         """End the attempt."""
         if self._is_open:
             self._is_open = False
             self._proxies.end(self._node)
-        self._attempt.close()
+        super().close()
 
     def _record(self, received: list[events.DeliveryEvent]) -> None:
         now = clock.now_s()
--- a/liftrill/gateway/paths/reach_codec.py
+++ b/liftrill/gateway/paths/reach_codec.py
@@ -18,7 +18,6 @@
         needs_probe: whether to probe them even if they worked just before.
     """
 
-    number: int
     engines: tuple[int, ...]
     needs_probe: bool = False
 
@@ -27,7 +26,6 @@
 class ReachAnswer:
     """Which engines of a question the sender reaches over its own links, and which not."""
 
-    number: int
     reached: tuple[int, ...]
     not_reached: tuple[int, ...]
 
@@ -42,11 +40,11 @@
 ReachMessage = ReachQuestion | ReachAnswer | NodeReach
 
 
-def questions(number: int, engines: Sequence[int], needs_probe: bool) -> list[ReachQuestion]:
+def questions(engines: Sequence[int], needs_probe: bool) -> list[ReachQuestion]:
     """Return the question about engines, in as many messages as it needs."""
     starts = range(0, len(engines), NUMBERS_PER_DATAGRAM)
     return [
-        ReachQuestion(number, tuple(engines[start : start + NUMBERS_PER_DATAGRAM]), needs_probe)
+        ReachQuestion(tuple(engines[start : start + NUMBERS_PER_DATAGRAM]), needs_probe)
         for start in starts
     ]
 
@@ -54,14 +52,10 @@
 def datagram_from_reach(sender: str, content: ReachMessage) -> messages.Datagram:
     """Return the datagram that carries a message."""
     if isinstance(content, ReachQuestion):
-        question = messages.ReachQuestion(
-            number=content.number, engines=content.engines, needs_probe=content.needs_probe
-        )
+        question = messages.ReachQuestion(engines=content.engines, needs_probe=content.needs_probe)
         return messages.Datagram(sender=sender, reach_question=question)
     if isinstance(content, ReachAnswer):
-        answer = messages.ReachAnswer(
-            number=content.number, reached=content.reached, not_reached=content.not_reached
-        )
+        answer = messages.ReachAnswer(reached=content.reached, not_reached=content.not_reached)
         return messages.Datagram(sender=sender, reach_answer=answer)
     return messages.Datagram(
         sender=sender, node_reach=messages.NodeReach(isolated=content.isolated)
@@ -72,10 +66,10 @@
     """Return the message in a datagram, or None if it carries none of these."""
     if message.HasField("reach_question"):
         question = message.reach_question
-        return ReachQuestion(question.number, tuple(question.engines), question.needs_probe)
+        return ReachQuestion(tuple(question.engines), question.needs_probe)
     if message.HasField("reach_answer"):
         answer = message.reach_answer
-        return ReachAnswer(answer.number, tuple(answer.reached), tuple(answer.not_reached))
+        return ReachAnswer(tuple(answer.reached), tuple(answer.not_reached))
     if message.HasField("node_reach"):
         return NodeReach(message.node_reach.isolated)
     return None
--- a/liftrill/gateway/paths/reach_exchange.py
+++ b/liftrill/gateway/paths/reach_exchange.py
@@ -1,7 +1,6 @@
 """Asks peers which engines they reach, and answers their questions."""
 
 import asyncio
-import itertools
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -64,7 +63,6 @@
         self._isolated = isolated
         self._peers = peers
         self._zone = zone
-        self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
 
     def ask(self, unreachable: Sequence[EngineAddress]) -> None:
@@ -79,7 +77,7 @@
             return
         asked = self._proxies.peers_to_ask(due.engines, self._peers.others(), self._zone, now)
         numbers = [engine.number for engine in due.engines]
-        for question in questions(next(self._numbers), numbers, due.needs_probe):
+        for question in questions(numbers, due.needs_probe):
             for peer in asked:
                 self._peers.send(peer.node_id, question)
 
@@ -126,7 +124,7 @@
         )
         reached = {engine.number for engine, ok in zip(known, results, strict=True) if ok}
         not_reached = tuple(number for number in question.engines if number not in reached)
-        self._peers.send(sender, ReachAnswer(question.number, tuple(reached), not_reached))
+        self._peers.send(sender, ReachAnswer(tuple(reached), not_reached))
 
     def _record(self, sender: str, answer: ReachAnswer) -> None:
         now = clock.now_s()
--- a/liftrill/gateway/paths/tracked_attempt.py
+++ b/liftrill/gateway/paths/tracked_attempt.py
@@ -8,7 +8,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.http_client import LATE_FACTOR
 from liftrill.gateway.paths.engine_links import EngineLinks
-from liftrill.gateway.transport import EngineAttempt
+from liftrill.gateway.transport import EngineAttempt, ObservedAttempt
 
 LINK_DOWN = "the link to the engine is down"
 # If an attempt learns later than this that it could not connect, this process was too busy to tell
@@ -16,7 +16,7 @@
 MAX_CONNECT_S = LATE_FACTOR * constants.CONNECT_TIMEOUT_SECONDS
 
 
-class TrackedAttempt(EngineAttempt):
+class TrackedAttempt(ObservedAttempt):
     """An attempt over one of the node's own links.
 
     An interruptible attempt ends as soon as its link goes down, so that its request can take
@@ -30,7 +30,7 @@
         links: EngineLinks,
         interruptible: bool,
     ) -> None:
-        self._attempt = attempt
+        super().__init__(attempt)
         self._links = links
         self._interruptible = interruptible
         self._timer: asyncio.Timeout | None = None
@@ -39,16 +39,16 @@
 
     async def open(self) -> list[events.DeliveryEvent]:
         """Send the request; return the events of the response head or the complete response."""
-        return await self._observe(self._attempt.open())
+        return await self._observe(super().open())
 
     async def read(self) -> list[events.DeliveryEvent]:
         """Return the events in the next bytes of the stream."""
-        return await self._observe(self._attempt.read())
+        return await self._observe(super().read())
 
     def close(self) -> None:
         """End the attempt."""
         self._links.end(self._use)
-        self._attempt.close()
+        super().close()
 
     async def _observe(
         self, pending_read: Awaitable[list[events.DeliveryEvent]]
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -36,6 +36,25 @@
         """Close the connection, so that the engine stops working on the request."""
 
 
+class ObservedAttempt(EngineAttempt):
+    """An attempt that reports what another one shows; subclasses override what they observe."""
+
+    def __init__(self, attempt: EngineAttempt) -> None:
+        self._attempt = attempt
+
+    async def open(self) -> list[events.DeliveryEvent]:
+        """Send the request, and return the events of the response's head."""
+        return await self._attempt.open()
+
+    async def read(self) -> list[events.DeliveryEvent]:
+        """Return the events of the next bytes of the response."""
+        return await self._attempt.read()
+
+    def close(self) -> None:
+        """Close the connection, so that the engine stops working on the request."""
+        self._attempt.close()
+
+
 class ProbeResult(Enum):
     """What became of a connection that was opened to see whether a port can be reached."""
 
