--- a/features/engine_partition.feature
+++ b/features/engine_partition.feature
@@ -19,6 +19,32 @@
       | safe  | resume | are reset and then refused |
       | whole | resume | refuse new connections     |
 
+  Scenario: Most nodes are cut off, or a whole zone
+    Given a stand-in platform with 2 desk engines and 2 model engines
+    And 5 nodes whose links to engines can be cut, the first 3 in another zone
+    And callers that call all nodes on "whole" and "resume" and note what they get
+    When the links of 3 nodes to all engines hang for 5 s
+    And the callers go on for 2 s
+    Then from 1 s after the cut began the cut nodes served at least 0.95 of what the others served
+    And from 0.5 s after its end the cut nodes served at least 0.95 of what the others served
+    And no request ran twice
+
+  Scenario: Cuts that come again
+    Given a stand-in platform with 2 desk engines and 2 model engines
+    And 5 nodes whose links to engines can be cut
+    And callers that call all nodes on "whole" and "stream" and note what they get
+    When the links of 2 nodes to all engines hang for 3 s, three times, 2 s apart
+    And the callers go on for 2 s
+    Then from 1 s after each cut began the cut nodes served at least 0.95 of what the others served
+    And from 0.5 s after its end the cut nodes served at least 0.95 of what the others served
+    And no request ran twice
+
+  Scenario: Nodes whose peers are of an earlier build
+    Given a stand-in platform with 2 desk engines and 0 model engines
+    And 2 nodes whose links to engines can be cut, the second of build 3943703
+    When the links of the first node to all engines are cut
+    Then its callers are refused within 0.5 s, and the second node serves all of its own
+
   Scenario: Links that are reset are taken for engines that have ended
     Given a stand-in platform with 2 desk engines and 2 model engines
     And 5 nodes whose links to engines can be cut
--- a/features/proxied_requests.feature
+++ b/features/proxied_requests.feature
@@ -27,6 +27,11 @@
     When the second node is killed 0.5 s after a caller of the first node began a "stream"
     Then the answer was cut and the request ran once
 
+  Scenario: A request that may run once is run again as its proxy is cut off too
+    Given model engines that send 6 events, 0.3 s apart
+    When the second node loses its links 0.5 s after a caller of the first node began a "stream"
+    Then the answer was cut and the request ran once
+
   Scenario: A caller chooses the engine of a proxy
     When a caller of the first node sends a request with the headers of a proxied one
     Then it was served by the engine of its route
--- a/features/steps/engine_partition_steps.py
+++ b/features/steps/engine_partition_steps.py
@@ -11,11 +11,12 @@
 from behave import given, then, when
 
 from features.standin import link_addresses
-from features.standin.deployment import prompt_headers
+from features.standin.deployment import ROOT, prompt_headers
+from features.standin.earlier_build import extract_tree
 from features.standin.engine_links import CutKind, NodeLinks
 
 CALL_SPACING_S = 0.02
-SERVED = 200
+SERVED, UNAVAILABLE = 200, 503
 MODEL_ROUTES = ("stream", "resume")
 
 
@@ -67,7 +68,22 @@
     context.run(add_nodes(context, count))
 
 
-async def add_nodes(context, count):
+@given("{count:d} nodes whose links to engines can be cut, the first {other:d} in another zone")
+def step_nodes_in_zones(context, count, other):
+    zones = ["zone-2"] * other + ["zone-1"] * (count - other)
+    context.run(add_nodes(context, count, zones=zones))
+
+
+@given("2 nodes whose links to engines can be cut, the second of build {commit}")
+def step_nodes_of_two_builds(context, commit):
+    earlier = extract_tree(commit, context.directory)
+    if earlier is None:
+        context.scenario.skip(f"the checkout has no commit {commit}")
+        return
+    context.run(add_nodes(context, 2, roots=[ROOT, earlier]))
+
+
+async def add_nodes(context, count, zones=None, roots=None):
     deployment = context.deployment
     context.links = {}
     for number in range(count):
@@ -79,6 +95,8 @@
         node = await deployment.add_node(
             name,
             wrapper=[link_addresses.__file__],
+            changes={"Zone": f'"{zones[number]}"'} if zones else None,
+            root=roots[number] if roots else ROOT,
             environment={link_addresses.LINKS_FILE: str(links.path)},
         )
         await deployment.ready(node)
@@ -111,6 +129,41 @@
     context.restored_at = time.monotonic()
 
 
+@when(
+    "the links of {count:d} nodes to all engines {kind} for {seconds:g} s, three times,"
+    " {gap:g} s apart"
+)
+def step_cut_again(context, count, kind, seconds, gap):
+    async def cut_three_times():
+        context.cuts = []
+        for number in range(3):
+            if number:
+                await asyncio.sleep(gap)
+            await cut(context, count, CutKind(kind), seconds)
+            context.cuts.append((context.cut_at, context.restored_at))
+
+    context.run(cut_three_times())
+
+
+@when("the links of the first node to all engines are cut")
+def step_cut_first(context):
+    context.links[context.deployment.nodes[0].name].cut(CutKind.REFUSE)
+
+
+@then("its callers are refused within {seconds:g} s, and the second node serves all of its own")
+def step_refused_at_first(context, seconds):
+    async def call(node):
+        began_at = time.monotonic()
+        answer = await context.deployment.call(node, "/whole/x")
+        return answer[0], time.monotonic() - began_at
+
+    first, second = context.deployment.nodes
+    refused = [context.run(call(first)) for _ in range(5)]
+    assert all(status == UNAVAILABLE and took <= seconds for status, took in refused), refused
+    served = [context.run(call(second)) for _ in range(5)]
+    assert all(status == SERVED for status, _ in served), served
+
+
 @when("the callers go on for {seconds:g} s")
 def step_go_on(context, seconds):
     context.run(end_calls(context, seconds))
@@ -148,6 +201,15 @@
     check_shares(context, context.cut_at + seconds, context.restored_at, share)
 
 
+@then(
+    "from {seconds:g} s after each cut began the cut nodes served at least {share:g}"
+    " of what the others served"
+)
+def step_served_during_each(context, seconds, share):
+    for cut_at, restored_at in context.cuts:
+        check_shares(context, cut_at + seconds, restored_at, share)
+
+
 @then(
     "from {seconds:g} s after its end the cut nodes served at least {share:g}"
     " of what the others served"
--- a/features/steps/proxied_requests_steps.py
+++ b/features/steps/proxied_requests_steps.py
@@ -152,11 +152,22 @@
 
 @when('the second node is killed {seconds:g} s after a caller of the first node began a "{route}"')
 def step_kill_proxy(context, seconds, route):
-    context.run(kill_proxy(context, seconds, route))
+    context.run(lose_proxy(context, seconds, route, context.deployment.nodes[1].stop))
 
 
-async def kill_proxy(context, seconds, route):
-    first, second = context.deployment.nodes
+@when(
+    "the second node loses its links {seconds:g} s after a caller of the first node"
+    ' began a "{route}"'
+)
+def step_cut_proxy(context, seconds, route):
+    async def cut():
+        context.links[context.deployment.nodes[1].name].cut(CutKind.RESET)
+
+    context.run(lose_proxy(context, seconds, route, cut))
+
+
+async def lose_proxy(context, seconds, route, lose):
+    first = context.deployment.nodes[0]
     url = f"http://{first.address('Front')}/{route}/x"
 
     async def call():
@@ -171,7 +182,7 @@
 
     calling = asyncio.ensure_future(call())
     await asyncio.sleep(seconds)
-    await second.stop()
+    await lose()
     context.answer = await calling
 
 
