Announcements in headers that no code reads are logged once a name, and counted

Twice now an incident's second half was a header of the engines that nothing read: `Server-Limit`, then `Server-Brittle`. An answer of an engine or of the store with a header of the announcing families (`server-`, `store-`) that no code reads is now logged as `unread_header`, once a name and 64 names at most, and counted; the names stand in platform/.

Before: no line, whatever an engine's answer holds. After: two names in 20 answers, two lines.

--- a/features/engine_words.feature
+++ b/features/engine_words.feature
@@ -210,3 +210,16 @@
     When all engines refuse all requests and ask for 3 s of backoff
     And these callers go on for 2.5 s
     Then those who called after the first 0.5 s were refused within 0.1 s, and told to retry after the backoff
+
+  # Headers that no code reads
+
+  Scenario: An announcement that no code reads goes unnoticed
+    Given a stand-in platform with 1 desk engines and 0 model engines
+    And a node
+    When its engine announces a mood and a color in all answers, and 20 requests are served
+    Then the node has logged each of the two names once, and counts 2
+
+  Scenario: Unread headers are told apart without bound
+    Given headers of 1000 names of the families x- and y-, and of 10 other names
+    When they come twice
+    Then 64 names are reported, each once, and none that is read
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -113,6 +113,7 @@
     limit: str = ""
     limit_in: frozenset = REQUEST_ANSWERS
     refused_of_ten: int = 0
+    other_headers: dict = field(default_factory=dict)
     slots: int = 8
     limit_periods: list = field(default_factory=list)
 
@@ -210,7 +211,7 @@
     def _announcements(self, answer):
         leaving = {"Server-Leaving": "1"} if answer in self.leaving_in else {}
         limit = {"Server-Limit": self.limit} if self.limit and answer in self.limit_in else {}
-        return leaving | limit
+        return leaving | limit | self.other_headers
 
     def _shed(self, attempt_id):
         headers = {"X-Not-Executed": "1", **self._announcements("refusal")}
--- a/features/steps/engine_word_process_steps.py
+++ b/features/steps/engine_word_process_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import time
 from contextlib import suppress
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 
 from features.standin.deployment import prompt_headers
 from features.standin.engine import ANSWER_KINDS
+from liftrill.gateway.http_headers import UnreadHeaders
 
 CALL_SPACING_S = 0.02
 # A header that nodes forward, by which an engine sees the node that sent a request.
@@ -213,3 +215,53 @@
         # Retry-After covers the rest of the backoff: no engine takes requests before its end.
         ends_in_s = context.said_at + context.backoff_s - call.ended_at
         assert call.retry_after_s is not None and call.retry_after_s > ends_in_s - 0.1, call
+
+
+@when("its engine announces a mood and a color in all answers, and {count:d} requests are served")
+def step_unread(context, count):
+    deployment = context.deployment
+    (engine,) = deployment.engines.values()
+    engine.other_headers = {"Server-Mood": "sad", "server-color": "red"}
+
+    async def call_all():
+        return [await deployment.call(deployment.nodes[0], "/safe/x") for _ in range(count)]
+
+    assert all(answer[0] == SERVED for answer in context.run(call_all()))
+
+
+@then("the node has logged each of the two names once, and counts {count:d}")
+def step_unread_logged(context, count):
+    (node,) = context.deployment.nodes
+    lines = [line for line in node.log().splitlines() if '"liftrill:unread_header"' in line]
+    names = sorted(json.loads(line)["name"] for line in lines)
+    assert names == ["server-color", "server-mood"], names
+
+    async def metrics():
+        async with context.deployment.session.get(
+            f"http://{node.address('Metrics')}/metrics"
+        ) as answer:
+            return await answer.text()
+
+    assert f"liftrill_unread_headers_total {float(count)}" in context.run(metrics())
+
+
+@given("headers of {count:d} names of the families x- and y-, and of {other:d} other names")
+def step_many_headers(context, count, other):
+    families = ("x-", "y-")
+    names = [f"{families[number % 2].upper()}{number}" for number in range(count)]
+    context.names = [*names, *(f"z-{number}" for number in range(other))]
+    context.reported = []
+    context.unread = UnreadHeaders(families, {"x-0", "y-1"}, context.reported.append)
+
+
+@when("they come twice")
+def step_come_twice(context):
+    for _ in range(2):
+        context.unread.check(context.names)
+
+
+@then("{count:d} names are reported, each once, and none that is read")
+def step_reported(context, count):
+    assert len(context.reported) == len(set(context.reported)) == count
+    assert not {"x-0", "y-1"} & set(context.reported)
+    assert all(name.startswith(("x-", "y-")) for name in context.reported)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -545,6 +545,11 @@
         """Process what an engine reported about itself in a response to this node."""
         self._gossip.handle_signal(signal)
 
+    def note_unread(self, name: str) -> None:
+        """Record that back ends send a header of a known family that no code reads."""
+        self.metrics.unread_headers.inc()
+        self.log.state_changed("unread_header", name=name)
+
     def _on_engine_update(self, update: UnrecordedEngineState) -> None:
         self._gossip.apply_update(update)
 
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -67,6 +67,11 @@
             "Attempts that this node sent by a peer.",
             registry=self.registry,
         )
+        self.unread_headers = Counter(
+            "liftrill_unread_headers",
+            "Names of headers with announcements of back ends that no code reads.",
+            registry=self.registry,
+        )
         self.followers = self._gauge(
             "liftrill_relay_followers", "Nodes that follow this node's mirror of the store."
         )
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -19,7 +19,7 @@
     BodyTooLargeError,
 )
 from liftrill.gateway.holding.node_memory import NodeMemory
-from liftrill.gateway.http_headers import CONNECTION_HEADERS
+from liftrill.gateway.http_headers import CONNECTION_HEADERS, kept_headers
 from liftrill.gateway.paths.engine_links import EngineLinks
 from liftrill.gateway.paths.proxy_protocol import (
     OUTCOME_HEADER,
@@ -126,7 +126,7 @@
     ) -> web.StreamResponse:
         assert self._session is not None
         url = URL(f"http://{view.record.address}{request.raw_path}", encoded=True)
-        headers = [(n, v) for n, v in request.headers.items() if n.lower() not in DROPPED_HEADERS]
+        headers = kept_headers(request.headers, DROPPED_HEADERS)
         may_send_token = http_client.may_send.set(lambda: self.may_send(view))
         use = self._links.begin(view.identity, _ignore_down, clock.now_s())
         try:
@@ -160,9 +160,7 @@
     ) -> web.StreamResponse:
         """Return an engine's response as it comes."""
         returned = web.StreamResponse(status=response.status, reason=response.reason)
-        for name, value in response.headers.items():
-            if name.lower() not in DROPPED_HEADERS:
-                returned.headers.add(name, value)
+        returned.headers.extend(kept_headers(response.headers, DROPPED_HEADERS))
         if response.content_length is not None:
             returned.content_length = response.content_length
         await returned.prepare(request)
