--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -44,7 +44,14 @@
 
 
 def configuration(
-    version, keys=(KEY,), extra_routes=(), backups=False, quota=None, body_bytes=65536
+    version,
+    keys=(KEY,),
+    extra_routes=(),
+    backups=False,
+    quota=None,
+    body_bytes=65536,
+    resumable=("resume",),
+    extra_tenants=(),
 ):
     routes = [
         {
@@ -59,7 +66,7 @@
             "MaxAttempts": 2,
             "Public": False,
             "Sticky": service == "llm",
-            "Resumable": name == "resume",
+            "Resumable": name in resumable,
         }
         for name, prefix, kind, service in (*ROUTES, *extra_routes)
     ]
@@ -79,7 +86,10 @@
             },
         ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": body_bytes, "IdleTimeoutMs": 15000},
-        "Tenants": [{"Name": "tenant-1", "ApiKeys": list(keys), "Priority": 1, **(quota or {})}],
+        "Tenants": [
+            {"Name": "tenant-1", "ApiKeys": list(keys), "Priority": 1, **(quota or {})},
+            *extra_tenants,
+        ],
     }
 
 
@@ -272,8 +282,21 @@
         async with self.session.get(url, params=query) as answer:
             return await answer.json()
 
-    async def call(self, node, path, method="POST", key=KEY, model="", body=b"body", **headers):
-        """Send a request; return its status, headers, body and whether the body was complete."""
+    async def call(
+        self,
+        node,
+        path,
+        method="POST",
+        key=KEY,
+        model="",
+        body=b"body",
+        session=None,
+        **headers,
+    ):
+        """Send a request; return its status, headers, body and whether the body was complete.
+
+        Without a session of its own it uses a new connection.
+        """
         sent = {
             "Host": HOST,
             "X-Attempt-Id": f"{next(_ids):016x}",
@@ -284,7 +307,8 @@
         }
         url = URL(f"http://{node.address('Front')}{path}", encoded=True)
         data = body if method == "POST" else None
-        async with self.session.request(method, url, headers=sent, data=data) as answer:
+        session = session or self.session
+        async with session.request(method, url, headers=sent, data=data) as answer:
             try:
                 return answer.status, answer.headers, await answer.read(), True
             except aiohttp.ClientPayloadError:
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -89,6 +89,9 @@
         limit: the `Server-Limit` in its answers, or "".
         limit_in: the kinds of its answers that contain the limit.
         refused_of_ten: how many of ten requests it refuses.
+        software_version: the version of its software.
+        names_version: whether each event of its streams states that version.
+        drains: whether it drains, as a test has announced.
         limit_periods: the start, the end and the value of each limit that a soak set.
     """
 
@@ -115,6 +118,9 @@
     refused_of_ten: int = 0
     other_headers: dict = field(default_factory=dict)
     slots: int = 8
+    software_version: str = "v1"
+    names_version: bool = False
+    drains: bool = False
     limit_periods: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -163,7 +169,7 @@
             "Service": self.service,
             "Address": self.address,
             "Zone": self.zone,
-            "Version": "v1",
+            "Version": self.software_version,
             "Slots": self.slots,
             "State": state,
             "ColdRemainingMs": 0,
@@ -325,7 +331,8 @@
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: token {number}{'.' * self.event_bytes}\n\n"
+            label = f"{self.software_version} " if self.names_version else ""
+            event = f"id: {number}\ndata: {label}token {number}{'.' * self.event_bytes}\n\n"
             await response.write(event.encode())
             await asyncio.sleep(self.event_seconds)
             if fault == "torn" and number == first + 1:
