Log lines name software versions, and the request that a caller resumes

The incident's hypotheses could not be told apart: no line and no metric named a software version, and a request's line did not say whether it resumes a stream. `retried` names the versions of both engines, `request` that of its engine and the id that its caller `resumes`, `engine` the version in the record. Engines of one service mixed by a node show as a `retried` with two versions, streams taken up at another version as a `request` that resumes, an engine with other software as a second line of its id. No decision depends on them yet.

--- a/liftrill/gateway/admission/request_admission.py
+++ b/liftrill/gateway/admission/request_admission.py
@@ -21,6 +21,7 @@
         target: path and query exactly as received.
         key: the caller's API key, or empty.
         deadline_seconds: how long the caller waits, or None if the request has no deadline.
+        resumed_request_id: id of the request that began the stream to resume, or empty.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     prompt: PromptShape | None
     last_event_id: int | None
     received_at: float
+    resumed_request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,4 +105,5 @@
             received_at=incoming.received_at,
             deadline=incoming.received_at + wait,
             last_event_id=incoming.last_event_id,
+            resumed_request_id=incoming.resumed_request_id,
         )
--- a/liftrill/gateway/cluster_state.py
+++ b/liftrill/gateway/cluster_state.py
@@ -203,6 +203,7 @@
                 born_unix_ms=record.born_unix_ms,
                 withdrawn=view.withdrawn,
                 service=record.service,
+                software_version=record.software_version,
                 address=record.address,
                 leaving=view.leaving,
                 weights=dict(view.weights),
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -18,6 +18,8 @@
 from liftrill.gateway.opaque_request import OpaqueRequest
 
 MESSAGE_PREFIX = "liftrill:"
+# Callers choose the ids that they name.
+MAX_LOGGED_ID_LENGTH = 40
 
 
 def rounded_age(age_s: float) -> float | None:
@@ -68,6 +70,8 @@
             proxy=_proxy_id(choice),
             attempt=len(machine.attempts),
             resume_after=start.resume_after,
+            software_version=choice.software_version,
+            previous_version=machine.attempts[-2].software_version,
         )
 
     def attempt_event(
@@ -197,6 +201,8 @@
             engine=last.engine_id if last else "",
             proxy=_proxy_id(last),
             weights=last.weight_version if last else 0,
+            software_version=last.software_version if last else "",
+            resumes=request.resumed_request_id[:MAX_LOGGED_ID_LENGTH],
             attempts=len(machine.attempts),
             last_event=machine.last_event_id,
             milliseconds=round((now - request.received_at) * 1000),
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -145,6 +145,7 @@
         permit: permit to send to an engine that announced a rate limit, or None.
         proxy: the peer that passes on the request, or None for the node's own link.
         slot: permit for a slot of a brittle engine, or None.
+        software_version: version of the engine's software at the time of the choice.
     """
 
     engine_id: str
@@ -161,6 +162,7 @@
     permit: Permit | None = None
     proxy: ProxyNode | None = None
     slot: SlotPermit | None = None
+    software_version: str = ""
 
     @property
     def send_to(self) -> str:
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -117,7 +117,12 @@
         if request.prompt is None:
             plain = [Candidate(view) for view in ready]
             view = self._plain_policy.choose(request, plain, self._zone).view
-            return EngineChoice(view.engine_id, view.record.address, number=view.number)
+            return EngineChoice(
+                view.engine_id,
+                view.record.address,
+                number=view.number,
+                software_version=view.record.software_version,
+            )
         return self._choose_for_prompt(request, request.prompt, ready, now)
 
     def _with_permit(
@@ -439,4 +444,5 @@
             is_saved=chosen.shared.saved,
             expected_prefill_tokens=max(0, prompt.prompt_tokens - chosen.shared.cached_tokens),
             number=view.number,
+            software_version=view.record.software_version,
         )
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -64,6 +64,7 @@
         received_at: on the steady clock, seconds.
         deadline: on the steady clock, seconds; the earlier of the caller's and the route's.
         last_event_id: the event after which the caller resumes a stream, or None.
+        resumed_request_id: id of the request that began the stream to resume, or empty.
     """
 
     request_id: str
@@ -80,6 +81,7 @@
     received_at: float
     deadline: float
     last_event_id: int | None = None
+    resumed_request_id: str = ""
 
     @cached_property
     def fingerprint(self) -> bytes:
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -152,6 +152,7 @@
         weights: weight version by model.
         revision: the store's revision of the record.
         born_unix_ms: start time of this incarnation, or 0 if the record does not contain it.
+        software_version: version of the engine's software, unrelated to its weights.
     """
 
     engine_id: str
@@ -163,6 +164,7 @@
     weights: Mapping[str, int]
     revision: int
     born_unix_ms: int = 0
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
