--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -12,7 +12,7 @@
 from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import AttemptTimes
+from liftrill.gateway.delivery_times import AttemptTimes
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.quarantine_codec import datagrams_from_runs, entry_from_notice
 from liftrill.gateway.quarantine_codec import runs_from_message as runs_of
--- a/liftrill/coordination/membership.py
+++ b/liftrill/coordination/membership.py
@@ -139,6 +139,12 @@
             self._cached_members = [m for m in self._table if m.condition <= Condition.SUSPECT]
         return self._cached_members
 
+    def alive_others(self) -> list[Member]:
+        """Return the other members that are alive and not suspected."""
+        own = self.own.node_id
+        members = self.members()
+        return [m for m in members if m.node_id != own and m.condition is Condition.ALIVE]
+
     def all_members(self) -> list[Member]:
         """Return all records, including those of dead members."""
         return list(self._table)
--- a/liftrill/gateway/admission/retry_allowance.py
+++ b/liftrill/gateway/admission/retry_allowance.py
@@ -9,6 +9,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from liftrill.gateway.settings import GatewaySettings
+
 
 @dataclass(slots=True)
 class _Window:
@@ -67,3 +69,12 @@
         window = self._windows.setdefault(service, _Window())
         window.expire(now - self.window_seconds)
         return window
+
+
+def new_allowance(settings: GatewaySettings, now: float) -> RetryAllowance:
+    """Return the allowance of a node that starts now."""
+    bounds = settings.bounds
+    slack_from = now if settings.first_start else now + bounds.retry_window_seconds
+    return RetryAllowance(
+        bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds, slack_from
+    )
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -13,7 +13,8 @@
 from liftrill import clock, constants
 from liftrill.coordination.token_bucket import TokenBucket
 from liftrill.gateway import delivery_events as events
-from liftrill.gateway.delivery import AttemptTimes, DeliveryMachine
+from liftrill.gateway.delivery import DeliveryMachine
+from liftrill.gateway.delivery_times import AttemptTimes
 from liftrill.gateway.engines.engine_condition import EngineSignal
 from liftrill.gateway.opaque_request import OpaqueRequest
 
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -10,13 +10,8 @@
 from liftrill.gateway.admission.request_queue import QueueEntry
 from liftrill.gateway.admission.service_queues import ServiceQueues
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import (
-    FIRST_SERVER_ERROR,
-    AttemptTimes,
-    DeliveryInvariantError,
-    DeliveryMachine,
-    StreamTimes,
-)
+from liftrill.gateway.delivery import FIRST_SERVER_ERROR, DeliveryInvariantError, DeliveryMachine
+from liftrill.gateway.delivery_times import AttemptTimes, StreamTimes
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -14,14 +14,9 @@
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.begin_deadlines import BeginDeadlines
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import (
-    AttemptTimes,
-    DeliveryMachine,
-    DeliveryPorts,
-    StreamTimes,
-    Unavailable,
-)
+from liftrill.gateway.delivery import DeliveryMachine, DeliveryPorts, Unavailable
 from liftrill.gateway.delivery_driver import DeliveryDriver, DeliveryOwner
+from liftrill.gateway.delivery_times import AttemptTimes, StreamTimes
 from liftrill.gateway.engines.engine_end_check import EngineEndCheck
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -10,7 +10,6 @@
 
 from liftrill import clock, constants
 from liftrill.coordination.crash_evidence import LostRun
-from liftrill.coordination.lease import LeaseParameters
 from liftrill.coordination.membership import Membership
 from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.coordination.quota import FleetSize, SharedBuckets
@@ -26,7 +25,7 @@
     IncomingRequest,
     RequestAdmission,
 )
-from liftrill.gateway.admission.retry_allowance import RetryAllowance
+from liftrill.gateway.admission.retry_allowance import new_allowance
 from liftrill.gateway.cluster_state import ClusterState
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
@@ -41,7 +40,7 @@
 from liftrill.gateway.freshness_checker import FreshnessChecker, FreshnessDelegate
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.node_memory import new_node_memory
-from liftrill.gateway.leadership import Leadership, TermParameters
+from liftrill.gateway.leadership import Leadership, term_parameters
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.paths.path_service import NodeParts, PathService
@@ -84,10 +83,6 @@
 # How long a node waits after a stall of its process for current data of the store before it uses
 # the data it has: after this time an outage is more likely than a slow response.
 STALL_CATCH_UP_TIMEOUT_S = 2.0
-LEASE_RENEW_INTERVAL_SECONDS = 0.7
-LEASE_TIME_TO_LIVE_SECONDS = 2.0
-LEASE_RETRY_INTERVAL_SECONDS = 0.3
-LEASE_MARGIN_SECONDS = 0.2
 MILLICORES = 1_000
 # How many nodes contend for the leader's lease as soon as it is free.
 LEADER_CANDIDATES = 3
@@ -139,7 +134,7 @@
         self._cluster_state.count_refused = metrics.refused_records.inc
         self._cluster_state.incarnation_ended = self._on_incarnation_ended
         self._engines = engines
-        self._allowance = self._new_allowance()
+        self._allowance = new_allowance(settings, clock.now_s())
         self.admission = RequestAdmission(self.view, split)
         self._fleet = FleetSize()
         self._quotas = self._new_quotas()
@@ -326,14 +321,6 @@
 
     # Parts
 
-    def _new_allowance(self) -> RetryAllowance:
-        bounds = self.settings.bounds
-        now = clock.now_s()
-        slack_from = now if self.settings.first_start else now + bounds.retry_window_seconds
-        return RetryAllowance(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds, slack_from
-        )
-
     def _new_membership(self) -> Membership:
         settings = self.settings
         own = Member(
@@ -357,13 +344,9 @@
 
     def _new_leadership(self) -> Leadership:
         bounds = self.settings.bounds
-        lease = LeaseParameters(
-            time_to_live=max(bounds.min_lease_seconds, LEASE_TIME_TO_LIVE_SECONDS),
-            renew_interval=LEASE_RENEW_INTERVAL_SECONDS,
-            retry_interval=LEASE_RETRY_INTERVAL_SECONDS,
-            safety_margin=bounds.thaw_seconds + LEASE_MARGIN_SECONDS,
+        parameters = term_parameters(
+            bounds.min_lease_seconds, bounds.lease_seconds, bounds.thaw_seconds
         )
-        parameters = TermParameters(lease, bounds.lease_seconds + bounds.thaw_seconds)
         return Leadership(
             self._store,
             self._follower.mirror,
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -33,6 +33,10 @@
 # The era in which fencing tokens equal bare revisions, as nodes that know no eras use them.
 BASE_ERA_KEY = "liftrill/base-era"
 IDLE = b"idle"
+RENEW_INTERVAL_S = 0.7
+TIME_TO_LIVE_S = 2.0
+RETRY_INTERVAL_S = 0.3
+SAFETY_MARGIN_S = 0.2
 # Time limits of the attempts to renew the lease; the last one suffices for a slow store.
 RENEWAL_TIMEOUTS_S = (0.35, 0.35, 1.0)
 
@@ -52,6 +56,22 @@
     non_candidate_delay: float = 1.2
 
 
+def term_parameters(min_lease_s: float, controller_lease_s: float, thaw_s: float) -> TermParameters:
+    """Return the times of a leader's term.
+
+    `min_lease_s` is the shortest lease of the store. Orders of two leaders lie at least
+    `controller_lease_s` apart, and those that a process sends right after it was resumed arrive
+    within `thaw_s`.
+    """
+    lease = LeaseParameters(
+        time_to_live=max(min_lease_s, TIME_TO_LIVE_S),
+        renew_interval=RENEW_INTERVAL_S,
+        retry_interval=RETRY_INTERVAL_S,
+        safety_margin=thaw_s + SAFETY_MARGIN_S,
+    )
+    return TermParameters(lease, controller_lease_s + thaw_s)
+
+
 class Leadership:
     """One node's part in the leader election."""
 
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -5,7 +5,7 @@
 
 from liftrill import clock
 from liftrill.coordination.membership import Membership
-from liftrill.coordination.membership_messages import Condition, Member
+from liftrill.coordination.membership_messages import Member
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_table import EngineTable
@@ -33,9 +33,7 @@
 
     def others(self) -> list[Member]:
         """Return the other nodes that are alive."""
-        own = self._membership.own.node_id
-        members = self._membership.members()
-        return [m for m in members if m.node_id != own and m.condition is Condition.ALIVE]
+        return self._membership.alive_others()
 
     def send(self, node: str, content: ReachMessage) -> None:
         """Send a message to one node, or to all if its id is empty."""
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -14,7 +14,7 @@
 from liftrill.errors import ResultCode
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import AttemptTimes
+from liftrill.gateway.delivery_times import AttemptTimes
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView, engine_number
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
