--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -20,6 +20,7 @@
         draining=draining,
         weights=weights or {},
         revision=revision,
+        software_version=overrides.get("software_version", ""),
     )
 
 
@@ -57,6 +58,7 @@
         received_at=received_at,
         deadline=deadline,
         last_event_id=overrides.get("last_event_id"),
+        resumed_request_id=overrides.get("resumed_request_id", ""),
     )
 
 
--- a/features/model_checking.feature
+++ b/features/model_checking.feature
@@ -13,6 +13,7 @@
       | order holder         |
       | restored store       |
       | configuration adoption |
+      | stream origin        |
       | mirror relay         |
       | mirror relay, path told |
 
@@ -40,6 +41,10 @@
       | configuration adoption | only_forward            | never_back                     |
       | configuration adoption | proof_from_question     | removed_key_refused            |
       | configuration adoption | proof_required          | removed_key_refused            |
+      | stream origin        | bound_within_answer       | one_version                    |
+      | stream origin        | others_asked              | one_version                    |
+      | stream origin        | unknown_refused           | one_version                    |
+      | stream origin        | versions_remembered       | one_version                    |
       | mirror relay         | read_before_following     | cuts_heal_soon                 |
       | mirror relay         | age_told                  | age_is_honest                  |
       | mirror relay         | age_bounded               | nothing_old_is_lacked          |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,6 +11,7 @@
       | a caller got another one's answer         | own answer                  |
       | a stream lacks an event                   | events in order             |
       | a stream ends as complete too early       | a complete stream is whole  |
+      | a stream has events of two versions       | a stream goes on at one software version |
       | a key was served 6 s after it was revoked | a revoked key is not served |
       | an engine ran a request nobody sent       | nothing unasked             |
       | an engine ran a request for another       | the named engine            |
@@ -145,3 +146,8 @@
     When the soak runs seed 4100 for 14 s under heavy load
     Then it had faults and served requests, and violated no guarantee
     And each condition of heavy load occurred
+
+  Scenario: A short soak with engines of two software versions violates no guarantee
+    When the soak runs seed 70001 for 12 s with engines of two software versions
+    Then it had faults and served requests, and violated no guarantee
+    And callers resumed at least 40 streams, and none holds events of two versions
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -20,6 +20,8 @@
 # After an engine crashed on a request: when its replacement starts, and when its record expires
 # (three heartbeats of 1.2 s, less the time since the last one).
 REPLACED_AFTER_S = 1.0
+# Events of engines of several versions, slow enough for engines to end in the middle of streams.
+VERSIONED_EVENT_S = 0.05
 RECORD_EXPIRES_AFTER_S = 2.5
 
 
@@ -32,7 +34,8 @@
     """Nodes behind proxies, a store and engines, with the timeline of their changes.
 
     With `report_start_times`, the engines' records contain their start times. `draw_root` returns
-    the tree of the build from which a node is started.
+    the tree of the build from which a node is started, and `draw_version` the software version of
+    an engine, whose events then state it.
 
     Attributes:
         retired: engines that left; some of them still accept requests.
@@ -47,12 +50,14 @@
         report_start_times=False,
         draw_root=None,
         cuts=False,
+        draw_version=None,
     ):
         self.links = {}
         self._has_links = cuts
         self._crash_bodies = crash_bodies
         self._report_start_times = report_start_times
         self._draw_root = draw_root or (lambda: ROOT)
+        self._draw_version = draw_version
         self._wrapper = [sleeper.__file__] if sleeps else ()
         self._replacing = []
         self.deployment = Deployment(directory)
@@ -198,8 +203,18 @@
         await engine.crash()
         await asyncio.sleep(pause_s)
         options = {"weights": dict(engine.weights), "born_unix_ms": now_unix_ms()}
+        options |= self._software()
         await self.deployment.add_engine(engine.engine_id, engine.service, **options)
 
+    def _software(self):
+        if self._draw_version is None:
+            return {}
+        return {
+            "software_version": self._draw_version(),
+            "names_version": True,
+            "event_seconds": VERSIONED_EVENT_S,
+        }
+
     def _remove_record(self, engine):
         self.store.remove(f"servers/{engine.engine_id}")
         self.timeline.note_departure(engine.engine_id)
@@ -212,6 +227,7 @@
     async def _add_engine(self, service):
         name = f"{service}-{next(self._engine_numbers)}"
         options = {"weights": {"model-1": self._weight_version}} if service == "llm" else {}
+        options |= self._software()
         if self._report_start_times:
             options["born_unix_ms"] = now_unix_ms()
         engine = await self.deployment.add_engine(
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -34,6 +34,7 @@
 from features.soak.hard_load import HardLoad
 from features.soak.history import Bounds, Call, check, max_lateness
 from features.soak.sleeps import MachineSleeps
+from features.soak.software_versions import MixedVersions
 from features.soak.store_returns import StoreRestores
 from features.standin.deployment import HOST, ROOT, prompt_headers
 from features.standin.earlier_build import extract_tree
@@ -65,6 +66,7 @@
         limits: engines announce rate limits for all nodes together.
         returns: the store is restored from older copies.
         cuts: links between nodes and engines are cut.
+        versions: engines have one of two software versions, and callers resume streams elsewhere.
         builds: each start of a node draws the current build or the earlier one.
     """
 
@@ -75,6 +77,7 @@
     limits: bool = False
     returns: bool = False
     cuts: bool = False
+    versions: bool = False
     builds: bool = False
 
 
@@ -90,6 +93,7 @@
         self.builds = Counter()
         self._trees = [ROOT, extract_tree(earlier, directory)] if modes.builds else [ROOT]
         self._build_draw = random.Random(f"{seed}/builds")
+        self.versions = MixedVersions(seed) if modes.versions else None
         self.fleet = Fleet(
             directory,
             nodes,
@@ -98,12 +102,15 @@
             modes.hard,
             self._draw_root,
             modes.cuts,
+            self.versions.draw_version if self.versions else None,
         )
         if modes.builds:
             self.fleet.store.era = "1"
         self._sleeps = MachineSleeps(self.fleet, seed) if modes.sleeps else None
         self._injector = FaultInjector(self.fleet, seed)
         self.calls = []
+        if self.versions is not None:
+            self.versions.attach(self.fleet, self.calls)
         self.hard_load = HardLoad(self.fleet, seed, self._call, self.calls) if modes.hard else None
         self.announcements = EngineAnnouncements(self.fleet, seed) if modes.words else None
         self.limits = EngineLimits(self.fleet, seed) if modes.limits else None
@@ -136,6 +143,7 @@
             violations = check(*self._history(), BOUNDS)
             violations += check_announcements(*self._history())
             violations += check_limits(*self._history())
+            violations += self.versions.check() if self.versions is not None else ()
             return [*violations, *check_crash_requests(*self._history(), self._crash_bodies)], alive
 
     def _draw_root(self):
@@ -157,10 +165,19 @@
             yield self.restores.run_for(self._seconds)
         if self.cuts is not None:
             yield self.cuts.run_for(self._seconds)
+        if self.versions is not None:
+            yield self.versions.run_for(self._seconds)
 
     def parts(self):
         """Return the optional conditions that count what they did; None for those that are off."""
-        return self.hard_load, self.announcements, self.limits, self.restores, self.cuts
+        return (
+            self.hard_load,
+            self.announcements,
+            self.limits,
+            self.restores,
+            self.cuts,
+            self.versions,
+        )
 
     def max_lateness(self):
         """Return the greatest lateness of requests after departures and weight changes."""
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -317,6 +317,11 @@
     def arrivals(self):
         return [arrival for engine in self.engines.values() for arrival in engine.arrivals]
 
+    def logged(self, kind):
+        """Return the log lines of one kind of all nodes."""
+        lines = [line for node in self.nodes for line in node.log().splitlines()]
+        return [line for line in lines if f'"liftrill:{kind}"' in line]
+
 
 def terminate(node):
     node.signal(signal.SIGTERM)
--- a/features/steps/engine_partition_steps.py
+++ b/features/steps/engine_partition_steps.py
@@ -230,15 +230,9 @@
     assert not twice, f"{len(twice)} of {len(runs)} ran more than once: {twice[:5]}"
 
 
-def logged(context, kind):
-    """Return the log lines of one kind of all nodes."""
-    lines = [line for node in context.deployment.nodes for line in node.log().splitlines()]
-    return [line for line in lines if f'"liftrill:{kind}"' in line]
-
-
 @then("no node has logged that an engine ended")
 def step_no_end_logged(context):
-    ended = logged(context, "engine_ended")
+    ended = context.deployment.logged("engine_ended")
     assert not ended, f"{len(ended)} lines, the first: {ended[0]}"
 
 
@@ -257,7 +251,7 @@
 
 @then("a node has logged that this engine ended")
 def step_end_logged(context):
-    ended = logged(context, "engine_ended")
+    ended = context.deployment.logged("engine_ended")
     assert any(context.crashed.engine_id in line for line in ended), ended
 
 
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -10,6 +10,7 @@
 from spec.mirror_relay import RelayRules, path_model, relay_model
 from spec.order_holder import HolderRules, holder_model
 from spec.restored_store import RestoreRules, restore_model
+from spec.stream_origin import OriginRules, origin_model
 
 STATE_LIMIT = 1_000_000
 GROUP_CHANGE = {"old": frozenset({0}), "new": frozenset({1})}
@@ -22,6 +23,7 @@
     "order holder": (holder_model, HolderRules, {}),
     "configuration adoption": (adoption_model, AdoptionRules, {}),
     "restored store": (restore_model, RestoreRules, {}),
+    "stream origin": (origin_model, OriginRules, {}),
     "mirror relay": (relay_model, RelayRules, ROOT_ONLY),
     "mirror relay, path told": (path_model, RelayRules, {}),
 }
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -40,6 +40,7 @@
     [engine("e1", arrival("r1"), arrival("r2"), orders=[order("n1", 3)])],
 )
 LOST_EVENT = STREAM.replace(b"id: 2\ndata: token 2\n\n", b"")
+MIXED = STREAM.replace(b"token 1", b"v1 token 1").replace(b"token 2", b"v2 token 2")
 BAD = {
     "a request was begun on two engines": (
         [call("r1")],
@@ -58,6 +59,10 @@
         [call("r1", "resume", body=STREAM[: len(STREAM) // 2])],
         [engine("e1", arrival("r1"))],
     ),
+    "a stream has events of two versions": (
+        [call("r1", "resume", body=MIXED)],
+        [engine("e1", arrival("r1"))],
+    ),
     "a key was served 6 s after it was revoked": (
         [call("r1", sent_at=16.0)],
         [engine("e1", arrival("r1"))],
@@ -207,6 +212,7 @@
     "with engines that announce limits": Modes(limits=True),
     "with a store that is restored from older copies": Modes(returns=True),
     "with cuts between nodes and engines": Modes(cuts=True),
+    "with engines of two software versions": Modes(versions=True),
 }
 
 
@@ -393,3 +399,9 @@
 @then("the check of limits finds the limit {verdict}")
 def step_limit_verdict(context, verdict):
     assert bool(context.found) == (verdict == "exceeded"), context.found
+
+
+@then("callers resumed at least {count:d} streams, and none holds events of two versions")
+def step_resumed(context, count):
+    counts = context.soak.versions.counts
+    assert counts["gone on"] >= count and not counts["mixed"], counts
--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -133,6 +133,18 @@
         "Every engine has asked this node to pause, or is at its limit of requests.",
         "Try again after Retry-After, which is when the first one takes a request again.",
     )
+    STREAM_ORIGIN_UNKNOWN = CodeDetails(
+        2018,
+        503,
+        "Engines of several software versions serve, and no node knows which began the stream.",
+        "Try again after Retry-After at another node, or begin the stream anew.",
+    )
+    STREAM_VERSION_UNAVAILABLE = CodeDetails(
+        2019,
+        503,
+        "No engine of the software version that began the stream serves any more.",
+        "Try again after Retry-After, or begin the stream anew.",
+    )
     ENGINE_LOST = CodeDetails(
         3001, 502, "The engine was lost after the request was sent.", "Check before repeating."
     )
--- a/liftrill/gateway/admission/queue_admission.py
+++ b/liftrill/gateway/admission/queue_admission.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from liftrill.gateway.admission.request_queue import QueueEntry
+from liftrill.gateway.admission.request_queue import QueueEntry, RetryStatus
 from liftrill.gateway.admission.retry_after import RefusedRequests
 from liftrill.gateway.admission.service_queues import ServiceQueues
 from liftrill.gateway.decision_log import DecisionLog
@@ -55,10 +55,17 @@
             latest_start=latest_start,
             until=until,
             since=now,
-            retry_status=self.refused_requests.retry_status(request, now),
+            retry_status=self._retry_status(request, now),
             needs_capacity=for_capacity,
+            required_software_version=request.required_software_version,
         )
 
+    def _retry_status(self, request: OpaqueRequest, now: float) -> RetryStatus:
+        """Return the retry status; a resumed stream ranks like a retry at the requested time."""
+        if request.required_software_version is not None:
+            return RetryStatus.CAME_BACK
+        return self.refused_requests.retry_status(request, now)
+
     def wait_s(self, request: OpaqueRequest, now: float) -> float:
         """Return the expected time until all requests ahead of a request are dispatched."""
         return self.queues.queue(request.service).wait_s(request.priority, now)
--- a/liftrill/gateway/admission/request_queue.py
+++ b/liftrill/gateway/admission/request_queue.py
@@ -40,6 +40,7 @@
         until: time until which the request waits.
         standing: retry status, which ranks the request among equally urgent ones.
         needs_capacity: whether engines are ready and lack capacity; False if none is ready.
+        required_software_version: the only software version that may serve the request, or None.
     """
 
     urgency: int
@@ -50,6 +51,7 @@
     since: float
     retry_status: RetryStatus = RetryStatus.NEW
     needs_capacity: bool = True
+    required_software_version: str | None = None
 
 
 @dataclass(slots=True)
@@ -181,6 +183,13 @@
             if other is not waiter and self._is_before(other, urgency, waiter)
         )
 
+    def awaited_software_versions(self) -> frozenset[str]:
+        """Return the software versions that waiting requests need."""
+        entries = (waiter.entry for waiter in self._waiters.values())
+        return frozenset(
+            e.required_software_version for e in entries if e.required_software_version is not None
+        )
+
     def wait_s(self, urgency: int, now: float) -> float:
         """Return the expected time until all requests ahead of this urgency are dispatched."""
         ahead = sum(
--- a/liftrill/gateway/admission/service_queues.py
+++ b/liftrill/gateway/admission/service_queues.py
@@ -46,6 +46,11 @@
         waiting = self._by_request.get(id(request))
         return queue.must_wait(request.priority, waiting.waiter if waiting else None)
 
+    def awaited_software_versions(self, service: str) -> frozenset[str]:
+        """Return the software versions that waiting requests of a service need."""
+        queue = self._queues.get(service)
+        return queue.awaited_software_versions() if queue else frozenset()
+
     def capacity_freed(self, service: str) -> None:
         """Wake the next request after capacity became free at an engine of a service."""
         queue = self._queues.get(service)
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -148,6 +148,20 @@
         """Log that the caller closed the connection."""
         self._write_request("caller_gone", machine, ordinary=True)
 
+    def stream_resumed(
+        self, request: OpaqueRequest, version: str, source: str, answered: str, asked_s: float
+    ) -> None:
+        """Log which software version began the stream that a request resumes."""
+        self._write_failure(
+            "stream_resumed",
+            request=request.request_id,
+            resumes=request.resumed_request_id[:MAX_LOGGED_ID_LENGTH],
+            software_version=version,
+            source=source,
+            answered=answered,
+            asked_ms=round(1000 * asked_s, 1),
+        )
+
     def request_crashed(self, machine: DeliveryMachine, error: Exception) -> None:
         """Log that a request ended in an unexpected exception."""
         self._write_request("crashed", machine, False, code="INTERNAL_ERROR", why=repr(error))
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -42,6 +42,16 @@
     QUARANTINED = auto()
     TOO_LATE = auto()
     PAUSED = auto()
+    VERSION_GONE = auto()
+
+
+REFUSAL_CODES = {
+    Unavailable.FULL: ResultCode.ENGINES_FULL,
+    Unavailable.QUARANTINED: ResultCode.REQUEST_QUARANTINED,
+    Unavailable.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
+    Unavailable.PAUSED: ResultCode.ENGINES_AT_REST,
+    Unavailable.VERSION_GONE: ResultCode.STREAM_VERSION_UNAVAILABLE,
+}
 
 
 class DeliveryPorts(ABC):
@@ -193,7 +203,7 @@
     def _on_stream_opened(self, event: events.StreamOpened) -> list[events.DeliveryInstruction]:
         # The head is sent with the first event. Until then a response of another engine, or a
         # refusal, can replace it.
-        if self._response_head is None:
+        if not self._head_sent:
             self._response_head = event
         return []
 
@@ -205,6 +215,9 @@
         if event.event_id is not None:
             self.last_event_id = event.event_id
         self.phase = Phase.STREAMING
+        # Engines of other software versions cannot continue what this one has written.
+        if self.request.required_software_version is None:
+            self.request.require_software_version(self.attempts[-1].software_version)
         return [*self._unsent_head(), events.SendEvent(event)]
 
     def _on_completed(self, _: events.StreamCompleted) -> list[events.DeliveryInstruction]:
@@ -222,17 +235,11 @@
 
     def _attempt_or_wait(self) -> list[events.DeliveryInstruction]:
         choice = self._choose_untried()
+        if isinstance(choice, Unavailable):
+            self._refusal_code = REFUSAL_CODES.get(choice, self._refusal_code)
         if choice in (Unavailable.NONE_READY, Unavailable.FULL):
-            if choice is Unavailable.FULL:
-                self._refusal_code = ResultCode.ENGINES_FULL
             self.phase = Phase.WAITING
             return [events.WaitForEngine(choice is Unavailable.FULL)]
-        if choice is Unavailable.QUARANTINED:
-            self._refusal_code = ResultCode.REQUEST_QUARANTINED
-        if choice is Unavailable.PAUSED:
-            self._refusal_code = ResultCode.ENGINES_AT_REST
-        if choice is Unavailable.TOO_LATE:
-            self._refusal_code = ResultCode.DEADLINE_UNREACHABLE
         if not isinstance(choice, events.EngineChoice):
             return [self._end(self._refusal_code)]
         if not self._spend_retry_if_sent():
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -73,6 +73,10 @@
     ) -> None:
         """Record that a run is closed early, so that its effect on the engine stays unknown."""
 
+    @abstractmethod
+    def stream_began(self, machine: DeliveryMachine) -> None:
+        """Report that the caller of a stream is about to get the first event of an answer."""
+
     @abstractmethod
     def record_served(self, request: OpaqueRequest) -> None:
         """Record that an engine served a request."""
@@ -218,6 +222,7 @@
             self._release()
         elif isinstance(instruction, events.SendHead):
             self._release_body()
+            self._owner.stream_began(self._machine)
             await self._sink.send_head(instruction)
         else:
             await self._end(instruction)
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -21,6 +21,7 @@
     WithheldRecord,
 )
 from liftrill.gateway.records import EngineRecord
+from liftrill.gateway.streams.version_history import VersionHistory
 
 
 def engine_number(incarnation: str) -> int:
@@ -194,6 +195,9 @@
 
 
 def _is_other_incarnation(known: EngineRecord, record: EngineRecord) -> bool:
+    # The software of a running process does not change.
+    if known.software_version != record.software_version:
+        return True
     if known.born_unix_ms or record.born_unix_ms:
         return known.born_unix_ms != record.born_unix_ms
     return known.address != record.address
@@ -205,6 +209,7 @@
     Attributes:
         services: services in the configuration; empty before there is one.
         conditions: reported state of engines, including those whose records were removed.
+        removed_versions: the software versions of engines whose records were removed lately.
     """
 
     # How long an engine stays in use after its record disappeared in a store outage. Writers
@@ -218,6 +223,8 @@
         self._starts_reported = False
         self.services: frozenset[str] = frozenset()
         self.conditions = EngineConditions()
+        self.removed_versions = VersionHistory()
+        self._recorded_versions: dict[str, frozenset[str]] = {}
         # By engine id: revision up to which records that this node has not read yet are withheld.
         self._withheld: dict[str, int] = {}
 
@@ -250,12 +257,26 @@
             if view.record.service == service and not view.withdrawn
         ]
 
+    def software_versions(self, service: str, now: float) -> frozenset[str]:
+        """Return the software versions of engines that serve, or lately served, in a service."""
+        return self.recorded_versions(service) | self.removed_versions.versions(service, now)
+
+    def recorded_versions(self, service: str) -> frozenset[str]:
+        """Return the software versions in the records of a service's engines."""
+        known = self._recorded_versions.get(service)
+        if known is None:
+            records = (view.record for view in self._views.values())
+            known = frozenset(r.software_version for r in records if r.service == service)
+            self._recorded_versions[service] = known
+        return known
+
     def update(self, record: EngineRecord) -> EngineView | None:
         """Apply a record; return the view of its incarnation, or None if the record is not used.
 
         A new incarnation under a known id starts with a fresh view: loads, speed and weights of
         the previous incarnation do not apply to it.
         """
+        self._recorded_versions.clear()
         self._record_start(record)
         if self._starts_reported and not record.born_unix_ms:
             self.withdraw(record.engine_id, record.revision)
@@ -372,8 +393,13 @@
     def remove(self, engine_id: str) -> None:
         """Remove an engine whose record was removed."""
         view = self._views.pop(engine_id, None)
+        self._recorded_versions.clear()
         if view is not None:
+            record, drained = view.record, view.leaving
             view.gone = True
+            self.removed_versions.record_removed(
+                record.service, record.software_version, clock.now_s(), drained
+            )
             self.conditions.remember(view.identity, view.condition, clock.now_s())
             self._by_number.pop(view.number, None)
 
--- /dev/null
+++ b/liftrill/gateway/engines/software_version_filter.py
@@ -0,0 +1,95 @@
+"""Selects engines by software version: streams go on only at the version that began them."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView
+from liftrill.gateway.opaque_request import OpaqueRequest
+
+# A version with few engines beside many others has room for little more than the streams that only
+# it can continue.
+MAX_SCARCE_ENGINES = 2
+MAX_SCARCE_SHARE = 0.25
+# How long the caller of a stream waits for an engine that probably restarts.
+RESTART_WAIT_S = 0.5
+
+
+def _none_awaited(service: str) -> frozenset[str]:
+    """Know of no waiting request that needs a version."""
+    return frozenset()
+
+
+def _not_ended(view: EngineView) -> bool:
+    """Know of no engine that has ended before its record was removed."""
+    return False
+
+
+class SoftwareVersionFilter:
+    """Selects the engines whose software version suits a request.
+
+    Attributes:
+        awaited: returns the versions that waiting requests of a service need.
+        has_ended: whether an incarnation has ended though its record is still there; another one
+            at its address may have another version.
+    """
+
+    def __init__(self, engines: EngineTable) -> None:
+        self.awaited: Callable[[str], frozenset[str]] = _none_awaited
+        self.has_ended: Callable[[EngineView], bool] = _not_ended
+        self._engines = engines
+
+    def of_required_version(
+        self, request: OpaqueRequest, views: list[EngineView]
+    ) -> list[EngineView]:
+        """Return the engines that may serve a request by their version."""
+        required = request.required_software_version
+        if required is None:
+            return views
+        return [
+            view
+            for view in views
+            if view.record.software_version == required and not self.has_ended(view)
+        ]
+
+    def by_preference(
+        self, request: OpaqueRequest, ready: list[EngineView], serving: list[EngineView], now: float
+    ) -> list[list[EngineView]]:
+        """Return the engines to choose among first, and then.
+
+        A request that any version may serve leaves the room of a scarce version to streams that
+        only this version can continue, while other engines have room.
+        """
+        if request.required_software_version is not None:
+            return [ready]
+        if len(self._engines.recorded_versions(request.service)) < 2:
+            return [ready]
+        counts = Counter(view.record.software_version for view in serving)
+        spared = _scarce_versions(counts) | self.awaited(request.service)
+        preferred = [view for view in ready if view.record.software_version not in spared]
+        if len(preferred) == len(ready):
+            return [ready]
+        has_room = any(view.requests < view.record.slots for view in preferred)
+        return [preferred, ready] if has_room else [ready]
+
+    def return_s(self, request: OpaqueRequest, now: float) -> float:
+        """Return the time until the required version may serve again, or 0 if it serves.
+
+        If it is not expected to return, this is the time that the caller has left.
+        """
+        required = request.required_software_version
+        if required is None:
+            return 0.0
+        known = self._engines.of_service(request.service)
+        of_version = [view for view in known if view.record.software_version == required]
+        if any(not view.leaving for view in of_version):
+            return 0.0
+        may_return = self._engines.removed_versions.may_return(request.service, required, now)
+        if may_return and not of_version:
+            return RESTART_WAIT_S
+        return max(RESTART_WAIT_S, request.deadline - now)
+
+
+def _scarce_versions(counts: Counter[str]) -> frozenset[str]:
+    """Return the versions with few engines, by the number of engines of each version."""
+    most = min(MAX_SCARCE_ENGINES, MAX_SCARCE_SHARE * counts.total())
+    return frozenset(version for version, count in counts.items() if count <= most)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -56,6 +56,7 @@
         limits: rate limits that engines announced; their requests need permits.
         slots: slots of brittle engines; their requests need permits.
         paths: how this node reaches engines: over its own links or by peers.
+        software_versions: selects engines by their software version.
         must_wait: whether capacity that may be free is due to another waiting request.
         retry_after: when callers refused for lack of capacity should retry.
     """
@@ -73,6 +74,7 @@
         self.must_wait: Callable[[OpaqueRequest], bool] = _never_waits
         self.slots = selector.slots
         self.paths = selector.paths
+        self.software_versions = selector.software_versions
         self.retry_after = RetryAfterPolicy(self._capacity_in_s, _zero_wait_s)
         self._selector = selector
         self._allowance = allowance
@@ -97,8 +99,10 @@
             return Unavailable.FULL
         is_suspect = self._quarantine is not None and self._quarantine.is_suspect(request)
         choice = self._selector.choose(request, excluded, now, is_suspect)
-        has_no_capacity = choice in (Unavailable.FULL, Unavailable.PAUSED)
-        self.retry_after.note_choice(request.service, has_no_capacity)
+        # The engines of one version say nothing about the capacity of the service.
+        if request.required_software_version is None:
+            has_no_capacity = choice in (Unavailable.FULL, Unavailable.PAUSED)
+            self.retry_after.note_choice(request.service, has_no_capacity)
         return choice
 
     def _quarantine_outcome(self, request: OpaqueRequest, now: float) -> Unavailable | None:
@@ -139,7 +143,7 @@
 
     def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
         """Return whether to try an engine again that could not be reached by one path."""
-        return self._selector.has_other_path(choice, request.service, clock.now_s())
+        return self._selector.has_other_path(choice, request, clock.now_s())
 
     def try_spend_retry(self, request: OpaqueRequest) -> bool:
         """Take one retry from the retry budget of the request's service."""
@@ -178,6 +182,8 @@
         if self._quarantine is not None and (remaining_s := self._quarantine.remaining_s(request)):
             return remaining_s
         now = clock.now_s()
+        if return_s := self.software_versions.return_s(request, now):
+            return return_s
         if self._selector.blocked_s(request.service, now):
             self.retry_after.note_choice(request.service, True)
         return self.retry_after.retry_after_s(request, now)
@@ -186,6 +192,10 @@
         return self._selector.capacity_wait_s(request, clock.now_s())
 
 
+def _ignore_stream(request: OpaqueRequest, choice: events.EngineChoice) -> None:
+    """Ignore the start of a stream."""
+
+
 def _ignore_prefill_start(view: EngineView, tokens: int) -> None:
     """Ignore the start of a prefill."""
 
@@ -195,6 +205,7 @@
 
     Attributes:
         prefill_started: called with the engine and the tokens when a long prefill starts.
+        on_stream_began: called with a request and its engine before the caller gets an event.
         end_check: checks whether the engine of a lost run has ended.
     """
 
@@ -210,6 +221,7 @@
     ) -> None:
         super().__init__(log, metrics)
         ports.must_wait = self.queues.must_wait
+        ports.software_versions.awaited = self.queues.awaited_software_versions
         self._queue_entries = QueueAdmission(
             self.queues, ports.retry_after.refused_requests, ports.wait_conditions, log
         )
@@ -218,6 +230,7 @@
         self._quarantine = quarantine
         self.end_check = EngineEndCheck(transport, quarantine.engine_ended)
         self.prefill_started: Callable[[EngineView, int], None] = _ignore_prefill_start
+        self.on_stream_began = _ignore_stream
         self._engines = engines
         self._ports = ports
         self._allowance = allowance
@@ -361,6 +374,10 @@
         if not view.leaving:
             self._quarantine.run_lost(machine.request, view, times, clock.now_s())
 
+    def stream_began(self, machine: DeliveryMachine) -> None:
+        """Report that the caller of a stream is about to get the first event of an answer."""
+        self.on_stream_began(machine.request, machine.attempts[-1])
+
     def record_served(self, request: OpaqueRequest) -> None:
         """Record that an engine served a request."""
         self._quarantine.served(request, clock.now_s())
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -67,6 +67,8 @@
 from liftrill.gateway.settings import GatewaySettings
 from liftrill.gateway.stall_detector import StallDetector
 from liftrill.gateway.store_follower import FollowerDelegate, StoreFollower
+from liftrill.gateway.streams.origin_codec import OriginMessage
+from liftrill.gateway.streams.origin_tracker import MemberPeers, OriginTracker
 from liftrill.gateway.transport import EngineTransport
 from liftrill.gateway.weight_controller import WeightController
 from liftrill.gateway.weight_rollout import WeightRollout
@@ -174,6 +176,7 @@
             self._on_limit_message,
             self._on_reach_message,
             self._on_slot_message,
+            self._on_origin_message,
         )
         self._peers = PeerLink(self._membership, callbacks)
         self._engine_limits = selector.limits
@@ -199,6 +202,10 @@
             engines, ports, self._allowance, transport, log, metrics, self._quarantine
         )
         self.forwarder.prefill_started = self._send_prefill_start
+        selector.software_versions.has_ended = self._quarantine.knows_end
+        origin_peers = MemberPeers(self._membership, self._peers)
+        self._stream_origins = OriginTracker(engines, origin_peers, log, metrics)
+        self.forwarder.on_stream_began = self._stream_origins.stream_began
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
         slot_messenger.wake_waiting = self.forwarder.queues.wake_all
         parts = NodeParts(
@@ -287,6 +294,9 @@
         if isinstance(admitted, AdmissionRefusal) and admitted.code is ResultCode.KEY_NOT_PROVEN:
             await self._freshness_checker.wait_for_proof(constants.MAX_KEY_PROOF_WAIT_S)
             admitted = self.admission.admit(incoming, clock.now_s())
+        if isinstance(admitted, AdmissionRefusal):
+            return admitted
+        admitted = await self._stream_origins.resolve(admitted)
         if isinstance(admitted, AdmissionRefusal):
             return admitted
         refusal = self._quarantine.check(admitted) or self._quotas.check(admitted, clock.now_s())
@@ -607,6 +617,9 @@
     def _on_slot_message(self, node: str, message: SlotMessage) -> None:
         self._engine_slots.receive(node, message, clock.now_s())
 
+    def _on_origin_message(self, node: str, message: OriginMessage) -> None:
+        self._stream_origins.receive(node, message)
+
     def _on_served(self, fingerprint: bytes) -> None:
         self._quarantine.apply_served(fingerprint, clock.now_s())
 
@@ -755,6 +768,7 @@
             self.metrics.limited_engines.set(len(self._engine_limits.in_force()))
             self._engine_limits.expire((view.identity for view in self._engines), now)
             self._engine_slots.refresh(self._engines, now)
+            self._stream_origins.refresh(now)
             self._follower.reselect_reader()
             self.metrics.version.set(self.view.version)
             self.metrics.engines.set(len(self._engines))
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -135,6 +135,20 @@
             "Engine answers that announce leaving, a backoff or a limit.",
             "says",
         )
+        self.resumed_streams = self._counter(
+            "liftrill_resumed_streams",
+            "Streams that callers resumed, by how the version that began them was found.",
+            "source",
+        )
+        self.stream_origins = self._gauge(
+            "liftrill_stream_origins", "Streams whose software version this node knows."
+        )
+        self.engine_versions = Gauge(
+            "liftrill_engine_versions",
+            "Engines by service and software version.",
+            ["service", "version"],
+            registry=self.registry,
+        )
         self.engine_ends = Counter(
             "liftrill_engine_ends",
             "Engines found to have ended during runs.",
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -65,6 +65,7 @@
         deadline: on the steady clock, seconds; the earlier of the caller's and the route's.
         last_event_id: the event after which the caller resumes a stream, or None.
         resumed_request_id: id of the request that began the stream to resume, or empty.
+        required_software_version: the only version of engines that may serve it, or None.
     """
 
     request_id: str
@@ -82,6 +83,7 @@
     deadline: float
     last_event_id: int | None = None
     resumed_request_id: str = ""
+    required_software_version: str | None = None
 
     @cached_property
     def fingerprint(self) -> bytes:
@@ -107,6 +109,15 @@
         _ = self.fingerprint
         object.__setattr__(self, "body", b"")
 
+    def require_software_version(self, software_version: str) -> None:
+        """Let only engines of one software version serve the request from now on."""
+        object.__setattr__(self, "required_software_version", software_version)
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller already has events of the stream from an earlier request."""
+        return self.is_stream and bool(self.resumed_request_id or self.last_event_id)
+
     @property
     def may_run_again(self) -> bool:
         """Whether the request may be run again after a run of it may have begun."""
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -62,6 +62,11 @@
 )
 from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.gateway.quarantine_ports import QuarantinePeers
+from liftrill.gateway.streams.origin_codec import (
+    OriginMessage,
+    datagram_from_origin,
+    origin_from_datagram,
+)
 from liftrill.messages import peer_pb2 as messages
 from liftrill.node.membership_codec import (
     GossipDecodeError,
@@ -98,6 +103,7 @@
     limit_message: Callable[[str, LimitMessage], None]
     reach: Callable[[str, ReachMessage], None]
     slots: Callable[[str, SlotMessage], None]
+    origins: Callable[[str, OriginMessage], None]
 
 
 def new_membership(own: Member, seeds: list[str]) -> Membership:
@@ -224,6 +230,13 @@
         """Send one member, or all, a message about the slots of brittle engines."""
         self._send_to(datagram_from_slot_message(self._membership.own.node_id, content), node)
 
+    def send_origin(self, content: OriginMessage, node: str) -> None:
+        """Send one member a message about the versions that began streams, once."""
+        member = self._membership.member(node)
+        if member is not None:
+            own = self._membership.own.node_id
+            self._send(member.address, datagram_from_origin(own, content, clock.now_s()))
+
     def send_update(self, update: UnrecordedEngineState, node: str) -> None:
         """Send one member, once, the engine state that the records do not hold."""
         for message in datagrams_from_update(update):
@@ -294,11 +307,14 @@
     def _dispatch_engine_access(self, message: messages.Datagram) -> bool:
         reach = reach_from_datagram(message)
         slots = slot_message_from_datagram(message) if reach is None else None
+        origins = origin_from_datagram(message, clock.now_s())
         if reach is not None:
             self._callbacks.reach(message.sender, reach)
         elif slots is not None:
             self._callbacks.slots(message.sender, slots)
-        return reach is not None or slots is not None
+        elif origins is not None:
+            self._callbacks.origins(message.sender, origins)
+        return any(content is not None for content in (reach, slots, origins))
 
     def _dispatch_prefills(self, message: messages.Datagram) -> None:
         if message.HasField("reading_begun"):
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -52,6 +52,11 @@
     resumable: bool
     pause_target_s: float = 0.0
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The names of the services that the route leads to, in order."""
+        return tuple(sorted(share.service for share in self.backends))
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceProfile:
--- /dev/null
+++ b/liftrill/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Resumption of streams at the software version that began them."""
--- /dev/null
+++ b/liftrill/gateway/streams/origin_exchange.py
@@ -0,0 +1,146 @@
+"""Sends origins of streams to the nodes that hold them, and asks these for origins."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from liftrill import clock
+from liftrill.coordination.membership_messages import Member
+from liftrill.gateway.streams.origin_codec import (
+    OriginAnswer,
+    OriginMessage,
+    OriginQuestion,
+    OriginReport,
+    reports,
+)
+from liftrill.gateway.streams.stream_origins import (
+    OriginEntry,
+    OriginTable,
+    ServiceVersion,
+    holders,
+    nodes_to_ask,
+)
+
+# A question or its answer may be lost: it is asked again, and given up once the nodes asked have
+# most probably ended.
+ASK_AGAIN_S = 0.05
+ASK_TIMEOUT_S = 0.15
+
+
+class OriginPeers(ABC):
+    """The other nodes, as far as this exchange needs them."""
+
+    @abstractmethod
+    def others(self) -> list[Member]:
+        """Return the other nodes that are alive."""
+
+    @abstractmethod
+    def send(self, node: str, content: OriginMessage) -> None:
+        """Send a message to one node."""
+
+
+@dataclass(slots=True)
+class Answers:
+    """The answers to a question for the origin of a stream.
+
+    Attributes:
+        asked: ids of the nodes that were asked.
+        waiting: how many requests wait for the answers.
+        answered: ids of the nodes that answered.
+        origin: None if no node that answered knows it.
+        served: the versions that lately served, by all answers.
+    """
+
+    asked: set[str]
+    waiting: int = 0
+    answered: set[str] = field(default_factory=set)
+    origin: ServiceVersion | None = None
+    served: set[ServiceVersion] = field(default_factory=set)
+    complete: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def add(self, sender: str, answer: OriginAnswer) -> None:
+        """Add the answer of a node that was asked."""
+        if sender not in self.asked:
+            return
+        self.answered.add(sender)
+        self.served.update(answer.served)
+        self.origin = self.origin or answer.origin
+        if self.origin is not None or self.answered == self.asked:
+            self.complete.set()
+
+
+class OriginExchange:
+    """Exchanges origins of streams with the nodes that hold them.
+
+    Each origin is held by two nodes found by hashing its key, besides the node at which the stream
+    began.
+    """
+
+    def __init__(
+        self,
+        table: OriginTable,
+        peers: OriginPeers,
+        served: Callable[[Iterable[str]], set[ServiceVersion]],
+    ) -> None:
+        self._table = table
+        self._peers = peers
+        self._served = served
+        self._questions: dict[int, Answers] = {}
+
+    def send(self, entries: Sequence[OriginEntry]) -> None:
+        """Send origins to the nodes that hold them."""
+        others = self._peers.others()
+        by_node: dict[str, list[OriginEntry]] = {}
+        for entry in entries:
+            for holder in holders(entry.key, others):
+                by_node.setdefault(holder.node_id, []).append(entry)
+        for node, held in by_node.items():
+            for report in reports(held):
+                self._peers.send(node, report)
+
+    async def ask(self, key: int, services: tuple[str, ...]) -> Answers:
+        """Ask the nodes that hold the origin of a stream, and return their answers."""
+        answers = self._questions.get(key)
+        if answers is None:
+            asked = nodes_to_ask(key, self._peers.others())
+            answers = Answers({node.node_id for node in asked})
+            self._questions[key] = answers
+        answers.waiting += 1
+        try:
+            await self._ask_until_complete(OriginQuestion(key, services), answers)
+        finally:
+            answers.waiting -= 1
+            if not answers.waiting:
+                self._questions.pop(key, None)
+        return answers
+
+    async def _ask_until_complete(self, question: OriginQuestion, answers: Answers) -> None:
+        if not answers.asked:
+            return
+        for timeout_s in (ASK_AGAIN_S, ASK_TIMEOUT_S - ASK_AGAIN_S):
+            for node in answers.asked - answers.answered:
+                self._peers.send(node, question)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await answers.complete.wait()
+            if answers.complete.is_set():
+                return
+            # A node that was asked may have ended. Where one version serves, its answer can wait.
+            served = self._served(question.services) | answers.served
+            if answers.answered and len(served) == 1:
+                return
+
+    def receive(self, sender: str, content: OriginMessage) -> None:
+        """Handle a message of a peer."""
+        now = clock.now_s()
+        if isinstance(content, OriginReport):
+            for entry in content.entries:
+                self._table.record(entry, now)
+        elif isinstance(content, OriginQuestion):
+            origin = self._table.get(content.key, now)
+            served = tuple(self._served(content.services))
+            self._peers.send(sender, OriginAnswer(content.key, origin, served))
+        elif content.key in self._questions:
+            self._questions[content.key].add(sender, content)
