A resumption that no engine can serve is refused before the quarantine or the queue is waited for

Callers that resumed a stream right after all engines of its version had crashed were refused after up to 0.2 s where 50 ms were asked: their prompts are those that the crashed engines ran, so they waited for the quarantine's decision, and could wait in the queue behind others. Neither helps where no engine of the version serves.

Evidence: stream_origins fails in two rows without this change (NONE_READY and FULL instead of a refusal).

--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -81,3 +81,13 @@
     Given a busy engine of version v1.1 beside 4 idle ones of v1.2
     When 50 requests that only v1.1 may serve are placed
     Then the service does not count as overloaded, and a new request goes to v1.2
+
+  Scenario Outline: A resumption that no engine can serve waits for its turn
+    Given engines of version v1.2, and a stream that began at v1.1
+    When its caller resumes it while <what>
+    Then it is refused, and need not wait
+
+    Examples:
+      | what                                             |
+      | it is not known whether it crashes engines       |
+      | other requests of the service wait for an engine |
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -91,12 +91,13 @@
             return Unavailable.TOO_LATE
         if not self.state_is_current(now):
             return Unavailable.NONE_READY
-        quarantined = self._quarantine_outcome(request, now)
-        if quarantined is not None:
-            return quarantined
-        # A request that an engine refused has waited already.
-        if not excluded and self.must_wait(request):
-            return Unavailable.FULL
+        reason = self._reason_not_to_send(request, not excluded, now)
+        # Neither a decision on the request nor free capacity would help.
+        must_wait = reason in (Unavailable.NONE_READY, Unavailable.FULL)
+        if must_wait and self._selector.lacks_version(request):
+            return Unavailable.VERSION_GONE
+        if reason is not None:
+            return reason
         is_suspect = self._quarantine is not None and self._quarantine.is_suspect(request)
         choice = self._selector.choose(request, excluded, now, is_suspect)
         # The engines of one version say nothing about the capacity of the service.
@@ -105,13 +106,17 @@
             self.retry_after.note_choice(request.service, has_no_capacity)
         return choice
 
-    def _quarantine_outcome(self, request: OpaqueRequest, now: float) -> Unavailable | None:
-        """Return why a possibly crashing request must not be sent now, or None if it may be."""
-        if self._quarantine is None:
-            return None
-        if not self._quarantine.is_decided(request, now):
-            return Unavailable.NONE_READY
-        return Unavailable.QUARANTINED if self._quarantine.remaining_s(request) else None
+    def _reason_not_to_send(
+        self, request: OpaqueRequest, is_first: bool, now: float
+    ) -> Unavailable | None:
+        """Return why a request must not be sent to any engine now, or None if it may be."""
+        if self._quarantine is not None:
+            if not self._quarantine.is_decided(request, now):
+                return Unavailable.NONE_READY
+            if self._quarantine.remaining_s(request):
+                return Unavailable.QUARANTINED
+        # A request that an engine refused has waited already.
+        return Unavailable.FULL if is_first and self.must_wait(request) else None
 
     def continue_at_backup(
         self, request: OpaqueRequest, interrupted: events.EngineChoice
