New resumable streams begin off a version that is being replaced

Callers whose stream began at the older version shortly before its last engines drained could not go on. A stream that may be resumed begins at another version while engines of its own drain, and for 10 s after one has drained and left, as long as others have half of the serving engines and room. Two rows of the new outline fail without it.

--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -91,3 +91,17 @@
       | what                                             |
       | it is not known whether it crashes engines       |
       | other requests of the service wait for an engine |
+
+  Scenario Outline: New streams begin at a version that is being replaced
+    Given 4 idle engines of version v1.1, and <others> of version v1.2 with some load
+    When an engine of v1.1 <ends>
+    Then a new stream that <may> be resumed begins at <version>
+
+    Examples:
+      | others | ends                      | may     | version |
+      | 4      | drains                    | may     | v1.2    |
+      | 4      | drains                    | may not | v1.1    |
+      | 4      | drained and left 5 s ago  | may     | v1.2    |
+      | 4      | drained and left 20 s ago | may     | v1.1    |
+      | 4      | crashed 5 s ago           | may     | v1.1    |
+      | 2      | drains                    | may     | v1.1    |
--- a/liftrill/gateway/engines/software_version_filter.py
+++ b/liftrill/gateway/engines/software_version_filter.py
@@ -10,6 +10,8 @@
 # it can continue.
 MAX_SCARCE_ENGINES = 2
 MAX_SCARCE_SHARE = 0.25
+# With a smaller share of the serving engines, other versions cannot take most of the new streams.
+MIN_OTHERS_SHARE = 0.5
 # How long the caller of a stream waits for an engine that probably restarts.
 RESTART_WAIT_S = 0.5
 
@@ -57,7 +59,8 @@
         """Return the engines to choose among first, and then.
 
         A request that any version may serve leaves the room of a scarce version to streams that
-        only this version can continue, while other engines have room.
+        only this version can continue, while other engines have room. A stream does not begin at
+        a version that is being replaced, where it could not go on after the last engines leave.
         """
         if request.required_software_version is not None:
             return [ready]
@@ -65,12 +68,23 @@
             return [ready]
         counts = Counter(view.record.software_version for view in serving)
         spared = _scarce_versions(counts) | self.awaited(request.service)
+        if request.route.resumable:
+            spared |= self._replaced_versions(request.service, counts, now)
         preferred = [view for view in ready if view.record.software_version not in spared]
         if len(preferred) == len(ready):
             return [ready]
         has_room = any(view.requests < view.record.slots for view in preferred)
         return [preferred, ready] if has_room else [ready]
 
+    def _replaced_versions(self, service: str, counts: Counter[str], now: float) -> frozenset[str]:
+        """Return the versions that are being replaced, if others can take the new streams."""
+        leaving = {
+            v.record.software_version for v in self._engines.of_service(service) if v.leaving
+        }
+        replaced = leaving | self._engines.removed_versions.being_replaced(service, now)
+        others = sum(count for version, count in counts.items() if version not in replaced)
+        return frozenset(replaced if others >= MIN_OTHERS_SHARE * counts.total() else ())
+
     def return_s(self, request: OpaqueRequest, now: float) -> float:
         """Return the time until the required version may serve again, or 0 if it serves.
 
