An engine whose record was removed while only the watch failed is no longer taken for one in an outage

The lateness fits one way alone: a copy of 2.4 s or more, because the watch was silent and the machine late, was taken for an outage of the store, in which records of live engines expire, so that the engine stayed in use for up to 1.9 s more. That this was the cause there is likely and not shown.

An outage is a time without any answer of the store now, to this node or its reader, not the age of the copy. The store's answers to all reads are recorded in AnswerHistory.

Test: the new outline of store_copies; with the rule as it was (the age of the copy), the row in which the store answers other calls fails, and those of the history that differ from it.

--- a/features/following_node.py
+++ b/features/following_node.py
@@ -14,6 +14,7 @@
 from liftrill.gateway.relay_client import ReaderLimits
 from liftrill.gateway.relay_server import RelayServer
 from liftrill.gateway.store_follower import FollowerDelegate, StoreFollower
+from liftrill.gateway.store_outage import AnswerHistory
 
 MAX_MIRROR_AGE_S = 1.7
 # Also the tolerance of measured times.
@@ -89,7 +90,8 @@
         self.view = ConfigurationView(4.5)
         self.view.adopt(GatewayConfiguration(5, (), {}))
         limits = limits or ReaderLimits(name, MAX_MIRROR_AGE_S)
-        self.follower = StoreFollower(store, "", self, limits)
+        answers = cluster_state.answers if cluster_state else AnswerHistory(2.4)
+        self.follower = StoreFollower(store, "", self, limits, answers)
         self.server = RelayServer(self.follower, self.view, lambda count: None)
         self.address = f"127.0.0.1:{free_ports(1)[0]}"
         self.task = None
--- a/features/steps/build_steps.py
+++ b/features/steps/build_steps.py
@@ -15,6 +15,7 @@
 from liftrill.gateway.relay_client import ReaderLimits, RelayLostError
 from liftrill.gateway.relay_codec import RelayUpdate
 from liftrill.gateway.store_follower import StoreFollower
+from liftrill.gateway.store_outage import AnswerHistory
 
 NODE_EXIT_TIMEOUT_S = 9.0
 
@@ -87,7 +88,7 @@
 
 def accepts_no_era(mirror):
     """Return whether a node with a copy accepts changes of a reader that reports no era."""
-    follower = StoreFollower(None, "", StubOwner(), ReaderLimits("node", 1.0))
+    follower = StoreFollower(None, "", StubOwner(), ReaderLimits("node", 1.0), AnswerHistory(2.4))
     follower.mirror = mirror
     try:
         follower.relay_updated(RelayUpdate(WatchBatch((), position(0, 90))))
--- a/features/steps/engine_record_steps.py
+++ b/features/steps/engine_record_steps.py
@@ -22,6 +22,7 @@
 from liftrill.gateway.peers.load_table import LoadTable
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.route_table import WeightedSplit
+from liftrill.gateway.store_outage import AnswerHistory
 from liftrill.gateway.weight_rollout import AnnounceLoad, WeightRollout
 from liftrill.gateway.weight_targets import WeightTargets
 
@@ -85,7 +86,7 @@
             self.selector,
             WeightedSplit(),
             self.log,
-            2.4,
+            AnswerHistory(2.4),
         )
         self.cluster_state.count_refused = self.count_refused
         self.cluster_state.incarnation_ended = lambda view: self.quarantine.incarnation_ended(
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -36,6 +36,7 @@
 from liftrill.gateway.relay_codec import RelayAnswer
 from liftrill.gateway.relay_server import RelayServer, RelaySource
 from liftrill.gateway.store_follower import FollowerDelegate, StoreFollower
+from liftrill.gateway.store_outage import AnswerHistory
 
 LIMITS = ReaderLimits("node", 1.7)
 
@@ -173,7 +174,7 @@
         self.view = ConfigurationView(4.5)
         self.prover = FreshnessChecker(None, fake_follower(None), None, self.view, None)
         self.store = CountedStore()
-        self.follower = StoreFollower(self.store, "", self, LIMITS)
+        self.follower = StoreFollower(self.store, "", self, LIMITS, AnswerHistory(2.4))
         self.known_at = time.monotonic() + known_after_s
 
     def node_id(self):
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -24,6 +24,7 @@
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.relay_client import ReaderLimits, RelayLostError
 from liftrill.gateway.relay_codec import RelayAnswer
+from liftrill.gateway.store_outage import AnswerHistory
 from liftrill.gateway.weight_rollout import AnnounceLoad, WeightRollout
 from liftrill.gateway.weight_targets import WeightTargets
 
@@ -226,7 +227,10 @@
 
 
 class WeightDecoder(RecordDecoder):
-    """Decodes each item with a key that starts with "version" as a version of one model."""
+    """Decodes each item with a key that starts with "version" as a version of one model.
+
+    Other keys are ids of engines.
+    """
 
     configuration_key = "configuration"
 
@@ -236,14 +240,15 @@
         return WeightTarget(MODEL, int(item.value), item.revision)
 
     def engine_of(self, key):
-        return None
+        return None if key.startswith("version") else key
 
 
-def new_cluster_state(grace_s):
+def new_cluster_state(grace_s, min_expiry_s=2.4):
     targets = WeightTargets(grace_s)
     view = ConfigurationView(4.5)
     log = DecisionLog("node")
-    return ClusterState(WeightDecoder(), view, EngineTable(), targets, None, None, log, 2.4)
+    answers = AnswerHistory(min_expiry_s)
+    return ClusterState(WeightDecoder(), view, EngineTable(), targets, None, None, log, answers)
 
 
 @given(
@@ -351,6 +356,70 @@
     assert len(ordered) == count, len(ordered)
 
 
+# Records that are missing after a gap
+
+
+@given("a node that uses an engine, whose record can expire if the store is down for {seconds:g} s")
+def step_engine_in_use(context, seconds):
+    async def start():
+        context.store = ScriptedStore()
+        context.store.put("engine-1", b"")
+        context.cluster_state = new_cluster_state(8.0, seconds)
+        context.cluster_state.engines.update(engine_record("engine-1"))
+        context.node = FollowingNode("node", context.store, context.cluster_state)
+        await context.node.start()
+        await eventually(lambda: context.store.watch_revisions, 3.0)
+
+    context.run(start())
+
+
+@when("its watch gets no changes for {seconds:g} s, in which {what} and the record is removed")
+def step_gap(context, seconds, what):
+    async def pass_time():
+        until = time.monotonic() + seconds
+        context.store.is_unavailable = what == "the store is down"
+        context.store.remove("engine-1")
+        # The mirror does not reach this position before the range is read.
+        position = context.store.revision
+        while time.monotonic() < until:
+            if what == "the store answers other calls":
+                context.node.follower.store_answered(position, time.monotonic())
+            await asyncio.sleep(0.1)
+        context.store.is_unavailable = False
+
+    context.run(pass_time())
+
+
+@when("it reads the range")
+def step_range_read(context):
+    async def read():
+        context.node.follower.reread()
+        await eventually(lambda: not context.node.follower.mirror.get("engine-1"), 1.0)
+
+    context.run(read())
+
+
+@then("it {uses} the engine until its record is written again")
+def step_engine_use(context, uses):
+    assert len(context.cluster_state.engines) == (uses == "uses"), uses
+
+
+@given("records of live engines that expire in an outage of {seconds:g} s or more")
+def step_answer_history(context, seconds):
+    context.answers = AnswerHistory(seconds)
+
+
+@when("the store answers calls {calls}")
+def step_answered(context, calls):
+    for call in re.findall(r"(\d+)-(\d+)", calls):
+        context.answers.record_answer(*map(float, call))
+
+
+@then("at {now:g}, a record {can} have expired since {since:g}")
+def step_may_have_expired(context, now, can, since):
+    assert context.answers.may_have_expired(since, now) == (can == "can")
+
+
 # Connections to the store
 
 
--- a/features/store_copies.feature
+++ b/features/store_copies.feature
@@ -85,6 +85,35 @@
       | 100 | 50     | 96   |
       | 100 | never  | 96   |
 
+  Scenario Outline: An engine whose record is removed while only the watch fails is no longer used
+    Given a node that uses an engine, whose record can expire if the store is down for 3 s
+    When its watch gets no changes for <gap> s, in which <what> and the record is removed
+    And it reads the range
+    Then it <uses> the engine until its record is written again
+
+    Examples:
+      | gap | what                          | uses         |
+      | 3.2 | the store answers other calls | does not use |
+      | 3.2 | the store is down             | uses         |
+      | 3.2 | no other call is sent         | uses         |
+      | 0.2 | no other call is sent         | does not use |
+
+  Scenario Outline: The longest time without an answer tells whether a record can have expired
+    Given records of live engines that expire in an outage of 2.4 s or more
+    When the store answers calls <asked and answered>
+    Then at <now>, a record <can> have expired since <since>
+
+    Examples:
+      | asked and answered | now | since | can    |
+      | none               | 9   | 8     | can    |
+      | 1-1, 2-2, 3-3, 4-4 | 5   | 1     | cannot |
+      | 1-1, 2-2           | 5   | 2     | can    |
+      | 1-1, 5-5           | 6   | 1     | can    |
+      | 1-1, 5-5           | 6   | 5.5   | cannot |
+      | 1-1, 2-4           | 4.3 | 1     | can    |
+      | 1-1, 2-4           | 4.3 | 4.2   | cannot |
+      | 3-3, 4-4, 1-5      | 6   | 3     | cannot |
+
   Scenario: A version found by a first read is dated back by half of the grace, only once
     Given a node that starts with a bound of 8 s for replaced weights, and 20 engines with an older version
     When its first read finds the version
--- a/liftrill/gateway/cluster_state.py
+++ b/liftrill/gateway/cluster_state.py
@@ -14,6 +14,7 @@
 from liftrill.gateway.record_decoder import RecordDecoder, RecordError, StoreRecord
 from liftrill.gateway.records import EngineRecord, GatewayConfiguration, RouteRule, WeightTarget
 from liftrill.gateway.route_table import WeightedSplit
+from liftrill.gateway.store_outage import AnswerHistory
 from liftrill.gateway.weight_targets import WeightTargets
 
 # Number of keys whose refused records are logged: more than the engines that start in a minute.
@@ -34,8 +35,8 @@
 
     Attributes:
         configuration_revision: the store's revision of the configuration in force.
-        min_expiry_gap_s: the shortest gap in this node's updates in which the record of a live
-            engine can expire.
+        answers: when the store answered, which tells whether records of live engines can have
+            expired.
         store_read: whether the store was read once, so that later changes are known to be new.
         count_refused: called for each record that cannot be decoded.
         incarnation_ended: called with the previous incarnation of an engine that restarted under
@@ -49,7 +50,7 @@
     selector: EngineSelector
     split: WeightedSplit
     log: DecisionLog
-    min_expiry_gap_s: float
+    answers: AnswerHistory
     configuration_revision: int = 0
     store_read: bool = False
     count_refused: Callable[[], None] = _count_nothing
@@ -70,17 +71,20 @@
         self.store_read = True
         removed = [e for key in change.removed if (e := self.decoder.engine_of(key)) is not None]
         now = clock.now_s()
-        if change.restored or (change.gap and now - known_until >= self.min_expiry_gap_s):
-            # During an outage of the store the records of live engines can expire.
+        if change.restored or (change.gap and self.answers.may_have_expired(known_until, now)):
             self.engines.mark_vanished(removed, now)
+            self._log_missing("record_missing", removed, "may have expired", known_until)
             return
         for engine_id in removed:
             self.engines.remove(engine_id)
+        self._log_missing("engine_gone", removed, "record removed", known_until)
+
+    def _log_missing(
+        self, kind: str, engine_ids: list[str], reason: str, known_until: float
+    ) -> None:
+        for engine_id in engine_ids:
             self.log.state_changed(
-                "engine_gone",
-                engine=engine_id,
-                reason="record removed",
-                news_age_s=_max_change_age(known_until),
+                kind, engine=engine_id, reason=reason, news_age_s=_max_change_age(known_until)
             )
 
     def is_older_configuration(self, item: StoredItem) -> bool:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -67,6 +67,7 @@
 from liftrill.gateway.settings import GatewaySettings
 from liftrill.gateway.stall_detector import StallDetector
 from liftrill.gateway.store_follower import FollowerDelegate, StoreFollower
+from liftrill.gateway.store_outage import AnswerHistory, min_expiry_s
 from liftrill.gateway.streams.origin_codec import OriginMessage
 from liftrill.gateway.streams.origin_tracker import MemberPeers, OriginTracker
 from liftrill.gateway.transport import EngineTransport
@@ -79,9 +80,6 @@
 # Log lines of one interval on nodes whose share of callers changed; more changes than this mean
 # that the whole zone is busy.
 MAX_LOGGED_CHANGES = 3
-# An engine's record expires three heartbeat intervals after its last heartbeat, which was sent at
-# most one interval before the store became unreachable.
-LAPSE_HEARTBEATS = 2
 # How long a node waits after a stall of its process for current data of the store before it uses
 # the data it has: after this time an outage is more likely than a slow response.
 STALL_CATCH_UP_TIMEOUT_S = 2.0
@@ -123,6 +121,7 @@
         )
         split = WeightedSplit()
         selector = EngineSelector(engines, targets, settings.zone)
+        answers = AnswerHistory(min_expiry_s(bounds.heartbeat_seconds))
         self._cluster_state = ClusterState(
             decoder,
             self.view,
@@ -131,7 +130,7 @@
             selector,
             split,
             log,
-            LAPSE_HEARTBEATS * bounds.heartbeat_seconds,
+            answers,
         )
         self._cluster_state.count_refused = metrics.refused_records.inc
         self._cluster_state.incarnation_ended = self._on_incarnation_ended
@@ -145,7 +144,7 @@
         self._membership = self._new_membership()
         self._reader_selection = ReaderSelection(self._membership.own)
         limits = ReaderLimits(settings.node, max_mirror_age_s(bounds.propagation_seconds))
-        self._follower = StoreFollower(store, "", self, limits)
+        self._follower = StoreFollower(store, "", self, limits, answers)
         self._freshness_checker = FreshnessChecker(
             store,
             self._follower,
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -24,7 +24,7 @@
 )
 from liftrill.gateway.relay_codec import RelayAnswer, RelayUpdate
 from liftrill.gateway.relay_server import RelaySource
-from liftrill.gateway.store_outage import StoreOutage
+from liftrill.gateway.store_outage import AnswerHistory, StoreOutage
 
 # How long a starting node waits for a reader to follow before it watches the store itself.
 # Members discover each other within about a second.
@@ -95,7 +95,12 @@
     """
 
     def __init__(
-        self, store: RangeStore, prefix: str, delegate: FollowerDelegate, limits: ReaderLimits
+        self,
+        store: RangeStore,
+        prefix: str,
+        delegate: FollowerDelegate,
+        limits: ReaderLimits,
+        answers: AnswerHistory,
     ) -> None:
         self.mirror = StoreMirror()
         self.freshness = MirrorFreshness()
@@ -107,6 +112,7 @@
         self._limits = limits
         self._relay = RelayClient(self, limits)
         self._outage = StoreOutage()
+        self._answers = answers
         self._reread = True
         self._is_reading_range = False
         self._try_store_first = False
@@ -168,6 +174,7 @@
 
     def store_answered(self, revision: int, asked_at: float) -> None:
         """Record the store's revision in its answer to a call sent at `asked_at`."""
+        self._answers.record_answer(asked_at, clock.now_s())
         self._record_read(revision, asked_at)
         if self.followed is None and self._outage.unreachable:
             # The store is reachable again: a wait for the retry would only make the mirror staler.
@@ -214,6 +221,8 @@
     def relay_confirmed(self, answer: RelayAnswer, asked_at: float) -> None:
         """Record how current the reader was when it answered a question sent at `asked_at`."""
         self._reader_path = answer.path
+        read_age_s = min(answer.proof_age_s, answer.mirror_age_s)
+        self._answers.record_answer(asked_at - read_age_s, clock.now_s())
         self._record_read(answer.at, asked_at - answer.mirror_age_s)
         self._delegate.relay_answered(answer, asked_at)
 
@@ -300,6 +309,7 @@
                 f"range page at position {first_at} is older than the mirror at {known_at}"
             )
         self._outage.record_success()
+        self._answers.record_answer(asked_at, clock.now_s())
         self._note_connection(True)
         self._report_change(change)
         self._delegate.range_read(asked_at)
--- a/liftrill/gateway/store_outage.py
+++ b/liftrill/gateway/store_outage.py
@@ -1,5 +1,6 @@
-"""Tracks whether the store answers this node, and the backoff between retries, sans-IO."""
+"""Tracks when the store answered this node, and the backoff between retries, sans-IO."""
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -7,6 +8,41 @@
 
 # Consecutive failures after which the retry delay grows no further.
 MAX_DOUBLINGS = 4
+# An engine's record expires three heartbeat intervals after its last heartbeat, which was sent at
+# most one interval before the store became unreachable.
+LAPSE_HEARTBEATS = 2
+
+
+def min_expiry_s(heartbeat_s: float) -> float:
+    """Return the shortest outage in which the record of a live engine can expire."""
+    return LAPSE_HEARTBEATS * heartbeat_s
+
+
+@dataclass(slots=True)
+class AnswerHistory:
+    """Track the periods without an answer of the store, to this node or to its reader.
+
+    Such a period may be an outage, in which the records of live engines expire. Answers to any
+    read end it: a watch whose connection has failed delivers nothing although the store is up.
+
+    Attributes:
+        min_expiry_s: the shortest outage in which the record of a live engine can expire.
+    """
+
+    min_expiry_s: float
+    _answered_at: float = -math.inf
+    _outage_ended_at: float = -math.inf
+
+    def record_answer(self, asked_at: float, now: float) -> None:
+        """Record that the store answered at some time between `asked_at` and `now`."""
+        is_first = self._answered_at == -math.inf
+        if not is_first and now - self._answered_at >= self.min_expiry_s:
+            self._outage_ended_at = now
+        self._answered_at = max(self._answered_at, asked_at)
+
+    def may_have_expired(self, since: float, now: float) -> bool:
+        """Return whether the record of a live engine can have expired since a time."""
+        return self._outage_ended_at >= since or now - self._answered_at >= self.min_expiry_s
 
 
 @dataclass(slots=True)
