A node that leaves its reader for the store reads the range before it watches

The node had left both readers, whose copies were 1.4 s old, and watched the store without a read; its watch delivered nothing until it followed a reader again, 1 s later.

A read tells what a silent watch does not.

--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -7,7 +7,13 @@
 
 from behave import given, then, when
 
-from features.following_node import POLL_INTERVAL_S, FollowingNode, ScriptedStore, eventually
+from features.following_node import (
+    MAX_MIRROR_AGE_S,
+    POLL_INTERVAL_S,
+    FollowingNode,
+    ScriptedStore,
+    eventually,
+)
 from features.gateway_support import engine_record
 from features.standin.store import StandInStore
 from liftrill import constants
@@ -223,6 +229,55 @@
     assert store.watch_revisions[1] == store.revision, store.watch_revisions
 
 
+class ReaderFollower(FollowingNode):
+    """A node that follows a reader until it loses it, and then reads the store."""
+
+    def reader_to_follow(self, store_lost):
+        return self.peer
+
+    def reader_lost(self, reader, reason):
+        super().reader_lost(reader, reason)
+        self.peer = None
+
+
+@given("a reader and its follower, whose watches get no changes")
+def step_reader_and_follower(context):
+    async def start():
+        context.store = ScriptedStore()
+        context.store.put("key", b"value")
+        context.reader = FollowingNode("reader", context.store)
+        context.node = ReaderFollower("follower", context.store)
+        await context.reader.start()
+        await context.node.start()
+        await eventually(lambda: context.store.watch_revisions, 3.0)
+
+    context.run(start())
+
+
+@when("a change is written, and the follower learns that the reader's copy is too old")
+def step_reader_copy_ages(context):
+    async def age():
+        reader, node = context.reader.follower, context.node.follower
+        context.store.put("key", b"changed")
+        # One answer is accepted, and the copies are too old at the next.
+        accepted_age_s = MAX_MIRROR_AGE_S - constants.RELAY_QUERY_INTERVAL_SECONDS + 0.03
+        await eventually(lambda: reader.freshness.age_s(time.monotonic()) >= accepted_age_s, 3.0)
+        context.node.peer = context.reader.member()
+        node.reselect_reader()
+        await eventually(lambda: context.node.follow_periods, 1.0)
+        await eventually(lambda: node.followed is None, 1.0)
+        assert context.node.answers, "the follower left the reader at its first answer"
+
+    context.run(age())
+
+
+@then("the follower has the change before its own copy is {seconds:g} s old")
+def step_has_change(context, seconds):
+    follower = context.node.follower
+    left_s = seconds - follower.freshness.age_s(time.monotonic())
+    context.run(eventually(lambda: follower.mirror.get("key").value == b"changed", left_s))
+
+
 # When the grace of a version starts
 
 
--- a/features/store_copies.feature
+++ b/features/store_copies.feature
@@ -62,6 +62,11 @@
     And it followed no node
     And its next watch starts at the revision of that read
 
+  Scenario: A node that leaves a reader with an old copy reads the range before it watches
+    Given a reader and its follower, whose watches get no changes
+    When a change is written, and the follower learns that the reader's copy is too old
+    Then the follower has the change before its own copy is 2.1 s old
+
   Scenario: The grace of a version found by a read after a gap starts at the last proof of the copy
     Given a node with 8 s of grace, and a version that is published while its watch gets no changes
     When the watch fails because its history is gone, and the range is read
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -256,6 +256,9 @@
                 self._reread = True
         finally:
             self.followed = None
+        if self._reader_to_follow() is None:
+            # A watch that delivers nothing would be detected only after the copy is too old.
+            self._reread = True
 
     # Reads and watches of the store
 
