A node that has started uses replaced weights for no longer than the grace period

The node had been killed 1.1 s after version 5 was named and started 0.8 s after the impairment; it did not know since when version 5 was named, all engines refused its load and none had it, so older ones were used until version 6 came.

A version of unknown age was named no later than the node read it, so it bounds older ones from then on. Test: gateway_weights, a node that finds version 4 published when it starts; fails without the change.

--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -13,6 +13,12 @@
     When the engine with version 1 is the only one left
     Then its requests go to engines with version 1 only
 
+  Scenario: A node that has started uses replaced weights for as long as no engine has newer ones
+    Given engines with versions 1, 3 and 3, and a node that finds version 4 published when it starts
+    Then its requests go to engines with version 3 only
+    When the grace period has passed since it started
+    Then its requests go to no engine
+
   Scenario: Few engines load at once, each is ordered once, and all reach the version
     Given 6 engines with version 1
     When version 2 is published and engines take 0.7 s to load
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -1,5 +1,7 @@
 """Steps on weight versions, rollouts and the leadership that they need, in virtual time."""
 
+import math
+
 from behave import given, then, when
 
 from features.gateway_store import MemoryStore
@@ -9,6 +11,7 @@
 from liftrill.coordination.store_position import position
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.leadership import ACTIVITY_KEY, LEADER_KEY, Leadership, TermParameters
@@ -17,6 +20,8 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 GRACE_SECONDS = 7.3
+# When a node has started and read the store, in virtual time.
+STARTED_AT = 100.0
 TICK_SECONDS = 0.1
 LEASE = LeaseParameters(time_to_live=2.0, renew_interval=0.7, retry_interval=0.3, safety_margin=0.5)
 QUIET_SECONDS = 3.3
@@ -479,8 +484,9 @@
     for number, version in enumerate((first, second, third)):
         record = engine_record(f"engine-{number}", weights={"model": version})
         context.engine_table.update(record)
-    targets = WeightTargets(GRACE_SECONDS)
-    targets.add(WeightTarget("model", published, 1), 100.0, age_known=False)
+    targets = context.targets = WeightTargets(GRACE_SECONDS, GRACE_SECONDS)
+    published_at = targets.earliest_publication(-math.inf, STARTED_AT)
+    targets.add(WeightTarget("model", published, 1), published_at, age_known=False, now=STARTED_AT)
     context.selector = EngineSelector(context.engine_table, targets, "zone-1")
 
 
@@ -495,5 +501,18 @@
 def step_go_to(context, version):
     for number in range(50):
         request = opaque_request(request_id=f"request-{number}")
-        choice = context.selector.choose(request, frozenset(), 100.5)
+        choice = context.selector.choose(request, frozenset(), STARTED_AT + 0.5)
         assert choice.weight_version == version, choice
+
+
+@when("the grace period has passed since it started")
+def step_grace_passed(context):
+    context.now = STARTED_AT + GRACE_SECONDS + 0.1
+
+
+@then("its requests go to no engine")
+def step_go_nowhere(context):
+    request = opaque_request(received_at=context.now, deadline=context.now + 10.0)
+    choice = context.selector.choose(request, frozenset(), context.now)
+    assert choice is Unavailable.NONE_READY, choice
+    assert context.targets.begin_by("model", 3) <= context.now
--- a/liftrill/gateway/weight_targets.py
+++ b/liftrill/gateway/weight_targets.py
@@ -24,11 +24,14 @@
             by it.
         age_known: False if the first read of the store returned it, so that it may have been
             published long before this process started.
+        bounds_from: since when older versions are used for no longer than the grace period: the
+            earliest publication or, if the age is unknown, when this node read the store.
     """
 
     version: int
     published_at: float
     learned_at: float
+    bounds_from: float
     age_known: bool = True
 
 
@@ -68,7 +71,11 @@
         learned_at = published_at
         if age_known and now is not None:
             learned_at = min(now, published_at + USUAL_STORE_LAG_S)
-        published.append(PublishedVersion(target.version, published_at, learned_at, age_known))
+        read_at = published_at if now is None else now
+        bounds_from = published_at if age_known else read_at
+        published.append(
+            PublishedVersion(target.version, published_at, learned_at, bounds_from, age_known)
+        )
         for listener in self._listeners:
             listener()
         return True
@@ -94,14 +101,13 @@
         """Return the lowest version on which a request may begin now."""
         published = self._published.get(model, [])
         limit = now - self.grace_seconds
-        timed = (p.version for p in published if p.age_known and p.published_at <= limit)
-        return max(timed, default=0)
+        return max((p.version for p in published if p.bounds_from <= limit), default=0)
 
     def newest_undated(self, model: str) -> int:
         """Return the newest version of unknown age, or 0.
 
         Requests use no lower version than this one or, while no engine has reached it, than the
-        newest version that a serving engine has.
+        newest version that a serving engine has, within the grace period.
         """
         return max(
             (p.version for p in self._published.get(model, []) if not p.age_known), default=0
@@ -115,7 +121,7 @@
     def begin_by(self, model: str, version: int) -> float:
         """Return the time by which a request must have begun on a version (steady clock)."""
         published = self._published.get(model, [])
-        newer = [p.published_at for p in published if p.age_known and p.version > version]
+        newer = [p.bounds_from for p in published if p.version > version]
         return min(newer) + self.begin_seconds if newer else math.inf
 
     def newer_versions(self, model: str, reached: int) -> list[PublishedVersion]:
