A node that stops answers on open connections until its last request has ended

Callers of a stopping node that passes on a peer's request met closed connections up to 1.1 s before the process exited: idle connections were closed when its own requests had ended, before those of peers had. They are closed last now. The new scenario of engine_partition fails without the change in three of three plays (calls 0.51 to 1.11 s before the exit) and passes in three of three with it.

--- a/features/engine_partition.feature
+++ b/features/engine_partition.feature
@@ -75,3 +75,10 @@
     And callers that call all nodes on "stream" and "stream" and note what they get
     When the links of the leader to all engines hang, and 1 s later new weights are named
     Then within 4 s all model engines have the new weights
+
+  Scenario: A node that stops closes its callers' connections while it passes on requests of a peer
+    Given a stand-in platform with 1 desk engines and 1 model engines
+    And 2 nodes whose links to engines can be cut
+    When the links of the first node to all engines are cut
+    And a stream of 4 s of the first node runs through the second, which is stopped
+    Then all calls on open connections are answered until 0.5 s before the exit
--- a/features/steps/engine_partition_steps.py
+++ b/features/steps/engine_partition_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import signal
 import time
 from collections import Counter
 from contextlib import suppress
@@ -16,6 +17,8 @@
 from features.standin.engine_links import CutKind, NodeLinks
 
 CALL_SPACING_S = 0.02
+# Time between the calls on connections that are idle after their first call.
+IDLE_STEP_S = 0.1
 SERVED, UNAVAILABLE = 200, 503
 MODEL_ROUTES = ("stream", "resume")
 
@@ -318,3 +321,50 @@
         return all(engine.weights["model-1"] == 2 for engine in engines)
 
     context.run(context.deployment.wait_until(all_loaded, seconds))
+
+
+@when("a stream of {seconds:g} s of the first node runs through the second, which is stopped")
+def step_stop_proxy(context, seconds):
+    context.run(stop_proxy(context, seconds))
+
+
+async def stop_proxy(context, seconds):
+    deployment = context.deployment
+    first, second = deployment.nodes
+    (engine,) = [e for e in deployment.engines.values() if e.service == "llm"]
+    engine.event_seconds = seconds / engine.events
+    headers = prompt_headers("model-1") | {"X-Deadline-Ms": "9000"}
+    context.stream = asyncio.ensure_future(deployment.call(first, "/stream/x", **headers))
+    sessions = [
+        await context.stack.enter_async_context(aiohttp.ClientSession())
+        for _ in range(round(seconds / IDLE_STEP_S))
+    ]
+    await asyncio.gather(*(call_once(deployment, session, second) for session in sessions))
+    second.signal(signal.SIGTERM)
+    calls = [
+        asyncio.ensure_future(call_once(deployment, session, second, IDLE_STEP_S * number))
+        for number, session in enumerate(sessions)
+    ]
+    await second.process.wait()
+    exited_at = time.monotonic()
+    called = await asyncio.gather(*calls)
+    context.unanswered_s = [exited_at - at for at, answered in called if not answered]
+
+
+async def call_once(deployment, session, node, after_s=0.0):
+    """Call a node after a time; return when it was called, and whether it answered."""
+    await asyncio.sleep(after_s)
+    called_at = time.monotonic()
+    try:
+        await deployment.call(node, "/whole/x", session=session)
+    except aiohttp.ClientError:
+        return called_at, False
+    return called_at, True
+
+
+@then("all calls on open connections are answered until {seconds:g} s before the exit")
+def step_answered_until_exit(context, seconds):
+    early = [f"{before_s:.2f}" for before_s in context.unanswered_s if before_s > seconds]
+    assert not early, f"unanswered calls, s before the exit: {early}"
+    status, _, _, complete = context.run(context.stream)
+    assert (status, complete) == (SERVED, True), (status, complete)
--- a/liftrill/gateway/draining.py
+++ b/liftrill/gateway/draining.py
@@ -22,6 +22,7 @@
     await asyncio.sleep(constants.STOP_LINGER_SECONDS)
     refuse_new()
     await server.wait_until_idle(deadline - loop.time())
-    server.close_idle()
     await gateway.paths.finish(deadline - loop.time())
     await gateway.stop()
+    # Last, because requests that arrive on open connections are answered until then.
+    server.close_idle()
