Launcher: a process that does not listen in time is reported with its log and its stacks

Such a process gets SIGABRT now and the error contains the end of its log with the stacks of its threads. Test: command_line, a process that listens at another address than its own.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -45,3 +45,9 @@
       | logs explain r1 MISSING | 1    | No such file or directory            |
       | logs summary DIRECTORY  | 1    | Is a directory                       |
       | logs explain            | 2    | the following arguments are required |
+
+  Scenario: A process of a bench that does not listen in time is reported with its stack
+    Given a process that listens at another address than its own
+    When the launcher waits 4 s until it listens
+    Then the error contains the stack of its main thread
+    And the process has ended
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from liftrill.bench.deployment import load_deployment
+from liftrill.bench.launcher import HOST, Cluster, LaunchError, ManagedProcess, free_ports
 from liftrill.bench.simulation.scenario import load_scenario
 from liftrill.cli.errors import error_table
 from liftrill.errors import SettingsError
@@ -162,3 +163,32 @@
     printed = context.result.stdout + context.result.stderr
     assert context.result.returncode == code, context.result
     assert output in printed and "Traceback" not in printed, printed
+
+
+@given("a process that listens at another address than its own")
+def step_elsewhere(context):
+    ports = free_ports(2)
+    arguments = ["emulate", "platform", f"--listen={HOST}:{ports[0]}"]
+    log_path = context.directory / "platform.log"
+    context.process = ManagedProcess("platform", arguments, f"{HOST}:{ports[1]}", log_path, {})
+    context.process.start()
+    context.stack.callback(context.process.stop)
+
+
+@when("the launcher waits {seconds:g} s until it listens")
+def step_wait_listening(context, seconds):
+    cluster = Cluster(load_deployment("sahil"), context.directory)
+    try:
+        context.run(cluster.wait_listening(context.process, seconds))
+    except LaunchError as error:
+        context.error = error
+
+
+@then("the error contains the stack of its main thread")
+def step_stack(context):
+    assert "most recent call first" in str(context.error), context.error
+
+
+@then("the process has ended")
+def step_process_ended(context):
+    assert context.process.wait(0.0) is not None
--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -26,6 +26,9 @@
 CACHE_SECRET = "cache-secret-of-the-launcher"
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 15.0
+# Time for a process to write the stacks of its threads after SIGABRT.
+ABORT_TIMEOUT_SECONDS = 5.0
+ERROR_LOG_CHARACTERS = 3_000
 POLL_INTERVAL_SECONDS = 0.05
 CLAIM_GROUP_SIZE = 3
 # Environment variable for the range of usable ports, as FIRST-LAST.
@@ -37,6 +40,10 @@
     """Raised when a process does not start or a condition does not hold within its timeout."""
 
 
+class ConditionTimeoutError(LaunchError):
+    """Raised when a condition does not hold within its timeout."""
+
+
 @dataclass(slots=True)
 class ManagedProcess:
     """A process that the launcher starts and stops."""
@@ -55,9 +62,19 @@
                 [sys.executable, "-m", "liftrill", *self.arguments],
                 stdout=log,
                 stderr=log,
-                env={**os.environ, **self.environment},
+                env={"PYTHONFAULTHANDLER": "1", **os.environ, **self.environment},
             )
 
+    def abort(self) -> str:
+        """End the process with SIGABRT, and return the end of its log, which has its stacks."""
+        self.send_signal(signal.SIGABRT)
+        self.wait(ABORT_TIMEOUT_SECONDS)
+        return self.last_log_lines()
+
+    def last_log_lines(self) -> str:
+        """Return the end of the log, for an error message."""
+        return self.log_path.read_text()[-ERROR_LOG_CHARACTERS:]
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -298,23 +315,31 @@
         ]
         return self._process(name, command, listen)
 
-    async def wait_listening(self, process: ManagedProcess) -> None:
+    async def wait_listening(
+        self, process: ManagedProcess, timeout_seconds: float = START_TIMEOUT_SECONDS
+    ) -> None:
         """Wait until a process accepts connections.
 
         Raises:
-            LaunchError: the process ended, or does not listen within the timeout.
+            LaunchError: the process ended, or does not listen within the timeout; in the latter
+                case it is ended, and the error contains the stacks of its threads.
         """
         host, _, port = process.address.rpartition(":")
 
         async def listening() -> bool:
             if process.process is not None and process.process.poll() is not None:
-                text = process.log_path.read_text()[-500:]
+                text = process.last_log_lines()
                 raise LaunchError(f"{process.name} ended before it accepted connections: {text}")
             _, writer = await asyncio.open_connection(host, int(port))
             writer.close()
             return True
 
-        await wait_until(listening, f"{process.name} accepts connections")
+        description = f"{process.name} accepts connections"
+        try:
+            await wait_until(listening, description, timeout_seconds)
+        except ConditionTimeoutError as error:
+            text = await asyncio.to_thread(process.abort)
+            raise LaunchError(f"{error}: {text}") from error
 
     async def _post(self, url: str, content: object) -> None:
         async with self.session.post(url, data=orjson.dumps(content)) as response:
@@ -339,7 +364,7 @@
     """Wait until an asynchronous condition holds; connection errors count as not held.
 
     Raises:
-        LaunchError: the condition does not hold within the timeout.
+        ConditionTimeoutError: the condition does not hold within the timeout.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout_seconds
@@ -350,7 +375,7 @@
         except (aiohttp.ClientError, OSError):
             pass
         await asyncio.sleep(POLL_INTERVAL_SECONDS)
-    raise LaunchError(f"condition not met within {timeout_seconds:.0f} s: {description}")
+    raise ConditionTimeoutError(f"condition not met within {timeout_seconds:.0f} s: {description}")
 
 
 def free_ports(count: int) -> list[int]:
