--- a/features/run.py
+++ b/features/run.py
@@ -27,8 +27,9 @@
 KNOWN_RED_LIMIT = 3
 # Half of the cores: many features start several processes and check durations.
 WORKERS = max(1, (os.cpu_count() or 1) // 2)
-# The processes of each worker use their own range of ports.
-FIRST_PORT, PORTS_OF_A_WORKER = 10_000, 2_000
+# The processes of each worker use their own range of ports. The first begins where the range in
+# the environment does, so that two runs at a time can use different ports.
+DEFAULT_FIRST_PORT, PORTS_OF_A_WORKER = 10_000, 2_000
 RESULTS_OPTION = "--results="
 # Characters of a failed check that are printed with the scenario's name: its first lines.
 MAX_REASON_LENGTH = 600
@@ -120,7 +121,8 @@
 
 
 def _run_worker(slot: int, options: list[str], path: str) -> list[Result]:
-    first = FIRST_PORT + slot * PORTS_OF_A_WORKER
+    first_port = int(os.environ.get(PORTS_VARIABLE, f"{DEFAULT_FIRST_PORT}-").partition("-")[0])
+    first = first_port + slot * PORTS_OF_A_WORKER
     ports = f"{first}-{first + PORTS_OF_A_WORKER - 1}"
     with tempfile.TemporaryDirectory(prefix="liftrill-results-") as directory:
         target = Path(directory) / "results.json"
