--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+from collections import Counter
 
 import orjson
 from behave import given, then, when
@@ -359,4 +360,6 @@
 @then('the checker of "{promise}" finds a violation')
 def step_violation(context, promise):
     verdict = verdict_of(context, promise)
-    assert verdict.violations, verdict
+    history = history_of(context)
+    executions = Counter((row["engine_id"], int(row["at"])) for row in history.executions)
+    assert verdict.violations, (verdict, history.leaving_marks, executions)
