Engines: software versions are counted when engines change, not with each record or interval

Each renewed record dropped the known versions of all services, and the next choice or first event counted all engines again; housekeeping counted them once more for the metric every 0.3 s. One count by service and version serves both; it is dropped when an engine comes, goes or changes its service.

The answers stay as they were. The new scenario of stream_origins holds the count to that: a renewed record keeps it, another service in a record changes it.

--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -306,6 +306,30 @@
     assert context.engines.software_versions("service-1", now + seconds + 1.0) == {VERSIONS[1]}
 
 
+@when("both engines renew their records")
+def step_renew(context):
+    context.counts = context.engines.version_counts()
+    for view in list(context.engines):
+        context.engines.update(replace(view.record, revision=2))
+
+
+@then("the versions are not counted again")
+def step_not_counted(context):
+    assert context.engines.version_counts() is context.counts
+
+
+@when("the second engine's record names another service")
+def step_other_service(context):
+    record = context.engines.get("engine-2").record
+    context.engines.update(replace(record, service="service-2", revision=3))
+
+
+@then("the first service has version {first} alone, and the other one {second}")
+def step_versions_of_services(context, first, second):
+    assert context.engines.recorded_versions("service-1") == {first}
+    assert context.engines.recorded_versions("service-2") == {second}
+
+
 @given("engines of version {new}, and a stream that began at {old}")
 def step_other_version(context, new, old):
     new_selector(context)
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -65,6 +65,13 @@
     Then a stream that began at v1.1 goes on at no engine, and one of v1.2 at either
     And both versions count as having served for 60 s
 
+  Scenario: Versions are counted again for each record that an engine renews
+    Given a record of an engine at version v1.1, and of one at v1.2
+    When both engines renew their records
+    Then the versions are not counted again
+    When the second engine's record names another service
+    Then the first service has version v1.1 alone, and the other one v1.2
+
   Scenario Outline: A caller comes back in vain for a version that serves no more
     Given engines of version v1.2, and a stream that began at v1.1
     When the engines of v1.1 <end>
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -1,5 +1,6 @@
 """The engines as seen by one node: their records, loads and health."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -224,7 +225,8 @@
         self.services: frozenset[str] = frozenset()
         self.conditions = EngineConditions()
         self.removed_versions = VersionHistory()
-        self._recorded_versions: dict[str, frozenset[str]] = {}
+        # None after the engines changed, until it is asked for.
+        self._version_counts: Counter[tuple[str, str]] | None = None
         # By engine id: revision up to which records that this node has not read yet are withheld.
         self._withheld: dict[str, int] = {}
 
@@ -263,12 +265,17 @@
 
     def recorded_versions(self, service: str) -> frozenset[str]:
         """Return the software versions in the records of a service's engines."""
-        known = self._recorded_versions.get(service)
-        if known is None:
-            records = (view.record for view in self._views.values())
-            known = frozenset(r.software_version for r in records if r.service == service)
-            self._recorded_versions[service] = known
-        return known
+        return frozenset(version for named, version in self.version_counts() if named == service)
+
+    def version_counts(self) -> Counter[tuple[str, str]]:
+        """Return how many engines have records, by service and software version.
+
+        The same object is returned until the counts can have changed.
+        """
+        if self._version_counts is None:
+            records = (view.record for view in self)
+            self._version_counts = Counter((r.service, r.software_version) for r in records)
+        return self._version_counts
 
     def update(self, record: EngineRecord) -> EngineView | None:
         """Apply a record; return the view of its incarnation, or None if the record is not used.
@@ -276,7 +283,6 @@
         A new incarnation under a known id starts with a fresh view: loads, speed and weights of
         the previous incarnation do not apply to it.
         """
-        self._recorded_versions.clear()
         self._record_start(record)
         if self._starts_reported and not record.born_unix_ms:
             self.withdraw(record.engine_id, record.revision)
@@ -289,6 +295,8 @@
             view = None
         if view is not None and view.withdrawn and record.revision <= view.record.revision:
             return view
+        if view is None or view.record.service != record.service:
+            self._version_counts = None
         if view is None:
             view = self._views[record.engine_id] = EngineView(record)
             view.condition = self.conditions.of(view.identity)
@@ -393,8 +401,8 @@
     def remove(self, engine_id: str) -> None:
         """Remove an engine whose record was removed."""
         view = self._views.pop(engine_id, None)
-        self._recorded_versions.clear()
         if view is not None:
+            self._version_counts = None
             record, drained = view.record, view.leaving
             view.gone = True
             self.removed_versions.record_removed(
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -148,10 +148,8 @@
 
     def _export_versions(self) -> None:
         """Export how many engines of each software version have records, if that changed."""
-        counts = Counter(
-            (view.record.service, view.record.software_version) for view in self._engines
-        )
-        if counts == self._exported:
+        counts = self._engines.version_counts()
+        if counts is self._exported:
             return
         self._exported = counts
         self._metrics.engine_versions.clear()
