Features: one reader of the nodes' log lines, and the name of a queue entry's field

Deployment.logged returns decoded rows: four steps decoded its lines themselves, and engine_words read a node's log again. The step on an ended engine compares the engine's id, where it looked for it anywhere in the line. QueueEntry's docstring names retry_status, which is what the field is called.

--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import os
 import signal
 import sys
@@ -318,9 +319,9 @@
         return [arrival for engine in self.engines.values() for arrival in engine.arrivals]
 
     def logged(self, kind):
-        """Return the log lines of one kind of all nodes."""
+        """Return the fields of the log lines of one kind of all nodes."""
         lines = [line for node in self.nodes for line in node.log().splitlines()]
-        return [line for line in lines if f'"liftrill:{kind}"' in line]
+        return [json.loads(line) for line in lines if f'"liftrill:{kind}"' in line]
 
 
 def terminate(node):
--- a/features/steps/brittle_engine_steps.py
+++ b/features/steps/brittle_engine_steps.py
@@ -1,7 +1,6 @@
 """Steps on brittle engines, with nodes as separate processes."""
 
 import asyncio
-import json
 import time
 from contextlib import suppress
 
@@ -134,7 +133,7 @@
         assert status == UNAVAILABLE and retry_after, (status, took_s, retry_after)
     # Callers and engines share the process of the test, which can be late: each refusal is checked
     # by the log of its node, and most of them by the caller's clock.
-    ended = map(json.loads, context.deployment.logged("request"))
+    ended = context.deployment.logged("request")
     at_nodes_s = [row["milliseconds"] / 1000 for row in ended if row["outcome"] == "not_run"]
     assert all(took_s < seconds for took_s in at_nodes_s), sorted(at_nodes_s)[-5:]
     in_time = sum(took_s < seconds for _, took_s, _ in refused)
--- a/features/steps/engine_partition_steps.py
+++ b/features/steps/engine_partition_steps.py
@@ -255,7 +255,7 @@
 @then("a node has logged that this engine ended")
 def step_end_logged(context):
     ended = context.deployment.logged("engine_ended")
-    assert any(context.crashed.engine_id in line for line in ended), ended
+    assert any(row["engine"] == context.crashed.engine_id for row in ended), ended
 
 
 @when(
--- a/features/steps/engine_word_process_steps.py
+++ b/features/steps/engine_word_process_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import json
 import time
 from contextlib import suppress
 from dataclasses import dataclass
@@ -232,8 +231,7 @@
 @then("the node has logged each of the two names once, and counts {count:d}")
 def step_unread_logged(context, count):
     (node,) = context.deployment.nodes
-    lines = [line for line in node.log().splitlines() if '"liftrill:unread_header"' in line]
-    names = sorted(json.loads(line)["name"] for line in lines)
+    names = sorted(row["name"] for row in context.deployment.logged("unread_header"))
     assert names == ["server-color", "server-mood"], names
 
     async def metrics():
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -1,7 +1,6 @@
 """Steps on engines of several software versions, with nodes as separate processes."""
 
 import asyncio
-import json
 import statistics
 import time
 
@@ -385,10 +384,9 @@
     These may have run, so that they must not be refused as if they had not.
     """
     crashed = {e.engine_id for e in context.deployment.engines.values() if e.crashed.is_set()}
-    failures = map(json.loads, context.deployment.logged("attempt_failed"))
     return {
         row["request"]
-        for row in failures
+        for row in context.deployment.logged("attempt_failed")
         if row["engine"] in crashed and row["outcome"].startswith("broken")
     }
 
@@ -411,12 +409,10 @@
     The time for which a node asks others for the origin of a stream does not count.
     """
     logged = context.deployment.logged
-    asked_ms = {
-        row["request"]: row["asked_ms"] for row in map(json.loads, logged("stream_resumed"))
-    }
+    asked_ms = {row["request"]: row["asked_ms"] for row in logged("stream_resumed")}
     return [
         row["milliseconds"] - asked_ms.get(row["request"], 0.0)
-        for row in map(json.loads, logged("request"))
+        for row in logged("request")
         if row["request"] in request_ids and row["outcome"] == "not_run" and not row["attempts"]
     ]
 
--- a/liftrill/gateway/admission/request_queue.py
+++ b/liftrill/gateway/admission/request_queue.py
@@ -38,7 +38,7 @@
         tokens: tokens charged to the tenant when the request is dispatched.
         latest_start: time by which the request must begin to be answered within its target.
         until: time until which the request waits.
-        standing: retry status, which ranks the request among equally urgent ones.
+        retry_status: retry status, which ranks the request among equally urgent ones.
         needs_capacity: whether engines are ready and lack capacity; False if none is ready.
         required_software_version: the only software version that may serve the request, or None.
     """
