--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 FOR_S = 5.0
 ANSWERS_PER_SPOILED = 20
 # The links of the site carry 1,000 Mbit/s, which is 125 bytes a microsecond.
-PIECE_BYTES = 500_000
+PIECE_BYTES = 600_000
 PIECE_S = 0.005
 MEMORY_CHECK_S = 0.02
 RESTART_S = 0.5
@@ -86,7 +86,7 @@
     """Send requests on kept connections, and count those that were cut without an answer."""
     executed: dict[str, str] = {}
     async with Deployment(4, record, nodes=2) as deployment:
-        routes = [route("book", "non_idempotent", "desk", TimeoutMs=2000, MaxAttempts=1)]
+        routes = [route("book", "non_idempotent", "desk", TimeoutMs=1500, MaxAttempts=1)]
         deployment.store.put(
             "op/config",
             configuration(1, routes, [plain_service("desk")], [tenant("tenant-1", KEY)]),
