--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,6 +20,9 @@
 PAUSE_RANGE_S = (0.02, 0.1)
 WORK_S = 0.25
 FOR_S = 5.0
+# No answer is spoiled later than this, so that the last one has ended after 5 s: the node waits for
+# an answer no longer than the route's timeout.
+SPOILS_FOR_S = 3.5
 ANSWERS_PER_SPOILED = 20
 # The links of the site carry 1,000 Mbit/s, which is 125 bytes a microsecond.
 PIECE_BYTES = 600_000
@@ -108,7 +111,9 @@
             asyncio.ensure_future(client.run("/book/title", stop, PAUSE_RANGE_S))
             for client in clients
         ]
-        await asyncio.sleep(FOR_S)
+        await asyncio.sleep(SPOILS_FOR_S)
+        deployment.engines[0].spoils = False
+        await asyncio.sleep(FOR_S - SPOILS_FOR_S)
         stop.set()
         await asyncio.gather(*running)
         watching.cancel()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 from stand_ins.times import now_s
 
 KEY = "key-of-tenant-1"
-REQUESTS = 66
+REQUESTS = 48
 REQUESTS_PER_S = 12
 EVENTS = 40
 EVENT_S = 0.05
@@ -49,7 +49,7 @@
             self.copies.add(f"{request.header('X-Kv-Backup')}/{attempt}")
         first = int(request.header("Last-Event-Id", "0")) + 1
         self.count += 1
-        is_lost = self.loses and not copy and self.count % ANSWERS_PER_LOST == 1
+        is_lost = self.loses and not copy and self.count % ANSWERS_PER_LOST == 0
         how = f"goes on with {attempt} at event {first}" if copy else f"runs {attempt}"
         self.record_file.write(f"engine {self.engine_id} {how}")
         work = [self.engine_id, now_s(), 0.0]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,6 +33,8 @@
 EVENT_S = 0.1
 # How long the engine that crashes has had the newer weights by then.
 NEWER_WEIGHTS_S = 0.3
+# The entry of an engine that is lost goes after three heartbeats of silence.
+ENTRY_GONE_S = 3 * 1.2
 
 
 @dataclass
@@ -179,6 +181,8 @@
         elif trouble:
             record.write(f"engine {engine.engine_id} crashes on version {engine.weights[MODEL]}")
             engine.crash()
+            loop = asyncio.get_running_loop()
+            loop.call_later(ENTRY_GONE_S, deployment.store.remove, f"servers/{engine.engine_id}")
         answers = await asyncio.gather(*pending)
     whole = sum(answer is not None and answer.complete for _, answer in answers)
     record.write(f"{whole} of {STREAMS} clients got a whole stream")
