Responses of any length end no process: limits on all bytes that a peer may send

Cause: no reader bounded what it kept. `response.read()` took a body of any length; aiohttp queues a message of some 2.7 KB for each interim response of 28 bytes; EventSplitter kept a partial event, and joined and split all of it for each piece. Ruled out: flow control (the reader goes on taking), the callers' memory budget (it counts an answer once it is read).

Heads are parsed one by one, so that bytes after a complete answer no longer discard it (it was a 502). Events are read 16 KB at a time and 64 in a turn: a piece with thousands of events kept the loop busy until callers of other engines got 503.

--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import os
+import re
 import signal
 import sys
 from pathlib import Path
@@ -192,6 +193,11 @@
     def log(self):
         return self.log_path.read_text()
 
+    def memory_megabytes(self, field):
+        """Return a field of the process's status file, such as VmHWM for its peak."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(rf"{field}:\s+(\d+)", status)[1]) / 1024
+
 
 class Deployment:
     """A store, engines and nodes."""
@@ -284,20 +290,23 @@
             return await answer.json()
 
     async def call(
-        self,
-        node,
-        path,
-        method="POST",
-        key=KEY,
-        model="",
-        body=b"body",
-        session=None,
-        **headers,
+        self, node, path, method="POST", key=KEY, model="", body=b"body", session=None, **headers
     ):
         """Send a request; return its status, headers, body and whether the body was complete.
 
         Without a session of its own it uses a new connection.
         """
+        opened = self.open_call(node, path, method, key, model, body, session, **headers)
+        async with opened as answer:
+            try:
+                return answer.status, answer.headers, await answer.read(), True
+            except aiohttp.ClientPayloadError:
+                return answer.status, answer.headers, b"", False
+
+    def open_call(
+        self, node, path, method="POST", key=KEY, model="", body=b"body", session=None, **headers
+    ):
+        """Send a request; return the context manager of its answer."""
         sent = {
             "Host": HOST,
             "X-Attempt-Id": f"{next(_ids):016x}",
@@ -309,11 +318,12 @@
         url = URL(f"http://{node.address('Front')}{path}", encoded=True)
         data = body if method == "POST" else None
         session = session or self.session
-        async with session.request(method, url, headers=sent, data=data) as answer:
-            try:
-                return answer.status, answer.headers, await answer.read(), True
-            except aiohttp.ClientPayloadError:
-                return answer.status, answer.headers, b"", False
+        return session.request(method, url, headers=sent, data=data)
+
+    async def metrics(self, node):
+        """Return the metrics page of a node."""
+        async with self.session.get(f"http://{node.address('Metrics')}/metrics") as answer:
+            return await answer.text()
 
     def arrivals(self):
         return [arrival for engine in self.engines.values() for arrival in engine.arrivals]
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from features.standin.connections import reset
+from features.standin.endless_answers import ENDLESS, send_endless
 
 SIGNATURE = "stand-in-signature"
 # A longer `Retry-After` counts as a mistake of the engine, and nodes need not obey it.
@@ -26,6 +27,7 @@
         ran: whether it was run.
         finished: whether its answer was complete.
         cut: whether its connection was closed before the answer was complete.
+        fault: the misbehaviour that its answer shows, or "".
         answered_at: when the head of the answer was written, or None.
         announced_leaving: whether the answer announced that the engine leaves.
         retry_after_s: the valid `Retry-After` of the answer, or 0.
@@ -43,6 +45,7 @@
     ran: bool = False
     finished: bool = False
     cut: bool = False
+    fault: str = ""
     answered_at: float | None = None
     announced_leaving: bool = False
     retry_after_s: float = 0.0
@@ -79,6 +82,18 @@
 }
 
 
+MISBEHAVIOURS = {
+    "close",
+    "hang",
+    "fail",
+    "reset_unframed",
+    "end",
+    "extra_garbage",
+    *UNFRAMED_ENDINGS,
+    *ENDLESS,
+}
+
+
 # The kinds of answers in which an engine may announce that it leaves.
 ANSWER_KINDS = frozenset(("whole", "head", "refusal", "report", "order"))
 # The kinds that answer a caller's request.
@@ -94,7 +109,9 @@
 
     Attributes:
         fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
-            "extra", "extra_late", "reset_unframed", "torn", "hang", "fail".
+            "extra", "extra_late", "reset_unframed", "torn", "hang", "fail",
+            "extra_garbage", or a key of ENDLESS.
+        body_bytes: the size of its whole answers, or 0 for a short text.
         refuses_orders: whether it answers orders as if it were busy.
         crashes_on: the bodies of the requests that crash it.
         crashes_on_parts: the ids of the prompt parts that crash it when it begins an answer.
@@ -125,6 +142,7 @@
     load_seconds: float = 0.2
     fault: str = ""
     fault_count: int = 1
+    body_bytes: int = 0
     refuses_orders: bool = False
     address: str = ""
     crashes_on: frozenset = frozenset()
@@ -151,6 +169,8 @@
         self.arrivals = []
         self.reports = []
         self.orders = []
+        # The sent bytes and the duration of each endless answer.
+        self.endless = []
         self.sequence = 0
         self.highest_fence = 0
         self.loading = False
@@ -301,13 +321,19 @@
         if arrival.body in self.crashes_on or not self.crashes_on_parts.isdisjoint(arrival.parts):
             fault = "end"
         headers = {"X-Attempt-Id": arrival.attempt_id, "X-Response-Signature": SIGNATURE}
-        if fault in ("close", "hang", "fail", "reset_unframed", "end", *UNFRAMED_ENDINGS):
+        if fault in MISBEHAVIOURS:
+            arrival.fault = fault
             return await self._misbehave(request, headers, fault)
         if model:
             return await self._stream(request, arrival, headers, fault)
         return await self._whole(request, arrival, headers, fault)
 
     async def _misbehave(self, request, headers, fault):
+        if fault in ENDLESS:
+            await send_endless(request.transport, headers, fault, self.endless)
+            return web.Response()
+        if fault == "extra_garbage":
+            return await self._answer_with_garbage(request, headers)
         if fault in UNFRAMED_ENDINGS:
             return await self._answer_unframed(request, headers, UNFRAMED_ENDINGS[fault])
         if fault == "hang":
@@ -353,7 +379,8 @@
             headers["X-Attempt-Id"] = "0000000000000000"
         headers = {**headers, **self._announcements("whole")}
         arrival.note_answer(headers)
-        response = web.Response(body=f"answer to {arrival.attempt_id}".encode(), headers=headers)
+        body = f"answer to {arrival.attempt_id}".encode().ljust(self.body_bytes, b".")
+        response = web.Response(body=body, headers=headers)
         if fault in ("extra", "extra_late"):
             await self._send_twice(request, response, 0.05 if fault == "extra_late" else 0.0)
         arrival.finished = True
@@ -368,6 +395,14 @@
         else:
             request.transport.write(extra)
 
+    async def _answer_with_garbage(self, request, headers):
+        """Send a complete answer and more bytes in one segment, and leave the connection open."""
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        head = f"HTTP/1.1 200 OK\r\n{lines}Content-Length: 5\r\n\r\n"
+        request.transport.write(f"{head}whole and more".encode())
+        await asyncio.sleep(1.0)
+        return web.Response()
+
     async def _reset_unframed(self, request, headers):
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         request.transport.write(f"HTTP/1.1 200 OK\r\n{lines}\r\nhalf".encode())
--- a/features/steps/holding_process_steps.py
+++ b/features/steps/holding_process_steps.py
@@ -4,7 +4,6 @@
 import re
 import socket
 import time
-from pathlib import Path
 
 from behave import given, then, when
 
@@ -36,11 +35,6 @@
     return reader, writer
 
 
-def memory_megabytes(context, field):
-    status = Path(f"/proc/{context.deployment.nodes[0].process.pid}/status").read_text()
-    return int(re.search(rf"{field}:\s+(\d+)", status)[1]) / 1024
-
-
 def add_node(context, changes):
     async def add():
         node = await context.deployment.add_node("node-1", changes=changes)
@@ -50,12 +44,6 @@
     context.run(add())
 
 
-async def metrics_of(context):
-    url = f"http://{context.deployment.nodes[0].address('Metrics')}/metrics"
-    async with context.deployment.session.get(url) as answer:
-        return await answer.text()
-
-
 @given("a node with a memory limit of {megabytes:d} MB")
 def step_limited_node(context, megabytes):
     limits = f"{{ MemoryMb = {megabytes} }}"
@@ -192,7 +180,7 @@
 @then("the node holds nothing for callers")
 def step_holds_nothing(context):
     async def nothing():
-        text = await metrics_of(context)
+        text = await context.deployment.metrics(context.deployment.nodes[0])
         held = re.findall(r"liftrill_held_bytes{.*} (\S+)", text)
         return len(held) == 3 and set(held) == {"0.0"}
 
@@ -208,7 +196,7 @@
 
 @then("the process has never used more than {megabytes:d} MB")
 def step_peak(context, megabytes):
-    peak = memory_megabytes(context, "VmHWM")
+    peak = context.deployment.nodes[0].memory_megabytes("VmHWM")
     print(f"peak {peak:.0f} MB")
     assert peak <= megabytes, peak
 
@@ -258,5 +246,5 @@
     assert len(lines) == count, lines
     assert all(f'"why":"{reason}"' in line for line in lines), lines[0]
 
-    text = context.run(metrics_of(context))
+    text = context.run(context.deployment.metrics(context.deployment.nodes[0]))
     assert f'liftrill_slow_callers_total{{reason="{reason}"}} {count}.0' in text, text
--- a/liftrill/cli/operator.py
+++ b/liftrill/cli/operator.py
@@ -11,6 +11,7 @@
 
 from liftrill.cli.operator_client import OperatorClient
 from liftrill.errors import SettingsError
+from liftrill.limited_response import LimitedResponse
 from liftrill.settings_file import read_toml
 
 DEFAULT_NODE = "127.0.0.1:8080"
@@ -139,7 +140,7 @@
         )
 
     async def run() -> dict[str, Any]:
-        async with aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession(response_class=LimitedResponse) as session:
             return await action(OperatorClient(session, node, key, getpass.getuser()))
 
     return uvloop.run(run())
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -1,5 +1,6 @@
 """Drives one delivery: executes the state machine's instructions, one attempt at a time."""
 
+import asyncio
 import math
 from abc import ABC, abstractmethod
 from collections import deque
@@ -22,6 +23,8 @@
 # Engines abort a response that stays unread for some seconds. If the caller delayed the reading
 # by less than this in all, that is not why the attempt was interrupted.
 UNREAD_RESPONSE_S = 1.0
+# An engine that sends many events at once must not keep other requests waiting.
+EVENTS_PER_TURN = 64
 BYTES_PER_KILOBYTE = 1024
 FIRST_CLIENT_ERROR = 400
 
@@ -140,10 +143,14 @@
             self._sink.abort_stream()
             return
         pending: deque[events.DeliveryEvent] = deque([first])
+        handled = 0
         while not self._ended:
             # A read may return no event: its bytes complete none.
             while not pending:
                 pending.extend(await self._read())
+            handled += 1
+            if handled % EVENTS_PER_TURN == 0:
+                await asyncio.sleep(0)
             event = pending.popleft()
             for instruction in self._machine.handle(event):
                 pending.extend(await self._execute(instruction))
@@ -203,10 +210,16 @@
             elif self._view is not None:
                 self._owner.record_attempt_event(self._view, event, self._times.sent_at)
             self._owner.log.attempt_event(self._machine, event, self._times)
-            if is_interrupted and self._view is not None and not self._caller_stalled():
-                await self._owner.run_lost(self._machine, self._view, self._times)
+            if isinstance(event, events.AttemptInterrupted):
+                await self._handle_interruption(event)
         return received
 
+    async def _handle_interruption(self, event: events.AttemptInterrupted) -> None:
+        if event.is_rejected:
+            self._owner.metrics.rejected_responses.inc()
+        elif self._view is not None and not self._caller_stalled():
+            await self._owner.run_lost(self._machine, self._view, self._times)
+
     def _caller_stalled(self) -> bool:
         return self.caller_wait_s - self._caller_wait_at_start_s > UNREAD_RESPONSE_S
 
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -40,9 +40,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptInterrupted:
-    """The attempt was sent and ended without a complete response; it may have run."""
+    """The attempt was sent and ended without a complete response; it may have run.
+
+    Attributes:
+        is_rejected: whether this node ended it because what the engine sent is no valid response.
+    """
 
     reason: str = ""
+    is_rejected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/event_stream.py
+++ b/liftrill/gateway/event_stream.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from liftrill.response_limits import MAX_EVENT_BYTES, ResponseTooLargeError
+
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
 
@@ -23,17 +25,42 @@
     """Splits bytes into complete events, and keeps a partial event at the end."""
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
         """Whether bytes of an incomplete event are left."""
         return bool(self._partial)
 
+    @property
+    def limit_error(self) -> ResponseTooLargeError | None:
+        """The limit that the incomplete event exceeds, or None."""
+        if len(self._partial) <= MAX_EVENT_BYTES:
+            return None
+        return ResponseTooLargeError("event", len(self._partial), MAX_EVENT_BYTES)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes, and return the events that they complete."""
-        *complete, self._partial = (self._partial + data).split(SEPARATOR)
-        return [StreamEvent(_event_id(block), block + SEPARATOR) for block in complete]
+        if not self._partial:
+            *blocks, rest = data.split(SEPARATOR)
+            self._partial += rest
+        else:
+            blocks = self._feed_partial(data)
+        return [StreamEvent(_event_id(block), block + SEPARATOR) for block in blocks]
+
+    def _feed_partial(self, data: bytes) -> list[bytes]:
+        """Add received bytes to the partial event; search none of its bytes again."""
+        # The partial event may end with half of a separator.
+        searched = len(self._partial) - 1
+        self._partial += data
+        blocks = []
+        start, end = 0, self._partial.find(SEPARATOR, searched)
+        while end >= 0:
+            blocks.append(bytes(self._partial[start:end]))
+            start = end + len(SEPARATOR)
+            end = self._partial.find(SEPARATOR, start)
+        del self._partial[:start]
+        return blocks
 
 
 def _event_id(block: bytes) -> int | None:
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -40,6 +40,11 @@
             "liftrill_quota_refusals", "Requests over the limit of their tenant.", "tenant"
         )
         self.attempts = Counter("liftrill_attempts", "Attempts sent.", registry=self.registry)
+        self.rejected_responses = Counter(
+            "liftrill_rejected_responses",
+            "Responses of engines that were invalid or too large.",
+            registry=self.registry,
+        )
         self.store_calls = self._counter("liftrill_store_calls", "Store calls by kind.", "kind")
         self.orders = self._counter("liftrill_orders", "Engine orders by answer.", "answer")
         self.request_seconds = Histogram(
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -2,8 +2,8 @@
 
 By itself, aiohttp sends requests with idempotent methods again when a kept-alive connection turns
 out to be closed, takes bytes that arrive on an idle connection for the next response, and takes a
-body without a length for complete even if the connection was reset. Each of these would break a
-guarantee of the gateway, so they are disabled here.
+body without a length for complete even if the connection was reset. It reads responses of any
+length. Each of these would break a guarantee of the gateway, so they are disabled here.
 """
 
 import asyncio
@@ -24,6 +24,8 @@
 from liftrill.errors import LiftrillError
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.transport import ProbeResult, allow_send
+from liftrill.limited_response import cut_off_error, limited_response
+from liftrill.response_limits import MAX_STORE_BODY_BYTES, BodyLimits, FramingLimit
 
 # A partitioned peer sends nothing: unacknowledged data or keep-alive probes end the connection.
 USER_TIMEOUT_MILLISECONDS = 2_000
@@ -41,17 +43,19 @@
 
 
 class GuardedResponseHandler(ResponseHandler):
-    """A client connection that closes on unsolicited bytes and detects resets."""
+    """A client connection that closes on unsolicited or endless bytes and detects resets."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
         self._response_count = 0
+        self._framing = FramingLimit()
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the response to a request that is about to be sent."""
         self._response_count = 0
+        self._framing = FramingLimit()
         super().set_response_params(**parameters)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -60,17 +64,29 @@
         if message.code >= FIRST_FINAL_STATUS:
             self._response_count += 1
             self._idle_limit_s = idle_limit_s(message.headers.get("Keep-Alive", ""))
+        else:
+            self._framing.add_interim_response()
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes (asyncio callback); close if no response is due."""
         if data and self._is_idle():
-            self._should_close = True
-            if self.transport is not None:
-                self.transport.abort()
+            self._abort()
             return
         self._last_data_at = clock.now_s()
+        # Heads are parsed one by one: an error in what follows must not discard a response.
+        while data and not self._response_count:
+            length = self._framing.head_length(data)
+            head, data = data[:length], data[length:]
+            super().data_received(head)
+            if not self._check_framing(length):
+                return
+        if data and self._is_idle():
+            self._abort()
+            return
         super().data_received(data)
+        if self._response_count:
+            self._check_framing(len(data))
 
     def is_connected(self) -> bool:
         """Return whether another request may be sent, because the peer is not about to close."""
@@ -88,6 +104,26 @@
             )
         super().connection_lost(exc)
 
+    def _check_framing(self, received_bytes: int) -> bool:
+        """Return whether more may be received; otherwise close the connection."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        payload = self._payload
+        exceeded = self._framing.add(received_bytes, payload.total_bytes if payload else 0)
+        if exceeded is None:
+            return True
+        error = cut_off_error(exceeded)
+        self.set_exception(error)
+        if payload is not None:
+            set_exception(payload, error)
+        self._abort()
+        return False
+
+    def _abort(self) -> None:
+        self._should_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def _is_idle(self) -> bool:
         payload_over = self._payload is None or self._payload.is_eof()
         return self._response_count > 0 and payload_over
@@ -171,7 +207,7 @@
 
 def new_engine_session(limit_per_host: int = 0) -> aiohttp.ClientSession:
     """Return a session that sends each request once and does not alter responses."""
-    return _new_session(limit_per_host=limit_per_host, keepalive_timeout=MAX_IDLE_S)
+    return _new_session(BodyLimits(), limit_per_host=limit_per_host, keepalive_timeout=MAX_IDLE_S)
 
 
 def new_store_session() -> aiohttp.ClientSession:
@@ -180,10 +216,11 @@
     An established connection may stop delivering data while new ones work. A call on a kept-alive
     connection would notice only at its timeout, and the next call could use another such one.
     """
-    return _new_session(force_close=True)
+    limits = BodyLimits(MAX_STORE_BODY_BYTES, MAX_STORE_BODY_BYTES)
+    return _new_session(limits, force_close=True)
 
 
-def _new_session(**options: Any) -> aiohttp.ClientSession:
+def _new_session(body_limits: BodyLimits, **options: Any) -> aiohttp.ClientSession:
     connector = CheckingConnector(
         limit=0,
         use_dns_cache=False,
@@ -198,6 +235,7 @@
     )
     session = aiohttp.ClientSession(
         connector=connector,
+        response_class=limited_response(body_limits),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
--- a/liftrill/gateway/relay_client.py
+++ b/liftrill/gateway/relay_client.py
@@ -21,6 +21,7 @@
     encode_question,
 )
 from liftrill.gateway.relay_server import AFTER_PARAMETER, ERA_PARAMETER
+from liftrill.response_limits import MAX_STORE_BODY_BYTES
 
 _nonces = itertools.count(1)
 
@@ -111,7 +112,7 @@
             async with (
                 aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
                 asyncio.timeout(self._listener.reader_timeout_s()) as opening,
-                session.ws_connect(url, max_msg_size=0) as socket,
+                session.ws_connect(url, max_msg_size=MAX_STORE_BODY_BYTES) as socket,
             ):
                 opening.reschedule(None)
                 await self._listen(socket)
--- /dev/null
+++ b/liftrill/gateway/response_reader.py
@@ -0,0 +1,42 @@
+"""Reads the responses of engines as events of a delivery."""
+
+import aiohttp
+
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway.event_stream import EventSplitter
+from liftrill.response_limits import ResponseTooLargeError
+
+# Many small events that arrive at once are processed in several turns.
+READ_BYTES = 16_384
+
+
+def interruption(error: Exception) -> events.AttemptInterrupted:
+    """Return the event of an error that ended an attempt after its request was sent."""
+    if isinstance(error, ResponseTooLargeError):
+        return events.AttemptInterrupted(str(error), is_rejected=True)
+    return events.AttemptInterrupted(type(error).__name__)
+
+
+class EventReader:
+    """Reads the events of one streamed response."""
+
+    def __init__(self, content: aiohttp.StreamReader) -> None:
+        self._content = content
+        self._splitter = EventSplitter()
+
+    async def read(self) -> list[events.DeliveryEvent]:
+        """Return the events in the next bytes of the stream."""
+        try:
+            data = await self._content.read(READ_BYTES)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return [interruption(error)]
+        if not data:
+            if self._splitter.has_partial_event:
+                return [events.AttemptInterrupted("incomplete event at the end of the stream")]
+            return [events.StreamCompleted()]
+        received: list[events.DeliveryEvent] = [
+            events.EventReceived(event) for event in self._splitter.feed(data)
+        ]
+        if (exceeded := self._splitter.limit_error) is not None:
+            received.append(interruption(exceeded))
+        return received
--- /dev/null
+++ b/liftrill/limited_response.py
@@ -0,0 +1,61 @@
+"""aiohttp's response, whose body is read only up to limits."""
+
+import aiohttp
+from aiohttp.helpers import set_exception
+
+from liftrill.response_limits import BodyLimits, ResponseTooLargeError
+
+
+class ResponseCutOffError(ResponseTooLargeError, aiohttp.ClientPayloadError):
+    """The connection of a response that exceeds a limit was closed."""
+
+
+def cut_off_error(exceeded: ResponseTooLargeError) -> ResponseCutOffError:
+    """Return the error that aiohttp's callers get for an exceeded limit."""
+    return ResponseCutOffError(exceeded.what, exceeded.received_bytes, exceeded.limit)
+
+
+class LimitedResponse(aiohttp.ClientResponse):
+    """A response whose body is read only up to limits.
+
+    Attributes:
+        body_limits: the limits that all responses of a session share.
+    """
+
+    body_limits = BodyLimits()
+
+    async def read(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            ResponseCutOffError: the body is too large, or the bodies of all responses are.
+        """
+        if self._body is None:
+            try:
+                self._body = await self._read_limited()
+            except ResponseTooLargeError as error:
+                self.close()
+                raise cut_off_error(error) from error
+            except BaseException:
+                self.close()
+                raise
+        return await super().read()
+
+    async def _read_limited(self) -> bytes:
+        body = self.body_limits.begin(self.content_length or 0, self._evict)
+        try:
+            while data := await self.content.readany():
+                self.body_limits.add(body, data)
+            return b"".join(body.pieces)
+        finally:
+            self.body_limits.end(body)
+
+    def _evict(self, error: ResponseTooLargeError) -> None:
+        set_exception(self.content, cut_off_error(error))
+        if self._connection is not None:
+            self._connection.close()
+
+
+def limited_response(limits: BodyLimits) -> type[LimitedResponse]:
+    """Return the response class of a session with its own limits."""
+    return type("LimitedResponse", (LimitedResponse,), {"body_limits": limits})
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -10,6 +10,7 @@
 
 from liftrill import clock, constants
 from liftrill.cache.directory import PrefixDirectory
+from liftrill.limited_response import limited_response
 from liftrill.mechanisms import DISABLED, Mechanism, is_enabled
 from liftrill.node.caller_api import CallerApi, error_middleware
 from liftrill.node.claim_service import ClaimService
@@ -32,6 +33,7 @@
 from liftrill.node.settings import NodeSettings
 from liftrill.planning.commit import PlanCommitter
 from liftrill.planning.sections import ConfigurationView
+from liftrill.response_limits import BodyLimits
 from liftrill.routing.admission import AdmissionController
 from liftrill.routing.engine_records import EngineRecords
 from liftrill.routing.engine_state import EngineTable
@@ -53,7 +55,8 @@
         """Serve until a stop signal; return whether all requests have ended before the stop."""
         self._install_signal_handlers()
         connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        responses = limited_response(BodyLimits())
+        async with aiohttp.ClientSession(connector=connector, response_class=responses) as session:
             context = self._assemble(session)
             runners = await self._listen(context)
             await self._gossip.listen(self._settings.peer_listen)
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -13,6 +13,7 @@
 from liftrill.errors import LiftrillError
 from liftrill.mechanisms import Mechanism, is_enabled
 from liftrill.planning.orders import AssignOrder
+from liftrill.response_limits import MAX_EVENT_BYTES
 from liftrill.routing import events
 from liftrill.routing.engine_state import EngineIdentity, EngineReport, EngineState
 from liftrill.routing.request import RoutedRequest
@@ -79,6 +80,8 @@
         if not data:
             raise AttemptBrokenError(self._attempt_id)
         *complete, self._buffer = (self._buffer + data).split(EVENT_SEPARATOR)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise AttemptBrokenError(self._attempt_id)
         try:
             parsed = [_parse_event(event_data) for event_data in complete]
         except (orjson.JSONDecodeError, KeyError, TypeError, IndexError) as error:
