Broken framing in a body ends its request at once

Cause: aiohttp closes such a connection and sets the error on the queue of responses, not on the body that is being read; its parser has forgotten the body by the time the connection is lost. So the reader waits for bytes that cannot come. Evidence: the line `request` of the hung stream, no `attempt_failed` before it, and the code of ResponseHandler.data_received.

Change: the connection class passes the error on to the body. Failed before: endless_answers, "broken chunks" (504 after 4 s); now 502 at once.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -33,6 +33,11 @@
       | body of a refusal       | /whole/x | 1     | 16     | success |
       | body of a misdirection  | /whole/x | 1     | 16     | success |
 
+    Examples: framing that is broken in a body, after which nothing follows
+      | what                    | path      | count | memory | outcome |
+      | broken chunks           | /whole/x  | 1     | 16     | 502     |
+      | broken chunks of events | /stream/x | 1     | 16     | 502     |
+
     Examples: streams
       | what    | path      | count | memory | outcome                |
       | event   | /stream/x | 1     | 16     | an interrupted answer  |
--- a/features/standin/endless_answers.py
+++ b/features/standin/endless_answers.py
@@ -32,6 +32,12 @@
     "comment": (200, EVENT_STREAM, b"id: 1\ndata: a\n\n:", TEXT),
     "events without ids": (200, EVENT_STREAM, b"", b"data: x\n\n" * (PIECE_BYTES // 9)),
 }
+# Answers with broken chunks, after which the connection stays open.
+BROKEN = {
+    "broken chunks": (200, CHUNKED, b"5\r\nhello\r\nxyz\r\n", b""),
+    "broken chunks of events": (200, CHUNKED, b"f\r\nid: 1\ndata: a\n\n\r\nxyz\r\n", b""),
+}
+ENDLESS |= BROKEN
 
 
 async def send_endless(transport, headers, kind, closings):
@@ -45,7 +51,7 @@
     sent = 0
     try:
         while not transport.is_closing() and time.monotonic() - began < MAX_SECONDS:
-            if transport.get_write_buffer_size() < PIECE_BYTES:
+            if piece and transport.get_write_buffer_size() < PIECE_BYTES:
                 transport.write(piece)
                 sent += len(piece)
             await asyncio.sleep(PIECE_SECONDS)
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -78,13 +78,13 @@
         while data and not self._response_count:
             length = self._framing.head_length(data)
             head, data = data[:length], data[length:]
-            super().data_received(head)
+            self._parse(head)
             if not self._check_framing(length):
                 return
         if data and self._is_idle():
             self._abort()
             return
-        super().data_received(data)
+        self._parse(data)
         if self._response_count:
             self._check_framing(len(data))
 
@@ -104,6 +104,13 @@
             )
         super().connection_lost(exc)
 
+    def _parse(self, data: bytes) -> None:
+        super().data_received(data)
+        payload = self._payload
+        if self._exception is not None and payload is not None and not payload.is_eof():
+            # aiohttp raises an error in a body only to the reader of the next response.
+            set_exception(payload, ClientPayloadError("invalid framing"), self._exception)
+
     def _check_framing(self, received_bytes: int) -> bool:
         """Return whether more may be received; otherwise close the connection."""
         if self.transport is None or self.transport.is_closing():
