A run goes on elsewhere only when the engine before no longer works on it

Cause: a lost connection was taken for a lost run. EngineEndCheck knew whether the engine had ended, and its result was not passed to the decision. Ruled out: a wrong or late result of the check.

Change: the interruption carries the evidence (ended, unreached, running, unknown), and run_continuation.py (sans-IO) decides for copies and resumptions alike. After `running` or `unknown` a copy is not used, and a stream that may be resumed is resumed at the same engine. A second probe finds engines whose connections are reset before their port is closed.

Why it works: another engine gets the run only if the port of the engine before refuses connections or this node does not reach it, which the rule excuses.

Checks changed: platform.feature resumed a stream from its backup after an engine had reset one connection and ran on, which the rule forbids; the engine now crashes there. A row of gateway_forwarding moved a stream away from an engine that accepts connections; it has ended there now.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -129,6 +129,55 @@
       | the connection to the engine breaks          |
       | the engine cannot be reached                 |
 
+  Scenario Outline: A run is not continued at its backup while its engine may work on it
+    Given a stream request, with 2 attempts
+    And its engine sends a backup of the run to "engine-4"
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the connection to the engine breaks, whose state is "<state>"
+    Then the stream was aborted
+    And it was sent 1 time
+
+    Examples:
+      | state   |
+      | running |
+      | unknown |
+
+  Scenario: A run continues at its backup when its engine is out of reach
+    Given a stream request, with 1 attempt
+    And its engine sends a backup of the run to "engine-4"
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the connection to the engine breaks, whose state is "unreached"
+    Then it continues at "engine-4" with the backup, after event 3
+
+  Scenario Outline: A stream that may be resumed is resumed where its run may still be going on
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the connection to the engine breaks, whose state is "<state>"
+    Then it is sent to the same engine to resume after event 3
+    When the engine refuses the request as overloaded
+    Then the stream was aborted
+    And it was sent 2 times
+
+    Examples:
+      | state   |
+      | running |
+      | unknown |
+
+  Scenario: A stream is resumed elsewhere once its engine proves to be out of reach
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the connection to the engine breaks, whose state is "unknown"
+    And the engine cannot be reached
+    Then it is sent to another engine to resume after event 3
+
   Scenario: A run without an event is not continued at its backup
     Given a stream request, with 2 attempts
     And its engine sends a backup of the run to "engine-4"
@@ -153,9 +202,14 @@
     Given random histories of requests of each kind
     Then none is retried after it may have run, unless that is allowed
     And each continues at a backup three times at most, and only as a stream that has begun
+    And none goes on at another engine while the engine before may work on it
     And none is refused while an attempt may have run
     And none is sent to more engines than its route allows
 
+  Scenario: The check of these histories finds a run at two engines
+    Given random histories of requests whose delivery takes each engine for ended
+    Then some go on at another engine while the engine before may work on it
+
   Scenario Outline: After its wait a request is tried once more, then refused
     Given an at-most-once request, with 1 attempts
     And no engine is ready
--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -73,9 +73,9 @@
     Then it was sent to engines on versions 1 and 2
 
     Examples:
-      | what                       |
-      | refuses it as overloaded   |
-      | breaks the stream it began |
+      | what                        |
+      | refuses it as overloaded    |
+      | ends in the stream it began |
 
   Scenario: A request is held while its node's state is out of date, and then sent
     Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n"
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -64,10 +64,10 @@
     Then that request reached engines 1 time
     And the answer has status 502
 
-  Scenario: An interrupted stream that may not be restarted is resumed from its backup
+  Scenario: A stream that may not be restarted is resumed from its backup if its engine has ended
     Given engines that back up requests to each other
     And a node
-    And the next request to any model engine meets the fault "torn"
+    And the next request to any model engine meets the fault "torn_crash"
     When a client asks for a stream of up to 2000 tokens at "/stream/x"
     Then the stream has events 1 to 4 and is complete
     And it was resumed at the engine that had the backup
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -28,6 +28,8 @@
         finished: whether its answer was complete.
         cut: whether its connection was closed before the answer was complete.
         fault: the misbehaviour that its answer shows, or "".
+        ended_at: when the engine ended its work on it, or None.
+        lost: whether the engine lost its connection.
         answered_at: when the head of the answer was written, or None.
         announced_leaving: whether the answer announced that the engine leaves.
         retry_after_s: the valid `Retry-After` of the answer, or 0.
@@ -46,6 +48,8 @@
     finished: bool = False
     cut: bool = False
     fault: str = ""
+    ended_at: float | None = None
+    lost: bool = False
     answered_at: float | None = None
     announced_leaving: bool = False
     retry_after_s: float = 0.0
@@ -103,13 +107,22 @@
 held_backups = set()
 
 
+# Ways in which an engine loses the connection of a stream after its second event and goes on with
+# the run: what it writes before, and whether the connection is reset.
+LOST_CONNECTIONS = {
+    "closes the connection": (b"", False),
+    "resets the connection": (b"", True),
+    "resets the connection inside an event": (b"id: 3\nda", True),
+}
+
+
 @dataclass
 class StandInEngine:
     """One incarnation of an engine.
 
     Attributes:
         fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
-            "extra", "extra_late", "reset_unframed", "torn", "hang", "fail",
+            "extra", "extra_late", "reset_unframed", "torn", "torn_crash", "hang", "fail",
             "extra_garbage", or a key of ENDLESS.
         body_bytes: the size of its whole answers, or 0 for a short text.
         refuses_orders: whether it answers orders as if it were busy.
@@ -130,6 +143,9 @@
         names_version: whether each event of its streams states that version.
         drains: whether it drains, as a test has announced.
         limit_periods: the start, the end and the value of each limit that a soak set.
+        loses: the way in which it loses connections, a key of LOST_CONNECTIONS, or "".
+        loses_every: one of how many new streams loses its connection.
+        drops_lost: whether it drops the run of a lost connection.
     """
 
     engine_id: str
@@ -163,6 +179,9 @@
     names_version: bool = False
     drains: bool = False
     limit_periods: list = field(default_factory=list)
+    loses: str = ""
+    loses_every: int = 4
+    drops_lost: bool = False
 
     def __post_init__(self):
         self.crashed = asyncio.Event()
@@ -175,6 +194,8 @@
         self.highest_fence = 0
         self.loading = False
         self._runner = None
+        self._streams = 0
+        self._lost_runs = set()
 
     async def start(self, port=0):
         self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
@@ -196,16 +217,25 @@
             self.crashed_on = body
             await self.crash()
 
-    async def crash(self):
+    async def crash(self, port_closes_after_s=0.0):
         """Stop listening and reset the open connections, as when the process dies."""
-        for site in list(self._runner.sites):
-            await site.stop()
+        if not port_closes_after_s:
+            await self._stop_listening()
         for handler in list(self._server.connections):
             if handler.transport is not None:
                 reset(handler.transport)
+        if port_closes_after_s:
+            await asyncio.sleep(port_closes_after_s)
+            await self._stop_listening()
+        for run in self._lost_runs:
+            run.cancel()
         self.crashed_at = time.monotonic()
         self.crashed.set()
 
+    async def _stop_listening(self):
+        for site in list(self._runner.sites):
+            await site.stop()
+
     def record(self, state="ready"):
         models = [{"Name": n, "Version": v, "Adapters": []} for n, v in self.weights.items()]
         return {
@@ -249,6 +279,9 @@
         except ConnectionResetError:
             arrival.cut = True
             return web.Response()
+        finally:
+            if not arrival.lost:
+                arrival.ended_at = time.monotonic()
 
     def _misdirected(self, request):
         headers = {
@@ -410,8 +443,24 @@
         reset(request.transport)
         return web.Response()
 
+    def _lose(self, request, arrival, left_seconds):
+        """End the connection of a stream; go on with its run unless that is dropped."""
+        ending, is_reset = LOST_CONNECTIONS[self.loses]
+        arrival.lost = True
+        request.transport.write(ending)
+        if is_reset:
+            reset(request.transport)
+        else:
+            request.transport.close()
+        run = asyncio.ensure_future(asyncio.sleep(0.0 if self.drops_lost else left_seconds))
+        run.add_done_callback(lambda _: setattr(arrival, "ended_at", time.monotonic()))
+        run.add_done_callback(self._lost_runs.discard)
+        self._lost_runs.add(run)
+
     async def _stream(self, request, arrival, headers, fault):
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        self._streams += first == 1
+        loses = self.loses and first == 1 and self._streams % self.loses_every == 0
         headers = {**headers, **self._announcements("head"), "Content-Type": "text/event-stream"}
         arrival.note_answer(headers)
         response = web.StreamResponse(headers=headers)
@@ -421,9 +470,14 @@
             event = f"id: {number}\ndata: {label}token {number}{'.' * self.event_bytes}\n\n"
             await response.write(event.encode())
             await asyncio.sleep(self.event_seconds)
-            if fault == "torn" and number == first + 1:
+            if loses and number == first + 1:
+                self._lose(request, arrival, (self.events - number) * self.event_seconds)
+                return response
+            if fault in ("torn", "torn_crash") and number == first + 1:
                 await response.write(f"id: {number + 1}\ndata: to".encode())
                 await asyncio.sleep(0.02)
+                if fault == "torn_crash":
+                    await self._crash_on(arrival.body)
                 reset(request.transport)
                 return response
         arrival.finished = True
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -12,8 +12,8 @@
 from features.gateway_support import opaque_request
 from features.limit_replay import ENGINE, ReplayedFleet
 from liftrill.coordination.permits import Permit, PermitDecision, PermitHolder
-from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_limits import EngineLimit, NoLimitPeers
 from liftrill.gateway.engines.placement import Candidate
 from liftrill.gateway.engines.unrecorded_engine_state import UnrecordedEngineState
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -11,8 +11,8 @@
 from liftrill import clock
 from liftrill.coordination.range_store import StoredItem
 from liftrill.coordination.store_mirror import MirrorChange
-from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_condition import EngineCondition, EngineSignal
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable
 from liftrill.gateway.peers.notice_codec import datagrams_from_update, update_from_message
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -1,12 +1,14 @@
 """Steps that feed events to a delivery machine."""
 
 import random
+import unittest.mock
 
 from behave import given, then, when
 
 from features.gateway_support import opaque_request, route_rule
 from liftrill.gateway import delivery_events as events
-from liftrill.gateway.delivery import DeliveryMachine, DeliveryPorts, Phase, Unavailable
+from liftrill.gateway.delivery import DeliveryMachine, Phase
+from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
 from liftrill.gateway.event_stream import StreamEvent
 from liftrill.gateway.records import RequestKind
 
@@ -36,6 +38,9 @@
             return Unavailable.NONE_LEFT
         return events.EngineChoice(remaining[0], "address", backup=self.backup)
 
+    def choose_again(self, request, interrupted):
+        return interrupted if self.ready else None
+
     def continue_at_backup(self, request, broken):
         backup = broken.backup
         if backup is None:
@@ -124,7 +129,19 @@
 
 @when("the connection to the engine breaks")
 def step_breaks(context):
-    feed(context, events.AttemptInterrupted("reset"))
+    feed(context, events.AttemptInterrupted("reset", evidence=events.EngineEvidence.ENDED))
+
+
+@when('the connection to the engine breaks, whose state is "{evidence}"')
+def step_breaks_with(context, evidence):
+    feed(context, events.AttemptInterrupted("reset", evidence=events.EngineEvidence(evidence)))
+
+
+@then("it is sent to the same engine to resume after event {number:d}")
+def step_sent_to_same(context, number):
+    start = find(context.last, events.StartAttempt)[0]
+    assert start.choice.engine_id == context.machine.attempts[0].engine_id, start
+    assert start.resume_after == number and not start.choice.continues_at_backup, start
 
 
 @when("the engine answers with status {status:d}")
@@ -218,7 +235,7 @@
     return source.choice(
         (
             events.AttemptRefused(source.choice(list(events.RefusalKind))),
-            events.AttemptInterrupted("reset"),
+            events.AttemptInterrupted("reset", evidence=source.choice(list(events.EngineEvidence))),
             events.CompleteResponse(source.choice((200, 404, 500)), (), b""),
             events.StreamOpened(200, ()),
             events.EventReceived(StreamEvent(number, b"id: %d\n\n" % number)),
@@ -228,6 +245,13 @@
     )
 
 
+@given("random histories of requests whose delivery takes each engine for ended")
+def step_broken_histories(context):
+    ended = unittest.mock.PropertyMock(return_value=True)
+    with unittest.mock.patch.object(events.EngineEvidence, "excludes_run", ended):
+        step_histories(context)
+
+
 @given("random histories of requests of each kind")
 def step_histories(context):
     source = random.Random(20261202)
@@ -282,6 +306,34 @@
     assert found > 5, found
 
 
+def leaves_running_engine(machine, history):
+    """Return whether a run goes on elsewhere though its engine may still work on it."""
+    attempts = iter(machine.attempts)
+    current, running, head_sent = None, None, False
+    for event, instructions in history:
+        if isinstance(event, events.AttemptInterrupted) and head_sent:
+            running = None if event.evidence.excludes_run else current.engine_id
+        elif isinstance(event, events.AttemptRefused) and event.kind in LEFT_AFTER:
+            running = None
+        head_sent = head_sent or bool(find(instructions, events.SendHead))
+        for _ in find(instructions, events.StartAttempt):
+            current = next(attempts)
+            if running not in (None, current.engine_id):
+                return True
+    return False
+
+
+@then("none goes on at another engine while the engine before may work on it")
+def step_none_leaves(context):
+    for machine, history in context.histories:
+        assert not leaves_running_engine(machine, history), history
+
+
+@then("some go on at another engine while the engine before may work on it")
+def step_some_leave(context):
+    assert any(leaves_running_engine(machine, history) for machine, history in context.histories)
+
+
 @then("none is refused while an attempt may have run")
 def step_never_refused(context):
     for _, history in context.histories:
@@ -289,6 +341,8 @@
             assert not (may_have_started and find(instructions, events.RefuseRequest)), history
 
 
+# Refusals after which an engine does not work on an earlier run that this node could still stop.
+LEFT_AFTER = (events.RefusalKind.UNREACHABLE, events.RefusalKind.WRONG_INSTANCE)
 # Refusals of attempts of which no byte reached an engine.
 NOT_SENT = (
     events.RefusalKind.UNREACHABLE,
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -11,7 +11,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.event_stream import EventSplitter, StreamEvent
@@ -254,9 +254,13 @@
 class FailingTransport(VersionedTransport):
     """Engines of which the first fails its attempt, and all others answer."""
 
-    def __init__(self, pieces, failing):
+    def __init__(self, pieces, failing, has_ended):
         super().__init__(pieces)
         self._failing = failing
+        self._has_ended = has_ended
+
+    async def probe(self, address, timeout_s):
+        return ProbeResult.REFUSED if self._has_ended else ProbeResult.ACCEPTED
 
     def attempt(self, request, start):
         attempt = ScriptedAttempt(self._pieces) if self.attempts else self._failing
@@ -270,7 +274,7 @@
         [],
         events.AttemptRefused(events.RefusalKind.OVERLOADED),
     ),
-    "breaks the stream it began": (
+    "ends in the stream it began": (
         [events.StreamOpened(200, ()), FIRST_EVENT],
         events.AttemptInterrupted("reset"),
     ),
@@ -281,7 +285,8 @@
 def step_failing_engine(context, what, seconds):
     opening, failure = OPENING_AND_FAILURE[what]
     failing = FailingAttempt(opening, failure, seconds)
-    context.transport = FailingTransport([b"id: 2\ndata: b\n\n"], failing)
+    has_ended = isinstance(failure, events.AttemptInterrupted)
+    context.transport = FailingTransport([b"id: 2\ndata: b\n\n"], failing, has_ended)
     context.route = route_rule(resumable=True)
     context.engines = engine_on_version_1()
     context.engines.update(engine_record("engine-3", weights={"model": 1}))
--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record, opaque_request, route_rule
-from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.delivery_times import StreamTimes
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record, opaque_request
-from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_condition import EngineSignal
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable, engine_number
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -11,7 +11,7 @@
 from liftrill.coordination.store_position import position
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.leadership import ACTIVITY_KEY, LEADER_KEY, Leadership, TermParameters
--- a/features/steps/quarantined_part_steps.py
+++ b/features/steps/quarantined_part_steps.py
@@ -10,7 +10,7 @@
 from features.steps.gateway_quarantine_steps import RAN_S
 from liftrill import clock
 from liftrill.coordination.lost_runs import LostRun
-from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.opaque_request import PromptPart, PromptShape, part_digest
 from liftrill.gateway.quarantine_codec import datagrams_from_runs, runs_from_message
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -15,8 +15,8 @@
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineChoice
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.forwarder import ForwardingPorts
--- a/features/uneven_engines.py
+++ b/features/uneven_engines.py
@@ -7,7 +7,7 @@
 
 from features.gateway_support import engine_record, opaque_request, route_rule
 from liftrill.coordination.membership_messages import Member
-from liftrill.gateway.delivery import Unavailable
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineLoad, EngineTable
 from liftrill.gateway.engines.placement import PlacementPolicy
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -101,6 +101,18 @@
             **inputs,
         )
 
+    def stream_interrupted(
+        self, machine: DeliveryMachine, evidence: events.EngineEvidence, waited_s: float
+    ) -> None:
+        """Log what is known of the engine of a stream that may go on elsewhere."""
+        self._write_failure(
+            "stream_interrupted",
+            request=machine.request.request_id,
+            engine=machine.attempts[-1].engine_id,
+            evidence=evidence.value,
+            waited_ms=round(1000 * waited_s),
+        )
+
     def store_era_refused(self, era: int | None, raw_era: str) -> None:
         """Log that an answer of the store has an earlier era than the known one, or none."""
         self._write_failure("store_era_refused", era=era, told=raw_era[:20])
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -5,15 +5,16 @@
 attempt.
 """
 
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from enum import Enum, auto
 from typing import ClassVar
 
 from liftrill.errors import LiftrillError, ResultCode
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
 from liftrill.gateway.delivery_times import StreamTimes
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.run_continuation import NextStep, RunContinuation
 from liftrill.routing.outcome import AttemptLedger
 
 FIRST_SERVER_ERROR = 500
@@ -23,8 +24,6 @@
     events.RefusalKind.WITHDRAWN,
     events.RefusalKind.PROXY_UNAVAILABLE,
 )
-# How many times a run may continue at a backup: a burst of crashes may end engines one by one.
-MAX_CONTINUATIONS = 3
 # How many times an engine is tried that could not be reached: by the node's own link and by peers.
 MAX_PATHS = 3
 
@@ -33,18 +32,6 @@
     """The state machine reached a state that its rules exclude."""
 
 
-class Unavailable(Enum):
-    """Why no engine could be chosen for a request."""
-
-    NONE_READY = auto()
-    FULL = auto()
-    NONE_LEFT = auto()
-    QUARANTINED = auto()
-    TOO_LATE = auto()
-    PAUSED = auto()
-    VERSION_GONE = auto()
-
-
 REFUSAL_CODES = {
     Unavailable.FULL: ResultCode.ENGINES_FULL,
     Unavailable.QUARANTINED: ResultCode.REQUEST_QUARANTINED,
@@ -54,34 +41,6 @@
 }
 
 
-class DeliveryPorts(ABC):
-    """Functions of the node that the state machine calls; none of them blocks."""
-
-    @abstractmethod
-    def choose(
-        self, request: OpaqueRequest, excluded: frozenset[str]
-    ) -> events.EngineChoice | Unavailable:
-        """Return an engine whose id is not excluded, or why there is none."""
-
-    @abstractmethod
-    def continue_at_backup(
-        self, request: OpaqueRequest, interrupted: events.EngineChoice
-    ) -> events.EngineChoice | None:
-        """Return how to continue an interrupted run at its backup, or None if it cannot."""
-
-    @abstractmethod
-    def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
-        """Return whether to try an engine again that could not be reached by one path."""
-
-    @abstractmethod
-    def try_spend_retry(self, request: OpaqueRequest) -> bool:
-        """Take one retry from the retry budget of the request's service."""
-
-    @abstractmethod
-    def retry_after_seconds(self, request: OpaqueRequest) -> float:
-        """Return after how many seconds the caller of a refused request should retry."""
-
-
 class Phase(Enum):
     """The state of a request's delivery."""
 
@@ -114,7 +73,7 @@
         self._paths_tried: dict[str, int] = {}
         self._response_head: events.StreamOpened | None = None
         self._head_sent = False
-        self._continuations = 0
+        self._continuation = RunContinuation(request, ports)
         self._refusal_code = ResultCode.NO_ELIGIBLE_ENGINE
 
     @property
@@ -130,6 +89,11 @@
         self._validate(instructions)
         return instructions
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether the run has begun and may go on if its engine is lost."""
+        return self._head_sent and self.needs_body
+
     @property
     def needs_body(self) -> bool:
         """Whether the request may be sent to an engine again, so that its body is needed."""
@@ -158,8 +122,7 @@
     def _on_refused(self, event: events.AttemptRefused) -> list[events.DeliveryInstruction]:
         choice = self.attempts[-1]
         self._ledger.record_not_run(self._attempt_id())
-        if choice.continues_at_backup:
-            # The interrupted run must not be started again, and there is no other copy of it.
+        if not self._continuation.may_leave(choice, event.kind):
             return [self._end(self._engine_loss_code())]
         if event.kind in UNSENT_KINDS:
             self._attempts_sent -= 1
@@ -177,12 +140,16 @@
             return tried >= MAX_PATHS or not self._ports.has_other_path(self.request, choice)
         return kind not in (events.RefusalKind.WRONG_VERSION, events.RefusalKind.WITHDRAWN)
 
-    def _on_interrupted(self, _: events.AttemptInterrupted) -> list[events.DeliveryInstruction]:
+    def _on_interrupted(self, event: events.AttemptInterrupted) -> list[events.DeliveryInstruction]:
         interrupted = self.attempts[-1]
-        self._excluded.add(interrupted.engine_id)
         self._refusal_code = ResultCode.ENGINE_LOST
-        if not self.request.may_run_again:
-            return [events.AbandonAttempt(), self._continue_or_end(interrupted)]
+        if self._head_sent:
+            step = self._continuation.next_step(interrupted, event.evidence)
+            if step is not NextStep.OTHER_ENGINE:
+                return [events.AbandonAttempt(), self._continue_or_end(step, interrupted)]
+        elif not self.request.may_run_again:
+            return [events.AbandonAttempt(), self._end(self._engine_loss_code())]
+        self._excluded.add(interrupted.engine_id)
         self.phase = Phase.WAITING
         return [events.AbandonAttempt(), *self._retry()]
 
@@ -190,7 +157,8 @@
         self, event: events.CompleteResponse
     ) -> list[events.DeliveryInstruction]:
         failed = event.status >= FIRST_SERVER_ERROR
-        if failed and self.request.may_run_again and self._may_send_again():
+        may_leave = self._continuation.may_leave(self.attempts[-1], None)
+        if failed and self.request.may_run_again and may_leave and self._may_send_again():
             self._excluded.add(self.attempts[-1].engine_id)
             choice = self._choose_untried()
             if isinstance(choice, events.EngineChoice) and self._spend_retry_if_sent():
@@ -246,19 +214,14 @@
             return [self._end(ResultCode.RETRY_BUDGET_EXHAUSTED)]
         return [self._start_attempt(choice)]
 
-    def _continue_or_end(self, interrupted: events.EngineChoice) -> events.DeliveryInstruction:
-        """Continue an interrupted run at its backup; it counts as the same run.
-
-        Only a run whose first event was received is continued: before that it is unknown
-        whether the backup has anything of it.
-        """
-        limit_reached = self._continuations >= MAX_CONTINUATIONS
-        if not self._head_sent or limit_reached or interrupted.backup is None:
-            return self._end(self._engine_loss_code())
-        choice = self._ports.continue_at_backup(self.request, interrupted)
+    def _continue_or_end(
+        self, step: NextStep, interrupted: events.EngineChoice
+    ) -> events.DeliveryInstruction:
+        # A run that continues at its backup counts as the same run.
+        may_send = step is NextStep.BACKUP or self._may_send_again()
+        choice = self._continuation.choose(step, interrupted) if may_send else None
         if choice is None or not self._ports.try_spend_retry(self.request):
             return self._end(self._engine_loss_code())
-        self._continuations += 1
         return self._start_attempt(choice)
 
     def _choose_untried(self) -> events.EngineChoice | Unavailable:
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Awaitable
+from dataclasses import replace
 
 from liftrill import clock
 from liftrill.coordination.crash_evidence import EARLY_END_S
@@ -66,16 +67,14 @@
         """Update what is known of an engine from an event of an attempt sent at a time."""
 
     @abstractmethod
-    async def run_lost(
-        self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes
-    ) -> None:
-        """Check, before the next attempt, whether the engine of an interrupted run has ended."""
+    async def check_engine(
+        self, machine: DeliveryMachine, view: EngineView
+    ) -> events.EngineEvidence:
+        """Find out, before the next attempt, what became of the engine of an interrupted run."""
 
     @abstractmethod
-    def run_abandoned(
-        self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes
-    ) -> None:
-        """Record that a run is closed early, so that its effect on the engine stays unknown."""
+    def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
+        """Record that a run was interrupted or closed early, in case its engine has ended."""
 
     @abstractmethod
     def stream_began(self, machine: DeliveryMachine) -> None:
@@ -174,7 +173,7 @@
         if self._ended:
             return
         if self._view is not None:
-            self._owner.run_abandoned(self._machine, self._view, self._times)
+            self._owner.run_lost(self._machine, self._view, self._times)
         self._owner.record_not_run(self._machine)
 
     async def _read(self) -> list[events.DeliveryEvent]:
@@ -200,6 +199,7 @@
     async def _record_events(
         self, received: list[events.DeliveryEvent]
     ) -> list[events.DeliveryEvent]:
+        recorded: list[events.DeliveryEvent] = []
         for event in received:
             if isinstance(event, events.EventReceived):
                 self._record_event(event)
@@ -211,14 +211,25 @@
                 self._owner.record_attempt_event(self._view, event, self._times.sent_at)
             self._owner.log.attempt_event(self._machine, event, self._times)
             if isinstance(event, events.AttemptInterrupted):
-                await self._handle_interruption(event)
-        return received
-
-    async def _handle_interruption(self, event: events.AttemptInterrupted) -> None:
+                recorded.append(await self._with_evidence(event))
+            else:
+                recorded.append(event)
+        return recorded
+
+    async def _with_evidence(self, event: events.AttemptInterrupted) -> events.AttemptInterrupted:
+        """Add to an interruption what is known of its engine."""
+        evidence, began_at = event.evidence, clock.now_s()
         if event.is_rejected:
             self._owner.metrics.rejected_responses.inc()
-        elif self._view is not None and not self._caller_stalled():
-            await self._owner.run_lost(self._machine, self._view, self._times)
+            evidence = events.EngineEvidence.RUNNING
+        elif self._view is not None:
+            if not self._caller_stalled():
+                self._owner.run_lost(self._machine, self._view, self._times)
+            evidence = await self._owner.check_engine(self._machine, self._view)
+        if self._machine.may_continue:
+            self._owner.log.stream_interrupted(self._machine, evidence, clock.now_s() - began_at)
+            self._owner.metrics.interrupted_streams.labels(evidence.value).inc()
+        return replace(event, evidence=evidence)
 
     def _caller_stalled(self) -> bool:
         return self.caller_wait_s - self._caller_wait_at_start_s > UNREAD_RESPONSE_S
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -38,16 +38,34 @@
     kind: RefusalKind
 
 
+class EngineEvidence(Enum):
+    """What is known of an engine after the connection of a run was lost."""
+
+    # Its port refuses connections and no peer reaches it, or it was seen to have ended.
+    ENDED = "ended"
+    # This node does not reach it.
+    UNREACHED = "unreached"
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+
+    @property
+    def excludes_run(self) -> bool:
+        """Whether the engine cannot be working on the run for this node any more."""
+        return self in (EngineEvidence.ENDED, EngineEvidence.UNREACHED)
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptInterrupted:
     """The attempt was sent and ended without a complete response; it may have run.
 
     Attributes:
         is_rejected: whether this node ended it because what the engine sent is no valid response.
+        evidence: what is known of the engine.
     """
 
     reason: str = ""
     is_rejected: bool = False
+    evidence: EngineEvidence = EngineEvidence.UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -4,13 +4,22 @@
 from collections.abc import Awaitable, Callable
 
 from liftrill import clock, constants
-from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
 from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.transport import EngineTransport, ProbeResult
 
 # Bound of the delay before the next step after an interrupted attempt. A machine that is up answers
 # for an open or closed port within a round trip; no answer proves nothing.
 MAX_WAIT_S = 0.1
+# The same for a stream that goes on depending on the result: two probes and the answers of peers.
+MAX_EVIDENCE_WAIT_S = constants.CONNECT_TIMEOUT_SECONDS + 0.2
+# A process that ends may reset its connections some milliseconds before its port is closed.
+SECOND_PROBE_AFTER_S = 0.05
+EVIDENCE_OF_PROBE = {
+    ProbeResult.ACCEPTED: EngineEvidence.RUNNING,
+    ProbeResult.UNANSWERED: EngineEvidence.UNREACHED,
+    ProbeResult.LATE: EngineEvidence.UNKNOWN,
+}
 
 
 async def _not_reached(engine: EngineAddress) -> bool:
@@ -19,7 +28,7 @@
 
 
 class EngineEndCheck:
-    """Runs at most one check at a time for each engine.
+    """Runs at most one check of each kind at a time for each engine.
 
     A refused connection may also be due to a partition between this node and the engine, so peers
     are asked whether they reach it.
@@ -36,24 +45,42 @@
         self.on_probe: Callable[[EngineAddress, ProbeResult, float], None] | None = None
         self._transport = transport
         self._on_ended = on_ended
-        self._running: dict[int, asyncio.Task[None]] = {}
+        self._running: dict[tuple[int, bool], asyncio.Task[EngineEvidence]] = {}
 
-    async def check(self, view: EngineView) -> None:
-        """Check whether an engine has ended, waiting at most MAX_WAIT_S for the result."""
-        task = self._running.get(view.number)
+    async def check(self, view: EngineView, for_stream: bool = False) -> EngineEvidence:
+        """Check whether an engine has ended; return what is known of it before the next step.
+
+        If a stream goes on depending on the result, it is waited for longer, and an engine that
+        accepts a connection is probed a second time.
+        """
+        key = (view.number, for_stream)
+        task = self._running.get(key)
         if task is None:
-            task = asyncio.ensure_future(self._check(view))
-            self._running[view.number] = task
-            task.add_done_callback(lambda _: self._running.pop(view.number, None))
-        await asyncio.wait({task}, timeout=MAX_WAIT_S)
+            task = asyncio.ensure_future(self._check(view, 2 if for_stream else 1))
+            self._running[key] = task
+            task.add_done_callback(lambda _: self._running.pop(key, None))
+        await asyncio.wait({task}, timeout=MAX_EVIDENCE_WAIT_S if for_stream else MAX_WAIT_S)
+        return task.result() if task.done() else EngineEvidence.UNKNOWN
+
+    async def _check(self, view: EngineView, probes: int) -> EngineEvidence:
+        result = await self._probe(view)
+        while result is ProbeResult.ACCEPTED and probes > 1:
+            probes -= 1
+            await asyncio.sleep(SECOND_PROBE_AFTER_S)
+            result = await self._probe(view)
+        # No answer may be due to a partition: it does not show whether anything listens.
+        if result is not ProbeResult.REFUSED:
+            return EVIDENCE_OF_PROBE[result]
+        if await self.is_reached_by_peers(view.identity):
+            return EngineEvidence.UNREACHED
+        # The exit of a leaving engine is no crash.
+        if not view.leaving:
+            self._on_ended(view, clock.now_s())
+        return EngineEvidence.ENDED
 
-    async def _check(self, view: EngineView) -> None:
+    async def _probe(self, view: EngineView) -> ProbeResult:
         timeout_s = constants.CONNECT_TIMEOUT_SECONDS
         result = await self._transport.probe(view.record.address, timeout_s)
         if self.on_probe is not None:
             self.on_probe(view.identity, result, clock.now_s())
-        # No answer may be due to a partition: it does not show whether anything listens.
-        if result is not ProbeResult.REFUSED:
-            return
-        if not await self.is_reached_by_peers(view.identity):
-            self._on_ended(view, clock.now_s())
+        return result
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -9,8 +9,8 @@
 from liftrill.coordination.permits import DECISION_TIMEOUT_S
 from liftrill.gateway.admission.capacity_filter import CapacityFilter
 from liftrill.gateway.admission.overload import OverloadGuard
-from liftrill.gateway.delivery import Unavailable
 from liftrill.gateway.delivery_events import EngineChoice
+from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.backup_selector import BackupSelector
 from liftrill.gateway.engines.engine_limits import EngineLimits
 from liftrill.gateway.engines.engine_slots import EngineSlots
@@ -332,6 +332,11 @@
             return False
         return self.paths.may_be_found(choice.engine, now)
 
+    def other_engines(self, service: str, engine_id: str) -> frozenset[str]:
+        """Return the ids of all engines of a service but one."""
+        engines = self._engines.of_service(service)
+        return frozenset(view.engine_id for view in engines if view.engine_id != engine_id)
+
     def continue_at_backup(
         self, request: OpaqueRequest, interrupted: EngineChoice, now: float
     ) -> EngineChoice | None:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -14,8 +14,9 @@
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.begin_deadlines import BeginDeadlines
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery import DeliveryMachine, DeliveryPorts, Unavailable
+from liftrill.gateway.delivery import DeliveryMachine
 from liftrill.gateway.delivery_driver import DeliveryDriver, DeliveryOwner
+from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
 from liftrill.gateway.delivery_times import AttemptTimes, StreamTimes
 from liftrill.gateway.engines.engine_end_check import EngineEndCheck
 from liftrill.gateway.engines.engine_selector import EngineSelector
@@ -118,6 +119,14 @@
         # A request that an engine refused has waited already.
         return Unavailable.FULL if is_first and self.must_wait(request) else None
 
+    def choose_again(
+        self, request: OpaqueRequest, interrupted: events.EngineChoice
+    ) -> events.EngineChoice | None:
+        """Return the engine of an interrupted run for a new run, or None if it takes none."""
+        others = self._selector.other_engines(request.service, interrupted.engine_id)
+        choice = self.choose(request, others)
+        return choice if isinstance(choice, events.EngineChoice) else None
+
     def continue_at_backup(
         self, request: OpaqueRequest, interrupted: events.EngineChoice
     ) -> events.EngineChoice | None:
@@ -361,21 +370,26 @@
             view.breaker.record_success()
             view.condition.note_answered(sent_at)
 
-    async def run_lost(
-        self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes
-    ) -> None:
-        """Check, before the next attempt, whether the engine of an interrupted run has ended."""
+    async def check_engine(
+        self, machine: DeliveryMachine, view: EngineView
+    ) -> events.EngineEvidence:
+        """Find out, before the next attempt, what became of the engine of an interrupted run."""
+        if self._quarantine.knows_end(view):
+            return events.EngineEvidence.ENDED
+        links = self._ports.paths.links
+        for_stream = machine.may_continue and links.is_up(view.identity)
+        evidence = await self.end_check.check(view, for_stream)
+        if evidence is events.EngineEvidence.UNKNOWN and not links.is_up(view.identity):
+            evidence = events.EngineEvidence.UNREACHED
+        is_proxied = machine.attempts[-1].proxy is not None
+        if is_proxied and evidence is events.EngineEvidence.UNREACHED:
+            # The peer that passed on the request may reach the engine.
+            return events.EngineEvidence.UNKNOWN
+        return evidence
+
+    def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
+        """Record that a run was interrupted or closed early, in case its engine has ended."""
         # A leaving engine may exit while long runs are still on it: they did not crash it.
-        if view.leaving:
-            return
-        self._quarantine.run_lost(machine.request, machine.attempts[-1], times, clock.now_s())
-        if not self._quarantine.knows_end(view):
-            await self.end_check.check(view)
-
-    def run_abandoned(
-        self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes
-    ) -> None:
-        """Record that a run is closed early, so that its effect on the engine stays unknown."""
         if not view.leaving:
             self._quarantine.run_lost(machine.request, machine.attempts[-1], times, clock.now_s())
 
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -45,6 +45,11 @@
             "Responses of engines that were invalid or too large.",
             registry=self.registry,
         )
+        self.interrupted_streams = self._counter(
+            "liftrill_interrupted_streams",
+            "Streams that could go on elsewhere, by what was known of their engine.",
+            "engine",
+        )
         self.store_calls = self._counter("liftrill_store_calls", "Store calls by kind.", "kind")
         self.orders = self._counter("liftrill_orders", "Engine orders by answer.", "answer")
         self.request_seconds = Histogram(
--- /dev/null
+++ b/liftrill/gateway/run_continuation.py
@@ -0,0 +1,75 @@
+"""Decides how a stream goes on whose engine was lost after the caller got events, sans-IO.
+
+The run may go on at another engine only if the engine before no longer works on it. A lost
+connection does not show that: an engine may go on with a run whose connection it lost.
+"""
+
+from enum import Enum
+
+from liftrill.gateway import delivery_events as events
+from liftrill.gateway.delivery_ports import DeliveryPorts
+from liftrill.gateway.opaque_request import OpaqueRequest
+
+# How many times a run may continue at a backup: a burst of crashes may end engines one by one.
+MAX_CONTINUATIONS = 3
+
+
+class NextStep(Enum):
+    """How an interrupted stream goes on.
+
+    Attributes:
+        OTHER_ENGINE: a new run at another engine, after the last event.
+        SAME_ENGINE: a new run at the same engine, after the last event.
+        BACKUP: the same run at the engine that holds its copy.
+        END: not at all.
+    """
+
+    OTHER_ENGINE = "other engine"
+    SAME_ENGINE = "same engine"
+    BACKUP = "backup"
+    END = "end"
+
+
+class RunContinuation:
+    """The continuations of one stream."""
+
+    def __init__(self, request: OpaqueRequest, ports: DeliveryPorts) -> None:
+        self._request = request
+        self._ports = ports
+        self._continued = 0
+        self._may_run_at = ""
+
+    def next_step(
+        self, interrupted: events.EngineChoice, evidence: events.EngineEvidence
+    ) -> NextStep:
+        """Return how a stream goes on, given what is known of the engine that it was lost at."""
+        may_run_on = not evidence.excludes_run
+        if self._request.may_run_again:
+            self._may_run_at = interrupted.engine_id if may_run_on else ""
+            return NextStep.SAME_ENGINE if may_run_on else NextStep.OTHER_ENGINE
+        is_possible = interrupted.backup is not None and self._continued < MAX_CONTINUATIONS
+        return NextStep.BACKUP if is_possible and not may_run_on else NextStep.END
+
+    def choose(
+        self, step: NextStep, interrupted: events.EngineChoice
+    ) -> events.EngineChoice | None:
+        """Return the engine for a step that names one, or None if it cannot be used."""
+        if step is NextStep.SAME_ENGINE:
+            return self._ports.choose_again(self._request, interrupted)
+        if step is NextStep.BACKUP:
+            self._continued += 1
+            return self._ports.continue_at_backup(self._request, interrupted)
+        return None
+
+    def may_leave(self, choice: events.EngineChoice, refusal: events.RefusalKind | None) -> bool:
+        """Return whether another engine may be used after an engine's answer or refusal.
+
+        If the engine may still work on the earlier run, only a refusal that shows the contrary,
+        or that this node does not reach the engine, allows it.
+        """
+        if choice.continues_at_backup:
+            return False
+        return choice.engine_id != self._may_run_at or refusal in (
+            events.RefusalKind.UNREACHABLE,
+            events.RefusalKind.WRONG_INSTANCE,
+        )
