A run continues from its copy only under the weights that the copy was made with

Cause: continue_at_backup compared the holder's weights with the version on which the run began, and did not ask whether the engine before had loaded others meanwhile. Ruled out: a late notice of the load, and the check of the holder.

Change: a copy is not used once a newer version is named than the one that its run began on, if the run's engine is announced to load or known to have another one, or if an event of the run named other weights (the field's name stays in platform/).

Why it works: an engine changes its weights only after an order, orders follow the naming, and the leader announces a load 0.4 s before its order. Without a naming during the run all go on, as before.

Check changed: a scenario of gateway_forwarding began a continuation after a newer version was published, which is what must not happen; it is begun before now, and still has no limit on its start.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -144,6 +144,18 @@
       | running |
       | unknown |
 
+  Scenario: A run whose weights changed is not continued at its backup
+    Given a stream request, with 2 attempts
+    And its engine sends a backup of the run to "engine-4"
+    When it starts
+    And a stream opens
+    And events 1 to 2 arrive
+    And event 3 arrives, the first one made under weights 2
+    And events 4 to 5 arrive
+    And the connection to the engine breaks
+    Then the stream was aborted
+    And it was sent 1 time
+
   Scenario: A run continues at its backup when its engine is out of reach
     Given a stream request, with 1 attempt
     And its engine sends a backup of the run to "engine-4"
--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -61,10 +61,22 @@
 
   Scenario: A run that continues at its backup has begun, and no newer version limits it
     Given a broken run on version 1, and an engine that has its backup
-    When version 2 is published
-    Then it continues there, without a limit on its start
+    When it continues there
+    And version 2 is published
+    Then its start has no limit
     But a new request sent there may begin for 8 s
 
+  Scenario Outline: A run does not continue from its backup if its engine may have loaded other weights
+    Given a broken run on version 1, and an engine that has its backup
+    When <what>
+    Then it does not continue there
+
+    Examples:
+      | what                                     |
+      | version 2 is published                   |
+      | its engine is announced to load version 2 |
+      | its engine is known to have version 2    |
+
   Scenario Outline: Every attempt is checked against the versions published when it is sent
     Given a resumable request at one of two engines on version 1, which <what> after 0.3 s
     And version 2 is published 0.1 s after the request was sent, and an engine with 3000 waiting tokens has it
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -28,6 +28,8 @@
         finished: whether its answer was complete.
         cut: whether its connection was closed before the answer was complete.
         fault: the misbehaviour that its answer shows, or "".
+        copied: the weight versions of the copy with which it continued.
+        memory: the weight version under which each event was made.
         ended_at: when the engine ended its work on it, or None.
         lost: whether the engine lost its connection.
         answered_at: when the head of the answer was written, or None.
@@ -48,6 +50,8 @@
     finished: bool = False
     cut: bool = False
     fault: str = ""
+    copied: frozenset = frozenset()
+    memory: list = field(default_factory=list)
     ended_at: float | None = None
     lost: bool = False
     answered_at: float | None = None
@@ -103,8 +107,9 @@
 # The kinds that answer a caller's request.
 REQUEST_ANSWERS = frozenset(("whole", "head", "refusal"))
 
-# The cache backups that engines hold for each other, as ADDRESS/ID.
-held_backups = set()
+# The cache backups that engines hold for each other, by ADDRESS/ID: the weight version under which
+# each event of the run was made.
+held_backups = {}
 
 
 # Ways in which an engine loses the connection of a stream after its second event and goes on with
@@ -347,8 +352,10 @@
         backup = request.headers.get("Kv-From")
         if backup is not None and backup not in held_backups:
             return self._shed(arrival.attempt_id)
+        arrival.copied = frozenset(held_backups.get(backup, ()))
+        arrival.memory = list(held_backups.get(backup, ()))
         if "X-Kv-Backup" in request.headers:
-            held_backups.add(f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}")
+            held_backups[f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}"] = arrival.memory
         arrival.version = self.weights.get(model)
         arrival.ran = True
         if arrival.body in self.crashes_on or not self.crashes_on_parts.isdisjoint(arrival.parts):
@@ -468,6 +475,11 @@
         for number in range(first, self.events + 1):
             label = f"{self.software_version} " if self.names_version else ""
             event = f"id: {number}\ndata: {label}token {number}{'.' * self.event_bytes}\n\n"
+            version = self.weights.get(request.headers.get("X-Model"))
+            if arrival.memory and arrival.memory[-1] != version:
+                # An order retains the runs; each says from which event on the weights are others.
+                event = f"x-weight-versions: {version}\n{event}"
+            arrival.memory.append(version)
             await response.write(event.encode())
             await asyncio.sleep(self.event_seconds)
             if loses and number == first + 1:
--- a/features/standin/stream_callers.py
+++ b/features/standin/stream_callers.py
@@ -13,7 +13,7 @@
 
 from features.standin.deployment import HOST, KEY
 
-EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) token \d+\n\n")
+EVENT = re.compile(rb"(?:x-weight-versions: \d+\n)?id: (\d+)\ndata: (\S+) token \d+\n\n")
 OK, ENGINE_LOST, UNAVAILABLE = 200, 502, 503
 # A caller gives up a stream after this long without an event.
 MAX_GAP_S = 2.0
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -9,7 +9,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import DeliveryMachine, Phase
 from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
-from liftrill.gateway.event_stream import StreamEvent
+from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.records import RequestKind
 
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
@@ -160,6 +160,13 @@
         feed(context, events.EventReceived(StreamEvent(number, b"id: %d\n\n" % number)))
 
 
+@when("event {number:d} arrives, the first one made under weights {version:d}")
+def step_changed_weights(context, number, version):
+    data = f"weights: {version}\nid: {number}\n\n".encode()
+    for event in EventSplitter(b"weights:").feed(data):
+        feed(context, events.EventReceived(event))
+
+
 @when("the stream completes")
 def step_completes(context):
     feed(context, events.StreamCompleted())
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -13,7 +13,7 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.engine_selector import EngineSelector
-from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable
 from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
@@ -338,7 +338,10 @@
     context.targets = WeightTargets(8.0, 8.0)
     context.selector = EngineSelector(context.engines, context.targets, "zone-1")
     backup = events.EngineAddress(view.engine_id, view.record.address)
-    context.broken = events.EngineChoice("engine-1", "address", 1, "salt", backup=backup)
+    number = context.engines.get("engine-1").number
+    context.broken = events.EngineChoice(
+        "engine-1", "address", 1, "salt", backup=backup, number=number
+    )
 
 
 @when("version 2 is published")
@@ -346,11 +349,35 @@
     context.targets.add(WeightTarget("model", 2, 1), 100.0)
 
 
-@then("it continues there, without a limit on its start")
-def step_continues_unlimited(context):
-    choice = context.selector.continue_at_backup(opaque_request(), context.broken, 101.0)
-    assert choice.engine_id == "engine-2" and choice.continues_at_backup, choice
-    assert context.selector.begin_by(choice, opaque_request()) == math.inf
+def continuation(context):
+    return context.selector.continue_at_backup(opaque_request(), context.broken, 101.0)
+
+
+@when("it continues there")
+def step_continues(context):
+    context.continued = continuation(context)
+    assert context.continued.engine_id == "engine-2", context.continued
+    assert context.continued.continues_at_backup, context.continued
+
+
+@when("its engine is announced to load version {version:d}")
+def step_announced(context, version):
+    context.engines.apply_notice(EngineNotice("engine-1", "model", version, True, 1), 200.0)
+
+
+@when("its engine is known to have version {version:d}")
+def step_known_weights(context, version):
+    context.engines.apply_notice(EngineNotice("engine-1", "model", version, False, 1), 0.0)
+
+
+@then("it does not continue there")
+def step_not_continued(context):
+    assert continuation(context) is None, continuation(context)
+
+
+@then("its start has no limit")
+def step_unlimited(context):
+    assert context.selector.begin_by(context.continued, opaque_request()) == math.inf
 
 
 @then("a new request sent there may begin for {seconds:g} s")
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -109,6 +109,7 @@
             "stream_interrupted",
             request=machine.request.request_id,
             engine=machine.attempts[-1].engine_id,
+            weights=machine.attempts[-1].weight_version,
             evidence=evidence.value,
             waited_ms=round(1000 * waited_s),
         )
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -177,6 +177,7 @@
 
     def _on_event(self, arrived: events.EventReceived) -> list[events.DeliveryInstruction]:
         event = arrived.event
+        self._continuation.note_event(event)
         known = self.last_event_id
         if event.event_id is not None and known is not None and event.event_id <= known:
             return []
--- a/liftrill/gateway/engines/backup_selector.py
+++ b/liftrill/gateway/engines/backup_selector.py
@@ -11,6 +11,7 @@
 from liftrill.gateway.engines.shared_part_tracker import SharedPartTracker
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.paths.engine_paths import EnginePaths
+from liftrill.gateway.weight_targets import WeightTargets
 
 
 class BackupSelector:
@@ -22,12 +23,14 @@
         parts: SharedPartTracker,
         limits: EngineLimits,
         paths: EnginePaths,
+        targets: WeightTargets,
         of_required_version: Callable[[OpaqueRequest, list[EngineView]], list[EngineView]],
     ) -> None:
         self._engines = engines
         self._parts = parts
         self._limits = limits
         self._paths = paths
+        self._targets = targets
         self._of_required_version = of_required_version
 
     def continue_at_backup(
@@ -41,9 +44,10 @@
         is_suitable = bool(self._of_required_version(request, [view]))
         if not is_suitable or not view.matches_number(backup.number):
             return None
-        if not self.accepts_run(view, request.prompt.model, interrupted.weight_version, now):
+        if self._may_have_loaded(interrupted, request.prompt.model):
             return None
-        if view.condition.is_backing_off(now):
+        is_accepted = self.accepts_run(view, request.prompt.model, interrupted.weight_version, now)
+        if not is_accepted or view.condition.is_backing_off(now):
             return None
         permit = self._limits.obtain(view.identity, request.request_id, 0.0, False, now)
         if permit is None and self._limits.is_limited(view.identity):
@@ -99,6 +103,20 @@
             return False
         return not view.is_paused(now) and self._paths.is_usable(view, now)
 
+    def _may_have_loaded(self, interrupted: EngineChoice, model: str) -> bool:
+        """Return whether the engine of a run may have loaded other weights during it.
+
+        Its copy is then a mixture that no weights may go on with. An engine may be ordered to load
+        from the moment at which a newer version is published, and may end before its load is known.
+        """
+        version = interrupted.weight_version
+        if self._targets.newest(model) > version:
+            return True
+        view = self._engines.get(interrupted.engine_id)
+        if view is None or view.number != interrupted.number:
+            return False
+        return view.weight_version(model) != version or view.loading_version > version
+
     def _next_backup(
         self, view: EngineView, interrupted: EngineChoice, request: OpaqueRequest, now: float
     ) -> EngineAddress | None:
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -87,7 +87,12 @@
         self.software_versions = SoftwareVersionFilter(engines)
         self.ended_lately: Callable[[EngineView, float], bool] = _not_ended
         self.backups = BackupSelector(
-            engines, self.parts, self.limits, self.paths, self.software_versions.of_required_version
+            engines,
+            self.parts,
+            self.limits,
+            self.paths,
+            targets,
+            self.software_versions.of_required_version,
         )
 
     def lacks_version(self, request: OpaqueRequest) -> bool:
--- a/liftrill/gateway/event_stream.py
+++ b/liftrill/gateway/event_stream.py
@@ -15,16 +15,22 @@
     Attributes:
         event_id: its id, or None if it has none.
         data: its bytes, including the blank line that ends it.
+        weight_version: the version that it says the run has changed to, or None.
     """
 
     event_id: int | None
     data: bytes
+    weight_version: int | None = None
 
 
 class EventSplitter:
-    """Splits bytes into complete events, and keeps a partial event at the end."""
+    """Splits bytes into complete events, and keeps a partial event at the end.
 
-    def __init__(self) -> None:
+    An event whose weights changed begins with a line of the version field, if there is one.
+    """
+
+    def __init__(self, version_field: bytes = b"") -> None:
+        self._version_field = version_field
         self._partial = bytearray()
 
     @property
@@ -46,7 +52,18 @@
             self._partial += rest
         else:
             blocks = self._feed_partial(data)
-        return [StreamEvent(_event_id(block), block + SEPARATOR) for block in blocks]
+        return [
+            StreamEvent(_event_id(block), block + SEPARATOR, self._weight_version(block))
+            for block in blocks
+        ]
+
+    def _weight_version(self, block: bytes) -> int | None:
+        field = self._version_field
+        if not field or not block.startswith(field):
+            return None
+        text = block.partition(b"\n")[0][len(field) :].strip()
+        # A version that can't be read still shows that the weights have changed.
+        return int(text) if text.isdigit() else 0
 
     def _feed_partial(self, data: bytes) -> list[bytes]:
         """Add received bytes to the partial event; search none of its bytes again."""
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -20,9 +20,9 @@
 class EventReader:
     """Reads the events of one streamed response."""
 
-    def __init__(self, content: aiohttp.StreamReader) -> None:
+    def __init__(self, content: aiohttp.StreamReader, version_field: bytes) -> None:
         self._content = content
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(version_field)
 
     async def read(self) -> list[events.DeliveryEvent]:
         """Return the events in the next bytes of the stream."""
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -1,13 +1,15 @@
 """Decides how a stream goes on whose engine was lost after the caller got events, sans-IO.
 
 The run may go on at another engine only if the engine before no longer works on it. A lost
-connection does not show that: an engine may go on with a run whose connection it lost.
+connection does not show that: an engine may go on with a run whose connection it lost. A copy of a
+run that has gone on under other weights is of no use, because it was computed with both.
 """
 
 from enum import Enum
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery_ports import DeliveryPorts
+from liftrill.gateway.event_stream import StreamEvent
 from liftrill.gateway.opaque_request import OpaqueRequest
 
 # How many times a run may continue at a backup: a burst of crashes may end engines one by one.
@@ -38,6 +40,12 @@
         self._ports = ports
         self._continued = 0
         self._may_run_at = ""
+        self._weights_changed = False
+
+    def note_event(self, event: StreamEvent) -> None:
+        """Record what an event says of the weights on which its run goes on."""
+        if event.weight_version is not None:
+            self._weights_changed = True
 
     def next_step(
         self, interrupted: events.EngineChoice, evidence: events.EngineEvidence
@@ -47,8 +55,9 @@
         if self._request.may_run_again:
             self._may_run_at = interrupted.engine_id if may_run_on else ""
             return NextStep.SAME_ENGINE if may_run_on else NextStep.OTHER_ENGINE
-        is_possible = interrupted.backup is not None and self._continued < MAX_CONTINUATIONS
-        return NextStep.BACKUP if is_possible and not may_run_on else NextStep.END
+        if may_run_on or self._weights_changed or interrupted.backup is None:
+            return NextStep.END
+        return NextStep.BACKUP if self._continued < MAX_CONTINUATIONS else NextStep.END
 
     def choose(
         self, step: NextStep, interrupted: events.EngineChoice
