A success without the engine's signature reaches no caller

Cause: the head of a response was checked for the request's id and for an encoding, not for the signature.

Change: such a response is rejected as the other invalid ones are: logged and counted, charged to the engine, the outcome of a request that may not be repeated is unknown (502), others are tried at another engine.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -44,6 +44,20 @@
       | shed           | 200    |
       | shed_without_id | 502    |
       | fail           | 500    |
+      | unsigned       | 502    |
+
+  Scenario Outline: A success without the engine's signature reaches no caller
+    Given a node
+    And the next request to any <kind> engine meets the fault "unsigned"
+    When a client asks for <what>
+    Then the answer has status <status>
+    And engines ran it <runs> times
+
+    Examples:
+      | kind  | what                        | status | runs |
+      | desk  | an answer at "/safe/x"      | 200    | 2    |
+      | model | a stream at "/stream/x"     | 502    | 1    |
+      | model | a stream at "/resume/x"     | 200    | 2    |
 
   Scenario Outline: Bytes after a complete answer belong to no request
     Given a node
@@ -79,7 +93,7 @@
     When a client asks for a stream at "/stream/x"
     Then the stream is not complete
 
-  Scenario: An interrupted stream is resumed at another engine if the route allows it, and ends otherwise
+  Scenario: An interrupted stream is resumed if the route allows it, and ends otherwise
     Given a node
     And the next request to any model engine meets the fault "torn"
     When a client asks for a stream at "/resume/x"
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -90,6 +90,8 @@
 }
 
 
+# Begins the name of a fault with the status with which the engine answers a request that it ran.
+OWN_STATUS = "own_"
 MISBEHAVIOURS = {
     "close",
     "hang",
@@ -128,7 +130,7 @@
     Attributes:
         fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
             "extra", "extra_late", "reset_unframed", "torn", "torn_crash", "hang", "fail",
-            "extra_garbage", or a key of ENDLESS.
+            "extra_garbage", "unsigned", "own_NNN" for an own status, or a key of ENDLESS.
         body_bytes: the size of its whole answers, or 0 for a short text.
         refuses_orders: whether it answers orders as if it were busy.
         crashes_on: the bodies of the requests that crash it.
@@ -361,7 +363,9 @@
         if arrival.body in self.crashes_on or not self.crashes_on_parts.isdisjoint(arrival.parts):
             fault = "end"
         headers = {"X-Attempt-Id": arrival.attempt_id, "X-Response-Signature": SIGNATURE}
-        if fault in MISBEHAVIOURS:
+        if fault == "unsigned":
+            del headers["X-Response-Signature"]
+        if fault in MISBEHAVIOURS or fault.startswith(OWN_STATUS):
             arrival.fault = fault
             return await self._misbehave(request, headers, fault)
         if model:
@@ -378,8 +382,9 @@
             return await self._answer_unframed(request, headers, UNFRAMED_ENDINGS[fault])
         if fault == "hang":
             await asyncio.sleep(30)
-        if fault == "fail":
-            return web.Response(status=500, body=b"failed", headers=headers)
+        if fault == "fail" or fault.startswith(OWN_STATUS):
+            status = int(fault.removeprefix(OWN_STATUS)) if fault != "fail" else 500
+            return web.Response(status=status, body=b"failed", headers=headers)
         if fault == "reset_unframed":
             return await self._reset_unframed(request, headers)
         if fault == "end":
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -247,6 +247,16 @@
     call(context, path, method="GET")
 
 
+@when('a client asks for an answer at "{path}"')
+def step_answer(context, path):
+    call(context, path, method="GET")
+
+
+@then("engines ran it {count:d} times")
+def step_ran(context, count):
+    assert sum(arrival.ran for arrival in context.deployment.arrivals()) == count
+
+
 @when('a client asks for a stream at "{path}"')
 def step_stream(context, path):
     call(context, path, model="model-1")
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -17,6 +17,17 @@
     return events.AttemptInterrupted(type(error).__name__)
 
 
+async def read_whole(
+    response: aiohttp.ClientResponse, headers: events.Headers
+) -> list[events.DeliveryEvent]:
+    """Return the event of a whole response, with the headers to pass on."""
+    try:
+        body = await response.read()
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        return [interruption(error)]
+    return [events.CompleteResponse(response.status, headers, body)]
+
+
 class EventReader:
     """Reads the events of one streamed response."""
 
