An engine's own 503, 429 or 408 after a run promises callers nothing

Cause: every whole answer is returned unchanged. Evidence: three scenarios of platform.feature that failed before with the engine's status.

Change: such an answer ends a request that may not be repeated with 502 and the new code 3008, without the engine's signature. Others get the engine's answer as before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -45,6 +45,10 @@
       | shed_without_id | 502    |
       | fail           | 500    |
       | unsigned       | 502    |
+      | own_503        | 502    |
+      | own_429        | 502    |
+      | own_408        | 502    |
+      | own_404        | 404    |
 
   Scenario Outline: A success without the engine's signature reaches no caller
     Given a node
--- a/liftrill/errors.py
+++ b/liftrill/errors.py
@@ -175,6 +175,9 @@
     CLAIM_EXPIRED = CodeDetails(
         3007, 409, "The key is older than claims are kept.", "Check before using a new key."
     )
+    REFUSAL_UNPROVEN = CodeDetails(
+        3008, 502, "The engine refused the request, but may have run it.", "Check before repeating."
+    )
     INTERNAL_ERROR = CodeDetails(
         3999, 500, "The node failed with an unexpected error.", "Report it with the request id."
     )
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -18,6 +18,8 @@
 from liftrill.routing.outcome import AttemptLedger
 
 FIRST_SERVER_ERROR = 500
+# Callers take these for a promise that the request has not run and never will.
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 # Refusals of attempts of which no engine received anything.
 UNSENT_KINDS = (
     events.RefusalKind.UNREACHABLE,
@@ -165,6 +167,10 @@
                 return [self._start_attempt(choice)]
         if self._head_sent:
             return [events.AbandonAttempt(), self._end(ResultCode.STREAM_INTERRUPTED)]
+        if event.status in PROMISING_STATUSES and not self.request.may_run_again:
+            # An engine that has not run a request says so, which is another event.
+            code = ResultCode.REFUSAL_UNPROVEN
+            return [events.AbandonAttempt(), self._end(code, unknown=code)]
         self.phase = Phase.ENDED
         return [events.SendResponse(event)]
 
