http_client: one loop over received bytes, one way to fail a body

No change of behaviour. The check for unsolicited bytes stood twice in data_received, a response whose head came alone was parsed a second time with no bytes, and two places raised an error to the reader of a body. Now one loop divides the bytes, and _parse checks what each piece leaves behind.

--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -70,23 +70,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes (asyncio callback); close if no response is due."""
-        if data and self._is_idle():
-            self._abort()
-            return
         self._last_data_at = clock.now_s()
-        # Heads are parsed one by one: an error in what follows must not discard a response.
-        while data and not self._response_count:
-            length = self._framing.head_length(data)
-            head, data = data[:length], data[length:]
-            self._parse(head)
-            if not self._check_framing(length):
+        if not data:
+            # aiohttp goes on with bytes that it held back while the reader was slow.
+            self._parse(data)
+        while data and not self._is_closing():
+            if self._is_idle():
+                self._abort()
                 return
-        if data and self._is_idle():
-            self._abort()
-            return
-        self._parse(data)
-        if self._response_count:
-            self._check_framing(len(data))
+            # Heads are parsed one by one: an error in what follows must not discard a response.
+            length = len(data) if self._response_count else self._framing.head_length(data)
+            self._parse(data[:length])
+            data = data[length:]
 
     def is_connected(self) -> bool:
         """Return whether another request may be sent, because the peer is not about to close."""
@@ -106,25 +101,26 @@
 
     def _parse(self, data: bytes) -> None:
         super().data_received(data)
-        payload = self._payload
-        if self._exception is not None and payload is not None and not payload.is_eof():
+        if self._is_closing():
             # aiohttp raises an error in a body only to the reader of the next response.
-            set_exception(payload, ClientPayloadError("invalid framing"), self._exception)
+            self._fail_body(ClientPayloadError("invalid framing"))
+            return
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        exceeded = self._framing.add(len(data), body_bytes)
+        if exceeded is not None:
+            error = cut_off_error(exceeded)
+            self.set_exception(error)
+            self._fail_body(error)
+            self._abort()
 
-    def _check_framing(self, received_bytes: int) -> bool:
-        """Return whether more may be received; otherwise close the connection."""
-        if self.transport is None or self.transport.is_closing():
-            return False
+    def _fail_body(self, error: ClientPayloadError) -> None:
+        """Raise an error to the reader of an incomplete body."""
         payload = self._payload
-        exceeded = self._framing.add(received_bytes, payload.total_bytes if payload else 0)
-        if exceeded is None:
-            return True
-        error = cut_off_error(exceeded)
-        self.set_exception(error)
-        if payload is not None:
+        if self._exception is not None and payload is not None and not payload.is_eof():
             set_exception(payload, error)
-        self._abort()
-        return False
+
+    def _is_closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
 
     def _abort(self) -> None:
         self._should_close = True
