response_limits: errors say which unit they count

An exceeded number of interim responses was logged as so many bytes against a limit of 16. Each error now states its own unit, and carries its text alone: the parts that it was made of had no reader but the function that copied them.

response_limits and endless_answers pass; the line of a body that is cut off is as before.

--- a/liftrill/gateway/event_stream.py
+++ b/liftrill/gateway/event_stream.py
@@ -43,7 +43,9 @@
         """The limit that the incomplete event exceeds, or None."""
         if len(self._partial) <= MAX_EVENT_BYTES:
             return None
-        return ResponseTooLargeError("event", len(self._partial), MAX_EVENT_BYTES)
+        return ResponseTooLargeError(
+            f"event: {len(self._partial)} bytes received, limit {MAX_EVENT_BYTES}"
+        )
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes, and return the events that they complete."""
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -24,7 +24,7 @@
 from liftrill.errors import LiftrillError
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.transport import ProbeResult, allow_send
-from liftrill.limited_response import cut_off_error, limited_response
+from liftrill.limited_response import ResponseCutOffError, limited_response
 from liftrill.response_limits import MAX_STORE_BODY_BYTES, BodyLimits, FramingLimit
 
 # A partitioned peer sends nothing: unacknowledged data or keep-alive probes end the connection.
@@ -108,7 +108,7 @@
         body_bytes = self._payload.total_bytes if self._payload is not None else 0
         exceeded = self._framing.add(len(data), body_bytes)
         if exceeded is not None:
-            error = cut_off_error(exceeded)
+            error = ResponseCutOffError(str(exceeded))
             self.set_exception(error)
             self._fail_body(error)
             self._abort()
--- a/liftrill/limited_response.py
+++ b/liftrill/limited_response.py
@@ -10,11 +10,6 @@
     """The connection of a response that exceeds a limit was closed."""
 
 
-def cut_off_error(exceeded: ResponseTooLargeError) -> ResponseCutOffError:
-    """Return the error that aiohttp's callers get for an exceeded limit."""
-    return ResponseCutOffError(exceeded.what, exceeded.received_bytes, exceeded.limit)
-
-
 class LimitedResponse(aiohttp.ClientResponse):
     """A response whose body is read only up to limits.
 
@@ -35,7 +30,7 @@
                 self._body = await self._read_limited()
             except ResponseTooLargeError as error:
                 self.close()
-                raise cut_off_error(error) from error
+                raise ResponseCutOffError(str(error)) from error
             except BaseException:
                 self.close()
                 raise
@@ -51,7 +46,7 @@
             self.body_limits.end(body)
 
     def _evict(self, error: ResponseTooLargeError) -> None:
-        set_exception(self.content, cut_off_error(error))
+        set_exception(self.content, ResponseCutOffError(str(error)))
         if self._connection is not None:
             self._connection.close()
 
--- a/liftrill/response_limits.py
+++ b/liftrill/response_limits.py
@@ -28,12 +28,6 @@
 class ResponseTooLargeError(LiftrillError):
     """A response exceeds a limit."""
 
-    def __init__(self, what: str, received_bytes: int, limit: int) -> None:
-        super().__init__(f"{what}: {received_bytes} bytes received, limit {limit}")
-        self.what = what
-        self.received_bytes = received_bytes
-        self.limit = limit
-
 
 class FramingLimit:
     """Counts what one connection receives for one response besides its body."""
@@ -62,11 +56,12 @@
         self._received_bytes += received_bytes
         if self._interim_responses > MAX_INTERIM_RESPONSES:
             return ResponseTooLargeError(
-                "interim responses", self._received_bytes, MAX_INTERIM_RESPONSES
+                f"{self._interim_responses} interim responses, limit {MAX_INTERIM_RESPONSES}"
             )
         limit = MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * body_bytes
-        if self._received_bytes - body_bytes > limit:
-            return ResponseTooLargeError("framing", self._received_bytes, limit)
+        framing_bytes = self._received_bytes - body_bytes
+        if framing_bytes > limit:
+            return ResponseTooLargeError(f"framing: {framing_bytes} bytes received, limit {limit}")
         return None
 
 
@@ -107,7 +102,7 @@
         """
         if declared_bytes > self.max_body_bytes:
             raise ResponseTooLargeError(
-                f"body with a length of {declared_bytes}", 0, self.max_body_bytes
+                f"body: {declared_bytes} bytes declared, limit {self.max_body_bytes}"
             )
         body = IncompleteBody(on_evicted)
         self._bodies.add(body)
@@ -125,11 +120,14 @@
         body.held_bytes += len(data)
         self._held_bytes += len(data)
         if body.held_bytes > self.max_body_bytes:
-            raise ResponseTooLargeError("body", body.held_bytes, self.max_body_bytes)
+            raise ResponseTooLargeError(
+                f"body: {body.held_bytes} bytes received, limit {self.max_body_bytes}"
+            )
         while self._held_bytes > self.max_incomplete_bytes:
             largest = max(self._bodies, key=lambda each: each.held_bytes)
             error = ResponseTooLargeError(
-                "bodies of all responses", self._held_bytes, self.max_incomplete_bytes
+                f"incomplete bodies of all responses: {self._held_bytes} bytes held,"
+                f" limit {self.max_incomplete_bytes}"
             )
             if largest is body:
                 raise error
