Continuations: nothing is kept that nobody reads

The version that an event names was parsed and only asked for being there; the number of probes was a loop of at most two; the steps of a continuation had texts. No change of behaviour.

gateway_delivery, gateway_forwarding and response_limits pass.

--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -56,16 +56,15 @@
         key = (view.number, for_stream)
         task = self._running.get(key)
         if task is None:
-            task = asyncio.ensure_future(self._check(view, 2 if for_stream else 1))
+            task = asyncio.ensure_future(self._check(view, for_stream))
             self._running[key] = task
             task.add_done_callback(lambda _: self._running.pop(key, None))
         await asyncio.wait({task}, timeout=MAX_EVIDENCE_WAIT_S if for_stream else MAX_WAIT_S)
         return task.result() if task.done() else EngineEvidence.UNKNOWN
 
-    async def _check(self, view: EngineView, probes: int) -> EngineEvidence:
+    async def _check(self, view: EngineView, for_stream: bool) -> EngineEvidence:
         result = await self._probe(view)
-        while result is ProbeResult.ACCEPTED and probes > 1:
-            probes -= 1
+        if for_stream and result is ProbeResult.ACCEPTED:
             await asyncio.sleep(SECOND_PROBE_AFTER_S)
             result = await self._probe(view)
         # No answer may be due to a partition: it does not show whether anything listens.
--- a/liftrill/gateway/event_stream.py
+++ b/liftrill/gateway/event_stream.py
@@ -15,12 +15,12 @@
     Attributes:
         event_id: its id, or None if it has none.
         data: its bytes, including the blank line that ends it.
-        weight_version: the version that it says the run has changed to, or None.
+        changes_weights: whether it says that the run goes on under other weights from here on.
     """
 
     event_id: int | None
     data: bytes
-    weight_version: int | None = None
+    changes_weights: bool = False
 
 
 class EventSplitter:
@@ -55,17 +55,12 @@
         else:
             blocks = self._feed_partial(data)
         return [
-            StreamEvent(_event_id(block), block + SEPARATOR, self._weight_version(block))
+            StreamEvent(_event_id(block), block + SEPARATOR, self._changes_weights(block))
             for block in blocks
         ]
 
-    def _weight_version(self, block: bytes) -> int | None:
-        field = self._version_field
-        if not field or not block.startswith(field):
-            return None
-        text = block.partition(b"\n")[0][len(field) :].strip()
-        # A version that can't be read still shows that the weights have changed.
-        return int(text) if text.isdigit() else 0
+    def _changes_weights(self, block: bytes) -> bool:
+        return bool(self._version_field) and block.startswith(self._version_field)
 
     def _feed_partial(self, data: bytes) -> list[bytes]:
         """Add received bytes to the partial event; search none of its bytes again."""
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -5,7 +5,7 @@
 run that has gone on under other weights is of no use, because it was computed with both.
 """
 
-from enum import Enum
+from enum import Enum, auto
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery_ports import DeliveryPorts
@@ -26,10 +26,10 @@
         END: not at all.
     """
 
-    OTHER_ENGINE = "other engine"
-    SAME_ENGINE = "same engine"
-    BACKUP = "backup"
-    END = "end"
+    OTHER_ENGINE = auto()
+    SAME_ENGINE = auto()
+    BACKUP = auto()
+    END = auto()
 
 
 class RunContinuation:
@@ -44,8 +44,7 @@
 
     def note_event(self, event: StreamEvent) -> None:
         """Record what an event says of the weights on which its run goes on."""
-        if event.weight_version is not None:
-            self._weights_changed = True
+        self._weights_changed = self._weights_changed or event.changes_weights
 
     def next_step(
         self, interrupted: events.EngineChoice, evidence: events.EngineEvidence
