--- a/features/steps/copy_weight_steps.py
+++ b/features/steps/copy_weight_steps.py
@@ -5,9 +5,7 @@
 
 from behave import given, then, when
 
-from features.standin.deployment import Deployment
-from features.standin.stream_callers import StreamCallers
-from features.steps.lost_connection_steps import begin_streams, wait_for_ends
+from features.steps.lost_connection_steps import begin_streams, start_deployment, wait_for_ends
 
 # Streams last longer than the loads of all engines.
 EVENTS, EVENT_S = 60, 0.05
@@ -19,28 +17,9 @@
 @given("{engines:d} model engines with ids of seed {seed:d}, and {nodes:d} nodes")
 def step_deployment(context, engines, seed, nodes):
     source = random.Random(seed)
-    deployment = Deployment(context.directory)
-    context.deployment = context.run(context.stack.enter_async_context(deployment))
-    deployment.set_weight_version(1)
-    deployment.configure(1, backups=True)
-    context.callers = StreamCallers(deployment, seed)
-
-    async def add():
-        for _ in range(engines):
-            await deployment.add_engine(
-                f"i-{source.getrandbits(32):08x}",
-                "llm",
-                weights={MODEL: 1},
-                events=EVENTS,
-                event_seconds=EVENT_S,
-                load_seconds=LOAD_S,
-                names_version=True,
-                slots=64,
-            )
-        for number in range(nodes):
-            await deployment.ready(await deployment.add_node(f"node-{number + 1}"))
-
-    context.run(add())
+    engine_ids = [f"i-{source.getrandbits(32):08x}" for _ in range(engines)]
+    options = {"events": EVENTS, "event_seconds": EVENT_S, "load_seconds": LOAD_S}
+    start_deployment(context, engine_ids, nodes, seed, **options)
 
 
 def record_loads(context):
--- a/features/steps/lost_connection_steps.py
+++ b/features/steps/lost_connection_steps.py
@@ -14,24 +14,18 @@
 CRASH_AFTER_S = 0.2
 
 
-@given("{engines:d} model engines that hold copies of each other's runs, and {nodes:d} nodes")
-def step_deployment(context, engines, nodes):
+def start_deployment(context, engine_ids, nodes, seed=1, **options):
+    """Start model engines that hold copies of each other's runs, and nodes."""
     deployment = Deployment(context.directory)
     context.deployment = context.run(context.stack.enter_async_context(deployment))
     deployment.set_weight_version(1)
     deployment.configure(1, backups=True)
-    context.callers = StreamCallers(deployment)
+    context.callers = StreamCallers(deployment, seed)
 
     async def add():
-        for number in range(engines):
+        for engine_id in engine_ids:
             await deployment.add_engine(
-                f"llm-{number + 1}",
-                "llm",
-                weights={"model-1": 1},
-                events=EVENTS,
-                event_seconds=EVENT_S,
-                names_version=True,
-                slots=64,
+                engine_id, "llm", weights={"model-1": 1}, names_version=True, slots=64, **options
             )
         for number in range(nodes):
             await deployment.ready(await deployment.add_node(f"node-{number + 1}"))
@@ -39,6 +33,12 @@
     context.run(add())
 
 
+@given("{engines:d} model engines that hold copies of each other's runs, and {nodes:d} nodes")
+def step_deployment(context, engines, nodes):
+    engine_ids = [f"llm-{number + 1}" for number in range(engines)]
+    start_deployment(context, engine_ids, nodes, events=EVENTS, event_seconds=EVENT_S)
+
+
 @given("one engine {loses} of one of {every:d} streams, and {then}")
 def step_loses(context, loses, every, then):
     engine = next(iter(context.deployment.engines.values()))
