--- a/features/lost_connections.feature
+++ b/features/lost_connections.feature
@@ -44,7 +44,24 @@
       | resume | at once                                         |
       | stream | with its connections reset 0.005 s before its port |
 
+  Scenario: The node that decides stands still while connections are lost
+    Given one engine resets the connection of one of 4 streams, and goes on
+    When 36 streams on "stream" begin within 2 s, and the nodes stand still for 0.5 s each
+    Then no run was worked on by two engines 0.4 s later
+    And at least 24 of the streams are complete, and the others broke off
+
   Scenario: What is known of the engine of each interrupted stream is logged and counted
     Given one engine resets the connection of one of 4 streams, and goes on
     When 12 streams on "stream" begin within 1 s
     Then each interrupted stream is logged and counted with a "running" engine
+
+  Scenario Outline: An engine is cut off from one node, while the other node reaches it
+    Given the links of the nodes to engines can be cut
+    When 36 streams on "<route>" begin within 1.5 s, and the links of one node to an engine are reset
+    Then at least 36 of the streams are complete, and the others broke off
+    And each interrupted stream was lost by that node, and its engine is "unreached"
+
+    Examples:
+      | route  |
+      | stream |
+      | resume |
--- a/features/steps/lost_connection_steps.py
+++ b/features/steps/lost_connection_steps.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import itertools
+import signal
 import time
 
 from behave import given, then, when
 
 from features.standin.deployment import Deployment
+from features.standin.engine_links import CutKind
 from features.standin.stream_callers import StreamCallers
+from features.steps.engine_partition_steps import add_nodes
 
 EVENTS, EVENT_S = 30, 0.05
+# The time before each node stands still.
+STILL_AFTER_S = 0.4
 # How long after the last stream has begun the crash comes.
 CRASH_AFTER_S = 0.2
 
@@ -85,6 +90,59 @@
     context.run(play())
 
 
+@when(
+    '{count:d} streams on "{route}" begin within {seconds:g} s,'
+    " and the nodes stand still for {still:g} s each"
+)
+def step_stand_still(context, count, route, seconds, still):
+    async def stand_still():
+        for node in context.deployment.nodes:
+            await asyncio.sleep(STILL_AFTER_S)
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(still)
+            node.signal(signal.SIGCONT)
+
+    async def play():
+        standing = asyncio.ensure_future(stand_still())
+        tasks = await begin_streams(context, count, route, seconds)
+        await standing
+        await wait_for_ends(context, tasks)
+
+    context.run(play())
+
+
+@given("the links of the nodes to engines can be cut")
+def step_links(context):
+    async def replace_nodes():
+        nodes, context.deployment.nodes = context.deployment.nodes, []
+        for node in nodes:
+            await node.stop()
+        await add_nodes(context, len(nodes))
+
+    context.run(replace_nodes())
+
+
+@when(
+    '{count:d} streams on "{route}" begin within {seconds:g} s,'
+    " and the links of one node to an engine are reset"
+)
+def step_cut_link(context, count, route, seconds):
+    async def play():
+        tasks = await begin_streams(context, count, route, seconds)
+        engine = max(context.deployment.engines.values(), key=lambda each: len(each.arrivals))
+        context.links["node-1"].cut(CutKind.RESET, {engine.address})
+        await wait_for_ends(context, tasks)
+
+    context.run(play())
+
+
+@then('each interrupted stream was lost by that node, and its engine is "{evidence}"')
+def step_evidence(context, evidence):
+    rows = context.deployment.logged("stream_interrupted")
+    assert rows and {row["node"] for row in rows} == {"node-1"}, rows
+    assert {row["evidence"] for row in rows} == {evidence}, rows
+
+
 def runs(context):
     """Return the arrivals that ran, by request, in order."""
     ran = sorted((a for a in context.deployment.arrivals() if a.ran), key=lambda a: a.at)
