--- a/liftrill/gateway/event_stream.py
+++ b/liftrill/gateway/event_stream.py
@@ -54,14 +54,14 @@
             self._partial += rest
         else:
             blocks = self._feed_partial(data)
+        field = self._version_field
         return [
-            StreamEvent(_event_id(block), block + SEPARATOR, self._changes_weights(block))
+            StreamEvent(
+                _event_id(block), block + SEPARATOR, field != b"" and block.startswith(field)
+            )
             for block in blocks
         ]
 
-    def _changes_weights(self, block: bytes) -> bool:
-        return bool(self._version_field) and block.startswith(self._version_field)
-
     def _feed_partial(self, data: bytes) -> list[bytes]:
         """Add received bytes to the partial event; search none of its bytes again."""
         # The partial event may end with half of a separator.
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -71,17 +71,17 @@
     def data_received(self, data: bytes) -> None:
         """Process received bytes (asyncio callback); close if no response is due."""
         self._last_data_at = clock.now_s()
-        if not data:
-            # aiohttp goes on with bytes that it held back while the reader was slow.
-            self._parse(data)
-        while data and not self._is_closing():
-            if self._is_idle():
-                self._abort()
+        # Heads are parsed one by one: an error in what follows must not discard a response.
+        while data and not self._response_count:
+            length = self._framing.head_length(data)
+            if not self._parse(data[:length]) or length == len(data):
                 return
-            # Heads are parsed one by one: an error in what follows must not discard a response.
-            length = len(data) if self._response_count else self._framing.head_length(data)
-            self._parse(data[:length])
             data = data[length:]
+        if data and self._is_idle():
+            self._abort()
+        else:
+            # Without data, aiohttp goes on with what it held back while the reader was slow.
+            self._parse(data)
 
     def is_connected(self) -> bool:
         """Return whether another request may be sent, because the peer is not about to close."""
@@ -99,19 +99,22 @@
             )
         super().connection_lost(exc)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes) -> bool:
+        """Parse received bytes; return whether the connection is still open."""
         super().data_received(data)
-        if self._is_closing():
+        transport, payload = self.transport, self._payload
+        if transport is None or transport.is_closing():
             # aiohttp raises an error in a body only to the reader of the next response.
             self._fail_body(ClientPayloadError("invalid framing"))
-            return
-        body_bytes = self._payload.total_bytes if self._payload is not None else 0
-        exceeded = self._framing.add(len(data), body_bytes)
-        if exceeded is not None:
-            error = ResponseCutOffError(str(exceeded))
-            self.set_exception(error)
-            self._fail_body(error)
-            self._abort()
+            return False
+        exceeded = self._framing.add(len(data), payload.total_bytes if payload is not None else 0)
+        if exceeded is None:
+            return True
+        error = ResponseCutOffError(str(exceeded))
+        self.set_exception(error)
+        self._fail_body(error)
+        self._abort()
+        return False
 
     def _fail_body(self, error: ClientPayloadError) -> None:
         """Raise an error to the reader of an incomplete body."""
@@ -119,9 +122,6 @@
         if self._exception is not None and payload is not None and not payload.is_eof():
             set_exception(payload, error)
 
-    def _is_closing(self) -> bool:
-        return self.transport is None or self.transport.is_closing()
-
     def _abort(self) -> None:
         self._should_close = True
         if self.transport is not None:
--- a/liftrill/limited_response.py
+++ b/liftrill/limited_response.py
@@ -37,10 +37,15 @@
         return await super().read()
 
     async def _read_limited(self) -> bytes:
+        data = await self.content.readany()
+        if self.content.at_eof():
+            # The usual body arrives in one piece, which the flow control of the reader limits.
+            return data
         body = self.body_limits.begin(self.content_length or 0, self._evict)
         try:
-            while data := await self.content.readany():
+            while data:
                 self.body_limits.add(body, data)
+                data = await self.content.readany()
             return b"".join(body.pieces)
         finally:
             self.body_limits.end(body)
