--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -224,8 +224,8 @@
         await self.store.stop()
         await self.session.close()
 
-    async def add_engine(self, name, service, **options):
-        engine = StandInEngine(name, service, **options)
+    async def add_engine(self, name, service, kind=StandInEngine, **options):
+        engine = kind(name, service, **options)
         await engine.start()
         self.engines[name] = engine
         self.record(engine)
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -114,6 +114,17 @@
 held_backups = {}
 
 
+# How the end of an answer is marked: a stream with `length` has events of one size each.
+CHUNKS, LENGTH, CONNECTION = "chunks", "length", "connection"
+
+
+class UnframedResponse(web.StreamResponse):
+    """An answer without a length or chunks, which ends with its connection."""
+
+    # aiohttp then leaves the body without framing, as for WebSockets.
+    _length_check = False
+
+
 # Ways in which an engine loses the connection of a stream after its second event and goes on with
 # the run: what it writes before, and whether the connection is reset.
 LOST_CONNECTIONS = {
@@ -153,6 +164,8 @@
         loses: the way in which it loses connections, a key of LOST_CONNECTIONS, or "".
         loses_every: one of how many new streams loses its connection.
         drops_lost: whether it drops the run of a lost connection.
+        framing: how its answers end: with a last chunk, a length, or only with their connection.
+        body_seconds: the time between both halves of a whole answer.
     """
 
     engine_id: str
@@ -189,6 +202,8 @@
     loses: str = ""
     loses_every: int = 4
     drops_lost: bool = False
+    framing: str = CHUNKS
+    body_seconds: float = 0.0
 
     def __post_init__(self):
         self.crashed = asyncio.Event()
@@ -331,6 +346,9 @@
         self.loading = False
         self.weights[body["Model"]] = body["Version"]
 
+    def began(self, arrival):
+        """Handle that a request is about to be run."""
+
     def _take_fault(self):
         fault = self.fault
         if fault and self.fault_count:
@@ -360,6 +378,7 @@
             held_backups[f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}"] = arrival.memory
         arrival.version = self.weights.get(model)
         arrival.ran = True
+        self.began(arrival)
         if arrival.body in self.crashes_on or not self.crashes_on_parts.isdisjoint(arrival.parts):
             fault = "end"
         headers = {"X-Attempt-Id": arrival.attempt_id, "X-Response-Signature": SIGNATURE}
@@ -425,12 +444,35 @@
         headers = {**headers, **self._announcements("whole")}
         arrival.note_answer(headers)
         body = f"answer to {arrival.attempt_id}".encode().ljust(self.body_bytes, b".")
+        if self.framing != CHUNKS or self.body_seconds:
+            return await self._in_halves(request, arrival, headers, body)
         response = web.Response(body=body, headers=headers)
         if fault in ("extra", "extra_late"):
             await self._send_twice(request, response, 0.05 if fault == "extra_late" else 0.0)
         arrival.finished = True
         return response
 
+    async def _in_halves(self, request, arrival, headers, body):
+        response = self._response(headers, len(body))
+        await response.prepare(request)
+        half = len(body) // 2
+        await response.write(body[:half])
+        await asyncio.sleep(self.body_seconds)
+        await response.write(body[half:])
+        arrival.finished = True
+        await response.write_eof()
+        return response
+
+    def _response(self, headers, size):
+        """Return a response with this engine's framing, which is to have so many bytes."""
+        kind = UnframedResponse if self.framing == CONNECTION else web.StreamResponse
+        response = kind(headers=headers)
+        if self.framing == CONNECTION:
+            response.force_close()
+        elif self.framing == LENGTH:
+            response.content_length = size
+        return response
+
     async def _send_twice(self, request, response, pause):
         await response.prepare(request)
         await response.write_eof()
@@ -469,17 +511,22 @@
         run.add_done_callback(self._lost_runs.discard)
         self._lost_runs.add(run)
 
+    def _event(self, number):
+        label = f"{self.software_version} " if self.names_version else ""
+        return f"id: {number}\ndata: {label}token {number}{'.' * self.event_bytes}\n\n"
+
     async def _stream(self, request, arrival, headers, fault):
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         self._streams += first == 1
         loses = self.loses and first == 1 and self._streams % self.loses_every == 0
         headers = {**headers, **self._announcements("head"), "Content-Type": "text/event-stream"}
         arrival.note_answer(headers)
-        response = web.StreamResponse(headers=headers)
+        response = self._response(
+            headers, sum(len(self._event(number)) for number in range(first, self.events + 1))
+        )
         await response.prepare(request)
         for number in range(first, self.events + 1):
-            label = f"{self.software_version} " if self.names_version else ""
-            event = f"id: {number}\ndata: {label}token {number}{'.' * self.event_bytes}\n\n"
+            event = self._event(number)
             version = self.weights.get(request.headers.get("X-Model"))
             if arrival.memory and arrival.memory[-1] != version:
                 # An order retains the runs; each says from which event on the weights are others.
--- /dev/null
+++ b/features/standin/engine_process.py
@@ -0,0 +1,152 @@
+"""Engines in processes of their own, so that the kernel closes their connections when they end.
+
+    python -m features.standin.engine_process ENGINE_ID SERVICE PORT OPTIONS
+
+The process prints its address, then a line for each request that it begins or ends. SIGTERM makes
+it stop as a leaving engine does: it stops listening, completes its answers and ends. On SIGUSR1 it
+resets its connections and ends. OPTIONS is a JSON object of fields of StandInEngine.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import signal
+import sys
+import time
+
+from features.standin import engine as engines
+from features.standin.connections import reset
+from features.standin.engine import Arrival, StandInEngine
+from liftrill.bench.launcher import free_ports
+
+MODULE = "features.standin.engine_process"
+HOST = "127.0.0.1"
+BEGAN, ENDED = "began", "ended"
+# The fields of StandInEngine that a process is started with.
+OPTIONS = (
+    "weights",
+    "events",
+    "event_seconds",
+    "slots",
+    "software_version",
+    "names_version",
+    "framing",
+    "body_bytes",
+    "body_seconds",
+    "leaving_in",
+)
+
+
+class EngineProcess(StandInEngine):
+    """An engine that runs in a process of its own; this object holds what it reported."""
+
+    async def start(self, port=0):
+        """Start the process and wait until it listens."""
+        options = {name: getattr(self, name) for name in OPTIONS}
+        options["leaving_in"] = sorted(options["leaving_in"])
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            MODULE,
+            self.engine_id,
+            self.service,
+            str(port or free_ports(1)[0]),
+            json.dumps(options),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.address = json.loads(await self._process.stdout.readline())["address"]
+        self._reports = asyncio.ensure_future(self._read_reports())
+
+    async def _read_reports(self):
+        by_id = {}
+        async for line in self._process.stdout:
+            report = json.loads(line)
+            if report["kind"] == BEGAN:
+                arrival = Arrival(
+                    report["id"], "POST", report["target"], report["headers"], b"", report["at"]
+                )
+                arrival.ran = True
+                by_id[report["id"]] = arrival
+                self.arrivals.append(arrival)
+            elif report["id"] in by_id:
+                by_id[report["id"]].ended_at = report["at"]
+                by_id[report["id"]].finished = report["finished"]
+
+    @property
+    def running(self):
+        """The requests that the engine works on, or worked on when it crashed."""
+        return [arrival for arrival in self.arrivals if arrival.ended_at is None]
+
+    async def crash(self, port_closes_after_s=0.0, how="killed"):
+        """End the process at once: `killed` as by the kernel, or with its connections `reset`."""
+        self._process.send_signal(signal.SIGKILL if how == "killed" else signal.SIGUSR1)
+        await self._ended()
+        self.crashed_at = time.monotonic()
+        self.crashed.set()
+
+    async def leave(self):
+        """Let the engine complete its answers and end."""
+        self._process.send_signal(signal.SIGTERM)
+        await self._ended()
+
+    async def stop(self):
+        """End the process if it runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+        await self._ended()
+
+    async def _ended(self):
+        await self._process.wait()
+        await self._reports
+
+
+class ReportingEngine(StandInEngine):
+    """The engine of such a process, which reports the requests that it runs."""
+
+    def report(self, kind, **fields):
+        print(json.dumps({"kind": kind, "at": time.monotonic(), **fields}), flush=True)
+
+    async def _serve(self, request, arrival):
+        try:
+            return await super()._serve(request, arrival)
+        finally:
+            if arrival.ran:
+                self.report(ENDED, id=arrival.attempt_id, finished=arrival.finished)
+
+    def began(self, arrival):
+        """Report a request that is about to be run."""
+        self.report(BEGAN, id=arrival.attempt_id, target=arrival.target, headers=arrival.headers)
+
+    async def leave(self):
+        """Stop listening, complete the answers and end."""
+        await self._stop_listening()
+        while any(arrival.ended_at is None for arrival in self.arrivals):
+            await asyncio.sleep(0.001)
+        os._exit(0)
+
+    def reset_and_end(self):
+        """Reset all connections and end."""
+        for handler in list(self._server.connections):
+            if handler.transport is not None:
+                reset(handler.transport)
+        os._exit(1)
+
+
+async def main(engine_id, service, port, options):
+    """Run an engine until the process is ended."""
+    options = json.loads(options)
+    engine = ReportingEngine(
+        engine_id, service, **{**options, "leaving_in": frozenset(options["leaving_in"])}
+    )
+    loop = asyncio.get_running_loop()
+    await engine.start(int(port))
+    loop.add_signal_handler(signal.SIGTERM, lambda: asyncio.ensure_future(engine.leave()))
+    loop.add_signal_handler(signal.SIGUSR1, engine.reset_and_end)
+    print(json.dumps({"address": engine.address}), flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
