Log: how the end of an engine's answer was marked

The lines on ended requests named neither the framing of the answer nor anything else by which an answer that ends with its connection could be told from one with a length or chunks. `framing` is `length`, `chunks` or `connection`. No decision reads it.

--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -9,14 +9,12 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import json
 import os
 import signal
 import sys
 import time
 
-from features.standin import engine as engines
 from features.standin.connections import reset
 from features.standin.engine import Arrival, StandInEngine
 from liftrill.bench.launcher import free_ports
@@ -105,10 +103,15 @@
 class ReportingEngine(StandInEngine):
     """The engine of such a process, which reports the requests that it runs."""
 
+    def __post_init__(self):
+        super().__post_init__()
+        self._handlers = set()
+
     def report(self, kind, **fields):
         print(json.dumps({"kind": kind, "at": time.monotonic(), **fields}), flush=True)
 
     async def _serve(self, request, arrival):
+        self._handlers.add(asyncio.current_task())
         try:
             return await super()._serve(request, arrival)
         finally:
@@ -122,8 +125,8 @@
     async def leave(self):
         """Stop listening, complete the answers and end."""
         await self._stop_listening()
-        while any(arrival.ended_at is None for arrival in self.arrivals):
-            await asyncio.sleep(0.001)
+        running = [handler for handler in self._handlers if not handler.done()]
+        await asyncio.gather(*running, return_exceptions=True)
         os._exit(0)
 
     def reset_and_end(self):
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -238,6 +238,7 @@
             parts=_shared_part_ids(request),
             attempts=len(machine.attempts),
             last_event=machine.last_event_id,
+            framing=machine.framing.value if machine.framing is not None else "",
             milliseconds=round((now - request.received_at) * 1000),
             **_stream_fields(machine),
             time_left=round((request.deadline - now) * 1000),
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -68,6 +68,15 @@
     evidence: EngineEvidence = EngineEvidence.UNKNOWN
 
 
+class Framing(Enum):
+    """How the end of a response's body is marked."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # Only by the end of the connection.
+    CONNECTION = "connection"
+
+
 @dataclass(frozen=True, slots=True)
 class CompleteResponse:
     """The complete response of an engine."""
@@ -75,6 +84,7 @@
     status: int
     headers: Headers
     body: bytes
+    framing: Framing = Framing.LENGTH
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +93,7 @@
 
     status: int
     headers: Headers
+    framing: Framing = Framing.CHUNKS
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -8,6 +8,7 @@
 
 # Many small events that arrive at once are processed in several turns.
 READ_BYTES = 16_384
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 def interruption(error: Exception) -> events.AttemptInterrupted:
@@ -17,6 +18,16 @@
     return events.AttemptInterrupted(type(error).__name__)
 
 
+def framing_of(response: aiohttp.ClientResponse) -> events.Framing:
+    """Return how the end of a response's body is marked."""
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return events.Framing.CHUNKS
+    has_no_body = response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY
+    if has_no_body or response.content_length is not None:
+        return events.Framing.LENGTH
+    return events.Framing.CONNECTION
+
+
 async def read_whole(
     response: aiohttp.ClientResponse, headers: events.Headers
 ) -> list[events.DeliveryEvent]:
@@ -25,7 +36,7 @@
         body = await response.read()
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         return [interruption(error)]
-    return [events.CompleteResponse(response.status, headers, body)]
+    return [events.CompleteResponse(response.status, headers, body, framing_of(response))]
 
 
 class EventReader:
