An answer that ends with its connection is complete only if its engine runs on

Whole answers could be cut short in the same way.

Cause: the end of a connection was taken for the end of an answer. The kernel closes the connections of a process that ends in order (FIN) unless bytes were left unread, as a process does after a complete answer without a length or chunks. GuardedResponseHandler took only a reset for a lost body. Class: absence of an error taken for an end that was announced.

Change: readers return such a close as an event of its own. The answer is complete if the engine accepts it. Otherwise it is interrupted, with what the probes showed as its evidence: resumable streams go on at another engine, copies at theirs, others break off. A proxy checks it for its peer, to which it passes the answer on in chunks. An engine that leaves may stop listening before its last answers: an open connection to it shows that it runs.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -235,3 +235,18 @@
       | whether     | end                 |
       | unnoticed   | sent to an engine   |
       | not         | refused as not run  |
+
+  Scenario Outline: A closed connection ends a stream without other marks only at an engine that runs on
+    Given a stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 1 arrive
+    And the engine closes the connection in order, and its state is "<evidence>"
+    Then the stream <end>
+
+    Examples:
+      | evidence  | end            |
+      | running   | ended complete |
+      | ended     | was aborted    |
+      | unreached | was aborted    |
+      | unknown   | was aborted    |
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -11,6 +11,7 @@
 from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
 from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.records import RequestKind
+from liftrill.gateway.run_continuation import resolve_close
 
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 KINDS = {
@@ -137,6 +138,12 @@
     feed(context, events.AttemptInterrupted("reset", evidence=events.EngineEvidence(evidence)))
 
 
+@when('the engine closes the connection in order, and its state is "{evidence}"')
+def step_closed(context, evidence):
+    closed = events.ConnectionClosed(events.StreamCompleted())
+    feed(context, resolve_close(closed, events.EngineEvidence(evidence)))
+
+
 @then("it is sent to the same engine to resume after event {number:d}")
 def step_sent_to_same(context, number):
     start = find(context.last, events.StartAttempt)[0]
@@ -247,6 +254,10 @@
             events.StreamOpened(200, ()),
             events.EventReceived(StreamEvent(number, b"id: %d\n\n" % number)),
             events.StreamCompleted(),
+            resolve_close(
+                events.ConnectionClosed(events.StreamCompleted()),
+                source.choice(list(events.EngineEvidence)),
+            ),
             events.DeadlinePassed(),
         )
     )
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -99,10 +99,12 @@
     assert not early, f"{len(early)} of {len(lost)} streams end as complete after events {early}"
 
 
-@then("at least {count:d} of the streams are complete")
+@then("{count:d} streams are whole, and the others broke off")
 def step_complete(context, count):
-    complete = sum(stream.complete for stream in context.callers.streams)
-    assert complete >= count, complete
+    streams = context.callers.streams
+    whole = [s for s in streams if s.complete and s.last_event == EVENTS]
+    broken = [s for s in streams if not s.complete and s.attempts[-1].lost]
+    assert (len(whole), len(broken)) == (count, len(streams) - count), (len(whole), len(broken))
 
 
 @then("no success lacks a part of its body")
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -7,4 +7,4 @@
     Given 4 model engines in processes of their own, whose answers end with their connection
     When 36 streams on "resume" begin within 1.2 s, and an engine is killed
     Then no stream looks complete that is not
-    And at least 36 of the streams are complete
+    And 36 streams are whole, and the others broke off
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -19,6 +19,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.run_continuation import resolve_close
 from liftrill.gateway.transport import EngineAttempt, ResponseSink
 
 # Engines abort a response that stays unread for some seconds. If the caller delayed the reading
@@ -72,6 +73,12 @@
     ) -> events.EngineEvidence:
         """Find out, before the next attempt, what became of the engine of an interrupted run."""
 
+    @abstractmethod
+    async def check_closed(
+        self, machine: DeliveryMachine, view: EngineView
+    ) -> events.EngineEvidence:
+        """Find out whether an engine is running after it closed a response's connection."""
+
     @abstractmethod
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
         """Record that a run was interrupted or closed early, in case its engine has ended."""
@@ -200,7 +207,11 @@
         self, received: list[events.DeliveryEvent]
     ) -> list[events.DeliveryEvent]:
         recorded: list[events.DeliveryEvent] = []
-        for event in received:
+        for arrived in received:
+            event, evidence = arrived, None
+            if isinstance(event, events.ConnectionClosed):
+                evidence = await self._check_closed()
+                event = resolve_close(event, evidence)
             if isinstance(event, events.EventReceived):
                 self._record_event(event)
             is_interrupted = isinstance(event, events.AttemptInterrupted)
@@ -211,13 +222,23 @@
                 self._owner.record_attempt_event(self._view, event, self._times.sent_at)
             self._owner.log.attempt_event(self._machine, event, self._times)
             if isinstance(event, events.AttemptInterrupted):
-                recorded.append(await self._with_evidence(event))
+                recorded.append(await self._with_evidence(event, evidence))
             else:
                 recorded.append(event)
         return recorded
 
-    async def _with_evidence(self, event: events.AttemptInterrupted) -> events.AttemptInterrupted:
-        """Add to an interruption what is known of its engine."""
+    async def _check_closed(self) -> events.EngineEvidence:
+        """Find out whether the engine is running after it closed the response's connection."""
+        evidence = events.EngineEvidence.UNKNOWN
+        if self._view is not None:
+            evidence = await self._owner.check_closed(self._machine, self._view)
+        self._owner.metrics.closed_responses.labels(evidence.value).inc()
+        return evidence
+
+    async def _with_evidence(
+        self, event: events.AttemptInterrupted, known: events.EngineEvidence | None
+    ) -> events.AttemptInterrupted:
+        """Add to an interruption what is known of its engine, or find it out."""
         evidence, began_at = event.evidence, clock.now_s()
         if event.is_rejected:
             self._owner.metrics.rejected_responses.inc()
@@ -225,7 +246,7 @@
         elif self._view is not None:
             if not self._caller_stalled():
                 self._owner.run_lost(self._machine, self._view, self._times)
-            evidence = await self._owner.check_engine(self._machine, self._view)
+            evidence = known or await self._owner.check_engine(self._machine, self._view)
         if self._machine.may_continue:
             self._owner.log.stream_interrupted(self._machine, evidence, clock.now_s() - began_at)
             self._owner.metrics.interrupted_streams.labels(evidence.value).inc()
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -108,6 +108,17 @@
     """The engine ended the stream as complete."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionClosed:
+    """The connection of a response was closed in order, and nothing else marks the response's end.
+
+    Attributes:
+        completed: the event to handle if the response is complete.
+    """
+
+    completed: CompleteResponse | StreamCompleted
+
+
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
     """The deadline of the caller or of the route has passed."""
@@ -122,6 +133,7 @@
     | StreamOpened
     | EventReceived
     | StreamCompleted
+    | ConnectionClosed
     | DeadlinePassed
 )
 
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -387,6 +387,24 @@
             return events.EngineEvidence.UNKNOWN
         return evidence
 
+    async def check_closed(
+        self, machine: DeliveryMachine, view: EngineView
+    ) -> events.EngineEvidence:
+        """Find out whether an engine is running after it closed a response's connection."""
+        if self._quarantine.knows_end(view):
+            return events.EngineEvidence.ENDED
+        if machine.attempts[-1].proxy is not None:
+            return events.EngineEvidence.UNKNOWN
+        return await self.check_running(view)
+
+    async def check_running(self, view: EngineView) -> events.EngineEvidence:
+        """Find out whether an engine is running, by this node's own link."""
+        evidence = await self.end_check.check_closed(view)
+        # A leaving engine may stop listening before it completes its last responses.
+        if view.leaving and self._transport.has_open_connection(view.record.address):
+            return events.EngineEvidence.RUNNING
+        return evidence
+
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
         """Record that a run was interrupted or closed early, in case its engine has ended."""
         # A leaving engine may exit while long runs are still on it: they did not crash it.
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -45,6 +45,11 @@
             "Responses of engines that were invalid or too large.",
             registry=self.registry,
         )
+        self.closed_responses = self._counter(
+            "liftrill_closed_responses",
+            "Responses that ended with their connection, by what is known of the engine since.",
+            "engine",
+        )
         self.interrupted_streams = self._counter(
             "liftrill_interrupted_streams",
             "Streams that could go on elsewhere, by what was known of their engine.",
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import functools
+import itertools
 import socket
 from collections.abc import Callable
 from contextvars import ContextVar
@@ -23,7 +24,7 @@
 from liftrill import clock, constants
 from liftrill.errors import LiftrillError
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
-from liftrill.gateway.transport import ProbeResult, allow_send
+from liftrill.gateway.transport import EngineTransport, ProbeResult, allow_send
 from liftrill.limited_response import ResponseCutOffError, limited_response
 from liftrill.response_limits import MAX_STORE_BODY_BYTES, BodyLimits, FramingLimit
 
@@ -164,6 +165,18 @@
                 for handler, _ in connections:
                     handler.close()
 
+    def has_open(self, address: str) -> bool:
+        """Return whether a connection to HOST:PORT is open, in use or idle."""
+        host, _, port = address.rpartition(":")
+        idle = (
+            handler
+            for key, connections in self._conns.items()
+            if key.host == host and key.port == int(port)
+            for handler, _ in connections
+        )
+        in_use = (handler for handler in self._acquired if _is_to(handler, host, int(port)))
+        return any(handler.is_connected() for handler in itertools.chain(idle, in_use))
+
 
 class LargeBody(aiohttp.BytesPayload):
     """A body that is written in pieces.
@@ -250,6 +263,12 @@
     return session
 
 
+def _is_to(handler: ResponseHandler, host: str, port: int) -> bool:
+    """Return whether an open connection leads to an address."""
+    transport = handler.transport
+    return transport is not None and transport.get_extra_info("peername") == (host, port)
+
+
 def discard_idle(session: aiohttp.ClientSession, address: str) -> None:
     """Close the idle connections of an engine session to HOST:PORT."""
     if isinstance(session.connector, CheckingConnector):
@@ -270,3 +289,23 @@
         return ProbeResult.LATE if is_late else ProbeResult.UNANSWERED
     writer.close()
     return ProbeResult.ACCEPTED
+
+
+class HttpEngineTransport(EngineTransport):
+    """The connections of an engine session; subclasses send the requests."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def probe(self, address: str, timeout_s: float) -> ProbeResult:
+        """Open a connection to an address, close it, and return whether it was accepted."""
+        return await probe(address, timeout_s)
+
+    def has_open_connection(self, address: str) -> bool:
+        """Return whether a connection to an address is open, in use or idle."""
+        connector = self._session.connector
+        return isinstance(connector, CheckingConnector) and connector.has_open(address)
+
+    def discard_idle(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        discard_idle(self._session, address)
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -70,7 +70,9 @@
         self._forwarder = forwarder
         self._isolated = IsolatedNodes()
         self._monitor = LinkMonitor(paths.links, engines, transport, log, metrics)
-        self._server = ProxyServer(engines, paths.links, parts.memory, log, metrics)
+        self._server = ProxyServer(
+            engines, paths.links, parts.memory, log, metrics, forwarder.check_running
+        )
         self._exchange = ReachExchange(
             engines,
             paths.proxies,
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -1,6 +1,6 @@
 """Passes requests of peers on to engines that they do not reach themselves."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 from yarl import URL
@@ -10,6 +10,7 @@
 from liftrill.gateway import http_server as web
 from liftrill.gateway.caller_server import CallerServer
 from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.delivery_events import EngineEvidence, Framing
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.body_reader import (
@@ -27,6 +28,7 @@
     ProxyOutcome,
     requested_engine,
 )
+from liftrill.gateway.response_reader import framing_of
 
 NOT_SENT_STATUS = 503
 # The headers of a caller's largest request and those that nodes add.
@@ -44,6 +46,7 @@
     Attributes:
         accepts_requests: whether this node passes on requests now.
         may_send: whether an engine may be sent a request now.
+        check_running: finds out whether an engine is running after it closed a connection.
     """
 
     def __init__(
@@ -53,9 +56,11 @@
         memory: NodeMemory | None,
         log: DecisionLog,
         metrics: GatewayMetrics,
+        check_running: Callable[[EngineView], Awaitable[EngineEvidence]],
     ) -> None:
         self.accepts_requests: Callable[[], bool] = lambda: True
         self.may_send: Callable[[EngineView], bool] = lambda view: True
+        self.check_running = check_running
         self._engines = engines
         self._links = links
         self._memory = memory
@@ -139,7 +144,7 @@
             )
             self._links.received(use, clock.now_s())
             try:
-                return await self._return(request, response)
+                return await self._return(request, response, view)
             finally:
                 # A connection whose response was read completely is reused.
                 response.close()
@@ -156,7 +161,7 @@
             http_client.may_send.reset(may_send_token)
 
     async def _return(
-        self, request: web.BaseRequest, response: aiohttp.ClientResponse
+        self, request: web.BaseRequest, response: aiohttp.ClientResponse, view: EngineView
     ) -> web.StreamResponse:
         """Return an engine's response as it comes."""
         returned = web.StreamResponse(status=response.status, reason=response.reason)
@@ -166,6 +171,10 @@
         await returned.prepare(request)
         async for chunk in response.content.iter_any():
             await returned.write(chunk)
+        if framing_of(response) is Framing.CONNECTION:
+            evidence = await self.check_running(view)
+            if evidence is not EngineEvidence.RUNNING:
+                raise aiohttp.ClientPayloadError(f"connection closed, engine {evidence.value}")
         await returned.write_eof()
         self._metrics.proxied_requests.labels("passed").inc()
         return returned
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -9,6 +9,7 @@
 # Many small events that arrive at once are processed in several turns.
 READ_BYTES = 16_384
 STATUSES_WITHOUT_BODY = (204, 304)
+CONNECTION = events.Framing.CONNECTION
 
 
 def interruption(error: Exception) -> events.AttemptInterrupted:
@@ -25,7 +26,7 @@
     has_no_body = response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY
     if has_no_body or response.content_length is not None:
         return events.Framing.LENGTH
-    return events.Framing.CONNECTION
+    return CONNECTION
 
 
 async def read_whole(
@@ -36,14 +37,21 @@
         body = await response.read()
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         return [interruption(error)]
-    return [events.CompleteResponse(response.status, headers, body, framing_of(response))]
+    framing = framing_of(response)
+    complete = events.CompleteResponse(response.status, headers, body, framing)
+    return [events.ConnectionClosed(complete) if framing is CONNECTION else complete]
 
 
 class EventReader:
-    """Reads the events of one streamed response."""
+    """Reads the events of one streamed response.
 
-    def __init__(self, content: aiohttp.StreamReader, version_field: bytes) -> None:
-        self._content = content
+    Attributes:
+        framing: how the end of the response is marked.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse, version_field: bytes) -> None:
+        self.framing = framing_of(response)
+        self._content = response.content
         self._splitter = EventSplitter(version_field)
 
     async def read(self) -> list[events.DeliveryEvent]:
@@ -55,7 +63,8 @@
         if not data:
             if self._splitter.has_partial_event:
                 return [events.AttemptInterrupted("incomplete event at the end of the stream")]
-            return [events.StreamCompleted()]
+            completed = events.StreamCompleted()
+            return [events.ConnectionClosed(completed) if self.framing is CONNECTION else completed]
         received: list[events.DeliveryEvent] = [
             events.EventReceived(event) for event in self._splitter.feed(data)
         ]
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -1,4 +1,4 @@
-"""Decides how a stream goes on whose engine was lost after the caller got events, sans-IO.
+"""Decides what a lost or closed connection means for a response, and how it goes on, sans-IO.
 
 The run may go on at another engine only if the engine before no longer works on it. A lost
 connection does not show that: an engine may go on with a run whose connection it lost. A copy of a
@@ -16,6 +16,20 @@
 MAX_CONTINUATIONS = 3
 
 
+def resolve_close(
+    closed: events.ConnectionClosed, evidence: events.EngineEvidence
+) -> events.DeliveryEvent:
+    """Return the completion of a response, or its interruption if its engine may have ended.
+
+    The kernel closes the connections of a process that ends in the same way as a process closes
+    those of its complete responses.
+    """
+    if evidence is events.EngineEvidence.RUNNING:
+        return closed.completed
+    reason = f"connection closed without an end of the response, engine {evidence.value}"
+    return events.AttemptInterrupted(reason, evidence=evidence)
+
+
 class NextStep(Enum):
     """How an interrupted stream goes on.
 
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -76,6 +76,10 @@
     async def probe(self, address: str, timeout_s: float) -> ProbeResult:
         """Open a connection to an address, close it, and return whether it was accepted."""
 
+    def has_open_connection(self, address: str) -> bool:
+        """Return whether a connection to an address is open, in use or idle."""
+        return False
+
     def discard_idle(self, address: str) -> None:
         """Close the idle connections to an address, because its link was down meanwhile."""
         return
