Sound answers without a length are delivered when their engine leaves right after them

Cause: a port was asked, where the question is whether the process that closed the connection went on. A leaving engine stops listening before it completes its answers, and another incarnation accepts connections.

Change: the engine is asked for its report; an answer of the same incarnation (id and start time) shows that it closed the connection itself, a round trip later. Without an answer in 50 ms it is probed as before, and its answer is waited for on until 1 s. For a leaving engine an open connection to it shows the same, unless this node does not read that connection. One that has ended counts as having completed a response whose last bytes came at most 15 ms before the close, if no other response of it ended at the same time; requests that may run again run again instead, which is right in both cases. Refused probes of a leaving engine with open connections no longer mark its link as down. CloseEvidence decides for streams, whole answers and a proxy's answers; `response_closed` logs it.

--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -116,6 +117,8 @@
 
 # How the end of an answer is marked: a stream with `length` has events of one size each.
 CHUNKS, LENGTH, CONNECTION = "chunks", "length", "connection"
+# The number of pieces in which an engine writes a whole answer that takes time.
+BODY_PIECES = 10
 
 
 class UnframedResponse(web.StreamResponse):
@@ -165,7 +168,7 @@
         loses_every: one of how many new streams loses its connection.
         drops_lost: whether it drops the run of a lost connection.
         framing: how its answers end: with a last chunk, a length, or only with their connection.
-        body_seconds: the time between both halves of a whole answer.
+        body_seconds: how long it takes to write a whole answer, in pieces.
     """
 
     engine_id: str
@@ -327,7 +330,8 @@
 
     def _report(self):
         models = [{"Name": n, "Version": v, "Adapters": []} for n, v in self.weights.items()]
-        return {"Models": models, "Utilization": self.loading, "SeqNo": self.sequence}
+        born = {"born": self.born_unix_ms} if self.born_unix_ms else {}
+        return {"Models": models, "Utilization": self.loading, "SeqNo": self.sequence, **born}
 
     def _order(self, body):
         if body["Fence"] < self.highest_fence:
@@ -445,20 +449,21 @@
         arrival.note_answer(headers)
         body = f"answer to {arrival.attempt_id}".encode().ljust(self.body_bytes, b".")
         if self.framing != CHUNKS or self.body_seconds:
-            return await self._in_halves(request, arrival, headers, body)
+            return await self._in_pieces(request, arrival, headers, body)
         response = web.Response(body=body, headers=headers)
         if fault in ("extra", "extra_late"):
             await self._send_twice(request, response, 0.05 if fault == "extra_late" else 0.0)
         arrival.finished = True
         return response
 
-    async def _in_halves(self, request, arrival, headers, body):
+    async def _in_pieces(self, request, arrival, headers, body):
         response = self._response(headers, len(body))
         await response.prepare(request)
-        half = len(body) // 2
-        await response.write(body[:half])
-        await asyncio.sleep(self.body_seconds)
-        await response.write(body[half:])
+        size = math.ceil(len(body) / BODY_PIECES)
+        for start in range(0, len(body), size):
+            if start:
+                await asyncio.sleep(self.body_seconds / BODY_PIECES)
+            await response.write(body[start : start + size])
         arrival.finished = True
         await response.write_eof()
         return response
@@ -533,6 +538,9 @@
                 event = f"x-weight-versions: {version}\n{event}"
             arrival.memory.append(version)
             await response.write(event.encode())
+            if self.framing == CONNECTION and number == self.events:
+                # The end of the connection marks the end of the answer, so that it comes at once.
+                break
             await asyncio.sleep(self.event_seconds)
             if loses and number == first + 1:
                 self._lose(request, arrival, (self.events - number) * self.event_seconds)
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import sys
 import time
@@ -22,6 +23,8 @@
 MODULE = "features.standin.engine_process"
 HOST = "127.0.0.1"
 BEGAN, ENDED = "began", "ended"
+# A leaving engine exits within this time after the last byte of its last answer.
+LATEST_EXIT_S = 0.01
 # The fields of StandInEngine that a process is started with.
 OPTIONS = (
     "weights",
@@ -127,6 +130,7 @@
         await self._stop_listening()
         running = [handler for handler in self._handlers if not handler.done()]
         await asyncio.gather(*running, return_exceptions=True)
+        await asyncio.sleep(random.uniform(0.0, LATEST_EXIT_S))
         os._exit(0)
 
     def reset_and_end(self):
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -11,7 +11,7 @@
 from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
 from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.records import RequestKind
-from liftrill.gateway.run_continuation import resolve_close
+from liftrill.gateway.run_continuation import CloseEvidence, resolve_close
 
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 KINDS = {
@@ -141,7 +141,8 @@
 @when('the engine closes the connection in order, and its state is "{evidence}"')
 def step_closed(context, evidence):
     closed = events.ConnectionClosed(events.StreamCompleted())
-    feed(context, resolve_close(closed, events.EngineEvidence(evidence)))
+    known = CloseEvidence(events.EngineEvidence(evidence))
+    feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
 
 
 @then("it is sent to the same engine to resume after event {number:d}")
@@ -256,7 +257,13 @@
             events.StreamCompleted(),
             resolve_close(
                 events.ConnectionClosed(events.StreamCompleted()),
-                source.choice(list(events.EngineEvidence)),
+                CloseEvidence(
+                    source.choice(list(events.EngineEvidence)),
+                    source.random() < 0.5,
+                    source.random() < 0.5,
+                    source.choice((0.0, 0.1)),
+                ),
+                machine.request.may_run_again,
             ),
             events.DeadlinePassed(),
         )
@@ -276,7 +283,7 @@
     context.histories = []
     for kind in KINDS:
         # Few histories of streams reach a backup.
-        for _ in range(5_000 if kind == "stream request" else 500):
+        for _ in range(10_000 if kind == "stream request" else 500):
             begin(context, kind, source.randrange(1, 4))
             context.ports.retries = source.randrange(0, 4)
             if source.random() < 0.5:
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -9,11 +9,14 @@
 from features.standin.engine_process import EngineProcess
 from features.standin.stream_callers import StreamCallers
 
-EVENTS, EVENT_S = 40, 0.05
+EVENTS, EVENT_S = 60, 0.05
 NODES = 2
 # Half of an answer is larger than what nodes and sockets buffer for one read.
 BODY_BYTES = 200_000
-BODY_S = 0.4
+BODY_S = 2.5
+BEGIN_WITHIN_S = 1.0
+# For how long a leaving engine is draining before it stops listening.
+DRAINING_S = 1.2
 # How long after the last request has begun the engine ends.
 ENDS_AFTER_S = 0.2
 
@@ -49,6 +52,73 @@
     context.run(add())
 
 
+async def announce(context, engines):
+    """Let engines drain for some time."""
+    for engine in engines:
+        context.deployment.record(engine, "draining")
+    await asyncio.sleep(DRAINING_S)
+    context.left = [arrival for engine in engines for arrival in engine.running]
+
+
+@when('{count:d} streams on "{route}" begin within {seconds:g} s, and all engines but one leave')
+def step_leave(context, count, route, seconds):
+    async def play():
+        tasks = []
+        nodes = itertools.cycle(context.deployment.nodes)
+        for _ in range(count):
+            stream = context.callers.stream(route=route, node=next(nodes))
+            tasks.append(asyncio.ensure_future(stream))
+            await asyncio.sleep(seconds / count)
+        leaving = list(context.deployment.engines.values())[1:]
+        await announce(context, leaving)
+        await asyncio.gather(*(engine.leave() for engine in leaving))
+        await asyncio.gather(*tasks)
+
+    context.run(play())
+
+
+@when('{count:d} clients post to "{path}", and all engines but one leave')
+def step_leave_whole(context, count, path):
+    async def play():
+        nodes = itertools.cycle(context.deployment.nodes)
+        calls = []
+        for _ in range(count):
+            call = context.deployment.call(next(nodes), path)
+            calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(BEGIN_WITHIN_S / count)
+        leaving = list(context.deployment.engines.values())[1:]
+        await announce(context, leaving)
+        await asyncio.gather(*(engine.leave() for engine in leaving))
+        context.answers = await asyncio.gather(*calls)
+
+    context.run(play())
+
+
+def taken_for_incomplete(context):
+    """Return what the nodes logged about the responses that they took for incomplete."""
+    rows = context.deployment.logged("response_closed")
+    return [row for row in rows if not row["complete"]] + context.deployment.logged(
+        "attempt_failed"
+    )
+
+
+@then("all {count:d} streams are whole")
+def step_all_whole(context, count):
+    streams = context.callers.streams
+    whole = sum(is_whole(stream) for stream in streams)
+    print(f"{whole} of {len(streams)} streams whole, {len(context.left)} at leaving engines")
+    assert context.left
+    assert whole == len(streams) == count, taken_for_incomplete(context)
+
+
+@then("all {count:d} answers are whole")
+def step_all_answers_whole(context, count):
+    whole = [a for a in context.answers if a[0] == 200 and a[3] and len(a[2]) == BODY_BYTES]
+    print(f"{len(whole)} of {len(context.answers)} whole, {len(context.left)} at leaving engines")
+    assert context.left
+    assert len(whole) == len(context.answers) == count, taken_for_incomplete(context)
+
+
 def busiest_engine(context):
     return max(context.deployment.engines.values(), key=lambda engine: len(engine.running))
 
@@ -56,6 +126,9 @@
 async def end_engine(context, how):
     """End the process of the engine with the most requests."""
     engine = context.ended = busiest_engine(context)
+    if how == "killed as it leaves":
+        await announce(context, [engine])
+        how = "killed"
     await engine.crash(how=how)
 
 
@@ -99,12 +172,37 @@
     assert not early, f"{len(early)} of {len(lost)} streams end as complete after events {early}"
 
 
-@then("{count:d} streams are whole, and the others broke off")
-def step_complete(context, count):
-    streams = context.callers.streams
-    whole = [s for s in streams if s.complete and s.last_event == EVENTS]
-    broken = [s for s in streams if not s.complete and s.attempts[-1].lost]
-    assert (len(whole), len(broken)) == (count, len(streams) - count), (len(whole), len(broken))
+def is_whole(stream):
+    return stream.complete and stream.last_event == EVENTS
+
+
+@then("all streams are whole")
+def step_all_go_on(context):
+    assert all(is_whole(stream) for stream in context.callers.streams)
+
+
+@then("only streams of that engine broke off")
+def step_broke_off(context):
+    lost = {arrival.attempt_id for arrival in context.ended.running}
+    broken = [s.attempts[0] for s in context.callers.streams if not is_whole(s)]
+    print(f"{len(broken)} of {len(lost)} broke off")
+    assert {attempt.request_id for attempt in broken} == lost
+    assert all(attempt.lost for attempt in broken)
+
+
+@then("each answer that ended with its connection is logged and counted with its evidence")
+def step_logged(context):
+    deployment, streams = context.deployment, context.callers.streams
+    rows = {row["request"]: row for row in deployment.logged("response_closed")}
+    assert len(rows) == len(streams), len(rows)
+    for stream in streams:
+        row = rows[stream.attempts[0].request_id]
+        assert row["framing"] == "connection" and row["complete"] is is_whole(stream), row
+        assert row["evidence"] == ("running" if is_whole(stream) else "ended"), row
+    pages = [context.run(deployment.metrics(node)) for node in deployment.nodes]
+    metric = "liftrill_closed_responses_total{engine="
+    lines = [line for page in pages for line in page.splitlines() if line.startswith(metric)]
+    assert sum(float(line.split()[-1]) for line in lines) == len(streams), lines
 
 
 @then("no success lacks a part of its body")
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import eliot
@@ -17,6 +18,7 @@
 from liftrill.gateway.delivery_times import AttemptTimes
 from liftrill.gateway.engines.engine_condition import EngineSignal
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.run_continuation import CloseEvidence
 
 MESSAGE_PREFIX = "liftrill:"
 # Callers choose the ids that they name.
@@ -114,6 +116,28 @@
             waited_ms=round(1000 * waited_s),
         )
 
+    def response_closed(
+        self,
+        machine: DeliveryMachine,
+        evidence: CloseEvidence,
+        waited_s: float,
+        is_complete: bool,
+    ) -> None:
+        """Log whether a response is complete that ended with its connection, and why."""
+        inputs = {
+            "request": machine.request.request_id,
+            "engine": machine.attempts[-1].engine_id,
+            "framing": machine.times.framing,
+            "evidence": evidence.engine.value,
+            "leaving": evidence.is_leaving,
+            "others_ended": evidence.others_ended,
+            "close_delay_ms": round(1000 * evidence.close_delay_s, 1),
+            "waited_ms": round(1000 * waited_s, 1),
+            "complete": is_complete,
+        }
+        bucket = self._ordinary if is_complete else self._failures
+        self._write("response_closed", bucket, inputs)
+
     def store_era_refused(self, era: int | None, raw_era: str) -> None:
         """Log that an answer of the store has an earlier era than the known one, or none."""
         self._write_failure("store_era_refused", era=era, told=raw_era[:20])
@@ -238,7 +262,7 @@
             parts=_shared_part_ids(request),
             attempts=len(machine.attempts),
             last_event=machine.last_event_id,
-            framing=machine.framing.value if machine.framing is not None else "",
+            framing=machine.times.framing,
             milliseconds=round((now - request.received_at) * 1000),
             **_stream_fields(machine),
             time_left=round((request.deadline - now) * 1000),
@@ -247,7 +271,10 @@
         )
 
     def _write_failure(self, kind: str, **inputs: object) -> None:
-        if self._failures.try_take(1.0, clock.now_s()) > 0:
+        self._write(kind, self._failures, inputs)
+
+    def _write(self, kind: str, bucket: TokenBucket, inputs: Mapping[str, object]) -> None:
+        if bucket.try_take(1.0, clock.now_s()) > 0:
             self._suppressed += 1
             return
         eliot.log_message(
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -60,7 +60,6 @@
         attempts: the engines that the request was sent to, in order.
         last_event_id: id of the newest event that the caller has, or None.
         times: when events were received; recorded by the driver, which reads them.
-        framing: how the end of the newest response is marked, or None before there is one.
     """
 
     def __init__(self, request: OpaqueRequest, ports: DeliveryPorts) -> None:
@@ -69,7 +68,6 @@
         self.attempts: list[events.EngineChoice] = []
         self.last_event_id = request.last_event_id
         self.times = StreamTimes()
-        self.framing: events.Framing | None = None
         self._ports = ports
         self._ledger = AttemptLedger()
         self._attempts_sent = 0
@@ -160,7 +158,6 @@
     def _on_complete_response(
         self, event: events.CompleteResponse
     ) -> list[events.DeliveryInstruction]:
-        self.framing = event.framing
         failed = event.status >= FIRST_SERVER_ERROR
         may_leave = self._continuation.may_leave(self.attempts[-1], None)
         if failed and self.request.may_run_again and may_leave and self._may_send_again():
@@ -178,7 +175,6 @@
         return [events.SendResponse(event)]
 
     def _on_stream_opened(self, event: events.StreamOpened) -> list[events.DeliveryInstruction]:
-        self.framing = event.framing
         # The head is sent with the first event. Until then a response of another engine, or a
         # refusal, can replace it.
         if not self._head_sent:
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.opaque_request import OpaqueRequest
-from liftrill.gateway.run_continuation import resolve_close
+from liftrill.gateway.run_continuation import CloseEvidence, resolve_close
 from liftrill.gateway.transport import EngineAttempt, ResponseSink
 
 # Engines abort a response that stays unread for some seconds. If the caller delayed the reading
@@ -74,10 +74,8 @@
         """Find out, before the next attempt, what became of the engine of an interrupted run."""
 
     @abstractmethod
-    async def check_closed(
-        self, machine: DeliveryMachine, view: EngineView
-    ) -> events.EngineEvidence:
-        """Find out whether an engine is running after it closed a response's connection."""
+    async def check_closed(self, view: EngineView, close_delay_s: float) -> CloseEvidence:
+        """Find out what became of an engine after it closed a response's connection."""
 
     @abstractmethod
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
@@ -135,6 +133,7 @@
         self._first_read_at: float | None = None
         self._prompt_served = False
         self._body_released = False
+        self._close_check_s = 0.0
         self._ended = False
 
     @property
@@ -209,9 +208,10 @@
         recorded: list[events.DeliveryEvent] = []
         for arrived in received:
             event, evidence = arrived, None
+            if isinstance(event, events.StreamOpened | events.CompleteResponse):
+                self._machine.times.framing = event.framing.value
             if isinstance(event, events.ConnectionClosed):
-                evidence = await self._check_closed()
-                event = resolve_close(event, evidence)
+                event, evidence = await self._resolve_close(event)
             if isinstance(event, events.EventReceived):
                 self._record_event(event)
             is_interrupted = isinstance(event, events.AttemptInterrupted)
@@ -227,13 +227,20 @@
                 recorded.append(event)
         return recorded
 
-    async def _check_closed(self) -> events.EngineEvidence:
-        """Find out whether the engine is running after it closed the response's connection."""
-        evidence = events.EngineEvidence.UNKNOWN
+    async def _resolve_close(
+        self, closed: events.ConnectionClosed
+    ) -> tuple[events.DeliveryEvent, events.EngineEvidence]:
+        """Return what a closed connection means for its response, and what shows it."""
+        evidence, began_at = CloseEvidence(events.EngineEvidence.UNKNOWN), clock.now_s()
+        self._machine.times.framing = events.Framing.CONNECTION.value
         if self._view is not None:
-            evidence = await self._owner.check_closed(self._machine, self._view)
-        self._owner.metrics.closed_responses.labels(evidence.value).inc()
-        return evidence
+            evidence = await self._owner.check_closed(self._view, closed.close_delay_s)
+        resolved = resolve_close(closed, evidence, self._machine.request.may_run_again)
+        is_complete = resolved is closed.completed
+        waited_s = self._close_check_s = clock.now_s() - began_at
+        self._owner.metrics.closed_responses.labels(evidence.engine.value).inc()
+        self._owner.log.response_closed(self._machine, evidence, waited_s, is_complete)
+        return resolved, evidence.engine
 
     async def _with_evidence(
         self, event: events.AttemptInterrupted, known: events.EngineEvidence | None
@@ -338,7 +345,7 @@
 
     async def _end(self, ending: events.DeliveryInstruction) -> None:
         self._ended = True
-        now = clock.now_s() - self.caller_wait_s
+        now = clock.now_s() - self.caller_wait_s - self._close_check_s
         held_s = self._machine.times.since_first_event_s(now)
         if isinstance(ending, events.FinishStream) and held_s is not None:
             self._owner.record_slot_time(self._machine, held_s)
@@ -370,7 +377,7 @@
         view = self._view
         if view is None or len(self._machine.attempts) > 1 or not _is_completed(ending):
             return
-        now = clock.now_s()
+        now = clock.now_s() - self._close_check_s
         if isinstance(ending, events.FinishStream):
             self._owner.record_stream_speed(view, self._machine.times, now)
         elif self._machine.request.prompt is None and _is_success(ending):
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -114,9 +114,11 @@
 
     Attributes:
         completed: the event to handle if the response is complete.
+        close_delay_s: the time between its last bytes and the close.
     """
 
     completed: CompleteResponse | StreamCompleted
+    close_delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/delivery_times.py
+++ b/liftrill/gateway/delivery_times.py
@@ -13,6 +13,7 @@
         longest_pause_after: id of the event before that pause, or None.
         last_event_at: 0 before the first event.
         events: number of events received.
+        framing: how the end of the newest response is marked, or nothing before there is one.
     """
 
     first_event_at: float = 0.0
@@ -20,6 +21,7 @@
     longest_pause_after: int | None = None
     last_event_at: float = 0.0
     events: int = 0
+    framing: str = ""
     _last_event_id: int | None = None
 
     def since_first_event_s(self, now: float) -> float | None:
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -1,11 +1,13 @@
 """Checks whether an engine's process has ended after a connection to it was lost."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 from liftrill import clock, constants
 from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
 from liftrill.gateway.engines.engine_table import EngineView
+from liftrill.gateway.run_continuation import CloseEvidence
 from liftrill.gateway.transport import EngineTransport, ProbeResult
 
 # Bound of the delay before the next step after an interrupted attempt. A machine that is up answers
@@ -22,23 +24,15 @@
 }
 
 
-# How often an engine is checked whose response ended with its connection, until the result tells
-# whether it is running: a packet of a probe may be lost.
+# How often an engine is probed whose response ended with its connection.
 MAX_CLOSE_CHECKS = 3
-CONCLUSIVE = (EngineEvidence.RUNNING, EngineEvidence.ENDED)
-
-
-class _RunningCheck:
-    """A check that has begun.
-
-    Attributes:
-        task: returns the result.
-        is_deciding: whether its last probe has begun, so that it cannot show a later end.
-    """
-
-    def __init__(self) -> None:
-        self.task: asyncio.Task[EngineEvidence] | None = None
-        self.is_deciding = False
+# How long an engine's answer is waited for before it is probed, and after its port accepted probes.
+PROMPT_ANSWER_S = 0.05
+LATE_ANSWER_S = 1.0
+# Connections that the end of a process closes are closed within this time of each other.
+SAME_END_S = 0.01
+# For how long the ends of responses are kept: longer than a check takes.
+RESPONSE_ENDS_KEPT_S = 3.0
 
 
 async def _not_reached(engine: EngineAddress) -> bool:
@@ -47,7 +41,7 @@
 
 
 class EngineEndCheck:
-    """Shares running checks among the requests of an engine.
+    """Runs at most one check of each kind at a time for each engine after lost connections.
 
     A refused connection may also be due to a partition between this node and the engine, so peers
     are asked whether they reach it.
@@ -64,7 +58,11 @@
         self.on_probe: Callable[[EngineAddress, ProbeResult, float], None] | None = None
         self._transport = transport
         self._on_ended = on_ended
-        self._running: dict[tuple[int, bool], _RunningCheck] = {}
+        self._running: dict[tuple[int, bool], asyncio.Task[EngineEvidence]] = {}
+        # Checks after a close that have sent no probe yet.
+        self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
+        # By time: the numbers of the engines whose responses ended.
+        self._response_ends: deque[tuple[float, int]] = deque()
 
     async def check(self, view: EngineView, for_stream: bool = False) -> EngineEvidence:
         """Check whether an engine has ended; return what is known of it before the next step.
@@ -72,44 +70,85 @@
         If a stream goes on depending on the result, it is waited for longer, and an engine that
         accepts a connection is probed a second time.
         """
-        running = self._running.get((view.number, for_stream)) or self._begin(view, for_stream)
-        return await _result(running, MAX_EVIDENCE_WAIT_S if for_stream else MAX_WAIT_S)
-
-    async def check_closed(self, view: EngineView) -> EngineEvidence:
-        """Check whether an engine is running after it closed a connection in order.
+        key = (view.number, for_stream)
+        task = self._running.get(key)
+        if task is None:
+            task = asyncio.ensure_future(self._check(view, for_stream))
+            self._running[key] = task
+            task.add_done_callback(lambda _: self._running.pop(key, None))
+        return await _result_within(task, MAX_EVIDENCE_WAIT_S if for_stream else MAX_WAIT_S)
+
+    async def check_closed(self, view: EngineView, close_delay_s: float) -> CloseEvidence:
+        """Find out what became of an engine after it closed a response's connection in order."""
+        closed_at = clock.now_s()
+        self.record_response_end(view, closed_at)
+        answer = asyncio.ensure_future(self._ask(view))
+        try:
+            evidence = await _result_within(answer, PROMPT_ANSWER_S)
+            if evidence is EngineEvidence.UNKNOWN and view.leaving:
+                evidence = await self._check_connections(view)
+            if evidence is EngineEvidence.UNKNOWN:
+                evidence = await self._probe_closed(view, answer)
+        finally:
+            answer.cancel()
+        others_ended = self._others_ended(view, closed_at)
+        return CloseEvidence(evidence, view.leaving, others_ended, close_delay_s)
+
+    async def _ask(self, view: EngineView) -> EngineEvidence:
+        """Return what an engine's answer to a call shows, or `UNKNOWN` if there is none."""
+        is_same = await self._transport.is_answering(view)
+        if is_same is None:
+            return EngineEvidence.UNKNOWN
+        return EngineEvidence.RUNNING if is_same else EngineEvidence.ENDED
+
+    async def _check_connections(self, view: EngineView) -> EngineEvidence:
+        """Return what open connections show of a leaving engine, which may not listen any more."""
+        await asyncio.sleep(SAME_END_S)
+        has_open = self._transport.has_open_connection(view.record.address)
+        return EngineEvidence.RUNNING if has_open else EngineEvidence.UNKNOWN
+
+    async def _probe_closed(
+        self, view: EngineView, answer: asyncio.Task[EngineEvidence]
+    ) -> EngineEvidence:
+        """Return what probes show of an engine that has not answered yet.
 
-        The deciding probe begins after this call, so that it shows an end that closed the
-        connection.
+        A port that accepts connections shows that the engine is running only if nothing answers
+        there: another incarnation may listen by then.
         """
         evidence = EngineEvidence.UNKNOWN
         for _ in range(MAX_CLOSE_CHECKS):
-            running = self._running.get((view.number, True))
-            if running is None or running.is_deciding:
-                running = self._begin(view, for_stream=True)
-            evidence = await _result(running, MAX_EVIDENCE_WAIT_S)
-            if evidence in CONCLUSIVE:
-                break
+            task = self._prepared.get(view.number)
+            if task is None:
+                task = asyncio.ensure_future(self._check_prepared(view))
+                self._prepared[view.number] = task
+            evidence = await _result_within(task, MAX_EVIDENCE_WAIT_S)
+            if evidence is EngineEvidence.ENDED:
+                return evidence
+            if evidence is EngineEvidence.RUNNING:
+                answered = await _result_within(answer, LATE_ANSWER_S)
+                return evidence if answered is EngineEvidence.UNKNOWN else answered
         return evidence
 
-    def _begin(self, view: EngineView, for_stream: bool) -> _RunningCheck:
-        key, running = (view.number, for_stream), _RunningCheck()
-        running.task = asyncio.ensure_future(self._check(view, for_stream, running))
-        self._running[key] = running
-        running.task.add_done_callback(lambda _: self._forget(key, running))
-        return running
+    async def _check_prepared(self, view: EngineView) -> EngineEvidence:
+        # A probe that is sent already may precede the end that closed the next connection.
+        del self._prepared[view.number]
+        return await self._check(view, for_stream=True)
 
-    def _forget(self, key: tuple[int, bool], ended: _RunningCheck) -> None:
-        if self._running.get(key) is ended:
-            del self._running[key]
+    def record_response_end(self, view: EngineView, now: float) -> None:
+        """Record that the connection of a response of an engine was closed or lost."""
+        self._response_ends.append((now, view.number))
+        while now - self._response_ends[0][0] > RESPONSE_ENDS_KEPT_S:
+            self._response_ends.popleft()
 
-    async def _check(
-        self, view: EngineView, for_stream: bool, running: _RunningCheck
-    ) -> EngineEvidence:
-        running.is_deciding = not for_stream
+    def _others_ended(self, view: EngineView, ended_at: float) -> bool:
+        """Return whether other responses of an engine ended at the same time as one."""
+        ends = [at for at, number in self._response_ends if number == view.number]
+        return sum(abs(at - ended_at) <= SAME_END_S for at in ends) > 1
+
+    async def _check(self, view: EngineView, for_stream: bool) -> EngineEvidence:
         result = await self._probe(view)
         if for_stream and result is ProbeResult.ACCEPTED:
             await asyncio.sleep(SECOND_PROBE_AFTER_S)
-            running.is_deciding = True
             result = await self._probe(view)
         # No answer may be due to a partition: it does not show whether anything listens.
         if result is not ProbeResult.REFUSED:
@@ -129,8 +168,7 @@
         return result
 
 
-async def _result(running: _RunningCheck, timeout_s: float) -> EngineEvidence:
+async def _result_within(task: asyncio.Task[EngineEvidence], wait_s: float) -> EngineEvidence:
     """Return the result of a check, or `UNKNOWN` if there is none in time."""
-    assert running.task is not None
-    await asyncio.wait({running.task}, timeout=timeout_s)
-    return running.task.result() if running.task.done() else EngineEvidence.UNKNOWN
+    await asyncio.wait({task}, timeout=wait_s)
+    return task.result() if task.done() else EngineEvidence.UNKNOWN
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -27,6 +27,7 @@
 from liftrill.gateway.paths.proxied_attempt import ProxiedAttempt
 from liftrill.gateway.paths.tracked_attempt import TrackedAttempt
 from liftrill.gateway.quarantine import Quarantine
+from liftrill.gateway.run_continuation import CloseEvidence
 from liftrill.gateway.transport import EngineAttempt, EngineTransport, ResponseSink
 
 # How long an engine that refused a request, for load or for its version, gets no new requests.
@@ -365,6 +366,7 @@
         if isinstance(event, events.AttemptRefused):
             self._record_refusal(view, event.kind, now)
         elif isinstance(event, events.AttemptInterrupted):
+            self.end_check.record_response_end(view, now)
             self._record_failure(view, now)
         elif isinstance(event, events.CompleteResponse | events.EventReceived):
             view.breaker.record_success()
@@ -387,23 +389,9 @@
             return events.EngineEvidence.UNKNOWN
         return evidence
 
-    async def check_closed(
-        self, machine: DeliveryMachine, view: EngineView
-    ) -> events.EngineEvidence:
-        """Find out whether an engine is running after it closed a response's connection."""
-        if self._quarantine.knows_end(view):
-            return events.EngineEvidence.ENDED
-        if machine.attempts[-1].proxy is not None:
-            return events.EngineEvidence.UNKNOWN
-        return await self.check_running(view)
-
-    async def check_running(self, view: EngineView) -> events.EngineEvidence:
-        """Find out whether an engine is running, by this node's own link."""
-        evidence = await self.end_check.check_closed(view)
-        # A leaving engine may stop listening before it completes its last responses.
-        if view.leaving and self._transport.has_open_connection(view.record.address):
-            return events.EngineEvidence.RUNNING
-        return evidence
+    async def check_closed(self, view: EngineView, close_delay_s: float) -> CloseEvidence:
+        """Find out what became of an engine after it closed a response's connection."""
+        return await self.end_check.check_closed(view, close_delay_s)
 
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
         """Record that a run was interrupted or closed early, in case its engine has ended."""
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -9,6 +9,7 @@
 import asyncio
 import functools
 import itertools
+import math
 import socket
 from collections.abc import Callable
 from contextvars import ContextVar
@@ -52,6 +53,18 @@
         self._framing = FramingLimit()
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
+        self._closed_at = math.inf
+
+    @property
+    def close_delay_s(self) -> float:
+        """The time between the last received bytes and the end of the connection."""
+        return self._closed_at - self._last_data_at
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open; one that is not read does not show its end."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and not self._reading_paused
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the response to a request that is about to be sent."""
@@ -93,6 +106,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection (asyncio callback)."""
+        self._closed_at = clock.now_s()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             set_exception(
@@ -175,7 +189,8 @@
             for handler, _ in connections
         )
         in_use = (handler for handler in self._acquired if _is_to(handler, host, int(port)))
-        return any(handler.is_connected() for handler in itertools.chain(idle, in_use))
+        handlers = itertools.chain(idle, in_use)
+        return any(isinstance(h, GuardedResponseHandler) and h.is_open for h in handlers)
 
 
 class LargeBody(aiohttp.BytesPayload):
--- a/liftrill/gateway/http_headers.py
+++ b/liftrill/gateway/http_headers.py
@@ -53,3 +53,11 @@
             if len(self._known) < MAX_UNREAD_NAMES:
                 self._known.add(name)
                 self._report(name)
+
+
+def end_to_end_headers(
+    headers: MultiMapping[str], dropped: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return headers without those of their connection, which it may name, and others."""
+    options = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    return kept_headers(headers, CONNECTION_HEADERS | dropped | options)
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -71,7 +71,7 @@
         self._isolated = IsolatedNodes()
         self._monitor = LinkMonitor(paths.links, engines, transport, log, metrics)
         self._server = ProxyServer(
-            engines, paths.links, parts.memory, log, metrics, forwarder.check_running
+            engines, paths.links, parts.memory, log, metrics, forwarder.check_closed
         )
         self._exchange = ReachExchange(
             engines,
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -10,7 +10,7 @@
 from liftrill.gateway import http_server as web
 from liftrill.gateway.caller_server import CallerServer
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery_events import EngineEvidence, Framing
+from liftrill.gateway.delivery_events import Framing
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.body_reader import (
@@ -28,7 +28,8 @@
     ProxyOutcome,
     requested_engine,
 )
-from liftrill.gateway.response_reader import framing_of
+from liftrill.gateway.response_reader import CloseTimer, framing_of
+from liftrill.gateway.run_continuation import CloseEvidence
 
 NOT_SENT_STATUS = 503
 # The headers of a caller's largest request and those that nodes add.
@@ -46,7 +47,7 @@
     Attributes:
         accepts_requests: whether this node passes on requests now.
         may_send: whether an engine may be sent a request now.
-        check_running: finds out whether an engine is running after it closed a connection.
+        check_closed: finds out what became of an engine after it closed a response's connection.
     """
 
     def __init__(
@@ -56,11 +57,11 @@
         memory: NodeMemory | None,
         log: DecisionLog,
         metrics: GatewayMetrics,
-        check_running: Callable[[EngineView], Awaitable[EngineEvidence]],
+        check_closed: Callable[[EngineView, float], Awaitable[CloseEvidence]],
     ) -> None:
         self.accepts_requests: Callable[[], bool] = lambda: True
         self.may_send: Callable[[EngineView], bool] = lambda view: True
-        self.check_running = check_running
+        self.check_closed = check_closed
         self._engines = engines
         self._links = links
         self._memory = memory
@@ -168,13 +169,14 @@
         returned.headers.extend(kept_headers(response.headers, DROPPED_HEADERS))
         if response.content_length is not None:
             returned.content_length = response.content_length
+        timer = CloseTimer(response)
         await returned.prepare(request)
         async for chunk in response.content.iter_any():
             await returned.write(chunk)
         if framing_of(response) is Framing.CONNECTION:
-            evidence = await self.check_running(view)
-            if evidence is not EngineEvidence.RUNNING:
-                raise aiohttp.ClientPayloadError(f"connection closed, engine {evidence.value}")
+            evidence = await self.check_closed(view, timer.delay_s)
+            if not evidence.shows_completion:
+                raise aiohttp.ClientPayloadError(f"connection closed, engine {evidence.engine}")
         await returned.write_eof()
         self._metrics.proxied_requests.labels("passed").inc()
         return returned
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -4,6 +4,7 @@
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.event_stream import EventSplitter
+from liftrill.gateway.http_client import GuardedResponseHandler
 from liftrill.response_limits import ResponseTooLargeError
 
 # Many small events that arrive at once are processed in several turns.
@@ -21,25 +22,47 @@
 
 def framing_of(response: aiohttp.ClientResponse) -> events.Framing:
     """Return how the end of a response's body is marked."""
-    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+    codings = ",".join(response.headers.getall("Transfer-Encoding", ())).lower().split(",")
+    if codings[-1].strip() == "chunked":
         return events.Framing.CHUNKS
+    if codings != [""]:
+        return CONNECTION
     has_no_body = response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY
     if has_no_body or response.content_length is not None:
         return events.Framing.LENGTH
     return CONNECTION
 
 
+class CloseTimer:
+    """Measures the time between the last bytes of a response and the close of its connection."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        # Without a connection the response ended as its head was read.
+        connection = response.connection
+        self._handler = connection.protocol if connection is not None else None
+
+    @property
+    def delay_s(self) -> float:
+        """The time between the last bytes and the close."""
+        if isinstance(self._handler, GuardedResponseHandler):
+            return self._handler.close_delay_s
+        return 0.0
+
+
 async def read_whole(
     response: aiohttp.ClientResponse, headers: events.Headers
 ) -> list[events.DeliveryEvent]:
     """Return the event of a whole response, with the headers to pass on."""
+    timer = CloseTimer(response)
     try:
         body = await response.read()
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         return [interruption(error)]
     framing = framing_of(response)
     complete = events.CompleteResponse(response.status, headers, body, framing)
-    return [events.ConnectionClosed(complete) if framing is CONNECTION else complete]
+    if framing is CONNECTION:
+        return [events.ConnectionClosed(complete, timer.delay_s)]
+    return [complete]
 
 
 class EventReader:
@@ -51,6 +74,7 @@
 
     def __init__(self, response: aiohttp.ClientResponse, version_field: bytes) -> None:
         self.framing = framing_of(response)
+        self._timer = CloseTimer(response)
         self._content = response.content
         self._splitter = EventSplitter(version_field)
 
@@ -64,7 +88,9 @@
             if self._splitter.has_partial_event:
                 return [events.AttemptInterrupted("incomplete event at the end of the stream")]
             completed = events.StreamCompleted()
-            return [events.ConnectionClosed(completed) if self.framing is CONNECTION else completed]
+            if self.framing is CONNECTION:
+                return [events.ConnectionClosed(completed, self._timer.delay_s)]
+            return [completed]
         received: list[events.DeliveryEvent] = [
             events.EventReceived(event) for event in self._splitter.feed(data)
         ]
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -5,6 +5,7 @@
 run that has gone on under other weights is of no use, because it was computed with both.
 """
 
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from liftrill.gateway import delivery_events as events
@@ -14,20 +15,51 @@
 
 # How many times a run may continue at a backup: a burst of crashes may end engines one by one.
 MAX_CONTINUATIONS = 3
+# An engine closes the connection of a response without other framing right after its last bytes.
+MAX_CLOSE_DELAY_S = 0.015
 
 
-def resolve_close(
-    closed: events.ConnectionClosed, evidence: events.EngineEvidence
-) -> events.DeliveryEvent:
-    """Return the completion of a response, or its interruption if its engine may have ended.
+@dataclass(frozen=True, slots=True)
+class CloseEvidence:
+    """What is known of a response whose connection was closed in order, and of its engine.
 
     The kernel closes the connections of a process that ends in the same way as a process closes
     those of its complete responses.
+
+    Attributes:
+        engine: what is known of the engine after the close.
+        is_leaving: whether the engine announced that it would end.
+        others_ended: whether other responses of the engine ended at the same time.
+        close_delay_s: the time between the last bytes and the close.
+    """
+
+    engine: events.EngineEvidence
+    is_leaving: bool = False
+    others_ended: bool = False
+    close_delay_s: float = 0.0
+
+    @property
+    def shows_completion(self) -> bool:
+        """Whether the engine closed the connection itself, as the end of its response."""
+        if self.engine is not events.EngineEvidence.ENDED:
+            return self.engine is events.EngineEvidence.RUNNING
+        # A leaving engine may end right after its last response.
+        is_prompt = self.close_delay_s <= MAX_CLOSE_DELAY_S
+        return self.is_leaving and is_prompt and not self.others_ended
+
+
+def resolve_close(
+    closed: events.ConnectionClosed, evidence: CloseEvidence, may_run_again: bool
+) -> events.DeliveryEvent:
+    """Return the completion of a response, or its interruption if it may be incomplete.
+
+    A new run is right in both cases: after a complete response it adds nothing.
     """
-    if evidence is events.EngineEvidence.RUNNING:
+    is_certain = evidence.engine is events.EngineEvidence.RUNNING
+    if is_certain or (evidence.shows_completion and not may_run_again):
         return closed.completed
-    reason = f"connection closed without an end of the response, engine {evidence.value}"
-    return events.AttemptInterrupted(reason, evidence=evidence)
+    reason = f"connection closed without an end of the response, engine {evidence.engine.value}"
+    return events.AttemptInterrupted(reason, evidence=evidence.engine)
 
 
 class NextStep(Enum):
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest
 
 
@@ -76,6 +77,10 @@
     async def probe(self, address: str, timeout_s: float) -> ProbeResult:
         """Open a connection to an address, close it, and return whether it was accepted."""
 
+    async def is_answering(self, view: EngineView) -> bool | None:
+        """Return whether an incarnation of an engine answers a call, or None without an answer."""
+        return None
+
     def has_open_connection(self, address: str) -> bool:
         """Return whether a connection to an address is open, in use or idle."""
         return False
