--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -37,6 +37,7 @@
     "body_bytes",
     "body_seconds",
     "leaving_in",
+    "born_unix_ms",
 )
 
 
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import itertools
+import signal
 
 from behave import given, then, when
 
+from features.soak.fleet import now_unix_ms
 from features.standin.deployment import Deployment
 from features.standin.engine_process import EngineProcess
 from features.standin.stream_callers import StreamCallers
+from features.steps.lost_connection_steps import begin_streams
 
 EVENTS, EVENT_S = 60, 0.05
 NODES = 2
@@ -45,6 +48,7 @@
                 body_bytes=BODY_BYTES,
                 body_seconds=BODY_S,
                 framing=framing,
+                born_unix_ms=now_unix_ms(),
             )
         for number in range(NODES):
             await deployment.ready(await deployment.add_node(f"node-{number + 1}"))
@@ -63,12 +67,7 @@
 @when('{count:d} streams on "{route}" begin within {seconds:g} s, and all engines but one leave')
 def step_leave(context, count, route, seconds):
     async def play():
-        tasks = []
-        nodes = itertools.cycle(context.deployment.nodes)
-        for _ in range(count):
-            stream = context.callers.stream(route=route, node=next(nodes))
-            tasks.append(asyncio.ensure_future(stream))
-            await asyncio.sleep(seconds / count)
+        tasks = await begin_streams(context, count, route, seconds)
         leaving = list(context.deployment.engines.values())[1:]
         await announce(context, leaving)
         await asyncio.gather(*(engine.leave() for engine in leaving))
@@ -135,12 +134,7 @@
 @when('{count:d} streams on "{route}" begin within {seconds:g} s, and an engine is {how}')
 def step_streams(context, count, route, seconds, how):
     async def play():
-        nodes = itertools.cycle(context.deployment.nodes)
-        tasks = []
-        for _ in range(count):
-            stream = context.callers.stream(route=route, node=next(nodes))
-            tasks.append(asyncio.ensure_future(stream))
-            await asyncio.sleep(seconds / count)
+        tasks = await begin_streams(context, count, route, seconds)
         await asyncio.sleep(ENDS_AFTER_S)
         await end_engine(context, how)
         await asyncio.gather(*tasks)
@@ -148,6 +142,29 @@
     context.run(play())
 
 
+@when(
+    '{count:d} streams on "{route}" begin within {seconds:g} s,'
+    " and an engine starts again at its address while the nodes stand still"
+)
+def step_start_again(context, count, route, seconds):
+    async def play():
+        tasks = await begin_streams(context, count, route, seconds)
+        for node in context.deployment.nodes:
+            node.signal(signal.SIGSTOP)
+        engine = context.ended = busiest_engine(context)
+        port = int(engine.address.rpartition(":")[2])
+        await engine.crash()
+        context.lost = engine.running
+        engine.born_unix_ms = now_unix_ms()
+        await engine.start(port)
+        context.deployment.record(engine)
+        for node in context.deployment.nodes:
+            node.signal(signal.SIGCONT)
+        await asyncio.gather(*tasks)
+
+    context.run(play())
+
+
 @when('{count:d} clients post to "{path}", and an engine is {how} half-way')
 def step_whole(context, count, path, how):
     async def play():
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -50,3 +50,8 @@
       | path     |
       | /whole/x |
       | /safe/x  |
+
+  Scenario: The next incarnation at an engine's address is taken for the one that closed its connections
+    Given 4 model engines in processes of their own, whose answers end with their connection
+    When 36 streams on "stream" begin within 1.2 s, and an engine starts again at its address while the nodes stand still
+    Then no stream looks complete that is not
