--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import math
+import os
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -91,6 +92,20 @@
 }
 
 
+# By default the connections of an engine that crashes are reset. With "close" in this environment
+# variable they are closed in order, as the kernel does for a process that left no byte unread.
+CRASH_VARIABLE = "LIFTRILL_STAND_IN_CRASH"
+CLOSE = "close"
+
+
+def end_connection(transport):
+    """End a connection of an engine that crashes."""
+    if os.environ.get(CRASH_VARIABLE) == CLOSE:
+        transport.abort()
+    else:
+        reset(transport)
+
+
 # Begins the name of a fault with the status with which the engine answers a request that it ran.
 OWN_STATUS = "own_"
 MISBEHAVIOURS = {
@@ -243,12 +258,12 @@
             await self.crash()
 
     async def crash(self, port_closes_after_s=0.0):
-        """Stop listening and reset the open connections, as when the process dies."""
+        """Stop listening and end the open connections, as when the process dies."""
         if not port_closes_after_s:
             await self._stop_listening()
         for handler in list(self._server.connections):
             if handler.transport is not None:
-                reset(handler.transport)
+                end_connection(handler.transport)
         if port_closes_after_s:
             await asyncio.sleep(port_closes_after_s)
             await self._stop_listening()
