A stream whose ids go back within an attempt is interrupted, not joined from two texts

What callers saw: an engine sent events 1 2 3 and then 1 to 8 of another text. The caller got 1 2 3, then 4 to 8 of the other text, and an end as complete. The same after a resumption: 1 to 6 of one text, then 7 and 8 of another.

Cause: the delivery dropped each event whose id was at or before the newest one, whichever attempt it came from, and passed on what followed. Such an event is a repetition only at the beginning of a later attempt.

Change: EventOrder decides, without I/O, which events of an attempt are new. An id that is not after the previous one of the same attempt spoils the answer. The driver turns such an event into a rejected interruption before it is recorded, so that breaker, log, metric and state machine see the same.

A resumable stream goes on at the same engine, as after other rejected responses: its engine runs, and only closing the connection tells it to drop the run, so another engine would work on the same stream beside it. Other streams break off.

The line of a request logs the newest id that was read, which may be a few events ahead of what a caller that left had been sent.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -222,6 +222,32 @@
     Given random histories of requests whose delivery takes each engine for ended
     Then some go on at another engine while the engine before may work on it
 
+  Scenario: A resumable stream whose ids go back goes on after the last id, not with another text
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And the pieces "A1 A2 A3 B1 B2 B3 B4 B5 end" arrive
+    Then it is sent to the same engine once more, to resume after event 3
+    When a stream opens
+    And the pieces "A4 A5 end" arrive
+    Then the caller got "A1 A2 A3 A4 A5"
+    And the stream ended complete
+
+  Scenario Outline: A stream whose ids go back at its last attempt does not end as complete
+    Given a <kind>, with <attempts> attempts
+    When it starts
+    And a stream opens
+    And the pieces "<pieces>" arrive
+    Then the caller got "<got>"
+    And the stream was aborted
+
+    Examples:
+      | kind                     | attempts | pieces                   | got      |
+      | stream request           | 2        | A1 A2 A3 B1 B2 B3 B4 end | A1 A2 A3 |
+      | stream request           | 2        | A1 A2 A2 A3 end          | A1 A2    |
+      | resumable stream request | 1        | A1 A2 A3 B1 B2 B3 B4 end | A1 A2 A3 |
+      | stream request           | 2        | A1 Ax A1 Ax A2 end       | A1 Ax    |
+
   Scenario Outline: After its wait a request is tried once more, then refused
     Given an at-most-once request, with 1 attempts
     And no engine is ready
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -134,6 +134,12 @@
 }
 
 
+def scripted_event(name):
+    """Return the event of a name such as "A3", which has id 3, or "Ax", which has none."""
+    id_line = f"id: {name[1:]}\n" if name[1:].isdigit() else ""
+    return f"{id_line}data: {name}\n\n"
+
+
 @dataclass
 class StandInEngine:
     """One incarnation of an engine.
@@ -166,6 +172,7 @@
         drops_lost: whether it drops the run of a lost connection.
         framing: how its answers end: with a last chunk, a length, or only with their connection.
         body_seconds: the time between both halves of a whole answer.
+        scripts: what the next streams consist of, as in `_play`; engines may share them.
     """
 
     engine_id: str
@@ -204,6 +211,7 @@
     drops_lost: bool = False
     framing: str = CHUNKS
     body_seconds: float = 0.0
+    scripts: list = field(default_factory=list)
 
     def __post_init__(self):
         self.crashed = asyncio.Event()
@@ -525,6 +533,8 @@
             headers, sum(len(self._event(number)) for number in range(first, self.events + 1))
         )
         await response.prepare(request)
+        if self.scripts:
+            return await self._play(request, arrival, response, self.scripts.pop(0))
         for number in range(first, self.events + 1):
             event = self._event(number)
             version = self.weights.get(request.headers.get("X-Model"))
@@ -547,3 +557,22 @@
         arrival.finished = True
         await response.write_eof()
         return response
+
+    async def _play(self, request, arrival, response, script):
+        """Send a stream's events: "A3" has id 3, "Ax" has no id, and "A1+A2" are sent at once.
+
+        "lost" resets the connection and "crash" ends the engine; otherwise the stream ends as
+        complete.
+        """
+        for names in script.split():
+            if names == "lost":
+                reset(request.transport)
+                return response
+            if names == "crash":
+                await self.crash()
+                return response
+            await response.write("".join(map(scripted_event, names.split("+"))).encode())
+            await asyncio.sleep(self.event_seconds)
+        arrival.finished = True
+        await response.write_eof()
+        return response
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest.mock
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -11,7 +12,7 @@
 from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
 from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.records import RequestKind
-from liftrill.gateway.run_continuation import resolve_close
+from liftrill.gateway.run_continuation import resolve_close, resolve_event
 
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 KINDS = {
@@ -69,9 +70,18 @@
     context.instructions = []
 
 
+def handle(machine, event):
+    """Pass an event to a machine as its driver does."""
+    event = resolve_event(event, machine.order)
+    if isinstance(event, events.AttemptInterrupted) and event.is_rejected:
+        event = replace(event, evidence=events.EngineEvidence.RUNNING)
+    return event, machine.handle(event)
+
+
 def feed(context, event):
-    context.last = context.machine.handle(event)
+    handled, context.last = handle(context.machine, event)
     context.instructions.extend(context.last)
+    return handled
 
 
 def find(instructions, kind):
@@ -174,6 +184,42 @@
         feed(context, events.EventReceived(event))
 
 
+def piece(name, weights=""):
+    """Return an event of a text: "A3" has id 3, "Ax" has no id; both texts have other bytes."""
+    id_line = f"id: {name[1:]}\n" if name[1:].isdigit() else ""
+    (event,) = EventSplitter(b"weights:").feed(f"{weights}{id_line}data: {name}\n\n".encode())
+    return event
+
+
+def name_of(event):
+    return event.data.rpartition(b"data: ")[2].decode().strip()
+
+
+def feed_pieces(context, names):
+    """Feed pieces, and "end" for a completion, until the attempt is interrupted."""
+    for name in names.split():
+        arrived = events.EventReceived(piece(name)) if name != "end" else events.StreamCompleted()
+        if isinstance(feed(context, arrived), events.AttemptInterrupted):
+            return
+
+
+@when('the pieces "{names}" arrive')
+def step_pieces(context, names):
+    feed_pieces(context, names)
+
+
+@then('the caller got "{names}"')
+def step_got_pieces(context, names):
+    got = [name_of(sent.event) for sent in find(context.instructions, events.SendEvent)]
+    assert got == names.split(), got
+
+
+@then("it is sent to the same engine once more, to resume after event {number:d}")
+def step_sent_to_same_again(context, number):
+    step_sent_to_same(context, number)
+    assert len(context.machine.attempts) == 2
+
+
 @when("the stream completes")
 def step_completes(context):
     feed(context, events.StreamCompleted())
@@ -285,7 +331,7 @@
             history = []
             while context.machine.phase is not Phase.ENDED and len(history) < 30:
                 event = random_event(source, context.machine)
-                history.append((event, context.machine.handle(event)))
+                history.append(handle(context.machine, event))
             context.histories.append((context.machine, history))
 
 
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -237,7 +237,7 @@
             resumes=request.resumed_request_id[:MAX_LOGGED_ID_LENGTH],
             parts=_shared_part_ids(request),
             attempts=len(machine.attempts),
-            last_event=machine.last_event_id,
+            last_event=machine.order.last_id,
             framing=machine.framing.value if machine.framing is not None else "",
             milliseconds=round((now - request.received_at) * 1000),
             **_stream_fields(machine),
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -13,6 +13,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
 from liftrill.gateway.delivery_times import StreamTimes
+from liftrill.gateway.event_stream import EventOrder
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.run_continuation import NextStep, RunContinuation
 from liftrill.routing.outcome import AttemptLedger
@@ -58,7 +59,7 @@
     Attributes:
         phase: the state of the delivery.
         attempts: the engines that the request was sent to, in order.
-        last_event_id: id of the newest event that the caller has, or None.
+        order: places the events of engines before they are recorded and handled.
         times: when events were received; recorded by the driver, which reads them.
         framing: how the end of the newest response is marked, or None before there is one.
     """
@@ -67,7 +68,7 @@
         self.request = request
         self.phase = Phase.WAITING
         self.attempts: list[events.EngineChoice] = []
-        self.last_event_id = request.last_event_id
+        self.order = EventOrder(request.last_event_id)
         self.times = StreamTimes()
         self.framing: events.Framing | None = None
         self._ports = ports
@@ -188,11 +189,8 @@
     def _on_event(self, arrived: events.EventReceived) -> list[events.DeliveryInstruction]:
         event = arrived.event
         self._continuation.note_event(event)
-        known = self.last_event_id
-        if event.event_id is not None and known is not None and event.event_id <= known:
+        if arrived.is_repeated:
             return []
-        if event.event_id is not None:
-            self.last_event_id = event.event_id
         self.phase = Phase.STREAMING
         # Engines of other software versions cannot continue what this one has written.
         if self.request.required_software_version is None:
@@ -255,7 +253,8 @@
         self._ledger.begin(self._attempt_id())
         self._attempts_sent += 1
         self.phase = Phase.ATTEMPTING
-        return events.StartAttempt(choice, self.last_event_id)
+        self.order.begin_attempt()
+        return events.StartAttempt(choice, self.order.last_id)
 
     def _attempt_id(self) -> str:
         return str(len(self.attempts))
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.opaque_request import OpaqueRequest
-from liftrill.gateway.run_continuation import resolve_close
+from liftrill.gateway.run_continuation import resolve_close, resolve_event
 from liftrill.gateway.transport import EngineAttempt, ResponseSink
 
 # Engines abort a response that stays unread for some seconds. If the caller delayed the reading
@@ -212,6 +212,7 @@
             if isinstance(event, events.ConnectionClosed):
                 evidence = await self._check_closed()
                 event = resolve_close(event, evidence)
+            event = resolve_event(event, self._machine.order)
             if isinstance(event, events.EventReceived):
                 self._record_event(event)
             is_interrupted = isinstance(event, events.AttemptInterrupted)
@@ -223,8 +224,9 @@
             self._owner.log.attempt_event(self._machine, event, self._times)
             if isinstance(event, events.AttemptInterrupted):
                 recorded.append(await self._with_evidence(event, evidence))
-            else:
-                recorded.append(event)
+                # What follows must not be taken for a part of the next attempt.
+                break
+            recorded.append(event)
         return recorded
 
     async def _check_closed(self) -> events.EngineEvidence:
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -98,9 +98,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EventReceived:
-    """One complete event of the stream."""
+    """One complete event of the stream.
+
+    Attributes:
+        is_repeated: whether the caller has it from an earlier attempt.
+    """
 
     event: StreamEvent
+    is_repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/event_stream.py
+++ b/liftrill/gateway/event_stream.py
@@ -1,4 +1,4 @@
-"""Splits the bytes of a server-sent event stream into complete events."""
+"""Splits the bytes of a server-sent event stream into complete events, and checks their order."""
 
 from dataclasses import dataclass
 
@@ -83,3 +83,38 @@
             text = line[len(ID_FIELD) :].strip()
             return int(text) if text.isdigit() else None
     return None
+
+
+@dataclass(slots=True)
+class EventOrder:
+    """Decides which events of an engine continue the stream that a caller has, over all attempts.
+
+    Within an attempt, ids rise. A later attempt may first repeat events that the caller has.
+
+    Attributes:
+        last_id: id of the newest event that was passed on, or None.
+        is_spoiled: whether the attempt's answer is not the run that the caller has a part of.
+    """
+
+    last_id: int | None = None
+    is_spoiled: bool = False
+    _previous_id: int | None = None
+
+    def begin_attempt(self) -> None:
+        """Expect the events of another attempt, sent to go on after the last id."""
+        self.is_spoiled = False
+        self._previous_id = None
+
+    def passes_on(self, event: StreamEvent) -> bool:
+        """Return whether the attempt's next event is new to the caller, and record it if so."""
+        event_id = event.event_id
+        if event_id is None:
+            return True
+        if self._previous_id is not None and event_id <= self._previous_id:
+            self.is_spoiled = True
+            return False
+        self._previous_id = event_id
+        if self.last_id is not None and event_id <= self.last_id:
+            return False
+        self.last_id = event_id
+        return True
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -9,7 +9,7 @@
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery_ports import DeliveryPorts
-from liftrill.gateway.event_stream import StreamEvent
+from liftrill.gateway.event_stream import EventOrder, StreamEvent
 from liftrill.gateway.opaque_request import OpaqueRequest
 
 # How many times a run may continue at a backup: a burst of crashes may end engines one by one.
@@ -30,6 +30,18 @@
     return events.AttemptInterrupted(reason, evidence=evidence)
 
 
+def resolve_event(event: events.DeliveryEvent, order: EventOrder) -> events.DeliveryEvent:
+    """Return an event of an attempt, or its interruption if it is out of order in the stream."""
+    if not isinstance(event, events.EventReceived) or order.passes_on(event.event):
+        return event
+    if not order.is_spoiled:
+        return events.EventReceived(event.event, is_repeated=True)
+    reason = (
+        f"event {event.event.event_id} does not continue the stream after event {order.last_id}"
+    )
+    return events.AttemptInterrupted(reason, is_rejected=True)
+
+
 class NextStep(Enum):
     """How an interrupted stream goes on.
 
