A later attempt passes on neither repeated pieces nor those that follow another text

What callers saw: events without an id came twice when the connection was lost after them and the stream went on (A1 Ax, Ax A2: got A1 Ax Ax A2). When the later attempt began anew with another text, the caller got the first part of one text, the rest of the other, and an end as complete (A1 A2 A3, B1 to B5: got A1 A2 A3 B4 B5). A later attempt that ended before it had repeated what the caller had was taken for a complete end.

Cause: an event was recognized as repeated by its id alone, and one without an id never was.

Events without an id that follow the last id are what a continued run repeats first. An end, or a later id, within those repeated pieces spoils the answer too. Ids that the caller does not have are skipped or passed on as before: runs may put their tokens into events in other ways. The line on weights is not compared.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -217,11 +217,22 @@
     And none goes on at another engine while the engine before may work on it
     And none is refused while an attempt may have run
     And none is sent to more engines than its route allows
+    And each caller gets the pieces of one run in order, as far as bytes tell
 
   Scenario: The check of these histories finds a run at two engines
     Given random histories of requests whose delivery takes each engine for ended
     Then some go on at another engine while the engine before may work on it
 
+  Scenario Outline: The check of these histories finds pieces out of order or of two runs
+    Given random histories of requests whose delivery passes on <what>
+    Then some callers get pieces out of order or of two runs
+
+    Examples:
+      | what                                      |
+      | events whose id went back                 |
+      | repeated pieces without an id             |
+      | what follows repeated ids of another text |
+
   Scenario: A resumable stream whose ids go back goes on after the last id, not with another text
     Given a resumable stream request, with 2 attempts
     When it starts
@@ -248,6 +259,77 @@
       | resumable stream request | 1        | A1 A2 A3 B1 B2 B3 B4 end | A1 A2 A3 |
       | stream request           | 2        | A1 Ax A1 Ax A2 end       | A1 Ax    |
 
+  Scenario Outline: A later attempt passes on neither repeated pieces nor those of another text
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And the pieces "<first>" arrive
+    And the connection to the engine breaks
+    And a stream opens
+    And the pieces "<later>" arrive
+    Then the caller got "<got>"
+    And the stream <end>
+
+    Examples: ids
+      | first    | later                | got               | end            |
+      | A1 A2 A3 | A4 A5 end            | A1 A2 A3 A4 A5    | ended complete |
+      | A1 A2 A3 | A1 A2 A3 A4 A5 end   | A1 A2 A3 A4 A5    | ended complete |
+      | A1 A2 A3 | A3 A4 A5 end         | A1 A2 A3 A4 A5    | ended complete |
+      | A1 A2 A3 | end                  | A1 A2 A3          | ended complete |
+      | A1 A2 A3 | B1 B2 B3 B4 B5 end   | A1 A2 A3          | was aborted    |
+      | A1 A2 A3 | A2 B3 B4 B5 end      | A1 A2 A3          | was aborted    |
+      | A1 A2 A3 | A4 A5 B3 B4 B5 end   | A1 A2 A3 A4 A5    | was aborted    |
+      | A1 A2 A3 | A1 A2 end            | A1 A2 A3          | was aborted    |
+      | A2 A4 A6 | A3 A5 A8 end         | A2 A4 A6 A8       | ended complete |
+
+    Examples: pieces without an id
+      | first    | later                | got               | end            |
+      | A1 Ax Ax | Ax Ax Ax A2 end      | A1 Ax Ax Ax A2    | ended complete |
+      | A1 Ax Ay | A1 Ax Ay Az end      | A1 Ax Ay Az       | ended complete |
+      | Ax Ay    | Ax Ay Az end         | Ax Ay Az          | ended complete |
+      | A1 Ax A2 | A1 Ax A2 Ay A3 end   | A1 Ax A2 Ay A3    | ended complete |
+      | A1 Ax Ay | A2 end               | A1 Ax Ay A2       | ended complete |
+      | A1 Ax Ay | Bx By A2 end         | A1 Ax Ay          | was aborted    |
+      | A1 Ax Ay | Ax By A2 end         | A1 Ax Ay          | was aborted    |
+      | A1 Ax Ay | Ax A2 end            | A1 Ax Ay          | was aborted    |
+      | A1 Ax Ay | Ax end               | A1 Ax Ay          | was aborted    |
+      | A1 Ax A2 | A1 Bx A2 A3 end      | A1 Ax A2          | was aborted    |
+      | A1 A2    | Ax A1 A2 A3 end      | A1 A2 Ax          | was aborted    |
+
+  Scenario: A repeated piece is recognized though its attempt has other weights
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And the pieces "A1 A2" arrive
+    And the connection to the engine breaks
+    And a stream opens
+    And a piece that the caller has arrives as the first one made under other weights
+    And the pieces "A3 end" arrive
+    Then the caller got "A1 A2 A3"
+    And the stream ended complete
+
+  Scenario Outline: A long stream is not joined from two texts
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And 1000 pieces of text A arrive, <ids> with ids
+    And the connection to the engine breaks
+    And a stream opens
+    And 1001 pieces of text <text> arrive, <ids> with ids
+    Then the caller got <got> pieces, all of text A
+
+    Examples:
+      | ids  | text | got  |
+      | all  | A    | 1001 |
+      | all  | B    | 1000 |
+      | some | A    | 1001 |
+      | some | B    | 1000 |
+      | none | A    | 1001 |
+      | none | B    | 1000 |
+
+  Scenario: The order of a long stream takes little memory
+    Then the order of a stream of 20000 events is kept in at most 8 KB
+
   Scenario Outline: After its wait a request is tried once more, then refused
     Given an at-most-once request, with 1 attempts
     And no engine is ready
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -1,8 +1,10 @@
 """Steps that feed events to a delivery machine."""
 
+import itertools
 import random
+import tracemalloc
 import unittest.mock
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 from behave import given, then, when
 
@@ -10,10 +12,12 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.delivery import DeliveryMachine, Phase
 from liftrill.gateway.delivery_ports import DeliveryPorts, Unavailable
-from liftrill.gateway.event_stream import EventSplitter, StreamEvent
+from liftrill.gateway.event_stream import EventOrder, EventSplitter, StreamEvent
 from liftrill.gateway.records import RequestKind
 from liftrill.gateway.run_continuation import resolve_close, resolve_event
 
+MAX_HISTORY = 30
+HISTORIES = {"stream request": 5_000, "resumable stream request": 2_500}
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 KINDS = {
     "at-most-once request": (RequestKind.AT_MOST_ONCE, False),
@@ -208,6 +212,12 @@
     feed_pieces(context, names)
 
 
+@when("a piece that the caller has arrives as the first one made under other weights")
+def step_repeated_weights(context):
+    last = find(context.instructions, events.SendEvent)[-1].event
+    feed(context, events.EventReceived(piece(name_of(last), weights="weights: 2\n")))
+
+
 @then('the caller got "{names}"')
 def step_got_pieces(context, names):
     got = [name_of(sent.event) for sent in find(context.instructions, events.SendEvent)]
@@ -220,6 +230,36 @@
     assert len(context.machine.attempts) == 2
 
 
+@when("{count:d} pieces of text {text} arrive, {ids} with ids")
+def step_many_pieces(context, count, text, ids):
+    for number in range(1, count + 1):
+        is_numbered = ids == "all" or (ids == "some" and number % 3)
+        name = f"{text}{number}" if is_numbered else f"{text}x{number}"
+        if isinstance(feed(context, events.EventReceived(piece(name))), events.AttemptInterrupted):
+            return
+
+
+@then("the caller got {count:d} pieces, all of text {text}")
+def step_got_many(context, count, text):
+    got = [name_of(sent.event) for sent in find(context.instructions, events.SendEvent)]
+    assert len(got) == count and {name[0] for name in got} == {text}, (len(got), set(got))
+
+
+@then("the order of a stream of {count:d} events is kept in at most {kilobytes:d} KB")
+def step_order_memory(context, count, kilobytes):
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        order = EventOrder()
+        for number in range(count):
+            order.passes_on(piece(f"A{number}" if number % 3 else "Ax"))
+        held = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    print(f"{held} bytes")
+    assert held <= kilobytes * 1024, held
+
+
 @when("the stream completes")
 def step_completes(context):
     feed(context, events.StreamCompleted())
@@ -288,17 +328,70 @@
     assert find(context.last, events.WaitForEngine), context.last
 
 
-def random_event(source, machine):
+# Texts that engines write, as names of pieces: two with the same ids, one whose ids skip.
+TEXTS = tuple(
+    [f"{letter}{name}" for name in names.split()]
+    for letter, names in (
+        ("A", "1 x 2 3 y z 4 5 6"),
+        ("B", "1 x 2 3 y z 4 5 6"),
+        ("C", "2 4 x 6 8 9 10 11 12"),
+    )
+)
+
+
+@dataclass
+class RandomAnswer:
+    """The answer of an engine to one attempt, which may spoil it.
+
+    Attributes:
+        before: the pieces that the caller got from earlier attempts.
+        received: the pieces that arrived.
+        passed: those of them that the caller got.
+        complete: whether the caller got a complete end.
+    """
+
+    source: random.Random
+    text: list
+    position: int
+    before: list
+    received: list = field(default_factory=list)
+    passed: list = field(default_factory=list)
+    complete: bool = False
+
+    def next_piece(self):
+        chance = self.source.random()
+        if chance < 0.05:
+            self.text = self.source.choice(TEXTS)
+        elif chance < 0.1:
+            self.position = self.source.randrange(len(self.text))
+        elif chance < 0.15:
+            self.position += 1
+        event = piece(self.text[self.position % len(self.text)])
+        self.position += 1
+        return event
+
+
+def random_answer(source, text, last_id, before):
+    """Return an answer that begins after an id, anew, or anywhere, mostly with the text before."""
+    text = source.choice((text, text, text, *TEXTS))
+    starts = [i + 1 for i, name in enumerate(text) if name[1:] == str(last_id)]
+    position = source.choice((*starts, *starts, 0, source.randrange(len(text))))
+    return RandomAnswer(source, text, position, before)
+
+
+def random_event(source, machine, answer):
     if machine.phase is Phase.WAITING:
         return source.choice((events.Started(), events.Started(), events.DeadlinePassed()))
-    number = source.randrange(1, 6)
+    if source.random() < 0.6:
+        return events.EventReceived(answer.next_piece())
     return source.choice(
         (
             events.AttemptRefused(source.choice(list(events.RefusalKind))),
             events.AttemptInterrupted("reset", evidence=source.choice(list(events.EngineEvidence))),
+            events.AttemptInterrupted("reset", evidence=source.choice(list(events.EngineEvidence))),
             events.CompleteResponse(source.choice((200, 404, 500)), (), b""),
             events.StreamOpened(200, ()),
-            events.EventReceived(StreamEvent(number, b"id: %d\n\n" % number)),
+            events.StreamOpened(200, ()),
             events.StreamCompleted(),
             resolve_close(
                 events.ConnectionClosed(events.StreamCompleted()),
@@ -309,6 +402,26 @@
     )
 
 
+def play_history(context, source):
+    """Feed random events to the machine; return them with its instructions, and the answers."""
+    machine, history, answers = context.machine, [], []
+    while machine.phase is not Phase.ENDED and len(history) < MAX_HISTORY:
+        event = random_event(source, machine, answers[-1] if answers else None)
+        handled, instructions = handle(machine, event)
+        history.append((handled, instructions))
+        sent = [i.event for i in find(instructions, events.SendEvent)]
+        if isinstance(event, events.EventReceived):
+            answers[-1].received.append(event.event)
+            answers[-1].passed += sent
+        if find(instructions, events.FinishStream):
+            answers[-1].complete = True
+        for start in find(instructions, events.StartAttempt):
+            before = answers[-1].before + answers[-1].passed if answers else []
+            text = answers[-1].text if answers else TEXTS[0]
+            answers.append(random_answer(source, text, start.resume_after, before))
+    return history, answers
+
+
 @given("random histories of requests whose delivery takes each engine for ended")
 def step_broken_histories(context):
     ended = unittest.mock.PropertyMock(return_value=True)
@@ -319,20 +432,18 @@
 @given("random histories of requests of each kind")
 def step_histories(context):
     source = random.Random(20261202)
-    context.histories = []
+    context.histories, context.answers = [], []
     for kind in KINDS:
-        # Few histories of streams reach a backup.
-        for _ in range(5_000 if kind == "stream request" else 500):
+        # Few histories of streams reach a backup, or go on at another attempt and end complete.
+        for _ in range(HISTORIES.get(kind, 500)):
             begin(context, kind, source.randrange(1, 4))
             context.ports.retries = source.randrange(0, 4)
             if source.random() < 0.5:
                 context.ports.backup = events.EngineAddress("engine-4", "address")
                 context.ports.next_backup = events.EngineAddress("engine-3", "address")
-            history = []
-            while context.machine.phase is not Phase.ENDED and len(history) < 30:
-                event = random_event(source, context.machine)
-                history.append(handle(context.machine, event))
+            history, answers = play_history(context, source)
             context.histories.append((context.machine, history))
+            context.answers.append(answers)
 
 
 def may_have_run(history):
@@ -405,6 +516,123 @@
             assert not (may_have_started and find(instructions, events.RefuseRequest)), history
 
 
+def pass_on_lower_id(order, event):
+    """Pass on an event whose id went back, as if it were the first of its attempt."""
+    order._previous_id = None
+    return PASSES_ON(order, event)
+
+
+PASSES_ON = EventOrder.passes_on
+VARIANTS = {
+    "events whose id went back": ("EventOrder.passes_on", pass_on_lower_id),
+    "repeated pieces without an id": ("EventOrder._repeats_unnumbered", lambda *_: False),
+    "what follows repeated ids of another text": ("hash", lambda _: 0),
+}
+
+
+@given("random histories of requests whose delivery passes on {what}")
+def step_disordered_histories(context, what):
+    name, variant = VARIANTS[what]
+    module = "liftrill.gateway.event_stream"
+    with unittest.mock.patch(f"{module}.{name}", variant, create=True):
+        step_histories(context)
+
+
+def last_id_of(pieces):
+    return max((event.event_id for event in pieces if event.event_id is not None), default=None)
+
+
+def unnumbered_after(pieces, first_id):
+    """Return the pieces without an id by the id that they follow; the first follow `first_id`."""
+    found, after = {}, first_id
+    for event in pieces:
+        if event.event_id is None:
+            found.setdefault(after, []).append(name_of(event))
+        else:
+            after = event.event_id
+    return found
+
+
+def is_disordered(before, received, complete):
+    """Return whether the bytes of an attempt show that it isn't the run of the pieces before."""
+    ids = [event.event_id for event in received if event.event_id is not None]
+    if any(after <= earlier for earlier, after in itertools.pairwise(ids)):
+        return True
+    names = {event.event_id: name_of(event) for event in before if event.event_id is not None}
+    if any(names.get(e.event_id, name_of(e)) != name_of(e) for e in received if e.event_id):
+        return True
+    last = last_id_of(before)
+    new = [event.event_id for event in new_pieces(before, received)]
+    if last is not None and any(each is not None and each <= last for each in new):
+        return True
+    if complete and ids and last is not None and ids[-1] < last:
+        return True
+    known, repeated = unnumbered_after(before, None), unnumbered_after(received, last)
+    common = [(known[after], repeated[after]) for after in known if after in repeated]
+    if any(a != b for pair in common for a, b in zip(*pair, strict=False)):
+        return True
+    is_past = complete or (ids and (last is None or ids[-1] > last))
+    return bool(is_past and len(repeated.get(last, ())) in range(1, len(known.get(last, ()))))
+
+
+def new_pieces(before, received):
+    """Return the pieces of an attempt that its caller lacks, by their places alone."""
+    last = after = last_id_of(before)
+    repeats = len(unnumbered_after(before, None).get(last, ()))
+    new = []
+    for event in received:
+        after = after if event.event_id is None else event.event_id
+        if new or (event.event_id is not None and (last is None or after > last)):
+            new.append(event)
+        elif event.event_id is None and after == last:
+            if repeats == 0:
+                new.append(event)
+            repeats = max(0, repeats - 1)
+    return new
+
+
+def fault_of_answer(answer):
+    """Return what is wrong with what a caller got of an attempt, or None."""
+    number = 0
+    for count in range(1, len(answer.received) + 1):
+        received = answer.received[:count]
+        if is_disordered(answer.before, received, complete=False):
+            has_more = len(answer.passed) > number
+            return "passed on after disorder" if has_more or answer.complete else None
+        new = new_pieces(answer.before, received)
+        if new != answer.passed[: len(new)]:
+            return "a piece is missing or comes twice"
+        number = len(new)
+    if len(answer.passed) != number:
+        return "a piece comes twice"
+    if answer.complete and is_disordered(answer.before, answer.received, complete=True):
+        return "complete after disorder"
+    return None
+
+
+def faults_of_answers(context):
+    return [
+        fault for answers in context.answers for fault in map(fault_of_answer, answers) if fault
+    ]
+
+
+@then("each caller gets the pieces of one run in order, as far as bytes tell")
+def step_in_order(context):
+    answers = [answer for each in context.answers for answer in each]
+    repeating = [a for a in answers if a.before and a.received and a.complete]
+    print(f"{len(answers)} attempts, {len(repeating)} of them later ones with a complete end")
+    assert len(repeating) > 50, len(repeating)
+    faults = faults_of_answers(context)
+    assert not faults, (len(faults), faults[:3])
+
+
+@then("some callers get pieces out of order or of two runs")
+def step_some_disordered(context):
+    faults = faults_of_answers(context)
+    print(f"{len(faults)} answers")
+    assert faults
+
+
 # Refusals after which an engine does not work on an earlier run that this node could still stop.
 LEFT_AFTER = (events.RefusalKind.UNREACHABLE, events.RefusalKind.WRONG_INSTANCE)
 # Refusals of attempts of which no byte reached an engine.
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -32,13 +32,18 @@
 
 def resolve_event(event: events.DeliveryEvent, order: EventOrder) -> events.DeliveryEvent:
     """Return an event of an attempt, or its interruption if it is out of order in the stream."""
-    if not isinstance(event, events.EventReceived) or order.passes_on(event.event):
+    if isinstance(event, events.EventReceived):
+        if order.passes_on(event.event):
+            return event
+        if not order.is_spoiled:
+            return events.EventReceived(event.event, is_repeated=True)
+        number = event.event.event_id
+        what = "an event without an id" if number is None else f"event {number}"
+    elif isinstance(event, events.StreamCompleted) and order.is_cut_short:
+        what = "the end"
+    else:
         return event
-    if not order.is_spoiled:
-        return events.EventReceived(event.event, is_repeated=True)
-    reason = (
-        f"event {event.event.event_id} does not continue the stream after event {order.last_id}"
-    )
+    reason = f"{what} does not continue the stream after event {order.last_id}"
     return events.AttemptInterrupted(reason, is_rejected=True)
 
 
