A rejected answer counts against its engine however slow the caller is

What was seen: an engine whose ids went back was not counted by its circuit breaker if the caller had delayed the reading by more than 1 s. The same held for answers over a limit.

Cause: every interruption under a slow caller was put down to the engine having aborted an answer that was not read. A rejected answer is ended by the node, for what the engine sent.

Interruptions that are not rejected are treated as before.

--- a/features/holding.feature
+++ b/features/holding.feature
@@ -99,6 +99,16 @@
       | 1.2  | 0        |
       | 0.1  | 1        |
 
+  Scenario Outline: An engine whose events are out of order has failed, however slow the caller is
+    Given a run whose caller needs <wait> s for each event
+    When its engine sends an event again
+    Then the engine's breaker has counted 1 failure
+
+    Examples:
+      | wait |
+      | 1.2  |
+      | 0.1  |
+
   Scenario: An answer that its caller has not read by the deadline is aborted
     Given a run whose caller never reads the end of its answer, with a deadline in 0.3 s
     When its stream completes
--- a/features/steps/holding_steps.py
+++ b/features/steps/holding_steps.py
@@ -488,6 +488,11 @@
     deliver(context, events.StreamCompleted())
 
 
+@when("its engine sends an event again")
+def step_sends_again(context):
+    deliver(context, events.EventReceived(StreamEvent(2, b"id: 2\n\n")))
+
+
 @when("its engine interrupts the stream")
 def step_interrupts(context):
     deliver(context, events.AttemptInterrupted("cut"))
@@ -530,6 +535,7 @@
     assert held_s < seconds and run_state.times.longest_pause_s < seconds, (held_s, run_state.times)
 
 
+@then("the engine's breaker has counted {count:d} failure")
 @then("the engine's breaker has counted {count:d} failures")
 def step_failures(context, count):
     assert context.breaker.failures == count, context.breaker.failures
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -215,8 +215,8 @@
             event = resolve_event(event, self._machine.order)
             if isinstance(event, events.EventReceived):
                 self._record_event(event)
-            is_interrupted = isinstance(event, events.AttemptInterrupted)
-            if is_interrupted and self._view is not None and self._caller_stalled():
+            may_be_unread = isinstance(event, events.AttemptInterrupted) and not event.is_rejected
+            if may_be_unread and self._view is not None and self._caller_stalled():
                 # The engine may have aborted the response because it was not read.
                 self._view.breaker.record_abandoned()
             elif self._view is not None:
