--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -19,7 +19,7 @@
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.opaque_request import OpaqueRequest
-from liftrill.gateway.run_continuation import CloseEvidence, resolve_close
+from liftrill.gateway.run_continuation import CloseEvidence, resolve_close, resolve_event
 from liftrill.gateway.transport import EngineAttempt, ResponseSink
 
 # Engines abort a response that stays unread for some seconds. If the caller delayed the reading
@@ -212,10 +212,11 @@
                 self._machine.times.framing = event.framing.value
             if isinstance(event, events.ConnectionClosed):
                 event, evidence = await self._resolve_close(event)
+            event = resolve_event(event, self._machine.order)
             if isinstance(event, events.EventReceived):
                 self._record_event(event)
-            is_interrupted = isinstance(event, events.AttemptInterrupted)
-            if is_interrupted and self._view is not None and self._caller_stalled():
+            may_be_unread = isinstance(event, events.AttemptInterrupted) and not event.is_rejected
+            if may_be_unread and self._view is not None and self._caller_stalled():
                 # The engine may have aborted the response because it was not read.
                 self._view.breaker.record_abandoned()
             elif self._view is not None:
@@ -223,8 +224,9 @@
             self._owner.log.attempt_event(self._machine, event, self._times)
             if isinstance(event, events.AttemptInterrupted):
                 recorded.append(await self._with_evidence(event, evidence))
-            else:
-                recorded.append(event)
+                # What follows must not be taken for a part of the next attempt.
+                break
+            recorded.append(event)
         return recorded
 
     async def _resolve_close(
