An answer to an HTTP/1.0 caller that is cut ends with a reset

What callers saw: streams, and whole answers of callers that don't count bytes, that ended as complete after a part of their pieces, at callers of HTTP/1.0. With HTTP/1.1 the last chunk or the length tells.

Cause: HTTP/1.0 has no chunks, so a stream ends with its connection. The node ended a broken stream with transport.close() and an evicted answer with transport.abort(), which both end the connection in order (FIN), as does the kernel for a process that stops or is killed.

Evidence: features/ended_nodes.feature, real processes, callers on raw sockets that judge by their bytes and the end of the connection, 50 answers of each kind and HTTP version, load 5.

Change: the connection of an HTTP/1.0 caller has SO_LINGER set to reset on close from before the head until the kernel has all bytes of the answer. Any other close of it is then a reset. Played were a broken stream, an eviction, the node's own stop and a SIGKILL: the kernel heeds the option when it closes the connections of a killed process.

The stand-in's large bodies now have numbered pieces, so that moved ones are seen; engine processes take the size of events.

--- a/features/run.py
+++ b/features/run.py
@@ -47,6 +47,7 @@
     "soak",
     "crash_parts",
     "crash_requests",
+    "ended_nodes",
     "model_checking",
     "callers",
     "platform_relay",
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -54,6 +54,7 @@
     body_bytes=65536,
     resumable=("resume",),
     extra_tenants=(),
+    timeout_ms=5000,
 ):
     routes = [
         {
@@ -61,7 +62,7 @@
             "Host": HOST,
             "PathPrefix": prefix,
             "RouteType": kind,
-            "TimeoutMs": 5000,
+            "TimeoutMs": timeout_ms,
             "TargetLatencyMs": 800,
             "Priority": 1,
             "Service": service,
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -5,6 +5,7 @@
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import cache
 
 from aiohttp import web
 
@@ -118,6 +119,23 @@
 CHUNKS, LENGTH, CONNECTION = "chunks", "length", "connection"
 
 
+# The size of each numbered piece of a large body.
+PIECE_BYTES = 8
+
+
+@cache
+def numbered_pieces(size):
+    """Return so many bytes, of which none can be moved unnoticed."""
+    pieces = range(-(-size // PIECE_BYTES))
+    return b"".join(b"%0*d" % (PIECE_BYTES, number) for number in pieces)[:size]
+
+
+def whole_body(attempt_id, size):
+    """Return the body of a whole answer, of the given size or longer."""
+    text = f"answer to {attempt_id}".encode()
+    return text + numbered_pieces(max(0, size - len(text)))
+
+
 class UnframedResponse(web.StreamResponse):
     """An answer without a length or chunks, which ends with its connection."""
 
@@ -443,7 +461,7 @@
             headers["X-Attempt-Id"] = "0000000000000000"
         headers = {**headers, **self._announcements("whole")}
         arrival.note_answer(headers)
-        body = f"answer to {arrival.attempt_id}".encode().ljust(self.body_bytes, b".")
+        body = whole_body(arrival.attempt_id, self.body_bytes)
         if self.framing != CHUNKS or self.body_seconds:
             return await self._in_halves(request, arrival, headers, body)
         response = web.Response(body=body, headers=headers)
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -27,6 +27,7 @@
     "weights",
     "events",
     "event_seconds",
+    "event_bytes",
     "slots",
     "software_version",
     "names_version",
--- a/liftrill/gateway/holding/caller_sink.py
+++ b/liftrill/gateway/holding/caller_sink.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import json
+import socket
+import struct
 
+from aiohttp.http import HttpVersion11
 from aiohttp.http_writer import StreamWriter
 
 from liftrill import clock
@@ -21,6 +24,10 @@
 HIGH_WATER_BYTES = 16_384
 # For how long a caller may still read the bytes that were sent before an answer was aborted.
 FLUSH_TIMEOUT_S = 0.3
+# Values of SO_LINGER: a close resets the connection, or ends it in order. They also hold for the
+# close by which the kernel ends the connections of a killed process.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class AiohttpConnection(CallerConnection):
@@ -54,6 +61,31 @@
         self._transport.abort()
 
 
+class ResetUntilSent:
+    """Resets the connection of an HTTP/1.0 caller that ends before its answer was sent.
+
+    Such a caller gets no chunks, and takes an orderly end of the connection for that of the answer.
+    """
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self._writer = request.writer
+        self._transport = request.transport if request.version < HttpVersion11 else None
+        self._set_linger(RESET_ON_CLOSE)
+
+    async def wait_until_sent(self) -> None:
+        """Wait until the kernel has the whole answer, and let the connection end in order."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.set_write_buffer_limits(high=0)
+        await self._writer.drain()
+        self._set_linger(END_ON_CLOSE)
+
+    def _set_linger(self, value: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            connection = self._transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
 class CallerSink(ResponseSink):
     """Writes the answer to one caller.
 
@@ -77,6 +109,7 @@
         self._closes_connection = closes_connection
         self._memory = memory
         self._stream: CallerStream | None = None
+        self._reset: ResetUntilSent | None = None
         self.response: web.StreamResponse = web.Response(status=500)
         self.caller = request.remote or ""
         self.body: BodyReader | None = None
@@ -109,6 +142,7 @@
         """Begin a streamed answer."""
         self.response = web.StreamResponse(status=head.status)
         self._set_headers(self.response, _without_length(head.headers))
+        self._reset = ResetUntilSent(self._request)
         writer = await self.response.prepare(self._request)
         transport = self._request.transport
         if self._memory is None or transport is None or not isinstance(writer, StreamWriter):
@@ -130,6 +164,8 @@
         if self._stream is not None:
             await self._stream.finish()
         await self.response.write_eof()
+        if self._reset is not None:
+            await self._reset.wait_until_sent()
 
     def abort_stream(self) -> None:
         """End a streamed answer so that it does not appear to be complete."""
@@ -170,8 +206,10 @@
     async def _send(self, response: web.Response, headers: events.Headers) -> None:
         self.response = response
         self._set_headers(response, headers)
+        reset = ResetUntilSent(self._request)
         await response.prepare(self._request)
         await response.write_eof()
+        await reset.wait_until_sent()
 
     def _set_headers(self, response: web.StreamResponse, headers: events.Headers) -> None:
         for name, value in headers:
