A stream to an HTTP/1.0 caller that keeps its connections ends

What callers saw: with HTTP/1.0 and `Connection: keep-alive`, all events of a stream arrived and then nothing: no end, until the caller or the node gave up the idle connection.

Cause: such a stream has neither chunks nor a length and ends with its connection. aiohttp leaves out the keep-alive header of the answer then, but keeps the connection open for the next request.

Change: the head of a stream to an HTTP/1.0 caller closes its connection. Whole answers have a length, and leave such connections open as before.

--- a/features/ended_nodes.feature
+++ b/features/ended_nodes.feature
@@ -45,6 +45,12 @@
     Then no answer says that it is whole and is not, and no piece comes twice or out of order
     And all are whole
 
+  Scenario: A caller of HTTP/1.0 that keeps its connections learns of the end of a stream
+    Given 2 nodes, and engines that send 20 events of 0 KB in 2 s
+    When 50 callers of HTTP/1.0 that keep their connections ask for each kind of stream
+    Then no answer says that it is whole and is not, and no piece comes twice or out of order
+    And all are whole
+
   Scenario: Engines are killed under callers of HTTP/1.0
     Given 2 nodes, and engines that send 20 events of 0 KB in 2 s
     When 50 callers of HTTP/1.0 ask for each kind of answer
--- a/features/steps/ended_node_steps.py
+++ b/features/steps/ended_node_steps.py
@@ -83,7 +83,7 @@
     context.run(add_all())
 
 
-def begin(context, count, protocols, slow=False):
+def begin(context, count, protocols, slow=False, routes=ROUTES, **headers):
     """Begin so many answers of each protocol and route, spread over the nodes."""
 
     async def begin_all():
@@ -91,9 +91,9 @@
         context.tasks = []
         for _ in range(count):
             node = next(nodes)
-            for protocol, route in itertools.product(protocols, ROUTES):
+            for protocol, route in itertools.product(protocols, routes):
                 waits_s = SLOW_S if slow or route not in STREAMS else 0.0
-                asked = context.callers.ask(node, protocol, route, waits_s)
+                asked = context.callers.ask(node, protocol, route, waits_s, **headers)
                 context.tasks.append(asyncio.ensure_future(asked))
             await asyncio.sleep(BEGIN_S / count)
         await asyncio.sleep(IN_PROGRESS_S)
@@ -111,6 +111,11 @@
     begin(context, count, (HTTP_1_0,))
 
 
+@when("{count:d} callers of HTTP/1.0 that keep their connections ask for each kind of stream")
+def step_begin_kept(context, count):
+    begin(context, count, (HTTP_1_0,), routes=STREAMS, Connection="keep-alive")
+
+
 @when("{count:d} slow callers of either HTTP version ask for each kind of answer")
 def step_begin_slow(context, count):
     begin(context, count, (HTTP_1_1, HTTP_1_0), slow=True)
--- a/liftrill/gateway/holding/caller_sink.py
+++ b/liftrill/gateway/holding/caller_sink.py
@@ -142,6 +142,9 @@
         """Begin a streamed answer."""
         self.response = web.StreamResponse(status=head.status)
         self._set_headers(self.response, _without_length(head.headers))
+        if self._request.version < HttpVersion11:
+            # Without chunks, a stream ends with its connection.
+            self.response.force_close()
         self._reset = ResetUntilSent(self._request)
         writer = await self.response.prepare(self._request)
         transport = self._request.transport
