A body that gives way to others as it ends is not passed on as empty

What callers saw: 200 with `Content-Length: 0` for an answer of 1 MB, by HTTP/1.0 and HTTP/1.1, while a node read many large bodies at once.

Cause: when the incomplete bodies of a session exceed their limit, the largest one gives way: its pieces are dropped, its reader gets an error and its connection is closed. A reader that the end of the body had woken before, or that takes the closed connection of a body without a length or chunks for its end, sees that end and no error, and returned the pieces that were left: none. The check of the engine's end does not help, as the engine runs on.

Evidence: features/response_limits.feature, without a network: the reader returned b''; the scenario failed in five of five plays.

Change: a body keeps the reason for which it gave way, and its reader raises it instead of returning what is left.

--- a/features/response_limits.feature
+++ b/features/response_limits.feature
@@ -11,6 +11,11 @@
     When three bodies have received 100, 100 and 100 bytes, each complete before the next
     Then none gives way
 
+  Scenario: A body that gives way as its end arrives is not taken for complete
+    Given limits of 100 bytes for a body and 120 bytes for all
+    When a body of 90 bytes ends, and gives way to one of 40 bytes before its end is read
+    Then reading it fails
+
   Scenario: Events are the same however their bytes are divided
     Then 300 random divisions of a stream into pieces give its events
 
--- a/features/steps/response_limit_steps.py
+++ b/features/steps/response_limit_steps.py
@@ -1,14 +1,40 @@
 """Steps on the limits of responses, and on the division of streams into events."""
 
+import asyncio
 import random
 import time
 
+import aiohttp
+from aiohttp.base_protocol import BaseProtocol
 from behave import given, then, when
 
 from liftrill.gateway.event_stream import EventSplitter
+from liftrill.limited_response import LimitedResponse, ResponseCutOffError
 from liftrill.response_limits import BodyLimits
 
 
+class OpenConnection(BaseProtocol):
+    """A connection that counts as open."""
+
+    connected = True
+
+
+class FedResponse(LimitedResponse):
+    """A response whose body a test feeds."""
+
+    content_length = None
+
+    def __init__(self, limits):
+        loop = asyncio.get_running_loop()
+        self.body_limits = limits
+        self.content = aiohttp.StreamReader(OpenConnection(loop), 2**16, loop=loop)
+        self._body = None
+        self._connection = None
+
+    def close(self):
+        """Close no connection: there is none."""
+
+
 @given("limits of {largest:d} bytes for a body and {together:d} bytes for all")
 def step_limits(context, largest, together):
     context.limits = BodyLimits(largest, together)
@@ -37,6 +63,28 @@
         context.limits.end(body)
 
 
+@when(
+    "a body of {first:d} bytes ends, and gives way to one of {second:d} bytes"
+    " before its end is read"
+)
+def step_gives_way_at_end(context, first, second):
+    async def read():
+        response = FedResponse(context.limits)
+        reading = asyncio.ensure_future(response.read())
+        response.content.feed_data(bytes(first))
+        await asyncio.sleep(0.01)
+        response.content.feed_eof()
+        context.limits.add(begin(context, 1), bytes(second))
+        return (await asyncio.gather(reading, return_exceptions=True))[0]
+
+    context.outcome = context.run(read())
+
+
+@then("reading it fails")
+def step_reading_fails(context):
+    assert isinstance(context.outcome, ResponseCutOffError), repr(context.outcome)
+
+
 @then("the first one gives way")
 def step_first_evicted(context):
     assert context.evicted == [0], context.evicted
--- a/liftrill/limited_response.py
+++ b/liftrill/limited_response.py
@@ -46,6 +46,9 @@
             while data:
                 self.body_limits.add(body, data)
                 data = await self.content.readany()
+            if body.error is not None:
+                # Its end had arrived already, or looks like that of a response without a length.
+                raise body.error
             return b"".join(body.pieces)
         finally:
             self.body_limits.end(body)
--- a/liftrill/response_limits.py
+++ b/liftrill/response_limits.py
@@ -71,11 +71,13 @@
 
     Attributes:
         on_evicted: called with the reason when the body has to give way.
+        error: the reason for which it gave way, or None.
     """
 
     on_evicted: Callable[[ResponseTooLargeError], None]
     pieces: list[bytes] = field(default_factory=list)
     held_bytes: int = 0
+    error: ResponseTooLargeError | None = None
 
 
 @dataclass(slots=True)
@@ -132,6 +134,7 @@
             if largest is body:
                 raise error
             self.end(largest)
+            largest.error = error
             largest.on_evicted(error)
 
     def end(self, body: IncompleteBody) -> None:
