--- a/features/soak/engine_cuts.py
+++ b/features/soak/engine_cuts.py
@@ -35,7 +35,8 @@
     async def _cut(self, draw):
         nodes = draw.sample(self._fleet.nodes, draw.randint(1, len(self._fleet.nodes)))
         kind = draw.choice(list(CutKind))
-        known = [engine.address for engine in self._fleet.engines()]
+        engines = [*self._fleet.engines(), *self._fleet.others.values()]
+        known = [engine.address for engine in engines]
         is_partial = draw.random() < 0.25
         targets = set(draw.sample(known, len(known) // 2)) if is_partial else None
         self.counts["cut"] += 1
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -39,6 +39,8 @@
 
     Attributes:
         retired: engines that left; some of them still accept requests.
+        others: by id, the engines that faults of the fleet leave out and its own callers don't use.
+        extra_configuration: what the configuration contains for them.
     """
 
     def __init__(
@@ -56,7 +58,7 @@
         self._has_links = cuts
         self._crashes_on = crash_callers.bodies()
         self._crashes_on_parts = crash_callers.parts()
-        self._report_start_times = report_start_times
+        self.reports_start_times = report_start_times
         self._draw_root = draw_root or (lambda: ROOT)
         self._draw_version = draw_version
         self._wrapper = [sleeper.__file__] if sleeps else ()
@@ -65,6 +67,8 @@
         self.timeline = Timeline()
         self.proxies = {}
         self.retired = []
+        self.others = {}
+        self.extra_configuration = {}
         self.keys = ["key-0"]
         self._node_count = nodes
         self._version = 5
@@ -140,16 +144,21 @@
 
     def configure(self):
         self._version += 1
-        self.deployment.configure(self._version, keys=tuple(self.keys), backups=True)
+        self._write_configuration()
+
+    def _write_configuration(self):
+        self.deployment.configure(
+            self._version, keys=tuple(self.keys), backups=True, **self.extra_configuration
+        )
 
     def rewrite_all(self):
         """Write the operator's and the engines' items again, as after a restore of the store."""
-        self.deployment.configure(self._version, keys=tuple(self.keys), backups=True)
+        self._write_configuration()
         self.deployment.set_weight_version(self._weight_version)
         for key in [key for key in self.store.items if key.startswith("servers/")]:
-            if key.removeprefix("servers/") not in self.deployment.engines:
+            if key.removeprefix("servers/") not in {**self.deployment.engines, **self.others}:
                 self.store.remove(key)
-        for engine in self.engines():
+        for engine in [*self.engines(), *self.others.values()]:
             self.deployment.record(engine)
 
     def revoke(self):
@@ -227,7 +236,7 @@
     async def _add_engine(self, service):
         name = f"{service}-{next(self._engine_numbers)}"
         options = {"weights": {"model-1": self._weight_version}} if service == "llm" else {}
-        if self._report_start_times:
+        if self.reports_start_times:
             options["born_unix_ms"] = now_unix_ms()
         engine = await self._add_crashing(name, service, options)
         for links in self.links.values():
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -25,6 +25,7 @@
 
 import aiohttp
 
+from features.soak.answer_ends import AnswerEnds
 from features.soak.deadly import CrashRequestCallers, check_crash_requests, crash_times
 from features.soak.engine_cuts import EngineCuts
 from features.soak.engine_limits import EngineLimits, check_limits
@@ -69,6 +70,7 @@
         cuts: links between nodes and engines are cut.
         versions: engines have one of two software versions, and callers resume streams elsewhere.
         builds: each start of a node draws the current build or the earlier one.
+        ends: engines in processes of their own end in several ways under answers.
     """
 
     deadly: bool = False
@@ -81,6 +83,7 @@
     cuts: bool = False
     versions: bool = False
     builds: bool = False
+    ends: bool = False
 
 
 MODES = tuple(field.name for field in fields(Modes))
@@ -100,7 +103,7 @@
             nodes,
             self._crash_callers,
             modes.sleeps,
-            modes.hard,
+            modes.hard or (modes.ends and random.Random(f"{seed}/starts").random() < 0.5),
             self._draw_root,
             modes.cuts,
             self.versions.draw_version if self.versions else None,
@@ -117,6 +120,7 @@
         self.limits = EngineLimits(self.fleet, seed) if modes.limits else None
         self.restores = StoreRestores(self.fleet, seed) if modes.returns else None
         self.cuts = EngineCuts(self.fleet, seed) if modes.cuts else None
+        self.ends = AnswerEnds(self.fleet, seed, self.calls) if modes.ends else None
         self._seconds = seconds
         self._seed = seed
         self._random = random.Random(f"{seed}/calls")
@@ -144,6 +148,7 @@
             violations += check_announcements(*self._history())
             violations += check_limits(*self._history())
             violations += self.versions.check() if self.versions is not None else ()
+            violations += self.ends.check() if self.ends is not None else ()
             crash_requests = self._crash_callers.requests
             return [*violations, *check_crash_requests(*self._history(), crash_requests)], alive
 
@@ -168,6 +173,8 @@
             yield self.cuts.run_for(self._seconds)
         if self.versions is not None:
             yield self.versions.run_for(self._seconds)
+        if self.ends is not None:
+            yield self.ends.run_for(self._seconds)
 
     def parts(self):
         """Return the optional conditions that count what they did; None for those that are off."""
@@ -178,6 +185,7 @@
             self.restores,
             self.cuts,
             self.versions,
+            self.ends,
         )
 
     def max_lateness(self):
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -54,6 +54,7 @@
     body_bytes=65536,
     resumable=("resume",),
     extra_tenants=(),
+    extra_services=(),
 ):
     routes = [
         {
@@ -86,6 +87,7 @@
                     "Backups": backups,
                 },
             },
+            *extra_services,
         ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": body_bytes, "IdleTimeoutMs": 15000},
         "Tenants": [
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -116,6 +116,9 @@
 
 # How the end of an answer is marked: a stream with `length` has events of one size each.
 CHUNKS, LENGTH, CONNECTION = "chunks", "length", "connection"
+FRAMINGS = (CHUNKS, LENGTH, CONNECTION)
+# An engine that marks the ends of its answers in all three ways, by the ids of the requests.
+MIXED = "mixed"
 
 
 class UnframedResponse(web.StreamResponse):
@@ -125,6 +128,8 @@
     _length_check = False
 
 
+# Part of the paths of the routes whose streams may be resumed.
+RESUMABLE = "resume"
 # Ways in which an engine loses the connection of a stream after its second event and goes on with
 # the run: what it writes before, and whether the connection is reset.
 LOST_CONNECTIONS = {
@@ -166,6 +171,9 @@
         drops_lost: whether it drops the run of a lost connection.
         framing: how its answers end: with a last chunk, a length, or only with their connection.
         body_seconds: the time between both halves of a whole answer.
+        run_label: named with each run in the pieces of its answers, and unlike that of any other
+            incarnation, or "". The pieces of resumable streams name their request alone.
+        exits_after_s: how long after its last answer it exits as it leaves.
     """
 
     engine_id: str
@@ -204,6 +212,8 @@
     drops_lost: bool = False
     framing: str = CHUNKS
     body_seconds: float = 0.0
+    run_label: str = ""
+    exits_after_s: float = 0.0
 
     def __post_init__(self):
         self.crashed = asyncio.Event()
@@ -443,7 +453,7 @@
             headers["X-Attempt-Id"] = "0000000000000000"
         headers = {**headers, **self._announcements("whole")}
         arrival.note_answer(headers)
-        body = f"answer to {arrival.attempt_id}".encode().ljust(self.body_bytes, b".")
+        body = self._body(arrival)
         if self.framing != CHUNKS or self.body_seconds:
             return await self._in_halves(request, arrival, headers, body)
         response = web.Response(body=body, headers=headers)
@@ -463,13 +473,20 @@
         await response.write_eof()
         return response
 
+    def framing_of(self, attempt_id):
+        """Return how the answer to a request ends."""
+        if self.framing == MIXED:
+            return FRAMINGS[int(attempt_id, 16) % len(FRAMINGS)]
+        return self.framing
+
     def _response(self, headers, size):
         """Return a response with this engine's framing, which is to have so many bytes."""
-        kind = UnframedResponse if self.framing == CONNECTION else web.StreamResponse
+        framing = self.framing_of(headers["X-Attempt-Id"])
+        kind = UnframedResponse if framing == CONNECTION else web.StreamResponse
         response = kind(headers=headers)
-        if self.framing == CONNECTION:
+        if framing == CONNECTION:
             response.force_close()
-        elif self.framing == LENGTH:
+        elif framing == LENGTH:
             response.content_length = size
         return response
 
@@ -511,8 +528,25 @@
         run.add_done_callback(self._lost_runs.discard)
         self._lost_runs.add(run)
 
-    def _event(self, number):
-        label = f"{self.software_version} " if self.names_version else ""
+    def _body(self, arrival):
+        if self.run_label:
+            return self._text(arrival).encode()
+        return f"answer to {arrival.attempt_id}".encode().ljust(self.body_bytes, b".")
+
+    def _text(self, arrival, first=1):
+        """Return all events of a run from one on."""
+        numbers = range(first, self.events + 1)
+        return "".join(self._event(number, arrival) for number in numbers)
+
+    def _label(self, arrival):
+        if not self.run_label:
+            return f"{self.software_version} " if self.names_version else ""
+        request = arrival.body.decode()
+        run = "" if RESUMABLE in arrival.target else f"/{self.run_label}/{arrival.at:.6f}"
+        return f"{request}{run} "
+
+    def _event(self, number, arrival):
+        label = self._label(arrival)
         return f"id: {number}\ndata: {label}token {number}{'.' * self.event_bytes}\n\n"
 
     async def _stream(self, request, arrival, headers, fault):
@@ -521,12 +555,10 @@
         loses = self.loses and first == 1 and self._streams % self.loses_every == 0
         headers = {**headers, **self._announcements("head"), "Content-Type": "text/event-stream"}
         arrival.note_answer(headers)
-        response = self._response(
-            headers, sum(len(self._event(number)) for number in range(first, self.events + 1))
-        )
+        response = self._response(headers, len(self._text(arrival, first)))
         await response.prepare(request)
         for number in range(first, self.events + 1):
-            event = self._event(number)
+            event = self._event(number, arrival)
             version = self.weights.get(request.headers.get("X-Model"))
             if arrival.memory and arrival.memory[-1] != version:
                 # An order retains the runs; each says from which event on the weights are others.
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -34,7 +34,12 @@
     "body_bytes",
     "body_seconds",
     "leaving_in",
+    "event_bytes",
+    "run_label",
+    "exits_after_s",
 )
+# How often an engine looks whether the bytes of an answer have gone.
+LOOK_S = 0.001
 
 
 class EngineProcess(StandInEngine):
@@ -113,7 +118,9 @@
     async def _serve(self, request, arrival):
         self._handlers.add(asyncio.current_task())
         try:
-            return await super()._serve(request, arrival)
+            answer = await super()._serve(request, arrival)
+            await _flushed(request)
+            return answer
         finally:
             if arrival.ran:
                 self.report(ENDED, id=arrival.attempt_id, finished=arrival.finished)
@@ -125,8 +132,10 @@
     async def leave(self):
         """Stop listening, complete the answers and end."""
         await self._stop_listening()
-        running = [handler for handler in self._handlers if not handler.done()]
-        await asyncio.gather(*running, return_exceptions=True)
+        # Further requests may arrive on connections that are open.
+        while running := [handler for handler in self._handlers if not handler.done()]:
+            await asyncio.gather(*running, return_exceptions=True)
+        await asyncio.sleep(self.exits_after_s)
         os._exit(0)
 
     def reset_and_end(self):
@@ -137,6 +146,14 @@
         os._exit(1)
 
 
+async def _flushed(request):
+    """Wait until the kernel has all bytes of an answer: others would be lost with the process."""
+    while True:
+        if request.transport is None or not request.transport.get_write_buffer_size():
+            return
+        await asyncio.sleep(LOOK_S)
+
+
 async def main(engine_id, service, port, options):
     """Run an engine until the process is ended."""
     options = json.loads(options)
