--- a/features/soak.feature
+++ b/features/soak.feature
@@ -98,6 +98,31 @@
       | 12 requests, its node killed between     | kept     |
       | 12 requests, another node killed between | exceeded |
 
+  Scenario Outline: The check finds what callers can tell of an answer whose engine ended
+    Given a caller's answer on "<route>" that <what>
+    Then the check of answers finds "<violation>"
+
+    Examples:
+      | route       | what                                        | violation                           |
+      | ends-stream | is whole                                    | nothing                             |
+      | ends-stream | breaks off after 7 pieces                   | nothing                             |
+      | ends-stream | breaks off inside a piece                   | nothing                             |
+      | ends-stream | says whole after 7 pieces                   | an answer that says whole is whole  |
+      | ends-stream | says whole before its first piece           | an answer that says whole is whole  |
+      | ends-whole  | says whole after 7 pieces                   | an answer that says whole is whole  |
+      | ends-stream | says whole inside a piece after all others  | an answer that says whole is whole  |
+      | ends-stream | lacks a piece and breaks off                | pieces in order                     |
+      | ends-stream | has a piece twice and breaks off            | pieces in order                     |
+      | ends-stream | has two pieces out of order and breaks off  | pieces in order                     |
+      | ends-stream | holds pieces of two runs                    | pieces of one run                   |
+      | ends-safe   | holds pieces of two runs                    | pieces of one run                   |
+      | ends-stream | holds another request's pieces              | pieces of one run                   |
+      | ends-resume | holds another request's pieces              | pieces of one run                   |
+      | ends-resume | breaks off inside a piece and goes on       | nothing                             |
+      | ends-resume | goes on with a piece that the caller had    | pieces in order                     |
+      | ends-resume | goes on after a piece that the caller lacks | pieces in order                     |
+      | ends-resume | goes on and says whole after 7 pieces       | an answer that says whole is whole  |
+
   Scenario: A short soak violates no guarantee, and all nodes serve again after it
     When the soak runs seed 1 for 12 s
     Then it had faults and served requests, and violated no guarantee
--- a/features/soak/answer_ends.py
+++ b/features/soak/answer_ends.py
@@ -143,13 +143,14 @@
     if reading.said_whole and lacks:
         detail = f"{reading.route}: {len(numbers)} pieces, labels {labels}; {trace}"
         yield Violation(COMPLETE, first_id, detail)
-    own = {reading.text} if reading.route == RESUME else labels
-    if len(labels) > 1 or not labels <= own or any(not _names(each, reading) for each in labels):
+    if len(labels) > 1 or not all(_is_own(label, reading) for label in labels):
         yield Violation(ONE_RUN, first_id, f"{reading.route}: {labels}; {trace}")
 
 
-def _names(label, reading):
-    return label.partition("/")[0] == reading.text
+def _is_own(label, reading):
+    """Return whether a label names the caller's request, and a run unless that is resumable."""
+    request, _, run = label.partition("/")
+    return request == reading.text and bool(run) == (reading.route != RESUME)
 
 
 class AnswerEnds:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from features.soak.answer_ends import PIECES, RESUME, Attempt, Reading, check_reading
 from features.soak.deadly import CrashRequest, check_crash_requests
 from features.soak.engine_limits import check_limits
 from features.soak.engine_words import check_announcements
@@ -204,6 +205,57 @@
     assert context.found_in_good == [], context.found_in_good
 
 
+def pieces(numbers, label):
+    return b"".join(f"id: {n}\ndata: {label} token {n}..\n\n".encode() for n in numbers)
+
+
+def answers_of(what, label):
+    """Return the bytes of each answer of one caller, and whether the last one said whole."""
+    every, some = range(1, PIECES + 1), range(1, 8)
+    part = b"id: 8\ndata: "
+    other, same = label.replace(".1", ".2"), label
+    answers = {
+        "is whole": [pieces(every, same)],
+        "says whole after 7 pieces": [pieces(some, same)],
+        "breaks off after 7 pieces": [pieces(some, same)],
+        "says whole before its first piece": [b""],
+        "breaks off inside a piece": [pieces(some, same) + part],
+        "says whole inside a piece after all others": [pieces(every, same) + part],
+        "lacks a piece and breaks off": [pieces((1, 2, 4), same)],
+        "has a piece twice and breaks off": [pieces((1, 2, 2, 3), same)],
+        "has two pieces out of order and breaks off": [pieces((1, 3, 2), same)],
+        "holds pieces of two runs": [pieces(some, same) + pieces(every[7:], other)],
+        "holds another request's pieces": [pieces(every, same.replace("text-1", "text-2"))],
+        "breaks off inside a piece and goes on": [
+            pieces(some, same) + part,
+            pieces(every[7:], same),
+        ],
+        "goes on with a piece that the caller had": [pieces(some, same), pieces(every[6:], same)],
+        "goes on after a piece that the caller lacks": [
+            pieces(some, same),
+            pieces(every[8:], same),
+        ],
+        "goes on and says whole after 7 pieces": [pieces(some[:4], same), pieces(some[4:], same)],
+    }[what]
+    # Nothing is said of an answer that breaks off, unless the caller then reads on.
+    return answers, "breaks off" not in what or "goes on" in what
+
+
+@given('a caller\'s answer on "{route}" that {what}')
+def step_reading(context, route, what):
+    label = "text-1" if route == RESUME else "text-1/ends-llm-1.1/5.25"
+    answers, said_whole = answers_of(what, label)
+    attempts = [Attempt(str(n), "n1", 0.0, 200, data) for n, data in enumerate(answers)]
+    attempts[-1].said_whole = said_whole
+    context.found = list(check_reading(Reading(route, "text-1", attempts), filler_bytes=2))
+
+
+@then('the check of answers finds "{violation}"')
+def step_reading_violation(context, violation):
+    found = {each.guarantee for each in context.found}
+    assert violation in found if violation != "nothing" else not found, context.found
+
+
 MODES = {
     "with requests that crash engines": Modes(deadly=True),
     "with prompt parts that crash engines": Modes(parts=True),
@@ -214,6 +266,8 @@
     "with a store that is restored from older copies": Modes(returns=True),
     "with cuts between nodes and engines": Modes(cuts=True),
     "with engines of two software versions": Modes(versions=True),
+    "with engine processes that end": Modes(ends=True),
+    "with engine processes that end, and cuts": Modes(ends=True, cuts=True),
 }
 
 
