--- a/features/soak/answer_ends.py
+++ b/features/soak/answer_ends.py
@@ -37,7 +37,11 @@
         {
             "Name": MODEL,
             "MaxConnections": 100,
-            "Engine": {"KvCapacity": 100_000, "Models": [{"Name": MODEL_NAME}]},
+            "Engine": {
+                "KvCapacity": 100_000,
+                "Models": [{"Name": MODEL_NAME}],
+                "Backups": True,
+            },
         },
     ],
     "resumable": ("resume", RESUME),
@@ -65,6 +69,8 @@
 # A slow caller reads so much at once, and then pauses.
 SLOW_READ_BYTES, SLOW_PAUSE_S = 4096, (0.0, 0.1)
 LEAVES_SHARE = 0.2
+# Only runs of so many output tokens as the second are copied to other engines.
+OUTPUT_TOKENS = (20, 1024)
 MAX_ATTEMPTS = 6
 RETRY_PAUSE_S = 0.2
 OK = 200
@@ -335,7 +341,7 @@
             prefix = ",".join(f"{part}:15" for part in parts)
             headers |= {
                 "X-Model": MODEL_NAME,
-                "X-Token-Usage": f"30,{PIECES}",
+                "X-Token-Usage": f"30,{self._random.choice(OUTPUT_TOKENS)}",
                 "X-Prompt-Prefix": prefix,
             }
         if reading.pieces:
@@ -374,6 +380,11 @@
             "whole": sum(reading.said_whole for reading in self.readings),
             "resumed": sum(len(reading.served) > 1 for reading in self.readings),
             "broken off as engines left": len(self.broken_by_leaving()),
+            "continued from copies": sum(
+                "Kv-From" in arrival.headers
+                for engine in self._incarnations
+                for arrival in engine.arrivals
+            ),
             "ends": dict(self.ways),
         }
 
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -28,6 +28,7 @@
         finished: whether its answer was complete.
         cut: whether its connection was closed before the answer was complete.
         fault: the misbehaviour that its answer shows, or "".
+        run: what its pieces say of the run that wrote them, or "".
         copied: the weight versions of the copy with which it continued.
         memory: the weight version under which each event was made.
         ended_at: when the engine ended its work on it, or None.
@@ -50,6 +51,7 @@
     finished: bool = False
     cut: bool = False
     fault: str = ""
+    run: str = ""
     copied: frozenset = frozenset()
     memory: list = field(default_factory=list)
     ended_at: float | None = None
@@ -109,8 +111,8 @@
 # The kinds that answer a caller's request.
 REQUEST_ANSWERS = frozenset(("whole", "head", "refusal"))
 
-# The cache backups that engines hold for each other, by ADDRESS/ID: the weight version under which
-# each event of the run was made.
+# The copies of runs that engines of this process hold for each other, by ADDRESS/ID: the weight
+# version under which each event of the run was made, and the label of the run.
 held_backups = {}
 
 
@@ -228,6 +230,7 @@
         self._runner = None
         self._streams = 0
         self._lost_runs = set()
+        self.copies = held_backups
 
     async def start(self, port=0):
         self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
@@ -356,6 +359,10 @@
         self.loading = False
         self.weights[body["Model"]] = body["Version"]
 
+    async def copy_run(self, arrival, holder):
+        """Let the engine at an address hold a copy of a run."""
+        self.copies[f"{holder}/{arrival.attempt_id}"] = (arrival.memory, arrival.run)
+
     def began(self, arrival):
         """Handle that a request is about to be run."""
 
@@ -380,12 +387,13 @@
         if version is not None and int(version) != self.weights.get(model):
             return self._misdirected(request)
         backup = request.headers.get("Kv-From")
-        if backup is not None and backup not in held_backups:
+        if backup is not None and backup not in self.copies:
             return self._shed(arrival.attempt_id)
-        arrival.copied = frozenset(held_backups.get(backup, ()))
-        arrival.memory = list(held_backups.get(backup, ()))
+        label = f"/{self.run_label}/{arrival.at:.6f}" if self.run_label else ""
+        memory, arrival.run = self.copies.get(backup, ((), label))
+        arrival.copied, arrival.memory = frozenset(memory), list(memory)
         if "X-Kv-Backup" in request.headers:
-            held_backups[f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}"] = arrival.memory
+            await self.copy_run(arrival, request.headers["X-Kv-Backup"])
         arrival.version = self.weights.get(model)
         arrival.ran = True
         self.began(arrival)
@@ -541,9 +549,8 @@
     def _label(self, arrival):
         if not self.run_label:
             return f"{self.software_version} " if self.names_version else ""
-        request = arrival.body.decode()
-        run = "" if RESUMABLE in arrival.target else f"/{self.run_label}/{arrival.at:.6f}"
-        return f"{request}{run} "
+        run = "" if RESUMABLE in arrival.target else arrival.run
+        return f"{arrival.body.decode()}{run} "
 
     def _event(self, number, arrival):
         label = self._label(arrival)
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -15,6 +15,9 @@
 import sys
 import time
 
+import aiohttp
+from aiohttp import web
+
 from features.standin.connections import reset
 from features.standin.engine import Arrival, StandInEngine
 from liftrill.bench.launcher import free_ports
@@ -38,6 +41,10 @@
     "run_label",
     "exits_after_s",
 )
+# An engine posts a run to the holder of its copy as the run begins, and deletes the copy once the
+# run has ended well.
+COPIES_PATH = "/copies/"
+COPY_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 # How often an engine looks whether the bytes of an answer have gone.
 LOOK_S = 0.001
 
@@ -111,6 +118,7 @@
     def __post_init__(self):
         super().__post_init__()
         self._handlers = set()
+        self.copies = {}
 
     def report(self, kind, **fields):
         print(json.dumps({"kind": kind, "at": time.monotonic(), **fields}), flush=True)
@@ -120,11 +128,37 @@
         try:
             answer = await super()._serve(request, arrival)
             await _flushed(request)
+            if arrival.finished and "X-Kv-Backup" in request.headers:
+                await self._tell_holder("DELETE", request.headers["X-Kv-Backup"], arrival)
             return answer
         finally:
             if arrival.ran:
                 self.report(ENDED, id=arrival.attempt_id, finished=arrival.finished)
 
+    async def _handle(self, request):
+        if not request.path.startswith(COPIES_PATH):
+            return await super()._handle(request)
+        name = f"{self.address}/{request.path.removeprefix(COPIES_PATH)}"
+        if request.method == "POST":
+            self.copies[name] = await request.json()
+        else:
+            self.copies.pop(name, None)
+        return web.Response()
+
+    async def copy_run(self, arrival, holder):
+        """Let the engine at an address hold a copy of a run."""
+        await self._tell_holder("POST", holder, arrival, json=[arrival.memory, arrival.run])
+
+    async def _tell_holder(self, method, holder, arrival, **content):
+        url = f"http://{holder}{COPIES_PATH}{arrival.attempt_id}"
+        # A run goes on without a copy if its holder has ended.
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with (
+                aiohttp.ClientSession(timeout=COPY_TIMEOUT) as session,
+                session.request(method, url, **content),
+            ):
+                return
+
     def began(self, arrival):
         """Report a request that is about to be run."""
         self.report(BEGAN, id=arrival.attempt_id, target=arrival.target, headers=arrival.headers)
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -21,11 +21,12 @@
 @given("{count:d} {kind} engines in processes of their own, whose answers end with {framing}")
 def step_engines(context, count, kind, framing):
     service = {"model": "llm", "desk": "desk"}[kind]
+    framing, copies, _ = framing.partition(", and that hold copies")
     framing = {"their connection": "connection", "a last chunk": "chunks"}.get(framing, "length")
     deployment = Deployment(context.directory)
     context.deployment = context.run(context.stack.enter_async_context(deployment))
     deployment.set_weight_version(1)
-    deployment.configure(1)
+    deployment.configure(1, backups=bool(copies))
     context.callers = StreamCallers(deployment)
 
     async def add():
