--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -123,7 +123,10 @@
 
     async def _put_proxy_before_store(self, node):
         """Start a node again so that it connects to the store through a proxy."""
-        proxy = FaultProxy(f"{node.ip}:{self.store.port + 1}", self.store.address_for(node.ip))
+        # The nodes use all of their ports at each of their addresses.
+        used = {*self.deployment.ports.values(), self.deployment.ports["Peer"] + 1}
+        port = next(port for port in itertools.count(self.store.port + 1) if port not in used)
+        proxy = FaultProxy(f"{node.ip}:{port}", self.store.address_for(node.ip))
         with suppress(OSError):
             await proxy.start()
             self.proxies[node.name] = proxy
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -461,3 +461,10 @@
 def step_resumed(context, count):
     counts = context.soak.versions.counts
     assert counts["gone on"] >= count and not counts["mixed"], counts
+
+
+@then("engines were killed, reset their connections and left under {count:d} answers or more")
+def step_ends(context, count):
+    counts = context.soak.ends.counts
+    ways = {way.partition(",")[0] for way in counts["ends"]}
+    assert counts["whole"] >= count and {"killed", "reset", "left"} <= ways, counts
