--- a/features/soak.feature
+++ b/features/soak.feature
@@ -180,3 +180,13 @@
     When the soak runs seed 70001 for 12 s with engines of two software versions
     Then it had faults and served requests, and violated no guarantee
     And callers resumed at least 40 streams, and none holds events of two versions
+
+  Scenario Outline: A short soak in which engines end under answers violates no guarantee
+    When the soak runs seed <seed> for <seconds> s with engine processes that end<cuts>
+    Then it had faults and served requests, and violated no guarantee
+    And engines were killed and left, and callers read 60 whole answers or more
+
+    Examples:
+      | seed  | seconds | cuts       |
+      | 92003 | 5       | , and cuts |
+      | 92014 | 5       |            |
