--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -55,6 +55,7 @@
     resumable=("resume",),
     extra_tenants=(),
     timeout_ms=5000,
+    extra_services=(),
 ):
     routes = [
         {
@@ -87,6 +88,7 @@
                     "Backups": backups,
                 },
             },
+            *extra_services,
         ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": body_bytes, "IdleTimeoutMs": 15000},
         "Tenants": [
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -31,6 +31,7 @@
         finished: whether its answer was complete.
         cut: whether its connection was closed before the answer was complete.
         fault: the misbehaviour that its answer shows, or "".
+        run: what its pieces say of the run that wrote them, or "".
         copied: the weight versions of the copy with which it continued.
         memory: the weight version under which each event was made.
         ended_at: when the engine ended its work on it, or None.
@@ -53,6 +54,7 @@
     finished: bool = False
     cut: bool = False
     fault: str = ""
+    run: str = ""
     copied: frozenset = frozenset()
     memory: list = field(default_factory=list)
     ended_at: float | None = None
@@ -126,13 +128,16 @@
 # The kinds that answer a caller's request.
 REQUEST_ANSWERS = frozenset(("whole", "head", "refusal"))
 
-# The cache backups that engines hold for each other, by ADDRESS/ID: the weight version under which
-# each event of the run was made.
+# The copies of runs that engines of this process hold for each other, by ADDRESS/ID: the weight
+# version under which each event of the run was made, and the label of the run.
 held_backups = {}
 
 
 # How the end of an answer is marked: a stream with `length` has events of one size each.
 CHUNKS, LENGTH, CONNECTION = "chunks", "length", "connection"
+FRAMINGS = (CHUNKS, LENGTH, CONNECTION)
+# An engine that marks the ends of its answers in all three ways, by the ids of the requests.
+MIXED = "mixed"
 # The number of pieces in which an engine writes a whole answer that takes time.
 BODY_PIECES = 10
 
@@ -161,6 +166,8 @@
     _length_check = False
 
 
+# Part of the paths of the routes whose streams may be resumed.
+RESUMABLE = "resume"
 # Ways in which an engine loses the connection of a stream after its second event and goes on with
 # the run: what it writes before, and whether the connection is reset.
 LOST_CONNECTIONS = {
@@ -209,6 +216,9 @@
         framing: how its answers end: with a last chunk, a length, or only with their connection.
         body_seconds: how long it takes to write a whole answer, in pieces.
         scripts: what the next streams consist of, as in `_play`; engines may share them.
+        run_label: named with each run in the pieces of its answers, and unlike that of any other
+            incarnation, or "". The pieces of resumable streams name their request alone.
+        exits_after_s: how long after its last answer it exits as it leaves.
     """
 
     engine_id: str
@@ -248,6 +258,8 @@
     framing: str = CHUNKS
     body_seconds: float = 0.0
     scripts: list = field(default_factory=list)
+    run_label: str = ""
+    exits_after_s: float = 0.0
 
     def __post_init__(self):
         self.crashed = asyncio.Event()
@@ -262,6 +274,7 @@
         self._runner = None
         self._streams = 0
         self._lost_runs = set()
+        self.copies = held_backups
 
     async def start(self, port=0):
         self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
@@ -391,6 +404,10 @@
         self.loading = False
         self.weights[body["Model"]] = body["Version"]
 
+    async def copy_run(self, arrival, holder):
+        """Let the engine at an address hold a copy of a run."""
+        self.copies[f"{holder}/{arrival.attempt_id}"] = (arrival.memory, arrival.run)
+
     def began(self, arrival):
         """Handle that a request is about to be run."""
 
@@ -415,12 +432,13 @@
         if version is not None and int(version) != self.weights.get(model):
             return self._misdirected(request)
         backup = request.headers.get("Kv-From")
-        if backup is not None and backup not in held_backups:
+        if backup is not None and backup not in self.copies:
             return self._shed(arrival.attempt_id)
-        arrival.copied = frozenset(held_backups.get(backup, ()))
-        arrival.memory = list(held_backups.get(backup, ()))
+        label = f"/{self.run_label}/{arrival.at:.6f}" if self.run_label else ""
+        memory, arrival.run = self.copies.get(backup, ((), label))
+        arrival.copied, arrival.memory = frozenset(memory), list(memory)
         if "X-Kv-Backup" in request.headers:
-            held_backups[f"{request.headers['X-Kv-Backup']}/{arrival.attempt_id}"] = arrival.memory
+            await self.copy_run(arrival, request.headers["X-Kv-Backup"])
         arrival.version = self.weights.get(model)
         arrival.ran = True
         self.began(arrival)
@@ -488,7 +506,7 @@
             headers["X-Attempt-Id"] = "0000000000000000"
         headers = {**headers, **self._announcements("whole")}
         arrival.note_answer(headers)
-        body = whole_body(arrival.attempt_id, self.body_bytes)
+        body = self._body(arrival)
         if self.framing != CHUNKS or self.body_seconds:
             return await self._in_pieces(request, arrival, headers, body)
         response = web.Response(body=body, headers=headers)
@@ -509,13 +527,20 @@
         await response.write_eof()
         return response
 
+    def framing_of(self, attempt_id):
+        """Return how the answer to a request ends."""
+        if self.framing == MIXED:
+            return FRAMINGS[int(attempt_id, 16) % len(FRAMINGS)]
+        return self.framing
+
     def _response(self, headers, size):
         """Return a response with this engine's framing, which is to have so many bytes."""
-        kind = UnframedResponse if self.framing == CONNECTION else web.StreamResponse
+        framing = self.framing_of(headers["X-Attempt-Id"])
+        kind = UnframedResponse if framing == CONNECTION else web.StreamResponse
         response = kind(headers=headers)
-        if self.framing == CONNECTION:
+        if framing == CONNECTION:
             response.force_close()
-        elif self.framing == LENGTH:
+        elif framing == LENGTH:
             response.content_length = size
         return response
 
@@ -557,8 +582,24 @@
         run.add_done_callback(self._lost_runs.discard)
         self._lost_runs.add(run)
 
-    def _event(self, number):
-        label = f"{self.software_version} " if self.names_version else ""
+    def _body(self, arrival):
+        if self.run_label:
+            return self._text(arrival).encode()
+        return whole_body(arrival.attempt_id, self.body_bytes)
+
+    def _text(self, arrival, first=1):
+        """Return all events of a run from one on."""
+        numbers = range(first, self.events + 1)
+        return "".join(self._event(number, arrival) for number in numbers)
+
+    def _label(self, arrival):
+        if not self.run_label:
+            return f"{self.software_version} " if self.names_version else ""
+        run = "" if RESUMABLE in arrival.target else arrival.run
+        return f"{arrival.body.decode()}{run} "
+
+    def _event(self, number, arrival):
+        label = self._label(arrival)
         return f"id: {number}\ndata: {label}token {number}{'.' * self.event_bytes}\n\n"
 
     async def _stream(self, request, arrival, headers, fault):
@@ -567,14 +608,12 @@
         loses = self.loses and first == 1 and self._streams % self.loses_every == 0
         headers = {**headers, **self._announcements("head"), "Content-Type": "text/event-stream"}
         arrival.note_answer(headers)
-        response = self._response(
-            headers, sum(len(self._event(number)) for number in range(first, self.events + 1))
-        )
+        response = self._response(headers, len(self._text(arrival, first)))
         await response.prepare(request)
         if self.scripts:
             return await self._play(request, arrival, response, self.scripts.pop(0))
         for number in range(first, self.events + 1):
-            event = self._event(number)
+            event = self._event(number, arrival)
             version = self.weights.get(request.headers.get("X-Model"))
             if arrival.memory and arrival.memory[-1] != version:
                 # An order retains the runs; each says from which event on the weights are others.
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -11,11 +11,13 @@
 import contextlib
 import json
 import os
-import random
 import signal
 import sys
 import time
 
+import aiohttp
+from aiohttp import web
+
 from features.standin.connections import reset
 from features.standin.engine import Arrival, StandInEngine
 from liftrill.bench.launcher import free_ports
@@ -23,8 +25,6 @@
 MODULE = "features.standin.engine_process"
 HOST = "127.0.0.1"
 BEGAN, ENDED = "began", "ended"
-# A leaving engine exits within this time after the last byte of its last answer.
-LATEST_EXIT_S = 0.01
 # The fields of StandInEngine that a process is started with.
 OPTIONS = (
     "weights",
@@ -39,7 +39,16 @@
     "body_seconds",
     "leaving_in",
     "born_unix_ms",
+    "event_bytes",
+    "run_label",
+    "exits_after_s",
 )
+# An engine posts a run to the holder of its copy as the run begins, and deletes the copy once the
+# run has ended well.
+COPIES_PATH = "/copies/"
+COPY_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+# How often an engine looks whether the bytes of an answer have gone.
+LOOK_S = 0.001
 
 
 class EngineProcess(StandInEngine):
@@ -111,6 +120,7 @@
     def __post_init__(self):
         super().__post_init__()
         self._handlers = set()
+        self.copies = {}
 
     def report(self, kind, **fields):
         print(json.dumps({"kind": kind, "at": time.monotonic(), **fields}), flush=True)
@@ -118,11 +128,39 @@
     async def _serve(self, request, arrival):
         self._handlers.add(asyncio.current_task())
         try:
-            return await super()._serve(request, arrival)
+            answer = await super()._serve(request, arrival)
+            await _flushed(request)
+            if arrival.finished and "X-Kv-Backup" in request.headers:
+                await self._tell_holder("DELETE", request.headers["X-Kv-Backup"], arrival)
+            return answer
         finally:
             if arrival.ran:
                 self.report(ENDED, id=arrival.attempt_id, finished=arrival.finished)
 
+    async def _handle(self, request):
+        if not request.path.startswith(COPIES_PATH):
+            return await super()._handle(request)
+        name = f"{self.address}/{request.path.removeprefix(COPIES_PATH)}"
+        if request.method == "POST":
+            self.copies[name] = await request.json()
+        else:
+            self.copies.pop(name, None)
+        return web.Response()
+
+    async def copy_run(self, arrival, holder):
+        """Let the engine at an address hold a copy of a run."""
+        await self._tell_holder("POST", holder, arrival, json=[arrival.memory, arrival.run])
+
+    async def _tell_holder(self, method, holder, arrival, **content):
+        url = f"http://{holder}{COPIES_PATH}{arrival.attempt_id}"
+        # A run goes on without a copy if its holder has ended.
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with (
+                aiohttp.ClientSession(timeout=COPY_TIMEOUT) as session,
+                session.request(method, url, **content),
+            ):
+                return
+
     def began(self, arrival):
         """Report a request that is about to be run."""
         self.report(BEGAN, id=arrival.attempt_id, target=arrival.target, headers=arrival.headers)
@@ -130,9 +168,10 @@
     async def leave(self):
         """Stop listening, complete the answers and end."""
         await self._stop_listening()
-        running = [handler for handler in self._handlers if not handler.done()]
-        await asyncio.gather(*running, return_exceptions=True)
-        await asyncio.sleep(random.uniform(0.0, LATEST_EXIT_S))
+        # Further requests may arrive on connections that are open.
+        while running := [handler for handler in self._handlers if not handler.done()]:
+            await asyncio.gather(*running, return_exceptions=True)
+        await asyncio.sleep(self.exits_after_s)
         os._exit(0)
 
     def reset_and_end(self):
@@ -143,6 +182,14 @@
         os._exit(1)
 
 
+async def _flushed(request):
+    """Wait until the kernel has all bytes of an answer: others would be lost with the process."""
+    while True:
+        if request.transport is None or not request.transport.get_write_buffer_size():
+            return
+        await asyncio.sleep(LOOK_S)
+
+
 async def main(engine_id, service, port, options):
     """Run an engine until the process is ended."""
     options = json.loads(options)
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -18,6 +18,8 @@
 BODY_BYTES = 200_000
 BODY_S = 2.5
 BEGIN_WITHIN_S = 1.0
+# Leaving engines exit within this time after the last byte of their last answers.
+LATEST_EXIT_S = 0.01
 # For how long a leaving engine is draining before it stops listening.
 DRAINING_S = 1.2
 # How long after the last request has begun the engine ends.
@@ -27,11 +29,12 @@
 @given("{count:d} {kind} engines in processes of their own, whose answers end with {framing}")
 def step_engines(context, count, kind, framing):
     service = {"model": "llm", "desk": "desk"}[kind]
+    framing, copies, _ = framing.partition(", and that hold copies")
     framing = {"their connection": "connection", "a last chunk": "chunks"}.get(framing, "length")
     deployment = Deployment(context.directory)
     context.deployment = context.run(context.stack.enter_async_context(deployment))
     deployment.set_weight_version(1)
-    deployment.configure(1)
+    deployment.configure(1, backups=bool(copies))
     context.callers = StreamCallers(deployment)
 
     async def add():
@@ -49,6 +52,7 @@
                 body_seconds=BODY_S,
                 framing=framing,
                 born_unix_ms=now_unix_ms(),
+                exits_after_s=LATEST_EXIT_S * number / count,
             )
         for number in range(NODES):
             await deployment.ready(await deployment.add_node(f"node-{number + 1}"))
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -55,3 +55,9 @@
     Given 4 model engines in processes of their own, whose answers end with their connection
     When 36 streams on "stream" begin within 1.2 s, and an engine starts again at its address while the nodes stand still
     Then no stream looks complete that is not
+
+  Scenario: An engine is killed under streams of which others hold copies
+    Given 4 model engines in processes of their own, whose answers end with their connection, and that hold copies
+    When 36 streams on "stream" begin within 1.2 s, and an engine is killed
+    Then no stream looks complete that is not
+    And all streams are whole
