A later attempt is not measured by the check of an earlier one

The time for which an engine was checked after a close was subtracted from the times of a request that then went on at another engine.

--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -326,6 +326,7 @@
         self._caller_wait_at_start_s = self.caller_wait_s
         self._first_read_at = None
         self._prompt_served = False
+        self._close_check_s = 0.0
         if self._view is not None:
             self._view.own_load.add(self._load)
             self._queued_prefill_tokens = self._view.waiting_tokens
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -117,6 +117,8 @@
 class ConnectionClosed:
     """The connection of a response was closed in order, and nothing else marks the response's end.
 
+    The driver replaces it by the completion of the response or by its interruption.
+
     Attributes:
         completed: the event to handle if the response is complete.
         close_delay_s: the time between its last bytes and the close.
