--- a/features/soak/answer_ends.py
+++ b/features/soak/answer_ends.py
@@ -183,12 +183,13 @@
 
     async def run_for(self, seconds):
         """End engines and call them for some time; end the engines that are left."""
-        until = time.monotonic() + seconds
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         try:
             async with aiohttp.ClientSession(connector=connector) as self._session:
                 for service, count in ENGINES.items():
                     await asyncio.gather(*(self._add(service) for _ in range(count)))
+                # On a busy machine the engines take seconds to start.
+                until = time.monotonic() + seconds
                 callers = (
                     self._call_on(route, until)
                     for route, _ in itertools.product(KINDS, range(CALLERS_PER_ROUTE))
