--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -23,7 +23,6 @@
 from liftrill.bench.launcher import free_ports
 
 MODULE = "features.standin.engine_process"
-HOST = "127.0.0.1"
 BEGAN, ENDED = "began", "ended"
 # The fields of StandInEngine that a process is started with.
 OPTIONS = (
@@ -39,7 +38,6 @@
     "body_seconds",
     "leaving_in",
     "born_unix_ms",
-    "event_bytes",
     "run_label",
     "exits_after_s",
 )
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -158,7 +158,6 @@
         engine = context.ended = busiest_engine(context)
         port = int(engine.address.rpartition(":")[2])
         await engine.crash()
-        context.lost = engine.running
         engine.born_unix_ms = now_unix_ms()
         await engine.start(port)
         context.deployment.record(engine)
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -1,4 +1,4 @@
-"""Checks whether an engine's process has ended after a connection to it was lost."""
+"""Checks whether an engine's process has ended after a connection to it was lost or closed."""
 
 import asyncio
 from collections import deque
