Log which versions a resumed stream could have begun at, and how long the node has run

Callers saw streams of two software versions after all nodes had been killed. The line stream_resumed said that one version was known (sole), not that the node had only just started and could know of no other. It now has the known versions and the node's uptime, which tells a version that served alone from one that alone is left.

--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -189,9 +189,19 @@
         self._write_request("caller_gone", machine, ordinary=True)
 
     def stream_resumed(
-        self, request: OpaqueRequest, version: str, source: str, answered: str, asked_s: float
+        self,
+        request: OpaqueRequest,
+        version: str,
+        source: str,
+        answered: str,
+        asked_s: float,
+        known_versions: list[str],
+        uptime_s: float,
     ) -> None:
-        """Log which software version began the stream that a request resumes."""
+        """Log which software version began the stream that a request resumes.
+
+        The uptime tells how far back this node can know which versions served.
+        """
         self._write_failure(
             "stream_resumed",
             request=request.request_id,
@@ -201,6 +211,8 @@
             source=source,
             answered=answered,
             asked_ms=round(1000 * asked_s, 1),
+            known_versions=known_versions,
+            uptime_s=round(uptime_s, 1),
         )
 
     def request_crashed(self, machine: DeliveryMachine, error: Exception) -> None:
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -74,6 +74,7 @@
         self._log = log
         self._metrics = metrics
         self._table = OriginTable()
+        self._started_at = clock.now_s()
         self._exported: Counter[tuple[str, str]] = Counter()
         self._exchange = OriginExchange(self._table, peers, self._served)
 
@@ -89,12 +90,15 @@
         resolution, answers = await self._resolve(request)
         self._metrics.resumed_streams.labels(resolution.source).inc()
         origin = resolution.origin
+        served = self._served(request.route.services) | answers.served
         self._log.stream_resumed(
             request,
             origin.software_version if origin is not None else "",
             resolution.source,
             f"{len(answers.answered)}/{len(answers.asked)}",
             clock.now_s() - asked_at,
+            sorted(f"{each.service}/{each.software_version}" for each in served),
+            asked_at - self._started_at,
         )
         if origin is None:
             why = f"resumes={request.resumed_request_id[:MAX_LOGGED_ID_LENGTH]!r}"
