--- /dev/null
+++ b/features/steps/fleet_restart_steps.py
@@ -0,0 +1,194 @@
+"""Steps on nodes that are all killed at once and start again, under streams."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+from features.soak.fleet import now_unix_ms
+from features.standin.deployment import Deployment
+from features.standin.engine_process import EngineProcess
+from features.standin.stream_callers import StreamCallers
+
+EVENTS, EVENT_S = 40, 0.05
+DEADLINE_MS = "12000"
+# How long the nodes are down, without the time that they need to start.
+DOWN_S = 0.2
+
+
+async def add_engines(deployment, version, count):
+    for number in range(count):
+        await deployment.add_engine(
+            f"{version}-{number + 1}",
+            "llm",
+            kind=EngineProcess,
+            weights={"model-1": 1},
+            names_version=True,
+            software_version=version,
+            slots=64,
+            events=EVENTS,
+            event_seconds=EVENT_S,
+            born_unix_ms=now_unix_ms(),
+        )
+
+
+@given(
+    "{older:d} engines of version {old} and {newer:d} of version {new} in processes of their own"
+)
+def step_engines(context, older, old, newer, new):
+    deployment = Deployment(context.directory)
+    context.deployment = context.run(context.stack.enter_async_context(deployment))
+    deployment.set_weight_version(1)
+    deployment.configure(1)
+    context.callers = StreamCallers(deployment)
+    context.run(add_engines(deployment, old, older))
+    context.run(add_engines(deployment, new, newer))
+
+
+@given("{count:d} nodes before them, which have been ready for {seconds:g} s")
+def step_nodes(context, count, seconds):
+    async def add():
+        for number in range(count):
+            await context.deployment.add_node(f"node-{number + 1}")
+        for node in context.deployment.nodes:
+            await context.deployment.ready(node)
+        await asyncio.sleep(seconds)
+
+    context.run(add())
+
+
+def of_version(context, version):
+    engines = context.deployment.engines.values()
+    return [e for e in engines if e.software_version == version and not e.crashed.is_set()]
+
+
+async def end_engines(context, version, how):
+    """Kill the engines of a version, or let them leave; remove their records."""
+    for engine in of_version(context, version):
+        context.deployment.store.remove(f"servers/{engine.engine_id}")
+        await engine.crash(how=how)
+
+
+async def change(context, what):
+    """Change the engines while no node runs."""
+    deployment = context.deployment
+    if what == "the engines of v1.1 leave":
+        await end_engines(context, "v1.1", "reset")
+    elif what == "the engines of v1.1 crash":
+        await end_engines(context, "v1.1", "killed")
+    elif what == "4 engines of v1.2 start":
+        await add_engines(deployment, "v1.2", 4)
+    elif what == "engines of v1.2 take over":
+        await add_engines(deployment, "v1.2", 4)
+        await end_engines(context, "v1.1", "killed")
+    else:
+        assert what == "nothing else changes", what
+
+
+async def begin_streams(context, count):
+    """Begin streams at nodes drawn at random, and wait until each has an event."""
+    callers = context.callers
+    tasks = [asyncio.ensure_future(callers.begin(deadline_ms=DEADLINE_MS)) for _ in range(count)]
+
+    async def all_began():
+        return all(stream.first_attempt_id for stream in callers.streams)
+
+    await context.deployment.wait_until(all_began)
+    await asyncio.sleep(5 * EVENT_S)
+    return tasks
+
+
+async def restart_nodes(context, meanwhile):
+    nodes = context.deployment.nodes
+    for node in nodes:
+        node.process.kill()
+    for node in nodes:
+        await node.process.wait()
+    await asyncio.sleep(DOWN_S)
+    await change(context, meanwhile)
+    context.restarted_at = time.monotonic()
+    for node in nodes:
+        await node.start()
+    for node in nodes:
+        await context.deployment.ready(node)
+
+
+@when("{count:d} streams have begun, all nodes are killed, {meanwhile}, and the nodes start again")
+def step_restart(context, count, meanwhile):
+    async def play():
+        tasks = await begin_streams(context, count)
+        await restart_nodes(context, meanwhile)
+        await asyncio.gather(*tasks)
+
+    context.run(play())
+
+
+@when(
+    "{count:d} streams have begun, the engines of {version} crash, "
+    "and all nodes are killed and start again {seconds:g} s later"
+)
+def step_crash_and_restart(context, count, version, seconds):
+    async def play():
+        tasks = await begin_streams(context, count)
+        for node in context.deployment.nodes:
+            node.process.kill()
+        await asyncio.gather(*tasks)
+        for node in context.deployment.nodes:
+            await node.process.wait()
+            await node.start()
+        for node in context.deployment.nodes:
+            await context.deployment.ready(node)
+        await end_engines(context, version, "killed")
+        await asyncio.sleep(seconds)
+        await restart_nodes(context, "nothing else changes")
+
+    context.run(play())
+
+
+@when("the callers resume their streams until they are complete or refused for {seconds:g} s")
+def step_resume(context, seconds):
+    async def resume():
+        callers = context.callers
+        until = time.monotonic() + seconds
+        streams = [each for each in callers.streams if not each.complete]
+        await asyncio.gather(
+            *(callers.resume(each, until, deadline_ms=DEADLINE_MS) for each in streams)
+        )
+
+    context.run(resume())
+    describe(context)
+
+
+def describe(context):
+    streams = context.callers.streams
+    by_version = {}
+    for stream in streams:
+        version = stream.attempts[0].engine_versions[0]
+        row = by_version.setdefault(version, {"began": 0, "mixed": 0, "complete": 0})
+        row["began"] += 1
+        row["mixed"] += len(stream.versions) > 1
+        row["complete"] += stream.complete
+    rows = context.deployment.logged("stream_resumed")
+    sources = {}
+    for row in rows:
+        sources[row["source"]] = sources.get(row["source"], 0) + 1
+    print(by_version, sources)
+
+
+@then("all of the streams are complete")
+def step_all_complete(context):
+    streams = context.callers.streams
+    complete = sum(stream.complete for stream in streams)
+    assert complete == len(streams), f"{complete} of {len(streams)}"
+
+
+@then("more than {count:d} of the streams are complete")
+def step_some_complete(context, count):
+    complete = sum(stream.complete for stream in context.callers.streams)
+    assert complete > count, complete
+
+
+@then("{count:d} of the streams are complete")
+def step_count_complete(context, count):
+    complete = sum(stream.complete for stream in context.callers.streams)
+    assert complete == count, complete
