Software versions and origins of streams outlive a restart of all nodes

Callers saw whole streams of two software versions: after all nodes were killed at once, a stream that had broken off went on with 200 at another version than the one that began it.

Cause: nodes knew in memory alone which versions served lately and which began each stream. A restarted fleet saw the versions in the records of engines, and took the one that it saw for the only one there had been: the absence of a record was evidence. Where two versions serve, it knew no origin, and refused every stream.

Evidence: stream_resumed said `sole` for all 40 streams of each mixed play, at nodes that had just started. Ruled out: ids out of sequence (none).

Change: nodes record in the store which versions serve, as soon as one comes and before streams prefer it, and origins of streams in batches while several serve. A restarted node takes a version for the only one only if the record (or a node that ran before) says so; otherwise it reads the batches, and excludes versions that were not recorded as it started. The keys of the batches are left out of the mirror and its relays.

--- a/features/fleet_restart.feature
+++ b/features/fleet_restart.feature
@@ -1,11 +1,36 @@
 Feature: All nodes are killed at once under streams, and start again
 
-  Guards against streams that hold events of engines of two software versions because no node is
-  left that knows which version began them.
+  Guards against streams that hold events of engines of two software versions, or do not go on,
+  because no node is left that knows which version began them.
 
-  Scenario: Streams go on at another version after all nodes restarted and the engines of theirs ended
+  Scenario Outline: Streams go on at another version after all nodes restarted: <older>, <newer>, <meanwhile>
+    Given <older> engines of version v1.1 and <newer> of version v1.2 in processes of their own
+    And 4 nodes before them, which have been ready for 2 s
+    When 40 streams begin within 1.2 s, all nodes are killed, <meanwhile>, and the nodes start again
+    And the callers resume their streams until they are complete or refused for 6 s
+    Then no stream holds events of two versions
+    And of the streams whose version has engines, at least <share> are complete
+
+    Examples:
+      | older | newer | meanwhile                 | share |
+      | 6     | 0     | nothing else changes      | 1.0   |
+      | 4     | 4     | nothing else changes      | 0.5   |
+      | 4     | 4     | the engines of v1.1 leave | 0.5   |
+      | 4     | 4     | the engines of v1.1 crash | 0.5   |
+      | 4     | 0     | 4 engines of v1.2 start   | 0.5   |
+
+  Scenario: Streams go on at a version that replaced theirs while no node ran
+    Given 4 engines of version v1.1 and 0 of version v1.2 in processes of their own
+    And 4 nodes before them, which have been ready for 2 s
+    When 40 streams begin within 1.2 s, all nodes are killed, engines of v1.2 take over, and the nodes start again
+    And the callers resume their streams until they are complete or refused for 2 s
+    Then no stream holds events of two versions
+    And each resumption that could not go on was refused with a time to come back
+
+  Scenario: Streams go on at another version after all nodes restarted twice
     Given 4 engines of version v1.1 and 4 of version v1.2 in processes of their own
     And 4 nodes before them, which have been ready for 2 s
-    When 40 streams have begun, all nodes are killed, the engines of v1.1 crash, and the nodes start again
+    When 40 streams begin within 1.2 s, the engines of v1.1 crash between two restarts of all nodes
     And the callers resume their streams until they are complete or refused for 6 s
     Then no stream holds events of two versions
+    And of the streams whose version has engines, at least 0.5 are complete
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -27,6 +27,7 @@
     origin_from_datagram,
 )
 from liftrill.gateway.streams.origin_exchange import OriginPeers
+from liftrill.gateway.streams.origin_ports import OriginStorage, RecordedVersions
 from liftrill.gateway.streams.origin_tracker import OriginTracker
 from liftrill.gateway.streams.stream_origins import OriginEntry, OriginTable, ServiceVersion
 from liftrill.gateway.weight_targets import WeightTargets
@@ -38,6 +39,32 @@
 LEFT_S = 10.0
 
 
+class FakeStorage(OriginStorage, RecordedVersions):
+    """What a fleet keeps where it outlives all nodes, as one node sees it."""
+
+    def __init__(self, stored, recorded, has_fleet_record=False):
+        self.stored, self.recorded = stored, recorded
+        self.initial_versions = frozenset(recorded)
+        self.is_history_lost = has_fleet_record and not recorded
+
+    @property
+    def initial(self):
+        return self.initial_versions
+
+    @property
+    def lacks_history(self):
+        return self.is_history_lost
+
+    def of_service(self, service):
+        return {each.software_version for each in self.recorded if each.service == service}
+
+    def save(self, entries):
+        self.stored.update((entry.key, entry.origin) for entry in entries)
+
+    async def find(self, key):
+        return self.stored.get(key)
+
+
 class FakeNode(OriginPeers):
     """A node with its engines and the origins that it knows."""
 
@@ -45,9 +72,9 @@
         self.fleet, self.member = fleet, member
         self.unknown = set()
         self.engines = EngineTable()
-        self.streams = OriginTracker(
-            self.engines, self, DecisionLog(member.node_id), GatewayMetrics()
-        )
+        storage = FakeStorage({}, set())
+        log = DecisionLog(member.node_id)
+        self.streams = OriginTracker(self.engines, self, storage, storage, log, GatewayMetrics())
 
     def others(self):
         hidden = self.unknown | {self.member.node_id}
--- a/liftrill/coordination/store_mirror.py
+++ b/liftrill/coordination/store_mirror.py
@@ -33,9 +33,11 @@
     Attributes:
         position: the position from which a watch continues; 0 before the first read. All items
             are of the era of this position: only a full read moves a mirror to a later era.
+        excluded_prefix: the prefix of keys that are not mirrored, unless it is empty.
     """
 
     position: int = 0
+    excluded_prefix: str = ""
     _items: dict[str, StoredItem] = field(default_factory=dict)
     _pages: list[RangePage] = field(default_factory=list)
 
@@ -62,7 +64,12 @@
         if page.more and page.items:
             return None
         first_position = self._pages[0].position
-        found = {item.key: item for read in self._pages for item in read.items}
+        found = {
+            item.key: item
+            for read in self._pages
+            for item in read.items
+            if not self._is_excluded(item.key)
+        }
         self._pages.clear()
         # A read that is older than the mirror, such as one from a lagging replica, changes
         # nothing.
@@ -81,6 +88,8 @@
             # reappear.
             if change.revision <= self.position or self._is_later_era(change.revision):
                 continue
+            if self._is_excluded(change.key):
+                continue
             known = self._items.get(change.key)
             # An item of the same revision is reported again: a replica that follows this mirror
             # may not have it.
@@ -95,6 +104,9 @@
         self.position = max(self.position, batch.position)
         return MirrorChange(tuple(written.values()), tuple(removed), gap=False)
 
+    def _is_excluded(self, key: str) -> bool:
+        return bool(self.excluded_prefix) and key.startswith(self.excluded_prefix)
+
     def _is_later_era(self, position: int) -> bool:
         return bool(self.position) and era_of(position) > era_of(self.position)
 
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -69,7 +69,9 @@
 from liftrill.gateway.store_follower import FollowerDelegate, StoreFollower
 from liftrill.gateway.store_outage import AnswerHistory, min_expiry_s
 from liftrill.gateway.streams.origin_codec import OriginMessage
+from liftrill.gateway.streams.origin_records import ORIGINS_KEY_PREFIX, OriginRecords
 from liftrill.gateway.streams.origin_tracker import MemberPeers, OriginTracker
+from liftrill.gateway.streams.version_record import VersionRecord
 from liftrill.gateway.transport import EngineTransport
 from liftrill.gateway.weight_controller import WeightController
 from liftrill.gateway.weight_rollout import WeightRollout
@@ -144,7 +146,7 @@
         self._membership = self._new_membership()
         self._reader_selection = ReaderSelection(self._membership.own)
         limits = ReaderLimits(settings.node, max_mirror_age_s(bounds.propagation_seconds))
-        self._follower = StoreFollower(store, "", self, limits, answers)
+        self._follower = StoreFollower(store, "", self, limits, answers, ORIGINS_KEY_PREFIX)
         self._freshness_checker = FreshnessChecker(
             store,
             self._follower,
@@ -203,8 +205,19 @@
         self.forwarder.prefill_started = self._send_prefill_start
         selector.software_versions.has_ended = self._quarantine.knows_end
         selector.ended_lately = self._quarantine.ended_lately
-        origin_peers = MemberPeers(self._membership, self._peers)
-        self._stream_origins = OriginTracker(engines, origin_peers, log, metrics)
+        self._version_record = VersionRecord(
+            store, self._follower.mirror, engines, self._membership, log
+        )
+        selector.software_versions.is_recorded = self._version_record.is_recorded
+        self._origin_records = self._new_origin_records()
+        self._stream_origins = OriginTracker(
+            engines,
+            MemberPeers(self._membership, self._peers),
+            self._version_record,
+            self._origin_records,
+            log,
+            metrics,
+        )
         self.forwarder.on_stream_began = self._stream_origins.stream_began
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
         slot_messenger.wake_waiting = self.forwarder.queues.wake_all
@@ -255,6 +268,8 @@
             self._run_housekeeping,
             self._maintain_fleet_record,
             self._maintain_quarantine,
+            self._maintain_version_record,
+            self._origin_records.run,
             self._report_loads,
         ):
             self._tasks.append(asyncio.ensure_future(self._supervise(loop)))
@@ -352,6 +367,13 @@
         )
         return QuotaGate(buckets, self.log, self.metrics, self._send_spending)
 
+    def _new_origin_records(self) -> OriginRecords:
+        own = self._membership.own
+        key_prefix = f"{ORIGINS_KEY_PREFIX}{own.node_id}/{own.incarnation}/"
+        return OriginRecords(
+            self._store, key_prefix, lambda: len(self._membership.members()), self.log
+        )
+
     def _new_leadership(self) -> Leadership:
         bounds = self.settings.bounds
         parameters = term_parameters(
@@ -419,6 +441,7 @@
         previous_version = self.view.version
         self._cluster_state.apply(change, known_until)
         self._apply_quarantine(change)
+        self._version_record.load(clock.now_s())
         self._announce_if_newer(previous_version)
         self.forwarder.queues.wake_all()
 
@@ -527,6 +550,7 @@
             self._silence_detector.forget(member.node_id)
             self._node_capacities.forget(member.node_id)
         self._cluster_state.selector.parts.nodes = alive
+        self._stream_origins.note_node(member)
         self.log.state_changed(
             "peer",
             peer=member.node_id,
@@ -758,6 +782,11 @@
             self._quarantine.expire(clock.now_s())
             await self._quarantine_records.wait(HOUSEKEEPING_SECONDS)
 
+    async def _maintain_version_record(self) -> None:
+        while True:
+            await self._version_record.write_due(clock.now_s())
+            await self._version_record.wait(HOUSEKEEPING_SECONDS)
+
     async def _run_housekeeping(self) -> None:
         while True:
             now = clock.now_s()
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -101,8 +101,9 @@
         delegate: FollowerDelegate,
         limits: ReaderLimits,
         answers: AnswerHistory,
+        excluded_prefix: str = "",
     ) -> None:
-        self.mirror = StoreMirror()
+        self.mirror = StoreMirror(excluded_prefix=excluded_prefix)
         self.freshness = MirrorFreshness()
         self.connected = False
         self.followed: Member | None = None
@@ -338,12 +339,13 @@
         batch = await self._store.watch(self._prefix, self.mirror.position, wait)
         self._outage.record_success()
         self._note_connection(True)
-        if batch.changes:
-            self._report_change(self.mirror.apply_batch(batch))
-            await self._throttle(started_at)
+        change = self.mirror.apply_batch(batch)
+        if change.written or change.removed:
+            self._report_change(change)
         else:
-            self.mirror.apply_batch(batch)
             self.freshness.record_position(self.mirror.position)
+        if batch.changes:
+            await self._throttle(started_at)
 
     def _report_change(self, change: MirrorChange) -> None:
         """Report a change, with the time until which the mirror was complete before it."""
--- a/liftrill/gateway/streams/origin_codec.py
+++ b/liftrill/gateway/streams/origin_codec.py
@@ -41,11 +41,15 @@
     Attributes:
         origin: None if it is unknown.
         served: the versions that lately served in the services of the question.
+        unused: those of them at which no stream began that the nodes have forgotten.
+        lacks_history: whether the sender may not know all versions that served lately.
     """
 
     key: int
     origin: ServiceVersion | None
     served: tuple[ServiceVersion, ...]
+    unused: tuple[ServiceVersion, ...] = ()
+    lacks_history: bool = False
 
 
 OriginMessage = OriginReport | OriginQuestion | OriginAnswer
@@ -65,8 +69,12 @@
     if isinstance(content, OriginQuestion):
         question = messages.OriginQuestion(key=content.key, services=content.services)
         return messages.Datagram(sender=sender, origin_question=question)
-    served = [_version_message(each) for each in content.served[:MAX_VERSIONS_IN_ANSWER]]
-    answer = messages.OriginAnswer(key=content.key, served=served)
+    answer = messages.OriginAnswer(
+        key=content.key,
+        served=map(_version_message, content.served[:MAX_VERSIONS_IN_ANSWER]),
+        unused=map(_version_message, content.unused[:MAX_VERSIONS_IN_ANSWER]),
+        lacks_history=content.lacks_history,
+    )
     if content.origin is not None:
         answer.origin.CopyFrom(_version_message(content.origin))
     return messages.Datagram(sender=sender, origin_answer=answer)
@@ -82,7 +90,9 @@
     if message.HasField("origin_answer"):
         answer = message.origin_answer
         origin = _service_version(answer.origin) if answer.HasField("origin") else None
-        return OriginAnswer(answer.key, origin, tuple(map(_service_version, answer.served)))
+        served = tuple(map(_service_version, answer.served))
+        unused = tuple(map(_service_version, answer.unused))
+        return OriginAnswer(answer.key, origin, served, unused, answer.lacks_history)
     return None
 
 
--- a/liftrill/gateway/streams/origin_exchange.py
+++ b/liftrill/gateway/streams/origin_exchange.py
@@ -41,6 +41,21 @@
         """Send a message to one node."""
 
 
+@dataclass(frozen=True, slots=True)
+class KnownVersions:
+    """What one node knows of the versions at which a stream can have begun.
+
+    Attributes:
+        served: the versions that lately served.
+        unused: those of them at which no stream began that the nodes have forgotten.
+        lacks_history: whether other versions may have served before the node started.
+    """
+
+    served: frozenset[ServiceVersion]
+    unused: frozenset[ServiceVersion] = frozenset()
+    lacks_history: bool = False
+
+
 @dataclass(slots=True)
 class Answers:
     """The answers to a question for the origin of a stream.
@@ -51,6 +66,8 @@
         answered: ids of the nodes that answered.
         origin: None if no node that answered knows it.
         served: the versions that lately served, by all answers.
+        unused: versions at which no forgotten stream began, by any answer.
+        has_history: whether a node answered that knows all versions that served lately.
     """
 
     asked: set[str]
@@ -58,6 +75,8 @@
     answered: set[str] = field(default_factory=set)
     origin: ServiceVersion | None = None
     served: set[ServiceVersion] = field(default_factory=set)
+    unused: set[ServiceVersion] = field(default_factory=set)
+    has_history: bool = False
     complete: asyncio.Event = field(default_factory=asyncio.Event)
 
     def add(self, sender: str, answer: OriginAnswer) -> None:
@@ -66,6 +85,8 @@
             return
         self.answered.add(sender)
         self.served.update(answer.served)
+        self.unused.update(answer.unused)
+        self.has_history |= not answer.lacks_history
         self.origin = self.origin or answer.origin
         if self.origin is not None or self.answered == self.asked:
             self.complete.set()
@@ -82,11 +103,11 @@
         self,
         table: OriginTable,
         peers: OriginPeers,
-        served: Callable[[Iterable[str]], set[ServiceVersion]],
+        known_versions: Callable[[Iterable[str]], KnownVersions],
     ) -> None:
         self._table = table
         self._peers = peers
-        self._served = served
+        self._known_versions = known_versions
         self._questions: dict[int, Answers] = {}
 
     def send(self, entries: Sequence[OriginEntry]) -> None:
@@ -128,7 +149,7 @@
             if answers.complete.is_set():
                 return
             # A node that was asked may have ended. Where one version serves, its answer can wait.
-            served = self._served(question.services) | answers.served
+            served = self._known_versions(question.services).served | answers.served
             if answers.answered and len(served) == 1:
                 return
 
@@ -140,7 +161,10 @@
                 self._table.record(entry, now)
         elif isinstance(content, OriginQuestion):
             origin = self._table.get(content.key, now)
-            served = tuple(self._served(content.services))
-            self._peers.send(sender, OriginAnswer(content.key, origin, served))
+            known = self._known_versions(content.services)
+            answer = OriginAnswer(
+                content.key, origin, tuple(known.served), tuple(known.unused), known.lacks_history
+            )
+            self._peers.send(sender, answer)
         elif content.key in self._questions:
             self._questions[content.key].add(sender, content)
--- /dev/null
+++ b/liftrill/gateway/streams/origin_records.py
@@ -0,0 +1,205 @@
+"""Keeps the origins of streams in the store, for a restart of all nodes at once.
+
+While several software versions serve, each node writes the origins of its streams in batches; no
+stream waits for them. A batch is bound to a lease, so that it goes once its streams can no longer
+be resumed. Only nodes that resume a stream of unknown origin read them.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from google.protobuf.message import DecodeError
+
+from liftrill import clock
+from liftrill.coordination.range_store import LeaseGoneError, PutItem, RangeStore, StoredItem
+from liftrill.errors import StoreAnswerLostError, StoreError
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.streams.origin_ports import OriginStorage
+from liftrill.gateway.streams.stream_origins import KEY_BYTES, OriginEntry, ServiceVersion
+from liftrill.messages import peer_pb2 as messages
+
+ORIGINS_KEY_PREFIX = "liftrill/origins/"
+# All nodes together write at most this often, and one node at most every MIN_WRITE_SPACING_S.
+MAX_FLEET_WRITES_PER_S = 250.0
+MIN_WRITE_SPACING_S = 0.25
+WRITE_RETRY_S = 1.0
+# A batch is written again with each addition, so that it is closed after this time.
+BATCH_SPAN_S = 5.0
+MAX_BATCH_ENTRIES = 10_000
+# The store's limit.
+MAX_LEASE_S = 600.0
+MIN_LEASE_S = 10.0
+# A read serves all streams that are resumed within this time.
+READ_LIFETIME_S = 0.25
+READ_TIMEOUT_S = 0.5
+
+
+@dataclass(slots=True)
+class _Batch:
+    """The origins under one key.
+
+    Attributes:
+        closes_at: when the next batch is begun.
+        expires_at: when its lease ends.
+    """
+
+    key: str
+    lease: int
+    closes_at: float
+    expires_at: float
+    entries: dict[int, OriginEntry] = field(default_factory=dict)
+
+
+class OriginRecords(OriginStorage):
+    """Writes the origins of one node's streams, and reads those of all nodes."""
+
+    def __init__(
+        self, store: RangeStore, key_prefix: str, count_nodes: Callable[[], int], log: DecisionLog
+    ) -> None:
+        self._store = store
+        self._key_prefix = key_prefix
+        self._count_nodes = count_nodes
+        self._log = log
+        self._unwritten: dict[int, OriginEntry] = {}
+        self._batch: _Batch | None = None
+        self._batch_count = 0
+        self._requested = asyncio.Event()
+        self._read: asyncio.Task[tuple[StoredItem, ...]] | None = None
+        self._read_at = 0.0
+
+    def save(self, entries: Iterable[OriginEntry]) -> None:
+        """Write origins soon."""
+        self._unwritten |= {entry.key: entry for entry in entries}
+        if self._unwritten:
+            self._requested.set()
+
+    async def run(self) -> None:
+        """Write saved origins, at most as often as the limits allow."""
+        while True:
+            await self._requested.wait()
+            self._requested.clear()
+            try:
+                await self._write()
+                pause_s = max(MIN_WRITE_SPACING_S, self._count_nodes() / MAX_FLEET_WRITES_PER_S)
+            except StoreError as error:
+                self._log.state_changed(
+                    "origins_not_written", count=len(self._unwritten), why=repr(error)
+                )
+                pause_s = WRITE_RETRY_S
+                self._requested.set()
+            await asyncio.sleep(pause_s)
+
+    async def _write(self) -> None:
+        now = clock.now_s()
+        written = [entry for entry in self._unwritten.values() if entry.expires_at > now]
+        if not written:
+            self._unwritten.clear()
+            return
+        batch = await self._batch_for(written, now)
+        batch.entries |= {entry.key: entry for entry in written}
+        put = PutItem(batch.key, _value(batch.entries.values()), batch.lease)
+        try:
+            await self._store.transact((), (put,))
+        except LeaseGoneError:
+            self._unwritten |= batch.entries
+            self._batch = None
+            raise
+        except StoreAnswerLostError:
+            # The write may be carried out after a later one, which must have another key.
+            self._batch = None
+            raise
+        for entry in written:
+            self._unwritten.pop(entry.key, None)
+
+    async def _batch_for(self, entries: Sequence[OriginEntry], now: float) -> _Batch:
+        """Return the open batch if it can hold some entries, or a new one."""
+        batch = self._batch
+        expires_at = max(entry.expires_at for entry in entries)
+        if (
+            batch is not None
+            and now < batch.closes_at
+            and expires_at <= batch.expires_at
+            and len(batch.entries) + len(entries) <= MAX_BATCH_ENTRIES
+        ):
+            return batch
+        lifetime_s = min(max(MIN_LEASE_S, expires_at - now + BATCH_SPAN_S), MAX_LEASE_S)
+        lease = await self._store.grant_lease(lifetime_s)
+        self._batch_count += 1
+        key = f"{self._key_prefix}{self._batch_count}"
+        expires_at = max(expires_at, now + lifetime_s)
+        self._batch = _Batch(key, lease, now + BATCH_SPAN_S, expires_at)
+        return self._batch
+
+    async def find(self, key: int) -> ServiceVersion | None:
+        """Return the origin of a stream, or None if the store does not have it or is unreachable.
+
+        Of a stream with contradictory origins, the software version is empty.
+        """
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                items = await self._items()
+        except (StoreError, TimeoutError) as error:
+            self._log.state_changed("origins_not_read", why=repr(error))
+            return None
+        found = {origin for item in items if (origin := self._origin_in(item, key)) is not None}
+        if len(found) > 1:
+            return ServiceVersion(found.pop().service, "")
+        return found.pop() if found else None
+
+    def _origin_in(self, item: StoredItem, key: int) -> ServiceVersion | None:
+        """Return the origin of a stream in an item, or None."""
+        # Few items have the key: only these are parsed.
+        if key.to_bytes(KEY_BYTES, "little") not in item.value:
+            return None
+        try:
+            groups = messages.StoredOrigins.FromString(item.value).groups
+        except DecodeError as error:
+            self._log.state_changed("record_refused", key=item.key, why=repr(error))
+            return None
+        for group in groups:
+            if key in group.keys:
+                return ServiceVersion(group.origin.service, group.origin.software_version)
+        return None
+
+    async def _items(self) -> tuple[StoredItem, ...]:
+        now = clock.now_s()
+        if self._read is None or now - self._read_at > READ_LIFETIME_S:
+            self._read_at = now
+            self._read = asyncio.ensure_future(self._read_all())
+            self._read.add_done_callback(_retrieve_error)
+        return await asyncio.shield(self._read)
+
+    async def _read_all(self) -> tuple[StoredItem, ...]:
+        items: list[StoredItem] = []
+        after = ""
+        while True:
+            page = await self._store.read_range(ORIGINS_KEY_PREFIX, after)
+            items += page.items
+            if not page.more or not page.items:
+                return tuple(items)
+            after = page.items[-1].key
+
+
+def _retrieve_error(read: asyncio.Task[tuple[StoredItem, ...]]) -> None:
+    """Mark the error of a read as handled; those that wait for the read log it."""
+    with suppress(asyncio.CancelledError):
+        read.exception()
+
+
+def _value(entries: Iterable[OriginEntry]) -> bytes:
+    """Return the stored form of some origins."""
+    by_origin: dict[ServiceVersion, list[int]] = {}
+    for entry in entries:
+        by_origin.setdefault(entry.origin, []).append(entry.key)
+    groups = [
+        messages.OriginGroup(
+            origin=messages.ServiceVersion(
+                service=origin.service, software_version=origin.software_version
+            ),
+            keys=keys,
+        )
+        for origin, keys in by_origin.items()
+    ]
+    return messages.StoredOrigins(groups=groups).SerializeToString()
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -6,7 +6,7 @@
 
 from liftrill import clock
 from liftrill.coordination.membership import Membership
-from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.errors import ResultCode
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.decision_log import MAX_LOGGED_ID_LENGTH, DecisionLog
@@ -16,7 +16,13 @@
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.peers.peer_link import PeerLink
 from liftrill.gateway.streams.origin_codec import OriginMessage
-from liftrill.gateway.streams.origin_exchange import Answers, OriginExchange, OriginPeers
+from liftrill.gateway.streams.origin_exchange import (
+    Answers,
+    KnownVersions,
+    OriginExchange,
+    OriginPeers,
+)
+from liftrill.gateway.streams.origin_ports import OriginStorage, RecordedVersions
 from liftrill.gateway.streams.stream_origins import (
     MAX_LIFETIME_S,
     RESUMPTION_GRACE_S,
@@ -25,10 +31,14 @@
     ServiceVersion,
     origin_key,
 )
+from liftrill.gateway.streams.version_history import RETENTION_S
 
 # Another node may know the origin, and nodes that just learned of a second version send the origins
 # of their streams within a housekeeping interval.
 UNKNOWN_RETRY_S = 0.3
+# A node raises its incarnation by one with each refuted suspicion, and as it starts to the time in
+# milliseconds.
+MAX_REFUTATIONS = 100
 
 
 class MemberPeers(OriginPeers):
@@ -53,7 +63,8 @@
 
     Attributes:
         origin: None if it is unknown.
-        source: "own", "peer", or "sole" if only one version served lately.
+        source: who knew the origin ("own", "peer" or "store"), "sole" if only one version served
+            lately, or "unused" if no stream can have begun at the others.
     """
 
     origin: ServiceVersion | None
@@ -67,16 +78,22 @@
         self,
         engines: EngineTable,
         peers: OriginPeers,
+        recorded_versions: RecordedVersions,
+        storage: OriginStorage,
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
         self._engines = engines
+        self._recorded_versions = recorded_versions
+        self._storage = storage
         self._log = log
         self._metrics = metrics
         self._table = OriginTable()
         self._started_at = clock.now_s()
         self._exported: Counter[tuple[str, str]] = Counter()
-        self._exchange = OriginExchange(self._table, peers, self._served)
+        self._exchange = OriginExchange(self._table, peers, self._known_versions)
+        self._incarnations: dict[str, int] = {}
+        self._has_lost_nodes = False
 
     def receive(self, sender: str, content: OriginMessage) -> None:
         """Handle a message of a peer."""
@@ -120,9 +137,17 @@
         answers = await self._exchange.ask(key, services)
         if answers.origin is not None:
             return _resolution(answers.origin, "peer"), answers
-        served = self._served(services) | answers.served
-        if len(served) == 1:
-            return _Resolution(served.pop(), "sole"), answers
+        known = self._known_versions(services)
+        has_history = answers.has_history or not known.lacks_history
+        served = known.served | answers.served
+        if len(served) == 1 and has_history:
+            return _Resolution(next(iter(served)), "sole"), answers
+        stored = await self._storage.find(key)
+        if stored is not None:
+            return _resolution(stored, "store"), answers
+        possible = served - known.unused - answers.unused
+        if len(possible) == 1 and has_history:
+            return _Resolution(next(iter(possible)), "unused"), answers
         return _Resolution(None, "unknown"), answers
 
     def stream_began(self, request: OpaqueRequest, choice: EngineChoice) -> None:
@@ -137,7 +162,7 @@
         self._table.record(entry, now)
         services = request.route.services
         if len(self._served(services)) > 1:
-            self._exchange.send([entry])
+            self._publish([entry])
         else:
             self._table.keep_unsent(services, entry)
 
@@ -145,11 +170,23 @@
         """Send the origins of earlier streams of services that now have several versions."""
         for services in self._table.unsent_services():
             if len(self._served(services)) > 1:
-                self._exchange.send(self._table.take_unsent(services, now))
+                self._publish(self._table.take_unsent(services, now))
         self._table.expire(now)
         self._metrics.stream_origins.set(len(self._table))
         self._export_versions()
 
+    def _publish(self, entries: list[OriginEntry]) -> None:
+        """Send origins to the nodes that hold them, and to the store."""
+        self._exchange.send(entries)
+        self._storage.save(entries)
+
+    def note_node(self, member: Member) -> None:
+        """Note whether a node has ended since this one started."""
+        known = self._incarnations.get(member.node_id, member.incarnation)
+        was_restarted = member.incarnation - known > MAX_REFUTATIONS
+        self._has_lost_nodes |= was_restarted or member.condition >= Condition.DEAD
+        self._incarnations[member.node_id] = member.incarnation
+
     def _export_versions(self) -> None:
         """Export how many engines of each software version have records, if that changed."""
         counts = self._engines.version_counts()
@@ -160,14 +197,30 @@
         for (service, version), count in counts.items():
             self._metrics.engine_versions.labels(service, version).set(count)
 
-    def _served(self, services: Iterable[str]) -> set[ServiceVersion]:
+    def _served(self, services: Iterable[str]) -> frozenset[ServiceVersion]:
         """Return the versions that serve, or lately served, in some services."""
         now = clock.now_s()
-        return {
+        return frozenset(
             ServiceVersion(service, version)
             for service in services
             for version in self._engines.software_versions(service, now)
-        }
+            | self._recorded_versions.of_service(service)
+        )
+
+    def _known_versions(self, services: Iterable[str]) -> KnownVersions:
+        """Return what this node knows of the versions at which a stream can have begun.
+
+        Streams begin only at recorded versions, and nodes that are alive know the origins of
+        theirs. So a forgotten stream began at a version that was recorded when this node started,
+        unless a node has ended since.
+        """
+        served = self._served(services)
+        recorded = self._recorded_versions
+        if clock.now_s() - self._started_at > RETENTION_S:
+            return KnownVersions(served)
+        knows_unused = bool(recorded.initial) and not self._has_lost_nodes
+        unused = served - recorded.initial if knows_unused else frozenset()
+        return KnownVersions(served, unused, recorded.lacks_history)
 
 
 def _resolution(origin: ServiceVersion, source: str) -> _Resolution:
