--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -26,6 +26,7 @@
     Attributes:
         fault: "" or one of "down" (503), "silent" (no answer), "reset".
         unanswered_writes: how many of the next writes take effect but get no answer.
+        refuses_writes: whether writing calls get 429, as beyond the store's rate of writes.
         refused_ips: the addresses of nodes whose calls get 503; a node calls at its own address.
         era: the `Store-Era` in all answers, or None to leave it out.
     """
@@ -37,6 +38,7 @@
         self.history = []
         self.fault = ""
         self.unanswered_writes = 0
+        self.refuses_writes = False
         self.calls = []
         self.refused_ips = set()
         self.era = None
@@ -157,6 +159,8 @@
         local_ip = transport.get_extra_info("sockname")[0]
         if self.fault == "down" or local_ip in self.refused_ips:
             return web.Response(status=503, headers=self._era_headers())
+        if self.refuses_writes and call in ("kv-txn", "kv-lease"):
+            return web.Response(status=429, headers=self._era_headers())
         if self.fault == "silent":
             await asyncio.sleep(30)
         if self.fault == "reset":
--- a/features/standin/stream_callers.py
+++ b/features/standin/stream_callers.py
@@ -98,12 +98,13 @@
             node = self.random.choice([n for n in self.nodes() if n is not node] or self.nodes())
         return stream
 
-    async def begin(self, deadline_ms=DEADLINE_MS, route="resume"):
-        """Read one stream from a node drawn at random until it ends or is lost."""
+    async def begin(self, node=None, deadline_ms=DEADLINE_MS, route="resume"):
+        """Read one stream from a node, or one drawn at random, until it ends or is lost."""
         stream = Stream()
         self.streams.append(stream)
         headers = {"X-Deadline-Ms": deadline_ms}
-        await self._attempt(stream, self.random.choice(self.nodes()), None, route, headers)
+        node = node or self.random.choice(self.nodes())
+        await self._attempt(stream, node, None, route, headers)
         return stream
 
     async def resume(self, stream, until, deadline_ms=DEADLINE_MS, route="resume"):
--- a/features/steps/fleet_restart_steps.py
+++ b/features/steps/fleet_restart_steps.py
@@ -10,6 +10,7 @@
 from features.standin.deployment import Deployment
 from features.standin.engine_process import EngineProcess
 from features.standin.stream_callers import StreamCallers
+from liftrill.gateway.streams.version_record import VERSIONS_KEY
 
 EVENTS, EVENT_S = 40, 0.05
 DEADLINE_MS = "12000"
@@ -17,15 +18,18 @@
 DOWN_S = 0.2
 # How long the last stream runs before all nodes are killed.
 KILLED_AFTER_S = 0.25
-# Long enough for the nodes to know that engines have ended.
 BETWEEN_RESTARTS_S = 1.0
+# Long enough for the nodes to know that engines have ended.
+KNOWN_AFTER_S = 1.0
+# How long the store is silent from the start of the nodes on.
+SILENT_S = 1.0
 NOTHING = "nothing else changes"
 
 
-async def add_engines(deployment, version, count):
+async def add_engines(deployment, version, count, name=""):
     for number in range(count):
         await deployment.add_engine(
-            f"{version}-{number + 1}",
+            f"{version}-{name}{number + 1}",
             "llm",
             kind=EngineProcess,
             weights={"model-1": 1},
@@ -75,8 +79,14 @@
         await engine.crash(how=how)
 
 
+async def take_over(context):
+    """Let engines of the other version replace those that serve."""
+    await add_engines(context.deployment, "v1.2", 4)
+    await end_engines(context, "v1.1", "killed")
+
+
 async def change(context, what):
-    """Change the engines while no node runs."""
+    """Change the engines or the store while no node runs."""
     deployment = context.deployment
     if what == "the engines of v1.1 leave":
         await end_engines(context, "v1.1", "reset")
@@ -84,19 +94,33 @@
         await end_engines(context, "v1.1", "killed")
     elif what == "4 engines of v1.2 start":
         await add_engines(deployment, "v1.2", 4)
+    elif what == "other engines of v1.1 start":
+        former = of_version(context, "v1.1")
+        await add_engines(deployment, "v1.1", 4, "other")
+        for engine in former:
+            deployment.store.remove(f"servers/{engine.engine_id}")
+            await engine.crash()
     elif what == "engines of v1.2 take over":
-        await add_engines(deployment, "v1.2", 4)
+        await take_over(context)
+    elif what == "the store falls silent":
+        deployment.store.fault = "silent"
+        asyncio.get_running_loop().call_later(SILENT_S, setattr, deployment.store, "fault", "")
+    elif what == "the store takes writes":
+        deployment.store.refuses_writes = False
+    elif what == "v1.1 and the record go":
         await end_engines(context, "v1.1", "killed")
+        deployment.store.remove(VERSIONS_KEY)
     else:
         assert what == NOTHING, what
 
 
-async def begin_streams(context, count, seconds):
+async def begin_streams(context, count, seconds, nodes=None):
     """Begin streams at nodes drawn at random; wait until each has an event, and a little longer."""
     callers = context.callers
     tasks = []
-    for _ in range(count):
-        tasks.append(asyncio.ensure_future(callers.begin(deadline_ms=DEADLINE_MS)))
+    for number in range(count):
+        node = nodes[number % len(nodes)] if nodes else None
+        tasks.append(asyncio.ensure_future(callers.begin(node, DEADLINE_MS)))
         await asyncio.sleep(seconds / count)
 
     async def all_began():
@@ -107,21 +131,113 @@
     return tasks
 
 
-async def restart_nodes(context, meanwhile):
-    nodes = context.deployment.nodes
+async def restart_nodes(context, meanwhile=NOTHING, nodes=None):
+    """Kill nodes at once, change something, and start them again."""
+    nodes = nodes or context.deployment.nodes
     for node in nodes:
         node.process.kill()
     for node in nodes:
         await node.process.wait()
     await asyncio.sleep(DOWN_S)
     await change(context, meanwhile)
-    context.restarted_at = time.monotonic()
     for node in nodes:
         await node.start()
     for node in nodes:
         await context.deployment.ready(node)
 
 
+async def restart_twice(context, nodes):
+    await restart_nodes(context, nodes=nodes)
+    await asyncio.sleep(BETWEEN_RESTARTS_S)
+    await restart_nodes(context, nodes=nodes)
+
+
+async def restart_in_turn(context, nodes):
+    for node in nodes:
+        await restart_nodes(context, nodes=[node])
+
+
+RESTARTS = {
+    "all nodes restart": lambda context, nodes: restart_nodes(context, nodes=nodes),
+    "all nodes restart twice": restart_twice,
+    "the nodes restart one after another": restart_in_turn,
+    "all nodes but one restart": lambda context, nodes: restart_nodes(context, nodes=nodes[1:]),
+}
+
+
+@when(
+    "{count:d} streams begin within {seconds:g} s, engines of v1.2 take over while no node runs, "
+    "and all nodes restart"
+)
+def step_replace_meanwhile(context, count, seconds):
+    async def play():
+        tasks = await begin_streams(context, count, seconds)
+        await restart_nodes(context, "engines of v1.2 take over")
+        await asyncio.gather(*tasks)
+
+    context.run(play())
+
+
+@when(
+    "{count:d} streams begin within {seconds:g} s, engines of v1.2 take over before, and {restart}"
+)
+def step_replace(context, count, seconds, restart):
+    async def play():
+        callers, deployment = context.callers, context.deployment
+        tasks = await begin_streams(context, count, seconds)
+        for task in tasks:
+            # Its caller leaves, and resumes the stream later.
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert not any(stream.complete for stream in callers.streams)
+        await take_over(context)
+        await asyncio.sleep(KNOWN_AFTER_S)
+        await RESTARTS[restart](context, deployment.nodes)
+
+    context.run(play())
+
+
+@given(
+    "all nodes restarted {restarted:g} s ago, "
+    "and {count:d} engines of version {version} came {came:g} s ago"
+)
+def step_young_nodes(context, restarted, count, version, came):
+    async def play():
+        await restart_nodes(context)
+        await asyncio.sleep(restarted - came)
+        await add_engines(context.deployment, version, count)
+        await asyncio.sleep(came)
+
+    context.run(play())
+
+
+@given(
+    "the store has refused writes since before {count:d} engines of version {version} "
+    "came {seconds:g} s ago"
+)
+def step_refused_writes(context, count, version, seconds):
+    async def play():
+        context.deployment.store.refuses_writes = True
+        await add_engines(context.deployment, version, count)
+        await asyncio.sleep(seconds)
+
+    context.run(play())
+
+
+@when("{count:d} streams begin at the nodes but the first, and these are killed")
+def step_kill_others(context, count):
+    async def play():
+        _, *others = context.deployment.nodes
+        tasks = await begin_streams(context, count, 0.0, others)
+        for node in others:
+            node.process.kill()
+        for node in others:
+            await node.process.wait()
+        await asyncio.gather(*tasks)
+
+    context.run(play())
+
+
 @when(
     "{count:d} streams begin within {seconds:g} s, all nodes are killed, {meanwhile}, "
     "and the nodes start again"
@@ -174,7 +290,13 @@
         mixed[version] += len(stream.versions) > 1
         complete[version] += stream.complete
     sources = Counter(row["source"] for row in context.deployment.logged("stream_resumed"))
+    refusals = Counter(
+        sum(not each.events for each in stream.resumptions)
+        for stream in context.callers.streams
+        if not stream.complete
+    )
     print(f"began {began}, mixed {mixed}, complete {complete}, sources {sources}")
+    print(f"refusals of a stream that did not go on: {refusals}")
 
 
 @then("of the streams whose version has engines, at least {share:g} are complete")
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -12,6 +12,8 @@
 from features.gateway_support import engine_record, opaque_request, route_rule
 from liftrill import clock
 from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.range_store import StoredItem, WatchBatch
+from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
 from liftrill.gateway.decision_log import DecisionLog
@@ -30,6 +32,13 @@
 from liftrill.gateway.streams.origin_ports import OriginStorage, RecordedVersions
 from liftrill.gateway.streams.origin_tracker import OriginTracker
 from liftrill.gateway.streams.stream_origins import OriginEntry, OriginTable, ServiceVersion
+from liftrill.gateway.streams.version_evidence import VersionEvidence
+from liftrill.gateway.streams.version_history import (
+    MIN_RETURN_WAIT_S,
+    RETENTION_S,
+    VersionHistory,
+)
+from liftrill.gateway.streams.version_record import VERSIONS_KEY, VersionRecord
 from liftrill.gateway.weight_targets import WeightTargets
 from liftrill.messages import peer_pb2 as messages
 
@@ -37,6 +46,7 @@
 VERSIONS = ("v1.1", "v1.2")
 ENGINES_PER_VERSION = 2
 LEFT_S = 10.0
+LONG_UPTIME_S = 60.0
 
 
 class FakeStorage(OriginStorage, RecordedVersions):
@@ -44,17 +54,19 @@
 
     def __init__(self, stored, recorded, has_fleet_record=False):
         self.stored, self.recorded = stored, recorded
-        self.initial_versions = frozenset(recorded)
         self.is_history_lost = has_fleet_record and not recorded
 
-    @property
-    def initial(self):
-        return self.initial_versions
-
     @property
     def lacks_history(self):
         return self.is_history_lost
 
+    @property
+    def retention_s(self):
+        return RETENTION_S
+
+    def note_lifetime(self, lifetime_s):
+        pass
+
     def of_service(self, service):
         return {each.software_version for each in self.recorded if each.service == service}
 
@@ -76,6 +88,10 @@
         log = DecisionLog(member.node_id)
         self.streams = OriginTracker(self.engines, self, storage, storage, log, GatewayMetrics())
 
+    @property
+    def own(self):
+        return self.member
+
     def others(self):
         hidden = self.unknown | {self.member.node_id}
         return [n.member for n in self.fleet.nodes.values() if n.member.node_id not in hidden]
@@ -370,14 +386,22 @@
 
 @when("the engines of {version} {end}")
 def step_version_ends(context, version, end):
+    seconds = re.search(r"(\d+) s", end)
+    context.later_s = float(seconds[1]) if seconds else 0.0
     if "not come" in end:
         return
+    if "no record" in end:
+        now = clock.now_s()
+        context.engines.removed_versions = VersionHistory(now - LONG_UPTIME_S)
+        assert (
+            context.selector.software_versions.return_s(context.request, now) == MIN_RETURN_WAIT_S
+        )
+        return
     view = add(context, "engine-1", version)
     if end == "drain":
         view.condition.leaving = True
         return
     context.engines.remove("engine-1")
-    context.later_s = 6.0 if "ago" in end else 0.0
 
 
 @then("the stream's caller is asked to come back after {wait}")
@@ -385,8 +409,9 @@
     now = clock.now_s() + context.later_s
     assert context.selector.choose(context.request, frozenset(), now) is Unavailable.VERSION_GONE
     found_s = context.selector.software_versions.return_s(context.request, now)
-    expected_s = 0.5 if wait == "0.5 s" else LEFT_S - context.later_s
-    assert abs(found_s - expected_s) < 0.5, found_s
+    known_s = re.fullmatch(r"([\d.]+) s", wait)
+    expected_s = float(known_s[1]) if known_s else LEFT_S - context.later_s
+    assert abs(found_s - expected_s) < 0.2, found_s
 
 
 @when("its caller resumes it while {what}")
@@ -454,3 +479,75 @@
     assert set(context.choices) == {Unavailable.FULL}, context.choices
     assert not context.selector.guard.is_overloaded("service-1")
     assert choose(context, now=5.0).software_version == version
+
+
+class FakeRangeStore:
+    """A store that holds one node's writes, and the mirror that follows it."""
+
+    def __init__(self):
+        self.mirror = StoreMirror(position=1)
+
+    async def transact(self, expected, puts, removed=()):
+        revision = self.mirror.position + 1
+        items = tuple(StoredItem(put.key, put.value, revision) for put in puts)
+        self.mirror.apply_batch(WatchBatch(items, revision))
+        return revision
+
+
+def new_version_record(context, engines):
+    own = Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1)
+    membership = SimpleNamespace(own=own, members=lambda: [own])
+    record = VersionRecord(
+        context.store, context.store.mirror, engines, membership, DecisionLog("node-1")
+    )
+    record.load(clock.now_s())
+    return record
+
+
+@given("a stream with a deadline of {seconds:d} s that began at v1.1, beside engines of v1.2")
+def step_long_stream(context, seconds):
+    context.fleet = Fleet(1, 2)
+    context.store = FakeRangeStore()
+    (node,) = context.fleet.nodes.values()
+    context.engines = node.engines
+    context.record = new_version_record(context, node.engines)
+    storage = FakeStorage({}, set())
+    node.streams = OriginTracker(
+        node.engines, node, context.record, storage, DecisionLog("node-1"), GatewayMetrics()
+    )
+    request = replace(stream_request(), deadline=clock.now_s() + seconds)
+    node.streams.stream_began(request, EngineChoice("engine", "address", software_version="v1.1"))
+    context.run(context.record.write_due(clock.now_s()))
+    context.record.load(clock.now_s())
+
+
+@when("{seconds:d} s pass after the engines of v1.1 left")
+def step_leave_long_ago(context, seconds):
+    for number in range(ENGINES_PER_VERSION):
+        context.engines.remove(f"v1.1-{number}")
+    context.later_s = seconds
+
+
+@then("a stream of unknown origin may have begun at either version")
+def step_either(context):
+    now = clock.now_s() + context.later_s
+    context.record.load(now)
+    context.run(context.record.write_due(now))
+    context.record.load(now)
+    for record, started_at in (
+        (context.record, now - context.later_s),
+        (new_version_record(context, EngineTable()), now),
+    ):
+        evidence = VersionEvidence(context.engines, record, started_at)
+        known = evidence.known(("service-1",), now)
+        assert {each.software_version for each in known.served} == set(VERSIONS), known
+        assert known.sole is None, known
+
+
+@then("the record of versions is written without v1.1 {seconds:d} s later")
+def step_forgotten(context, seconds):
+    now = clock.now_s() + context.later_s + seconds
+    context.run(context.record.write_due(now))
+    context.record.load(now)
+    item = context.store.mirror.get(VERSIONS_KEY)
+    assert b"v1.1" not in item.value and b"v1.2" in item.value, item
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -65,6 +65,12 @@
     Then a stream that began at v1.1 goes on at no engine, and one of v1.2 at either
     And both versions count as having served for 60 s
 
+  Scenario: A version is forgotten while streams that began at it may be resumed
+    Given a stream with a deadline of 300 s that began at v1.1, beside engines of v1.2
+    When 200 s pass after the engines of v1.1 left
+    Then a stream of unknown origin may have begun at either version
+    And the record of versions is written without v1.1 400 s later
+
   Scenario: Versions are counted again for each record that an engine renews
     Given a record of an engine at version v1.1, and of one at v1.2
     When both engines renew their records
@@ -78,11 +84,13 @@
     Then the stream's caller is asked to come back after <wait>
 
     Examples:
-      | end                                  | wait                   |
-      | crash                                | 0.5 s                  |
-      | drain                                | the time it has left   |
-      | crashed 6 s ago                      | the time it has left   |
-      | have records that have not come here | 0.5 s                  |
+      | end                                               | wait                 |
+      | crash                                             | 0.5 s                |
+      | drain                                             | the time it has left |
+      | crashed 2 s ago                                   | 2 s                  |
+      | crashed 6 s ago                                   | the time it has left |
+      | have records that have not come here              | 0.5 s                |
+      | have had no record here, 2 s after the first call | the time it has left |
 
   Scenario: Streams of a busy version make the whole service count as full
     Given a busy engine of version v1.1 beside 4 idle ones of v1.2
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -22,7 +22,7 @@
     WithheldRecord,
 )
 from liftrill.gateway.records import EngineRecord
-from liftrill.gateway.streams.version_history import VersionHistory
+from liftrill.gateway.streams.version_history import RETENTION_S, VersionHistory
 
 
 def engine_number(incarnation: str) -> int:
@@ -224,7 +224,7 @@
         self._starts_reported = False
         self.services: frozenset[str] = frozenset()
         self.conditions = EngineConditions()
-        self.removed_versions = VersionHistory()
+        self.removed_versions = VersionHistory(clock.now_s())
         # None after the engines changed, until it is asked for.
         self._version_counts: Counter[tuple[str, str]] | None = None
         # By engine id: revision up to which records that this node has not read yet are withheld.
@@ -259,9 +259,12 @@
             if view.record.service == service and not view.withdrawn
         ]
 
-    def software_versions(self, service: str, now: float) -> frozenset[str]:
+    def software_versions(
+        self, service: str, now: float, retention_s: float = RETENTION_S
+    ) -> frozenset[str]:
         """Return the software versions of engines that serve, or lately served, in a service."""
-        return self.recorded_versions(service) | self.removed_versions.versions(service, now)
+        removed = self.removed_versions.versions(service, now, retention_s)
+        return self.recorded_versions(service) | removed
 
     def recorded_versions(self, service: str) -> frozenset[str]:
         """Return the software versions in the records of a service's engines."""
--- a/liftrill/gateway/engines/software_version_filter.py
+++ b/liftrill/gateway/engines/software_version_filter.py
@@ -5,6 +5,7 @@
 
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.streams.version_history import MIN_RETURN_WAIT_S
 
 # A version with few engines beside many others has room for little more than the streams that only
 # it can continue.
@@ -12,8 +13,6 @@
 MAX_SCARCE_SHARE = 0.25
 # With a smaller share of the serving engines, other versions cannot take most of the new streams.
 MIN_OTHERS_SHARE = 0.5
-# How long the caller of a stream waits for an engine that probably restarts.
-RESTART_WAIT_S = 0.5
 
 
 def _none_awaited(service: str) -> frozenset[str]:
@@ -21,11 +20,6 @@
     return frozenset()
 
 
-def _is_recorded(service: str, software_version: str) -> bool:
-    """Take every version for recorded."""
-    return True
-
-
 def _not_ended(view: EngineView) -> bool:
     """Know of no engine that has ended before its record was removed."""
     return False
@@ -38,14 +32,11 @@
         awaited: returns the versions that waiting requests of a service need.
         has_ended: whether an incarnation has ended though its record is still there; another one
             at its address may have another version.
-        is_recorded: whether resumable streams may begin at a service's version, because the nodes
-            would know of it after a restart of all of them.
     """
 
     def __init__(self, engines: EngineTable) -> None:
         self.awaited: Callable[[str], frozenset[str]] = _none_awaited
         self.has_ended: Callable[[EngineView], bool] = _not_ended
-        self.is_recorded: Callable[[str, str], bool] = _is_recorded
         self._engines = engines
 
     def of_required_version(
@@ -68,8 +59,7 @@
 
         A request that any version may serve leaves the room of a scarce version to streams that
         only this version can continue, while other engines have room. A stream does not begin at
-        a version that is being replaced, where it could not go on after the last engines leave, or
-        at one that the nodes would not know after a restart of all of them.
+        a version that is being replaced, where it could not go on after the last engines leave.
         """
         if request.required_software_version is not None:
             return [ready]
@@ -79,7 +69,6 @@
         spared = _scarce_versions(counts) | self.awaited(request.service)
         if request.route.resumable:
             spared |= self._replaced_versions(request.service, counts, now)
-            spared |= self._unrecorded_versions(request.service, counts)
         preferred = [view for view in ready if view.record.software_version not in spared]
         if len(preferred) == len(ready):
             return [ready]
@@ -92,12 +81,8 @@
             v.record.software_version for v in self._engines.of_service(service) if v.leaving
         }
         replaced = leaving | self._engines.removed_versions.being_replaced(service, now)
-        return _replaceable(replaced, counts)
-
-    def _unrecorded_versions(self, service: str, counts: Counter[str]) -> frozenset[str]:
-        """Return the versions that are not recorded yet, if others can take the new streams."""
-        unrecorded = {version for version in counts if not self.is_recorded(service, version)}
-        return _replaceable(unrecorded, counts)
+        others = sum(count for version, count in counts.items() if version not in replaced)
+        return frozenset(replaced if others >= MIN_OTHERS_SHARE * counts.total() else ())
 
     def return_s(self, request: OpaqueRequest, now: float) -> float:
         """Return the time until the required version may serve again, or 0 if it serves.
@@ -111,16 +96,12 @@
         of_version = [view for view in known if view.record.software_version == required]
         if any(not view.leaving for view in of_version):
             return 0.0
-        may_return = self._engines.removed_versions.may_return(request.service, required, now)
-        if may_return and not of_version:
-            return RESTART_WAIT_S
-        return max(RESTART_WAIT_S, request.deadline - now)
-
-
-def _replaceable(versions: set[str], counts: Counter[str]) -> frozenset[str]:
-    """Return some versions, or none if the others have too few engines for the new streams."""
-    others = sum(count for version, count in counts.items() if version not in versions)
-    return frozenset(versions if others >= MIN_OTHERS_SHARE * counts.total() else ())
+        if not of_version:
+            history = self._engines.removed_versions
+            wait_s = history.return_wait_s(request.service, required, now)
+            if wait_s is not None:
+                return wait_s
+        return max(MIN_RETURN_WAIT_S, request.deadline - now)
 
 
 def _scarce_versions(counts: Counter[str]) -> frozenset[str]:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -69,9 +69,8 @@
 from liftrill.gateway.store_follower import FollowerDelegate, StoreFollower
 from liftrill.gateway.store_outage import AnswerHistory, min_expiry_s
 from liftrill.gateway.streams.origin_codec import OriginMessage
-from liftrill.gateway.streams.origin_records import ORIGINS_KEY_PREFIX, OriginRecords
-from liftrill.gateway.streams.origin_tracker import MemberPeers, OriginTracker
-from liftrill.gateway.streams.version_record import VersionRecord
+from liftrill.gateway.streams.origin_records import ORIGINS_KEY_PREFIX
+from liftrill.gateway.streams.origin_service import OriginService
 from liftrill.gateway.transport import EngineTransport
 from liftrill.gateway.weight_controller import WeightController
 from liftrill.gateway.weight_rollout import WeightRollout
@@ -205,20 +204,10 @@
         self.forwarder.prefill_started = self._send_prefill_start
         selector.software_versions.has_ended = self._quarantine.knows_end
         selector.ended_lately = self._quarantine.ended_lately
-        self._version_record = VersionRecord(
-            store, self._follower.mirror, engines, self._membership, log
+        self._stream_origins = OriginService(
+            store, self._follower.mirror, engines, self._membership, self._peers, log, metrics
         )
-        selector.software_versions.is_recorded = self._version_record.is_recorded
-        self._origin_records = self._new_origin_records()
-        self._stream_origins = OriginTracker(
-            engines,
-            MemberPeers(self._membership, self._peers),
-            self._version_record,
-            self._origin_records,
-            log,
-            metrics,
-        )
-        self.forwarder.on_stream_began = self._stream_origins.stream_began
+        self.forwarder.on_stream_began = self._stream_origins.tracker.stream_began
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
         slot_messenger.wake_waiting = self.forwarder.queues.wake_all
         parts = NodeParts(
@@ -268,8 +257,7 @@
             self._run_housekeeping,
             self._maintain_fleet_record,
             self._maintain_quarantine,
-            self._maintain_version_record,
-            self._origin_records.run,
+            self._stream_origins.run,
             self._report_loads,
         ):
             self._tasks.append(asyncio.ensure_future(self._supervise(loop)))
@@ -311,7 +299,7 @@
             admitted = self.admission.admit(incoming, clock.now_s())
         if isinstance(admitted, AdmissionRefusal):
             return admitted
-        admitted = await self._stream_origins.resolve(admitted)
+        admitted = await self._stream_origins.tracker.resolve(admitted)
         if isinstance(admitted, AdmissionRefusal):
             return admitted
         refusal = self._quarantine.check(admitted) or self._quotas.check(admitted, clock.now_s())
@@ -367,13 +355,6 @@
         )
         return QuotaGate(buckets, self.log, self.metrics, self._send_spending)
 
-    def _new_origin_records(self) -> OriginRecords:
-        own = self._membership.own
-        key_prefix = f"{ORIGINS_KEY_PREFIX}{own.node_id}/{own.incarnation}/"
-        return OriginRecords(
-            self._store, key_prefix, lambda: len(self._membership.members()), self.log
-        )
-
     def _new_leadership(self) -> Leadership:
         bounds = self.settings.bounds
         parameters = term_parameters(
@@ -441,7 +422,7 @@
         previous_version = self.view.version
         self._cluster_state.apply(change, known_until)
         self._apply_quarantine(change)
-        self._version_record.load(clock.now_s())
+        self._stream_origins.versions.load(clock.now_s())
         self._announce_if_newer(previous_version)
         self.forwarder.queues.wake_all()
 
@@ -550,7 +531,6 @@
             self._silence_detector.forget(member.node_id)
             self._node_capacities.forget(member.node_id)
         self._cluster_state.selector.parts.nodes = alive
-        self._stream_origins.note_node(member)
         self.log.state_changed(
             "peer",
             peer=member.node_id,
@@ -642,7 +622,7 @@
         self._engine_slots.receive(node, message, clock.now_s())
 
     def _on_origin_message(self, node: str, message: OriginMessage) -> None:
-        self._stream_origins.receive(node, message)
+        self._stream_origins.tracker.receive(node, message)
 
     def _on_served(self, subject: bytes, environment: int) -> None:
         self._quarantine.apply_served(subject, clock.now_s(), environment)
@@ -782,11 +762,6 @@
             self._quarantine.expire(clock.now_s())
             await self._quarantine_records.wait(HOUSEKEEPING_SECONDS)
 
-    async def _maintain_version_record(self) -> None:
-        while True:
-            await self._version_record.write_due(clock.now_s())
-            await self._version_record.wait(HOUSEKEEPING_SECONDS)
-
     async def _run_housekeeping(self) -> None:
         while True:
             now = clock.now_s()
@@ -797,7 +772,7 @@
             self.metrics.limited_engines.set(len(self._engine_limits.in_force()))
             self._engine_limits.expire((view.identity for view in self._engines), now)
             self._engine_slots.refresh(self._engines, now)
-            self._stream_origins.refresh(now)
+            self._stream_origins.tracker.refresh(now)
             self._follower.reselect_reader()
             self.metrics.version.set(self.view.version)
             self.metrics.engines.set(len(self._engines))
--- a/liftrill/gateway/streams/origin_codec.py
+++ b/liftrill/gateway/streams/origin_codec.py
@@ -17,9 +17,11 @@
 
     Attributes:
         entries: with `expires_at` on the steady clock of the sender or receiver.
+        to_store: whether the receiver is to write them to the store.
     """
 
     entries: tuple[OriginEntry, ...]
+    to_store: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,38 +43,35 @@
     Attributes:
         origin: None if it is unknown.
         served: the versions that lately served in the services of the question.
-        unused: those of them at which no stream began that the nodes have forgotten.
         lacks_history: whether the sender may not know all versions that served lately.
     """
 
     key: int
     origin: ServiceVersion | None
     served: tuple[ServiceVersion, ...]
-    unused: tuple[ServiceVersion, ...] = ()
     lacks_history: bool = False
 
 
 OriginMessage = OriginReport | OriginQuestion | OriginAnswer
 
 
-def reports(entries: Sequence[OriginEntry]) -> list[OriginReport]:
+def reports(entries: Sequence[OriginEntry], to_store: bool = False) -> list[OriginReport]:
     """Return the report of some origins, in as many messages as it needs."""
     starts = range(0, len(entries), ENTRIES_PER_DATAGRAM)
-    return [OriginReport(tuple(entries[at : at + ENTRIES_PER_DATAGRAM])) for at in starts]
+    return [OriginReport(tuple(entries[at : at + ENTRIES_PER_DATAGRAM]), to_store) for at in starts]
 
 
 def datagram_from_origin(sender: str, content: OriginMessage, now: float) -> messages.Datagram:
     """Return the datagram that carries a message."""
     if isinstance(content, OriginReport):
         rows = [_entry_message(entry, now) for entry in content.entries]
-        return messages.Datagram(stream_origins=rows)
+        return messages.Datagram(stream_origins=rows, stores_origins=content.to_store)
     if isinstance(content, OriginQuestion):
         question = messages.OriginQuestion(key=content.key, services=content.services)
         return messages.Datagram(sender=sender, origin_question=question)
     answer = messages.OriginAnswer(
         key=content.key,
         served=map(_version_message, content.served[:MAX_VERSIONS_IN_ANSWER]),
-        unused=map(_version_message, content.unused[:MAX_VERSIONS_IN_ANSWER]),
         lacks_history=content.lacks_history,
     )
     if content.origin is not None:
@@ -83,7 +82,8 @@
 def origin_from_datagram(message: messages.Datagram, now: float) -> OriginMessage | None:
     """Return the message in a datagram, or None if it carries none of these."""
     if message.stream_origins:
-        return OriginReport(tuple(_entry(row, now) for row in message.stream_origins))
+        entries = tuple(_entry(row, now) for row in message.stream_origins)
+        return OriginReport(entries, message.stores_origins)
     if message.HasField("origin_question"):
         question = message.origin_question
         return OriginQuestion(question.key, tuple(question.services))
@@ -91,8 +91,7 @@
         answer = message.origin_answer
         origin = _service_version(answer.origin) if answer.HasField("origin") else None
         served = tuple(map(_service_version, answer.served))
-        unused = tuple(map(_service_version, answer.unused))
-        return OriginAnswer(answer.key, origin, served, unused, answer.lacks_history)
+        return OriginAnswer(answer.key, origin, served, answer.lacks_history)
     return None
 
 
--- a/liftrill/gateway/streams/origin_exchange.py
+++ b/liftrill/gateway/streams/origin_exchange.py
@@ -15,13 +15,16 @@
     OriginReport,
     reports,
 )
+from liftrill.gateway.streams.origin_ports import OriginStorage
 from liftrill.gateway.streams.stream_origins import (
     OriginEntry,
     OriginTable,
     ServiceVersion,
     holders,
     nodes_to_ask,
+    store_writers,
 )
+from liftrill.gateway.streams.version_evidence import KnownVersions
 
 # A question or its answer may be lost: it is asked again, and given up once the nodes asked have
 # most probably ended.
@@ -32,6 +35,11 @@
 class OriginPeers(ABC):
     """The other nodes, as far as this exchange needs them."""
 
+    @property
+    @abstractmethod
+    def own(self) -> Member:
+        """The member that is this node."""
+
     @abstractmethod
     def others(self) -> list[Member]:
         """Return the other nodes that are alive."""
@@ -41,19 +49,7 @@
         """Send a message to one node."""
 
 
-@dataclass(frozen=True, slots=True)
-class KnownVersions:
-    """What one node knows of the versions at which a stream can have begun.
-
-    Attributes:
-        served: the versions that lately served.
-        unused: those of them at which no stream began that the nodes have forgotten.
-        lacks_history: whether other versions may have served before the node started.
-    """
-
-    served: frozenset[ServiceVersion]
-    unused: frozenset[ServiceVersion] = frozenset()
-    lacks_history: bool = False
+NOTHING_KNOWN = KnownVersions(frozenset(), lacks_history=True)
 
 
 @dataclass(slots=True)
@@ -65,18 +61,14 @@
         waiting: how many requests wait for the answers.
         answered: ids of the nodes that answered.
         origin: None if no node that answered knows it.
-        served: the versions that lately served, by all answers.
-        unused: versions at which no forgotten stream began, by any answer.
-        has_history: whether a node answered that knows all versions that served lately.
+        known: what the nodes that answered know of versions.
     """
 
     asked: set[str]
     waiting: int = 0
     answered: set[str] = field(default_factory=set)
     origin: ServiceVersion | None = None
-    served: set[ServiceVersion] = field(default_factory=set)
-    unused: set[ServiceVersion] = field(default_factory=set)
-    has_history: bool = False
+    known: KnownVersions = NOTHING_KNOWN
     complete: asyncio.Event = field(default_factory=asyncio.Event)
 
     def add(self, sender: str, answer: OriginAnswer) -> None:
@@ -84,9 +76,8 @@
         if sender not in self.asked:
             return
         self.answered.add(sender)
-        self.served.update(answer.served)
-        self.unused.update(answer.unused)
-        self.has_history |= not answer.lacks_history
+        known = KnownVersions(frozenset(answer.served), answer.lacks_history)
+        self.known = self.known.merged(known)
         self.origin = self.origin or answer.origin
         if self.origin is not None or self.answered == self.asked:
             self.complete.set()
@@ -103,15 +94,34 @@
         self,
         table: OriginTable,
         peers: OriginPeers,
+        storage: OriginStorage,
         known_versions: Callable[[Iterable[str]], KnownVersions],
     ) -> None:
         self._table = table
         self._peers = peers
+        self._storage = storage
+        self._store_writers: list[Member] = []
         self._known_versions = known_versions
         self._questions: dict[int, Answers] = {}
 
+    def refresh(self) -> None:
+        """Choose the nodes that write origins to the store."""
+        self._store_writers = store_writers([*self._peers.others(), self._peers.own])
+
     def send(self, entries: Sequence[OriginEntry]) -> None:
-        """Send origins to the nodes that hold them."""
+        """Send origins to the nodes that hold them, and to those that write them to the store."""
+        self._send_to_holders(entries)
+        writers = self._store_writers or [self._peers.own]
+        by_writer: dict[str, list[OriginEntry]] = {}
+        for entry in entries:
+            writer = writers[entry.key % len(writers)]
+            by_writer.setdefault(writer.node_id, []).append(entry)
+        self._storage.save(by_writer.pop(self._peers.own.node_id, ()))
+        for node, written in by_writer.items():
+            for report in reports(written, to_store=True):
+                self._peers.send(node, report)
+
+    def _send_to_holders(self, entries: Sequence[OriginEntry]) -> None:
         others = self._peers.others()
         by_node: dict[str, list[OriginEntry]] = {}
         for entry in entries:
@@ -149,8 +159,8 @@
             if answers.complete.is_set():
                 return
             # A node that was asked may have ended. Where one version serves, its answer can wait.
-            served = self._known_versions(question.services).served | answers.served
-            if answers.answered and len(served) == 1:
+            known = self._known_versions(question.services).merged(answers.known)
+            if answers.answered and known.sole is not None:
                 return
 
     def receive(self, sender: str, content: OriginMessage) -> None:
@@ -159,12 +169,12 @@
         if isinstance(content, OriginReport):
             for entry in content.entries:
                 self._table.record(entry, now)
+            if content.to_store:
+                self._storage.save(content.entries)
         elif isinstance(content, OriginQuestion):
             origin = self._table.get(content.key, now)
             known = self._known_versions(content.services)
-            answer = OriginAnswer(
-                content.key, origin, tuple(known.served), tuple(known.unused), known.lacks_history
-            )
+            answer = OriginAnswer(content.key, origin, tuple(known.served), known.lacks_history)
             self._peers.send(sender, answer)
         elif content.key in self._questions:
             self._questions[content.key].add(sender, content)
--- a/liftrill/gateway/streams/origin_ports.py
+++ b/liftrill/gateway/streams/origin_ports.py
@@ -15,9 +15,12 @@
 
     @abstractmethod
     async def find(self, key: int) -> ServiceVersion | None:
-        """Return the origin of a stream, or None if it is not found.
+        """Return the origin of a stream, or None if there is none.
 
         Of a stream with contradictory origins, the software version is empty.
+
+        Raises:
+            StoreError: the origins could not be read.
         """
 
 
@@ -26,14 +29,18 @@
 
     @property
     @abstractmethod
-    def initial(self) -> frozenset[ServiceVersion]:
-        """The versions that were recorded when this node started."""
+    def lacks_history(self) -> bool:
+        """Whether versions may have served before this node started that are not recorded."""
 
     @property
     @abstractmethod
-    def lacks_history(self) -> bool:
-        """Whether a fleet ran before this node started, and left no record."""
+    def retention_s(self) -> float:
+        """For how long versions that left are kept: the longest life of a stream."""
+
+    @abstractmethod
+    def note_lifetime(self, lifetime_s: float) -> None:
+        """Note for how long a stream may be resumed."""
 
     @abstractmethod
     def of_service(self, service: str) -> set[str]:
-        """Return the recorded versions of a service."""
+        """Return the versions of a service that are recorded, or were until lately."""
--- a/liftrill/gateway/streams/origin_records.py
+++ b/liftrill/gateway/streams/origin_records.py
@@ -1,12 +1,12 @@
 """Keeps the origins of streams in the store, for a restart of all nodes at once.
 
-While several software versions serve, each node writes the origins of its streams in batches; no
+While several software versions serve, a few nodes write the origins of all streams in batches; no
 stream waits for them. A batch is bound to a lease, so that it goes once its streams can no longer
 be resumed. Only nodes that resume a stream of unknown origin read them.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -14,55 +14,54 @@
 
 from liftrill import clock
 from liftrill.coordination.range_store import LeaseGoneError, PutItem, RangeStore, StoredItem
-from liftrill.errors import StoreAnswerLostError, StoreError
+from liftrill.errors import StoreAnswerLostError, StoreError, StoreUnavailableError
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.streams.origin_ports import OriginStorage
 from liftrill.gateway.streams.stream_origins import KEY_BYTES, OriginEntry, ServiceVersion
 from liftrill.messages import peer_pb2 as messages
 
 ORIGINS_KEY_PREFIX = "liftrill/origins/"
-# All nodes together write at most this often, and one node at most every MIN_WRITE_SPACING_S.
-MAX_FLEET_WRITES_PER_S = 250.0
-MIN_WRITE_SPACING_S = 0.25
+WRITE_SPACING_S = 0.25
 WRITE_RETRY_S = 1.0
 # A batch is written again with each addition, so that it is closed after this time.
-BATCH_SPAN_S = 5.0
-MAX_BATCH_ENTRIES = 10_000
+BATCH_SPAN_S = 1.0
+# The batches of this time share a lease.
+LEASE_SPAN_S = 10.0
 # The store's limit.
 MAX_LEASE_S = 600.0
-MIN_LEASE_S = 10.0
 # A read serves all streams that are resumed within this time.
 READ_LIFETIME_S = 0.25
 READ_TIMEOUT_S = 0.5
 
 
-@dataclass(slots=True)
-class _Batch:
-    """The origins under one key.
+@dataclass(frozen=True, slots=True)
+class _Lease:
+    """A lease of batches, for batches that are begun before `closes_at`."""
+
+    number: int
+    closes_at: float
+    expires_at: float
+
 
-    Attributes:
-        closes_at: when the next batch is begun.
-        expires_at: when its lease ends.
-    """
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    """The origins under one key, to which others are added before `closes_at`."""
 
     key: str
-    lease: int
+    lease: _Lease
     closes_at: float
-    expires_at: float
     entries: dict[int, OriginEntry] = field(default_factory=dict)
 
 
 class OriginRecords(OriginStorage):
-    """Writes the origins of one node's streams, and reads those of all nodes."""
+    """Writes the origins that this node is to write, and reads those that all wrote."""
 
-    def __init__(
-        self, store: RangeStore, key_prefix: str, count_nodes: Callable[[], int], log: DecisionLog
-    ) -> None:
+    def __init__(self, store: RangeStore, key_prefix: str, log: DecisionLog) -> None:
         self._store = store
         self._key_prefix = key_prefix
-        self._count_nodes = count_nodes
         self._log = log
         self._unwritten: dict[int, OriginEntry] = {}
+        self._lease: _Lease | None = None
         self._batch: _Batch | None = None
         self._batch_count = 0
         self._requested = asyncio.Event()
@@ -82,7 +81,7 @@
             self._requested.clear()
             try:
                 await self._write()
-                pause_s = max(MIN_WRITE_SPACING_S, self._count_nodes() / MAX_FLEET_WRITES_PER_S)
+                pause_s = WRITE_SPACING_S
             except StoreError as error:
                 self._log.state_changed(
                     "origins_not_written", count=len(self._unwritten), why=repr(error)
@@ -97,14 +96,14 @@
         if not written:
             self._unwritten.clear()
             return
-        batch = await self._batch_for(written, now)
-        batch.entries |= {entry.key: entry for entry in written}
-        put = PutItem(batch.key, _value(batch.entries.values()), batch.lease)
+        batch = await self._batch_for(max(entry.expires_at for entry in written), now)
+        batch.entries.update((entry.key, entry) for entry in written)
+        put = PutItem(batch.key, _value(batch.entries.values()), batch.lease.number)
         try:
             await self._store.transact((), (put,))
         except LeaseGoneError:
             self._unwritten |= batch.entries
-            self._batch = None
+            self._lease = self._batch = None
             raise
         except StoreAnswerLostError:
             # The write may be carried out after a later one, which must have another key.
@@ -113,36 +112,37 @@
         for entry in written:
             self._unwritten.pop(entry.key, None)
 
-    async def _batch_for(self, entries: Sequence[OriginEntry], now: float) -> _Batch:
-        """Return the open batch if it can hold some entries, or a new one."""
+    async def _batch_for(self, expires_at: float, now: float) -> _Batch:
+        """Return the batch for origins that expire by a time."""
+        lease = await self._lease_for(min(expires_at, now + MAX_LEASE_S - LEASE_SPAN_S), now)
         batch = self._batch
-        expires_at = max(entry.expires_at for entry in entries)
-        if (
-            batch is not None
-            and now < batch.closes_at
-            and expires_at <= batch.expires_at
-            and len(batch.entries) + len(entries) <= MAX_BATCH_ENTRIES
-        ):
-            return batch
-        lifetime_s = min(max(MIN_LEASE_S, expires_at - now + BATCH_SPAN_S), MAX_LEASE_S)
-        lease = await self._store.grant_lease(lifetime_s)
-        self._batch_count += 1
-        key = f"{self._key_prefix}{self._batch_count}"
-        expires_at = max(expires_at, now + lifetime_s)
-        self._batch = _Batch(key, lease, now + BATCH_SPAN_S, expires_at)
-        return self._batch
+        if batch is None or now >= batch.closes_at or batch.lease is not lease:
+            self._batch_count += 1
+            key = f"{self._key_prefix}{self._batch_count}"
+            batch = self._batch = _Batch(key, lease, now + BATCH_SPAN_S)
+        return batch
+
+    async def _lease_for(self, expires_at: float, now: float) -> _Lease:
+        lease = self._lease
+        if lease is None or now >= lease.closes_at or expires_at > lease.expires_at:
+            duration_s = expires_at - now + LEASE_SPAN_S
+            number = await self._store.grant_lease(duration_s)
+            lease = self._lease = _Lease(number, now + LEASE_SPAN_S, now + duration_s)
+        return lease
 
     async def find(self, key: int) -> ServiceVersion | None:
-        """Return the origin of a stream, or None if the store does not have it or is unreachable.
+        """Return the origin of a stream, or None if the store does not have it.
 
         Of a stream with contradictory origins, the software version is empty.
+
+        Raises:
+            StoreError: the origins could not be read in time.
         """
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 items = await self._items()
-        except (StoreError, TimeoutError) as error:
-            self._log.state_changed("origins_not_read", why=repr(error))
-            return None
+        except TimeoutError:
+            raise StoreUnavailableError(f"no origins read within {READ_TIMEOUT_S} s") from None
         found = {origin for item in items if (origin := self._origin_in(item, key)) is not None}
         if len(found) > 1:
             return ServiceVersion(found.pop().service, "")
--- /dev/null
+++ b/liftrill/gateway/streams/origin_service.py
@@ -0,0 +1,54 @@
+"""Assembles what one node needs to know which software version began a stream."""
+
+import asyncio
+
+from liftrill import clock
+from liftrill.coordination.membership import Membership
+from liftrill.coordination.range_store import RangeStore
+from liftrill.coordination.store_mirror import StoreMirror
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.peers.peer_link import PeerLink
+from liftrill.gateway.streams.origin_records import ORIGINS_KEY_PREFIX, OriginRecords
+from liftrill.gateway.streams.origin_tracker import MemberPeers, OriginTracker
+from liftrill.gateway.streams.version_record import VersionRecord
+
+MAX_RECORD_DELAY_S = 0.3
+
+
+class OriginService:
+    """The origins of streams, with what is kept of them in the store.
+
+    Attributes:
+        tracker: records the origins of this node's streams, and finds others.
+        versions: the versions that are recorded in the store.
+    """
+
+    def __init__(
+        self,
+        store: RangeStore,
+        mirror: StoreMirror,
+        engines: EngineTable,
+        membership: Membership,
+        link: PeerLink,
+        log: DecisionLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        own = membership.own
+        key_prefix = f"{ORIGINS_KEY_PREFIX}{own.node_id}/{own.incarnation}/"
+        self.versions = VersionRecord(store, mirror, engines, membership, log)
+        self._records = OriginRecords(store, key_prefix, log)
+        peers = MemberPeers(membership, link)
+        self.tracker = OriginTracker(engines, peers, self.versions, self._records, log, metrics)
+
+    async def run(self) -> None:
+        """Keep the store up to date."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._records.run())
+            tasks.create_task(self._maintain_versions())
+
+    async def _maintain_versions(self) -> None:
+        while True:
+            await self.versions.write_due(clock.now_s())
+            await self.versions.wait(MAX_RECORD_DELAY_S)
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -6,8 +6,8 @@
 
 from liftrill import clock
 from liftrill.coordination.membership import Membership
-from liftrill.coordination.membership_messages import Condition, Member
-from liftrill.errors import ResultCode
+from liftrill.coordination.membership_messages import Member
+from liftrill.errors import ResultCode, StoreError
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.decision_log import MAX_LOGGED_ID_LENGTH, DecisionLog
 from liftrill.gateway.delivery_events import EngineChoice
@@ -16,12 +16,7 @@
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.peers.peer_link import PeerLink
 from liftrill.gateway.streams.origin_codec import OriginMessage
-from liftrill.gateway.streams.origin_exchange import (
-    Answers,
-    KnownVersions,
-    OriginExchange,
-    OriginPeers,
-)
+from liftrill.gateway.streams.origin_exchange import Answers, OriginExchange, OriginPeers
 from liftrill.gateway.streams.origin_ports import OriginStorage, RecordedVersions
 from liftrill.gateway.streams.stream_origins import (
     MAX_LIFETIME_S,
@@ -31,14 +26,11 @@
     ServiceVersion,
     origin_key,
 )
-from liftrill.gateway.streams.version_history import RETENTION_S
+from liftrill.gateway.streams.version_evidence import KnownVersions, VersionEvidence
 
 # Another node may know the origin, and nodes that just learned of a second version send the origins
 # of their streams within a housekeeping interval.
 UNKNOWN_RETRY_S = 0.3
-# A node raises its incarnation by one with each refuted suspicion, and as it starts to the time in
-# milliseconds.
-MAX_REFUTATIONS = 100
 
 
 class MemberPeers(OriginPeers):
@@ -48,6 +40,11 @@
         self._membership = membership
         self._link = link
 
+    @property
+    def own(self) -> Member:
+        """The member that is this node."""
+        return self._membership.own
+
     def others(self) -> list[Member]:
         """Return the other nodes that are alive."""
         return self._membership.alive_others()
@@ -63,12 +60,14 @@
 
     Attributes:
         origin: None if it is unknown.
-        source: who knew the origin ("own", "peer" or "store"), "sole" if only one version served
-            lately, or "unused" if no stream can have begun at the others.
+        source: who knew the origin ("own", "peer" or "store"), or "sole" if only one version
+            served lately; "unread" if the store could not be asked.
+        is_final: whether an unknown origin stays unknown.
     """
 
     origin: ServiceVersion | None
     source: str
+    is_final: bool = True
 
 
 class OriginTracker:
@@ -86,14 +85,12 @@
         self._engines = engines
         self._recorded_versions = recorded_versions
         self._storage = storage
+        self._evidence = VersionEvidence(engines, recorded_versions, clock.now_s())
         self._log = log
         self._metrics = metrics
         self._table = OriginTable()
-        self._started_at = clock.now_s()
         self._exported: Counter[tuple[str, str]] = Counter()
-        self._exchange = OriginExchange(self._table, peers, self._known_versions)
-        self._incarnations: dict[str, int] = {}
-        self._has_lost_nodes = False
+        self._exchange = OriginExchange(self._table, peers, storage, self._known_versions)
 
     def receive(self, sender: str, content: OriginMessage) -> None:
         """Handle a message of a peer."""
@@ -107,19 +104,21 @@
         resolution, answers = await self._resolve(request)
         self._metrics.resumed_streams.labels(resolution.source).inc()
         origin = resolution.origin
-        served = self._served(request.route.services) | answers.served
+        known = self._known_versions(request.route.services).merged(answers.known)
         self._log.stream_resumed(
             request,
             origin.software_version if origin is not None else "",
             resolution.source,
             f"{len(answers.answered)}/{len(answers.asked)}",
             clock.now_s() - asked_at,
-            sorted(f"{each.service}/{each.software_version}" for each in served),
-            asked_at - self._started_at,
+            sorted(f"{each.service}/{each.software_version}" for each in known.served),
+            self._evidence.uptime_s(asked_at),
         )
         if origin is None:
             why = f"resumes={request.resumed_request_id[:MAX_LOGGED_ID_LENGTH]!r}"
-            return AdmissionRefusal(ResultCode.STREAM_ORIGIN_UNKNOWN, UNKNOWN_RETRY_S, why)
+            left_s = max(0.0, request.deadline - clock.now_s())
+            wait_s = left_s if resolution.is_final else UNKNOWN_RETRY_S
+            return AdmissionRefusal(ResultCode.STREAM_ORIGIN_UNKNOWN, wait_s, why)
         if origin.service not in request.route.services:
             why = f"service {origin.service} has left the route"
             wait_s = max(0.0, request.deadline - clock.now_s())
@@ -137,18 +136,27 @@
         answers = await self._exchange.ask(key, services)
         if answers.origin is not None:
             return _resolution(answers.origin, "peer"), answers
-        known = self._known_versions(services)
-        has_history = answers.has_history or not known.lacks_history
-        served = known.served | answers.served
-        if len(served) == 1 and has_history:
-            return _Resolution(next(iter(served)), "sole"), answers
-        stored = await self._storage.find(key)
+        known = self._known_versions(services).merged(answers.known)
+        if known.sole is not None:
+            return _Resolution(known.sole, "sole"), answers
+        resolution = await self._read_origin(key)
+        if resolution.source == "unknown":
+            is_settled = self._evidence.is_settled(clock.now_s())
+            resolution = replace(
+                resolution, is_final=is_settled and answers.answered == answers.asked
+            )
+        return resolution, answers
+
+    async def _read_origin(self, key: int) -> _Resolution:
+        """Return the origin of a stream that all nodes have forgotten."""
+        try:
+            stored = await self._storage.find(key)
+        except StoreError as error:
+            self._log.state_changed("origins_not_read", why=repr(error))
+            return _Resolution(None, "unread", is_final=False)
         if stored is not None:
-            return _resolution(stored, "store"), answers
-        possible = served - known.unused - answers.unused
-        if len(possible) == 1 and has_history:
-            return _Resolution(next(iter(possible)), "unused"), answers
-        return _Resolution(None, "unknown"), answers
+            return _resolution(stored, "store")
+        return _Resolution(None, "unknown")
 
     def stream_began(self, request: OpaqueRequest, choice: EngineChoice) -> None:
         """Record which engine wrote the first event of an answer, before the caller gets it."""
@@ -157,36 +165,27 @@
         now = clock.now_s()
         key = origin_key(request, request.resumed_request_id or request.request_id)
         origin = ServiceVersion(request.service, choice.software_version)
-        expires_at = min(request.deadline + RESUMPTION_GRACE_S, now + MAX_LIFETIME_S)
-        entry = OriginEntry(key, origin, expires_at)
+        lifetime_s = min(request.deadline - now + RESUMPTION_GRACE_S, MAX_LIFETIME_S)
+        self._recorded_versions.note_lifetime(lifetime_s)
+        entry = OriginEntry(key, origin, now + lifetime_s)
         self._table.record(entry, now)
         services = request.route.services
-        if len(self._served(services)) > 1:
-            self._publish([entry])
+        if len(self._evidence.served(services, now)) > 1:
+            self._exchange.send([entry])
         else:
             self._table.keep_unsent(services, entry)
 
     def refresh(self, now: float) -> None:
         """Send the origins of earlier streams of services that now have several versions."""
         for services in self._table.unsent_services():
-            if len(self._served(services)) > 1:
-                self._publish(self._table.take_unsent(services, now))
+            if len(self._evidence.served(services, now)) > 1:
+                self._exchange.send(self._table.take_unsent(services, now))
         self._table.expire(now)
+        self._evidence.refresh(now)
+        self._exchange.refresh()
         self._metrics.stream_origins.set(len(self._table))
         self._export_versions()
 
-    def _publish(self, entries: list[OriginEntry]) -> None:
-        """Send origins to the nodes that hold them, and to the store."""
-        self._exchange.send(entries)
-        self._storage.save(entries)
-
-    def note_node(self, member: Member) -> None:
-        """Note whether a node has ended since this one started."""
-        known = self._incarnations.get(member.node_id, member.incarnation)
-        was_restarted = member.incarnation - known > MAX_REFUTATIONS
-        self._has_lost_nodes |= was_restarted or member.condition >= Condition.DEAD
-        self._incarnations[member.node_id] = member.incarnation
-
     def _export_versions(self) -> None:
         """Export how many engines of each software version have records, if that changed."""
         counts = self._engines.version_counts()
@@ -197,30 +196,8 @@
         for (service, version), count in counts.items():
             self._metrics.engine_versions.labels(service, version).set(count)
 
-    def _served(self, services: Iterable[str]) -> frozenset[ServiceVersion]:
-        """Return the versions that serve, or lately served, in some services."""
-        now = clock.now_s()
-        return frozenset(
-            ServiceVersion(service, version)
-            for service in services
-            for version in self._engines.software_versions(service, now)
-            | self._recorded_versions.of_service(service)
-        )
-
     def _known_versions(self, services: Iterable[str]) -> KnownVersions:
-        """Return what this node knows of the versions at which a stream can have begun.
-
-        Streams begin only at recorded versions, and nodes that are alive know the origins of
-        theirs. So a forgotten stream began at a version that was recorded when this node started,
-        unless a node has ended since.
-        """
-        served = self._served(services)
-        recorded = self._recorded_versions
-        if clock.now_s() - self._started_at > RETENTION_S:
-            return KnownVersions(served)
-        knows_unused = bool(recorded.initial) and not self._has_lost_nodes
-        unused = served - recorded.initial if knows_unused else frozenset()
-        return KnownVersions(served, unused, recorded.lacks_history)
+        return self._evidence.known(services, clock.now_s())
 
 
 def _resolution(origin: ServiceVersion, source: str) -> _Resolution:
--- a/liftrill/gateway/streams/stream_origins.py
+++ b/liftrill/gateway/streams/stream_origins.py
@@ -4,6 +4,7 @@
 goes on at the version that began it, so nodes remember the version by that request.
 """
 
+import math
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -19,6 +20,10 @@
 RESUMPTION_GRACE_S = 30.0
 MAX_LIFETIME_S = 3_600.0
 EXPIRY_INTERVAL_S = 5.0
+# A few nodes write the origins of all to the store; the loss of one leaves the others' share.
+MIN_STORE_WRITERS = 2
+NODES_PER_STORE_WRITER = 16
+STORE_WRITERS_KEY = b"store-writers"
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +141,13 @@
     return [first[1]] if second is None else [first[1], second[1]]
 
 
+def store_writers(nodes: Sequence[Member]) -> list[Member]:
+    """Return the nodes that write origins to the store, in the same order at all nodes."""
+    count = max(MIN_STORE_WRITERS, math.ceil(len(nodes) / NODES_PER_STORE_WRITER))
+    ordered = sorted(nodes, key=lambda node: weight(STORE_WRITERS_KEY, node.node_id))
+    return ordered[:count]
+
+
 def nodes_to_ask(key: int, nodes: Sequence[Member]) -> list[Member]:
     """Return the nodes that hold the origin of a stream, for any node that may have begun it.
 
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -1,11 +1,11 @@
 """Records in the store which software versions serve, for a restart of all nodes at once.
 
 Nodes remember in memory which versions served lately. After all of them have ended, a version whose
-engines ended too would be forgotten, and its streams would go on at another one. The record is
-written as a version comes, before resumable streams begin at it, and again after it has gone.
+engines ended too would be forgotten, and its streams would go on at another one.
 """
 
 import asyncio
+import math
 from contextlib import suppress
 
 from google.protobuf.message import DecodeError
@@ -30,8 +30,6 @@
 # Nodes write in turn, so that they do not all write the same change.
 TURN_S = 0.3
 WRITE_RETRY_S = 0.5
-# Streams begin at a version that could not be recorded for this long: the store may refuse writes.
-MAX_UNRECORDED_S = 2.0
 
 
 class VersionRecord(RecordedVersions):
@@ -50,72 +48,91 @@
         self._engines = engines
         self._membership = membership
         self._log = log
+        self._started_at = clock.now_s()
         self._revision = 0
-        self._recorded: frozenset[ServiceVersion] = frozenset()
-        self._initial: frozenset[ServiceVersion] | None = None
-        self._is_history_lost = False
-        # When this node first read that a version is recorded, or saw an engine of it.
-        self._recorded_since: dict[ServiceVersion, float] = {}
-        self._unrecorded_since: dict[ServiceVersion, float] = {}
+        # What the mirror has, and what it had lately, with the time when that was first read.
+        self._stored: frozenset[ServiceVersion] = frozenset()
+        self._read_since: dict[ServiceVersion, float] = {}
+        self._by_service: dict[str, set[str]] = {}
+        self._stored_retention_s = RETENTION_S
+        self._max_lifetime_s = 0.0
+        # None until the store has been read.
+        self._lacks_history: bool | None = None
+        self._is_partial = False
         # When this node writes, while the record is not as it should be.
         self._due_at: float | None = None
         self._write_requested = asyncio.Event()
 
     @property
-    def initial(self) -> frozenset[ServiceVersion]:
-        """The versions that were recorded when this node started."""
-        return self._initial or frozenset()
+    def lacks_history(self) -> bool:
+        """Whether versions may have served before this node started that are not recorded."""
+        return self._lacks_history is not False
 
     @property
-    def lacks_history(self) -> bool:
-        """Whether a fleet ran before this node started, and left no record."""
-        return self._initial is None or self._is_history_lost
+    def retention_s(self) -> float:
+        """For how long versions that left are kept: the longest life of a stream."""
+        return max(self._stored_retention_s, self._max_lifetime_s)
+
+    def note_lifetime(self, lifetime_s: float) -> None:
+        """Note for how long a stream may be resumed."""
+        if lifetime_s > self.retention_s:
+            # Few steps up to the longest life, and so few writes.
+            self._max_lifetime_s = RETENTION_S * 2 ** math.ceil(math.log2(lifetime_s / RETENTION_S))
+            self._write_requested.set()
 
     def of_service(self, service: str) -> set[str]:
-        """Return the recorded versions of a service."""
-        return {each.software_version for each in self._recorded if each.service == service}
+        """Return the versions of a service that are recorded, or were until lately."""
+        return self._by_service.get(service, set())
 
     def load(self, now: float) -> None:
-        """Load the record after a change of the mirror, and note versions that it lacks."""
+        """Load the record after a change of the mirror."""
         item = self._mirror.get(VERSIONS_KEY)
-        if item is not None and item.revision != self._revision:
+        if item is None:
+            self._stored, self._revision, self._is_partial = frozenset(), 0, False
+        elif item.revision != self._revision:
             self._revision = item.revision
-            self._recorded = self._decoded(item.value)
-            for version in self._recorded:
-                self._recorded_since.setdefault(version, now)
-        if self._initial is None:
-            self._initial = self._recorded
-            self._is_history_lost = item is None and self._mirror.get(FLEET_KEY) is not None
-        self._note_unrecorded(now)
-        if self._unrecorded_since and self._due_at is None:
+            self._decode(item.value, now)
+        if self._lacks_history is None:
+            # Without a record no fleet has run before, unless it was of an earlier build.
+            is_first_start = item is None and self._mirror.get(FLEET_KEY) is None
+            self._lacks_history = self._is_partial or not (item is not None or is_first_start)
+        if not self._stored >= self._present():
             self._write_requested.set()
 
-    def _decoded(self, value: bytes) -> frozenset[ServiceVersion]:
+    def _decode(self, value: bytes, now: float) -> None:
         try:
             record = messages.ServedVersions.FromString(value)
         except DecodeError as error:
             self._log.state_changed("record_refused", key=VERSIONS_KEY, why=repr(error))
-            return self._recorded
-        return frozenset(ServiceVersion(v.service, v.software_version) for v in record.versions)
-
-    def _note_unrecorded(self, now: float) -> None:
-        present = {ServiceVersion(*named) for named in self._engines.version_counts()}
-        self._unrecorded_since = {
-            version: self._unrecorded_since.get(version, now)
-            for version in present - self._recorded
-        }
-
-    def is_recorded(self, service: str, software_version: str) -> bool:
-        """Return whether resumable streams may begin at a version."""
-        since = self._unrecorded_since.get(ServiceVersion(service, software_version))
-        return since is None or clock.now_s() - since > MAX_UNRECORDED_S
+            self._stored, self._is_partial = frozenset(), True
+            return
+        self._stored = frozenset(
+            ServiceVersion(row.service, row.software_version) for row in record.versions
+        )
+        self._is_partial = record.is_partial
+        self._stored_retention_s = max(RETENTION_S, record.retention_seconds)
+        for version in self._stored:
+            self._read_since.setdefault(version, now)
+            self._by_service.setdefault(version.service, set()).add(version.software_version)
+
+    def _present(self) -> frozenset[ServiceVersion]:
+        """Return the versions in the records of engines."""
+        return frozenset(ServiceVersion(*named) for named in self._engines.version_counts())
 
     async def write_due(self, now: float) -> None:
-        """Write the record if it is this node's turn."""
+        """Write the record if it differs from what this node knows and it is this node's turn."""
         self._write_requested.clear()
-        self._note_unrecorded(now)
+        if self._lacks_history is None:
+            return
+        self._forget(now)
+        self._lacks_history &= now - self._started_at < self.retention_s
         versions = self._current(now)
-        if versions == self._recorded:
+        is_up_to_date = (
+            versions == self._stored
+            and self._max_lifetime_s <= self._stored_retention_s
+            and self._is_partial <= self._lacks_history
+        )
+        if is_up_to_date:
             self._due_at = None
             return
         if self._due_at is None:
@@ -129,17 +146,24 @@
             async with asyncio.timeout(ticks.until_tick_s(timeout_s)):
                 await self._write_requested.wait()
 
+    def _forget(self, now: float) -> None:
+        """Forget versions that were recorded so long ago that no stream of theirs is left."""
+        forgotten = {v for v, at in self._read_since.items() if now - at >= self.retention_s}
+        for version in forgotten - self._stored:
+            del self._read_since[version]
+            self._by_service[version.service].discard(version.software_version)
+
     def _current(self, now: float) -> frozenset[ServiceVersion]:
         """Return the versions to record: those that serve, or may have served lately."""
-        present = {ServiceVersion(*named) for named in self._engines.version_counts()}
-        services = {each.service for each in present | self._recorded}
+        present = self._present()
+        services = {each.service for each in present | self._read_since.keys()}
         lately = {
             ServiceVersion(service, version)
             for service in services
-            for version in self._engines.removed_versions.versions(service, now)
+            for version in self._engines.removed_versions.versions(service, now, self.retention_s)
         }
-        kept = {v for v in self._recorded if now - self._recorded_since[v] < RETENTION_S}
-        return frozenset(present | lately | kept)
+        read = {v for v, at in self._read_since.items() if now - at < self.retention_s}
+        return present | lately | read
 
     def _rank(self) -> int:
         members = ranked(RANK_KEY, self._membership.members())
@@ -152,12 +176,18 @@
             messages.ServiceVersion(service=v.service, software_version=v.software_version)
             for v in ordered
         ]
-        value = messages.ServedVersions(versions=rows).SerializeToString()
+        record = messages.ServedVersions(
+            versions=rows,
+            retention_seconds=math.ceil(self.retention_s),
+            is_partial=self.lacks_history,
+        )
         item = self._mirror.get(VERSIONS_KEY)
         expected = (Expectation(VERSIONS_KEY, item.revision if item else 0),)
         names = [f"{v.service}/{v.software_version}" for v in ordered]
         try:
-            await self._store.transact(expected, (PutItem(VERSIONS_KEY, value),))
+            await self._store.transact(
+                expected, (PutItem(VERSIONS_KEY, record.SerializeToString()),)
+            )
         except StoreError as error:
             # Another node wrote first, or the store is unreachable: the mirror tells.
             self._due_at = clock.now_s() + WRITE_RETRY_S
