Tests: a run takes no port at which another run's nodes listen

There are three causes:

- Ports were probed at 127.0.0.1, and the nodes of a test listen at 127.0.1.1 and up.
They are probed at all addresses now.
- Of the free ports, which are in random order, a set was made, so that the first ones after a multiple of its table's size were taken.
- `features.run` read the first port of `LIFTRILL_BENCH_PORTS` and gave 2000 ports to each worker, beginning with the last one: one feature with 46000-47999 used 52000-53999, the range of somebody else.
The workers now divide the given range; by default they use 10000-17999 on eight cores as before.

A probe for TCP now sets SO_REUSEADDR as servers do: connections that have ended, which count at all addresses now, would otherwise use up a range. A range without enough free ports is an error with its numbers.

A node that ends before it is ready is reported at once, and one that is not ready with the end of its log. Before, a node that had ended could pass for ready, as the node of the other run answered at its address.

Ruled out: a slow start.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -46,6 +46,20 @@
       | logs summary DIRECTORY  | 1    | Is a directory                       |
       | logs explain            | 2    | the following arguments are required |
 
+  Scenario: A port at which a server listens on any loopback address is not free
+    Given a server that listens at 127.0.1.1
+    When a free port is asked for in a range that has its port alone
+    Then the launcher reports that no port is free
+
+  Scenario Outline: The workers of a test run use separate parts of its range of ports
+    Then <workers> workers of a run with the ports <range> use "<parts>"
+
+    Examples:
+      | workers | range       | parts                                           |
+      | 1       | 46000-46999 | 46000-46999                                     |
+      | 4       | 46000-47999 | 46000-46499 46500-46999 47000-47499 47500-47999 |
+      | 4       | 10000-29999 | 10000-11999 12000-13999 14000-15999 16000-17999 |
+
   Scenario: A process of a bench that does not listen in time is reported with its stack
     Given a process that listens at another address than its own
     When the launcher waits 4 s until it listens
--- a/features/run.py
+++ b/features/run.py
@@ -21,16 +21,16 @@
 from behave.model_type import Status
 from behave.runner import Runner
 
-from liftrill.bench.launcher import PORTS_VARIABLE
+from liftrill.bench.launcher import DEFAULT_PORT_RANGE, PORTS_VARIABLE
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_PATH = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_LIMIT = 3
 # Half of the cores: many features start several processes and check durations.
 WORKERS = max(1, (os.cpu_count() or 1) // 2)
-# The processes of each worker use their own range of ports. The first begins where the range in
-# the environment does, so that two runs at a time can use different ports.
-DEFAULT_FIRST_PORT, PORTS_OF_A_WORKER = 10_000, 2_000
+# The processes of each worker use their own part of the range of ports in the environment, so
+# that two runs at a time can use different ports.
+MAX_PORTS_OF_A_WORKER = 2_000
 RESULTS_OPTION = "--results="
 # Marks the cause of a listed scenario that fails in some runs only.
 INTERMITTENT = "sometimes:"
@@ -107,16 +107,17 @@
 def run_in_parallel(options: list[str], paths: list[str]) -> list[Result]:
     """Run each file in its own process, at most `WORKERS` at a time."""
     ordered = sorted(paths, key=_rank)
-    slots = list(range(WORKERS))
+    workers = min(WORKERS, len(ordered))
+    free_ranges = port_ranges(os.environ.get(PORTS_VARIABLE, DEFAULT_PORT_RANGE), workers)
 
     def run_one(path: str) -> list[Result]:
-        slot = slots.pop()
+        ports = free_ranges.pop()
         try:
-            return _run_worker(slot, options, path)
+            return _run_worker(ports, options, path)
         finally:
-            slots.append(slot)
+            free_ranges.append(ports)
 
-    with ThreadPoolExecutor(WORKERS) as pool:
+    with ThreadPoolExecutor(workers) as pool:
         return [result for results in pool.map(run_one, ordered) for result in results]
 
 
@@ -125,10 +126,15 @@
     return SLOWEST_FEATURES.index(name) if name in SLOWEST_FEATURES else len(SLOWEST_FEATURES)
 
 
-def _run_worker(slot: int, options: list[str], path: str) -> list[Result]:
-    first_port = int(os.environ.get(PORTS_VARIABLE, f"{DEFAULT_FIRST_PORT}-").partition("-")[0])
-    first = first_port + slot * PORTS_OF_A_WORKER
-    ports = f"{first}-{first + PORTS_OF_A_WORKER - 1}"
+def port_ranges(whole: str, workers: int) -> list[str]:
+    """Return disjoint parts of a range of ports, FIRST-LAST, one for each worker."""
+    first, last = map(int, whole.split("-"))
+    size = min(MAX_PORTS_OF_A_WORKER, (last - first + 1) // workers)
+    starts = [first + number * size for number in range(workers)]
+    return [f"{start}-{start + size - 1}" for start in starts]
+
+
+def _run_worker(ports: str, options: list[str], path: str) -> list[Result]:
     with tempfile.TemporaryDirectory(prefix="liftrill-results-") as directory:
         target = Path(directory) / "results.json"
         command = [sys.executable, "-m", "features.run", f"{RESULTS_OPTION}{target}"]
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -15,7 +15,7 @@
 from features.standin.engine import StandInEngine
 from features.standin.sleeper import SLEPT_FILE
 from features.standin.store import StandInStore
-from liftrill.bench.launcher import free_ports
+from liftrill.bench.launcher import ERROR_LOG_CHARACTERS, free_ports
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 KEY = "key-of-tenant-1"
@@ -102,10 +102,10 @@
     """Return a port for each server of a node; the one after "Peer" is free too."""
     peers = []
     while not peers:
-        free = set(free_ports(PORTS_TRIED))
+        free = free_ports(PORTS_TRIED)
         peers = [port for port in free if port + 1 in free]
     peer = peers[0]
-    others = iter(free - {peer, peer + 1})
+    others = (port for port in free if port not in (peer, peer + 1))
     return {"Peer": peer, **{name: next(others) for name in PORTS}}
 
 
@@ -277,6 +277,8 @@
 
     async def ready(self, node):
         async def is_ready():
+            ended = node.process.returncode
+            assert ended is None, f"it ended with {ended}"
             try:
                 url = f"http://{node.address('Readiness')}/liftrill/readyz"
                 async with self.session.get(url) as answer:
@@ -284,7 +286,12 @@
             except aiohttp.ClientError:
                 return False
 
-        await self.wait_until(is_ready)
+        try:
+            await self.wait_until(is_ready)
+        except AssertionError as error:
+            # The folder with the log is removed with the scenario.
+            log_end = node.log()[-ERROR_LOG_CHARACTERS:] if node.log_path.exists() else ""
+            raise AssertionError(f"{node.name} is not ready: {error}; its log: {log_end}") from None
 
     async def resolve(self, node):
         url = f"http://{node.address('Directory')}/liftrill/resolve"
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -1,14 +1,25 @@
 """Steps for commands, settings files and bench files."""
 
+import asyncio
 import json
+import os
 import subprocess
 import sys
 from pathlib import Path
+from unittest.mock import patch
 
 from behave import given, then, when
 
+from features.run import port_ranges
 from liftrill.bench.deployment import load_deployment
-from liftrill.bench.launcher import HOST, Cluster, LaunchError, ManagedProcess, free_ports
+from liftrill.bench.launcher import (
+    HOST,
+    PORTS_VARIABLE,
+    Cluster,
+    LaunchError,
+    ManagedProcess,
+    free_ports,
+)
 from liftrill.bench.simulation.scenario import load_scenario
 from liftrill.cli.errors import error_table
 from liftrill.errors import SettingsError
@@ -165,6 +176,33 @@
     assert output in printed and "Traceback" not in printed, printed
 
 
+@given("a server that listens at {host}")
+def step_server(context, host):
+    server = context.run(asyncio.start_server(lambda reader, writer: None, host, 0))
+    context.stack.callback(server.close)
+    context.port = server.sockets[0].getsockname()[1]
+
+
+@when("a free port is asked for in a range that has its port alone")
+def step_one_port(context):
+    with patch.dict(os.environ, {PORTS_VARIABLE: f"{context.port}-{context.port}"}):
+        try:
+            context.found = free_ports(1)
+        except LaunchError as error:
+            context.found, context.error = [], error
+
+
+@then("the launcher reports that no port is free")
+def step_no_port(context):
+    assert not context.found, context.found
+    assert "only 0 of 1 ports are free" in str(context.error), context.error
+
+
+@then('{workers:d} workers of a run with the ports {whole} use "{parts}"')
+def step_port_ranges(context, workers, whole, parts):
+    assert port_ranges(whole, workers) == parts.split(), port_ranges(whole, workers)
+
+
 @given("a process that listens at another address than its own")
 def step_elsewhere(context):
     ports = free_ports(2)
--- a/liftrill/bench/launcher.py
+++ b/liftrill/bench/launcher.py
@@ -21,6 +21,8 @@
 from liftrill.errors import LiftrillError
 
 HOST = "127.0.0.1"
+# Includes the other loopback addresses, at which the nodes of a test listen.
+ALL_ADDRESSES = "0.0.0.0"
 OPERATOR_KEY = "operator-key-of-the-launcher"
 SHARED_KEY = "shared-key-of-the-launcher"
 CACHE_SECRET = "cache-secret-of-the-launcher"
@@ -379,17 +381,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are currently free for both TCP and UDP.
+    """Return ports that are currently free for both TCP and UDP, in random order.
 
     The default range is below the ephemeral ports that the system assigns to outgoing
     connections. Processes that run at the same time use separate ranges, set with
     `PORTS_VARIABLE`. Both keep a port free until the launched process binds it.
+
+    Raises:
+        LaunchError: the range has too few free ports.
     """
     first, _, last = os.environ.get(PORTS_VARIABLE, DEFAULT_PORT_RANGE).partition("-")
     candidates = list(range(int(first), int(last) + 1))
     random.shuffle(candidates)
     found: list[int] = []
     while len(found) < count:
+        if not candidates:
+            raise LaunchError(f"only {len(found)} of {count} ports are free from {first} to {last}")
         port = candidates.pop()
         if _is_free(port):
             found.append(port)
@@ -399,8 +406,11 @@
 def _is_free(port: int) -> bool:
     for socket_type in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, socket_type) as probe:
+            if socket_type is socket.SOCK_STREAM:
+                # As servers do, which may use a port whose connections have ended.
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
-                probe.bind((HOST, port))
+                probe.bind((ALL_ADDRESSES, port))
             except OSError:
                 return False
     return True
