A leader marks its term as idle only after its predecessor's wait

The orders of two leaders lie at least 3.3 s apart: the successor of an active leader marks its own term as active, and waits. If the engines reached the new weights by the predecessor's orders meanwhile, it had nothing to order, and marked the term as idle at once, as it had sent no order itself. If it then resigned or ended, the next leader did not wait: in the added scenario it could order 0.4 s after the first one's orders.

Both now use the same condition, on the last orders of this node and on the wait for a predecessor's.

The added scenario failed before.

--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -135,6 +135,13 @@
     And the other one leads and marks itself active, and resigns
     Then the first one leads again, and gives no order for 3.3 s after these
 
+  Scenario: A leader that has nothing to order before it may order leaves the rest of the wait
+    Given a store and 2 contenders
+    When both contend
+    And the leader marks itself active, gives orders and resigns
+    And the other one leads and marks itself active, has nothing to order, and resigns
+    Then the first one leads again, and gives no order for 3.3 s after these
+
   Scenario: A leader that resigns after a restart leaves a wait for the orders before the restart
     Given a store and 2 contenders
     When both contend
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -441,6 +441,16 @@
     resign(context.other, context)
 
 
+@when("the other one leads and marks itself active, has nothing to order, and resigns")
+def step_nothing_to_order(context):
+    wait_until_other_leads(context)
+    context.run(context.other.leadership.mark_active())
+    assert not context.other.leadership.may_order(context.store.now)
+    context.run(context.other.leadership.mark_idle(context.store.now))
+    context.leader.frozen = False
+    resign(context.other, context)
+
+
 def resign(contender, context):
     """Resign and no longer contend, as a node does that other nodes can lead in place of."""
     context.run(contender.leadership.resign())
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -177,7 +177,7 @@
 
     async def mark_idle(self, now: float) -> None:
         """Mark the term as idle, once the last order is so old that a successor need not wait."""
-        if not self._active or now - self._last_order_at < self._parameters.quiet_period:
+        if not self._active or not self._is_quiet(now):
             return
         self._activity_revision = await self._write_activity(IDLE, self.fence)
         self._active = False
