Show that answers that stop before their end are not taken for whole

Another operator reported that an engine stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body, framed as whole. The tests show where this does not happen here.

An engine's answer stops at 25 places: in the status line, between and inside header lines, in the digits of the length, before and inside the blank line, in and after an interim head, after the head, in the body, in the size of a chunk and in the trailers. Its connection is then closed or reset, or its process killed.

--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from features.standin.connections import reset
+from features.standin.cut_answers import is_cut, send_cut
 from features.standin.endless_answers import ENDLESS, send_endless
 
 SIGNATURE = "stand-in-signature"
@@ -40,6 +41,7 @@
         announced_leaving: whether the answer announced that the engine leaves.
         retry_after_s: the valid `Retry-After` of the answer, or 0.
         limit: the rate limit in the answer, in requests per second, or "".
+        on_kept: whether its connection has carried another request before.
     """
 
     attempt_id: str
@@ -63,6 +65,7 @@
     announced_leaving: bool = False
     retry_after_s: float = 0.0
     limit: str = ""
+    on_kept: bool = False
 
     @property
     def parts(self):
@@ -190,7 +193,9 @@
     Attributes:
         fault: applied to the next request: "shed", "shed_without_id", "close", "crossed",
             "extra", "extra_late", "reset_unframed", "torn", "torn_crash", "hang", "fail",
-            "extra_garbage", "unsigned", "own_NNN" for an own status, or a key of ENDLESS.
+            "extra_garbage", "unsigned", "own_NNN" for an own status, a key of ENDLESS, or a place
+            where its answer stops and how its connection ends, such as "in the status line, reset".
+        fault_needs: the name of a header without which a request meets no fault, or "".
         body_bytes: the size of its whole answers, or 0 for a short text.
         refuses_orders: whether it answers orders as if it were busy.
         crashes_on: the bodies of the requests that crash it.
@@ -231,6 +236,7 @@
     load_seconds: float = 0.2
     fault: str = ""
     fault_count: int = 1
+    fault_needs: str = ""
     body_bytes: int = 0
     refuses_orders: bool = False
     address: str = ""
@@ -274,6 +280,7 @@
         self._runner = None
         self._streams = 0
         self._lost_runs = set()
+        self._peers = set()
         self.copies = held_backups
 
     async def start(self, port=0):
@@ -349,6 +356,9 @@
             await request.read(),
             arrived_at,
         )
+        peer = request.transport.get_extra_info("peername")
+        arrival.on_kept = peer in self._peers
+        self._peers.add(peer)
         self.arrivals.append(arrival)
         try:
             return await self._serve(request, arrival)
@@ -419,7 +429,8 @@
         return ""
 
     async def _serve(self, request, arrival):
-        fault = self._take_fault()
+        is_met = not self.fault_needs or self.fault_needs in request.headers
+        fault = self._take_fault() if is_met else ""
         # 3 and 10 have no common divisor, so the refused requests are spread over the ten.
         is_refused = 3 * len(self.arrivals) % 10 < self.refused_of_ten
         if fault in ("shed", "shed_without_id") or self.retry_after or is_refused:
@@ -450,9 +461,18 @@
         if fault in MISBEHAVIOURS or fault.startswith(OWN_STATUS):
             arrival.fault = fault
             return await self._misbehave(request, headers, fault)
-        if model:
-            return await self._stream(request, arrival, headers, fault)
-        return await self._whole(request, arrival, headers, fault)
+        sound = self._stream if model else self._whole
+        answer = self._cut if is_cut(fault) else sound
+        return await answer(request, arrival, headers, fault)
+
+    async def _cut(self, request, arrival, headers, fault):
+        arrival.fault = fault
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        is_stream = "X-Model" in request.headers
+        kind = "text/event-stream" if is_stream else "application/octet-stream"
+        body = self._text(arrival, first) if is_stream else self._body(arrival).decode()
+        await send_cut(request.transport, fault, {**headers, "Content-Type": kind}, body)
+        return web.Response()
 
     async def _misbehave(self, request, headers, fault):
         if fault in ENDLESS:
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -40,6 +40,7 @@
     "born_unix_ms",
     "run_label",
     "exits_after_s",
+    "fault",
 )
 # An engine posts a run to the holder of its copy as the run begins, and deletes the copy once the
 # run has ended well.
@@ -107,6 +108,10 @@
             self._process.kill()
         await self._ended()
 
+    async def ended(self):
+        """Wait until the process has ended by itself."""
+        await self._ended()
+
     async def _ended(self):
         await self._process.wait()
         await self._reports
--- a/features/standin/raw_callers.py
+++ b/features/standin/raw_callers.py
@@ -131,7 +131,8 @@
 
     def __init__(self, events, body_bytes):
         self.answers = []
-        self._sizes = {"whole": body_bytes, **dict.fromkeys(STREAMS, events)}
+        bodies = dict.fromkeys(("whole", "safe"), body_bytes)
+        self._sizes = bodies | dict.fromkeys(STREAMS, events)
 
     async def ask(self, node, protocol, route, waits_s=0.0, after=0, **more):
         """Read one answer to its end."""
