A report without its body does not show that an engine is running

Callers of an engine whose answers end with their connection got a 200 framed as whole with 2 of 4 events: the engine closed the stream in order, and ended as it answered the node's question whether it was running, after the head of its report.

Cause: `is_answering` took each report without a readable start time for one of the incarnation, also a report without a body. Nothing but the end of the connection marks the end of such a report, so that its head alone looks whole. The stream then counted as complete before a probe found the port closed.

Evidence: the callers' bytes and the stand-in engine's order of steps in the new scenario, on routes "stream" and "resume".

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -106,6 +106,17 @@
       | before the blank line of chunks  | reset  |
       | in the size of the second chunk  | reset  |
 
+  Scenario Outline: An engine ends in the report that would show that its answer is whole: <route>
+    Given a stand-in platform with 1 desk engines and 2 model engines
+    And a node
+    When an engine closes a "<route>" after 2 events, and ends after the head of its report
+    Then no caller got a success that looks whole and is not, of 1
+
+    Examples:
+      | route  |
+      | stream |
+      | resume |
+
   Scenario: A caller's request stops at any byte
     Given a stand-in platform with 1 desk engines and 0 model engines
     And a node
@@ -167,6 +178,7 @@
     Examples:
       | reader           | outcome     |
       | report           | none        |
+      | is answering     | none        |
       | store read       | unavailable |
       | store range      | unavailable |
       | store watch      | unavailable |
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from features.standin.connections import reset
-from features.standin.cut_answers import is_cut, send_cut
+from features.standin.cut_answers import HEAD_ALONE, cut_answer, is_cut, send_cut
 from features.standin.endless_answers import ENDLESS, send_endless
 
 SIGNATURE = "stand-in-signature"
@@ -195,6 +195,8 @@
             "extra", "extra_late", "reset_unframed", "torn", "torn_crash", "hang", "fail",
             "extra_garbage", "unsigned", "own_NNN" for an own status, a key of ENDLESS, or a place
             where its answer stops and how its connection ends, such as "in the status line, reset".
+        dies_in_report: whether it ends in its report after an answer without a length or chunks:
+            its connections are closed in order, and the head of the report is all that is sent.
         fault_needs: the name of a header without which a request meets no fault, or "".
         body_bytes: the size of its whole answers, or 0 for a short text.
         refuses_orders: whether it answers orders as if it were busy.
@@ -237,6 +239,7 @@
     fault: str = ""
     fault_count: int = 1
     fault_needs: str = ""
+    dies_in_report: bool = False
     body_bytes: int = 0
     refuses_orders: bool = False
     address: str = ""
@@ -281,6 +284,7 @@
         self._streams = 0
         self._lost_runs = set()
         self._peers = set()
+        self._is_dying = False
         self.copies = held_backups
 
     async def start(self, port=0):
@@ -345,6 +349,8 @@
             return self._misdirected(request)
         if request.path == "/liftrill/report":
             self.reports.append(arrived_at)
+            if self._is_dying:
+                return await self._die(request)
             return web.json_response(self._report(), headers=self._announcements("report"))
         if request.path == "/liftrill/order":
             return self._order(json.loads(await request.read()))
@@ -509,9 +515,17 @@
         else:
             request.transport.write(f"answer to {headers['X-Attempt-Id']}".encode())
         await asyncio.sleep(self.event_seconds)
+        self._is_dying = self.dies_in_report
         request.transport.close()
         return web.Response()
 
+    async def _die(self, request):
+        await self._stop_listening()
+        request.transport.write(cut_answer(HEAD_ALONE, {}, ""))
+        request.transport.close()
+        await self.crash()
+        return web.Response()
+
     async def _begin_and_crash(self, request, headers):
         if self.crashes_after_event:
             headers = {**headers, "Content-Type": "text/event-stream"}
--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -212,6 +212,15 @@
     assert not wrong, f"{len(wrong)} of {len(answers)}: {seen}"
 
 
+@when('an engine closes a "{route}" after 2 events, and ends after the head of its report')
+def step_ends_in_report(context, route):
+    engine = prepare(context, route)[0]
+    engine.dies_in_report, engine.fault = True, "unframed_after_event"
+    engine.event_seconds = EVENT_S
+    context.run(call_until(context, route, engine.crashed.is_set))
+    assert engine.reports
+
+
 @then("no caller got a success that looks whole and is not, of {count:d}")
 def step_none_false_of(context, count):
     cut = cut_at(context)
