A node takes no part of an answer of its store or its peers for the whole

An answer without a length or chunks that ended after its head was read as an empty body by a node of the project's own interface. From the store, a write whose answer was lost counted as not made (compare-and-swap, acquire), and reads and the creation of a session raised a JSON error that no caller of them handles.

The project's own peers and its stand-in platform always send a length or chunks, so that this needs another server or a proxy between.

Now both clients accept a body only if its end is marked: without, a read is unavailable, a write's answer lost, and a peer has not responded. The rule is beside the limits of responses, and the gateway's reader of framing uses it too.

The tests failed before: 12 of 12 rows of store and peers. After: 0 of 12.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -189,6 +189,18 @@
       | own cache events | none        |
       | own attempt      | broken      |
       | own resume       | broken      |
+      | own get          | unavailable |
+      | own watch        | unavailable |
+      | own machines     | unavailable |
+      | own swap         | answer lost |
+      | own session      | answer lost |
+      | own acquire      | answer lost |
+      | own snapshot     | no peer     |
+      | own head         | no peer     |
+      | own status       | no peer     |
+      | own claim        | no peer     |
+      | own prefixes     | no peer     |
+      | own section      | no peer     |
 
   Scenario: A followed reader of the store stops at any byte of its answer
     Given a reader of the store that stops at each byte of its answer
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -5,11 +5,11 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.event_stream import EventSplitter
 from liftrill.gateway.http_client import GuardedResponseHandler
+from liftrill.limited_response import ends_with_connection
 from liftrill.response_limits import ResponseTooLargeError
 
 # Many small events that arrive at once are processed in several turns.
 READ_BYTES = 16_384
-STATUSES_WITHOUT_BODY = (204, 304)
 CONNECTION = events.Framing.CONNECTION
 
 
@@ -22,15 +22,10 @@
 
 def framing_of(response: aiohttp.ClientResponse) -> events.Framing:
     """Return how the end of a response's body is marked."""
-    codings = ",".join(response.headers.getall("Transfer-Encoding", ())).lower().split(",")
-    if codings[-1].strip() == "chunked":
-        return events.Framing.CHUNKS
-    if codings != [""]:
+    if ends_with_connection(response):
         return CONNECTION
-    has_no_body = response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY
-    if has_no_body or response.content_length is not None:
-        return events.Framing.LENGTH
-    return CONNECTION
+    is_chunked = "Transfer-Encoding" in response.headers
+    return events.Framing.CHUNKS if is_chunked else events.Framing.LENGTH
 
 
 class CloseTimer:
--- a/liftrill/limited_response.py
+++ b/liftrill/limited_response.py
@@ -5,6 +5,8 @@
 
 from liftrill.response_limits import BodyLimits, ResponseTooLargeError
 
+STATUSES_WITHOUT_BODY = (204, 304)
+
 
 class ResponseCutOffError(ResponseTooLargeError, aiohttp.ClientPayloadError):
     """The connection of a response that exceeds a limit was closed."""
@@ -59,6 +61,25 @@
             self._connection.close()
 
 
+def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Return whether nothing but the end of the connection marks the end of a response's body."""
+    codings = ",".join(response.headers.getall("Transfer-Encoding", ())).lower().split(",")
+    if codings != [""]:
+        return codings[-1].strip() != "chunked"
+    has_no_body = response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY
+    return not has_no_body and response.content_length is None
+
+
+def require_marked_end(response: aiohttp.ClientResponse) -> None:
+    """Check that a response's body that was read is known to be whole.
+
+    Raises:
+        ClientPayloadError: the body may be a part of one.
+    """
+    if ends_with_connection(response):
+        raise aiohttp.ClientPayloadError("nothing marks the end of the body")
+
+
 def limited_response(limits: BodyLimits) -> type[LimitedResponse]:
     """Return the response class of a session with its own limits."""
     return type("LimitedResponse", (LimitedResponse,), {"body_limits": limits})
--- a/liftrill/node/peer_client.py
+++ b/liftrill/node/peer_client.py
@@ -9,6 +9,7 @@
 
 from liftrill import constants
 from liftrill.errors import LiftrillError
+from liftrill.limited_response import require_marked_end
 from liftrill.messages import peer_pb2 as messages
 from liftrill.messages.configuration_pb2 import Head
 from liftrill.node.metrics import NodeMetrics
@@ -128,6 +129,8 @@
                 f"http://{address}{path}", data=content, headers=headers, timeout=timeout
             ) as response:
                 body = await response.read()
+                # A part of a message may be a valid one: without any byte, a granted claim.
+                require_marked_end(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerError(f"peer {address} did not respond to {path}: {error!r}") from error
         self._metrics.control_bytes.labels(direction="received").inc(len(body))
--- a/liftrill/node/platform_client.py
+++ b/liftrill/node/platform_client.py
@@ -15,6 +15,7 @@
     StoredEntry,
 )
 from liftrill.errors import StoreAnswerLostError, StoreUnavailableError
+from liftrill.limited_response import require_marked_end
 
 INDEX_HEADER = "X-Consul-Index"
 REFUSAL_STATUSES = frozenset({429, 500, 503})
@@ -124,7 +125,9 @@
                         f"the store responded to a read of {path} with status {response.status}"
                     )
                 index = int(response.headers.get(INDEX_HEADER, "0"))
-                return _ReadResponse(index, await response.read())
+                body = await response.read()
+                require_marked_end(response)
+                return _ReadResponse(index, body)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise StoreUnavailableError(f"cannot read {path} from the store: {error!r}") from error
 
@@ -141,6 +144,8 @@
                     )
                 if response.status == 404:
                     raise _NotFoundError(f"the store has no resource at {path}")
+                # Without its body, the answer to a write that was made looks like a refusal.
+                require_marked_end(response)
                 return body
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(f"cannot connect to the store to write {path}") from error
