Nodes that start after a restore of the store accept no keys that it brought back

Cause: a node that runs learns of a restore from the rising era, and takes no read as a proof of keys until operators have had a second to write theirs again. A node that has just started knows no earlier era; it took the absence of one for a store that had never been restored. Its reads for the first proof could also precede its first read of the range.

Evidence: features/fleet_restart_state.feature, 4 nodes, revocation bound 2 s, the operator's configuration is written again 0.9 s after the restore; one node alone is enough, beside three that know of the restore.

Change: the leader records the store's era in the store, a second after it knows it, so that the record of a restored copy is of an earlier era. A node that reads such a record treats the store as just restored, which also holds back load orders for the quiet period. A fleet that starts for the first time has no record and does not wait. No read is a proof before the range has been read.

Where the store was not restored no node waits (a scenario of its own).

--- a/liftrill/gateway/freshness_checker.py
+++ b/liftrill/gateway/freshness_checker.py
@@ -191,6 +191,9 @@
         self._backup_position = self._backup_position or result.position
         if item.revision > self._state.configuration_revision:
             self._delegate.configuration_read(item)
+        if not self._follower.mirror.position:
+            # Only the range tells whether the store was restored before this node started.
+            return
         if self._may_be_undone(asked_at) and item.revision <= self._backup_position:
             return
         is_known = item.revision == self._state.configuration_revision
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -35,6 +35,7 @@
 from liftrill.gateway.engines.engine_slots import SlotMessage
 from liftrill.gateway.engines.engine_table import EngineNotice, EngineTable, EngineView
 from liftrill.gateway.engines.unrecorded_engine_state import UnrecordedEngineState
+from liftrill.gateway.era_record import EraRecord
 from liftrill.gateway.fleet_record import FleetRecord
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.freshness_checker import FreshnessChecker, FreshnessDelegate
@@ -233,6 +234,13 @@
         self._fleet_record = FleetRecord(
             store, self._follower.mirror, self._fleet, lambda: self._leadership.fence, log
         )
+        self._era_record = EraRecord(
+            store,
+            self._follower.mirror,
+            lambda: self._leadership.fence,
+            settings.first_start,
+            log,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._was_link_saturated = False
         self._store_era = 0
@@ -438,6 +446,9 @@
             self._fleet_record.ignore_current()
         else:
             self._fleet_record.load(clock.now_s())
+            if self._era_record.is_behind():
+                # The copy is all that this node knows, if it started after the restore.
+                self._record_store_restore(era_of(self._follower.mirror.position))
         previous_version = self.view.version
         self._cluster_state.apply(change, known_until)
         self._apply_quarantine(change)
@@ -774,6 +785,7 @@
     async def _maintain_fleet_record(self) -> None:
         while True:
             await self._fleet_record.write_if_due(clock.now_s())
+            await self._era_record.write_if_due(clock.now_s())
             await ticks.pause(HOUSEKEEPING_SECONDS)
 
     async def _maintain_quarantine(self) -> None:
