Soak: all nodes restart amid releases of engines

`--restarts` kills all nodes at once, all twice within a second, all but one, or one after another, while engines in processes of their own join, leave, crash and are replaced by those of another software version, also while no node runs. Callers leave and lose streams, and resume them at any node. Checked from what they hold: the pieces of one version, each once and in order; a stream that says it is complete is complete; a refused resumption has 503 and a Retry-After; of the resumptions that arrive from 3 s after the nodes are back, while two engines of their version serve, at least half as large a share goes on as of new streams begins; with one version throughout (a quarter of the seeds) every stream is completed. Half of the seeds have the soak's other faults as well.

The check counts each resumption.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -123,6 +123,37 @@
       | ends-resume | goes on after a piece that the caller lacks | pieces in order                     |
       | ends-resume | goes on and says whole after 7 pieces       | an answer that says whole is whole  |
 
+  Scenario Outline: The check finds what callers can tell of a stream over restarts
+    Given a stream over restarts that <what>
+    Then the check of restarts finds "<violation>"
+
+    Examples:
+      | what                                          | violation                                       |
+      | is whole in one answer                        | nothing                                         |
+      | goes on after 7 pieces                        | nothing                                         |
+      | breaks off inside a piece and goes on         | nothing                                         |
+      | is refused with 503 and Retry-After 0.3       | nothing                                         |
+      | goes on at another version                    | a stream goes on at one software version        |
+      | goes on with a piece that the caller had      | pieces in order                                 |
+      | goes on after a piece that the caller lacks   | pieces in order                                 |
+      | says whole after 7 pieces                     | a stream that says it is complete is complete   |
+      | is refused with 503 and no Retry-After        | a refused resumption has a time to come back    |
+      | is refused with 503 and Retry-After 0         | a refused resumption has a time to come back    |
+      | is refused with 400 and Retry-After 0.3       | a refused resumption has a time to come back    |
+
+  Scenario Outline: The check finds that too few streams go on after a restart
+    Given all nodes back for <seconds> s, as <going_on> of <resumed> resumptions go on, with <engines> engines of their version, and <begun> of 20 new streams begin
+    Then the check of restarts finds "<violation>"
+
+    Examples:
+      | seconds | going_on | resumed | engines | begun | violation                      |
+      | 3.1     | 5        | 12      | 2       | 20    | streams go on after a restart  |
+      | 3.1     | 6        | 12      | 2       | 20    | nothing                        |
+      | 3.1     | 5        | 12      | 2       | 16    | nothing                        |
+      | 3.1     | 0        | 11      | 2       | 20    | nothing                        |
+      | 3.1     | 0        | 12      | 1       | 20    | nothing                        |
+      | 2.9     | 0        | 12      | 2       | 20    | nothing                        |
+
   Scenario: A short soak violates no guarantee, and all nodes serve again after it
     When the soak runs seed 1 for 12 s
     Then it had faults and served requests, and violated no guarantee
@@ -190,3 +221,13 @@
       | seed  | seconds | cuts       |
       | 92003 | 5       | , and cuts |
       | 92014 | 5       |            |
+
+  Scenario Outline: A short soak in which all nodes restart amid releases violates no guarantee
+    When the soak runs seed <seed> for <seconds> s with restarts of all nodes
+    Then no guarantee was violated
+    And all nodes restarted at least <restarts> times, and at least <count> resumed streams went on
+
+    Examples:
+      | seed  | seconds | restarts | count |
+      | 95100 | 4       | 1        | 8     |
+      | 95103 | 4       | 1        | 8     |
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -64,14 +64,14 @@
         self._weights = [self._schedule.choice(KIND_WEIGHTS) for _ in self._kinds]
         self._longest_spacing_s = self._schedule.choice(LONGEST_SPACING_S)
 
-    async def inject_for(self, seconds):
-        """Begin faults for some time, and wait until they have ended."""
+    async def inject_for(self, seconds, ends_within_s=END_WITHIN_S):
+        """Begin faults for some time, and wait until they have ended, or cancel them."""
         until = time.monotonic() + seconds
         tasks = set()
         while time.monotonic() < until:
             tasks.add(asyncio.ensure_future(self._begin()))
             await asyncio.sleep(self._schedule.uniform(SHORTEST_SPACING_S, self._longest_spacing_s))
-        done, pending = await asyncio.wait(tasks, timeout=END_WITHIN_S)
+        done, pending = await asyncio.wait(tasks, timeout=ends_within_s)
         for task in pending:
             task.cancel()
         await asyncio.wait(tasks)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -34,6 +34,8 @@
 from features.soak.fleet import Fleet
 from features.soak.hard_load import HardLoad
 from features.soak.history import Bounds, Call, check, max_lateness
+from features.soak.restarts import ENDS_WITHIN_S as RESTARTS_END_WITHIN_S
+from features.soak.restarts import FleetRestarts
 from features.soak.sleeps import MachineSleeps
 from features.soak.software_versions import MixedVersions
 from features.soak.store_returns import StoreRestores
@@ -71,6 +73,7 @@
         versions: engines have one of two software versions, and callers resume streams elsewhere.
         builds: each start of a node draws the current build or the earlier one.
         ends: engines in processes of their own end in several ways under answers.
+        restarts: all nodes are killed at once amid releases of engines; not with `ends`.
     """
 
     deadly: bool = False
@@ -84,6 +87,7 @@
     versions: bool = False
     builds: bool = False
     ends: bool = False
+    restarts: bool = False
 
 
 MODES = tuple(field.name for field in fields(Modes))
@@ -121,6 +125,9 @@
         self.restores = StoreRestores(self.fleet, seed) if modes.returns else None
         self.cuts = EngineCuts(self.fleet, seed) if modes.cuts else None
         self.ends = AnswerEnds(self.fleet, seed, self.calls) if modes.ends else None
+        self.fleet_restarts = (
+            FleetRestarts(self.fleet, seed, self.calls) if modes.restarts else None
+        )
         self._seconds = seconds
         self._seed = seed
         self._random = random.Random(f"{seed}/calls")
@@ -149,6 +156,8 @@
             violations += check_limits(*self._history())
             violations += self.versions.check() if self.versions is not None else ()
             violations += self.ends.check() if self.ends is not None else ()
+            if self.fleet_restarts is not None:
+                violations += self.fleet_restarts.check()
             crash_requests = self._crash_callers.requests
             return [*violations, *check_crash_requests(*self._history(), crash_requests)], alive
 
@@ -158,23 +167,13 @@
         return root
 
     def _conditions(self):
-        yield self._injector.inject_for(self._seconds)
-        if self._sleeps is not None:
-            yield self._sleeps.run_for(self._seconds)
-        if self.hard_load is not None:
-            yield self.hard_load.run_for(self._seconds)
-        if self.announcements is not None:
-            yield self.announcements.run_for(self._seconds)
-        if self.limits is not None:
-            yield self.limits.run_for(self._seconds)
-        if self.restores is not None:
-            yield self.restores.run_for(self._seconds)
-        if self.cuts is not None:
-            yield self.cuts.run_for(self._seconds)
-        if self.versions is not None:
-            yield self.versions.run_for(self._seconds)
-        if self.ends is not None:
-            yield self.ends.run_for(self._seconds)
+        if self.fleet_restarts is None:
+            yield self._injector.inject_for(self._seconds)
+        elif self.fleet_restarts.has_other_faults:
+            yield self._injector.inject_for(self._seconds, RESTARTS_END_WITHIN_S)
+        for part in (self._sleeps, *self.parts()):
+            if part is not None:
+                yield part.run_for(self._seconds)
 
     def parts(self):
         """Return the optional conditions that count what they did; None for those that are off."""
@@ -186,6 +185,7 @@
             self.cuts,
             self.versions,
             self.ends,
+            self.fleet_restarts,
         )
 
     def max_lateness(self):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,7 +10,14 @@
 from features.soak.engine_limits import check_limits
 from features.soak.engine_words import check_announcements
 from features.soak.history import Bounds, Call, check
-from features.soak.run import Modes, Soak
+from features.soak.restarts import PIECES as STREAM_PIECES
+from features.soak.restarts import (
+    Period,
+    StreamAttempt,
+    check_going_on,
+    check_stream,
+)
+from features.soak.run import NODES, Modes, Soak
 from features.soak.timeline import SILENCE_RECOVERY_S, Impairment, Stop, Timeline
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 5))
@@ -268,7 +275,10 @@
     "with engines of two software versions": Modes(versions=True),
     "with engine processes that end": Modes(ends=True),
     "with engine processes that end, and cuts": Modes(ends=True, cuts=True),
+    "with restarts of all nodes": Modes(restarts=True),
 }
+# Each restart starts all nodes at once: fewer of them in this mode.
+RESTARTED_NODES = 4
 
 
 @when("the soak runs seed {seed:d} for {seconds:g} s")
@@ -282,7 +292,8 @@
 
 
 def run_seed(context, seed, seconds, modes):
-    context.soak = Soak(seed, seconds, context.directory, modes=modes)
+    nodes = RESTARTED_NODES if modes.restarts else NODES
+    context.soak = Soak(seed, seconds, context.directory, nodes, modes)
     context.found, context.alive = context.run(context.soak.run())
 
 
@@ -468,3 +479,87 @@
     counts = context.soak.ends.counts
     ways = {way.partition(",")[0] for way in counts["ends"]}
     assert counts["whole"] >= count and {"killed", "left"} <= ways, counts
+
+
+def resumption(data=b"", status=200, said_whole=False, retry_after="", sent_at=1.0):
+    attempt = StreamAttempt("r2", "n2", sent_at, status, data, said_whole, ended_at=sent_at + 0.5)
+    attempt.resumes, attempt.retry_after = True, retry_after
+    attempt.first_piece_at = sent_at + 0.1 if data else None
+    return attempt
+
+
+@given("a stream over restarts that {what}")
+def step_restarted_stream(context, what):
+    every, some = range(1, STREAM_PIECES + 1), range(1, 8)
+    begun = StreamAttempt("r1", "n1", 0.0, 200, pieces(some, "v1"))
+    rest = pieces(every[7:], "v1")
+    attempts = {
+        "is whole in one answer": [replace(begun, data=pieces(every, "v1"), said_whole=True)],
+        "goes on after 7 pieces": [begun, resumption(rest, said_whole=True)],
+        "breaks off inside a piece and goes on": [
+            replace(begun, data=begun.data + b"id: 8\ndata: "),
+            resumption(rest, said_whole=True),
+        ],
+        "goes on at another version": [begun, resumption(pieces(every[7:], "v2"))],
+        "goes on with a piece that the caller had": [begun, resumption(pieces(every[6:], "v1"))],
+        "goes on after a piece that the caller lacks": [
+            begun,
+            resumption(pieces(every[8:], "v1")),
+        ],
+        "says whole after 7 pieces": [replace(begun, said_whole=True)],
+        "is refused with 503 and Retry-After 0.3": [
+            begun,
+            resumption(status=503, retry_after="0.3"),
+        ],
+        "is refused with 503 and no Retry-After": [begun, resumption(status=503)],
+        "is refused with 503 and Retry-After 0": [begun, resumption(status=503, retry_after="0")],
+        "is refused with 400 and Retry-After 0.3": [
+            begun,
+            resumption(status=400, retry_after="0.3"),
+        ],
+    }[what]
+    context.found = list(check_stream(Reading("restart-resume", "text-1", attempts)))
+
+
+@given(
+    "all nodes back for {seconds:g} s, as {going_on:d} of {resumed:d} resumptions go on, "
+    "with {engines:d} engines of their version, and {begun:d} of 20 new streams begin"
+)
+def step_restarted_streams(context, seconds, going_on, resumed, engines, begun):
+    piece = pieces([1], "v1")
+    first = StreamAttempt("r1", "n1", 0.0, 200, piece, first_piece_at=0.1, ended_at=0.2)
+    readings = []
+    for number in range(resumed):
+        again = resumption(b"x" if number < going_on else b"", sent_at=100.0 + seconds)
+        again.status, again.serving = 200 if number < going_on else 503, engines
+        readings.append(Reading("restart-resume", "text-1", [first, again]))
+    for number in range(20):
+        new = resumption(b"x" if number < begun else b"", sent_at=100.0 + seconds)
+        new.resumes, new.status = False, 200 if number < begun else 503
+        readings.append(Reading("restart-resume", "text-1", [new]))
+    context.found = list(check_going_on(readings, [Period(100.0)]))
+
+
+@then('the check of restarts finds "{violation}"')
+def step_restart_violation(context, violation):
+    expected = set() if violation == "nothing" else {violation}
+    assert {each.guarantee for each in context.found} == expected, context.found
+
+
+@then("no guarantee was violated")
+def step_none_violated(context):
+    print(context.soak.fleet_restarts.counts)
+    if context.found or not context.alive:
+        print(f"logs in {context.soak.keep_logs(context.found)}")
+    assert context.found == [], (len(context.found), context.found[:5])
+    assert context.alive
+
+
+@then(
+    "all nodes restarted at least {restarts:d} times, "
+    "and at least {count:d} resumed streams went on"
+)
+def step_restarted(context, restarts, count):
+    counts = context.soak.fleet_restarts.counts
+    assert sum(counts["restarts"].values()) >= restarts, counts
+    assert counts["gone on"] >= count, counts
