A stream does not go on at another version beside nodes that do not answer

A node that started in the last minute takes versions that came since for ones at which no forgotten stream began, as long as it knows of no node that has ended. In the second or two before it notices, this was wrong: after a restart and a release, with all nodes but one killed at once, streams of the newer version whose origin was not yet in the store went on at the older one (`stream_resumed`: source `unused`, answered 0/3).

Change: that conclusion is drawn only if all nodes that were asked have answered; until then the stream is refused as unknown, to come back after 0.3 s.

--- a/features/fleet_restart.feature
+++ b/features/fleet_restart.feature
@@ -34,3 +34,10 @@
     And the callers resume their streams until they are complete or refused for 6 s
     Then no stream holds events of two versions
     And of the streams whose version has engines, at least 0.5 are complete
+
+  Scenario: Streams go on at another version while it is not known that their nodes have ended
+    Given 4 engines of version v1.1 and 0 of version v1.2 in processes of their own
+    And 4 nodes before them, which have been ready for 2 s
+    When all nodes restart, 4 engines of v1.2 start, and all nodes but one are killed as 100 streams begin
+    And callers resume each stream as soon as it is lost, for 3 s
+    Then no stream holds events of two versions
--- a/features/steps/fleet_restart_steps.py
+++ b/features/steps/fleet_restart_steps.py
@@ -19,6 +19,8 @@
 KILLED_AFTER_S = 0.25
 # Long enough for the nodes to know that engines have ended.
 BETWEEN_RESTARTS_S = 1.0
+# How long before their nodes are killed streams begin whose origins the store lacks in part.
+UNWRITTEN_S = 0.4
 NOTHING = "nothing else changes"
 
 
@@ -151,6 +153,46 @@
     context.run(play())
 
 
+@when(
+    "all nodes restart, {added:d} engines of {version} start, "
+    "and all nodes but one are killed as {count:d} streams begin"
+)
+def step_kill_but_one(context, added, version, count):
+    async def play():
+        await restart_nodes(context, NOTHING)
+        await asyncio.sleep(BETWEEN_RESTARTS_S)
+        await add_engines(context.deployment, version, added)
+        await asyncio.sleep(BETWEEN_RESTARTS_S)
+        begun = []
+        for _ in range(count):
+            begun.append(asyncio.ensure_future(context.callers.begin(deadline_ms=DEADLINE_MS)))
+            await asyncio.sleep(UNWRITTEN_S / count)
+        for node in context.deployment.nodes[1:]:
+            node.process.kill()
+        for node in context.deployment.nodes[1:]:
+            await node.process.wait()
+        context.begun = begun
+
+    context.run(play())
+
+
+@when("callers resume each stream as soon as it is lost, for {seconds:g} s")
+def step_resume_at_once(context, seconds):
+    until = time.monotonic() + seconds
+
+    async def read_on(begun):
+        stream = await begun
+        if stream.first_attempt_id and not stream.complete:
+            await context.callers.resume(stream, until, deadline_ms=DEADLINE_MS)
+
+    async def resume():
+        await asyncio.gather(*map(read_on, context.begun))
+        context.callers.streams = [s for s in context.callers.streams if s.first_attempt_id]
+
+    context.run(resume())
+    describe(context)
+
+
 @when("the callers resume their streams until they are complete or refused for {seconds:g} s")
 def step_resume(context, seconds):
     async def resume():
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -146,7 +146,8 @@
         if stored is not None:
             return _resolution(stored, "store"), answers
         possible = served - known.unused - answers.unused
-        if len(possible) == 1 and has_history:
+        # A node that does not answer may have ended unnoticed, with the origins of its streams.
+        if len(possible) == 1 and has_history and answers.answered == answers.asked:
             return _Resolution(next(iter(possible)), "unused"), answers
         return _Resolution(None, "unknown"), answers
 
