Model: all nodes restart, and a version's engines have ended

The model of a resumed stream has a restart of all nodes at once, the record of the versions that served, and the origin in the store.

A version that comes and goes before it is recorded is not in the model: engines of version 2 stay.

--- a/spec/stream_origin.py
+++ b/spec/stream_origin.py
@@ -5,16 +5,22 @@
 records of the engines at any later time. Once node 0 knows both versions it sends the origin to
 node 1, before the caller gets an event; the message may be late or lost. Node 0 may end at any
 time, and node 2 may start again and forget what it knew. Node 2 asks node 1 for the origin, and
-both report which versions served.
+both report which versions served. All nodes may end at once and forget what they knew; nodes 1 and
+2 then start again, before or after the engines of version 1 have ended.
+
+The store records the versions that nodes have seen, and streams begin only at recorded ones. Node 0
+writes the origin there at any time after it has sent it. Nodes read the record as they start.
 
 Assumed: of nodes 1 and 2 at most one lacks the newest records when the stream is resumed. If both
 lack them and the message is lost, nobody asked knows of the second version.
 
-Not modelled: the second holder, lost questions and answers (the origin is then unknown), and the
-time for which versions and origins are remembered.
+Not modelled: a restore of the store, streams that begin at a version that could not be recorded,
+versions that a node takes for unused, the second holder, lost questions and answers (the origin is
+then unknown), and the time for which versions and origins are remembered.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import NamedTuple
 
 from minicheck import Protocol
 
@@ -31,6 +37,7 @@
     others_asked: bool = True
     unknown_refused: bool = True
     versions_remembered: bool = True
+    versions_recorded: bool = True
 
 
 @dataclass(frozen=True)
@@ -39,21 +46,34 @@
 
     Attributes:
         in_flight: whether the message to the holder has neither arrived nor been lost.
+        stored: whether the store has the origin.
     """
 
     began: int = NONE
     went_on: int = NONE
     in_flight: bool = False
     held: bool = False
+    stored: bool = False
+
+
+class State(NamedTuple):
+    """The versions that serve, that each node knows and that are recorded, and the stream."""
+
+    serving: frozenset
+    seen: tuple
+    recorded: frozenset
+    alive: bool
+    stream: Stream
 
 
 def origin_model(rules: OriginRules) -> Protocol:
     """Return the model of a resumed stream."""
+    first = frozenset({FIRST})
     return Protocol(
         name="stream origin",
         candidate=False,
-        fields=("serving", "seen", "beginner_alive", "stream"),
-        initial=(frozenset({FIRST}), (frozenset({FIRST}),) * 3, True, Stream()),
+        fields=State._fields,
+        initial=(first, (first,) * 3, first, True, Stream()),
         transitions=lambda state: list(_steps(rules, *state)),
         invariants={
             "one_version": lambda s: s["stream"].went_on in (NONE, s["stream"].began),
@@ -61,38 +81,76 @@
     )
 
 
-def _steps(rules, serving, seen, alive, stream):
-    if serving == {FIRST}:
-        yield "version 2 comes", (frozenset({FIRST, SECOND}), seen, alive, stream)
-    if serving == {FIRST, SECOND}:
-        yield "version 1 ends", (frozenset({SECOND}), seen, alive, stream)
+def _steps(rules, *values):
+    """Return the steps that are possible in a state."""
+    state = State(*values)
+    for name, after in (
+        *_engine_steps(state),
+        *_node_steps(rules, state),
+        *_beginner_steps(rules, state),
+        *_stream_steps(rules, state),
+    ):
+        yield name, tuple(after)
+
+
+def _engine_steps(state):
+    if state.serving == {FIRST}:
+        yield "version 2 comes", state._replace(serving=frozenset({FIRST, SECOND}))
+    if state.serving == {FIRST, SECOND}:
+        yield "version 1 ends", state._replace(serving=frozenset({SECOND}))
+
+
+def _node_steps(rules, state):
+    """Return the steps in which nodes learn, forget, or record which versions served."""
+    serving, seen, recorded = state.serving, state.seen, state.recorded
     for node in range(len(seen)):
         known = serving | seen[node] if rules.versions_remembered else serving
-        yield f"{node} reads the records", (serving, _with(seen, node, known), alive, stream)
-    restarted = _with(seen, RESUMER, serving)
-    yield "2 starts again", (serving, restarted, alive, stream)
-    if alive:
-        yield "0 ends", (serving, seen, False, stream)
-        for after in _at_beginner(rules, serving, seen[BEGINNER], stream):
-            yield "0 begins the stream, or goes on", (serving, seen, alive, after)
+        yield f"{node} reads the records", state._replace(seen=_with(seen, node, known))
+        if node != BEGINNER or state.alive:
+            written = recorded | seen[node]
+            yield f"{node} records the versions", state._replace(recorded=written)
+    started = serving | recorded if rules.versions_recorded else serving
+    yield "2 starts again", state._replace(seen=_with(seen, RESUMER, started))
+    forgotten = replace(state.stream, in_flight=False, held=False)
+    yield (
+        "all end and start again",
+        state._replace(seen=(started,) * len(seen), alive=False, stream=forgotten),
+    )
+
+
+def _beginner_steps(rules, state):
+    if not state.alive:
+        return
+    stream, seen = state.stream, state.seen[BEGINNER]
+    yield "0 ends", state._replace(alive=False)
+    for after in _at_beginner(rules, state.serving, seen, state.recorded, stream):
+        yield "0 begins the stream, or goes on", state._replace(stream=after)
+    if stream.began and len(seen) > 1:
+        yield "0 stores the origin", state._replace(stream=replace(stream, stored=True))
+
+
+def _stream_steps(rules, state):
+    """Return the steps of the message to the holder, and of the node that resumes the stream."""
+    stream, seen = state.stream, state.seen
     if stream.in_flight:
         for held in (True, False):
-            after = Stream(stream.began, stream.went_on, held=held)
-            yield f"the message arrives: {held}", (serving, seen, alive, after)
-    behind = sum(not serving <= seen[node] for node in (HOLDER, RESUMER))
+            after = replace(stream, in_flight=False, held=held)
+            yield f"the message arrives: {held}", state._replace(stream=after)
+    behind = sum(not state.serving <= seen[node] for node in (HOLDER, RESUMER))
     if stream.began and not stream.went_on and behind <= 1:
         for version in _resumed_at(rules, seen, stream):
-            after = Stream(stream.began, version, stream.in_flight, stream.held)
-            yield f"2 resumes the stream at {version}", (serving, seen, alive, after)
+            after = replace(stream, went_on=version)
+            yield f"2 resumes the stream at {version}", state._replace(stream=after)
 
 
-def _at_beginner(rules, serving, seen, stream):
+def _at_beginner(rules, serving, seen, recorded, stream):
     """Return the stream after node 0 has begun it, or has gone on after an engine was lost."""
     for version in serving & seen:
         if not stream.began:
-            yield Stream(version, in_flight=len(seen) > 1)
+            if version in recorded:
+                yield Stream(version, in_flight=len(seen) > 1)
         elif not stream.went_on and (version == stream.began or not rules.bound_within_answer):
-            yield Stream(stream.began, version, stream.in_flight, stream.held)
+            yield replace(stream, went_on=version)
 
 
 def _resumed_at(rules, seen, stream):
@@ -100,6 +158,8 @@
     if rules.others_asked and stream.held:
         return {stream.began}
     served = seen[RESUMER] | (seen[HOLDER] if rules.others_asked else frozenset())
+    if len(served) > 1 and stream.stored:
+        return {stream.began}
     if len(served) > 1 and rules.unknown_refused:
         return frozenset()
     return served
