Soak: callers of the only version come back before the run ends

With one version throughout, callers now have 12 s after the last new stream, and give a stream up after 15 s.

--- a/features/soak/restarts.py
+++ b/features/soak/restarts.py
@@ -81,10 +81,11 @@
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=6.0)
 RETRY_PAUSE_S = 0.2
 # A caller gives up a stream after this time.
-GIVES_UP_AFTER_S = 12.0
-# New streams begin until the nodes have been back for this long, and may go on for a while.
+GIVES_UP_AFTER_S = 15.0
+# New streams begin until the nodes have been back for this long, and may go on for a while: with
+# one version until each caller has come back.
 LAST_PERIOD_S = 5.0
-ENDS_WITHIN_S = 6.0
+ENDS_WITHIN_S, ALL_END_WITHIN_S = 6.0, 12.0
 OUTPUT_TOKENS = (30, 1024)
 # Of the resumptions that arrive so long after the nodes are back, while so many engines of their
 # version serve, at least this share of the share of new streams that begin has to go on.
@@ -479,7 +480,8 @@
             self.readings.append(each)
             reading.append(asyncio.ensure_future(self._read(each)))
             await asyncio.sleep(self._random.uniform(*STREAM_SPACING_S))
-        self._ends_at = time.monotonic() + ENDS_WITHIN_S
+        ends_within_s = ALL_END_WITHIN_S if self._has_one_version else ENDS_WITHIN_S
+        self._ends_at = time.monotonic() + ends_within_s
         await asyncio.gather(*reading)
 
     async def _read(self, reading):
