Readers of the store poll less often for changes that they do not mirror

After a watch that brought no mirrored change the next one begins 0.5 s later in place of 0.15 s; a change that comes meanwhile is known up to 0.5 s after it was written, as at a node that reads the store for a short time.

A scenario checks that origins are not mirrored, and that the mirror follows the store past them.

--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -12,7 +12,7 @@
 from features.gateway_support import engine_record, opaque_request, route_rule
 from liftrill import clock
 from liftrill.coordination.membership_messages import Member
-from liftrill.coordination.range_store import StoredItem, WatchBatch
+from liftrill.coordination.range_store import RangePage, RemovedItem, StoredItem, WatchBatch
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
@@ -30,6 +30,7 @@
 )
 from liftrill.gateway.streams.origin_exchange import OriginPeers
 from liftrill.gateway.streams.origin_ports import OriginStorage, RecordedVersions
+from liftrill.gateway.streams.origin_records import ORIGINS_KEY_PREFIX
 from liftrill.gateway.streams.origin_tracker import OriginTracker
 from liftrill.gateway.streams.stream_origins import OriginEntry, OriginTable, ServiceVersion
 from liftrill.gateway.streams.version_evidence import VersionEvidence
@@ -551,3 +552,28 @@
     context.record.load(now)
     item = context.store.mirror.get(VERSIONS_KEY)
     assert b"v1.1" not in item.value and b"v1.2" in item.value, item
+
+
+@given("a mirror of a store that holds an origin and another item")
+def step_mirror(context):
+    items = tuple(
+        StoredItem(key, b"", at)
+        for at, key in ((2, f"{ORIGINS_KEY_PREFIX}a/1/1"), (3, "op/config"))
+    )
+    context.mirror = StoreMirror(excluded_prefix=ORIGINS_KEY_PREFIX)
+    change = context.mirror.add_page(RangePage(items, 3, more=False))
+    assert [item.key for item in change.written] == ["op/config"], change
+
+
+@when("another origin is written and the first one is removed")
+def step_origin_written(context):
+    written = StoredItem(f"{ORIGINS_KEY_PREFIX}a/1/2", b"", 4)
+    removed = RemovedItem(f"{ORIGINS_KEY_PREFIX}a/1/1", 5)
+    context.change = context.mirror.apply_batch(WatchBatch((written, removed), 5))
+
+
+@then("the mirror has the other item alone, follows the store, and reports no change")
+def step_mirrored(context):
+    assert [item.key for item in context.mirror.items()] == ["op/config"]
+    assert context.mirror.position == 5
+    assert not context.change.written and not context.change.removed, context.change
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -71,6 +71,11 @@
     Then a stream of unknown origin may have begun at either version
     And the record of versions is written without v1.1 400 s later
 
+  Scenario: The origins of all nodes are mirrored at each node
+    Given a mirror of a store that holds an origin and another item
+    When another origin is written and the first one is removed
+    Then the mirror has the other item alone, follows the store, and reports no change
+
   Scenario: Versions are counted again for each record that an engine renews
     Given a record of an engine at version v1.1, and of one at v1.2
     When both engines renew their records
--- a/liftrill/gateway/store_follower.py
+++ b/liftrill/gateway/store_follower.py
@@ -32,6 +32,8 @@
 # Time between watches of a node that reads the store only until it can follow a reader again:
 # changes must apply within seconds, and many nodes may be in this state at once.
 TEMPORARY_WATCH_SPACING_S = 0.5
+# After a watch that brought changes of keys alone that are not mirrored.
+IRRELEVANT_WATCH_SPACING_S = 0.5
 # How much later than a read or a peer's message the watch may deliver the same change, in
 # addition to the time between two watches.
 WATCH_LAG_S = 0.4
@@ -119,6 +121,7 @@
         self._try_store_first = False
         self._interruptible_task: asyncio.Task[None] | None = None
         self._followed_since = 0.0
+        self._last_spacing_s = 0.0
         self._reader_path: tuple[str, ...] = ()
 
     async def run(self) -> None:
@@ -148,7 +151,7 @@
 
     def watch_lag_s(self) -> float:
         """Return how long after a read the watch may deliver the changes that the read reported."""
-        return WATCH_LAG_S + self._spacing_s()
+        return WATCH_LAG_S + max(self._spacing_s(), self._last_spacing_s)
 
     def reselect_reader(self) -> None:
         """Stop the current watch or reader if membership now selects another source."""
@@ -342,19 +345,21 @@
         change = self.mirror.apply_batch(batch)
         if change.written or change.removed:
             self._report_change(change)
-        else:
-            self.freshness.record_position(self.mirror.position)
+            await self._throttle(started_at, self._spacing_s())
+            return
+        self.freshness.record_position(self.mirror.position)
         if batch.changes:
-            await self._throttle(started_at)
+            await self._throttle(started_at, IRRELEVANT_WATCH_SPACING_S)
 
     def _report_change(self, change: MirrorChange) -> None:
         """Report a change, with the time until which the mirror was complete before it."""
         self._delegate.mirror_changed(change, self.freshness.as_of)
         self.freshness.record_position(self.mirror.position)
 
-    async def _throttle(self, started_at: float) -> None:
+    async def _throttle(self, started_at: float, spacing_s: float) -> None:
         """Wait after a watch that returned quickly, to batch changes: each call is billed."""
-        remaining_s = self._spacing_s() - (clock.now_s() - started_at)
+        self._last_spacing_s = spacing_s
+        remaining_s = spacing_s - (clock.now_s() - started_at)
         if remaining_s > 0:
             await asyncio.sleep(remaining_s)
 
