Tests: a run ends though a worker does not, and shows what it waited for

All files that it printed had passed; the one that it waited for is not named, since a file's output is printed when its worker has ended, and a worker could run for any time.

Two ways to the same end, both shown by the feature: a worker that waits for ever, and one that has ended but left a process that holds the pipe of its output (subprocess.run with a pipe took 20 s for a worker that exits at once and leaves a process of 20 s). Which of them it was is not known yet.

Processes that it left are named and ended with its process group.

--- a/features/run.py
+++ b/features/run.py
@@ -1,15 +1,14 @@
 """Runs the features with behave and prints `N passed, N failed` from behave's own counts.
 
 Feature files are distributed to parallel processes, the slowest first. A process that ends without
-results fails the run. Scenarios listed in KNOWN-RED.txt (one a line: `scenario | cause | issue`,
-at most three) may fail without failing the run. They are printed, and a listed scenario that
-passes fails the run, so that the list cannot become outdated, unless its cause begins with
-"sometimes:".
+results, or does not end in time, fails the run. Scenarios listed in KNOWN-RED.txt (one a line:
+`scenario | cause | issue`, at most three) may fail without failing the run. They are printed, and a
+listed scenario that passes fails the run, so that the list cannot become outdated, unless its cause
+begins with "sometimes:".
 """
 
 import json
 import os
-import subprocess
 import sys
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
@@ -21,6 +20,7 @@
 from behave.model_type import Status
 from behave.runner import Runner
 
+from features.worker import MAX_WORKER_S, WorkerProcesses, end_after
 from liftrill.bench.launcher import DEFAULT_PORT_RANGE, PORTS_VARIABLE
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -100,6 +100,7 @@
 
 def run_as_worker(target: Path, arguments: list[str]) -> int:
     """Run features as one worker and write their results to a file."""
+    end_after(MAX_WORKER_S)
     options, paths = _split(arguments)
     results = run_features(options, paths)
     target.write_text(json.dumps([asdict(result) for result in results]))
@@ -112,15 +113,22 @@
     workers = min(WORKERS, len(ordered))
     free_ranges = port_ranges(os.environ.get(PORTS_VARIABLE, DEFAULT_PORT_RANGE), workers)
 
+    processes = WorkerProcesses()
+
     def run_one(path: str) -> list[Result]:
         ports = free_ranges.pop()
         try:
-            return _run_worker(ports, options, path)
+            return _run_worker(processes, ports, options, path)
         finally:
             free_ranges.append(ports)
 
     with ThreadPoolExecutor(workers) as pool:
-        return [result for results in pool.map(run_one, ordered) for result in results]
+        try:
+            return [result for results in pool.map(run_one, ordered) for result in results]
+        except KeyboardInterrupt:
+            pool.shutdown(wait=False, cancel_futures=True)
+            processes.stop()
+            raise
 
 
 def _rank(path: str) -> int:
@@ -136,20 +144,17 @@
     return [f"{start}-{start + size - 1}" for start in starts]
 
 
-def _run_worker(ports: str, options: list[str], path: str) -> list[Result]:
+def _run_worker(
+    processes: WorkerProcesses, ports: str, options: list[str], path: str
+) -> list[Result]:
     with tempfile.TemporaryDirectory(prefix="liftrill-results-") as directory:
         target = Path(directory) / "results.json"
+        output_path = Path(directory) / "output"
         command = [sys.executable, "-m", "features.run", f"{RESULTS_OPTION}{target}"]
-        process = subprocess.run(
-            [*command, *options, path],
-            cwd=ROOT,
-            env={**os.environ, PORTS_VARIABLE: ports},
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            check=False,
+        processes.run(
+            [*command, *options, path], ROOT, {**os.environ, PORTS_VARIABLE: ports}, output_path
         )
-        print(process.stdout, flush=True)
+        print(output_path.read_text(errors="replace"), flush=True)
         if not target.exists():
             return [Result(f"the process that ran {path}", path, "ended without results")]
         return [Result(**row) for row in json.loads(target.read_text())]
--- /dev/null
+++ b/features/steps/test_run_steps.py
@@ -0,0 +1,75 @@
+"""Steps on test runs whose workers do not end by themselves."""
+
+import os
+import sys
+import time
+
+import psutil
+from behave import given, then, when
+
+from features.run import ROOT
+from features.worker import WorkerProcesses
+
+LEAVES_PROCESS = """
+import subprocess, sys
+print(subprocess.Popen([sys.executable, "-c", "import time; time.sleep({seconds})"]).pid)
+"""
+WAITS = """
+import asyncio
+from features.worker import end_after
+
+async def wait_for_ever():
+    await asyncio.Event().wait()
+
+end_after({seconds})
+asyncio.run(wait_for_ever())
+"""
+STOPS = "import os, signal; os.kill(os.getpid(), signal.SIGSTOP)"
+EXIT_MARGIN_S = 2.0
+
+
+def prepare(context, script, max_s=60.0):
+    context.command = [sys.executable, "-c", script]
+    context.workers = WorkerProcesses(max_s, EXIT_MARGIN_S)
+
+
+@given("a worker that exits and leaves a process that would run for {seconds:g} s")
+def step_leaves(context, seconds):
+    prepare(context, LEAVES_PROCESS.format(seconds=seconds))
+
+
+@given("a worker that waits for ever in a task, and may run for {seconds:g} s")
+def step_waits(context, seconds):
+    prepare(context, WAITS.format(seconds=seconds), seconds)
+
+
+@given("a worker that is stopped, and may run for {seconds:g} s")
+def step_stopped(context, seconds):
+    prepare(context, STOPS, seconds)
+
+
+@when("it is run")
+def step_run(context):
+    output_path = context.directory / "output"
+    began_at = time.monotonic()
+    context.workers.run(context.command, ROOT, dict(os.environ), output_path)
+    context.took_s = time.monotonic() - began_at
+    context.output = output_path.read_text()
+
+
+@then("the run has ended within {seconds:g} s")
+def step_ended(context, seconds):
+    assert context.took_s < seconds, (context.took_s, context.output)
+
+
+@then("its output names the process, which has ended")
+def step_left(context):
+    pid, left = context.output.splitlines()
+    assert left.startswith("left running: ") and "time.sleep" in left, context.output
+    assert not psutil.pid_exists(int(pid)) or psutil.Process(int(pid)).status() == "zombie"
+
+
+@then("its output shows where the task waits")
+def step_shown(context):
+    assert "not done within 1.0 s" in context.output, context.output
+    assert "in wait_for_ever" in context.output, context.output
--- /dev/null
+++ b/features/test_run.feature
@@ -0,0 +1,20 @@
+Feature: A test run ends, and shows what did not end by itself
+
+  Guards against a run of the tests that never ends, and does not tell which file it waits for.
+
+  Scenario: A process that is left running keeps the run waiting
+    Given a worker that exits and leaves a process that would run for 60 s
+    When it is run
+    Then the run has ended within 20 s
+    And its output names the process, which has ended
+
+  Scenario: A worker that waits for ever keeps the run waiting
+    Given a worker that waits for ever in a task, and may run for 1 s
+    When it is run
+    Then the run has ended within 20 s
+    And its output shows where the task waits
+
+  Scenario: A worker that cannot end itself keeps the run waiting
+    Given a worker that is stopped, and may run for 1 s
+    When it is run
+    Then the run has ended within 20 s
