Streams go on after another version came while no node ran

Cause: origins are sent and stored once several versions serve. Before that a stream's origin follows from the version being the only one, which a restarted node denied as soon as it saw the second one, though that one could have begun none of the streams.

Change: streams that may be resumed begin at recorded versions alone, as long as any of them serves, and a node takes a version that is not recorded for one that began none. Nodes that have run for less than 10 s leave a version unrecorded that they find beside recorded ones with half of the engines, so that forgotten streams are known to have begun at the recorded version while their callers come back. A node whose recorded versions have no free slot asks for the record at once, all nodes in turn within 0.2 s; the record's revision lets one write win. Where no recorded version serves, streams begin at any, and nodes that see this count all of them.

--- a/features/fleet_restart.feature
+++ b/features/fleet_restart.feature
@@ -18,7 +18,7 @@
       | 4     | 4     | nothing else changes        | 0.95  |
       | 4     | 4     | the engines of v1.1 leave   | 0.5   |
       | 4     | 4     | the engines of v1.1 crash   | 0.5   |
-      | 4     | 0     | 4 engines of v1.2 start     | 0     |
+      | 4     | 0     | 4 engines of v1.2 start     | 0.95  |
       | 4     | 4     | the store falls silent      | 0.5   |
 
   Scenario Outline: Streams go on at a version that replaced theirs: <replaced>, <restart>
@@ -45,15 +45,20 @@
     Then no stream holds events of two versions
     And of the streams whose version has engines, at least 0.5 are complete
 
-  Scenario: Streams go on at another version at the only node that was not killed
+  Scenario Outline: Streams go on at another version at the only node that was not killed: <restarted> s
     Given 4 engines of version v1.1 and 0 of version v1.2 in processes of their own
     And 4 nodes before them, which have been ready for 2 s
-    And all nodes restarted 5 s ago, and 4 engines of version v1.2 came 2 s ago
+    And all nodes restarted <restarted> s ago, and 4 engines of version v1.2 came 2 s ago
     When 60 streams begin at the nodes but the first, and these are killed
     And the callers resume their streams until they are complete or refused for 6 s
     Then no stream holds events of two versions
     And of the streams whose version has engines, at least 0.5 are complete
 
+    Examples:
+      | restarted |
+      | 5         |
+      | 13        |
+
   Scenario: Streams go on at another version though theirs could not be recorded
     Given 4 engines of version v1.1 and 0 of version v1.2 in processes of their own
     And 4 nodes before them, which have been ready for 2 s
@@ -70,9 +75,14 @@
     Then no stream holds events of two versions
     And of the streams whose version has engines, at least 0.5 are complete
 
-  Scenario: Streams go on at another version while it is not known that their nodes have ended
+  Scenario Outline: Streams go on at another version while it is not known that their nodes have ended: <seconds> s
     Given 4 engines of version v1.1 and 0 of version v1.2 in processes of their own
     And 4 nodes before them, which have been ready for 2 s
-    When all nodes restart, 4 engines of v1.2 start, and all nodes but one are killed as 100 streams begin
+    When all nodes restart, 4 engines of v1.2 start <seconds> s later, and all nodes but one are killed as 100 streams begin
     And callers resume each stream as soon as it is lost, for 3 s
     Then no stream holds events of two versions
+
+    Examples:
+      | seconds |
+      | 1       |
+      | 11      |
--- a/features/steps/fleet_restart_steps.py
+++ b/features/steps/fleet_restart_steps.py
@@ -270,13 +270,13 @@
 
 
 @when(
-    "all nodes restart, {added:d} engines of {version} start, "
+    "all nodes restart, {added:d} engines of {version} start {seconds:g} s later, "
     "and all nodes but one are killed as {count:d} streams begin"
 )
-def step_kill_but_one(context, added, version, count):
+def step_kill_but_one(context, added, version, seconds, count):
     async def play():
         await restart_nodes(context, NOTHING)
-        await asyncio.sleep(BETWEEN_RESTARTS_S)
+        await asyncio.sleep(seconds)
         await add_engines(context.deployment, version, added)
         await asyncio.sleep(BETWEEN_RESTARTS_S)
         begun = []
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -12,7 +12,13 @@
 from features.gateway_support import engine_record, opaque_request, route_rule
 from liftrill import clock
 from liftrill.coordination.membership_messages import Member
-from liftrill.coordination.range_store import RangePage, RemovedItem, StoredItem, WatchBatch
+from liftrill.coordination.range_store import (
+    PutItem,
+    RangePage,
+    RemovedItem,
+    StoredItem,
+    WatchBatch,
+)
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.admission.retry_allowance import RetryAllowance
@@ -529,7 +535,7 @@
     context.later_s = seconds
 
 
-@then("a stream of unknown origin may have begun at either version")
+@then("a stream of unknown origin may have begun at either version later")
 def step_either(context):
     now = clock.now_s() + context.later_s
     context.record.load(now)
@@ -577,3 +583,61 @@
     assert [item.key for item in context.mirror.items()] == ["op/config"]
     assert context.mirror.position == 5
     assert not context.change.written and not context.change.removed, context.change
+
+
+@given("{count:d} engines of version {version}, recorded in the store, which are {state}")
+def step_recorded(context, count, version, state):
+    new_selector(context)
+    context.store = FakeRangeStore()
+    recorded = messages.ServedVersions(
+        versions=[messages.ServiceVersion(service="service-1", software_version=version)]
+    )
+    item = PutItem(VERSIONS_KEY, recorded.SerializeToString())
+    context.run(context.store.transact((), (item,)))
+    for number in range(0 if state == "ended" else count):
+        view = add(context, f"{version}-{number}", version)
+        view.condition.leaving = state == "leaving"
+        view.own_load.requests = view.record.slots if state == "busy" else 0
+
+
+@when("{count:d} idle engines of version {version} come to a node that has run for {uptime:g} s")
+def step_come(context, count, version, uptime):
+    context.now = clock.now_s() + uptime
+    context.record = new_version_record(context, context.engines)
+    context.evidence = VersionEvidence(context.engines, context.record, context.now)
+    versions = context.selector.software_versions
+    versions.may_begin_at = context.evidence.may_begin_at
+    versions.need_version = context.record.need
+    for number in range(count):
+        add(context, f"{version}-{number}", version)
+    context.evidence.refresh(context.now)
+
+
+@when("engines of {version} come back")
+def step_come_back(context, version):
+    add(context, f"{version}-0", version)
+    context.evidence.refresh(context.now)
+
+
+@when("the node has written what it is to record")
+def step_written(context):
+    context.run(context.record.write_due(context.now))
+    context.record.load(context.now)
+
+
+@then("new streams begin at {version}")
+def step_streams_begin_at(context, version):
+    choice = choose(context, now=context.now)
+    versions = context.selector.software_versions
+    views = [view for view in context.engines if not view.leaving]
+    serving = {view.record.software_version for view in views}
+    found = versions.may_begin_at("service-1", serving, context.now)
+    assert found == (set(VERSIONS) if version == "any" else {version}), found
+    assert choice.software_version in found, choice
+
+
+@then("a stream of unknown origin may have begun at either version")
+def step_began_at_either(context):
+    known = context.evidence.known(["service-1"], context.now)
+    assert {each.software_version for each in known.served} == set(VERSIONS), known
+    assert known.sole is None
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -68,7 +68,7 @@
   Scenario: A version is forgotten while streams that began at it may be resumed
     Given a stream with a deadline of 300 s that began at v1.1, beside engines of v1.2
     When 200 s pass after the engines of v1.1 left
-    Then a stream of unknown origin may have begun at either version
+    Then a stream of unknown origin may have begun at either version later
     And the record of versions is written without v1.1 400 s later
 
   Scenario: The origins of all nodes are mirrored at each node
@@ -125,3 +125,25 @@
       | 4      | drained and left 20 s ago | may     | v1.1    |
       | 4      | crashed 5 s ago           | may     | v1.1    |
       | 2      | drains                    | may     | v1.1    |
+
+  Scenario Outline: Streams begin at a version that a restart of all nodes would not know
+    Given 2 engines of version v1.1, recorded in the store, which are <state>
+    When <count> idle engines of version v1.2 come to a node that has run for <uptime> s
+    Then new streams begin at <before>
+    When the node has written what it is to record
+    Then new streams begin at <after>
+
+    Examples:
+      | state   | count | uptime | before | after |
+      | idle    | 2     | 1      | v1.1   | v1.1  |
+      | idle    | 2     | 11     | v1.1   | any   |
+      | idle    | 3     | 1      | v1.1   | any   |
+      | busy    | 2     | 1      | v1.1   | any   |
+      | leaving | 2     | 1      | v1.2   | v1.2  |
+      | ended   | 2     | 1      | v1.2   | v1.2  |
+
+  Scenario: A version that was used without a record counts as unused
+    Given 2 engines of version v1.1, recorded in the store, which are ended
+    When 2 idle engines of version v1.2 come to a node that has run for 1 s
+    And engines of v1.1 come back
+    Then a stream of unknown origin may have begun at either version
--- a/liftrill/gateway/engines/software_version_filter.py
+++ b/liftrill/gateway/engines/software_version_filter.py
@@ -1,7 +1,7 @@
 """Selects engines by software version: streams go on only at the version that began them."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.opaque_request import OpaqueRequest
@@ -25,10 +25,22 @@
     return False
 
 
+def _any_version(service: str, serving: Set[str], now: float) -> Set[str]:
+    """Know of no version at which streams may not begin."""
+    return serving
+
+
+def _need_nothing(service: str) -> None:
+    """Ignore that a service lacks room."""
+
+
 class SoftwareVersionFilter:
     """Selects the engines whose software version suits a request.
 
     Attributes:
+        may_begin_at: returns the versions, of those that serve, at which streams that callers may
+            resume may begin.
+        need_version: called with a service whose engines of these versions have no room.
         awaited: returns the versions that waiting requests of a service need.
         has_ended: whether an incarnation has ended though its record is still there; another one
             at its address may have another version.
@@ -37,6 +49,8 @@
     def __init__(self, engines: EngineTable) -> None:
         self.awaited: Callable[[str], frozenset[str]] = _none_awaited
         self.has_ended: Callable[[EngineView], bool] = _not_ended
+        self.may_begin_at: Callable[[str, Set[str], float], Set[str]] = _any_version
+        self.need_version: Callable[[str], None] = _need_nothing
         self._engines = engines
 
     def of_required_version(
@@ -66,14 +80,26 @@
         if len(self._engines.recorded_versions(request.service)) < 2:
             return [ready]
         counts = Counter(view.record.software_version for view in serving)
+        ready = self._where_streams_may_begin(request, ready, counts.keys(), now)
         spared = _scarce_versions(counts) | self.awaited(request.service)
         if request.route.resumable:
             spared |= self._replaced_versions(request.service, counts, now)
         preferred = [view for view in ready if view.record.software_version not in spared]
         if len(preferred) == len(ready):
             return [ready]
-        has_room = any(view.requests < view.record.slots for view in preferred)
-        return [preferred, ready] if has_room else [ready]
+        return [preferred, ready] if _has_room(preferred) else [ready]
+
+    def _where_streams_may_begin(
+        self, request: OpaqueRequest, ready: list[EngineView], serving: Set[str], now: float
+    ) -> list[EngineView]:
+        """Return the engines at which a request may begin a stream, if it does so."""
+        if not (request.is_stream and request.route.resumable):
+            return ready
+        versions = self.may_begin_at(request.service, serving, now)
+        allowed = [view for view in ready if view.record.software_version in versions]
+        if len(allowed) < len(ready) and not _has_room(allowed):
+            self.need_version(request.service)
+        return allowed
 
     def _replaced_versions(self, service: str, counts: Counter[str], now: float) -> frozenset[str]:
         """Return the versions that are being replaced, if others can take the new streams."""
@@ -104,6 +130,10 @@
         return max(MIN_RETURN_WAIT_S, request.deadline - now)
 
 
+def _has_room(views: list[EngineView]) -> bool:
+    return any(view.requests < view.record.slots for view in views)
+
+
 def _scarce_versions(counts: Counter[str]) -> frozenset[str]:
     """Return the versions with few engines, by the number of engines of each version."""
     most = min(MAX_SCARCE_ENGINES, MAX_SCARCE_SHARE * counts.total())
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -209,6 +209,7 @@
             store, self._follower.mirror, engines, self._membership, self._peers, log, metrics
         )
         self.forwarder.on_stream_began = self._stream_origins.tracker.stream_began
+        self._stream_origins.connect(selector.software_versions)
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
         slot_messenger.wake_waiting = self.forwarder.queues.wake_all
         parts = NodeParts(
@@ -433,7 +434,7 @@
         previous_version = self.view.version
         self._cluster_state.apply(change, known_until)
         self._apply_quarantine(change)
-        self._stream_origins.versions.load(clock.now_s())
+        self._stream_origins.load(clock.now_s())
         self._announce_if_newer(previous_version)
         self.forwarder.queues.wake_all()
 
--- a/liftrill/gateway/streams/origin_service.py
+++ b/liftrill/gateway/streams/origin_service.py
@@ -8,6 +8,7 @@
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.engines.software_version_filter import SoftwareVersionFilter
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.peers.peer_link import PeerLink
 from liftrill.gateway.streams.origin_records import ORIGINS_KEY_PREFIX, OriginRecords
@@ -42,6 +43,16 @@
         peers = MemberPeers(membership, link)
         self.tracker = OriginTracker(engines, peers, self.versions, self._records, log, metrics)
 
+    def connect(self, version_filter: SoftwareVersionFilter) -> None:
+        """Let streams begin where a restart of all nodes does not forget it."""
+        version_filter.may_begin_at = self.tracker.evidence.may_begin_at
+        version_filter.need_version = self.versions.need
+
+    def load(self, now: float) -> None:
+        """Load what is recorded after a change of the mirror."""
+        self.versions.load(now)
+        self.tracker.evidence.refresh(now)
+
     async def run(self) -> None:
         """Keep the store up to date."""
         async with asyncio.TaskGroup() as tasks:
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -71,7 +71,11 @@
 
 
 class OriginTracker:
-    """Records the origins of one node's streams, and finds those of the streams it resumes."""
+    """Records the origins of one node's streams, and finds those of the streams it resumes.
+
+    Attributes:
+        evidence: what this node knows of the versions at which streams began.
+    """
 
     def __init__(
         self,
@@ -85,7 +89,7 @@
         self._engines = engines
         self._recorded_versions = recorded_versions
         self._storage = storage
-        self._evidence = VersionEvidence(engines, recorded_versions, clock.now_s())
+        self.evidence = VersionEvidence(engines, recorded_versions, clock.now_s())
         self._log = log
         self._metrics = metrics
         self._table = OriginTable()
@@ -112,7 +116,7 @@
             f"{len(answers.answered)}/{len(answers.asked)}",
             clock.now_s() - asked_at,
             sorted(f"{each.service}/{each.software_version}" for each in known.served),
-            self._evidence.uptime_s(asked_at),
+            self.evidence.uptime_s(asked_at),
         )
         if origin is None:
             why = f"resumes={request.resumed_request_id[:MAX_LOGGED_ID_LENGTH]!r}"
@@ -141,7 +145,7 @@
             return _Resolution(known.sole, "sole"), answers
         resolution = await self._read_origin(key)
         if resolution.source == "unknown":
-            is_settled = self._evidence.is_settled(clock.now_s())
+            is_settled = self.evidence.is_settled(clock.now_s())
             resolution = replace(
                 resolution, is_final=is_settled and answers.answered == answers.asked
             )
@@ -170,7 +174,7 @@
         entry = OriginEntry(key, origin, now + lifetime_s)
         self._table.record(entry, now)
         services = request.route.services
-        if len(self._evidence.served(services, now)) > 1:
+        if len(self.evidence.served(services, now)) > 1:
             self._exchange.send([entry])
         else:
             self._table.keep_unsent(services, entry)
@@ -178,10 +182,10 @@
     def refresh(self, now: float) -> None:
         """Send the origins of earlier streams of services that now have several versions."""
         for services in self._table.unsent_services():
-            if len(self._evidence.served(services, now)) > 1:
+            if len(self.evidence.served(services, now)) > 1:
                 self._exchange.send(self._table.take_unsent(services, now))
         self._table.expire(now)
-        self._evidence.refresh(now)
+        self.evidence.refresh(now)
         self._exchange.refresh()
         self._metrics.stream_origins.set(len(self._table))
         self._export_versions()
@@ -197,7 +201,7 @@
             self._metrics.engine_versions.labels(service, version).set(count)
 
     def _known_versions(self, services: Iterable[str]) -> KnownVersions:
-        return self._evidence.known(services, clock.now_s())
+        return self.evidence.known(services, clock.now_s())
 
 
 def _resolution(origin: ServiceVersion, source: str) -> _Resolution:
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -2,10 +2,15 @@
 
 Nodes remember in memory which versions served lately. After all of them have ended, a version whose
 engines ended too would be forgotten, and its streams would go on at another one.
+
+Resumable streams begin at recorded versions alone while these serve. Nodes that have just started
+do not record a version that they found beside a recorded one until callers have come back: streams
+that all nodes have forgotten can then have begun at the recorded one alone.
 """
 
 import asyncio
 import math
+from collections import Counter
 from contextlib import suppress
 
 from google.protobuf.message import DecodeError
@@ -30,6 +35,12 @@
 # Nodes write in turn, so that they do not all write the same change.
 TURN_S = 0.3
 WRITE_RETRY_S = 0.5
+# Callers of the streams that a restart broke off have come back within this time.
+RETURN_OF_CALLERS_S = 10.0
+# With a smaller share of the engines, recorded versions cannot take all streams of that time.
+MIN_RECORDED_SHARE = 0.5
+# Nodes that need a version at once write in turn within this time.
+NEEDED_TURNS_S = 0.2
 
 
 class VersionRecord(RecordedVersions):
@@ -62,6 +73,8 @@
         # When this node writes, while the record is not as it should be.
         self._due_at: float | None = None
         self._write_requested = asyncio.Event()
+        # Services whose recorded versions have no room.
+        self._needed: set[str] = set()
 
     @property
     def lacks_history(self) -> bool:
@@ -84,6 +97,13 @@
         """Return the versions of a service that are recorded, or were until lately."""
         return self._by_service.get(service, set())
 
+    def need(self, service: str) -> None:
+        """Record the versions of a service soon, because the recorded ones have no room."""
+        if service not in self._needed:
+            self._needed.add(service)
+            self._due_at = None
+            self._write_requested.set()
+
     def load(self, now: float) -> None:
         """Load the record after a change of the mirror."""
         item = self._mirror.get(VERSIONS_KEY)
@@ -136,7 +156,7 @@
             self._due_at = None
             return
         if self._due_at is None:
-            self._due_at = now + TURN_S * self._rank()
+            self._due_at = now + self._turn_s()
         if now >= self._due_at:
             await self._write(versions)
 
@@ -153,9 +173,31 @@
             del self._read_since[version]
             self._by_service[version.service].discard(version.software_version)
 
+    def _deferred(self, now: float) -> set[ServiceVersion]:
+        """Return the versions that are not recorded yet, so that no streams begin there."""
+        if now - self._started_at >= RETURN_OF_CALLERS_S:
+            return set()
+        counts = Counter(
+            ServiceVersion(view.record.service, view.record.software_version)
+            for view in self._engines
+            if not view.leaving
+        )
+        of_services = Counter(each.service for each in counts.elements())
+        recorded = Counter(each.service for each in counts.elements() if self._is_recorded(each))
+        return {
+            each
+            for each in counts
+            if not self._is_recorded(each)
+            and each.service not in self._needed
+            and recorded[each.service] >= MIN_RECORDED_SHARE * of_services[each.service]
+        }
+
+    def _is_recorded(self, version: ServiceVersion) -> bool:
+        return version.software_version in self.of_service(version.service)
+
     def _current(self, now: float) -> frozenset[ServiceVersion]:
         """Return the versions to record: those that serve, or may have served lately."""
-        present = self._present()
+        present = self._present() - self._deferred(now)
         services = {each.service for each in present | self._read_since.keys()}
         lately = {
             ServiceVersion(service, version)
@@ -165,10 +207,12 @@
         read = {v for v, at in self._read_since.items() if now - at < self.retention_s}
         return present | lately | read
 
-    def _rank(self) -> int:
+    def _turn_s(self) -> float:
+        """Return after what time this node writes, unless another one has written before."""
         members = ranked(RANK_KEY, self._membership.members())
         own = self._membership.own.node_id
-        return next((at for at, member in enumerate(members) if member.node_id == own), 0)
+        rank = next((at for at, member in enumerate(members) if member.node_id == own), 0)
+        return NEEDED_TURNS_S * rank / max(1, len(members)) if self._needed else TURN_S * rank
 
     async def _write(self, versions: frozenset[ServiceVersion]) -> None:
         ordered = sorted(versions, key=lambda each: (each.service, each.software_version))
@@ -195,4 +239,5 @@
             return
         # The mirror has the record within a watch; until then it is not due again.
         self._due_at = clock.now_s() + WRITE_RETRY_S
-        self._log.state_changed("versions_recorded", versions=names)
+        self._log.state_changed("versions_recorded", versions=names, needed=sorted(self._needed))
+        self._needed.clear()
