--- a/features/steps/lost_connection_steps.py
+++ b/features/steps/lost_connection_steps.py
@@ -4,6 +4,7 @@
 import itertools
 import signal
 import time
+from collections import Counter
 
 from behave import given, then, when
 
@@ -139,8 +140,8 @@
 @then('each interrupted stream was lost by that node, and its engine is "{evidence}"')
 def step_evidence(context, evidence):
     rows = context.deployment.logged("stream_interrupted")
-    assert rows and {row["node"] for row in rows} == {"node-1"}, rows
-    assert {row["evidence"] for row in rows} == {evidence}, rows
+    found = Counter((row["node"], row["evidence"]) for row in rows)
+    assert found.keys() == {("node-1", evidence)}, (found, rows)
 
 
 def runs(context):
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import statistics
 import time
+from collections import Counter
 
 from behave import given, then, when
 
@@ -335,7 +336,25 @@
     resumed_share, count = context.callers.resumed_share()
     begun_share = context.callers.begun_share()
     assert count, "no stream was resumed"
-    assert resumed_share >= share * begun_share, (resumed_share, begun_share, count)
+    figures = (resumed_share, begun_share, count)
+    assert resumed_share >= share * begun_share, (*figures, *how_resumptions_ended(context))
+
+
+def how_resumptions_ended(context):
+    """Return what callers of resumed streams got, and why the nodes decided so."""
+    resumed = [each for stream in context.callers.streams for each in stream.resumptions]
+    got = Counter((e.node, e.status, e.connected, e.retry_after_s, e.events > 0) for e in resumed)
+    decided = Counter(
+        (row["node"], row["source"], tuple(row["known_versions"]))
+        for row in context.deployment.logged("stream_resumed")
+    )
+    ids = {each.request_id for each in resumed}
+    outcomes = Counter(
+        (row["node"], row["outcome"], row.get("code"))
+        for row in context.deployment.logged("request")
+        if row["request"] in ids
+    )
+    return got, decided, outcomes
 
 
 @then(
