Joins of a whole fleet do not multiply the work of sending engine state

What was seen: in a return of all nodes each node learns of all others within a second, and for each of them collected the state of all engines three times (now, 0.3 s and 1 s later) and hashed the names of all members, to find out whether it is one of the three nodes that send all weights. The work of one node grows with nodes times engines and with the square of the nodes.

Evidence: cProfile (process time) of one node of 86 in its first 5 s after the imports, 64 engines, load 60 to 90: `_on_member` 0.067 of 0.347 s, of it `send_state_to_joiner` 0.049; the largest cost that grows with nodes. Ruled out: datagrams (an empty state sends none), codecs.

Change: the members that join in one event loop iteration get their state together, collected and encoded once per send; the hashing stops as soon as three nodes precede this one. The same nodes receive the same state at the same times, one iteration later at most.

The new scenario fails on the code before (85 collections).

--- a/features/processor_time.feature
+++ b/features/processor_time.feature
@@ -23,3 +23,9 @@
   Scenario: The list of members is rebuilt only after a change
     Given a node with 5 peers
     Then its list of members is unchanged until one of them is dead
+
+  Scenario: A whole fleet that joins at once does not multiply the work of sending it engine state
+    Given a node with 85 peers that join in one iteration, and 64 engines with weights
+    When it sends them the state of the engines
+    Then it collected that state twice and hashed fewer than 2000 node names
+    And all weights went to the peers for which it ranks among the first 3
--- a/features/steps/processor_time_steps.py
+++ b/features/steps/processor_time_steps.py
@@ -4,12 +4,18 @@
 import itertools
 from collections import Counter
 from dataclasses import replace
+from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 
+from features.gateway_support import engine_record
+from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.coordination.spending_notices import SpendingNotice
 from liftrill.gateway import ticks
+from liftrill.gateway.engines.engine_table import EngineTable
+from liftrill.gateway.peers.engine_gossip import JOINER_WEIGHT_SENDERS, EngineGossip
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
 from liftrill.messages import peer_pb2 as messages
 
@@ -146,3 +152,68 @@
     membership.merge([dead], 1.0)
     assert dead.node_id not in {m.node_id for m in membership.members()}
     assert len(before) == 6, "a returned member list was modified"
+
+
+@given(
+    "a node with {peers:d} peers that join in one iteration, and {engines:d} engines with weights"
+)
+def step_joining_peers(context, peers, engines):
+    context.node = Node(range(1, peers + 1))
+    context.engines = EngineTable()
+    for number in range(engines):
+        context.engines.update(engine_record(f"e{number}", weights={"model": 1}, revision=1))
+
+
+@when("it sends them the state of the engines")
+def step_send_state(context):
+    node = context.node
+    limits = SimpleNamespace(in_force=tuple)
+    gossip = EngineGossip(
+        context.engines, limits, None, node.membership, node.link, log=None, metrics=None
+    )
+
+    async def join():
+        for member in node.membership.alive_others():
+            gossip.send_state_to_joiner(member)
+        await asyncio.sleep(0)
+
+    collect, weight = context.engines.unrecorded_state, rendezvous.weight
+    with (
+        mock.patch.object(EngineTable, "unrecorded_state", side_effect=collect) as collected,
+        mock.patch.object(rendezvous, "weight", side_effect=weight) as hashed,
+    ):
+        asyncio.run(join())
+    context.collected, context.hashed = collected.call_count, hashed.call_count
+
+
+@then("it collected that state twice and hashed fewer than {count:d} node names")
+def step_little_work(context, count):
+    assert context.collected == 2, context.collected
+    assert context.hashed < count, context.hashed
+
+
+@then("all weights went to the peers for which it ranks among the first {count:d}")
+def step_weights_sent(context, count):
+    assert count == JOINER_WEIGHT_SENDERS
+    node = context.node
+    names = [member.node_id for member in node.membership.members()]
+    own = node.membership.own.node_id
+    expected = {
+        f"10.0.0.{member.node_id.removeprefix('node-')}"
+        for member in node.membership.alive_others()
+        if own
+        in rendezvous.rank(
+            member.node_id.encode(), [name for name in names if name != member.node_id]
+        )[:count]
+    }
+    assert expected
+    sent = [
+        (address[0], {(w.engine_id, w.version) for w in message.seen_weights})
+        for address, data in node.transport.sent
+        if (message := messages.Datagram.FromString(data)).seen_weights
+    ]
+    assert {host for host, _ in sent} == expected, sent
+    engines = {(view.engine_id, 1) for view in context.engines}
+    for host in expected:
+        received = set().union(*(weights for to, weights in sent if to == host))
+        assert received == engines, (host, received)
--- a/liftrill/coordination/rendezvous.py
+++ b/liftrill/coordination/rendezvous.py
@@ -1,7 +1,8 @@
 """Rendezvous (highest random weight) hashing, after Thaler and Ravishankar (1996)."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
+from itertools import islice
 
 import xxhash
 
@@ -22,6 +23,18 @@
     return max(candidates, key=lambda name: weight(key, name), default=None)
 
 
+def is_among_first(key: bytes, name: str, candidates: Collection[str], count: int) -> bool:
+    """Return whether a name is one of the first candidates of `rank`.
+
+    Hashes only as many candidates as it takes to find `count` that precede the name.
+    """
+    if name not in candidates:
+        return False
+    own = weight(key, name)
+    preceding = (other for other in candidates if weight(key, other) > own)
+    return len(list(islice(preceding, count))) < count
+
+
 def first_weighted(key: bytes, weights: Mapping[str, float]) -> str | None:
     """Return the candidate for a key; each candidate gets a share of keys by its weight.
 
--- a/liftrill/gateway/peers/engine_gossip.py
+++ b/liftrill/gateway/peers/engine_gossip.py
@@ -8,7 +8,7 @@
 from liftrill.coordination.membership import Membership
 from liftrill.coordination.membership_messages import Member
 from liftrill.coordination.quota import FleetSize
-from liftrill.coordination.rendezvous import first, rank
+from liftrill.coordination.rendezvous import first, is_among_first
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_condition import EngineSignal
@@ -55,6 +55,8 @@
         self._peers = peers
         self._log = log
         self._metrics = metrics
+        # Nodes that joined during this event loop iteration.
+        self._joiners: set[str] = set()
 
     def handle_signal(self, signal: EngineSignal) -> None:
         """Apply the signal in an engine's answer, and broadcast that the engine leaves."""
@@ -91,27 +93,38 @@
         """Send a joining node the state that it can't read in the store.
 
         The node may have started after that state was broadcast. If the store was restored from an
-        older copy, only the other nodes know the state that the copy lacks.
+        older copy, only the other nodes know the state that the copy lacks. When a whole fleet
+        starts, one datagram adds many members, so their state is sent after this event loop
+        iteration.
         """
-        self._send_state(joiner.node_id, with_all_weights=self._sends_weights_to(joiner))
+        if not self._joiners:
+            asyncio.get_running_loop().call_soon(self._send_state_to_joiners)
+        self._joiners.add(joiner.node_id)
+
+    def _send_state_to_joiners(self) -> None:
+        joiners, self._joiners = self._joiners, set()
+        receive_weights = {node for node in joiners if self._sends_weights_to(node)}
+        self._send_state(joiners - receive_weights)
+        self._send_state(receive_weights, with_all_weights=True)
         loop = asyncio.get_running_loop()
         for wait_s in JOINER_RESEND_DELAYS_S:
-            loop.call_later(wait_s, self._send_state, joiner.node_id)
+            loop.call_later(wait_s, self._send_state, joiners)
 
-    def _sends_weights_to(self, joiner: Member) -> bool:
+    def _sends_weights_to(self, joiner: str) -> bool:
         """Return whether this node is one of the few that send all weights to a joining node.
 
         The joining node may be the first to read an older copy of the store, and would then ask
         engines for weights that they no longer have.
         """
         members = (member.node_id for member in self._membership.members())
-        candidates = [node for node in members if node != joiner.node_id]
-        senders = rank(joiner.node_id.encode(), candidates)[:JOINER_WEIGHT_SENDERS]
-        return self._membership.own.node_id in senders
-
-    def _send_state(self, node: str, with_all_weights: bool = False) -> None:
-        update = self._engines.unrecorded_state(with_all_weights)
-        self._peers.send_update(replace(update, limits=self._limits.in_force()), node)
+        candidates = [node for node in members if node != joiner]
+        own = self._membership.own.node_id
+        return is_among_first(joiner.encode(), own, candidates, JOINER_WEIGHT_SENDERS)
+
+    def _send_state(self, nodes: set[str], with_all_weights: bool = False) -> None:
+        if nodes:
+            update = self._engines.unrecorded_state(with_all_weights)
+            self._peers.send_update(replace(update, limits=self._limits.in_force()), nodes)
 
     def _log_leaving(self, engine: EngineAddress, source: str) -> None:
         view = self._engines.get(engine.engine_id)
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -243,10 +243,12 @@
             own = self._membership.own.node_id
             self._send(member.address, datagram_from_origin(own, content, clock.now_s()))
 
-    def send_update(self, update: UnrecordedEngineState, node: str) -> None:
-        """Send one member, once, the engine state that the records do not hold."""
-        for message in datagrams_from_update(update):
-            self._send_to(message, node)
+    def send_update(self, update: UnrecordedEngineState, nodes: set[str]) -> None:
+        """Send some members, once, the engine state that the records do not hold."""
+        datagrams = datagrams_from_update(update)
+        members = [m for m in self._others() if m.node_id in nodes] if datagrams else []
+        for message in datagrams:
+            self._send_all(members, message)
 
     def _send_repeatedly(self, message: messages.Datagram, node: str = "") -> None:
         """Send a message to one member, or to all, now and again after some delays."""
