The identity of an engine is created once, not at each listing

What was seen: a node lists the identities of all engines twice at each check of its links, ten times a second, and at each choice of an engine. Each listing created a frozen data class per engine: the periodic work grows with the engines, which grow with the nodes.

Change: the view keeps its identity, and replaces it when a record names another address. Equal identities are now mostly the same object, so that dictionaries find them without a comparison.

The new scenario fails on the code before.

--- a/features/processor_time.feature
+++ b/features/processor_time.feature
@@ -29,3 +29,8 @@
     When it sends them the state of the engines
     Then it collected that state twice and hashed fewer than 2000 node names
     And all weights went to the peers for which it ranks among the first 3
+
+  Scenario: The identity of an engine is created only when its address changes
+    Given a node with 64 engines
+    Then listing them creates no identities
+    And an engine whose record has another address has another identity
--- a/features/steps/processor_time_steps.py
+++ b/features/steps/processor_time_steps.py
@@ -14,6 +14,7 @@
 from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.coordination.spending_notices import SpendingNotice
 from liftrill.gateway import ticks
+from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.peers.engine_gossip import JOINER_WEIGHT_SENDERS, EngineGossip
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
@@ -217,3 +218,28 @@
     for host in expected:
         received = set().union(*(weights for to, weights in sent if to == host))
         assert received == engines, (host, received)
+
+
+@given("a node with {engines:d} engines")
+def step_engines(context, engines):
+    context.engines = EngineTable()
+    for number in range(engines):
+        context.engines.update(engine_record(f"e{number}", revision=1))
+
+
+@then("listing them creates no identities")
+def step_identities_kept(context):
+    before = [view.identity for view in context.engines]
+    after = [view.identity for view in context.engines]
+    assert all(a is b for a, b in zip(before, after, strict=True))
+
+
+@then("an engine whose record has another address has another identity")
+def step_identity_changes(context):
+    view = context.engines.get("e1")
+    before = view.identity
+    assert before == EngineAddress("e1", view.record.address, view.number)
+    context.engines.update(engine_record("e1", address="10.0.0.9:1", revision=2))
+    view = context.engines.get("e1")
+    assert view.identity == EngineAddress("e1", "10.0.0.9:1", view.number)
+    assert view.identity != before
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -92,6 +92,8 @@
         withdrawn: whether the engine is out of use until its next good record arrives.
         speed: estimated speed of the engine.
         number: hash that identifies the incarnation in messages to peers.
+        identity: the id, address and number of the incarnation; kept, because each check of the
+            links lists those of all engines.
         condition: state that the engine reported about itself; it outlives this view.
     """
 
@@ -108,9 +110,11 @@
     speed: EngineSpeed = field(default_factory=EngineSpeed)
     condition: EngineCondition = field(default_factory=EngineCondition)
     number: int = field(init=False)
+    identity: EngineAddress = field(init=False)
 
     def __post_init__(self) -> None:
         self.number = engine_number(self.record.incarnation)
+        self.identity = EngineAddress(self.engine_id, self.record.address, self.number)
 
     @property
     def leaving(self) -> bool:
@@ -127,11 +131,6 @@
         """The id of the engine."""
         return self.record.engine_id
 
-    @property
-    def identity(self) -> EngineAddress:
-        """The id, address and number of the incarnation."""
-        return EngineAddress(self.engine_id, self.record.address, self.number)
-
     @property
     def advertised_number(self) -> int:
         """The number to send to peers, or 0 if the engine reports no start time."""
@@ -170,6 +169,8 @@
         if record.revision >= self.record.revision:
             self.withdrawn = bool(self.weights) and not record.weights
             self.record = record
+            if self.identity.address != record.address:
+                self.identity = replace(self.identity, address=record.address)
         self.vanished_at = None
         self.condition.leaving = self.condition.leaving or record.draining
         for model, version in record.weights.items():
