A node that just started looks at its engines only for new versions

What was seen: for the first 10 s after its start a node looks three times a second for versions whose recording it defers, and created a record of service and version for each engine twice, though all versions are recorded as a rule. The work grows with the engines and falls into the return of all nodes.

Change: without a version that is not recorded nothing is deferred, and the engines are not listed; otherwise they are counted by plain names.

The new scenario fails on the code before (1 listing).

--- a/features/processor_time.feature
+++ b/features/processor_time.feature
@@ -34,3 +34,8 @@
     Given a node with 64 engines
     Then listing them creates no identities
     And an engine whose record has another address has another identity
+
+  Scenario: A node that just started looks at its engines only for versions that are not recorded
+    Given a node with 64 engines, whose only version is recorded
+    When it checks whether to record versions
+    Then it does not look at each engine
--- a/features/steps/processor_time_steps.py
+++ b/features/steps/processor_time_steps.py
@@ -10,14 +10,18 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record
+from features.steps.stream_origin_steps import FakeRangeStore
+from liftrill import clock
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.coordination.spending_notices import SpendingNotice
 from liftrill.gateway import ticks
+from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.peers.engine_gossip import JOINER_WEIGHT_SENDERS, EngineGossip
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
+from liftrill.gateway.streams.version_record import VersionRecord
 from liftrill.messages import peer_pb2 as messages
 
 
@@ -243,3 +247,40 @@
     view = context.engines.get("e1")
     assert view.identity == EngineAddress("e1", "10.0.0.9:1", view.number)
     assert view.identity != before
+
+
+class ListedEngines(EngineTable):
+    """Engines that count how often they are listed."""
+
+    listed = 0
+
+    def __iter__(self):
+        self.listed += 1
+        return super().__iter__()
+
+
+@given("a node with {engines:d} engines, whose only version is recorded")
+def step_recorded_engines(context, engines):
+    context.engines = ListedEngines()
+    for number in range(engines):
+        context.engines.update(engine_record(f"e{number}", software_version="v1.1"))
+    store = FakeRangeStore()
+    membership = new_membership(Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1), [])
+    context.record = VersionRecord(
+        store, store.mirror, context.engines, membership, DecisionLog("node-1")
+    )
+    context.record.load(clock.now_s())
+    asyncio.run(context.record.write_due(clock.now_s()))
+    context.record.load(clock.now_s())
+    assert context.record.of_service("service-1") == {"v1.1"}
+
+
+@when("it checks whether to record versions")
+def step_check_record(context):
+    context.engines.listed = 0
+    asyncio.run(context.record.write_due(clock.now_s()))
+
+
+@then("it does not look at each engine")
+def step_not_listed(context):
+    assert context.engines.listed == 0, context.engines.listed
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -177,13 +177,16 @@
         """Return the versions that are not recorded yet, so that no streams begin there."""
         if now - self._started_at >= RETURN_OF_CALLERS_S:
             return set()
-        counts = Counter(
-            ServiceVersion(view.record.service, view.record.software_version)
-            for view in self._engines
-            if not view.leaving
-        )
-        of_services = Counter(each.service for each in counts.elements())
-        recorded = Counter(each.service for each in counts.elements() if self._is_recorded(each))
+        if all(self._is_recorded(each) for each in self._present()):
+            return set()
+        records = (view.record for view in self._engines if not view.leaving)
+        named = Counter((record.service, record.software_version) for record in records)
+        counts = {ServiceVersion(*names): count for names, count in named.items()}
+        of_services: Counter[str] = Counter()
+        recorded: Counter[str] = Counter()
+        for each, count in counts.items():
+            of_services[each.service] += count
+            recorded[each.service] += count * self._is_recorded(each)
         return {
             each
             for each in counts
