Promises: an engine whose weights change unordered reports it after a request has met the change

A fault of the test, not of the product.

Cause: a violation needs a request whose node takes the engine for one with 2026-11 and that arrives once it has 2026-12. Of the six changes three were from 2026-11 to 2026-11 and could show nothing. For the other three the engine had the new weights 0 to 1 ms after the fault, and answered the watch of a node 0 to 3 ms after it (trace of the engines); the 18 requests of the change were started at the same time, in another process. Which came first was left to chance.

No request was refused while the engine loaded, and none arrived before the fault (0 requests ran at each fault).

Change: the fault "unreported_load" of the engine emulator goes on reporting the earlier weights until an attempt is run at, or refused for, the new ones. The step waits until every node takes every engine for one with the ordered weights, changes one engine's, sends requests at the same time and after as before, and sends more until the engine reports the change; a change that no request has met ends in an error. So each of six changes is real (two for each engine, 18 requests each as before) and is met by a request of a node that could not know. Without preconditions that request is a violation; with them it is refused, in the row "own answers holds", which uses the same step and is stricter too: the refusal was left to chance there as well. The assertions are unchanged.

--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -1,7 +1,6 @@
 """Steps that cause one failure each and run a checker on the recorded history."""
 
 import asyncio
-import itertools
 import random
 import signal
 import time
@@ -28,6 +27,8 @@
 
 KEY_SOURCE = random.Random(5)
 CLAIM_WARM_UP_SECONDS = 4.0
+UNORDERED_WEIGHTS = "2026-12"
+CHANGES_PER_ENGINE = 2
 LEAVING_LOAD_SECONDS = 4.0
 # On a busy machine a batch of requests may last longer than the grace period.
 MIN_BATCHES_AFTER_GRACE = 2
@@ -158,18 +159,54 @@
     context.run(run())
 
 
+async def nodes_know_ordered_weights(context):
+    """Return whether every node takes every engine for one with the ordered weights."""
+    ordered = context.cluster.deployment.pools[0].weight_version
+    for index in range(len(context.cluster.nodes)):
+        engines = (await context.cluster.operator(index).call("GET", "/status"))["engines"]
+        if any(row["weight_version"] != ordered or row["leaving"] for row in engines):
+            return False
+    return True
+
+
+async def reported_revision(context, engine):
+    url = f"http://{engine.managed.address}/v1/status"
+    async with context.cluster.session.get(url) as response:
+        return orjson.loads(await response.read())["revision"]
+
+
+def send_short_streams(context):
+    return send_requests(context, streaming_requests(context, 9, tokens=4))
+
+
+async def change_weights(context, engine):
+    """Change an engine's weights, and send requests until the engine reports the change.
+
+    It does so when a request has arrived whose node did not know of the change.
+    """
+    await wait_until(lambda: nodes_know_ordered_weights(context), "the ordered weights")
+    revision = await reported_revision(context, engine)
+    calls = asyncio.create_task(send_short_streams(context))
+    await context.cluster.engine_fault(
+        engine, kind="unreported_load", seconds=0.0, weight_version=UNORDERED_WEIGHTS
+    )
+    await send_short_streams(context)
+    await calls
+
+    async def is_reported():
+        if await reported_revision(context, engine) > revision:
+            return True
+        await send_short_streams(context)
+        return False
+
+    await wait_until(is_reported, f"a request at {engine.engine_id}, whose weights changed")
+
+
 @when("engines change their weights without an order")
 def step_weights_unasked(context):
     async def run():
-        # Nodes learn of a change within tens of milliseconds, so requests arrive continuously.
-        for engine, month in itertools.product(context.cluster.engines, (11, 12)):
-            calls = asyncio.create_task(
-                send_requests(context, streaming_requests(context, 9, tokens=4))
-            )
-            fault = {"kind": "load", "seconds": 0.0, "weight_version": f"2026-{month}"}
-            await context.cluster.engine_fault(engine, **fault)
-            await send_requests(context, streaming_requests(context, 9, tokens=4))
-            await calls
+        for engine in context.cluster.engines * CHANGES_PER_ENGINE:
+            await change_weights(context, engine)
 
     context.run(run())
 
--- a/liftrill/emulator/engine_faults.py
+++ b/liftrill/emulator/engine_faults.py
@@ -15,6 +15,7 @@
     "leave",
     "accept_while_leaving",
     "load",
+    "unreported_load",
 ]
 
 
@@ -28,8 +29,9 @@
             another request), repeated_chunks (for `seconds`, send each chunk twice),
             event_loss (lose `share` of the cache events), leave (report as leaving and refuse
             new requests), accept_while_leaving (report as leaving but accept requests), load
-            (switch to `weight_version` after `seconds`), none (end freeze, foreign_answers,
-            repeated_chunks, leave and accept_while_leaving).
+            (switch to `weight_version` after `seconds`), unreported_load (like load, but report
+            the earlier weights until an attempt arrives at the new ones), none (end freeze,
+            foreign_answers, repeated_chunks, leave, accept_while_leaving and stale reports).
     """
 
     model_config = ConfigDict(extra="forbid")
--- a/liftrill/emulator/engine_server.py
+++ b/liftrill/emulator/engine_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import deque
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import aiohttp
@@ -36,6 +36,8 @@
     RefusalReason.WRONG_POOL: 422,
     RefusalReason.MODEL_MISMATCH: 412,
 }
+# The results of an attempt whose weights were compared, or would be if it named any.
+ATTEMPT_MET_WEIGHTS = (None, RefusalReason.WEIGHT_VERSION_MISMATCH)
 UNAVAILABLE_STATUS = 503
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 IDLE_TICK_SECONDS = 0.5
@@ -44,6 +46,21 @@
 UNTIL_WEIGHTS_FETCHED = float("inf")
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedIdentity:
+    """What an engine reports about itself."""
+
+    incarnation: int
+    revision: int
+    weight_version: str
+    leaving: bool
+
+    @property
+    def key(self) -> tuple[int, int]:
+        """The incarnation and the revision, which a reader names to wait for a change."""
+        return (self.incarnation, self.revision)
+
+
 class EngineServer:
     """Serves one engine model; all handlers run on one event loop."""
 
@@ -68,6 +85,7 @@
         self._frozen_until = 0.0
         self._foreign_answers_until = 0.0
         self._repeated_chunks_until = 0.0
+        self._stale_identity: ReportedIdentity | None = None
         self._recent_events: deque[CacheEvent] = deque(maxlen=MAX_RECENT_EVENTS)
         self._journal = EngineJournal(engine_id, journal_path)
         self._driver: asyncio.Task[None] | None = None
@@ -103,15 +121,16 @@
 
     async def _drive(self) -> None:
         """Advance the model whenever a step or a load is due, and deliver its outputs."""
+        notified = self._reported_identity()
         while True:
             now = time.monotonic()
             if now < self._frozen_until:
                 await asyncio.sleep(self._frozen_until - now)
                 continue
-            revision = self._model.revision
             for output in self._model.advance(now):
                 self._deliver(output)
-            if self._model.revision != revision:
+            while self._reported_identity() != notified:
+                notified = self._reported_identity()
                 await self._notify_identity_change()
             await self._wait_for_work(self._model.next_time())
 
@@ -140,6 +159,8 @@
         except (ValidationError, ValueError) as error:
             return _json_response({"error": {"code": "invalid", "message": str(error)}}, 400)
         reason = self._model.submit(generation_request, time.monotonic())
+        if reason in ATTEMPT_MET_WEIGHTS:
+            self._end_stale_reports()
         if reason is not None:
             return self._refusal_response(reason)
         self._journal.record_execution(body, self._model.incarnation, self._model.weight_version)
@@ -245,15 +266,16 @@
         if "wait" in request.query:
             await self._wait_for_identity_change(request)
         report = self._model.report(time.monotonic())
+        identity = self._reported_identity()
         return _json_response(
             {
                 "engine_id": self.engine_id,
                 "model": self._model.assignment.model,
                 "pool": self._model.assignment.pool,
-                "incarnation": self._model.incarnation,
-                "revision": self._model.revision,
-                "weight_version": self._model.weight_version,
-                "leaving": self._model.leaving or self._model.loading_until is not None,
+                "incarnation": identity.incarnation,
+                "revision": identity.revision,
+                "weight_version": identity.weight_version,
+                "leaving": identity.leaving,
                 "running": report.running,
                 "waiting": report.waiting,
                 "waiting_prompt_tokens": report.waiting_prompt_tokens,
@@ -266,7 +288,7 @@
         known = (int(request.query["incarnation"]), int(request.query["revision"]))
         deadline = time.monotonic() + min(float(request.query["wait"]), MAX_WAIT_SECONDS)
         async with self._identity_changed:
-            while known == (self._model.incarnation, self._model.revision):
+            while known == self._reported_identity().key:
                 remaining = deadline - time.monotonic()
                 if remaining <= 0:
                     return
@@ -276,6 +298,21 @@
                 except TimeoutError:
                     return
 
+    def _reported_identity(self) -> ReportedIdentity:
+        return self._stale_identity or ReportedIdentity(
+            self._model.incarnation,
+            self._model.revision,
+            self._model.weight_version,
+            self._model.leaving or self._model.loading_until is not None,
+        )
+
+    def _end_stale_reports(self) -> None:
+        """Report the loaded weights if the stale report names others."""
+        stale = self._stale_identity
+        if stale is not None and stale.weight_version != self._model.weight_version:
+            self._stale_identity = None
+            self._work_available.set()
+
     async def _notify_identity_change(self) -> None:
         async with self._identity_changed:
             self._identity_changed.notify_all()
@@ -294,10 +331,12 @@
         fault = EngineFault.model_validate_json(await request.read())
         now = time.monotonic()
         if fault.kind == "none":
+            self._stale_identity = None
             self._frozen_until = self._foreign_answers_until = self._repeated_chunks_until = 0.0
             self._model.set_leaving(False)
         elif fault.kind == "crash":
             self._model.crash(_new_incarnation())
+            self._stale_identity = None
             self._recent_events.clear()
             self._cut_streams()
         elif fault.kind == "freeze":
@@ -314,12 +353,17 @@
             self._model.set_leaving(True)
             self._model.accepts_while_leaving = fault.kind == "accept_while_leaving"
         else:
-            changed = replace(self._model.assignment, weight_version=fault.weight_version)
-            self._model.load(changed, now + fault.seconds)
+            self._load_unordered(fault, now)
         self._work_available.set()
         await self._notify_identity_change()
         return _json_response({"applied": fault.kind})
 
+    def _load_unordered(self, fault: EngineFault, now: float) -> None:
+        if fault.kind == "unreported_load":
+            self._stale_identity = self._reported_identity()
+        changed = replace(self._model.assignment, weight_version=fault.weight_version)
+        self._model.load(changed, now + fault.seconds)
+
     # Streams
 
     def _open_reader(self, attempt_id: str) -> asyncio.Queue[EngineOutput | None]:
