Promises: each generation that a node puts in force counts, and a store is restored under all its watchers

A fault of the test, not of the product.

A node waits up to 5 s before it tries the store again, so a node that starts before the store listens is late. The step samples generations every 0.1 s or more, so that a reversion of 30 ms is seen by chance.

Change: the store emulator counts the reads that wait for a change of a key (/admin/counters), and the step restores the store once as many wait for the head as nodes watch it, so that each reads the restored head at once. After the samples, which stay, it adds each generation that a node has logged as in force, so that a reversion of any length is a violation, also in the row "configuration holds". The assertions are unchanged. Narrower than before: a restore during the wait of a node that does not watch yet is not played any more, which happened by chance.

--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -23,10 +23,13 @@
 from liftrill.bench.idempotency_key import new_key
 from liftrill.bench.launcher import LaunchError, wait_until
 from liftrill.cli.operator_client import OperatorCallError
+from liftrill.constants import STORE_WATCHERS_PER_REGION
 from liftrill.mechanisms import ENVIRONMENT_NAME
+from liftrill.planning.commit import HEAD_KEY
 
 KEY_SOURCE = random.Random(5)
 CLAIM_WARM_UP_SECONDS = 4.0
+STORE_WATCHERS_NAME = "LIFTRILL_STORE_WATCHERS_PER_REGION"
 UNORDERED_WEIGHTS = "2026-12"
 CHANGES_PER_ENGINE = 2
 LEAVING_LOAD_SECONDS = 4.0
@@ -40,7 +43,7 @@
 @given("a cluster of {engines:d} engines and {nodes:d} nodes without {mechanism}")
 def step_cluster_without(context, engines, nodes, mechanism):
     # Every node watches the store, so that no node depends on the data relayed by another.
-    environment = {ENVIRONMENT_NAME: mechanism, "LIFTRILL_STORE_WATCHERS_PER_REGION": "3"}
+    environment = {ENVIRONMENT_NAME: mechanism, STORE_WATCHERS_NAME: "3"}
     start_cluster(context, engines, nodes, environment=environment)
     context.run(context.cluster.configure())
 
@@ -274,16 +277,41 @@
     await wait_until(reached_everywhere, f"generation {generation}")
 
 
+async def wait_for_head_watches(context):
+    """Wait until all nodes that watch the store do so, so that each reads a restored head."""
+    watchers = int(context.cluster.environment.get(STORE_WATCHERS_NAME, STORE_WATCHERS_PER_REGION))
+    url = f"http://{context.cluster.platform.address}/admin/counters"
+
+    async def all_watch():
+        async with context.cluster.session.get(url) as response:
+            return orjson.loads(await response.read())["blocked_reads"].get(HEAD_KEY, 0) >= watchers
+
+    await wait_until(all_watch, f"{watchers} watches of the head")
+
+
+def record_logged_generations(context):
+    """Record each generation that a node has put in force, also if only for milliseconds."""
+    for node in context.cluster.nodes:
+        lines = node.log_path.read_bytes().splitlines()
+        rows = [orjson.loads(line) for line in lines if b"liftrill:configuration_in_force" in line]
+        history_of(context).samples.extend(
+            GenerationSample(row["timestamp"], f"log of {node.name}", 0, row["generation"])
+            for row in rows
+        )
+
+
 @when("the store is restored from an old copy")
 def step_store_restored(context):
     async def run():
         await context.cluster.platform_fault(kind="save")
         generation = await confirm_tenant(context, 0, "tenant-9")
         await wait_for_generation(context, generation)
+        await wait_for_head_watches(context)
         await context.cluster.platform_fault(kind="restore")
         for _ in range(20):
             await sample_generations(context)
             await asyncio.sleep(0.1)
+        record_logged_generations(context)
         await record_configuration(context)
 
     context.run(run())
--- a/liftrill/emulator/platform_server.py
+++ b/liftrill/emulator/platform_server.py
@@ -11,6 +11,7 @@
 import asyncio
 import base64
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import Literal
 
@@ -76,6 +77,7 @@
         self._saved_entries: dict[str, StoredEntry] = {}
         self._call_count = 0
         self._refused_count = 0
+        self._blocked_reads: Counter[str] = Counter()
 
     def application(self) -> web.Application:
         """Return the aiohttp application."""
@@ -133,11 +135,14 @@
                 remaining = deadline - time.monotonic()
                 if remaining <= 0 or (entry is not None and entry.revision != after_revision):
                     return entry
+                self._blocked_reads[key] += 1
                 try:
                     async with asyncio.timeout(remaining):
                         await self._entry_changed.wait()
                 except TimeoutError:
                     return self._model.get(key, time.monotonic())
+                finally:
+                    self._blocked_reads[key] -= 1
 
     async def _put(self, request: web.Request) -> web.Response:
         key = request.match_info["key"]
@@ -239,7 +244,11 @@
         return web.Response()
 
     async def _counters(self, _: web.Request) -> web.Response:
-        counters = {"calls": self._call_count, "refused": self._refused_count}
+        counters = {
+            "calls": self._call_count,
+            "refused": self._refused_count,
+            "blocked_reads": self._blocked_reads,
+        }
         return web.Response(body=orjson.dumps(counters), content_type="application/json")
 
     async def _notify_entry_change(self) -> None:
