--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -1,7 +1,6 @@
 """Steps that cause one failure each and run a checker on the recorded history."""
 
 import asyncio
-import itertools
 import random
 import signal
 import time
@@ -24,10 +23,15 @@
 from liftrill.bench.idempotency_key import new_key
 from liftrill.bench.launcher import LaunchError, wait_until
 from liftrill.cli.operator_client import OperatorCallError
+from liftrill.constants import STORE_WATCHERS_PER_REGION
 from liftrill.mechanisms import ENVIRONMENT_NAME
+from liftrill.planning.commit import HEAD_KEY
 
 KEY_SOURCE = random.Random(5)
 CLAIM_WARM_UP_SECONDS = 4.0
+STORE_WATCHERS_NAME = "LIFTRILL_STORE_WATCHERS_PER_REGION"
+UNORDERED_WEIGHTS = "2026-12"
+CHANGES_PER_ENGINE = 2
 LEAVING_LOAD_SECONDS = 4.0
 # On a busy machine a batch of requests may last longer than the grace period.
 MIN_BATCHES_AFTER_GRACE = 2
@@ -39,7 +43,7 @@
 @given("a cluster of {engines:d} engines and {nodes:d} nodes without {mechanism}")
 def step_cluster_without(context, engines, nodes, mechanism):
     # Every node watches the store, so that no node depends on the data relayed by another.
-    environment = {ENVIRONMENT_NAME: mechanism, "LIFTRILL_STORE_WATCHERS_PER_REGION": "3"}
+    environment = {ENVIRONMENT_NAME: mechanism, STORE_WATCHERS_NAME: "3"}
     start_cluster(context, engines, nodes, environment=environment)
     context.run(context.cluster.configure())
 
@@ -158,18 +162,54 @@
     context.run(run())
 
 
+async def nodes_know_ordered_weights(context):
+    """Return whether every node takes every engine for one with the ordered weights."""
+    ordered = context.cluster.deployment.pools[0].weight_version
+    for index in range(len(context.cluster.nodes)):
+        engines = (await context.cluster.operator(index).call("GET", "/status"))["engines"]
+        if any(row["weight_version"] != ordered or row["leaving"] for row in engines):
+            return False
+    return True
+
+
+async def reported_revision(context, engine):
+    url = f"http://{engine.managed.address}/v1/status"
+    async with context.cluster.session.get(url) as response:
+        return orjson.loads(await response.read())["revision"]
+
+
+def send_short_streams(context):
+    return send_requests(context, streaming_requests(context, 9, tokens=4))
+
+
+async def change_weights(context, engine):
+    """Change an engine's weights, and send requests until the engine reports the change.
+
+    It does so when a request has arrived whose node did not know of the change.
+    """
+    await wait_until(lambda: nodes_know_ordered_weights(context), "the ordered weights")
+    revision = await reported_revision(context, engine)
+    calls = asyncio.create_task(send_short_streams(context))
+    await context.cluster.engine_fault(
+        engine, kind="unreported_load", seconds=0.0, weight_version=UNORDERED_WEIGHTS
+    )
+    await send_short_streams(context)
+    await calls
+
+    async def is_reported():
+        if await reported_revision(context, engine) > revision:
+            return True
+        await send_short_streams(context)
+        return False
+
+    await wait_until(is_reported, f"a request at {engine.engine_id}, whose weights changed")
+
+
 @when("engines change their weights without an order")
 def step_weights_unasked(context):
     async def run():
-        # Nodes learn of a change within tens of milliseconds, so requests arrive continuously.
-        for engine, month in itertools.product(context.cluster.engines, (11, 12)):
-            calls = asyncio.create_task(
-                send_requests(context, streaming_requests(context, 9, tokens=4))
-            )
-            fault = {"kind": "load", "seconds": 0.0, "weight_version": f"2026-{month}"}
-            await context.cluster.engine_fault(engine, **fault)
-            await send_requests(context, streaming_requests(context, 9, tokens=4))
-            await calls
+        for engine in context.cluster.engines * CHANGES_PER_ENGINE:
+            await change_weights(context, engine)
 
     context.run(run())
 
@@ -237,16 +277,41 @@
     await wait_until(reached_everywhere, f"generation {generation}")
 
 
+async def wait_for_head_watches(context):
+    """Wait until all nodes that watch the store do so, so that each reads a restored head."""
+    watchers = int(context.cluster.environment.get(STORE_WATCHERS_NAME, STORE_WATCHERS_PER_REGION))
+    url = f"http://{context.cluster.platform.address}/admin/counters"
+
+    async def all_watch():
+        async with context.cluster.session.get(url) as response:
+            return orjson.loads(await response.read())["blocked_reads"].get(HEAD_KEY, 0) >= watchers
+
+    await wait_until(all_watch, f"{watchers} watches of the head")
+
+
+def record_logged_generations(context):
+    """Record each generation that a node has put in force, also if only for milliseconds."""
+    for node in context.cluster.nodes:
+        lines = node.log_path.read_bytes().splitlines()
+        rows = [orjson.loads(line) for line in lines if b"liftrill:configuration_in_force" in line]
+        history_of(context).samples.extend(
+            GenerationSample(row["timestamp"], f"log of {node.name}", 0, row["generation"])
+            for row in rows
+        )
+
+
 @when("the store is restored from an old copy")
 def step_store_restored(context):
     async def run():
         await context.cluster.platform_fault(kind="save")
         generation = await confirm_tenant(context, 0, "tenant-9")
         await wait_for_generation(context, generation)
+        await wait_for_head_watches(context)
         await context.cluster.platform_fault(kind="restore")
         for _ in range(20):
             await sample_generations(context)
             await asyncio.sleep(0.1)
+        record_logged_generations(context)
         await record_configuration(context)
 
     context.run(run())
