Streams cut as their leaving engine is killed are not said whole for being alone at their node

Their engine was leaving and was killed; each of two nodes had one stream of it; the closes came 13.0 and 15.0 ms after the last bytes.

Cause: "ended, leaving, prompt, alone" was decided by each node from its own responses. Other nodes had responses that ended 3.0 and 1.4 ms apart with these, and nobody asked them: the lack of a report at one node was taken for its lack in the fleet.

Change: with the checks that run anyway, the node asks its peers (all of up to 12, in a larger fleet those that reported requests at the engine within 1 s, or their zone did). The answer tells the ages of ends of responses of the engine and how long after their last bytes they came; no clocks are compared, and the part of the round trip that the peer did not hold the question is the tolerance. Two ends are one if they are within 10 ms, and the later had no bytes more than 2 ms after the earlier: a killed engine sends none. Ends after which the engine was seen running are no sign. A peer that reported requests there and is silent for 0.4 s is no evidence that none ended: the response counts as interrupted.

Why not by the stream's pace: it tells how likely a kill falls right after bytes, not whether this one did; steps of an engine send all streams' bytes at once, and a late node sees both at once.

Ten rows play the exchange without nodes.

Stand-in: pieces of answers that end with their connection are due at times from their beginning. Sleeps that a stall merged kept streams in step from then on, so that answers begun 24 ms apart ended 1 ms apart at two nodes.

--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -553,14 +553,25 @@
         response = self._response(headers, lambda: len(body))
         await response.prepare(request)
         size = math.ceil(len(body) / BODY_PIECES)
+        began_at = time.monotonic()
         for start in range(0, len(body), size):
             if start:
-                await asyncio.sleep(self.body_seconds / BODY_PIECES)
+                await self._pause(began_at, start // size, self.body_seconds / BODY_PIECES)
             await response.write(body[start : start + size])
         arrival.finished = True
         await response.write_eof()
         return response
 
+    async def _pause(self, began_at, number, pause_s):
+        """Wait before the next piece of an answer.
+
+        The pieces of answers that end with their connections are due at times counted from the
+        beginning, so that answers that did not begin together do not end together after a stall.
+        """
+        if self.framing == CONNECTION:
+            pause_s = max(0.0, began_at + number * pause_s - time.monotonic())
+        await asyncio.sleep(pause_s)
+
     def framing_of(self, attempt_id):
         """Return how the answer to a request ends."""
         if self.framing == MIXED:
@@ -650,6 +661,7 @@
         await response.prepare(request)
         if self.scripts:
             return await self._play(request, arrival, response, self.scripts.pop(0))
+        began_at = time.monotonic()
         for number in range(first, self.events + 1):
             event = self._event(number, arrival)
             version = self.weights.get(request.headers.get("X-Model"))
@@ -661,7 +673,7 @@
             if self.framing == CONNECTION and number == self.events:
                 # The end of the connection marks the end of the answer, so that it comes at once.
                 break
-            await asyncio.sleep(self.event_seconds)
+            await self._pause(began_at, number - first + 1, self.event_seconds)
             if loses and number == first + 1:
                 self._lose(request, arrival, (self.events - number) * self.event_seconds)
                 return response
--- /dev/null
+++ b/features/steps/response_end_steps.py
@@ -0,0 +1,110 @@
+"""Steps on what peers tell of the ends of responses of an engine."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+from liftrill import clock
+from liftrill.coordination.membership_messages import Member
+from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.engines.engine_end_check import ResponseEnd
+from liftrill.gateway.paths.reach_codec import (
+    ResponseEndAnswer,
+    datagram_from_reach,
+    reach_from_datagram,
+)
+from liftrill.gateway.paths.reach_exchange import ResponseEndExchange, ResponseEndPeers
+
+ENGINE = EngineAddress("engine-1", "127.0.0.1:1", 7)
+# Words of the steps: how long before the end at the node one ended at the peer, and how long after
+# its last bytes.
+ENDS = {
+    "had one end 3 ms before": (0.003, 0.02),
+    "had one end 200 ms before": (0.2, 0.0),
+    "had one end 6 ms later, 5 ms after bytes": (-0.006, 0.005),
+    "had one end 7 ms later, at once after bytes": (-0.007, 0.0),
+    "had one end 200 ms later": (-0.2, 0.2),
+}
+SILENT = "does not answer"
+LOSES_FIRST = "gets the second question only"
+# How long after the end at the node it asks, so that later ends can be known.
+ASKED_AFTER_S = 0.25
+# How long peers hold a question, and how long after the last bytes the response at the node ended.
+HELD_S, DELAY_S = 0.01, 0.01
+
+
+class Fleet(ResponseEndPeers):
+    """Peers of which the first does something, and the others had no responses."""
+
+    def __init__(self, count, does, reported):
+        self._members = [
+            Member(f"n{number}", f"10.1.0.{number}:1", "region-1", "zone-1", 1)
+            for number in range(count)
+        ]
+        self._does = does
+        self._reported = reported
+        self.sent = []
+        self.exchange = None
+        self.ended_at = 0.0
+
+    def members(self):
+        return self._members
+
+    def had_requests(self, member, engine):
+        return self._reported and member is self._members[0]
+
+    def send(self, node, content):
+        content = over_the_wire(content)
+        self.sent.append(node)
+        if node != self._members[0].node_id:
+            self.answer(node, content, ())
+        elif self._does in ENDS:
+            before_s, delay_s = ENDS[self._does]
+            self.answer(node, content, [ResponseEnd(self.ended_at - before_s, delay_s)])
+        elif self._does == LOSES_FIRST and self.sent.count(node) > 1:
+            self.answer(node, content, ())
+
+    def answer(self, node, question, ends):
+        def deliver():
+            told = tuple((clock.now_s() - end.at, end.delay_s) for end in ends)
+            held_s = clock.now_s() - asked_at
+            answer = ResponseEndAnswer(question.engine, question.nonce, held_s, told)
+            self.exchange.receive(node, over_the_wire(answer))
+
+        asked_at = clock.now_s()
+        asyncio.get_running_loop().call_later(HELD_S, deliver)
+
+
+def over_the_wire(content):
+    return reach_from_datagram(datagram_from_reach("n", content))
+
+
+@given("a leaving engine and {count:d} peers, of which one reported {requests} there and {does}")
+def step_fleet(context, count, requests, does):
+    context.fleet = Fleet(count, does, requests == "requests")
+    context.fleet.exchange = ResponseEndExchange(context.fleet)
+
+
+@when("a node whose response ended asks whether others ended at the same time")
+def step_ask(context):
+    async def ask():
+        context.fleet.ended_at = clock.now_s() - ASKED_AFTER_S
+        end = ResponseEnd(context.fleet.ended_at, DELAY_S)
+        began_at = time.monotonic()
+        found = await context.fleet.exchange.ended_elsewhere(ENGINE, end)
+        context.took_s = time.monotonic() - began_at
+        return found
+
+    context.found = context.run(ask())
+
+
+@then('it learns "{word}" within {seconds:g} s')
+def step_learns(context, word, seconds):
+    assert context.found.name.lower() == word, context.found
+    assert context.took_s <= seconds, context.took_s
+
+
+@then("it asked {count:d} peers")
+def step_asked(context, count):
+    assert len(set(context.fleet.sent)) == count, context.fleet.sent
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -24,6 +24,10 @@
 DRAINING_S = 1.2
 # How long after the last request has begun the engine ends.
 ENDS_AFTER_S = 0.2
+# How long a step waits between two looks for the next event of a stream, and how often it looks.
+LOOK_S, LOOKS = 0.001, 2000
+# How long after the record of an engine changed streams begin elsewhere.
+KNOWN_AFTER_S = 0.5
 
 
 @given("{count:d} {kind} engines in processes of their own, whose answers end with {framing}")
@@ -37,29 +41,46 @@
     deployment.configure(1, backups=bool(copies))
     context.callers = StreamCallers(deployment)
 
+    context.framing = framing
+
     async def add():
         for number in range(count):
-            await deployment.add_engine(
-                f"{service}-{number + 1}",
-                service,
-                kind=EngineProcess,
-                weights={"model-1": 1} if service == "llm" else {},
-                names_version=True,
-                slots=64,
-                events=EVENTS,
-                event_seconds=EVENT_S,
-                body_bytes=BODY_BYTES,
-                body_seconds=BODY_S,
-                framing=framing,
-                born_unix_ms=now_unix_ms(),
-                exits_after_s=LATEST_EXIT_S * number / count,
-            )
+            await add_engine(context, number, service, LATEST_EXIT_S * number / count)
         for number in range(NODES):
             await deployment.ready(await deployment.add_node(f"node-{number + 1}"))
 
     context.run(add())
 
 
+async def add_engine(context, number, service, exits_after_s=0.0):
+    return await context.deployment.add_engine(
+        f"{service}-{number + 1}",
+        service,
+        kind=EngineProcess,
+        weights={"model-1": 1} if service == "llm" else {},
+        names_version=True,
+        slots=64,
+        events=EVENTS,
+        event_seconds=EVENT_S,
+        body_bytes=BODY_BYTES,
+        body_seconds=BODY_S,
+        framing=context.framing,
+        born_unix_ms=now_unix_ms(),
+        exits_after_s=exits_after_s,
+    )
+
+
+@given("{count:d} further nodes")
+def step_further_nodes(context, count):
+    async def add():
+        deployment = context.deployment
+        for _ in range(count):
+            node = await deployment.add_node(f"node-{len(deployment.nodes) + 1}")
+            await deployment.ready(node)
+
+    context.run(add())
+
+
 async def announce(context, engines):
     """Let engines drain for some time."""
     for engine in engines:
@@ -105,11 +126,21 @@
     )
 
 
+def describe_ends(context):
+    """Print how long nodes took to find out that leaving engines had ended, and what they saw."""
+    rows = [row for row in context.deployment.logged("response_closed") if row["leaving"]]
+    rows = [row for row in rows if row["evidence"] == "ended"]
+    for name in ("waited_ms", "close_delay_ms"):
+        values = sorted(row[name] for row in rows) or [0.0]
+        print(f"{name} of {len(rows)}: median {values[len(values) // 2]}, longest {values[-1]}")
+
+
 @then("all {count:d} streams are whole")
 def step_all_whole(context, count):
     streams = context.callers.streams
     whole = sum(is_whole(stream) for stream in streams)
     print(f"{whole} of {len(streams)} streams whole, {len(context.left)} at leaving engines")
+    describe_ends(context)
     assert context.left
     assert whole == len(streams) == count, taken_for_incomplete(context)
 
@@ -118,6 +149,7 @@
 def step_all_answers_whole(context, count):
     whole = [a for a in context.answers if a[0] == 200 and a[3] and len(a[2]) == BODY_BYTES]
     print(f"{len(whole)} of {len(context.answers)} whole, {len(context.left)} at leaving engines")
+    describe_ends(context)
     assert context.left
     assert len(whole) == len(context.answers) == count, taken_for_incomplete(context)
 
@@ -146,6 +178,49 @@
     context.run(play())
 
 
+async def next_event(stream):
+    """Wait for the next event of a stream."""
+    before = stream.last_event
+    for _ in range(LOOKS):
+        await asyncio.sleep(LOOK_S)
+        if stream.last_event != before:
+            return
+    raise AssertionError(f"no event after {before}")
+
+
+async def kill_leaving(context, engine, stream):
+    """Let an engine drain, and kill its process right after an event of a stream."""
+    await announce(context, [engine])
+    await next_event(stream)
+    await engine.crash()
+
+
+@when(
+    '{count:d} engines in turn get one stream on "{route}" from each of two nodes,'
+    " and are killed as they leave right after a piece"
+)
+def step_kill_each(context, count, route):
+    callers = context.callers
+
+    async def play():
+        tasks = []
+        nodes = itertools.cycle(context.deployment.nodes)
+        for number in range(count):
+            known = context.deployment.engines.get(f"llm-{number + 1}")
+            engine = known or await add_engine(context, number, "llm")
+            # By then the nodes know that the engine before leaves.
+            await asyncio.sleep(KNOWN_AFTER_S)
+            for _ in range(2):
+                tasks.append(asyncio.ensure_future(callers.begin(next(nodes), route=route)))
+                await asyncio.sleep(0.0)
+            stream = callers.streams[-1]
+            await next_event(stream)
+            tasks.append(asyncio.ensure_future(kill_leaving(context, engine, stream)))
+        await asyncio.gather(*tasks)
+
+    context.run(play())
+
+
 @when(
     '{count:d} streams on "{route}" begin within {seconds:g} s,'
     " and an engine starts again at its address while the nodes stand still"
@@ -192,6 +267,21 @@
     assert not early, f"{len(early)} of {len(lost)} streams end as complete after events {early}"
 
 
+@then("no stream looks complete that had another beside it")
+def step_none_complete(context):
+    engines = context.deployment.engines.values()
+    at_two = [e for e in engines if len(e.running) > 1]
+    beside = {arrival.attempt_id for engine in at_two for arrival in engine.running}
+    complete = [s for s in context.callers.streams if s.complete]
+    early = [s.last_event for s in complete if s.attempts[0].request_id in beside]
+    print(
+        f"{len(at_two)} of {len(engines)} engines had two streams; complete of these after "
+        f"{early}, of others {len(complete) - len(early)}"
+    )
+    assert len(at_two) >= len(engines) / 2, [len(e.running) for e in engines]
+    assert not early, f"streams of {EVENTS} events end as complete after events {early}"
+
+
 def is_whole(stream):
     return stream.complete and stream.last_event == EVENTS
 
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -21,6 +21,31 @@
       | a last chunk     | killed              | stream | only streams of that engine broke off |
       | a length         | killed              | resume | all streams are whole                |
 
+  Scenario: A leaving engine is killed under one stream of each of two nodes, and both say whole
+    Given 1 model engines in processes of their own, whose answers end with their connection
+    And 4 further nodes
+    When 6 engines in turn get one stream on "stream" from each of two nodes, and are killed as they leave right after a piece
+    Then no stream looks complete that had another beside it
+
+  Scenario Outline: The silence of a peer is taken for word that no other response ended: <peers>, <requests>, <does>
+    Given a leaving engine and <peers> peers, of which one reported <requests> there and <does>
+    When a node whose response ended asks whether others ended at the same time
+    Then it learns "<word>" within <seconds> s
+    And it asked <asked> peers
+
+    Examples:
+      | peers | requests    | does                          | word    | seconds | asked |
+      | 5     | requests    | had one end 3 ms before       | some    | 0.1     | 5     |
+      | 5     | no requests | had one end 6 ms later, 5 ms after bytes | some | 0.1 | 5 |
+      | 5     | no requests | had one end 7 ms later, at once after bytes | none | 0.1 | 5 |
+      | 5     | requests    | had one end 200 ms before     | none    | 0.1     | 5     |
+      | 5     | requests    | had one end 200 ms later      | none    | 0.1     | 5     |
+      | 5     | requests    | gets the second question only | none    | 0.2     | 5     |
+      | 5     | requests    | does not answer               | unknown | 0.6     | 5     |
+      | 5     | no requests | does not answer               | none    | 0.3     | 5     |
+      | 40    | requests    | had one end 3 ms before       | some    | 0.1     | 1     |
+      | 40    | requests    | does not answer               | unknown | 0.6     | 1     |
+
   Scenario: Nothing tells how it was decided whether an answer without a length is complete
     Given 4 model engines in processes of their own, whose answers end with their connection
     When 36 streams on "stream" begin within 1.2 s, and an engine is killed
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -131,6 +131,7 @@
             "evidence": evidence.engine.value,
             "leaving": evidence.is_leaving,
             "others_ended": evidence.others_ended,
+            "peers_answered": evidence.peers_answered,
             "close_delay_ms": round(1000 * evidence.close_delay_s, 1),
             "waited_ms": round(1000 * waited_s, 1),
             "complete": is_complete,
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -1,8 +1,11 @@
 """Checks whether an engine's process has ended after a connection to it was lost or closed."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import Enum, auto
 
 from liftrill import clock, constants
 from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
@@ -31,15 +34,55 @@
 LATE_ANSWER_S = 1.0
 # Connections that the end of a process closes are closed within this time of each other.
 SAME_END_S = 0.01
+# By how much later than its peer a node may read the bytes that arrived at the same time.
+READ_SKEW_S = 0.002
 # For how long the ends of responses are kept: longer than a check takes.
 RESPONSE_ENDS_KEPT_S = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseEnd:
+    """The end of a response with its connection.
+
+    Attributes:
+        delay_s: the time between the last bytes and the end.
+    """
+
+    at: float
+    delay_s: float
+
+    def may_be_same(self, other: "ResponseEnd", tolerance_s: float) -> bool:
+        """Return whether the end of a process may have ended this response and one at a peer.
+
+        It did not if one of them had bytes after the other had ended.
+        """
+        later = max(self, other, key=lambda end: end.at)
+        longest_s = min(SAME_END_S, later.delay_s + READ_SKEW_S)
+        return abs(self.at - other.at) <= longest_s + tolerance_s
+
+
+class EndsElsewhere(Enum):
+    """Whether other responses of an engine ended at other nodes at the same time as one here.
+
+    Attributes:
+        UNKNOWN: a node that may know did not answer.
+    """
+
+    NONE = auto()
+    SOME = auto()
+    UNKNOWN = auto()
+
+
 async def _not_reached(engine: EngineAddress) -> bool:
     """Know of no peer that reaches an engine."""
     return False
 
 
+async def _none_elsewhere(engine: EngineAddress, end: ResponseEnd) -> EndsElsewhere:
+    """Know of no peer that had responses of an engine."""
+    return EndsElsewhere.NONE
+
+
 class EngineEndCheck:
     """Runs at most one check of each kind at a time for each engine after lost connections.
 
@@ -48,6 +91,7 @@
 
     Attributes:
         is_reached_by_peers: returns whether a peer reaches an engine.
+        ended_elsewhere: returns whether responses of an engine ended at peers with one here.
         on_probe: called with the result of each probe.
     """
 
@@ -55,14 +99,17 @@
         self, transport: EngineTransport, on_ended: Callable[[EngineView, float], None]
     ) -> None:
         self.is_reached_by_peers: Callable[[EngineAddress], Awaitable[bool]] = _not_reached
+        self.ended_elsewhere: Callable[[EngineAddress, ResponseEnd], Awaitable[EndsElsewhere]] = (
+            _none_elsewhere
+        )
         self.on_probe: Callable[[EngineAddress, ProbeResult, float], None] | None = None
         self._transport = transport
         self._on_ended = on_ended
         self._running: dict[tuple[int, bool], asyncio.Task[EngineEvidence]] = {}
         # Checks after a close that have sent no probe yet.
         self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
-        # By time: the numbers of the engines whose responses ended.
-        self._response_ends: deque[tuple[float, int]] = deque()
+        # By time: the ends of responses, and the numbers of their engines.
+        self._response_ends: deque[tuple[ResponseEnd, int]] = deque()
 
     async def check(self, view: EngineView, for_stream: bool = False) -> EngineEvidence:
         """Check whether an engine has ended; return what is known of it before the next step.
@@ -81,18 +128,45 @@
     async def check_closed(self, view: EngineView, close_delay_s: float) -> CloseEvidence:
         """Find out what became of an engine after it closed a response's connection in order."""
         closed_at = clock.now_s()
-        self.record_response_end(view, closed_at)
+        end = self.record_response_end(view, closed_at, close_delay_s)
         answer = asyncio.ensure_future(self._ask(view))
+        elsewhere: asyncio.Task[EndsElsewhere] | None = None
         try:
             evidence = await _result_within(answer, PROMPT_ANSWER_S)
             if evidence is EngineEvidence.UNKNOWN and view.leaving:
                 evidence = await self._check_connections(view)
+            if evidence is not EngineEvidence.RUNNING and view.leaving:
+                elsewhere = asyncio.ensure_future(self._ask_peers(view, end))
             if evidence is EngineEvidence.UNKNOWN:
                 evidence = await self._probe_closed(view, answer)
+            if evidence is EngineEvidence.RUNNING:
+                # The engine ended this response itself, so that it is no sign of its own end.
+                self._forget_response_end(view, end)
+            is_leaving, others_ended = view.leaving, self._others_ended(view, closed_at)
+            ends = EndsElsewhere.NONE
+            # Only the end of a leaving engine may follow the end of its last response.
+            if evidence is EngineEvidence.ENDED and is_leaving and not others_ended:
+                ends = await (elsewhere or self._ask_peers(view, end))
         finally:
             answer.cancel()
-        others_ended = self._others_ended(view, closed_at)
-        return CloseEvidence(evidence, view.leaving, others_ended, close_delay_s)
+            if elsewhere is not None:
+                elsewhere.cancel()
+        return CloseEvidence(
+            evidence,
+            is_leaving,
+            others_ended or ends is EndsElsewhere.SOME,
+            close_delay_s,
+            peers_answered=ends is not EndsElsewhere.UNKNOWN,
+        )
+
+    async def _ask_peers(self, view: EngineView, end: ResponseEnd) -> EndsElsewhere:
+        """Ask peers about other ends, once the end of a process has closed all its connections."""
+        await asyncio.sleep(max(0.0, end.at + SAME_END_S - clock.now_s()))
+        return await self.ended_elsewhere(view.identity, end)
+
+    def response_ends(self, number: int) -> list[ResponseEnd]:
+        """Return the recent ends of responses of an engine with their connections."""
+        return [end for end, engine in self._response_ends if engine == number]
 
     async def _ask(self, view: EngineView) -> EngineEvidence:
         """Return what an engine's answer to a call shows, or `UNKNOWN` if there is none."""
@@ -134,16 +208,27 @@
         del self._prepared[view.number]
         return await self._check(view, for_stream=True)
 
-    def record_response_end(self, view: EngineView, now: float) -> None:
-        """Record that the connection of a response of an engine was closed or lost."""
-        self._response_ends.append((now, view.number))
-        while now - self._response_ends[0][0] > RESPONSE_ENDS_KEPT_S:
+    def record_response_end(
+        self, view: EngineView, now: float, delay_s: float = SAME_END_S
+    ) -> ResponseEnd:
+        """Record that the connection of a response of an engine was closed or lost.
+
+        The delay after the last bytes is not known of one that was lost.
+        """
+        end = ResponseEnd(now, delay_s)
+        self._response_ends.append((end, view.number))
+        while now - self._response_ends[0][0].at > RESPONSE_ENDS_KEPT_S:
             self._response_ends.popleft()
+        return end
+
+    def _forget_response_end(self, view: EngineView, end: ResponseEnd) -> None:
+        with contextlib.suppress(ValueError):
+            self._response_ends.remove((end, view.number))
 
     def _others_ended(self, view: EngineView, ended_at: float) -> bool:
         """Return whether other responses of an engine ended at the same time as one."""
-        ends = [at for at, number in self._response_ends if number == view.number]
-        return sum(abs(at - ended_at) <= SAME_END_S for at in ends) > 1
+        ends = self.response_ends(view.number)
+        return sum(abs(end.at - ended_at) <= SAME_END_S for end in ends) > 1
 
     async def _check(self, view: EngineView, for_stream: bool) -> EngineEvidence:
         result = await self._probe(view)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -213,7 +213,14 @@
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
         slot_messenger.wake_waiting = self.forwarder.queues.wake_all
         parts = NodeParts(
-            settings, engines, self._membership, self._peers, self.memory, log, metrics
+            settings,
+            engines,
+            self._membership,
+            self._peers,
+            self.memory,
+            log,
+            metrics,
+            self._load_table,
         )
         self.paths = PathService(
             parts, selector.paths, transport, self.forwarder, self._accepts_proxied_requests
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -17,8 +17,19 @@
 from liftrill.gateway.paths.isolation import IsolatedNodes
 from liftrill.gateway.paths.link_monitor import LinkMonitor
 from liftrill.gateway.paths.proxy_server import ProxyServer
-from liftrill.gateway.paths.reach_codec import ReachMessage
-from liftrill.gateway.paths.reach_exchange import ReachExchange, ReachPeers
+from liftrill.gateway.paths.reach_codec import (
+    ReachMessage,
+    ResponseEndAnswer,
+    ResponseEndMessage,
+    ResponseEndQuestion,
+)
+from liftrill.gateway.paths.reach_exchange import (
+    ReachExchange,
+    ReachPeers,
+    ResponseEndExchange,
+    ResponseEndPeers,
+)
+from liftrill.gateway.peers.load_table import LoadTable
 from liftrill.gateway.peers.peer_link import PeerLink
 from liftrill.gateway.settings import GatewaySettings
 from liftrill.gateway.transport import EngineTransport
@@ -40,6 +51,28 @@
         self._link.send_reach(content, node)
 
 
+class _LoadedPeers(ResponseEndPeers):
+    """The peers that may have had requests at an engine."""
+
+    def __init__(self, membership: Membership, link: PeerLink, loads: LoadTable) -> None:
+        self._membership = membership
+        self._link = link
+        self._loads = loads
+
+    def members(self) -> list[Member]:
+        """Return the other nodes that are not known to have ended."""
+        own = self._membership.own.node_id
+        return [member for member in self._membership.members() if member.node_id != own]
+
+    def had_requests(self, member: Member, engine: EngineAddress) -> bool:
+        """Return whether a node, or its zone, reported requests at an engine lately."""
+        return self._loads.had_requests(engine.number, member.node_id, member.zone)
+
+    def send(self, node: str, content: ResponseEndMessage) -> None:
+        """Send a message to one node."""
+        self._link.send_reach(content, node)
+
+
 @dataclass(frozen=True, slots=True)
 class NodeParts:
     """The parts of a node that finding paths builds on."""
@@ -51,6 +84,7 @@
     memory: NodeMemory | None
     log: DecisionLog
     metrics: GatewayMetrics
+    loads: LoadTable
 
 
 class PathService:
@@ -88,6 +122,10 @@
         self._server.accepts_requests = accepts_requests
         self._server.may_send = lambda view: not view.rejects_requests(clock.now_s())
         forwarder.end_check.is_reached_by_peers = self._exchange.is_reached_by_peers
+        peers = _LoadedPeers(parts.membership, parts.peers, parts.loads)
+        self._response_ends = ResponseEndExchange(peers)
+        self._response_ends.ends = forwarder.end_check.response_ends
+        forwarder.end_check.ended_elsewhere = self._response_ends.ended_elsewhere
         forwarder.end_check.on_probe = paths.links.record_probe
 
     async def listen(self) -> None:
@@ -108,8 +146,11 @@
         await self._server.close()
 
     def receive(self, sender: str, content: ReachMessage) -> None:
-        """Handle a message of a peer about the engines that it reaches."""
-        self._exchange.receive(sender, content)
+        """Handle a message of a peer about the engines that it reaches or had responses of."""
+        if isinstance(content, ResponseEndQuestion | ResponseEndAnswer):
+            self._response_ends.receive(sender, content)
+        else:
+            self._exchange.receive(sender, content)
 
     def connected_members(self, members: list[Member]) -> list[Member]:
         """Return the members that reach engines over their own links, or all if too few do."""
--- a/liftrill/gateway/peers/load_table.py
+++ b/liftrill/gateway/peers/load_table.py
@@ -57,6 +57,8 @@
     lifetime_seconds: float = 1.0
     prefill_lifetime_s: float = constants.BROADCAST_PREFILL_LIFETIME_S
     _reports: dict[_Source, _Report] = field(default_factory=dict)
+    # By engine number and source: the time of the last report with requests at the engine.
+    _requests_at: dict[int, dict[_Source, float]] = field(default_factory=dict)
     _peer_prefills: deque[_Prefill] = field(default_factory=deque)
     _own_prefills: deque[_Prefill] = field(default_factory=deque)
 
@@ -100,6 +102,18 @@
         for source in [s for s, report in self._reports.items() if report.received_at < oldest]:
             self._remove_report(source)
 
+        for number, reported_at in list(self._requests_at.items()):
+            current = {s: at for s, at in reported_at.items() if at >= oldest}
+            if current:
+                self._requests_at[number] = current
+            else:
+                del self._requests_at[number]
+
+    def had_requests(self, engine_number: int, node: str, zone: str) -> bool:
+        """Return whether a node, or its zone, reported requests at an engine lately."""
+        reported_at = self._requests_at.get(engine_number, {})
+        return _Source(zone, node) in reported_at or _Source(zone) in reported_at
+
     def own_loads(self) -> dict[str, EngineLoad]:
         """Return this node's load on engines, without the prefills that it broadcast."""
         announced: dict[str, int] = {}
@@ -136,6 +150,8 @@
         )
         for view, load in counted:
             view.peer_load.add(load)
+            if load.requests:
+                self._requests_at.setdefault(view.number, {})[source] = now
         self._reports[source] = _Report(loads, now, counted)
 
     def _remove_report(self, source: _Source) -> None:
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -29,14 +29,16 @@
     Attributes:
         engine: what is known of the engine after the close.
         is_leaving: whether the engine announced that it would end.
-        others_ended: whether other responses of the engine ended at the same time.
+        others_ended: whether other responses of the engine ended at the same time, at any node.
         close_delay_s: the time between the last bytes and the close.
+        peers_answered: whether all peers that had requests at the engine told of other ends.
     """
 
     engine: events.EngineEvidence
     is_leaving: bool = False
     others_ended: bool = False
     close_delay_s: float = 0.0
+    peers_answered: bool = True
 
     @property
     def shows_completion(self) -> bool:
@@ -45,7 +47,8 @@
             return self.engine is events.EngineEvidence.RUNNING
         # A leaving engine may end right after its last response.
         is_prompt = self.close_delay_s <= MAX_CLOSE_DELAY_S
-        return self.is_leaving and is_prompt and not self.others_ended
+        is_alone = self.peers_answered and not self.others_ended
+        return self.is_leaving and is_prompt and is_alone
 
 
 def resolve_close(
