--- a/features/steps/unrecorded_version_restart_steps.py
+++ b/features/steps/unrecorded_version_restart_steps.py
@@ -35,7 +35,7 @@
     context.run(play())
 
 
-def restore_store(context):
+async def restore_store(context):
     """Bring the store to the state of before the version came, but for the engines' records."""
     deployment = context.deployment
     store = deployment.store
@@ -46,26 +46,28 @@
     assert value is not None and b"v1.1" in value and b"v1.2" not in value, value
 
 
+async def restart_under_streams(context, count, change_meanwhile):
+    """Begin streams, kill all nodes, change something, and start the nodes again."""
+    tasks = await begin_streams(context, count, 0.5)
+    nodes = context.deployment.nodes
+    for node in nodes:
+        node.process.kill()
+    for node in nodes:
+        await node.process.wait()
+    await change_meanwhile()
+    for node in nodes:
+        await node.start()
+    for node in nodes:
+        await context.deployment.ready(node)
+    await asyncio.gather(*tasks)
+
+
 @when(
     "{count:d} streams begin, all nodes are killed and start again, "
     "and the store came back from a copy of before v1.2 came"
 )
 def step_kill_all(context, count):
-    async def play():
-        tasks = await begin_streams(context, count, 0.5)
-        nodes = context.deployment.nodes
-        for node in nodes:
-            node.process.kill()
-        for node in nodes:
-            await node.process.wait()
-        restore_store(context)
-        for node in nodes:
-            await node.start()
-        for node in nodes:
-            await context.deployment.ready(node)
-        await asyncio.gather(*tasks)
-
-    context.run(play())
+    context.run(restart_under_streams(context, count, lambda: restore_store(context)))
 
 
 @when(
@@ -73,21 +75,13 @@
     "the store takes writes, and the nodes start again"
 )
 def step_leaves_and_returns(context, count):
-    async def play():
-        await end_engines(context, "v1.1", "reset")
-        tasks = await begin_streams(context, count, 0.5)
-        nodes = context.deployment.nodes
-        for node in nodes:
-            node.process.kill()
-        for node in nodes:
-            await node.process.wait()
+    async def come_back():
         context.deployment.store.refuses_writes = False
         await add_engines(context.deployment, "v1.1", 4, "other")
-        for node in nodes:
-            await node.start()
-        for node in nodes:
-            await context.deployment.ready(node)
-        await asyncio.gather(*tasks)
+
+    async def play():
+        await end_engines(context, "v1.1", "reset")
+        await restart_under_streams(context, count, come_back)
 
     context.run(play())
 
