--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -17,8 +17,7 @@
 from liftrill.gateway.paths.reach_exchange import ResponseEndExchange, ResponseEndPeers
 
 ENGINE = EngineAddress("engine-1", "127.0.0.1:1", 7)
-# Words of the steps: how long before the end at the node one ended at the peer, and how long after
-# its last bytes.
+# How long before the end at the node one ended at the peer, and how long after its last bytes.
 ENDS = {
     "had one end 3 ms before": (0.003, 0.02),
     "had one end 200 ms before": (0.2, 0.0),
@@ -99,9 +98,9 @@
     context.found = context.run(ask())
 
 
-@then('it learns "{word}" within {seconds:g} s')
-def step_learns(context, word, seconds):
-    assert context.found.name.lower() == word, context.found
+@then('it learns "{result}" within {seconds:g} s')
+def step_learns(context, result, seconds):
+    assert context.found.name.lower() == result, context.found
     assert context.took_s <= seconds, context.took_s
 
 
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -27,14 +27,14 @@
     When 6 engines in turn get one stream on "stream" from each of two nodes, and are killed as they leave right after a piece
     Then no stream looks complete that had another beside it
 
-  Scenario Outline: The silence of a peer is taken for word that no other response ended: <peers>, <requests>, <does>
+  Scenario Outline: The silence of a peer is taken for a report that no other response ended: <peers>, <requests>, <does>
     Given a leaving engine and <peers> peers, of which one reported <requests> there and <does>
     When a node whose response ended asks whether others ended at the same time
-    Then it learns "<word>" within <seconds> s
+    Then it learns "<result>" within <seconds> s
     And it asked <asked> peers
 
     Examples:
-      | peers | requests    | does                          | word    | seconds | asked |
+      | peers | requests    | does                          | result  | seconds | asked |
       | 5     | requests    | had one end 3 ms before       | some    | 0.1     | 5     |
       | 5     | no requests | had one end 6 ms later, 5 ms after bytes | some | 0.1 | 5 |
       | 5     | no requests | had one end 7 ms later, at once after bytes | none | 0.1 | 5 |
--- a/features/worker.py
+++ b/features/worker.py
@@ -13,7 +13,7 @@
 
 import psutil
 
-# The slowest file takes 340 s at a system load of 20.
+# Twice the time of the slowest file beside another run.
 MAX_WORKER_S = 1_200.0
 # A worker that reaches its limit prints its stacks and exits within this time.
 EXIT_MARGIN_S = 30.0
--- a/liftrill/gateway/paths/reach_codec.py
+++ b/liftrill/gateway/paths/reach_codec.py
@@ -128,11 +128,11 @@
         asked = message.response_end_question
         return ResponseEndQuestion(asked.engine, asked.nonce)
     if message.HasField("response_end_answer"):
-        word = message.response_end_answer
+        reported = message.response_end_answer
         ends = tuple(
             (end.age_microseconds / US_PER_S, end.delay_microseconds / US_PER_S)
-            for end in word.ends
+            for end in reported.ends
         )
-        held_s = word.held_microseconds / US_PER_S
-        return ResponseEndAnswer(word.engine, word.nonce, held_s, ends)
+        held_s = reported.held_microseconds / US_PER_S
+        return ResponseEndAnswer(reported.engine, reported.nonce, held_s, ends)
     return None
