End a step of a test that waits for ever

The file's other scenarios were lost with it, and nothing named the step.

Cause: a step could wait without a limit.

--- a/features/steps/test_run_steps.py
+++ b/features/steps/test_run_steps.py
@@ -1,12 +1,16 @@
 """Steps on test runs whose workers do not end by themselves."""
 
+import asyncio
 import os
 import sys
 import time
+import traceback
+from types import SimpleNamespace
 
 import psutil
 from behave import given, then, when
 
+from features import environment
 from features.run import ROOT
 from features.worker import WorkerProcesses
 
@@ -26,6 +30,8 @@
 """
 STOPS = "import os, signal; os.kill(os.getpid(), signal.SIGSTOP)"
 EXIT_MARGIN_S = 2.0
+# Ends a check whose guard does not work.
+CONTROL_S = 60.0
 
 
 def prepare(context, script, max_s=60.0):
@@ -73,3 +79,34 @@
 def step_shown(context):
     assert "not done within 1.0 s" in context.output, context.output
     assert "in wait_for_ever" in context.output, context.output
+
+
+@given("a scenario whose steps may take {seconds:g} s")
+def step_scenario(context, seconds):
+    allowed_s, environment.MAX_STEP_S = environment.MAX_STEP_S, seconds
+    context.stack.callback(setattr, environment, "MAX_STEP_S", allowed_s)
+    context.scenario_context = SimpleNamespace()
+    environment.before_scenario(context.scenario_context, None)
+
+
+@when("a step of it waits for ever")
+def step_step_waits(context):
+    async def wait_for_ever():
+        async with asyncio.timeout(CONTROL_S):
+            await asyncio.Event().wait()
+
+    began_at = time.monotonic()
+    try:
+        context.scenario_context.run(wait_for_ever())
+    except TimeoutError:
+        context.output = traceback.format_exc()
+    finally:
+        environment.after_scenario(context.scenario_context, None)
+    context.took_s = time.monotonic() - began_at
+
+
+@then("the step has failed within {seconds:g} s, and shows where it waits")
+def step_step_failed(context, seconds):
+    assert context.took_s < seconds, context.took_s
+    assert "a step has not ended within 1.0 s" in context.output, context.output
+    assert "in wait_for_ever" in context.output, context.output
--- a/features/test_run.feature
+++ b/features/test_run.feature
@@ -18,3 +18,8 @@
     Given a worker that is stopped, and may run for 1 s
     When it is run
     Then the run has ended within 20 s
+
+  Scenario: A step that waits for ever keeps its file waiting
+    Given a scenario whose steps may take 1 s
+    When a step of it waits for ever
+    Then the step has failed within 20 s, and shows where it waits
