Print why a worker ended without results where its result is printed

The stacks that a worker prints as it reaches its time stood in the part between, so the refusal named a file and no reason.

Change: the reason of such a result is the end of the worker's output, which stands in the last lines of the run.

--- a/features/run.py
+++ b/features/run.py
@@ -36,6 +36,8 @@
 INTERMITTENT = "sometimes:"
 # Characters of a failed check that are printed with the scenario's name: its first lines.
 MAX_REASON_LENGTH = 600
+# Characters of a worker's output that are printed as the reason if it ended without results.
+MAX_TAIL_LENGTH = 4_000
 # The slowest feature files, started first: they take 340 to 50 s at a system load of 20.
 SLOWEST_FEATURES = (
     "cut_heads",
@@ -154,9 +156,11 @@
         processes.run(
             [*command, *options, path], ROOT, {**os.environ, PORTS_VARIABLE: ports}, output_path
         )
-        print(output_path.read_text(errors="replace"), flush=True)
+        output = output_path.read_text(errors="replace")
+        print(output, flush=True)
         if not target.exists():
-            return [Result(f"the process that ran {path}", path, "ended without results")]
+            name = f"the process that ran {path}"
+            return [Result(name, path, "ended without results", output[-MAX_TAIL_LENGTH:])]
         return [Result(**row) for row in json.loads(target.read_text())]
 
 
--- a/features/steps/test_run_steps.py
+++ b/features/steps/test_run_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import subprocess
 import sys
 import time
 import traceback
@@ -110,3 +111,22 @@
     assert context.took_s < seconds, context.took_s
     assert "a step has not ended within 1.0 s" in context.output, context.output
     assert "in wait_for_ever" in context.output, context.output
+
+
+@given("a feature file that no worker can read")
+def step_unreadable(context):
+    context.command = [sys.executable, "-m", "features.run", str(context.directory / "a.feature")]
+
+
+@when("the run ends")
+def step_run_ends(context):
+    context.done = subprocess.run(
+        context.command, cwd=ROOT, capture_output=True, text=True, timeout=CONTROL_S
+    )
+
+
+@then("it has failed, and its last lines show why")
+def step_run_failed(context):
+    last = context.done.stdout.partition("FAILED")[2]
+    assert context.done.returncode == 1, context.done
+    assert "ended without results" in last and "No steps directory in" in last, context.done.stdout
--- a/features/test_run.feature
+++ b/features/test_run.feature
@@ -23,3 +23,8 @@
     Given a scenario whose steps may take 1 s
     When a step of it waits for ever
     Then the step has failed within 20 s, and shows where it waits
+
+  Scenario: A run does not tell why a worker ended without results
+    Given a feature file that no worker can read
+    When the run ends
+    Then it has failed, and its last lines show why
