Find the shared parts of a prompt where the directory of parts is

A prompt's known locations are a query of the prefix directory, and only of that.

No change of behaviour.

--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -22,8 +22,8 @@
     PromptCost,
     cache_salt,
 )
+from liftrill.gateway.engines.prefix_directory import SharedParts, find_shared_parts
 from liftrill.gateway.engines.shared_part_tracker import CROSS_ZONE_FACTOR, SharedPartTracker
-from liftrill.gateway.engines.shared_parts import SharedParts, find_shared_parts
 from liftrill.gateway.engines.slot_times import SlotTimes
 from liftrill.gateway.engines.software_version_filter import SoftwareVersionFilter
 from liftrill.gateway.engines.speed_estimator import SpeedEstimator
--- a/liftrill/gateway/engines/placement.py
+++ b/liftrill/gateway/engines/placement.py
@@ -11,7 +11,7 @@
 from liftrill import constants
 from liftrill.coordination import rendezvous
 from liftrill.gateway.engines.engine_table import EngineView
-from liftrill.gateway.engines.shared_parts import NOTHING_CACHED, SharedParts
+from liftrill.gateway.engines.prefix_directory import NOTHING_CACHED, SharedParts
 from liftrill.gateway.engines.speed_estimator import SpeedEstimator
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 from liftrill.gateway.records import ServiceProfile
--- a/liftrill/gateway/engines/shared_part_tracker.py
+++ b/liftrill/gateway/engines/shared_part_tracker.py
@@ -5,8 +5,7 @@
 from liftrill.gateway.delivery_events import EngineChoice
 from liftrill.gateway.engines.cache_retention import CacheRetention
 from liftrill.gateway.engines.engine_table import EngineTable
-from liftrill.gateway.engines.prefix_directory import PrefixDirectory, part_number
-from liftrill.gateway.engines.shared_parts import SharedParts
+from liftrill.gateway.engines.prefix_directory import PrefixDirectory, SharedParts, part_number
 from liftrill.gateway.opaque_request import OpaqueRequest, PromptShape
 from liftrill.gateway.prefix_store_link import (
     PrefixStoreLink,
