Describe engines to the placement of prompts in a module of its own

What each engine has cached of a prompt, from where it fetches the rest, and what the choice tells the engine is one job of it; it moves to `engines/prompt_candidates.py`, unchanged. The expected wait for a slot of an engine, which both modules need, moves to `SlotTimes.engine_wait_s`.

The new module is among those that may do no I/O.

No change of behaviour.

--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -80,6 +80,7 @@
     "../response_limits",
     "engines/placement",
     "engines/prefix_directory",
+    "engines/prompt_candidates",
     "records",
     "admission/retry_allowance",
     "route_table",
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from liftrill import constants
 from liftrill.coordination import rendezvous
@@ -20,10 +20,9 @@
     LeastLoaded,
     PlacementPolicy,
     PromptCost,
-    cache_salt,
 )
-from liftrill.gateway.engines.prefix_directory import SharedParts, find_shared_parts
-from liftrill.gateway.engines.shared_part_tracker import CROSS_ZONE_FACTOR, SharedPartTracker
+from liftrill.gateway.engines.prompt_candidates import PromptCandidates
+from liftrill.gateway.engines.shared_part_tracker import SharedPartTracker
 from liftrill.gateway.engines.slot_times import SlotTimes
 from liftrill.gateway.engines.software_version_filter import SoftwareVersionFilter
 from liftrill.gateway.engines.speed_estimator import SpeedEstimator
@@ -32,15 +31,6 @@
 from liftrill.gateway.weight_targets import WeightTargets
 
 
-@dataclass(frozen=True, slots=True)
-class _Scope:
-    """Cache state of a prompt at all engines of one weight version."""
-
-    salt: str
-    shared: SharedParts
-    outdated_s: float
-
-
 def _not_ended(view: EngineView, now: float) -> bool:
     """Know of no engine that has ended."""
     return False
@@ -94,6 +84,9 @@
             targets,
             self.software_versions.of_required_version,
         )
+        self._prompt_candidates = PromptCandidates(
+            engines, targets, self.parts, self.slot_times, self.backups
+        )
 
     def lacks_version(self, request: OpaqueRequest) -> bool:
         """Return whether no engine serves the only software version that may serve a request."""
@@ -263,14 +256,14 @@
         with_capacity = self._with_capacity(request, ready, now)
         if not with_capacity:
             return Unavailable.FULL
-        candidates = self._candidates(request, prompt, with_capacity, now)
+        candidates = self._prompt_candidates.build(request, prompt, with_capacity, now)
         chosen = self._prompt_policy.choose(request, candidates, self._zone)
         is_prefilling = chosen.shared.prefilling_engine == chosen.view.number
         # Among many engines, reports of a prefill arrive too late to wait for its end.
         few_engines = len(with_capacity) < constants.FRESH_LOAD_MAX_ENGINES
         if is_prefilling and few_engines and now < self._prefill_wait_until(request):
             return Unavailable.NONE_READY
-        choice = self._prompt_choice(chosen, prompt, now)
+        choice = self._prompt_candidates.choice(chosen, prompt, now)
         if not self.backups.wants_backup(request):
             return choice
         return replace(choice, backup=self.backups.choose(chosen, candidates))
@@ -314,11 +307,7 @@
     def expected_wait_s(self, view: EngineView) -> float:
         """Return the expected time before an engine starts to prefill a new prompt."""
         prompt_prefill_s = view.waiting_tokens * self.speeds.conservative_prefill_s_per_token(view)
-        return prompt_prefill_s + self._slot_wait_s(view)
-
-    def _slot_wait_s(self, view: EngineView) -> float:
-        record = view.record
-        return self.slot_times.wait_s(record.service, view.requests, record.slots)
+        return prompt_prefill_s + self.slot_times.engine_wait_s(view)
 
     def _prefill_wait_until(self, request: OpaqueRequest) -> float:
         """Return the time until which a request waits while an engine prefills its shared part."""
@@ -393,81 +382,6 @@
         )
         return version > 0 and version >= required
 
-    def _candidates(
-        self, request: OpaqueRequest, prompt: PromptShape, views: list[EngineView], now: float
-    ) -> list[Candidate]:
-        """Return the candidates, each with the cache state of its weight version."""
-        scopes: dict[int, _Scope] = {}
-        candidates: list[Candidate] = []
-        for view in views:
-            version = view.weight_version(prompt.model)
-            if version not in scopes:
-                scopes[version] = self._scope(request, prompt, version, now)
-            scope = scopes[version]
-            holder = self._holder(view, scope.shared)
-            transfer_s = self._transfer_s(request, view, holder)
-            candidates.append(
-                Candidate(
-                    view,
-                    scope.salt,
-                    scope.shared,
-                    transfer_s,
-                    holder,
-                    scope.outdated_s,
-                    self._slot_wait_s(view),
-                )
-            )
-        return candidates
-
-    def _scope(
-        self, request: OpaqueRequest, prompt: PromptShape, version: int, now: float
-    ) -> _Scope:
-        """Return the cache state of a prompt under a weight version."""
-        salt = cache_salt(request.tenant, request.isolated, prompt.model, version)
-        outdated_s = max(0.0, now - self._targets.superseded_at(prompt.model, version))
-
-        def is_source(number: int) -> bool:
-            # An engine that has loaded other weights, or is about to, is no source: parts that it
-            # holds for continued runs may have been computed with either version.
-            view = self._engines.by_number(number)
-            return view is not None and self.backups.accepts_run(view, prompt.model, version, now)
-
-        shared = find_shared_parts(self.parts.directory, salt, prompt, now, is_source)
-        return _Scope(salt, shared, outdated_s)
-
-    def _holder(self, view: EngineView, shared: SharedParts) -> EngineView | None:
-        """Return another engine to fetch the shared parts from, or None for the store."""
-        holder = self._engines.by_number(shared.holder)
-        return None if holder is view else holder
-
-    def _transfer_s(
-        self, request: OpaqueRequest, view: EngineView, holder: EngineView | None
-    ) -> float:
-        """Return the time to transfer the shared parts to an engine."""
-        profile = self.parts.profile(view.record.service)
-        tokens = request.shared_tokens
-        if holder is None:
-            return CROSS_ZONE_FACTOR * tokens * profile.store_transfer_s_per_token
-        factor = 1.0 if holder.record.zone == view.record.zone else CROSS_ZONE_FACTOR
-        return factor * tokens * profile.transfer_s_per_token
-
-    def _prompt_choice(self, chosen: Candidate, prompt: PromptShape, now: float) -> EngineChoice:
-        view = chosen.view
-        version = view.weight_version(prompt.model)
-        store, saves = self.parts.store_for(prompt, chosen.shared, now)
-        return EngineChoice(
-            view.engine_id,
-            view.record.address,
-            version,
-            chosen.scope,
-            fetch_from=chosen.holder.record.address if chosen.holder else store,
-            save_to=store if saves else "",
-            is_saved=chosen.shared.saved,
-            expected_prefill_tokens=max(0, prompt.prompt_tokens - chosen.shared.cached_tokens),
-            number=view.number,
-            software_version=view.record.software_version,
-        )
-
 
 def _shared_choice(key: bytes, views: list[EngineView]) -> EngineView:
     """Return the engine that all nodes with the same engines choose for a key."""
--- a/liftrill/gateway/engines/slot_times.py
+++ b/liftrill/gateway/engines/slot_times.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from liftrill import constants
+from liftrill.gateway.engines.engine_table import EngineView
 
 # Weight of each sample in the moving average: about ten answers show a change.
 SAMPLE_WEIGHT = 0.1
@@ -30,3 +31,8 @@
         if ahead <= 0:
             return 0.0
         return ahead * self._times_s.get(service, self.first_s) / slots
+
+    def engine_wait_s(self, view: EngineView) -> float:
+        """Return the expected wait of one more request for a slot of an engine, as it is now."""
+        record = view.record
+        return self.wait_s(record.service, view.requests, record.slots)
