Make the log fields of a changed speed where the change is defined

No change of behaviour: on one change the fields are the same, in the same order (compared by a throwaway script). The step "it was reported slow once, with evidence" now also looks at the fields.

The choice of an engine is not touched.

--- a/features/steps/engine_speeds_steps.py
+++ b/features/steps/engine_speeds_steps.py
@@ -126,6 +126,8 @@
 def step_reported(context, how):
     found = [c for c in context.fleet.changes if (c.slowness > 1.0) == (how == "slow")]
     assert len(found) == 1 and found[0].own_work_s > 0.0 and found[0].pace_s > 0.0, found
+    logged = found[0].log_fields()
+    assert logged["engine"] == "e0" and logged["own_work_s"] > 0.0, logged
 
 
 @when("one reading of engine 0 stalls for {seconds:g} s")
--- a/liftrill/gateway/engines/service_speeds.py
+++ b/liftrill/gateway/engines/service_speeds.py
@@ -47,6 +47,18 @@
     own_work_s: float
     sources: int
 
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields of the log line."""
+        return {
+            "engine": self.view.engine_id,
+            "service": self.view.record.service,
+            "work": self.work,
+            "slowness": round(self.slowness, 2),
+            "pace_us": round(1e6 * self.pace_s, 2),
+            "own_work_s": round(self.own_work_s, 3),
+            "sources": self.sources,
+        }
+
 
 @dataclass(frozen=True, slots=True)
 class SpeedFigures:
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -759,16 +759,8 @@
         """Recompute the speeds of engines, and log those that became slow or normal again."""
         speeds = self._cluster_state.selector.speeds
         for change in speeds.refresh(now):
-            self.log.state_changed(
-                "engine_slow" if change.slowness > 1.0 else "engine_well",
-                engine=change.view.engine_id,
-                service=change.view.record.service,
-                work=change.work,
-                slowness=round(change.slowness, 2),
-                pace_us=round(1e6 * change.pace_s, 2),
-                own_work_s=round(change.own_work_s, 3),
-                sources=change.sources,
-            )
+            kind = "engine_slow" if change.slowness > 1.0 else "engine_well"
+            self.log.state_changed(kind, **change.log_fields())
         self.metrics.record_speeds(speeds.figures())
 
     async def _maintain_fleet_record(self) -> None:
