Sound answers are not cut off for being incomplete at one node at the same time

Cause: a session's incomplete bodies may hold 8 MiB together; beyond that the largest gave way at once, also where all were sound and the node had only not read their ends yet. The node's log named it: 8400000 bytes held, 84 pieces of 100,000 bytes.

Why it is met now: load.

Change: the bound holds by not reading. The oldest body may always be completed (4 MiB are kept for it); the others hold 4 MiB together, and then wait with their connections paused until a body ends. So none waits for ever for bodies that end. Bodies that don't: if none ends for 1.5 s, none waits until one does, and the largest gives way at 8 MiB, as before. Last pieces are not counted, as bodies in one piece were not. The bounds are the same. Bytes that are not read hide when they came: a pause counts as time between the last bytes of a body without a length and its close, so that the end of a killed engine is not taken for prompt.

Ruled out: another victim (all were of one size); a bound by the node's memory alone (it moves the load at which this happens, and loosens what endless answers may hold); leaving bodies unread in aiohttp's buffers (768 KiB each).

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -64,6 +64,20 @@
       | 4    | 2     | 2    |
       | 1    | 8     | 100  |
 
+  Scenario Outline: Sound answers are cut off for being incomplete at one node at the same time: <count> of <size> bytes, <framing>
+    When <count> callers ask for answers of <size> bytes with <framing>, all of which are incomplete at the same time
+    Then each has received the whole answer
+    And the node uses at most <memory> MB more than before
+
+    Examples:
+      | count | size    | framing          | memory |
+      | 120   | 84000   | a length         | 32     |
+      | 120   | 84000   | a last chunk     | 32     |
+      | 120   | 84000   | their connection | 48     |
+      | 16    | 1000000 | a length         | 32     |
+      | 16    | 1000000 | a last chunk     | 32     |
+      | 16    | 1000000 | their connection | 48     |
+
   Scenario: A complete answer is delivered although more bytes follow in the same segment
     When a desk engine sends bytes after its answer in the same segment
     Then its caller gets the answer, and the connection is not used again
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -222,6 +222,7 @@
         drops_lost: whether it drops the run of a lost connection.
         framing: how its answers end: with a last chunk, a length, or only with their connection.
         body_seconds: how long it takes to write a whole answer, in pieces.
+        may_end: the event that its whole answers in pieces await before their last one, or None.
         scripts: what the next streams consist of, as in `_play`; engines may share them.
         run_label: named with each run in the pieces of its answers, and unlike that of any other
             incarnation, or "". The pieces of resumable streams name their request alone.
@@ -266,6 +267,7 @@
     drops_lost: bool = False
     framing: str = CHUNKS
     body_seconds: float = 0.0
+    may_end: asyncio.Event | None = None
     scripts: list = field(default_factory=list)
     run_label: str = ""
     exits_after_s: float = 0.0
@@ -557,6 +559,8 @@
         for start in range(0, len(body), size):
             if start:
                 await self._pause(began_at, start // size, self.body_seconds / BODY_PIECES)
+            if self.may_end is not None and start + size >= len(body):
+                await self.may_end.wait()
             await response.write(body[start : start + size])
         arrival.finished = True
         await response.write_eof()
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import time
+from collections import Counter
 
 import aiohttp
 from behave import given, then, when
 
+from features.standin.engine import CHUNKS, CONNECTION, LENGTH
+
 MEGABYTE = 1_048_576
 CALLERS = 12
 # Callers go on for this long after the faulty engines have begun to answer.
@@ -14,6 +17,10 @@
 MEMORY_CHECK_SECONDS = 0.01
 # What callers that read slowly take at a time.
 READ_SECONDS = 0.05
+# Answers that are incomplete together: the time that their pieces but the last take, and for how
+# long their ends are held back once all have begun.
+PIECES_SECONDS, HELD_SECONDS = 0.05, 0.3
+FRAMINGS = {"a length": LENGTH, "a last chunk": CHUNKS, "their connection": CONNECTION}
 # Calls whose answers are followed by more bytes.
 MORE_BYTES_CALLS = 4
 
@@ -153,6 +160,45 @@
     context.received = context.run(read_all())
 
 
+@when(
+    "{count:d} callers ask for answers of {size:d} bytes with {framing},"
+    " all of which are incomplete at the same time"
+)
+def step_incomplete_together(context, count, size, framing):
+    context.body_bytes = size
+    engines = [e for e in context.deployment.engines.values() if e.service == "desk"]
+
+    async def call(session):
+        answer = await context.deployment.call(context.node, "/whole/x", session=session)
+        return answer[0], len(answer[2])
+
+    async def call_all():
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            return await answers_of(session)
+
+    async def answers_of(session):
+        may_end = asyncio.Event()
+        for engine in engines:
+            engine.framing, engine.body_bytes = FRAMINGS[framing], size
+            engine.body_seconds, engine.may_end = PIECES_SECONDS, may_end
+            engine.arrivals.clear()
+        calls = [asyncio.ensure_future(call(session)) for _ in range(count)]
+
+        async def have_begun():
+            return sum(len(engine.arrivals) for engine in engines) >= count
+
+        await context.deployment.wait_until(have_begun)
+        await asyncio.sleep(HELD_SECONDS)
+        ended_before = Counter(each.result() for each in calls if each.done())
+        may_end.set()
+        received = Counter(await asyncio.gather(*calls))
+        print(f"(status, bytes) of answers: {received}, ended before: {ended_before}")
+        return received
+
+    context.received = context.run(call_all())
+
+
 @then("each has received the whole answer")
 def step_received(context):
     assert set(context.received) == {(200, context.body_bytes)}, context.received
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -5,7 +5,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.event_stream import EventSplitter
 from liftrill.gateway.http_client import GuardedResponseHandler
-from liftrill.limited_response import ends_with_connection
+from liftrill.limited_response import LimitedResponse, ends_with_connection
 from liftrill.response_limits import ResponseTooLargeError
 
 # Many small events that arrive at once are processed in several turns.
@@ -35,13 +35,16 @@
         # Without a connection the response ended as its head was read.
         connection = response.connection
         self._handler = connection.protocol if connection is not None else None
+        self._response = response
 
     @property
     def delay_s(self) -> float:
-        """The time between the last bytes and the close."""
+        """The longest time that may lie between the last bytes and the close."""
+        # Bytes that were not read at once may have arrived as reading was paused.
+        paused_s = self._response.paused_s if isinstance(self._response, LimitedResponse) else 0.0
         if isinstance(self._handler, GuardedResponseHandler):
-            return self._handler.close_delay_s
-        return 0.0
+            return self._handler.close_delay_s + paused_s
+        return paused_s
 
 
 async def read_whole(
--- a/liftrill/limited_response.py
+++ b/liftrill/limited_response.py
@@ -1,9 +1,17 @@
 """aiohttp's response, whose body is read only up to limits."""
 
+import asyncio
+
 import aiohttp
 from aiohttp.helpers import set_exception
 
-from liftrill.response_limits import BodyLimits, ResponseTooLargeError
+from liftrill import clock
+from liftrill.response_limits import (
+    MAX_ROOM_WAIT_S,
+    BodyLimits,
+    IncompleteBody,
+    ResponseTooLargeError,
+)
 
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -17,9 +25,12 @@
 
     Attributes:
         body_limits: the limits that all responses of a session share.
+        paused_s: for how long its bytes were not read as the bodies of others took the room.
     """
 
     body_limits = BodyLimits()
+    paused_s = 0.0
+    _change: asyncio.Event | None = None
 
     async def read(self) -> bytes:
         """Return the whole body.
@@ -43,10 +54,14 @@
         if self.content.at_eof():
             # The usual body arrives in one piece, which the flow control of the reader limits.
             return data
-        body = self.body_limits.begin(self.content_length or 0, self._evict)
+        limits = self.body_limits
+        body = limits.begin(self.content_length or 0, self._evict, self._wake)
         try:
             while data:
-                self.body_limits.add(body, data)
+                if self.content.at_eof():
+                    limits.add_last(body, data)
+                elif not limits.offer(body, data):
+                    await self._wait_for_room(body)
                 data = await self.content.readany()
             if body.error is not None:
                 # Its end had arrived already, or looks like that of a response without a length.
@@ -55,10 +70,40 @@
         finally:
             self.body_limits.end(body)
 
+    async def _wait_for_room(self, body: IncompleteBody) -> None:
+        """Read nothing until the bytes that were offered are added, or the body gives way."""
+        protocol = self._connection.protocol if self._connection is not None else None
+        # A connection that was lost has no transport, and nothing to pause.
+        if protocol is not None and protocol.transport is not None:
+            protocol.pause_reading()
+        began_at = clock.now_s()
+        with self._timer:
+            while body.waiting:
+                await self._wait_for_change()
+        self.paused_s += clock.now_s() - began_at
+        if protocol is not None and protocol.transport is not None:
+            protocol.resume_reading()
+
+    async def _wait_for_change(self) -> None:
+        """Wait until this body gets room or gives way; if no body ends in time, wait no longer."""
+        self._change = asyncio.Event()
+        ended_count = self.body_limits.ended_count
+        try:
+            async with asyncio.timeout(MAX_ROOM_WAIT_S):
+                await self._change.wait()
+        except TimeoutError:
+            if self.body_limits.ended_count == ended_count:
+                self.body_limits.stop_waiting()
+
+    def _wake(self) -> None:
+        if self._change is not None:
+            self._change.set()
+
     def _evict(self, error: ResponseTooLargeError) -> None:
         set_exception(self.content, ResponseCutOffError(str(error)))
         if self._connection is not None:
             self._connection.close()
+        self._wake()
 
 
 def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
--- a/liftrill/response_limits.py
+++ b/liftrill/response_limits.py
@@ -17,8 +17,12 @@
 MAX_INTERIM_RESPONSES = 16
 # An answer may be as large as the largest request of a caller.
 MAX_BODY_BYTES = 4_194_304
-# All incomplete bodies of a session: two of the largest. The largest one gives way.
+# All incomplete bodies of a session: two of the largest, one of them for the oldest body, so that
+# it can always be completed while the others wait.
 MAX_INCOMPLETE_BODIES_BYTES = 2 * MAX_BODY_BYTES
+# If bytes wait for this long and no body ends, the largest gives way: engines abort answers that
+# are not read for some seconds.
+MAX_ROOM_WAIT_S = 1.5
 # The store returns up to 500 records or 1 MB at a time, and events as they are due.
 MAX_STORE_BODY_BYTES = 16_777_216
 # A node holds a partial event for each of its streams.
@@ -65,18 +69,26 @@
         return None
 
 
+def _ignore_room() -> None:
+    """Do nothing."""
+
+
 @dataclass(eq=False, slots=True)
 class IncompleteBody:
     """A body of which more may arrive.
 
     Attributes:
         on_evicted: called with the reason when the body has to give way.
+        on_room: called when the bytes that waited for room were added.
+        waiting: received bytes for which there is no room yet.
         error: the reason for which it gave way, or None.
     """
 
     on_evicted: Callable[[ResponseTooLargeError], None]
+    on_room: Callable[[], None] = _ignore_room
     pieces: list[bytes] = field(default_factory=list)
     held_bytes: int = 0
+    waiting: bytes = b""
     error: ResponseTooLargeError | None = None
 
 
@@ -87,15 +99,23 @@
     Attributes:
         max_body_bytes: the size of the largest body.
         max_incomplete_bytes: the size of all incomplete bodies.
+        ended_count: how many bodies have ended, and freed their bytes.
     """
 
     max_body_bytes: int = MAX_BODY_BYTES
     max_incomplete_bytes: int = MAX_INCOMPLETE_BODIES_BYTES
-    _bodies: set[IncompleteBody] = field(default_factory=set)
+    ended_count: int = 0
+    # Oldest first.
+    _bodies: dict[IncompleteBody, None] = field(default_factory=dict)
     _held_bytes: int = 0
+    # Whether bytes have waited in vain since a body ended, so that none wait until one does.
+    _is_stalled: bool = False
 
     def begin(
-        self, declared_bytes: int, on_evicted: Callable[[ResponseTooLargeError], None]
+        self,
+        declared_bytes: int,
+        on_evicted: Callable[[ResponseTooLargeError], None],
+        on_room: Callable[[], None] = _ignore_room,
     ) -> IncompleteBody:
         """Return a body to add the received bytes to.
 
@@ -106,40 +126,106 @@
             raise ResponseTooLargeError(
                 f"body: {declared_bytes} bytes declared, limit {self.max_body_bytes}"
             )
-        body = IncompleteBody(on_evicted)
-        self._bodies.add(body)
+        body = IncompleteBody(on_evicted, on_room)
+        self._bodies[body] = None
         return body
 
+    def offer(self, body: IncompleteBody, data: bytes) -> bool:
+        """Add received bytes, or let them wait for room and return False.
+
+        Raises:
+            ResponseTooLargeError: this body is too large.
+        """
+        if body in self._bodies:
+            self._require_size(body, data)
+            if not self._has_room(body, len(data)):
+                body.waiting = data
+                return False
+        self.add(body, data)
+        return True
+
     def add(self, body: IncompleteBody, data: bytes) -> None:
         """Add received bytes; the largest bodies give way if there are too many.
 
         Raises:
-            ResponseTooLargeError: this body is too large.
+            ResponseTooLargeError: this body is too large, or gave way.
         """
         if body not in self._bodies:
             return
+        self._require_size(body, data)
+        self._hold(body, data)
+        if body.error is not None:
+            raise body.error
+
+    def add_last(self, body: IncompleteBody, data: bytes) -> None:
+        """Add the last bytes of a body, which is not incomplete any more.
+
+        Raises:
+            ResponseTooLargeError: this body is too large, or gave way before.
+        """
+        if body.error is not None:
+            raise body.error
+        self._require_size(body, data)
+        body.pieces.append(data)
+
+    def stop_waiting(self) -> None:
+        """Add the bytes that wait, as no body ends; the largest bodies give way if needed."""
+        self._is_stalled = True
+        self._admit_waiting()
+
+    def end(self, body: IncompleteBody) -> None:
+        """Free the bytes of a body that is complete or was given up."""
+        if body in self._bodies:
+            self._remove(body)
+            self._admit_waiting()
+
+    def _has_room(self, body: IncompleteBody, more_bytes: int) -> bool:
+        """Return whether a body may hold more, with room left to complete the oldest."""
+        oldest = next(iter(self._bodies))
+        if body is oldest or self._is_stalled:
+            return True
+        for_oldest_bytes = min(self.max_body_bytes, self.max_incomplete_bytes // 2)
+        held_bytes = self._held_bytes - oldest.held_bytes + more_bytes
+        return held_bytes <= self.max_incomplete_bytes - for_oldest_bytes
+
+    def _require_size(self, body: IncompleteBody, data: bytes) -> None:
+        size = body.held_bytes + len(data)
+        if size > self.max_body_bytes:
+            raise ResponseTooLargeError(f"body: {size} bytes received, limit {self.max_body_bytes}")
+
+    def _hold(self, body: IncompleteBody, data: bytes) -> None:
         body.pieces.append(data)
         body.held_bytes += len(data)
         self._held_bytes += len(data)
-        if body.held_bytes > self.max_body_bytes:
-            raise ResponseTooLargeError(
-                f"body: {body.held_bytes} bytes received, limit {self.max_body_bytes}"
-            )
+        if self._held_bytes > self.max_incomplete_bytes:
+            self._evict_largest()
+            self._admit_waiting()
+
+    def _evict_largest(self) -> None:
         while self._held_bytes > self.max_incomplete_bytes:
             largest = max(self._bodies, key=lambda each: each.held_bytes)
-            error = ResponseTooLargeError(
+            largest.error = ResponseTooLargeError(
                 f"incomplete bodies of all responses: {self._held_bytes} bytes held,"
                 f" limit {self.max_incomplete_bytes}"
             )
-            if largest is body:
-                raise error
-            self.end(largest)
-            largest.error = error
-            largest.on_evicted(error)
-
-    def end(self, body: IncompleteBody) -> None:
-        """Free the bytes of a body that is complete or was given up."""
-        if body in self._bodies:
-            self._bodies.remove(body)
-            self._held_bytes -= body.held_bytes
-            body.pieces = []
+            self._remove(largest)
+            largest.on_evicted(largest.error)
+
+    def _admit_waiting(self) -> None:
+        """Add waiting bytes for which there is room, those of the oldest bodies first."""
+        for body in [each for each in self._bodies if each.waiting]:
+            # Adding the bytes of an older body may have evicted this one, or have admitted it.
+            if body.waiting:
+                if not self._has_room(body, len(body.waiting)):
+                    return
+                data, body.waiting = body.waiting, b""
+                self._hold(body, data)
+                body.on_room()
+
+    def _remove(self, body: IncompleteBody) -> None:
+        del self._bodies[body]
+        self._held_bytes -= body.held_bytes
+        self._is_stalled = False
+        self.ended_count += 1
+        body.pieces = []
+        body.waiting = b""
