Keep the two kinds of attempt that report on their path in one module

`paths/tracked_attempt` (81 lines) and `paths/proxied_attempt` (49) do the same job for the node's own link and for a peer: they report what an attempt shows about its path.

No change of behaviour. The choice of an engine is not touched.

--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -24,8 +24,7 @@
 from liftrill.gateway.engines.slot_attempt import SlotAttempt
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
-from liftrill.gateway.paths.proxied_attempt import ProxiedAttempt
-from liftrill.gateway.paths.tracked_attempt import TrackedAttempt
+from liftrill.gateway.paths.path_attempts import ProxiedAttempt, TrackedAttempt
 from liftrill.gateway.quarantine import Quarantine
 from liftrill.gateway.run_continuation import CloseEvidence
 from liftrill.gateway.transport import EngineAttempt, EngineTransport, ResponseSink
--- a/liftrill/gateway/paths/tracked_attempt.py
+++ b/liftrill/gateway/paths/path_attempts.py
@@ -1,4 +1,4 @@
-"""Reports what an attempt at an engine shows about the link to it."""
+"""Reports what an attempt at an engine shows about its path: the node's own link, or a peer."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -8,6 +8,7 @@
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.http_client import LATE_FACTOR
 from liftrill.gateway.paths.engine_links import EngineLinks
+from liftrill.gateway.paths.proxy_table import ProxyTable
 from liftrill.gateway.transport import EngineAttempt, ObservedAttempt
 
 LINK_DOWN = "the link to the engine is down"
@@ -79,3 +80,49 @@
     def _on_down(self) -> None:
         if self._interruptible and self._timer is not None and not self._timer.expired():
             self._timer.reschedule(asyncio.get_running_loop().time())
+
+
+class ProxiedAttempt(ObservedAttempt):
+    """An attempt that a peer passes on.
+
+    It shows whether the peer answers, and whether it reaches the engine.
+    """
+
+    def __init__(
+        self,
+        attempt: EngineAttempt,
+        engine: events.EngineAddress,
+        proxy: events.ProxyNode,
+        proxies: ProxyTable,
+    ) -> None:
+        super().__init__(attempt)
+        self._engine = engine
+        self._node = proxy.node_id
+        self._proxies = proxies
+        self._is_open = True
+        proxies.begin(self._node)
+
+    async def open(self) -> list[events.DeliveryEvent]:
+        """Send the request; return the events of the response head or the complete response."""
+        received = await super().open()
+        self._record(received)
+        return received
+
+    def close(self) -> None:
+        """End the attempt."""
+        if self._is_open:
+            self._is_open = False
+            self._proxies.end(self._node)
+        super().close()
+
+    def _record(self, received: list[events.DeliveryEvent]) -> None:
+        now = clock.now_s()
+        for event in received:
+            if isinstance(event, events.AttemptInterrupted):
+                continue
+            kind = event.kind if isinstance(event, events.AttemptRefused) else None
+            if kind is events.RefusalKind.PROXY_UNAVAILABLE:
+                self._proxies.peer_lost(self._node, now)
+            elif kind is not events.RefusalKind.WITHDRAWN:
+                reached = kind is not events.RefusalKind.UNREACHABLE
+                self._proxies.record_answer(self._node, self._engine, reached, now)
