--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -14,7 +14,7 @@
     datagram_from_reach,
     reach_from_datagram,
 )
-from liftrill.gateway.paths.reach_exchange import ResponseEndExchange, ResponseEndPeers
+from liftrill.gateway.paths.response_end_exchange import ResponseEndExchange, ResponseEndPeers
 
 ENGINE = EngineAddress("engine-1", "127.0.0.1:1", 7)
 # How long before the end at the node one ended at the peer, and how long after its last bytes.
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -23,12 +23,8 @@
     ResponseEndMessage,
     ResponseEndQuestion,
 )
-from liftrill.gateway.paths.reach_exchange import (
-    ReachExchange,
-    ReachPeers,
-    ResponseEndExchange,
-    ResponseEndPeers,
-)
+from liftrill.gateway.paths.reach_exchange import ReachExchange, ReachPeers
+from liftrill.gateway.paths.response_end_exchange import ResponseEndExchange, ResponseEndPeers
 from liftrill.gateway.peers.load_table import LoadTable
 from liftrill.gateway.peers.peer_link import PeerLink
 from liftrill.gateway.settings import GatewaySettings
