Select the candidates for the lead where capable nodes are ranked

How many nodes contend for the leader's lease, and in which order, is a selection of nodes for work other than serving requests, the job of `peers/capable_nodes`.

No change of behaviour. The choice of an engine is not touched.

--- a/features/steps/caller_division_steps.py
+++ b/features/steps/caller_division_steps.py
@@ -8,8 +8,11 @@
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.gateway.engines.engine_table import EngineLoad
-from liftrill.gateway.gateway import LEADER_CANDIDATES, LEADER_RANK_KEY
-from liftrill.gateway.peers.capable_nodes import ranked
+from liftrill.gateway.peers.capable_nodes import (
+    LEADER_CANDIDATES,
+    LEADER_RANK_KEY,
+    leader_candidates,
+)
 from liftrill.gateway.peers.load_codec import ReportAssembler, datagrams_from_report
 from liftrill.gateway.peers.load_exchange import (
     DELEGATE_KEY,
@@ -460,7 +463,7 @@
     delegates = list(delegates_by_zone(fleet).values())
     zones = {member.zone: member for member in fleet}
     readers = [r for own in zones.values() for r in ReaderSelection(own).readers(fleet).values()]
-    return [delegates, readers, ranked(LEADER_RANK_KEY, fleet)[:LEADER_CANDIDATES]]
+    return [delegates, readers, leader_candidates(fleet)]
 
 
 @then("delegates, store readers and leader candidates have at least {least:d} millicores")
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -46,7 +46,7 @@
 from liftrill.gateway.order_client import OrderClient
 from liftrill.gateway.paths.path_service import NodeParts, PathService
 from liftrill.gateway.paths.reach_codec import ReachMessage
-from liftrill.gateway.peers.capable_nodes import ranked
+from liftrill.gateway.peers.capable_nodes import leader_candidates
 from liftrill.gateway.peers.engine_gossip import EngineGossip, LimitMessenger, SlotMessenger
 from liftrill.gateway.peers.load_exchange import LoadReport, LoadScope, SendReport, topology_for
 from liftrill.gateway.peers.load_shedding import LoadShedder
@@ -86,9 +86,6 @@
 # the data it has: after this time an outage is more likely than a slow response.
 STALL_CATCH_UP_TIMEOUT_S = 2.0
 MILLICORES = 1_000
-# How many nodes contend for the leader's lease as soon as it is free.
-LEADER_CANDIDATES = 3
-LEADER_RANK_KEY = b"leader"
 # A node that starts sees no other members at first; of 195 nodes that start together, a node
 # knows 157 after this time.
 CANDIDACY_DELAY_S = 1.0
@@ -400,7 +397,7 @@
     def _is_candidate(self) -> bool:
         if clock.now_s() - self._started_at < CANDIDACY_DELAY_S or self.paths.leaves_to_others():
             return False
-        candidates = ranked(LEADER_RANK_KEY, self._membership.members())[:LEADER_CANDIDATES]
+        candidates = leader_candidates(self._membership.members())
         return self.settings.node in {member.node_id for member in candidates}
 
     def _state_is_current(self, now: float) -> bool:
--- a/liftrill/gateway/peers/capable_nodes.py
+++ b/liftrill/gateway/peers/capable_nodes.py
@@ -13,6 +13,9 @@
 # Minimum capacity of a capable node, as a share of the mean capacity. Machines that differ by less
 # than a fifth are all capable.
 MIN_CAPACITY_SHARE = 0.8
+# How many nodes contend for the leader's lease as soon as it is free.
+LEADER_CANDIDATES = 3
+LEADER_RANK_KEY = b"leader"
 
 
 def capable_members(members: Iterable[Member]) -> list[Member]:
@@ -35,3 +38,8 @@
     capable_ids = {member.node_id for member in capable_members(by_id.values())}
     ranked_ids = rendezvous.rank(key, by_id)
     return [by_id[name] for name in sorted(ranked_ids, key=lambda name: name not in capable_ids)]
+
+
+def leader_candidates(members: Iterable[Member]) -> list[Member]:
+    """Return the members that contend for the leader's lease as soon as it is free."""
+    return ranked(LEADER_RANK_KEY, members)[:LEADER_CANDIDATES]
