Call each node for 3 s after its first answer before a test judges what it served

Seen: `fleet_restart_state`, "one by one": "each node serves the other key within 2 s of the rewrite, or of its first answer" failed with {'node-1': 1.04, 'node-2': 1.13, 'node-3': 1.04, 'node-4': inf} at a load of 15 to 22, and with an exception at a load of 26, as a node had not answered at all.

Cause: callers ended 3 s after the write, whenever the nodes had started. A node that starts sees no change for its first second, so that it serves 1.0 to 1.2 s after the write or its start; 2 s are allowed from its first answer. One that answers first more than 2 s after the write got less than the time that it is allowed, and one that answers more than 1.9 s after it had not served yet.

Change: callers go on until each node has answered (8 s at most, as for readiness), and for 3 s after that. The 2 s are as they were, and the revoked key is sent for longer.

--- a/features/steps/fleet_restart_state_steps.py
+++ b/features/steps/fleet_restart_state_steps.py
@@ -14,7 +14,7 @@
 REVOKE_MS = 2000
 CALL_SPACING_S = 0.04
 REWRITE_DELAY_S = 0.8
-# How long callers go on after the rewrite.
+# How long callers go on after the rewrite and the first answer of each node.
 CALLED_AFTER_S = 3.0
 START_SPACING_S = 0.2
 AWAY_S = 0.4
@@ -73,6 +73,11 @@
             self.answers.append((key, node, sent_at, status))
             await asyncio.sleep(CALL_SPACING_S)
 
+    async def all_answered(self):
+        """Return whether each node has answered a call with the key that is not revoked."""
+        answered = {node for key, node, _, status in self.answers if key == KEY and status}
+        return len(answered) == len(self._deployment.nodes)
+
     async def stop(self):
         for task in self._tasks:
             task.cancel()
@@ -147,6 +152,7 @@
             await listens(nodes[0])
             await restore_store()
         await rewritten.wait()
+        await deployment.wait_until(callers.all_answered)
         await asyncio.sleep(CALLED_AFTER_S)
         await callers.stop()
         context.answers = callers.answers
