Begin streams that end with their node once all nodes know each other

Likely cause: the nodes have to know each other when the streams begin. The first one tells the others where a stream began, and is killed once all have an event; a node that it did not know then refuses to go on, for good. The step took this for granted 1 s after the nodes were ready, which members need about a second to discover.

--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -293,6 +293,16 @@
             log_end = node.log()[-ERROR_LOG_CHARACTERS:] if node.log_path.exists() else ""
             raise AssertionError(f"{node.name} is not ready: {error}; its log: {log_end}") from None
 
+    async def know_each_other(self):
+        """Wait until each node counts all nodes, by its metrics."""
+        counted = f"liftrill_peers {len(self.nodes)}.0"
+
+        async def all_count():
+            pages = [await self.metrics(node) for node in self.nodes]
+            return all(counted in page.splitlines() for page in pages)
+
+        await self.wait_until(all_count)
+
     async def resolve(self, node):
         url = f"http://{node.address('Directory')}/liftrill/resolve"
         query = {"Name": HOST, "Zone": "zone-1", "Region": "region-1"}
--- a/features/steps/fleet_restart_steps.py
+++ b/features/steps/fleet_restart_steps.py
@@ -64,6 +64,7 @@
             await context.deployment.add_node(f"node-{number + 1}")
         for node in context.deployment.nodes:
             await context.deployment.ready(node)
+        await context.deployment.know_each_other()
         await asyncio.sleep(seconds)
 
     context.run(add())
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -71,6 +71,8 @@
         await deployment.add_node(f"node-{number + 1}")
     for node in deployment.nodes:
         await deployment.ready(node)
+    # They tell each other where streams began, from the first one on.
+    await deployment.know_each_other()
     await asyncio.sleep(1.0)
 
 
@@ -300,6 +302,7 @@
         await context.deployment.add_node("node-2", root=earlier)
         for node in context.deployment.nodes:
             await context.deployment.ready(node)
+        await context.deployment.know_each_other()
         await asyncio.sleep(1.0)
 
     context.run(add())
