Wait until all nodes know a second version before new callers may not begin at the first

Cause: the step took for granted that all nodes know the engines of the second version, and its record, 0.2 s after they came. The node that reads the store may wait 0.15 s between two watches, then the leader writes the record, and the others follow. So little is left that the check holds or not by the load.

Change: the step waits until the store has the record and each node counts the four engines.

--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -10,6 +10,7 @@
 from features.standin.deployment import Deployment
 from features.standin.earlier_build import extract_tree
 from features.standin.stream_callers import ENGINE_LOST, UNAVAILABLE, StreamCallers
+from liftrill.gateway.streams.version_record import VERSIONS_KEY
 
 EVENTS, EVENT_S = 24, 0.05
 CALL_SPACING_S = 0.02
@@ -204,11 +205,23 @@
     async def start():
         context.tasks = await call_spaced(context, count, leaves=leaves)
         await add_engines(context.deployment, {version: engines})
-        await asyncio.sleep(0.2)
+        await known_everywhere(context.deployment, version, engines)
 
     context.run(start())
 
 
+async def known_everywhere(deployment, version, count):
+    """Wait until all nodes know the engines of a version, and the store has recorded it."""
+    counted = f'liftrill_engine_versions{{service="llm",version="{version}"}} {count}.0'
+
+    async def is_known():
+        pages = [await deployment.metrics(node) for node in deployment.nodes]
+        recorded = deployment.store.value(VERSIONS_KEY) or b""
+        return version.encode() in recorded and all(counted in p.splitlines() for p in pages)
+
+    await deployment.wait_until(is_known)
+
+
 @when("{count:d} new callers stream meanwhile")
 def step_new_callers(context, count):
     async def stream():
