Crash the engine of a test once its stream has two events, not after 0.08 s

Seen: by reading; then `cut_heads`, "A run continued from its copy stops", with its node standing still for 0.15 s as the request comes: "not enough values to unpack (expected 1, got 0)" (1 of 1, load 25).

Cause: 0.08 s after the caller has asked, the step took for granted that an engine works on the request and has sent two of four events, 0.05 s apart. A node that is slower than that by load has not sent the request yet.

Change: the step waits for the second event at the caller (8 s at most), and checks that the stream has not ended, before it crashes the engine.

--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -24,8 +24,8 @@
 RESUMED, CONTINUED = "Last-Event-Id", "Kv-From"
 # The tokens of a prompt and of an output that is long enough for a copy of its run.
 LONG_OUTPUT = "30,2000"
-# Between the second and the third event of a stream.
-CRASHES_AFTER_S = 0.08
+# An engine crashes after this event of a stream, and before the last.
+CRASHES_AFTER_EVENT = 2
 HALF_CLOSED, OPEN = "half-closed", "open"
 SILENCE_S = 2.0
 READ_BYTES = 4_096
@@ -186,7 +186,14 @@
         node = context.deployment.nodes[0]
         long = {"X-Token-Usage": LONG_OUTPUT}
         asking = asyncio.ensure_future(context.callers.ask(node, HTTP_1_1, "stream", **long))
-        await asyncio.sleep(CRASHES_AFTER_S)
+        await asyncio.sleep(0)
+        (answer,) = context.callers.answers
+
+        async def has_begun():
+            return answer.events >= CRASHES_AFTER_EVENT
+
+        await context.deployment.wait_until(has_begun)
+        assert not asking.done(), (answer.status, answer.events)
         (engine,) = [engine for engine in engines if engine.arrivals]
         await engine.crash()
         await asking
