Relay reports of peers in one place

The handlers of load and of speed reports both passed them on, in the same words.

No change of behaviour. The choice of an engine is not touched.

--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -591,19 +591,17 @@
         if report.node_load is not None:
             self._node_capacities.update_zone(report.zone, report.node_load, now)
         self._load_table.update_zone(report.zone, report.loads, now)
-        members = self._membership.members()
-        relayed_reports = topology_for(members).relayed_reports(
-            self._membership.own, report, members
-        )
-        self._peers.send_reports(relayed_reports)
+        self._relay_report(report)
 
     def _on_speeds(self, report: LoadReport) -> None:
         self._speed_exchange.apply_report(report, clock.now_s())
+        self._relay_report(report)
+
+    def _relay_report(self, report: LoadReport) -> None:
+        """Pass on a report to the members that the topology names."""
         members = self._membership.members()
-        relayed_reports = topology_for(members).relayed_reports(
-            self._membership.own, report, members
-        )
-        self._peers.send_reports(relayed_reports)
+        relayed = topology_for(members).relayed_reports(self._membership.own, report, members)
+        self._peers.send_reports(relayed)
 
     def _apply_quarantine(self, change: MirrorChange) -> None:
         now = clock.now_s()
