--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -14,10 +14,10 @@
 from features.gateway_support import opaque_request
 from liftrill.coordination.token_bucket import TokenBucket
 from liftrill.gateway import delivery_events as events
-from liftrill.gateway import log_lines, log_reader
+from liftrill.gateway import log_reader
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery import DeliveryMachine
-from liftrill.gateway.log_output import BoundedOutput
+from liftrill.gateway.log_output import BoundedOutput, add_log_output
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 # Names specific to the platform; general terms of HTTP and of the field are not listed.
@@ -300,7 +300,7 @@
     context.stack.callback(os.close, reader)
     context.stack.callback(os.close, writer)
     context.reader = reader
-    destination = log_lines.add_log_output(BoundedOutput(writer))
+    destination = add_log_output(BoundedOutput(writer))
     context.stack.callback(eliot.remove_destination, destination)
 
 
--- a/liftrill/gateway/log_output.py
+++ b/liftrill/gateway/log_output.py
@@ -1,11 +1,20 @@
-"""Writes log lines to standard output without blocking on a slow reader."""
+"""Writes the eliot messages of one process as JSON lines, without blocking on a slow reader."""
 
+import json
 import os
 import sys
 from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import eliot
+import orjson
 
 from liftrill import constants
 
+Message = dict[str, Any]
+Destination = Callable[[Message], None]
+
 
 class BoundedOutput:
     """An output that drops lines instead of blocking.
@@ -51,3 +60,26 @@
                 self._buffer[0] = data[written:]
                 return
             self._buffer.popleft()
+
+
+def add_log_output(output: BoundedOutput) -> Destination:
+    """Write each message from now on as a JSON line to an output."""
+
+    def write(message: Message) -> None:
+        output.write(_encoded(message))
+
+    eliot.add_destinations(write)
+    return write
+
+
+def _encoded(message: Message) -> bytes:
+    try:
+        return orjson.dumps(message, default=_serializable, option=orjson.OPT_APPEND_NEWLINE)
+    except orjson.JSONEncodeError:
+        # orjson rejects integers of more than 64 bits and header values that are not valid UTF-8.
+        return json.dumps(message, default=_serializable, skipkeys=True).encode() + b"\n"
+
+
+def _serializable(value: object) -> object:
+    """Return the JSON form of a value of another type: a list for sets, otherwise a string."""
+    return list(value) if isinstance(value, set | frozenset) else str(value)
