Obtain the permits of a choice in a module of its own

The engine selector chose engines and also dealt with the permits that limited and brittle engines require. The new module is among those that may do no I/O.

No change of behaviour.

--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -58,6 +58,7 @@
     "delivery_events",
     "delivery_times",
     "engines/backup_selector",
+    "engines/choice_permits",
     "engines/engine_selector",
     "engines/engine_table",
     "engines/engine_speed",
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -12,6 +12,7 @@
 from liftrill.gateway.delivery_events import EngineChoice
 from liftrill.gateway.delivery_ports import Unavailable
 from liftrill.gateway.engines.backup_selector import BackupSelector
+from liftrill.gateway.engines.choice_permits import ChoicePermits
 from liftrill.gateway.engines.engine_limits import EngineLimits
 from liftrill.gateway.engines.engine_slots import EngineSlots
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
@@ -73,6 +74,7 @@
         self.capacity_filter = CapacityFilter()
         self.limits = EngineLimits()
         self.slots = EngineSlots(engines.by_number)
+        self._permits = ChoicePermits(engines, self.limits, self.slots)
         self.paths = EnginePaths()
         self.software_versions = SoftwareVersionFilter(engines)
         self.ended_lately: Callable[[EngineView, float], bool] = _not_ended
@@ -150,9 +152,9 @@
             choice = replace(choice, proxy=self.paths.proxy(choice.engine, now))
             permitted: EngineChoice | Unavailable | None = choice
             if self.limits.is_limited(choice.engine):
-                permitted = self._with_permit(choice, request, ready, may_wait, now)
+                permitted = self._permits.with_permit(choice, request, ready, may_wait, now)
             elif is_brittle:
-                permitted = self._with_slot(choice, request, ready, now)
+                permitted = self._permits.with_slot(choice, request, ready, now)
             if permitted is not None:
                 return permitted
             ready = [view for view in ready if view.engine_id != choice.engine_id]
@@ -188,50 +190,6 @@
             )
         return self._choose_for_prompt(request, request.prompt, ready, now)
 
-    def _with_permit(
-        self,
-        choice: EngineChoice,
-        request: OpaqueRequest,
-        ready: list[EngineView],
-        may_wait: bool,
-        now: float,
-    ) -> EngineChoice | Unavailable | None:
-        """Return the choice with a permit, NONE_READY to wait for one, or None to try others."""
-        user = request.request_id
-        limited = [view.identity for view in ready if self.limits.is_limited(view.identity)]
-        if any(self.limits.is_pending(at, user, now) for at in limited):
-            permit = self.limits.claim(choice.engine, user, now)
-        else:
-            # While unlimited engines are ready, a request does not wait for a permit.
-            waits = may_wait and len(limited) == len(ready)
-            patience_s = max(0.0, request.wait_deadline - now) if waits else 0.0
-            permit = self.limits.obtain(choice.engine, user, patience_s, may_wait, now)
-        if permit is not None:
-            return replace(choice, permit=permit)
-        is_pending = any(self.limits.is_pending(at, user, now) for at in limited)
-        return Unavailable.NONE_READY if may_wait and is_pending else None
-
-    def _with_slot(
-        self,
-        choice: EngineChoice,
-        request: OpaqueRequest,
-        ready: list[EngineView],
-        now: float,
-    ) -> EngineChoice | Unavailable | None:
-        """Return the choice with a slot, NONE_READY to wait for one, or None to try others."""
-        view = self._engines.get(choice.engine_id)
-        if view is None or not self.slots.needs_slot(view, now):
-            return choice
-        user = request.request_id
-        pending = [each for each in ready if self.slots.is_pending(each, user, now)]
-        if pending and not self.slots.has_slot(view, now):
-            return Unavailable.NONE_READY
-        patience_s = max(0.0, request.wait_deadline - now)
-        slot = self.slots.obtain(view, user, request.priority, patience_s, now)
-        if slot is not None:
-            return replace(choice, slot=slot)
-        return Unavailable.NONE_READY if patience_s else None
-
     def _unavailable_reason(
         self, request: OpaqueRequest, untried: list[EngineView], now: float
     ) -> Unavailable:
