Stop a node, leave a stream or lose a proxy once a request is under way, not by the clock alone

Cause: 0.3, 0.5 or 0.8 s after a call the steps took for granted that a request has reached its engine, or that the caller has the head of its answer. A node that is slower by load has not sent it then.

Change: after that time the steps also wait (8 s at most) until an engine has the request, or the caller the head. Where it is there nothing changes.

--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -345,6 +345,14 @@
         async with self.session.get(f"http://{node.address('Metrics')}/metrics") as answer:
             return await answer.text()
 
+    async def arrived(self, more_than=0):
+        """Wait until engines have got more requests than so many."""
+
+        async def has_arrived():
+            return len(self.arrivals()) > more_than
+
+        await self.wait_until(has_arrived)
+
     def arrivals(self):
         return [arrival for engine in self.engines.values() for arrival in engine.arrivals]
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -474,6 +474,7 @@
     async def disconnect():
         task = asyncio.ensure_future(context.deployment.call(node, "/stream/x", model="model-1"))
         await asyncio.sleep(0.5)
+        await context.deployment.arrived()
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
@@ -553,8 +554,10 @@
     node = deployment.nodes[0]
 
     async def stop():
+        arrived = len(deployment.arrivals())
         context.task = asyncio.ensure_future(deployment.call(node, "/stream/x", model="model-1"))
         await asyncio.sleep(0.3)
+        await deployment.arrived(more_than=arrived)
         terminate(node)
 
     context.run(stop())
--- a/features/steps/proxied_requests_steps.py
+++ b/features/steps/proxied_requests_steps.py
@@ -84,16 +84,23 @@
 
 
 async def cancel(context, route, seconds):
-    url = f"http://{context.deployment.nodes[0].address('Front')}/{route}/x"
-    with suppress(TimeoutError):
-        async with (
-            asyncio.timeout(seconds),
-            context.deployment.session.post(
-                url, headers=headers_of("cancelled", "model-1"), data=b"body"
-            ) as answer,
-        ):
+    deployment = context.deployment
+    url = f"http://{deployment.nodes[0].address('Front')}/{route}/x"
+    arrived = len(deployment.arrivals())
+
+    async def read():
+        async with deployment.session.post(
+            url, headers=headers_of("cancelled", "model-1"), data=b"body"
+        ) as answer:
             await answer.read()
 
+    reading = asyncio.ensure_future(read())
+    await asyncio.sleep(seconds)
+    await deployment.arrived(more_than=arrived)
+    reading.cancel()
+    with suppress(asyncio.CancelledError):
+        await reading
+
 
 @then("its engine sees the cancellation within {seconds:g} s")
 def step_cancelled(context, seconds):
@@ -169,11 +176,16 @@
 async def lose_proxy(context, seconds, route, lose):
     first = context.deployment.nodes[0]
     url = f"http://{first.address('Front')}/{route}/x"
+    begun = []
+
+    async def has_begun():
+        return bool(begun)
 
     async def call():
         async with context.deployment.session.post(
             url, headers=headers_of("killed", "model-1"), data=b"body"
         ) as answer:
+            begun.append(answer.status)
             try:
                 await answer.read()
             except aiohttp.ClientPayloadError:
@@ -182,6 +194,7 @@
 
     calling = asyncio.ensure_future(call())
     await asyncio.sleep(seconds)
+    await context.deployment.wait_until(has_begun)
     await lose()
     context.answer = await calling
 
