Wait until the processes that a worker left have ended before the next uses their ports

Seen: `test_run`, "A process that is left running keeps the run waiting": "its output names the process, which has ended" failed in 1 of 6 plays at a load of 24 to 28, and in 2 of 2 plays of the whole file at a load of 33. It can fail on a quiet machine too: nothing in it waits for load.

Cause: the run killed the group of a worker that had exited, and went on at once. A kill only asks for the end: processes of the group still ran, and held their ports, as the step looked and as the next file began with the same range of ports.

Change: the run waits until no process of the group is left (10 s at most; it prints those that are). A zombie counts as ended, as before.

--- a/features/worker.py
+++ b/features/worker.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import threading
+import time
 from contextlib import suppress
 from pathlib import Path
 
@@ -17,6 +18,8 @@
 MAX_WORKER_S = 1_200.0
 # A worker that reaches its limit prints its stacks and exits within this time.
 EXIT_MARGIN_S = 30.0
+# How long processes that were killed may take to end, and how often that is looked at.
+KILLED_WITHIN_S, KILLED_LOOK_S = 10.0, 0.02
 
 
 class WorkerProcesses:
@@ -64,9 +67,16 @@
 
 
 def _end_group(process: subprocess.Popen[bytes]) -> None:
+    """Kill a group of processes, and wait until they have ended: the next use their ports."""
     with suppress(ProcessLookupError):
         os.killpg(process.pid, signal.SIGKILL)
     process.wait()
+    until = time.monotonic() + KILLED_WITHIN_S
+    while left := _processes_of(process.pid):
+        if time.monotonic() > until:
+            print(f"killed, and still running {KILLED_WITHIN_S} s later: {left}", flush=True)
+            return
+        time.sleep(KILLED_LOOK_S)
 
 
 def end_after(max_s: float) -> None:
