End the workers of a run of the tests that is told to end, or killed

A run that gets SIGTERM or SIGKILL then leaves its workers: each goes on with its file, with its nodes and engines, beside whatever runs next, for up to 20 minutes; its own limit then ends the worker alone, so that its nodes run on for ever.

Cause: a worker is the leader of its own group since the run ends groups, so that nothing else ends it; the run handled SIGINT alone.

Change: SIGTERM interrupts a run as SIGINT does, and the run prints which files it ends. A worker looks each second whether its run is still there, and kills its group if not. A worker that starts just as the run ends its workers is ended too; nothing would have ended it before its limit (by reading).

--- a/features/run.py
+++ b/features/run.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import signal
 import sys
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
@@ -20,7 +21,7 @@
 from behave.model_type import Status
 from behave.runner import Runner
 
-from features.worker import MAX_WORKER_S, WorkerProcesses, end_after
+from features.worker import MAX_WORKER_S, WorkerProcesses, end_after, end_with_parent
 from liftrill.bench.launcher import DEFAULT_PORT_RANGE, PORTS_VARIABLE
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -102,6 +103,7 @@
 
 def run_as_worker(target: Path, arguments: list[str]) -> int:
     """Run features as one worker and write their results to a file."""
+    end_with_parent()
     end_after(MAX_WORKER_S)
     options, paths = _split(arguments)
     results = run_features(options, paths)
@@ -116,18 +118,22 @@
     free_ranges = port_ranges(os.environ.get(PORTS_VARIABLE, DEFAULT_PORT_RANGE), workers)
 
     processes = WorkerProcesses()
+    running: set[str] = set()
 
     def run_one(path: str) -> list[Result]:
         ports = free_ranges.pop()
+        running.add(path)
         try:
             return _run_worker(processes, ports, options, path)
         finally:
+            running.discard(path)
             free_ranges.append(ports)
 
     with ThreadPoolExecutor(workers) as pool:
         try:
             return [result for results in pool.map(run_one, ordered) for result in results]
         except KeyboardInterrupt:
+            print(f"interrupted during {', '.join(sorted(running))}", flush=True)
             pool.shutdown(wait=False, cancel_futures=True)
             processes.stop()
             raise
@@ -196,6 +202,8 @@
     arguments = sys.argv[1:]
     if arguments and arguments[0].startswith(RESULTS_OPTION):
         return run_as_worker(Path(arguments[0].removeprefix(RESULTS_OPTION)), arguments[1:])
+    # Ended in either way, a run ends its workers.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     listed = known_red()
     options, paths = _split(arguments)
     return report(run_in_parallel(options, paths), listed)
--- a/features/steps/test_run_steps.py
+++ b/features/steps/test_run_steps.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import os
+import signal
 import subprocess
 import sys
 import time
 import traceback
+from contextlib import suppress
 from types import SimpleNamespace
 
 import psutil
@@ -30,6 +32,20 @@
 asyncio.run(wait_for_ever())
 """
 STOPS = "import os, signal; os.kill(os.getpid(), signal.SIGSTOP)"
+LONG_STEP = """
+import os, pathlib, subprocess, sys, time
+from behave import given
+
+@given("a long step")
+def step(context):
+    child = subprocess.Popen([sys.executable, "-c", "import time; time.sleep({seconds})"])
+    path = pathlib.Path({path!r})
+    path.with_suffix(".new").write_text(f"{{os.getpid()}} {{child.pid}}")
+    path.with_suffix(".new").rename(path)
+    time.sleep({seconds})
+"""
+LONG_FEATURE = "Feature: f\n  Scenario: s\n    Given a long step\n"
+LOOK_S = 0.1
 EXIT_MARGIN_S = 2.0
 # Ends a check whose guard does not work.
 CONTROL_S = 60.0
@@ -130,3 +146,50 @@
     last = context.done.stdout.partition("FAILED")[2]
     assert context.done.returncode == 1, context.done
     assert "ended without results" in last and "No steps directory in" in last, context.done.stdout
+
+
+@given("a feature file with a step that starts a process and takes {seconds:d} s")
+def step_long(context, seconds):
+    context.pids_path = context.directory / "pids"
+    steps = context.directory / "steps"
+    steps.mkdir()
+    text = LONG_STEP.format(seconds=seconds, path=str(context.pids_path))
+    (steps / "long_steps.py").write_text(text)
+    (context.directory / "long.feature").write_text(LONG_FEATURE)
+
+
+@when("its run gets {name} during that step")
+def step_signal(context, name):
+    command = [sys.executable, "-m", "features.run", str(context.directory / "long.feature")]
+    run = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    context.stack.callback(end_all, [run.pid])
+    wait_until(context.pids_path.exists)
+    pids = [int(pid) for pid in context.pids_path.read_text().split()]
+    context.stack.callback(end_all, pids)
+    run.send_signal(signal.Signals[name])
+    context.signalled_at = time.monotonic()
+    context.left = [run.pid, *pids]
+
+
+def end_all(pids):
+    for pid in filter(is_running, pids):
+        os.kill(pid, signal.SIGKILL)
+
+
+def is_running(pid):
+    with suppress(psutil.NoSuchProcess):
+        return psutil.Process(pid).status() != psutil.STATUS_ZOMBIE
+    return False
+
+
+def wait_until(condition, seconds=CONTROL_S):
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, f"condition not met within {seconds} s"
+        time.sleep(LOOK_S)
+
+
+@then("the run, its worker and that process have ended within {seconds:g} s")
+def step_all_ended(context, seconds):
+    left_s = context.signalled_at + seconds - time.monotonic()
+    wait_until(lambda: not any(map(is_running, context.left)), left_s)
--- a/features/test_run.feature
+++ b/features/test_run.feature
@@ -28,3 +28,14 @@
     Given a feature file that no worker can read
     When the run ends
     Then it has failed, and its last lines show why
+
+  Scenario Outline: A run that gets <signal> leaves processes running
+    Given a feature file with a step that starts a process and takes 100 s
+    When its run gets <signal> during that step
+    Then the run, its worker and that process have ended within 10 s
+
+    Examples:
+      | signal  |
+      | SIGINT  |
+      | SIGTERM |
+      | SIGKILL |
--- a/features/worker.py
+++ b/features/worker.py
@@ -20,6 +20,8 @@
 EXIT_MARGIN_S = 30.0
 # How long processes that were killed may take to end, and how often that is looked at.
 KILLED_WITHIN_S, KILLED_LOOK_S = 10.0, 0.02
+# How often a worker looks whether the run that started it has ended.
+PARENT_LOOK_S = 1.0
 
 
 class WorkerProcesses:
@@ -30,6 +32,7 @@
     ) -> None:
         self._limit_s = max_worker_s + exit_margin_s
         self._running: set[subprocess.Popen[bytes]] = set()
+        self._is_over = False
 
     def run(self, command: list[str], cwd: Path, env: dict[str, str], output_path: Path) -> None:
         """Run a command, and end it and the processes that it left after a time.
@@ -41,6 +44,8 @@
                 command, cwd=cwd, env=env, stdout=output, stderr=subprocess.STDOUT, process_group=0
             )
             self._running.add(process)
+            if self._is_over:
+                _end_group(process)
             try:
                 with suppress(subprocess.TimeoutExpired):
                     process.wait(self._limit_s)
@@ -51,7 +56,8 @@
                 self._running.discard(process)
 
     def stop(self) -> None:
-        """End all workers."""
+        """End all workers, also those that are just being started."""
+        self._is_over = True
         for process in list(self._running):
             _end_group(process)
 
@@ -79,6 +85,18 @@
         time.sleep(KILLED_LOOK_S)
 
 
+def end_with_parent() -> None:
+    """End this process and its group once its parent has ended, also if that was killed."""
+    parent = os.getppid()
+
+    def watch() -> None:
+        while os.getppid() == parent:
+            time.sleep(PARENT_LOOK_S)
+        os.killpg(os.getpgrp(), signal.SIGKILL)
+
+    threading.Thread(target=watch, daemon=True).start()
+
+
 def end_after(max_s: float) -> None:
     """End this process after a time, and print what its threads and tasks wait for."""
 
