Print that a worker was killed, or did not end in time

Seen: by reading. A worker that is killed, for instance for its memory, writes nothing, so that the run named its file and gave no reason at all; for one that the run ended at its limit it gave the command that was left running, which does not say that the limit was reached.

Change: the end of the worker's output, which is the reason that is printed, says with which code it ended if not with 0, or that it has not ended within its time.

--- a/features/steps/test_run_steps.py
+++ b/features/steps/test_run_steps.py
@@ -31,7 +31,7 @@
 end_after({seconds})
 asyncio.run(wait_for_ever())
 """
-STOPS = "import os, signal; os.kill(os.getpid(), signal.SIGSTOP)"
+GETS_SIGNAL = "import os, signal; os.kill(os.getpid(), signal.{})"
 LONG_STEP = """
 import os, pathlib, subprocess, sys, time
 from behave import given
@@ -68,7 +68,12 @@
 
 @given("a worker that is stopped, and may run for {seconds:g} s")
 def step_stopped(context, seconds):
-    prepare(context, STOPS, seconds)
+    prepare(context, GETS_SIGNAL.format("SIGSTOP"), seconds)
+
+
+@given("a worker that is killed")
+def step_killed(context):
+    prepare(context, GETS_SIGNAL.format("SIGKILL"))
 
 
 @when("it is run")
@@ -98,6 +103,11 @@
     assert "in wait_for_ever" in context.output, context.output
 
 
+@then('its output shows "{text}"')
+def step_output_shows(context, text):
+    assert text in context.output.splitlines(), context.output
+
+
 @given("a scenario whose steps may take {seconds:g} s")
 def step_scenario(context, seconds):
     allowed_s, environment.MAX_STEP_S = environment.MAX_STEP_S, seconds
--- a/features/test_run.feature
+++ b/features/test_run.feature
@@ -18,6 +18,12 @@
     Given a worker that is stopped, and may run for 1 s
     When it is run
     Then the run has ended within 20 s
+    And its output shows "it has not ended within 3.0 s"
+
+  Scenario: A run does not tell that a worker was killed
+    Given a worker that is killed
+    When it is run
+    Then its output shows "it ended with -9"
 
   Scenario: A step that waits for ever keeps its file waiting
     Given a scenario whose steps may take 1 s
--- a/features/worker.py
+++ b/features/worker.py
@@ -47,8 +47,11 @@
             if self._is_over:
                 _end_group(process)
             try:
-                with suppress(subprocess.TimeoutExpired):
-                    process.wait(self._limit_s)
+                try:
+                    if process.wait(self._limit_s):
+                        output.write(f"it ended with {process.returncode}\n".encode())
+                except subprocess.TimeoutExpired:
+                    output.write(f"it has not ended within {self._limit_s} s\n".encode())
                 for left in _processes_of(process.pid):
                     output.write(f"left running: {left}\n".encode())
             finally:
