End the tasks, the loop and the folder of a scenario although one of its processes does not end

Seen: by reading. Where the end of one thing that a scenario started raises, for instance the limit of 600 s, the lines after it did not run: its tasks stayed on an open loop, with their connections, beside the scenarios that follow in the file.

Change: each of the four ends is done in any case, and the failure is raised after them.

--- a/features/environment.py
+++ b/features/environment.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import tempfile
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 from pathlib import Path
 
 # Several times the longest wait of a step beside another run.
@@ -19,10 +19,12 @@
 
 
 def after_scenario(context, scenario):
-    context.run(context.stack.aclose())
-    context.run(cancel_tasks())
-    context.loop.close()
-    context.temporary.cleanup()
+    with ExitStack() as ends:
+        # In reverse order, and all of them, also if one fails.
+        ends.callback(context.temporary.cleanup)
+        ends.callback(context.loop.close)
+        ends.callback(lambda: context.run(cancel_tasks()))
+        ends.callback(lambda: context.run(context.stack.aclose()))
 
 
 def run_within(loop, max_s, work):
--- a/features/steps/test_run_steps.py
+++ b/features/steps/test_run_steps.py
@@ -139,6 +139,31 @@
     assert "in wait_for_ever" in context.output, context.output
 
 
+@when("it leaves a task, and ending one of its processes fails")
+def step_end_fails(context):
+    def fail():
+        raise OSError("it does not end")
+
+    async def leave_task():
+        return asyncio.ensure_future(asyncio.sleep(CONTROL_S))
+
+    scenario_context = context.scenario_context
+    context.left_task = scenario_context.run(leave_task())
+    scenario_context.stack.callback(fail)
+    try:
+        environment.after_scenario(scenario_context, None)
+    except OSError as error:
+        context.error = error
+
+
+@then("the failure is raised, and its task, its loop and its folder have ended")
+def step_end_failed(context):
+    assert "it does not end" in str(context.error)
+    assert context.left_task.cancelled(), context.left_task
+    assert context.scenario_context.loop.is_closed()
+    assert not context.scenario_context.directory.exists()
+
+
 @given("a feature file that no worker can read")
 def step_unreadable(context):
     context.command = [sys.executable, "-m", "features.run", str(context.directory / "a.feature")]
--- a/features/test_run.feature
+++ b/features/test_run.feature
@@ -30,6 +30,11 @@
     When a step of it waits for ever
     Then the step has failed within 20 s, and shows where it waits
 
+  Scenario: A scenario whose end fails leaves its tasks and its folder
+    Given a scenario whose steps may take 1 s
+    When it leaves a task, and ending one of its processes fails
+    Then the failure is raised, and its task, its loop and its folder have ended
+
   Scenario: A run does not tell why a worker ended without results
     Given a feature file that no worker can read
     When the run ends
