Fail a test of a restored store at once if a node ends as it starts

Seen: by reading, then with settings that a node refuses (trial on a copy, load 22): the step waited for ever for the node to take connections, and had to be interrupted after 60 s.

Cause: the wait had no limit but that of the step, 600 s, and did not look at the process.

Change: it fails with the node's exit code if that has ended, and after 8 s, as the wait for readiness does.

--- a/features/steps/fleet_restart_state_steps.py
+++ b/features/steps/fleet_restart_state_steps.py
@@ -129,13 +129,13 @@
             await restore_store()
             await start(context, nodes[:1])
             callers = KeyCallers(deployment)
-            await listens(nodes[0])
+            await listens(deployment, nodes[0])
         elif which == "all nodes start at once":
             await kill(nodes)
             await restore_store()
             await start(context, nodes)
             callers = KeyCallers(deployment)
-            await listens(nodes[0])
+            await listens(deployment, nodes[0])
         elif which == "all nodes start one by one":
             await kill(nodes)
             await restore_store()
@@ -149,7 +149,7 @@
             deployment.store.fault = "reset"
             await start(context, nodes)
             callers = KeyCallers(deployment)
-            await listens(nodes[0])
+            await listens(deployment, nodes[0])
             await restore_store()
         await rewritten.wait()
         await deployment.wait_until(callers.all_answered)
@@ -160,17 +160,21 @@
     context.run(play())
 
 
-async def listens(node):
+async def listens(deployment, node):
     """Wait until a node accepts connections."""
     host, port = node.address("Front").split(":")
-    while True:
+
+    async def accepts():
+        ended = node.process.returncode
+        assert ended is None, f"{node.name} ended with {ended}"
         try:
             _, writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            await asyncio.sleep(0.02)
-        else:
-            writer.close()
-            return
+            return False
+        writer.close()
+        return True
+
+    await deployment.wait_until(accepts)
 
 
 @then("no engine got a request with the revoked key")
