Give commands that steps run in place a time in which they have to end

Seen: by reading. Two steps run a command and block the test's process until it ends: the limit of a step (600 s) ends only what a step awaits, so that such a command would keep its file until the limit of the worker, 20 minutes, with the loss of the file's other results.

Change: both have 60 s, as the other step of `command_line` had.

--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -43,6 +43,8 @@
     "text that is not TOML": {"zone": "= ="},
     "a negative grace period": {"drain_grace_seconds": "-1"},
 }
+# Ends a command that does not end by itself: the limit of a step ends only what it awaits.
+MAX_COMMAND_S = 60.0
 COMMANDS = (
     ["node"],
     ["intent"],
@@ -72,7 +74,10 @@
 
 def run(*arguments):
     return subprocess.run(
-        [sys.executable, "-m", "liftrill", *arguments], capture_output=True, text=True, timeout=60
+        [sys.executable, "-m", "liftrill", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=MAX_COMMAND_S,
     )
 
 
@@ -166,7 +171,7 @@
     command_arguments = [str(names.get(word, word)) for word in arguments.split()]
     code = "import sys; from liftrill.cli.main import main; main()"
     command = [sys.executable, "-c", code, *command_arguments]
-    context.result = subprocess.run(command, capture_output=True, text=True)
+    context.result = subprocess.run(command, capture_output=True, text=True, timeout=MAX_COMMAND_S)
 
 
 @then('it exits with {code:d} and prints "{output}"')
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -91,6 +91,8 @@
     "weight_rollout",
     "weight_targets",
 )
+# Ends a program that does not end by itself: the limit of a step ends only what it awaits.
+MAX_IMPORT_S = 60.0
 IO_MODULES = {"asyncio", "aiohttp", "socket", "uvloop", "time"}
 ADAPTER_MODULES = {"boot", "engines", "ingress", "interpreter", "names", "serve", "store"}
 
@@ -328,6 +330,7 @@
         capture_output=True,
         check=True,
         text=True,
+        timeout=MAX_IMPORT_S,
     )
     context.imported = set(ran.stdout.split())
 
