End all processes of a deployment although one of them can't be ended

Seen: by reading. Where the end of one node or engine raises, for instance by a report of an engine that was cut as it was killed, all nodes and engines after it ran on beside the other scenarios of the file.

Change: all are ended, and the error is raised after that.

--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import sys
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import aiohttp
@@ -220,12 +221,12 @@
         return self
 
     async def __aexit__(self, *_):
-        for node in self.nodes:
-            await node.stop()
-        for engine in self.engines.values():
-            await engine.stop()
-        await self.store.stop()
-        await self.session.close()
+        async with AsyncExitStack() as ends:
+            # In reverse order, and all of them, also if one fails.
+            ends.push_async_callback(self.session.close)
+            ends.push_async_callback(self.store.stop)
+            for part in (*self.engines.values(), *self.nodes):
+                ends.push_async_callback(part.stop)
 
     async def add_engine(self, name, service, kind=StandInEngine, **options):
         engine = kind(name, service, **options)
--- a/features/steps/test_run_steps.py
+++ b/features/steps/test_run_steps.py
@@ -15,6 +15,7 @@
 
 from features import environment
 from features.run import ROOT
+from features.standin.deployment import Deployment
 from features.worker import WorkerProcesses
 
 LEAVES_PROCESS = """
@@ -164,6 +165,37 @@
     assert not context.scenario_context.directory.exists()
 
 
+@given("a deployment of {count:d} nodes, of which the second raises an error as it is ended")
+def step_deployment(context, count):
+    async def fail():
+        raise OSError("it does not end")
+
+    async def start():
+        await context.deployment.__aenter__()
+        for number in range(count):
+            node = await context.deployment.add_node(f"node-{number + 1}")
+            context.stack.push_async_callback(node.stop)
+        context.deployment.nodes[1].stop = fail
+
+    context.deployment = Deployment(context.directory)
+    context.run(start())
+
+
+@when("the deployment ends")
+def step_deployment_ends(context):
+    try:
+        context.run(context.deployment.__aexit__())
+    except OSError as error:
+        context.error = error
+
+
+@then("the error is raised, and the other nodes have ended")
+def step_others_ended(context):
+    assert "it does not end" in str(context.error)
+    first, _, *others = context.deployment.nodes
+    assert all(node.process.returncode is not None for node in (first, *others))
+
+
 @given("a feature file that no worker can read")
 def step_unreadable(context):
     context.command = [sys.executable, "-m", "features.run", str(context.directory / "a.feature")]
--- a/features/test_run.feature
+++ b/features/test_run.feature
@@ -35,6 +35,11 @@
     When it leaves a task, and ending one of its processes fails
     Then the failure is raised, and its task, its loop and its folder have ended
 
+  Scenario: A node of a deployment runs on after another one could not be ended
+    Given a deployment of 3 nodes, of which the second raises an error as it is ended
+    When the deployment ends
+    Then the error is raised, and the other nodes have ended
+
   Scenario: A run does not tell why a worker ended without results
     Given a feature file that no worker can read
     When the run ends
