Judge a request by the evidence so far if its time to wait ends before a decision

Callers saw: a prompt with a part on which a decision was pending was refused (503, no engine) when its time to wait for an engine ended before the decision, 0.1 s after the report, whatever the decision was to be. Seen in virtual time only; a time to wait below 0.1 s always ends first.

Cause: an undecided request is told to wait, and the end of a wait refuses what would have to wait further.

Change: the end of a wait, and choices that can't wait (a repeat after a 500, an interrupted run that goes on at its engine), no longer take "undecided" for a refusal. The request is refused only if the evidence so far would put a pending part in quarantine, and the entry would cover the request. It is sent otherwise, as the decision would let it be.

Test: undecided_prompts, one node in virtual time with the real forwarder. Before: 2 of 3 scenarios fail (refused with 2002); the third, a prompt that the evidence condemns, is refused then and now. With each of these taken out one fails: the evidence, what the entry covers, the refusal, the fall-through.

Ruled out: deciding earlier for all requests, as reports of other nodes may still be under way.

--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -36,7 +36,7 @@
         self.backup = None
         self.next_backup = None
 
-    def choose(self, request, excluded):
+    def choose(self, request, excluded, may_wait=True):
         if not self.ready:
             return Unavailable.NONE_READY
         remaining = [engine for engine in ENGINES if engine not in excluded]
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -117,7 +117,7 @@
         if self.phase is not Phase.WAITING:
             return []
         # An engine may have become free without this request being woken.
-        instructions = self._attempt_or_wait()
+        instructions = self._attempt_or_wait(may_wait=False)
         if isinstance(instructions[0], events.WaitForEngine):
             return [self._end(self._refusal_code)]
         return instructions
@@ -163,7 +163,7 @@
         may_leave = self._continuation.may_leave(self.attempts[-1], None)
         if failed and self.request.may_run_again and may_leave and self._may_send_again():
             self._excluded.add(self.attempts[-1].engine_id)
-            choice = self._choose_untried()
+            choice = self._choose_untried(may_wait=False)
             if isinstance(choice, events.EngineChoice) and self._spend_retry_if_sent():
                 return [self._start_attempt(choice)]
         if self._head_sent:
@@ -206,8 +206,8 @@
 
     # Decisions
 
-    def _attempt_or_wait(self) -> list[events.DeliveryInstruction]:
-        choice = self._choose_untried()
+    def _attempt_or_wait(self, may_wait: bool = True) -> list[events.DeliveryInstruction]:
+        choice = self._choose_untried(may_wait)
         if isinstance(choice, Unavailable):
             self._refusal_code = REFUSAL_CODES.get(choice, self._refusal_code)
         if choice in (Unavailable.NONE_READY, Unavailable.FULL):
@@ -229,8 +229,8 @@
             return self._end(self._engine_loss_code())
         return self._start_attempt(choice)
 
-    def _choose_untried(self) -> events.EngineChoice | Unavailable:
-        return self._ports.choose(self.request, frozenset(self._excluded))
+    def _choose_untried(self, may_wait: bool) -> events.EngineChoice | Unavailable:
+        return self._ports.choose(self.request, frozenset(self._excluded), may_wait)
 
     def _retry(self) -> list[events.DeliveryInstruction]:
         if not self._may_send_again():
--- a/liftrill/gateway/delivery_ports.py
+++ b/liftrill/gateway/delivery_ports.py
@@ -24,9 +24,12 @@
 
     @abstractmethod
     def choose(
-        self, request: OpaqueRequest, excluded: frozenset[str]
+        self, request: OpaqueRequest, excluded: frozenset[str], may_wait: bool = True
     ) -> events.EngineChoice | Unavailable:
-        """Return an engine whose id is not excluded, or why there is none."""
+        """Return an engine whose id is not excluded, or why there is none.
+
+        Whether it crashes engines is awaited only if it may wait, and else judged by what is known.
+        """
 
     @abstractmethod
     def choose_again(
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -83,16 +83,19 @@
         self._quarantine = quarantine
 
     def choose(
-        self, request: OpaqueRequest, excluded: frozenset[str]
+        self, request: OpaqueRequest, excluded: frozenset[str], may_wait: bool = True
     ) -> events.EngineChoice | Unavailable:
-        """Return an engine whose id is not excluded, or why there is none."""
+        """Return an engine whose id is not excluded, or why there is none.
+
+        Whether it crashes engines is awaited only if it may wait, and else judged by what is known.
+        """
         now = clock.now_s()
         # After a suspension of the machine, this check runs before the request's stopped timer.
         if now >= request.deadline:
             return Unavailable.TOO_LATE
         if not self.state_is_current(now):
             return Unavailable.NONE_READY
-        reason = self._reason_not_to_send(request, not excluded, now)
+        reason = self._reason_not_to_send(request, not excluded, may_wait, now)
         # Neither a decision on the request nor free capacity would help.
         must_wait = reason in (Unavailable.NONE_READY, Unavailable.FULL)
         if must_wait and self._selector.lacks_version(request):
@@ -108,11 +111,12 @@
         return choice
 
     def _reason_not_to_send(
-        self, request: OpaqueRequest, is_first: bool, now: float
+        self, request: OpaqueRequest, is_first: bool, may_wait: bool, now: float
     ) -> Unavailable | None:
         """Return why a request must not be sent to any engine now, or None if it may be."""
         if self._quarantine is not None:
-            if not self._quarantine.is_decided(request, now):
+            is_decided = self._quarantine.is_decided(request, now)
+            if not is_decided and (may_wait or self._quarantine.would_refuse(request)):
                 return Unavailable.NONE_READY
             if self._quarantine.remaining_s(request):
                 return Unavailable.QUARANTINED
@@ -124,7 +128,7 @@
     ) -> events.EngineChoice | None:
         """Return the engine of an interrupted run for a new run, or None if it takes none."""
         others = self._selector.other_engines(request.service, interrupted.engine_id)
-        choice = self.choose(request, others)
+        choice = self.choose(request, others, may_wait=False)
         return choice if isinstance(choice, events.EngineChoice) else None
 
     def continue_at_backup(
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -121,6 +121,12 @@
             self._decide(subject, now)
         return len(due) == len(pending)
 
+    def would_refuse(self, request: OpaqueRequest) -> bool:
+        """Return whether the pending decisions would refuse a request by the evidence so far."""
+        tenant, subjects = tenant_number(request.tenant), request.subjects
+        condemned = [s for s in subjects if s in self._decide_at and self._is_condemned(s)]
+        return any(self._new_entry(subject).covers(tenant, subjects) for subject in condemned)
+
     # Observations of this node
 
     def run_lost(
@@ -310,12 +316,7 @@
 
     def _decide(self, subject: bytes, now: float) -> None:
         """Put a request or part into quarantine if the evidence shows that it crashes engines."""
-        losses = self._evidence.losses(subject)
-        if self._decide_at.pop(subject, None) is None or not losses:
-            return
-        # Where it was in quarantine before, one early end is enough.
-        ended_again = losses[-1].early and self.entries.get(subject) is not None
-        if not ended_again and not self._evidence.should_quarantine(subject):
+        if self._decide_at.pop(subject, None) is None or not self._is_condemned(subject):
             return
         entry = self._new_entry(subject)
         loss = self._losses.pop(subject)
@@ -327,6 +328,15 @@
         if loss is not None:
             self.peers.send_quarantined(entry)
 
+    def _is_condemned(self, subject: bytes) -> bool:
+        """Return whether the evidence so far shows that a request or part crashes engines."""
+        losses = self._evidence.losses(subject)
+        if not losses:
+            return False
+        # Where it was in quarantine before, one early end is enough.
+        ended_again = losses[-1].early and self.entries.get(subject) is not None
+        return ended_again or self._evidence.should_quarantine(subject)
+
     def _new_entry(self, subject: bytes) -> QuarantineEntry:
         """Return the entry for a subject, which covers no more requests than were lost with it."""
         losses = self._evidence.losses(subject)
