Wait for the report on an engine that just ended before a suspect prompt is sent on

Cause, traced before: all nodes notice at once that an engine is lost, as its link goes down, but which runs it had is told only after the check of its end, which asks peers. A prompt with the same suspect part that a node got in between (4 to 20 ms) was sent to the next engine.

Change: for 0.1 s (the bound of the check) after a node noticed a loss, a request with a suspect waits until the node was told that each of its suspects was at that engine. Only engines of its service count that are not leaving. The end of its time to wait never refuses it for this: it is sent then, and choices that can't wait don't wait. Without suspects nothing is looked up.

Why it works: once the report is there, the pending decision keeps the prompt back, as before.

Test: unreported_crashes, one node in virtual time with the real forwarder. Before: 6 of 24 scenarios fail (the prompt is sent to a second engine). Now 24 pass; the other 18 guard what must not wait or be refused.

Not bounded: a report that comes later than 0.1 s after the link went down, on a machine that stands still, and a request whose time to wait is shorter than what is left of that.

--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -103,6 +103,8 @@
         if reason is not None:
             return reason
         suspect = self._quarantine.suspect(request) if self._quarantine is not None else None
+        if suspect is not None and may_wait and self._awaits_report(request, now):
+            return Unavailable.NONE_READY
         choice = self._selector.choose(request, excluded, now, suspect)
         # The engines of one version say nothing about the capacity of the service.
         if request.required_software_version is None:
@@ -123,6 +125,13 @@
         # A request that an engine refused has waited already.
         return Unavailable.FULL if is_first and self.must_wait(request) else None
 
+    def _awaits_report(self, request: OpaqueRequest, now: float) -> bool:
+        """Return whether a report may be under way that an engine ended during a suspect."""
+        down_since = self.paths.links.down_since
+        return self._quarantine is not None and self._quarantine.awaits_report(
+            request, down_since, now
+        )
+
     def choose_again(
         self, request: OpaqueRequest, interrupted: events.EngineChoice
     ) -> events.EngineChoice | None:
--- a/liftrill/gateway/paths/engine_links.py
+++ b/liftrill/gateway/paths/engine_links.py
@@ -102,6 +102,11 @@
         link = self._links.get(engine)
         return link is None or link.is_up
 
+    def down_since(self, engine: EngineAddress) -> float | None:
+        """Return since when the link to an engine is known to be down, or None if it is not."""
+        link = self._links.get(engine)
+        return None if link is None or link.is_up else link.changed_at
+
     def worked_since(self, engine: EngineAddress, since: float) -> bool:
         """Return whether an engine sent something, or accepted a probe, after a time."""
         link = self._links.get(engine)
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -7,7 +7,7 @@
 """
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from liftrill.coordination.crash_evidence import CrashEvidence
@@ -15,8 +15,9 @@
 from liftrill.errors import ResultCode
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery_events import EngineChoice
+from liftrill.gateway.delivery_events import EngineAddress, EngineChoice
 from liftrill.gateway.delivery_times import AttemptTimes
+from liftrill.gateway.engines.engine_end_check import MAX_WAIT_S
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView, engine_number
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.observed_runs import (
@@ -35,6 +36,9 @@
 # How long a request is held once enough engines ended during it, until its case is decided: by then
 # all nodes have reported what they lost with the last engine (a datagram takes milliseconds).
 DECISION_DELAY_S = 0.1
+# How long after the first sign of an engine's end the nodes that lost runs there may still be
+# checking it: reports are sent after the check.
+REPORT_DELAY_S = MAX_WAIT_S
 # How long an engine that ended gets no requests, although its record is still there. Records of
 # engines that ended lapse within about this time.
 ENDED_ENGINE_AVOIDED_S = 3.0
@@ -127,6 +131,35 @@
         condemned = [s for s in subjects if s in self._decide_at and self._is_condemned(s)]
         return any(self._new_entry(subject).covers(tenant, subjects) for subject in condemned)
 
+    def awaits_report(
+        self,
+        request: OpaqueRequest,
+        down_since: Callable[[EngineAddress], float | None],
+        now: float,
+    ) -> bool:
+        """Return whether a report may be under way that an engine ended during a suspect.
+
+        All nodes notice the end at the same time, but only those that lost runs know of which. The
+        link to an engine is down since what `down_since` returns, if it is.
+        """
+        suspects = [subject for subject in request.subjects if self._is_suspect(subject)]
+        lost = {
+            view.number
+            for view in self.engines.of_service(request.service)
+            if not view.leaving and now - self._lost_at(view, down_since) < REPORT_DELAY_S
+        }
+        return any(lost - self._engines_ended_during(suspect) for suspect in suspects)
+
+    def _engines_ended_during(self, subject: bytes) -> set[int]:
+        return {loss.worker for loss in self._evidence.losses(subject)}
+
+    def _lost_at(
+        self, view: EngineView, down_since: Callable[[EngineAddress], float | None]
+    ) -> float:
+        """Return when this node noticed that an engine may have ended, or minus infinity."""
+        down_at = down_since(view.identity)
+        return self._evidence.ended_at(view.number) if down_at is None else down_at
+
     # Observations of this node
 
     def run_lost(
