Read the record of versions before a late mirror counts as complete

What callers saw: a stream of v1.2 went on at v1.1 (ORDER), at a node whose mirror of the store lacked the record of v1.2, after the node that began the stream and those that held its origin had ended.

Cause: that a second version is absent from the mirror was taken for evidence that there is none, though the mirror may be older than the stream. Streams begin at a version 0.5 s after its record was read. A mirror is later than that where the reader is slow, the watch is deaf, or the node starts: it reads the store and then hears no changes for 1 s (`MEMBER_DISCOVERY_S`).

Change: before a stream goes on at the only version that a node knows, the node makes sure that it knows all that were recorded until 0.5 s before the resumption. `MirrorFreshness.as_of` tells for the mirror; if it is older, the one key is read, with one read for all that wait, as for origins (`SharedRead`). If it cannot be read, and the node that is followed does not confirm the mirror within 0.5 s, the stream is refused (2018), to come back after 0.3 s. A read that began 0.5 s before the resumption or later is linearizable, so that it has each record that a node had read as the stream began. New streams wait for nothing.

What as_of gives: a reader proves its mirror every 1.5 s, followers learn it up to 0.4 s later; so most resumptions that come alone read the key.

The model catches the variant that takes a late mirror for complete, and needs no assumption on mirrors any more.

Open: a stream that began at a version without a record, or less than 0.5 s after the record was read.

--- a/features/model_checking.feature
+++ b/features/model_checking.feature
@@ -47,6 +47,7 @@
       | stream origin        | versions_remembered       | one_version                    |
       | stream origin        | versions_recorded         | one_version                    |
       | stream origin        | recorded_first            | one_version                    |
+      | stream origin        | mirror_confirmed          | one_version                    |
       | mirror relay         | read_before_following     | cuts_heal_soon                 |
       | mirror relay         | age_told                  | age_is_honest                  |
       | mirror relay         | age_bounded               | nothing_old_is_lacked          |
--- a/features/standin/stream_callers.py
+++ b/features/standin/stream_callers.py
@@ -114,6 +114,10 @@
             await self._attempt(stream, self.random.choice(self.nodes()), None, route, headers)
             await asyncio.sleep(stream.attempts[-1].retry_after_s or RESUME_PAUSE_S)
 
+    def new_id(self):
+        """Return the id of the next request."""
+        return f"{next(_ids):016x}"
+
     def key(self):
         """Return the API key for the next request."""
         return KEY
@@ -127,9 +131,7 @@
 
     async def _attempt(self, stream, node, leave_after, route, headers):
         key = self.key()
-        attempt = Attempt(
-            f"{next(_ids):016x}", node.name, bool(stream.first_attempt_id), time.monotonic()
-        )
+        attempt = Attempt(self.new_id(), node.name, bool(stream.first_attempt_id), time.monotonic())
         stream.attempts.append(attempt)
         parts = f"{self.random.getrandbits(32):08x}:20,{self.random.getrandbits(32):08x}:10"
         sent = {
--- a/features/steps/fleet_restart_steps.py
+++ b/features/steps/fleet_restart_steps.py
@@ -28,19 +28,22 @@
 NOTHING = "nothing else changes"
 
 
+def engine_options(version):
+    return {
+        "weights": {"model-1": 1},
+        "names_version": True,
+        "software_version": version,
+        "slots": 64,
+        "events": EVENTS,
+        "event_seconds": EVENT_S,
+        "born_unix_ms": now_unix_ms(),
+    }
+
+
 async def add_engines(deployment, version, count, name=""):
     for number in range(count):
         await deployment.add_engine(
-            f"{version}-{name}{number + 1}",
-            "llm",
-            kind=EngineProcess,
-            weights={"model-1": 1},
-            names_version=True,
-            software_version=version,
-            slots=64,
-            events=EVENTS,
-            event_seconds=EVENT_S,
-            born_unix_ms=now_unix_ms(),
+            f"{version}-{name}{number + 1}", "llm", kind=EngineProcess, **engine_options(version)
         )
 
 
--- a/features/steps/processor_time_steps.py
+++ b/features/steps/processor_time_steps.py
@@ -14,6 +14,7 @@
 from liftrill import clock
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Condition, Member
+from liftrill.coordination.mirror_freshness import MirrorFreshness
 from liftrill.coordination.spending_notices import SpendingNotice
 from liftrill.gateway import ticks
 from liftrill.gateway.decision_log import DecisionLog
@@ -267,7 +268,12 @@
     store = FakeRangeStore()
     membership = new_membership(Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1), [])
     context.record = VersionRecord(
-        store, store.mirror, context.engines, membership, DecisionLog("node-1")
+        store,
+        store.mirror,
+        MirrorFreshness(),
+        context.engines,
+        membership,
+        DecisionLog("node-1"),
     )
     context.record.load(clock.now_s())
     asyncio.run(context.record.write_due(clock.now_s()))
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -12,9 +12,11 @@
 from features.gateway_support import engine_record, opaque_request, route_rule
 from liftrill import clock
 from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.mirror_freshness import MirrorFreshness
 from liftrill.coordination.range_store import (
     PutItem,
     RangePage,
+    ReadResult,
     RemovedItem,
     StoredItem,
     WatchBatch,
@@ -81,6 +83,9 @@
     def read_at(self, version):
         return 0.0 if version in self.recorded else None
 
+    async def confirm(self, until):
+        pass
+
     def save(self, entries):
         self.stored.update((entry.key, entry.origin) for entry in entries)
 
@@ -503,6 +508,11 @@
 
     def __init__(self):
         self.mirror = StoreMirror(position=1)
+        self.reads = 0
+
+    async def read(self, key):
+        self.reads += 1
+        return ReadResult(self.mirror.get(key), self.mirror.position)
 
     async def transact(self, expected, puts, removed=()):
         revision = self.mirror.position + 1
@@ -515,7 +525,12 @@
     own = Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1)
     membership = SimpleNamespace(own=own, members=lambda: [own])
     record = VersionRecord(
-        context.store, context.store.mirror, engines, membership, DecisionLog("node-1")
+        context.store,
+        context.store.mirror,
+        MirrorFreshness(),
+        engines,
+        membership,
+        DecisionLog("node-1"),
     )
     record.load(clock.now_s())
     return record
--- a/features/steps/unrecorded_version_restart_steps.py
+++ b/features/steps/unrecorded_version_restart_steps.py
@@ -2,19 +2,31 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 from behave import given, when
 
+from features.standin.deployment import HOST
+from features.standin.engine_process import EngineProcess
+from features.standin.stream_callers import StreamCallers
 from features.steps.fleet_restart_steps import (
+    DEADLINE_MS,
     add_engines,
     begin_streams,
+    describe,
     end_engines,
+    engine_options,
     restart_nodes,
 )
+from liftrill.coordination.membership_messages import Member
+from liftrill.gateway.streams.stream_origins import holders, origin_key, store_writers
 from liftrill.gateway.streams.version_record import VERSIONS_KEY
 
 # How long the nodes have to see that an engine was replaced.
 SEEN_AFTER_S = 1.0
+# Within these times the nodes that serve have read a record, and have written an origin.
+READ_AFTER_S = 0.25
+STORED_AFTER_S = 0.15
 
 
 @given("the store reports its era")
@@ -113,3 +125,79 @@
     store.remove(f"servers/{gone.engine_id}")
     await gone.crash()
     await add_engines(context.deployment, "v1.2", 1, "again")
+
+
+class CallersOfOthers(StreamCallers):
+    """Callers whose streams begin at the first node, and of which the last one holds no origin."""
+
+    def new_id(self):
+        while True:
+            name = super().new_id()
+            if not self._last_knows(name):
+                return name
+
+    def _last_knows(self, name):
+        first, *others = [
+            Member(node.name, "", "region-1", "zone-1", 1) for node in self.deployment.nodes
+        ]
+        route = SimpleNamespace(host=HOST, path_prefix="/resume/")
+        key = origin_key(SimpleNamespace(tenant="tenant-1", route=route), name)
+        writers = store_writers([first, *others])
+        return others[-1] in (*holders(key, others), writers[key % len(writers)])
+
+
+@when(
+    "a new node has read the store and hears no changes, {added:d} engines of v1.2 come, "
+    "and once these are recorded {count:d} streams of which it holds no origin begin at the first"
+)
+def step_begin_beside_new(context, added, count):
+    async def play():
+        deployment = context.deployment
+        first, *_ = deployment.nodes
+        engines = [
+            EngineProcess(f"v1.2-{n}", "llm", **engine_options("v1.2")) for n in range(added)
+        ]
+        for engine in engines:
+            await engine.start()
+            deployment.engines[engine.engine_id] = engine
+        new = await deployment.add_node(f"node-{len(deployment.nodes) + 1}")
+        deployment.store.deaf_ips.add(new.ip)
+        context.callers = CallersOfOthers(deployment)
+
+        async def has_read():
+            return '"liftrill:store_read"' in new.log()
+
+        async def is_recorded():
+            return b"v1.2" in deployment.store.value(VERSIONS_KEY)
+
+        await deployment.wait_until(has_read)
+        for engine in engines:
+            deployment.record(engine)
+        await deployment.wait_until(is_recorded)
+        await asyncio.sleep(READ_AFTER_S)
+        context.begun = await begin_streams(context, count, 0.05, [first], STORED_AFTER_S)
+
+    context.run(play())
+
+
+@when(
+    "the other nodes are killed, and the callers resume their streams at the new one "
+    "for {seconds:g} s"
+)
+def step_resume_at_new(context, seconds):
+    async def play():
+        *others, _ = context.deployment.nodes
+        for node in others:
+            node.process.kill()
+        for node in others:
+            await node.process.wait()
+        until = time.monotonic() + seconds
+
+        async def read_on(begun):
+            stream = await begun
+            await context.callers.resume(stream, until, deadline_ms=DEADLINE_MS)
+
+        await asyncio.gather(*map(read_on, context.begun))
+
+    context.run(play())
+    describe(context)
--- a/features/steps/unrecorded_version_steps.py
+++ b/features/steps/unrecorded_version_steps.py
@@ -19,6 +19,7 @@
 )
 from liftrill import clock
 from liftrill.coordination.membership_messages import Member
+from liftrill.coordination.mirror_freshness import MirrorFreshness
 from liftrill.coordination.range_store import PutItem, StoredItem, WatchBatch
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.errors import StoreUnavailableError
@@ -45,12 +46,15 @@
 class Node:
     """A node's engines, record and tracker on a store of its own view."""
 
-    def __init__(self, mirror, store, stored, uptime_s=0.0, node="node-0", peers=None):
+    def __init__(
+        self, mirror, store, stored, uptime_s=0.0, node="node-0", freshness=None, peers=None
+    ):
         self.engines = EngineTable()
         own = Member(node, "10.0.0.1:1", "region-1", "zone-1", 1)
         membership = SimpleNamespace(own=own, members=lambda: [own])
         log = DecisionLog(node)
-        self.record = VersionRecord(store, mirror, self.engines, membership, log)
+        freshness = freshness or MirrorFreshness(clock.now_s())
+        self.record = VersionRecord(store, mirror, freshness, self.engines, membership, log)
         self.record._started_at -= uptime_s
         self.record._nodes_changed_at -= uptime_s
         peers = peers or SimpleNamespace(own=own, others=lambda: [], send=lambda *a: None)
@@ -169,7 +173,7 @@
     membership = SimpleNamespace(own=own, members=lambda: [own])
     log = DecisionLog("node-1")
     context.record = VersionRecord(
-        context.store, context.store.mirror, context.engines, membership, log
+        context.store, context.store.mirror, MirrorFreshness(), context.engines, membership, log
     )
     context.record.load(clock.now_s())
     context.evidence = VersionEvidence(context.engines, context.record, clock.now_s())
@@ -335,6 +339,7 @@
         record = VersionRecord(
             context.shared.of_node(own.node_id),
             mirror,
+            MirrorFreshness(),
             context.many_engines,
             membership,
             DecisionLog(own.node_id),
--- a/features/unrecorded_versions.feature
+++ b/features/unrecorded_versions.feature
@@ -20,6 +20,46 @@
     When the node records v1.2
     Then no stream begins at v1.2 at once, and one does 0.6 s later
 
+  Scenario Outline: A stream goes on at the only version of which a late mirror has the record: <mirror>
+    Given a record of v1.1 alone in the store, and engines of v1.1 and v1.2
+    And a node whose mirror <mirror>
+    When v1.2 is recorded, a stream begins there 0.6 s later, and its node is killed
+    And the node with the late mirror resumes it
+    Then it goes on at v1.2 or is refused
+
+    Examples:
+      | mirror                                           |
+      | was complete until now                           |
+      | was complete until now, and has the engines soon |
+
+  Scenario Outline: Each resumption reads the record where one version serves: <age> s
+    Given a node before engines of v1.1, whose mirror was complete <age> s ago
+    When 100 streams that nobody knows are resumed there at once
+    Then all go on at v1.1, and the record was read <reads> times
+
+    Examples:
+      | age | reads |
+      | 0.3 | 0     |
+      | 2   | 1     |
+
+  Scenario: A late mirror counts as complete while the store cannot be read
+    Given a node before engines of v1.1, whose mirror was complete 4 s ago
+    And the store answers no reads
+    When 100 streams that nobody knows are resumed there at once
+    Then all are refused for a short time, and the record was read 1 times
+
+  Scenario: A resumption is refused at a node that the store refuses, though it follows another one
+    Given a node before engines of v1.1, whose mirror was complete 2 s ago
+    And the store answers no reads
+    And the node that it follows confirms its mirror 0.3 s from now
+    When 100 streams that nobody knows are resumed there at once
+    Then all go on at v1.1, and the record was read 1 times
+
+  Scenario: Nodes that start at once read the record for each stream that is resumed
+    Given 86 nodes that have just started before engines of v1.1, which is recorded
+    When each node resumes a stream every 0.05 s for 3 s
+    Then all go on, and the record was read at most 516 times
+
   Scenario Outline: A new stream waits for engines of the recorded version beside idle ones: <why>
     Given 2 engines of version v1.1, recorded in the store, which are idle
     And 2 idle engines of version v1.2, at a node that has run for 1 s
--- a/features/unrecorded_versions_restart.feature
+++ b/features/unrecorded_versions_restart.feature
@@ -31,3 +31,11 @@
       | 2     | all nodes         | one of these engines is replaced |
       | 13    | all nodes but one | nothing else happens             |
       | 2     | all nodes but one | nothing else happens             |
+
+  Scenario: Streams go on at another version at a node that started before theirs was recorded
+    Given 2 engines of version v1.1 and 0 of version v1.2 in processes of their own
+    And 3 nodes before them, which have been ready for 2 s
+    When a new node has read the store and hears no changes, 4 engines of v1.2 come, and once these are recorded 40 streams of which it holds no origin begin at the first
+    And the other nodes are killed, and the callers resume their streams at the new one for 6 s
+    Then no stream holds events of two versions
+    And of the streams whose version has engines, at least 0.95 are complete
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -203,7 +203,14 @@
         selector.software_versions.has_ended = self._quarantine.knows_end
         selector.ended_lately = self._quarantine.ended_lately
         self._stream_origins = OriginService(
-            store, self._follower.mirror, engines, self._membership, self._peers, log, metrics
+            store,
+            self._follower.mirror,
+            self._follower.freshness,
+            engines,
+            self._membership,
+            self._peers,
+            log,
+            metrics,
         )
         self.forwarder.on_stream_began = self._stream_origins.tracker.stream_began
         self._stream_origins.connect(selector.software_versions)
--- a/liftrill/gateway/streams/origin_ports.py
+++ b/liftrill/gateway/streams/origin_ports.py
@@ -48,3 +48,11 @@
     @abstractmethod
     def read_at(self, version: ServiceVersion) -> float | None:
         """Return when this node first read that a version is recorded, or None."""
+
+    @abstractmethod
+    async def confirm(self, until: float) -> None:
+        """Make sure that this node knows all versions that were recorded before a time.
+
+        Raises:
+            StoreError: it may lack some, and the record could not be read.
+        """
--- a/liftrill/gateway/streams/origin_records.py
+++ b/liftrill/gateway/streams/origin_records.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import Any, Generic, TypeVar
 
 from google.protobuf.message import DecodeError
 
@@ -34,6 +35,39 @@
 READ_LIFETIME_S = 0.25
 READ_TIMEOUT_S = 0.5
 
+_Result = TypeVar("_Result")
+
+
+class SharedRead(Generic[_Result]):
+    """A read of the store whose result, or failure, serves all that ask for it meanwhile."""
+
+    def __init__(self, read: Callable[[], Coroutine[Any, Any, _Result]]) -> None:
+        self._read = read
+        self._task: asyncio.Task[_Result] | None = None
+        self._sent_at = 0.0
+
+    async def result(self, since: float) -> _Result:
+        """Return the result of a read that was sent at a time or later.
+
+        Raises:
+            StoreError: the store could not be read in time.
+        """
+        if self._task is None or self._sent_at < since:
+            self._sent_at = clock.now_s()
+            self._task = asyncio.ensure_future(self._read())
+            self._task.add_done_callback(_retrieve_error)
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                return await asyncio.shield(self._task)
+        except TimeoutError:
+            raise StoreUnavailableError(f"no answer within {READ_TIMEOUT_S} s") from None
+
+
+def _retrieve_error(read: asyncio.Task[Any]) -> None:
+    """Mark the error of a read as handled; those that wait for the read log it."""
+    with suppress(asyncio.CancelledError):
+        read.exception()
+
 
 @dataclass(frozen=True, slots=True)
 class _Lease:
@@ -66,8 +100,7 @@
         self._batch: _Batch | None = None
         self._batch_count = 0
         self._requested = asyncio.Event()
-        self._read: asyncio.Task[tuple[StoredItem, ...]] | None = None
-        self._read_at = 0.0
+        self._read = SharedRead(self._read_all)
 
     def save(self, entries: Iterable[OriginEntry]) -> None:
         """Write origins soon."""
@@ -141,11 +174,7 @@
         Raises:
             StoreError: the origins could not be read in time.
         """
-        try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                items = await self._items()
-        except TimeoutError:
-            raise StoreUnavailableError(f"no origins read within {READ_TIMEOUT_S} s") from None
+        items = await self._read.result(clock.now_s() - READ_LIFETIME_S)
         found = {origin for item in items if (origin := self._origin_in(item, key)) is not None}
         if len(found) > 1:
             return ServiceVersion(found.pop().service, "")
@@ -166,14 +195,6 @@
                 return ServiceVersion(group.origin.service, group.origin.software_version)
         return None
 
-    async def _items(self) -> tuple[StoredItem, ...]:
-        now = clock.now_s()
-        if self._read is None or now - self._read_at > READ_LIFETIME_S:
-            self._read_at = now
-            self._read = asyncio.ensure_future(self._read_all())
-            self._read.add_done_callback(_retrieve_error)
-        return await asyncio.shield(self._read)
-
     async def _read_all(self) -> tuple[StoredItem, ...]:
         items: list[StoredItem] = []
         after = ""
@@ -185,12 +206,6 @@
             after = page.items[-1].key
 
 
-def _retrieve_error(read: asyncio.Task[tuple[StoredItem, ...]]) -> None:
-    """Mark the error of a read as handled; those that wait for the read log it."""
-    with suppress(asyncio.CancelledError):
-        read.exception()
-
-
 def _value(entries: Iterable[OriginEntry]) -> bytes:
     """Return the stored form of some origins."""
     by_origin: dict[ServiceVersion, list[int]] = {}
--- a/liftrill/gateway/streams/origin_service.py
+++ b/liftrill/gateway/streams/origin_service.py
@@ -4,6 +4,7 @@
 
 from liftrill import clock
 from liftrill.coordination.membership import Membership
+from liftrill.coordination.mirror_freshness import MirrorFreshness
 from liftrill.coordination.range_store import RangeStore
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.gateway.decision_log import DecisionLog
@@ -30,6 +31,7 @@
         self,
         store: RangeStore,
         mirror: StoreMirror,
+        freshness: MirrorFreshness,
         engines: EngineTable,
         membership: Membership,
         link: PeerLink,
@@ -38,7 +40,7 @@
     ) -> None:
         own = membership.own
         key_prefix = f"{ORIGINS_KEY_PREFIX}{own.node_id}/{own.incarnation}/"
-        self.versions = VersionRecord(store, mirror, engines, membership, log)
+        self.versions = VersionRecord(store, mirror, freshness, engines, membership, log)
         self._records = OriginRecords(store, key_prefix, log)
         peers = MemberPeers(membership, link)
         self.tracker = OriginTracker(engines, peers, self.versions, self._records, log, metrics)
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -26,7 +26,11 @@
     ServiceVersion,
     origin_key,
 )
-from liftrill.gateway.streams.version_evidence import KnownVersions, VersionEvidence
+from liftrill.gateway.streams.version_evidence import (
+    RECORD_ARRIVAL_S,
+    KnownVersions,
+    VersionEvidence,
+)
 
 # Another node may know the origin, and nodes that just learned of a second version send the origins
 # of their streams within a housekeeping interval.
@@ -61,7 +65,7 @@
     Attributes:
         origin: None if it is unknown.
         source: who knew the origin ("own", "peer" or "store"), or "sole" if only one version
-            served lately; "unread" if the store could not be asked.
+            served lately; "unread" if the store could not be read.
         is_final: whether an unknown origin stays unknown.
     """
 
@@ -108,7 +112,7 @@
         if not request.resumes_stream:
             return request
         asked_at = clock.now_s()
-        resolution, answers = await self._resolve(request)
+        resolution, answers = await self._resolve(request, asked_at)
         self._metrics.resumed_streams.labels(resolution.source).inc()
         origin = resolution.origin
         known = self._known_versions(request.route.services).merged(answers.known)
@@ -134,7 +138,9 @@
         bound.require_software_version(origin.software_version)
         return bound
 
-    async def _resolve(self, request: OpaqueRequest) -> tuple[_Resolution, Answers]:
+    async def _resolve(
+        self, request: OpaqueRequest, asked_at: float
+    ) -> tuple[_Resolution, Answers]:
         key = origin_key(request, request.resumed_request_id)
         own = self._table.get(key, clock.now_s())
         if own is not None:
@@ -143,8 +149,11 @@
         answers = await self._exchange.ask(key, services)
         if answers.origin is not None:
             return _resolution(answers.origin, "peer"), answers
-        known = self._known_versions(services).merged(answers.known)
-        sole = known.sole
+        try:
+            sole = await self._sole_version(services, answers, asked_at)
+        except StoreError as error:
+            self._log.state_changed("versions_not_read", why=repr(error))
+            return _Resolution(None, "unread", is_final=False), answers
         if sole is not None and not self.evidence.has_unused(services):
             return _Resolution(sole, "sole"), answers
         resolution = await self._read_origin(key)
@@ -157,6 +166,19 @@
             )
         return resolution, answers
 
+    async def _sole_version(
+        self, services: tuple[str, ...], answers: Answers, asked_at: float
+    ) -> ServiceVersion | None:
+        """Return the version that began all streams of some services, or None if several may have.
+
+        Streams begin at a version some time after it is recorded. That this node does not know of
+        a second one is evidence only if it knows all that were recorded until then.
+        """
+        if self._known_versions(services).merged(answers.known).sole is None:
+            return None
+        await self._recorded_versions.confirm(asked_at - RECORD_ARRIVAL_S)
+        return self._known_versions(services).merged(answers.known).sole
+
     async def _read_origin(self, key: int) -> _Resolution:
         """Return the origin of a stream that all nodes have forgotten."""
         try:
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -18,7 +18,8 @@
 from liftrill import clock
 from liftrill.coordination.membership import Membership
 from liftrill.coordination.membership_messages import Condition
-from liftrill.coordination.range_store import Expectation, PutItem, RangeStore
+from liftrill.coordination.mirror_freshness import MirrorFreshness
+from liftrill.coordination.range_store import Expectation, PutItem, RangeStore, StoredItem
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.errors import StoreError
 from liftrill.gateway import ticks
@@ -27,6 +28,7 @@
 from liftrill.gateway.fleet_record import FLEET_KEY
 from liftrill.gateway.peers.capable_nodes import ranked
 from liftrill.gateway.streams.origin_ports import RecordedVersions
+from liftrill.gateway.streams.origin_records import READ_TIMEOUT_S, SharedRead
 from liftrill.gateway.streams.stream_origins import ServiceVersion
 from liftrill.gateway.streams.version_evidence import recorded_suffice
 from liftrill.gateway.streams.version_history import RETENTION_S
@@ -43,27 +45,34 @@
 END_SUSPECTED_S = 2.0
 # Nodes that need a version at once write in turn within this time.
 NEEDED_TURNS_S = 0.2
+# How often a node that cannot read the store checks whether its mirror has been confirmed.
+CONFIRMATION_CHECK_S = 0.05
 
 
 class VersionRecord(RecordedVersions):
-    """The recorded versions, as far as the mirror of the store has them; writes changes of them."""
+    """The recorded versions, as far as this node has read them; writes changes of them."""
 
     def __init__(
         self,
         store: RangeStore,
         mirror: StoreMirror,
+        freshness: MirrorFreshness,
         engines: EngineTable,
         membership: Membership,
         log: DecisionLog,
     ) -> None:
         self._store = store
         self._mirror = mirror
+        self._freshness = freshness
+        self._record_read = SharedRead(self._read_record)
+        # Until when the record that was read without the mirror is known to be complete.
+        self._complete_until = -math.inf
         self._engines = engines
         self._membership = membership
         self._log = log
         self._started_at = clock.now_s()
         self._revision = 0
-        # What the mirror has, and what it had lately, with the time when that was first read.
+        # What is recorded, and what was lately, with the time when that was first read.
         self._stored: frozenset[ServiceVersion] = frozenset()
         self._read_since: dict[ServiceVersion, float] = {}
         self._by_service: dict[str, set[str]] = {}
@@ -118,11 +127,9 @@
     def load(self, now: float) -> None:
         """Load the record after a change of the mirror."""
         item = self._mirror.get(VERSIONS_KEY)
-        if item is None:
-            self._stored, self._revision, self._is_partial = frozenset(), 0, False
-        elif item.revision != self._revision:
-            self._revision = item.revision
-            self._decode(item.value, now)
+        # The record may have been read before the mirror reached it.
+        if self._mirror.position >= self._revision:
+            self._take(item, now)
         if self._lacks_history is None:
             # Without a record no fleet has run before, unless it was of an earlier build.
             is_first_start = item is None and self._mirror.get(FLEET_KEY) is None
@@ -132,6 +139,42 @@
         if unrecorded:
             self._write_requested.set()
 
+    def _take(self, item: StoredItem | None, now: float) -> None:
+        """Replace what is known of the record by a later or equal state of it."""
+        if item is None:
+            self._stored, self._revision, self._is_partial = frozenset(), 0, False
+        elif item.revision != self._revision:
+            self._revision = item.revision
+            self._decode(item.value, now)
+
+    async def confirm(self, until: float) -> None:
+        """Make sure that this node knows all versions that were recorded before a time.
+
+        Raises:
+            StoreError: it may lack some, and the record could not be read in time.
+        """
+        if self._is_complete(until):
+            return
+        gives_up_at = clock.now_s() + READ_TIMEOUT_S
+        try:
+            await self._record_read.result(until)
+        except StoreError:
+            # The node that this one follows may reach the store, and confirm the mirror.
+            while not self._is_complete(until):
+                if clock.now_s() >= gives_up_at:
+                    raise
+                await asyncio.sleep(CONFIRMATION_CHECK_S)
+
+    def _is_complete(self, until: float) -> bool:
+        return max(self._freshness.as_of, self._complete_until) >= until
+
+    async def _read_record(self) -> None:
+        sent_at = clock.now_s()
+        result = await self._store.read(VERSIONS_KEY)
+        if result.item is not None and result.item.revision > self._revision:
+            self._take(result.item, clock.now_s())
+        self._complete_until = max(self._complete_until, sent_at)
+
     def _decode(self, value: bytes, now: float) -> None:
         try:
             record = messages.ServedVersions.FromString(value)
--- a/spec/stream_origin.py
+++ b/spec/stream_origin.py
@@ -11,14 +11,13 @@
 The store records the versions that serve, each at any time after it has come, and streams begin
 only at recorded ones. A version that is not recorded has begun none, as long as a recorded one
 serves. Node 0 writes the origin there at any time after it has sent it. Nodes read the record as
-they start.
+they start. If nodes 1 and 2 both lack the newest record, node 2 reads it before the stream goes on.
+It reads it in other cases too, which can but add to what it knows.
 
-Assumed: of nodes 1 and 2 at most one lacks the newest record when the stream is resumed. If both
-lack it and the message is lost, nobody asked knows of the second version.
-
-Not modelled: a restore of the store, streams that begin at a version that is not recorded because
-no recorded one serves, the second holder, lost questions and answers (the origin is then unknown),
-and the time for which versions and origins are remembered.
+Not modelled: the time for which a mirror that was confirmed lately counts as complete, reads of the
+record that fail (the stream does not go on), a restore of the store, streams that begin at a
+version that is not recorded because no recorded one serves, the second holder, lost questions and
+answers (the origin is then unknown), and the time for which versions and origins are remembered.
 """
 
 from dataclasses import dataclass, replace
@@ -41,6 +40,7 @@
     versions_remembered: bool = True
     versions_recorded: bool = True
     recorded_first: bool = True
+    mirror_confirmed: bool = True
 
 
 @dataclass(frozen=True)
@@ -142,9 +142,10 @@
             after = replace(stream, in_flight=False, held=held)
             yield f"the message arrives: {held}", state._replace(stream=after)
     newest = state.recorded & state.serving
-    behind = sum(not newest <= seen[node] for node in (HOLDER, RESUMER))
-    if stream.began and not stream.went_on and behind <= 1:
-        for version in _resumed_at(rules, seen, stream):
+    both_late = not any(newest <= seen[node] for node in (HOLDER, RESUMER))
+    if stream.began and not stream.went_on:
+        read = state.recorded if both_late and rules.mirror_confirmed else frozenset()
+        for version in _resumed_at(rules, seen, stream, read):
             after = replace(stream, went_on=version)
             yield f"2 resumes the stream at {version}", state._replace(stream=after)
 
@@ -158,11 +159,11 @@
             yield replace(stream, went_on=version)
 
 
-def _resumed_at(rules, seen, stream):
-    """Return the versions at which node 2 may let the stream go on."""
+def _resumed_at(rules, seen, stream, read):
+    """Return the versions at which node 2 may let the stream go on, after what it has read."""
     if rules.others_asked and stream.held:
         return {stream.began}
-    served = seen[RESUMER] | (seen[HOLDER] if rules.others_asked else frozenset())
+    served = read | seen[RESUMER] | (seen[HOLDER] if rules.others_asked else frozenset())
     if len(served) > 1 and stream.stored:
         return {stream.began}
     if len(served) > 1 and rules.unknown_refused:
