Let streams of the only version go on while the store is silent

Cause: where one version serves no origin is sent, so that each such stream needs the evidence that there is one version alone, and a mirror is older than 0.5 s soon after the store has fallen silent.

Change: if the record cannot be read, and the node that is followed does not confirm the mirror within 0.5 s, the mirror counts as complete for as long as keys are accepted without a proof. Nodes trust what they have read for that time anyway, and serve no keys after it.

What it leaves open: in that time a late mirror may again be taken for complete, if the store cannot be read there. A machine so busy that the read takes 0.5 s may be such a node.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -77,6 +77,13 @@
     Then no stream holds events of two versions
     And streams were resumed at least 0.95 as often as new ones began
 
+  Scenario: Streams of the only version do not go on while the store is silent
+    Given a stand-in platform whose model engines have 8 of version v1.1 and 0 of version v1.2
+    And 4 nodes before them
+    When the store falls silent
+    And 40 callers stream at the first node, which is killed once all have an event
+    Then streams were resumed at least 0.95 as often as new ones began
+
   Scenario Outline: A resumption names a request that did not begin the stream
     Given a stand-in platform whose model engines have 2 of version v1.1 and 2 of version v1.2
     And 2 nodes before them
--- a/features/steps/processor_time_steps.py
+++ b/features/steps/processor_time_steps.py
@@ -274,6 +274,7 @@
         context.engines,
         membership,
         DecisionLog("node-1"),
+        0.0,
     )
     context.record.load(clock.now_s())
     asyncio.run(context.record.write_due(clock.now_s()))
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -531,6 +531,7 @@
         engines,
         membership,
         DecisionLog("node-1"),
+        0.0,
     )
     record.load(clock.now_s())
     return record
--- a/features/steps/unrecorded_version_steps.py
+++ b/features/steps/unrecorded_version_steps.py
@@ -36,6 +36,7 @@
 from liftrill.messages import peer_pb2 as messages
 
 MAX_RECORD_DELAY_S = 0.3
+TRUSTED_UNREAD_S = 3.0
 
 
 def recorded(*versions):
@@ -54,7 +55,9 @@
         membership = SimpleNamespace(own=own, members=lambda: [own])
         log = DecisionLog(node)
         freshness = freshness or MirrorFreshness(clock.now_s())
-        self.record = VersionRecord(store, mirror, freshness, self.engines, membership, log)
+        self.record = VersionRecord(
+            store, mirror, freshness, self.engines, membership, log, TRUSTED_UNREAD_S
+        )
         self.record._started_at -= uptime_s
         self.record._nodes_changed_at -= uptime_s
         peers = peers or SimpleNamespace(own=own, others=lambda: [], send=lambda *a: None)
@@ -173,7 +176,13 @@
     membership = SimpleNamespace(own=own, members=lambda: [own])
     log = DecisionLog("node-1")
     context.record = VersionRecord(
-        context.store, context.store.mirror, MirrorFreshness(), context.engines, membership, log
+        context.store,
+        context.store.mirror,
+        MirrorFreshness(),
+        context.engines,
+        membership,
+        log,
+        0.0,
     )
     context.record.load(clock.now_s())
     context.evidence = VersionEvidence(context.engines, context.record, clock.now_s())
@@ -343,6 +352,7 @@
             context.many_engines,
             membership,
             DecisionLog(own.node_id),
+            0.0,
         )
         context.many.append((record, mirror))
     context.clock_s = clock.now_s() + uptime
--- a/features/unrecorded_versions.feature
+++ b/features/unrecorded_versions.feature
@@ -48,9 +48,15 @@
     When 100 streams that nobody knows are resumed there at once
     Then all are refused for a short time, and the record was read 1 times
 
-  Scenario: A resumption is refused at a node that the store refuses, though it follows another one
+  Scenario: Streams of the only version do not go on while the store is silent
     Given a node before engines of v1.1, whose mirror was complete 2 s ago
     And the store answers no reads
+    When 100 streams that nobody knows are resumed there at once
+    Then all go on at v1.1, and the record was read 1 times
+
+  Scenario: A resumption is refused at a node that the store refuses, though it follows another one
+    Given a node before engines of v1.1, whose mirror was complete 4 s ago
+    And the store answers no reads
     And the node that it follows confirms its mirror 0.3 s from now
     When 100 streams that nobody knows are resumed there at once
     Then all go on at v1.1, and the record was read 1 times
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -211,6 +211,7 @@
             self._peers,
             log,
             metrics,
+            self.view.proof_lifetime,
         )
         self.forwarder.on_stream_began = self._stream_origins.tracker.stream_began
         self._stream_origins.connect(selector.software_versions)
--- a/liftrill/gateway/streams/origin_service.py
+++ b/liftrill/gateway/streams/origin_service.py
@@ -37,10 +37,13 @@
         link: PeerLink,
         log: DecisionLog,
         metrics: GatewayMetrics,
+        trusted_unread_s: float,
     ) -> None:
         own = membership.own
         key_prefix = f"{ORIGINS_KEY_PREFIX}{own.node_id}/{own.incarnation}/"
-        self.versions = VersionRecord(store, mirror, freshness, engines, membership, log)
+        self.versions = VersionRecord(
+            store, mirror, freshness, engines, membership, log, trusted_unread_s
+        )
         self._records = OriginRecords(store, key_prefix, log)
         peers = MemberPeers(membership, link)
         self.tracker = OriginTracker(engines, peers, self.versions, self._records, log, metrics)
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -60,10 +60,13 @@
         engines: EngineTable,
         membership: Membership,
         log: DecisionLog,
+        trusted_unread_s: float,
     ) -> None:
         self._store = store
         self._mirror = mirror
         self._freshness = freshness
+        # For how long a mirror counts as complete while the store cannot be read.
+        self._trusted_unread_s = trusted_unread_s
         self._record_read = SharedRead(self._read_record)
         # Until when the record that was read without the mirror is known to be complete.
         self._complete_until = -math.inf
@@ -150,6 +153,8 @@
     async def confirm(self, until: float) -> None:
         """Make sure that this node knows all versions that were recorded before a time.
 
+        As long as keys are accepted while the store is silent, so is what the mirror has.
+
         Raises:
             StoreError: it may lack some, and the record could not be read in time.
         """
@@ -162,8 +167,10 @@
             # The node that this one follows may reach the store, and confirm the mirror.
             while not self._is_complete(until):
                 if clock.now_s() >= gives_up_at:
-                    raise
+                    break
                 await asyncio.sleep(CONFIRMATION_CHECK_S)
+            if not self._is_complete(until - self._trusted_unread_s):
+                raise
 
     def _is_complete(self, until: float) -> bool:
         return max(self._freshness.as_of, self._complete_until) >= until
