Count the serving engines of a service by version in one place

The table of engines counts them; the record of versions, the evidence on streams and the filter of versions each did so. No change of behaviour. gateway_rules, unrecorded_versions and stream_origins pass.

--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -271,6 +271,11 @@
         """Return the software versions in the records of a service's engines."""
         return frozenset(version for named, version in self.version_counts() if named == service)
 
+    def serving_versions(self, service: str) -> Counter[str]:
+        """Return how many engines of a service do not leave, by software version."""
+        serving = (view for view in self.of_service(service) if not view.leaving)
+        return Counter(view.record.software_version for view in serving)
+
     def version_counts(self) -> Counter[tuple[str, str]]:
         """Return how many engines have records, by service and software version.
 
--- a/liftrill/gateway/engines/software_version_filter.py
+++ b/liftrill/gateway/engines/software_version_filter.py
@@ -97,8 +97,7 @@
             return False
         if len(self._engines.recorded_versions(request.service)) < 2:
             return False
-        views = self._engines.of_service(request.service)
-        counts = Counter(view.record.software_version for view in views if not view.leaving)
+        counts = self._engines.serving_versions(request.service)
         return len(self.may_begin_at(request.service, counts, now)) < len(counts)
 
     def note_refused(self, request: OpaqueRequest, now: float) -> None:
--- a/liftrill/gateway/streams/version_evidence.py
+++ b/liftrill/gateway/streams/version_evidence.py
@@ -143,7 +143,7 @@
         if not unrecorded:
             return
         records = [view.record for view in self._engines.of_service(service) if not view.leaving]
-        serving = Counter(record.software_version for record in records)
+        serving = self._engines.serving_versions(service)
         recorded = serving.keys() - unrecorded
         suffice = now >= self._record_trusted_from and recorded_suffice(serving, recorded)
         if suffice:
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import math
-from collections import Counter
 from contextlib import suppress
 
 from google.protobuf.message import DecodeError
@@ -248,7 +247,7 @@
         recorded = self.of_service(version.service)
         if any(v.leaving and v.record.software_version in recorded for v in views):
             return False
-        serving = Counter(view.record.software_version for view in views if not view.leaving)
+        serving = self._engines.serving_versions(version.service)
         return recorded_suffice(serving, serving.keys() & recorded)
 
     def _note_members(self, now: float) -> None:
