Record a version that left before it was recorded

After all nodes were killed a node goes on at v1.1 with a stream of v1.2, although its origin is in the store (ORDER).

Cause: for a version without engines the time at which it came was taken for now, so that it was 0 s old for ever.

Change: a version that is not present any more came long ago; only ends of nodes defer it, as before.

The scenario failed before (goes on at v1.1) and passes now.

--- a/features/steps/unrecorded_version_steps.py
+++ b/features/steps/unrecorded_version_steps.py
@@ -446,3 +446,50 @@
     found = len(context.shared.writers)
     print(f"{found} writes, {context.shared.refused} refused in all, {stuck} nodes still need")
     assert 0 < found <= count, f"{found} writes; {stuck} of {len(context.many)} nodes still need"
+
+
+def maintain(context, seconds):
+    """Let the node write what is due, each 0.3 s of the time from `context.at`."""
+    for _ in range(int(seconds / MAX_RECORD_DELAY_S)):
+        context.run(context.node.record.write_due(context.at))
+        context.node.record.load(context.at)
+        context.node.tracker.evidence.refresh(context.at)
+        context.at += MAX_RECORD_DELAY_S
+
+
+@when("streams begin at v1.2 while the store takes no writes, and its engines end")
+def step_began_unwritten(context):
+    store = context.store
+    context.transact = store.transact
+
+    async def refuse(*args, **kw):
+        raise StoreUnavailableError("refused")
+
+    store.transact = refuse
+    node = context.node = Node(store.mirror, store, context.origins, uptime_s=100.0)
+    context.at = clock.now_s()
+    node.add("v1.1", 1)
+    node.load()
+    node.add("v1.2", 3)
+    maintain(context, 3.0)
+    request = stream_request(request_id="stream")
+    choice = node.selector.choose(request, frozenset(), context.at)
+    assert choice.software_version == "v1.2", choice
+    node.tracker.stream_began(request, choice)
+    for n in range(3):
+        node.engines.remove(f"v1.2-{n}")
+
+
+@when("the store takes writes for {seconds:g} s, and all nodes are killed")
+def step_writes_again(context, seconds):
+    context.store.transact = context.transact
+    maintain(context, seconds)
+    print(context.store.mirror.get(VERSIONS_KEY).value, context.origins)
+
+
+@when("a node that has just started resumes it, beside engines of v1.1 alone")
+def step_resume_beside(context):
+    node = Node(context.store.mirror, context.store, context.origins)
+    node.add("v1.1", 1)
+    node.load()
+    context.resumed = context.run(node.resume("stream"))
--- a/features/unrecorded_versions.feature
+++ b/features/unrecorded_versions.feature
@@ -135,3 +135,10 @@
       | nodes | late |
       | 86    | 0.02 |
       | 350   | 0.02 |
+
+  Scenario: A version that left before it was recorded is forgotten though streams began there
+    Given a record of v1.1 alone in the store, and engines of v1.1 and v1.2
+    When streams begin at v1.2 while the store takes no writes, and its engines end
+    And the store takes writes for 3 s, and all nodes are killed
+    And a node that has just started resumes it, beside engines of v1.1 alone
+    Then it goes on at v1.2 or is refused
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -240,7 +240,8 @@
         """Return whether a version is left unrecorded for now, so that no streams begin there."""
         if self._is_recorded(version) or version.service in self._needed:
             return False
-        all_nodes_run = now - self._came_at.get(version, now) >= END_SUSPECTED_S
+        # A version that left has come long ago.
+        all_nodes_run = now - self._came_at.get(version, -math.inf) >= END_SUSPECTED_S
         if all_nodes_run and now - self._nodes_changed_at >= RETURN_OF_CALLERS_S:
             return False
         views = self._engines.of_service(version.service)
