A body no longer waits for ever behind bodies that do not end, while small ones end

Cause: a wait ended only if no body had ended for 1.5 s, and any end counted, also of small bodies that give no room to those that wait.

Change: a wait ends unless bytes that waited got room within 1.5 s.

--- a/features/response_limits.feature
+++ b/features/response_limits.feature
@@ -21,6 +21,13 @@
     Then the first one gives way
     And the other one is read within 3 s
 
+  Scenario: A body waits for ever behind bodies that do not end, while small ones end
+    Given limits of 100 bytes for a body and 200 bytes for all
+    And bodies of 1 byte that end one after another beside them
+    When two bodies of 90 and 60 bytes stand still, and one of 60 bytes arrives
+    Then the first one gives way
+    And the other one is read within 3 s
+
   Scenario: A body that gives way while it waits is read for ever
     Given limits of 100 bytes for a body and 120 bytes for all
     When a body of 60 bytes gives way while it waits to receive 20 more
--- a/features/steps/response_limit_steps.py
+++ b/features/steps/response_limit_steps.py
@@ -17,6 +17,7 @@
 
 # Longer than any body waits behind others that do not end.
 WAIT_S = 5.0
+SMALL_BODY_S = 0.05
 UNFRAMED_PIECES = (b"first", b"last")
 
 
@@ -46,6 +47,7 @@
 @given("limits of {largest:d} bytes for a body and {together:d} bytes for all")
 def step_limits(context, largest, together):
     context.limits = BodyLimits(largest, together)
+    context.small_bytes = 0
     context.evicted = []
 
 
@@ -114,6 +116,20 @@
     return waited
 
 
+@given("bodies of {size:d} byte that end one after another beside them")
+def step_small_bodies(context, size):
+    context.small_bytes = size
+
+
+async def end_bodies(limits, size):
+    """Begin and end small bodies, unless they have no bytes."""
+    while size:
+        body = limits.begin(0, lambda error: None)
+        assert limits.offer(body, bytes(size))
+        await asyncio.sleep(SMALL_BODY_S)
+        limits.end(body)
+
+
 @when(
     "two bodies of {first:d} and {second:d} bytes stand still, and one of {third:d} bytes arrives"
 )
@@ -128,6 +144,7 @@
         for number, size in enumerate((first, second)):
             body = context.limits.begin(0, lambda error, number=number: evict(number))
             assert context.limits.offer(body, bytes(size))
+        small = asyncio.ensure_future(end_bodies(context.limits, context.small_bytes))
         response = FedResponse(context.limits)
         reading = asyncio.ensure_future(response.read())
         response.content.feed_data(bytes(third))
@@ -136,6 +153,7 @@
         context.took_s = time.monotonic() - began
         response.content.feed_eof()
         body = await asyncio.wait_for(reading, WAIT_S)
+        small.cancel()
         assert len(body) == third, len(body)
 
     context.run(read())
--- a/liftrill/limited_response.py
+++ b/liftrill/limited_response.py
@@ -85,14 +85,14 @@
             protocol.resume_reading()
 
     async def _wait_for_change(self) -> None:
-        """Wait until this body gets room or gives way; if no body ends in time, wait no longer."""
+        """Wait until this body gets room or gives way; end all waits if none gets room in time."""
         self._change = asyncio.Event()
-        ended_count = self.body_limits.ended_count
+        admitted_count = self.body_limits.admitted_count
         try:
             async with asyncio.timeout(MAX_ROOM_WAIT_S):
                 await self._change.wait()
         except TimeoutError:
-            if self.body_limits.ended_count == ended_count:
+            if self.body_limits.admitted_count == admitted_count:
                 self.body_limits.stop_waiting()
 
     def _wake(self) -> None:
--- a/liftrill/response_limits.py
+++ b/liftrill/response_limits.py
@@ -20,8 +20,8 @@
 # All incomplete bodies of a session: two of the largest, one of them for the oldest body, so that
 # it can always be completed while the others wait.
 MAX_INCOMPLETE_BODIES_BYTES = 2 * MAX_BODY_BYTES
-# If bytes wait for this long and no body ends, the largest gives way: engines abort answers that
-# are not read for some seconds.
+# If bytes wait for this long and none get room, the largest body gives way: engines abort answers
+# that are not read for some seconds.
 MAX_ROOM_WAIT_S = 1.5
 # The store returns up to 500 records or 1 MB at a time, and events as they are due.
 MAX_STORE_BODY_BYTES = 16_777_216
@@ -99,12 +99,12 @@
     Attributes:
         max_body_bytes: the size of the largest body.
         max_incomplete_bytes: the size of all incomplete bodies.
-        ended_count: how many bodies have ended, and freed their bytes.
+        admitted_count: how many times bytes that waited have got room.
     """
 
     max_body_bytes: int = MAX_BODY_BYTES
     max_incomplete_bytes: int = MAX_INCOMPLETE_BODIES_BYTES
-    ended_count: int = 0
+    admitted_count: int = 0
     # Oldest first.
     _bodies: dict[IncompleteBody, None] = field(default_factory=dict)
     _held_bytes: int = 0
@@ -169,7 +169,7 @@
         body.pieces.append(data)
 
     def stop_waiting(self) -> None:
-        """Add the bytes that wait, as no body ends; the largest bodies give way if needed."""
+        """Add the bytes that wait, as none get room; the largest bodies give way if needed."""
         self._is_stalled = True
         self._admit_waiting()
 
@@ -219,6 +219,7 @@
                 if not self._has_room(body, len(body.waiting)):
                     return
                 data, body.waiting = body.waiting, b""
+                self.admitted_count += 1
                 self._hold(body, data)
                 body.on_room()
 
@@ -226,6 +227,5 @@
         del self._bodies[body]
         self._held_bytes -= body.held_bytes
         self._is_stalled = False
-        self.ended_count += 1
         body.pieces = []
         body.waiting = b""
