Repeat a failed read of the record before a late mirror is trusted

Cause: the failure was the result for all that asked within 0.5 s, was not repeated, and counted as a store that cannot be read, for which a mirror is trusted for some seconds.

Change: a failed read is repeated after 0.1 s, for the 0.5 s that a resumption waits; that the mirror is trusted then is logged.

The scenario failed before and passes now. The rows of a store that refuses reads now allow six of them for 100 resumptions, where one was asked: the read is meant to be repeated; one is still asked where the store answers.

--- a/features/steps/late_mirror_steps.py
+++ b/features/steps/late_mirror_steps.py
@@ -109,18 +109,28 @@
 
 @then("all go on at {version}, and the record was read {count:d} times")
 def step_all_go_on(context, version, count):
+    require_all_go_on(context, version)
+    assert context.store.reads == count, context.store.reads
+
+
+@then("all go on at {version}, and the record was read at most {count:d} times")
+def step_all_go_on_at_most(context, version, count):
+    require_all_go_on(context, version)
+    assert 0 < context.store.reads <= count, context.store.reads
+
+
+def require_all_go_on(context, version):
     refused = [each for each in context.resolved if isinstance(each, AdmissionRefusal)]
     assert not refused, (len(refused), refused[0])
     assert {each.required_software_version for each in context.resolved} == {version}
-    assert context.store.reads == count, context.store.reads
 
 
-@then("all are refused for a short time, and the record was read {count:d} times")
+@then("all are refused for a short time, and the record was read at most {count:d} times")
 def step_all_refused(context, count):
     assert all(isinstance(each, AdmissionRefusal) for each in context.resolved)
     waits = {each.retry_after_seconds for each in context.resolved}
     assert waits == {UNKNOWN_RETRY_S}, waits
-    assert context.store.reads == count, context.store.reads
+    assert 0 < context.store.reads <= count, context.store.reads
 
 
 @given("{count:d} nodes that have just started before engines of v1.1, which is recorded")
@@ -165,3 +175,14 @@
     print(f"{context.store.reads} reads for {len(context.went_on)} resumptions")
     assert set(context.went_on) == {"v1.1"}, set(context.went_on)
     assert context.store.reads <= count, context.store.reads
+
+
+@when("the next read of the store fails at once, and later ones succeed")
+def step_one_failed_read(context):
+    read = context.store.read
+
+    async def fail_once(key):
+        context.store.read = read
+        raise StoreUnavailableError("connection reset")
+
+    context.store.read = fail_once
--- a/features/unrecorded_versions.feature
+++ b/features/unrecorded_versions.feature
@@ -46,20 +46,20 @@
     Given a node before engines of v1.1, whose mirror was complete 4 s ago
     And the store answers no reads
     When 100 streams that nobody knows are resumed there at once
-    Then all are refused for a short time, and the record was read 1 times
+    Then all are refused for a short time, and the record was read at most 6 times
 
   Scenario: Streams of the only version do not go on while the store is silent
     Given a node before engines of v1.1, whose mirror was complete 2 s ago
     And the store answers no reads
     When 100 streams that nobody knows are resumed there at once
-    Then all go on at v1.1, and the record was read 1 times
+    Then all go on at v1.1, and the record was read at most 6 times
 
   Scenario: A resumption is refused at a node that the store refuses, though it follows another one
     Given a node before engines of v1.1, whose mirror was complete 4 s ago
     And the store answers no reads
     And the node that it follows confirms its mirror 0.3 s from now
     When 100 streams that nobody knows are resumed there at once
-    Then all go on at v1.1, and the record was read 1 times
+    Then all go on at v1.1, and the record was read at most 6 times
 
   Scenario: Nodes that start at once read the record for each stream that is resumed
     Given 86 nodes that have just started before engines of v1.1, which is recorded
@@ -142,3 +142,11 @@
     And the store takes writes for 3 s, and all nodes are killed
     And a node that has just started resumes it, beside engines of v1.1 alone
     Then it goes on at v1.2 or is refused
+
+  Scenario: A late mirror counts as complete after a single failed read of a store that answers
+    Given a record of v1.1 alone in the store, and engines of v1.1 and v1.2
+    And a node whose mirror was complete until now
+    When v1.2 is recorded, a stream begins there 0.6 s later, and its node is killed
+    And the next read of the store fails at once, and later ones succeed
+    And the node with the late mirror resumes it
+    Then it goes on at v1.2 or is refused
--- a/liftrill/gateway/streams/origin_records.py
+++ b/liftrill/gateway/streams/origin_records.py
@@ -34,6 +34,8 @@
 # A read serves all streams that are resumed within this time.
 READ_LIFETIME_S = 0.25
 READ_TIMEOUT_S = 0.5
+# A failure is repeated to those that ask within this time.
+READ_RETRY_S = 0.1
 
 _Result = TypeVar("_Result")
 
@@ -52,7 +54,7 @@
         Raises:
             StoreError: the store could not be read in time.
         """
-        if self._task is None or self._sent_at < since:
+        if self._task is None or self._sent_at < since or self._may_retry(self._task):
             self._sent_at = clock.now_s()
             self._task = asyncio.ensure_future(self._read())
             self._task.add_done_callback(_retrieve_error)
@@ -62,6 +64,11 @@
         except TimeoutError:
             raise StoreUnavailableError(f"no answer within {READ_TIMEOUT_S} s") from None
 
+    def _may_retry(self, task: asyncio.Task[_Result]) -> bool:
+        """Return whether a read has failed some time ago."""
+        has_failed = task.done() and (task.cancelled() or task.exception() is not None)
+        return has_failed and clock.now_s() - self._sent_at >= READ_RETRY_S
+
 
 def _retrieve_error(read: asyncio.Task[Any]) -> None:
     """Mark the error of a read as handled; those that wait for the read log it."""
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -157,19 +157,22 @@
         Raises:
             StoreError: it may lack some, and the record could not be read in time.
         """
-        if self._is_complete(until):
-            return
         gives_up_at = clock.now_s() + READ_TIMEOUT_S
-        try:
-            await self._record_read.result(until)
-        except StoreError:
-            # The node that this one follows may reach the store, and confirm the mirror.
-            while not self._is_complete(until):
+        while not self._is_complete(until):
+            try:
+                await self._record_read.result(until)
+            except StoreError as error:
                 if clock.now_s() >= gives_up_at:
-                    break
+                    self._trust_unread(until, error)
+                    return
+                # The node that this one follows may reach the store, and confirm the mirror.
                 await asyncio.sleep(CONFIRMATION_CHECK_S)
-            if not self._is_complete(until - self._trusted_unread_s):
-                raise
+
+    def _trust_unread(self, until: float, error: StoreError) -> None:
+        """Take the mirror for complete for a while although the store cannot be read."""
+        if not self._is_complete(until - self._trusted_unread_s):
+            raise error
+        self._log.state_changed("versions_not_read", why=repr(error))
 
     def _is_complete(self, until: float) -> bool:
         return max(self._freshness.as_of, self._complete_until) >= until
