--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -28,7 +28,7 @@
         unanswered_writes: how many of the next writes take effect but get no answer.
         refuses_writes: whether writing calls get 429, as beyond the store's rate of writes.
         refused_ips: the addresses of nodes whose calls get 503; a node calls at its own address.
-        deaf_ips: the addresses of nodes whose watches bring nothing.
+        unnotified_ips: the addresses of nodes whose watches return no changes.
         era: the `Store-Era` in all answers, or None to leave it out.
     """
 
@@ -42,7 +42,7 @@
         self.refuses_writes = False
         self.calls = []
         self.refused_ips = set()
-        self.deaf_ips = set()
+        self.unnotified_ips = set()
         self.era = None
         self.address = ""
         self.port = 0
@@ -210,7 +210,7 @@
         after, prefix = int(query["after"]), query["PathPrefix"]
         until = time.monotonic() + int(query["WaitMs"]) / 1000
         while True:
-            if self._watches_stalled or local_ip in self.deaf_ips:
+            if self._watches_stalled or local_ip in self.unnotified_ips:
                 await self._changed_within(LEASE_CHECK_S)
                 continue
             if self.history and self.history[0][1] is None and after < self.history[0][0]:
--- a/features/steps/unrecorded_version_restart_steps.py
+++ b/features/steps/unrecorded_version_restart_steps.py
@@ -161,7 +161,7 @@
             await engine.start()
             deployment.engines[engine.engine_id] = engine
         new = await deployment.add_node(f"node-{len(deployment.nodes) + 1}")
-        deployment.store.deaf_ips.add(new.ip)
+        deployment.store.unnotified_ips.add(new.ip)
         context.callers = CallersOfOthers(deployment)
 
         async def has_read():
--- a/features/unreported_crashes.feature
+++ b/features/unreported_crashes.feature
@@ -1,5 +1,5 @@
 # Guards against a further engine that crashes because a node notices the end of an engine before
-# it is told under which prompt it ended: four engines crashed on a part where three may.
+# it receives the report of the prompt: four engines crashed on a part where three may.
 Feature: A prompt with a suspect part is not sent on before the report on an engine that just ended
 
   # In virtual time: one node with six engines, which knows from a report that an engine ended early
--- a/spec/stream_origin.py
+++ b/spec/stream_origin.py
@@ -15,9 +15,10 @@
 It reads it in other cases too, which can but add to what it knows.
 
 Not modelled: the time for which a mirror that was confirmed lately counts as complete, reads of the
-record that fail (the stream does not go on), a restore of the store, streams that begin at a
-version that is not recorded because no recorded one serves, the second holder, lost questions and
-answers (the origin is then unknown), and the time for which versions and origins are remembered.
+record that fail, after which a mirror is trusted for a time, a restore of the store, streams that
+begin at a version that is not recorded because no recorded one serves, the second holder, lost
+questions and answers (the origin is then unknown), and the time for which versions and origins are
+remembered.
 """
 
 from dataclasses import dataclass, replace
