Let a version be recorded before the copy of the store of before it came is restored

Cause: since it is recorded 5 s after it came; the row was played last with 2 s before that change.

Change: 7 s in the row. What it asks is as it was: the version is recorded, streams begin at it, and the record goes with the restore.

--- a/features/unrecorded_versions_restart.feature
+++ b/features/unrecorded_versions_restart.feature
@@ -4,7 +4,7 @@
     Given 4 engines of version v1.1 and 0 of version v1.2 in processes of their own
     And the store reports its era
     And 4 nodes before them, which have been ready for 11 s
-    And 4 engines of version v1.2 came 2 s ago
+    And 4 engines of version v1.2 came 7 s ago
     When 40 streams begin, all nodes are killed and start again, and the store came back from a copy of before v1.2 came
     And the callers resume their streams until they are complete or refused for 3 s
     Then no stream holds events of two versions
