Note arrivals of versions apart from the question which are to be recorded

The method that returns the versions to record also changed when they came. No change of behaviour: the time is noted once for each check, as before. unrecorded_versions, stream_origins, processor_time and gateway_rules pass.

--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -213,6 +213,7 @@
         self._forget(now)
         self._lacks_history &= now - self._started_at < self.retention_s
         self._note_members(now)
+        self._note_arrivals(now)
         versions = self._current(now)
         is_up_to_date = (
             versions == self._stored
@@ -264,14 +265,17 @@
             self._nodes_changed_at = now
         self._incarnations = incarnations
 
+    def _note_arrivals(self, now: float) -> None:
+        """Note since when versions serve that are not recorded."""
+        unrecorded = (version for version in self._present() if not self._is_recorded(version))
+        self._came_at = {version: self._came_at.get(version, now) for version in unrecorded}
+
     def _is_recorded(self, version: ServiceVersion) -> bool:
         return version.software_version in self.of_service(version.service)
 
     def _current(self, now: float) -> frozenset[ServiceVersion]:
         """Return the versions to record: those that serve, or may have served lately."""
         present = self._present()
-        unrecorded = (version for version in present if not self._is_recorded(version))
-        self._came_at = {version: self._came_at.get(version, now) for version in unrecorded}
         services = {each.service for each in present | self._read_since.keys()}
         lately = {
             ServiceVersion(service, version)
