--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -37,9 +37,10 @@
 class MemberNetwork:
     """Members in virtual time, with datagram loss, pauses, crashes and network partitions."""
 
-    def __init__(self, count):
+    def __init__(self, count, parameters=None):
         self.clock = VirtualClock()
         self.random = random.Random(3)
+        self.parameters = parameters or MembershipParameters()
         self.loss_share = 0.0
         self.crashed = set()
         self.paused = set()
@@ -53,7 +54,7 @@
         incarnation = int(self.clock.now() * 1000) + 1
         own = Member(f"m{number}", f"a{number}", f"r{number % 2}", f"z{number}", incarnation)
         source = random.Random(number)
-        self.members[number] = Membership(own, ["a0"], MembershipParameters(), source)
+        self.members[number] = Membership(own, ["a0"], self.parameters, source)
         self.crashed.discard(number)
         self.clock.call_later(0.0, lambda: self.tick(number, self.members[number]))
 
--- a/features/steps/late_suspicion_steps.py
+++ b/features/steps/late_suspicion_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from features.steps import coordination_steps
+from features.steps.coordination_steps import MemberNetwork
 from features.steps.stream_origin_steps import FakeRangeStore
 from features.steps.unrecorded_version_steps import MAX_RECORD_DELAY_S, Node, recorded
 from liftrill import clock
@@ -31,10 +31,7 @@
 def play(context, seed, came_back_s):
     """Return the version at which a stream of the ended node goes on, or None if it is refused."""
     rng = random.Random(seed)
-    saved = coordination_steps.MembershipParameters
-    coordination_steps.MembershipParameters = gateway_parameters
-    network = coordination_steps.MemberNetwork(context.count)
-    coordination_steps.MembershipParameters = saved
+    network = MemberNetwork(context.count, gateway_parameters())
     network.clock.run(SETTLED_S + rng.random())
     writer = int(ranked(RANK_KEY, network.members[0].members())[0].node_id[1:])
     ended = rng.choice([n for n in range(context.count) if n != writer])
