Build the record of versions of a test's node in one place

Four steps built it with the same seven arguments, two connected it to the choice of engines alike, and one named the record's key and one the time between its checks again.

--- a/features/steps/late_mirror_steps.py
+++ b/features/steps/late_mirror_steps.py
@@ -13,6 +13,7 @@
 from liftrill.errors import StoreUnavailableError
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
 from liftrill.gateway.streams.origin_tracker import UNKNOWN_RETRY_S
+from liftrill.gateway.streams.version_record import VERSIONS_KEY
 from liftrill.messages import peer_pb2 as messages
 
 # How often a reader's mirror is confirmed, and how much later those of its followers are.
@@ -45,9 +46,7 @@
         When the node records v1.2
         """
     )
-    recorded_now = messages.ServedVersions.FromString(
-        context.store.mirror.get("liftrill/software-versions").value
-    )
+    recorded_now = messages.ServedVersions.FromString(context.store.mirror.get(VERSIONS_KEY).value)
     assert len(recorded_now.versions) == 2, recorded_now
     context.run(asyncio.sleep(seconds))
     assert context.node.begin("stream") == "v1.2"
--- a/features/steps/processor_time_steps.py
+++ b/features/steps/processor_time_steps.py
@@ -10,19 +10,16 @@
 from behave import given, then, when
 
 from features.gateway_support import engine_record
-from features.steps.stream_origin_steps import FakeRangeStore
+from features.steps.stream_origin_steps import FakeRangeStore, build_version_record
 from liftrill import clock
 from liftrill.coordination import rendezvous
 from liftrill.coordination.membership_messages import Condition, Member
-from liftrill.coordination.mirror_freshness import MirrorFreshness
 from liftrill.coordination.spending_notices import SpendingNotice
 from liftrill.gateway import ticks
-from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_events import EngineAddress
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.peers.engine_gossip import JOINER_WEIGHT_SENDERS, EngineGossip
 from liftrill.gateway.peers.peer_link import PeerCallbacks, PeerLink, new_membership
-from liftrill.gateway.streams.version_record import VersionRecord
 from liftrill.messages import peer_pb2 as messages
 
 
@@ -267,15 +264,7 @@
         context.engines.update(engine_record(f"e{number}", software_version="v1.1"))
     store = FakeRangeStore()
     membership = new_membership(Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1), [])
-    context.record = VersionRecord(
-        store,
-        store.mirror,
-        MirrorFreshness(),
-        context.engines,
-        membership,
-        DecisionLog("node-1"),
-        0.0,
-    )
+    context.record = build_version_record(store, store.mirror, context.engines, membership)
     context.record.load(clock.now_s())
     asyncio.run(context.record.write_due(clock.now_s()))
     context.record.load(clock.now_s())
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -521,18 +521,20 @@
         return revision
 
 
+def build_version_record(
+    store, mirror, engines, membership=None, freshness=None, trusted_unread_s=0.0
+):
+    """Return a node's record of versions; without a membership the node is the only member."""
+    if membership is None:
+        own = Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1)
+        membership = SimpleNamespace(own=own, members=lambda: [own])
+    log = DecisionLog(membership.own.node_id)
+    freshness = freshness or MirrorFreshness()
+    return VersionRecord(store, mirror, freshness, engines, membership, log, trusted_unread_s)
+
+
 def new_version_record(context, engines):
-    own = Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1)
-    membership = SimpleNamespace(own=own, members=lambda: [own])
-    record = VersionRecord(
-        context.store,
-        context.store.mirror,
-        MirrorFreshness(),
-        engines,
-        membership,
-        DecisionLog("node-1"),
-        0.0,
-    )
+    record = build_version_record(context.store, context.store.mirror, engines)
     record.load(clock.now_s())
     return record
 
@@ -626,14 +628,22 @@
         view.own_load.requests = view.record.slots if state == "busy" else 0
 
 
-@when("{count:d} idle engines of version {version} come to a node that has run for {uptime:g} s")
-def step_come(context, count, version, uptime):
+def connect_record(context, uptime, started_s=0.0):
+    """Let new streams begin where the record of a node allows it, `uptime` seconds from now.
+
+    The node's evidence starts `started_s` seconds from now.
+    """
     context.now = clock.now_s() + uptime
     context.record = new_version_record(context, context.engines)
-    context.evidence = VersionEvidence(context.engines, context.record, context.now)
+    context.evidence = VersionEvidence(context.engines, context.record, clock.now_s() + started_s)
     versions = context.selector.software_versions
     versions.may_begin_at = context.evidence.may_begin_at
     versions.need_version = context.record.need
+
+
+@when("{count:d} idle engines of version {version} come to a node that has run for {uptime:g} s")
+def step_come(context, count, version, uptime):
+    connect_record(context, uptime, started_s=uptime)
     for number in range(count):
         add(context, f"{version}-{number}", version)
     context.evidence.refresh(context.now)
--- a/features/steps/unrecorded_version_steps.py
+++ b/features/steps/unrecorded_version_steps.py
@@ -14,6 +14,8 @@
     FakeRangeStore,
     FakeStorage,
     add,
+    build_version_record,
+    connect_record,
     stream_request,
     versioned_record,
 )
@@ -28,14 +30,13 @@
 from liftrill.gateway.engines.engine_selector import EngineSelector
 from liftrill.gateway.engines.engine_table import EngineTable
 from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.streams.origin_service import MAX_RECORD_DELAY_S
 from liftrill.gateway.streams.origin_tracker import OriginTracker
 from liftrill.gateway.streams.stream_origins import ServiceVersion
-from liftrill.gateway.streams.version_evidence import VersionEvidence
-from liftrill.gateway.streams.version_record import END_SUSPECTED_S, VERSIONS_KEY, VersionRecord
+from liftrill.gateway.streams.version_record import END_SUSPECTED_S, VERSIONS_KEY
 from liftrill.gateway.weight_targets import WeightTargets
 from liftrill.messages import peer_pb2 as messages
 
-MAX_RECORD_DELAY_S = 0.3
 TRUSTED_UNREAD_S = 3.0
 
 
@@ -55,8 +56,8 @@
         membership = SimpleNamespace(own=own, members=lambda: [own])
         log = DecisionLog(node)
         freshness = freshness or MirrorFreshness(clock.now_s())
-        self.record = VersionRecord(
-            store, mirror, freshness, self.engines, membership, log, TRUSTED_UNREAD_S
+        self.record = build_version_record(
+            store, mirror, self.engines, membership, freshness, TRUSTED_UNREAD_S
         )
         self.record._started_at -= uptime_s
         self.record._nodes_changed_at -= uptime_s
@@ -170,30 +171,9 @@
     assert (first, second) == ("v1.1", "v1.2"), (first, second)
 
 
-def connect(context, uptime):
-    context.now = clock.now_s() + uptime
-    own = Member("node-1", "10.0.0.1:1", "region-1", "zone-1", 1)
-    membership = SimpleNamespace(own=own, members=lambda: [own])
-    log = DecisionLog("node-1")
-    context.record = VersionRecord(
-        context.store,
-        context.store.mirror,
-        MirrorFreshness(),
-        context.engines,
-        membership,
-        log,
-        0.0,
-    )
-    context.record.load(clock.now_s())
-    context.evidence = VersionEvidence(context.engines, context.record, clock.now_s())
-    versions = context.selector.software_versions
-    versions.may_begin_at = context.evidence.may_begin_at
-    versions.need_version = context.record.need
-
-
 @given("{count:d} idle engines of version {version}, at a node that has run for {uptime:g} s")
 def step_node(context, count, version, uptime):
-    connect(context, uptime)
+    connect_record(context, uptime)
     for n in range(count):
         add(context, f"{version}-{n}", version)
     context.evidence.refresh(context.now)
@@ -345,15 +325,8 @@
     for own in members:
         mirror = StoreMirror(position=1)
         membership = SimpleNamespace(own=own, members=lambda: members)
-        record = VersionRecord(
-            context.shared.of_node(own.node_id),
-            mirror,
-            MirrorFreshness(),
-            context.many_engines,
-            membership,
-            DecisionLog(own.node_id),
-            0.0,
-        )
+        store = context.shared.of_node(own.node_id)
+        record = build_version_record(store, mirror, context.many_engines, membership)
         context.many.append((record, mirror))
     context.clock_s = clock.now_s() + uptime
     come(context, "v1.1")
