--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -294,6 +294,14 @@
             log_end = node.log()[-ERROR_LOG_CHARACTERS:] if node.log_path.exists() else ""
             raise AssertionError(f"{node.name} is not ready: {error}; its log: {log_end}") from None
 
+    async def add_nodes(self, count):
+        """Add nodes, and wait until they are ready and know each other."""
+        for number in range(count):
+            await self.add_node(f"node-{number + 1}")
+        for node in self.nodes:
+            await self.ready(node)
+        await self.know_each_other()
+
     async def know_each_other(self):
         """Wait until each node counts all nodes, by its metrics."""
         counted = f"liftrill_peers {len(self.nodes)}.0"
--- a/features/steps/fleet_restart_steps.py
+++ b/features/steps/fleet_restart_steps.py
@@ -63,11 +63,7 @@
 @given("{count:d} nodes before them, which have been ready for {seconds:g} s")
 def step_nodes(context, count, seconds):
     async def add():
-        for number in range(count):
-            await context.deployment.add_node(f"node-{number + 1}")
-        for node in context.deployment.nodes:
-            await context.deployment.ready(node)
-        await context.deployment.know_each_other()
+        await context.deployment.add_nodes(count)
         await asyncio.sleep(seconds)
 
     context.run(add())
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -68,12 +68,8 @@
 
 
 async def add_nodes(deployment, count):
-    for number in range(count):
-        await deployment.add_node(f"node-{number + 1}")
-    for node in deployment.nodes:
-        await deployment.ready(node)
     # They tell each other where streams began, from the first one on.
-    await deployment.know_each_other()
+    await deployment.add_nodes(count)
     await asyncio.sleep(1.0)
 
 
