--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from liftrill.gateway.http_client import idle_limit_s, new_engine_session
+from liftrill.gateway.http_client import new_engine_session
+from liftrill.guarded_connection import idle_limit_s
 
 
 class Engine:
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -4,7 +4,7 @@
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.event_stream import EventSplitter
-from liftrill.gateway.http_client import GuardedResponseHandler
+from liftrill.guarded_connection import GuardedResponseHandler
 from liftrill.limited_response import LimitedResponse, ends_with_connection
 from liftrill.response_limits import ResponseTooLargeError
 
--- /dev/null
+++ b/liftrill/guarded_connection.py
@@ -0,0 +1,136 @@
+"""A client connection of aiohttp with what the gateway's guarantees need.
+
+By itself, aiohttp takes bytes that arrive on an idle connection for the next response, and a body
+without a length for complete even if the connection was reset. It reads responses of any length.
+"""
+
+import asyncio
+import math
+from typing import Any
+
+from aiohttp import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+
+from liftrill import clock, constants
+from liftrill.limited_response import ResponseCutOffError
+from liftrill.response_limits import FramingLimit
+
+FIRST_FINAL_STATUS = 200
+# An idle connection is reused only within this share of the peer's announced keep-alive timeout.
+IDLE_TIMEOUT_SHARE = 0.8
+MAX_IDLE_S = 30.0
+MAX_TIMEOUT_DIGITS = 9
+
+
+class GuardedResponseHandler(ResponseHandler):
+    """A client connection that closes on unsolicited or endless bytes and detects resets."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._response_count = 0
+        self._framing = FramingLimit()
+        self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
+        self._last_data_at = clock.now_s()
+        self._closed_at = math.inf
+
+    @property
+    def close_delay_s(self) -> float:
+        """The time between the last received bytes and the end of the connection."""
+        return self._closed_at - self._last_data_at
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open; one that is not read does not show its end."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and not self._reading_paused
+
+    def set_response_params(self, **parameters: Any) -> None:
+        """Prepare for the response to a request that is about to be sent."""
+        self._response_count = 0
+        self._framing = FramingLimit()
+        super().set_response_params(**parameters)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Count the final responses that were parsed."""
+        message, _ = data
+        if message.code >= FIRST_FINAL_STATUS:
+            self._response_count += 1
+            self._idle_limit_s = idle_limit_s(message.headers.get("Keep-Alive", ""))
+        else:
+            self._framing.add_interim_response()
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes (asyncio callback); close if no response is due."""
+        self._last_data_at = clock.now_s()
+        # Heads are parsed one by one: an error in what follows must not discard a response.
+        while data and not self._response_count:
+            length = self._framing.head_length(data)
+            if not self._parse(data[:length]) or length == len(data):
+                return
+            data = data[length:]
+        if data and self._is_idle():
+            self._abort()
+        else:
+            # Without data, aiohttp goes on with what it held back while the reader was slow.
+            self._parse(data)
+
+    def is_connected(self) -> bool:
+        """Return whether another request may be sent, because the peer is not about to close."""
+        idle_s = clock.now_s() - self._last_data_at
+        if self._response_count and idle_s > self._idle_limit_s:
+            return False
+        return super().is_connected()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Handle the end of the connection (asyncio callback)."""
+        self._closed_at = clock.now_s()
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            set_exception(
+                payload, ClientPayloadError("connection reset before the body ended"), exc
+            )
+        super().connection_lost(exc)
+
+    def _parse(self, data: bytes) -> bool:
+        """Parse received bytes; return whether the connection is still open."""
+        super().data_received(data)
+        transport, payload = self.transport, self._payload
+        if transport is None or transport.is_closing():
+            # aiohttp raises an error in a body only to the reader of the next response.
+            self._fail_body(ClientPayloadError("invalid framing"))
+            return False
+        exceeded = self._framing.add(len(data), payload.total_bytes if payload is not None else 0)
+        if exceeded is None:
+            return True
+        error = ResponseCutOffError(str(exceeded))
+        self.set_exception(error)
+        self._fail_body(error)
+        self._abort()
+        return False
+
+    def _fail_body(self, error: ClientPayloadError) -> None:
+        """Raise an error to the reader of an incomplete body."""
+        payload = self._payload
+        if self._exception is not None and payload is not None and not payload.is_eof():
+            set_exception(payload, error)
+
+    def _abort(self) -> None:
+        self._should_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _is_idle(self) -> bool:
+        payload_over = self._payload is None or self._payload.is_eof()
+        return self._response_count > 0 and payload_over
+
+
+def idle_limit_s(keep_alive: str) -> float:
+    """Return for how long a connection may be reused, given a response's Keep-Alive header."""
+    for parameter in keep_alive.split(","):
+        name, _, value = parameter.partition("=")
+        value = value.strip()
+        if name.strip().lower() == "timeout" and value.isascii() and value.isdigit():
+            return min(IDLE_TIMEOUT_SHARE * int(value[:MAX_TIMEOUT_DIGITS]), MAX_IDLE_S)
+    return constants.ENGINE_IDLE_CONNECTION_SECONDS
