--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -45,5 +45,5 @@
 
   Scenario: A node imports no modules that it does not use
     When the platform's serve module is imported in a separate process
-    Then at most 427 modules of libraries and 174 of the project were imported
+    Then at most 427 modules of libraries and 175 of the project were imported
     And none of "aiohttp.web", "pydantic" and "liftrill.planning" was imported
--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -14,6 +14,7 @@
 from features.standin.connections import reset
 from features.standin.cut_answers import HEAD_ALONE, cut_answer, is_cut, send_cut
 from features.standin.endless_answers import ENDLESS, send_endless
+from features.standin.malformed_answers import is_malformed, send_malformed
 
 SIGNATURE = "stand-in-signature"
 # A longer `Retry-After` counts as a mistake of the engine, and nodes need not obey it.
@@ -470,16 +471,17 @@
             arrival.fault = fault
             return await self._misbehave(request, headers, fault)
         sound = self._stream if model else self._whole
-        answer = self._cut if is_cut(fault) else sound
+        answer = self._send_raw if is_cut(fault) or is_malformed(fault) else sound
         return await answer(request, arrival, headers, fault)
 
-    async def _cut(self, request, arrival, headers, fault):
+    async def _send_raw(self, request, arrival, headers, fault):
         arrival.fault = fault
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         is_stream = "X-Model" in request.headers
         kind = "text/event-stream" if is_stream else "application/octet-stream"
         body = self._text(arrival, first) if is_stream else self._body(arrival).decode()
-        await send_cut(request.transport, fault, {**headers, "Content-Type": kind}, body)
+        send = send_cut if is_cut(fault) else send_malformed
+        await send(request.transport, fault, {**headers, "Content-Type": kind}, body)
         return web.Response()
 
     async def _misbehave(self, request, headers, fault):
--- a/features/standin/raw_callers.py
+++ b/features/standin/raw_callers.py
@@ -132,7 +132,12 @@
     def __init__(self, events, body_bytes):
         self.answers = []
         bodies = dict.fromkeys(("whole", "safe"), body_bytes)
-        self._sizes = bodies | dict.fromkeys(STREAMS, events)
+        self._sizes = bodies
+        self.expect_events(events)
+
+    def expect_events(self, events):
+        """Take streams of so many events for whole ones."""
+        self._sizes |= dict.fromkeys(STREAMS, events)
 
     async def ask(self, node, protocol, route, waits_s=0.0, after=0, **more):
         """Read one answer to its end."""
--- a/features/steps/gateway_rules_steps.py
+++ b/features/steps/gateway_rules_steps.py
@@ -78,6 +78,7 @@
     "peers/node_capacity",
     "peers/speed_exchange",
     "opaque_request",
+    "../response_framing",
     "../response_limits",
     "engines/placement",
     "engines/prefix_directory",
--- /dev/null
+++ b/features/steps/malformed_answer_steps.py
@@ -0,0 +1,99 @@
+"""Steps on answers of engines that do not follow HTTP/1.1, judged by what callers receive."""
+
+import re
+
+from behave import then, when
+
+from features.standin.malformed_answers import CHUNK_FAULTS, HEAD_FAULTS
+from features.steps.cut_head_steps import call_until_cut, cut_at, prepare
+
+SUCCESS = 200
+STATUS_LINE = re.compile(r"HTTP/1\.1 [2-5]\d\d [\t -~\x80-\xff]*")
+FIELD_LINE = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*")
+EVENTS = 12
+
+
+def send_faulty(context, route, faults):
+    """Let the answers of one engine have each of the faults in turn."""
+    engines = prepare(context, route)[:1]
+    for engine in context.deployment.engines.values():
+        engine.events = EVENTS
+    context.callers.expect_events(EVENTS)
+
+    async def call_all():
+        for fault in faults:
+            await call_until_cut(context, route, engines, fault)
+
+    context.run(call_all())
+
+
+def spoiled_answers(context):
+    """Return what callers received whose requests met a fault, with the fault."""
+    met = cut_at(context)
+    return [(met[a.request_id], a) for a in context.callers.answers if a.request_id in met]
+
+
+def is_well_formed(answer):
+    """Return whether the head that a caller received follows HTTP/1.1, or is none."""
+    if not answer.head:
+        return not answer.received
+    first, *lines = answer.head
+    return bool(STATUS_LINE.fullmatch(first)) and all(map(FIELD_LINE.fullmatch, lines))
+
+
+@when('answers on "{route}" have each fault in their chunks')
+def step_chunks(context, route):
+    send_faulty(context, route, CHUNK_FAULTS)
+
+
+@when('answers on "{route}" have each fault in their head')
+def step_heads(context, route):
+    send_faulty(context, route, HEAD_FAULTS)
+
+
+@when('answers on "{route}" have the fault "{fault}"')
+def step_fault(context, route, fault):
+    send_faulty(context, route, [fault])
+
+
+@then("no caller got a success that looks whole and is not, or other bytes")
+def step_none_short(context):
+    spoiled = spoiled_answers(context)
+    wrong = [(f, a) for f, a in spoiled if (a.says_whole and not a.is_whole) or a.misplaced]
+    for fault, answer in wrong:
+        print(f"{fault}: ends as complete after {answer.events} of {answer.size}")
+    assert spoiled
+    assert not wrong, [(fault, bytes(answer.received)) for fault, answer in wrong]
+
+
+@then("no caller got such an answer")
+def step_none_passed_on(context):
+    spoiled = spoiled_answers(context)
+    wrong = [(fault, a) for fault, a in spoiled if not is_well_formed(a) or a.status == SUCCESS]
+    for fault, answer in wrong:
+        print(f"{fault}: {answer.head or bytes(answer.received)}")
+    assert spoiled
+    assert not wrong, [fault for fault, _ in wrong]
+
+
+@then("each caller got a whole answer of another engine")
+def step_whole(context):
+    spoiled = spoiled_answers(context)
+    wrong = [(f, a) for f, a in spoiled if not (is_well_formed(a) and a.says_whole and a.is_whole)]
+    for fault, answer in wrong:
+        print(f"{fault}: {answer.head}, {answer.events} events")
+    assert spoiled
+    assert not wrong, [fault for fault, _ in wrong]
+
+
+@then("each of them is logged with its engine, and counted")
+def step_logged(context):
+    deployment = context.deployment
+    met = [arrival for arrival in deployment.arrivals() if arrival.fault]
+    rows = deployment.logged("response_fault")
+    page = context.run(deployment.metrics(deployment.nodes[0]))
+    counted = re.search(r"^liftrill_response_faults_total (\S+)", page, re.MULTILINE)
+    print(f"{len(met)} met, {len(rows)} logged: {sorted({row['reason'] for row in rows})}")
+    assert len(rows) >= len(met) >= len(CHUNK_FAULTS), (len(rows), len(met))
+    assert {row["address"] for row in rows} <= {e.address for e in deployment.engines.values()}
+    assert counted is not None and float(counted[1]) == len(rows)
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -19,6 +19,7 @@
 from liftrill.gateway.engines.engine_condition import EngineSignal
 from liftrill.gateway.opaque_request import OpaqueRequest
 from liftrill.gateway.run_continuation import CloseEvidence
+from liftrill.guarded_connection import ResponseFault
 
 MESSAGE_PREFIX = "liftrill:"
 # Callers choose the ids that they name.
@@ -139,6 +140,16 @@
         bucket = self._ordinary if is_complete else self._failures
         self._write("response_closed", bucket, inputs)
 
+    def response_fault(self, fault: ResponseFault) -> None:
+        """Log that a response was malformed, or that more bytes followed it."""
+        after_end_s = fault.after_end_s
+        self._write_failure(
+            "response_fault",
+            address=fault.address,
+            reason=fault.reason,
+            after_end_ms=None if after_end_s is None else round(1000 * after_end_s, 1),
+        )
+
     def store_era_refused(self, era: int | None, raw_era: str) -> None:
         """Log that an answer of the store has an earlier era than the known one, or none."""
         self._write_failure("store_era_refused", era=era, told=raw_era[:20])
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -45,6 +45,11 @@
             "Responses of engines that were invalid or too large.",
             registry=self.registry,
         )
+        self.response_faults = Counter(
+            "liftrill_response_faults",
+            "Responses to this node that were malformed, or that more bytes followed.",
+            registry=self.registry,
+        )
         self.closed_responses = self._counter(
             "liftrill_closed_responses",
             "Responses that ended with their connection, by what is known of the engine since.",
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -20,9 +20,17 @@
 
 from liftrill import clock, constants
 from liftrill.errors import LiftrillError
+from liftrill.gateway.decision_log import DecisionLog
+from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
 from liftrill.gateway.transport import EngineTransport, ProbeResult, allow_send
-from liftrill.guarded_connection import MAX_IDLE_S, GuardedResponseHandler
+from liftrill.guarded_connection import (
+    MAX_IDLE_S,
+    GuardedResponseHandler,
+    ReportFault,
+    ResponseFault,
+    no_report,
+)
 from liftrill.limited_response import limited_response
 from liftrill.response_limits import MAX_STORE_BODY_BYTES, BodyLimits
 
@@ -115,22 +123,38 @@
     return opened
 
 
-def new_engine_session(limit_per_host: int = 0) -> aiohttp.ClientSession:
+def new_engine_session(
+    report: ReportFault = no_report, limit_per_host: int = 0
+) -> aiohttp.ClientSession:
     """Return a session that sends each request once and does not alter responses."""
-    return _new_session(BodyLimits(), limit_per_host=limit_per_host, keepalive_timeout=MAX_IDLE_S)
+    return _new_session(
+        BodyLimits(), report, limit_per_host=limit_per_host, keepalive_timeout=MAX_IDLE_S
+    )
 
 
-def new_store_session() -> aiohttp.ClientSession:
+def new_store_session(report: ReportFault = no_report) -> aiohttp.ClientSession:
     """Return a session that uses a new connection for each call.
 
     An established connection may stop delivering data while new ones work. A call on a kept-alive
     connection would notice only at its timeout, and the next call could use another such one.
     """
     limits = BodyLimits(MAX_STORE_BODY_BYTES, MAX_STORE_BODY_BYTES)
-    return _new_session(limits, force_close=True)
+    return _new_session(limits, report, force_close=True)
+
+
+def fault_reporter(log: DecisionLog, metrics: GatewayMetrics) -> ReportFault:
+    """Return a function that logs and counts the faults of responses."""
+
+    def report(fault: ResponseFault) -> None:
+        metrics.response_faults.inc()
+        log.response_fault(fault)
+
+    return report
 
 
-def _new_session(body_limits: BodyLimits, **options: Any) -> aiohttp.ClientSession:
+def _new_session(
+    body_limits: BodyLimits, report: ReportFault, **options: Any
+) -> aiohttp.ClientSession:
     connector = CheckingConnector(
         limit=0,
         use_dns_cache=False,
@@ -141,7 +165,7 @@
     # aiohttp has no public way to choose the protocol class, or to forbid the second send on a
     # kept-alive connection; a feature checks that both overrides still work.
     connector._factory = functools.partial(  # type: ignore[assignment]
-        GuardedResponseHandler, loop=asyncio.get_running_loop()
+        GuardedResponseHandler, loop=asyncio.get_running_loop(), report=report
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -72,7 +72,9 @@
 
     async def listen(self, address: str) -> None:
         """Listen at HOST:PORT."""
-        self._session = http_client.new_engine_session()
+        self._session = http_client.new_engine_session(
+            http_client.fault_reporter(self._log, self._metrics)
+        )
         receive_bytes = RECEIVE_BUFFER_BYTES if self._memory is not None else 0
         await self._server.listen(address, self._on_request, receive_bytes, MAX_HEADER_BYTES)
 
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -6,15 +6,24 @@
 
 import asyncio
 import math
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
+from aiohttp.http_parser import RawResponseMessage
 
 from liftrill import clock, constants
 from liftrill.limited_response import ResponseCutOffError
-from liftrill.response_limits import FramingLimit
+from liftrill.response_framing import (
+    STATUSES_WITHOUT_BODY,
+    ChunkScanner,
+    MalformedResponseError,
+    check_head,
+)
+from liftrill.response_limits import HEAD_END, FramingLimit
 
 FIRST_FINAL_STATUS = 200
 # An idle connection is reused only within this share of the peer's announced keep-alive timeout.
@@ -23,13 +32,39 @@
 MAX_TIMEOUT_DIGITS = 9
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseFault:
+    """What was wrong with the bytes that a connection received.
+
+    Attributes:
+        address: HOST:PORT of the peer.
+        reason: what was malformed, or what followed a response.
+        after_end_s: the time since the response ended that they followed, or None before its end.
+    """
+
+    address: str
+    reason: str
+    after_end_s: float | None = None
+
+
+ReportFault = Callable[[ResponseFault], None]
+
+
+def no_report(fault: ResponseFault) -> None:
+    """Report nothing."""
+
+
 class GuardedResponseHandler(ResponseHandler):
-    """A client connection that closes on unsolicited or endless bytes and detects resets."""
+    """A connection that closes on unsolicited or endless bytes, and detects resets."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, report: ReportFault = no_report) -> None:
         super().__init__(loop=loop)
+        self._report = report
         self._response_count = 0
         self._framing = FramingLimit()
+        self._head = b""
+        self._chunks: ChunkScanner | None = None
+        self._has_no_body = False
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
         self._closed_at = math.inf
@@ -49,6 +84,9 @@
         """Prepare for the response to a request that is about to be sent."""
         self._response_count = 0
         self._framing = FramingLimit()
+        self._head = b""
+        self._chunks = None
+        self._has_no_body = bool(parameters.get("skip_payload"))
         super().set_response_params(**parameters)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -57,22 +95,26 @@
         if message.code >= FIRST_FINAL_STATUS:
             self._response_count += 1
             self._idle_limit_s = idle_limit_s(message.headers.get("Keep-Alive", ""))
+            self._expect_body(message)
         else:
             self._framing.add_interim_response()
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes (asyncio callback); close if no response is due."""
-        self._last_data_at = clock.now_s()
+        now = clock.now_s()
+        since_last_s, self._last_data_at = now - self._last_data_at, now
         # Heads are parsed one by one: an error in what follows must not discard a response.
         while data and not self._response_count:
             length = self._framing.head_length(data)
-            if not self._parse(data[:length]) or length == len(data):
+            if not self._receive_head(data[:length]) or length == len(data):
                 return
             data = data[length:]
         if data and self._is_idle():
-            self._abort()
+            self._receive_excess(data, since_last_s)
         else:
+            if self._chunks is not None:
+                self._observe_chunks(data, self._chunks)
             # Without data, aiohttp goes on with what it held back while the reader was slow.
             self._parse(data)
 
@@ -93,6 +135,40 @@
             )
         super().connection_lost(exc)
 
+    def _receive_head(self, data: bytes) -> bool:
+        """Process bytes of a head; return whether the connection is still open."""
+        self._head += data
+        if self._head.endswith(HEAD_END):
+            head, self._head = self._head, b""
+            try:
+                check_head(head)
+            except MalformedResponseError as error:
+                self._report_fault(str(error))
+        return self._parse(data)
+
+    def _expect_body(self, message: RawResponseMessage) -> None:
+        """Prepare to check the body of a final response."""
+        if message.code in STATUSES_WITHOUT_BODY or self._has_no_body:
+            return
+        if message.chunked:
+            self._chunks = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
+
+    def _observe_chunks(self, data: bytes, chunks: ChunkScanner) -> None:
+        """Report what is malformed in a body in chunks, and what follows its end."""
+        try:
+            rest = data[chunks.scan(data) :]
+        except MalformedResponseError as error:
+            self._report_fault(str(error))
+            self._chunks = None
+            return
+        if rest:
+            self._report_fault(f"{len(rest)} bytes after a response", 0.0)
+
+    def _receive_excess(self, data: bytes, after_end_s: float) -> None:
+        """Close the connection of a response that more bytes follow."""
+        self._report_fault(f"{len(data)} bytes after a response", after_end_s)
+        self._abort()
+
     def _parse(self, data: bytes) -> bool:
         """Parse received bytes; return whether the connection is still open."""
         super().data_received(data)
@@ -110,6 +186,11 @@
         self._abort()
         return False
 
+    def _report_fault(self, reason: str, after_end_s: float | None = None) -> None:
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        address = f"{peer[0]}:{peer[1]}" if peer else ""
+        self._report(ResponseFault(address, reason, after_end_s))
+
     def _fail_body(self, error: ClientPayloadError) -> None:
         """Raise an error to the reader of an incomplete body."""
         payload = self._payload
--- /dev/null
+++ b/liftrill/response_framing.py
@@ -0,0 +1,145 @@
+"""Checks the head and the chunks of responses against HTTP/1.1 (RFC 9112), sans-IO.
+
+HTTP libraries accept more than the standard allows, so that damaged framing may look like the end
+of a response. A response that does not follow the standard has no end that can be relied on.
+"""
+
+import re
+from collections.abc import Collection
+
+from liftrill.errors import LiftrillError
+
+LINE_END = b"\r\n"
+RESPONSE_BEGIN = b"HTTP/1."
+CHUNKED = b"chunked"
+STATUSES_WITHOUT_BODY = (204, 304)
+# Bytes of a malformed line that an error shows.
+MAX_SHOWN_BYTES = 40
+
+_TEXT = rb"[\t -~\x80-\xff]*"
+_FIELD_LINE = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n"
+# No request asks for another protocol, which a status of 101 would begin.
+_STATUS_LINE = rb"HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: " + _TEXT + rb")?\r\n"
+_HEAD = re.compile(_STATUS_LINE + rb"(?:" + _FIELD_LINE + rb")*\r\n")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})(?:[ \t]*;" + _TEXT + rb")?\r\n")
+_FIELD = re.compile(_FIELD_LINE)
+_STATUS = re.compile(_STATUS_LINE)
+_FRAMING_FIELD = re.compile(
+    rb"\r\n(?:(transfer-encoding)|content-length):[ \t]*(.*?)[ \t]*(?=\r\n)", re.IGNORECASE
+)
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+
+
+class MalformedResponseError(LiftrillError):
+    """A response does not follow HTTP/1.1."""
+
+
+def check_head(head: bytes) -> None:
+    """Check the status line and the fields of a head, which ends with an empty line.
+
+    Raises:
+        MalformedResponseError: a line is malformed, or the end of the body is not clear.
+    """
+    if _HEAD.fullmatch(head) is None:
+        raise MalformedResponseError(_malformed_line(head))
+    fields = [(found[1], found[2]) for found in _FRAMING_FIELD.finditer(head)]
+    lengths = [value for coding, value in fields if not coding]
+    if len(fields) == len(lengths):
+        is_clear = len(fields) < 2 and all(map(_LENGTH.fullmatch, lengths))
+    else:
+        codings = b",".join(value for _, value in fields).lower().split(b",")
+        is_repeated = [coding.strip() for coding in codings].count(CHUNKED) > 1
+        is_clear = not (lengths or is_repeated) and not head.startswith(b"HTTP/1.0")
+    if not is_clear:
+        values = b", ".join(value for _, value in fields)
+        raise MalformedResponseError(f"length and transfer codings: {_shown(values)}")
+
+
+def _malformed_line(head: bytes) -> str:
+    status_line, *fields = head.removesuffix(2 * LINE_END).split(LINE_END)
+    if _STATUS.fullmatch(status_line + LINE_END) is None:
+        return f"status line: {_shown(status_line)}"
+    malformed = [field for field in fields if _FIELD.fullmatch(field + LINE_END) is None]
+    return f"field line: {_shown(malformed[0] if malformed else head)}"
+
+
+def may_begin_response(data: bytes) -> bool:
+    """Return whether bytes begin another response, as far as they go."""
+    return data.startswith(RESPONSE_BEGIN[: len(data)])
+
+
+class ChunkScanner:
+    """Finds the end of a body that is sent in chunks.
+
+    A trailer field that the head does not announce is malformed: after a damaged chunk size, the
+    lines of the body look like trailer fields.
+
+    Attributes:
+        is_complete: whether the end has been found.
+    """
+
+    def __init__(self, trailers: Collection[str] = ()) -> None:
+        self.is_complete = False
+        self._trailers = frozenset(name.strip().lower() for name in trailers)
+        self._unread_bytes = 0
+        self._is_chunk_end_due = False
+        self._is_in_trailers = False
+        # The part of a line that has arrived.
+        self._line = b""
+
+    def scan(self, data: bytes) -> int:
+        """Scan the next bytes, and return how many belong to the body.
+
+        Raises:
+            MalformedResponseError: they are malformed, or do not end the body though it ends.
+        """
+        at = 0
+        while at < len(data) and not self.is_complete:
+            if self._unread_bytes:
+                read_bytes = min(self._unread_bytes, len(data) - at)
+                self._unread_bytes -= read_bytes
+                at += read_bytes
+                continue
+            end = data.find(b"\n", at) + 1
+            if not end:
+                self._line += data[at:]
+                self._check_partial_line()
+                return len(data)
+            line, self._line = self._line + data[at:end], b""
+            at = end
+            self._read_line(line)
+        return at
+
+    def _check_partial_line(self) -> None:
+        if self._is_chunk_end_due and not LINE_END.startswith(self._line):
+            raise MalformedResponseError(f"end of a chunk: {_shown(self._line)}")
+
+    def _read_line(self, line: bytes) -> None:
+        if self._is_chunk_end_due:
+            if line != LINE_END:
+                raise MalformedResponseError(f"end of a chunk: {_shown(line)}")
+            self._is_chunk_end_due = False
+        elif self._is_in_trailers:
+            self._read_trailer(line)
+        else:
+            self._read_size(line)
+
+    def _read_size(self, line: bytes) -> None:
+        found = _CHUNK_SIZE.fullmatch(line)
+        if found is None:
+            raise MalformedResponseError(f"size of a chunk: {_shown(line)}")
+        self._unread_bytes = int(found[1], 16)
+        self._is_chunk_end_due = self._unread_bytes > 0
+        self._is_in_trailers = not self._is_chunk_end_due
+
+    def _read_trailer(self, line: bytes) -> None:
+        if line == LINE_END:
+            self.is_complete = True
+            return
+        name = line.partition(b":")[0].decode("latin-1").lower()
+        if _FIELD.fullmatch(line) is None or name not in self._trailers:
+            raise MalformedResponseError(f"trailer field: {_shown(line)}")
+
+
+def _shown(data: bytes) -> str:
+    return repr(data[:MAX_SHOWN_BYTES])
