Damaged chunks are not taken for the end of a response

Cause: where a response in chunks ends was left to the library, which accepts more than HTTP/1.1 allows. A size that became zero makes the next lines of the body trailer fields, up to the first empty line, which each event has; a last chunk that comes early ends the body whatever follows; a size that is too large by one takes a byte of the framing into the body.

Change: a scanner, sans-IO, finds the end of a body in chunks before the library sees the bytes. A malformed size, chunk end or trailer field, a trailer field that the head does not announce, and bytes after the last chunk that do not begin another response reject the response and close its connection, for engines, peers' proxies and the store. What is rejected is no end, so that a stream that may be resumed goes on, a request that may run again does so, and all others break off. It works as nothing is passed on as an end that a strict reading does not find. A last chunk in its place that bytes other than a response follow cannot be told from an early one, and breaks off too.

--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -11,6 +11,32 @@
     When answers on "stream" have each fault in their chunks
     Then each of them is logged with its engine, and counted
 
-  Scenario: A stream ends as complete before its last piece, in chunks
-    When answers on "stream" have the fault "a chunk size of zeros"
+  Scenario Outline: A stream ends as complete before its last piece, in chunks: <route>, <fault>
+    When answers on "<route>" have the fault "<fault>"
     Then no caller got a success that looks whole and is not, or other bytes
+
+    Examples:
+      | route  | fault                                |
+      | stream | an early last chunk                  |
+      | resume | an early last chunk                  |
+      | stream | an early last chunk and half a chunk |
+      | stream | a chunk size of zeros                |
+      | resume | a chunk size of zeros                |
+
+  Scenario Outline: Damaged chunks are passed on: <route>
+    When answers on "<route>" have each fault in their chunks
+    Then no caller got a success that looks whole and is not, or other bytes
+
+    Examples:
+      | route  |
+      | whole  |
+      | stream |
+
+  Scenario Outline: A repeatable answer with damaged chunks is not replaced by a whole one: <route>
+    When answers on "<route>" have each fault in their chunks
+    Then each caller got a whole answer
+
+    Examples:
+      | route  |
+      | safe   |
+      | resume |
--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -76,7 +76,7 @@
     assert not wrong, [fault for fault, _ in wrong]
 
 
-@then("each caller got a whole answer of another engine")
+@then("each caller got a whole answer")
 def step_whole(context):
     spoiled = spoiled_answers(context)
     wrong = [(f, a) for f, a in spoiled if not (is_well_formed(a) and a.says_whole and a.is_whole)]
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -6,6 +6,7 @@
 from liftrill.gateway.event_stream import EventSplitter
 from liftrill.guarded_connection import GuardedResponseHandler
 from liftrill.limited_response import LimitedResponse, ends_with_connection
+from liftrill.response_framing import MalformedResponseError
 from liftrill.response_limits import ResponseTooLargeError
 
 # Many small events that arrive at once are processed in several turns.
@@ -15,7 +16,7 @@
 
 def interruption(error: Exception) -> events.AttemptInterrupted:
     """Return the event of an error that ended an attempt after its request was sent."""
-    if isinstance(error, ResponseTooLargeError):
+    if isinstance(error, ResponseTooLargeError | MalformedResponseError):
         return events.AttemptInterrupted(str(error), is_rejected=True)
     return events.AttemptInterrupted(type(error).__name__)
 
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -1,7 +1,8 @@
-"""A client connection of aiohttp with what the gateway's guarantees need.
+"""A client connection of aiohttp that passes on no damaged chunks.
 
-By itself, aiohttp takes bytes that arrive on an idle connection for the next response, and a body
-without a length for complete even if the connection was reset. It reads responses of any length.
+By itself, aiohttp accepts malformed chunks, takes bytes that arrive on an idle connection for the
+next response, and takes a body without a length for complete even if the connection was reset. It
+reads responses of any length.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
     ChunkScanner,
     MalformedResponseError,
     check_head,
+    may_begin_response,
 )
 from liftrill.response_limits import HEAD_END, FramingLimit
 
@@ -32,6 +34,10 @@
 MAX_TIMEOUT_DIGITS = 9
 
 
+class RejectedResponseError(MalformedResponseError, ClientPayloadError):
+    """The connection of a malformed response was closed."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseFault:
     """What was wrong with the bytes that a connection received.
@@ -55,7 +61,7 @@
 
 
 class GuardedResponseHandler(ResponseHandler):
-    """A connection that closes on unsolicited or endless bytes, and detects resets."""
+    """A connection that closes on malformed, unsolicited or endless bytes, and detects resets."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, report: ReportFault = no_report) -> None:
         super().__init__(loop=loop)
@@ -112,9 +118,9 @@
             data = data[length:]
         if data and self._is_idle():
             self._receive_excess(data, since_last_s)
+        elif data and self._chunks is not None:
+            self._receive_chunks(data, self._chunks)
         else:
-            if self._chunks is not None:
-                self._observe_chunks(data, self._chunks)
             # Without data, aiohttp goes on with what it held back while the reader was slow.
             self._parse(data)
 
@@ -153,16 +159,21 @@
         if message.chunked:
             self._chunks = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
 
-    def _observe_chunks(self, data: bytes, chunks: ChunkScanner) -> None:
-        """Report what is malformed in a body in chunks, and what follows its end."""
-        try:
-            rest = data[chunks.scan(data) :]
-        except MalformedResponseError as error:
-            self._report_fault(str(error))
-            self._chunks = None
-            return
-        if rest:
-            self._report_fault(f"{len(rest)} bytes after a response", 0.0)
+    def _receive_chunks(self, data: bytes, chunks: ChunkScanner) -> None:
+        """Process bytes of a body in chunks, and of what follows it."""
+        if chunks.is_complete:
+            length = 0
+        else:
+            try:
+                length = chunks.scan(data)
+            except MalformedResponseError as error:
+                self._reject(str(error))
+                return
+        rest = data[length:]
+        if rest and not may_begin_response(rest):
+            self._reject(f"{len(rest)} bytes after the last chunk")
+        elif self._parse(data[:length]) and rest:
+            self._receive_excess(rest, 0.0)
 
     def _receive_excess(self, data: bytes, after_end_s: float) -> None:
         """Close the connection of a response that more bytes follow."""
@@ -180,11 +191,19 @@
         exceeded = self._framing.add(len(data), payload.total_bytes if payload is not None else 0)
         if exceeded is None:
             return True
-        error = ResponseCutOffError(str(exceeded))
+        self._fail(ResponseCutOffError(str(exceeded)))
+        return False
+
+    def _reject(self, reason: str) -> None:
+        """End a response that does not follow HTTP/1.1, and its connection."""
+        self._report_fault(reason)
+        self._fail(RejectedResponseError(reason))
+
+    def _fail(self, error: ClientPayloadError) -> None:
+        """Raise an error to the reader of a response, and close its connection."""
         self.set_exception(error)
         self._fail_body(error)
         self._abort()
-        return False
 
     def _report_fault(self, reason: str, after_end_s: float | None = None) -> None:
         peer = self.transport.get_extra_info("peername") if self.transport is not None else None
