A head that does not follow HTTP/1.1 is not passed on as an answer

Cause: the library accepts such heads, and the node passed on what the library made of them.

Change: the head is checked against HTTP/1.1 before the library sees its end: status line, field names and values, line ends, and that length and transfer codings say clearly how the body ends. A malformed head rejects the response: 502, or another engine where the request may run again.

--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -40,3 +40,21 @@
       | route  |
       | safe   |
       | resume |
+
+  Scenario Outline: A damaged head is passed on: <route>
+    When answers on "<route>" have each fault in their head
+    Then no caller got such an answer
+
+    Examples:
+      | route  |
+      | whole  |
+      | stream |
+
+  Scenario Outline: An answer with a damaged head is not replaced by a whole one: <route>
+    When answers on "<route>" have each fault in their head
+    Then each caller got a whole answer
+
+    Examples:
+      | route  |
+      | safe   |
+      | resume |
--- a/features/standin/malformed_answers.py
+++ b/features/standin/malformed_answers.py
@@ -122,6 +122,12 @@
     "a carriage return in a field value": _with_line("X-Note: a\rX-Other: b"),
     "a folded line": _with_line("X-Note: a\r\n b"),
     "a blank before the first field": _with_line(" X-Note: a"),
+    "line feeds alone at line ends": lambda status, lines: ("\n".join((status, *lines)), []),
+    "an empty line of a line feed alone": lambda status, lines: (status, [*lines, "\n"]),
+    "status 000 and line feeds alone": lambda status, lines: (
+        "\n".join(("HTTP/1.1 000 OK", *lines, "", "")),
+        [],
+    ),
     "a length beside chunks": _with_line("Content-Length: 5"),
     "two lengths": _with_line("Content-Length: 5\r\nContent-Length: 6"),
     "a signed length": _with_line("Content-Length: +5"),
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -1,8 +1,8 @@
-"""A client connection of aiohttp that passes on no damaged chunks.
+"""A client connection of aiohttp that passes on only responses which follow HTTP/1.1.
 
-By itself, aiohttp accepts malformed chunks, takes bytes that arrive on an idle connection for the
-next response, and takes a body without a length for complete even if the connection was reset. It
-reads responses of any length.
+By itself, aiohttp accepts malformed heads and chunks, takes bytes that arrive on an idle connection
+for the next response, and takes a body without a length for complete even if the connection was
+reset. It reads responses of any length.
 """
 
 import asyncio
@@ -23,6 +23,7 @@
     ChunkScanner,
     MalformedResponseError,
     check_head,
+    check_partial_head,
     may_begin_response,
 )
 from liftrill.response_limits import HEAD_END, FramingLimit
@@ -144,12 +145,15 @@
     def _receive_head(self, data: bytes) -> bool:
         """Process bytes of a head; return whether the connection is still open."""
         self._head += data
-        if self._head.endswith(HEAD_END):
-            head, self._head = self._head, b""
-            try:
+        try:
+            if self._head.endswith(HEAD_END):
+                head, self._head = self._head, b""
                 check_head(head)
-            except MalformedResponseError as error:
-                self._report_fault(str(error))
+            else:
+                check_partial_head(self._head)
+        except MalformedResponseError as error:
+            self._reject(str(error))
+            return False
         return self._parse(data)
 
     def _expect_body(self, message: RawResponseMessage) -> None:
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -27,6 +27,7 @@
 _FRAMING_FIELD = re.compile(
     rb"\r\n(?:(transfer-encoding)|content-length):[ \t]*(.*?)[ \t]*(?=\r\n)", re.IGNORECASE
 )
+_BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 
 
@@ -55,6 +56,16 @@
         raise MalformedResponseError(f"length and transfer codings: {_shown(values)}")
 
 
+def check_partial_head(head: bytes) -> None:
+    """Check the lines of a head of which more is due.
+
+    Raises:
+        MalformedResponseError: a line ends with a line feed alone.
+    """
+    if (found := _BARE_LINE_FEED.search(head)) is not None:
+        raise MalformedResponseError(f"line end: {_shown(head[max(0, found.start() - 20) :])}")
+
+
 def _malformed_line(head: bytes) -> str:
     status_line, *fields = head.removesuffix(2 * LINE_END).split(LINE_END)
     if _STATUS.fullmatch(status_line + LINE_END) is None:
