A line between chunks, and a head in small pieces, take bounded room and time

The check of chunks held a line without an end up to the limit on framing, which grows with the body, and a head was searched anew with each piece.

--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -17,16 +17,14 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from liftrill import clock, constants
-from liftrill.limited_response import ResponseCutOffError
+from liftrill.limited_response import STATUSES_WITHOUT_BODY, ResponseCutOffError
 from liftrill.response_framing import (
-    STATUSES_WITHOUT_BODY,
     ChunkScanner,
+    HeadScanner,
     MalformedResponseError,
-    check_head,
-    check_partial_head,
     may_begin_response,
 )
-from liftrill.response_limits import HEAD_END, FramingLimit
+from liftrill.response_limits import FramingLimit
 
 FIRST_FINAL_STATUS = 200
 # An idle connection is reused only within this share of the peer's announced keep-alive timeout.
@@ -69,7 +67,7 @@
         self._report = report
         self._response_count = 0
         self._framing = FramingLimit()
-        self._head = b""
+        self._heads = HeadScanner()
         self._chunks: ChunkScanner | None = None
         self._has_no_body = False
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
@@ -91,7 +89,7 @@
         """Prepare for the response to a request that is about to be sent."""
         self._response_count = 0
         self._framing = FramingLimit()
-        self._head = b""
+        self._heads = HeadScanner()
         self._chunks = None
         self._has_no_body = bool(parameters.get("skip_payload"))
         super().set_response_params(**parameters)
@@ -144,13 +142,8 @@
 
     def _receive_head(self, data: bytes) -> bool:
         """Process bytes of a head; return whether the connection is still open."""
-        self._head += data
         try:
-            if self._head.endswith(HEAD_END):
-                head, self._head = self._head, b""
-                check_head(head)
-            else:
-                check_partial_head(self._head)
+            self._heads.scan(data)
         except MalformedResponseError as error:
             self._reject(str(error))
             return False
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -8,11 +8,13 @@
 from collections.abc import Collection
 
 from liftrill.errors import LiftrillError
+from liftrill.response_limits import HEAD_END
 
 LINE_END = b"\r\n"
 RESPONSE_BEGIN = b"HTTP/1."
 CHUNKED = b"chunked"
-STATUSES_WITHOUT_BODY = (204, 304)
+# The longest line of a chunk's size, with its extension, and of a trailer field.
+MAX_CHUNK_LINE_BYTES = 8_192
 # Bytes of a malformed line that an error shows.
 MAX_SHOWN_BYTES = 40
 
@@ -56,16 +58,6 @@
         raise MalformedResponseError(f"length and transfer codings: {_shown(values)}")
 
 
-def check_partial_head(head: bytes) -> None:
-    """Check the lines of a head of which more is due.
-
-    Raises:
-        MalformedResponseError: a line ends with a line feed alone.
-    """
-    if (found := _BARE_LINE_FEED.search(head)) is not None:
-        raise MalformedResponseError(f"line end: {_shown(head[max(0, found.start() - 20) :])}")
-
-
 def _malformed_line(head: bytes) -> str:
     status_line, *fields = head.removesuffix(2 * LINE_END).split(LINE_END)
     if _STATUS.fullmatch(status_line + LINE_END) is None:
@@ -79,6 +71,29 @@
     return data.startswith(RESPONSE_BEGIN[: len(data)])
 
 
+class HeadScanner:
+    """Checks the heads of the responses to one request as their bytes arrive."""
+
+    def __init__(self) -> None:
+        self._head = bytearray()
+
+    def scan(self, data: bytes) -> None:
+        """Scan the next bytes, which end no later than the head.
+
+        Raises:
+            MalformedResponseError: the head is malformed.
+        """
+        # A line feed may follow the carriage return that was the last byte.
+        searched = max(0, len(self._head) - 1)
+        self._head += data
+        if self._head.endswith(HEAD_END):
+            head, self._head = bytes(self._head), bytearray()
+            check_head(head)
+        elif (found := _BARE_LINE_FEED.search(self._head, searched)) is not None:
+            line = self._head[max(0, found.start() - MAX_SHOWN_BYTES) : found.end()]
+            raise MalformedResponseError(f"line end: {bytes(line)!r}")
+
+
 class ChunkScanner:
     """Finds the end of a body that is sent in chunks.
 
@@ -116,12 +131,19 @@
                 self._line += data[at:]
                 self._check_partial_line()
                 return len(data)
-            line, self._line = self._line + data[at:end], b""
+            self._line += data[at:end]
             at = end
+            self._check_length()
+            line, self._line = self._line, b""
             self._read_line(line)
         return at
 
+    def _check_length(self) -> None:
+        if len(self._line) > MAX_CHUNK_LINE_BYTES:
+            raise MalformedResponseError(f"line of {len(self._line)} bytes between chunks")
+
     def _check_partial_line(self) -> None:
+        self._check_length()
         if self._is_chunk_end_due and not LINE_END.startswith(self._line):
             raise MalformedResponseError(f"end of a chunk: {_shown(self._line)}")
 
