--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -119,7 +119,8 @@
         Raises:
             MalformedResponseError: they are malformed, or do not end the body though it ends.
         """
-        at = 0
+        is_size_due = not (self._unread_bytes or self._is_chunk_end_due or self._is_in_trailers)
+        at = _end_of_whole_chunks(data) if is_size_due and not self._line else 0
         while at < len(data) and not self.is_complete:
             if self._unread_bytes:
                 read_bytes = min(self._unread_bytes, len(data) - at)
@@ -174,5 +175,17 @@
             raise MalformedResponseError(f"trailer field: {_shown(line)}")
 
 
+def _end_of_whole_chunks(data: bytes) -> int:
+    """Return where the chunks end that bytes begin with; most segments are one whole chunk."""
+    at = 0
+    while (found := _CHUNK_SIZE.match(data, at)) is not None:
+        end = found.end() + int(found[1], 16)
+        is_last = end == found.end()
+        if is_last or found.end() - at > MAX_CHUNK_LINE_BYTES or data[end : end + 2] != LINE_END:
+            break
+        at = end + len(LINE_END)
+    return at
+
+
 def _shown(data: bytes) -> str:
     return repr(data[:MAX_SHOWN_BYTES])
