Test that unusual but sound answers are passed on

Nine forms (no reason, long and empty values, interim responses, chunk extensions, sizes with leading zeros, announced trailer fields, a second answer after the last chunk), on plain streams and whole answers, with either parser.

--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -58,3 +58,12 @@
       | route  |
       | safe   |
       | resume |
+
+  Scenario Outline: A sound answer is rejected for its unusual form: <route>
+    When answers on "<route>" are unusual, and sound
+    Then each caller got a whole answer
+
+    Examples:
+      | route  |
+      | whole  |
+      | stream |
--- a/features/standin/malformed_answers.py
+++ b/features/standin/malformed_answers.py
@@ -1,4 +1,4 @@
-"""Answers of engines that do not follow HTTP/1.1, in their head or in their chunks."""
+"""Answers of engines that do not follow HTTP/1.1, and unusual ones that do."""
 
 import asyncio
 import re
@@ -138,11 +138,55 @@
         [*lines[:-1], "Transfer-Encoding: gzip, chunked"],
     ),
 }
-FAULTS = (*HEAD_FAULTS, *CHUNK_FAULTS)
+SECOND_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+# Unusual answers that are sound: the text before the head, the first line of the head, further
+# lines, the form of a chunk and the end.
+SOUND = {
+    "no reason": ("", "HTTP/1.1 200", [], _chunk, LAST_CHUNK),
+    "an empty reason": ("", "HTTP/1.1 200 ", [], _chunk, LAST_CHUNK),
+    "a reason above 127": ("", "HTTP/1.1 200 \xe4", [], _chunk, LAST_CHUNK),
+    "empty and long values": (
+        "",
+        "HTTP/1.1 200 OK",
+        ["X-Empty:", "x-tab:\ta\tb ", "X-Long: " + "a" * 5_000],
+        _chunk,
+        LAST_CHUNK,
+    ),
+    "interim responses": (
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 2,
+        "HTTP/1.1 200 OK",
+        [],
+        _chunk,
+        LAST_CHUNK,
+    ),
+    "chunk extensions": (
+        "",
+        "HTTP/1.1 200 OK",
+        [],
+        lambda piece: f'{len(piece):x};a="b";c\r\n{piece}\r\n',
+        LAST_CHUNK,
+    ),
+    "capital letters and leading zeros": (
+        "",
+        "HTTP/1.1 200 OK",
+        [],
+        lambda piece: f"000{len(piece):X}\r\n{piece}\r\n",
+        "000\r\n\r\n",
+    ),
+    "announced trailer fields": (
+        "",
+        "HTTP/1.1 200 OK",
+        ["Trailer: X-Sum, Expires"],
+        _chunk,
+        "0\r\nx-sum: 1\r\nExpires: 0\r\n\r\n",
+    ),
+    "a second answer": ("", "HTTP/1.1 200 OK", [], _chunk, LAST_CHUNK + SECOND_ANSWER),
+}
+FAULTS = (*HEAD_FAULTS, *CHUNK_FAULTS, *SOUND)
 
 
 def is_malformed(fault):
-    """Return whether a fault of an engine is an answer that does not follow HTTP/1.1."""
+    """Return whether a fault of an engine is one of these answers."""
     later = LATER.fullmatch(fault)
     return (later[1] if later else fault) in FAULTS
 
@@ -152,7 +196,11 @@
     status, lines = "HTTP/1.1 200 OK", [f"{name}: {value}" for name, value in headers.items()]
     lines.append(CHUNKED)
     chunks, rest = "".join(map(_chunk, _pieces(body))) + LAST_CHUNK, ""
-    if fault in HEAD_FAULTS:
+    if fault in SOUND:
+        before, status, more, chunk, ending = SOUND[fault]
+        status, lines = before + status, [*more, *lines]
+        chunks = "".join(map(chunk, _pieces(body))) + ending
+    elif fault in HEAD_FAULTS:
         status, lines = HEAD_FAULTS[fault](status, lines)
     else:
         chunks, rest = CHUNK_FAULTS[fault](_pieces(body))
@@ -161,7 +209,7 @@
 
 
 async def send_malformed(transport, fault, headers, body):
-    """Send an answer that does not follow HTTP/1.1, and leave its connection open for a while."""
+    """Send one of these answers, and leave its connection open for a while."""
     later = LATER.fullmatch(fault)
     first, rest = malformed_answer(later[1] if later else fault, headers, body)
     if later is None:
--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from features.standin.malformed_answers import CHUNK_FAULTS, HEAD_FAULTS
+from features.standin.malformed_answers import CHUNK_FAULTS, HEAD_FAULTS, SOUND
 from features.steps.cut_head_steps import call_until_cut, cut_at, prepare
 
 SUCCESS = 200
@@ -51,6 +51,11 @@
     send_faulty(context, route, HEAD_FAULTS)
 
 
+@when('answers on "{route}" are unusual, and sound')
+def step_sound(context, route):
+    send_faulty(context, route, SOUND)
+
+
 @when('answers on "{route}" have the fault "{fault}"')
 def step_fault(context, route, fault):
     send_faulty(context, route, [fault])
