An odd configuration or weights version is refused, not raised in the reader

What callers saw: with one weights version or configuration in the store that holds an infinite number, a number of 400 digits, or a list or number in place of a text, each node's follower of the store ended and was restarted. What came in the same answer after that entry was never applied: an engine that joined was not used. A node that started beside the entry lost all engines that way and did not become ready. A host that is a number was half adopted.

Cause: the decoder listed the exceptions that it turns into a refusal, and OverflowError was not among them; values of a wrong type passed it and failed where they were used, and versions beyond 64 bits or below 0 where they were told to peers.

Texts have to be encodable, numbers finite and of at most 64 bits, versions 0 or more.

--- /dev/null
+++ b/features/odd_entries.feature
@@ -0,0 +1,28 @@
+Feature: Entries of other writers that no node can use
+
+  Background:
+    Given a stand-in platform with 1 desk engines and 0 model engines
+
+  Scenario Outline: <entries> end no node's view of the engines
+    Given 2 nodes
+    When other writers leave <entries> in the store, and an engine joins at the same moment
+    Then each node uses the engine that joined
+    And engines that join and leave afterwards are noticed, and requests are served
+    When a node starts again
+    Then it uses the same engines, and no task of any node failed
+    When sound entries replace them
+    Then they are in force at each node
+
+    Examples:
+      | entries                                       |
+      | weights versions that are no integers         |
+      | a configuration of an infinite version         |
+      | a configuration whose host is a number         |
+
+  Scenario Outline: An odd value in a field of <kind> ends no node's view of the engines
+    Then no odd value in a field of <kind> fails in a node, or in one that follows it, or changes its engines
+
+    Examples:
+      | kind               |
+      | a configuration    |
+      | a weights version  |
--- /dev/null
+++ b/features/steps/odd_entry_steps.py
@@ -0,0 +1,244 @@
+"""Steps in which other writers leave entries in the store that no node can use."""
+
+import itertools
+import json
+from dataclasses import replace
+
+import aiohttp
+from behave import then, when
+
+from features.standin.deployment import configuration
+from features.steps.engine_record_steps import Node, record_body
+from liftrill.coordination.range_store import StoredItem, WatchBatch
+from liftrill.coordination.store_mirror import MirrorChange
+from liftrill.gateway.engines.engine_table import EngineNotice
+from liftrill.gateway.peers.notice_codec import datagram_from_notices
+from liftrill.gateway.relay_codec import RelayAnswer, decode_message, encode_answer, encode_batch
+
+DEEPLY_NESTED = b"[" * 100_000 + b"]" * 100_000
+MANY_DIGITS = b"9" * 5_000
+MEGABYTE_STRING = b'"' + b"x" * 1_048_576 + b'"'
+ODD_VALUES = (
+    DEEPLY_NESTED,
+    MANY_DIGITS,
+    b"9" * 400,
+    b"1e999",
+    b"-1e999",
+    b"NaN",
+    b"18446744073709551616",
+    b"-1",
+    b"true",
+    b"null",
+    b'["a"]',
+    b'{"a": 1}',
+    b'"\\ud800"',
+    MEGABYTE_STRING,
+    b"\xff",
+)
+CHANGE_S = 3.0
+ENGINES = ("a", "b")
+
+
+def with_value(body, path, value):
+    """Return a JSON document in which one value is replaced by other bytes."""
+    document = json.loads(json.dumps(body))
+    parent = document
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = "@"
+    return json.dumps(document).encode().replace(b'"@"', value, 1)
+
+
+def weights_versions(context):
+    body = {"Model": "model-1", "Version": 2}
+    for number, (field, value) in enumerate(itertools.product(body, ODD_VALUES)):
+        # A model's name may be long.
+        if (field, value) != ("Model", MEGABYTE_STRING):
+            yield f"op/version/odd-{number}", with_value(body, [field], value)
+
+
+def configuration_with(path, value):
+    yield "op/config", with_value(sound_configuration(), path, value)
+
+
+def sound_configuration():
+    body = configuration(6, quota={"RatePerS": 100.0, "Burst": 100.0, "Unit": "token"})
+    body["Services"][1] |= {"KvStoreAddr": "127.0.0.1:9", "LinkMbps": 100}
+    body["Services"][1]["Engine"] |= {"KvTokenBytes": 100, "LinkMbps": 100, "Stride": 1}
+    return body
+
+
+def engine_records(context):
+    body = context.deployment.engines["desk-0"].record()
+    for number, (field, value) in enumerate(itertools.product(body, ODD_VALUES)):
+        if field != "Stage":
+            yield f"servers/odd-{number}", with_value(body, [field], value)
+
+
+ENTRIES = {
+    "weights versions that are no integers": weights_versions,
+    "a configuration of an infinite version": lambda _: configuration_with(["Version"], b"1e999"),
+    "a configuration whose host is a number": lambda _: configuration_with(
+        ["Routes", 0, "Host"], b"5"
+    ),
+    "engine records that are nested or out of range": engine_records,
+}
+
+
+async def uses_engines(context, count):
+    """Return whether each node counts so many engines, by its metrics."""
+    line = f"liftrill_engines {count}.0"
+    try:
+        pages = [await context.deployment.metrics(node) for node in context.deployment.nodes]
+    except aiohttp.ClientError:
+        return False
+    return all(line in page.splitlines() for page in pages)
+
+
+@when("other writers leave {entries} in the store, and an engine joins at the same moment")
+def step_odd_entries(context, entries):
+    deployment = context.deployment
+
+    async def write():
+        engine = await deployment.add_engine("desk-1", "desk")
+        deployment.store.remove("servers/desk-1")
+        await deployment.wait_until(lambda: uses_engines(context, 1), CHANGE_S)
+        # The nodes get all of these in one answer.
+        context.odd_keys = []
+        for key, value in ENTRIES[entries](context):
+            deployment.store.put(key, value)
+            context.odd_keys.append(key)
+        deployment.record(engine)
+
+    context.run(write())
+
+
+@then("each node uses the engine that joined")
+def step_joined(context):
+    context.run(context.deployment.wait_until(lambda: uses_engines(context, 2), CHANGE_S))
+
+
+@then("engines that join and leave afterwards are noticed, and requests are served")
+def step_followed(context):
+    deployment = context.deployment
+
+    async def change():
+        await deployment.add_engine("desk-2", "desk")
+        await deployment.wait_until(lambda: uses_engines(context, 3), CHANGE_S)
+        deployment.store.remove("servers/desk-2")
+        await deployment.wait_until(lambda: uses_engines(context, 2), CHANGE_S)
+        for node in deployment.nodes:
+            status, _, _, is_complete = await deployment.call(node, "/whole/x")
+            assert (status, is_complete) == (200, True), status
+
+    context.run(change())
+
+
+@when("a node starts again")
+def step_restart(context):
+    node = context.deployment.nodes[0]
+
+    async def restart():
+        await node.stop()
+        await node.start()
+        await context.deployment.ready(node)
+
+    # A configuration that no node can use is no start of a node: another one replaces it first.
+    if context.odd_keys[-1] == "op/config":
+        context.deployment.configure(6)
+    context.run(restart())
+
+
+@then("it uses the same engines, and no task of any node failed")
+def step_no_failure(context):
+    step_joined(context)
+    failed = context.deployment.logged("task_failed")
+    assert not failed, failed[:3]
+    ended = [node.process.returncode for node in context.deployment.nodes]
+    assert ended == [None, None], ended
+    refused = {line["key"] for line in context.deployment.logged("record_refused")}
+    assert set(context.odd_keys) <= refused, set(context.odd_keys) - refused
+
+
+@when("sound entries replace them")
+def step_replace(context):
+    store, engine = context.deployment.store, context.deployment.engines["desk-2"]
+    for key in set(context.odd_keys):
+        if key.startswith("servers/"):
+            store.remove(key)
+        elif key.startswith("op/version/"):
+            store.put(key, {"Model": key, "Version": 3})
+    context.deployment.record(engine)
+    context.deployment.configure(7)
+
+
+@then("they are in force at each node")
+def step_in_force(context):
+    async def in_force():
+        pages = [await context.deployment.metrics(node) for node in context.deployment.nodes]
+        return all("liftrill_configuration_version 7.0" in page for page in pages)
+
+    context.run(context.deployment.wait_until(in_force, CHANGE_S))
+    context.run(context.deployment.wait_until(lambda: uses_engines(context, 3), CHANGE_S))
+
+
+def value_paths(body, path=()):
+    """Yield the path of each value in a JSON document, of the first element alone in a list."""
+    fields = body.items() if isinstance(body, dict) else ()
+    fields = enumerate(body[:1]) if isinstance(body, list) else fields
+    for key, value in fields:
+        yield (*path, key)
+        yield from value_paths(value, (*path, key))
+
+
+def node_of_engines():
+    node = Node()
+    for name in ENGINES:
+        node.write(name, record_body(name))
+    return node
+
+
+def use_like_a_gateway(node, item):
+    """Apply an item to a node, relay it to another, and use what both believe."""
+    follower = node_of_engines()
+    change = MirrorChange(written=(item,), removed=(), gap=False)
+    node.cluster_state.apply(change, 0.0)
+    update = decode_message(encode_batch(WatchBatch((item,), item.revision)))
+    follower.cluster_state.apply(replace(change, written=update.batch.changes), 0.0)
+    answer = RelayAnswer(1, node.cluster_state.view.version, 0.0, item.revision, 0.0, ("a",))
+    encode_answer(answer)
+    for each in (node, follower):
+        targets = each.targets
+        for model in targets.models():
+            notice = EngineNotice("a", model, targets.newest(model), True, 1)
+            datagram_from_notices([notice]).SerializeToString()
+        each.rollout.due(each.engines.in_use(), 0.0)
+        each.in_use()
+    return follower
+
+
+ODD_KINDS = {
+    "a configuration": ("op/config", sound_configuration),
+    "a weights version": ("op/version/model-1", lambda: {"Model": "model-1", "Version": 2}),
+    "an engine's record": ("servers/c", lambda: record_body("c", born=1_700_000_000_000)),
+}
+
+
+@then(
+    "no odd value in a field of {kind} fails in a node, or in one that follows it, "
+    "or changes its engines"
+)
+def step_odd_values(context, kind):
+    key, sound = ODD_KINDS[kind]
+    body = sound()
+    failures = []
+    for path, value in itertools.product(value_paths(body), ODD_VALUES):
+        node = node_of_engines()
+        item = StoredItem(key, with_value(body, path, value), 9, 0)
+        try:
+            follower = use_like_a_gateway(node, item)
+            for each in (node, follower):
+                assert {view.engine_id for view in each.engines} >= set(ENGINES)
+        except Exception as error:
+            failures.append((path, value[:20], repr(error)[:100]))
+    assert not failures, (len(failures), failures[:10])
--- a/liftrill/gateway/field_reader.py
+++ b/liftrill/gateway/field_reader.py
@@ -14,11 +14,13 @@
 
 # Integers in records are signed 64-bit numbers.
 MAX_INTEGER = 2**63 - 1
+MIN_INTEGER = -(2**63)
 MAX_PORT = 65_535
 # An engine's record takes some hundred bytes, and less than 100 more for each of its models.
 MAX_RECORD_BYTES = 65_536
 
 Choice = TypeVar("Choice")
+Number = TypeVar("Number", int, float)
 
 
 class FieldReader:
@@ -103,6 +105,54 @@
         return RecordError(f"{key} = {self._table[key]!r:.40}: expected {expected}")
 
 
+def text(value: object) -> str:
+    """Return a string that can be encoded in messages to peers.
+
+    Raises:
+        RecordError: it is not a string, or has surrogates.
+    """
+    if not isinstance(value, str):
+        raise RecordError(f"expected a string, got {type(value).__name__}")
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise RecordError(f"expected valid Unicode: {error.reason}") from error
+    return value
+
+
+def whole(value: object, minimum: int = MIN_INTEGER) -> int:
+    """Return a number, or its decimal notation, as an integer of at most 64 bits.
+
+    Raises:
+        RecordError: it is not a number, not finite or out of range.
+    """
+    number = int(finite(value)) if isinstance(value, float) else _number(value, int)
+    if not minimum <= number <= MAX_INTEGER:
+        raise RecordError(f"{value!r:.40}: expected an integer, {minimum} or more")
+    return number
+
+
+def finite(value: object) -> float:
+    """Return a number, or its decimal notation, of the range of 64-bit integers.
+
+    Raises:
+        RecordError: it is not a number, not finite or out of range.
+    """
+    number = _number(value, float)
+    if not MIN_INTEGER <= number <= MAX_INTEGER:
+        raise RecordError(f"{value!r:.40}: expected a number of at most 64 bits")
+    return number
+
+
+def _number(value: object, kind: type[Number]) -> Number:
+    if isinstance(value, bool) or not isinstance(value, int | float | str):
+        raise RecordError(f"expected a number, got {type(value).__name__}")
+    try:
+        return kind(value)
+    except (ValueError, OverflowError) as error:
+        raise RecordError(f"expected a number: {error}") from error
+
+
 def _is_ip(host: str) -> bool:
     try:
         ipaddress.IPv4Address(host)
