A text that cannot be encoded makes an engine's record invalid

What callers saw: with a record of an engine whose service, zone, version or model has half of a surrogate pair ("\ud800"), the loop that records software versions ended again and again at each node (7 ends within 4 s on two nodes), and notices to peers raised. The engine was in use.

Cause: JSON admits escapes of single surrogates. Such a text is a string in Python, and fails only where it is encoded: in protobuf messages and hashes.

Change: FieldReader.text refuses what cannot be encoded, by the same function as for configurations; so the entry is refused where it is decoded, and names no engine.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -16,6 +16,7 @@
     Examples:
       | entries                                       |
       | weights versions that are no integers         |
+      | engine records with an odd value              |
       | a configuration of an infinite version         |
       | a configuration whose host is a number         |
 
@@ -26,3 +27,7 @@
       | kind               |
       | a configuration    |
       | a weights version  |
+      | an engine's record |
+
+  Scenario: Odd values in any fields of engines' records leave the other engines in use
+    Then 2000 random records of engines leave the other engines in use, and are told to peers
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,7 +1,9 @@
 """Steps in which other writers leave entries in the store that no node can use."""
 
+import ipaddress
 import itertools
 import json
+import random
 from dataclasses import replace
 
 import aiohttp
@@ -14,6 +16,7 @@
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.peers.notice_codec import datagram_from_notices
 from liftrill.gateway.relay_codec import RelayAnswer, decode_message, encode_answer, encode_batch
+from liftrill.messages import peer_pb2 as messages
 
 DEEPLY_NESTED = b"[" * 100_000 + b"]" * 100_000
 MANY_DIGITS = b"9" * 5_000
@@ -35,6 +38,7 @@
     MEGABYTE_STRING,
     b"\xff",
 )
+ODD_ADDRESSES = (b'"10.0.0.1:"', b'"10.0.0.1:70000"', b'"[::1]:80"', b'"10.0.0.1:-1"')
 CHANGE_S = 3.0
 ENGINES = ("a", "b")
 
@@ -71,6 +75,7 @@
 def engine_records(context):
     body = context.deployment.engines["desk-0"].record()
     for number, (field, value) in enumerate(itertools.product(body, ODD_VALUES)):
+        # The stage is not read.
         if field != "Stage":
             yield f"servers/odd-{number}", with_value(body, [field], value)
 
@@ -81,7 +86,7 @@
     "a configuration whose host is a number": lambda _: configuration_with(
         ["Routes", 0, "Host"], b"5"
     ),
-    "engine records that are nested or out of range": engine_records,
+    "engine records with an odd value": engine_records,
 }
 
 
@@ -194,10 +199,24 @@
 def node_of_engines():
     node = Node()
     for name in ENGINES:
-        node.write(name, record_body(name))
+        node.write(name, record_body(name, born=1_700_000_000_000))
     return node
 
 
+def tell_peers(view):
+    record = view.record
+    messages.ServiceVersion(
+        service=record.service, software_version=record.software_version
+    ).SerializeToString()
+    notices = [EngineNotice(view.engine_id, m, v, True, 1) for m, v in view.weights.items()]
+    datagram_from_notices(notices).SerializeToString()
+    messages.EngineLoad(engine_id=view.engine_id, engine=view.number).SerializeToString()
+    record.zone.encode()
+    host, port = record.address.split(":")
+    assert ipaddress.IPv4Address(host) and 1 <= int(port) <= 65_535, record.address
+    assert port.isascii() and 1 <= record.slots < 2**63, record
+
+
 def use_like_a_gateway(node, item):
     """Apply an item to a node, relay it to another, and use what both believe."""
     follower = node_of_engines()
@@ -212,6 +231,8 @@
         for model in targets.models():
             notice = EngineNotice("a", model, targets.newest(model), True, 1)
             datagram_from_notices([notice]).SerializeToString()
+        for view in each.engines.in_use():
+            tell_peers(view)
         each.rollout.due(each.engines.in_use(), 0.0)
         each.in_use()
     return follower
@@ -242,3 +263,38 @@
         except Exception as error:
             failures.append((path, value[:20], repr(error)[:100]))
     assert not failures, (len(failures), failures[:10])
+
+
+def random_record(randomness):
+    """Return a record in which up to three values are odd, repeated or nested."""
+    body = record_body("c", born=1_700_000_000_000)
+    odd = {}
+    for number in range(randomness.randint(1, 3)):
+        path = randomness.choice(list(value_paths(body)))
+        parent = body
+        for key in path[:-1]:
+            parent = parent[key]
+        if isinstance(parent, str):
+            continue
+        parent[path[-1]] = f"@{number}"
+        value = randomness.choice(
+            (*ODD_VALUES[:-2], *ODD_ADDRESSES, str(randomness.random()).encode())
+        )
+        odd[f'"@{number}"'.encode()] = value
+    data = json.dumps(body).encode()
+    for mark, value in odd.items():
+        data = data.replace(mark, value)
+    if randomness.random() < 0.1:
+        data = data[:-1] + b', "Slots": ' + randomness.choice(ODD_VALUES) + b"}"
+    return data
+
+
+@then("{count:d} random records of engines leave the other engines in use, and are told to peers")
+def step_random_records(context, count):
+    randomness = random.Random(7)
+    node = node_of_engines()
+    for revision in range(10, 10 + count):
+        data = random_record(randomness)
+        follower = use_like_a_gateway(node, StoredItem("servers/c", data, revision, 0))
+        for each in (node, follower):
+            assert set(ENGINES) <= each.in_use(), (revision, data[:300])
--- a/liftrill/gateway/field_reader.py
+++ b/liftrill/gateway/field_reader.py
@@ -46,11 +46,11 @@
             raise RecordError(f"invalid JSON: {type(error).__name__}") from error
 
     def text(self, key: str) -> str:
-        """Return a string that is not empty."""
+        """Return a string that is not empty and can be encoded."""
         value = self._required(key)
         if not isinstance(value, str) or not value:
             raise self._error(key, "a non-empty string")
-        return value
+        return text(value)
 
     def integer(self, key: str, minimum: int = 0) -> int:
         """Return an integer of at most 64 bits."""
