--- a/features/engine_records.feature
+++ b/features/engine_records.feature
@@ -14,29 +14,32 @@
     Then a and b are in use
 
     Examples:
-      | change                      |
-      | State = "resting"           |
-      | State = 5                   |
-      | Slots = "8"                 |
-      | Slots = true                |
-      | Slots = 0                   |
-      | Address = "nowhere"         |
-      | Address = "10.0.0.1:0"      |
-      | Address = "10.0.0.1:70000"  |
-      | Models = "m"                |
-      | Models = [{"Name": "m"}]    |
-      | Models = []                 |
-      | Version = 7                 |
-      | SeqNo = NaN                 |
-      | SeqNo = 9223372036854775808 |
-      | born = "today"              |
-      | no Service                  |
-      | no Address                  |
-      | no Models                   |
-      | a list as the record        |
-      | bytes that are not UTF-8    |
-      | deeply nested lists         |
-      | a megabyte of spaces        |
+      | change                            |
+      | State = "resting"                 |
+      | State = 5                         |
+      | Slots = "8"                       |
+      | Slots = true                      |
+      | Slots = 0                         |
+      | Address = "nowhere"               |
+      | Address = "10.0.0.1:0"            |
+      | Address = "10.0.0.1:70000"        |
+      | Address = "10.0.0.1:0080801"      |
+      | Address = "10.0.0.1:0000000080"   |
+      | Address = "10.0.0.1:\u0668\u0660" |
+      | Models = "m"                      |
+      | Models = [{"Name": "m"}]          |
+      | Models = []                       |
+      | Version = 7                       |
+      | SeqNo = NaN                       |
+      | SeqNo = 9223372036854775808       |
+      | born = "today"                    |
+      | no Service                        |
+      | no Address                        |
+      | no Models                         |
+      | a list as the record              |
+      | bytes that are not UTF-8          |
+      | deeply nested lists               |
+      | a megabyte of spaces              |
 
   Scenario: An engine of a service that the configuration does not name gets no orders
     Given a node that knows engines a and b with the weights of version 1
--- a/liftrill/gateway/field_reader.py
+++ b/liftrill/gateway/field_reader.py
@@ -16,6 +16,7 @@
 MAX_INTEGER = 2**63 - 1
 MIN_INTEGER = -(2**63)
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 # An engine's record takes some hundred bytes, and less than 100 more for each of its models.
 MAX_RECORD_BYTES = 65_536
 
@@ -77,7 +78,7 @@
         """Return an address in the form IP:PORT."""
         value = self.text(key)
         host, _, port = value.rpartition(":")
-        if not _is_ip(host) or not port.isdecimal() or not 0 < int(port[:6]) <= MAX_PORT:
+        if not _is_ip(host) or not is_port(port):
             raise self._error(key, "IP:PORT")
         return value
 
@@ -153,6 +154,12 @@
         raise RecordError(f"expected a number: {error}") from error
 
 
+def is_port(value: str) -> bool:
+    """Return whether a text is the decimal notation of a port, 0 excepted."""
+    is_short = value.isascii() and value.isdecimal() and len(value) <= MAX_PORT_DIGITS
+    return is_short and 0 < int(value) <= MAX_PORT
+
+
 def _is_ip(host: str) -> bool:
     try:
         ipaddress.IPv4Address(host)
