An odd row of the store's answer is refused, and the list is followed further

What callers saw: with one row whose value, revision or lease is missing or of another type, or whose value is no base64, each node's follower failed, was restarted and failed again, for as long as the row was there: engines that joined or left were not noticed. An answer nested deeply, or without a position, raised KeyError, TypeError or RecursionError in whatever had called the store.

Cause: the fields of answers were read outside the block that turns failures into the documented errors, which itself listed exceptions without RecursionError; and one row failed all rows.

Change: answers are decoded by FieldReader within the block. A row keeps its key with a value that every decoder refuses, so the engine is withdrawn, counted and logged as for any other invalid record; the answer's position stands for a missing revision. A row without a key names no record and is left out. A page that has no usable row and more pages, and an answer for a key without a row, count as no answer.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -14,11 +14,11 @@
     Then they are in force at each node
 
     Examples:
-      | entries                                       |
-      | weights versions that are no integers         |
-      | engine records with an odd value              |
-      | a configuration of an infinite version         |
-      | a configuration whose host is a number         |
+      | entries                                |
+      | weights versions that are no integers  |
+      | engine records with an odd value       |
+      | a configuration of an infinite version |
+      | a configuration whose host is a number |
 
   Scenario Outline: An odd value in a field of <kind> ends no node's view of the engines
     Then no odd value in a field of <kind> fails in a node, or in one that follows it, or changes its engines
@@ -29,5 +29,19 @@
       | a weights version  |
       | an engine's record |
 
+  Scenario: Rows of the store with odd fields end no node's view of the engines
+    Given 2 nodes
+    When rows of records get odd fields, and an engine joins at the same moment
+    Then each node uses the engine that joined
+    And engines that join and leave afterwards are noticed, and requests are served
+    When a node starts again
+    Then it uses the same engines, and no task of any node failed
+    When sound entries replace them
+    Then they are in force at each node
+
+  Scenario: An answer of the store that no node can use counts as none
+    Given a store whose answers are any bytes
+    Then each call that gets an odd answer fails like one that the store does not answer
+
   Scenario: Odd values in any fields of engines' records leave the other engines in use
     Then 2000 random records of engines leave the other engines in use, and are told to peers
--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -29,6 +29,7 @@
         refuses_writes: whether writing calls get 429, as beyond the store's rate of writes.
         refused_ips: the addresses of nodes whose calls get 503; a node calls at its own address.
         unnotified_ips: the addresses of nodes whose watches return no changes.
+        odd_rows: JSON texts that take the place of rows in answers, by key.
         era: the `Store-Era` in all answers, or None to leave it out.
     """
 
@@ -43,6 +44,7 @@
         self.calls = []
         self.refused_ips = set()
         self.unnotified_ips = set()
+        self.odd_rows = {}
         self.era = None
         self.address = ""
         self.port = 0
@@ -174,7 +176,16 @@
             request.transport.abort()
         if transport in self._silent:
             return await _never_answer(transport)
-        return web.json_response(body, status=status, headers=self._era_headers())
+        text = self._with_odd_rows(json.dumps(body))
+        headers = self._era_headers() | {"Content-Type": "application/json"}
+        return web.Response(body=text.encode(), status=status, headers=headers)
+
+    def _with_odd_rows(self, text):
+        """Replace rows in an answer by the odd ones of their keys."""
+        for key, row in self.odd_rows.items():
+            if key in self.items:
+                text = text.replace(json.dumps(self.items[key]), row)
+        return text
 
     def _era_headers(self):
         if self.era is None:
--- a/liftrill/gateway/field_reader.py
+++ b/liftrill/gateway/field_reader.py
@@ -4,6 +4,7 @@
 an engine's would get requests that no engine serves.
 """
 
+import base64
 import ipaddress
 import json
 import math
@@ -15,6 +16,10 @@
 # Integers in records are signed 64-bit numbers.
 MAX_INTEGER = 2**63 - 1
 MIN_INTEGER = -(2**63)
+# The store's own numbers may be unsigned.
+MAX_NUMBER = 2**64 - 1
+# Neither JSON, nor a protobuf message, nor UTF-8, so that every decoder refuses it.
+UNREADABLE_VALUE = b"\xff"
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 # An engine's record takes some hundred bytes, and less than 100 more for each of its models.
@@ -25,12 +30,16 @@
 
 
 class FieldReader:
-    """Reads validated fields of one JSON object in a record."""
+    """Reads validated fields of one JSON object in a record.
+
+    Attributes:
+        table: the object as it was decoded, with values that nobody has validated.
+    """
 
     def __init__(self, table: object) -> None:
         if not isinstance(table, dict):
             raise RecordError(f"expected an object, got {type(table).__name__}")
-        self._table: dict[str, Any] = table
+        self.table: dict[str, Any] = table
 
     @classmethod
     def of_json(cls, value: bytes) -> "FieldReader":
@@ -41,10 +50,7 @@
         """
         if len(value) > MAX_RECORD_BYTES:
             raise RecordError(f"record of {len(value)} bytes, expected at most {MAX_RECORD_BYTES}")
-        try:
-            return cls(json.loads(value))
-        except (ValueError, RecursionError) as error:
-            raise RecordError(f"invalid JSON: {type(error).__name__}") from error
+        return cls(decode_json(value))
 
     def text(self, key: str) -> str:
         """Return a string that is not empty and can be encoded."""
@@ -63,7 +69,28 @@
 
     def integer_or(self, key: str, default: int, minimum: int = 0) -> int:
         """Return an integer, or the default if the field is missing."""
-        return self.integer(key, minimum) if key in self._table else default
+        return self.integer(key, minimum) if key in self.table else default
+
+    def number_in(self, key: str, default: int | None = None, maximum: int = MAX_NUMBER) -> int:
+        """Return an integer from 0 to a maximum, or the default for any other value."""
+        try:
+            return whole(self.table.get(key), 0, maximum)
+        except RecordError:
+            if default is None:
+                raise
+            return default
+
+    def flag(self, key: str) -> bool:
+        """Return whether a field is set to true, or to another value that is not empty."""
+        return bool(self.table.get(key))
+
+    def base64(self, key: str, default: bytes) -> bytes:
+        """Return the bytes that a string encodes, or the default for anything else."""
+        value = self.table.get(key)
+        try:
+            return base64.b64decode(value, validate=True) if isinstance(value, str) else default
+        except ValueError:
+            return default
 
     def number(self, key: str) -> float:
         """Return a number, 0 or more."""
@@ -91,19 +118,40 @@
 
     def tables(self, key: str) -> list["FieldReader"]:
         """Return the objects of a list, or an empty list if the field is missing."""
-        value = self._table.get(key, [])
+        value = self.table.get(key, [])
         if not isinstance(value, list):
             raise self._error(key, "a list")
         return [FieldReader(row) for row in value]
 
+    def values(self, key: str, is_optional: bool) -> list[Any]:
+        """Return the values of a list, or an empty list if an optional field is missing."""
+        value = self.table.get(key)
+        if value is None and is_optional:
+            return []
+        if not isinstance(value, list):
+            raise RecordError(f"{key}: expected a list, got {type(value).__name__}")
+        return value
+
     def _required(self, key: str) -> Any:
-        if key not in self._table:
+        if key not in self.table:
             raise RecordError(f"field {key} is missing")
-        return self._table[key]
+        return self.table[key]
 
     def _error(self, key: str, expected: str) -> RecordError:
         # The value is untrusted and may be long: the message contains only its beginning.
-        return RecordError(f"{key} = {self._table[key]!r:.40}: expected {expected}")
+        return RecordError(f"{key} = {self.table[key]!r:.40}: expected {expected}")
+
+
+def decode_json(value: bytes) -> Any:
+    """Return the content of a JSON text.
+
+    Raises:
+        RecordError: it is not valid JSON, or nested too deeply.
+    """
+    try:
+        return json.loads(value)
+    except (ValueError, RecursionError) as error:
+        raise RecordError(f"invalid JSON: {type(error).__name__}") from error
 
 
 def text(value: object) -> str:
@@ -121,14 +169,14 @@
     return value
 
 
-def whole(value: object, minimum: int = MIN_INTEGER) -> int:
-    """Return a number, or its decimal notation, as an integer of at most 64 bits.
+def whole(value: object, minimum: int = MIN_INTEGER, maximum: int = MAX_INTEGER) -> int:
+    """Return a number, or its decimal notation, as an integer in a range.
 
     Raises:
         RecordError: it is not a number, not finite or out of range.
     """
     number = int(finite(value)) if isinstance(value, float) else _number(value, int)
-    if not minimum <= number <= MAX_INTEGER:
+    if not minimum <= number <= maximum:
         raise RecordError(f"{value!r:.40}: expected an integer, {minimum} or more")
     return number
 
