A node's record with a number of any length no longer ends the loops that read it

What callers saw: with 5,000 digits in the record of the fleet's size, of the known era or of the base era, or bytes that are no text in that of the last orders, the follower of the store and the controller of weights failed at each change or turn; engines that joined meanwhile were not used.

Cause: the records were read with int() after isdigit(): int() refuses more than 4,300 digits. A fleet of 10^30 nodes, by the same way, would have left each tenant no share of its limit.

Change: StoreMirror.number reads a number of at most 64 bits up to a maximum, for the three records; a larger one counts as none. The predecessor's name in the log replaces bytes that are no text.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -19,6 +19,7 @@
       | engine records with an odd value       |
       | a configuration of an infinite version |
       | a configuration whose host is a number |
+      | records of nodes that are out of range |
 
   Scenario Outline: An odd value in a field of <kind> ends no node's view of the engines
     Then no odd value in a field of <kind> fails in a node, or in one that follows it, or changes its engines
--- a/liftrill/coordination/store_mirror.py
+++ b/liftrill/coordination/store_mirror.py
@@ -5,6 +5,9 @@
 from liftrill.coordination.range_store import RangePage, RemovedItem, StoredItem, WatchBatch
 from liftrill.coordination.store_position import era_of
 
+# Those of a 64-bit number.
+MAX_DIGITS = 20
+
 
 @dataclass(frozen=True, slots=True)
 class MirrorChange:
@@ -49,6 +52,14 @@
         """Return the item of a key, or None if the key is absent."""
         return self._items.get(key)
 
+    def number(self, key: str, maximum: int) -> int | None:
+        """Return the decimal number that a key holds, or None if it holds none in the range."""
+        item = self._items.get(key)
+        if item is None or not item.value.isdigit() or len(item.value) > MAX_DIGITS:
+            return None
+        number = int(item.value)
+        return number if number <= maximum else None
+
     def start_reading(self) -> None:
         """Discard the pages of an unfinished read before a new one."""
         self._pages.clear()
--- a/liftrill/gateway/era_record.py
+++ b/liftrill/gateway/era_record.py
@@ -9,7 +9,7 @@
 
 from liftrill.coordination.range_store import Expectation, PutItem, RangeStore
 from liftrill.coordination.store_mirror import StoreMirror
-from liftrill.coordination.store_position import era_of
+from liftrill.coordination.store_position import MAX_ERA, era_of
 from liftrill.errors import StoreError
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.freshness_checker import REWRITE_WINDOW_S
@@ -61,10 +61,7 @@
             await self._write(era)
 
     def _recorded(self) -> int:
-        item = self._mirror.get(ERA_KEY)
-        if item is None or not item.value.isdigit():
-            return 0
-        return int(item.value)
+        return self._mirror.number(ERA_KEY, MAX_ERA) or 0
 
     async def _write(self, era: int) -> None:
         expected = (Expectation(LEADER_KEY, self._fence()),)
--- a/liftrill/gateway/fleet_record.py
+++ b/liftrill/gateway/fleet_record.py
@@ -20,6 +20,9 @@
 # together all know each other after 2 s.
 STABLE_BEFORE_WRITE_S = 3.0
 
+# A larger number is an error of its writer, which would leave each node no share of the limits.
+MAX_NODES = 100_000
+
 
 class FleetRecord:
     """Writes the size of the fleet while this node is leader, and loads the recorded size."""
@@ -67,10 +70,7 @@
             await self._write(nodes)
 
     def _recorded(self) -> int:
-        item = self._mirror.get(FLEET_KEY)
-        if item is None or not item.value.isdigit():
-            return 0
-        return int(item.value)
+        return self._mirror.number(FLEET_KEY, MAX_NODES) or 0
 
     async def _write(self, nodes: int) -> None:
         expected = (Expectation(LEADER_KEY, self._fence()),)
--- a/liftrill/gateway/leadership.py
+++ b/liftrill/gateway/leadership.py
@@ -24,7 +24,7 @@
     StoredItem,
 )
 from liftrill.coordination.store_mirror import StoreMirror
-from liftrill.coordination.store_position import era_of, relative_position
+from liftrill.coordination.store_position import MAX_ERA, era_of, relative_position
 from liftrill.errors import StoreAnswerLostError, StoreError, StoreUnavailableError
 from liftrill.gateway.decision_log import DecisionLog
 
@@ -124,9 +124,9 @@
 
     def _known_base_era(self) -> int:
         """Return the base era: the one recorded in the store, or the first that this node knew."""
-        item = self._mirror.get(BASE_ERA_KEY)
-        if item is not None and item.value.isdigit():
-            self._base_era = int(item.value)
+        recorded = self._mirror.number(BASE_ERA_KEY, MAX_ERA)
+        if recorded is not None:
+            self._base_era = recorded
         elif self._base_era is None:
             self._base_era = era_of(self._mirror.position)
         return self._base_era
@@ -375,7 +375,7 @@
             # Possibly of this node's process before a restart, whose orders are not known.
             self._last_order_at = now
         self._log.state_changed(
-            "leading", fence=fence, predecessor=holder.decode(), waits=must_wait
+            "leading", fence=fence, predecessor=holder.decode(errors="replace"), waits=must_wait
         )
 
     def _log_call_outcome(self, failure: str) -> None:
