A quarantine's record with the largest numbers of its message can be used

What callers saw: with a record in quarantine whose count is above 1,023, the node at which its request ended another engine raised an OverflowError when it worked out the next duration (2.0 ** count); an end beyond 2^53 milliseconds could not be told to peers.

Cause: the message admits more than the arithmetic with it.

Evidence: the last scenario of odd_entries: OverflowError before, passes now.

Change: both numbers are bounded where the record becomes an entry, for records of the store and notices of peers alike. The longest quarantine is reached long before either bound.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -46,3 +46,6 @@
 
   Scenario: Odd values in any fields of engines' records leave the other engines in use
     Then 2000 random records of engines leave the other engines in use, and are told to peers
+
+  Scenario: A quarantine record of the largest numbers is put in force, extended and told
+    Then a quarantine entry with the largest numbers of its message can be extended and told
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -22,6 +22,8 @@
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.opaque_request import FINGERPRINT_BYTES
 from liftrill.gateway.peers.notice_codec import datagram_from_notices
+from liftrill.gateway.quarantine_codec import entry_from_record, record_of
+from liftrill.gateway.quarantine_list import QuarantineList
 from liftrill.gateway.relay_codec import RelayAnswer, decode_message, encode_answer, encode_batch
 from liftrill.messages import peer_pb2 as messages
 
@@ -449,3 +451,16 @@
         follower = use_like_a_gateway(node, StoredItem("servers/c", data, revision, 0))
         for each in (node, follower):
             assert set(ENGINES) <= each.in_use(), (revision, data[:300])
+
+
+@then("a quarantine entry with the largest numbers of its message can be extended and told")
+def step_largest_quarantine(context):
+    fingerprint = b"x" * FINGERPRINT_BYTES
+    record = messages.QuarantineRecord(until_unix_milliseconds=2**64 - 1, times=2**32 - 1)
+    entry = entry_from_record(fingerprint, record)
+    known = QuarantineList()
+    known.put(entry)
+    extended = known.next_entry(fingerprint, 0.0)
+    for each in (entry, extended, extended.widened_by(entry, 0.0)):
+        assert record_of(each).SerializeToString()
+        assert entry_from_record(fingerprint, record_of(each)) is not None
--- a/liftrill/gateway/quarantine_codec.py
+++ b/liftrill/gateway/quarantine_codec.py
@@ -13,6 +13,10 @@
 RUN_BYTES, PART_BYTES = 64, 18
 MAX_RUNS_BYTES = 1_100
 MAX_PARTS_IN_MESSAGE = 40
+# The duration of a quarantine doubles with each, up to a maximum that is reached long before.
+MAX_QUARANTINE_COUNT = 1_000
+# Integers up to this one survive the conversion to seconds and back.
+MAX_UNIX_MILLISECONDS = 2**50
 
 
 def datagrams_from_runs(node: str, runs: Sequence[LostRun], now: float) -> list[messages.Datagram]:
@@ -95,8 +99,8 @@
     """Return the entry of a request that a record describes."""
     return QuarantineEntry(
         fingerprint,
-        record.until_unix_milliseconds / 1000,
-        max(1, record.times),
+        min(record.until_unix_milliseconds, MAX_UNIX_MILLISECONDS) / 1000,
+        min(max(1, record.times), MAX_QUARANTINE_COUNT),
         record.route,
         record.tenant,
         tuple(record.engines),
