--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -49,3 +49,6 @@
 
   Scenario: A quarantine record of the largest numbers is put in force, extended and told
     Then a quarantine entry with the largest numbers of its message can be extended and told
+
+  Scenario: A report of an engine that no node can use counts as none
+    Then no report of an engine with an odd value in a field fails at the node that asked for it
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -28,6 +28,7 @@
 from liftrill.messages import peer_pb2 as messages
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
+from engines import PlatformEngineTransport, PlatformOrderClient
 from store import PlatformStore
 
 DEEPLY_NESTED = b"[" * 100_000 + b"]" * 100_000
@@ -464,3 +465,37 @@
     for each in (entry, extended, extended.widened_by(entry, 0.0)):
         assert record_of(each).SerializeToString()
         assert entry_from_record(fingerprint, record_of(each)) is not None
+
+
+class OneResponse(PlatformEngineTransport):
+    """Answers each call with the same bytes."""
+
+    def __init__(self, content):
+        self.content = content
+
+    async def call(self, *_):
+        return 200, self.content
+
+
+@then("no report of an engine with an odd value in a field fails at the node that asked for it")
+def step_odd_reports(context):
+    view = node_of_engines().engines.get("a")
+    sound = {
+        "Models": [{"Name": "model-1", "Version": 1}],
+        "SeqNo": 1,
+        "Utilization": 0.5,
+        "born": 1_700_000_000_000,
+    }
+    reports = [with_value(sound, path, v) for path in value_paths(sound) for v in ODD_VALUES]
+
+    async def check():
+        for report in (*reports, *ODD_ANSWERS):
+            transport = OneResponse(report)
+            status = await PlatformOrderClient(transport).report(view)
+            if status is not None:
+                assert 0 <= status.order_sequence < 2**63, report
+                notices = [EngineNotice("a", m, v, True, 1) for m, v in status.weights.items()]
+                assert datagram_from_notices(notices).SerializeToString() or not notices, report
+            assert await transport.is_answering(view) in (True, False, None)
+
+    context.run(check())
