An event's id of thousands of digits no longer raises in the reader of a stream

What callers saw: nothing yet; an event of an engine whose id has more than 4,300 digits raised a ValueError in the task that delivers the stream.

Cause: int() refuses so many digits, and the reader takes any number.

Evidence: odd_entries, an id of 5,000 digits: ValueError before, now the event is passed on like one whose id is no number.

Change: an id of more than 18 digits, which callers can not name when they resume a stream, counts as none.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -52,3 +52,6 @@
 
   Scenario: A report of an engine that no node can use counts as none
     Then no report of an engine with an odd value in a field fails at the node that asked for it
+
+  Scenario: An event's id of thousands of digits counts as none
+    Then an event of an engine whose id has 5000 digits is passed on like one without an id
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -20,6 +20,7 @@
 from liftrill.coordination.store_mirror import MirrorChange
 from liftrill.errors import StoreAnswerLostError, StoreUnavailableError
 from liftrill.gateway.engines.engine_table import EngineNotice
+from liftrill.gateway.event_stream import EventSplitter
 from liftrill.gateway.opaque_request import FINGERPRINT_BYTES
 from liftrill.gateway.peers.notice_codec import datagram_from_notices
 from liftrill.gateway.quarantine_codec import entry_from_record, record_of
@@ -499,3 +500,13 @@
             assert await transport.is_answering(view) in (True, False, None)
 
     context.run(check())
+
+
+@then("an event of an engine whose id has {digits:d} digits is passed on like one without an id")
+def step_long_id(context, digits):
+    block = b"id: " + b"9" * digits + b"\ndata: x\n\n"
+    events = EventSplitter(b"").feed(b"id: 1\ndata: y\n\n" + block)
+    assert [(event.event_id, event.data) for event in events] == [
+        (1, b"id: 1\ndata: y\n\n"),
+        (None, block),
+    ], events
--- a/liftrill/gateway/event_stream.py
+++ b/liftrill/gateway/event_stream.py
@@ -6,6 +6,8 @@
 
 from liftrill.response_limits import MAX_EVENT_BYTES, ResponseTooLargeError
 
+# Callers can name no longer ids when they resume a stream.
+MAX_ID_DIGITS = 18
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
 # Events of a repeated run that are compared with those passed on: the newest ones. A run with
@@ -86,7 +88,7 @@
     for line in block.split(b"\n"):
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
     return None
 
 
