Settings with booleans, odd numbers or ports out of range are refused by name

What operators saw: a node that was given true, 70000 or a port of other digits as a port, or nan, inf or 1e300 as a time, started with it, or ended with an error of a library that names no setting; a file with a number of 5,000 digits or lists 100,000 deep ended it with a traceback, and a reload raised.

Cause: a boolean is an integer in Python, ranges were not checked, nan is not less than 0, and the parser raises more than its own error.

The second port of a range is checked too; it was ignored before where it was no number.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -55,3 +55,6 @@
 
   Scenario: An event's id of thousands of digits counts as none
     Then an event of an engine whose id has 5000 digits is passed on like one without an id
+
+  Scenario: A settings file with an odd value is refused with an error that names it
+    Then each odd value in a settings file is refused, and the file without one is not
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import random
+import re
 import sys
 from dataclasses import replace
 from pathlib import Path
@@ -18,7 +19,7 @@
 from liftrill.bench.launcher import free_ports
 from liftrill.coordination.range_store import StoredItem, WatchBatch
 from liftrill.coordination.store_mirror import MirrorChange
-from liftrill.errors import StoreAnswerLostError, StoreUnavailableError
+from liftrill.errors import SettingsError, StoreAnswerLostError, StoreUnavailableError
 from liftrill.gateway.engines.engine_table import EngineNotice
 from liftrill.gateway.event_stream import EventSplitter
 from liftrill.gateway.opaque_request import FINGERPRINT_BYTES
@@ -29,6 +30,7 @@
 from liftrill.messages import peer_pb2 as messages
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
+from boot import read_settings
 from engines import PlatformEngineTransport, PlatformOrderClient
 from store import PlatformStore
 
@@ -510,3 +512,69 @@
         (1, b"id: 1\ndata: y\n\n"),
         (None, block),
     ], events
+
+
+ODD_PORTS = ("true", "false", "0", "-1", "65536", "70000", '"80"', "80.5", "inf", "[]")
+ODD_NUMBERS = ("nan", "inf", "-inf", "-1", "true", '"5"', "1e300", "9" * 30, "[]")
+ODD_SETTINGS = (
+    *(("MetricsPort", value) for value in ODD_PORTS),
+    *(("PortRange", f"[{value}, 14001]") for value in ODD_PORTS),
+    ("PortRange", "[65535, 65536]"),
+    ("PortRange", "[]"),
+    *(
+        ("Front", f'"127.0.0.1:{port}"')
+        for port in ("0", "70000", "080801", "\u0668\u0660", "-1", "")
+    ),
+    *((name, value) for name in ("RevokeMs", "GraceS", "HeartbeatMs") for value in ODD_NUMBERS),
+    ("Ip", "9" * 5_000),
+    ("Seeds", "[" * 100_000 + "]" * 100_000),
+)
+SETTINGS = """\
+Node = "node-1"
+Ip = "127.0.1.1"
+Zone = "zone-1"
+Region = "region-1"
+PortRange = [14000, 14001]
+Seeds = []
+Bootstrap = true
+MetricsPort = 14002
+HeartbeatMs = 1000
+[Listen]
+Front = "127.0.1.1:14003"
+Readiness = "127.0.1.1:14004"
+Control = "127.0.1.1:14005"
+Directory = "127.0.1.1:14006"
+[Bounds]
+RevokeMs = 5000
+BudgetRatio = 0.2
+BudgetWindowS = 10
+RetrySlack = 54
+VersionMs = 8000
+LeaseMs = 3000
+ThawMs = 300
+GraceS = 8
+ttl_max_s = 5
+[Provider]
+Address = "127.0.0.1:14007"
+TtlMinMs = 1000
+"""
+
+
+@then("each odd value in a settings file is refused, and the file without one is not")
+def step_odd_settings(context):
+    path = context.directory / "settings.toml"
+    path.write_text(SETTINGS)
+    assert read_settings(path).gateway.peer_address == "127.0.1.1:14000"
+    accepted = []
+    for name, value in ODD_SETTINGS:
+        # Values of this table contain no backslash, which a replacement would interpret.
+        path.write_text(re.sub(rf"(?m)^{name} = .*$", f"{name} = {value}", SETTINGS))
+        try:
+            read_settings(path)
+        except SettingsError as error:
+            assert str(path) in str(error), error
+        except Exception as error:
+            accepted.append((name, value[:20], repr(error)[:80]))
+        else:
+            accepted.append((name, value[:20]))
+    assert not accepted, (len(accepted), accepted)
--- a/liftrill/gateway/settings_reader.py
+++ b/liftrill/gateway/settings_reader.py
@@ -5,9 +5,12 @@
 from typing import Any
 
 from liftrill.errors import SettingsError
+from liftrill.gateway.field_reader import is_port
 
 BYTES_PER_MEGABYTE = 1_048_576
 BYTES_PER_MEGABIT = 125_000
+# No time, size or rate is larger; also excludes infinity and NaN.
+MAX_NUMBER = 2**53
 
 
 class SettingsReader:
@@ -35,8 +38,8 @@
     def address(self, key: str) -> str:
         """Return an address in the form HOST:PORT."""
         value = self.text(key)
-        host, separator, port = value.rpartition(":")
-        if not (host and separator and port.isdigit()):
+        host, _, port = value.rpartition(":")
+        if not host or not is_port(port):
             raise self._error(key, value, "HOST:PORT")
         return value
 
@@ -51,7 +54,7 @@
     def number(self, key: str) -> float:
         """Return a number, 0 or more."""
         value = self._required(key, (int, float), "a number, 0 or more")
-        if isinstance(value, bool) or value < 0:
+        if isinstance(value, bool) or not 0 <= value <= MAX_NUMBER:
             raise self._error(key, value, "a number, 0 or more")
         return float(value)
 
@@ -81,21 +84,28 @@
         """Return a port, or the default if the key is missing."""
         if key not in self._table:
             return default
-        return int(self._required(key, int, "a port"))
+        return self._port(key, self._required(key, int, "a port"))
 
     def first_port(self, key: str) -> int:
         """Return the first port of a range, which is given as a list of two ports."""
         value = self._required(key, list, "a list of two ports")
-        if not value or not isinstance(value[0], int):
+        if not value:
             raise self._error(key, value, "a list of two ports")
-        return int(value[0])
+        return self._port(key, value[0])
 
     def second_port(self, key: str) -> int | None:
         """Return the second port of a range of ports, or None if it has only one."""
         value = self._required(key, list, "a list of two ports")
         first = self.first_port(key)
-        is_larger = len(value) > 1 and isinstance(value[1], int) and value[1] > first
-        return first + 1 if is_larger else None
+        if len(value) < 2 or self._port(key, value[1]) <= first:
+            return None
+        return first + 1
+
+    def _port(self, key: str, value: object) -> int:
+        is_integer = isinstance(value, int) and not isinstance(value, bool)
+        if not is_integer or not is_port(str(value)):
+            raise self._error(key, value, "a port, 1 to 65535")
+        return int(str(value))
 
     def _required(self, key: str, kind: type | tuple[type, ...], expected: str) -> Any:
         if key not in self._table:
