The own interface takes no malformed answer, and none without an end

A node of the own interface and an operator's command took answers that do not follow HTTP/1.1 for an engine's report, a store's entry, a peer's claim or a plan; of some they took a status of 000 or another value of a damaged body. An answer whose chunk extension or interim heads did not end was read until the call's timeout; without one (streams of engines) on and on.

Cause: the daemon and the operator's commands built sessions of their own, with the library's connections. The gateway's check of heads and chunks was not in them.

Change: one function builds the session of guarded connections for the gateway, the daemon and the commands. It works as there is no other way to a session.

The steps of `cut_heads` read through the same function, no copy of it, and have the operator's commands as a further reader.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -170,6 +170,7 @@
       | own claim        | no peer     |
       | own prefixes     | no peer     |
       | own section      | no peer     |
+      | operator status  | no answer   |
 
   Scenario Outline: A head without a length, after which the connection ends, counts as an answer: <reader>
     Given a server whose answers to "<reader>" are heads alone
@@ -201,6 +202,7 @@
       | own claim        | no peer     |
       | own prefixes     | no peer     |
       | own section      | no peer     |
+      | operator status  | no answer   |
 
   Scenario: A followed reader of the store stops at any byte of its answer
     Given a reader of the store that stops at each byte of its answer
--- a/features/standin/malformed_answers.py
+++ b/features/standin/malformed_answers.py
@@ -143,15 +143,16 @@
     return (later[1] if later else fault) in FAULTS
 
 
-def malformed_answer(fault, headers, body):
+def malformed_answer(fault, headers, body, code=200, pieces=None):
     """Return the bytes of an answer, and those that may follow later."""
-    status, lines = "HTTP/1.1 200 OK", [f"{name}: {value}" for name, value in headers.items()]
+    status, lines = f"HTTP/1.1 {code} OK", [f"{name}: {value}" for name, value in headers.items()]
     lines.append(CHUNKED)
-    chunks, rest = "".join(map(_chunk, _pieces(body))) + LAST_CHUNK, ""
+    pieces = pieces or _pieces(body)
+    chunks, rest = "".join(map(_chunk, pieces)) + LAST_CHUNK, ""
     if fault in HEAD_FAULTS:
         status, lines = HEAD_FAULTS[fault](status, lines)
     else:
-        chunks, rest = CHUNK_FAULTS[fault](_pieces(body))
+        chunks, rest = CHUNK_FAULTS[fault](pieces)
     head = "\r\n".join((status, *lines, "", ""))
     return (head + chunks).encode("latin-1"), rest.encode("latin-1")
 
--- a/features/steps/cut_head_reader_steps.py
+++ b/features/steps/cut_head_reader_steps.py
@@ -9,7 +9,6 @@
 from contextlib import suppress
 from pathlib import Path
 
-import aiohttp
 from behave import given, then
 
 from features.gateway_support import engine_record
@@ -22,6 +21,7 @@
     cut_answer,
     end_cut,
 )
+from liftrill.cli.operator_client import OperatorCallError, OperatorClient
 from liftrill.coordination.range_store import Expectation, StoredItem, WatchBatch
 from liftrill.errors import StoreAnswerLostError, StoreUnavailableError
 from liftrill.gateway.engines.engine_table import EngineView
@@ -29,7 +29,7 @@
 from liftrill.gateway.order_client import OrderAnswer, WeightOrder
 from liftrill.gateway.relay_client import ReaderLimits, RelayClient, RelayListener, RelayLostError
 from liftrill.gateway.relay_codec import encode_batch
-from liftrill.limited_response import limited_response
+from liftrill.guarded_connection import new_session
 from liftrill.messages import peer_pb2 as messages
 from liftrill.messages.configuration_pb2 import Head
 from liftrill.node.engine_client import AttemptBrokenError, EngineClient, StaleFenceError
@@ -37,7 +37,6 @@
 from liftrill.node.peer_client import PeerClient, PeerError
 from liftrill.node.platform_client import PlatformClient
 from liftrill.planning.orders import AssignOrder
-from liftrill.response_limits import BodyLimits
 from liftrill.routing import events
 from liftrill.routing.engine_state import EngineIdentity, EngineState
 from liftrill.routing.request import RoutedRequest
@@ -100,8 +99,7 @@
 
 
 async def with_own(address, call):
-    responses = limited_response(BodyLimits())
-    async with aiohttp.ClientSession(response_class=responses) as session:
+    async with new_session() as session:
         return await call(session, address)
 
 
@@ -131,6 +129,13 @@
     return functools.partial(with_own, call=bound)
 
 
+def on_operator(call):
+    def bound(session, address):
+        return call(OperatorClient(session, address, "key", "operator"))
+
+    return functools.partial(with_own, call=bound)
+
+
 def on_store(call):
     return functools.partial(with_store, call=call)
 
@@ -232,6 +237,7 @@
         on_peer(lambda c, a: c.exchange_prefixes(a, messages.PrefixExchange())),
     ),
     "own section": (200, "section of text", on_peer(lambda c, a: c.section(a, b"digest"))),
+    "operator status": (200, '{"ready": 1}', on_operator(lambda c: c.call("GET", "/status"))),
 }
 STREAM_READERS = frozenset(("own attempt", "own resume"))
 ERRORS = {
@@ -239,6 +245,7 @@
     StoreAnswerLostError: "answer lost",
     AttemptBrokenError: "broken",
     PeerError: "no peer",
+    OperatorCallError: "no answer",
     StaleFenceError: "refused",
 }
 
--- a/liftrill/cli/operator.py
+++ b/liftrill/cli/operator.py
@@ -6,12 +6,11 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
 import uvloop
 
 from liftrill.cli.operator_client import OperatorClient
 from liftrill.errors import SettingsError
-from liftrill.limited_response import LimitedResponse
+from liftrill.guarded_connection import new_session
 from liftrill.settings_file import read_toml
 
 DEFAULT_NODE = "127.0.0.1:8080"
@@ -140,7 +139,7 @@
         )
 
     async def run() -> dict[str, Any]:
-        async with aiohttp.ClientSession(response_class=LimitedResponse) as session:
+        async with new_session() as session:
             return await action(OperatorClient(session, node, key, getpass.getuser()))
 
     return uvloop.run(run())
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import functools
 import itertools
 import socket
 from collections.abc import Callable
@@ -29,9 +28,9 @@
     GuardedResponseHandler,
     ReportFault,
     ResponseFault,
+    guarded_session,
     no_report,
 )
-from liftrill.limited_response import limited_response
 from liftrill.response_limits import MAX_STORE_BODY_BYTES, BodyLimits
 
 # A partitioned peer sends nothing: unacknowledged data or keep-alive probes end the connection.
@@ -162,14 +161,10 @@
         socket_factory=_open_socket,
         **options,
     )
-    # aiohttp has no public way to choose the protocol class, or to forbid the second send on a
-    # kept-alive connection; a feature checks that both overrides still work.
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        GuardedResponseHandler, loop=asyncio.get_running_loop(), report=report
-    )
-    session = aiohttp.ClientSession(
-        connector=connector,
-        response_class=limited_response(body_limits),
+    session = guarded_session(
+        connector,
+        body_limits,
+        report,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
@@ -177,6 +172,8 @@
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
+    # aiohttp has no public way to forbid the second send on a kept-alive connection; a feature
+    # checks that this works.
     session._retry_connection = False
     return session
 
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -6,25 +6,30 @@
 """
 
 import asyncio
+import functools
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-from aiohttp import ClientPayloadError
+from aiohttp import ClientPayloadError, ClientSession, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 from aiohttp.http_parser import RawResponseMessage
 
 from liftrill import clock, constants
-from liftrill.limited_response import STATUSES_WITHOUT_BODY, ResponseCutOffError
+from liftrill.limited_response import (
+    STATUSES_WITHOUT_BODY,
+    ResponseCutOffError,
+    limited_response,
+)
 from liftrill.response_framing import (
     ChunkScanner,
     HeadScanner,
     MalformedResponseError,
     may_begin_response,
 )
-from liftrill.response_limits import FramingLimit
+from liftrill.response_limits import BodyLimits, FramingLimit
 
 FIRST_FINAL_STATUS = 200
 # An idle connection is reused only within this share of the peer's announced keep-alive timeout.
@@ -231,3 +236,21 @@
         if name.strip().lower() == "timeout" and value.isascii() and value.isdigit():
             return min(IDLE_TIMEOUT_SHARE * int(value[:MAX_TIMEOUT_DIGITS]), MAX_IDLE_S)
     return constants.ENGINE_IDLE_CONNECTION_SECONDS
+
+
+def guarded_session(
+    connector: TCPConnector, body_limits: BodyLimits, report: ReportFault, **options: Any
+) -> ClientSession:
+    """Return a session with guarded connections, whose responses are read up to limits."""
+    # aiohttp has no public way to choose the protocol class; features check that this works.
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        GuardedResponseHandler, loop=asyncio.get_running_loop(), report=report
+    )
+    return ClientSession(
+        connector=connector, response_class=limited_response(body_limits), **options
+    )
+
+
+def new_session(report: ReportFault = no_report) -> ClientSession:
+    """Return a session for engines, peers and the platform of the own interface."""
+    return guarded_session(TCPConnector(limit=0), BodyLimits(), report)
--- a/liftrill/node/daemon.py
+++ b/liftrill/node/daemon.py
@@ -10,7 +10,7 @@
 
 from liftrill import clock, constants
 from liftrill.cache.directory import PrefixDirectory
-from liftrill.limited_response import limited_response
+from liftrill.guarded_connection import new_session
 from liftrill.mechanisms import DISABLED, Mechanism, is_enabled
 from liftrill.node.caller_api import CallerApi, error_middleware
 from liftrill.node.claim_service import ClaimService
@@ -30,10 +30,10 @@
 from liftrill.node.platform_client import PlatformClient
 from liftrill.node.prefix_exchange import PrefixExchangeService
 from liftrill.node.request_runner import RequestRunner
+from liftrill.node.response_faults import ResponseFaultLog
 from liftrill.node.settings import NodeSettings
 from liftrill.planning.commit import PlanCommitter
 from liftrill.planning.sections import ConfigurationView
-from liftrill.response_limits import BodyLimits
 from liftrill.routing.admission import AdmissionController
 from liftrill.routing.engine_records import EngineRecords
 from liftrill.routing.engine_state import EngineTable
@@ -54,10 +54,9 @@
     async def run(self) -> bool:
         """Serve until a stop signal; return whether all requests have ended before the stop."""
         self._install_signal_handlers()
-        connector = aiohttp.TCPConnector(limit=0)
-        responses = limited_response(BodyLimits())
-        async with aiohttp.ClientSession(connector=connector, response_class=responses) as session:
-            context = self._assemble(session)
+        metrics = NodeMetrics()
+        async with new_session(ResponseFaultLog(metrics).report) as session:
+            context = self._assemble(session, metrics)
             runners = await self._listen(context)
             await self._gossip.listen(self._settings.peer_listen)
             for run in self._background:
@@ -76,9 +75,8 @@
         log_change("node_stopped", node=self._settings.node_id, clean=clean)
         return clean
 
-    def _assemble(self, session: aiohttp.ClientSession) -> NodeContext:
+    def _assemble(self, session: aiohttp.ClientSession, metrics: NodeMetrics) -> NodeContext:
         settings = self._settings
-        metrics = NodeMetrics()
         engines = EngineTable()
         admission = AdmissionController()
         random_source = random.Random()
--- a/liftrill/node/metrics.py
+++ b/liftrill/node/metrics.py
@@ -49,6 +49,11 @@
         self.refused_datagrams = Counter(
             "liftrill_refused_datagrams", "Gossip not authentic or malformed", registry=registry
         )
+        self.response_faults = Counter(
+            "liftrill_response_faults",
+            "Responses that do not follow HTTP/1.1",
+            registry=registry,
+        )
         self.event_gaps = Counter("liftrill_event_gaps", "Gaps in cache events", registry=registry)
         self.control_bytes = Counter(
             "liftrill_control_bytes", "Control bytes", ["direction"], registry=registry
