A second answer is not given to the next request on its connection

Callers would get the answer of another request (MIXED), an order the answer of an earlier one.

Cause: bytes after a response were looked for as they arrive alone. A second answer in the segment that ends a body with a length was read by the library with it, and kept for the next request on the connection.

Now the end of a body is found before the library reads it, with a length as in chunks; what follows ends the connection. Before: the new row with a length failed.

--- a/features/gateway_connections.feature
+++ b/features/gateway_connections.feature
@@ -23,3 +23,14 @@
       | timeout=x           | 3     |
       | timeout=-4          | 3     |
       |                     | 3     |
+
+  Scenario Outline: The next request is given a second answer that came with the end of the first: <body>
+    Given an engine whose body "<body>" comes after its head, with a second answer
+    When two requests are sent one after the other
+    Then each gets the first answer on a connection of its own
+
+    Examples:
+      | body            |
+      | with a length   |
+      | in chunks       |
+      | without content |
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -24,8 +24,10 @@
     limited_response,
 )
 from liftrill.response_framing import (
+    BodyScanner,
     ChunkScanner,
     HeadScanner,
+    LengthScanner,
     MalformedResponseError,
     may_begin_response,
 )
@@ -73,7 +75,8 @@
         self._response_count = 0
         self._framing = FramingLimit()
         self._heads = HeadScanner()
-        self._chunks: ChunkScanner | None = None
+        # None while no head has arrived, and for a body that ends with its connection.
+        self._body: BodyScanner | None = None
         self._has_no_body = False
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
@@ -95,7 +98,7 @@
         self._response_count = 0
         self._framing = FramingLimit()
         self._heads = HeadScanner()
-        self._chunks = None
+        self._body = None
         self._has_no_body = bool(parameters.get("skip_payload"))
         super().set_response_params(**parameters)
 
@@ -122,8 +125,8 @@
             data = data[length:]
         if data and self._is_idle():
             self._receive_excess(data, since_last_s)
-        elif data and self._chunks is not None:
-            self._receive_chunks(data, self._chunks)
+        elif data and self._body is not None:
+            self._receive_body(data, self._body)
         else:
             # Without data, aiohttp goes on with what it held back while the reader was slow.
             self._parse(data)
@@ -156,23 +159,24 @@
 
     def _expect_body(self, message: RawResponseMessage) -> None:
         """Prepare to check the body of a final response."""
+        length = message.headers.get("Content-Length")
         if message.code in STATUSES_WITHOUT_BODY or self._has_no_body:
+            self._body = LengthScanner(0)
+        elif message.chunked:
+            self._body = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
+        elif length is not None:
+            self._body = LengthScanner(int(length))
+
+    def _receive_body(self, data: bytes, body: BodyScanner) -> None:
+        """Process bytes of a body, and of what follows it."""
+        try:
+            length = 0 if body.is_complete else body.scan(data)
+        except MalformedResponseError as error:
+            self._reject(str(error))
             return
-        if message.chunked:
-            self._chunks = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
-
-    def _receive_chunks(self, data: bytes, chunks: ChunkScanner) -> None:
-        """Process bytes of a body in chunks, and of what follows it."""
-        if chunks.is_complete:
-            length = 0
-        else:
-            try:
-                length = chunks.scan(data)
-            except MalformedResponseError as error:
-                self._reject(str(error))
-                return
         rest = data[length:]
-        if rest and not may_begin_response(rest):
+        if rest and isinstance(body, ChunkScanner) and not may_begin_response(rest):
+            # The last chunk may have come early.
             self._reject(f"{len(rest)} bytes after the last chunk")
         elif self._parse(data[:length]) and rest:
             self._receive_excess(rest, 0.0)
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from abc import ABC, abstractmethod
 from collections.abc import Collection
 
 from liftrill.errors import LiftrillError
@@ -94,18 +95,47 @@
             raise MalformedResponseError(f"line end: {bytes(line)!r}")
 
 
-class ChunkScanner:
+class BodyScanner(ABC):
+    """Finds the end of a body in the bytes that follow its head.
+
+    Attributes:
+        is_complete: whether the end has been found.
+    """
+
+    is_complete = False
+
+    @abstractmethod
+    def scan(self, data: bytes) -> int:
+        """Scan the next bytes, and return how many belong to the body.
+
+        Raises:
+            MalformedResponseError: they are malformed.
+        """
+
+
+class LengthScanner(BodyScanner):
+    """Finds the end of a body whose length is known."""
+
+    def __init__(self, length: int) -> None:
+        self._unread_bytes = length
+        self.is_complete = length == 0
+
+    def scan(self, data: bytes) -> int:
+        """Scan the next bytes, and return how many belong to the body."""
+        read_bytes = min(self._unread_bytes, len(data))
+        self._unread_bytes -= read_bytes
+        self.is_complete = self._unread_bytes == 0
+        return read_bytes
+
+
+class ChunkScanner(BodyScanner):
     """Finds the end of a body that is sent in chunks.
 
     A trailer field that the head does not announce is malformed: after a damaged chunk size, the
     lines of the body look like trailer fields.
-
-    Attributes:
-        is_complete: whether the end has been found.
     """
 
     def __init__(self, trailers: Collection[str] = ()) -> None:
-        self.is_complete = False
         self._trailers = frozenset(name.strip().lower() for name in trailers)
         self._unread_bytes = 0
         self._is_chunk_end_due = False
@@ -117,7 +147,7 @@
         """Scan the next bytes, and return how many belong to the body.
 
         Raises:
-            MalformedResponseError: they are malformed, or do not end the body though it ends.
+            MalformedResponseError: they are malformed.
         """
         is_size_due = not (self._unread_bytes or self._is_chunk_end_due or self._is_in_trailers)
         at = _end_of_whole_chunks(data) if is_size_due and not self._line else 0
