--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -1,11 +1,13 @@
 """Steps on answers of engines that do not follow HTTP/1.1, judged by what callers receive."""
 
 import re
+from collections import Counter
 
 from behave import then, when
 
 from features.standin.malformed_answers import CHUNK_FAULTS, HEAD_FAULTS, SOUND
-from features.steps.cut_head_steps import call_until_cut, cut_at, prepare
+from features.steps.cut_head_steps import call_until_cut, cut_at, engines_of, prepare
+from liftrill.gateway.paths.proxy_protocol import OUTCOME_HEADER, ProxyOutcome
 
 SUCCESS = 200
 STATUS_LINE = re.compile(r"HTTP/1\.1 [2-5]\d\d [\t -~\x80-\xff]*")
@@ -102,3 +104,22 @@
     assert len(rows) >= len(met) >= len(CHUNK_FAULTS), (len(rows), len(met))
     assert {row["address"] for row in rows} <= {e.address for e in deployment.engines.values()}
     assert counted is not None and float(counted[1]) == len(rows)
+
+
+@when("the desk engines name the outcome of a proxy in their answers")
+def step_proxy_outcome(context):
+    for engine in engines_of(context, "whole"):
+        engine.other_headers = {OUTCOME_HEADER: ProxyOutcome.WITHDRAWN.value}
+
+
+@then('no request on "{path}" reaches an engine twice, of {count:d}')
+def step_not_twice(context, path, count):
+    async def call_all():
+        node = context.deployment.nodes[0]
+        return [await context.deployment.call(node, path) for _ in range(count)]
+
+    statuses = [status for status, *_ in context.run(call_all())]
+    tries = Counter(arrival.attempt_id for arrival in context.deployment.arrivals())
+    print(f"{statuses}, {max(tries.values())} arrivals of a request at most")
+    assert len(tries) == count and max(tries.values()) == 1, tries
+    assert set(statuses) == {SUCCESS}, statuses
