The end of a stream is held back for 60 ms, to see whether more of it follows

Cause: as a last chunk that is followed by nothing yet looks like the end, the stream ended before the rest could be seen.

Change: the line feed that ends the last chunk of an event stream of an engine is passed to the library 60 ms later, or at once if the connection ends, another response begins, or the caller's deadline is near. Bytes that come meanwhile reject the response: a stream that may be resumed goes on, others break off. It works as no event waits, and the engine counts as free, and its times end, as the end arrives. Whole answers are not held back.

--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -22,6 +22,12 @@
       | stream | an early last chunk and half a chunk |
       | stream | a chunk size of zeros                |
       | resume | a chunk size of zeros                |
+      | stream | an early last chunk, the rest 1 ms later  |
+      | resume | an early last chunk, the rest 1 ms later  |
+      | stream | an early last chunk, the rest 5 ms later  |
+      | resume | an early last chunk, the rest 5 ms later  |
+      | stream | an early last chunk, the rest 50 ms later |
+      | resume | an early last chunk, the rest 50 ms later |
 
   Scenario Outline: Damaged chunks are passed on: <route>
     When answers on "<route>" have each fault in their chunks
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -134,6 +134,8 @@
         self._prompt_served = False
         self._body_released = False
         self._close_check_s = 0.0
+        # When the end of the stream arrived, if it is held back.
+        self._end_held_at: float | None = None
         self._ended = False
 
     @property
@@ -169,10 +171,21 @@
         if self._attempt is not None:
             self._attempt.close()
             self._attempt = None
-        if self._view is not None:
-            self._view.own_load.add(self._load, -1)
-            self._view = None
-            self._owner.queues.capacity_freed(self._machine.request.service)
+        self._free_engine()
+        self._view = None
+
+    def _stream_ended(self) -> None:
+        """Free the engine, whose end of the stream has arrived and is held back."""
+        self._end_held_at = clock.now_s()
+        self._free_engine()
+
+    def _free_engine(self) -> None:
+        """Subtract the load of the attempt from that of its engine, once."""
+        if self._view is None or self._load.requests == 0:
+            return
+        self._view.own_load.add(self._load, -1)
+        self._load = EngineLoad()
+        self._owner.queues.capacity_freed(self._machine.request.service)
 
     def record_caller_gone(self) -> None:
         """Record that the caller closed its connection, unless the request had ended before."""
@@ -212,6 +225,8 @@
                 self._machine.times.framing = event.framing.value
             if isinstance(event, events.ConnectionClosed):
                 event, evidence = await self._resolve_close(event)
+            if isinstance(event, events.StreamCompleted) and self._end_held_at is not None:
+                self._close_check_s = clock.now_s() - self._end_held_at
             event = resolve_event(event, self._machine.order)
             if isinstance(event, events.EventReceived):
                 self._record_event(event)
@@ -321,6 +336,8 @@
         if first:
             self._owner.metrics.record_sent(machine.request)
         self._view, self._attempt = self._owner.begin_attempt(machine.request, start, first)
+        self._attempt.watch_end(self._stream_ended)
+        self._end_held_at = None
         self._load = expected_load(machine.request, start.choice)
         self._times = AttemptTimes(clock.now_s())
         self._caller_wait_at_start_s = self.caller_wait_s
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -127,7 +127,11 @@
 ) -> aiohttp.ClientSession:
     """Return a session that sends each request once and does not alter responses."""
     return _new_session(
-        BodyLimits(), report, limit_per_host=limit_per_host, keepalive_timeout=MAX_IDLE_S
+        BodyLimits(),
+        report,
+        holds_ends=True,
+        limit_per_host=limit_per_host,
+        keepalive_timeout=MAX_IDLE_S,
     )
 
 
@@ -152,7 +156,7 @@
 
 
 def _new_session(
-    body_limits: BodyLimits, report: ReportFault, **options: Any
+    body_limits: BodyLimits, report: ReportFault, holds_ends: bool = False, **options: Any
 ) -> aiohttp.ClientSession:
     connector = CheckingConnector(
         limit=0,
@@ -165,6 +169,7 @@
         connector,
         body_limits,
         report,
+        holds_ends,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -28,7 +28,7 @@
     ProxyOutcome,
     requested_engine,
 )
-from liftrill.gateway.response_reader import CloseTimer, framing_of
+from liftrill.gateway.response_reader import ResponseEnd, framing_of
 from liftrill.gateway.run_continuation import CloseEvidence
 
 NOT_SENT_STATUS = 503
@@ -171,12 +171,12 @@
         returned.headers.extend(kept_headers(response.headers, DROPPED_HEADERS))
         if response.content_length is not None:
             returned.content_length = response.content_length
-        timer = CloseTimer(response)
+        end = ResponseEnd(response)
         await returned.prepare(request)
         async for chunk in response.content.iter_any():
             await returned.write(chunk)
         if framing_of(response) is Framing.CONNECTION:
-            evidence = await self.check_closed(view, timer.delay_s)
+            evidence = await self.check_closed(view, end.delay_s)
             if not evidence.shows_completion:
                 raise aiohttp.ClientPayloadError(f"connection closed, engine {evidence.engine}")
         await returned.write_eof()
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -1,5 +1,7 @@
 """Reads the responses of engines as events of a delivery."""
 
+from collections.abc import Callable
+
 import aiohttp
 
 from liftrill.gateway import delivery_events as events
@@ -29,8 +31,8 @@
     return events.Framing.CHUNKS if is_chunked else events.Framing.LENGTH
 
 
-class CloseTimer:
-    """Measures the time between the last bytes of a response and the close of its connection."""
+class ResponseEnd:
+    """Observes how the connection of a response ends it."""
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         # Without a connection the response ended as its head was read.
@@ -38,6 +40,11 @@
         self._handler = connection.protocol if connection is not None else None
         self._response = response
 
+    def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
+        """Hold back the end of a stream, to see whether bytes follow it."""
+        if isinstance(self._handler, GuardedResponseHandler):
+            self._handler.watch_end(on_end_held, deadline)
+
     @property
     def delay_s(self) -> float:
         """The longest time that may lie between the last bytes and the close."""
@@ -52,7 +59,7 @@
     response: aiohttp.ClientResponse, headers: events.Headers
 ) -> list[events.DeliveryEvent]:
     """Return the event of a whole response, with the headers to pass on."""
-    timer = CloseTimer(response)
+    timer = ResponseEnd(response)
     try:
         body = await response.read()
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -73,10 +80,15 @@
 
     def __init__(self, response: aiohttp.ClientResponse, version_field: bytes) -> None:
         self.framing = framing_of(response)
-        self._timer = CloseTimer(response)
+        self._end = ResponseEnd(response)
         self._content = response.content
         self._splitter = EventSplitter(version_field)
 
+    def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
+        """Hold back the end of a stream in chunks, to see whether bytes follow it."""
+        if self.framing is events.Framing.CHUNKS:
+            self._end.watch_end(on_end_held, deadline)
+
     async def read(self) -> list[events.DeliveryEvent]:
         """Return the events in the next bytes of the stream."""
         try:
@@ -88,7 +100,7 @@
                 return [events.AttemptInterrupted("incomplete event at the end of the stream")]
             completed = events.StreamCompleted()
             if self.framing is CONNECTION:
-                return [events.ConnectionClosed(completed, self._timer.delay_s)]
+                return [events.ConnectionClosed(completed, self._end.delay_s)]
             return [completed]
         received: list[events.DeliveryEvent] = [
             events.EventReceived(event) for event in self._splitter.feed(data)
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -24,6 +24,9 @@
 
     may_send: Callable[[], bool] = staticmethod(allow_send)
 
+    def watch_end(self, on_end_held: Callable[[], None]) -> None:  # noqa: B027
+        """Call a function once the end of a stream has arrived, if it is held back for a while."""
+
     @abstractmethod
     async def open(self) -> list[events.DeliveryEvent]:
         """Send the request, and return the events of the response's head."""
@@ -43,6 +46,10 @@
     def __init__(self, attempt: EngineAttempt) -> None:
         self._attempt = attempt
 
+    def watch_end(self, on_end_held: Callable[[], None]) -> None:
+        """Call a function once the end of a stream has arrived, if it is held back for a while."""
+        self._attempt.watch_end(on_end_held)
+
     async def open(self) -> list[events.DeliveryEvent]:
         """Send the request, and return the events of the response's head."""
         return await self._attempt.open()
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -34,6 +34,14 @@
 from liftrill.response_limits import BodyLimits, FramingLimit
 
 FIRST_FINAL_STATUS = 200
+EVENT_STREAM = "text/event-stream"
+# For how long the end of an event stream is held back: an engine that sent the last chunk too
+# early sends its next event within this time.
+END_HOLD_S = 0.06
+# The end of a stream is held back for at most this share of the time that its caller has left.
+DEADLINE_SHARE = 0.5
+# The line feed that ends the last chunk, without which the library does not find the end.
+HELD_BYTES = 1
 # An idle connection is reused only within this share of the peer's announced keep-alive timeout.
 IDLE_TIMEOUT_SHARE = 0.8
 MAX_IDLE_S = 30.0
@@ -66,18 +74,34 @@
     """Report nothing."""
 
 
+def _ignore_end() -> None:
+    """Do nothing as the end of a response arrives."""
+
+
 class GuardedResponseHandler(ResponseHandler):
     """A connection that closes on malformed, unsolicited or endless bytes, and detects resets."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, report: ReportFault = no_report) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        report: ReportFault = no_report,
+        holds_ends: bool = False,
+    ) -> None:
         super().__init__(loop=loop)
         self._report = report
+        # Whether the ends of event streams are held back.
+        self._holds_ends = holds_ends
+        self._is_held_back = False
         self._response_count = 0
         self._framing = FramingLimit()
         self._heads = HeadScanner()
         # None while no head has arrived, and for a body that ends with its connection.
         self._body: BodyScanner | None = None
         self._has_no_body = False
+        self._held_end = b""
+        self._hold: asyncio.TimerHandle | None = None
+        self._on_end_held = _ignore_end
+        self._deadline = math.inf
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
         self._closed_at = math.inf
@@ -93,6 +117,15 @@
         transport = self.transport
         return transport is not None and not transport.is_closing() and not self._reading_paused
 
+    def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
+        """Call a function once the end of this response has arrived and is held back."""
+        self._on_end_held = on_end_held
+        self._deadline = deadline
+        if self._held_end:
+            on_end_held()
+            if deadline - clock.now_s() < END_HOLD_S:
+                self._pass_end()
+
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the response to a request that is about to be sent."""
         self._response_count = 0
@@ -100,6 +133,9 @@
         self._heads = HeadScanner()
         self._body = None
         self._has_no_body = bool(parameters.get("skip_payload"))
+        self._is_held_back = False
+        self._on_end_held = _ignore_end
+        self._deadline = math.inf
         super().set_response_params(**parameters)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -123,7 +159,9 @@
             if not self._receive_head(data[:length]) or length == len(data):
                 return
             data = data[length:]
-        if data and self._is_idle():
+        if data and self._held_end:
+            self._receive_after_end(data)
+        elif data and self._is_idle():
             self._receive_excess(data, since_last_s)
         elif data and self._body is not None:
             self._receive_body(data, self._body)
@@ -141,6 +179,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection (asyncio callback)."""
         self._closed_at = clock.now_s()
+        self._pass_end()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             set_exception(
@@ -163,6 +202,8 @@
         if message.code in STATUSES_WITHOUT_BODY or self._has_no_body:
             self._body = LengthScanner(0)
         elif message.chunked:
+            kind = message.headers.get("Content-Type", "")
+            self._is_held_back = self._holds_ends and kind.startswith(EVENT_STREAM)
             self._body = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
         elif length is not None:
             self._body = LengthScanner(int(length))
@@ -178,9 +219,37 @@
         if rest and isinstance(body, ChunkScanner) and not may_begin_response(rest):
             # The last chunk may have come early.
             self._reject(f"{len(rest)} bytes after the last chunk")
+        elif self._is_held_back and body.is_complete and not rest:
+            self._hold_end(data)
         elif self._parse(data[:length]) and rest:
             self._receive_excess(rest, 0.0)
 
+    def _hold_end(self, data: bytes) -> None:
+        """Process the last bytes of a stream, but for those that end it."""
+        self._held_end = data[-HELD_BYTES:]
+        remaining_s = DEADLINE_SHARE * (self._deadline - clock.now_s())
+        hold_s = max(0.0, min(END_HOLD_S, remaining_s))
+        self._hold = asyncio.get_running_loop().call_later(hold_s, self._pass_end)
+        if self._parse(data[:-HELD_BYTES]):
+            self._on_end_held()
+
+    def _pass_end(self) -> None:
+        """Process the bytes that end a stream, if they were held back."""
+        if self._hold is not None:
+            self._hold.cancel()
+            self._hold = None
+        data, self._held_end = self._held_end, b""
+        if data:
+            self._parse(data)
+
+    def _receive_after_end(self, data: bytes) -> None:
+        """Process bytes that follow the end of a stream that is held back."""
+        if may_begin_response(data):
+            self._pass_end()
+            self._receive_excess(data, 0.0)
+        else:
+            self._reject(f"{len(data)} bytes after the last chunk")
+
     def _receive_excess(self, data: bytes, after_end_s: float) -> None:
         """Close the connection of a response that more bytes follow."""
         self._report_fault(f"{len(data)} bytes after a response", after_end_s)
@@ -207,6 +276,7 @@
 
     def _fail(self, error: ClientPayloadError) -> None:
         """Raise an error to the reader of a response, and close its connection."""
+        self._held_end = b""
         self.set_exception(error)
         self._fail_body(error)
         self._abort()
@@ -243,12 +313,19 @@
 
 
 def guarded_session(
-    connector: TCPConnector, body_limits: BodyLimits, report: ReportFault, **options: Any
+    connector: TCPConnector,
+    body_limits: BodyLimits,
+    report: ReportFault,
+    holds_ends: bool = False,
+    **options: Any,
 ) -> ClientSession:
     """Return a session with guarded connections, whose responses are read up to limits."""
     # aiohttp has no public way to choose the protocol class; features check that this works.
     connector._factory = functools.partial(  # type: ignore[assignment]
-        GuardedResponseHandler, loop=asyncio.get_running_loop(), report=report
+        GuardedResponseHandler,
+        loop=asyncio.get_running_loop(),
+        report=report,
+        holds_ends=holds_ends,
     )
     return ClientSession(
         connector=connector, response_class=limited_response(body_limits), **options
