A call of the own interface is sent once, also on a kept connection

A store that closed a kept connection as it took a swap got the swap twice, and the node took the answer to the second one, "false", for a refusal: a write that was made looked like one that was not. The same held for the other PUT, GET and DELETE calls of a node and of an operator's commands.

Cause: the library sends a request with an idempotent method again if its kept connection turns out to be closed. A swap is not idempotent in its answer. Only the gateway's sessions had this disabled.

Evidence: a raw server that closes on the second call of a connection. Before it received GET, PUT, PUT, and the swap returned False; now GET, PUT, and the answer counts as lost, which the node handles as a write that may have been made.

Change: the second send is disabled where all sessions are built, so that no reader can lack it.

--- a/features/malformed_reads.feature
+++ b/features/malformed_reads.feature
@@ -43,6 +43,11 @@
     When a node of the own interface meets 1000 malformed answers at once
     Then each was counted, and at most 100 were logged
 
+  Scenario: A call of the own interface is sent twice as its kept connection was closed
+    Given a store that closes a kept connection as it takes a call
+    When a node of the own interface swaps a value on it
+    Then the swap was sent once, and its answer is lost
+
   Scenario: An answer that nobody asked for is taken for the next one on the own interface
     Given a store that sends an old answer after each of its answers
     When a node of the own interface reads from it twice
--- a/features/steps/malformed_read_steps.py
+++ b/features/steps/malformed_read_steps.py
@@ -11,7 +11,7 @@
 import eliot
 from behave import given, then, when
 
-from features.steps.cut_head_reader_steps import OWN_ROW, READERS
+from features.steps.cut_head_reader_steps import OWN_ROW, READERS, outcome_of
 from liftrill.guarded_connection import ResponseFault, new_session
 from liftrill.node.metrics import NodeMetrics
 from liftrill.node.platform_client import PlatformClient
@@ -156,6 +156,41 @@
     return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
 
 
+@given("a store that closes a kept connection as it takes a call")
+def step_closing_store(context):
+    def answer(writer, number):
+        if number > 1:
+            writer.close()
+        elif context.calls[-1] == "GET":
+            writer.write(entry("value"))
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse")
+
+    start_store(context, answer)
+
+
+@when("a node of the own interface swaps a value on it")
+def step_swap(context):
+    async def swap():
+        async with new_session() as session:
+            client = PlatformClient(session, f"http://{context.address}")
+            await client.get("key")
+
+            async def call(_):
+                return await client.compare_and_swap("key", b"value", 5)
+
+            return await outcome_of(call, context.address)
+
+    context.outcome = context.run(swap())
+
+
+@then("the swap was sent once, and its answer is lost")
+def step_once(context):
+    print(f"{context.calls}: {context.outcome}")
+    assert context.calls == ["GET", "PUT"], context.calls
+    assert context.outcome == "answer lost", context.outcome
+
+
 @given("a store that sends an old answer after each of its answers")
 def step_stale_store(context):
     def answer(writer, _):
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -1,8 +1,6 @@
-"""aiohttp's client, restricted to at most one send for each call.
+"""The gateway's clients of engines and of the store.
 
-By itself, aiohttp sends requests with idempotent methods again when a kept-alive connection turns
-out to be closed. That would break a guarantee of the gateway, so it is disabled here. What else a
-connection does differently is in `guarded_connection`.
+What their connections do differently from aiohttp's is in `guarded_connection`.
 """
 
 import asyncio
@@ -161,7 +159,7 @@
         socket_factory=_open_socket,
         **options,
     )
-    session = guarded_session(
+    return guarded_session(
         connector,
         body_limits,
         report,
@@ -172,10 +170,6 @@
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
-    # aiohttp has no public way to forbid the second send on a kept-alive connection; a feature
-    # checks that this works.
-    session._retry_connection = False
-    return session
 
 
 def _is_to(handler: ResponseHandler, host: str, port: int) -> bool:
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -2,7 +2,8 @@
 
 By itself, aiohttp accepts malformed heads and chunks, takes bytes that arrive on an idle connection
 for the next response, and takes a body without a length for complete even if the connection was
-reset. It reads responses of any length.
+reset. It reads responses of any length, and sends requests with idempotent methods again when a
+kept-alive connection turns out to be closed, which may run them twice.
 """
 
 import asyncio
@@ -241,14 +242,17 @@
 def guarded_session(
     connector: TCPConnector, body_limits: BodyLimits, report: ReportFault, **options: Any
 ) -> ClientSession:
-    """Return a session with guarded connections, whose responses are read up to limits."""
-    # aiohttp has no public way to choose the protocol class; features check that this works.
+    """Return a session with guarded connections that sends each request once."""
+    # aiohttp has no public way to choose the protocol class, or to forbid the second send on a
+    # kept-alive connection; features check that both overrides still work.
     connector._factory = functools.partial(  # type: ignore[assignment]
         GuardedResponseHandler, loop=asyncio.get_running_loop(), report=report
     )
-    return ClientSession(
+    session = ClientSession(
         connector=connector, response_class=limited_response(body_limits), **options
     )
+    session._retry_connection = False
+    return session
 
 
 def new_session(report: ReportFault = no_report) -> ClientSession:
