A follower leaves a lost reader of the store at once

A node that had given up its reader stayed with it for as long as the reader sent: it did not turn to the store or to another reader, so that its mirror became older than allowed.

Cause: leaving a web socket begins a closing handshake, which reads on until the reader answers it. Without the handshake, closing in order waits until the reader has read what was sent to it.

Change: the connection is aborted when the reader is lost, and when its node leaves it. It works as nothing is read or waited for afterwards; a reader takes it for the end of its follower, as when that one is killed.

--- a/liftrill/gateway/relay_client.py
+++ b/liftrill/gateway/relay_client.py
@@ -109,13 +109,13 @@
         query = f"{AFTER_PARAMETER}={revision_of(after)}&{ERA_PARAMETER}={era_of(after)}"
         url = f"http://{address}/?{query}"
         try:
-            async with (
-                aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
-                asyncio.timeout(self._listener.reader_timeout_s()) as opening,
-                session.ws_connect(url, max_msg_size=MAX_STORE_BODY_BYTES) as socket,
-            ):
-                opening.reschedule(None)
-                await self._listen(socket)
+            async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+                async with asyncio.timeout(self._listener.reader_timeout_s()):
+                    socket = await session.ws_connect(url, max_msg_size=MAX_STORE_BODY_BYTES)
+                try:
+                    await self._listen(socket)
+                finally:
+                    _abort(socket)
         except (aiohttp.ClientError, OSError, TimeoutError, RelayDecodeError) as error:
             raise RelayLostError(f"{type(error).__name__}: {error}") from error
 
@@ -151,3 +151,14 @@
         self._limits.check(message)
         self._listener.relay_updated(RelayUpdate(WatchBatch((), message.at)))
         self._listener.relay_confirmed(message, asked_at)
+
+
+def _abort(socket: aiohttp.ClientWebSocketResponse) -> None:
+    """Close a connection at once.
+
+    A closing handshake would read on for as long as the reader sends, and a connection that is
+    closed in order waits until the reader has read what was sent to it.
+    """
+    connection = socket._conn
+    if connection is not None and connection.transport is not None:
+        connection.transport.abort()
