Odd answers of the own interface's store fail like lost ones, odd machines alone

What callers saw: with one odd row in the machine list (an address that is no string, no zone, a number out of range) no node of the own interface read the list any more: the task that follows it ended and was restarted for as long as the row was there. Malformed JSON in a session or an entry, or an index that is no number, restarted the task of the controller or of the configuration.

Cause: the bodies were decoded outside the block that raises the store's errors.

Evidence: odd_entries: of a list with one odd row between two sound ones the first try raises before, now 61 odd rows are left out and both sound machines are there; 84 odd answers to 4 calls fail as documented, the first raised before.

Change: the answers are decoded by the gateway's decode_json and FieldReader; an invalid row is left out and counted, a change of their number is logged (machines_refused); everything else that is invalid is a store error, which the callers retry.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -58,3 +58,11 @@
 
   Scenario: A settings file with an odd value is refused with an error that names it
     Then each odd value in a settings file is refused, and the file without one is not
+
+  Scenario: An odd row of the own interface's machine list leaves the other machines in it
+    Given the own interface's store whose answers are any bytes
+    Then a machine list with odd rows has the sound ones
+
+  Scenario: An answer to the own interface that no node can use counts as none
+    Given the own interface's store whose answers are any bytes
+    Then each of its calls that gets an odd answer fails like one that the store does not answer
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -28,6 +28,7 @@
 from liftrill.gateway.quarantine_list import QuarantineList
 from liftrill.gateway.relay_codec import RelayAnswer, decode_message, encode_answer, encode_batch
 from liftrill.messages import peer_pb2 as messages
+from liftrill.node.platform_client import INDEX_HEADER, PlatformClient
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
 from boot import read_settings
@@ -204,10 +205,11 @@
     def __init__(self):
         self.body = b""
         self.status = 200
+        self.headers = {}
 
     async def answer(self, request):
         await request.read()
-        return web.Response(body=self.body, status=self.status)
+        return web.Response(body=self.body, status=self.status, headers=self.headers)
 
 
 ODD_ANSWERS = (
@@ -229,6 +231,7 @@
 
 
 @given("a store whose answers are any bytes")
+@given("the own interface's store whose answers are any bytes")
 def step_any_answers(context):
     async def start():
         context.answers = AnyAnswer()
@@ -236,10 +239,65 @@
         await context.stack.enter_async_context(server)
         session = await context.stack.enter_async_context(aiohttp.ClientSession())
         context.store = PlatformStore(session, f"127.0.0.1:{server.port}", lambda call: None)
+        context.own_store = PlatformClient(session, f"http://127.0.0.1:{server.port}")
 
     context.run(start())
 
 
+def machine_row(name, **changes):
+    row = {"ID": name, "Name": "pool", "Address": "127.0.0.1:14000", "Meta": {"Zone": "zone-1"}}
+    return row | changes
+
+
+@then("a machine list with odd rows has the sound ones")
+def step_machine_rows(context):
+    sound = [json.dumps(machine_row(name)).encode() for name in ENGINES]
+    odd = [
+        with_value(machine_row("odd"), path, value)
+        for path in (["ID"], ["Name"], ["Address"], ["Meta"], ["Meta", "Zone"])
+        for value in ODD_VALUES
+        # Bytes that are not UTF-8, digits without end and deep lists damage the whole answer.
+        if value not in (b"\xff", MANY_DIGITS, DEEPLY_NESTED, MEGABYTE_STRING)
+    ]
+    odd += [json.dumps(machine_row("odd", Address=f"10.0.0.1:{p}")).encode() for p in (0, 70000)]
+    odd += [b"null", b"5", b"[]", b"{}"]
+
+    async def check():
+        for row in odd:
+            context.answers.body = b"[" + b",".join((sound[0], row, sound[1])) + b"]"
+            machines = (await context.own_store.watch_machines(0, 0.0)).machines
+            assert [machine.machine_id for machine in machines] == list(ENGINES), row[:80]
+
+    context.run(check())
+
+
+@then("each of its calls that gets an odd answer fails like one that the store does not answer")
+def step_odd_own_answers(context):
+    async def check():
+        store = context.own_store
+        for body, index in itertools.product(
+            (*ODD_ANSWERS, b"[]", b"[5]", b'[{"Key": "a", "Value": "e30=", "ModifyIndex": "x"}]'),
+            ("1", "x", "9" * 5_000, "-1"),
+        ):
+            context.answers.body, context.answers.headers = body, {INDEX_HEADER: index}
+            calls = {
+                "get": (store.get("a"), StoreUnavailableError),
+                "watch": (store.watch("a", 1, 0.0), StoreUnavailableError),
+                "watch_machines": (store.watch_machines(0, 0.0), StoreUnavailableError),
+                "create_session": (store.create_session(1.0), StoreAnswerLostError),
+            }
+            for name, (call, expected) in calls.items():
+                try:
+                    result = await call
+                except expected:
+                    continue
+                # An empty list of machines is one, as is a list of odd ones alone.
+                is_list = name == "watch_machines" and index == "1" and body[:1] == b"["
+                assert is_list and not result.machines, (name, body[:60], index[:9], result)
+
+    context.run(check())
+
+
 @then("each call that gets an odd answer fails like one that the store does not answer")
 def step_odd_answers(context):
     async def check():
--- a/liftrill/coordination/key_value_store.py
+++ b/liftrill/coordination/key_value_store.py
@@ -39,10 +39,12 @@
 
     Attributes:
         index: increases with each change of the list.
+        refused: number of rows that are left out because they are invalid.
     """
 
     index: int
     machines: tuple[MachineEntry, ...]
+    refused: int = 0
 
 
 class KeyValueStore(ABC):
--- a/liftrill/node/engine_watch.py
+++ b/liftrill/node/engine_watch.py
@@ -35,6 +35,7 @@
         self._random = random_source
         self._poll_order: list[str] = []
         self._machine_list_index = 0
+        self._refused_machines = 0
         self._watches: dict[str, asyncio.Task[None]] = {}
 
     async def follow_machine_list(self) -> None:
@@ -123,6 +124,9 @@
         if changed:
             self._membership.request_announcement()
             log_change("machine_list", changed=changed, index=machine_list.index)
+        if machine_list.refused != self._refused_machines:
+            self._refused_machines = machine_list.refused
+            log_change("machines_refused", rows=machine_list.refused, index=machine_list.index)
         return True
 
     def _engines_to_poll(self, engines: list[EngineState]) -> list[EngineState]:
--- a/liftrill/node/platform_client.py
+++ b/liftrill/node/platform_client.py
@@ -1,8 +1,8 @@
 """Client of the platform's key-value service, which has a subset of Consul's HTTP API."""
 
-import base64
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 import orjson
@@ -15,6 +15,15 @@
     StoredEntry,
 )
 from liftrill.errors import StoreAnswerLostError, StoreUnavailableError
+from liftrill.gateway.field_reader import (
+    MAX_NUMBER,
+    UNREADABLE_VALUE,
+    FieldReader,
+    decode_json,
+    is_port,
+    whole,
+)
+from liftrill.gateway.record_decoder import RecordError
 from liftrill.limited_response import require_marked_end
 
 INDEX_HEADER = "X-Consul-Index"
@@ -54,7 +63,10 @@
         """Create a lease and return its identifier."""
         content = orjson.dumps({"TTL": f"{time_to_live_seconds}s"})
         body = await self._write("/v1/session/create", {}, content)
-        return str(orjson.loads(body)["ID"])
+        try:
+            return FieldReader(decode_json(body)).text("ID")
+        except RecordError as error:
+            raise StoreAnswerLostError(f"no valid session in the response: {error}") from error
 
     async def renew_session(self, session: str) -> bool:
         """Renew a lease; return False if it has expired."""
@@ -79,18 +91,10 @@
         result = await self._read("/v1/catalog/services-list", query, timeout_seconds)
         if result is None:
             return MachineList(0, ())
-        rows = orjson.loads(result.body)
-        machines = tuple(
-            MachineEntry(
-                machine_id=row["ID"],
-                service=row["Name"],
-                address=row["Address"],
-                zone=row["Meta"]["Zone"],
-                leaving=row["Meta"].get("Leaving") == "true",
-            )
-            for row in rows
-        )
-        return MachineList(result.index, machines)
+        rows = _rows("/v1/catalog/services-list", result.body)
+        machines = [_machine(row) for row in rows]
+        refused = sum(machine is None for machine in machines)
+        return MachineList(result.index, tuple(m for m in machines if m is not None), refused)
 
     async def _read_entry(
         self, key: str, query: Mapping[str, str], timeout_seconds: float
@@ -98,13 +102,18 @@
         result = await self._read(f"/v1/kv/{key}", query, timeout_seconds)
         if result is None:
             return None
-        row = orjson.loads(result.body)[0]
-        return StoredEntry(
-            key=row["Key"],
-            value=base64.b64decode(row["Value"]),
-            revision=row["ModifyIndex"],
-            session=row.get("Session", ""),
-        )
+        rows = _rows(key, result.body)
+        try:
+            row = FieldReader(rows[0] if rows else None)
+            session = row.table.get("Session")
+            return StoredEntry(
+                key=row.text("Key"),
+                value=row.base64("Value", UNREADABLE_VALUE),
+                revision=row.number_in("ModifyIndex"),
+                session=session if isinstance(session, str) else "",
+            )
+        except RecordError as error:
+            raise StoreUnavailableError(f"invalid entry of {key}: {error}") from error
 
     async def _read(
         self, path: str, query: Mapping[str, str], timeout_seconds: float
@@ -124,11 +133,11 @@
                     raise StoreUnavailableError(
                         f"the store responded to a read of {path} with status {response.status}"
                     )
-                index = int(response.headers.get(INDEX_HEADER, "0"))
+                index = whole(response.headers.get(INDEX_HEADER, "0"), 0, MAX_NUMBER)
                 body = await response.read()
                 require_marked_end(response)
                 return _ReadResponse(index, body)
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, TimeoutError, RecordError) as error:
             raise StoreUnavailableError(f"cannot read {path} from the store: {error!r}") from error
 
     async def _write(self, path: str, query: Mapping[str, str], content: bytes) -> bytes:
@@ -157,3 +166,38 @@
 
 class _NotFoundError(StoreUnavailableError):
     """The store responded to a write with status 404."""
+
+
+def _rows(path: str, body: bytes) -> list[Any]:
+    """Return the rows of a response.
+
+    Raises:
+        StoreUnavailableError: the response is not a list.
+    """
+    try:
+        rows = decode_json(body)
+    except RecordError as error:
+        raise StoreUnavailableError(f"invalid response to a read of {path}: {error}") from error
+    if not isinstance(rows, list):
+        raise StoreUnavailableError(f"response to a read of {path} is not a list")
+    return rows
+
+
+def _machine(content: object) -> MachineEntry | None:
+    """Return the machine in a row, or None if the row is invalid."""
+    try:
+        row = FieldReader(content)
+        meta = FieldReader(row.table.get("Meta"))
+        address = row.text("Address")
+        host, _, port = address.rpartition(":")
+        if not host or not is_port(port):
+            return None
+        return MachineEntry(
+            machine_id=row.text("ID"),
+            service=row.text("Name"),
+            address=address,
+            zone=meta.text("Zone"),
+            leaving=meta.table.get("Leaving") == "true",
+        )
+    except RecordError:
+        return None
