Numbers of an engine's report that no message can hold make it no report

What callers saw: an engine of the own interface that reported an incarnation, revision or sequence number beyond 64 bits, or below 0, was believed; the report could not be told to the other nodes, which ended the task that gossips.

Cause: int() of any number, where the messages hold 64 bits.

Change: the numbers go through the same bounded conversion as those of records.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -66,3 +66,7 @@
   Scenario: An answer to the own interface that no node can use counts as none
     Given the own interface's store whose answers are any bytes
     Then each of its calls that gets an odd answer fails like one that the store does not answer
+
+  Scenario: A report or cache event of an engine with odd values ends no task of the own interface
+    Given the own interface's store whose answers are any bytes
+    Then each odd report and event of an engine counts as none, or can be told to other nodes
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -28,7 +28,11 @@
 from liftrill.gateway.quarantine_list import QuarantineList
 from liftrill.gateway.relay_codec import RelayAnswer, decode_message, encode_answer, encode_batch
 from liftrill.messages import peer_pb2 as messages
+from liftrill.node.engine_client import EngineClient
+from liftrill.node.gossip_codec import observation_message
 from liftrill.node.platform_client import INDEX_HEADER, PlatformClient
+from liftrill.routing.engine_records import EngineObservation
+from liftrill.routing.engine_state import EngineState
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
 from boot import read_settings
@@ -239,6 +243,8 @@
         await context.stack.enter_async_context(server)
         session = await context.stack.enter_async_context(aiohttp.ClientSession())
         context.store = PlatformStore(session, f"127.0.0.1:{server.port}", lambda call: None)
+        context.engine_client = EngineClient(session, b"secret")
+        context.answering_address = f"127.0.0.1:{server.port}"
         context.own_store = PlatformClient(session, f"http://127.0.0.1:{server.port}")
 
     context.run(start())
@@ -636,3 +642,38 @@
         else:
             accepted.append((name, value[:20]))
     assert not accepted, (len(accepted), accepted)
+
+
+OWN_REPORT = {
+    "engine_id": "e1",
+    "incarnation": 1,
+    "revision": 1,
+    "weight_version": "w1",
+    "pool": "pool-1",
+    "running": 1,
+    "waiting": 1,
+    "waiting_prompt_tokens": 1,
+}
+OWN_EVENTS = {"incarnation": 1, "events": [[1, "stored", "aabb"]]}
+
+
+@then("each odd report and event of an engine counts as none, or can be told to other nodes")
+def step_odd_own_reports(context):
+    engine = EngineState("e1", context.answering_address, "zone-1", "pool-1")
+    odd_values = (*ODD_VALUES, b"9" * 25, b"1e300", b"-9")
+
+    async def check():
+        for path, value in itertools.product(value_paths(OWN_REPORT), odd_values):
+            context.answers.body = with_value(OWN_REPORT, path, value)
+            report = await context.engine_client.report(engine)
+            if report is not None:
+                observation = EngineObservation("e1", report.identity)
+                assert observation_message(observation).SerializeToString(), (path, value[:20])
+        for path, value in itertools.product(value_paths(OWN_EVENTS), odd_values):
+            context.answers.body = with_value(OWN_EVENTS, path, value)
+            batch = await context.engine_client.cache_events(engine, 0)
+            if batch is not None:
+                holder = messages.PrefixHolder(engine_id="e1", incarnation=batch.incarnation)
+                assert holder.SerializeToString(), (path, value[:20])
+
+    context.run(check())
--- a/liftrill/node/engine_client.py
+++ b/liftrill/node/engine_client.py
@@ -11,6 +11,7 @@
 from liftrill import clock, constants
 from liftrill.cache.event_stream import BlockEvent
 from liftrill.errors import LiftrillError
+from liftrill.gateway.field_reader import MAX_NUMBER, whole
 from liftrill.mechanisms import Mechanism, is_enabled
 from liftrill.planning.orders import AssignOrder
 from liftrill.response_limits import MAX_EVENT_BYTES
@@ -332,17 +333,17 @@
 
 def _parse_batch(body: Mapping[str, Any]) -> EventBatch:
     block_events = tuple(
-        BlockEvent(int(sequence), kind == STORED_KIND, bytes.fromhex(name))
+        BlockEvent(whole(sequence, 0), kind == STORED_KIND, bytes.fromhex(name))
         for sequence, kind, name in body["events"]
     )
-    return EventBatch(int(body["incarnation"]), block_events)
+    return EventBatch(whole(body["incarnation"], 0, MAX_NUMBER), block_events)
 
 
 def _parse_identity(body: Mapping[str, Any]) -> EngineIdentity | None:
     try:
         return EngineIdentity(
-            incarnation=int(body["incarnation"]),
-            revision=int(body["revision"]),
+            incarnation=whole(body["incarnation"], 0, MAX_NUMBER),
+            revision=whole(body["revision"], 0, MAX_NUMBER),
             weight_version=str(body["weight_version"]),
             leaving=bool(body.get("leaving", False)),
             pool=str(body.get("pool", "")),
@@ -358,7 +359,7 @@
     return EngineReport(
         str(body["engine_id"]),
         identity,
-        int(body["running"]),
-        int(body["waiting"]),
-        int(body["waiting_prompt_tokens"]),
+        whole(body["running"], 0),
+        whole(body["waiting"], 0),
+        whole(body["waiting_prompt_tokens"], 0),
     )
