A member's odd address no longer ends what is sent to all members

What callers saw: after a datagram with a member whose address is empty, a name, or has a port out of range, the loops of the membership and of the loads ended at each turn until the member was forgotten; what a request sends to all raised too.

Cause: an address was parsed only where a datagram was sent to it.

Change: a member whose address is no IP address with a port is left out where the datagram is decoded, for both interfaces.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -70,3 +70,8 @@
   Scenario: A report or cache event of an engine with odd values ends no task of the own interface
     Given the own interface's store whose answers are any bytes
     Then each odd report and event of an engine counts as none, or can be told to other nodes
+
+  Scenario: A member whose address no datagram can be sent to ends no task of a node
+    Given 2 nodes
+    When a datagram tells a node of members with odd addresses
+    Then for 4 s no task of any node fails, and each node counts 2 nodes
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,10 +1,12 @@
 """Steps in which other writers leave entries in the store that no node can use."""
 
+import asyncio
 import ipaddress
 import itertools
 import json
 import random
 import re
+import socket
 import sys
 from dataclasses import replace
 from pathlib import Path
@@ -677,3 +679,23 @@
                 assert holder.SerializeToString(), (path, value[:20])
 
     context.run(check())
+
+
+@when("a datagram tells a node of members with odd addresses")
+def step_odd_members(context):
+    node = context.deployment.nodes[0]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for address in ("x", "", "10.0.0.1", "10.0.0.1:99999", "10.0.0.1:abc", ":80", "name:80"):
+            name = f"odd {address}"
+            member = messages.MemberRecord(node_id=name, address=address, incarnation=1)
+            datagram = messages.Datagram(sender=name, sequence=1, members=[member])
+            datagram.ping.SetInParent()
+            sender.sendto(datagram.SerializeToString(), (node.ip, node.ports["Peer"]))
+
+
+@then("for {seconds:d} s no task of any node fails, and each node counts 2 nodes")
+def step_no_task_failed(context, seconds):
+    context.run(asyncio.sleep(seconds))
+    failed = [(line["task"], line["error"]) for line in context.deployment.logged("task_failed")]
+    assert not failed, (len(failed), failed[:3])
+    context.run(context.deployment.know_each_other())
--- a/liftrill/node/membership_codec.py
+++ b/liftrill/node/membership_codec.py
@@ -1,5 +1,7 @@
 """Conversion between the datagrams of the membership protocol and protobuf messages."""
 
+import ipaddress
+
 from google.protobuf.message import DecodeError
 
 from liftrill.coordination.membership_messages import (
@@ -14,6 +16,7 @@
     PingRequest,
 )
 from liftrill.errors import LiftrillError
+from liftrill.gateway.field_reader import is_port
 from liftrill.messages import peer_pb2 as messages
 
 
@@ -64,7 +67,8 @@
         sender=message.sender,
         sequence=message.sequence,
         body=_body(message),
-        members=tuple(member_from_message(m) for m in message.members),
+        # A member that no datagram can be sent to would fail whatever is sent to all members.
+        members=tuple(member_from_message(m) for m in message.members if _has_address(m)),
         generation=message.configuration_generation,
     )
 
@@ -108,3 +112,13 @@
     if kind == "member_list":
         return MemberList()
     raise GossipDecodeError(f"datagram from {message.sender!r} has no body")
+
+
+def _has_address(message: messages.MemberRecord) -> bool:
+    host, _, port = message.address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        # Names are not resolved for datagrams.
+        return False
+    return is_port(port)
