--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -58,3 +58,20 @@
 
   Scenario: A settings file with an odd value is refused with an error that names it
     Then each odd value in a settings file is refused, and the file without one is not
+
+  Scenario: An odd row of the own interface's machine list leaves the other machines in it
+    Given the own interface's store whose answers are any bytes
+    Then a machine list with odd rows has the sound ones
+
+  Scenario: An answer to the own interface that no node can use counts as none
+    Given the own interface's store whose answers are any bytes
+    Then each of its calls that gets an odd answer fails like one that the store does not answer
+
+  Scenario: A report or cache event of an engine with odd values ends no task of the own interface
+    Given the own interface's store whose answers are any bytes
+    Then each odd report and event of an engine counts as none, or can be told to other nodes
+
+  Scenario: A member whose address no datagram can be sent to ends no task of a node
+    Given 2 nodes
+    When a datagram tells a node of members with odd addresses
+    Then for 4 s no task of any node fails, and each node counts 2 nodes
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,10 +1,12 @@
 """Steps in which other writers leave entries in the store that no node can use."""
 
+import asyncio
 import ipaddress
 import itertools
 import json
 import random
 import re
+import socket
 import sys
 from dataclasses import replace
 from pathlib import Path
@@ -28,6 +30,11 @@
 from liftrill.gateway.quarantine_list import QuarantineList
 from liftrill.gateway.relay_codec import RelayAnswer, decode_message, encode_answer, encode_batch
 from liftrill.messages import peer_pb2 as messages
+from liftrill.node.engine_client import EngineClient
+from liftrill.node.gossip_codec import observation_message
+from liftrill.node.platform_client import INDEX_HEADER, PlatformClient
+from liftrill.routing.engine_records import EngineObservation
+from liftrill.routing.engine_state import EngineState
 
 sys.path.append(str(Path(__file__).resolve().parent.parent.parent / "platform"))
 from boot import read_settings
@@ -204,10 +211,11 @@
     def __init__(self):
         self.body = b""
         self.status = 200
+        self.headers = {}
 
     async def answer(self, request):
         await request.read()
-        return web.Response(body=self.body, status=self.status)
+        return web.Response(body=self.body, status=self.status, headers=self.headers)
 
 
 ODD_ANSWERS = (
@@ -229,6 +237,7 @@
 
 
 @given("a store whose answers are any bytes")
+@given("the own interface's store whose answers are any bytes")
 def step_any_answers(context):
     async def start():
         context.answers = AnyAnswer()
@@ -236,10 +245,67 @@
         await context.stack.enter_async_context(server)
         session = await context.stack.enter_async_context(aiohttp.ClientSession())
         context.store = PlatformStore(session, f"127.0.0.1:{server.port}", lambda call: None)
+        context.engine_client = EngineClient(session, b"secret")
+        context.answering_address = f"127.0.0.1:{server.port}"
+        context.own_store = PlatformClient(session, f"http://127.0.0.1:{server.port}")
 
     context.run(start())
 
 
+def machine_row(name, **changes):
+    row = {"ID": name, "Name": "pool", "Address": "127.0.0.1:14000", "Meta": {"Zone": "zone-1"}}
+    return row | changes
+
+
+@then("a machine list with odd rows has the sound ones")
+def step_machine_rows(context):
+    sound = [json.dumps(machine_row(name)).encode() for name in ENGINES]
+    odd = [
+        with_value(machine_row("odd"), path, value)
+        for path in (["ID"], ["Name"], ["Address"], ["Meta"], ["Meta", "Zone"])
+        for value in ODD_VALUES
+        # Bytes that are not UTF-8, digits without end and deep lists damage the whole answer.
+        if value not in (b"\xff", MANY_DIGITS, DEEPLY_NESTED, MEGABYTE_STRING)
+    ]
+    odd += [json.dumps(machine_row("odd", Address=f"10.0.0.1:{p}")).encode() for p in (0, 70000)]
+    odd += [b"null", b"5", b"[]", b"{}"]
+
+    async def check():
+        for row in odd:
+            context.answers.body = b"[" + b",".join((sound[0], row, sound[1])) + b"]"
+            machines = (await context.own_store.watch_machines(0, 0.0)).machines
+            assert [machine.machine_id for machine in machines] == list(ENGINES), row[:80]
+
+    context.run(check())
+
+
+@then("each of its calls that gets an odd answer fails like one that the store does not answer")
+def step_odd_own_answers(context):
+    async def check():
+        store = context.own_store
+        for body, index in itertools.product(
+            (*ODD_ANSWERS, b"[]", b"[5]", b'[{"Key": "a", "Value": "e30=", "ModifyIndex": "x"}]'),
+            ("1", "x", "9" * 5_000, "-1"),
+        ):
+            context.answers.body, context.answers.headers = body, {INDEX_HEADER: index}
+            calls = {
+                "get": (store.get("a"), StoreUnavailableError),
+                "watch": (store.watch("a", 1, 0.0), StoreUnavailableError),
+                "watch_machines": (store.watch_machines(0, 0.0), StoreUnavailableError),
+                "create_session": (store.create_session(1.0), StoreAnswerLostError),
+            }
+            for name, (call, expected) in calls.items():
+                try:
+                    result = await call
+                except expected:
+                    continue
+                # An empty list of machines is one, as is a list of odd ones alone.
+                is_list = name == "watch_machines" and index == "1" and body[:1] == b"["
+                assert is_list and not result.machines, (name, body[:60], index[:9], result)
+
+    context.run(check())
+
+
 @then("each call that gets an odd answer fails like one that the store does not answer")
 def step_odd_answers(context):
     async def check():
@@ -578,3 +644,58 @@
         else:
             accepted.append((name, value[:20]))
     assert not accepted, (len(accepted), accepted)
+
+
+OWN_REPORT = {
+    "engine_id": "e1",
+    "incarnation": 1,
+    "revision": 1,
+    "weight_version": "w1",
+    "pool": "pool-1",
+    "running": 1,
+    "waiting": 1,
+    "waiting_prompt_tokens": 1,
+}
+OWN_EVENTS = {"incarnation": 1, "events": [[1, "stored", "aabb"]]}
+
+
+@then("each odd report and event of an engine counts as none, or can be told to other nodes")
+def step_odd_own_reports(context):
+    engine = EngineState("e1", context.answering_address, "zone-1", "pool-1")
+    odd_values = (*ODD_VALUES, b"9" * 25, b"1e300", b"-9")
+
+    async def check():
+        for path, value in itertools.product(value_paths(OWN_REPORT), odd_values):
+            context.answers.body = with_value(OWN_REPORT, path, value)
+            report = await context.engine_client.report(engine)
+            if report is not None:
+                observation = EngineObservation("e1", report.identity)
+                assert observation_message(observation).SerializeToString(), (path, value[:20])
+        for path, value in itertools.product(value_paths(OWN_EVENTS), odd_values):
+            context.answers.body = with_value(OWN_EVENTS, path, value)
+            batch = await context.engine_client.cache_events(engine, 0)
+            if batch is not None:
+                holder = messages.PrefixHolder(engine_id="e1", incarnation=batch.incarnation)
+                assert holder.SerializeToString(), (path, value[:20])
+
+    context.run(check())
+
+
+@when("a datagram tells a node of members with odd addresses")
+def step_odd_members(context):
+    node = context.deployment.nodes[0]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for address in ("x", "", "10.0.0.1", "10.0.0.1:99999", "10.0.0.1:abc", ":80", "name:80"):
+            name = f"odd {address}"
+            member = messages.MemberRecord(node_id=name, address=address, incarnation=1)
+            datagram = messages.Datagram(sender=name, sequence=1, members=[member])
+            datagram.ping.SetInParent()
+            sender.sendto(datagram.SerializeToString(), (node.ip, node.ports["Peer"]))
+
+
+@then("for {seconds:d} s no task of any node fails, and each node counts 2 nodes")
+def step_no_task_failed(context, seconds):
+    context.run(asyncio.sleep(seconds))
+    failed = [(line["task"], line["error"]) for line in context.deployment.logged("task_failed")]
+    assert not failed, (len(failed), failed[:3])
+    context.run(context.deployment.know_each_other())
