--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -14,18 +14,25 @@
     return True
 
 
+def ignore_end() -> None:
+    """Do nothing as the end of a stream arrives."""
+
+
 class EngineAttempt(ABC):
     """One attempt to have an engine run a request.
 
     Attributes:
         may_send: called before the first byte is sent; if it returns False, the attempt is refused
             as withdrawn.
+        on_end_held: called once the end of a stream has arrived, if it is held back for a while.
     """
 
     may_send: Callable[[], bool] = staticmethod(allow_send)
+    on_end_held: Callable[[], None] = staticmethod(ignore_end)
 
-    def watch_end(self, on_end_held: Callable[[], None]) -> None:  # noqa: B027
+    def watch_end(self, on_end_held: Callable[[], None]) -> None:
         """Call a function once the end of a stream has arrived, if it is held back for a while."""
+        self.on_end_held = on_end_held
 
     @abstractmethod
     async def open(self) -> list[events.DeliveryEvent]:
