A node that is cut off lets no stream go on at the only version that it knows

What callers saw: while one of four nodes is cut off from the store and from its peers for some seconds, engines of a second software version come, and streams begin at them through the other nodes.

Cause: a node that cannot read the record of versions takes its copy of the store for complete for as long as it accepts keys (4.5 s with RevokeMs = 5000). That holds while the store is silent to all nodes, since none can record a version then. It was also taken for true where the store is silent to this node alone, and no peer answers.

Without a network (features/unrecorded_versions.feature): four new rows fail on the code before, and pass.

Change: while the record cannot be read, the only version is taken for the one that began a stream only if the nodes that hold its origin answer that they know neither it nor another version, all but one at most, and fewer than half of the nodes were lost since the copy was complete. A node that begins a stream tells the holders of its origin before its caller has the first event, so that they know if the store is not silent to all. One missing answer is allowed, since the node at which the stream began may have ended. Nodes that are cut off together lose the others, by their answers at first and by membership later.

Cost: none where the store can be read. While it is silent, one more question of up to 0.15 s, where not all have answered before. Of two nodes, both have to be there.

No test was changed or removed.

--- a/features/steps/late_mirror_steps.py
+++ b/features/steps/late_mirror_steps.py
@@ -1,18 +1,23 @@
 """Steps on nodes whose mirror of the store may lack the record of a version."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
 
 from features.steps.stream_origin_steps import FakeRangeStore, stream_request
 from features.steps.unrecorded_version_steps import Node, recorded
 from liftrill import clock
+from liftrill.coordination.membership_messages import Condition, Member
 from liftrill.coordination.mirror_freshness import MirrorFreshness
 from liftrill.coordination.range_store import WatchBatch
 from liftrill.coordination.store_mirror import StoreMirror
 from liftrill.errors import StoreUnavailableError
 from liftrill.gateway.admission.request_admission import AdmissionRefusal
+from liftrill.gateway.streams.origin_codec import OriginAnswer, OriginQuestion
+from liftrill.gateway.streams.origin_exchange import OriginPeers
 from liftrill.gateway.streams.origin_tracker import UNKNOWN_RETRY_S
+from liftrill.gateway.streams.stream_origins import ServiceVersion
 from liftrill.gateway.streams.version_record import VERSIONS_KEY
 from liftrill.messages import peer_pb2 as messages
 
@@ -27,6 +32,27 @@
     return copy
 
 
+class SilentPeers(OriginPeers):
+    """Peers before engines of v1.1 that know no origins, and of which some do not answer."""
+
+    def __init__(self, node, count, answering):
+        self._node = node
+        self._members = [Member(f"peer-{n}", "", "region-1", "zone-1", 1) for n in range(count)]
+        self._answering = {member.node_id for member in self._members[:answering]}
+
+    @property
+    def own(self):
+        return self._node.record._membership.own
+
+    def others(self):
+        return self._members
+
+    def send(self, node, content):
+        if isinstance(content, OriginQuestion) and node in self._answering:
+            answer = OriginAnswer(content.key, None, (ServiceVersion("service-1", "v1.1"),), False)
+            asyncio.get_running_loop().call_soon(self._node.tracker.receive, node, answer)
+
+
 @given("a node whose mirror {state}")
 def step_late_node(context, state):
     context.engines_known = "engines" in state
@@ -83,6 +109,23 @@
     context.store.read = refuse
 
 
+@given("{count:d} peers, of which {answering:d} answer that they do not know the streams")
+def step_peers(context, count, answering):
+    context.node.tracker._exchange._peers = SilentPeers(context.node, count, answering)
+
+
+@given("of {known:d} peers that it knew {lost:d} have been suspected since, and the others answer")
+def step_suspected(context, known, lost):
+    left = known - lost
+    context.node.tracker._exchange._peers = peers = SilentPeers(context.node, left, left)
+    all_peers = SilentPeers(context.node, known, known)
+    record = context.node.record
+    record._membership.members = lambda: [peers.own, *all_peers.others()]
+    record._note_members(clock.now_s() - 10.0)
+    suspected = [replace(m, condition=Condition.SUSPECT) for m in all_peers.others()[left:]]
+    record._membership.members = lambda: [peers.own, *peers.others(), *suspected]
+
+
 @given("the node that it follows confirms its mirror {seconds:g} s from now")
 def step_confirmed_later(context, seconds):
     async def schedule():
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -86,6 +86,9 @@
     async def confirm(self, until):
         pass
 
+    def is_trusted_unread(self, until):
+        return True
+
     def save(self, entries):
         self.stored.update((entry.key, entry.origin) for entry in entries)
 
--- a/features/unrecorded_versions.feature
+++ b/features/unrecorded_versions.feature
@@ -54,6 +54,42 @@
     When 100 streams that nobody knows are resumed there at once
     Then all go on at v1.1, and the record was read at most 6 times
 
+  Scenario Outline: A late mirror counts as complete at a node that is cut off from peers: <answering> of 3
+    Given a node before engines of v1.1, whose mirror was complete 2 s ago
+    And the store answers no reads
+    And 3 peers, of which <answering> answer that they do not know the streams
+    When 100 streams that nobody knows are resumed there at once
+    Then all are refused for a short time, and the record was read at most 6 times
+
+    Examples:
+      | answering |
+      | 0         |
+      | 1         |
+
+  Scenario Outline: A late mirror counts as complete at nodes that are cut off together: <lost> of <known> lost
+    Given a node before engines of v1.1, whose mirror was complete 2 s ago
+    And the store answers no reads
+    And of <known> peers that it knew <lost> have been suspected since, and the others answer
+    When 100 streams that nobody knows are resumed there at once
+    Then all are refused for a short time, and the record was read at most 6 times
+
+    Examples:
+      | known | lost |
+      | 1     | 1    |
+      | 3     | 2    |
+
+  Scenario Outline: Streams of the only version do not go on while the store is silent to all nodes: <answering> of 3
+    Given a node before engines of v1.1, whose mirror was complete 2 s ago
+    And the store answers no reads
+    And 3 peers, of which <answering> answer that they do not know the streams
+    When 100 streams that nobody knows are resumed there at once
+    Then all go on at v1.1, and the record was read at most 6 times
+
+    Examples:
+      | answering |
+      | 2         |
+      | 3         |
+
   Scenario: A resumption is refused at a node that the store refuses, though it follows another one
     Given a node before engines of v1.1, whose mirror was complete 4 s ago
     And the store answers no reads
--- a/liftrill/gateway/streams/origin_exchange.py
+++ b/liftrill/gateway/streams/origin_exchange.py
@@ -71,6 +71,12 @@
     known: KnownVersions = NOTHING_KNOWN
     complete: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def suffice(self) -> bool:
+        """Whether one node at most has not answered: the one that began the stream, if it ended."""
+        missing = self.asked - self.answered
+        return not missing or (len(missing) == 1 and bool(self.answered))
+
     def add(self, sender: str, answer: OriginAnswer) -> None:
         """Add the answer of a node that was asked."""
         if sender not in self.asked:
@@ -131,8 +137,11 @@
             for report in reports(held):
                 self._peers.send(node, report)
 
-    async def ask(self, key: int, services: tuple[str, ...]) -> Answers:
-        """Ask the nodes that hold the origin of a stream, and return their answers."""
+    async def ask(self, key: int, services: tuple[str, ...], of_all: bool = False) -> Answers:
+        """Ask the nodes that hold the origin of a stream, and return their answers.
+
+        Where one version serves, the answer of one of them is enough, unless `of_all`.
+        """
         answers = self._questions.get(key)
         if answers is None:
             asked = nodes_to_ask(key, self._peers.others())
@@ -140,14 +149,16 @@
             self._questions[key] = answers
         answers.waiting += 1
         try:
-            await self._ask_until_complete(OriginQuestion(key, services), answers)
+            await self._ask_until_complete(OriginQuestion(key, services), answers, of_all)
         finally:
             answers.waiting -= 1
             if not answers.waiting:
                 self._questions.pop(key, None)
         return answers
 
-    async def _ask_until_complete(self, question: OriginQuestion, answers: Answers) -> None:
+    async def _ask_until_complete(
+        self, question: OriginQuestion, answers: Answers, of_all: bool
+    ) -> None:
         if not answers.asked:
             return
         for timeout_s in (ASK_AGAIN_S, ASK_TIMEOUT_S - ASK_AGAIN_S):
@@ -160,7 +171,7 @@
                 return
             # A node that was asked may have ended. Where one version serves, its answer can wait.
             known = self._known_versions(question.services).merged(answers.known)
-            if answers.answered and known.sole is not None:
+            if not of_all and answers.answered and known.sole is not None:
                 return
 
     def receive(self, sender: str, content: OriginMessage) -> None:
--- a/liftrill/gateway/streams/origin_ports.py
+++ b/liftrill/gateway/streams/origin_ports.py
@@ -56,3 +56,7 @@
         Raises:
             StoreError: it may lack some, and the record could not be read.
         """
+
+    @abstractmethod
+    def is_trusted_unread(self, until: float) -> bool:
+        """Return whether peers can confirm what this node knows, as the store cannot be read."""
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -153,7 +153,7 @@
             sole = await self._sole_version(services, answers, asked_at)
         except StoreError as error:
             self._log.state_changed("versions_not_read", why=repr(error))
-            return _Resolution(None, "unread", is_final=False), answers
+            return await self._resolve_unread(key, services, answers, asked_at)
         if sole is not None and not self.evidence.has_unused(services):
             return _Resolution(sole, "sole"), answers
         resolution = await self._read_origin(key)
@@ -179,6 +179,24 @@
         await self._recorded_versions.confirm(asked_at - RECORD_ARRIVAL_S)
         return self._known_versions(services).merged(answers.known).sole
 
+    async def _resolve_unread(
+        self, key: int, services: tuple[str, ...], answers: Answers, asked_at: float
+    ) -> tuple[_Resolution, Answers]:
+        """Find the origin of a stream as far as that is possible without the store.
+
+        While the store is silent to all nodes, streams begin at no further version. It may be
+        silent to this node alone: the nodes that hold the origin know if they did.
+        """
+        if self._recorded_versions.is_trusted_unread(asked_at - RECORD_ARRIVAL_S):
+            if answers.answered != answers.asked:
+                answers = await self._exchange.ask(key, services, of_all=True)
+            if answers.origin is not None:
+                return _resolution(answers.origin, "peer"), answers
+            sole = self._known_versions(services).merged(answers.known).sole
+            if sole is not None and answers.suffice and not self.evidence.has_unused(services):
+                return _Resolution(sole, "sole"), answers
+        return _Resolution(None, "unread", is_final=False), answers
+
     async def _read_origin(self, key: int) -> _Resolution:
         """Return the origin of a stream that all nodes have forgotten."""
         try:
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -92,6 +92,9 @@
         # When this node started, or another one last ended, restarted or was suspected.
         self._nodes_changed_at = self._started_at
         self._incarnations: set[tuple[str, int]] = set()
+        self._alive: set[str] = set()
+        # When nodes were suspected or ended that are not back.
+        self._lost_at: dict[str, float] = {}
         # When versions came that are not recorded yet.
         self._came_at: dict[ServiceVersion, float] = {}
 
@@ -153,8 +156,6 @@
     async def confirm(self, until: float) -> None:
         """Make sure that this node knows all versions that were recorded before a time.
 
-        As long as keys are accepted while the store is silent, so is what the mirror has.
-
         Raises:
             StoreError: it may lack some, and the record could not be read in time.
         """
@@ -162,21 +163,30 @@
         while not self._is_complete(until):
             try:
                 await self._record_read.result(until)
-            except StoreError as error:
+            except StoreError:
                 if clock.now_s() >= gives_up_at:
-                    self._trust_unread(until, error)
-                    return
+                    raise
                 # The node that this one follows may reach the store, and confirm the mirror.
                 await asyncio.sleep(CONFIRMATION_CHECK_S)
 
-    def _trust_unread(self, until: float, error: StoreError) -> None:
-        """Take the mirror for complete for a while although the store cannot be read."""
-        if not self._is_complete(until - self._trusted_unread_s):
-            raise error
-        self._log.state_changed("versions_not_read", why=repr(error))
+    def is_trusted_unread(self, until: float) -> bool:
+        """Return whether peers can confirm what this node knows, as the store cannot be read.
+
+        As long as keys are accepted while the store is silent, so is what the mirror has. If half
+        of the nodes are out of reach since, this one may be cut off with the others.
+        """
+        self._note_members(clock.now_s())
+        complete_until = self._known_until()
+        lost_count = sum(at >= complete_until for at in self._lost_at.values())
+        is_recent = complete_until >= until - self._trusted_unread_s
+        return is_recent and len(self._alive) > lost_count
 
     def _is_complete(self, until: float) -> bool:
-        return max(self._freshness.as_of, self._complete_until) >= until
+        return self._known_until() >= until
+
+    def _known_until(self) -> float:
+        """Return until when this node knows all versions that were recorded."""
+        return max(self._freshness.as_of, self._complete_until)
 
     async def _read_record(self) -> None:
         sent_at = clock.now_s()
@@ -264,6 +274,12 @@
         if is_suspected or self._incarnations - incarnations:
             self._nodes_changed_at = now
         self._incarnations = incarnations
+        alive = {each.node_id for each in members if each.condition is not Condition.SUSPECT}
+        lost_at = self._lost_at | dict.fromkeys(self._alive - alive, now)
+        self._lost_at = {
+            node: at for node, at in lost_at.items() if node not in alive and now - at < RETENTION_S
+        }
+        self._alive = alive
 
     def _note_arrivals(self, now: float) -> None:
         """Note since when versions serve that are not recorded."""
