A node whose cut ends while it looks for a stream's origin asks its peers again

What callers saw: a stream of the second version goes on at the first one at a node that was cut off from the store and its peers, where the peers are back before the node has given up to read the record of versions.

Cause: the node asked for the origin while it suspected all its peers, so that there was nobody to ask, and no answer was missing. It judged by these answers after the peers were back, and no longer counted as lost.

Change: without the record a node asks for the origin when it has found that its peers can confirm what it knows, and judges by these answers alone. It costs a round trip for such a resumption, and nothing where the store can be read.

--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -188,8 +188,8 @@
         silent to this node alone: the nodes that hold the origin know if they did.
         """
         if self._recorded_versions.is_trusted_unread(asked_at - RECORD_ARRIVAL_S):
-            if answers.answered != answers.asked:
-                answers = await self._exchange.ask(key, services, of_all=True)
+            # Nodes that were suspected when it was asked before may be back.
+            answers = await self._exchange.ask(key, services, of_all=True)
             if answers.origin is not None:
                 return _resolution(answers.origin, "peer"), answers
             sole = self._known_versions(services).merged(answers.known).sole
