A repeated report of a service does not clear a part of crashes since

Cause: the report that a part was served is sent three times (0, 0.05, 0.5 s) and had no age. The receiver applied each repeat as a service now.

Change: the report has its age (served_age_milliseconds, 0 from earlier builds), taken when each repeat is sent. A node clears only losses that ended by then. A repeat no longer cancels a node's own pending report either.

Why it works: losses already have their ages, so with both the evidence does not depend on which reports a node got, or when. A first report clears as before; a repeat still clears what a lost first report would have cleared.

Test: the simulated peers of gateway_quarantine and quarantined_parts deliver the repeats as nodes send them.

--- a/features/quarantined_parts.feature
+++ b/features/quarantined_parts.feature
@@ -68,6 +68,16 @@
     And node 2 loses prompt "A:rare" as engine 2 ends
     Then after 0.2 s no node refuses "A:rare"
 
+  # The report that it was served is sent again half a second later, by which time it is out of date.
+  Scenario: A part that was served before it crashed engines is refused by all nodes at once
+    When node 3 sees prompt "A:dead" served
+    And node 1 loses prompt "A:dead" as engine 1 ends
+    And nothing happens for 0.4 s
+    And node 1 loses prompt "A:dead" as engine 2 ends, and node 2 "A:dead" as engine 3
+    And nothing happens for 1 s
+    And node 1 loses prompt "A:dead" as engine 4 ends
+    Then after 0.2 s all nodes refuse "A:dead"
+
   # In a soak the part that all prompts shared was refused to all for the rest of the run.
   Scenario: A part that is served while weights change is not blamed
     When node 3 sees prompt "A:first" served under other weights
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -14,7 +14,13 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.delivery_times import AttemptTimes
 from liftrill.gateway.engines.engine_table import EngineTable
-from liftrill.gateway.quarantine_codec import datagrams_from_runs, entry_from_notice
+from liftrill.gateway.peers.peer_link import RESEND_DELAYS_S
+from liftrill.gateway.quarantine_codec import (
+    datagram_from_served,
+    datagrams_from_runs,
+    entry_from_notice,
+    served_at_from_message,
+)
 from liftrill.gateway.quarantine_codec import runs_from_message as runs_of
 from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.gateway.quarantine_ports import QuarantinePeers, QuarantineStorage
@@ -49,7 +55,13 @@
         self._fleet.send(self._name, lambda node, now: node.apply_lost_runs(self._name, runs, now))
 
     def send_served(self, subject, environment=0):
-        self._fleet.send(self._name, lambda node, now: node.apply_served(subject, now, environment))
+        for delay_s in RESEND_DELAYS_S:
+            message = datagram_from_served(subject, environment, delay_s)
+
+            def deliver(node, now, message=message):
+                node.apply_served(subject, served_at_from_message(message, now), environment)
+
+            self._fleet.send(self._name, deliver, delay_s=delay_s)
 
     def send_quarantined(self, entry, node=""):
         self._fleet.send(self._name, lambda other, now: other.apply_quarantined(entry, now), node)
@@ -71,13 +83,12 @@
     pending: list = field(default_factory=list)
     sent: int = 0
 
-    def send(self, sender, deliver, only=""):
+    def send(self, sender, deliver, only="", delay_s=0.0):
         self.sent += 1
         for name in self.nodes:
             if name != sender and only in ("", name):
-                self.pending.append(
-                    (self.now + self.delays_s.get((sender, name), 0.0), name, deliver)
-                )
+                arrives_at = self.now + delay_s + self.delays_s.get((sender, name), 0.0)
+                self.pending.append((arrives_at, name, deliver))
         self.pass_time(0.0)
 
     def pass_time(self, seconds):
--- a/liftrill/coordination/crash_evidence.py
+++ b/liftrill/coordination/crash_evidence.py
@@ -78,21 +78,23 @@
         self._ends.setdefault(worker, at)
 
     def clear(self, subject: bytes, at: float, environment: int = ANY_ENVIRONMENT) -> bool:
-        """Drop the losses of a subject that was served; return whether there were any.
+        """Drop the losses of a subject that was served at some time; return whether there were any.
 
-        Losses in a known environment other than the one where it was served remain.
+        Later losses remain, and those in a known environment other than where it was served.
         """
         losses = self._losses.pop(subject, None)
         if losses is None:
             return False
-        self._served_at[subject, environment] = at
-        if environment != ANY_ENVIRONMENT:
-            same = (ANY_ENVIRONMENT, environment)
-            remaining = {w: loss for w, loss in losses.items() if loss.environment not in same}
-            if remaining:
-                self._losses[subject] = remaining
-            return len(remaining) < len(losses)
-        return True
+        key = (subject, environment)
+        self._served_at[key] = max(at, self._served_at.get(key, -math.inf))
+        remaining = {
+            worker: loss
+            for worker, loss in losses.items()
+            if loss.ended_at > at or not _is_same_environment(environment, loss.environment)
+        }
+        if remaining:
+            self._losses[subject] = remaining
+        return len(remaining) < len(losses)
 
     def is_suspect(self, subject: bytes) -> bool:
         """Return whether a worker terminated early in a run of a subject."""
@@ -213,6 +215,10 @@
                 yield name, others
 
 
+def _is_same_environment(one: int, other: int) -> bool:
+    return one == other or ANY_ENVIRONMENT in (one, other)
+
+
 def _contains(others: dict[int, SubjectLoss], losses: list[SubjectLoss]) -> bool:
     """Return whether all requests of some losses also belong to another subject."""
     return all(others[loss.worker].requests >= loss.requests for loss in losses)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -647,8 +647,8 @@
     def _on_origin_message(self, node: str, message: OriginMessage) -> None:
         self._stream_origins.tracker.receive(node, message)
 
-    def _on_served(self, subject: bytes, environment: int) -> None:
-        self._quarantine.apply_served(subject, clock.now_s(), environment)
+    def _on_served(self, subject: bytes, environment: int, at: float) -> None:
+        self._quarantine.apply_served(subject, at, environment)
 
     def _on_prefill_started(self, engine_number: int, tokens: int) -> None:
         self._load_table.add_peer_prefill(engine_number, tokens, clock.now_s())
--- a/liftrill/gateway/peers/peer_link.py
+++ b/liftrill/gateway/peers/peer_link.py
@@ -56,10 +56,12 @@
 )
 from liftrill.gateway.quarantine_codec import (
     datagram_from_entry,
+    datagram_from_served,
     datagrams_from_runs,
     entry_from_notice,
     has_crash_message,
     runs_from_message,
+    served_at_from_message,
 )
 from liftrill.gateway.quarantine_list import QuarantineEntry
 from liftrill.gateway.quarantine_ports import QuarantinePeers
@@ -102,7 +104,7 @@
     prefill_started: Callable[[int, int], None]
     spending: Callable[[str, SpendingNotice], None]
     lost_runs: Callable[[str, list[LostRun]], None]
-    served: Callable[[bytes, int], None]
+    served: Callable[[bytes, int, float], None]
     quarantined: Callable[[QuarantineEntry], None]
     limit_message: Callable[[str, LimitMessage], None]
     reach: Callable[[str, ReachMessage], None]
@@ -268,7 +270,7 @@
     def send_served(self, subject: bytes, environment: int = 0) -> None:
         """Broadcast that a suspected request, or part under some version, was served."""
         if not environment:
-            self._send_repeatedly(messages.Datagram(served=[subject]))
+            self._send_served_repeatedly(subject, environment)
             return
         key = (subject, environment)
         if key not in self._pending_served:
@@ -278,8 +280,18 @@
 
     def _send_served_part(self, key: tuple[bytes, int]) -> None:
         del self._pending_served[key]
-        part = messages.ServedPart(digest=key[0], environment=key[1])
-        self._send_repeatedly(messages.Datagram(served_parts=[part]))
+        self._send_served_repeatedly(*key)
+
+    def _send_served_repeatedly(self, subject: bytes, environment: int) -> None:
+        """Broadcast a service, with repeats that do not clear its subject of losses since."""
+        loop = asyncio.get_running_loop()
+        reported_at = clock.now_s()
+        for wait_s in RESEND_DELAYS_S:
+            loop.call_later(wait_s, self._send_served, subject, environment, reported_at)
+
+    def _send_served(self, subject: bytes, environment: int, reported_at: float) -> None:
+        age_s = clock.now_s() - reported_at
+        self._send_to(datagram_from_served(subject, environment, age_s), "")
 
     def close(self) -> None:
         """Close the UDP socket."""
@@ -352,20 +364,26 @@
                 self._callbacks.loads(report)
 
     def _dispatch_crash_messages(self, message: messages.Datagram) -> None:
-        runs = runs_from_message(message, clock.now_s())
+        now = clock.now_s()
+        runs = runs_from_message(message, now)
         if runs:
             self._callbacks.lost_runs(message.sender, runs)
         entry = entry_from_notice(message.quarantined)
         if entry is not None:
             self._callbacks.quarantined(entry)
+        served_at = served_at_from_message(message, now)
         for fingerprint in message.served:
-            self._callbacks.served(fingerprint, 0)
+            self._callbacks.served(fingerprint, 0, served_at)
         for part in message.served_parts:
-            # One report is enough: this node need not send its own.
-            pending = self._pending_served.pop((part.digest, part.environment), None)
-            if pending is not None:
-                pending.cancel()
-            self._callbacks.served(part.digest, part.environment)
+            # One report is enough, but a repeat may be older than what this node is to report.
+            if now - served_at < SERVED_PART_DELAY_S:
+                self._cancel_served(part.digest, part.environment)
+            self._callbacks.served(part.digest, part.environment, served_at)
+
+    def _cancel_served(self, subject: bytes, environment: int) -> None:
+        pending = self._pending_served.pop((subject, environment), None)
+        if pending is not None:
+            pending.cancel()
 
     def error_received(self, exc: Exception) -> None:
         """Ignore network errors (asyncio callback): probes detect unreachable members."""
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -226,9 +226,9 @@
             self._clear_if_served(run, now)
             self._schedule_decisions(run, now)
 
-    def apply_served(self, subject: bytes, now: float, environment: int = 0) -> None:
-        """Clear a suspect request or part that was served, as another node reports."""
-        self._clear(subject, now, environment)
+    def apply_served(self, subject: bytes, at: float, environment: int = 0) -> None:
+        """Clear a suspect request or part of its losses until another node reported its service."""
+        self._clear(subject, at, environment)
 
     def apply_quarantined(self, entry: QuarantineEntry, now: float) -> None:
         """Add an entry for a request or part that another node put into quarantine."""
@@ -414,9 +414,9 @@
         self._evidence.mark_explained({*named, *seen, *engines}, now, causes)
         self._evidence.clear(subject, now)
 
-    def _clear(self, subject: bytes, now: float, environment: int = 0) -> None:
+    def _clear(self, subject: bytes, at: float, environment: int = 0) -> None:
         """Drop the evidence against what was served, and an entry that this refutes."""
-        was_suspect = self._evidence.clear(subject, now, environment)
+        was_suspect = self._evidence.clear(subject, at, environment)
         was_listed = self._is_refuted(subject, environment) and self.entries.remove(subject)
         if was_listed:
             self.storage.delete(subject)
--- a/liftrill/gateway/quarantine_codec.py
+++ b/liftrill/gateway/quarantine_codec.py
@@ -63,6 +63,21 @@
     ]
 
 
+def datagram_from_served(subject: bytes, environment: int, age_s: float) -> messages.Datagram:
+    """Return the datagram that reports the service of a request, or of a part under a version."""
+    datagram = messages.Datagram(served_age_milliseconds=max(0, round(age_s * 1000)))
+    if environment:
+        datagram.served_parts.add(digest=subject, environment=environment)
+    else:
+        datagram.served.append(subject)
+    return datagram
+
+
+def served_at_from_message(message: messages.Datagram, now: float) -> float:
+    """Return when the services in a datagram were reported first, by this node's clock."""
+    return now - message.served_age_milliseconds / 1000
+
+
 def datagram_from_entry(entry: QuarantineEntry) -> messages.Datagram:
     """Return the datagram that reports an entry in quarantine."""
     notice = messages.QuarantineNotice(fingerprint=entry.fingerprint, record=record_of(entry))
