One record with a start time does not withdraw all engines without one

Callers got 503 at all nodes for good, also after the record was gone, once one record of another writer told a start time where the engines' records have none.

Cause: one record was taken for what all engines do, and nothing undid it. Evidence: without a network, a and b without a start time: with such a record of their service c alone was in use, with one of another service none (both rows of engine_records failed). Now a record without a start time names no engine only while half or more of the records of its service have one, counted as records come and go. Two of two engines as before: the earlier scenario passes as it was. Not changed: an engine alone in its service gives way to one such record.

--- a/features/engine_records.feature
+++ b/features/engine_records.feature
@@ -55,6 +55,18 @@
     When the record of b is written again with born = 1700000000500
     Then a and b are in use
 
+  Scenario Outline: One record with a start time withdraws all engines without one: <service>
+    Given a node that knows engines a and b with the weights of version 1
+    When a record of c with a start time is written, of "<service>"
+    Then <engines> are in use
+    When the record of c is removed
+    Then a and b are in use
+
+    Examples:
+      | service   | engines    |
+      | service-1 | a, b and c |
+      | another   | a and b    |
+
   Scenario: An engine that restarts under its id is a new engine
     Given a node that knows engines a and b with the weights of version 1
     And both record their start time
--- a/features/steps/engine_record_steps.py
+++ b/features/steps/engine_record_steps.py
@@ -209,6 +209,22 @@
     assert context.node.in_use() == {name}, context.node.in_use()
 
 
+@when('a record of c with a start time is written, of "{service}"')
+def step_odd_start(context, service):
+    context.node.write("c", record_body("c", Service=service, born=BORN_UNIX_MS))
+
+
+@when("the record of c is removed")
+def step_removed(context):
+    change = MirrorChange(written=(), removed=(PREFIX + "c",), gap=False)
+    context.node.cluster_state.apply(change, 0.0)
+
+
+@then("a, b and c are in use")
+def step_three_in_use(context):
+    assert context.node.in_use() == {"a", "b", "c"}, context.node.in_use()
+
+
 @then("a and b are in use")
 @then("a and b are in use immediately")
 def step_both(context):
--- a/liftrill/gateway/cluster_state.py
+++ b/liftrill/gateway/cluster_state.py
@@ -193,19 +193,19 @@
     def _apply_engine(self, record: EngineRecord, known_until: float) -> None:
         known = self.engines.get(record.engine_id)
         was_leaving = known.leaving if known else False
-        was_withdrawn = known.withdrawn if known else False
+        was_withheld = known.is_withheld if known else False
         view = self.engines.update(record)
         if view is None:
             return
         if known is not None and view is not known and not was_leaving:
             self.incarnation_ended(known)
         is_new = view is not known
-        if is_new or (view.leaving, view.withdrawn) != (was_leaving, was_withdrawn):
+        if is_new or (view.leaving, view.is_withheld) != (was_leaving, was_withheld):
             self.log.state_changed(
                 "engine",
                 engine=record.engine_id,
                 born_unix_ms=record.born_unix_ms,
-                withdrawn=view.withdrawn,
+                withdrawn=view.is_withheld,
                 service=record.service,
                 software_version=record.software_version,
                 address=record.address,
--- a/liftrill/gateway/engines/backup_selector.py
+++ b/liftrill/gateway/engines/backup_selector.py
@@ -99,7 +99,7 @@
 
     def accepts_run(self, view: EngineView, model: str, version: int, now: float) -> bool:
         """Return whether an engine takes runs of a weight version now."""
-        if view.leaving or view.withdrawn or view.weight_version(model) != version:
+        if view.leaving or view.is_withheld or view.weight_version(model) != version:
             return False
         return not view.is_paused(now) and self._paths.is_usable(view, now)
 
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -90,6 +90,7 @@
         gone: whether the record was removed or another instance answered at the address.
         vanished_at: time when the record disappeared during a store outage, or None.
         withdrawn: whether the engine is out of use until its next good record arrives.
+        lacks_start: whether its record has no start time, where those of its service have one.
         speed: estimated speed of the engine.
         number: hash that identifies the incarnation in messages to peers.
         identity: the id, address and number of the incarnation; kept, because each check of the
@@ -106,6 +107,7 @@
     gone: bool = False
     vanished_at: float | None = None
     withdrawn: bool = False
+    lacks_start: bool = False
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
     speed: EngineSpeed = field(default_factory=EngineSpeed)
     condition: EngineCondition = field(default_factory=EngineCondition)
@@ -116,6 +118,11 @@
         self.number = engine_number(self.record.incarnation)
         self.identity = EngineAddress(self.engine_id, self.record.address, self.number)
 
+    @property
+    def is_withheld(self) -> bool:
+        """Whether the engine is out of use for what its record says or lacks."""
+        return self.withdrawn or self.lacks_start
+
     @property
     def leaving(self) -> bool:
         """Whether the engine takes no new requests any more."""
@@ -222,7 +229,9 @@
     def __init__(self) -> None:
         self._views: dict[str, EngineView] = {}
         self._by_number: dict[int, EngineView] = {}
-        self._starts_reported = False
+        # How many records each service has, with and without a start time.
+        self._start_counts: Counter[tuple[str, bool]] = Counter()
+        self._services_with_starts: set[str] = set()
         self.services: frozenset[str] = frozenset()
         self.conditions = EngineConditions()
         self.removed_versions = VersionHistory(clock.now_s())
@@ -241,7 +250,7 @@
         """Return the engines of configured services, without withdrawn ones."""
         for view in self:
             is_configured = not self.services or view.record.service in self.services
-            if is_configured and not view.withdrawn:
+            if is_configured and not view.is_withheld:
                 yield view
 
     def get(self, engine_id: str) -> EngineView | None:
@@ -257,7 +266,7 @@
         return [
             view
             for view in self._views.values()
-            if view.record.service == service and not view.withdrawn
+            if view.record.service == service and not view.is_withheld
         ]
 
     def software_versions(
@@ -282,7 +291,7 @@
         The same object is returned until the counts can have changed.
         """
         if self._version_counts is None:
-            records = (view.record for view in self)
+            records = (view.record for view in self if not view.lacks_start)
             self._version_counts = Counter((r.service, r.software_version) for r in records)
         return self._version_counts
 
@@ -292,10 +301,6 @@
         A new incarnation under a known id starts with a fresh view: loads, speed and weights of
         the previous incarnation do not apply to it.
         """
-        self._record_start(record)
-        if self._starts_reported and not record.born_unix_ms:
-            self.withdraw(record.engine_id, record.revision)
-            return None
         view = self._views.get(record.engine_id)
         if view is not None and _is_other_incarnation(view.record, record):
             if record.revision < view.record.revision:
@@ -306,11 +311,17 @@
             return view
         if view is None or view.record.service != record.service:
             self._version_counts = None
+        is_new = view is None
         if view is None:
             view = self._views[record.engine_id] = EngineView(record)
             view.condition = self.conditions.of(view.identity)
             self._by_number[view.number] = view
+        if not is_new:
+            self._count_start(view.record, -1)
         view.apply_record(record)
+        self._count_start(record, 1)
+        expects_start = record.service in self._services_with_starts
+        view.lacks_start = expects_start and not record.born_unix_ms
         if record.revision <= self._withheld.pop(record.engine_id, -1):
             view.withdrawn = True
         if view.condition.leaving:
@@ -398,14 +409,23 @@
         view.withdrawn = True
         return True
 
-    def _record_start(self, record: EngineRecord) -> None:
-        """Withdraw engines without a start time as soon as any record reports one."""
-        if not record.born_unix_ms or self._starts_reported:
+    def _count_start(self, record: EngineRecord, change: int) -> None:
+        """Count a record that came or went, by whether it has a start time.
+
+        Engines without one are withheld if half of the records of their service have one: a few
+        records of another writer say nothing about the engines that write the others.
+        """
+        service = record.service
+        self._start_counts[service, record.born_unix_ms > 0] += change
+        with_start = self._start_counts[service, True]
+        is_expected = 0 < with_start >= self._start_counts[service, False]
+        if is_expected is (service in self._services_with_starts):
             return
-        self._starts_reported = True
-        for view in self._views.values():
-            if not view.record.born_unix_ms:
-                view.withdrawn = True
+        self._services_with_starts ^= {service}
+        self._version_counts = None
+        for view in self:
+            if view.record.service == service:
+                view.lacks_start = is_expected and not view.record.born_unix_ms
 
     def remove(self, engine_id: str) -> None:
         """Remove an engine whose record was removed."""
@@ -414,6 +434,7 @@
             self._version_counts = None
             record, drained = view.record, view.leaving
             view.gone = True
+            self._count_start(record, -1)
             self.removed_versions.record_removed(
                 record.service, record.software_version, clock.now_s(), drained
             )
