An id that cannot be sent in a header names no engine

Callers got 502 for requests that were sent to the address of a sound engine under an id of another writer: a node puts the id into a header.

Cause: any text after the prefix of engines' keys counted as an id. Before: the 6 new rows of engine_records failed.

--- a/features/engine_records.feature
+++ b/features/engine_records.feature
@@ -55,6 +55,20 @@
     When the record of b is written again with born = 1700000000500
     Then a and b are in use
 
+  Scenario Outline: An id that cannot be sent in a header names an engine: <id>
+    Given a node that knows engines a and b with the weights of version 1
+    When the sound record of an engine is written under the id <id>
+    Then a and b are in use
+
+    Examples:
+      | id                        |
+      | "c\r\nX-Other: 1"         |
+      | "c\u0000"                 |
+      | "c d"                     |
+      | "\u00e4"                  |
+      | ""                        |
+      | 20000 times "c"           |
+
   Scenario Outline: One record with a start time withdraws all engines without one: <service>
     Given a node that knows engines a and b with the weights of version 1
     When a record of c with a start time is written, of "<service>"
--- a/features/steps/engine_record_steps.py
+++ b/features/steps/engine_record_steps.py
@@ -209,6 +209,12 @@
     assert context.node.in_use() == {name}, context.node.in_use()
 
 
+@when("the sound record of an engine is written under the id {text}")
+def step_odd_id(context, text):
+    count, _, quoted = text.rpartition(" times ")
+    context.node.write(int(count or 1) * json.loads(quoted), record_body("c"))
+
+
 @when('a record of c with a start time is written, of "{service}"')
 def step_odd_start(context, service):
     context.node.write("c", record_body("c", Service=service, born=BORN_UNIX_MS))
--- a/liftrill/gateway/field_reader.py
+++ b/liftrill/gateway/field_reader.py
@@ -8,6 +8,7 @@
 import ipaddress
 import json
 import math
+import re
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -24,6 +25,9 @@
 MAX_PORT_DIGITS = 5
 # An engine's record takes some hundred bytes, and less than 100 more for each of its models.
 MAX_RECORD_BYTES = 65_536
+# The longest id that fits into a key of the store.
+_IDENTIFIER = re.compile(r"[!-~]{1,200}")
+MAX_SHOWN_CHARACTERS = 40
 
 Choice = TypeVar("Choice")
 Number = TypeVar("Number", int, float)
@@ -154,6 +158,19 @@
         raise RecordError(f"invalid JSON: {type(error).__name__}") from error
 
 
+def identifier(value: str) -> str:
+    """Return an id that can be sent in a header.
+
+    Raises:
+        RecordError: it is empty or too long, or not of printable ASCII without blanks.
+    """
+    if _IDENTIFIER.fullmatch(value) is None:
+        raise RecordError(
+            f"expected an id of printable ASCII, got {value[:MAX_SHOWN_CHARACTERS]!r}"
+        )
+    return value
+
+
 def text(value: object) -> str:
     """Return a string that can be encoded in messages to peers.
 
