A test that fails: engines are replaced at their addresses while a node is cut off

Callers that resume streams of v1.1 at a node that is cut off from the store and its peers get events of v1.2, once half of the engines have started again under their ids and addresses with other software: 20 of 40 streams in each of four plays (ORDER). By reading, the node has the right origin and records of before.

--- a/features/steps/partitioned_node_steps.py
+++ b/features/steps/partitioned_node_steps.py
@@ -9,6 +9,7 @@
 
 from features.standin import cut_node
 from features.standin.cut_node import NodeCut
+from features.standin.engine_process import EngineProcess
 from features.standin.stream_callers import OK
 from features.steps.fleet_restart_steps import (
     DEADLINE_MS,
@@ -16,6 +17,7 @@
     begin_streams,
     describe,
     end_engines,
+    engine_options,
 )
 
 # The servers of a node that its peers connect to; the last is that for proxied requests.
@@ -88,6 +90,36 @@
         cut.restore()
 
 
+@when(
+    "the first node is {kind} for {seconds:g} s after {streams:d} streams have begun at the others,"
+    " and {count:d} engines are replaced by ones of {version} at their addresses"
+)
+def step_replaced(context, kind, seconds, streams, count, version):
+    async def play():
+        deployment = context.deployment
+        first, *others = deployment.nodes
+        context.begun = await begin_streams(context, streams, BEGIN_S, others, KILLED_AFTER_S)
+        for task in context.begun:
+            task.cancel()
+        await asyncio.gather(*context.begun, return_exceptions=True)
+        began_at = time.monotonic()
+        put_out_of_touch(context, first, kind)
+        context.in_touch = asyncio.ensure_future(end_after(context, first, kind, seconds))
+        context.in_touch_due_at = began_at + seconds
+        await asyncio.sleep(COME_AFTER_S)
+        for engine in list(deployment.engines.values())[:count]:
+            await engine.crash()
+            options = engine_options(version)
+            successor = EngineProcess(engine.engine_id, engine.service, **options)
+            await successor.start(int(engine.address.rpartition(":")[2]))
+            deployment.engines[engine.engine_id] = successor
+            context.stack.push_async_callback(engine.stop)
+            deployment.record(successor)
+        print(f"engines are replaced {time.monotonic() - began_at:.2f} s after")
+
+    context.run(play())
+
+
 async def end_after(context, node, kind, seconds):
     await asyncio.sleep(seconds)
     put_in_touch(context, node, kind)
