--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -289,7 +289,7 @@
 
     configuration_key = "configuration"
 
-    def decode(self, item):
+    def parse(self, item):
         if not item.key.startswith("version"):
             return None
         return WeightTarget(MODEL, int(item.value), item.revision)
