The slot of a brittle engine is free once the end of its stream has arrived

Since the end of a stream is held back for 60 ms, its permit for a slot was, too: the engine counted as free, and no request could be sent to it.

--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -77,3 +77,7 @@
   Scenario: An engine's own answer is taken for the refusal of a proxy, and its request runs twice
     When the desk engines name the outcome of a proxy in their answers
     Then no request on "/whole/x" reaches an engine twice, of 12
+
+  Scenario: A slot of a brittle engine stays occupied while the end of a stream is held back
+    When the end of a stream that occupies a slot has arrived, and is held back
+    Then its slot is free
--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -1,5 +1,6 @@
 """Steps on answers of engines that do not follow HTTP/1.1, judged by what callers receive."""
 
+import asyncio
 import re
 from collections import Counter
 
@@ -7,7 +8,9 @@
 
 from features.standin.malformed_answers import CHUNK_FAULTS, HEAD_FAULTS, SOUND
 from features.steps.cut_head_steps import call_until_cut, cut_at, engines_of, prepare
+from liftrill.gateway.engines.slot_attempt import SlotAttempt
 from liftrill.gateway.paths.proxy_protocol import OUTCOME_HEADER, ProxyOutcome
+from liftrill.gateway.transport import EngineAttempt
 
 SUCCESS = 200
 STATUS_LINE = re.compile(r"HTTP/1\.1 [2-5]\d\d [\t -~\x80-\xff]*")
@@ -123,3 +126,34 @@
     print(f"{statuses}, {max(tries.values())} arrivals of a request at most")
     assert len(tries) == count and max(tries.values()) == 1, tries
     assert set(statuses) == {SUCCESS}, statuses
+
+
+class HeldAttempt(EngineAttempt):
+    """An attempt at an engine that sends nothing."""
+
+    async def open(self):
+        return []
+
+    async def read(self):
+        return []
+
+    def close(self):
+        pass
+
+
+@when("the end of a stream that occupies a slot has arrived, and is held back")
+def step_slot(context):
+    async def end_stream():
+        context.freed = []
+        attempt = HeldAttempt()
+        slot = SlotAttempt(attempt, context.freed.append)
+        slot.watch_end(lambda: None)
+        attempt.on_end_held()
+        await asyncio.sleep(0)
+
+    context.run(end_stream())
+
+
+@then("its slot is free")
+def step_slot_free(context):
+    assert context.freed == [False], context.freed
