--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -41,7 +41,7 @@
         self._response = response
 
     def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
-        """Hold back the end of a stream, to see whether bytes follow it."""
+        """Call a function once the end of a stream has arrived, if it is held back."""
         if isinstance(self._handler, GuardedResponseHandler):
             self._handler.watch_end(on_end_held, deadline)
 
@@ -85,7 +85,7 @@
         self._splitter = EventSplitter(version_field)
 
     def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
-        """Hold back the end of a stream in chunks, to see whether bytes follow it."""
+        """Call a function once the end of a stream in chunks has arrived and is held back."""
         if self.framing is events.Framing.CHUNKS:
             self._end.watch_end(on_end_held, deadline)
 
