Log what an engine replied after it closed a response, and how old the copy was by which a stream goes on

Under hypothesis H1 (another process at the address is taken for the engine) response_closed shows the evidence 'running' with a reply 'refused' or 'none', or 'possible' at an engine without a start time; under H2 (the engine itself closes early) the reply is 'same', and last_event names where the stream ended. Under H3 (an engine was replaced) stream_resumed shows copy_age_s above the age of the engine. request tells after_last_event_ms: how long after the last event a stream ended. No decision changes: the reply of the engine is an enumeration in place of True, False and None.

--- a/features/steps/cut_head_reader_steps.py
+++ b/features/steps/cut_head_reader_steps.py
@@ -29,6 +29,7 @@
 from liftrill.gateway.order_client import OrderAnswer, WeightOrder
 from liftrill.gateway.relay_client import ReaderLimits, RelayClient, RelayListener, RelayLostError
 from liftrill.gateway.relay_codec import encode_batch
+from liftrill.gateway.transport import EngineReply
 from liftrill.guarded_connection import new_session
 from liftrill.messages import peer_pb2 as messages
 from liftrill.messages.configuration_pb2 import Head
@@ -89,8 +90,9 @@
     return PlatformOrderClient(transport).report(view)
 
 
-def is_answering(transport, view):
-    return transport.is_answering(view)
+async def identify(transport, view):
+    reply = await transport.identify(view)
+    return None if reply is EngineReply.NONE else reply
 
 
 async def with_store(address, call):
@@ -184,7 +186,7 @@
     "order taken": (202, "{}", on_transport(order)),
     "order refused": (409, "{}", on_transport(order)),
     "report": (200, REPORT, on_transport(report)),
-    "is answering": (200, REPORT, on_transport(is_answering)),
+    "is answering": (200, REPORT, on_transport(identify)),
     "store read": (200, json.dumps(ROW), on_store(lambda s: s.read("key"))),
     "store absent key": (404, '{"At": 6}', on_store(lambda s: s.read("key"))),
     "store range": (200, '{"items": [], "At": 6}', on_store(lambda s: s.read_range("p/", ""))),
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -29,6 +29,7 @@
 from liftrill.gateway.quarantine_codec import entry_from_record, record_of
 from liftrill.gateway.quarantine_list import QuarantineList
 from liftrill.gateway.relay_codec import RelayAnswer, decode_message, encode_answer, encode_batch
+from liftrill.gateway.transport import EngineReply
 from liftrill.messages import peer_pb2 as messages
 from liftrill.node.engine_client import EngineClient
 from liftrill.node.gossip_codec import observation_message
@@ -565,7 +566,7 @@
                 assert 0 <= status.order_sequence < 2**63, report
                 notices = [EngineNotice("a", m, v, True, 1) for m, v in status.weights.items()]
                 assert datagram_from_notices(notices).SerializeToString() or not notices, report
-            assert await transport.is_answering(view) in (True, False, None)
+            assert isinstance(await transport.identify(view), EngineReply)
 
     context.run(check())
 
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -74,6 +74,9 @@
     def retention_s(self):
         return RETENTION_S
 
+    def copy_age_s(self, now):
+        return 0.0
+
     def note_lifetime(self, lifetime_s):
         pass
 
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -133,6 +133,8 @@
             "leaving": evidence.is_leaving,
             "others_ended": evidence.others_ended,
             "peers_answered": evidence.peers_answered,
+            "reply": evidence.reply.value,
+            "last_event": machine.order.last_id,
             "close_delay_ms": round(1000 * evidence.close_delay_s, 1),
             "waited_ms": round(1000 * waited_s, 1),
             "complete": is_complete,
@@ -209,10 +211,12 @@
         asked_s: float,
         known_versions: list[str],
         uptime_s: float,
+        copy_age_s: float,
     ) -> None:
         """Log which software version began the stream that a request resumes.
 
-        The uptime tells how far back this node can know which versions served.
+        The uptime tells how far back this node can know which versions served, the age of its copy
+        of the store since when it may not know them.
         """
         self._write_failure(
             "stream_resumed",
@@ -225,6 +229,7 @@
             asked_ms=round(1000 * asked_s, 1),
             known_versions=known_versions,
             uptime_s=round(uptime_s, 1),
+            copy_age_s=rounded_age(copy_age_s),
         )
 
     def request_crashed(self, machine: DeliveryMachine, error: Exception) -> None:
@@ -349,4 +354,5 @@
         "first_event_ms": round((times.first_event_at - machine.request.received_at) * 1000),
         "longest_pause_ms": round(times.longest_pause_s * 1000),
         "longest_pause_after": times.longest_pause_after,
+        "after_last_event_ms": round((clock.now_s() - times.last_event_at) * 1000),
     }
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -11,7 +11,7 @@
 from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
 from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.run_continuation import CloseEvidence
-from liftrill.gateway.transport import EngineTransport, ProbeResult
+from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
 
 # Bound of the delay before the next step after an interrupted attempt. A machine that is up answers
 # for an open or closed port within a round trip; no answer proves nothing.
@@ -20,6 +20,11 @@
 MAX_EVIDENCE_WAIT_S = constants.CONNECT_TIMEOUT_SECONDS + 0.2
 # A process that ends may reset its connections some milliseconds before its port is closed.
 SECOND_PROBE_AFTER_S = 0.05
+EVIDENCE_OF_REPLY = {
+    EngineReply.SAME: EngineEvidence.RUNNING,
+    EngineReply.POSSIBLE: EngineEvidence.RUNNING,
+    EngineReply.OTHER: EngineEvidence.ENDED,
+}
 EVIDENCE_OF_PROBE = {
     ProbeResult.ACCEPTED: EngineEvidence.RUNNING,
     ProbeResult.UNANSWERED: EngineEvidence.UNREACHED,
@@ -129,10 +134,10 @@
         """Find out what became of an engine after it closed a response's connection in order."""
         closed_at = clock.now_s()
         end = self.record_response_end(view, closed_at, close_delay_s)
-        answer = asyncio.ensure_future(self._ask(view))
+        answer = asyncio.ensure_future(self._transport.identify(view))
         elsewhere: asyncio.Task[EndsElsewhere] | None = None
         try:
-            evidence = await _result_within(answer, PROMPT_ANSWER_S)
+            evidence = _evidence_of(await _reply_within(answer, PROMPT_ANSWER_S))
             if evidence is EngineEvidence.UNKNOWN and view.leaving:
                 evidence = await self._check_connections(view)
             if evidence is not EngineEvidence.RUNNING and view.leaving:
@@ -148,6 +153,7 @@
             if evidence is EngineEvidence.ENDED and is_leaving and not others_ended:
                 ends = await (elsewhere or self._ask_peers(view, end))
         finally:
+            reply = answer.result() if answer.done() else EngineReply.NONE
             answer.cancel()
             if elsewhere is not None:
                 elsewhere.cancel()
@@ -157,6 +163,7 @@
             others_ended or ends is EndsElsewhere.SOME,
             close_delay_s,
             peers_answered=ends is not EndsElsewhere.UNKNOWN,
+            reply=reply,
         )
 
     async def _ask_peers(self, view: EngineView, end: ResponseEnd) -> EndsElsewhere:
@@ -168,13 +175,6 @@
         """Return the recent ends of responses of an engine with their connections."""
         return [end for end, engine in self._response_ends if engine == number]
 
-    async def _ask(self, view: EngineView) -> EngineEvidence:
-        """Return what an engine's answer to a call shows, or `UNKNOWN` if there is none."""
-        is_same = await self._transport.is_answering(view)
-        if is_same is None:
-            return EngineEvidence.UNKNOWN
-        return EngineEvidence.RUNNING if is_same else EngineEvidence.ENDED
-
     async def _check_connections(self, view: EngineView) -> EngineEvidence:
         """Return what open connections show of a leaving engine, which may not listen any more."""
         await asyncio.sleep(SAME_END_S)
@@ -182,7 +182,7 @@
         return EngineEvidence.RUNNING if has_open else EngineEvidence.UNKNOWN
 
     async def _probe_closed(
-        self, view: EngineView, answer: asyncio.Task[EngineEvidence]
+        self, view: EngineView, answer: asyncio.Task[EngineReply]
     ) -> EngineEvidence:
         """Return what probes show of an engine that has not answered yet.
 
@@ -199,7 +199,7 @@
             if evidence is EngineEvidence.ENDED:
                 return evidence
             if evidence is EngineEvidence.RUNNING:
-                answered = await _result_within(answer, LATE_ANSWER_S)
+                answered = _evidence_of(await _reply_within(answer, LATE_ANSWER_S))
                 return evidence if answered is EngineEvidence.UNKNOWN else answered
         return evidence
 
@@ -257,3 +257,13 @@
     """Return the result of a check, or `UNKNOWN` if there is none in time."""
     await asyncio.wait({task}, timeout=wait_s)
     return task.result() if task.done() else EngineEvidence.UNKNOWN
+
+
+async def _reply_within(answer: asyncio.Task[EngineReply], wait_s: float) -> EngineReply:
+    """Return an engine's reply, or `NONE` if there is none in time."""
+    await asyncio.wait({answer}, timeout=wait_s)
+    return answer.result() if answer.done() else EngineReply.NONE
+
+
+def _evidence_of(reply: EngineReply) -> EngineEvidence:
+    return EVIDENCE_OF_REPLY.get(reply, EngineEvidence.UNKNOWN)
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -20,7 +20,7 @@
 from liftrill.gateway.decision_log import DecisionLog
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.memory_budget import LARGE_BODY_BYTES
-from liftrill.gateway.transport import EngineTransport, ProbeResult, allow_send
+from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult, allow_send
 from liftrill.guarded_connection import (
     MAX_IDLE_S,
     GuardedResponseHandler,
@@ -189,6 +189,14 @@
         session.connector.discard_idle(address)
 
 
+def reply_of_error(error: Exception) -> EngineReply:
+    """Return what the error of a call shows of its address."""
+    is_refused = isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
+    return EngineReply.REFUSED if is_refused else EngineReply.NONE
+
+
 async def probe(address: str, timeout_s: float) -> ProbeResult:
     """Open a connection to HOST:PORT, close it, and return whether it was accepted."""
     host, _, port = address.rpartition(":")
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -12,6 +12,7 @@
 from liftrill.gateway.delivery_ports import DeliveryPorts
 from liftrill.gateway.event_stream import EventOrder, StreamEvent
 from liftrill.gateway.opaque_request import OpaqueRequest
+from liftrill.gateway.transport import EngineReply
 
 # How many times a run may continue at a backup: a burst of crashes may end engines one by one.
 MAX_CONTINUATIONS = 3
@@ -32,6 +33,7 @@
         others_ended: whether other responses of the engine ended at the same time, at any node.
         close_delay_s: the time between the last bytes and the close.
         peers_answered: whether all peers that had requests at the engine told of other ends.
+        reply: what came back when the engine was asked which incarnation it is.
     """
 
     engine: events.EngineEvidence
@@ -39,6 +41,7 @@
     others_ended: bool = False
     close_delay_s: float = 0.0
     peers_answered: bool = True
+    reply: EngineReply = EngineReply.NONE
 
     @property
     def shows_completion(self) -> bool:
--- a/liftrill/gateway/streams/origin_ports.py
+++ b/liftrill/gateway/streams/origin_ports.py
@@ -37,6 +37,10 @@
     def retention_s(self) -> float:
         """For how long versions that left are kept: the longest life of a stream."""
 
+    @abstractmethod
+    def copy_age_s(self, now: float) -> float:
+        """Return since when the copy of the store may lack changes."""
+
     @abstractmethod
     def note_lifetime(self, lifetime_s: float) -> None:
         """Note for how long a stream may be resumed."""
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -124,6 +124,7 @@
             clock.now_s() - asked_at,
             sorted(f"{each.service}/{each.software_version}" for each in known.served),
             self.evidence.uptime_s(asked_at),
+            self._recorded_versions.copy_age_s(clock.now_s()),
         )
         if origin is None:
             why = f"resumes={request.resumed_request_id[:MAX_LOGGED_ID_LENGTH]!r}"
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -108,6 +108,10 @@
         """For how long versions that left are kept: the longest life of a stream."""
         return max(self._stored_retention_s, self._max_lifetime_s)
 
+    def copy_age_s(self, now: float) -> float:
+        """Return since when the copy of the store may lack changes."""
+        return self._freshness.age_s(now)
+
     def note_lifetime(self, lifetime_s: float) -> None:
         """Note for how long a stream may be resumed."""
         if lifetime_s > self.retention_s:
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -80,6 +80,31 @@
     LATE = "late"
 
 
+class EngineReply(Enum):
+    """What came back from an engine's address when it was asked which incarnation it is.
+
+    Attributes:
+        SAME: an answer of the incarnation, by its start time.
+        POSSIBLE: an answer of the incarnation or of another one, as a start time is not known.
+        OTHER: an answer of another incarnation or engine.
+        REFUSED: nothing listened there.
+        NONE: no answer that can be understood.
+    """
+
+    SAME = "same"
+    POSSIBLE = "possible"
+    OTHER = "other"
+    REFUSED = "refused"
+    NONE = "none"
+
+
+def reply_by_start(view: EngineView, start_time: object) -> EngineReply:
+    """Return what an answer shows that names a start time, or none."""
+    if start_time is None or not view.record.born_unix_ms:
+        return EngineReply.POSSIBLE
+    return EngineReply.SAME if start_time == view.record.born_unix_ms else EngineReply.OTHER
+
+
 class EngineTransport(ABC):
     """Sends requests to engines."""
 
@@ -91,9 +116,9 @@
     async def probe(self, address: str, timeout_s: float) -> ProbeResult:
         """Open a connection to an address, close it, and return whether it was accepted."""
 
-    async def is_answering(self, view: EngineView) -> bool | None:
-        """Return whether an incarnation of an engine answers a call, or None without an answer."""
-        return None
+    async def identify(self, view: EngineView) -> EngineReply:
+        """Ask an engine's address whether an incarnation of it answers there."""
+        return EngineReply.NONE
 
     def has_open_connection(self, address: str) -> bool:
         """Return whether a connection to an address is open, in use or idle."""
