--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -290,11 +290,15 @@
         self._is_dying = False
         self.copies = held_backups
 
-    async def start(self, port=0):
+    async def start(self, port=0, listening=None):
+        """Listen at a port, or on a socket that listens already."""
         self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        if listening is not None:
+            site = web.SockSite(self._runner, listening)
+        else:
+            site = web.TCPSite(self._runner, "127.0.0.1", port)
         await site.start()
         self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
 
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -1,10 +1,11 @@
 """Engines in processes of their own, so that the kernel closes their connections when they end.
 
-    python -m features.standin.engine_process ENGINE_ID SERVICE PORT OPTIONS
+    python -m features.standin.engine_process ENGINE_ID SERVICE PORT OPTIONS [DESCRIPTOR]
 
-The process prints its address, then a line for each request that it begins or ends. SIGTERM makes
-it stop as a leaving engine does: it stops listening, completes its answers and ends. On SIGUSR1 it
-resets its connections and ends. OPTIONS is a JSON object of fields of StandInEngine.
+With a descriptor it listens on that socket, which its parent holds as well. The process prints its
+address, then a line for each request that it begins or ends. SIGTERM makes it stop as a leaving
+engine does: it stops listening, completes its answers and ends. On SIGUSR1 it resets its
+connections and ends. OPTIONS is a JSON object of fields of StandInEngine.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 
@@ -53,8 +55,9 @@
 class EngineProcess(StandInEngine):
     """An engine that runs in a process of its own; this object holds what it reported."""
 
-    async def start(self, port=0):
-        """Start the process and wait until it listens."""
+    async def start(self, port=0, listening=None):
+        """Start the process and wait until it listens, at a port or on a socket that is shared."""
+        shared = () if listening is None else (listening.fileno(),)
         options = {name: getattr(self, name) for name in OPTIONS}
         options["leaving_in"] = sorted(options["leaving_in"])
         self._process = await asyncio.create_subprocess_exec(
@@ -65,6 +68,8 @@
             self.service,
             str(port or free_ports(1)[0]),
             json.dumps(options),
+            *map(str, shared),
+            pass_fds=shared,
             stdout=asyncio.subprocess.PIPE,
         )
         self.address = json.loads(await self._process.stdout.readline())["address"]
@@ -117,6 +122,24 @@
         await self._reports
 
 
+class SupervisedEngine(EngineProcess):
+    """An engine whose supervisor listens on its socket as well, and keeps it when it has ended."""
+
+    async def start(self, port=0):
+        """Start the process on a socket that stays open."""
+        self._listening = socket.create_server(("127.0.0.1", port))
+        await super().start(port, self._listening)
+
+    async def restart(self):
+        """Start a process on the same socket."""
+        await super().start(0, self._listening)
+
+    async def stop(self):
+        """End the process, and close the socket."""
+        await super().stop()
+        self._listening.close()
+
+
 class ReportingEngine(StandInEngine):
     """The engine of such a process, which reports the requests that it runs."""
 
@@ -193,14 +216,15 @@
         await asyncio.sleep(LOOK_S)
 
 
-async def main(engine_id, service, port, options):
+async def main(engine_id, service, port, options, descriptor=None):
     """Run an engine until the process is ended."""
     options = json.loads(options)
     engine = ReportingEngine(
         engine_id, service, **{**options, "leaving_in": frozenset(options["leaving_in"])}
     )
     loop = asyncio.get_running_loop()
-    await engine.start(int(port))
+    listening = None if descriptor is None else socket.socket(fileno=int(descriptor))
+    await engine.start(int(port), listening)
     loop.add_signal_handler(signal.SIGTERM, lambda: asyncio.ensure_future(engine.leave()))
     loop.add_signal_handler(signal.SIGUSR1, engine.reset_and_end)
     print(json.dumps({"address": engine.address}), flush=True)
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -8,7 +8,7 @@
 
 from features.soak.fleet import now_unix_ms
 from features.standin.deployment import Deployment
-from features.standin.engine_process import EngineProcess
+from features.standin.engine_process import EngineProcess, SupervisedEngine
 from features.standin.stream_callers import StreamCallers
 from features.steps.lost_connection_steps import begin_streams
 
@@ -34,6 +34,7 @@
 def step_engines(context, count, kind, framing):
     service = {"model": "llm", "desk": "desk"}[kind]
     framing, copies, _ = framing.partition(", and that hold copies")
+    framing, kept_open, _ = framing.partition(", and whose supervisors keep their ports open")
     framing = {"their connection": "connection", "a last chunk": "chunks"}.get(framing, "length")
     deployment = Deployment(context.directory)
     context.deployment = context.run(context.stack.enter_async_context(deployment))
@@ -42,6 +43,7 @@
     context.callers = StreamCallers(deployment)
 
     context.framing = framing
+    context.engine_kind = SupervisedEngine if kept_open else EngineProcess
 
     async def add():
         for number in range(count):
@@ -56,7 +58,7 @@
     return await context.deployment.add_engine(
         f"{service}-{number + 1}",
         service,
-        kind=EngineProcess,
+        kind=context.engine_kind,
         weights={"model-1": 1} if service == "llm" else {},
         names_version=True,
         slots=64,
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -86,3 +86,9 @@
     When 36 streams on "stream" begin within 1.2 s, and an engine is killed
     Then no stream looks complete that is not
     And all streams are whole
+
+  Scenario: The port of a killed engine, which its supervisor keeps open, is taken for the engine
+    Given 2 model engines in processes of their own, whose answers end with their connection, and whose supervisors keep their ports open
+    When 24 streams on "stream" begin within 0.6 s, and an engine is killed
+    Then no stream looks complete that is not
+    And only streams of that engine broke off
