An accepted connection does not show that an engine runs which closed a response

Cause: an engine that had not replied within 50 ms counted as running if its port accepted two connections, and so the closed response as complete. Any process may accept connections at an address: the next incarnation, a supervisor, or the kernel for either. A refusal of the node's question was forgotten, though it shows that nothing listened.

Now only two things show that an engine runs: a reply of the same incarnation, and a connection that is still open on which the engine sent bytes before the close, since the kernel closes all connections of a process that ends. Without either the question is asked again, and the reply waited for as long as the caller's deadline allows, or 0.5 s where a new run can add what the response may lack. A reply that names no start time counts for nothing after a refusal. If no reply comes the response was interrupted. Sound responses of engines whose reports take 0.3, 1 or 3 s, or whose connections are limited, stay whole, as they did.

--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -132,6 +132,7 @@
 
     async def restart(self):
         """Start a process on the same socket."""
+        self.born_unix_ms = time.time_ns() // 1_000_000
         await super().start(0, self._listening)
 
     async def stop(self):
--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -5,16 +5,19 @@
 
 from behave import given, then, when
 
+from features.gateway_support import engine_record
 from liftrill import clock
 from liftrill.coordination.membership_messages import Member
 from liftrill.gateway.delivery_events import EngineAddress
-from liftrill.gateway.engines.engine_end_check import ResponseEnd
+from liftrill.gateway.engines.engine_end_check import EngineEndCheck, ResponseEnd
+from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.paths.reach_codec import (
     ResponseEndAnswer,
     datagram_from_reach,
     reach_from_datagram,
 )
 from liftrill.gateway.paths.response_end_exchange import ResponseEndExchange, ResponseEndPeers
+from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
 
 ENGINE = EngineAddress("engine-1", "127.0.0.1:1", 7)
 # How long before the end at the node one ended at the peer, and how long after its last bytes.
@@ -107,3 +110,60 @@
 @then("it asked {count:d} peers")
 def step_asked(context, count):
     assert len(set(context.fleet.sent)) == count, context.fleet.sent
+
+
+class RepliesInTurn(EngineTransport):
+    """An engine's address, which gives each reply in turn, and then the last one again."""
+
+    def __init__(self, replies):
+        self._replies = [reply.partition(" after ") for reply in replies.split(", ")]
+        self.port = ProbeResult.ACCEPTED
+        self.has_older_connection = False
+
+    def attempt(self, request, start):
+        raise NotImplementedError
+
+    async def identify(self, view):
+        reply, _, delay = self._replies[0]
+        self._replies = self._replies[1:] or self._replies
+        await asyncio.sleep(float(delay.removesuffix(" s") or 0.0))
+        return EngineReply(reply)
+
+    async def probe(self, address, timeout_s):
+        return self.port
+
+    def has_open_connection(self, address, used_before):
+        return self.has_older_connection
+
+
+@given('an engine asked for its incarnation, which replies "{replies}"')
+def step_replies(context, replies):
+    context.transport = RepliesInTurn(replies)
+    context.check = EngineEndCheck(context.transport, lambda view, now: None)
+    context.view = EngineView(engine_record("engine-1"))
+
+
+@given("its port {port}, with {connections}")
+def step_port(context, port, connections):
+    ports = {"accepts": ProbeResult.ACCEPTED, "refuses": ProbeResult.REFUSED}
+    context.transport.port = ports[port]
+    context.transport.has_older_connection = connections == "one open since before"
+    context.others_ended = connections == "another response that ended at once"
+
+
+@when("a response of it was closed in order, and its caller waits for {left:g} s")
+def step_closed(context, left):
+    async def check():
+        began_at = clock.now_s()
+        if context.others_ended:
+            context.check.record_response_end(context.view, began_at, 0.0)
+        context.evidence = await context.check.check_closed(context.view, 0.0, began_at + left)
+        context.took_s = clock.now_s() - began_at
+
+    context.run(check())
+
+
+@then('the engine counts as "{evidence}" within {seconds:g} s')
+def step_counts(context, evidence, seconds):
+    assert context.evidence.engine.value == evidence, context.evidence
+    assert context.took_s <= seconds, context.took_s
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -163,10 +163,13 @@
 async def end_engine(context, how):
     """End the process of the engine with the most requests."""
     engine = context.ended = busiest_engine(context)
+    how, starts_again, _ = how.partition(", and started again")
     if how == "killed as it leaves":
         await announce(context, [engine])
         how = "killed"
     await engine.crash(how=how)
+    if starts_again:
+        await engine.restart()
 
 
 @when('{count:d} streams on "{route}" begin within {seconds:g} s, and an engine is {how}')
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -87,8 +87,45 @@
     Then no stream looks complete that is not
     And all streams are whole
 
-  Scenario: The port of a killed engine, which its supervisor keeps open, is taken for the engine
+  Scenario Outline: The port of a killed engine, which its supervisor keeps open, is taken for the engine: <how>, <route>
     Given 2 model engines in processes of their own, whose answers end with their connection, and whose supervisors keep their ports open
-    When 24 streams on "stream" begin within 0.6 s, and an engine is killed
+    When 24 streams on "<route>" begin within 0.6 s, and an engine is <how>
     Then no stream looks complete that is not
-    And only streams of that engine broke off
+    And <others>
+
+    Examples:
+      | how                         | route  | others                                |
+      | killed                      | stream | only streams of that engine broke off |
+      | killed                      | resume | all streams are whole                 |
+      | killed, and started again   | stream | only streams of that engine broke off |
+      | killed, and started again   | resume | all streams are whole                 |
+
+  Scenario: The port of a killed engine, which its supervisor keeps open, is taken for the engine: whole answers
+    Given 2 desk engines in processes of their own, whose answers end with their connection, and whose supervisors keep their ports open
+    When 24 clients post to "/whole/x", and an engine is killed half-way
+    Then no success lacks a part of its body
+
+  Scenario Outline: What listens at an engine's address is taken for the engine: <replies>, <port>, <connections>
+    Given an engine asked for its incarnation, which replies "<replies>"
+    And its port <port>, with <connections>
+    When a response of it was closed in order, and its caller waits for <left> s
+    Then the engine counts as "<evidence>" within <seconds> s
+
+    Examples:
+      | replies                | port    | connections          | left | evidence | seconds |
+      | same                   | accepts | no other connection  | 4    | running  | 0.04    |
+      | same after 0.3 s       | accepts | no other connection  | 4    | running  | 0.4     |
+      | same after 1 s         | accepts | no other connection  | 4    | running  | 1.1     |
+      | same after 3 s         | accepts | no other connection  | 4    | running  | 3.1     |
+      | none, none, same       | accepts | no other connection  | 4    | running  | 0.3     |
+      | none                   | accepts | one open since before | 4   | running  | 0.1     |
+      | refused                | accepts | one open since before | 4   | running  | 0.1     |
+      | refused, same          | accepts | no other connection  | 4    | running  | 0.3     |
+      | possible               | accepts | no other connection  | 4    | running  | 0.04    |
+      | other                  | accepts | no other connection  | 4    | ended    | 0.04    |
+      | refused, other         | accepts | no other connection  | 4    | ended    | 0.3     |
+      | refused                | refuses | no other connection  | 4    | ended    | 0.3     |
+      | none                   | refuses | no other connection  | 4    | ended    | 0.3     |
+      | refused, possible      | accepts | no other connection  | 4    | unknown  | 0.3     |
+      | none                   | accepts | no other connection  | 1    | unknown  | 1.3     |
+      | none                   | accepts | another response that ended at once | 1 | ended | 1.3 |
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -28,6 +28,10 @@
 # An engine that sends many events at once must not keep other requests waiting.
 EVENTS_PER_TURN = 64
 BYTES_PER_KILOBYTE = 1024
+# How long an engine that closed a response is waited for to reply: of the time that the caller has
+# left, and if a new run can add what the response may lack.
+CLOSE_CHECK_SHARE = 0.9
+RERUN_AFTER_S = 0.5
 FIRST_CLIENT_ERROR = 400
 
 
@@ -74,8 +78,10 @@
         """Find out, before the next attempt, what became of the engine of an interrupted run."""
 
     @abstractmethod
-    async def check_closed(self, view: EngineView, close_delay_s: float) -> CloseEvidence:
-        """Find out what became of an engine after it closed a response's connection."""
+    async def check_closed(
+        self, view: EngineView, close_delay_s: float, until: float = math.inf
+    ) -> CloseEvidence:
+        """Find out until a time what became of an engine after it closed a response."""
 
     @abstractmethod
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
@@ -251,7 +257,8 @@
         evidence, began_at = CloseEvidence(events.EngineEvidence.UNKNOWN), clock.now_s()
         self._machine.times.framing = events.Framing.CONNECTION.value
         if self._view is not None:
-            evidence = await self._owner.check_closed(self._view, closed.close_delay_s)
+            until = began_at + self._longest_close_check_s(began_at)
+            evidence = await self._owner.check_closed(self._view, closed.close_delay_s, until)
         resolved = resolve_close(closed, evidence, self._machine.request.may_run_again)
         is_complete = resolved is closed.completed
         waited_s = self._close_check_s = clock.now_s() - began_at
@@ -259,6 +266,10 @@
         self._owner.log.response_closed(self._machine, evidence, waited_s, is_complete)
         return resolved, evidence.engine
 
+    def _longest_close_check_s(self, now: float) -> float:
+        share_s = CLOSE_CHECK_SHARE * (self._machine.request.deadline - now)
+        return min(RERUN_AFTER_S, share_s) if self._machine.request.may_run_again else share_s
+
     async def _with_evidence(
         self, event: events.AttemptInterrupted, known: events.EngineEvidence | None
     ) -> events.AttemptInterrupted:
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -34,9 +35,12 @@
 
 # How often an engine is probed whose response ended with its connection.
 MAX_CLOSE_CHECKS = 3
-# How long an engine's answer is waited for before it is probed, and after its port accepted probes.
-PROMPT_ANSWER_S = 0.05
-LATE_ANSWER_S = 1.0
+# How long a reply to the question which incarnation an engine is is waited for before it is probed.
+PROMPT_REPLY_S = 0.05
+# The question is asked again after a connection that brought no reply.
+ASK_AGAIN_S = 0.05
+# How long a reply is waited for while the engine's port accepts connections, if the caller waits.
+MAX_REPLY_WAIT_S = 5.0
 # Connections that the end of a process closes are closed within this time of each other.
 SAME_END_S = 0.01
 # By how much later than its peer a node may read the bytes that arrived at the same time.
@@ -88,6 +92,51 @@
     return EndsElsewhere.NONE
 
 
+class IncarnationQuery:
+    """Asks which incarnation of an engine answers at its address, until a reply tells.
+
+    Attributes:
+        reply: the newest reply.
+    """
+
+    def __init__(self, transport: EngineTransport, view: EngineView) -> None:
+        self.reply = EngineReply.NONE
+        self._was_refused = False
+        self._transport = transport
+        self._view = view
+        self._asking = asyncio.ensure_future(self._ask())
+
+    @property
+    def evidence(self) -> EngineEvidence:
+        """What the reply shows of the engine."""
+        if self.reply is EngineReply.POSSIBLE and self._was_refused:
+            # The process that listens now may have started after the engine ended.
+            return EngineEvidence.UNKNOWN
+        return EVIDENCE_OF_REPLY.get(self.reply, EngineEvidence.UNKNOWN)
+
+    async def wait(self, wait_s: float) -> EngineEvidence:
+        """Return what is known after a reply or a refusal, or after a time without one."""
+        await asyncio.wait({self._asking}, timeout=max(0.0, wait_s))
+        return self.evidence
+
+    def resume(self) -> None:
+        """Ask again after a refusal."""
+        if self.reply is EngineReply.REFUSED:
+            self._asking = asyncio.ensure_future(self._ask())
+
+    def close(self) -> None:
+        """Ask no more."""
+        self._asking.cancel()
+
+    async def _ask(self) -> None:
+        while True:
+            self.reply = await self._transport.identify(self._view)
+            self._was_refused |= self.reply is EngineReply.REFUSED
+            if self.reply is not EngineReply.NONE:
+                return
+            await asyncio.sleep(ASK_AGAIN_S)
+
+
 class EngineEndCheck:
     """Runs at most one check of each kind at a time for each engine after lost connections.
 
@@ -130,20 +179,25 @@
             task.add_done_callback(lambda _: self._running.pop(key, None))
         return await _result_within(task, MAX_EVIDENCE_WAIT_S if for_stream else MAX_WAIT_S)
 
-    async def check_closed(self, view: EngineView, close_delay_s: float) -> CloseEvidence:
-        """Find out what became of an engine after it closed a response's connection in order."""
+    async def check_closed(
+        self, view: EngineView, close_delay_s: float, until: float = math.inf
+    ) -> CloseEvidence:
+        """Find out until a time what became of an engine after it closed a response in order."""
         closed_at = clock.now_s()
         end = self.record_response_end(view, closed_at, close_delay_s)
-        answer = asyncio.ensure_future(self._transport.identify(view))
+        query = IncarnationQuery(self._transport, view)
         elsewhere: asyncio.Task[EndsElsewhere] | None = None
         try:
-            evidence = _evidence_of(await _reply_within(answer, PROMPT_ANSWER_S))
-            if evidence is EngineEvidence.UNKNOWN and view.leaving:
-                evidence = await self._check_connections(view)
+            evidence = await query.wait(PROMPT_REPLY_S)
+            if evidence is EngineEvidence.UNKNOWN:
+                evidence = await self._check_connections(view, closed_at)
             if evidence is not EngineEvidence.RUNNING and view.leaving:
                 elsewhere = asyncio.ensure_future(self._ask_peers(view, end))
             if evidence is EngineEvidence.UNKNOWN:
-                evidence = await self._probe_closed(view, answer)
+                evidence = await self._probe_closed(view, query, until)
+            if evidence is EngineEvidence.UNKNOWN and self._others_ended(view, closed_at):
+                # Nothing that was there before has been heard of since.
+                evidence = EngineEvidence.ENDED
             if evidence is EngineEvidence.RUNNING:
                 # The engine ended this response itself, so that it is no sign of its own end.
                 self._forget_response_end(view, end)
@@ -153,8 +207,7 @@
             if evidence is EngineEvidence.ENDED and is_leaving and not others_ended:
                 ends = await (elsewhere or self._ask_peers(view, end))
         finally:
-            reply = answer.result() if answer.done() else EngineReply.NONE
-            answer.cancel()
+            query.close()
             if elsewhere is not None:
                 elsewhere.cancel()
         return CloseEvidence(
@@ -163,7 +216,7 @@
             others_ended or ends is EndsElsewhere.SOME,
             close_delay_s,
             peers_answered=ends is not EndsElsewhere.UNKNOWN,
-            reply=reply,
+            reply=query.reply,
         )
 
     async def _ask_peers(self, view: EngineView, end: ResponseEnd) -> EndsElsewhere:
@@ -175,19 +228,19 @@
         """Return the recent ends of responses of an engine with their connections."""
         return [end for end, engine in self._response_ends if engine == number]
 
-    async def _check_connections(self, view: EngineView) -> EngineEvidence:
-        """Return what open connections show of a leaving engine, which may not listen any more."""
-        await asyncio.sleep(SAME_END_S)
-        has_open = self._transport.has_open_connection(view.record.address)
+    async def _check_connections(self, view: EngineView, closed_at: float) -> EngineEvidence:
+        """Return what connections show that were open before: a process that ends closes all."""
+        await asyncio.sleep(max(0.0, closed_at + SAME_END_S - clock.now_s()))
+        has_open = self._transport.has_open_connection(view.record.address, closed_at)
         return EngineEvidence.RUNNING if has_open else EngineEvidence.UNKNOWN
 
     async def _probe_closed(
-        self, view: EngineView, answer: asyncio.Task[EngineReply]
+        self, view: EngineView, query: IncarnationQuery, until: float
     ) -> EngineEvidence:
-        """Return what probes show of an engine that has not answered yet.
+        """Return what probes show of an engine that has not replied yet.
 
-        A port that accepts connections shows that the engine is running only if nothing answers
-        there: another incarnation may listen by then.
+        A port that accepts connections shows that something listens there, which may be another
+        incarnation or a supervisor of the engine.
         """
         evidence = EngineEvidence.UNKNOWN
         for _ in range(MAX_CLOSE_CHECKS):
@@ -199,8 +252,8 @@
             if evidence is EngineEvidence.ENDED:
                 return evidence
             if evidence is EngineEvidence.RUNNING:
-                answered = _evidence_of(await _reply_within(answer, LATE_ANSWER_S))
-                return evidence if answered is EngineEvidence.UNKNOWN else answered
+                query.resume()
+                return await query.wait(min(MAX_REPLY_WAIT_S, until - clock.now_s()))
         return evidence
 
     async def _check_prepared(self, view: EngineView) -> EngineEvidence:
@@ -257,13 +310,3 @@
     """Return the result of a check, or `UNKNOWN` if there is none in time."""
     await asyncio.wait({task}, timeout=wait_s)
     return task.result() if task.done() else EngineEvidence.UNKNOWN
-
-
-async def _reply_within(answer: asyncio.Task[EngineReply], wait_s: float) -> EngineReply:
-    """Return an engine's reply, or `NONE` if there is none in time."""
-    await asyncio.wait({answer}, timeout=wait_s)
-    return answer.result() if answer.done() else EngineReply.NONE
-
-
-def _evidence_of(reply: EngineReply) -> EngineEvidence:
-    return EVIDENCE_OF_REPLY.get(reply, EngineEvidence.UNKNOWN)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Delivers requests to engines: the part that all deliveries of a node share."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -401,9 +402,11 @@
             return events.EngineEvidence.UNKNOWN
         return evidence
 
-    async def check_closed(self, view: EngineView, close_delay_s: float) -> CloseEvidence:
-        """Find out what became of an engine after it closed a response's connection."""
-        return await self.end_check.check_closed(view, close_delay_s)
+    async def check_closed(
+        self, view: EngineView, close_delay_s: float, until: float = math.inf
+    ) -> CloseEvidence:
+        """Find out until a time what became of an engine after it closed a response."""
+        return await self.end_check.check_closed(view, close_delay_s, until)
 
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
         """Record that a run was interrupted or closed early, in case its engine has ended."""
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -73,8 +73,8 @@
                 for handler, _ in connections:
                     handler.close()
 
-    def has_open(self, address: str) -> bool:
-        """Return whether a connection to HOST:PORT is open, in use or idle."""
+    def has_open(self, address: str, used_before: float) -> bool:
+        """Return whether a connection is open on which HOST:PORT sent bytes before a time."""
         host, _, port = address.rpartition(":")
         idle = (
             handler
@@ -84,7 +84,12 @@
         )
         in_use = (handler for handler in self._acquired if _is_to(handler, host, int(port)))
         handlers = itertools.chain(idle, in_use)
-        return any(isinstance(h, GuardedResponseHandler) and h.is_open for h in handlers)
+        return any(
+            isinstance(each, GuardedResponseHandler)
+            and each.is_open
+            and each.first_data_at < used_before
+            for each in handlers
+        )
 
 
 class LargeBody(aiohttp.BytesPayload):
@@ -197,6 +202,11 @@
     return EngineReply.REFUSED if is_refused else EngineReply.NONE
 
 
+def call_timeout(total_s: float | None) -> aiohttp.ClientTimeout:
+    """Return the timeout of a call, with that of its connection."""
+    return aiohttp.ClientTimeout(total=total_s, sock_connect=constants.CONNECT_TIMEOUT_SECONDS)
+
+
 async def probe(address: str, timeout_s: float) -> ProbeResult:
     """Open a connection to HOST:PORT, close it, and return whether it was accepted."""
     host, _, port = address.rpartition(":")
@@ -223,10 +233,12 @@
         """Open a connection to an address, close it, and return whether it was accepted."""
         return await probe(address, timeout_s)
 
-    def has_open_connection(self, address: str) -> bool:
-        """Return whether a connection to an address is open, in use or idle."""
+    def has_open_connection(self, address: str, used_before: float) -> bool:
+        """Return whether a connection is open on which an address sent bytes before a time."""
         connector = self._session.connector
-        return isinstance(connector, CheckingConnector) and connector.has_open(address)
+        if not isinstance(connector, CheckingConnector):
+            return False
+        return connector.has_open(address, used_before)
 
     def discard_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -120,8 +120,8 @@
         """Ask an engine's address whether an incarnation of it answers there."""
         return EngineReply.NONE
 
-    def has_open_connection(self, address: str) -> bool:
-        """Return whether a connection to an address is open, in use or idle."""
+    def has_open_connection(self, address: str, used_before: float) -> bool:
+        """Return whether a connection is open on which an address sent bytes before a time."""
         return False
 
     def discard_idle(self, address: str) -> None:
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -105,6 +105,8 @@
         self._deadline = math.inf
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
+        # When the first bytes arrived.
+        self.first_data_at = math.inf
         self._closed_at = math.inf
 
     @property
@@ -154,6 +156,7 @@
         """Process received bytes (asyncio callback); close if no response is due."""
         now = clock.now_s()
         since_last_s, self._last_data_at = now - self._last_data_at, now
+        self.first_data_at = min(self.first_data_at, now)
         # Heads are parsed one by one: an error in what follows must not discard a response.
         while data and not self._response_count:
             length = self._framing.head_length(data)
