A resumable stream that its engine closes early, and runs on, is completed by another run

Cause: that the engine runs was taken for evidence that its response was complete. It shows only that the process did not end.

A close is doubted if other responses of the engine were closed within 10 ms of it, or if it came more than 15 ms after the last bytes, unless a longer time has been shown to be sound at this engine. A stream that may run again is then sent to the same engine once more, after its last event: that adds what is missing, or nothing. If the retry allowance or the attempts are used up, or the new run is refused or lost before it contradicts the stream, the stream ends as complete, as before. Streams that may not run again, and whole answers, cannot be decided so, and end as before.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -344,6 +344,60 @@
       | unnoticed   | sent to an engine   |
       | not         | refused as not run  |
 
+  Scenario Outline: A resumable stream that its engine closes early, and runs on, ends as complete: <how>
+    Given a resumable stream request, with 3 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the engine, which runs, closes the connection <delay> ms after its last bytes, and <others>
+    Then it is sent to the same engine once more, to resume after event 3
+    When a stream opens
+    And events 4 to <last> arrive
+    And the engine, which runs, closes the connection 1 ms after its last bytes, and no other
+    Then the caller got events 1 to <last> and one response head
+    And the stream ended complete
+
+    Examples:
+      | delay | others              | last |
+      | 30    | no other            | 6    |
+      | 1     | others at that time | 6    |
+      | 30    | no other            | 3    |
+
+  Scenario Outline: A stream whose end was doubted is broken off if no new run can be had: <then>
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the engine, which runs, closes the connection 30 ms after its last bytes, and no other
+    Then it is sent to the same engine once more, to resume after event 3
+    When <then>
+    Then the stream ended complete
+
+    Examples:
+      | then                                        |
+      | the engine refuses the request as overloaded |
+      | the connection to the engine breaks         |
+      | the engine answers with status 500          |
+      | its deadline passes                         |
+      | the engine, which runs, closes the connection 30 ms after its last bytes, and no other |
+
+  Scenario Outline: A sound end of a stream costs another run: <kind>, <delay> ms, <others>, <retries>
+    Given a <kind>, with 3 attempts
+    And the retry allowance is <retries>
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the engine, which runs, closes the connection <delay> ms after its last bytes, and <others>
+    Then the stream ended complete
+    And it was sent 1 time
+
+    Examples:
+      | kind                     | delay | others              | retries |
+      | resumable stream request | 1     | no other            | full    |
+      | resumable stream request | 30    | no other            | used up |
+      | stream request           | 30    | no other            | full    |
+      | stream request           | 1     | others at that time | full    |
+
   Scenario Outline: A closed connection ends a stream without other marks only at an engine that runs on
     Given a stream request, with 2 attempts
     When it starts
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -241,6 +241,13 @@
       | unframed_in_value   |
       | unframed_after_line |
 
+  Scenario: A resumable stream that its engine closes between two events, and runs on, ends as complete
+    Given a node
+    And the model engines make an event every 0.04 s
+    And the next request to any model engine meets the fault "unframed_after_event"
+    When a client asks for a stream at "/resume/x"
+    Then the stream has events 1 to 4 and is complete
+
   Scenario Outline: An answer that ends with its connection is passed on whole at "<path>"
     Given a node
     And the next request to any desk engine meets the fault "unframed_complete"
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -159,6 +159,21 @@
     feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
 
 
+@given("the retry allowance is full")
+def step_retries(context):
+    assert context.ports.retries > 0
+
+
+@when(
+    "the engine, which runs, closes the connection {delay:d} ms after its last bytes, and {others}"
+)
+def step_closes(context, delay, others):
+    closed = events.ConnectionClosed(events.StreamCompleted(), delay / 1000)
+    running = events.EngineEvidence.RUNNING
+    known = CloseEvidence(running, False, others == "others at that time", closed.close_delay_s)
+    feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
+
+
 @then("it is sent to the same engine to resume after event {number:d}")
 def step_sent_to_same(context, number):
     start = find(context.last, events.StartAttempt)[0]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -420,6 +420,12 @@
     return [e for e in context.deployment.engines.values() if e.service == service]
 
 
+@given("the model engines make an event every {seconds:g} s")
+def step_event_pace(context, seconds):
+    for engine in engines_of(context, "llm"):
+        engine.event_seconds = seconds
+
+
 @given('the next request to any {kind} engine meets the fault "{fault}"')
 def step_fault(context, kind, fault):
     service = {"desk": "desk", "model": "llm"}[kind]
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -78,6 +78,13 @@
         self._head_sent = False
         self._continuation = RunContinuation(request, ports)
         self._refusal_code = ResultCode.NO_ELIGIBLE_ENGINE
+        # Whether all events have come, unless a new run adds some.
+        self._is_end_likely = False
+
+    @property
+    def is_end_likely(self) -> bool:
+        """Whether the end of the stream was doubted, and no event has come since."""
+        return self._is_end_likely
 
     @property
     def unexecuted_runs(self) -> int:
@@ -146,6 +153,9 @@
     def _on_interrupted(self, event: events.AttemptInterrupted) -> list[events.DeliveryInstruction]:
         interrupted = self.attempts[-1]
         self._refusal_code = ResultCode.ENGINE_LOST
+        if event.is_rejected:
+            # The new run is not the one that the caller has a part of.
+            self._is_end_likely = False
         if self._head_sent:
             step = self._continuation.next_step(interrupted, event.evidence)
             if step is not NextStep.OTHER_ENGINE:
@@ -188,6 +198,7 @@
         if arrived.is_repeated:
             return []
         self.phase = Phase.STREAMING
+        self._is_end_likely = False
         # Engines of other software versions cannot continue what this one has written.
         if self.request.required_software_version is None:
             self.request.require_software_version(self.attempts[-1].software_version)
@@ -197,6 +208,16 @@
         self.phase = Phase.ENDED
         return [*self._unsent_head(), events.FinishStream()]
 
+    def _on_end_doubted(self, event: events.EndDoubted) -> list[events.DeliveryInstruction]:
+        """Let the engine run the request again after the last event, which costs a retry."""
+        if self._head_sent and not self._is_end_likely and self._may_send_again():
+            step = self._continuation.next_step(self.attempts[-1], events.EngineEvidence.RUNNING)
+            choice = self._continuation.choose(step, self.attempts[-1])
+            if choice is not None and self._ports.try_spend_retry(self.request):
+                self._is_end_likely = True
+                return [events.AbandonAttempt(), self._start_attempt(choice)]
+        return self._on_completed(events.StreamCompleted())
+
     def _on_deadline(self, _: events.DeadlinePassed) -> list[events.DeliveryInstruction]:
         abandon: list[events.DeliveryInstruction] = []
         if self.phase in (Phase.ATTEMPTING, Phase.STREAMING):
@@ -269,6 +290,10 @@
     ) -> events.DeliveryInstruction:
         """Refuse the request if it certainly did not run; otherwise its outcome is unknown."""
         self.phase = Phase.ENDED
+        if self._is_end_likely and not self.order.is_cut_short:
+            # No new run could be had, and the engine ended the stream in order.
+            self._is_end_likely = False
+            return events.FinishStream()
         if self._head_sent:
             return events.AbortStream(ResultCode.STREAM_INTERRUPTED)
         if self._ledger.seal_if_not_run() is not None:
@@ -302,5 +327,6 @@
         events.StreamOpened: _on_stream_opened,
         events.EventReceived: _on_event,
         events.StreamCompleted: _on_completed,
+        events.EndDoubted: _on_end_doubted,
         events.DeadlinePassed: _on_deadline,
     }
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -142,6 +142,8 @@
         self._close_check_s = 0.0
         # When the end of the stream arrived, if it is held back.
         self._end_held_at: float | None = None
+        # The engine whose end of the stream was doubted, and how long after its last bytes it came.
+        self._doubted: tuple[EngineView, float] | None = None
         self._ended = False
 
     @property
@@ -260,6 +262,8 @@
             until = began_at + self._longest_close_check_s(began_at)
             evidence = await self._owner.check_closed(self._view, closed.close_delay_s, until)
         resolved = resolve_close(closed, evidence, self._machine.request.may_run_again)
+        if isinstance(resolved, events.EndDoubted) and self._view is not None:
+            self._doubted = (self._view, closed.close_delay_s)
         is_complete = resolved is closed.completed
         waited_s = self._close_check_s = clock.now_s() - began_at
         self._owner.metrics.closed_responses.labels(evidence.engine.value).inc()
@@ -374,6 +378,12 @@
         await self._owner.queues.wait(request, entry)
         return events.Started() if clock.now_s() < until else events.WaitExpired()
 
+    def _record_sound_close(self) -> None:
+        """Record that a new run had nothing to add after an end that was doubted."""
+        if self._doubted is not None and self._machine.is_end_likely:
+            view, delay_s = self._doubted
+            view.sound_close_s = max(view.sound_close_s, delay_s)
+
     async def _end(self, ending: events.DeliveryInstruction) -> None:
         self._ended = True
         now = clock.now_s() - self.caller_wait_s - self._close_check_s
@@ -393,6 +403,7 @@
             self.close()
             await self._sink.send_response(ending.response)
         elif isinstance(ending, events.FinishStream):
+            self._record_sound_close()
             # The engine is free, even if the caller still has to read the end of the stream.
             self.close()
             await self._sink.finish()
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -128,6 +128,11 @@
     close_delay_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class EndDoubted:
+    """A stream that may run again ended with its connection, and may lack its last events."""
+
+
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
     """The deadline of the caller or of the route has passed."""
@@ -143,6 +148,7 @@
     | EventReceived
     | StreamCompleted
     | ConnectionClosed
+    | EndDoubted
     | DeadlinePassed
 )
 
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -164,6 +164,8 @@
         self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
         # By time: the ends of responses, and the numbers of their engines.
         self._response_ends: deque[tuple[ResponseEnd, int]] = deque()
+        # The same of the responses that engines closed which went on running.
+        self._closed_ends: deque[tuple[ResponseEnd, int]] = deque()
 
     async def check(self, view: EngineView, for_stream: bool = False) -> EngineEvidence:
         """Check whether an engine has ended; return what is known of it before the next step.
@@ -198,10 +200,11 @@
             if evidence is EngineEvidence.UNKNOWN and self._others_ended(view, closed_at):
                 # Nothing that was there before has been heard of since.
                 evidence = EngineEvidence.ENDED
+            is_leaving, others_ended = view.leaving, self._others_ended(view, closed_at)
             if evidence is EngineEvidence.RUNNING:
                 # The engine ended this response itself, so that it is no sign of its own end.
                 self._forget_response_end(view, end)
-            is_leaving, others_ended = view.leaving, self._others_ended(view, closed_at)
+                others_ended = others_ended or self._others_closed(view, closed_at)
             ends = EndsElsewhere.NONE
             # Only the end of a leaving engine may follow the end of its last response.
             if evidence is EngineEvidence.ENDED and is_leaving and not others_ended:
@@ -217,6 +220,7 @@
             close_delay_s,
             peers_answered=ends is not EndsElsewhere.UNKNOWN,
             reply=query.reply,
+            sound_delay_s=view.sound_close_s,
         )
 
     async def _ask_peers(self, view: EngineView, end: ResponseEnd) -> EndsElsewhere:
@@ -275,8 +279,17 @@
         return end
 
     def _forget_response_end(self, view: EngineView, end: ResponseEnd) -> None:
+        """Record that an engine that runs ended a response itself."""
         with contextlib.suppress(ValueError):
             self._response_ends.remove((end, view.number))
+        self._closed_ends.append((end, view.number))
+        while end.at - self._closed_ends[0][0].at > RESPONSE_ENDS_KEPT_S:
+            self._closed_ends.popleft()
+
+    def _others_closed(self, view: EngineView, closed_at: float) -> bool:
+        """Return whether an engine that runs closed other responses at the same time as one."""
+        ends = [end for end, number in self._closed_ends if number == view.number]
+        return sum(abs(end.at - closed_at) <= SAME_END_S for end in ends) > 1
 
     def _others_ended(self, view: EngineView, ended_at: float) -> bool:
         """Return whether other responses of an engine ended at the same time as one."""
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -96,6 +96,8 @@
         identity: the id, address and number of the incarnation; kept, because each check of the
             links lists those of all engines.
         condition: state that the engine reported about itself; it outlives this view.
+        sound_close_s: the longest time between the last bytes of a response and the end of its
+            connection after which the response was shown to be complete.
     """
 
     record: EngineRecord
@@ -111,6 +113,7 @@
     breaker: CircuitBreaker = field(default_factory=_new_breaker)
     speed: EngineSpeed = field(default_factory=EngineSpeed)
     condition: EngineCondition = field(default_factory=EngineCondition)
+    sound_close_s: float = 0.0
     number: int = field(init=False)
     identity: EngineAddress = field(init=False)
 
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -34,6 +34,7 @@
         close_delay_s: the time between the last bytes and the close.
         peers_answered: whether all peers that had requests at the engine told of other ends.
         reply: what came back when the engine was asked which incarnation it is.
+        sound_delay_s: the longest such time of a response that is known to have been complete.
     """
 
     engine: events.EngineEvidence
@@ -42,6 +43,17 @@
     close_delay_s: float = 0.0
     peers_answered: bool = True
     reply: EngineReply = EngineReply.NONE
+    sound_delay_s: float = 0.0
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether an engine that runs may have closed the connection before the end.
+
+        An engine whose worker has ended closes the responses that it had, all at once and not
+        right after bytes of each.
+        """
+        longest_s = max(MAX_CLOSE_DELAY_S, self.sound_delay_s)
+        return self.others_ended or self.close_delay_s > longest_s
 
     @property
     def shows_completion(self) -> bool:
@@ -62,6 +74,9 @@
     A new run is right in both cases: after a complete response it adds nothing.
     """
     is_certain = evidence.engine is events.EngineEvidence.RUNNING
+    is_stream = isinstance(closed.completed, events.StreamCompleted)
+    if is_certain and is_stream and may_run_again and evidence.is_doubtful:
+        return events.EndDoubted()
     if is_certain or (evidence.shows_completion and not may_run_again):
         return closed.completed
     reason = f"connection closed without an end of the response, engine {evidence.engine.value}"
@@ -77,7 +92,7 @@
             return events.EventReceived(event.event, is_repeated=True)
         number = event.event.event_id
         what = "an event without an id" if number is None else f"event {number}"
-    elif isinstance(event, events.StreamCompleted) and order.is_cut_short:
+    elif isinstance(event, events.StreamCompleted | events.EndDoubted) and order.is_cut_short:
         what = "the end"
     else:
         return event
