A resumable stream whose engine does not reply in time ends as complete if a new run adds nothing

An engine that answers a new run after it closed the stream is running, so the end was its own. The second close in a row without an event between them is taken for the end; a loss, a refusal or the deadline is not. gateway_delivery: four scenarios.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -381,6 +381,24 @@
       | its deadline passes                         |
       | the engine, which runs, closes the connection 30 ms after its last bytes, and no other |
 
+  Scenario Outline: A resumable stream of an engine that does not reply in time is broken off at its sound end: <then>
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the engine closes the connection in order, and its state is "unknown"
+    Then it is sent to the same engine once more, to resume after event 3
+    When a stream opens
+    And <then>
+    Then the stream <end>
+
+    Examples:
+      | then                                                                       | end            |
+      | the engine closes the connection in order, and its state is "unknown"      | ended complete |
+      | the engine closes the connection in order, and its state is "running"      | ended complete |
+      | the connection to the engine breaks                                        | was aborted    |
+      | its deadline passes                                                        | was aborted    |
+
   Scenario Outline: A sound end of a stream costs another run: <kind>, <delay> ms, <others>, <retries>
     Given a <kind>, with 3 attempts
     And the retry allowance is <retries>
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -78,7 +78,9 @@
         self._head_sent = False
         self._continuation = RunContinuation(request, ports)
         self._refusal_code = ResultCode.NO_ELIGIBLE_ENGINE
-        # Whether all events have come, unless a new run adds some.
+        # Whether a new run since which no event has come is to show if the stream is complete, and
+        # whether it is taken for complete if there is no such run.
+        self._confirms_end = False
         self._is_end_likely = False
 
     @property
@@ -155,8 +157,12 @@
         self._refusal_code = ResultCode.ENGINE_LOST
         if event.is_rejected:
             # The new run is not the one that the caller has a part of.
-            self._is_end_likely = False
+            self._confirms_end = self._is_end_likely = False
         if self._head_sent:
+            if event.was_closed and event.evidence is events.EngineEvidence.UNKNOWN:
+                if self._confirms_end:
+                    return self._on_completed(events.StreamCompleted())
+                self._confirms_end = True
             step = self._continuation.next_step(interrupted, event.evidence)
             if step is not NextStep.OTHER_ENGINE:
                 return [events.AbandonAttempt(), self._continue_or_end(step, interrupted)]
@@ -198,7 +204,7 @@
         if arrived.is_repeated:
             return []
         self.phase = Phase.STREAMING
-        self._is_end_likely = False
+        self._confirms_end = self._is_end_likely = False
         # Engines of other software versions cannot continue what this one has written.
         if self.request.required_software_version is None:
             self.request.require_software_version(self.attempts[-1].software_version)
@@ -210,13 +216,13 @@
 
     def _on_end_doubted(self, event: events.EndDoubted) -> list[events.DeliveryInstruction]:
         """Let the engine run the request again after the last event, which costs a retry."""
-        if self._head_sent and not self._is_end_likely and self._may_send_again():
-            step = self._continuation.next_step(self.attempts[-1], events.EngineEvidence.RUNNING)
-            choice = self._continuation.choose(step, self.attempts[-1])
-            if choice is not None and self._ports.try_spend_retry(self.request):
-                self._is_end_likely = True
-                return [events.AbandonAttempt(), self._start_attempt(choice)]
-        return self._on_completed(events.StreamCompleted())
+        if self._confirms_end or not self._head_sent:
+            # The engine answered a new run, which added nothing, or the stream has no events.
+            return self._on_completed(events.StreamCompleted())
+        self._confirms_end = self._is_end_likely = True
+        self._refusal_code = ResultCode.ENGINE_LOST
+        step = self._continuation.next_step(self.attempts[-1], events.EngineEvidence.RUNNING)
+        return [events.AbandonAttempt(), self._continue_or_end(step, self.attempts[-1])]
 
     def _on_deadline(self, _: events.DeadlinePassed) -> list[events.DeliveryInstruction]:
         abandon: list[events.DeliveryInstruction] = []
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -61,11 +61,13 @@
     Attributes:
         is_rejected: whether this node ended it because what the engine sent is no valid response.
         evidence: what is known of the engine.
+        was_closed: whether its connection was closed in order.
     """
 
     reason: str = ""
     is_rejected: bool = False
     evidence: EngineEvidence = EngineEvidence.UNKNOWN
+    was_closed: bool = False
 
 
 class Framing(Enum):
@@ -130,7 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndDoubted:
-    """A stream that may run again ended with its connection, and may lack its last events."""
+    """An engine that runs closed a stream that may run again, and may lack its last events."""
 
 
 @dataclass(frozen=True, slots=True)
