A response that an engine closed counts as one end of its responses, not as two

The decision that a closed response was interrupted recorded a second end of a response, at the time of the decision, which is when the new run was closed as well: two ends at the same time count as the end of the process.

Only lost connections are recorded there now; a close is recorded as it comes. A new run that adds nothing ends the stream after a first close of any evidence, and the reply is waited for until shortly before the deadline if no further run may be sent.

--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -106,13 +106,18 @@
         """Whether the run has begun and may go on if its engine is lost."""
         return self._head_sent and self.needs_body
 
+    @property
+    def may_run_anew(self) -> bool:
+        """Whether a new run may add what the response lacks if it is interrupted now."""
+        return self.request.may_run_again and self._may_send_again()
+
     @property
     def needs_body(self) -> bool:
         """Whether the request may be sent to an engine again, so that its body is needed."""
         if self.phase is not Phase.STREAMING:
             return self.phase is not Phase.ENDED
         if self.request.may_run_again:
-            return self._may_send_again()
+            return self.may_run_anew
         return self.attempts[-1].backup is not None
 
     # One handler per event
@@ -159,8 +164,8 @@
             # The new run is not the one that the caller has a part of.
             self._confirms_end = self._is_end_likely = False
         if self._head_sent:
-            if event.was_closed and event.evidence is events.EngineEvidence.UNKNOWN:
-                if self._confirms_end:
+            if event.was_closed and self.request.may_run_again:
+                if self._confirms_end and event.evidence is events.EngineEvidence.UNKNOWN:
                     return self._on_completed(events.StreamCompleted())
                 self._confirms_end = True
             step = self._continuation.next_step(interrupted, event.evidence)
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -272,7 +272,7 @@
 
     def _longest_close_check_s(self, now: float) -> float:
         share_s = CLOSE_CHECK_SHARE * (self._machine.request.deadline - now)
-        return min(RERUN_AFTER_S, share_s) if self._machine.request.may_run_again else share_s
+        return min(RERUN_AFTER_S, share_s) if self._machine.may_run_anew else share_s
 
     async def _with_evidence(
         self, event: events.AttemptInterrupted, known: events.EngineEvidence | None
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -379,7 +379,8 @@
         if isinstance(event, events.AttemptRefused):
             self._record_refusal(view, event.kind, now)
         elif isinstance(event, events.AttemptInterrupted):
-            self.end_check.record_response_end(view, now)
+            if not event.was_closed:
+                self.end_check.record_response_end(view, now)
             self._record_failure(view, now)
         elif isinstance(event, events.CompleteResponse | events.EventReceived):
             view.breaker.record_success()
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -80,9 +80,7 @@
     if is_certain or (evidence.shows_completion and not may_run_again):
         return closed.completed
     reason = f"connection closed without an end of the response, engine {evidence.engine.value}"
-    return events.AttemptInterrupted(
-        reason, evidence=evidence.engine, was_closed=is_stream and may_run_again
-    )
+    return events.AttemptInterrupted(reason, evidence=evidence.engine, was_closed=True)
 
 
 def resolve_event(event: events.DeliveryEvent, order: EventOrder) -> events.DeliveryEvent:
