After a lost connection, what accepts probes at an engine's address is asked who it is

Callers saw: streams broken off (STREAM_INTERRUPTED) although they could go on, both plain ones of which another engine holds a copy and resumable ones.

Cause: EngineEndCheck.check took two accepted probes for evidence that the engine runs. The kernel accepts them for whoever listens at the address: the next incarnation, or a supervisor that keeps the socket. A plain stream then ends, and a resumable one may go on at that engine only, whose circuit breaker is open after so many losses. The end was not counted as evidence against the requests that were lost with it either.

Evidence: features/reused_addresses.feature. Two engines in processes whose parent holds their sockets; one is killed, or resets its connections and ends, under 14 of 24 streams, and another engine answers on its socket at once.

Change: what accepts the probes is asked which incarnation it is (IncarnationQuery). Its answer decides: the same or possibly the same one is running; another one shows that the engine has ended, and this is recorded as the end of an incarnation is; without an answer within a second the state is unknown, which allows no other engine, as before.

Why it works: only the process itself can tell its start time. The question is asked after lost connections alone; whoever waits for a whole answer waits 0.1 s at most as before, and a stream does for a second more only while nothing answers.

--- /dev/null
+++ b/features/reused_addresses.feature
@@ -0,0 +1,48 @@
+Feature: What answers at an engine's address is not taken for the engine
+
+  Guards against decisions on an engine that has ended, whose address accepts connections again.
+
+  Scenario Outline: The next incarnation at an address is taken for the engine that lost a run: <route>, <how>
+    Given 2 model engines in processes of their own, whose answers end with a last chunk, and whose supervisors keep their ports open, and that hold copies
+    When 24 streams on "<route>" begin within 0.6 s, and another engine answers on the socket of one that is <how>
+    Then no stream looks complete that is not
+    And all those streams are whole
+    And each interrupted stream was lost by an engine that is "ended"
+
+    Examples:
+      | route  | how    |
+      | stream | reset  |
+      | stream | killed |
+      | resume | reset  |
+      | resume | killed |
+
+  Scenario Outline: A port that a supervisor keeps open is taken for the engine that lost a run: <route>
+    Given 2 model engines in processes of their own, whose answers end with a last chunk, and whose supervisors keep their ports open, and that hold copies
+    When 24 streams on "<route>" begin within 0.6 s, and an engine is reset
+    Then no stream looks complete that is not
+    And each interrupted stream was lost by an engine that is "unknown"
+
+    Examples:
+      | route  |
+      | stream |
+      | resume |
+
+  Scenario Outline: Accepted probes are taken for the engine that lost a run: <probes>, <replies>
+    Given an engine whose address answers probes with "<probes>", and questions with "<replies>"
+    When a <run> is lost there
+    Then its engine is "<evidence>", found within <seconds> s, and its end is reported as "<end>"
+
+    Examples:
+      | run    | probes            | replies    | evidence | seconds | end      |
+      | stream | accepted          | same       | running  | 0.1     | none     |
+      | stream | accepted          | possible   | running  | 0.1     | none     |
+      | stream | accepted          | other      | ended    | 0.1     | replaced |
+      | stream | accepted          | none other | ended    | 0.2     | replaced |
+      | stream | accepted          | silence    | unknown  | 1.2     | none     |
+      | stream | accepted accepted refused | refused | ended | 0.2    | refused  |
+      | stream | accepted          | refused    | unknown  | 0.2     | none     |
+      | stream | accepted refused  | same       | ended    | 0.1     | refused  |
+      | stream | accepted unanswered | same     | unreached | 0.1    | none     |
+      | answer | accepted          | same       | running  | 0.1     | none     |
+      | answer | accepted          | other      | ended    | 0.1     | replaced |
+      | answer | accepted          | silence    | unknown  | 0.2     | none     |
--- a/features/standin/engine_process.py
+++ b/features/standin/engine_process.py
@@ -135,6 +135,10 @@
         self.born_unix_ms = time.time_ns() // 1_000_000
         await super().start(0, self._listening)
 
+    async def hand_over(self, engine):
+        """Let another engine answer on the same socket."""
+        await engine.start(0, self._listening)
+
     async def stop(self):
         """End the process, and close the socket."""
         await super().stop()
--- /dev/null
+++ b/features/steps/reused_address_steps.py
@@ -0,0 +1,123 @@
+"""Steps on engines whose addresses accept connections after they have ended."""
+
+import asyncio
+import time
+from collections import Counter
+
+from behave import given, then, when
+
+from features.gateway_support import engine_record
+from features.soak.fleet import now_unix_ms
+from features.standin.engine import StandInEngine
+from features.steps.lost_connection_steps import begin_streams
+from features.steps.truncated_answer_steps import ENDS_AFTER_S, end_engine, is_whole
+from liftrill.gateway.engines.engine_end_check import EngineEndCheck
+from liftrill.gateway.engines.engine_table import EngineView
+from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
+
+# How long after the start of an engine's next incarnation its record changes.
+RECORDED_AFTER_S = 2.0
+
+
+async def replace_engine(context):
+    """Start the next incarnation of the engine that ended, on its socket."""
+    ended = context.ended
+    engine = StandInEngine(
+        ended.engine_id,
+        ended.service,
+        weights=ended.weights,
+        names_version=True,
+        slots=ended.slots,
+        events=ended.events,
+        event_seconds=ended.event_seconds,
+        framing=ended.framing,
+        born_unix_ms=now_unix_ms(),
+    )
+    await ended.hand_over(engine)
+    context.stack.push_async_callback(engine.stop)
+    return engine
+
+
+@when(
+    '{count:d} streams on "{route}" begin within {seconds:g} s,'
+    " and another engine answers on the socket of one that is {how}"
+)
+def step_replaced(context, count, route, seconds, how):
+    async def play():
+        tasks = await begin_streams(context, count, route, seconds)
+        await asyncio.sleep(ENDS_AFTER_S)
+        await end_engine(context, how)
+        engine = await replace_engine(context)
+        await asyncio.sleep(RECORDED_AFTER_S)
+        context.deployment.record(engine)
+        await asyncio.gather(*tasks)
+
+    context.run(play())
+
+
+@then('each interrupted stream was lost by an engine that is "{evidence}"')
+def step_evidence(context, evidence):
+    rows = context.deployment.logged("stream_interrupted")
+    found = Counter(row["evidence"] for row in rows)
+    print(f"{len(rows)} interrupted streams: {dict(found)}")
+    assert found.keys() == {evidence}, rows[:3]
+
+
+@then("all those streams are whole")
+def step_all_whole(context):
+    streams = context.callers.streams
+    broken = [stream for stream in streams if not is_whole(stream)]
+    lost = len(context.ended.running)
+    print(f"{len(broken)} of {len(streams)} streams broken off, {lost} were at the engine")
+    assert lost and not broken, broken[:2]
+
+
+SILENCE = "silence"
+
+
+class ScriptedAddress(EngineTransport):
+    """An address that answers as scripted; the last answer of each kind is repeated."""
+
+    def __init__(self, probes, replies):
+        self._probes, self._replies = probes.split(), replies.split()
+
+    def attempt(self, request, start):
+        raise NotImplementedError
+
+    async def probe(self, address, timeout_s):
+        return ProbeResult(_next(self._probes))
+
+    async def identify(self, view):
+        reply = _next(self._replies)
+        if reply == SILENCE:
+            await asyncio.Event().wait()
+        return EngineReply(reply)
+
+
+def _next(answers):
+    return answers.pop(0) if len(answers) > 1 else answers[0]
+
+
+@given('an engine whose address answers probes with "{probes}", and questions with "{replies}"')
+def step_scripted(context, probes, replies):
+    context.ends = []
+    check = EngineEndCheck(
+        ScriptedAddress(probes, replies), lambda view, now: context.ends.append("refused")
+    )
+    check.on_replaced = lambda view, now: context.ends.append("replaced")
+    context.end_check = check
+
+
+@when("a {run} is lost there")
+def step_lost(context, run):
+    view = EngineView(engine_record("llm-1"))
+    began_at = time.monotonic()
+    context.evidence = context.run(context.end_check.check(view, for_stream=run == "stream"))
+    context.found_s = time.monotonic() - began_at
+
+
+@then('its engine is "{evidence}", found within {seconds:g} s, and its end is reported as "{end}"')
+def step_found(context, evidence, seconds, end):
+    assert context.evidence.value == evidence, context.evidence
+    assert context.found_s <= seconds, context.found_s
+    assert context.ends == ([] if end == "none" else [end]), context.ends
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -19,6 +19,8 @@
 MAX_WAIT_S = 0.1
 # The same for a stream that goes on depending on the result: two probes and the answers of peers.
 MAX_EVIDENCE_WAIT_S = constants.CONNECT_TIMEOUT_SECONDS + 0.2
+# How long what accepted the probes after a lost connection is asked which incarnation it is.
+MAX_IDENTIFY_S = 1.0
 # A process that ends may reset its connections some milliseconds before its port is closed.
 SECOND_PROBE_AFTER_S = 0.05
 EVIDENCE_OF_REPLY = {
@@ -82,6 +84,10 @@
     UNKNOWN = auto()
 
 
+def _ignore_end(view: EngineView, now: float) -> None:
+    """Leave it to the engine's next record to show the end."""
+
+
 async def _not_reached(engine: EngineAddress) -> bool:
     """Know of no peer that reaches an engine."""
     return False
@@ -147,6 +153,7 @@
         is_reached_by_peers: returns whether a peer reaches an engine.
         ended_elsewhere: returns whether responses of an engine ended at peers with one here.
         on_probe: called with the result of each probe.
+        on_replaced: called when another incarnation answered at the address of an engine.
     """
 
     def __init__(
@@ -157,6 +164,7 @@
             _none_elsewhere
         )
         self.on_probe: Callable[[EngineAddress, ProbeResult, float], None] | None = None
+        self.on_replaced: Callable[[EngineView, float], None] = _ignore_end
         self._transport = transport
         self._on_ended = on_ended
         self._running: dict[tuple[int, bool], asyncio.Task[EngineEvidence]] = {}
@@ -171,15 +179,17 @@
         """Check whether an engine has ended; return what is known of it before the next step.
 
         If a stream goes on depending on the result, it is waited for longer, and an engine that
-        accepts a connection is probed a second time.
+        accepts a connection is probed a second time. Another process may have accepted it, so that
+        only an answer shows that the engine is running.
         """
         key = (view.number, for_stream)
         task = self._running.get(key)
         if task is None:
-            task = asyncio.ensure_future(self._check(view, for_stream))
+            task = asyncio.ensure_future(self._check_lost(view, for_stream))
             self._running[key] = task
             task.add_done_callback(lambda _: self._running.pop(key, None))
-        return await _result_within(task, MAX_EVIDENCE_WAIT_S if for_stream else MAX_WAIT_S)
+        max_wait_s = MAX_EVIDENCE_WAIT_S + MAX_IDENTIFY_S if for_stream else MAX_WAIT_S
+        return await _result_within(task, max_wait_s)
 
     async def check_closed(
         self, view: EngineView, close_delay_s: float, until: float = math.inf
@@ -296,6 +306,24 @@
         ends = self.response_ends(view.number)
         return sum(abs(end.at - ended_at) <= SAME_END_S for end in ends) > 1
 
+    async def _check_lost(self, view: EngineView, for_stream: bool) -> EngineEvidence:
+        """Probe an engine after a lost connection, and ask who it is if it accepts the probes."""
+        evidence = await self._check(view, for_stream)
+        if evidence is not EngineEvidence.RUNNING:
+            return evidence
+        query = IncarnationQuery(self._transport, view)
+        try:
+            evidence = await query.wait(MAX_IDENTIFY_S)
+        finally:
+            query.close()
+        if query.reply is EngineReply.REFUSED:
+            evidence = await self._check(view, for_stream)
+            return EngineEvidence.UNKNOWN if evidence is EngineEvidence.RUNNING else evidence
+        # The end of a leaving engine is no crash.
+        if evidence is EngineEvidence.ENDED and not view.leaving:
+            self.on_replaced(view, clock.now_s())
+        return evidence
+
     async def _check(self, view: EngineView, for_stream: bool) -> EngineEvidence:
         result = await self._probe(view)
         if for_stream and result is ProbeResult.ACCEPTED:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -257,6 +257,7 @@
         ports.on_overload_change(self._log_overload)
         self._quarantine = quarantine
         self.end_check = EngineEndCheck(transport, quarantine.engine_ended)
+        self.end_check.on_replaced = quarantine.incarnation_ended
         self.prefill_started: Callable[[EngineView, int], None] = _ignore_prefill_start
         self.on_stream_began = _ignore_stream
         self._engines = engines
