--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -19,6 +19,8 @@
 MAX_WAIT_S = 0.1
 # The same for a stream that goes on depending on the result: two probes and the answers of peers.
 MAX_EVIDENCE_WAIT_S = constants.CONNECT_TIMEOUT_SECONDS + 0.2
+# How long what accepted the probes after a lost connection is asked which incarnation it is.
+MAX_IDENTIFY_S = 1.0
 # A process that ends may reset its connections some milliseconds before its port is closed.
 SECOND_PROBE_AFTER_S = 0.05
 EVIDENCE_OF_REPLY = {
@@ -82,6 +84,10 @@
     UNKNOWN = auto()
 
 
+def _ignore_end(view: EngineView, now: float) -> None:
+    """Leave it to the engine's next record to show the end."""
+
+
 async def _not_reached(engine: EngineAddress) -> bool:
     """Know of no peer that reaches an engine."""
     return False
@@ -147,6 +153,7 @@
         is_reached_by_peers: returns whether a peer reaches an engine.
         ended_elsewhere: returns whether responses of an engine ended at peers with one here.
         on_probe: called with the result of each probe.
+        on_replaced: called when another incarnation answered at the address of an engine.
     """
 
     def __init__(
@@ -157,9 +164,10 @@
             _none_elsewhere
         )
         self.on_probe: Callable[[EngineAddress, ProbeResult, float], None] | None = None
+        self.on_replaced: Callable[[EngineView, float], None] = _ignore_end
         self._transport = transport
         self._on_ended = on_ended
-        self._running: dict[tuple[int, bool], asyncio.Task[EngineEvidence]] = {}
+        self._running: dict[tuple[int, bool, bool], asyncio.Task[EngineEvidence]] = {}
         # Checks after a close that have sent no probe yet.
         self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
         # By time: the ends of responses, and the numbers of their engines.
@@ -167,19 +175,24 @@
         # The same of the responses that engines closed which went on running.
         self._closed_ends: deque[tuple[ResponseEnd, int]] = deque()
 
-    async def check(self, view: EngineView, for_stream: bool = False) -> EngineEvidence:
+    async def check(
+        self, view: EngineView, for_stream: bool = False, is_direct: bool = True
+    ) -> EngineEvidence:
         """Check whether an engine has ended; return what is known of it before the next step.
 
         If a stream goes on depending on the result, it is waited for longer, and an engine that
-        accepts a connection is probed a second time.
+        accepts a connection is probed a second time. Another process may have accepted it, so that
+        only an answer shows that the engine is running. The loss of a connection that is not
+        direct may be due to the peer that passed it on.
         """
-        key = (view.number, for_stream)
+        key = (view.number, for_stream, is_direct)
         task = self._running.get(key)
         if task is None:
-            task = asyncio.ensure_future(self._check(view, for_stream))
+            task = asyncio.ensure_future(self._check_lost(view, for_stream, is_direct))
             self._running[key] = task
             task.add_done_callback(lambda _: self._running.pop(key, None))
-        return await _result_within(task, MAX_EVIDENCE_WAIT_S if for_stream else MAX_WAIT_S)
+        max_wait_s = MAX_EVIDENCE_WAIT_S + MAX_IDENTIFY_S if for_stream else MAX_WAIT_S
+        return await _result_within(task, max_wait_s)
 
     async def check_closed(
         self, view: EngineView, close_delay_s: float, until: float = math.inf
@@ -291,11 +304,39 @@
         ends = [end for end, number in self._closed_ends if number == view.number]
         return sum(abs(end.at - closed_at) <= SAME_END_S for end in ends) > 1
 
+    def _lost_all(self, view: EngineView, lost_at: float) -> bool:
+        """Return whether an engine's connections, two or more, ended as with its process."""
+        has_open = self._transport.has_open_connection(view.record.address, lost_at)
+        return not has_open and self._others_ended(view, lost_at)
+
     def _others_ended(self, view: EngineView, ended_at: float) -> bool:
         """Return whether other responses of an engine ended at the same time as one."""
         ends = self.response_ends(view.number)
         return sum(abs(end.at - ended_at) <= SAME_END_S for end in ends) > 1
 
+    async def _check_lost(
+        self, view: EngineView, for_stream: bool, is_direct: bool
+    ) -> EngineEvidence:
+        """Probe an engine after a lost connection, and ask who it is if it accepts the probes."""
+        lost_at = clock.now_s()
+        evidence = await self._check(view, for_stream)
+        if evidence is not EngineEvidence.RUNNING:
+            return evidence
+        query = IncarnationQuery(self._transport, view)
+        try:
+            evidence = await query.wait(MAX_IDENTIFY_S)
+        finally:
+            query.close()
+        if query.reply is EngineReply.REFUSED:
+            evidence = await self._check(view, for_stream)
+            return EngineEvidence.UNKNOWN if evidence is EngineEvidence.RUNNING else evidence
+        if query.reply is EngineReply.NONE and is_direct and self._lost_all(view, lost_at):
+            return EngineEvidence.ENDED
+        # The end of a leaving engine is no crash.
+        if evidence is EngineEvidence.ENDED and not view.leaving:
+            self.on_replaced(view, clock.now_s())
+        return evidence
+
     async def _check(self, view: EngineView, for_stream: bool) -> EngineEvidence:
         result = await self._probe(view)
         if for_stream and result is ProbeResult.ACCEPTED:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -257,6 +257,7 @@
         ports.on_overload_change(self._log_overload)
         self._quarantine = quarantine
         self.end_check = EngineEndCheck(transport, quarantine.engine_ended)
+        self.end_check.on_replaced = quarantine.incarnation_ended
         self.prefill_started: Callable[[EngineView, int], None] = _ignore_prefill_start
         self.on_stream_began = _ignore_stream
         self._engines = engines
@@ -394,10 +395,10 @@
             return events.EngineEvidence.ENDED
         links = self._ports.paths.links
         for_stream = machine.may_continue and links.is_up(view.identity)
-        evidence = await self.end_check.check(view, for_stream)
+        is_proxied = machine.attempts[-1].proxy is not None
+        evidence = await self.end_check.check(view, for_stream, is_direct=not is_proxied)
         if evidence is events.EngineEvidence.UNKNOWN and not links.is_up(view.identity):
             evidence = events.EngineEvidence.UNREACHED
-        is_proxied = machine.attempts[-1].proxy is not None
         if is_proxied and evidence is events.EngineEvidence.UNREACHED:
             # The peer that passed on the request may reach the engine.
             return events.EngineEvidence.UNKNOWN
