--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -28,6 +28,12 @@
       | resume | an early last chunk, the rest 5 ms later  |
       | stream | an early last chunk, the rest 50 ms later |
       | resume | an early last chunk, the rest 50 ms later |
+      | stream | an early last chunk, the rest 100 ms later, events 100 ms apart   |
+      | resume | an early last chunk, the rest 100 ms later, events 100 ms apart   |
+      | stream | an early last chunk, the rest 300 ms later, events 300 ms apart   |
+      | resume | an early last chunk, the rest 300 ms later, events 300 ms apart   |
+      | stream | an early last chunk, the rest 1000 ms later, events 1000 ms apart |
+      | resume | an early last chunk, the rest 1000 ms later, events 1000 ms apart |
 
   Scenario Outline: Damaged chunks are passed on: <route>
     When answers on "<route>" have each fault in their chunks
--- a/features/malformed_proxied_answers.feature
+++ b/features/malformed_proxied_answers.feature
@@ -38,3 +38,17 @@
       | resume | head   |
       | safe   | chunks |
       | resume | chunks |
+
+  Scenario Outline: A stream ends as complete before its last piece, over a peer: <route>, <pause> ms
+    When answers on "<route>" have the fault "an early last chunk, the rest <pause> ms later, events <pause> ms apart"
+    Then no caller got a success that looks whole and is not, or other bytes
+
+    Examples:
+      | route  | pause |
+      | stream | 100   |
+      | resume | 100   |
+      | resume | 300   |
+
+  Scenario: The end of a stream is held back twice, by the peer that passes it on and by the node
+    When a sound stream of 6 events, 0.4 s apart, is read
+    Then its end comes within 0.95 s after its engine sent it
--- a/features/response_framing.feature
+++ b/features/response_framing.feature
@@ -14,3 +14,23 @@
   Scenario: A head costs time out of proportion to its size
     When 60000 bytes of a head arrive byte by byte
     Then processing them takes at most 1 s
+
+  Scenario Outline: The end of a stream is held back without regard to the pace of its events
+    Given a stream of <events> events, <pause> s apart, the first one 5 s after its head
+    Then its end is held back for <hold> s
+
+    Examples:
+      | events | pause | hold  |
+      | 1      | 0     | 0.06  |
+      | 3      | 0.005 | 0.06  |
+      | 3      | 0.1   | 0.18  |
+      | 12     | 0.001 | 0.032 |
+      | 12     | 0.02  | 0.06  |
+      | 12     | 0.1   | 0.18  |
+      | 12     | 1     | 1.53  |
+      | 12     | 5     | 2     |
+
+  Scenario: One long pause counts for the whole rest of a stream
+    Given a stream of 2 events, 1 s apart, the first one 5 s after its head
+    When 200 more events come, 0.01 s apart
+    Then its end is held back for less than 0.05 s
--- a/features/standin/malformed_answers.py
+++ b/features/standin/malformed_answers.py
@@ -12,7 +12,9 @@
 SOUND_PIECES = 2
 # For how long the connection stays open afterwards.
 LINGER_S = 0.3
-LATER = re.compile(r"(.*), the rest (\d+) ms later")
+LATER = re.compile(r"(.*), the rest (\d+) ms later(?:, events (\d+) ms apart)?")
+# Follows each chunk of an event.
+EVENT_CHUNK = re.compile(rb"(?<=\n\n\r\n)")
 
 
 def _pieces(body):
@@ -216,8 +218,17 @@
     if later is None:
         transport.write(first + rest)
     else:
-        transport.write(first)
+        await _send_paced(transport, first, int(later[3] or 0) / 1000)
         await asyncio.sleep(int(later[2]) / 1000)
         transport.write(rest)
     await asyncio.sleep(LINGER_S)
     transport.close()
+
+
+async def _send_paced(transport, text, pause_s):
+    """Send an answer event by event, and its last chunk with its last event."""
+    *events, last, end = EVENT_CHUNK.split(text) if pause_s else ("", text, b"")
+    for event in filter(None, events):
+        transport.write(event)
+        await asyncio.sleep(pause_s)
+    transport.write(last + end)
--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import re
+import time
 from collections import Counter
 
 from behave import then, when
 
 from features.standin.malformed_answers import CHUNK_FAULTS, HEAD_FAULTS, SOUND
+from features.standin.raw_callers import HTTP_1_1
 from features.steps.cut_head_steps import call_until_cut, cut_at, engines_of, prepare
 from liftrill.gateway.engines.slot_attempt import SlotAttempt
 from liftrill.gateway.paths.proxy_protocol import OUTCOME_HEADER, ProxyOutcome
@@ -157,3 +159,21 @@
 @then("its slot is free")
 def step_slot_free(context):
     assert context.freed == [False], context.freed
+
+
+@when("a sound stream of {count:d} events, {pause:g} s apart, is read")
+def step_sound_stream(context, count, pause):
+    for engine in prepare(context, "stream"):
+        engine.events, engine.event_seconds = count, pause
+    context.callers.expect_events(count)
+    context.run(context.callers.ask(context.deployment.nodes[0], HTTP_1_1, "stream"))
+    context.ended_at = time.monotonic()
+
+
+@then("its end comes within {seconds:g} s after its engine sent it")
+def step_end_within(context, seconds):
+    (answer,) = context.callers.answers
+    (arrival,) = [a for a in context.deployment.arrivals() if a.attempt_id == answer.request_id]
+    print(f"{context.ended_at - arrival.ended_at:.3f} s")
+    assert answer.says_whole and answer.is_whole
+    assert context.ended_at - arrival.ended_at < seconds
--- a/features/steps/response_framing_steps.py
+++ b/features/steps/response_framing_steps.py
@@ -1,10 +1,12 @@
 """Steps on the framing of responses, without a connection."""
 
+import math
 import random
 import time
 
-from behave import then, when
+from behave import given, then, when
 
+from liftrill.guarded_connection import StreamPace
 from liftrill.response_framing import ChunkScanner, HeadScanner, MalformedResponseError
 
 SEED = 11
@@ -101,3 +103,26 @@
     for at in range(count):
         heads.scan(data[at : at + 1])
     context.took_s = time.monotonic() - began_at
+
+
+@given("a stream of {count:d} events, {pause:g} s apart, the first one {first:g} s after its head")
+def step_stream(context, count, pause, first):
+    context.pace = StreamPace()
+    context.pace.add_segment(first)
+    step_more_events(context, count - 1, pause)
+
+
+@when("{count:d} more events come, {pause:g} s apart")
+def step_more_events(context, count, pause):
+    for _ in range(count):
+        context.pace.add_segment(pause)
+
+
+@then("its end is held back for {hold:g} s")
+def step_hold(context, hold):
+    assert math.isclose(context.pace.end_hold_s, hold, abs_tol=0.001), context.pace.end_hold_s
+
+
+@then("its end is held back for less than {hold:g} s")
+def step_hold_below(context, hold):
+    assert context.pace.end_hold_s < hold, context.pace.end_hold_s
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -172,6 +172,9 @@
         if response.content_length is not None:
             returned.content_length = response.content_length
         end = ResponseEnd(response)
+        if end.is_held:
+            # The peer need not hold back the end, too, as nothing can follow a closed connection.
+            returned.force_close()
         await returned.prepare(request)
         async for chunk in response.content.iter_any():
             await returned.write(chunk)
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -45,6 +45,11 @@
         if isinstance(self._handler, GuardedResponseHandler):
             self._handler.watch_end(on_end_held, deadline)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the end of the response is held back as it arrives."""
+        return isinstance(self._handler, GuardedResponseHandler) and self._handler.holds_end
+
     @property
     def delay_s(self) -> float:
         """The longest time that may lie between the last bytes and the close."""
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -36,9 +36,17 @@
 
 FIRST_FINAL_STATUS = 200
 EVENT_STREAM = "text/event-stream"
-# For how long the end of an event stream is held back: an engine that sent the last chunk too
-# early sends its next event within this time.
-END_HOLD_S = 0.06
+# For how long the end of an event stream is held back if its pace is not known.
+UNKNOWN_PACE_HOLD_S = 0.06
+# The pace of a stream is known after so many pauses between its segments.
+KNOWN_PACE_PAUSES = 8
+# An engine that sent the last chunk too early sends its next event within this multiple of the
+# longest pause between its events, and this time for delays on the way.
+PAUSE_FACTOR = 1.5
+PAUSE_JITTER_S = 0.03
+# How much of a long pause still counts after each further segment.
+PAUSE_DECAY = 0.97
+MAX_END_HOLD_S = 2.0
 # The end of a stream is held back for at most this share of the time that its caller has left.
 DEADLINE_SHARE = 0.5
 # The line feed that ends the last chunk, without which the library does not find the end.
@@ -79,6 +87,29 @@
     """Do nothing as the end of a response arrives."""
 
 
+class StreamPace:
+    """Tells from the pauses between a stream's segments for how long its end is held back."""
+
+    def __init__(self) -> None:
+        # The first segment comes after the engine has read the prompt, which is no pause.
+        self._pauses = -1
+        self._longest_s = 0.0
+
+    def add_segment(self, pause_s: float) -> None:
+        """Count a segment of the stream, and the pause before it."""
+        self._pauses += 1
+        if self._pauses:
+            self._longest_s = max(pause_s, PAUSE_DECAY * self._longest_s)
+
+    @property
+    def end_hold_s(self) -> float:
+        """The time within which an engine that goes on sends its next event."""
+        hold_s = PAUSE_FACTOR * self._longest_s + PAUSE_JITTER_S
+        if self._pauses < KNOWN_PACE_PAUSES:
+            hold_s = max(hold_s, UNKNOWN_PACE_HOLD_S)
+        return min(hold_s, MAX_END_HOLD_S)
+
+
 class GuardedResponseHandler(ResponseHandler):
     """A connection that closes on malformed, unsolicited or endless bytes, and detects resets."""
 
@@ -92,7 +123,8 @@
         self._report = report
         # Whether the ends of event streams are held back.
         self._holds_ends = holds_ends
-        self._is_held_back = False
+        # The pace of a stream whose end is held back.
+        self._pace: StreamPace | None = None
         self._response_count = 0
         self._framing = FramingLimit()
         self._heads = HeadScanner()
@@ -109,6 +141,11 @@
         self.first_data_at = math.inf
         self._closed_at = math.inf
 
+    @property
+    def holds_end(self) -> bool:
+        """Whether the end of this response is held back as it arrives."""
+        return self._pace is not None
+
     @property
     def close_delay_s(self) -> float:
         """The time between the last received bytes and the end of the connection."""
@@ -124,10 +161,9 @@
         """Call a function once the end of this response has arrived and is held back."""
         self._on_end_held = on_end_held
         self._deadline = deadline
-        if self._held_end:
+        if self._held_end and self._hold is not None:
             on_end_held()
-            if deadline - clock.now_s() < END_HOLD_S:
-                self._pass_end()
+            self._pass_end_after(self._hold.when() - asyncio.get_running_loop().time())
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the response to a request that is about to be sent."""
@@ -136,7 +172,7 @@
         self._heads = HeadScanner()
         self._body = None
         self._has_no_body = bool(parameters.get("skip_payload"))
-        self._is_held_back = False
+        self._pace = None
         self._on_end_held = _ignore_end
         self._deadline = math.inf
         super().set_response_params(**parameters)
@@ -168,6 +204,8 @@
         elif data and self._is_idle():
             self._receive_excess(data, since_last_s)
         elif data and self._body is not None:
+            if self._pace is not None:
+                self._pace.add_segment(since_last_s)
             self._receive_body(data, self._body)
         else:
             # Without data, aiohttp goes on with what it held back while the reader was slow.
@@ -207,7 +245,8 @@
             self._body = LengthScanner(0)
         elif message.chunked:
             kind = message.headers.get("Content-Type", "")
-            self._is_held_back = self._holds_ends and kind.startswith(EVENT_STREAM)
+            if self._holds_ends and kind.startswith(EVENT_STREAM):
+                self._pace = StreamPace()
             self._body = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
         elif length is not None:
             self._body = LengthScanner(int(length))
@@ -223,20 +262,26 @@
         if rest and isinstance(body, ChunkScanner) and not may_begin_response(rest):
             # The last chunk may have come early.
             self._reject(f"{len(rest)} bytes after the last chunk")
-        elif self._is_held_back and body.is_complete and not rest:
-            self._hold_end(data)
+        elif self._pace is not None and body.is_complete and not rest:
+            self._hold_end(data, self._pace.end_hold_s)
         elif self._parse(data[:length]) and rest:
             self._receive_excess(rest, 0.0)
 
-    def _hold_end(self, data: bytes) -> None:
+    def _hold_end(self, data: bytes, hold_s: float) -> None:
         """Process the last bytes of a stream, but for those that end it."""
         self._held_end = data[-HELD_BYTES:]
-        remaining_s = DEADLINE_SHARE * (self._deadline - clock.now_s())
-        hold_s = max(0.0, min(END_HOLD_S, remaining_s))
-        self._hold = asyncio.get_running_loop().call_later(hold_s, self._pass_end)
+        self._pass_end_after(hold_s)
         if self._parse(data[:-HELD_BYTES]):
             self._on_end_held()
 
+    def _pass_end_after(self, hold_s: float) -> None:
+        """Process the bytes that end a stream after a time, or earlier if its caller has less."""
+        if self._hold is not None:
+            self._hold.cancel()
+        remaining_s = DEADLINE_SHARE * (self._deadline - clock.now_s())
+        hold_s = max(0.0, min(hold_s, remaining_s))
+        self._hold = asyncio.get_running_loop().call_later(hold_s, self._pass_end)
+
     def _pass_end(self) -> None:
         """Process the bytes that end a stream, if they were held back."""
         if self._hold is not None:
