Tests: early ends of resumed and continued runs, whose rest comes at the stream's own pace (90)

A resumed run and a run continued from its copy are held back by their own pace, too. On the code before the pace 4 of 4 new rows fail: streams end as complete after 4 of 12 events; all four pass now. The steps of cut_heads that resume and continue runs are functions now, which both features use; cut_heads passes whole (98 scenarios), malformed_answers with the library's parser in Python (32).

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -106,6 +106,18 @@
       | before the blank line of chunks  | reset  |
       | in the size of the second chunk  | reset  |
 
+  Scenario Outline: A run continued from its copy ends as complete before its last piece: <pause> ms
+    Given a stand-in platform with 0 desk engines and 3 model engines
+    And engines that hold copies of runs
+    And a node
+    When an engine crashes under a stream, and its continuation has the fault "an early last chunk, the rest <pause> ms later, events <pause> ms apart"
+    Then no caller got a success that looks whole and is not, or other bytes
+
+    Examples:
+      | pause |
+      | 100   |
+      | 300   |
+
   Scenario Outline: An engine ends in the report that would show that its answer is whole: <route>
     Given a stand-in platform with 1 desk engines and 2 model engines
     And a node
--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -35,6 +35,15 @@
       | stream | an early last chunk, the rest 1000 ms later, events 1000 ms apart |
       | resume | an early last chunk, the rest 1000 ms later, events 1000 ms apart |
 
+  Scenario Outline: A resumed run ends as complete before its last piece, in chunks: <pause> ms
+    When the answers to resumed runs have the fault "an early last chunk, the rest <pause> ms later, events <pause> ms apart"
+    Then no caller got a success that looks whole and is not, or other bytes
+
+    Examples:
+      | pause |
+      | 100   |
+      | 300   |
+
   Scenario Outline: Damaged chunks are passed on: <route>
     When answers on "<route>" have each fault in their chunks
     Then no caller got a success that looks whole and is not, or other bytes
--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -156,16 +156,22 @@
 
 @when("the answers to resumed runs stop at each place, and their connection is {ending}")
 def step_resumed(context, ending):
+    resume_runs(context, [f"{place}, {ending}" for place in PLACES], EVENTS)
+
+
+def resume_runs(context, faults, events):
+    """Let engines lose the connections of streams, and their resumed runs have faults."""
     engines = prepare(context, "resume")
+    context.callers.expect_events(events)
     for engine in engines:
         engine.loses, engine.loses_every = "resets the connection", 1
         engine.drops_lost, engine.fault_needs = True, RESUMED
-        engine.event_seconds = EVENT_S
+        engine.events, engine.event_seconds = events, EVENT_S
 
     async def call_all():
-        for place in PLACES:
+        for fault in faults:
             # Each of these streams spends an allowance of its node.
-            await call_until_cut(context, "resume", engines, f"{place}, {ending}", at_once=2)
+            await call_until_cut(context, "resume", engines, fault, at_once=2)
 
     context.run(call_all())
 
@@ -178,9 +184,16 @@
 
 @when('an engine crashes under a stream, and the answer to its continuation stops "{fault}"')
 def step_continued(context, fault):
+    continue_run(context, fault, EVENTS)
+
+
+def continue_run(context, fault, events):
+    """Let the engine of a stream crash, and the answer to its continuation have a fault."""
     engines = prepare(context, "stream")
+    context.callers.expect_events(events)
     for engine in engines:
         engine.fault, engine.fault_needs, engine.event_seconds = fault, CONTINUED, EVENT_S
+        engine.events = events
 
     async def continue_one():
         node = context.deployment.nodes[0]
--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -9,7 +9,14 @@
 
 from features.standin.malformed_answers import CHUNK_FAULTS, HEAD_FAULTS, SOUND
 from features.standin.raw_callers import HTTP_1_1
-from features.steps.cut_head_steps import call_until_cut, cut_at, engines_of, prepare
+from features.steps.cut_head_steps import (
+    call_until_cut,
+    continue_run,
+    cut_at,
+    engines_of,
+    prepare,
+    resume_runs,
+)
 from liftrill.gateway.engines.slot_attempt import SlotAttempt
 from liftrill.gateway.paths.proxy_protocol import OUTCOME_HEADER, ProxyOutcome
 from liftrill.gateway.transport import EngineAttempt
@@ -68,6 +75,16 @@
     send_faulty(context, route, [fault])
 
 
+@when('the answers to resumed runs have the fault "{fault}"')
+def step_resumed_fault(context, fault):
+    resume_runs(context, [fault], EVENTS)
+
+
+@when('an engine crashes under a stream, and its continuation has the fault "{fault}"')
+def step_continued_fault(context, fault):
+    continue_run(context, fault, EVENTS)
+
+
 @then("no caller got a success that looks whole and is not, or other bytes")
 def step_none_short(context):
     spoiled = spoiled_answers(context)
