--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -543,7 +543,7 @@
     def __init__(self, content):
         self.content = content
 
-    async def call(self, *_):
+    async def call(self, *_, **__):
         return 200, self.content
 
 
