--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -181,6 +181,55 @@
       | running |
       | unknown |
 
+  Scenario: A stream goes on at the incarnation that replaced its engine
+    Given a resumable stream request, with 3 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 2 arrive
+    And the connection to the engine breaks, whose state is "running"
+    Then it is sent to the same engine to resume after event 2
+    When a stream opens
+    And another incarnation proves to have answered
+    Then it is sent to another engine to resume after event 2
+
+  Scenario Outline: A stream goes on elsewhere though its engine may work on it under another incarnation
+    Given a <kind>, with 3 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 2 arrive
+    And the connection to the engine breaks, whose state is "<state>"
+    And a stream opens
+    And it is not known which incarnation answered
+    Then <outcome>
+
+    Examples:
+      | kind                     | state   | outcome                                              |
+      | resumable stream request | ended   | it is sent to another engine to resume after event 2 |
+      | resumable stream request | running | the stream was aborted                               |
+
+  Scenario: A resumption that another incarnation answered is refused as not run
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And another incarnation proves to have answered
+    Then it is sent to another engine
+    When a stream opens
+    And another incarnation proves to have answered
+    Then its outcome is unknown
+    And it was sent 2 times
+
+  Scenario: A copy of a run goes on at the incarnation that replaced its holder
+    Given a stream request, with 2 attempts
+    And its engine sends a backup of the run to "engine-3"
+    When it starts
+    And a stream opens
+    And events 1 to 2 arrive
+    And the connection to the engine breaks
+    Then it continues at "engine-3" with the backup, after event 2
+    When a stream opens
+    And another incarnation proves to have answered
+    Then the stream was aborted
+
   Scenario: A stream is resumed elsewhere once its engine proves to be out of reach
     Given a resumable stream request, with 2 attempts
     When it starts
--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -89,6 +89,50 @@
       | refuses it as overloaded    |
       | ends in the stream it began |
 
+  Scenario Outline: A resumed stream goes on at an engine that replaced its own: <reply>, records <records>
+    Given a resumed stream whose engine sends <what>, and a second engine of its version
+    And the first engine's address replies "<reply>" to a report, and the records of engines are <records>
+    When a gateway delivers it
+    Then the caller has only what the <served> engine sent
+    And the first engine is <use>
+
+    Examples:
+      | what      | reply    | records               | served | use    |
+      | an event  | same     | not known             | first  | in use |
+      | an event  | other    | known                 | second | gone   |
+      | no event  | other    | known                 | second | gone   |
+      | an event  | possible | known                 | first  | in use |
+      | an event  | possible | not known             | second | in use |
+      | no event  | possible | not known             | second | in use |
+      | an event  | none     | known                 | first  | in use |
+      | an event  | none     | replaced as it begins | second | gone   |
+      | an event  | none     | not known             | second | in use |
+      | an event  | refused  | known                 | second | in use |
+
+  Scenario Outline: A resumed stream is passed on by a peer to an engine that replaced its own
+    Given a resumed stream whose engine sends an event, and a second engine of its version
+    And the first engine's address replies "same" to a report, and the records of engines are <records>
+    Then its response by a peer is <confirmed>, and no engine was asked for a report
+
+    Examples:
+      | records     | confirmed     |
+      | not known   | not confirmed |
+      | known       | confirmed     |
+
+  Scenario: A resumed stream is at an engine that has said that it leaves, and listens no more
+    Given a resumed stream whose engine sends an event, and a second engine of its version
+    And the first engine's address replies "refused" to a report, and the records of engines are known
+    And the first engine leaves as the stream begins
+    When a gateway delivers it
+    Then the caller has only what the first engine sent
+
+  Scenario: New streams wait for a report of their engine
+    Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n"
+    And each address is slow to reply to a report
+    When a gateway delivers it
+    Then the answer is complete
+    And no engine was asked for a report
+
   Scenario: A request is held while its node's state is out of date, and then sent
     Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n"
     And its node's state is current again after 0.05 s
--- a/features/partitioned_nodes.feature
+++ b/features/partitioned_nodes.feature
@@ -47,3 +47,11 @@
     And callers resume these at the first node -0.5 s after that has ended, once their callers have left
     Then no stream holds events of two versions
     And of the streams whose version has engines, at least 0.95 are complete
+
+  Scenario: Streams go on at engines without start times that replaced theirs, at a node that was cut off
+    Given 6 engines of version v1.1 without start times in processes of their own
+    And 4 nodes before them whose links can be cut, which have been ready for 2 s
+    When the first node is cut off from the store and its peers for 2.5 s after 40 streams have begun at the others, and 3 engines are replaced by ones of v1.2 at their addresses
+    And callers resume these at the first node -0.5 s after that has ended, once their callers have left
+    Then no stream holds events of two versions
+    And of the streams whose version has engines, at least 0.95 are complete
--- a/features/steps/fleet_restart_steps.py
+++ b/features/steps/fleet_restart_steps.py
@@ -40,11 +40,11 @@
     }
 
 
-async def add_engines(deployment, version, count, name=""):
+async def add_engines(deployment, version, count, name="", **options):
     for number in range(count):
-        await deployment.add_engine(
-            f"{version}-{name}{number + 1}", "llm", kind=EngineProcess, **engine_options(version)
-        )
+        engine_id = f"{version}-{name}{number + 1}"
+        fields = engine_options(version) | options
+        await deployment.add_engine(engine_id, "llm", kind=EngineProcess, **fields)
 
 
 @given(
@@ -60,6 +60,12 @@
     context.run(add_engines(deployment, new, newer))
 
 
+@given("{count:d} engines of version {version} without start times in processes of their own")
+def step_engines_without_starts(context, count, version):
+    step_engines(context, 0, version, 0, version)
+    context.run(add_engines(context.deployment, version, count, born_unix_ms=0))
+
+
 @given("{count:d} nodes before them, which have been ready for {seconds:g} s")
 def step_nodes(context, count, seconds):
     async def add():
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -171,6 +171,16 @@
     feed(context, events.CompleteResponse(status, (), b"body"))
 
 
+@when("another incarnation proves to have answered")
+def step_other_incarnation(context):
+    feed(context, events.AttemptUnconfirmed(True, "other"))
+
+
+@when("it is not known which incarnation answered")
+def step_unknown_incarnation(context):
+    feed(context, events.AttemptUnconfirmed(False, "possible"))
+
+
 @when("a stream opens")
 def step_opens(context):
     feed(context, events.StreamOpened(200, ()))
@@ -391,6 +401,7 @@
             events.AttemptInterrupted("reset", evidence=source.choice(list(events.EngineEvidence))),
             events.AttemptInterrupted("reset", evidence=source.choice(list(events.EngineEvidence))),
             events.CompleteResponse(source.choice((200, 404, 500)), (), b""),
+            events.AttemptUnconfirmed(source.random() < 0.5, "reply"),
             events.StreamOpened(200, ()),
             events.StreamOpened(200, ()),
             events.StreamCompleted(),
@@ -488,6 +499,13 @@
     assert found > 5, found
 
 
+def shows_end(event):
+    """Return whether an attempt shows that its engine does not work on an earlier run."""
+    if isinstance(event, events.AttemptUnconfirmed):
+        return event.is_other
+    return isinstance(event, events.AttemptRefused) and event.kind in LEFT_AFTER
+
+
 def leaves_running_engine(machine, history):
     """Return whether a run goes on elsewhere though its engine may still work on it."""
     attempts = iter(machine.attempts)
@@ -495,7 +513,7 @@
     for event, instructions in history:
         if isinstance(event, events.AttemptInterrupted) and head_sent:
             running = None if event.evidence.excludes_run else current.engine_id
-        elif isinstance(event, events.AttemptRefused) and event.kind in LEFT_AFTER:
+        elif shows_end(event):
             running = None
         head_sent = head_sent or bool(find(instructions, events.SendHead))
         for _ in find(instructions, events.StartAttempt):
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -17,9 +17,16 @@
 from liftrill.gateway.event_stream import EventSplitter, StreamEvent
 from liftrill.gateway.forwarder import Forwarder, ForwardingPorts
 from liftrill.gateway.gateway_metrics import GatewayMetrics
+from liftrill.gateway.paths.path_attempts import IncarnationCheck
 from liftrill.gateway.records import WeightTarget
 from liftrill.gateway.stall_detector import StallDetector
-from liftrill.gateway.transport import EngineAttempt, EngineTransport, ProbeResult, ResponseSink
+from liftrill.gateway.transport import (
+    EngineAttempt,
+    EngineReply,
+    EngineTransport,
+    ProbeResult,
+    ResponseSink,
+)
 from liftrill.gateway.weight_targets import WeightTargets
 
 
@@ -331,6 +338,111 @@
     context.scheduled_actions = []
 
 
+class ReportingTransport(LiveEngineTransport):
+    """Engines that answer attempts and reports as a scenario says.
+
+    Attributes:
+        pieces: what the first and the second engine send.
+        asked: the engines that were asked for a report.
+        sent: the engines that were sent a request, in order.
+        on_report: called as an engine is asked for a report.
+    """
+
+    def __init__(self, first, second):
+        self.pieces = (first, second)
+        self.asked = []
+        self.sent = []
+        self.reply = EngineReply.SAME
+        self.reply_after_s = 0.0
+        self.on_report = lambda: None
+
+    def attempt(self, request, start):
+        self.sent.append(start.choice)
+        is_first = start.choice.engine_id == self.sent[0].engine_id
+        return ScriptedAttempt(self.pieces[0 if is_first else 1])
+
+    async def identify(self, view):
+        self.asked.append(view)
+        await asyncio.sleep(self.reply_after_s)
+        is_first = view.engine_id == self.sent[0].engine_id
+        if is_first:
+            self.on_report()
+        return self.reply if is_first else EngineReply.SAME
+
+
+OF_FIRST, OF_SECOND = b"id: 2\ndata: first\n\n", b"id: 2\ndata: second\n\n"
+
+
+@given("a resumed stream whose engine sends {what}, and a second engine of its version")
+def step_resumed(context, what):
+    context.transport = ReportingTransport([OF_FIRST] * (what == "an event"), [OF_SECOND])
+    context.route = route_rule(resumable=True)
+    context.engines = EngineTable()
+    for number in (1, 2):
+        context.engines.update(
+            engine_record(f"engine-{number}", weights={"model": 1}, software_version="v1.1")
+        )
+    context.required_version = "v1.1"
+
+
+@given(
+    'the first engine\'s address replies "{reply}" to a report, '
+    "and the records of engines are {how}"
+)
+def step_replies(context, reply, how):
+    transport, engines = context.transport, context.engines
+    transport.reply = EngineReply(reply)
+    if how == "replaced as it begins":
+        transport.on_report = lambda: engines.update(
+            engine_record(transport.sent[0].engine_id, software_version="v1.2", revision=2)
+        )
+
+    async def knows_records(until):
+        return how in ("known", "replaced as it begins")
+
+    context.knows_records = knows_records
+
+
+@then("its response by a peer is {confirmed}, and no engine was asked for a report")
+def step_by_peer(context, confirmed):
+    check = IncarnationCheck(context.transport, GatewayMetrics())
+    check.knows_records = context.knows_records
+    result = context.run(check.check(context.engines.get("engine-1"), True))
+    assert (result is None) is (confirmed == "confirmed"), result
+    step_not_asked(context)
+
+
+@given("the first engine leaves as the stream begins")
+def step_leaves(context):
+    def leave():
+        context.transport.asked[0].condition.leaving = True
+
+    context.transport.on_report = leave
+
+
+@given("each address is slow to reply to a report")
+def step_slow_reports(context):
+    context.transport = ReportingTransport(context.pieces, context.pieces)
+    context.transport.reply_after_s = 30.0
+
+
+@then("the caller has only what the {which} engine sent")
+def step_only_of(context, which):
+    expected = OF_FIRST if which == "first" else OF_SECOND
+    assert context.sink.data == expected, context.sink.data
+    assert context.sink.ending == "complete", context.sink.ending
+
+
+@then("the first engine is {use}")
+def step_first_in_use(context, use):
+    assert context.transport.asked[0].gone is (use == "gone"), context.transport.asked[0]
+
+
+@then("no engine was asked for a report")
+def step_not_asked(context):
+    assert not context.transport.asked, context.transport.asked
+
+
 @given("a broken run on version 1, and an engine that has its backup")
 def step_broken_run(context):
     context.engines = engine_on_version_1()
@@ -540,6 +652,10 @@
     now = time.monotonic()
     route = getattr(context, "route", None)
     request = opaque_request(route=route, deadline=now + 5.0, received_at=now)
+    if hasattr(context, "required_version"):
+        request.require_software_version(context.required_version)
+    if hasattr(context, "knows_records"):
+        forwarder.incarnation_check.knows_records = context.knows_records
     context.run(deliver(context, forwarder, request))
 
 
--- a/features/steps/partitioned_node_steps.py
+++ b/features/steps/partitioned_node_steps.py
@@ -110,6 +110,8 @@
         for engine in list(deployment.engines.values())[:count]:
             await engine.crash()
             options = engine_options(version)
+            if not engine.born_unix_ms:
+                options["born_unix_ms"] = 0
             successor = EngineProcess(engine.engine_id, engine.service, **options)
             await successor.start(int(engine.address.rpartition(":")[2]))
             deployment.engines[engine.engine_id] = successor
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -91,6 +91,8 @@
         elif isinstance(event, events.AttemptInterrupted):
             outcome = f"broken: {event.reason}"
             inputs = _lost_attempt_fields(machine, times)
+        elif isinstance(event, events.AttemptUnconfirmed):
+            outcome = f"unconfirmed: {event.reply}"
         else:
             return
         choice = machine.attempts[-1]
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -156,6 +156,17 @@
         self.phase = Phase.WAITING
         return [events.AbandonAttempt(), *self._retry()]
 
+    def _on_unconfirmed(self, event: events.AttemptUnconfirmed) -> list[events.DeliveryInstruction]:
+        choice = self.attempts[-1]
+        self._refusal_code = ResultCode.ENGINE_LOST
+        shown = events.RefusalKind.WRONG_INSTANCE if event.is_other else None
+        may_leave = self._continuation.may_leave(choice, shown)
+        if not (self.request.may_run_again and may_leave):
+            return [events.AbandonAttempt(), self._end(self._engine_loss_code())]
+        self._excluded.add(choice.engine_id)
+        self.phase = Phase.WAITING
+        return [events.AbandonAttempt(), *self._retry()]
+
     def _on_complete_response(
         self, event: events.CompleteResponse
     ) -> list[events.DeliveryInstruction]:
@@ -298,6 +309,7 @@
         events.WaitExpired: _on_wait_expired,
         events.AttemptRefused: _on_refused,
         events.AttemptInterrupted: _on_interrupted,
+        events.AttemptUnconfirmed: _on_unconfirmed,
         events.CompleteResponse: _on_complete_response,
         events.StreamOpened: _on_stream_opened,
         events.EventReceived: _on_event,
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -68,6 +68,19 @@
     evidence: EngineEvidence = EngineEvidence.UNKNOWN
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptUnconfirmed:
+    """Nothing of a response may be passed on: the chosen incarnation may not have written it.
+
+    Attributes:
+        is_other: whether another incarnation answers at the address.
+        reply: what came back when the address was asked.
+    """
+
+    is_other: bool
+    reply: str
+
+
 class Framing(Enum):
     """How the end of a response's body is marked."""
 
@@ -138,6 +151,7 @@
     | WaitExpired
     | AttemptRefused
     | AttemptInterrupted
+    | AttemptUnconfirmed
     | CompleteResponse
     | StreamOpened
     | EventReceived
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -24,7 +24,12 @@
 from liftrill.gateway.engines.slot_attempt import SlotAttempt
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.opaque_request import OpaqueRequest
-from liftrill.gateway.paths.path_attempts import ProxiedAttempt, TrackedAttempt
+from liftrill.gateway.paths.path_attempts import (
+    ConfirmedAttempt,
+    IncarnationCheck,
+    ProxiedAttempt,
+    TrackedAttempt,
+)
 from liftrill.gateway.quarantine import Quarantine
 from liftrill.gateway.run_continuation import CloseEvidence
 from liftrill.gateway.transport import EngineAttempt, EngineTransport, ResponseSink
@@ -234,6 +239,7 @@
         prefill_started: called with the engine and the tokens when a long prefill starts.
         on_stream_began: called with a request and its engine before the caller gets an event.
         end_check: checks whether the engine of a lost run has ended.
+        incarnation_check: checks which incarnation of an engine wrote a response.
     """
 
     def __init__(
@@ -256,6 +262,7 @@
         ports.on_overload_change(self._log_overload)
         self._quarantine = quarantine
         self.end_check = EngineEndCheck(transport, quarantine.engine_ended)
+        self.incarnation_check = IncarnationCheck(transport, metrics)
         self.prefill_started: Callable[[EngineView, int], None] = _ignore_prefill_start
         self.on_stream_began = _ignore_stream
         self._engines = engines
@@ -336,8 +343,13 @@
         paths, proxy = self._ports.paths, start.choice.proxy
         if proxy is not None:
             self.metrics.proxied_attempts.inc()
-            return view, ProxiedAttempt(attempt, view.identity, proxy, paths.proxies)
-        return view, TrackedAttempt(attempt, view.identity, paths.links, request.may_run_again)
+            attempt = ProxiedAttempt(attempt, view.identity, proxy, paths.proxies)
+        else:
+            attempt = TrackedAttempt(attempt, view.identity, paths.links, request.may_run_again)
+        if request.required_software_version is None:
+            return view, attempt
+        check = partial(self.incarnation_check.check, view, proxy is not None)
+        return view, ConfirmedAttempt(attempt, check)
 
     def _may_send(self, view: EngineView, choice: events.EngineChoice) -> bool:
         """Return whether an engine chosen earlier may still be sent the request now."""
@@ -380,6 +392,9 @@
         elif isinstance(event, events.AttemptInterrupted):
             self.end_check.record_response_end(view, now)
             self._record_failure(view, now)
+        elif isinstance(event, events.AttemptUnconfirmed):
+            view.breaker.record_abandoned()
+            view.gone = view.gone or event.is_other
         elif isinstance(event, events.CompleteResponse | events.EventReceived):
             view.breaker.record_success()
             view.condition.note_answered(sent_at)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -213,7 +213,9 @@
             metrics,
             self.view.proof_lifetime,
         )
+        self._stream_origins.versions.request_proof = self._freshness_checker.request_proof
         self.forwarder.on_stream_began = self._stream_origins.tracker.stream_began
+        self.forwarder.incarnation_check.knows_records = self._stream_origins.knows_engines
         self._stream_origins.connect(selector.software_versions)
         limit_messenger.wake_waiting = self.forwarder.queues.wake_all
         slot_messenger.wake_waiting = self.forwarder.queues.wake_all
--- a/liftrill/gateway/gateway_metrics.py
+++ b/liftrill/gateway/gateway_metrics.py
@@ -55,6 +55,12 @@
             "Responses that ended with their connection, by what is known of the engine since.",
             "engine",
         )
+        self.incarnation_checks = Counter(
+            "liftrill_incarnation_checks",
+            "Streams bound to a software version, by their engine's reply and whether it sufficed.",
+            ("reply", "confirmed"),
+            registry=self.registry,
+        )
         self.interrupted_streams = self._counter(
             "liftrill_interrupted_streams",
             "Streams that could go on elsewhere, by what was known of their engine.",
--- a/liftrill/gateway/paths/path_attempts.py
+++ b/liftrill/gateway/paths/path_attempts.py
@@ -1,20 +1,122 @@
-"""Reports what an attempt at an engine shows about its path: the node's own link, or a peer."""
+"""Reports what an attempt shows about its path, and confirms which incarnation is at its end."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 from liftrill import clock, constants
 from liftrill.gateway import delivery_events as events
+from liftrill.gateway.engines.engine_table import EngineView
+from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.http_client import LATE_FACTOR
 from liftrill.gateway.paths.engine_links import EngineLinks
 from liftrill.gateway.paths.proxy_table import ProxyTable
-from liftrill.gateway.transport import EngineAttempt, ObservedAttempt
+from liftrill.gateway.transport import (
+    EngineAttempt,
+    EngineReply,
+    EngineTransport,
+    ObservedAttempt,
+)
 
 LINK_DOWN = "the link to the engine is down"
 # If an attempt learns later than this that it could not connect, this process was too busy to tell
 # why, and the link is probed.
 MAX_CONNECT_S = LATE_FACTOR * constants.CONNECT_TIMEOUT_SECONDS
+# What callers would take for a part of their stream, or for its end.
+HELD_EVENTS = (events.EventReceived, events.StreamCompleted, events.ConnectionClosed)
+# How long before the head of a response the records may be known completely: one read of the store
+# serves all streams that are resumed within this time.
+MAX_RECORDS_AGE_S = 0.5
+
+UnconfirmedEvent = events.AttemptUnconfirmed | events.AttemptInterrupted
+
+
+async def _always_known(until: float) -> bool:
+    """Treat the records of engines as complete."""
+    return True
+
+
+class IncarnationCheck:
+    """Checks that a response comes from the incarnation of an engine that this node has recorded.
+
+    An engine that starts again at its address under its id may be of another software version, and
+    its record comes later. An answer of the recorded incarnation shows that it also wrote the head
+    of each response that came before, as incarnations follow each other. Without a start time, or
+    without an answer, the record counts if it was in force until shortly before the head came.
+
+    Attributes:
+        knows_records: returns whether this node knows all records written before a time.
+    """
+
+    def __init__(self, transport: EngineTransport, metrics: GatewayMetrics) -> None:
+        self.knows_records: Callable[[float], Awaitable[bool]] = _always_known
+        self._transport = transport
+        self._metrics = metrics
+
+    async def check(self, view: EngineView, is_proxied: bool) -> UnconfirmedEvent | None:
+        """Return None once a response that has begun is confirmed, or what it counts as."""
+        began_at = clock.now_s()
+        # This node has no link of its own to the engine of a proxied request.
+        reply = EngineReply.NONE if is_proxied else await self._transport.identify(view)
+        is_confirmed = await self._is_confirmed(view, reply, began_at)
+        self._metrics.incarnation_checks.labels(reply.value, str(is_confirmed).lower()).inc()
+        if is_confirmed:
+            return None
+        if reply in (EngineReply.REFUSED, EngineReply.NONE):
+            # The engine has ended, or is out of reach, as one whose connection was lost.
+            return events.AttemptInterrupted(f"unconfirmed: {reply.value}")
+        return events.AttemptUnconfirmed(reply is EngineReply.OTHER, reply.value)
+
+    async def _is_confirmed(self, view: EngineView, reply: EngineReply, began_at: float) -> bool:
+        if reply in (EngineReply.SAME, EngineReply.OTHER):
+            return reply is EngineReply.SAME
+        if reply is EngineReply.REFUSED and not view.condition.leaving:
+            return False
+        return await self.knows_records(began_at - MAX_RECORDS_AGE_S) and not view.gone
+
+
+class ConfirmedAttempt(ObservedAttempt):
+    """An attempt that passes on nothing of a stream until its engine's incarnation is confirmed.
+
+    The check begins with the head of the response, while the engine works on the first event.
+    """
+
+    def __init__(
+        self,
+        attempt: EngineAttempt,
+        check: Callable[[], Awaitable[UnconfirmedEvent | None]],
+    ) -> None:
+        super().__init__(attempt)
+        self._check = check
+        self._result: asyncio.Future[UnconfirmedEvent | None] | None = None
+        self._is_confirmed = False
+
+    async def open(self) -> list[events.DeliveryEvent]:
+        """Send the request; return the events of the response head or the complete response."""
+        return await self._confirmed(await super().open())
+
+    async def read(self) -> list[events.DeliveryEvent]:
+        """Return the events in the next bytes of the stream, once the check has passed."""
+        return await self._confirmed(await super().read())
+
+    def close(self) -> None:
+        """End the attempt."""
+        if self._result is not None:
+            self._result.cancel()
+        super().close()
+
+    async def _confirmed(self, received: list[events.DeliveryEvent]) -> list[events.DeliveryEvent]:
+        if self._is_confirmed:
+            return received
+        if any(isinstance(event, events.StreamOpened) for event in received):
+            self._result = asyncio.ensure_future(self._check())
+        if self._result is None or not any(isinstance(event, HELD_EVENTS) for event in received):
+            return received
+        unconfirmed = await self._result
+        if unconfirmed is not None:
+            return [unconfirmed]
+        self._is_confirmed = True
+        return received
 
 
 class TrackedAttempt(ObservedAttempt):
--- a/liftrill/gateway/streams/origin_service.py
+++ b/liftrill/gateway/streams/origin_service.py
@@ -58,6 +58,16 @@
         self.versions.load(now)
         self.tracker.evidence.refresh(now)
 
+    async def knows_engines(self, until: float) -> bool:
+        """Return whether this node knows all records of engines that were written before a time.
+
+        Peers that answer show that it is not cut off with an old copy: while the store is silent
+        to it alone, the node that it follows confirms the copy. Else it waits for a proof.
+        """
+        if self.versions.is_copy_trusted(until) and await self.tracker.peers_answer():
+            return True
+        return await self.versions.copy_reaches(until)
+
     def store_restored(self, now: float) -> None:
         """Handle that the store came back from an older copy."""
         self.tracker.evidence.store_restored(now)
--- a/liftrill/gateway/streams/origin_tracker.py
+++ b/liftrill/gateway/streams/origin_tracker.py
@@ -35,6 +35,8 @@
 # Another node may know the origin, and nodes that just learned of a second version send the origins
 # of their streams within a housekeeping interval.
 UNKNOWN_RETRY_S = 0.3
+# The key of no stream, to ask nodes whether they answer.
+NO_STREAM = 0
 
 
 class MemberPeers(OriginPeers):
@@ -209,6 +211,10 @@
             return _resolution(stored, "store")
         return _Resolution(None, "unknown")
 
+    async def peers_answer(self) -> bool:
+        """Return whether the nodes that are asked for an origin answer, or all but one."""
+        return (await self._exchange.ask(NO_STREAM, (), of_all=True)).suffice
+
     def stream_began(self, request: OpaqueRequest, choice: EngineChoice) -> None:
         """Record which engine wrote the first event of an answer, before the caller gets it."""
         if not request.is_stream or not request.route.resumable:
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from contextlib import suppress
 
 from google.protobuf.message import DecodeError
@@ -47,10 +48,20 @@
 NEEDED_TURNS_S = 0.2
 # How often a node that cannot read the store checks whether its mirror has been confirmed.
 CONFIRMATION_CHECK_S = 0.05
+# How often a node that asked for a proof of its copy checks whether it has come.
+PROOF_CHECK_S = 0.02
+
+
+def _request_nothing() -> None:
+    """Leave the next proof of the mirror to the regular interval."""
 
 
 class VersionRecord(RecordedVersions):
-    """The recorded versions, as far as this node has read them; writes changes of them."""
+    """The recorded versions, as far as this node has read them; writes changes of them.
+
+    Attributes:
+        request_proof: asks for an early proof that the mirror is complete.
+    """
 
     def __init__(
         self,
@@ -62,6 +73,7 @@
         log: DecisionLog,
         trusted_unread_s: float,
     ) -> None:
+        self.request_proof: Callable[[], None] = _request_nothing
         self._store = store
         self._mirror = mirror
         self._freshness = freshness
@@ -179,8 +191,23 @@
         As long as keys are accepted while the store is silent, so is what the mirror has. If half
         of the nodes are out of reach since, this one may be cut off with the others.
         """
+        return self._is_trusted(self._known_until(), until)
+
+    async def copy_reaches(self, until: float) -> bool:
+        """Return whether the copy of the store proves to be complete until a time, after a wait."""
+        gives_up_at = clock.now_s() + READ_TIMEOUT_S
+        while self._freshness.as_of < until and clock.now_s() < gives_up_at:
+            self.request_proof()
+            await asyncio.sleep(PROOF_CHECK_S)
+        return self._freshness.as_of >= until
+
+    def is_copy_trusted(self, until: float) -> bool:
+        """Return whether peers can confirm the copy of the store, as it cannot be read."""
+        return self._is_trusted(self._freshness.as_of, until)
+
+    def _is_trusted(self, complete_until: float, until: float) -> bool:
+        """Return whether what is complete until a time counts as complete until a later one."""
         self._note_members(clock.now_s())
-        complete_until = self._known_until()
         lost_count = sum(at >= complete_until for at in self._lost_at.values())
         is_recent = complete_until >= until - self._trusted_unread_s
         return is_recent and len(self._alive) > lost_count
