--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -70,6 +70,19 @@
     was_closed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptUnconfirmed:
+    """Nothing of a response may be passed on: the chosen incarnation may not have written it.
+
+    Attributes:
+        is_other: whether another incarnation answers at the address.
+        reply: what came back when the address was asked.
+    """
+
+    is_other: bool
+    reply: str
+
+
 class Framing(Enum):
     """How the end of a response's body is marked."""
 
@@ -145,6 +158,7 @@
     | WaitExpired
     | AttemptRefused
     | AttemptInterrupted
+    | AttemptUnconfirmed
     | CompleteResponse
     | StreamOpened
     | EventReceived
