--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -409,10 +409,10 @@
     Examples:
       | delay | others              | last |
       | 30    | no other            | 6    |
-      | 1     | others at that time | 6    |
+      | 5     | others at that time | 6    |
       | 30    | no other            | 3    |
 
-  Scenario Outline: A stream whose end was doubted is broken off if no new run can be had: <then>
+  Scenario Outline: A sound stream whose end was doubted is broken off as no new run can be had: <then>
     Given a resumable stream request, with 2 attempts
     When it starts
     And a stream opens
@@ -443,11 +443,29 @@
 
     Examples:
       | then                                                                       | end            |
+      | event 3 arrives again, and the engine closes the connection, and its state is "unknown" | ended complete |
+      | event 2 arrives again, and the engine closes the connection, and its state is "unknown" | was aborted |
       | the engine closes the connection in order, and its state is "unknown"      | ended complete |
       | the engine closes the connection in order, and its state is "running"      | ended complete |
       | the connection to the engine breaks                                        | was aborted    |
       | its deadline passes                                                        | was aborted    |
 
+  Scenario Outline: Two engines that end under a stream, one after the other, are taken for its end: <first>
+    Given a resumable stream request, with 2 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 3 arrive
+    And the engine closes the connection in order, and its state is "<first>"
+    Then it is sent to another engine to resume after event 3
+    When a stream opens
+    And the engine closes the connection in order, and its state is "unknown"
+    Then the stream was aborted
+
+    Examples:
+      | first     |
+      | ended     |
+      | unreached |
+
   Scenario Outline: A sound end of a stream costs another run: <kind>, <delay> ms, <others>, <retries>
     Given a <kind>, with 3 attempts
     And the retry allowance is <retries>
@@ -463,7 +481,9 @@
       | resumable stream request | 1     | no other            | full    |
       | resumable stream request | 30    | no other            | used up |
       | stream request           | 30    | no other            | full    |
-      | stream request           | 1     | others at that time | full    |
+      | stream request           | 5     | others at that time | full    |
+      | resumable stream request | 1     | others at that time | full    |
+      | resumable stream request | 14    | no other            | full    |
 
   Scenario Outline: A closed connection ends a stream without other marks only at an engine that runs on
     Given a stream request, with 2 attempts
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -159,6 +159,15 @@
     feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
 
 
+@when(
+    "event {number:d} arrives again, and the engine closes the connection,"
+    ' and its state is "{evidence}"'
+)
+def step_repeats_and_closes(context, number, evidence):
+    step_events(context, number, number)
+    step_closed(context, evidence)
+
+
 @given("the retry allowance is full")
 def step_retries(context):
     assert context.ports.retries > 0
--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -1,6 +1,7 @@
 """Steps on what peers tell of the ends of responses of an engine."""
 
 import asyncio
+import math
 import time
 
 from behave import given, then, when
@@ -118,7 +119,7 @@
     def __init__(self, replies):
         self._replies = [reply.partition(" after ") for reply in replies.split(", ")]
         self.port = ProbeResult.ACCEPTED
-        self.has_older_connection = False
+        self.used_at = math.inf
 
     def attempt(self, request, start):
         raise NotImplementedError
@@ -133,7 +134,7 @@
         return self.port
 
     def has_open_connection(self, address, used_before):
-        return self.has_older_connection
+        return self.used_at < used_before
 
 
 @given('an engine asked for its incarnation, which replies "{replies}"')
@@ -143,21 +144,37 @@
     context.view = EngineView(engine_record("engine-1"))
 
 
+# By the other connections of an engine: how long before the close of a response its last bytes
+# came, how long before it another connection was used first, and whether another response was
+# closed at the same time.
+CONNECTIONS = {
+    "no other connection": (0.0, None, False),
+    "one open since before": (0.0, 1.0, False),
+    "another response that ended at once": (0.005, None, True),
+    "others that ended in step": (0.001, None, True),
+    "one opened while the close was not seen": (3.0, 1.0, False),
+    "one used before its caller was slow": (3.0, 4.0, False),
+}
+
+
 @given("its port {port}, with {connections}")
 def step_port(context, port, connections):
     ports = {"accepts": ProbeResult.ACCEPTED, "refuses": ProbeResult.REFUSED}
     context.transport.port = ports[port]
-    context.transport.has_older_connection = connections == "one open since before"
-    context.others_ended = connections == "another response that ended at once"
+    context.delay_s, context.used_before_s, context.has_others = CONNECTIONS[connections]
 
 
 @when("a response of it was closed in order, and its caller waits for {left:g} s")
 def step_closed(context, left):
     async def check():
         began_at = clock.now_s()
-        if context.others_ended:
-            context.check.record_response_end(context.view, began_at, 0.0)
-        context.evidence = await context.check.check_closed(context.view, 0.0, began_at + left)
+        if context.used_before_s is not None:
+            context.transport.used_at = began_at - context.used_before_s
+        checks = [
+            context.check.check_closed(context.view, context.delay_s, began_at + left, began_at)
+            for _ in range(1 + context.has_others)
+        ]
+        context.evidence, *_ = await asyncio.gather(*checks)
         context.took_s = clock.now_s() - began_at
 
     context.run(check())
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -78,9 +78,9 @@
         self._head_sent = False
         self._continuation = RunContinuation(request, ports)
         self._refusal_code = ResultCode.NO_ELIGIBLE_ENGINE
-        # Whether a new run since which no event has come is to show if the stream is complete, and
-        # whether it is taken for complete if there is no such run.
-        self._confirms_end = False
+        # The engine that closed the stream, where a new run is to show if it is complete, and
+        # whether it is taken for complete if there is no such run. An event ends both.
+        self._closed_by = ""
         self._is_end_likely = False
 
     @property
@@ -162,12 +162,13 @@
         self._refusal_code = ResultCode.ENGINE_LOST
         if event.is_rejected:
             # The new run is not the one that the caller has a part of.
-            self._confirms_end = self._is_end_likely = False
+            self._closed_by, self._is_end_likely = "", False
         if self._head_sent:
-            if event.was_closed and self.request.may_run_again:
-                if self._confirms_end and event.evidence is events.EngineEvidence.UNKNOWN:
+            if event.was_closed and event.evidence is events.EngineEvidence.UNKNOWN:
+                if self._closed_by == interrupted.engine_id and not self.order.is_cut_short:
+                    # It answered a new run after it had closed the one before.
                     return self._on_completed(events.StreamCompleted())
-                self._confirms_end = True
+                self._closed_by = interrupted.engine_id
             step = self._continuation.next_step(interrupted, event.evidence)
             if step is not NextStep.OTHER_ENGINE:
                 return [events.AbandonAttempt(), self._continue_or_end(step, interrupted)]
@@ -220,7 +221,7 @@
         if arrived.is_repeated:
             return []
         self.phase = Phase.STREAMING
-        self._confirms_end = self._is_end_likely = False
+        self._closed_by, self._is_end_likely = "", False
         # Engines of other software versions cannot continue what this one has written.
         if self.request.required_software_version is None:
             self.request.require_software_version(self.attempts[-1].software_version)
@@ -232,10 +233,10 @@
 
     def _on_end_doubted(self, event: events.EndDoubted) -> list[events.DeliveryInstruction]:
         """Let the engine run the request again after the last event, which costs a retry."""
-        if self._confirms_end or not self._head_sent:
+        if self._closed_by or not self._head_sent:
             # The engine answered a new run, which added nothing, or the stream has no events.
             return self._on_completed(events.StreamCompleted())
-        self._confirms_end = self._is_end_likely = True
+        self._closed_by, self._is_end_likely = self.attempts[-1].engine_id, True
         self._refusal_code = ResultCode.ENGINE_LOST
         step = self._continuation.next_step(self.attempts[-1], events.EngineEvidence.RUNNING)
         return [events.AbandonAttempt(), self._continue_or_end(step, self.attempts[-1])]
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -28,10 +28,13 @@
 # An engine that sends many events at once must not keep other requests waiting.
 EVENTS_PER_TURN = 64
 BYTES_PER_KILOBYTE = 1024
-# How long an engine that closed a response is waited for to reply: of the time that the caller has
-# left, and if a new run can add what the response may lack.
+# An engine that closes complete responses later than this does so for other reasons.
+MAX_SOUND_CLOSE_S = 0.1
+# How long an engine that closed a response is waited for to reply: shares of the time that the
+# caller has left, the second one if a new run can follow, and a time for streams of which one can.
 CLOSE_CHECK_SHARE = 0.9
-RERUN_AFTER_S = 0.5
+RERUN_SHARE = 0.5
+RERUN_AFTER_S = 1.0
 FIRST_CLIENT_ERROR = 400
 
 
@@ -79,7 +82,11 @@
 
     @abstractmethod
     async def check_closed(
-        self, view: EngineView, close_delay_s: float, until: float = math.inf
+        self,
+        view: EngineView,
+        close_delay_s: float,
+        until: float = math.inf,
+        closed_at: float = math.inf,
     ) -> CloseEvidence:
         """Find out until a time what became of an engine after it closed a response."""
 
@@ -259,8 +266,10 @@
         evidence, began_at = CloseEvidence(events.EngineEvidence.UNKNOWN), clock.now_s()
         self._machine.times.framing = events.Framing.CONNECTION.value
         if self._view is not None:
-            until = began_at + self._longest_close_check_s(began_at)
-            evidence = await self._owner.check_closed(self._view, closed.close_delay_s, until)
+            until = began_at + self._longest_close_check_s(closed, began_at)
+            evidence = await self._owner.check_closed(
+                self._view, closed.close_delay_s, until, closed.closed_at
+            )
         resolved = resolve_close(closed, evidence, self._machine.request.may_run_again)
         if isinstance(resolved, events.EndDoubted) and self._view is not None:
             self._doubted = (self._view, closed.close_delay_s)
@@ -270,9 +279,13 @@
         self._owner.log.response_closed(self._machine, evidence, waited_s, is_complete)
         return resolved, evidence.engine
 
-    def _longest_close_check_s(self, now: float) -> float:
-        share_s = CLOSE_CHECK_SHARE * (self._machine.request.deadline - now)
-        return min(RERUN_AFTER_S, share_s) if self._machine.may_run_anew else share_s
+    def _longest_close_check_s(self, closed: events.ConnectionClosed, now: float) -> float:
+        left_s = self._machine.request.deadline - now
+        if not self._machine.may_run_anew:
+            return CLOSE_CHECK_SHARE * left_s
+        # The new run of a whole answer begins anew, that of a stream after its last event.
+        is_stream = isinstance(closed.completed, events.StreamCompleted)
+        return min(RERUN_AFTER_S, left_s) if is_stream else RERUN_SHARE * left_s
 
     async def _with_evidence(
         self, event: events.AttemptInterrupted, known: events.EngineEvidence | None
@@ -382,7 +395,7 @@
         """Record that a new run had nothing to add after an end that was doubted."""
         if self._doubted is not None and self._machine.is_end_likely:
             view, delay_s = self._doubted
-            view.sound_close_s = max(view.sound_close_s, delay_s)
+            view.sound_close_s = min(MAX_SOUND_CLOSE_S, max(view.sound_close_s, delay_s))
 
     async def _end(self, ending: events.DeliveryInstruction) -> None:
         self._ended = True
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -1,5 +1,6 @@
 """Events that the delivery state machine handles, and instructions that it returns."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -136,11 +137,13 @@
 
     Attributes:
         completed: the event to handle if the response is complete.
-        close_delay_s: the time between its last bytes and the close.
+        close_delay_s: the longest time that may lie between its last bytes and the close.
+        closed_at: when the connection was seen to be closed.
     """
 
     completed: CompleteResponse | StreamCompleted
     close_delay_s: float = 0.0
+    closed_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -11,7 +12,7 @@
 from liftrill import clock, constants
 from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
 from liftrill.gateway.engines.engine_table import EngineView
-from liftrill.gateway.run_continuation import CloseEvidence
+from liftrill.gateway.run_continuation import PROMPT_CLOSE_S, CloseEvidence
 from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
 
 # Bound of the delay before the next step after an interrupted attempt. A machine that is up answers
@@ -47,6 +48,8 @@
 SAME_END_S = 0.01
 # By how much later than its peer a node may read the bytes that arrived at the same time.
 READ_SKEW_S = 0.002
+# For how long closes are kept to compare them: until the first reply is waited for.
+CLOSES_KEPT_S = 0.1
 # For how long the ends of responses are kept: longer than a check takes.
 RESPONSE_ENDS_KEPT_S = 3.0
 
@@ -110,7 +113,7 @@
         self._was_refused = False
         self._transport = transport
         self._view = view
-        self._asking = asyncio.ensure_future(self._ask())
+        self._asking = self._begin()
 
     @property
     def evidence(self) -> EngineEvidence:
@@ -128,12 +131,16 @@
     def resume(self) -> None:
         """Ask again after a refusal."""
         if self.reply is EngineReply.REFUSED:
-            self._asking = asyncio.ensure_future(self._ask())
+            self._asking = self._begin()
 
     def close(self) -> None:
         """Ask no more."""
         self._asking.cancel()
 
+    def _begin(self) -> "asyncio.Task[None]":
+        # Whether a request may still be sent does not matter for the question.
+        return asyncio.get_running_loop().create_task(self._ask(), context=contextvars.Context())
+
     async def _ask(self) -> None:
         while True:
             self.reply = await self._transport.identify(self._view)
@@ -172,8 +179,8 @@
         self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
         # By time: the ends of responses, and the numbers of their engines.
         self._response_ends: deque[tuple[ResponseEnd, int]] = deque()
-        # The same of the responses that engines closed which went on running.
-        self._closed_ends: deque[tuple[ResponseEnd, int]] = deque()
+        # When responses were lately closed in order, and the numbers of their engines.
+        self._closes: deque[tuple[float, int]] = deque()
 
     async def check(
         self, view: EngineView, for_stream: bool = False, is_direct: bool = True
@@ -195,29 +202,42 @@
         return await _result_within(task, max_wait_s)
 
     async def check_closed(
-        self, view: EngineView, close_delay_s: float, until: float = math.inf
+        self,
+        view: EngineView,
+        close_delay_s: float,
+        until: float = math.inf,
+        closed_at: float = math.inf,
     ) -> CloseEvidence:
-        """Find out until a time what became of an engine after it closed a response in order."""
-        closed_at = clock.now_s()
+        """Find out until a time what became of an engine after it closed a response in order.
+
+        The close was seen at `closed_at`, at most `close_delay_s` after the last bytes.
+        """
+        closed_at = min(closed_at, clock.now_s())
         end = self.record_response_end(view, closed_at, close_delay_s)
+        self._note_close(view, closed_at)
         query = IncarnationQuery(self._transport, view)
         elsewhere: asyncio.Task[EndsElsewhere] | None = None
         try:
             evidence = await query.wait(PROMPT_REPLY_S)
+            others_closed = self._others_closed(view, closed_at)
+            is_abrupt = others_closed and close_delay_s > PROMPT_CLOSE_S
+            if query.reply is EngineReply.POSSIBLE and is_abrupt:
+                # The next incarnation may reply for one that ended with its responses.
+                evidence = EngineEvidence.UNKNOWN
             if evidence is EngineEvidence.UNKNOWN:
-                evidence = await self._check_connections(view, closed_at)
+                evidence = await self._check_connections(view, closed_at, close_delay_s)
             if evidence is not EngineEvidence.RUNNING and view.leaving:
                 elsewhere = asyncio.ensure_future(self._ask_peers(view, end))
-            if evidence is EngineEvidence.UNKNOWN:
+            if evidence is EngineEvidence.UNKNOWN and query.reply is not EngineReply.POSSIBLE:
                 evidence = await self._probe_closed(view, query, until)
-            if evidence is EngineEvidence.UNKNOWN and self._others_ended(view, closed_at):
+            if evidence is EngineEvidence.UNKNOWN and is_abrupt:
                 # Nothing that was there before has been heard of since.
                 evidence = EngineEvidence.ENDED
             is_leaving, others_ended = view.leaving, self._others_ended(view, closed_at)
             if evidence is EngineEvidence.RUNNING:
                 # The engine ended this response itself, so that it is no sign of its own end.
                 self._forget_response_end(view, end)
-                others_ended = others_ended or self._others_closed(view, closed_at)
+                others_ended = others_closed
             ends = EndsElsewhere.NONE
             # Only the end of a leaving engine may follow the end of its last response.
             if evidence is EngineEvidence.ENDED and is_leaving and not others_ended:
@@ -245,10 +265,14 @@
         """Return the recent ends of responses of an engine with their connections."""
         return [end for end, engine in self._response_ends if engine == number]
 
-    async def _check_connections(self, view: EngineView, closed_at: float) -> EngineEvidence:
+    async def _check_connections(
+        self, view: EngineView, closed_at: float, close_delay_s: float
+    ) -> EngineEvidence:
         """Return what connections show that were open before: a process that ends closes all."""
         await asyncio.sleep(max(0.0, closed_at + SAME_END_S - clock.now_s()))
-        has_open = self._transport.has_open_connection(view.record.address, closed_at)
+        # The close of a connection that was not read may have come any time after the last bytes.
+        used_before = closed_at - close_delay_s
+        has_open = self._transport.has_open_connection(view.record.address, used_before)
         return EngineEvidence.RUNNING if has_open else EngineEvidence.UNKNOWN
 
     async def _probe_closed(
@@ -292,17 +316,19 @@
         return end
 
     def _forget_response_end(self, view: EngineView, end: ResponseEnd) -> None:
-        """Record that an engine that runs ended a response itself."""
         with contextlib.suppress(ValueError):
             self._response_ends.remove((end, view.number))
-        self._closed_ends.append((end, view.number))
-        while end.at - self._closed_ends[0][0].at > RESPONSE_ENDS_KEPT_S:
-            self._closed_ends.popleft()
+
+    def _note_close(self, view: EngineView, closed_at: float) -> None:
+        now = clock.now_s()
+        while self._closes and now - self._closes[0][0] > CLOSES_KEPT_S:
+            self._closes.popleft()
+        self._closes.append((closed_at, view.number))
 
     def _others_closed(self, view: EngineView, closed_at: float) -> bool:
-        """Return whether an engine that runs closed other responses at the same time as one."""
-        ends = [end for end, number in self._closed_ends if number == view.number]
-        return sum(abs(end.at - closed_at) <= SAME_END_S for end in ends) > 1
+        """Return whether other responses of an engine were closed at the same time as one."""
+        closes = [at for at, number in self._closes if number == view.number]
+        return sum(abs(at - closed_at) <= SAME_END_S for at in closes) > 1
 
     def _lost_all(self, view: EngineView, lost_at: float) -> bool:
         """Return whether an engine's connections, two or more, ended as with its process."""
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -420,10 +420,14 @@
         return evidence
 
     async def check_closed(
-        self, view: EngineView, close_delay_s: float, until: float = math.inf
+        self,
+        view: EngineView,
+        close_delay_s: float,
+        until: float = math.inf,
+        closed_at: float = math.inf,
     ) -> CloseEvidence:
         """Find out until a time what became of an engine after it closed a response."""
-        return await self.end_check.check_closed(view, close_delay_s, until)
+        return await self.end_check.check_closed(view, close_delay_s, until, closed_at)
 
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
         """Record that a run was interrupted or closed early, in case its engine has ended."""
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -57,7 +57,7 @@
         memory: NodeMemory | None,
         log: DecisionLog,
         metrics: GatewayMetrics,
-        check_closed: Callable[[EngineView, float], Awaitable[CloseEvidence]],
+        check_closed: Callable[..., Awaitable[CloseEvidence]],
     ) -> None:
         self.accepts_requests: Callable[[], bool] = lambda: True
         self.may_send: Callable[[EngineView], bool] = lambda view: True
@@ -179,7 +179,7 @@
         async for chunk in response.content.iter_any():
             await returned.write(chunk)
         if framing_of(response) is Framing.CONNECTION:
-            evidence = await self.check_closed(view, end.delay_s)
+            evidence = await self.check_closed(view, end.delay_s, closed_at=end.closed_at)
             if not evidence.shows_completion:
                 raise aiohttp.ClientPayloadError(f"connection closed, engine {evidence.engine}")
         await returned.write_eof()
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -1,5 +1,6 @@
 """Reads the responses of engines as events of a delivery."""
 
+import math
 from collections.abc import Callable
 
 import aiohttp
@@ -50,6 +51,12 @@
         """Whether the end of the response is held back as it arrives."""
         return isinstance(self._handler, GuardedResponseHandler) and self._handler.holds_end
 
+    @property
+    def closed_at(self) -> float:
+        """When the connection was seen to be closed, or infinity if that is not known."""
+        handler = self._handler
+        return handler.closed_at if isinstance(handler, GuardedResponseHandler) else math.inf
+
     @property
     def delay_s(self) -> float:
         """The longest time that may lie between the last bytes and the close."""
@@ -72,7 +79,7 @@
     framing = framing_of(response)
     complete = events.CompleteResponse(response.status, headers, body, framing)
     if framing is CONNECTION:
-        return [events.ConnectionClosed(complete, timer.delay_s)]
+        return [events.ConnectionClosed(complete, timer.delay_s, timer.closed_at)]
     return [complete]
 
 
@@ -105,7 +112,8 @@
                 return [events.AttemptInterrupted("incomplete event at the end of the stream")]
             completed = events.StreamCompleted()
             if self.framing is CONNECTION:
-                return [events.ConnectionClosed(completed, self._end.delay_s)]
+                end = self._end
+                return [events.ConnectionClosed(completed, end.delay_s, end.closed_at)]
             return [completed]
         received: list[events.DeliveryEvent] = [
             events.EventReceived(event) for event in self._splitter.feed(data)
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -18,6 +18,8 @@
 MAX_CONTINUATIONS = 3
 # An engine closes the connection of a response without other framing right after its last bytes.
 MAX_CLOSE_DELAY_S = 0.015
+# Responses that end in step, and so at the same time, are closed within this time.
+PROMPT_CLOSE_S = 0.003
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +54,8 @@
         An engine whose worker has ended closes the responses that it had, all at once and not
         right after bytes of each.
         """
-        longest_s = max(MAX_CLOSE_DELAY_S, self.sound_delay_s)
-        return self.others_ended or self.close_delay_s > longest_s
+        longest_s = PROMPT_CLOSE_S if self.others_ended else MAX_CLOSE_DELAY_S
+        return self.close_delay_s > max(longest_s, self.sound_delay_s)
 
     @property
     def shows_completion(self) -> bool:
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -147,6 +147,11 @@
         """The time between the last received bytes and the end of the connection."""
         return self._closed_at - self._last_data_at
 
+    @property
+    def closed_at(self) -> float:
+        """When the end of the connection was seen, or infinity before it."""
+        return self._closed_at
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is open; one that is not read does not show its end."""
