The crash of an engine whose next incarnation answers within a second counts against its requests

Callers saw: a request that crashes engines may be sent to one engine after another, where a supervisor keeps an engine's port open and starts it again within a second.

Cause: runs that were lost at an engine were kept as evidence for 0.5 s. An open port hides the end of the engine until its next incarnation answers, which is later.

Evidence: a node's quarantine behind a scripted address (features/reused_addresses.feature), whose next incarnation answers at once or after 0.7 s.

Change: the end of an engine at whose address another incarnation answers counts from the loss of the connection that led to the question, and losses are kept for 2 s, which is longer than the check takes. Which of them count is unchanged: those within 0.5 s before the end.

Why it works: the incarnation that lost the connection had ended by then or it would have answered. Where the port refuses, nothing changes.

Not played with processes.

--- a/features/reused_addresses.feature
+++ b/features/reused_addresses.feature
@@ -76,3 +76,15 @@
       | killed                    | stream |
       | killed, and started again | stream |
       | killed                    | resume |
+
+  Scenario Outline: A request that crashes engines is not found if they start again within a second: <run>, <replies>
+    Given an engine whose address answers probes with "accepted", and questions with "<replies>"
+    When a <run> that had just begun ends with its engine
+    Then the request is suspected of the crash
+
+    Examples:
+      | run    | replies   |
+      | stream | other     |
+      | stream | other@0.7 |
+      | answer | other     |
+      | answer | other@0.7 |
--- a/features/steps/reused_address_steps.py
+++ b/features/steps/reused_address_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.gateway_support import engine_record
+from features.gateway_support import choice_of, engine_record, new_quarantine, opaque_request
 from features.soak.fleet import now_unix_ms
 from features.standin.engine import StandInEngine
 from features.standin.engine_links import CutKind
@@ -14,12 +14,16 @@
 from features.steps.lost_connection_steps import begin_streams
 from features.steps.truncated_answer_steps import ENDS_AFTER_S, end_engine, is_whole
 from liftrill import clock
+from liftrill.gateway.delivery_times import AttemptTimes
 from liftrill.gateway.engines.engine_end_check import EngineEndCheck
-from liftrill.gateway.engines.engine_table import EngineView
+from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
 
 # How long after the start of an engine's next incarnation its record changes.
 RECORDED_AFTER_S = 2.0
+HOUSEKEEPING_S = 0.1
+# How long before a crash the run began that is lost with it, and when the check is over.
+BEGAN_BEFORE_S, CHECKED_WITHIN_S = 0.05, 1.2
 
 
 async def replace_engine(context):
@@ -95,7 +99,10 @@
 
 
 class ScriptedAddress(EngineTransport):
-    """An address that answers as scripted; the last answer of each kind is repeated."""
+    """An address that answers as scripted; the last answer of each kind is repeated.
+
+    "other@0.7" is a reply after 0.7 s.
+    """
 
     def __init__(self, probes, replies):
         self._probes, self._replies = probes.split(), replies.split()
@@ -108,9 +115,10 @@
         return ProbeResult(_next(self._probes))
 
     async def identify(self, view):
-        reply = _next(self._replies)
+        reply, _, delay_s = _next(self._replies).partition("@")
         if reply == SILENCE:
             await asyncio.Event().wait()
+        await asyncio.sleep(float(delay_s or 0.0))
         return EngineReply(reply)
 
     def has_open_connection(self, address, used_before):
@@ -128,7 +136,7 @@
     context.end_check = EngineEndCheck(
         context.address, lambda view, now: context.ends.append("refused")
     )
-    context.end_check.on_replaced = lambda view, now: context.ends.append("replaced")
+    context.end_check.on_replaced = lambda *_: context.ends.append("replaced")
 
 
 @given("{lost:d} of its streams are lost {path}, while {kept:d} that it wrote to before are open")
@@ -186,3 +194,29 @@
     }
     print(f"{len(lost & passed_on)} of {len(lost)} streams were passed on by a peer")
     assert lost & passed_on
+
+
+@when("a {run} that had just begun ends with its engine")
+def step_count(context, run):
+    engines = EngineTable()
+    view = engines.update(engine_record("llm-1"))
+    context.quarantine = new_quarantine(engines)
+    context.end_check.on_replaced = context.quarantine.incarnation_ended
+    context.request = opaque_request()
+
+    async def check():
+        now = clock.now_s()
+        times = AttemptTimes(now - BEGAN_BEFORE_S)
+        context.quarantine.run_lost(context.request, choice_of(view), times, now)
+        await context.end_check.check(view, run == "stream")
+        # The check of a whole answer goes on after the next attempt has begun.
+        while clock.now_s() < now + CHECKED_WITHIN_S:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            context.quarantine.expire(clock.now_s())
+
+    context.run(check())
+
+
+@then("the request is suspected of the crash")
+def step_suspected(context):
+    assert context.quarantine.is_suspect(context.request)
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -87,7 +87,7 @@
     UNKNOWN = auto()
 
 
-def _ignore_end(view: EngineView, now: float) -> None:
+def _ignore_end(view: EngineView, now: float, ended_at: float) -> None:
     """Leave it to the engine's next record to show the end."""
 
 
@@ -160,7 +160,8 @@
         is_reached_by_peers: returns whether a peer reaches an engine.
         ended_elsewhere: returns whether responses of an engine ended at peers with one here.
         on_probe: called with the result of each probe.
-        on_replaced: called when another incarnation answered at the address of an engine.
+        on_replaced: called when another incarnation answered at the address of an engine, with the
+            time and that of the lost connection, by which the engine had ended.
     """
 
     def __init__(
@@ -171,7 +172,7 @@
             _none_elsewhere
         )
         self.on_probe: Callable[[EngineAddress, ProbeResult, float], None] | None = None
-        self.on_replaced: Callable[[EngineView, float], None] = _ignore_end
+        self.on_replaced: Callable[[EngineView, float, float], None] = _ignore_end
         self._transport = transport
         self._on_ended = on_ended
         self._running: dict[tuple[int, bool, bool], asyncio.Task[EngineEvidence]] = {}
@@ -360,7 +361,7 @@
             return EngineEvidence.ENDED
         # The end of a leaving engine is no crash.
         if evidence is EngineEvidence.ENDED and not view.leaving:
-            self.on_replaced(view, clock.now_s())
+            self.on_replaced(view, clock.now_s(), lost_at)
         return evidence
 
     async def _check(self, view: EngineView, for_stream: bool) -> EngineEvidence:
--- a/liftrill/gateway/observed_runs.py
+++ b/liftrill/gateway/observed_runs.py
@@ -28,6 +28,8 @@
 # How long before its engine was found to have ended a run may have been lost: a refused connection
 # shows the end within milliseconds, over a slow link later.
 LOSS_WINDOW_S = 0.5
+# How long losses are kept at most: longer than it takes to ask who answers at an engine's address.
+PENDING_KEPT_S = 2.0
 
 
 @dataclass(slots=True)
@@ -163,7 +165,7 @@
     def expire(self, now: float) -> None:
         """Forget losses at engines that were not found ended in time."""
         for engine, losses in list(self._pending.items()):
-            remaining = [loss for loss in losses if now - loss.run.ended_at <= LOSS_WINDOW_S]
+            remaining = [loss for loss in losses if now - loss.run.ended_at <= PENDING_KEPT_S]
             if remaining:
                 self._pending[engine] = remaining
             else:
--- a/liftrill/gateway/quarantine.py
+++ b/liftrill/gateway/quarantine.py
@@ -184,9 +184,11 @@
         """Record that an engine has ended, with the runs that this node lost there."""
         self._record_end(view.number, "refused", now, view.record.incarnation)
 
-    def incarnation_ended(self, view: EngineView, now: float) -> None:
+    def incarnation_ended(
+        self, view: EngineView, now: float, ended_at: float | None = None
+    ) -> None:
         """Record that an engine has restarted, so that its former incarnation has ended."""
-        self._record_end(view.number, "started again", now, view.record.incarnation)
+        self._record_end(view.number, "started again", now, view.record.incarnation, ended_at)
 
     def served(self, request: OpaqueRequest, now: float) -> None:
         """Record that an engine served a request, which clears it of suspicion."""
@@ -275,13 +277,24 @@
 
     # Decisions
 
-    def _record_end(self, number: int, source: str, now: float, name: str = "") -> None:
-        """Record that an engine ended, and use this node's losses there as evidence."""
+    def _record_end(
+        self,
+        number: int,
+        source: str,
+        now: float,
+        name: str = "",
+        ended_at: float | None = None,
+    ) -> None:
+        """Record that an engine ended, and use this node's losses there as evidence.
+
+        It may have ended some time before this was found.
+        """
+        ended_at = now if ended_at is None else ended_at
         if number in self._ended_engines:
             return
         # The engine's record may be deleted by the time that its name is needed.
         self._ended_engines[number] = name or self._engine_name(number)
-        self._evidence.record_end(number, now)
+        self._evidence.record_end(number, ended_at)
         losses = self._losses.pop_pending(number)
         self.metrics.engine_ends.inc()
         early = [loss for loss in losses if loss.run.early]
@@ -292,15 +305,15 @@
             lost=len(losses),
             early=[loss.run.fingerprint.hex() for loss in early],
         )
-        self._add_losses(losses, now)
+        recent = [loss for loss in losses if ended_at - loss.run.ended_at <= LOSS_WINDOW_S]
+        self._add_losses(recent, now)
 
     def _add_losses(self, losses: list[LocalLoss], now: float) -> None:
         """Add runs that this node lost with an ended engine as evidence, and report them."""
-        recent = [loss for loss in losses if now - loss.run.ended_at <= LOSS_WINDOW_S]
         # What is popular would be reported by many nodes, and cleared by as many.
         suspicious = [
             replace(loss, run=self._without_served_parts(loss.run))
-            for loss in recent
+            for loss in losses
             if not self._was_served_recently(loss.run)
         ]
         added = [loss for loss in suspicious if self._evidence.add(loss.run)]
