--- a/liftrill/gateway/streams/origin_service.py
+++ b/liftrill/gateway/streams/origin_service.py
@@ -61,12 +61,14 @@
     async def knows_engines(self, until: float) -> bool:
         """Return whether this node knows all records of engines that were written before a time.
 
-        Peers that answer show that it is not cut off with an old copy: while the store is silent
-        to it alone, the node that it follows confirms the copy. Else it waits for a proof.
+        A copy of the usual age at a node whose peers answer counts at once. An older one has to be
+        proven, unless no proof comes and peers answer: the store is then silent to them too.
         """
-        if self.versions.is_copy_trusted(until) and await self.tracker.peers_answer():
+        if self.versions.is_copy_regular() and await self.tracker.peers_answer():
             return True
-        return await self.versions.copy_reaches(until)
+        if await self.versions.copy_reaches(until):
+            return True
+        return self.versions.is_copy_trusted(until) and await self.tracker.peers_answer()
 
     def store_restored(self, now: float) -> None:
         """Handle that the store came back from an older copy."""
--- a/liftrill/gateway/streams/version_record.py
+++ b/liftrill/gateway/streams/version_record.py
@@ -15,7 +15,7 @@
 
 from google.protobuf.message import DecodeError
 
-from liftrill import clock
+from liftrill import clock, constants
 from liftrill.coordination.membership import Membership
 from liftrill.coordination.membership_messages import Condition
 from liftrill.coordination.mirror_freshness import MirrorFreshness
@@ -50,6 +50,10 @@
 CONFIRMATION_CHECK_S = 0.05
 # How often a node that asked for a proof of its copy checks whether it has come.
 PROOF_CHECK_S = 0.02
+# A store that answers this node again proves its copy within this time.
+PROOF_WAIT_S = constants.KEY_PROOF_INTERVAL_SECONDS
+# A copy is proven this long ago at most, unless the node is out of touch.
+REGULAR_AGE_S = constants.KEY_PROOF_INTERVAL_SECONDS + constants.RELAY_QUERY_INTERVAL_SECONDS
 
 
 def _request_nothing() -> None:
@@ -195,12 +199,16 @@
 
     async def copy_reaches(self, until: float) -> bool:
         """Return whether the copy of the store proves to be complete until a time, after a wait."""
-        gives_up_at = clock.now_s() + READ_TIMEOUT_S
+        gives_up_at = clock.now_s() + PROOF_WAIT_S
         while self._freshness.as_of < until and clock.now_s() < gives_up_at:
             self.request_proof()
             await asyncio.sleep(PROOF_CHECK_S)
         return self._freshness.as_of >= until
 
+    def is_copy_regular(self) -> bool:
+        """Return whether the copy of the store is no older than that of a node in touch."""
+        return self._freshness.age_s(clock.now_s()) <= REGULAR_AGE_S
+
     def is_copy_trusted(self, until: float) -> bool:
         """Return whether peers can confirm the copy of the store, as it cannot be read."""
         return self._is_trusted(self._freshness.as_of, until)
