--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -96,3 +96,7 @@
   Scenario: A slot of a brittle engine stays occupied while the end of a stream is held back
     When the end of a stream that occupies a slot has arrived, and is held back
     Then its slot is free
+
+  Scenario: The end of a sound stream is held back until its caller's deadline is over
+    When a sound stream of 4 events, 0.4 s apart, is read by a caller that has 2 s
+    Then its end comes within 0.4 s after its engine sent it
--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -180,10 +180,22 @@
 
 @when("a sound stream of {count:d} events, {pause:g} s apart, is read")
 def step_sound_stream(context, count, pause):
+    read_stream(context, count, pause)
+
+
+@when(
+    "a sound stream of {count:d} events, {pause:g} s apart, is read by a caller that has {left:g} s"
+)
+def step_sound_stream_in_time(context, count, pause, left):
+    read_stream(context, count, pause, **{"X-Deadline-Ms": round(1000 * left)})
+
+
+def read_stream(context, count, pause, **headers):
+    """Let a caller read a stream of so many events, with a pause after each."""
     for engine in prepare(context, "stream"):
         engine.events, engine.event_seconds = count, pause
     context.callers.expect_events(count)
-    context.run(context.callers.ask(context.deployment.nodes[0], HTTP_1_1, "stream"))
+    context.run(context.callers.ask(context.deployment.nodes[0], HTTP_1_1, "stream", **headers))
     context.ended_at = time.monotonic()
 
 
