Ends that came with an abrupt one are abrupt, also if their own last bytes had just come

All closes of an engine within 10 ms are judged together: if one of them came more than 3 ms after its last bytes, the engine did not end its responses one by one. 28 scenarios on ports and replies pass.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -409,7 +409,7 @@
     Examples:
       | delay | others              | last |
       | 30    | no other            | 6    |
-      | 5     | others at that time | 6    |
+      | 1     | others abruptly     | 6    |
       | 30    | no other            | 3    |
 
   Scenario Outline: A sound stream whose end was doubted is broken off as no new run can be had: <then>
@@ -481,8 +481,8 @@
       | resumable stream request | 1     | no other            | full    |
       | resumable stream request | 30    | no other            | used up |
       | stream request           | 30    | no other            | full    |
-      | stream request           | 5     | others at that time | full    |
-      | resumable stream request | 1     | others at that time | full    |
+      | stream request           | 1     | others abruptly     | full    |
+      | resumable stream request | 1     | others in step      | full    |
       | resumable stream request | 14    | no other            | full    |
 
   Scenario Outline: A closed connection ends a stream without other marks only at an engine that runs on
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -179,7 +179,8 @@
 def step_closes(context, delay, others):
     closed = events.ConnectionClosed(events.StreamCompleted(), delay / 1000)
     running = events.EngineEvidence.RUNNING
-    known = CloseEvidence(running, False, others == "others at that time", closed.close_delay_s)
+    is_abrupt = others == "others abruptly"
+    known = CloseEvidence(running, close_delay_s=closed.close_delay_s, is_abrupt=is_abrupt)
     feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
 
 
--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -145,15 +145,16 @@
 
 
 # By the other connections of an engine: how long before the close of a response its last bytes
-# came, how long before it another connection was used first, and whether another response was
-# closed at the same time.
+# came, how long before it another connection was used first, and how long after their last bytes
+# other responses were closed at the same time.
 CONNECTIONS = {
-    "no other connection": (0.0, None, False),
-    "one open since before": (0.0, 1.0, False),
-    "another response that ended at once": (0.005, None, True),
-    "others that ended in step": (0.001, None, True),
-    "one opened while the close was not seen": (3.0, 1.0, False),
-    "one used before its caller was slow": (3.0, 4.0, False),
+    "no other connection": (0.0, None, ()),
+    "one open since before": (0.0, 1.0, ()),
+    "another response that ended at once": (0.005, None, (0.005,)),
+    "another, later after its bytes": (0.001, None, (0.02,)),
+    "others that ended in step": (0.001, None, (0.001, 0.002)),
+    "one opened while the close was not seen": (3.0, 1.0, ()),
+    "one used before its caller was slow": (3.0, 4.0, ()),
 }
 
 
@@ -161,7 +162,7 @@
 def step_port(context, port, connections):
     ports = {"accepts": ProbeResult.ACCEPTED, "refuses": ProbeResult.REFUSED}
     context.transport.port = ports[port]
-    context.delay_s, context.used_before_s, context.has_others = CONNECTIONS[connections]
+    context.delay_s, context.used_before_s, context.others = CONNECTIONS[connections]
 
 
 @when("a response of it was closed in order, and its caller waits for {left:g} s")
@@ -171,8 +172,8 @@
         if context.used_before_s is not None:
             context.transport.used_at = began_at - context.used_before_s
         checks = [
-            context.check.check_closed(context.view, context.delay_s, began_at + left, began_at)
-            for _ in range(1 + context.has_others)
+            context.check.check_closed(context.view, delay_s, began_at + left, began_at)
+            for delay_s in (context.delay_s, *context.others)
         ]
         context.evidence, *_ = await asyncio.gather(*checks)
         context.took_s = clock.now_s() - began_at
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -12,7 +12,7 @@
 from liftrill import clock, constants
 from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
 from liftrill.gateway.engines.engine_table import EngineView
-from liftrill.gateway.run_continuation import PROMPT_CLOSE_S, CloseEvidence
+from liftrill.gateway.run_continuation import CloseEvidence
 from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
 
 # Bound of the delay before the next step after an interrupted attempt. A machine that is up answers
@@ -48,6 +48,8 @@
 SAME_END_S = 0.01
 # By how much later than its peer a node may read the bytes that arrived at the same time.
 READ_SKEW_S = 0.002
+# Responses that end in step, and so at the same time, are closed within this time of their bytes.
+PROMPT_CLOSE_S = 0.003
 # For how long closes are kept to compare them: until the first reply is waited for.
 CLOSES_KEPT_S = 0.1
 # For how long the ends of responses are kept: longer than a check takes.
@@ -180,8 +182,8 @@
         self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
         # By time: the ends of responses, and the numbers of their engines.
         self._response_ends: deque[tuple[ResponseEnd, int]] = deque()
-        # When responses were lately closed in order, and the numbers of their engines.
-        self._closes: deque[tuple[float, int]] = deque()
+        # The ends of responses that were lately closed in order, and the numbers of their engines.
+        self._closes: deque[tuple[ResponseEnd, int]] = deque()
 
     async def check(
         self, view: EngineView, for_stream: bool = False, is_direct: bool = True
@@ -215,13 +217,12 @@
         """
         closed_at = min(closed_at, clock.now_s())
         end = self.record_response_end(view, closed_at, close_delay_s)
-        self._note_close(view, closed_at)
+        self._note_close(view, end)
         query = IncarnationQuery(self._transport, view)
         elsewhere: asyncio.Task[EndsElsewhere] | None = None
         try:
             evidence = await query.wait(PROMPT_REPLY_S)
-            others_closed = self._others_closed(view, closed_at)
-            is_abrupt = others_closed and close_delay_s > PROMPT_CLOSE_S
+            is_abrupt = self._closed_abruptly(view, closed_at)
             if query.reply is EngineReply.POSSIBLE and is_abrupt:
                 # The next incarnation may reply for one that ended with its responses.
                 evidence = EngineEvidence.UNKNOWN
@@ -238,7 +239,7 @@
             if evidence is EngineEvidence.RUNNING:
                 # The engine ended this response itself, so that it is no sign of its own end.
                 self._forget_response_end(view, end)
-                others_ended = others_closed
+                others_ended = False
             ends = EndsElsewhere.NONE
             # Only the end of a leaving engine may follow the end of its last response.
             if evidence is EngineEvidence.ENDED and is_leaving and not others_ended:
@@ -254,6 +255,7 @@
             close_delay_s,
             peers_answered=ends is not EndsElsewhere.UNKNOWN,
             reply=query.reply,
+            is_abrupt=is_abrupt,
             sound_delay_s=view.sound_close_s,
         )
 
@@ -320,16 +322,20 @@
         with contextlib.suppress(ValueError):
             self._response_ends.remove((end, view.number))
 
-    def _note_close(self, view: EngineView, closed_at: float) -> None:
+    def _note_close(self, view: EngineView, end: ResponseEnd) -> None:
         now = clock.now_s()
-        while self._closes and now - self._closes[0][0] > CLOSES_KEPT_S:
+        while self._closes and now - self._closes[0][0].at > CLOSES_KEPT_S:
             self._closes.popleft()
-        self._closes.append((closed_at, view.number))
+        self._closes.append((end, view.number))
 
-    def _others_closed(self, view: EngineView, closed_at: float) -> bool:
-        """Return whether other responses of an engine were closed at the same time as one."""
-        closes = [at for at, number in self._closes if number == view.number]
-        return sum(abs(at - closed_at) <= SAME_END_S for at in closes) > 1
+    def _closed_abruptly(self, view: EngineView, closed_at: float) -> bool:
+        """Return whether an engine closed several responses at once, regardless of their bytes.
+
+        Responses that end in step are closed at the same time as well, each right after its bytes.
+        """
+        closes = [end for end, number in self._closes if number == view.number]
+        delays_s = [end.delay_s for end in closes if abs(end.at - closed_at) <= SAME_END_S]
+        return len(delays_s) > 1 and max(delays_s) > PROMPT_CLOSE_S
 
     def _lost_all(self, view: EngineView, lost_at: float) -> bool:
         """Return whether an engine's connections, two or more, ended as with its process."""
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -18,8 +18,6 @@
 MAX_CONTINUATIONS = 3
 # An engine closes the connection of a response without other framing right after its last bytes.
 MAX_CLOSE_DELAY_S = 0.015
-# Responses that end in step, and so at the same time, are closed within this time.
-PROMPT_CLOSE_S = 0.003
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +34,7 @@
         close_delay_s: the time between the last bytes and the close.
         peers_answered: whether all peers that had requests at the engine told of other ends.
         reply: what came back when the engine was asked which incarnation it is.
+        is_abrupt: whether others were closed with this one, and not all right after their bytes.
         sound_delay_s: the longest such time of a response that is known to have been complete.
     """
 
@@ -45,6 +44,7 @@
     close_delay_s: float = 0.0
     peers_answered: bool = True
     reply: EngineReply = EngineReply.NONE
+    is_abrupt: bool = False
     sound_delay_s: float = 0.0
 
     @property
@@ -54,8 +54,7 @@
         An engine whose worker has ended closes the responses that it had, all at once and not
         right after bytes of each.
         """
-        longest_s = PROMPT_CLOSE_S if self.others_ended else MAX_CLOSE_DELAY_S
-        return self.close_delay_s > max(longest_s, self.sound_delay_s)
+        return self.is_abrupt or self.close_delay_s > max(MAX_CLOSE_DELAY_S, self.sound_delay_s)
 
     @property
     def shows_completion(self) -> bool:
