--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -150,9 +150,9 @@
 CONNECTIONS = {
     "no other connection": (0.0, None, ()),
     "one open since before": (0.0, 1.0, ()),
-    "another response that ended at once": (0.005, None, (0.005,)),
+    "another response that ended at once": (0.02, None, (0.02,)),
     "another, later after its bytes": (0.001, None, (0.02,)),
-    "others that ended in step": (0.001, None, (0.001, 0.002)),
+    "others that ended in step": (0.001, None, (0.001, 0.012)),
     "one opened while the close was not seen": (3.0, 1.0, ()),
     "one used before its caller was slow": (3.0, 4.0, ()),
 }
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -12,7 +12,7 @@
 from liftrill import clock, constants
 from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
 from liftrill.gateway.engines.engine_table import EngineView
-from liftrill.gateway.run_continuation import CloseEvidence
+from liftrill.gateway.run_continuation import MAX_CLOSE_DELAY_S, CloseEvidence
 from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
 
 # Bound of the delay before the next step after an interrupted attempt. A machine that is up answers
@@ -48,8 +48,6 @@
 SAME_END_S = 0.01
 # By how much later than its peer a node may read the bytes that arrived at the same time.
 READ_SKEW_S = 0.002
-# Responses that end in step, and so at the same time, are closed within this time of their bytes.
-PROMPT_CLOSE_S = 0.003
 # For how long closes are kept to compare them: until the first reply is waited for.
 CLOSES_KEPT_S = 0.1
 # For how long the ends of responses are kept: longer than a check takes.
@@ -335,7 +333,7 @@
         """
         closes = [end for end, number in self._closes if number == view.number]
         delays_s = [end.delay_s for end in closes if abs(end.at - closed_at) <= SAME_END_S]
-        return len(delays_s) > 1 and max(delays_s) > PROMPT_CLOSE_S
+        return len(delays_s) > 1 and max(delays_s) > MAX_CLOSE_DELAY_S
 
     def _lost_all(self, view: EngineView, lost_at: float) -> bool:
         """Return whether an engine's connections, two or more, ended as with its process."""
