Compare the ends of an engine's responses by when they are looked at, as before

The peer's end was compared with a time that lay up to some milliseconds earlier than before. The scenario names the ends that it compared if it fails.

--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -284,7 +284,8 @@
         f"{early}, of others {len(complete) - len(early)}"
     )
     assert len(at_two) >= len(engines) / 2, [len(e.running) for e in engines]
-    assert not early, f"streams of {EVENTS} events end as complete after events {early}"
+    rows = [row for row in context.deployment.logged("response_closed") if row["leaving"]]
+    assert not early, f"streams of {EVENTS} events end as complete after {early}: {rows}"
 
 
 def is_whole(stream):
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -213,7 +213,9 @@
 
         The close was seen at `closed_at`, at most `close_delay_s` after the last bytes.
         """
-        closed_at = min(closed_at, clock.now_s())
+        # The close of a connection that was not read may have come any time after the last bytes.
+        used_before = min(closed_at, clock.now_s()) - close_delay_s
+        closed_at = clock.now_s()
         end = self.record_response_end(view, closed_at, close_delay_s)
         self._note_close(view, end)
         query = IncarnationQuery(self._transport, view)
@@ -225,7 +227,7 @@
                 # The next incarnation may reply for one that ended with its responses.
                 evidence = EngineEvidence.UNKNOWN
             if evidence is EngineEvidence.UNKNOWN:
-                evidence = await self._check_connections(view, closed_at, close_delay_s)
+                evidence = await self._check_connections(view, closed_at, used_before)
             if evidence is not EngineEvidence.RUNNING and view.leaving:
                 elsewhere = asyncio.ensure_future(self._ask_peers(view, end))
             if evidence is EngineEvidence.UNKNOWN and query.reply is not EngineReply.POSSIBLE:
@@ -267,12 +269,10 @@
         return [end for end, engine in self._response_ends if engine == number]
 
     async def _check_connections(
-        self, view: EngineView, closed_at: float, close_delay_s: float
+        self, view: EngineView, closed_at: float, used_before: float
     ) -> EngineEvidence:
         """Return what connections show that were open before: a process that ends closes all."""
         await asyncio.sleep(max(0.0, closed_at + SAME_END_S - clock.now_s()))
-        # The close of a connection that was not read may have come any time after the last bytes.
-        used_before = closed_at - close_delay_s
         has_open = self._transport.has_open_connection(view.record.address, used_before)
         return EngineEvidence.RUNNING if has_open else EngineEvidence.UNKNOWN
 
