Ask the engine for a reply on the connection of a stream, which can only follow the stream's end

Cause: the end was held back for 1.5 times the longest pause of the stream and 60 ms at least, then believed. Silence for that time is no evidence: an engine's next event may be later than its pace.

Evidence: `malformed_answers`, an early last chunk, events 5 ms apart, the rest 300 and 1500 ms later: 4 of 4 rows fail on, each with streams of 2 events said whole; "held back though its engine replied" (a sound stream, events 0.4 s apart, its end 0.2 s late at most) fails there, too.

Change: once the end of an event stream in chunks has arrived, the node sends GET for the engine's report on the same connection. A server answers the requests of a connection in order, so the next bytes are the head of that reply, or the rest. The end is passed on with the reply, but not before 60 ms, for servers that would write the rest later of their own accord; without a reply after 2 s at most, and the connection is not used again then. No reply is asked for where the engine announced to close, or while the request is still being written; there the hold by the stream's pace stays.

--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -34,6 +34,10 @@
       | resume | an early last chunk, the rest 300 ms later, events 300 ms apart   |
       | stream | an early last chunk, the rest 1000 ms later, events 1000 ms apart |
       | resume | an early last chunk, the rest 1000 ms later, events 1000 ms apart |
+      | stream | an early last chunk, the rest 300 ms later, events 5 ms apart     |
+      | resume | an early last chunk, the rest 300 ms later, events 5 ms apart     |
+      | stream | an early last chunk, the rest 1500 ms later, events 5 ms apart    |
+      | resume | an early last chunk, the rest 1500 ms later, events 5 ms apart    |
 
   Scenario Outline: A resumed run ends as complete before its last piece, in chunks: <pause> ms
     When the answers to resumed runs have the fault "an early last chunk, the rest <pause> ms later, events <pause> ms apart"
@@ -97,6 +101,10 @@
     When the end of a stream that occupies a slot has arrived, and is held back
     Then its slot is free
 
+  Scenario: The end of a sound stream is held back though its engine replied after it
+    When a sound stream of 4 events, 0.4 s apart, is read
+    Then its end comes within 0.2 s after its engine sent it
+
   Scenario: The end of a sound stream is held back until its caller's deadline is over
     When a sound stream of 4 events, 0.4 s apart, is read by a caller that has 2 s
     Then its end comes within 0.4 s after its engine sent it
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -7,7 +7,7 @@
 
 from liftrill.gateway import delivery_events as events
 from liftrill.gateway.event_stream import EventSplitter
-from liftrill.guarded_connection import GuardedResponseHandler
+from liftrill.guarded_connection import EndWatch, GuardedResponseHandler
 from liftrill.limited_response import LimitedResponse, ends_with_connection
 from liftrill.response_framing import MalformedResponseError
 from liftrill.response_limits import ResponseTooLargeError
@@ -41,10 +41,16 @@
         self._handler = connection.protocol if connection is not None else None
         self._response = response
 
-    def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
+    def watch_end(
+        self, on_end_held: Callable[[], None], deadline: float, question_path: str = ""
+    ) -> None:
         """Call a function once the end of a stream has arrived, if it is held back."""
         if isinstance(self._handler, GuardedResponseHandler):
-            self._handler.watch_end(on_end_held, deadline)
+            watch = EndWatch(on_end_held, deadline, question_path, self._is_request_written)
+            self._handler.watch_end(watch)
+
+    def _is_request_written(self) -> bool:
+        return isinstance(self._response, LimitedResponse) and self._response.is_request_written
 
     @property
     def is_held(self) -> bool:
@@ -96,10 +102,15 @@
         self._content = response.content
         self._splitter = EventSplitter(version_field)
 
-    def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
-        """Call a function once the end of a stream in chunks has arrived and is held back."""
+    def watch_end(
+        self, on_end_held: Callable[[], None], deadline: float, question_path: str = ""
+    ) -> None:
+        """Call a function once the end of a stream in chunks has arrived and is held back.
+
+        The engine is asked for a path on the same connection, as its reply follows the stream.
+        """
         if self.framing is events.Framing.CHUNKS:
-            self._end.watch_end(on_end_held, deadline)
+            self._end.watch_end(on_end_held, deadline, question_path)
 
     async def read(self) -> list[events.DeliveryEvent]:
         """Return the events in the next bytes of the stream."""
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -30,6 +30,7 @@
     HeadScanner,
     LengthScanner,
     MalformedResponseError,
+    ReplyScanner,
     may_begin_response,
 )
 from liftrill.response_limits import BodyLimits, FramingLimit
@@ -45,6 +46,8 @@
 # How much of a long pause still counts after each further segment.
 PAUSE_DECAY = 0.97
 MAX_END_HOLD_S = 2.0
+# How long the reply to a question is waited for that follows a stream on its connection.
+MAX_REPLY_WAIT_S = 2.0
 # The end of a stream is held back for at most this share of the time that its caller has left.
 DEADLINE_SHARE = 0.5
 # The line feed that ends the last chunk, without which the library does not find the end.
@@ -85,6 +88,26 @@
     """Do nothing as the end of a response arrives."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndWatch:
+    """How a stream's reader wants to know its end.
+
+    Attributes:
+        on_end_held: called once the end has arrived and is held back.
+        deadline: when the caller's time is over.
+        question_path: what is asked for on the connection after the end, or empty.
+        is_request_written: returns whether the connection is free for a further request.
+    """
+
+    on_end_held: Callable[[], None]
+    deadline: float = math.inf
+    question_path: str = ""
+    is_request_written: Callable[[], bool] = bool
+
+
+NO_WATCH = EndWatch(_ignore_end)
+
+
 class StreamPace:
     """Tells from the pauses between a stream's segments for how long its end is held back."""
 
@@ -129,8 +152,10 @@
         self._has_no_body = False
         self._held_end = b""
         self._hold: asyncio.TimerHandle | None = None
-        self._on_end_held = _ignore_end
-        self._deadline = math.inf
+        self._watch = NO_WATCH
+        # The reply that is due on the connection after a stream, if it was asked for one.
+        self._reply: ReplyScanner | None = None
+        self._end_arrived_at = math.inf
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
         # When the first bytes arrived.
@@ -158,13 +183,13 @@
         transport = self.transport
         return transport is not None and not transport.is_closing() and not self._reading_paused
 
-    def watch_end(self, on_end_held: Callable[[], None], deadline: float) -> None:
-        """Call a function once the end of this response has arrived and is held back."""
-        self._on_end_held = on_end_held
-        self._deadline = deadline
+    def watch_end(self, watch: EndWatch) -> None:
+        """Tell a reader once the end of this response has arrived and is held back."""
+        self._watch = watch
         if self._held_end and self._hold is not None:
-            on_end_held()
+            watch.on_end_held()
             self._pass_end_after(self._hold.when() - asyncio.get_running_loop().time())
+            self._ask_for_reply()
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the response to a request that is about to be sent."""
@@ -174,8 +199,7 @@
         self._body = None
         self._has_no_body = bool(parameters.get("skip_payload"))
         self._pace = None
-        self._on_end_held = _ignore_end
-        self._deadline = math.inf
+        self._watch = NO_WATCH
         super().set_response_params(**parameters)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -271,35 +295,81 @@
     def _hold_end(self, data: bytes, hold_s: float) -> None:
         """Process the last bytes of a stream, but for those that end it."""
         self._held_end = data[-HELD_BYTES:]
+        self._end_arrived_at = clock.now_s()
         self._pass_end_after(hold_s)
         if self._parse(data[:-HELD_BYTES]):
-            self._on_end_held()
+            self._watch.on_end_held()
+            self._ask_for_reply()
+
+    def _ask_for_reply(self) -> None:
+        """Send a request whose reply shows that the response before it is over.
+
+        A server answers the requests of a connection in order (RFC 9112, section 9.3.2), so that
+        the rest of a stream whose last chunk came early comes before the reply.
+        """
+        watch, transport = self._watch, self.transport
+        is_free = not self._should_close and watch.is_request_written()
+        if not (watch.question_path and is_free) or transport is None or transport.is_closing():
+            return
+        host, port = transport.get_extra_info("peername")[:2]
+        question = f"GET {watch.question_path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        self._reply = ReplyScanner()
+        self._pass_end_after(MAX_REPLY_WAIT_S)
+        transport.write(question.encode())
 
     def _pass_end_after(self, hold_s: float) -> None:
         """Process the bytes that end a stream after a time, or earlier if its caller has less."""
         if self._hold is not None:
             self._hold.cancel()
-        remaining_s = DEADLINE_SHARE * (self._deadline - clock.now_s())
+        remaining_s = DEADLINE_SHARE * (self._watch.deadline - clock.now_s())
         hold_s = max(0.0, min(hold_s, remaining_s))
-        self._hold = asyncio.get_running_loop().call_later(hold_s, self._pass_end)
+        self._hold = asyncio.get_running_loop().call_later(hold_s, self._end_hold)
+
+    @property
+    def _is_reply_due(self) -> bool:
+        return self._reply is not None and not self._reply.is_complete
+
+    def _end_hold(self) -> None:
+        """Process the bytes that end a stream after the time for which they are held back."""
+        if self._is_reply_due:
+            # It would be taken for the response to the next request.
+            self._should_close = True
+        self._pass_end()
 
     def _pass_end(self) -> None:
         """Process the bytes that end a stream, if they were held back."""
         if self._hold is not None:
             self._hold.cancel()
             self._hold = None
+        self._reply = None
         data, self._held_end = self._held_end, b""
         if data:
             self._parse(data)
 
     def _receive_after_end(self, data: bytes) -> None:
         """Process bytes that follow the end of a stream that is held back."""
-        if may_begin_response(data):
+        if self._reply is not None and not self._reply.is_complete:
+            self._receive_reply(data, self._reply)
+        elif may_begin_response(data):
             self._pass_end()
             self._receive_excess(data, 0.0)
         else:
             self._reject(f"{len(data)} bytes after the last chunk")
 
+    def _receive_reply(self, data: bytes, reply: ReplyScanner) -> None:
+        """Process bytes of the reply that shows that a stream is over."""
+        try:
+            reply.scan(data)
+        except MalformedResponseError as error:
+            self._reject(f"after the last chunk: {error}")
+            return
+        if not reply.is_complete:
+            return
+        if not reply.may_follow:
+            self._should_close = True
+        held_s = clock.now_s() - self._end_arrived_at
+        self._pass_end_after(MIN_END_HOLD_S - held_s)
+
     def _receive_excess(self, data: bytes, after_end_s: float) -> None:
         """Close the connection of a response that more bytes follow."""
         self._report_fault(f"{len(data)} bytes after a response", after_end_s)
--- a/liftrill/limited_response.py
+++ b/liftrill/limited_response.py
@@ -32,6 +32,11 @@
     paused_s = 0.0
     _change: asyncio.Event | None = None
 
+    @property
+    def is_request_written(self) -> bool:
+        """Whether the request was written as a whole; a response may come before that."""
+        return self._writer is None
+
     async def read(self) -> bytes:
         """Return the whole body.
 
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 
 from liftrill.errors import LiftrillError
-from liftrill.response_limits import HEAD_END
+from liftrill.response_limits import HEAD_END, MAX_FRAMING_BYTES
 
 LINE_END = b"\r\n"
 RESPONSE_BEGIN = b"HTTP/1."
@@ -32,6 +32,8 @@
 )
 _BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 _LENGTH = re.compile(rb"[0-9]{1,18}")
+_CLOSE = re.compile(rb"^HTTP/1\.0|\r\nconnection:[^\r]*close", re.IGNORECASE)
+FIRST_FINAL_STATUS = b"200"
 
 
 class MalformedResponseError(LiftrillError):
@@ -205,6 +207,60 @@
             raise MalformedResponseError(f"trailer field: {_shown(line)}")
 
 
+class ReplyScanner:
+    """Finds the end of one whole response in the bytes that a connection receives.
+
+    Attributes:
+        is_complete: whether the end has been found.
+        may_follow: whether the connection may be used for a request after this response.
+    """
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self.may_follow = False
+        self._head = b""
+        self._body: BodyScanner | None = None
+
+    def scan(self, data: bytes) -> None:
+        """Scan the next bytes.
+
+        Raises:
+            MalformedResponseError: they do not continue a response.
+        """
+        if self._body is None:
+            data = self._scan_head(self._head + data)
+        if self._body is None:
+            return
+        if not self._body.is_complete:
+            data = data[self._body.scan(data) :]
+        self.is_complete = self._body.is_complete
+        self.may_follow = self.may_follow and not data
+
+    def _scan_head(self, data: bytes) -> bytes:
+        """Scan the bytes of a head, and return those that follow the final one."""
+        while (end := data.find(HEAD_END) + len(HEAD_END)) >= len(HEAD_END):
+            head, data = data[:end], data[end:]
+            check_head(head)
+            if head.split(b" ", 2)[1] >= FIRST_FINAL_STATUS:
+                self._body = self._body_after(head)
+                return data
+        if not may_begin_response(data):
+            raise MalformedResponseError(f"no response: {_shown(data)}")
+        if len(data) > MAX_FRAMING_BYTES:
+            raise MalformedResponseError(f"head of {len(data)} bytes")
+        self._head = data
+        return b""
+
+    def _body_after(self, head: bytes) -> BodyScanner:
+        """Return the scanner of the body that follows a head, as far as its end is marked."""
+        fields = [(found[1], found[2]) for found in _FRAMING_FIELD.finditer(head)]
+        self.may_follow = bool(fields) and _CLOSE.search(head) is None
+        if not fields:
+            return LengthScanner(0)
+        coding, value = fields[0]
+        return ChunkScanner() if coding else LengthScanner(int(value))
+
+
 def _end_of_whole_chunks(data: bytes) -> int:
     """Return where the chunks end that bytes begin with; most segments are one whole chunk."""
     at = 0
