Check the engine if it closes a stream's connection in place of the reply after the last chunk

Cause: a connection that ended while the end was held back was taken for the end of the stream, as nothing can follow. An engine that is to answer a further request does not close in order to end one response; its process, or the worker that wrote the stream, may have ended.

Change: such an end is a `ConnectionClosed` whose response was marked (`is_marked`). The engine is checked as after a close without framing. If it has ended and was not leaving, the response was interrupted. Otherwise a stream that may run again is run again after its last event, at the same engine, which adds the rest or nothing; others are believed, as nothing more can be asked.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -485,6 +485,25 @@
       | resumable stream request | 1     | others in step      | full    |
       | resumable stream request | 14    | no other            | full    |
 
+  Scenario Outline: The last chunk of a stream is believed though its engine closed instead of a reply: <kind>, <evidence>
+    Given a <kind>, with 3 attempts
+    When it starts
+    And a stream opens
+    And events 1 to 2 arrive
+    And the engine, which is "<evidence>", closes the connection after the last chunk
+    Then <what>
+
+    Examples:
+      | kind                     | evidence           | what                                                  |
+      | resumable stream request | running            | it is sent to the same engine to resume after event 2 |
+      | resumable stream request | unknown            | it is sent to the same engine to resume after event 2 |
+      | resumable stream request | ended              | it is sent to another engine to resume after event 2  |
+      | resumable stream request | ended as it leaves | it is sent to the same engine to resume after event 2 |
+      | stream request           | running            | the stream ended complete                             |
+      | stream request           | unknown            | the stream ended complete                             |
+      | stream request           | ended              | the stream was aborted                                |
+      | stream request           | ended as it leaves | the stream ended complete                             |
+
   Scenario Outline: A closed connection ends a stream without other marks only at an engine that runs on
     Given a stream request, with 2 attempts
     When it starts
--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -39,6 +39,17 @@
       | stream | an early last chunk, the rest 1500 ms later, events 5 ms apart    |
       | resume | an early last chunk, the rest 1500 ms later, events 5 ms apart    |
 
+  Scenario Outline: A stream ends as complete as its engine closes after an early last chunk: <pause> ms
+    When answers on "resume" have the fault "an early last chunk, closed <pause> ms later"
+    Then each caller got a whole answer
+
+    Examples:
+      | pause |
+      | 0     |
+      | 20    |
+      | 50    |
+      | 500   |
+
   Scenario Outline: A resumed run ends as complete before its last piece, in chunks: <pause> ms
     When the answers to resumed runs have the fault "an early last chunk, the rest <pause> ms later, events <pause> ms apart"
     Then no caller got a success that looks whole and is not, or other bytes
--- a/features/standin/malformed_answers.py
+++ b/features/standin/malformed_answers.py
@@ -13,6 +13,7 @@
 # For how long the connection stays open afterwards.
 LINGER_S = 0.3
 LATER = re.compile(r"(.*), the rest (\d+) ms later(?:, events (\d+) ms apart)?")
+CLOSED_LATER = re.compile(r"(.*), closed (\d+) ms later")
 # Follows each chunk of an event.
 EVENT_CHUNK = re.compile(rb"(?<=\n\n\r\n)")
 
@@ -189,7 +190,7 @@
 
 def is_malformed(fault):
     """Return whether a fault of an engine is one of these answers."""
-    later = LATER.fullmatch(fault)
+    later = LATER.fullmatch(fault) or CLOSED_LATER.fullmatch(fault)
     return (later[1] if later else fault) in (*FAULTS, *SOUND)
 
 
@@ -213,8 +214,14 @@
 
 async def send_malformed(transport, fault, headers, body):
     """Send one of these answers, and leave its connection open for a while."""
-    later = LATER.fullmatch(fault)
-    first, rest = malformed_answer(later[1] if later else fault, headers, body)
+    later, closed = LATER.fullmatch(fault), CLOSED_LATER.fullmatch(fault)
+    found = later or closed
+    first, rest = malformed_answer(found[1] if found else fault, headers, body)
+    if closed is not None:
+        transport.write(first)
+        await asyncio.sleep(int(closed[2]) / 1000)
+        transport.close()
+        return
     if later is None:
         transport.write(first + rest)
     else:
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -184,6 +184,14 @@
     feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
 
 
+@when('the engine, which is "{state}", closes the connection after the last chunk')
+def step_closes_after_end(context, state):
+    evidence, _, leaving = state.partition(" as it ")
+    known = CloseEvidence(events.EngineEvidence(evidence), is_leaving=bool(leaving))
+    closed = events.ConnectionClosed(events.StreamCompleted(), is_marked=True)
+    feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
+
+
 @then("it is sent to the same engine to resume after event {number:d}")
 def step_sent_to_same(context, number):
     start = find(context.last, events.StartAttempt)[0]
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -264,7 +264,8 @@
     ) -> tuple[events.DeliveryEvent, events.EngineEvidence]:
         """Return what a closed connection means for its response, and what shows it."""
         evidence, began_at = CloseEvidence(events.EngineEvidence.UNKNOWN), clock.now_s()
-        self._machine.times.framing = events.Framing.CONNECTION.value
+        if not closed.is_marked:
+            self._machine.times.framing = events.Framing.CONNECTION.value
         if self._view is not None:
             until = began_at + self._longest_close_check_s(closed, began_at)
             evidence = await self._owner.check_closed(
@@ -272,7 +273,8 @@
             )
         resolved = resolve_close(closed, evidence, self._machine.request.may_run_again)
         if isinstance(resolved, events.EndDoubted) and self._view is not None:
-            self._doubted = (self._view, closed.close_delay_s)
+            # The close after a marked end says nothing about those that are the only mark.
+            self._doubted = None if closed.is_marked else (self._view, closed.close_delay_s)
         is_complete = resolved is closed.completed
         waited_s = self._close_check_s = clock.now_s() - began_at
         self._owner.metrics.closed_responses.labels(evidence.engine.value).inc()
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionClosed:
-    """The connection of a response was closed in order, and nothing else marks the response's end.
+    """The connection of a response was closed, and nothing else shows that the response is whole.
 
     The driver replaces it by the completion of the response or by its interruption.
 
@@ -139,11 +139,13 @@
         completed: the event to handle if the response is complete.
         close_delay_s: the longest time that may lie between its last bytes and the close.
         closed_at: when the connection was seen to be closed.
+        is_marked: whether the response marked its end before, and the engine was not to close.
     """
 
     completed: CompleteResponse | StreamCompleted
     close_delay_s: float = 0.0
     closed_at: float = math.inf
+    is_marked: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -52,6 +52,12 @@
     def _is_request_written(self) -> bool:
         return isinstance(self._response, LimitedResponse) and self._response.is_request_written
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the engine did not close the connection as its reply was due after the end."""
+        handler = self._handler
+        return not isinstance(handler, GuardedResponseHandler) or handler.is_end_confirmed
+
     @property
     def is_held(self) -> bool:
         """Whether the end of the response is held back as it arrives."""
@@ -122,10 +128,10 @@
             if self._splitter.has_partial_event:
                 return [events.AttemptInterrupted("incomplete event at the end of the stream")]
             completed = events.StreamCompleted()
-            if self.framing is CONNECTION:
-                end = self._end
-                return [events.ConnectionClosed(completed, end.delay_s, end.closed_at)]
-            return [completed]
+            end, is_marked = self._end, self.framing is not CONNECTION
+            if is_marked and end.is_confirmed:
+                return [completed]
+            return [events.ConnectionClosed(completed, end.delay_s, end.closed_at, is_marked)]
         received: list[events.DeliveryEvent] = [
             events.EventReceived(event) for event in self._splitter.feed(data)
         ]
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -66,6 +66,15 @@
         is_alone = self.peers_answered and not self.others_ended
         return self.is_leaving and is_prompt and is_alone
 
+    def confirms(self, is_marked: bool) -> bool:
+        """Return whether a response is complete whose end was marked, or which was only closed.
+
+        An engine that ends may have marked the end too early; a leaving one ends after its last.
+        """
+        if not is_marked:
+            return self.shows_completion
+        return self.is_leaving or self.engine is not events.EngineEvidence.ENDED
+
 
 def resolve_close(
     closed: events.ConnectionClosed, evidence: CloseEvidence, may_run_again: bool
@@ -74,6 +83,8 @@
 
     A new run is right in both cases: after a complete response it adds nothing.
     """
+    if closed.is_marked:
+        return _resolve_marked(closed, evidence, may_run_again)
     is_certain = evidence.engine is events.EngineEvidence.RUNNING
     is_stream = isinstance(closed.completed, events.StreamCompleted)
     if is_certain and is_stream and may_run_again and evidence.is_doubtful:
@@ -84,6 +95,16 @@
     return events.AttemptInterrupted(reason, evidence=evidence.engine, was_closed=True)
 
 
+def _resolve_marked(
+    closed: events.ConnectionClosed, evidence: CloseEvidence, may_run_again: bool
+) -> events.DeliveryEvent:
+    """Return the completion of a response whose end was marked, and may have come early."""
+    if not evidence.confirms(is_marked=True):
+        reason = "connection closed right after the end of the response, engine ended"
+        return events.AttemptInterrupted(reason, evidence=evidence.engine, was_closed=True)
+    return events.EndDoubted() if may_run_again else closed.completed
+
+
 def resolve_event(event: events.DeliveryEvent, order: EventOrder) -> events.DeliveryEvent:
     """Return an event of an attempt, or its interruption if it is out of order in the stream."""
     if isinstance(event, events.EventReceived):
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -156,6 +156,7 @@
         # The reply that is due on the connection after a stream, if it was asked for one.
         self._reply: ReplyScanner | None = None
         self._end_arrived_at = math.inf
+        self._is_end_confirmed = True
         self._idle_limit_s = constants.ENGINE_IDLE_CONNECTION_SECONDS
         self._last_data_at = clock.now_s()
         # When the first bytes arrived.
@@ -183,6 +184,11 @@
         transport = self.transport
         return transport is not None and not transport.is_closing() and not self._reading_paused
 
+    @property
+    def is_end_confirmed(self) -> bool:
+        """Whether the connection was not closed as the reply was due that confirms the end."""
+        return self._is_end_confirmed
+
     def watch_end(self, watch: EndWatch) -> None:
         """Tell a reader once the end of this response has arrived and is held back."""
         self._watch = watch
@@ -200,6 +206,7 @@
         self._has_no_body = bool(parameters.get("skip_payload"))
         self._pace = None
         self._watch = NO_WATCH
+        self._is_end_confirmed = True
         super().set_response_params(**parameters)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -246,6 +253,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection (asyncio callback)."""
         self._closed_at = clock.now_s()
+        # A process that closed without a reply may have ended in the middle of the response.
+        self._is_end_confirmed = not self._is_reply_due
         self._pass_end()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
