Count no delay as abrupt that this node caused by not reading

Cause: several responses of an engine that close at once, one of them more than 15 ms after its last bytes, count as closed by the end of its process, unless the engine's start time shows the contrary. The time after the last bytes includes that for which this node did not read, as the bodies of others took the room: 0.32 to 0.34 s here. It is the longest delay that is possible, and no sign of a late close.

Change: `CloseTimes` has the longest and the shortest delay, and when the close was seen; only the shortest one makes closes abrupt. What asks for a prompt close still goes by the longest one. It replaces two of the four parameters of `check_closed`.

--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -177,10 +177,10 @@
     "the engine, which runs, closes the connection {delay:d} ms after its last bytes, and {others}"
 )
 def step_closes(context, delay, others):
-    closed = events.ConnectionClosed(events.StreamCompleted(), delay / 1000)
+    closed = events.ConnectionClosed(events.StreamCompleted(), events.CloseTimes(delay / 1000))
     running = events.EngineEvidence.RUNNING
     is_abrupt = others == "others abruptly"
-    known = CloseEvidence(running, close_delay_s=closed.close_delay_s, is_abrupt=is_abrupt)
+    known = CloseEvidence(running, close_delay_s=closed.times.delay_s, is_abrupt=is_abrupt)
     feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
 
 
--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -9,7 +9,7 @@
 from features.gateway_support import engine_record
 from liftrill import clock
 from liftrill.coordination.membership_messages import Member
-from liftrill.gateway.delivery_events import EngineAddress
+from liftrill.gateway.delivery_events import CloseTimes, EngineAddress
 from liftrill.gateway.engines.engine_end_check import EngineEndCheck, ResponseEnd
 from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.paths.reach_codec import (
@@ -152,6 +152,7 @@
     "one open since before": (0.0, 1.0, ()),
     "another response that ended at once": (0.02, None, (0.02,)),
     "another, later after its bytes": (0.001, None, (0.02,)),
+    "others as late, which this node did not read": (0.3, None, (0.3, 0.31)),
     "others that ended in step": (0.001, None, (0.001, 0.012)),
     "one opened while the close was not seen": (3.0, 1.0, ()),
     "one used before its caller was slow": (3.0, 4.0, ()),
@@ -163,6 +164,7 @@
     ports = {"accepts": ProbeResult.ACCEPTED, "refuses": ProbeResult.REFUSED}
     context.transport.port = ports[port]
     context.delay_s, context.used_before_s, context.others = CONNECTIONS[connections]
+    context.was_unread = connections.endswith("did not read")
 
 
 @when("a response of it was closed in order, and its caller waits for {left:g} s")
@@ -172,7 +174,11 @@
         if context.used_before_s is not None:
             context.transport.used_at = began_at - context.used_before_s
         checks = [
-            context.check.check_closed(context.view, delay_s, began_at + left, began_at)
+            context.check.check_closed(
+                context.view,
+                CloseTimes(delay_s, began_at, delay_s if context.was_unread else 0.0),
+                began_at + left,
+            )
             for delay_s in (context.delay_s, *context.others)
         ]
         context.evidence, *_ = await asyncio.gather(*checks)
--- a/features/steps/response_limit_steps.py
+++ b/features/steps/response_limit_steps.py
@@ -218,8 +218,8 @@
 @then("the close counts as at least {seconds:g} s later than the last bytes")
 def step_late_close(context, seconds):
     assert context.closed.completed.body == b"".join(UNFRAMED_PIECES), context.closed
-    print(f"{context.closed.close_delay_s:.3f} s")
-    assert context.closed.close_delay_s >= seconds, context.closed
+    print(f"{context.closed.times.delay_s:.3f} s")
+    assert context.closed.times.delay_s >= seconds, context.closed
 
 
 @when(
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -82,11 +82,7 @@
 
     @abstractmethod
     async def check_closed(
-        self,
-        view: EngineView,
-        close_delay_s: float,
-        until: float = math.inf,
-        closed_at: float = math.inf,
+        self, view: EngineView, times: events.CloseTimes, until: float = math.inf
     ) -> CloseEvidence:
         """Find out until a time what became of an engine after it closed a response."""
 
@@ -268,13 +264,11 @@
             self._machine.times.framing = events.Framing.CONNECTION.value
         if self._view is not None:
             until = began_at + self._longest_close_check_s(closed, began_at)
-            evidence = await self._owner.check_closed(
-                self._view, closed.close_delay_s, until, closed.closed_at
-            )
+            evidence = await self._owner.check_closed(self._view, closed.times, until)
         resolved = resolve_close(closed, evidence, self._machine.request.may_run_again)
         if isinstance(resolved, events.EndDoubted) and self._view is not None:
             # The close after a marked end says nothing about those that are the only mark.
-            self._doubted = None if closed.is_marked else (self._view, closed.close_delay_s)
+            self._doubted = None if closed.is_marked else (self._view, closed.times.delay_s)
         is_complete = resolved is closed.completed
         waited_s = self._close_check_s = clock.now_s() - began_at
         self._owner.metrics.closed_responses.labels(evidence.engine.value).inc()
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -129,6 +129,26 @@
     """The engine ended the stream as complete."""
 
 
+@dataclass(frozen=True, slots=True)
+class CloseTimes:
+    """When the connection of a response was closed.
+
+    Attributes:
+        delay_s: the longest time that may lie between the last bytes and the close.
+        closed_at: when the close was seen, or infinity if that is not known.
+        unread_s: how much of the delay this node may have caused, as it did not read.
+    """
+
+    delay_s: float = 0.0
+    closed_at: float = math.inf
+    unread_s: float = 0.0
+
+    @property
+    def shortest_delay_s(self) -> float:
+        """The shortest time that may lie between the last bytes and the close."""
+        return max(0.0, self.delay_s - self.unread_s)
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionClosed:
     """The connection of a response was closed, and nothing else shows that the response is whole.
@@ -137,14 +157,11 @@
 
     Attributes:
         completed: the event to handle if the response is complete.
-        close_delay_s: the longest time that may lie between its last bytes and the close.
-        closed_at: when the connection was seen to be closed.
         is_marked: whether the response marked its end before, and the engine was not to close.
     """
 
     completed: CompleteResponse | StreamCompleted
-    close_delay_s: float = 0.0
-    closed_at: float = math.inf
+    times: CloseTimes = CloseTimes()
     is_marked: bool = False
 
 
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -10,7 +10,7 @@
 from enum import Enum, auto
 
 from liftrill import clock, constants
-from liftrill.gateway.delivery_events import EngineAddress, EngineEvidence
+from liftrill.gateway.delivery_events import CloseTimes, EngineAddress, EngineEvidence
 from liftrill.gateway.engines.engine_table import EngineView
 from liftrill.gateway.run_continuation import MAX_CLOSE_DELAY_S, CloseEvidence
 from liftrill.gateway.transport import EngineReply, EngineTransport, ProbeResult
@@ -180,7 +180,8 @@
         self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
         # By time: the ends of responses, and the numbers of their engines.
         self._response_ends: deque[tuple[ResponseEnd, int]] = deque()
-        # The ends of responses that were lately closed in order, and the numbers of their engines.
+        # The ends of responses that were lately closed in order, with the shortest delays that they
+        # may have had, and the numbers of their engines.
         self._closes: deque[tuple[ResponseEnd, int]] = deque()
 
     async def check(
@@ -203,21 +204,14 @@
         return await _result_within(task, max_wait_s)
 
     async def check_closed(
-        self,
-        view: EngineView,
-        close_delay_s: float,
-        until: float = math.inf,
-        closed_at: float = math.inf,
+        self, view: EngineView, times: CloseTimes, until: float = math.inf
     ) -> CloseEvidence:
-        """Find out until a time what became of an engine after it closed a response in order.
-
-        The close was seen at `closed_at`, at most `close_delay_s` after the last bytes.
-        """
-        # The close of a connection that was not read may have come any time after the last bytes.
-        used_before = min(closed_at, clock.now_s()) - close_delay_s
+        """Find out until a time what became of an engine after it closed a response in order."""
         closed_at = clock.now_s()
-        end = self.record_response_end(view, closed_at, close_delay_s)
-        self._note_close(view, end)
+        # The close of a connection that was not read may have come any time after the last bytes.
+        used_before = min(times.closed_at, closed_at) - times.delay_s
+        end = self.record_response_end(view, closed_at, times.delay_s)
+        self._note_close(view, ResponseEnd(closed_at, times.shortest_delay_s))
         query = IncarnationQuery(self._transport, view)
         elsewhere: asyncio.Task[EndsElsewhere] | None = None
         try:
@@ -252,7 +246,7 @@
             evidence,
             is_leaving,
             others_ended or ends is EndsElsewhere.SOME,
-            close_delay_s,
+            times.delay_s,
             peers_answered=ends is not EndsElsewhere.UNKNOWN,
             reply=query.reply,
             is_abrupt=is_abrupt,
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -420,14 +420,10 @@
         return evidence
 
     async def check_closed(
-        self,
-        view: EngineView,
-        close_delay_s: float,
-        until: float = math.inf,
-        closed_at: float = math.inf,
+        self, view: EngineView, times: events.CloseTimes, until: float = math.inf
     ) -> CloseEvidence:
         """Find out until a time what became of an engine after it closed a response."""
-        return await self.end_check.check_closed(view, close_delay_s, until, closed_at)
+        return await self.end_check.check_closed(view, times, until)
 
     def run_lost(self, machine: DeliveryMachine, view: EngineView, times: AttemptTimes) -> None:
         """Record that a run was interrupted or closed early, in case its engine has ended."""
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -188,7 +188,7 @@
             await returned.write(chunk)
         is_marked = framing_of(response) is not Framing.CONNECTION
         if not (is_marked and end.is_confirmed):
-            evidence = await self.check_closed(view, end.delay_s, closed_at=end.closed_at)
+            evidence = await self.check_closed(view, end.times)
             if not evidence.confirms(is_marked):
                 raise aiohttp.ClientPayloadError(f"connection closed, engine {evidence.engine}")
         await returned.write_eof()
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -1,6 +1,5 @@
 """Reads the responses of engines as events of a delivery."""
 
-import math
 from collections.abc import Callable
 
 import aiohttp
@@ -64,26 +63,21 @@
         return isinstance(self._handler, GuardedResponseHandler) and self._handler.holds_end
 
     @property
-    def closed_at(self) -> float:
-        """When the connection was seen to be closed, or infinity if that is not known."""
-        handler = self._handler
-        return handler.closed_at if isinstance(handler, GuardedResponseHandler) else math.inf
-
-    @property
-    def delay_s(self) -> float:
-        """The longest time that may lie between the last bytes and the close."""
+    def times(self) -> events.CloseTimes:
+        """When the connection was closed."""
         # Bytes that were not read at once may have arrived as reading was paused.
         paused_s = self._response.paused_s if isinstance(self._response, LimitedResponse) else 0.0
-        if isinstance(self._handler, GuardedResponseHandler):
-            return self._handler.close_delay_s + paused_s
-        return paused_s
+        if not isinstance(self._handler, GuardedResponseHandler):
+            return events.CloseTimes(paused_s, unread_s=paused_s)
+        delay_s = self._handler.close_delay_s + paused_s
+        return events.CloseTimes(delay_s, self._handler.closed_at, paused_s)
 
 
 async def read_whole(
     response: aiohttp.ClientResponse, headers: events.Headers
 ) -> list[events.DeliveryEvent]:
     """Return the event of a whole response, with the headers to pass on."""
-    timer = ResponseEnd(response)
+    end = ResponseEnd(response)
     try:
         body = await response.read()
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -91,7 +85,7 @@
     framing = framing_of(response)
     complete = events.CompleteResponse(response.status, headers, body, framing)
     if framing is CONNECTION:
-        return [events.ConnectionClosed(complete, timer.delay_s, timer.closed_at)]
+        return [events.ConnectionClosed(complete, end.times)]
     return [complete]
 
 
@@ -131,7 +125,7 @@
             end, is_marked = self._end, self.framing is not CONNECTION
             if is_marked and end.is_confirmed:
                 return [completed]
-            return [events.ConnectionClosed(completed, end.delay_s, end.closed_at, is_marked)]
+            return [events.ConnectionClosed(completed, end.times, is_marked)]
         received: list[events.DeliveryEvent] = [
             events.EventReceived(event) for event in self._splitter.feed(data)
         ]
