Doubt the ends of all responses in chunks of an engine whose last chunks came early

Cause: nothing is asked after a whole answer, as that would cost each a round trip, and the bytes that came later on the idle connection, or as the head of the next response on it, were rejected without a consequence for the engine.

Change: bytes after a response in chunks that begin no response make the node doubt the peer at that address for 300 s (`EndDoubts`, one a session). The ends of its whole answers in chunks are held back and asked about meanwhile, as those of streams always are; without a reply, for 2 s or as the connection closes, the response counts as malformed. An engine deceives each node once in that time.

Nodes do not tell each other; what a restart of the node forgets is learned again.

--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -50,6 +50,18 @@
       | 50    |
       | 500   |
 
+  Scenario Outline: An engine whose last chunks come early is believed again and again: <route>, <pause> ms
+    When <count> answers on "<route>" have the fault "an early last chunk, the rest <pause> ms later"
+    Then at most <wrong> of them look whole
+
+    Examples:
+      | route  | pause | count | wrong |
+      | whole  | 20    | 8     | 1     |
+      | whole  | 300   | 8     | 1     |
+      | whole  | 1500  | 6     | 1     |
+      | safe   | 20    | 8     | 1     |
+      | stream | 300   | 8     | 0     |
+
   Scenario Outline: A resumed run ends as complete before its last piece, in chunks: <pause> ms
     When the answers to resumed runs have the fault "an early last chunk, the rest <pause> ms later, events <pause> ms apart"
     Then no caller got a success that looks whole and is not, or other bytes
--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -75,6 +75,20 @@
     send_faulty(context, route, [fault])
 
 
+@when('{count:d} answers on "{route}" have the fault "{fault}"')
+def step_faults(context, count, route, fault):
+    send_faulty(context, route, [fault] * count)
+
+
+@then("at most {count:d} of them look whole")
+def step_few_short(context, count):
+    spoiled = spoiled_answers(context)
+    wrong = [answer for _, answer in spoiled if answer.says_whole and not answer.is_whole]
+    print(f"{len(wrong)} of {len(spoiled)}")
+    assert spoiled
+    assert len(wrong) <= count, [bytes(answer.received) for answer in wrong]
+
+
 @when('the answers to resumed runs have the fault "{fault}"')
 def step_resumed_fault(context, fault):
     resume_runs(context, [fault], EVENTS)
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -1,5 +1,6 @@
 """Reads the responses of engines as events of a delivery."""
 
+import math
 from collections.abc import Callable
 
 import aiohttp
@@ -73,19 +74,28 @@
         return events.CloseTimes(delay_s, self._handler.closed_at, paused_s)
 
 
+def _ignore_end() -> None:
+    """Do nothing as the end of a whole response is held back."""
+
+
 async def read_whole(
-    response: aiohttp.ClientResponse, headers: events.Headers
+    response: aiohttp.ClientResponse,
+    headers: events.Headers,
+    deadline: float = math.inf,
+    question_path: str = "",
 ) -> list[events.DeliveryEvent]:
     """Return the event of a whole response, with the headers to pass on."""
     end = ResponseEnd(response)
+    end.watch_end(_ignore_end, deadline, question_path)
     try:
         body = await response.read()
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         return [interruption(error)]
     framing = framing_of(response)
     complete = events.CompleteResponse(response.status, headers, body, framing)
-    if framing is CONNECTION:
-        return [events.ConnectionClosed(complete, end.times)]
+    if framing is CONNECTION or not end.is_confirmed:
+        is_marked = framing is not CONNECTION
+        return [events.ConnectionClosed(complete, end.times, is_marked)]
     return [complete]
 
 
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -102,7 +102,8 @@
     if not evidence.confirms(is_marked=True):
         reason = "connection closed right after the end of the response, engine ended"
         return events.AttemptInterrupted(reason, evidence=evidence.engine, was_closed=True)
-    return events.EndDoubted() if may_run_again else closed.completed
+    is_stream = isinstance(closed.completed, events.StreamCompleted)
+    return events.EndDoubted() if is_stream and may_run_again else closed.completed
 
 
 def resolve_event(event: events.DeliveryEvent, order: EventOrder) -> events.DeliveryEvent:
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -19,6 +19,7 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from liftrill import clock, constants
+from liftrill.end_doubts import EndDoubts
 from liftrill.limited_response import (
     STATUSES_WITHOUT_BODY,
     ResponseCutOffError,
@@ -136,19 +137,23 @@
         self,
         loop: asyncio.AbstractEventLoop,
         report: ReportFault = no_report,
-        holds_ends: bool = False,
+        doubts: EndDoubts | None = None,
     ) -> None:
         super().__init__(loop=loop)
         self._report = report
-        # Whether the ends of event streams are held back.
-        self._holds_ends = holds_ends
-        # The pace of a stream whose end is held back.
+        # The ends of event streams, and of peers' responses that are doubted, are held back.
+        self._doubts = doubts
+        # Whether this response is one of them.
+        self._is_doubted = False
+        # The pace of a response whose end is held back.
         self._pace: StreamPace | None = None
         self._response_count = 0
         self._framing = FramingLimit()
         self._heads = HeadScanner()
         # None while no head has arrived, and for a body that ends with its connection.
         self._body: BodyScanner | None = None
+        # The body of the response before on the connection.
+        self._last_body: BodyScanner | None = None
         self._has_no_body = False
         self._held_end = b""
         self._hold: asyncio.TimerHandle | None = None
@@ -202,9 +207,10 @@
         self._response_count = 0
         self._framing = FramingLimit()
         self._heads = HeadScanner()
-        self._body = None
+        self._last_body, self._body = self._body, None
         self._has_no_body = bool(parameters.get("skip_payload"))
         self._pace = None
+        self._is_doubted = False
         self._watch = NO_WATCH
         self._is_end_confirmed = True
         super().set_response_params(**parameters)
@@ -255,6 +261,8 @@
         self._closed_at = clock.now_s()
         # A process that closed without a reply may have ended in the middle of the response.
         self._is_end_confirmed = not self._is_reply_due
+        if self._is_reply_due and self._is_doubted:
+            self._reject("connection closed in place of a reply after the last chunk")
         self._pass_end()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -268,6 +276,8 @@
         try:
             self._heads.scan(data)
         except MalformedResponseError as error:
+            if not may_begin_response(data):
+                self._doubt_ends(self._last_body)
             self._reject(str(error))
             return False
         return self._parse(data)
@@ -278,9 +288,10 @@
         if message.code in STATUSES_WITHOUT_BODY or self._has_no_body:
             self._body = LengthScanner(0)
         elif message.chunked:
-            kind = message.headers.get("Content-Type", "")
-            if self._holds_ends and kind.startswith(EVENT_STREAM):
-                self._pace = StreamPace()
+            is_stream = message.headers.get("Content-Type", "").startswith(EVENT_STREAM)
+            if self._doubts is not None:
+                self._is_doubted = self._doubts.has(self._address(), clock.now_s())
+                self._pace = StreamPace() if is_stream or self._is_doubted else None
             self._body = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
         elif length is not None:
             self._body = LengthScanner(int(length))
@@ -295,7 +306,7 @@
         rest = data[length:]
         if rest and isinstance(body, ChunkScanner) and not may_begin_response(rest):
             # The last chunk may have come early.
-            self._reject(f"{len(rest)} bytes after the last chunk")
+            self._reject_early_end(f"{len(rest)} bytes after the last chunk")
         elif self._pace is not None and body.is_complete and not rest:
             self._hold_end(data, self._pace.end_hold_s)
         elif self._parse(data[:length]) and rest:
@@ -340,6 +351,9 @@
 
     def _end_hold(self) -> None:
         """Process the bytes that end a stream after the time for which they are held back."""
+        if self._is_reply_due and self._is_doubted:
+            self._reject(f"no reply {MAX_REPLY_WAIT_S} s after the last chunk")
+            return
         if self._is_reply_due:
             # It would be taken for the response to the next request.
             self._should_close = True
@@ -363,14 +377,14 @@
             self._pass_end()
             self._receive_excess(data, 0.0)
         else:
-            self._reject(f"{len(data)} bytes after the last chunk")
+            self._reject_early_end(f"{len(data)} bytes after the last chunk")
 
     def _receive_reply(self, data: bytes, reply: ReplyScanner) -> None:
         """Process bytes of the reply that shows that a stream is over."""
         try:
             reply.scan(data)
         except MalformedResponseError as error:
-            self._reject(f"after the last chunk: {error}")
+            self._reject_early_end(f"after the last chunk: {error}")
             return
         if not reply.is_complete:
             return
@@ -382,6 +396,8 @@
     def _receive_excess(self, data: bytes, after_end_s: float) -> None:
         """Close the connection of a response that more bytes follow."""
         self._report_fault(f"{len(data)} bytes after a response", after_end_s)
+        if not may_begin_response(data):
+            self._doubt_ends(self._body)
         self._abort()
 
     def _parse(self, data: bytes) -> bool:
@@ -398,6 +414,21 @@
         self._fail(ResponseCutOffError(str(exceeded)))
         return False
 
+    def _reject_early_end(self, reason: str) -> None:
+        """End a response whose last chunk came early, and doubt those that follow."""
+        self._doubt_ends(self._body)
+        self._reject(reason)
+
+    def _doubt_ends(self, body: BodyScanner | None) -> None:
+        """Doubt the ends of the peer's responses if one in chunks ended too early."""
+        if self._doubts is not None and isinstance(body, ChunkScanner):
+            self._doubts.add(self._address(), clock.now_s())
+
+    def _address(self) -> str:
+        """Return HOST:PORT of the peer, or nothing if the connection is lost."""
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return f"{peer[0]}:{peer[1]}" if peer else ""
+
     def _reject(self, reason: str) -> None:
         """End a response that does not follow HTTP/1.1, and its connection."""
         self._report_fault(reason)
@@ -411,9 +442,7 @@
         self._abort()
 
     def _report_fault(self, reason: str, after_end_s: float | None = None) -> None:
-        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
-        address = f"{peer[0]}:{peer[1]}" if peer else ""
-        self._report(ResponseFault(address, reason, after_end_s))
+        self._report(ResponseFault(self._address(), reason, after_end_s))
 
     def _fail_body(self, error: ClientPayloadError) -> None:
         """Raise an error to the reader of an incomplete body."""
@@ -455,7 +484,7 @@
         GuardedResponseHandler,
         loop=asyncio.get_running_loop(),
         report=report,
-        holds_ends=holds_ends,
+        doubts=EndDoubts() if holds_ends else None,
     )
     session = ClientSession(
         connector=connector, response_class=limited_response(body_limits), **options
