Take the bytes of a reply after a stream for its own, whatever form and segments it comes in

Callers saw sound streams broken off after all of their events: the engine's report, which is asked for on the connection after the last chunk, came without a length, its body in a segment after its head; or in chunks with a trailer field that it announced.

Cause: a reply without framing counted as complete with its head, and bytes after a complete reply are rejected as the rest of the stream. The scanner of chunks in replies knew no announced trailer fields. Both end the stream though the head of the reply has shown that it is over.

Change: the body of a reply that only the connection ends takes all further bytes, but for statuses without a body. The names in a reply's `Trailer` are passed to the scanner of its chunks, as for responses.

--- /dev/null
+++ b/features/end_replies.feature
@@ -0,0 +1,16 @@
+Feature: The reply that follows a stream on its connection shows the stream's end
+
+  Scenario Outline: A sound stream is broken off by the form of the reply after it: <reply>
+    When an engine sends 4 events, and replies "<reply>" after the end
+    Then 2 such streams end as complete after 4 events
+
+    Examples:
+      | reply                                    |
+      | a length                                 |
+      | a length, byte by byte                   |
+      | another status                           |
+      | an interim response before               |
+      | no length, the body later                |
+      | no length, the body later, HTTP/1.0      |
+      | chunks                                   |
+      | chunks, an announced trailer field       |
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -371,7 +371,7 @@
 
     def _receive_after_end(self, data: bytes) -> None:
         """Process bytes that follow the end of a stream that is held back."""
-        if self._reply is not None and not self._reply.is_complete:
+        if self._reply is not None and self._reply.takes_more:
             self._receive_reply(data, self._reply)
         elif may_begin_response(data):
             self._pass_end()
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -30,6 +30,8 @@
 _FRAMING_FIELD = re.compile(
     rb"\r\n(?:(transfer-encoding)|content-length):[ \t]*(.*?)[ \t]*(?=\r\n)", re.IGNORECASE
 )
+_NO_BODY = re.compile(rb"HTTP/1\.[01] (?:204|304)")
+_TRAILER_FIELD = re.compile(rb"\r\ntrailer:([^\r]*)", re.IGNORECASE)
 _BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 _CLOSE = re.compile(rb"^HTTP/1\.0|\r\nconnection:[^\r]*close", re.IGNORECASE)
@@ -211,16 +213,22 @@
     """Finds the end of one whole response in the bytes that a connection receives.
 
     Attributes:
-        is_complete: whether the end has been found.
+        is_complete: whether the end has been found, or the head if only the connection ends it.
         may_follow: whether the connection may be used for a request after this response.
     """
 
     def __init__(self) -> None:
         self.is_complete = False
         self.may_follow = False
+        self._ends_with_connection = False
         self._head = b""
         self._body: BodyScanner | None = None
 
+    @property
+    def takes_more(self) -> bool:
+        """Whether further bytes belong to this response."""
+        return not self.is_complete or self._ends_with_connection
+
     def scan(self, data: bytes) -> None:
         """Scan the next bytes.
 
@@ -256,9 +264,12 @@
         fields = [(found[1], found[2]) for found in _FRAMING_FIELD.finditer(head)]
         self.may_follow = bool(fields) and _CLOSE.search(head) is None
         if not fields:
+            self._ends_with_connection = _NO_BODY.match(head) is None
             return LengthScanner(0)
         coding, value = fields[0]
-        return ChunkScanner() if coding else LengthScanner(int(value))
+        if not coding:
+            return LengthScanner(int(value))
+        return ChunkScanner(b",".join(_TRAILER_FIELD.findall(head)).decode("latin-1").split(","))
 
 
 def _end_of_whole_chunks(data: bytes) -> int:
