Look for the rest of a stream behind the reply in the same segment, as in the next one

Callers saw streams that ended as complete after 2 of 4 events: an engine that answers requests beside each other on a connection wrote the reply before the rest of the stream, and both came in one segment.

Cause: bytes behind the reply in its own segment only kept the connection from being used again.

Change: the scanner of replies tells the bytes behind the end, and such that begin no further response end the stream as interrupted.

--- a/features/end_replies.feature
+++ b/features/end_replies.feature
@@ -5,12 +5,24 @@
     Then 2 such streams end as complete after 4 events
 
     Examples:
-      | reply                                    |
-      | a length                                 |
-      | a length, byte by byte                   |
-      | another status                           |
-      | an interim response before               |
-      | no length, the body later                |
-      | no length, the body later, HTTP/1.0      |
-      | chunks                                   |
-      | chunks, an announced trailer field       |
+      | reply                               |
+      | a length                            |
+      | a length, byte by byte              |
+      | another status                      |
+      | an interim response before          |
+      | no length, the body later           |
+      | no length, the body later, HTTP/1.0 |
+      | chunks                              |
+      | chunks, an announced trailer field  |
+
+  Scenario Outline: A stream ends as complete before its rest, which comes with the reply: <reply>
+    When an engine sends 2 events, and replies "<reply>" after the end
+    Then 2 such streams are interrupted after 2 events
+
+    Examples:
+      | reply                                     |
+      | a length, the rest at once                |
+      | a length, half of the rest at once        |
+      | chunks, the rest at once                  |
+      | a status without a body, the rest at once |
+      | a length, the rest later                  |
--- a/features/steps/end_reply_steps.py
+++ b/features/steps/end_reply_steps.py
@@ -20,6 +20,14 @@
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 WITH_LENGTH = STATUS_LINE + b"Content-Length: 5\r\n\r\nhello"
 CHUNKED = STATUS_LINE + b"Transfer-Encoding: chunked\r\n"
+
+
+def event_chunk(number, size=0):
+    """Return the chunk of an event, which has a filler of a size."""
+    event = f"id: {number}\ndata: token {number}{'.' * size}\n\n"
+    return f"{len(event):x}\r\n{event}\r\n".encode()
+
+
 # The segments of replies, a short time apart; an engine that sends no length closes after them.
 REPLIES = {
     "a length": [WITH_LENGTH],
@@ -34,12 +42,14 @@
         b"0\r\nX-Sum: 1\r\n\r\n",
     ],
 }
-
-
-def event_chunk(number, size=0):
-    """Return the chunk of an event, which has a filler of a size."""
-    event = f"id: {number}\ndata: token {number}{'.' * size}\n\n"
-    return f"{len(event):x}\r\n{event}\r\n".encode()
+REST = event_chunk(3) + event_chunk(4) + LAST_CHUNK
+REPLIES |= {
+    "a length, the rest at once": [WITH_LENGTH + REST],
+    "a length, half of the rest at once": [WITH_LENGTH + REST[: len(REST) // 2]],
+    "chunks, the rest at once": [CHUNKED + b"\r\n5\r\nhello\r\n" + LAST_CHUNK + REST],
+    "a status without a body, the rest at once": [b"HTTP/1.1 204 No\r\n\r\n" + REST],
+    "a length, the rest later": [WITH_LENGTH, REST],
+}
 
 
 class ScriptedEngine:
@@ -112,3 +122,13 @@
     context.run(read_streams(context, how_many))
     print(context.ends, context.engine.connections)
     assert context.ends == [(count, events.StreamCompleted())] * how_many, context.ends
+
+
+@then("{how_many:d} such streams are interrupted after {count:d} events")
+def step_interrupted(context, how_many, count):
+    context.run(read_streams(context, how_many))
+    print(context.ends, context.engine.connections)
+    assert len(context.ends) == how_many
+    for events_before, end in context.ends:
+        assert isinstance(end, events.AttemptInterrupted), context.ends
+        assert events_before == count and end.is_rejected, context.ends
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -388,6 +388,10 @@
             return
         if not reply.is_complete:
             return
+        if reply.excess and not may_begin_response(reply.excess):
+            # A server may write the reply before the rest of the stream.
+            self._reject(f"{len(reply.excess)} bytes after the last chunk and a reply")
+            return
         if not reply.may_follow:
             self._should_close = True
         held_s = clock.now_s() - self._end_arrived_at
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -215,11 +215,13 @@
     Attributes:
         is_complete: whether the end has been found, or the head if only the connection ends it.
         may_follow: whether the connection may be used for a request after this response.
+        excess: the bytes that followed the end in the same segment.
     """
 
     def __init__(self) -> None:
         self.is_complete = False
         self.may_follow = False
+        self.excess = b""
         self._ends_with_connection = False
         self._head = b""
         self._body: BodyScanner | None = None
@@ -242,7 +244,8 @@
         if not self._body.is_complete:
             data = data[self._body.scan(data) :]
         self.is_complete = self._body.is_complete
-        self.may_follow = self.may_follow and not data
+        self.excess = b"" if self.takes_more else data
+        self.may_follow = self.may_follow and not self.excess
 
     def _scan_head(self, data: bytes) -> bytes:
         """Scan the bytes of a head, and return those that follow the final one."""
