Pass the end of a stream on only after its connection has been read, however slow the caller is

Callers slower than their engine saw streams that ended as complete after 27 of 29 events: the last chunk came early, in the segment that filled the room of the node's reader, and the rest 0.3 s later.

Cause: a connection whose reader has no room is not read. The 2 s for which a reply is waited for passed meanwhile; neither the reply nor the rest, which both lay in the socket, were seen, and the end was believed. Sound streams ended as complete, but lost their connection.

Change: no hold ends while the connection is not read. It begins again as reading goes on: the reply that came meanwhile ends it at once. A caller that reads no more is bounded by its deadline, as before.

--- a/features/end_replies.feature
+++ b/features/end_replies.feature
@@ -26,3 +26,11 @@
       | chunks, the rest at once                  |
       | a status without a body, the rest at once |
       | a length, the rest later                  |
+
+  Scenario: A stream ends as complete before its rest, which is not read as its caller is slow
+    When an engine sends an early last chunk as the reader's room is full, and the rest 0.3 s later
+    Then the stream is interrupted, though it is read only 3 s later
+
+  Scenario: The connection of a sound stream is lost as its caller is slow
+    When an engine sends a stream whose end comes as the reader's room is full
+    Then 2 such streams that are read 3 s later end as complete, on 1 connection
--- a/features/steps/end_reply_steps.py
+++ b/features/steps/end_reply_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import suppress
 
+from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from behave import then, when
 
 from liftrill import clock
@@ -12,6 +13,10 @@
 
 EVENT_S, LATER_S = 0.01, 0.01
 DEADLINE_S, MAX_STREAM_S = 10.0, 12.0
+# The room of a reader, and the size of events of which 26 fit into it, but 27 do not.
+READER_BYTES = 2 * DEFAULT_CHUNK_SIZE
+LARGE_EVENT_BYTES = READER_BYTES // 26 - 40
+FITTING_EVENTS, PAUSE_S = 26, 0.05
 QUESTION_PATH = "/reply"
 LAST_CHUNK = b"0\r\n\r\n"
 STREAM_HEAD = (
@@ -132,3 +137,42 @@
     for events_before, end in context.ends:
         assert isinstance(end, events.AttemptInterrupted), context.ends
         assert events_before == count and end.is_rejected, context.ends
+
+
+def full_room(*rest):
+    """Return the segments of a stream whose last chunk comes with the event that fills a room."""
+    *fitting, filling = (event_chunk(n + 1, LARGE_EVENT_BYTES) for n in range(FITTING_EVENTS + 1))
+    return [STREAM_HEAD, *fitting, PAUSE_S, filling + LAST_CHUNK, *rest]
+
+
+@when(
+    "an engine sends an early last chunk as the reader's room is full,"
+    " and the rest {later:g} s later"
+)
+def step_early_in_full_room(context, later):
+    context.engine = ScriptedEngine(full_room(later, REST), REPLIES["a length"])
+
+
+@when("an engine sends a stream whose end comes as the reader's room is full")
+def step_end_in_full_room(context):
+    context.engine = ScriptedEngine(full_room(), REPLIES["a length"])
+
+
+@then("the stream is interrupted, though it is read only {seconds:g} s later")
+def step_interrupted_late(context, seconds):
+    context.run(read_streams(context, 1, seconds))
+    ((count, end),) = context.ends
+    print(count, end)
+    assert isinstance(end, events.AttemptInterrupted) and end.is_rejected, (count, end)
+    assert count <= FITTING_EVENTS + 1
+
+
+@then(
+    "{how_many:d} such streams that are read {seconds:g} s later end as complete, on 1 connection"
+)
+def step_complete_late(context, how_many, seconds):
+    context.run(read_streams(context, how_many, seconds))
+    print(context.ends, context.engine.connections)
+    whole = (FITTING_EVENTS + 1, events.StreamCompleted())
+    assert context.ends == [whole] * how_many, context.ends
+    assert context.engine.connections == 1, context.engine.connections
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -197,9 +197,10 @@
     def watch_end(self, watch: EndWatch) -> None:
         """Tell a reader once the end of this response has arrived and is held back."""
         self._watch = watch
-        if self._held_end and self._hold is not None:
+        if self._held_end:
             watch.on_end_held()
-            self._pass_end_after(self._hold.when() - asyncio.get_running_loop().time())
+            if self._hold is not None:
+                self._pass_end_after(self._hold.when() - asyncio.get_running_loop().time())
             self._ask_for_reply()
 
     def set_response_params(self, **parameters: Any) -> None:
@@ -249,6 +250,13 @@
             # Without data, aiohttp goes on with what it held back while the reader was slow.
             self._parse(data)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on, as the reader has room again; what follows a stream's end has yet to be read."""
+        was_paused = self._reading_paused
+        super().resume_reading(resume_parser)
+        if was_paused and self._held_end and self._pace is not None:
+            self._pass_end_after(MAX_REPLY_WAIT_S if self._is_reply_due else self._pace.end_hold_s)
+
     def is_connected(self) -> bool:
         """Return whether another request may be sent, because the peer is not about to close."""
         idle_s = clock.now_s() - self._last_data_at
@@ -351,6 +359,10 @@
 
     def _end_hold(self) -> None:
         """Process the bytes that end a stream after the time for which they are held back."""
+        if self._reading_paused:
+            # What follows them may have arrived; they are held back until it is read.
+            self._hold = None
+            return
         if self._is_reply_due and self._is_doubted:
             self._reject(f"no reply {MAX_REPLY_WAIT_S} s after the last chunk")
             return
