--- a/features/malformed_answers.feature
+++ b/features/malformed_answers.feature
@@ -61,6 +61,7 @@
       | whole  | 1500  | 6     | 1     |
       | safe   | 20    | 8     | 1     |
       | stream | 300   | 8     | 0     |
+
   Scenario Outline: Sound streams are broken off as their engine closes its connections after them: <route>, <pause> s
     When 16 sound streams on "<route>" are read at once, and their engines close <pause> s after each
     Then all callers got whole streams
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -402,7 +402,7 @@
             return
         if reply.excess and not may_begin_response(reply.excess):
             # A server may write the reply before the rest of the stream.
-            self._reject(f"{len(reply.excess)} bytes after the last chunk and a reply")
+            self._reject_early_end(f"{len(reply.excess)} bytes after the last chunk and a reply")
             return
         if not reply.may_follow:
             self._should_close = True
