Read the store anew after a stall, also if a read of it was under way or had just been requested

Callers saw: at a node that had stood still for 4 s all resumptions refused for a second (NO_ELIGIBLE_ENGINE before any attempt, 80 of 120), all complete later.

Cause: a fault of the product. State counts as current after a stall once a read that was sent after the stall was noticed has been answered. Timers that fell due meanwhile run in one turn: where the regular read was sent just before the stall was noticed, the checker lost the read that the stall requested, as it clears requests before it waits; where a request with an expired key proof, or nothing, came within 0.5 s before, or the last read had timed out for the stall itself, the request was dropped. The next read came at the regular interval, 1.5 s later; in the kept logs the first attempt began 1.15 s after `woken`.

The new rows of gateway_relay, with what the gateway called before (request_proof, set in a trial): 3 of 3 failed.

Change: a stall requests a read that is sent after it, whatever was requested or failed before; a read that is under way is followed by another at once.

A stall of 0.75 s or more costs at most one read more.

--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -124,3 +124,14 @@
       | delay | served |
       | 0.01  | yes    |
       | 0.3   | no     |
+
+  Scenario Outline: After its process stood still a node reads the store only at the regular interval: <before>
+    Given a node that reads the store, which answers in 0.1 s
+    When its process has stood still, as a read of the store <before>
+    Then a read that was sent after that is answered within 0.35 s
+
+    Examples:
+      | before                          |
+      | is under way                    |
+      | was requested just before       |
+      | has just ended without answer   |
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -39,6 +39,8 @@
 from liftrill.gateway.store_outage import AnswerHistory
 
 LIMITS = ReaderLimits("node", 1.7)
+# How long after the end of a read a process has stood still.
+STALL_AFTER_READ_S = 0.02
 
 
 def region_members(count, zones):
@@ -717,3 +719,56 @@
         loop.cancel()
 
     context.run(request())
+
+
+class RecordedReads:
+    """A store that answers after a delay, or fails, and records when answered reads were sent."""
+
+    def __init__(self, delay):
+        self.delay = delay
+        self.fails = False
+        self.begun = 0
+        self.answered = []
+
+    async def read(self, key):
+        sent_at = time.monotonic()
+        self.begun += 1
+        await asyncio.sleep(self.delay)
+        if self.fails:
+            raise StoreUnavailableError("no answer")
+        self.answered.append(sent_at)
+        return ReadResult(StoredItem(key, b"", 5), 9)
+
+
+@given("a node that reads the store, which answers in {delay:g} s")
+def step_recorded_reads(context, delay):
+    new_prover(context, RecordedReads(delay), fake_follower(None))
+
+
+@when("its process has stood still, as a read of the store {before}")
+def step_stood_still(context, before):
+    async def play():
+        store = context.store
+        context.proving = asyncio.ensure_future(context.prover.run())
+        await asyncio.sleep(0.0)
+        store.fails = before == "has just ended without answer"
+        context.prover.request_proof()
+        await eventually(lambda: store.begun == 1, 1.0)
+        if before != "is under way":
+            # The node has handled the answer, or the lack of one.
+            await asyncio.sleep(store.delay + STALL_AFTER_READ_S)
+        store.fails = False
+        context.stalled_at = time.monotonic()
+        context.prover.read_after_stall()
+
+    context.run(play())
+
+
+@then("a read that was sent after that is answered within {seconds:g} s")
+def step_read_after(context, seconds):
+    async def wait():
+        answered = context.store.answered
+        await eventually(lambda: answered and answered[-1] >= context.stalled_at, seconds)
+        context.proving.cancel()
+
+    context.run(wait())
--- a/liftrill/gateway/freshness_checker.py
+++ b/liftrill/gateway/freshness_checker.py
@@ -78,6 +78,8 @@
         self._proved = asyncio.Event()
         self._last_early_at = -math.inf
         self._read_early = False
+        # Whether the process stood still since the last read was sent.
+        self._stood_still = False
         self._unanswered = False
         self._restored_at = -math.inf
         self._backup_position = 0
@@ -138,6 +140,18 @@
             self._read_early = True
             self._wanted.set()
 
+    def read_after_stall(self) -> None:
+        """Read the store at once, by a read that is sent after the process stood still.
+
+        What an earlier read brings does not show what changed meanwhile, and that it was not
+        answered in time does not show that the store fails.
+        """
+        self._unanswered = False
+        self._last_early_at = clock.now_s()
+        self._stood_still = True
+        self._read_early = True
+        self._wanted.set()
+
     def _prove(self, version: int, asked_at: float) -> None:
         self._unanswered = False
         self._view.prove_current(version, asked_at)
@@ -152,8 +166,10 @@
             if await self._must_read():
                 asked_at = clock.now_s()
                 self._unanswered = not await self._try_read(asked_at)
-            remaining_s = asked_at + self._interval_s - clock.now_s()
-            await self._wait(max(0.05, remaining_s))
+            # The process may have stood still while the read was under way.
+            if not self._stood_still:
+                remaining_s = asked_at + self._interval_s - clock.now_s()
+                await self._wait(max(0.05, remaining_s))
 
     async def _wait(self, limit_s: float) -> None:
         """Wait until a proof is requested, at most for the limit."""
@@ -175,6 +191,7 @@
     async def _must_read(self) -> bool:
         if self._follower.followed is None or self._read_early:
             self._read_early = False
+            self._stood_still = False
             return True
         if self._peer_version > self._view.version:
             await asyncio.sleep(WATCH_LAG_S)
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -430,7 +430,7 @@
             self._total_slept_s = slept_s
             # Timers do not advance while the machine is suspended.
             self.forwarder.refresh_begin_deadlines()
-            self._freshness_checker.request_proof()
+            self._freshness_checker.read_after_stall()
 
     # Callbacks from the store, peers and engines
 
