A segment of a body that is not over takes a shorter path through the checks of a connection

Change: a segment within a body is neither tested for an idle connection nor cut up, and the search for whole chunks stops at the end of the segment instead of after one more match.

`response_framing`, `end_replies`, `gateway_connections`, `response_limits` and `malformed_answers` pass, 105 scenarios.

--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -231,7 +231,12 @@
         """Process received bytes (asyncio callback); close if no response is due."""
         now = clock.now_s()
         since_last_s, self._last_data_at = now - self._last_data_at, now
-        self.first_data_at = min(self.first_data_at, now)
+        if self.first_data_at > now:
+            self.first_data_at = now
+        body = self._body
+        if data and body is not None and not body.is_complete:
+            self._receive_body(data, body, since_last_s)
+            return
         # Heads are parsed one by one: an error in what follows must not discard a response.
         while data and not self._response_count:
             length = self._framing.head_length(data)
@@ -243,9 +248,7 @@
         elif data and self._is_idle():
             self._receive_excess(data, since_last_s)
         elif data and self._body is not None:
-            if self._pace is not None:
-                self._pace.add_segment(since_last_s)
-            self._receive_body(data, self._body)
+            self._receive_body(data, self._body, since_last_s)
         else:
             # Without data, aiohttp goes on with what it held back while the reader was slow.
             self._parse(data)
@@ -304,19 +307,25 @@
         elif length is not None:
             self._body = LengthScanner(int(length))
 
-    def _receive_body(self, data: bytes, body: BodyScanner) -> None:
+    def _receive_body(self, data: bytes, body: BodyScanner, since_last_s: float) -> None:
         """Process bytes of a body, and of what follows it."""
+        pace = self._pace
+        if pace is not None:
+            pace.add_segment(since_last_s)
         try:
             length = 0 if body.is_complete else body.scan(data)
         except MalformedResponseError as error:
             self._reject(str(error))
             return
+        if not body.is_complete:
+            self._parse(data)
+            return
         rest = data[length:]
         if rest and isinstance(body, ChunkScanner) and not may_begin_response(rest):
             # The last chunk may have come early.
             self._reject_early_end(f"{len(rest)} bytes after the last chunk")
-        elif self._pace is not None and body.is_complete and not rest:
-            self._hold_end(data, self._pace.end_hold_s)
+        elif pace is not None and not rest:
+            self._hold_end(data, pace.end_hold_s)
         elif self._parse(data[:length]) and rest:
             self._receive_excess(rest, 0.0)
 
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -278,7 +278,7 @@
 def _end_of_whole_chunks(data: bytes) -> int:
     """Return where the chunks end that bytes begin with; most segments are one whole chunk."""
     at = 0
-    while (found := _CHUNK_SIZE.match(data, at)) is not None:
+    while at < len(data) and (found := _CHUNK_SIZE.match(data, at)) is not None:
         end = found.end() + int(found[1], 16)
         is_last = end == found.end()
         if is_last or found.end() - at > MAX_CHUNK_LINE_BYTES or data[end : end + 2] != LINE_END:
