Read no more of a reply than shows that the stream before it is over

A node read 5.8 GB in 2 s of one reply without end, which followed a stream on its connection, with 0.66 s of its processor (trial, engine in a process of its own, load 12). Its memory did not grow. The caller had the end 2 s late.

Cause: the reply has to be complete for the end to be passed on, and only the time for which it is waited for bounded it.

Evidence: `end_replies`, "an endless reply after a stream": fails on, two streams take 4.1 s (3 s asked, load 13).

Change: a reply of more than 1 MB counts as complete, and its connection is not used again.

--- a/features/end_replies.feature
+++ b/features/end_replies.feature
@@ -34,3 +34,7 @@
   Scenario: The connection of a sound stream is lost as its caller is slow
     When an engine sends a stream whose end comes as the reader's room is full
     Then 2 such streams that are read 3 s later end as complete, on 1 connection
+
+  Scenario: An endless reply after a stream is read for as long as a reply is waited for
+    When an engine sends 4 events, and replies "chunks without end" after the end
+    Then 2 such streams end as complete after 4 events, within 3 s
--- a/features/steps/end_reply_steps.py
+++ b/features/steps/end_reply_steps.py
@@ -1,6 +1,7 @@
 """Steps on the replies that follow event streams on their connections, with a scripted engine."""
 
 import asyncio
+import time
 from contextlib import suppress
 
 from aiohttp.helpers import DEFAULT_CHUNK_SIZE
@@ -47,6 +48,11 @@
         b"0\r\nX-Sum: 1\r\n\r\n",
     ],
 }
+ENDLESS_CHUNK_BYTES, ENDLESS_CHUNKS = 60_000, 1_000
+REPLIES["chunks without end"] = [
+    CHUNKED + b"\r\n",
+    *[event_chunk(0, ENDLESS_CHUNK_BYTES)] * ENDLESS_CHUNKS,
+]
 REST = event_chunk(3) + event_chunk(4) + LAST_CHUNK
 REPLIES |= {
     "a length, the rest at once": [WITH_LENGTH + REST],
@@ -78,6 +84,8 @@
     async def _send(self, writer, segments):
         """Send segments, wait for the seconds between them, and close at None."""
         for segment in segments:
+            if writer.is_closing():
+                return
             if segment is None:
                 writer.close()
             elif isinstance(segment, float):
@@ -129,6 +137,15 @@
     assert context.ends == [(count, events.StreamCompleted())] * how_many, context.ends
 
 
+@then("{how_many:d} such streams end as complete after {count:d} events, within {seconds:g} s")
+def step_complete_soon(context, how_many, count, seconds):
+    began_at = time.monotonic()
+    step_complete(context, how_many, count)
+    took_s = time.monotonic() - began_at
+    print(f"{took_s:.2f} s")
+    assert took_s < seconds, took_s
+
+
 @then("{how_many:d} such streams are interrupted after {count:d} events")
 def step_interrupted(context, how_many, count):
     context.run(read_streams(context, how_many))
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 
 from liftrill.errors import LiftrillError
-from liftrill.response_limits import HEAD_END, MAX_FRAMING_BYTES
+from liftrill.response_limits import HEAD_END, MAX_FRAMING_BYTES, MAX_REPLY_BYTES
 
 LINE_END = b"\r\n"
 RESPONSE_BEGIN = b"HTTP/1."
@@ -213,7 +213,8 @@
     """Finds the end of one whole response in the bytes that a connection receives.
 
     Attributes:
-        is_complete: whether the end has been found, or the head if only the connection ends it.
+        is_complete: whether the end has been found, or the head if only the connection ends it, or
+            more than is read of a reply.
         may_follow: whether the connection may be used for a request after this response.
         excess: the bytes that followed the end in the same segment.
     """
@@ -222,14 +223,16 @@
         self.is_complete = False
         self.may_follow = False
         self.excess = b""
-        self._ends_with_connection = False
+        # Whether all further bytes of the connection belong to this response.
+        self._has_open_end = False
+        self._read_bytes = 0
         self._head = b""
         self._body: BodyScanner | None = None
 
     @property
     def takes_more(self) -> bool:
         """Whether further bytes belong to this response."""
-        return not self.is_complete or self._ends_with_connection
+        return not self.is_complete or self._has_open_end
 
     def scan(self, data: bytes) -> None:
         """Scan the next bytes.
@@ -237,6 +240,9 @@
         Raises:
             MalformedResponseError: they do not continue a response.
         """
+        if self.is_complete:
+            return
+        self._read_bytes += len(data)
         if self._body is None:
             data = self._scan_head(self._head + data)
         if self._body is None:
@@ -244,6 +250,9 @@
         if not self._body.is_complete:
             data = data[self._body.scan(data) :]
         self.is_complete = self._body.is_complete
+        if not self.is_complete and self._read_bytes > MAX_REPLY_BYTES:
+            self.is_complete = self._has_open_end = True
+            self.may_follow = False
         self.excess = b"" if self.takes_more else data
         self.may_follow = self.may_follow and not self.excess
 
@@ -267,7 +276,7 @@
         fields = [(found[1], found[2]) for found in _FRAMING_FIELD.finditer(head)]
         self.may_follow = bool(fields) and _CLOSE.search(head) is None
         if not fields:
-            self._ends_with_connection = _NO_BODY.match(head) is None
+            self._has_open_end = _NO_BODY.match(head) is None
             return LengthScanner(0)
         coding, value = fields[0]
         if not coding:
--- a/liftrill/response_limits.py
+++ b/liftrill/response_limits.py
@@ -23,6 +23,8 @@
 # If bytes wait for this long and none get room, the largest body gives way: engines abort answers
 # that are not read for some seconds.
 MAX_ROOM_WAIT_S = 1.5
+# How much of a reply is read that only shows that the response before it is over.
+MAX_REPLY_BYTES = 1_048_576
 # The store returns up to 500 records or 1 MB at a time, and events as they are due.
 MAX_STORE_BODY_BYTES = 16_777_216
 # A node holds a partial event for each of its streams.
