--- a/features/steps/end_reply_steps.py
+++ b/features/steps/end_reply_steps.py
@@ -70,10 +70,12 @@
         self._stream = stream
         self._reply = reply
         self.connections = 0
+        self._serving = set()
 
     async def serve(self, reader, writer):
         """Answer the requests of a connection."""
         self.connections += 1
+        self._serving.add(asyncio.current_task())
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             while not writer.is_closing():
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -81,6 +83,10 @@
                 await self._send(writer, self._reply if is_question else self._stream)
         writer.close()
 
+    async def wait_until_idle(self):
+        """Wait until all connections have ended."""
+        await asyncio.gather(*self._serving)
+
     async def _send(self, writer, segments):
         """Send segments, wait for the seconds between them, and close at None."""
         for segment in segments:
@@ -120,8 +126,7 @@
             context.ends = [
                 await read_stream(session, url, begins_after_s) for _ in range(how_many)
             ]
-        # The engine notices that its connections are closed.
-        await asyncio.sleep(LATER_S)
+        await context.engine.wait_until_idle()
 
 
 @when('an engine sends {count:d} events, and replies "{reply}" after the end')
