The head of a reply shows that the stream before it is over, also if the reply's body is malformed

Callers saw sound streams broken off after all of their events where the engine's report, asked for after the end, had a malformed chunk; the engine was doubted for 300 s then, though its last chunk had not come early.

Cause: the whole reply had to be sound.

Change: after a sound head nothing of the reply counts any more, and the connection is not used again. The Host of the question has an IPv6 address in brackets (RFC 3986, section 3.2.2).

--- a/features/end_replies.feature
+++ b/features/end_replies.feature
@@ -14,6 +14,7 @@
       | no length, the body later, HTTP/1.0 |
       | chunks                              |
       | chunks, an announced trailer field  |
+      | chunks, a malformed size            |
 
   Scenario Outline: A stream ends as complete before its rest, which comes with the reply: <reply>
     When an engine sends 2 events, and replies "<reply>" after the end
--- a/features/steps/end_reply_steps.py
+++ b/features/steps/end_reply_steps.py
@@ -43,6 +43,7 @@
     "no length, the body later": [STATUS_LINE + b"\r\n", b"hello", b"world", None],
     "no length, the body later, HTTP/1.0": [b"HTTP/1.0 200 OK\r\n\r\n", b"hello", None],
     "chunks": [CHUNKED + b"\r\n5\r\nhello\r\n", LAST_CHUNK],
+    "chunks, a malformed size": [CHUNKED + b"\r\n5\r\nhello\r\nx\r\n"],
     "chunks, an announced trailer field": [
         CHUNKED + b"Trailer: X-Sum\r\n\r\n5\r\nhello\r\n",
         b"0\r\nX-Sum: 1\r\n\r\n",
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -349,6 +349,7 @@
         if not (watch.question_path and is_free) or transport is None or transport.is_closing():
             return
         host, port = transport.get_extra_info("peername")[:2]
+        host = f"[{host}]" if ":" in host else host
         question = f"GET {watch.question_path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         self._reply = ReplyScanner()
         self._pass_end_after(MAX_REPLY_WAIT_S)
--- a/liftrill/response_framing.py
+++ b/liftrill/response_framing.py
@@ -238,7 +238,7 @@
         """Scan the next bytes.
 
         Raises:
-            MalformedResponseError: they do not continue a response.
+            MalformedResponseError: the head of a response is malformed.
         """
         if self.is_complete:
             return
@@ -247,15 +247,23 @@
             data = self._scan_head(self._head + data)
         if self._body is None:
             return
-        if not self._body.is_complete:
-            data = data[self._body.scan(data) :]
-        self.is_complete = self._body.is_complete
+        try:
+            if not self._body.is_complete:
+                data = data[self._body.scan(data) :]
+        except MalformedResponseError:
+            # Nothing but the head counts, and the connection is not used again.
+            self._end_early()
+        self.is_complete = self.is_complete or self._body.is_complete
         if not self.is_complete and self._read_bytes > MAX_REPLY_BYTES:
-            self.is_complete = self._has_open_end = True
-            self.may_follow = False
+            self._end_early()
         self.excess = b"" if self.takes_more else data
         self.may_follow = self.may_follow and not self.excess
 
+    def _end_early(self) -> None:
+        """Take all further bytes for a part of this response."""
+        self.is_complete = self._has_open_end = True
+        self.may_follow = False
+
     def _scan_head(self, data: bytes) -> bytes:
         """Scan the bytes of a head, and return those that follow the final one."""
         while (end := data.find(HEAD_END) + len(HEAD_END)) >= len(HEAD_END):
