Responses of a leaving engine that end in turn at one node are not taken for ended by its process

Callers could see: two sound responses without a length broken off, whose leaving engine completed them up to 10 ms apart at one node and then exited. Seen in scenarios without processes only: no play of engine processes showed it.

Cause: a fault of the product. Ends at peers count as one end of the process only if the later had no bytes more than 2 ms after the earlier; ends at the node itself were compared by their times alone.

Evidence: "Responses of a leaving engine that end in turn" with the check before: the two rows in which bytes came 5 ms after the other close failed (others_ended, not complete), the five others passed.

Change: ends at the node itself are compared in the same way, by when their connections were seen to close and after they were found to end within 10 ms as before. One that was lost, or closed at an unknown time, counts as before, by its time alone. The rule only leaves out pairs that counted before.

Why it is safe: a process sends nothing after its end has begun to close connections. Bytes and close that a node reads late come in the same turns of its event loop, so that the close of one precedes the bytes of no other.

--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -198,3 +198,53 @@
 def step_counts(context, evidence, seconds):
     assert context.evidence.engine.value == evidence, context.evidence
     assert context.took_s <= seconds, context.took_s
+
+
+@given("a leaving engine that has ended")
+def step_leaving(context):
+    context.transport = RepliesInTurn("refused")
+    context.transport.port = ProbeResult.REFUSED
+    context.check = EngineEndCheck(context.transport, lambda view, now: None)
+    context.view = EngineView(engine_record("engine-1"))
+    context.view.condition.leaving = True
+
+
+# Of another response: how much later than the first one its connection was closed, how long after
+# its last bytes that was, and for how long of this the node did not read.
+OTHERS = {
+    "was closed 6 ms before": (-0.006, 0.02, 0.0),
+    "was closed 6 ms later, 1 ms after its bytes": (0.006, 0.001, 0.0),
+    "was closed 2 ms before": (-0.002, 0.02, 0.0),
+    "was closed 6 ms later, 5 ms after its bytes": (0.006, 0.005, 0.0),
+    "was closed 6 ms later, and was not read for 9 ms": (0.006, 0.01, 0.009),
+    "was closed at an unknown time": (math.inf, 0.0, 0.0),
+}
+
+
+@when(
+    "a response of it is closed in order {delay:g} ms after its last bytes, and another one {other}"
+)
+def step_closed_in_turn(context, delay, other):
+    async def check():
+        # The node comes to both ends at once, after it has read them one after the other.
+        closed_at = clock.now_s() - 0.01
+        others = ()
+        if other == "was lost":
+            context.check.record_response_end(context.view, clock.now_s())
+        else:
+            later_s, delay_s, unread_s = OTHERS[other]
+            others = (CloseTimes(delay_s, closed_at + later_s, unread_s),)
+        checks = [
+            context.check.check_closed(context.view, times, clock.now_s() + 4.0)
+            for times in (CloseTimes(delay / 1000, closed_at), *others)
+        ]
+        context.evidence, *_ = await asyncio.gather(*checks)
+
+    context.run(check())
+
+
+@then("the first one {result} complete")
+def step_first_complete(context, result):
+    evidence = context.evidence
+    assert evidence.engine.value == "ended" and evidence.is_leaving, evidence
+    assert evidence.shows_completion is (result == "is"), evidence
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -140,3 +140,18 @@
       | other                  | accepts | others as late, whose ends were marked | 1 | ended | 0.1 |
       | none                   | accepts | one opened while the close was not seen | 1 | unknown | 1.3 |
       | none                   | accepts | one used before its caller was slow | 1 | running | 0.1 |
+
+  Scenario Outline: Responses of a leaving engine that end in turn are taken for ended by its process: <other>
+    Given a leaving engine that has ended
+    When a response of it is closed in order 1 ms after its last bytes, and another one <other>
+    Then the first one <result> complete
+
+    Examples:
+      | other                                            | result |
+      | was closed 6 ms before                           | is     |
+      | was closed 6 ms later, 1 ms after its bytes      | is     |
+      | was closed 2 ms before                           | is not |
+      | was closed 6 ms later, 5 ms after its bytes      | is not |
+      | was closed 6 ms later, and was not read for 9 ms | is not |
+      | was closed at an unknown time                    | is not |
+      | was lost                                         | is not |
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -75,6 +75,33 @@
         return abs(self.at - other.at) <= longest_s + tolerance_s
 
 
+@dataclass(frozen=True, slots=True)
+class _OwnEnd:
+    """The end of a response at this node.
+
+    Attributes:
+        end: the end by when this node came to it.
+        number: the number of its engine.
+        closed: the end by when its connection was seen to close in order, or None if it was lost,
+            or if that time is not known.
+    """
+
+    end: ResponseEnd
+    number: int
+    closed: ResponseEnd | None = None
+
+    def may_be_same(self, other: "_OwnEnd") -> bool:
+        """Return whether the end of a process may have ended both responses.
+
+        Only closes in order show how long after its last bytes a response ended.
+        """
+        if abs(self.end.at - other.end.at) > SAME_END_S:
+            return False
+        if self.closed is None or other.closed is None:
+            return True
+        return self.closed.may_be_same(other.closed, 0.0)
+
+
 class EndsElsewhere(Enum):
     """Whether other responses of an engine ended at other nodes at the same time as one here.
 
@@ -178,8 +205,8 @@
         self._running: dict[tuple[int, bool, bool], asyncio.Task[EngineEvidence]] = {}
         # Checks after a close that have sent no probe yet.
         self._prepared: dict[int, asyncio.Task[EngineEvidence]] = {}
-        # By time: the ends of responses, and the numbers of their engines.
-        self._response_ends: deque[tuple[ResponseEnd, int]] = deque()
+        # By time.
+        self._response_ends: deque[_OwnEnd] = deque()
         # The ends of responses that only a close in order marked lately, with the shortest delays
         # that they may have had, and the numbers of their engines.
         self._closes: deque[tuple[ResponseEnd, int]] = deque()
@@ -210,7 +237,10 @@
         closed_at = clock.now_s()
         # The close of a connection that was not read may have come any time after the last bytes.
         used_before = min(times.closed_at, closed_at) - times.delay_s
-        end = self.record_response_end(view, closed_at, times.delay_s)
+        end = ResponseEnd(closed_at, times.delay_s)
+        closed = ResponseEnd(times.closed_at, times.delay_s)
+        own_end = _OwnEnd(end, view.number, closed if math.isfinite(times.closed_at) else None)
+        self._record_end(own_end)
         if not times.is_after_end:
             # An engine may keep a connection open for any time after the end of a response.
             self._note_close(view, ResponseEnd(closed_at, times.shortest_delay_s))
@@ -231,10 +261,10 @@
             if evidence is EngineEvidence.UNKNOWN and is_abrupt:
                 # Nothing that was there before has been heard of since.
                 evidence = EngineEvidence.ENDED
-            is_leaving, others_ended = view.leaving, self._others_ended(view, closed_at)
+            is_leaving, others_ended = view.leaving, self._others_ended(own_end)
             if evidence is EngineEvidence.RUNNING:
                 # The engine ended this response itself, so that it is no sign of its own end.
-                self._forget_response_end(view, end)
+                self._forget_end(own_end)
                 others_ended = False
             ends = EndsElsewhere.NONE
             # Only the end of a leaving engine may follow the end of its last response.
@@ -263,7 +293,7 @@
 
     def response_ends(self, number: int) -> list[ResponseEnd]:
         """Return the recent ends of responses of an engine with their connections."""
-        return [end for end, engine in self._response_ends if engine == number]
+        return [own.end for own in self._response_ends if own.number == number]
 
     async def _check_connections(
         self, view: EngineView, closed_at: float, used_before: float
@@ -300,22 +330,21 @@
         del self._prepared[view.number]
         return await self._check(view, for_stream=True)
 
-    def record_response_end(
-        self, view: EngineView, now: float, delay_s: float = SAME_END_S
-    ) -> ResponseEnd:
-        """Record that the connection of a response of an engine was closed or lost.
+    def record_response_end(self, view: EngineView, now: float) -> None:
+        """Record that the connection of a response of an engine was lost.
 
-        The delay after the last bytes is not known of one that was lost.
+        The delay after its last bytes is not known.
         """
-        end = ResponseEnd(now, delay_s)
-        self._response_ends.append((end, view.number))
-        while now - self._response_ends[0][0].at > RESPONSE_ENDS_KEPT_S:
+        self._record_end(_OwnEnd(ResponseEnd(now, SAME_END_S), view.number))
+
+    def _record_end(self, own_end: _OwnEnd) -> None:
+        self._response_ends.append(own_end)
+        while own_end.end.at - self._response_ends[0].end.at > RESPONSE_ENDS_KEPT_S:
             self._response_ends.popleft()
-        return end
 
-    def _forget_response_end(self, view: EngineView, end: ResponseEnd) -> None:
+    def _forget_end(self, own_end: _OwnEnd) -> None:
         with contextlib.suppress(ValueError):
-            self._response_ends.remove((end, view.number))
+            self._response_ends.remove(own_end)
 
     def _note_close(self, view: EngineView, end: ResponseEnd) -> None:
         now = clock.now_s()
@@ -335,12 +364,13 @@
     def _lost_all(self, view: EngineView, lost_at: float) -> bool:
         """Return whether an engine's connections, two or more, ended as with its process."""
         has_open = self._transport.has_open_connection(view.record.address, lost_at)
-        return not has_open and self._others_ended(view, lost_at)
+        lost = _OwnEnd(ResponseEnd(lost_at, SAME_END_S), view.number)
+        return not has_open and self._others_ended(lost)
 
-    def _others_ended(self, view: EngineView, ended_at: float) -> bool:
-        """Return whether other responses of an engine ended at the same time as one."""
-        ends = self.response_ends(view.number)
-        return sum(abs(end.at - ended_at) <= SAME_END_S for end in ends) > 1
+    def _others_ended(self, own_end: _OwnEnd) -> bool:
+        """Return whether the end of its engine may have ended a response together with others."""
+        ends = (own for own in self._response_ends if own.number == own_end.number)
+        return sum(own_end.may_be_same(other) for other in ends) > 1
 
     async def _check_lost(
         self, view: EngineView, for_stream: bool, is_direct: bool
