--- /dev/null
+++ b/features/steps/response_fuzz_steps.py
@@ -0,0 +1,30 @@
+"""Steps on scripts of answers that are drawn, and played against a node."""
+
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+
+from features.soak.response_fuzz import ResponseFuzz
+
+
+@when("drawn scripts of answers are played for {seconds:g} s, with seed {seed:d}")
+def step_fuzz(context, seconds, seed):
+    context.fuzz = ResponseFuzz()
+
+    async def run():
+        # The fuzzer runs event loops of its own.
+        loop = asyncio.get_running_loop()
+        with ThreadPoolExecutor(1) as thread:
+            await loop.run_in_executor(thread, context.fuzz.run, seed, seconds)
+
+    context.run(run())
+
+
+@then("no answer was wrong, in {count:d} plays or more")
+def step_sound(context, count):
+    for found in context.fuzz.found.values():
+        print(found)
+    print(f"{context.fuzz.played} plays")
+    assert not context.fuzz.found
+    assert context.fuzz.played >= count
