The next incarnation of an engine is no announcement of its end

Callers saw answers that ended as complete after 3 of 6 pieces: their engine was killed, and the record of the next process at its address was read while the close was looked at (found by drawn scripts).

Cause: `EngineView.leaving` holds for an engine whose record was replaced, or at whose address another incarnation was found, too. The end of a leaving engine may follow its last response, so that the truncated one was believed; for an early last chunk likewise.

Change: `announced_end` leaves out incarnations that were replaced without having said that they end, or removed their record before.

--- a/features/reused_addresses.feature
+++ b/features/reused_addresses.feature
@@ -88,3 +88,17 @@
       | stream | other@0.7 |
       | answer | other     |
       | answer | other@0.7 |
+
+  Scenario Outline: The next incarnation of an engine counts as the announcement of its end: <meanwhile>
+    Given a recorded engine, whose address is answered by another incarnation after 0.03 s
+    When the engine closes a response right after its last bytes, and meanwhile <meanwhile>
+    Then the response counts as <result>, also with a last chunk
+
+    Examples:
+      | meanwhile                                         | result      |
+      | nothing changes                                   | interrupted |
+      | the record of the next incarnation is read        | interrupted |
+      | another stream finds the next incarnation         | interrupted |
+      | a request is misdirected to the next incarnation  | interrupted |
+      | its record says that it drains                    | complete    |
+      | its record is removed                             | complete    |
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -254,14 +254,14 @@
                 evidence = EngineEvidence.UNKNOWN
             if evidence is EngineEvidence.UNKNOWN:
                 evidence = await self._check_connections(view, closed_at, used_before)
-            if evidence is not EngineEvidence.RUNNING and view.leaving:
+            if evidence is not EngineEvidence.RUNNING and view.announced_end:
                 elsewhere = asyncio.ensure_future(self._ask_peers(view, end))
             if evidence is EngineEvidence.UNKNOWN and query.reply is not EngineReply.POSSIBLE:
                 evidence = await self._probe_closed(view, query, until)
             if evidence is EngineEvidence.UNKNOWN and is_abrupt:
                 # Nothing that was there before has been heard of since.
                 evidence = EngineEvidence.ENDED
-            is_leaving, others_ended = view.leaving, self._others_ended(own_end)
+            is_leaving, others_ended = view.announced_end, self._others_ended(own_end)
             if evidence is EngineEvidence.RUNNING:
                 # The engine ended this response itself, so that it is no sign of its own end.
                 self._forget_end(own_end)
--- a/liftrill/gateway/engines/engine_table.py
+++ b/liftrill/gateway/engines/engine_table.py
@@ -88,6 +88,7 @@
         paused_until: time before which this node sends no new requests, because the engine loads
             weights or refused a request; observing `loading_version` ends the pause earlier.
         gone: whether the record was removed or another instance answered at the address.
+        replaced: whether another incarnation is known to answer at the address.
         vanished_at: time when the record disappeared during a store outage, or None.
         withdrawn: whether the engine is out of use until its next good record arrives.
         lacks_start: whether its record has no start time, where those of its service have one.
@@ -109,6 +110,7 @@
     loading_version: int = 0
     notice_sequence: int = 0
     gone: bool = False
+    replaced: bool = False
     vanished_at: float | None = None
     withdrawn: bool = False
     lacks_start: bool = False
@@ -134,6 +136,19 @@
         """Whether the engine takes no new requests any more."""
         return self.gone or self.condition.leaving
 
+    @property
+    def announced_end(self) -> bool:
+        """Whether the engine itself said that it would end; its replacement says nothing of that.
+
+        Engines remove their records as they leave.
+        """
+        return self.condition.leaving or (self.gone and not self.replaced)
+
+    def note_replaced(self) -> None:
+        """Note that another incarnation answers at the address, unless this one has left before."""
+        self.replaced = self.replaced or not self.gone
+        self.gone = True
+
     @property
     def weights(self) -> dict[str, int]:
         """The newest known version of each model; it only rises within one incarnation."""
@@ -311,6 +326,7 @@
         if view is not None and _is_other_incarnation(view.record, record):
             if record.revision < view.record.revision:
                 return None
+            view.replaced = view.replaced or not view.gone
             self.remove(record.engine_id)
             view = None
         if view is not None and view.withdrawn and record.revision <= view.record.revision:
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -397,7 +397,8 @@
             self._record_failure(view, now)
         elif isinstance(event, events.AttemptUnconfirmed):
             view.breaker.record_abandoned()
-            view.gone = view.gone or event.is_other
+            if event.is_other:
+                view.note_replaced()
         elif isinstance(event, events.CompleteResponse | events.EventReceived):
             view.breaker.record_success()
             view.condition.note_answered(sent_at)
@@ -481,7 +482,7 @@
         if kind is events.RefusalKind.UNREACHABLE:
             self._record_failure(view, now)
         elif kind is events.RefusalKind.WRONG_INSTANCE:
-            view.gone = True
+            view.note_replaced()
         elif kind in (events.RefusalKind.WITHDRAWN, events.RefusalKind.PROXY_UNAVAILABLE):
             view.breaker.record_abandoned()
         else:
