Doubt a late close until its engine has had time to end, though it still replies

Callers got plain streams without framing as complete that their engine had cut short, where it still replied at that moment: a server that closes one connection after the other, or closes its port last, or four connections 0.15 s before it ends, and an engine of four processes of which one is killed. Resumable streams were run again at the engine that was shutting down, and broke off there.

Cause: the engine's reply after a close shows that its process runs, and was taken for the end of the response. A process that is about to end replies as well.

Change: a close that came later after the last bytes than sound ones do, or within 0.25 s after such a one, is decided 0.25 s after the last such close, by a further reply: a refusal or another incarnation shows the end. Without a start time, the loss of the connections that were open at the first reply counts against a further one. Responses that an engine which runs on closed at the same time, one of them late, and not all as late after their bytes, are incomplete. A close right after the last bytes waits for nothing.

Two rows of `truncated_answers` change. "same, another response that ended at once" allowed 0.1 s; two closes 20 ms after their last bytes are in doubt now, so that it takes 0.25 s and 0.4 s is asked; four rows are added, two of which ask for 0.04 s where no close is late.

--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -230,6 +230,7 @@
         exits_after_s: how long after its last answer it exits as it leaves.
         closes_after_s: how long after a stream in chunks it closes the connection, which it does
             not announce, or None.
+        report_seconds: how long it takes to answer for its report.
     """
 
     engine_id: str
@@ -275,6 +276,7 @@
     run_label: str = ""
     exits_after_s: float = 0.0
     closes_after_s: float | None = None
+    report_seconds: float = 0.0
 
     def __post_init__(self):
         self.crashed = asyncio.Event()
@@ -361,6 +363,7 @@
             self.reports.append(arrived_at)
             if self._is_dying:
                 return await self._die(request)
+            await asyncio.sleep(self.report_seconds)
             return web.json_response(self._report(), headers=self._announcements("report"))
         if request.path == "/liftrill/order":
             return self._order(json.loads(await request.read()))
--- a/features/standin/stream_callers.py
+++ b/features/standin/stream_callers.py
@@ -79,6 +79,7 @@
         self.deployment = deployment
         self.random = random.Random(seed)
         self.streams = []
+        self.max_gap_s = MAX_GAP_S
 
     async def stream(self, leaves=0, route="resume", node=None, persistent=False, **headers):
         """Read one stream, leaving and resuming it at other nodes so many times.
@@ -163,7 +164,7 @@
     async def _read(self, stream, attempt, answer, leave_after):
         buffer = b""
         while True:
-            async with asyncio.timeout(MAX_GAP_S):
+            async with asyncio.timeout(self.max_gap_s):
                 data = await answer.content.readany()
             if not data:
                 stream.complete = attempt.complete = True
--- a/features/steps/response_end_steps.py
+++ b/features/steps/response_end_steps.py
@@ -165,7 +165,8 @@
     ports = {"accepts": ProbeResult.ACCEPTED, "refuses": ProbeResult.REFUSED}
     context.transport.port = ports[port]
     context.delay_s, context.used_before_s, context.others = CONNECTIONS[connections]
-    context.was_unread = connections.endswith("did not read")
+    # A node does not read a response that its caller does not read.
+    context.was_unread = connections.endswith(("did not read", "caller was slow"))
     context.is_after_end = connections.endswith("ends were marked")
 
 
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -8,7 +8,7 @@
 
 from features.soak.fleet import now_unix_ms
 from features.standin.deployment import Deployment
-from features.standin.engine_process import EngineProcess, SupervisedEngine
+from features.standin.engine_process import EngineOfWorkers, EngineProcess, SupervisedEngine
 from features.standin.stream_callers import StreamCallers
 from features.steps.lost_connection_steps import begin_streams
 
@@ -33,6 +33,8 @@
 @given("{count:d} {kind} engines in processes of their own, whose answers end with {framing}")
 def step_engines(context, count, kind, framing):
     service = {"model": "llm", "desk": "desk"}[kind]
+    framing, _, start = framing.partition(", and whose records name ")
+    framing, workers, _ = framing.partition(", and that have four workers")
     framing, copies, _ = framing.partition(", and that hold copies")
     framing, kept_open, _ = framing.partition(", and whose supervisors keep their ports open")
     framing = {"their connection": "connection", "a last chunk": "chunks"}.get(framing, "length")
@@ -43,7 +45,10 @@
     context.callers = StreamCallers(deployment)
 
     context.framing = framing
+    context.names_start = start != "no start time"
     context.engine_kind = SupervisedEngine if kept_open else EngineProcess
+    if workers:
+        context.engine_kind = EngineOfWorkers
 
     async def add():
         for number in range(count):
@@ -67,7 +72,7 @@
         body_bytes=BODY_BYTES,
         body_seconds=BODY_S,
         framing=context.framing,
-        born_unix_ms=now_unix_ms(),
+        born_unix_ms=now_unix_ms() if context.names_start else 0,
         exits_after_s=exits_after_s,
     )
 
--- a/features/truncated_answers.feature
+++ b/features/truncated_answers.feature
@@ -130,7 +130,11 @@
       | none                   | accepts | no other connection  | 1    | unknown  | 1.3     |
       | none                   | accepts | another response that ended at once | 1 | ended | 1.3 |
       | possible               | accepts | another response that ended at once | 1 | ended | 0.1 |
-      | same                   | accepts | another response that ended at once | 1 | running | 0.1 |
+      | same                   | accepts | another response that ended at once | 1 | running | 0.4 |
+      | same, same, refused    | refuses | another response that ended at once | 4 | ended | 0.6 |
+      | same, same, other      | accepts | another response that ended at once | 4 | ended | 0.4 |
+      | same                   | accepts | others that ended in step | 1 | running | 0.04 |
+      | same                   | accepts | others as late, which this node did not read | 1 | running | 0.04 |
       | none                   | accepts | others that ended in step | 1  | unknown  | 1.3     |
       | none                   | accepts | another, later after its bytes | 1 | ended | 1.3 |
       | possible               | accepts | others that ended in step | 1  | running  | 0.1     |
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -46,10 +46,17 @@
 MAX_REPLY_WAIT_S = 5.0
 # Connections that the end of a process closes are closed within this time of each other.
 SAME_END_S = 0.01
+# By how much less or more time an engine takes from the last bytes of a response to its close.
+CLOSE_JITTER_S = 0.005
 # By how much later than its peer a node may read the bytes that arrived at the same time.
 READ_SKEW_S = 0.002
-# For how long closes are kept to compare them: until the first reply is waited for.
-CLOSES_KEPT_S = 0.1
+# For how long after a close that did not follow the last bytes an engine's closes are doubted: a
+# server that shuts down closes its connections before its process ends.
+SHUTDOWN_S = 0.25
+# How long an engine is observed that goes on closing connections so.
+MAX_SHUTDOWN_S = 2.0
+# For how long closes are kept to compare them.
+CLOSES_KEPT_S = MAX_SHUTDOWN_S
 # For how long the ends of responses are kept: longer than a check takes.
 RESPONSE_ENDS_KEPT_S = 3.0
 
@@ -155,6 +162,13 @@
         await asyncio.wait({self._asking}, timeout=max(0.0, wait_s))
         return self.evidence
 
+    async def ask_again(self, wait_s: float) -> EngineEvidence:
+        """Return what is known after a further reply."""
+        self._asking.cancel()
+        self.reply = EngineReply.NONE
+        self._asking = self._begin()
+        return await self.wait(wait_s)
+
     def resume(self) -> None:
         """Ask again after a refusal."""
         if self.reply is EngineReply.REFUSED:
@@ -258,6 +272,9 @@
                 elsewhere = asyncio.ensure_future(self._ask_peers(view, end))
             if evidence is EngineEvidence.UNKNOWN and query.reply is not EngineReply.POSSIBLE:
                 evidence = await self._probe_closed(view, query, until)
+            is_doubted = evidence is EngineEvidence.RUNNING and self._is_doubted(view, closed_at)
+            if is_doubted:
+                evidence = await self._observe_shutdown(view, query, closed_at, used_before, until)
             if evidence is EngineEvidence.UNKNOWN and is_abrupt:
                 # Nothing that was there before has been heard of since.
                 evidence = EngineEvidence.ENDED
@@ -282,6 +299,8 @@
             peers_answered=ends is not EndsElsewhere.UNKNOWN,
             reply=query.reply,
             is_abrupt=is_abrupt,
+            is_uneven=self._closed_unevenly(view, closed_at),
+            is_doubted=is_doubted,
             sound_delay_s=view.sound_close_s,
             closes_after_ends=view.closes_after_ends,
         )
@@ -357,10 +376,70 @@
 
         Responses that end in step are closed at the same time as well, each right after its bytes.
         """
-        closes = [end for end, number in self._closes if number == view.number]
-        delays_s = [end.delay_s for end in closes if abs(end.at - closed_at) <= SAME_END_S]
+        delays_s = self._delays_of_same_closes(view, closed_at)
         return len(delays_s) > 1 and max(delays_s) > MAX_CLOSE_DELAY_S
 
+    def _closed_unevenly(self, view: EngineView, closed_at: float) -> bool:
+        """Return whether an engine closed several responses at once, not as late after their bytes.
+
+        An engine that closes each response some time after its bytes takes about as long each time.
+        """
+        delays_s = self._delays_of_same_closes(view, closed_at)
+        is_late = max(delays_s) > _longest_sound_delay_s(view)
+        return is_late and max(delays_s) - min(delays_s) > CLOSE_JITTER_S
+
+    def _delays_of_same_closes(self, view: EngineView, closed_at: float) -> list[float]:
+        ends = [end for end, number in self._closes if number == view.number]
+        return [end.delay_s for end in ends if abs(end.at - closed_at) <= SAME_END_S]
+
+    def _late_closes(self, view: EngineView) -> list[float]:
+        """Return when an engine closed responses later after their bytes than sound ones."""
+        longest_s = _longest_sound_delay_s(view)
+        closes = [end for end, number in self._closes if number == view.number]
+        return [end.at for end in closes if end.delay_s > longest_s]
+
+    def _is_doubted(self, view: EngineView, closed_at: float) -> bool:
+        """Return whether a close may belong to the shutdown of an engine that still replies."""
+        if view.leaving:
+            # It closes its last responses and ends.
+            return False
+        return any(
+            closed_at - SHUTDOWN_S <= at <= closed_at + SAME_END_S for at in self._late_closes(view)
+        )
+
+    async def _wait_for_shutdown(self, view: EngineView, closed_at: float, until: float) -> None:
+        """Wait until an engine has closed no further response late for some time."""
+        latest_at = min(closed_at + MAX_SHUTDOWN_S, until)
+        while True:
+            last_at = max([closed_at, *self._late_closes(view)])
+            left_s = min(last_at + SHUTDOWN_S, latest_at) - clock.now_s()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(left_s)
+
+    async def _observe_shutdown(
+        self,
+        view: EngineView,
+        query: IncarnationQuery,
+        closed_at: float,
+        used_before: float,
+        until: float,
+    ) -> EngineEvidence:
+        """Return what is known of an engine that replied, once it may have shut down."""
+        address, replied_at = view.record.address, clock.now_s()
+        had_open = self._transport.has_open_connection(address, replied_at)
+        await self._wait_for_shutdown(view, closed_at, until)
+        has_open = self._transport.has_open_connection(address, replied_at)
+        evidence = await query.ask_again(PROMPT_REPLY_S)
+        if query.reply is EngineReply.POSSIBLE:
+            # The next incarnation may reply, if the process that replied first closed all.
+            return EngineEvidence.UNKNOWN if had_open and not has_open else evidence
+        if evidence is EngineEvidence.UNKNOWN:
+            evidence = await self._check_connections(view, closed_at, used_before)
+        if evidence is EngineEvidence.UNKNOWN:
+            evidence = await self._probe_closed(view, query, until)
+        return evidence
+
     def _lost_all(self, view: EngineView, lost_at: float) -> bool:
         """Return whether an engine's connections, two or more, ended as with its process."""
         has_open = self._transport.has_open_connection(view.record.address, lost_at)
@@ -418,6 +497,11 @@
         return result
 
 
+def _longest_sound_delay_s(view: EngineView) -> float:
+    """Return how late after its last bytes an engine closes a complete response."""
+    return max(MAX_CLOSE_DELAY_S, view.sound_close_s)
+
+
 async def _result_within(task: asyncio.Task[EngineEvidence], wait_s: float) -> EngineEvidence:
     """Return the result of a check, or `UNKNOWN` if there is none in time."""
     await asyncio.wait({task}, timeout=wait_s)
