--- a/features/steps/closed_in_turn_steps.py
+++ b/features/steps/closed_in_turn_steps.py
@@ -13,7 +13,6 @@
 PROMPT_MS = 15.0
 # A close is comparable with those so long before it, and those so shortly after it.
 BEFORE_S, AFTER_S = 0.25, 0.01
-# The times from the last bytes to the close of an engine's sound responses differ by less.
 SHORT_EVENTS, SHORT_EVENT_S = 12, 0.02
 # Callers wait for the end of a stream until its engine has answered.
 MAX_GAP_S = 4.0
