--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -19,7 +19,6 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from liftrill import clock, constants
-from liftrill.end_doubts import EndDoubts
 from liftrill.limited_response import (
     STATUSES_WITHOUT_BODY,
     ResponseCutOffError,
@@ -51,6 +50,8 @@
 MAX_REPLY_WAIT_S = 2.0
 # The end of a stream is held back for at most this share of the time that its caller has left.
 DEADLINE_SHARE = 0.5
+# For how long the ends of a peer's responses are doubted after one whose last chunk came early.
+END_DOUBT_S = 300.0
 # The line feed that ends the last chunk, without which the library does not find the end.
 HELD_BYTES = 1
 # An idle connection is reused only within this share of the peer's announced keep-alive timeout.
@@ -130,6 +131,22 @@
         return min(max(hold_s, MIN_END_HOLD_S), MAX_END_HOLD_S)
 
 
+class EndDoubts:
+    """The peers whose last chunks may come early, by address."""
+
+    def __init__(self) -> None:
+        self._until: dict[str, float] = {}
+
+    def add(self, address: str, now: float) -> None:
+        """Doubt the ends of a peer's responses from now on."""
+        self._until = {known: until for known, until in self._until.items() if until > now}
+        self._until[address] = now + END_DOUBT_S
+
+    def has(self, address: str, now: float) -> bool:
+        """Return whether the ends of a peer's responses are doubted."""
+        return self._until.get(address, 0.0) > now
+
+
 class GuardedResponseHandler(ResponseHandler):
     """A connection that closes on malformed, unsolicited or endless bytes, and detects resets."""
 
