--- a/features/run.py
+++ b/features/run.py
@@ -2,7 +2,7 @@
 
 Feature files are distributed to parallel processes, the slowest first. A process that ends without
 results, or does not end in time, fails the run. Scenarios listed in KNOWN-RED.txt (one a line:
-`scenario | cause | issue`, at most eleven) may fail without failing the run. They are printed, and a
+`scenario | cause | issue`, at most 11) may fail without failing the run. They are printed, and a
 listed scenario that passes fails the run, so that the list cannot become outdated, unless its cause
 begins with "sometimes:".
 """
