--- a/features/steps/malformed_answer_steps.py
+++ b/features/steps/malformed_answer_steps.py
@@ -42,6 +42,17 @@
     context.run(call_all())
 
 
+def ask_at_once(context, count, route):
+    """Let so many callers ask the first node at once, and wait for their answers."""
+
+    async def ask_all():
+        node = context.deployment.nodes[0]
+        asking = (context.callers.ask(node, HTTP_1_1, route) for _ in range(count))
+        await asyncio.gather(*asking)
+
+    context.run(ask_all())
+
+
 def spoiled_answers(context):
     """Return what callers received whose requests met a fault, with the fault."""
     met = cut_at(context)
@@ -231,22 +242,12 @@
     for engine in prepare(context, route):
         engine.event_seconds, engine.closes_after_s = CLOSED_EVENT_S, pause
 
-    async def ask_all():
-        node = context.deployment.nodes[0]
-        asking = (context.callers.ask(node, HTTP_1_1, route) for _ in range(count))
-        await asyncio.gather(*asking)
-
-    context.run(ask_all())
+    ask_at_once(context, count, route)
 
 
 @when("{count:d} more are read at once")
 def step_more(context, count):
-    async def ask_all():
-        node = context.deployment.nodes[0]
-        asking = (context.callers.ask(node, HTTP_1_1, "resume") for _ in range(count))
-        await asyncio.gather(*asking)
-
-    context.run(ask_all())
+    ask_at_once(context, count, "resume")
 
 
 @then("at most {most:d} of {count:d} streams ran more than once")
