Whether the end of a closed response was marked is told once, with the times of its close

ConnectionClosed.is_marked and CloseTimes.is_after_end were set side by side from the same framing; the first is derived from the second now. A comment that had outlived the field it described is gone.

--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -188,7 +188,8 @@
 def step_closes_after_end(context, state):
     evidence, _, leaving = state.partition(" as it ")
     known = CloseEvidence(events.EngineEvidence(evidence), is_leaving=bool(leaving))
-    closed = events.ConnectionClosed(events.StreamCompleted(), is_marked=True)
+    after_end = events.CloseTimes(is_after_end=True)
+    closed = events.ConnectionClosed(events.StreamCompleted(), after_end)
     feed(context, resolve_close(closed, known, context.machine.request.may_run_again))
 
 
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -145,7 +145,6 @@
         self._close_check_s = 0.0
         # When the end of the stream arrived, if it is held back.
         self._end_held_at: float | None = None
-        # The engine whose end of the stream was doubted, and how long after its last bytes it came.
         # The engine and the close of the end that a new run is to confirm.
         self._doubted: tuple[EngineView, events.ConnectionClosed] | None = None
         self._ended = False
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -160,12 +160,15 @@
 
     Attributes:
         completed: the event to handle if the response is complete.
-        is_marked: whether the response marked its end before, and the engine was not to close.
     """
 
     completed: CompleteResponse | StreamCompleted
     times: CloseTimes = CloseTimes()
-    is_marked: bool = False
+
+    @property
+    def is_marked(self) -> bool:
+        """Whether the response had marked its end before, and the engine was not to close."""
+        return self.times.is_after_end
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -95,8 +95,7 @@
     framing = framing_of(response)
     complete = events.CompleteResponse(response.status, headers, body, framing)
     if framing is CONNECTION or not end.is_confirmed:
-        is_marked = framing is not CONNECTION
-        return [events.ConnectionClosed(complete, end.times, is_marked)]
+        return [events.ConnectionClosed(complete, end.times)]
     return [complete]
 
 
@@ -133,10 +132,9 @@
             if self._splitter.has_partial_event:
                 return [events.AttemptInterrupted("incomplete event at the end of the stream")]
             completed = events.StreamCompleted()
-            end, is_marked = self._end, self.framing is not CONNECTION
-            if is_marked and end.is_confirmed:
+            if self.framing is not CONNECTION and self._end.is_confirmed:
                 return [completed]
-            return [events.ConnectionClosed(completed, end.times, is_marked)]
+            return [events.ConnectionClosed(completed, self._end.times)]
         received: list[events.DeliveryEvent] = [
             events.EventReceived(event) for event in self._splitter.feed(data)
         ]
