--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,8 +10,9 @@
 MODEL = "model-1"
 TARGET = "/dossier/review"
 ATTEMPT = "a0000001"
-# With these the one extra answer is at most 0.03 of the engine's answers.
-LATER_REQUESTS = 40
+# With these the one extra answer is at most 0.03 of the engine's answers within 5 s.
+LATER_REQUESTS = 60
+SENT_AT_ONCE = 4
 HEARTBEAT_AFTER_S = 0.04
 
 
@@ -55,9 +56,10 @@
     runs = sum(engine.runs.count(ATTEMPT) for engine in engines)
     log(f"{ATTEMPT} was answered {status} and was begun {runs} times")
     served = 0
-    for number in range(LATER_REQUESTS):
-        later, _ = await fleet.send(node, log, f"b{number:07}", TARGET, 6000, fleet.prompt())
-        served += later == 200
+    for first in range(0, LATER_REQUESTS, SENT_AT_ONCE):
+        ids = [f"b{number:07}" for number in range(first, first + SENT_AT_ONCE)]
+        sending = [fleet.send(node, log, i, TARGET, 6000, fleet.prompt()) for i in ids]
+        served += [status for status, _ in await asyncio.gather(*sending)].count(200)
     log(f"{served} of {LATER_REQUESTS} later requests were served")
     if served < LATER_REQUESTS // 2:
         return 2
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,8 +14,8 @@
 SENT_AFTER_S = 3.3
 WORK_S = 4.3
 GRACE_S = 8.0
-# The site's sheets name the store's being down for 4.5 s.
-DOWN_S = 4.5
+# One of the site's days has the store silent for 2.6 s, 0.1 s of which are before the SIGTERM.
+DOWN_S = 2.4
 
 
 async def resolve(node, log):
@@ -62,10 +62,11 @@
         await asyncio.sleep(1.5)
         # The answer of before is a second old: none newer is to be had.
         await resolve(node, log)
+        await asyncio.sleep(stopped_at + DOWN_S - now_s())
+        store.is_silent = False
+        log("the store is up")
         await asyncio.sleep(stopped_at + SENT_AFTER_S - now_s())
         sending = asyncio.ensure_future(fleet.send(node, log, ATTEMPT, TARGET, 10000))
-        await asyncio.sleep(max(0.0, stopped_at + DOWN_S - now_s()))
-        store.is_silent = False
         status, _ = await sending
         ended_s = now_s() - stopped_at
         await asyncio.wait_for(node.process.wait(), 10)
