Tests: the reasons of unexpected failures are printed last

What was seen: of a run that fails, often only the end of the output is at hand.

Change: the listed rows come first, then the reasons of the listed scenarios that failed in this run, which were not printed at all, then the unexpected ones. What fails a run is unchanged.

--- a/features/run.py
+++ b/features/run.py
@@ -181,16 +181,17 @@
 
 
 def report(results: list[Result], listed: dict[str, str]) -> int:
-    """Print the results and return the exit code."""
+    """Print the results, unexpected ones last, and return the exit code."""
     passed = [r for r in results if r.status == Status.passed.name]
     failed = [r for r in results if r.status not in (Status.passed.name, Status.skipped.name)]
     unexpected = [r for r in failed if r.name not in listed]
     fixed = [r for r in passed if r.name in listed and not _is_intermittent(listed[r.name])]
-    for result in unexpected:
-        print(f"FAILED {result.location} {result.name} ({result.status})")
-        print(f"  {result.reason}")
     for row in listed.values():
         print(f"KNOWN RED {row}")
+    for result in (r for r in failed if r.name in listed):
+        print(f"KNOWN RED, FAILED {result.location}: {result.reason}")
+    for result in unexpected:
+        print(f"FAILED {result.location} {result.name} ({result.status}): {result.reason}")
     for result in fixed:
         print(f"LISTED BUT PASSING {result.name}: remove it from KNOWN-RED.txt")
     print(f"{len(passed)} passed, {len(failed)} failed")
