No connection carries two sends of a request

Cause: an engine repeats its 421 in the place of the next answer on a connection. Answers name their request, but not which of its sends they answer, and the second send of the request used the same connection. So the repeated refusal passed for the answer to the second send. With 3 and 4 attempts the request then ran twice.

Evidence: features/repeated_answers.feature fails before this change in seven of seven rows: 503 and 1 run, directly and by a peer.

Change: a connection remembers the last 32 ids that it carried, and is closed before it carries one of them again (logged as connection_replaced). After: seven of seven rows get 200 by one run.

The connection that a refused send costs is opened only if the request is sent again to the same engine over an idle connection that carried it.

--- /dev/null
+++ b/features/repeated_answers.feature
@@ -0,0 +1,34 @@
+Feature: Answers that engines repeat in the place of the next one
+
+  Guards against an answer to one send of a request that is taken for the answer to its next send:
+  the caller is then told that a request which runs was not run, or it runs twice.
+
+  Scenario Outline: A repeated refusal is taken for the answer to the next send: <route>, <attempts> attempts
+    Given a stand-in platform with 1 desk engines and 0 model engines
+    And a model engine that repeats a refusal
+    And a node
+    And the first node has read routes with <attempts> attempts
+    When a client posts to "/<route>/x", and the engine refuses it once its record is up to date
+    Then the client got the whole answer of one run, on another connection than the refusal
+
+    Examples:
+      | route  | attempts |
+      | stream | 2        |
+      | stream | 3        |
+      | stream | 4        |
+      | once   | 2        |
+      | safely | 2        |
+
+  Scenario Outline: A peer takes a repeated refusal for the answer to the next send: <route>
+    Given a stand-in platform with 1 desk engines and 0 model engines
+    And a model engine that repeats a refusal
+    And 2 nodes whose links to engines can be cut
+    And the first node reaches no engine, and its peer reaches all
+    And the first node has read routes with 2 attempts
+    When a client posts to "/<route>/x", and the engine refuses it once its record is up to date
+    Then the client got the whole answer of one run, on another connection than the refusal
+
+    Examples:
+      | route  |
+      | stream |
+      | once   |
--- a/features/standin/connections.py
+++ b/features/standin/connections.py
@@ -1,5 +1,6 @@
-"""Fault injection for single connections."""
+"""Listeners, and fault injection for single connections."""
 
+import asyncio
 import socket
 import struct
 
@@ -11,3 +12,10 @@
     connection = transport.get_extra_info("socket")
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     transport.abort()
+
+
+async def listen(stack, serve):
+    """Serve connections on loopback until a stack is closed; return the port."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    stack.callback(server.close)
+    return server.sockets[0].getsockname()[1]
--- a/features/standin/deployment.py
+++ b/features/standin/deployment.py
@@ -57,6 +57,8 @@
     extra_tenants=(),
     timeout_ms=5000,
     extra_services=(),
+    attempts=2,
+    target_ms=800,
 ):
     routes = [
         {
@@ -65,10 +67,10 @@
             "PathPrefix": prefix,
             "RouteType": kind,
             "TimeoutMs": timeout_ms,
-            "TargetLatencyMs": 800,
+            "TargetLatencyMs": target_ms,
             "Priority": 1,
             "Service": service,
-            "MaxAttempts": 2,
+            "MaxAttempts": attempts,
             "Public": False,
             "Sticky": service == "llm",
             "Resumable": name in resumable,
--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from features.standin.connections import listen
 from liftrill.gateway.http_client import new_engine_session
 from liftrill.guarded_connection import idle_limit_s
 
@@ -29,13 +30,8 @@
 @given('an engine whose Keep-Alive header is "{header}"')
 @given('an engine whose Keep-Alive header is ""')
 def step_engine(context, header=""):
-    async def start():
-        context.engine = Engine(header)
-        server = await asyncio.start_server(context.engine.serve, "127.0.0.1", 0)
-        context.stack.callback(server.close)
-        context.port = server.sockets[0].getsockname()[1]
-
-    context.run(start())
+    context.engine = Engine(header)
+    context.port = context.run(listen(context.stack, context.engine.serve))
 
 
 @when("two requests are sent to the engine, {pause:g} s apart")
--- a/features/steps/proxied_requests_steps.py
+++ b/features/steps/proxied_requests_steps.py
@@ -23,7 +23,8 @@
     context.run(cut_first(context))
 
 
-async def cut_first(context):
+async def cut_first(context, paths=(("/safe/x", ""), ("/stream/x", "model-1"))):
+    """Cut the first node's links, and wait until requests to all paths are served by its peer."""
     deployment = context.deployment
     first = deployment.nodes[0]
 
@@ -34,10 +35,7 @@
     context.links[first.name].cut(CutKind.REFUSE)
 
     async def all_served():
-        answers = [
-            await deployment.call(first, "/safe/x"),
-            await deployment.call(first, "/stream/x", model="model-1"),
-        ]
+        answers = [await deployment.call(first, path, model=model) for path, model in paths]
         return all(answer[0] == SERVED for answer in answers)
 
     await deployment.wait_until(all_served, SETTLE_S)
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -154,6 +154,11 @@
             after_end_ms=None if after_end_s is None else round(1000 * after_end_s, 1),
         )
 
+    def connection_replaced(self, address: str, request_id: str) -> None:
+        """Log that a connection was closed, as a request that it has carried is sent again."""
+        inputs = {"address": address, "request": request_id}
+        self._write("connection_replaced", self._ordinary, inputs)
+
     def store_era_refused(self, era: int | None, raw_era: str) -> None:
         """Log that an answer of the store has an earlier era than the known one, or none."""
         self._write_failure("store_era_refused", era=era, told=raw_era[:20])
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -6,8 +6,10 @@
 import asyncio
 import itertools
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from contextvars import ContextVar
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -45,25 +47,78 @@
     """A request that must not be sent any more, though its connection was established."""
 
 
-# Called when the connection for a request is ready, before its first byte is written.
-may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=allow_send)
+@dataclass(frozen=True, slots=True)
+class Send:
+    """One send of a request to an engine.
+
+    Attributes:
+        may_begin: called when the connection is ready, before its first byte is written.
+        request_id: what answers repeat to name their request, or empty.
+    """
+
+    may_begin: Callable[[], bool] = allow_send
+    request_id: str = ""
+
+
+_ANY_SEND = Send()
+# What the current task sends, for which it asks for a connection.
+_current_send: ContextVar[Send] = ContextVar("current_send", default=_ANY_SEND)
+
+
+@contextmanager
+def sending(send: Send) -> Iterator[None]:
+    """Apply a send to the requests that the current task makes while the block runs."""
+    token = _current_send.set(send)
+    try:
+        yield
+    finally:
+        _current_send.reset(token)
+
+
+ReportReplaced = Callable[[str, str], None]
+
+
+def ignore_replaced(address: str, request_id: str) -> None:
+    """Do nothing as a connection is replaced."""
 
 
 class CheckingConnector(aiohttp.TCPConnector):
-    """A connector that returns a connection only if its request may still be sent.
+    """A connector that returns a connection only if its request may be sent, and sent on it.
 
     A connection can take a second to establish, or the machine may sleep meanwhile, so that the
     state by which the engine was chosen is outdated.
+
+    Answers name their request, but not which of its sends they answer. An engine may repeat an
+    answer in the place of the next one on a connection, so that no connection carries two sends
+    of the same request.
+
+    Attributes:
+        on_replaced: called with HOST:PORT and the request's id when a connection is closed because
+            it has carried the request before.
     """
 
+    on_replaced: ReportReplaced = staticmethod(ignore_replaced)
+
     async def connect(self, *args: Any, **options: Any) -> Connection:
-        """Return a connection for a request, or raise SendWithdrawnError."""
-        connection = await super().connect(*args, **options)
-        if may_send.get()():
+        """Return a connection for the current send, or raise SendWithdrawnError."""
+        send = _current_send.get()
+        connection = await self._connect_for(send, *args, **options)
+        if send.may_begin():
             return connection
         connection.release()
         raise SendWithdrawnError("the request may no longer be sent")
 
+    async def _connect_for(self, send: Send, *args: Any, **options: Any) -> Connection:
+        while True:
+            connection = await super().connect(*args, **options)
+            handler = connection.protocol
+            if not isinstance(handler, GuardedResponseHandler):
+                return connection
+            if handler.accept_request(send.request_id):
+                return connection
+            self.on_replaced(handler.address, send.request_id)
+            connection.close()
+
     def discard_idle(self, address: str) -> None:
         """Close the idle connections to HOST:PORT."""
         host, _, port = address.rpartition(":")
@@ -92,6 +147,12 @@
         )
 
 
+def _is_to(handler: ResponseHandler, host: str, port: int) -> bool:
+    """Return whether an open connection leads to an address."""
+    transport = handler.transport
+    return transport is not None and transport.get_extra_info("peername") == (host, port)
+
+
 class LargeBody(aiohttp.BytesPayload):
     """A body that is written in pieces.
 
@@ -126,13 +187,16 @@
 
 
 def new_engine_session(
-    report: ReportFault = no_report, limit_per_host: int = 0
+    report: ReportFault = no_report,
+    limit_per_host: int = 0,
+    report_replaced: ReportReplaced = ignore_replaced,
 ) -> aiohttp.ClientSession:
     """Return a session that sends each request once and does not alter responses."""
     return _new_session(
         BodyLimits(),
         report,
         holds_ends=True,
+        report_replaced=report_replaced,
         limit_per_host=limit_per_host,
         keepalive_timeout=MAX_IDLE_S,
     )
@@ -158,8 +222,18 @@
     return report
 
 
+def logged_engine_session(log: DecisionLog, metrics: GatewayMetrics) -> aiohttp.ClientSession:
+    """Return an engine session that logs malformed responses and replaced connections."""
+    report = fault_reporter(log, metrics)
+    return new_engine_session(report, report_replaced=log.connection_replaced)
+
+
 def _new_session(
-    body_limits: BodyLimits, report: ReportFault, holds_ends: bool = False, **options: Any
+    body_limits: BodyLimits,
+    report: ReportFault,
+    holds_ends: bool = False,
+    report_replaced: ReportReplaced = ignore_replaced,
+    **options: Any,
 ) -> aiohttp.ClientSession:
     connector = CheckingConnector(
         limit=0,
@@ -168,6 +242,7 @@
         socket_factory=_open_socket,
         **options,
     )
+    connector.on_replaced = report_replaced
     return guarded_session(
         connector,
         body_limits,
@@ -182,12 +257,6 @@
     )
 
 
-def _is_to(handler: ResponseHandler, host: str, port: int) -> bool:
-    """Return whether an open connection leads to an address."""
-    transport = handler.transport
-    return transport is not None and transport.get_extra_info("peername") == (host, port)
-
-
 def discard_idle(session: aiohttp.ClientSession, address: str) -> None:
     """Close the idle connections of an engine session to HOST:PORT."""
     if isinstance(session.connector, CheckingConnector):
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -104,6 +104,7 @@
             engines, paths.links, parts.memory, log, metrics, forwarder.check_closed
         )
         self._server.question_path = transport.question_path
+        self._server.id_header = transport.id_header
         self._exchange = ReachExchange(
             engines,
             paths.proxies,
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -54,6 +54,7 @@
         may_send: whether an engine may be sent a request now.
         check_closed: finds out what became of an engine after it closed a response's connection.
         question_path: a path at each engine whose reply shows that the response before it is over.
+        id_header: the header that names a request in it and in its answers, or empty.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         self.may_send: Callable[[EngineView], bool] = lambda view: True
         self.check_closed = check_closed
         self.question_path = ""
+        self.id_header = ""
         self._engines = engines
         self._links = links
         self._memory = memory
@@ -79,9 +81,7 @@
 
     async def listen(self, address: str) -> None:
         """Listen at HOST:PORT."""
-        self._session = http_client.new_engine_session(
-            http_client.fault_reporter(self._log, self._metrics)
-        )
+        self._session = http_client.logged_engine_session(self._log, self._metrics)
         receive_bytes = RECEIVE_BUFFER_BYTES if self._memory is not None else 0
         await self._server.listen(address, self._on_request, receive_bytes, MAX_HEADER_BYTES)
 
@@ -142,16 +142,18 @@
         assert self._session is not None
         url = URL(f"http://{view.record.address}{request.raw_path}", encoded=True)
         headers = kept_headers(request.headers, DROPPED_HEADERS)
-        may_send_token = http_client.may_send.set(lambda: self.may_send(view))
+        request_id = request.headers.get(self.id_header, "")
+        send = http_client.Send(lambda: self.may_send(view), request_id)
         use = self._links.begin(view.identity, _ignore_down, clock.now_s())
         try:
-            response = await self._session.request(
-                request.method,
-                url,
-                data=http_client.payload(content),
-                headers=headers,
-                allow_redirects=False,
-            )
+            with http_client.sending(send):
+                response = await self._session.request(
+                    request.method,
+                    url,
+                    data=http_client.payload(content),
+                    headers=headers,
+                    allow_redirects=False,
+                )
             self._links.received(use, clock.now_s())
             try:
                 return await self._return(request, response, view)
@@ -168,7 +170,6 @@
             return self._lose(request, error)
         finally:
             self._links.end(use)
-            http_client.may_send.reset(may_send_token)
 
     async def _return(
         self, request: web.BaseRequest, response: aiohttp.ClientResponse, view: EngineView
--- a/liftrill/gateway/transport.py
+++ b/liftrill/gateway/transport.py
@@ -112,9 +112,11 @@
     Attributes:
         question_path: a path at each engine that changes nothing, or empty. A reply to a request
             for it shows that the response before it on the connection is over.
+        id_header: the header that names a request in it and in its answers, or empty.
     """
 
     question_path: ClassVar[str] = ""
+    id_header: ClassVar[str] = ""
 
     @abstractmethod
     def attempt(self, request: OpaqueRequest, start: events.StartAttempt) -> EngineAttempt:
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import functools
 import math
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -58,6 +59,8 @@
 IDLE_TIMEOUT_SHARE = 0.8
 MAX_IDLE_S = 30.0
 MAX_TIMEOUT_DIGITS = 9
+# How many of the last requests of a connection it remembers.
+MAX_KEPT_IDS = 32
 
 
 class RejectedResponseError(MalformedResponseError, ClientPayloadError):
@@ -184,6 +187,19 @@
         # When the first bytes arrived.
         self.first_data_at = math.inf
         self._closed_at = math.inf
+        # The last requests that were sent on the connection.
+        self._request_ids: deque[str] = deque(maxlen=MAX_KEPT_IDS)
+
+    def accept_request(self, request_id: str) -> bool:
+        """Take a request that is about to be sent; return False if it was sent here before.
+
+        Without an id, all requests are accepted.
+        """
+        if request_id in self._request_ids:
+            return False
+        if request_id:
+            self._request_ids.append(request_id)
+        return True
 
     @property
     def holds_end(self) -> bool:
@@ -318,7 +334,7 @@
         elif message.chunked:
             is_stream = message.headers.get("Content-Type", "").startswith(EVENT_STREAM)
             if self._doubts is not None:
-                self._is_doubted = self._doubts.has(self._address(), clock.now_s())
+                self._is_doubted = self._doubts.has(self.address, clock.now_s())
                 self._pace = StreamPace() if is_stream or self._is_doubted else None
             self._body = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
         elif length is not None:
@@ -465,10 +481,11 @@
     def _doubt_ends(self, body: BodyScanner | None) -> None:
         """Doubt the ends of the peer's responses if one in chunks ended too early."""
         if self._doubts is not None and isinstance(body, ChunkScanner):
-            self._doubts.add(self._address(), clock.now_s())
+            self._doubts.add(self.address, clock.now_s())
 
-    def _address(self) -> str:
-        """Return HOST:PORT of the peer, or nothing if the connection is lost."""
+    @property
+    def address(self) -> str:
+        """HOST:PORT of the peer, or nothing if the connection is lost."""
         peer = self.transport.get_extra_info("peername") if self.transport is not None else None
         return f"{peer[0]}:{peer[1]}" if peer else ""
 
@@ -485,7 +502,7 @@
         self._abort()
 
     def _report_fault(self, reason: str, after_end_s: float | None = None) -> None:
-        self._report(ResponseFault(self._address(), reason, after_end_s))
+        self._report(ResponseFault(self.address, reason, after_end_s))
 
     def _fail_body(self, error: ClientPayloadError) -> None:
         """Raise an error to the reader of an incomplete body."""
