The stop schedule counts from the signal, whatever the node waits for

Cause: the stop waited for a call of the store before it began the 2.9 s for which requests are still begun, so that requests were begun up to 3.9 s after the signal, and cut at the end of the grace time. Late bodies had the same effect with nothing wrong: only the arrival of the head was compared with the limit.

Change: StopSchedule has the times of a stop, counted from the signal. Whether a request may begin is asked each time one that no engine can have run would be sent: on arrival, after each wait, before its first byte, and where a peer passes one on. What is not begun is refused as not run, with the time after which another node may be asked.

--- a/features/gateway_delivery.feature
+++ b/features/gateway_delivery.feature
@@ -379,6 +379,37 @@
   Scenario: The order of a long stream takes little memory
     Then the order of a stream of 20000 events is kept in at most 8 KB
 
+  Scenario Outline: A node that stops begins a request that waited until it was too late: <wait>
+    Given an idempotent request, with 3 attempts
+    And no engine is ready
+    When it starts
+    Then it is queued for an engine
+    When the node begins no more requests
+    And an engine becomes ready unnoticed
+    And <wait>
+    Then it is refused with a retry time
+    And it was sent 0 times
+
+    Examples:
+      | wait           |
+      | its wait ends  |
+      | it starts      |
+
+  Scenario: A node that stops begins a request anew that was refused
+    Given an idempotent request, with 3 attempts
+    When it starts
+    And the node begins no more requests
+    And the engine refuses the request as overloaded
+    Then it is refused with a retry time
+    And it was sent 1 time
+
+  Scenario: A node that stops gives up a request that may have run, which it could repeat
+    Given an idempotent request, with 3 attempts
+    When it starts
+    And the node begins no more requests
+    And the connection to the engine breaks
+    Then it is sent to another engine
+
   Scenario Outline: After its wait a request is tried once more, then refused
     Given an at-most-once request, with 1 attempts
     And no engine is ready
--- a/features/run.py
+++ b/features/run.py
@@ -49,6 +49,7 @@
     "builds",
     "at_most_once",
     "command_line",
+    "stopping_nodes",
     "platform",
     "crash_parts",
     "crash_requests",
--- a/features/standin/store.py
+++ b/features/standin/store.py
@@ -30,6 +30,7 @@
         refused_ips: the addresses of nodes whose calls get 503; a node calls at its own address.
         unnotified_ips: the addresses of nodes whose watches return no changes.
         odd_rows: JSON texts that take the place of rows in answers, by key.
+        delay_s: how long it takes to answer each call.
         era: the `Store-Era` in all answers, or None to leave it out.
     """
 
@@ -45,6 +46,7 @@
         self.refused_ips = set()
         self.unnotified_ips = set()
         self.odd_rows = {}
+        self.delay_s = 0.0
         self.era = None
         self.address = ""
         self.port = 0
@@ -167,6 +169,7 @@
             return web.Response(status=429, headers=self._era_headers())
         if self.fault == "silent":
             await asyncio.sleep(30)
+        await asyncio.sleep(self.delay_s)
         if self.fault == "reset":
             request.transport.abort()
             return web.Response()
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -32,6 +32,7 @@
 
     def __init__(self):
         self.ready = True
+        self.begins = True
         self.retries = 10
         self.backup = None
         self.next_backup = None
@@ -55,6 +56,9 @@
             backup.engine_id, backup.address, backup=self.next_backup, continues_at_backup=True
         )
 
+    def may_begin(self):
+        return self.begins
+
     def has_other_path(self, request, choice):
         return False
 
@@ -127,6 +131,11 @@
     context.ports.ready = False
 
 
+@when("the node begins no more requests")
+def step_begins_none(context):
+    context.ports.begins = False
+
+
 @when("it starts")
 def step_starts(context):
     feed(context, events.Started())
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -27,6 +27,8 @@
     events.RefusalKind.WITHDRAWN,
     events.RefusalKind.PROXY_UNAVAILABLE,
 )
+# A caller that a stopping node refuses may send its request to another node after this time.
+STOPPING_RETRY_AFTER_S = 0.1
 # How many times an engine is tried that could not be reached: by the node's own link and by peers.
 MAX_PATHS = 3
 
@@ -251,6 +253,8 @@
     # Decisions
 
     def _attempt_or_wait(self, may_wait: bool = True) -> list[events.DeliveryInstruction]:
+        if not self._ledger.possibly_run_attempts and not self._ports.may_begin():
+            return [self._end(ResultCode.NODE_DRAINING)]
         choice = self._choose_untried(may_wait)
         if isinstance(choice, Unavailable):
             self._refusal_code = REFUSAL_CODES.get(choice, self._refusal_code)
@@ -320,10 +324,14 @@
         if self._head_sent:
             return events.AbortStream(ResultCode.STREAM_INTERRUPTED)
         if self._ledger.seal_if_not_run() is not None:
-            wait = self._ports.retry_after_seconds(self.request)
-            return events.RefuseRequest(code, wait)
+            return events.RefuseRequest(code, self._retry_after_s(code))
         return events.FailRequest(unknown or self._engine_loss_code())
 
+    def _retry_after_s(self, code: ResultCode) -> float:
+        if code is ResultCode.NODE_DRAINING:
+            return STOPPING_RETRY_AFTER_S
+        return self._ports.retry_after_seconds(self.request)
+
     def _validate(self, instructions: list[events.DeliveryInstruction]) -> None:
         """Check the invariants that hold after each event."""
         starts = sum(isinstance(i, events.StartAttempt) for i in instructions)
--- a/liftrill/gateway/delivery_ports.py
+++ b/liftrill/gateway/delivery_ports.py
@@ -43,6 +43,10 @@
     ) -> events.EngineChoice | None:
         """Return how to continue an interrupted run at its backup, or None if it cannot."""
 
+    @abstractmethod
+    def may_begin(self) -> bool:
+        """Return whether a request that no engine has received may be sent to one."""
+
     @abstractmethod
     def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
         """Return whether to try an engine again that could not be reached by one path."""
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -39,8 +39,8 @@
 REFUSAL_BACKOFF_SECONDS = 0.15
 
 
-def _always_current(now: float) -> bool:
-    """Treat the node's state as current."""
+def _always(now: float) -> bool:
+    """Allow something at any time."""
     return True
 
 
@@ -66,6 +66,7 @@
         software_versions: selects engines by their software version.
         must_wait: whether capacity that may be free is due to another waiting request.
         retry_after: when callers refused for lack of capacity should retry.
+        may_begin_at: whether the node may begin a request at a time.
     """
 
     def __init__(
@@ -75,7 +76,8 @@
         quotas: QuotaGate | None = None,
         quarantine: Quarantine | None = None,
     ) -> None:
-        self.state_is_current: Callable[[float], bool] = _always_current
+        self.state_is_current: Callable[[float], bool] = _always
+        self.may_begin_at: Callable[[float], bool] = _always
         self.speeds = selector.speeds
         self.limits = selector.limits
         self.must_wait: Callable[[OpaqueRequest], bool] = _never_waits
@@ -174,6 +176,10 @@
         is_overloaded = self._selector.guard.is_overloaded(request.service)
         return QueueForecast(self._selector.prompt_prefill_s(request), is_overloaded)
 
+    def may_begin(self) -> bool:
+        """Return whether a request that no engine has received may be sent to one."""
+        return self.may_begin_at(clock.now_s())
+
     def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
         """Return whether to try an engine again that could not be reached by one path."""
         return self._selector.has_other_path(choice, request, clock.now_s())
@@ -339,7 +345,7 @@
         attempt = self._transport.attempt(request, start)
         if view is None:
             return None, attempt
-        attempt.may_send = partial(self._may_send, view, start.choice)
+        attempt.may_send = partial(self._may_send, view, start.choice, first)
         if start.choice.slot is not None:
             attempt = SlotAttempt(attempt, partial(self._slot_freed, view))
         paths, proxy = self._ports.paths, start.choice.proxy
@@ -353,9 +359,11 @@
         check = partial(self.incarnation_check.check, view, proxy is not None)
         return view, ConfirmedAttempt(attempt, check)
 
-    def _may_send(self, view: EngineView, choice: events.EngineChoice) -> bool:
+    def _may_send(self, view: EngineView, choice: events.EngineChoice, first: bool) -> bool:
         """Return whether an engine chosen earlier may still be sent the request now."""
         now = clock.now_s()
+        if first and not self._ports.may_begin_at(now):
+            return False
         if not self._ports.state_is_current(now) or view.rejects_requests(now):
             return False
         if not self._ports.limits.may_send(view.identity, choice.permit, now):
--- a/liftrill/gateway/gateway.py
+++ b/liftrill/gateway/gateway.py
@@ -26,6 +26,7 @@
     RequestAdmission,
 )
 from liftrill.gateway.admission.retry_allowance import new_allowance
+from liftrill.gateway.begin_deadlines import StopSchedule
 from liftrill.gateway.cluster_state import ClusterState
 from liftrill.gateway.configuration_view import ConfigurationView
 from liftrill.gateway.decision_log import DecisionLog, rounded_age
@@ -108,7 +109,7 @@
         self.settings = settings
         self.log = log
         self.metrics = metrics
-        self.stopping = False
+        self.stop_schedule = StopSchedule(bounds.stop_seconds)
         self.memory = new_node_memory(settings, log, metrics)
         self._started_at = clock.now_s()
         self.view = ConfigurationView(bounds.key_proof_seconds - constants.KEY_PROOF_MARGIN_SECONDS)
@@ -196,6 +197,7 @@
         self._quarantine = Quarantine(engines, log, metrics, self._peers, self._quarantine_records)
         ports = ForwardingPorts(selector, self._allowance, self._quotas, self._quarantine)
         ports.state_is_current = self._state_is_current
+        ports.may_begin_at = self.stop_schedule.may_begin
         self.forwarder = Forwarder(
             engines, ports, self._allowance, transport, log, metrics, self._quarantine
         )
@@ -257,12 +259,13 @@
         A node that starts while the store is unreachable may have copied another node's mirror.
         It refuses all callers with a key until it has a proof of currency of its own.
         """
-        return not self.stopping and self.view.was_proven and len(self._engines) > 0
+        is_stopping = self.stop_schedule.is_stopping
+        return not is_stopping and self.view.was_proven and len(self._engines) > 0
 
     @property
     def sheds_connections(self) -> bool:
         """Whether responses ask callers to close their connections."""
-        if self.stopping or self._load_shedder.closes_connections:
+        if self.stop_schedule.is_stopping or self._load_shedder.closes_connections:
             return True
         return self.paths.leaves_to_others()
 
@@ -293,7 +296,7 @@
 
     def leave(self) -> None:
         """Leave the fleet: peers no longer return this node to callers."""
-        self.stopping = True
+        self.stop_schedule.stop(clock.now_s())
         self._peers.announce_departure()
         self.log.state_changed("stopping")
 
@@ -340,15 +343,16 @@
         members = [m for m in self._membership.members() if m.condition is Condition.ALIVE]
         members = self._silence_detector.reporting_members(members, now)
         members = self.paths.connected_members(members)
-        if self.stopping:
+        if self.stop_schedule.is_stopping:
             members = [m for m in members if m.node_id != self.settings.node]
         return members
 
     def _accepts_proxied_requests(self) -> bool:
         """Return whether this node passes on requests of peers now."""
-        if self._load_shedder.refuses_requests:
+        now = clock.now_s()
+        if self._load_shedder.refuses_requests or not self.stop_schedule.may_begin(now):
             return False
-        return self._state_is_current(clock.now_s())
+        return self._state_is_current(now)
 
     def _front_address(self, member: Member) -> str:
         host, _, _ = member.address.rpartition(":")
