An attempt leaves a link that went down only if its request can move

Cause: a connect that timed out took the link down, and all streams on established connections were ended for being resumable, though no other engine or path could take them.

Change: an attempt ends for its link only if its request may be sent again now and an engine takes it (DeliveryMachine.may_move). It is asked again while the link is down and when a peer is found that reaches the engine. Connects over a link that is down already change nothing.

--- a/features/engine_links.feature
+++ b/features/engine_links.feature
@@ -52,6 +52,10 @@
     And 1 s pass at the node
     Then it probed at most 0 times
 
+  Scenario: Attempts that cannot connect together delay the next probe of their link
+    When 12 attempts over one link cannot connect, one after the other within 0.1 s
+    Then the link is probed within 0.3 s of the first
+
   Scenario: Links are probed without cause
     When it sends a request every 0.15 s for 20 s
     Then it probed at most 0 times
--- a/features/standin/engine_links.py
+++ b/features/standin/engine_links.py
@@ -18,6 +18,7 @@
     HANG = "hang"
     RESET = "are reset and then refused"
     REFUSE = "refuse new connections"
+    BUSY = "take no new connections"
 
 
 class BlackHole:
@@ -171,7 +172,8 @@
         """Cut the links to some engines, by default to all."""
         cut = [link for link in self._links if targets is None or link.target in targets]
         closed = "{}:{}".format(*self._closed.getsockname())
-        address = self._black_hole.address if kind is CutKind.HANG else closed
+        is_silent = kind in (CutKind.HANG, CutKind.BUSY)
+        address = self._black_hole.address if is_silent else closed
         self._addresses |= {link.target: address for link in cut}
         self._write()
         for link in cut:
--- a/features/steps/engine_links_steps.py
+++ b/features/steps/engine_links_steps.py
@@ -259,3 +259,17 @@
 def step_knows(context, seconds):
     assert not context.is_reached
     assert context.took_s <= seconds, context.took_s
+
+
+@when("{count:d} attempts over one link cannot connect, one after the other within {seconds:g} s")
+def step_cannot_connect(context, count, seconds):
+    context.links = EngineLinks()
+    engine = EngineAddress("e1", "10.0.0.1:1", 1)
+    uses = [context.links.begin(engine, lambda: None, 0.0) for _ in range(count)]
+    for number, use in enumerate(uses):
+        context.links.could_not_connect(use, number * seconds / count)
+
+
+@then("the link is probed within {seconds:g} s of the first")
+def step_probed_soon(context, seconds):
+    assert context.links.due_probes(seconds)
--- a/features/steps/gateway_delivery_steps.py
+++ b/features/steps/gateway_delivery_steps.py
@@ -59,6 +59,9 @@
     def may_begin(self):
         return self.begins
 
+    def has_engine(self, request, excluded):
+        return self.ready and not excluded.issuperset(ENGINES)
+
     def has_other_path(self, request, choice):
         return False
 
--- a/features/steps/proxied_requests_steps.py
+++ b/features/steps/proxied_requests_steps.py
@@ -42,8 +42,12 @@
     assert '"liftrill:proxy_found"' in first.log()
 
 
+def model_engines(context):
+    return [e for e in context.deployment.engines.values() if e.service == "llm"]
+
+
 def model_engine(context):
-    return next(e for e in context.deployment.engines.values() if e.service == "llm")
+    return model_engines(context)[0]
 
 
 def desk_engine(context):
@@ -52,8 +56,8 @@
 
 @given("model engines that send {count:d} events, {pause:g} s apart")
 def step_events(context, count, pause):
-    engine = model_engine(context)
-    engine.events, engine.event_seconds = count, pause
+    for engine in model_engines(context):
+        engine.events, engine.event_seconds = count, pause
 
 
 @given("model engines that send {count:d} events of {size:d} bytes, {pause:g} s apart")
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -113,6 +113,11 @@
         """Whether a new run may add what the response lacks if it is interrupted now."""
         return self.request.may_run_again and self._may_send_again()
 
+    @property
+    def may_move(self) -> bool:
+        """Whether the request may be sent again now, to an engine that takes it."""
+        return self.may_run_anew and self._ports.has_engine(self.request, frozenset(self._excluded))
+
     @property
     def needs_body(self) -> bool:
         """Whether the request may be sent to an engine again, so that its body is needed."""
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -4,7 +4,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from liftrill import clock
@@ -58,9 +58,16 @@
 
     @abstractmethod
     def begin_attempt(
-        self, request: OpaqueRequest, start: events.StartAttempt, first: bool
+        self,
+        request: OpaqueRequest,
+        start: events.StartAttempt,
+        first: bool,
+        may_move: Callable[[], bool],
     ) -> tuple[EngineView | None, EngineAttempt]:
-        """Account for an attempt that is about to be sent, and prepare it."""
+        """Account for an attempt that is about to be sent, and prepare it.
+
+        The attempt ends when its link goes down only if the request may then move.
+        """
 
     @abstractmethod
     async def read_before_overdue(
@@ -358,7 +365,9 @@
         first = len(machine.attempts) == 1
         if first:
             self._owner.metrics.record_sent(machine.request)
-        self._view, self._attempt = self._owner.begin_attempt(machine.request, start, first)
+        self._view, self._attempt = self._owner.begin_attempt(
+            machine.request, start, first, lambda: machine.may_move
+        )
         self._attempt.watch_end(self._stream_ended)
         self._end_held_at = None
         self._load = expected_load(machine.request, start.choice)
--- a/liftrill/gateway/delivery_ports.py
+++ b/liftrill/gateway/delivery_ports.py
@@ -47,6 +47,10 @@
     def may_begin(self) -> bool:
         """Return whether a request that no engine has received may be sent to one."""
 
+    @abstractmethod
+    def has_engine(self, request: OpaqueRequest, excluded: frozenset[str]) -> bool:
+        """Return whether an engine that is not excluded takes requests, by any path."""
+
     @abstractmethod
     def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
         """Return whether to try an engine again that could not be reached by one path."""
--- a/liftrill/gateway/engines/engine_selector.py
+++ b/liftrill/gateway/engines/engine_selector.py
@@ -101,6 +101,16 @@
     def _serving(self, service: str) -> list[EngineView]:
         return [view for view in self._engines.of_service(service) if not view.leaving]
 
+    def has_ready(self, request: OpaqueRequest, excluded: frozenset[str], now: float) -> bool:
+        """Return whether an engine that is not excluded takes a request, whatever its load."""
+        serving = self._serving(request.service)
+        floor = self._version_floor(serving, request)
+        suitable = self.software_versions.of_required_version(request, serving)
+        return any(
+            view.engine_id not in excluded and self._is_ready(view, request, floor, now)
+            for view in suitable
+        )
+
     def choose(
         self,
         request: OpaqueRequest,
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -180,6 +180,10 @@
         """Return whether a request that no engine has received may be sent to one."""
         return self.may_begin_at(clock.now_s())
 
+    def has_engine(self, request: OpaqueRequest, excluded: frozenset[str]) -> bool:
+        """Return whether an engine that is not excluded takes requests, by any path."""
+        return self._selector.has_ready(request, excluded, clock.now_s())
+
     def has_other_path(self, request: OpaqueRequest, choice: events.EngineChoice) -> bool:
         """Return whether to try an engine again that could not be reached by one path."""
         return self._selector.has_other_path(choice, request, clock.now_s())
@@ -326,7 +330,11 @@
         )
 
     def begin_attempt(
-        self, request: OpaqueRequest, start: events.StartAttempt, first: bool
+        self,
+        request: OpaqueRequest,
+        start: events.StartAttempt,
+        first: bool,
+        may_move: Callable[[], bool],
     ) -> tuple[EngineView | None, EngineAttempt]:
         """Account for an attempt that is about to be sent, and prepare it."""
         now = clock.now_s()
@@ -353,7 +361,7 @@
             self.metrics.proxied_attempts.inc()
             attempt = ProxiedAttempt(attempt, view.identity, proxy, paths.proxies)
         else:
-            attempt = TrackedAttempt(attempt, view.identity, paths.links, request.may_run_again)
+            attempt = TrackedAttempt(attempt, view.identity, paths.links, may_move)
         if request.required_software_version is None:
             return view, attempt
         check = partial(self.incarnation_check.check, view, proxy is not None)
--- a/liftrill/gateway/paths/engine_links.py
+++ b/liftrill/gateway/paths/engine_links.py
@@ -41,7 +41,7 @@
     """One attempt that uses a link.
 
     Attributes:
-        on_down: called when the link goes down while nothing arrives for this attempt.
+        on_down: called while the link is down and nothing arrives for this attempt, repeatedly.
     """
 
     link: "_Link"
@@ -130,8 +130,18 @@
         use.waiting_since = use.link.received_at = self._received_at = now
 
     def could_not_connect(self, use: LinkUse, now: float) -> None:
-        """Record that an attempt could not connect to its engine."""
-        self._set_down(use.link, "attempt", now)
+        """Record that an attempt could not connect to its engine.
+
+        Attempts that were under way when the link went down show nothing new.
+        """
+        if use.link.is_up:
+            self._set_down(use.link, "attempt", now)
+
+    def path_found(self, engine: EngineAddress, now: float) -> None:
+        """Tell the silent attempts over a link that is down that there is another path."""
+        link = self._links.get(engine)
+        if link is not None and not link.is_up:
+            self._notify_uses(link, now - NODE_SILENCE_S)
 
     def was_interrupted(self, use: LinkUse) -> None:
         """Record that the connection of an attempt was lost."""
--- a/liftrill/gateway/paths/path_attempts.py
+++ b/liftrill/gateway/paths/path_attempts.py
@@ -131,8 +131,9 @@
 class TrackedAttempt(ObservedAttempt):
     """An attempt over one of the node's own links.
 
-    An interruptible attempt ends as soon as its link goes down, so that its request can take
-    another path. Others wait for their answer, which may still arrive once the link is restored.
+    An attempt ends when its link goes down if its request may then move to another engine or path.
+    Others wait for their answer: a connection may work although no new one can be established, and
+    an answer may still arrive once the link is restored.
     """
 
     def __init__(
@@ -140,11 +141,11 @@
         attempt: EngineAttempt,
         engine: events.EngineAddress,
         links: EngineLinks,
-        interruptible: bool,
+        may_move: Callable[[], bool],
     ) -> None:
         super().__init__(attempt)
         self._links = links
-        self._interruptible = interruptible
+        self._may_move = may_move
         self._timer: asyncio.Timeout | None = None
         self._began_at = clock.now_s()
         self._use = links.begin(engine, self._on_down, self._began_at)
@@ -189,7 +190,9 @@
                 self._links.received(self._use, now)
 
     def _on_down(self) -> None:
-        if self._interruptible and self._timer is not None and not self._timer.expired():
+        if self._timer is None or self._timer.expired():
+            return
+        if self._may_move():
             self._timer.reschedule(asyncio.get_running_loop().time())
 
 
--- a/liftrill/gateway/paths/path_service.py
+++ b/liftrill/gateway/paths/path_service.py
@@ -188,6 +188,7 @@
             "proxy_found", engine=engine.engine_id, address=engine.address
         )
         self._engine_is_reachable(engine)
+        self._paths.links.path_found(engine, clock.now_s())
 
     def _engine_is_reachable(self, engine: EngineAddress) -> None:
         """Forget the failures of an engine that were due to the path to it."""
