Request targets reach engines as they came

Cause: the URL was built by parsing the target. Change: the target is the path of a built URL, which is sent as it is (engine_url).

--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -16,6 +16,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from yarl import URL
 
 from liftrill import clock, constants
 from liftrill.errors import LiftrillError
@@ -169,6 +170,14 @@
             await writer.write(whole[start : start + LARGE_BODY_BYTES])
 
 
+def engine_url(address: str, target: str) -> URL:
+    """Return the URL of a request target at HOST:PORT, which is sent as it is.
+
+    A parsed target would lose a `#` with what follows it, and a `?` that nothing follows.
+    """
+    return URL.build(scheme="http", authority=address, path=target, encoded=True)
+
+
 def payload(body: bytes) -> bytes | LargeBody | None:
     """Return the payload to write for a body, or None for an empty one."""
     return LargeBody(body) if len(body) >= LARGE_BODY_BYTES else body or None
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-from yarl import URL
 
 from liftrill import clock, constants
 from liftrill.gateway import http_client
@@ -140,7 +139,7 @@
         self, request: web.BaseRequest, view: EngineView, content: bytes
     ) -> web.StreamResponse:
         assert self._session is not None
-        url = URL(f"http://{view.record.address}{request.raw_path}", encoded=True)
+        url = http_client.engine_url(view.record.address, request.raw_path)
         headers = kept_headers(request.headers, DROPPED_HEADERS)
         request_id = request.headers.get(self.id_header, "")
         send = http_client.Send(lambda: self.may_send(view), request_id)
