The answer to a request is not the reply to a call

Cause: orders, reports and questions on identity share connections with requests, and name none. The repeated answer of a request was taken for their reply: an order could count as done by a 200 that was another's.

Evidence: six rows of features/repeated_answers.feature end with an error before this change: the call is answered, and its connection stays open for a second. Change: a reply with the header that names a request is rejected, and its connection closed. Orders then count as unanswered, and are sent again.

--- a/features/repeated_answers.feature
+++ b/features/repeated_answers.feature
@@ -32,3 +32,17 @@
       | route  |
       | stream |
       | once   |
+
+  Scenario Outline: An answer to a request is taken for the reply to a call that names none: <call>, <status>
+    Given an engine that answers a call with <status>, naming a request
+    When the node sends it a call for <call>
+    Then the call counts as "<outcome>", and its connection is closed
+
+    Examples:
+      | call         | status | outcome    |
+      | an order     | 200    | unanswered |
+      | an order     | 421    | unanswered |
+      | an order     | 409    | unanswered |
+      | a report     | 200    | none       |
+      | its identity | 421    | none       |
+      | its identity | 200    | none       |
--- a/liftrill/gateway/http_client.py
+++ b/liftrill/gateway/http_client.py
@@ -318,6 +318,17 @@
             return False
         return connector.has_open(address, used_before)
 
+    def reject_answer_to_request(self, response: aiohttp.ClientResponse, address: str) -> None:
+        """Raise ClientPayloadError if the reply to a call that has no id names a request.
+
+        The answer to a request was repeated, and the reply is still to come on the connection.
+        """
+        if response.headers.get(self.id_header):
+            response.close()
+            # The connection is idle already if the whole answer has arrived.
+            self.discard_idle(address)
+            raise aiohttp.ClientPayloadError("the answer to a request came as the reply to a call")
+
     def discard_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         discard_idle(self._session, address)
