--- a/features/platform.feature
+++ b/features/platform.feature
@@ -171,6 +171,11 @@
     Then its log has "reload_refused"
     And "/whole/x" with the known key is answered 200
 
+  Scenario: A reload signal ends a node that is starting
+    Given a node that has loaded its event loop, and not started it
+    When it gets SIGHUP
+    Then the node becomes ready
+
   Scenario: Every engine gets one load order for new weights, all from one leader
     Given 2 nodes
     When version 2 of the weights is published
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,7 +7,9 @@
 import re
 import signal
 import socket
+import time
 from contextlib import suppress
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -838,3 +840,27 @@
         found = re.search(r'liftrill_quota_refusals_total{tenant="tenant-1"} ([0-9.]+)', text)
         counted += float(found.group(1)) if found else 0.0
     assert counted == len(context.refused), (counted, len(context.refused))
+
+
+LOADED = "uvloop"
+MAX_LOAD_S = 8.0
+
+
+@given("a node that has loaded its event loop, and not started it")
+def step_loading_node(context):
+    node = context.run(context.deployment.add_node("node-1"))
+    maps = Path(f"/proc/{node.process.pid}/maps")
+    until = time.monotonic() + MAX_LOAD_S
+    while LOADED not in maps.read_text():
+        assert time.monotonic() < until, "the event loop was not loaded"
+        time.sleep(0.001)
+
+
+@when("it gets SIGHUP")
+def step_hang_up(context):
+    context.deployment.nodes[0].signal(signal.SIGHUP)
+
+
+@then("the node becomes ready")
+def step_becomes_ready(context):
+    context.run(context.deployment.ready(context.deployment.nodes[0]))
