A peer doubts the close of a stream that may be sent again

Cause: an engine without a length closed a connection early. A node that asked it directly would have doubted that and sent the request again; its peer passed the close on as the end, as it did not know that the request may be sent again.

Evidence: the row `resume` of the new outline in features/proxied_requests.feature fails before this change: 2 of 4 events and a complete end.

Change: the header Liftrill-Repeatable tells the peer, which resolves closes by resolve_close as a direct attempt does. A peer of an earlier build passes the header on to the engine (docs/design/compatibility.md).

--- a/features/proxied_requests.feature
+++ b/features/proxied_requests.feature
@@ -32,6 +32,16 @@
     When the second node loses its links 0.5 s after a caller of the first node began a "stream"
     Then the answer was cut and the request ran once
 
+  Scenario Outline: A peer takes the close of an engine that runs on for the end of a stream: <route>
+    Given model engines that send 4 events, 0.05 s apart
+    When a caller of the first node asks for a "<route>" that its engine closes after 2 events
+    Then it gets <events> events, and a complete end
+
+    Examples:
+      | route  | events |
+      | resume | 4      |
+      | stream | 2      |
+
   Scenario: A caller chooses the engine of a proxy
     When a caller of the first node sends a request with the headers of a proxied one
     Then it was served by the engine of its route
--- a/features/steps/proxied_requests_steps.py
+++ b/features/steps/proxied_requests_steps.py
@@ -274,3 +274,20 @@
 def step_refused(context, outcome):
     assert context.answer == (503, outcome), context.answer
     assert not arrivals_of(context, "direct")
+
+
+@when(
+    'a caller of the first node asks for a "{route}" that its engine closes after {count:d} events'
+)
+def step_closes(context, route, count):
+    engine, deployment = model_engine(context), context.deployment
+    engine.fault = "unframed_after_event"
+    call = deployment.call(deployment.nodes[0], f"/{route}/x", model="model-1")
+    context.answer = context.run(call)
+    assert len([a for a in engine.arrivals if a.fault]) == 1
+
+
+@then("it gets {count:d} events, and a complete end")
+def step_events_and_end(context, count):
+    status, _, body, is_whole = context.answer
+    assert (status, body.count(b"\n\n"), is_whole) == (SERVED, count, True), context.answer
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -303,7 +303,7 @@
         self._attempts_sent += 1
         self.phase = Phase.ATTEMPTING
         self.order.begin_attempt()
-        return events.StartAttempt(choice, self.order.last_id)
+        return events.StartAttempt(choice, self.order.last_id, self.may_run_anew)
 
     def _attempt_id(self) -> str:
         return str(len(self.attempts))
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -293,10 +293,12 @@
 
     Attributes:
         resume_after: id of the last event that the caller has, or None for the complete stream.
+        may_run_anew: whether the request may be sent again if this attempt is interrupted.
     """
 
     choice: EngineChoice
     resume_after: int | None
+    may_run_anew: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/paths/proxy_protocol.py
+++ b/liftrill/gateway/paths/proxy_protocol.py
@@ -1,22 +1,26 @@
 """How a node passes a request to an engine by a peer.
 
-The request is the one that the engine is to receive, with two more headers that name the engine.
-The peer removes them, sends the request to that engine only, and returns the engine's response as
-it comes. A request that the peer did not send gets a response with an outcome; if the peer loses
-the engine after sending it, it closes the connection. So there is one hop, and the node that read
-the request from its caller makes all decisions about it.
+The request is the one that the engine is to receive, with headers that name the engine and tell
+whether the request may be sent again. The peer removes them, sends the request to that engine only,
+and returns the engine's response as it comes. A request that the peer did not send gets a response
+with an outcome; if the peer loses the engine after sending it, it closes the connection. So there
+is one hop, and the node that read the request from its caller makes all decisions about it.
 """
 
 from enum import Enum
 
 from multidict import MultiMapping
 
-from liftrill.gateway.delivery_events import EngineAddress, EngineChoice, RefusalKind
+from liftrill.gateway.delivery_events import EngineAddress, RefusalKind, StartAttempt
 
 ENGINE_HEADER = "Liftrill-Engine"
 ADDRESS_HEADER = "Liftrill-Engine-Address"
+REPEATABLE_HEADER = "Liftrill-Repeatable"
 OUTCOME_HEADER = "Liftrill-Proxy-Outcome"
-PROXY_HEADERS = frozenset(name.lower() for name in (ENGINE_HEADER, ADDRESS_HEADER, OUTCOME_HEADER))
+PROXY_HEADERS = frozenset(
+    name.lower() for name in (ENGINE_HEADER, ADDRESS_HEADER, REPEATABLE_HEADER, OUTCOME_HEADER)
+)
+REPEATABLE, NOT_REPEATABLE = "1", "0"
 
 
 class ProxyOutcome(Enum):
@@ -33,11 +37,22 @@
 }
 
 
-def proxy_headers(choice: EngineChoice) -> list[tuple[str, str]]:
-    """Return the headers that name the engine of a request to a peer, if there is one."""
+def proxy_headers(start: StartAttempt) -> list[tuple[str, str]]:
+    """Return the headers of a request to a peer for it, or none if there is no peer."""
+    choice = start.choice
     if choice.proxy is None:
         return []
-    return [(ENGINE_HEADER, choice.engine_id), (ADDRESS_HEADER, choice.address)]
+    return [
+        (ENGINE_HEADER, choice.engine_id),
+        (ADDRESS_HEADER, choice.address),
+        (REPEATABLE_HEADER, REPEATABLE if start.may_run_anew else NOT_REPEATABLE),
+    ]
+
+
+def is_repeatable(headers: MultiMapping[str]) -> bool:
+    """Return whether a peer's request may be sent again; those of earlier builds do not tell."""
+    # The caller's headers come first, and may have the same names.
+    return headers.getall(REPEATABLE_HEADER, [NOT_REPEATABLE])[-1] == REPEATABLE
 
 
 def requested_engine(headers: MultiMapping[str]) -> EngineAddress | None:
--- a/liftrill/gateway/paths/proxy_server.py
+++ b/liftrill/gateway/paths/proxy_server.py
@@ -10,7 +10,12 @@
 from liftrill.gateway import http_server as web
 from liftrill.gateway.caller_server import CallerServer
 from liftrill.gateway.decision_log import DecisionLog
-from liftrill.gateway.delivery_events import Framing
+from liftrill.gateway.delivery_events import (
+    CompleteResponse,
+    ConnectionClosed,
+    Framing,
+    StreamCompleted,
+)
 from liftrill.gateway.engines.engine_table import EngineTable, EngineView
 from liftrill.gateway.gateway_metrics import GatewayMetrics
 from liftrill.gateway.holding.body_reader import (
@@ -26,10 +31,12 @@
     OUTCOME_HEADER,
     PROXY_HEADERS,
     ProxyOutcome,
+    is_repeatable,
     requested_engine,
 )
 from liftrill.gateway.response_reader import ResponseEnd, framing_of
-from liftrill.gateway.run_continuation import CloseEvidence
+from liftrill.gateway.run_continuation import CloseEvidence, resolve_close
+from liftrill.guarded_connection import EVENT_STREAM
 
 NOT_SENT_STATUS = 503
 # The headers of a caller's largest request and those that nodes add.
@@ -45,6 +52,13 @@
     """Leave it to the node that sent the request whether its attempt ends."""
 
 
+def _completion(response: aiohttp.ClientResponse) -> CompleteResponse | StreamCompleted:
+    """Return the event of a complete response, whose content was passed on."""
+    if response.content_type == EVENT_STREAM:
+        return StreamCompleted()
+    return CompleteResponse(response.status, (), b"")
+
+
 class ProxyServer:
     """The server on which peers hand over requests to engines.
 
@@ -189,7 +203,10 @@
         is_marked = framing_of(response) is not Framing.CONNECTION
         if not (is_marked and end.is_confirmed):
             evidence = await self.check_closed(view, end.times)
-            if not evidence.confirms(is_marked):
+            closed = ConnectionClosed(_completion(response), end.times)
+            resolved = resolve_close(closed, evidence, is_repeatable(request.headers))
+            if resolved is not closed.completed:
+                # The node that sent the request sends it again if its response may be incomplete.
                 raise aiohttp.ClientPayloadError(f"connection closed, engine {evidence.engine}")
         await returned.write_eof()
         self._metrics.proxied_requests.labels("passed").inc()
