Parts that a tenant left in caches before it was isolated are not used by others

Cause: the salt of all tenants that share was the same before and after the change. Evidence: features/isolated_tenants.feature fails before this change in one of four scenarios: the other tenant's salt is the one that the first had used.

Change: the salt of those that share depends on the set of isolated tenants. The price: each change of that set costs the others their parts once; no other change of the configuration costs anything.

--- a/liftrill/gateway/admission/request_admission.py
+++ b/liftrill/gateway/admission/request_admission.py
@@ -106,4 +106,5 @@
             deadline=incoming.received_at + wait,
             last_event_id=incoming.last_event_id,
             resumed_request_id=incoming.resumed_request_id,
+            cache_scope=tenant.name if tenant and tenant.isolated else self._view.shared_scope,
         )
--- a/liftrill/gateway/configuration_view.py
+++ b/liftrill/gateway/configuration_view.py
@@ -5,24 +5,38 @@
 proves that the version in force is the newest.
 """
 
+import json
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from liftrill.gateway.records import GatewayConfiguration, Quota, Tenant
 from liftrill.gateway.route_table import RouteTable
 
 
+def shared_scope(isolated: Collection[str]) -> str:
+    """Return the scope of the cached parts that all tenants share but the isolated ones.
+
+    Parts that a tenant made before it became isolated stay in the caches, and cannot be told from
+    those of others. So the scope is a new one for each set of isolated tenants. It begins with a
+    byte that no tenant's name contains.
+    """
+    return f"\0{json.dumps(sorted(isolated))}" if isolated else ""
+
+
 @dataclass(slots=True)
 class ConfigurationView:
     """The newest configuration that this node knows.
 
     Attributes:
         proof_lifetime: seconds for which a proof is valid.
+        shared_scope: the scope of the cached parts that tenants share, under this configuration.
     """
 
     proof_lifetime: float
     current: GatewayConfiguration | None = None
     routes: RouteTable = field(default_factory=lambda: RouteTable(()))
+    shared_scope: str = ""
     _proven_at: float = -math.inf
 
     @property
@@ -36,6 +50,7 @@
             return False
         self.current = offered
         self.routes = RouteTable(offered.routes)
+        self.shared_scope = shared_scope(offered.isolated_tenants)
         return True
 
     def prove_current(self, version: int, asked_at: float) -> None:
--- a/liftrill/gateway/engines/placement.py
+++ b/liftrill/gateway/engines/placement.py
@@ -22,14 +22,13 @@
 PLAIN_CANDIDATES = 2
 
 
-def cache_salt(tenant: str, isolated: bool, model: str, version: int) -> str:
+def cache_salt(scope: str, model: str, version: int) -> str:
     """Return the cache salt, the scope under which an engine caches the parts of a prompt.
 
     The salt depends on the weights, so that parts computed with other weights are never reused,
-    and on the tenant if the tenant is isolated.
+    and on who may use them.
     """
-    owner = tenant if isolated else ""
-    content = f"{owner}\0{model}\0{version}".encode()
+    content = f"{scope}\0{model}\0{version}".encode()
     return hashlib.blake2b(content, digest_size=SALT_DIGEST_BYTES).hexdigest()
 
 
--- a/liftrill/gateway/engines/prompt_candidates.py
+++ b/liftrill/gateway/engines/prompt_candidates.py
@@ -69,7 +69,7 @@
         self, request: OpaqueRequest, prompt: PromptShape, version: int, now: float
     ) -> _Scope:
         """Return the cache state of a prompt under a weight version."""
-        salt = cache_salt(request.tenant, request.isolated, prompt.model, version)
+        salt = cache_salt(request.cache_scope, prompt.model, version)
         outdated_s = max(0.0, now - self._targets.superseded_at(prompt.model, version))
 
         def is_source(number: int) -> bool:
--- a/liftrill/gateway/opaque_request.py
+++ b/liftrill/gateway/opaque_request.py
@@ -85,6 +85,7 @@
         deadline: on the steady clock, seconds; the earlier of the caller's and the route's.
         last_event_id: the event after which the caller resumes a stream, or None.
         resumed_request_id: id of the request that began the stream to resume, or empty.
+        cache_scope: whose requests may use the cached parts of its prompt; see `shared_scope`.
         required_software_version: the only version of engines that may serve it, or None.
     """
 
@@ -103,6 +104,7 @@
     deadline: float
     last_event_id: int | None = None
     resumed_request_id: str = ""
+    cache_scope: str = ""
     required_software_version: str | None = None
 
     @cached_property
--- a/liftrill/gateway/records.py
+++ b/liftrill/gateway/records.py
@@ -137,6 +137,7 @@
 
     Attributes:
         tenants_by_key: tenants by API key, or None if requests carry no keys.
+        isolated_tenants: the names of the tenants that are isolated, also of those without keys.
     """
 
     version: int
@@ -145,6 +146,7 @@
     prefix_stores: tuple[PrefixStoreProfile, ...] = ()
     tenants_by_key: Mapping[str, Tenant] | None = None
     limits: TrafficLimits = field(default_factory=TrafficLimits)
+    isolated_tenants: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
