A refused request waits for another version in the engine's record

What callers saw: 503 without a run where the only engine refused a request as its record was a heartbeat old: the second attempt went by the same record and was refused as well, so that an engine that ran nothing had used up the attempts.

Evidence: two of three rows (record 0.5 s late) of the new outline in features/repeated_answers.feature fail before this change.

Change: an engine that refused a request for a weight version is not chosen for it by the same version again; if no other engine is left, the request waits for one.

--- a/features/repeated_answers.feature
+++ b/features/repeated_answers.feature
@@ -19,6 +19,20 @@
       | once   | 2        |
       | safely | 2        |
 
+  Scenario Outline: A refused request is sent again before the engine's record can have changed: <route>
+    Given a stand-in platform with 1 desk engines and 0 model engines
+    And a model engine that repeats a refusal
+    And a node
+    And the first node has read routes with 2 attempts
+    When a client posts to "/<route>/x", and the engine's record follows its refusal by <delay> s
+    Then the client got the whole answer of one run, on another connection than the refusal
+
+    Examples:
+      | route  | delay |
+      | stream | 0.04  |
+      | stream | 0.5   |
+      | once   | 0.5   |
+
   Scenario Outline: A peer takes a repeated refusal for the answer to the next send: <route>
     Given a stand-in platform with 1 desk engines and 0 model engines
     And a model engine that repeats a refusal
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -75,6 +75,8 @@
         self._ledger = AttemptLedger()
         self._attempts_sent = 0
         self._excluded: set[str] = set()
+        # By engine: the weight version for which it last refused the request.
+        self._refused_versions: dict[str, int] = {}
         self._paths_tried: dict[str, int] = {}
         self._response_head: events.StreamOpened | None = None
         self._head_sent = False
@@ -150,6 +152,8 @@
             return [self._end(self._engine_loss_code())]
         if event.kind in UNSENT_KINDS:
             self._attempts_sent -= 1
+        if event.kind is events.RefusalKind.WRONG_VERSION:
+            self._refused_versions[choice.engine_id] = choice.weight_version
         if self._is_excluded_after(event.kind, choice):
             self._excluded.add(choice.engine_id)
         self._refusal_code = ResultCode.ENGINES_REFUSED
@@ -283,7 +287,22 @@
         return self._start_attempt(choice)
 
     def _choose_untried(self, may_wait: bool) -> events.EngineChoice | Unavailable:
-        return self._ports.choose(self.request, frozenset(self._excluded), may_wait)
+        """Return an engine that has not refused the request for the weights that it is known by.
+
+        The records of engines may be a heartbeat old, and another attempt by the same record would
+        be refused, too.
+        """
+        outdated: set[str] = set()
+        choice = self._ports.choose(self.request, frozenset(self._excluded), may_wait)
+        while isinstance(choice, events.EngineChoice) and self._is_outdated(choice):
+            outdated.add(choice.engine_id)
+            excluded = frozenset(self._excluded | outdated)
+            choice = self._ports.choose(self.request, excluded, may_wait)
+        is_last = outdated and choice is Unavailable.NONE_LEFT
+        return Unavailable.NONE_READY if is_last else choice
+
+    def _is_outdated(self, choice: events.EngineChoice) -> bool:
+        return self._refused_versions.get(choice.engine_id) == choice.weight_version
 
     def _retry(self) -> list[events.DeliveryInstruction]:
         if not self._may_send_again():
