Tests: drawn sends on connections whose answers are repeated

With ids, none is taken for another send's. The broken variant, without ids, has some, so that the test can fail.

--- a/features/repeated_answers.feature
+++ b/features/repeated_answers.feature
@@ -60,3 +60,12 @@
       | a report     | 200    | none       |
       | its identity | 421    | none       |
       | its identity | 200    | none       |
+
+  Scenario Outline: Answers are taken for those to other sends of their requests: sends <named>
+    When 200 drawn sequences of sends are played, <named>, whose answers an engine may repeat
+    Then <answers> taken for another send's
+
+    Examples:
+      | named         | answers            |
+      | with ids      | no answer was      |
+      | without ids   | some answers were  |
