The time in which a busy loop did not look is not taken for an engine's

Cause: an engine whose process ends closes all connections at once, some time after their last bytes. How long after was measured as this node read it: a loop that was busy for 16 to 31 ms between the last bytes and the closes took them for such an end, read several at once, and the reply of an engine without start times does not tell the process before from the next one.

Change: PollClock marks every 3 ms, while answers without other framing are under way, when the loop has looked at its connections. The time since the last mark is subtracted from the shortest delay that a close may have had. Closes are timed when their end is read (eof_received) rather than when the connection is taken down. The longest delay, by which a leaving engine is believed, is as before.

The price: a mark takes two calls each 3 ms, only while such an answer is under way.

--- a/liftrill/clock.py
+++ b/liftrill/clock.py
@@ -5,6 +5,8 @@
 other nodes have changed state meanwhile.
 """
 
+import asyncio
+import math
 import time
 from collections.abc import Callable
 from functools import partial
@@ -12,6 +14,9 @@
 # Largest backward step that is ignored: readings of two clocks may be out of order by this much.
 MAX_BACKWARD_STEP_S = 0.001
 
+# How often an event loop is observed.
+POLL_MARK_S = 0.003
+
 ClockReader = Callable[[], float]
 
 
@@ -82,3 +87,42 @@
 def counts_sleep() -> bool:
     """Return whether `now_s` includes the time of suspension."""
     return _clock.counts_sleep
+
+
+class PollClock:
+    """Tells since when an event loop has looked for what arrived, while that is asked for.
+
+    A busy loop reads late. What it reads arrived after `polled_at`, or the loop would have read it
+    before.
+
+    Attributes:
+        polled_at: a time after which the loop has looked at all connections, or minus infinity.
+    """
+
+    def __init__(self) -> None:
+        self.polled_at = -math.inf
+        self._uses = 0
+        self._is_marking = False
+
+    def begin(self) -> None:
+        """Observe the loop from now on."""
+        self._uses += 1
+        if not self._is_marking:
+            self._is_marking = True
+            self._mark()
+
+    def end(self) -> None:
+        """Stop observing the loop unless others began as well."""
+        self._uses -= 1
+
+    def _mark(self) -> None:
+        if not self._uses:
+            self._is_marking = False
+            return
+        loop = asyncio.get_running_loop()
+        # The first of the two calls may run before the loop looks, the second one runs after it.
+        loop.call_soon(loop.call_soon, self._record, now_s())
+        loop.call_later(POLL_MARK_S, self._mark)
+
+    def _record(self, marked_at: float) -> None:
+        self.polled_at = marked_at
--- a/liftrill/gateway/response_reader.py
+++ b/liftrill/gateway/response_reader.py
@@ -72,7 +72,8 @@
         if not isinstance(self._handler, GuardedResponseHandler):
             return events.CloseTimes(paused_s, unread_s=paused_s, is_after_end=is_after_end)
         delay_s = self._handler.close_delay_s + paused_s
-        return events.CloseTimes(delay_s, self._handler.closed_at, paused_s, is_after_end)
+        unread_s = self._handler.unread_s + paused_s
+        return events.CloseTimes(delay_s, self._handler.closed_at, unread_s, is_after_end)
 
 
 def _ignore_end() -> None:
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -158,9 +158,13 @@
         loop: asyncio.AbstractEventLoop,
         report: ReportFault = no_report,
         doubts: EndDoubts | None = None,
+        polls: clock.PollClock | None = None,
     ) -> None:
         super().__init__(loop=loop)
         self._report = report
+        self._polls = polls or clock.PollClock()
+        # Whether a response ends with the connection, and the time of the close matters.
+        self._is_timed = False
         # The ends of event streams, and of peers' responses that are doubted, are held back.
         self._doubts = doubts
         # Whether this response is one of them.
@@ -187,6 +191,7 @@
         # When the first bytes arrived.
         self.first_data_at = math.inf
         self._closed_at = math.inf
+        self._unread_s = 0.0
         # The last requests that were sent on the connection.
         self._request_ids: deque[str] = deque(maxlen=MAX_KEPT_IDS)
 
@@ -211,6 +216,11 @@
         """The time between the last received bytes and the end of the connection."""
         return self._closed_at - self._last_data_at
 
+    @property
+    def unread_s(self) -> float:
+        """How much of that time the event loop may have taken to look, if the end was due."""
+        return self._unread_s
+
     @property
     def closed_at(self) -> float:
         """When the end of the connection was seen, or infinity before it."""
@@ -300,9 +310,16 @@
             return False
         return super().is_connected()
 
+    def eof_received(self) -> None:
+        """Note the time of a close in order (asyncio callback)."""
+        self._note_end()
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection (asyncio callback)."""
-        self._closed_at = clock.now_s()
+        self._note_end()
+        if self._is_timed:
+            self._polls.end()
         # A process that closed without a reply may have ended in the middle of the response.
         self._is_end_confirmed = not self._is_reply_due
         if self._is_reply_due and self._is_doubted:
@@ -315,6 +332,15 @@
             )
         super().connection_lost(exc)
 
+    def _note_end(self) -> None:
+        if math.isfinite(self._closed_at):
+            return
+        self._closed_at = clock.now_s()
+        if self._is_timed:
+            known_at = max(self._last_data_at, self._polls.polled_at)
+            # A loop that is not busy is marked once in the interval.
+            self._unread_s = max(0.0, self._closed_at - known_at - clock.POLL_MARK_S)
+
     def _receive_head(self, data: bytes) -> bool:
         """Process bytes of a head; return whether the connection is still open."""
         try:
@@ -339,6 +365,9 @@
             self._body = ChunkScanner(",".join(message.headers.getall("Trailer", ())).split(","))
         elif length is not None:
             self._body = LengthScanner(int(length))
+        elif not self._is_timed:
+            self._is_timed = True
+            self._polls.begin()
 
     def _receive_body(self, data: bytes, body: BodyScanner, since_last_s: float) -> None:
         """Process bytes of a body, and of what follows it."""
@@ -545,6 +574,7 @@
         loop=asyncio.get_running_loop(),
         report=report,
         doubts=EndDoubts() if holds_ends else None,
+        polls=clock.PollClock(),
     )
     session = ClientSession(
         connector=connector, response_class=limited_response(body_limits), **options
