--- a/features/standin/engine.py
+++ b/features/standin/engine.py
@@ -688,7 +688,6 @@
             await response.write(event.encode())
             if self.framing == CONNECTION and number == self.events:
                 # The end of the connection marks the end of the answer, so that it comes at once.
-                request.transport.write_eof()
                 break
             await self._pause(began_at, number - first + 1, self.event_seconds)
             if loses and number == first + 1:
