A stopping node asks one question before each send that begins a run

What callers would see: a request that one engine refused, and whose connection to the next one was ready after the node's limit, was still begun, and cut if it lasted.

Cause: two rules for one question. The machine asked whether no engine can have run the request, the check before the first byte whether the attempt is the first one. Found by reading the change; features/gateway_forwarding fails before this change after one refusal ('the request was sent'), and not after none.

Change: the attempt says whether it begins a run (StartAttempt.begins_run), by the rule of the machine, and both checks use that. After: both rows pass, and all 142 scenarios of gateway_forwarding and gateway_delivery.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -140,6 +140,17 @@
     Then it was sent no earlier than after 0.05 s
     And the answer is complete
 
+  Scenario Outline: A stopping node sends a request after <count> refusals as its connection is ready too late
+    Given a stream whose bytes come as "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n"
+    And two engines of which <count> refuses it, and a node that begins no more requests then
+    When a gateway delivers it
+    Then it was sent to no engine that could run it, and was refused as the node stops
+
+    Examples:
+      | count |
+      | 0     |
+      | 1     |
+
   Scenario: No run continues at its backup while its node's state is out of date
     Given a broken run on version 1, and an engine that has its backup
     And its node's state is out of date
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -555,6 +555,52 @@
     assert sent_at >= context.current_at, (sent_at, context.current_at)
 
 
+class StoppingAttempt(ScriptedAttempt):
+    """An attempt whose connection becomes ready as its node begins no more requests."""
+
+    def __init__(self, pieces, transport):
+        super().__init__(pieces)
+        self._transport = transport
+
+    async def open(self):
+        if self._transport.refusals_left:
+            self._transport.refusals_left -= 1
+            return [events.AttemptRefused(events.RefusalKind.OVERLOADED)]
+        self._transport.begins_requests = False
+        if not self.may_send():
+            return [events.AttemptRefused(events.RefusalKind.WITHDRAWN)]
+        self._transport.sent += 1
+        return await super().open()
+
+
+class StoppingTransport(ScriptedTransport):
+    """Engines that refuse some attempts; the connection of the next one is ready too late."""
+
+    def __init__(self, pieces, refusals):
+        super().__init__(pieces)
+        self.refusals_left = refusals
+        self.begins_requests = True
+        self.sent = 0
+
+    def attempt(self, request, start):
+        return StoppingAttempt(self._pieces, self)
+
+
+@given("two engines of which {count:d} refuses it, and a node that begins no more requests then")
+def step_stopping(context, count):
+    context.engines = EngineTable()
+    for number in (1, 2):
+        context.engines.update(engine_record(f"engine-{number}", weights={"model": 1}))
+    context.transport = StoppingTransport(context.pieces, count)
+    context.may_begin_at = lambda now: context.transport.begins_requests
+
+
+@then("it was sent to no engine that could run it, and was refused as the node stops")
+def step_not_sent(context):
+    assert context.transport.sent == 0, "the request was sent"
+    assert context.sink.ending == "NODE_DRAINING", context.sink.ending
+
+
 @given("its node's state is out of date")
 def step_out_of_date(context):
     context.ports = ForwardingPorts(context.selector, RetryAllowance(0.2, 20.0, 10.0, 0.0))
@@ -639,6 +685,7 @@
     context.metrics = GatewayMetrics()
     ports = ForwardingPorts(selector, allowance)
     ports.state_is_current = getattr(context, "state_is_current", ports.state_is_current)
+    ports.may_begin_at = getattr(context, "may_begin_at", ports.may_begin_at)
     forwarder = Forwarder(
         engines,
         ports,
--- a/liftrill/gateway/delivery.py
+++ b/liftrill/gateway/delivery.py
@@ -262,7 +262,7 @@
     # Decisions
 
     def _attempt_or_wait(self, may_wait: bool = True) -> list[events.DeliveryInstruction]:
-        if not self._ledger.possibly_run_attempts and not self._ports.may_begin():
+        if self._is_not_run and not self._ports.may_begin():
             return [self._end(ResultCode.NODE_DRAINING)]
         choice = self._choose_untried(may_wait)
         if isinstance(choice, Unavailable):
@@ -316,13 +316,20 @@
         """Take a retry from the budget if an engine may have received this request before."""
         return self._attempts_sent == 0 or self._ports.try_spend_retry(self.request)
 
+    @property
+    def _is_not_run(self) -> bool:
+        """Whether no engine can have run the request."""
+        return not self._ledger.possibly_run_attempts
+
     def _start_attempt(self, choice: events.EngineChoice) -> events.StartAttempt:
+        begins_run = self._is_not_run
         self.attempts.append(choice)
         self._ledger.begin(self._attempt_id())
         self._attempts_sent += 1
         self.phase = Phase.ATTEMPTING
         self.order.begin_attempt()
-        return events.StartAttempt(choice, self.order.last_id, self.may_run_anew)
+        last_id = self.order.last_id
+        return events.StartAttempt(choice, last_id, self.may_run_anew, begins_run)
 
     def _attempt_id(self) -> str:
         return str(len(self.attempts))
--- a/liftrill/gateway/delivery_events.py
+++ b/liftrill/gateway/delivery_events.py
@@ -294,11 +294,13 @@
     Attributes:
         resume_after: id of the last event that the caller has, or None for the complete stream.
         may_run_anew: whether the request may be sent again if this attempt is interrupted.
+        begins_run: whether no engine can have run the request before.
     """
 
     choice: EngineChoice
     resume_after: int | None
     may_run_anew: bool = False
+    begins_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/liftrill/gateway/forwarder.py
+++ b/liftrill/gateway/forwarder.py
@@ -353,7 +353,7 @@
         attempt = self._transport.attempt(request, start)
         if view is None:
             return None, attempt
-        attempt.may_send = partial(self._may_send, view, start.choice, first)
+        attempt.may_send = partial(self._may_send, view, start)
         if start.choice.slot is not None:
             attempt = SlotAttempt(attempt, partial(self._slot_freed, view))
         paths, proxy = self._ports.paths, start.choice.proxy
@@ -367,10 +367,10 @@
         check = partial(self.incarnation_check.check, view, proxy is not None)
         return view, ConfirmedAttempt(attempt, check)
 
-    def _may_send(self, view: EngineView, choice: events.EngineChoice, first: bool) -> bool:
+    def _may_send(self, view: EngineView, start: events.StartAttempt) -> bool:
         """Return whether an engine chosen earlier may still be sent the request now."""
-        now = clock.now_s()
-        if first and not self._ports.may_begin_at(now):
+        choice, now = start.choice, clock.now_s()
+        if start.begins_run and not self._ports.may_begin_at(now):
             return False
         if not self._ports.state_is_current(now) or view.rejects_requests(now):
             return False
