The log of a close reads its times where they are

unread_s went through the evidence of a close only to be logged; the close itself has it. A connection's PollClock is no longer optional: there is one for each session, and the default was never used.

--- a/features/steps/late_read_steps.py
+++ b/features/steps/late_read_steps.py
@@ -57,10 +57,11 @@
 
 
 def keep_busy(seconds):
+    """Keep the loop from reading, as work does that never waits."""
     time.sleep(seconds)
 
 
-async def read_answer(session, url, begin_s=0.0, end_s=0.0):
+async def read_answer(session, url, begin_s, end_s):
     """Read one answer, while the loop is busy for a time, and return when it was closed."""
     async with session.get(url) as response:
         end = ResponseEnd(response)
--- a/liftrill/gateway/decision_log.py
+++ b/liftrill/gateway/decision_log.py
@@ -122,6 +122,7 @@
     def response_closed(
         self,
         machine: DeliveryMachine,
+        times: events.CloseTimes,
         evidence: CloseEvidence,
         waited_s: float,
         is_complete: bool,
@@ -138,7 +139,7 @@
             "reply": evidence.reply.value,
             "last_event": machine.order.last_id,
             "close_delay_ms": round(1000 * evidence.close_delay_s, 1),
-            "unread_ms": round(1000 * evidence.unread_s, 1),
+            "unread_ms": round(1000 * times.unread_s, 1),
             "abrupt": evidence.is_abrupt,
             "doubted": evidence.is_doubted,
             "waited_ms": round(1000 * waited_s, 1),
--- a/liftrill/gateway/delivery_driver.py
+++ b/liftrill/gateway/delivery_driver.py
@@ -278,7 +278,9 @@
         is_complete = resolved is closed.completed
         waited_s = self._close_check_s = clock.now_s() - began_at
         self._owner.metrics.closed_responses.labels(evidence.engine.value).inc()
-        self._owner.log.response_closed(self._machine, evidence, waited_s, is_complete)
+        self._owner.log.response_closed(
+            self._machine, closed.times, evidence, waited_s, is_complete
+        )
         return resolved, evidence.engine
 
     def _longest_close_check_s(self, closed: events.ConnectionClosed, now: float) -> float:
--- a/liftrill/gateway/engines/engine_end_check.py
+++ b/liftrill/gateway/engines/engine_end_check.py
@@ -289,7 +289,6 @@
             is_leaving,
             others_ended or ends is EndsElsewhere.SOME,
             times.delay_s,
-            times.unread_s,
             peers_answered=ends is not EndsElsewhere.UNKNOWN,
             reply=query.reply,
             is_abrupt=is_abrupt,
--- a/liftrill/gateway/run_continuation.py
+++ b/liftrill/gateway/run_continuation.py
@@ -32,7 +32,6 @@
         is_leaving: whether the engine announced that it would end.
         others_ended: whether other responses of the engine ended at the same time, at any node.
         close_delay_s: the time between the last bytes and the close.
-        unread_s: how much of that time this node may have caused, as it did not read.
         peers_answered: whether all peers that had requests at the engine told of other ends.
         reply: what came back when the engine was asked which incarnation it is.
         is_abrupt: whether others were closed with this one, and not all right after their bytes.
@@ -45,7 +44,6 @@
     is_leaving: bool = False
     others_ended: bool = False
     close_delay_s: float = 0.0
-    unread_s: float = 0.0
     peers_answered: bool = True
     reply: EngineReply = EngineReply.NONE
     is_abrupt: bool = False
--- a/liftrill/guarded_connection.py
+++ b/liftrill/guarded_connection.py
@@ -158,11 +158,12 @@
         loop: asyncio.AbstractEventLoop,
         report: ReportFault = no_report,
         doubts: EndDoubts | None = None,
-        polls: clock.PollClock | None = None,
+        *,
+        polls: clock.PollClock,
     ) -> None:
         super().__init__(loop=loop)
         self._report = report
-        self._polls = polls or clock.PollClock()
+        self._polls = polls
         # Whether a response ends with the connection, and the time of the close matters.
         self._is_timed = False
         # The ends of event streams, and of peers' responses that are doubted, are held back.
