--- a/features/standin/connections.py
+++ b/features/standin/connections.py
@@ -14,6 +14,12 @@
     transport.abort()
 
 
+async def connect(address):
+    """Connect to HOST:PORT; return the reader and the writer of the bytes."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
 async def listen(stack, serve):
     """Serve connections on loopback until a stack is closed; return the port."""
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from features.standin.connections import connect
 from features.standin.cut_answers import CLOSED, KILLED, PLACES, READ_S, RESET, SLOWLY
 from features.standin.deployment import HOST, KEY
 from features.standin.engine import CHUNKS, LENGTH
@@ -278,13 +279,13 @@
         LENGTH: "Content-Length: 4\r\n\r\nbody",
         CHUNKS: "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
     }
-    host, _, port = context.deployment.nodes[0].address("Front").rpartition(":")
+    address = context.deployment.nodes[0].address("Front")
     context.whole_ids, context.cut_ids = set(), set()
     running = asyncio.Semaphore(CALLERS)
 
     async def send(data, ending):
         async with running:
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await connect(address)
             writer.write(data)
             await writer.drain()
             if ending == RESET:
--- a/features/steps/drawn_send_steps.py
+++ b/features/steps/drawn_send_steps.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import random
+from contextlib import AsyncExitStack
 
 import aiohttp
 from behave import then, when
 
+from features.standin.connections import listen
 from liftrill.gateway.http_client import Send, new_engine_session, sending
 
 SEED = 1
@@ -48,17 +50,15 @@
 
 async def play(draw, has_ids):
     """Return how many answers were taken for those to another send."""
-    server = await asyncio.start_server(Engine(draw).serve, "127.0.0.1", 0)
-    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
     confused, number = 0, 0
-    async with new_engine_session() as session:
+    async with AsyncExitStack() as stack, new_engine_session() as session:
+        url = f"http://127.0.0.1:{await listen(stack, Engine(draw).serve)}/"
         while number < SENDS:
             at_once = 2 if draw.random() < AT_ONCE_SHARE else 1
             ids = draw.sample(IDS, at_once)
             sends = [send(session, url, each, number + n, has_ids) for n, each in enumerate(ids)]
             confused += sum(await asyncio.gather(*sends))
             number += at_once
-    server.close()
     return confused
 
 
--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -91,15 +91,13 @@
 @when("two requests are sent one after the other")
 def step_two(context):
     async def call():
-        server = await asyncio.start_server(context.engine.serve, "127.0.0.1", 0)
-        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+        url = f"http://127.0.0.1:{await listen(context.stack, context.engine.serve)}/"
         context.answers = []
         async with new_engine_session() as session:
             for _ in range(2):
                 async with session.get(url) as response:
                     context.answers.append(await response.read())
                 await asyncio.sleep(2 * BETWEEN_SEGMENTS_S)
-        server.close()
 
     context.run(call())
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -14,6 +14,7 @@
 from behave import given, then, when
 
 from features.standin import sleeper
+from features.standin.connections import connect
 from features.standin.deployment import KEY, ROUTES, Deployment, terminate
 from features.standin.engine import SIGNATURE, StandInEngine
 
@@ -334,10 +335,10 @@
 
 @when("hostile requests are sent")
 def step_hostile(context):
-    host, _, port = context.deployment.nodes[0].address("Front").rpartition(":")
+    address = context.deployment.nodes[0].address("Front")
 
     async def send(data):
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(address)
         writer.write(data)
         answer = await asyncio.wait_for(reader.read(200), 5.0)
         writer.close()
@@ -742,10 +743,10 @@
 
 @given("a connection to the node that was used before")
 def step_kept_connection(context):
-    host, _, port = context.deployment.nodes[0].address("Front").rpartition(":")
+    address = context.deployment.nodes[0].address("Front")
 
     async def use():
-        context.reader, context.writer = await asyncio.open_connection(host, int(port))
+        context.reader, context.writer = await connect(address)
         context.writer.write(raw_request(1))
         return await asyncio.wait_for(context.reader.readuntil(b"answer to kept1"), 5.0)
 
--- a/features/steps/request_target_steps.py
+++ b/features/steps/request_target_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then, when
 
+from features.standin.connections import connect
 from features.standin.deployment import HOST, KEY
 
 PREFIX = "/safe/"
@@ -40,10 +41,9 @@
 
 
 async def send_all(context):
-    host, _, port = context.deployment.nodes[0].address("Front").rpartition(":")
     context.answers = {}
     for attempt_id, target in context.targets.items():
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(context.deployment.nodes[0].address("Front"))
         writer.write(
             f"GET {target} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt_id}\r\n"
             f"Authorization: Token {KEY}\r\nX-Deadline-Ms: 4000\r\n"
--- a/features/steps/stopping_node_steps.py
+++ b/features/steps/stopping_node_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 
+from features.standin.connections import connect
 from features.standin.deployment import BOUNDS, HOST, KEY
 
 LEADER_KEY = "liftrill/leader"
@@ -60,11 +61,6 @@
     ).encode()
 
 
-async def connect(context):
-    host, _, port = context.deployment.nodes[0].address("Front").rpartition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
 @given("whole answers take {seconds:g} s")
 def step_slow_answers(context, seconds):
     context.body_seconds = seconds
@@ -120,7 +116,7 @@
 
 async def used_connection(context):
     """Return a connection to the node that has served a request."""
-    reader, writer = await connect(context)
+    reader, writer = await connect(context.deployment.nodes[0].address("Front"))
     attempt_id = f"kept{next(_ids)}"
     writer.write(request_head(attempt_id, "/safe/x") + BODY)
     await asyncio.wait_for(reader.readuntil(f"answer to {attempt_id}".encode()), READ_TIMEOUT_S)
@@ -132,7 +128,7 @@
     call = Call(f"stop{next(_ids)}", at_s, at_s + body_delay_s)
     await asyncio.sleep(context.stopped_at + at_s - time.monotonic())
     try:
-        reader, writer = connection or await connect(context)
+        reader, writer = connection or await connect(context.deployment.nodes[0].address("Front"))
         writer.write(request_head(call.attempt_id, "/safe/x"))
         await asyncio.sleep(body_delay_s)
         writer.write(BODY)
